Lay out the workspace, shared types and protocols

Cause: nothing stands yet; every later part needs names, error kinds, settings and the protocols it meets. Before: an empty repository.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/names.py
@@ -0,0 +1,16 @@
+"""Name types shared by every module, so that one name is not taken for another."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+NodeName = NewType("NodeName", str)
+Incarnation = NewType("Incarnation", str)
+DomainName = NewType("DomainName", str)
+CustomerName = NewType("CustomerName", str)
+PoolName = NewType("PoolName", str)
+ServiceName = NewType("ServiceName", str)
+EndpointName = NewType("EndpointName", str)
+RequestId = NewType("RequestId", str)
+# An IP number and a port, "127.0.0.1:8080".
+Address = NewType("Address", str)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -0,0 +1,140 @@
+"""Requests as the core sees them, the events in their life and the verdicts on them."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from toucanyard.configuration import PriorityClass
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import (
+    Address,
+    CustomerName,
+    EndpointName,
+    Incarnation,
+    PoolName,
+    RequestId,
+    ServiceName,
+)
+
+
+class Repeatability(enum.StrEnum):
+    """Whether a request may be executed more than once."""
+
+    REPEATABLE = "repeatable"
+    RUN_ONCE = "run_once"
+    """At most once without a name: one dispatch, never a retry."""
+    KEYED = "keyed"
+    """At most once over all tries that carry the same key."""
+
+
+class ModelTarget(msgspec.Struct, frozen=True):
+    """A request for a model, with what identifies its cacheable prompt."""
+
+    pool: PoolName
+    model: str
+    adapter: str
+    weights_version: str
+    chain: tuple[int, ...]
+    prompt_bytes: int
+    max_tokens: int
+
+
+class ServiceTarget(msgspec.Struct, frozen=True):
+    """A call of a plain service."""
+
+    service: ServiceName
+    method: str
+    path: str
+
+
+class Request(msgspec.Struct, frozen=True):
+    """One request of one caller; `deadline_ms` is a point in the node's time."""
+
+    request_id: RequestId
+    customer: CustomerName
+    priority: PriorityClass
+    target: ModelTarget | ServiceTarget
+    repeatability: Repeatability
+    arrived_ms: float
+    deadline_ms: float
+    configuration_version: int
+    key: str = ""
+    body_digest: bytes = b""
+
+
+class Dispatch(msgspec.Struct, frozen=True):
+    """Send the request to this endpoint now."""
+
+    request_id: RequestId
+    endpoint: EndpointName
+    address: Address
+    attempt: int
+    expected_incarnation: Incarnation | None
+    weights_version: str
+    silence_ms: float
+    """Silence after which the stream is probed on a new connection."""
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """Answer the caller at once with this refusal."""
+
+    request_id: RequestId
+    kind: ErrorKind
+    ending: Ending
+    text: str
+    retry_after_ms: int
+
+
+class KeptAnswer(msgspec.Struct, frozen=True):
+    """The whole answer to a keyed request, as first given."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Replay(msgspec.Struct, frozen=True):
+    """Give the caller the answer that an earlier try got."""
+
+    request_id: RequestId
+    answer: KeptAnswer
+
+
+class EndingSeen(enum.StrEnum):
+    """How one dispatch ended, as the task that held the connection saw it."""
+
+    COMPLETED = "completed"
+    NOT_SENT = "not_sent"
+    """No byte of the request left, so it did not run."""
+    REFUSED = "refused"
+    """The endpoint answered that it did not run the request."""
+    FAILED = "failed"
+    """The endpoint answered with an error after it may have run."""
+    LOST = "lost"
+    """The connection died or went silent and could not be resumed."""
+    CANCELLED = "cancelled"
+    """The caller went away."""
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What is known when one dispatch has ended."""
+
+    request_id: RequestId
+    endpoint: EndpointName
+    ending: EndingSeen
+    incarnation: Incarnation | None = None
+    weights_version: str = ""
+    first_token_ms: float | None = None
+    """Time from dispatch to the first byte of the answer's body."""
+    duration_ms: float = 0.0
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    events_relayed: int = 0
+    answer: KeptAnswer | None = None
+    """Set for keyed requests that completed."""
+
+
+Verdict = Dispatch | Refuse | Replay
--- /dev/null
+++ b/tests/features/run.py
@@ -0,0 +1,28 @@
+"""Run the scenarios with behave and close with a plain count."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from behave.configuration import Configuration
+from behave.runner import Runner
+
+FEATURES = Path(__file__).parent
+
+
+def main(arguments: list[str]) -> int:
+    """Run every scenario, print how many passed and failed, return the status."""
+    paths = arguments or [str(FEATURES)]
+    configuration = Configuration(["--format", "progress", "--no-skipped", *paths])
+    runner = Runner(configuration)
+    failed = runner.run()
+    scenarios = [s for feature in runner.features for s in feature.walk_scenarios()]
+    statuses = [scenario.status.name for scenario in scenarios]
+    passed = statuses.count("passed")
+    print(f"{passed} passed, {len(statuses) - passed} failed")
+    return 1 if failed or not statuses else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
