--- /dev/null
+++ b/packages/toucanyard-cli/src/toucanyard_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and callers."""
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -0,0 +1,169 @@
+"""Speak HTTP/1.1 to endpoints and platform over trio with h11.
+
+One HttpConnection carries one request at a time. Who holds it decides whether it
+may be used again: a connection on which an answer was abandoned never is, since the
+late rest of that answer would be taken for the next one.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import h11
+import msgspec
+import trio
+
+from toucanyard.names import Address
+
+_READ_BYTES: Final = 65_536
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class ConnectionFailed(Exception):
+    """The connection could not be made or died; `is_sent` tells if bytes left."""
+
+    def __init__(self, text: str, is_sent: bool) -> None:
+        super().__init__(text)
+        self.is_sent = is_sent
+
+
+class ResponseHead(msgspec.Struct, frozen=True):
+    """Status and headers of an answer; header names are lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class Response(msgspec.Struct, frozen=True):
+    """One whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def split_address(address: Address) -> tuple[str, int]:
+    """Split "127.0.0.1:80" or "[::1]:80" into host and port."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class HttpConnection:
+    """One connection to one address.
+
+    Invariant: `is_reusable` is true only when the last answer was read to its end.
+    """
+
+    __slots__ = ("_connection", "_stream", "address", "opened_ms")
+
+    def __init__(
+        self, address: Address, stream: trio.SocketStream, opened_ms: float
+    ) -> None:
+        self.address = address
+        self.opened_ms = opened_ms
+        self._stream = stream
+        self._connection = h11.Connection(h11.CLIENT)
+
+    def is_reusable(self) -> bool:
+        """Tell whether another request may be sent."""
+        states = (self._connection.our_state, self._connection.their_state)
+        return states in ((h11.IDLE, h11.IDLE), (h11.DONE, h11.DONE))
+
+    async def send(
+        self, method: str, target: str, headers: Headers, body: bytes = b""
+    ) -> None:
+        """Send one request, or raise ConnectionFailed."""
+        connection = self._connection
+        if connection.our_state is h11.DONE:
+            connection.start_next_cycle()
+        named = [("Host", self.address), ("Content-Length", str(len(body))), *headers]
+        head = h11.Request(method=method, target=target, headers=named)
+        data = connection.send(head) or b""
+        if body:
+            data += connection.send(h11.Data(data=body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ConnectionFailed(str(error), is_sent=True) from error
+
+    async def read_head(self) -> ResponseHead:
+        """Read status and headers, or raise ConnectionFailed."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ConnectionFailed("closed before an answer", is_sent=True)
+            headers = {
+                name.decode("ascii"): value.decode("latin-1")
+                for name, value in event.headers
+            }
+            return ResponseHead(event.status_code, headers)
+
+    async def read_part(self) -> bytes | None:
+        """Read the next part of the body; None at its end."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionFailed("closed inside an answer", is_sent=True)
+
+    async def read_body(self) -> bytes:
+        """Read the rest of the body."""
+        body = bytearray()
+        while (part := await self.read_part()) is not None:
+            body += part
+        return bytes(body)
+
+    async def close(self) -> None:
+        """Close at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._connection.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionFailed(str(error), is_sent=True) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.receive_some(_READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise ConnectionFailed(str(error), is_sent=True) from error
+            self._connection.receive_data(data)
+
+
+async def connect(address: Address, timeout_ms: float) -> HttpConnection:
+    """Open a connection, or raise ConnectionFailed with nothing sent."""
+    host, port = split_address(address)
+    try:
+        with trio.fail_after(timeout_ms / 1000):
+            stream = await trio.open_tcp_stream(host, port)
+    except (OSError, trio.TooSlowError) as error:
+        raise ConnectionFailed(f"{address}: {error}", is_sent=False) from error
+    return HttpConnection(address, stream, trio.current_time() * 1000)
+
+
+async def fetch(
+    address: Address,
+    method: str,
+    target: str,
+    headers: Headers = (),
+    body: bytes = b"",
+    timeout_ms: float = 5_000,
+) -> Response:
+    """Make one request on a connection of its own, or raise ConnectionFailed."""
+    connection = await connect(address, timeout_ms)
+    try:
+        with trio.fail_after(timeout_ms / 1000):
+            await connection.send(method, target, headers, body)
+            head = await connection.read_head()
+            return Response(head.status, head.headers, await connection.read_body())
+    except trio.TooSlowError as error:
+        raise ConnectionFailed(f"{address}: no answer", is_sent=True) from error
+    finally:
+        await connection.close()
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -0,0 +1,303 @@
+"""Serve HTTP/1.1 over trio with h11: limits, keep-alive and caller-gone detection.
+
+The faces towards callers and operators, and the stand-ins, pass a handler; this
+module knows nothing of what they answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import msgspec
+import trio
+
+from toucanyard.errorcodes import ANSWERS, ErrorKind
+from toucanyard.names import RequestId
+from toucanyard.requests import Refuse
+from toucanyard_node.refusals import render_refusal
+
+_READ_BYTES: Final = 65_536
+_RETRY_AFTER_MS: Final = 1_000
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class ServerLimits(msgspec.Struct, frozen=True):
+    """Limits that a server applies before its handler sees a request."""
+
+    max_connections: int = 2_000
+    max_body_bytes: int = 4_000_000
+    max_header_bytes: int = 32_768
+    header_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 60_000
+
+
+class HttpRequest(msgspec.Struct, frozen=True):
+    """One whole request; header names are lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class CallerGone(Exception):
+    """The other side closed its connection before its answer was whole."""
+
+
+class Responder:
+    """Send one answer: `send` for a whole body, or `start`, `write` and `finish`.
+
+    Invariant: at most one answer is started; a handler that returns without an
+    answer, or inside one, makes the server close the connection, so that the other
+    side can tell a cut answer from a whole one.
+    """
+
+    __slots__ = ("_connection", "_stream", "is_closing", "is_started")
+
+    def __init__(self, connection: h11.Connection, stream: trio.abc.Stream) -> None:
+        self._connection = connection
+        self._stream = stream
+        self.is_started = False
+        self.is_closing = False
+
+    async def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer in one write."""
+        head = self._render_head(status, (*headers, ("Content-Length", str(len(body)))))
+        data = self._connection.send(h11.Data(data=body)) or b""
+        tail = self._connection.send(h11.EndOfMessage()) or b""
+        await self._write_out(head + data + tail)
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        head = self._render_head(status, (*headers, ("Transfer-Encoding", "chunked")))
+        await self._write_out(head)
+
+    async def write(self, data: bytes) -> None:
+        """Send one part of the body; blocks while the other side is slow."""
+        await self._write_out(self._connection.send(h11.Data(data=data)) or b"")
+
+    async def finish(self) -> None:
+        """Mark the body as whole."""
+        await self._write_out(self._connection.send(h11.EndOfMessage()) or b"")
+
+    def close_after(self) -> None:
+        """Ask the other side to close after this answer."""
+        self.is_closing = True
+
+    def _render_head(self, status: int, headers: Headers) -> bytes:
+        self.is_started = True
+        if self.is_closing:
+            headers = (*headers, ("Connection", "close"))
+        response = h11.Response(status_code=status, headers=list(headers))
+        return self._connection.send(response) or b""
+
+    async def _write_out(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGone from error
+
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+class HttpServer:
+    """Accept connections on one listener and run the handler for each request."""
+
+    __slots__ = ("_handler", "_limits", "_open_connections")
+
+    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._open_connections = 0
+
+    async def serve(self, listener: trio.SocketListener) -> None:
+        """Serve until cancelled."""
+        await trio.serve_listeners(self._serve_stream, [listener])
+
+    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+        self._open_connections += 1
+        try:
+            await self._serve_connection(stream)
+        except (CallerGone, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._open_connections -= 1
+            with trio.move_on_after(0.5) as scope:
+                scope.shield = True
+                await trio.aclose_forcefully(stream)
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+        )
+        if self._open_connections > self._limits.max_connections:
+            await self._refuse(connection, stream, ErrorKind.TOO_MANY_CONNECTIONS)
+            return
+        is_first = True
+        while await self._serve_one(connection, stream, is_first):
+            is_first = False
+
+    async def _serve_one(
+        self, connection: h11.Connection, stream: trio.SocketStream, is_first: bool
+    ) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            request = await self._read_request(connection, stream, is_first)
+        except h11.RemoteProtocolError:
+            await self._refuse(connection, stream, ErrorKind.BAD_REQUEST)
+            return False
+        if request is None:
+            return False
+        if isinstance(request, ErrorKind):
+            await self._refuse(connection, stream, request)
+            return False
+        responder = Responder(connection, stream)
+        await self._run_handler(request, responder, connection, stream)
+        if connection.our_state is not h11.DONE:
+            return False
+        if connection.their_state is not h11.DONE:
+            return False
+        connection.start_next_cycle()
+        return True
+
+    async def _run_handler(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+    ) -> None:
+        """Run the handler and cancel it as soon as the other side hangs up."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_watch_hang_up, connection, stream, nursery.cancel_scope)
+            await self._handler(request, responder)
+            nursery.cancel_scope.cancel()
+
+    async def _read_request(
+        self, connection: h11.Connection, stream: trio.SocketStream, is_first: bool
+    ) -> HttpRequest | ErrorKind | None:
+        limits = self._limits
+        idle_ms = limits.header_timeout_ms if is_first else limits.idle_timeout_ms
+        if not await self._fill_first_bytes(connection, stream, idle_ms):
+            return None
+        # A sender of one byte a second would hold its connection for ever; the
+        # bound counts from the first byte and covers head and body.
+        with trio.move_on_after(limits.header_timeout_ms / 1000) as scope:
+            return await self._read_message(connection, stream)
+        assert scope.cancelled_caught
+        return ErrorKind.HEADERS_TOO_SLOW
+
+    async def _fill_first_bytes(
+        self, connection: h11.Connection, stream: trio.SocketStream, idle_ms: int
+    ) -> bool:
+        """Wait for a request's first bytes; return whether any came."""
+        if connection.trailing_data[0]:
+            return True
+        with trio.move_on_after(idle_ms / 1000):
+            data = await stream.receive_some(_READ_BYTES)
+            connection.receive_data(data)
+            return bool(data)
+        return False
+
+    async def _read_message(
+        self, connection: h11.Connection, stream: trio.SocketStream
+    ) -> HttpRequest | ErrorKind | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                await self._fill(connection, stream)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.max_body_bytes:
+                    return ErrorKind.BODY_TOO_LARGE
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return parse_request(head, bytes(body))
+            else:
+                return None
+
+    async def _fill(
+        self, connection: h11.Connection, stream: trio.SocketStream
+    ) -> None:
+        if connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(connection.send(go_on) or b"")
+        connection.receive_data(await stream.receive_some(_READ_BYTES))
+
+    async def _refuse(
+        self, connection: h11.Connection, stream: trio.SocketStream, kind: ErrorKind
+    ) -> None:
+        answer = ANSWERS[kind]
+        assert answer.ending is not None
+        refusal = render_refusal(
+            Refuse(RequestId(""), kind, answer.ending, kind.value, _RETRY_AFTER_MS)
+        )
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        responder = Responder(connection, stream)
+        responder.close_after()
+        await responder.send(refusal.status, refusal.headers, refusal.body)
+        await _discard_input(stream)
+
+
+async def _discard_input(stream: trio.SocketStream) -> None:
+    """Read what is under way for a moment before closing.
+
+    Closing with unread input resets the connection, and the reset can overtake the
+    refusal: the sender of a body that is too large would see a reset, not a 413.
+    """
+    await stream.send_eof()
+    with trio.move_on_after(0.25):
+        while await stream.receive_some(_READ_BYTES):
+            pass
+
+
+async def _watch_hang_up(
+    connection: h11.Connection, stream: trio.SocketStream, scope: trio.CancelScope
+) -> None:
+    """Cancel the scope when the other side closes; keep what it sends early."""
+    try:
+        data = await stream.receive_some(_READ_BYTES)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        scope.cancel()
+        return
+    connection.receive_data(data)
+    if not data:
+        scope.cancel()
+
+
+def parse_request(head: h11.Request, body: bytes) -> HttpRequest:
+    """Build a request from its head and body."""
+    parts = urlsplit(head.target.decode("ascii", "replace"))
+    headers = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
+    }
+    return HttpRequest(
+        method=head.method.decode("ascii"),
+        path=unquote(parts.path),
+        query=dict(parse_qsl(parts.query)),
+        headers=headers,
+        body=body,
+    )
+
+
+async def open_listener(host: str, port: int) -> trio.SocketListener:
+    """Listen on one IP number and port; port 0 lets the kernel choose."""
+    listeners = await trio.open_tcp_listeners(port, host=host, backlog=1024)
+    return listeners[0]
+
+
+def find_port(listener: trio.SocketListener) -> int:
+    """Return the port that a listener is bound to."""
+    port = listener.socket.getsockname()[1]
+    assert isinstance(port, int)
+    return port
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/refusals.py
@@ -0,0 +1,56 @@
+"""Render refusals: the body that callers and operators read, and its headers."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
+from toucanyard.requests import Refuse
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """The `error` object of a refusal, in the shape that OpenAI clients read."""
+
+    code: ErrorKind
+    message: str
+    ending: Ending
+    not_run: bool
+    retry_after_ms: int | None
+    request_id: str
+    type: str = "router_error"
+
+
+class RefusalBody(msgspec.Struct, frozen=True):
+    """The whole body of a refusal."""
+
+    error: ErrorBody
+
+
+class RenderedRefusal(msgspec.Struct, frozen=True):
+    """A refusal ready to be sent."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def render_refusal(refusal: Refuse) -> RenderedRefusal:
+    """Build status, headers and body of one refusal."""
+    answer = ANSWERS[refusal.kind]
+    retry_after_ms = refusal.retry_after_ms if answer.is_retryable else None
+    body = RefusalBody(
+        ErrorBody(
+            code=refusal.kind,
+            message=refusal.text,
+            ending=refusal.ending,
+            not_run=refusal.ending is Ending.NOT_RUN,
+            retry_after_ms=retry_after_ms,
+            request_id=refusal.request_id,
+        )
+    )
+    headers = [("Content-Type", "application/json")]
+    if retry_after_ms is not None:
+        headers.append(("Retry-After", str(math.ceil(retry_after_ms / 1000))))
+    return RenderedRefusal(answer.status, tuple(headers), msgspec.json.encode(body))
