--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -20,7 +20,7 @@
 Headers = tuple[tuple[str, str], ...]
 
 
-class ConnectionFailed(Exception):
+class ConnectionFailedError(Exception):
     """The connection could not be made or died; `is_sent` tells if bytes left."""
 
     def __init__(self, text: str, is_sent: bool) -> None:
@@ -73,7 +73,7 @@
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes = b""
     ) -> None:
-        """Send one request, or raise ConnectionFailed."""
+        """Send one request, or raise ConnectionFailedError."""
         connection = self._connection
         if connection.our_state is h11.DONE:
             connection.start_next_cycle()
@@ -86,16 +86,16 @@
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ConnectionFailed(str(error), is_sent=True) from error
+            raise ConnectionFailedError(str(error), is_sent=True) from error
 
     async def read_head(self) -> ResponseHead:
-        """Read status and headers, or raise ConnectionFailed."""
+        """Read status and headers, or raise ConnectionFailedError."""
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
-                raise ConnectionFailed("closed before an answer", is_sent=True)
+                raise ConnectionFailedError("closed before an answer", is_sent=True)
             headers = {
                 name.decode("ascii"): value.decode("latin-1")
                 for name, value in event.headers
@@ -109,7 +109,7 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
-        raise ConnectionFailed("closed inside an answer", is_sent=True)
+        raise ConnectionFailedError("closed inside an answer", is_sent=True)
 
     async def read_body(self) -> bytes:
         """Read the rest of the body."""
@@ -127,24 +127,24 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionFailed(str(error), is_sent=True) from error
+                raise ConnectionFailedError(str(error), is_sent=True) from error
             if event is not h11.NEED_DATA:
                 return event
             try:
                 data = await self._stream.receive_some(_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionFailed(str(error), is_sent=True) from error
+                raise ConnectionFailedError(str(error), is_sent=True) from error
             self._connection.receive_data(data)
 
 
 async def connect(address: Address, timeout_ms: float) -> HttpConnection:
-    """Open a connection, or raise ConnectionFailed with nothing sent."""
+    """Open a connection, or raise ConnectionFailedError with nothing sent."""
     host, port = split_address(address)
     try:
         with trio.fail_after(timeout_ms / 1000):
             stream = await trio.open_tcp_stream(host, port)
     except (OSError, trio.TooSlowError) as error:
-        raise ConnectionFailed(f"{address}: {error}", is_sent=False) from error
+        raise ConnectionFailedError(f"{address}: {error}", is_sent=False) from error
     return HttpConnection(address, stream, trio.current_time() * 1000)
 
 
@@ -156,7 +156,7 @@
     body: bytes = b"",
     timeout_ms: float = 5_000,
 ) -> Response:
-    """Make one request on a connection of its own, or raise ConnectionFailed."""
+    """Make one request on a connection of its own, or raise ConnectionFailedError."""
     connection = await connect(address, timeout_ms)
     try:
         with trio.fail_after(timeout_ms / 1000):
@@ -164,6 +164,6 @@
             head = await connection.read_head()
             return Response(head.status, head.headers, await connection.read_body())
     except trio.TooSlowError as error:
-        raise ConnectionFailed(f"{address}: no answer", is_sent=True) from error
+        raise ConnectionFailedError(f"{address}: no answer", is_sent=True) from error
     finally:
         await connection.close()
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -45,7 +45,7 @@
     body: bytes
 
 
-class CallerGone(Exception):
+class CallerGoneError(Exception):
     """The other side closed its connection before its answer was whole."""
 
 
@@ -100,7 +100,7 @@
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise CallerGone from error
+            raise CallerGoneError from error
 
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -124,7 +124,7 @@
         self._open_connections += 1
         try:
             await self._serve_connection(stream)
-        except (CallerGone, trio.BrokenResourceError, trio.ClosedResourceError):
+        except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
             self._open_connections -= 1
