--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/logs.py
@@ -0,0 +1,34 @@
+"""Set up logs: one line of key=value pairs for each event, on standard error.
+
+Prompts and keys never reach a log call; only names, ids, counts and times do.
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import structlog
+
+from toucanyard.names import NodeName
+
+
+def configure_logs(node: NodeName, level: str) -> None:
+    """Send every event to standard error as one key=value line."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], bool_as_flag=False
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(node=node)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/explanations.py
@@ -0,0 +1,120 @@
+"""Keep a compact record of each decision, so that any of them can be asked about.
+
+The node that decided keeps the record in a bounded ring; a request id names that
+node, so another node knows whom to ask.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+
+import msgspec
+
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import CustomerName, EndpointName, RequestId
+from toucanyard.requests import EndingSeen
+
+MAX_RECORDS: Final = 20_000
+MAX_STEPS: Final = 24
+
+
+class Alternative(msgspec.Struct, frozen=True, tag_field="kind", tag="alternative"):
+    """One endpoint that was weighed, with its parts in milliseconds."""
+
+    endpoint: EndpointName
+    score_ms: float
+    queue_ms: float
+    recompute_ms: float
+    warm_blocks: int
+    source: str
+
+
+class Claimed(msgspec.Struct, frozen=True, tag_field="kind", tag="claimed"):
+    """The key was won, so this node alone may dispatch."""
+
+    at_ms: float
+
+
+class Queued(msgspec.Struct, frozen=True, tag_field="kind", tag="queued"):
+    """The request waits for a slot."""
+
+    at_ms: float
+
+
+class Placed(msgspec.Struct, frozen=True, tag_field="kind", tag="placed"):
+    """The request was sent to an endpoint, chosen among the alternatives."""
+
+    at_ms: float
+    endpoint: EndpointName
+    attempt: int
+    alternatives: tuple[Alternative, ...]
+
+
+class Ended(msgspec.Struct, frozen=True, tag_field="kind", tag="ended"):
+    """One dispatch ended."""
+
+    at_ms: float
+    endpoint: EndpointName
+    ending: EndingSeen
+    first_token_ms: float | None
+    cached_tokens: int
+    prompt_tokens: int
+
+
+class Refused(msgspec.Struct, frozen=True, tag_field="kind", tag="refused"):
+    """The request was refused."""
+
+    at_ms: float
+    error: ErrorKind
+    ending: Ending
+    text: str
+    retry_after_ms: int
+
+
+class Replayed(msgspec.Struct, frozen=True, tag_field="kind", tag="replayed"):
+    """An earlier try's answer was given again."""
+
+    at_ms: float
+
+
+Step = Claimed | Queued | Placed | Ended | Refused | Replayed
+
+
+class DecisionRecord(msgspec.Struct):
+    """What was decided about one request, step by step."""
+
+    request_id: RequestId
+    customer: CustomerName
+    configuration_version: int
+    arrived_ms: float
+    steps: list[Step]
+
+
+class ExplanationRing:
+    """Hold the newest records.
+
+    Invariant: never more than `max_records` records of at most MAX_STEPS steps.
+    """
+
+    __slots__ = ("_max_records", "_records")
+
+    def __init__(self, max_records: int = MAX_RECORDS) -> None:
+        self._max_records = max_records
+        self._records: OrderedDict[RequestId, DecisionRecord] = OrderedDict()
+
+    def open(self, record: DecisionRecord) -> None:
+        """Start a record, and drop the oldest when the ring is full."""
+        self._records[record.request_id] = record
+        while len(self._records) > self._max_records:
+            self._records.popitem(last=False)
+
+    def add_step(self, request_id: RequestId, step: Step) -> None:
+        """Append one step to a record that is still held."""
+        record = self._records.get(request_id)
+        if record is not None and len(record.steps) < MAX_STEPS:
+            record.steps.append(step)
+
+    def find(self, request_id: RequestId) -> DecisionRecord | None:
+        """Return the record of one request."""
+        return self._records.get(request_id)
