Add the at-most-once decision: claims in the log, issued keys, kept answers

Cause: a keyed request must run at most once over all nodes, and "not run" must be true of the key, not only of one try. Ruled out: taking a key over from a claimer that is silent, since a paused one wakes and dispatches; "not run" during an outage of the log for a key that may have been claimed by another node.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -0,0 +1,153 @@
+"""Fold claim records of the log into who owns which caller-chosen key.
+
+The first claim of a key in offset order wins for as long as it is remembered. The
+index must be fed from the oldest record of the log on, without a gap.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from toucanyard.claim_messages import (
+    AbandonRecord,
+    ClaimRecord,
+    ClaimRecordsRead,
+    KeyName,
+    LogRecord,
+    NodeId,
+    decode_record,
+)
+
+
+@dataclass(slots=True)
+class Claim:
+    """The winning claim of one key."""
+
+    claim_id: str
+    claimer: NodeId
+    digest: bytes
+    at_ms: float
+    """When the log took it, by the log's clock."""
+    read_ms: float
+    is_abandoned: bool
+
+
+class ClaimIndex:
+    """Winning claims of the window.
+
+    Invariants: a claim is forgotten only when it is older than the window both by
+    the log's clock and by this node's, so that a jump of either can't make a key
+    run again; while a claim is missing for want of room, `is_complete` is false.
+    """
+
+    __slots__ = (
+        "_given_up",
+        "_claims",
+        "_hole_at_ms",
+        "_hole_read_ms",
+        "_log_now_ms",
+        "_max_keys",
+        "_window_ms",
+        "next_offset",
+    )
+
+    def __init__(self, window_ms: float, max_keys: int) -> None:
+        self._window_ms = window_ms
+        self._max_keys = max_keys
+        self._claims: dict[KeyName, Claim] = {}
+        self._given_up: dict[str, float] = {}
+        self._log_now_ms = float("-inf")
+        self._hole_at_ms: float | None = None
+        self._hole_read_ms = 0.0
+        self.next_offset: int | None = None
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def find(self, name: KeyName) -> Claim | None:
+        """Return the winning claim of a key."""
+        return self._claims.get(name)
+
+    def is_complete(self) -> bool:
+        """Tell whether every claim of the window has been remembered."""
+        return self._hole_at_ms is None
+
+    def is_given_up(self, claim_id: str) -> bool:
+        """Tell whether this node gave its claim up before having read it."""
+        return claim_id in self._given_up
+
+    def has_gap_before(self, event: ClaimRecordsRead) -> bool:
+        """Tell whether records were missed since the last read."""
+        return self.next_offset is not None and event.from_offset > self.next_offset
+
+    def read(self, event: ClaimRecordsRead, now_ms: float) -> list[ClaimRecord]:
+        """Take in records in offset order; return the claims among them."""
+        start = event.from_offset if self.next_offset is None else self.next_offset
+        self.next_offset = max(start, event.next_offset)
+        claims = []
+        for record in event.records:
+            # A read that overlaps the last one would otherwise count a claim twice.
+            if record.offset < start:
+                continue
+            self._log_now_ms = max(self._log_now_ms, record.at_ms)
+            match decode_record(record.text):
+                case ClaimRecord() as claim:
+                    self._take_claim(claim, record, now_ms)
+                    claims.append(claim)
+                case AbandonRecord(claim_id=claim_id, name=name):
+                    self.abandon(claim_id, name)
+        return claims
+
+    def give_up(self, claim_id: str, now_ms: float) -> None:
+        """Remember that a claim of this node, not read yet, is never dispatched."""
+        self._given_up[claim_id] = now_ms
+
+    def abandon(self, claim_id: str, name: KeyName) -> None:
+        """Mark the winning claim of a key as never dispatched."""
+        winner = self._claims.get(name)
+        if winner is not None and winner.claim_id == claim_id:
+            winner.is_abandoned = True
+
+    def forget_old(self, now_ms: float) -> None:
+        """Forget what is older than the window."""
+        for name in self._find_old(now_ms):
+            del self._claims[name]
+        while self._given_up:
+            claim_id = next(iter(self._given_up))
+            if now_ms - self._given_up[claim_id] < 2 * self._window_ms:
+                break
+            del self._given_up[claim_id]
+        hole_at_ms = self._hole_at_ms
+        if hole_at_ms is not None and self._is_old(
+            hole_at_ms, self._hole_read_ms, now_ms
+        ):
+            self._hole_at_ms = None
+
+    def _find_old(self, now_ms: float) -> list[KeyName]:
+        old = []
+        for name, claim in self._claims.items():
+            if not self._is_old(claim.at_ms, claim.read_ms, now_ms):
+                break
+            old.append(name)
+        return old
+
+    def _is_old(self, at_ms: float, read_ms: float, now_ms: float) -> bool:
+        if now_ms - read_ms < self._window_ms:
+            return False
+        return self._log_now_ms - at_ms >= self._window_ms
+
+    def _take_claim(self, claim: ClaimRecord, record: LogRecord, now_ms: float) -> None:
+        if claim.name in self._claims:
+            return
+        if len(self._claims) >= self._max_keys:
+            self._hole_at_ms = record.at_ms
+            self._hole_read_ms = now_ms
+            return
+        self._claims[claim.name] = Claim(
+            claim.claim_id,
+            claim.claimer,
+            claim.digest,
+            record.at_ms,
+            now_ms,
+            claim.claim_id in self._given_up,
+        )
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/kept_answers.py
@@ -0,0 +1,49 @@
+"""Keep whole answers for retries, within a limit of bytes."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from toucanyard.claim_messages import KeyName
+from toucanyard.requests import KeptAnswer
+
+_OVERHEAD_BYTES: Final = 400
+
+
+class KeptAnswers:
+    """Answers by key, oldest dropped first.
+
+    Invariant: `used_bytes` is the sum over what is kept and never above the limit.
+    """
+
+    __slots__ = ("_answers", "_limit_bytes", "used_bytes")
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._answers: dict[KeyName, KeptAnswer] = {}
+        self._limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def find(self, name: KeyName) -> KeptAnswer | None:
+        """Return the answer of a key unless it was dropped."""
+        return self._answers.get(name)
+
+    def keep(self, name: KeyName, answer: KeptAnswer) -> None:
+        """Keep an answer, dropping the oldest ones that it displaces."""
+        self.drop(name)
+        size_bytes = _compute_size_bytes(answer)
+        if size_bytes > self._limit_bytes:
+            return
+        while self.used_bytes + size_bytes > self._limit_bytes:
+            self.drop(next(iter(self._answers)))
+        self._answers[name] = answer
+        self.used_bytes += size_bytes
+
+    def drop(self, name: KeyName) -> None:
+        """Drop the answer of a key, if there is one."""
+        answer = self._answers.pop(name, None)
+        if answer is not None:
+            self.used_bytes -= _compute_size_bytes(answer)
+
+
+def _compute_size_bytes(answer: KeptAnswer) -> int:
+    return len(answer.body) + len(answer.content_type) + _OVERHEAD_BYTES
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_answers.py
@@ -0,0 +1,84 @@
+"""Compose what a caller is told about a key: a kept answer or a refusal."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from toucanyard.claim_messages import (
+    KeyedArrived,
+    KeyStatus,
+    RefuseKeyed,
+    ReplayAnswer,
+)
+from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
+from toucanyard.requests import KeptAnswer
+
+_RETRY_AFTER_MS: Final = 500
+
+_TEXTS: Final = {
+    ErrorKind.KEY_EXPIRED: "the key is older than the time that keys are remembered",
+    ErrorKind.KEY_IN_PROGRESS: "the key's request has not ended yet",
+    ErrorKind.KEY_REUSED: "the key was used before with another body",
+    ErrorKind.KEY_SEALED: "the key's request did not run and never will; use a new key",
+    ErrorKind.OUTCOME_UNKNOWN: "nobody can tell any more whether the request ran",
+    ErrorKind.LOG_UNAVAILABLE: "keys chosen by callers can't be claimed at present",
+    ErrorKind.OVERLOADED: "no room to remember another key",
+    ErrorKind.DEADLINE_EXCEEDED: "the deadline passed before the request could run",
+    ErrorKind.CALLER_GONE: "the caller went away",
+}
+
+
+def compute_unclaimed_ending(key_age_ms: float | None) -> Ending:
+    """Return what may be said of a key whose other tries this node can't know.
+
+    Only a caller that declared its first try can be told that the key did not run:
+    an earlier try may have been claimed by another node.
+    """
+    return Ending.NOT_RUN if key_age_ms == 0 else Ending.UNKNOWN
+
+
+def refuse(event: KeyedArrived, kind: ErrorKind, rng: random.Random) -> RefuseKeyed:
+    """Refuse with the ending that the kind's table entry proves."""
+    ending = ANSWERS[kind].ending
+    return _compose(event, kind, Ending.UNKNOWN if ending is None else ending, rng)
+
+
+def refuse_unclaimed(
+    event: KeyedArrived, kind: ErrorKind, rng: random.Random
+) -> RefuseKeyed:
+    """Refuse a try that this node never will dispatch, of a key it knows too little of.
+
+    The kind's own ending speaks of one try; a keyed refusal speaks of the key.
+    """
+    return _compose(event, kind, compute_unclaimed_ending(event.key_age_ms), rng)
+
+
+def tell_status(
+    event: KeyedArrived,
+    status: KeyStatus,
+    digest: bytes,
+    answer: KeptAnswer | None,
+    rng: random.Random,
+) -> RefuseKeyed | ReplayAnswer:
+    """Tell a try how its key ended; an empty digest says that no body is known."""
+    if digest and digest != event.body_digest:
+        return refuse(event, ErrorKind.KEY_REUSED, rng)
+    match status:
+        case KeyStatus.ANSWERED if answer is not None:
+            return ReplayAnswer(event.request_id, answer)
+        case KeyStatus.NOT_RUN:
+            return refuse(event, ErrorKind.KEY_SEALED, rng)
+        case KeyStatus.RUNNING:
+            return refuse(event, ErrorKind.KEY_IN_PROGRESS, rng)
+        case _:
+            return refuse(event, ErrorKind.OUTCOME_UNKNOWN, rng)
+
+
+def _compose(
+    event: KeyedArrived, kind: ErrorKind, ending: Ending, rng: random.Random
+) -> RefuseKeyed:
+    # Spread, so that callers refused together don't come back together.
+    retry_after_ms = int(_RETRY_AFTER_MS * (1 + rng.random()))
+    text = _TEXTS[kind]
+    return RefuseKeyed(event.request_id, kind, ending, text, retry_after_ms)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_entries.py
@@ -0,0 +1,69 @@
+"""What one node holds about keys whose requests are under way or have ended."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from toucanyard.claim_messages import KeyedArrived, KeyName, KeyStatus, NodeId
+from toucanyard.issued_keys import IssuedKey
+from toucanyard.names import RequestId
+
+
+class Phase(enum.Enum):
+    """Where a key under way stands on this node."""
+
+    CLAIMING = "claiming"
+    """This node's claim has not been read from the log yet."""
+    NOTING = "noting"
+    """This node issued the key; its witness has not noted it yet."""
+    ALLOWED = "allowed"
+    """One request of the key may be dispatched, or has been."""
+    FOLLOWING = "following"
+    """Another node is the only one that may dispatch the key."""
+
+
+@dataclass(slots=True)
+class KeyEntry:
+    """One key under way.
+
+    Invariant: `phase` becomes ALLOWED at most once in the life of an entry, and no
+    second entry that may become ALLOWED is made for the same claim or issued key.
+    """
+
+    name: KeyName
+    phase: Phase
+    digest: bytes
+    started_ms: float
+    claim_id: str = ""
+    """Own claim, or the winning one that is followed; empty for issued keys."""
+    issued: IssuedKey | None = None
+    target: NodeId | None = None
+    """The node asked while FOLLOWING."""
+    sent_ms: float = float("-inf")
+    is_seal_refused: bool = False
+    is_target_running: bool = False
+    running: RequestId | None = None
+    is_started: bool = False
+    waiting: dict[RequestId, KeyedArrived] = field(default_factory=dict)
+    askers: dict[NodeId, None] = field(default_factory=dict)
+
+    def find_expired(self, now_ms: float) -> list[KeyedArrived]:
+        """Return the waiting tries whose deadline has passed."""
+        return [try_ for try_ in self.waiting.values() if try_.deadline_ms <= now_ms]
+
+    def find_first_live(self, now_ms: float) -> KeyedArrived | None:
+        """Return the first waiting try that carries the claimed body in time."""
+        for try_ in self.waiting.values():
+            if try_.body_digest == self.digest and try_.deadline_ms > now_ms:
+                return try_
+        return None
+
+
+@dataclass(slots=True)
+class EndedKey:
+    """How a key ended on the node that alone might dispatch it; never changes."""
+
+    status: KeyStatus
+    digest: bytes
+    ended_ms: float
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -58,8 +58,13 @@
     min_silence_ms: DurationMs = 600
     max_silence_ms: DurationMs = 3_000
     max_resumes: Count = 5
-    replay_buffer_bytes: SizeBytes = 65_536
+    replay_buffer_bytes: SizeBytes = 32_768
+    """What one stream keeps for a caller that resumes it."""
     replay_keep_ms: DurationMs = 30_000
+    kept_streams_bytes: SizeBytes = 8_000_000
+    """What all streams that have ended keep together."""
+    resume_grace_ms: DurationMs = 1_000
+    """How long an engine goes on for a caller that went away."""
     max_idle_connections: Count = 32
 
 
@@ -76,6 +81,19 @@
     """This node's share of the log's rate."""
     kept_answers_bytes: SizeBytes = 32_000_000
     max_keys: Count = 200_000
+    """Most keys remembered of each sort; when full, new keys are refused."""
+    resend_ms: DurationMs = 100
+    """How often a question to a peer that has not answered is sent again."""
+    ask_patience_ms: DurationMs = 300
+    """How long the issuer of a key may be silent before its witness is asked."""
+    ledger_ms: DurationMs = 60_000
+    """How long keys are issued on one ledger of a witness."""
+
+    def __post_init__(self) -> None:
+        """Refuse a window that the log may have forgotten a part of."""
+        # A claim that left the log inside the window would let its key run again.
+        if self.window_ms * 2 > self.log_retention_ms:
+            raise ValueError("window_ms must be at most half of log_retention_ms")
 
 
 class MembershipTimings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -109,6 +127,12 @@
     retry_budget_share: Share = 0.1
     """Retries allowed as a share of first tries."""
     max_attempts: Count = 3
+    max_wait_ms: DurationMs = 10_000
+    """Longest expected wait in the queue; what would wait longer is refused."""
+    target_wait_ms: DurationMs = 500
+    """Wait at an endpoint above which its limit shrinks."""
+    max_customer_share: Share = 0.8
+    """Share of a pool's places on this node that one customer may hold."""
 
 
 class DrainTimings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
