Add stand-ins for engine, platform and plain service, and the harness

Cause: the router needs engines, a log service, a VM list, a weight store and plain services to run against, with their faults switched by request. Before: nothing to run a node against. After: engine (prefix cache in limited memory, batching cost model, numbered late cache events, lagging load, resume, cancel, orders, crash to empty), platform and plain service behind one FaultyListener, which breaks connections below HTTP, so that a silent or cut connection looks the same to every server. A token is a function of all text before it: an answer that goes on elsewhere is right only if it equals the uninterrupted one. The harness starts stand-ins and nodes as processes, and ends only those. Ruled out: faults inside each HTTP handler; an idle pooled connection that went silent would still have been answered.

--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine.py
@@ -0,0 +1,198 @@
+"""Stand in for a model engine: compute in steps, crash, load weights, take orders."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.names import Address
+from toucanyard_node.http_client import ConnectionFailedError, fetch
+from toucanyard_standins.engine_faults import (
+    Crash,
+    EngineCounters,
+    EngineFault,
+    EngineFaults,
+    LoseCacheEvents,
+)
+from toucanyard_standins.engine_orders import (
+    Order,
+    OrderKind,
+    OrderRefusal,
+    compute_weights,
+    find_refusal,
+)
+from toucanyard_standins.engine_state import (
+    EngineOptions,
+    EngineState,
+    LoadReport,
+    Weights,
+)
+from toucanyard_standins.faulty_listener import FaultyListener
+from toucanyard_standins.model_time import ModelTime
+from toucanyard_standins.network_faults import (
+    CutConnections,
+    GoDown,
+    SilenceConnections,
+    apply_network_fault,
+)
+from toucanyard_standins.platform_weights import WeightLeave
+
+_MIN_STEP_MS: Final = 0.1
+_STORE_RETRY_MS: Final = 100
+
+
+class Engine:
+    """One engine; all of its tasks run in the nursery of `serve`.
+
+    Invariant: `state` is replaced in a crash and by nothing else, so a task that
+    finds another state after a wait drops what it was about to do.
+    """
+
+    def __init__(self, options: EngineOptions, listener: FaultyListener) -> None:
+        self.options = options
+        self.listener = listener
+        self.faults = EngineFaults()
+        self.counters = EngineCounters()
+        self.model_time = ModelTime(options.time_scale)
+        self.load = LoadReport()
+        self.load_taken_ms = 0.0
+        self._random = random.Random(options.seed)
+        self._lost_event_share = options.lost_event_share
+        self._work = trio.Event()
+        self.state = self._build_state()
+
+    def _build_state(self) -> EngineState:
+        incarnation = f"{self.options.name}-{time.time_ns():x}"
+        state = EngineState(self.options, incarnation, self._random)
+        state.cache_events.lost_share = self._lost_event_share
+        self.counters.incarnation = incarnation
+        self._take_load(state)
+        return state
+
+    async def run(self) -> None:
+        """Compute and report until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._compute)
+            nursery.start_soon(self._report_load)
+
+    def start_work(self) -> None:
+        """Wake the computation after a request was submitted."""
+        self._work.set()
+
+    async def _compute(self) -> None:
+        while True:
+            if self.state.batch.is_idle():
+                self._work = trio.Event()
+                await self._work.wait()
+            state = self.state
+            step = state.plan_step()
+            duration_ms = max(step.duration_ms * self.faults.slow_factor, _MIN_STEP_MS)
+            await self.model_time.sleep_ms(duration_ms)
+            if state is self.state:
+                state.apply_step(step, self.model_time.now_ms())
+
+    async def _report_load(self) -> None:
+        """Take the load now and then, so that reports lag."""
+        while True:
+            await self.model_time.sleep_ms(self.options.load_lag_ms)
+            self._take_load(self.state)
+
+    def _take_load(self, state: EngineState) -> None:
+        self.load = state.compute_load()
+        self.load_taken_ms = self.model_time.now_ms()
+
+    async def count_event(self) -> None:
+        """Count an event that was sent and carry out the faults that wait for it."""
+        faults = self.faults
+        self.counters.events_sent += 1
+        if faults.die_after_events is not None:
+            faults.die_after_events -= 1
+            if faults.die_after_events <= 0:
+                faults.die_after_events = None
+                await self.crash(faults.die_down_ms)
+        if faults.silence_after_events is not None:
+            faults.silence_after_events -= 1
+            if faults.silence_after_events <= 0:
+                faults.silence_after_events = None
+                self.listener.silence()
+
+    async def crash(self, down_ms: float) -> None:
+        """Lose everything, stay away for a while and come back empty."""
+        self.counters.crashes += 1
+        old = self.state
+        self._count_blocks(old)
+        self.state = self._build_state()
+        for stream in old.streams.values():
+            stream.cancel()
+        self.listener.go_down(down_ms)
+        await self.listener.cut()
+
+    def compute_counters(self) -> EngineCounters:
+        """Return the counters with what this incarnation adds to them."""
+        counters = msgspec.structs.replace(self.counters)
+        counters.computed_blocks += self.state.computed_blocks
+        counters.matched_blocks += self.state.matched_blocks
+        counters.open_connections = len(self.listener.streams)
+        return counters
+
+    def _count_blocks(self, state: EngineState) -> None:
+        self.counters.computed_blocks += state.computed_blocks
+        self.counters.matched_blocks += state.matched_blocks
+
+    async def apply_fault(self, fault: EngineFault) -> None:
+        """Switch one fault."""
+        match fault:
+            case Crash(down_ms):
+                await self.crash(down_ms)
+            case LoseCacheEvents(share):
+                self._lost_event_share = share
+                self.state.cache_events.lost_share = share
+            case SilenceConnections() | CutConnections() | GoDown():
+                await apply_network_fault(fault, self.listener)
+            case _:
+                self.faults.switch(fault)
+
+    async def take_order(self, order: Order) -> OrderRefusal | None:
+        """Carry out an order to its end, or return why it is refused."""
+        state = self.state
+        self.counters.orders += 1
+        if order.order_id in state.done_orders:
+            return None
+        refusal = find_refusal(order, state, self.options.checks_fence)
+        if refusal is not None:
+            return refusal
+        state.done_orders.add(order.order_id)
+        state.fence = max(state.fence, order.fence)
+        weights = compute_weights(order, state.weights)
+        state.is_loading = True
+        if order.kind is OrderKind.LOAD:
+            await self._load_weights(weights)
+        state.load(weights, self.model_time.now_ms())
+        state.is_loading = False
+        return None
+
+    async def _load_weights(self, weights: Weights) -> None:
+        """Wait for leave of the weight store, then for the load."""
+        load_ms = self.options.load_weights_ms
+        if self.options.weight_store:
+            load_ms *= await self._ask_weight_store(weights)
+        await self.model_time.sleep_ms(load_ms)
+
+    async def _ask_weight_store(self, weights: Weights) -> float:
+        """Ask until the store lets the load start; return how many times slower."""
+        store = Address(self.options.weight_store)
+        target = f"/weights/{weights.model}/{weights.weights_version}"
+        while True:
+            try:
+                answer = await fetch(store, "POST", target)
+            except ConnectionFailedError:
+                await self.model_time.sleep_ms(_STORE_RETRY_MS)
+                continue
+            if answer.status == 200:
+                return msgspec.json.decode(answer.body, type=WeightLeave).slowdown
+            wait_ms = float(answer.headers.get("retry-after-ms", _STORE_RETRY_MS))
+            await self.model_time.sleep_ms(wait_ms)
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -0,0 +1,324 @@
+"""Start stand-ins and nodes as processes, connect them, and end what was started.
+
+For tests, demo and benches only: nothing of the system itself starts a process.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Final, TypeVar
+
+import msgspec
+import trio
+
+from toucanyard.names import Address, DomainName, NodeName
+from toucanyard.options import ListenOptions, Options, PlatformOptions
+from toucanyard_node.http_client import ConnectionFailedError, Response, fetch
+from toucanyard_standins.platform_faults import PlatformCounters, PutVm, RemoveVm
+from toucanyard_standins.platform_vms import Vm, VmKind, VmState
+
+T = TypeVar("T")
+
+_READY_TIMEOUT_S: Final = 15.0
+_STOP_TIMEOUT_S: Final = 5.0
+_POLL_S: Final = 0.02
+_ANY_PORT: Final = Address("127.0.0.1:0")
+_READY_MARK: Final = "event=listening"
+
+
+class HarnessError(Exception):
+    """Say which process or request of the harness failed."""
+
+
+def hash_key(key: str) -> str:
+    """Return an API key as a configuration holds it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class ProcessHandle:
+    """One process that this harness started.
+
+    Invariant: `addresses` holds what the process printed once it was ready.
+    """
+
+    __slots__ = ("addresses", "log_file", "name", "process")
+
+    def __init__(self, name: str, process: trio.Process, log_file: Path) -> None:
+        self.name = name
+        self.process = process
+        self.log_file = log_file
+        self.addresses: dict[str, Address] = {}
+
+    @property
+    def address(self) -> Address:
+        """The only address of a stand-in, or where a node serves callers."""
+        return self.addresses.get("address") or self.addresses["callers"]
+
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self.process.poll() is None
+
+    def read_log(self) -> str:
+        """Return what the process wrote so far."""
+        return self.log_file.read_text(errors="replace")
+
+    def find_cpu_s(self) -> float:
+        """Return the processor time the process has used."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def find_resident_bytes(self) -> int:
+        """Return the memory that the process holds."""
+        statm = Path(f"/proc/{self.process.pid}/statm").read_text().split()
+        return int(statm[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+
+    def pause(self) -> None:
+        """Stop the process without its knowing."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """Let a paused process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    async def stop(self) -> None:
+        """Ask the process to end, and wait; kill it if it takes too long."""
+        if not self.is_running():
+            return
+        self.process.send_signal(signal.SIGCONT)
+        self.process.terminate()
+        with trio.move_on_after(_STOP_TIMEOUT_S):
+            await self.process.wait()
+        if self.is_running():
+            self.process.kill()
+            await self.process.wait()
+
+
+class Harness:
+    """Every process of one test, demo or bench; get one from `open_harness`."""
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._started: list[ProcessHandle] = []
+        self._patches = 0
+        self.platform: ProcessHandle | None = None
+
+    def get_platform(self) -> ProcessHandle:
+        """Return the platform, which must have been started."""
+        if self.platform is None:
+            raise HarnessError("the platform was not started")
+        return self.platform
+
+    async def start_platform(self, *arguments: str) -> ProcessHandle:
+        """Start the platform; arguments as of `toucanyard_standins platform`."""
+        self.platform = await self._start_standin("platform", "platform", *arguments)
+        return self.platform
+
+    async def start_engine(
+        self, name: str, domain: str, *arguments: str
+    ) -> ProcessHandle:
+        """Start an engine and put it into the VM list."""
+        store = self.platform.address if self.platform else ""
+        named = ("--name", name, "--weight-store", store, *arguments)
+        engine = await self._start_standin(name, "engine", *named)
+        await self._list_endpoint(engine, domain)
+        return engine
+
+    async def start_service(
+        self, name: str, domain: str, *arguments: str
+    ) -> ProcessHandle:
+        """Start a plain service and put it into the VM list."""
+        named = ("--name", name, *arguments)
+        service = await self._start_standin(name, "service", *named)
+        await self._list_endpoint(service, domain)
+        return service
+
+    async def start_node(
+        self, name: str, domain: str, options: Options | None = None
+    ) -> ProcessHandle:
+        """Start a node and put it into the VM list.
+
+        Of `options`, name, domain, addresses and platform are replaced.
+        """
+        settings_file = self._write_settings(name, domain, options)
+        program = Path(sys.executable).with_name("toucanyard-node")
+        node = await self._start(name, "node", str(program), str(settings_file))
+        vm = Vm(
+            name,
+            domain,
+            VmKind.NODE,
+            callers=node.addresses["callers"],
+            operators=node.addresses["operators"],
+            peers=node.addresses["peers"],
+        )
+        await self.put_vm(vm)
+        return node
+
+    async def put_vm(self, vm: Vm) -> None:
+        """Put one VM into the platform's list."""
+        await self.control(self.get_platform(), PutVm(vm))
+
+    async def leave_vm(self, vm: Vm) -> None:
+        """Mark one VM of the platform's list as leaving."""
+        await self.put_vm(msgspec.structs.replace(vm, state=VmState.LEAVING))
+
+    async def remove_vm(self, name: str) -> None:
+        """Remove one VM from the platform's list."""
+        await self.control(self.get_platform(), RemoveVm(name))
+
+    async def publish(self, *records: str) -> None:
+        """Append records to the platform's log."""
+        body = msgspec.json.encode({"records": records})
+        address = self.get_platform().address
+        answer = await fetch(address, "POST", "/log/append", (), body)
+        if answer.status != 200:
+            raise HarnessError(f"log: status {answer.status}")
+
+    async def control(self, handle: ProcessHandle, fault: msgspec.Struct) -> None:
+        """Switch a fault of one stand-in."""
+        body = msgspec.json.encode(fault)
+        answer = await fetch(handle.address, "POST", "/control", (), body)
+        if answer.status != 200:
+            raise HarnessError(f"{handle.name}: {answer.body.decode()}")
+
+    async def count(self, handle: ProcessHandle, kind: type[T]) -> T:
+        """Return the counters of one stand-in, such as EngineCounters."""
+        answer = await fetch(handle.address, "GET", "/control")
+        return msgspec.json.decode(answer.body, type=kind)
+
+    async def count_platform(self) -> PlatformCounters:
+        """Return the platform's counters."""
+        return await self.count(self.get_platform(), PlatformCounters)
+
+    async def stop(self) -> None:
+        """End every process that was started, nodes first."""
+        for handle in reversed(self._started):
+            await handle.stop()
+
+    async def _list_endpoint(self, handle: ProcessHandle, domain: str) -> None:
+        if self.platform is None:
+            return
+        vm = Vm(handle.name, domain, VmKind.ENDPOINT, endpoint=handle.address)
+        await self.put_vm(vm)
+
+    def _write_settings(self, name: str, domain: str, options: Options | None) -> Path:
+        platform = self.get_platform().address
+        listen = ListenOptions(_ANY_PORT, _ANY_PORT, _ANY_PORT)
+        places = PlatformOptions(platform, platform)
+        if options is None:
+            options = Options(
+                NodeName(name), DomainName(domain), listen, places, ("harness",)
+            )
+        else:
+            options = msgspec.structs.replace(
+                options,
+                name=NodeName(name),
+                domain=DomainName(domain),
+                listen=listen,
+                platform=places,
+            )
+        file = self._directory / f"{name}.json"
+        file.write_bytes(msgspec.json.format(msgspec.json.encode(options)))
+        return file
+
+    async def _start_standin(
+        self, name: str, role: str, *arguments: str
+    ) -> ProcessHandle:
+        module = (sys.executable, "-m", "toucanyard_standins", role, *arguments)
+        return await self._start(name, role, *module)
+
+    async def _start(self, name: str, role: str, *command: str) -> ProcessHandle:
+        """Start one process and wait until it says where it listens."""
+        number = len(self._started)
+        log_file = self._directory / f"{number}-{name}.log"
+        with log_file.open("wb") as output:
+            process = await trio.lowlevel.open_process(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+        handle = ProcessHandle(name, process, log_file)
+        self._started.append(handle)
+        with trio.move_on_after(_READY_TIMEOUT_S):
+            await _wait_ready(handle, role)
+            return handle
+        raise HarnessError(f"{name} is not ready:\n{handle.read_log()}")
+
+
+async def _wait_ready(handle: ProcessHandle, role: str) -> None:
+    while True:
+        is_running = handle.is_running()
+        for line in handle.read_log().splitlines(keepends=True):
+            if _READY_MARK in line and f"role={role}" in line and line[-1] == "\n":
+                handle.addresses = parse_ready_line(line)
+                return
+        if not is_running:
+            raise HarnessError(f"{handle.name} ended:\n{handle.read_log()}")
+        await trio.sleep(_POLL_S)
+
+
+def parse_ready_line(line: str) -> dict[str, Address]:
+    """Return the addresses of a readiness line by name."""
+    fields = dict(part.split("=", 1) for part in line.split() if "=" in part)
+    names = ("address", "callers", "operators", "peers")
+    return {name: Address(fields[name]) for name in names if name in fields}
+
+
+async def ask(
+    address: Address,
+    method: str,
+    target: str,
+    key: str,
+    body: bytes = b"",
+    headers: Sequence[tuple[str, str]] = (),
+    timeout_ms: float = 10_000,
+) -> Response:
+    """Make one request with an API key."""
+    authorization = ("Authorization", f"Bearer {key}")
+    return await fetch(
+        address, method, target, (authorization, *headers), body, timeout_ms
+    )
+
+
+async def wait_until_serving(
+    node: ProcessHandle, key: str, timeout_s: float = 10.0
+) -> None:
+    """Wait until a node answers /v1/models with at least one model for this key."""
+    last = ""
+    with trio.move_on_after(timeout_s):
+        while True:
+            try:
+                answer = await ask(node.address, "GET", "/v1/models", key)
+                last = f"status {answer.status} {answer.body[:200]!r}"
+                if answer.status == 200 and b'"id"' in answer.body:
+                    return
+            except ConnectionFailedError as error:
+                last = str(error)
+            await trio.sleep(_POLL_S)
+    raise HarnessError(f"{node.name} does not serve: {last}\n{node.read_log()}")
+
+
+@asynccontextmanager
+async def open_harness() -> AsyncIterator[Harness]:
+    """Open a harness; on leaving, every process that it started is ended."""
+    with tempfile.TemporaryDirectory(prefix="toucanyard-") as directory:
+        harness = Harness(Path(directory))
+        try:
+            yield harness
+        finally:
+            with trio.CancelScope(shield=True):
+                await harness.stop()
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform.py
@@ -0,0 +1,221 @@
+"""Stand in for the platform: log service, VM list and weight store on one port."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.names import Address
+from toucanyard_node.http_server import (
+    CallerGoneError,
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerLimits,
+    find_port,
+)
+from toucanyard_standins.answers import send_error, send_json
+from toucanyard_standins.faulty_listener import FaultyListener
+from toucanyard_standins.network_faults import apply_network_fault
+from toucanyard_standins.platform_faults import (
+    ExpireRecords,
+    LoseAnswers,
+    Outage,
+    PlatformCounters,
+    PlatformFault,
+    PlatformPart,
+    PutVm,
+    RemoveVm,
+    SetVmLag,
+    SlowPart,
+)
+from toucanyard_standins.platform_log import LogOptions, LogRecord, LogService
+from toucanyard_standins.platform_vms import VmList, VmListBody
+from toucanyard_standins.platform_weights import WeightStore, WeightStoreOptions
+
+_LIMITS: Final = ServerLimits(idle_timeout_ms=600_000)
+_DEFAULT_READ_LIMIT: Final = 1_000
+_MAX_WAIT_MS: Final = 60_000
+
+
+class PlatformOptions(msgspec.Struct, frozen=True):
+    """How the platform is set up."""
+
+    log: LogOptions = LogOptions()
+    weights: WeightStoreOptions = WeightStoreOptions()
+    vm_lag_ms: float = 500.0
+
+
+class AppendBody(msgspec.Struct, frozen=True):
+    """Records to append together."""
+
+    records: tuple[str, ...]
+
+
+class ReadBody(msgspec.Struct, frozen=True):
+    """The answer to a read of the log."""
+
+    oldest: int
+    next: int
+    records: tuple[LogRecord, ...]
+
+
+class RangeBody(msgspec.Struct, frozen=True):
+    """Which offsets are kept, when those asked for are not."""
+
+    oldest: int
+    next: int
+
+
+def find_part(path: str) -> PlatformPart | None:
+    """Return the part of the platform that a path belongs to."""
+    match path.split("/")[1:2]:
+        case ["log"]:
+            return PlatformPart.LOG
+        case ["vms"]:
+            return PlatformPart.VMS
+        case ["weights"]:
+            return PlatformPart.WEIGHTS
+        case _:
+            return None
+
+
+class Platform:
+    """The three services, their faults and their face."""
+
+    def __init__(self, options: PlatformOptions, listener: FaultyListener) -> None:
+        now_ms = self._now_ms()
+        self._listener = listener
+        self._log = LogService(options.log, now_ms)
+        self._vms = VmList(options.vm_lag_ms)
+        self._weights = WeightStore(options.weights, now_ms)
+        self._counters = PlatformCounters()
+        self._down: set[PlatformPart] = set()
+        self._delay_ms: dict[PlatformPart, int] = {}
+        self._answers_to_lose = 0
+        self._appended = trio.Event()
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        try:
+            await self._handle_part(request, responder)
+        except msgspec.DecodeError as error:
+            await send_error(responder, 400, str(error))
+        except CallerGoneError:
+            return
+
+    async def _handle_part(self, request: HttpRequest, responder: Responder) -> None:
+        part = find_part(request.path)
+        if part is not None:
+            await trio.sleep(self._delay_ms.get(part, 0) / 1000)
+        if part in self._down:
+            await send_error(responder, 503, "outage")
+            return
+        await self._route(request, responder)
+
+    async def _route(self, request: HttpRequest, responder: Responder) -> None:
+        match request.method, request.path:
+            case "POST", "/log/append":
+                await self._append(request, responder)
+            case "GET", "/log/read":
+                await self._read(request, responder)
+            case "GET", "/vms":
+                self._counters.vm_reads += 1
+                shown = self._vms.find_shown(self._now_ms())
+                await send_json(responder, 200, VmListBody(shown))
+            case "POST", path if path.startswith("/weights/"):
+                await self._let_load(responder)
+            case "POST", "/control":
+                fault = msgspec.json.decode(request.body, type=PlatformFault)
+                await self._apply_fault(fault)
+                await send_json(responder, 200, fault)
+            case "GET", "/control":
+                self._counters.next_offset = self._log.find_next()
+                self._counters.weight_starts = self._weights.starts
+                await send_json(responder, 200, self._counters)
+            case _:
+                await send_error(responder, 404, "no such path")
+
+    async def _append(self, request: HttpRequest, responder: Responder) -> None:
+        body = msgspec.json.decode(request.body, type=AppendBody)
+        now_ms = self._now_ms()
+        if not self._log.take_token(now_ms):
+            self._counters.refused_appends += 1
+            await send_error(responder, 429, "over the rate")
+            return
+        appended = self._log.append(body.records, now_ms)
+        self._counters.appends += 1
+        done, self._appended = self._appended, trio.Event()
+        done.set()
+        if self._answers_to_lose > 0:
+            self._answers_to_lose -= 1
+            self._counters.lost_answers += 1
+            return
+        await send_json(responder, 200, appended)
+
+    async def _read(self, request: HttpRequest, responder: Responder) -> None:
+        self._counters.reads += 1
+        first = int(request.query.get("from", "0"))
+        limit = int(request.query.get("limit", str(_DEFAULT_READ_LIMIT)))
+        wait_ms = min(int(request.query.get("wait_ms", "0")), _MAX_WAIT_MS)
+        with trio.move_on_after(wait_ms / 1000):
+            while self._log.find_next() <= first:
+                await self._appended.wait()
+        self._log.drop_expired(self._now_ms())
+        oldest, end = self._log.find_oldest(), self._log.find_next()
+        if PlatformPart.LOG in self._down:
+            await send_error(responder, 503, "outage")
+        elif first < oldest:
+            await send_json(responder, 410, RangeBody(oldest, end))
+        else:
+            records = self._log.find_records(first, limit)
+            await send_json(responder, 200, ReadBody(oldest, end, records))
+
+    async def _let_load(self, responder: Responder) -> None:
+        leave = self._weights.ask(self._now_ms())
+        if leave is not None:
+            await send_json(responder, 200, leave)
+            return
+        self._counters.weight_refusals += 1
+        wait_ms = str(self._weights.compute_wait_ms())
+        await send_error(
+            responder, 429, "over the rate", (("Retry-After-Ms", wait_ms),)
+        )
+
+    async def _apply_fault(self, fault: PlatformFault) -> None:
+        match fault:
+            case Outage(is_on, part):
+                (self._down.add if is_on else self._down.discard)(part)
+            case SlowPart(delay_ms, part):
+                self._delay_ms[part] = delay_ms
+            case LoseAnswers(count):
+                self._answers_to_lose = count
+            case ExpireRecords(before):
+                self._log.drop_before(before)
+            case PutVm(vm):
+                self._vms.put(vm, self._now_ms())
+            case RemoveVm(name):
+                self._vms.remove(name, self._now_ms())
+            case SetVmLag(lag_ms):
+                self._vms.lag_ms = lag_ms
+            case _:
+                await apply_network_fault(fault, self._listener)
+
+    def _now_ms(self) -> float:
+        return time.time() * 1000
+
+
+async def serve_platform(
+    options: PlatformOptions,
+    listener: trio.SocketListener,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run the platform until cancelled; report its address once it is ready."""
+    faulty = FaultyListener(listener)
+    server = HttpServer(Platform(options, faulty).handle, _LIMITS)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, faulty.as_socket_listener())
+        task_status.started(Address(f"127.0.0.1:{find_port(listener)}"))
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform_vms.py
@@ -0,0 +1,78 @@
+"""The VM list: live and leaving VMs, shown with a lag."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+
+import msgspec
+
+
+class VmState(enum.StrEnum):
+    """Whether a VM stays."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class VmKind(enum.StrEnum):
+    """What a VM runs."""
+
+    NODE = "node"
+    ENDPOINT = "endpoint"
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """One VM; a node has three addresses, an endpoint one."""
+
+    name: str
+    domain: str
+    runs: VmKind
+    state: VmState = VmState.LIVE
+    callers: str = ""
+    operators: str = ""
+    peers: str = ""
+    endpoint: str = ""
+
+
+class VmListBody(msgspec.Struct, frozen=True):
+    """The answer to a read of the list."""
+
+    vms: tuple[Vm, ...]
+
+
+class _Change(msgspec.Struct, frozen=True):
+    """One change and when readers see it; no VM means that the name is removed."""
+
+    visible_ms: float
+    name: str
+    vm: Vm | None
+
+
+class VmList:
+    """VMs by name; a change becomes visible after the lag."""
+
+    __slots__ = ("_changes", "_shown", "lag_ms")
+
+    def __init__(self, lag_ms: float) -> None:
+        self.lag_ms = lag_ms
+        self._shown: dict[str, Vm] = {}
+        self._changes: deque[_Change] = deque()
+
+    def put(self, vm: Vm, now_ms: float) -> None:
+        """Add or replace one VM."""
+        self._changes.append(_Change(now_ms + self.lag_ms, vm.name, vm))
+
+    def remove(self, name: str, now_ms: float) -> None:
+        """Remove one VM."""
+        self._changes.append(_Change(now_ms + self.lag_ms, name, None))
+
+    def find_shown(self, now_ms: float) -> tuple[Vm, ...]:
+        """Return the VMs that readers see now."""
+        while self._changes and self._changes[0].visible_ms <= now_ms:
+            change = self._changes.popleft()
+            if change.vm is None:
+                self._shown.pop(change.name, None)
+            else:
+                self._shown[change.name] = change.vm
+        return tuple(self._shown.values())
