--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/attempts.py
@@ -0,0 +1,157 @@
+"""Carry one request through its dispatches and end it with what is true.
+
+The core decides where a request goes and whether it goes on elsewhere; this module
+keeps account of whether any try may have run, which bounds what the caller is told.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import trio
+
+from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
+from toucanyard.requests import (
+    Dispatch,
+    EndingSeen,
+    Outcome,
+    Refuse,
+    Repeatability,
+    Replay,
+    Request,
+)
+from toucanyard_node.core_messages import CoreClient
+
+_RETRY_AFTER_MS: Final = 1_000
+_MIN_REPORT_S: Final = 1.0
+
+
+class Attempts:
+    """Account of the dispatches of one request.
+
+    Invariant: `may_have_run` never goes back to false, except for a dispatch that is
+    proved not to have run.
+    """
+
+    __slots__ = ("_core", "_is_in_flight", "_may_have_run", "request", "started_ms")
+
+    def __init__(self, core: CoreClient, request: Request) -> None:
+        self._core = core
+        self._may_have_run = False
+        self._is_in_flight = False
+        self.request = request
+        self.started_ms = request.arrived_ms
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any try of the request may have been executed."""
+        return self._may_have_run or self._is_in_flight
+
+    def is_repeatable(self) -> bool:
+        """Tell whether the request may be executed more than once."""
+        return self.request.repeatability is Repeatability.REPEATABLE
+
+    def begin(self) -> None:
+        """Note that a dispatch begins."""
+        self.started_ms = trio.current_time() * 1000
+
+    def note_sending(self) -> None:
+        """Note that bytes of a dispatch are about to leave."""
+        self._is_in_flight = True
+
+    def find_elapsed_ms(self) -> float:
+        """Return the time since the present dispatch began."""
+        return trio.current_time() * 1000 - self.started_ms
+
+    async def report_failure(
+        self, dispatch: Dispatch, ending: EndingSeen, text: str
+    ) -> Dispatch | Refuse | Replay:
+        """Report a failed dispatch and return what to do next.
+
+        The wait is shielded: a verdict that reached nobody would hold a place at an
+        endpoint for ever. It is bounded by the request's deadline.
+        """
+        self._settle(ending)
+        request = self.request
+        outcome = Outcome(
+            request.request_id,
+            dispatch.endpoint,
+            ending,
+            duration_ms=self.find_elapsed_ms(),
+        )
+        now_s = trio.current_time()
+        end_s = max(request.deadline_ms / 1000, now_s + _MIN_REPORT_S)
+        with trio.CancelScope(deadline=end_s, shield=True):
+            verdict = await self._core.report(outcome)
+            return self._check(verdict, text)
+        self._core.tell_cancelled(
+            Outcome(request.request_id, dispatch.endpoint, EndingSeen.CANCELLED)
+        )
+        return self.build_deadline_refusal()
+
+    def report_end(self, outcome: Outcome) -> None:
+        """Report a dispatch that needs no further verdict."""
+        self._settle(outcome.ending)
+        self._core.tell_cancelled(outcome)
+
+    def tell_first_token(self) -> None:
+        """Tell the core that the first byte of the answer came."""
+        self._core.tell_first_token(self.request.request_id, self.find_elapsed_ms())
+
+    def check_refusal(self, refusal: Refuse) -> Refuse:
+        """Return a refusal that claims no more than is proved.
+
+        The core refuses the try that it was asked about; an earlier one may have
+        run, and then "not run" would be false.
+        """
+        if not self.may_have_run or refusal.ending is not Ending.NOT_RUN:
+            return refusal
+        if self.is_repeatable():
+            return self._build(refusal.kind, Ending.UNKNOWN, refusal.text, refusal)
+        return self._build(
+            ErrorKind.OUTCOME_UNKNOWN, Ending.UNKNOWN, refusal.text, refusal
+        )
+
+    def build_deadline_refusal(self) -> Refuse:
+        """Return the final answer for a request whose deadline has passed."""
+        text = "the deadline has passed"
+        if not self.may_have_run:
+            return self._build(ErrorKind.DEADLINE_EXCEEDED, Ending.NOT_RUN, text)
+        if self.is_repeatable():
+            return self._build(ErrorKind.DEADLINE_EXCEEDED, Ending.UNKNOWN, text)
+        return self._build(ErrorKind.OUTCOME_UNKNOWN, Ending.UNKNOWN, text)
+
+    def build_incomplete_refusal(self, text: str) -> Refuse:
+        """Return the final event of a stream that was begun and can't go on."""
+        return self._build(ErrorKind.STREAM_INCOMPLETE, Ending.UNKNOWN, text)
+
+    def _settle(self, ending: EndingSeen) -> None:
+        self._is_in_flight = False
+        if ending not in (EndingSeen.NOT_SENT, EndingSeen.REFUSED):
+            self._may_have_run = True
+
+    def _check(
+        self, verdict: Dispatch | Refuse | Replay | None, text: str
+    ) -> Dispatch | Refuse | Replay:
+        match verdict:
+            case Refuse():
+                return self.check_refusal(verdict)
+            case None:
+                return self._build_last_refusal(text)
+            case _:
+                return verdict
+
+    def _build_last_refusal(self, text: str) -> Refuse:
+        if not self.may_have_run:
+            return self._build(ErrorKind.NO_ENDPOINT, Ending.NOT_RUN, text)
+        if self.is_repeatable():
+            return self._build(ErrorKind.ENDPOINT_LOST, Ending.UNKNOWN, text)
+        return self._build(ErrorKind.OUTCOME_UNKNOWN, Ending.UNKNOWN, text)
+
+    def _build(
+        self, kind: ErrorKind, ending: Ending, text: str, origin: Refuse | None = None
+    ) -> Refuse:
+        fixed = ANSWERS[kind].ending
+        assert ending is Ending.UNKNOWN or fixed is Ending.NOT_RUN
+        retry_after_ms = origin.retry_after_ms if origin else _RETRY_AFTER_MS
+        return Refuse(self.request.request_id, kind, ending, text, retry_after_ms)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/caller_context.py
@@ -0,0 +1,115 @@
+"""Know who asks, under which id and until when, and send what ends a request."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.configuration import Configuration, Customer
+from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind, RouterError
+from toucanyard.names import RequestId
+from toucanyard.options import CallerLimits
+from toucanyard.requests import KeptAnswer, Refuse, Repeatability, Replay
+from toucanyard_node.http_client import Response
+from toucanyard_node.http_server import Headers, HttpRequest, Responder
+from toucanyard_node.refusals import render_refusal
+
+_MAX_KEY_CHARS: Final = 255
+
+
+class CallerContext(msgspec.Struct, frozen=True):
+    """One request of one authenticated caller."""
+
+    http: HttpRequest
+    responder: Responder
+    request_id: RequestId
+    customer: Customer
+    configuration: Configuration
+    headers: Headers
+    """Headers that every answer to it carries."""
+    arrived_ms: float
+
+    async def refuse(self, refusal: Refuse) -> None:
+        """Send a refusal."""
+        rendered = render_refusal(refusal)
+        headers = (*rendered.headers, *self.headers)
+        await self.responder.send(rendered.status, headers, rendered.body)
+
+    async def answer(self, status: int, content_type: str, body: bytes) -> None:
+        """Send a whole answer."""
+        headers = (("Content-Type", content_type), *self.headers)
+        await self.responder.send(status, headers, body)
+
+    async def finish(self, result: Refuse | Replay | Response) -> None:
+        """Send whatever a request came to."""
+        match result:
+            case Refuse():
+                await self.refuse(result)
+            case Replay(answer=KeptAnswer(status, content_type, body)):
+                await self.answer(status, content_type, body)
+            case Response(status, headers, body):
+                content_type = headers.get("content-type", "application/json")
+                await self.answer(status, content_type, body)
+
+
+def build_refusal(error: RouterError, request_id: RequestId) -> Refuse:
+    """Build the refusal for an error met before any dispatch."""
+    ending = ANSWERS[error.kind].ending or Ending.NOT_RUN
+    return Refuse(request_id, error.kind, ending, error.text, error.retry_after_ms or 0)
+
+
+def find_deadline_ms(http: HttpRequest, now_ms: float, limits: CallerLimits) -> float:
+    """Return the time by which the caller wants its answer, or raise BAD_REQUEST."""
+    text = http.headers.get("x-deadline-ms")
+    if text is None:
+        return now_ms + limits.default_deadline_ms
+    if not text.isascii() or not text.isdigit() or len(text) > 9 or int(text) == 0:
+        raise RouterError(
+            ErrorKind.BAD_REQUEST, "X-Deadline-Ms: expected a count of milliseconds"
+        )
+    return now_ms + min(int(text), limits.max_deadline_ms)
+
+
+def find_key(http: HttpRequest) -> str:
+    """Return the idempotency key, empty when there is none, or raise BAD_REQUEST."""
+    key = http.headers.get("idempotency-key", "")
+    if len(key) > _MAX_KEY_CHARS:
+        raise RouterError(ErrorKind.BAD_REQUEST, "Idempotency-Key: too long")
+    if "idempotency-key" in http.headers and not key:
+        raise RouterError(ErrorKind.BAD_REQUEST, "Idempotency-Key: empty")
+    return key
+
+
+def find_repeatability(
+    http: HttpRequest, key: str, otherwise: Repeatability
+) -> Repeatability:
+    """Return whether a request may run more than once, or raise BAD_REQUEST."""
+    if key:
+        return Repeatability.KEYED
+    match http.headers.get("x-run-once", "false").lower():
+        case "true":
+            return Repeatability.RUN_ONCE
+        case "false":
+            return otherwise
+        case _:
+            # A misspelt mark must not let a call run twice.
+            raise RouterError(
+                ErrorKind.BAD_REQUEST, "X-Run-Once: expected true or false"
+            )
+
+
+def compute_body_digest(http: HttpRequest) -> bytes:
+    """Return a digest that tells two calls under one key apart."""
+    digest = hashlib.sha256()
+    for part in (http.method.encode(), http.target.encode(), http.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def find_now_ms() -> float:
+    """Return the node's time."""
+    return trio.current_time() * 1000
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/credentials.py
@@ -0,0 +1,57 @@
+"""Find out which customer a caller is by its API key."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+from toucanyard.configuration import Configuration, Customer
+from toucanyard.errorcodes import ErrorKind, RouterError
+
+_SCHEME: Final = "bearer"
+
+
+def compute_key_hash(key: str) -> str:
+    """Return the SHA-256 of an API key in hexadecimal."""
+    return hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+
+
+def find_bearer_key(headers: dict[str, str]) -> str:
+    """Return the API key of a request; empty when it carries none."""
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == _SCHEME else ""
+
+
+class CustomerIndex:
+    """Find customers by key without a scan over all of them.
+
+    Invariant: the table belongs to the configuration it was last asked with.
+    """
+
+    __slots__ = ("_by_hash", "_configuration")
+
+    def __init__(self) -> None:
+        self._configuration: Configuration | None = None
+        self._by_hash: dict[str, Customer] = {}
+
+    def authenticate(
+        self, configuration: Configuration, headers: dict[str, str]
+    ) -> Customer:
+        """Return the caller's customer, or raise UNAUTHENTICATED."""
+        key = find_bearer_key(headers)
+        if not key:
+            raise RouterError(ErrorKind.UNAUTHENTICATED, "no bearer API key")
+        if configuration is not self._configuration:
+            self._fill(configuration)
+        customer = self._by_hash.get(compute_key_hash(key))
+        if customer is None:
+            raise RouterError(ErrorKind.UNAUTHENTICATED, "unknown API key")
+        return customer
+
+    def _fill(self, configuration: Configuration) -> None:
+        self._by_hash = {
+            key_hash: customer
+            for customer in configuration.customers
+            for key_hash in customer.key_hashes
+        }
+        self._configuration = configuration
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/engine_client.py
@@ -0,0 +1,286 @@
+"""Hold one dispatch to an engine, over as many connections as its stream takes."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import trio
+
+from toucanyard.names import Incarnation, RequestId
+from toucanyard.options import StreamLimits
+from toucanyard.requests import Dispatch, EndingSeen
+from toucanyard_node.connection_pool import ConnectionPool
+from toucanyard_node.exchange import (
+    REFUSING_STATUSES,
+    DispatchFailedError,
+    check_echo,
+    find_incarnation,
+    is_bare_refusal,
+)
+from toucanyard_node.http_client import (
+    ConnectionFailedError,
+    Headers,
+    HttpConnection,
+    ResponseHead,
+)
+from toucanyard_node.sse import Event, EventCutter, EventError
+
+
+class EngineStream:
+    """Read the numbered events of one dispatch, each once and in order.
+
+    Invariants: `last_number` is the last event handed out; all events come from one
+    incarnation and one weights version of the engine; a connection is lent back only
+    after its answer was read to the end.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_cutter",
+        "_dispatch",
+        "_head_timeout_ms",
+        "_is_used",
+        "_limits",
+        "_on_send",
+        "_pool",
+        "_resumes",
+        "incarnation",
+        "is_done",
+        "is_sent",
+        "last_number",
+        "request_id",
+    )
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        limits: StreamLimits,
+        dispatch: Dispatch,
+        request_id: RequestId,
+        on_send: Callable[[], None],
+        is_plain: bool = False,
+    ) -> None:
+        # An answer that isn't events has no heartbeats: only the deadline ends it.
+        self._head_timeout_ms = math.inf if is_plain else dispatch.silence_ms
+        self._on_send = on_send
+        self._pool = pool
+        self._limits = limits
+        self._dispatch = dispatch
+        self._connection: HttpConnection | None = None
+        self._cutter = EventCutter()
+        self._is_used = False
+        self._resumes = 0
+        self.request_id = request_id
+        self.incarnation: Incarnation | None = None
+        self.is_sent = False
+        self.is_done = False
+        self.last_number = -1
+
+    async def open(
+        self, path: str, headers: Headers, body: bytes, is_repeatable: bool
+    ) -> ResponseHead:
+        """Send the request and read the answer's head.
+
+        Raise DispatchFailedError when the endpoint refused, failed or was lost.
+        """
+        head = await self._send(path, headers, body, is_repeatable)
+        if head is None:
+            # No word at all in time: ask on a new connection for what it has.
+            await self._resume("no answer")
+            return ResponseHead(200, {"content-type": "text/event-stream"})
+        self._check_head(head, self._is_used)
+        return head
+
+    async def _send(
+        self, path: str, headers: Headers, body: bytes, is_repeatable: bool
+    ) -> ResponseHead | None:
+        """Return the head of the answer, or None after a silence."""
+        address = self._dispatch.address
+        try:
+            # What may run once only never meets a connection that was idle: when
+            # that one turns out dead, nobody could tell whether the request ran.
+            if is_repeatable:
+                self._connection, self._is_used = await self._pool.acquire(address)
+            else:
+                self._connection = await self._pool.open(address)
+        except ConnectionFailedError as error:
+            raise DispatchFailedError(EndingSeen.NOT_SENT, str(error)) from error
+        try:
+            return await self._try_send(path, headers, body)
+        except ConnectionFailedError as error:
+            if not self._is_used:
+                ending = EndingSeen.LOST if error.is_sent else EndingSeen.NOT_SENT
+                raise DispatchFailedError(ending, str(error)) from error
+        # The idle connection had died unnoticed. The request may be repeated, and
+        # the endpoint itself is under no suspicion yet.
+        await self.abandon()
+        try:
+            self._is_used = False
+            self._connection = await self._pool.open(address)
+            return await self._try_send(path, headers, body)
+        except ConnectionFailedError as error:
+            raise DispatchFailedError(EndingSeen.LOST, str(error)) from error
+
+    async def _try_send(
+        self, path: str, headers: Headers, body: bytes
+    ) -> ResponseHead | None:
+        assert self._connection is not None
+        self.is_sent = True
+        self._on_send()
+        try:
+            await self._connection.send("POST", path, headers, body)
+        except ConnectionFailedError as error:
+            self.is_sent = error.is_sent
+            raise
+        with trio.move_on_after(self._head_timeout_ms / 1000):
+            return await self._connection.read_head()
+        return None
+
+    def _check_head(self, head: ResponseHead, is_used: bool) -> None:
+        if not is_bare_refusal(head) or is_used:
+            check_echo(head, self.request_id)
+        if head.status in REFUSING_STATUSES:
+            self.is_sent = False
+            raise DispatchFailedError(EndingSeen.REFUSED, f"status {head.status}")
+        if head.status >= 500:
+            raise DispatchFailedError(EndingSeen.FAILED, f"status {head.status}")
+        self.incarnation = find_incarnation(head)
+        found = head.headers.get("x-weights-version", self._dispatch.weights_version)
+        if found != self._dispatch.weights_version:
+            raise DispatchFailedError(EndingSeen.FAILED, f"weights version {found}")
+
+    async def read(self) -> list[Event]:
+        """Return the next new events; an empty list for a heartbeat.
+
+        Raise DispatchFailedError when the stream is lost for good.
+        """
+        while True:
+            try:
+                with trio.move_on_after(self._dispatch.silence_ms / 1000) as scope:
+                    assert self._connection is not None
+                    part = await self._connection.read_part()
+                if not scope.cancelled_caught and part is not None:
+                    return self._take(part)
+                reason = "silent" if scope.cancelled_caught else "ended early"
+            except (ConnectionFailedError, EventError) as error:
+                reason = str(error)
+            await self._resume(reason)
+
+    def _take(self, part: bytes) -> list[Event]:
+        """Return the events that are new, or raise EventError for a gap."""
+        last = self.last_number
+        new: list[Event] = []
+        for event in self._cutter.feed(part):
+            if event.is_done():
+                self.is_done = True
+                new.append(event)
+                break
+            if event.number is None:
+                raise EventError("an event without a number")
+            if event.number <= last:
+                continue
+            if event.number != last + 1:
+                raise EventError(f"event {event.number} after {last}")
+            last = event.number
+            new.append(event)
+        if last != self.last_number:
+            self.last_number = last
+            self._resumes = 0
+        return new
+
+    async def _resume(self, reason: str) -> None:
+        """Go on from the last number on a new connection.
+
+        A connection can go silent for good while the engine works on and new ones
+        work, and an engine can die; only a new connection tells these apart.
+        """
+        address = self._dispatch.address
+        while True:
+            self._resumes += 1
+            if self._resumes > self._limits.max_resumes:
+                raise DispatchFailedError(EndingSeen.LOST, f"{reason}, not resumed")
+            await self._pool.distrust(address)
+            await self.abandon()
+            self._cutter = EventCutter()
+            try:
+                self._connection = await self._pool.open(address)
+                with trio.fail_after(self._dispatch.silence_ms / 1000):
+                    head = await self._ask_again(self._connection)
+            except (ConnectionFailedError, trio.TooSlowError):
+                continue
+            self._check_resumed(head, reason)
+            return
+
+    async def _ask_again(self, connection: HttpConnection) -> ResponseHead:
+        headers = (("Last-Event-ID", str(self.last_number)),)
+        target = f"/v1/streams/{self.request_id}"
+        await connection.send("GET", target, headers)
+        return await connection.read_head()
+
+    def _check_resumed(self, head: ResponseHead, reason: str) -> None:
+        check_echo(head, self.request_id)
+        if head.status != 200:
+            text = f"{reason}, then status {head.status}"
+            raise DispatchFailedError(EndingSeen.LOST, text)
+        found = find_incarnation(head)
+        known = self.incarnation or self._dispatch.expected_incarnation
+        # An engine that came back is empty: a stream of that name there would be
+        # another one, and joining it to the first would mix two answers.
+        if known is not None and found != known:
+            text = f"{reason}, then another incarnation"
+            raise DispatchFailedError(EndingSeen.LOST, text)
+        self.incarnation = found
+        version = head.headers.get("x-weights-version", self._dispatch.weights_version)
+        if version != self._dispatch.weights_version:
+            text = f"{reason}, then other weights"
+            raise DispatchFailedError(EndingSeen.LOST, text)
+
+    async def read_rest(self) -> bytes:
+        """Return a whole plain body, or raise DispatchFailedError."""
+        assert self._connection is not None
+        try:
+            body = await self._connection.read_body()
+        except ConnectionFailedError as error:
+            raise DispatchFailedError(EndingSeen.LOST, str(error)) from error
+        self.is_done = True
+        return body
+
+    async def close(self) -> None:
+        """Lend the connection back if its answer was whole, else close it."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        if self.is_done and not connection.is_reusable():
+            await _read_end(connection)
+        await self._pool.release(connection)
+
+    async def cancel(self) -> None:
+        """Close, and tell the engine to stop computing."""
+        await self.abandon()
+        if not self.is_sent or self.is_done:
+            return
+        try:
+            connection = await self._pool.open(self._dispatch.address)
+            with trio.move_on_after(self._limits.connect_timeout_ms / 1000):
+                await connection.send("DELETE", f"/v1/streams/{self.request_id}", ())
+                await connection.read_head()
+            await connection.close()
+        except ConnectionFailedError:
+            # Nobody there, so nobody computes; the engine also notices by itself.
+            return
+
+    async def abandon(self) -> None:
+        """Close the connection; it is never used again."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
+
+
+async def _read_end(connection: HttpConnection) -> None:
+    """Read the end of a body whose last event came; it's under way already."""
+    try:
+        with trio.move_on_after(0.05):
+            await connection.read_part()
+    except ConnectionFailedError:
+        return
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import select
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import h11
@@ -58,7 +60,7 @@
     __slots__ = ("_connection", "_stream", "address", "opened_ms")
 
     def __init__(
-        self, address: Address, stream: trio.SocketStream, opened_ms: float
+        self, address: Address, stream: trio.abc.Stream, opened_ms: float
     ) -> None:
         self.address = address
         self.opened_ms = opened_ms
@@ -70,6 +72,16 @@
         states = (self._connection.our_state, self._connection.their_state)
         return states in ((h11.IDLE, h11.IDLE), (h11.DONE, h11.DONE))
 
+    def is_quiet(self) -> bool:
+        """Tell whether nothing waits to be read: neither an end nor a late answer."""
+        if self._connection.trailing_data != (b"", False):
+            return False
+        if not isinstance(self._stream, trio.SocketStream):
+            return True
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes = b""
     ) -> None:
@@ -83,11 +95,28 @@
         if body:
             data += connection.send(h11.Data(data=body)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
+        sent_bytes = await self._send_first(data)
+        if sent_bytes == len(data):
+            return
         try:
-            await self._stream.send_all(data)
+            await self._stream.send_all(memoryview(data)[sent_bytes:])
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionFailedError(str(error), is_sent=True) from error
 
+    async def _send_first(self, data: bytes) -> int:
+        """Send the first bytes apart; return how many the kernel took.
+
+        When the other side closed an idle connection, this first call fails and no
+        byte was taken. That proves that the request did not run; a failure later
+        proves nothing.
+        """
+        if not isinstance(self._stream, trio.SocketStream):
+            return 0
+        try:
+            return await self._stream.socket.send(data)
+        except OSError as error:
+            raise ConnectionFailedError(str(error), is_sent=False) from error
+
     async def read_head(self) -> ResponseHead:
         """Read status and headers, or raise ConnectionFailedError."""
         while True:
@@ -134,7 +163,10 @@
                 data = await self._stream.receive_some(_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise ConnectionFailedError(str(error), is_sent=True) from error
-            self._connection.receive_data(data)
+            self._connection.receive_data(bytes(data))
+
+
+Connect = Callable[[Address, float], Awaitable[HttpConnection]]
 
 
 async def connect(address: Address, timeout_ms: float) -> HttpConnection:
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -21,6 +21,7 @@
 
 _READ_BYTES: Final = 65_536
 _RETRY_AFTER_MS: Final = 1_000
+_STOPPING_IDLE_MS: Final = 20
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -43,6 +44,8 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    target: str = ""
+    """Path and query as they came."""
 
 
 class CallerGoneError(Exception):
@@ -109,16 +112,47 @@
 class HttpServer:
     """Accept connections on one listener and run the handler for each request."""
 
-    __slots__ = ("_handler", "_limits", "_open_connections")
+    __slots__ = (
+        "_accepting",
+        "_handler",
+        "_idle",
+        "_is_stopping",
+        "_limits",
+        "_open_connections",
+        "_stopped",
+    )
 
     def __init__(self, handler: Handler, limits: ServerLimits) -> None:
         self._handler = handler
         self._limits = limits
         self._open_connections = 0
+        self._accepting = trio.CancelScope()
+        self._idle: set[trio.CancelScope] = set()
+        self._is_stopping = False
+        self._stopped = trio.Event()
 
     async def serve(self, listener: trio.SocketListener) -> None:
-        """Serve until cancelled."""
-        await trio.serve_listeners(self._serve_stream, [listener])
+        """Serve until stopped and the last request has its answer."""
+        try:
+            async with trio.open_nursery() as nursery:
+                with self._accepting:
+                    await trio.serve_listeners(
+                        self._serve_stream, [listener], handler_nursery=nursery
+                    )
+                await trio.aclose_forcefully(listener)
+        finally:
+            self._stopped.set()
+
+    def stop(self) -> None:
+        """Take no new connection and close idle ones; requests go on to their end."""
+        self._is_stopping = True
+        self._accepting.cancel()
+        for scope in self._idle:
+            scope.cancel()
+
+    async def wait_stopped(self) -> None:
+        """Wait until `serve` has ended."""
+        await self._stopped.wait()
 
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
         self._open_connections += 1
@@ -158,6 +192,8 @@
             await self._refuse(connection, stream, request)
             return False
         responder = Responder(connection, stream)
+        if self._is_stopping:
+            responder.close_after()
         await self._run_handler(request, responder, connection, stream)
         if connection.our_state is not h11.DONE:
             return False
@@ -199,8 +235,14 @@
         """Wait for a request's first bytes; return whether any came."""
         if connection.trailing_data[0]:
             return True
-        with trio.move_on_after(idle_ms / 1000):
-            data = await stream.receive_some(_READ_BYTES)
+        if self._is_stopping:
+            idle_ms = _STOPPING_IDLE_MS
+        with trio.move_on_after(idle_ms / 1000) as scope:
+            self._idle.add(scope)
+            try:
+                data = await stream.receive_some(_READ_BYTES)
+            finally:
+                self._idle.discard(scope)
             connection.receive_data(data)
             return bool(data)
         return False
@@ -287,6 +329,7 @@
         query=dict(parse_qsl(parts.query)),
         headers=headers,
         body=body,
+        target=head.target.decode("ascii", "replace"),
     )
 
 
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/model_requests.py
@@ -0,0 +1,219 @@
+"""Turn OpenAI bodies into requests for the core, and into bodies for engines."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any, Final
+
+import msgspec
+
+from toucanyard.configuration import Configuration, Pool, PriorityClass
+from toucanyard.errorcodes import ErrorKind, RouterError
+from toucanyard.names import CustomerName
+from toucanyard.prefix import CacheIdentity, compute_chain
+from toucanyard.requests import ModelTarget
+
+DEFAULT_MAX_TOKENS: Final = 256
+_ADAPTER_SEPARATOR: Final = ":"
+_NULL: Final = msgspec.Raw(b"null")
+_FALSE: Final = msgspec.Raw(b"false")
+_ONE: Final = msgspec.Raw(b"1")
+# What an answer gathered from token events can't carry; requests that use it are
+# read as one plain answer from the engine.
+_PLAIN_ONLY: Final = {
+    "tools": _NULL,
+    "functions": _NULL,
+    "logprobs": _FALSE,
+    "echo": _FALSE,
+    "best_of": _ONE,
+    "n": _ONE,
+    "suffix": _NULL,
+    "audio": _NULL,
+    "modalities": _NULL,
+}
+
+
+class ApiKind(enum.StrEnum):
+    """Which of the two shapes a request and its answer have."""
+
+    COMPLETION = "/v1/completions"
+    CHAT = "/v1/chat/completions"
+
+
+class ContentPart(msgspec.Struct, frozen=True):
+    """One part of a message's content; parts that aren't text have no `text`."""
+
+    text: str = ""
+
+
+class Message(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str | list[ContentPart] | None = None
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """What the node needs to know of a completion's body."""
+
+    model: str
+    prompt: str | list[Any] = ""
+    max_tokens: int | None = None
+    stream: bool | None = None
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """What the node needs to know of a chat completion's body."""
+
+    model: str
+    messages: list[Message]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool | None = None
+
+
+class ModelCall(msgspec.Struct, frozen=True):
+    """One parsed call of a model."""
+
+    api: ApiKind
+    model: str
+    adapter: str
+    pool_model: str
+    is_stream: bool
+    is_plain_only: bool
+    """True when its answer can't be gathered from token events."""
+    fields: dict[str, msgspec.Raw]
+    target: ModelTarget
+    priority: PriorityClass
+
+
+_COMPLETION: Final = msgspec.json.Decoder(CompletionBody)
+_CHAT: Final = msgspec.json.Decoder(ChatBody)
+_FIELDS: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+def parse_model_call(
+    api: ApiKind, body: bytes, configuration: Configuration, customer: CustomerName
+) -> ModelCall:
+    """Parse a body and find its pool, or raise BAD_REQUEST or NOT_FOUND."""
+    try:
+        decoder = _COMPLETION if api is ApiKind.COMPLETION else _CHAT
+        parsed = decoder.decode(body)
+        fields = _FIELDS.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RouterError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
+    pool, adapter, priority = _find_pool(configuration, parsed.model, customer)
+    prompt = compute_prompt(parsed).encode("utf-8", "surrogatepass")
+    identity = CacheIdentity(customer, pool.model, adapter, pool.weights_version)
+    max_tokens = _find_max_tokens(parsed)
+    if max_tokens < 1:
+        raise RouterError(ErrorKind.BAD_REQUEST, "body: max_tokens is less than 1")
+    target = ModelTarget(
+        pool=pool.name,
+        model=pool.model,
+        adapter=adapter,
+        weights_version=pool.weights_version,
+        chain=compute_chain(identity, prompt),
+        prompt_bytes=len(prompt),
+        max_tokens=max_tokens,
+    )
+    is_plain_only = any(
+        bytes(fields.get(name, ordinary)) not in (bytes(ordinary), b"null")
+        for name, ordinary in _PLAIN_ONLY.items()
+    ) or isinstance(getattr(parsed, "prompt", ""), list)
+    return ModelCall(
+        api=api,
+        model=parsed.model,
+        adapter=adapter,
+        pool_model=pool.model,
+        is_stream=bool(parsed.stream),
+        is_plain_only=is_plain_only,
+        fields=fields,
+        target=target,
+        priority=priority,
+    )
+
+
+def compute_prompt(body: CompletionBody | ChatBody) -> str:
+    """Return the text whose blocks engines cache."""
+    match body:
+        case CompletionBody(prompt=str() as prompt):
+            return prompt
+        case CompletionBody(prompt=parts):
+            return "".join(part for part in parts if isinstance(part, str))
+        case ChatBody(messages=messages):
+            return "".join(
+                f"{each.role}\n{_join_content(each.content)}\n" for each in messages
+            )
+
+
+def render_engine_body(
+    call: ModelCall, is_stream: bool, generated: str = "", tokens: int = 0
+) -> bytes:
+    """Build the body for an engine; `generated` text is added to the prompt."""
+    fields = dict(call.fields)
+    if call.model != call.pool_model and not call.adapter:
+        fields["model"] = _raw(call.pool_model)
+    fields["stream"] = _raw(is_stream)
+    if is_stream:
+        fields["stream_options"] = _raw({"include_usage": True})
+    else:
+        fields.pop("stream_options", None)
+    if generated:
+        _extend_prompt(fields, call.api, generated)
+        _lower_limits(fields, tokens)
+    return msgspec.json.encode(fields)
+
+
+def _extend_prompt(
+    fields: dict[str, msgspec.Raw], api: ApiKind, generated: str
+) -> None:
+    if api is ApiKind.COMPLETION:
+        prompt = msgspec.json.decode(fields["prompt"], type=str)
+        fields["prompt"] = _raw(prompt + generated)
+        return
+    messages = msgspec.json.decode(fields["messages"], type=list[msgspec.Raw])
+    messages.append(_raw({"role": "assistant", "content": generated}))
+    fields["messages"] = _raw(messages)
+
+
+def _lower_limits(fields: dict[str, msgspec.Raw], tokens: int) -> None:
+    """Take what was generated off the limits, so that the whole keeps to them."""
+    for name in ("max_tokens", "max_completion_tokens"):
+        limit = msgspec.json.decode(fields.get(name, _NULL))
+        if isinstance(limit, int):
+            fields[name] = _raw(max(1, limit - tokens))
+
+
+def _raw(value: object) -> msgspec.Raw:
+    return msgspec.Raw(msgspec.json.encode(value))
+
+
+def _find_pool(
+    configuration: Configuration, model: str, customer: CustomerName
+) -> tuple[Pool, str, PriorityClass]:
+    """Return the pool of a model name, its adapter and the rule's class."""
+    rule = configuration.find_rule(model, customer)
+    adapter = ""
+    if rule is None and _ADAPTER_SEPARATOR in model:
+        base, _, adapter = model.rpartition(_ADAPTER_SEPARATOR)
+        rule = configuration.find_rule(base, customer)
+    pool = configuration.find_pool(rule.pool) if rule is not None else None
+    if rule is None or pool is None or (adapter and adapter not in pool.adapters):
+        raise RouterError(ErrorKind.NOT_FOUND, f"no rule for the model {model!r}")
+    return pool, adapter, rule.priority
+
+
+def _find_max_tokens(body: CompletionBody | ChatBody) -> int:
+    limit = body.max_tokens
+    if isinstance(body, ChatBody) and body.max_completion_tokens is not None:
+        limit = body.max_completion_tokens
+    return DEFAULT_MAX_TOKENS if limit is None else limit
+
+
+def _join_content(content: str | list[ContentPart] | None) -> str:
+    if content is None:
+        return ""
+    if isinstance(content, str):
+        return content
+    return "".join(part.text for part in content)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/service_face.py
@@ -0,0 +1,260 @@
+"""Serve calls of plain services, each as one whole answer."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.configuration import PriorityClass, Service
+from toucanyard.errorcodes import ErrorKind, RouterError
+from toucanyard.names import ServiceName
+from toucanyard.options import Options
+from toucanyard.requests import (
+    Dispatch,
+    EndingSeen,
+    KeptAnswer,
+    Outcome,
+    Refuse,
+    Repeatability,
+    Replay,
+    Request,
+    ServiceTarget,
+)
+from toucanyard_node.attempts import Attempts
+from toucanyard_node.caller_context import (
+    CallerContext,
+    compute_body_digest,
+    find_deadline_ms,
+    find_key,
+    find_repeatability,
+)
+from toucanyard_node.connection_pool import ConnectionPool
+from toucanyard_node.core_messages import CoreClient
+from toucanyard_node.exchange import (
+    REFUSING_STATUSES,
+    DispatchFailedError,
+    check_echo,
+    find_incarnation,
+    is_bare_refusal,
+)
+from toucanyard_node.http_client import (
+    ConnectionFailedError,
+    Headers,
+    HttpConnection,
+    Response,
+)
+from toucanyard_node.sheltered import Spawn, run_sheltered
+
+_READING_METHODS: Final = ("GET", "HEAD")
+_FORWARDED: Final = ("content-type", "accept", "accept-language", "idempotency-key")
+
+Result = Refuse | Replay | Response
+
+
+class ServiceCall(msgspec.Struct, frozen=True):
+    """What is sent to a service."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+def find_call_repeatability(service: Service, method: str, path: str) -> Repeatability:
+    """Return whether operators declared that a call may be repeated."""
+    if method in _READING_METHODS:
+        return Repeatability.REPEATABLE
+    for entry in service.repeatable_calls:
+        allowed, _, prefix = entry.partition(" ")
+        if allowed == method and path.startswith(prefix):
+            return Repeatability.REPEATABLE
+    return Repeatability.RUN_ONCE
+
+
+class ServiceFace:
+    """Serve calls of plain services."""
+
+    __slots__ = ("_core", "_options", "_pool", "_spawn")
+
+    def __init__(
+        self, core: CoreClient, options: Options, pool: ConnectionPool, spawn: Spawn
+    ) -> None:
+        self._core = core
+        self._options = options
+        self._pool = pool
+        self._spawn = spawn
+
+    async def serve(
+        self, context: CallerContext, service: ServiceName, target: str
+    ) -> None:
+        """Answer one call; `target` is path and query as the service gets them."""
+        found = context.configuration.find_service(service)
+        if found is None:
+            raise RouterError(ErrorKind.NOT_FOUND, f"no service {service!r}")
+        request = self._build_request(context, found, target)
+        call = _build_call(context, target)
+        exchange = ServiceExchange(self._core, self._pool, request, call)
+        await context.finish(await self._run_until_deadline(exchange))
+
+    def _build_request(
+        self, context: CallerContext, service: Service, target: str
+    ) -> Request:
+        http = context.http
+        key = find_key(http)
+        path = target.partition("?")[0]
+        declared = find_call_repeatability(service, http.method, path)
+        return Request(
+            request_id=context.request_id,
+            customer=context.customer.name,
+            priority=PriorityClass.CALL,
+            target=ServiceTarget(service.name, http.method, path),
+            repeatability=find_repeatability(http, key, declared),
+            arrived_ms=context.arrived_ms,
+            deadline_ms=find_deadline_ms(
+                http, context.arrived_ms, self._options.callers
+            ),
+            configuration_version=context.configuration.version,
+            key=key,
+            body_digest=compute_body_digest(http) if key else b"",
+        )
+
+    async def _run_until_deadline(self, exchange: ServiceExchange) -> Result:
+        attempts = exchange.attempts
+        is_keyed = attempts.request.repeatability is Repeatability.KEYED
+        try:
+            with trio.CancelScope(deadline=attempts.request.deadline_ms / 1000):
+                if is_keyed:
+                    return await run_sheltered(self._spawn, exchange.run, _ignore)
+                return await exchange.run()
+            refusal = attempts.build_deadline_refusal()
+        except trio.Cancelled:
+            if not is_keyed:
+                exchange.give_up()
+            raise
+        if not is_keyed:
+            exchange.give_up()
+        return refusal
+
+
+class ServiceExchange:
+    """One call of a service through its dispatches."""
+
+    __slots__ = ("_call", "_connection", "_core", "_dispatch", "_pool", "attempts")
+
+    def __init__(
+        self,
+        core: CoreClient,
+        pool: ConnectionPool,
+        request: Request,
+        call: ServiceCall,
+    ) -> None:
+        self._core = core
+        self._pool = pool
+        self._call = call
+        self._connection: HttpConnection | None = None
+        self._dispatch: Dispatch | None = None
+        self.attempts = Attempts(core, request)
+
+    async def run(self) -> Result:
+        """Dispatch until there is an answer or a final refusal."""
+        verdict = await self._core.decide(self.attempts.request)
+        while isinstance(verdict, Dispatch):
+            self._dispatch = verdict
+            self.attempts.begin()
+            try:
+                return await self._try(verdict)
+            except DispatchFailedError as error:
+                self._dispatch = None
+                verdict = await self.attempts.report_failure(
+                    verdict, error.ending, error.text
+                )
+        if isinstance(verdict, Refuse):
+            return self.attempts.check_refusal(verdict)
+        return verdict
+
+    def give_up(self) -> None:
+        """Tell the core that nobody waits for the answer any more."""
+        if self._dispatch is None:
+            return
+        is_sent = self.attempts.may_have_run
+        ending = EndingSeen.CANCELLED if is_sent else EndingSeen.NOT_SENT
+        self.attempts.report_end(self._build_outcome(self._dispatch, ending))
+
+    async def _try(self, dispatch: Dispatch) -> Response:
+        """Make one dispatch, or raise DispatchFailedError."""
+        is_used = False
+        try:
+            connection, is_used = await self._acquire(dispatch)
+        except ConnectionFailedError as error:
+            raise DispatchFailedError(EndingSeen.NOT_SENT, str(error)) from error
+        try:
+            return await self._exchange(dispatch, connection, is_used)
+        except ConnectionFailedError as error:
+            if not error.is_sent:
+                raise DispatchFailedError(EndingSeen.NOT_SENT, str(error)) from error
+            raise DispatchFailedError(EndingSeen.LOST, str(error)) from error
+        finally:
+            # Closed unless the answer was read to its end: what comes late on this
+            # connection must never be taken for the answer to another call.
+            await self._pool.release(connection)
+
+    async def _acquire(self, dispatch: Dispatch) -> tuple[HttpConnection, bool]:
+        if self.attempts.is_repeatable():
+            return await self._pool.acquire(dispatch.address)
+        return await self._pool.open(dispatch.address), False
+
+    async def _exchange(
+        self, dispatch: Dispatch, connection: HttpConnection, is_used: bool
+    ) -> Response:
+        call = self._call
+        self.attempts.note_sending()
+        await connection.send(call.method, call.target, call.headers, call.body)
+        head = await connection.read_head()
+        if not is_bare_refusal(head) or is_used:
+            check_echo(head, self.attempts.request.request_id)
+        body = await connection.read_body()
+        if head.status in REFUSING_STATUSES:
+            raise DispatchFailedError(EndingSeen.REFUSED, f"status {head.status}")
+        if head.status >= 500 and self.attempts.is_repeatable():
+            raise DispatchFailedError(EndingSeen.FAILED, f"status {head.status}")
+        content_type = head.headers.get("content-type", "application/octet-stream")
+        outcome = self._build_outcome(dispatch, EndingSeen.COMPLETED)
+        self.attempts.report_end(
+            msgspec.structs.replace(
+                outcome,
+                incarnation=find_incarnation(head),
+                answer=self._keep(KeptAnswer(head.status, content_type, body)),
+            )
+        )
+        self._dispatch = None
+        return Response(head.status, {"content-type": content_type}, body)
+
+    def _keep(self, answer: KeptAnswer) -> KeptAnswer | None:
+        is_keyed = self.attempts.request.repeatability is Repeatability.KEYED
+        return answer if is_keyed else None
+
+    def _build_outcome(self, dispatch: Dispatch, ending: EndingSeen) -> Outcome:
+        return Outcome(
+            self.attempts.request.request_id,
+            dispatch.endpoint,
+            ending,
+            duration_ms=self.attempts.find_elapsed_ms(),
+        )
+
+
+def _build_call(context: CallerContext, target: str) -> ServiceCall:
+    http = context.http
+    forwarded = tuple(
+        (name, http.headers[name]) for name in _FORWARDED if name in http.headers
+    )
+    named = (
+        ("X-Request-Id", str(context.request_id)),
+        ("X-Customer", str(context.customer.name)),
+    )
+    return ServiceCall(http.method, target, (*named, *forwarded), http.body)
+
+
+async def _ignore(_: Result) -> None:
+    """Leave an answer alone: the core keeps it for the next try."""
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/sse.py
@@ -0,0 +1,140 @@
+"""Cut, number and read server-sent events on bytes, with little work for each."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+_BOUNDARY: Final = b"\n\n"
+_ID: Final = b"id: "
+_DATA: Final = b"data: "
+_DONE: Final = b"data: [DONE]"
+MAX_EVENT_BYTES: Final = 1_000_000
+
+
+class EventError(Exception):
+    """The events of a stream are not what the protocol says."""
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """What a chunk of a chat adds."""
+
+    role: str | None = None
+    content: str | None = None
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """One choice of a chunk."""
+
+    text: str | None = None
+    delta: Delta | None = None
+    finish_reason: str | None = None
+
+
+class TokenDetails(msgspec.Struct, frozen=True):
+    """Details of the prompt's tokens."""
+
+    cached_tokens: int = 0
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Counts of tokens in the last chunk."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    total_tokens: int = 0
+    prompt_tokens_details: TokenDetails | None = None
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """One event's data, as far as the node reads it."""
+
+    id: str = ""
+    created: int = 0
+    model: str = ""
+    choices: tuple[Choice, ...] = ()
+    usage: Usage | None = None
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One event: its number, or None when it has none, and its data line."""
+
+    number: int | None
+    data: bytes
+
+    def is_done(self) -> bool:
+        """Tell whether this is the final event of a whole stream."""
+        return self.data == b"[DONE]"
+
+
+_CHUNK: Final = msgspec.json.Decoder(Chunk)
+
+
+def read_chunk(data: bytes) -> Chunk:
+    """Decode one event's data, or raise EventError."""
+    try:
+        return _CHUNK.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise EventError(str(error)) from error
+
+
+def get_text(chunk: Chunk) -> str:
+    """Return the text that a chunk adds."""
+    if not chunk.choices:
+        return ""
+    choice = chunk.choices[0]
+    if choice.text is not None:
+        return choice.text
+    return (choice.delta.content or "") if choice.delta is not None else ""
+
+
+class EventCutter:
+    """Cut received bytes at the ends of events; an unfinished one waits inside."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, part: bytes) -> list[Event]:
+        """Take received bytes and return the events that they finish."""
+        if self._rest:
+            part = self._rest + part
+        texts = part.split(_BOUNDARY)
+        self._rest = texts.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventError("an event is too large")
+        return [_parse_event(text) for text in texts if text[:1] != b":"]
+
+
+def _parse_event(text: bytes) -> Event:
+    if text.startswith(_ID):
+        head, _, rest = text.partition(b"\n")
+        number = head[4:]
+        if number.isdigit() and rest.startswith(_DATA) and b"\n" not in rest:
+            return Event(int(number), rest[6:])
+    elif text == _DONE:
+        return Event(None, b"[DONE]")
+    return _parse_lines(text)
+
+
+def _parse_lines(text: bytes) -> Event:
+    """Parse an event whose lines are in another order."""
+    number: int | None = None
+    data: list[bytes] = []
+    for line in text.split(b"\n"):
+        name, _, value = line.rstrip(b"\r").partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"id" and value.isdigit():
+            number = int(value)
+        elif name == b"data":
+            data.append(value)
+    return Event(number, b"\n".join(data))
+
+
+def render_event(number: int, data: bytes, name: bytes = b"") -> bytes:
+    """Build the bytes of one event."""
+    if name:
+        return b"event: %s\nid: %d\ndata: %s\n\n" % (name, number, data)
+    return b"id: %d\ndata: %s\n\n" % (number, data)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/stream_buffer.py
@@ -0,0 +1,45 @@
+"""Hold the last events of a stream, so that its caller can resume it."""
+
+from __future__ import annotations
+
+from collections import deque
+
+
+class StreamBuffer:
+    """Keep rendered events in order, the oldest dropped when the bound is reached.
+
+    Invariant: the kept numbers are consecutive and end just before `next_number`.
+    """
+
+    __slots__ = ("_events", "_held_bytes", "_max_bytes", "next_number")
+
+    def __init__(self, max_bytes: int) -> None:
+        self._events: deque[bytes] = deque()
+        self._held_bytes = 0
+        self._max_bytes = max_bytes
+        self.next_number = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of what is kept."""
+        return self._held_bytes
+
+    def append(self, event: bytes) -> None:
+        """Keep the next event; its number is `next_number`."""
+        self._events.append(event)
+        self._held_bytes += len(event)
+        self.next_number += 1
+        while self._held_bytes > self._max_bytes and len(self._events) > 1:
+            self._held_bytes -= len(self._events.popleft())
+
+    def has_room(self) -> bool:
+        """Tell whether another event may be read without losing the oldest."""
+        return self._held_bytes < self._max_bytes * 3 // 4
+
+    def find_after(self, number: int) -> bytes | None:
+        """Return all events after a number, or None when some are gone."""
+        first = self.next_number - len(self._events)
+        if number + 1 < first or number >= self.next_number:
+            return None
+        skipped = number + 1 - first
+        return b"".join(list(self._events)[skipped:])
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that tests of several modules share."""
