Split the at-most-once decision by sort of key

Before: giving up a claim wrote an abandon record at once, true only if the claim had won; with the winner's record expired a reader would have said "not run" of a key that ran. After: the record is written only when the given-up claim is read back as the winner; claims read while the index lacks room are not sure and never allowed; a late answer about a key is matched to the claim asked about. Conclusion: property tests over several nodes are next.

--- a/packages/toucanyard/src/toucanyard/claim_messages.py
+++ b/packages/toucanyard/src/toucanyard/claim_messages.py
@@ -82,10 +82,14 @@
 
 
 class KeyTold(msgspec.Struct, frozen=True, tag="key_told"):
-    """Tell how the request of a key stands; `digest` is that of the claimed body."""
+    """Tell how the request of a key stands; `digest` is that of the claimed body.
+
+    `claim_id` repeats the question's, so that a late answer isn't taken for another.
+    """
 
     to: Incarnation
     name: KeyName
+    claim_id: str
     status: KeyStatus
     digest: bytes
     answer: KeptAnswer | None = None
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/claimed_keys.py
@@ -0,0 +1,150 @@
+"""Claim caller-chosen keys in the log and act on what the log decides."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from toucanyard.claim_messages import (
+    AppendRecord,
+    AppendResult,
+    ClaimAction,
+    ClaimRecord,
+    ClaimRecordsRead,
+    KeyedArrived,
+    KeyName,
+    RecordsSettled,
+    encode_record,
+)
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.followed_keys import FollowedKeys
+from toucanyard.key_answers import refuse_unclaimed
+from toucanyard.key_book import KeyBook
+from toucanyard.key_entries import KeyEntry, Phase
+
+
+class ClaimedKeys:
+    """This node's claims, from their append to the moment that the log decides.
+
+    Invariants: a claim is allowed only when it was read back as the first of its key
+    with nothing missed before it; a claim that was given up is never allowed.
+    """
+
+    __slots__ = ("_book", "_followed", "_last_claim")
+
+    def __init__(self, book: KeyBook, followed: FollowedKeys) -> None:
+        self._book = book
+        self._followed = followed
+        self._last_claim = 0
+
+    def arrive(
+        self, event: KeyedArrived, name: KeyName, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        """Take in a key that its caller chose."""
+        book = self._book
+        if book.index.find(name) is not None:
+            yield from self._followed.arrive_claimed(event, name, now_ms)
+        elif event.deadline_ms <= now_ms:
+            yield refuse_unclaimed(event, ErrorKind.DEADLINE_EXCEEDED, book.rng)
+        elif not book.is_log_up:
+            yield refuse_unclaimed(event, ErrorKind.LOG_UNAVAILABLE, book.rng)
+        elif book.is_full() or not book.index.is_complete():
+            yield refuse_unclaimed(event, ErrorKind.OVERLOADED, book.rng)
+        else:
+            yield from self._claim(event, name, now_ms)
+
+    def read(self, event: ClaimRecordsRead, now_ms: float) -> Iterator[ClaimAction]:
+        """Take in records and settle the keys that they decide."""
+        index = self._book.index
+        if index.has_gap_before(event):
+            # A claim that would have beaten ours may have expired unread; without
+            # this our own claim, read next, would look like the first one.
+            yield from self.give_up_all(ErrorKind.LOG_UNAVAILABLE, now_ms)
+        for record in index.read(event, now_ms):
+            if index.is_given_up(record.claim_id):
+                yield from self._abandon_if_won(record)
+            entry = self._book.find_entry(record.name)
+            if entry is not None and entry.phase is Phase.CLAIMING:
+                yield from self._settle(entry, now_ms)
+
+    def settle_records(
+        self, event: RecordsSettled, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        """Take in what is known of an append.
+
+        An unknown result needs no step: reading the log settles it.
+        """
+        for record_id in event.record_ids:
+            if event.result is AppendResult.DONE:
+                self._book.settle_owed(record_id)
+        if event.result is not AppendResult.REFUSED:
+            return
+        refused = set(event.record_ids)
+        for entry in self._book.find_entries(Phase.CLAIMING):
+            if entry.claim_id in refused:
+                yield from self.give_up(entry, ErrorKind.LOG_UNAVAILABLE, now_ms)
+
+    def set_log_state(self, is_up: bool, now_ms: float) -> Iterator[ClaimAction]:
+        """Refuse at once what waits for a log that is down."""
+        self._book.is_log_up = is_up
+        if is_up:
+            yield from self._book.append_owed()
+        else:
+            yield from self.give_up_all(ErrorKind.LOG_UNAVAILABLE, now_ms)
+
+    def give_up_all(self, kind: ErrorKind, now_ms: float) -> Iterator[ClaimAction]:
+        """Give up every claim that the log hasn't decided."""
+        for entry in self._book.find_entries(Phase.CLAIMING):
+            yield from self.give_up(entry, kind, now_ms)
+
+    def give_up(
+        self, entry: KeyEntry, kind: ErrorKind, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        """Never dispatch this claim, whose place in the log isn't known.
+
+        The append may still take effect; when the claim is then read as the winner,
+        an abandon record follows it.
+        """
+        book = self._book
+        book.index.give_up(entry.claim_id, now_ms)
+        book.remove(entry)
+        for waiting in entry.waiting.values():
+            yield refuse_unclaimed(waiting, kind, book.rng)
+
+    def _claim(
+        self, event: KeyedArrived, name: KeyName, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        book = self._book
+        self._last_claim += 1
+        claim_id = f"{book.identity.incarnation}-{self._last_claim}"
+        digest = event.body_digest
+        book.add(KeyEntry(name, Phase.CLAIMING, digest, now_ms, claim_id), event)
+        record = ClaimRecord(claim_id, name, digest, book.identity)
+        yield AppendRecord(claim_id, encode_record(record), is_urgent=True)
+
+    def _abandon_if_won(self, record: ClaimRecord) -> Iterator[ClaimAction]:
+        # A claim that lost has nothing to tell: the key may have run elsewhere.
+        if self._book.index.is_winner(record.claim_id, record.name):
+            yield from self._book.abandon(record.claim_id, record.name)
+
+    def _settle(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
+        """Act on the winner of a key that this node has claimed too."""
+        book = self._book
+        claim = book.index.find(entry.name)
+        if claim is None or not claim.is_sure:
+            yield from self.give_up(entry, ErrorKind.OVERLOADED, now_ms)
+        elif claim.claim_id == entry.claim_id:
+            yield from book.allow(entry, now_ms)
+        else:
+            book.remove(entry)
+            for waiting in entry.waiting.values():
+                yield from self._arrive_again(waiting, now_ms)
+
+    def _arrive_again(
+        self, event: KeyedArrived, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        name = KeyName(event.customer, event.key)
+        entry = self._book.find_entry(name)
+        if entry is None:
+            yield from self._followed.arrive_claimed(event, name, now_ms)
+        else:
+            self._book.wait(entry, event)
--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -30,6 +30,8 @@
     """When the log took it, by the log's clock."""
     read_ms: float
     is_abandoned: bool
+    is_sure: bool
+    """False when an earlier claim of the key may be missing for want of room."""
 
 
 class ClaimIndex:
@@ -68,6 +70,11 @@
         """Return the winning claim of a key."""
         return self._claims.get(name)
 
+    def is_winner(self, claim_id: str, name: KeyName) -> bool:
+        """Tell whether this claim was surely the first of its key."""
+        claim = self._claims.get(name)
+        return claim is not None and claim.claim_id == claim_id and claim.is_sure
+
     def is_complete(self) -> bool:
         """Tell whether every claim of the window has been remembered."""
         return self._hole_at_ms is None
@@ -104,9 +111,8 @@
 
     def abandon(self, claim_id: str, name: KeyName) -> None:
         """Mark the winning claim of a key as never dispatched."""
-        winner = self._claims.get(name)
-        if winner is not None and winner.claim_id == claim_id:
-            winner.is_abandoned = True
+        if self.is_winner(claim_id, name):
+            self._claims[name].is_abandoned = True
 
     def forget_old(self, now_ms: float) -> None:
         """Forget what is older than the window."""
@@ -149,5 +155,6 @@
             claim.digest,
             record.at_ms,
             now_ms,
-            claim.claim_id in self._given_up,
+            is_abandoned=False,
+            is_sure=self.is_complete(),
         )
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -0,0 +1,237 @@
+"""Hold what one node knows about keys, with the steps that every sort of key shares."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Final
+
+from toucanyard.claim_messages import (
+    AbandonRecord,
+    AllowDispatch,
+    AppendRecord,
+    ClaimAction,
+    KeyedArrived,
+    KeyMessage,
+    KeyName,
+    KeyStatus,
+    KeyTold,
+    NodeId,
+    PeerView,
+    SendToPeer,
+    encode_record,
+)
+from toucanyard.claims import ClaimIndex
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.issued_keys import IssuedKey
+from toucanyard.kept_answers import KeptAnswers
+from toucanyard.key_answers import refuse, tell_status
+from toucanyard.key_entries import EndedKey, KeyEntry, Phase
+from toucanyard.names import RequestId
+from toucanyard.options import ClaimLimits
+from toucanyard.requests import KeptAnswer
+
+_MAX_OWED_RECORDS: Final = 10_000
+
+
+class KeyBook:
+    """Keys under way and ended, the index of claims, and the peers.
+
+    Invariants: a key is in at most one of entries and ended; what an ended key's
+    status says never changes; a key is allowed only from its entry and only once.
+    """
+
+    __slots__ = (
+        "_ended",
+        "_entries",
+        "_kept",
+        "_loopback",
+        "_name_by_request",
+        "_owed",
+        "identity",
+        "index",
+        "is_log_up",
+        "limits",
+        "peers",
+        "rng",
+    )
+
+    def __init__(
+        self, identity: NodeId, limits: ClaimLimits, rng: random.Random
+    ) -> None:
+        self.identity = identity
+        self.limits = limits
+        self.rng = rng
+        self.index = ClaimIndex(limits.window_ms, limits.max_keys)
+        self.peers: tuple[PeerView, ...] = ()
+        self.is_log_up = False
+        self._kept = KeptAnswers(limits.kept_answers_bytes)
+        self._entries: dict[KeyName, KeyEntry] = {}
+        self._ended: dict[KeyName, EndedKey] = {}
+        self._name_by_request: dict[RequestId, KeyName] = {}
+        self._owed: dict[str, str] = {}
+        self._loopback: list[KeyMessage] = []
+
+    def __len__(self) -> int:
+        return len(self._entries) + len(self._ended)
+
+    def find_entry(self, name: KeyName) -> KeyEntry | None:
+        """Return the key if it is under way here."""
+        return self._entries.get(name)
+
+    def find_entries(self, phase: Phase | None = None) -> list[KeyEntry]:
+        """Return the keys under way, or those in one phase."""
+        entries = self._entries.values()
+        return [each for each in entries if phase in (None, each.phase)]
+
+    def find_entry_of(self, request_id: RequestId) -> KeyEntry | None:
+        """Return the key that a waiting or running request belongs to."""
+        name = self._name_by_request.get(request_id)
+        return None if name is None else self._entries.get(name)
+
+    def find_ended(self, name: KeyName) -> EndedKey | None:
+        """Return how the key ended here."""
+        return self._ended.get(name)
+
+    def is_full(self) -> bool:
+        """Tell whether there is no room for another key."""
+        return len(self) >= self.limits.max_keys
+
+    def is_in_window(self, issued: IssuedKey, now_ms: float) -> bool:
+        """Tell whether a key that this node issued may still run."""
+        return 0 <= now_ms - issued.issued_ms < self.limits.window_ms
+
+    def is_replaced(self, node: NodeId) -> bool:
+        """Tell whether another incarnation is known under this node's name."""
+        if node.node == self.identity.node:
+            return node != self.identity
+        for peer in self.peers:
+            if peer.node == node.node:
+                return peer.incarnation != node.incarnation
+        return False
+
+    def add(self, entry: KeyEntry, event: KeyedArrived) -> None:
+        """Add a key that its first try on this node brought."""
+        self._entries[entry.name] = entry
+        self.wait(entry, event)
+
+    def wait(self, entry: KeyEntry, event: KeyedArrived) -> None:
+        """Let one more try wait for the key."""
+        entry.waiting[event.request_id] = event
+        self._name_by_request[event.request_id] = entry.name
+
+    def forget_try(self, entry: KeyEntry, request_id: RequestId) -> None:
+        """Let a try no longer wait."""
+        entry.waiting.pop(request_id, None)
+        self._name_by_request.pop(request_id, None)
+
+    def remove(self, entry: KeyEntry) -> None:
+        """Remove a key that is no longer under way here."""
+        self._entries.pop(entry.name, None)
+        for request_id in entry.waiting:
+            self._name_by_request.pop(request_id, None)
+        if entry.running is not None:
+            self._name_by_request.pop(entry.running, None)
+
+    def keep_ended(self, name: KeyName, ended: EndedKey) -> None:
+        """Remember how a key ended."""
+        self._ended[name] = ended
+
+    def keep_answer(self, entry: KeyEntry, answer: KeptAnswer) -> None:
+        """Keep the whole answer of a key for its other tries."""
+        self._kept.keep(entry.name, answer)
+
+    def allow(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
+        """Allow the first try that is still in time, or seal the key."""
+        chosen = entry.find_first_live(now_ms)
+        if chosen is None:
+            yield from self.seal(entry, now_ms)
+            return
+        entry.phase = Phase.ALLOWED
+        entry.running = chosen.request_id
+        del entry.waiting[chosen.request_id]
+        yield AllowDispatch(chosen.request_id)
+        for other in list(entry.waiting.values()):
+            if other.body_digest != entry.digest:
+                self.forget_try(entry, other.request_id)
+                yield refuse(other, ErrorKind.KEY_REUSED, self.rng)
+
+    def seal(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
+        """End a key that this node alone might dispatch and never will."""
+        if entry.claim_id:
+            yield from self.abandon(entry.claim_id, entry.name)
+        yield from self.finish(entry, KeyStatus.NOT_RUN, now_ms)
+
+    def abandon(self, claim_id: str, name: KeyName) -> Iterator[ClaimAction]:
+        """Tell the log that the winning claim of a key is never dispatched."""
+        self.index.abandon(claim_id, name)
+        record_id = f"abandon-{claim_id}"
+        self._owed[record_id] = encode_record(AbandonRecord(claim_id, name))
+        if len(self._owed) > _MAX_OWED_RECORDS:
+            del self._owed[next(iter(self._owed))]
+        if self.is_log_up:
+            yield AppendRecord(record_id, self._owed[record_id], is_urgent=False)
+
+    def append_owed(self) -> Iterator[ClaimAction]:
+        """Append again what may not have reached the log."""
+        for record_id, text in self._owed.items():
+            yield AppendRecord(record_id, text, is_urgent=False)
+
+    def settle_owed(self, record_id: str) -> None:
+        """Forget a record that the log has."""
+        self._owed.pop(record_id, None)
+
+    def finish(
+        self, entry: KeyEntry, status: KeyStatus, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        """Record how a key ended here and tell everyone who waits for it."""
+        ended = EndedKey(status, entry.digest, now_ms)
+        self._ended[entry.name] = ended
+        self.remove(entry)
+        for waiting in entry.waiting.values():
+            yield self.tell_ended(waiting, ended)
+        for asker, claim_id in entry.askers.items():
+            told = self.compose_told(asker, entry.name, claim_id, ended)
+            yield from self.send(asker, told)
+
+    def tell_ended(self, event: KeyedArrived, ended: EndedKey) -> ClaimAction:
+        """Compose what a try is told about a key that ended here."""
+        answer = self._kept.find(KeyName(event.customer, event.key))
+        return tell_status(event, ended.status, ended.digest, answer, self.rng)
+
+    def compose_told(
+        self, to: NodeId, name: KeyName, claim_id: str, ended: EndedKey
+    ) -> KeyTold:
+        """Compose what a peer is told about a key."""
+        answer = None
+        status = ended.status
+        if status is KeyStatus.ANSWERED:
+            answer = self._kept.find(name)
+            # The request ran, but its answer had to make room for others.
+            status = KeyStatus.UNKNOWN if answer is None else status
+        return KeyTold(to.incarnation, name, claim_id, status, ended.digest, answer)
+
+    def send(self, to: NodeId, message: KeyMessage) -> Iterator[ClaimAction]:
+        """Send to a peer, or to this node itself."""
+        if to == self.identity:
+            self._loopback.append(message)
+        else:
+            yield SendToPeer(to.node, message)
+
+    def take_loopback(self) -> list[KeyMessage]:
+        """Take the messages that this node sent to itself."""
+        taken = self._loopback
+        self._loopback = []
+        return taken
+
+    def forget_old(self, now_ms: float) -> None:
+        """Forget what is older than the window."""
+        self.index.forget_old(now_ms)
+        old = []
+        for name, ended in self._ended.items():
+            if now_ms - ended.ended_ms < self.limits.window_ms:
+                break
+            old.append(name)
+        for name in old:
+            del self._ended[name]
+            self._kept.drop(name)
--- a/packages/toucanyard/src/toucanyard/key_entries.py
+++ b/packages/toucanyard/src/toucanyard/key_entries.py
@@ -41,12 +41,19 @@
     target: NodeId | None = None
     """The node asked while FOLLOWING."""
     sent_ms: float = float("-inf")
+    heard_ms: float = 0.0
+    """When the target last said that the key is under way."""
     is_seal_refused: bool = False
     is_target_running: bool = False
     running: RequestId | None = None
     is_started: bool = False
     waiting: dict[RequestId, KeyedArrived] = field(default_factory=dict)
-    askers: dict[NodeId, None] = field(default_factory=dict)
+    askers: dict[NodeId, str] = field(default_factory=dict)
+    """Nodes that wait for the end, with the claim that each asked about."""
+
+    def __post_init__(self) -> None:
+        """Count silence of the target from the start."""
+        self.heard_ms = self.started_ms
 
     def find_expired(self, now_ms: float) -> list[KeyedArrived]:
         """Return the waiting tries whose deadline has passed."""
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_issuer.py
@@ -0,0 +1,83 @@
+"""Issue key prefixes on a ledger that a node in another failure domain opened."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from toucanyard.claim_messages import (
+    LedgerOpened,
+    NodeId,
+    OpenLedger,
+    PeerView,
+    SendToPeer,
+)
+from toucanyard.issued_keys import IssuedKey, format_prefix
+
+_PATIENCE_IN_RESENDS: Final = 10
+
+
+class KeyIssuer:
+    """Issue key prefixes on a ledger that some other node has opened for this one."""
+
+    __slots__ = (
+        "_identity",
+        "_ledger",
+        "_ledger_ms",
+        "_opened_ms",
+        "_request",
+        "_requested",
+        "_requested_ms",
+        "_witness",
+    )
+
+    def __init__(self, identity: NodeId, ledger_ms: float) -> None:
+        self._identity = identity
+        self._ledger_ms = ledger_ms
+        self._witness: NodeId | None = None
+        self._ledger = 0
+        self._opened_ms = 0.0
+        self._request = 0
+        self._requested: NodeId | None = None
+        self._requested_ms = 0.0
+
+    def issue(self, now_ms: float, rng: random.Random) -> str:
+        """Return a new prefix; without a ledger it names no witness."""
+        key = IssuedKey(self._identity, self._witness, self._ledger, now_ms)
+        return format_prefix(key, rng.getrandbits(64))
+
+    def renew(
+        self,
+        peers: tuple[PeerView, ...],
+        now_ms: float,
+        resend_ms: float,
+        rng: random.Random,
+    ) -> list[SendToPeer]:
+        """Ask for a ledger when there is none, it is old or its witness is gone."""
+        live = {NodeId(peer.node, peer.incarnation) for peer in peers}
+        if self._witness is not None and self._witness not in live:
+            self._witness = None
+        is_fresh = now_ms - self._opened_ms < self._ledger_ms
+        if not peers or (self._witness is not None and is_fresh):
+            return []
+        if (
+            self._requested in live
+            and now_ms - self._requested_ms < resend_ms * _PATIENCE_IN_RESENDS
+        ):
+            return []
+        elsewhere = [peer for peer in peers if peer.is_other_domain]
+        chosen = rng.choice(elsewhere or list(peers))
+        self._requested = NodeId(chosen.node, chosen.incarnation)
+        self._requested_ms = now_ms
+        self._request += 1
+        message = OpenLedger(chosen.incarnation, self._request)
+        return [SendToPeer(chosen.node, message)]
+
+    def take_ledger(self, sender: NodeId, message: LedgerOpened, now_ms: float) -> None:
+        """Take the ledger that was asked for last; ignore any other answer."""
+        if sender != self._requested or message.request != self._request:
+            return
+        self._witness = sender
+        self._ledger = message.ledger
+        self._opened_ms = now_ms
+        self._requested = None
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/noted_keys.py
@@ -0,0 +1,95 @@
+"""Run keys that this node issued, once their witness has noted them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from toucanyard.claim_messages import (
+    ClaimAction,
+    KeyedArrived,
+    KeyName,
+    KeyNoted,
+    KeyStatus,
+    LedgerStatus,
+    NodeId,
+    NoteKey,
+)
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.issued_keys import IssuedKey, parse_issued_key
+from toucanyard.key_answers import refuse, refuse_unclaimed
+from toucanyard.key_book import KeyBook
+from toucanyard.key_entries import EndedKey, KeyEntry, Phase
+
+
+class NotedKeys:
+    """Keys of which this node is the issuer.
+
+    Invariant: a key with a witness is allowed only after the witness has noted it,
+    so a key that the witness sealed has not run and never will.
+    """
+
+    __slots__ = ("_book",)
+
+    def __init__(self, book: KeyBook) -> None:
+        self._book = book
+
+    def arrive(
+        self, event: KeyedArrived, name: KeyName, issued: IssuedKey, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        """Take in a key that this incarnation issued."""
+        book = self._book
+        if not book.is_in_window(issued, now_ms):
+            yield refuse(event, ErrorKind.KEY_EXPIRED, book.rng)
+            return
+        if book.is_full():
+            yield refuse_unclaimed(event, ErrorKind.OVERLOADED, book.rng)
+            return
+        digest, witness = event.body_digest, issued.witness
+        entry = KeyEntry(name, Phase.NOTING, digest, now_ms, "", issued, witness)
+        book.add(entry, event)
+        if witness is None:
+            yield from book.allow(entry, now_ms)
+        elif book.is_replaced(witness):
+            yield from book.seal(entry, now_ms)
+        else:
+            yield from self._ask(entry, now_ms)
+
+    def take_noted(
+        self, sender: NodeId, message: KeyNoted, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        """Allow a key that was noted, seal any other."""
+        entry = self._book.find_entry(message.name)
+        if entry is None or entry.phase is not Phase.NOTING or sender != entry.target:
+            return
+        if message.status is LedgerStatus.NOTED:
+            yield from self._book.allow(entry, now_ms)
+        else:
+            yield from self._book.seal(entry, now_ms)
+
+    def seal_unseen(self, name: KeyName, now_ms: float) -> EndedKey | None:
+        """Seal a key that never arrived here, so that it never will run."""
+        book = self._book
+        issued = parse_issued_key(name.key)
+        if issued is None or issued.issuer != book.identity:
+            return None
+        if not book.is_in_window(issued, now_ms) or book.is_full():
+            return None
+        sealed = EndedKey(KeyStatus.NOT_RUN, b"", now_ms)
+        book.keep_ended(name, sealed)
+        return sealed
+
+    def tick(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
+        """Ask the witness again; seal when it is gone."""
+        assert entry.target is not None
+        if self._book.is_replaced(entry.target):
+            yield from self._book.seal(entry, now_ms)
+        elif now_ms - entry.sent_ms >= self._book.limits.resend_ms:
+            yield from self._ask(entry, now_ms)
+
+    def _ask(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
+        assert entry.target is not None
+        assert entry.issued is not None
+        entry.sent_ms = now_ms
+        to = entry.target.incarnation
+        note = NoteKey(to, entry.issued.ledger, entry.name)
+        yield from self._book.send(entry.target, note)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/witness_ledgers.py
@@ -0,0 +1,99 @@
+"""Note and seal the keys that other nodes issued with this node as witness.
+
+Noting and sealing are one step in the memory of one task, so for any key only one of
+the two can ever succeed.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from toucanyard.claim_messages import KeyName, LedgerStatus, NodeId
+
+_MAX_LEDGERS_PER_ISSUER: Final = 16
+
+
+@dataclass(slots=True)
+class _Ledger:
+    owner: NodeId
+    opened_ms: float
+    status: dict[KeyName, LedgerStatus] = field(default_factory=dict)
+
+
+class WitnessLedgers:
+    """What this node witnesses for others.
+
+    Invariants: a key's status in a ledger never changes once set; a ledger's number
+    is never used again, so a forgotten ledger answers GONE for ever and can't seal
+    what it once noted.
+    """
+
+    __slots__ = (
+        "_keep_ms",
+        "_key_count",
+        "_ledgers",
+        "_max_keys",
+        "_next_ledger",
+        "_requests",
+    )
+
+    def __init__(self, keep_ms: float, max_keys: int) -> None:
+        self._keep_ms = keep_ms
+        self._max_keys = max_keys
+        self._key_count = 0
+        self._next_ledger = 1
+        self._ledgers: dict[int, _Ledger] = {}
+        self._requests: dict[NodeId, dict[int, int]] = {}
+
+    def open(self, owner: NodeId, request: int, now_ms: float) -> int:
+        """Open a ledger, or return the one that this request opened before."""
+        opened = self._requests.setdefault(owner, {})
+        if request not in opened:
+            if len(opened) >= _MAX_LEDGERS_PER_ISSUER:
+                self._drop(opened.pop(next(iter(opened))))
+            opened[request] = self._next_ledger
+            self._ledgers[self._next_ledger] = _Ledger(owner, now_ms)
+            self._next_ledger += 1
+        return opened[request]
+
+    def note(self, owner: NodeId, ledger: int, name: KeyName) -> LedgerStatus:
+        """Note a key unless it is sealed; return its status afterwards."""
+        return self._set_once(owner, ledger, name, LedgerStatus.NOTED)
+
+    def seal(self, owner: NodeId, ledger: int, name: KeyName) -> LedgerStatus:
+        """Seal a key unless it is noted; return its status afterwards."""
+        return self._set_once(owner, ledger, name, LedgerStatus.SEALED)
+
+    def forget_old(self, now_ms: float) -> None:
+        """Forget ledgers all of whose keys are past the window."""
+        for ledger in list(self._ledgers):
+            if now_ms - self._ledgers[ledger].opened_ms < self._keep_ms:
+                break
+            self._drop(ledger)
+
+    def _set_once(
+        self, owner: NodeId, number: int, name: KeyName, wanted: LedgerStatus
+    ) -> LedgerStatus:
+        ledger = self._ledgers.get(number)
+        if ledger is None or ledger.owner != owner:
+            return LedgerStatus.GONE
+        status = ledger.status.get(name)
+        if status is not None:
+            return status
+        if self._key_count >= self._max_keys:
+            return LedgerStatus.GONE
+        ledger.status[name] = wanted
+        self._key_count += 1
+        return wanted
+
+    def _drop(self, number: int) -> None:
+        ledger = self._ledgers.pop(number, None)
+        if ledger is None:
+            return
+        self._key_count -= len(ledger.status)
+        opened = self._requests.get(ledger.owner, {})
+        for request in [each for each in opened if opened[each] == number]:
+            del opened[request]
+        if not opened:
+            self._requests.pop(ledger.owner, None)
