Replay configuration from the log and from peers

Cause: nodes have no disks and no common store but the log, so each must reach the same configuration by replay, also when records expired, answers were lost or newer record kinds turn up. Ruled out: checkpoints that name only a version; a patch that reaches the log between reading and checkpoint would be lost to a node that starts there. Before: nothing. After: patches are judged by base and offset; checkpoints name the offset they cover; peers pass accepted patches or the whole state; a node that missed records applies no patch until a state covers them.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/configuration_log.py
@@ -0,0 +1,477 @@
+"""Replay configuration records from the platform's log, the same way on every node.
+
+The log orders patches: the first valid one on a base version makes the next version,
+a later one on the same base is rejected with the winner's number. A checkpoint
+states a version together with the offset up to which it was replayed; from there on
+a node that missed older records, because they expired, replays as the others did.
+The same value, told by a peer, is a snapshot.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.configuration import Configuration
+from toucanyard.configuration_records import (
+    CheckpointRecord,
+    ConfigurationDelta,
+    HistoryEntry,
+    PatchRecord,
+    Skipped,
+    SkipReason,
+    UnknownRecord,
+    compute_digest,
+    decode_record,
+)
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.options import ConfigurationTimings
+from toucanyard.patches import (
+    Patch,
+    PatchInvalidError,
+    apply_patch,
+    check_configuration,
+)
+
+_MAX_VERSIONS: Final = 32
+_MAX_HISTORY: Final = 256
+_MAX_RESULTS: Final = 1_024
+_MAX_BUFFERED: Final = 1_024
+_MAX_UNKNOWN_KINDS: Final = 16
+
+
+class PatchResult(msgspec.Struct, frozen=True):
+    """What became of a patch; `version` is its own or, if rejected, the winner's."""
+
+    patch_id: str
+    base: int
+    version: int
+    rejection: ErrorKind | None = None
+    text: str = ""
+
+    def is_accepted(self) -> bool:
+        """Tell whether the patch made a version."""
+        return self.rejection is None
+
+
+class LogCounts(msgspec.Struct):
+    """How many records were passed over, and why."""
+
+    foreign: int = 0
+    malformed: int = 0
+    oversized: int = 0
+    unknown_kinds: int = 0
+    refused_checkpoints: int = 0
+
+    def note(self, reason: SkipReason) -> None:
+        """Count one record that was passed over."""
+        match reason:
+            case SkipReason.FOREIGN:
+                self.foreign += 1
+            case SkipReason.MALFORMED:
+                self.malformed += 1
+            case SkipReason.OVERSIZED:
+                self.oversized += 1
+
+
+class Allowance(msgspec.Struct, frozen=True):
+    """What a node may do under the version that it knows.
+
+    Serving goes on under an old version: endpoints and customers that it names were
+    valid seconds ago. Orders could undo a newer version's, and a patch can't be
+    answered truthfully.
+    """
+
+    is_current: bool
+    may_order: bool
+    may_patch: bool
+
+
+class ConfigurationLog:
+    """Hold the configuration in force on one node.
+
+    Invariants: the version never goes down; while `is_missing` is false, the
+    configuration is the replay of every record before `next_offset`; while it is
+    true, no patch is applied, since an unseen record may have made a version that
+    the patch must lose to.
+    """
+
+    def __init__(self, timings: ConfigurationTimings, jitter: float = 0.0) -> None:
+        """Start empty; `jitter` in 0..1 spreads checkpoints of nodes over time."""
+        self._timings = timings
+        self._jitter = jitter
+        self._versions: dict[int, Configuration] = {0: Configuration()}
+        self._patches: dict[int, PatchRecord] = {}
+        self._history: deque[HistoryEntry] = deque(maxlen=_MAX_HISTORY)
+        self._results: dict[str, PatchResult] = {}
+        self._buffer: deque[tuple[int, float, PatchRecord]] = deque()
+        self._missing_until: int | None = None
+        self._confirmed_ms: float | None = None
+        self._checkpoint_seen_ms: float | None = None
+        self._first_current_ms: float | None = None
+        self._seen_kinds: dict[str, int] = {}
+        self._digest: int | None = None
+        self.configuration = self._versions[0]
+        self.next_offset = 0
+        self.counts = LogCounts()
+
+    @property
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """Return the latest versions with their patches, oldest first."""
+        return tuple(self._history)
+
+    @property
+    def digest(self) -> int:
+        """Return the hash of the configuration in force."""
+        if self._digest is None:
+            self._digest = compute_digest(self.configuration)
+        return self._digest
+
+    @property
+    def is_missing(self) -> bool:
+        """Tell whether records were missed that no checkpoint has covered yet."""
+        return self._missing_until is not None
+
+    @property
+    def unknown_kinds(self) -> dict[str, int]:
+        """Return unknown configuration kinds that were met, with their count."""
+        return dict(self._seen_kinds)
+
+    def find_version(self, version: int) -> Configuration | None:
+        """Return a version if it is among the latest ones that this node has seen."""
+        return self._versions.get(version)
+
+    def result_of(self, patch_id: str) -> PatchResult | None:
+        """Return what became of a patch, if this node knows it."""
+        return self._results.get(patch_id)
+
+    def find_confirmed_age_ms(self, now_ms: float) -> float | None:
+        """Return how long ago the version was last known to be the newest."""
+        if self._confirmed_ms is None:
+            return None
+        return max(0.0, now_ms - self._confirmed_ms)
+
+    def is_current(self, now_ms: float) -> bool:
+        """Tell whether log or peers confirmed the version within the bound."""
+        age_ms = self.find_confirmed_age_ms(now_ms)
+        return (
+            age_ms is not None
+            and age_ms <= self._timings.stale_after_ms
+            and not self.is_missing
+        )
+
+    def compute_allowance(self, now_ms: float) -> Allowance:
+        """Return what may be done under the version in force."""
+        is_current = self.is_current(now_ms)
+        return Allowance(is_current, may_order=is_current, may_patch=is_current)
+
+    def check_patch(self, patch: Patch) -> PatchResult:
+        """Return what would become of a patch if nothing else reached the log."""
+        return self._judge(patch)[0]
+
+    def build_checkpoint(self) -> CheckpointRecord | None:
+        """Return the state as a checkpoint; None when records were missed."""
+        if self.is_missing or self.configuration.version == 0:
+            return None
+        return CheckpointRecord(
+            configuration=self.configuration,
+            next_offset=self.next_offset,
+            history=tuple(self._history)[-_MAX_HISTORY // 4 :],
+        )
+
+    def build_recovery(self, log_next: int) -> CheckpointRecord:
+        """Return a checkpoint that ends a halt on every node, for an operator.
+
+        It gives the version in force here the next number, from `log_next` on. It is
+        wanted when a record of an unknown kind halted all nodes, and only then: a
+        version that newer nodes made out of that record would be lost.
+        """
+        configuration = msgspec.structs.replace(
+            self.configuration, version=self.configuration.version + 1
+        )
+        return CheckpointRecord(
+            configuration=configuration,
+            next_offset=log_next,
+            history=tuple(self._history),
+        )
+
+    def is_checkpoint_due(self, now_ms: float) -> bool:
+        """Tell whether this node should append a checkpoint now.
+
+        A checkpoint read while catching up may be nearly as old as the retention, so
+        only one that came while this node was current counts. The jitter lets one
+        node come first; the others see its checkpoint. Two of them do no harm.
+        """
+        if not self.is_current(now_ms) or self.build_checkpoint() is None:
+            return False
+        wait_ms = self._timings.checkpoint_after_ms
+        if self._checkpoint_seen_ms is not None:
+            due_ms = self._checkpoint_seen_ms + wait_ms * (1 + self._jitter / 4)
+        else:
+            assert self._first_current_ms is not None
+            due_ms = self._first_current_ms + wait_ms * self._jitter / 4
+        return now_ms >= due_ms
+
+    def note_checkpoint_appended(self, now_ms: float) -> None:
+        """Take in that this node appended a checkpoint, so that it waits again."""
+        self._checkpoint_seen_ms = now_ms
+
+    def note_expired(self, oldest: int) -> None:
+        """Take in that reading can go on from `oldest` only."""
+        if oldest <= self.next_offset:
+            return
+        self.next_offset = oldest
+        self._start_missing(oldest)
+
+    def note_head(self, log_next: int, asked_ms: float) -> None:
+        """Take in how far the log goes, as told by a read begun at `asked_ms`.
+
+        The time of asking counts, not that of the answer: an answer delayed on its
+        way tells nothing about the time since.
+        """
+        if self.next_offset >= log_next and not self.is_missing:
+            self._confirm(asked_ms)
+
+    def note_peer(self, version: int, digest: int, confirmed_ms: float) -> bool:
+        """Take in that a peer knew at `confirmed_ms` that its version was the newest.
+
+        `confirmed_ms` is in this node's time. Return False if the peer holds another
+        value under the same version, which only a node with other code can.
+        """
+        own = self.configuration
+        if version != own.version:
+            return True
+        if digest != self.digest:
+            return False
+        if not self.is_missing:
+            self._confirm(confirmed_ms)
+        return True
+
+    def apply_record(
+        self, offset: int, at_ms: float, text: str, now_ms: float
+    ) -> PatchResult | None:
+        """Replay the record at one offset; return what became of a patch.
+
+        Every record is given, of whatever kind, in the order of the log; those that a
+        snapshot already covers change nothing. No text makes it raise.
+        """
+        if offset < self.next_offset:
+            return self._find_covered(text)
+        self.note_expired(offset)
+        self.next_offset = offset + 1
+        record = decode_record(text)
+        match record:
+            case PatchRecord() if self.is_missing:
+                self._buffer_patch(offset, at_ms, record)
+                return None
+            case PatchRecord():
+                return self._apply(offset, at_ms, record)
+            case CheckpointRecord():
+                self._note_checkpoint(record, now_ms)
+                return None
+            case UnknownRecord():
+                self._note_unknown(offset, record)
+                return None
+            case Skipped():
+                self.counts.note(record.reason)
+                return None
+
+    def build_delta(self, base: int) -> ConfigurationDelta | None:
+        """Return the patches that lead from a version to the one in force here.
+
+        None when there are none, or some are no longer kept.
+        """
+        version = self.configuration.version
+        if self.is_missing or base >= version:
+            return None
+        numbers = range(base + 1, version + 1)
+        if any(number not in self._patches for number in numbers):
+            return None
+        return ConfigurationDelta(
+            base=base,
+            patches=tuple(self._patches[number] for number in numbers),
+            history=tuple(each for each in self._history if each.version > base),
+            next_offset=self.next_offset,
+            digest=self.digest,
+        )
+
+    def adopt_delta(self, delta: ConfigurationDelta) -> bool:
+        """Take a peer's patches if they lead on from here; return whether they do."""
+        if delta.base != self.configuration.version:
+            return False
+        configuration = self.configuration
+        try:
+            for record in delta.patches:
+                configuration = apply_patch(configuration, record.to_patch())
+        except PatchInvalidError:
+            return False
+        if compute_digest(configuration) != delta.digest:
+            return False
+        checkpoint = CheckpointRecord(
+            configuration=configuration,
+            next_offset=delta.next_offset,
+            history=delta.history,
+        )
+        if not self.adopt(checkpoint):
+            return False
+        first = max(delta.base + 1, configuration.version - _MAX_VERSIONS + 1)
+        for number in range(first, configuration.version + 1):
+            self._patches[number] = delta.patches[number - delta.base - 1]
+        return True
+
+    def adopt(self, checkpoint: CheckpointRecord) -> bool:
+        """Take a higher state from a peer's snapshot or a checkpoint.
+
+        Return whether anything changed. One that covers less than this node has
+        replayed, or has a lower version, is never taken: a node doesn't go back.
+        """
+        if not self._is_usable(checkpoint):
+            return False
+        version = checkpoint.configuration.version
+        is_new = version > self.configuration.version or self.is_missing
+        self._keep(checkpoint.configuration)
+        self._merge_history(checkpoint.history)
+        self.next_offset = max(self.next_offset, checkpoint.next_offset)
+        self._missing_until = None
+        buffered = [each for each in self._buffer if each[0] >= checkpoint.next_offset]
+        self._buffer.clear()
+        for offset, at_ms, record in buffered:
+            self._apply(offset, at_ms, record)
+        return is_new
+
+    def _find_covered(self, text: str) -> PatchResult | None:
+        # A snapshot tells of accepted patches only. Who waits here for a patch that
+        # the peer saw rejected would wait in vain if its record were passed over.
+        record = decode_record(text)
+        if not isinstance(record, PatchRecord) or self.is_missing:
+            return None
+        known = self._results.get(record.patch_id)
+        if known is not None and known.base == record.base:
+            return known
+        result = PatchResult(
+            record.patch_id,
+            record.base,
+            min(record.base + 1, self.configuration.version),
+            ErrorKind.PATCH_CONFLICT,
+            f"version {self.configuration.version} is in force without it",
+        )
+        self._settle(result)
+        return result
+
+    def _merge_history(self, entries: Sequence[HistoryEntry]) -> None:
+        known = {entry.version: entry for entry in self._history}
+        for entry in entries:
+            known.setdefault(entry.version, entry)
+            self._settle(PatchResult(entry.patch_id, entry.version - 1, entry.version))
+        self._history = deque(
+            (known[version] for version in sorted(known)), maxlen=_MAX_HISTORY
+        )
+
+    def _is_usable(self, checkpoint: CheckpointRecord) -> bool:
+        if checkpoint.configuration.version < self.configuration.version:
+            return False
+        if self._missing_until is None:
+            return checkpoint.next_offset > self.next_offset
+        # Every record from the checkpoint's offset on must have been seen, or a patch
+        # between would be lost and this node would number versions differently.
+        return checkpoint.next_offset >= self._missing_until
+
+    def _note_unknown(self, offset: int, record: UnknownRecord) -> None:
+        self.counts.unknown_kinds += 1
+        kind = record.kind
+        if kind in self._seen_kinds or len(self._seen_kinds) < _MAX_UNKNOWN_KINDS:
+            self._seen_kinds[kind] = self._seen_kinds.get(kind, 0) + 1
+        # Newer nodes may have made a version out of it. Applying the next patch on
+        # the old base here would give two values to one number; the last good version
+        # stays until a checkpoint or a peer gives a higher one. A record that names
+        # no next version can't have made one, and is only counted.
+        if record.version == self.configuration.version + 1:
+            self._start_missing(offset + 1)
+
+    def _start_missing(self, until: int) -> None:
+        self._missing_until = until
+        self._buffer.clear()
+
+    def _buffer_patch(self, offset: int, at_ms: float, record: PatchRecord) -> None:
+        self._buffer.append((offset, at_ms, record))
+        if len(self._buffer) > _MAX_BUFFERED:
+            dropped, _, _ = self._buffer.popleft()
+            self._missing_until = dropped + 1
+
+    def _note_checkpoint(self, checkpoint: CheckpointRecord, now_ms: float) -> None:
+        configuration = checkpoint.configuration
+        if self.is_missing:
+            try:
+                check_configuration(configuration)
+            except PatchInvalidError:
+                self.counts.refused_checkpoints += 1
+                return
+            self.adopt(checkpoint)
+        elif configuration != self._versions.get(configuration.version):
+            # Replay without a gap knows every version: this one was never made.
+            self.counts.refused_checkpoints += 1
+        elif self.is_current(now_ms):
+            self._checkpoint_seen_ms = now_ms
+
+    def _judge(self, patch: Patch) -> tuple[PatchResult, Configuration | None]:
+        current = self.configuration
+        if patch.base != current.version:
+            text = f"version {patch.base} is not the newest, {current.version} is"
+            winner = min(patch.base + 1, current.version)
+            conflict = ErrorKind.PATCH_CONFLICT
+            return PatchResult(patch.patch_id, patch.base, winner, conflict, text), None
+        try:
+            result = apply_patch(current, patch)
+        except PatchInvalidError as error:
+            invalid = ErrorKind.PATCH_INVALID
+            rejected = PatchResult(
+                patch.patch_id, patch.base, current.version, invalid, str(error)
+            )
+            return rejected, None
+        return PatchResult(patch.patch_id, patch.base, result.version), result
+
+    def _apply(self, offset: int, at_ms: float, record: PatchRecord) -> PatchResult:
+        known = self._results.get(record.patch_id)
+        is_older = record.base < self.configuration.version
+        if is_older and known is not None and known.base == record.base:
+            # Its author lost the answer and appended it again. This answer is the
+            # only use of memory here: what is applied must not depend on it, since
+            # a node that started later remembers less.
+            return known
+        result, configuration = self._judge(record.to_patch())
+        if configuration is not None:
+            self._keep(configuration)
+            self._patches[configuration.version] = record
+            entry = HistoryEntry(
+                result.version, record.patch_id, record.author, offset, at_ms
+            )
+            self._history.append(entry)
+        self._settle(result)
+        return result
+
+    def _keep(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._digest = None
+        self._versions[configuration.version] = configuration
+        while len(self._versions) > _MAX_VERSIONS:
+            del self._versions[min(self._versions)]
+        oldest = configuration.version - _MAX_VERSIONS
+        for version in [each for each in self._patches if each <= oldest]:
+            del self._patches[version]
+
+    def _settle(self, result: PatchResult) -> None:
+        known = self._results.get(result.patch_id)
+        if known is not None and known.is_accepted() and known.base == result.base:
+            return
+        self._results[result.patch_id] = result
+        while len(self._results) > _MAX_RESULTS:
+            del self._results[next(iter(self._results))]
+
+    def _confirm(self, at_ms: float) -> None:
+        if self._confirmed_ms is None or at_ms > self._confirmed_ms:
+            self._confirmed_ms = at_ms
+        if self._first_current_ms is None:
+            self._first_current_ms = at_ms
--- /dev/null
+++ b/tests/toucanyard/test_configuration_log.py
@@ -0,0 +1,331 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from toucanyard.configuration import Configuration
+from toucanyard.configuration_log import ConfigurationLog, PatchResult
+from toucanyard.configuration_records import (
+    CheckpointRecord,
+    encode_checkpoint,
+    encode_patch,
+)
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.patches import MAX_PATCH_BYTES
+
+from .configuration_fakes import TIMINGS, FakeLog, build_patch, start_node
+
+
+def test_racing_operators_get_the_winners_number() -> None:
+    """Two operators patch version 1 at once. The log orders them; the second is told
+    version 2, which is the other's, and nothing of its patch is in force."""
+    log, node = FakeLog(), start_node()
+    log.append_patch(build_patch("first", 0))
+    log.append_patch(build_patch("ana", 1))
+    log.append_patch(build_patch("luis", 1))
+    results = log.give(node)
+    assert [result.version for result in results] == [1, 2, 2]
+    assert results[2].rejection is ErrorKind.PATCH_CONFLICT
+    assert [each.name for each in node.configuration.customers] == ["first", "ana"]
+
+
+def test_lost_append_answer_is_settled_by_patch_id() -> None:
+    """An operator's append took effect but its answer was lost, so the patch is
+    appended again. It must be told its own version, not that it lost to itself."""
+    log, node = FakeLog(), start_node()
+    log.append_patch(build_patch("ana", 0))
+    log.append_patch(build_patch("ana", 0))
+    results = log.give(node)
+    assert results[1] == results[0] == node.result_of("ana")
+    assert node.configuration.version == 1
+
+
+def test_equal_patch_ids_on_other_bases_do_not_part_replicas() -> None:
+    """Two operators pick the same patch id. A node that remembers the first must not
+    pass over the second, since one that started later applies it."""
+    log, node, late = FakeLog(), start_node(), start_node()
+    log.append_patch(build_patch("p", 0, "ana"))
+    log.give(node)
+    log.append_checkpoint(node)
+    log.oldest = 1
+    log.append_patch(build_patch("p", 1, "luis"))
+    log.give(node)
+    log.give(late)
+    assert node.configuration == late.configuration
+    assert node.configuration.version == 2
+
+
+def test_checkpoint_behind_a_patch_is_replayed_from_its_own_offset() -> None:
+    """A patch reaches the log between a node's reading and its checkpoint. A node
+    that starts after the patch expired must not take the checkpoint, or it would
+    number the next patch as the one that it missed."""
+    log, writer = FakeLog(), start_node()
+    log.append_patch(build_patch("one", 0))
+    log.give(writer)
+    checkpoint = writer.build_checkpoint()
+    assert checkpoint is not None
+    log.append_patch(build_patch("two", 1))
+    log.append(encode_checkpoint(checkpoint))
+    log.append_patch(build_patch("rival", 1))
+    late = start_node()
+    log.give(writer)
+    log.oldest = 2
+    log.give(late)
+    assert late.is_missing and late.configuration.version == 0
+    log.append_checkpoint(writer)
+    log.give(late)
+    assert late.configuration == writer.configuration
+
+
+def test_unknown_configuration_kind_keeps_last_good_version() -> None:
+    """A newer node appends a kind that this one can't read and it makes version 2.
+    A patch on version 1 follows: elsewhere it lost, so here it must not win."""
+    log, node = FakeLog(), start_node()
+    log.append_patch(build_patch("one", 0))
+    log.append('{"kind": "configuration_swap", "version": 2}')
+    log.append_patch(build_patch("late", 1))
+    log.give(node)
+    assert node.configuration.version == 1 and node.is_missing
+    assert not node.compute_allowance(0.0).may_order
+    assert node.unknown_kinds == {"configuration_swap": 1}
+    log.append(encode_checkpoint(node.build_recovery(len(log.texts))))
+    log.give(node)
+    assert node.configuration.version == 2 and not node.is_missing
+
+
+def test_newer_format_of_a_patch_halts_like_an_unknown_kind() -> None:
+    log, node = FakeLog(), start_node()
+    text = encode_patch(build_patch("one", 0)).replace('"format":1', '"format":2')
+    log.append(text)
+    log.append_patch(build_patch("late", 0))
+    log.give(node)
+    assert node.is_missing and node.configuration.version == 0
+
+
+@given(st.text(max_size=200) | st.sampled_from(["[]", "{}", '{"kind":1}', "\ud800"]))
+def test_rogue_record_never_stops_a_node(text: str) -> None:
+    log, node = FakeLog(), start_node()
+    log.append(text)
+    log.append('{"kind": "patch", "base": 0}')
+    log.append('{"kind": "checkpoint", "configuration": {"version": 9}}')
+    log.append('{"kind": "configuration_swap"}')
+    log.append("[" * 100_000)
+    log.append(" " * MAX_PATCH_BYTES + encode_patch(build_patch("large", 0)))
+    log.append_patch(build_patch("good", 0))
+    log.give(node)
+    assert [entry.patch_id for entry in node.history] == ["good"]
+
+
+def test_forged_checkpoint_is_refused_where_nothing_was_missed() -> None:
+    log, node = FakeLog(), start_node()
+    log.append_patch(build_patch("one", 0))
+    forged = CheckpointRecord(configuration=Configuration(version=9), next_offset=1)
+    log.append(encode_checkpoint(forged))
+    log.give(node)
+    assert node.configuration.version == 1
+    assert node.counts.refused_checkpoints == 1
+
+
+def test_peers_carry_a_version_while_the_log_is_down_for_a_node() -> None:
+    log, node, cut_off = FakeLog(), start_node(), start_node()
+    log.append_patch(build_patch("one", 0))
+    log.give(node)
+    log.give(cut_off)
+    log.append_patch(build_patch("two", 1))
+    log.append_patch(build_patch("lost", 1))
+    log.give(node)
+    delta = node.build_delta(1)
+    assert delta is not None and cut_off.adopt_delta(delta)
+    assert cut_off.configuration == node.configuration
+    assert not cut_off.adopt_delta(delta)
+    lost = cut_off.apply_record(2, 0.0, log.texts[2], 0.0)
+    assert lost is not None and lost.version == 2 and not lost.is_accepted()
+
+
+def test_node_that_cannot_confirm_reports_it_and_stops_orders() -> None:
+    """A node is cut off from log and peers. It can't know of newer versions, so
+    within the bound it must stop what one could forbid, and go on serving."""
+    log, node = FakeLog(), start_node()
+    log.append_patch(build_patch("one", 0))
+    log.give(node, now_ms=0.0)
+    bound_ms = TIMINGS.stale_after_ms
+    assert node.compute_allowance(bound_ms).may_order
+    allowance = node.compute_allowance(bound_ms + 1)
+    assert not (allowance.is_current or allowance.may_order or allowance.may_patch)
+    assert node.note_peer(1, node.digest, bound_ms)
+    assert node.is_current(bound_ms + 1)
+    assert not node.note_peer(1, node.digest + 1, bound_ms)
+
+
+def test_read_behind_the_head_confirms_nothing() -> None:
+    log, node = FakeLog(), start_node()
+    log.append_patch(build_patch("one", 0))
+    log.append_patch(build_patch("two", 1))
+    log.give(node, limit=1)
+    assert not node.is_current(0.0)
+
+
+def test_checkpoint_comes_before_records_expire_also_in_a_quiet_log() -> None:
+    """Nothing is appended for an hour, so the only configuration record expires and
+    a later restart of all nodes finds none. A checkpoint must come in time, from one
+    node first."""
+    log, early, other = FakeLog(), start_node(0.0), start_node(1.0)
+    log.append_patch(build_patch("one", 0))
+    due_ms = float(TIMINGS.checkpoint_after_ms)
+    for node in (early, other):
+        log.give(node)
+        node.note_checkpoint_appended(0.0)
+        log.give(node, now_ms=due_ms)
+    assert early.is_checkpoint_due(due_ms) and not other.is_checkpoint_due(due_ms)
+    log.append_checkpoint(early)
+    early.note_checkpoint_appended(due_ms)
+    log.give(other, now_ms=due_ms)
+    assert not other.is_checkpoint_due(due_ms * 1.25)
+
+
+class ReplicaMachine(RuleBasedStateMachine):
+    """Drive nodes, operators and a log that expires; compare with one full replay."""
+
+    patches = Bundle("patches")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = FakeLog()
+        self.nodes = [start_node() for _ in range(3)]
+        self.highest = [0, 0, 0]
+        self.reference = start_node()
+        self.accepted: dict[str, PatchResult] = {}
+        self.number = 0
+
+    def check(self, results: list[PatchResult]) -> None:
+        for result in results:
+            key = f"{result.patch_id}/{result.base}"
+            if result.is_accepted():
+                assert self.accepted.setdefault(key, result) == result
+
+    @rule(target=patches, behind=st.integers(0, 2), again=st.booleans())
+    def patch(self, behind: int, again: bool) -> str:
+        self.number += 1
+        version = self.reference.configuration.version
+        text = encode_patch(build_patch(f"p{self.number}", max(0, version - behind)))
+        self.log.append(text)
+        if again:
+            self.log.append(text)
+        self.check(self.log.give(self.reference))
+        return text
+
+    @rule(text=patches)
+    def append_late(self, text: str) -> None:
+        self.log.append(text)
+        self.check(self.log.give(self.reference))
+
+    @rule(text=st.sampled_from(["rogue", '{"kind": "claim"}', '{"kind": "patch"}']))
+    def append_rogue(self, text: str) -> None:
+        self.log.append(text)
+
+    @rule(node=st.integers(0, 2), limit=st.integers(1, 4))
+    def read(self, node: int, limit: int) -> None:
+        self.check(self.log.give(self.nodes[node], limit))
+
+    @rule(node=st.integers(0, 2))
+    def checkpoint(self, node: int) -> None:
+        self.log.append_checkpoint(self.nodes[node])
+
+    @rule(count=st.integers(1, 6))
+    def expire(self, count: int) -> None:
+        self.log.oldest = min(self.log.oldest + count, len(self.log.texts))
+
+    @rule(source=st.integers(0, 2), taker=st.integers(0, 2), whole=st.booleans())
+    def tell(self, source: int, taker: int, whole: bool) -> None:
+        if whole:
+            checkpoint = self.nodes[source].build_checkpoint()
+            if checkpoint is not None:
+                self.nodes[taker].adopt(checkpoint)
+            return
+        base = self.nodes[taker].configuration.version
+        delta = self.nodes[source].build_delta(base)
+        if delta is not None:
+            self.nodes[taker].adopt_delta(delta)
+
+    @rule(node=st.integers(0, 2))
+    def restart(self, node: int) -> None:
+        """Lose everything; a node without any configuration serves nothing."""
+        self.nodes[node] = start_node()
+        self.highest[node] = 0
+
+    @invariant()
+    def every_replica_holds_what_the_full_replay_holds(self) -> None:
+        self.log_all()
+        for number, node in enumerate(self.nodes):
+            version = node.configuration.version
+            assert version >= self.highest[number]
+            self.highest[number] = version
+            if version:
+                assert node.configuration == self.known[version]
+
+    def log_all(self) -> None:
+        reference = self.reference
+        first = reference.next_offset
+        for offset, text in enumerate(self.log.texts[first:], first):
+            reference.apply_record(offset, 0.0, text, 0.0)
+        self.known = getattr(self, "known", {0: Configuration()})
+        self.known.update(reference._versions)
+
+
+def test_no_replica_reverts_or_parts_from_the_others() -> None:
+    """Operators race, append twice and late, records expire, nodes read in part, die,
+    start empty and take states from one another. If any node applied a patch that
+    another saw lose, two values would stand under one number."""
+    run_state_machine_as_test(ReplicaMachine)
+
+
+def test_recovery_checkpoint_round_trips() -> None:
+    node = ConfigurationLog(TIMINGS)
+    text = encode_checkpoint(node.build_recovery(5))
+    assert msgspec.json.decode(text, type=CheckpointRecord).next_offset == 5
+
+
+@pytest.mark.parametrize("base", [1, 7])
+def test_patch_on_an_unknown_base_is_rejected(base: int) -> None:
+    result = start_node().check_patch(build_patch("ahead", base))
+    assert result.rejection is ErrorKind.PATCH_CONFLICT and result.version == 0
+
+
+def test_patch_read_before_its_checkpoint_is_not_lost() -> None:
+    """A node starts behind expired records and reads a patch, then the checkpoint
+    that precedes it in content. Taking the checkpoint alone would lose the patch."""
+    log, writer, late = FakeLog(), start_node(), start_node()
+    log.append_patch(build_patch("one", 0))
+    log.give(writer)
+    checkpoint = writer.build_checkpoint()
+    assert checkpoint is not None
+    log.append_patch(build_patch("two", 1))
+    log.append(encode_checkpoint(checkpoint))
+    log.give(writer)
+    log.oldest = 1
+    log.give(late)
+    assert late.configuration == writer.configuration
+    assert late.configuration.version == 2
+
+
+def test_lower_or_less_covering_state_is_never_taken() -> None:
+    """A peer that was paused for long, or runs other code, offers its state. Taking
+    it would bring back what a later version took away."""
+    log, node = FakeLog(), start_node()
+    for number in range(3):
+        log.append_patch(build_patch(f"p{number}", number))
+    log.give(node)
+    older = CheckpointRecord(configuration=Configuration(version=1), next_offset=9)
+    strange = CheckpointRecord(configuration=Configuration(version=9), next_offset=2)
+    assert not node.adopt(older) and not node.adopt(strange)
+    node.note_expired(6)
+    assert not node.adopt(older)
+    assert node.configuration.version == 3
