--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench.py
@@ -0,0 +1,37 @@
+"""Run one bench by name: path, claims, policy, detectors, restart or capacity."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+from typing import Final
+
+USAGE: Final = "usage: ./dev bench path|claims|policy|detectors|restart|capacity [...]"
+_EXIT_USAGE: Final = 2
+
+
+def main(arguments: list[str]) -> int:
+    """Run the bench that the first argument names; the others are its own."""
+    name, rest = (arguments[0], arguments[1:]) if arguments else ("", [])
+    match name:
+        case "path" | "claims" | "policy" | "detectors" | "restart" | "capacity":
+            return run_bench(f"toucanyard_standins.bench_{name}", rest)
+        case _:
+            print(USAGE, file=sys.stderr)
+            return _EXIT_USAGE
+
+
+def run_bench(module_name: str, arguments: list[str]) -> int:
+    """Import one bench, which may need much that others don't, and run it."""
+    try:
+        module = importlib.import_module(module_name)
+    except ModuleNotFoundError as error:
+        if error.name != module_name:
+            raise
+        print(f"found no {module_name}", file=sys.stderr)
+        return 1
+    return int(module.main(arguments))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/packages/toucanyard-standins/src/toucanyard_standins/harness.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -147,15 +147,24 @@
         return service
 
     async def start_node(
-        self, name: str, domain: str, options: Options | None = None
+        self,
+        name: str,
+        domain: str,
+        options: Options | None = None,
+        profile_directory: str = "",
     ) -> ProcessHandle:
         """Start a node and put it into the VM list.
 
-        Of `options`, name, domain, addresses and platform are replaced.
+        Of `options`, name, domain, addresses and platform are replaced. With a
+        profile directory, the node writes NAME.profile there on a planned stop.
         """
         settings_file = self._write_settings(name, domain, options)
         program = Path(sys.executable).with_name("toucanyard-node")
-        node = await self._start(name, "node", str(program), str(settings_file))
+        command = [str(program), str(settings_file)]
+        if profile_directory:
+            file = Path(profile_directory) / f"{name}.profile"
+            command = [sys.executable, "-m", "cProfile", "-o", str(file), *command]
+        node = await self._start(name, "node", *command)
         vm = Vm(
             name,
             domain,
--- a/packages/toucanyard-standins/src/toucanyard_standins/platform.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform.py
@@ -95,7 +95,7 @@
         self._counters = PlatformCounters()
         self._down: set[PlatformPart] = set()
         self._delay_ms: dict[PlatformPart, int] = {}
-        self._answers_to_lose = 0
+        self._lose = LoseAnswers(count=0)
         self._appended = trio.Event()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -150,12 +150,17 @@
         self._counters.appends += 1
         done, self._appended = self._appended, trio.Event()
         done.set()
-        if self._answers_to_lose > 0:
-            self._answers_to_lose -= 1
-            self._counters.lost_answers += 1
+        if self._lose.count > 0:
+            await self._lose_answer()
             return
         await send_json(responder, 200, appended)
 
+    async def _lose_answer(self) -> None:
+        self._lose = LoseAnswers(self._lose.count - 1, self._lose.is_silent)
+        self._counters.lost_answers += 1
+        if self._lose.is_silent:
+            await trio.sleep_forever()
+
     async def _read(self, request: HttpRequest, responder: Responder) -> None:
         self._counters.reads += 1
         first = int(request.query.get("from", "0"))
@@ -191,8 +196,8 @@
                 (self._down.add if is_on else self._down.discard)(part)
             case SlowPart(delay_ms, part):
                 self._delay_ms[part] = delay_ms
-            case LoseAnswers(count):
-                self._answers_to_lose = count
+            case LoseAnswers():
+                self._lose = fault
             case ExpireRecords(before):
                 self._log.drop_before(before)
             case PutVm(vm):
--- a/packages/toucanyard-standins/src/toucanyard_standins/platform_faults.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform_faults.py
@@ -33,9 +33,13 @@
 
 
 class LoseAnswers(msgspec.Struct, frozen=True, tag_field="fault", tag="lose_answers"):
-    """Close the connection of the next appends after their effect, unanswered."""
+    """Leave the next appends unanswered after their effect.
+
+    Their connections are closed, or kept open without an answer.
+    """
 
     count: int
+    is_silent: bool = False
 
 
 class ExpireRecords(msgspec.Struct, frozen=True, tag_field="fault", tag="expire"):
--- a/tests/toucanyard_standins/test_platform.py
+++ b/tests/toucanyard_standins/test_platform.py
@@ -82,13 +82,17 @@
     assert body.next == 0
 
 
-async def test_lost_answer_leaves_its_effect(nursery: trio.Nursery) -> None:
-    # The writer sees its connection close without an answer; the records are in
-    # the log all the same, once.
+@pytest.mark.parametrize("is_silent", [False, True])
+async def test_lost_answer_leaves_its_effect(
+    nursery: trio.Nursery, is_silent: bool
+) -> None:
+    # The writer sees its connection close, or nothing at all, instead of an answer;
+    # the records are in the log all the same, once.
     address = await start_platform(nursery)
-    await control(address, LoseAnswers(count=1))
+    await control(address, LoseAnswers(count=1, is_silent=is_silent))
+    records = msgspec.json.encode({"records": ["a"]})
     with pytest.raises(ConnectionFailedError):
-        await append(address, "a")
+        await fetch(address, "POST", "/log/append", (), records, timeout_ms=500)
     body = await read(address, "/log/read?from=0", ReadBody)
     assert [each.data for each in body.records] == ["a"]
     assert (await append(address, "b")).status == 200
