Add placement, load and cache views, admission and retry budget

Cause: a request has to land where its prompt is warm and the wait short, and what the endpoints can't take has to wait fairly or be refused before any dispatch. Ruled out: a view shared between nodes (270 million blocks fit no node); ranking every endpoint of a large pool for each request (cost grows with the pool). Before: no such modules.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/admission.py
@@ -0,0 +1,344 @@
+"""Let in what the endpoints can take; queue the rest fairly and refuse early.
+
+A request is admitted, waits, or is refused before any dispatch, so that "not run" is
+true. How many may run follows each endpoint's latency. What can't be reached before
+its deadline is refused on arrival, with a time to come back taken from the rate at
+which the queue drains.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.concurrency_limit import ConcurrencyLimit
+from toucanyard.configuration import Configuration, Customer
+from toucanyard.drain_rate import DrainRate
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.fair_queue import FairQueue
+from toucanyard.names import CustomerName, EndpointName, RequestId
+from toucanyard.options import AdmissionLimits
+from toucanyard.requests import ModelTarget, Refuse, Request
+from toucanyard.retry_budget import RetryBudget
+
+MIN_RETRY_AFTER_MS: Final = 250
+MAX_RETRY_AFTER_MS: Final = 30_000
+DEFAULT_MAX_RUNNING: Final = 16
+
+
+class Admit(msgspec.Struct, frozen=True):
+    """Place and dispatch this request now."""
+
+    request: Request
+
+
+AdmissionAction = Admit | Refuse
+
+
+class _Admitted(msgspec.Struct):
+    request: Request
+    endpoint: EndpointName | None = None
+
+
+class _Backend:
+    """One pool or service: its queue and the limits of its endpoints."""
+
+    __slots__ = ("drain", "limits", "max_running", "queue", "running", "usable")
+
+    def __init__(self, max_running: int) -> None:
+        self.max_running = max_running
+        self.queue = FairQueue()
+        self.drain = DrainRate()
+        self.limits: dict[EndpointName, ConcurrencyLimit] = {}
+        self.usable: tuple[EndpointName, ...] = ()
+        self.running: dict[CustomerName, int] = {}
+
+    def compute_capacity(self) -> int:
+        """Return how many requests may run at the usable endpoints."""
+        return sum(self.limits[name].limit for name in self.usable)
+
+    def count_running(self) -> int:
+        """Return how many admitted requests are not over."""
+        return sum(self.running.values())
+
+
+class Admission:
+    """What one node lets in, for every pool and service; owned by one task."""
+
+    __slots__ = (
+        "_admitted",
+        "_backends",
+        "_customers",
+        "_limits",
+        "_rng",
+        "_waiting",
+        "retries",
+    )
+
+    def __init__(self, limits: AdmissionLimits, rng: random.Random) -> None:
+        self._limits = limits
+        self._rng = rng
+        self._backends: dict[str, _Backend] = {}
+        self._customers: dict[CustomerName, Customer] = {}
+        self._waiting: dict[RequestId, Request] = {}
+        self._admitted: dict[RequestId, _Admitted] = {}
+        self.retries = RetryBudget(limits.retry_budget_share)
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take over customers' weights and limits, and the endpoints of pools."""
+        self._customers = {each.name: each for each in configuration.customers}
+        for pool in configuration.pools:
+            names = [each.name for each in pool.endpoints]
+            backend = self._find_backend(f"pool {pool.name}")
+            self._set_endpoints(backend, names, pool.placement.max_running)
+        for service in configuration.services:
+            names = [each.name for each in service.endpoints]
+            backend = self._find_backend(f"service {service.name}")
+            self._set_endpoints(backend, names, service.max_running)
+
+    def apply_usable(self, target: Request, names: Iterable[EndpointName]) -> None:
+        """Take over which endpoints may get requests like this one."""
+        backend = self._find_backend(compute_backend_name(target))
+        self._set_endpoints(backend, list(names), backend.max_running)
+
+    def offer(self, request: Request, now_ms: float) -> list[AdmissionAction]:
+        """Admit, queue or refuse a new request; may refuse another in its place."""
+        if request.deadline_ms <= now_ms:
+            return [self._refuse_late(request, now_ms)]
+        backend = self._find_backend(compute_backend_name(request))
+        if not backend.usable:
+            return [self._refuse(request, ErrorKind.NO_ENDPOINT, "no endpoint", now_ms)]
+        weight = self._find_weight(request.customer)
+        if len(backend.queue) == 0 and self._may_run(backend, request.customer):
+            backend.queue.charge(request, weight)
+            return [self._admit(backend, request)]
+        refusal = self._check_queue(backend, request, now_ms)
+        if refusal is not None:
+            return [refusal]
+        backend.queue.push(request, weight)
+        self._waiting[request.request_id] = request
+        return self._drop_surplus(backend, now_ms) + self._drain(backend, now_ms)
+
+    def release(self, request_id: RequestId, now_ms: float) -> list[AdmissionAction]:
+        """End an admitted request and let in who is next."""
+        admitted = self._admitted.pop(request_id, None)
+        if admitted is None:
+            return []
+        request = admitted.request
+        backend = self._find_backend(compute_backend_name(request))
+        self._leave_endpoint(backend, admitted)
+        backend.running[request.customer] -= 1
+        if not backend.running[request.customer]:
+            del backend.running[request.customer]
+        backend.drain.note(now_ms)
+        return self._drain(backend, now_ms)
+
+    def abandon(self, request_id: RequestId, now_ms: float) -> list[AdmissionAction]:
+        """Drop a request that its caller has given up on, waiting or admitted."""
+        request = self._waiting.pop(request_id, None)
+        if request is None:
+            return self.release(request_id, now_ms)
+        backend = self._find_backend(compute_backend_name(request))
+        backend.queue.remove(request)
+        text = "the caller went away while the request waited"
+        refusal = self._refuse(request, ErrorKind.CALLER_GONE, text, now_ms)
+        return [msgspec.structs.replace(refusal, ending=Ending.NOT_RUN)]
+
+    def tick(self, now_ms: float) -> list[AdmissionAction]:
+        """Refuse what has waited past its deadline and let in what fits."""
+        actions: list[AdmissionAction] = []
+        for backend in self._backends.values():
+            for request in backend.queue.find_late(now_ms):
+                self._remove_waiting(backend, request)
+                actions.append(self._refuse_late(request, now_ms))
+            actions += self._drain(backend, now_ms)
+        return actions
+
+    def find_open(
+        self, request: Request, names: Sequence[EndpointName]
+    ) -> list[EndpointName]:
+        """Return those of the endpoints that are below their limit."""
+        limits = self._find_backend(compute_backend_name(request)).limits
+        return [name for name in names if name not in limits or limits[name].has_room()]
+
+    def note_dispatch(self, request_id: RequestId, endpoint: EndpointName) -> None:
+        """Count an admitted request at the endpoint it goes to, first try or retry."""
+        admitted = self._admitted.get(request_id)
+        if admitted is None:
+            return
+        backend = self._find_backend(compute_backend_name(admitted.request))
+        if admitted.endpoint is None:
+            self.retries.note_first_try()
+        self._leave_endpoint(backend, admitted)
+        admitted.endpoint = endpoint
+        self._find_limit(backend, endpoint).in_flight += 1
+
+    def note_first_token(
+        self, request_id: RequestId, wait_ms: float, now_ms: float
+    ) -> None:
+        """Follow how long a request waited at its endpoint, computation left out."""
+        limit = self._find_limit_of(request_id)
+        if limit is not None:
+            limit.note_wait(wait_ms, now_ms)
+
+    def note_failure(self, request_id: RequestId, now_ms: float) -> None:
+        """Lower the limit of an endpoint at which a dispatch failed."""
+        limit = self._find_limit_of(request_id)
+        if limit is not None:
+            limit.note_failure(now_ms)
+
+    def may_retry(self, attempt: int) -> bool:
+        """Take one retry from the budget; False when attempts or budget are spent."""
+        return attempt < self._limits.max_attempts and self.retries.take()
+
+    def compute_retry_after(self, request: Request, now_ms: float) -> int:
+        """Return when to come back: the time the queue takes to drain, spread."""
+        backend = self._find_backend(compute_backend_name(request))
+        wait_ms = backend.drain.compute_wait(len(backend.queue) + 1, now_ms)
+        wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        # Callers refused in one instant must not come back in one instant.
+        return int(wait_ms * self._rng.uniform(1.0, 2.0))
+
+    def count_queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def count_running(self) -> int:
+        """Return how many admitted requests are not over."""
+        return len(self._admitted)
+
+    def _check_queue(
+        self, backend: _Backend, request: Request, now_ms: float
+    ) -> Refuse | None:
+        customer = request.customer
+        if backend.queue.count(customer) >= self._limits.max_queued_per_customer:
+            text = "too many requests of this customer wait"
+            return self._refuse(request, ErrorKind.CUSTOMER_LIMIT, text, now_ms)
+        ahead = backend.queue.count(customer) * max(
+            len(backend.queue.find_customers()), 1
+        )
+        wait_ms = backend.drain.compute_wait(min(ahead, len(backend.queue)), now_ms)
+        room_ms = min(request.deadline_ms - now_ms, self._limits.max_wait_ms)
+        if wait_ms > room_ms:
+            text = f"the wait would be about {wait_ms:.0f} ms"
+            return self._refuse(request, ErrorKind.OVERLOADED, text, now_ms)
+        return None
+
+    def _drop_surplus(self, backend: _Backend, now_ms: float) -> list[AdmissionAction]:
+        actions: list[AdmissionAction] = []
+        while len(self._waiting) > self._limits.max_queued:
+            surplus = backend.queue.find_surplus()
+            if surplus is None:
+                break
+            self._remove_waiting(backend, surplus)
+            text = "too many requests wait"
+            actions.append(self._refuse(surplus, ErrorKind.OVERLOADED, text, now_ms))
+        return actions
+
+    def _drain(self, backend: _Backend, now_ms: float) -> list[AdmissionAction]:
+        actions: list[AdmissionAction] = []
+        while len(backend.queue):
+            may_run = {
+                name
+                for name in backend.queue.find_customers()
+                if self._may_run(backend, name)
+            }
+            request = backend.queue.pop(may_run) if may_run else None
+            if request is None:
+                break
+            del self._waiting[request.request_id]
+            if request.deadline_ms <= now_ms:
+                actions.append(self._refuse_late(request, now_ms))
+                continue
+            actions.append(self._admit(backend, request))
+        return actions
+
+    def _may_run(self, backend: _Backend, customer: CustomerName) -> bool:
+        capacity = backend.compute_capacity()
+        if backend.count_running() >= capacity:
+            return False
+        running = backend.running.get(customer, 0)
+        declared = self._customers.get(customer)
+        if declared is not None and 0 < declared.max_running <= running:
+            return False
+        # A customer that floods leaves some places free: one that sends little would
+        # else always wait for an answer of the flood to end.
+        return running < max(self._limits.max_customer_share * capacity, 1.0)
+
+    def _admit(self, backend: _Backend, request: Request) -> Admit:
+        self._admitted[request.request_id] = _Admitted(request)
+        running = backend.running
+        running[request.customer] = running.get(request.customer, 0) + 1
+        return Admit(request)
+
+    def _remove_waiting(self, backend: _Backend, request: Request) -> None:
+        backend.queue.remove(request)
+        del self._waiting[request.request_id]
+
+    def _refuse_late(self, request: Request, now_ms: float) -> Refuse:
+        text = "the deadline passed before the request could be sent"
+        return self._refuse(request, ErrorKind.DEADLINE_EXCEEDED, text, now_ms)
+
+    def _refuse(
+        self, request: Request, kind: ErrorKind, text: str, now_ms: float
+    ) -> Refuse:
+        retry_after_ms = self.compute_retry_after(request, now_ms)
+        return Refuse(request.request_id, kind, Ending.NOT_RUN, text, retry_after_ms)
+
+    def _find_weight(self, customer: CustomerName) -> float:
+        declared = self._customers.get(customer)
+        return 1.0 if declared is None else max(declared.weight, 0.001)
+
+    def _find_backend(self, name: str) -> _Backend:
+        backend = self._backends.get(name)
+        if backend is None:
+            backend = _Backend(DEFAULT_MAX_RUNNING)
+            self._backends[name] = backend
+        return backend
+
+    def _set_endpoints(
+        self, backend: _Backend, names: Sequence[EndpointName], max_running: int
+    ) -> None:
+        backend.max_running = max_running
+        backend.usable = tuple(names)
+        for name in names:
+            self._find_limit(backend, name).max_limit = max_running
+        gone = [
+            name
+            for name, limit in backend.limits.items()
+            if name not in backend.usable and not limit.in_flight
+        ]
+        for name in gone:
+            del backend.limits[name]
+
+    def _find_limit(self, backend: _Backend, name: EndpointName) -> ConcurrencyLimit:
+        limit = backend.limits.get(name)
+        if limit is None:
+            target_ms = self._limits.target_wait_ms
+            limit = ConcurrencyLimit(backend.max_running, target_ms)
+            backend.limits[name] = limit
+        return limit
+
+    def _find_limit_of(self, request_id: RequestId) -> ConcurrencyLimit | None:
+        admitted = self._admitted.get(request_id)
+        if admitted is None or admitted.endpoint is None:
+            return None
+        backend = self._find_backend(compute_backend_name(admitted.request))
+        return self._find_limit(backend, admitted.endpoint)
+
+    def _leave_endpoint(self, backend: _Backend, admitted: _Admitted) -> None:
+        if admitted.endpoint is not None:
+            self._find_limit(backend, admitted.endpoint).in_flight -= 1
+            admitted.endpoint = None
+
+
+def compute_backend_name(request: Request) -> str:
+    """Return the name under which a request's pool or service is kept."""
+    match request.target:
+        case ModelTarget(pool=pool):
+            return f"pool {pool}"
+        case _ as target:
+            return f"service {target.service}"
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/cache_view.py
@@ -0,0 +1,208 @@
+"""What one node believes each engine holds in its prompt cache.
+
+Blocks are named by the chain of `toucanyard.prefix`, whose root covers customer,
+model, adapter and weights version, so a block of another identity never matches. An
+engine's incarnation is kept beside them: a new one forgets everything at once.
+Events come late, repeated and with gaps; a gap makes the view doubtful until a dump.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import Incarnation
+
+REORDER_WINDOW_MS: Final = 500.0
+"""How long a gap may be filled by late events before the view is doubtful."""
+MAX_HELD: Final = 64
+"""Events held behind a gap."""
+MAX_DEAD: Final = 16
+"""Replaced incarnations that are remembered; messages of older ones are long gone."""
+
+
+class CacheEventKind(enum.StrEnum):
+    """What happened to blocks."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """One numbered change of an engine's cache."""
+
+    seq: int
+    kind: CacheEventKind
+    hashes: tuple[int, ...]
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Events of one engine; `oldest` is the first number that it still keeps."""
+
+    incarnation: Incarnation
+    oldest: int
+    next: int
+    events: tuple[CacheEvent, ...]
+
+
+class CacheDump(msgspec.Struct, frozen=True):
+    """All blocks of one engine, as of event number `next`."""
+
+    incarnation: Incarnation
+    next: int
+    hashes: tuple[int, ...]
+
+
+class CacheView:
+    """Blocks of one engine's present incarnation, at most `max_blocks` of them.
+
+    When full, the block that was stored or used longest ago is dropped: engines
+    evict in about that order too. Blocks of an incarnation that has been replaced
+    are never returned, in whichever order its events arrive.
+    """
+
+    __slots__ = (
+        "_blocks",
+        "_dead",
+        "_expected",
+        "_gap_since_ms",
+        "_held",
+        "_max_blocks",
+        "incarnation",
+        "is_doubtful",
+    )
+
+    def __init__(self, max_blocks: int) -> None:
+        self._max_blocks = max_blocks
+        self._blocks: dict[int, float] = {}
+        self._dead: deque[Incarnation] = deque(maxlen=MAX_DEAD)
+        self._held: dict[int, CacheEvent] = {}
+        self._expected: int | None = None
+        self._gap_since_ms = 0.0
+        self.incarnation: Incarnation | None = None
+        self.is_doubtful = True
+
+    def __len__(self) -> int:
+        """Return how many blocks are known."""
+        return len(self._blocks)
+
+    def note_incarnation(self, incarnation: Incarnation) -> bool:
+        """Move to an incarnation; return False if it is one that was replaced."""
+        if incarnation == self.incarnation:
+            return True
+        # A late message of the engine's earlier run must not bring its blocks back:
+        # the request would be sent for warm blocks that died with the process.
+        if incarnation in self._dead:
+            return False
+        if self.incarnation is not None:
+            self._dead.append(self.incarnation)
+        self.incarnation = incarnation
+        self._blocks.clear()
+        self._held.clear()
+        self._expected = None
+        self.is_doubtful = True
+        return True
+
+    def apply_events(self, events: CacheEvents, now_ms: float) -> None:
+        """Take in events in the order of their numbers, holding what came early."""
+        if not self.note_incarnation(events.incarnation):
+            return
+        if self._expected is None:
+            self._expected = events.oldest
+        for event in events.events:
+            if event.seq >= self._expected:
+                self._held.setdefault(event.seq, event)
+        self._apply_held(now_ms)
+        self._check_gap(events, now_ms)
+
+    def apply_dump(self, dump: CacheDump, now_ms: float) -> None:
+        """Replace the view by a dump unless later events were already applied."""
+        if not self.note_incarnation(dump.incarnation):
+            return
+        if (
+            self._expected is not None
+            and dump.next < self._expected
+            and not self.is_doubtful
+        ):
+            return
+        self._blocks = dict.fromkeys(dump.hashes[-self._max_blocks :], now_ms)
+        self._expected = dump.next
+        self._held = {seq: held for seq, held in self._held.items() if seq >= dump.next}
+        self.is_doubtful = False
+        self._gap_since_ms = 0.0
+        self._apply_held(now_ms)
+
+    def touch(self, hashes: Sequence[int], now_ms: float) -> None:
+        """Note that the engine has these blocks now, since it just used them."""
+        blocks = self._blocks
+        # Deepest first, so that the shared front of a chain is the last to be dropped.
+        for each in reversed(hashes):
+            blocks.pop(each, None)
+            blocks[each] = now_ms
+        self._trim()
+
+    def forget(self, hashes: Sequence[int]) -> None:
+        """Note that the engine was seen not to have these blocks."""
+        for each in hashes:
+            self._blocks.pop(each, None)
+
+    def count_warm(self, chain: Sequence[int]) -> int:
+        """Return how many leading blocks of a chain the engine is believed to hold."""
+        blocks = self._blocks
+        low, high = 0, len(chain)
+        # An engine stores a chain from its front and evicts it from its back, so
+        # the held part is a prefix and can be found by halving.
+        while low < high:
+            middle = (low + high + 1) // 2
+            if chain[middle - 1] in blocks:
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+    def check_gap(self, now_ms: float) -> None:
+        """Call the view doubtful once a gap has lasted longer than reordering."""
+        if self._gap_since_ms and now_ms - self._gap_since_ms > REORDER_WINDOW_MS:
+            self._skip_gap()
+
+    def _check_gap(self, events: CacheEvents, now_ms: float) -> None:
+        expected = self._expected
+        assert expected is not None
+        is_behind = events.next > expected or bool(self._held)
+        if not is_behind:
+            self._gap_since_ms = 0.0
+            return
+        if not self._gap_since_ms:
+            self._gap_since_ms = now_ms
+        is_lost = events.oldest > expected or len(self._held) > MAX_HELD
+        if is_lost or now_ms - self._gap_since_ms > REORDER_WINDOW_MS:
+            self._skip_gap()
+
+    def _skip_gap(self) -> None:
+        self.is_doubtful = True
+        self._gap_since_ms = 0.0
+        for seq in sorted(self._held):
+            self._apply(self._held.pop(seq), 0.0)
+            self._expected = seq + 1
+
+    def _apply_held(self, now_ms: float) -> None:
+        assert self._expected is not None
+        while (event := self._held.pop(self._expected, None)) is not None:
+            self._apply(event, now_ms)
+            self._expected += 1
+
+    def _apply(self, event: CacheEvent, now_ms: float) -> None:
+        match event.kind:
+            case CacheEventKind.STORED:
+                self.touch(event.hashes, now_ms)
+            case CacheEventKind.EVICTED:
+                self.forget(event.hashes)
+
+    def _trim(self) -> None:
+        blocks = self._blocks
+        while len(blocks) > self._max_blocks:
+            del blocks[next(iter(blocks))]
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/drain_rate.py
@@ -0,0 +1,42 @@
+"""Measure how fast requests end, to tell how long a queue takes to drain."""
+
+from __future__ import annotations
+
+import math
+from typing import Final
+
+HALF_LIFE_MS: Final = 3_000.0
+DEFAULT_MS_PER_REQUEST: Final = 50.0
+"""Taken while nothing has ended yet."""
+
+
+class DrainRate:
+    """Decayed rate at which requests end."""
+
+    __slots__ = ("_count", "_counted_ms", "_since_ms")
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._counted_ms = 0.0
+        self._since_ms: float | None = None
+
+    def note(self, now_ms: float) -> None:
+        """Count one request that has ended."""
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        self._count = self._compute_count(now_ms) + 1.0
+        self._counted_ms = now_ms
+
+    def compute_wait(self, ahead: int, now_ms: float) -> float:
+        """Return how long until this many requests will have ended, in ms."""
+        count = self._compute_count(now_ms)
+        if self._since_ms is None or count < 1.0:
+            return ahead * DEFAULT_MS_PER_REQUEST
+        # Shortly after the first end, the decayed count covers only the time since.
+        covered = 1.0 - 0.5 ** (max(now_ms - self._since_ms, 100.0) / HALF_LIFE_MS)
+        per_ms = count * math.log(2) / (HALF_LIFE_MS * covered)
+        return float(ahead / per_ms)
+
+    def _compute_count(self, now_ms: float) -> float:
+        age_ms = max(now_ms - self._counted_ms, 0.0)
+        return float(self._count * 0.5 ** (age_ms / HALF_LIFE_MS))
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/hot_prefixes.py
@@ -0,0 +1,101 @@
+"""Count how often prefixes recur, to find levels worth an affinity and how wide.
+
+A prompt's levels (rulebook, template, unique tail) are not declared. They show in
+counts at a few depths of the chain: a depth that recurs is shared. Counts decay, and
+the table is bounded: the prefix counted longest ago goes first.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+DEPTHS: Final = (1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 512)
+HALF_LIFE_MS: Final = 10_000.0
+RECURRING: Final = 1.2
+"""Decayed count from which a prefix is taken to be shared."""
+NARROW_SHARE: Final = 0.7
+"""Narrow only when the load has fallen to this share of what the width carries."""
+
+
+class PrefixCount(msgspec.Struct):
+    """Decayed count and present width of one prefix."""
+
+    count: float
+    counted_ms: float
+    width: int
+
+
+class Level(msgspec.Struct, frozen=True):
+    """One shared prefix of a prompt: its depth in blocks, hash and rate."""
+
+    depth: int
+    key: int
+    per_s: float
+
+
+class HotPrefixes:
+    """Decayed counts of at most `max_prefixes` prefixes."""
+
+    __slots__ = ("_counts", "_max_prefixes")
+
+    def __init__(self, max_prefixes: int) -> None:
+        self._max_prefixes = max_prefixes
+        self._counts: dict[int, PrefixCount] = {}
+
+    def __len__(self) -> int:
+        """Return how many prefixes are counted."""
+        return len(self._counts)
+
+    def note(self, chain: Sequence[int], now_ms: float) -> None:
+        """Count a request's prefixes at the sampled depths."""
+        for depth in DEPTHS:
+            if depth > len(chain):
+                break
+            self._note_one(chain[depth - 1], now_ms)
+        while len(self._counts) > self._max_prefixes:
+            del self._counts[next(iter(self._counts))]
+
+    def find_levels(self, chain: Sequence[int], now_ms: float) -> list[Level]:
+        """Return the shared prefixes of a chain, shortest first."""
+        levels: list[Level] = []
+        for depth in DEPTHS:
+            if depth > len(chain):
+                break
+            entry = self._counts.get(chain[depth - 1])
+            count = 0.0 if entry is None else _compute_count(entry, now_ms)
+            if count < RECURRING:
+                break
+            per_s = count * math.log(2) * 1_000 / HALF_LIFE_MS
+            levels.append(Level(depth, chain[depth - 1], per_s))
+        return levels
+
+    def adjust_width(self, key: int, load: float, min_width: int) -> int:
+        """Widen a prefix at once to carry `load` replicas' work; narrow it late.
+
+        The gap between the two bounds keeps a load near a bound from moving the
+        prefix to and fro, which would recompute it at each move.
+        """
+        needed = max(min_width, math.ceil(load))
+        entry = self._counts.get(key)
+        if entry is None:
+            return needed
+        if needed > entry.width or load < NARROW_SHARE * (entry.width - 1):
+            entry.width = needed
+        return max(entry.width, min_width)
+
+    def _note_one(self, key: int, now_ms: float) -> None:
+        entry = self._counts.pop(key, None)
+        if entry is None:
+            entry = PrefixCount(0.0, now_ms, 1)
+        entry.count = _compute_count(entry, now_ms) + 1.0
+        entry.counted_ms = max(now_ms, entry.counted_ms)
+        self._counts[key] = entry
+
+
+def _compute_count(entry: PrefixCount, now_ms: float) -> float:
+    age_ms = max(now_ms - entry.counted_ms, 0.0)
+    return float(entry.count * 0.5 ** (age_ms / HALF_LIFE_MS))
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/load_view.py
@@ -0,0 +1,131 @@
+"""How busy each endpoint is believed to be, in milliseconds until a new request runs.
+
+A report is old when it arrives, so this node adds what it has sent since the report
+was taken. The further a report lies back, the less it tells about its endpoint, and
+the more the mean of the pool counts instead: otherwise all nodes would send to the
+one endpoint that was idle some seconds ago.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import Incarnation, RequestId
+
+REPORT_HALF_LIFE_MS: Final = 2_000.0
+SLOWNESS_STEP: Final = 0.2
+SLOWNESS_HALF_LIFE_MS: Final = 20_000.0
+MIN_SLOWNESS: Final = 1.0
+MAX_SLOWNESS: Final = 10.0
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What an endpoint says of itself; a plain service gives only the first three."""
+
+    incarnation: Incarnation
+    running: int
+    age_ms: float
+    waiting: int = 0
+    queued_blocks: int = 0
+    used_blocks: int = 0
+    capacity_blocks: int = 0
+    model: str = ""
+    weights_version: str = ""
+
+
+class OwnRequest(msgspec.Struct):
+    """One request of this node at an endpoint."""
+
+    sent_ms: float
+    work_ms: float
+    expected_ms: float
+    has_started: bool = False
+
+
+class LoadView:
+    """Load of one endpoint: its last report and this node's requests there."""
+
+    __slots__ = ("_report", "_slowness", "_slowness_ms", "measured_ms", "own")
+
+    def __init__(self) -> None:
+        self._report: LoadReport | None = None
+        self._slowness = 1.0
+        self._slowness_ms = 0.0
+        self.measured_ms = float("-inf")
+        self.own: dict[RequestId, OwnRequest] = {}
+
+    @property
+    def report(self) -> LoadReport | None:
+        """Return the newest report."""
+        return self._report
+
+    def apply_report(self, report: LoadReport, now_ms: float) -> None:
+        """Keep a report unless a later one is known."""
+        measured_ms = now_ms - report.age_ms
+        is_same = (
+            self._report is not None and report.incarnation == self._report.incarnation
+        )
+        if is_same and measured_ms < self.measured_ms:
+            return
+        self._report = report
+        self.measured_ms = measured_ms
+
+    def note_dispatch(
+        self, request_id: RequestId, work_ms: float, expected_ms: float, now_ms: float
+    ) -> None:
+        """Add a request that is on its way to the endpoint."""
+        self.own[request_id] = OwnRequest(now_ms, work_ms, expected_ms)
+
+    def note_first_token(
+        self, request_id: RequestId, after_ms: float, now_ms: float
+    ) -> None:
+        """Note that the endpoint has done the work before the first token."""
+        own = self.own.get(request_id)
+        if own is None or own.has_started:
+            return
+        own.has_started = True
+        ratio = after_ms / max(own.expected_ms, 20.0)
+        ratio = min(max(ratio, 0.5), MAX_SLOWNESS)
+        slowness = self.compute_slowness(now_ms)
+        self._slowness = slowness + SLOWNESS_STEP * (ratio - slowness)
+        self._slowness = max(self._slowness, MIN_SLOWNESS)
+        self._slowness_ms = now_ms
+
+    def note_end(self, request_id: RequestId) -> None:
+        """Remove a request that is over."""
+        self.own.pop(request_id, None)
+
+    def compute_slowness(self, now_ms: float) -> float:
+        """Return by what factor first tokens come later than expected here.
+
+        It falls back to 1 with time, so that an endpoint that was slow is tried again.
+        """
+        age_ms = max(now_ms - self._slowness_ms, 0.0)
+        weight = 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
+        return float(1.0 + (self._slowness - 1.0) * weight)
+
+    def compute_trust(self, now_ms: float) -> float:
+        """Return how far the last report still tells about now, from 0 to 1."""
+        if self._report is None:
+            return 0.0
+        age_ms = max(now_ms - self.measured_ms, 0.0)
+        return float(0.5 ** (age_ms / REPORT_HALF_LIFE_MS))
+
+    def compute_own_work(self, now_ms: float) -> float:
+        """Return the work sent since the report and not yet begun, in ms."""
+        since_ms = self.measured_ms
+        return sum(
+            own.work_ms
+            for own in self.own.values()
+            if own.sent_ms > since_ms and not own.has_started
+        )
+
+    def compute_reported_work(self, ms_per_block: float, max_running: int) -> float:
+        """Return the wait that the last report alone foretells, in ms."""
+        report = self._report
+        if report is None:
+            return 0.0
+        crowd = max(report.running + report.waiting - max_running, 0)
+        return report.queued_blocks * ms_per_block + crowd * ms_per_block
--- /dev/null
+++ b/tests/toucanyard/test_admission.py
@@ -0,0 +1,176 @@
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, strategies as st
+
+from placement_examples import CUSTOMERS, make_configuration, make_request
+from toucanyard.admission import Admission, AdmissionAction, Admit
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import CustomerName, EndpointName, RequestId
+from toucanyard.options import AdmissionLimits
+from toucanyard.requests import Refuse
+
+LARGE, SMALL = CUSTOMERS[0], CUSTOMERS[1]
+
+
+def make_admission(
+    limits: AdmissionLimits | None = None, endpoints: int = 2, max_running: int = 4
+) -> Admission:
+    admission = Admission(limits or AdmissionLimits(), random.Random(1))
+    admission.apply_configuration(make_configuration(endpoints, max_running))
+    return admission
+
+
+def find_admitted(actions: list[AdmissionAction]) -> list[RequestId]:
+    return [each.request.request_id for each in actions if isinstance(each, Admit)]
+
+
+def find_refused(actions: list[AdmissionAction]) -> list[Refuse]:
+    return [each for each in actions if isinstance(each, Refuse)]
+
+
+def test_flood_of_one_customer_leaves_room_for_another() -> None:
+    """A large customer fills the queue; a small one's request comes last.
+
+    In order of arrival it would wait for the whole flood; here it is admitted at once.
+    """
+    admission = make_admission()
+    for number in range(60):
+        admission.offer(make_request(number, customer=LARGE), 0.0)
+    actions = admission.offer(make_request(100, customer=SMALL), 1.0)
+    assert find_admitted(actions) == ["r100"]
+
+
+def test_passed_deadline_is_refused_not_run() -> None:
+    """The deadline passes while the request waits, before any dispatch.
+
+    The caller gets a true "not run" instead of an answer that nobody waits for.
+    """
+    admission = make_admission(endpoints=1, max_running=1)
+    admission.offer(make_request(1), 0.0)
+    assert admission.offer(make_request(2, deadline_ms=100.0), 1.0) == []
+    (refusal,) = find_refused(admission.tick(100.0))
+    assert refusal.request_id == "r2"
+    assert refusal.kind == ErrorKind.DEADLINE_EXCEEDED
+    assert refusal.ending == Ending.NOT_RUN
+    assert find_admitted(admission.release(RequestId("r1"), 101.0)) == []
+
+
+def test_hopeless_wait_is_refused_on_arrival() -> None:
+    """Endpoints end one request a second and ten wait; the deadline is in two.
+
+    Kept waiting, the caller would learn in two seconds what is known now.
+    """
+    admission = make_admission(endpoints=1, max_running=1)
+    for number in range(11):
+        admission.offer(make_request(number), 0.0)
+    for number in range(3):
+        admission.release(RequestId(f"r{number}"), 1000.0 * (number + 1))
+    actions = admission.offer(make_request(50, deadline_ms=5000.0), 3000.0)
+    (refusal,) = find_refused(actions)
+    assert refusal.kind == ErrorKind.OVERLOADED
+    assert refusal.retry_after_ms > 2000
+
+
+def test_abandoned_request_is_given_up_at_once() -> None:
+    admission = make_admission(endpoints=1, max_running=1)
+    admission.offer(make_request(1), 0.0)
+    admission.offer(make_request(2), 0.0)
+    (refusal,) = find_refused(admission.abandon(RequestId("r2"), 1.0))
+    assert refusal.ending == Ending.NOT_RUN
+    assert admission.count_queued() == 0
+    admission.abandon(RequestId("r1"), 2.0)
+    assert admission.count_running() == 0
+
+
+def test_full_queue_refuses_the_customer_that_waits_most() -> None:
+    admission = make_admission(AdmissionLimits(max_queued=5), 1, 1)
+    for number in range(6):
+        admission.offer(make_request(number, customer=LARGE), 0.0)
+    actions = admission.offer(make_request(9, customer=SMALL), 0.0)
+    assert [each.request_id for each in find_refused(actions)] == ["r5"]
+
+
+def test_slow_endpoint_gets_a_lower_limit() -> None:
+    """An engine answers after two seconds what it should have begun at once.
+
+    With a fixed limit the node would keep its queue inside that engine.
+    """
+    admission = make_admission(endpoints=1, max_running=8)
+    name = EndpointName("e0")
+    for number in range(6):
+        admission.offer(make_request(number), 0.0)
+        admission.note_dispatch(RequestId(f"r{number}"), name)
+    for number in range(6):
+        admission.note_first_token(RequestId(f"r{number}"), 2000.0, 2000.0 * number)
+    assert admission.find_open(make_request(9), [name]) == []
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from([0, 0, 0, 1, 2, 3, 4]), st.integers(1, 30)),
+        min_size=20,
+        max_size=120,
+    )
+)
+def test_limits_and_budget_hold_under_any_order(steps: list[tuple[int, int]]) -> None:
+    admission = make_admission(AdmissionLimits(max_queued=6), 2, 3)
+    names = [EndpointName("e0"), EndpointName("e1")]
+    first_tries = retries = offered = 0
+    for at, (kind, number) in enumerate(steps):
+        now_ms = at * 10.0
+        name = RequestId(f"r{number}")
+        actions: list[AdmissionAction] = []
+        if kind == 0:
+            offered += 1
+            customer = CUSTOMERS[offered % 3]
+            request = make_request(offered, customer=customer)
+            actions = admission.offer(request, now_ms)
+        elif kind == 1:
+            actions = admission.release(name, now_ms)
+        elif kind == 2:
+            actions = admission.abandon(name, now_ms)
+        elif kind == 3:
+            admission.note_first_token(name, 900.0, now_ms)
+        else:
+            retries += admission.may_retry(1)
+        for admitted in find_admitted(actions):
+            open_names = admission.find_open(make_request(0), names)
+            assert open_names
+            admission.note_dispatch(admitted, open_names[0])
+            first_tries += 1
+        assert admission.count_queued() <= 6
+        assert admission.count_running() <= 6
+        assert retries <= 1 + 0.1 * first_tries
+
+
+@given(
+    st.lists(st.sampled_from(CUSTOMERS[:2]), min_size=40, max_size=80),
+    st.integers(2, 20),
+)
+def test_waiting_customers_are_served_alike(
+    arrivals: list[CustomerName], served: int
+) -> None:
+    """Two customers both wait all the time; one sends many more than the other.
+
+    What each has got differs by no more than one request of each.
+    """
+    admission = make_admission(endpoints=1, max_running=1)
+    numbers = dict.fromkeys(CUSTOMERS, 0)
+    admission.offer(make_request(0, customer=CUSTOMERS[2]), 0.0)
+    for number, customer in enumerate(arrivals, 1):
+        admission.offer(make_request(number, customer=customer), 0.0)
+    for number in range(served):
+        admission.offer(make_request(200 + number, customer=SMALL), 0.0)
+        admission.offer(make_request(300 + number, customer=LARGE), 0.0)
+    running = RequestId("r0")
+    for at in range(served):
+        (admitted,) = [
+            each
+            for each in admission.release(running, 10.0 + at)
+            if isinstance(each, Admit)
+        ]
+        numbers[admitted.request.customer] += 1
+        running = admitted.request.request_id
+    assert abs(numbers[LARGE] - numbers[SMALL]) <= 2
