--- a/packages/toucanyard-standins/src/toucanyard_standins/answers.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/answers.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import msgspec
 
-from toucanyard_node.http_server import Headers, Responder
+from toucanyard_node.http_server import (
+    CallerGoneError,
+    Headers,
+    HttpRequest,
+    Responder,
+)
 
+Route = Callable[[HttpRequest, Responder], Awaitable[None]]
 JSON_TYPE: Final = ("Content-Type", "application/json")
 
 
@@ -29,3 +36,15 @@
 ) -> None:
     """Send one error."""
     await send_json(responder, status, ErrorText(text), headers)
+
+
+async def run_route(route: Route, request: HttpRequest, responder: Responder) -> None:
+    """Answer one request; 400 when it can't be read, nothing when nobody listens."""
+    try:
+        try:
+            await route(request, responder)
+        except (msgspec.MsgspecError, ValueError) as error:
+            await send_error(responder, 400, str(error))
+    except CallerGoneError:
+        # What was started goes on: an engine, for one, only stops for a DELETE.
+        return
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_path.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_path.py
@@ -35,7 +35,7 @@
     start_deployment,
 )
 from toucanyard_standins.engine_faults import SlowDown
-from toucanyard_standins.harness import Harness, ProcessHandle, open_harness
+from toucanyard_standins.harness import Harness, open_harness
 from toucanyard_standins.load import (
     Target,
     hold_streams,
@@ -43,6 +43,7 @@
     run_streams,
     time_streams,
 )
+from toucanyard_standins.processes import ProcessHandle
 
 _AIM_FIRST_TOKEN_MS: Final = 3.0
 _AIM_REQUESTS_PER_S: Final = 600.0
--- a/packages/toucanyard-standins/src/toucanyard_standins/demo.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/demo.py
@@ -19,9 +19,10 @@
     DeploymentSizes,
     start_deployment,
 )
-from toucanyard_standins.harness import Harness, HarnessError, ask, open_harness
+from toucanyard_standins.harness import Harness, ask, open_harness
 from toucanyard_standins.openai_shape import Completion
 from toucanyard_standins.plain_service import ServiceCounters
+from toucanyard_standins.processes import HarnessError
 
 _RULEBOOK: Final = "Rule: no crossing above 1.2 m of tide at the quay. " * 60
 _QUESTION: Final = "May lancha 4 cross at 06:40?"
--- a/packages/toucanyard-standins/src/toucanyard_standins/deployment.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/deployment.py
@@ -25,12 +25,8 @@
 )
 from toucanyard.options import Options
 from toucanyard.patches import Patch, Put
-from toucanyard_standins.harness import (
-    Harness,
-    ProcessHandle,
-    hash_key,
-    wait_until_serving,
-)
+from toucanyard_standins.harness import Harness, hash_key, wait_until_serving
+from toucanyard_standins.processes import ProcessHandle
 
 DOMAINS: Final = ("sala-norte", "sala-centro", "sala-sur")
 CUSTOMER_KEYS: Final = {"ferry": "key-of-ferry", "clinic": "key-of-clinic"}
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
@@ -0,0 +1,185 @@
+"""Answer completions: start, stream, resume and cancel them, with their faults."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard_node.http_server import Headers, HttpRequest, Responder
+from toucanyard_standins.answers import JSON_TYPE, send_error
+from toucanyard_standins.engine import Engine
+from toucanyard_standins.engine_streams import TOKEN_BYTES, AnswerStream
+from toucanyard_standins.openai_shape import (
+    CompletionRequest,
+    find_generated,
+    find_token_limit,
+    render_prompt,
+    strip_generated,
+)
+
+STREAMS_PATH: Final = "/v1/streams/"
+_CHAT_PATH: Final = "/v1/chat/completions"
+_DONE: Final = b"data: [DONE]\n\n"
+_HEARTBEAT: Final = b": heartbeat\n\n"
+
+
+class EngineAnswers:
+    """Answer the requests that concern one stream."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+
+    async def complete(self, request: HttpRequest, responder: Responder) -> None:
+        """Compute and send an answer, or refuse before anything is computed."""
+        body = msgspec.json.decode(request.body, type=CompletionRequest)
+        if self._engine.faults.is_refusing or self._engine.state.is_loading:
+            self._engine.counters.refused += 1
+            await send_error(responder, 503, "takes no requests")
+            return
+        wanted = request.headers.get("x-weights-version", "")
+        loaded = self._engine.state.weights.weights_version
+        if wanted and wanted != loaded:
+            self._engine.counters.refused += 1
+            await send_error(responder, 412, f"loaded {loaded}", self._identify(""))
+            return
+        stream = self._submit(request, body)
+        await self._delay_answer()
+        if self._engine.faults.cross_count > 0:
+            self._engine.faults.cross_count -= 1
+            stream = self._submit_foreign(stream)
+        if body.stream:
+            await self._send_stream(stream, responder, 0)
+        else:
+            await self._send_whole(stream, responder)
+
+    def _submit(self, request: HttpRequest, body: CompletionRequest) -> AnswerStream:
+        """Start the computation of a request."""
+        engine = self._engine
+        headers = request.headers
+        request_id = headers.get("x-request-id") or f"anonymous-{time.time_ns():x}"
+        resumed = int(headers.get("x-resume-text-tokens", "0"))
+        generated = find_generated(body, resumed, TOKEN_BYTES)
+        prompt = render_prompt(strip_generated(body, generated))
+        stream = AnswerStream(
+            request_id,
+            body.model,
+            request.path == _CHAT_PATH,
+            prompt,
+            int(time.time()),
+            generated,
+        )
+        tokens = find_token_limit(body, engine.options.default_tokens)
+        engine.state.submit(
+            stream,
+            salt=headers.get("x-cache-salt", ""),
+            prompt=prompt + generated,
+            priority=int(headers.get("x-priority", "0")),
+            max_tokens=max(1, tokens - resumed),
+        )
+        count_in(engine.counters.executions, request_id)
+        if key := headers.get("idempotency-key", ""):
+            count_in(engine.counters.keyed_executions, key)
+        engine.start_work()
+        return stream
+
+    def _submit_foreign(self, stream: AnswerStream) -> AnswerStream:
+        """Start another request, whose answer is given in place of the right one."""
+        engine = self._engine
+        prompt = b"another request"
+        foreign = AnswerStream(
+            f"crossed-{time.time_ns():x}",
+            stream.model,
+            stream.is_chat,
+            prompt,
+            stream.created_s,
+        )
+        tokens = engine.options.default_tokens
+        engine.state.submit(foreign, "another", prompt, 0, tokens)
+        engine.start_work()
+        return foreign
+
+    async def _delay_answer(self) -> None:
+        faults = self._engine.faults
+        if faults.delay_count > 0:
+            faults.delay_count -= 1
+            await trio.sleep(faults.delay_ms / 1000)
+
+    def _identify(self, request_id: str) -> Headers:
+        state = self._engine.state
+        return (
+            ("X-Request-Id", request_id),
+            ("X-Incarnation", state.incarnation),
+            ("X-Weights-Version", state.weights.weights_version),
+        )
+
+    async def _send_whole(self, stream: AnswerStream, responder: Responder) -> None:
+        headers = self._identify(stream.request_id)
+        while not stream.is_done and not stream.is_cancelled:
+            await stream.wait_beyond(len(stream.events))
+        if stream.is_done:
+            body = stream.render_whole()
+            await responder.send(200, (JSON_TYPE, *headers), body)
+
+    async def _send_stream(
+        self, stream: AnswerStream, responder: Responder, position: int
+    ) -> None:
+        """Send events from a position on; a cancelled stream ends without a mark."""
+        headers = self._identify(stream.request_id)
+        event_stream = ("Content-Type", "text/event-stream")
+        await responder.start(200, (event_stream, *headers))
+        cut_at = self._take_cut()
+        while not stream.is_cancelled:
+            while position < len(stream.events):
+                if position == cut_at:
+                    return
+                await responder.write(stream.events[position])
+                position += 1
+                await self._engine.count_event()
+            if stream.is_done:
+                await responder.write(_DONE)
+                await responder.finish()
+                return
+            await self._wait_or_beat(stream, position, responder)
+
+    def _take_cut(self) -> int | None:
+        """Return the event before which this stream is to be cut, if any."""
+        faults = self._engine.faults
+        if faults.cut_count <= 0:
+            return None
+        faults.cut_count -= 1
+        return faults.cut_after_events
+
+    async def _wait_or_beat(
+        self, stream: AnswerStream, position: int, responder: Responder
+    ) -> None:
+        """Wait for an event; send a heartbeat when none comes in time."""
+        with trio.move_on_after(self._engine.options.heartbeat_ms / 1000) as scope:
+            await stream.wait_beyond(position)
+        if scope.cancelled_caught and not self._engine.faults.is_without_heartbeats:
+            await responder.write(_HEARTBEAT)
+
+    async def resume(self, request: HttpRequest, responder: Responder) -> None:
+        """Send the rest of a stream that is kept or under way."""
+        request_id = request.path.removeprefix(STREAMS_PATH)
+        stream = self._engine.state.streams.get(request_id)
+        if stream is None:
+            await send_error(responder, 404, "no such stream", self._identify(""))
+            return
+        self._engine.counters.resumed += 1
+        position = int(request.headers.get("last-event-id", "-1")) + 1
+        await self._send_stream(stream, responder, position)
+
+    async def cancel(self, request: HttpRequest, responder: Responder) -> None:
+        """Stop a computation, known or not."""
+        request_id = request.path.removeprefix(STREAMS_PATH)
+        if self._engine.state.cancel(request_id):
+            self._engine.counters.cancelled += 1
+        await responder.send(204, self._identify(request_id), b"")
+
+
+def count_in(counts: dict[str, int], name: str) -> None:
+    """Add one to a named count."""
+    counts[name] = counts.get(name, 0) + 1
--- a/packages/toucanyard-standins/src/toucanyard_standins/harness.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -6,9 +6,6 @@
 from __future__ import annotations
 
 import hashlib
-import os
-import signal
-import subprocess
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Sequence
@@ -24,18 +21,17 @@
 from toucanyard_node.http_client import ConnectionFailedError, Response, fetch
 from toucanyard_standins.platform_faults import PlatformCounters, PutVm, RemoveVm
 from toucanyard_standins.platform_vms import Vm, VmKind, VmState
+from toucanyard_standins.processes import (
+    HarnessError,
+    ProcessHandle,
+    start_process,
+    wait_ready,
+)
 
 T = TypeVar("T")
 
-_READY_TIMEOUT_S: Final = 15.0
-_STOP_TIMEOUT_S: Final = 5.0
 _POLL_S: Final = 0.02
 _ANY_PORT: Final = Address("127.0.0.1:0")
-_READY_MARK: Final = "event=listening"
-
-
-class HarnessError(Exception):
-    """Say which process or request of the harness failed."""
 
 
 def hash_key(key: str) -> str:
@@ -43,77 +39,12 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-class ProcessHandle:
-    """One process that this harness started.
-
-    Invariant: `addresses` holds what the process printed once it was ready.
-    """
-
-    __slots__ = ("addresses", "log_file", "name", "process")
-
-    def __init__(self, name: str, process: trio.Process, log_file: Path) -> None:
-        self.name = name
-        self.process = process
-        self.log_file = log_file
-        self.addresses: dict[str, Address] = {}
-
-    @property
-    def address(self) -> Address:
-        """The only address of a stand-in, or where a node serves callers."""
-        return self.addresses.get("address") or self.addresses["callers"]
-
-    def is_running(self) -> bool:
-        """Tell whether the process has not ended."""
-        return self.process.poll() is None
-
-    def read_log(self) -> str:
-        """Return what the process wrote so far."""
-        return self.log_file.read_text(errors="replace")
-
-    def find_cpu_s(self) -> float:
-        """Return the processor time the process has used."""
-        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
-        fields = stat.rpartition(")")[2].split()
-        ticks = int(fields[11]) + int(fields[12])
-        return ticks / os.sysconf("SC_CLK_TCK")
-
-    def find_resident_bytes(self) -> int:
-        """Return the memory that the process holds."""
-        statm = Path(f"/proc/{self.process.pid}/statm").read_text().split()
-        return int(statm[1]) * os.sysconf("SC_PAGE_SIZE")
-
-    def kill(self) -> None:
-        """End the process at once."""
-        self.process.kill()
-
-    def pause(self) -> None:
-        """Stop the process without its knowing."""
-        self.process.send_signal(signal.SIGSTOP)
-
-    def go_on(self) -> None:
-        """Let a paused process go on."""
-        self.process.send_signal(signal.SIGCONT)
-
-    async def stop(self) -> None:
-        """Ask the process to end, and wait; kill it if it takes too long."""
-        if not self.is_running():
-            return
-        self.process.send_signal(signal.SIGCONT)
-        self.process.terminate()
-        with trio.move_on_after(_STOP_TIMEOUT_S):
-            await self.process.wait()
-        if self.is_running():
-            self.process.kill()
-            await self.process.wait()
-
-
 class Harness:
     """Every process of one test, demo or bench; get one from `open_harness`."""
 
     def __init__(self, directory: Path) -> None:
         self._directory = directory
         self._started: list[ProcessHandle] = []
-        self._patches = 0
         self.platform: ProcessHandle | None = None
 
     def get_platform(self) -> ProcessHandle:
@@ -251,40 +182,11 @@
 
     async def _start(self, name: str, role: str, *command: str) -> ProcessHandle:
         """Start one process and wait until it says where it listens."""
-        number = len(self._started)
-        log_file = self._directory / f"{number}-{name}.log"
-        with log_file.open("wb") as output:
-            process = await trio.lowlevel.open_process(
-                command,
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=output,
-            )
-        handle = ProcessHandle(name, process, log_file)
+        log_file = self._directory / f"{len(self._started)}-{name}.log"
+        handle = await start_process(name, command, log_file)
         self._started.append(handle)
-        with trio.move_on_after(_READY_TIMEOUT_S):
-            await _wait_ready(handle, role)
-            return handle
-        raise HarnessError(f"{name} is not ready:\n{handle.read_log()}")
-
-
-async def _wait_ready(handle: ProcessHandle, role: str) -> None:
-    while True:
-        is_running = handle.is_running()
-        for line in handle.read_log().splitlines(keepends=True):
-            if _READY_MARK in line and f"role={role}" in line and line[-1] == "\n":
-                handle.addresses = parse_ready_line(line)
-                return
-        if not is_running:
-            raise HarnessError(f"{handle.name} ended:\n{handle.read_log()}")
-        await trio.sleep(_POLL_S)
-
-
-def parse_ready_line(line: str) -> dict[str, Address]:
-    """Return the addresses of a readiness line by name."""
-    fields = dict(part.split("=", 1) for part in line.split() if "=" in part)
-    names = ("address", "callers", "operators", "peers")
-    return {name: Address(fields[name]) for name in names if name in fields}
+        await wait_ready(handle, role)
+        return handle
 
 
 async def ask(
--- a/packages/toucanyard-standins/src/toucanyard_standins/plain_service.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/plain_service.py
@@ -10,14 +10,13 @@
 
 from toucanyard.names import Address
 from toucanyard_node.http_server import (
-    CallerGoneError,
     HttpRequest,
     HttpServer,
     Responder,
     ServerLimits,
     find_port,
 )
-from toucanyard_standins.answers import send_error, send_json
+from toucanyard_standins.answers import run_route, send_error, send_json
 from toucanyard_standins.faulty_listener import FaultyListener
 from toucanyard_standins.network_faults import NetworkFault, apply_network_fault
 
@@ -136,12 +135,7 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
-        try:
-            await self._route(request, responder)
-        except msgspec.DecodeError as error:
-            await send_error(responder, 400, str(error))
-        except CallerGoneError:
-            return
+        await run_route(self._route, request, responder)
 
     async def _route(self, request: HttpRequest, responder: Responder) -> None:
         match request.method, request.path:
--- a/packages/toucanyard-standins/src/toucanyard_standins/platform.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform.py
@@ -10,14 +10,13 @@
 
 from toucanyard.names import Address
 from toucanyard_node.http_server import (
-    CallerGoneError,
     HttpRequest,
     HttpServer,
     Responder,
     ServerLimits,
     find_port,
 )
-from toucanyard_standins.answers import send_error, send_json
+from toucanyard_standins.answers import run_route, send_error, send_json
 from toucanyard_standins.faulty_listener import FaultyListener
 from toucanyard_standins.network_faults import apply_network_fault
 from toucanyard_standins.platform_faults import (
@@ -100,12 +99,7 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
-        try:
-            await self._handle_part(request, responder)
-        except msgspec.DecodeError as error:
-            await send_error(responder, 400, str(error))
-        except CallerGoneError:
-            return
+        await run_route(self._handle_part, request, responder)
 
     async def _handle_part(self, request: HttpRequest, responder: Responder) -> None:
         part = find_part(request.path)
--- a/tests/toucanyard_standins/test_engine_face.py
+++ b/tests/toucanyard_standins/test_engine_face.py
@@ -28,6 +28,7 @@
     Crash,
     CrossAnswers,
     CutAfterEvents,
+    DelayAnswers,
     DieAfterEvents,
     EngineCounters,
     LoseCacheEvents,
@@ -267,3 +268,26 @@
         assert answer.status == 200
     state = await read(address, "/v1/state", EngineStateBody)
     assert state.adapters == ("a4", "a5")
+
+
+async def test_late_answer_runs_before_it_is_given(nursery: trio.Nursery) -> None:
+    # The caller gives up waiting for the head; the request was executed meanwhile.
+    address = await start_engine(nursery)
+    await control(address, DelayAnswers(delay_ms=3_600_000))
+    with pytest.raises(ConnectionFailedError):
+        body = msgspec.json.encode(completion("a"))
+        headers = (("X-Request-Id", "r1"),)
+        await fetch(address, "POST", PATH, headers, body, timeout_ms=300)
+    counters = await read(address, "/control", EngineCounters)
+    assert counters.executions == {"r1": 1}
+    assert (await post(address, PATH, completion("a"))).status == 200
+
+
+async def test_unreadable_request_is_refused_and_the_engine_lives(
+    nursery: trio.Nursery,
+) -> None:
+    address = await start_engine(nursery)
+    assert (await post(address, PATH, {"model": 1})).status == 400
+    headers = (("X-Priority", "urgent"),)
+    assert (await post(address, PATH, completion("a"), headers)).status == 400
+    assert (await post(address, "/control", {"fault": "unknown"})).status == 400
--- a/tests/toucanyard_standins/test_harness.py
+++ b/tests/toucanyard_standins/test_harness.py
@@ -4,9 +4,10 @@
 
 from standin_examples import read
 from toucanyard_node.http_client import ConnectionFailedError, fetch
-from toucanyard_standins.harness import HarnessError, open_harness, parse_ready_line
+from toucanyard_standins.harness import open_harness
 from toucanyard_standins.plain_service import ServiceCounters
 from toucanyard_standins.platform_vms import VmListBody
+from toucanyard_standins.processes import HarnessError, parse_ready_line
 
 
 def test_ready_line_names_addresses() -> None:
--- a/tests/toucanyard_standins/test_platform.py
+++ b/tests/toucanyard_standins/test_platform.py
@@ -19,7 +19,7 @@
 )
 from toucanyard_standins.platform_log import Appended, LogOptions
 from toucanyard_standins.platform_vms import Vm, VmKind, VmListBody
-from toucanyard_standins.platform_weights import WeightStoreOptions
+from toucanyard_standins.platform_weights import WeightStore, WeightStoreOptions
 
 
 async def append(address: Address, *records: str) -> Response:
@@ -115,3 +115,12 @@
     refused = await post(address, "/weights/model/w2", {})
     assert refused.status == 429
     assert int(refused.headers["retry-after-ms"]) > 0
+
+
+def test_loads_slow_down_while_more_than_two_are_under_way() -> None:
+    store = WeightStore(WeightStoreOptions(starts_per_s=1.0, burst=4), now_ms=0.0)
+    leaves = [store.ask(now_ms=0.0) for _ in range(5)]
+    assert [leave.slowdown for leave in leaves if leave] == [1.0, 1.0, 1.5, 2.0]
+    assert leaves[4] is None
+    later = store.ask(now_ms=2_000.0)
+    assert later is not None and later.slowdown == 1.0
