--- a/packages/toucanyard/src/toucanyard/explanations.py
+++ b/packages/toucanyard/src/toucanyard/explanations.py
@@ -13,23 +13,13 @@
 
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import CustomerName, EndpointName, RequestId
+from toucanyard.placement import Score
 from toucanyard.requests import EndingSeen
 
 MAX_RECORDS: Final = 20_000
 MAX_STEPS: Final = 24
 
 
-class Alternative(msgspec.Struct, frozen=True, tag_field="kind", tag="alternative"):
-    """One endpoint that was weighed, with its parts in milliseconds."""
-
-    endpoint: EndpointName
-    score_ms: float
-    queue_ms: float
-    recompute_ms: float
-    warm_blocks: int
-    source: str
-
-
 class Claimed(msgspec.Struct, frozen=True, tag_field="kind", tag="claimed"):
     """The key was won, so this node alone may dispatch."""
 
@@ -42,13 +32,14 @@
     at_ms: float
 
 
-class Placed(msgspec.Struct, frozen=True, tag_field="kind", tag="placed"):
-    """The request was sent to an endpoint, chosen among the alternatives."""
+class Sent(msgspec.Struct, frozen=True, tag_field="kind", tag="sent"):
+    """The request was sent to an endpoint; `scores` starts with the chosen one."""
 
     at_ms: float
     endpoint: EndpointName
     attempt: int
-    alternatives: tuple[Alternative, ...]
+    shared_blocks: int
+    scores: tuple[Score, ...]
 
 
 class Ended(msgspec.Struct, frozen=True, tag_field="kind", tag="ended"):
@@ -78,7 +69,7 @@
     at_ms: float
 
 
-Step = Claimed | Queued | Placed | Ended | Refused | Replayed
+Step = Claimed | Queued | Sent | Ended | Refused | Replayed
 
 
 class DecisionRecord(msgspec.Struct):
--- a/packages/toucanyard/src/toucanyard/requests.py
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -61,6 +61,8 @@
     deadline_ms: float
     configuration_version: int
     key: str = ""
+    key_age_ms: float | None = None
+    """Time since the caller first sent the key, by its own word; 0: a first try."""
     body_digest: bytes = b""
 
 
