Judge endpoints and nodes from evidence, digests and the VM list

Cause: the VM list lags, engines die and come back empty, and a node whose own network failed sees everyone dead. Ruled out: rendezvous hashing for watchers; at 320 nodes and 4,400 endpoints every change of the list would cost a hash for each pair. A ring of hashes takes its place. Before: nothing. After: own errors count at once; others' word counts from two sources on, within a share of the pool and not against an own answer; leaving VMs and new incarnations travel as news, each once to each peer within a budget.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/evidence.py
@@ -0,0 +1,224 @@
+"""Hold what one node knows of the life of each endpoint, by itself and from others.
+
+Own evidence counts at once for this node's decisions. What others say counts where
+this node has no answer of its own, when several sources agree, and within a limit.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.configuration import Endpoint
+from toucanyard.detectors import ErrorRun, SourceCount
+from toucanyard.names import EndpointName, Incarnation, NodeName
+from toucanyard.options import MembershipTimings
+
+REFRESH_MS: Final = 10_000.0
+"""How often a lasting suspicion is told again."""
+_CONDEMNED_MS: Final = 25_000.0
+"""How long a source's word counts; longer than two refreshes."""
+_SELF_SUSPECT_SHARE: Final = 0.5
+_MIN_FOR_SELF_SUSPICION: Final = 3
+_RETIRED_KEPT: Final = 4
+_NEVER: Final = float("-inf")
+
+
+class _Known(msgspec.Struct):
+    """What this node knows of one endpoint.
+
+    `established_ms` is the last time at which the incarnation is known to have been
+    the endpoint's.
+    """
+
+    run: ErrorRun
+    sources: SourceCount
+    incarnation: Incarnation | None = None
+    retired: tuple[Incarnation, ...] = ()
+    established_ms: float = _NEVER
+    ok_ms: float = _NEVER
+    error_ms: float = _NEVER
+    told_ms: float | None = None
+
+
+class Evidence:
+    """Hold evidence on the endpoints of the configuration in force.
+
+    Invariants: only endpoints that `keep` named have an entry; news never brings back
+    an incarnation that was replaced; a node that suspects itself accuses nobody.
+    """
+
+    def __init__(self, node: NodeName, timings: MembershipTimings) -> None:
+        self._node = node
+        self._timings = timings
+        self._known: dict[EndpointName, _Known] = {}
+        self._erring: set[EndpointName] = set()
+        self._accused: set[EndpointName] = set()
+
+    def keep(self, names: Iterable[EndpointName]) -> None:
+        """Hold entries for these endpoints and no others."""
+        kept = set(names)
+        for name in set(self._known) - kept:
+            del self._known[name]
+        for name in kept - set(self._known):
+            timings = self._timings
+            self._known[name] = _Known(
+                ErrorRun(timings.condemn_reports, timings.condemn_window_ms),
+                SourceCount(timings.condemn_sources, _CONDEMNED_MS),
+            )
+        self._erring &= kept
+        self._accused &= kept
+
+    def find_incarnation(self, endpoint: EndpointName) -> Incarnation | None:
+        """Return the incarnation of an endpoint that was learned last."""
+        known = self._known.get(endpoint)
+        return None if known is None else known.incarnation
+
+    def is_avoided(self, endpoint: EndpointName, now_ms: float) -> bool:
+        """Tell whether own evidence speaks against an endpoint."""
+        known = self._known.get(endpoint)
+        if known is None or not known.run.has_error():
+            return False
+        # A single error may be chance; waiting for the next poll costs nothing while
+        # others take the work. Where this node doesn't poll, the doubt ends by
+        # itself, or an endpoint that came back would never be tried again.
+        doubt_ms = self._timings.suspect_after_ms
+        if known.run.is_suspect(now_ms):
+            doubt_ms = max(doubt_ms, self._timings.condemn_window_ms)
+        return now_ms - known.error_ms <= doubt_ms
+
+    def find_condemned(
+        self, endpoints: Sequence[Endpoint], size: int, now_ms: float
+    ) -> set[EndpointName]:
+        """Return those that others condemn and this node has no answer from.
+
+        At most a share of `size`: more dead at once is rather a cut between nodes,
+        and the work would be heaped on the few that are left.
+        """
+        accused: list[EndpointName] = []
+        for endpoint in endpoints:
+            if endpoint.name not in self._accused:
+                continue
+            known = self._known[endpoint.name]
+            is_silent = now_ms - known.ok_ms > self._timings.suspect_after_ms
+            if is_silent and known.sources.is_condemned(now_ms):
+                accused.append(endpoint.name)
+        limit = max(1, int(self._timings.max_condemned_share * size))
+        accused.sort(key=lambda name: (self._known[name].ok_ms, name))
+        return set(accused[:limit])
+
+    def find_all_condemned(self, now_ms: float) -> list[EndpointName]:
+        """Return the endpoints on whose death enough sources agree."""
+        return [
+            name
+            for name in sorted(self._accused)
+            if self._known[name].sources.is_condemned(now_ms)
+        ]
+
+    def is_self_suspect(self, now_ms: float) -> bool:
+        """Tell whether so much looks dead that this node's network is to blame."""
+        if len(self._erring) < _MIN_FOR_SELF_SUSPICION:
+            return False
+        since_ms = now_ms - _CONDEMNED_MS
+        tried = sum(
+            max(known.ok_ms, known.error_ms) > since_ms
+            for known in self._known.values()
+        )
+        dead = sum(self._known[name].error_ms > since_ms for name in self._erring)
+        return dead > _SELF_SUSPECT_SHARE * tried
+
+    def note_ok(self, endpoint: EndpointName, now_ms: float) -> bool:
+        """Take in an answer; return whether others must hear of the recovery."""
+        known = self._known.get(endpoint)
+        if known is None:
+            return False
+        known.run.note_ok(now_ms)
+        known.ok_ms = now_ms
+        self._erring.discard(endpoint)
+        if known.told_ms is None:
+            return False
+        known.told_ms = None
+        known.sources.withdraw(self._node)
+        return True
+
+    def note_error(self, endpoint: EndpointName, now_ms: float) -> None:
+        """Take in a failed try."""
+        known = self._known.get(endpoint)
+        if known is None:
+            return
+        known.run.note_error(now_ms)
+        known.error_ms = now_ms
+        self._erring.add(endpoint)
+
+    def take_suspected(self, now_ms: float) -> list[EndpointName]:
+        """Return the endpoints of which others must hear now that they look dead."""
+        if not self._erring or self.is_self_suspect(now_ms):
+            return []
+        taken: list[EndpointName] = []
+        for name in sorted(self._erring):
+            known = self._known[name]
+            is_recent = now_ms - known.error_ms <= self._timings.condemn_window_ms
+            is_told = known.told_ms is not None and now_ms - known.told_ms < REFRESH_MS
+            if is_told or not is_recent or not known.run.is_suspect(now_ms):
+                continue
+            known.told_ms = now_ms
+            self.accuse(name, self._node, now_ms)
+            taken.append(name)
+        return taken
+
+    def accuse(self, endpoint: EndpointName, source: NodeName, at_ms: float) -> None:
+        """Take in that a source suspects an endpoint."""
+        known = self._known.get(endpoint)
+        if known is not None:
+            known.sources.note_report(source, at_ms)
+            self._accused.add(endpoint)
+
+    def withdraw(self, endpoint: EndpointName, source: NodeName) -> None:
+        """Take in that a source no longer suspects an endpoint."""
+        known = self._known.get(endpoint)
+        if known is not None:
+            known.sources.withdraw(source)
+
+    def prune(self, now_ms: float) -> None:
+        """Drop accusations that no longer count."""
+        for name in list(self._accused):
+            if self._known[name].sources.prune(now_ms):
+                self._accused.discard(name)
+
+    def learn_directly(
+        self, endpoint: EndpointName, incarnation: Incarnation, asked_ms: float
+    ) -> bool:
+        """Take in the incarnation in an answer; return whether it is another one.
+
+        An answer to a request from before the present one was established may come
+        from a process that is gone since.
+        """
+        known = self._known.get(endpoint)
+        if known is None or asked_ms < known.established_ms:
+            return False
+        known.established_ms = asked_ms
+        return self._replace(known, incarnation)
+
+    def learn_from_news(
+        self, endpoint: EndpointName, incarnation: Incarnation, at_ms: float
+    ) -> bool:
+        """Take in an incarnation that a peer saw; return whether it is another one."""
+        known = self._known.get(endpoint)
+        if known is None or at_ms <= known.established_ms:
+            return False
+        if incarnation in known.retired:
+            return False
+        known.established_ms = at_ms
+        return self._replace(known, incarnation)
+
+    def _replace(self, known: _Known, incarnation: Incarnation) -> bool:
+        if incarnation == known.incarnation:
+            return False
+        if known.incarnation is not None:
+            known.retired = (*known.retired, known.incarnation)[-_RETIRED_KEPT:]
+            # What was said of the dead incarnation doesn't hold for this one.
+            known.sources.clear()
+        known.incarnation = incarnation
+        return True
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/membership.py
@@ -0,0 +1,318 @@
+"""Judge which endpoints may get work, which nodes to talk to and what to tell them.
+
+The caller feeds events and carries out the actions; there are no clocks or sockets
+here. Evidence on endpoints is in `evidence`, the VM list in `vm_view`, and what goes
+from node to node in `news`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.configuration import Endpoint
+from toucanyard.digests import (
+    Digest,
+    Leaving,
+    News,
+    Recovered,
+    Restarted,
+    Suspected,
+)
+from toucanyard.evidence import REFRESH_MS, Evidence
+from toucanyard.membership_events import (
+    Action,
+    ConfigurationChanged,
+    ConfigurationConfirmed,
+    DigestArrived,
+    EndpointError,
+    EndpointReported,
+    EndpointRestarted,
+    Event,
+    FetchConfiguration,
+    PeerConfirmed,
+    PeerDown,
+    PeerUp,
+    SendDigest,
+    Ticked,
+    VmListRead,
+)
+from toucanyard.names import Address, EndpointName, Incarnation, NodeName
+from toucanyard.news import NewsBoard
+from toucanyard.options import MembershipTimings
+from toucanyard.patches import find_owners
+from toucanyard.vm_view import Vm, VmView, WatchRing, choose_peers
+
+NEWS_KEPT_MS: Final = 30_000.0
+_MIN_GAP_MS: Final = 100.0
+"""Least time between two digests to one peer, however urgent."""
+_NEWS_PER_INTERVAL: Final = 32
+"""News told in one interval over all peers; it bounds this node's bytes."""
+_DIGEST_COST: Final = 2
+"""What a digest out of turn costs of that, as its envelope takes bytes as well."""
+_FETCH_AGAIN_MS: Final = 500.0
+_WATCH_ALL: Final = 64
+_WATCHERS: Final = 3
+
+
+class _Peer(msgspec.Struct):
+    last_sent_ms: float
+    last_echo_ms: float = -1.0
+    version_told: int = -1
+
+
+class Membership:
+    """Hold one node's view of endpoints and nodes.
+
+    Invariant: an endpoint that is leaving is never usable.
+    """
+
+    def __init__(
+        self,
+        node: NodeName,
+        incarnation: Incarnation,
+        timings: MembershipTimings,
+        rng: random.Random,
+    ) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self._timings = timings
+        self._rng = rng
+        self._view = VmView()
+        self._ring = WatchRing(())
+        self._board = NewsBoard(NEWS_KEPT_MS)
+        self._evidence = Evidence(node, timings)
+        self._peers: dict[NodeName, _Peer] = {}
+        self._told_leaving_ms: dict[Address, float] = {}
+        self._heard_leaving_ms: dict[Address, float] = {}
+        self._version = 0
+        self._digest = 0
+        self._confirmed_ms: float | None = None
+        self._asked_ms = float("-inf")
+        self._budget = float(_NEWS_PER_INTERVAL)
+        self._budget_ms: float | None = None
+
+    @property
+    def vms(self) -> tuple[Vm, ...]:
+        """Return the VM list as last believed."""
+        return self._view.vms
+
+    def is_leaving(self, endpoint: Endpoint, now_ms: float) -> bool:
+        """Tell whether an endpoint may get no new work because its VM leaves."""
+        address = endpoint.address
+        if self._view.is_gone(address) or self._view.is_leaving(address):
+            return True
+        heard_ms = self._heard_leaving_ms.get(address)
+        return heard_ms is not None and now_ms - heard_ms <= NEWS_KEPT_MS
+
+    def find_usable(
+        self, endpoints: Sequence[Endpoint], now_ms: float
+    ) -> list[Endpoint]:
+        """Return the endpoints of one pool or service that may get new work.
+
+        If every one that stays looks dead, all of them: a try costs less than a
+        refusal, and this node's own network may be what failed.
+        """
+        evidence = self._evidence
+        staying = [each for each in endpoints if not self.is_leaving(each, now_ms)]
+        reachable = [
+            each for each in staying if not evidence.is_avoided(each.name, now_ms)
+        ]
+        condemned = evidence.find_condemned(reachable, len(endpoints), now_ms)
+        usable = [each for each in reachable if each.name not in condemned]
+        return usable or reachable or staying
+
+    def find_incarnation(self, endpoint: EndpointName) -> Incarnation | None:
+        """Return the incarnation of an endpoint that was learned last."""
+        return self._evidence.find_incarnation(endpoint)
+
+    def find_peers(self) -> list[Vm]:
+        """Return the nodes that this one should have a link to."""
+        nodes = self._view.find_nodes()
+        return choose_peers(self.node, nodes, self._timings.max_peers)
+
+    def find_linked(self) -> list[NodeName]:
+        """Return the peers to which a link stands."""
+        return list(self._peers)
+
+    def find_watched(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints that this node polls: all if few, else its share."""
+        if len(endpoints) <= _WATCH_ALL:
+            return list(endpoints)
+        return [
+            each
+            for each in endpoints
+            if self.node in self._ring.find_watchers(each.name, _WATCHERS)
+        ]
+
+    def is_self_suspect(self, now_ms: float) -> bool:
+        """Tell whether so much looks dead that this node's network is to blame."""
+        return self._evidence.is_self_suspect(now_ms)
+
+    def find_condemned(self, now_ms: float) -> list[EndpointName]:
+        """Return the endpoints on whose death enough sources agree."""
+        return self._evidence.find_all_condemned(now_ms)
+
+    def handle(self, event: Event, now_ms: float) -> list[Action]:
+        """Take in one event; return what is to be done."""
+        match event:
+            case VmListRead():
+                self._read_list(event, now_ms)
+            case EndpointReported():
+                return self._note_ok(event, now_ms)
+            case EndpointError():
+                self._evidence.note_error(event.endpoint, now_ms)
+                self._tell_suspected(now_ms)
+            case DigestArrived():
+                return self._note_digest(event.sender, event.digest, now_ms)
+            case PeerUp() | PeerDown():
+                self._note_link(event, now_ms)
+            case ConfigurationChanged():
+                self._change(event)
+            case ConfigurationConfirmed():
+                self._confirmed_ms = event.confirmed_ms
+            case Ticked():
+                return self._tick(now_ms)
+        return []
+
+    def _read_list(self, event: VmListRead, now_ms: float) -> None:
+        self._view.read(event.vms, now_ms)
+        names = {vm.name for vm in self._view.find_nodes()} | {str(self.node)}
+        self._ring = WatchRing(sorted(names))
+        leaving = self._view.leaving
+        told = self._told_leaving_ms
+        for address in sorted(leaving):
+            if now_ms - told.get(address, float("-inf")) >= REFRESH_MS:
+                told[address] = now_ms
+                self._board.post(Leaving(address, 0), now_ms, None)
+        for address in set(told) - leaving:
+            del told[address]
+
+    def _note_link(self, event: PeerUp | PeerDown, now_ms: float) -> None:
+        self._peers.pop(event.peer, None)
+        if isinstance(event, PeerDown):
+            return
+        # The first digest comes at a random part of the interval, or nodes that
+        # started together would all send in the same moment for ever.
+        interval_ms = self._timings.digest_interval_ms
+        self._peers[event.peer] = _Peer(now_ms - self._rng.random() * interval_ms)
+        self._board.forget_peer(event.peer)
+
+    def _note_ok(self, event: EndpointReported, now_ms: float) -> list[Action]:
+        name = event.endpoint
+        if self._evidence.note_ok(name, now_ms):
+            self._board.post(Recovered(name, self.node, 0), now_ms, None)
+        before = self._evidence.find_incarnation(name)
+        if not self._evidence.learn_directly(name, event.incarnation, event.asked_ms):
+            return []
+        if before is not None:
+            self._board.post(Restarted(name, event.incarnation, 0), now_ms, None)
+        return [EndpointRestarted(name, event.incarnation)]
+
+    def _tell_suspected(self, now_ms: float) -> None:
+        for name in self._evidence.take_suspected(now_ms):
+            self._board.post(Suspected(name, self.node, 0), now_ms, None)
+
+    def _change(self, event: ConfigurationChanged) -> None:
+        self._version = event.configuration.version
+        self._digest = event.digest
+        self._evidence.keep(
+            endpoint.name
+            for owner in find_owners(event.configuration)
+            for endpoint in owner.endpoints
+        )
+
+    def _note_digest(
+        self, sender: NodeName, digest: Digest, now_ms: float
+    ) -> list[Action]:
+        peer = self._peers.get(sender)
+        if peer is None:
+            return []
+        peer.last_echo_ms = digest.sent_ms
+        actions: list[Action] = []
+        is_asked = now_ms - self._asked_ms < _FETCH_AGAIN_MS
+        if digest.version > self._version and not is_asked:
+            self._asked_ms = now_ms
+            actions.append(FetchConfiguration(sender, self._version))
+        if digest.echo_ms >= 0 and digest.confirmed_age_ms >= 0:
+            # The peer sent this after it got what this node sent at `echo_ms`, so
+            # its confirmation is at least that young, whatever the way took.
+            confirmed_ms = min(digest.echo_ms, now_ms) - digest.confirmed_age_ms
+            actions.append(
+                PeerConfirmed(
+                    sender, digest.version, digest.configuration_digest, confirmed_ms
+                )
+            )
+        for news in digest.news:
+            actions += self._note_news(news, sender, now_ms)
+        return actions
+
+    def _note_news(self, news: News, sender: NodeName, now_ms: float) -> list[Action]:
+        if not self._board.post(news, now_ms, sender):
+            return []
+        evidence = self._evidence
+        at_ms = now_ms - news.age_ms
+        match news:
+            case Leaving():
+                self._heard_leaving_ms[news.address] = at_ms
+            case Restarted():
+                if evidence.learn_from_news(news.endpoint, news.incarnation, at_ms):
+                    return [EndpointRestarted(news.endpoint, news.incarnation)]
+            case Suspected():
+                evidence.accuse(news.endpoint, news.source, at_ms)
+            case Recovered():
+                evidence.withdraw(news.endpoint, news.source)
+        return []
+
+    def _tick(self, now_ms: float) -> list[Action]:
+        self._tell_suspected(now_ms)
+        self._board.prune(now_ms)
+        self._evidence.prune(now_ms)
+        self._refill(now_ms)
+        for address, heard_ms in list(self._heard_leaving_ms.items()):
+            if now_ms - heard_ms > NEWS_KEPT_MS:
+                del self._heard_leaving_ms[address]
+        due = [name for name in self._peers if self._is_digest_due(name, now_ms)]
+        return [self._build_digest(name, now_ms) for name in due]
+
+    def _refill(self, now_ms: float) -> None:
+        if self._budget_ms is not None:
+            share = (now_ms - self._budget_ms) / self._timings.digest_interval_ms
+            refilled = self._budget + share * _NEWS_PER_INTERVAL
+            self._budget = min(float(_NEWS_PER_INTERVAL), refilled)
+        self._budget_ms = now_ms
+
+    def _is_digest_due(self, name: NodeName, now_ms: float) -> bool:
+        peer = self._peers[name]
+        waited_ms = now_ms - peer.last_sent_ms
+        if waited_ms >= self._timings.digest_interval_ms:
+            return True
+        if waited_ms < _MIN_GAP_MS or self._budget < _DIGEST_COST + 1:
+            return False
+        # A new version, a leaving VM or a death shouldn't wait at every hop.
+        is_urgent = peer.version_told != self._version
+        if not is_urgent and not self._board.has_news_for(name):
+            return False
+        self._budget -= _DIGEST_COST
+        return True
+
+    def _build_digest(self, name: NodeName, now_ms: float) -> SendDigest:
+        peer = self._peers[name]
+        peer.last_sent_ms = now_ms
+        peer.version_told = self._version
+        news = self._board.take(name, now_ms, max(0, int(self._budget)))
+        self._budget -= len(news)
+        confirmed_ms = self._confirmed_ms
+        digest = Digest(
+            node=self.node,
+            sent_ms=now_ms,
+            echo_ms=peer.last_echo_ms,
+            version=self._version,
+            configuration_digest=self._digest,
+            confirmed_age_ms=-1.0 if confirmed_ms is None else now_ms - confirmed_ms,
+            news=news,
+        )
+        return SendDigest(name, digest)
--- /dev/null
+++ b/tests/toucanyard/test_membership.py
@@ -0,0 +1,202 @@
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+
+from toucanyard.digests import Digest
+from toucanyard.membership import NEWS_KEPT_MS
+from toucanyard.membership_events import (
+    DigestArrived,
+    EndpointReported,
+    EndpointRestarted,
+    FetchConfiguration,
+    PeerConfirmed,
+    VmListRead,
+)
+from toucanyard.names import Incarnation, NodeName
+
+from .membership_fakes import TIMINGS, Fleet, build_vms
+
+
+def test_leaving_endpoint_gets_no_work_though_the_list_lags() -> None:
+    """One node's reading of the VM list is ahead of the others'. Within the bound no
+    node, four links away, may give the leaving endpoint work."""
+    fleet = Fleet(5, 3)
+    fleet.read_list(0, leaving=["e1"])
+    fleet.run(TIMINGS.max_leaving_ms)
+    for node in range(5):
+        assert fleet.find_usable(node) == ["e0", "e2"]
+
+
+def test_urgent_news_does_not_wait_for_the_interval_at_every_hop() -> None:
+    """Eleven links lie between two nodes. At one interval each, the news of a leaving
+    VM would come too late."""
+    fleet = Fleet(12, 3)
+    fleet.read_list(0, leaving=["e1"])
+    fleet.run(2 * TIMINGS.digest_interval_ms)
+    assert fleet.find_usable(11) == ["e0", "e2"]
+
+
+def test_leaving_news_ends_when_nobody_confirms_it() -> None:
+    """An address is given to a new VM. Old news of the one before must not keep it
+    idle for good."""
+    fleet = Fleet(2, 3)
+    fleet.read_list(0, leaving=["e1"])
+    fleet.run(1_000)
+    fleet.read_list(0)
+    later_ms = NEWS_KEPT_MS + 2_000
+    assert not fleet.nodes[1].is_leaving(fleet.endpoints[1], later_ms)
+    fleet.run(later_ms)
+    assert fleet.find_usable(1) == ["e0", "e1", "e2"]
+
+
+def test_own_error_counts_at_once_and_an_answer_ends_it() -> None:
+    fleet = Fleet(1, 3)
+    fleet.fail(0, 1)
+    assert fleet.find_usable(0) == ["e0", "e2"]
+    fleet.report(0, 1)
+    assert fleet.find_usable(0) == ["e0", "e1", "e2"]
+
+
+def test_doubt_without_polls_ends_by_itself() -> None:
+    """Only callers' traffic reaches an endpoint from this node. If an error excluded
+    it for good, no traffic would ever show that it is back."""
+    fleet = Fleet(1, 3)
+    fleet.fail(0, 1, times=9)
+    fleet.run(TIMINGS.condemn_window_ms + 200)
+    assert "e1" in fleet.find_usable(0)
+
+
+def test_one_source_condemns_nobody_and_two_do() -> None:
+    """A node whose own network is bad reports what it sees. Alone it must not take
+    an endpoint away from others; a second source makes the difference."""
+    fleet = Fleet(4, 9)
+    fleet.fail(0, 1, times=3)
+    fleet.run(2_000)
+    assert "e1" in fleet.find_usable(3)
+    fleet.fail(1, 1, times=3)
+    fleet.run(2_000)
+    assert "e1" not in fleet.find_usable(3)
+    fleet.report(1, 1)
+    fleet.run(2_000)
+    assert "e1" in fleet.find_usable(3)
+
+
+def test_own_answer_outweighs_what_others_say() -> None:
+    fleet = Fleet(3, 9)
+    fleet.fail(0, 1, times=3)
+    fleet.fail(1, 1, times=3)
+    fleet.run(1_000)
+    assert "e1" not in fleet.find_usable(2)
+    fleet.report(2, 1)
+    assert "e1" in fleet.find_usable(2)
+
+
+def test_condemning_is_limited_to_a_share_of_the_pool() -> None:
+    """Two nodes behind a broken switch call half of the pool dead. The rest of the
+    fleet, which has not tried them, must not heap all work on the other half."""
+    fleet = Fleet(3, 12)
+    for node in (0, 1):
+        for endpoint in range(12):
+            fleet.report(node, endpoint)
+        for endpoint in range(6):
+            fleet.fail(node, endpoint, times=3)
+    fleet.run(3_000)
+    assert len(fleet.find_usable(2)) == 8
+
+
+def test_node_that_sees_everyone_dead_accuses_nobody_and_still_tries() -> None:
+    """Two nodes lose their own networks. All endpoints look dead from there; were it
+    believed, the third node would give up endpoints that serve well."""
+    fleet = Fleet(3, 9)
+    for node in (0, 1):
+        for endpoint in range(9):
+            fleet.report(node, endpoint)
+        for times in range(3):
+            for endpoint in range(9):
+                fleet.fail(node, endpoint)
+            fleet.run(200 + times)
+    fleet.run(2_000)
+    assert fleet.nodes[0].is_self_suspect(fleet.now_ms)
+    assert fleet.nodes[2].find_condemned(fleet.now_ms) == []
+    assert len(fleet.find_usable(0)) == 9
+
+
+def test_restart_is_learned_from_peers_and_clears_old_accusations() -> None:
+    fleet = Fleet(4, 9)
+    for node in range(4):
+        fleet.report(node, 1, "old")
+    for node in range(3):
+        fleet.fail(node, 1, times=3)
+    fleet.run(3_000)
+    assert fleet.nodes[3].find_condemned(fleet.now_ms) == ["e1"]
+    fleet.report(0, 1, "new")
+    fleet.run(1_000)
+    restarted = EndpointRestarted(fleet.endpoints[1].name, Incarnation("new"))
+    assert fleet.actions.count(restarted) == 4
+    assert fleet.nodes[3].find_condemned(fleet.now_ms) == []
+
+
+def test_late_answer_of_a_dead_incarnation_is_not_believed() -> None:
+    """A load report asked before the crash arrives after one of the new process.
+    Believing it would bring back the view of a cache that is gone."""
+    fleet = Fleet(1, 1)
+    node, name = fleet.nodes[0], fleet.endpoints[0].name
+    node.handle(EndpointReported(name, Incarnation("new"), 500.0), 600.0)
+    late = EndpointReported(name, Incarnation("old"), 100.0)
+    assert node.handle(late, 700.0) == []
+    assert node.find_incarnation(name) == "new"
+
+
+def test_list_that_lost_most_entries_idles_nobody() -> None:
+    """The platform's list comes back empty or cut short. Endpoints that answer must
+    stay in use, while a single one that vanished must not."""
+    fleet = Fleet(1, 6)
+    node = fleet.nodes[0]
+    node.handle(VmListRead(()), 0.0)
+    node.handle(VmListRead(build_vms(fleet.endpoints[:1], fleet.names)), 0.0)
+    assert len(fleet.find_usable(0)) == 6
+    node.handle(VmListRead(build_vms(fleet.endpoints[:5], fleet.names)), 0.0)
+    assert fleet.find_usable(0) == ["e0", "e1", "e2", "e3", "e4"]
+
+
+def test_delayed_digest_confirms_only_from_the_echo_on() -> None:
+    """A digest waits 9 s in a buffer. The sender's word that it was current then says
+    nothing of the time since; trusting its arrival would hide a cut."""
+    fleet = Fleet(2, 1)
+    digest = Digest(NodeName("n1"), 5.0, 1_000.0, 3, 7, 200.0)
+    actions = fleet.nodes[0].handle(DigestArrived(NodeName("n1"), digest), 10_000.0)
+    assert PeerConfirmed(NodeName("n1"), 3, 7, 800.0) in actions
+    assert FetchConfiguration(NodeName("n1"), 1) in actions
+    again = fleet.nodes[0].handle(DigestArrived(NodeName("n1"), digest), 10_100.0)
+    assert not any(isinstance(each, FetchConfiguration) for each in again)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 2), st.integers(0, 5), st.sampled_from("ofrl")),
+        max_size=40,
+    )
+)
+def test_leaving_is_never_usable_and_something_always_is(
+    steps: list[tuple[int, int, str]],
+) -> None:
+    fleet = Fleet(3, 6)
+    leaving: set[str] = set()
+    for node, endpoint, step in steps:
+        match step:
+            case "o":
+                fleet.report(node, endpoint, str(endpoint))
+            case "f":
+                fleet.fail(node, endpoint, times=2)
+            case "r":
+                fleet.run(300)
+            case _:
+                leaving.add(f"e{endpoint}")
+                fleet.read_list(node, sorted(leaving))
+        if step == "l":
+            assert not leaving & set(fleet.find_usable(node))
+    fleet.run(3_000)
+    for node in range(3):
+        usable = set(fleet.find_usable(node))
+        assert not leaving & usable
+        assert usable or len(leaving) == 6
