--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/configuration_diff.py
@@ -0,0 +1,51 @@
+"""Work out the patch that leads from one version of the configuration to another."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+from toucanyard.configuration import (
+    Configuration,
+    Customer,
+    Operator,
+    Pool,
+    Service,
+)
+from toucanyard.patches import Put, Remove
+from toucanyard_node.operator_answers import DiffReply
+
+T = TypeVar("T", Customer, Operator, Pool, Service)
+
+
+def compute_diff(old: Configuration, new: Configuration) -> DiffReply:
+    """Return what changed from `old` to `new`; rules count as changed as a whole."""
+    has_same_rules = old.rules == new.rules
+    put = Put(
+        customers=_find_put(old.customers, new.customers),
+        operators=_find_put(old.operators, new.operators),
+        pools=_find_put(old.pools, new.pools),
+        services=_find_put(old.services, new.services),
+        rules=() if has_same_rules else new.rules,
+    )
+    gone_models = {rule.model for rule in old.rules} - {
+        rule.model for rule in new.rules
+    }
+    remove = Remove(
+        customers=_find_removed(old.customers, new.customers),
+        operators=_find_removed(old.operators, new.operators),
+        pools=_find_removed(old.pools, new.pools),
+        services=_find_removed(old.services, new.services),
+        rules=tuple(sorted(gone_models)),
+    )
+    return DiffReply(old.version, new.version, put, remove)
+
+
+def _find_put(old: Sequence[T], new: Sequence[T]) -> tuple[T, ...]:
+    known = {each.name: each for each in old}
+    return tuple(each for each in new if known.get(each.name) != each)
+
+
+def _find_removed(old: Sequence[T], new: Sequence[T]) -> tuple[str, ...]:
+    kept = {each.name for each in new}
+    return tuple(each.name for each in old if each.name not in kept)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/core_task.py
@@ -0,0 +1,167 @@
+"""Own the core: feed it messages and events in one order and carry its actions out.
+
+Every other task talks to this one through its inbox; replies go back on the channel
+that came with the question.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final, TypeVar
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.configuration import Configuration
+from toucanyard.core_events import (
+    AppendToLog,
+    CallerLeft,
+    DispatchOver,
+    FirstTokenSeen,
+    PatchAnswered,
+    PatchSubmitted,
+    ReadDump,
+    Reply,
+    RequestArrived,
+    SendMessage,
+    TickPassed,
+)
+from toucanyard.names import Incarnation, RequestId
+from toucanyard.node_core import CoreAction, CoreEvent, NodeCore
+from toucanyard.options import Options
+from toucanyard.requests import Refuse, Verdict
+from toucanyard_node.core_messages import (
+    Abandon,
+    CoreClient,
+    CoreMessage,
+    Decide,
+    FirstToken,
+    Report,
+)
+
+_TICK_MS: Final = 50
+_LOG: Final = structlog.get_logger()
+
+T = TypeVar("T")
+
+
+class SubmitPatch(msgspec.Struct, frozen=True):
+    """Ask for a patch to be brought into force."""
+
+    event: PatchSubmitted
+    reply: trio.MemorySendChannel[PatchAnswered]
+
+
+CoreInput = CoreMessage | CoreEvent | SubmitPatch
+
+
+class CoreOutputs(msgspec.Struct, frozen=True):
+    """Where the core's actions go that are not replies."""
+
+    log: trio.MemorySendChannel[AppendToLog]
+    peers: trio.MemorySendChannel[SendMessage]
+    dumps: trio.MemorySendChannel[ReadDump]
+
+
+class CoreTask:
+    """The task that owns the core.
+
+    Invariant: at most one reply channel is kept for each request, and it is used once.
+    """
+
+    def __init__(
+        self, options: Options, incarnation: Incarnation, outputs: CoreOutputs
+    ) -> None:
+        self.core = NodeCore(options, incarnation, random.Random())
+        self._outputs = outputs
+        self._replies: dict[RequestId, trio.MemorySendChannel[Verdict | None]] = {}
+        self._patches: dict[str, list[trio.MemorySendChannel[PatchAnswered]]] = {}
+        # Without a bound, so that a cancelled task can still tell how its dispatch
+        # ended; callers' connections bound it, each has at most two messages here.
+        self.inbox, self._receive = trio.open_memory_channel[CoreInput](2**31)
+        self.client = CoreClient(self.inbox, self.find_configuration)
+
+    def find_configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.core.configuration
+
+    async def submit_patch(self, event: PatchSubmitted) -> PatchAnswered:
+        """Bring a patch into force, or tell why not, at its deadline at the latest."""
+        send, receive = trio.open_memory_channel[PatchAnswered](1)
+        await self.inbox.send(SubmitPatch(event, send))
+        return await receive.receive()
+
+    async def run(self) -> None:
+        """Take messages until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tick)
+            async for message in self._receive:
+                self._take(message, trio.current_time() * 1000)
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(_TICK_MS / 1000)
+            self.inbox.send_nowait(TickPassed())
+
+    def _take(self, message: CoreInput, now_ms: float) -> None:
+        version = self.core.configuration.version
+        for action in self.core.handle(self._to_event(message), now_ms):
+            self._carry_out(action)
+        if self.core.configuration.version != version:
+            _LOG.info("configuration_in_force", version=self.core.configuration.version)
+
+    def _to_event(self, message: CoreInput) -> CoreEvent:
+        match message:
+            case Decide(request=request, reply=reply):
+                self._replies[request.request_id] = reply
+                return RequestArrived(request)
+            case Report(outcome=outcome, reply=reply):
+                self._replies[outcome.request_id] = reply
+                return DispatchOver(outcome)
+            case FirstToken(request_id=request_id, after_ms=after_ms):
+                return FirstTokenSeen(request_id, after_ms)
+            case Abandon(request_id=request_id):
+                self._replies.pop(request_id, None)
+                return CallerLeft(request_id)
+            case SubmitPatch(event=event, reply=reply_patch):
+                self._patches.setdefault(event.patch.patch_id, []).append(reply_patch)
+                return event
+            case _:
+                return message
+
+    def _carry_out(self, action: CoreAction) -> None:
+        match action:
+            case Reply(request_id=request_id, verdict=verdict):
+                self._reply(request_id, verdict)
+            case PatchAnswered(patch_id=patch_id):
+                for reply in self._patches.pop(patch_id, []):
+                    reply.send_nowait(action)
+            case AppendToLog():
+                self._outputs.log.send_nowait(action)
+            case SendMessage():
+                _send_or_drop(self._outputs.peers, action)
+            case ReadDump():
+                _send_or_drop(self._outputs.dumps, action)
+
+    def _reply(self, request_id: RequestId, verdict: Verdict | None) -> None:
+        reply = self._replies.pop(request_id, None)
+        if reply is not None:
+            reply.send_nowait(verdict)
+        if isinstance(verdict, Refuse):
+            _LOG.info(
+                "request_refused",
+                request_id=request_id,
+                kind=verdict.kind,
+                ending=verdict.ending,
+                retry_after_ms=verdict.retry_after_ms,
+                version=self.core.configuration.version,
+            )
+
+
+def _send_or_drop(channel: trio.MemorySendChannel[T], message: T) -> None:
+    """Send a message that may be lost; what waits for it asks again."""
+    try:
+        channel.send_nowait(message)
+    except trio.WouldBlock:
+        _LOG.warning("message_dropped", kind=type(message).__name__)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/locator.py
@@ -0,0 +1,89 @@
+"""Work out which node a caller should use.
+
+Nodes are equal, so a caller is sent to a random one: that spreads callers evenly
+without any node knowing the others' load. An issued key only runs on the node that
+issued it, so it is given only along with this node's own address.
+"""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from toucanyard.membership import Membership
+from toucanyard.names import Address, NodeName
+from toucanyard.node_core import NodeCore
+from toucanyard.options import Options
+from toucanyard.vm_view import Vm, VmState
+from toucanyard_node.drain import DrainState
+from toucanyard_node.locate_answer import IssuedKey, LocateAnswer, NodeAddress
+
+
+class Locator:
+    """Answer which nodes serve callers; a leaving or draining one is never named."""
+
+    __slots__ = ("_address", "_core", "_drain", "_options", "_rng")
+
+    def __init__(
+        self,
+        core: NodeCore,
+        options: Options,
+        address: Address,
+        drain: DrainState,
+        rng: random.Random,
+    ) -> None:
+        self._core = core
+        self._options = options
+        self._address = address
+        self._drain = drain
+        self._rng = rng
+
+    def locate(self, is_staying: bool) -> LocateAnswer:
+        """Return the node to use; `is_staying` asks for this one if it may be named."""
+        nodes = self._find_nodes()
+        self._rng.shuffle(nodes)
+        own = self._build_own()
+        if is_staying and not self._drain.is_draining():
+            chosen = own
+        else:
+            chosen = nodes[0] if nodes else own
+        issued_key = self._issue_key() if chosen.node == own.node else None
+        return LocateAnswer(
+            node=chosen.node,
+            address=chosen.address,
+            keep_ms=self._options.callers.locate_ttl_ms,
+            addresses=tuple(nodes),
+            issued_key=issued_key,
+        )
+
+    def _find_nodes(self) -> list[NodeAddress]:
+        nodes = find_live_nodes(self._core.membership)
+        nodes = [each for each in nodes if each.node != self._options.name]
+        if not self._drain.is_draining():
+            nodes.append(self._build_own())
+        return nodes
+
+    def _build_own(self) -> NodeAddress:
+        options = self._options
+        return NodeAddress(options.name, self._address, options.domain)
+
+    def _issue_key(self) -> IssuedKey:
+        now_ms = trio.current_time() * 1000
+        prefix = self._core.claims.issue_prefix(now_ms)
+        return IssuedKey(prefix, self._options.claims.window_ms)
+
+
+def find_live_nodes(membership: Membership) -> list[NodeAddress]:
+    """Return the nodes that the VM list calls live."""
+    return [
+        NodeAddress(NodeName(vm.name), vm.callers, vm.domain)
+        for vm in membership.vms
+        if _is_live_node(vm)
+    ]
+
+
+def _is_live_node(vm: Vm) -> bool:
+    return vm.state is VmState.LIVE and vm.runs == "node" and vm.callers != ""
+
+
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/operators_face.py
@@ -0,0 +1,242 @@
+"""Serve operators: patches, versions, explanations, status, statistics, drain.
+
+Reads the core's state between two of its events, which is safe since both run in one
+thread and a read never waits; every change goes through the core's inbox.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.configuration import Configuration
+from toucanyard.core_events import PatchSubmitted
+from toucanyard.errorcodes import ErrorKind, RouterError
+from toucanyard.names import RequestId
+from toucanyard.options import Options
+from toucanyard.patches import Patch, find_owners
+from toucanyard_node.caller_context import build_refusal
+from toucanyard_node.configuration_diff import compute_diff
+from toucanyard_node.core_task import CoreTask
+from toucanyard_node.credentials import compute_key_hash, find_bearer_key
+from toucanyard_node.drain import DrainState
+from toucanyard_node.http_client import ConnectionFailedError, fetch
+from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.operator_answers import (
+    EndpointStatus,
+    HistoryReply,
+    PatchBody,
+    PatchReply,
+    StatusReply,
+    VersionReply,
+)
+from toucanyard_node.refusals import render_refusal
+
+_JSON: Final = (("Content-Type", "application/json"),)
+_EXPLAIN: Final = "/explain/"
+_FORWARDED: Final = "x-forwarded-by"
+_PATCH_DEADLINE_MS: Final = 10_000
+_PATCH_STATUSES: Final[dict[ErrorKind | None, int]] = {
+    None: 200,
+    ErrorKind.PATCH_CONFLICT: 409,
+    ErrorKind.PATCH_INVALID: 422,
+    ErrorKind.OUTCOME_UNKNOWN: 502,
+}
+_UNAVAILABLE: Final = 503
+_LOG: Final = structlog.get_logger()
+
+
+class OperatorsFace:
+    """Answer operators' requests."""
+
+    def __init__(self, task: CoreTask, options: Options, drain: DrainState) -> None:
+        self._task = task
+        self._core = task.core
+        self._options = options
+        self._drain = drain
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        try:
+            operator = self._authenticate(request)
+            serve = self._find_route(request, operator)
+            status, body = await serve()
+            await responder.send(status, _JSON, body)
+        except RouterError as error:
+            rendered = render_refusal(build_refusal(error, RequestId("")))
+            await responder.send(rendered.status, rendered.headers, rendered.body)
+
+    def _authenticate(self, request: HttpRequest) -> str:
+        """Return the operator's name, or raise."""
+        key = find_bearer_key(request.headers)
+        if not key:
+            raise RouterError(ErrorKind.UNAUTHENTICATED, "no bearer API key")
+        key_hash = compute_key_hash(key)
+        configuration = self._core.configuration
+        operator = configuration.find_operator_by_hash(key_hash)
+        if operator is not None:
+            return operator.name
+        is_first = not configuration.operators
+        if is_first and key_hash in self._options.bootstrap_operator_hashes:
+            return "bootstrap"
+        if configuration.find_customer_by_hash(key_hash) is not None:
+            raise RouterError(
+                ErrorKind.FORBIDDEN, "a customer's key, not an operator's"
+            )
+        raise RouterError(ErrorKind.UNAUTHENTICATED, "unknown API key")
+
+    def _find_route(
+        self, request: HttpRequest, operator: str
+    ) -> Callable[[], Awaitable[tuple[int, bytes]]]:
+        match request.method, request.path:
+            case "POST", "/patches":
+                return lambda: self._patch(request, operator)
+            case "POST", "/drain":
+                return self._begin_drain
+            case "GET", "/configuration":
+                return lambda: self._show(request)
+            case "GET", "/history":
+                return self._history
+            case "GET", "/diff":
+                return lambda: self._diff(request)
+            case "GET", "/status":
+                return self._status
+            case "GET", "/stats":
+                return self._statistics
+            case "GET", path if path.startswith(_EXPLAIN):
+                return lambda: self._explain(request)
+            case _, path:
+                raise RouterError(ErrorKind.NOT_FOUND, f"no {request.method} {path!r}")
+
+    async def _patch(self, request: HttpRequest, operator: str) -> tuple[int, bytes]:
+        try:
+            body = msgspec.json.decode(request.body, type=PatchBody)
+        except msgspec.DecodeError as error:
+            raise RouterError(ErrorKind.BAD_REQUEST, str(error)) from error
+        patch = Patch(body.patch_id, body.base, operator, body.put, body.remove)
+        deadline_ms = trio.current_time() * 1000 + _PATCH_DEADLINE_MS
+        answer = await self._task.submit_patch(PatchSubmitted(patch, deadline_ms))
+        _LOG.info(
+            "patch_answered",
+            patch_id=answer.patch_id,
+            operator=operator,
+            base=patch.base,
+            version=answer.version,
+            error=answer.error,
+        )
+        status = _PATCH_STATUSES.get(answer.error, _UNAVAILABLE)
+        reply = PatchReply(answer.patch_id, answer.version, answer.error, answer.text)
+        return status, msgspec.json.encode(reply)
+
+    async def _begin_drain(self) -> tuple[int, bytes]:
+        self._drain.begin()
+        return 202, b"{}"
+
+    async def _show(self, request: HttpRequest) -> tuple[int, bytes]:
+        configuration = self._find_version(request, "version")
+        return 200, msgspec.json.encode(VersionReply(configuration))
+
+    async def _history(self) -> tuple[int, bytes]:
+        log = self._core.log
+        reply = HistoryReply(log.configuration.version, log.history)
+        return 200, msgspec.json.encode(reply)
+
+    async def _diff(self, request: HttpRequest) -> tuple[int, bytes]:
+        old = self._find_version(request, "from")
+        new = self._find_version(request, "to")
+        return 200, msgspec.json.encode(compute_diff(old, new))
+
+    async def _statistics(self) -> tuple[int, bytes]:
+        return 200, msgspec.json.encode(self._core.flow.statistics.compute_statistics())
+
+    async def _status(self) -> tuple[int, bytes]:
+        now_ms = trio.current_time() * 1000
+        core = self._core
+        reply = StatusReply(
+            node=core.identity.node,
+            incarnation=core.identity.incarnation,
+            domain=self._options.domain,
+            version=core.configuration.version,
+            is_current=core.log.is_current(now_ms),
+            confirmed_age_ms=core.log.find_confirmed_age_ms(now_ms),
+            is_draining=self._drain.is_draining(),
+            is_self_suspect=core.membership.is_self_suspect(now_ms),
+            log_offset=core.log.next_offset,
+            unknown_record_kinds=core.log.counts.unknown_kinds,
+            pending_requests=core.flow.count_pending(),
+            queued_requests=core.admission.count_queued(),
+            keys=core.claims.count_keys(),
+            claims=core.claims.count_claims(),
+            peers=core.find_linked(),
+            vms=core.membership.vms,
+            endpoints=self._list_endpoints(now_ms),
+        )
+        return 200, msgspec.json.encode(reply)
+
+    def _list_endpoints(self, now_ms: float) -> tuple[EndpointStatus, ...]:
+        core = self._core
+        condemned = set(core.membership.find_condemned(now_ms))
+        listed: list[EndpointStatus] = []
+        for owner in find_owners(core.configuration):
+            usable = core.membership.find_usable(owner.endpoints, now_ms)
+            names = {each.name for each in usable}
+            listed += [
+                EndpointStatus(
+                    name=each.name,
+                    owner=owner.name,
+                    address=each.address,
+                    domain=each.domain,
+                    is_usable=each.name in names,
+                    is_leaving=core.membership.is_leaving(each, now_ms),
+                    is_condemned=each.name in condemned,
+                    incarnation=core.membership.find_incarnation(each.name),
+                    weights_version=core.directory.find_weights(each.name),
+                )
+                for each in owner.endpoints
+            ]
+        return tuple(listed)
+
+    async def _explain(self, request: HttpRequest) -> tuple[int, bytes]:
+        request_id = RequestId(request.path.removeprefix(_EXPLAIN))
+        record = self._core.flow.explanations.find(request_id)
+        if record is not None:
+            return 200, msgspec.json.encode(record)
+        return await self._explain_elsewhere(request, request_id)
+
+    async def _explain_elsewhere(
+        self, request: HttpRequest, request_id: RequestId
+    ) -> tuple[int, bytes]:
+        """Ask the node that the id names; it checks the operator's key itself."""
+        text = f"no decision record of {request_id!r}"
+        node_name = request_id.rsplit("-", 2)[0]
+        nodes = {vm.name: vm.operators for vm in self._core.membership.vms}
+        address = nodes.get(node_name)
+        # A forwarded question is never forwarded again, or two nodes with different
+        # VM lists could send it to and fro.
+        is_own = node_name == self._options.name
+        if not address or is_own or _FORWARDED in request.headers:
+            raise RouterError(ErrorKind.NOT_FOUND, text)
+        headers = (
+            ("Authorization", request.headers["authorization"]),
+            ("X-Forwarded-By", self._options.name),
+        )
+        try:
+            answer = await fetch(address, "GET", request.target, headers)
+        except ConnectionFailedError as error:
+            raise RouterError(
+                ErrorKind.ENDPOINT_FAILED, f"node {node_name} can't be asked: {error}"
+            ) from error
+        return answer.status, answer.body
+
+    def _find_version(self, request: HttpRequest, name: str) -> Configuration:
+        text = request.query.get(name)
+        if text is None:
+            return self._core.configuration
+        found = self._core.log.find_version(int(text)) if text.isdecimal() else None
+        if found is None:
+            raise RouterError(ErrorKind.NOT_FOUND, f"no version {text!r} is kept")
+        return found
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -0,0 +1,317 @@
+"""All decisions of one node: take an event and the present time, return actions.
+
+Owns one instance of each decision module and routes events between them. It has no
+sockets, clock or tasks, so that any number of nodes can be driven in one process.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator, Sequence
+
+from toucanyard.admission import Admission
+from toucanyard.at_most_once import AtMostOnce
+from toucanyard.claim_messages import (
+    ClaimAction,
+    ClaimRecordsRead,
+    LogState,
+    NodeId,
+    PeerMessageArrived,
+    PeersChanged,
+    PeerView,
+    RecordsSettled,
+    SendToPeer,
+    Ticked,
+)
+from toucanyard.configuration import Configuration, Endpoint
+from toucanyard.configuration_log import ConfigurationLog
+from toucanyard.configuration_records import ConfigurationDelta
+from toucanyard.configuration_spread import ConfigurationSpread
+from toucanyard.core_events import (
+    AppendSettled,
+    AppendToLog,
+    CacheDumpRead,
+    CacheEventsRead,
+    CallerLeft,
+    DispatchOver,
+    EndpointSilent,
+    FirstTokenSeen,
+    LinksChanged,
+    LoadRead,
+    LogExpired,
+    LogRead,
+    LogStateSeen,
+    MessageRead,
+    PatchAnswered,
+    PatchSubmitted,
+    ReadDump,
+    Reply,
+    RequestArrived,
+    SendMessage,
+    TickPassed,
+    VmsRead,
+)
+from toucanyard.digests import ConfigurationOffer, ConfigurationRequest, Digest
+from toucanyard.endpoint_directory import EndpointDirectory
+from toucanyard.membership import Membership
+from toucanyard.membership_events import (
+    Action as MembershipAction,
+    DigestArrived,
+    EndpointReported,
+    EndpointRestarted,
+    FetchConfiguration,
+    PeerConfirmed,
+    PeerDown,
+    PeerUp,
+    SendDigest,
+    Ticked as MembershipTicked,
+    VmListRead,
+)
+from toucanyard.names import Incarnation
+from toucanyard.options import Options
+from toucanyard.patches import find_owners
+from toucanyard.placement import Placement
+from toucanyard.request_flow import FlowAction, RequestFlow
+
+CoreEvent = (
+    RequestArrived
+    | CallerLeft
+    | FirstTokenSeen
+    | DispatchOver
+    | LogRead
+    | LogExpired
+    | LogStateSeen
+    | AppendSettled
+    | VmsRead
+    | LinksChanged
+    | MessageRead
+    | PatchSubmitted
+    | LoadRead
+    | CacheEventsRead
+    | CacheDumpRead
+    | EndpointSilent
+    | TickPassed
+)
+CoreAction = Reply | AppendToLog | SendMessage | PatchAnswered | ReadDump
+
+
+class NodeCore:
+    """The decisions of one node incarnation.
+
+    Invariant: state changes only inside `handle`, so the actions of one event are
+    complete before the next event is taken.
+    """
+
+    def __init__(
+        self, options: Options, incarnation: Incarnation, rng: random.Random
+    ) -> None:
+        self.identity = NodeId(options.name, incarnation)
+        self._options = options
+        self._linked: frozenset[NodeId] = frozenset()
+        self._applied_version = 0
+        self.log = ConfigurationLog(options.configuration, rng.random())
+        self.membership = Membership(options.name, incarnation, options.membership, rng)
+        self.spread = ConfigurationSpread(self.log, self.membership)
+        self.placement = Placement(rng)
+        self.admission = Admission(options.admission, rng)
+        self.claims = AtMostOnce(options.name, incarnation, options.claims, rng)
+        self.directory = EndpointDirectory(self.membership)
+        self.flow = RequestFlow(
+            self.admission,
+            self.placement,
+            self.claims,
+            self.directory,
+            options.streams,
+        )
+
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.log.configuration
+
+    def find_linked(self) -> tuple[NodeId, ...]:
+        """Return the peers to which a link stands."""
+        return tuple(sorted(self._linked, key=lambda peer: peer.node))
+
+    def find_watched(self) -> list[Endpoint]:
+        """Return the endpoints that this node should poll."""
+        endpoints = [
+            endpoint
+            for owner in find_owners(self.configuration)
+            for endpoint in owner.endpoints
+        ]
+        return self.membership.find_watched(endpoints)
+
+    def handle(self, event: CoreEvent, now_ms: float) -> list[CoreAction]:
+        """Take one event in and return what must be done now, in this order."""
+        actions = list(self._handle(event, now_ms))
+        if self.configuration.version != self._applied_version:
+            self._applied_version = self.configuration.version
+            self.flow.apply_configuration(self.configuration)
+        return actions
+
+    def _handle(self, event: CoreEvent, now_ms: float) -> Iterator[CoreAction]:
+        match event:
+            case RequestArrived() | CallerLeft() | FirstTokenSeen() | DispatchOver():
+                yield from self._handle_request(event, now_ms)
+            case LogRead() | LogExpired() | LogStateSeen() | AppendSettled():
+                yield from self._handle_log(event, now_ms)
+            case VmsRead(vms=vms):
+                read = VmListRead(vms)
+                yield from self._apply_membership(
+                    self.membership.handle(read, now_ms), now_ms
+                )
+            case LinksChanged(peers=peers):
+                yield from self._change_links(peers, now_ms)
+            case MessageRead():
+                yield from self._handle_message(event, now_ms)
+            case PatchSubmitted():
+                yield from self.spread.submit(event, now_ms)
+            case TickPassed():
+                yield from self._tick(now_ms)
+            case _:
+                yield from self._handle_endpoint(event, now_ms)
+
+    def _handle_request(
+        self,
+        event: RequestArrived | CallerLeft | FirstTokenSeen | DispatchOver,
+        now_ms: float,
+    ) -> Iterator[CoreAction]:
+        match event:
+            case RequestArrived(request=request):
+                yield from _to_core(self.flow.arrive(request, now_ms))
+            case CallerLeft(request_id=request_id):
+                yield from _to_core(self.flow.leave(request_id, now_ms))
+            case FirstTokenSeen():
+                self.flow.note_first_token(event.request_id, event.after_ms, now_ms)
+            case DispatchOver(outcome=outcome):
+                yield from _to_core(self.flow.end_dispatch(outcome, now_ms))
+
+    def _handle_log(
+        self, event: LogRead | LogExpired | LogStateSeen | AppendSettled, now_ms: float
+    ) -> Iterator[CoreAction]:
+        match event:
+            case LogRead():
+                yield from self.spread.read_log(event, now_ms)
+                read = ClaimRecordsRead(
+                    event.from_offset, event.next_offset, event.records
+                )
+                yield from self._apply_claims(self.claims.handle(read, now_ms), now_ms)
+            case LogExpired(oldest=oldest):
+                self.log.note_expired(oldest)
+            case LogStateSeen(is_up=is_up):
+                state = LogState(is_up)
+                yield from self._apply_claims(self.claims.handle(state, now_ms), now_ms)
+            case AppendSettled():
+                yield from self._settle(event, now_ms)
+
+    def _settle(self, event: AppendSettled, now_ms: float) -> Iterator[CoreAction]:
+        claimed: list[str] = []
+        for record_id in event.record_ids:
+            if self.spread.owns(record_id):
+                yield from self.spread.settle(record_id, event.result, now_ms)
+            else:
+                claimed.append(record_id)
+        if claimed:
+            settled = RecordsSettled(tuple(claimed), event.result)
+            yield from self._apply_claims(self.claims.handle(settled, now_ms), now_ms)
+
+    def _change_links(
+        self, peers: Sequence[NodeId], now_ms: float
+    ) -> Iterator[CoreAction]:
+        linked = frozenset(peers)
+        for gone in self._linked - linked:
+            self.membership.handle(PeerDown(gone.node), now_ms)
+        for new in linked - self._linked:
+            self.membership.handle(PeerUp(new.node), now_ms)
+        self._linked = linked
+        domains = {vm.name: vm.domain for vm in self.membership.vms}
+        views = tuple(
+            PeerView(
+                peer.node,
+                peer.incarnation,
+                domains.get(peer.node) not in (None, self._options.domain),
+            )
+            for peer in peers
+        )
+        changed = PeersChanged(views)
+        yield from self._apply_claims(self.claims.handle(changed, now_ms), now_ms)
+
+    def _handle_message(
+        self, event: MessageRead, now_ms: float
+    ) -> Iterator[CoreAction]:
+        message = event.message
+        match message:
+            case Digest():
+                arrived = DigestArrived(event.sender.node, message)
+                yield from self._apply_membership(
+                    self.membership.handle(arrived, now_ms), now_ms
+                )
+            case ConfigurationRequest() | ConfigurationDelta() | ConfigurationOffer():
+                yield from self.spread.read_message(event.sender.node, message, now_ms)
+            case _:
+                key_message = PeerMessageArrived(event.sender, message)
+                yield from self._apply_claims(
+                    self.claims.handle(key_message, now_ms), now_ms
+                )
+
+    def _handle_endpoint(
+        self,
+        event: LoadRead | CacheEventsRead | CacheDumpRead | EndpointSilent,
+        now_ms: float,
+    ) -> Iterator[CoreAction]:
+        match event:
+            case LoadRead(endpoint=endpoint, report=report):
+                reported = EndpointReported(
+                    endpoint, report.incarnation, event.asked_ms
+                )
+                yield from self._apply_membership(
+                    self.membership.handle(reported, now_ms), now_ms
+                )
+                self.placement.apply_load(endpoint, report, now_ms)
+                self.directory.note_weights(endpoint, report.weights_version)
+            case CacheEventsRead(endpoint=endpoint, events=events):
+                self.placement.apply_cache_events(endpoint, events, now_ms)
+            case CacheDumpRead(endpoint=endpoint, dump=dump):
+                self.placement.apply_cache_dump(endpoint, dump, now_ms)
+            case EndpointSilent(endpoint=endpoint):
+                self.directory.note_failure(endpoint, now_ms)
+
+    def _tick(self, now_ms: float) -> Iterator[CoreAction]:
+        yield from _to_core(self.flow.tick(now_ms))
+        yield from self._apply_claims(self.claims.handle(Ticked(), now_ms), now_ms)
+        yield from self._apply_membership(
+            self.membership.handle(MembershipTicked(), now_ms), now_ms
+        )
+        yield from self.spread.tick(now_ms)
+        for endpoint in self.placement.find_doubtful(now_ms):
+            self.placement.note_dump_asked(endpoint, now_ms)
+            yield ReadDump(endpoint)
+
+    def _apply_claims(
+        self, actions: Sequence[ClaimAction], now_ms: float
+    ) -> Iterator[CoreAction]:
+        yield from _to_core(self.flow.apply_claims(actions, now_ms))
+
+    def _apply_membership(
+        self, actions: Sequence[MembershipAction], now_ms: float
+    ) -> Iterator[CoreAction]:
+        for action in actions:
+            match action:
+                case SendDigest(to=to, digest=digest):
+                    yield SendMessage(to, digest)
+                case EndpointRestarted(endpoint=endpoint, incarnation=incarnation):
+                    self.placement.note_incarnation(endpoint, incarnation)
+                case FetchConfiguration():
+                    yield from self.spread.fetch(action)
+                case PeerConfirmed():
+                    self.spread.confirm(action, now_ms)
+
+
+def _to_core(actions: Iterator[FlowAction]) -> Iterator[CoreAction]:
+    for action in actions:
+        match action:
+            case SendToPeer(node=node, message=message):
+                yield SendMessage(node, message)
+            case _:
+                yield action
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -159,6 +159,8 @@
     platform: PlatformOptions
     peer_secrets: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
     """Secrets shared by nodes, newest first: the first signs, each is accepted."""
+    bootstrap_operator_hashes: tuple[str, ...] = ()
+    """Hashed keys accepted from operators while the configuration names none."""
     callers: CallerLimits = CallerLimits()
     streams: StreamLimits = StreamLimits()
     claims: ClaimLimits = ClaimLimits()
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -0,0 +1,484 @@
+"""Take each request from its arrival to its end: key, queue, endpoint, retries.
+
+Joins the decisions of at-most-once, admission and placement. A keyed request is let
+in before its key is claimed, so that a refusal for load costs no append; what such a
+refusal may say about the key is decided by what the caller told of its age.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.admission import Admission, AdmissionAction, Admit
+from toucanyard.at_most_once import AtMostOnce
+from toucanyard.claim_messages import (
+    AllowDispatch,
+    AppendRecord,
+    CallerLeft as KeyCallerLeft,
+    ClaimAction,
+    DispatchEnded,
+    DispatchStarted,
+    KeyedArrived,
+    RefuseKeyed,
+    ReplayAnswer,
+    SendToPeer,
+)
+from toucanyard.configuration import Configuration, Endpoint
+from toucanyard.core_events import AppendToLog, Reply
+from toucanyard.endpoint_directory import EndpointDirectory
+from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
+from toucanyard.explanations import (
+    Claimed,
+    DecisionRecord,
+    Ended,
+    ExplanationRing,
+    Queued,
+    Refused,
+    Replayed,
+    Sent,
+)
+from toucanyard.key_answers import compute_unclaimed_ending
+from toucanyard.names import Address, EndpointName, RequestId
+from toucanyard.options import StreamLimits
+from toucanyard.placement import Placed, Placement
+from toucanyard.requests import (
+    Dispatch,
+    EndingSeen,
+    ModelTarget,
+    Outcome,
+    Refuse,
+    Repeatability,
+    Replay,
+    Request,
+    ServiceTarget,
+)
+from toucanyard.statistics import StatisticsCollector
+
+_PROVED_NOT_RUN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
+_FAILED: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.FAILED, EndingSeen.LOST})
+
+FlowAction = Reply | AppendToLog | SendToPeer
+
+
+class _Phase(enum.Enum):
+    WAITING = enum.auto()
+    """Queued, or its key is undecided; a Reply is owed."""
+    RUNNING = enum.auto()
+
+
+class _Pending(msgspec.Struct):
+    """A request that is not over."""
+
+    request: Request
+    phase: _Phase = _Phase.WAITING
+    attempt: int = 0
+    is_key_allowed: bool = False
+    may_have_run: bool = False
+    """Never goes back to false: a later refusal must not say "not run"."""
+    placed: Placed | None = None
+    sent_ms: float = 0.0
+    weights_version: str | None = None
+    """Fixed once an answer has begun: it never goes on under other weights."""
+    tried: tuple[EndpointName, ...] = ()
+
+
+class RequestFlow:
+    """All requests of one node that are not over.
+
+    Invariant: each RequestArrived and each DispatchOver gets exactly one Reply, unless
+    the caller left before.
+    """
+
+    def __init__(
+        self,
+        admission: Admission,
+        placement: Placement,
+        claims: AtMostOnce,
+        directory: EndpointDirectory,
+        limits: StreamLimits,
+    ) -> None:
+        self._admission = admission
+        self._placement = placement
+        self._claims = claims
+        self._directory = directory
+        self._limits = limits
+        self._pending: dict[RequestId, _Pending] = {}
+        self._configuration = Configuration()
+        self.explanations = ExplanationRing()
+        self.statistics = StatisticsCollector()
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Decide by this configuration from now on."""
+        self._configuration = configuration
+        self._admission.apply_configuration(configuration)
+
+    def count_pending(self) -> int:
+        """Return how many requests are not over."""
+        return len(self._pending)
+
+    def arrive(self, request: Request, now_ms: float) -> Iterator[FlowAction]:
+        """Take in a new request."""
+        self._pending[request.request_id] = _Pending(request)
+        self.explanations.open(
+            DecisionRecord(
+                request.request_id,
+                request.customer,
+                request.configuration_version,
+                now_ms,
+                [],
+            )
+        )
+        event = _build_key_event(request)
+        if event is not None and not self._claims.may_dispatch(event):
+            yield from self.apply_claims(self._claims.handle(event, now_ms), now_ms)
+            return
+        self._update_usable(request, now_ms)
+        yield from self._apply_admission(self._admission.offer(request, now_ms), now_ms)
+        pending = self._pending.get(request.request_id)
+        if pending is not None and pending.phase is _Phase.WAITING:
+            self.explanations.add_step(request.request_id, Queued(now_ms))
+
+    def leave(self, request_id: RequestId, now_ms: float) -> Iterator[FlowAction]:
+        """Take in that the caller of an undecided request went away."""
+        pending = self._pending.pop(request_id, None)
+        if pending is None:
+            return
+        if pending.request.repeatability is Repeatability.KEYED:
+            actions = self._claims.handle(KeyCallerLeft(request_id), now_ms)
+            yield from self.apply_claims(actions, now_ms)
+        actions_freed = self._admission.abandon(request_id, now_ms)
+        yield from self._apply_admission(actions_freed, now_ms)
+
+    def note_first_token(
+        self, request_id: RequestId, after_ms: float, now_ms: float
+    ) -> None:
+        """Take in that an answer has begun."""
+        pending = self._pending.get(request_id)
+        if pending is None or pending.placed is None:
+            return
+        placed = pending.placed
+        self._placement.note_first_token(request_id, placed.endpoint, after_ms, now_ms)
+        computed_ms = placed.first_token_ms - placed.queue_ms
+        wait_ms = max(after_ms - computed_ms, 0.0)
+        self._admission.note_first_token(request_id, wait_ms, now_ms)
+        pending.weights_version = self._find_sent_weights(pending)
+
+    def end_dispatch(self, outcome: Outcome, now_ms: float) -> Iterator[FlowAction]:
+        """Take in how a dispatch ended and decide what follows."""
+        pending = self._pending.get(outcome.request_id)
+        if pending is None:
+            yield Reply(outcome.request_id, None)
+            return
+        self._note_outcome(pending, outcome, now_ms)
+        if outcome.ending in (EndingSeen.COMPLETED, EndingSeen.CANCELLED):
+            yield from self._finish(pending, outcome, now_ms)
+            yield Reply(outcome.request_id, None)
+            return
+        yield from self._retry_or_refuse(pending, outcome, now_ms)
+
+    def tick(self, now_ms: float) -> Iterator[FlowAction]:
+        """Refuse what waited past its deadline and let in what fits."""
+        yield from self._apply_admission(self._admission.tick(now_ms), now_ms)
+
+    def apply_claims(
+        self, actions: Sequence[ClaimAction], now_ms: float
+    ) -> Iterator[FlowAction]:
+        """Carry out what the at-most-once decision asks for."""
+        for action in actions:
+            match action:
+                case AllowDispatch(request_id=request_id):
+                    yield from self._allow(request_id, now_ms)
+                case RefuseKeyed():
+                    refusal = Refuse(
+                        action.request_id,
+                        action.kind,
+                        action.ending,
+                        action.text,
+                        action.retry_after_ms,
+                    )
+                    yield from self._refuse(refusal, now_ms)
+                case ReplayAnswer(request_id=request_id, answer=answer):
+                    yield from self._replay(Replay(request_id, answer), now_ms)
+                case AppendRecord():
+                    yield AppendToLog(action.record_id, action.text, action.is_urgent)
+                case SendToPeer():
+                    yield action
+
+    def _apply_admission(
+        self, actions: Sequence[AdmissionAction], now_ms: float
+    ) -> Iterator[FlowAction]:
+        for action in actions:
+            match action:
+                case Admit(request=request):
+                    yield from self._admit(request, now_ms)
+                case Refuse():
+                    yield from self._refuse(self._limit_claim(action), now_ms)
+
+    def _admit(self, request: Request, now_ms: float) -> Iterator[FlowAction]:
+        pending = self._pending.get(request.request_id)
+        if pending is None:
+            return
+        event = _build_key_event(request)
+        if event is None or pending.is_key_allowed:
+            yield from self._dispatch(pending, now_ms)
+            return
+        yield from self.apply_claims(self._claims.handle(event, now_ms), now_ms)
+
+    def _allow(self, request_id: RequestId, now_ms: float) -> Iterator[FlowAction]:
+        pending = self._pending.get(request_id)
+        if pending is None:
+            ended = DispatchEnded(request_id, EndingSeen.NOT_SENT)
+            yield from self.apply_claims(self._claims.handle(ended, now_ms), now_ms)
+            return
+        pending.is_key_allowed = True
+        self.explanations.add_step(request_id, Claimed(now_ms))
+        yield from self._dispatch(pending, now_ms)
+
+    def _dispatch(self, pending: _Pending, now_ms: float) -> Iterator[FlowAction]:
+        """Send a request to the best endpoint, or refuse it without one."""
+        request = pending.request
+        if request.deadline_ms <= now_ms:
+            text = "the deadline passed before the request could be sent"
+            yield from self._give_up(pending, ErrorKind.DEADLINE_EXCEEDED, text, now_ms)
+            return
+        candidates = self._find_candidates(pending, now_ms)
+        placed = self._choose(request, candidates, now_ms)
+        if placed is None:
+            text = "no endpoint can take the request"
+            yield from self._give_up(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
+            return
+        address = next(
+            each.address for each in candidates if each.name == placed.endpoint
+        )
+        yield from self._send(pending, placed, address, now_ms)
+
+    def _send(
+        self, pending: _Pending, placed: Placed, address: Address, now_ms: float
+    ) -> Iterator[FlowAction]:
+        request = pending.request
+        pending.attempt += 1
+        pending.placed = placed
+        pending.sent_ms = now_ms
+        pending.phase = _Phase.RUNNING
+        target = request.target
+        pool = None
+        if isinstance(target, ModelTarget):
+            pool = self._configuration.find_pool(target.pool)
+        self._placement.note_dispatch(request, placed, pool, now_ms)
+        self._admission.note_dispatch(request.request_id, placed.endpoint)
+        if request.repeatability is Repeatability.KEYED:
+            started = DispatchStarted(request.request_id)
+            yield from self.apply_claims(self._claims.handle(started, now_ms), now_ms)
+        self.explanations.add_step(
+            request.request_id,
+            Sent(
+                now_ms,
+                placed.endpoint,
+                pending.attempt,
+                placed.level_depth,
+                placed.scores,
+            ),
+        )
+        dispatch = Dispatch(
+            request_id=request.request_id,
+            endpoint=placed.endpoint,
+            address=address,
+            attempt=pending.attempt,
+            expected_incarnation=placed.incarnation,
+            weights_version=self._find_sent_weights(pending) or "",
+            silence_ms=self._limits.min_silence_ms,
+        )
+        yield Reply(request.request_id, dispatch)
+
+    def _choose(
+        self, request: Request, candidates: Sequence[Endpoint], now_ms: float
+    ) -> Placed | None:
+        match request.target:
+            case ModelTarget(pool=name):
+                pool = self._configuration.find_pool(name)
+                if pool is None:
+                    return None
+                return self._placement.choose(request, pool, candidates, now_ms)
+            case ServiceTarget(service=service_name):
+                service = self._configuration.find_service(service_name)
+                if service is None:
+                    return None
+                return self._placement.choose_service(
+                    request, service, candidates, now_ms
+                )
+
+    def _find_candidates(self, pending: _Pending, now_ms: float) -> Sequence[Endpoint]:
+        """Return the usable endpoints that were not tried and have room."""
+        usable = self._find_usable(pending.request, now_ms)
+        names = [each.name for each in usable]
+        open_names = self._admission.find_open(pending.request, names)
+        wanted = pending.weights_version
+        if len(open_names) == len(names) and not pending.tried and wanted is None:
+            return usable
+        allowed = set(open_names or names) - set(pending.tried)
+        return [
+            each
+            for each in usable
+            if each.name in allowed
+            and wanted in (None, self._directory.find_weights(each.name))
+        ]
+
+    def _find_usable(self, request: Request, now_ms: float) -> Sequence[Endpoint]:
+        match request.target:
+            case ModelTarget(pool=name):
+                pool = self._configuration.find_pool(name)
+                endpoints = () if pool is None else pool.endpoints
+            case ServiceTarget(service=service_name):
+                service = self._configuration.find_service(service_name)
+                endpoints = () if service is None else service.endpoints
+        return self._directory.find_usable(endpoints, now_ms)
+
+    def _update_usable(self, request: Request, now_ms: float) -> None:
+        usable = self._find_usable(request, now_ms)
+        self._admission.apply_usable(request, [each.name for each in usable])
+
+    def _find_sent_weights(self, pending: _Pending) -> str | None:
+        if pending.placed is None or not isinstance(
+            pending.request.target, ModelTarget
+        ):
+            return None
+        reported = self._directory.find_weights(pending.placed.endpoint)
+        return reported or pending.request.target.weights_version
+
+    def _note_outcome(self, pending: _Pending, outcome: Outcome, now_ms: float) -> None:
+        request = pending.request
+        if outcome.ending not in _PROVED_NOT_RUN:
+            pending.may_have_run = True
+        self._placement.note_outcome(request, outcome, now_ms)
+        if outcome.ending in _FAILED:
+            self._admission.note_failure(request.request_id, now_ms)
+            self._directory.note_failure(outcome.endpoint, now_ms)
+        waited_ms = pending.sent_ms - request.arrived_ms
+        self.statistics.record_outcome(
+            request.customer, request.priority, outcome, waited_ms
+        )
+        self.explanations.add_step(
+            request.request_id,
+            Ended(
+                now_ms,
+                outcome.endpoint,
+                outcome.ending,
+                outcome.first_token_ms,
+                outcome.cached_tokens,
+                outcome.prompt_tokens,
+            ),
+        )
+
+    def _retry_or_refuse(
+        self, pending: _Pending, outcome: Outcome, now_ms: float
+    ) -> Iterator[FlowAction]:
+        request = pending.request
+        is_safe = (
+            outcome.ending in _PROVED_NOT_RUN
+            or request.repeatability is Repeatability.REPEATABLE
+        )
+        if not is_safe:
+            text = "the endpoint failed while it may have been running the request"
+            yield from self._give_up(
+                pending, ErrorKind.OUTCOME_UNKNOWN, text, now_ms, outcome
+            )
+            return
+        pending.tried = (*pending.tried, outcome.endpoint)
+        if self._admission.may_retry(pending.attempt):
+            yield from self._dispatch(pending, now_ms)
+            return
+        text = f"{pending.attempt} tries failed, the last at {outcome.endpoint}"
+        yield from self._give_up(pending, ErrorKind.NO_ENDPOINT, text, now_ms, outcome)
+
+    def _give_up(
+        self,
+        pending: _Pending,
+        kind: ErrorKind,
+        text: str,
+        now_ms: float,
+        outcome: Outcome | None = None,
+    ) -> Iterator[FlowAction]:
+        """Refuse at once a request that holds a slot, a key or both."""
+        request = pending.request
+        if pending.may_have_run:
+            kind = _find_unknown_kind(request)
+        ending = ANSWERS[kind].ending or Ending.UNKNOWN
+        if outcome is None:
+            outcome = Outcome(request.request_id, EndpointName(""), EndingSeen.NOT_SENT)
+        retry_after_ms = self._admission.compute_retry_after(request, now_ms)
+        refusal = Refuse(request.request_id, kind, ending, text, retry_after_ms)
+        yield from self._refuse(refusal, now_ms, outcome)
+
+    def _refuse(
+        self, refusal: Refuse, now_ms: float, outcome: Outcome | None = None
+    ) -> Iterator[FlowAction]:
+        pending = self._pending.get(refusal.request_id)
+        if pending is None:
+            return
+        self.explanations.add_step(
+            refusal.request_id,
+            Refused(
+                now_ms,
+                refusal.kind,
+                refusal.ending,
+                refusal.text,
+                refusal.retry_after_ms,
+            ),
+        )
+        self.statistics.record_refusal(pending.request.customer, refusal.kind)
+        yield Reply(refusal.request_id, refusal)
+        yield from self._finish(pending, outcome, now_ms)
+
+    def _replay(self, replay: Replay, now_ms: float) -> Iterator[FlowAction]:
+        pending = self._pending.get(replay.request_id)
+        if pending is None:
+            return
+        self.explanations.add_step(replay.request_id, Replayed(now_ms))
+        yield Reply(replay.request_id, replay)
+        yield from self._finish(pending, None, now_ms)
+
+    def _finish(
+        self, pending: _Pending, outcome: Outcome | None, now_ms: float
+    ) -> Iterator[FlowAction]:
+        """Free what a request held: its key, its slot and its place here."""
+        request_id = pending.request.request_id
+        self._pending.pop(request_id, None)
+        if pending.is_key_allowed and outcome is not None:
+            ended = DispatchEnded(request_id, outcome.ending, outcome.answer)
+            yield from self.apply_claims(self._claims.handle(ended, now_ms), now_ms)
+        freed = self._admission.release(request_id, now_ms)
+        yield from self._apply_admission(freed, now_ms)
+
+    def _limit_claim(self, refusal: Refuse) -> Refuse:
+        """Say of a keyed request no more than is known about its key."""
+        pending = self._pending.get(refusal.request_id)
+        if pending is None:
+            return refusal
+        request = pending.request
+        if request.repeatability is not Repeatability.KEYED:
+            return refusal
+        ending = compute_unclaimed_ending(request.key_age_ms)
+        return msgspec.structs.replace(refusal, ending=ending)
+
+
+def _find_unknown_kind(request: Request) -> ErrorKind:
+    if request.repeatability is Repeatability.REPEATABLE:
+        return ErrorKind.ENDPOINT_LOST
+    return ErrorKind.OUTCOME_UNKNOWN
+
+
+def _build_key_event(request: Request) -> KeyedArrived | None:
+    if request.repeatability is not Repeatability.KEYED:
+        return None
+    return KeyedArrived(
+        request.request_id,
+        request.customer,
+        request.key,
+        request.body_digest,
+        request.deadline_ms,
+        request.key_age_ms,
+    )
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/wire.py
@@ -0,0 +1,80 @@
+"""Encode and decode what nodes send one another: CBOR of tagged messages.
+
+One closed union names every message. A message that doesn't decode is the sender's
+fault and is answered by closing the link, never by guessing.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import cbor2
+import msgspec
+
+from toucanyard.claim_messages import KeyMessage
+from toucanyard.configuration_records import ConfigurationDelta
+from toucanyard.digests import (
+    ConfigurationOffer,
+    ConfigurationRequest,
+    Digest,
+    DigestMessage,
+)
+
+MAX_MESSAGE_BYTES: Final = 4_000_000
+
+
+PeerMessage = KeyMessage | DigestMessage
+
+
+ConfigurationMessage = ConfigurationRequest | ConfigurationDelta | ConfigurationOffer
+
+
+class _KeyFrame(msgspec.Struct, frozen=True, array_like=True, tag="k"):
+    message: KeyMessage
+
+
+class _DigestFrame(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    message: Digest
+
+
+class _ConfigurationFrame(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    message: ConfigurationMessage
+
+
+# Digests are arrays, since they are sent all the time; the codec can't tell arrays
+# and maps apart in one union, so a frame says which family a message is of.
+_Frame = _KeyFrame | _DigestFrame | _ConfigurationFrame
+
+
+class MessageInvalidError(Exception):
+    """A message is not CBOR, not of a known kind, or has a wrong field."""
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return the bytes of one message."""
+    frame: _Frame
+    match message:
+        case Digest():
+            frame = _DigestFrame(message)
+        case ConfigurationRequest() | ConfigurationDelta() | ConfigurationOffer():
+            frame = _ConfigurationFrame(message)
+        case _:
+            frame = _KeyFrame(message)
+    return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
+
+
+def decode_message(data: bytes) -> PeerMessage:
+    """Return the message in some bytes, or raise MessageInvalidError."""
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise MessageInvalidError(f"found {len(data)} bytes")
+    try:
+        frame: _Frame = msgspec.convert(
+            cbor2.loads(data), _Frame, builtin_types=(bytes,)
+        )
+    except (
+        cbor2.CBORDecodeError,
+        msgspec.ValidationError,
+        RecursionError,
+    ) as error:
+        raise MessageInvalidError(str(error)) from error
+    return frame.message
--- /dev/null
+++ b/tests/toucanyard/test_request_flow.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import pytest
+
+from core_world import CoreWorld
+from toucanyard.core_events import DispatchOver, LogStateSeen
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import RequestId
+from toucanyard.requests import (
+    Dispatch,
+    EndingSeen,
+    KeptAnswer,
+    Outcome,
+    Refuse,
+    Repeatability,
+    Replay,
+)
+
+ANSWER = KeptAnswer(200, "application/json", b"{}")
+
+
+@pytest.fixture
+def world() -> CoreWorld:
+    return CoreWorld()
+
+
+def end(world: CoreWorld, request_id: RequestId, ending: EndingSeen) -> None:
+    dispatch = world.find_last(request_id)
+    assert isinstance(dispatch, Dispatch)
+    answer = ANSWER if ending is EndingSeen.COMPLETED else None
+    outcome = Outcome(request_id, dispatch.endpoint, ending, answer=answer)
+    world.handle(DispatchOver(outcome))
+
+
+def test_request_is_dispatched_and_ends_with_one_reply_each(world: CoreWorld) -> None:
+    request_id = world.arrive("r1")
+    end(world, request_id, EndingSeen.COMPLETED)
+    assert isinstance(world.replies[request_id][0], Dispatch)
+    assert world.replies[request_id][1:] == [None]
+    assert world.core.flow.count_pending() == 0
+    assert world.core.admission.count_running() == 0
+
+
+def test_retry_goes_to_an_endpoint_that_was_not_tried(world: CoreWorld) -> None:
+    # The caller sees one answer. An endpoint that can't be reached is left out of the
+    # next try, or a retry would spend the budget on the same dead address.
+    request_id = world.arrive("r1")
+    end(world, request_id, EndingSeen.NOT_SENT)
+    first, second = world.replies[request_id]
+    assert isinstance(first, Dispatch) and isinstance(second, Dispatch)
+    assert second.endpoint != first.endpoint
+    assert second.attempt == 2
+
+
+def test_run_once_request_that_was_lost_is_never_sent_again(world: CoreWorld) -> None:
+    # The caller sees "outcome unknown". The connection died after the request left:
+    # a second try could hold a second seat, and "not run" could be false.
+    request_id = world.arrive("r1", Repeatability.RUN_ONCE, is_service=True)
+    end(world, request_id, EndingSeen.LOST)
+    refusal = world.find_last(request_id)
+    assert isinstance(refusal, Refuse)
+    assert refusal.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert refusal.ending is Ending.UNKNOWN
+
+
+def test_refusal_after_a_lost_try_never_says_not_run(world: CoreWorld) -> None:
+    # The caller sees "unknown" with a time to come back. The first try was lost and may
+    # have run; that the later ones provably did not changes nothing about it.
+    request_id = world.arrive("r1")
+    end(world, request_id, EndingSeen.LOST)
+    while isinstance(world.find_last(request_id), Dispatch):
+        end(world, request_id, EndingSeen.NOT_SENT)
+    refusal = world.find_last(request_id)
+    assert isinstance(refusal, Refuse)
+    assert refusal.ending is Ending.UNKNOWN
+    assert refusal.retry_after_ms > 0
+
+
+def test_keyed_request_is_dispatched_only_after_its_claim_was_read(
+    world: CoreWorld,
+) -> None:
+    # Dispatching on the append's answer alone would run the key twice when another
+    # node's claim stands before this one's in the log.
+    request_id = world.arrive("r1", Repeatability.KEYED, "hold-1", is_service=True)
+    assert request_id not in world.replies
+    world.read_log()
+    assert isinstance(world.find_last(request_id), Dispatch)
+
+
+def test_retry_of_an_answered_key_gets_the_first_answer(world: CoreWorld) -> None:
+    first = world.arrive("r1", Repeatability.KEYED, "hold-1", is_service=True)
+    world.read_log()
+    end(world, first, EndingSeen.COMPLETED)
+    second = world.arrive("r2", Repeatability.KEYED, "hold-1", is_service=True)
+    assert world.find_last(second) == Replay(second, ANSWER)
+    assert world.core.admission.count_running() == 0
+
+
+@pytest.mark.parametrize(
+    ("key_age_ms", "ending"), [(0.0, Ending.NOT_RUN), (None, Ending.UNKNOWN)]
+)
+def test_early_refusal_of_a_key_says_not_run_of_a_first_try_only(
+    world: CoreWorld, key_age_ms: float | None, ending: Ending
+) -> None:
+    # The caller sees an immediate refusal while the log is down. An earlier try may
+    # have run through another node, so only a declared first try is told "not run".
+    world.handle(LogStateSeen(False))
+    request_id = world.arrive(
+        "r1", Repeatability.KEYED, "hold-1", key_age_ms, is_service=True
+    )
+    refusal = world.find_last(request_id)
+    assert isinstance(refusal, Refuse)
+    assert refusal.kind is ErrorKind.LOG_UNAVAILABLE
+    assert refusal.ending is ending
+
+
+def test_repeatable_requests_go_on_while_the_log_is_down(world: CoreWorld) -> None:
+    world.handle(LogStateSeen(False))
+    assert isinstance(world.find_last(world.arrive("r1")), Dispatch)
+
+
+def test_every_step_of_a_request_is_explained(world: CoreWorld) -> None:
+    request_id = world.arrive("r1")
+    end(world, request_id, EndingSeen.NOT_SENT)
+    end(world, request_id, EndingSeen.COMPLETED)
+    record = world.core.flow.explanations.find(request_id)
+    assert record is not None
+    names = [type(step).__name__ for step in record.steps]
+    assert names == ["Sent", "Ended", "Sent", "Ended"]
+    assert record.configuration_version == 1
