Link nodes by websockets, read the VM list and watch endpoints

Cause: the core's decisions on membership and configuration need their sockets. Ruled out: a proof over the sender's hello alone, as it could be replayed or sent back; keeping the later of two links, as each end may drop what the other keeps. Before: nothing. After: both ends prove a shared secret over both nonces, first secret signs and all are accepted; links, greetings, message size and rate are bounded; silent links end; polls are bounded where nodes share the watching; only a failure on a new connection speaks against an endpoint.

--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/bounded_fetch.py
@@ -0,0 +1,56 @@
+"""Read answers from endpoints and platform within a limit of size and time."""
+
+from __future__ import annotations
+
+import trio
+
+from toucanyard.names import Address
+from toucanyard_node.http_client import (
+    Connect,
+    ConnectionFailedError,
+    Headers,
+    HttpConnection,
+    Response,
+    connect,
+)
+
+
+async def exchange_bounded(
+    connection: HttpConnection,
+    method: str,
+    target: str,
+    max_bytes: int,
+    headers: Headers = (),
+    body: bytes = b"",
+) -> Response:
+    """Make one request on a connection, or raise ConnectionFailedError.
+
+    A body over the limit is given up: whoever sends without end must not fill this
+    node's memory.
+    """
+    await connection.send(method, target, headers, body)
+    head = await connection.read_head()
+    received = bytearray()
+    while (part := await connection.read_part()) is not None:
+        received += part
+        if len(received) > max_bytes:
+            raise ConnectionFailedError(f"over {max_bytes} bytes", is_sent=True)
+    return Response(head.status, head.headers, bytes(received))
+
+
+async def fetch_bounded(
+    address: Address,
+    target: str,
+    timeout_ms: float,
+    max_bytes: int,
+    connect_to: Connect = connect,
+) -> Response:
+    """Get one answer on a connection of its own, or raise ConnectionFailedError."""
+    connection = await connect_to(address, timeout_ms)
+    try:
+        with trio.fail_after(timeout_ms / 1000):
+            return await exchange_bounded(connection, "GET", target, max_bytes)
+    except trio.TooSlowError as error:
+        raise ConnectionFailedError(f"{address}: no answer", is_sent=True) from error
+    finally:
+        await connection.close()
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
@@ -0,0 +1,301 @@
+"""Watch endpoints: poll loads, follow cache events, fetch dumps.
+
+One task per endpoint owns its connection. What it reads goes to the core as events;
+what it can't read, as silence.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Final, TypeVar
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.cache_view import CacheDump, CacheEvent, CacheEventKind, CacheEvents
+from toucanyard.configuration import Endpoint
+from toucanyard.core_events import (
+    CacheDumpRead,
+    CacheEventsRead,
+    EndpointSilent,
+    LoadRead,
+)
+from toucanyard.load_view import LoadReport
+from toucanyard.names import Address, EndpointName, Incarnation
+from toucanyard.options import MembershipTimings
+from toucanyard_node.bounded_fetch import exchange_bounded, fetch_bounded
+from toucanyard_node.http_client import (
+    Connect,
+    ConnectionFailedError,
+    HttpConnection,
+    Response,
+    connect,
+)
+
+_LOG: Final = structlog.get_logger()
+_REFRESH_MS: Final = 200
+_MAX_LOAD_BYTES: Final = 65_536
+_MAX_EVENTS_BYTES: Final = 4_000_000
+_MAX_DUMP_BYTES: Final = 32_000_000
+_EVENTS_WAIT_MS: Final = 1_000
+_DUMP_TIMEOUT_MS: Final = 5_000
+_EVENTS_AGAIN_MS: Final = 500
+_HEX: Final = 16
+
+T = TypeVar("T")
+
+WatchEvent = LoadRead | EndpointSilent | CacheEventsRead | CacheDumpRead
+Emit = Callable[[WatchEvent], Awaitable[None]]
+
+
+class Watched(msgspec.Struct, frozen=True):
+    """One endpoint to watch; only engines have caches."""
+
+    endpoint: Endpoint
+    is_engine: bool
+
+
+class _EventBody(msgspec.Struct, frozen=True):
+    seq: int
+    kind: CacheEventKind
+    hashes: tuple[str, ...]
+
+
+class _EventsBody(msgspec.Struct, frozen=True):
+    incarnation: Incarnation
+    oldest: int
+    next: int
+    events: tuple[_EventBody, ...]
+
+
+class _DumpBody(msgspec.Struct, frozen=True):
+    incarnation: Incarnation
+    next: int
+    hashes: tuple[str, ...]
+
+
+class AnswerInvalidError(Exception):
+    """An endpoint's answer can't be used."""
+
+
+def decode_load(response: Response) -> LoadReport:
+    """Return the load in an answer, or raise AnswerInvalidError."""
+    report = _decode(response, LoadReport)
+    numbers = (report.running, report.waiting, report.queued_blocks, report.age_ms)
+    if min(numbers) < 0 or not report.incarnation:
+        raise AnswerInvalidError("found a negative number or no incarnation")
+    return report
+
+
+def decode_events(response: Response) -> CacheEvents:
+    """Return the cache events in an answer, or raise AnswerInvalidError."""
+    body = _decode(response, _EventsBody)
+    events = tuple(
+        CacheEvent(event.seq, event.kind, _parse_hashes(event.hashes))
+        for event in body.events
+    )
+    return CacheEvents(body.incarnation, body.oldest, body.next, events)
+
+
+def decode_dump(response: Response) -> CacheDump:
+    """Return the list of blocks in an answer, or raise AnswerInvalidError."""
+    body = _decode(response, _DumpBody)
+    return CacheDump(body.incarnation, body.next, _parse_hashes(body.hashes))
+
+
+def compute_poll_wait_ms(timings: MembershipTimings, watched: int, count: int) -> float:
+    """Return the time between two polls of one endpoint that answers.
+
+    `count` is how many endpoints there are. Where nodes share the watching, each
+    polls at a fixed rate in all, whatever its share; an endpoint that fails is polled
+    at the full rate, so that deaths are noticed as fast.
+    """
+    is_shared = watched < count
+    rate = timings.max_shared_polls_per_s if is_shared else timings.max_polls_per_s
+    return max(float(timings.load_poll_ms), watched * 1000 / rate)
+
+
+class EndpointWatch:
+    """Hold one task for each endpoint to watch.
+
+    Invariant: an endpoint that is no longer wanted, or got another address, has no
+    task after the next refresh.
+    """
+
+    def __init__(
+        self,
+        find_watched: Callable[[], tuple[Sequence[Watched], int]],
+        timings: MembershipTimings,
+        emit: Emit,
+        connect_to: Connect = connect,
+    ) -> None:
+        """`find_watched` gives what to watch and how many endpoints there are."""
+        self._find_watched = find_watched
+        self._timings = timings
+        self._emit = emit
+        self._connect = connect_to
+        self._scopes: dict[Watched, trio.CancelScope] = {}
+        self._addresses: dict[EndpointName, Address] = {}
+        self._wait_ms = float(timings.load_poll_ms)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._refresh(nursery)
+                await trio.sleep(_REFRESH_MS / 1000)
+
+    async def read_dump(self, endpoint: EndpointName) -> None:
+        """Fetch the list of an engine's blocks and emit it, if it can be had."""
+        address = self._addresses.get(endpoint)
+        if address is None:
+            return
+        try:
+            response = await fetch_bounded(
+                address,
+                "/v1/cache/dump",
+                _DUMP_TIMEOUT_MS,
+                _MAX_DUMP_BYTES,
+                self._connect,
+            )
+            dump = decode_dump(response)
+        except (ConnectionFailedError, AnswerInvalidError) as error:
+            _LOG.info("dump_unread", endpoint=endpoint, error=str(error)[:200])
+            return
+        await self._emit(CacheDumpRead(endpoint, dump))
+
+    def _refresh(self, nursery: trio.Nursery) -> None:
+        wanted, count = self._find_watched()
+        self._wait_ms = compute_poll_wait_ms(self._timings, len(wanted), count)
+        for watched in set(self._scopes).difference(wanted):
+            self._scopes.pop(watched).cancel()
+        self._addresses = {
+            each.endpoint.name: each.endpoint.address
+            for each in wanted
+            if each.is_engine
+        }
+        for watched in wanted:
+            if watched not in self._scopes:
+                scope = self._scopes[watched] = trio.CancelScope()
+                nursery.start_soon(self._watch, watched, scope)
+
+    async def _watch(self, watched: Watched, scope: trio.CancelScope) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._poll_load, watched)
+                if watched.is_engine:
+                    nursery.start_soon(self._follow_events, watched.endpoint)
+
+    async def _poll_load(self, watched: Watched) -> None:
+        endpoint = watched.endpoint
+        poller = _Poller(endpoint.address, self._timings, self._connect)
+        target = "/v1/load" if watched.is_engine else "/load"
+        try:
+            while True:
+                asked_ms = trio.current_time() * 1000
+                wait_ms = self._wait_ms
+                try:
+                    report = decode_load(await poller.get(target))
+                except (ConnectionFailedError, AnswerInvalidError) as error:
+                    _LOG.debug("load_unread", endpoint=endpoint.name, error=str(error))
+                    await self._emit(EndpointSilent(endpoint.name))
+                    wait_ms = float(self._timings.load_poll_ms)
+                else:
+                    await self._emit(LoadRead(endpoint.name, report, asked_ms))
+                spent_ms = trio.current_time() * 1000 - asked_ms
+                await trio.sleep(max(0.0, wait_ms - spent_ms) / 1000)
+        finally:
+            with trio.CancelScope(shield=True):
+                await poller.close()
+
+    async def _follow_events(self, endpoint: Endpoint) -> None:
+        after = -1
+        incarnation: Incarnation | None = None
+        while True:
+            target = f"/v1/cache/events?after={after}&wait_ms={_EVENTS_WAIT_MS}"
+            timeout_ms = _EVENTS_WAIT_MS + 2 * self._timings.load_poll_ms + 1_000
+            try:
+                response = await fetch_bounded(
+                    endpoint.address,
+                    target,
+                    timeout_ms,
+                    _MAX_EVENTS_BYTES,
+                    self._connect,
+                )
+                events = decode_events(response)
+            except (ConnectionFailedError, AnswerInvalidError) as error:
+                _LOG.debug("events_unread", endpoint=endpoint.name, error=str(error))
+                await trio.sleep(_EVENTS_AGAIN_MS / 1000)
+                continue
+            if incarnation not in (None, events.incarnation):
+                # Numbers begin anew after a restart: what came is cut off by `after`.
+                after = -1
+                incarnation = events.incarnation
+                continue
+            incarnation = events.incarnation
+            after = max(after, events.next - 1)
+            await self._emit(CacheEventsRead(endpoint.name, events))
+
+
+class _Poller:
+    """Get small answers from one address on a connection that is kept."""
+
+    def __init__(
+        self, address: Address, timings: MembershipTimings, connect_to: Connect
+    ) -> None:
+        self._address = address
+        self._timeout_ms = timings.poll_timeout_ms
+        self._connect = connect_to
+        self._kept: HttpConnection | None = None
+
+    async def get(self, target: str) -> Response:
+        """Get one answer, or raise ConnectionFailedError."""
+        kept, self._kept = self._kept, None
+        if kept is not None:
+            try:
+                return await self._try(kept, target)
+            except ConnectionFailedError:
+                # Something between may have lost track of this connection while new
+                # ones work; only a failure on a new one speaks against the endpoint.
+                pass
+        fresh = await self._connect(self._address, self._timeout_ms)
+        return await self._try(fresh, target)
+
+    async def close(self) -> None:
+        """Close the kept connection."""
+        if self._kept is not None:
+            await self._kept.close()
+
+    async def _try(self, connection: HttpConnection, target: str) -> Response:
+        is_kept = False
+        try:
+            with trio.fail_after(self._timeout_ms / 1000):
+                response = await exchange_bounded(
+                    connection, "GET", target, _MAX_LOAD_BYTES
+                )
+            is_kept = connection.is_reusable()
+        except trio.TooSlowError as error:
+            raise ConnectionFailedError("no answer", is_sent=True) from error
+        finally:
+            if not is_kept:
+                with trio.CancelScope(shield=True):
+                    await connection.close()
+        self._kept = connection
+        return response
+
+
+def _decode(response: Response, kind: type[T]) -> T:
+    if response.status != 200:
+        raise AnswerInvalidError(f"found status {response.status}")
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise AnswerInvalidError(str(error)) from error
+
+
+def _parse_hashes(hashes: Sequence[str]) -> tuple[int, ...]:
+    try:
+        return tuple(int(each, _HEX) for each in hashes)
+    except ValueError as error:
+        raise AnswerInvalidError("found a hash that is not hexadecimal") from error
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_greeting.py
@@ -0,0 +1,97 @@
+"""Let two nodes prove to each other that they know a shared secret.
+
+Each sends a Hello with a nonce, then a proof over both nonces and both names. A proof
+is of no use on another connection, nor in the other direction, so replaying or
+reflecting one gets nobody in. The first secret signs and all are accepted, so that a
+new secret can be brought in without a cut.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import hmac
+import os
+from collections.abc import Sequence
+from typing import Final, TypeVar
+
+import cbor2
+import msgspec
+from websockets.trio.connection import Connection
+
+from toucanyard.claim_messages import NodeId
+from toucanyard.names import Incarnation, NodeName
+
+PROTOCOL_VERSION: Final = 1
+_NONCE_BYTES: Final = 32
+_MAX_GREETING_BYTES: Final = 4_096
+
+T = TypeVar("T")
+
+
+class Side(enum.StrEnum):
+    """Which end of a link a node is."""
+
+    CLIENT = "client"
+    SERVER = "server"
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """The first message each way; more fields may come in later versions."""
+
+    version: int
+    node: str
+    incarnation: str
+    nonce: bytes
+
+
+class Proof(msgspec.Struct, frozen=True):
+    """The second message each way."""
+
+    mac: bytes
+
+
+class GreetingError(Exception):
+    """The other end speaks another version or doesn't know the secret."""
+
+
+async def greet(
+    socket: Connection, side: Side, identity: NodeId, secrets: Sequence[str]
+) -> NodeId:
+    """Return who the other end is, or raise GreetingError."""
+    nonce = os.urandom(_NONCE_BYTES)
+    own = Hello(PROTOCOL_VERSION, identity.node, identity.incarnation, nonce)
+    await _send(socket, own)
+    other = await _receive(socket, Hello)
+    if other.version != PROTOCOL_VERSION:
+        raise GreetingError(f"found protocol version {other.version}")
+    if len(other.nonce) != _NONCE_BYTES or not other.node or not other.incarnation:
+        raise GreetingError("found an incomplete hello")
+    await _send(socket, Proof(compute_mac(secrets[0], side, own, other)))
+    proof = await _receive(socket, Proof)
+    other_side = Side.SERVER if side is Side.CLIENT else Side.CLIENT
+    expected = [compute_mac(secret, other_side, other, own) for secret in secrets]
+    if not any(hmac.compare_digest(proof.mac, each) for each in expected):
+        raise GreetingError(f"found a wrong proof from {other.node[:64]!r}")
+    return NodeId(NodeName(other.node), Incarnation(other.incarnation))
+
+
+def compute_mac(secret: str, side: Side, sender: Hello, receiver: Hello) -> bytes:
+    """Return the proof that a sender on one side knows the secret."""
+    text = cbor2.dumps([side.value, *msgspec.structs.astuple(sender)])
+    text += cbor2.dumps(msgspec.structs.astuple(receiver))
+    return hmac.digest(secret.encode(), text, hashlib.sha256)
+
+
+async def _send(socket: Connection, message: Hello | Proof) -> None:
+    await socket.send(cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,))))
+
+
+async def _receive(socket: Connection, kind: type[T]) -> T:
+    data = await socket.recv()
+    if isinstance(data, str) or len(data) > _MAX_GREETING_BYTES:
+        raise GreetingError("found text or too much")
+    try:
+        return msgspec.convert(cbor2.loads(data), kind, builtin_types=(bytes,))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, RecursionError) as error:
+        raise GreetingError(str(error)[:200]) from error
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -0,0 +1,297 @@
+"""Keep websocket links to other nodes and carry messages over them.
+
+Each link is owned by its two tasks, one that reads and one that writes; a full queue
+drops messages, which every message of the protocol allows for. Both ends prove that
+they know a shared secret before anything else is read.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+import websockets.exceptions
+from websockets.trio.client import connect as connect_websocket
+from websockets.trio.connection import Connection
+from websockets.trio.server import ServerConnection, serve as serve_websockets
+
+from toucanyard.claim_messages import NodeId
+from toucanyard.core_events import LinksChanged, MessageRead, SendMessage
+from toucanyard.names import NodeName
+from toucanyard.options import MembershipTimings
+from toucanyard.vm_view import Vm
+from toucanyard.wire import (
+    MAX_MESSAGE_BYTES,
+    MessageInvalidError,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from toucanyard_node.peer_greeting import GreetingError, Side, greet
+from toucanyard_node.rate_limit import RateLimit
+
+_LOG: Final = structlog.get_logger()
+_GREETING_TIMEOUT_S: Final = 2.0
+_DIAL_INTERVAL_S: Final = 0.25
+_MIN_BACKOFF_S: Final = 0.5
+_MAX_BACKOFF_S: Final = 5.0
+_SILENCE_INTERVALS: Final = 5
+_QUEUE: Final = 256
+_MAX_GREETING: Final = 16
+_LINKS_PER_PEER: Final = 4
+_MESSAGES_PER_S: Final = 500
+_BYTES_PER_S: Final = 1_000_000
+_SEND_TIMEOUT_S: Final = 5.0
+
+LinkEvent = LinksChanged | MessageRead
+Emit = Callable[[LinkEvent], Awaitable[None]]
+
+
+class LinkCounts(msgspec.Struct):
+    """What happened on all links since the start."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+    refused: int = 0
+    malformed: int = 0
+
+
+class _Link(msgspec.Struct, eq=False):
+    peer: NodeId
+    is_dialed: bool
+    queue: trio.MemorySendChannel[PeerMessage]
+    scope: trio.CancelScope
+
+
+class PeerLinks:
+    """Hold this node's links.
+
+    Invariants: one link at most to each node name, and a bounded number in all; every
+    message that is emitted came from the node and incarnation that it names.
+    """
+
+    def __init__(
+        self,
+        identity: NodeId,
+        secrets: Sequence[str],
+        timings: MembershipTimings,
+        find_peers: Callable[[], Sequence[Vm]],
+        emit: Emit,
+        rng: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._secrets = tuple(secrets)
+        self._timings = timings
+        self._find_peers = find_peers
+        self._emit = emit
+        self._rng = rng
+        self._links: dict[NodeName, _Link] = {}
+        self._dialing: set[str] = set()
+        self._dial_after_s: dict[str, float] = {}
+        self._backoff_s: dict[str, float] = {}
+        self._greeting = 0
+        self.counts = LinkCounts()
+
+    async def run(
+        self,
+        listener: trio.SocketListener,
+        outbox: trio.MemoryReceiveChannel[SendMessage],
+    ) -> None:
+        """Accept, dial and carry messages until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._serve, listener)
+            nursery.start_soon(self._dial_all, nursery)
+            async for message in outbox:
+                self._send(message)
+
+    def _send(self, message: SendMessage) -> None:
+        link = self._links.get(message.node)
+        if link is None:
+            self.counts.dropped += 1
+            return
+        try:
+            link.queue.send_nowait(message.message)
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            # The peer reads too slowly. Waiting here would hold up all others.
+            self.counts.dropped += 1
+
+    async def _serve(self, listener: trio.SocketListener) -> None:
+        await serve_websockets(
+            self._accept,
+            listeners=[listener],
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            max_queue=2,
+            open_timeout=_GREETING_TIMEOUT_S,
+            ping_interval=None,
+            close_timeout=1,
+            server_header=None,
+        )
+
+    async def _accept(self, socket: ServerConnection) -> None:
+        limit = self._timings.max_peers * _LINKS_PER_PEER
+        if self._greeting >= _MAX_GREETING or len(self._links) >= limit:
+            self.counts.refused += 1
+            await socket.aclose(1013)
+            return
+        self._greeting += 1
+        try:
+            peer = await self._greet(socket, Side.SERVER)
+        finally:
+            self._greeting -= 1
+        if peer is not None:
+            await self._run_link(socket, peer, is_dialed=False)
+
+    async def _dial_all(self, nursery: trio.Nursery) -> None:
+        while True:
+            now_s = trio.current_time()
+            for vm in self._find_peers():
+                is_due = now_s >= self._dial_after_s.get(vm.name, 0.0)
+                is_wanted = vm.name not in self._links and vm.name not in self._dialing
+                if vm.peers and is_due and is_wanted:
+                    self._dialing.add(vm.name)
+                    nursery.start_soon(self._dial, vm)
+            await trio.sleep(_DIAL_INTERVAL_S)
+
+    async def _dial(self, vm: Vm) -> None:
+        try:
+            with trio.CancelScope() as scope:
+                scope.deadline = trio.current_time() + _GREETING_TIMEOUT_S
+                await self._connect(vm, scope)
+        except (OSError, websockets.exceptions.WebSocketException) as error:
+            _LOG.debug("dial_failed", peer=vm.name, error=str(error)[:200])
+        finally:
+            self._dialing.discard(vm.name)
+            backoff_s = self._backoff_s.get(vm.name, _MIN_BACKOFF_S)
+            wait_s = backoff_s * self._rng.uniform(0.5, 1.0)
+            self._dial_after_s[vm.name] = trio.current_time() + wait_s
+            self._backoff_s[vm.name] = min(_MAX_BACKOFF_S, 2 * backoff_s)
+
+    async def _connect(self, vm: Vm, scope: trio.CancelScope) -> None:
+        async with connect_websocket(
+            f"ws://{vm.peers}/",
+            proxy=None,
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            max_queue=2,
+            open_timeout=_GREETING_TIMEOUT_S,
+            ping_interval=None,
+            close_timeout=1,
+            user_agent_header=None,
+        ) as socket:
+            peer = await self._greet(socket, Side.CLIENT)
+            scope.deadline = float("inf")
+            if peer is None:
+                return
+            if peer.node != vm.name:
+                # The address was given to another node since the list was made.
+                _LOG.info("unexpected_peer", wanted=vm.name, found=peer.node)
+                return
+            self._backoff_s.pop(vm.name, None)
+            await self._run_link(socket, peer, is_dialed=True)
+
+    async def _greet(self, socket: Connection, side: Side) -> NodeId | None:
+        try:
+            with trio.fail_after(_GREETING_TIMEOUT_S):
+                peer = await greet(socket, side, self._identity, self._secrets)
+        except (
+            GreetingError,
+            trio.TooSlowError,
+            websockets.exceptions.ConnectionClosed,
+        ) as error:
+            self.counts.refused += 1
+            _LOG.warning("peer_refused", error=str(error)[:200])
+            await socket.aclose(1008)
+            return None
+        if peer.node == self._identity.node:
+            await socket.aclose(1008)
+            return None
+        return peer
+
+    async def _run_link(
+        self, socket: Connection, peer: NodeId, *, is_dialed: bool
+    ) -> None:
+        queue, messages = trio.open_memory_channel[PeerMessage](_QUEUE)
+        link = _Link(peer, is_dialed, queue, trio.CancelScope())
+        if not self._is_preferred(link):
+            await socket.aclose(1000)
+            return
+        before = self._links.get(peer.node)
+        if before is not None:
+            before.scope.cancel()
+        self._links[peer.node] = link
+        await self._tell_links()
+        try:
+            with link.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write, socket, messages, nursery)
+                    await self._read(socket, peer)
+                    nursery.cancel_scope.cancel()
+        except* (OSError, websockets.exceptions.WebSocketException):
+            pass
+        finally:
+            if self._links.get(peer.node) is link:
+                del self._links[peer.node]
+                with trio.CancelScope(shield=True):
+                    await self._tell_links()
+
+    def _is_preferred(self, link: _Link) -> bool:
+        """Tell whether a new link takes the place of one to the same node.
+
+        When two nodes dial each other at once, both keep the link that the lower
+        name dialed. A new incarnation, or a new try of the same dialer, means that
+        the old link is dead.
+        """
+        before = self._links.get(link.peer.node)
+        if before is None or before.peer != link.peer:
+            return True
+        if before.is_dialed == link.is_dialed:
+            return True
+        return link.is_dialed == (self._identity.node < link.peer.node)
+
+    async def _read(self, socket: Connection, peer: NodeId) -> None:
+        limit = RateLimit(_MESSAGES_PER_S, _BYTES_PER_S, MAX_MESSAGE_BYTES)
+        silence_s = _SILENCE_INTERVALS * self._timings.digest_interval_ms / 1000
+        while True:
+            # Digests come at every interval, so silence means that something between
+            # lost track of the connection; it would stay open for good.
+            with trio.move_on_after(silence_s) as silence:
+                data = await socket.recv()
+            if silence.cancelled_caught:
+                _LOG.info("link_silent", peer=peer.node)
+                return
+            self.counts.received_bytes += len(data)
+            try:
+                if isinstance(data, str):
+                    raise MessageInvalidError("found text")
+                message = decode_message(data)
+            except MessageInvalidError as error:
+                self.counts.malformed += 1
+                _LOG.warning("message_malformed", peer=peer.node, error=str(error)[:99])
+                return
+            await self._emit(MessageRead(peer, message))
+            wait_s = limit.spend(len(data), trio.current_time())
+            await trio.sleep(wait_s)
+
+    async def _write(
+        self,
+        socket: Connection,
+        messages: trio.MemoryReceiveChannel[PeerMessage],
+        nursery: trio.Nursery,
+    ) -> None:
+        async for message in messages:
+            data = encode_message(message)
+            with trio.move_on_after(_SEND_TIMEOUT_S) as scope:
+                await socket.send(data)
+            if scope.cancelled_caught:
+                nursery.cancel_scope.cancel()
+            self.counts.sent_bytes += len(data)
+
+    async def _tell_links(self) -> None:
+        peers = tuple(link.peer for link in self._links.values())
+        await self._emit(LinksChanged(peers))
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/vm_list.py
@@ -0,0 +1,78 @@
+"""Poll the platform's VM list and pass on what it shows."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.core_events import VmsRead
+from toucanyard.names import Address
+from toucanyard.options import MembershipTimings
+from toucanyard.vm_view import Vm
+from toucanyard_node.bounded_fetch import fetch_bounded
+from toucanyard_node.http_client import ConnectionFailedError
+
+_LOG: Final = structlog.get_logger()
+_TIMEOUT_MS: Final = 2_000
+_MAX_BYTES: Final = 4_000_000
+_FREE_BYTES: Final = 16_000
+_BYTES_PER_S: Final = 1_500
+
+Emit = Callable[[VmsRead], Awaitable[None]]
+
+
+class VmListBody(msgspec.Struct, frozen=True):
+    """The platform's answer."""
+
+    vms: tuple[Vm, ...]
+
+
+def compute_wait_ms(timings: MembershipTimings, body_bytes: int) -> float:
+    """Return how long to wait before the next read, by the size of the last.
+
+    The list is sent whole. Where it is large, each node reads it rarely: among many
+    nodes one reads it every second or two, and what it finds travels as news.
+    """
+    large_bytes = max(0, body_bytes - _FREE_BYTES)
+    return max(float(timings.vm_list_poll_ms), large_bytes * 1000 / _BYTES_PER_S)
+
+
+async def poll_vm_list(
+    address: Address, timings: MembershipTimings, emit: Emit, rng: random.Random
+) -> None:
+    """Read the list again and again until cancelled; failures leave the last one."""
+    while True:
+        body = await _read(address)
+        size = 0
+        if body is not None:
+            size = len(body)
+            await _pass_on(body, emit)
+        wait_ms = compute_wait_ms(timings, size)
+        # Nodes that started together would else read at the same moment for ever.
+        await trio.sleep(wait_ms * rng.uniform(0.75, 1.0) / 1000)
+
+
+async def _read(address: Address) -> bytes | None:
+    try:
+        response = await fetch_bounded(address, "/vms", _TIMEOUT_MS, _MAX_BYTES)
+    except ConnectionFailedError as error:
+        _LOG.warning("vm_list_unread", error=str(error))
+        return None
+    if response.status != 200:
+        _LOG.warning("vm_list_unread", status=response.status)
+        return None
+    return response.body
+
+
+async def _pass_on(body: bytes, emit: Emit) -> None:
+    try:
+        vms = msgspec.json.decode(body, type=VmListBody).vms
+    except (msgspec.DecodeError, RecursionError) as error:
+        _LOG.warning("vm_list_malformed", error=str(error)[:200])
+        return
+    await emit(VmsRead(vms))
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -101,6 +101,11 @@
 
     vm_list_poll_ms: DurationMs = 1_000
     load_poll_ms: DurationMs = 250
+    poll_timeout_ms: DurationMs = 500
+    max_polls_per_s: Count = 64
+    """Load polls of one node that watches every endpoint."""
+    max_shared_polls_per_s: Count = 4
+    """Load polls of one node where nodes share the watching."""
     digest_interval_ms: DurationMs = 1_000
     max_peers: Count = 8
     suspect_after_ms: DurationMs = 2_000
--- /dev/null
+++ b/tests/toucanyard_node/test_endpoint_watch.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from support.network import MemoryNetwork
+from toucanyard.configuration import Endpoint
+from toucanyard.core_events import (
+    CacheDumpRead,
+    CacheEventsRead,
+    EndpointSilent,
+    LoadRead,
+)
+from toucanyard.names import Address, DomainName, EndpointName
+from toucanyard.options import MembershipTimings
+from toucanyard_node.endpoint_watch import (
+    AnswerInvalidError,
+    EndpointWatch,
+    Watched,
+    WatchEvent,
+    compute_poll_wait_ms,
+    decode_dump,
+    decode_events,
+    decode_load,
+)
+from toucanyard_node.http_client import Response
+from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.vm_list import compute_wait_ms
+
+TIMINGS = MembershipTimings()
+ENDPOINT = Endpoint(EndpointName("e"), Address("10.0.0.1:80"), DomainName("d"))
+
+
+class FakeEngine:
+    """Answer polls; hang on connections that are older than the cut."""
+
+    def __init__(self) -> None:
+        self.incarnation = "i1"
+        self.seq = 3
+        self.hangs = False
+        self.asked_after: list[str] = []
+        self.load_answers = 0
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        body: object
+        match request.path:
+            case "/v1/load":
+                if self.hangs:
+                    await trio.sleep_forever()
+                self.load_answers += 1
+                body = {"incarnation": self.incarnation, "running": 1, "age_ms": 5}
+            case "/v1/cache/events":
+                self.asked_after.append(request.query["after"])
+                await trio.sleep(0.3)
+                event = {
+                    "seq": self.seq,
+                    "kind": "stored",
+                    "hashes": ["00000000000000ff"],
+                }
+                body = {
+                    "incarnation": self.incarnation,
+                    "oldest": 0,
+                    "next": self.seq + 1,
+                    "events": [event],
+                }
+            case _:
+                body = {"incarnation": self.incarnation, "next": 4, "hashes": ["0a"]}
+        await responder.send(200, (), msgspec.json.encode(body))
+
+
+class Scene:
+    """One watch and one engine on a network in memory."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.engine = FakeEngine()
+        self.network = MemoryNetwork(nursery)
+        self.network.serve(ENDPOINT.address, self.engine.handle)
+        self.events: list[WatchEvent] = []
+        self.wanted = [Watched(ENDPOINT, is_engine=True)]
+        self.watch = EndpointWatch(
+            lambda: (self.wanted, len(self.wanted)),
+            TIMINGS,
+            self.note,
+            self.network.connect,
+        )
+        nursery.start_soon(self.watch.run)
+
+    async def note(self, event: WatchEvent) -> None:
+        self.events.append(event)
+
+    def count(self, kind: type[WatchEvent]) -> int:
+        return sum(isinstance(event, kind) for event in self.events)
+
+
+async def test_polls_loads_follows_events_and_reads_dumps(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        await trio.sleep(2)
+        assert 6 <= scene.count(LoadRead) <= 9
+        assert scene.count(EndpointSilent) == 0
+        assert scene.engine.asked_after[:3] == ["-1", "3", "3"]
+        await scene.watch.read_dump(ENDPOINT.name)
+        dump = next(each for each in scene.events if isinstance(each, CacheDumpRead))
+        assert dump.dump.hashes == (10,)
+        scene.wanted = []
+        await trio.sleep(1)
+        seen = len(scene.events)
+        await trio.sleep(1)
+        assert len(scene.events) == seen
+        nursery.cancel_scope.cancel()
+
+
+async def test_restarted_engine_is_followed_from_its_first_event(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """An engine restarts and numbers its events anew. Asked for what comes after the
+    old numbers it would stay mute for long, and its cache look empty."""
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        await trio.sleep(1)
+        scene.engine.incarnation, scene.engine.seq = "i2", 0
+        scene.events.clear()
+        scene.engine.asked_after.clear()
+        await trio.sleep(2)
+        assert "-1" in scene.engine.asked_after
+        read = [each for each in scene.events if isinstance(each, CacheEventsRead)]
+        assert read[-1].events.incarnation == "i2"
+        nursery.cancel_scope.cancel()
+
+
+async def test_dead_connection_alone_is_no_silence_of_the_endpoint(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """The connection kept for polls goes silent while new ones work. Reporting the
+    endpoint as silent would take it out of use for nothing."""
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        await trio.sleep(1)
+        scene.engine.hangs = True
+        await trio.sleep(0.4)
+        scene.engine.hangs = False
+        await trio.sleep(2)
+        assert scene.count(EndpointSilent) == 0
+        scene.engine.hangs = True
+        await trio.sleep(3)
+        assert scene.count(EndpointSilent) >= 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_refused_connection_is_silence(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        scene.network.remove(ENDPOINT.address)
+        await trio.sleep(1)
+        assert scene.count(EndpointSilent) >= 4
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"[]", b"{}", b"\xff", b"[" * 50_000, b'{"incarnation":"i","running":-1}'],
+)
+def test_malformed_answers_are_refused(body: bytes) -> None:
+    response = Response(200, {}, body)
+    for decode in (decode_load, decode_events, decode_dump):
+        with pytest.raises(AnswerInvalidError):
+            decode(response)
+    dump = b'{"incarnation":"i","next":1,"hashes":["xyz"]}'
+    with pytest.raises(AnswerInvalidError):
+        decode_dump(Response(200, {}, dump))
+    with pytest.raises(AnswerInvalidError):
+        decode_load(Response(503, {}, b""))
+
+
+def test_polls_are_bounded_where_watching_is_shared() -> None:
+    assert compute_poll_wait_ms(TIMINGS, 14, 14) == TIMINGS.load_poll_ms
+    assert compute_poll_wait_ms(TIMINGS, 41, 4_400) == 41_000 / 4
+    assert compute_wait_ms(TIMINGS, 3_000) == TIMINGS.vm_list_poll_ms
+    assert compute_wait_ms(TIMINGS, 616_000) == 400_000
