Add the policy bench: placement and admission in virtual time

Cause: placement and admission are judged by hit rate, tail time to first token and recomputation; nothing measured them. Ruled out: counting only requests that end within the run. It left out the worst waits of the weak baselines, so runs go on until every request has ended.

--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_baselines.py
@@ -0,0 +1,116 @@
+"""Choose endpoints by simpler rules, and by knowing everything, to compare with.
+
+Each keeps Placement's views, so that it is fed alike, and chooses by its own rule.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+from toucanyard.configuration import Endpoint, Pool
+from toucanyard.names import EndpointName
+from toucanyard.placement import Placed, Placement
+from toucanyard.rendezvous import EndpointRing
+from toucanyard.requests import ModelTarget, Request
+from toucanyard_standins.policy_engine import FakeEngine
+
+AFFINITY_DEPTH: Final = 8
+
+
+class Baseline(Placement):
+    """Keep Placement's views but choose by the least of another key."""
+
+    def choose(
+        self,
+        request: Request,
+        pool: Pool,
+        candidates: Sequence[Endpoint],
+        now_ms: float,
+    ) -> Placed | None:
+        """Return the candidate with the least key."""
+        target = request.target
+        if not candidates or not isinstance(target, ModelTarget):
+            return None
+        names = [each.name for each in candidates]
+        chosen = min(names, key=lambda name: self.compute_key(name, target, names))
+        return Placed(chosen, None, 0.0, 0.0, 0, 1, ())
+
+    def compute_key(
+        self, name: EndpointName, target: ModelTarget, names: Sequence[EndpointName]
+    ) -> tuple[float, ...]:
+        """Return what the chosen endpoint has least of; here a random number."""
+        return (self._rng.random(),)
+
+
+class LeastLoaded(Baseline):
+    """Choose the fewest requests: reported ones and own ones since."""
+
+    def compute_key(
+        self, name: EndpointName, target: ModelTarget, names: Sequence[EndpointName]
+    ) -> tuple[float, ...]:
+        """Return the number of requests there, ties broken at random."""
+        load = self._view(name).load
+        report = load.report
+        known = 0 if report is None else report.running + report.waiting
+        fresh = sum(own.sent_ms > load.measured_ms for own in load.own.values())
+        return (known + fresh, self._rng.random())
+
+
+class AffinityOnly(Baseline):
+    """Choose the longest known match, then by hash of the prompt's front."""
+
+    def compute_key(
+        self, name: EndpointName, target: ModelTarget, names: Sequence[EndpointName]
+    ) -> tuple[float, ...]:
+        """Return the match, negated, and the place in the hash's ranking."""
+        warm = self._view(name).cache.count_warm(target.chain)
+        key = target.chain[min(AFFINITY_DEPTH, len(target.chain)) - 1]
+        ring = EndpointRing(names)
+        return (-warm, ring.rank(names, key).index(name))
+
+
+class KnowsAll(Baseline):
+    """Choose by the engines' true state, what is queued there included."""
+
+    def __init__(
+        self,
+        rng: random.Random,
+        engines: Mapping[EndpointName, FakeEngine],
+        price: float,
+    ) -> None:
+        super().__init__(rng)
+        self._engines = engines
+        self._price = price
+
+    def compute_key(
+        self, name: EndpointName, target: ModelTarget, names: Sequence[EndpointName]
+    ) -> tuple[float, ...]:
+        """Return the true wait plus the priced recomputation."""
+        engine = self._engines[name]
+        chain = target.chain
+        warm = engine.count_warm(chain)
+        jobs = [job for _, _, job in engine.waiting]
+        jobs += [engine.prefill] if engine.prefill is not None else []
+        for job in jobs:
+            warm = max(warm, count_common(job.chain, chain))
+        ms_per_block = engine.shape.prefill_ms_per_block * engine.slowness
+        wait_ms = engine.compute_queued_blocks() * ms_per_block
+        surplus = len(engine.running) + len(engine.waiting) - engine.shape.slots
+        if surplus >= 0:
+            ends = sorted(engine.ends_ms.values())
+            place = min(surplus, len(ends) - 1)
+            wait_ms = max(wait_ms, ends[place] - engine.clock.now_ms)
+        missing_ms = (len(chain) - warm) * ms_per_block
+        return (wait_ms + missing_ms * self._price, self._rng.random())
+
+
+def count_common(first: Sequence[int], second: Sequence[int]) -> int:
+    """Return how many leading blocks two chains share."""
+    count = 0
+    for one, other in zip(first, second, strict=False):
+        if one != other:
+            break
+        count += 1
+    return count
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_engine.py
@@ -0,0 +1,236 @@
+"""Stand in for a model engine in virtual time: a prompt cache, a queue and slots.
+
+Prefill runs one request at a time, most urgent first; decoding holds a slot. Blocks
+are evicted least recently used first. Only what placement can see is modelled.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from toucanyard.cache_view import CacheDump, CacheEvent, CacheEventKind
+from toucanyard.load_view import LoadReport
+from toucanyard.names import EndpointName, Incarnation
+from toucanyard.requests import EndingSeen
+
+SNAPSHOT_MS: Final = 100.0
+KEPT_SNAPSHOTS: Final = 80
+KEPT_EVENTS: Final = 4_000
+
+
+class VirtualClock:
+    """Calls ordered by virtual time; ties run in the order of scheduling."""
+
+    __slots__ = ("_calls", "_order", "now_ms")
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._order = 0
+        self._calls: list[tuple[float, int, Callable[[], None]]] = []
+
+    def call_after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Run a call after a delay."""
+        self._order += 1
+        heapq.heappush(self._calls, (self.now_ms + delay_ms, self._order, call))
+
+    def run_until(self, end_ms: float) -> None:
+        """Run all calls up to a point in time."""
+        while self._calls and self._calls[0][0] <= end_ms:
+            self.now_ms, _, call = heapq.heappop(self._calls)
+            call()
+        self.now_ms = end_ms
+
+
+class EngineShape(msgspec.Struct, frozen=True):
+    """Sizes and speeds of one engine."""
+
+    slots: int
+    capacity_blocks: int
+    prefill_ms_per_block: float
+    token_ms: float
+
+
+class Job(msgspec.Struct):
+    """One dispatched request; `report` tells its node about tokens and endings."""
+
+    chain: tuple[int, ...]
+    tokens: int
+    rank: int
+    on_first_token: Callable[[Job], None]
+    on_end: Callable[[Job, EndingSeen], None]
+    warm_blocks: int = 0
+    is_over: bool = False
+
+
+class TimedEvent(msgspec.Struct, frozen=True):
+    """A cache event and when it happened."""
+
+    at_ms: float
+    event: CacheEvent
+
+
+class FakeEngine:
+    """One engine; `computed` collects blocks over all engines of a run."""
+
+    def __init__(
+        self,
+        name: EndpointName,
+        shape: EngineShape,
+        clock: VirtualClock,
+        computed: set[int],
+    ) -> None:
+        self.name = name
+        self.shape = shape
+        self.clock = clock
+        self.slowness = 1.0
+        self.is_up = True
+        self.weights_version = "w1"
+        self.restarts = 0
+        self.recomputed_blocks = 0
+        self._computed = computed
+        self._begin()
+        self.snapshots: deque[tuple[float, LoadReport]] = deque(maxlen=KEPT_SNAPSHOTS)
+        self._take_snapshot()
+
+    def _begin(self) -> None:
+        self.incarnation = Incarnation(f"{self.name}-{self.restarts}")
+        self.cache: OrderedDict[int, None] = OrderedDict()
+        self.events: deque[TimedEvent] = deque(maxlen=KEPT_EVENTS)
+        self.next_seq = 1
+        self.waiting: list[tuple[int, int, Job]] = []
+        self.running: dict[int, Job] = {}
+        self.ends_ms: dict[int, float] = {}
+        self.prefill: Job | None = None
+        self.prefill_ends_ms = 0.0
+        self._order = 0
+
+    def submit(self, job: Job) -> None:
+        """Take one request, or refuse it while down."""
+        if not self.is_up:
+            job.is_over = True
+            job.on_end(job, EndingSeen.NOT_SENT)
+            return
+        self._order += 1
+        heapq.heappush(self.waiting, (job.rank, self._order, job))
+        self._start_next()
+
+    def stop(self, ending: EndingSeen = EndingSeen.LOST) -> None:
+        """Lose all state; what was under way ends with `ending`."""
+        jobs = [job for _, _, job in self.waiting] + list(self.running.values())
+        self.is_up = False
+        self.restarts += 1
+        self._begin()
+        for job in jobs:
+            job.is_over = True
+            job.on_end(job, ending)
+
+    def start(self, weights_version: str | None = None) -> None:
+        """Come back empty."""
+        self.is_up = True
+        self.weights_version = weights_version or self.weights_version
+
+    def count_warm(self, chain: tuple[int, ...]) -> int:
+        """Return how many leading blocks are cached."""
+        for depth, block in enumerate(chain):
+            if block not in self.cache:
+                return depth
+        return len(chain)
+
+    def compute_queued_blocks(self) -> int:
+        """Return blocks that wait to be computed, each counted once."""
+        missing: set[int] = set()
+        for _, _, job in self.waiting:
+            missing.update(job.chain[self.count_warm(job.chain) :])
+        if self.prefill is not None:
+            missing.difference_update(self.prefill.chain)
+        left_ms = max(self.prefill_ends_ms - self.clock.now_ms, 0.0)
+        return len(missing) + int(left_ms / self.shape.prefill_ms_per_block)
+
+    def make_dump(self) -> CacheDump:
+        """Return the whole cache, least recently used first."""
+        return CacheDump(self.incarnation, self.next_seq, tuple(self.cache))
+
+    def find_report(self, lag_ms: float) -> LoadReport:
+        """Return the load as it was some time ago."""
+        wanted_ms = self.clock.now_ms - lag_ms
+        found = self.snapshots[0]
+        for snapshot in self.snapshots:
+            if snapshot[0] > wanted_ms:
+                break
+            found = snapshot
+        age_ms = self.clock.now_ms - found[0]
+        return msgspec.structs.replace(found[1], age_ms=age_ms)
+
+    def _take_snapshot(self) -> None:
+        report = LoadReport(
+            self.incarnation,
+            len(self.running),
+            0.0,
+            len(self.waiting),
+            self.compute_queued_blocks(),
+            len(self.cache),
+            self.shape.capacity_blocks,
+        )
+        self.snapshots.append((self.clock.now_ms, report))
+        self.clock.call_after(SNAPSHOT_MS, self._take_snapshot)
+
+    def _start_next(self) -> None:
+        is_full = len(self.running) >= self.shape.slots
+        if self.prefill is not None or is_full or not self.waiting:
+            return
+        _, order, job = heapq.heappop(self.waiting)
+        job.warm_blocks = self.count_warm(job.chain)
+        for block in reversed(job.chain[: job.warm_blocks]):
+            self.cache.move_to_end(block)
+        missing = job.chain[job.warm_blocks :]
+        self.recomputed_blocks += sum(block in self._computed for block in missing)
+        self._computed.update(missing)
+        self.prefill = job
+        self.running[order] = job
+        took_ms = (len(missing) + 1) * self.shape.prefill_ms_per_block * self.slowness
+        self.prefill_ends_ms = self.clock.now_ms + took_ms
+        token_ms = self.shape.token_ms * self.slowness
+        self.ends_ms[order] = self.prefill_ends_ms + job.tokens * token_ms
+        self.clock.call_after(took_ms, lambda: self._end_prefill(order, job))
+
+    def _end_prefill(self, order: int, job: Job) -> None:
+        if job.is_over:
+            return
+        self.prefill = None
+        self._store(job.chain)
+        job.on_first_token(job)
+        left_ms = self.ends_ms[order] - self.clock.now_ms
+        self.clock.call_after(left_ms, lambda: self._end(order, job))
+        self._start_next()
+
+    def _end(self, order: int, job: Job) -> None:
+        if job.is_over:
+            return
+        job.is_over = True
+        del self.running[order]
+        del self.ends_ms[order]
+        job.on_end(job, EndingSeen.COMPLETED)
+        self._start_next()
+
+    def _store(self, chain: tuple[int, ...]) -> None:
+        stored = tuple(block for block in chain if block not in self.cache)
+        for block in reversed(chain):
+            self.cache[block] = None
+            self.cache.move_to_end(block)
+        evicted: list[int] = []
+        while len(self.cache) > self.shape.capacity_blocks:
+            evicted.append(self.cache.popitem(last=False)[0])
+        self._publish(CacheEventKind.STORED, stored)
+        self._publish(CacheEventKind.EVICTED, tuple(evicted))
+
+    def _publish(self, kind: CacheEventKind, hashes: tuple[int, ...]) -> None:
+        if not hashes:
+            return
+        event = CacheEvent(self.next_seq, kind, hashes)
+        self.events.append(TimedEvent(self.clock.now_ms, event))
+        self.next_seq += 1
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_run.py
@@ -0,0 +1,537 @@
+"""Run one workload through the decisions of several nodes in virtual time.
+
+Each node has its own admission, placement and view of the fakes, fed late and with
+the gaps of the condition. Nothing of the network is modelled but a fixed delay.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from functools import partial
+from typing import Final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from toucanyard.admission import Admission, AdmissionAction, Admit
+from toucanyard.cache_view import CacheEvents
+from toucanyard.configuration import (
+    Configuration,
+    Customer,
+    Endpoint,
+    Pool,
+)
+from toucanyard.fair_queue import PRIORITY_RANKS
+from toucanyard.names import (
+    Address,
+    CustomerName,
+    DomainName,
+    EndpointName,
+    PoolName,
+    RequestId,
+)
+from toucanyard.options import AdmissionLimits
+from toucanyard.placement import Placed, Placement
+from toucanyard.requests import (
+    EndingSeen,
+    ModelTarget,
+    Outcome,
+    Refuse,
+    Repeatability,
+    Request,
+)
+from toucanyard_standins.policy_baselines import (
+    AffinityOnly,
+    Baseline,
+    KnowsAll,
+    LeastLoaded,
+)
+from toucanyard_standins.policy_engine import FakeEngine, Job, VirtualClock
+from toucanyard_standins.policy_workload import (
+    CUSTOMER_SHARES,
+    Arrival,
+    Deployment,
+    make_arrivals,
+    make_chain,
+)
+
+END_MS: Final = 26_000.0
+MIDDLE_MS: Final = 10_000.0
+STORM_MS: Final = 6_000.0
+COOL_MS: Final = 12_000.0
+WARM_UP_MS: Final = 6_000.0
+POLL_MS: Final = 200.0
+TICK_MS: Final = 100.0
+EVENT_DELAY_MS: Final = 300.0
+LOAD_LAG_MS: Final = 300.0
+DETECTION_MS: Final = 1_000.0
+MAX_CALLER_TRIES: Final = 3
+UNITS_PER_MS: Final = 10
+
+
+class Policy(enum.StrEnum):
+    """Ways to choose that are compared."""
+
+    TOUCANYARD = "toucanyard"
+    RANDOM = "random"
+    LEAST_LOADED = "least_loaded"
+    AFFINITY = "affinity"
+    KNOWS_ALL = "knows_all"
+
+
+class Condition(enum.StrEnum):
+    """What goes on during a run."""
+
+    CALM = "calm"
+    CRASH = "crash"
+    LOST_EVENTS = "lost_events"
+    LOAD_LAG = "load_lag"
+    ROLL_OUT = "roll_out"
+    HERD = "herd"
+    OVERLOAD_1_5 = "overload_1_5"
+    OVERLOAD_3 = "overload_3"
+    SLOW_REPLICA = "slow_replica"
+    FLOOD = "flood"
+
+
+class Result(msgspec.Struct):
+    """Measures of one run."""
+
+    offered: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    prompt_blocks: int = 0
+    warm_blocks: int = 0
+    recomputed_blocks: int = 0
+    retries: int = 0
+    p50_ms: float = 0.0
+    p99_ms: float = 0.0
+    smallest_p99_ms: float = 0.0
+    recovery_s: float = -1.0
+    """Seconds from the end of a storm to 95% of the goodput before; -1 for never."""
+    served_at_s: list[int] = []
+    offered_at_s: list[int] = []
+
+    @property
+    def hit_rate(self) -> float:
+        """Return the share of prompt blocks that were warm."""
+        return self.warm_blocks / max(self.prompt_blocks, 1)
+
+
+class Task(msgspec.Struct):
+    """One request from its caller's first try to its end."""
+
+    arrival: Arrival
+    request: Request
+    tries: int = 1
+    attempt: int = 0
+    sent_ms: float = 0.0
+    endpoint: EndpointName | None = None
+    expected_ms: float = 0.0
+    first_token_ms: float | None = None
+
+
+class Node:
+    """One node: the real decisions, and the views that its condition lets it have."""
+
+    def __init__(self, run: Run, number: int) -> None:
+        self.run = run
+        self.number = number
+        self.rng = random.Random(f"{run.seed} {number} {run.policy}")
+        self.admission = Admission(AdmissionLimits(), self.rng)
+        self.admission.apply_configuration(run.configuration)
+        self.placement = run.make_chooser(self.rng)
+        self.tasks: dict[RequestId, Task] = {}
+        self.read_seqs: dict[EndpointName, tuple[str, int]] = {}
+        self.down: set[EndpointName] = set()
+        self.is_gone = False
+        run.clock.call_after(self.rng.uniform(0.0, POLL_MS), self.poll)
+        run.clock.call_after(TICK_MS, self.tick)
+
+    def offer(self, task: Task) -> None:
+        """Take one request from a caller."""
+        self.tasks[task.request.request_id] = task
+        self._apply(self.admission.offer(task.request, self.run.clock.now_ms))
+
+    def tick(self) -> None:
+        """Let admission refuse what is late."""
+        if not self.is_gone:
+            self._apply(self.admission.tick(self.run.clock.now_ms))
+            self.run.clock.call_after(TICK_MS, self.tick)
+
+    def poll(self) -> None:
+        """Fetch load reports, cache events and dumps of all engines."""
+        if self.is_gone:
+            return
+        now_ms = self.run.clock.now_ms
+        for engine in self.run.engines.values():
+            if engine.is_up:
+                report = engine.find_report(self.run.load_lag_ms)
+                if report.incarnation == engine.incarnation:
+                    self.placement.apply_load(engine.name, report, now_ms)
+                self._read_events(engine, now_ms)
+        for name in self.placement.find_doubtful(now_ms):
+            if self.run.engines[name].is_up:
+                self.placement.note_dump_asked(name, now_ms)
+                dump = self.run.engines[name].make_dump()
+                self.placement.apply_cache_dump(name, dump, now_ms)
+        self.run.clock.call_after(POLL_MS, self.poll)
+
+    def _read_events(self, engine: FakeEngine, now_ms: float) -> None:
+        incarnation, after = self.read_seqs.get(engine.name, ("", 0))
+        if incarnation != engine.incarnation:
+            after = 0
+        found = []
+        for timed in reversed(engine.events):
+            if timed.event.seq <= after:
+                break
+            if timed.at_ms <= now_ms - EVENT_DELAY_MS:
+                found.append(timed.event)
+        found.reverse()
+        following = found[-1].seq + 1 if found else after + 1
+        self.read_seqs[engine.name] = (engine.incarnation, following - 1)
+        if self.run.condition == Condition.LOST_EVENTS:
+            found = [event for event in found if self.rng.random() >= 0.2]
+            self.rng.shuffle(found)
+        events = CacheEvents(engine.incarnation, 1, following, tuple(found))
+        self.placement.apply_cache_events(engine.name, events, now_ms)
+
+    def _apply(self, actions: list[AdmissionAction]) -> None:
+        for action in actions:
+            match action:
+                case Admit(request=request):
+                    self._dispatch(self.tasks[request.request_id])
+                case Refuse(request_id=request_id, retry_after_ms=retry_after_ms):
+                    task = self.tasks.pop(request_id)
+                    self.run.note_refusal(task, retry_after_ms)
+
+    def _dispatch(self, task: Task) -> None:
+        request = task.request
+        now_ms = self.run.clock.now_ms
+        usable = self.run.find_candidates(request, self.down)
+        open_names = self.admission.find_open(request, [each.name for each in usable])
+        if len(open_names) < len(usable) and open_names:
+            usable = tuple(each for each in usable if each.name in open_names)
+        placed = self.placement.choose(request, self.run.pool, usable, now_ms)
+        if placed is None:
+            self._fail(task)
+            return
+        task.attempt += 1
+        task.sent_ms = now_ms
+        task.endpoint = placed.endpoint
+        self.placement.note_dispatch(request, placed, self.run.pool, now_ms)
+        self.admission.note_dispatch(request.request_id, placed.endpoint)
+        self._send(task, placed)
+
+    def _send(self, task: Task, placed: Placed) -> None:
+        target = task.request.target
+        assert isinstance(target, ModelTarget)
+        job = Job(
+            target.chain,
+            task.arrival.tokens,
+            PRIORITY_RANKS[task.request.priority],
+            partial(self._note_first_token, task),
+            partial(self._note_end, task),
+        )
+        engine = self.run.engines[placed.endpoint]
+        delay_ms = self.run.deployment.one_way_ms
+        self.run.clock.call_after(delay_ms, lambda: engine.submit(job))
+
+    def _note_first_token(self, task: Task, job: Job) -> None:
+        run = self.run
+        now_ms = run.clock.now_ms + run.deployment.one_way_ms
+        after_ms = now_ms - task.sent_ms
+        request_id = task.request.request_id
+        if task.first_token_ms is None:
+            task.first_token_ms = now_ms - task.arrival.at_ms
+        assert task.endpoint is not None
+        missing = len(job.chain) - job.warm_blocks
+        work_ms = missing * run.deployment.policy.prefill_ms_per_block
+        run.note_prompt(task, job)
+        if self.is_gone:
+            return
+        self.placement.note_first_token(request_id, task.endpoint, after_ms, now_ms)
+        self.admission.note_first_token(request_id, after_ms - work_ms, now_ms)
+
+    def _note_end(self, task: Task, job: Job, ending: EndingSeen) -> None:
+        now_ms = self.run.clock.now_ms
+        assert task.endpoint is not None
+        if not self.is_gone:
+            engine = self.run.engines[task.endpoint]
+            incarnation = engine.incarnation if engine.is_up else None
+            outcome = Outcome(
+                task.request.request_id, task.endpoint, ending, incarnation
+            )
+            self.placement.note_outcome(task.request, outcome, now_ms)
+        if ending == EndingSeen.COMPLETED:
+            self.run.note_served(task)
+            self._finish(task)
+            return
+        if not self.is_gone:
+            self._note_down(task.endpoint)
+            self.admission.note_failure(task.request.request_id, now_ms)
+        if not self.is_gone and self.admission.may_retry(task.attempt):
+            self.run.result.retries += 1
+            self._dispatch(task)
+            return
+        self._fail(task)
+
+    def _note_down(self, name: EndpointName) -> None:
+        if name not in self.down:
+            self.down.add(name)
+            delay_ms = DETECTION_MS
+            self.run.clock.call_after(delay_ms, lambda: self.down.discard(name))
+
+    def _fail(self, task: Task) -> None:
+        self.run.note_failed(task)
+        self._finish(task)
+
+    def _finish(self, task: Task) -> None:
+        self.tasks.pop(task.request.request_id, None)
+        if not self.is_gone:
+            now_ms = self.run.clock.now_ms
+            self._apply(self.admission.release(task.request.request_id, now_ms))
+
+
+class Run:
+    """One deployment under one condition, policy and seed."""
+
+    def __init__(
+        self, deployment: Deployment, condition: Condition, policy: Policy, seed: int
+    ) -> None:
+        self.deployment = deployment
+        self.condition = condition
+        self.policy = policy
+        self.seed = seed
+        self.clock = VirtualClock()
+        self.rng = random.Random(f"{seed} run")
+        self.result = Result()
+        self.load_lag_ms = 3_000.0 if condition == Condition.LOAD_LAG else LOAD_LAG_MS
+        self.weights_version = "w1"
+        self._computed: set[int] = set()
+        self.pool = self._make_pool()
+        customers = tuple(
+            Customer(CustomerName(f"c{number}"), ())
+            for number in range(len(CUSTOMER_SHARES))
+        )
+        self.configuration = Configuration(1, customers, pools=(self.pool,))
+        self.engines = {
+            each.name: FakeEngine(
+                each.name, deployment.shape, self.clock, self._computed
+            )
+            for each in self.pool.endpoints
+        }
+        self.nodes = [Node(self, number) for number in range(deployment.nodes)]
+        self._candidates: dict[tuple[str, ...], tuple[Endpoint, ...]] = {}
+        self._histogram = HdrHistogram(1, 600_000, 3)
+        self._smallest = HdrHistogram(1, 600_000, 3)
+        seconds = int(END_MS + COOL_MS) // 1_000
+        self.result.served_at_s = [0] * seconds
+        self.result.offered_at_s = [0] * seconds
+
+    def execute(self) -> Result:
+        """Run to the end and return the measures."""
+        for arrival in self._make_arrivals():
+            delay_ms = arrival.at_ms
+            self.clock.call_after(delay_ms, partial(self._arrive, arrival))
+        self._schedule_faults()
+        # Whatever is still on its way is waited for: left out, the worst would be.
+        end_ms = END_MS + COOL_MS
+        while self.clock.now_ms < end_ms or self._count_open() > 0:
+            self.clock.run_until(self.clock.now_ms + 1_000.0)
+        result = self.result
+        result.p50_ms = self._histogram.get_value_at_percentile(50) / UNITS_PER_MS
+        result.p99_ms = self._histogram.get_value_at_percentile(99) / UNITS_PER_MS
+        smallest = self._smallest.get_value_at_percentile(99)
+        result.smallest_p99_ms = smallest / UNITS_PER_MS
+        result.recomputed_blocks = sum(
+            engine.recomputed_blocks for engine in self.engines.values()
+        )
+        result.recovery_s = compute_recovery(result)
+        return result
+
+    def make_chooser(self, rng: random.Random) -> Placement:
+        """Return a new chooser of this run's policy."""
+        match self.policy:
+            case Policy.TOUCANYARD:
+                return Placement(rng)
+            case Policy.RANDOM:
+                return Baseline(rng)
+            case Policy.LEAST_LOADED:
+                return LeastLoaded(rng)
+            case Policy.AFFINITY:
+                return AffinityOnly(rng)
+            case Policy.KNOWS_ALL:
+                price = self.deployment.policy.recompute_price
+                return KnowsAll(rng, self.engines, price)
+
+    def find_candidates(
+        self, request: Request, down: set[EndpointName]
+    ) -> tuple[Endpoint, ...]:
+        """Return endpoints with the request's weights that aren't known to be down."""
+        target = request.target
+        assert isinstance(target, ModelTarget)
+        names = tuple(
+            engine.name
+            for engine in self.engines.values()
+            if engine.weights_version == target.weights_version
+            and engine.name not in down
+        )
+        found = self._candidates.get(names)
+        if found is None:
+            found = tuple(each for each in self.pool.endpoints if each.name in names)
+            self._candidates[names] = found
+        return found
+
+    def note_prompt(self, task: Task, job: Job) -> None:
+        """Count a prompt's warm blocks."""
+        self.result.prompt_blocks += len(job.chain)
+        self.result.warm_blocks += job.warm_blocks
+
+    def note_served(self, task: Task) -> None:
+        """Count a complete answer and its time to first token."""
+        assert task.first_token_ms is not None
+        self.result.served += 1
+        second = int(self.clock.now_ms) // 1_000
+        if second < len(self.result.served_at_s):
+            self.result.served_at_s[second] += 1
+        self._record(task, task.first_token_ms)
+
+    def note_failed(self, task: Task) -> None:
+        """Count a request that got no answer; its time counts as the deadline."""
+        self.result.failed += 1
+        self._record(task, self.deployment.deadline_ms)
+
+    def note_refusal(self, task: Task, retry_after_ms: int) -> None:
+        """Let the caller come back when it was told to, or give up."""
+        if task.tries >= MAX_CALLER_TRIES:
+            self.result.refused += 1
+            if self.condition not in (Condition.OVERLOAD_1_5, Condition.OVERLOAD_3):
+                self._record(task, self.deployment.deadline_ms)
+            return
+        arrival, tries = task.arrival, task.tries + 1
+        self.clock.call_after(
+            retry_after_ms, lambda: self._arrive(arrival, tries=tries)
+        )
+
+    def _count_open(self) -> int:
+        result = self.result
+        return result.offered - result.served - result.refused - result.failed
+
+    def _record(self, task: Task, first_token_ms: float) -> None:
+        if task.arrival.at_ms < WARM_UP_MS:
+            return
+        units = max(int(first_token_ms * UNITS_PER_MS), 1)
+        self._histogram.record_value(units)
+        if task.arrival.customer == len(CUSTOMER_SHARES) - 1:
+            self._smallest.record_value(units)
+
+    def _make_pool(self) -> Pool:
+        endpoints = tuple(
+            Endpoint(
+                EndpointName(f"engine-{number}"),
+                Address(f"127.0.0.1:{9000 + number}"),
+                DomainName(f"domain-{number % self.deployment.domains}"),
+            )
+            for number in range(self.deployment.replicas)
+        )
+        name = PoolName("pool")
+        return Pool(name, "m", "w1", endpoints, placement=self.deployment.policy)
+
+    def _make_arrivals(self) -> list[Arrival]:
+        deployment = self.deployment
+        over = deployment.capacity_per_s / deployment.per_s
+        window = (MIDDLE_MS, MIDDLE_MS + STORM_MS)
+        match self.condition:
+            case Condition.OVERLOAD_1_5:
+                return make_arrivals(
+                    deployment, self.seed, END_MS, (*window, 1.5 * over)
+                )
+            case Condition.OVERLOAD_3:
+                return make_arrivals(
+                    deployment, self.seed, END_MS, (*window, 3.0 * over)
+                )
+            case Condition.FLOOD:
+                return make_arrivals(deployment, self.seed, END_MS, flood=6.0)
+            case Condition.HERD:
+                return make_arrivals(deployment, self.seed, END_MS, shift_ms=MIDDLE_MS)
+            case _:
+                return make_arrivals(deployment, self.seed, END_MS)
+
+    def _arrive(self, arrival: Arrival, tries: int = 1) -> None:
+        now_ms = self.clock.now_ms
+        if tries == 1:
+            self.result.offered += 1
+            self.result.offered_at_s[int(now_ms) // 1_000] += 1
+        chain = make_chain(arrival.customer, self.weights_version, arrival.parts)
+        target = ModelTarget(
+            self.pool.name,
+            "m",
+            "",
+            self.weights_version,
+            chain,
+            len(chain) * 256,
+            arrival.tokens,
+        )
+        request = Request(
+            RequestId(f"{arrival.at_ms}-{arrival.customer}-{tries}"),
+            CustomerName(f"c{arrival.customer}"),
+            arrival.priority,
+            target,
+            Repeatability.REPEATABLE,
+            now_ms,
+            now_ms + self.deployment.deadline_ms,
+            1,
+        )
+        node = self.rng.choice(self.nodes)
+        node.offer(Task(arrival, request, tries))
+
+    def _schedule_faults(self) -> None:
+        engines = list(self.engines.values())
+        match self.condition:
+            case Condition.CRASH:
+                self.clock.call_after(MIDDLE_MS, engines[0].stop)
+                self.clock.call_after(MIDDLE_MS + 2_000.0, engines[0].start)
+            case Condition.SLOW_REPLICA:
+                engines[0].slowness = 4.0
+            case Condition.HERD:
+                self.clock.call_after(MIDDLE_MS, self._restart_nodes)
+            case Condition.ROLL_OUT:
+                for number, engine in enumerate(engines):
+                    delay_ms = MIDDLE_MS + 2_000.0 * (number // 2)
+                    self.clock.call_after(delay_ms, partial(self._load, engine))
+            case _:
+                return
+
+    def _load(self, engine: FakeEngine) -> None:
+        engine.weights_version = "loading"
+        # The old run's requests are served to their end before the weights change.
+        self.clock.call_after(1_500.0, partial(self._swap, engine))
+
+    def _swap(self, engine: FakeEngine) -> None:
+        engine.stop()
+        engine.start("w2")
+        self.weights_version = "w2"
+
+    def _restart_nodes(self) -> None:
+        for number, node in enumerate(self.nodes):
+            node.is_gone = True
+            for task in list(node.tasks.values()):
+                if task.endpoint is None:
+                    node.run.note_failed(task)
+            self.nodes[number] = Node(self, number)
+
+
+def compute_recovery(result: Result) -> float:
+    """Return seconds after the storm until goodput holds 95% of that before it."""
+    start, end = int(WARM_UP_MS) // 1_000, int(MIDDLE_MS) // 1_000
+    before = sum(result.served_at_s[start:end]) / (end - start)
+    first = int(MIDDLE_MS + STORM_MS) // 1_000
+    last = int(END_MS) // 1_000
+    for second in range(first, last - 2):
+        after = sum(result.served_at_s[second : second + 3]) / 3
+        if after >= 0.95 * before:
+            return float(second - first)
+    return -1.0
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_workload.py
@@ -0,0 +1,196 @@
+"""Generate requests shaped on the two deployments, from a seed.
+
+Prompts nest in levels under each customer: Valdivia's rulebook, route and booking or
+its kiosk's chat; Hangang's template, language, station and, after a main break, one
+incident report that was never seen before.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import msgspec
+import xxhash
+
+from toucanyard.configuration import PlacementPolicy, PriorityClass
+from toucanyard_standins.policy_engine import EngineShape
+
+CUSTOMER_SHARES: Final = (0.34, 0.24, 0.14, 0.09, 0.07, 0.05, 0.04, 0.03)
+
+RAMP_MS: Final = 5_000.0
+"""Time over which the load rises at the beginning, when all engines are empty."""
+
+
+class Part(msgspec.Struct, frozen=True):
+    """One level of a prompt: its name and length in blocks."""
+
+    name: str
+    blocks: int
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """One request of the workload before it has a weights version."""
+
+    at_ms: float
+    customer: int
+    priority: PriorityClass
+    parts: tuple[Part, ...]
+    tokens: int
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """Sizes of one deployment and its load."""
+
+    name: str
+    replicas: int
+    domains: int
+    nodes: int
+    one_way_ms: float
+    shape: EngineShape
+    policy: PlacementPolicy
+    per_s: float
+    """Requests a second in calm."""
+    capacity_per_s: float
+    """Requests a second that the replicas carry with warm prompts."""
+    deadline_ms: float = 10_000.0
+
+
+VALDIVIA: Final = Deployment(
+    "valdivia",
+    replicas=5,
+    domains=3,
+    nodes=8,
+    one_way_ms=1.5,
+    shape=EngineShape(16, 900, 8.0, 12.0),
+    policy=PlacementPolicy(
+        prefill_ms_per_block=8.0, recompute_price=8.0, max_running=16
+    ),
+    per_s=45.0,
+    capacity_per_s=80.0,
+)
+HANGANG: Final = Deployment(
+    "hangang",
+    replicas=6,
+    domains=3,
+    nodes=8,
+    one_way_ms=0.5,
+    shape=EngineShape(16, 1_200, 8.0, 10.0),
+    policy=PlacementPolicy(
+        prefill_ms_per_block=8.0, recompute_price=8.0, max_running=16
+    ),
+    per_s=18.0,
+    capacity_per_s=50.0,
+)
+
+
+def make_chain(customer: int, weights: str, parts: tuple[Part, ...]) -> tuple[int, ...]:
+    """Return the hashes of a prompt's blocks under one customer and weights."""
+    parent = xxhash.xxh3_64_intdigest(f"{customer} {weights}".encode())
+    chain: list[int] = []
+    for part in parts:
+        for number in range(part.blocks):
+            text = f"{parent} {part.name} {number}"
+            parent = xxhash.xxh3_64_intdigest(text.encode())
+            chain.append(parent)
+    return tuple(chain)
+
+
+def make_arrivals(
+    deployment: Deployment,
+    seed: int,
+    end_ms: float,
+    surge: tuple[float, float, float] = (0.0, 0.0, 1.0),
+    flood: float = 1.0,
+    shift_ms: float = float("inf"),
+) -> list[Arrival]:
+    """Return arrivals up to a time; `surge` is from, to and times the calm rate.
+
+    `flood` multiplies the largest customer's requests; from `shift_ms` on the shared
+    levels are new ones.
+    """
+    rng = random.Random(f"{deployment.name} {seed}")
+    arrivals: list[Arrival] = []
+    now_ms = 0.0
+    peak = max(surge[2], 1.0) * (1.0 + (flood - 1.0) * CUSTOMER_SHARES[0])
+    while True:
+        now_ms += rng.expovariate(deployment.per_s * peak / 1_000)
+        if now_ms >= end_ms:
+            break
+        wanted = surge[2] if surge[0] <= now_ms < surge[1] else 1.0
+        wanted *= min(now_ms / RAMP_MS, 1.0)
+        weights = [CUSTOMER_SHARES[0] * flood, *CUSTOMER_SHARES[1:]]
+        if rng.random() >= wanted * sum(weights) / peak:
+            continue
+        customer = rng.choices(range(8), weights)[0]
+        edition = "new" if now_ms >= shift_ms else "old"
+        arrivals.append(_make_one(deployment, rng, now_ms, customer, edition))
+    arrivals += _make_bursts(deployment, rng, end_ms)
+    return sorted(arrivals, key=lambda arrival: arrival.at_ms)
+
+
+def _make_one(
+    deployment: Deployment,
+    rng: random.Random,
+    now_ms: float,
+    customer: int,
+    edition: str,
+) -> Arrival:
+    tail = f"tail {now_ms}"
+    parts: tuple[Part, ...]
+    if deployment.name == "hangang":
+        parts = (
+            Part(f"template {edition}", 128),
+            Part(f"language {rng.randrange(4)}", 32),
+            Part(f"station {rng.randrange(5)}", 16),
+            Part(tail, rng.randint(4, 12)),
+        )
+        tokens = rng.randint(80, 200)
+        return Arrival(now_ms, customer, PriorityClass.DRAFT, parts, tokens)
+    if rng.random() < 0.4:
+        parts = (
+            Part(f"rulebook {edition}", 96),
+            Part(f"route {rng.randrange(6)}", 24),
+            Part(tail, rng.randint(3, 9)),
+        )
+        tokens = rng.randint(15, 50)
+        return Arrival(now_ms, customer, PriorityClass.CHECK, parts, tokens)
+    parts = (
+        Part(f"riders {edition}", 8),
+        Part(f"kiosk {rng.randrange(10)}", 4),
+        Part(tail, rng.randint(1, 3)),
+    )
+    tokens = rng.randint(30, 90)
+    return Arrival(now_ms, customer, PriorityClass.CHAT, parts, tokens)
+
+
+def _make_bursts(
+    deployment: Deployment, rng: random.Random, end_ms: float
+) -> list[Arrival]:
+    """Return the bursts: a main break's drafts, or kiosks opening their shift."""
+    bursts: list[Arrival] = []
+    start_ms = 5_000.0
+    while start_ms < end_ms - 4_000.0:
+        customer = rng.choices(range(8), CUSTOMER_SHARES)[0]
+        for number in range(24):
+            at_ms = start_ms + rng.uniform(0.0, 1_500.0)
+            tail = Part(f"burst {start_ms} {number}", rng.randint(2, 6))
+            parts: tuple[Part, ...]
+            if deployment.name == "hangang":
+                parts = (
+                    Part("template old", 128),
+                    Part(f"incident {start_ms}", 48),
+                    Part(f"language {number % 4}", 8),
+                    tail,
+                )
+                kind, tokens = PriorityClass.DRAFT, rng.randint(80, 200)
+            else:
+                parts = (
+                    Part("riders old", 8),
+                    Part(f"shift {start_ms}", 24),
+                    tail,
+                )
+                kind, tokens = PriorityClass.CHAT, rng.randint(20, 60)
+            bursts.append(Arrival(at_ms, customer, kind, parts, tokens))
+        start_ms += 6_000.0
+    return bursts
