Serve the whole path through separate processes

Cause: the parts stood side by side; nothing started them together. Before: no process served. Conclusion: the thin path stands; what it does under faults comes next.

--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/log_client.py
@@ -0,0 +1,99 @@
+"""Append to and read from the platform's log service.
+
+An append has three results: done, provably without effect, or unknown, since its
+answer can be lost after the effect. Whoever appends settles the third by reading.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.claim_messages import AppendResult, LogRecord
+from toucanyard.names import Address
+from toucanyard_node.http_client import ConnectionFailedError, fetch
+
+_REFUSED_STATUSES: Final = frozenset({400, 404, 413, 429, 503})
+"""Statuses with which the service says that it appended nothing."""
+_READ_MARGIN_MS: Final = 2_000
+
+
+class LogUnavailableError(Exception):
+    """The log did not give an answer that can be used."""
+
+
+class LogExpiredError(Exception):
+    """The records asked for are gone; reading goes on from `oldest`."""
+
+    def __init__(self, oldest: int, head: int) -> None:
+        super().__init__(f"records before {oldest} are gone")
+        self.oldest = oldest
+        self.head = head
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Records as read, in order, and the offset of the next to be written."""
+
+    records: tuple[LogRecord, ...]
+    head: int
+
+
+class _AppendBody(msgspec.Struct, frozen=True):
+    records: tuple[str, ...]
+
+
+class _RecordBody(msgspec.Struct, frozen=True):
+    offset: int
+    at_ms: float
+    data: str
+
+
+class _ReadBody(msgspec.Struct, frozen=True):
+    oldest: int
+    next: int
+    records: tuple[_RecordBody, ...] = ()
+
+
+async def append_records(
+    address: Address, texts: Sequence[str], timeout_ms: float
+) -> AppendResult:
+    """Append records together and tell what is known of the result."""
+    body = msgspec.json.encode(_AppendBody(tuple(texts)))
+    try:
+        answer = await fetch(address, "POST", "/log/append", (), body, timeout_ms)
+    except ConnectionFailedError as error:
+        return AppendResult.UNKNOWN if error.is_sent else AppendResult.REFUSED
+    if answer.status == 200:
+        return AppendResult.DONE
+    if answer.status in _REFUSED_STATUSES:
+        return AppendResult.REFUSED
+    return AppendResult.UNKNOWN
+
+
+async def read_records(
+    address: Address, start: int, limit: int, wait_ms: int
+) -> LogPage:
+    """Read from an offset on, waiting a while for new records.
+
+    Raise LogExpiredError when they are gone and LogUnavailableError without an answer.
+    """
+    target = f"/log/read?from={start}&limit={limit}&wait_ms={wait_ms}"
+    timeout_ms = wait_ms + _READ_MARGIN_MS
+    try:
+        answer = await fetch(address, "GET", target, timeout_ms=timeout_ms)
+    except ConnectionFailedError as error:
+        raise LogUnavailableError(str(error)) from error
+    if answer.status not in (200, 410):
+        raise LogUnavailableError(f"status {answer.status}")
+    try:
+        body = msgspec.json.decode(answer.body, type=_ReadBody)
+    except msgspec.DecodeError as error:
+        raise LogUnavailableError(str(error)) from error
+    if answer.status == 410:
+        raise LogExpiredError(body.oldest, body.next)
+    records = tuple(
+        LogRecord(each.offset, each.at_ms, each.data) for each in body.records
+    )
+    return LogPage(records, body.next)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -0,0 +1,217 @@
+"""Assemble one node: open its sockets, start its tasks, stop it as planned."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import signal
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.core_events import AppendToLog, ReadDump, SendMessage
+from toucanyard.names import Address, Incarnation
+from toucanyard.node_core import CoreEvent
+from toucanyard.options import CallerLimits, Options
+from toucanyard_node.callers_face import CallersFace
+from toucanyard_node.core_task import CoreOutputs, CoreTask
+from toucanyard_node.drain import DrainState, drain
+from toucanyard_node.endpoint_watch import EndpointWatch, Watched
+from toucanyard_node.http_client import split_address
+from toucanyard_node.http_server import (
+    HttpServer,
+    ServerLimits,
+    find_port,
+    open_listener,
+)
+from toucanyard_node.locate_answer import NodeIdentity
+from toucanyard_node.locator import Locator
+from toucanyard_node.log_reader import follow_log
+from toucanyard_node.log_writer import write_log
+from toucanyard_node.operators_face import OperatorsFace
+from toucanyard_node.peer_links import PeerLinks
+from toucanyard_node.vm_list import poll_vm_list
+
+_OUTBOX: Final = 10_000
+_INCARNATION_BYTES: Final = 5
+_LOG: Final = structlog.get_logger()
+
+
+class Listeners(msgspec.Struct, frozen=True):
+    """The sockets of one node."""
+
+    callers: trio.SocketListener
+    operators: trio.SocketListener
+    peers: trio.SocketListener
+
+
+async def run_node(options: Options) -> None:
+    """Run one node until it has been stopped."""
+    listeners = await _open_listeners(options)
+    node = _Node(options, listeners)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(node.run)
+        nursery.start_soon(_watch_signals, node.drain_state, nursery.cancel_scope)
+        _announce(options, listeners)
+        await node.wait_drained()
+        nursery.cancel_scope.cancel()
+    _LOG.info("stopped")
+
+
+class _Node:
+    """All tasks of one node and the channels between them."""
+
+    def __init__(self, options: Options, listeners: Listeners) -> None:
+        self._options = options
+        self._listeners = listeners
+        self._rng = random.Random()
+        self.drain_state = DrainState()
+        log_send, self._appends = trio.open_memory_channel[AppendToLog](2**31)
+        peer_send, self._messages = trio.open_memory_channel[SendMessage](_OUTBOX)
+        dump_send, self._dumps = trio.open_memory_channel[ReadDump](_OUTBOX)
+        incarnation = Incarnation(secrets.token_hex(_INCARNATION_BYTES))
+        outputs = CoreOutputs(log_send, peer_send, dump_send)
+        self._task = CoreTask(options, incarnation, outputs)
+        self._core = self._task.core
+        identity = NodeIdentity(options.name, incarnation)
+        locator = Locator(
+            self._core,
+            options,
+            find_address(options.listen.callers, listeners.callers),
+            self.drain_state,
+            self._rng,
+        )
+        self._face = CallersFace(
+            self._task.client,
+            options,
+            identity,
+            lambda: locator.locate(is_staying=True),
+            self.drain_state,
+        )
+        self._server = HttpServer(self._face.handle, build_limits(options.callers))
+        operators = OperatorsFace(self._task, options, self.drain_state)
+        self._operators = HttpServer(operators.handle, build_limits(options.callers))
+        self._links = PeerLinks(
+            self._core.identity,
+            options.peer_secrets,
+            options.membership,
+            self._core.membership.find_peers,
+            self._emit,
+            self._rng,
+        )
+        self._watch = EndpointWatch(self._find_watched, options.membership, self._emit)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run all tasks until cancelled."""
+        options = self._options
+        platform = options.platform
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._face.run)
+            nursery.start_soon(self._task.run)
+            nursery.start_soon(
+                follow_log,
+                platform.log,
+                options.configuration.log_poll_wait_ms,
+                self._emit_now,
+            )
+            nursery.start_soon(
+                write_log, platform.log, options.claims, self._appends, self._emit_now
+            )
+            nursery.start_soon(
+                poll_vm_list,
+                platform.vm_list,
+                options.membership,
+                self._emit,
+                self._rng,
+            )
+            nursery.start_soon(self._links.run, self._listeners.peers, self._messages)
+            nursery.start_soon(self._watch.run)
+            nursery.start_soon(self._read_dumps)
+            nursery.start_soon(self._server.serve, self._listeners.callers)
+            nursery.start_soon(self._operators.serve, self._listeners.operators)
+            task_status.started()
+
+    async def wait_drained(self) -> None:
+        """Wait for a planned stop to be asked for, and carry it out."""
+        await self.drain_state.wait_begun()
+        _LOG.info("drain_begun", pending=self._core.flow.count_pending())
+        is_clean = await drain(
+            self.drain_state, self._server, self._options, self._face.wait_idle
+        )
+        _LOG.info("drain_ended", is_clean=is_clean)
+
+    async def _emit(self, event: CoreEvent) -> None:
+        self._task.inbox.send_nowait(event)
+
+    def _emit_now(self, event: CoreEvent) -> None:
+        self._task.inbox.send_nowait(event)
+
+    def _find_watched(self) -> tuple[list[Watched], int]:
+        configuration = self._core.configuration
+        engines = {
+            endpoint.name for pool in configuration.pools for endpoint in pool.endpoints
+        }
+        watched = [
+            Watched(endpoint, endpoint.name in engines)
+            for endpoint in self._core.find_watched()
+        ]
+        return watched, len(self._core.list_endpoints())
+
+    async def _read_dumps(self) -> None:
+        async with trio.open_nursery() as nursery:
+            async for wanted in self._dumps:
+                nursery.start_soon(self._watch.read_dump, wanted.endpoint)
+
+
+async def _open_listeners(options: Options) -> Listeners:
+    listen = options.listen
+    return Listeners(
+        await open_listener(*split_address(listen.callers)),
+        await open_listener(*split_address(listen.operators)),
+        await open_listener(*split_address(listen.peers)),
+    )
+
+
+async def _watch_signals(state: DrainState, scope: trio.CancelScope) -> None:
+    """Begin a planned stop on the first SIGTERM or SIGINT; end on the second."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if state.is_draining():
+                _LOG.warning("stopped_at_once")
+                scope.cancel()
+                return
+            state.begin()
+
+
+def _announce(options: Options, listeners: Listeners) -> None:
+    """Print where the node listens, for whoever started it with port 0."""
+    listen = options.listen
+    callers = find_address(listen.callers, listeners.callers)
+    operators = find_address(listen.operators, listeners.operators)
+    peers = find_address(listen.peers, listeners.peers)
+    print(
+        f"event=listening role=node callers={callers}"
+        f" operators={operators} peers={peers}",
+        flush=True,
+    )
+
+
+def find_address(configured: Address, listener: trio.SocketListener) -> Address:
+    """Return a listener's address with the port that the kernel gave."""
+    host = configured.rpartition(":")[0]
+    return Address(f"{host}:{find_port(listener)}")
+
+
+def build_limits(limits: CallerLimits) -> ServerLimits:
+    """Return the part of the callers' limits that the server applies."""
+    return ServerLimits(
+        max_connections=limits.max_connections,
+        max_body_bytes=limits.max_body_bytes,
+        max_header_bytes=limits.max_header_bytes,
+        header_timeout_ms=limits.header_timeout_ms,
+        idle_timeout_ms=limits.idle_timeout_ms,
+    )
--- a/packages/toucanyard-standins/src/toucanyard_standins/harness.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -47,6 +47,10 @@
         self._started: list[ProcessHandle] = []
         self.platform: ProcessHandle | None = None
 
+    def list_started(self) -> tuple[ProcessHandle, ...]:
+        """Return every process that was started, in that order."""
+        return tuple(self._started)
+
     def get_platform(self) -> ProcessHandle:
         """Return the platform, which must have been started."""
         if self.platform is None:
@@ -143,10 +147,10 @@
         """Return the platform's counters."""
         return await self.count(self.get_platform(), PlatformCounters)
 
-    async def stop(self) -> None:
-        """End every process that was started, nodes first."""
+    async def end(self) -> None:
+        """End every process that was started; nobody waits for its planned stop."""
         for handle in reversed(self._started):
-            await handle.stop()
+            await handle.end()
 
     async def _list_endpoint(self, handle: ProcessHandle, domain: str) -> None:
         if self.platform is None:
@@ -232,4 +236,4 @@
             yield harness
         finally:
             with trio.CancelScope(shield=True):
-                await harness.stop()
+                await harness.end()
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -133,14 +133,17 @@
         """Return the peers to which a link stands."""
         return tuple(sorted(self._linked, key=lambda peer: peer.node))
 
-    def find_watched(self) -> list[Endpoint]:
-        """Return the endpoints that this node should poll."""
-        endpoints = [
+    def list_endpoints(self) -> list[Endpoint]:
+        """Return all endpoints of the configuration."""
+        return [
             endpoint
             for owner in find_owners(self.configuration)
             for endpoint in owner.endpoints
         ]
-        return self.membership.find_watched(endpoints)
+
+    def find_watched(self) -> list[Endpoint]:
+        """Return the endpoints that this node should poll."""
+        return self.membership.find_watched(self.list_endpoints())
 
     def handle(self, event: CoreEvent, now_ms: float) -> list[CoreAction]:
         """Take one event in and return what must be done now, in this order."""
--- /dev/null
+++ b/tests/features/steps/whole_path_steps.py
@@ -0,0 +1,103 @@
+"""Steps about deployments, requests and their answers."""
+
+from __future__ import annotations
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+
+from toucanyard_standins.deployment import DeploymentSizes
+from world import World, build_completion
+
+PROMPT = "All the rules of the ferry. " * 60
+COMPLETIONS = "/v1/completions"
+HOLDS = "/v1/services/booking-app/holds"
+
+
+@given(
+    "a deployment with {nodes:d} nodes, {engines:d} engines and {services:d} service"
+)
+def start(context: Context, nodes: int, engines: int, services: int) -> None:
+    context.world.start(DeploymentSizes(nodes, engines, services))
+
+
+@when("a caller asks node {number:d} where to connect")
+def locate(context: Context, number: int) -> None:
+    context.world.ask_node(number, "GET", "/v1/locate")
+
+
+@then("the answer names a live node and a key prefix")
+def check_located(context: Context) -> None:
+    world: World = context.world
+    answer = msgspec.json.decode(world.seen[-1].body)
+    addresses = [node.address for node in world.deployment.nodes]
+    assert answer["address"] in addresses, answer
+    assert answer["issued_key"]["prefix"], answer
+
+
+@when("a caller sends a completion to node {number:d}")
+def complete(context: Context, number: int) -> None:
+    body = build_completion(PROMPT, 4, is_stream=False)
+    context.world.ask_node(number, "POST", COMPLETIONS, body)
+
+
+@when("a caller with a wrong key sends a completion to node {number:d}")
+def complete_wrongly(context: Context, number: int) -> None:
+    body = build_completion(PROMPT, 4, is_stream=False)
+    wrong = (("Authorization", "Bearer wrong"),)
+    context.world.ask_node(number, "POST", COMPLETIONS, body, wrong)
+
+
+@when("a caller streams {tokens:d} tokens from node {number:d}")
+def stream(context: Context, tokens: int, number: int) -> None:
+    body = build_completion(PROMPT, tokens, is_stream=True)
+    context.world.ask_node(number, "POST", COMPLETIONS, body)
+
+
+@when("a caller begins to stream {tokens:d} tokens from node {number:d}")
+def begin_stream(context: Context, tokens: int, number: int) -> None:
+    world: World = context.world
+    body = build_completion(PROMPT, tokens, is_stream=True)
+    seen = world.begin_request(number, "POST", COMPLETIONS, body)
+    world.wait_for("first events", lambda: seen.body.count(b"data:") >= 3)
+
+
+@when('a caller sends a hold with key "{key}" to node {number:d}')
+def hold(context: Context, key: str, number: int) -> None:
+    headers = (("Idempotency-Key", key),)
+    context.world.ask_node(number, "POST", HOLDS, b'{"seat": 1}', headers)
+
+
+@then("the answer is whole with status {status:d}")
+def check_answer(context: Context, status: int) -> None:
+    seen = context.world.seen[-1]
+    assert seen.is_whole and seen.status == status, seen
+
+
+@then("the last answer reports cached tokens")
+def check_cached(context: Context) -> None:
+    usage = msgspec.json.decode(context.world.seen[-1].body)["usage"]
+    assert usage["prompt_tokens_details"]["cached_tokens"] > 0, usage
+
+
+@then("the stream is whole, numbered and in order")
+def check_stream(context: Context) -> None:
+    world: World = context.world
+    seen = world.seen[-1]
+    world.wait_for("the stream's end", lambda: seen.is_over)
+    assert seen.is_whole and seen.status == 200, seen
+    lines = seen.body.decode().splitlines()
+    numbers = [int(line[3:]) for line in lines if line.startswith("id:")]
+    assert numbers == list(range(len(numbers))), numbers
+    assert lines[-2:-1] == ["data: [DONE]"] or "data: [DONE]" in lines[-3:], lines[-4:]
+
+
+@then("node {number:d} explains where it was sent and why")
+def explain(context: Context, number: int) -> None:
+    world: World = context.world
+    request_id = world.seen[-1].headers["x-request-id"]
+    answer = world.ask_operator(number, f"/explain/{request_id}")
+    assert answer.status == 200, answer
+    steps = msgspec.json.decode(answer.body)["steps"]
+    sent = next(step for step in steps if step["kind"] == "sent")
+    assert sent["endpoint"] == sent["scores"][0]["endpoint"], sent
--- /dev/null
+++ b/tests/features/world.py
@@ -0,0 +1,162 @@
+"""What the steps of one scenario share: processes, callers and their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Sequence
+
+import msgspec
+import trio
+
+from portal import Portal
+from toucanyard_node.http_client import ConnectionFailedError, Response, connect
+from toucanyard_standins.deployment import (
+    CALLER_KEY,
+    MODEL,
+    OPERATOR_KEY,
+    Deployment,
+    DeploymentSizes,
+    start_deployment,
+)
+from toucanyard_standins.harness import Harness, ask
+from toucanyard_standins.plain_service import ServiceCounters
+from toucanyard_standins.processes import ProcessHandle
+
+PATIENCE_S = 20.0
+"""How long a scenario waits for what must happen; never asserted as a time."""
+LOG_TAIL = 3_000
+
+
+class Seen(msgspec.Struct):
+    """What one caller saw of one request."""
+
+    status: int = 0
+    body: bytes = b""
+    headers: dict[str, str] = {}
+    is_whole: bool = False
+    is_over: bool = False
+    error: str = ""
+
+    def find_ending(self) -> str:
+        """Return the ending of a refusal, or "answered"."""
+        if self.status == 200:
+            return "answered"
+        body = msgspec.json.decode(self.body)
+        return str(body["error"]["ending"])
+
+
+class World:
+    def __init__(self, portal: Portal, harness: Harness) -> None:
+        self.portal = portal
+        self.harness = harness
+        self.deployment: Deployment
+        self.seen: list[Seen] = []
+
+    def start(self, sizes: DeploymentSizes) -> None:
+        self.deployment = self.portal.call(start_deployment, self.harness, sizes)
+
+    def print_logs(self) -> None:
+        for handle in self.harness.list_started():
+            print(f"--- {handle.name}\n{handle.read_log()[-LOG_TAIL:]}")
+
+    def find_node(self, number: int) -> ProcessHandle:
+        return self.deployment.nodes[number - 1]
+
+    def find_process(self, name: str) -> ProcessHandle:
+        handles = self.harness.list_started()
+        return next(handle for handle in handles if handle.name == name)
+
+    def ask_node(
+        self,
+        number: int,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Sequence[tuple[str, str]] = (),
+    ) -> Seen:
+        """Make one request and wait for its end."""
+        seen = Seen()
+        self.seen.append(seen)
+        address = self.find_node(number).address
+        self.portal.call(request, address, method, target, body, headers, seen)
+        return seen
+
+    def begin_request(
+        self,
+        number: int,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Sequence[tuple[str, str]] = (),
+    ) -> Seen:
+        """Make one request that goes on during later steps."""
+        seen = Seen()
+        self.seen.append(seen)
+        address = self.find_node(number).address
+        self.portal.spawn(request, address, method, target, body, headers, seen)
+        return seen
+
+    def ask_operator(self, number: int, target: str) -> Response:
+        address = self.find_node(number).addresses["operators"]
+        return self.portal.call(ask, address, "GET", target, OPERATOR_KEY)
+
+    def wait_for(self, what: str, is_true: Callable[[], bool]) -> None:
+        """Wait until something holds; fail after a long while."""
+
+        async def wait() -> None:
+            with trio.move_on_after(PATIENCE_S):
+                while not await trio.to_thread.run_sync(is_true):
+                    await trio.sleep(0.05)
+                return
+            raise AssertionError(f"did not happen: {what}")
+
+        self.portal.call(wait)
+
+    def count_holds(self, key: str) -> int:
+        """Return how often the plain services ran the calls of one key."""
+        return sum(
+            self.portal.call(self.harness.count, service, ServiceCounters).by_key.get(
+                key, 0
+            )
+            for service in self.deployment.services
+        )
+
+
+async def request(
+    address: str,
+    method: str,
+    target: str,
+    body: bytes,
+    headers: Sequence[tuple[str, str]],
+    seen: Seen,
+) -> None:
+    """Make one request and note what comes, part by part."""
+    try:
+        connection = await connect(address, 5_000)  # type: ignore[arg-type]
+        try:
+            named = (("Authorization", f"Bearer {CALLER_KEY}"), *headers)
+            await connection.send(method, target, named, body)
+            head = await connection.read_head()
+            seen.status, seen.headers = head.status, head.headers
+            while (part := await connection.read_part()) is not None:
+                seen.body += part
+            seen.is_whole = True
+        finally:
+            await connection.close()
+    except ConnectionFailedError as error:
+        seen.error = str(error)
+    finally:
+        seen.is_over = True
+
+
+def build_completion(prompt: str, max_tokens: int, is_stream: bool) -> bytes:
+    return msgspec.json.encode(
+        {
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": is_stream,
+        }
+    )
+
+
+Work = Callable[[], Awaitable[None]]
