--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_path.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_path.py
@@ -23,6 +23,7 @@
 from toucanyard.names import Address, DomainName, NodeName
 from toucanyard.options import (
     AdmissionLimits,
+    CallerLimits,
     DrainTimings,
     ListenOptions,
     Options,
@@ -53,7 +54,8 @@
 _CONNECTIONS: Final = 16
 _HELD_SLOWDOWN: Final = 2_000.0
 _SETTLE_S: Final = 1.0
-_PROFILE_LINES: Final = 30
+_PROFILE_LINES: Final = 40
+_PROFILE_STOP_S: Final = 15.0
 _ANY: Final = Address("127.0.0.1:0")
 _ENGINE_ARGUMENTS: Final = (
     *("--decode-step-ms", "2"),
@@ -101,6 +103,7 @@
         ListenOptions(_ANY, _ANY, _ANY),
         PlatformOptions(_ANY, _ANY),
         ("bench",),
+        callers=CallerLimits(locate_ttl_ms=1),
         admission=AdmissionLimits(max_queued=10_000, max_queued_per_customer=10_000),
         drain=DrainTimings(min_notice_ms=1, max_drain_ms=2_000),
     )
@@ -251,6 +254,8 @@
         deployment = await start_deployment(harness, deployment_sizes)
         print_parameters(sizes, engines)
         await measure(deployment, harness, sizes)
+        if profile_directory:
+            await deployment.nodes[0].stop(_PROFILE_STOP_S)
 
 
 def print_profile(directory: str) -> None:
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_run.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_run.py
@@ -143,6 +143,7 @@
         self.admission = Admission(AdmissionLimits(), self.rng)
         self.admission.apply_configuration(run.configuration)
         self.placement = run.make_chooser(self.rng)
+        self.placement.apply_node_count(run.deployment.nodes)
         self.tasks: dict[RequestId, Task] = {}
         self.read_seqs: dict[EndpointName, tuple[str, int]] = {}
         self.down: set[EndpointName] = set()
@@ -262,7 +263,11 @@
             engine = self.run.engines[task.endpoint]
             incarnation = engine.incarnation if engine.is_up else None
             outcome = Outcome(
-                task.request.request_id, task.endpoint, ending, incarnation
+                task.request.request_id,
+                task.endpoint,
+                ending,
+                incarnation,
+                duration_ms=now_ms - task.sent_ms,
             )
             self.placement.note_outcome(task.request, outcome, now_ms)
         if ending == EndingSeen.COMPLETED:
--- a/packages/toucanyard-standins/src/toucanyard_standins/processes.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/processes.py
@@ -74,17 +74,20 @@
         """Let a paused process go on."""
         self.process.send_signal(signal.SIGCONT)
 
-    async def stop(self) -> None:
-        """Ask the process to end, and wait; kill it if it takes too long."""
-        if not self.is_running():
-            return
-        self.process.send_signal(signal.SIGCONT)
-        self.process.terminate()
-        with trio.move_on_after(_STOP_TIMEOUT_S):
-            await self.process.wait()
+    async def stop(self, timeout_s: float = _STOP_TIMEOUT_S) -> bool:
+        """Ask the process to end; kill it if it takes too long, and say so."""
         if self.is_running():
-            self.process.kill()
+            self.process.terminate()
+        with trio.move_on_after(timeout_s):
             await self.process.wait()
+            return True
+        await self.end()
+        return False
+
+    async def end(self) -> None:
+        """End the process at once and wait until it has ended."""
+        self.process.kill()
+        await self.process.wait()
 
 
 async def start_process(
