Send a prefix to one home from its first block on, and widen it by its load

Cause: nodes that had not yet seen a level recur each chose among three endpoints, so a cold prefix was computed several times.

--- a/packages/toucanyard/src/toucanyard/load_view.py
+++ b/packages/toucanyard/src/toucanyard/load_view.py
@@ -122,10 +122,18 @@
             if own.sent_ms > since_ms and not own.has_started
         )
 
-    def compute_reported_work(self, ms_per_block: float, max_running: int) -> float:
-        """Return the wait that the last report alone foretells, in ms."""
+    def compute_reported_work(
+        self, ms_per_block: float, slots: int, slot_ms: float
+    ) -> float:
+        """Return the wait that the last report foretells, in ms.
+
+        Either the computation queued, or the time until a slot is free, since one
+        of them frees on average every `slot_ms`.
+        """
         report = self._report
         if report is None:
             return 0.0
-        crowd = max(report.running + report.waiting - max_running, 0)
-        return report.queued_blocks * ms_per_block + crowd * ms_per_block
+        since_ms = self.measured_ms
+        fresh = sum(own.sent_ms > since_ms for own in self.own.values())
+        surplus = report.running + report.waiting + fresh + 1 - slots
+        return max(report.queued_blocks * ms_per_block, surplus * slot_ms, 0.0)
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -24,6 +24,7 @@
 from toucanyard.requests import EndingSeen, ModelTarget, Outcome, Request
 
 MAX_POOLS: Final = 64
+USE_STEP: Final = 0.05
 
 
 class PlacementLimits(msgspec.Struct, frozen=True):
@@ -33,12 +34,12 @@
     """Blocks known over all endpoints; an endpoint gets an equal share."""
     max_prefixes: int = 20_000
     max_scored: int = 12
-    home_trust: float = 0.5
-    """Chance that an endpoint holds a shared prefix that hashing gives to it."""
     doubtful_trust: float = 0.5
     """Chance that a block of a doubtful view is still there."""
-    spread_price: float = 0.5
+    spread_price: float = 4.0
     """Price of a millisecond recomputed outside of a prefix's endpoints, on top."""
+    target_use: float = 0.4
+    """Share of one replica that one prefix may use before it is widened."""
     dump_interval_ms: float = 1_000.0
 
 
@@ -78,6 +79,25 @@
     asked_dump_ms: float = float("-inf")
 
 
+class PoolUse(msgspec.Struct):
+    """What one request of a pool uses of a replica, as moving means."""
+
+    work_ms: float = 50.0
+    duration_ms: float = 1_000.0
+
+    def note_work(self, work_ms: float) -> None:
+        """Take in the computation before a first token."""
+        self.work_ms += USE_STEP * (work_ms - self.work_ms)
+
+    def note_duration(self, duration_ms: float) -> None:
+        """Take in the time from dispatch to the end of an answer."""
+        self.duration_ms += USE_STEP * (duration_ms - self.duration_ms)
+
+    def compute_share(self, slots: int) -> float:
+        """Return how many replicas one request a second keeps busy."""
+        return max(self.work_ms, self.duration_ms / slots) / 1_000
+
+
 class _Home(msgspec.Struct, frozen=True):
     names: tuple[EndpointName, ...]
     depth: int
@@ -86,7 +106,16 @@
 class Placement:
     """Views of endpoints and the choice among them; owned by one task."""
 
-    __slots__ = ("_limits", "_prefixes", "_ring", "_ring_of", "_rng", "_views")
+    __slots__ = (
+        "_limits",
+        "_node_count",
+        "_prefixes",
+        "_ring",
+        "_ring_of",
+        "_rng",
+        "_use",
+        "_views",
+    )
 
     def __init__(
         self, rng: random.Random, limits: PlacementLimits | None = None
@@ -95,9 +124,15 @@
         self._limits = limits or PlacementLimits()
         self._prefixes = HotPrefixes(self._limits.max_prefixes)
         self._views: dict[EndpointName, EndpointView] = {}
+        self._node_count = 1
+        self._use: dict[str, PoolUse] = {}
         self._ring: dict[str, EndpointRing] = {}
         self._ring_of: dict[str, Sequence[Endpoint]] = {}
 
+    def apply_node_count(self, count: int) -> None:
+        """Take over how many nodes share the requests, to tell the whole load."""
+        self._node_count = max(count, 1)
+
     def choose(
         self,
         request: Request,
@@ -169,6 +204,7 @@
         )
         if isinstance(request.target, ModelTarget):
             view.cache.touch(request.target.chain, now_ms)
+            self._find_use(request.target.pool).note_work(work_ms)
 
     def note_first_token(
         self,
@@ -188,6 +224,9 @@
             view.cache.note_incarnation(outcome.incarnation)
         if not isinstance(request.target, ModelTarget):
             return
+        if outcome.ending == EndingSeen.COMPLETED and outcome.duration_ms > 0:
+            use = self._find_use(request.target.pool)
+            use.note_duration(outcome.duration_ms)
         if outcome.ending in (EndingSeen.NOT_SENT, EndingSeen.REFUSED):
             # Nothing was computed there: expecting its blocks would draw the prefix.
             view.cache.is_doubtful = True
@@ -244,6 +283,11 @@
             self._views[name] = view
         return view
 
+    def _find_use(self, pool: str) -> PoolUse:
+        if len(self._use) >= MAX_POOLS and pool not in self._use:
+            self._use.clear()
+        return self._use.setdefault(pool, PoolUse())
+
     def _find_ring(self, pool: str, candidates: Sequence[Endpoint]) -> EndpointRing:
         if self._ring_of.get(pool) is not candidates:
             if len(self._ring) >= MAX_POOLS:
@@ -263,16 +307,16 @@
         """
         if not chain:
             return _Home((), 0)
+        names = ring.find_neighbours(chain[0])
         levels = self._prefixes.find_levels(chain, now_ms)
         if not levels:
-            names = ring.rank(ring.find_neighbours(chain[0]), chain[0])
-            return _Home(tuple(names[: pool.placement.candidates]), 0)
-        names = ring.find_neighbours(levels[0].key)
+            return _Home(tuple(ring.rank(names, chain[0])[:1]), 0)
+        share = self._find_use(pool.name).compute_share(pool.placement.max_running)
+        share *= self._node_count / self._limits.target_use
         for level in levels:
-            names = ring.rank(names, level.key)
-            load = level.per_s * 0.2
+            load = level.per_s * share
             width = self._prefixes.adjust_width(level.key, load, 1)
-            names = names[:width]
+            names = ring.rank(names, level.key)[:width]
         return _Home(tuple(names), levels[-1].depth)
 
     def _find_scored(
@@ -282,7 +326,7 @@
         if len(ring.seeds) <= limit:
             return list(ring.seeds)
         key = chain[0] if chain else 0
-        names = dict.fromkeys(home.names[: limit - 2])
+        names = dict.fromkeys(home.names[: limit - 1])
         for name in ring.find_neighbours(key):
             if len(names) >= limit - 1:
                 break
@@ -293,15 +337,17 @@
     def _compute_mean_work(
         self, names: Sequence[EndpointName], pool: Pool, now_ms: float
     ) -> float:
-        policy = pool.placement
-        works = [
-            self._view(name).load.compute_reported_work(
-                policy.prefill_ms_per_block, policy.max_running
-            )
-            for name in names
-        ]
+        works = [self._compute_reported(self._view(name), pool) for name in names]
         return sum(works) / len(works)
 
+    def _compute_reported(self, view: EndpointView, pool: Pool) -> float:
+        policy = pool.placement
+        slots = policy.max_running
+        slot_ms = self._find_use(pool.name).duration_ms / slots
+        return view.load.compute_reported_work(
+            policy.prefill_ms_per_block, slots, slot_ms
+        )
+
     def _score(
         self,
         name: EndpointName,
@@ -317,10 +363,7 @@
         warm = view.cache.count_warm(chain)
         trust = self._limits.doubtful_trust if view.cache.is_doubtful else 1.0
         is_home = name in home.names
-        believed = warm * trust
-        if is_home and home.depth > believed:
-            believed += (home.depth - believed) * self._limits.home_trust
-        missing = max(len(chain) - believed, 0.0)
+        missing = len(chain) - warm * trust
         recompute_ms = missing * policy.prefill_ms_per_block
         recompute_ms *= view.load.compute_slowness(now_ms)
         price = policy.recompute_price
@@ -340,11 +383,8 @@
     def _compute_queue(
         self, view: EndpointView, pool: Pool, mean_ms: float, now_ms: float
     ) -> float:
-        policy = pool.placement
         load = view.load
-        reported_ms = load.compute_reported_work(
-            policy.prefill_ms_per_block, policy.max_running
-        )
+        reported_ms = self._compute_reported(view, pool)
         trust = load.compute_trust(now_ms)
         work_ms = reported_ms * trust + mean_ms * (1.0 - trust)
         work_ms += load.compute_own_work(now_ms)
