Give a prefix a second home, and avoid engines whose cache turns over

Cause: one home by hash can't see that its cache is too small for what else hashes there, or that it is busy; all nodes then recompute there again and again.

--- a/packages/toucanyard/src/toucanyard/cache_view.py
+++ b/packages/toucanyard/src/toucanyard/cache_view.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import deque
 from collections.abc import Sequence
 from typing import Final
@@ -21,6 +22,7 @@
 """How long a gap may be filled by late events before the view is doubtful."""
 MAX_HELD: Final = 64
 """Events held behind a gap."""
+STORED_HALF_LIFE_MS: Final = 5_000.0
 MAX_DEAD: Final = 16
 """Replaced incarnations that are remembered; messages of older ones are long gone."""
 
@@ -72,6 +74,8 @@
         "_gap_since_ms",
         "_held",
         "_max_blocks",
+        "_stored",
+        "_stored_ms",
         "incarnation",
         "is_doubtful",
     )
@@ -83,6 +87,8 @@
         self._held: dict[int, CacheEvent] = {}
         self._expected: int | None = None
         self._gap_since_ms = 0.0
+        self._stored = 0.0
+        self._stored_ms = 0.0
         self.incarnation: Incarnation | None = None
         self.is_doubtful = True
 
@@ -164,6 +170,10 @@
                 high = middle - 1
         return low
 
+    def compute_stored_per_s(self, now_ms: float) -> float:
+        """Return how many blocks the engine newly stores a second."""
+        return self._decay_stored(now_ms) * math.log(2) * 1_000 / STORED_HALF_LIFE_MS
+
     def check_gap(self, now_ms: float) -> None:
         """Call the view doubtful once a gap has lasted longer than reordering."""
         if self._gap_since_ms and now_ms - self._gap_since_ms > REORDER_WINDOW_MS:
@@ -199,9 +209,15 @@
         match event.kind:
             case CacheEventKind.STORED:
                 self.touch(event.hashes, now_ms)
+                self._stored = self._decay_stored(now_ms) + len(event.hashes)
+                self._stored_ms = max(now_ms, self._stored_ms)
             case CacheEventKind.EVICTED:
                 self.forget(event.hashes)
 
+    def _decay_stored(self, now_ms: float) -> float:
+        age_ms = max(now_ms - self._stored_ms, 0.0)
+        return float(self._stored * 0.5 ** (age_ms / STORED_HALF_LIFE_MS))
+
     def _trim(self) -> None:
         blocks = self._blocks
         while len(blocks) > self._max_blocks:
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -25,6 +25,8 @@
 
 MAX_POOLS: Final = 64
 USE_STEP: Final = 0.05
+SECONDS: Final = 2
+TURNOVER_S: Final = 10.0
 
 
 class PlacementLimits(msgspec.Struct, frozen=True):
@@ -38,6 +40,8 @@
     """Chance that a block of a doubtful view is still there."""
     spread_price: float = 4.0
     """Price of a millisecond recomputed outside of a prefix's endpoints, on top."""
+    evict_price: float = 4.0
+    """Price of a millisecond recomputed where it evicts the whole cache in 10 s."""
     target_use: float = 0.4
     """Share of one replica that one prefix may use before it is widened."""
     dump_interval_ms: float = 1_000.0
@@ -101,6 +105,12 @@
 class _Home(msgspec.Struct, frozen=True):
     names: tuple[EndpointName, ...]
     depth: int
+    seconds: tuple[EndpointName, ...] = ()
+
+    def find_rank(self, name: EndpointName) -> float:
+        if name in self.names:
+            return 0.0
+        return 0.25 if name in self.seconds else 1.0
 
 
 class Placement:
@@ -310,14 +320,19 @@
         names = ring.find_neighbours(chain[0])
         levels = self._prefixes.find_levels(chain, now_ms)
         if not levels:
-            return _Home(tuple(ring.rank(names, chain[0])[:1]), 0)
+            ranked = ring.rank(names, chain[0])
+            return _Home(tuple(ranked[:1]), 0, tuple(ranked[1:SECONDS]))
         share = self._find_use(pool.name).compute_share(pool.placement.max_running)
         share *= self._node_count / self._limits.target_use
+        seconds: list[EndpointName] = []
         for level in levels:
             load = level.per_s * share
             width = self._prefixes.adjust_width(level.key, load, 1)
-            names = ring.rank(names, level.key)[:width]
-        return _Home(tuple(names), levels[-1].depth)
+            ranked = ring.rank(names, level.key)
+            if level is levels[0]:
+                seconds = ranked[width : width + SECONDS - 1]
+            names = ranked[:width]
+        return _Home(tuple(names), levels[-1].depth, tuple(seconds))
 
     def _find_scored(
         self, ring: EndpointRing, home: _Home, chain: Sequence[int]
@@ -362,20 +377,20 @@
         queue_ms = self._compute_queue(view, pool, mean_ms, now_ms)
         warm = view.cache.count_warm(chain)
         trust = self._limits.doubtful_trust if view.cache.is_doubtful else 1.0
-        is_home = name in home.names
+        rank = home.find_rank(name)
         missing = len(chain) - warm * trust
         recompute_ms = missing * policy.prefill_ms_per_block
         recompute_ms *= view.load.compute_slowness(now_ms)
         price = policy.recompute_price
-        if not is_home:
-            price += self._limits.spread_price
+        price += self._limits.spread_price * rank
+        price += self._limits.evict_price * self._compute_turnover(view, now_ms)
         return Score(
             endpoint=name,
             total_ms=queue_ms + recompute_ms * price,
             queue_ms=queue_ms,
             recompute_ms=recompute_ms,
             warm_blocks=warm,
-            is_home=is_home,
+            is_home=rank == 0,
             is_doubtful=view.cache.is_doubtful,
             load_age_ms=now_ms - view.load.measured_ms,
         )
@@ -390,6 +405,16 @@
         work_ms += load.compute_own_work(now_ms)
         return work_ms * load.compute_slowness(now_ms)
 
+    def _compute_turnover(self, view: EndpointView, now_ms: float) -> float:
+        report = view.load.report
+        if report is None or not report.capacity_blocks:
+            return 0.0
+        return (
+            view.cache.compute_stored_per_s(now_ms)
+            * TURNOVER_S
+            / report.capacity_blocks
+        )
+
     def _score_service(self, name: EndpointName, now_ms: float) -> Score:
         view = self._view(name)
         report = view.load.report
