--- a/packages/toucanyard-node/src/toucanyard_node/caller_context.py
+++ b/packages/toucanyard-node/src/toucanyard_node/caller_context.py
@@ -83,6 +83,18 @@
     return key
 
 
+def find_key_age_ms(http: HttpRequest) -> float | None:
+    """Return how long ago the caller first sent its key, or raise BAD_REQUEST."""
+    text = http.headers.get("x-key-age-ms")
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 15:
+        raise RouterError(
+            ErrorKind.BAD_REQUEST, "X-Key-Age-Ms: expected a count of milliseconds"
+        )
+    return float(text)
+
+
 def find_repeatability(
     http: HttpRequest, key: str, otherwise: Repeatability
 ) -> Repeatability:
--- a/packages/toucanyard-node/src/toucanyard_node/callers_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/callers_face.py
@@ -78,9 +78,9 @@
         self._index = CustomerIndex()
         self._counter = itertools.count()
         self._nursery: trio.Nursery | None = None
-        self._pool = ConnectionPool(options.streams, connect)
-        self._models = ModelFace(core, options, self._pool, self._spawn)
-        self._services = ServiceFace(core, options, self._pool, self._spawn)
+        self.pool = ConnectionPool(options.streams, connect)
+        self._models = ModelFace(core, options, self.pool, self._spawn)
+        self._services = ServiceFace(core, options, self.pool, self._spawn)
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -90,10 +90,12 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 task_status.started()
-                await trio.sleep_forever()
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    self._nursery = None
         finally:
-            self._nursery = None
-            await self._pool.close()
+            await self.pool.close()
 
     async def wait_idle(self) -> None:
         """Wait until no task goes on for a caller that went away."""
--- a/packages/toucanyard-node/src/toucanyard_node/engine_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/engine_client.py
@@ -50,6 +50,7 @@
         "is_sent",
         "last_number",
         "request_id",
+        "weights_version",
     )
 
     def __init__(
@@ -73,6 +74,7 @@
         self._resumes = 0
         self.request_id = request_id
         self.incarnation: Incarnation | None = None
+        self.weights_version = dispatch.weights_version
         self.is_sent = False
         self.is_done = False
         self.last_number = -1
@@ -146,9 +148,11 @@
         if head.status >= 500:
             raise DispatchFailedError(EndingSeen.FAILED, f"status {head.status}")
         self.incarnation = find_incarnation(head)
-        found = head.headers.get("x-weights-version", self._dispatch.weights_version)
-        if found != self._dispatch.weights_version:
-            raise DispatchFailedError(EndingSeen.FAILED, f"weights version {found}")
+        wanted = self._dispatch.weights_version
+        self.weights_version = head.headers.get("x-weights-version", wanted)
+        if wanted and self.weights_version != wanted:
+            text = f"weights version {self.weights_version}"
+            raise DispatchFailedError(EndingSeen.FAILED, text)
 
     async def read(self) -> list[Event]:
         """Return the next new events; an empty list for a heartbeat.
@@ -231,10 +235,11 @@
             text = f"{reason}, then another incarnation"
             raise DispatchFailedError(EndingSeen.LOST, text)
         self.incarnation = found
-        version = head.headers.get("x-weights-version", self._dispatch.weights_version)
-        if version != self._dispatch.weights_version:
+        version = head.headers.get("x-weights-version", self.weights_version)
+        if version != self.weights_version and self.weights_version:
             text = f"{reason}, then other weights"
             raise DispatchFailedError(EndingSeen.LOST, text)
+        self.weights_version = version
 
     async def read_rest(self) -> bytes:
         """Return a whole plain body, or raise DispatchFailedError."""
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -147,6 +147,10 @@
             body += part
         return bytes(body)
 
+    async def read_end(self) -> bool:
+        """Wait while no request is under way; return whether the other side closed."""
+        return not await self._stream.receive_some(1)
+
     async def close(self) -> None:
         """Close at once."""
         await trio.aclose_forcefully(self._stream)
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -258,6 +258,11 @@
                 await self._fill(connection, stream)
             elif isinstance(event, h11.Request):
                 head = event
+                # h11 bounds what it has to wait for, not what came in one piece.
+                if _compute_head_bytes(event) > self._limits.max_header_bytes:
+                    return ErrorKind.BAD_REQUEST
+                if _find_content_length(event) > self._limits.max_body_bytes:
+                    return ErrorKind.BODY_TOO_LARGE
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.max_body_bytes:
@@ -317,6 +322,20 @@
         scope.cancel()
 
 
+def _compute_head_bytes(head: h11.Request) -> int:
+    """Return about how many bytes a request's head had."""
+    headers = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.target) + headers
+
+
+def _find_content_length(head: h11.Request) -> int:
+    """Return the size that a request declares for its body; h11 has checked it."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def parse_request(head: h11.Request, body: bytes) -> HttpRequest:
     """Build a request from its head and body."""
     parts = urlsplit(head.target.decode("ascii", "replace"))
--- a/packages/toucanyard-node/src/toucanyard_node/model_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_face.py
@@ -23,6 +23,7 @@
     compute_body_digest,
     find_deadline_ms,
     find_key,
+    find_key_age_ms,
     find_repeatability,
 )
 from toucanyard_node.connection_pool import ConnectionPool
@@ -114,6 +115,7 @@
             ),
             configuration_version=context.configuration.version,
             key=key,
+            key_age_ms=find_key_age_ms(http),
             body_digest=compute_body_digest(http) if key else b"",
         )
 
--- a/packages/toucanyard-node/src/toucanyard_node/service_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/service_face.py
@@ -28,6 +28,7 @@
     compute_body_digest,
     find_deadline_ms,
     find_key,
+    find_key_age_ms,
     find_repeatability,
 )
 from toucanyard_node.connection_pool import ConnectionPool
@@ -117,6 +118,7 @@
             ),
             configuration_version=context.configuration.version,
             key=key,
+            key_age_ms=find_key_age_ms(http),
             body_digest=compute_body_digest(http) if key else b"",
         )
 
@@ -178,9 +180,8 @@
         """Tell the core that nobody waits for the answer any more."""
         if self._dispatch is None:
             return
-        is_sent = self.attempts.may_have_run
-        ending = EndingSeen.CANCELLED if is_sent else EndingSeen.NOT_SENT
-        self.attempts.report_end(self._build_outcome(self._dispatch, ending))
+        outcome = self._build_outcome(self._dispatch, EndingSeen.CANCELLED)
+        self.attempts.report_end(outcome)
 
     async def _try(self, dispatch: Dispatch) -> Response:
         """Make one dispatch, or raise DispatchFailedError."""
--- a/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
+++ b/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
@@ -41,7 +41,9 @@
 )
 from toucanyard_node.stream_buffer import StreamBuffer
 
-HEARTBEAT: Final = b": heartbeat\n\n"
+# A comment line without a blank one: some client libraries take a blank line after a
+# comment for the end of an event without data, and fail on it.
+HEARTBEAT: Final = b": heartbeat\n"
 EVENT_STREAM: Final = "text/event-stream"
 _PRIORITIES: Final = {each: str(i) for i, each in enumerate(PriorityClass)}
 
@@ -66,6 +68,7 @@
         "_spawn",
         "_text",
         "_tokens",
+        "_weights_version",
         "attempts",
         "buffer",
         "is_over",
@@ -90,6 +93,7 @@
         self._engine: EngineStream | None = None
         self._dispatch: Dispatch | None = None
         self._incarnation: Incarnation | None = None
+        self._weights_version = ""
         self._first_chunk: Chunk | None = None
         self._text: list[str] = []
         self._tokens = 0
@@ -139,7 +143,6 @@
         assert self._engine is not None
         try:
             events = await self._engine.read()
-            self._incarnation = self._engine.incarnation
             if not events:
                 return HEARTBEAT
             return self._take(events)
@@ -152,9 +155,8 @@
             return
         engine, self._engine = self._engine, None
         if engine is not None:
-            is_sent = engine.is_sent
-            ending = EndingSeen.CANCELLED if is_sent else EndingSeen.NOT_SENT
-            self.attempts.report_end(self._build_outcome(ending))
+            # Never NOT_SENT here: the core would try again for nobody.
+            self.attempts.report_end(self._build_outcome(EndingSeen.CANCELLED))
             self._spawn(engine.cancel)
         self._end(self._build_incomplete(text))
 
@@ -167,8 +169,9 @@
     async def _start(self, dispatch: Dispatch) -> ResponseHead:
         request = self.attempts.request
         self._dispatch = dispatch
-        if dispatch.weights_version != self._call.target.weights_version:
-            # The prompt's blocks and what was already said belong to one version.
+        if self._weights_version not in ("", dispatch.weights_version):
+            # What was already said belongs to one version and goes on under none
+            # other; before the first event any version will do.
             text = "the dispatch is for other weights"
             raise DispatchFailedError(EndingSeen.NOT_SENT, text)
         is_stream = not self._call.is_plain_only or self._call.is_stream
@@ -196,8 +199,9 @@
             ("X-Request-Id", request.request_id),
             ("X-Cache-Salt", request.customer),
             ("X-Priority", _PRIORITIES[request.priority]),
-            ("X-Weights-Version", dispatch.weights_version),
         ]
+        if dispatch.weights_version:
+            headers.append(("X-Weights-Version", dispatch.weights_version))
         if self._tokens:
             headers.append(("X-Resume-Text-Tokens", str(self._tokens)))
         return tuple(headers)
@@ -216,6 +220,9 @@
 
     def _take(self, events: list[Event]) -> bytes:
         """Return new events with numbers, after keeping them."""
+        assert self._engine is not None
+        self._incarnation = self._engine.incarnation
+        self._weights_version = self._engine.weights_version
         if self.first_token_ms is None:
             self._tell_first_token()
         parts: list[bytes] = []
@@ -275,7 +282,7 @@
             endpoint=self._dispatch.endpoint,
             ending=ending,
             incarnation=self._incarnation,
-            weights_version=self._dispatch.weights_version,
+            weights_version=self._weights_version or self._dispatch.weights_version,
             first_token_ms=self.first_token_ms,
             duration_ms=self.attempts.find_elapsed_ms(),
             cached_tokens=details.cached_tokens if details is not None else 0,
@@ -344,7 +351,7 @@
     def _decline(self, dispatch: Dispatch) -> None:
         request_id = self.attempts.request.request_id
         self.attempts.report_end(
-            Outcome(request_id, dispatch.endpoint, EndingSeen.NOT_SENT)
+            Outcome(request_id, dispatch.endpoint, EndingSeen.CANCELLED)
         )
 
     def _build_incomplete(self, text: str) -> Refuse:
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import msgspec
 import trio
 
+from support.engines import ScriptedEngine
+from support.network import MemoryNetwork
 from toucanyard.configuration import (
     Configuration,
     Customer,
@@ -29,7 +31,15 @@
     ServiceName,
 )
 from toucanyard.options import ListenOptions, Options, PlatformOptions, StreamLimits
-from toucanyard.requests import Dispatch, EndingSeen, Outcome, Refuse, Request, Verdict
+from toucanyard.requests import (
+    Dispatch,
+    EndingSeen,
+    Outcome,
+    Refuse,
+    Replay,
+    Request,
+    Verdict,
+)
 from toucanyard_node.callers_face import CallersFace, find_server_limits
 from toucanyard_node.core_messages import (
     Abandon,
@@ -40,8 +50,16 @@
 )
 from toucanyard_node.credentials import compute_key_hash
 from toucanyard_node.drain import DrainState
+from toucanyard_node.http_client import (
+    Connect,
+    Headers,
+    HttpConnection,
+    Response,
+    connect,
+)
 from toucanyard_node.http_server import HttpServer, find_port, open_listener
 from toucanyard_node.locate_answer import LocateAnswer, NodeIdentity
+from toucanyard_node.sse import get_text, read_chunk
 
 KEY = "key-of-rio"
 OTHER_KEY = "key-of-mar"
@@ -90,6 +108,10 @@
         self.weights_versions: list[str] = []
         self.is_refusing = False
         self.is_waiting = False
+        self.is_refusing_retries = False
+        self.is_careless = False
+        """Send elsewhere what may run once only."""
+        self.replay: Replay | None = None
         self.requests: list[Request] = []
         self.outcomes: list[Outcome] = []
         self.abandoned: list[RequestId] = []
@@ -117,6 +139,8 @@
         return [outcome.ending for outcome in self.outcomes]
 
     def _decide(self, request_id: RequestId) -> Verdict:
+        if self.replay is not None:
+            return self.replay
         if self.is_refusing:
             kind, ending = ErrorKind.OVERLOADED, Ending.NOT_RUN
             return Refuse(request_id, kind, ending, "too much at once", 800)
@@ -141,21 +165,73 @@
             each for each in self.requests if each.request_id == outcome.request_id
         )
         is_not_run = outcome.ending in (EndingSeen.NOT_SENT, EndingSeen.REFUSED)
-        if request.repeatability != "repeatable" and not is_not_run:
+        if self.is_refusing_retries:
+            kind, not_run = ErrorKind.OVERLOADED, Ending.NOT_RUN
+            return Refuse(outcome.request_id, kind, not_run, "too much at once", 800)
+        is_repeatable = request.repeatability == "repeatable" or self.is_careless
+        if not is_repeatable and not is_not_run:
             return None
         if self._attempts[outcome.request_id] >= len(self.addresses):
             return None
         return self._decide(outcome.request_id)
 
 
-class ServedFace(msgspec.Struct):
-    """A face that is being served."""
+class ServedFace:
+    """A face that is being served, and how to ask it."""
+
+    def __init__(
+        self,
+        core: ScriptedCore,
+        options: Options,
+        connect_engine: Connect = connect,
+        connect_face: Connect = connect,
+    ) -> None:
+        self.address = ANYWHERE
+        self.network: MemoryNetwork | None = None
+        self.core = core
+        self.drain = DrainState()
+        self._connect = connect_face
+        identity = NodeIdentity(NodeName("n1"), Incarnation("x7"))
+        self.face = CallersFace(
+            core.client, options, identity, self._locate, self.drain, connect_engine
+        )
+        self.server = HttpServer(self.face.handle, find_server_limits(options))
+
+    def _locate(self) -> LocateAnswer:
+        node = NodeName("n2" if self.drain.is_draining() else "n1")
+        return LocateAnswer(node, self.address, 10_000, ())
+
+    async def open(
+        self, method: str, target: str, headers: Headers = AUTHORIZED, body: object = ""
+    ) -> HttpConnection:
+        """Send a request on a new connection."""
+        connection = await self._connect(self.address, 1_000)
+        data = msgspec.json.encode(body) if body else b""
+        await connection.send(method, target, headers, data)
+        return connection
+
+    async def ask(
+        self, method: str, target: str, headers: Headers = AUTHORIZED, body: object = ""
+    ) -> Response:
+        """Make one request and return its whole answer."""
+        connection = await self.open(method, target, headers, body)
+        try:
+            head = await connection.read_head()
+            return Response(head.status, head.headers, await connection.read_body())
+        finally:
+            await connection.close()
+
+    async def complete(
+        self, is_stream: bool = True, headers: Headers = AUTHORIZED
+    ) -> Response:
+        """Ask for a completion."""
+        body = build_completion(is_stream)
+        return await self.ask("POST", "/v1/completions", headers, body)
+
 
-    address: Address
-    core: ScriptedCore
-    server: HttpServer
-    face: CallersFace
-    drain: DrainState
+def build_completion(is_stream: bool = True) -> dict[str, object]:
+    """Return the body of a completion."""
+    return {"model": "model", "prompt": "hola", "stream": is_stream}
 
 
 @asynccontextmanager
@@ -163,25 +239,49 @@
     core: ScriptedCore, options: Options | None = None
 ) -> AsyncIterator[ServedFace]:
     """Serve a face on a port that the kernel chose."""
-    options = options or build_options()
-    drain = DrainState()
-    identity = NodeIdentity(NodeName("n1"), Incarnation("x7"))
+    served = ServedFace(core, options or build_options())
     async with trio.open_nursery() as nursery:
         listener = await open_listener("127.0.0.1", 0)
-        address = Address(f"127.0.0.1:{find_port(listener)}")
-        locate = _build_locate(address, drain)
-        face = CallersFace(core.client, options, identity, locate, drain)
-        server = HttpServer(face.handle, find_server_limits(options))
+        served.address = Address(f"127.0.0.1:{find_port(listener)}")
         nursery.start_soon(core.run)
-        await nursery.start(face.run)
-        nursery.start_soon(server.serve, listener)
-        yield ServedFace(address, core, server, face, drain)
+        await nursery.start(served.face.run)
+        nursery.start_soon(served.server.serve, listener)
+        yield served
         nursery.cancel_scope.cancel()
 
 
-def _build_locate(address: Address, drain: DrainState) -> Callable[[], LocateAnswer]:
-    def locate() -> LocateAnswer:
-        node = NodeName("n2" if drain.is_draining() else "n1")
-        return LocateAnswer(node, address, 10_000, ())
+@asynccontextmanager
+async def serve_in_memory(
+    engines: list[ScriptedEngine], options: Options | None = None
+) -> AsyncIterator[ServedFace]:
+    """Serve a face and engines in memory; tries go to the engines in their order."""
+    names = [Address(f"10.0.0.{place}:80") for place in range(len(engines))]
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        for name, engine in zip(names, engines, strict=True):
+            network.serve(name, engine.handle)
+        core = ScriptedCore(names)
+        options = options or build_options()
+        served = ServedFace(core, options, network.connect, network.connect)
+        served.address = Address("10.0.1.1:80")
+        served.network = network
+        served.server = network.serve(
+            served.address, served.face.handle, find_server_limits(options)
+        )
+        nursery.start_soon(core.run)
+        await nursery.start(served.face.run)
+        yield served
+        nursery.cancel_scope.cancel()
+
+
+def read_numbers(body: bytes) -> list[int]:
+    """Return the numbers of the events in a body."""
+    lines = body.split(b"\n")
+    return [int(line[4:]) for line in lines if line.startswith(b"id: ")]
+
 
-    return locate
+def read_text(body: bytes) -> str:
+    """Return the text that the events in a body add up to."""
+    lines = [line[6:] for line in body.split(b"\n") if line.startswith(b"data: {")]
+    chunks = [read_chunk(line) for line in lines if b'"error"' not in line]
+    return "".join(get_text(chunk) for chunk in chunks)
--- /dev/null
+++ b/tests/support/engines.py
@@ -0,0 +1,116 @@
+"""An engine whose behaviour at each request is scripted."""
+
+from __future__ import annotations
+
+import enum
+import json
+
+import msgspec
+import trio
+
+from toucanyard_node.http_server import HttpRequest, Responder
+
+
+class Then(enum.Enum):
+    """What follows the events of a step."""
+
+    END = enum.auto()
+    CUT = enum.auto()
+    SILENCE = enum.auto()
+    BEAT = enum.auto()
+    """Send heartbeats, but no events, for ever."""
+
+
+class Step(msgspec.Struct, frozen=True):
+    """How one POST or GET of a stream is answered."""
+
+    until: int = 10**6
+    """Number of the first event that isn't sent."""
+    then: Then = Then.END
+    status: int = 200
+    """0 closes the connection without an answer."""
+    echo: str | None = None
+    incarnation: str = "i1"
+    weights: str = "w1"
+    skip: int | None = None
+    """An event that is left out."""
+    head_delay_s: float = 0.0
+    is_repeating: bool = False
+    """Resume from the first event, whatever was asked for."""
+    gap_s: float = 0.0
+    """Time before each event; a heartbeat comes in the middle of it."""
+
+
+class ScriptedEngine:
+    """Answer with the tokens of one text; steps are used up in order."""
+
+    def __init__(self, tokens: tuple[str, ...], *steps: Step) -> None:
+        self._tokens = tokens
+        self._steps = list(steps)
+        self.requests: list[HttpRequest] = []
+        self.cancelled: list[str] = []
+        self.events_sent = 0
+
+    def find_requests(self, method: str) -> list[HttpRequest]:
+        return [each for each in self.requests if each.method == method]
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        self.requests.append(request)
+        request_id = request.headers.get(
+            "x-request-id", request.path.rpartition("/")[2]
+        )
+        if request.method == "DELETE":
+            self.cancelled.append(request_id)
+            await responder.send(204, (("X-Request-Id", request_id),), b"")
+            return
+        step = self._steps.pop(0) if self._steps else Step()
+        await trio.sleep(step.head_delay_s)
+        headers = (
+            ("X-Request-Id", request_id if step.echo is None else step.echo),
+            ("X-Incarnation", step.incarnation),
+            ("X-Weights-Version", step.weights),
+        )
+        if step.status == 0:
+            return
+        if step.status != 200:
+            await responder.send(step.status, headers, b'{"error": "scripted"}')
+            return
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        if step.is_repeating:
+            first = 0
+        done = int(request.headers.get("x-resume-text-tokens", "0"))
+        stream = ("Content-Type", "text/event-stream")
+        await responder.start(200, (stream, *headers))
+        await self._send(responder, step, first, self._tokens[done:])
+
+    async def _send(
+        self, responder: Responder, step: Step, first: int, tokens: tuple[str, ...]
+    ) -> None:
+        for number in range(first, min(step.until, len(tokens) + 1)):
+            if step.gap_s:
+                await trio.sleep(step.gap_s / 2)
+                await responder.write(b": heartbeat\n\n")
+                await trio.sleep(step.gap_s / 2)
+            if number != step.skip:
+                await responder.write(_render(number, tokens))
+                self.events_sent += 1
+        match step.then:
+            case Then.END:
+                await responder.write(b"data: [DONE]\n\n")
+                await responder.finish()
+            case Then.SILENCE:
+                await trio.sleep_forever()
+            case Then.BEAT:
+                while True:
+                    await trio.sleep(0.1)
+                    await responder.write(b": heartbeat\n\n")
+
+
+def _render(number: int, tokens: tuple[str, ...]) -> bytes:
+    is_last = number == len(tokens)
+    text = "" if is_last else tokens[number]
+    choice = {"index": 0, "text": text, "finish_reason": "stop" if is_last else None}
+    chunk = {"id": "c", "created": 1, "model": "model", "choices": [choice]}
+    if is_last:
+        chunk["usage"] = {"prompt_tokens": 3, "completion_tokens": len(tokens)}
+    return b"id: %d\ndata: %s\n\n" % (number, json.dumps(chunk).encode())
--- /dev/null
+++ b/tests/support/network.py
@@ -0,0 +1,65 @@
+"""Connect a face, its callers and its engines in memory, under a clock that jumps.
+
+Real sockets don't go with trio's mock clock: it would jump while bytes are under way
+in the kernel. Here nothing is under way outside of trio.
+"""
+
+from __future__ import annotations
+
+from typing import cast
+
+import trio
+import trio.testing
+
+from toucanyard.names import Address
+from toucanyard_node.http_client import ConnectionFailedError, HttpConnection
+from toucanyard_node.http_server import Handler, HttpServer, ServerLimits
+
+
+class MemoryListener(trio.abc.Listener[trio.abc.Stream]):
+    """Hand out the server's ends of connections."""
+
+    def __init__(self) -> None:
+        self.inbox, self._outbox = trio.open_memory_channel[trio.abc.Stream](1_000)
+
+    async def accept(self) -> trio.abc.Stream:
+        return await self._outbox.receive()
+
+    async def aclose(self) -> None:
+        await self._outbox.aclose()
+
+
+class MemoryNetwork:
+    """Addresses that can be connected to; an address without a server refuses."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._listeners: dict[Address, MemoryListener] = {}
+        self.opened: list[Address] = []
+
+    def serve(
+        self, address: str, handler: Handler, limits: ServerLimits | None = None
+    ) -> HttpServer:
+        """Serve a handler at an address."""
+        server = HttpServer(handler, limits or ServerLimits())
+        listener = self._listeners[Address(address)] = MemoryListener()
+        self._nursery.start_soon(server.serve, cast(trio.SocketListener, listener))
+        return server
+
+    def remove(self, address: str) -> None:
+        """Let new connections to an address fail."""
+        del self._listeners[Address(address)]
+
+    async def connect(self, address: Address, timeout_ms: float) -> HttpConnection:
+        """Connect like `toucanyard_node.http_client.connect`."""
+        await trio.lowlevel.checkpoint()
+        listener = self._listeners.get(address)
+        if listener is None:
+            raise ConnectionFailedError("refused", is_sent=False)
+        self.opened.append(address)
+        ours, theirs = trio.testing.memory_stream_pair()
+        try:
+            await listener.inbox.send(theirs)
+        except trio.BrokenResourceError as error:
+            raise ConnectionFailedError("refused", is_sent=False) from error
+        return HttpConnection(address, ours, trio.current_time() * 1000)
--- /dev/null
+++ b/tests/toucanyard_node/test_callers_face.py
@@ -0,0 +1,306 @@
+"""What callers get for each kind of request and refusal."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from trio.testing import MockClock
+
+from support.callers import (
+    AUTHORIZED,
+    ScriptedCore,
+    ServedFace,
+    build_completion,
+    build_options,
+    serve_face,
+    serve_in_memory,
+)
+from support.engines import ScriptedEngine, Step, Then
+from toucanyard.names import Address, RequestId
+from toucanyard.requests import (
+    EndingSeen,
+    KeptAnswer,
+    ModelTarget,
+    Repeatability,
+    Replay,
+)
+from toucanyard_node.http_client import Headers, Response
+
+TOKENS = (" uno", " dos")
+CHAT = "/v1/chat/completions"
+ONCE = (*AUTHORIZED, ("X-Run-Once", "true"))
+SOON = (*AUTHORIZED, ("X-Deadline-Ms", "200"))
+ONCE_SOON = (*ONCE, ("X-Deadline-Ms", "200"))
+
+
+def read_error(answer: Response) -> dict[str, Any]:
+    error = msgspec.json.decode(answer.body)["error"]
+    assert error["request_id"] == answer.headers["x-request-id"]
+    assert isinstance(error, dict)
+    return error
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ((), 401),
+        ((("Authorization", "Bearer wrong"),), 401),
+        ((("Authorization", "Basic key-of-rio"),), 401),
+        (AUTHORIZED, 200),
+    ],
+)
+async def test_api_keys(headers: Headers, status: int) -> None:
+    async with serve_in_memory([]) as served:
+        answer = await served.ask("GET", "/v1/models", headers)
+        assert answer.status == status
+        assert answer.headers["x-node"] == "n1"
+        assert answer.headers["x-configuration-version"] == "7"
+
+
+async def test_locate_needs_no_key() -> None:
+    async with serve_in_memory([]) as served:
+        answer = await served.ask("GET", "/v1/locate", ())
+        body = msgspec.json.decode(answer.body)
+        assert (body["node"], body["keep_ms"]) == ("n1", 10_000)
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "body", "status", "code"),
+    [
+        ("POST", CHAT, {"messages": []}, 400, "bad_request"),
+        ("POST", CHAT, {"model": "model"}, 400, "bad_request"),
+        ("POST", CHAT, [1], 400, "bad_request"),
+        ("POST", CHAT, {"model": "model", "messages": "x"}, 400, "bad_request"),
+        ("POST", CHAT, {"model": "m", "messages": []}, 404, "not_found"),
+        ("POST", CHAT, {"model": "model:b", "messages": []}, 404, "not_found"),
+        (
+            "POST",
+            CHAT,
+            {"model": "model", "messages": [], "max_tokens": 0},
+            400,
+            "bad_request",
+        ),
+        ("GET", CHAT, "", 405, "method_not_allowed"),
+        ("GET", "/v1/nothing", "", 404, "not_found"),
+        ("POST", "/v1/services/none/x", "", 404, "not_found"),
+        ("POST", "/v1/services/desk", "", 404, "not_found"),
+    ],
+)
+async def test_bad_requests(
+    method: str, target: str, body: object, status: int, code: str
+) -> None:
+    async with serve_in_memory([]) as served:
+        answer = await served.ask(method, target, AUTHORIZED, body)
+        error = read_error(answer)
+        assert (answer.status, error["code"]) == (status, code)
+        assert error["not_run"] is True
+        assert "retry-after" not in answer.headers
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        ("X-Deadline-Ms", "soon"),
+        ("X-Deadline-Ms", "0"),
+        ("X-Run-Once", "yes"),
+        ("Idempotency-Key", ""),
+        ("Idempotency-Key", "k" * 300),
+        ("X-Key-Age-Ms", "-1"),
+    ],
+)
+async def test_bad_headers(header: tuple[str, str]) -> None:
+    async with serve_in_memory([]) as served:
+        answer = await served.complete(headers=(*AUTHORIZED, header))
+        assert read_error(answer)["code"] == "bad_request"
+
+
+async def test_refusal_of_core() -> None:
+    async with serve_in_memory([ScriptedEngine(TOKENS)]) as served:
+        served.core.is_refusing = True
+        answer = await served.complete()
+        error = read_error(answer)
+        assert (answer.status, error["code"]) == (503, "overloaded")
+        assert error["retry_after_ms"] == 800
+        assert answer.headers["retry-after"] == str(math.ceil(0.8))
+
+
+async def test_request_as_core_sees_it() -> None:
+    async with serve_in_memory([ScriptedEngine(TOKENS)]) as served:
+        headers = (*AUTHORIZED, ("Idempotency-Key", "k1"), ("X-Key-Age-Ms", "0"))
+        body = {
+            "model": "model:a",
+            "messages": [{"role": "user", "content": "ñ" * 300}],
+            "max_tokens": 9,
+        }
+        await served.ask("POST", CHAT, headers, body)
+        [request] = served.core.requests
+        assert request.request_id == "n1-x7-0"
+        assert request.customer == "rio"
+        assert request.repeatability is Repeatability.KEYED
+        assert (request.key, request.key_age_ms) == ("k1", 0)
+        target = request.target
+        assert isinstance(target, ModelTarget)
+        assert (target.model, target.adapter, target.max_tokens) == ("model", "a", 9)
+        assert target.prompt_bytes == len("user\n") + 600 + 1
+        assert len(target.chain) == 2
+
+
+async def test_answer_kept_by_core() -> None:
+    async with serve_in_memory([]) as served:
+        kept = KeptAnswer(200, "text/event-stream", b"data: [DONE]\n\n")
+        served.core.replay = Replay(RequestId("n1-x7-0"), kept)
+        answer = await served.complete()
+        assert answer.body == kept.body
+        assert answer.headers["content-type"] == kept.content_type
+
+
+async def ask_soon(served: ServedFace, headers: Headers) -> dict[str, Any]:
+    answer = await served.complete(is_stream=False, headers=headers)
+    error = read_error(answer)
+    if error["retry_after_ms"] is not None:
+        assert "retry-after" in answer.headers
+    return error
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_queued", "code", "is_not_run"),
+    [
+        (SOON, True, "deadline_exceeded", True),
+        (ONCE_SOON, True, "deadline_exceeded", True),
+        (SOON, False, "deadline_exceeded", False),
+        (ONCE_SOON, False, "outcome_unknown", False),
+    ],
+)
+async def test_deadline(
+    autojump_clock: MockClock,
+    headers: Headers,
+    is_queued: bool,
+    code: str,
+    is_not_run: bool,
+) -> None:
+    """The deadline passes while a request is queued, or while an engine has it.
+
+    The caller is answered then; "not run" is said only of the queued one.
+    """
+    engine = ScriptedEngine(TOKENS, Step(until=1, then=Then.BEAT))
+    async with serve_in_memory([engine]) as served:
+        served.core.is_waiting = is_queued
+        begun_s = trio.current_time()
+        error = await ask_soon(served, headers)
+        assert (error["code"], error["not_run"]) == (code, is_not_run)
+        assert trio.current_time() - begun_s == pytest.approx(0.2, abs=0.01)
+
+
+@pytest.mark.parametrize(
+    ("step", "headers", "code", "is_not_run", "ending"),
+    [
+        (Step(status=503), ONCE, "no_endpoint", True, EndingSeen.REFUSED),
+        (Step(status=412), ONCE, "no_endpoint", True, EndingSeen.REFUSED),
+        (Step(status=500), ONCE, "outcome_unknown", False, EndingSeen.FAILED),
+        (Step(status=500), AUTHORIZED, "endpoint_lost", False, EndingSeen.FAILED),
+    ],
+)
+async def test_endings(
+    autojump_clock: MockClock,
+    step: Step,
+    headers: Headers,
+    code: str,
+    is_not_run: bool,
+    ending: EndingSeen,
+) -> None:
+    """An engine answers that it did not run a request, or that it failed at it.
+
+    Only the first proves that the request did not run.
+    """
+    async with serve_in_memory([ScriptedEngine(TOKENS, step)]) as served:
+        answer = await served.complete(headers=headers)
+        error = read_error(answer)
+        assert (error["code"], error["not_run"]) == (code, is_not_run)
+        assert served.core.find_endings() == [ending]
+
+
+async def test_not_sent() -> None:
+    """No connection to the engine can be made, so no byte of the request left."""
+    async with serve_in_memory([ScriptedEngine(TOKENS)]) as served:
+        assert served.network is not None
+        served.network.remove(served.core.addresses[0])
+        answer = await served.complete(headers=ONCE)
+        assert read_error(answer)["not_run"] is True
+        assert served.core.find_endings() == [EndingSeen.NOT_SENT]
+
+
+async def test_refusal_after_a_lost_try(autojump_clock: MockClock) -> None:
+    """A first try is lost and the core refuses the second for load.
+
+    That refusal says "not run" of the second try only; the first may have run, so
+    the caller must not read "not run".
+    """
+    lost = ScriptedEngine(TOKENS, Step(status=500))
+    async with serve_in_memory([lost]) as served:
+        served.core.is_refusing_retries = True
+        answer = await served.complete()
+        error = read_error(answer)
+        assert (error["code"], error["not_run"]) == ("overloaded", False)
+
+
+async def test_refused_after_a_lost_try(autojump_clock: MockClock) -> None:
+    """A first try is lost and the engine of the second refuses it."""
+    lost = ScriptedEngine(TOKENS, Step(status=500))
+    refusing = ScriptedEngine(TOKENS, Step(status=503))
+    async with serve_in_memory([lost, refusing]) as served:
+        answer = await served.complete()
+        assert read_error(answer)["not_run"] is False
+        assert served.core.find_endings() == [EndingSeen.FAILED, EndingSeen.REFUSED]
+
+
+async def test_idle_connection_died(autojump_clock: MockClock) -> None:
+    """The engine closed a pooled connection just as it was used again.
+
+    A request that may be repeated goes out again on a new connection at once.
+    """
+    engine = ScriptedEngine(TOKENS, Step(), Step(until=0, then=Then.CUT, status=0))
+    async with serve_in_memory([engine]) as served:
+        await served.complete()
+        answer = await served.complete()
+        assert answer.status == 200
+        assert len(engine.find_requests("POST")) == 3
+        assert served.core.find_endings() == [EndingSeen.COMPLETED] * 2
+
+
+async def test_run_once_uses_new_connection(autojump_clock: MockClock) -> None:
+    """A pooled connection that died would leave the outcome unknown.
+
+    A request that may run once hence never goes out on one.
+    """
+    engine = ScriptedEngine(TOKENS)
+    async with serve_in_memory([engine]) as served:
+        await served.complete()
+        await served.complete()
+        await served.complete(headers=ONCE)
+        assert served.network is not None
+        opened = served.network.opened.count(served.core.addresses[0])
+        assert opened == 2
+
+
+async def test_engine_rejects_body() -> None:
+    """A 4xx is the engine's answer; it reaches the caller as it came."""
+    engine = ScriptedEngine(TOKENS, Step(status=422))
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        assert (answer.status, answer.body) == (422, b'{"error": "scripted"}')
+
+
+async def test_body_too_large() -> None:
+    options = msgspec.structs.replace(
+        build_options(),
+        callers=msgspec.structs.replace(build_options().callers, max_body_bytes=100),
+    )
+    async with serve_face(ScriptedCore([Address("127.0.0.1:1")]), options) as served:
+        body = build_completion() | {"prompt": "x" * 1_000_000}
+        answer = await served.ask("POST", "/v1/completions", AUTHORIZED, body)
+        error = msgspec.json.decode(answer.body)["error"]
+        assert (answer.status, error["code"]) == (413, "body_too_large")
--- /dev/null
+++ b/tests/toucanyard_node/test_http_server.py
@@ -0,0 +1,125 @@
+"""Limits of the server, and its end, on real sockets."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import msgspec
+import pytest
+import trio
+from trio.testing import MockClock
+
+from support.network import MemoryNetwork
+from toucanyard.names import Address
+from toucanyard_node.http_client import ConnectionFailedError, connect
+from toucanyard_node.http_server import (
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerLimits,
+    find_port,
+    open_listener,
+)
+
+
+async def echo(request: HttpRequest, responder: Responder) -> None:
+    await responder.send(200, (), request.body)
+
+
+@asynccontextmanager
+async def serve(limits: ServerLimits) -> AsyncIterator[tuple[HttpServer, int]]:
+    listener = await open_listener("127.0.0.1", 0)
+    server = HttpServer(echo, limits)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listener)
+        yield server, find_port(listener)
+        nursery.cancel_scope.cancel()
+
+
+async def exchange(port: int, data: bytes) -> bytes:
+    """Send bytes and return all that comes back."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        await stream.send_all(data)
+        return b"".join([part async for part in stream])
+
+
+def read_code(answer: bytes) -> tuple[int, str]:
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), msgspec.json.decode(body)["error"]["code"]
+
+
+async def test_slow_headers() -> None:
+    """A caller sends half a head and no more. It is refused and let go."""
+    async with serve(ServerLimits(header_timeout_ms=50)) as (_, port):
+        answer = await exchange(port, b"GET / HTTP/1.1\r\nHost:")
+        assert read_code(answer) == (408, "headers_too_slow")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"nonsense\r\n\r\n",
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 40_000 + b"\r\n\r\n",
+    ],
+)
+async def test_bad_requests(data: bytes) -> None:
+    async with serve(ServerLimits()) as (_, port):
+        assert read_code(await exchange(port, data)) == (400, "bad_request")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 999999999\r\n\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n100000\r\n" + b"x" * 0x100000 + b"\r\n",
+    ],
+)
+async def test_body_too_large(head: bytes) -> None:
+    """A body is declared, or turns out, too large; the refusal gets through."""
+    async with serve(ServerLimits(max_body_bytes=1_000)) as (_, port):
+        data = b"POST / HTTP/1.1\r\nHost: a\r\n" + head
+        assert read_code(await exchange(port, data)) == (413, "body_too_large")
+
+
+async def test_too_many_connections() -> None:
+    async with serve(ServerLimits(max_connections=1)) as (_, port):
+        address = Address(f"127.0.0.1:{port}")
+        first = await connect(address, 1_000)
+        await first.send("POST", "/", (), b"x")
+        await first.read_head()
+        assert read_code(await exchange(port, b"")) == (503, "too_many_connections")
+        await first.close()
+
+
+async def test_stop_lets_requests_end(autojump_clock: MockClock) -> None:
+    """The server stops while one request runs and another connection is idle.
+
+    The request gets its whole answer, the idle connection is closed, a new one is
+    refused, and `serve` ends after that.
+    """
+
+    async def answer_slowly(request: HttpRequest, responder: Responder) -> None:
+        await responder.start(200, ())
+        await trio.sleep(5)
+        await responder.write(b"whole")
+        await responder.finish()
+
+    address = Address("10.0.0.1:80")
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        server = network.serve(address, answer_slowly)
+        busy = await network.connect(address, 1_000)
+        idle = await network.connect(address, 1_000)
+        await busy.send("GET", "/", ())
+        await trio.sleep(1)
+        server.stop()
+        with trio.fail_after(1):
+            assert await idle.read_end()
+        with pytest.raises(ConnectionFailedError):
+            await network.connect(address, 1_000)
+        await busy.read_head()
+        assert await busy.read_body() == b"whole"
+        await server.wait_stopped()
--- /dev/null
+++ b/tests/toucanyard_node/test_kept_streams.py
@@ -0,0 +1,201 @@
+"""Callers that go away, come back, or read slowly, in memory."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+import trio
+from trio.testing import MockClock
+
+from support.callers import (
+    AUTHORIZED,
+    OTHER_KEY,
+    ServedFace,
+    build_completion,
+    build_options,
+    read_numbers,
+    read_text,
+    serve_in_memory,
+)
+from support.engines import ScriptedEngine, Step, Then
+from toucanyard.options import StreamLimits
+from toucanyard.requests import EndingSeen
+from toucanyard_node.http_client import ConnectionFailedError, Headers, HttpConnection
+
+TOKENS = tuple(f" t{number}" for number in range(6))
+STREAM = "/v1/streams/n1-x7-0"
+KEYED = (*AUTHORIZED, ("Idempotency-Key", "k1"))
+
+
+async def open_and_read(
+    served: ServedFace, parts: int, headers: Headers = AUTHORIZED
+) -> HttpConnection:
+    """Begin a stream and read some of its parts."""
+    body = build_completion()
+    connection = await served.open("POST", "/v1/completions", headers, body)
+    await connection.read_head()
+    for _ in range(parts):
+        await connection.read_part()
+    return connection
+
+
+def after(number: int, key: str = "") -> Headers:
+    headers = AUTHORIZED if not key else (("Authorization", f"Bearer {key}"),)
+    return (*headers, ("Last-Event-ID", str(number)))
+
+
+async def test_caller_comes_back(autojump_clock: MockClock) -> None:
+    """The caller's connection breaks in mid-stream and it asks again at once.
+
+    It names the last event that it has and gets the rest, each event once; the
+    engine is neither cancelled nor asked again.
+    """
+    engine = ScriptedEngine(TOKENS, Step(gap_s=0.3))
+    async with serve_in_memory([engine]) as served:
+        connection = await open_and_read(served, 4)
+        await connection.close()
+        await trio.sleep(0.1)
+        answer = await served.ask("GET", STREAM, after(1))
+        assert read_numbers(answer.body) == [2, 3, 4, 5, 6, 7]
+        assert answer.body.endswith(b"data: [DONE]\n\n")
+        assert len(engine.requests) == 1
+        assert not engine.cancelled
+
+
+async def test_caller_takes_over_from_itself(autojump_clock: MockClock) -> None:
+    """The caller's connection is silent; the node still believes in it.
+
+    The caller asks for the stream on a new connection. That one gets the rest and
+    the old one is closed without its end; no event is lost between the two.
+    """
+    engine = ScriptedEngine(TOKENS, Step(until=3, then=Then.BEAT), Step(gap_s=0.1))
+    async with serve_in_memory([engine]) as served:
+        old = await open_and_read(served, 3)
+        new = await served.open("GET", STREAM, after(-1))
+        with trio.fail_after(5):
+            await new.read_head()
+            part = await new.read_part()
+        assert part is not None
+        assert read_text(part) == "".join(TOKENS[:3])
+        with pytest.raises(ConnectionFailedError), trio.fail_after(5):
+            await old.read_body()
+        await new.close()
+
+
+async def test_stream_of_another_customer(autojump_clock: MockClock) -> None:
+    """Another customer names the id of a stream. It gets what any unknown id gets."""
+    async with serve_in_memory([ScriptedEngine(TOKENS)]) as served:
+        await served.complete()
+        answer = await served.ask("GET", STREAM, after(1, OTHER_KEY))
+        unknown = await served.ask("GET", STREAM + "9", after(1, OTHER_KEY))
+        assert answer.status == unknown.status == 410
+        assert b" t3" not in answer.body
+
+
+async def test_ended_stream_is_kept_for_a_while(autojump_clock: MockClock) -> None:
+    """The last events were lost on the way to the caller. It can ask for them."""
+    async with serve_in_memory([ScriptedEngine(TOKENS)]) as served:
+        await served.complete()
+        answer = await served.ask("GET", STREAM, after(5))
+        assert read_numbers(answer.body) == [6, 7]
+        await trio.sleep(31)
+        answer = await served.ask("GET", STREAM, after(5))
+        assert answer.status == 410
+
+
+async def test_events_no_longer_kept(autojump_clock: MockClock) -> None:
+    """The caller asks for events that the bound pushed out.
+
+    A stream with a hole would look whole, so it is refused.
+    """
+    options = build_options(StreamLimits(replay_buffer_bytes=500))
+    async with serve_in_memory([ScriptedEngine(TOKENS)], options) as served:
+        await served.complete()
+        answer = await served.ask("GET", STREAM, after(0))
+        assert answer.status == 410
+
+
+async def test_caller_gone_cancels_engine(autojump_clock: MockClock) -> None:
+    """The caller hangs up in mid-stream and does not come back.
+
+    After the grace the engine is told to stop; until then it runs on for nobody.
+    """
+    engine = ScriptedEngine(TOKENS, Step(until=3, then=Then.BEAT))
+    async with serve_in_memory([engine]) as served:
+        connection = await open_and_read(served, 2)
+        await connection.close()
+        await trio.sleep(1.5)
+        assert engine.cancelled == ["n1-x7-0"]
+        assert served.core.find_endings() == [EndingSeen.CANCELLED]
+
+
+async def test_caller_gone_before_first_byte(autojump_clock: MockClock) -> None:
+    """The caller hangs up while the engine still computes its prompt.
+
+    There is nothing to come back to, so the engine is told at once.
+    """
+    engine = ScriptedEngine(TOKENS, Step(head_delay_s=0.3))
+    async with serve_in_memory([engine]) as served:
+        body = build_completion()
+        connection = await served.open("POST", "/v1/completions", AUTHORIZED, body)
+        await trio.sleep(0.1)
+        await connection.close()
+        await trio.sleep(0.1)
+        assert engine.cancelled == ["n1-x7-0"]
+
+
+async def test_caller_gone_while_queued(autojump_clock: MockClock) -> None:
+    """The caller hangs up while its request is queued. The core is told."""
+    async with serve_in_memory([ScriptedEngine(TOKENS)]) as served:
+        served.core.is_waiting = True
+        body = build_completion()
+        connection = await served.open("POST", "/v1/completions", AUTHORIZED, body)
+        await trio.sleep(0.1)
+        await connection.close()
+        await trio.sleep(0.1)
+        assert served.core.abandoned == ["n1-x7-0"]
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+async def test_keyed_request_runs_on(
+    autojump_clock: MockClock, is_stream: bool
+) -> None:
+    """The caller of a keyed request hangs up before the answer has begun.
+
+    It may ask again with its key, so the engine is left to finish and the whole
+    answer goes to the core to be kept.
+    """
+    engine = ScriptedEngine(TOKENS, Step(head_delay_s=0.2, gap_s=0.5))
+    async with serve_in_memory([engine]) as served:
+        body = build_completion(is_stream)
+        connection = await served.open("POST", "/v1/completions", KEYED, body)
+        await trio.sleep(0.1)
+        await connection.close()
+        await trio.sleep(10)
+        assert not engine.cancelled
+        [outcome] = served.core.outcomes
+        assert outcome.ending is EndingSeen.COMPLETED
+        assert outcome.answer is not None
+        body_kept = outcome.answer.body
+        if is_stream:
+            assert read_numbers(body_kept) == list(range(8))
+        else:
+            text = msgspec.json.decode(body_kept)["choices"][0]["text"]
+            assert text == "".join(TOKENS)
+
+
+async def test_gone_caller_bounds_memory(autojump_clock: MockClock) -> None:
+    """An engine sends much while the caller is away.
+
+    Reading stops at the bound, so that nothing the caller lacks is pushed out.
+    """
+    tokens = tuple(f" t{number:04}" for number in range(400))
+    engine = ScriptedEngine(tokens, Step(gap_s=0.001))
+    options = build_options(StreamLimits(replay_buffer_bytes=4_000))
+    async with serve_in_memory([engine], options) as served:
+        connection = await open_and_read(served, 2)
+        await connection.close()
+        await trio.sleep(0.9)
+        answer = await served.ask("GET", STREAM, after(0))
+        assert answer.status == 200
+        assert read_numbers(answer.body) == list(range(1, 402))
--- /dev/null
+++ b/tests/toucanyard_node/test_openai_client.py
@@ -0,0 +1,94 @@
+"""The public OpenAI client, unchanged, against a face and the stand-in engine."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import openai
+import pytest
+import trio
+from openai.types.chat import ChatCompletionUserMessageParam
+
+from standin_examples import control, start_engine
+from support.callers import KEY, ScriptedCore, ServedFace, serve_face
+from toucanyard.names import Address
+from toucanyard_standins.engine_faults import DieAfterEvents, RefuseRequests
+
+MESSAGES: list[ChatCompletionUserMessageParam] = [{"role": "user", "content": "hola"}]
+
+
+@asynccontextmanager
+async def serve_one() -> AsyncIterator[tuple[ServedFace, Address]]:
+    async with trio.open_nursery() as nursery:
+        engine = await start_engine(nursery)
+        async with serve_face(ScriptedCore([engine])) as served:
+            yield served, engine
+        nursery.cancel_scope.cancel()
+
+
+def open_client(served: ServedFace, key: str = KEY) -> openai.OpenAI:
+    url = f"http://{served.address}/v1"
+    return openai.OpenAI(base_url=url, api_key=key, max_retries=0, timeout=30)
+
+
+def chat(client: openai.OpenAI) -> str:
+    answer = client.chat.completions.create(
+        model="model", messages=MESSAGES, max_tokens=5
+    )
+    assert answer.usage is not None
+    assert answer.usage.completion_tokens == 5
+    return answer.choices[0].message.content or ""
+
+
+def chat_in_events(client: openai.OpenAI) -> str:
+    stream = client.chat.completions.create(
+        model="model", messages=MESSAGES, max_tokens=5, stream=True
+    )
+    return "".join(chunk.choices[0].delta.content or "" for chunk in stream)
+
+
+def complete_in_events(client: openai.OpenAI) -> str:
+    stream = client.completions.create(
+        model="model", prompt="hola", max_tokens=5, stream=True
+    )
+    return "".join(chunk.choices[0].text for chunk in stream)
+
+
+def complete(client: openai.OpenAI) -> str:
+    answer = client.completions.create(model="model", prompt="hola", max_tokens=5)
+    return answer.choices[0].text
+
+
+async def test_same_text_streamed_and_plain() -> None:
+    async with serve_one() as (served, _):
+        client = open_client(served)
+        in_thread = trio.to_thread.run_sync
+        text = await in_thread(chat, client)
+        assert len(text.split()) == 5
+        assert await in_thread(chat_in_events, client) == text
+        text = await in_thread(complete, client)
+        assert await in_thread(complete_in_events, client) == text
+        models = await in_thread(client.models.list)
+        assert [each.id for each in models.data] == ["model"]
+
+
+async def test_refusals_are_the_client_s_errors() -> None:
+    async with serve_one() as (served, engine):
+        client = open_client(served, "wrong")
+        with pytest.raises(openai.AuthenticationError):
+            await trio.to_thread.run_sync(chat, client)
+        await control(engine, RefuseRequests(is_on=True))
+        with pytest.raises(openai.InternalServerError) as caught:
+            await trio.to_thread.run_sync(chat, open_client(served))
+        assert caught.value.code == "no_endpoint"
+        assert caught.value.response.headers["retry-after"] == "1"
+
+
+async def test_incomplete_stream_is_an_error() -> None:
+    """The only engine dies in mid-stream. The client raises, it doesn't just end."""
+    async with serve_one() as (served, engine):
+        await control(engine, DieAfterEvents(events=2))
+        with pytest.raises(openai.APIError) as caught:
+            await trio.to_thread.run_sync(chat_in_events, open_client(served))
+        assert caught.value.code == "stream_incomplete"
--- /dev/null
+++ b/tests/toucanyard_node/test_service_face.py
@@ -0,0 +1,158 @@
+"""Calls of plain services against the stand-in, by what may be repeated."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+
+from standin_examples import control, read, start_service
+from support.callers import (
+    AUTHORIZED,
+    ScriptedCore,
+    ServedFace,
+    build_configuration,
+    serve_face,
+)
+from toucanyard.names import Address
+from toucanyard.requests import EndingSeen, Repeatability
+from toucanyard_node.http_client import Headers, Response
+from toucanyard_node.service_face import find_call_repeatability
+from toucanyard_standins.plain_service import (
+    CrossAnswers,
+    DelayAnswers,
+    DieAfterExecution,
+    RefuseCalls,
+    ServiceCounters,
+)
+
+HOLDS = "/v1/services/desk/holds?seat=4"
+KEYED = (*AUTHORIZED, ("Idempotency-Key", "k1"))
+
+
+@asynccontextmanager
+async def serve_desk(
+    repeatable: tuple[str, ...] = (),
+) -> AsyncIterator[tuple[ServedFace, list[Address]]]:
+    """Serve a face before two replicas of a service; tries go to them in order."""
+    async with trio.open_nursery() as nursery:
+        addresses = [await start_service(nursery), await start_service(nursery)]
+        core = ScriptedCore(addresses)
+        core.configuration = build_configuration(repeatable)
+        async with serve_face(core) as served:
+            yield served, addresses
+        nursery.cancel_scope.cancel()
+
+
+async def count_executions(addresses: list[Address]) -> list[int]:
+    return [
+        (await read(address, "/control", ServiceCounters)).executions
+        for address in addresses
+    ]
+
+
+def read_error(answer: Response) -> dict[str, Any]:
+    error = msgspec.json.decode(answer.body)["error"]
+    assert isinstance(error, dict)
+    return error
+
+
+async def test_call_and_answer() -> None:
+    async with serve_desk() as (served, _):
+        answer = await served.ask("POST", HOLDS, AUTHORIZED, {"seat": 4})
+        body = msgspec.json.decode(answer.body)
+        assert (body["method"], body["path"]) == ("POST", "/holds")
+        assert (body["customer"], body["body_bytes"]) == ("rio", 10)
+        assert body["request_id"] == answer.headers["x-request-id"]
+
+
+@pytest.mark.parametrize("headers", [AUTHORIZED, KEYED])
+async def test_death_after_execution(headers: Headers) -> None:
+    """A replica makes the hold and dies before its answer.
+
+    The caller learns that the outcome is unknown; no second hold is made.
+    """
+    async with serve_desk() as (served, addresses):
+        await control(addresses[0], DieAfterExecution())
+        answer = await served.ask("POST", HOLDS, headers, {"seat": 4})
+        error = read_error(answer)
+        assert (error["code"], error["not_run"]) == ("outcome_unknown", False)
+        assert await count_executions(addresses) == [1, 0]
+        assert served.core.find_endings() == [EndingSeen.LOST]
+
+
+async def test_death_of_repeatable_call() -> None:
+    """The same with a call that operators declared repeatable: it goes elsewhere."""
+    async with serve_desk(("POST /holds",)) as (served, addresses):
+        await control(addresses[0], DieAfterExecution())
+        answer = await served.ask("POST", HOLDS, AUTHORIZED, {"seat": 4})
+        assert answer.status == 200
+        assert await count_executions(addresses) == [1, 1]
+
+
+async def test_refusing_replica() -> None:
+    """A replica says that it takes no calls: another may have the call."""
+    async with serve_desk() as (served, addresses):
+        await control(addresses[0], RefuseCalls(is_on=True))
+        answer = await served.ask("POST", HOLDS, AUTHORIZED, {"seat": 4})
+        assert answer.status == 200
+        assert await count_executions(addresses) == [0, 1]
+
+
+async def test_crossed_answer() -> None:
+    """A replica answers with another call's id. That answer reaches nobody."""
+    async with serve_desk() as (served, addresses):
+        await control(addresses[0], CrossAnswers())
+        answer = await served.ask("POST", HOLDS, AUTHORIZED, {"seat": 4})
+        assert b"crossed" not in answer.body.replace(b"the answer is for crossed", b"")
+        assert read_error(answer)["code"] == "outcome_unknown"
+        assert await count_executions(addresses) == [1, 0]
+
+
+async def test_late_answer() -> None:
+    """The deadline passes and the answer comes after it.
+
+    The caller was told that the outcome is unknown; the late answer is not taken
+    for the one to its next call.
+    """
+    async with serve_desk() as (served, addresses):
+        await control(addresses[0], DelayAnswers(delay_ms=100))
+        soon = (*AUTHORIZED, ("X-Deadline-Ms", "50"))
+        answer = await served.ask("POST", HOLDS, soon, {"seat": 4})
+        assert read_error(answer)["code"] == "outcome_unknown"
+        answer = await served.ask("POST", HOLDS, AUTHORIZED, {"seat": 5})
+        body = msgspec.json.decode(answer.body)
+        assert body["request_id"] == answer.headers["x-request-id"]
+
+
+async def test_keyed_call_runs_on() -> None:
+    """The caller of a keyed call hangs up; the answer is kept for its next try."""
+    async with serve_desk() as (served, addresses):
+        await control(addresses[0], DelayAnswers(delay_ms=50))
+        connection = await served.open("POST", HOLDS, KEYED, {"seat": 4})
+        while not served.core.requests:
+            await trio.sleep(0.001)
+        await connection.close()
+        while not served.core.outcomes:
+            await trio.sleep(0.001)
+        [outcome] = served.core.outcomes
+        assert outcome.ending is EndingSeen.COMPLETED
+        assert outcome.answer is not None
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "expected"),
+    [
+        ("GET", "/holds", Repeatability.REPEATABLE),
+        ("POST", "/fares/today", Repeatability.REPEATABLE),
+        ("POST", "/holds", Repeatability.RUN_ONCE),
+        ("DELETE", "/fares/today", Repeatability.RUN_ONCE),
+    ],
+)
+def test_declared_calls(method: str, path: str, expected: Repeatability) -> None:
+    [service] = build_configuration(("POST /fares",)).services
+    assert find_call_repeatability(service, method, path) is expected
--- /dev/null
+++ b/tests/toucanyard_node/test_stream_relay.py
@@ -0,0 +1,263 @@
+"""Streams under silence, cuts, deaths and crossed answers, in memory."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+import trio
+from trio.testing import MockClock
+
+from support.callers import (
+    AUTHORIZED,
+    build_completion,
+    read_numbers,
+    read_text,
+    serve_in_memory,
+)
+from support.engines import ScriptedEngine, Step, Then
+from toucanyard.requests import EndingSeen
+
+TOKENS = (" uno", " dos", " tres", " cuatro", " cinco")
+TEXT = "".join(TOKENS)
+ONCE = (*AUTHORIZED, ("X-Run-Once", "true"))
+KEYED = (*AUTHORIZED, ("Idempotency-Key", "k1"))
+
+
+def check_whole(body: bytes) -> None:
+    assert read_numbers(body) == list(range(len(TOKENS) + 2))
+    assert read_text(body) == TEXT
+    assert body.endswith(b"data: [DONE]\n\n")
+    assert b"event: error" not in body
+
+
+@pytest.mark.parametrize("then", [Then.SILENCE, Then.CUT])
+async def test_resumes_on_new_connection(autojump_clock: MockClock, then: Then) -> None:
+    """The engine's connection goes silent, or is cut, in mid-stream.
+
+    The engine works on and answers new connections. The caller sees every event
+    once: the node asks on a new connection for what follows its last number.
+    """
+    engine = ScriptedEngine(TOKENS, Step(until=2, then=then))
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
+        resumed = engine.find_requests("GET")
+        assert [each.headers["last-event-id"] for each in resumed] == ["1"]
+        assert served.core.find_endings() == [EndingSeen.COMPLETED]
+
+
+async def test_heartbeats_are_no_silence(autojump_clock: MockClock) -> None:
+    """The engine takes longer for each token than the silence that is suspicious.
+
+    Its heartbeats tell that it is alive, so nothing is asked again.
+    """
+    engine = ScriptedEngine(TOKENS, Step(gap_s=0.7))
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
+        assert len(engine.requests) == 1
+
+
+async def test_silence_before_first_byte(autojump_clock: MockClock) -> None:
+    """No byte of an answer comes, although the engine got the request.
+
+    The node asks on a new connection and relays what the engine has, from event 0.
+    """
+    engine = ScriptedEngine(TOKENS, Step(head_delay_s=9_999.0))
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
+
+
+async def test_gap_in_numbers_is_asked_again(autojump_clock: MockClock) -> None:
+    """An event is missing on the way. It is asked for again, not passed over."""
+    engine = ScriptedEngine(TOKENS, Step(skip=2))
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
+
+
+async def test_repeated_events_are_dropped(autojump_clock: MockClock) -> None:
+    """The engine sends again from the first event when asked to resume."""
+    steps = (Step(until=2, then=Then.CUT), Step(is_repeating=True))
+    engine = ScriptedEngine(TOKENS, *steps)
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
+        assert len(engine.find_requests("GET")) == 1
+
+
+async def test_goes_on_elsewhere(autojump_clock: MockClock) -> None:
+    """An engine dies in mid-stream and comes back empty, as another incarnation.
+
+    Its stream is not resumed there; another engine gets the prompt with the text
+    so far, and the caller sees one unbroken stream.
+    """
+    first = ScriptedEngine(TOKENS, Step(until=2, then=Then.CUT), Step(incarnation="i2"))
+    second = ScriptedEngine(TOKENS)
+    async with serve_in_memory([first, second]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
+        asked = second.find_requests("POST")[0]
+        assert asked.headers["x-resume-text-tokens"] == "2"
+        assert msgspec.json.decode(asked.body)["prompt"] == "hola uno dos"
+        assert served.core.find_endings() == [EndingSeen.LOST, EndingSeen.COMPLETED]
+
+
+async def test_no_resume_under_other_weights(autojump_clock: MockClock) -> None:
+    """The engine dies in mid-stream and only one with newer weights is left.
+
+    Going on there would join the words of two models; the stream ends with an
+    explicit mark that it is incomplete.
+    """
+    first = ScriptedEngine(TOKENS, Step(until=2, then=Then.CUT), Step(status=404))
+    second = ScriptedEngine(TOKENS, Step(weights="w2"))
+    async with serve_in_memory([first, second]) as served:
+        served.core.weights_versions = ["w1", "w2"]
+        answer = await served.complete()
+        assert read_text(answer.body) == " uno dos"
+        check_incomplete(answer.body)
+        assert not second.requests
+
+
+@pytest.mark.parametrize("headers", [ONCE, KEYED])
+async def test_run_once_stream_ends_incomplete(
+    autojump_clock: MockClock, headers: tuple[tuple[str, str], ...]
+) -> None:
+    """An engine dies in mid-stream of a request that may run at most once.
+
+    Nothing is sent elsewhere, whatever the core says; the caller gets a final event
+    that tells it.
+    """
+    first = ScriptedEngine(TOKENS, Step(until=2, then=Then.CUT), Step(status=404))
+    second = ScriptedEngine(TOKENS)
+    async with serve_in_memory([first, second]) as served:
+        served.core.is_careless = True
+        answer = await served.complete(headers=headers)
+        assert read_text(answer.body) == " uno dos"
+        check_incomplete(answer.body)
+        assert not second.requests
+
+
+def check_incomplete(body: bytes) -> None:
+    last = body.rstrip(b"\n").split(b"\n\n")[-1].split(b"\n")
+    assert last[0] == b"event: error"
+    error = msgspec.json.decode(last[2].removeprefix(b"data: "))["error"]
+    assert error["code"] == "stream_incomplete"
+    assert error["not_run"] is False
+    assert b"[DONE]" not in body
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+async def test_crossed_answer_is_never_delivered(
+    autojump_clock: MockClock, is_stream: bool
+) -> None:
+    """An answer that echoes another request's id comes back.
+
+    The caller must not get another's words: the connection is closed and the
+    request, which may be repeated, goes elsewhere.
+    """
+    first = ScriptedEngine((" ajeno",), Step(echo="n1-x7-999"))
+    second = ScriptedEngine(TOKENS)
+    async with serve_in_memory([first, second]) as served:
+        answer = await served.complete(is_stream)
+        assert b"ajeno" not in answer.body
+        assert answer.status == 200
+        assert second.find_requests("POST")
+
+
+async def test_crossed_answer_to_run_once(autojump_clock: MockClock) -> None:
+    """The same with a request that may run once: its outcome is unknown."""
+    first = ScriptedEngine((" ajeno",), Step(echo="n1-x7-999"))
+    second = ScriptedEngine(TOKENS)
+    async with serve_in_memory([first, second]) as served:
+        answer = await served.complete(headers=ONCE)
+        error = msgspec.json.decode(answer.body)["error"]
+        assert (error["code"], error["not_run"]) == ("outcome_unknown", False)
+        assert not second.requests
+
+
+async def test_abandoned_connection_is_not_used_again(
+    autojump_clock: MockClock,
+) -> None:
+    """Deadline and answer cross: the caller was answered, the rest comes late.
+
+    The next request must not read that rest, so it gets a new connection.
+    """
+    engine = ScriptedEngine(TOKENS, Step(until=2, then=Then.BEAT))
+    async with serve_in_memory([engine]) as served:
+        headers = (*AUTHORIZED, ("X-Deadline-Ms", "300"))
+        answer = await served.complete(is_stream=False, headers=headers)
+        assert answer.status == 504
+        answer = await served.complete()
+        check_whole(answer.body)
+        assert served.network is not None
+        engine_address = served.core.addresses[0]
+        posts = engine.find_requests("POST")
+        opened = served.network.opened.count(engine_address)
+        assert (len(posts), opened) == (2, 3)
+        assert engine.cancelled == ["n1-x7-0"]
+
+
+async def test_silence_drops_idle_connections(autojump_clock: MockClock) -> None:
+    """One of several pooled connections goes silent for good.
+
+    The idle ones of the same age are likely as dead; they are dropped, so that
+    the next request doesn't wait for a silence too.
+    """
+    engine = ScriptedEngine(
+        TOKENS,
+        Step(gap_s=0.1),
+        Step(gap_s=0.1),
+        Step(until=2, then=Then.SILENCE),
+    )
+    async with serve_in_memory([engine]) as served:
+        pool = served.face.pool
+        address = served.core.addresses[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(served.complete)
+            nursery.start_soon(served.complete)
+        assert pool.count_idle(address) == 2
+        connection = await served.open(
+            "POST", "/v1/completions", AUTHORIZED, build_completion()
+        )
+        await connection.read_head()
+        await trio.sleep(0.39)
+        assert pool.count_idle(address) == 1
+        await trio.sleep(0.02)
+        assert pool.count_idle(address) == 0
+        await connection.read_body()
+
+
+async def test_all_resumes_fail(autojump_clock: MockClock) -> None:
+    """An engine goes silent again after each resume. The tries are bounded."""
+    steps = [Step(until=2, then=Then.SILENCE)] * 20
+    engine = ScriptedEngine(TOKENS, *steps)
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_incomplete(answer.body)
+        assert len(engine.find_requests("GET")) == 5
+
+
+async def test_plain_answer_survives_death(autojump_clock: MockClock) -> None:
+    """A plain answer is delivered whole or not at all, also across two engines."""
+    first = ScriptedEngine(TOKENS, Step(until=2, then=Then.CUT), Step(status=404))
+    second = ScriptedEngine(TOKENS)
+    async with serve_in_memory([first, second]) as served:
+        answer = await served.complete(is_stream=False)
+        body = msgspec.json.decode(answer.body)
+        assert body["choices"][0]["text"] == TEXT
+        assert int(answer.headers["content-length"]) == len(answer.body)
+
+
+async def test_heartbeats_end_no_event(autojump_clock: MockClock) -> None:
+    """An engine's heartbeats reach the caller between events.
+
+    A blank line behind one would be the end of an empty event to client libraries
+    that remember the last id, and they would fail on its data.
+    """
+    engine = ScriptedEngine(TOKENS, Step(gap_s=0.2))
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        assert b": heartbeat\n" in answer.body
+        assert b": heartbeat\n\n" not in answer.body
