Bound what waits in engines, and tell them whose turn it is

Cause: eight nodes each let sixteen requests into each engine, so under overload the wait was in the engines' queues, where nothing is ordered, refused or given up; a flood of one customer stood there before everyone. Ruled out: closing each endpoint at its own moving limit. The two new tests were run against the code before: overdue tokens let more in, and there was no priority.

--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_run.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_run.py
@@ -22,7 +22,6 @@
     Endpoint,
     Pool,
 )
-from toucanyard.fair_queue import PRIORITY_RANKS
 from toucanyard.names import (
     Address,
     CustomerName,
@@ -126,6 +125,7 @@
     arrival: Arrival
     request: Request
     tries: int = 1
+    priority: int = 0
     attempt: int = 0
     sent_ms: float = 0.0
     endpoint: EndpointName | None = None
@@ -141,6 +141,7 @@
         self.number = number
         self.rng = random.Random(f"{run.seed} {number} {run.policy}")
         self.admission = Admission(AdmissionLimits(), self.rng)
+        self.admission.apply_node_count(run.deployment.nodes)
         self.admission.apply_configuration(run.configuration)
         self.placement = run.make_chooser(self.rng)
         self.placement.apply_node_count(run.deployment.nodes)
@@ -202,8 +203,10 @@
     def _apply(self, actions: list[AdmissionAction]) -> None:
         for action in actions:
             match action:
-                case Admit(request=request):
-                    self._dispatch(self.tasks[request.request_id])
+                case Admit(request=request, priority=priority):
+                    task = self.tasks[request.request_id]
+                    task.priority = priority
+                    self._dispatch(task)
                 case Refuse(request_id=request_id, retry_after_ms=retry_after_ms):
                     task = self.tasks.pop(request_id)
                     self.run.note_refusal(task, retry_after_ms)
@@ -223,7 +226,9 @@
         task.sent_ms = now_ms
         task.endpoint = placed.endpoint
         self.placement.note_dispatch(request, placed, self.run.pool, now_ms)
-        self.admission.note_dispatch(request.request_id, placed.endpoint)
+        work_ms = placed.first_token_ms - placed.queue_ms
+        name = placed.endpoint
+        self.admission.note_dispatch(request.request_id, name, work_ms, now_ms)
         self._send(task, placed)
 
     def _send(self, task: Task, placed: Placed) -> None:
@@ -232,7 +237,7 @@
         job = Job(
             target.chain,
             task.arrival.tokens,
-            PRIORITY_RANKS[task.request.priority],
+            task.priority,
             partial(self._note_first_token, task),
             partial(self._note_end, task),
         )
@@ -396,8 +401,13 @@
         self.result.warm_blocks += job.warm_blocks
 
     def note_served(self, task: Task) -> None:
-        """Count a complete answer and its time to first token."""
+        """Count a complete answer, or a failure if it began after the deadline."""
         assert task.first_token_ms is not None
+        since_ms = task.request.arrived_ms - task.arrival.at_ms
+        if task.first_token_ms - since_ms > self.deployment.deadline_ms:
+            self.result.failed += 1
+            self._record(task, task.first_token_ms)
+            return
         self.result.served += 1
         second = int(self.clock.now_ms) // 1_000
         if second < len(self.result.served_at_s):
--- a/packages/toucanyard/src/toucanyard/admission.py
+++ b/packages/toucanyard/src/toucanyard/admission.py
@@ -18,7 +18,7 @@
 from toucanyard.configuration import Configuration, Customer
 from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.fair_queue import FairQueue
+from toucanyard.fair_queue import PRIORITY_RANKS, FairQueue
 from toucanyard.names import CustomerName, EndpointName, RequestId
 from toucanyard.options import AdmissionLimits
 from toucanyard.requests import ModelTarget, Refuse, Request
@@ -27,12 +27,18 @@
 MIN_RETRY_AFTER_MS: Final = 250
 MAX_RETRY_AFTER_MS: Final = 30_000
 DEFAULT_MAX_RUNNING: Final = 16
+START_SHARES: Final = 2.0
+LATE_WAITS: Final = 2.0
+"""Target waits after which a missing first token counts as a long wait."""
 
 
 class Admit(msgspec.Struct, frozen=True):
     """Place and dispatch this request now."""
 
     request: Request
+    priority: int
+    """For the endpoint's own queue, 0 most urgent: first customers within their fair
+    share, then the rest, and within each by class."""
 
 
 AdmissionAction = Admit | Refuse
@@ -41,6 +47,8 @@
 class _Admitted(msgspec.Struct):
     request: Request
     endpoint: EndpointName | None = None
+    late_ms: float = float("inf")
+    """When a first token that hasn't come tells that the endpoint is too full."""
 
 
 class _Backend:
@@ -73,6 +81,7 @@
         "_backends",
         "_customers",
         "_limits",
+        "_node_count",
         "_rng",
         "_waiting",
         "retries",
@@ -81,6 +90,7 @@
     def __init__(self, limits: AdmissionLimits, rng: random.Random) -> None:
         self._limits = limits
         self._rng = rng
+        self._node_count = 1
         self._backends: dict[str, _Backend] = {}
         self._customers: dict[CustomerName, Customer] = {}
         self._waiting: dict[RequestId, Request] = {}
@@ -99,6 +109,10 @@
             backend = self._find_backend(f"service {service.name}")
             self._set_endpoints(backend, names, service.max_running)
 
+    def apply_node_count(self, count: int) -> None:
+        """Take over how many nodes share the endpoints; call it before the others."""
+        self._node_count = max(count, 1)
+
     def apply_usable(self, target: Request, names: Iterable[EndpointName]) -> None:
         """Take over which endpoints may get requests like this one."""
         backend = self._find_backend(compute_backend_name(target))
@@ -149,6 +163,7 @@
 
     def tick(self, now_ms: float) -> list[AdmissionAction]:
         """Refuse what has waited past its deadline and let in what fits."""
+        self._note_late(now_ms)
         actions: list[AdmissionAction] = []
         for backend in self._backends.values():
             for request in backend.queue.find_late(now_ms):
@@ -160,12 +175,25 @@
     def find_open(
         self, request: Request, names: Sequence[EndpointName]
     ) -> list[EndpointName]:
-        """Return those of the endpoints that are below their limit."""
+        """Return those of the endpoints that are below their declared limit.
+
+        The limits that follow latency bound only their sum: turned away from a warm
+        endpoint one by one, requests would recompute elsewhere and add to the load.
+        """
         limits = self._find_backend(compute_backend_name(request)).limits
         return [name for name in names if name not in limits or limits[name].has_room()]
 
-    def note_dispatch(self, request_id: RequestId, endpoint: EndpointName) -> None:
-        """Count an admitted request at the endpoint it goes to, first try or retry."""
+    def note_dispatch(
+        self,
+        request_id: RequestId,
+        endpoint: EndpointName,
+        work_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Count an admitted request at the endpoint it goes to, first try or retry.
+
+        `work_ms` is the computation expected before its first token.
+        """
         admitted = self._admitted.get(request_id)
         if admitted is None:
             return
@@ -174,12 +202,16 @@
             self.retries.note_first_try()
         self._leave_endpoint(backend, admitted)
         admitted.endpoint = endpoint
+        admitted.late_ms = now_ms + work_ms + LATE_WAITS * self._limits.target_wait_ms
         self._find_limit(backend, endpoint).in_flight += 1
 
     def note_first_token(
         self, request_id: RequestId, wait_ms: float, now_ms: float
     ) -> None:
         """Follow how long a request waited at its endpoint, computation left out."""
+        admitted = self._admitted.get(request_id)
+        if admitted is not None:
+            admitted.late_ms = float("inf")
         limit = self._find_limit_of(request_id)
         if limit is not None:
             limit.note_wait(wait_ms, now_ms)
@@ -210,6 +242,14 @@
         """Return how many admitted requests are not over."""
         return len(self._admitted)
 
+    def _note_late(self, now_ms: float) -> None:
+        # First tokens that come late tell of an overload only once they come; those
+        # that are overdue tell it while more would still be sent.
+        for request_id, admitted in self._admitted.items():
+            if admitted.late_ms <= now_ms:
+                admitted.late_ms = float("inf")
+                self.note_failure(request_id, now_ms)
+
     def _check_queue(
         self, backend: _Backend, request: Request, now_ms: float
     ) -> Refuse | None:
@@ -272,7 +312,17 @@
         self._admitted[request.request_id] = _Admitted(request)
         running = backend.running
         running[request.customer] = running.get(request.customer, 0) + 1
-        return Admit(request)
+        return Admit(request, self._compute_priority(backend, request))
+
+    def _compute_priority(self, backend: _Backend, request: Request) -> int:
+        # What has been dispatched waits in the endpoint's queue, where a flood would
+        # be ahead of everyone: the endpoint gets to know whose turn it is.
+        customer = request.customer
+        active = {customer, *backend.running, *backend.queue.find_customers()}
+        total = sum(self._find_weight(name) for name in active)
+        fair = backend.compute_capacity() * self._find_weight(customer) / total
+        is_over = backend.running[customer] > max(fair, 1.0)
+        return PRIORITY_RANKS[request.priority] + is_over * len(PRIORITY_RANKS)
 
     def _remove_waiting(self, backend: _Backend, request: Request) -> None:
         backend.queue.remove(request)
@@ -318,7 +368,10 @@
         limit = backend.limits.get(name)
         if limit is None:
             target_ms = self._limits.target_wait_ms
-            limit = ConcurrencyLimit(backend.max_running, target_ms)
+            # Each node starts with twice its even share: were it to start with the
+            # whole, all nodes together would fill an engine's queue many times over.
+            start = START_SHARES * backend.max_running / self._node_count
+            limit = ConcurrencyLimit(backend.max_running, start, target_ms)
             backend.limits[name] = limit
         return limit
 
--- a/packages/toucanyard/src/toucanyard/concurrency_limit.py
+++ b/packages/toucanyard/src/toucanyard/concurrency_limit.py
@@ -20,11 +20,11 @@
 
     __slots__ = ("_limit", "_reduced_ms", "in_flight", "max_limit", "target_wait_ms")
 
-    def __init__(self, max_limit: int, target_wait_ms: float) -> None:
+    def __init__(self, max_limit: int, start: float, target_wait_ms: float) -> None:
         self.max_limit = max_limit
         self.target_wait_ms = target_wait_ms
         self.in_flight = 0
-        self._limit = float(max_limit)
+        self._limit = min(max(start, MIN_LIMIT), float(max_limit))
         self._reduced_ms = float("-inf")
 
     @property
@@ -33,8 +33,8 @@
         return min(int(self._limit), self.max_limit)
 
     def has_room(self) -> bool:
-        """Return whether one more may be sent."""
-        return self.in_flight < self.limit
+        """Return whether one more may be sent within the declared limit."""
+        return self.in_flight < self.max_limit
 
     def note_wait(self, wait_ms: float, now_ms: float) -> None:
         """Follow the wait before a first token, without its own computation."""
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -132,7 +132,7 @@
     retry_budget_share: Share = 0.1
     """Retries allowed as a share of first tries."""
     max_attempts: Count = 3
-    max_wait_ms: DurationMs = 10_000
+    max_wait_ms: DurationMs = 4_000
     """Longest expected wait in the queue; what would wait longer is refused."""
     target_wait_ms: DurationMs = 500
     """Wait at an endpoint above which its limit shrinks."""
--- a/tests/toucanyard/test_admission.py
+++ b/tests/toucanyard/test_admission.py
@@ -100,11 +100,44 @@
     admission = make_admission(endpoints=1, max_running=8)
     name = EndpointName("e0")
     for number in range(6):
-        admission.offer(make_request(number), 0.0)
-        admission.note_dispatch(RequestId(f"r{number}"), name)
+        admission.offer(make_request(number, customer=CUSTOMERS[number % 3]), 0.0)
+        admission.note_dispatch(RequestId(f"r{number}"), name, 0.0, 0.0)
     for number in range(6):
         admission.note_first_token(RequestId(f"r{number}"), 2000.0, 2000.0 * number)
-    assert admission.find_open(make_request(9), [name]) == []
+    assert admission.offer(make_request(9, customer=SMALL), 12_000.0) == []
+
+
+def test_flooding_customer_goes_last_at_the_endpoint() -> None:
+    """Both customers' requests wait in the engine, the flood's came first.
+
+    Without a priority by share, the small customer would wait there for all of it.
+    """
+    admission = make_admission()
+    admission.offer(make_request(0, customer=SMALL), 0.0)
+    priorities = []
+    for number in range(1, 7):
+        (admit,) = admission.offer(make_request(number, customer=LARGE), 0.0)
+        assert isinstance(admit, Admit)
+        priorities.append(admit.priority)
+    (small,) = admission.offer(make_request(10, customer=SMALL), 0.0)
+    assert isinstance(small, Admit)
+    assert small.priority < priorities[-1]
+
+
+def test_overdue_first_tokens_lower_the_limit() -> None:
+    """An engine takes requests and answers none for seconds.
+
+    Following only the tokens that come, the node would send it more all the while.
+    """
+    admission = make_admission(endpoints=1, max_running=4)
+    name = EndpointName("e0")
+    for number in range(4):
+        admission.offer(make_request(number), 0.0)
+        admission.note_dispatch(RequestId(f"r{number}"), name, 0.0, 0.0)
+    for number in range(4, 8):
+        admission.offer(make_request(number), 0.0)
+    admission.tick(2000.0)
+    assert find_admitted(admission.release(RequestId("r0"), 2001.0)) == []
 
 
 @given(
@@ -138,7 +171,7 @@
         for admitted in find_admitted(actions):
             open_names = admission.find_open(make_request(0), names)
             assert open_names
-            admission.note_dispatch(admitted, open_names[0])
+            admission.note_dispatch(admitted, open_names[0], 0.0, now_ms)
             first_tries += 1
         assert admission.count_queued() <= 6
         assert admission.count_running() <= 6
--- a/tests/toucanyard/test_placement.py
+++ b/tests/toucanyard/test_placement.py
@@ -3,8 +3,8 @@
 import random
 
 from hypothesis import given, strategies as st
-from placement_examples import make_pool, make_request
 
+from placement_examples import make_pool, make_request
 from toucanyard.cache_view import CacheDump
 from toucanyard.load_view import LoadReport
 from toucanyard.names import EndpointName, Incarnation
