Hold duties by records in the log and plan orders to endpoints

Cause: one node at a time must bring a pool to its desired weights, holders may be paused unaware, and some endpoints ignore fencing numbers. Ruled out: claims judged by comparison with the last number; a node that started late can't know it and would part from the others. An order id per goal; an endpoint led astray later answers that it was done.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/duties.py
@@ -0,0 +1,277 @@
+"""Decide by records in the log which node brings a pool to its desired state.
+
+A duty is a lease for one pool. A claim is valid when no valid record of that pool
+stands within the lease before it, by the log's own clock, and its offset is the
+fencing number on the holder's orders. The holder counts its lease from before it
+sent the append, on its own clock, so it stops before the log lets another start.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.claim_messages import NodeId
+from toucanyard.core_events import AppendToLog
+from toucanyard.names import NodeName, PoolName
+from toucanyard.vm_view import compute_rank
+
+DUTY_PREFIX: Final = "duty-"
+LEASE_MS: Final = 10_000.0
+RENEW_MS: Final = 3_000.0
+_DRIFT_SHARE: Final = 0.1
+"""How much of the lease the holder gives up, for clocks that run unevenly."""
+_APPEND_AGAIN_MS: Final = 2_000.0
+_STAND_BACK_MS: Final = 1_000.0
+"""How much longer each further candidate waits before it claims."""
+_MAX_RECORD_CHARACTERS: Final = 2_048
+
+
+class DutyRecord(msgspec.Struct, frozen=True, tag_field="kind", tag="duty"):
+    """Claim, renew or give up the duty for a pool.
+
+    `fence` is None in a claim, which gets its own offset; otherwise the number that is
+    renewed or, with `is_release`, given up. `record_id` tells the author its own.
+    """
+
+    pool: PoolName
+    node: NodeId
+    record_id: str
+    fence: int | None = None
+    is_release: bool = False
+
+
+class Duty(msgspec.Struct, frozen=True):
+    """A duty that this node holds, until a time on its own clock."""
+
+    pool: PoolName
+    fence: int
+    until_ms: float
+
+
+class _Lease(msgspec.Struct):
+    """What the records of one pool lead to.
+
+    While `is_known` is false, records may be missing before the first one read, and
+    only their times are noted.
+    """
+
+    is_known: bool
+    holder: NodeId | None = None
+    fence: int = -1
+    last_at_ms: float | None = None
+    seen_ms: float | None = None
+    until_ms: float = float("-inf")
+    """End of the lease by this node's clock, if this node holds it."""
+
+
+class _Sent(msgspec.Struct, frozen=True):
+    pool: PoolName
+    sent_ms: float
+
+
+class Duties:
+    """Hold the duties of all pools as one node sees them.
+
+    Invariant: at any time at most one node holds a valid lease whose own deadline has
+    not passed, unless clocks drift by more than a tenth of the lease.
+    """
+
+    def __init__(self, identity: NodeId, rng: random.Random) -> None:
+        self._identity = identity
+        self._rng = rng
+        self._leases: dict[PoolName, _Lease] = {}
+        self._sent: dict[str, _Sent] = {}
+        self._number = 0
+        self._is_complete = False
+        self._first_at_ms: float | None = None
+        self._head_since_ms: float | None = None
+        self._log_ms = float("-inf")
+
+    def note_start(self, oldest: int, from_offset: int) -> None:
+        """Take in where reading begins: whether records may be missing before."""
+        self._is_complete = oldest == 0 and from_offset == 0
+
+    def note_expired(self) -> None:
+        """Take in that records were missed, so that no state is known any more."""
+        self._is_complete = False
+        self._first_at_ms = None
+        self._head_since_ms = None
+        self._leases.clear()
+
+    def note_head(self, asked_ms: float) -> None:
+        """Take in that everything up to the log's end at `asked_ms` was read."""
+        if self._head_since_ms is None:
+            self._head_since_ms = asked_ms
+
+    def find_held(self, now_ms: float) -> list[Duty]:
+        """Return the duties that this node may act on now."""
+        return [
+            Duty(pool, lease.fence, lease.until_ms)
+            for pool, lease in self._leases.items()
+            if lease.holder == self._identity and now_ms < lease.until_ms
+        ]
+
+    def find_holder(self, pool: PoolName) -> NodeId | None:
+        """Return who the log says held a pool's duty last."""
+        lease = self._leases.get(pool)
+        return None if lease is None else lease.holder
+
+    def apply_record(self, offset: int, at_ms: float, text: str, now_ms: float) -> None:
+        """Replay one record of any kind; no text makes it raise."""
+        at_ms = self._log_ms = max(at_ms, self._log_ms)
+        if self._first_at_ms is None:
+            self._first_at_ms = at_ms
+        record = _decode(text)
+        if record is None:
+            return
+        sent = self._sent.pop(record.record_id, None)
+        is_mine = record.node == self._identity and sent is not None
+        lease = self._leases.get(record.pool)
+        if lease is None:
+            lease = self._leases[record.pool] = _Lease(self._is_complete)
+        if not self._is_valid(lease, record, at_ms, now_ms):
+            if not lease.is_known:
+                lease.last_at_ms = at_ms
+                lease.seen_ms = now_ms
+            return
+        lease.is_known = True
+        lease.last_at_ms = at_ms
+        lease.seen_ms = now_ms
+        if record.is_release:
+            lease.holder = None
+            return
+        lease.holder = record.node
+        if record.fence is None:
+            lease.fence = offset
+            lease.until_ms = float("-inf")
+        if is_mine and sent is not None:
+            lease.until_ms = sent.sent_ms + LEASE_MS * (1 - _DRIFT_SHARE)
+
+    def tick(
+        self, pools: Sequence[PoolName], nodes: Sequence[NodeName], now_ms: float
+    ) -> list[AppendToLog]:
+        """Return records to append: renewals, and claims of duties that are free.
+
+        Called only while the configuration is known to be current.
+        """
+        lost = [
+            record_id
+            for record_id, sent in self._sent.items()
+            if now_ms - sent.sent_ms > LEASE_MS
+        ]
+        for record_id in lost:
+            del self._sent[record_id]
+        appends: list[AppendToLog] = []
+        for pool in pools:
+            if any(
+                sent.pool == pool and now_ms - sent.sent_ms < _APPEND_AGAIN_MS
+                for sent in self._sent.values()
+            ):
+                continue
+            lease = self._leases.get(pool)
+            if lease is not None and self._is_to_renew(lease, now_ms):
+                appends.append(self._append(pool, lease.fence, now_ms))
+            elif self._is_to_claim(pool, lease, nodes, now_ms):
+                appends.append(self._append(pool, None, now_ms))
+        return appends
+
+    def release(self, now_ms: float) -> list[AppendToLog]:
+        """Give up every duty, for a planned stop; nothing is held after this."""
+        appends: list[AppendToLog] = []
+        for duty in self.find_held(now_ms):
+            self._leases[duty.pool].until_ms = float("-inf")
+            append = self._append(duty.pool, duty.fence, now_ms, is_release=True)
+            appends.append(append)
+        return appends
+
+    def give_up(self, pool: PoolName) -> None:
+        """Stop acting on a duty at once, since an endpoint knows a higher number."""
+        lease = self._leases.get(pool)
+        if lease is not None:
+            lease.until_ms = float("-inf")
+
+    def _is_valid(
+        self, lease: _Lease, record: DutyRecord, at_ms: float, now_ms: float
+    ) -> bool:
+        last_ms = lease.last_at_ms
+        is_free = last_ms is None or at_ms - last_ms >= LEASE_MS
+        if not lease.is_known:
+            # Something unread may have made another one the holder. After a whole
+            # lease without any record of the pool, no lease can stand, whoever held.
+            return record.fence is None and is_free and self._covers(at_ms, now_ms)
+        if record.fence is None:
+            return is_free or lease.holder is None
+        is_holder = record.node == lease.holder and record.fence == lease.fence
+        return is_holder and not is_free
+
+    def _covers(self, at_ms: float, now_ms: float) -> bool:
+        """Tell whether the whole lease before a record was read."""
+        if self._first_at_ms is not None and at_ms - self._first_at_ms >= LEASE_MS:
+            return True
+        since_ms = self._head_since_ms
+        return since_ms is not None and now_ms - since_ms >= self._patience_ms()
+
+    def _patience_ms(self) -> float:
+        return LEASE_MS * (1 + _DRIFT_SHARE)
+
+    def _is_to_renew(self, lease: _Lease, now_ms: float) -> bool:
+        if lease.holder != self._identity or now_ms >= lease.until_ms:
+            return False
+        sent_ms = lease.until_ms - LEASE_MS * (1 - _DRIFT_SHARE)
+        return now_ms - sent_ms >= RENEW_MS
+
+    def _is_to_claim(
+        self,
+        pool: PoolName,
+        lease: _Lease | None,
+        nodes: Sequence[NodeName],
+        now_ms: float,
+    ) -> bool:
+        if self._head_since_ms is None:
+            return False
+        own = self._identity.node
+        rank = sum(
+            compute_rank(pool, node) > compute_rank(pool, own)
+            for node in nodes
+            if node != own
+        )
+        wait_ms = min(rank, 8) * _STAND_BACK_MS
+        if lease is not None and lease.seen_ms is not None:
+            is_released = lease.is_known and lease.holder is None
+            start_ms = lease.seen_ms
+            wait_ms += 0.0 if is_released else self._patience_ms()
+        else:
+            start_ms = self._head_since_ms
+            wait_ms += 0.0 if self._is_complete else self._patience_ms()
+        return now_ms - start_ms >= wait_ms
+
+    def _append(
+        self,
+        pool: PoolName,
+        fence: int | None,
+        now_ms: float,
+        *,
+        is_release: bool = False,
+    ) -> AppendToLog:
+        self._number += 1
+        identity = self._identity
+        record_id = (
+            f"{DUTY_PREFIX}{identity.node}-{identity.incarnation}-{self._number}"
+        )
+        self._sent[record_id] = _Sent(pool, now_ms)
+        record = DutyRecord(pool, identity, record_id, fence, is_release)
+        text = msgspec.json.encode(record).decode()
+        return AppendToLog(record_id, text, is_urgent=False)
+
+
+def _decode(text: str) -> DutyRecord | None:
+    if len(text) > _MAX_RECORD_CHARACTERS or '"duty"' not in text:
+        return None
+    try:
+        return msgspec.json.decode(text.encode(), type=DutyRecord)
+    except (msgspec.DecodeError, UnicodeEncodeError, RecursionError):
+        return None
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/order_duties.py
@@ -0,0 +1,113 @@
+"""Join duties and orders: what one node does for the pools whose duty it holds."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+import msgspec
+
+from toucanyard.claim_messages import NodeId
+from toucanyard.configuration import Configuration
+from toucanyard.core_events import AppendToLog
+from toucanyard.duties import DUTY_PREFIX, Duties
+from toucanyard.names import EndpointName, NodeName, PoolName
+from toucanyard.orders import (
+    EndpointState,
+    OrderOutcome,
+    PoolOrders,
+    ReadState,
+    SendOrder,
+    find_reads,
+)
+
+_READ_MS: Final = 500.0
+"""Time between two reads of a pool's states while something is to be done."""
+_IDLE_READ_MS: Final = 5_000.0
+_IDLE_READ_MS_PER_ENDPOINT: Final = 100.0
+
+OrderAction = AppendToLog | SendOrder | ReadState
+
+
+class _Held(msgspec.Struct):
+    orders: PoolOrders
+    read_ms: float = float("-inf")
+
+
+class OrderDuties:
+    """Hold the duties of one node and plan the orders that go with them.
+
+    Invariant: a plan belongs to one fencing number; a new one starts from nothing.
+    """
+
+    def __init__(self, identity: NodeId, rng: random.Random) -> None:
+        self.duties = Duties(identity, rng)
+        self._held: dict[PoolName, _Held] = {}
+        self._pool_of: dict[EndpointName, PoolName] = {}
+
+    def owns(self, record_id: str) -> bool:
+        """Tell whether a log record of this node concerns duties."""
+        return record_id.startswith(DUTY_PREFIX)
+
+    def tick(
+        self,
+        configuration: Configuration,
+        nodes: list[NodeName],
+        may_order: bool,
+        now_ms: float,
+    ) -> list[OrderAction]:
+        """Return what to append, read and order now; wanted every 100 ms or so.
+
+        `may_order` is false while the configuration may be outdated: orders under an
+        old version could undo those of a newer one.
+        """
+        if not may_order:
+            return []
+        actions: list[OrderAction] = []
+        names = [pool.name for pool in configuration.pools]
+        actions += self.duties.tick(names, nodes, now_ms)
+        held = {duty.pool: duty for duty in self.duties.find_held(now_ms)}
+        for name in set(self._held) - set(held):
+            del self._held[name]
+        for pool in configuration.pools:
+            duty = held.get(pool.name)
+            if duty is None:
+                continue
+            entry = self._held.get(pool.name)
+            if entry is None or entry.orders.fence != duty.fence:
+                orders = PoolOrders(pool.name, duty.fence, now_ms)
+                entry = self._held[pool.name] = _Held(orders)
+            for endpoint in pool.endpoints:
+                self._pool_of[endpoint.name] = pool.name
+            actions += entry.orders.plan(pool, duty.until_ms, now_ms)
+            wait_ms = _READ_MS
+            if entry.orders.is_converged(pool):
+                share_ms = _IDLE_READ_MS_PER_ENDPOINT * len(pool.endpoints)
+                wait_ms = max(_IDLE_READ_MS, share_ms)
+            if now_ms - entry.read_ms >= wait_ms:
+                entry.read_ms = now_ms
+                actions += find_reads(pool)
+        return actions
+
+    def note_state(
+        self, endpoint: EndpointName, state: EndpointState, asked_ms: float
+    ) -> None:
+        """Take in the state that an endpoint gave when asked at `asked_ms`."""
+        entry = self._find_entry(endpoint)
+        if entry is not None:
+            entry.orders.note_state(endpoint, state, asked_ms)
+
+    def note_outcome(
+        self, sent: SendOrder, outcome: OrderOutcome, now_ms: float
+    ) -> None:
+        """Take in what became of an order; a stale number ends the duty here."""
+        entry = self._held.get(sent.pool)
+        if entry is None or entry.orders.fence != sent.order.fence:
+            return
+        order_id = sent.order.order_id
+        if entry.orders.note_outcome(sent.endpoint, order_id, outcome, now_ms):
+            self.duties.give_up(sent.pool)
+
+    def _find_entry(self, endpoint: EndpointName) -> _Held | None:
+        pool = self._pool_of.get(endpoint)
+        return None if pool is None else self._held.get(pool)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/orders.py
@@ -0,0 +1,347 @@
+"""Plan the orders that bring the endpoints of one pool to their desired state.
+
+Nothing is trusted to have held: each order is followed by reading the endpoint's
+state, and what is still wrong is ordered anew. Orders are conditional on the weights
+that were read, so one that arrives late changes nothing that has moved on.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.configuration import Endpoint, Pool, Role
+from toucanyard.names import Address, EndpointName, Incarnation, PoolName
+
+MAX_LOADS: Final = 2
+_WARM_SHARE: Final = 0.6
+"""Share of the other replicas that stay warm while one loads."""
+_WARM_MS: Final = 5_000.0
+"""How long a replica counts as cold after its load."""
+_FRESH_MS: Final = 2_000.0
+"""How old a state may be for an order to be based on it."""
+_UNSURE_MS: Final = 15_000.0
+"""How long an endpoint that can't be read counts as one that may be loading."""
+_AGAIN_MS: Final = 1_000.0
+"""Least time between two orders to one endpoint."""
+_LOST_MS: Final = 2_000.0
+"""How long an order without an answer may still be under way."""
+_STARTS_PER_S: Final = 2.0
+"""Loads that one holder starts in a second; the weight store takes few."""
+
+
+class OrderKind(enum.StrEnum):
+    """What an order changes."""
+
+    LOAD = "load"
+    ADAPTER = "adapter"
+    ROLE = "role"
+
+
+class Order(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One order, as an endpoint takes it."""
+
+    order_id: str
+    fence: int
+    kind: OrderKind
+    model: str = ""
+    adapter: str = ""
+    weights_version: str = ""
+    role: str = ""
+    expected_weights_version: str = ""
+
+
+class EndpointState(msgspec.Struct, frozen=True):
+    """What an endpoint says it has loaded."""
+
+    incarnation: Incarnation
+    model: str
+    weights_version: str
+    adapters: tuple[str, ...] = ()
+    role: str = Role.BOTH
+    is_loading: bool = False
+    checks_fence: bool = False
+    fence: int = 0
+
+
+class OrderOutcome(enum.StrEnum):
+    """What became of an order, as its sender saw it."""
+
+    DONE = "done"
+    NOT_SENT = "not_sent"
+    LOST = "lost"
+    """Sent, and no answer came: it may have taken effect, or may yet."""
+    STALE_FENCE = "stale_fence"
+    UNEXPECTED_STATE = "unexpected_state"
+    BUSY = "busy"
+
+
+class SendOrder(msgspec.Struct, frozen=True):
+    """Send an order to an endpoint, unless `until_ms` has passed."""
+
+    pool: PoolName
+    endpoint: EndpointName
+    address: Address
+    order: Order
+    until_ms: float
+
+
+class ReadState(msgspec.Struct, frozen=True):
+    """Ask an endpoint for its state."""
+
+    endpoint: EndpointName
+    address: Address
+
+
+class _Replica(msgspec.Struct):
+    """What the holder knows of one endpoint."""
+
+    state: EndpointState | None = None
+    asked_ms: float = float("-inf")
+    order_id: str | None = None
+    """The order whose answer is awaited."""
+    ordered_ms: float = float("-inf")
+    is_load_open: bool = False
+    """A load was ordered and no state read since shows how it ended."""
+    cold_until_ms: float = float("-inf")
+
+
+class PoolOrders:
+    """Plan the orders of one pool under one fencing number.
+
+    Invariants: at most MAX_LOADS replicas load or may be loading when a load is
+    ordered; no load is ordered before each endpoint that checks fences has this
+    number, so that orders of an earlier holder can't add to them.
+    """
+
+    def __init__(self, pool: PoolName, fence: int, now_ms: float) -> None:
+        self.pool = pool
+        self.fence = fence
+        self._started_ms = now_ms
+        self._replicas: dict[EndpointName, _Replica] = {}
+        self._number = 0
+        self._starts = _STARTS_PER_S
+        self._starts_ms = now_ms
+
+    def note_state(
+        self, endpoint: EndpointName, state: EndpointState, asked_ms: float
+    ) -> None:
+        """Take in the state that an endpoint gave when asked at `asked_ms`."""
+        replica = self._replicas.setdefault(endpoint, _Replica())
+        if asked_ms <= replica.asked_ms:
+            return
+        before = replica.state
+        if before is not None and _has_loaded(before, state):
+            replica.cold_until_ms = asked_ms + _WARM_MS
+        replica.state = state
+        replica.asked_ms = asked_ms
+        if replica.order_id is None and asked_ms > replica.ordered_ms:
+            replica.is_load_open = False
+
+    def note_outcome(
+        self,
+        endpoint: EndpointName,
+        order_id: str,
+        outcome: OrderOutcome,
+        now_ms: float,
+    ) -> bool:
+        """Take in an answer; return whether the duty has gone to someone else."""
+        replica = self._replicas.get(endpoint)
+        if replica is None or replica.order_id != order_id:
+            return outcome is OrderOutcome.STALE_FENCE
+        replica.order_id = None
+        # Whatever the answer, only a state read from now on tells what is loaded.
+        replica.ordered_ms = now_ms
+        if outcome is OrderOutcome.LOST:
+            # It may still be under way and start a load after the next read.
+            replica.ordered_ms = now_ms + _LOST_MS
+        if outcome is OrderOutcome.NOT_SENT:
+            replica.is_load_open = False
+        return outcome is OrderOutcome.STALE_FENCE
+
+    def is_converged(self, pool: Pool) -> bool:
+        """Tell whether each endpoint was read in the desired state."""
+        return all(
+            (replica := self._replicas.get(endpoint.name)) is not None
+            and replica.state is not None
+            and not replica.state.is_loading
+            and _find_change(pool, replica.state) is None
+            for endpoint in pool.endpoints
+        )
+
+    def plan(self, pool: Pool, until_ms: float, now_ms: float) -> list[SendOrder]:
+        """Return the orders to send now; none is to be sent after `until_ms`."""
+        if now_ms >= until_ms:
+            return []
+        kept = {endpoint.name for endpoint in pool.endpoints}
+        for name in set(self._replicas) - kept:
+            del self._replicas[name]
+        orders: list[SendOrder] = []
+        is_fenced = self._is_fenced(pool, now_ms)
+        for endpoint in pool.endpoints:
+            replica = self._replicas.setdefault(endpoint.name, _Replica())
+            order = self._plan_one(pool, endpoint, replica, is_fenced, now_ms)
+            if order is None:
+                continue
+            replica.order_id = order.order_id
+            replica.ordered_ms = now_ms
+            replica.is_load_open = order.kind is OrderKind.LOAD
+            orders.append(
+                SendOrder(self.pool, endpoint.name, endpoint.address, order, until_ms)
+            )
+        return orders
+
+    def _plan_one(
+        self,
+        pool: Pool,
+        endpoint: Endpoint,
+        replica: _Replica,
+        is_fenced: bool,
+        now_ms: float,
+    ) -> Order | None:
+        state = replica.state
+        if state is None or not self._may_order(replica, now_ms):
+            return None
+        if state.checks_fence and state.fence < self.fence:
+            # Changes nothing but the number: from now on a late order of an earlier
+            # holder is refused here.
+            return self._build(OrderKind.ROLE, state, role=state.role)
+        change = _find_change(pool, state)
+        if change is None:
+            return None
+        if change is not OrderKind.LOAD:
+            return self._build_small(change, pool, state)
+        if not is_fenced or not self._may_load(pool, endpoint, now_ms):
+            return None
+        self._starts -= 1
+        return self._build(
+            OrderKind.LOAD,
+            state,
+            model=pool.model,
+            weights_version=pool.weights_version,
+        )
+
+    def _may_order(self, replica: _Replica, now_ms: float) -> bool:
+        state = replica.state
+        return (
+            state is not None
+            and not state.is_loading
+            and replica.order_id is None
+            and replica.asked_ms > replica.ordered_ms
+            and now_ms - replica.asked_ms <= _FRESH_MS
+            and now_ms - replica.ordered_ms >= _AGAIN_MS
+        )
+
+    def _is_fenced(self, pool: Pool, now_ms: float) -> bool:
+        """Tell whether no earlier holder's order can start a load any more."""
+        for endpoint in pool.endpoints:
+            replica = self._replicas.get(endpoint.name)
+            if replica is None or replica.state is None:
+                if now_ms - self._started_ms < _UNSURE_MS:
+                    return False
+                continue
+            is_older = replica.state.checks_fence and replica.state.fence < self.fence
+            if is_older and now_ms - replica.asked_ms < _UNSURE_MS:
+                return False
+        return True
+
+    def _may_load(self, pool: Pool, endpoint: Endpoint, now_ms: float) -> bool:
+        others = [each for each in pool.endpoints if each.name != endpoint.name]
+        loading = sum(self._may_be_loading(each.name, now_ms) for each in others)
+        if loading >= MAX_LOADS:
+            return False
+        reachable = [each for each in others if self._is_reachable(each.name, now_ms)]
+        warm = sum(self._is_warm(each.name, now_ms) for each in reachable)
+        if warm < min(len(reachable), max(1, int(_WARM_SHARE * len(reachable)))):
+            return False
+        passed_s = (now_ms - self._starts_ms) / 1000
+        self._starts = min(_STARTS_PER_S, self._starts + passed_s * _STARTS_PER_S)
+        self._starts_ms = now_ms
+        return self._starts >= 1
+
+    def _may_be_loading(self, name: EndpointName, now_ms: float) -> bool:
+        replica = self._replicas.get(name)
+        if replica is None or replica.state is None:
+            return now_ms - self._started_ms < _UNSURE_MS
+        if replica.state.is_loading or replica.is_load_open:
+            # An endpoint that died while it loaded no longer says how it ended.
+            return now_ms - max(replica.asked_ms, replica.ordered_ms) < _UNSURE_MS
+        return False
+
+    def _is_reachable(self, name: EndpointName, now_ms: float) -> bool:
+        """Tell whether an endpoint counts for the capacity to be kept.
+
+        Those that are dead don't, or a pool with many of them would never get new
+        weights.
+        """
+        replica = self._replicas.get(name)
+        return replica is not None and now_ms - replica.asked_ms < _UNSURE_MS
+
+    def _is_warm(self, name: EndpointName, now_ms: float) -> bool:
+        replica = self._replicas.get(name)
+        if replica is None or replica.state is None:
+            return False
+        return (
+            not replica.state.is_loading
+            and not replica.is_load_open
+            and now_ms >= replica.cold_until_ms
+            and now_ms - replica.asked_ms <= _FRESH_MS
+        )
+
+    def _build_small(
+        self, change: OrderKind, pool: Pool, state: EndpointState
+    ) -> Order:
+        if change is OrderKind.ROLE:
+            return self._build(OrderKind.ROLE, state, role=pool.role)
+        missing = [each for each in pool.adapters if each not in state.adapters]
+        return self._build(OrderKind.ADAPTER, state, adapter=missing[0])
+
+    def _build(
+        self,
+        kind: OrderKind,
+        state: EndpointState,
+        *,
+        model: str = "",
+        weights_version: str = "",
+        adapter: str = "",
+        role: str = "",
+    ) -> Order:
+        # Each try has an id of its own. With one id for the same goal, an endpoint
+        # that was led astray since would answer that it had already been done.
+        self._number += 1
+        return Order(
+            order_id=f"{self.pool}-{self.fence}-{self._number}",
+            fence=self.fence,
+            kind=kind,
+            model=model,
+            adapter=adapter,
+            weights_version=weights_version,
+            role=role,
+            expected_weights_version=state.weights_version,
+        )
+
+
+def find_reads(pool: Pool) -> Sequence[ReadState]:
+    """Return what to read so that a pool's orders can be planned."""
+    return [ReadState(each.name, each.address) for each in pool.endpoints]
+
+
+def _find_change(pool: Pool, state: EndpointState) -> OrderKind | None:
+    if (state.model, state.weights_version) != (pool.model, pool.weights_version):
+        return OrderKind.LOAD
+    if state.role != pool.role:
+        return OrderKind.ROLE
+    if set(pool.adapters) - set(state.adapters):
+        return OrderKind.ADAPTER
+    return None
+
+
+def _has_loaded(before: EndpointState, after: EndpointState) -> bool:
+    return (before.incarnation, before.model, before.weights_version) != (
+        after.incarnation,
+        after.model,
+        after.weights_version,
+    )
--- /dev/null
+++ b/tests/toucanyard/order_fakes.py
@@ -0,0 +1,204 @@
+"""Give tests of duties and orders a log, engines and nodes that can be paused."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from toucanyard.claim_messages import NodeId
+from toucanyard.configuration import Configuration, Endpoint, Pool
+from toucanyard.core_events import AppendToLog
+from toucanyard.names import (
+    Address,
+    DomainName,
+    EndpointName,
+    Incarnation,
+    NodeName,
+    PoolName,
+)
+from toucanyard.order_duties import OrderDuties
+from toucanyard.orders import (
+    EndpointState,
+    Order,
+    OrderKind,
+    OrderOutcome,
+    ReadState,
+    SendOrder,
+)
+
+STEP_MS = 100.0
+LOAD_MS = 600.0
+POOL = PoolName("p")
+
+
+class FakeEngine:
+    """Carry orders out as an endpoint does, and note how many load at once."""
+
+    def __init__(self, world: OrderWorld, checks_fence: bool) -> None:
+        self.world = world
+        self.state = EndpointState(
+            Incarnation("i1"), "m", "w1", (), "both", False, checks_fence, 0
+        )
+        self.target: Order | None = None
+        self.done_ms = 0.0
+        self.done: set[str] = set()
+        self.fences: list[int] = []
+
+    def take(self, order: Order) -> OrderOutcome:
+        state = self.state
+        if order.order_id in self.done:
+            return OrderOutcome.DONE
+        if state.checks_fence and order.fence < state.fence:
+            return OrderOutcome.STALE_FENCE
+        if state.is_loading:
+            return OrderOutcome.BUSY
+        expected = order.expected_weights_version
+        if expected and expected != state.weights_version:
+            return OrderOutcome.UNEXPECTED_STATE
+        self.done.add(order.order_id)
+        self.fences.append(order.fence)
+        is_loading = order.kind is OrderKind.LOAD
+        fence = max(state.fence, order.fence)
+        self.state = msgspec.structs.replace(state, fence=fence, is_loading=is_loading)
+        if is_loading:
+            self.target, self.done_ms = order, self.world.now_ms + LOAD_MS
+        elif order.kind is OrderKind.ADAPTER:
+            adapters = (*self.state.adapters, order.adapter)
+            self.state = msgspec.structs.replace(self.state, adapters=adapters)
+        return OrderOutcome.DONE
+
+    def step(self) -> None:
+        if self.target is not None and self.world.now_ms >= self.done_ms:
+            version = self.target.weights_version
+            self.target = None
+            self.state = msgspec.structs.replace(
+                self.state, weights_version=version, is_loading=False
+            )
+
+    def crash(self) -> None:
+        self.target = None
+        self.done.clear()
+        count = int(self.state.incarnation[1:]) + 1
+        self.state = EndpointState(
+            Incarnation(f"i{count}"), "m", "w1", (), "both", False,
+            self.state.checks_fence, 0,
+        )  # fmt: skip
+
+
+class FakeNode:
+    """Drive one node's duties; while paused, neither reads nor acts."""
+
+    def __init__(self, world: OrderWorld, name: str, incarnation: str) -> None:
+        self.world = world
+        self.identity = NodeId(NodeName(name), Incarnation(incarnation))
+        self.duties = OrderDuties(self.identity, random.Random(name))
+        self.duties.duties.note_start(0, len(world.records))
+        self.read = len(world.records)
+        self.paused_until_ms = 0.0
+        self.configuration = world.configuration
+        self.late: list[SendOrder] = []
+        self.held: set[int] = set()
+
+    def step(self) -> None:
+        world = self.world
+        if world.now_ms < self.paused_until_ms:
+            return
+        for offset in range(self.read, len(world.records)):
+            at_ms, text = world.records[offset]
+            self.duties.duties.apply_record(offset, at_ms, text, world.now_ms)
+        self.read = len(world.records)
+        self.duties.duties.note_head(world.now_ms)
+        nodes = [node.identity.node for node in world.nodes]
+        actions = self.duties.tick(self.configuration, nodes, True, world.now_ms)
+        self.held = {duty.fence for duty in self.duties.duties.find_held(world.now_ms)}
+        for action in actions:
+            self.carry_out(action)
+
+    def carry_out(self, action: AppendToLog | SendOrder | ReadState) -> None:
+        world = self.world
+        match action:
+            case AppendToLog(text=text):
+                if world.is_log_up:
+                    world.records.append((world.now_ms, text))
+            case ReadState(endpoint=endpoint):
+                state = world.engines[endpoint].state
+                self.duties.note_state(endpoint, state, world.now_ms)
+            case SendOrder():
+                fate = world.find_fate()
+                if fate == "delayed":
+                    world.delayed.append((world.now_ms + 4_000, action))
+                    self.duties.note_outcome(action, OrderOutcome.LOST, world.now_ms)
+                    return
+                outcome = world.engines[action.endpoint].take(action.order)
+                if fate == "answer_lost":
+                    outcome = OrderOutcome.LOST
+                self.duties.note_outcome(action, outcome, world.now_ms)
+
+
+class OrderWorld:
+    """Hold engines, nodes and the log under one clock."""
+
+    def __init__(self, engines: int, checks_fence: bool, seed: int = 0) -> None:
+        self.now_ms = 0.0
+        self.rng = random.Random(seed)
+        self.bad_share = 0.0
+        self.is_log_up = True
+        self.records: list[tuple[float, str]] = []
+        self.delayed: list[tuple[float, SendOrder]] = []
+        endpoints = tuple(
+            Endpoint(EndpointName(f"e{n}"), Address(f"10.0.0.{n}:1"), DomainName("d"))
+            for n in range(engines)
+        )
+        self.engines = {each.name: FakeEngine(self, checks_fence) for each in endpoints}
+        pool = Pool(POOL, "m", "w1", endpoints)
+        self.configuration = Configuration(1, pools=(pool,))
+        self.nodes = [FakeNode(self, f"n{n}", "a") for n in range(3)]
+        self.most_loading = 0
+        self.least_serving = engines
+        self.most_holders = 0
+
+    def find_fate(self) -> str:
+        if self.rng.random() >= self.bad_share:
+            return "answered"
+        return self.rng.choice(["delayed", "answer_lost"])
+
+    def want(self, version: str, nodes: int = 3) -> None:
+        """Bring new weights into force on the first nodes."""
+        old = self.configuration
+        pool = msgspec.structs.replace(old.pools[0], weights_version=version)
+        self.configuration = Configuration(old.version + 1, pools=(pool,))
+        for node in self.nodes[:nodes]:
+            node.configuration = self.configuration
+
+    def restart(self, number: int) -> None:
+        """Replace a node by an empty one of the same name."""
+        old = self.nodes[number].identity
+        incarnation = old.incarnation + "a"
+        self.nodes[number] = FakeNode(self, old.node, incarnation)
+
+    def run(self, duration_ms: float) -> None:
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            for engine in self.engines.values():
+                engine.step()
+            for due_ms, sent in list(self.delayed):
+                if due_ms <= self.now_ms:
+                    self.delayed.remove((due_ms, sent))
+                    self.engines[sent.endpoint].take(sent.order)
+            for node in self.nodes:
+                node.step()
+            self.measure()
+
+    def measure(self) -> None:
+        loading = sum(each.state.is_loading for each in self.engines.values())
+        self.most_loading = max(self.most_loading, loading)
+        self.least_serving = min(self.least_serving, len(self.engines) - loading)
+        holders = sum(
+            bool(node.duties.duties.find_held(self.now_ms)) for node in self.nodes
+        )
+        self.most_holders = max(self.most_holders, holders)
+
+    def find_versions(self) -> set[str]:
+        return {each.state.weights_version for each in self.engines.values()}
--- /dev/null
+++ b/tests/toucanyard/test_duties.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import random
+
+import msgspec
+from hypothesis import given, strategies as st
+
+from toucanyard.claim_messages import NodeId
+from toucanyard.duties import LEASE_MS, Duties, DutyRecord
+from toucanyard.names import Incarnation, NodeName, PoolName
+
+POOL = PoolName("p")
+
+
+def build_node(name: str) -> NodeId:
+    return NodeId(NodeName(name), Incarnation("a"))
+
+
+def build_text(name: str, fence: int | None = None, is_release: bool = False) -> str:
+    record = DutyRecord(POOL, build_node(name), f"{name}-{fence}", fence, is_release)
+    return msgspec.json.encode(record).decode()
+
+
+def build_duties(*, is_complete: bool = True) -> Duties:
+    duties = Duties(build_node("me"), random.Random(1))
+    duties.note_start(0 if is_complete else 7, 0 if is_complete else 7)
+    return duties
+
+
+def test_claim_within_a_lease_is_void() -> None:
+    """Two nodes claim at once, or one whose view is late. The log's order decides, and
+    on every node alike."""
+    duties = build_duties()
+    duties.apply_record(0, 0.0, build_text("one"), 0.0)
+    duties.apply_record(1, LEASE_MS - 1, build_text("two"), 0.0)
+    assert duties.find_holder(POOL) == build_node("one")
+    duties.apply_record(2, LEASE_MS, build_text("two"), 0.0)
+    assert duties.find_holder(POOL) == build_node("two")
+
+
+def test_renewal_after_the_lease_is_void() -> None:
+    """A paused holder's append reaches the log after its lease ended. Counted, it
+    would stop a claim that others may already have made."""
+    duties = build_duties()
+    duties.apply_record(0, 0.0, build_text("one"), 0.0)
+    duties.apply_record(1, LEASE_MS, build_text("one", 0), 0.0)
+    duties.apply_record(2, LEASE_MS + 1, build_text("two"), 0.0)
+    assert duties.find_holder(POOL) == build_node("two")
+
+
+def test_renewal_under_another_number_is_void() -> None:
+    duties = build_duties()
+    duties.apply_record(0, 0.0, build_text("one"), 0.0)
+    duties.apply_record(1, LEASE_MS, build_text("two"), 0.0)
+    duties.apply_record(2, LEASE_MS + 1, build_text("one", 0), 0.0)
+    duties.apply_record(3, LEASE_MS + 2, build_text("one", 0, is_release=True), 0.0)
+    assert duties.find_holder(POOL) == build_node("two")
+
+
+def test_node_that_missed_records_believes_no_claim_before_a_whole_lease() -> None:
+    """A node starts reading after the holder's claim. A void claim that comes next
+    looks valid to it; taking it, the node would later hold a duty beside another."""
+    duties = build_duties(is_complete=False)
+    duties.apply_record(7, 0.0, build_text("void"), 0.0)
+    assert duties.find_holder(POOL) is None
+    duties.apply_record(8, LEASE_MS - 1, build_text("void"), 0.0)
+    duties.apply_record(9, 2 * LEASE_MS - 2, build_text("void"), 0.0)
+    assert duties.find_holder(POOL) is None
+    duties.apply_record(10, 3 * LEASE_MS, build_text("one"), 0.0)
+    assert duties.find_holder(POOL) == build_node("one")
+
+
+def test_missed_records_end_a_duty() -> None:
+    duties = build_duties()
+    duties.note_head(0.0)
+    (append,) = duties.tick([POOL], [], 0.0)
+    duties.apply_record(0, 0.0, append.text, 100.0)
+    assert [duty.fence for duty in duties.find_held(200.0)] == [0]
+    duties.note_expired()
+    assert duties.find_held(200.0) == []
+
+
+def test_lease_counts_from_before_the_append() -> None:
+    """The append's answer takes most of the lease. Counted from its arrival, this node
+    would act when the log already lets another start."""
+    duties = build_duties()
+    duties.note_head(0.0)
+    (append,) = duties.tick([POOL], [], 0.0)
+    duties.apply_record(0, 0.0, append.text, LEASE_MS - 2_000)
+    assert duties.find_held(LEASE_MS - 1_500)
+    assert not duties.find_held(LEASE_MS * 0.9)
+
+
+@given(st.text(max_size=60))
+def test_no_text_makes_it_raise(text: str) -> None:
+    duties = build_duties()
+    for each in (
+        text,
+        '"duty"' + text,
+        '{"kind":"duty"' + text,
+        "[" * 2_000 + '"duty"',
+    ):
+        duties.apply_record(0, 0.0, each, 0.0)
+    assert duties.find_holder(POOL) is None
