Send orders and read endpoints' states

Cause: plans of a duty holder need their sockets, and an answer that is lost must not be taken for a refusal. Before: nothing. After: one connection for each exchange; done, refused, not sent and lost are told apart; nothing leaves after the lease, checked once more right before sending.

--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/order_sender.py
@@ -0,0 +1,150 @@
+"""Carry out a duty holder's actions: read endpoints' states and send orders.
+
+Each exchange has a connection of its own, so that an answer can't be taken for
+another's. What came of it goes back to the core, which decides what it means.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.names import EndpointName
+from toucanyard.orders import (
+    EndpointState,
+    OrderOutcome,
+    ReadState,
+    SendOrder,
+)
+from toucanyard_node.bounded_fetch import exchange_bounded, fetch_bounded
+from toucanyard_node.http_client import (
+    Connect,
+    ConnectionFailedError,
+    Response,
+    connect,
+)
+
+_LOG: Final = structlog.get_logger()
+_MAX_BYTES: Final = 65_536
+_STATE_TIMEOUT_MS: Final = 1_000
+_CONNECT_TIMEOUT_MS: Final = 1_000
+_ORDER_TIMEOUT_MS: Final = 10_000
+_MAX_RUNNING: Final = 32
+_JSON: Final = (("Content-Type", "application/json"),)
+
+
+class StateRead(msgspec.Struct, frozen=True):
+    """An endpoint gave its state when asked at `asked_ms`."""
+
+    endpoint: EndpointName
+    state: EndpointState
+    asked_ms: float
+
+
+class OrderEnded(msgspec.Struct, frozen=True):
+    """What became of an order, as far as its sender can know."""
+
+    sent: SendOrder
+    outcome: OrderOutcome
+
+
+class _RefusalBody(msgspec.Struct, frozen=True):
+    reason: OrderOutcome
+
+
+OrderEvent = StateRead | OrderEnded
+Emit = Callable[[OrderEvent], Awaitable[None]]
+
+
+class OrderSender:
+    """Run reads and orders side by side, a bounded number at a time.
+
+    Invariant: each SendOrder that is taken leads to one OrderEnded.
+    """
+
+    def __init__(self, emit: Emit, connect_to: Connect = connect) -> None:
+        self._emit = emit
+        self._connect = connect_to
+        self._limit = trio.CapacityLimiter(_MAX_RUNNING)
+
+    async def run(
+        self, actions: trio.MemoryReceiveChannel[SendOrder | ReadState]
+    ) -> None:
+        """Carry out what comes on a channel until it closes."""
+        async with trio.open_nursery() as nursery:
+            async for action in actions:
+                # Waiting here holds the channel up, not the core: it keeps at most
+                # one order per endpoint under way, and drops reads when full.
+                borrower = object()
+                await self._limit.acquire_on_behalf_of(borrower)
+                nursery.start_soon(self._carry_out, action, borrower)
+
+    async def _carry_out(self, action: SendOrder | ReadState, borrower: object) -> None:
+        try:
+            match action:
+                case ReadState():
+                    await self._read(action)
+                case SendOrder():
+                    outcome = await self._order(action)
+                    await self._emit(OrderEnded(action, outcome))
+        finally:
+            self._limit.release_on_behalf_of(borrower)
+
+    async def _read(self, action: ReadState) -> None:
+        asked_ms = trio.current_time() * 1000
+        try:
+            response = await fetch_bounded(
+                action.address,
+                "/v1/state",
+                _STATE_TIMEOUT_MS,
+                _MAX_BYTES,
+                self._connect,
+            )
+            state = msgspec.json.decode(response.body, type=EndpointState)
+        except (ConnectionFailedError, msgspec.DecodeError, RecursionError) as error:
+            _LOG.debug("state_unread", endpoint=action.endpoint, error=str(error)[:99])
+            return
+        if response.status == 200:
+            await self._emit(StateRead(action.endpoint, state, asked_ms))
+
+    async def _order(self, sent: SendOrder) -> OrderOutcome:
+        try:
+            connection = await self._connect(sent.address, _CONNECT_TIMEOUT_MS)
+        except ConnectionFailedError:
+            return OrderOutcome.NOT_SENT
+        try:
+            # The lease may have ended while this task waited or the process was
+            # paused. What is sent after this check is settled at the endpoint.
+            if trio.current_time() * 1000 >= sent.until_ms:
+                return OrderOutcome.NOT_SENT
+            with trio.fail_after(_ORDER_TIMEOUT_MS / 1000):
+                response = await exchange_bounded(
+                    connection,
+                    "POST",
+                    "/v1/orders",
+                    _MAX_BYTES,
+                    _JSON,
+                    msgspec.json.encode(sent.order),
+                )
+        except (ConnectionFailedError, trio.TooSlowError):
+            return OrderOutcome.LOST
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.close()
+        return find_outcome(response)
+
+
+def find_outcome(response: Response) -> OrderOutcome:
+    """Return what an endpoint's answer to an order says."""
+    if response.status == 200:
+        return OrderOutcome.DONE
+    if response.status != 409:
+        return OrderOutcome.LOST
+    try:
+        return msgspec.json.decode(response.body, type=_RefusalBody).reason
+    except (msgspec.DecodeError, RecursionError):
+        return OrderOutcome.LOST
--- /dev/null
+++ b/tests/toucanyard_node/test_order_sender.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from support.network import MemoryNetwork
+from toucanyard.names import Address, EndpointName, PoolName
+from toucanyard.orders import Order, OrderKind, OrderOutcome, ReadState, SendOrder
+from toucanyard_node.http_client import Response
+from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.order_sender import (
+    OrderEnded,
+    OrderEvent,
+    OrderSender,
+    StateRead,
+    find_outcome,
+)
+
+ADDRESS = Address("10.0.0.1:1")
+NAME = EndpointName("e")
+ORDER = Order("o1", 7, OrderKind.LOAD, "m", weights_version="w2")
+
+
+class Scene:
+    """One endpoint that answers, refuses or never answers, and a sender."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.orders: list[bytes] = []
+        self.refusal = ""
+        self.hangs = False
+        self.events: list[OrderEvent] = []
+        self.network = MemoryNetwork(nursery)
+        self.network.serve(ADDRESS, self.handle)
+        self.actions, actions = trio.open_memory_channel[SendOrder | ReadState](9)
+        sender = OrderSender(self.note, self.network.connect)
+        nursery.start_soon(sender.run, actions)
+
+    async def note(self, event: OrderEvent) -> None:
+        self.events.append(event)
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        if request.method == "POST":
+            self.orders.append(request.body)
+        if self.hangs:
+            await trio.sleep_forever()
+        if self.refusal:
+            body = msgspec.json.encode({"reason": self.refusal})
+            await responder.send(409, (), body)
+            return
+        state = {"incarnation": "i", "model": "m", "weights_version": "w1"}
+        await responder.send(200, (), msgspec.json.encode(state))
+
+    async def order(self, until_ms: float) -> OrderOutcome:
+        await self.actions.send(
+            SendOrder(PoolName("p"), NAME, ADDRESS, ORDER, until_ms)
+        )
+        await trio.sleep(20)
+        event = self.events.pop()
+        assert isinstance(event, OrderEnded)
+        return event.outcome
+
+
+async def test_outcomes_are_told_apart(autojump_clock: trio.testing.MockClock) -> None:
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        far_ms = trio.current_time() * 1000 + 9e9
+        assert await scene.order(far_ms) is OrderOutcome.DONE
+        sent = msgspec.json.decode(scene.orders[0], type=Order)
+        assert sent == ORDER
+        scene.refusal = "stale_fence"
+        assert await scene.order(far_ms) is OrderOutcome.STALE_FENCE
+        scene.refusal = "?"
+        assert await scene.order(far_ms) is OrderOutcome.LOST
+        scene.hangs = True
+        assert await scene.order(far_ms) is OrderOutcome.LOST
+        scene.network.remove(ADDRESS)
+        assert await scene.order(far_ms) is OrderOutcome.NOT_SENT
+        nursery.cancel_scope.cancel()
+
+
+async def test_order_does_not_leave_after_the_lease(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """The process was paused between deciding and sending, and the lease ended. The
+    order must not leave: another holder may be at work."""
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        now_ms = trio.current_time() * 1000
+        assert await scene.order(now_ms - 1) is OrderOutcome.NOT_SENT
+        assert scene.orders == []
+        nursery.cancel_scope.cancel()
+
+
+async def test_states_are_read(autojump_clock: trio.testing.MockClock) -> None:
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        for _ in range(2):
+            await scene.actions.send(ReadState(NAME, ADDRESS))
+        await trio.sleep(2)
+        event, _ = scene.events
+        assert isinstance(event, StateRead)
+        assert event.state.weights_version == "w1"
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"\xff", b"[" * 9_999])
+def test_strange_refusals_leave_the_outcome_open(body: bytes) -> None:
+    assert find_outcome(Response(409, {}, body)) is OrderOutcome.LOST
+    assert find_outcome(Response(500, {}, body)) is OrderOutcome.LOST
