--- a/packages/toucanyard/src/toucanyard/admission.py
+++ b/packages/toucanyard/src/toucanyard/admission.py
@@ -28,6 +28,8 @@
 MAX_RETRY_AFTER_MS: Final = 30_000
 DEFAULT_MAX_RUNNING: Final = 16
 START_SHARES: Final = 2.0
+FLOOD_SHARE: Final = 0.4
+"""Share of a pool's places on this node from which a customer goes last."""
 LATE_WAITS: Final = 2.0
 """Target waits after which a missing first token counts as a long wait."""
 
@@ -37,8 +39,8 @@
 
     request: Request
     priority: int
-    """For the endpoint's own queue, 0 most urgent: first customers within their fair
-    share, then the rest, and within each by class."""
+    """For the endpoint's own queue, 0 most urgent: by class, and after all of these
+    the customers that hold much of this node's places, by class again."""
 
 
 AdmissionAction = Admit | Refuse
@@ -316,12 +318,10 @@
 
     def _compute_priority(self, backend: _Backend, request: Request) -> int:
         # What has been dispatched waits in the endpoint's queue, where a flood would
-        # be ahead of everyone: the endpoint gets to know whose turn it is.
-        customer = request.customer
-        active = {customer, *backend.running, *backend.queue.find_customers()}
-        total = sum(self._find_weight(name) for name in active)
-        fair = backend.compute_capacity() * self._find_weight(customer) / total
-        is_over = backend.running[customer] > max(fair, 1.0)
+        # be ahead of everyone. A customer that holds much of the node goes last there;
+        # one that is merely large in calm doesn't, or its tail would suffer for it.
+        running = backend.running[request.customer]
+        is_over = running > max(FLOOD_SHARE * backend.compute_capacity(), 1.0)
         return PRIORITY_RANKS[request.priority] + is_over * len(PRIORITY_RANKS)
 
     def _remove_waiting(self, backend: _Backend, request: Request) -> None:
