--- a/packages/toucanyard-standins/src/toucanyard_standins/harness.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -227,6 +227,36 @@
     raise HarnessError(f"{node.name} does not serve: {last}\n{node.read_log()}")
 
 
+class SeenEndpoint(msgspec.Struct, frozen=True):
+    """What the harness reads of one endpoint in a node's status."""
+
+    name: str
+    incarnation: str | None
+
+
+class NodeStatus(msgspec.Struct, frozen=True):
+    """What the harness reads of a node's status."""
+
+    endpoints: tuple[SeenEndpoint, ...]
+
+
+async def wait_until_watching(
+    node: ProcessHandle, operator_key: str, timeout_s: float = 10.0
+) -> None:
+    """Wait until a node has had a report from each endpoint."""
+    unseen: list[str] = []
+    with trio.move_on_after(timeout_s):
+        while True:
+            operators = node.addresses["operators"]
+            answer = await ask(operators, "GET", "/status", operator_key)
+            status = msgspec.json.decode(answer.body, type=NodeStatus)
+            unseen = [each.name for each in status.endpoints if not each.incarnation]
+            if not unseen:
+                return
+            await trio.sleep(_POLL_S)
+    raise HarnessError(f"{node.name} has no report from {', '.join(unseen)}")
+
+
 @asynccontextmanager
 async def open_harness() -> AsyncIterator[Harness]:
     """Open a harness; on leaving, every process that it started is ended."""
