--- a/packages/toucanyard/src/toucanyard/membership.py
+++ b/packages/toucanyard/src/toucanyard/membership.py
@@ -49,10 +49,12 @@
 NEWS_KEPT_MS: Final = 30_000.0
 _MIN_GAP_MS: Final = 100.0
 """Least time between two digests to one peer, however urgent."""
-_NEWS_PER_INTERVAL: Final = 32
+_NEWS_PER_INTERVAL: Final = 48
 """News told in one interval over all peers; it bounds this node's bytes."""
-_DIGEST_COST: Final = 2
-"""What a digest out of turn costs of that, as its envelope takes bytes as well."""
+_NEWS_PER_DIGEST: Final = 12
+"""News in one digest, so that the first peer doesn't take the whole budget."""
+_URGENT_PER_INTERVAL: Final = 8
+"""Digests out of turn in one interval over all peers."""
 _FETCH_AGAIN_MS: Final = 500.0
 _WATCH_ALL: Final = 64
 _WATCHERS: Final = 3
@@ -93,6 +95,7 @@
         self._confirmed_ms: float | None = None
         self._asked_ms = float("-inf")
         self._budget = float(_NEWS_PER_INTERVAL)
+        self._urgent = float(_URGENT_PER_INTERVAL)
         self._budget_ms: float | None = None
 
     @property
@@ -283,6 +286,8 @@
             share = (now_ms - self._budget_ms) / self._timings.digest_interval_ms
             refilled = self._budget + share * _NEWS_PER_INTERVAL
             self._budget = min(float(_NEWS_PER_INTERVAL), refilled)
+            urgent = self._urgent + share * _URGENT_PER_INTERVAL
+            self._urgent = min(float(_URGENT_PER_INTERVAL), urgent)
         self._budget_ms = now_ms
 
     def _is_digest_due(self, name: NodeName, now_ms: float) -> bool:
@@ -290,20 +295,21 @@
         waited_ms = now_ms - peer.last_sent_ms
         if waited_ms >= self._timings.digest_interval_ms:
             return True
-        if waited_ms < _MIN_GAP_MS or self._budget < _DIGEST_COST + 1:
+        if waited_ms < _MIN_GAP_MS or min(self._budget, self._urgent) < 1:
             return False
         # A new version, a leaving VM or a death shouldn't wait at every hop.
         is_urgent = peer.version_told != self._version
         if not is_urgent and not self._board.has_news_for(name):
             return False
-        self._budget -= _DIGEST_COST
+        self._urgent -= 1
         return True
 
     def _build_digest(self, name: NodeName, now_ms: float) -> SendDigest:
         peer = self._peers[name]
         peer.last_sent_ms = now_ms
         peer.version_told = self._version
-        news = self._board.take(name, now_ms, max(0, int(self._budget)))
+        limit = min(_NEWS_PER_DIGEST, max(0, int(self._budget)))
+        news = self._board.take(name, now_ms, limit)
         self._budget -= len(news)
         confirmed_ms = self._confirmed_ms
         digest = Digest(
--- a/packages/toucanyard/src/toucanyard/news.py
+++ b/packages/toucanyard/src/toucanyard/news.py
@@ -14,6 +14,8 @@
 from toucanyard.names import NodeName
 
 _MAX_SUBJECTS: Final = 4_096
+_FAN_OUT: Final = 4
+"""To how many peers news from a peer is passed on; all neighbours do the same."""
 _SAME_MS: Final = 500.0
 """Ages of one piece of news may differ by this much after several hops."""
 
@@ -23,6 +25,13 @@
     at_ms: float
     received_ms: float
     told: set[NodeName]
+    is_own: bool
+    passes: int
+    """How many more peers are to be told; the refresh reaches those left out."""
+
+    def is_for(self, peer: NodeName) -> bool:
+        """Tell whether a peer is to be told."""
+        return self.passes > 0 and peer not in self.told
 
 
 def find_subject(news: News) -> tuple[str, str]:
@@ -62,28 +71,38 @@
         if known is None and len(self._pieces) >= _MAX_SUBJECTS:
             return False
         told = set() if source is None else {source}
-        self._pieces[subject] = _Piece(news, at_ms, now_ms, told)
+        is_own = source is None
+        # A leaving VM must be known everywhere at once, and there are few of them.
+        is_for_all = is_own or isinstance(news, Leaving)
+        passes = _MAX_SUBJECTS if is_for_all else _FAN_OUT
+        self._pieces[subject] = _Piece(news, at_ms, now_ms, told, is_own, passes)
         return True
 
     def take(self, peer: NodeName, now_ms: float, limit: int) -> tuple[News, ...]:
-        """Return news for a peer, newest first, and mark it as told."""
-        waiting = [each for each in self._pieces.values() if peer not in each.told]
-        waiting.sort(key=lambda piece: -piece.received_ms)
+        """Return news for a peer and mark it as told; own first, then the newest.
+
+        Nobody else may have own news yet, while news of others comes many ways.
+        """
+        waiting = [each for each in self._pieces.values() if each.is_for(peer)]
+        waiting.sort(key=lambda piece: (not piece.is_own, -piece.received_ms))
         taken: list[News] = []
         for piece in waiting[:limit]:
             piece.told.add(peer)
+            piece.passes -= 1
             age_ms = int(max(0.0, now_ms - piece.at_ms))
             taken.append(msgspec.structs.replace(piece.news, age_ms=age_ms))
         return tuple(taken)
 
     def has_news_for(self, peer: NodeName) -> bool:
         """Tell whether something waits for a peer."""
-        return any(peer not in piece.told for piece in self._pieces.values())
+        return any(piece.is_for(peer) for piece in self._pieces.values())
 
     def forget_peer(self, peer: NodeName) -> None:
         """Tell everything again to a peer that comes back, since it may be empty."""
         for piece in self._pieces.values():
-            piece.told.discard(peer)
+            if peer in piece.told:
+                piece.told.discard(peer)
+                piece.passes += 1
 
     def prune(self, now_ms: float) -> None:
         """Drop what is too old to tell."""
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/snapshots.py
@@ -0,0 +1,272 @@
+"""Give a starting node what a running one knows, in parts of bounded size and rate.
+
+A snapshot has the configuration and, beside it, hints that make the first seconds
+better: incarnations, leaving addresses, weights, loads, hot prefixes. A node needs
+only the configuration to serve; everything else is learned again if it is missing.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+import xxhash
+
+from toucanyard.configuration_records import CheckpointRecord
+from toucanyard.names import Address, DomainName, EndpointName, Incarnation, NodeName
+from toucanyard.vm_view import Vm
+
+MAX_SNAPSHOT_BYTES: Final = 8_000_000
+PART_BYTES: Final = 65_536
+_MAX_ENDPOINTS: Final = 20_000
+_MAX_PREFIXES: Final = 4_096
+_SERVED_BYTES_PER_S: Final = 1_000_000
+_MAX_SERVED: Final = 2
+_GIVE_UP_MS: Final = 2_000.0
+_RETRY_MS: Final = 200.0
+
+
+class EndpointHint(msgspec.Struct, frozen=True, array_like=True):
+    """What a node knows of one endpoint."""
+
+    endpoint: EndpointName
+    incarnation: Incarnation
+    weights_version: str
+    running: int
+    age_ms: int
+
+
+class PrefixHint(msgspec.Struct, frozen=True, array_like=True):
+    """A hot prefix and how many replicas it is spread over."""
+
+    prefix: int
+    width: int
+    uses_per_s: float
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """What one node gives another at its start.
+
+    `next_offset` is where the log is to be read on from for everything but the
+    configuration, which carries its own.
+    """
+
+    configuration: CheckpointRecord | None
+    endpoints: tuple[EndpointHint, ...] = ()
+    leaving: tuple[Address, ...] = ()
+    prefixes: tuple[PrefixHint, ...] = ()
+    next_offset: int = 0
+
+
+class SnapshotRequest(msgspec.Struct, frozen=True, tag="snapshot_request"):
+    """Ask a peer for a part; part 0 makes the peer take a new snapshot."""
+
+    transfer: int
+    part: int
+
+
+class SnapshotPart(msgspec.Struct, frozen=True, tag="snapshot_part"):
+    """One part of an encoded snapshot; the digest is that of the whole."""
+
+    transfer: int
+    part: int
+    parts: int
+    digest: int
+    data: bytes
+
+
+class SnapshotBusy(msgspec.Struct, frozen=True, tag="snapshot_busy"):
+    """Say that this node serves enough others now, and when to ask again."""
+
+    transfer: int
+    retry_after_ms: float
+
+
+SnapshotMessage = SnapshotRequest | SnapshotPart | SnapshotBusy
+
+
+class SnapshotInvalidError(Exception):
+    """The bytes are no snapshot."""
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the bytes of a snapshot, with hints cut to their bounds."""
+    bounded = msgspec.structs.replace(
+        snapshot,
+        endpoints=snapshot.endpoints[:_MAX_ENDPOINTS],
+        prefixes=snapshot.prefixes[:_MAX_PREFIXES],
+    )
+    data = msgspec.msgpack.encode(bounded)
+    if len(data) > MAX_SNAPSHOT_BYTES:
+        # The hints are what can be done without.
+        bare = msgspec.structs.replace(bounded, endpoints=(), prefixes=())
+        data = msgspec.msgpack.encode(bare)
+    return data
+
+
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Return the snapshot in some bytes, or raise SnapshotInvalidError."""
+    try:
+        return msgspec.msgpack.decode(data, type=Snapshot)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise SnapshotInvalidError(str(error)[:200]) from error
+
+
+class _Serving(msgspec.Struct):
+    data: bytes
+    digest: int
+    asked_ms: float
+
+
+class SnapshotServer:
+    """Serve snapshots to few peers at once and at a limited rate.
+
+    Invariant: at most _MAX_SERVED encoded snapshots are held. In a herd restart the
+    few nodes that kept running would otherwise spend themselves on the others.
+    """
+
+    def __init__(self) -> None:
+        self._serving: dict[tuple[NodeName, int], _Serving] = {}
+        self._free_ms = 0.0
+
+    def needs_snapshot(
+        self, peer: NodeName, request: SnapshotRequest, now_ms: float
+    ) -> bool:
+        """Tell whether a new snapshot is to be taken for this request."""
+        self._drop_idle(now_ms)
+        is_known = (peer, request.transfer) in self._serving
+        return request.part == 0 and not is_known and len(self._serving) < _MAX_SERVED
+
+    def begin(
+        self, peer: NodeName, request: SnapshotRequest, data: bytes, now_ms: float
+    ) -> None:
+        """Hold an encoded snapshot for a peer's transfer."""
+        digest = xxhash.xxh3_64_intdigest(data)
+        self._serving[peer, request.transfer] = _Serving(data, digest, now_ms)
+
+    def answer(
+        self, peer: NodeName, request: SnapshotRequest, now_ms: float
+    ) -> SnapshotPart | SnapshotBusy:
+        """Return the part asked for, or when to ask again."""
+        serving = self._serving.get((peer, request.transfer))
+        if serving is None:
+            return SnapshotBusy(request.transfer, _RETRY_MS)
+        if now_ms < self._free_ms:
+            serving.asked_ms = now_ms
+            return SnapshotBusy(request.transfer, self._free_ms - now_ms)
+        serving.asked_ms = now_ms
+        parts = max(1, -(-len(serving.data) // PART_BYTES))
+        start = request.part * PART_BYTES
+        data = serving.data[start : start + PART_BYTES]
+        self._free_ms = now_ms + len(data) * 1_000 / _SERVED_BYTES_PER_S
+        if request.part >= parts - 1:
+            del self._serving[peer, request.transfer]
+        return SnapshotPart(request.transfer, request.part, parts, serving.digest, data)
+
+    def _drop_idle(self, now_ms: float) -> None:
+        for key, serving in list(self._serving.items()):
+            if now_ms - serving.asked_ms > _GIVE_UP_MS:
+                del self._serving[key]
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """Send a request to a peer."""
+
+    peer: NodeName
+    request: SnapshotRequest
+
+
+class SnapshotFetch:
+    """Fetch one snapshot at a node's start, from one peer after the other.
+
+    Peers in another failure domain come last, unless none of the own answers; order
+    within each is random, so that a herd doesn't fall upon one node. It is over when
+    a snapshot is whole or every peer was tried.
+    """
+
+    def __init__(
+        self, domain: DomainName, peers: Sequence[Vm], rng: random.Random
+    ) -> None:
+        shuffled = sorted(peers, key=lambda vm: (vm.domain != domain, rng.random()))
+        self._waiting = [NodeName(vm.name) for vm in shuffled]
+        self._rng = rng
+        self._peer: NodeName | None = None
+        self._transfer = 0
+        self._received: list[bytes] = []
+        self._size = 0
+        self._asked_ms = 0.0
+        self._began_ms = 0.0
+        self._again_ms: float | None = None
+        self.snapshot: Snapshot | None = None
+
+    def is_over(self) -> bool:
+        """Tell whether nothing more will come."""
+        return self.snapshot is not None or (self._peer is None and not self._waiting)
+
+    def tick(self, now_ms: float) -> Ask | None:
+        """Return the next request, if one is due."""
+        if self.is_over():
+            return None
+        if self._peer is None:
+            return self._try_next(now_ms)
+        if self._again_ms is not None and now_ms >= self._again_ms:
+            self._again_ms = None
+            return self._ask(now_ms)
+        if now_ms - self._asked_ms > _GIVE_UP_MS:
+            return self._try_next(now_ms)
+        return None
+
+    def handle(
+        self, peer: NodeName, message: SnapshotPart | SnapshotBusy, now_ms: float
+    ) -> Ask | None:
+        """Take in a peer's answer; return the next request, if any."""
+        if peer != self._peer or message.transfer != self._transfer:
+            return None
+        if isinstance(message, SnapshotBusy):
+            return self._wait(message, now_ms)
+        if message.part != len(self._received):
+            return None
+        self._received.append(message.data)
+        self._size += len(message.data)
+        if self._size > MAX_SNAPSHOT_BYTES:
+            return self._try_next(now_ms)
+        if len(self._received) < message.parts:
+            return self._ask(now_ms)
+        return self._finish(message, now_ms)
+
+    def _finish(self, message: SnapshotPart, now_ms: float) -> Ask | None:
+        data = b"".join(self._received)
+        if xxhash.xxh3_64_intdigest(data) != message.digest:
+            return self._try_next(now_ms)
+        try:
+            self.snapshot = decode_snapshot(data)
+        except SnapshotInvalidError:
+            return self._try_next(now_ms)
+        return None
+
+    def _wait(self, message: SnapshotBusy, now_ms: float) -> Ask | None:
+        if not self._received and now_ms - self._began_ms > _GIVE_UP_MS:
+            return self._try_next(now_ms)
+        wait_ms = min(max(message.retry_after_ms, 10.0), _GIVE_UP_MS / 2)
+        self._again_ms = now_ms + wait_ms * self._rng.uniform(1.0, 1.5)
+        self._asked_ms = now_ms
+        return None
+
+    def _try_next(self, now_ms: float) -> Ask | None:
+        self._received = []
+        self._size = 0
+        self._again_ms = None
+        self._peer = self._waiting.pop(0) if self._waiting else None
+        if self._peer is None:
+            return None
+        self._began_ms = now_ms
+        self._transfer = self._rng.getrandbits(48)
+        return self._ask(now_ms)
+
+    def _ask(self, now_ms: float) -> Ask:
+        assert self._peer is not None
+        self._asked_ms = now_ms
+        request = SnapshotRequest(self._transfer, len(self._received))
+        return Ask(self._peer, request)
