Test the at-most-once decision by a state machine over nodes, log and network

Cause: the promise has to hold under reordered, doubled, lost and late messages, lost append answers, appends that land after they were given up, a pause between any two steps, deaths, wrong views of peers, drifting clocks and retention. Before: examples only. The machine found one fault: after a long pause a node issued keys on a ledger that its witness had dropped, so that fresh keys were refused; such a key now names no witness. Without the gap check, the mark for claims missed for want of room, or the refusal when the log goes down, the example tests fail. Conclusion: also a pure gatherer of appends with its tests, not wired yet.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/append_batch.py
@@ -0,0 +1,78 @@
+"""Gather records of one node into few appends to the log, under a rate.
+
+The log service takes several hundred appends a second from all nodes together, so a
+node's claims share appends: the first of a batch waits `gather_ms` for others, and
+longer while the node's rate is used up.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.claim_messages import AppendRecord
+from toucanyard.options import ClaimLimits
+
+_MAX_RECORDS: Final = 500
+_MAX_BYTES: Final = 400_000
+_IDLE_GATHER_MS: Final = 250
+"""How long records that no caller waits for are gathered."""
+
+
+class AppendBatch(msgspec.Struct, frozen=True):
+    """Records for one append."""
+
+    record_ids: tuple[str, ...]
+    texts: tuple[str, ...]
+
+
+class BatchGatherer:
+    """Records that wait for their append.
+
+    Invariants: at most one batch is due each `1000 / max_appends_per_s`; records
+    leave in the order in which they came.
+    """
+
+    __slots__ = ("_due_ms", "_gap_ms", "_gather_ms", "_open_ms", "_waiting")
+
+    def __init__(self, limits: ClaimLimits) -> None:
+        self._gather_ms = limits.gather_ms
+        self._gap_ms = 1_000 / limits.max_appends_per_s
+        self._waiting: list[AppendRecord] = []
+        self._due_ms = float("inf")
+        self._open_ms = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, record: AppendRecord, now_ms: float) -> None:
+        """Let a record wait for the next append."""
+        gather_ms = self._gather_ms if record.is_urgent else _IDLE_GATHER_MS
+        self._waiting.append(record)
+        self._due_ms = min(self._due_ms, now_ms + gather_ms)
+
+    def find_due_ms(self) -> float:
+        """Return when the next batch is due; infinity when nothing waits."""
+        return max(self._due_ms, self._open_ms)
+
+    def take(self, now_ms: float) -> AppendBatch | None:
+        """Take the batch that is due, if any."""
+        if not self._waiting or now_ms < self.find_due_ms():
+            return None
+        count = self._count_fitting()
+        taken, self._waiting = self._waiting[:count], self._waiting[count:]
+        self._open_ms = now_ms + self._gap_ms
+        self._due_ms = now_ms if self._waiting else float("inf")
+        return AppendBatch(
+            tuple(each.record_id for each in taken),
+            tuple(each.text for each in taken),
+        )
+
+    def _count_fitting(self) -> int:
+        size_bytes = 0
+        for count, record in enumerate(self._waiting[:_MAX_RECORDS]):
+            size_bytes += len(record.text)
+            if size_bytes > _MAX_BYTES and count > 0:
+                return count
+        return min(len(self._waiting), _MAX_RECORDS)
--- a/packages/toucanyard/src/toucanyard/at_most_once.py
+++ b/packages/toucanyard/src/toucanyard/at_most_once.py
@@ -79,7 +79,9 @@
         self._followed = FollowedKeys(self._book)
         self._claimed = ClaimedKeys(self._book, self._followed)
         self._noted = NotedKeys(self._book)
-        self._issuer = KeyIssuer(identity, limits.ledger_ms)
+        self._issuer = KeyIssuer(
+            identity, limits.ledger_ms, max_age_ms=limits.window_ms / 2
+        )
         self._witness = WitnessLedgers(2 * limits.window_ms, limits.max_keys)
 
     def issue_prefix(self, now_ms: float) -> str:
@@ -160,8 +162,9 @@
         entry = book.find_entry(name)
         issued = parse_issued_key(event.key)
         age_ms = event.key_age_ms
-        if age_ms is not None and age_ms >= book.limits.window_ms:
-            # The claim of an earlier try may be forgotten, so it could run again.
+        if age_ms is not None and self._may_outlive_window(event, age_ms, now_ms):
+            # By the time it is claimed, the claim of an earlier try may be forgotten
+            # everywhere, and the key would run again.
             yield refuse(event, ErrorKind.KEY_EXPIRED, book.rng)
         elif ended is not None:
             yield book.tell_ended(event, ended)
@@ -174,6 +177,12 @@
         else:
             yield from self._followed.arrive_issued(event, name, issued, now_ms)
 
+    def _may_outlive_window(
+        self, event: KeyedArrived, age_ms: float, now_ms: float
+    ) -> bool:
+        left_ms = max(event.deadline_ms - now_ms, 0)
+        return age_ms + left_ms >= self._book.limits.window_ms
+
     def _join(self, entry: KeyEntry, event: KeyedArrived) -> Iterator[ClaimAction]:
         """Let a try wait for the end of a key that is under way here."""
         if entry.phase is Phase.ALLOWED and event.body_digest != entry.digest:
@@ -246,7 +255,7 @@
             case SealAnswered():
                 yield from self._followed.take_seal(sender, message)
             case LedgerOpened():
-                self._issuer.take_ledger(sender, message, now_ms)
+                self._issuer.take_ledger(sender, message)
             case OpenLedger() | NoteKey() | SealKey():
                 yield from self._witness_for(sender, message, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from toucanyard.claim_messages import (
     AbandonRecord,
@@ -18,6 +19,9 @@
     decode_record,
 )
 
+_REMEMBER_IN_WINDOWS: Final = 1.25
+"""Longer than a key may be used, so that clocks that drift apart do no harm."""
+
 
 @dataclass(slots=True)
 class Claim:
@@ -49,12 +53,12 @@
         "_hole_read_ms",
         "_log_now_ms",
         "_max_keys",
-        "_window_ms",
+        "_remember_ms",
         "next_offset",
     )
 
     def __init__(self, window_ms: float, max_keys: int) -> None:
-        self._window_ms = window_ms
+        self._remember_ms = window_ms * _REMEMBER_IN_WINDOWS
         self._max_keys = max_keys
         self._claims: dict[KeyName, Claim] = {}
         self._given_up: dict[str, float] = {}
@@ -120,7 +124,7 @@
             del self._claims[name]
         while self._given_up:
             claim_id = next(iter(self._given_up))
-            if now_ms - self._given_up[claim_id] < 2 * self._window_ms:
+            if now_ms - self._given_up[claim_id] < 2 * self._remember_ms:
                 break
             del self._given_up[claim_id]
         hole_at_ms = self._hole_at_ms
@@ -138,9 +142,9 @@
         return old
 
     def _is_old(self, at_ms: float, read_ms: float, now_ms: float) -> bool:
-        if now_ms - read_ms < self._window_ms:
+        if now_ms - read_ms < self._remember_ms:
             return False
-        return self._log_now_ms - at_ms >= self._window_ms
+        return self._log_now_ms - at_ms >= self._remember_ms
 
     def _take_claim(self, claim: ClaimRecord, record: LogRecord, now_ms: float) -> None:
         if claim.name in self._claims:
--- a/packages/toucanyard/src/toucanyard/key_issuer.py
+++ b/packages/toucanyard/src/toucanyard/key_issuer.py
@@ -24,6 +24,7 @@
         "_identity",
         "_ledger",
         "_ledger_ms",
+        "_max_age_ms",
         "_opened_ms",
         "_request",
         "_requested",
@@ -31,7 +32,8 @@
         "_witness",
     )
 
-    def __init__(self, identity: NodeId, ledger_ms: float) -> None:
+    def __init__(self, identity: NodeId, ledger_ms: float, max_age_ms: float) -> None:
+        self._max_age_ms = max_age_ms
         self._identity = identity
         self._ledger_ms = ledger_ms
         self._witness: NodeId | None = None
@@ -42,8 +44,12 @@
         self._requested_ms = 0.0
 
     def issue(self, now_ms: float, rng: random.Random) -> str:
-        """Return a new prefix; without a ledger it names no witness."""
-        key = IssuedKey(self._identity, self._witness, self._ledger, now_ms)
+        """Return a new prefix; without a usable ledger it names no witness."""
+        # A witness forgets old ledgers. After a pause, a key issued on one would be
+        # refused although its issuer is well.
+        is_usable = now_ms - self._opened_ms < self._max_age_ms
+        witness = self._witness if is_usable else None
+        key = IssuedKey(self._identity, witness, self._ledger, now_ms)
         return format_prefix(key, rng.getrandbits(64))
 
     def renew(
@@ -73,11 +79,12 @@
         message = OpenLedger(chosen.incarnation, self._request)
         return [SendToPeer(chosen.node, message)]
 
-    def take_ledger(self, sender: NodeId, message: LedgerOpened, now_ms: float) -> None:
+    def take_ledger(self, sender: NodeId, message: LedgerOpened) -> None:
         """Take the ledger that was asked for last; ignore any other answer."""
         if sender != self._requested or message.request != self._request:
             return
         self._witness = sender
         self._ledger = message.ledger
-        self._opened_ms = now_ms
+        # The ledger is no older than the request for it.
+        self._opened_ms = self._requested_ms
         self._requested = None
--- /dev/null
+++ b/tests/key_machine.py
@@ -0,0 +1,279 @@
+"""The state machine that the at-most-once decision is tested with."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from key_world import CUSTOMERS, NAMES, WINDOW_MS, Key, Node, World
+from toucanyard.claim_messages import AppendResult
+from toucanyard.issued_keys import parse_issued_key
+from toucanyard.names import CustomerName, NodeName
+from toucanyard.requests import EndingSeen
+
+PLACES = st.integers(0, 3)
+NODES = st.sampled_from(NAMES)
+DIGESTS = st.sampled_from((b"one", b"one", b"one", b"two"))
+ENDINGS = st.sampled_from((EndingSeen.COMPLETED, EndingSeen.LOST, EndingSeen.CANCELLED))
+
+
+class KeysUnderFaults(RuleBasedStateMachine):
+    """Tries of few keys on three nodes while everything around them fails.
+
+    Callers see refusals, replays and cuts. A pause lies between any two steps, since
+    a node takes in and carries out only what a rule tells it to; messages and appends
+    are late, lost, doubled or reordered; nodes die and come back; views differ.
+    """
+
+    @initialize(max_keys=st.sampled_from((1_000, 1_000, 1_000, 2)))
+    def start(self, max_keys: int) -> None:
+        self.world = World(max_keys)
+        self.world.pump(3, None)
+        self.dead: list[Node] = []
+        self.make_key(NAMES[0], True, CUSTOMERS[0])
+        self.make_key(NAMES[0], False, CUSTOMERS[0])
+
+    @rule(name=NODES, is_issued=st.booleans(), customer=st.sampled_from(CUSTOMERS))
+    def make_key(self, name: NodeName, is_issued: bool, customer: CustomerName) -> None:
+        node = self.world.nodes[name]
+        text = f"k{len(self.world.keys) % 2}"
+        if is_issued and node is not None:
+            text = node.core.issue_prefix(node.now(self.world.now_ms)) + "mine"
+        known = [(key.customer, key.text) for key in self.world.keys]
+        if (customer, text) not in known and len(known) < 3:
+            self.world.keys.append(Key(customer, text))
+
+    @precondition(lambda self: self.world.keys)
+    @rule(name=NODES, place=PLACES, digest=DIGESTS, tells_age=st.booleans())
+    def send(self, name: NodeName, place: int, digest: bytes, tells_age: bool) -> None:
+        node = self.world.nodes[name]
+        key = self.world.keys[place % len(self.world.keys)]
+        if node is not None:
+            self.world.send(node, key, digest, tells_age)
+
+    @precondition(lambda self: self.world.keys)
+    @rule(place=PLACES, tells_age=st.booleans())
+    def send_to_issuer(self, place: int, tells_age: bool) -> None:
+        """Send a key to the node that issued it and let that node work."""
+        key = self.world.keys[place % len(self.world.keys)]
+        issued = parse_issued_key(key.text)
+        node = None if issued is None else self.world.nodes[issued.issuer.node]
+        if node is not None:
+            self.world.send(node, key, b"one", tells_age)
+            self.world.work(node)
+
+    @rule(name=NODES, place=PLACES)
+    def claim_and_leave(self, name: NodeName, place: int) -> None:
+        """Let a caller go away while the claim of its key is under way."""
+        node = self.world.nodes[name]
+        key = self.world.keys[place % len(self.world.keys)]
+        if node is not None:
+            self.world.send(node, key, b"one", tells_age=True)
+            self.world.work(node)
+            self.world.leave(node, len(node.waiting) - 1)
+            self.world.work(node)
+
+    @precondition(lambda self: self.world.keys)
+    @rule(place=PLACES, rounds=st.integers(0, 3))
+    def storm(self, place: int, rounds: int) -> None:
+        """Retry one key on every node at once."""
+        key = self.world.keys[place % len(self.world.keys)]
+        for node in self.world.live():
+            self.world.send(node, key, b"one", tells_age=True)
+            if rounds == 0:
+                self.world.work(node)
+        self.world.pump(rounds, None)
+        if rounds == 0:
+            self.land_in_turn()
+
+    @rule(name=NODES, count=st.integers(1, 4))
+    def step(self, name: NodeName, count: int) -> None:
+        node = self.world.nodes[name]
+        for _ in range(count if node is not None else 0):
+            assert node is not None
+            self.world.step(node)
+
+    @rule(name=NODES, count=st.integers(1, 4), is_sent=st.booleans())
+    def act(self, name: NodeName, count: int, is_sent: bool) -> None:
+        node = self.world.nodes[name]
+        for _ in range(count if node is not None else 0):
+            assert node is not None
+            self.world.act(node, is_sent)
+
+    @rule(name=NODES, ending=ENDINGS)
+    def end_dispatch(self, name: NodeName, ending: EndingSeen) -> None:
+        node = self.world.nodes[name]
+        if node is not None:
+            self.world.end_dispatch(node, ending)
+
+    @precondition(lambda self: self.world.appends)
+    @rule(place=PLACES, how=st.sampled_from(("done", "lost", "refused", "late")))
+    def settle_append(self, place: int, how: str) -> None:
+        world = self.world
+        append = world.appends[place % len(world.appends)]
+        if how == "late":
+            # The node is told that the result is unknown; the effect comes later.
+            world.tell_append(append, AppendResult.UNKNOWN)
+            return
+        world.appends.remove(append)
+        if how != "refused" or append.is_told:
+            world.land(append.text)
+        if how == "done":
+            world.tell_append(append, AppendResult.DONE)
+        elif not append.is_told:
+            result = AppendResult.UNKNOWN if how == "lost" else AppendResult.REFUSED
+            world.tell_append(append, result)
+
+    @rule(name=NODES, overlap=st.integers(0, 3))
+    def read_log(self, name: NodeName, overlap: int) -> None:
+        node = self.world.nodes[name]
+        if node is not None:
+            self.world.read(node, overlap)
+
+    @precondition(lambda self: self.world.network)
+    @rule(place=PLACES, how=st.sampled_from(("once", "once", "twice", "never")))
+    def deliver(self, place: int, how: str) -> None:
+        network = self.world.network
+        message = network[place % len(network)]
+        if how != "twice":
+            network.remove(message)
+        if how != "never":
+            self.world.deliver(message)
+
+    @rule(name=NODES, place=PLACES)
+    def leave(self, name: NodeName, place: int) -> None:
+        node = self.world.nodes[name]
+        if node is not None:
+            self.world.leave(node, place)
+
+    @rule(name=NODES)
+    def work(self, name: NodeName) -> None:
+        node = self.world.nodes[name]
+        if node is not None:
+            self.world.work(node)
+
+    @rule()
+    def land_all(self) -> None:
+        self.world.land_all()
+
+    @rule()
+    def land_in_turn(self) -> None:
+        """Let each node act on its own append before the next takes effect."""
+        while self.world.appends and self.world.is_log_up:
+            append = self.world.appends.pop(0)
+            self.world.land(append.text)
+            node = self.world.nodes[append.node.node]
+            if node is not None:
+                self.world.read(node)
+                self.world.work(node)
+
+    @rule(name=NODES)
+    def oversleep(self, name: NodeName) -> None:
+        """Pause a node past its deadlines after it has read the log or its peers."""
+        node = self.world.nodes[name]
+        if node is not None:
+            self.world.read(node)
+            self.world.advance(1_200)
+            self.world.work(node)
+
+    @rule()
+    def deliver_all(self) -> None:
+        self.world.deliver_all()
+
+    @rule(rounds=st.integers(1, 3), ending=st.none() | ENDINGS)
+    def pump(self, rounds: int, ending: EndingSeen | None) -> None:
+        self.world.pump(rounds, ending)
+
+    @rule(ms=st.sampled_from((50, 400, 400, 1_200, 1_200, 6_000, 21_000, 70_000)))
+    def advance(self, ms: int) -> None:
+        self.world.advance(ms)
+
+    @rule(name=NODES)
+    def kill(self, name: NodeName) -> None:
+        node = self.world.nodes[name]
+        if node is not None:
+            self.dead.append(node)
+            self.world.kill(node.identity.node)
+
+    @precondition(lambda self: self.world.keys)
+    @rule(name=NODES, place=PLACES, is_told=st.booleans())
+    def kill_after_run(self, name: NodeName, place: int, is_told: bool) -> None:
+        """Lose a node while it runs a key; its caller retries on the others."""
+        key = self.world.keys[place % len(self.world.keys)]
+        issued = parse_issued_key(key.text)
+        home = self.world.nodes[name if issued is None else issued.issuer.node]
+        if home is None:
+            return
+        self.world.send(home, key, b"one", tells_age=True)
+        self.world.pump(3, None)
+        self.kill(home.identity.node)
+        if is_told:
+            self.restart(home.identity.node)
+        for node in self.world.live():
+            self.world.send(node, key, b"one", tells_age=True)
+        self.world.advance(400)
+        self.world.pump(3, None)
+
+    @rule(name=NODES)
+    def restart(self, name: NodeName) -> None:
+        if self.world.nodes[name] is None:
+            self.world.start(name)
+            self.world.tell_views()
+
+    @rule(name=NODES, is_stale=st.booleans(), place=PLACES)
+    def change_view(self, name: NodeName, is_stale: bool, place: int) -> None:
+        """Show a node a VM list with dead incarnations or without some live ones."""
+        node = self.world.nodes[name]
+        if node is None:
+            return
+        seen = self.world.live()
+        if is_stale and self.dead:
+            seen = [self.dead[place % len(self.dead)], *seen]
+        elif seen:
+            seen = seen[place % len(seen) :]
+        self.world.tell_view(node, seen)
+
+    @rule(is_up=st.sampled_from((True, True, False)))
+    def switch_log(self, is_up: bool) -> None:
+        self.world.set_log(is_up)
+
+    def teardown(self) -> None:
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        for later_ms in (0, WINDOW_MS / 2, 2 * WINDOW_MS):
+            world.heal()
+            world.check_all_ended()
+            world.advance(later_ms)
+            world.pump(1, EndingSeen.COMPLETED)
+            self.retry_everywhere()
+        world.heal()
+        world.check_all_ended()
+        if world.max_keys > 2:
+            self.check_fresh_keys_run()
+
+    def retry_everywhere(self) -> None:
+        for key in self.world.keys:
+            for node in self.world.live():
+                if key.tries:
+                    self.world.send(node, key, b"one", not key.is_issued())
+                    self.world.send(node, key, b"two", not key.is_issued())
+
+    def check_fresh_keys_run(self) -> None:
+        """Fail when a node that is well can't run new keys of both sorts."""
+        world = self.world
+        for number, node in enumerate(world.live()):
+            prefix = node.core.issue_prefix(node.now(world.now_ms))
+            for text in (f"fresh{number}", prefix + "fresh"):
+                key = Key(CUSTOMERS[0], text)
+                world.keys.append(key)
+                world.send(node, key, b"one", tells_age=True)
+        world.heal()
+        world.check_all_ended()
+        for key in world.keys[-2 * len(world.live()) :]:
+            assert len(key.executions) == 1, f"{key.text} {key.tries}"
--- /dev/null
+++ b/tests/key_mutations.py
@@ -0,0 +1,169 @@
+"""Seeded faults in the at-most-once decision, one line each, and how to apply them."""
+
+from __future__ import annotations
+
+import importlib
+import inspect
+import types
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """Replace one line of one module."""
+
+    name: str
+    module: str
+    line: str
+    mutated: str
+
+
+MUTATIONS = (
+    Mutation(
+        "the last claim of a key wins",
+        "claims",
+        "if claim.name in self._claims:",
+        "if claim.name is None:",
+    ),
+    Mutation(
+        "claims are forgotten inside the window",
+        "claims",
+        "_REMEMBER_IN_WINDOWS: Final = 1.25",
+        "_REMEMBER_IN_WINDOWS: Final = 0.2",
+    ),
+    Mutation(
+        "an own claim that was given up counts as won",
+        "claimed_keys",
+        "elif claim.claim_id == entry.claim_id:",
+        "elif claim.claimer == book.identity:",
+    ),
+    Mutation(
+        "a claim is dispatched without having won",
+        "claimed_keys",
+        "elif claim.claim_id == entry.claim_id:",
+        "elif entry.claim_id:",
+    ),
+    Mutation(
+        "a dead claimer's key is reported as not run",
+        "followed_keys",
+        "elif claim.is_abandoned:",
+        "elif claim.is_abandoned or book.is_replaced(claim.claimer):",
+    ),
+    Mutation(
+        "a key that the witness noted is reported as not run",
+        "followed_keys",
+        "if message.status is LedgerStatus.SEALED:",
+        "if message.status is not LedgerStatus.GONE:",
+    ),
+    Mutation(
+        "a witness notes a key that it has sealed",
+        "witness_ledgers",
+        "if status is not None:",
+        "if status is wanted:",
+    ),
+    Mutation(
+        "an issued key is dispatched before it is noted",
+        "noted_keys",
+        "if witness is None:",
+        "if True:",
+    ),
+    Mutation(
+        "an issued key may run again after the window",
+        "noted_keys",
+        "if not book.is_in_window(issued, now_ms):",
+        "if False:",
+    ),
+    Mutation(
+        "a key is sealed as unseen after it was forgotten",
+        "noted_keys",
+        "if not book.is_in_window(issued, now_ms) or book.is_full():",
+        "if book.is_full():",
+    ),
+    Mutation(
+        "a lost dispatch is reported as not run",
+        "at_most_once",
+        "_NEVER_RAN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})",
+        "_NEVER_RAN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.LOST})",
+    ),
+    Mutation(
+        "a dispatch cancelled after its start is reported as not run",
+        "at_most_once",
+        "if event.ending in _NEVER_RAN or (is_cancelled and not entry.is_started):",
+        "if event.ending in _NEVER_RAN or is_cancelled:",
+    ),
+    Mutation(
+        "the age of a key is not looked at",
+        "at_most_once",
+        "return age_ms + left_ms >= self._book.limits.window_ms",
+        "return False",
+    ),
+    Mutation(
+        "a key's answer goes to another body",
+        "key_answers",
+        "if digest and digest != event.body_digest:",
+        "if False:",
+    ),
+    Mutation(
+        "every early refusal says not run",
+        "key_answers",
+        "return Ending.NOT_RUN if key_age_ms == 0 else Ending.UNKNOWN",
+        "return Ending.NOT_RUN",
+    ),
+    Mutation(
+        "a try is dispatched after its deadline",
+        "key_entries",
+        "if try_.body_digest == self.digest and try_.deadline_ms > now_ms:",
+        "if try_.body_digest == self.digest:",
+    ),
+)
+
+
+@contextmanager
+def apply_mutation(mutation: Mutation) -> Iterator[None]:
+    """Give the functions of a module the mutated code, for a while."""
+    original = importlib.import_module(f"toucanyard.{mutation.module}")
+    assert original.__file__ is not None
+    source = Path(original.__file__).read_text()
+    assert source.count(mutation.line) == 1, mutation
+    mutated = types.ModuleType(original.__name__)
+    exec(source.replace(mutation.line, mutation.mutated), mutated.__dict__)
+    constants = {
+        name: value
+        for name, value in vars(original).items()
+        if isinstance(value, (float, frozenset))
+    }
+    pairs = list(_find_functions(original, mutated))
+    saved = [function.__code__ for function, _ in pairs]
+    vars(original).update({name: vars(mutated)[name] for name in constants})
+    for function, replacement in pairs:
+        function.__code__ = replacement.__code__
+    try:
+        yield
+    finally:
+        vars(original).update(constants)
+        for (function, _), code in zip(pairs, saved, strict=True):
+            function.__code__ = code
+
+
+def _find_functions(
+    original: types.ModuleType, mutated: types.ModuleType
+) -> Iterator[tuple[types.FunctionType, types.FunctionType]]:
+    for name, value in vars(original).items():
+        if getattr(value, "__module__", "") != original.__name__:
+            continue
+        if inspect.isfunction(value):
+            yield value, vars(mutated)[name]
+        elif inspect.isclass(value):
+            yield from _find_methods(value, vars(mutated)[name])
+
+
+def _find_methods(
+    original: type, mutated: type
+) -> Iterator[tuple[types.FunctionType, types.FunctionType]]:
+    for name, member in vars(original).items():
+        is_generated = name in ("__init__", "__eq__", "__repr__")
+        if inspect.isfunction(member) and not is_generated:
+            yield member, vars(mutated)[name]
--- /dev/null
+++ b/tests/key_world.py
@@ -0,0 +1,418 @@
+"""Nodes, a log and a network for the at-most-once state machine, one step at a time.
+
+Everything that a node takes in waits in its inbox and everything it decided waits in
+its outbox, so a pause fits between any two steps. The world checks what callers see.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from toucanyard.at_most_once import AtMostOnce
+from toucanyard.claim_messages import (
+    AllowDispatch,
+    AppendRecord,
+    AppendResult,
+    CallerLeft,
+    ClaimAction,
+    ClaimEvent,
+    ClaimRecordsRead,
+    DispatchEnded,
+    DispatchStarted,
+    KeyedArrived,
+    KeyMessage,
+    LogRecord,
+    LogState,
+    NodeId,
+    PeerMessageArrived,
+    PeersChanged,
+    PeerView,
+    RecordsSettled,
+    RefuseKeyed,
+    ReplayAnswer,
+    SendToPeer,
+    Ticked,
+)
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.issued_keys import parse_issued_key
+from toucanyard.names import CustomerName, Incarnation, NodeName, RequestId
+from toucanyard.options import ClaimLimits
+from toucanyard.requests import EndingSeen, KeptAnswer
+
+WINDOW_MS = 20_000
+DEADLINE_MS = 1_000
+CUSTOMERS = (CustomerName("lanchas"), CustomerName("avisos"))
+RATES = (1.0, 0.95, 1.05)
+NAMES = tuple(NodeName(name) for name in "abc")
+WEAK_KINDS = frozenset(
+    {ErrorKind.LOG_UNAVAILABLE, ErrorKind.OVERLOADED, ErrorKind.DEADLINE_EXCEEDED}
+)
+
+
+@dataclass
+class Execution:
+    request_id: RequestId
+    digest: bytes
+    allowed_ms: float
+    is_age_told: bool
+    answer: KeptAnswer
+
+
+@dataclass
+class Try:
+    request_id: RequestId
+    node: NodeId
+    sent_ms: float
+    digest: bytes
+    key_age_ms: float | None
+    endings: list[str] = field(default_factory=list)
+
+
+@dataclass
+class Key:
+    """One key of one customer and all that callers and endpoints saw of it."""
+
+    customer: CustomerName
+    text: str
+    tries: list[Try] = field(default_factory=list)
+    executions: list[Execution] = field(default_factory=list)
+    refused: list[tuple[float, Try, ErrorKind]] = field(default_factory=list)
+
+    def is_issued(self) -> bool:
+        return parse_issued_key(self.text) is not None
+
+    def check(self) -> None:
+        """Fail when executions and refusals contradict each other.
+
+        Issued keys, and tries that told the key's age, are judged for ever; other
+        tries for the window from the key's first try on.
+        """
+        judged = self._find_judged()
+        assert len(judged) <= 1, f"{self.text} ran twice: {judged}"
+        for at_ms, refused, kind in self.refused:
+            for execution in judged:
+                self._check_refusal(at_ms, refused, kind, execution)
+
+    def _find_judged(self) -> list[Execution]:
+        if self.is_issued():
+            return self.executions
+        end_ms = self.tries[0].sent_ms + WINDOW_MS
+        return [
+            each
+            for each in self.executions
+            if each.allowed_ms < end_ms or each.is_age_told
+        ]
+
+    def _check_refusal(
+        self, at_ms: float, refused: Try, kind: ErrorKind, execution: Execution
+    ) -> None:
+        if at_ms >= self.tries[0].sent_ms + WINDOW_MS and not self.is_issued():
+            return
+        if kind is ErrorKind.KEY_REUSED:
+            assert refused.digest != execution.digest, "not run, but the same body ran"
+            return
+        sent_before = [each for each in self.tries if each.sent_ms <= at_ms]
+        if kind in WEAK_KINDS and refused.key_age_ms == 0:
+            # Speaks of the tries sent up to now; void if the first was not alone.
+            is_by_earlier = any(
+                each.request_id == execution.request_id for each in sent_before
+            )
+            assert len(sent_before) > 1 or not is_by_earlier, "not run, but it ran"
+            return
+        raise AssertionError(f"{self.text} not run by {kind}, but it ran: {execution}")
+
+
+@dataclass
+class Append:
+    node: NodeId
+    record_id: str
+    text: str
+    is_told: bool = False
+
+
+@dataclass
+class Message:
+    sender: NodeId
+    to: NodeName
+    message: KeyMessage
+
+
+class Node:
+    """One incarnation, its clock, and what waits before and after its decisions."""
+
+    def __init__(self, name: NodeName, number: int, rate: float, keys: int) -> None:
+        self.identity = NodeId(name, Incarnation(f"{name}{number}"))
+        self.rate = rate
+        limits = ClaimLimits(
+            window_ms=WINDOW_MS,
+            log_retention_ms=3 * WINDOW_MS,
+            max_keys=keys,
+            kept_answers_bytes=2_000,
+            ledger_ms=5_000,
+        )
+        rng = random.Random(number)
+        self.core = AtMostOnce(name, self.identity.incarnation, limits, rng)
+        self.inbox: list[ClaimEvent] = []
+        self.outbox: list[ClaimAction] = []
+        self.running: list[tuple[RequestId, KeptAnswer | None]] = []
+        self.allowed_ms: dict[RequestId, float] = {}
+        self.waiting: dict[RequestId, tuple[Key, Try]] = {}
+
+    def now(self, world_ms: float) -> float:
+        return 1_000 + world_ms * self.rate
+
+
+class World:
+    def __init__(self, max_keys: int = 1_000) -> None:
+        self.now_ms = 0.0
+        self.max_keys = max_keys
+        self.log: list[LogRecord] = []
+        self.next_offset = 0
+        self.oldest = 0
+        self.is_log_up = True
+        self.appends: list[Append] = []
+        self.network: list[Message] = []
+        self.keys: list[Key] = []
+        self.nodes: dict[NodeName, Node | None] = {}
+        self.started = 0
+        self.requests = 0
+        for name in NAMES:
+            self.start(name)
+        self.tell_views()
+
+    def start(self, name: NodeName) -> None:
+        rate = RATES[self.started % len(RATES)]
+        self.started += 1
+        node = Node(name, self.started, rate, self.max_keys)
+        node.inbox.append(LogState(self.is_log_up))
+        self.nodes[name] = node
+
+    def kill(self, name: NodeName) -> None:
+        """Lose a node and all it knew; its callers see cut connections."""
+        node = self.nodes[name]
+        if node is None:
+            return
+        for _, tried in node.waiting.values():
+            tried.endings.append("cut")
+        self.nodes[name] = None
+
+    def live(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node is not None]
+
+    def tell_views(self) -> None:
+        for node in self.live():
+            self.tell_view(node, self.live())
+
+    def tell_view(self, node: Node, seen: list[Node]) -> None:
+        views = tuple(
+            PeerView(each.identity.node, each.identity.incarnation, True)
+            for each in seen
+            if each.identity.node != node.identity.node
+        )
+        node.inbox.append(PeersChanged(views))
+
+    def send(self, node: Node, key: Key, digest: bytes, tells_age: bool) -> Try:
+        self.requests += 1
+        request_id = RequestId(f"r{self.requests}")
+        first_ms = key.tries[0].sent_ms if key.tries else self.now_ms
+        age_ms = self.now_ms - first_ms if tells_age else None
+        if age_ms == 0 and key.tries:
+            age_ms = 1.0
+        tried = Try(request_id, node.identity, self.now_ms, digest, age_ms)
+        key.tries.append(tried)
+        node.waiting[request_id] = (key, tried)
+        deadline_ms = node.now(self.now_ms) + DEADLINE_MS
+        node.inbox.append(
+            KeyedArrived(
+                request_id, key.customer, key.text, digest, deadline_ms, age_ms
+            )
+        )
+        return tried
+
+    def step(self, node: Node) -> None:
+        """Let a node decide on the next event."""
+        if node.inbox:
+            event = node.inbox.pop(0)
+            actions = node.core.handle(event, node.now(self.now_ms))
+            node.outbox += actions
+            for action in actions:
+                if isinstance(action, AllowDispatch):
+                    self._note_allowed(node, action.request_id)
+
+    def _note_allowed(self, node: Node, request_id: RequestId) -> None:
+        node.allowed_ms[request_id] = self.now_ms
+        if request_id in node.waiting:
+            _, tried = node.waiting[request_id]
+            late_ms = self.now_ms - tried.sent_ms
+            assert late_ms * node.rate < DEADLINE_MS, "allowed after its deadline"
+
+    def leave(self, node: Node, place: int) -> None:
+        """Let the caller of an undecided request go away."""
+        undecided = [each for each in node.waiting if each not in node.allowed_ms]
+        if undecided:
+            request_id = undecided[place % len(undecided)]
+            _, tried = node.waiting.pop(request_id)
+            tried.endings.append("left")
+            node.inbox.append(CallerLeft(request_id))
+
+    def act(self, node: Node, is_sent: bool = True) -> None:
+        """Let a node carry out the next thing that it decided."""
+        if not node.outbox:
+            return
+        match node.outbox.pop(0):
+            case AllowDispatch(request_id=request_id):
+                self._dispatch(node, request_id, is_sent)
+            case RefuseKeyed() as refusal:
+                self._refuse(node, refusal)
+            case ReplayAnswer(request_id=request_id, answer=answer):
+                self._replay(node, request_id, answer)
+            case AppendRecord(record_id=record_id, text=text):
+                self.appends.append(Append(node.identity, record_id, text))
+            case SendToPeer(node=to, message=message):
+                self.network.append(Message(node.identity, to, message))
+
+    def _dispatch(self, node: Node, request_id: RequestId, is_sent: bool) -> None:
+        if request_id not in node.waiting:
+            node.inbox.append(DispatchEnded(request_id, EndingSeen.NOT_SENT))
+            return
+        key, tried = node.waiting[request_id]
+        node.inbox.append(DispatchStarted(request_id))
+        if not is_sent:
+            node.running.append((request_id, None))
+            return
+        number = len(key.executions)
+        body = f"{key.customer} {key.text} {tried.digest!r} {number}".encode()
+        answer = KeptAnswer(200, "text/plain", body)
+        key.executions.append(
+            Execution(
+                request_id,
+                tried.digest,
+                node.allowed_ms[request_id],
+                tried.key_age_ms is not None,
+                answer,
+            )
+        )
+        node.running.append((request_id, answer))
+        key.check()
+
+    def end_dispatch(self, node: Node, ending: EndingSeen) -> None:
+        if not node.running:
+            return
+        request_id, answer = node.running.pop(0)
+        if answer is None:
+            ending = EndingSeen.NOT_SENT
+        kept = answer if ending is EndingSeen.COMPLETED else None
+        node.inbox.append(DispatchEnded(request_id, ending, kept))
+        _, tried = node.waiting.pop(request_id)
+        tried.endings.append(ending)
+
+    def _refuse(self, node: Node, refusal: RefuseKeyed) -> None:
+        if refusal.request_id not in node.waiting:
+            return
+        key, tried = node.waiting.pop(refusal.request_id)
+        tried.endings.append(refusal.kind)
+        if refusal.ending is Ending.NOT_RUN:
+            key.refused.append((self.now_ms, tried, refusal.kind))
+        key.check()
+
+    def _replay(self, node: Node, request_id: RequestId, answer: KeptAnswer) -> None:
+        if request_id not in node.waiting:
+            return
+        key, tried = node.waiting.pop(request_id)
+        tried.endings.append("replayed")
+        fitting = [
+            each.answer for each in key.executions if each.digest == tried.digest
+        ]
+        assert answer in fitting, f"{key.text} got another request's answer"
+
+    def land(self, text: str) -> None:
+        """Let an append take effect."""
+        self.log.append(LogRecord(self.next_offset, self.now_ms, text))
+        self.next_offset += 1
+
+    def tell_append(self, append: Append, result: AppendResult) -> None:
+        append.is_told = True
+        node = self.nodes[append.node.node]
+        if node is not None and node.identity == append.node:
+            node.inbox.append(RecordsSettled((append.record_id,), result))
+
+    def read(self, node: Node, overlap: int = 0) -> None:
+        """Read from where the node stands, or from the oldest after a gap."""
+        pending = [each for each in node.inbox if isinstance(each, ClaimRecordsRead)]
+        if pending or not self.is_log_up:
+            return
+        known = node.core.find_next_offset()
+        # Reads may overlap, as after a lost answer to a read.
+        start = self.oldest if known is None else max(known - overlap, self.oldest)
+        records = tuple(each for each in self.log if each.offset >= start)
+        node.inbox.append(ClaimRecordsRead(start, self.next_offset, records))
+
+    def deliver(self, message: Message) -> None:
+        node = self.nodes[message.to]
+        if node is not None:
+            node.inbox.append(PeerMessageArrived(message.sender, message.message))
+
+    def advance(self, ms: float) -> None:
+        self.now_ms += ms
+        # Records of other kinds come in all the time and move the log's clock on.
+        self.land('{"kind":"checkpoint"}')
+        kept = [each for each in self.log if each.at_ms > self.now_ms - 3 * WINDOW_MS]
+        self.log = kept
+        self.oldest = kept[0].offset if kept else self.next_offset
+        for node in self.live():
+            node.inbox.append(Ticked())
+
+    def set_log(self, is_up: bool) -> None:
+        self.is_log_up = is_up
+        for node in self.live():
+            node.inbox.append(LogState(is_up))
+
+    def work(self, node: Node) -> None:
+        """Let a node do all that it has before it."""
+        while node.inbox or node.outbox:
+            self.step(node)
+            while node.outbox:
+                self.act(node)
+
+    def land_all(self) -> None:
+        """Let every append take effect, or be refused while the log is down."""
+        appends, self.appends = self.appends, []
+        for append in appends:
+            if self.is_log_up:
+                self.land(append.text)
+            result = AppendResult.DONE if self.is_log_up else AppendResult.REFUSED
+            self.tell_append(append, result)
+
+    def deliver_all(self) -> None:
+        messages, self.network = self.network, []
+        for message in messages:
+            self.deliver(message)
+
+    def pump(self, rounds: int, ending: EndingSeen | None) -> None:
+        """Work without faults for a number of rounds."""
+        for _ in range(rounds):
+            for node in self.live():
+                self.read(node)
+                self.work(node)
+                if ending is not None:
+                    self.end_dispatch(node, ending)
+            self.land_all()
+            self.deliver_all()
+
+    def heal(self) -> None:
+        """End all faults and give every try its time."""
+        for name in NAMES:
+            if self.nodes[name] is None:
+                self.start(name)
+        self.set_log(True)
+        self.tell_views()
+        for _ in range(5):
+            self.pump(2, EndingSeen.COMPLETED)
+            self.advance(300)
+        self.pump(3, EndingSeen.COMPLETED)
+
+    def check_all_ended(self) -> None:
+        for key in self.keys:
+            for tried in key.tries:
+                assert len(tried.endings) == 1, f"{key.text} {tried}"
--- /dev/null
+++ b/tests/toucanyard/test_append_batch.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+
+from toucanyard.append_batch import BatchGatherer
+from toucanyard.claim_messages import AppendRecord
+from toucanyard.options import ClaimLimits
+
+LIMITS = ClaimLimits(gather_ms=5, max_appends_per_s=20)
+
+
+@given(st.lists(st.tuples(st.floats(0, 100), st.booleans()), max_size=60))
+def test_batches_keep_order_and_rate(arrivals: list[tuple[float, bool]]) -> None:
+    """Records come at any times; a writer asks for batches every millisecond.
+
+    More than one append in 50 ms would use another node's share of the log's rate.
+    """
+    gatherer = BatchGatherer(LIMITS)
+    added: list[str] = []
+    taken: list[str] = []
+    taken_ms: list[float] = []
+    for number, (wait_ms, is_urgent) in enumerate(arrivals):
+        now_ms = number * 1_000 + wait_ms
+        gatherer.add(AppendRecord(str(number), "x" * 150_000, is_urgent), now_ms)
+        added.append(str(number))
+        while gatherer.find_due_ms() <= now_ms + 200:
+            at_ms = gatherer.find_due_ms()
+            batch = gatherer.take(at_ms)
+            assert batch is not None
+            assert sum(map(len, batch.texts)) <= 450_000
+            taken += batch.record_ids
+            taken_ms.append(at_ms)
+    while (at_ms := gatherer.find_due_ms()) != float("inf"):
+        batch = gatherer.take(at_ms)
+        assert batch is not None
+        taken += batch.record_ids
+        taken_ms.append(at_ms)
+    assert taken == added
+    gaps = [late - early for early, late in zip(taken_ms, taken_ms[1:], strict=False)]
+    assert all(gap >= 50 for gap in gaps)
+
+
+def test_urgent_record_takes_waiting_ones_along() -> None:
+    gatherer = BatchGatherer(LIMITS)
+    gatherer.add(AppendRecord("abandon", "a", is_urgent=False), 0)
+    gatherer.add(AppendRecord("claim", "c", is_urgent=True), 1)
+    assert gatherer.take(5) is None
+    batch = gatherer.take(6)
+    assert batch is not None
+    assert batch.record_ids == ("abandon", "claim")
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -6,17 +6,24 @@
 from toucanyard.claim_messages import (
     AllowDispatch,
     AppendRecord,
+    CallerLeft,
     ClaimAction,
+    ClaimRecord,
     ClaimRecordsRead,
     DispatchEnded,
     KeyedArrived,
+    KeyName,
     LogRecord,
     LogState,
+    NodeId,
+    PeerMessageArrived,
     PeersChanged,
     PeerView,
     RefuseKeyed,
     ReplayAnswer,
     SendToPeer,
+    Ticked,
+    encode_record,
 )
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import CustomerName, Incarnation, NodeName, RequestId
@@ -26,10 +33,9 @@
 ANSWER = KeptAnswer(200, "text/plain", b"seat held")
 
 
-def make_node(name: str = "a") -> AtMostOnce:
-    node = AtMostOnce(
-        NodeName(name), Incarnation(f"{name}1"), ClaimLimits(), random.Random(1)
-    )
+def make_node(name: str = "a", max_keys: int = 1_000) -> AtMostOnce:
+    limits = ClaimLimits(max_keys=max_keys)
+    node = AtMostOnce(NodeName(name), Incarnation(f"{name}1"), limits, random.Random(1))
     node.handle(LogState(True), 0)
     return node
 
@@ -98,12 +104,54 @@
     assert exchange(issuer, witness, noting, 3) == [AllowDispatch(RequestId("r1"))]
 
 
+def make_claim(claimer: str, key: str) -> str:
+    name = KeyName(CustomerName("c"), key)
+    identity = NodeId(NodeName(claimer), Incarnation(f"{claimer}1"))
+    return encode_record(ClaimRecord(f"{claimer}1-1", name, b"d", identity))
+
+
+def test_claim_missed_for_want_of_room_is_never_reported_as_not_run() -> None:
+    """The index of one node is full when another node's claim of a key comes by.
+
+    This node has claimed the key too and gave that claim up. Room comes free, its
+    own claim is read and looks like the first one. The other node ran the key, so
+    a caller here must be told that the outcome is unknown, not that it did not run.
+    """
+    node = make_node(max_keys=1)
+    node.handle(read(0, make_claim("z", "other")), 0)
+    own = find_append(node.handle(arrive("r1"), 0))
+    node.handle(CallerLeft(RequestId("r1")), 0)
+    missed = LogRecord(1, 500_000, make_claim("b", "k"))
+    node.handle(ClaimRecordsRead(1, 2, (missed,)), 500_000)
+    later = LogRecord(2, 800_000, '{"kind":"checkpoint"}')
+    node.handle(ClaimRecordsRead(2, 3, (later,)), 800_000)
+    node.handle(Ticked(), 800_000)
+    assert node.count_claims() == 0
+    node.handle(ClaimRecordsRead(3, 4, (LogRecord(3, 800_000, own.text),)), 800_000)
+    retry = KeyedArrived(RequestId("r2"), CustomerName("c"), "k", b"d", 801_000)
+    refusal = node.handle(retry, 800_000)[0]
+    assert isinstance(refusal, RefuseKeyed)
+    assert refusal.ending is Ending.UNKNOWN
+
+
+def test_records_missed_in_a_pause_longer_than_retention_give_claims_up() -> None:
+    """A node is suspended, clock and all, until the log has expired records.
+
+    A claim that beat its own may be among them. Its own claim, read next, looks like
+    the first one; dispatching it would run the key twice.
+    """
+    node = make_node()
+    node.handle(read(0, '{"kind":"checkpoint"}'), 0)
+    own = find_append(node.handle(arrive("r1"), 0))
+    actions = node.handle(read(5, own.text), 1)
+    assert not any(isinstance(each, AllowDispatch) for each in actions)
+    assert isinstance(actions[0], RefuseKeyed)
+
+
 def exchange(
     asker: AtMostOnce, answerer: AtMostOnce, actions: list[ClaimAction], now_ms: float
 ) -> list[ClaimAction]:
     """Carry one question and its answer; return what the asker then does."""
-    from toucanyard.claim_messages import NodeId, PeerMessageArrived
-
     question = actions[0]
     assert isinstance(question, SendToPeer)
     sender = NodeId(NodeName("a"), Incarnation("a1"))
--- /dev/null
+++ b/tests/toucanyard/test_at_most_once_machine.py
@@ -0,0 +1,33 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from key_machine import KeysUnderFaults
+from key_mutations import MUTATIONS, Mutation, apply_mutation
+
+SETTINGS = settings(max_examples=150, stateful_step_count=60, deadline=None)
+SEARCH = settings(
+    max_examples=600,
+    stateful_step_count=60,
+    deadline=None,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_keys_under_faults() -> None:
+    run_state_machine_as_test(KeysUnderFaults, settings=SETTINGS)
+
+
+@pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda each: each.name)
+def test_state_machine_catches_mutation(mutation: Mutation) -> None:
+    """A seeded fault in one line lets callers see two runs or a false "not run".
+
+    The state machine has to find it; when it doesn't, its steps no longer reach the
+    place that the line guards.
+    """
+    with apply_mutation(mutation), pytest.raises(AssertionError):
+        run_state_machine_as_test(KeysUnderFaults, settings=SEARCH)
