Gather appends by the pure gatherer, and repeat those refused for the rate only

Cause: a 429 of the log made every claim of the batch be given up, and records that nobody waits for went out as eagerly as claims. Before: one append for each gather_ms, refused claims end as log_unavailable. Conclusion: what the log may have taken is settled by reading only.

--- a/packages/toucanyard-node/src/toucanyard_node/log_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_client.py
@@ -17,6 +17,7 @@
 
 _REFUSED_STATUSES: Final = frozenset({400, 404, 413, 429, 503})
 """Statuses with which the service says that it appended nothing."""
+_OVER_RATE_STATUS: Final = 429
 _READ_MARGIN_MS: Final = 2_000
 
 
@@ -33,6 +34,13 @@
         self.head = head
 
 
+class AppendAnswer(msgspec.Struct, frozen=True):
+    """What is known of one append, and whether it was refused for its rate only."""
+
+    result: AppendResult
+    is_over_rate: bool = False
+
+
 class LogPage(msgspec.Struct, frozen=True):
     """Records as read, in order, and the offset of the next to be written."""
 
@@ -58,18 +66,20 @@
 
 async def append_records(
     address: Address, texts: Sequence[str], timeout_ms: float
-) -> AppendResult:
+) -> AppendAnswer:
     """Append records together and tell what is known of the result."""
     body = msgspec.json.encode(_AppendBody(tuple(texts)))
     try:
         answer = await fetch(address, "POST", "/log/append", (), body, timeout_ms)
     except ConnectionFailedError as error:
-        return AppendResult.UNKNOWN if error.is_sent else AppendResult.REFUSED
+        is_sent = error.is_sent
+        return AppendAnswer(AppendResult.UNKNOWN if is_sent else AppendResult.REFUSED)
     if answer.status == 200:
-        return AppendResult.DONE
+        return AppendAnswer(AppendResult.DONE)
     if answer.status in _REFUSED_STATUSES:
-        return AppendResult.REFUSED
-    return AppendResult.UNKNOWN
+        is_over_rate = answer.status == _OVER_RATE_STATUS
+        return AppendAnswer(AppendResult.REFUSED, is_over_rate)
+    return AppendAnswer(AppendResult.UNKNOWN)
 
 
 async def read_records(
--- a/packages/toucanyard-node/src/toucanyard_node/log_writer.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_writer.py
@@ -7,12 +7,13 @@
 
 import trio
 
+from toucanyard.append_batch import AppendBatch, BatchGatherer
 from toucanyard.core_events import AppendSettled, AppendToLog
 from toucanyard.names import Address
 from toucanyard.options import ClaimLimits
-from toucanyard_node.log_client import append_records
+from toucanyard_node.log_client import AppendAnswer, append_records
 
-_MAX_BATCH: Final = 500
+_MAX_TRIES: Final = 3
 
 
 async def write_log(
@@ -22,22 +23,47 @@
     emit: Callable[[AppendSettled], None],
 ) -> None:
     """Append what comes, at most `max_appends_per_s` times a second."""
-    gap_s = 1 / limits.max_appends_per_s
-    async for first in outbox:
-        started_s = trio.current_time()
-        await trio.sleep(limits.gather_ms / 1000)
-        batch = [first, *_take_waiting(outbox)]
-        texts = [each.text for each in batch]
-        result = await append_records(address, texts, limits.append_timeout_ms)
-        emit(AppendSettled(tuple(each.record_id for each in batch), result))
-        await trio.sleep_until(started_s + gap_s)
-
-
-def _take_waiting(outbox: trio.MemoryReceiveChannel[AppendToLog]) -> list[AppendToLog]:
-    taken: list[AppendToLog] = []
-    while len(taken) < _MAX_BATCH:
+    gatherer = BatchGatherer(limits)
+    while True:
+        await _gather(gatherer, outbox)
+        batch = gatherer.take(trio.current_time() * 1000)
+        if batch is not None:
+            answer = await _append(address, limits, batch)
+            emit(AppendSettled(batch.record_ids, answer.result))
+
+
+async def _gather(
+    gatherer: BatchGatherer, outbox: trio.MemoryReceiveChannel[AppendToLog]
+) -> None:
+    """Take records in until a batch is due."""
+    if len(gatherer) == 0:
+        gatherer.add(await outbox.receive(), trio.current_time() * 1000)
+    while (due_ms := gatherer.find_due_ms()) > trio.current_time() * 1000:
+        with trio.move_on_at(due_ms / 1000):
+            gatherer.add(await outbox.receive(), trio.current_time() * 1000)
+    _take_waiting(gatherer, outbox)
+
+
+def _take_waiting(
+    gatherer: BatchGatherer, outbox: trio.MemoryReceiveChannel[AppendToLog]
+) -> None:
+    while True:
         try:
-            taken.append(outbox.receive_nowait())
+            record = outbox.receive_nowait()
         except trio.WouldBlock:
+            return
+        gatherer.add(record, trio.current_time() * 1000)
+
+
+async def _append(
+    address: Address, limits: ClaimLimits, batch: AppendBatch
+) -> AppendAnswer:
+    """Append one batch, again after a refusal that only the rate caused."""
+    timeout_ms = limits.append_timeout_ms
+    answer = await append_records(address, batch.texts, timeout_ms)
+    for _ in range(_MAX_TRIES - 1):
+        if not answer.is_over_rate:
             break
-    return taken
+        await trio.sleep(1 / limits.max_appends_per_s)
+        answer = await append_records(address, batch.texts, timeout_ms)
+    return answer
--- a/packages/toucanyard/src/toucanyard/append_batch.py
+++ b/packages/toucanyard/src/toucanyard/append_batch.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from toucanyard.claim_messages import AppendRecord
+from toucanyard.core_events import AppendToLog
 from toucanyard.options import ClaimLimits
 
 _MAX_RECORDS: Final = 500
@@ -39,14 +39,14 @@
     def __init__(self, limits: ClaimLimits) -> None:
         self._gather_ms = limits.gather_ms
         self._gap_ms = 1_000 / limits.max_appends_per_s
-        self._waiting: list[AppendRecord] = []
+        self._waiting: list[AppendToLog] = []
         self._due_ms = float("inf")
         self._open_ms = float("-inf")
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, record: AppendRecord, now_ms: float) -> None:
+    def add(self, record: AppendToLog, now_ms: float) -> None:
         """Let a record wait for the next append."""
         gather_ms = self._gather_ms if record.is_urgent else _IDLE_GATHER_MS
         self._waiting.append(record)
--- a/tests/toucanyard/test_append_batch.py
+++ b/tests/toucanyard/test_append_batch.py
@@ -3,7 +3,7 @@
 from hypothesis import given, strategies as st
 
 from toucanyard.append_batch import BatchGatherer
-from toucanyard.claim_messages import AppendRecord
+from toucanyard.core_events import AppendToLog
 from toucanyard.options import ClaimLimits
 
 LIMITS = ClaimLimits(gather_ms=5, max_appends_per_s=20)
@@ -21,7 +21,7 @@
     taken_ms: list[float] = []
     for number, (wait_ms, is_urgent) in enumerate(arrivals):
         now_ms = number * 1_000 + wait_ms
-        gatherer.add(AppendRecord(str(number), "x" * 150_000, is_urgent), now_ms)
+        gatherer.add(AppendToLog(str(number), "x" * 150_000, is_urgent), now_ms)
         added.append(str(number))
         while gatherer.find_due_ms() <= now_ms + 200:
             at_ms = gatherer.find_due_ms()
@@ -42,8 +42,8 @@
 
 def test_urgent_record_takes_waiting_ones_along() -> None:
     gatherer = BatchGatherer(LIMITS)
-    gatherer.add(AppendRecord("abandon", "a", is_urgent=False), 0)
-    gatherer.add(AppendRecord("claim", "c", is_urgent=True), 1)
+    gatherer.add(AppendToLog("abandon", "a", is_urgent=False), 0)
+    gatherer.add(AppendToLog("claim", "c", is_urgent=True), 1)
     assert gatherer.take(5) is None
     batch = gatherer.take(6)
     assert batch is not None
