Compare a node with a relay that decides nothing, in the path bench

Cause: an event costs 129 us in a node where 40 are aimed at; what of it is the libraries' and what the node's own was not known. Before: direct and through a node only.

--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_path.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_path.py
@@ -1,6 +1,7 @@
 """Measure what a node adds on the path of a request, against a direct connection.
 
-One run measures both ways with the same engines and the same load. A node is one
+One run measures all ways with the same engines and the same load: direct, through a
+relay on the same libraries that decides nothing, and through a node. A node is one
 process, so its processor time tells what one core carries, whatever the load
 generator and the engines can do.
 """
@@ -74,6 +75,14 @@
     held_streams: int
 
 
+class Way(msgspec.Struct, frozen=True):
+    """One way to an engine, and the process whose cost counts on it."""
+
+    name: str
+    target: Target
+    handle: ProcessHandle
+
+
 class Cost(msgspec.Struct, frozen=True):
     """What a process used for one part of the bench, and for how many units."""
 
@@ -83,12 +92,12 @@
 
 
 class Row(msgspec.Struct, frozen=True):
-    """One measured figure of both ways."""
+    """One measured figure of every way."""
 
     name: str
     unit: str
-    direct: float
-    node: float
+    values: list[float]
+    """Direct, through the relay, through the node."""
     added: float
     """What is compared with the aim."""
     aim: str
@@ -109,44 +118,39 @@
     )
 
 
-async def measure_first_token(direct: Target, node: Target, sizes: BenchSizes) -> Row:
+async def measure_first_token(targets: tuple[Target, ...], count: int) -> Row:
     """Compare the time to the first token at a light load."""
-    times = await time_streams((direct, node), sizes.light_requests, _LIGHT_TOKENS)
+    times = await time_streams(targets, count, _LIGHT_TOKENS)
     medians = [statistics.median(each.first_token_ms for each in way) for way in times]
-    added = medians[1] - medians[0]
+    added = medians[2] - medians[0]
     aim = f"added < {_AIM_FIRST_TOKEN_MS:g}"
     is_met = added < _AIM_FIRST_TOKEN_MS
     name = "first token, median"
-    return Row(name, "ms", medians[0], medians[1], added, aim, is_met)
-
-
-async def measure_requests(
-    target: Target, handles: tuple[ProcessHandle, ...], count: int
-) -> Cost:
-    """Return the processor time that processes use for short requests."""
-    before_s = sum(handle.find_cpu_s() for handle in handles)
-    elapsed_s = await run_short_requests(target, count, _CONNECTIONS)
-    cpu_s = sum(handle.find_cpu_s() for handle in handles) - before_s
-    return Cost(cpu_s, count, elapsed_s)
-
-
-async def measure_events(
-    target: Target, handles: tuple[ProcessHandle, ...], sizes: BenchSizes
-) -> Cost:
-    """Return the processor time that processes use for token events."""
-    before_s = sum(handle.find_cpu_s() for handle in handles)
-    started_s = trio.current_time()
-    times = await run_streams(target, sizes.streams, sizes.tokens)
+    return Row(name, "ms", medians, added, aim, is_met)
+
+
+async def measure_requests(way: Way, count: int) -> Cost:
+    """Return the processor time that a process uses for short requests."""
+    before_s = way.handle.find_cpu_s()
+    elapsed_s = await run_short_requests(way.target, count, _CONNECTIONS)
+    return Cost(way.handle.find_cpu_s() - before_s, count, elapsed_s)
+
+
+async def measure_events(way: Way, sizes: BenchSizes) -> Cost:
+    """Return the processor time that a process uses for token events."""
+    before_s, started_s = way.handle.find_cpu_s(), trio.current_time()
+    times = await run_streams(way.target, sizes.streams, sizes.tokens)
     elapsed_s = trio.current_time() - started_s
-    cpu_s = sum(handle.find_cpu_s() for handle in handles) - before_s
-    return Cost(cpu_s, sum(each.events for each in times), elapsed_s)
+    events = sum(each.events for each in times)
+    return Cost(way.handle.find_cpu_s() - before_s, events, elapsed_s)
 
 
-async def measure_memory(target: Target, handle: ProcessHandle, streams: int) -> float:
+async def measure_memory(way: Way, streams: int) -> float:
     """Return the bytes that one open stream adds to a process."""
+    handle = way.handle
     before = handle.find_resident_bytes()
     async with trio.open_nursery() as nursery:
-        await nursery.start(hold_streams, target, streams)
+        await nursery.start(hold_streams, way.target, streams)
         await trio.sleep(_SETTLE_S)
         after = handle.find_resident_bytes()
         nursery.cancel_scope.cancel()
@@ -154,78 +158,73 @@
     return (after - before) / streams
 
 
-def compare_requests(direct: Cost, node: Cost) -> Row:
+def compare_requests(costs: list[Cost]) -> Row:
     """Return the short requests that one core carries."""
-    rates = [cost.units / cost.cpu_s for cost in (direct, node)]
-    is_met = rates[1] >= _AIM_REQUESTS_PER_S
+    rates = [cost.units / cost.cpu_s for cost in costs]
+    is_met = rates[2] >= _AIM_REQUESTS_PER_S
     aim = f"node >= {_AIM_REQUESTS_PER_S:g}"
-    name = "short requests of one core"
-    return Row(name, "1/s", rates[0], rates[1], rates[1], aim, is_met)
+    return Row("short requests of one core", "1/s", rates, rates[2], aim, is_met)
 
 
-def compare_events(direct: Cost, node: Cost) -> Row:
+def compare_events(costs: list[Cost]) -> Row:
     """Return the processor time of one token event."""
-    costs = [cost.cpu_s * 1e6 / cost.units for cost in (direct, node)]
-    is_met = costs[1] < _AIM_EVENT_US
+    each_us = [cost.cpu_s * 1e6 / cost.units for cost in costs]
+    is_met = each_us[2] < _AIM_EVENT_US
     aim = f"node < {_AIM_EVENT_US:g}"
-    name = "processor time of one event"
-    return Row(name, "us", costs[0], costs[1], costs[1], aim, is_met)
+    return Row("processor time of one event", "us", each_us, each_us[2], aim, is_met)
 
 
-def compare_memory(direct: float, node: float) -> Row:
+def compare_memory(sizes_bytes: list[float]) -> Row:
     """Return the memory of one open stream."""
-    sizes = [each / 1024 for each in (direct, node)]
-    is_met = sizes[1] < _AIM_STREAM_KB
+    sizes = [each / 1024 for each in sizes_bytes]
+    is_met = sizes[2] < _AIM_STREAM_KB
     aim = f"node < {_AIM_STREAM_KB:g}"
-    return Row("memory of one stream", "KB", sizes[0], sizes[1], sizes[1], aim, is_met)
+    return Row("memory of one stream", "KB", sizes, sizes[2], aim, is_met)
 
 
 async def measure(deployment: Deployment, harness: Harness, sizes: BenchSizes) -> None:
     """Measure every figure and print each as soon as it is known."""
     node, engine = deployment.nodes[0], deployment.engines[0]
-    direct, through = Target(engine.address), Target(node.address, CALLER_KEY)
-    await run_short_requests(direct, 10 * _CONNECTIONS, _CONNECTIONS)
-    await run_short_requests(through, 10 * _CONNECTIONS, _CONNECTIONS)
-    print_row(await measure_first_token(direct, through, sizes))
-    short = sizes.short_requests
-    costs = (
-        await measure_requests(direct, (engine,), short),
-        await measure_requests(through, (node,), short),
+    relay = await harness.start_relay(engine)
+    ways = (
+        Way("direct", Target(engine.address), engine),
+        Way("relay", Target(relay.address), relay),
+        Way("node", Target(node.address, CALLER_KEY), node),
     )
-    print_row(compare_requests(*costs))
-    print_cost("short requests", *costs)
-    costs = (
-        await measure_events(direct, (engine,), sizes),
-        await measure_events(through, (node,), sizes),
-    )
-    print_row(compare_events(*costs))
-    print_cost("token events", *costs)
+    for way in ways:
+        await run_short_requests(way.target, 10 * _CONNECTIONS, _CONNECTIONS)
+    targets = tuple(way.target for way in ways)
+    print_row(await measure_first_token(targets, sizes.light_requests))
+    costs = [await measure_requests(way, sizes.short_requests) for way in ways]
+    print_row(compare_requests(costs))
+    print_costs(ways, costs)
+    costs = [await measure_events(way, sizes) for way in ways]
+    print_row(compare_events(costs))
+    print_costs(ways, costs)
     for each in deployment.engines:
         await harness.control(each, SlowDown(_HELD_SLOWDOWN))
-    held = sizes.held_streams
-    memory = (
-        await measure_memory(direct, engine, held),
-        await measure_memory(through, node, held),
-    )
-    print_row(compare_memory(*memory))
+    memory = [await measure_memory(way, sizes.held_streams) for way in ways]
+    print_row(compare_memory(memory))
 
 
 def print_row(row: Row) -> None:
     """Print one figure."""
-    ratio = row.node / row.direct if row.direct else float("nan")
     verdict = "met" if row.is_met else "missed"
+    direct, relay, node = row.values
     print(
-        f"{row.name:28} {row.unit:4} direct {row.direct:9.2f}  node {row.node:9.2f}"
-        f"  ratio {ratio:6.2f}  measured {row.added:9.2f}  aim {row.aim}: {verdict}",
+        f"{row.name:28} {row.unit:4} direct {direct:8.2f}  relay {relay:8.2f}"
+        f"  node {node:8.2f}  node/direct {node / direct:5.2f}"
+        f"  node/relay {node / relay:5.2f}  measured {row.added:8.2f}"
+        f"  aim {row.aim}: {verdict}",
         flush=True,
     )
 
 
-def print_cost(name: str, direct: Cost, node: Cost) -> None:
+def print_costs(ways: tuple[Way, ...], costs: list[Cost]) -> None:
     """Print what the figures of one part were taken from."""
-    for way, cost in (("direct", direct), ("node", node)):
+    for way, cost in zip(ways, costs, strict=True):
         print(
-            f"  {name}, {way}: {cost.units} in {cost.elapsed_s:.2f} s with"
+            f"  {way.name}: {cost.units} in {cost.elapsed_s:.2f} s with"
             f" {cost.cpu_s:.2f} s of processor time"
         )
 
@@ -265,7 +264,8 @@
         print("the node wrote no profile")
         return
     print("profile of the node; the figures above were taken under it")
-    pstats.Stats(str(file)).sort_stats("tottime").print_stats(_PROFILE_LINES)
+    stats = pstats.Stats(str(file)).strip_dirs()
+    stats.sort_stats("tottime").print_stats(_PROFILE_LINES)
 
 
 def main(arguments: list[str]) -> int:
--- a/packages/toucanyard-standins/src/toucanyard_standins/harness.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -81,6 +81,11 @@
         await self._list_endpoint(service, domain)
         return service
 
+    async def start_relay(self, engine: ProcessHandle) -> ProcessHandle:
+        """Start a relay to one engine that decides nothing."""
+        to = ("--engine", engine.address)
+        return await self._start_standin("relay", "relay", *to)
+
     async def start_node(
         self,
         name: str,
--- a/packages/toucanyard-standins/src/toucanyard_standins/main.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/main.py
@@ -14,6 +14,7 @@
 from toucanyard_standins.engine_batch import CostModel
 from toucanyard_standins.engine_face import serve_engine
 from toucanyard_standins.engine_state import EngineOptions
+from toucanyard_standins.plain_relay import RelayOptions, serve_plain_relay
 from toucanyard_standins.plain_service import ServiceOptions, serve_plain_service
 from toucanyard_standins.platform import PlatformOptions, serve_platform
 from toucanyard_standins.platform_log import LogOptions
@@ -152,3 +153,12 @@
     """Run a plain service."""
     options = ServiceOptions(name, work_ms, load_lag_ms)
     trio.run(run_until_stopped, "service", serve_plain_service, options, listen)
+
+
+@main.command()
+@_listen_option
+@click.option("--engine", "engine_address", required=True, help="Where all goes.")
+def relay(listen: str, engine_address: str) -> None:
+    """Run a relay that decides nothing, for comparison."""
+    options = RelayOptions(Address(engine_address))
+    trio.run(run_until_stopped, "relay", serve_plain_relay, options, listen)
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/plain_relay.py
@@ -0,0 +1,72 @@
+"""Relay bytes between callers and one engine, deciding nothing.
+
+It costs what the libraries cost: the floor that a node's path is compared with.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.names import Address
+from toucanyard_node.http_client import HttpConnection, connect
+from toucanyard_node.http_server import (
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerLimits,
+    find_port,
+)
+from toucanyard_standins.answers import run_route
+
+_CONNECT_TIMEOUT_MS: Final = 5_000
+
+
+class RelayOptions(msgspec.Struct, frozen=True):
+    """Where everything goes."""
+
+    engine: Address
+
+
+class PlainRelay:
+    """Forward each request on a kept connection, and each part of its answer."""
+
+    def __init__(self, options: RelayOptions) -> None:
+        self._engine = options.engine
+        self._idle: list[HttpConnection] = []
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Relay one request."""
+        await run_route(self._relay, request, responder)
+
+    async def _relay(self, request: HttpRequest, responder: Responder) -> None:
+        if self._idle:
+            connection = self._idle.pop()
+        else:
+            connection = await connect(self._engine, _CONNECT_TIMEOUT_MS)
+        await connection.send(request.method, request.path, (), request.body)
+        head = await connection.read_head()
+        content_type = ("Content-Type", head.headers["content-type"])
+        if "content-length" in head.headers:
+            body = await connection.read_body()
+            await responder.send(head.status, (content_type,), body)
+        else:
+            await responder.start(head.status, (content_type,))
+            while (part := await connection.read_part()) is not None:
+                await responder.write(part)
+            await responder.finish()
+        self._idle.append(connection)
+
+
+async def serve_plain_relay(
+    options: RelayOptions,
+    listener: trio.SocketListener,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run one relay until cancelled; report its address once it is ready."""
+    server = HttpServer(PlainRelay(options).handle, ServerLimits())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listener)
+        task_status.started(Address(f"127.0.0.1:{find_port(listener)}"))
