Test the VM list's poller; a broken large answer no longer puts off the next

Cause: the wait before the next read grows with the size of the last, and a broken answer of 50,000 bytes counted, so polling paused for 22 s. Before: the new test found no list read in the 3 s after such an answer. After: only an answer that was understood counts. Conclusion: the test failed first on the code as it was.

--- a/packages/toucanyard-node/src/toucanyard_node/vm_list.py
+++ b/packages/toucanyard-node/src/toucanyard_node/vm_list.py
@@ -15,7 +15,7 @@
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import Vm
 from toucanyard_node.bounded_fetch import fetch_bounded
-from toucanyard_node.http_client import ConnectionFailedError
+from toucanyard_node.http_client import Connect, ConnectionFailedError, connect
 
 _LOG: Final = structlog.get_logger()
 _TIMEOUT_MS: Final = 2_000
@@ -43,23 +43,29 @@
 
 
 async def poll_vm_list(
-    address: Address, timings: MembershipTimings, emit: Emit, rng: random.Random
+    address: Address,
+    timings: MembershipTimings,
+    emit: Emit,
+    rng: random.Random,
+    connect_to: Connect = connect,
 ) -> None:
     """Read the list again and again until cancelled; failures leave the last one."""
     while True:
-        body = await _read(address)
+        body = await _read(address, connect_to)
         size = 0
-        if body is not None:
+        if body is not None and await _pass_on(body, emit):
+            # A large answer that is broken mustn't put off the next try.
             size = len(body)
-            await _pass_on(body, emit)
         wait_ms = compute_wait_ms(timings, size)
         # Nodes that started together would else read at the same moment for ever.
         await trio.sleep(wait_ms * rng.uniform(0.75, 1.0) / 1000)
 
 
-async def _read(address: Address) -> bytes | None:
+async def _read(address: Address, connect_to: Connect) -> bytes | None:
     try:
-        response = await fetch_bounded(address, "/vms", _TIMEOUT_MS, _MAX_BYTES)
+        response = await fetch_bounded(
+            address, "/vms", _TIMEOUT_MS, _MAX_BYTES, connect_to
+        )
     except ConnectionFailedError as error:
         _LOG.warning("vm_list_unread", error=str(error))
         return None
@@ -69,10 +75,11 @@
     return response.body
 
 
-async def _pass_on(body: bytes, emit: Emit) -> None:
+async def _pass_on(body: bytes, emit: Emit) -> bool:
     try:
         vms = msgspec.json.decode(body, type=VmListBody).vms
     except (msgspec.DecodeError, RecursionError) as error:
         _LOG.warning("vm_list_malformed", error=str(error)[:200])
-        return
+        return False
     await emit(VmsRead(vms))
+    return True
--- /dev/null
+++ b/tests/toucanyard_node/test_vm_list.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from support.network import MemoryNetwork
+from toucanyard.core_events import VmsRead
+from toucanyard.names import Address
+from toucanyard.options import MembershipTimings
+from toucanyard.vm_view import VmState
+from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.vm_list import poll_vm_list
+
+ADDRESS = Address("10.0.0.9:80")
+GOOD = (
+    b'{"vms":[{"name":"e1","domain":"d","state":"leaving","runs":"endpoint",'
+    b'"endpoint":"10.0.0.1:80"},{"name":"n1","domain":"d"}]}'
+)
+
+
+class Scene:
+    """A platform whose answer can be set."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.answers = [(200, GOOD)]
+        self.seen: list[VmsRead] = []
+        network = MemoryNetwork(nursery)
+        network.serve(ADDRESS, self.handle)
+        nursery.start_soon(
+            poll_vm_list,
+            ADDRESS,
+            MembershipTimings(),
+            self.note,
+            random.Random(1),
+            network.connect,
+        )
+
+    async def note(self, event: VmsRead) -> None:
+        self.seen.append(event)
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        status, body = self.answers[0]
+        await responder.send(status, (), body)
+
+
+async def test_list_is_read_again_and_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        await trio.sleep(5)
+        assert 5 <= len(scene.seen) <= 8
+        assert scene.seen[0].vms[0].state is VmState.LEAVING
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        (503, b""),
+        (200, b"[]"),
+        (200, b'{"vms":[{"name":1}]}'),
+        (200, b"\xff"),
+        (200, b"[" * 50_000),
+        (200, b" " * 5_000_000),
+    ],
+)
+async def test_bad_answers_are_passed_over_and_polling_goes_on(
+    autojump_clock: trio.testing.MockClock, answer: tuple[int, bytes]
+) -> None:
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        scene.answers = [answer]
+        await trio.sleep(3)
+        assert scene.seen == []
+        scene.answers = [(200, GOOD)]
+        await trio.sleep(3)
+        assert scene.seen
+        nursery.cancel_scope.cancel()
