--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -193,12 +193,24 @@
     host, port = split_address(address)
     try:
         with trio.fail_after(timeout_ms / 1000):
-            stream = await trio.open_tcp_stream(host, port)
+            stream = await _open_stream(host, port)
     except (OSError, trio.TooSlowError) as error:
         raise ConnectionFailedError(f"{address}: {error}", is_sent=False) from error
     return HttpConnection(address, stream, trio.current_time() * 1000)
 
 
+async def _open_stream(host: str, port: int) -> trio.SocketStream:
+    """Connect to an IP number; there is no name to resolve and no address to race."""
+    family = trio.socket.AF_INET6 if ":" in host else trio.socket.AF_INET
+    socket = trio.socket.socket(family, trio.socket.SOCK_STREAM)
+    try:
+        await socket.connect((host, port))
+    except BaseException:
+        socket.close()
+        raise
+    return trio.SocketStream(socket)
+
+
 async def fetch(
     address: Address,
     method: str,
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -58,7 +58,7 @@
     min_silence_ms: DurationMs = 600
     max_silence_ms: DurationMs = 3_000
     max_resumes: Count = 5
-    replay_buffer_bytes: SizeBytes = 32_768
+    replay_buffer_bytes: SizeBytes = 24_576
     """What one stream keeps for a caller that resumes it."""
     replay_keep_ms: DurationMs = 30_000
     kept_streams_bytes: SizeBytes = 8_000_000
