--- a/packages/toucanyard/src/toucanyard/cache_view.py
+++ b/packages/toucanyard/src/toucanyard/cache_view.py
@@ -12,6 +12,7 @@
 import math
 from collections import deque
 from collections.abc import Sequence
+from itertools import islice
 from typing import Final
 
 import msgspec
@@ -22,6 +23,9 @@
 """How long a gap may be filled by late events before the view is doubtful."""
 MAX_HELD: Final = 64
 """Events held behind a gap."""
+NEVER_MS: Final = float("-inf")
+TRIM_PARTS: Final = 16
+"""A full view drops this part of its blocks at once."""
 STORED_HALF_LIFE_MS: Final = 5_000.0
 MAX_DEAD: Final = 16
 """Replaced incarnations that are remembered; messages of older ones are long gone."""
@@ -70,6 +74,7 @@
     __slots__ = (
         "_blocks",
         "_dead",
+        "_doubtful_ms",
         "_expected",
         "_gap_since_ms",
         "_held",
@@ -87,6 +92,7 @@
         self._held: dict[int, CacheEvent] = {}
         self._expected: int | None = None
         self._gap_since_ms = 0.0
+        self._doubtful_ms = float("-inf")
         self._stored = 0.0
         self._stored_ms = 0.0
         self.incarnation: Incarnation | None = None
@@ -96,6 +102,11 @@
         """Return how many blocks are known."""
         return len(self._blocks)
 
+    def resize(self, max_blocks: int) -> None:
+        """Change how many blocks are kept."""
+        self._max_blocks = max_blocks
+        self._trim()
+
     def note_incarnation(self, incarnation: Incarnation) -> bool:
         """Move to an incarnation; return False if it is one that was replaced."""
         if incarnation == self.incarnation:
@@ -111,6 +122,7 @@
         self._held.clear()
         self._expected = None
         self.is_doubtful = True
+        self._doubtful_ms = float("-inf")
         return True
 
     def apply_events(self, events: CacheEvents, now_ms: float) -> None:
@@ -158,17 +170,20 @@
 
     def count_warm(self, chain: Sequence[int]) -> int:
         """Return how many leading blocks of a chain the engine is believed to hold."""
-        blocks = self._blocks
-        low, high = 0, len(chain)
-        # An engine stores a chain from its front and evicts it from its back, so
-        # the held part is a prefix and can be found by halving.
-        while low < high:
-            middle = (low + high + 1) // 2
-            if chain[middle - 1] in blocks:
-                low = middle
-            else:
-                high = middle - 1
-        return low
+        return self._count_since(chain, float("-inf"))
+
+    def compute_believed(
+        self, chain: Sequence[int], warm: int, doubtful_trust: float
+    ) -> float:
+        """Return how many of the `warm` blocks to count on.
+
+        In a doubtful view a block counts only in part, unless it was stored or used
+        after the doubt began: a burst follows its first request there all the same.
+        """
+        if not self.is_doubtful or not warm:
+            return warm
+        sure = self._count_since(chain[:warm], self._doubtful_ms)
+        return sure + (warm - sure) * doubtful_trust
 
     def compute_stored_per_s(self, now_ms: float) -> float:
         """Return how many blocks the engine newly stores a second."""
@@ -177,7 +192,7 @@
     def check_gap(self, now_ms: float) -> None:
         """Call the view doubtful once a gap has lasted longer than reordering."""
         if self._gap_since_ms and now_ms - self._gap_since_ms > REORDER_WINDOW_MS:
-            self._skip_gap()
+            self._skip_gap(now_ms)
 
     def _check_gap(self, events: CacheEvents, now_ms: float) -> None:
         expected = self._expected
@@ -190,10 +205,11 @@
             self._gap_since_ms = now_ms
         is_lost = events.oldest > expected or len(self._held) > MAX_HELD
         if is_lost or now_ms - self._gap_since_ms > REORDER_WINDOW_MS:
-            self._skip_gap()
+            self._skip_gap(now_ms)
 
-    def _skip_gap(self) -> None:
+    def _skip_gap(self, now_ms: float) -> None:
         self.is_doubtful = True
+        self._doubtful_ms = now_ms
         self._gap_since_ms = 0.0
         for seq in sorted(self._held):
             self._apply(self._held.pop(seq), 0.0)
@@ -214,11 +230,29 @@
             case CacheEventKind.EVICTED:
                 self.forget(event.hashes)
 
+    def _count_since(self, chain: Sequence[int], since_ms: float) -> int:
+        blocks = self._blocks
+        low, high = 0, len(chain)
+        # An engine stores a chain from its front and evicts it from its back, so
+        # the held part is a prefix and can be found by halving.
+        while low < high:
+            middle = (low + high + 1) // 2
+            if blocks.get(chain[middle - 1], NEVER_MS) > since_ms:
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
     def _decay_stored(self, now_ms: float) -> float:
         age_ms = max(now_ms - self._stored_ms, 0.0)
         return float(self._stored * 0.5 ** (age_ms / STORED_HALF_LIFE_MS))
 
     def _trim(self) -> None:
         blocks = self._blocks
-        while len(blocks) > self._max_blocks:
-            del blocks[next(iter(blocks))]
+        excess = len(blocks) - self._max_blocks
+        if excess <= 0:
+            return
+        # Many at a time: a dict looks past all that was deleted at its front before
+        # it finds its first key, so dropping one by one would be quadratic.
+        for each in list(islice(blocks, excess + self._max_blocks // TRIM_PARTS)):
+            del blocks[each]
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/endpoint_views.py
@@ -0,0 +1,67 @@
+"""Hold what a node believes about every endpoint, within one bound on blocks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.cache_view import CacheView
+from toucanyard.load_view import LoadView
+from toucanyard.names import EndpointName
+
+MIN_SHARES: Final = 16
+"""Views that the bound on blocks is shared over at the least."""
+
+
+class EndpointView(msgspec.Struct):
+    """What this node believes about one endpoint."""
+
+    cache: CacheView
+    load: LoadView
+    asked_dump_ms: float = float("-inf")
+
+
+class EndpointViews:
+    """Views by endpoint; together they keep at most `max_blocks` blocks."""
+
+    __slots__ = ("_max_blocks", "_views")
+
+    def __init__(self, max_blocks: int) -> None:
+        self._max_blocks = max_blocks
+        self._views: dict[EndpointName, EndpointView] = {}
+
+    def get(self, name: EndpointName) -> EndpointView:
+        """Return the view of an endpoint, empty if nothing is known yet."""
+        view = self._views.get(name)
+        if view is None:
+            count = len(self._views) + 1
+            view = EndpointView(CacheView(self._compute_share(count)), LoadView())
+            self._views[name] = view
+            if count > MIN_SHARES and (count - 1).bit_count() == 1:
+                self._resize(count)
+        return view
+
+    def forget(self, name: EndpointName) -> None:
+        """Drop the view of an endpoint that has gone."""
+        self._views.pop(name, None)
+
+    def items(self) -> Iterator[tuple[EndpointName, EndpointView]]:
+        """Return each endpoint and its view."""
+        return iter(self._views.items())
+
+    def count_blocks(self) -> int:
+        """Return how many blocks are known over all endpoints."""
+        return sum(len(view.cache) for view in self._views.values())
+
+    def _compute_share(self, count: int) -> int:
+        # The next power of two of views shares the bound, so that it is kept for any
+        # number of endpoints without going over all of them for each new one.
+        shares = max(1 << (count - 1).bit_length(), MIN_SHARES)
+        return max(self._max_blocks // shares, 1)
+
+    def _resize(self, count: int) -> None:
+        share = self._compute_share(count)
+        for view in self._views.values():
+            view.cache.resize(share)
--- a/packages/toucanyard/src/toucanyard/hot_prefixes.py
+++ b/packages/toucanyard/src/toucanyard/hot_prefixes.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Sequence
+from itertools import islice
 from typing import Final
 
 import msgspec
@@ -17,6 +18,8 @@
 HALF_LIFE_MS: Final = 10_000.0
 RECURRING: Final = 1.2
 """Decayed count from which a prefix is taken to be shared."""
+TRIM_PARTS: Final = 16
+"""A full table drops this part of its prefixes at once."""
 NARROW_SHARE: Final = 0.7
 """Narrow only when the load has fallen to this share of what the width carries."""
 
@@ -56,8 +59,12 @@
             if depth > len(chain):
                 break
             self._note_one(chain[depth - 1], now_ms)
-        while len(self._counts) > self._max_prefixes:
-            del self._counts[next(iter(self._counts))]
+        excess = len(self._counts) - self._max_prefixes
+        if excess > 0:
+            # Many at a time, as in CacheView: one by one would be quadratic.
+            drop = excess + self._max_prefixes // TRIM_PARTS
+            for key in list(islice(self._counts, drop)):
+                del self._counts[key]
 
     def find_levels(self, chain: Sequence[int], now_ms: float) -> list[Level]:
         """Return the shared prefixes of a chain, shortest first."""
--- a/packages/toucanyard/src/toucanyard/load_view.py
+++ b/packages/toucanyard/src/toucanyard/load_view.py
@@ -113,7 +113,7 @@
         age_ms = max(now_ms - self.measured_ms, 0.0)
         return float(0.5 ** (age_ms / REPORT_HALF_LIFE_MS))
 
-    def compute_own_work(self, now_ms: float) -> float:
+    def compute_own_work(self) -> float:
         """Return the work sent since the report and not yet begun, in ms."""
         since_ms = self.measured_ms
         return sum(
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -11,53 +11,37 @@
 
 import random
 from collections.abc import Sequence
-from typing import Final
 
 import msgspec
 
-from toucanyard.cache_view import CacheDump, CacheEvents, CacheView
-from toucanyard.configuration import Endpoint, Pool, Service
+from toucanyard.cache_view import CacheDump, CacheEvents
+from toucanyard.configuration import Endpoint, PlacementPolicy, Pool, Service
+from toucanyard.endpoint_views import EndpointView, EndpointViews
 from toucanyard.hot_prefixes import HotPrefixes
-from toucanyard.load_view import LoadReport, LoadView
+from toucanyard.load_view import LoadReport
 from toucanyard.names import EndpointName, Incarnation, RequestId
+from toucanyard.prefix_homes import MAX_POOLS, Homes, PoolUse, PoolUses, find_homes
 from toucanyard.rendezvous import EndpointRing
 from toucanyard.requests import EndingSeen, ModelTarget, Outcome, Request
-
-MAX_POOLS: Final = 64
-USE_STEP: Final = 0.05
-SECONDS: Final = 2
-TURNOVER_S: Final = 10.0
+from toucanyard.scoring import (
+    Considered,
+    Prices,
+    Score as Score,
+    compute_scores,
+)
 
 
 class PlacementLimits(msgspec.Struct, frozen=True):
     """Bounds on what placement keeps, and prices that pools don't set."""
 
     max_blocks: int = 400_000
-    """Blocks known over all endpoints; an endpoint gets an equal share."""
+    """Blocks known over all endpoints; each gets a share."""
     max_prefixes: int = 20_000
     max_scored: int = 12
-    doubtful_trust: float = 0.5
-    """Chance that a block of a doubtful view is still there."""
-    spread_price: float = 4.0
-    """Price of a millisecond recomputed outside of a prefix's endpoints, on top."""
-    evict_price: float = 4.0
-    """Price of a millisecond recomputed where it evicts the whole cache in 10 s."""
     target_use: float = 0.4
     """Share of one replica that one prefix may use before it is widened."""
     dump_interval_ms: float = 1_000.0
-
-
-class Score(msgspec.Struct, frozen=True):
-    """Why one endpoint would be a good or bad choice; the least total wins."""
-
-    endpoint: EndpointName
-    total_ms: float
-    queue_ms: float
-    recompute_ms: float
-    warm_blocks: int
-    is_home: bool
-    is_doubtful: bool
-    load_age_ms: float
+    prices: Prices = Prices()
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -75,44 +59,6 @@
     scores: tuple[Score, ...]
 
 
-class EndpointView(msgspec.Struct):
-    """What this node believes about one endpoint."""
-
-    cache: CacheView
-    load: LoadView
-    asked_dump_ms: float = float("-inf")
-
-
-class PoolUse(msgspec.Struct):
-    """What one request of a pool uses of a replica, as moving means."""
-
-    work_ms: float = 50.0
-    duration_ms: float = 1_000.0
-
-    def note_work(self, work_ms: float) -> None:
-        """Take in the computation before a first token."""
-        self.work_ms += USE_STEP * (work_ms - self.work_ms)
-
-    def note_duration(self, duration_ms: float) -> None:
-        """Take in the time from dispatch to the end of an answer."""
-        self.duration_ms += USE_STEP * (duration_ms - self.duration_ms)
-
-    def compute_share(self, slots: int) -> float:
-        """Return how many replicas one request a second keeps busy."""
-        return max(self.work_ms, self.duration_ms / slots) / 1_000
-
-
-class _Home(msgspec.Struct, frozen=True):
-    names: tuple[EndpointName, ...]
-    depth: int
-    seconds: tuple[EndpointName, ...] = ()
-
-    def find_rank(self, name: EndpointName) -> float:
-        if name in self.names:
-            return 0.0
-        return 0.25 if name in self.seconds else 1.0
-
-
 class Placement:
     """Views of endpoints and the choice among them; owned by one task."""
 
@@ -123,7 +69,7 @@
         "_ring",
         "_ring_of",
         "_rng",
-        "_use",
+        "_uses",
         "_views",
     )
 
@@ -133,9 +79,9 @@
         self._rng = rng
         self._limits = limits or PlacementLimits()
         self._prefixes = HotPrefixes(self._limits.max_prefixes)
-        self._views: dict[EndpointName, EndpointView] = {}
+        self._views = EndpointViews(self._limits.max_blocks)
         self._node_count = 1
-        self._use: dict[str, PoolUse] = {}
+        self._uses = PoolUses()
         self._ring: dict[str, EndpointRing] = {}
         self._ring_of: dict[str, Sequence[Endpoint]] = {}
 
@@ -160,22 +106,24 @@
             return None
         ring = self._find_ring(pool.name, candidates)
         self._prefixes.note(target.chain, now_ms)
-        home = self._find_home(ring, pool, target.chain, now_ms)
-        names = self._find_scored(ring, home, target.chain)
-        mean_ms = self._compute_mean_work(names, pool, now_ms)
-        scores = [
-            self._score(name, pool, target.chain, home, mean_ms, now_ms)
-            for name in names
+        use = self._uses.get(pool.name)
+        homes = self._find_homes(ring, pool, use, target.chain, now_ms)
+        warm = self._count_warm(ring, homes, target.chain)
+        considered = [
+            self._consider(name, target.chain, blocks, homes, pool.placement, use)
+            for name, blocks in warm.items()
         ]
-        scores.sort(key=lambda score: score.total_ms)
+        scores = compute_scores(
+            considered, target.chain, pool.placement, self._limits.prices, now_ms
+        )
         best = scores[0]
         return Placed(
             endpoint=best.endpoint,
             incarnation=self._view(best.endpoint).cache.incarnation,
             queue_ms=best.queue_ms,
             first_token_ms=best.queue_ms + best.recompute_ms,
-            level_depth=home.depth,
-            width=len(home.names),
+            level_depth=homes.depth,
+            width=len(homes.names),
             scores=tuple(scores),
         )
 
@@ -214,7 +162,8 @@
         )
         if isinstance(request.target, ModelTarget):
             view.cache.touch(request.target.chain, now_ms)
-            self._find_use(request.target.pool).note_work(work_ms)
+        if pool is not None:
+            self._uses.get(pool.name).note_work(work_ms)
 
     def note_first_token(
         self,
@@ -235,7 +184,7 @@
         if not isinstance(request.target, ModelTarget):
             return
         if outcome.ending == EndingSeen.COMPLETED and outcome.duration_ms > 0:
-            use = self._find_use(request.target.pool)
+            use = self._uses.get(request.target.pool)
             use.note_duration(outcome.duration_ms)
         if outcome.ending in (EndingSeen.NOT_SENT, EndingSeen.REFUSED):
             # Nothing was computed there: expecting its blocks would draw the prefix.
@@ -269,7 +218,7 @@
 
     def forget_endpoint(self, endpoint: EndpointName) -> None:
         """Drop all that is known about an endpoint that has gone."""
-        self._views.pop(endpoint, None)
+        self._views.forget(endpoint)
 
     def find_doubtful(self, now_ms: float) -> list[EndpointName]:
         """Return endpoints whose view needs a dump and was not asked for just now."""
@@ -281,22 +230,16 @@
                 found.append(name)
         return found
 
+    def count_blocks(self) -> int:
+        """Return how many blocks are known over all endpoints."""
+        return self._views.count_blocks()
+
     def note_dump_asked(self, endpoint: EndpointName, now_ms: float) -> None:
         """Note that a dump has been asked for, so that it isn't asked again at once."""
         self._view(endpoint).asked_dump_ms = now_ms
 
     def _view(self, name: EndpointName) -> EndpointView:
-        view = self._views.get(name)
-        if view is None:
-            share = max(self._limits.max_blocks // 16, 1)
-            view = EndpointView(CacheView(share), LoadView())
-            self._views[name] = view
-        return view
-
-    def _find_use(self, pool: str) -> PoolUse:
-        if len(self._use) >= MAX_POOLS and pool not in self._use:
-            self._use.clear()
-        return self._use.setdefault(pool, PoolUse())
+        return self._views.get(name)
 
     def _find_ring(self, pool: str, candidates: Sequence[Endpoint]) -> EndpointRing:
         if self._ring_of.get(pool) is not candidates:
@@ -307,112 +250,61 @@
             self._ring_of[pool] = candidates
         return self._ring[pool]
 
-    def _find_home(
-        self, ring: EndpointRing, pool: Pool, chain: Sequence[int], now_ms: float
-    ) -> _Home:
-        """Return the endpoints that hashing gives to the deepest shared prefix.
-
-        Each level's endpoints are chosen among those of the level above, so a node
-        that has not yet seen a deep level recur still sends to where its front is.
-        """
-        if not chain:
-            return _Home((), 0)
-        names = ring.find_neighbours(chain[0])
-        levels = self._prefixes.find_levels(chain, now_ms)
-        if not levels:
-            ranked = ring.rank(names, chain[0])
-            return _Home(tuple(ranked[:1]), 0, tuple(ranked[1:SECONDS]))
-        share = self._find_use(pool.name).compute_share(pool.placement.max_running)
-        share *= self._node_count / self._limits.target_use
-        seconds: list[EndpointName] = []
-        for level in levels:
-            load = level.per_s * share
-            width = self._prefixes.adjust_width(level.key, load, 1)
-            ranked = ring.rank(names, level.key)
-            if level is levels[0]:
-                seconds = ranked[width : width + SECONDS - 1]
-            names = ranked[:width]
-        return _Home(tuple(names), levels[-1].depth, tuple(seconds))
-
-    def _find_scored(
-        self, ring: EndpointRing, home: _Home, chain: Sequence[int]
-    ) -> list[EndpointName]:
-        limit = self._limits.max_scored
-        if len(ring.seeds) <= limit:
-            return list(ring.seeds)
-        key = chain[0] if chain else 0
-        names = dict.fromkeys(home.names[: limit - 1])
-        for name in ring.find_neighbours(key):
-            if len(names) >= limit - 1:
-                break
-            names.setdefault(name)
-        names.setdefault(self._rng.choice(list(ring.seeds)))
-        return list(names)
-
-    def _compute_mean_work(
-        self, names: Sequence[EndpointName], pool: Pool, now_ms: float
-    ) -> float:
-        works = [self._compute_reported(self._view(name), pool) for name in names]
-        return sum(works) / len(works)
-
-    def _compute_reported(self, view: EndpointView, pool: Pool) -> float:
-        policy = pool.placement
-        slots = policy.max_running
-        slot_ms = self._find_use(pool.name).duration_ms / slots
-        return view.load.compute_reported_work(
-            policy.prefill_ms_per_block, slots, slot_ms
-        )
-
-    def _score(
+    def _find_homes(
         self,
-        name: EndpointName,
+        ring: EndpointRing,
         pool: Pool,
+        use: PoolUse,
         chain: Sequence[int],
-        home: _Home,
-        mean_ms: float,
         now_ms: float,
-    ) -> Score:
-        policy = pool.placement
+    ) -> Homes:
+        share = use.compute_share(pool.placement.max_running)
+        load_per_s = share * self._node_count / self._limits.target_use
+        return find_homes(ring, self._prefixes, chain, load_per_s, now_ms)
+
+    def _count_warm(
+        self, ring: EndpointRing, homes: Homes, chain: Sequence[int]
+    ) -> dict[EndpointName, int]:
+        """Return the endpoints to score and how many blocks each has warm."""
+        limit = self._limits.max_scored
+        names = ring.names
+        if len(names) > limit:
+            names = ring.rank_neighbours(chain[0] if chain else 0)
+        warm = {name: self._view(name).cache.count_warm(chain) for name in names}
+        if len(ring.names) <= limit:
+            return warm
+        chosen = (*homes.names, *homes.seconds)[: limit // 2]
+        warmest = sorted(names, key=lambda name: -warm[name])[: limit // 2]
+        picked = dict.fromkeys((*chosen, *warmest, self._rng.choice(ring.names)))
+        return {
+            name: warm[name]
+            if name in warm
+            else self._view(name).cache.count_warm(chain)
+            for name in picked
+        }
+
+    def _consider(
+        self,
+        name: EndpointName,
+        chain: Sequence[int],
+        warm_blocks: int,
+        homes: Homes,
+        policy: PlacementPolicy,
+        use: PoolUse,
+    ) -> Considered:
         view = self._view(name)
-        queue_ms = self._compute_queue(view, pool, mean_ms, now_ms)
-        warm = view.cache.count_warm(chain)
-        trust = self._limits.doubtful_trust if view.cache.is_doubtful else 1.0
-        rank = home.find_rank(name)
-        missing = len(chain) - warm * trust
-        recompute_ms = missing * policy.prefill_ms_per_block
-        recompute_ms *= view.load.compute_slowness(now_ms)
-        price = policy.recompute_price
-        price += self._limits.spread_price * rank
-        price += self._limits.evict_price * self._compute_turnover(view, now_ms)
-        return Score(
-            endpoint=name,
-            total_ms=queue_ms + recompute_ms * price,
-            queue_ms=queue_ms,
-            recompute_ms=recompute_ms,
-            warm_blocks=warm,
-            is_home=rank == 0,
-            is_doubtful=view.cache.is_doubtful,
-            load_age_ms=now_ms - view.load.measured_ms,
+        slots = policy.max_running
+        reported_ms = view.load.compute_reported_work(
+            policy.prefill_ms_per_block, slots, use.duration_ms / slots
         )
-
-    def _compute_queue(
-        self, view: EndpointView, pool: Pool, mean_ms: float, now_ms: float
-    ) -> float:
-        load = view.load
-        reported_ms = self._compute_reported(view, pool)
-        trust = load.compute_trust(now_ms)
-        work_ms = reported_ms * trust + mean_ms * (1.0 - trust)
-        work_ms += load.compute_own_work(now_ms)
-        return work_ms * load.compute_slowness(now_ms)
-
-    def _compute_turnover(self, view: EndpointView, now_ms: float) -> float:
-        report = view.load.report
-        if report is None or not report.capacity_blocks:
-            return 0.0
-        return (
-            view.cache.compute_stored_per_s(now_ms)
-            * TURNOVER_S
-            / report.capacity_blocks
+        trust = self._limits.prices.doubtful_trust
+        return Considered(
+            name=name,
+            view=view,
+            warm_blocks=warm_blocks,
+            believed_blocks=view.cache.compute_believed(chain, warm_blocks, trust),
+            rank=homes.find_rank(name),
+            reported_ms=reported_ms,
         )
 
     def _score_service(self, name: EndpointName, now_ms: float) -> Score:
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/prefix_homes.py
@@ -0,0 +1,104 @@
+"""Find the endpoints that hashing gives to a prompt: its homes.
+
+Each shared level's homes are chosen among those of the level above, so a node that
+has not yet seen a deep level recur still sends to where its front is. A level has as
+many homes as its load keeps busy, and one more in line: by hash alone, a prefix might
+have no choice but an endpoint whose cache is too small for all that hashes there.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.hot_prefixes import HotPrefixes
+from toucanyard.names import EndpointName
+from toucanyard.rendezvous import EndpointRing
+
+MAX_POOLS: Final = 64
+SECONDS: Final = 1
+"""Endpoints next in line after a prefix's homes."""
+SECOND_RANK: Final = 0.25
+"""Share of the price on spreading that the next in line costs."""
+USE_STEP: Final = 0.05
+"""Weight of one request in the means of what requests use."""
+
+
+class PoolUse(msgspec.Struct):
+    """What one request of a pool uses of a replica, as moving means."""
+
+    work_ms: float = 50.0
+    duration_ms: float = 1_000.0
+
+    def note_work(self, work_ms: float) -> None:
+        """Take in the computation before a first token."""
+        self.work_ms += USE_STEP * (work_ms - self.work_ms)
+
+    def note_duration(self, duration_ms: float) -> None:
+        """Take in the time from dispatch to the end of an answer."""
+        self.duration_ms += USE_STEP * (duration_ms - self.duration_ms)
+
+    def compute_share(self, slots: int) -> float:
+        """Return how many replicas one request a second keeps busy."""
+        return max(self.work_ms, self.duration_ms / slots) / 1_000
+
+
+class Homes(msgspec.Struct, frozen=True):
+    """Where hashing sends a prompt: its homes, and the next in line."""
+
+    names: tuple[EndpointName, ...]
+    depth: int
+    """Blocks of the deepest shared level; 0 when none recurs."""
+    seconds: tuple[EndpointName, ...] = ()
+
+    def find_rank(self, name: EndpointName) -> float:
+        """Return 0 for a home, 1 for an endpoint that hashing doesn't mean."""
+        if name in self.names:
+            return 0.0
+        return SECOND_RANK if name in self.seconds else 1.0
+
+
+class PoolUses:
+    """The use of each of a bounded number of pools."""
+
+    __slots__ = ("_uses",)
+
+    def __init__(self) -> None:
+        self._uses: dict[str, PoolUse] = {}
+
+    def get(self, pool: str) -> PoolUse:
+        """Return the use of a pool, a guess at first."""
+        if len(self._uses) >= MAX_POOLS and pool not in self._uses:
+            self._uses.clear()
+        return self._uses.setdefault(pool, PoolUse())
+
+
+def find_homes(
+    ring: EndpointRing,
+    prefixes: HotPrefixes,
+    chain: Sequence[int],
+    load_per_s: float,
+    now_ms: float,
+) -> Homes:
+    """Return the homes of a prompt.
+
+    `load_per_s` is how many replicas one request a second, as this node counts them,
+    may fill.
+    """
+    if not chain:
+        return Homes((), 0)
+    levels = prefixes.find_levels(chain, now_ms)
+    if not levels:
+        ranked = ring.rank_neighbours(chain[0])
+        return Homes(tuple(ranked[:1]), 0, tuple(ranked[1 : 1 + SECONDS]))
+    names = ring.rank_neighbours(levels[0].key)
+    width = prefixes.adjust_width(levels[0].key, levels[0].per_s * load_per_s, 1)
+    seconds = names[width : width + SECONDS]
+    names = names[:width]
+    for level in levels[1:]:
+        width = prefixes.adjust_width(level.key, level.per_s * load_per_s, 1)
+        if width < len(names):
+            names = ring.rank(names, level.key)[:width]
+    return Homes(tuple(names), levels[-1].depth, tuple(seconds))
--- a/packages/toucanyard/src/toucanyard/rendezvous.py
+++ b/packages/toucanyard/src/toucanyard/rendezvous.py
@@ -17,6 +17,8 @@
 
 NEIGHBOURHOOD: Final = 16
 """Endpoints of a large pool that are ranked for one key."""
+MAX_RANKED: Final = 2_048
+"""Keys whose order of endpoints is kept."""
 _MASK: Final = (1 << 64) - 1
 _MULTIPLIER: Final = 0x9E3779B97F4A7C15
 
@@ -37,24 +39,38 @@
 class EndpointRing:
     """Endpoints of one pool in the order of their points; never changed in place."""
 
-    __slots__ = ("_names", "_points", "seeds")
+    __slots__ = ("_points", "_ranked", "names", "seeds")
 
     def __init__(self, names: Sequence[EndpointName]) -> None:
         self.seeds = {name: compute_seed(name) for name in names}
         ordered = sorted((seed, name) for name, seed in self.seeds.items())
+        self._ranked: dict[int, list[EndpointName]] = {}
         self._points = [seed for seed, _ in ordered]
-        self._names = [name for _, name in ordered]
+        self.names = [name for _, name in ordered]
 
     def find_neighbours(self, key: int) -> list[EndpointName]:
         """Return the endpoints that may be ranked for a key."""
-        count = len(self._names)
+        count = len(self.names)
         if count <= NEIGHBOURHOOD:
-            return list(self._names)
+            return list(self.names)
         point = compute_weight(_MULTIPLIER, key)
         start = bisect_left(self._points, point)
         end = start + NEIGHBOURHOOD
-        found = self._names[start:end]
-        return found + self._names[: max(0, end - count)]
+        found = self.names[start:end]
+        return found + self.names[: max(0, end - count)]
+
+    def rank_neighbours(self, key: int) -> list[EndpointName]:
+        """Return the endpoints for a key in falling order of weight; don't change it.
+
+        Kept for keys that recur: a ring never changes, so neither does the order.
+        """
+        ranked = self._ranked.get(key)
+        if ranked is None:
+            if len(self._ranked) >= MAX_RANKED:
+                self._ranked.clear()
+            ranked = self.rank(self.find_neighbours(key), key)
+            self._ranked[key] = ranked
+        return ranked
 
     def rank(self, names: Sequence[EndpointName], key: int) -> list[EndpointName]:
         """Return names of this ring in falling order of weight for a key."""
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/scoring.py
@@ -0,0 +1,108 @@
+"""Score endpoints in milliseconds: the wait there and the priced recomputation."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.configuration import PlacementPolicy
+from toucanyard.endpoint_views import EndpointView
+from toucanyard.names import EndpointName
+
+TURNOVER_S: Final = 10.0
+"""Time within which a wholly replaced cache counts as turnover 1."""
+
+
+class Prices(msgspec.Struct, frozen=True):
+    """Prices that pools don't set."""
+
+    doubtful_trust: float = 0.5
+    """Chance that a block of a doubtful view is still there."""
+    spread_price: float = 4.0
+    """Price of a millisecond recomputed outside of a prefix's homes, on top."""
+    evict_price: float = 4.0
+    """Price of a millisecond recomputed where the cache turns over, on top."""
+
+
+class Score(msgspec.Struct, frozen=True):
+    """Why one endpoint would be a good or bad choice; the least total wins."""
+
+    endpoint: EndpointName
+    total_ms: float
+    queue_ms: float
+    recompute_ms: float
+    warm_blocks: int
+    is_home: bool
+    is_doubtful: bool
+    load_age_ms: float
+
+
+class Considered(msgspec.Struct, frozen=True):
+    """One endpoint that may be chosen, and what was looked up about it."""
+
+    name: EndpointName
+    view: EndpointView
+    warm_blocks: int
+    believed_blocks: float
+    """Warm blocks to count on; fewer than known where the view is doubtful."""
+    rank: float
+    reported_ms: float
+    """Wait that its last report foretells."""
+
+
+def compute_scores(
+    considered: Sequence[Considered],
+    chain: Sequence[int],
+    policy: PlacementPolicy,
+    prices: Prices,
+    now_ms: float,
+) -> list[Score]:
+    """Return the score of each endpoint, best first."""
+    mean_ms = sum(each.reported_ms for each in considered) / len(considered)
+    scores = [
+        compute_score(each, len(chain), policy, prices, mean_ms, now_ms)
+        for each in considered
+    ]
+    scores.sort(key=lambda score: score.total_ms)
+    return scores
+
+
+def compute_score(
+    considered: Considered,
+    blocks: int,
+    policy: PlacementPolicy,
+    prices: Prices,
+    mean_ms: float,
+    now_ms: float,
+) -> Score:
+    """Return the score of one endpoint; `mean_ms` is the wait over all reports."""
+    load = considered.view.load
+    slowness = load.compute_slowness(now_ms)
+    trust = load.compute_trust(now_ms)
+    queue_ms = considered.reported_ms * trust + mean_ms * (1.0 - trust)
+    queue_ms = (queue_ms + load.compute_own_work()) * slowness
+    missing = blocks - considered.believed_blocks
+    recompute_ms = missing * policy.prefill_ms_per_block * slowness
+    price = policy.recompute_price + prices.spread_price * considered.rank
+    price += prices.evict_price * compute_turnover(considered.view, now_ms)
+    return Score(
+        endpoint=considered.name,
+        total_ms=queue_ms + recompute_ms * price,
+        queue_ms=queue_ms,
+        recompute_ms=recompute_ms,
+        warm_blocks=considered.warm_blocks,
+        is_home=considered.rank == 0,
+        is_doubtful=considered.view.cache.is_doubtful,
+        load_age_ms=now_ms - load.measured_ms,
+    )
+
+
+def compute_turnover(view: EndpointView, now_ms: float) -> float:
+    """Return how often the endpoint's cache is replaced within TURNOVER_S."""
+    report = view.load.report
+    if report is None or not report.capacity_blocks:
+        return 0.0
+    stored = view.cache.compute_stored_per_s(now_ms) * TURNOVER_S
+    return stored / report.capacity_blocks
--- /dev/null
+++ b/tests/toucanyard/test_hot_prefixes.py
@@ -0,0 +1,88 @@
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, strategies as st
+
+from toucanyard.hot_prefixes import HotPrefixes
+from toucanyard.names import EndpointName
+from toucanyard.prefix_homes import find_homes
+from toucanyard.rendezvous import EndpointRing
+
+SHARED = tuple(range(24))
+RING = EndpointRing([EndpointName(f"e{number}") for number in range(6)])
+
+
+def make_chain(tail: int) -> tuple[int, ...]:
+    return SHARED + tuple(range(tail * 1000, tail * 1000 + 10))
+
+
+def test_shared_levels_show_in_counts() -> None:
+    prefixes = HotPrefixes(1000)
+    for tail in range(1, 5):
+        prefixes.note(make_chain(tail), 0.0)
+    levels = prefixes.find_levels(make_chain(9), 0.0)
+    assert levels[-1].depth == 24
+
+
+def test_width_rises_at_once_and_falls_late() -> None:
+    """The load on a prefix moves to and fro about a bound of its width.
+
+    Narrowed at each fall, the prefix would be recomputed at each rise.
+    """
+    prefixes = HotPrefixes(1000)
+    prefixes.note((1,), 0.0)
+    widths = [prefixes.adjust_width(1, load, 1) for load in (0.9, 1.1, 0.9, 1.1, 0.3)]
+    assert widths == [1, 2, 2, 2, 1]
+
+
+def test_node_that_saw_no_level_recur_agrees_on_the_home() -> None:
+    """One node has seen the rulebook a hundred times, another has just started.
+
+    With a home by the deepest level known, each would compute it somewhere else.
+    """
+    for front in range(100_000, 1_000_000, 100_000):
+        shared = tuple(range(front, front + 24))
+        seasoned, new = HotPrefixes(1000), HotPrefixes(1000)
+        for tail in range(100):
+            seasoned.note((*shared, tail, tail + 1), float(tail))
+        chain = (*shared, 777, 778)
+        known = find_homes(RING, seasoned, chain, 0.01, 100.0)
+        unknown = find_homes(RING, new, chain, 0.01, 100.0)
+        assert (known.depth, unknown.depth) == (24, 0)
+        assert known.names == unknown.names
+
+
+def test_deep_levels_stay_within_the_homes_of_the_front() -> None:
+    """A template is hot and widened; one language of it is not.
+
+    Outside of the template's homes, the language would cost the template as well.
+    """
+    prefixes = HotPrefixes(1000)
+    chains = [(1, 2, 3, 100 + each, 200 + each, 300 + each) for each in range(20)]
+    for at in range(200):
+        prefixes.note(chains[at % 20], float(at))
+    front = find_homes(RING, prefixes, (1, 2, 3), 0.25, 200.0)
+    assert 1 < len(front.names) < 6
+    for chain in chains:
+        deep = find_homes(RING, prefixes, chain, 0.25, 200.0)
+        assert set(deep.names) <= set(front.names)
+        assert len(deep.names) == 1
+
+
+@given(st.lists(st.integers(0, 500), max_size=300))
+def test_table_keeps_its_bound(keys: list[int]) -> None:
+    prefixes = HotPrefixes(32)
+    for at, key in enumerate(keys):
+        prefixes.note((key, key + 1000), float(at))
+        assert len(prefixes) <= 32
+
+
+@given(st.integers(0, 2**64 - 1), st.integers(0, 9))
+def test_only_keys_of_a_gone_endpoint_move(key: int, gone: int) -> None:
+    names = [EndpointName(f"e{number}") for number in range(10)]
+    before = EndpointRing(names).rank_neighbours(key)
+    left = [name for name in names if name != names[gone]]
+    random.Random(gone).shuffle(left)
+    after = EndpointRing(left).rank_neighbours(key)
+    assert [name for name in before if name != names[gone]] == after
--- a/tests/toucanyard/test_placement.py
+++ b/tests/toucanyard/test_placement.py
@@ -6,6 +6,7 @@
 
 from placement_examples import make_pool, make_request
 from toucanyard.cache_view import CacheDump
+from toucanyard.configuration import PlacementPolicy
 from toucanyard.load_view import LoadReport
 from toucanyard.names import EndpointName, Incarnation
 from toucanyard.placement import Placement
@@ -96,3 +97,21 @@
         return
     assert placed.endpoint in {each.name for each in offered}
     assert {score.endpoint for score in placed.scores} <= {e.name for e in offered}
+
+
+def test_burst_on_a_cold_prefix_is_computed_once() -> None:
+    """After a main break, 24 drafts share an incident report nobody has cached.
+
+    Spread by load, each engine would compute the report; here all follow the first,
+    whose blocks are expected there from its dispatch on, before any event tells so.
+    """
+    placement, pool = make_placement(), make_pool(6, PlacementPolicy(recompute_price=8))
+    chosen = set()
+    for number in range(24):
+        tail = tuple(range(number * 100, number * 100 + 4))
+        request = make_request(number, tuple(range(5000, 5160)) + tail)
+        placed = placement.choose(request, pool, pool.endpoints, float(number))
+        assert placed is not None
+        placement.note_dispatch(request, placed, pool, float(number))
+        chosen.add(placed.endpoint)
+    assert len(chosen) == 1
