--- a/packages/toucanyard/src/toucanyard/configuration_log.py
+++ b/packages/toucanyard/src/toucanyard/configuration_log.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -27,8 +26,10 @@
     compute_digest,
     decode_record,
 )
+from toucanyard.currency import Currency
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.options import ConfigurationTimings
+from toucanyard.patch_results import PatchMemory, PatchResult as PatchResult
 from toucanyard.patches import (
     Patch,
     PatchInvalidError,
@@ -37,26 +38,10 @@
 )
 
 _MAX_VERSIONS: Final = 32
-_MAX_HISTORY: Final = 256
-_MAX_RESULTS: Final = 1_024
 _MAX_BUFFERED: Final = 1_024
 _MAX_UNKNOWN_KINDS: Final = 16
 
 
-class PatchResult(msgspec.Struct, frozen=True):
-    """What became of a patch; `version` is its own or, if rejected, the winner's."""
-
-    patch_id: str
-    base: int
-    version: int
-    rejection: ErrorKind | None = None
-    text: str = ""
-
-    def is_accepted(self) -> bool:
-        """Tell whether the patch made a version."""
-        return self.rejection is None
-
-
 class LogCounts(msgspec.Struct):
     """How many records were passed over, and why."""
 
@@ -101,17 +86,12 @@
 
     def __init__(self, timings: ConfigurationTimings, jitter: float = 0.0) -> None:
         """Start empty; `jitter` in 0..1 spreads checkpoints of nodes over time."""
-        self._timings = timings
-        self._jitter = jitter
+        self._currency = Currency(timings, jitter)
         self._versions: dict[int, Configuration] = {0: Configuration()}
         self._patches: dict[int, PatchRecord] = {}
-        self._history: deque[HistoryEntry] = deque(maxlen=_MAX_HISTORY)
-        self._results: dict[str, PatchResult] = {}
+        self._memory = PatchMemory()
         self._buffer: deque[tuple[int, float, PatchRecord]] = deque()
         self._missing_until: int | None = None
-        self._confirmed_ms: float | None = None
-        self._checkpoint_seen_ms: float | None = None
-        self._first_current_ms: float | None = None
         self._seen_kinds: dict[str, int] = {}
         self._digest: int | None = None
         self.configuration = self._versions[0]
@@ -121,7 +101,7 @@
     @property
     def history(self) -> tuple[HistoryEntry, ...]:
         """Return the latest versions with their patches, oldest first."""
-        return tuple(self._history)
+        return self._memory.history
 
     @property
     def digest(self) -> int:
@@ -146,22 +126,15 @@
 
     def result_of(self, patch_id: str) -> PatchResult | None:
         """Return what became of a patch, if this node knows it."""
-        return self._results.get(patch_id)
+        return self._memory.find(patch_id)
 
     def find_confirmed_age_ms(self, now_ms: float) -> float | None:
         """Return how long ago the version was last known to be the newest."""
-        if self._confirmed_ms is None:
-            return None
-        return max(0.0, now_ms - self._confirmed_ms)
+        return self._currency.find_age_ms(now_ms)
 
     def is_current(self, now_ms: float) -> bool:
         """Tell whether log or peers confirmed the version within the bound."""
-        age_ms = self.find_confirmed_age_ms(now_ms)
-        return (
-            age_ms is not None
-            and age_ms <= self._timings.stale_after_ms
-            and not self.is_missing
-        )
+        return self._currency.is_fresh(now_ms) and not self.is_missing
 
     def compute_allowance(self, now_ms: float) -> Allowance:
         """Return what may be done under the version in force."""
@@ -179,7 +152,7 @@
         return CheckpointRecord(
             configuration=self.configuration,
             next_offset=self.next_offset,
-            history=tuple(self._history)[-_MAX_HISTORY // 4 :],
+            history=self._memory.find_for_checkpoint(),
         )
 
     def build_recovery(self, log_next: int) -> CheckpointRecord:
@@ -195,29 +168,20 @@
         return CheckpointRecord(
             configuration=configuration,
             next_offset=log_next,
-            history=tuple(self._history),
+            history=self._memory.find_for_checkpoint(),
         )
 
     def is_checkpoint_due(self, now_ms: float) -> bool:
-        """Tell whether this node should append a checkpoint now.
-
-        A checkpoint read while catching up may be nearly as old as the retention, so
-        only one that came while this node was current counts. The jitter lets one
-        node come first; the others see its checkpoint. Two of them do no harm.
-        """
-        if not self.is_current(now_ms) or self.build_checkpoint() is None:
-            return False
-        wait_ms = self._timings.checkpoint_after_ms
-        if self._checkpoint_seen_ms is not None:
-            due_ms = self._checkpoint_seen_ms + wait_ms * (1 + self._jitter / 4)
-        else:
-            assert self._first_current_ms is not None
-            due_ms = self._first_current_ms + wait_ms * self._jitter / 4
-        return now_ms >= due_ms
+        """Tell whether this node should append a checkpoint now."""
+        return (
+            self.is_current(now_ms)
+            and self.configuration.version > 0
+            and self._currency.is_checkpoint_due(now_ms)
+        )
 
     def note_checkpoint_appended(self, now_ms: float) -> None:
         """Take in that this node appended a checkpoint, so that it waits again."""
-        self._checkpoint_seen_ms = now_ms
+        self._currency.note_checkpoint(now_ms)
 
     def note_expired(self, oldest: int) -> None:
         """Take in that reading can go on from `oldest` only."""
@@ -233,7 +197,7 @@
         way tells nothing about the time since.
         """
         if self.next_offset >= log_next and not self.is_missing:
-            self._confirm(asked_ms)
+            self._currency.confirm(asked_ms)
 
     def note_peer(self, version: int, digest: int, confirmed_ms: float) -> bool:
         """Take in that a peer knew at `confirmed_ms` that its version was the newest.
@@ -247,7 +211,7 @@
         if digest != self.digest:
             return False
         if not self.is_missing:
-            self._confirm(confirmed_ms)
+            self._currency.confirm(confirmed_ms)
         return True
 
     def apply_record(
@@ -293,7 +257,7 @@
         return ConfigurationDelta(
             base=base,
             patches=tuple(self._patches[number] for number in numbers),
-            history=tuple(each for each in self._history if each.version > base),
+            history=tuple(each for each in self.history if each.version > base),
             next_offset=self.next_offset,
             digest=self.digest,
         )
@@ -333,7 +297,7 @@
         version = checkpoint.configuration.version
         is_new = version > self.configuration.version or self.is_missing
         self._keep(checkpoint.configuration)
-        self._merge_history(checkpoint.history)
+        self._memory.merge(checkpoint.history)
         self.next_offset = max(self.next_offset, checkpoint.next_offset)
         self._missing_until = None
         buffered = [each for each in self._buffer if each[0] >= checkpoint.next_offset]
@@ -348,8 +312,8 @@
         record = decode_record(text)
         if not isinstance(record, PatchRecord) or self.is_missing:
             return None
-        known = self._results.get(record.patch_id)
-        if known is not None and known.base == record.base:
+        known = self._memory.find_same(record.patch_id, record.base)
+        if known is not None:
             return known
         result = PatchResult(
             record.patch_id,
@@ -358,18 +322,9 @@
             ErrorKind.PATCH_CONFLICT,
             f"version {self.configuration.version} is in force without it",
         )
-        self._settle(result)
+        self._memory.settle(result)
         return result
 
-    def _merge_history(self, entries: Sequence[HistoryEntry]) -> None:
-        known = {entry.version: entry for entry in self._history}
-        for entry in entries:
-            known.setdefault(entry.version, entry)
-            self._settle(PatchResult(entry.patch_id, entry.version - 1, entry.version))
-        self._history = deque(
-            (known[version] for version in sorted(known)), maxlen=_MAX_HISTORY
-        )
-
     def _is_usable(self, checkpoint: CheckpointRecord) -> bool:
         if checkpoint.configuration.version < self.configuration.version:
             return False
@@ -414,7 +369,7 @@
             # Replay without a gap knows every version: this one was never made.
             self.counts.refused_checkpoints += 1
         elif self.is_current(now_ms):
-            self._checkpoint_seen_ms = now_ms
+            self._currency.note_checkpoint(now_ms)
 
     def _judge(self, patch: Patch) -> tuple[PatchResult, Configuration | None]:
         current = self.configuration
@@ -434,9 +389,9 @@
         return PatchResult(patch.patch_id, patch.base, result.version), result
 
     def _apply(self, offset: int, at_ms: float, record: PatchRecord) -> PatchResult:
-        known = self._results.get(record.patch_id)
+        known = self._memory.find_same(record.patch_id, record.base)
         is_older = record.base < self.configuration.version
-        if is_older and known is not None and known.base == record.base:
+        if is_older and known is not None:
             # Its author lost the answer and appended it again. This answer is the
             # only use of memory here: what is applied must not depend on it, since
             # a node that started later remembers less.
@@ -448,8 +403,8 @@
             entry = HistoryEntry(
                 result.version, record.patch_id, record.author, offset, at_ms
             )
-            self._history.append(entry)
-        self._settle(result)
+            self._memory.note_version(entry)
+        self._memory.settle(result)
         return result
 
     def _keep(self, configuration: Configuration) -> None:
@@ -461,17 +416,3 @@
         oldest = configuration.version - _MAX_VERSIONS
         for version in [each for each in self._patches if each <= oldest]:
             del self._patches[version]
-
-    def _settle(self, result: PatchResult) -> None:
-        known = self._results.get(result.patch_id)
-        if known is not None and known.is_accepted() and known.base == result.base:
-            return
-        self._results[result.patch_id] = result
-        while len(self._results) > _MAX_RESULTS:
-            del self._results[next(iter(self._results))]
-
-    def _confirm(self, at_ms: float) -> None:
-        if self._confirmed_ms is None or at_ms > self._confirmed_ms:
-            self._confirmed_ms = at_ms
-        if self._first_current_ms is None:
-            self._first_current_ms = at_ms
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/patch_results.py
@@ -0,0 +1,89 @@
+"""Remember what became of patches, and which patch made which version.
+
+This memory only answers questions. Nothing that is applied may depend on it, since a
+node that started later has less of it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.configuration_records import HistoryEntry
+from toucanyard.errorcodes import ErrorKind
+
+_MAX_HISTORY: Final = 256
+_MAX_RESULTS: Final = 1_024
+_CHECKPOINT_HISTORY: Final = 64
+
+
+class PatchResult(msgspec.Struct, frozen=True):
+    """What became of a patch; `version` is its own or, if rejected, the winner's."""
+
+    patch_id: str
+    base: int
+    version: int
+    rejection: ErrorKind | None = None
+    text: str = ""
+
+    def is_accepted(self) -> bool:
+        """Tell whether the patch made a version."""
+        return self.rejection is None
+
+
+class PatchMemory:
+    """Hold the latest results and the latest versions' patches.
+
+    Invariant: an accepted result is never replaced by another one for the same id
+    and base.
+    """
+
+    __slots__ = ("_history", "_results")
+
+    def __init__(self) -> None:
+        self._history: deque[HistoryEntry] = deque(maxlen=_MAX_HISTORY)
+        self._results: dict[str, PatchResult] = {}
+
+    @property
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """Return the latest versions with their patches, oldest first."""
+        return tuple(self._history)
+
+    def find_for_checkpoint(self) -> tuple[HistoryEntry, ...]:
+        """Return as much of the history as a checkpoint carries."""
+        return tuple(self._history)[-_CHECKPOINT_HISTORY:]
+
+    def find(self, patch_id: str) -> PatchResult | None:
+        """Return the result of a patch, if it is remembered."""
+        return self._results.get(patch_id)
+
+    def find_same(self, patch_id: str, base: int) -> PatchResult | None:
+        """Return the result of a patch under the same base, if it is remembered."""
+        known = self._results.get(patch_id)
+        return known if known is not None and known.base == base else None
+
+    def note_version(self, entry: HistoryEntry) -> None:
+        """Take in which patch made the newest version."""
+        self._history.append(entry)
+
+    def settle(self, result: PatchResult) -> None:
+        """Take in a result."""
+        known = self.find_same(result.patch_id, result.base)
+        if known is not None and known.is_accepted():
+            return
+        self._results[result.patch_id] = result
+        while len(self._results) > _MAX_RESULTS:
+            del self._results[next(iter(self._results))]
+
+    def merge(self, entries: Sequence[HistoryEntry]) -> None:
+        """Take in history that a checkpoint or a peer tells."""
+        known = {entry.version: entry for entry in self._history}
+        for entry in entries:
+            known.setdefault(entry.version, entry)
+            self.settle(PatchResult(entry.patch_id, entry.version - 1, entry.version))
+        self._history = deque(
+            (known[version] for version in sorted(known)), maxlen=_MAX_HISTORY
+        )
