Plan a pool's orders when there is news, not at every tick

Cause: a plan looks at each endpoint of its pool, and a tick comes each 50 ms. Before: one plan for each tick; not measured. After: each 250 ms at most with news, each second without: 0.16% of a core for a pool of 880 endpoints at 20 ticks a second, 0.02% for 6 (trial in one process).

--- a/packages/toucanyard/src/toucanyard/order_duties.py
+++ b/packages/toucanyard/src/toucanyard/order_duties.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from toucanyard.claim_messages import NodeId
-from toucanyard.configuration import Configuration
+from toucanyard.configuration import Configuration, Endpoint, Pool
 from toucanyard.core_events import AppendToLog
 from toucanyard.duties import DUTY_PREFIX, Duties
 from toucanyard.names import EndpointName, NodeName, PoolName
@@ -23,6 +23,9 @@
 
 _READ_MS: Final = 500.0
 """Time between two reads of a pool's states while something is to be done."""
+_PLAN_MS: Final = 250.0
+_IDLE_PLAN_MS: Final = 1_000.0
+"""Time between two plans without news; a plan looks at each endpoint of the pool."""
 _IDLE_READ_MS: Final = 5_000.0
 _IDLE_READ_MS_PER_ENDPOINT: Final = 100.0
 
@@ -31,7 +34,11 @@
 
 class _Held(msgspec.Struct):
     orders: PoolOrders
+    endpoints: tuple[Endpoint, ...] | None = None
     read_ms: float = float("-inf")
+    planned_ms: float = float("-inf")
+    has_news: bool = True
+    is_converged: bool = False
 
 
 class OrderDuties:
@@ -77,16 +84,11 @@
             if entry is None or entry.orders.fence != duty.fence:
                 orders = PoolOrders(pool.name, duty.fence, now_ms)
                 entry = self._held[pool.name] = _Held(orders)
-            for endpoint in pool.endpoints:
-                self._pool_of[endpoint.name] = pool.name
-            actions += entry.orders.plan(pool, duty.until_ms, now_ms)
-            wait_ms = _READ_MS
-            if entry.orders.is_converged(pool):
-                share_ms = _IDLE_READ_MS_PER_ENDPOINT * len(pool.endpoints)
-                wait_ms = max(_IDLE_READ_MS, share_ms)
-            if now_ms - entry.read_ms >= wait_ms:
-                entry.read_ms = now_ms
-                actions += find_reads(pool)
+            if entry.endpoints is not pool.endpoints:
+                entry.endpoints = pool.endpoints
+                for endpoint in pool.endpoints:
+                    self._pool_of[endpoint.name] = pool.name
+            actions += _plan(pool, entry, duty.until_ms, now_ms)
         return actions
 
     def note_state(
@@ -96,6 +98,7 @@
         entry = self._find_entry(endpoint)
         if entry is not None:
             entry.orders.note_state(endpoint, state, asked_ms)
+            entry.has_news = True
 
     def note_outcome(
         self, sent: SendOrder, outcome: OrderOutcome, now_ms: float
@@ -104,6 +107,7 @@
         entry = self._held.get(sent.pool)
         if entry is None or entry.orders.fence != sent.order.fence:
             return
+        entry.has_news = True
         order_id = sent.order.order_id
         if entry.orders.note_outcome(sent.endpoint, order_id, outcome, now_ms):
             self.duties.give_up(sent.pool)
@@ -111,3 +115,23 @@
     def _find_entry(self, endpoint: EndpointName) -> _Held | None:
         pool = self._pool_of.get(endpoint)
         return None if pool is None else self._held.get(pool)
+
+
+def _plan(
+    pool: Pool, entry: _Held, until_ms: float, now_ms: float
+) -> list[SendOrder | ReadState]:
+    actions: list[SendOrder | ReadState] = []
+    plan_ms = _PLAN_MS if entry.has_news else _IDLE_PLAN_MS
+    if now_ms - entry.planned_ms >= plan_ms:
+        entry.planned_ms = now_ms
+        entry.has_news = False
+        actions += entry.orders.plan(pool, until_ms, now_ms)
+        entry.is_converged = entry.orders.is_converged(pool)
+    wait_ms = _READ_MS
+    if entry.is_converged:
+        share_ms = _IDLE_READ_MS_PER_ENDPOINT * len(pool.endpoints)
+        wait_ms = max(_IDLE_READ_MS, share_ms)
+    if now_ms - entry.read_ms >= wait_ms:
+        entry.read_ms = now_ms
+        actions += find_reads(pool)
+    return actions
