--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_claims.py
@@ -0,0 +1,254 @@
+"""Measure what claims cost: appends against requests against added latency, memory.
+
+Nine nodes' decisions, writers and readers run in this process against the platform's
+stand-in in another. Prints one row a run, a worked-out part for 320 nodes and the
+slopes of memory and time per remembered key.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+from hdrh.histogram import HdrHistogram
+
+from toucanyard.at_most_once import AtMostOnce
+from toucanyard.claim_messages import (
+    AllowDispatch,
+    AppendRecord,
+    ClaimAction,
+    ClaimEvent,
+    ClaimRecordsRead,
+    DispatchEnded,
+    KeyedArrived,
+    LogState,
+    RecordsSettled,
+    RefuseKeyed,
+    Ticked,
+)
+from toucanyard.core_events import (
+    AppendSettled,
+    AppendToLog,
+    LogExpired,
+    LogRead,
+    LogStateSeen,
+)
+from toucanyard.names import Address, CustomerName, Incarnation, NodeName, RequestId
+from toucanyard.options import ClaimLimits
+from toucanyard.requests import EndingSeen, KeptAnswer
+from toucanyard_node.http_client import fetch
+from toucanyard_node.log_reader import LogEvent, follow_log
+from toucanyard_node.log_writer import write_log
+from toucanyard_standins.key_slopes import make_claim, print_slopes
+from toucanyard_standins.platform_faults import PlatformCounters
+from toucanyard_standins.processes import start_process, wait_ready
+
+_NODES: Final = 9
+_RUN_S: Final = 3.0
+_WARM_S: Final = 0.5
+_CAPS_PER_S: Final = (5, 15, 30)
+_RATES_PER_S: Final = (45, 180, 540, 1_080)
+_CUSTOMER: Final = CustomerName("lanchas")
+_LOG_APPENDS_PER_S: Final = 400
+_COLLECTORS: Final = 8
+_BIG_NODES: Final = 320
+_ANSWER: Final = KeptAnswer(200, "application/json", b"x" * 300)
+
+
+class Sample(msgspec.Struct):
+    """What one run counted."""
+
+    added: HdrHistogram
+    allowed: int = 0
+    refused: int = 0
+
+    def reset(self) -> None:
+        """Count from now on."""
+        self.added.reset()
+        self.allowed = 0
+        self.refused = 0
+
+
+class BenchNode:
+    """One node's decision with its writer and reader; dispatches end at once."""
+
+    def __init__(self, number: int, limits: ClaimLimits, sample: Sample) -> None:
+        name = NodeName(f"n{number}")
+        incarnation = Incarnation(f"{name}-{time.time_ns()}")
+        self._core = AtMostOnce(name, incarnation, limits, random.Random(number))
+        self._limits = limits
+        self._sample = sample
+        self._sent_ms: dict[RequestId, float] = {}
+        self._outbox, self._records = trio.open_memory_channel[AppendToLog](100_000)
+        self._prefix = incarnation
+        self._is_up = trio.Event()
+
+    async def run(
+        self,
+        address: Address,
+        rate_per_s: float,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Send keyed requests at random times until cancelled, once the log is read."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follow_log, address, 1_000, self._take_log)
+            nursery.start_soon(
+                write_log, address, self._limits, self._records, self._take_settled
+            )
+            nursery.start_soon(self._tick)
+            # A claim is refused until the log of earlier runs was read to its end.
+            await self._is_up.wait()
+            task_status.started()
+            await self._send(rate_per_s)
+
+    async def _send(self, rate_per_s: float) -> None:
+        rng = random.Random(self._prefix)
+        due_s = trio.current_time()
+        for number in range(10**9):
+            due_s += rng.expovariate(rate_per_s)
+            await trio.sleep_until(due_s)
+            request_id = RequestId(f"{self._prefix}-{number}")
+            # From the planned time on, so that a late sender doesn't hide a wait.
+            self._sent_ms[request_id] = due_s * 1000
+            deadline_ms = due_s * 1000 + 5_000
+            event = KeyedArrived(
+                request_id, _CUSTOMER, request_id, b"d" * 16, deadline_ms, 0
+            )
+            self._handle(event)
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(0.05)
+            self._handle(Ticked())
+
+    def _take_settled(self, event: AppendSettled) -> None:
+        self._handle(RecordsSettled(event.record_ids, event.result))
+
+    def _take_log(self, event: LogEvent) -> None:
+        match event:
+            case LogRead(from_offset=start, next_offset=end, records=records):
+                self._handle(ClaimRecordsRead(start, end, records))
+            case LogStateSeen(is_up=is_up):
+                self._handle(LogState(is_up))
+                self._is_up.set()
+            case LogExpired():
+                pass
+
+    def _handle(self, event: ClaimEvent) -> None:
+        now_ms = trio.current_time() * 1000
+        for action in self._core.handle(event, now_ms):
+            self._carry_out(action, now_ms)
+
+    def _carry_out(self, action: ClaimAction, now_ms: float) -> None:
+        match action:
+            case AppendRecord(record_id, text, is_urgent):
+                self._outbox.send_nowait(AppendToLog(record_id, text, is_urgent))
+            case AllowDispatch(request_id=request_id):
+                added_ms = now_ms - self._sent_ms.pop(request_id)
+                self._sample.added.record_value(max(1, int(added_ms * 1000)))
+                self._sample.allowed += 1
+                self._handle(DispatchEnded(request_id, EndingSeen.COMPLETED, _ANSWER))
+            case RefuseKeyed():
+                self._sample.refused += 1
+            case _:
+                pass
+
+
+async def measure_run(address: Address, cap_per_s: int, rate_per_s: int) -> str:
+    """Measure one cap of appends at one rate of requests; return its row."""
+    sample = Sample(HdrHistogram(1, 60_000_000, 3))
+    limits = ClaimLimits(max_appends_per_s=cap_per_s)
+    async with trio.open_nursery() as nursery:
+        for number in range(_NODES):
+            node = BenchNode(number, limits, sample)
+            await nursery.start(node.run, address, rate_per_s / _NODES)
+        await trio.sleep(_WARM_S)
+        sample.reset()
+        before = await read_counters(address)
+        cpu_s = time.process_time()
+        await trio.sleep(_RUN_S)
+        cpu_s = time.process_time() - cpu_s
+        after = await read_counters(address)
+        nursery.cancel_scope.cancel()
+    appends_per_s = (after.appends - before.appends) / _RUN_S
+    refused_appends = after.refused_appends - before.refused_appends
+    batch = sample.allowed / max(after.appends - before.appends, 1)
+    p50_ms = sample.added.get_value_at_percentile(50) / 1000
+    p99_ms = sample.added.get_value_at_percentile(99) / 1000
+    return (
+        f"{cap_per_s:>8} {rate_per_s:>8} {sample.allowed / _RUN_S:>9.0f}"
+        f" {appends_per_s:>9.0f} {batch:>8.1f}"
+        f" {p50_ms:>8.1f} {p99_ms:>8.1f} {sample.refused:>7} {refused_appends:>6}"
+        f" {cpu_s / _RUN_S:>6.2f}"
+    )
+
+
+async def read_counters(address: Address) -> PlatformCounters:
+    """Return what the platform has counted."""
+    answer = await fetch(address, "GET", "/control")
+    return msgspec.json.decode(answer.body, type=PlatformCounters)
+
+
+async def measure_curve() -> None:
+    """Print a row for each cap and rate."""
+    print(f"claims through the log, {_NODES} nodes in one process, gather 5 ms")
+    print(
+        "cap/node  offered   run/s appends/s  a batch   p50 ms   p99 ms refused"
+        "   429s  cores"
+    )
+    with tempfile.TemporaryDirectory() as directory:
+        command = [sys.executable, "-m", "toucanyard_standins", "platform"]
+        command += ["--listen", "127.0.0.1:0"]
+        platform = await start_process("platform", command, Path(directory) / "log")
+        try:
+            await wait_ready(platform, "platform")
+            for cap_per_s in _CAPS_PER_S:
+                for rate_per_s in _RATES_PER_S:
+                    print(
+                        await measure_run(platform.address, cap_per_s, rate_per_s),
+                        flush=True,
+                    )
+        finally:
+            await platform.stop()
+
+
+def print_worked_out() -> None:
+    """Print what 320 nodes would get out of the log, by calculation only."""
+    alone_ms = 1000 * _BIG_NODES / _LOG_APPENDS_PER_S
+    gathered_ms = 1000 * _COLLECTORS / _LOG_APPENDS_PER_S
+    record_bytes = len(make_claim("n319", 11_000, 0))
+    print(f"worked out for {_BIG_NODES} nodes, {_LOG_APPENDS_PER_S} appends/s in all:")
+    print(f"  every node appends: one append each {alone_ms:.0f} ms a node")
+    print(
+        f"  {_COLLECTORS} collectors by hash of the key: one append each"
+        f" {gathered_ms:.0f} ms, one hop more"
+    )
+    print(
+        f"  a claim is {record_bytes} bytes; a node that reads them all within"
+        f" 3,000 bytes/s can follow {3_000 / record_bytes:.0f} claims/s over all nodes"
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Run the parts named in the arguments, by default all: curve, slopes."""
+    level = structlog.make_filtering_bound_logger(logging.WARNING)
+    structlog.configure(wrapper_class=level)
+    parts = arguments or ["curve", "slopes"]
+    if "curve" in parts:
+        trio.run(measure_curve)
+        print_worked_out()
+    if "slopes" in parts:
+        print_slopes()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/key_slopes.py
@@ -0,0 +1,101 @@
+"""Measure memory and time per remembered key over several sizes."""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+from typing import Final
+
+import numpy as np
+
+from toucanyard.at_most_once import AtMostOnce
+from toucanyard.claim_messages import (
+    ClaimRecord,
+    ClaimRecordsRead,
+    DispatchEnded,
+    KeyedArrived,
+    KeyName,
+    LogRecord,
+    LogState,
+    NodeId,
+    NoteKey,
+    OpenLedger,
+    PeerMessageArrived,
+    encode_record,
+)
+from toucanyard.names import CustomerName, Incarnation, NodeName, RequestId
+from toucanyard.options import ClaimLimits
+from toucanyard.requests import EndingSeen, KeptAnswer
+
+_CUSTOMER: Final = CustomerName("lanchas")
+_SIZES: Final = (5_000, 10_000, 20_000, 40_000)
+
+
+def make_claim(node: str, number: int, at: int) -> str:
+    """Return the text of a claim by another node."""
+    name = KeyName(_CUSTOMER, f"key-{number:012d}-{at}")
+    claimer = NodeId(NodeName(node), Incarnation(f"{node}-1"))
+    return encode_record(ClaimRecord(f"{node}-1-{number}", name, b"d" * 16, claimer))
+
+
+def make_core() -> AtMostOnce:
+    """Return a decision with room for every size measured."""
+    limits = ClaimLimits(max_keys=10**6, kept_answers_bytes=2**30)
+    core = AtMostOnce(NodeName("a"), Incarnation("a-1"), limits, random.Random(1))
+    core.handle(LogState(True), 0)
+    return core
+
+
+def fill_claims(core: AtMostOnce, count: int) -> None:
+    """Let a node read claims of others."""
+    for start in range(0, count, 500):
+        records = tuple(
+            LogRecord(start + place, 0, make_claim("b", start + place, 0))
+            for place in range(500)
+        )
+        core.handle(ClaimRecordsRead(start, start + 500, records), 0)
+
+
+def fill_issued(core: AtMostOnce, count: int) -> None:
+    """Let a node run issued keys to their kept answers of 300 bytes."""
+    for number in range(count):
+        request_id = RequestId(f"a-1-{number}")
+        key = core.issue_prefix(0) + "mine"
+        core.handle(KeyedArrived(request_id, _CUSTOMER, key, b"d" * 16, 1_000, 0), 0)
+        answer = KeptAnswer(200, "application/json", bytes(300))
+        core.handle(DispatchEnded(request_id, EndingSeen.COMPLETED, answer), 0)
+
+
+def fill_notes(core: AtMostOnce, count: int) -> None:
+    """Let a node witness keys of another."""
+    owner = NodeId(NodeName("b"), Incarnation("b-1"))
+    core.handle(PeerMessageArrived(owner, OpenLedger(Incarnation("a-1"), 1)), 0)
+    for number in range(count):
+        name = KeyName(_CUSTOMER, f"tk1~b~b-1~a~a-1~1~0~{number:016x}~mine")
+        note = NoteKey(Incarnation("a-1"), 1, name)
+        core.handle(PeerMessageArrived(owner, note), 0)
+
+
+def print_slopes() -> None:
+    """Print bytes and microseconds per remembered key over the sizes."""
+    print(f"slopes over {', '.join(map(str, _SIZES))} keys")
+    print("what is remembered                        bytes/key  us/key")
+    for label, fill in (
+        ("claim of any node, read from the log", fill_claims),
+        ("issued key run here, answer of 300 bytes", fill_issued),
+        ("key noted as witness", fill_notes),
+    ):
+        sizes_bytes, times_us = [], []
+        for count in _SIZES:
+            started_s = time.process_time()
+            fill(make_core(), count)
+            times_us.append((time.process_time() - started_s) * 1e6)
+            tracemalloc.start()
+            core = make_core()
+            fill(core, count)
+            sizes_bytes.append(tracemalloc.get_traced_memory()[0])
+            tracemalloc.stop()
+        bytes_each = np.polyfit(_SIZES, sizes_bytes, 1)[0]
+        us_each = np.polyfit(_SIZES, times_us, 1)[0]
+        print(f"{label:<41} {bytes_each:>9.0f} {us_each:>7.1f}", flush=True)
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -148,6 +148,42 @@
     assert isinstance(actions[0], RefuseKeyed)
 
 
+def test_issuer_that_slept_names_no_witness_that_may_have_forgotten_it() -> None:
+    """A node sleeps for longer than witnesses keep ledgers, then issues a key.
+
+    On the old ledger the witness would answer "gone" and the fresh key would be
+    refused although nothing is wrong. Without a witness the key runs.
+    """
+    issuer, witness = make_node("a"), make_node("b")
+    view = PeerView(NodeName("b"), Incarnation("b1"), True)
+    exchange(issuer, witness, issuer.handle(PeersChanged((view,)), 0), 0)
+    late_ms = 4 * ClaimLimits().window_ms
+    key = issuer.issue_prefix(late_ms) + "mine"
+    tried = KeyedArrived(RequestId("r"), CustomerName("c"), key, b"d", late_ms + 1_000)
+    assert issuer.handle(tried, late_ms) == [AllowDispatch(RequestId("r"))]
+
+
+def test_key_of_a_dead_issuer_is_sealed_by_its_witness() -> None:
+    """The issuer dies before the key reached it; the caller retries at the witness.
+
+    The witness has not noted the key, so it seals it: the caller may take a new key.
+    The same key that the issuer had begun would have been noted, and so unknown.
+    """
+    issuer, witness = make_node("a"), make_node("b")
+    view = PeerView(NodeName("b"), Incarnation("b1"), True)
+    exchange(issuer, witness, issuer.handle(PeersChanged((view,)), 0), 0)
+    unseen = issuer.issue_prefix(1) + "unseen"
+    begun = issuer.issue_prefix(1) + "begun"
+    exchange(issuer, witness, issuer.handle(arrive("r1", begun), 2), 2)
+    witness.handle(PeersChanged((PeerView(NodeName("a"), Incarnation("a2"), True),)), 3)
+    told = []
+    for key in (unseen, begun):
+        told += witness.handle(arrive("r2", key), 4)
+        told += witness.handle(Ticked(), 200)
+    endings = [each.ending for each in told if isinstance(each, RefuseKeyed)]
+    assert endings == [Ending.NOT_RUN, Ending.UNKNOWN]
+
+
 def exchange(
     asker: AtMostOnce, answerer: AtMostOnce, actions: list[ClaimAction], now_ms: float
 ) -> list[ClaimAction]:
