Raise the price on spreading from 4 to 6

Cause: after a herd restart with new hot prefixes, Hangang recomputed 1.6 times what affinity alone does, since cold prefixes left their homes at the first queue.

--- a/packages/toucanyard/src/toucanyard/scoring.py
+++ b/packages/toucanyard/src/toucanyard/scoring.py
@@ -20,7 +20,7 @@
 
     doubtful_trust: float = 0.5
     """Chance that a block of a doubtful view is still there."""
-    spread_price: float = 4.0
+    spread_price: float = 6.0
     """Price of a millisecond recomputed outside of a prefix's homes, on top."""
     evict_price: float = 4.0
     """Price of a millisecond recomputed where the cache turns over, on top."""
