--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_detectors.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_detectors.py
@@ -130,6 +130,11 @@
             lambda now_ms: Accrual(8.0, _POLL_MS, now_ms),
             sources,
         ),
+        Rule(
+            "accrual wide, S",
+            lambda now_ms: Accrual(8.0, _POLL_MS, now_ms, _POLL_MS),
+            sources,
+        ),
         Rule("N errors, S sources", lambda _: ErrorRun(reports, window_ms), sources),
         Rule(
             "same, doubts itself",
--- a/packages/toucanyard/src/toucanyard/detectors.py
+++ b/packages/toucanyard/src/toucanyard/detectors.py
@@ -90,13 +90,21 @@
     __slots__ = ("_gaps_ms", "_last_ok_ms", "_min_deviation_ms", "_threshold")
 
     def __init__(
-        self, threshold: float, interval_ms: float, now_ms: float, gaps: int = 32
+        self,
+        threshold: float,
+        interval_ms: float,
+        now_ms: float,
+        min_deviation_ms: float = 0.0,
+        gaps: int = 32,
     ) -> None:
-        """Start as if answers had come every `interval_ms`."""
+        """Start as if answers had come every `interval_ms`.
+
+        The deviation is taken as a quarter of the interval at least, or as more.
+        """
         self._threshold = threshold
         self._gaps_ms: deque[float] = deque([interval_ms] * 4, maxlen=gaps)
         self._last_ok_ms = now_ms
-        self._min_deviation_ms = interval_ms / 4
+        self._min_deviation_ms = max(interval_ms / 4, min_deviation_ms)
 
     def note_ok(self, now_ms: float) -> None:
         """Take in an answer."""
