End a connection, not the server, when its handler fails

Cause: the handler runs in a nursery beside the watch for hang-ups, so an error comes out of it as a group. The server caught single errors only; a caller that hung up inside a write ended the server with every connection it held.

Conclusion: any handler's failure is bounded by its connection.

--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -12,6 +12,7 @@
 
 import h11
 import msgspec
+import structlog
 import trio
 
 from toucanyard.errorcodes import ANSWERS, ErrorKind
@@ -19,6 +20,7 @@
 from toucanyard.requests import Refuse
 from toucanyard_node.refusals import render_refusal
 
+_LOG: Final = structlog.get_logger()
 _READ_BYTES: Final = 65_536
 _RETRY_AFTER_MS: Final = 1_000
 _STOPPING_IDLE_MS: Final = 20
@@ -212,9 +214,23 @@
         """Run the handler and cancel it as soon as the other side hangs up."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_watch_hang_up, connection, stream, nursery.cancel_scope)
-            await self._handler(request, responder)
+            await self._run_guarded(request, responder)
             nursery.cancel_scope.cancel()
 
+    async def _run_guarded(self, request: HttpRequest, responder: Responder) -> None:
+        """Run the handler so that its failure ends this connection and no other.
+
+        An error that left the nursery would come out of it as a group, pass the
+        handlers of single errors, and end the server with every connection it holds.
+        """
+        try:
+            await self._handler(request, responder)
+        except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
+            responder.close_after()
+        except Exception:
+            _LOG.exception("handler_failed", path=request.path)
+            responder.close_after()
+
     async def _read_request(
         self, connection: h11.Connection, stream: trio.SocketStream, is_first: bool
     ) -> HttpRequest | ErrorKind | None:
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -14,6 +14,7 @@
 from toucanyard.names import Address
 from toucanyard_node.http_client import ConnectionFailedError, connect
 from toucanyard_node.http_server import (
+    CallerGoneError,
     HttpRequest,
     HttpServer,
     Responder,
@@ -123,3 +124,31 @@
         await busy.read_head()
         assert await busy.read_body() == b"whole"
         await server.wait_stopped()
+
+
+@pytest.mark.parametrize("error", [CallerGoneError(), ValueError("a fault")])
+async def test_failing_handler_ends_its_connection_only(error: Exception) -> None:
+    """A caller hangs up while its answer is written, or a handler has a fault.
+
+    The error leaves a nursery as a group; a server that catches single errors only
+    would end with it, and every other caller's connection with the server.
+    """
+
+    async def fail(request: HttpRequest, responder: Responder) -> None:
+        if request.path == "/fail":
+            raise error
+        await responder.send(200, (), b"fine")
+
+    address = Address("10.0.0.1:80")
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        network.serve(address, fail)
+        failing = await network.connect(address, 1_000)
+        await failing.send("GET", "/fail", ())
+        with pytest.raises(ConnectionFailedError):
+            await failing.read_head()
+        other = await network.connect(address, 1_000)
+        await other.send("GET", "/", ())
+        await other.read_head()
+        assert await other.read_body() == b"fine"
+        nursery.cancel_scope.cancel()
