Bound what duties, the VM view and links hold of what is gone

Before: 3,000 records of new pools left 3,000 leases. After: leases that are over are dropped once there are 1,024, with the same verdicts; dial times are kept for present peers, vanished addresses up to 10,000. Conclusion: the test for leases fails without the drop.

--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -150,7 +150,9 @@
     async def _dial_all(self, nursery: trio.Nursery) -> None:
         while True:
             now_s = trio.current_time()
-            for vm in self._find_peers():
+            peers = self._find_peers()
+            self._forget_dials({vm.name for vm in peers})
+            for vm in peers:
                 is_due = now_s >= self._dial_after_s.get(vm.name, 0.0)
                 is_wanted = vm.name not in self._links and vm.name not in self._dialing
                 if vm.peers and is_due and is_wanted:
@@ -158,6 +160,12 @@
                     nursery.start_soon(self._dial, vm)
             await trio.sleep(_DIAL_INTERVAL_S)
 
+    def _forget_dials(self, kept: set[str]) -> None:
+        """Drop what is held of nodes that are gone; VMs are replaced all the time."""
+        for name in set(self._dial_after_s) - kept:
+            del self._dial_after_s[name]
+            self._backoff_s.pop(name, None)
+
     async def _dial(self, vm: Vm) -> None:
         try:
             with trio.CancelScope() as scope:
--- a/packages/toucanyard/src/toucanyard/duties.py
+++ b/packages/toucanyard/src/toucanyard/duties.py
@@ -28,6 +28,7 @@
 _STAND_BACK_MS: Final = 1_000.0
 """How much longer each further candidate waits before it claims."""
 _MAX_RECORD_CHARACTERS: Final = 2_048
+_MANY_LEASES: Final = 1_024
 
 
 class DutyRecord(msgspec.Struct, frozen=True, tag_field="kind", tag="duty"):
@@ -132,6 +133,7 @@
         is_mine = record.node == self._identity and sent is not None
         lease = self._leases.get(record.pool)
         if lease is None:
+            self._drop_expired(at_ms)
             lease = self._leases[record.pool] = _Lease(self._is_complete)
         if not self._is_valid(lease, record, at_ms, now_ms):
             if not lease.is_known:
@@ -194,6 +196,18 @@
         if lease is not None:
             lease.until_ms = float("-inf")
 
+    def _drop_expired(self, at_ms: float) -> None:
+        """Forget leases that are over, once there are many.
+
+        One that is over and one that never was lead to the same verdicts, and records
+        that name ever new pools would fill the memory.
+        """
+        if len(self._leases) < _MANY_LEASES:
+            return
+        for pool, lease in list(self._leases.items()):
+            if lease.last_at_ms is None or at_ms - lease.last_at_ms >= LEASE_MS:
+                del self._leases[pool]
+
     def _is_valid(
         self, lease: _Lease, record: DutyRecord, at_ms: float, now_ms: float
     ) -> bool:
--- a/packages/toucanyard/src/toucanyard/vm_view.py
+++ b/packages/toucanyard/src/toucanyard/vm_view.py
@@ -17,6 +17,8 @@
 from toucanyard.names import Address, DomainName, NodeName
 
 _MIN_KEPT_SHARE: Final = 0.5
+_MAX_GONE: Final = 10_000
+"""Days of replaced VMs; configurations still naming the oldest are mended by then."""
 _RING_POINTS: Final = 16
 
 
@@ -72,6 +74,8 @@
             known.update({vm.name: vm for vm in vms})
             self._keep(known.values())
             return
+        if len(self._gone) > _MAX_GONE:
+            self._gone.clear()
         self._gone = (self._gone | (before - listed)) - listed
         self._keep(vms)
         self.read_ms = now_ms
--- a/tests/toucanyard/test_duties.py
+++ b/tests/toucanyard/test_duties.py
@@ -91,6 +91,19 @@
     assert not duties.find_held(LEASE_MS * 0.9)
 
 
+def test_records_of_ever_new_pools_do_not_fill_the_memory() -> None:
+    duties = build_duties()
+    duties.apply_record(0, 0.0, build_text("one"), 0.0)
+    for number in range(1, 3_000):
+        record = DutyRecord(PoolName(f"x{number}"), build_node("rogue"), "r")
+        text = msgspec.json.encode(record).decode()
+        duties.apply_record(number, number * 100.0, text, 0.0)
+        renewal = build_text("one", 0)
+        duties.apply_record(number, number * 100.0, renewal, 0.0)
+    assert len(duties._leases) <= 1_100
+    assert duties.find_holder(POOL) == build_node("one")
+
+
 @given(st.text(max_size=60))
 def test_no_text_makes_it_raise(text: str) -> None:
     duties = build_duties()
