--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_policy.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_policy.py
@@ -13,6 +13,7 @@
 
 import click
 
+from toucanyard_standins.policy_conditions import Condition, Policy, Result
 from toucanyard_standins.policy_report import (
     Results,
     RunKey,
@@ -22,7 +23,7 @@
     format_table,
     write_csv,
 )
-from toucanyard_standins.policy_run import Condition, Policy, Result, Run
+from toucanyard_standins.policy_run import Run
 from toucanyard_standins.policy_workload import HANGANG, VALDIVIA
 
 DEPLOYMENTS = {each.name: each for each in (VALDIVIA, HANGANG)}
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_report.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_report.py
@@ -11,7 +11,7 @@
 import matplotlib
 import msgspec
 
-from toucanyard_standins.policy_run import Condition, Policy, Result
+from toucanyard_standins.policy_conditions import Condition, Policy, Result
 
 matplotlib.use("Agg")
 from matplotlib import axes, pyplot
@@ -107,11 +107,11 @@
 def format_table(results: Results) -> str:
     """Return the median of each measure with its least and greatest seed."""
     lines: list[str] = []
-    header = f"{'deployment':10}{'condition':14}{'policy':14}"
+    header = f"{'deployment':11}{'condition':14}{'policy':14}"
     header += "".join(f"{name + ' [least..most]':>30}" for name, _, _ in MEASURES)
     lines.append(header)
     for deployment, condition, policy in find_groups(results):
-        line = f"{deployment:10}{condition:14}{policy:14}"
+        line = f"{deployment:11}{condition:14}{policy:14}"
         for _, measure, shape in MEASURES:
             values = find_values(results, deployment, condition, policy, measure)
             middle = statistics.median(values)
--- a/packages/toucanyard/src/toucanyard/admission.py
+++ b/packages/toucanyard/src/toucanyard/admission.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
+from toucanyard.backends import Admitted, Backend
 from toucanyard.concurrency_limit import ConcurrencyLimit
 from toucanyard.configuration import Configuration, Customer
-from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.fair_queue import PRIORITY_RANKS, FairQueue
+from toucanyard.fair_queue import PRIORITY_RANKS
 from toucanyard.names import CustomerName, EndpointName, RequestId
 from toucanyard.options import AdmissionLimits
 from toucanyard.requests import ModelTarget, Refuse, Request
@@ -27,7 +27,6 @@
 MIN_RETRY_AFTER_MS: Final = 250
 MAX_RETRY_AFTER_MS: Final = 30_000
 DEFAULT_MAX_RUNNING: Final = 16
-START_SHARES: Final = 2.0
 FLOOD_SHARE: Final = 0.4
 """Share of a pool's places on this node from which a customer goes last."""
 LATE_WAITS: Final = 2.0
@@ -46,35 +45,6 @@
 AdmissionAction = Admit | Refuse
 
 
-class _Admitted(msgspec.Struct):
-    request: Request
-    endpoint: EndpointName | None = None
-    late_ms: float = float("inf")
-    """When a first token that hasn't come tells that the endpoint is too full."""
-
-
-class _Backend:
-    """One pool or service: its queue and the limits of its endpoints."""
-
-    __slots__ = ("drain", "limits", "max_running", "queue", "running", "usable")
-
-    def __init__(self, max_running: int) -> None:
-        self.max_running = max_running
-        self.queue = FairQueue()
-        self.drain = DrainRate()
-        self.limits: dict[EndpointName, ConcurrencyLimit] = {}
-        self.usable: tuple[EndpointName, ...] = ()
-        self.running: dict[CustomerName, int] = {}
-
-    def compute_capacity(self) -> int:
-        """Return how many requests may run at the usable endpoints."""
-        return sum(self.limits[name].limit for name in self.usable)
-
-    def count_running(self) -> int:
-        """Return how many admitted requests are not over."""
-        return sum(self.running.values())
-
-
 class Admission:
     """What one node lets in, for every pool and service; owned by one task."""
 
@@ -93,10 +63,10 @@
         self._limits = limits
         self._rng = rng
         self._node_count = 1
-        self._backends: dict[str, _Backend] = {}
+        self._backends: dict[str, Backend] = {}
         self._customers: dict[CustomerName, Customer] = {}
         self._waiting: dict[RequestId, Request] = {}
-        self._admitted: dict[RequestId, _Admitted] = {}
+        self._admitted: dict[RequestId, Admitted] = {}
         self.retries = RetryBudget(limits.retry_budget_share)
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -105,11 +75,13 @@
         for pool in configuration.pools:
             names = [each.name for each in pool.endpoints]
             backend = self._find_backend(f"pool {pool.name}")
-            self._set_endpoints(backend, names, pool.placement.max_running)
+            backend.set_max_running(pool.placement.max_running, self._node_count)
+            backend.set_usable(names)
         for service in configuration.services:
             names = [each.name for each in service.endpoints]
             backend = self._find_backend(f"service {service.name}")
-            self._set_endpoints(backend, names, service.max_running)
+            backend.set_max_running(service.max_running, self._node_count)
+            backend.set_usable(names)
 
     def apply_node_count(self, count: int) -> None:
         """Take over how many nodes share the endpoints; call it before the others."""
@@ -117,8 +89,7 @@
 
     def apply_usable(self, target: Request, names: Iterable[EndpointName]) -> None:
         """Take over which endpoints may get requests like this one."""
-        backend = self._find_backend(compute_backend_name(target))
-        self._set_endpoints(backend, list(names), backend.max_running)
+        self._find_backend(compute_backend_name(target)).set_usable(list(names))
 
     def offer(self, request: Request, now_ms: float) -> list[AdmissionAction]:
         """Admit, queue or refuse a new request; may refuse another in its place."""
@@ -145,11 +116,8 @@
             return []
         request = admitted.request
         backend = self._find_backend(compute_backend_name(request))
-        self._leave_endpoint(backend, admitted)
-        backend.running[request.customer] -= 1
-        if not backend.running[request.customer]:
-            del backend.running[request.customer]
-        backend.drain.note(now_ms)
+        backend.move(admitted, None)
+        backend.end(request.customer, now_ms)
         return self._drain(backend, now_ms)
 
     def abandon(self, request_id: RequestId, now_ms: float) -> list[AdmissionAction]:
@@ -182,8 +150,8 @@
         The limits that follow latency bound only their sum: turned away from a warm
         endpoint one by one, requests would recompute elsewhere and add to the load.
         """
-        limits = self._find_backend(compute_backend_name(request)).limits
-        return [name for name in names if name not in limits or limits[name].has_room()]
+        backend = self._find_backend(compute_backend_name(request))
+        return [name for name in names if backend.has_room(name)]
 
     def note_dispatch(
         self,
@@ -202,10 +170,8 @@
         backend = self._find_backend(compute_backend_name(admitted.request))
         if admitted.endpoint is None:
             self.retries.note_first_try()
-        self._leave_endpoint(backend, admitted)
-        admitted.endpoint = endpoint
+        backend.move(admitted, endpoint)
         admitted.late_ms = now_ms + work_ms + LATE_WAITS * self._limits.target_wait_ms
-        self._find_limit(backend, endpoint).in_flight += 1
 
     def note_first_token(
         self, request_id: RequestId, wait_ms: float, now_ms: float
@@ -253,7 +219,7 @@
                 self.note_failure(request_id, now_ms)
 
     def _check_queue(
-        self, backend: _Backend, request: Request, now_ms: float
+        self, backend: Backend, request: Request, now_ms: float
     ) -> Refuse | None:
         customer = request.customer
         if backend.queue.count(customer) >= self._limits.max_queued_per_customer:
@@ -269,7 +235,7 @@
             return self._refuse(request, ErrorKind.OVERLOADED, text, now_ms)
         return None
 
-    def _drop_surplus(self, backend: _Backend, now_ms: float) -> list[AdmissionAction]:
+    def _drop_surplus(self, backend: Backend, now_ms: float) -> list[AdmissionAction]:
         actions: list[AdmissionAction] = []
         while len(self._waiting) > self._limits.max_queued:
             surplus = backend.queue.find_surplus()
@@ -280,7 +246,7 @@
             actions.append(self._refuse(surplus, ErrorKind.OVERLOADED, text, now_ms))
         return actions
 
-    def _drain(self, backend: _Backend, now_ms: float) -> list[AdmissionAction]:
+    def _drain(self, backend: Backend, now_ms: float) -> list[AdmissionAction]:
         actions: list[AdmissionAction] = []
         while len(backend.queue):
             may_run = {
@@ -298,7 +264,7 @@
             actions.append(self._admit(backend, request))
         return actions
 
-    def _may_run(self, backend: _Backend, customer: CustomerName) -> bool:
+    def _may_run(self, backend: Backend, customer: CustomerName) -> bool:
         capacity = backend.compute_capacity()
         if backend.count_running() >= capacity:
             return False
@@ -310,13 +276,12 @@
         # else always wait for an answer of the flood to end.
         return running < max(self._limits.max_customer_share * capacity, 1.0)
 
-    def _admit(self, backend: _Backend, request: Request) -> Admit:
-        self._admitted[request.request_id] = _Admitted(request)
-        running = backend.running
-        running[request.customer] = running.get(request.customer, 0) + 1
+    def _admit(self, backend: Backend, request: Request) -> Admit:
+        self._admitted[request.request_id] = Admitted(request)
+        backend.begin(request.customer)
         return Admit(request, self._compute_priority(backend, request))
 
-    def _compute_priority(self, backend: _Backend, request: Request) -> int:
+    def _compute_priority(self, backend: Backend, request: Request) -> int:
         # What has been dispatched waits in the endpoint's queue, where a flood would
         # be ahead of everyone. A customer that holds much of the node goes last there;
         # one that is merely large in calm doesn't, or its tail would suffer for it.
@@ -324,7 +289,7 @@
         is_over = running > max(FLOOD_SHARE * backend.compute_capacity(), 1.0)
         return PRIORITY_RANKS[request.priority] + is_over * len(PRIORITY_RANKS)
 
-    def _remove_waiting(self, backend: _Backend, request: Request) -> None:
+    def _remove_waiting(self, backend: Backend, request: Request) -> None:
         backend.queue.remove(request)
         del self._waiting[request.request_id]
 
@@ -342,50 +307,19 @@
         declared = self._customers.get(customer)
         return 1.0 if declared is None else max(declared.weight, 0.001)
 
-    def _find_backend(self, name: str) -> _Backend:
+    def _find_backend(self, name: str) -> Backend:
         backend = self._backends.get(name)
         if backend is None:
-            backend = _Backend(DEFAULT_MAX_RUNNING)
+            backend = Backend(DEFAULT_MAX_RUNNING, self._limits.target_wait_ms)
             self._backends[name] = backend
         return backend
 
-    def _set_endpoints(
-        self, backend: _Backend, names: Sequence[EndpointName], max_running: int
-    ) -> None:
-        backend.max_running = max_running
-        backend.usable = tuple(names)
-        for name in names:
-            self._find_limit(backend, name).max_limit = max_running
-        gone = [
-            name
-            for name, limit in backend.limits.items()
-            if name not in backend.usable and not limit.in_flight
-        ]
-        for name in gone:
-            del backend.limits[name]
-
-    def _find_limit(self, backend: _Backend, name: EndpointName) -> ConcurrencyLimit:
-        limit = backend.limits.get(name)
-        if limit is None:
-            target_ms = self._limits.target_wait_ms
-            # Each node starts with twice its even share: were it to start with the
-            # whole, all nodes together would fill an engine's queue many times over.
-            start = START_SHARES * backend.max_running / self._node_count
-            limit = ConcurrencyLimit(backend.max_running, start, target_ms)
-            backend.limits[name] = limit
-        return limit
-
     def _find_limit_of(self, request_id: RequestId) -> ConcurrencyLimit | None:
         admitted = self._admitted.get(request_id)
         if admitted is None or admitted.endpoint is None:
             return None
         backend = self._find_backend(compute_backend_name(admitted.request))
-        return self._find_limit(backend, admitted.endpoint)
-
-    def _leave_endpoint(self, backend: _Backend, admitted: _Admitted) -> None:
-        if admitted.endpoint is not None:
-            self._find_limit(backend, admitted.endpoint).in_flight -= 1
-            admitted.endpoint = None
+        return backend.find_limit(admitted.endpoint)
 
 
 def compute_backend_name(request: Request) -> str:
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/backends.py
@@ -0,0 +1,111 @@
+"""Keep the queue and the limits of one pool or service on one node."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.concurrency_limit import ConcurrencyLimit
+from toucanyard.drain_rate import DrainRate
+from toucanyard.fair_queue import FairQueue
+from toucanyard.names import CustomerName, EndpointName
+from toucanyard.requests import Request
+
+START_SHARES: Final = 2.0
+
+
+class Admitted(msgspec.Struct):
+    """A request that was let in and is not over."""
+
+    request: Request
+    endpoint: EndpointName | None = None
+    late_ms: float = float("inf")
+    """When a first token that hasn't come tells that the endpoint is too full."""
+
+
+class Backend:
+    """One pool or service: its queue, what runs there and its endpoints' limits."""
+
+    __slots__ = (
+        "_limits",
+        "_max_running",
+        "_start",
+        "_target_wait_ms",
+        "drain",
+        "queue",
+        "running",
+        "usable",
+    )
+
+    def __init__(self, max_running: int, target_wait_ms: float) -> None:
+        self.queue = FairQueue()
+        self.drain = DrainRate()
+        self.usable: tuple[EndpointName, ...] = ()
+        self.running: dict[CustomerName, int] = {}
+        self._max_running = max_running
+        self._start = float(max_running)
+        self._target_wait_ms = target_wait_ms
+        self._limits: dict[EndpointName, ConcurrencyLimit] = {}
+
+    def set_max_running(self, max_running: int, node_count: int) -> None:
+        """Take over how many requests one endpoint runs, over all nodes."""
+        self._max_running = max_running
+        # Each node starts with twice its even share: were it to start with the
+        # whole, all nodes together would fill an engine's queue many times over.
+        self._start = START_SHARES * max_running / node_count
+
+    def set_usable(self, names: Sequence[EndpointName]) -> None:
+        """Take over which endpoints may get requests; keep limits in use."""
+        self.usable = tuple(names)
+        for name in names:
+            self.find_limit(name).max_limit = self._max_running
+        gone = [
+            name
+            for name, limit in self._limits.items()
+            if name not in self.usable and not limit.in_flight
+        ]
+        for name in gone:
+            del self._limits[name]
+
+    def find_limit(self, name: EndpointName) -> ConcurrencyLimit:
+        """Return the limit of an endpoint, a new one if it has none."""
+        limit = self._limits.get(name)
+        if limit is None:
+            target_ms = self._target_wait_ms
+            limit = ConcurrencyLimit(self._max_running, self._start, target_ms)
+            self._limits[name] = limit
+        return limit
+
+    def has_room(self, name: EndpointName) -> bool:
+        """Return whether an endpoint may get one more request."""
+        limit = self._limits.get(name)
+        return limit is None or limit.has_room()
+
+    def compute_capacity(self) -> int:
+        """Return how many requests may run at the usable endpoints."""
+        return sum(self._limits[name].limit for name in self.usable)
+
+    def count_running(self) -> int:
+        """Return how many admitted requests are not over."""
+        return sum(self.running.values())
+
+    def begin(self, customer: CustomerName) -> None:
+        """Count a request that was let in."""
+        self.running[customer] = self.running.get(customer, 0) + 1
+
+    def end(self, customer: CustomerName, now_ms: float) -> None:
+        """Count a request that is over."""
+        self.running[customer] -= 1
+        if not self.running[customer]:
+            del self.running[customer]
+        self.drain.note(now_ms)
+
+    def move(self, admitted: Admitted, endpoint: EndpointName | None) -> None:
+        """Count a request at another endpoint, or at none any more."""
+        if admitted.endpoint is not None:
+            self.find_limit(admitted.endpoint).in_flight -= 1
+        if endpoint is not None:
+            self.find_limit(endpoint).in_flight += 1
+        admitted.endpoint = endpoint
--- a/tests/toucanyard_standins/test_policy_run.py
+++ b/tests/toucanyard_standins/test_policy_run.py
@@ -4,7 +4,8 @@
 import pytest
 
 from toucanyard_standins import policy_run
-from toucanyard_standins.policy_run import Condition, Policy, Run
+from toucanyard_standins.policy_conditions import Condition, Policy
+from toucanyard_standins.policy_run import Run
 from toucanyard_standins.policy_workload import HANGANG, VALDIVIA
 
 
