Bound the length of keys, and lower the default number remembered

Cause: a bound on the number of keys is none on memory while a key may have the length of a whole header; 200,000 claims alone take 110 MB by the measured 549 bytes, of the 128 MB that a node may use. Before: any length, 200,000.

--- a/packages/toucanyard/src/toucanyard/at_most_once.py
+++ b/packages/toucanyard/src/toucanyard/at_most_once.py
@@ -57,6 +57,8 @@
 _NEVER_RAN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
 _HAS_ANSWER: Final = frozenset({EndingSeen.COMPLETED, EndingSeen.FAILED})
 
+MAX_KEY_CHARS: Final = 255
+
 
 class AtMostOnce:
     """The at-most-once decisions of one node incarnation.
@@ -96,6 +98,8 @@
         """
         book = self._book
         name = KeyName(event.customer, event.key)
+        if len(event.key) > MAX_KEY_CHARS:
+            return False
         if book.find_ended(name) is not None or book.find_entry(name) is not None:
             return False
         issued = parse_issued_key(event.key)
@@ -162,7 +166,10 @@
         entry = book.find_entry(name)
         issued = parse_issued_key(event.key)
         age_ms = event.key_age_ms
-        if age_ms is not None and self._may_outlive_window(event, age_ms, now_ms):
+        if len(event.key) > MAX_KEY_CHARS:
+            # Bounds what `max_keys` keys can take; such a key never runs anywhere.
+            yield refuse(event, ErrorKind.BAD_REQUEST, book.rng)
+        elif age_ms is not None and self._may_outlive_window(event, age_ms, now_ms):
             # By the time it is claimed, the claim of an earlier try may be forgotten
             # everywhere, and the key would run again.
             yield refuse(event, ErrorKind.KEY_EXPIRED, book.rng)
--- a/packages/toucanyard/src/toucanyard/key_answers.py
+++ b/packages/toucanyard/src/toucanyard/key_answers.py
@@ -17,6 +17,7 @@
 _RETRY_AFTER_MS: Final = 500
 
 _TEXTS: Final = {
+    ErrorKind.BAD_REQUEST: "the key is too long",
     ErrorKind.KEY_EXPIRED: "the key is older than the time that keys are remembered",
     ErrorKind.KEY_IN_PROGRESS: "the key's request has not ended yet",
     ErrorKind.KEY_REUSED: "the key was used before with another body",
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -80,7 +80,7 @@
     max_appends_per_s: Count = 30
     """This node's share of the log's rate."""
     kept_answers_bytes: SizeBytes = 32_000_000
-    max_keys: Count = 200_000
+    max_keys: Count = 50_000
     """Most keys remembered of each sort; when full, new keys are refused."""
     resend_ms: DurationMs = 100
     """How often a question to a peer that has not answered is sent again."""
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -184,6 +184,14 @@
     assert endings == [Ending.NOT_RUN, Ending.UNKNOWN]
 
 
+def test_overlong_key_is_refused_and_not_remembered() -> None:
+    node = make_node()
+    refusal = node.handle(arrive("r", "k" * 256), 0)[0]
+    assert isinstance(refusal, RefuseKeyed)
+    assert refusal.kind is ErrorKind.BAD_REQUEST
+    assert node.count_keys() == 0
+
+
 def exchange(
     asker: AtMostOnce, answerer: AtMostOnce, actions: list[ClaimAction], now_ms: float
 ) -> list[ClaimAction]:
