--- a/packages/toucanyard-node/src/toucanyard_node/attempts.py
+++ b/packages/toucanyard-node/src/toucanyard_node/attempts.py
@@ -65,7 +65,11 @@
         return trio.current_time() * 1000 - self.started_ms
 
     async def report_failure(
-        self, dispatch: Dispatch, ending: EndingSeen, text: str
+        self,
+        dispatch: Dispatch,
+        ending: EndingSeen,
+        text: str,
+        weights_version: str = "",
     ) -> Dispatch | Refuse | Replay:
         """Report a failed dispatch and return what to do next.
 
@@ -78,6 +82,7 @@
             request.request_id,
             dispatch.endpoint,
             ending,
+            weights_version=weights_version,
             duration_ms=self.find_elapsed_ms(),
         )
         now_s = trio.current_time()
--- a/packages/toucanyard-node/src/toucanyard_node/core_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/core_task.py
@@ -19,6 +19,7 @@
     CallerLeft,
     DispatchOver,
     FirstTokenSeen,
+    OrderEnded,
     PatchAnswered,
     PatchSubmitted,
     ReadDump,
@@ -30,6 +31,7 @@
 from toucanyard.names import Incarnation, RequestId
 from toucanyard.node_core import CoreAction, CoreEvent, NodeCore
 from toucanyard.options import Options
+from toucanyard.orders import OrderOutcome, ReadState, SendOrder
 from toucanyard.requests import Refuse, Verdict
 from toucanyard_node.core_messages import (
     Abandon,
@@ -62,6 +64,7 @@
     log: trio.MemorySendChannel[AppendToLog]
     peers: trio.MemorySendChannel[SendMessage]
     dumps: trio.MemorySendChannel[ReadDump]
+    orders: trio.MemorySendChannel[SendOrder | ReadState]
 
 
 class CoreTask:
@@ -143,6 +146,16 @@
                 _send_or_drop(self._outputs.peers, action)
             case ReadDump():
                 _send_or_drop(self._outputs.dumps, action)
+            case SendOrder() | ReadState():
+                self._send_order(action)
+
+    def _send_order(self, action: SendOrder | ReadState) -> None:
+        try:
+            self._outputs.orders.send_nowait(action)
+        except trio.WouldBlock:
+            # Each order must come to an end, or its endpoint would get no other.
+            if isinstance(action, SendOrder):
+                self.inbox.send_nowait(OrderEnded(action, OrderOutcome.NOT_SENT))
 
     def _reply(self, request_id: RequestId, verdict: Verdict | None) -> None:
         reply = self._replies.pop(request_id, None)
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -92,8 +92,11 @@
         connection = self._connection
         if connection.our_state is h11.DONE:
             connection.start_next_cycle()
-        named = [("Host", self.address), ("Content-Length", str(len(body))), *headers]
-        head = h11.Request(method=method, target=target, headers=named)
+        named = (("Host", self.address), ("Content-Length", str(len(body))), *headers)
+        encoded = [
+            (name.encode("ascii"), value.encode("latin-1")) for name, value in named
+        ]
+        head = h11.Request(method=method, target=target, headers=encoded)
         data = connection.send(head) or b""
         if body:
             data += connection.send(h11.Data(data=body)) or b""
--- a/packages/toucanyard-node/src/toucanyard_node/locator.py
+++ b/packages/toucanyard-node/src/toucanyard_node/locator.py
@@ -85,5 +85,3 @@
 
 def _is_live_node(vm: Vm) -> bool:
     return vm.state is VmState.LIVE and vm.runs == "node" and vm.callers != ""
-
-
--- a/packages/toucanyard-node/src/toucanyard_node/model_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_face.py
@@ -163,7 +163,12 @@
         is_keyed = attempts.request.repeatability is Repeatability.KEYED
 
         async def run() -> Result | None:
-            return await work(relay)
+            try:
+                return await work(relay)
+            except Exception:
+                # A fault here must not leave the request's place taken for ever.
+                relay.give_up("internal error")
+                raise
 
         async def drain(result: Result | None) -> None:
             # Reached when a caller hung up before its events began.
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -15,6 +15,7 @@
 from toucanyard.names import Address, Incarnation
 from toucanyard.node_core import CoreEvent
 from toucanyard.options import CallerLimits, Options
+from toucanyard.orders import ReadState, SendOrder
 from toucanyard_node.callers_face import CallersFace
 from toucanyard_node.core_task import CoreOutputs, CoreTask
 from toucanyard_node.drain import DrainState, drain
@@ -31,6 +32,7 @@
 from toucanyard_node.log_reader import follow_log
 from toucanyard_node.log_writer import write_log
 from toucanyard_node.operators_face import OperatorsFace
+from toucanyard_node.order_sender import OrderSender
 from toucanyard_node.peer_links import PeerLinks
 from toucanyard_node.vm_list import poll_vm_list
 
@@ -71,8 +73,11 @@
         log_send, self._appends = trio.open_memory_channel[AppendToLog](2**31)
         peer_send, self._messages = trio.open_memory_channel[SendMessage](_OUTBOX)
         dump_send, self._dumps = trio.open_memory_channel[ReadDump](_OUTBOX)
+        order_send, self._orders = trio.open_memory_channel[SendOrder | ReadState](
+            _OUTBOX
+        )
         incarnation = Incarnation(secrets.token_hex(_INCARNATION_BYTES))
-        outputs = CoreOutputs(log_send, peer_send, dump_send)
+        outputs = CoreOutputs(log_send, peer_send, dump_send, order_send)
         self._task = CoreTask(options, incarnation, outputs)
         self._core = self._task.core
         identity = NodeIdentity(options.name, incarnation)
@@ -131,6 +136,7 @@
             nursery.start_soon(self._links.run, self._listeners.peers, self._messages)
             nursery.start_soon(self._watch.run)
             nursery.start_soon(self._read_dumps)
+            nursery.start_soon(OrderSender(self._emit).run, self._orders)
             nursery.start_soon(self._server.serve, self._listeners.callers)
             nursery.start_soon(self._operators.serve, self._listeners.operators)
             task_status.started()
--- a/packages/toucanyard-node/src/toucanyard_node/operator_answers.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operator_answers.py
@@ -8,7 +8,14 @@
 from toucanyard.configuration import Configuration
 from toucanyard.configuration_records import HistoryEntry
 from toucanyard.errorcodes import ErrorKind
-from toucanyard.names import Address, DomainName, EndpointName, Incarnation, NodeName
+from toucanyard.names import (
+    Address,
+    DomainName,
+    EndpointName,
+    Incarnation,
+    NodeName,
+    PoolName,
+)
 from toucanyard.patches import Put, Remove
 from toucanyard.vm_view import Vm
 
@@ -81,6 +88,8 @@
     queued_requests: int
     keys: int
     claims: int
+    duties: tuple[PoolName, ...]
+    """Pools whose duty this node holds."""
     peers: tuple[NodeId, ...]
     vms: tuple[Vm, ...]
     endpoints: tuple[EndpointStatus, ...]
--- a/packages/toucanyard-node/src/toucanyard_node/operators_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operators_face.py
@@ -171,6 +171,7 @@
             queued_requests=core.admission.count_queued(),
             keys=core.claims.count_keys(),
             claims=core.claims.count_claims(),
+            duties=tuple(duty.pool for duty in core.duties.duties.find_held(now_ms)),
             peers=core.find_linked(),
             vms=core.membership.vms,
             endpoints=self._list_endpoints(now_ms),
--- a/packages/toucanyard-node/src/toucanyard_node/order_sender.py
+++ b/packages/toucanyard-node/src/toucanyard_node/order_sender.py
@@ -13,7 +13,7 @@
 import structlog
 import trio
 
-from toucanyard.names import EndpointName
+from toucanyard.core_events import OrderEnded, StateRead
 from toucanyard.orders import (
     EndpointState,
     OrderOutcome,
@@ -37,21 +37,6 @@
 _JSON: Final = (("Content-Type", "application/json"),)
 
 
-class StateRead(msgspec.Struct, frozen=True):
-    """An endpoint gave its state when asked at `asked_ms`."""
-
-    endpoint: EndpointName
-    state: EndpointState
-    asked_ms: float
-
-
-class OrderEnded(msgspec.Struct, frozen=True):
-    """What became of an order, as far as its sender can know."""
-
-    sent: SendOrder
-    outcome: OrderOutcome
-
-
 class _RefusalBody(msgspec.Struct, frozen=True):
     reason: OrderOutcome
 
--- a/packages/toucanyard-node/src/toucanyard_node/service_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/service_face.py
@@ -161,6 +161,14 @@
 
     async def run(self) -> Result:
         """Dispatch until there is an answer or a final refusal."""
+        try:
+            return await self._run()
+        except Exception:
+            # A fault here must not leave the request's place taken for ever.
+            self.give_up()
+            raise
+
+    async def _run(self) -> Result:
         verdict = await self._core.decide(self.attempts.request)
         while isinstance(verdict, Dispatch):
             self._dispatch = verdict
--- a/packages/toucanyard-node/src/toucanyard_node/sheltered.py
+++ b/packages/toucanyard-node/src/toucanyard_node/sheltered.py
@@ -15,10 +15,11 @@
 class _Box(Generic[T]):
     """Where the result goes; `is_wanted` turns false when the waiter leaves."""
 
-    __slots__ = ("done", "is_wanted", "values")
+    __slots__ = ("done", "error", "is_wanted", "values")
 
     def __init__(self) -> None:
         self.done = trio.Event()
+        self.error: Exception | None = None
         self.is_wanted = True
         self.values: list[T] = []
 
@@ -36,7 +37,12 @@
     box: _Box[T] = _Box()
 
     async def run() -> None:
-        value = await work()
+        try:
+            value = await work()
+        except Exception as error:
+            box.error = error
+            box.done.set()
+            raise
         box.values.append(value)
         box.done.set()
         if not box.is_wanted:
@@ -51,4 +57,6 @@
             value = box.values[0]
             spawn(lambda: when_unwanted(value))
         raise
+    if box.error is not None:
+        raise box.error
     return box.values[0]
--- a/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
+++ b/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
@@ -311,7 +311,9 @@
         engine, self._engine = self._engine, None
         if engine is not None:
             await engine.abandon()
-        verdict = await self.attempts.report_failure(dispatch, error.ending, error.text)
+        verdict = await self.attempts.report_failure(
+            dispatch, error.ending, error.text, self._weights_version
+        )
         # What goes on computing there is for nobody. A try that comes back to the
         # same engine bears the same name, and would be cancelled with the old one.
         is_elsewhere = getattr(verdict, "address", "") != dispatch.address
--- a/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
@@ -35,15 +35,16 @@
     async def complete(self, request: HttpRequest, responder: Responder) -> None:
         """Compute and send an answer, or refuse before anything is computed."""
         body = msgspec.json.decode(request.body, type=CompletionRequest)
+        echo = self._identify(request.headers.get("x-request-id", ""))
         if self._engine.faults.is_refusing or self._engine.state.is_loading:
             self._engine.counters.refused += 1
-            await send_error(responder, 503, "takes no requests")
+            await send_error(responder, 503, "takes no requests", echo)
             return
         wanted = request.headers.get("x-weights-version", "")
         loaded = self._engine.state.weights.weights_version
         if wanted and wanted != loaded:
             self._engine.counters.refused += 1
-            await send_error(responder, 412, f"loaded {loaded}", self._identify(""))
+            await send_error(responder, 412, f"loaded {loaded}", echo)
             return
         stream = self._submit(request, body)
         await self._delay_answer()
--- a/packages/toucanyard/src/toucanyard/core_events.py
+++ b/packages/toucanyard/src/toucanyard/core_events.py
@@ -13,6 +13,7 @@
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.load_view import LoadReport
 from toucanyard.names import EndpointName, NodeName, RequestId
+from toucanyard.orders import EndpointState, OrderOutcome, SendOrder
 from toucanyard.patches import Patch
 from toucanyard.requests import Outcome, Request, Verdict
 from toucanyard.vm_view import Vm
@@ -127,6 +128,21 @@
     endpoint: EndpointName
 
 
+class StateRead(msgspec.Struct, frozen=True):
+    """An endpoint gave its state when asked at `asked_ms`."""
+
+    endpoint: EndpointName
+    state: EndpointState
+    asked_ms: float
+
+
+class OrderEnded(msgspec.Struct, frozen=True):
+    """What became of an order, as far as its sender can know."""
+
+    sent: SendOrder
+    outcome: OrderOutcome
+
+
 class TickPassed(msgspec.Struct, frozen=True):
     """Time has passed; wanted every 50 ms or so."""
 
--- a/packages/toucanyard/src/toucanyard/endpoint_directory.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_directory.py
@@ -19,6 +19,8 @@
 
 _KEEP_MS: Final = 50.0
 _MAX_KEPT: Final = 256
+_MIN_BACKOFF_MS: Final = 200.0
+_MAX_BACKOFF_MS: Final = 2_000.0
 
 
 class _Kept(msgspec.Struct):
@@ -27,18 +29,24 @@
     until_ms: float
 
 
+class _Backoff(msgspec.Struct):
+    until_ms: float
+    wait_ms: float
+
+
 class EndpointDirectory:
     """Usable endpoints and their weights, as this node sees them.
 
     Invariant: a list is at most `_KEEP_MS` old, and older than no own failure.
     """
 
-    __slots__ = ("_kept", "_membership", "_weights")
+    __slots__ = ("_backoffs", "_kept", "_membership", "_weights")
 
     def __init__(self, membership: Membership) -> None:
         self._membership = membership
         self._weights: dict[EndpointName, str] = {}
         self._kept: dict[int, _Kept] = {}
+        self._backoffs: dict[EndpointName, _Backoff] = {}
 
     def find_usable(
         self, endpoints: Sequence[Endpoint], now_ms: float
@@ -48,7 +56,7 @@
         is_same = kept is not None and kept.endpoints is endpoints
         if kept is not None and is_same and now_ms < kept.until_ms:
             return kept.usable
-        usable: Sequence[Endpoint] = self._membership.find_usable(endpoints, now_ms)
+        usable: Sequence[Endpoint] = self._find_now(endpoints, now_ms)
         if kept is not None and is_same and list(kept.usable) == usable:
             usable = kept.usable
         if len(self._kept) >= _MAX_KEPT:
@@ -56,6 +64,29 @@
         self._kept[id(endpoints)] = _Kept(endpoints, usable, now_ms + _KEEP_MS)
         return usable
 
+    def is_backing_off(self, endpoint: EndpointName, now_ms: float) -> bool:
+        """Tell whether an endpoint turned this node away a moment ago."""
+        backoff = self._backoffs.get(endpoint)
+        return backoff is not None and now_ms < backoff.until_ms
+
+    def note_refusal(self, endpoint: EndpointName, now_ms: float) -> None:
+        """Take in that an endpoint turned a request away without running it.
+
+        An engine that loads weights refuses for half a second or more while its load
+        looks low. Without a pause every request would try it first, and its retries
+        would use up the budget.
+        """
+        backoff = self._backoffs.get(endpoint)
+        wait_ms = _MIN_BACKOFF_MS
+        if backoff is not None and now_ms < backoff.until_ms + backoff.wait_ms:
+            wait_ms = min(2 * backoff.wait_ms, _MAX_BACKOFF_MS)
+        self._backoffs[endpoint] = _Backoff(now_ms + wait_ms, wait_ms)
+        self._expire(now_ms)
+
+    def note_success(self, endpoint: EndpointName) -> None:
+        """Take in that an endpoint ran a request."""
+        self._backoffs.pop(endpoint, None)
+
     def find_weights(self, endpoint: EndpointName) -> str | None:
         """Return the weights version that an endpoint last reported."""
         return self._weights.get(endpoint)
@@ -66,6 +97,20 @@
 
     def note_failure(self, endpoint: EndpointName, now_ms: float) -> None:
         """Take in that a dispatch or a poll of this node failed there."""
+        self._expire(now_ms)
+        self._membership.handle(EndpointError(endpoint), now_ms)
+
+    def _find_now(
+        self, endpoints: Sequence[Endpoint], now_ms: float
+    ) -> Sequence[Endpoint]:
+        usable = self._membership.find_usable(endpoints, now_ms)
+        willing = [
+            each for each in usable if not self.is_backing_off(each.name, now_ms)
+        ]
+        # With none left a request goes out all the same, to find out whether one
+        # takes work again.
+        return willing or usable
+
+    def _expire(self, now_ms: float) -> None:
         for kept in self._kept.values():
             kept.until_ms = now_ms
-        self._membership.handle(EndpointError(endpoint), now_ms)
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -42,12 +42,14 @@
     LogRead,
     LogStateSeen,
     MessageRead,
+    OrderEnded,
     PatchAnswered,
     PatchSubmitted,
     ReadDump,
     Reply,
     RequestArrived,
     SendMessage,
+    StateRead,
     TickPassed,
     VmsRead,
 )
@@ -67,11 +69,16 @@
     Ticked as MembershipTicked,
     VmListRead,
 )
-from toucanyard.names import Incarnation
+from toucanyard.names import Incarnation, NodeName
 from toucanyard.options import Options
+from toucanyard.order_duties import OrderDuties
+from toucanyard.orders import ReadState, SendOrder
 from toucanyard.patches import find_owners
 from toucanyard.placement import Placement
 from toucanyard.request_flow import FlowAction, RequestFlow
+from toucanyard.snapshot_exchange import SnapshotExchange
+from toucanyard.snapshots import SnapshotBusy, SnapshotPart, SnapshotRequest
+from toucanyard.vm_view import VmState
 
 CoreEvent = (
     RequestArrived
@@ -90,9 +97,13 @@
     | CacheEventsRead
     | CacheDumpRead
     | EndpointSilent
+    | StateRead
+    | OrderEnded
     | TickPassed
 )
-CoreAction = Reply | AppendToLog | SendMessage | PatchAnswered | ReadDump
+CoreAction = (
+    Reply | AppendToLog | SendMessage | PatchAnswered | ReadDump | SendOrder | ReadState
+)
 
 
 class NodeCore:
@@ -116,12 +127,22 @@
         self.admission = Admission(options.admission, rng)
         self.claims = AtMostOnce(options.name, incarnation, options.claims, rng)
         self.directory = EndpointDirectory(self.membership)
+        self.duties = OrderDuties(self.identity, rng)
+        self.snapshots = SnapshotExchange(
+            options.domain,
+            self.log,
+            self.membership,
+            self.placement,
+            self.directory,
+            rng,
+        )
         self.flow = RequestFlow(
             self.admission,
             self.placement,
             self.claims,
             self.directory,
             options.streams,
+            options.admission.max_attempts,
         )
 
     @property
@@ -196,24 +217,35 @@
         match event:
             case LogRead():
                 yield from self.spread.read_log(event, now_ms)
+                self._read_duties(event, now_ms)
                 read = ClaimRecordsRead(
                     event.from_offset, event.next_offset, event.records
                 )
                 yield from self._apply_claims(self.claims.handle(read, now_ms), now_ms)
             case LogExpired(oldest=oldest):
                 self.log.note_expired(oldest)
+                self.duties.duties.note_expired()
             case LogStateSeen(is_up=is_up):
                 state = LogState(is_up)
                 yield from self._apply_claims(self.claims.handle(state, now_ms), now_ms)
             case AppendSettled():
                 yield from self._settle(event, now_ms)
 
+    def _read_duties(self, event: LogRead, now_ms: float) -> None:
+        duties = self.duties.duties
+        if event.from_offset == 0:
+            duties.note_start(0, 0)
+        for record in event.records:
+            duties.apply_record(record.offset, record.at_ms, record.text, now_ms)
+        if event.next_offset >= event.head:
+            duties.note_head(event.asked_ms)
+
     def _settle(self, event: AppendSettled, now_ms: float) -> Iterator[CoreAction]:
         claimed: list[str] = []
         for record_id in event.record_ids:
             if self.spread.owns(record_id):
                 yield from self.spread.settle(record_id, event.result, now_ms)
-            else:
+            elif not self.duties.owns(record_id):
                 claimed.append(record_id)
         if claimed:
             settled = RecordsSettled(tuple(claimed), event.result)
@@ -252,6 +284,8 @@
                 )
             case ConfigurationRequest() | ConfigurationDelta() | ConfigurationOffer():
                 yield from self.spread.read_message(event.sender.node, message, now_ms)
+            case SnapshotRequest() | SnapshotPart() | SnapshotBusy():
+                yield from self.snapshots.handle(event.sender.node, message, now_ms)
             case _:
                 key_message = PeerMessageArrived(event.sender, message)
                 yield from self._apply_claims(
@@ -260,7 +294,12 @@
 
     def _handle_endpoint(
         self,
-        event: LoadRead | CacheEventsRead | CacheDumpRead | EndpointSilent,
+        event: LoadRead
+        | CacheEventsRead
+        | CacheDumpRead
+        | EndpointSilent
+        | StateRead
+        | OrderEnded,
         now_ms: float,
     ) -> Iterator[CoreAction]:
         match event:
@@ -277,6 +316,10 @@
                 self.placement.apply_cache_events(endpoint, events, now_ms)
             case CacheDumpRead(endpoint=endpoint, dump=dump):
                 self.placement.apply_cache_dump(endpoint, dump, now_ms)
+            case StateRead():
+                self.duties.note_state(event.endpoint, event.state, event.asked_ms)
+            case OrderEnded(sent=sent, outcome=outcome):
+                self.duties.note_outcome(sent, outcome, now_ms)
             case EndpointSilent(endpoint=endpoint):
                 self.directory.note_failure(endpoint, now_ms)
 
@@ -287,10 +330,22 @@
             self.membership.handle(MembershipTicked(), now_ms), now_ms
         )
         yield from self.spread.tick(now_ms)
+        yield from self._tick_duties(now_ms)
+        linked = frozenset(peer.node for peer in self._linked)
+        yield from self.snapshots.tick(linked, now_ms)
         for endpoint in self.placement.find_doubtful(now_ms):
             self.placement.note_dump_asked(endpoint, now_ms)
             yield ReadDump(endpoint)
 
+    def _tick_duties(self, now_ms: float) -> Iterator[CoreAction]:
+        nodes = [
+            NodeName(vm.name)
+            for vm in self.membership.vms
+            if vm.runs == "node" and vm.state is VmState.LIVE
+        ]
+        may_order = self.log.compute_allowance(now_ms).may_order
+        yield from self.duties.tick(self.configuration, nodes, may_order, now_ms)
+
     def _apply_claims(
         self, actions: Sequence[ClaimAction], now_ms: float
     ) -> Iterator[CoreAction]:
--- a/packages/toucanyard/src/toucanyard/request_flow.py
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -100,12 +100,14 @@
         claims: AtMostOnce,
         directory: EndpointDirectory,
         limits: StreamLimits,
+        max_attempts: int,
     ) -> None:
         self._admission = admission
         self._placement = placement
         self._claims = claims
         self._directory = directory
         self._limits = limits
+        self._max_attempts = max_attempts
         self._pending: dict[RequestId, _Pending] = {}
         self._configuration = Configuration()
         self.explanations = ExplanationRing()
@@ -292,7 +294,7 @@
             address=address,
             attempt=pending.attempt,
             expected_incarnation=placed.incarnation,
-            weights_version=self._find_sent_weights(pending) or "",
+            weights_version=pending.weights_version or "",
             silence_ms=self._limits.min_silence_ms,
         )
         yield Reply(request.request_id, dispatch)
@@ -326,10 +328,16 @@
         return [
             each
             for each in usable
-            if each.name in allowed
-            and wanted in (None, self._directory.find_weights(each.name))
+            if each.name in allowed and self._may_have_weights(each.name, wanted)
         ]
 
+    def _may_have_weights(self, endpoint: EndpointName, wanted: str | None) -> bool:
+        # An endpoint that has not reported yet may have them; if not, it refuses.
+        return wanted is None or self._directory.find_weights(endpoint) in (
+            wanted,
+            None,
+        )
+
     def _find_usable(self, request: Request, now_ms: float) -> Sequence[Endpoint]:
         match request.target:
             case ModelTarget(pool=name):
@@ -356,7 +364,13 @@
         request = pending.request
         if outcome.ending not in _PROVED_NOT_RUN:
             pending.may_have_run = True
+        if pending.weights_version is not None and outcome.weights_version:
+            pending.weights_version = outcome.weights_version
         self._placement.note_outcome(request, outcome, now_ms)
+        if outcome.ending in _PROVED_NOT_RUN:
+            self._directory.note_refusal(outcome.endpoint, now_ms)
+        elif outcome.ending is EndingSeen.COMPLETED:
+            self._directory.note_success(outcome.endpoint)
         if outcome.ending in _FAILED:
             self._admission.note_failure(request.request_id, now_ms)
             self._directory.note_failure(outcome.endpoint, now_ms)
@@ -391,12 +405,28 @@
             )
             return
         pending.tried = (*pending.tried, outcome.endpoint)
-        if self._admission.may_retry(pending.attempt):
+        if self._may_retry(pending, outcome, now_ms):
             yield from self._dispatch(pending, now_ms)
             return
         text = f"{pending.attempt} tries failed, the last at {outcome.endpoint}"
         yield from self._give_up(pending, ErrorKind.NO_ENDPOINT, text, now_ms, outcome)
 
+    def _may_retry(self, pending: _Pending, outcome: Outcome, now_ms: float) -> bool:
+        """Tell whether another try is allowed; it may use up a part of the budget.
+
+        A try that was turned away cost its endpoint next to nothing, and endpoints
+        that turn away are left alone for a while, so such retries can't multiply an
+        overload: they need no budget, only an endpoint that is willing.
+        """
+        if outcome.ending not in _PROVED_NOT_RUN:
+            return self._admission.may_retry(pending.attempt)
+        if pending.attempt >= self._max_attempts:
+            return False
+        return any(
+            not self._directory.is_backing_off(each.name, now_ms)
+            for each in self._find_candidates(pending, now_ms)
+        )
+
     def _give_up(
         self,
         pending: _Pending,
--- a/packages/toucanyard/src/toucanyard/requests.py
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -75,6 +75,7 @@
     attempt: int
     expected_incarnation: Incarnation | None
     weights_version: str
+    """Weights that the endpoint must have loaded; empty while any will do."""
     silence_ms: float
     """Silence after which the stream is probed on a new connection."""
 
--- a/packages/toucanyard/src/toucanyard/wire.py
+++ b/packages/toucanyard/src/toucanyard/wire.py
@@ -19,11 +19,17 @@
     Digest,
     DigestMessage,
 )
+from toucanyard.snapshots import (
+    SnapshotBusy,
+    SnapshotMessage,
+    SnapshotPart,
+    SnapshotRequest,
+)
 
 MAX_MESSAGE_BYTES: Final = 4_000_000
 
 
-PeerMessage = KeyMessage | DigestMessage
+PeerMessage = KeyMessage | DigestMessage | SnapshotMessage
 
 
 ConfigurationMessage = ConfigurationRequest | ConfigurationDelta | ConfigurationOffer
@@ -41,9 +47,13 @@
     message: ConfigurationMessage
 
 
+class _SnapshotFrame(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    message: SnapshotMessage
+
+
 # Digests are arrays, since they are sent all the time; the codec can't tell arrays
 # and maps apart in one union, so a frame says which family a message is of.
-_Frame = _KeyFrame | _DigestFrame | _ConfigurationFrame
+_Frame = _KeyFrame | _DigestFrame | _ConfigurationFrame | _SnapshotFrame
 
 
 class MessageInvalidError(Exception):
@@ -58,6 +68,8 @@
             frame = _DigestFrame(message)
         case ConfigurationRequest() | ConfigurationDelta() | ConfigurationOffer():
             frame = _ConfigurationFrame(message)
+        case SnapshotRequest() | SnapshotPart() | SnapshotBusy():
+            frame = _SnapshotFrame(message)
         case _:
             frame = _KeyFrame(message)
     return cbor2.dumps(msgspec.to_builtins(frame, builtin_types=(bytes,)))
--- a/tests/toucanyard/test_request_flow.py
+++ b/tests/toucanyard/test_request_flow.py
@@ -128,3 +128,32 @@
     names = [type(step).__name__ for step in record.steps]
     assert names == ["Sent", "Ended", "Sent", "Ended"]
     assert record.configuration_version == 1
+
+
+def test_endpoint_that_turned_away_is_left_alone_for_a_while(world: CoreWorld) -> None:
+    # The caller sees an answer at once. An engine that loads weights refuses while its
+    # load looks low; without a pause each request would try it first and waste a try.
+    first = world.arrive("r1")
+    dispatch = world.find_last(first)
+    assert isinstance(dispatch, Dispatch)
+    end(world, first, EndingSeen.REFUSED)
+    later = [world.find_last(world.arrive(f"r{number}")) for number in range(2, 8)]
+    assert all(isinstance(each, Dispatch) for each in later)
+    assert dispatch.endpoint not in {
+        each.endpoint for each in later if isinstance(each, Dispatch)
+    }
+
+
+def test_retries_end_when_every_endpoint_turned_away(world: CoreWorld) -> None:
+    # The caller sees a refusal with a time to come back. Going round among endpoints
+    # that all turn away would multiply an overload.
+    request_id = world.arrive("r1")
+    while isinstance(world.find_last(request_id), Dispatch):
+        end(world, request_id, EndingSeen.REFUSED)
+    refusal = world.find_last(request_id)
+    assert isinstance(refusal, Refuse)
+    assert refusal.ending is Ending.NOT_RUN
+    assert len(world.replies[request_id]) <= 4
+    later = world.arrive("r2")
+    end(world, later, EndingSeen.REFUSED)
+    assert isinstance(world.find_last(later), Refuse)
--- a/tests/toucanyard_node/test_service_face.py
+++ b/tests/toucanyard_node/test_service_face.py
@@ -15,6 +15,7 @@
     AUTHORIZED,
     ScriptedCore,
     ServedFace,
+    build_completion,
     build_configuration,
     serve_face,
 )
@@ -156,3 +157,28 @@
 def test_declared_calls(method: str, path: str, expected: Repeatability) -> None:
     [service] = build_configuration(("POST /fares",)).services
     assert find_call_repeatability(service, method, path) is expected
+
+
+async def test_key_outside_ascii() -> None:
+    """A key in Latin-1 reaches the service as it came."""
+    async with serve_desk() as (served, addresses):
+        headers = (*AUTHORIZED, ("Idempotency-Key", "ñandú"))
+        answer = await served.ask("POST", HOLDS, headers, {"seat": 4})
+        assert answer.status == 200
+        counters = await read(addresses[0], "/control", ServiceCounters)
+        assert counters.by_key == {"ñandú": 1}
+
+
+@pytest.mark.parametrize("headers", [AUTHORIZED, KEYED])
+@pytest.mark.parametrize("target", [HOLDS, "/v1/completions"])
+async def test_fault_gives_the_place_back(headers: Headers, target: str) -> None:
+    """A fault of the node's own ends a request after the core has placed it.
+
+    The caller gets an internal error at once, and the core learns that the dispatch
+    is over; else its place at the endpoint would stay taken.
+    """
+    core = ScriptedCore([Address("nonsense")])
+    async with serve_face(core) as served:
+        answer = await served.ask("POST", target, headers, build_completion())
+        assert read_error(answer)["code"] == "internal"
+        assert core.find_endings() == [EndingSeen.CANCELLED]
--- a/tests/toucanyard_standins/test_deployment.py
+++ b/tests/toucanyard_standins/test_deployment.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -225,3 +227,41 @@
                 if counters.cancelled == 1:
                     break
                 await trio.sleep(0.02)
+
+
+async def test_fresh_node_goes_on_elsewhere_when_an_engine_dies() -> None:
+    # The node has just started and has no report from any engine yet. The engine of
+    # its first stream dies; the other is there, and the caller gets the whole answer.
+    async with run_deployment() as (harness, deployment):
+        node = deployment.nodes[0]
+        whole = join_text(await stream(node.address))
+        used = await find_used(harness, deployment.engines)
+        await harness.control(used, DieAfterEvents(events=5))
+        assert join_text(await stream(node.address)) == whole
+
+
+async def test_callers_that_reset_their_connections_do_not_end_the_node() -> None:
+    # Callers' connections break while the node writes to them. Others go on: the
+    # error must end those connections and not the server that holds them all.
+    async with run_deployment(engines=1) as (_, deployment):
+        (node,) = deployment.nodes
+        for _round in range(30):
+            async with trio.open_nursery() as nursery:
+                for _caller in range(10):
+                    nursery.start_soon(reset_stream, node.address)
+        assert len(join_text(await stream(node.address))) == TOKENS * 4
+        assert node.is_running()
+
+
+async def reset_stream(address: Address) -> None:
+    host, _, port = address.rpartition(":")
+    raw = await trio.open_tcp_stream(host, int(port))
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: {address}\r\n"
+        f"Authorization: Bearer {CALLER_KEY}\r\n"
+        f"Content-Length: {len(LONG_BODY)}\r\n\r\n"
+    )
+    await raw.send_all(head.encode() + LONG_BODY)
+    await raw.receive_some(100)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    await trio.aclose_forcefully(raw)
