Leave room for other customers' keys

Cause: one customer could use up all the keys that a node remembers, and every other customer was refused until the window had passed. Before: one bound over all.

--- a/packages/toucanyard/src/toucanyard/claimed_keys.py
+++ b/packages/toucanyard/src/toucanyard/claimed_keys.py
@@ -47,7 +47,7 @@
             yield refuse_unclaimed(event, ErrorKind.DEADLINE_EXCEEDED, book.rng)
         elif not book.is_log_up:
             yield refuse_unclaimed(event, ErrorKind.LOG_UNAVAILABLE, book.rng)
-        elif book.is_full() or not book.index.is_complete():
+        elif book.is_full(event.customer) or not book.index.is_complete():
             yield refuse_unclaimed(event, ErrorKind.OVERLOADED, book.rng)
         else:
             yield from self._claim(event, name, now_ms)
--- a/packages/toucanyard/src/toucanyard/followed_keys.py
+++ b/packages/toucanyard/src/toucanyard/followed_keys.py
@@ -39,7 +39,7 @@
     ) -> Iterator[ClaimAction]:
         """Take in a key that another node, or an earlier incarnation, issued."""
         book = self._book
-        if book.is_full():
+        if book.is_full(event.customer):
             yield refuse_unclaimed(event, ErrorKind.OVERLOADED, book.rng)
             return
         yield from self._follow(event, name, issued.issuer, "", now_ms, issued)
--- a/packages/toucanyard/src/toucanyard/key_book.py
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
@@ -27,7 +28,7 @@
 from toucanyard.kept_answers import KeptAnswers
 from toucanyard.key_answers import refuse, tell_status
 from toucanyard.key_entries import EndedKey, KeyEntry, Phase
-from toucanyard.names import RequestId
+from toucanyard.names import CustomerName, RequestId
 from toucanyard.options import ClaimLimits
 from toucanyard.requests import KeptAnswer
 
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        "_count_by_customer",
         "_ended",
         "_entries",
         "_kept",
@@ -69,6 +71,7 @@
         self._entries: dict[KeyName, KeyEntry] = {}
         self._ended: dict[KeyName, EndedKey] = {}
         self._name_by_request: dict[RequestId, KeyName] = {}
+        self._count_by_customer: Counter[CustomerName] = Counter()
         self._owed: dict[str, str] = {}
         self._loopback: list[KeyMessage] = []
 
@@ -93,9 +96,13 @@
         """Return how the key ended here."""
         return self._ended.get(name)
 
-    def is_full(self) -> bool:
-        """Tell whether there is no room for another key."""
-        return len(self) >= self.limits.max_keys
+    def is_full(self, customer: CustomerName) -> bool:
+        """Tell whether there is no room for another key of a customer."""
+        if len(self) >= self.limits.max_keys:
+            return True
+        # One large customer would otherwise use up the room of all the others.
+        allowed = self.limits.max_keys * self.limits.max_customer_share
+        return self._count_by_customer[customer] >= max(allowed, 1)
 
     def is_in_window(self, issued: IssuedKey, now_ms: float) -> bool:
         """Tell whether a key that this node issued may still run."""
@@ -113,6 +120,7 @@
     def add(self, entry: KeyEntry, event: KeyedArrived) -> None:
         """Add a key that its first try on this node brought."""
         self._entries[entry.name] = entry
+        self._count_by_customer[entry.name.customer] += 1
         self.wait(entry, event)
 
     def wait(self, entry: KeyEntry, event: KeyedArrived) -> None:
@@ -127,7 +135,8 @@
 
     def remove(self, entry: KeyEntry) -> None:
         """Remove a key that is no longer under way here."""
-        self._entries.pop(entry.name, None)
+        if self._entries.pop(entry.name, None) is not None:
+            self._uncount(entry.name)
         for request_id in entry.waiting:
             self._name_by_request.pop(request_id, None)
         if entry.running is not None:
@@ -136,6 +145,7 @@
     def keep_ended(self, name: KeyName, ended: EndedKey) -> None:
         """Remember how a key ended."""
         self._ended[name] = ended
+        self._count_by_customer[name.customer] += 1
 
     def keep_answer(self, entry: KeyEntry, answer: KeptAnswer) -> None:
         """Keep the whole answer of a key for its other tries."""
@@ -186,7 +196,7 @@
     ) -> Iterator[ClaimAction]:
         """Record how a key ended here and tell everyone who waits for it."""
         ended = EndedKey(status, entry.digest, now_ms)
-        self._ended[entry.name] = ended
+        self.keep_ended(entry.name, ended)
         self.remove(entry)
         for waiting in entry.waiting.values():
             yield self.tell_ended(waiting, ended)
@@ -234,4 +244,10 @@
             old.append(name)
         for name in old:
             del self._ended[name]
+            self._uncount(name)
             self._kept.drop(name)
+
+    def _uncount(self, name: KeyName) -> None:
+        self._count_by_customer[name.customer] -= 1
+        if self._count_by_customer[name.customer] == 0:
+            del self._count_by_customer[name.customer]
--- a/packages/toucanyard/src/toucanyard/noted_keys.py
+++ b/packages/toucanyard/src/toucanyard/noted_keys.py
@@ -41,7 +41,7 @@
         if not book.is_in_window(issued, now_ms):
             yield refuse(event, ErrorKind.KEY_EXPIRED, book.rng)
             return
-        if book.is_full():
+        if book.is_full(event.customer):
             yield refuse_unclaimed(event, ErrorKind.OVERLOADED, book.rng)
             return
         digest, witness = event.body_digest, issued.witness
@@ -72,7 +72,7 @@
         issued = parse_issued_key(name.key)
         if issued is None or issued.issuer != book.identity:
             return None
-        if not book.is_in_window(issued, now_ms) or book.is_full():
+        if not book.is_in_window(issued, now_ms) or book.is_full(name.customer):
             return None
         sealed = EndedKey(KeyStatus.NOT_RUN, b"", now_ms)
         book.keep_ended(name, sealed)
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -82,6 +82,8 @@
     kept_answers_bytes: SizeBytes = 32_000_000
     max_keys: Count = 50_000
     """Most keys remembered of each sort; when full, new keys are refused."""
+    max_customer_share: Share = 0.5
+    """Most of a node's own keys that one customer may take."""
     resend_ms: DurationMs = 100
     """How often a question to a peer that has not answered is sent again."""
     ask_patience_ms: DurationMs = 300
--- a/tests/key_mutations.py
+++ b/tests/key_mutations.py
@@ -79,8 +79,8 @@
     Mutation(
         "a key is sealed as unseen after it was forgotten",
         "noted_keys",
-        "if not book.is_in_window(issued, now_ms) or book.is_full():",
-        "if book.is_full():",
+        "if not book.is_in_window(issued, now_ms) or book.is_full(name.customer):",
+        "if book.is_full(name.customer):",
     ),
     Mutation(
         "a lost dispatch is reported as not run",
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -192,6 +192,32 @@
     assert node.count_keys() == 0
 
 
+def test_one_customer_leaves_room_for_the_others() -> None:
+    """One customer sends more keys than its share of what a node remembers.
+
+    It is refused as overloaded, and another customer's key goes on; without the share
+    the other one would be refused until the window has passed.
+    """
+    node = make_node(max_keys=4)
+    actions = [
+        node.handle(arrive(f"r{number}", node.issue_prefix(0)), 0)[0]
+        for number in range(3)
+    ]
+    assert [type(each) for each in actions] == [
+        AllowDispatch,
+        AllowDispatch,
+        RefuseKeyed,
+    ]
+    key = node.issue_prefix(0)
+    other = KeyedArrived(RequestId("o"), CustomerName("other"), key, b"d", 1_000)
+    assert node.handle(other, 0) == [AllowDispatch(RequestId("o"))]
+    for number in range(2):
+        ended = DispatchEnded(RequestId(f"r{number}"), EndingSeen.COMPLETED, ANSWER)
+        node.handle(ended, 1)
+    node.handle(Ticked(), 2 * ClaimLimits().window_ms)
+    assert node.count_keys() == 1
+
+
 def exchange(
     asker: AtMostOnce, answerer: AtMostOnce, actions: list[ClaimAction], now_ms: float
 ) -> list[ClaimAction]:
