Take no plain service's 503 as proof that a call did not run

Cause: found while reading. The face read 503, 429 and 412 of a plain service like an engine's refusal, as "not run", and sent a seat hold to the next replica. No protocol says that a service answers 503 only before it has written anything. Ruled out: trusting services that declare it; nothing declares it today. Before: test_refusing_replica asserted that a run-once hold answered 503 runs at the other replica. It asserted the fault, so it is replaced by two as strict: a call that may run once ends with the service's own answer and no second replica is called; a repeatable one is answered by the other. The first failed before (status 200, [0, 1]). After: pytest tests/toucanyard_node/test_service_face.py passes. Conclusion: only an engine, whose refusals are part of its protocol, proves "not run".

--- a/packages/toucanyard-node/src/toucanyard_node/service_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/service_face.py
@@ -34,7 +34,6 @@
 from toucanyard_node.connection_pool import ConnectionPool
 from toucanyard_node.core_messages import CoreClient
 from toucanyard_node.exchange import (
-    REFUSING_STATUSES,
     DispatchFailedError,
     check_echo,
     find_incarnation,
@@ -49,6 +48,7 @@
 from toucanyard_node.sheltered import Spawn, run_sheltered
 
 _READING_METHODS: Final = ("GET", "HEAD")
+_TOO_MANY_REQUESTS: Final = 429
 _FORWARDED: Final = ("content-type", "accept", "accept-language", "idempotency-key")
 
 Result = Refuse | Replay | Response
@@ -224,9 +224,11 @@
         if not is_bare_refusal(head) or is_used:
             check_echo(head, self.attempts.request.request_id)
         body = await connection.read_body()
-        if head.status in REFUSING_STATUSES:
-            raise DispatchFailedError(EndingSeen.REFUSED, f"status {head.status}")
-        if head.status >= 500 and self.attempts.is_repeatable():
+        # An engine's refusal proves that nothing ran; a service's proves nothing: it
+        # may answer 503 after it has written. A call that may run once is therefore
+        # over with that answer, and is never sent again or called "not run".
+        is_failure = head.status >= 500 or head.status == _TOO_MANY_REQUESTS
+        if is_failure and self.attempts.is_repeatable():
             raise DispatchFailedError(EndingSeen.FAILED, f"status {head.status}")
         content_type = head.headers.get("content-type", "application/octet-stream")
         outcome = self._build_outcome(dispatch, EndingSeen.COMPLETED)
