Check settings more strictly, and say what was found

Cause: errors in settings named the expected type and the path, seldom the value found; lines were counted without comments; a field that stood twice, NaN, ports over 65535 and IP numbers over 255 passed; JSON nested too deeply ended in a traceback. Ruled out: calling the library's line numbers right by counting the comments it took out, since trailing commas shift them too; comments are blanked before instead. Before: `Expected int, got str - at $.callers.max_body_bytes`. After: `found "4 MB", expected int - at $.callers.max_body_bytes`, from both programs, with exit status 2. The check that the claims window is below the retention stood twice; the stricter one is kept.

--- a/packages/toucanyard/src/toucanyard/settings.py
+++ b/packages/toucanyard/src/toucanyard/settings.py
@@ -5,37 +5,44 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
+import re
+from collections.abc import Iterator
 from pathlib import Path
-from typing import TypeVar
+from typing import Final, NoReturn, TypeVar
 
 import jsonc
 import msgspec
 
+from toucanyard.names import Address
 from toucanyard.options import Options
+from toucanyard.settings_errors import describe_invalid
 
 T = TypeVar("T")
 
+_MAX_PORT: Final = 65_535
+_STRING_OR_COMMENT: Final = re.compile(
+    r'"(?:\\.|[^"\\])*"|//[^\n]*|/\*.*?\*/', re.DOTALL
+)
+_NO_BREAK: Final = re.compile(r"[^\n]")
+
 
 class SettingsError(Exception):
     """Say which file and field is wrong; the command line exits with status 2."""
 
 
+class _RefusedJsonError(Exception):
+    """JSON that the library takes, and that leaves open what was meant."""
+
+
 def load_document(file: Path, kind: type[T]) -> T:
     """Decode one file of JSON with comments into a class, or raise SettingsError."""
-    try:
-        text = file.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{file}: can't be read: {error}") from error
-    try:
-        document = jsonc.loads(text)
-    except json.JSONDecodeError as error:
-        where = f"line {error.lineno} column {error.colno}"
-        raise SettingsError(f"{file}: {where}: {error.msg}") from error
+    document = _read_json(file)
     try:
         return msgspec.convert(document, kind)
     except msgspec.ValidationError as error:
-        raise SettingsError(f"{file}: {error}") from error
+        raise SettingsError(f"{file}: {describe_invalid(error, document)}") from error
 
 
 def load_options(file: Path) -> Options:
@@ -47,12 +54,6 @@
 
 def check_ranges(file: Path, options: Options) -> None:
     """Refuse settings that are each valid but contradict one another."""
-    claims = options.claims
-    if claims.window_ms >= claims.log_retention_ms:
-        raise SettingsError(
-            f"{file}: found window_ms {claims.window_ms}, expected less than"
-            f" log_retention_ms {claims.log_retention_ms} - at `$.claims.window_ms`"
-        )
     callers = options.callers
     if callers.default_deadline_ms > callers.max_deadline_ms:
         raise SettingsError(
@@ -66,3 +67,84 @@
             f"{file}: found min_silence_ms {streams.min_silence_ms}, expected at most"
             f" max_silence_ms {streams.max_silence_ms} - at `$.streams.min_silence_ms`"
         )
+    for path, address in _list_addresses(options):
+        if not _is_possible(address):
+            raise SettingsError(
+                f"{file}: found {json.dumps(address)}, expected an IP number and a port"
+                f" up to {_MAX_PORT} - at `{path}`"
+            )
+
+
+def _read_json(file: Path) -> object:
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = error.strerror if isinstance(error, OSError) else str(error)
+        raise SettingsError(
+            f"{file}: can't be read: found {reason}, expected a file of JSON"
+            " with comments in UTF-8"
+        ) from error
+    try:
+        return jsonc.loads(
+            _blank_comments(text),
+            object_pairs_hook=_build_object,
+            parse_constant=_refuse_constant,
+        )
+    except json.JSONDecodeError as error:
+        where = f"line {error.lineno} column {error.colno}"
+        found = error.doc[error.pos : error.pos + 20].split("\n")[0] or "the end"
+        raise SettingsError(f"{file}: {where}: found {found!r}: {error.msg}") from error
+    except RecursionError as error:
+        raise SettingsError(f"{file}: found JSON nested too deeply") from error
+    except _RefusedJsonError as error:
+        raise SettingsError(f"{file}: {error}") from error
+
+
+def _blank_comments(text: str) -> str:
+    """Put blanks in place of comments.
+
+    The library takes them out with their line ends, so that the lines of its errors
+    would not be those of the file.
+    """
+    return _STRING_OR_COMMENT.sub(
+        lambda match: match[0] if match[0][0] == '"' else _NO_BREAK.sub(" ", match[0]),
+        text,
+    )
+
+
+def _build_object(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    """Return an object, and refuse a field that stands twice.
+
+    The library keeps the last one: an operator who mends the first would see no
+    effect and no error.
+    """
+    fields = dict(pairs)
+    if len(fields) == len(pairs):
+        return fields
+    names = [name for name, _ in pairs]
+    twice = next(name for name in names if names.count(name) > 1)
+    raise _RefusedJsonError(f"found field {twice!r} twice, expected it once")
+
+
+def _refuse_constant(text: str) -> NoReturn:
+    raise _RefusedJsonError(f"found {text}, expected a number")
+
+
+def _list_addresses(options: Options) -> Iterator[tuple[str, Address]]:
+    listen = options.listen
+    yield "$.listen.callers", listen.callers
+    yield "$.listen.operators", listen.operators
+    yield "$.listen.peers", listen.peers
+    yield "$.platform.log", options.platform.log
+    yield "$.platform.vm_list", options.platform.vm_list
+    if options.statsd is not None:
+        yield "$.statsd.address", options.statsd.address
+
+
+def _is_possible(address: Address) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return int(port) <= _MAX_PORT
