--- /dev/null
+++ b/packages/toucanyard-cli/src/toucanyard_cli/access.py
@@ -0,0 +1,174 @@
+"""Reach a node: the options that every asking command has, and one request."""
+
+from __future__ import annotations
+
+import os
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+import click
+import h11
+import msgspec
+import trio
+
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.names import Address
+from toucanyard_cli.exit_codes import ExitCode, find_exit_code
+from toucanyard_cli.failures import CommandError
+from toucanyard_node.http_client import (
+    ConnectionFailedError,
+    Headers,
+    Response,
+    fetch,
+)
+
+F = TypeVar("F", bound=Callable[..., Any])
+T = TypeVar("T")
+
+_TIMEOUT_MS: Final = 15_000
+"""Longer than a node waits for the log to settle a patch."""
+_ADDRESS: Final = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}")
+_KEY: Final = re.compile(r"[!-~]+")
+_UNAVAILABLE: Final = 503
+
+
+class Access(msgspec.Struct, frozen=True):
+    """Where to ask, and with whose key."""
+
+    nodes: tuple[Address, ...]
+    key: str
+
+
+class _RefusalDetail(msgspec.Struct, frozen=True):
+    code: str = ""
+    message: str = ""
+
+
+class _RefusalBody(msgspec.Struct, frozen=True):
+    error: _RefusalDetail = _RefusalDetail()
+
+
+class NoAnswerError(Exception):
+    """No node answered; `is_sent` tells whether one may have taken the request."""
+
+    def __init__(self, text: str, is_sent: bool) -> None:
+        super().__init__(text)
+        self.is_sent = is_sent
+
+
+def json_option(command: F) -> F:
+    """Add `--json`."""
+    return click.option(
+        "--json", "is_json", is_flag=True, help="Print JSON, one document."
+    )(command)
+
+
+def access_options(command: F) -> F:
+    """Add the options that say which nodes to ask, with which key, and `--json`."""
+    command = click.option(
+        "--key-file",
+        type=click.Path(path_type=Path),
+        help="File that holds the API key; else TOUCANYARD_KEY.",
+    )(command)
+    command = click.option(
+        "--node",
+        "nodes",
+        multiple=True,
+        envvar="TOUCANYARD_NODE",
+        metavar="IP:PORT",
+        help="Node to ask; several are tried in turn. Else TOUCANYARD_NODE.",
+    )(command)
+    return json_option(command)
+
+
+def find_access(nodes: tuple[str, ...], key_file: Path | None) -> Access:
+    """Return where to ask, or raise CommandError with status 2."""
+    if not nodes:
+        raise CommandError(
+            ExitCode.USAGE, "found no node; give --node IP:PORT or TOUCANYARD_NODE"
+        )
+    for node in nodes:
+        if not _ADDRESS.fullmatch(node):
+            raise CommandError(
+                ExitCode.USAGE, f"found node {node!r}, expected IP number and port"
+            )
+    return Access(tuple(Address(node) for node in nodes), _read_key(key_file))
+
+
+def _read_key(key_file: Path | None) -> str:
+    """Read the key; never from an argument, which every user of the machine can see."""
+    if key_file is None:
+        key = os.environ.get("TOUCANYARD_KEY", "").strip()
+    else:
+        try:
+            key = key_file.read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError) as error:
+            raise CommandError(ExitCode.USAGE, f"{key_file}: {error}") from error
+    if not key:
+        raise CommandError(
+            ExitCode.USAGE, "found no key; set TOUCANYARD_KEY or give --key-file"
+        )
+    if not _KEY.fullmatch(key):
+        raise CommandError(
+            ExitCode.USAGE, "found a key with blanks or other than ASCII characters"
+        )
+    return key
+
+
+def ask_nodes(access: Access, method: str, target: str, body: bytes = b"") -> Response:
+    """Ask the nodes in turn; return the first answer that is not "unavailable".
+
+    A request that a node may have taken is sent to the next one too: questions change
+    nothing, and a patch is settled by its id. Without any answer, NoAnswerError.
+    """
+    return trio.run(_ask, access, method, target, body)
+
+
+async def _ask(access: Access, method: str, target: str, body: bytes) -> Response:
+    headers: Headers = (("Authorization", f"Bearer {access.key}"),)
+    unavailable: Response | None = None
+    failures: list[str] = []
+    is_sent = False
+    for node in access.nodes:
+        try:
+            answer = await fetch(node, method, target, headers, body, _TIMEOUT_MS)
+        except (ConnectionFailedError, h11.ProtocolError) as error:
+            is_sent = is_sent or getattr(error, "is_sent", True)
+            failures.append(f"{node}: {str(error).removeprefix(f'{node}: ')}")
+            continue
+        if answer.status != _UNAVAILABLE:
+            return answer
+        unavailable = answer
+    if unavailable is None or is_sent:
+        raise NoAnswerError("; ".join(failures), is_sent)
+    return unavailable
+
+
+def query(access: Access, target: str, kind: type[T]) -> tuple[bytes, T]:
+    """Ask a question and return its answer, raw and decoded, or raise CommandError."""
+    try:
+        answer = ask_nodes(access, "GET", target)
+    except NoAnswerError as error:
+        raise CommandError(ExitCode.NOT_REACHABLE, str(error)) from error
+    check_answer(answer)
+    try:
+        return answer.body, msgspec.json.decode(answer.body, type=kind)
+    except msgspec.DecodeError as error:
+        text = f"the answer can't be read: {error}"
+        raise CommandError(ExitCode.FAILED, text) from error
+
+
+def check_answer(answer: Response) -> None:
+    """Raise CommandError where an answer is a refusal."""
+    if answer.status < 300:
+        return
+    try:
+        refusal = msgspec.json.decode(answer.body, type=_RefusalBody).error
+    except msgspec.DecodeError:
+        refusal = _RefusalDetail()
+    known = {kind.value: kind for kind in ErrorKind}
+    code = find_exit_code(known.get(refusal.code), answer.status)
+    text = refusal.message or f"status {answer.status}"
+    raise CommandError(code, text, refusal.code)
--- /dev/null
+++ b/packages/toucanyard-cli/src/toucanyard_cli/patch_command.py
@@ -0,0 +1,93 @@
+"""Submit a patch, and settle one whose answer was lost."""
+
+from __future__ import annotations
+
+import secrets
+from pathlib import Path
+from typing import Final
+
+import click
+import msgspec
+
+from toucanyard_cli.access import (
+    NoAnswerError,
+    access_options,
+    ask_nodes,
+    check_answer,
+    find_access,
+)
+from toucanyard_cli.check_command import read_patch_file
+from toucanyard_cli.exit_codes import ExitCode, find_exit_code
+from toucanyard_cli.failures import CommandError
+from toucanyard_node.http_client import Response
+from toucanyard_node.operator_answers import PatchBody, PatchReply
+
+_ID_BYTES: Final = 8
+
+
+@click.command()
+@click.option("--base", type=click.IntRange(min=0), required=True, help="Version N.")
+@click.option(
+    "--patch-id",
+    default="",
+    help="Id of a patch whose outcome is unknown; it can't be applied twice.",
+)
+@click.argument("file", type=click.Path(path_type=Path))
+@access_options
+def patch(
+    base: int,
+    patch_id: str,
+    file: Path,
+    nodes: tuple[str, ...],
+    key_file: Path | None,
+    is_json: bool,
+) -> None:
+    """Bring the patch in FILE into force on version N of the configuration.
+
+    FILE holds {"put": {..}, "remove": {..}}. Exit status: 0 in force, 3 another patch
+    won on this base, 4 invalid, 5 outcome unknown, 6 no node reached.
+    """
+    access = find_access(nodes, key_file)
+    content = read_patch_file(file)
+    # Printed before sending, so that it is there however this command ends.
+    chosen_id = patch_id or secrets.token_hex(_ID_BYTES)
+    click.echo(f"patch id {chosen_id}", err=True)
+    body = PatchBody(chosen_id, base, content.put, content.remove)
+    try:
+        answer = ask_nodes(access, "POST", "/patches", msgspec.json.encode(body))
+    except NoAnswerError as error:
+        raise _describe_lost(error, chosen_id) from error
+    reply = _read_reply(answer, chosen_id)
+    if reply.error is not None:
+        code = find_exit_code(reply.error, answer.status)
+        raise CommandError(code, _describe_reply(reply, base), reply.error)
+    if is_json:
+        click.echo(answer.body)
+    else:
+        click.echo(f"version {reply.version} is in force")
+
+
+def _describe_lost(error: NoAnswerError, patch_id: str) -> CommandError:
+    if not error.is_sent:
+        return CommandError(ExitCode.NOT_REACHABLE, str(error))
+    text = f"{error}; submit again with --patch-id {patch_id}"
+    return CommandError(ExitCode.OUTCOME_UNKNOWN, text)
+
+
+def _read_reply(answer: Response, patch_id: str) -> PatchReply:
+    try:
+        return msgspec.json.decode(answer.body, type=PatchReply)
+    except msgspec.DecodeError as error:
+        check_answer(answer)
+        text = f"the answer can't be read; submit again with --patch-id {patch_id}"
+        raise CommandError(ExitCode.OUTCOME_UNKNOWN, text) from error
+
+
+def _describe_reply(reply: PatchReply, base: int) -> str:
+    match reply.error:
+        case "patch_conflict":
+            return f"version {reply.version} is in force, not {base}: {reply.text}"
+        case "outcome_unknown":
+            return f"{reply.text}; submit again with --patch-id {reply.patch_id}"
+        case _:
+            return reply.text
--- /dev/null
+++ b/packages/toucanyard-cli/src/toucanyard_cli/tables.py
@@ -0,0 +1,48 @@
+"""Lay out text for a person: tables with aligned columns, and lists."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+_GAP: Final = "  "
+
+Cell = str | int | float | bool | None
+
+
+def render_cell(value: Cell) -> str:
+    """Return one value as text; numbers with a fraction get one digit of it."""
+    match value:
+        case None | "":
+            return "-"
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:.1f}"
+        case _:
+            return str(value)
+
+
+def render_table(head: Sequence[str], rows: Iterable[Sequence[Cell]]) -> str:
+    """Return a table; columns of numbers only are aligned to the right."""
+    listed = [list(row) for row in rows]
+    texts = [list(head), *([render_cell(cell) for cell in row] for row in listed)]
+    widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
+    numeric = [
+        bool(listed) and all(_is_number(row[index]) for row in listed)
+        for index in range(len(head))
+    ]
+    lines = []
+    for row in texts:
+        cells = [
+            text.rjust(width) if is_right else text.ljust(width)
+            for text, width, is_right in zip(row, widths, numeric, strict=True)
+        ]
+        lines.append(_GAP.join(cells).rstrip())
+    return "\n".join(lines)
+
+
+def _is_number(value: Cell) -> bool:
+    return value is None or (
+        isinstance(value, int | float) and not isinstance(value, bool)
+    )
