Answer a target that is no URL, and end a connection, not the server, for it

Cause: building a request from its head raised on targets such as `//[x/y`, outside of the handler's guard; the error left the accept nursery. Before: two new cases of test_bad_requests fail; one such line, without a key, ended the server with every connection it held.

--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -54,6 +54,10 @@
     """The other side closed its connection before its answer was whole."""
 
 
+class TargetInvalidError(Exception):
+    """A request's target is no path and no URL."""
+
+
 class Responder:
     """Send one answer: `send` for a whole body, or `start`, `write` and `finish`.
 
@@ -162,6 +166,9 @@
             await self._serve_connection(stream)
         except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except Exception:
+            # Out of here it would end the server and every other connection.
+            _LOG.exception("connection_failed")
         finally:
             self._open_connections -= 1
             with trio.move_on_after(0.5) as scope:
@@ -185,7 +192,7 @@
         """Serve one request; return whether another may follow."""
         try:
             request = await self._read_request(connection, stream, is_first)
-        except h11.RemoteProtocolError:
+        except (h11.RemoteProtocolError, TargetInvalidError):
             await self._refuse(connection, stream, ErrorKind.BAD_REQUEST)
             return False
         if request is None:
@@ -353,8 +360,11 @@
 
 
 def parse_request(head: h11.Request, body: bytes) -> HttpRequest:
-    """Build a request from its head and body."""
-    parts = urlsplit(head.target.decode("ascii", "replace"))
+    """Build a request from its head and body, or raise TargetInvalidError."""
+    try:
+        parts = urlsplit(head.target.decode("ascii", "replace"))
+    except ValueError as error:
+        raise TargetInvalidError(str(error)) from error
     headers = {
         name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
     }
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -64,11 +64,16 @@
         b"nonsense\r\n\r\n",
         b"GET / HTTP/1.1\r\n\r\n",
         b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 40_000 + b"\r\n\r\n",
+        b"GET //[x/y HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"GET http://[x]/ HTTP/1.1\r\nHost: a\r\n\r\n",
     ],
 )
 async def test_bad_requests(data: bytes) -> None:
+    """Anyone can send one line that is no request. It gets its refusal, and the
+    server, with the connections of all others, goes on."""
     async with serve(ServerLimits()) as (_, port):
-        assert read_code(await exchange(port, data)) == (400, "bad_request")
+        for _ in range(2):
+            assert read_code(await exchange(port, data)) == (400, "bad_request")
 
 
 @pytest.mark.parametrize(
