Answer HEAD, refuse CONNECT, and send header values that are not ASCII

Cause: the HTTP library refuses a body after HEAD and text outside ASCII in a header, so every answer to HEAD, and each answer with a service's Latin-1 content type, was cut; CONNECT reached services as a call and would tunnel a pooled connection. Before: three new tests fail (no answer to HEAD, CONNECT handled, header not rendered). Conclusion: a failure to render a head now also leaves room for a refusal.

--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -24,6 +24,7 @@
 _READ_BYTES: Final = 65_536
 _RETRY_AFTER_MS: Final = 1_000
 _STOPPING_IDLE_MS: Final = 20
+_TUNNEL: Final = b"CONNECT"
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -66,18 +67,26 @@
     side can tell a cut answer from a whole one.
     """
 
-    __slots__ = ("_connection", "_stream", "is_closing", "is_started")
+    __slots__ = ("_connection", "_is_head_only", "_stream", "is_closing", "is_started")
 
-    def __init__(self, connection: h11.Connection, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        *,
+        is_head_only: bool = False,
+    ) -> None:
+        """`is_head_only` leaves bodies out, as the answer to HEAD has to."""
         self._connection = connection
         self._stream = stream
+        self._is_head_only = is_head_only
         self.is_started = False
         self.is_closing = False
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer in one write."""
         head = self._render_head(status, (*headers, ("Content-Length", str(len(body)))))
-        data = self._connection.send(h11.Data(data=body)) or b""
+        data = self._render_part(body)
         tail = self._connection.send(h11.EndOfMessage()) or b""
         await self._write_out(head + data + tail)
 
@@ -88,7 +97,7 @@
 
     async def write(self, data: bytes) -> None:
         """Send one part of the body; blocks while the other side is slow."""
-        await self._write_out(self._connection.send(h11.Data(data=data)) or b"")
+        await self._write_out(self._render_part(data))
 
     async def finish(self) -> None:
         """Mark the body as whole."""
@@ -99,12 +108,23 @@
         self.is_closing = True
 
     def _render_head(self, status: int, headers: Headers) -> bytes:
-        self.is_started = True
         if self.is_closing:
             headers = (*headers, ("Connection", "close"))
-        response = h11.Response(status_code=status, headers=list(headers))
+        # Endpoints' values are passed on and needn't be ASCII; the library takes text
+        # in ASCII only.
+        encoded = [
+            (name.encode("ascii"), value.encode("latin-1", "replace"))
+            for name, value in headers
+        ]
+        response = h11.Response(status_code=status, headers=encoded)
+        self.is_started = True
         return self._connection.send(response) or b""
 
+    def _render_part(self, data: bytes) -> bytes:
+        if self._is_head_only:
+            return b""
+        return self._connection.send(h11.Data(data=data)) or b""
+
     async def _write_out(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
@@ -200,7 +220,8 @@
         if isinstance(request, ErrorKind):
             await self._refuse(connection, stream, request)
             return False
-        responder = Responder(connection, stream)
+        is_head_only = request.method == "HEAD"
+        responder = Responder(connection, stream, is_head_only=is_head_only)
         if self._is_stopping:
             responder.close_after()
         await self._run_handler(request, responder, connection, stream)
@@ -281,6 +302,8 @@
                 await self._fill(connection, stream)
             elif isinstance(event, h11.Request):
                 head = event
+                if event.method == _TUNNEL:
+                    return ErrorKind.METHOD_NOT_ALLOWED
                 # h11 bounds what it has to wait for, not what came in one piece.
                 if _compute_head_bytes(event) > self._limits.max_header_bytes:
                     return ErrorKind.BAD_REQUEST
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -157,3 +157,56 @@
         await other.read_head()
         assert await other.read_body() == b"fine"
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("method", ["HEAD", "GET"])
+async def test_head_gets_the_head_only(method: str) -> None:
+    """A caller asks with HEAD. A body may not follow, and the library refuses to send
+    one; the caller would see its connection close without any answer."""
+
+    async def answer(request: HttpRequest, responder: Responder) -> None:
+        if request.path == "/stream":
+            await responder.start(200, ())
+            await responder.write(b"part")
+            await responder.finish()
+        else:
+            await responder.send(404, (), b"whole")
+
+    address = Address("10.0.0.1:80")
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        network.serve(address, answer)
+        connection = await network.connect(address, 1_000)
+        for target, status, body in (("/", 404, b"whole"), ("/stream", 200, b"part")):
+            await connection.send(method, target, ())
+            assert (await connection.read_head()).status == status
+            expected = b"" if method == "HEAD" else body
+            assert await connection.read_body() == expected
+        nursery.cancel_scope.cancel()
+
+
+async def test_connect_is_refused() -> None:
+    """CONNECT asks for a tunnel. Passed on to a service, it would turn a connection
+    of the node's pool into one."""
+    async with serve(ServerLimits()) as (_, port):
+        data = b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"
+        assert read_code(await exchange(port, data)) == (405, "method_not_allowed")
+
+
+async def test_header_outside_ascii_is_sent() -> None:
+    """A service names a content type in Latin-1. It is passed on as it came; refusing
+    to render it would cut an answer that is whole."""
+
+    async def answer(request: HttpRequest, responder: Responder) -> None:
+        await responder.send(200, (("Content-Type", "text/caf\u00e9"),), b"whole")
+
+    address = Address("10.0.0.1:80")
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        network.serve(address, answer)
+        connection = await network.connect(address, 1_000)
+        await connection.send("GET", "/", ())
+        head = await connection.read_head()
+        assert head.headers["content-type"] == "text/caf\u00e9"
+        assert await connection.read_body() == b"whole"
+        nursery.cancel_scope.cancel()
