Choose an endpoint without listing the whole pool, and split the request flow

Cause: every arrival told admission all usable endpoints anew and listed all candidates, names and addresses; a profile of a pool of 4,400 shows nothing else. What is left grows with the pool in the sum of the endpoints' limits inside admission. The choice is a module of its own, and so are the records of decisions; admission is told of usable endpoints only when they change; candidates are listed only when the best endpoint is full or a try failed.

--- a/packages/toucanyard-node/src/toucanyard_node/operators_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operators_face.py
@@ -151,7 +151,9 @@
         return 200, msgspec.json.encode(compute_diff(old, new))
 
     async def _statistics(self) -> tuple[int, bytes]:
-        return 200, msgspec.json.encode(self._core.flow.statistics.compute_statistics())
+        return 200, msgspec.json.encode(
+            self._core.flow.records.statistics.compute_statistics()
+        )
 
     async def _status(self) -> tuple[int, bytes]:
         now_ms = trio.current_time() * 1000
@@ -203,7 +205,7 @@
 
     async def _explain(self, request: HttpRequest) -> tuple[int, bytes]:
         request_id = RequestId(request.path.removeprefix(_EXPLAIN))
-        record = self._core.flow.explanations.find(request_id)
+        record = self._core.flow.records.explanations.find(request_id)
         if record is not None:
             return 200, msgspec.json.encode(record)
         return await self._explain_elsewhere(request, request_id)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/endpoint_choice.py
@@ -0,0 +1,137 @@
+"""Choose the endpoint of one try: usable, not tried before, with room, best placed.
+
+Joins the directory, admission's limits and placement for the request flow. The usual
+choice costs nothing per endpoint of a pool; only when the best one is full, or a
+request has been tried already, are the candidates listed one by one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from toucanyard.admission import Admission, compute_backend_name
+from toucanyard.configuration import Configuration, Endpoint, Pool, Service
+from toucanyard.endpoint_directory import EndpointDirectory
+from toucanyard.names import Address, EndpointName
+from toucanyard.patches import find_owners
+from toucanyard.placement import Placed, Placement
+from toucanyard.requests import ModelTarget, Request, ServiceTarget
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What bounds the choice for one try of a request."""
+
+    tried: tuple[EndpointName, ...] = ()
+    weights_version: str | None = None
+    """Weights that the answer was begun on; None while any will do."""
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The chosen endpoint, where it is, and why."""
+
+    placed: Placed
+    address: Address
+
+
+class EndpointChoice:
+    """Choose endpoints under one configuration.
+
+    Invariant: `choose` returns only endpoints that the directory calls usable.
+    """
+
+    def __init__(
+        self, admission: Admission, placement: Placement, directory: EndpointDirectory
+    ) -> None:
+        self._admission = admission
+        self._placement = placement
+        self._directory = directory
+        self._configuration = Configuration()
+        self._addresses: dict[EndpointName, Address] = {}
+        self._told_usable: dict[str, Sequence[Endpoint]] = {}
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Choose by this configuration from now on."""
+        self._configuration = configuration
+        self._told_usable.clear()
+        self._addresses = {
+            endpoint.name: endpoint.address
+            for owner in find_owners(configuration)
+            for endpoint in owner.endpoints
+        }
+
+    def find_pool(self, request: Request) -> Pool | None:
+        """Return the pool that a model request goes to."""
+        owner = self._find_owner(request)
+        return owner if isinstance(owner, Pool) else None
+
+    def tell_usable(self, request: Request, now_ms: float) -> None:
+        """Tell admission which endpoints may run requests like this one."""
+        usable = self._find_usable(request, now_ms)
+        backend = compute_backend_name(request)
+        if self._told_usable.get(backend) is usable:
+            return
+        self._told_usable[backend] = usable
+        self._admission.apply_usable(request, [each.name for each in usable])
+
+    def choose(self, request: Request, limits: Limits, now_ms: float) -> Choice | None:
+        """Return the best endpoint for a try, or None if no endpoint may take it."""
+        if limits == Limits():
+            placed = self._place(request, self._find_usable(request, now_ms), now_ms)
+            if placed is None or self._has_room(request, placed):
+                return self._build(placed)
+        candidates = self.list_candidates(request, limits, now_ms)
+        return self._build(self._place(request, candidates, now_ms))
+
+    def list_candidates(
+        self, request: Request, limits: Limits, now_ms: float
+    ) -> list[Endpoint]:
+        """Return the usable endpoints within limits; full ones if all are full."""
+        usable = self._find_usable(request, now_ms)
+        names = [each.name for each in usable]
+        open_names = self._admission.find_open(request, names) or names
+        allowed = set(open_names).difference(limits.tried)
+        return [
+            each
+            for each in usable
+            if each.name in allowed
+            and self._may_have_weights(each.name, limits.weights_version)
+        ]
+
+    def _place(
+        self, request: Request, candidates: Sequence[Endpoint], now_ms: float
+    ) -> Placed | None:
+        owner = self._find_owner(request)
+        if isinstance(owner, Pool):
+            return self._placement.choose(request, owner, candidates, now_ms)
+        if isinstance(owner, Service):
+            return self._placement.choose_service(request, owner, candidates, now_ms)
+        return None
+
+    def _has_room(self, request: Request, placed: Placed) -> bool:
+        return bool(self._admission.find_open(request, [placed.endpoint]))
+
+    def _build(self, placed: Placed | None) -> Choice | None:
+        if placed is None:
+            return None
+        return Choice(placed, self._addresses[placed.endpoint])
+
+    def _find_usable(self, request: Request, now_ms: float) -> Sequence[Endpoint]:
+        owner = self._find_owner(request)
+        endpoints = () if owner is None else owner.endpoints
+        return self._directory.find_usable(endpoints, now_ms)
+
+    def _find_owner(self, request: Request) -> Pool | Service | None:
+        match request.target:
+            case ModelTarget(pool=name):
+                return self._configuration.find_pool(name)
+            case ServiceTarget(service=service_name):
+                return self._configuration.find_service(service_name)
+
+    def _may_have_weights(self, endpoint: EndpointName, wanted: str | None) -> bool:
+        # An endpoint that has not reported yet may have them; if not, it refuses.
+        return wanted is None or self._directory.find_weights(endpoint) in (
+            wanted,
+            None,
+        )
--- a/packages/toucanyard/src/toucanyard/request_flow.py
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -27,24 +27,16 @@
     ReplayAnswer,
     SendToPeer,
 )
-from toucanyard.configuration import Configuration, Endpoint
+from toucanyard.configuration import Configuration
 from toucanyard.core_events import AppendToLog, Reply
+from toucanyard.endpoint_choice import Choice, EndpointChoice, Limits
 from toucanyard.endpoint_directory import EndpointDirectory
 from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
-from toucanyard.explanations import (
-    Claimed,
-    DecisionRecord,
-    Ended,
-    ExplanationRing,
-    Queued,
-    Refused,
-    Replayed,
-    Sent,
-)
 from toucanyard.key_answers import compute_unclaimed_ending
-from toucanyard.names import Address, EndpointName, RequestId
+from toucanyard.names import EndpointName, RequestId
 from toucanyard.options import StreamLimits
 from toucanyard.placement import Placed, Placement
+from toucanyard.request_records import RequestRecords
 from toucanyard.requests import (
     Dispatch,
     EndingSeen,
@@ -54,9 +46,7 @@
     Repeatability,
     Replay,
     Request,
-    ServiceTarget,
 )
-from toucanyard.statistics import StatisticsCollector
 
 _PROVED_NOT_RUN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
 _FAILED: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.FAILED, EndingSeen.LOST})
@@ -109,14 +99,13 @@
         self._limits = limits
         self._max_attempts = max_attempts
         self._pending: dict[RequestId, _Pending] = {}
-        self._configuration = Configuration()
-        self.explanations = ExplanationRing()
-        self.statistics = StatisticsCollector()
+        self._choice = EndpointChoice(admission, placement, directory)
+        self.records = RequestRecords()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Decide by this configuration from now on."""
-        self._configuration = configuration
         self._admission.apply_configuration(configuration)
+        self._choice.apply_configuration(configuration)
 
     def count_pending(self) -> int:
         """Return how many requests are not over."""
@@ -125,24 +114,16 @@
     def arrive(self, request: Request, now_ms: float) -> Iterator[FlowAction]:
         """Take in a new request."""
         self._pending[request.request_id] = _Pending(request)
-        self.explanations.open(
-            DecisionRecord(
-                request.request_id,
-                request.customer,
-                request.configuration_version,
-                now_ms,
-                [],
-            )
-        )
+        self.records.open(request, now_ms)
         event = _build_key_event(request)
         if event is not None and not self._claims.may_dispatch(event):
             yield from self.apply_claims(self._claims.handle(event, now_ms), now_ms)
             return
-        self._update_usable(request, now_ms)
+        self._choice.tell_usable(request, now_ms)
         yield from self._apply_admission(self._admission.offer(request, now_ms), now_ms)
         pending = self._pending.get(request.request_id)
         if pending is not None and pending.phase is _Phase.WAITING:
-            self.explanations.add_step(request.request_id, Queued(now_ms))
+            self.records.note_queued(request.request_id, now_ms)
 
     def leave(self, request_id: RequestId, now_ms: float) -> Iterator[FlowAction]:
         """Take in that the caller of an undecided request went away."""
@@ -237,7 +218,7 @@
             yield from self.apply_claims(self._claims.handle(ended, now_ms), now_ms)
             return
         pending.is_key_allowed = True
-        self.explanations.add_step(request_id, Claimed(now_ms))
+        self.records.note_claimed(request_id, now_ms)
         yield from self._dispatch(pending, now_ms)
 
     def _dispatch(self, pending: _Pending, now_ms: float) -> Iterator[FlowAction]:
@@ -247,29 +228,24 @@
             text = "the deadline passed before the request could be sent"
             yield from self._give_up(pending, ErrorKind.DEADLINE_EXCEEDED, text, now_ms)
             return
-        candidates = self._find_candidates(pending, now_ms)
-        placed = self._choose(request, candidates, now_ms)
-        if placed is None:
+        limits = Limits(pending.tried, pending.weights_version)
+        choice = self._choice.choose(request, limits, now_ms)
+        if choice is None:
             text = "no endpoint can take the request"
             yield from self._give_up(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
             return
-        address = next(
-            each.address for each in candidates if each.name == placed.endpoint
-        )
-        yield from self._send(pending, placed, address, now_ms)
+        yield from self._send(pending, choice, now_ms)
 
     def _send(
-        self, pending: _Pending, placed: Placed, address: Address, now_ms: float
+        self, pending: _Pending, choice: Choice, now_ms: float
     ) -> Iterator[FlowAction]:
         request = pending.request
+        placed = choice.placed
         pending.attempt += 1
         pending.placed = placed
         pending.sent_ms = now_ms
         pending.phase = _Phase.RUNNING
-        target = request.target
-        pool = None
-        if isinstance(target, ModelTarget):
-            pool = self._configuration.find_pool(target.pool)
+        pool = self._choice.find_pool(request)
         self._placement.note_dispatch(request, placed, pool, now_ms)
         work_ms = placed.first_token_ms - placed.queue_ms
         self._admission.note_dispatch(
@@ -278,20 +254,11 @@
         if request.repeatability is Repeatability.KEYED:
             started = DispatchStarted(request.request_id)
             yield from self.apply_claims(self._claims.handle(started, now_ms), now_ms)
-        self.explanations.add_step(
-            request.request_id,
-            Sent(
-                now_ms,
-                placed.endpoint,
-                pending.attempt,
-                placed.level_depth,
-                placed.scores,
-            ),
-        )
+        self.records.note_sent(request.request_id, placed, pending.attempt, now_ms)
         dispatch = Dispatch(
             request_id=request.request_id,
             endpoint=placed.endpoint,
-            address=address,
+            address=choice.address,
             attempt=pending.attempt,
             expected_incarnation=placed.incarnation,
             weights_version=pending.weights_version or "",
@@ -299,59 +266,6 @@
         )
         yield Reply(request.request_id, dispatch)
 
-    def _choose(
-        self, request: Request, candidates: Sequence[Endpoint], now_ms: float
-    ) -> Placed | None:
-        match request.target:
-            case ModelTarget(pool=name):
-                pool = self._configuration.find_pool(name)
-                if pool is None:
-                    return None
-                return self._placement.choose(request, pool, candidates, now_ms)
-            case ServiceTarget(service=service_name):
-                service = self._configuration.find_service(service_name)
-                if service is None:
-                    return None
-                return self._placement.choose_service(
-                    request, service, candidates, now_ms
-                )
-
-    def _find_candidates(self, pending: _Pending, now_ms: float) -> Sequence[Endpoint]:
-        """Return the usable endpoints that were not tried and have room."""
-        usable = self._find_usable(pending.request, now_ms)
-        names = [each.name for each in usable]
-        open_names = self._admission.find_open(pending.request, names)
-        wanted = pending.weights_version
-        if len(open_names) == len(names) and not pending.tried and wanted is None:
-            return usable
-        allowed = set(open_names or names) - set(pending.tried)
-        return [
-            each
-            for each in usable
-            if each.name in allowed and self._may_have_weights(each.name, wanted)
-        ]
-
-    def _may_have_weights(self, endpoint: EndpointName, wanted: str | None) -> bool:
-        # An endpoint that has not reported yet may have them; if not, it refuses.
-        return wanted is None or self._directory.find_weights(endpoint) in (
-            wanted,
-            None,
-        )
-
-    def _find_usable(self, request: Request, now_ms: float) -> Sequence[Endpoint]:
-        match request.target:
-            case ModelTarget(pool=name):
-                pool = self._configuration.find_pool(name)
-                endpoints = () if pool is None else pool.endpoints
-            case ServiceTarget(service=service_name):
-                service = self._configuration.find_service(service_name)
-                endpoints = () if service is None else service.endpoints
-        return self._directory.find_usable(endpoints, now_ms)
-
-    def _update_usable(self, request: Request, now_ms: float) -> None:
-        usable = self._find_usable(request, now_ms)
-        self._admission.apply_usable(request, [each.name for each in usable])
-
     def _find_sent_weights(self, pending: _Pending) -> str | None:
         if pending.placed is None or not isinstance(
             pending.request.target, ModelTarget
@@ -374,21 +288,7 @@
         if outcome.ending in _FAILED:
             self._admission.note_failure(request.request_id, now_ms)
             self._directory.note_failure(outcome.endpoint, now_ms)
-        waited_ms = pending.sent_ms - request.arrived_ms
-        self.statistics.record_outcome(
-            request.customer, request.priority, outcome, waited_ms
-        )
-        self.explanations.add_step(
-            request.request_id,
-            Ended(
-                now_ms,
-                outcome.endpoint,
-                outcome.ending,
-                outcome.first_token_ms,
-                outcome.cached_tokens,
-                outcome.prompt_tokens,
-            ),
-        )
+        self.records.note_ended(request, outcome, pending.sent_ms, now_ms)
 
     def _retry_or_refuse(
         self, pending: _Pending, outcome: Outcome, now_ms: float
@@ -422,9 +322,10 @@
             return self._admission.may_retry(pending.attempt)
         if pending.attempt >= self._max_attempts:
             return False
+        limits = Limits(pending.tried, pending.weights_version)
         return any(
             not self._directory.is_backing_off(each.name, now_ms)
-            for each in self._find_candidates(pending, now_ms)
+            for each in self._choice.list_candidates(pending.request, limits, now_ms)
         )
 
     def _give_up(
@@ -452,17 +353,7 @@
         pending = self._pending.get(refusal.request_id)
         if pending is None:
             return
-        self.explanations.add_step(
-            refusal.request_id,
-            Refused(
-                now_ms,
-                refusal.kind,
-                refusal.ending,
-                refusal.text,
-                refusal.retry_after_ms,
-            ),
-        )
-        self.statistics.record_refusal(pending.request.customer, refusal.kind)
+        self.records.note_refused(pending.request, refusal, now_ms)
         yield Reply(refusal.request_id, refusal)
         yield from self._finish(pending, outcome, now_ms)
 
@@ -470,7 +361,7 @@
         pending = self._pending.get(replay.request_id)
         if pending is None:
             return
-        self.explanations.add_step(replay.request_id, Replayed(now_ms))
+        self.records.note_replayed(replay.request_id, now_ms)
         yield Reply(replay.request_id, replay)
         yield from self._finish(pending, None, now_ms)
 
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/request_records.py
@@ -0,0 +1,88 @@
+"""Record what happens to requests: steps to explain them by, and statistics."""
+
+from __future__ import annotations
+
+from toucanyard.explanations import (
+    Claimed,
+    DecisionRecord,
+    Ended,
+    ExplanationRing,
+    Queued,
+    Refused,
+    Replayed,
+    Sent,
+)
+from toucanyard.names import RequestId
+from toucanyard.placement import Placed
+from toucanyard.requests import Outcome, Refuse, Request
+from toucanyard.statistics import StatisticsCollector
+
+
+class RequestRecords:
+    """The decision records and statistics of one node."""
+
+    __slots__ = ("explanations", "statistics")
+
+    def __init__(self) -> None:
+        self.explanations = ExplanationRing()
+        self.statistics = StatisticsCollector()
+
+    def open(self, request: Request, now_ms: float) -> None:
+        """Start the record of a new request."""
+        record = DecisionRecord(
+            request.request_id,
+            request.customer,
+            request.configuration_version,
+            now_ms,
+            [],
+        )
+        self.explanations.open(record)
+
+    def note_queued(self, request_id: RequestId, now_ms: float) -> None:
+        """Note that a request waits."""
+        self.explanations.add_step(request_id, Queued(now_ms))
+
+    def note_claimed(self, request_id: RequestId, now_ms: float) -> None:
+        """Note that a request's key was won."""
+        self.explanations.add_step(request_id, Claimed(now_ms))
+
+    def note_sent(
+        self, request_id: RequestId, placed: Placed, attempt: int, now_ms: float
+    ) -> None:
+        """Note where a try was sent, and the alternatives."""
+        sent = Sent(now_ms, placed.endpoint, attempt, placed.level_depth, placed.scores)
+        self.explanations.add_step(request_id, sent)
+
+    def note_ended(
+        self, request: Request, outcome: Outcome, sent_ms: float, now_ms: float
+    ) -> None:
+        """Note how a try ended."""
+        waited_ms = sent_ms - request.arrived_ms
+        self.statistics.record_outcome(
+            request.customer, request.priority, outcome, waited_ms
+        )
+        ended = Ended(
+            now_ms,
+            outcome.endpoint,
+            outcome.ending,
+            outcome.first_token_ms,
+            outcome.cached_tokens,
+            outcome.prompt_tokens,
+        )
+        self.explanations.add_step(request.request_id, ended)
+
+    def note_refused(self, request: Request, refusal: Refuse, now_ms: float) -> None:
+        """Note that a request was refused, and why."""
+        refused = Refused(
+            now_ms,
+            refusal.kind,
+            refusal.ending,
+            refusal.text,
+            refusal.retry_after_ms,
+        )
+        self.explanations.add_step(request.request_id, refused)
+        self.statistics.record_refusal(request.customer, refusal.kind)
+
+    def note_replayed(self, request_id: RequestId, now_ms: float) -> None:
+        """Note that an earlier try's answer was given."""
+        self.explanations.add_step(request_id, Replayed(now_ms))
--- a/tests/toucanyard/test_request_flow.py
+++ b/tests/toucanyard/test_request_flow.py
@@ -123,7 +123,7 @@
     request_id = world.arrive("r1")
     end(world, request_id, EndingSeen.NOT_SENT)
     end(world, request_id, EndingSeen.COMPLETED)
-    record = world.core.flow.explanations.find(request_id)
+    record = world.core.flow.records.explanations.find(request_id)
     assert record is not None
     names = [type(step).__name__ for step in record.steps]
     assert names == ["Sent", "Ended", "Sent", "Ended"]
