Take addresses that nobody could connect to as failed connections

Cause: a port over 65535 passes the configuration's pattern and raises OverflowError, no OSError, in the task that watches the endpoint; a peer's address in the VM list that is none raises ValueError in the task that dials. Either ended the node. Before: six new tests fail (one connection, four dials, one list). After: both are failures of that connection only, and the list's addresses that are none count as not given. 57 tests of pool, list, links, watch and services pass.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import select
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -18,6 +19,7 @@
 from toucanyard.names import Address
 
 _READ_BYTES: Final = 65_536
+_MAX_PORT: Final = 65_535
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -51,6 +53,16 @@
     return host.strip("[]"), int(port)
 
 
+def is_possible(address: Address) -> bool:
+    """Tell whether an address is an IP number and a port that can be connected to."""
+    try:
+        host, port = split_address(address)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 0 < port <= _MAX_PORT
+
+
 class HttpConnection:
     """One connection to one address.
 
@@ -197,7 +209,9 @@
     try:
         with trio.fail_after(timeout_ms / 1000):
             stream = await _open_stream(host, port)
-    except (OSError, trio.TooSlowError) as error:
+    except (OSError, OverflowError, trio.TooSlowError) as error:
+        # A port over 65535, which a configuration may name, overflows: without being
+        # caught it would end the task that watches this endpoint, and so the node.
         raise ConnectionFailedError(f"{address}: {error}", is_sent=False) from error
     return HttpConnection(address, stream, trio.current_time() * 1000)
 
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -171,7 +171,12 @@
             with trio.CancelScope() as scope:
                 scope.deadline = trio.current_time() + _GREETING_TIMEOUT_S
                 await self._connect(vm, scope)
-        except (OSError, websockets.exceptions.WebSocketException) as error:
+        except (
+            OSError,
+            ValueError,
+            websockets.exceptions.WebSocketException,
+        ) as error:
+            # An address that is none is a ValueError; it must not end other links.
             _LOG.debug("dial_failed", peer=vm.name, error=str(error)[:200])
         finally:
             self._dialing.discard(vm.name)
--- a/packages/toucanyard-node/src/toucanyard_node/vm_list.py
+++ b/packages/toucanyard-node/src/toucanyard_node/vm_list.py
@@ -15,13 +15,19 @@
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import Vm
 from toucanyard_node.bounded_fetch import fetch_bounded
-from toucanyard_node.http_client import Connect, ConnectionFailedError, connect
+from toucanyard_node.http_client import (
+    Connect,
+    ConnectionFailedError,
+    connect,
+    is_possible,
+)
 
 _LOG: Final = structlog.get_logger()
 _TIMEOUT_MS: Final = 2_000
 _MAX_BYTES: Final = 4_000_000
 _FREE_BYTES: Final = 16_000
 _BYTES_PER_S: Final = 1_500
+_ADDRESSES: Final = ("callers", "operators", "peers", "endpoint")
 
 Emit = Callable[[VmsRead], Awaitable[None]]
 
@@ -81,5 +87,15 @@
     except (msgspec.DecodeError, RecursionError) as error:
         _LOG.warning("vm_list_malformed", error=str(error)[:200])
         return False
-    await emit(VmsRead(vms))
+    await emit(VmsRead(tuple(_drop_impossible(vm) for vm in vms)))
     return True
+
+
+def _drop_impossible(vm: Vm) -> Vm:
+    """Return a VM without those addresses that nobody could connect to."""
+    given = {name: getattr(vm, name) for name in _ADDRESSES}
+    wrong = {name for name, each in given.items() if each and not is_possible(each)}
+    if not wrong:
+        return vm
+    _LOG.warning("vm_address_impossible", vm=vm.name[:64], fields=sorted(wrong))
+    return msgspec.structs.replace(vm, **dict.fromkeys(wrong, Address("")))
--- a/tests/toucanyard_node/test_connection_pool.py
+++ b/tests/toucanyard_node/test_connection_pool.py
@@ -136,3 +136,14 @@
     with pytest.raises(ConnectionFailedError) as caught:
         await connection.send("GET", "/", ())
     assert not caught.value.is_sent
+
+
+async def test_impossible_port_is_a_failed_connection() -> None:
+    """A configuration names a port that doesn't exist; its pattern allows five digits.
+
+    The kernel is never asked, and the library's error is no OSError. Left as it is, it
+    ends the task that watches the endpoint, and with it the node.
+    """
+    with pytest.raises(ConnectionFailedError) as caught:
+        await connect(Address("127.0.0.1:99999"), 1_000)
+    assert not caught.value.is_sent
--- a/tests/toucanyard_node/test_peer_links.py
+++ b/tests/toucanyard_node/test_peer_links.py
@@ -218,3 +218,18 @@
             assert scope.cancelled_caught == is_taken
             assert one.find_links() == [identity if is_taken else two.identity]
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:x", "[x", "[x]:1"])
+async def test_address_that_is_none_fails_its_dial_only(address: str) -> None:
+    """The VM list names an address that is none. Dialing it fails like a node that is
+    gone; the links to other nodes stay."""
+    one, two = Peer("n1", ["s"], []), Peer("n2", ["s"], [])
+    one.known.append(Vm("n3", DomainName("d"), peers=Address(address)))
+    async with trio.open_nursery() as nursery:
+        await one.start(nursery)
+        await trio.sleep(0.1)
+        one.known.append(await two.start(nursery))
+        nursery.start_soon(two.chat, "n1")
+        await wait_for_links(one, ["n2"])
+        nursery.cancel_scope.cancel()
--- a/tests/toucanyard_node/test_vm_list.py
+++ b/tests/toucanyard_node/test_vm_list.py
@@ -80,3 +80,23 @@
         await trio.sleep(3)
         assert scene.seen
         nursery.cancel_scope.cancel()
+
+
+async def test_address_that_is_none_counts_as_not_given(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """The list names an address that is none. A node that asked it, to dial or to have
+    a request explained, would fail in an unforeseen way."""
+    body = GOOD.replace(
+        b'"domain":"d"}]',
+        b'"domain":"d","peers":"[x","operators":'
+        b'"10.0.0.1:99999","callers":"10.0.0.1:80"}]',
+    )
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        scene.answers = [(200, body)]
+        await trio.sleep(1)
+        endpoint, node = scene.seen[0].vms
+        assert (node.peers, node.operators) == ("", "")
+        assert (node.callers, endpoint.endpoint) == ("10.0.0.1:80", "10.0.0.1:80")
+        nursery.cancel_scope.cancel()
