--- a/packages/toucanyard-node/src/toucanyard_node/sse.py
+++ b/packages/toucanyard-node/src/toucanyard_node/sse.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
@@ -11,6 +11,13 @@
 _DATA: Final = b"data: "
 _DONE: Final = b"data: [DONE]"
 MAX_EVENT_BYTES: Final = 1_000_000
+_MAX_DIGITS: Final = 15
+_MAX_COUNT: Final = 10**9
+
+# Numbers that an engine makes up end in histograms and in other nodes' messages, where
+# one of a thousand digits would raise.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_TimeS = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 
 class EventError(Exception):
@@ -35,15 +42,15 @@
 class TokenDetails(msgspec.Struct, frozen=True):
     """Details of the prompt's tokens."""
 
-    cached_tokens: int = 0
+    cached_tokens: _Count = 0
 
 
 class Usage(msgspec.Struct, frozen=True):
     """Counts of tokens in the last chunk."""
 
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    total_tokens: int = 0
+    prompt_tokens: _Count = 0
+    completion_tokens: _Count = 0
+    total_tokens: _Count = 0
     prompt_tokens_details: TokenDetails | None = None
 
 
@@ -51,7 +58,7 @@
     """One event's data, as far as the node reads it."""
 
     id: str = ""
-    created: int = 0
+    created: _TimeS = 0
     model: str = ""
     choices: tuple[Choice, ...] = ()
     usage: Usage | None = None
@@ -75,7 +82,7 @@
     """Decode one event's data, or raise EventError."""
     try:
         return _CHUNK.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise EventError(str(error)) from error
 
 
@@ -112,21 +119,28 @@
     if text.startswith(_ID):
         head, _, rest = text.partition(b"\n")
         number = head[4:]
-        if number.isdigit() and rest.startswith(_DATA) and b"\n" not in rest:
+        is_number = number.isdigit() and len(number) <= _MAX_DIGITS
+        if is_number and rest.startswith(_DATA) and not _is_split(rest):
             return Event(int(number), rest[6:])
     elif text == _DONE:
         return Event(None, b"[DONE]")
     return _parse_lines(text)
 
 
+def _is_split(line: bytes) -> bool:
+    return b"\n" in line or b"\r" in line
+
+
 def _parse_lines(text: bytes) -> Event:
-    """Parse an event whose lines are in another order."""
+    """Parse an event whose lines are in another order, or raise EventError."""
     number: int | None = None
     data: list[bytes] = []
-    for line in text.split(b"\n"):
-        name, _, value = line.rstrip(b"\r").partition(b":")
+    for line in text.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n"):
+        name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
         if name == b"id" and value.isdigit():
+            if len(value) > _MAX_DIGITS:
+                raise EventError("an event's number is too large")
             number = int(value)
         elif name == b"data":
             data.append(value)
@@ -134,7 +148,9 @@
 
 
 def render_event(number: int, data: bytes, name: bytes = b"") -> bytes:
-    """Build the bytes of one event."""
+    """Build the bytes of one event; each line of its data gets a field of its own."""
+    if b"\n" in data:
+        data = data.replace(b"\n", b"\ndata: ")
     if name:
         return b"event: %s\nid: %d\ndata: %s\n\n" % (name, number, data)
     return b"id: %d\ndata: %s\n\n" % (number, data)
