Refuse deeply nested bodies as bad requests, and go on without a prompt field

Cause: nesting of 100,000 levels raised RecursionError, which the caller saw as an internal error of unknown outcome; a completion without `prompt` raised KeyError when it had to go on at another engine.

--- a/packages/toucanyard-node/src/toucanyard_node/model_requests.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_requests.py
@@ -17,6 +17,7 @@
 _ADAPTER_SEPARATOR: Final = ":"
 _NULL: Final = msgspec.Raw(b"null")
 _FALSE: Final = msgspec.Raw(b"false")
+_EMPTY: Final = msgspec.Raw(b'""')
 _ONE: Final = msgspec.Raw(b"1")
 # What an answer gathered from token events can't carry; requests that use it are
 # read as one plain answer from the engine.
@@ -100,7 +101,7 @@
         decoder = _COMPLETION if api is ApiKind.COMPLETION else _CHAT
         parsed = decoder.decode(body)
         fields = _FIELDS.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise RouterError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
     pool, adapter, priority = _find_pool(configuration, parsed.model, customer)
     prompt = compute_prompt(parsed).encode("utf-8", "surrogatepass")
@@ -169,7 +170,7 @@
     fields: dict[str, msgspec.Raw], api: ApiKind, generated: str
 ) -> None:
     if api is ApiKind.COMPLETION:
-        prompt = msgspec.json.decode(fields["prompt"], type=str)
+        prompt = msgspec.json.decode(fields.get("prompt", _EMPTY), type=str)
         fields["prompt"] = _raw(prompt + generated)
         return
     messages = msgspec.json.decode(fields["messages"], type=list[msgspec.Raw])
