Take the bound on silence from each engine's own streams

Cause: every stream was probed after the same 600 ms, five times at most. An engine that pauses for longer without heartbeats was declared lost after five healthy probes, and its caller got a stream cut short by the router itself. Ruled out: a higher constant; a connection silent for good would hold every caller up by that much. Before: test_engine_slower_than_its_history fails with the fixed bound (the stream ends incomplete). Conclusion: quick engines are still probed after 600 ms.

--- a/packages/toucanyard-node/src/toucanyard_node/engine_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/engine_client.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from typing import Final
 
 import trio
 
@@ -27,6 +28,9 @@
 from toucanyard_node.silence_watch import SilenceTimer, SilenceWatch
 from toucanyard_node.sse import Event, EventCutter, EventError
 
+_PAUSES: Final = 1.5
+"""How many of its longest pauses a stream is waited for before it is probed."""
+
 
 class EngineStream:
     """Read the numbered events of one dispatch, each once and in order.
@@ -52,6 +56,7 @@
         "is_done",
         "is_sent",
         "last_number",
+        "longest_pause_ms",
         "request_id",
         "weights_version",
     )
@@ -78,6 +83,7 @@
         self._cutter = EventCutter()
         self._is_used = False
         self._resumes = 0
+        self.longest_pause_ms = 0.0
         self.request_id = request_id
         self.incarnation: Incarnation | None = None
         self.weights_version = dispatch.weights_version
@@ -165,6 +171,7 @@
 
         Raise DispatchFailedError when the stream is lost for good.
         """
+        asked_s = trio.current_time()
         while True:
             timer = self._timer or self._start_timer()
             timer.waiting_since_s = trio.current_time()
@@ -173,6 +180,7 @@
                 # While the caller is slow nobody reads, and that is no silence.
                 timer.waiting_since_s = math.inf
                 if part is not None:
+                    self._note_pause(asked_s)
                     return self._take(part)
                 reason = "ended early"
             except (ConnectionFailedError, EventError) as error:
@@ -181,10 +189,19 @@
 
     def _start_timer(self) -> SilenceTimer:
         assert self._connection is not None
-        self._timer = SilenceTimer(self._connection, self._dispatch.silence_ms)
+        # An engine that is merely slower than its history is probed ever more rarely;
+        # at one fixed bound its probes would run out within a few bounds.
+        silence_ms = max(self._dispatch.silence_ms, _PAUSES * self.longest_pause_ms)
+        silence_ms *= 2**self._resumes
+        bound_ms = max(self._limits.max_silence_ms, self._dispatch.silence_ms)
+        self._timer = SilenceTimer(self._connection, min(silence_ms, bound_ms))
         self._watch.add(self._timer)
         return self._timer
 
+    def _note_pause(self, asked_s: float) -> None:
+        pause_ms = (trio.current_time() - asked_s) * 1000
+        self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+
     def _take_connection(self) -> HttpConnection | None:
         """Return the connection, which this stream reads no longer."""
         if self._timer is not None:
--- a/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
+++ b/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
@@ -66,6 +66,7 @@
         "_incarnation",
         "_kept",
         "_limits",
+        "_longest_pause_ms",
         "_pool",
         "_spawn",
         "_text",
@@ -99,6 +100,7 @@
         self._dispatch: Dispatch | None = None
         self._incarnation: Incarnation | None = None
         self._weights_version = ""
+        self._longest_pause_ms = 0.0
         self._first_chunk: Chunk | None = None
         self._text: list[str] = []
         self._tokens = 0
@@ -229,6 +231,7 @@
         assert self._engine is not None
         self._incarnation = self._engine.incarnation
         self._weights_version = self._engine.weights_version
+        self._longest_pause_ms = self._engine.longest_pause_ms
         if self.first_token_ms is None:
             self._tell_first_token()
         parts: list[bytes] = []
@@ -298,6 +301,7 @@
             prompt_tokens=usage.prompt_tokens if usage is not None else 0,
             completion_tokens=self._tokens,
             events_relayed=self.buffer.next_number,
+            longest_pause_ms=self._longest_pause_ms,
         )
 
     def _tell_first_token(self) -> None:
--- a/packages/toucanyard/src/toucanyard/request_flow.py
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -47,6 +47,7 @@
     Replay,
     Request,
 )
+from toucanyard.silence_bounds import SilenceBounds
 
 _PROVED_NOT_RUN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
 _FAILED: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.FAILED, EndingSeen.LOST})
@@ -96,7 +97,7 @@
         self._placement = placement
         self._claims = claims
         self._directory = directory
-        self._limits = limits
+        self._silences = SilenceBounds(limits)
         self._max_attempts = max_attempts
         self._pending: dict[RequestId, _Pending] = {}
         self._choice = EndpointChoice(admission, placement, directory)
@@ -262,7 +263,7 @@
             attempt=pending.attempt,
             expected_incarnation=placed.incarnation,
             weights_version=pending.weights_version or "",
-            silence_ms=self._limits.min_silence_ms,
+            silence_ms=self._silences.compute_bound(placed.endpoint),
         )
         yield Reply(request.request_id, dispatch)
 
@@ -281,6 +282,8 @@
         if pending.weights_version is not None and outcome.weights_version:
             pending.weights_version = outcome.weights_version
         self._placement.note_outcome(request, outcome, now_ms)
+        if outcome.longest_pause_ms > 0:
+            self._silences.note_pause(outcome.endpoint, outcome.longest_pause_ms)
         if outcome.ending in _PROVED_NOT_RUN:
             self._directory.note_refusal(outcome.endpoint, now_ms)
         elif outcome.ending is EndingSeen.COMPLETED:
--- a/packages/toucanyard/src/toucanyard/requests.py
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -136,6 +136,8 @@
     prompt_tokens: int = 0
     completion_tokens: int = 0
     events_relayed: int = 0
+    longest_pause_ms: float = 0.0
+    """Longest time between two parts of a stream, a resumed one's included."""
     answer: KeptAnswer | None = None
     """Set for keyed requests that completed."""
 
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -37,6 +37,8 @@
     head_delay_s: float = 0.0
     is_repeating: bool = False
     """Resume from the first event, whatever was asked for."""
+    quiet_until_s: float = 0.0
+    """Time on the clock before which there are neither events nor heartbeats."""
     gap_s: float = 0.0
     """Time before each event; a heartbeat comes in the middle of it."""
 
@@ -86,6 +88,7 @@
     async def _send(
         self, responder: Responder, step: Step, first: int, tokens: tuple[str, ...]
     ) -> None:
+        await trio.sleep_until(step.quiet_until_s)
         for number in range(first, min(step.until, len(tokens) + 1)):
             if step.gap_s:
                 await trio.sleep(step.gap_s / 2)
--- a/tests/toucanyard_node/test_stream_relay.py
+++ b/tests/toucanyard_node/test_stream_relay.py
@@ -261,3 +261,18 @@
         answer = await served.complete()
         assert b": heartbeat\n" in answer.body
         assert b": heartbeat\n\n" not in answer.body
+
+
+async def test_engine_slower_than_its_history(autojump_clock: MockClock) -> None:
+    """An engine without heartbeats pauses for much longer than the bound allows.
+
+    Each probe finds the stream alive and quiet. Probes at one fixed bound ran out
+    before the next token came, and the caller got a stream cut short by its router.
+    """
+    quiet = [Step(quiet_until_s=trio.current_time() + 6.0) for _ in range(20)]
+    engine = ScriptedEngine(TOKENS, Step(until=2, then=Then.SILENCE), *quiet)
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
+        (outcome,) = served.core.outcomes
+        assert outcome.longest_pause_ms > 5_000
