Measure what each role costs over sizes, for the page on capacity

Cause: figures stood in several benches, some as single values; none had admission, statistics, decision records, cache events, plans, the VM list or a whole idle node. After: ./dev bench capacity prints for each role four measured sizes, the line through them and its value at 320 nodes and 4,400 replicas. bench_detectors gives its counts as values, which this bench shares; what it prints is unchanged.

--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
@@ -0,0 +1,206 @@
+"""Measure what each role of one node costs over sizes, for docs/CAPACITY.md.
+
+Each line gives the measured values, the slope and what it comes to at the size wanted:
+320 nodes, 4,400 replicas, 1,600 customers, 11,000 requests and 2.3 million tokens a
+second. Times depend on the machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.configuration import Configuration, PlacementPolicy, Pool
+from toucanyard.configuration_records import CheckpointRecord, encode_checkpoint
+from toucanyard.names import Address
+from toucanyard_standins.bench_path import (
+    BenchSizes,
+    Way,
+    build_options,
+    measure_events,
+    measure_memory,
+)
+from toucanyard_standins.bench_restart import build_configuration
+from toucanyard_standins.capacity_roles import (
+    CUSTOMERS,
+    REPLICAS,
+    iterate_slopes,
+)
+from toucanyard_standins.capacity_slope import Slope, render_slope
+from toucanyard_standins.deployment import (
+    CALLER_KEY,
+    Deployment,
+    DeploymentSizes,
+    start_deployment,
+)
+from toucanyard_standins.engine_faults import SlowDown
+from toucanyard_standins.harness import open_harness
+from toucanyard_standins.load import Target
+
+_EVENTS_PER_S: Final = 7_200
+"""Token events that one node relays a second."""
+_STREAMS: Final = 575
+"""Streams open on one node: 7,200 events a second, one each 80 ms in a stream."""
+_TOKENS: Final = (25, 50, 100, 200)
+_STEP_MS: Final = 20
+_LOAD_STREAMS: Final = 144
+"""As many as give 7,200 events a second at one each 20 ms."""
+_HELD: Final = (100, 200, 300, 400)
+_IDLE_REPLICAS: Final = (550, 1_100, 2_200, 4_400)
+_IDLE_SETTLE_S: Final = 6.0
+_IDLE_S: Final = 10.0
+_SLOWDOWN: Final = 2_000.0
+_NOWHERE_PORT: Final = 9
+
+
+class IdleCost(msgspec.Struct, frozen=True):
+    """What a node without requests uses."""
+
+    cpu_share: float
+    resident_bytes: int
+
+
+async def measure_relay(deployment: Deployment) -> Slope:
+    """Return the processor time of token events that come 7,200 a second."""
+    node = deployment.nodes[0]
+    way = Way("node", Target(node.address, CALLER_KEY), node)
+    counts: list[int] = []
+    times_us: list[float] = []
+    for tokens in _TOKENS:
+        sizes = BenchSizes(0, 0, _LOAD_STREAMS, tokens, 0)
+        cost = await measure_events(way, sizes)
+        counts.append(cost.units)
+        times_us.append(cost.cpu_s * 1e6)
+    return Slope(
+        "caller face and streams",
+        f"token events of {_LOAD_STREAMS} streams",
+        "us",
+        tuple(counts),
+        tuple(times_us),
+        "events",
+        _EVENTS_PER_S,
+    )
+
+
+async def measure_held(streams: int) -> float:
+    """Return the memory that open streams add to a node that had none before."""
+    async with open_harness() as harness:
+        deployment = await start_deployment(harness, _build_sizes())
+        for engine in deployment.engines:
+            await harness.control(engine, SlowDown(_SLOWDOWN))
+        node = deployment.nodes[0]
+        way = Way("node", Target(node.address, CALLER_KEY), node)
+        return streams * await measure_memory(way, streams)
+
+
+async def run_relay() -> None:
+    """Print the slopes of what a node relays."""
+    async with open_harness() as harness:
+        deployment = await start_deployment(harness, _build_sizes())
+        print(render_slope(await measure_relay(deployment)), flush=True)
+    held = tuple([await measure_held(streams) for streams in _HELD])
+    slope = Slope(
+        "caller face and streams",
+        "open streams",
+        "B",
+        _HELD,
+        held,
+        "streams",
+        _STREAMS,
+    )
+    print(render_slope(slope), flush=True)
+
+
+def _build_sizes() -> DeploymentSizes:
+    return DeploymentSizes(
+        engines=2,
+        engine_arguments=(
+            *("--decode-step-ms", str(_STEP_MS)),
+            *("--decode-ms-per-sequence", "0"),
+            *("--max-running", "2000"),
+        ),
+        placement=PlacementPolicy(max_running=2_000),
+        options=build_options(),
+    )
+
+
+def build_idle_configuration(replicas: int) -> Configuration:
+    """Return a configuration whose replicas refuse connections on this machine."""
+    customers = replicas * CUSTOMERS // REPLICAS
+    configuration = build_configuration(replicas, customers)
+    return msgspec.structs.replace(
+        configuration,
+        pools=tuple(_move_to_loopback(pool) for pool in configuration.pools),
+    )
+
+
+def _move_to_loopback(pool: Pool) -> Pool:
+    return msgspec.structs.replace(
+        pool,
+        endpoints=tuple(
+            msgspec.structs.replace(
+                endpoint,
+                address=Address(
+                    f"127{endpoint.address[2:].rpartition(':')[0]}:{_NOWHERE_PORT}"
+                ),
+            )
+            for endpoint in pool.endpoints
+        ),
+    )
+
+
+async def measure_idle(replicas: int) -> IdleCost:
+    """Return what one node uses without requests under a large configuration."""
+    checkpoint = CheckpointRecord(
+        configuration=build_idle_configuration(replicas), next_offset=0
+    )
+    async with open_harness() as harness:
+        await harness.start_platform()
+        await harness.publish(encode_checkpoint(checkpoint))
+        node = await harness.start_node("node-0", "domain-1")
+        await trio.sleep(_IDLE_SETTLE_S)
+        before_s = node.find_cpu_s()
+        await trio.sleep(_IDLE_S)
+        cpu_share = (node.find_cpu_s() - before_s) / _IDLE_S
+        return IdleCost(cpu_share, node.find_resident_bytes())
+
+
+async def run_idle() -> None:
+    """Print the slopes of a node without requests."""
+    costs = [await measure_idle(replicas) for replicas in _IDLE_REPLICAS]
+    role, per = "whole process, no requests, all replicas refuse", "replicas"
+    shares = tuple(cost.cpu_share * 100 for cost in costs)
+    sizes = tuple(float(cost.resident_bytes) for cost in costs)
+    for slope in (
+        Slope(role, "processor", "% of a core", _IDLE_REPLICAS, shares, per, REPLICAS),
+        Slope(role, "resident memory", "B", _IDLE_REPLICAS, sizes, per, REPLICAS),
+    ):
+        print(render_slope(slope), flush=True)
+
+
+def main(arguments: list[str]) -> int:
+    """Print all slopes."""
+    parser = argparse.ArgumentParser(prog="bench capacity")
+    parser.add_argument(
+        "--part", choices=("roles", "relay", "idle", "all"), default="all"
+    )
+    part = parser.parse_args(arguments).part
+    load = os.getloadavg()[0]
+    print(f"{os.cpu_count()} cores, load {load:.1f} at the start")
+    if part in ("roles", "all"):
+        for slope in iterate_slopes():
+            print(render_slope(slope), flush=True)
+    if part in ("relay", "all"):
+        trio.run(run_relay)
+    if part in ("idle", "all"):
+        trio.run(run_idle)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_detectors.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_detectors.py
@@ -305,8 +305,45 @@
     return members
 
 
+class BytesSent(msgspec.Struct, frozen=True):
+    """What one node sends, quiet and after deaths together, and who knows when."""
+
+    links: float
+    quiet_bytes_per_s: float
+    quiet_worst_bytes: int
+    after_bytes_per_s: float
+    worst_bytes: int
+    most_ms: float | None
+    all_ms: float | None
+
+
+class MemberCosts(msgspec.Struct, frozen=True):
+    """Time and memory of one membership."""
+
+    tick_ms: float
+    vm_list_ms: float
+    watched_ms: float
+    watched: int
+    usable_ms: float
+    held_bytes: int
+
+
 def run_bytes(nodes: int, dead: int, duration_s: int) -> None:
-    """Print what memberships of many nodes send, quiet and after deaths together."""
+    """Print what memberships of many nodes send."""
+    sent = measure_bytes(nodes, dead, duration_s)
+    print(
+        f"{nodes} nodes, {sent.links:.1f} links each: quiet"
+        f" {sent.quiet_bytes_per_s:.0f} B/s"
+        f" sent per node (worst second {sent.quiet_worst_bytes}); {dead} endpoints"
+        f" die at once:"
+        f" {sent.after_bytes_per_s:.0f} B/s (worst second {sent.worst_bytes}),"
+        f" all known to 90% of nodes after {sent.most_ms} ms, to every node after"
+        f" {sent.all_ms} ms"
+    )
+
+
+def measure_bytes(nodes: int, dead: int, duration_s: int) -> BytesSent:
+    """Return what memberships send, with deaths at half of the time."""
     names = [NodeName(f"n{number}") for number in range(nodes)]
     endpoints = tuple(
         Endpoint(EndpointName(f"e{n}"), Address(f"10.0.{n}.1:80"), DomainName("d"))
@@ -340,17 +377,30 @@
     quiet = [size for sizes in sent.values() for size in sizes[2 : duration_s // 2]]
     after = [size for sizes in sent.values() for size in sizes[duration_s // 2 :]]
     links = statistics.mean(len(member.find_linked()) for member in members.values())
-    print(
-        f"{nodes} nodes, {links:.1f} links each: quiet {statistics.mean(quiet):.0f} B/s"
-        f" sent per node (worst second {max(quiet)}); {dead} endpoints die at once:"
-        f" {statistics.mean(after):.0f} B/s (worst second {max(after)}),"
-        f" all known to 90% of nodes after {most_ms} ms, to every node after"
-        f" {all_ms} ms"
+    return BytesSent(
+        links,
+        statistics.mean(quiet),
+        max(quiet),
+        statistics.mean(after),
+        max(after),
+        most_ms,
+        all_ms,
     )
 
 
 def run_costs(nodes: int, endpoint_count: int) -> None:
     """Print one membership's time and memory at a size."""
+    costs = measure_costs(nodes, endpoint_count)
+    print(
+        f"{nodes} nodes, {endpoint_count} endpoints: tick {costs.tick_ms:.3f} ms,"
+        f" VM list {costs.vm_list_ms:.2f} ms, watched {costs.watched_ms:.2f} ms"
+        f" ({costs.watched} endpoints), usable of all"
+        f" {costs.usable_ms:.2f} ms, {costs.held_bytes / 1000:.0f} KB held"
+    )
+
+
+def measure_costs(nodes: int, endpoint_count: int) -> MemberCosts:
+    """Return one membership's time and memory at a size."""
     names = [NodeName(f"n{number}") for number in range(nodes)]
     endpoints = tuple(
         Endpoint(
@@ -377,12 +427,8 @@
             member.handle(EndpointError(endpoints[number % 14].name), 0.0)
     tick_ms = _time(lambda: member.handle(Ticked(), 0.0))
     usable_ms = _time(lambda: member.find_usable(endpoints, 0.0))
-    print(
-        f"{nodes} nodes, {endpoint_count} endpoints: tick {tick_ms:.3f} ms, VM list"
-        f" {list_ms:.2f} ms, watched {watched_ms:.2f} ms"
-        f" ({len(member.find_watched(endpoints))} endpoints), usable of all"
-        f" {usable_ms:.2f} ms, {held_bytes / 1000:.0f} KB held"
-    )
+    watched = len(member.find_watched(endpoints))
+    return MemberCosts(tick_ms, list_ms, watched_ms, watched, usable_ms, held_bytes)
 
 
 def _time(action: Callable[[], object]) -> float:
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_slope.py
@@ -0,0 +1,71 @@
+"""Measure a cost at several sizes, and work out what it is at the size wanted."""
+
+from __future__ import annotations
+
+import tracemalloc
+from collections.abc import Callable, Sequence
+
+import msgspec
+import numpy as np
+
+
+class Slope(msgspec.Struct, frozen=True):
+    """One cost at several sizes, and the line through it.
+
+    `wanted` is the size that one node has to do with at the size wanted.
+    """
+
+    role: str
+    cost: str
+    unit: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+    per: str
+    wanted: int
+
+    def compute_line(self) -> tuple[float, float]:
+        """Return the cost for each more, and the cost of none."""
+        slope, base = np.polyfit(self.sizes, self.values, 1)
+        return float(slope), float(base)
+
+    def compute_wanted(self) -> float:
+        """Return what the line gives at the size wanted."""
+        slope, base = self.compute_line()
+        return base + slope * self.wanted
+
+
+def measure_slope(
+    role: str,
+    cost: str,
+    unit: str,
+    per: str,
+    wanted: int,
+    sizes: Sequence[int],
+    measure: Callable[[int], float],
+) -> Slope:
+    """Return the slope of what `measure` gives at each size."""
+    values = tuple(measure(size) for size in sizes)
+    return Slope(role, cost, unit, tuple(sizes), values, per, wanted)
+
+
+def measure_held_bytes(build: Callable[[], object]) -> float:
+    """Return the memory that what `build` returns holds."""
+    tracemalloc.start()
+    built = build()
+    held_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del built
+    return float(held_bytes)
+
+
+def render_slope(slope: Slope) -> str:
+    """Return one line for a slope."""
+    each, base = slope.compute_line()
+    measured = " ".join(f"{value:.5g}" for value in slope.values)
+    sizes = " ".join(map(str, slope.sizes))
+    return (
+        f"{slope.role}: {slope.cost}\n"
+        f"  {slope.unit} {measured}  at {sizes} {slope.per}\n"
+        f"  {each:.4g} {slope.unit} each + {base:.4g};"
+        f" at {slope.wanted}: {slope.compute_wanted():.4g} {slope.unit}"
+    )
