--- a/tests/toucanyard/test_settings.py
+++ b/tests/toucanyard/test_settings.py
@@ -4,11 +4,12 @@
 
 from pathlib import Path
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 from hypothesis import given, strategies as st
 
-from toucanyard.options import Options
+from toucanyard.options import Options, StatsdOptions
 from toucanyard.patches import Put
 from toucanyard.settings import SettingsError, load_document, load_options
 from toucanyard_cli.main import main as toucanyard
@@ -158,3 +159,15 @@
         load_document(file, Options)
     except SettingsError as error:
         assert str(error).startswith(f"{file}: ")
+
+
+def test_the_page_lists_every_setting() -> None:
+    page = (
+        Path(__file__).parents[2] / "docs" / "operators" / "settings.md"
+    ).read_text()
+    for section in msgspec.structs.fields(Options):
+        kind = section.type if section.name != "statsd" else StatsdOptions
+        fields = getattr(kind, "__struct_fields__", ())
+        assert f"`{section.name}" in page
+        for field in fields:
+            assert f"`{field}`" in page or f"`{section.name}.{field}`" in page, field
