Bound answers of endpoints and platform, and refuse pages of the log out of order

Cause: the log's answers, and plain answers of endpoints, were read into memory without a bound; a page whose records go back, an end before what was read, and an oldest record that is no newer were believed, and read again without a pause. Conclusion: a log whose end went back has forgotten claims, so it isn't believed.

--- a/packages/toucanyard-node/src/toucanyard_node/bounded_fetch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/bounded_fetch.py
@@ -23,19 +23,11 @@
     headers: Headers = (),
     body: bytes = b"",
 ) -> Response:
-    """Make one request on a connection, or raise ConnectionFailedError.
-
-    A body over the limit is given up: whoever sends without end must not fill this
-    node's memory.
-    """
+    """Make one request on a connection, or raise ConnectionFailedError."""
     await connection.send(method, target, headers, body)
     head = await connection.read_head()
-    received = bytearray()
-    while (part := await connection.read_part()) is not None:
-        received += part
-        if len(received) > max_bytes:
-            raise ConnectionFailedError(f"over {max_bytes} bytes", is_sent=True)
-    return Response(head.status, head.headers, bytes(received))
+    received = await connection.read_body(max_bytes)
+    return Response(head.status, head.headers, received)
 
 
 async def fetch_bounded(
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -20,6 +20,7 @@
 
 _READ_BYTES: Final = 65_536
 _MAX_PORT: Final = 65_535
+MAX_BODY_BYTES: Final = 32_000_000
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -32,6 +33,10 @@
         self.is_sent = is_sent
 
 
+class BodyTooLargeError(ConnectionFailedError):
+    """The other side sent more than this node takes in one answer."""
+
+
 class ResponseHead(msgspec.Struct, frozen=True):
     """Status and headers of an answer; header names are lower case."""
 
@@ -170,11 +175,17 @@
                 return bytes(data)
             data = bytes(data) + event.data
 
-    async def read_body(self) -> bytes:
-        """Read the rest of the body."""
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Read the rest of the body, or raise ConnectionFailedError.
+
+        One over the limit is given up: whoever sends without end must not fill this
+        node's memory.
+        """
         body = bytearray()
         while (part := await self.read_part()) is not None:
             body += part
+            if len(body) > max_bytes:
+                raise BodyTooLargeError(f"found over {max_bytes} bytes", is_sent=True)
         return bytes(body)
 
     async def read_end(self) -> bool:
--- a/packages/toucanyard-node/src/toucanyard_node/log_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Sequence
 from typing import Final
 
@@ -13,18 +14,30 @@
 
 from toucanyard.claim_messages import AppendResult, LogRecord
 from toucanyard.names import Address
-from toucanyard_node.http_client import ConnectionFailedError, fetch
+from toucanyard_node.http_client import (
+    MAX_BODY_BYTES,
+    BodyTooLargeError,
+    ConnectionFailedError,
+    Response,
+    fetch,
+)
 
 _REFUSED_STATUSES: Final = frozenset({400, 404, 413, 429, 503})
 """Statuses with which the service says that it appended nothing."""
 _OVER_RATE_STATUS: Final = 429
 _READ_MARGIN_MS: Final = 2_000
+MAX_PAGE_BYTES: Final = MAX_BODY_BYTES
+_MAX_OFFSET: Final = 2**53
 
 
 class LogUnavailableError(Exception):
     """The log did not give an answer that can be used."""
 
 
+class PageTooLargeError(LogUnavailableError):
+    """The records asked for are more than a node takes at once."""
+
+
 class LogExpiredError(Exception):
     """The records asked for are gone; reading goes on from `oldest`."""
 
@@ -87,23 +100,45 @@
 ) -> LogPage:
     """Read from an offset on, waiting a while for new records.
 
-    Raise LogExpiredError when they are gone and LogUnavailableError without an answer.
+    Raise LogExpiredError when they are gone, PageTooLargeError when they are too
+    many, and LogUnavailableError without an answer that can be used.
     """
     target = f"/log/read?from={start}&limit={limit}&wait_ms={wait_ms}"
     timeout_ms = wait_ms + _READ_MARGIN_MS
     try:
         answer = await fetch(address, "GET", target, timeout_ms=timeout_ms)
+    except BodyTooLargeError as error:
+        raise PageTooLargeError(str(error)) from error
     except ConnectionFailedError as error:
         raise LogUnavailableError(str(error)) from error
+    return decode_page(answer, start)
+
+
+def decode_page(answer: Response, start: int) -> LogPage:
+    """Return the page in an answer; raise as `read_records` does."""
     if answer.status not in (200, 410):
         raise LogUnavailableError(f"status {answer.status}")
     try:
         body = msgspec.json.decode(answer.body, type=_ReadBody)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise LogUnavailableError(str(error)) from error
     if answer.status == 410:
+        _check_order((start, body.oldest, body.next + 1))
         raise LogExpiredError(body.oldest, body.next)
+    offsets = [each.offset for each in body.records]
+    _check_order((start - 1, *offsets, body.next))
     records = tuple(
         LogRecord(each.offset, each.at_ms, each.data) for each in body.records
     )
     return LogPage(records, body.next)
+
+
+def _check_order(offsets: Sequence[int]) -> None:
+    """Raise LogUnavailableError unless offsets rise and are in range.
+
+    Reading goes on behind the last one. Offsets that fall would make a node read the
+    same again without end, and a log whose end went back has forgotten claims.
+    """
+    is_rising = all(one < other for one, other in itertools.pairwise(offsets))
+    if not is_rising or offsets[-1] > _MAX_OFFSET:
+        raise LogUnavailableError("found offsets out of order or out of range")
--- a/tests/toucanyard_node/test_connection_pool.py
+++ b/tests/toucanyard_node/test_connection_pool.py
@@ -13,7 +13,12 @@
 from toucanyard.names import Address
 from toucanyard.options import StreamLimits
 from toucanyard_node.connection_pool import ConnectionPool
-from toucanyard_node.http_client import ConnectionFailedError, HttpConnection, connect
+from toucanyard_node.http_client import (
+    BodyTooLargeError,
+    ConnectionFailedError,
+    HttpConnection,
+    connect,
+)
 from toucanyard_node.http_server import HttpRequest, Responder, find_port, open_listener
 
 ADDRESS = Address("10.0.0.1:80")
@@ -147,3 +152,15 @@
     with pytest.raises(ConnectionFailedError) as caught:
         await connect(Address("127.0.0.1:99999"), 1_000)
     assert not caught.value.is_sent
+
+
+async def test_answer_over_the_bound_is_given_up(autojump_clock: MockClock) -> None:
+    """An endpoint sends without an end; its answer must not fill the memory. The
+    connection, with the rest still to come, isn't lent again."""
+    async with open_pool() as pool:
+        connection, _ = await pool.acquire(ADDRESS)
+        await ask(connection)
+        with pytest.raises(BodyTooLargeError):
+            await connection.read_body(len(b"first"))
+        await pool.release(connection)
+        assert pool.count_idle(ADDRESS) == 0
