Refuse numbers of endpoints that no float holds, and decode them in their own module

Cause: an endpoint that tells of 10^400 running requests was believed; weighed in the core, the number raises and ends the node. Negative blocks, signs and any length of hashes were taken as well. Conclusion: the watch, which had grown large, keeps its tasks; decoding stands apart.

--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_answers.py
@@ -0,0 +1,104 @@
+"""Decode what endpoints tell of themselves: loads, cache events, lists of blocks.
+
+Endpoints make their numbers up. The core weighs them against others, so a number that
+is negative, or that no float holds exactly, is refused here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final, TypeVar
+
+import msgspec
+
+from toucanyard.cache_view import CacheDump, CacheEvent, CacheEventKind, CacheEvents
+from toucanyard.load_view import LoadReport
+from toucanyard.names import Incarnation
+from toucanyard_node.http_client import Response
+
+_MAX_NUMBER: Final = 2**53
+_HASH_DIGITS: Final = 16
+_HEX: Final = 16
+
+T = TypeVar("T")
+
+
+class _EventBody(msgspec.Struct, frozen=True):
+    seq: int
+    kind: CacheEventKind
+    hashes: tuple[str, ...]
+
+
+class _EventsBody(msgspec.Struct, frozen=True):
+    incarnation: Incarnation
+    oldest: int
+    next: int
+    events: tuple[_EventBody, ...]
+
+
+class _DumpBody(msgspec.Struct, frozen=True):
+    incarnation: Incarnation
+    next: int
+    hashes: tuple[str, ...]
+
+
+class AnswerInvalidError(Exception):
+    """An endpoint's answer can't be used."""
+
+
+def decode_load(response: Response) -> LoadReport:
+    """Return the load in an answer, or raise AnswerInvalidError."""
+    report = _decode(response, LoadReport)
+    _check_numbers(
+        report.running,
+        report.waiting,
+        report.queued_blocks,
+        report.used_blocks,
+        report.capacity_blocks,
+        report.age_ms,
+    )
+    if not report.incarnation:
+        raise AnswerInvalidError("found no incarnation")
+    return report
+
+
+def decode_events(response: Response) -> CacheEvents:
+    """Return the cache events in an answer, or raise AnswerInvalidError."""
+    body = _decode(response, _EventsBody)
+    _check_numbers(body.oldest, body.next, *(event.seq for event in body.events))
+    events = tuple(
+        CacheEvent(event.seq, event.kind, _parse_hashes(event.hashes))
+        for event in body.events
+    )
+    return CacheEvents(body.incarnation, body.oldest, body.next, events)
+
+
+def decode_dump(response: Response) -> CacheDump:
+    """Return the list of blocks in an answer, or raise AnswerInvalidError."""
+    body = _decode(response, _DumpBody)
+    _check_numbers(body.next)
+    return CacheDump(body.incarnation, body.next, _parse_hashes(body.hashes))
+
+
+def _decode(response: Response, kind: type[T]) -> T:
+    if response.status != 200:
+        raise AnswerInvalidError(f"found status {response.status}")
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise AnswerInvalidError(str(error)) from error
+
+
+def _check_numbers(*numbers: float) -> None:
+    if min(numbers) < 0 or max(numbers) >= _MAX_NUMBER:
+        raise AnswerInvalidError("found a number out of range")
+
+
+def _parse_hashes(hashes: Sequence[str]) -> tuple[int, ...]:
+    try:
+        blocks = tuple(int(each, _HEX) for each in hashes)
+    except ValueError as error:
+        raise AnswerInvalidError("found a hash that is not hexadecimal") from error
+    if blocks and (min(blocks) < 0 or max(map(len, hashes)) > _HASH_DIGITS):
+        raise AnswerInvalidError(f"found a hash not of {_HASH_DIGITS} digits")
+    return blocks
--- a/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Final, TypeVar
+from typing import Final
 
 import msgspec
 import structlog
 import trio
 
-from toucanyard.cache_view import CacheDump, CacheEvent, CacheEventKind, CacheEvents
 from toucanyard.configuration import Endpoint
 from toucanyard.core_events import (
     CacheDumpRead,
@@ -21,10 +20,15 @@
     EndpointSilent,
     LoadRead,
 )
-from toucanyard.load_view import LoadReport
 from toucanyard.names import Address, EndpointName, Incarnation
 from toucanyard.options import MembershipTimings
 from toucanyard_node.bounded_fetch import exchange_bounded, fetch_bounded
+from toucanyard_node.endpoint_answers import (
+    AnswerInvalidError,
+    decode_dump,
+    decode_events as decode_events,
+    decode_load,
+)
 from toucanyard_node.http_client import (
     Connect,
     ConnectionFailedError,
@@ -41,9 +45,6 @@
 _EVENTS_WAIT_MS: Final = 1_000
 _DUMP_TIMEOUT_MS: Final = 5_000
 _EVENTS_AGAIN_MS: Final = 500
-_HEX: Final = 16
-
-T = TypeVar("T")
 
 WatchEvent = LoadRead | EndpointSilent | CacheEventsRead | CacheDumpRead
 Emit = Callable[[WatchEvent], Awaitable[None]]
@@ -56,54 +57,6 @@
     is_engine: bool
 
 
-class _EventBody(msgspec.Struct, frozen=True):
-    seq: int
-    kind: CacheEventKind
-    hashes: tuple[str, ...]
-
-
-class _EventsBody(msgspec.Struct, frozen=True):
-    incarnation: Incarnation
-    oldest: int
-    next: int
-    events: tuple[_EventBody, ...]
-
-
-class _DumpBody(msgspec.Struct, frozen=True):
-    incarnation: Incarnation
-    next: int
-    hashes: tuple[str, ...]
-
-
-class AnswerInvalidError(Exception):
-    """An endpoint's answer can't be used."""
-
-
-def decode_load(response: Response) -> LoadReport:
-    """Return the load in an answer, or raise AnswerInvalidError."""
-    report = _decode(response, LoadReport)
-    numbers = (report.running, report.waiting, report.queued_blocks, report.age_ms)
-    if min(numbers) < 0 or not report.incarnation:
-        raise AnswerInvalidError("found a negative number or no incarnation")
-    return report
-
-
-def decode_events(response: Response) -> CacheEvents:
-    """Return the cache events in an answer, or raise AnswerInvalidError."""
-    body = _decode(response, _EventsBody)
-    events = tuple(
-        CacheEvent(event.seq, event.kind, _parse_hashes(event.hashes))
-        for event in body.events
-    )
-    return CacheEvents(body.incarnation, body.oldest, body.next, events)
-
-
-def decode_dump(response: Response) -> CacheDump:
-    """Return the list of blocks in an answer, or raise AnswerInvalidError."""
-    body = _decode(response, _DumpBody)
-    return CacheDump(body.incarnation, body.next, _parse_hashes(body.hashes))
-
-
 def compute_poll_wait_ms(timings: MembershipTimings, watched: int, count: int) -> float:
     """Return the time between two polls of one endpoint that answers.
 
@@ -283,19 +236,3 @@
                     await connection.close()
         self._kept = connection
         return response
-
-
-def _decode(response: Response, kind: type[T]) -> T:
-    if response.status != 200:
-        raise AnswerInvalidError(f"found status {response.status}")
-    try:
-        return msgspec.json.decode(response.body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise AnswerInvalidError(str(error)) from error
-
-
-def _parse_hashes(hashes: Sequence[str]) -> tuple[int, ...]:
-    try:
-        return tuple(int(each, _HEX) for each in hashes)
-    except ValueError as error:
-        raise AnswerInvalidError("found a hash that is not hexadecimal") from error
