Count whole requests in the capacity bench, and load its configuration by patches

Cause: the bench gave an idle node a checkpoint and no patch before it. After: patches lead to the configuration, and a run whose node does not log that version ends with an error.

--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
@@ -16,7 +16,6 @@
 import trio
 
 from toucanyard.configuration import Configuration, PlacementPolicy, Pool
-from toucanyard.configuration_records import CheckpointRecord, encode_checkpoint
 from toucanyard.names import Address
 from toucanyard_standins.bench_path import (
     BenchSizes,
@@ -26,11 +25,8 @@
     measure_memory,
 )
 from toucanyard_standins.bench_restart import build_configuration
-from toucanyard_standins.capacity_roles import (
-    CUSTOMERS,
-    REPLICAS,
-    iterate_slopes,
-)
+from toucanyard_standins.capacity_roles import iterate_slopes
+from toucanyard_standins.capacity_sizes import CUSTOMERS, REPLICAS, encode_patches
 from toucanyard_standins.capacity_slope import Slope, render_slope
 from toucanyard_standins.deployment import (
     CALLER_KEY,
@@ -41,6 +37,7 @@
 from toucanyard_standins.engine_faults import SlowDown
 from toucanyard_standins.harness import open_harness
 from toucanyard_standins.load import Target
+from toucanyard_standins.processes import HarnessError
 
 _EVENTS_PER_S: Final = 7_200
 """Token events that one node relays a second."""
@@ -156,14 +153,15 @@
 
 async def measure_idle(replicas: int) -> IdleCost:
     """Return what one node uses without requests under a large configuration."""
-    checkpoint = CheckpointRecord(
-        configuration=build_idle_configuration(replicas), next_offset=0
-    )
+    records = encode_patches(build_idle_configuration(replicas))
     async with open_harness() as harness:
         await harness.start_platform()
-        await harness.publish(encode_checkpoint(checkpoint))
+        for record in records:
+            await harness.publish(record)
         node = await harness.start_node("node-0", "domain-1")
         await trio.sleep(_IDLE_SETTLE_S)
+        if f"version={len(records)} " not in node.read_log():
+            raise HarnessError(f"version {len(records)} is not in force")
         before_s = node.find_cpu_s()
         await trio.sleep(_IDLE_S)
         cpu_share = (node.find_cpu_s() - before_s) / _IDLE_S
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_requests.py
@@ -0,0 +1,198 @@
+"""Measure what requests cost one node's decisions, inside this process."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.admission import Admission
+from toucanyard.claim_messages import LogRecord
+from toucanyard.configuration import Configuration, PriorityClass
+from toucanyard.core_events import (
+    DispatchOver,
+    LogRead,
+    LogStateSeen,
+    Reply,
+    RequestArrived,
+)
+from toucanyard.explanations import DecisionRecord, ExplanationRing, Sent
+from toucanyard.names import CustomerName, EndpointName, Incarnation, RequestId
+from toucanyard.node_core import NodeCore
+from toucanyard.options import AdmissionLimits
+from toucanyard.requests import Dispatch, EndingSeen, Outcome
+from toucanyard.scoring import Score
+from toucanyard.statistics import StatisticsCollector
+from toucanyard_standins import bench_placement_cost as placement_cost
+from toucanyard_standins.bench_path import build_options
+from toucanyard_standins.bench_restart import build_configuration
+from toucanyard_standins.capacity_sizes import CUSTOMERS, POOL, encode_patches
+from toucanyard_standins.capacity_slope import (
+    Slope,
+    measure_held_bytes,
+    measure_slope,
+    time_us,
+)
+
+_REQUESTS: Final = 400
+
+
+def iterate_request_slopes() -> Iterator[Slope]:
+    """Measure decisions, admission, statistics and records of decisions."""
+    sizes = (110, 220, 440, 880)
+    yield measure_slope(
+        "requests",
+        "all decisions from arrival to end, median",
+        "us",
+        "replicas in the pool",
+        POOL,
+        sizes,
+        _time_request,
+    )
+    yield from _measure_admission()
+    yield from _measure_statistics()
+    yield from _measure_explanations()
+
+
+def _time_request(replicas: int) -> float:
+    core = _build_core(replicas)
+    rng = random.Random(1)
+    times_us: list[float] = []
+    for number in range(_REQUESTS):
+        request = placement_cost.make_request(rng, number)
+        now_ms = number * 30.0
+        began = time.perf_counter()
+        actions = core.handle(RequestArrived(request), now_ms)
+        (reply,) = [each for each in actions if isinstance(each, Reply)]
+        assert isinstance(reply.verdict, Dispatch)
+        outcome = Outcome(
+            request.request_id,
+            reply.verdict.endpoint,
+            EndingSeen.COMPLETED,
+            first_token_ms=10.0,
+            duration_ms=20.0,
+            prompt_tokens=1_000,
+            completion_tokens=10,
+        )
+        core.handle(DispatchOver(outcome), now_ms + 20.0)
+        times_us.append((time.perf_counter() - began) * 1e6)
+    return statistics.median(times_us)
+
+
+def _build_core(replicas: int) -> NodeCore:
+    core = NodeCore(build_options(), Incarnation("i"), random.Random(1))
+    configuration = Configuration(pools=(placement_cost.make_pool(replicas),))
+    records = tuple(
+        LogRecord(offset, 0.0, text)
+        for offset, text in enumerate(encode_patches(configuration))
+    )
+    core.handle(LogRead(0, len(records), records, len(records), 0.0), 0.0)
+    core.handle(LogStateSeen(True), 0.0)
+    assert core.configuration.version == len(records)
+    return core
+
+
+def _measure_admission() -> Iterator[Slope]:
+    def queue(waiting: int) -> Admission:
+        limits = AdmissionLimits(
+            max_queued=10**6, max_queued_per_customer=10**6, max_wait_ms=10**8
+        )
+        admission = Admission(limits, random.Random(1))
+        pool = placement_cost.make_pool(1)
+        configuration = build_configuration(0, CUSTOMERS)
+        admission.apply_configuration(
+            msgspec.structs.replace(configuration, pools=(pool,))
+        )
+        rng = random.Random(1)
+        for number in range(waiting):
+            admission.offer(placement_cost.make_request(rng, number), 0.0)
+        return admission
+
+    def turn(waiting: int) -> float:
+        admission = queue(waiting)
+        request = placement_cost.make_request(random.Random(1), waiting + 1)
+
+        def take_turn() -> None:
+            admission.offer(request, 1.0)
+            admission.abandon(request.request_id, 1.0)
+
+        return time_us(take_turn)
+
+    sizes = (250, 500, 1_000, 2_000)
+    role, per = "admission", "waiting requests"
+    yield measure_slope(role, "one in and out", "us", per, 2_000, sizes, turn)
+    yield measure_slope(
+        role,
+        "memory of the queue, prompts' hashes with it",
+        "B",
+        per,
+        2_000,
+        sizes,
+        lambda waiting: measure_held_bytes(lambda: queue(waiting)),
+    )
+
+
+def _measure_statistics() -> Iterator[Slope]:
+    def fill(groups: int) -> StatisticsCollector:
+        collector = StatisticsCollector()
+        outcome = Outcome(
+            RequestId("r"),
+            EndpointName("e"),
+            EndingSeen.COMPLETED,
+            first_token_ms=200.0,
+            duration_ms=2_000.0,
+            prompt_tokens=1_000,
+            completion_tokens=100,
+        )
+        for number in range(groups):
+            customer = CustomerName(f"customer-{number}")
+            collector.record_outcome(customer, PriorityClass.CHAT, outcome, 1.0)
+        return collector
+
+    def read(groups: int) -> float:
+        collector = fill(groups)
+        return time_us(collector.compute_statistics)
+
+    role, per = "statistics", "customers and classes"
+    sizes, wanted = (10, 20, 40, 80), 2 * CUSTOMERS
+    yield measure_slope(
+        role,
+        "memory of the histograms",
+        "B",
+        per,
+        wanted,
+        sizes,
+        lambda groups: measure_held_bytes(lambda: fill(groups)),
+    )
+    yield measure_slope(role, "quantiles of all", "us", per, wanted, sizes, read)
+
+
+def _measure_explanations() -> Iterator[Slope]:
+    def fill(records: int) -> ExplanationRing:
+        ring = ExplanationRing()
+        endpoint = EndpointName("replica-00001")
+        for number in range(records):
+            request_id = RequestId(f"node-1-0123456789-{number}")
+            customer = CustomerName("customer-00001")
+            ring.open(DecisionRecord(request_id, customer, 1, float(number), []))
+            scores = tuple(
+                Score(endpoint, number + 0.1, number + 0.2, 0.0, 7, True, False, 1.5)
+                for _ in range(3)
+            )
+            sent = Sent(float(number), endpoint, 1, 12, scores)
+            ring.add_step(request_id, sent)
+        return ring
+
+    yield measure_slope(
+        "asking why",
+        "memory of the records",
+        "B",
+        "records",
+        20_000,
+        (2_500, 5_000, 10_000, 20_000),
+        lambda records: measure_held_bytes(lambda: fill(records)),
+    )
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
@@ -1,4 +1,4 @@
-"""Measure what each role of one node costs, inside this process."""
+"""Measure what the roles beside requests cost, inside this process."""
 
 from __future__ import annotations
 
@@ -9,31 +9,23 @@
 
 import msgspec
 
-from toucanyard.admission import Admission
 from toucanyard.at_most_once import AtMostOnce
-from toucanyard.configuration import Pool, PriorityClass
+from toucanyard.configuration import Pool
 from toucanyard.configuration_log import ConfigurationLog
 from toucanyard.configuration_records import (
     CheckpointRecord,
     decode_record,
     encode_checkpoint,
 )
-from toucanyard.explanations import DecisionRecord, ExplanationRing, Sent
 from toucanyard.names import (
     Address,
-    CustomerName,
     DomainName,
-    EndpointName,
     Incarnation,
     NodeName,
-    RequestId,
 )
-from toucanyard.options import AdmissionLimits, ConfigurationTimings
+from toucanyard.options import ConfigurationTimings
 from toucanyard.orders import EndpointState, PoolOrders
-from toucanyard.requests import EndingSeen, Outcome
-from toucanyard.scoring import Score
 from toucanyard.snapshots import encode_snapshot
-from toucanyard.statistics import StatisticsCollector
 from toucanyard.vm_view import Vm
 from toucanyard_node.endpoint_watch import decode_events
 from toucanyard_node.http_client import Response
@@ -43,18 +35,16 @@
 from toucanyard_standins.bench_restart import (
     build_configuration,
     build_snapshot,
-    measure,
 )
+from toucanyard_standins.capacity_requests import iterate_request_slopes
+from toucanyard_standins.capacity_sizes import CUSTOMERS, NODES, POOL, REPLICAS
 from toucanyard_standins.capacity_slope import (
     Slope,
     measure_held_bytes,
     measure_slope,
+    time_us,
 )
 
-NODES: Final = 320
-REPLICAS: Final = 4_400
-CUSTOMERS: Final = 1_600
-POOL: Final = 880
 VMS: Final = 4_720
 BLOCKS_HELD: Final = 400_000
 KEYS: Final = 20_600
@@ -63,7 +53,6 @@
 """Cache events that one node reads a second: 330,000, each by 3 of 320 nodes."""
 
 _REPLICA_SIZES: Final = (550, 1_100, 2_200, 4_400)
-_TIMES: Final = 9
 _DEAD: Final = 14
 _BYTES_S: Final = 20
 
@@ -74,17 +63,11 @@
     yield from _measure_membership()
     yield from _measure_placement()
     yield from _measure_keys()
-    yield from _measure_admission()
-    yield from _measure_statistics()
-    yield from _measure_explanations()
+    yield from iterate_request_slopes()
     yield from _measure_orders()
     yield from _measure_vm_list()
 
 
-def _time_us(action: Callable[[], object]) -> float:
-    return measure(action, _TIMES)[0] * 1_000
-
-
 def _build_checkpoint(replicas: int) -> CheckpointRecord:
     customers = replicas * CUSTOMERS // REPLICAS
     return CheckpointRecord(
@@ -98,7 +81,7 @@
 
     def replay(replicas: int) -> float:
         text = encode_checkpoint(_build_checkpoint(replicas))
-        return _time_us(lambda: decode_record(text))
+        return time_us(lambda: decode_record(text))
 
     def hold(replicas: int) -> float:
         text = encode_checkpoint(_build_checkpoint(replicas))
@@ -172,7 +155,7 @@
 
 def _time_event_decoding(count: int) -> float:
     response = Response(200, {}, _encode_events(count))
-    return _time_us(lambda: decode_events(response))
+    return time_us(lambda: decode_events(response))
 
 
 def _measure_keys() -> Iterator[Slope]:
@@ -203,108 +186,6 @@
     return core
 
 
-def _measure_admission() -> Iterator[Slope]:
-    def queue(waiting: int) -> Admission:
-        limits = AdmissionLimits(
-            max_queued=10**6, max_queued_per_customer=10**6, max_wait_ms=10**8
-        )
-        admission = Admission(limits, random.Random(1))
-        pool = placement_cost.make_pool(1)
-        configuration = build_configuration(0, CUSTOMERS)
-        admission.apply_configuration(
-            msgspec.structs.replace(configuration, pools=(pool,))
-        )
-        rng = random.Random(1)
-        for number in range(waiting):
-            admission.offer(placement_cost.make_request(rng, number), 0.0)
-        return admission
-
-    def turn(waiting: int) -> float:
-        admission = queue(waiting)
-        request = placement_cost.make_request(random.Random(1), waiting + 1)
-
-        def take_turn() -> None:
-            admission.offer(request, 1.0)
-            admission.abandon(request.request_id, 1.0)
-
-        return _time_us(take_turn)
-
-    sizes = (250, 500, 1_000, 2_000)
-    role, per = "admission", "waiting requests"
-    yield measure_slope(role, "one in and out", "us", per, 2_000, sizes, turn)
-    yield measure_slope(
-        role,
-        "memory of the queue, prompts' hashes with it",
-        "B",
-        per,
-        2_000,
-        sizes,
-        lambda waiting: measure_held_bytes(lambda: queue(waiting)),
-    )
-
-
-def _measure_statistics() -> Iterator[Slope]:
-    def fill(groups: int) -> StatisticsCollector:
-        collector = StatisticsCollector()
-        outcome = Outcome(
-            RequestId("r"),
-            EndpointName("e"),
-            EndingSeen.COMPLETED,
-            first_token_ms=200.0,
-            duration_ms=2_000.0,
-            prompt_tokens=1_000,
-            completion_tokens=100,
-        )
-        for number in range(groups):
-            customer = CustomerName(f"customer-{number}")
-            collector.record_outcome(customer, PriorityClass.CHAT, outcome, 1.0)
-        return collector
-
-    def read(groups: int) -> float:
-        collector = fill(groups)
-        return _time_us(collector.compute_statistics)
-
-    role, per = "statistics", "customers and classes"
-    sizes, wanted = (10, 20, 40, 80), 2 * CUSTOMERS
-    yield measure_slope(
-        role,
-        "memory of the histograms",
-        "B",
-        per,
-        wanted,
-        sizes,
-        lambda groups: measure_held_bytes(lambda: fill(groups)),
-    )
-    yield measure_slope(role, "quantiles of all", "us", per, wanted, sizes, read)
-
-
-def _measure_explanations() -> Iterator[Slope]:
-    def fill(records: int) -> ExplanationRing:
-        ring = ExplanationRing()
-        endpoint = EndpointName("replica-00001")
-        for number in range(records):
-            request_id = RequestId(f"node-1-0123456789-{number}")
-            customer = CustomerName("customer-00001")
-            ring.open(DecisionRecord(request_id, customer, 1, float(number), []))
-            scores = tuple(
-                Score(endpoint, number + 0.1, number + 0.2, 0.0, 7, True, False, 1.5)
-                for _ in range(3)
-            )
-            sent = Sent(float(number), endpoint, 1, 12, scores)
-            ring.add_step(request_id, sent)
-        return ring
-
-    yield measure_slope(
-        "asking why",
-        "memory of the records",
-        "B",
-        "records",
-        20_000,
-        (2_500, 5_000, 10_000, 20_000),
-        lambda records: measure_held_bytes(lambda: fill(records)),
-    )
-
-
 def _measure_orders() -> Iterator[Slope]:
     def plan(replicas: int) -> float:
         pool: Pool = placement_cost.make_pool(replicas)
@@ -312,7 +193,7 @@
         state = EndpointState(Incarnation("i"), "m", "w1")
         for endpoint in pool.endpoints:
             orders.note_state(endpoint.name, state, 1.0)
-        return _time_us(lambda: orders.plan(pool, 10_000.0, 2.0))
+        return time_us(lambda: orders.plan(pool, 10_000.0, 2.0))
 
     yield measure_slope(
         "orders", "one plan", "us", "replicas", POOL, (110, 220, 440, 880), plan
@@ -355,7 +236,7 @@
 
     def decode(vms: int) -> float:
         body = encode(vms)
-        return _time_us(lambda: msgspec.json.decode(body, type=VmListBody))
+        return time_us(lambda: msgspec.json.decode(body, type=VmListBody))
 
     sizes = (590, 1_180, 2_360, 4_720)
     yield measure_slope(
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_slope.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_slope.py
@@ -4,10 +4,15 @@
 
 import tracemalloc
 from collections.abc import Callable, Sequence
+from typing import Final
 
 import msgspec
 import numpy as np
 
+from toucanyard_standins.bench_restart import measure
+
+_TIMES: Final = 9
+
 
 class Slope(msgspec.Struct, frozen=True):
     """One cost at several sizes, and the line through it.
@@ -48,6 +53,11 @@
     return Slope(role, cost, unit, tuple(sizes), values, per, wanted)
 
 
+def time_us(action: Callable[[], object]) -> float:
+    """Return the median time of an action in microseconds."""
+    return measure(action, _TIMES)[0] * 1_000
+
+
 def measure_held_bytes(build: Callable[[], object]) -> float:
     """Return the memory that what `build` returns holds."""
     tracemalloc.start()
