Keep the sum of an endpoint pool's limits instead of working it out

Cause: a profile of 400 requests on a pool of 4,400 spent 3.7 of 4.8 s summing limits (each arrival and end asks for the capacity), and telling admission of usable endpoints looked each name up in a tuple.

--- a/packages/toucanyard/src/toucanyard/admission.py
+++ b/packages/toucanyard/src/toucanyard/admission.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from toucanyard.backends import Admitted, Backend
-from toucanyard.concurrency_limit import ConcurrencyLimit
 from toucanyard.configuration import Configuration, Customer
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.fair_queue import PRIORITY_RANKS
@@ -96,7 +95,7 @@
         if request.deadline_ms <= now_ms:
             return [self._refuse_late(request, now_ms)]
         backend = self._find_backend(compute_backend_name(request))
-        if not backend.usable:
+        if not backend.has_usable():
             return [self._refuse(request, ErrorKind.NO_ENDPOINT, "no endpoint", now_ms)]
         weight = self._find_weight(request.customer)
         if len(backend.queue) == 0 and self._may_run(backend, request.customer):
@@ -180,15 +179,16 @@
         admitted = self._admitted.get(request_id)
         if admitted is not None:
             admitted.late_ms = float("inf")
-        limit = self._find_limit_of(request_id)
-        if limit is not None:
-            limit.note_wait(wait_ms, now_ms)
+            if admitted.endpoint is not None:
+                backend = self._find_backend(compute_backend_name(admitted.request))
+                backend.note_wait(admitted.endpoint, wait_ms, now_ms)
 
     def note_failure(self, request_id: RequestId, now_ms: float) -> None:
         """Lower the limit of an endpoint at which a dispatch failed."""
-        limit = self._find_limit_of(request_id)
-        if limit is not None:
-            limit.note_failure(now_ms)
+        admitted = self._admitted.get(request_id)
+        if admitted is not None and admitted.endpoint is not None:
+            backend = self._find_backend(compute_backend_name(admitted.request))
+            backend.note_failure(admitted.endpoint, now_ms)
 
     def may_retry(self, attempt: int) -> bool:
         """Take one retry from the budget; False when attempts or budget are spent."""
@@ -265,7 +265,7 @@
         return actions
 
     def _may_run(self, backend: Backend, customer: CustomerName) -> bool:
-        capacity = backend.compute_capacity()
+        capacity = backend.capacity
         if backend.count_running() >= capacity:
             return False
         running = backend.running.get(customer, 0)
@@ -286,7 +286,7 @@
         # be ahead of everyone. A customer that holds much of the node goes last there;
         # one that is merely large in calm doesn't, or its tail would suffer for it.
         running = backend.running[request.customer]
-        is_over = running > max(FLOOD_SHARE * backend.compute_capacity(), 1.0)
+        is_over = running > max(FLOOD_SHARE * backend.capacity, 1.0)
         return PRIORITY_RANKS[request.priority] + is_over * len(PRIORITY_RANKS)
 
     def _remove_waiting(self, backend: Backend, request: Request) -> None:
@@ -314,13 +314,6 @@
             self._backends[name] = backend
         return backend
 
-    def _find_limit_of(self, request_id: RequestId) -> ConcurrencyLimit | None:
-        admitted = self._admitted.get(request_id)
-        if admitted is None or admitted.endpoint is None:
-            return None
-        backend = self._find_backend(compute_backend_name(admitted.request))
-        return backend.find_limit(admitted.endpoint)
-
 
 def compute_backend_name(request: Request) -> str:
     """Return the name under which a request's pool or service is kept."""
--- a/packages/toucanyard/src/toucanyard/backends.py
+++ b/packages/toucanyard/src/toucanyard/backends.py
@@ -26,23 +26,29 @@
 
 
 class Backend:
-    """One pool or service: its queue, what runs there and its endpoints' limits."""
+    """One pool or service: its queue, what runs there and its endpoints' limits.
+
+    Invariant: `capacity` is the sum of the usable endpoints' limits; it is kept, not
+    worked out, since each arrival asks for it and a pool may have thousands.
+    """
 
     __slots__ = (
         "_limits",
         "_max_running",
         "_start",
         "_target_wait_ms",
+        "_usable",
+        "capacity",
         "drain",
         "queue",
         "running",
-        "usable",
     )
 
     def __init__(self, max_running: int, target_wait_ms: float) -> None:
         self.queue = FairQueue()
         self.drain = DrainRate()
-        self.usable: tuple[EndpointName, ...] = ()
+        self.capacity = 0
+        self._usable: frozenset[EndpointName] = frozenset()
         self.running: dict[CustomerName, int] = {}
         self._max_running = max_running
         self._start = float(max_running)
@@ -58,16 +64,21 @@
 
     def set_usable(self, names: Sequence[EndpointName]) -> None:
         """Take over which endpoints may get requests; keep limits in use."""
-        self.usable = tuple(names)
+        self._usable = frozenset(names)
         for name in names:
             self.find_limit(name).max_limit = self._max_running
         gone = [
             name
             for name, limit in self._limits.items()
-            if name not in self.usable and not limit.in_flight
+            if name not in self._usable and not limit.in_flight
         ]
         for name in gone:
             del self._limits[name]
+        self.capacity = sum(self._limits[name].limit for name in self._usable)
+
+    def has_usable(self) -> bool:
+        """Tell whether any endpoint may get requests."""
+        return bool(self._usable)
 
     def find_limit(self, name: EndpointName) -> ConcurrencyLimit:
         """Return the limit of an endpoint, a new one if it has none."""
@@ -83,9 +94,19 @@
         limit = self._limits.get(name)
         return limit is None or limit.has_room()
 
-    def compute_capacity(self) -> int:
-        """Return how many requests may run at the usable endpoints."""
-        return sum(self._limits[name].limit for name in self.usable)
+    def note_wait(self, name: EndpointName, wait_ms: float, now_ms: float) -> None:
+        """Let an endpoint's limit follow the wait before a first token."""
+        limit = self.find_limit(name)
+        before = limit.limit
+        limit.note_wait(wait_ms, now_ms)
+        self._shift_capacity(name, limit.limit - before)
+
+    def note_failure(self, name: EndpointName, now_ms: float) -> None:
+        """Lower the limit of an endpoint at which a dispatch failed or is overdue."""
+        limit = self.find_limit(name)
+        before = limit.limit
+        limit.note_failure(now_ms)
+        self._shift_capacity(name, limit.limit - before)
 
     def count_running(self) -> int:
         """Return how many admitted requests are not over."""
@@ -109,3 +130,7 @@
         if endpoint is not None:
             self.find_limit(endpoint).in_flight += 1
         admitted.endpoint = endpoint
+
+    def _shift_capacity(self, name: EndpointName, change: int) -> None:
+        if name in self._usable:
+            self.capacity += change
