Tell limits and prefixes how many nodes there are, and engines whose turn it is

The priority that keeps a flood last in an engine's queue was worked out and dropped, and the default price of recomputation was an eighth of the one measured. Ruled out: sharing limits only at their start; the configuration may be read before the VM list, and limits started with the whole then stayed.

--- a/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
+++ b/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from toucanyard.configuration import PriorityClass
 from toucanyard.names import Incarnation
 from toucanyard.options import StreamLimits
 from toucanyard.requests import (
@@ -47,7 +46,6 @@
 HEARTBEAT: Final = b": heartbeat\n"
 EVENT_STREAM: Final = "text/event-stream"
 _JOIN_TEXTS: Final = 64
-_PRIORITIES: Final = {each: str(i) for i, each in enumerate(PriorityClass)}
 
 
 class StreamRelay:
@@ -206,7 +204,7 @@
             ("Content-Type", "application/json"),
             ("X-Request-Id", request.request_id),
             ("X-Cache-Salt", request.customer),
-            ("X-Priority", _PRIORITIES[request.priority]),
+            ("X-Priority", str(dispatch.priority)),
         ]
         if dispatch.weights_version:
             headers.append(("X-Weights-Version", dispatch.weights_version))
--- a/packages/toucanyard/src/toucanyard/backends.py
+++ b/packages/toucanyard/src/toucanyard/backends.py
@@ -60,7 +60,14 @@
         self._max_running = max_running
         # Each node starts with twice its even share: were it to start with the
         # whole, all nodes together would fill an engine's queue many times over.
-        self._start = START_SHARES * max_running / node_count
+        start = START_SHARES * max_running / node_count
+        # Limits that started before the VM list was read are far too high; those of
+        # a fleet that changes by a few nodes have been learned and stay.
+        is_much_lower = start < self._start / 2
+        self._start = start
+        if is_much_lower:
+            for limit in self._limits.values():
+                limit.lower_to(start)
 
     def set_usable(self, names: Sequence[EndpointName]) -> None:
         """Take over which endpoints may get requests; keep limits in use."""
--- a/packages/toucanyard/src/toucanyard/concurrency_limit.py
+++ b/packages/toucanyard/src/toucanyard/concurrency_limit.py
@@ -36,6 +36,10 @@
         """Return whether one more may be sent within the declared limit."""
         return self.in_flight < self.max_limit
 
+    def lower_to(self, start: float) -> None:
+        """Begin again from a lower start; nothing changes below it."""
+        self._limit = min(self._limit, max(start, MIN_LIMIT))
+
     def note_wait(self, wait_ms: float, now_ms: float) -> None:
         """Follow the wait before a first token, without its own computation."""
         if wait_ms <= self.target_wait_ms:
--- a/packages/toucanyard/src/toucanyard/configuration.py
+++ b/packages/toucanyard/src/toucanyard/configuration.py
@@ -69,7 +69,7 @@
 
     prefill_ms_per_block: float = 8.0
     """Time an engine takes to compute one missing block of the prompt."""
-    recompute_price: float = 1.0
+    recompute_price: float = 8.0
     """Price of a recomputed millisecond beside a waited one."""
     candidates: int = 3
     """Replicas that one prefix is spread over while it is not hot."""
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -14,6 +14,7 @@
 from toucanyard.claim_messages import (
     ClaimAction,
     ClaimRecordsRead,
+    HandOverBegun,
     LogState,
     NodeId,
     PeerMessageArrived,
@@ -80,7 +81,7 @@
 from toucanyard.request_flow import FlowAction, RequestFlow
 from toucanyard.snapshot_exchange import SnapshotExchange
 from toucanyard.snapshots import SnapshotBusy, SnapshotPart, SnapshotRequest
-from toucanyard.vm_view import VmState
+from toucanyard.vm_view import Vm, VmState
 
 CoreEvent = (
     RequestArrived
@@ -102,6 +103,7 @@
     | StateRead
     | OrderEnded
     | DrainBegun
+    | HandOverBegun
     | TickPassed
 )
 CoreAction = (
@@ -124,6 +126,7 @@
         self._linked: frozenset[NodeId] = frozenset()
         self._applied_version = 0
         self._is_draining = False
+        self._node_count = 1
         self.log = ConfigurationLog(options.configuration, rng.random())
         self.membership = Membership(options.name, incarnation, options.membership, rng)
         self.spread = ConfigurationSpread(self.log, self.membership)
@@ -185,6 +188,7 @@
             case LogRead() | LogExpired() | LogStateSeen() | AppendSettled():
                 yield from self._handle_log(event, now_ms)
             case VmsRead(vms=vms):
+                self._count_nodes(vms)
                 read = VmListRead(vms)
                 yield from self._apply_membership(
                     self.membership.handle(read, now_ms), now_ms
@@ -201,6 +205,8 @@
                 self.membership.handle(NodeLeaves(address), now_ms)
                 yield from self.duties.duties.release(now_ms)
                 self._is_draining = True
+            case HandOverBegun():
+                yield from self._apply_claims(self.claims.handle(event, now_ms), now_ms)
             case _:
                 yield from self._handle_endpoint(event, now_ms)
 
@@ -239,6 +245,14 @@
             case AppendSettled():
                 yield from self._settle(event, now_ms)
 
+    def _count_nodes(self, vms: Sequence[Vm]) -> None:
+        """Tell the flow how many nodes share the endpoints, this one included."""
+        names = {vm.name for vm in vms if vm.runs == "node"}
+        count = len(names | {self.identity.node})
+        if count != self._node_count:
+            self._node_count = count
+            self.flow.apply_node_count(count)
+
     def _read_duties(self, event: LogRead, now_ms: float) -> None:
         duties = self.duties.duties
         if event.from_offset == 0:
--- a/packages/toucanyard/src/toucanyard/request_flow.py
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -67,6 +67,7 @@
     request: Request
     phase: _Phase = _Phase.WAITING
     attempt: int = 0
+    priority: int = 0
     is_key_allowed: bool = False
     may_have_run: bool = False
     """Never goes back to false: a later refusal must not say "not run"."""
@@ -101,13 +102,22 @@
         self._max_attempts = max_attempts
         self._pending: dict[RequestId, _Pending] = {}
         self._choice = EndpointChoice(admission, placement, directory)
+        self._configuration = Configuration()
         self.records = RequestRecords()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Decide by this configuration from now on."""
+        self._configuration = configuration
         self._admission.apply_configuration(configuration)
         self._choice.apply_configuration(configuration)
 
+    def apply_node_count(self, count: int) -> None:
+        """Take over how many nodes share the endpoints."""
+        self._admission.apply_node_count(count)
+        self._placement.apply_node_count(count)
+        self._admission.apply_configuration(self._configuration)
+        self._choice.apply_configuration(self._configuration)
+
     def count_pending(self) -> int:
         """Return how many requests are not over."""
         return len(self._pending)
@@ -197,15 +207,18 @@
     ) -> Iterator[FlowAction]:
         for action in actions:
             match action:
-                case Admit(request=request):
-                    yield from self._admit(request, now_ms)
+                case Admit(request=request, priority=priority):
+                    yield from self._admit(request, priority, now_ms)
                 case Refuse():
                     yield from self._refuse(self._limit_claim(action), now_ms)
 
-    def _admit(self, request: Request, now_ms: float) -> Iterator[FlowAction]:
+    def _admit(
+        self, request: Request, priority: int, now_ms: float
+    ) -> Iterator[FlowAction]:
         pending = self._pending.get(request.request_id)
         if pending is None:
             return
+        pending.priority = priority
         event = _build_key_event(request)
         if event is None or pending.is_key_allowed:
             yield from self._dispatch(pending, now_ms)
@@ -263,6 +276,7 @@
             attempt=pending.attempt,
             expected_incarnation=placed.incarnation,
             weights_version=pending.weights_version or "",
+            priority=pending.priority,
             silence_ms=self._silences.compute_bound(placed.endpoint),
         )
         yield Reply(request.request_id, dispatch)
--- a/packages/toucanyard/src/toucanyard/requests.py
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -76,6 +76,8 @@
     expected_incarnation: Incarnation | None
     weights_version: str
     """Weights that the endpoint must have loaded; empty while any will do."""
+    priority: int
+    """For the endpoint's own queue, 0 most urgent."""
     silence_ms: float
     """Silence after which the stream is probed on a new connection."""
 
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -155,6 +155,7 @@
             attempt + 1,
             expected_incarnation=None,
             weights_version=versions[place] if versions else "w1",
+            priority=3,
             silence_ms=self.silence_ms,
         )
 
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -125,3 +125,19 @@
         assert isinstance(dispatch, Dispatch)
         if dispatch.endpoint == name:
             assert dispatch.expected_incarnation == "new"
+
+
+def count_let_in(world: CoreWorld) -> int:
+    return sum(world.arrive(f"r{number}") in world.replies for number in range(80))
+
+
+def test_limits_are_shared_among_the_nodes_of_the_list() -> None:
+    # An engine runs 16 requests over all nodes. A node that believed itself alone would
+    # let in all 16, and eight nodes together eight times too many.
+    crowded = CoreWorld()
+    vms = tuple(
+        Vm(f"node-{number}", DomainName("north"), callers=Address(f"10.0.0.{number}:1"))
+        for number in range(2, 10)
+    )
+    crowded.handle(VmsRead(vms))
+    assert 0 < count_let_in(crowded) < count_let_in(CoreWorld())
--- a/tests/toucanyard_node/test_stream_relay.py
+++ b/tests/toucanyard_node/test_stream_relay.py
@@ -276,3 +276,12 @@
         check_whole(answer.body)
         (outcome,) = served.core.outcomes
         assert outcome.longest_pause_ms > 5_000
+
+
+async def test_engine_is_told_whose_turn_it_is(autojump_clock: MockClock) -> None:
+    """A flood waits in the engine's own queue; the core says who goes last there."""
+    engine = ScriptedEngine(TOKENS)
+    async with serve_in_memory([engine]) as served:
+        await served.complete()
+        (request,) = engine.find_requests("POST")
+        assert request.headers["x-priority"] == "3"
