--- a/packages/toucanyard-standins/src/toucanyard_standins/bench.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench.py
@@ -1,4 +1,4 @@
-"""Run one bench by name: path, claims, policy, detectors, restart or capacity."""
+"""Run one bench by name; each is a module `bench_NAME` beside this one."""
 
 from __future__ import annotations
 
@@ -6,19 +6,27 @@
 import sys
 from typing import Final
 
-USAGE: Final = "usage: ./dev bench path|claims|policy|detectors|restart|capacity [...]"
+NAMES: Final = (
+    "path",
+    "claims",
+    "policy",
+    "placement_cost",
+    "detectors",
+    "configuration",
+    "restart",
+    "capacity",
+)
+USAGE: Final = f"usage: ./dev bench {'|'.join(NAMES)} [...]"
 _EXIT_USAGE: Final = 2
 
 
 def main(arguments: list[str]) -> int:
     """Run the bench that the first argument names; the others are its own."""
     name, rest = (arguments[0], arguments[1:]) if arguments else ("", [])
-    match name:
-        case "path" | "claims" | "policy" | "detectors" | "restart" | "capacity":
-            return run_bench(f"toucanyard_standins.bench_{name}", rest)
-        case _:
-            print(USAGE, file=sys.stderr)
-            return _EXIT_USAGE
+    if name not in NAMES:
+        print(USAGE, file=sys.stderr)
+        return _EXIT_USAGE
+    return run_bench(f"toucanyard_standins.bench_{name}", rest)
 
 
 def run_bench(module_name: str, arguments: list[str]) -> int:
