Refuse an event number that is no number of an event, and fuzz the callers' face

Cause: a Last-Event-ID of 5,000 digits ended as an internal error. Before: the property over requests fails on that header. Conclusion: the face, its server and an engine stand in memory under a clock that jumps.

--- a/packages/toucanyard-node/src/toucanyard_node/model_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_face.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.errorcodes import Ending, ErrorKind, RouterError
 from toucanyard.names import RequestId
 from toucanyard.options import Options
 from toucanyard.requests import (
@@ -31,6 +31,7 @@
 from toucanyard_node.stream_relay import EVENT_STREAM, StreamRelay
 
 _JSON: Final = "application/json"
+_MAX_ID_DIGITS: Final = 15
 _STREAM_HEADERS: Final = (
     ("Content-Type", EVENT_STREAM),
     ("Cache-Control", "no-cache"),
@@ -196,4 +197,10 @@
 
 def _find_last_event_id(context: CallerContext) -> int:
     text = context.http.headers.get("last-event-id", "")
-    return int(text) if text.isascii() and text.isdigit() else -1
+    if not text.isascii() or not text.isdigit():
+        return -1
+    if len(text) > _MAX_ID_DIGITS:
+        raise RouterError(
+            ErrorKind.BAD_REQUEST, "Last-Event-ID: expected the number of an event"
+        )
+    return int(text)
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -57,9 +57,18 @@
         if listener is None:
             raise ConnectionFailedError("refused", is_sent=False)
         self.opened.append(address)
-        ours, theirs = trio.testing.memory_stream_pair()
-        try:
-            await listener.inbox.send(theirs)
-        except trio.BrokenResourceError as error:
-            raise ConnectionFailedError("refused", is_sent=False) from error
+        ours = await _open_stream(listener)
         return HttpConnection(address, ours, trio.current_time() * 1000)
+
+    async def open_stream(self, address: Address) -> trio.abc.Stream:
+        """Connect to a server without speaking HTTP."""
+        return await _open_stream(self._listeners[address])
+
+
+async def _open_stream(listener: MemoryListener) -> trio.abc.Stream:
+    ours, theirs = trio.testing.memory_stream_pair()
+    try:
+        await listener.inbox.send(theirs)
+    except trio.BrokenResourceError as error:
+        raise ConnectionFailedError("refused", is_sent=False) from error
+    return ours
