Refuse a longest deadline of more than half the time that keys are remembered

Cause: the default let a caller wait for 600 s under a key remembered for 600 s; a retry at the end could find the key forgotten and run a second time.

--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -46,7 +46,8 @@
     header_timeout_ms: DurationMs = 5_000
     idle_timeout_ms: DurationMs = 60_000
     default_deadline_ms: DurationMs = 30_000
-    max_deadline_ms: DurationMs = 600_000
+    max_deadline_ms: DurationMs = 300_000
+    """Longest deadline of a caller; at most half of `claims.window_ms`."""
     locate_ttl_ms: DurationMs = 10_000
 
 
--- a/packages/toucanyard/src/toucanyard/settings.py
+++ b/packages/toucanyard/src/toucanyard/settings.py
@@ -61,6 +61,15 @@
             f" at most max_deadline_ms {callers.max_deadline_ms}"
             " - at `$.callers.default_deadline_ms`"
         )
+    window_ms = options.claims.window_ms
+    # A key counts from its first try: were it forgotten while a request under it is
+    # still waiting, a retry would run a second time.
+    if callers.max_deadline_ms * 2 > window_ms:
+        raise SettingsError(
+            f"{file}: found max_deadline_ms {callers.max_deadline_ms}, expected"
+            f" at most half of claims.window_ms {window_ms}"
+            " - at `$.callers.max_deadline_ms`"
+        )
     streams = options.streams
     if streams.min_silence_ms > streams.max_silence_ms:
         raise SettingsError(
--- a/tests/toucanyard/test_settings.py
+++ b/tests/toucanyard/test_settings.py
@@ -63,6 +63,18 @@
         "at most max_silence_ms 3000",
         "$.streams.min_silence_ms",
     ),
+    "deadline beyond the window": (
+        RIGHT % ', "callers": {"max_deadline_ms": 300001}',
+        "max_deadline_ms 300001",
+        "at most half of claims.window_ms 600000",
+        "$.callers.max_deadline_ms",
+    ),
+    "window below the deadline": (
+        RIGHT % ', "claims": {"window_ms": 599999}',
+        "max_deadline_ms 300000",
+        "at most half of claims.window_ms 599999",
+        "$.callers.max_deadline_ms",
+    ),
     "host name": (
         RIGHT.replace("10.0.9.1:1", "log:1") % "",
         '"log:1"',
