--- a/packages/toucanyard-node/src/toucanyard_node/drain.py
+++ b/packages/toucanyard-node/src/toucanyard_node/drain.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 import trio
 
 from toucanyard.options import Options
 from toucanyard_node.http_server import HttpServer
 
+_POLL_S: Final = 0.02
+
 
 class DrainState:
     """Whether the planned stop has begun; `locate` and the faces ask it."""
@@ -52,3 +55,16 @@
         await wait_idle()
         return True
     return False
+
+
+async def wait_handed_over(is_handed_over: Callable[[], bool], limit_ms: int) -> bool:
+    """Wait until peers hold this node's ended keys; return whether they do in time.
+
+    Without this step a retry of what this node answered could only be told that the
+    outcome is unknown. The limit keeps a stop from waiting for peers that are gone.
+    """
+    with trio.move_on_after(limit_ms / 1000):
+        while not is_handed_over():
+            await trio.sleep(_POLL_S)
+        return True
+    return False
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -11,19 +11,19 @@
 import structlog
 import trio
 
+from toucanyard.claim_messages import HandOverBegun
 from toucanyard.core_events import AppendToLog, DrainBegun, ReadDump, SendMessage
 from toucanyard.names import Address, Incarnation
 from toucanyard.node_core import CoreEvent
-from toucanyard.options import CallerLimits, Options
+from toucanyard.options import Options
 from toucanyard.orders import ReadState, SendOrder
-from toucanyard_node.callers_face import CallersFace
+from toucanyard_node.callers_face import CallersFace, find_server_limits
 from toucanyard_node.core_task import CoreOutputs, CoreTask
-from toucanyard_node.drain import DrainState, drain
+from toucanyard_node.drain import DrainState, drain, wait_handed_over
 from toucanyard_node.endpoint_watch import EndpointWatch, Watched
 from toucanyard_node.http_client import split_address
 from toucanyard_node.http_server import (
     HttpServer,
-    ServerLimits,
     find_port,
     open_listener,
 )
@@ -31,6 +31,7 @@
 from toucanyard_node.locator import Locator
 from toucanyard_node.log_reader import follow_log
 from toucanyard_node.log_writer import write_log
+from toucanyard_node.metrics import send_metrics
 from toucanyard_node.operators_face import OperatorsFace
 from toucanyard_node.order_sender import OrderSender
 from toucanyard_node.peer_links import PeerLinks
@@ -95,9 +96,9 @@
             locator.locate,
             self.drain_state,
         )
-        self._server = HttpServer(self._face.handle, build_limits(options.callers))
+        self._server = HttpServer(self._face.handle, find_server_limits(options))
         operators = OperatorsFace(self._task, options, self.drain_state)
-        self._operators = HttpServer(operators.handle, build_limits(options.callers))
+        self._operators = HttpServer(operators.handle, find_server_limits(options))
         self._links = PeerLinks(
             self._core.identity,
             options.peer_secrets,
@@ -137,6 +138,8 @@
             nursery.start_soon(self._watch.run)
             nursery.start_soon(self._read_dumps)
             nursery.start_soon(OrderSender(self._emit).run, self._orders)
+            if options.statsd is not None:
+                nursery.start_soon(send_metrics, options.statsd, self._core)
             nursery.start_soon(self._server.serve, self._listeners.callers)
             nursery.start_soon(self._operators.serve, self._listeners.operators)
             task_status.started()
@@ -151,6 +154,11 @@
             self.drain_state, self._server, self._options, self._face.wait_idle
         )
         _LOG.info("drain_ended", is_clean=is_clean)
+        self._emit_now(HandOverBegun())
+        claims = self._core.claims
+        limit_ms = self._options.claims.hand_over_ms
+        is_whole = await wait_handed_over(claims.is_handed_over, limit_ms)
+        _LOG.info("hand_over_ended", is_whole=is_whole, keys=claims.count_keys())
 
     async def _emit(self, event: CoreEvent) -> None:
         self._task.inbox.send_nowait(event)
@@ -212,14 +220,3 @@
     """Return a listener's address with the port that the kernel gave."""
     host = configured.rpartition(":")[0]
     return Address(f"{host}:{find_port(listener)}")
-
-
-def build_limits(limits: CallerLimits) -> ServerLimits:
-    """Return the part of the callers' limits that the server applies."""
-    return ServerLimits(
-        max_connections=limits.max_connections,
-        max_body_bytes=limits.max_body_bytes,
-        max_header_bytes=limits.max_header_bytes,
-        header_timeout_ms=limits.header_timeout_ms,
-        idle_timeout_ms=limits.idle_timeout_ms,
-    )
--- a/packages/toucanyard/src/toucanyard/at_most_once.py
+++ b/packages/toucanyard/src/toucanyard/at_most_once.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from toucanyard.claim_messages import (
+    AskHanded,
     AskKey,
     CallerLeft,
     ClaimAction,
@@ -22,10 +23,14 @@
     ClaimRecordsRead,
     DispatchEnded,
     DispatchStarted,
+    HandKeys,
+    HandOverBegun,
     KeyedArrived,
     KeyMessage,
     KeyName,
     KeyNoted,
+    KeysHandedOver,
+    KeysTaken,
     KeyStatus,
     KeyTold,
     LedgerOpened,
@@ -44,15 +49,16 @@
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.followed_keys import FollowedKeys
 from toucanyard.issued_keys import parse_issued_key
-from toucanyard.key_answers import refuse
+from toucanyard.key_answers import refuse, refuse_unclaimed
 from toucanyard.key_book import KeyBook
-from toucanyard.key_entries import EndedKey, KeyEntry, Phase
+from toucanyard.key_entries import KeyEntry, Phase
+from toucanyard.key_handover import KeyHandover
 from toucanyard.key_issuer import KeyIssuer
+from toucanyard.key_questions import KeyQuestions
 from toucanyard.names import Incarnation, NodeName, RequestId
 from toucanyard.noted_keys import NotedKeys
 from toucanyard.options import ClaimLimits
 from toucanyard.requests import EndingSeen
-from toucanyard.witness_ledgers import WitnessLedgers
 
 _NEVER_RAN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
 _HAS_ANSWER: Final = frozenset({EndingSeen.COMPLETED, EndingSeen.FAILED})
@@ -67,7 +73,15 @@
     caller that was told NOT_RUN of a key was told the truth for ever.
     """
 
-    __slots__ = ("_book", "_claimed", "_followed", "_issuer", "_noted", "_witness")
+    __slots__ = (
+        "_book",
+        "_claimed",
+        "_followed",
+        "_handover",
+        "_issuer",
+        "_noted",
+        "_questions",
+    )
 
     def __init__(
         self,
@@ -84,7 +98,8 @@
         self._issuer = KeyIssuer(
             identity, limits.ledger_ms, max_age_ms=limits.window_ms / 2
         )
-        self._witness = WitnessLedgers(2 * limits.window_ms, limits.max_keys)
+        self._questions = KeyQuestions(self._book, self._noted)
+        self._handover = KeyHandover(self._book)
 
     def issue_prefix(self, now_ms: float) -> str:
         """Return a new key prefix for a caller to put before its own part."""
@@ -102,11 +117,21 @@
             return False
         if book.find_ended(name) is not None or book.find_entry(name) is not None:
             return False
+        if self._handover.is_begun():
+            return False
         issued = parse_issued_key(event.key)
         if issued is not None:
             return issued.issuer == book.identity
         return book.is_log_up and book.index.find(name) is None
 
+    def is_handed_over(self) -> bool:
+        """Tell whether a planned stop has nothing more to wait for."""
+        return self._handover.is_done
+
+    def count_handed(self) -> int:
+        """Return how many ended keys are held for nodes that stopped."""
+        return len(self._book.handed)
+
     def count_keys(self) -> int:
         """Return how many keys are under way or ended on this node."""
         return len(self._book)
@@ -147,6 +172,8 @@
                 yield from self._handle_message(sender, message, now_ms)
             case Ticked():
                 yield from self._tick(now_ms)
+            case HandOverBegun():
+                yield from self._begin_hand_over(now_ms)
 
     def _handle_log(
         self, event: ClaimRecordsRead | RecordsSettled | LogState, now_ms: float
@@ -177,6 +204,8 @@
             yield book.tell_ended(event, ended)
         elif entry is not None:
             yield from self._join(entry, event)
+        elif self._handover.is_begun():
+            yield refuse_unclaimed(event, ErrorKind.DRAINING, book.rng)
         elif issued is None:
             yield from self._claimed.arrive(event, name, now_ms)
         elif issued.issuer == book.identity:
@@ -253,8 +282,6 @@
         if message.to != self._book.identity.incarnation:
             return
         match message:
-            case AskKey():
-                yield from self._answer_ask(sender, message, now_ms)
             case KeyTold():
                 yield from self._followed.take_told(sender, message, now_ms)
             case KeyNoted():
@@ -263,57 +290,44 @@
                 yield from self._followed.take_seal(sender, message)
             case LedgerOpened():
                 self._issuer.take_ledger(sender, message)
-            case OpenLedger() | NoteKey() | SealKey():
-                yield from self._witness_for(sender, message, now_ms)
+            case HandKeys():
+                yield from self._take_handed(sender, message, now_ms)
+            case KeysTaken():
+                yield from self._handover.take_ack(sender, message, now_ms)
+            case KeysHandedOver(holders=holders):
+                self._book.note_stopped(sender, holders, now_ms)
+            case AskKey() | AskHanded() | OpenLedger() | NoteKey() | SealKey():
+                yield from self._questions.answer(sender, message, now_ms)
+
+    def _begin_hand_over(self, now_ms: float) -> Iterator[ClaimAction]:
+        """Decide what is undecided, and hand over what has ended."""
+        if self._handover.is_begun():
+            return
+        for entry in self._book.find_entries(Phase.NOTING):
+            yield from self._book.seal(entry, now_ms)
+        yield from self._claimed.give_up_all(ErrorKind.DRAINING, now_ms)
+        yield from self._handover.begin(now_ms)
 
-    def _witness_for(
-        self, sender: NodeId, message: OpenLedger | NoteKey | SealKey, now_ms: float
-    ) -> Iterator[ClaimAction]:
-        to = sender.incarnation
-        answer: KeyMessage
-        match message:
-            case OpenLedger(request=request):
-                ledger = self._witness.open(sender, request, now_ms)
-                answer = LedgerOpened(to, request, ledger)
-            case NoteKey(ledger=ledger, name=name):
-                status = self._witness.note(sender, ledger, name)
-                answer = KeyNoted(to, ledger, name, status)
-            case SealKey(ledger=ledger, issuer=issuer, name=name):
-                status = self._witness.seal(issuer, ledger, name)
-                answer = SealAnswered(to, ledger, name, status)
-        yield from self._book.send(sender, answer)
-
-    def _answer_ask(
-        self, sender: NodeId, ask: AskKey, now_ms: float
+    def _take_handed(
+        self, sender: NodeId, message: HandKeys, now_ms: float
     ) -> Iterator[ClaimAction]:
-        ended = self._find_status(sender, ask, now_ms)
-        told = self._book.compose_told(sender, ask.name, ask.claim_id, ended)
-        yield from self._book.send(sender, told)
-
-    def _find_status(self, sender: NodeId, ask: AskKey, now_ms: float) -> EndedKey:
-        book = self._book
-        name, claim_id = ask.name, ask.claim_id
-        claim = book.index.find(name)
-        entry = book.find_entry(name)
-        ended = book.find_ended(name)
-        if claim is not None and claim.claim_id == claim_id and claim.is_abandoned:
-            return EndedKey(KeyStatus.NOT_RUN, claim.digest, now_ms)
-        if book.index.is_given_up(claim_id):
-            # Whether that claim won, and so whether the key ran, may be open here.
-            return EndedKey(KeyStatus.RUNNING, b"", now_ms)
-        if entry is not None:
-            entry.askers[sender] = claim_id
-            return EndedKey(KeyStatus.RUNNING, entry.digest, now_ms)
-        if ended is None and not claim_id:
-            ended = self._noted.seal_unseen(name, now_ms)
-        return ended or EndedKey(KeyStatus.UNKNOWN, b"", now_ms)
+        # What is taken once the own hand-over has begun would end with this node.
+        has_room = self._book.handed.has_room(message.keys)
+        is_taken = has_room and not self._handover.is_begun()
+        if is_taken:
+            self._book.handed.take(message.keys, now_ms)
+            for key in message.keys:
+                yield from self._followed.take_held(key)
+        ack = KeysTaken(sender.incarnation, message.batch, is_taken)
+        yield from self._book.send(sender, ack)
 
     def _tick(self, now_ms: float) -> Iterator[ClaimAction]:
         for entry in self._book.find_entries():
             yield from self._tick_entry(entry, now_ms)
         self._book.forget_old(now_ms)
-        self._witness.forget_old(now_ms)
+        self._questions.forget_old(now_ms)
         yield from self._renew_ledger(now_ms)
+        yield from self._handover.tick(now_ms)
 
     def _tick_entry(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
         for expired in entry.find_expired(now_ms):
--- a/packages/toucanyard/src/toucanyard/claim_messages.py
+++ b/packages/toucanyard/src/toucanyard/claim_messages.py
@@ -47,8 +47,17 @@
     name: KeyName
 
 
-KeyRecord = ClaimRecord | AbandonRecord
-RECORD_KINDS: Final = ("claim", "abandon")
+class HandedOverRecord(
+    msgspec.Struct, frozen=True, tag_field="kind", tag="handed_over"
+):
+    """Tell that a node stops as planned and which nodes hold its ended keys."""
+
+    stopped: NodeId
+    holders: tuple[NodeId, ...]
+
+
+KeyRecord = ClaimRecord | AbandonRecord | HandedOverRecord
+RECORD_KINDS: Final = ("claim", "abandon", "handed_over")
 
 
 class KeyStatus(enum.StrEnum):
@@ -145,6 +154,51 @@
     status: LedgerStatus
 
 
+class HandedKey(msgspec.Struct, frozen=True):
+    """How a key ended on the only node that might dispatch it.
+
+    This is a fact about the past and gives nobody the right to dispatch the key.
+    `claim_id` is the winning claim that ended so, or empty for an issued key.
+    """
+
+    name: KeyName
+    claim_id: str
+    status: KeyStatus
+    digest: bytes
+    answer: KeptAnswer | None = None
+
+
+class HandKeys(msgspec.Struct, frozen=True, tag="hand_keys"):
+    """Ask a node to hold ended keys of a node that stops as planned."""
+
+    to: Incarnation
+    batch: int
+    keys: tuple[HandedKey, ...]
+
+
+class KeysTaken(msgspec.Struct, frozen=True, tag="keys_taken"):
+    """Answer a HandKeys; the node takes all keys of the batch or none."""
+
+    to: Incarnation
+    batch: int
+    is_taken: bool
+
+
+class KeysHandedOver(msgspec.Struct, frozen=True, tag="keys_handed_over"):
+    """Tell that the sender stops as planned and which nodes hold its ended keys."""
+
+    to: Incarnation
+    holders: tuple[NodeId, ...]
+
+
+class AskHanded(msgspec.Struct, frozen=True, tag="ask_handed"):
+    """Ask a holder how a key of a stopped node ended; answered by a KeyTold."""
+
+    to: Incarnation
+    name: KeyName
+    claim_id: str
+
+
 KeyMessage = (
     AskKey
     | KeyTold
@@ -154,6 +208,10 @@
     | KeyNoted
     | SealKey
     | SealAnswered
+    | HandKeys
+    | KeysTaken
+    | KeysHandedOver
+    | AskHanded
 )
 
 
@@ -259,6 +317,10 @@
     """Time has passed; wanted at least every `ClaimLimits.resend_ms`."""
 
 
+class HandOverBegun(msgspec.Struct, frozen=True):
+    """This node stops as planned; its last request has ended, or had time to."""
+
+
 ClaimEvent = (
     KeyedArrived
     | DispatchStarted
@@ -270,6 +332,7 @@
     | PeersChanged
     | PeerMessageArrived
     | Ticked
+    | HandOverBegun
 )
 
 
--- a/packages/toucanyard/src/toucanyard/claimed_keys.py
+++ b/packages/toucanyard/src/toucanyard/claimed_keys.py
@@ -10,6 +10,7 @@
     ClaimAction,
     ClaimRecord,
     ClaimRecordsRead,
+    HandedOverRecord,
     KeyedArrived,
     KeyName,
     RecordsSettled,
@@ -60,11 +61,11 @@
             # this our own claim, read next, would look like the first one.
             yield from self.give_up_all(ErrorKind.LOG_UNAVAILABLE, now_ms)
         for record in index.read(event, now_ms):
-            if index.is_given_up(record.claim_id):
-                yield from self._abandon_if_won(record)
-            entry = self._book.find_entry(record.name)
-            if entry is not None and entry.phase is Phase.CLAIMING:
-                yield from self._settle(entry, now_ms)
+            match record:
+                case ClaimRecord():
+                    yield from self._read_claim(record, now_ms)
+                case HandedOverRecord():
+                    self._book.note_stopped(record.stopped, record.holders, now_ms)
 
     def settle_records(
         self, event: RecordsSettled, now_ms: float
@@ -121,6 +122,13 @@
         record = ClaimRecord(claim_id, name, digest, book.identity)
         yield AppendRecord(claim_id, encode_record(record), is_urgent=True)
 
+    def _read_claim(self, record: ClaimRecord, now_ms: float) -> Iterator[ClaimAction]:
+        if self._book.index.is_given_up(record.claim_id):
+            yield from self._abandon_if_won(record)
+        entry = self._book.find_entry(record.name)
+        if entry is not None and entry.phase is Phase.CLAIMING:
+            yield from self._settle(entry, now_ms)
+
     def _abandon_if_won(self, record: ClaimRecord) -> Iterator[ClaimAction]:
         # A claim that lost has nothing to tell: the key may have run elsewhere.
         if self._book.index.is_winner(record.claim_id, record.name):
--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -13,6 +13,7 @@
     AbandonRecord,
     ClaimRecord,
     ClaimRecordsRead,
+    HandedOverRecord,
     KeyName,
     LogRecord,
     NodeId,
@@ -91,11 +92,13 @@
         """Tell whether records were missed since the last read."""
         return self.next_offset is not None and event.from_offset > self.next_offset
 
-    def read(self, event: ClaimRecordsRead, now_ms: float) -> list[ClaimRecord]:
-        """Take in records in offset order; return the claims among them."""
+    def read(
+        self, event: ClaimRecordsRead, now_ms: float
+    ) -> list[ClaimRecord | HandedOverRecord]:
+        """Take in records in offset order; return those that others must act on."""
         start = event.from_offset if self.next_offset is None else self.next_offset
         self.next_offset = max(start, event.next_offset)
-        claims = []
+        found: list[ClaimRecord | HandedOverRecord] = []
         for record in event.records:
             # A read that overlaps the last one would otherwise count a claim twice.
             if record.offset < start:
@@ -104,10 +107,12 @@
             match decode_record(record.text):
                 case ClaimRecord() as claim:
                     self._take_claim(claim, record, now_ms)
-                    claims.append(claim)
+                    found.append(claim)
                 case AbandonRecord(claim_id=claim_id, name=name):
                     self.abandon(claim_id, name)
-        return claims
+                case HandedOverRecord() as handed_over:
+                    found.append(handed_over)
+        return found
 
     def give_up(self, claim_id: str, now_ms: float) -> None:
         """Remember that a claim of this node, not read yet, is never dispatched."""
--- a/packages/toucanyard/src/toucanyard/followed_keys.py
+++ b/packages/toucanyard/src/toucanyard/followed_keys.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterator
 
 from toucanyard.claim_messages import (
+    AskHanded,
     AskKey,
     ClaimAction,
+    HandedKey,
     KeyedArrived,
     KeyName,
     KeyStatus,
@@ -24,7 +27,7 @@
 
 
 class FollowedKeys:
-    """Ask claimers and issuers, and the witness of an issuer that is silent.
+    """Ask claimers and issuers, or whoever holds their keys, and witnesses.
 
     Invariant: nothing here ever allows a dispatch.
     """
@@ -39,6 +42,10 @@
     ) -> Iterator[ClaimAction]:
         """Take in a key that another node, or an earlier incarnation, issued."""
         book = self._book
+        held = book.handed.find(name, "")
+        if held is not None:
+            yield _tell_held(event, held, book.rng)
+            return
         if book.is_full(event.customer):
             yield refuse_unclaimed(event, ErrorKind.OVERLOADED, book.rng)
             return
@@ -51,11 +58,14 @@
         book = self._book
         claim = book.index.find(name)
         assert claim is not None
+        held = book.handed.find(name, claim.claim_id)
         if claim.digest != event.body_digest:
             yield refuse(event, ErrorKind.KEY_REUSED, book.rng)
         elif claim.is_abandoned:
             yield refuse(event, ErrorKind.KEY_SEALED, book.rng)
-        elif claim.claimer == book.identity or book.is_replaced(claim.claimer):
+        elif held is not None:
+            yield _tell_held(event, held, book.rng)
+        elif claim.claimer == book.identity or self._is_lost(claim.claimer):
             yield refuse(event, ErrorKind.OUTCOME_UNKNOWN, book.rng)
         else:
             claimer, claim_id = claim.claimer, claim.claim_id
@@ -66,16 +76,25 @@
     ) -> Iterator[ClaimAction]:
         """Pass on what the only node that may dispatch a key says about it."""
         entry = self._find_followed(message.name)
-        if entry is None or sender != entry.target:
-            return
-        if message.claim_id != entry.claim_id:
+        if entry is None or message.claim_id != entry.claim_id:
             return
-        if message.status is KeyStatus.RUNNING:
+        if sender != entry.target:
+            yield from self._take_told_by_holder(entry, sender, message)
+        elif message.status is KeyStatus.RUNNING:
             entry.is_target_running = True
             entry.heard_ms = now_ms
         else:
             yield from self._resolve(entry, message)
 
+    def take_held(self, key: HandedKey) -> Iterator[ClaimAction]:
+        """Tell the tries of a key that has just been handed over to this node."""
+        entry = self._find_followed(key.name)
+        if entry is None or entry.claim_id != key.claim_id:
+            return
+        to = self._book.identity.incarnation
+        told = KeyTold(to, key.name, key.claim_id, key.status, key.digest, key.answer)
+        yield from self._resolve(entry, told)
+
     def take_seal(self, sender: NodeId, message: SealAnswered) -> Iterator[ClaimAction]:
         """Tell the tries of a key that its witness has sealed."""
         entry = self._find_followed(message.name)
@@ -98,6 +117,19 @@
         elif now_ms - entry.sent_ms >= self._book.limits.resend_ms:
             yield from self._ask(entry, now_ms)
 
+    def _take_told_by_holder(
+        self, entry: KeyEntry, sender: NodeId, message: KeyTold
+    ) -> Iterator[ClaimAction]:
+        assert entry.target is not None
+        if sender not in self._book.stopped.find_holders(entry.target):
+            return
+        has_answer = message.answer is not None
+        if message.status is KeyStatus.NOT_RUN or has_answer:
+            yield from self._resolve(entry, message)
+        else:
+            # Another holder may still have what this one had no room for.
+            entry.denied.add(sender)
+
     def _find_followed(self, name: KeyName) -> KeyEntry | None:
         entry = self._book.find_entry(name)
         if entry is None or entry.phase is not Phase.FOLLOWING:
@@ -128,11 +160,34 @@
     def _ask(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
         assert entry.target is not None
         entry.sent_ms = now_ms
-        ask = AskKey(entry.target.incarnation, entry.name, entry.claim_id)
-        yield from self._book.send(entry.target, ask)
+        if self._book.stopped.is_stopped(entry.target):
+            yield from self._ask_holders(entry, entry.target)
+        else:
+            ask = AskKey(entry.target.incarnation, entry.name, entry.claim_id)
+            yield from self._book.send(entry.target, ask)
         if entry.issued is not None and self._wants_seal(entry, now_ms):
             yield from self._ask_seal(entry, entry.issued)
 
+    def _ask_holders(self, entry: KeyEntry, target: NodeId) -> Iterator[ClaimAction]:
+        for holder in self._find_holders(target):
+            if holder not in entry.denied:
+                ask = AskHanded(holder.incarnation, entry.name, entry.claim_id)
+                yield from self._book.send(holder, ask)
+
+    def _find_holders(self, target: NodeId) -> list[NodeId]:
+        """Return the other nodes that may hold the keys of a stopped one."""
+        book = self._book
+        return [
+            holder
+            for holder in book.stopped.find_holders(target)
+            if holder != book.identity and not book.is_replaced(holder)
+        ]
+
+    def _is_lost(self, node: NodeId) -> bool:
+        """Tell whether a node and all that hold its keys are surely gone."""
+        is_gone = self._book.is_replaced(node) or self._book.stopped.is_stopped(node)
+        return is_gone and not self._find_holders(node)
+
     def _wants_seal(self, entry: KeyEntry, now_ms: float) -> bool:
         assert entry.target is not None
         if entry.is_seal_refused:
@@ -140,7 +195,8 @@
         silent_ms = now_ms - entry.heard_ms
         if silent_ms >= self._book.limits.ask_patience_ms:
             return True
-        return self._book.is_replaced(entry.target)
+        stopped = self._book.stopped
+        return self._book.is_replaced(entry.target) or stopped.is_stopped(entry.target)
 
     def _ask_seal(self, entry: KeyEntry, issued: IssuedKey) -> Iterator[ClaimAction]:
         witness = issued.witness
@@ -152,7 +208,11 @@
 
     def _is_hopeless(self, entry: KeyEntry) -> bool:
         assert entry.target is not None
-        if not self._book.is_replaced(entry.target):
+        book = self._book
+        is_stopped = book.stopped.is_stopped(entry.target)
+        if not is_stopped and not book.is_replaced(entry.target):
+            return False
+        if not set(self._find_holders(entry.target)) <= entry.denied:
             return False
         return entry.issued is None or entry.is_seal_refused
 
@@ -176,3 +236,7 @@
                 told.answer,
             )
             yield from book.send(asker, passed_on)
+
+
+def _tell_held(event: KeyedArrived, held: HandedKey, rng: random.Random) -> ClaimAction:
+    return tell_status(event, held.status, held.digest, held.answer, rng)
--- a/packages/toucanyard/src/toucanyard/key_answers.py
+++ b/packages/toucanyard/src/toucanyard/key_answers.py
@@ -27,6 +27,7 @@
     ErrorKind.OVERLOADED: "no room to remember another key",
     ErrorKind.DEADLINE_EXCEEDED: "the deadline passed before the request could run",
     ErrorKind.CALLER_GONE: "the caller went away",
+    ErrorKind.DRAINING: "this node stops as planned; ask locate for another",
 }
 
 
--- a/packages/toucanyard/src/toucanyard/key_book.py
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -12,6 +12,8 @@
     AllowDispatch,
     AppendRecord,
     ClaimAction,
+    HandedKey,
+    HandedOverRecord,
     KeyedArrived,
     KeyMessage,
     KeyName,
@@ -24,6 +26,7 @@
 )
 from toucanyard.claims import ClaimIndex
 from toucanyard.errorcodes import ErrorKind
+from toucanyard.handed_keys import HandedKeys
 from toucanyard.issued_keys import IssuedKey
 from toucanyard.kept_answers import KeptAnswers
 from toucanyard.key_answers import refuse, tell_status
@@ -31,12 +34,13 @@
 from toucanyard.names import CustomerName, RequestId
 from toucanyard.options import ClaimLimits
 from toucanyard.requests import KeptAnswer
+from toucanyard.stopped_nodes import StoppedNodes
 
 _MAX_OWED_RECORDS: Final = 10_000
 
 
 class KeyBook:
-    """Keys under way and ended, the index of claims, and the peers.
+    """Keys under way, ended and held for others, the index of claims, and the peers.
 
     Invariants: a key is in at most one of entries and ended; what an ended key's
     status says never changes; a key is allowed only from its entry and only once.
@@ -50,12 +54,14 @@
         "_loopback",
         "_name_by_request",
         "_owed",
+        "handed",
         "identity",
         "index",
         "is_log_up",
         "limits",
         "peers",
         "rng",
+        "stopped",
     )
 
     def __init__(
@@ -67,6 +73,8 @@
         self.index = ClaimIndex(limits.window_ms, limits.max_keys)
         self.peers: tuple[PeerView, ...] = ()
         self.is_log_up = False
+        self.handed = HandedKeys(limits)
+        self.stopped = StoppedNodes(2 * limits.window_ms)
         self._kept = KeptAnswers(limits.kept_answers_bytes)
         self._entries: dict[KeyName, KeyEntry] = {}
         self._ended: dict[KeyName, EndedKey] = {}
@@ -182,6 +190,26 @@
         if self.is_log_up:
             yield AppendRecord(record_id, self._owed[record_id], is_urgent=False)
 
+    def append_handed_over(self, holders: tuple[NodeId, ...]) -> Iterator[ClaimAction]:
+        """Tell the log who holds this node's ended keys."""
+        record_id = self._find_handed_over_id()
+        record = HandedOverRecord(self.identity, holders)
+        self._owed[record_id] = encode_record(record)
+        if self.is_log_up:
+            yield AppendRecord(record_id, self._owed[record_id], is_urgent=True)
+
+    def note_stopped(
+        self, stopped: NodeId, holders: tuple[NodeId, ...], now_ms: float
+    ) -> None:
+        """Remember who holds the ended keys of a node that stopped as planned."""
+        self.stopped.note(stopped, holders, now_ms)
+        if stopped == self.identity:
+            self.settle_owed(self._find_handed_over_id())
+
+    def has_owed(self) -> bool:
+        """Tell whether a record of this node may not have reached the log."""
+        return bool(self._owed)
+
     def append_owed(self) -> Iterator[ClaimAction]:
         """Append again what may not have reached the log."""
         for record_id, text in self._owed.items():
@@ -195,7 +223,7 @@
         self, entry: KeyEntry, status: KeyStatus, now_ms: float
     ) -> Iterator[ClaimAction]:
         """Record how a key ended here and tell everyone who waits for it."""
-        ended = EndedKey(status, entry.digest, now_ms)
+        ended = EndedKey(status, entry.digest, now_ms, entry.claim_id)
         self.keep_ended(entry.name, ended)
         self.remove(entry)
         for waiting in entry.waiting.values():
@@ -221,6 +249,15 @@
             status = KeyStatus.UNKNOWN if answer is None else status
         return KeyTold(to.incarnation, name, claim_id, status, ended.digest, answer)
 
+    def list_handed(self) -> list[HandedKey]:
+        """Return all that this node knows of ended keys, the latest first."""
+        own = [
+            HandedKey(name, ended.claim_id, ended.status, ended.digest, answer)
+            for name, ended in reversed(self._ended.items())
+            for answer in (self._kept.find(name),)
+        ]
+        return own + self.handed.list_all()
+
     def send(self, to: NodeId, message: KeyMessage) -> Iterator[ClaimAction]:
         """Send to a peer, or to this node itself."""
         if to == self.identity:
@@ -237,6 +274,8 @@
     def forget_old(self, now_ms: float) -> None:
         """Forget what is older than the window."""
         self.index.forget_old(now_ms)
+        self.handed.forget_old(now_ms)
+        self.stopped.forget_old(now_ms)
         old = []
         for name, ended in self._ended.items():
             if now_ms - ended.ended_ms < self.limits.window_ms:
@@ -247,6 +286,9 @@
             self._uncount(name)
             self._kept.drop(name)
 
+    def _find_handed_over_id(self) -> str:
+        return f"handed-over-{self.identity.incarnation}"
+
     def _uncount(self, name: KeyName) -> None:
         self._count_by_customer[name.customer] -= 1
         if self._count_by_customer[name.customer] == 0:
--- a/packages/toucanyard/src/toucanyard/key_entries.py
+++ b/packages/toucanyard/src/toucanyard/key_entries.py
@@ -50,6 +50,8 @@
     waiting: dict[RequestId, KeyedArrived] = field(default_factory=dict)
     askers: dict[NodeId, str] = field(default_factory=dict)
     """Nodes that wait for the end, with the claim that each asked about."""
+    denied: set[NodeId] = field(default_factory=set)
+    """Holders of the stopped target's keys that don't know how this one ended."""
 
     def __post_init__(self) -> None:
         """Count silence of the target from the start."""
@@ -74,3 +76,5 @@
     status: KeyStatus
     digest: bytes
     ended_ms: float
+    claim_id: str = ""
+    """Own claim that ended so; empty for issued keys."""
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_handover.py
@@ -0,0 +1,205 @@
+"""Hand the ended keys of a node that stops as planned to one or two of its peers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from toucanyard.claim_messages import (
+    ClaimAction,
+    HandedKey,
+    HandKeys,
+    KeysHandedOver,
+    KeysTaken,
+    NodeId,
+    PeerView,
+)
+from toucanyard.key_book import KeyBook
+
+_HOLDERS: Final = 2
+_MAX_BATCH_KEYS: Final = 256
+_MAX_BATCH_BYTES: Final = 128_000
+_MAX_ANSWER_BYTES: Final = 1_000_000
+_KEY_BYTES: Final = 200
+_PATIENCE_IN_RESENDS: Final = 5
+_HANDING_SHARE: Final = 0.6
+"""Share of the time that goes to handing; the rest is for telling who holds what."""
+_ANNOUNCEMENTS: Final = 3
+
+
+@dataclass(slots=True)
+class _Receiver:
+    """A peer that is being handed the keys, one batch at a time."""
+
+    peer: NodeId
+    batch: int = 0
+    start: int = 0
+    """How many keys it has taken."""
+    end: int = 0
+    """Where the batch under way ends."""
+    sent_ms: float = float("-inf")
+
+
+class KeyHandover:
+    """The hand-over of one stopping node.
+
+    Invariants: only ended keys are handed over, so no step can make a key run; the
+    holders are told to others only when no further key will be handed to them.
+    """
+
+    __slots__ = (
+        "_announced_ms",
+        "_announcements",
+        "_batches",
+        "_begun_ms",
+        "_book",
+        "_holders",
+        "_keys",
+        "_receivers",
+        "_refused_by",
+        "is_done",
+    )
+
+    def __init__(self, book: KeyBook) -> None:
+        self._book = book
+        self._begun_ms: float | None = None
+        self._keys: list[HandedKey] = []
+        self._receivers: list[_Receiver] = []
+        self._refused_by: set[NodeId] = set()
+        self._holders: list[NodeId] = []
+        self._batches = 0
+        self._announcements = 0
+        self._announced_ms = 0.0
+        self.is_done = False
+
+    def is_begun(self) -> bool:
+        """Tell whether this node takes no keys any more."""
+        return self._begun_ms is not None
+
+    def begin(self, now_ms: float) -> Iterator[ClaimAction]:
+        """Begin to hand over what has ended up to now."""
+        self._begun_ms = now_ms
+        self._keys = [_bound(key) for key in self._book.list_handed()]
+        if not self._keys:
+            self.is_done = True
+            return
+        yield from self._go_on(now_ms)
+
+    def take_ack(
+        self, sender: NodeId, ack: KeysTaken, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        """Send the next batch, or turn to another peer after a refusal."""
+        if self._begun_ms is None or self._announcements > 0:
+            return
+        for receiver in self._receivers:
+            if receiver.peer != sender or receiver.batch != ack.batch:
+                continue
+            if ack.is_taken:
+                receiver.start = receiver.end
+                receiver.sent_ms = float("-inf")
+                if sender not in self._holders:
+                    self._holders.append(sender)
+            else:
+                self._refused_by.add(sender)
+        yield from self._go_on(now_ms)
+
+    def tick(self, now_ms: float) -> Iterator[ClaimAction]:
+        """Repeat what may have been lost, and end in time."""
+        if self._begun_ms is None or self.is_done:
+            return
+        if self._announcements == 0:
+            yield from self._go_on(now_ms)
+            return
+        if now_ms - self._announced_ms < self._book.limits.resend_ms:
+            return
+        is_logged = not self._book.has_owed() or not self._book.is_log_up
+        if self._announcements >= _ANNOUNCEMENTS and is_logged:
+            self.is_done = True
+        else:
+            yield from self._announce(now_ms)
+
+    def _go_on(self, now_ms: float) -> Iterator[ClaimAction]:
+        assert self._begun_ms is not None
+        self._choose_receivers()
+        unfinished = [each for each in self._receivers if each.start < len(self._keys)]
+        limit_ms = self._book.limits.hand_over_ms * _HANDING_SHARE
+        is_over = not unfinished and bool(self._book.peers)
+        if is_over or now_ms - self._begun_ms >= limit_ms:
+            yield from self._announce(now_ms)
+            return
+        patience_ms = self._book.limits.resend_ms * _PATIENCE_IN_RESENDS
+        for receiver in unfinished:
+            if now_ms - receiver.sent_ms >= patience_ms:
+                yield from self._send_batch(receiver, now_ms)
+
+    def _choose_receivers(self) -> None:
+        """Replace peers that are gone or refused; prefer other failure domains."""
+        live = [
+            peer
+            for peer in self._book.peers
+            if NodeId(peer.node, peer.incarnation) not in self._refused_by
+        ]
+        known = {NodeId(peer.node, peer.incarnation) for peer in live}
+        self._receivers = [each for each in self._receivers if each.peer in known]
+        self._book.rng.shuffle(live)
+        live.sort(key=_is_same_domain)
+        for peer in live:
+            if len(self._receivers) >= _HOLDERS:
+                return
+            chosen = NodeId(peer.node, peer.incarnation)
+            if all(each.peer != chosen for each in self._receivers):
+                self._receivers.append(_Receiver(chosen))
+
+    def _send_batch(self, receiver: _Receiver, now_ms: float) -> Iterator[ClaimAction]:
+        if receiver.end <= receiver.start:
+            receiver.end = self._find_end(receiver.start)
+            self._batches += 1
+            receiver.batch = self._batches
+        receiver.sent_ms = now_ms
+        keys = tuple(self._keys[receiver.start : receiver.end])
+        message = HandKeys(receiver.peer.incarnation, receiver.batch, keys)
+        yield from self._book.send(receiver.peer, message)
+
+    def _find_end(self, start: int) -> int:
+        size_bytes = 0
+        end = start
+        for key in self._keys[start : start + _MAX_BATCH_KEYS]:
+            size_bytes += _compute_size_bytes(key)
+            if end > start and size_bytes > _MAX_BATCH_BYTES:
+                break
+            end += 1
+        return end
+
+    def _announce(self, now_ms: float) -> Iterator[ClaimAction]:
+        """Tell the log and all peers who holds the keys.
+
+        The log reaches nodes without a link and those that start later; the peers
+        are told too, since the log may be down.
+        """
+        holders = tuple(self._holders)
+        self._announced_ms = now_ms
+        self._announcements += 1
+        if self._announcements == 1:
+            yield from self._book.append_handed_over(holders)
+        for peer in self._book.peers:
+            news = KeysHandedOver(peer.incarnation, holders)
+            yield from self._book.send(NodeId(peer.node, peer.incarnation), news)
+
+
+def _is_same_domain(peer: PeerView) -> bool:
+    return not peer.is_other_domain
+
+
+def _bound(key: HandedKey) -> HandedKey:
+    """Leave out an answer that would hold up all other keys."""
+    if key.answer is None or len(key.answer.body) <= _MAX_ANSWER_BYTES:
+        return key
+    return msgspec.structs.replace(key, answer=None)
+
+
+def _compute_size_bytes(key: HandedKey) -> int:
+    body = key.answer.body if key.answer is not None else b""
+    return _KEY_BYTES + len(key.name.key) + len(body)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_questions.py
@@ -0,0 +1,111 @@
+"""Answer what peers ask about keys: as executor, as witness and as holder."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from toucanyard.claim_messages import (
+    AskHanded,
+    AskKey,
+    ClaimAction,
+    KeyMessage,
+    KeyNoted,
+    KeyStatus,
+    KeyTold,
+    LedgerOpened,
+    NodeId,
+    NoteKey,
+    OpenLedger,
+    SealAnswered,
+    SealKey,
+)
+from toucanyard.key_book import KeyBook
+from toucanyard.key_entries import EndedKey
+from toucanyard.noted_keys import NotedKeys
+from toucanyard.witness_ledgers import WitnessLedgers
+
+
+class KeyQuestions:
+    """What this node tells its peers about keys.
+
+    Invariant: "not run" is said only of a key that this node alone might dispatch and
+    never will, of one that it sealed as witness, or of one handed over as such.
+    """
+
+    __slots__ = ("_book", "_noted", "_witness")
+
+    def __init__(self, book: KeyBook, noted: NotedKeys) -> None:
+        self._book = book
+        self._noted = noted
+        limits = book.limits
+        self._witness = WitnessLedgers(2 * limits.window_ms, limits.max_keys)
+
+    def answer(
+        self,
+        sender: NodeId,
+        message: AskKey | AskHanded | OpenLedger | NoteKey | SealKey,
+        now_ms: float,
+    ) -> Iterator[ClaimAction]:
+        """Answer one question of a peer."""
+        match message:
+            case AskKey():
+                yield from self._answer_ask(sender, message, now_ms)
+            case AskHanded():
+                yield from self._answer_handed(sender, message)
+            case OpenLedger() | NoteKey() | SealKey():
+                yield from self._witness_for(sender, message, now_ms)
+
+    def forget_old(self, now_ms: float) -> None:
+        """Forget what was witnessed for keys past the window."""
+        self._witness.forget_old(now_ms)
+
+    def _witness_for(
+        self, sender: NodeId, message: OpenLedger | NoteKey | SealKey, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        to = sender.incarnation
+        answer: KeyMessage
+        match message:
+            case OpenLedger(request=request):
+                ledger = self._witness.open(sender, request, now_ms)
+                answer = LedgerOpened(to, request, ledger)
+            case NoteKey(ledger=ledger, name=name):
+                status = self._witness.note(sender, ledger, name)
+                answer = KeyNoted(to, ledger, name, status)
+            case SealKey(ledger=ledger, issuer=issuer, name=name):
+                status = self._witness.seal(issuer, ledger, name)
+                answer = SealAnswered(to, ledger, name, status)
+        yield from self._book.send(sender, answer)
+
+    def _answer_ask(
+        self, sender: NodeId, ask: AskKey, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        ended = self._find_status(sender, ask, now_ms)
+        told = self._book.compose_told(sender, ask.name, ask.claim_id, ended)
+        yield from self._book.send(sender, told)
+
+    def _find_status(self, sender: NodeId, ask: AskKey, now_ms: float) -> EndedKey:
+        book = self._book
+        name, claim_id = ask.name, ask.claim_id
+        claim = book.index.find(name)
+        entry = book.find_entry(name)
+        ended = book.find_ended(name)
+        if claim is not None and claim.claim_id == claim_id and claim.is_abandoned:
+            return EndedKey(KeyStatus.NOT_RUN, claim.digest, now_ms)
+        if book.index.is_given_up(claim_id):
+            # Whether that claim won, and so whether the key ran, may be open here.
+            return EndedKey(KeyStatus.RUNNING, b"", now_ms)
+        if entry is not None:
+            entry.askers[sender] = claim_id
+            return EndedKey(KeyStatus.RUNNING, entry.digest, now_ms)
+        if ended is None and not claim_id:
+            ended = self._noted.seal_unseen(name, now_ms)
+        return ended or EndedKey(KeyStatus.UNKNOWN, b"", now_ms)
+
+    def _answer_handed(self, sender: NodeId, ask: AskHanded) -> Iterator[ClaimAction]:
+        name, claim_id, to = ask.name, ask.claim_id, sender.incarnation
+        told = KeyTold(to, name, claim_id, KeyStatus.UNKNOWN, b"")
+        held = self._book.handed.find(name, claim_id)
+        if held is not None:
+            status, digest, answer = held.status, held.digest, held.answer
+            told = KeyTold(to, name, claim_id, status, digest, answer)
+        yield from self._book.send(sender, told)
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -91,6 +91,8 @@
     """How long the issuer of a key may be silent before its witness is asked."""
     ledger_ms: DurationMs = 60_000
     """How long keys are issued on one ledger of a witness."""
+    hand_over_ms: DurationMs = 5_000
+    """Longest time that a planned stop takes to hand ended keys to peers."""
 
     def __post_init__(self) -> None:
         """Refuse a window that the log may have forgotten a part of."""
--- a/tests/key_mutations.py
+++ b/tests/key_mutations.py
@@ -120,6 +120,27 @@
     ),
 )
 
+STOP_MUTATIONS = (
+    Mutation(
+        "a planned stop reports what is running as not run",
+        "at_most_once",
+        "for entry in self._book.find_entries(Phase.NOTING):",
+        "for entry in self._book.find_entries():",
+    ),
+    Mutation(
+        "a holder reports a key that it was not handed as not run",
+        "key_questions",
+        'told = KeyTold(to, name, claim_id, KeyStatus.UNKNOWN, b"")',
+        'told = KeyTold(to, name, claim_id, KeyStatus.NOT_RUN, b"")',
+    ),
+    Mutation(
+        "a key is handed over without its body's digest",
+        "handed_keys",
+        "_Held(key.claim_id, key.status, key.digest, now_ms)",
+        '_Held(key.claim_id, key.status, b"", now_ms)',
+    ),
+)
+
 
 @contextmanager
 def apply_mutation(mutation: Mutation) -> Iterator[None]:
--- /dev/null
+++ b/tests/key_stop_machine.py
@@ -0,0 +1,67 @@
+"""The state machine of `key_machine` with planned stops and their hand-overs."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import precondition, rule
+
+from key_machine import NODES, PLACES, KeysUnderFaults
+from key_world import Node
+from toucanyard.issued_keys import parse_issued_key
+from toucanyard.names import NodeName
+from toucanyard.requests import EndingSeen
+
+
+class KeysUnderStops(KeysUnderFaults):
+    """Hand-overs among all other faults.
+
+    Their messages are late, lost, doubled and reordered as all others, nodes are
+    paused between their steps, and a kill or the end of the time cuts them short.
+    """
+
+    @rule(name=NODES)
+    def begin_stop(self, name: NodeName) -> None:
+        """Begin a hand-over that other rules pause, disturb or cut short by a kill."""
+        self.world.begin_stop(name)
+
+    @precondition(lambda self: self.world.keys)
+    @rule(name=NODES, place=PLACES, rounds=st.integers(0, 6), is_told=st.booleans())
+    def stop_after_run(
+        self, name: NodeName, place: int, rounds: int, is_told: bool
+    ) -> None:
+        """Stop a node at any point of its hand-over, and retry its keys elsewhere.
+
+        It has answered one key and is still running another.
+        """
+        answered = self.world.keys[place % len(self.world.keys)]
+        running = self.world.keys[(place + 1) % len(self.world.keys)]
+        issued = parse_issued_key(answered.text)
+        home = self.world.nodes[name if issued is None else issued.issuer.node]
+        if home is None:
+            return
+        self.world.send(home, answered, b"one", tells_age=True)
+        self.world.pump(3, EndingSeen.COMPLETED)
+        self.world.send(home, running, b"one", tells_age=True)
+        self.world.pump(3, None)
+        self.world.begin_stop(home.identity.node)
+        for _ in range(rounds):
+            self.world.pump(1, None)
+            self.world.advance(100)
+        self.kill_now(home)
+        if is_told:
+            self.restart_now(home.identity.node)
+        for node in self.world.live():
+            self.world.send(node, answered, b"two", tells_age=True)
+            self.world.send(node, answered, b"one", tells_age=True)
+            self.world.send(node, running, b"one", tells_age=True)
+        self.world.pump(2, None)
+        self.world.advance(400)
+        self.world.pump(2, None)
+
+    def kill_now(self, node: Node) -> None:
+        self.dead.append(node)
+        self.world.kill(node.identity.node)
+
+    def restart_now(self, name: NodeName) -> None:
+        self.world.start(name)
+        self.world.tell_views()
--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -20,6 +20,7 @@
     ClaimRecordsRead,
     DispatchEnded,
     DispatchStarted,
+    HandOverBegun,
     KeyedArrived,
     KeyMessage,
     LogRecord,
@@ -46,7 +47,12 @@
 RATES = (1.0, 0.95, 1.05)
 NAMES = tuple(NodeName(name) for name in "abc")
 WEAK_KINDS = frozenset(
-    {ErrorKind.LOG_UNAVAILABLE, ErrorKind.OVERLOADED, ErrorKind.DEADLINE_EXCEEDED}
+    {
+        ErrorKind.LOG_UNAVAILABLE,
+        ErrorKind.OVERLOADED,
+        ErrorKind.DEADLINE_EXCEEDED,
+        ErrorKind.DRAINING,
+    }
 )
 
 
@@ -158,6 +164,7 @@
         self.running: list[tuple[RequestId, KeptAnswer | None]] = []
         self.allowed_ms: dict[RequestId, float] = {}
         self.waiting: dict[RequestId, tuple[Key, Try]] = {}
+        self.is_stopping = False
 
     def now(self, world_ms: float) -> float:
         return 1_000 + world_ms * self.rate
@@ -197,6 +204,13 @@
             tried.endings.append("cut")
         self.nodes[name] = None
 
+    def begin_stop(self, name: NodeName) -> None:
+        """Let a node hand over its ended keys, as a planned stop does at its end."""
+        node = self.nodes[name]
+        if node is not None:
+            node.is_stopping = True
+            node.inbox.append(HandOverBegun())
+
     def live(self) -> list[Node]:
         return [node for node in self.nodes.values() if node is not None]
 
@@ -401,8 +415,11 @@
             self.deliver_all()
 
     def heal(self) -> None:
-        """End all faults and give every try its time."""
+        """End all faults and stops, and give every try its time."""
         for name in NAMES:
+            node = self.nodes[name]
+            if node is not None and node.is_stopping:
+                self.kill(name)
             if self.nodes[name] is None:
                 self.start(name)
         self.set_log(True)
--- /dev/null
+++ b/tests/toucanyard/test_at_most_once_handover.py
@@ -0,0 +1,285 @@
+from __future__ import annotations
+
+import pytest
+
+from key_world import CUSTOMERS, NAMES, Key, Node, World
+from toucanyard.claim_messages import (
+    HandedKey,
+    HandKeys,
+    KeyName,
+    KeysTaken,
+    KeyStatus,
+    PeerMessageArrived,
+    SendToPeer,
+)
+from toucanyard.handed_keys import HandedKeys
+from toucanyard.options import ClaimLimits
+from toucanyard.requests import EndingSeen, KeptAnswer
+
+A, B, C = NAMES
+TICK_MS = 100
+
+
+def make_world(max_keys: int = 1_000) -> World:
+    world = World(max_keys)
+    world.pump(3, None)
+    return world
+
+
+def get_node(world: World, number: int) -> Node:
+    node = world.nodes[NAMES[number]]
+    assert node is not None
+    return node
+
+
+def run_key(world: World, is_issued: bool) -> Key:
+    """Let node A answer a new key."""
+    node = get_node(world, 0)
+    prefix = node.core.issue_prefix(node.now(world.now_ms)) if is_issued else ""
+    key = Key(CUSTOMERS[0], prefix + f"k{len(world.keys)}")
+    world.keys.append(key)
+    world.send(node, key, b"one", tells_age=True)
+    world.pump(4, EndingSeen.COMPLETED)
+    assert len(key.executions) == 1
+    return key
+
+
+def run_hand_over(world: World, number: int, rounds: int = 12) -> Node:
+    """Let a node hand over and end; return it."""
+    node = get_node(world, number)
+    world.begin_stop(NAMES[number])
+    for _ in range(rounds):
+        world.pump(1, None)
+        world.advance(TICK_MS)
+    world.kill(NAMES[number])
+    return node
+
+
+def retry(world: World, number: int, key: Key, body: bytes = b"one") -> str:
+    """Send a key once more and return how the try ended."""
+    tried = world.send(get_node(world, number), key, body, tells_age=True)
+    for _ in range(4):
+        world.pump(2, None)
+        world.advance(TICK_MS)
+    return tried.endings[0]
+
+
+@pytest.mark.parametrize("is_issued", (False, True))
+def test_retry_after_a_stop_gets_the_answer_from_any_node(is_issued: bool) -> None:
+    """Node A answers a key and stops as planned; its caller retries at B and at C.
+
+    Both hold A's ended keys, so the retry gets the same answer, and another body is
+    refused. Without the hand-over each would say that the outcome is unknown.
+    """
+    world = make_world()
+    key = run_key(world, is_issued)
+    assert run_hand_over(world, 0).core.is_handed_over()
+    for number in (1, 2):
+        assert retry(world, number, key) == "replayed"
+        assert retry(world, number, key, b"two") == "key_reused"
+    assert len(key.executions) == 1
+
+
+def test_node_that_starts_after_the_stop_finds_the_holder_in_the_log() -> None:
+    """A stops, C is replaced; the new C has had no news of A from anybody.
+
+    It reads in the log who holds A's keys, asks that node and passes the answer on.
+    """
+    world = make_world()
+    key = run_key(world, is_issued=False)
+    run_hand_over(world, 0)
+    world.kill(C)
+    world.start(C)
+    world.tell_views()
+    world.pump(2, None)
+    assert retry(world, 2, key) == "replayed"
+
+
+def test_holder_that_stops_hands_on_what_it_holds() -> None:
+    """Nodes are replaced in turn: A hands to B and C, then B and the new A stop too.
+
+    Whoever is left has the answer, or finds it over each stop in between.
+    """
+    world = make_world()
+    key = run_key(world, is_issued=False)
+    for number in (0, 1, 2):
+        run_hand_over(world, number)
+        world.start(NAMES[number])
+        world.tell_views()
+        world.pump(3, None)
+    for number in (0, 1, 2):
+        assert retry(world, number, key) == "replayed"
+    assert len(key.executions) == 1
+
+
+def test_peers_are_told_who_holds_the_keys_while_the_log_is_down() -> None:
+    """The log is down when A stops, so its record can't say who holds A's keys.
+
+    A told its peers directly, and it ends without waiting for the log.
+    """
+    world = make_world()
+    key = run_key(world, is_issued=True)
+    world.set_log(is_up=False)
+    assert run_hand_over(world, 0).core.is_handed_over()
+    assert retry(world, 1, key) == "replayed"
+
+
+def test_peer_that_got_no_keys_asks_the_one_that_did() -> None:
+    """All that A hands to C is lost and the log is down; only B holds A's key.
+
+    When its time is over A tells its peers that B is the one, so C asks B. Without
+    the news C could only wait for A until the deadline.
+    """
+    world = make_world()
+    key = run_key(world, is_issued=True)
+    world.set_log(is_up=False)
+    world.begin_stop(A)
+    for _ in range(36):
+        for node in world.live():
+            world.work(node)
+        world.network = [
+            each
+            for each in world.network
+            if each.to != C or not isinstance(each.message, HandKeys)
+        ]
+        world.deliver_all()
+        world.advance(TICK_MS)
+    world.kill(A)
+    assert get_node(world, 2).core.count_handed() == 0
+    assert retry(world, 2, key) == "replayed"
+
+
+def test_full_peer_takes_no_keys_and_says_so() -> None:
+    """A peer has no room for a batch; taking a part would be taken for the whole."""
+    world = make_world(max_keys=4)
+    node, sender = get_node(world, 1), get_node(world, 0).identity
+    keys = tuple(
+        HandedKey(KeyName(CUSTOMERS[0], f"k{number}"), "", KeyStatus.NOT_RUN, b"")
+        for number in range(3)
+    )
+    for batch, is_taken in ((keys, False), (keys[:2], True), (keys[:2], True)):
+        message = HandKeys(node.identity.incarnation, 7, batch)
+        answer = SendToPeer(A, KeysTaken(sender.incarnation, 7, is_taken))
+        told = PeerMessageArrived(sender, message)
+        assert node.core.handle(told, 1_000) == [answer]
+
+
+def test_lost_messages_are_sent_again_and_late_ones_change_nothing() -> None:
+    """Every first message of the hand-over is lost, and later ones come twice.
+
+    The batch is sent again after a while, and copies that come late, from a node that
+    has ended, change nothing.
+    """
+    world = make_world()
+    key = run_key(world, is_issued=False)
+    world.begin_stop(A)
+    world.work(get_node(world, 0))
+    lost, world.network = world.network, []
+    handed = [each for each in lost if isinstance(each.message, HandKeys)]
+    assert {each.to for each in handed} == {B, C}
+    for _ in range(14):
+        world.pump(1, None)
+        world.advance(TICK_MS)
+    world.kill(A)
+    assert retry(world, 1, key) == "replayed"
+    for message in handed * 2:
+        world.deliver(message)
+    assert retry(world, 2, key) == "replayed"
+    assert get_node(world, 1).core.count_handed() == 1
+
+
+def test_stop_that_is_cut_short_leaves_the_outcome_unknown() -> None:
+    """A dies between its batches and the news of who holds them.
+
+    Nobody knows that B and C hold A's keys, so a retry at a node that doesn't is told
+    that the outcome is unknown; it is never told that the request did not run.
+    """
+    world = make_world()
+    key = run_key(world, is_issued=False)
+    world.begin_stop(A)
+    world.work(get_node(world, 0))
+    world.network.clear()
+    world.kill(A)
+    world.start(A)
+    world.tell_views()
+    world.pump(2, None)
+    assert retry(world, 1, key) == "outcome_unknown"
+
+
+def test_peer_that_stops_too_is_passed_over() -> None:
+    """B's own hand-over has begun when A hands it keys, so they would end with B.
+
+    B refuses them; C takes them, and the news names C alone.
+    """
+    world = make_world()
+    run_hand_over(world, 1, rounds=0)
+    world.start(B)
+    world.tell_views()
+    world.pump(3, None)
+    key = run_key(world, is_issued=False)
+    world.begin_stop(B)
+    world.work(get_node(world, 1))
+    run_hand_over(world, 0)
+    assert get_node(world, 1).core.count_handed() == 0
+    assert retry(world, 2, key) == "replayed"
+
+
+def test_key_that_was_still_running_stays_unknown() -> None:
+    """The time for A's last requests is over while one of them still runs.
+
+    Its key is not handed over. The retry is told that the outcome is unknown, at once
+    since A and all that hold its keys are known to have nothing to say.
+    """
+    world = make_world()
+    run_key(world, is_issued=False)
+    running = Key(CUSTOMERS[0], "running")
+    world.keys.append(running)
+    world.send(get_node(world, 0), running, b"one", tells_age=True)
+    world.pump(4, None)
+    run_hand_over(world, 0)
+    assert retry(world, 1, running) == "outcome_unknown"
+    assert len(running.executions) == 1
+
+
+def test_stopping_node_takes_no_new_key() -> None:
+    """A key that ran now would not be handed over, so it is refused as not run."""
+    world = make_world()
+    run_key(world, is_issued=False)
+    world.begin_stop(A)
+    key = Key(CUSTOMERS[0], "late")
+    world.keys.append(key)
+    assert retry(world, 0, key) == "draining"
+    assert key.executions == []
+
+
+def test_held_keys_are_bounded_and_tell_only_of_their_own_claim() -> None:
+    """A node is handed more than its limits, and asked about another claim of a key.
+
+    Batches without room are refused, large answers are dropped but the key stays, and
+    a later claim of the same key gets nothing of the earlier one's answer.
+    """
+    held = HandedKeys(ClaimLimits(max_keys=4, kept_answers_bytes=2_000, window_ms=50))
+    answer = KeptAnswer(200, "text/plain", b"x" * 500)
+    names = [KeyName(CUSTOMERS[0], f"k{number}") for number in range(3)]
+    keys = [
+        HandedKey(name, "claim", KeyStatus.ANSWERED, b"d", answer) for name in names
+    ]
+    held.take(keys[:2], 0)
+    assert held.has_room(keys[:2])
+    assert not held.has_room(keys)
+    found = [held.find(name, "claim") for name in names]
+    assert [each.answer if each else None for each in found] == [None, answer, None]
+    assert found[0] is not None
+    assert held.find(names[1], "later") is None
+    held.forget_old(50)
+    assert len(held) == 0
+
+
+def test_keys_for_another_incarnation_are_not_taken() -> None:
+    world = make_world()
+    node = get_node(world, 1)
+    key = HandedKey(KeyName(CUSTOMERS[0], "k"), "", KeyStatus.NOT_RUN, b"")
+    message = HandKeys(get_node(world, 2).identity.incarnation, 1, (key,))
+    sender = get_node(world, 0).identity
+    assert node.core.handle(PeerMessageArrived(sender, message), 1_000) == []
+    assert node.core.count_handed() == 0
--- a/tests/toucanyard/test_at_most_once_machine.py
+++ b/tests/toucanyard/test_at_most_once_machine.py
@@ -5,7 +5,8 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from key_machine import KeysUnderFaults
-from key_mutations import MUTATIONS, Mutation, apply_mutation
+from key_mutations import MUTATIONS, STOP_MUTATIONS, Mutation, apply_mutation
+from key_stop_machine import KeysUnderStops
 
 SETTINGS = settings(max_examples=150, stateful_step_count=60, deadline=None)
 SEARCH = settings(
@@ -22,6 +23,10 @@
     run_state_machine_as_test(KeysUnderFaults, settings=SETTINGS)
 
 
+def test_keys_under_planned_stops() -> None:
+    run_state_machine_as_test(KeysUnderStops, settings=SETTINGS)
+
+
 @pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda each: each.name)
 def test_state_machine_catches_mutation(mutation: Mutation) -> None:
     """A seeded fault in one line lets callers see two runs or a false "not run".
@@ -31,3 +36,10 @@
     """
     with apply_mutation(mutation), pytest.raises(AssertionError):
         run_state_machine_as_test(KeysUnderFaults, settings=SEARCH)
+
+
+@pytest.mark.parametrize("mutation", STOP_MUTATIONS, ids=lambda each: each.name)
+def test_machine_with_planned_stops_catches_mutation(mutation: Mutation) -> None:
+    """A seeded fault in the hand-over gives a false "not run" or a foreign answer."""
+    with apply_mutation(mutation), pytest.raises(AssertionError):
+        run_state_machine_as_test(KeysUnderStops, settings=SEARCH)
