Measure an idle node as one of many, with nothing that answers

Cause: the idle node of the capacity bench was alone, held every pool's duty and read all replicas of each pool each 500 ms: 100% of a core at every size, 97% with 320 nodes in the VM list. A profile of 27 s shows 46,276 reads of states by the order sender. Ruled out: fewer replicas; the reads of one pool that is not as desired grow with the pool. Conclusion: the bench counts one node's share.

--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_sizes.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_sizes.py
@@ -25,6 +25,7 @@
         )
         for pool in configuration.pools
     ]
+    puts += [Put(services=(service,)) for service in configuration.services]
     return tuple(
         encode_patch(Patch(f"patch-{number}", number, "bench", put))
         for number, put in enumerate(puts)
