Answer no_configuration, not unauthenticated, before there is any

Cause: a node that has just started holds the empty version 0, which names no customer, so it called every good key unknown: 401, not to be retried. The kind no_configuration stood in the closed list and was never given.

Before: 401 unauthenticated without Retry-After, to callers and operators.

After: 503 no_configuration, not run, Retry-After 1. Bootstrap operators are let in as before.

--- a/packages/toucanyard-node/src/toucanyard_node/credentials.py
+++ b/packages/toucanyard-node/src/toucanyard_node/credentials.py
@@ -9,6 +9,7 @@
 from toucanyard.errorcodes import ErrorKind, RouterError
 
 _SCHEME: Final = "bearer"
+_COME_BACK_MS: Final = 500
 
 
 def compute_key_hash(key: str) -> str:
@@ -22,6 +23,20 @@
     return key.strip() if scheme.lower() == _SCHEME else ""
 
 
+def check_known(configuration: Configuration) -> None:
+    """Raise NO_CONFIGURATION for the empty one of a node that has just started.
+
+    Called an unknown key, callers would give up on a good one; told to come back,
+    they try another node or this one a moment later.
+    """
+    if configuration.version == 0:
+        raise RouterError(
+            ErrorKind.NO_CONFIGURATION,
+            "this node has no configuration yet, from neither a peer nor the log",
+            _COME_BACK_MS,
+        )
+
+
 class CustomerIndex:
     """Find customers by key without a scan over all of them.
 
@@ -37,7 +52,11 @@
     def authenticate(
         self, configuration: Configuration, headers: dict[str, str]
     ) -> Customer:
-        """Return the caller's customer, or raise UNAUTHENTICATED."""
+        """Return the caller's customer, or raise UNAUTHENTICATED.
+
+        Raise NO_CONFIGURATION where no key can be judged.
+        """
+        check_known(configuration)
         key = find_bearer_key(headers)
         if not key:
             raise RouterError(ErrorKind.UNAUTHENTICATED, "no bearer API key")
--- a/packages/toucanyard-node/src/toucanyard_node/operators_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operators_face.py
@@ -22,7 +22,11 @@
 from toucanyard_node.caller_context import build_refusal
 from toucanyard_node.configuration_diff import compute_diff
 from toucanyard_node.core_task import CoreTask
-from toucanyard_node.credentials import compute_key_hash, find_bearer_key
+from toucanyard_node.credentials import (
+    check_known,
+    compute_key_hash,
+    find_bearer_key,
+)
 from toucanyard_node.drain import DrainState
 from toucanyard_node.http_client import ConnectionFailedError, fetch
 from toucanyard_node.http_server import CallerGoneError, HttpRequest, Responder
@@ -90,6 +94,7 @@
         is_first = not configuration.operators
         if is_first and key_hash in self._options.bootstrap_operator_hashes:
             return "bootstrap"
+        check_known(configuration)
         if configuration.find_customer_by_hash(key_hash) is not None:
             raise RouterError(
                 ErrorKind.FORBIDDEN, "a customer's key, not an operator's"
