--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -17,7 +17,6 @@
 import trio
 
 from toucanyard.names import Address
-from toucanyard_node.quick_sockets import read_some
 
 _READ_BYTES: Final = 65_536
 _MAX_PORT: Final = 65_535
@@ -206,7 +205,7 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await read_some(self._stream, _READ_BYTES)
+                data = await self._stream.receive_some(_READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise ConnectionFailedError(str(error), is_sent=True) from error
             self._connection.receive_data(bytes(data))
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -18,7 +18,6 @@
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import RequestId
 from toucanyard.requests import Refuse
-from toucanyard_node.quick_sockets import write_all
 from toucanyard_node.refusals import render_refusal
 
 _LOG: Final = structlog.get_logger()
@@ -128,7 +127,7 @@
 
     async def _write_out(self, data: bytes) -> None:
         try:
-            await write_all(self._stream, data)
+            await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGoneError from error
 
