--- a/tests/features/world.py
+++ b/tests/features/world.py
@@ -8,6 +8,7 @@
 import trio
 
 from portal import Portal
+from toucanyard.names import Address
 from toucanyard_node.http_client import ConnectionFailedError, Response, connect
 from toucanyard_standins.deployment import (
     CALLER_KEY,
@@ -139,7 +140,7 @@
 ) -> None:
     """Make one request and note what comes, part by part."""
     try:
-        connection = await connect(address, 5_000)  # type: ignore[arg-type]
+        connection = await connect(Address(address), 5_000)
         try:
             named = (("Authorization", f"Bearer {CALLER_KEY}"), *headers)
             await connection.send(method, target, named, body)
