--- a/packages/toucanyard/src/toucanyard/cache_view.py
+++ b/packages/toucanyard/src/toucanyard/cache_view.py
@@ -225,10 +225,10 @@
         match event.kind:
             case CacheEventKind.STORED:
                 self.touch(event.hashes, now_ms)
-            case CacheEventKind.EVICTED:
-                self.forget(event.hashes)
                 self._stored = self._decay_stored(now_ms) + len(event.hashes)
                 self._stored_ms = max(now_ms, self._stored_ms)
+            case CacheEventKind.EVICTED:
+                self.forget(event.hashes)
 
     def _count_since(self, chain: Sequence[int], since_ms: float) -> int:
         blocks = self._blocks
