Echo the request id in a service's 503 and an engine's 404 of the stand-ins

Cause: both answered without the id of the request, where the protocol wants it echoed. Before: the extended tests of the refused call and of an unknown stream fail. After: 52 tests of engine, service, deployment and the node's service face pass. Conclusion: none.

--- a/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
@@ -167,7 +167,8 @@
         request_id = request.path.removeprefix(STREAMS_PATH)
         stream = self._engine.state.streams.get(request_id)
         if stream is None:
-            await send_error(responder, 404, "no such stream", self._identify(""))
+            echo = self._identify(request_id)
+            await send_error(responder, 404, "no such stream", echo)
             return
         self._engine.counters.resumed += 1
         position = int(request.headers.get("last-event-id", "-1")) + 1
--- a/packages/toucanyard-standins/src/toucanyard_standins/plain_service.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/plain_service.py
@@ -155,7 +155,8 @@
     async def _call(self, request: HttpRequest, responder: Responder) -> None:
         if self._is_refusing:
             self._counters.refused += 1
-            await send_error(responder, 503, "takes no calls")
+            echo = (("X-Request-Id", request.headers.get("x-request-id", "")),)
+            await send_error(responder, 503, "takes no calls", echo)
             return
         answer = await self._execute(request)
         if self._die.count > 0:
--- a/tests/toucanyard_standins/test_engine_face.py
+++ b/tests/toucanyard_standins/test_engine_face.py
@@ -117,6 +117,7 @@
     assert whole.endswith(rest) and rest.endswith(b"data: [DONE]\n\n")
     unknown = await fetch(address, "GET", "/v1/streams/other")
     assert unknown.status == 404
+    assert unknown.headers["x-request-id"] == "other"
 
 
 async def test_cancel_stops_a_stream_without_an_end(nursery: trio.Nursery) -> None:
--- a/tests/toucanyard_standins/test_plain_service.py
+++ b/tests/toucanyard_standins/test_plain_service.py
@@ -43,7 +43,9 @@
 async def test_refused_call_is_not_executed(nursery: trio.Nursery) -> None:
     address = await start_service(nursery)
     await control(address, RefuseCalls(is_on=True))
-    assert (await post(address, "/holds", {}, CALL)).status == 503
+    refused = await post(address, "/holds", {}, CALL)
+    assert refused.status == 503
+    assert refused.headers["x-request-id"] == "r1"
     counters = await read(address, "/control", ServiceCounters)
     assert (counters.executions, counters.refused) == (0, 1)
 
