--- a/tests/toucanyard_node/test_vm_list.py
+++ b/tests/toucanyard_node/test_vm_list.py
@@ -1,16 +1,19 @@
 from __future__ import annotations
 
+import json
 import random
 
 import pytest
 import trio
 import trio.testing
+from hypothesis import example, given, settings, strategies as st
 
 from support.network import MemoryNetwork
 from toucanyard.core_events import VmsRead
 from toucanyard.names import Address
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import VmState
+from toucanyard_node.http_client import is_possible
 from toucanyard_node.http_server import HttpRequest, Responder
 from toucanyard_node.vm_list import poll_vm_list
 
@@ -100,3 +103,38 @@
         assert (node.peers, node.operators) == ("", "")
         assert (node.callers, endpoint.endpoint) == ("10.0.0.1:80", "10.0.0.1:80")
         nursery.cancel_scope.cancel()
+
+
+ODD: st.SearchStrategy[object] = st.sampled_from(
+    ["", "n1", "live", "leaving", "10.0.0.1:80", "[::1]:80", "[x", "h:1", "10.0.0.1:0"]
+    + [None, 1, [], {}, "x" * 5_000]
+)
+FIELDS = ["name", "domain", "state", "runs", "callers", "operators", "peers"]
+VMS = st.fixed_dictionaries(
+    {"name": ODD, "domain": ODD}, optional=dict.fromkeys([*FIELDS[2:], "endpoint"], ODD)
+)
+BODIES = st.fixed_dictionaries({"vms": st.lists(VMS, max_size=3) | ODD})
+
+
+@given(st.sampled_from([200, 404]), BODIES.map(json.dumps) | st.text(max_size=9))
+@example(200, '{"x":' + "[" * 100_000)
+@settings(max_examples=60)
+def test_any_list_is_taken_or_passed_over(status: int, body: str) -> None:
+    """Whatever the platform says, what is taken can be connected to, and the next
+    answer that makes sense is read."""
+
+    async def check() -> None:
+        async with trio.open_nursery() as nursery:
+            scene = Scene(nursery)
+            scene.answers = [(status, body.encode())]
+            await trio.sleep(1)
+            scene.answers = [(200, GOOD)]
+            await trio.sleep(3)
+            assert scene.seen[-1].vms[0].name == "e1"
+            vms = [vm for event in scene.seen for vm in event.vms]
+            for vm in vms:
+                given_addresses = [vm.callers, vm.operators, vm.peers, vm.endpoint]
+                assert all(is_possible(each) for each in given_addresses if each)
+            nursery.cancel_scope.cancel()
+
+    trio.run(check, clock=trio.testing.MockClock(autojump_threshold=0))
