Take a queue that the next report shows for a queue, not for a slow endpoint

Cause: a trace of a herd restart showed prefixes recomputed off their homes at scores of 35,000 to 57,000 ms. Other nodes had sent there in the same moment; the first tokens came later than expected, which counted as slowness up to 10 and multiplied the price of recomputation as well. The first report taken after a dispatch now raises the expected time to what it shows; a slow endpoint is still found, since its queue takes longer.

--- a/packages/toucanyard/src/toucanyard/load_view.py
+++ b/packages/toucanyard/src/toucanyard/load_view.py
@@ -41,7 +41,10 @@
     sent_ms: float
     work_ms: float
     expected_ms: float
+    ms_per_block: float = 0.0
     has_started: bool = False
+    is_explained: bool = False
+    """Whether a report taken after it was sent has told of the queue before it."""
 
 
 class LoadView:
@@ -71,12 +74,19 @@
             return
         self._report = report
         self.measured_ms = measured_ms
+        self._explain_waits(report)
 
     def note_dispatch(
-        self, request_id: RequestId, work_ms: float, expected_ms: float, now_ms: float
+        self,
+        request_id: RequestId,
+        work_ms: float,
+        expected_ms: float,
+        now_ms: float,
+        ms_per_block: float = 0.0,
     ) -> None:
         """Add a request that is on its way to the endpoint."""
-        self.own[request_id] = OwnRequest(now_ms, work_ms, expected_ms)
+        own = OwnRequest(now_ms, work_ms, expected_ms, ms_per_block)
+        self.own[request_id] = own
 
     def note_first_token(
         self, request_id: RequestId, after_ms: float, now_ms: float
@@ -137,3 +147,17 @@
         fresh = sum(own.sent_ms > since_ms for own in self.own.values())
         surplus = report.running + report.waiting + fresh + 1 - slots
         return max(report.queued_blocks * ms_per_block, surplus * slot_ms, 0.0)
+
+    def _explain_waits(self, report: LoadReport) -> None:
+        # What other nodes sent in the same moment is not in the wait that was expected.
+        # Taken for slowness, it would raise the price of the endpoint several times
+        # over, and all nodes would recompute its prefixes elsewhere. Only the first
+        # report after the dispatch counts: a slow endpoint would explain itself away
+        # by the later ones.
+        for own in self.own.values():
+            waited_ms = self.measured_ms - own.sent_ms
+            if own.has_started or own.is_explained or waited_ms <= 0:
+                continue
+            own.is_explained = True
+            queued_ms = report.queued_blocks * own.ms_per_block
+            own.expected_ms = max(own.expected_ms, waited_ms + queued_ms)
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -158,7 +158,11 @@
         view = self._view(placed.endpoint)
         work_ms = placed.first_token_ms - placed.queue_ms
         view.load.note_dispatch(
-            request.request_id, work_ms, placed.first_token_ms, now_ms
+            request.request_id,
+            work_ms,
+            placed.first_token_ms,
+            now_ms,
+            0.0 if pool is None else pool.placement.prefill_ms_per_block,
         )
         if isinstance(request.target, ModelTarget):
             view.cache.touch(request.target.chain, now_ms)
