--- a/tests/toucanyard/test_request_flow.py
+++ b/tests/toucanyard/test_request_flow.py
@@ -41,11 +41,14 @@
     assert world.core.admission.count_running() == 0
 
 
-def test_retry_goes_to_an_endpoint_that_was_not_tried(world: CoreWorld) -> None:
-    # The caller sees one answer. An endpoint that can't be reached is left out of the
-    # next try, or a retry would spend the budget on the same dead address.
+@pytest.mark.parametrize("ending", [EndingSeen.NOT_SENT, EndingSeen.FAILED])
+def test_retry_goes_to_an_endpoint_that_was_not_tried(
+    world: CoreWorld, ending: EndingSeen
+) -> None:
+    # The caller sees one answer. An endpoint that failed is left out of the next try,
+    # or a retry would spend the budget on the same endpoint.
     request_id = world.arrive("r1")
-    end(world, request_id, EndingSeen.NOT_SENT)
+    end(world, request_id, ending)
     first, second = world.replies[request_id]
     assert isinstance(first, Dispatch) and isinstance(second, Dispatch)
     assert second.endpoint != first.endpoint
