Let no dead replica keep its whole pool read at the rate of a roll-out

Cause: a pool counted as converged only when every replica had been read as desired, so one dead replica had all of them read twice a second: 1,760 reads a second worked out at 880 replicas, and a whole core measured on a lone node with five such pools. Ruled out: leaving the dead one out of the reads; nobody would see it come back. Before: the new test fails (reads go on twice a second in the second half minute). After: a pool is settled when each replica that answers is as desired; the rest are looked at at the idle rate. tests test_order_duties, test_orders, test_pool_orders and test_duties pass. Conclusion: a replica that comes back with other weights is seen up to one idle interval later.

--- a/packages/toucanyard/src/toucanyard/order_duties.py
+++ b/packages/toucanyard/src/toucanyard/order_duties.py
@@ -38,7 +38,7 @@
     read_ms: float = float("-inf")
     planned_ms: float = float("-inf")
     has_news: bool = True
-    is_converged: bool = False
+    is_settled: bool = False
 
 
 class OrderDuties:
@@ -126,9 +126,9 @@
         entry.planned_ms = now_ms
         entry.has_news = False
         actions += entry.orders.plan(pool, until_ms, now_ms)
-        entry.is_converged = entry.orders.is_converged(pool)
+        entry.is_settled = entry.orders.is_settled(pool, now_ms)
     wait_ms = _READ_MS
-    if entry.is_converged:
+    if entry.is_settled:
         share_ms = _IDLE_READ_MS_PER_ENDPOINT * len(pool.endpoints)
         wait_ms = max(_IDLE_READ_MS, share_ms)
     if now_ms - entry.read_ms >= wait_ms:
--- a/packages/toucanyard/src/toucanyard/orders.py
+++ b/packages/toucanyard/src/toucanyard/orders.py
@@ -162,14 +162,26 @@
             replica.is_load_open = False
         return outcome is OrderOutcome.STALE_FENCE
 
-    def is_converged(self, pool: Pool) -> bool:
-        """Tell whether each endpoint was read in the desired state."""
+    def is_settled(self, pool: Pool, now_ms: float) -> bool:
+        """Tell whether each endpoint that answers was read in the desired state.
+
+        One that is dead must not keep the whole pool read at the rate of a roll-out:
+        in a large pool some replica is always dead.
+        """
+        is_sure = now_ms - self._started_ms >= _UNSURE_MS
         return all(
-            (replica := self._replicas.get(endpoint.name)) is not None
+            self._is_as_desired(pool, endpoint.name)
+            or (is_sure and not self._is_reachable(endpoint.name, now_ms))
+            for endpoint in pool.endpoints
+        )
+
+    def _is_as_desired(self, pool: Pool, name: EndpointName) -> bool:
+        replica = self._replicas.get(name)
+        return (
+            replica is not None
             and replica.state is not None
             and not replica.state.is_loading
             and _find_change(pool, replica.state) is None
-            for endpoint in pool.endpoints
         )
 
     def plan(self, pool: Pool, until_ms: float, now_ms: float) -> list[SendOrder]:
--- /dev/null
+++ b/tests/toucanyard/test_order_duties.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import random
+
+from core_world import build_endpoint, build_patch
+from toucanyard.claim_messages import NodeId
+from toucanyard.configuration import Configuration
+from toucanyard.core_events import AppendToLog
+from toucanyard.names import EndpointName, Incarnation, NodeName
+from toucanyard.order_duties import OrderDuties
+from toucanyard.orders import EndpointState, ReadState
+
+NODE = NodeId(NodeName("node-1"), Incarnation("a"))
+TICK_MS = 100
+ROUNDS = 600
+
+
+def test_dead_replica_does_not_keep_its_pool_read_all_the_time() -> None:
+    # One replica of a pool is dead for good; the others are as desired. Reading all of
+    # them twice a second because of it took a whole core of a node with large pools.
+    pools = build_patch().put.pools
+    configuration = Configuration(version=1, pools=pools)
+    dead = EndpointName(build_endpoint("engine-0", 10).name)
+    duties = OrderDuties(NODE, random.Random(1))
+    duties.duties.note_start(0, 0)
+    duties.duties.note_head(0.0)
+    offset = 0
+    reads: list[int] = []
+    for number in range(ROUNDS):
+        now_ms = float(number * TICK_MS)
+        for action in duties.tick(configuration, [NODE.node], True, now_ms):
+            match action:
+                case AppendToLog(text=text):
+                    duties.duties.apply_record(offset, now_ms, text, now_ms)
+                    offset += 1
+                case ReadState(endpoint=endpoint):
+                    reads.append(number)
+                    if endpoint != dead:
+                        state = EndpointState(Incarnation("x"), "m", "w1")
+                        duties.note_state(endpoint, state, now_ms)
+    assert any(reads)
+    late = [number for number in reads if number >= ROUNDS // 2]
+    assert len(late) <= 7 * len(pools[0].endpoints)
