Poll replicas that are long dead rarely

Cause: each poll of a dead address was repeated four times a second for ever; with 41 of them a node that did nothing else took 8.7 to 12.9% of a core (docs/CAPACITY.md). Ruled out: slowing down from the first failure; deaths would be noticed later. Before: the new test counts 240 polls in the third minute of a death. After: 24 polls at the full rate, then doubling up to 2 s, about 30 a minute; back to the full rate with the first answer. pytest tests/toucanyard_node/test_endpoint_watch.py: 6 passed. Conclusion: a replica's return is noticed up to 2 s later.

--- a/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
@@ -45,6 +45,8 @@
 _EVENTS_WAIT_MS: Final = 1_000
 _DUMP_TIMEOUT_MS: Final = 5_000
 _EVENTS_AGAIN_MS: Final = 500
+_FULL_RATE_POLLS: Final = 24
+_MAX_DOUBLINGS: Final = 3
 
 WatchEvent = LoadRead | EndpointSilent | CacheEventsRead | CacheDumpRead
 Emit = Callable[[WatchEvent], Awaitable[None]]
@@ -69,6 +71,16 @@
     return max(float(timings.load_poll_ms), watched * 1000 / rate)
 
 
+def compute_retry_wait_ms(timings: MembershipTimings, failures: int) -> float:
+    """Return the time before the next poll after so many failures before this one.
+
+    The full rate goes on for longer than a death takes to be agreed on; from then on
+    only the return of the endpoint is to be noticed, and dead ones may be many.
+    """
+    doublings = min(failures // _FULL_RATE_POLLS, _MAX_DOUBLINGS)
+    return float(timings.load_poll_ms * 2**doublings)
+
+
 class EndpointWatch:
     """Hold one task for each endpoint to watch.
 
@@ -144,6 +156,7 @@
         endpoint = watched.endpoint
         poller = _Poller(endpoint.address, self._timings, self._connect)
         target = "/v1/load" if watched.is_engine else "/load"
+        failures = 0
         try:
             while True:
                 asked_ms = trio.current_time() * 1000
@@ -153,8 +166,10 @@
                 except (ConnectionFailedError, AnswerInvalidError) as error:
                     _LOG.debug("load_unread", endpoint=endpoint.name, error=str(error))
                     await self._emit(EndpointSilent(endpoint.name))
-                    wait_ms = float(self._timings.load_poll_ms)
+                    wait_ms = compute_retry_wait_ms(self._timings, failures)
+                    failures += 1
                 else:
+                    failures = 0
                     await self._emit(LoadRead(endpoint.name, report, asked_ms))
                 spent_ms = trio.current_time() * 1000 - asked_ms
                 await trio.sleep(max(0.0, wait_ms - spent_ms) / 1000)
--- a/tests/toucanyard_node/test_endpoint_watch.py
+++ b/tests/toucanyard_node/test_endpoint_watch.py
@@ -161,3 +161,24 @@
     assert compute_poll_wait_ms(TIMINGS, 41, 4_400) == 41_000 / 4
     assert compute_wait_ms(TIMINGS, 3_000) == TIMINGS.vm_list_poll_ms
     assert compute_wait_ms(TIMINGS, 616_000) == 400_000
+
+
+async def test_replica_that_is_long_dead_is_polled_rarely(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # Nobody answers at an address for minutes. Its death was noticed at the full rate
+    # within seconds; polling on at that rate took a tenth of a core where many are
+    # dead. Once it answers, it is polled as before.
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        scene.network.remove(ENDPOINT.address)
+        await trio.sleep(5)
+        assert scene.count(EndpointSilent) >= 15
+        await trio.sleep(60)
+        before = scene.count(EndpointSilent)
+        await trio.sleep(60)
+        assert 25 <= scene.count(EndpointSilent) - before <= 35
+        scene.network.serve(ENDPOINT.address, scene.engine.handle)
+        await trio.sleep(10)
+        assert scene.count(LoadRead) >= 25
+        nursery.cancel_scope.cancel()
