Show no replaced version while a node replays the log

Cause: a starting node put each page of the log into force as it read it. With a long log it served, and offered to peers, versions that were replaced long ago: removed customers and endpoints lived again, and the node's version went back.

After: a node decides by none, and gives peers none, until it has met the end of the log or a peer's state once. A request for the configuration names the replayed version, or a delta would not lead on from it.

If the log goes down in the middle of a replay and no peer is there, the node refuses with no_configuration, as it can't tell what is newest.

--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/version_watch.py
@@ -0,0 +1,80 @@
+"""Follow which configuration version each node shows, across its restarts."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard_node.http_client import ConnectionFailedError, HttpConnection, connect
+from toucanyard_standins.processes import ProcessHandle
+
+_INTERVAL_S: Final = 0.05
+_TIMEOUT_MS: Final = 2_000.0
+
+
+class Regression(msgspec.Struct, frozen=True):
+    """A node showed a lower version than it had shown before."""
+
+    node: str
+    before: int
+    after: int
+
+
+class _Status(msgspec.Struct, frozen=True):
+    version: int
+
+
+class VersionWatch:
+    """What nodes showed, by name, so that a restarted node counts as the same.
+
+    Invariants: a node's highest version only grows; whatever a node showed below its
+    highest is among `regressions`.
+    """
+
+    def __init__(self, operator_key: str) -> None:
+        self._headers = (("Authorization", f"Bearer {operator_key}"),)
+        self._highest: dict[str, int] = {}
+        self.regressions: list[Regression] = []
+        self.reads = 0
+
+    def find_highest(self, node: str) -> int:
+        """Return the highest version that a node has shown."""
+        return self._highest.get(node, 0)
+
+    def note(self, node: str, version: int) -> None:
+        """Take in what one node shows."""
+        self.reads += 1
+        highest = self.find_highest(node)
+        if version < highest:
+            self.regressions.append(Regression(node, highest, version))
+            return
+        self._highest[node] = version
+
+    async def follow(self, node: ProcessHandle) -> None:
+        """Ask one process for its status until it has ended."""
+        while node.is_running():
+            try:
+                await self._follow_connection(node)
+            except ConnectionFailedError:
+                await trio.sleep(_INTERVAL_S)
+
+    async def _follow_connection(self, node: ProcessHandle) -> None:
+        connection = await connect(node.addresses["operators"], _TIMEOUT_MS)
+        try:
+            while connection.is_reusable():
+                await self._read(node.name, connection)
+                await trio.sleep(_INTERVAL_S)
+        finally:
+            await connection.close()
+
+    async def _read(self, name: str, connection: HttpConnection) -> None:
+        with trio.move_on_after(_TIMEOUT_MS / 1000):
+            await connection.send("GET", "/status", self._headers)
+            head = await connection.read_head()
+            body = await connection.read_body()
+            # A node without a configuration knows no operator and shows no version.
+            if head.status == 200:
+                version = msgspec.json.decode(body, type=_Status).version
+                self.note(name, version)
--- a/packages/toucanyard/src/toucanyard/configuration_log.py
+++ b/packages/toucanyard/src/toucanyard/configuration_log.py
@@ -40,6 +40,7 @@
 _MAX_VERSIONS: Final = 32
 _MAX_BUFFERED: Final = 1_024
 _MAX_UNKNOWN_KINDS: Final = 16
+_NOTHING: Final = Configuration()
 
 
 class LogCounts(msgspec.Struct):
@@ -94,6 +95,7 @@
         self._missing_until: int | None = None
         self._seen_kinds: dict[str, int] = {}
         self._digest: int | None = None
+        self._is_caught_up = False
         self.configuration = self._versions[0]
         self.next_offset = 0
         self.counts = LogCounts()
@@ -103,9 +105,19 @@
         """Return the latest versions with their patches, oldest first."""
         return self._memory.history
 
+    @property
+    def in_force(self) -> Configuration:
+        """Return the configuration to decide by; the empty one until it is found.
+
+        A node that has just started replays versions that were replaced long ago. They
+        must not come into force again, nor go to peers, so it decides by none until it
+        has met the end of the log, or the state of a peer, once.
+        """
+        return self.configuration if self._is_caught_up else _NOTHING
+
     @property
     def digest(self) -> int:
-        """Return the hash of the configuration in force."""
+        """Return the hash of the configuration that was replayed last."""
         if self._digest is None:
             self._digest = compute_digest(self.configuration)
         return self._digest
@@ -196,7 +208,10 @@
         The time of asking counts, not that of the answer: an answer delayed on its
         way tells nothing about the time since.
         """
-        if self.next_offset >= log_next and not self.is_missing:
+        if self.next_offset < log_next:
+            return
+        self._is_caught_up = True
+        if not self.is_missing:
             self._currency.confirm(asked_ms)
 
     def note_peer(self, version: int, digest: int, confirmed_ms: float) -> bool:
@@ -210,6 +225,7 @@
             return True
         if digest != self.digest:
             return False
+        self._is_caught_up = True
         if not self.is_missing:
             self._currency.confirm(confirmed_ms)
         return True
@@ -287,13 +303,17 @@
         return True
 
     def adopt(self, checkpoint: CheckpointRecord) -> bool:
-        """Take a higher state from a peer's snapshot or a checkpoint.
+        """Take a higher state from a peer, where it is in force.
 
         Return whether anything changed. One that covers less than this node has
         replayed, or has a lower version, is never taken: a node doesn't go back.
         """
         if not self._is_usable(checkpoint):
             return False
+        self._is_caught_up = True
+        return self._adopt(checkpoint)
+
+    def _adopt(self, checkpoint: CheckpointRecord) -> bool:
         version = checkpoint.configuration.version
         is_new = version > self.configuration.version or self.is_missing
         self._keep(checkpoint.configuration)
@@ -364,7 +384,8 @@
             except PatchInvalidError:
                 self.counts.refused_checkpoints += 1
                 return
-            self.adopt(checkpoint)
+            if self._is_usable(checkpoint):
+                self._adopt(checkpoint)
         elif configuration != self._versions.get(configuration.version):
             # Replay without a gap knows every version: this one was never made.
             self.counts.refused_checkpoints += 1
--- a/packages/toucanyard/src/toucanyard/configuration_spread.py
+++ b/packages/toucanyard/src/toucanyard/configuration_spread.py
@@ -92,7 +92,10 @@
 
     def fetch(self, action: FetchConfiguration) -> Iterator[SpreadAction]:
         """Ask a peer that has a higher version for it."""
-        yield SendMessage(action.peer, ConfigurationRequest(action.base))
+        # What was replayed counts, though it may not be in force yet: a delta from
+        # the version in force would not lead on from it.
+        base = self._log.configuration.version
+        yield SendMessage(action.peer, ConfigurationRequest(base))
 
     def confirm(self, action: PeerConfirmed, now_ms: float) -> None:
         """Take in that a peer knew its version to be the newest."""
@@ -192,6 +195,8 @@
                 yield from self._answer(result)
 
     def _offer(self, peer: NodeName, base: int) -> Iterator[SpreadAction]:
+        if self._log.in_force.version == 0:
+            return
         delta = self._log.build_delta(base)
         if delta is not None:
             yield SendMessage(peer, delta)
@@ -202,9 +207,10 @@
 
     def _tell_membership(self, now_ms: float) -> None:
         log = self._log
-        if log.configuration.version != self._told_version:
-            self._told_version = log.configuration.version
-            changed = ConfigurationChanged(log.configuration, log.digest)
+        in_force = log.in_force
+        if in_force.version != self._told_version:
+            self._told_version = in_force.version
+            changed = ConfigurationChanged(in_force, log.digest)
             self._membership.handle(changed, now_ms)
         age_ms = log.find_confirmed_age_ms(now_ms)
         if age_ms is not None:
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -161,7 +161,7 @@
     @property
     def configuration(self) -> Configuration:
         """Return the configuration in force."""
-        return self.log.configuration
+        return self.log.in_force
 
     def find_linked(self) -> tuple[NodeId, ...]:
         """Return the peers to which a link stands."""
--- a/packages/toucanyard/src/toucanyard/snapshot_exchange.py
+++ b/packages/toucanyard/src/toucanyard/snapshot_exchange.py
@@ -102,7 +102,8 @@
     def _build(self, now_ms: float) -> Snapshot:
         membership = self._membership
         hints: list[EndpointHint] = []
-        for owner in find_owners(self._log.configuration):
+        is_in_force = self._log.in_force.version > 0
+        for owner in find_owners(self._log.in_force):
             for endpoint in owner.endpoints:
                 incarnation = membership.find_incarnation(endpoint.name)
                 if incarnation is not None:
@@ -111,7 +112,7 @@
                         EndpointHint(endpoint.name, incarnation, weights, 0, 0)
                     )
         return Snapshot(
-            configuration=self._log.build_checkpoint(),
+            configuration=self._log.build_checkpoint() if is_in_force else None,
             endpoints=tuple(hints),
             next_offset=self._log.next_offset,
         )
