--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -20,7 +20,7 @@
 
 _READ_BYTES: Final = 65_536
 _MAX_PORT: Final = 65_535
-MAX_BODY_BYTES: Final = 32_000_000
+MAX_BODY_BYTES: Final = 64_000_000
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -246,6 +246,7 @@
     headers: Headers = (),
     body: bytes = b"",
     timeout_ms: float = 5_000,
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> Response:
     """Make one request on a connection of its own, or raise ConnectionFailedError."""
     connection = await connect(address, timeout_ms)
@@ -253,7 +254,8 @@
         with trio.fail_after(timeout_ms / 1000):
             await connection.send(method, target, headers, body)
             head = await connection.read_head()
-            return Response(head.status, head.headers, await connection.read_body())
+            answer = await connection.read_body(max_bytes)
+            return Response(head.status, head.headers, answer)
     except trio.TooSlowError as error:
         raise ConnectionFailedError(f"{address}: no answer", is_sent=True) from error
     finally:
--- a/packages/toucanyard-node/src/toucanyard_node/log_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_client.py
@@ -15,7 +15,6 @@
 from toucanyard.claim_messages import AppendResult, LogRecord
 from toucanyard.names import Address
 from toucanyard_node.http_client import (
-    MAX_BODY_BYTES,
     BodyTooLargeError,
     ConnectionFailedError,
     Response,
@@ -27,7 +26,7 @@
 _OVER_RATE_STATUS: Final = 429
 _READ_MARGIN_MS: Final = 1_000
 """How long an answer may take beyond its wait; a silent log is noticed after it."""
-MAX_PAGE_BYTES: Final = MAX_BODY_BYTES
+MAX_PAGE_BYTES: Final = 16_000_000
 _MAX_OFFSET: Final = 2**53
 
 
@@ -107,7 +106,9 @@
     target = f"/log/read?from={start}&limit={limit}&wait_ms={wait_ms}"
     timeout_ms = wait_ms + _READ_MARGIN_MS
     try:
-        answer = await fetch(address, "GET", target, timeout_ms=timeout_ms)
+        answer = await fetch(
+            address, "GET", target, timeout_ms=timeout_ms, max_bytes=MAX_PAGE_BYTES
+        )
     except BodyTooLargeError as error:
         raise PageTooLargeError(str(error)) from error
     except ConnectionFailedError as error:
