--- a/packages/toucanyard-standins/src/toucanyard_standins/bench.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench.py
@@ -14,6 +14,7 @@
     "detectors",
     "configuration",
     "restart",
+    "herd",
     "capacity",
 )
 USAGE: Final = f"usage: ./dev bench {'|'.join(NAMES)} [...]"
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/log_gate.py
@@ -0,0 +1,63 @@
+"""Stand between some nodes and the platform, so that the log is down for these only."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import trio
+
+from toucanyard.names import Address
+from toucanyard_node.http_client import ConnectionFailedError, fetch
+from toucanyard_node.http_server import (
+    HttpRequest,
+    HttpServer,
+    Responder,
+    ServerLimits,
+    find_port,
+    open_listener,
+)
+
+_TIMEOUT_MS: Final = 10_000.0
+
+
+class LogGate:
+    """Forward every request to the platform, but none to its log while closed."""
+
+    def __init__(self, platform: Address) -> None:
+        self._platform = platform
+        self.is_closed = False
+
+    async def serve(
+        self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; report the gate's address."""
+        listener = await open_listener("127.0.0.1", 0)
+        server = HttpServer(self.handle, ServerLimits())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, listener)
+            task_status.started(Address(f"127.0.0.1:{find_port(listener)}"))
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Forward one request and its answer."""
+        is_log = request.path.startswith("/log/")
+        try:
+            if is_log and self.is_closed:
+                await responder.send(503, (), b"")
+                return
+            answer = await fetch(
+                self._platform,
+                request.method,
+                request.target,
+                (),
+                request.body,
+                _TIMEOUT_MS,
+            )
+        except ConnectionFailedError:
+            await responder.send(502, (), b"")
+            return
+        # A read that was waiting when the gate closed must bring nothing either.
+        if is_log and self.is_closed:
+            await responder.send(503, (), b"")
+            return
+        content_type = ("Content-Type", "application/json")
+        await responder.send(answer.status, (content_type,), answer.body)
