End connections whose caller takes nothing of its answer

Cause: a caller that is gone without a word, or never reads, held its handler, a place and an engine's stream until the system gave the connection up, after a quarter of an hour or never. Ruled out: a timer for each write; a cancel scope costs more than the write itself on the way of a token event. Conclusion: back-pressure stays for callers that are slow; silence has an end.

--- a/packages/toucanyard-node/src/toucanyard_node/callers_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/callers_face.py
@@ -255,4 +255,5 @@
         max_header_bytes=limits.max_header_bytes,
         header_timeout_ms=limits.header_timeout_ms,
         idle_timeout_ms=limits.idle_timeout_ms,
+        write_timeout_ms=limits.write_timeout_ms,
     )
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Final
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -22,6 +23,7 @@
 
 _LOG: Final = structlog.get_logger()
 _READ_BYTES: Final = 65_536
+_USER_TIMEOUT: Final[int | None] = getattr(socket, "TCP_USER_TIMEOUT", None)
 _RETRY_AFTER_MS: Final = 1_000
 _STOPPING_IDLE_MS: Final = 20
 _TUNNEL: Final = b"CONNECT"
@@ -37,6 +39,8 @@
     max_header_bytes: int = 32_768
     header_timeout_ms: int = 5_000
     idle_timeout_ms: int = 60_000
+    write_timeout_ms: int = 30_000
+    """How long the other side may take nothing of an answer that waits for it."""
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
@@ -183,6 +187,7 @@
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
         self._open_connections += 1
         try:
+            _limit_unread(stream, self._limits.write_timeout_ms)
             await self._serve_connection(stream)
         except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -341,6 +346,17 @@
         await _discard_input(stream)
 
 
+def _limit_unread(stream: trio.SocketStream, timeout_ms: int) -> None:
+    """End the connection when what was sent stays unread or unacknowledged.
+
+    A caller that is gone without a word, or never reads, would hold its handler, an
+    engine's stream and a place for ever. The kernel watches for it at no cost to each
+    write; a timer of our own for each would cost more than the write.
+    """
+    if isinstance(stream, trio.SocketStream) and _USER_TIMEOUT is not None:
+        stream.setsockopt(socket.IPPROTO_TCP, _USER_TIMEOUT, timeout_ms)
+
+
 async def _discard_input(stream: trio.SocketStream) -> None:
     """Read what is under way for a moment before closing.
 
@@ -350,7 +366,7 @@
     await stream.send_eof()
     with trio.move_on_after(0.25):
         while await stream.receive_some(_READ_BYTES):
-            pass
+            _limit_unread(stream, self._limits.write_timeout_ms)
 
 
 async def _watch_hang_up(
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -45,6 +45,8 @@
     max_header_bytes: SizeBytes = 32_768
     header_timeout_ms: DurationMs = 5_000
     idle_timeout_ms: DurationMs = 60_000
+    write_timeout_ms: DurationMs = 30_000
+    """How long a caller may take nothing of an answer that waits for it."""
     default_deadline_ms: DurationMs = 30_000
     max_deadline_ms: DurationMs = 300_000
     """Longest deadline of a caller; at most half of `claims.window_ms`."""
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -210,3 +210,30 @@
         assert head.headers["content-type"] == "text/caf\u00e9"
         assert await connection.read_body() == b"whole"
         nursery.cancel_scope.cancel()
+
+
+async def test_caller_that_never_reads() -> None:
+    """A caller asks for a long answer, reads nothing and keeps its connection.
+
+    Its handler must not wait for ever: an engine's stream and a place would be held for
+    nobody. The connection ends once nothing has been taken for the time allowed.
+    """
+    ended = trio.Event()
+
+    async def send_much(request: HttpRequest, responder: Responder) -> None:
+        await responder.start(200, ())
+        try:
+            while True:
+                await responder.write(bytes(1_000_000))
+        finally:
+            ended.set()
+
+    listener = await open_listener("127.0.0.1", 0)
+    server = HttpServer(send_much, ServerLimits(write_timeout_ms=200))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listener)
+        stream = await trio.open_tcp_stream("127.0.0.1", find_port(listener))
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        with trio.fail_after(30):
+            await ended.wait()
+        nursery.cancel_scope.cancel()
