--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -366,7 +366,7 @@
     await stream.send_eof()
     with trio.move_on_after(0.25):
         while await stream.receive_some(_READ_BYTES):
-            _limit_unread(stream, self._limits.write_timeout_ms)
+            pass
 
 
 async def _watch_hang_up(
