--- a/packages/toucanyard/src/toucanyard/cache_view.py
+++ b/packages/toucanyard/src/toucanyard/cache_view.py
@@ -26,7 +26,7 @@
 NEVER_MS: Final = float("-inf")
 TRIM_PARTS: Final = 16
 """A full view drops this part of its blocks at once."""
-STORED_HALF_LIFE_MS: Final = 7_000.0
+STORED_HALF_LIFE_MS: Final = 5_000.0
 MAX_DEAD: Final = 16
 """Replaced incarnations that are remembered; messages of older ones are long gone."""
 
