Lend an engine's connection back also when the caller hangs up at once

Cause: a caller that closed its connection right after its last byte cancelled the task that was about to lend the engine's connection back, which was then closed. Conclusion: the tests stay as they were.

--- a/packages/toucanyard-node/src/toucanyard_node/kept_streams.py
+++ b/packages/toucanyard-node/src/toucanyard_node/kept_streams.py
@@ -103,7 +103,10 @@
                 while not relay.is_over:
                     await responder.write(await relay.read())
                 await responder.finish()
-                await relay.close()
+                # The caller may hang up as soon as it has its answer. Cut off by that,
+                # the engine's connection would be closed, though its answer was whole.
+                with trio.CancelScope(shield=True):
+                    await relay.close()
         finally:
             self.let_go(stream)
 
