Refuse numbers in a patch that no float holds

Cause: found by fuzzing. An accepted max_running of 10**400, or a price of 1e308, raised OverflowError in the core of every node when it was weighed, and at each replay again: no node would have started any more. Ruled out: catching it where it is used; every use would have to, and replay must give the same verdict everywhere. Before: the new tests failed (4). After: pytest test_patches.py and test_configuration_log.py pass. Conclusion: numbers of a configuration are at most 10**9.

--- a/packages/toucanyard/src/toucanyard/patches.py
+++ b/packages/toucanyard/src/toucanyard/patches.py
@@ -27,6 +27,7 @@
 
 MAX_PATCH_BYTES: Final = 262_144
 MAX_CONFIGURATION_BYTES: Final = 4_000_000
+_MAX_NUMBER: Final = 10**9
 _NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}")
 _KEY_HASH: Final = re.compile(r"[0-9a-f]{64}")
 _ADDRESS: Final = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}")
@@ -232,7 +233,8 @@
 
 def _check_numbers(configuration: Configuration) -> None:
     for customer in configuration.customers:
-        if not 0 < customer.weight <= 1_000 or customer.max_running < 0:
+        is_weighed = 0 < customer.weight <= 1_000
+        if not is_weighed or not 0 <= customer.max_running <= _MAX_NUMBER:
             raise PatchInvalidError(f"found numbers of {customer.name!r} out of range")
     for pool in configuration.pools:
         placement = pool.placement
@@ -242,9 +244,18 @@
             placement.candidates - 1,
             placement.max_running - 1,
         )
-        # Not-a-number compares false with everything, and is refused so.
-        if not least >= 0:
+        most = max(
+            placement.prefill_ms_per_block,
+            placement.recompute_price,
+            placement.candidates,
+            placement.max_running,
+        )
+        # Not-a-number compares false with everything, and is refused so. A number that
+        # no float holds would raise in every node, at each replay of the patch.
+        if not least >= 0 or not most <= _MAX_NUMBER:
             raise PatchInvalidError(f"found placement of {pool.name!r} out of range")
     for service in configuration.services:
-        if service.max_running < 1:
-            raise PatchInvalidError(f"found max_running of {service.name!r} below 1")
+        if not 1 <= service.max_running <= _MAX_NUMBER:
+            raise PatchInvalidError(
+                f"found max_running of {service.name!r} out of range"
+            )
--- a/tests/toucanyard/test_patches.py
+++ b/tests/toucanyard/test_patches.py
@@ -122,6 +122,26 @@
         apply(put, remove)
 
 
+@pytest.mark.parametrize(
+    "placement",
+    [
+        PlacementPolicy(max_running=10**400),
+        PlacementPolicy(candidates=10**400),
+        PlacementPolicy(prefill_ms_per_block=1e308),
+        PlacementPolicy(recompute_price=1e308),
+    ],
+)
+def test_number_that_no_float_holds_is_refused(placement: PlacementPolicy) -> None:
+    # An operator slips on a key. Accepted, the number raises in every node when it is
+    # weighed, and again at each replay: no node would start any more.
+    with pytest.raises(PatchInvalidError):
+        apply(Put(pools=(msgspec.structs.replace(POOL, placement=placement),)))
+    with pytest.raises(PatchInvalidError):
+        apply(Put(services=(Service(ServiceName("s"), (), max_running=10**400),)))
+    with pytest.raises(PatchInvalidError):
+        apply(Put(customers=(Customer(CustomerName("c"), (), max_running=10**400),)))
+
+
 NAMES = st.sampled_from(["c", "o", "p", "s", "e1", "e2", "m", "x", "", "a b"])
 LISTS = st.lists(NAMES, max_size=3).map(tuple)
 CUSTOMERS = st.builds(
