--- a/packages/toucanyard/src/toucanyard/snapshot_exchange.py
+++ b/packages/toucanyard/src/toucanyard/snapshot_exchange.py
@@ -34,10 +34,6 @@
 """How long after the start a snapshot is of use: everything is learned by then."""
 
 
-_HOT_PREFIXES: Final = 1_024
-"""Most prefixes given to a starting node: more don't recur often enough to matter."""
-
-
 class SnapshotExchange:
     """The snapshots that one node serves, and the one that it fetches at its start.
 
@@ -101,7 +97,7 @@
         yield from _to_message(self._fetch.handle(sender, message, now_ms))
         if self._fetch.snapshot is not None:
             self._is_done = True
-            self._apply(self._fetch.snapshot, now_ms)
+            self._apply(self._fetch.snapshot)
 
     def _build(self, now_ms: float) -> Snapshot:
         membership = self._membership
@@ -118,14 +114,12 @@
         return Snapshot(
             configuration=self._log.build_checkpoint() if is_in_force else None,
             endpoints=tuple(hints),
-            prefixes=self._placement.export_hot(_HOT_PREFIXES, now_ms),
             next_offset=self._log.next_offset,
         )
 
-    def _apply(self, snapshot: Snapshot, now_ms: float) -> None:
+    def _apply(self, snapshot: Snapshot) -> None:
         if snapshot.configuration is not None:
             self._log.adopt(snapshot.configuration)
-        self._placement.seed_hot(snapshot.prefixes, now_ms)
         for hint in snapshot.endpoints:
             if self._membership.find_incarnation(hint.endpoint) is not None:
                 # What this node has seen itself since its start is newer.
