--- a/packages/toucanyard-node/src/toucanyard_node/caller_context.py
+++ b/packages/toucanyard-node/src/toucanyard_node/caller_context.py
@@ -23,7 +23,11 @@
     ServiceTarget,
 )
 from toucanyard_node.http_client import Response
-from toucanyard_node.http_server import Headers, HttpRequest, Responder
+from toucanyard_node.http_exchange import (
+    Headers,
+    HttpRequest,
+    Responder,
+)
 from toucanyard_node.refusals import render_refusal
 
 _MAX_KEY_CHARS: Final = 255
--- a/packages/toucanyard-node/src/toucanyard_node/callers_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/callers_face.py
@@ -25,11 +25,13 @@
 from toucanyard_node.credentials import CustomerIndex
 from toucanyard_node.drain import DrainState
 from toucanyard_node.http_client import Connect, connect
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     CallerGoneError,
     Headers,
     HttpRequest,
     Responder,
+)
+from toucanyard_node.http_server import (
     ServerLimits,
 )
 from toucanyard_node.locate_answer import LocateAnswer, NodeIdentity
--- a/packages/toucanyard-node/src/toucanyard_node/drain.py
+++ b/packages/toucanyard-node/src/toucanyard_node/drain.py
@@ -8,7 +8,9 @@
 import trio
 
 from toucanyard.options import Options
-from toucanyard_node.http_server import HttpServer
+from toucanyard_node.http_server import (
+    HttpServer,
+)
 
 _POLL_S: Final = 0.02
 
--- a/packages/toucanyard-node/src/toucanyard_node/kept_streams.py
+++ b/packages/toucanyard-node/src/toucanyard_node/kept_streams.py
@@ -11,7 +11,9 @@
 from toucanyard.names import CustomerName, RequestId
 from toucanyard.options import StreamLimits
 from toucanyard.requests import Repeatability
-from toucanyard_node.http_server import Responder
+from toucanyard_node.http_exchange import (
+    Responder,
+)
 from toucanyard_node.sheltered import Spawn
 from toucanyard_node.stream_relay import StreamRelay
 
--- a/packages/toucanyard-node/src/toucanyard_node/operators_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operators_face.py
@@ -29,7 +29,11 @@
 )
 from toucanyard_node.drain import DrainState
 from toucanyard_node.http_client import ConnectionFailedError, fetch
-from toucanyard_node.http_server import CallerGoneError, HttpRequest, Responder
+from toucanyard_node.http_exchange import (
+    CallerGoneError,
+    HttpRequest,
+    Responder,
+)
 from toucanyard_node.operator_answers import (
     EndpointStatus,
     HistoryReply,
--- a/packages/toucanyard-standins/src/toucanyard_standins/answers.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/answers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     CallerGoneError,
     Headers,
     HttpRequest,
--- a/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
@@ -8,7 +8,11 @@
 import msgspec
 import trio
 
-from toucanyard_node.http_server import Headers, HttpRequest, Responder
+from toucanyard_node.http_exchange import (
+    Headers,
+    HttpRequest,
+    Responder,
+)
 from toucanyard_standins.answers import JSON_TYPE, send_error
 from toucanyard_standins.engine import Engine
 from toucanyard_standins.engine_streams import TOKEN_BYTES, AnswerStream
--- a/packages/toucanyard-standins/src/toucanyard_standins/log_gate.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/log_gate.py
@@ -8,10 +8,12 @@
 
 from toucanyard.names import Address
 from toucanyard_node.http_client import ConnectionFailedError, fetch
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     HttpRequest,
-    HttpServer,
     Responder,
+)
+from toucanyard_node.http_server import (
+    HttpServer,
     ServerLimits,
     find_port,
     open_listener,
--- a/packages/toucanyard-standins/src/toucanyard_standins/main.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/main.py
@@ -10,7 +10,9 @@
 
 from toucanyard.names import Address
 from toucanyard_node.http_client import split_address
-from toucanyard_node.http_server import open_listener
+from toucanyard_node.http_server import (
+    open_listener,
+)
 from toucanyard_standins.engine_batch import CostModel
 from toucanyard_standins.engine_face import serve_engine
 from toucanyard_standins.engine_state import EngineOptions
--- a/packages/toucanyard-standins/src/toucanyard_standins/plain_relay.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/plain_relay.py
@@ -12,10 +12,12 @@
 
 from toucanyard.names import Address
 from toucanyard_node.http_client import HttpConnection, connect
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     HttpRequest,
-    HttpServer,
     Responder,
+)
+from toucanyard_node.http_server import (
+    HttpServer,
     ServerLimits,
     find_port,
 )
--- a/packages/toucanyard-standins/src/toucanyard_standins/plain_service.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/plain_service.py
@@ -9,10 +9,12 @@
 import trio
 
 from toucanyard.names import Address
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     HttpRequest,
-    HttpServer,
     Responder,
+)
+from toucanyard_node.http_server import (
+    HttpServer,
     ServerLimits,
     find_port,
 )
--- a/tests/standin_examples.py
+++ b/tests/standin_examples.py
@@ -15,7 +15,9 @@
     connect,
     fetch,
 )
-from toucanyard_node.http_server import open_listener
+from toucanyard_node.http_server import (
+    open_listener,
+)
 from toucanyard_standins.engine_batch import CostModel
 from toucanyard_standins.engine_face import serve_engine
 from toucanyard_standins.engine_state import EngineOptions
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -57,7 +57,11 @@
     Response,
     connect,
 )
-from toucanyard_node.http_server import HttpServer, find_port, open_listener
+from toucanyard_node.http_server import (
+    HttpServer,
+    find_port,
+    open_listener,
+)
 from toucanyard_node.locate_answer import LocateAnswer, NodeIdentity
 from toucanyard_node.sse import get_text, read_chunk
 
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -8,7 +8,10 @@
 import msgspec
 import trio
 
-from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.http_exchange import (
+    HttpRequest,
+    Responder,
+)
 
 
 class Then(enum.Enum):
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -13,7 +13,11 @@
 
 from toucanyard.names import Address
 from toucanyard_node.http_client import ConnectionFailedError, HttpConnection
-from toucanyard_node.http_server import Handler, HttpServer, ServerLimits
+from toucanyard_node.http_server import (
+    Handler,
+    HttpServer,
+    ServerLimits,
+)
 
 
 class MemoryListener(trio.abc.Listener[trio.abc.Stream]):
--- a/tests/support/operators.py
+++ b/tests/support/operators.py
@@ -24,7 +24,9 @@
 from toucanyard_node.credentials import compute_key_hash
 from toucanyard_node.drain import DrainState
 from toucanyard_node.http_client import Headers, Response
-from toucanyard_node.http_server import ServerLimits
+from toucanyard_node.http_server import (
+    ServerLimits,
+)
 from toucanyard_node.operators_face import OperatorsFace
 
 BOOTSTRAP_KEY = "key-of-the-first-hour"
--- a/tests/toucanyard_node/test_connection_pool.py
+++ b/tests/toucanyard_node/test_connection_pool.py
@@ -19,7 +19,14 @@
     HttpConnection,
     connect,
 )
-from toucanyard_node.http_server import HttpRequest, Responder, find_port, open_listener
+from toucanyard_node.http_exchange import (
+    HttpRequest,
+    Responder,
+)
+from toucanyard_node.http_server import (
+    find_port,
+    open_listener,
+)
 
 ADDRESS = Address("10.0.0.1:80")
 
--- a/tests/toucanyard_node/test_endpoint_watch.py
+++ b/tests/toucanyard_node/test_endpoint_watch.py
@@ -20,7 +20,10 @@
     WatchEvent,
     compute_poll_wait_ms,
 )
-from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.http_exchange import (
+    HttpRequest,
+    Responder,
+)
 from toucanyard_node.vm_list import compute_wait_ms
 
 TIMINGS = MembershipTimings()
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -13,11 +13,13 @@
 from support.network import MemoryNetwork
 from toucanyard.names import Address
 from toucanyard_node.http_client import ConnectionFailedError, connect
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     CallerGoneError,
     HttpRequest,
-    HttpServer,
     Responder,
+)
+from toucanyard_node.http_server import (
+    HttpServer,
     ServerLimits,
     find_port,
     open_listener,
--- a/tests/toucanyard_node/test_log_client.py
+++ b/tests/toucanyard_node/test_log_client.py
@@ -11,10 +11,12 @@
 from toucanyard.core_events import LogRead, LogStateSeen
 from toucanyard.names import Address
 from toucanyard_node.http_client import Response
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     HttpRequest,
-    HttpServer,
     Responder,
+)
+from toucanyard_node.http_server import (
+    HttpServer,
     ServerLimits,
     find_port,
     open_listener,
--- a/tests/toucanyard_node/test_log_writer.py
+++ b/tests/toucanyard_node/test_log_writer.py
@@ -15,10 +15,12 @@
 )
 from toucanyard.names import Address
 from toucanyard.options import ClaimLimits
-from toucanyard_node.http_server import (
+from toucanyard_node.http_exchange import (
     HttpRequest,
-    HttpServer,
     Responder,
+)
+from toucanyard_node.http_server import (
+    HttpServer,
     ServerLimits,
     find_port,
 )
--- a/tests/toucanyard_node/test_order_sender.py
+++ b/tests/toucanyard_node/test_order_sender.py
@@ -10,7 +10,10 @@
 from toucanyard.names import Address, EndpointName, PoolName
 from toucanyard.orders import Order, OrderKind, OrderOutcome, ReadState, SendOrder
 from toucanyard_node.http_client import Response
-from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.http_exchange import (
+    HttpRequest,
+    Responder,
+)
 from toucanyard_node.order_sender import OrderEvent, OrderSender, find_outcome
 
 ADDRESS = Address("10.0.0.1:1")
--- a/tests/toucanyard_node/test_vm_list.py
+++ b/tests/toucanyard_node/test_vm_list.py
@@ -14,7 +14,10 @@
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import VmState
 from toucanyard_node.http_client import is_possible
-from toucanyard_node.http_server import HttpRequest, Responder
+from toucanyard_node.http_exchange import (
+    HttpRequest,
+    Responder,
+)
 from toucanyard_node.vm_list import poll_vm_list
 
 ADDRESS = Address("10.0.0.9:80")
--- a/tests/toucanyard_standins/test_plain_relay.py
+++ b/tests/toucanyard_standins/test_plain_relay.py
@@ -4,7 +4,9 @@
 
 from standin_examples import completion, post, read_text, start_engine
 from toucanyard.names import Address
-from toucanyard_node.http_server import open_listener
+from toucanyard_node.http_server import (
+    open_listener,
+)
 from toucanyard_standins.load import Target, run_short_requests, run_streams
 from toucanyard_standins.plain_relay import RelayOptions, serve_plain_relay
 
