Split the messages of at-most-once by where they cross

After: platform_log, key_records, key_messages and claim_events, and NodeId beside the other names; ruff, strict types and pytest tests/toucanyard pass; no behaviour changed.

--- a/packages/toucanyard-node/src/toucanyard_node/log_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_client.py
@@ -12,8 +12,11 @@
 
 import msgspec
 
-from toucanyard.claim_messages import AppendResult, LogRecord
 from toucanyard.names import Address
+from toucanyard.platform_log import (
+    AppendResult,
+    LogRecord,
+)
 from toucanyard_node.http_client import (
     BodyTooLargeError,
     ConnectionFailedError,
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -11,7 +11,9 @@
 import structlog
 import trio
 
-from toucanyard.claim_messages import HandOverBegun
+from toucanyard.claim_events import (
+    HandOverBegun,
+)
 from toucanyard.core_events import AppendToLog, DrainBegun, ReadDump, SendMessage
 from toucanyard.names import Address, Incarnation
 from toucanyard.node_core import CoreEvent
--- a/packages/toucanyard-node/src/toucanyard_node/operator_answers.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operator_answers.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from toucanyard.claim_messages import NodeId
 from toucanyard.configuration import Configuration
 from toucanyard.configuration_records import HistoryEntry
 from toucanyard.errorcodes import ErrorKind
@@ -13,6 +12,7 @@
     DomainName,
     EndpointName,
     Incarnation,
+    NodeId,
     NodeName,
     PoolName,
 )
--- a/packages/toucanyard-node/src/toucanyard_node/peer_greeting.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_greeting.py
@@ -19,8 +19,11 @@
 import msgspec
 from websockets.trio.connection import Connection
 
-from toucanyard.claim_messages import NodeId
-from toucanyard.names import Incarnation, NodeName
+from toucanyard.names import (
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 
 PROTOCOL_VERSION: Final = 1
 _NONCE_BYTES: Final = 32
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -19,9 +19,11 @@
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection, serve as serve_websockets
 
-from toucanyard.claim_messages import NodeId
 from toucanyard.core_events import LinksChanged, MessageRead, SendMessage
-from toucanyard.names import NodeName
+from toucanyard.names import (
+    NodeId,
+    NodeName,
+)
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import Vm
 from toucanyard.wire import (
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_claims.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_claims.py
@@ -21,7 +21,7 @@
 from hdrh.histogram import HdrHistogram
 
 from toucanyard.at_most_once import AtMostOnce
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     AllowDispatch,
     AppendRecord,
     ClaimAction,
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_requests.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_requests.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from toucanyard.admission import Admission
-from toucanyard.claim_messages import LogRecord
 from toucanyard.configuration import Configuration, PriorityClass
 from toucanyard.core_events import (
     DispatchOver,
@@ -24,6 +23,9 @@
 from toucanyard.names import CustomerName, EndpointName, Incarnation, RequestId
 from toucanyard.node_core import NodeCore
 from toucanyard.options import AdmissionLimits
+from toucanyard.platform_log import (
+    LogRecord,
+)
 from toucanyard.requests import Dispatch, EndingSeen, Outcome
 from toucanyard.scoring import Score
 from toucanyard.statistics import StatisticsCollector
--- a/packages/toucanyard-standins/src/toucanyard_standins/key_slopes.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/key_slopes.py
@@ -10,25 +10,36 @@
 import numpy as np
 
 from toucanyard.at_most_once import AtMostOnce
-from toucanyard.claim_messages import (
-    ClaimRecord,
+from toucanyard.claim_events import (
     ClaimRecordsRead,
     DispatchEnded,
+    KeyedArrived,
+    LogState,
+    PeerMessageArrived,
+)
+from toucanyard.key_messages import (
     HandedKey,
     HandKeys,
-    KeyedArrived,
-    KeyName,
     KeyStatus,
-    LogRecord,
-    LogState,
-    NodeId,
     NoteKey,
     OpenLedger,
-    PeerMessageArrived,
+)
+from toucanyard.key_records import (
+    ClaimRecord,
+    KeyName,
     encode_record,
 )
-from toucanyard.names import CustomerName, Incarnation, NodeName, RequestId
+from toucanyard.names import (
+    CustomerName,
+    Incarnation,
+    NodeId,
+    NodeName,
+    RequestId,
+)
 from toucanyard.options import ClaimLimits
+from toucanyard.platform_log import (
+    LogRecord,
+)
 from toucanyard.requests import EndingSeen, KeptAnswer
 
 _CUSTOMER: Final = CustomerName("lanchas")
--- a/packages/toucanyard/src/toucanyard/at_most_once.py
+++ b/packages/toucanyard/src/toucanyard/at_most_once.py
@@ -14,35 +14,19 @@
 from collections.abc import Iterator
 from typing import Final
 
-from toucanyard.claim_messages import (
-    AskHanded,
-    AskKey,
+from toucanyard.claim_events import (
     CallerLeft,
     ClaimAction,
     ClaimEvent,
     ClaimRecordsRead,
     DispatchEnded,
     DispatchStarted,
-    HandKeys,
     HandOverBegun,
     KeyedArrived,
-    KeyMessage,
-    KeyName,
-    KeyNoted,
-    KeysHandedOver,
-    KeysTaken,
-    KeyStatus,
-    KeyTold,
-    LedgerOpened,
     LogState,
-    NodeId,
-    NoteKey,
-    OpenLedger,
     PeerMessageArrived,
     PeersChanged,
     RecordsSettled,
-    SealAnswered,
-    SealKey,
     Ticked,
 )
 from toucanyard.claimed_keys import ClaimedKeys
@@ -54,8 +38,32 @@
 from toucanyard.key_entries import KeyEntry, Phase
 from toucanyard.key_handover import KeyHandover
 from toucanyard.key_issuer import KeyIssuer
+from toucanyard.key_messages import (
+    AskHanded,
+    AskKey,
+    HandKeys,
+    KeyMessage,
+    KeyNoted,
+    KeysHandedOver,
+    KeysTaken,
+    KeyStatus,
+    KeyTold,
+    LedgerOpened,
+    NoteKey,
+    OpenLedger,
+    SealAnswered,
+    SealKey,
+)
 from toucanyard.key_questions import KeyQuestions
-from toucanyard.names import Incarnation, NodeName, RequestId
+from toucanyard.key_records import (
+    KeyName,
+)
+from toucanyard.names import (
+    Incarnation,
+    NodeId,
+    NodeName,
+    RequestId,
+)
 from toucanyard.noted_keys import NotedKeys
 from toucanyard.options import ClaimLimits
 from toucanyard.requests import EndingSeen
--- a/packages/toucanyard/src/toucanyard/claimed_keys.py
+++ b/packages/toucanyard/src/toucanyard/claimed_keys.py
@@ -4,23 +4,27 @@
 
 from collections.abc import Iterator
 
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     AppendRecord,
-    AppendResult,
     ClaimAction,
-    ClaimRecord,
     ClaimRecordsRead,
-    HandedOverRecord,
     KeyedArrived,
-    KeyName,
     RecordsSettled,
-    encode_record,
 )
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.followed_keys import FollowedKeys
 from toucanyard.key_answers import refuse_unclaimed
 from toucanyard.key_book import KeyBook
 from toucanyard.key_entries import KeyEntry, Phase
+from toucanyard.key_records import (
+    ClaimRecord,
+    HandedOverRecord,
+    KeyName,
+    encode_record,
+)
+from toucanyard.platform_log import (
+    AppendResult,
+)
 
 
 class ClaimedKeys:
--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -9,16 +9,22 @@
 from dataclasses import dataclass
 from typing import Final
 
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
+    ClaimRecordsRead,
+)
+from toucanyard.key_records import (
     AbandonRecord,
     ClaimRecord,
-    ClaimRecordsRead,
     HandedOverRecord,
     KeyName,
-    LogRecord,
-    NodeId,
     decode_record,
 )
+from toucanyard.names import (
+    NodeId,
+)
+from toucanyard.platform_log import (
+    LogRecord,
+)
 
 _REMEMBER_IN_WINDOWS: Final = 1.25
 """Longer than a key may be used, so that clocks that drift apart do no harm."""
--- a/packages/toucanyard/src/toucanyard/configuration_spread.py
+++ b/packages/toucanyard/src/toucanyard/configuration_spread.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from toucanyard.claim_messages import AppendResult
 from toucanyard.configuration_log import ConfigurationLog, PatchResult
 from toucanyard.configuration_records import (
     ConfigurationDelta,
@@ -36,6 +35,9 @@
 )
 from toucanyard.names import NodeName
 from toucanyard.patches import PatchInvalidError
+from toucanyard.platform_log import (
+    AppendResult,
+)
 
 _PATCH_PREFIX: Final = "patch-"
 _CHECKPOINT_PREFIX: Final = "checkpoint-"
--- a/packages/toucanyard/src/toucanyard/core_events.py
+++ b/packages/toucanyard/src/toucanyard/core_events.py
@@ -9,12 +9,21 @@
 import msgspec
 
 from toucanyard.cache_view import CacheDump, CacheEvents
-from toucanyard.claim_messages import AppendResult, LogRecord, NodeId
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.load_view import LoadReport
-from toucanyard.names import Address, EndpointName, NodeName, RequestId
+from toucanyard.names import (
+    Address,
+    EndpointName,
+    NodeId,
+    NodeName,
+    RequestId,
+)
 from toucanyard.orders import EndpointState, OrderOutcome, SendOrder
 from toucanyard.patches import Patch
+from toucanyard.platform_log import (
+    AppendResult,
+    LogRecord,
+)
 from toucanyard.requests import Outcome, Request, Verdict
 from toucanyard.vm_view import Vm
 from toucanyard.wire import PeerMessage
--- a/packages/toucanyard/src/toucanyard/duties.py
+++ b/packages/toucanyard/src/toucanyard/duties.py
@@ -14,9 +14,12 @@
 
 import msgspec
 
-from toucanyard.claim_messages import NodeId
 from toucanyard.core_events import AppendToLog
-from toucanyard.names import NodeName, PoolName
+from toucanyard.names import (
+    NodeId,
+    NodeName,
+    PoolName,
+)
 from toucanyard.vm_view import compute_rank
 
 DUTY_PREFIX: Final = "duty-"
--- a/packages/toucanyard/src/toucanyard/followed_keys.py
+++ b/packages/toucanyard/src/toucanyard/followed_keys.py
@@ -5,25 +5,31 @@
 import random
 from collections.abc import Iterator
 
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
+    ClaimAction,
+    KeyedArrived,
+)
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.issued_keys import IssuedKey
+from toucanyard.key_answers import refuse, refuse_unclaimed, tell_status
+from toucanyard.key_book import KeyBook
+from toucanyard.key_entries import KeyEntry, Phase
+from toucanyard.key_messages import (
     AskHanded,
     AskKey,
-    ClaimAction,
     HandedKey,
-    KeyedArrived,
-    KeyName,
     KeyStatus,
     KeyTold,
     LedgerStatus,
-    NodeId,
     SealAnswered,
     SealKey,
 )
-from toucanyard.errorcodes import ErrorKind
-from toucanyard.issued_keys import IssuedKey
-from toucanyard.key_answers import refuse, refuse_unclaimed, tell_status
-from toucanyard.key_book import KeyBook
-from toucanyard.key_entries import KeyEntry, Phase
+from toucanyard.key_records import (
+    KeyName,
+)
+from toucanyard.names import (
+    NodeId,
+)
 
 
 class FollowedKeys:
--- a/packages/toucanyard/src/toucanyard/handed_keys.py
+++ b/packages/toucanyard/src/toucanyard/handed_keys.py
@@ -6,8 +6,14 @@
 from dataclasses import dataclass
 from typing import Final
 
-from toucanyard.claim_messages import HandedKey, KeyName, KeyStatus
 from toucanyard.kept_answers import KeptAnswers
+from toucanyard.key_messages import (
+    HandedKey,
+    KeyStatus,
+)
+from toucanyard.key_records import (
+    KeyName,
+)
 from toucanyard.options import ClaimLimits
 
 _SHARE_OF_LIMITS: Final = 2
--- a/packages/toucanyard/src/toucanyard/issued_keys.py
+++ b/packages/toucanyard/src/toucanyard/issued_keys.py
@@ -10,8 +10,11 @@
 
 import msgspec
 
-from toucanyard.claim_messages import NodeId
-from toucanyard.names import Incarnation, NodeName
+from toucanyard.names import (
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 
 _MARK: Final = "tk1"
 _SEPARATOR: Final = "~"
--- a/packages/toucanyard/src/toucanyard/kept_answers.py
+++ b/packages/toucanyard/src/toucanyard/kept_answers.py
@@ -4,7 +4,9 @@
 
 from typing import Final
 
-from toucanyard.claim_messages import KeyName
+from toucanyard.key_records import (
+    KeyName,
+)
 from toucanyard.requests import KeptAnswer
 
 _OVERHEAD_BYTES: Final = 400
--- a/packages/toucanyard/src/toucanyard/key_answers.py
+++ b/packages/toucanyard/src/toucanyard/key_answers.py
@@ -5,13 +5,15 @@
 import random
 from typing import Final
 
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     KeyedArrived,
-    KeyStatus,
     RefuseKeyed,
     ReplayAnswer,
 )
 from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
+from toucanyard.key_messages import (
+    KeyStatus,
+)
 from toucanyard.requests import KeptAnswer
 
 _RETRY_AFTER_MS: Final = 500
--- a/packages/toucanyard/src/toucanyard/key_book.py
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -7,22 +7,13 @@
 from collections.abc import Iterator
 from typing import Final
 
-from toucanyard.claim_messages import (
-    AbandonRecord,
+from toucanyard.claim_events import (
     AllowDispatch,
     AppendRecord,
     ClaimAction,
-    HandedKey,
-    HandedOverRecord,
     KeyedArrived,
-    KeyMessage,
-    KeyName,
-    KeyStatus,
-    KeyTold,
-    NodeId,
     PeerView,
     SendToPeer,
-    encode_record,
 )
 from toucanyard.claims import ClaimIndex
 from toucanyard.errorcodes import ErrorKind
@@ -31,7 +22,23 @@
 from toucanyard.kept_answers import KeptAnswers
 from toucanyard.key_answers import refuse, tell_status
 from toucanyard.key_entries import EndedKey, KeyEntry, Phase
-from toucanyard.names import CustomerName, RequestId
+from toucanyard.key_messages import (
+    HandedKey,
+    KeyMessage,
+    KeyStatus,
+    KeyTold,
+)
+from toucanyard.key_records import (
+    AbandonRecord,
+    HandedOverRecord,
+    KeyName,
+    encode_record,
+)
+from toucanyard.names import (
+    CustomerName,
+    NodeId,
+    RequestId,
+)
 from toucanyard.options import ClaimLimits
 from toucanyard.requests import KeptAnswer
 from toucanyard.stopped_nodes import StoppedNodes
--- a/packages/toucanyard/src/toucanyard/key_entries.py
+++ b/packages/toucanyard/src/toucanyard/key_entries.py
@@ -5,9 +5,20 @@
 import enum
 from dataclasses import dataclass, field
 
-from toucanyard.claim_messages import KeyedArrived, KeyName, KeyStatus, NodeId
+from toucanyard.claim_events import (
+    KeyedArrived,
+)
 from toucanyard.issued_keys import IssuedKey
-from toucanyard.names import RequestId
+from toucanyard.key_messages import (
+    KeyStatus,
+)
+from toucanyard.key_records import (
+    KeyName,
+)
+from toucanyard.names import (
+    NodeId,
+    RequestId,
+)
 
 
 class Phase(enum.Enum):
--- a/packages/toucanyard/src/toucanyard/key_handover.py
+++ b/packages/toucanyard/src/toucanyard/key_handover.py
@@ -8,16 +8,20 @@
 
 import msgspec
 
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     ClaimAction,
+    PeerView,
+)
+from toucanyard.key_book import KeyBook
+from toucanyard.key_messages import (
     HandedKey,
     HandKeys,
     KeysHandedOver,
     KeysTaken,
+)
+from toucanyard.names import (
     NodeId,
-    PeerView,
 )
-from toucanyard.key_book import KeyBook
 
 _HOLDERS: Final = 2
 _MAX_BATCH_KEYS: Final = 256
--- a/packages/toucanyard/src/toucanyard/key_issuer.py
+++ b/packages/toucanyard/src/toucanyard/key_issuer.py
@@ -5,14 +5,18 @@
 import random
 from typing import Final
 
-from toucanyard.claim_messages import (
-    LedgerOpened,
-    NodeId,
-    OpenLedger,
+from toucanyard.claim_events import (
     PeerView,
     SendToPeer,
 )
 from toucanyard.issued_keys import IssuedKey, format_prefix
+from toucanyard.key_messages import (
+    LedgerOpened,
+    OpenLedger,
+)
+from toucanyard.names import (
+    NodeId,
+)
 
 _PATIENCE_IN_RESENDS: Final = 10
 
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_messages.py
@@ -0,0 +1,166 @@
+"""Give the messages in which nodes ask and tell one another about keys."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from toucanyard.key_records import KeyName
+from toucanyard.names import Incarnation, NodeId
+from toucanyard.requests import KeptAnswer
+
+
+class KeyStatus(enum.StrEnum):
+    """What the only node that may dispatch a key says about it."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    """Never dispatched, and from now on never will be."""
+    UNKNOWN = "unknown"
+
+
+class LedgerStatus(enum.StrEnum):
+    """What a witness says about one issued key."""
+
+    NOTED = "noted"
+    SEALED = "sealed"
+    GONE = "gone"
+    """The witness doesn't know the ledger (any more) or has no room."""
+
+
+class AskKey(msgspec.Struct, frozen=True, tag="ask_key"):
+    """Ask the claimer or issuer of a key how its request stands.
+
+    `claim_id` is that of the winning claim, or empty for an issued key.
+    """
+
+    to: Incarnation
+    name: KeyName
+    claim_id: str
+
+
+class KeyTold(msgspec.Struct, frozen=True, tag="key_told"):
+    """Tell how the request of a key stands; `digest` is that of the claimed body.
+
+    `claim_id` repeats the question's, so that a late answer isn't taken for another.
+    """
+
+    to: Incarnation
+    name: KeyName
+    claim_id: str
+    status: KeyStatus
+    digest: bytes
+    answer: KeptAnswer | None = None
+
+
+class OpenLedger(msgspec.Struct, frozen=True, tag="open_ledger"):
+    """Ask a node to witness keys; `request` makes a repeated message harmless."""
+
+    to: Incarnation
+    request: int
+
+
+class LedgerOpened(msgspec.Struct, frozen=True, tag="ledger_opened"):
+    """Give the number of a ledger; numbers are never used again."""
+
+    to: Incarnation
+    request: int
+    ledger: int
+
+
+class NoteKey(msgspec.Struct, frozen=True, tag="note_key"):
+    """Ask the witness to note a key, so that it can't be sealed any more."""
+
+    to: Incarnation
+    ledger: int
+    name: KeyName
+
+
+class KeyNoted(msgspec.Struct, frozen=True, tag="key_noted"):
+    """Answer a NoteKey."""
+
+    to: Incarnation
+    ledger: int
+    name: KeyName
+    status: LedgerStatus
+
+
+class SealKey(msgspec.Struct, frozen=True, tag="seal_key"):
+    """Ask the witness to seal a key, so that it can't be noted any more."""
+
+    to: Incarnation
+    ledger: int
+    issuer: NodeId
+    name: KeyName
+
+
+class SealAnswered(msgspec.Struct, frozen=True, tag="seal_answered"):
+    """Answer a SealKey."""
+
+    to: Incarnation
+    ledger: int
+    name: KeyName
+    status: LedgerStatus
+
+
+class HandedKey(msgspec.Struct, frozen=True):
+    """How a key ended on the only node that might dispatch it.
+
+    This is a fact about the past and gives nobody the right to dispatch the key.
+    `claim_id` is the winning claim that ended so, or empty for an issued key.
+    """
+
+    name: KeyName
+    claim_id: str
+    status: KeyStatus
+    digest: bytes
+    answer: KeptAnswer | None = None
+
+
+class HandKeys(msgspec.Struct, frozen=True, tag="hand_keys"):
+    """Ask a node to hold ended keys of a node that stops as planned."""
+
+    to: Incarnation
+    batch: int
+    keys: tuple[HandedKey, ...]
+
+
+class KeysTaken(msgspec.Struct, frozen=True, tag="keys_taken"):
+    """Answer a HandKeys; the node takes all keys of the batch or none."""
+
+    to: Incarnation
+    batch: int
+    is_taken: bool
+
+
+class KeysHandedOver(msgspec.Struct, frozen=True, tag="keys_handed_over"):
+    """Tell that the sender stops as planned and which nodes hold its ended keys."""
+
+    to: Incarnation
+    holders: tuple[NodeId, ...]
+
+
+class AskHanded(msgspec.Struct, frozen=True, tag="ask_handed"):
+    """Ask a holder how a key of a stopped node ended; answered by a KeyTold."""
+
+    to: Incarnation
+    name: KeyName
+    claim_id: str
+
+
+KeyMessage = (
+    AskKey
+    | KeyTold
+    | OpenLedger
+    | LedgerOpened
+    | NoteKey
+    | KeyNoted
+    | SealKey
+    | SealAnswered
+    | HandKeys
+    | KeysTaken
+    | KeysHandedOver
+    | AskHanded
+)
--- a/packages/toucanyard/src/toucanyard/key_questions.py
+++ b/packages/toucanyard/src/toucanyard/key_questions.py
@@ -4,23 +4,27 @@
 
 from collections.abc import Iterator
 
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
+    ClaimAction,
+)
+from toucanyard.key_book import KeyBook
+from toucanyard.key_entries import EndedKey
+from toucanyard.key_messages import (
     AskHanded,
     AskKey,
-    ClaimAction,
     KeyMessage,
     KeyNoted,
     KeyStatus,
     KeyTold,
     LedgerOpened,
-    NodeId,
     NoteKey,
     OpenLedger,
     SealAnswered,
     SealKey,
 )
-from toucanyard.key_book import KeyBook
-from toucanyard.key_entries import EndedKey
+from toucanyard.names import (
+    NodeId,
+)
 from toucanyard.noted_keys import NotedKeys
 from toucanyard.witness_ledgers import WitnessLedgers
 
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/key_records.py
@@ -0,0 +1,66 @@
+"""Name keys, and give the records in which claims on them cross the platform's log.
+
+Records are JSON texts with a `kind` tag; a text of another kind is another module's.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import CustomerName, NodeId
+
+
+class KeyName(msgspec.Struct, frozen=True):
+    """One idempotency key of one customer."""
+
+    customer: CustomerName
+    key: str
+
+
+class ClaimRecord(msgspec.Struct, frozen=True, tag_field="kind", tag="claim"):
+    """Claim a key in the log; the first claim in offset order wins."""
+
+    claim_id: str
+    name: KeyName
+    digest: bytes
+    claimer: NodeId
+
+
+class AbandonRecord(msgspec.Struct, frozen=True, tag_field="kind", tag="abandon"):
+    """Tell that the claimer of this claim never dispatched it and never will."""
+
+    claim_id: str
+    name: KeyName
+
+
+class HandedOverRecord(
+    msgspec.Struct, frozen=True, tag_field="kind", tag="handed_over"
+):
+    """Tell that a node stops as planned and which nodes hold its ended keys."""
+
+    stopped: NodeId
+    holders: tuple[NodeId, ...]
+
+
+KeyRecord = ClaimRecord | AbandonRecord | HandedOverRecord
+
+
+RECORD_KINDS: Final = ("claim", "abandon", "handed_over")
+
+
+def encode_record(record: KeyRecord) -> str:
+    """Return the text of a record."""
+    return msgspec.json.encode(record).decode()
+
+
+_DECODER: Final = msgspec.json.Decoder(KeyRecord)
+
+
+def decode_record(text: str) -> KeyRecord | None:
+    """Return the record in a text, or None when it is of another kind."""
+    try:
+        return _DECODER.decode(text)
+    except msgspec.DecodeError:
+        return None
--- a/packages/toucanyard/src/toucanyard/names.py
+++ b/packages/toucanyard/src/toucanyard/names.py
@@ -4,6 +4,8 @@
 
 from typing import NewType
 
+import msgspec
+
 NodeName = NewType("NodeName", str)
 Incarnation = NewType("Incarnation", str)
 DomainName = NewType("DomainName", str)
@@ -14,3 +16,10 @@
 RequestId = NewType("RequestId", str)
 # An IP number and a port, "127.0.0.1:8080".
 Address = NewType("Address", str)
+
+
+class NodeId(msgspec.Struct, frozen=True):
+    """One incarnation of one node; a restarted node is another one."""
+
+    node: NodeName
+    incarnation: Incarnation
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -12,12 +12,11 @@
 
 from toucanyard.admission import Admission
 from toucanyard.at_most_once import AtMostOnce
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     ClaimAction,
     ClaimRecordsRead,
     HandOverBegun,
     LogState,
-    NodeId,
     PeerMessageArrived,
     PeersChanged,
     PeerView,
@@ -73,7 +72,11 @@
     Ticked as MembershipTicked,
     VmListRead,
 )
-from toucanyard.names import Incarnation, NodeName
+from toucanyard.names import (
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 from toucanyard.options import Options
 from toucanyard.order_duties import OrderDuties
 from toucanyard.orders import ReadState, SendOrder
--- a/packages/toucanyard/src/toucanyard/noted_keys.py
+++ b/packages/toucanyard/src/toucanyard/noted_keys.py
@@ -4,21 +4,27 @@
 
 from collections.abc import Iterator
 
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     ClaimAction,
     KeyedArrived,
-    KeyName,
-    KeyNoted,
-    KeyStatus,
-    LedgerStatus,
-    NodeId,
-    NoteKey,
 )
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.issued_keys import IssuedKey, parse_issued_key
 from toucanyard.key_answers import refuse, refuse_unclaimed
 from toucanyard.key_book import KeyBook
 from toucanyard.key_entries import EndedKey, KeyEntry, Phase
+from toucanyard.key_messages import (
+    KeyNoted,
+    KeyStatus,
+    LedgerStatus,
+    NoteKey,
+)
+from toucanyard.key_records import (
+    KeyName,
+)
+from toucanyard.names import (
+    NodeId,
+)
 
 
 class NotedKeys:
--- a/packages/toucanyard/src/toucanyard/order_duties.py
+++ b/packages/toucanyard/src/toucanyard/order_duties.py
@@ -7,11 +7,15 @@
 
 import msgspec
 
-from toucanyard.claim_messages import NodeId
 from toucanyard.configuration import Configuration, Endpoint, Pool
 from toucanyard.core_events import AppendToLog
 from toucanyard.duties import DUTY_PREFIX, Duties
-from toucanyard.names import EndpointName, NodeName, PoolName
+from toucanyard.names import (
+    EndpointName,
+    NodeId,
+    NodeName,
+    PoolName,
+)
 from toucanyard.orders import (
     EndpointState,
     OrderOutcome,
--- a/packages/toucanyard/src/toucanyard/request_flow.py
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -15,7 +15,7 @@
 
 from toucanyard.admission import Admission, AdmissionAction, Admit
 from toucanyard.at_most_once import AtMostOnce
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     AllowDispatch,
     AppendRecord,
     CallerLeft as KeyCallerLeft,
--- a/packages/toucanyard/src/toucanyard/stopped_nodes.py
+++ b/packages/toucanyard/src/toucanyard/stopped_nodes.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-from toucanyard.claim_messages import NodeId
+from toucanyard.names import (
+    NodeId,
+)
 
 _MAX_NODES: Final = 2_000
 
--- a/packages/toucanyard/src/toucanyard/wire.py
+++ b/packages/toucanyard/src/toucanyard/wire.py
@@ -11,7 +11,6 @@
 import cbor2
 import msgspec
 
-from toucanyard.claim_messages import KeyMessage
 from toucanyard.configuration_records import ConfigurationDelta
 from toucanyard.digests import (
     ConfigurationOffer,
@@ -19,6 +18,9 @@
     Digest,
     DigestMessage,
 )
+from toucanyard.key_messages import (
+    KeyMessage,
+)
 from toucanyard.snapshots import (
     SnapshotBusy,
     SnapshotMessage,
--- a/packages/toucanyard/src/toucanyard/witness_ledgers.py
+++ b/packages/toucanyard/src/toucanyard/witness_ledgers.py
@@ -9,7 +9,15 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from toucanyard.claim_messages import KeyName, LedgerStatus, NodeId
+from toucanyard.key_messages import (
+    LedgerStatus,
+)
+from toucanyard.key_records import (
+    KeyName,
+)
+from toucanyard.names import (
+    NodeId,
+)
 
 _MAX_LEDGERS_PER_ISSUER: Final = 16
 
--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from toucanyard.claim_messages import LogRecord
 from toucanyard.configuration import (
     Customer,
     Endpoint,
@@ -37,6 +36,9 @@
 from toucanyard.node_core import CoreAction, CoreEvent, NodeCore
 from toucanyard.options import ListenOptions, Options, PlatformOptions
 from toucanyard.patches import Put
+from toucanyard.platform_log import (
+    LogRecord,
+)
 from toucanyard.requests import (
     ModelTarget,
     Repeatability,
--- a/tests/key_machine.py
+++ b/tests/key_machine.py
@@ -11,9 +11,11 @@
 )
 
 from key_world import CUSTOMERS, NAMES, WINDOW_MS, Key, Node, World
-from toucanyard.claim_messages import AppendResult
 from toucanyard.issued_keys import parse_issued_key
 from toucanyard.names import CustomerName, NodeName
+from toucanyard.platform_log import (
+    AppendResult,
+)
 from toucanyard.requests import EndingSeen
 
 PLACES = st.integers(0, 3)
--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -10,10 +10,9 @@
 from dataclasses import dataclass, field
 
 from toucanyard.at_most_once import AtMostOnce
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     AllowDispatch,
     AppendRecord,
-    AppendResult,
     CallerLeft,
     ClaimAction,
     ClaimEvent,
@@ -22,10 +21,7 @@
     DispatchStarted,
     HandOverBegun,
     KeyedArrived,
-    KeyMessage,
-    LogRecord,
     LogState,
-    NodeId,
     PeerMessageArrived,
     PeersChanged,
     PeerView,
@@ -37,8 +33,21 @@
 )
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.issued_keys import parse_issued_key
-from toucanyard.names import CustomerName, Incarnation, NodeName, RequestId
+from toucanyard.key_messages import (
+    KeyMessage,
+)
+from toucanyard.names import (
+    CustomerName,
+    Incarnation,
+    NodeId,
+    NodeName,
+    RequestId,
+)
 from toucanyard.options import ClaimLimits
+from toucanyard.platform_log import (
+    AppendResult,
+    LogRecord,
+)
 from toucanyard.requests import EndingSeen, KeptAnswer
 
 WINDOW_MS = 20_000
--- a/tests/support/operators.py
+++ b/tests/support/operators.py
@@ -10,7 +10,6 @@
 
 from support.callers import KEY, build_options
 from support.network import MemoryNetwork
-from toucanyard.claim_messages import LogRecord
 from toucanyard.core_events import (
     AppendToLog,
     LogRead,
@@ -20,6 +19,9 @@
 )
 from toucanyard.names import Address, Incarnation
 from toucanyard.orders import ReadState, SendOrder
+from toucanyard.platform_log import (
+    LogRecord,
+)
 from toucanyard_node.core_task import CoreOutputs, CoreTask
 from toucanyard_node.credentials import compute_key_hash
 from toucanyard_node.drain import DrainState
--- a/tests/toucanyard/order_fakes.py
+++ b/tests/toucanyard/order_fakes.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from toucanyard.claim_messages import NodeId
 from toucanyard.configuration import Configuration, Endpoint, Pool
 from toucanyard.core_events import AppendToLog
 from toucanyard.names import (
@@ -14,6 +13,7 @@
     DomainName,
     EndpointName,
     Incarnation,
+    NodeId,
     NodeName,
     PoolName,
 )
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -3,19 +3,15 @@
 import random
 
 from toucanyard.at_most_once import AtMostOnce
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
     AllowDispatch,
     AppendRecord,
     CallerLeft,
     ClaimAction,
-    ClaimRecord,
     ClaimRecordsRead,
     DispatchEnded,
     KeyedArrived,
-    KeyName,
-    LogRecord,
     LogState,
-    NodeId,
     PeerMessageArrived,
     PeersChanged,
     PeerView,
@@ -23,11 +19,24 @@
     ReplayAnswer,
     SendToPeer,
     Ticked,
-    encode_record,
 )
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.names import CustomerName, Incarnation, NodeName, RequestId
+from toucanyard.key_records import (
+    ClaimRecord,
+    KeyName,
+    encode_record,
+)
+from toucanyard.names import (
+    CustomerName,
+    Incarnation,
+    NodeId,
+    NodeName,
+    RequestId,
+)
 from toucanyard.options import ClaimLimits
+from toucanyard.platform_log import (
+    LogRecord,
+)
 from toucanyard.requests import EndingSeen, KeptAnswer
 
 ANSWER = KeptAnswer(200, "text/plain", b"seat held")
--- a/tests/toucanyard/test_at_most_once_handover.py
+++ b/tests/toucanyard/test_at_most_once_handover.py
@@ -3,16 +3,20 @@
 import pytest
 
 from key_world import CUSTOMERS, NAMES, Key, Node, World
-from toucanyard.claim_messages import (
+from toucanyard.claim_events import (
+    PeerMessageArrived,
+    SendToPeer,
+)
+from toucanyard.handed_keys import HandedKeys
+from toucanyard.key_messages import (
     HandedKey,
     HandKeys,
-    KeyName,
     KeysTaken,
     KeyStatus,
-    PeerMessageArrived,
-    SendToPeer,
 )
-from toucanyard.handed_keys import HandedKeys
+from toucanyard.key_records import (
+    KeyName,
+)
 from toucanyard.options import ClaimLimits
 from toucanyard.requests import EndingSeen, KeptAnswer
 
--- a/tests/toucanyard/test_configuration_in_force.py
+++ b/tests/toucanyard/test_configuration_in_force.py
@@ -9,15 +9,23 @@
 from hypothesis import given, strategies as st
 
 from core_world import ANY_PORT, build_patch
-from toucanyard.claim_messages import LogRecord, NodeId
 from toucanyard.configuration import Customer
 from toucanyard.configuration_records import PatchRecord
 from toucanyard.core_events import LogRead, MessageRead, SendMessage
 from toucanyard.digests import ConfigurationOffer, ConfigurationRequest
-from toucanyard.names import CustomerName, DomainName, Incarnation, NodeName
+from toucanyard.names import (
+    CustomerName,
+    DomainName,
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 from toucanyard.node_core import NodeCore
 from toucanyard.options import ListenOptions, Options, PlatformOptions
 from toucanyard.patches import Put
+from toucanyard.platform_log import (
+    LogRecord,
+)
 
 PEER = NodeId(NodeName("node-2"), Incarnation("b"))
 
--- a/tests/toucanyard/test_duties.py
+++ b/tests/toucanyard/test_duties.py
@@ -5,9 +5,13 @@
 import msgspec
 from hypothesis import given, strategies as st
 
-from toucanyard.claim_messages import NodeId
 from toucanyard.duties import LEASE_MS, Duties, DutyRecord
-from toucanyard.names import Incarnation, NodeName, PoolName
+from toucanyard.names import (
+    Incarnation,
+    NodeId,
+    NodeName,
+    PoolName,
+)
 
 POOL = PoolName("p")
 
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
 from core_world import CoreWorld
-from toucanyard.claim_messages import NodeId
 from toucanyard.core_events import (
     DrainBegun,
     LinksChanged,
@@ -21,6 +20,7 @@
     DomainName,
     EndpointName,
     Incarnation,
+    NodeId,
     NodeName,
 )
 from toucanyard.patches import Patch
--- a/tests/toucanyard/test_order_duties.py
+++ b/tests/toucanyard/test_order_duties.py
@@ -3,10 +3,14 @@
 import random
 
 from core_world import build_endpoint, build_patch
-from toucanyard.claim_messages import NodeId
 from toucanyard.configuration import Configuration
 from toucanyard.core_events import AppendToLog
-from toucanyard.names import EndpointName, Incarnation, NodeName
+from toucanyard.names import (
+    EndpointName,
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 from toucanyard.order_duties import OrderDuties
 from toucanyard.orders import EndpointState, ReadState
 
--- a/tests/toucanyard/test_wire.py
+++ b/tests/toucanyard/test_wire.py
@@ -10,18 +10,6 @@
 from hypothesis import example, given, settings, strategies as st
 
 from core_world import CoreWorld, build_patch
-from toucanyard.claim_messages import (
-    AskKey,
-    KeyName,
-    KeyNoted,
-    KeyStatus,
-    KeyTold,
-    LedgerStatus,
-    NodeId,
-    NoteKey,
-    OpenLedger,
-    SealKey,
-)
 from toucanyard.configuration import Configuration
 from toucanyard.configuration_records import (
     CheckpointRecord,
@@ -43,12 +31,26 @@
     Restarted,
     Suspected,
 )
+from toucanyard.key_messages import (
+    AskKey,
+    KeyNoted,
+    KeyStatus,
+    KeyTold,
+    LedgerStatus,
+    NoteKey,
+    OpenLedger,
+    SealKey,
+)
+from toucanyard.key_records import (
+    KeyName,
+)
 from toucanyard.names import (
     Address,
     CustomerName,
     DomainName,
     EndpointName,
     Incarnation,
+    NodeId,
     NodeName,
 )
 from toucanyard.snapshots import SnapshotBusy, SnapshotPart, SnapshotRequest
--- a/tests/toucanyard_node/test_log_writer.py
+++ b/tests/toucanyard_node/test_log_writer.py
@@ -5,7 +5,6 @@
 import msgspec
 import trio
 
-from toucanyard.claim_messages import AppendResult
 from toucanyard.core_events import (
     AppendSettled,
     AppendToLog,
@@ -15,6 +14,9 @@
 )
 from toucanyard.names import Address
 from toucanyard.options import ClaimLimits
+from toucanyard.platform_log import (
+    AppendResult,
+)
 from toucanyard_node.http_exchange import (
     HttpRequest,
     Responder,
--- a/tests/toucanyard_node/test_peer_greeting.py
+++ b/tests/toucanyard_node/test_peer_greeting.py
@@ -11,8 +11,11 @@
 from hypothesis import example, given, settings, strategies as st
 from websockets.trio.connection import Connection
 
-from toucanyard.claim_messages import NodeId
-from toucanyard.names import Incarnation, NodeName
+from toucanyard.names import (
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 from toucanyard_node.peer_greeting import (
     GreetingError,
     Hello,
--- a/tests/toucanyard_node/test_peer_links.py
+++ b/tests/toucanyard_node/test_peer_links.py
@@ -10,10 +10,15 @@
 from websockets.exceptions import ConnectionClosed
 from websockets.trio.client import connect
 
-from toucanyard.claim_messages import NodeId
 from toucanyard.core_events import LinksChanged, MessageRead, SendMessage
 from toucanyard.digests import Digest
-from toucanyard.names import Address, DomainName, Incarnation, NodeName
+from toucanyard.names import (
+    Address,
+    DomainName,
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import Vm
 from toucanyard_node.peer_greeting import Hello, Side, compute_mac, greet
