Wait longer for a log that answers slowly, and append a patch again

Cause: a log whose answers take 1.5 s took no patch at all with the default wait of 1 s: the service drops an append whose sender hung up, and each was given up alike. Ruled out: a longer constant; claims would wait that long for a log that is gone. After: an unanswered append doubles the wait, up to eight times the setting, and an answer brings it back to three times what it took; a patch is appended again under its id, and a refusal after a lost answer is not taken for "not accepted". Conclusion: a slow log delays patches, it no longer stops them.

--- a/packages/toucanyard-node/src/toucanyard_node/log_writer.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_writer.py
@@ -8,9 +8,11 @@
 import trio
 
 from toucanyard.append_batch import AppendBatch, BatchGatherer
+from toucanyard.append_patience import AppendPatience
 from toucanyard.core_events import AppendSettled, AppendToLog
 from toucanyard.names import Address
 from toucanyard.options import ClaimLimits
+from toucanyard.platform_log import AppendResult
 from toucanyard_node.log_client import AppendAnswer, append_records
 
 _MAX_TRIES: Final = 3
@@ -24,11 +26,12 @@
 ) -> None:
     """Append what comes, at most `max_appends_per_s` times a second."""
     gatherer = BatchGatherer(limits)
+    patience = AppendPatience(float(limits.append_timeout_ms))
     while True:
         await _gather(gatherer, outbox)
         batch = gatherer.take(trio.current_time() * 1000)
         if batch is not None:
-            answer = await _append(address, limits, batch)
+            answer = await _append(address, limits, batch, patience)
             emit(AppendSettled(batch.record_ids, answer.result))
 
 
@@ -56,14 +59,28 @@
 
 
 async def _append(
-    address: Address, limits: ClaimLimits, batch: AppendBatch
+    address: Address,
+    limits: ClaimLimits,
+    batch: AppendBatch,
+    patience: AppendPatience,
 ) -> AppendAnswer:
     """Append one batch, again after a refusal that only the rate caused."""
-    timeout_ms = limits.append_timeout_ms
-    answer = await append_records(address, batch.texts, timeout_ms)
+    answer = await _append_once(address, batch, patience)
     for _ in range(_MAX_TRIES - 1):
         if not answer.is_over_rate:
             break
         await trio.sleep(1 / limits.max_appends_per_s)
-        answer = await append_records(address, batch.texts, timeout_ms)
+        answer = await _append_once(address, batch, patience)
+    return answer
+
+
+async def _append_once(
+    address: Address, batch: AppendBatch, patience: AppendPatience
+) -> AppendAnswer:
+    began_s = trio.current_time()
+    answer = await append_records(address, batch.texts, patience.timeout_ms)
+    if answer.result is AppendResult.UNKNOWN:
+        patience.note_silence()
+    else:
+        patience.note_answer((trio.current_time() - began_s) * 1000)
     return answer
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/append_patience.py
@@ -0,0 +1,38 @@
+"""Decide how long to wait for the answer to an append, by how slow the log is.
+
+A log that takes longer than a fixed time to answer would never take a record: its
+service drops an append whose sender has hung up, and every try would end alike.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+_MAX_GROWTH: Final = 8.0
+_SLACK: Final = 3.0
+"""How many times the last answer's time the next may take."""
+
+
+class AppendPatience:
+    """The time to wait for the next append.
+
+    Invariant: it lies between the one that is set and `_MAX_GROWTH` times that.
+    """
+
+    __slots__ = ("_least_ms", "timeout_ms")
+
+    def __init__(self, least_ms: float) -> None:
+        self._least_ms = least_ms
+        self.timeout_ms = least_ms
+
+    def note_answer(self, took_ms: float) -> None:
+        """Take in that an append was answered after so long."""
+        self._set(took_ms * _SLACK)
+
+    def note_silence(self) -> None:
+        """Take in that an append was not answered in time."""
+        self._set(self.timeout_ms * 2)
+
+    def _set(self, wanted_ms: float) -> None:
+        most_ms = self._least_ms * _MAX_GROWTH
+        self.timeout_ms = min(max(wanted_ms, self._least_ms), most_ms)
--- a/packages/toucanyard/src/toucanyard/configuration_spread.py
+++ b/packages/toucanyard/src/toucanyard/configuration_spread.py
@@ -46,9 +46,15 @@
 
 
 class _Submitted(msgspec.Struct):
-    """A patch whose result is awaited."""
+    """A patch whose result is awaited.
+
+    `may_be_logged` never goes back to false: once an append's answer was lost, no later
+    refusal proves that the patch is not in the log.
+    """
 
     deadline_ms: float
+    text: str
+    may_be_logged: bool = False
 
 
 class ConfigurationSpread:
@@ -135,10 +141,18 @@
                 self._log.note_checkpoint_appended(now_ms)
             return
         patch_id = record_id.removeprefix(_PATCH_PREFIX)
-        if result is not AppendResult.REFUSED or patch_id not in self._submitted:
+        submitted = self._submitted.get(patch_id)
+        if submitted is None or result is AppendResult.DONE:
+            return
+        if result is AppendResult.UNKNOWN:
+            # The service drops an append whose sender gave up on a slow answer, so it
+            # is sent again. If the first one counts as well, its patch id settles it.
+            submitted.may_be_logged = True
+            yield AppendToLog(record_id, submitted.text, is_urgent=True)
+            return
+        if submitted.may_be_logged:
             return
-        # Without effect for certain, so "not accepted" is true. A lost answer, in
-        # contrast, is settled by reading the log back.
+        # Without effect for certain, so "not accepted" is true.
         del self._submitted[patch_id]
         yield PatchAnswered(
             patch_id,
@@ -183,7 +197,7 @@
                 patch.patch_id, version, ErrorKind.PATCH_INVALID, str(error)
             )
             return
-        self._submitted[patch.patch_id] = _Submitted(event.deadline_ms)
+        self._submitted[patch.patch_id] = _Submitted(event.deadline_ms, text)
         yield AppendToLog(f"{_PATCH_PREFIX}{patch.patch_id}", text, is_urgent=True)
 
     def _answer(self, result: PatchResult) -> Iterator[SpreadAction]:
--- a/tests/features/shared_state.feature
+++ b/tests/features/shared_state.feature
@@ -31,3 +31,12 @@
     Given a deployment with 2 nodes, 2 engines and 1 service
     When the VM list calls engine 0 leaving
     Then both nodes soon send nothing more to engine 0
+
+  # The log is slow for a long stretch: each answer takes longer than a node waits for an
+  # append. The node waits longer the next time and sends the patch again, under its id.
+  Scenario: The log answers more slowly than a node waits
+    Given a deployment with 2 nodes, 1 engines and 1 service
+    And each answer of the log takes 1500 ms
+    When an operator submits a patch on version 1 through node 1
+    Then the patch is accepted as version 2
+    And every node has version 2
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -2,6 +2,7 @@
 
 from core_world import CoreWorld
 from toucanyard.core_events import (
+    AppendSettled,
     DrainBegun,
     LinksChanged,
     LoadRead,
@@ -24,6 +25,7 @@
     NodeName,
 )
 from toucanyard.patches import Patch
+from toucanyard.platform_log import AppendResult
 from toucanyard.requests import Dispatch
 from toucanyard.vm_view import Vm, VmState
 
@@ -141,3 +143,21 @@
     )
     crowded.handle(VmsRead(vms))
     assert 0 < count_let_in(crowded) < count_let_in(CoreWorld())
+
+
+def test_patch_whose_append_was_not_answered_is_appended_again() -> None:
+    # The log answers more slowly than the node waits, and drops what nobody waits for.
+    # Without a second append the operator would be told "unknown" of each patch, and
+    # "not accepted" after a refusal of the second would be false if the first counts.
+    world = CoreWorld()
+    world.handle(PatchSubmitted(Patch("slow", 1, "operator"), world.now_ms + 9_000))
+    lost, record_id = world.log.pop(), "patch-slow"
+    world.handle(AppendSettled((record_id,), AppendResult.UNKNOWN))
+    assert world.log[-1] == lost
+    world.log.pop()
+    world.handle(AppendSettled((record_id,), AppendResult.REFUSED))
+    assert not any(isinstance(each, PatchAnswered) for each in world.others)
+    world.log.append(lost)
+    world.read_log()
+    answers = [each for each in world.others if isinstance(each, PatchAnswered)]
+    assert [each.version for each in answers] == [2]
