--- a/tests/features/world.py
+++ b/tests/features/world.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import msgspec
 import trio
 
 from portal import Portal
 from toucanyard.names import Address
-from toucanyard_node.http_client import ConnectionFailedError, Response, connect
+from toucanyard_node.http_client import (
+    ConnectionFailedError,
+    Headers,
+    Response,
+    connect,
+)
 from toucanyard_standins.deployment import (
     CALLER_KEY,
     MODEL,
@@ -72,30 +77,28 @@
         method: str,
         target: str,
         body: bytes = b"",
-        headers: Sequence[tuple[str, str]] = (),
+        headers: Headers = (),
     ) -> Seen:
         """Make one request and wait for its end."""
-        seen = Seen()
-        self.seen.append(seen)
+        seen = self._note_request()
         address = self.find_node(number).address
         self.portal.call(request, address, method, target, body, headers, seen)
         return seen
 
     def begin_request(
-        self,
-        number: int,
-        method: str,
-        target: str,
-        body: bytes = b"",
-        headers: Sequence[tuple[str, str]] = (),
+        self, number: int, method: str, target: str, body: bytes, headers: Headers = ()
     ) -> Seen:
         """Make one request that goes on during later steps."""
-        seen = Seen()
-        self.seen.append(seen)
+        seen = self._note_request()
         address = self.find_node(number).address
         self.portal.spawn(request, address, method, target, body, headers, seen)
         return seen
 
+    def _note_request(self) -> Seen:
+        seen = Seen()
+        self.seen.append(seen)
+        return seen
+
     def ask_operator(self, number: int, target: str) -> Response:
         address = self.find_node(number).addresses["operators"]
         return self.portal.call(ask, address, "GET", target, OPERATOR_KEY)
@@ -135,7 +138,7 @@
     method: str,
     target: str,
     body: bytes,
-    headers: Sequence[tuple[str, str]],
+    headers: Headers,
     seen: Seen,
 ) -> None:
     """Make one request and note what comes, part by part."""
