Show peers that hold another value under the same version

Cause: a node that ran other code could replay one patch to another value; its digest showed it, and what was learned was dropped. Before: the new test could not be stated. Conclusion: nodes go on serving, as each value is valid; operators can see it.

--- a/packages/toucanyard-cli/src/toucanyard_cli/ask_texts.py
+++ b/packages/toucanyard-cli/src/toucanyard_cli/ask_texts.py
@@ -69,6 +69,7 @@
         ("confirmed ms ago", reply.confirmed_age_ms),
         ("log offset", reply.log_offset),
         ("unknown record kinds", reply.unknown_record_kinds),
+        ("peers with another value", ", ".join(reply.divergent_peers) or "none"),
         ("draining", reply.is_draining),
         ("suspects itself", reply.is_self_suspect),
         ("requests", f"{reply.pending_requests}, {reply.queued_requests} queued"),
--- a/packages/toucanyard-node/src/toucanyard_node/operator_answers.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operator_answers.py
@@ -84,6 +84,8 @@
     is_self_suspect: bool
     log_offset: int
     unknown_record_kinds: int
+    divergent_peers: tuple[NodeName, ...]
+    """Peers that hold another value under the same version."""
     pending_requests: int
     queued_requests: int
     keys: int
--- a/packages/toucanyard-node/src/toucanyard_node/operators_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operators_face.py
@@ -185,6 +185,7 @@
             is_self_suspect=core.membership.is_self_suspect(now_ms),
             log_offset=core.log.next_offset,
             unknown_record_kinds=core.log.counts.unknown_kinds,
+            divergent_peers=tuple(sorted(core.spread.divergent)),
             pending_requests=core.flow.count_pending(),
             queued_requests=core.admission.count_queued(),
             keys=core.claims.count_keys(),
--- a/packages/toucanyard/src/toucanyard/configuration_spread.py
+++ b/packages/toucanyard/src/toucanyard/configuration_spread.py
@@ -70,6 +70,8 @@
         self._membership = membership
         self._submitted: dict[str, _Submitted] = {}
         self._told_version = 0
+        self.divergent: set[NodeName] = set()
+        """Peers with another value under this node's version: they run other code."""
 
     def read_log(self, event: LogRead, now_ms: float) -> Iterator[SpreadAction]:
         """Replay records and take in how far the log goes."""
@@ -107,7 +109,11 @@
 
     def confirm(self, action: PeerConfirmed, now_ms: float) -> None:
         """Take in that a peer knew its version to be the newest."""
-        self._log.note_peer(action.version, action.digest, action.confirmed_ms)
+        log = self._log
+        if log.note_peer(action.version, action.digest, action.confirmed_ms):
+            self.divergent.discard(action.peer)
+        else:
+            self.divergent.add(action.peer)
         self._tell_membership(now_ms)
 
     def submit(self, event: PatchSubmitted, now_ms: float) -> Iterator[SpreadAction]:
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -161,3 +161,15 @@
     world.read_log()
     answers = [each for each in world.others if isinstance(each, PatchAnswered)]
     assert [each.version for each in answers] == [2]
+
+
+def test_peer_with_another_value_under_the_same_version_is_shown() -> None:
+    # Two nodes run different code and replay one patch to different values. Each goes
+    # on serving; operators see it, since nobody else would.
+    world = CoreWorld()
+    link(world)
+    digest = world.core.log.digest
+    for seen, expected in ((digest + 1, {PEER.node}), (digest, set())):
+        told = Digest(PEER.node, 1.0, world.now_ms, 1, seen, 0.0)
+        world.handle(MessageRead(PEER, told))
+        assert world.core.spread.divergent == expected
