Take back a dispatch whose caller left in the moment it was given

Cause: found while reading the whole change. A caller that hangs up after the core gave the order to dispatch and before its task took it leaves nobody to carry it out; the core freed the place, but the key counted as running for good, and the work as load. Ruled out: telling the caller's task to report it; it is cancelled at that point. Before: the new test fails (a retry of the key waits). After: nothing was sent, so the key ends as not run and the load is taken off; test_request_flow.py passes. Conclusion: every order has an end, also one that nobody got.

--- a/packages/toucanyard/src/toucanyard/request_flow.py
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -141,12 +141,29 @@
         pending = self._pending.pop(request_id, None)
         if pending is None:
             return
+        if pending.placed is not None:
+            yield from self._take_back(pending, pending.placed, now_ms)
+            return
         if pending.request.repeatability is Repeatability.KEYED:
             actions = self._claims.handle(KeyCallerLeft(request_id), now_ms)
             yield from self.apply_claims(actions, now_ms)
         actions_freed = self._admission.abandon(request_id, now_ms)
         yield from self._apply_admission(actions_freed, now_ms)
 
+    def _take_back(
+        self, pending: _Pending, placed: Placed, now_ms: float
+    ) -> Iterator[FlowAction]:
+        """End a dispatch whose order found no one: the caller had just left.
+
+        Nothing was sent, so its key is free to be told "not run". Left as it was, the
+        key would count as running, and its work as load of the endpoint, for good.
+        """
+        request_id = pending.request.request_id
+        cancelled = Outcome(request_id, placed.endpoint, EndingSeen.CANCELLED)
+        self._placement.note_outcome(pending.request, cancelled, now_ms)
+        unsent = Outcome(request_id, placed.endpoint, EndingSeen.NOT_SENT)
+        yield from self._finish(pending, unsent, now_ms)
+
     def note_first_token(
         self, request_id: RequestId, after_ms: float, now_ms: float
     ) -> None:
--- a/tests/toucanyard/test_request_flow.py
+++ b/tests/toucanyard/test_request_flow.py
@@ -3,7 +3,7 @@
 import pytest
 
 from core_world import CoreWorld
-from toucanyard.core_events import DispatchOver, LogStateSeen
+from toucanyard.core_events import CallerLeft, DispatchOver, LogStateSeen
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import RequestId
 from toucanyard.requests import (
@@ -160,3 +160,18 @@
     later = world.arrive("r2")
     end(world, later, EndingSeen.REFUSED)
     assert isinstance(world.find_last(later), Refuse)
+
+
+def test_dispatch_that_found_its_caller_gone_is_taken_back(world: CoreWorld) -> None:
+    # The caller hangs up in the moment in which the order to dispatch is given, so that
+    # nobody carries it out. A retry of the key is told at once that it did not run; it
+    # waited for a request that would never end.
+    first = world.arrive("r1", Repeatability.KEYED, "hold-1", is_service=True)
+    world.read_log()
+    assert isinstance(world.find_last(first), Dispatch)
+    world.handle(CallerLeft(first))
+    assert world.core.admission.count_running() == 0
+    second = world.arrive("r2", Repeatability.KEYED, "hold-1", is_service=True)
+    refusal = world.find_last(second)
+    assert isinstance(refusal, Refuse)
+    assert (refusal.kind, refusal.ending) == (ErrorKind.KEY_SEALED, Ending.NOT_RUN)
