Remove three names that nothing uses

Cause: a count of uses over packages and tests found RECORD_KINDS, count_live_streams and count_platform only where they are defined.

--- a/packages/toucanyard-node/src/toucanyard_node/model_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_face.py
@@ -61,10 +61,6 @@
         self._spawn = spawn
         self._kept = KeptStreams(options.streams, spawn)
 
-    def count_live_streams(self) -> int:
-        """Return how many streams have not ended."""
-        return self._kept.count_live()
-
     async def serve(self, context: CallerContext, api: ApiKind) -> None:
         """Answer one call."""
         call = parse_model_call(
--- a/packages/toucanyard-standins/src/toucanyard_standins/harness.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -19,7 +19,7 @@
 from toucanyard.names import Address, DomainName, NodeName
 from toucanyard.options import ListenOptions, Options, PlatformOptions
 from toucanyard_node.http_client import ConnectionFailedError, Response, fetch
-from toucanyard_standins.platform_faults import PlatformCounters, PutVm, RemoveVm
+from toucanyard_standins.platform_faults import PutVm, RemoveVm
 from toucanyard_standins.platform_vms import Vm, VmKind, VmState
 from toucanyard_standins.processes import (
     HarnessError,
@@ -148,10 +148,6 @@
         answer = await fetch(handle.address, "GET", "/control")
         return msgspec.json.decode(answer.body, type=kind)
 
-    async def count_platform(self) -> PlatformCounters:
-        """Return the platform's counters."""
-        return await self.count(self.get_platform(), PlatformCounters)
-
     async def end(self) -> None:
         """End every process that was started; nobody waits for its planned stop."""
         for handle in reversed(self._started):
--- a/packages/toucanyard/src/toucanyard/key_records.py
+++ b/packages/toucanyard/src/toucanyard/key_records.py
@@ -47,9 +47,6 @@
 KeyRecord = ClaimRecord | AbandonRecord | HandedOverRecord
 
 
-RECORD_KINDS: Final = ("claim", "abandon", "handed_over")
-
-
 def encode_record(record: KeyRecord) -> str:
     """Return the text of a record."""
     return msgspec.json.encode(record).decode()
