Make process tests independent of which engine placement chooses

It gave the fault to the engine that had run the first stream and took for granted that the second would go there; placement may choose another one, and then the stream is whole and nothing died. The silent, cut and crossed cases rest on the same assumption, and the crossed and the fresh node's case would pass without a fault at all. Ruled out: a fault that was armed too late (it is answered before the stream begins). Change: the fault goes to every engine. An engine can be told to die under streams that go on with no earlier text only, so that the one that takes over lives. Crossing takes turns until an engine has counted it; the fresh node's case now counts its crash as well. No assertion is dropped, two are added. Without the check of the echoed id the crossed case fails, as before.

--- a/packages/toucanyard-standins/src/toucanyard_standins/engine.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine.py
@@ -105,11 +105,12 @@
         self.load = state.compute_load()
         self.load_taken_ms = self.model_time.now_ms()
 
-    async def count_event(self) -> None:
+    async def count_event(self, is_of_resumed: bool) -> None:
         """Count an event that was sent and carry out the faults that wait for it."""
         faults = self.faults
         self.counters.events_sent += 1
-        if faults.die_after_events is not None:
+        is_spared = is_of_resumed and faults.die_spares_resumed
+        if faults.die_after_events is not None and not is_spared:
             faults.die_after_events -= 1
             if faults.die_after_events <= 0:
                 faults.die_after_events = None
--- a/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_answers.py
@@ -54,6 +54,7 @@
         await self._delay_answer()
         if self._engine.faults.cross_count > 0:
             self._engine.faults.cross_count -= 1
+            self._engine.counters.crossed += 1
             stream = self._submit_foreign(stream)
         if body.stream:
             await self._send_stream(stream, responder, 0)
@@ -142,7 +143,7 @@
                     return
                 await responder.write(stream.events[position])
                 position += 1
-                await self._engine.count_event()
+                await self._engine.count_event(stream.resumed_tokens > 0)
             if stream.is_done:
                 await responder.write(_DONE)
                 await responder.finish()
--- a/packages/toucanyard-standins/src/toucanyard_standins/engine_faults.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_faults.py
@@ -21,10 +21,15 @@
 
 
 class DieAfterEvents(msgspec.Struct, frozen=True, tag_field="fault", tag="die_after"):
-    """Crash once so many more events were sent over all streams."""
+    """Crash once so many more events were sent over all streams.
+
+    With `spares_resumed` the events of an answer that goes on with earlier text don't
+    count, so every engine can be told to die and only the first one used does.
+    """
 
     events: int
     down_ms: int = 0
+    spares_resumed: bool = False
 
 
 class SilenceAfterEvents(
@@ -97,6 +102,7 @@
     """Executions by Idempotency-Key."""
     cancelled: int = 0
     resumed: int = 0
+    crossed: int = 0
     refused: int = 0
     crashes: int = 0
     events_sent: int = 0
@@ -113,6 +119,7 @@
     cut_count: int = 0
     die_after_events: int | None = None
     die_down_ms: int = 0
+    die_spares_resumed: bool = False
     silence_after_events: int | None = None
     cross_count: int = 0
     delay_ms: int = 0
@@ -126,8 +133,9 @@
         match fault:
             case CutAfterEvents(events, count):
                 self.cut_after_events, self.cut_count = events, count
-            case DieAfterEvents(events, down_ms):
+            case DieAfterEvents(events, down_ms, spares_resumed):
                 self.die_after_events, self.die_down_ms = events, down_ms
+                self.die_spares_resumed = spares_resumed
             case SilenceAfterEvents(events):
                 self.silence_after_events = events
             case CrossAnswers(count):
--- a/tests/toucanyard_standins/test_deployment.py
+++ b/tests/toucanyard_standins/test_deployment.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -100,14 +101,12 @@
     return connection
 
 
-async def find_used(
-    harness: Harness, engines: tuple[ProcessHandle, ...]
-) -> ProcessHandle:
-    """Return the engine that executed a request."""
+async def control_engines(
+    harness: Harness, engines: tuple[ProcessHandle, ...], fault: EngineFault
+) -> None:
+    """Give every engine a fault, since placement is free to choose any of them."""
     for engine in engines:
-        if (await harness.count(engine, EngineCounters)).executions:
-            return engine
-    raise AssertionError("no engine executed a request")
+        await harness.control(engine, fault)
 
 
 async def count_engines(
@@ -125,8 +124,7 @@
         node, engines = deployment.nodes[0], deployment.engines
         await wait_until_watching(node, OPERATOR_KEY)
         whole = join_text(await stream(node.address))
-        # The same prompt goes to the engine that has it cached by now.
-        await harness.control(await find_used(harness, engines), fault)
+        await control_engines(harness, engines, fault)
         assert join_text(await stream(node.address)) == whole
         assert len(whole) == TOKENS * 4
         return await count_engines(harness, engines)
@@ -153,21 +151,32 @@
     # The engine dies after five events and comes back empty. The request may be
     # repeated, so it goes on elsewhere with the text so far, and the caller gets
     # the same answer as if nothing had happened.
-    counters = await check_fault(DieAfterEvents(events=5))
+    counters = await check_fault(DieAfterEvents(events=5, spares_resumed=True))
     assert sum(each.crashes for each in counters) == 1
 
 
 async def test_crossed_answer_never_reaches_the_caller() -> None:
-    # The engine gives the answer of another request under that one's id.
-    await check_fault(CrossAnswers())
+    # The engine gives the answer of another request under that one's id. The node
+    # drops it and asks the other engine. Which one is asked first is up to placement,
+    # so they take turns in crossing until one was asked.
+    async with run_deployment() as (harness, deployment):
+        node, engines = deployment.nodes[0], deployment.engines
+        await wait_until_watching(node, OPERATOR_KEY)
+        whole = join_text(await stream(node.address))
+        with trio.fail_after(30):
+            for engine in itertools.cycle(engines):
+                await control_engines(harness, engines, CrossAnswers(count=0))
+                await harness.control(engine, CrossAnswers())
+                assert join_text(await stream(node.address)) == whole
+                if (await harness.count(engine, EngineCounters)).crossed == 1:
+                    return
 
 
 async def test_run_once_stream_ends_marked_when_its_engine_dies() -> None:
     # A request that may run once can't go on elsewhere: the caller gets what came,
     # then an explicit error event instead of an end, and no second execution.
     async with run_deployment() as (harness, deployment):
-        for engine in deployment.engines:
-            await harness.control(engine, DieAfterEvents(events=5))
+        await control_engines(harness, deployment.engines, DieAfterEvents(events=5))
         node = deployment.nodes[0]
         answer = await stream(node.address, headers=(("X-Run-Once", "true"),))
         assert b"event: error" in answer.body
@@ -235,9 +244,11 @@
     async with run_deployment() as (harness, deployment):
         node = deployment.nodes[0]
         whole = join_text(await stream(node.address))
-        used = await find_used(harness, deployment.engines)
-        await harness.control(used, DieAfterEvents(events=5))
+        fault = DieAfterEvents(events=5, spares_resumed=True)
+        await control_engines(harness, deployment.engines, fault)
         assert join_text(await stream(node.address)) == whole
+        counters = await count_engines(harness, deployment.engines)
+        assert sum(each.crashes for each in counters) == 1
 
 
 async def test_callers_that_reset_their_connections_do_not_end_the_node() -> None:
