Send nothing after a keyed try was refused at its deadline

Cause: found by reading the decisions as an adversary. A keyed try runs on without its caller. When its deadline passed while the node was still connecting to the endpoint, or before the verdict had reached the task, a declared first try was told "not run"; then the connection opened and the call was sent and run. Ruled out: ending the keyed run at the deadline; one that was sent must run on, so that the next try finds its answer. Conclusion: the refusal at the deadline is final for the node too.

--- a/packages/toucanyard-node/src/toucanyard_node/attempts.py
+++ b/packages/toucanyard-node/src/toucanyard_node/attempts.py
@@ -22,6 +22,7 @@
     Request,
 )
 from toucanyard_node.core_messages import CoreClient
+from toucanyard_node.exchange import DispatchFailedError
 
 _RETRY_AFTER_MS: Final = 1_000
 _MIN_REPORT_S: Final = 1.0
@@ -31,15 +32,23 @@
     """Account of the dispatches of one request.
 
     Invariant: `may_have_run` never goes back to false, except for a dispatch that is
-    proved not to have run.
+    proved not to have run; after the refusal for the deadline nothing is sent.
     """
 
-    __slots__ = ("_core", "_is_in_flight", "_may_have_run", "request", "started_ms")
+    __slots__ = (
+        "_core",
+        "_is_in_flight",
+        "_is_refused",
+        "_may_have_run",
+        "request",
+        "started_ms",
+    )
 
     def __init__(self, core: CoreClient, request: Request) -> None:
         self._core = core
         self._may_have_run = False
         self._is_in_flight = False
+        self._is_refused = False
         self.request = request
         self.started_ms = request.arrived_ms
 
@@ -57,7 +66,15 @@
         self.started_ms = trio.current_time() * 1000
 
     def note_sending(self) -> None:
-        """Note that bytes of a dispatch are about to leave."""
+        """Note that bytes of a dispatch are about to leave, or forbid it.
+
+        Raise DispatchFailedError when the caller has been refused: a keyed try runs on
+        without its caller, and a connection that opens after the deadline would make
+        it run after "not run" was said of it.
+        """
+        if self._is_refused:
+            text = "the deadline passed before the request was sent"
+            raise DispatchFailedError(EndingSeen.NOT_SENT, text)
         self._is_in_flight = True
 
     def find_elapsed_ms(self) -> float:
@@ -120,6 +137,7 @@
 
     def build_deadline_refusal(self) -> Refuse:
         """Return the final answer for a request whose deadline has passed."""
+        self._is_refused = True
         text = "the deadline has passed"
         if not self.may_have_run and self._may_another_try_have_run():
             # No verdict came, so nothing is known of the key: another node may have
--- a/packages/toucanyard-node/src/toucanyard_node/engine_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/engine_client.py
@@ -140,8 +140,8 @@
         self, path: str, headers: Headers, body: bytes
     ) -> ResponseHead | None:
         assert self._connection is not None
-        self.is_sent = True
         self._on_send()
+        self.is_sent = True
         try:
             await self._connection.send("POST", path, headers, body)
         except ConnectionFailedError as error:
--- a/tests/toucanyard_node/test_service_face.py
+++ b/tests/toucanyard_node/test_service_face.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 import trio
+from trio.testing import MockClock
 
 from standin_examples import control, read, start_service
 from support.callers import (
@@ -18,7 +19,9 @@
     build_completion,
     build_configuration,
     serve_face,
+    serve_in_memory,
 )
+from support.engines import ScriptedEngine
 from toucanyard.names import Address
 from toucanyard.requests import EndingSeen, Repeatability
 from toucanyard_node.http_client import Headers, Response
@@ -159,6 +162,31 @@
         assert outcome.answer is not None
 
 
+@pytest.mark.parametrize(
+    "target", ["/v1/services/desk/holds", "/v1/completions"], ids=["service", "model"]
+)
+async def test_refused_at_the_deadline_while_connecting(
+    autojump_clock: MockClock, target: str
+) -> None:
+    """The deadline of a first try passes while the node connects to the endpoint.
+
+    The caller is told "not run" and makes its call anew under another key. A keyed
+    try runs on without its caller, so a connection that comes after all must not be
+    used: the endpoint would run what was said not to have run.
+    """
+    engine = ScriptedEngine(("a",))
+    async with serve_in_memory([engine]) as served:
+        assert served.network is not None
+        served.network.connect_delays_s[served.core.addresses[0]] = 0.2
+        first = (("X-Key-Age-Ms", "0"), ("X-Deadline-Ms", "100"))
+        answer = await served.ask("POST", target, (*KEYED, *first), build_completion())
+        error = read_error(answer)
+        assert (error["code"], error["not_run"]) == ("deadline_exceeded", True)
+        await trio.sleep(1)
+        assert engine.requests == []
+        assert served.core.find_endings() == [EndingSeen.NOT_SENT]
+
+
 @pytest.mark.parametrize(
     ("method", "path", "expected"),
     [
