Let a keyed stream run on when its caller was refused at the deadline

The face closed the relay of a keyed stream after the refusal for the deadline, while the sheltered try was still using it: the answer was cut and the next try was told "unknown" of a stream that would have been whole. When the head came in the same moment, the reading task failed on the missing connection, and the core was never told the end. Ruled out: closing only when the request has no key; whoever opened the relay knows best when there is nothing left to read. Before: the new test fails, the dispatch ends as LOST. After: COMPLETED with its whole answer; test_service_face, test_stream_relay, test_callers_face, test_kept_streams and test_back_pressure pass. Conclusion: a relay is closed by the task that reads it.

--- a/packages/toucanyard-node/src/toucanyard_node/model_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_face.py
@@ -105,7 +105,6 @@
         """Answer with events; the deadline bounds the wait for the answer's begin."""
         result = await self._run_until_deadline(relay, self._open)
         if result is not None:
-            await relay.close()
             await context.finish(result)
             return
         stream = self._kept.add(relay, context.customer.name)
@@ -167,7 +166,12 @@
 
     async def _open(self, relay: StreamRelay) -> Result | None:
         verdict = await self._core.decide(relay.attempts.request)
-        return await relay.open(verdict)
+        result = await relay.open(verdict)
+        if result is not None:
+            # Here and not by whoever answers the caller: that one may have refused at
+            # the deadline, and would cut a keyed try that runs on for the next one.
+            await relay.close()
+        return result
 
     async def _gather(self, relay: StreamRelay, call: ModelCall) -> Result:
         result = await self._open(relay)
--- a/tests/toucanyard_node/test_service_face.py
+++ b/tests/toucanyard_node/test_service_face.py
@@ -18,10 +18,11 @@
     ServedFace,
     build_completion,
     build_configuration,
+    read_text,
     serve_face,
     serve_in_memory,
 )
-from support.engines import ScriptedEngine
+from support.engines import ScriptedEngine, Step
 from toucanyard.names import Address
 from toucanyard.requests import EndingSeen, Repeatability
 from toucanyard_node.http_client import Headers, Response
@@ -187,6 +188,29 @@
         assert served.core.find_endings() == [EndingSeen.NOT_SENT]
 
 
+async def test_keyed_stream_runs_on_after_the_deadline(
+    autojump_clock: MockClock,
+) -> None:
+    """An engine begins a keyed stream only after the caller's deadline.
+
+    The caller was told that the outcome is unknown. The answer is kept for its next
+    try, and the core learns that the dispatch is over; else the key would count as
+    running, and its place at the engine as taken, for good.
+    """
+    engine = ScriptedEngine(("a", "b"), Step(head_delay_s=0.2))
+    async with serve_in_memory([engine]) as served:
+        headers = (*KEYED, ("X-Deadline-Ms", "100"))
+        answer = await served.ask(
+            "POST", "/v1/completions", headers, build_completion()
+        )
+        assert read_error(answer)["code"] == "outcome_unknown"
+        await trio.sleep(1)
+        [outcome] = served.core.outcomes
+        assert outcome.ending is EndingSeen.COMPLETED
+        assert outcome.answer is not None
+        assert read_text(outcome.answer.body) == "ab"
+
+
 @pytest.mark.parametrize(
     ("method", "path", "expected"),
     [
