Keep a key that is used anew from running twice at nodes that forget late

Cause: found by reading as an adversary. Nodes forget a claim at different times (ticks, clocks, a restart reads old claims anew). A node that still remembered the old claim of a key passed over the claim of its next use, forgot the old one, and let the next retry claim and run the key again. Two lesser faults of the same kind: a claim that may have lost (another was missed for want of room) was taken as proof that another body did not run, and a question about an earlier claim got the "not run" of a later one. Ruled out: forgetting by the log clock alone; its jumps would then run keys again. Changed check: the seeded fault "the last claim of a key wins" names another line, since its line is gone; the fault is the same. Conclusion: a later claim replaces one that is old by the log clock, and is sure only if the own clock agrees.

--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -42,7 +42,12 @@
     read_ms: float
     is_abandoned: bool
     is_sure: bool
-    """False when an earlier claim of the key may be missing for want of room."""
+    """False when an earlier claim may have won: one missed for want of room, or one
+    that is old by the log's clock only."""
+
+    def is_abandoned_as(self, claim_id: str) -> bool:
+        """Tell whether this is the claim asked about, and was never dispatched."""
+        return self.is_abandoned and self.claim_id == claim_id
 
 
 class ClaimIndex:
@@ -50,7 +55,9 @@
 
     Invariants: a claim is forgotten only when it is older than the window both by
     the log's clock and by this node's, so that a jump of either can't make a key
-    run again; while a claim is missing for want of room, `is_complete` is false.
+    run again; a claim that another node may have allowed is never passed over, however
+    differently nodes forget; while a claim is missing for want of room, `is_complete`
+    is false.
     """
 
     __slots__ = (
@@ -158,12 +165,25 @@
         return self._log_now_ms - at_ms >= self._remember_ms
 
     def _take_claim(self, claim: ClaimRecord, record: LogRecord, now_ms: float) -> None:
-        if claim.name in self._claims:
-            return
-        if len(self._claims) >= self._max_keys:
+        known = self._claims.get(claim.name)
+        if known is None and len(self._claims) >= self._max_keys:
             self._hole_at_ms = record.at_ms
             self._hole_read_ms = now_ms
-            return
+        elif known is None:
+            self._add(claim, record, now_ms, is_sure=self.is_complete())
+        elif self._log_now_ms - known.at_ms >= self._remember_ms:
+            # Nodes forget at different times. Another one may have forgotten the
+            # earlier claim and run this one: passed over, this one would be unknown
+            # here once the earlier is forgotten, and the key would run again. Whether
+            # the other one did so is not sure while this node's clock says otherwise.
+            is_old = self._is_old(known.at_ms, known.read_ms, now_ms)
+            is_sure = is_old and self.is_complete()
+            self._add(claim, record, now_ms, is_sure)
+
+    def _add(
+        self, claim: ClaimRecord, record: LogRecord, now_ms: float, is_sure: bool
+    ) -> None:
+        self._claims.pop(claim.name, None)
         self._claims[claim.name] = Claim(
             claim.claim_id,
             claim.claimer,
@@ -171,5 +191,5 @@
             record.at_ms,
             now_ms,
             is_abandoned=False,
-            is_sure=self.is_complete(),
+            is_sure=is_sure,
         )
--- a/packages/toucanyard/src/toucanyard/followed_keys.py
+++ b/packages/toucanyard/src/toucanyard/followed_keys.py
@@ -65,7 +65,8 @@
         claim = book.index.find(name)
         assert claim is not None
         held = book.handed.find(name, claim.claim_id)
-        if claim.digest != event.body_digest:
+        # Of a claim that may have lost, the body says nothing: another may have run.
+        if claim.is_sure and claim.digest != event.body_digest:
             yield refuse(event, ErrorKind.KEY_REUSED, book.rng)
         elif claim.is_abandoned:
             yield refuse(event, ErrorKind.KEY_SEALED, book.rng)
@@ -116,7 +117,7 @@
     def tick(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
         """Ask again, or give up when nobody is left who could know."""
         claim = self._book.index.find(entry.name)
-        if claim is not None and claim.is_abandoned:
+        if claim is not None and claim.is_abandoned_as(entry.claim_id):
             yield from self._resolve_as(entry, KeyStatus.NOT_RUN)
         elif self._is_hopeless(entry):
             yield from self._resolve_as(entry, KeyStatus.UNKNOWN)
--- a/packages/toucanyard/src/toucanyard/key_questions.py
+++ b/packages/toucanyard/src/toucanyard/key_questions.py
@@ -93,17 +93,21 @@
         claim = book.index.find(name)
         entry = book.find_entry(name)
         ended = book.find_ended(name)
-        if claim is not None and claim.claim_id == claim_id and claim.is_abandoned:
+        if claim is not None and claim.is_abandoned_as(claim_id):
             return EndedKey(KeyStatus.NOT_RUN, claim.digest, now_ms)
         if book.index.is_given_up(claim_id):
             # Whether that claim won, and so whether the key ran, may be open here.
             return EndedKey(KeyStatus.RUNNING, b"", now_ms)
-        if entry is not None:
+        if entry is not None and entry.claim_id == claim_id:
             entry.askers[sender] = claim_id
             return EndedKey(KeyStatus.RUNNING, entry.digest, now_ms)
         if ended is None and not claim_id:
             ended = self._noted.seal_unseen(name, now_ms)
-        return ended or EndedKey(KeyStatus.UNKNOWN, b"", now_ms)
+        # A later claim of a key that is used anew says nothing of the earlier one,
+        # which a node that forgets later may ask about.
+        if ended is None or ended.claim_id != claim_id:
+            return EndedKey(KeyStatus.UNKNOWN, b"", now_ms)
+        return ended
 
     def _answer_handed(self, sender: NodeId, ask: AskHanded) -> Iterator[ClaimAction]:
         name, claim_id, to = ask.name, ask.claim_id, sender.incarnation
--- a/tests/key_machine.py
+++ b/tests/key_machine.py
@@ -11,6 +11,7 @@
 )
 
 from key_world import CUSTOMERS, NAMES, WINDOW_MS, Key, Node, World
+from toucanyard.claim_events import Ticked
 from toucanyard.issued_keys import parse_issued_key
 from toucanyard.names import CustomerName, NodeName
 from toucanyard.platform_log import (
@@ -100,6 +101,25 @@
         if rounds == 0:
             self.land_in_turn()
 
+    @precondition(lambda self: self.world.keys)
+    @rule(name=NODES, other=NODES, place=PLACES)
+    def reuse(self, name: NodeName, other: NodeName, place: int) -> None:
+        """Use a key anew after its window, which one node sees over before others."""
+        world = self.world
+        key = world.keys[place % len(world.keys)]
+        world.pump(3, EndingSeen.COMPLETED)
+        world.advance(70_000)
+        first, second = world.nodes[name], world.nodes[other]
+        if first is None or second is None:
+            return
+        world.read(first)
+        first.inbox.append(Ticked())
+        world.work(first)
+        for node in (first, second):
+            world.send(node, key, b"one", tells_age=False)
+            world.pump(3, EndingSeen.COMPLETED)
+            world.advance(50)
+
     @rule(name=NODES, count=st.integers(1, 4))
     def step(self, name: NodeName, count: int) -> None:
         node = self.world.nodes[name]
--- a/tests/key_mutations.py
+++ b/tests/key_mutations.py
@@ -25,8 +25,14 @@
     Mutation(
         "the last claim of a key wins",
         "claims",
-        "if claim.name in self._claims:",
-        "if claim.name is None:",
+        "known = self._claims.get(claim.name)",
+        "known = None",
+    ),
+    Mutation(
+        "a claim is passed over while an old one is remembered",
+        "claims",
+        "elif self._log_now_ms - known.at_ms >= self._remember_ms:",
+        "elif False:",
     ),
     Mutation(
         "claims are forgotten inside the window",
--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from dataclasses import dataclass, field
 
@@ -105,10 +106,22 @@
         """
         judged = self._find_judged()
         assert len(judged) <= 1, f"{self.text} ran twice: {judged}"
+        self._check_reuse()
         for at_ms, refused, kind in self.refused:
             for execution in judged:
                 self._check_refusal(at_ms, refused, kind, execution)
 
+    def _check_reuse(self) -> None:
+        """Fail when a run began inside the window of the one before.
+
+        A key that is used anew after its window has a window again. A run is allowed
+        at most one deadline after its claim, from which the window counts.
+        """
+        allowed_ms = sorted(each.allowed_ms for each in self.executions)
+        for earlier_ms, later_ms in itertools.pairwise(allowed_ms):
+            apart_ms = later_ms - earlier_ms
+            assert apart_ms >= WINDOW_MS - 2 * DEADLINE_MS, f"{self.text} ran again"
+
     def _find_judged(self) -> list[Execution]:
         if self.is_issued():
             return self.executions
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -21,6 +21,7 @@
     Ticked,
 )
 from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.key_messages import AskKey, KeyStatus, KeyTold
 from toucanyard.key_records import (
     ClaimRecord,
     KeyName,
@@ -113,10 +114,19 @@
     assert exchange(issuer, witness, noting, 3) == [AllowDispatch(RequestId("r1"))]
 
 
-def make_claim(claimer: str, key: str) -> str:
+def make_claim(claimer: str, key: str, body: bytes = b"d") -> str:
     name = KeyName(CustomerName("c"), key)
     identity = NodeId(NodeName(claimer), Incarnation(f"{claimer}1"))
-    return encode_record(ClaimRecord(f"{claimer}1-1", name, b"d", identity))
+    return encode_record(ClaimRecord(f"{claimer}1-1", name, body, identity))
+
+
+def read_at(offset: int, at_ms: float, text: str) -> ClaimRecordsRead:
+    return ClaimRecordsRead(offset, offset + 1, (LogRecord(offset, at_ms, text),))
+
+
+def retry_at(now_ms: float, body: bytes = b"d") -> KeyedArrived:
+    deadline_ms = now_ms + 1_000
+    return KeyedArrived(RequestId("late"), CustomerName("c"), "k", body, deadline_ms)
 
 
 def test_claim_missed_for_want_of_room_is_never_reported_as_not_run() -> None:
@@ -143,6 +153,77 @@
     assert refusal.ending is Ending.UNKNOWN
 
 
+def test_body_of_a_claim_that_may_have_lost_is_no_proof() -> None:
+    """The winning claim of a key was missed for want of room; a losing one was read.
+
+    The two carried different bodies. A retry with the winner's body, which ran, must
+    not be told that this body did not run under the key.
+    """
+    node = make_node(max_keys=1)
+    node.handle(read(0, make_claim("z", "other")), 0)
+    node.handle(read_at(1, 500_000, make_claim("b", "k", b"ran")), 500_000)
+    node.handle(read_at(2, 800_000, '{"kind":"checkpoint"}'), 800_000)
+    node.handle(Ticked(), 800_000)
+    node.handle(read_at(3, 800_000, make_claim("x", "k", b"lost")), 800_000)
+    assert node.count_claims() == 1
+    told = node.handle(retry_at(800_000, b"ran"), 800_000)
+    assert not any(isinstance(each, RefuseKeyed) for each in told)
+
+
+def test_key_used_anew_is_known_where_its_old_claim_is_remembered() -> None:
+    """A key is used again after its window; one node forgets the first use late.
+
+    The other node has forgotten it, claims the key and runs it. Here the second claim
+    came while the first was remembered. A retry of the second use must find it, also
+    once the first is forgotten; without it the hold would be made a second time.
+    """
+    node = make_node()
+    node.handle(read(0, make_claim("x", "k")), 0)
+    node.handle(read_at(1, 760_000, make_claim("b", "k")), 740_000)
+    node.handle(Ticked(), 760_000)
+    [asked] = node.handle(retry_at(760_000), 760_000)
+    assert isinstance(asked, SendToPeer)
+    assert asked.node == "b"
+
+
+def test_jump_of_the_logs_clock_proves_nothing_of_a_claim() -> None:
+    """Two claims of a key race, and the log's clock leaps by an hour between them.
+
+    By that clock the first one is old, and this node's claim, which it gave up, looks
+    like the winner. The first claimer has run the key, so "not run" would be false.
+    """
+    node = make_node()
+    own = find_append(node.handle(arrive("r1"), 0))
+    node.handle(CallerLeft(RequestId("r1")), 0)
+    node.handle(read(0, make_claim("b", "k")), 1)
+    node.handle(read_at(1, 3_600_000, own.text), 2)
+    for action in node.handle(retry_at(3), 3):
+        assert not isinstance(action, RefuseKeyed) or action.ending is Ending.UNKNOWN
+
+
+def test_question_about_an_earlier_claim_gets_no_word_of_the_later_one() -> None:
+    """A key ran here, and after its window was claimed here again, but not run.
+
+    Another node, which forgets later, still asks about the first claim. Told of the
+    second one's end, it would call "not run" what did run.
+    """
+    node = make_node()
+    first = find_append(node.handle(arrive("r1"), 0))
+    node.handle(read(0, first.text), 1)
+    node.handle(DispatchEnded(RequestId("r1"), EndingSeen.COMPLETED, ANSWER), 2)
+    node.handle(read_at(1, 760_000, '{"kind":"checkpoint"}'), 760_000)
+    node.handle(Ticked(), 760_000)
+    second = find_append(node.handle(retry_at(760_000), 760_000))
+    node.handle(read_at(2, 760_000, second.text), 762_000)
+    name = KeyName(CustomerName("c"), "k")
+    ask = AskKey(Incarnation("a1"), name, first.record_id)
+    sender = NodeId(NodeName("b"), Incarnation("b1"))
+    [told] = node.handle(PeerMessageArrived(sender, ask), 762_000)
+    assert isinstance(told, SendToPeer)
+    assert isinstance(told.message, KeyTold)
+    assert told.message.status is KeyStatus.UNKNOWN
+
+
 def test_records_missed_in_a_pause_longer_than_retention_give_claims_up() -> None:
     """A node is suspended, clock and all, until the log has expired records.
 
