Tell a retry at once when issuer and witness have stopped together

Cause: read as an adversary: a planned stop of an issuer and of its witness together. The ledger went with the witness, but the node that follows the key kept asking it, so the caller got its true "unknown" only at its deadline; an issuer likewise waited for a witness that had stopped. Ruled out: handing ledgers over; a copy could seal what the first one notes meanwhile. Conclusion: only a note or seal by the living witness counts, so giving it up is safe.

--- a/packages/toucanyard/src/toucanyard/followed_keys.py
+++ b/packages/toucanyard/src/toucanyard/followed_keys.py
@@ -192,8 +192,7 @@
 
     def _is_lost(self, node: NodeId) -> bool:
         """Tell whether a node and all that hold its keys are surely gone."""
-        is_gone = self._book.is_replaced(node) or self._book.stopped.is_stopped(node)
-        return is_gone and not self._find_holders(node)
+        return self._book.is_gone(node) and not self._find_holders(node)
 
     def _wants_seal(self, entry: KeyEntry, now_ms: float) -> bool:
         assert entry.target is not None
@@ -202,12 +201,12 @@
         silent_ms = now_ms - entry.heard_ms
         if silent_ms >= self._book.limits.ask_patience_ms:
             return True
-        stopped = self._book.stopped
-        return self._book.is_replaced(entry.target) or stopped.is_stopped(entry.target)
+        return self._book.is_gone(entry.target)
 
     def _ask_seal(self, entry: KeyEntry, issued: IssuedKey) -> Iterator[ClaimAction]:
         witness = issued.witness
-        if witness is None or self._book.is_replaced(witness):
+        if witness is None or self._book.is_gone(witness):
+            # Its ledgers went with it, so nobody can seal the key any more.
             entry.is_seal_refused = True
             return
         seal = SealKey(witness.incarnation, issued.ledger, issued.issuer, entry.name)
@@ -215,9 +214,7 @@
 
     def _is_hopeless(self, entry: KeyEntry) -> bool:
         assert entry.target is not None
-        book = self._book
-        is_stopped = book.stopped.is_stopped(entry.target)
-        if not is_stopped and not book.is_replaced(entry.target):
+        if not self._book.is_gone(entry.target):
             return False
         if not set(self._find_holders(entry.target)) <= entry.denied:
             return False
--- a/packages/toucanyard/src/toucanyard/key_book.py
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -132,6 +132,10 @@
                 return peer.incarnation != node.incarnation
         return False
 
+    def is_gone(self, node: NodeId) -> bool:
+        """Tell whether this incarnation was replaced or has stopped as planned."""
+        return self.is_replaced(node) or self.stopped.is_stopped(node)
+
     def add(self, entry: KeyEntry, event: KeyedArrived) -> None:
         """Add a key that its first try on this node brought."""
         self._entries[entry.name] = entry
--- a/packages/toucanyard/src/toucanyard/noted_keys.py
+++ b/packages/toucanyard/src/toucanyard/noted_keys.py
@@ -55,7 +55,7 @@
         book.add(entry, event)
         if witness is None:
             yield from book.allow(entry, now_ms)
-        elif book.is_replaced(witness):
+        elif book.is_gone(witness):
             yield from book.seal(entry, now_ms)
         else:
             yield from self._ask(entry, now_ms)
@@ -87,7 +87,7 @@
     def tick(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
         """Ask the witness again; seal when it is gone."""
         assert entry.target is not None
-        if self._book.is_replaced(entry.target):
+        if self._book.is_gone(entry.target):
             yield from self._book.seal(entry, now_ms)
         elif now_ms - entry.sent_ms >= self._book.limits.resend_ms:
             yield from self._ask(entry, now_ms)
--- a/tests/toucanyard/test_at_most_once_handover.py
+++ b/tests/toucanyard/test_at_most_once_handover.py
@@ -8,6 +8,7 @@
     SendToPeer,
 )
 from toucanyard.handed_keys import HandedKeys
+from toucanyard.issued_keys import parse_issued_key
 from toucanyard.key_messages import (
     HandedKey,
     HandKeys,
@@ -36,9 +37,9 @@
     return node
 
 
-def run_key(world: World, is_issued: bool) -> Key:
-    """Let node A answer a new key."""
-    node = get_node(world, 0)
+def run_key(world: World, is_issued: bool, number: int = 0) -> Key:
+    """Let a node, A if not said otherwise, answer a new key."""
+    node = get_node(world, number)
     prefix = node.core.issue_prefix(node.now(world.now_ms)) if is_issued else ""
     key = Key(CUSTOMERS[0], prefix + f"k{len(world.keys)}")
     world.keys.append(key)
@@ -289,3 +290,31 @@
     sender = get_node(world, 0).identity
     assert node.core.handle(PeerMessageArrived(sender, message), 1_000) == []
     assert node.core.count_handed() == 0
+
+
+def test_issuer_and_witness_that_stopped_together_leave_no_one_to_wait_for() -> None:
+    """The issuer of a key and its witness stop as planned, one right after the other.
+
+    The key was still running when its issuer's time was over, so nobody holds its end,
+    and the witness's ledger went with it. A retry learns that the outcome is unknown
+    as soon as its node has asked the holders, not at its deadline.
+    """
+    world = make_world()
+    issued = parse_issued_key(run_key(world, is_issued=True).text)
+    assert issued is not None and issued.witness is not None
+    witness = NAMES.index(issued.witness.node)
+    run_key(world, is_issued=False, number=witness)
+    issuer = get_node(world, 0)
+    prefix = issuer.core.issue_prefix(issuer.now(world.now_ms))
+    running = Key(CUSTOMERS[0], prefix + "running")
+    world.keys.append(running)
+    world.send(issuer, running, b"one", tells_age=True)
+    world.pump(4, None)
+    assert len(running.executions) == 1
+    for number in (0, witness):
+        run_hand_over(world, number)
+        world.tell_views()
+        world.pump(1, None)
+    [left] = world.live()
+    assert left.core.count_handed() == 2
+    assert retry(world, NAMES.index(left.identity.node), running) == "outcome_unknown"
