Read and write connections with fewer turns of the scheduler

Cause: for each token event trio tried to read before it waited, which fails each time, and gave up its turn after each write that didn't have to wait.

One task with an epoll of its own for all streams would save the turn of the reading task too, but then one task owns every socket.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -17,8 +17,8 @@
 import trio
 
 from toucanyard.names import Address
+from toucanyard_node.socket_io import receive
 
-_READ_BYTES: Final = 65_536
 _MAX_PORT: Final = 65_535
 MAX_BODY_BYTES: Final = 64_000_000
 
@@ -205,10 +205,10 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self._stream.receive_some(_READ_BYTES)
+                data = await receive(self._stream)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise ConnectionFailedError(str(error), is_sent=True) from error
-            self._connection.receive_data(bytes(data))
+            self._connection.receive_data(data)
 
 
 Connect = Callable[[Address, float], Awaitable[HttpConnection]]
--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -8,6 +8,8 @@
 import msgspec
 import trio
 
+from toucanyard_node.socket_io import send
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -99,7 +101,7 @@
 
     async def _write_out(self, data: bytes) -> None:
         try:
-            await self._stream.send_all(data)
+            await send(self._stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGoneError from error
 
