Ask h11 once, not three times, for each token event

Cause: after each chunk h11 was asked for the next event, and asked again before the next read; both times it said that it needs data. That is known when a chunk has ended and at most the line end behind it is left.

The new test_answer_is_whole_however_it_is_cut fails when the end of a chunk isn't asked for (an answer with a Content-Length then waits for ever) and when the end of the body counts as nothing; test_answer_that_ends_early_is_never_whole covers answers cut at any byte.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -20,6 +20,8 @@
 from toucanyard_node.socket_io import receive
 
 _MAX_PORT: Final = 65_535
+_NEEDS_DATA: Final = ((b"", False), (b"\r\n", False))
+"""What h11 has unread after a chunk when neither another nor the end has come."""
 MAX_BODY_BYTES: Final = 64_000_000
 
 Headers = tuple[tuple[str, str], ...]
@@ -74,7 +76,14 @@
     Invariant: `is_reusable` is true only when the last answer was read to its end.
     """
 
-    __slots__ = ("_connection", "_pending", "_stream", "address", "opened_ms")
+    __slots__ = (
+        "_connection",
+        "_is_drained",
+        "_pending",
+        "_stream",
+        "address",
+        "opened_ms",
+    )
 
     def __init__(
         self, address: Address, stream: trio.abc.Stream, opened_ms: float
@@ -83,6 +92,7 @@
         self.opened_ms = opened_ms
         self._stream = stream
         self._pending: object = None
+        self._is_drained = False
         self._connection = h11.Connection(h11.CLIENT)
 
     def is_reusable(self) -> bool:
@@ -162,18 +172,26 @@
             if isinstance(event, h11.EndOfMessage):
                 return None
             raise ConnectionFailedError("closed inside an answer", is_sent=True)
-        data = event.data
-        while True:
-            try:
-                event = self._connection.next_event()
-            except h11.RemoteProtocolError as error:
-                raise ConnectionFailedError(str(error), is_sent=True) from error
+        parts = [event.data]
+        while not self._is_drained_by(event):
+            event = self._parse()
             if event is h11.NEED_DATA:
-                return bytes(data)
+                self._is_drained = True
+                break
             if not isinstance(event, h11.Data):
                 self._pending = event
-                return bytes(data)
-            data = bytes(data) + event.data
+                break
+            parts.append(event.data)
+        return bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
+
+    def _is_drained_by(self, event: h11.Data) -> bool:
+        """Tell whether h11 needs bytes after this event, and note it.
+
+        It is asked twice for each token event otherwise, only to say so.
+        """
+        rest = self._connection.trailing_data
+        self._is_drained = event.chunk_end and rest in _NEEDS_DATA
+        return self._is_drained
 
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Read the rest of the body, or raise ConnectionFailedError.
@@ -198,17 +216,22 @@
 
     async def _next_event(self) -> object:
         while True:
-            try:
-                event = self._connection.next_event()
-            except h11.RemoteProtocolError as error:
-                raise ConnectionFailedError(str(error), is_sent=True) from error
-            if event is not h11.NEED_DATA:
-                return event
+            if not self._is_drained:
+                event = self._parse()
+                if event is not h11.NEED_DATA:
+                    return event
             try:
                 data = await receive(self._stream)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise ConnectionFailedError(str(error), is_sent=True) from error
             self._connection.receive_data(data)
+            self._is_drained = False
+
+    def _parse(self) -> object:
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ConnectionFailedError(str(error), is_sent=True) from error
 
 
 Connect = Callable[[Address, float], Awaitable[HttpConnection]]
--- /dev/null
+++ b/tests/toucanyard_node/test_http_client.py
@@ -0,0 +1,84 @@
+"""Tests for reading answers off one connection, however they are cut."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from hypothesis import example, given, strategies as st
+
+from toucanyard.names import Address
+from toucanyard_node.http_client import ConnectionFailedError, HttpConnection
+
+ADDRESS = Address("127.0.0.1:1")
+BODIES = st.lists(
+    st.sampled_from([b"\r\n", b"0\r\n\r\n", b"a", b"id: 1\ndata: x\n\n"]), max_size=4
+)
+CUTS = st.lists(st.integers(0, 200), max_size=6)
+
+
+def render(parts: list[bytes], is_chunked: bool) -> bytes:
+    """Return the bytes of one whole answer."""
+    if not is_chunked:
+        body = b"".join(parts)
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + chunks + b"0\r\n\r\n"
+
+
+async def read_answer(packets: list[bytes], then_closes: bool) -> tuple[bytes, bool]:
+    """Return the body of an answer in packets, and whether a next request may go."""
+    near, far = trio.testing.memory_stream_pair()
+    connection = HttpConnection(ADDRESS, near, 0.0)
+    await connection.send("GET", "/", ())
+
+    async def answer() -> None:
+        for packet in packets:
+            await far.send_all(packet)
+            await trio.testing.wait_all_tasks_blocked()
+        if then_closes:
+            await far.aclose()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(answer)
+        with trio.fail_after(1):
+            await connection.read_head()
+            body = await connection.read_body()
+    return body, connection.is_reusable()
+
+
+def run_answer(packets: list[bytes], then_closes: bool) -> tuple[bytes, bool]:
+    """Read an answer on a clock that jumps, so that waiting in vain fails at once."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(read_answer, packets, then_closes, clock=clock)
+
+
+def cut(data: bytes, places: list[int]) -> list[bytes]:
+    """Return the data cut at these places."""
+    edges = [0, *sorted({place % len(data) for place in places} - {0}), len(data)]
+    return [data[begin:end] for begin, end in zip(edges, edges[1:], strict=False)]
+
+
+@given(BODIES, st.booleans(), CUTS)
+@example([b"a", b"\r\n"], False, [41])
+def test_answer_is_whole_however_it_is_cut(
+    parts: list[bytes], is_chunked: bool, places: list[int]
+) -> None:
+    """Packets end anywhere: inside a chunk, its size, the line behind it.
+
+    The body must come whole, and its end be seen without waiting for more bytes.
+    """
+    packets = cut(render(parts, is_chunked), places)
+    body = b"".join(parts)
+    assert run_answer(packets, False) == (body, True)
+
+
+@given(BODIES, st.booleans(), CUTS, st.integers(1, 200))
+def test_answer_that_ends_early_is_never_whole(
+    parts: list[bytes], is_chunked: bool, places: list[int], missing: int
+) -> None:
+    """The engine dies inside its answer: what has come must not pass for all of it."""
+    data = render(parts, is_chunked)
+    short = data[: max(1, len(data) - missing)]
+    with pytest.RaisesGroup(ConnectionFailedError):
+        run_answer(cut(short, places), True)
