Forget the views of endpoints that left the configuration

Cause: Placement.forget_endpoint had no caller. Views of removed endpoints stayed for ever, held a share of the bound on blocks, and an endpoint that got the name later was taken to hold the old one's blocks until its first report.

The choice of endpoints now tells placement at each change of the configuration which endpoints were in force before and still are; the other views go, and the bound is shared over those left.

Ruled out: ignoring messages of unknown endpoints, which needs the names in every call.

Before: the new test failed with 3 blocks of the removed endpoint still known.

--- a/packages/toucanyard/src/toucanyard/endpoint_choice.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_choice.py
@@ -55,11 +55,17 @@
         """Choose by this configuration from now on."""
         self._configuration = configuration
         self._told_usable.clear()
-        self._addresses = {
+        addresses = {
             endpoint.name: endpoint.address
             for owner in find_owners(configuration)
             for endpoint in owner.endpoints
         }
+        # A name that is new here may have been another endpoint's: a message that was
+        # late at that one's removal may have made a view again. At the start it is
+        # the snapshot that told of endpoints before their configuration.
+        before = self._addresses or addresses
+        self._placement.retain_endpoints(addresses.keys() & before.keys())
+        self._addresses = addresses
 
     def find_pool(self, request: Request) -> Pool | None:
         """Return the pool that a model request goes to."""
--- a/packages/toucanyard/src/toucanyard/endpoint_views.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_views.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from typing import Final
 
 import msgspec
@@ -43,9 +43,12 @@
                 self._resize(count)
         return view
 
-    def forget(self, name: EndpointName) -> None:
-        """Drop the view of an endpoint that has gone."""
-        self._views.pop(name, None)
+    def retain(self, names: Set[EndpointName]) -> None:
+        """Drop the views of other endpoints and share the bound over the rest."""
+        kept = {name: view for name, view in self._views.items() if name in names}
+        if len(kept) < len(self._views):
+            self._views = kept
+            self._resize(len(kept))
 
     def items(self) -> Iterator[tuple[EndpointName, EndpointView]]:
         """Return each endpoint and its view."""
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 
 import msgspec
 
@@ -221,9 +221,9 @@
         """Forget the endpoint's blocks if it has been restarted."""
         self._view(endpoint).cache.note_incarnation(incarnation)
 
-    def forget_endpoint(self, endpoint: EndpointName) -> None:
-        """Drop all that is known about an endpoint that has gone."""
-        self._views.forget(endpoint)
+    def retain_endpoints(self, names: Set[EndpointName]) -> None:
+        """Drop all that is known about other endpoints: they have gone."""
+        self._views.retain(names)
 
     def find_doubtful(self, now_ms: float) -> list[EndpointName]:
         """Return endpoints whose view needs a dump and was not asked for just now."""
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -1,8 +1,14 @@
 from __future__ import annotations
 
-from core_world import CoreWorld
+import msgspec
+
+from core_world import POOL, CoreWorld, build_patch
+from toucanyard.cache_view import CacheDump
+from toucanyard.configuration import Pool
+from toucanyard.configuration_records import PatchRecord
 from toucanyard.core_events import (
     AppendSettled,
+    CacheDumpRead,
     DrainBegun,
     LinksChanged,
     LoadRead,
@@ -24,7 +30,7 @@
     NodeId,
     NodeName,
 )
-from toucanyard.patches import Patch
+from toucanyard.patches import Patch, Put
 from toucanyard.platform_log import AppendResult
 from toucanyard.requests import Dispatch
 from toucanyard.vm_view import Vm, VmState
@@ -55,6 +61,11 @@
     return [each for each in world.others if isinstance(each, PatchAnswered)]
 
 
+def apply_patch(world: CoreWorld, record: PatchRecord) -> None:
+    world.log.append(msgspec.json.encode(record).decode())
+    world.read_log()
+
+
 def test_draining_node_tells_its_peers_at_once() -> None:
     # Callers see no address of a node that stops. The VM list lags by seconds, and
     # until it shows the stop, peers would go on naming the node in locate.
@@ -173,3 +184,26 @@
         told = Digest(PEER.node, 1.0, world.now_ms, 1, seen, 0.0)
         world.handle(MessageRead(PEER, told))
         assert world.core.spread.divergent == expected
+
+
+def test_nothing_is_kept_of_an_endpoint_that_left_the_configuration() -> None:
+    """An engine is removed by one patch and its name is given out again by a later one.
+
+    The old views would stay for ever; and the new engine would get requests for blocks
+    that only the old one held. A load report that was under way at the removal must
+    not bring the view back either.
+    """
+    world = CoreWorld()
+    engines = build_patch().put.pools[0].endpoints
+    gone = engines[0].name
+    dump = CacheDump(Incarnation("old"), 1, (1, 2, 3))
+    world.handle(CacheDumpRead(gone, dump))
+    world.handle(CacheDumpRead(engines[1].name, CacheDump(Incarnation("b"), 1, (4,))))
+    without = Pool(POOL, "m", "w1", engines[1:])
+    apply_patch(
+        world, PatchRecord(patch_id="second", base=1, put=Put(pools=(without,)))
+    )
+    assert world.core.placement.count_blocks() == 1
+    world.handle(CacheDumpRead(gone, dump))
+    apply_patch(world, build_patch("third", 2))
+    assert world.core.placement.count_blocks() == 1
