Score each replica under the weights that it runs

Cause: a request carried one chain, under the weights desired at its arrival. While new weights are rolled out every replica that still runs the old ones looked empty, and the homes of all prefixes moved at the patch, since they were hashed from that chain. After a dispatch the view even held blocks there under weights that the replica does not run.

A replica is now scored by the chain of the weights that it last reported; the chain of a second version is computed when a replica asks for it, once a request.

Baselines get the same chains and keys.

--- a/packages/toucanyard-node/src/toucanyard_node/model_requests.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_requests.py
@@ -10,7 +10,7 @@
 from toucanyard.configuration import Configuration, Pool, PriorityClass
 from toucanyard.errorcodes import ErrorKind, RouterError
 from toucanyard.names import CustomerName
-from toucanyard.prefix import CacheIdentity, compute_chain
+from toucanyard.prefix import CacheIdentity, PromptChains
 from toucanyard.requests import ModelTarget
 
 DEFAULT_MAX_TOKENS: Final = 256
@@ -106,6 +106,7 @@
     pool, adapter, priority = _find_pool(configuration, parsed.model, customer)
     prompt = compute_prompt(parsed).encode("utf-8", "surrogatepass")
     identity = CacheIdentity(customer, pool.model, adapter, pool.weights_version)
+    chains = PromptChains(identity, prompt)
     max_tokens = _find_max_tokens(parsed)
     if max_tokens < 1:
         raise RouterError(ErrorKind.BAD_REQUEST, "body: max_tokens is less than 1")
@@ -114,9 +115,11 @@
         model=pool.model,
         adapter=adapter,
         weights_version=pool.weights_version,
-        chain=compute_chain(identity, prompt),
+        chain=chains.find_chain(pool.weights_version),
         prompt_bytes=len(prompt),
         max_tokens=max_tokens,
+        home_keys=chains.compute_home_keys(),
+        chains=chains,
     )
     is_plain_only = any(
         bytes(fields.get(name, ordinary)) not in (bytes(ordinary), b"null")
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_baselines.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_baselines.py
@@ -12,11 +12,12 @@
 from toucanyard.configuration import Endpoint, Pool
 from toucanyard.names import EndpointName
 from toucanyard.placement import Placed, Placement
+from toucanyard.prefix import DEPTHS
 from toucanyard.rendezvous import EndpointRing
 from toucanyard.requests import ModelTarget, Request
 from toucanyard_standins.policy_engine import FakeEngine
 
-AFFINITY_DEPTH: Final = 8
+AFFINITY_PLACE: Final = DEPTHS.index(8) + 1
 
 
 class Baseline(Placement):
@@ -65,8 +66,9 @@
         self, name: EndpointName, target: ModelTarget, names: Sequence[EndpointName]
     ) -> tuple[float, ...]:
         """Return the match, negated, and the place in the hash's ranking."""
-        warm = self._view(name).cache.count_warm(target.chain)
-        key = target.chain[min(AFFINITY_DEPTH, len(target.chain)) - 1]
+        warm = self._view(name).count_warm(target)
+        keys = target.find_home_keys()
+        key = keys[min(AFFINITY_PLACE, len(keys)) - 1]
         ring = EndpointRing(names)
         return (-warm, ring.rank(names, key).index(name))
 
@@ -89,7 +91,7 @@
     ) -> tuple[float, ...]:
         """Return the true wait plus the priced recomputation."""
         engine = self._engines[name]
-        chain = target.chain
+        chain = target.find_chain(engine.weights_version)
         warm = engine.count_warm(chain)
         jobs = [job for _, _, job in engine.waiting]
         jobs += [engine.prefill] if engine.prefill is not None else []
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_engine.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_engine.py
@@ -89,6 +89,7 @@
         self.clock = clock
         self.slowness = 1.0
         self.is_up = True
+        self.is_loading = False
         self.weights_version = "w1"
         self.restarts = 0
         self.recomputed_blocks = 0
@@ -132,6 +133,7 @@
     def start(self, weights_version: str | None = None) -> None:
         """Come back empty."""
         self.is_up = True
+        self.is_loading = False
         self.weights_version = weights_version or self.weights_version
 
     def count_warm(self, chain: tuple[int, ...]) -> int:
@@ -175,6 +177,7 @@
             self.compute_queued_blocks(),
             len(self.cache),
             self.shape.capacity_blocks,
+            weights_version=self.weights_version,
         )
         self.snapshots.append((self.clock.now_ms, report))
         self.clock.call_after(SNAPSHOT_MS, self._take_snapshot)
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_node.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_node.py
@@ -44,6 +44,8 @@
     endpoint: EndpointName | None = None
     expected_ms: float = 0.0
     first_token_ms: float | None = None
+    weights_version: str | None = None
+    """Weights that the answer was begun on; it never goes on under others."""
 
 
 class Node:
@@ -127,7 +129,7 @@
     def _dispatch(self, task: Task) -> None:
         request = task.request
         now_ms = self.run.clock.now_ms
-        usable = self.run.find_candidates(request, self.down)
+        usable = self.run.find_candidates(task.weights_version, self.down)
         open_names = self.admission.find_open(request, [each.name for each in usable])
         if len(open_names) < len(usable) and open_names:
             usable = tuple(each for each in usable if each.name in open_names)
@@ -147,16 +149,19 @@
     def _send(self, task: Task, placed: Placed) -> None:
         target = task.request.target
         assert isinstance(target, ModelTarget)
+        engine = self.run.engines[placed.endpoint]
+        delay_ms = self.run.deployment.one_way_ms
+        self.run.clock.call_after(delay_ms, lambda: self._submit(task, target, engine))
+
+    def _submit(self, task: Task, target: ModelTarget, engine: FakeEngine) -> None:
         job = Job(
-            target.chain,
+            target.find_chain(engine.weights_version),
             task.arrival.tokens,
             task.priority,
             partial(self._note_first_token, task),
             partial(self._note_end, task),
         )
-        engine = self.run.engines[placed.endpoint]
-        delay_ms = self.run.deployment.one_way_ms
-        self.run.clock.call_after(delay_ms, lambda: engine.submit(job))
+        engine.submit(job)
 
     def _note_first_token(self, task: Task, job: Job) -> None:
         run = self.run
@@ -166,6 +171,7 @@
         if task.first_token_ms is None:
             task.first_token_ms = now_ms - task.arrival.at_ms
         assert task.endpoint is not None
+        task.weights_version = run.engines[task.endpoint].weights_version
         missing = len(job.chain) - job.warm_blocks
         work_ms = missing * run.deployment.policy.prefill_ms_per_block
         run.note_prompt(task, job)
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_workload.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_workload.py
@@ -18,6 +18,7 @@
 
 CUSTOMER_SHARES: Final = (0.34, 0.24, 0.14, 0.09, 0.07, 0.05, 0.04, 0.03)
 
+FIRST_WEIGHTS: Final = "w1"
 RAMP_MS: Final = 5_000.0
 """Time over which the load rises at the beginning, when all engines are empty."""
 
@@ -96,6 +97,25 @@
     return tuple(chain)
 
 
+class ArrivalChains:
+    """Chains of one arrival's prompt under each weights version asked for."""
+
+    __slots__ = ("_arrival", "_chains")
+
+    def __init__(self, arrival: Arrival) -> None:
+        self._arrival = arrival
+        self._chains: dict[str, tuple[int, ...]] = {}
+
+    def find_chain(self, weights_version: str) -> tuple[int, ...]:
+        """Return the prompt's chain under these weights."""
+        chain = self._chains.get(weights_version)
+        if chain is None:
+            arrival = self._arrival
+            chain = make_chain(arrival.customer, weights_version, arrival.parts)
+            self._chains[weights_version] = chain
+        return chain
+
+
 def make_arrivals(
     deployment: Deployment,
     seed: int,
--- a/packages/toucanyard/src/toucanyard/endpoint_views.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_views.py
@@ -10,6 +10,7 @@
 from toucanyard.cache_view import CacheView
 from toucanyard.load_view import LoadView
 from toucanyard.names import EndpointName
+from toucanyard.requests import ModelTarget
 
 MIN_SHARES: Final = 16
 """Views that the bound on blocks is shared over at the least."""
@@ -22,6 +23,19 @@
     load: LoadView
     asked_dump_ms: float = float("-inf")
 
+    def find_chain(self, target: ModelTarget) -> tuple[int, ...]:
+        """Return a request's chain under the weights that the endpoint reports.
+
+        While new weights are rolled out, replicas run two versions: under the desired
+        one alone, all that still run the other would look empty, and be recomputed.
+        """
+        report = self.load.report
+        return target.find_chain("" if report is None else report.weights_version)
+
+    def count_warm(self, target: ModelTarget) -> int:
+        """Return how many leading blocks the endpoint is believed to hold."""
+        return self.cache.count_warm(self.find_chain(target))
+
 
 class EndpointViews:
     """Views by endpoint; together they keep at most `max_blocks` blocks."""
--- a/packages/toucanyard/src/toucanyard/hot_prefixes.py
+++ b/packages/toucanyard/src/toucanyard/hot_prefixes.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
+from toucanyard.prefix import DEPTHS
 from toucanyard.snapshots import PrefixHint
 
-DEPTHS: Final = (1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 512)
 HALF_LIFE_MS: Final = 10_000.0
 COUNT_PER_S: Final = math.log(2) * 1_000 / HALF_LIFE_MS
 """Uses a second that keep a decayed count of 1."""
@@ -60,12 +60,10 @@
         """Return how many prefixes are counted."""
         return len(self._counts)
 
-    def note(self, chain: Sequence[int], now_ms: float) -> None:
-        """Count a request's prefixes at the sampled depths."""
-        for depth in DEPTHS:
-            if depth > len(chain):
-                break
-            self._note_one(chain[depth - 1], now_ms)
+    def note(self, keys: Sequence[int], now_ms: float) -> None:
+        """Count a request's prefixes, given by their keys at `DEPTHS`."""
+        for key in keys:
+            self._note_one(key, now_ms)
         excess = len(self._counts) - self._max_prefixes
         if excess > 0:
             # Many at a time, as in CacheView: one by one would be quadratic.
@@ -73,17 +71,15 @@
             for key in list(islice(self._counts, drop)):
                 del self._counts[key]
 
-    def find_levels(self, chain: Sequence[int], now_ms: float) -> list[Level]:
-        """Return the shared prefixes of a chain, shortest first."""
+    def find_levels(self, keys: Sequence[int], now_ms: float) -> list[Level]:
+        """Return the shared prefixes of a request, shortest first."""
         levels: list[Level] = []
-        for depth in DEPTHS:
-            if depth > len(chain):
-                break
-            entry = self._counts.get(chain[depth - 1])
+        for depth, key in zip(DEPTHS, keys, strict=False):
+            entry = self._counts.get(key)
             count = 0.0 if entry is None else _compute_count(entry, now_ms)
             if count < RECURRING:
                 break
-            levels.append(Level(depth, chain[depth - 1], count * COUNT_PER_S))
+            levels.append(Level(depth, key, count * COUNT_PER_S))
         return levels
 
     def adjust_width(self, key: int, load: float, min_width: int) -> int:
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -106,16 +106,17 @@
         if not candidates or not isinstance(target, ModelTarget):
             return None
         ring = self._find_ring(pool.name, candidates)
-        self._prefixes.note(target.chain, now_ms)
+        keys = target.find_home_keys()
+        self._prefixes.note(keys, now_ms)
         use = self._uses.get(pool.name)
-        homes = self._find_homes(ring, pool, use, target.chain, now_ms)
-        warm = self._count_warm(ring, homes, target.chain)
+        homes = self._find_homes(ring, pool, use, keys, now_ms)
+        warm = self._count_warm(ring, homes, target, keys)
         considered = [
-            self._consider(name, target.chain, blocks, homes, pool.placement, use)
+            self._consider(name, target, blocks, homes, pool.placement, use)
             for name, blocks in warm.items()
         ]
         scores = compute_scores(
-            considered, target.chain, pool.placement, self._limits.prices, now_ms
+            considered, len(target.chain), pool.placement, self._limits.prices, now_ms
         )
         best = scores[0]
         return Placed(
@@ -166,7 +167,7 @@
             0.0 if pool is None else pool.placement.prefill_ms_per_block,
         )
         if isinstance(request.target, ModelTarget):
-            view.cache.touch(request.target.chain, now_ms)
+            view.cache.touch(view.find_chain(request.target), now_ms)
         if pool is not None:
             self._uses.get(pool.name).note_work(work_ms)
 
@@ -268,38 +269,40 @@
         ring: EndpointRing,
         pool: Pool,
         use: PoolUse,
-        chain: Sequence[int],
+        keys: Sequence[int],
         now_ms: float,
     ) -> Homes:
         share = use.compute_share(pool.placement.max_running)
         load_per_s = share * self._node_count / self._limits.target_use
-        return find_homes(ring, self._prefixes, chain, load_per_s, now_ms)
+        return find_homes(ring, self._prefixes, keys, load_per_s, now_ms)
 
     def _count_warm(
-        self, ring: EndpointRing, homes: Homes, chain: Sequence[int]
+        self,
+        ring: EndpointRing,
+        homes: Homes,
+        target: ModelTarget,
+        keys: Sequence[int],
     ) -> dict[EndpointName, int]:
         """Return the endpoints to score and how many blocks each has warm."""
         limit = self._limits.max_scored
         names = ring.names
         if len(names) > limit:
-            names = ring.rank_neighbours(chain[0] if chain else 0)
-        warm = {name: self._view(name).cache.count_warm(chain) for name in names}
+            names = ring.rank_neighbours(keys[0] if keys else 0)
+        warm = {name: self._view(name).count_warm(target) for name in names}
         if len(ring.names) <= limit:
             return warm
         chosen = (*homes.names, *homes.seconds)[: limit // 2]
         warmest = sorted(names, key=lambda name: -warm[name])[: limit // 2]
         picked = dict.fromkeys((*chosen, *warmest, self._rng.choice(ring.names)))
         return {
-            name: warm[name]
-            if name in warm
-            else self._view(name).cache.count_warm(chain)
+            name: warm[name] if name in warm else self._view(name).count_warm(target)
             for name in picked
         }
 
     def _consider(
         self,
         name: EndpointName,
-        chain: Sequence[int],
+        target: ModelTarget,
         warm_blocks: int,
         homes: Homes,
         policy: PlacementPolicy,
@@ -315,7 +318,9 @@
             name=name,
             view=view,
             warm_blocks=warm_blocks,
-            believed_blocks=view.cache.compute_believed(chain, warm_blocks, trust),
+            believed_blocks=view.cache.compute_believed(
+                view.find_chain(target), warm_blocks, trust
+            ),
             rank=homes.find_rank(name),
             reported_ms=reported_ms,
         )
--- a/packages/toucanyard/src/toucanyard/prefix.py
+++ b/packages/toucanyard/src/toucanyard/prefix.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
-from typing import Final
+from collections.abc import Sequence
+from typing import Final, Protocol
 
 import msgspec
 import xxhash
 
+DEPTHS: Final = (1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256, 512)
+"""Depths in blocks at which it is counted whether a prefix recurs."""
 BLOCK_BYTES: Final = 256
 """Size of one block of the prompt's UTF-8 text; a shorter tail is not cached."""
 
@@ -25,6 +28,57 @@
     weights_version: str
 
 
+class ChainSource(Protocol):
+    """Computes the chain of one prompt under any weights version."""
+
+    def find_chain(self, weights_version: str) -> tuple[int, ...]:
+        """Return the prompt's chain under these weights."""
+        ...
+
+
+class PromptChains:
+    """Chains of one prompt; one under other weights is computed when asked for."""
+
+    __slots__ = ("_chains", "_identity", "_prompt")
+
+    def __init__(self, identity: CacheIdentity, prompt: bytes) -> None:
+        self._identity = identity
+        self._prompt = prompt
+        self._chains: dict[str, tuple[int, ...]] = {}
+
+    def find_chain(self, weights_version: str) -> tuple[int, ...]:
+        """Return the prompt's chain under these weights."""
+        chain = self._chains.get(weights_version)
+        if chain is None:
+            identity = msgspec.structs.replace(
+                self._identity, weights_version=weights_version
+            )
+            chain = self._chains[weights_version] = compute_chain(
+                identity, self._prompt
+            )
+        return chain
+
+    def compute_home_keys(self) -> tuple[int, ...]:
+        """Return keys of the prefixes at `DEPTHS`, the same under all weights."""
+        identity = msgspec.structs.replace(self._identity, weights_version="")
+        digest = xxhash.xxh3_64(msgspec.msgpack.encode(identity))
+        keys: list[int] = []
+        begin = 0
+        for depth in DEPTHS:
+            end = depth * BLOCK_BYTES
+            if end > len(self._prompt):
+                break
+            digest.update(self._prompt[begin:end])
+            keys.append(digest.intdigest())
+            begin = end
+        return tuple(keys)
+
+
+def sample_chain(chain: Sequence[int]) -> tuple[int, ...]:
+    """Return the hashes of a chain at `DEPTHS`."""
+    return tuple(chain[depth - 1] for depth in DEPTHS if depth <= len(chain))
+
+
 def compute_root(identity: CacheIdentity) -> int:
     """Return the hash that a chain under this identity starts from."""
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(identity))
--- a/packages/toucanyard/src/toucanyard/prefix_homes.py
+++ b/packages/toucanyard/src/toucanyard/prefix_homes.py
@@ -78,7 +78,7 @@
 def find_homes(
     ring: EndpointRing,
     prefixes: HotPrefixes,
-    chain: Sequence[int],
+    keys: Sequence[int],
     load_per_s: float,
     now_ms: float,
 ) -> Homes:
@@ -87,11 +87,11 @@
     `load_per_s` is how many replicas one request a second, as this node counts them,
     may fill.
     """
-    if not chain:
+    if not keys:
         return Homes((), 0)
-    levels = prefixes.find_levels(chain, now_ms)
+    levels = prefixes.find_levels(keys, now_ms)
     if not levels:
-        ranked = ring.rank_neighbours(chain[0])
+        ranked = ring.rank_neighbours(keys[0])
         return Homes(tuple(ranked[:1]), 0, tuple(ranked[1 : 1 + SECONDS]))
     names = ring.rank_neighbours(levels[0].key)
     width = prefixes.adjust_width(levels[0].key, levels[0].per_s * load_per_s, 1)
--- a/packages/toucanyard/src/toucanyard/scoring.py
+++ b/packages/toucanyard/src/toucanyard/scoring.py
@@ -54,7 +54,7 @@
 
 def compute_scores(
     considered: Sequence[Considered],
-    chain: Sequence[int],
+    blocks: int,
     policy: PlacementPolicy,
     prices: Prices,
     now_ms: float,
@@ -62,7 +62,7 @@
     """Return the score of each endpoint, best first."""
     mean_ms = sum(each.reported_ms for each in considered) / len(considered)
     scores = [
-        compute_score(each, len(chain), policy, prices, mean_ms, now_ms)
+        compute_score(each, blocks, policy, prices, mean_ms, now_ms)
         for each in considered
     ]
     scores.sort(key=lambda score: score.total_ms)
--- a/tests/toucanyard/test_placement.py
+++ b/tests/toucanyard/test_placement.py
@@ -2,14 +2,17 @@
 
 import random
 
+import msgspec
 from hypothesis import given, strategies as st
 
-from placement_examples import make_pool, make_request
+from placement_examples import POOL, make_pool, make_request
 from toucanyard.cache_view import CacheDump
 from toucanyard.configuration import PlacementPolicy
 from toucanyard.load_view import LoadReport
 from toucanyard.names import EndpointName, Incarnation
 from toucanyard.placement import Placement
+from toucanyard.prefix import BLOCK_BYTES, CacheIdentity, PromptChains
+from toucanyard.requests import ModelTarget, Request
 
 CHAIN = tuple(range(1000, 1040))
 E0, E1 = EndpointName("e0"), EndpointName("e1")
@@ -115,3 +118,84 @@
         placement.note_dispatch(request, placed, pool, float(number))
         chosen.add(placed.endpoint)
     assert len(chosen) == 1
+
+
+def make_prompt_request(number: int, weights_version: str) -> Request:
+    identity = CacheIdentity("large", "m", "", weights_version)
+    chains = PromptChains(identity, b"x" * BLOCK_BYTES * 40)
+    chain = chains.find_chain(weights_version)
+    target = ModelTarget(
+        POOL, "m", "", weights_version, chain, 1, 1, chains.compute_home_keys(), chains
+    )
+    return msgspec.structs.replace(make_request(number), target=target)
+
+
+def apply_weights(placement: Placement, endpoint: EndpointName, version: str) -> None:
+    report = LoadReport(RUN, 0, 0.0, weights_version=version)
+    placement.apply_load(endpoint, report, 0.0)
+
+
+def test_replica_is_used_as_warm_until_it_has_the_new_weights() -> None:
+    """Operators patch new weights in; the replica that holds the prompt loads last.
+
+    Scored by the blocks of the new weights, the warm replica looks as empty as all,
+    and the prompt is computed again on one that will not be its home either.
+    """
+    placement, pool = make_placement(), make_pool(5)
+    for each in pool.endpoints:
+        apply_weights(placement, each.name, "w1")
+    request = make_prompt_request(1, "w1")
+    first = placement.choose(request, pool, pool.endpoints, 0.0)
+    assert first is not None
+    placement.note_dispatch(request, first, pool, 0.0)
+    for each in pool.endpoints:
+        version = "w1" if each.name == first.endpoint else "w2"
+        apply_weights(placement, each.name, version)
+    second = placement.choose(make_prompt_request(2, "w2"), pool, pool.endpoints, 1.0)
+    assert second is not None
+    assert second.endpoint == first.endpoint
+    assert second.scores[0].warm_blocks == 40
+    apply_weights(placement, first.endpoint, "w2")
+    third = placement.choose(make_prompt_request(3, "w2"), pool, pool.endpoints, 2.0)
+    assert third is not None
+    assert third.endpoint == first.endpoint
+    assert all(score.warm_blocks == 0 for score in third.scores)
+
+
+@given(st.data())
+def test_no_block_of_other_weights_counts_as_warm(data: st.DataObject) -> None:
+    """Reports, dispatches and dumps of two weights versions come in any order.
+
+    Whatever the order, a replica counts as warm only for what is known of it under
+    the weights that it last reported.
+    """
+    placement, pool = make_placement(), make_pool(3)
+    known: set[tuple[EndpointName, str]] = set()
+    reported = {each.name: "w1" for each in pool.endpoints}
+    for name in reported:
+        apply_weights(placement, name, "w1")
+    steps = st.tuples(
+        st.sampled_from(["report", "send", "dump"]),
+        st.sampled_from([each.name for each in pool.endpoints]),
+        st.sampled_from(["w1", "w2"]),
+    )
+    for number, (step, name, version) in enumerate(data.draw(st.lists(steps))):
+        request = make_prompt_request(number, version)
+        assert isinstance(request.target, ModelTarget)
+        if step == "report":
+            apply_weights(placement, name, version)
+            reported[name] = version
+        elif step == "dump":
+            dump = CacheDump(RUN, 1, request.target.chain)
+            placement.apply_cache_dump(name, dump, 0.0)
+            known = {each for each in known if each[0] != name} | {(name, version)}
+        else:
+            placed = placement.choose(request, pool, pool.endpoints, 0.0)
+            assert placed is not None
+            placement.note_dispatch(request, placed, pool, 0.0)
+            known.add((placed.endpoint, reported[placed.endpoint]))
+    placed = placement.choose(make_prompt_request(-1, "w2"), pool, pool.endpoints, 0.0)
+    assert placed is not None
+    for score in placed.scores:
+        is_known = (score.endpoint, reported[score.endpoint]) in known
+        assert score.warm_blocks == (40 if is_known else 0)
