Price a cold prompt higher on weights that are soon replaced

A block missing on a replica with other weights than the desired ones now costs 12 more a millisecond. What is warm there costs nothing more, so old capacity is used until it is replaced.

The new test fails without the price: the prompt is computed on the old weights.

--- a/packages/toucanyard/src/toucanyard/endpoint_views.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_views.py
@@ -29,8 +29,12 @@
         While new weights are rolled out, replicas run two versions: under the desired
         one alone, all that still run the other would look empty, and be recomputed.
         """
+        return target.find_chain(self.find_weights())
+
+    def find_weights(self) -> str:
+        """Return the weights that the endpoint reports; empty while unknown."""
         report = self.load.report
-        return target.find_chain("" if report is None else report.weights_version)
+        return "" if report is None else report.weights_version
 
     def count_warm(self, target: ModelTarget) -> int:
         """Return how many leading blocks the endpoint is believed to hold."""
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -323,6 +323,7 @@
             ),
             rank=homes.find_rank(name),
             reported_ms=reported_ms,
+            has_old_weights=view.find_weights() not in ("", target.weights_version),
         )
 
     def _score_service(self, name: EndpointName, now_ms: float) -> Score:
--- a/packages/toucanyard/src/toucanyard/scoring.py
+++ b/packages/toucanyard/src/toucanyard/scoring.py
@@ -24,6 +24,8 @@
     """Price of a millisecond recomputed outside of a prefix's homes, on top."""
     evict_price: float = 4.0
     """Price of a millisecond recomputed where the cache turns over, on top."""
+    old_weights_price: float = 12.0
+    """Price of a millisecond recomputed under weights soon replaced, on top."""
 
 
 class Score(msgspec.Struct, frozen=True):
@@ -50,6 +52,8 @@
     rank: float
     reported_ms: float
     """Wait that its last report foretells."""
+    has_old_weights: bool
+    """Whether it runs other weights than those desired."""
 
 
 def compute_scores(
@@ -87,6 +91,10 @@
     recompute_ms = missing * policy.prefill_ms_per_block * slowness
     price = policy.recompute_price + prices.spread_price * considered.rank
     price += prices.evict_price * compute_turnover(considered.view, now_ms)
+    if considered.has_old_weights:
+        # Such blocks are lost within seconds, and computed again under the new weights.
+        # Without this, each replica that loads has its prefixes computed twice more.
+        price += prices.old_weights_price
     return Score(
         endpoint=considered.name,
         total_ms=queue_ms + recompute_ms * price,
--- a/tests/toucanyard/test_placement.py
+++ b/tests/toucanyard/test_placement.py
@@ -199,3 +199,19 @@
     for score in placed.scores:
         is_known = (score.endpoint, reported[score.endpoint]) in known
         assert score.warm_blocks == (40 if is_known else 0)
+
+
+def test_cold_prompt_goes_to_a_replica_with_the_new_weights() -> None:
+    """A replica loads new weights, and its prompts come to the others meanwhile.
+
+    Computed where the old weights still run, they would be lost again within seconds.
+    """
+    pool = make_pool(5)
+    for seed in range(5):
+        placement = make_placement(seed)
+        for number, each in enumerate(pool.endpoints):
+            apply_weights(placement, each.name, "w2" if number == seed else "w1")
+        request = make_prompt_request(1, "w2")
+        placed = placement.choose(request, pool, pool.endpoints, 0.0)
+        assert placed is not None
+        assert placed.endpoint == pool.endpoints[seed].name
