Begin a late span before the log's end at a start, not at its first record

Cause: a starting node read the log from offset 0.

Change: the reader finds by halving offsets a record taken more than a span (two windows or 1.5 checkpoint intervals) before the newest, tells the core that older records are missing, and reads on from there. Leads that to no version, it reads again from the first record; duties are not judged twice.

What remains: the span itself, 540,000 records at 400 a second (worked out).

--- a/packages/toucanyard-node/src/toucanyard_node/log_reader.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_reader.py
@@ -5,13 +5,16 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
 import structlog
 import trio
 
-from toucanyard.core_events import LogExpired, LogRead, LogStateSeen
+from toucanyard.core_events import LogExpired, LogRead, LogReread, LogStateSeen
+from toucanyard.log_start import StartSearch
 from toucanyard.names import Address
 from toucanyard_node.log_client import (
     LogExpiredError,
+    LogPage,
     LogUnavailableError,
     PageTooLargeError,
     read_records,
@@ -20,46 +23,143 @@
 _LIMIT: Final = 1_000
 _SHRINK: Final = 10
 _AGAIN_MS: Final = 250
+_SEARCH_ABOVE: Final = 10_000
+"""Records that are read sooner than a place among them is found."""
 _LOG: Final = structlog.get_logger()
 
-LogEvent = LogRead | LogExpired | LogStateSeen
+LogEvent = LogRead | LogExpired | LogReread | LogStateSeen
+
+
+class LateStart(msgspec.Struct, frozen=True):
+    """How far back to read, and how the reader learns that this was not enough."""
+
+    span_ms: float
+    needs_older: Callable[[], bool]
 
 
 async def follow_log(
-    address: Address, wait_ms: int, emit: Callable[[LogEvent], None]
+    address: Address,
+    wait_ms: int,
+    emit: Callable[[LogEvent], None],
+    late_start: LateStart | None = None,
 ) -> None:
-    """Read the log from its first record on until cancelled."""
-    start = 0
-    limit = _LIMIT
-    is_up: bool | None = None
-    while True:
-        asked_ms = trio.current_time() * 1000
+    """Read the log until cancelled, from its first record on or from a late start."""
+    await _Reader(address, wait_ms, emit, late_start).run()
+
+
+class _Reader:
+    """Where reading stands and whether the log answers.
+
+    Invariant: after LogExpired and LogReread, reads follow each other without a gap.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        wait_ms: int,
+        emit: Callable[[LogEvent], None],
+        late_start: LateStart | None,
+    ) -> None:
+        self._address = address
+        self._wait_ms = wait_ms
+        self._emit = emit
+        self._late_start = late_start
+        self._start: int | None = 0 if late_start is None else None
+        self._limit = _LIMIT
+        self._is_up: bool | None = None
+
+    async def run(self) -> None:
+        """Read on until cancelled."""
+        while True:
+            try:
+                if self._start is None:
+                    self._start = await self._find_start()
+                await self._read(self._start)
+            except LogExpiredError as error:
+                self._emit(LogExpired(error.oldest))
+                self._start = error.oldest
+            except LogUnavailableError as error:
+                if self._is_up is not False:
+                    _LOG.warning("log_unavailable", error=str(error)[:200])
+                    self._emit(LogStateSeen(False))
+                self._is_up = False
+                await trio.sleep(_AGAIN_MS / 1000)
+
+    async def _find_start(self) -> int:
+        """Return where to begin; a place behind the oldest record is told as a gap."""
+        assert self._late_start is not None
+        oldest, head = await self._find_range()
+        if head - oldest <= _SEARCH_ABOVE:
+            self._late_start = None
+            return 0
+        newest = (await read_records(self._address, head - 1, 1, 0)).records
+        if not newest:
+            raise LogUnavailableError("found no record before the log's end")
+        search = StartSearch(oldest, newest[0], self._late_start.span_ms)
+        while (probe := search.find_probe()) is not None:
+            try:
+                records = (await read_records(self._address, probe, 1, 0)).records
+            except LogExpiredError as error:
+                search.note_expired(error.oldest)
+                continue
+            search.note(probe, records[0].at_ms if records else None)
+        _LOG.info("log_start_found", offset=search.start, oldest=oldest, head=head)
+        if search.start == oldest:
+            self._late_start = None
+            return 0
+        self._emit(LogExpired(search.start))
+        return search.start
+
+    async def _find_range(self) -> tuple[int, int]:
         try:
-            page = await read_records(address, start, limit, wait_ms if is_up else 0)
+            page = await read_records(self._address, 0, 1, 0)
         except LogExpiredError as error:
-            emit(LogExpired(error.oldest))
-            start = error.oldest
-            continue
+            return error.oldest, error.head
+        return 0, page.head
+
+    async def _read(self, start: int) -> None:
+        asked_ms = trio.current_time() * 1000
+        wait_ms = self._wait_ms if self._is_up else 0
+        try:
+            page = await read_records(self._address, start, self._limit, wait_ms)
         except PageTooLargeError:
-            _LOG.warning("log_page_too_large", offset=start, limit=limit)
-            if limit == 1:
-                # No record of use is that large. Where the log ends is not known yet.
-                emit(LogRead(start, start + 1, (), start + 2, asked_ms))
-                start += 1
-            limit = max(1, limit // _SHRINK)
-            continue
-        except LogUnavailableError as error:
-            if is_up is not False:
-                _LOG.warning("log_unavailable", error=str(error)[:200])
-                emit(LogStateSeen(False))
-            is_up = False
-            await trio.sleep(_AGAIN_MS / 1000)
-            continue
-        limit = _LIMIT
+            self._shrink(start, asked_ms)
+            return
+        self._limit = _LIMIT
+        self._take(start, page, asked_ms)
+
+    def _take(self, start: int, page: LogPage, asked_ms: float) -> None:
         end = page.records[-1].offset + 1 if page.records else start
-        emit(LogRead(start, end, page.records, page.head, asked_ms))
-        start = end
-        if not is_up and end >= page.head:
-            is_up = True
+        self._emit(LogRead(start, end, page.records, page.head, asked_ms))
+        self._start = end
+        if end < page.head:
+            return
+        if not self._is_up:
+            self._is_up = True
             _LOG.info("log_available", offset=end)
-            emit(LogStateSeen(True))
+            self._emit(LogStateSeen(True))
+        self._read_older()
+
+    def _read_older(self) -> None:
+        """Begin again at the first record if the span held no checkpoint.
+
+        None was written, say because a record of an unknown kind halted all nodes.
+        Without its older patches this node would have no configuration at all.
+        """
+        if self._late_start is None or not self._late_start.needs_older():
+            return
+        _LOG.warning("log_read_again")
+        self._late_start = None
+        self._start = 0
+        self._is_up = None
+        # Claims can't be read back meanwhile, so keyed requests are refused at once.
+        self._emit(LogStateSeen(False))
+        self._emit(LogReread())
+
+    def _shrink(self, start: int, asked_ms: float) -> None:
+        _LOG.warning("log_page_too_large", offset=start, limit=self._limit)
+        if self._limit == 1:
+            # No record of use is that large. Where the log ends is not known yet.
+            self._emit(LogRead(start, start + 1, (), start + 2, asked_ms))
+            self._start = start + 1
+        self._limit = max(1, self._limit // _SHRINK)
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -15,6 +15,7 @@
     HandOverBegun,
 )
 from toucanyard.core_events import AppendToLog, DrainBegun, ReadDump, SendMessage
+from toucanyard.log_start import compute_span_ms
 from toucanyard.names import Address, Incarnation
 from toucanyard.node_core import CoreEvent
 from toucanyard.options import Options
@@ -31,7 +32,7 @@
 )
 from toucanyard_node.locate_answer import NodeIdentity
 from toucanyard_node.locator import Locator
-from toucanyard_node.log_reader import follow_log
+from toucanyard_node.log_reader import LateStart, follow_log
 from toucanyard_node.log_writer import write_log
 from toucanyard_node.metrics import send_metrics
 from toucanyard_node.operators_face import OperatorsFace
@@ -125,6 +126,10 @@
                 platform.log,
                 options.configuration.log_poll_wait_ms,
                 self._emit_now,
+                LateStart(
+                    compute_span_ms(options.claims, options.configuration),
+                    self._core.log.needs_older,
+                ),
             )
             nursery.start_soon(
                 write_log, platform.log, options.claims, self._appends, self._emit_now
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_herd.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_herd.py
@@ -19,6 +19,10 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
+from toucanyard.configuration_log import ConfigurationLog
+from toucanyard.configuration_records import encode_checkpoint
+from toucanyard.options import ConfigurationTimings
+from toucanyard_node.log_client import read_records
 from toucanyard_standins.deployment import (
     CALLER_KEY,
     Deployment,
@@ -28,7 +32,7 @@
 )
 from toucanyard_standins.harness import Harness, ask, open_harness
 from toucanyard_standins.load import encode_completion
-from toucanyard_standins.platform_faults import Outage
+from toucanyard_standins.platform_faults import AgeRecords, Outage
 from toucanyard_standins.prefix_load import (
     LoadShape,
     PrefixLoad,
@@ -47,6 +51,8 @@
 _PATIENCE_S: Final = 30.0
 _FOREIGN_RECORD: Final = msgspec.json.encode({"kind": "other", "x": "x" * 200}).decode()
 _RECORDS_PER_APPEND: Final = 1_000
+_AGE_MS: Final = 2_400_000
+"""More than a starting node reads, less than the log keeps."""
 _MAX_US: Final = 60_000_000
 _HISTOGRAM_DIGITS: Final = 3
 _COMPLETION: Final = encode_completion("first", 1, is_stream=False)
@@ -101,6 +107,24 @@
         for _ in range(records // _RECORDS_PER_APPEND):
             await harness.publish(*(_FOREIGN_RECORD,) * _RECORDS_PER_APPEND)
         await _print_starts(harness, f"the log only, {records} records", times)
+        await harness.control(platform, AgeRecords(_AGE_MS))
+        await publish_checkpoint(harness)
+        await _print_starts(harness, "the same, older than a span", times)
+
+
+async def publish_checkpoint(harness: Harness) -> None:
+    """Append what a node that runs would have appended within the span."""
+    log = ConfigurationLog(ConfigurationTimings())
+    address = harness.get_platform().address
+    head = 1
+    while log.next_offset < head:
+        page = await read_records(address, log.next_offset, _RECORDS_PER_APPEND, 0)
+        head = page.head
+        for each in page.records:
+            log.apply_record(each.offset, each.at_ms, each.text, 0.0)
+    checkpoint = log.build_checkpoint()
+    assert checkpoint is not None
+    await harness.publish(encode_checkpoint(checkpoint))
 
 
 async def _print_starts(
--- a/packages/toucanyard-standins/src/toucanyard_standins/main.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/main.py
@@ -54,7 +54,7 @@
     Faults are switched by POST /control with {"fault": NAME, ...}; GET /control
     shows counters. Every stand-in: silence, cut, down. Engine: crash, cut_after,
     die_after, silence_after, cross, delay, slow, refuse, heartbeats, lose_events.
-    Platform: outage, slow, lose_answers, expire, put_vm, remove_vm, vm_lag. Plain
+    Platform: outage, slow, lose_answers, expire, age, put_vm, remove_vm, vm_lag. Plain
     service: slow, die, delay, refuse, cross.
     """
 
--- a/packages/toucanyard-standins/src/toucanyard_standins/platform.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform.py
@@ -22,6 +22,7 @@
 from toucanyard_standins.faulty_listener import FaultyListener
 from toucanyard_standins.network_faults import apply_network_fault
 from toucanyard_standins.platform_faults import (
+    AgeRecords,
     ExpireRecords,
     LoseAnswers,
     Outage,
@@ -196,6 +197,8 @@
                 self._lose = fault
             case ExpireRecords(before):
                 self._log.drop_before(before)
+            case AgeRecords(by_ms):
+                self._log.age(by_ms)
             case PutVm(vm):
                 self._vms.put(vm, self._now_ms())
             case RemoveVm(name):
--- a/packages/toucanyard-standins/src/toucanyard_standins/platform_faults.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform_faults.py
@@ -48,6 +48,12 @@
     before: int
 
 
+class AgeRecords(msgspec.Struct, frozen=True, tag_field="fault", tag="age"):
+    """Make the log's records older by some time, as if they had waited."""
+
+    by_ms: int
+
+
 class PutVm(msgspec.Struct, frozen=True, tag_field="fault", tag="put_vm"):
     """Add or replace a VM of the list."""
 
@@ -72,6 +78,7 @@
     | SlowPart
     | LoseAnswers
     | ExpireRecords
+    | AgeRecords
     | PutVm
     | RemoveVm
     | SetVmLag
--- a/packages/toucanyard-standins/src/toucanyard_standins/platform_log.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform_log.py
@@ -84,6 +84,13 @@
         while self._records and self._records[0].at_ms < oldest_ms:
             self._records.popleft()
 
+    def age(self, by_ms: int) -> None:
+        """Make all records older."""
+        self._records = deque(
+            msgspec.structs.replace(each, at_ms=each.at_ms - by_ms)
+            for each in self._records
+        )
+
     def drop_before(self, offset: int) -> None:
         """Drop the records below an offset."""
         while self._records and self._records[0].offset < offset:
--- a/packages/toucanyard/src/toucanyard/configuration_log.py
+++ b/packages/toucanyard/src/toucanyard/configuration_log.py
@@ -202,6 +202,20 @@
         self.next_offset = oldest
         self._start_missing(oldest)
 
+    def needs_older(self) -> bool:
+        """Tell whether everything was read from a late start and led to no version."""
+        is_without = self.is_missing and self.configuration.version == 0
+        return self._is_caught_up and is_without
+
+    def note_reread(self) -> None:
+        """Take in that reading begins again at the first record, unless it need not."""
+        if not self.needs_older():
+            return
+        self._is_caught_up = False
+        self._missing_until = None
+        self._buffer.clear()
+        self.next_offset = 0
+
     def note_head(self, log_next: int, asked_ms: float) -> None:
         """Take in how far the log goes, as told by a read begun at `asked_ms`.
 
--- a/packages/toucanyard/src/toucanyard/core_events.py
+++ b/packages/toucanyard/src/toucanyard/core_events.py
@@ -70,6 +70,10 @@
     oldest: int
 
 
+class LogReread(msgspec.Struct, frozen=True):
+    """Reading begins again at the first record; what was read since comes again."""
+
+
 class LogStateSeen(msgspec.Struct, frozen=True):
     """The log answered, or did not."""
 
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -42,6 +42,7 @@
     LoadRead,
     LogExpired,
     LogRead,
+    LogReread,
     LogStateSeen,
     MessageRead,
     OrderEnded,
@@ -98,6 +99,7 @@
     | DispatchOver
     | LogRead
     | LogExpired
+    | LogReread
     | LogStateSeen
     | AppendSettled
     | VmsRead
@@ -135,6 +137,7 @@
         self._applied_version = 0
         self._is_draining = False
         self._node_count = 1
+        self._duties_offset = 0
         self._next_doubtful_ms = 0.0
         self.log = ConfigurationLog(options.configuration, rng.random())
         self.membership = Membership(options.name, incarnation, options.membership, rng)
@@ -194,7 +197,13 @@
         match event:
             case RequestArrived() | CallerLeft() | FirstTokenSeen() | DispatchOver():
                 yield from self._handle_request(event, now_ms)
-            case LogRead() | LogExpired() | LogStateSeen() | AppendSettled():
+            case (
+                LogRead()
+                | LogExpired()
+                | LogReread()
+                | LogStateSeen()
+                | AppendSettled()
+            ):
                 yield from self._handle_log(event, now_ms)
             case VmsRead(vms=vms):
                 self._count_nodes(vms)
@@ -235,7 +244,9 @@
                 yield from _to_core(self.flow.end_dispatch(outcome, now_ms))
 
     def _handle_log(
-        self, event: LogRead | LogExpired | LogStateSeen | AppendSettled, now_ms: float
+        self,
+        event: LogRead | LogExpired | LogReread | LogStateSeen | AppendSettled,
+        now_ms: float,
     ) -> Iterator[CoreAction]:
         match event:
             case LogRead():
@@ -248,6 +259,8 @@
             case LogExpired(oldest=oldest):
                 self.log.note_expired(oldest)
                 self.duties.duties.note_expired()
+            case LogReread():
+                self.log.note_reread()
             case LogStateSeen(is_up=is_up):
                 state = LogState(is_up)
                 yield from self._apply_claims(self.claims.handle(state, now_ms), now_ms)
@@ -264,9 +277,13 @@
 
     def _read_duties(self, event: LogRead, now_ms: float) -> None:
         duties = self.duties.duties
-        if event.from_offset == 0:
+        if event.from_offset == 0 and self._duties_offset == 0:
             duties.note_start(0, 0)
-        for record in event.records:
+        # What is read again was judged already; a second time, an old claim of a duty
+        # would come after newer ones.
+        records = [each for each in event.records if each.offset >= self._duties_offset]
+        self._duties_offset = max(self._duties_offset, event.next_offset)
+        for record in records:
             duties.apply_record(record.offset, record.at_ms, record.text, now_ms)
         if event.next_offset >= event.head:
             duties.note_head(event.asked_ms)
--- /dev/null
+++ b/tests/toucanyard_node/test_log_reader.py
@@ -0,0 +1,108 @@
+"""Where a node begins to read a long log."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+import trio
+
+from toucanyard.core_events import LogExpired, LogRead, LogReread, LogStateSeen
+from toucanyard.names import Address
+from toucanyard_node.http_exchange import HttpRequest, Responder
+from toucanyard_node.http_server import (
+    HttpServer,
+    ServerLimits,
+    find_port,
+    open_listener,
+)
+from toucanyard_node.log_reader import LateStart, LogEvent, follow_log
+
+RECORDS = 30_000
+STEP_MS = 100
+SPAN_MS = 500_000.0
+"""5,000 records."""
+
+
+class LongLog:
+    """Answer reads of a long log, and note what was asked for."""
+
+    def __init__(self, oldest: int) -> None:
+        self.oldest = oldest
+        self.read = 0
+
+    async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        start, limit = (int(request.query[name]) for name in ("from", "limit"))
+        if start < self.oldest:
+            await responder.send(410, (), self._encode())
+            return
+        offsets = range(start, min(start + limit, RECORDS))
+        self.read += len(offsets)
+        records: list[dict[str, object]] = [
+            {"offset": n, "at_ms": n * STEP_MS, "data": "x"} for n in offsets
+        ]
+        if not records:
+            await trio.sleep(0.01)
+        await responder.send(200, (), self._encode(records))
+
+    def _encode(self, records: Sequence[dict[str, object]] = ()) -> bytes:
+        return msgspec.json.encode(
+            {"oldest": self.oldest, "next": RECORDS, "records": records}
+        )
+
+
+async def follow(log: LongLog, late_start: LateStart, ups: int) -> list[LogEvent]:
+    """Read until the log's end was met so many times; return what was told."""
+    events: list[LogEvent] = []
+    async with trio.open_nursery() as nursery:
+        listener = await open_listener("127.0.0.1", 0)
+        server = HttpServer(log.handle, ServerLimits())
+        nursery.start_soon(server.serve, listener)
+        address = Address(f"127.0.0.1:{find_port(listener)}")
+        nursery.start_soon(follow_log, address, 10, events.append, late_start)
+        with trio.fail_after(30):
+            while events.count(LogStateSeen(True)) < ups:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    return events
+
+
+def find_reads(events: list[LogEvent]) -> list[tuple[int, int]]:
+    return [
+        (each.from_offset, each.next_offset)
+        for each in events
+        if isinstance(each, LogRead)
+    ]
+
+
+async def test_only_the_span_is_read_at_the_start() -> None:
+    log = LongLog(oldest=100)
+    events = await follow(log, LateStart(SPAN_MS, lambda: False), ups=1)
+    first = events[0]
+    assert isinstance(first, LogExpired)
+    assert 24_000 <= first.oldest <= 25_000
+    reads = find_reads(events)
+    assert reads[0][0] == first.oldest
+    assert reads[-1][1] == RECORDS
+    assert log.read < 6_100
+
+
+async def test_all_is_read_where_the_span_was_not_enough() -> None:
+    """No checkpoint stands in the span. The reader tells the node to begin again, and
+    reads from the oldest record on; meanwhile the node is told that the log is down,
+    since its claims could not be read back."""
+    log = LongLog(oldest=0)
+    events = await follow(log, LateStart(SPAN_MS, lambda: True), ups=2)
+    again = events.index(LogReread())
+    assert events[again - 1] == LogStateSeen(False)
+    reads = find_reads(events[again:])
+    assert reads[0][0] == 0
+    assert reads[-1][1] == RECORDS
+    assert events.count(LogReread()) == 1
+
+
+async def test_span_of_the_whole_log_leaves_no_gap() -> None:
+    log = LongLog(oldest=0)
+    events = await follow(log, LateStart(10**9, lambda: True), ups=1)
+    assert find_reads(events)[0][0] == 0
+    assert not any(isinstance(each, (LogExpired, LogReread)) for each in events)
