Remove build_recovery, which nothing called

Cause: a checkpoint that ends a halt on every node could be built, but no command, page or process could append it. Ruled out for now: a command, since a checkpoint that is made up by a node which can't read the newest record discards what newer nodes made of it; that wants an operator's confirmation and belongs to the operators' face.

Tests: the one on unknown kinds now takes the checkpoint of a node that knows the kind, as in production, and also compares the value; the round trip of the removed function is replaced by one of a checkpoint as a node builds it, compared whole. Behaviour is unchanged; test_configuration_log passes.

--- a/packages/toucanyard/src/toucanyard/configuration_log.py
+++ b/packages/toucanyard/src/toucanyard/configuration_log.py
@@ -167,22 +167,6 @@
             history=self._memory.find_for_checkpoint(),
         )
 
-    def build_recovery(self, log_next: int) -> CheckpointRecord:
-        """Return a checkpoint that ends a halt on every node, for an operator.
-
-        It gives the version in force here the next number, from `log_next` on. It is
-        wanted when a record of an unknown kind halted all nodes, and only then: a
-        version that newer nodes made out of that record would be lost.
-        """
-        configuration = msgspec.structs.replace(
-            self.configuration, version=self.configuration.version + 1
-        )
-        return CheckpointRecord(
-            configuration=configuration,
-            next_offset=log_next,
-            history=self._memory.find_for_checkpoint(),
-        )
-
     def is_checkpoint_due(self, now_ms: float) -> bool:
         """Tell whether this node should append a checkpoint now."""
         return (
--- a/tests/toucanyard/test_configuration_log.py
+++ b/tests/toucanyard/test_configuration_log.py
@@ -12,9 +12,10 @@
 )
 
 from toucanyard.configuration import Configuration
-from toucanyard.configuration_log import ConfigurationLog, PatchResult
+from toucanyard.configuration_log import PatchResult
 from toucanyard.configuration_records import (
     CheckpointRecord,
+    decode_record,
     encode_checkpoint,
     encode_patch,
 )
@@ -96,9 +97,11 @@
     assert node.configuration.version == 1 and node.is_missing
     assert not node.compute_allowance(0.0).may_order
     assert node.unknown_kinds == {"configuration_swap": 1}
-    log.append(encode_checkpoint(node.build_recovery(len(log.texts))))
+    swapped = msgspec.structs.replace(node.configuration, version=2)
+    newer = CheckpointRecord(configuration=swapped, next_offset=len(log.texts))
+    log.append(encode_checkpoint(newer))
     log.give(node)
-    assert node.configuration.version == 2 and not node.is_missing
+    assert node.configuration == swapped and not node.is_missing
 
 
 def test_newer_format_of_a_patch_halts_like_an_unknown_kind() -> None:
@@ -287,10 +290,13 @@
     run_state_machine_as_test(ReplicaMachine)
 
 
-def test_recovery_checkpoint_round_trips() -> None:
-    node = ConfigurationLog(TIMINGS)
-    text = encode_checkpoint(node.build_recovery(5))
-    assert msgspec.json.decode(text, type=CheckpointRecord).next_offset == 5
+def test_checkpoint_round_trips() -> None:
+    log, node = FakeLog(), start_node()
+    log.append_patch(build_patch("one", 0))
+    log.give(node)
+    checkpoint = node.build_checkpoint()
+    assert checkpoint is not None
+    assert decode_record(encode_checkpoint(checkpoint)) == checkpoint
 
 
 @pytest.mark.parametrize("base", [1, 7])
