Bound the cache events that a node takes in

Cause: at the size wanted three nodes read each replica's cache events whole: 591 KB/s and 2.2% of a core a node, against 3 KB/s in all; nothing bounded it. Ruled out: reading on where the bound stopped it (takes all of it in, only later); a bit of every engine all the time (each view has gaps); lists of blocks without a bound (1.2 MB for one of 61,000 blocks). Change: above 64 endpoints one node follows each, the next on the ring once the list has lost it; events and lists of blocks share a rate saved up for 10 s; over it a node goes without for 30 to 60 s and skips to the newest number. Up to 64 endpoints all nodes follow all, at 4 MB/s. What to watch is worked out when configuration or VM list changed, not five times a second. Before: 14 engines of 75 events a second, in full (about 300 KB/s). A node sees 41 of 4,400 replicas at that size anyway. Seen failing: without the wait, without the skip, without the memory of sizes and with three followers the new tests fail, one each. Changed tests: Watched takes whether events are followed; the fake engine counts bytes. Conclusion: the cost is bounded whatever engines publish; warmth at that size is left to hashing and to what a node's own answers tell.

--- a/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
@@ -20,16 +21,18 @@
     EndpointSilent,
     LoadRead,
 )
-from toucanyard.names import Address, EndpointName, Incarnation
+from toucanyard.event_budget import DumpSizes, EventBudget
+from toucanyard.names import Address, EndpointName
 from toucanyard.options import MembershipTimings
 from toucanyard_node.bounded_fetch import exchange_bounded, fetch_bounded
 from toucanyard_node.endpoint_answers import (
     AnswerInvalidError,
     decode_dump,
-    decode_events as decode_events,
     decode_load,
 )
+from toucanyard_node.event_follower import EventFollower, compute_answer_bytes
 from toucanyard_node.http_client import (
+    BodyTooLargeError,
     Connect,
     ConnectionFailedError,
     HttpConnection,
@@ -40,11 +43,8 @@
 _LOG: Final = structlog.get_logger()
 _REFRESH_MS: Final = 200
 _MAX_LOAD_BYTES: Final = 65_536
-_MAX_EVENTS_BYTES: Final = 4_000_000
 _MAX_DUMP_BYTES: Final = 32_000_000
-_EVENTS_WAIT_MS: Final = 1_000
 _DUMP_TIMEOUT_MS: Final = 5_000
-_EVENTS_AGAIN_MS: Final = 500
 _FULL_RATE_POLLS: Final = 24
 _MAX_DOUBLINGS: Final = 3
 
@@ -57,6 +57,8 @@
 
     endpoint: Endpoint
     is_engine: bool
+    is_followed: bool
+    """Whether this node takes in its cache events."""
 
 
 def compute_poll_wait_ms(timings: MembershipTimings, watched: int, count: int) -> float:
@@ -71,6 +73,13 @@
     return max(float(timings.load_poll_ms), watched * 1000 / rate)
 
 
+def find_event_rate(timings: MembershipTimings, watched: int, count: int) -> int:
+    """Return how many bytes a second cache events and dumps may take."""
+    if watched < count:
+        return timings.max_shared_event_bytes_per_s
+    return timings.max_event_bytes_per_s
+
+
 def compute_retry_wait_ms(timings: MembershipTimings, failures: int) -> float:
     """Return the time before the next poll after so many failures before this one.
 
@@ -94,6 +103,7 @@
         timings: MembershipTimings,
         emit: Emit,
         connect_to: Connect = connect,
+        rng: random.Random | None = None,
     ) -> None:
         """`find_watched` gives what to watch and how many endpoints there are."""
         self._find_watched = find_watched
@@ -103,6 +113,9 @@
         self._scopes: dict[Watched, trio.CancelScope] = {}
         self._addresses: dict[EndpointName, Address] = {}
         self._wait_ms = float(timings.load_poll_ms)
+        self._rng = rng or random.Random()
+        self._budget = EventBudget(timings.max_shared_event_bytes_per_s, 0.0)
+        self._dump_sizes = DumpSizes()
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -114,18 +127,22 @@
     async def read_dump(self, endpoint: EndpointName) -> None:
         """Fetch the list of an engine's blocks and emit it, if it can be had."""
         address = self._addresses.get(endpoint)
-        if address is None:
+        left_bytes = self._budget.compute_left_bytes(_find_now_ms())
+        if address is None or not self._dump_sizes.is_affordable(endpoint, left_bytes):
             return
+        max_bytes = min(int(left_bytes), _MAX_DUMP_BYTES)
         try:
             response = await fetch_bounded(
-                address,
-                "/v1/cache/dump",
-                _DUMP_TIMEOUT_MS,
-                _MAX_DUMP_BYTES,
-                self._connect,
+                address, "/v1/cache/dump", _DUMP_TIMEOUT_MS, max_bytes, self._connect
             )
+            size_bytes = compute_answer_bytes(response)
+            self._budget.spend(size_bytes, _find_now_ms())
+            self._dump_sizes.note_whole(endpoint, size_bytes)
             dump = decode_dump(response)
         except (ConnectionFailedError, AnswerInvalidError) as error:
+            if isinstance(error, BodyTooLargeError):
+                self._budget.spend(max_bytes, _find_now_ms())
+                self._dump_sizes.note_cut(endpoint, max_bytes)
             _LOG.info("dump_unread", endpoint=endpoint, error=str(error)[:200])
             return
         await self._emit(CacheDumpRead(endpoint, dump))
@@ -133,13 +150,16 @@
     def _refresh(self, nursery: trio.Nursery) -> None:
         wanted, count = self._find_watched()
         self._wait_ms = compute_poll_wait_ms(self._timings, len(wanted), count)
+        rate = find_event_rate(self._timings, len(wanted), count)
+        self._budget.change_rate(rate, _find_now_ms())
         for watched in set(self._scopes).difference(wanted):
             self._scopes.pop(watched).cancel()
         self._addresses = {
             each.endpoint.name: each.endpoint.address
             for each in wanted
-            if each.is_engine
+            if each.is_engine and each.is_followed
         }
+        self._dump_sizes.keep(set(self._addresses))
         for watched in wanted:
             if watched not in self._scopes:
                 scope = self._scopes[watched] = trio.CancelScope()
@@ -149,8 +169,15 @@
         with scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._poll_load, watched)
-                if watched.is_engine:
-                    nursery.start_soon(self._follow_events, watched.endpoint)
+                if watched.is_engine and watched.is_followed:
+                    follower = EventFollower(
+                        watched.endpoint,
+                        self._budget,
+                        self._emit,
+                        self._connect,
+                        self._rng,
+                    )
+                    nursery.start_soon(follower.run)
 
     async def _poll_load(self, watched: Watched) -> None:
         endpoint = watched.endpoint
@@ -177,33 +204,9 @@
             with trio.CancelScope(shield=True):
                 await poller.close()
 
-    async def _follow_events(self, endpoint: Endpoint) -> None:
-        after = -1
-        incarnation: Incarnation | None = None
-        while True:
-            target = f"/v1/cache/events?after={after}&wait_ms={_EVENTS_WAIT_MS}"
-            timeout_ms = _EVENTS_WAIT_MS + 2 * self._timings.load_poll_ms + 1_000
-            try:
-                response = await fetch_bounded(
-                    endpoint.address,
-                    target,
-                    timeout_ms,
-                    _MAX_EVENTS_BYTES,
-                    self._connect,
-                )
-                events = decode_events(response)
-            except (ConnectionFailedError, AnswerInvalidError) as error:
-                _LOG.debug("events_unread", endpoint=endpoint.name, error=str(error))
-                await trio.sleep(_EVENTS_AGAIN_MS / 1000)
-                continue
-            if incarnation not in (None, events.incarnation):
-                # Numbers begin anew after a restart: what came is cut off by `after`.
-                after = -1
-                incarnation = events.incarnation
-                continue
-            incarnation = events.incarnation
-            after = max(after, events.next - 1)
-            await self._emit(CacheEventsRead(endpoint.name, events))
+
+def _find_now_ms() -> float:
+    return trio.current_time() * 1000
 
 
 class _Poller:
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/event_follower.py
@@ -0,0 +1,140 @@
+"""Follow the cache events of one engine, as far as the node's budget goes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import structlog
+import trio
+
+from toucanyard.cache_view import CacheEvents
+from toucanyard.configuration import Endpoint
+from toucanyard.core_events import CacheEventsRead
+from toucanyard.event_budget import (
+    ANSWER_BYTES,
+    MAX_LAG_MS,
+    MIN_ANSWER_BYTES,
+    EventBudget,
+)
+from toucanyard_node.bounded_fetch import fetch_bounded
+from toucanyard_node.endpoint_answers import AnswerInvalidError, decode_events
+from toucanyard_node.http_client import (
+    BodyTooLargeError,
+    Connect,
+    ConnectionFailedError,
+    Response,
+)
+
+_LOG: Final = structlog.get_logger()
+_MAX_EVENTS_BYTES: Final = 4_000_000
+_WAIT_MS: Final = 1_000
+_TIMEOUT_MS: Final = 2_500
+_AGAIN_MS: Final = 500
+_MIN_PAUSE_MS: Final = 30_000.0
+_MAX_PAUSE_MS: Final = 60_000.0
+_FROM_OLDEST: Final = -1
+_BEYOND_ALL: Final = 2**53 - 1
+"""A number that no event has: the answer tells the next one, and brings no events."""
+_FRAME_BYTES: Final = 256
+"""The head of an answer, about."""
+
+EmitEvents = Callable[[CacheEventsRead], Awaitable[None]]
+
+
+def compute_answer_bytes(response: Response) -> int:
+    """Return about how many bytes an answer took on its way."""
+    return len(response.body) + _FRAME_BYTES
+
+
+class EventFollower:
+    """Read one engine's events in order.
+
+    Invariant: nothing is asked for while the budget is used up; after a pause the next
+    question skips all that was published meanwhile.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        budget: EventBudget,
+        emit: EmitEvents,
+        connect_to: Connect,
+        rng: random.Random,
+    ) -> None:
+        self._endpoint = endpoint
+        self._budget = budget
+        self._emit = emit
+        self._connect = connect_to
+        self._rng = rng
+        self._after = self._find_start()
+        self._incarnation: str | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            await self._wait_for_budget()
+            try:
+                events = await self._read()
+            except (ConnectionFailedError, AnswerInvalidError) as error:
+                name = self._endpoint.name
+                _LOG.debug("events_unread", endpoint=name, error=str(error))
+                if isinstance(error, BodyTooLargeError):
+                    self._after = _BEYOND_ALL
+                await trio.sleep(_AGAIN_MS / 1000)
+                continue
+            if self._incarnation not in (None, events.incarnation):
+                # Numbers begin anew after a restart: what came is cut off by `after`.
+                self._after = self._find_start()
+                self._incarnation = events.incarnation
+                continue
+            self._incarnation = events.incarnation
+            if self._after == _BEYOND_ALL:
+                self._after = events.next - 1
+            self._after = max(self._after, events.next - 1)
+            await self._emit(CacheEventsRead(self._endpoint.name, events))
+
+    def _find_start(self) -> int:
+        """Return the event to begin after: take all that is kept, if affordable."""
+        is_affordable = self._budget.burst_bytes >= _MAX_EVENTS_BYTES
+        return _FROM_OLDEST if is_affordable else _BEYOND_ALL
+
+    async def _wait_for_budget(self) -> None:
+        """Wait until something may be taken in; skip ahead if that takes long."""
+        wait_ms = self._budget.compute_wait_ms(trio.current_time() * 1000)
+        if wait_ms > MAX_LAG_MS:
+            # Engines that are followed in turns, a part of the time each, tell more
+            # than all of them a bit at a time: a view with gaps is doubtful for long.
+            pause_ms = self._rng.uniform(_MIN_PAUSE_MS, _MAX_PAUSE_MS)
+            wait_ms = max(wait_ms, pause_ms)
+            self._after = _BEYOND_ALL
+        if wait_ms > 0:
+            await trio.sleep(wait_ms / 1000)
+
+    async def _read(self) -> CacheEvents:
+        """Ask once, and count what the answer took."""
+        max_bytes = min(
+            max(int(self._budget.burst_bytes), MIN_ANSWER_BYTES), _MAX_EVENTS_BYTES
+        )
+        wait_ms = 0 if self._after == _BEYOND_ALL else _WAIT_MS
+        size_bytes = 0
+        self._spend(ANSWER_BYTES)
+        try:
+            response = await fetch_bounded(
+                self._endpoint.address,
+                f"/v1/cache/events?after={self._after}&wait_ms={wait_ms}",
+                _TIMEOUT_MS,
+                max_bytes,
+                self._connect,
+            )
+            size_bytes = compute_answer_bytes(response)
+        except BodyTooLargeError:
+            size_bytes = max_bytes
+            raise
+        finally:
+            self._spend(size_bytes - ANSWER_BYTES)
+        return decode_events(response)
+
+    def _spend(self, size_bytes: float) -> None:
+        self._budget.spend(size_bytes, trio.current_time() * 1000)
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -14,12 +14,14 @@
 from toucanyard.claim_events import (
     HandOverBegun,
 )
+from toucanyard.configuration import Configuration
 from toucanyard.core_events import AppendToLog, DrainBegun, ReadDump, SendMessage
 from toucanyard.log_start import compute_span_ms
 from toucanyard.names import Address, Incarnation
 from toucanyard.node_core import CoreEvent
 from toucanyard.options import Options
 from toucanyard.orders import ReadState, SendOrder
+from toucanyard.vm_view import Vm
 from toucanyard_node.callers_face import CallersFace, find_server_limits
 from toucanyard_node.core_task import CoreOutputs, CoreTask
 from toucanyard_node.drain import DrainState, drain, wait_handed_over
@@ -110,6 +112,8 @@
             self._emit,
             self._rng,
         )
+        self._watched_of: tuple[Configuration | None, tuple[Vm, ...]] = (None, ())
+        self._watched: tuple[list[Watched], int] = ([], 0)
         self._watch = EndpointWatch(self._find_watched, options.membership, self._emit)
 
     async def run(
@@ -176,12 +180,27 @@
         self._task.inbox.send_nowait(event)
 
     def _find_watched(self) -> tuple[list[Watched], int]:
-        configuration = self._core.configuration
+        """Return what to watch; worked out anew only when what it depends on changed.
+
+        The watch asks five times a second; going over 4,400 endpoints each time cost
+        more of a core than the polls.
+        """
+        configuration, vms = self._core.configuration, self._core.membership.vms
+        is_same = configuration is self._watched_of[0] and vms is self._watched_of[1]
+        if not is_same:
+            self._watched_of = configuration, vms
+            self._watched = self._compute_watched(configuration)
+        return self._watched
+
+    def _compute_watched(
+        self, configuration: Configuration
+    ) -> tuple[list[Watched], int]:
         engines = {
             endpoint.name for pool in configuration.pools for endpoint in pool.endpoints
         }
+        followed = {endpoint.name for endpoint in self._core.find_followed()}
         watched = [
-            Watched(endpoint, endpoint.name in engines)
+            Watched(endpoint, endpoint.name in engines, endpoint.name in followed)
             for endpoint in self._core.find_watched()
         ]
         return watched, len(self._core.list_endpoints())
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
@@ -27,7 +27,7 @@
 from toucanyard.orders import EndpointState, PoolOrders
 from toucanyard.snapshots import encode_snapshot
 from toucanyard.vm_view import Vm
-from toucanyard_node.endpoint_watch import decode_events
+from toucanyard_node.endpoint_answers import decode_events
 from toucanyard_node.http_client import Response
 from toucanyard_node.vm_list import VmListBody
 from toucanyard_standins import bench_placement_cost as placement_cost, key_slopes
--- a/packages/toucanyard/src/toucanyard/membership.py
+++ b/packages/toucanyard/src/toucanyard/membership.py
@@ -169,6 +169,21 @@
             ]
         return list(self._watched)
 
+    def find_followed(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints whose cache events this node takes in: one node each.
+
+        Loads and deaths need several sources; a second reader of the same events would
+        only double their bytes. The next node on the ring follows once the list of VMs
+        has lost the first.
+        """
+        if len(endpoints) <= _WATCH_ALL:
+            return list(endpoints)
+        return [
+            each
+            for each in self.find_watched(endpoints)
+            if self._ring.find_watchers(each.name, 1) == [self.node]
+        ]
+
     def is_self_suspect(self, now_ms: float) -> bool:
         """Tell whether so much looks dead that this node's network is to blame."""
         return self._evidence.is_self_suspect(now_ms)
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -185,6 +185,10 @@
         """Return the endpoints that this node should poll."""
         return self.membership.find_watched(self.list_endpoints())
 
+    def find_followed(self) -> list[Endpoint]:
+        """Return the endpoints whose cache events this node should follow."""
+        return self.membership.find_followed(self.list_endpoints())
+
     def handle(self, event: CoreEvent, now_ms: float) -> list[CoreAction]:
         """Take one event in and return what must be done now, in this order."""
         actions = list(self._handle(event, now_ms))
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -113,6 +113,10 @@
     """Load polls of one node that watches every endpoint."""
     max_shared_polls_per_s: Count = 4
     """Load polls of one node where nodes share the watching."""
+    max_event_bytes_per_s: SizeBytes = 4_000_000
+    """Cache events and lists of blocks of one node that watches every endpoint."""
+    max_shared_event_bytes_per_s: SizeBytes = 400
+    """The same of one node where nodes share the watching."""
     digest_interval_ms: DurationMs = 1_000
     max_peers: Count = 8
     suspect_after_ms: DurationMs = 2_000
--- a/tests/toucanyard/test_membership.py
+++ b/tests/toucanyard/test_membership.py
@@ -248,3 +248,20 @@
         fleet.read_list(node)
         assert len(fleet.nodes[node].find_watched(fleet.endpoints)) == 80
     assert len(fleet.nodes[0].find_watched(fleet.endpoints[:70])) == 70
+
+
+def test_one_node_follows_the_events_of_each_endpoint_and_another_takes_over() -> None:
+    """Three nodes would take in the same cache events three times over. The one that
+    does vanishes from the list, and its endpoints must not stay without a follower;
+    where endpoints are few, every node goes on following all of them."""
+    fleet = Fleet(5, 80)
+    followed = [node.find_followed(fleet.endpoints) for node in fleet.nodes]
+    assert sorted(each.name for share in followed for each in share) == sorted(
+        each.name for each in fleet.endpoints
+    )
+    fleet.names.pop()
+    for node in range(4):
+        fleet.read_list(node)
+    taken_over = [node.find_followed(fleet.endpoints) for node in fleet.nodes[:4]]
+    assert sum(map(len, taken_over)) == 80
+    assert fleet.nodes[0].find_followed(fleet.endpoints[:64]) == [*fleet.endpoints[:64]]
--- a/tests/toucanyard_node/test_endpoint_watch.py
+++ b/tests/toucanyard_node/test_endpoint_watch.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import random
+
 import msgspec
 import trio
 import trio.testing
@@ -37,7 +39,11 @@
         self.incarnation = "i1"
         self.seq = 3
         self.hangs = False
+        self.events_per_answer = 1
         self.asked_after: list[str] = []
+        self.event_bytes = 0
+        self.dumps = 0
+        self.dump_blocks = 1
         self.load_answers = 0
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
@@ -56,31 +62,40 @@
                     "kind": "stored",
                     "hashes": ["00000000000000ff"],
                 }
+                is_beyond = int(request.query["after"]) > self.seq
+                count = 0 if is_beyond else self.events_per_answer
                 body = {
                     "incarnation": self.incarnation,
                     "oldest": 0,
                     "next": self.seq + 1,
-                    "events": [event],
+                    "events": [event] * count,
                 }
+                self.event_bytes += len(msgspec.json.encode(body))
             case _:
-                body = {"incarnation": self.incarnation, "next": 4, "hashes": ["0a"]}
+                self.dumps += 1
+                hashes = ["0a"] * self.dump_blocks
+                body = {"incarnation": self.incarnation, "next": 4, "hashes": hashes}
         await responder.send(200, (), msgspec.json.encode(body))
 
 
 class Scene:
     """One watch and one engine on a network in memory."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, timings: MembershipTimings = TIMINGS
+    ) -> None:
         self.engine = FakeEngine()
         self.network = MemoryNetwork(nursery)
         self.network.serve(ENDPOINT.address, self.engine.handle)
         self.events: list[WatchEvent] = []
-        self.wanted = [Watched(ENDPOINT, is_engine=True)]
+        self.count_of_endpoints = 1
+        self.wanted = [Watched(ENDPOINT, is_engine=True, is_followed=True)]
         self.watch = EndpointWatch(
-            lambda: (self.wanted, len(self.wanted)),
-            TIMINGS,
+            lambda: (self.wanted, self.count_of_endpoints),
+            timings,
             self.note,
             self.network.connect,
+            random.Random(1),
         )
         nursery.start_soon(self.watch.run)
 
@@ -159,6 +174,61 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_events_beyond_the_bound_are_skipped_and_loads_still_come(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # In a large fleet a replica publishes 15 KB a second where 400 B are allowed. The
+    # node reads in part, skips what it missed, and its view turns doubtful; reading on
+    # where it stopped would take all of it in, only later.
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        scene.count_of_endpoints = 4_400
+        scene.engine.events_per_answer = 80
+        await trio.sleep(300)
+        allowed = TIMINGS.max_shared_event_bytes_per_s
+        assert 0 < scene.engine.event_bytes <= allowed * 310 + 16_384
+        assert scene.count(LoadRead) >= 900
+        read = [each for each in scene.events if isinstance(each, CacheEventsRead)]
+        assert not read[0].events.events
+        assert read[0].events.next == 4
+        assert any(each.events.events for each in read)
+        assert scene.engine.asked_after.count(scene.engine.asked_after[0]) >= 3
+        nursery.cancel_scope.cancel()
+
+
+async def test_list_of_blocks_over_the_bound_is_not_asked_for_again_and_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # The core asks for a doubtful engine's blocks each second. A list over the bound
+    # is cut off, and without a memory of its size each try would take the bound up.
+    timings = msgspec.structs.replace(TIMINGS, max_shared_event_bytes_per_s=2_000)
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery, timings)
+        scene.count_of_endpoints = 4_400
+        scene.engine.dump_blocks = 50_000
+        await trio.sleep(60)
+        for _ in range(60):
+            await scene.watch.read_dump(ENDPOINT.name)
+            await trio.sleep(1)
+        assert scene.engine.dumps == 1
+        assert scene.count(CacheDumpRead) == 0
+        nursery.cancel_scope.cancel()
+
+
+async def test_endpoint_that_another_node_follows_gives_its_load_only(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        scene.wanted = [Watched(ENDPOINT, is_engine=True, is_followed=False)]
+        await trio.sleep(2)
+        assert scene.count(LoadRead) >= 6
+        assert not scene.engine.asked_after
+        await scene.watch.read_dump(ENDPOINT.name)
+        assert not scene.engine.dumps
+        nursery.cancel_scope.cancel()
+
+
 def test_polls_are_bounded_where_watching_is_shared() -> None:
     assert compute_poll_wait_ms(TIMINGS, 14, 14) == TIMINGS.load_poll_ms
     assert compute_poll_wait_ms(TIMINGS, 41, 4_400) == 41_000 / 4
