Keep a node's time by a clock that counts while its VM is suspended

Every time in a node came from the steady clock, which the system stops while a VM is suspended. A duty's holder that was suspended for minutes woke up with its lease unspent by its own clock and sent its next order; where endpoints don't check fencing numbers, that order is carried out beside the next holder's. A stopped process (SIGSTOP) was covered, since the steady clock runs on then. Ruled out: the time of day, which operators set; a guard against jumps between two ticks, which would judge a busy machine like a suspended one. Change: the program runs trio by a clock that reads the time since the VM started, the suspended time included, so leases, windows of keys, deadlines and silences all count it. Not shown: a real suspension, which a test can't bring about; its time is passed in.

--- a/packages/toucanyard-node/src/toucanyard_node/main.py
+++ b/packages/toucanyard-node/src/toucanyard_node/main.py
@@ -10,6 +10,7 @@
 
 from toucanyard import VERSION
 from toucanyard.settings import SettingsError, load_options
+from toucanyard_node.boot_clock import BootClock
 from toucanyard_node.logs import configure_logs
 from toucanyard_node.node import run_node
 
@@ -36,4 +37,4 @@
         click.echo(error, err=True)
         sys.exit(_EXIT_BAD_SETTINGS)
     configure_logs(options.name, log_level)
-    trio.run(run_node, options)
+    trio.run(run_node, options, clock=BootClock())
