Keep claims, ended keys and decision records out of the collector's passes

Cause: found while looking for pauses that reach the tail of first tokens: a full pass of the collector of cycles stops every stream, and its time grows with the objects it looks at. Claims and ended keys were tracked one by one, decision records four objects each. Ruled out: no collection at all (broken connections leave cycles); rarer passes (as long, only later). The view of blocks is no part of it: its dictionary holds numbers only. Change: these values can't be part of a cycle and say so; steps of a record are a tuple; what was loaded before the first task is frozen, so no pass looks at it again (12 ms of a pass on a calm machine, 30 under load).

--- a/packages/toucanyard-node/src/toucanyard_node/main.py
+++ b/packages/toucanyard-node/src/toucanyard_node/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import sys
 from pathlib import Path
 
@@ -37,4 +38,7 @@
         click.echo(error, err=True)
         sys.exit(_EXIT_BAD_SETTINGS)
     configure_logs(options.name, log_level)
+    # A full pass of the collector of cycles stops every stream. What was loaded up to
+    # here stays for good, so no pass has to look at it again.
+    gc.freeze()
     trio.run(run_node, options, clock=BootClock())
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
@@ -30,6 +30,7 @@
     measure_memory,
 )
 from toucanyard_standins.bench_restart import build_configuration
+from toucanyard_standins.capacity_pauses import iterate_pause_slopes
 from toucanyard_standins.capacity_roles import iterate_slopes
 from toucanyard_standins.capacity_sizes import (
     CUSTOMERS,
@@ -201,7 +202,7 @@
     """Print all slopes."""
     parser = argparse.ArgumentParser(prog="bench capacity")
     parser.add_argument(
-        "--part", choices=("roles", "relay", "idle", "all"), default="all"
+        "--part", choices=("roles", "pauses", "relay", "idle", "all"), default="all"
     )
     part = parser.parse_args(arguments).part
     load = os.getloadavg()[0]
@@ -209,6 +210,9 @@
     if part in ("roles", "all"):
         for slope in iterate_slopes():
             print(render_slope(slope), flush=True)
+    if part in ("pauses", "all"):
+        for slope in iterate_pause_slopes():
+            print(render_slope(slope), flush=True)
     if part in ("relay", "all"):
         trio.run(run_relay)
     if part in ("idle", "all"):
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_requests.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_requests.py
@@ -192,22 +192,24 @@
     yield measure_slope(role, "one dispatch noted", "us", per, wanted, sizes, record)
 
 
-def _measure_explanations() -> Iterator[Slope]:
-    def fill(records: int) -> ExplanationRing:
-        ring = ExplanationRing()
-        endpoint = EndpointName("replica-00001")
-        for number in range(records):
-            request_id = RequestId(f"node-1-0123456789-{number}")
-            customer = CustomerName("customer-00001")
-            ring.open(DecisionRecord(request_id, customer, 1, float(number), []))
-            scores = tuple(
-                Score(endpoint, number + 0.1, number + 0.2, 0.0, 7, True, False, 1.5)
-                for _ in range(3)
-            )
-            sent = Sent(float(number), endpoint, 1, 12, scores)
-            ring.add_step(request_id, sent)
-        return ring
+def fill_records(count: int) -> ExplanationRing:
+    """Return records of so many requests, each sent once."""
+    ring = ExplanationRing()
+    endpoint = EndpointName("replica-00001")
+    for number in range(count):
+        request_id = RequestId(f"node-1-0123456789-{number}")
+        customer = CustomerName("customer-00001")
+        ring.open(DecisionRecord(request_id, customer, 1, float(number)))
+        scores = tuple(
+            Score(endpoint, number + 0.1, number + 0.2, 0.0, 7, True, False, 1.5)
+            for _ in range(3)
+        )
+        sent = Sent(float(number), endpoint, 1, 12, scores)
+        ring.add_step(request_id, sent)
+    return ring
 
+
+def _measure_explanations() -> Iterator[Slope]:
     yield measure_slope(
         "asking why",
         "memory of the records",
@@ -215,5 +217,5 @@
         "records",
         20_000,
         (2_500, 5_000, 10_000, 20_000),
-        lambda records: measure_held_bytes(lambda: fill(records)),
+        lambda records: measure_held_bytes(lambda: fill_records(records)),
     )
--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from toucanyard.claim_events import (
     ClaimRecordsRead,
 )
@@ -30,9 +31,12 @@
 """Longer than a key may be used, so that clocks that drift apart do no harm."""
 
 
-@dataclass(slots=True)
-class Claim:
-    """The winning claim of one key."""
+class Claim(msgspec.Struct, gc=False):
+    """The winning claim of one key.
+
+    The collector of cycles passes it over: it can be in none, and a look at all claims
+    of a window would stop every stream.
+    """
 
     claim_id: str
     claimer: NodeId
--- a/packages/toucanyard/src/toucanyard/explanations.py
+++ b/packages/toucanyard/src/toucanyard/explanations.py
@@ -20,19 +20,26 @@
 MAX_STEPS: Final = 24
 
 
-class Claimed(msgspec.Struct, frozen=True, tag_field="kind", tag="claimed"):
+class _Step(msgspec.Struct, frozen=True, gc=False, tag_field="kind"):
+    """One step; the collector of cycles passes it over, as it can be in none.
+
+    It would stop every stream for tens of milliseconds to look at all records.
+    """
+
+
+class Claimed(_Step, frozen=True, gc=False, tag="claimed"):
     """The key was won, so this node alone may dispatch."""
 
     at_ms: float
 
 
-class Queued(msgspec.Struct, frozen=True, tag_field="kind", tag="queued"):
+class Queued(_Step, frozen=True, gc=False, tag="queued"):
     """The request waits for a slot."""
 
     at_ms: float
 
 
-class Sent(msgspec.Struct, frozen=True, tag_field="kind", tag="sent"):
+class Sent(_Step, frozen=True, gc=False, tag="sent"):
     """The request was sent to an endpoint; `scores` starts with the chosen one."""
 
     at_ms: float
@@ -42,7 +49,7 @@
     scores: tuple[Score, ...]
 
 
-class Ended(msgspec.Struct, frozen=True, tag_field="kind", tag="ended"):
+class Ended(_Step, frozen=True, gc=False, tag="ended"):
     """One dispatch ended."""
 
     at_ms: float
@@ -53,7 +60,7 @@
     prompt_tokens: int
 
 
-class Refused(msgspec.Struct, frozen=True, tag_field="kind", tag="refused"):
+class Refused(_Step, frozen=True, gc=False, tag="refused"):
     """The request was refused."""
 
     at_ms: float
@@ -63,7 +70,7 @@
     retry_after_ms: int
 
 
-class Replayed(msgspec.Struct, frozen=True, tag_field="kind", tag="replayed"):
+class Replayed(_Step, frozen=True, gc=False, tag="replayed"):
     """An earlier try's answer was given again."""
 
     at_ms: float
@@ -72,14 +79,14 @@
 Step = Claimed | Queued | Sent | Ended | Refused | Replayed
 
 
-class DecisionRecord(msgspec.Struct):
+class DecisionRecord(msgspec.Struct, gc=False):
     """What was decided about one request, step by step."""
 
     request_id: RequestId
     customer: CustomerName
     configuration_version: int
     arrived_ms: float
-    steps: list[Step]
+    steps: tuple[Step, ...] = ()
 
 
 class ExplanationRing:
@@ -104,7 +111,7 @@
         """Append one step to a record that is still held."""
         record = self._records.get(request_id)
         if record is not None and len(record.steps) < MAX_STEPS:
-            record.steps.append(step)
+            record.steps = (*record.steps, step)
 
     def find(self, request_id: RequestId) -> DecisionRecord | None:
         """Return the record of one request."""
--- a/packages/toucanyard/src/toucanyard/key_entries.py
+++ b/packages/toucanyard/src/toucanyard/key_entries.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass, field
 
+import msgspec
+
 from toucanyard.claim_events import (
     KeyedArrived,
 )
@@ -80,9 +82,11 @@
         return None
 
 
-@dataclass(slots=True)
-class EndedKey:
-    """How a key ended on the node that alone might dispatch it; never changes."""
+class EndedKey(msgspec.Struct, frozen=True, gc=False):
+    """How a key ended on the node that alone might dispatch it; never changes.
+
+    As with claims, the collector of cycles passes it over.
+    """
 
     status: KeyStatus
     digest: bytes
--- a/packages/toucanyard/src/toucanyard/request_records.py
+++ b/packages/toucanyard/src/toucanyard/request_records.py
@@ -34,7 +34,6 @@
             request.customer,
             request.configuration_version,
             now_ms,
-            [],
         )
         self.explanations.open(record)
 
--- a/packages/toucanyard/src/toucanyard/scoring.py
+++ b/packages/toucanyard/src/toucanyard/scoring.py
@@ -28,7 +28,7 @@
     """Price of a millisecond recomputed under weights soon replaced, on top."""
 
 
-class Score(msgspec.Struct, frozen=True):
+class Score(msgspec.Struct, frozen=True, gc=False):
     """Why one endpoint would be a good or bad choice; the least total wins."""
 
     endpoint: EndpointName
