--- a/tests/toucanyard/test_collected_objects.py
+++ b/tests/toucanyard/test_collected_objects.py
@@ -1,8 +1,8 @@
 """What a node holds by the ten thousand is not looked at by the collector of cycles.
 
 A full pass of the collector stops every stream: with the claims, ended keys and records
-of the size wanted it took some 50 ms, and 30 for what is loaded. Callers saw all streams pause
-together now and then, and first tokens late by as much.
+of the size wanted it took some 50 ms, and 30 for what is loaded. Callers saw all streams
+pause together now and then, and first tokens late by as much.
 """
 
 from __future__ import annotations
