--- a/tests/toucanyard/test_collected_objects.py
+++ b/tests/toucanyard/test_collected_objects.py
@@ -1,7 +1,7 @@
 """What a node holds by the ten thousand is not looked at by the collector of cycles.
 
-A full pass of the collector stops every stream: with the claims, ended keys and records
-of the size wanted it took some 50 ms, and 30 for what is loaded. Callers saw all streams
+A full pass of the collector stops every stream: with the claims, keys and records
+of the size wanted it took some 50 ms, and 30 for what is loaded. Callers saw streams
 pause together now and then, and first tokens late by as much.
 """
 
