Wait longer for reads of a log that answers slowly

Cause: a read was given up 1 s after its wait. With every answer 1.5 s late a quiet long poll took 2.5 s and was given up after 2; from then on each read waited 1 s only, so the log counted as down for as long as it was slow: stale after 5 s, every patch and every chosen key refused.

Change: the reader uses the same patience as the writer; only a log that took the question and was silent makes it grow, not one that refuses or answers 503.

A log slower than about 4 s an answer still takes no patch.

--- a/packages/toucanyard-node/src/toucanyard_node/log_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_client.py
@@ -27,8 +27,7 @@
 _REFUSED_STATUSES: Final = frozenset({400, 404, 413, 429, 503})
 """Statuses with which the service says that it appended nothing."""
 _OVER_RATE_STATUS: Final = 429
-_READ_MARGIN_MS: Final = 1_000
-"""How long an answer may take beyond its wait; a silent log is noticed after it."""
+READ_MARGIN_MS: Final = 1_000.0
 MAX_PAGE_BYTES: Final = 16_000_000
 _MAX_OFFSET: Final = 2**53
 
@@ -37,6 +36,10 @@
     """The log did not give an answer that can be used."""
 
 
+class LogSilentError(LogUnavailableError):
+    """The log took the question and did not answer in time."""
+
+
 class PageTooLargeError(LogUnavailableError):
     """The records asked for are more than a node takes at once."""
 
@@ -99,15 +102,20 @@
 
 
 async def read_records(
-    address: Address, start: int, limit: int, wait_ms: int
+    address: Address,
+    start: int,
+    limit: int,
+    wait_ms: int,
+    margin_ms: float = READ_MARGIN_MS,
 ) -> LogPage:
     """Read from an offset on, waiting a while for new records.
 
-    Raise LogExpiredError when they are gone, PageTooLargeError when they are too
-    many, and LogUnavailableError without an answer that can be used.
+    The answer may take `margin_ms` beyond its wait. Raise LogExpiredError when they are
+    gone, PageTooLargeError when they are too many, and LogUnavailableError without an
+    answer that can be used.
     """
     target = f"/log/read?from={start}&limit={limit}&wait_ms={wait_ms}"
-    timeout_ms = wait_ms + _READ_MARGIN_MS
+    timeout_ms = wait_ms + margin_ms
     try:
         answer = await fetch(
             address, "GET", target, timeout_ms=timeout_ms, max_bytes=MAX_PAGE_BYTES
@@ -115,7 +123,8 @@
     except BodyTooLargeError as error:
         raise PageTooLargeError(str(error)) from error
     except ConnectionFailedError as error:
-        raise LogUnavailableError(str(error)) from error
+        kind = LogSilentError if error.is_sent else LogUnavailableError
+        raise kind(str(error)) from error
     return decode_page(answer, start)
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/log_reader.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_reader.py
@@ -9,12 +9,15 @@
 import structlog
 import trio
 
+from toucanyard.append_patience import AppendPatience
 from toucanyard.core_events import LogExpired, LogRead, LogReread, LogStateSeen
 from toucanyard.log_start import StartSearch
 from toucanyard.names import Address
 from toucanyard_node.log_client import (
+    READ_MARGIN_MS,
     LogExpiredError,
     LogPage,
+    LogSilentError,
     LogUnavailableError,
     PageTooLargeError,
     read_records,
@@ -23,6 +26,8 @@
 _LIMIT: Final = 1_000
 _SHRINK: Final = 10
 _AGAIN_MS: Final = 250
+_MARGIN_MS: Final = READ_MARGIN_MS
+"""How long an answer may take beyond its wait at first."""
 _SEARCH_ABOVE: Final = 10_000
 """Records that are read sooner than a place among them is found."""
 _LOG: Final = structlog.get_logger()
@@ -67,6 +72,7 @@
         self._start: int | None = 0 if late_start is None else None
         self._limit = _LIMIT
         self._is_up: bool | None = None
+        self._patience = AppendPatience(_MARGIN_MS)
 
     async def run(self) -> None:
         """Read on until cancelled."""
@@ -92,13 +98,13 @@
         if head - oldest <= _SEARCH_ABOVE:
             self._late_start = None
             return 0
-        newest = (await read_records(self._address, head - 1, 1, 0)).records
+        newest = (await self._ask(head - 1, 1, 0)).records
         if not newest:
             raise LogUnavailableError("found no record before the log's end")
         search = StartSearch(oldest, newest[0], self._late_start.span_ms)
         while (probe := search.find_probe()) is not None:
             try:
-                records = (await read_records(self._address, probe, 1, 0)).records
+                records = (await self._ask(probe, 1, 0)).records
             except LogExpiredError as error:
                 search.note_expired(error.oldest)
                 continue
@@ -112,7 +118,7 @@
 
     async def _find_range(self) -> tuple[int, int]:
         try:
-            page = await read_records(self._address, 0, 1, 0)
+            page = await self._ask(0, 1, 0)
         except LogExpiredError as error:
             return error.oldest, error.head
         return 0, page.head
@@ -121,13 +127,28 @@
         asked_ms = trio.current_time() * 1000
         wait_ms = self._wait_ms if self._is_up else 0
         try:
-            page = await read_records(self._address, start, self._limit, wait_ms)
+            page = await self._ask(start, self._limit, wait_ms)
         except PageTooLargeError:
             self._shrink(start, asked_ms)
             return
         self._limit = _LIMIT
         self._take(start, page, asked_ms)
 
+    async def _ask(self, start: int, limit: int, wait_ms: int) -> LogPage:
+        patience = self._patience
+        began_ms = trio.current_time() * 1000
+        try:
+            page = await read_records(
+                self._address, start, limit, wait_ms, patience.timeout_ms
+            )
+        except LogSilentError:
+            # A slow log must not be given up after the same time again and again.
+            patience.note_silence()
+            raise
+        took_ms = trio.current_time() * 1000 - began_ms
+        patience.note_answer(max(took_ms - wait_ms, 0.0))
+        return page
+
     def _take(self, start: int, page: LogPage, asked_ms: float) -> None:
         end = page.records[-1].offset + 1 if page.records else start
         self._emit(LogRead(start, end, page.records, page.head, asked_ms))
