Pack older decision records

Cause: 20,000 decision records take 18.3 MB of the 128 MB for control, most of it names of fields and endpoints that stand in each of them. Ruled out: fewer records or fewer scores (less to ask about); packing each alone (333 B and 12 us, where 64 together take about 140 B and 5 us each). Change: the newest 2,048 stay objects, older ones are compressed 64 at a time; steps that come later are kept beside them, as many as a record may have. Seen failing: without late steps, and without dropping batches, the new tests fail.

--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_requests.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_requests.py
@@ -19,7 +19,7 @@
     Reply,
     RequestArrived,
 )
-from toucanyard.explanations import DecisionRecord, ExplanationRing, Sent
+from toucanyard.explanations import DecisionRecord, Ended, ExplanationRing, Sent
 from toucanyard.names import CustomerName, EndpointName, Incarnation, RequestId
 from toucanyard.node_core import NodeCore
 from toucanyard.options import AdmissionLimits
@@ -193,7 +193,7 @@
 
 
 def fill_records(count: int) -> ExplanationRing:
-    """Return records of so many requests, each sent once."""
+    """Return records of so many requests, each sent once and ended."""
     ring = ExplanationRing()
     endpoint = EndpointName("replica-00001")
     for number in range(count):
@@ -206,6 +206,10 @@
         )
         sent = Sent(float(number), endpoint, 1, 12, scores)
         ring.add_step(request_id, sent)
+        ended = Ended(
+            number + 30.5, endpoint, EndingSeen.COMPLETED, number + 0.3, 640, 1_000
+        )
+        ring.add_step(request_id, ended)
     return ring
 
 
--- /dev/null
+++ b/tests/toucanyard/test_explanations.py
@@ -0,0 +1,68 @@
+"""Every decision that is still held can be asked about, packed or not."""
+
+from __future__ import annotations
+
+from toucanyard.explanations import (
+    BATCH,
+    MAX_OPEN,
+    MAX_STEPS,
+    DecisionRecord,
+    Ended,
+    ExplanationRing,
+    Queued,
+    Sent,
+)
+from toucanyard.names import CustomerName, EndpointName, RequestId
+from toucanyard.requests import EndingSeen
+from toucanyard.scoring import Score
+
+ENDPOINT = EndpointName("e")
+MAX_RECORDS = MAX_OPEN + 4 * BATCH
+
+
+def make_id(number: int) -> RequestId:
+    return RequestId(f"n-i-{number}")
+
+
+def fill(ring: ExplanationRing, count: int) -> None:
+    for number in range(count):
+        ring.open(DecisionRecord(make_id(number), CustomerName("c"), 1, 0.0))
+        score = Score(ENDPOINT, number + 0.5, 0.0, 0.0, 7, True, False, 1.5)
+        ring.add_step(make_id(number), Sent(1.0, ENDPOINT, 1, 12, (score,)))
+
+
+def test_packed_record_is_found_whole_and_the_oldest_are_dropped() -> None:
+    ring = ExplanationRing(MAX_RECORDS)
+    fill(ring, 2 * MAX_RECORDS)
+    assert MAX_RECORDS - BATCH <= len(ring) <= MAX_RECORDS + BATCH
+    last = 2 * MAX_RECORDS - 1
+    for number in (last, last - MAX_OPEN - 2 * BATCH):
+        record = ring.find(make_id(number))
+        assert record is not None
+        assert record.request_id == make_id(number)
+        (sent,) = record.steps
+        assert isinstance(sent, Sent)
+        assert sent.scores[0].total_ms == number + 0.5
+    assert ring.find(make_id(0)) is None
+    ring.add_step(make_id(0), Queued(2.0))
+    assert ring.find(make_id(0)) is None
+
+
+def test_step_of_a_request_that_outlasts_its_record_is_kept() -> None:
+    """A stream goes on while thousands of requests come after it, and then fails.
+
+    Its record was packed meanwhile; without how it ended the operator would read that
+    it was sent and nothing more. However many steps come, no more than the bound stay.
+    """
+    ring = ExplanationRing(MAX_RECORDS)
+    fill(ring, MAX_OPEN + 2 * BATCH)
+    ended = Ended(9.0, ENDPOINT, EndingSeen.LOST, None, 0, 0)
+    ring.add_step(make_id(3), ended)
+    record = ring.find(make_id(3))
+    assert record is not None
+    assert record.steps[-1] == ended
+    for _ in range(2 * MAX_STEPS):
+        ring.add_step(make_id(3), Queued(10.0))
+    record = ring.find(make_id(3))
+    assert record is not None
+    assert len(record.steps) == MAX_STEPS
