Bound views and claims so that memory fits at 4,400 replicas

Cause: a node's view was allowed 56.6 MB, claims 27.4 MB and a full queue 13 MB of 128. A view that once held a long chain kept its size in memory: 4,400 views of 48 blocks took 53 MB with chains of 120 blocks, 33 MB with chains of 60. Ruled out: fewer blocks for small fleets (today's 14 endpoints use the whole bound). Change: above 64 endpoints views share half of the bound; of a chain only what has room is put in, and a view that shrinks is copied. New settings placement.max_view_blocks and claims.max_claims (at most max_keys, default as before). max_queued 1,000 for 2,000: at max_wait_ms of 4 s a full queue needed 500 requests a second at one node. Before: 30 to 53 MB of views (trial of 4,400 views, chains of 20 to 120 blocks, load 7 to 14). Seen failing: without the cut and without the copy the test of long chains fails; the test of max_claims fails where the setting is unknown.

--- a/packages/toucanyard-standins/src/toucanyard_standins/key_slopes.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/key_slopes.py
@@ -55,7 +55,7 @@
 
 def make_core() -> AtMostOnce:
     """Return a decision with room for every size measured."""
-    limits = ClaimLimits(max_keys=10**6, kept_answers_bytes=2**30)
+    limits = ClaimLimits(max_keys=10**6, max_claims=10**6, kept_answers_bytes=2**30)
     core = AtMostOnce(NodeName("a"), Incarnation("a-1"), limits, random.Random(1))
     core.handle(LogState(True), 0)
     return core
--- a/packages/toucanyard/src/toucanyard/cache_view.py
+++ b/packages/toucanyard/src/toucanyard/cache_view.py
@@ -104,8 +104,12 @@
 
     def resize(self, max_blocks: int) -> None:
         """Change how many blocks are kept."""
+        is_less = max_blocks < len(self._blocks)
         self._max_blocks = max_blocks
         self._trim()
+        if is_less:
+            # A copy is as large as what it holds; the dict kept its former size.
+            self._blocks = self._blocks.copy()
 
     def note_incarnation(self, incarnation: Incarnation) -> bool:
         """Move to an incarnation; return False if it is one that was replaced."""
@@ -158,7 +162,9 @@
         """Note that the engine has these blocks now, since it just used them."""
         blocks = self._blocks
         # Deepest first, so that the shared front of a chain is the last to be dropped.
-        for each in reversed(hashes):
+        # What has no room is not put in: a dict keeps the size that it once had, and
+        # thousands of small views would take several times their bound.
+        for each in reversed(hashes[: self._max_blocks]):
             blocks.pop(each, None)
             blocks[each] = now_ms
         self._trim()
--- a/packages/toucanyard/src/toucanyard/endpoint_views.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_views.py
@@ -14,6 +14,12 @@
 
 MIN_SHARES: Final = 16
 """Views that the bound on blocks is shared over at the least."""
+MAX_WHOLE_SHARES: Final = 64
+"""Views up to which they get the whole bound; above, half of it.
+
+More endpoints than this are watched in shares, so most views have no events and hold
+only what this node's own requests told; and each view itself takes 1.3 KB.
+"""
 
 
 class EndpointView(msgspec.Struct):
@@ -42,7 +48,7 @@
 
 
 class EndpointViews:
-    """Views by endpoint; together they keep at most `max_blocks` blocks."""
+    """Views by endpoint; together they keep at most `max_blocks`, half where many."""
 
     __slots__ = ("_max_blocks", "_views")
 
@@ -80,7 +86,10 @@
         # The next power of two of views shares the bound, so that it is kept for any
         # number of endpoints without going over all of them for each new one.
         shares = max(1 << (count - 1).bit_length(), MIN_SHARES)
-        return max(self._max_blocks // shares, 1)
+        bound = self._max_blocks
+        if shares > MAX_WHOLE_SHARES:
+            bound //= 2
+        return max(bound // shares, 1)
 
     def _resize(self, count: int) -> None:
         share = self._compute_share(count)
--- a/packages/toucanyard/src/toucanyard/key_book.py
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -77,7 +77,8 @@
         self.identity = identity
         self.limits = limits
         self.rng = rng
-        self.index = ClaimIndex(limits.window_ms, limits.max_keys)
+        max_claims = min(limits.max_claims, limits.max_keys)
+        self.index = ClaimIndex(limits.window_ms, max_claims)
         self.peers: tuple[PeerView, ...] = ()
         self.is_log_up = False
         self.handed = HandedKeys(limits)
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -82,7 +82,7 @@
 from toucanyard.order_duties import OrderDuties
 from toucanyard.orders import ReadState, SendOrder
 from toucanyard.patches import find_owners
-from toucanyard.placement import Placement
+from toucanyard.placement import Placement, PlacementLimits
 from toucanyard.request_flow import FlowAction, RequestFlow
 from toucanyard.snapshot_exchange import SnapshotExchange
 from toucanyard.snapshots import SnapshotBusy, SnapshotPart, SnapshotRequest
@@ -142,7 +142,8 @@
         self.log = ConfigurationLog(options.configuration, rng.random())
         self.membership = Membership(options.name, incarnation, options.membership, rng)
         self.spread = ConfigurationSpread(self.log, self.membership)
-        self.placement = Placement(rng)
+        view_blocks = options.placement.max_view_blocks
+        self.placement = Placement(rng, PlacementLimits(max_blocks=view_blocks))
         self.admission = Admission(options.admission, rng)
         self.claims = AtMostOnce(options.name, incarnation, options.claims, rng)
         self.directory = EndpointDirectory(self.membership)
--- a/packages/toucanyard/src/toucanyard/options.py
+++ b/packages/toucanyard/src/toucanyard/options.py
@@ -85,6 +85,8 @@
     kept_answers_bytes: SizeBytes = 32_000_000
     max_keys: Count = 50_000
     """Most keys remembered of each sort; when full, new keys are refused."""
+    max_claims: Count = 50_000
+    """Most claims remembered, of all nodes; when full, chosen keys are refused."""
     max_customer_share: Share = 0.5
     """Most of a node's own keys that one customer may take."""
     resend_ms: DurationMs = 100
@@ -135,10 +137,17 @@
     checkpoint_after_ms: DurationMs = 900_000
 
 
+class PlacementOptions(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits on what one node knows for placement."""
+
+    max_view_blocks: Count = 400_000
+    """Cached blocks known over all endpoints; half of it above 64 endpoints."""
+
+
 class AdmissionLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits on what one node lets in."""
 
-    max_queued: Count = 2_000
+    max_queued: Count = 1_000
     max_queued_per_customer: Count = 500
     retry_budget_share: Share = 0.1
     """Retries allowed as a share of first tries."""
@@ -182,6 +191,7 @@
     claims: ClaimLimits = ClaimLimits()
     membership: MembershipTimings = MembershipTimings()
     configuration: ConfigurationTimings = ConfigurationTimings()
+    placement: PlacementOptions = PlacementOptions()
     admission: AdmissionLimits = AdmissionLimits()
     drain: DrainTimings = DrainTimings()
     statsd: StatsdOptions | None = None
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -153,6 +153,20 @@
     assert refusal.ending is Ending.UNKNOWN
 
 
+def test_claims_of_other_nodes_have_a_bound_of_their_own() -> None:
+    """A large fleet's claims fill one node's room for them; its own keys still run.
+
+    Chosen keys, which a claim that was passed over may have won, are refused.
+    """
+    limits = ClaimLimits(max_claims=1)
+    node = AtMostOnce(NodeName("a"), Incarnation("a1"), limits, random.Random(1))
+    node.handle(LogState(True), 0)
+    node.handle(read(0, make_claim("z", "first")), 0)
+    node.handle(read(1, make_claim("y", "second")), 0)
+    assert node.count_claims() == 1
+    assert isinstance(node.handle(arrive("r1", "second"), 0)[0], RefuseKeyed)
+
+
 def test_body_of_a_claim_that_may_have_lost_is_no_proof() -> None:
     """The winning claim of a key was missed for want of room; a losing one was read.
 
