Deliver what came before a failure, and doubt an end without the last event

Cause: two holes in a stream, found by reading. 1. An engine that fails in mid-stream can say so in the packet that still brings tokens. Those were counted and kept, but never sent to the caller: its numbers had a hole. An error event of the engine was passed on as if it were a token. 2. `data: [DONE]` has no number, so when the event before it is lost nothing shows the gap. The stream was passed on as whole without its end.

Now good events are delivered before their packet's failure counts, an engine's error event is a failure of the engine, and an end without a reason is asked again.

Ruled out: to pass over the failure until the buffer is sent again at a resume; no caller asks for what it doesn't know to be missing.

--- a/packages/toucanyard-node/src/toucanyard_node/engine_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/engine_client.py
@@ -41,6 +41,7 @@
     """
 
     __slots__ = (
+        "_broken",
         "_connection",
         "_cutter",
         "_dispatch",
@@ -83,6 +84,7 @@
         self._cutter = EventCutter()
         self._is_used = False
         self._resumes = 0
+        self._broken = ""
         self.longest_pause_ms = 0.0
         self.request_id = request_id
         self.incarnation: Incarnation | None = None
@@ -173,6 +175,9 @@
         """
         asked_s = trio.current_time()
         while True:
+            if self._broken:
+                reason, self._broken = self._broken, ""
+                await self._resume(reason)
             timer = self._timer or self._start_timer()
             timer.waiting_since_s = trio.current_time()
             try:
@@ -210,28 +215,42 @@
         connection, self._connection = self._connection, None
         return connection
 
+    def doubt_end(self) -> None:
+        """Let the next read ask again for what follows the last number."""
+        self.is_done = False
+        self._broken = "an end without the last event"
+
     def _take(self, part: bytes) -> list[Event]:
         """Return the events that are new, or raise EventError for a gap."""
-        last = self.last_number
+        first = self.last_number
         new: list[Event] = []
         for event in self._cutter.feed(part):
             if event.is_done():
                 self.is_done = True
                 new.append(event)
                 break
-            if event.number is None:
-                raise EventError("an event without a number")
-            if event.number <= last:
-                continue
-            if event.number != last + 1:
-                raise EventError(f"event {event.number} after {last}")
-            last = event.number
-            new.append(event)
-        if last != self.last_number:
-            self.last_number = last
+            problem = self._find_problem(event)
+            if problem and not new:
+                raise EventError(problem)
+            if problem:
+                # What came before it is good; the next read asks for the rest.
+                self._broken = problem
+                break
+            if event.number == self.last_number + 1:
+                self.last_number += 1
+                new.append(event)
+        if self.last_number != first:
             self._resumes = 0
         return new
 
+    def _find_problem(self, event: Event) -> str:
+        """Return why events can't go on with this one; empty when they can."""
+        if event.number is None:
+            return "an event without a number"
+        if event.number > self.last_number + 1:
+            return f"event {event.number} after {self.last_number}"
+        return ""
+
     async def _resume(self, reason: str) -> None:
         """Go on from the last number on a new connection.
 
--- a/packages/toucanyard-node/src/toucanyard_node/sse.py
+++ b/packages/toucanyard-node/src/toucanyard_node/sse.py
@@ -13,6 +13,7 @@
 MAX_EVENT_BYTES: Final = 1_000_000
 _MAX_DIGITS: Final = 15
 _MAX_COUNT: Final = 10**9
+_NO_ERROR: Final = msgspec.Raw(b"null")
 
 # Numbers that an engine makes up end in histograms and in other nodes' messages, where
 # one of a thousand digits would raise.
@@ -62,6 +63,7 @@
     model: str = ""
     choices: tuple[Choice, ...] = ()
     usage: Usage | None = None
+    error: msgspec.Raw = _NO_ERROR
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -86,6 +88,15 @@
         raise EventError(str(error)) from error
 
 
+def check_error(chunk: Chunk) -> None:
+    """Raise EventError when the engine tells of its failure in place of a token.
+
+    Engines do so in mid-stream, where the status was sent long ago.
+    """
+    if chunk.error != _NO_ERROR:
+        raise EventError("the engine reports an error")
+
+
 def get_text(chunk: Chunk) -> str:
     """Return the text that a chunk adds."""
     if not chunk.choices:
--- a/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
+++ b/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
@@ -35,6 +35,7 @@
     Chunk,
     Event,
     EventError,
+    check_error,
     get_text,
     read_chunk,
     render_event,
@@ -60,6 +61,7 @@
         "_call",
         "_engine",
         "_dispatch",
+        "_failure",
         "_first_chunk",
         "_incarnation",
         "_kept",
@@ -96,6 +98,7 @@
         self._limits = limits
         self._engine: EngineStream | None = None
         self._dispatch: Dispatch | None = None
+        self._failure: DispatchFailedError | None = None
         self._incarnation: Incarnation | None = None
         self._weights_version = ""
         self._longest_pause_ms = 0.0
@@ -147,11 +150,12 @@
         """Return bytes of whole events for the caller; call until `is_over`."""
         assert self._engine is not None
         try:
+            if self._failure is not None:
+                raise self._failure
             events = await self._engine.read()
-            if not events:
-                return HEARTBEAT
-            return self._take(events)
+            return self._take(events) if events else HEARTBEAT
         except DispatchFailedError as error:
+            self._failure = None
             return await self._go_on_elsewhere(error)
 
     def give_up(self, text: str) -> None:
@@ -235,17 +239,33 @@
         parts: list[bytes] = []
         for event in events:
             if event.is_done():
-                self._finish(parts)
+                self._take_end(parts)
+                break
+            try:
+                self._read_event(event)
+            except EventError as error:
+                # The events before it are kept and counted already: the caller would
+                # miss them, so the failure waits for the next read.
+                self._failure = DispatchFailedError(EndingSeen.FAILED, str(error))
                 break
-            self._read_event(event)
             parts.append(self._keep(event.data))
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        return parts[0] if len(parts) == 1 else b"".join(parts) or HEARTBEAT
+
+    def _take_end(self, parts: list[bytes]) -> None:
+        """End the stream, unless its last event is missing.
+
+        The mark of the end has no number, so a gap just before it shows only by the
+        missing reason; the stream would pass for whole without its end.
+        """
+        assert self._engine is not None
+        if self.finish_reason is None:
+            self._engine.doubt_end()
+        else:
+            self._finish(parts)
 
     def _read_event(self, event: Event) -> None:
-        try:
-            chunk = read_chunk(event.data)
-        except EventError as error:
-            raise DispatchFailedError(EndingSeen.FAILED, str(error)) from error
+        chunk = read_chunk(event.data)
+        check_error(chunk)
         if self._first_chunk is None:
             self._first_chunk = chunk
         text = get_text(chunk)
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -44,6 +44,8 @@
     """Time on the clock before which there are neither events nor heartbeats."""
     gap_s: float = 0.0
     """Time before each event; a heartbeat comes in the middle of it."""
+    joined: bytes = b""
+    """What comes in one packet behind the events, which then come in one, too."""
 
 
 class ScriptedEngine:
@@ -92,6 +94,11 @@
         self, responder: Responder, step: Step, first: int, tokens: tuple[str, ...]
     ) -> None:
         await trio.sleep_until(step.quiet_until_s)
+        if step.joined:
+            numbers = range(first, min(step.until, len(tokens) + 1))
+            events = b"".join(_render(number, tokens) for number in numbers)
+            await responder.write(events + step.joined)
+            first = step.until
         for number in range(first, min(step.until, len(tokens) + 1)):
             if step.gap_s:
                 await trio.sleep(step.gap_s / 2)
