Go on with a stream whose caller left while an engine was sought, and end whole ones

Cause: three holes, found by reading. 1. A caller that hung up while the node connected anew, or sought another engine, left the relay without an engine or a connection. Whoever took the stream over ended with an AssertionError; the stream never ended and its place at the core stayed taken. 2. With several choices the end of the first was taken for the end of all: when the engine then died, the stream got its [DONE] from the node though a choice was cut. 3. A stream of a request that may run once, whole but for its [DONE], ended as incomplete, and its key with an unknown outcome, though the caller had every token.

Ruled out: to shield the whole search for an engine from cancellation, since a caller that comes back would wait for it; only the closing of the old connection is shielded.

The scripted engine now remembers where a continued text began: asked again for it, it gave the text from its first token, which no engine does.

Before: all eight cases of the three new tests failed on the code as it was (the first with AssertionError and an answer cut short, the second with [DONE] behind one choice of two, the third with `event: error`). After: they pass, with the node's other tests.

--- a/packages/toucanyard-node/src/toucanyard_node/engine_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/engine_client.py
@@ -175,8 +175,11 @@
         """
         asked_s = trio.current_time()
         while True:
-            if self._broken:
-                reason, self._broken = self._broken, ""
+            if self._broken or self._connection is None:
+                # Without a connection: whoever read before was cancelled while it
+                # connected, since its caller left.
+                reason, self._broken = self._broken or "interrupted", ""
+                self._check_sent(reason)
                 await self._resume(reason)
             timer = self._timer or self._start_timer()
             timer.waiting_since_s = trio.current_time()
@@ -192,6 +195,15 @@
                 reason = "silent" if timer.has_expired else str(error)
             await self._resume(reason)
 
+    def _check_sent(self, reason: str) -> None:
+        """Raise DispatchFailedError when there can be no stream to go on with.
+
+        An earlier try of the same request may have left one of the same name at this
+        engine, which begins with what the caller already has.
+        """
+        if not self.is_sent:
+            raise DispatchFailedError(EndingSeen.NOT_SENT, reason)
+
     def _start_timer(self) -> SilenceTimer:
         assert self._connection is not None
         # An engine that is merely slower than its history is probed ever more rarely;
--- a/packages/toucanyard-node/src/toucanyard_node/model_requests.py
+++ b/packages/toucanyard-node/src/toucanyard_node/model_requests.py
@@ -83,6 +83,8 @@
     is_stream: bool
     is_plain_only: bool
     """True when its answer can't be gathered from token events."""
+    choices: int
+    """How many texts the answer has; 0 when that can't be told."""
     fields: dict[str, msgspec.Raw]
     target: ModelTarget
     priority: PriorityClass
@@ -132,6 +134,7 @@
         pool_model=pool.model,
         is_stream=bool(parsed.stream),
         is_plain_only=is_plain_only,
+        choices=_find_choices(parsed, fields),
         fields=fields,
         target=target,
         priority=priority,
@@ -215,6 +218,18 @@
     return DEFAULT_MAX_TOKENS if limit is None else limit
 
 
+def _find_choices(
+    body: CompletionBody | ChatBody, fields: dict[str, msgspec.Raw]
+) -> int:
+    """Return how many texts the answer has; 0 when that can't be told."""
+    if isinstance(body, CompletionBody) and isinstance(body.prompt, list):
+        return 0
+    count = msgspec.json.decode(fields.get("n", _NULL))
+    if count is None:
+        return 1
+    return count if isinstance(count, int) else 0
+
+
 def _join_content(content: str | list[ContentPart] | None) -> str:
     if content is None:
         return ""
--- a/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
+++ b/packages/toucanyard-node/src/toucanyard_node/stream_relay.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import msgspec
+import trio
 
 from toucanyard.names import Incarnation
 from toucanyard.options import StreamLimits
@@ -332,7 +333,10 @@
         """Drop the failed exchange and ask the core what to do next."""
         engine, self._engine = self._engine, None
         if engine is not None:
-            await engine.abandon()
+            # The caller may leave at any moment and come back. Left half done, this
+            # would leave neither an engine to read from nor a report to the core.
+            with trio.CancelScope(shield=True):
+                await engine.abandon()
         verdict = await self.attempts.report_failure(
             dispatch, error.ending, error.text, self._weights_version
         )
@@ -346,11 +350,13 @@
     async def _go_on_elsewhere(self, error: DispatchFailedError) -> bytes:
         """Continue a begun stream on another engine, or end it as incomplete."""
         assert self._dispatch is not None
+        if self._is_all_generated():
+            # Only the mark of the end is missing, and the node can give that itself.
+            with trio.CancelScope(shield=True):
+                await self.close()
+            return self._finish_locally()
         verdict = await self._fail(self._dispatch, error)
         while isinstance(verdict, Dispatch):
-            if self._is_all_generated():
-                self._decline(verdict)
-                return self._finish_locally()
             if not self._can_go_on():
                 self._decline(verdict)
                 return self._end(self._build_incomplete(error.text))
@@ -374,7 +380,8 @@
 
     def _is_all_generated(self) -> bool:
         """Tell whether only the mark of the end is missing."""
-        return self.finish_reason is not None
+        # With several choices, or an unknown number, the end of one is not that of all.
+        return self.finish_reason is not None and self._call.choices == 1
 
     def _finish_locally(self) -> bytes:
         parts: list[bytes] = []
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -54,6 +54,7 @@
     def __init__(self, tokens: tuple[str, ...], *steps: Step) -> None:
         self._tokens = tokens
         self._steps = list(steps)
+        self._resumed_after: dict[str, int] = {}
         self.requests: list[HttpRequest] = []
         self.cancelled: list[str] = []
         self.events_sent = 0
@@ -85,7 +86,10 @@
         first = int(request.headers.get("last-event-id", "-1")) + 1
         if step.is_repeating:
             first = 0
-        done = int(request.headers.get("x-resume-text-tokens", "0"))
+        if request.method == "POST":
+            done = int(request.headers.get("x-resume-text-tokens", "0"))
+            self._resumed_after[request_id] = done
+        done = self._resumed_after.get(request_id, 0)
         stream = ("Content-Type", "text/event-stream")
         await responder.start(200, (stream, *headers))
         await self._send(responder, step, first, self._tokens[done:])
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -40,7 +40,7 @@
         self._nursery = nursery
         self._listeners: dict[Address, MemoryListener] = {}
         self.opened: list[Address] = []
-        self.connect_delays_s: dict[Address, float] = {}
+        self.connect_delay_s = 0.0
 
     def serve(
         self, address: str, handler: Handler, limits: ServerLimits | None = None
@@ -57,7 +57,7 @@
 
     async def connect(self, address: Address, timeout_ms: float) -> HttpConnection:
         """Connect like `toucanyard_node.http_client.connect`."""
-        await trio.sleep(self.connect_delays_s.get(address, 0.0))
+        await trio.sleep(self.connect_delay_s)
         listener = self._listeners.get(address)
         if listener is None:
             raise ConnectionFailedError("refused", is_sent=False)
--- a/tests/toucanyard_node/test_service_face.py
+++ b/tests/toucanyard_node/test_service_face.py
@@ -178,7 +178,7 @@
     engine = ScriptedEngine(("a",))
     async with serve_in_memory([engine]) as served:
         assert served.network is not None
-        served.network.connect_delays_s[served.core.addresses[0]] = 0.2
+        served.network.connect_delay_s = 0.2
         first = (("X-Key-Age-Ms", "0"), ("X-Deadline-Ms", "100"))
         answer = await served.ask("POST", target, (*KEYED, *first), build_completion())
         error = read_error(answer)
--- a/tests/toucanyard_node/test_stream_ends.py
+++ b/tests/toucanyard_node/test_stream_ends.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import pytest
+import trio
 from trio.testing import MockClock
 
 from support.callers import (
     AUTHORIZED,
+    build_completion,
     read_numbers,
     read_text,
     serve_in_memory,
 )
-from support.engines import ScriptedEngine, Step
+from support.engines import ScriptedEngine, Step, Then
+from toucanyard.requests import EndingSeen
+from toucanyard_node.http_client import Headers
 
 TOKENS = (" uno", " dos", " tres", " cuatro", " cinco")
 TEXT = "".join(TOKENS)
@@ -74,3 +78,70 @@
         assert b"[DONE]" not in answer.body
         assert b'"stream_incomplete"' in answer.body
         assert len(engine.find_requests("GET")) == 5
+
+
+@pytest.mark.parametrize("headers", [ONCE, KEYED])
+async def test_run_once_stream_whole_but_for_its_end(
+    autojump_clock: MockClock, headers: Headers
+) -> None:
+    """The engine dies between the last token and the mark of the end.
+
+    Everything was said, so the caller gets the end from the node; told that the
+    outcome is unknown, it would have to ask a person about a hold that it has.
+    """
+    steps = (Step(until=LAST + 1, then=Then.CUT), Step(status=404))
+    engine = ScriptedEngine(TOKENS, *steps)
+    async with serve_in_memory([engine]) as served:
+        answer = await served.complete(headers=headers)
+        check_whole(answer.body)
+        (outcome,) = served.core.outcomes
+        assert outcome.ending is EndingSeen.COMPLETED
+        assert (outcome.answer is not None) == (headers == KEYED)
+
+
+@pytest.mark.parametrize("many", [{"n": 2}, {"prompt": ["hola", "adios"]}, {"n": "x"}])
+async def test_one_of_several_choices_is_not_the_end(
+    autojump_clock: MockClock, many: dict[str, object]
+) -> None:
+    """One of two choices has ended and the engine dies inside the other.
+
+    The end of one is not the end of the stream, which would pass for whole.
+    """
+    steps = (Step(until=LAST + 1, then=Then.CUT), Step(status=404))
+    engines = [ScriptedEngine(TOKENS, *steps), ScriptedEngine(TOKENS)]
+    async with serve_in_memory(engines) as served:
+        body = build_completion() | many
+        answer = await served.ask("POST", "/v1/completions", AUTHORIZED, body)
+        assert read_text(answer.body) == TEXT
+        assert b"[DONE]" not in answer.body
+        assert b'"stream_incomplete"' in answer.body
+
+
+@pytest.mark.parametrize("left_s", [0.45, 1.05, 1.3])
+async def test_caller_comes_back_while_engine_is_sought(
+    autojump_clock: MockClock, left_s: float
+) -> None:
+    """The engine's connection is silent. While the node connects anew, or seeks another
+    engine, the caller hangs up, and comes back.
+
+    The task that sought an engine ends with the caller's connection. The one that
+    takes the stream over goes on from there, with every event once.
+    """
+    steps = [Step(until=2, then=Then.SILENCE), Step(status=404)]
+    first = ScriptedEngine(TOKENS, *steps)
+    others = [ScriptedEngine(TOKENS), ScriptedEngine(TOKENS)]
+    async with serve_in_memory([first, *others]) as served:
+        assert served.network is not None
+        body = build_completion()
+        connection = await served.open("POST", "/v1/completions", AUTHORIZED, body)
+        await connection.read_head()
+        served.network.connect_delay_s = 0.5
+        await trio.sleep(left_s)
+        await connection.close()
+        served.network.connect_delay_s = 0.0
+        resume = (*AUTHORIZED, ("Last-Event-ID", "0"))
+        answer = await served.ask("GET", "/v1/streams/n1-x7-0", resume)
+        assert read_numbers(answer.body) == list(range(1, LAST + 2))
+        assert read_text(answer.body) == "".join(TOKENS[1:])
+        assert answer.body.endswith(b"data: [DONE]\n\n")
+        assert served.core.find_endings()[-1] is EndingSeen.COMPLETED
