Read loads and caches at once when a node starts

Cause, found with a trace of every choice, load, event and dump in a herd of four: the first request was placed 5 ms after the nodes listened; loads and events came 140 ms later, as the watch looks for new endpoints each 200 ms only, and dumps 70 to 95 ms after those, as views are looked at each 250 ms. Until then all nodes placed by hash alone, on the rulebook's one home, which had no more than the rulebook: four requests computed up to 48 blocks at once (400 ms each, one behind the other), hit rate and p99 of the first 2 s with them.

Change: while nothing is watched, the watch looks each 10 ms; a new incarnation makes the core look at its views at the next tick.

Seen failing without: first_endpoints_are_watched_at_once (refresh as before), dump_of_a_new_process_is_asked_for_at_the_next_tick (reset taken out).

--- a/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
@@ -42,6 +42,9 @@
 
 _LOG: Final = structlog.get_logger()
 _REFRESH_MS: Final = 200
+_FIRST_REFRESH_MS: Final = 10
+"""Until there is anything to watch: a node that starts places requests without a view
+of any cache, and after a herd restart all nodes heap them on the same few endpoints."""
 _MAX_LOAD_BYTES: Final = 65_536
 _MAX_DUMP_BYTES: Final = 32_000_000
 _DUMP_TIMEOUT_MS: Final = 5_000
@@ -122,7 +125,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 self._refresh(nursery)
-                await trio.sleep(_REFRESH_MS / 1000)
+                wait_ms = _REFRESH_MS if self._scopes else _FIRST_REFRESH_MS
+                await trio.sleep(wait_ms / 1000)
 
     async def read_dump(self, endpoint: EndpointName) -> None:
         """Fetch the list of an engine's blocks and emit it, if it can be had."""
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -420,6 +420,8 @@
                     yield SendMessage(to, digest)
                 case EndpointRestarted(endpoint=endpoint, incarnation=incarnation):
                     self.placement.note_incarnation(endpoint, incarnation)
+                    # Its cache is unknown: the dump is asked for at the next tick.
+                    self._next_doubtful_ms = now_ms
                 case FetchConfiguration():
                     yield from self.spread.fetch(action)
                 case PeerConfirmed():
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -15,6 +15,7 @@
     MessageRead,
     PatchAnswered,
     PatchSubmitted,
+    ReadDump,
     SendMessage,
     TickPassed,
     VmsRead,
@@ -207,3 +208,17 @@
     world.handle(CacheDumpRead(gone, dump))
     apply_patch(world, build_patch("third", 2))
     assert world.core.placement.count_blocks() == 1
+
+
+def test_dump_of_a_new_process_is_asked_for_at_the_next_tick() -> None:
+    """An engine's process is seen for the first time right after a look at the views.
+    Its cache is unknown; until its dump is read its prefixes are computed elsewhere."""
+    world = CoreWorld()
+    world.handle(TickPassed())
+    world.others.clear()
+    endpoint = EndpointName("engine-1")
+    report = LoadReport(Incarnation("i"), 0, 0.0)
+    world.handle(LoadRead(endpoint, report, world.now_ms))
+    world.now_ms += 50
+    world.handle(TickPassed())
+    assert ReadDump(endpoint) in world.others
--- a/tests/toucanyard_node/test_endpoint_watch.py
+++ b/tests/toucanyard_node/test_endpoint_watch.py
@@ -255,3 +255,19 @@
         await trio.sleep(10)
         assert scene.count(LoadRead) >= 25
         nursery.cancel_scope.cancel()
+
+
+async def test_first_endpoints_are_watched_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A node starts and its configuration comes into force between two refreshes. Until
+    loads and caches are read it places by hash alone; in a herd, all nodes do so and
+    heap what arrives on a few endpoints."""
+    async with trio.open_nursery() as nursery:
+        scene = Scene(nursery)
+        wanted, scene.wanted = scene.wanted, []
+        await trio.sleep(1.03)
+        scene.wanted = wanted
+        await trio.sleep(0.02)
+        assert scene.count(LoadRead) == 1
+        nursery.cancel_scope.cancel()
