Lower the price of computing a widened prefix at its further homes

Cause, by a trace of Hangang's herd: 34 requests waited in one engine for ten seconds while the five others were idle. Its templates had two homes by their load, but a cold second home cost eight times the 1.5 s that it computes once, so requests waited up to 12 s at the first. What follows at a widened home uses the computed blocks again.

The price at the homes of a prefix that has several is now lower by 4.

A price between home and outside for homes of the front alone: no difference.

The new test fails without the discount: the request waits 5 s at the first home.

--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -314,6 +314,7 @@
             policy.prefill_ms_per_block, slots, use.duration_ms / slots
         )
         trust = self._limits.prices.doubtful_trust
+        rank = homes.find_rank(name)
         return Considered(
             name=name,
             view=view,
@@ -321,8 +322,9 @@
             believed_blocks=view.cache.compute_believed(
                 view.find_chain(target), warm_blocks, trust
             ),
-            rank=homes.find_rank(name),
+            rank=rank,
             reported_ms=reported_ms,
+            is_widened_home=rank == 0 and len(homes.names) > 1,
             has_old_weights=view.find_weights() not in ("", target.weights_version),
         )
 
--- a/packages/toucanyard/src/toucanyard/scoring.py
+++ b/packages/toucanyard/src/toucanyard/scoring.py
@@ -26,6 +26,8 @@
     """Price of a millisecond recomputed where the cache turns over, on top."""
     old_weights_price: float = 12.0
     """Price of a millisecond recomputed under weights soon replaced, on top."""
+    widening_discount: float = 4.0
+    """Taken off the price at the homes of a prefix that has several."""
 
 
 class Score(msgspec.Struct, frozen=True, gc=False):
@@ -52,6 +54,8 @@
     rank: float
     reported_ms: float
     """Wait that its last report foretells."""
+    is_widened_home: bool
+    """Whether it is one of several homes."""
     has_old_weights: bool
     """Whether it runs other weights than those desired."""
 
@@ -91,6 +95,11 @@
     recompute_ms = missing * policy.prefill_ms_per_block * slowness
     price = policy.recompute_price + prices.spread_price * considered.rank
     price += prices.evict_price * compute_turnover(considered.view, now_ms)
+    if considered.is_widened_home:
+        # What a hot prefix's new home computes once is used by all that follow. At the
+        # whole price requests would queue at the first home, up to 12 s with a prompt
+        # of 180 blocks, beside an idle second one.
+        price = max(price - prices.widening_discount, 1.0)
     if considered.has_old_weights:
         # Such blocks are lost within seconds, and computed again under the new weights.
         # Without this, each replica that loads has its prefixes computed twice more.
--- a/tests/toucanyard/test_placement.py
+++ b/tests/toucanyard/test_placement.py
@@ -215,3 +215,35 @@
         placed = placement.choose(request, pool, pool.endpoints, 0.0)
         assert placed is not None
         assert placed.endpoint == pool.endpoints[seed].name
+
+
+def test_second_home_of_a_hot_prefix_is_computed_before_the_first_is_swamped() -> None:
+    """One customer's template is hot; its first home has 5 s of work queued, all else
+    is idle.
+
+    At the price of a single recomputation all would wait, and the second home, which
+    the load calls for, would stay idle and cold.
+    """
+    policy = PlacementPolicy(recompute_price=8)
+    placement, pool = make_placement(), make_pool(6, policy)
+    placement.apply_node_count(4)
+    shared = tuple(range(5000, 5096))
+    for number in range(60):
+        request = make_request(number, (*shared, number))
+        placed = placement.choose(request, pool, pool.endpoints, number * 20.0)
+        assert placed is not None
+        if number == 0:
+            first = placed.endpoint
+            placement.note_dispatch(request, placed, pool, 0.0)
+    for each in pool.endpoints:
+        queued = 625 if each.name == first else 0
+        report = LoadReport(RUN, 0, 0.0, queued_blocks=queued)
+        placement.apply_load(each.name, report, 1_200.0)
+        chain = (*shared, 0) if each.name == first else ()
+        placement.apply_cache_dump(each.name, CacheDump(RUN, 1, chain), 1_200.0)
+    request = make_request(99, (*shared, 99))
+    placed = placement.choose(request, pool, pool.endpoints, 1_200.0)
+    assert placed is not None
+    assert placed.width > 1
+    assert placed.endpoint != first
+    assert placed.scores[0].is_home
