Answer what waits in the kernel when a server stops, and see a hang-up behind more bytes

Cause: two holes in the server, found by reading. 1. A stop cancelled the reads on idle connections and closed the listener at once. A request that had reached the kernel by then was reset, on a kept connection or on one not yet accepted; its caller could not tell whether it ran. Now what has been connected is accepted in the moment of the stop, and each open connection is read once more. 2. The watch for a hang-up read once. A caller that sent one byte more than its request was never seen to leave, and an engine computed for nobody.

Ruled out: to go on accepting for some milliseconds after the stop. On a busy machine that time can pass before the listener has its turn.

Before: both new tests failed on the code as it was (connection reset by peer; the handler still ran). Taking out either half of the first safeguard makes the first test fail. After: they pass; the tests of server and drain five times in a row.

--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -26,12 +26,14 @@
     parse_request,
 )
 from toucanyard_node.refusals import render_refusal
+from toucanyard_node.socket_io import accept_waiting
 
 _LOG: Final = structlog.get_logger()
 _READ_BYTES: Final = 65_536
 _USER_TIMEOUT: Final[int | None] = getattr(socket, "TCP_USER_TIMEOUT", None)
 _RETRY_AFTER_MS: Final = 1_000
 _STOPPING_IDLE_MS: Final = 20
+"""How long a stopping server waits for a request on an open connection."""
 _TUNNEL: Final = b"CONNECT"
 
 
@@ -59,6 +61,8 @@
         "_idle",
         "_is_stopping",
         "_limits",
+        "_listener",
+        "_nursery",
         "_open_connections",
         "_stopped",
     )
@@ -71,23 +75,32 @@
         self._idle: set[trio.CancelScope] = set()
         self._is_stopping = False
         self._stopped = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self._listener: trio.SocketListener | None = None
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Serve until stopped and the last request has its answer."""
         try:
             async with trio.open_nursery() as nursery:
+                self._nursery, self._listener = nursery, listener
                 with self._accepting:
                     await trio.serve_listeners(
                         self._serve_stream, [listener], handler_nursery=nursery
                     )
                 await trio.aclose_forcefully(listener)
         finally:
+            self._nursery, self._listener = None, None
             self._stopped.set()
 
     def stop(self) -> None:
         """Take no new connection and close idle ones; requests go on to their end."""
         self._is_stopping = True
         self._accepting.cancel()
+        # Closing the listener resets what the kernel has connected already, with the
+        # requests on it; their callers could not tell whether they ran.
+        if self._nursery is not None and self._listener is not None:
+            for stream in accept_waiting(self._listener):
+                self._nursery.start_soon(self._serve_stream, stream)
         for scope in self._idle:
             scope.cancel()
 
@@ -195,17 +208,29 @@
         """Wait for a request's first bytes; return whether any came."""
         if connection.trailing_data[0]:
             return True
-        if self._is_stopping:
-            idle_ms = _STOPPING_IDLE_MS
+        data: bytes | None = None
+        if not self._is_stopping:
+            data = await self._receive_idle(stream, idle_ms)
+        if data is None and self._is_stopping:
+            # A request may have reached the kernel before the stop did; closing now
+            # would reset it, and its caller could not tell whether it ran.
+            data = await self._receive_idle(stream, _STOPPING_IDLE_MS)
+        if data is None:
+            return False
+        connection.receive_data(data)
+        return bool(data)
+
+    async def _receive_idle(
+        self, stream: trio.SocketStream, idle_ms: int
+    ) -> bytes | None:
+        """Return what comes in time and before the server stops, else None."""
         with trio.move_on_after(idle_ms / 1000) as scope:
             self._idle.add(scope)
             try:
-                data = await stream.receive_some(_READ_BYTES)
+                return bytes(await stream.receive_some(_READ_BYTES))
             finally:
                 self._idle.discard(scope)
-            connection.receive_data(data)
-            return bool(data)
-        return False
+        return None
 
     async def _read_message(
         self, connection: h11.Connection, stream: trio.SocketStream
@@ -284,14 +309,18 @@
     connection: h11.Connection, stream: trio.SocketStream, scope: trio.CancelScope
 ) -> None:
     """Cancel the scope when the other side closes; keep what it sends early."""
-    try:
-        data = await stream.receive_some(_READ_BYTES)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        scope.cancel()
-        return
-    connection.receive_data(data)
-    if not data:
-        scope.cancel()
+    kept_bytes = 0
+    while kept_bytes < _READ_BYTES:
+        try:
+            data = await stream.receive_some(_READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            scope.cancel()
+            return
+        connection.receive_data(data)
+        if not data:
+            scope.cancel()
+            return
+        kept_bytes += len(data)
 
 
 def _compute_head_bytes(head: h11.Request) -> int:
--- a/packages/toucanyard-node/src/toucanyard_node/socket_io.py
+++ b/packages/toucanyard-node/src/toucanyard_node/socket_io.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import os
+import socket
+from contextlib import suppress
 from typing import Final
 
 import trio
@@ -46,6 +48,25 @@
         await stream.send_all(memoryview(data)[sent_bytes:])
 
 
+def accept_waiting(
+    listener: trio.abc.Listener[trio.SocketStream],
+) -> list[trio.SocketStream]:
+    """Accept the connections that the kernel has made already, without waiting."""
+    streams: list[trio.SocketStream] = []
+    if not isinstance(listener, trio.SocketListener):
+        return streams
+    descriptor = listener.socket.fileno()
+    if descriptor < 0:
+        return streams
+    with suppress(OSError), socket.socket(fileno=os.dup(descriptor)) as door:
+        door.setblocking(False)
+        while True:
+            end, _ = door.accept()
+            end.setblocking(False)
+            streams.append(trio.SocketStream(trio.socket.from_stdlib_socket(end)))
+    return streams
+
+
 def _send_at_once(stream: trio.abc.SendStream, data: bytes) -> int:
     """Send what the kernel takes without waiting; return how much that was."""
     if not isinstance(stream, trio.SocketStream):
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -239,3 +240,70 @@
         with trio.fail_after(30):
             await ended.wait()
         nursery.cancel_scope.cancel()
+
+
+REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nhola"
+
+
+async def read_whole(end: socket.socket) -> bytes:
+    """Return all that comes on a connection until the other side closes it."""
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(end))
+    async with stream:
+        return b"".join([part async for part in stream])
+
+
+def open_blocking(port: int) -> socket.socket:
+    """Connect without giving the server a turn."""
+    return socket.create_connection(("127.0.0.1", port))
+
+
+async def test_request_at_the_door_when_the_server_stops() -> None:
+    """A request reaches the machine in the moment in which the server stops.
+
+    It waits in the kernel, on an idle connection or on one not yet accepted. Closing
+    either would reset it, and its caller, who reached a node that was named to it,
+    could not tell whether it ran.
+    """
+    async with serve(ServerLimits()) as (server, port):
+        idle = open_blocking(port)
+        await trio.testing.wait_all_tasks_blocked()
+        idle.sendall(REQUEST)
+        new = [open_blocking(port) for _ in range(3)]
+        for each in new:
+            each.sendall(REQUEST)
+        server.stop()
+        for each in (idle, *new):
+            each.setblocking(False)
+            answer = await read_whole(each)
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert b"connection: close" in answer.lower()
+            assert answer.endswith(b"hola")
+        await server.wait_stopped()
+
+
+async def test_hang_up_behind_more_bytes(autojump_clock: MockClock) -> None:
+    """A caller sends more than its request, as some do an empty line, and hangs up.
+
+    Its handler is cancelled all the same; an engine would compute for nobody.
+    """
+    cancelled = trio.Event()
+
+    async def wait(request: HttpRequest, responder: Responder) -> None:
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.set()
+
+    address = Address("10.0.0.1:80")
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        network.serve(address, wait)
+        stream = await network.open_stream(address)
+        await stream.send_all(REQUEST)
+        await trio.sleep(1)
+        await stream.send_all(b"\r\n")
+        await trio.sleep(1)
+        await stream.aclose()
+        with trio.fail_after(1):
+            await cancelled.wait()
+        nursery.cancel_scope.cancel()
