Cut a resumed stream whose events were pushed out meanwhile

Cause: that the events a caller asks for are kept was checked before the answer's head went out. Until the stream was taken over from its old connection, that one went on and could push them out; what followed was then sent without them, a stream with a hole.

Before: the new test got the later events as a whole answer. After: the connection is cut, and the next request for the same events gets 410.

--- a/packages/toucanyard-node/src/toucanyard_node/kept_streams.py
+++ b/packages/toucanyard-node/src/toucanyard_node/kept_streams.py
@@ -100,6 +100,10 @@
         try:
             async with stream.hold():
                 missed = relay.buffer.find_after(after)
+                if missed is None:
+                    # Pushed out since the request was checked. What follows would
+                    # have a hole before it; a cut tells the caller to ask again.
+                    return
                 if missed:
                     await responder.write(missed)
                 while not relay.is_over:
--- a/tests/toucanyard_node/test_kept_streams.py
+++ b/tests/toucanyard_node/test_kept_streams.py
@@ -21,6 +21,7 @@
 from toucanyard.options import StreamLimits
 from toucanyard.requests import EndingSeen
 from toucanyard_node.http_client import ConnectionFailedError, Headers, HttpConnection
+from toucanyard_node.http_exchange import Responder
 
 TOKENS = tuple(f" t{number}" for number in range(6))
 STREAM = "/v1/streams/n1-x7-0"
@@ -199,3 +200,32 @@
         answer = await served.ask("GET", STREAM, after(0))
         assert answer.status == 200
         assert read_numbers(answer.body) == list(range(1, 402))
+
+
+async def test_events_pushed_out_while_head_is_sent(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller asks for events that are still kept; while it gets the answer's head, its
+    old connection goes on, and they are pushed out.
+
+    The new connection must be cut: with what follows later, its stream had a hole.
+    """
+    start = Responder.start
+
+    async def start_slowly(self: Responder, status: int, headers: Headers) -> None:
+        await start(self, status, headers)
+        await trio.sleep(3)
+
+    tokens = tuple(f" t{number:04}" for number in range(400))
+    engine = ScriptedEngine(tokens, Step(gap_s=0.05))
+    options = build_options(StreamLimits(replay_buffer_bytes=4_000))
+    async with serve_in_memory([engine], options) as served:
+        old = await open_and_read(served, 8)
+        monkeypatch.setattr(Responder, "start", start_slowly)
+        new = await served.open("GET", STREAM, after(1))
+        assert (await new.read_head()).status == 200
+        with pytest.raises(ConnectionFailedError):
+            await new.read_body()
+        answer = await served.ask("GET", STREAM, after(1))
+        assert answer.status == 410
+        await old.close()
