Read the event behind an engine's comment

Cause: what began with a comment line was passed over up to the next blank line. A heartbeat without one, such as this node sends itself, took the event behind it along; the gap in the numbers then cost a new connection, and a lost [DONE] another engine.

Before: test_comment_hides_no_event got no event of two.

--- a/packages/toucanyard-node/src/toucanyard_node/sse.py
+++ b/packages/toucanyard-node/src/toucanyard_node/sse.py
@@ -123,10 +123,12 @@
         self._rest = texts.pop()
         if len(self._rest) > MAX_EVENT_BYTES:
             raise EventError("an event is too large")
-        return [_parse_event(text) for text in texts if text[:1] != b":"]
+        events = [_parse_event(text) for text in texts]
+        return [event for event in events if event is not None]
 
 
-def _parse_event(text: bytes) -> Event:
+def _parse_event(text: bytes) -> Event | None:
+    """Parse what stands between two blank lines; None when it is no event."""
     if text.startswith(_ID):
         head, _, rest = text.partition(b"\n")
         number = head[4:]
@@ -142,8 +144,12 @@
     return b"\n" in line or b"\r" in line
 
 
-def _parse_lines(text: bytes) -> Event:
-    """Parse an event whose lines are in another order, or raise EventError."""
+def _parse_lines(text: bytes) -> Event | None:
+    """Parse an event whose lines are in another order, or raise EventError.
+
+    Lines without data are no event, as the protocol says: comments, for one, though
+    one that has no blank line behind it may stand before an event.
+    """
     number: int | None = None
     data: list[bytes] = []
     for line in text.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n"):
@@ -155,7 +161,7 @@
             number = int(value)
         elif name == b"data":
             data.append(value)
-    return Event(number, b"\n".join(data))
+    return Event(number, b"\n".join(data)) if data else None
 
 
 def render_event(number: int, data: bytes, name: bytes = b"") -> bytes:
--- a/tests/toucanyard_node/test_sse.py
+++ b/tests/toucanyard_node/test_sse.py
@@ -57,6 +57,19 @@
     assert render_event(3, event.data) == b'id: 3\ndata: {"id":\ndata: "c"}\n\n'
 
 
+def test_comment_hides_no_event() -> None:
+    """An engine sends a heartbeat without a blank line behind it, as this node does.
+
+    Taken for a part of the heartbeat, the event behind it would be lost.
+    """
+    events = EventCutter().feed(
+        b": heartbeat\nid: 3\ndata: x\n\n"
+        b": heartbeat\n\n: a\n: b\n\n"
+        b": c\ndata: [DONE]\n\n"
+    )
+    assert events == [Event(3, b"x"), Event(None, b"[DONE]")]
+
+
 def test_event_without_an_end_is_refused() -> None:
     cutter = EventCutter()
     with pytest.raises(EventError):
