Give up a connection that goes silent under a request

Cause: no time ran while a request was being sent. A prompt larger than the buffers, on a connection that takes no more bytes, waited for the deadline of the request.

Now each 64 KB has `max_silence_ms`, or the dispatch's own bound if that is longer. Ruled out: one bound for the whole request, since a long prompt on a slow line is no silence.

Before: both cases of the new test had no answer within 20 s. After: the request goes on at the other engine.

--- a/packages/toucanyard-node/src/toucanyard_node/engine_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/engine_client.py
@@ -145,7 +145,10 @@
         self._on_send()
         self.is_sent = True
         try:
-            await self._connection.send("POST", path, headers, body)
+            # A connection can go silent under a long prompt, too, where no time for
+            # the answer runs yet; its request would wait for the deadline.
+            stall_ms = max(self._limits.max_silence_ms, self._dispatch.silence_ms)
+            await self._connection.send("POST", path, headers, body, stall_ms)
         except ConnectionFailedError as error:
             self.is_sent = error.is_sent
             raise
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 import select
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -19,6 +20,8 @@
 from toucanyard.names import Address
 from toucanyard_node.socket_io import receive
 
+_PIECE_BYTES: Final = 65_536
+"""What is sent at once; a connection that takes none in time has gone silent."""
 _MAX_PORT: Final = 65_535
 _NEEDS_DATA: Final = ((b"", False), (b"\r\n", False))
 """What h11 has unread after a chunk when neither another nor the end has come."""
@@ -113,9 +116,17 @@
         return not poll.poll(0)
 
     async def send(
-        self, method: str, target: str, headers: Headers, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes = b"",
+        stall_ms: float = math.inf,
     ) -> None:
-        """Send one request, or raise ConnectionFailedError."""
+        """Send one request, or raise ConnectionFailedError.
+
+        `stall_ms` bounds how long the other side may take none of it.
+        """
         connection = self._connection
         if connection.our_state is h11.DONE:
             connection.start_next_cycle()
@@ -129,12 +140,19 @@
             data += connection.send(h11.Data(data=body)) or b""
         data += connection.send(h11.EndOfMessage()) or b""
         sent_bytes = await self._send_first(data)
-        if sent_bytes == len(data):
-            return
+        for begin in range(sent_bytes, len(data), _PIECE_BYTES):
+            piece = memoryview(data)[begin : begin + _PIECE_BYTES]
+            await self._send_piece(piece, stall_ms)
+
+    async def _send_piece(self, piece: memoryview, stall_ms: float) -> None:
         try:
-            await self._stream.send_all(memoryview(data)[sent_bytes:])
+            with trio.fail_after(stall_ms / 1000):
+                await self._stream.send_all(piece)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionFailedError(str(error), is_sent=True) from error
+        except trio.TooSlowError as error:
+            text = "the other side takes nothing"
+            raise ConnectionFailedError(text, is_sent=True) from error
 
     async def _send_first(self, data: bytes) -> int:
         """Send the first bytes apart; return how many the kernel took.
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -40,7 +40,10 @@
         self._nursery = nursery
         self._listeners: dict[Address, MemoryListener] = {}
         self.opened: list[Address] = []
+        self._unread: list[trio.abc.Stream] = []
         self.connect_delay_s = 0.0
+        self.deaf: set[Address] = set()
+        """Addresses whose connections take no byte."""
 
     def serve(
         self, address: str, handler: Handler, limits: ServerLimits | None = None
@@ -62,6 +65,10 @@
         if listener is None:
             raise ConnectionFailedError("refused", is_sent=False)
         self.opened.append(address)
+        if address in self.deaf:
+            ours, theirs = trio.testing.lockstep_stream_pair()
+            self._unread.append(theirs)
+            return HttpConnection(address, ours, trio.current_time() * 1000)
         ours = await _open_stream(listener)
         return HttpConnection(address, ours, trio.current_time() * 1000)
 
--- a/tests/toucanyard_node/test_stream_ends.py
+++ b/tests/toucanyard_node/test_stream_ends.py
@@ -145,3 +145,22 @@
         assert read_text(answer.body) == "".join(TOKENS[1:])
         assert answer.body.endswith(b"data: [DONE]\n\n")
         assert served.core.find_endings()[-1] is EndingSeen.COMPLETED
+
+
+@pytest.mark.parametrize("is_stream", [True, False])
+async def test_connection_goes_silent_under_a_request(
+    autojump_clock: MockClock, is_stream: bool
+) -> None:
+    """A connection takes no more bytes before the whole prompt has left.
+
+    No answer can come, and waiting for the deadline would keep the caller for minutes
+    while another engine is idle.
+    """
+    engines = [ScriptedEngine(TOKENS), ScriptedEngine(TOKENS)]
+    async with serve_in_memory(engines) as served:
+        assert served.network is not None
+        served.network.deaf.add(served.core.addresses[0])
+        with trio.fail_after(20):
+            answer = await served.complete(is_stream)
+        assert answer.status == 200
+        assert served.core.find_endings() == [EndingSeen.LOST, EndingSeen.COMPLETED]
