--- a/tests/toucanyard_node/test_kept_streams.py
+++ b/tests/toucanyard_node/test_kept_streams.py
@@ -205,8 +205,8 @@
 async def test_events_pushed_out_while_head_is_sent(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """A caller asks for events that are still kept; while it gets the answer's head, its
-    old connection goes on, and they are pushed out.
+    """A caller asks for events that are still kept. While it gets the answer's head,
+    its old connection goes on, and they are pushed out.
 
     The new connection must be cut: with what follows later, its stream had a hole.
     """
