Lend no connection that was distrusted while another was closed

Cause: the pool took the list of idle connections once and closed stale ones in a loop. A silence seen meanwhile drops that list, but the loop went on to lend from it.

Before: test_connection_distrusted_while_another_is_closed got a dropped connection. After: a new one.

--- a/packages/toucanyard-node/src/toucanyard_node/connection_pool.py
+++ b/packages/toucanyard-node/src/toucanyard_node/connection_pool.py
@@ -31,8 +31,8 @@
     async def acquire(self, address: Address) -> tuple[HttpConnection, bool]:
         """Return a connection and whether it was used before."""
         now_ms = trio.current_time() * 1000
-        idle = self._idle.get(address, [])
-        while idle:
+        # Looked up anew each time: while one is closed, the rest may be distrusted.
+        while idle := self._idle.get(address):
             connection, idle_since_ms = idle.pop()
             # An endpoint that restarted has closed its end: the next request would
             # be written into the void. Unread bytes are an answer nobody asked for.
--- a/tests/support/network.py
+++ b/tests/support/network.py
@@ -66,9 +66,9 @@
             raise ConnectionFailedError("refused", is_sent=False)
         self.opened.append(address)
         if address in self.deaf:
-            ours, theirs = trio.testing.lockstep_stream_pair()
+            taking_none, theirs = trio.testing.lockstep_stream_pair()
             self._unread.append(theirs)
-            return HttpConnection(address, ours, trio.current_time() * 1000)
+            return HttpConnection(address, taking_none, trio.current_time() * 1000)
         ours = await _open_stream(listener)
         return HttpConnection(address, ours, trio.current_time() * 1000)
 
--- a/tests/toucanyard_node/test_connection_pool.py
+++ b/tests/toucanyard_node/test_connection_pool.py
@@ -171,3 +171,36 @@
             await connection.read_body(len(b"first"))
         await pool.release(connection)
         assert pool.count_idle(ADDRESS) == 0
+
+
+async def test_connection_distrusted_while_another_is_closed(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """While a dead idle connection is being closed, another one goes silent.
+
+    The idle ones are dropped then; whoever waits for the closing must not get one of
+    them, or its request waits for a silence, too.
+    """
+    close = HttpConnection.close
+
+    async def close_slowly(self: HttpConnection) -> None:
+        await close(self)
+        await trio.sleep(1)
+
+    def is_first(self: HttpConnection) -> bool:
+        return self is connections[0]
+
+    async with open_pool() as pool:
+        connections = [await pool.open(ADDRESS) for _ in range(2)]
+        for connection in connections:
+            await ask(connection)
+            await connection.read_body()
+            await pool.release(connection)
+        assert pool.count_idle(ADDRESS) == 2
+        monkeypatch.setattr(HttpConnection, "is_quiet", is_first)
+        monkeypatch.setattr(HttpConnection, "close", close_slowly)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pool.distrust, ADDRESS)
+            lent, is_used = await pool.acquire(ADDRESS)
+        assert not is_used
+        assert lent not in connections
