Tell clients that repeat by themselves when not to

Cause: the OpenAI client repeats every 5xx and 409 twice by itself. A request under X-Run-Once whose outcome was unknown (502) was so sent a second time and run, without its caller's doing; answers that say what can't be repeated were repeated for nothing.

Now each refusal has X-Should-Retry, which that client heeds.

Before: both cases of test_client_repeats_nothing_whose_outcome_is_unknown got an answer from a second run in place of the error. After: one request reaches the core. Also tested: 429 and 503 come as the client's own classes, it waits for the Retry-After and no shorter, and tries three times in all; 404 and 400 come as its classes.

--- a/packages/toucanyard-node/src/toucanyard_node/refusals.py
+++ b/packages/toucanyard-node/src/toucanyard_node/refusals.py
@@ -50,7 +50,13 @@
             request_id=refusal.request_id,
         )
     )
-    headers = [("Content-Type", "application/json")]
+    # The OpenAI client repeats errors of the server and conflicts by itself unless this
+    # header says no: what may run once would run again without its caller's knowing.
+    should_retry = "true" if answer.is_retryable else "false"
+    headers = [
+        ("Content-Type", "application/json"),
+        ("X-Should-Retry", should_retry),
+    ]
     if retry_after_ms is not None:
         headers.append(("Retry-After", str(math.ceil(retry_after_ms / 1000))))
     return RenderedRefusal(answer.status, tuple(headers), msgspec.json.encode(body))
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -111,6 +111,7 @@
         self.silence_ms = silence_ms
         self.weights_versions: list[str] = []
         self.is_refusing = False
+        self.refusal = ErrorKind.OVERLOADED
         self.is_waiting = False
         self.is_refusing_retries = False
         self.is_careless = False
@@ -146,7 +147,7 @@
         if self.replay is not None:
             return self.replay
         if self.is_refusing:
-            kind, ending = ErrorKind.OVERLOADED, Ending.NOT_RUN
+            kind, ending = self.refusal, Ending.NOT_RUN
             return Refuse(request_id, kind, ending, "too much at once", 800)
         attempt = self._attempts.get(request_id, 0)
         self._attempts[request_id] = attempt + 1
--- a/tests/toucanyard_node/test_openai_client.py
+++ b/tests/toucanyard_node/test_openai_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -12,6 +13,7 @@
 
 from standin_examples import control, start_engine
 from support.callers import KEY, ScriptedCore, ServedFace, serve_face
+from toucanyard.errorcodes import ErrorKind
 from toucanyard.names import Address
 from toucanyard_standins.engine_faults import DieAfterEvents, RefuseRequests
 
@@ -27,9 +29,11 @@
         nursery.cancel_scope.cancel()
 
 
-def open_client(served: ServedFace, key: str = KEY) -> openai.OpenAI:
+def open_client(
+    served: ServedFace, key: str = KEY, max_retries: int = 0
+) -> openai.OpenAI:
     url = f"http://{served.address}/v1"
-    return openai.OpenAI(base_url=url, api_key=key, max_retries=0, timeout=30)
+    return openai.OpenAI(base_url=url, api_key=key, max_retries=max_retries, timeout=30)
 
 
 def chat(client: openai.OpenAI) -> str:
@@ -92,3 +96,65 @@
         with pytest.raises(openai.APIError) as caught:
             await trio.to_thread.run_sync(chat_in_events, open_client(served))
         assert caught.value.code == "stream_incomplete"
+
+
+@pytest.mark.parametrize(
+    ("kind", "error"),
+    [
+        (ErrorKind.CUSTOMER_LIMIT, openai.RateLimitError),
+        (ErrorKind.OVERLOADED, openai.InternalServerError),
+    ],
+)
+async def test_client_comes_back_when_told(
+    monkeypatch: pytest.MonkeyPatch,
+    kind: ErrorKind,
+    error: type[openai.APIStatusError],
+) -> None:
+    """The client repeats refusals by itself, twice. It waits as `Retry-After` says, not
+    for its own half second, and gives up with the class that its callers expect."""
+    waits: list[float] = []
+    monkeypatch.setattr(time, "sleep", waits.append)
+    core = ScriptedCore([])
+    core.is_refusing, core.refusal = True, kind
+    async with serve_face(core) as served:
+        client = open_client(served, max_retries=2)
+        with pytest.raises(error) as caught:
+            await trio.to_thread.run_sync(complete, client)
+        assert caught.value.code == kind
+        assert waits == [1.0, 1.0]
+        assert len(core.requests) == 3
+
+
+@pytest.mark.parametrize("headers", [{"X-Run-Once": "true"}, {"Idempotency-Key": "k"}])
+async def test_client_repeats_nothing_whose_outcome_is_unknown(
+    headers: dict[str, str],
+) -> None:
+    """The engine dies under a request that may run once, and the outcome is unknown.
+
+    The client repeats most errors by itself, and would run a draft a second time that
+    its caller never asked for. It is told not to.
+    """
+    async with serve_one() as (served, engine):
+        await control(engine, DieAfterEvents(events=2))
+        client = open_client(served, max_retries=2).with_options(
+            default_headers=headers
+        )
+        with pytest.raises(openai.InternalServerError) as caught:
+            await trio.to_thread.run_sync(complete, client)
+        assert caught.value.code == "outcome_unknown"
+        assert len(served.core.requests) == 1
+
+
+async def test_refusals_of_bad_calls_are_the_client_s_errors() -> None:
+    async with serve_one() as (served, _):
+        client = open_client(served)
+        with pytest.raises(openai.NotFoundError):
+            await trio.to_thread.run_sync(
+                lambda: client.completions.create(model="none", prompt="hola")
+            )
+        with pytest.raises(openai.BadRequestError):
+            await trio.to_thread.run_sync(
+                lambda: client.completions.create(
+                    model="model", prompt="hola", max_tokens=0
+                )
+            )
