--- a/tests/toucanyard/order_fakes.py
+++ b/tests/toucanyard/order_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Protocol
 
 import msgspec
 
@@ -32,10 +33,16 @@
 POOL = PoolName("p")
 
 
+class Clock(Protocol):
+    """Whatever tells the time of a test."""
+
+    now_ms: float
+
+
 class FakeEngine:
     """Carry orders out as an endpoint does, and note how many load at once."""
 
-    def __init__(self, world: OrderWorld, checks_fence: bool) -> None:
+    def __init__(self, world: Clock, checks_fence: bool) -> None:
         self.world = world
         self.state = EndpointState(
             Incarnation("i1"), "m", "w1", (), "both", False, checks_fence, 0
