Keep usable endpoints of a pool instead of working them out each 50 ms

Ruled out: a set of usable endpoints changed by each event, since doubts, accusations and news also end by time alone; a timer for each would be more state than the suspects.

Change: a question looks at the suspects only (leaving addresses, own errors, accused) and goes through the pool only when the set of unusable ones is another. The same tuple comes back else, so the directory and the ring need no comparison.

--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_detectors.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_detectors.py
@@ -10,6 +10,7 @@
 
 import argparse
 import heapq
+import itertools
 import random
 import statistics
 import sys
@@ -325,6 +326,8 @@
     watched_ms: float
     watched: int
     usable_ms: float
+    usable_changed_ms: float
+    """The same after one more endpoint failed or answered again."""
     held_bytes: int
 
 
@@ -427,13 +430,35 @@
             member.handle(EndpointError(endpoints[number % 14].name), 0.0)
     tick_ms = _time(lambda: member.handle(Ticked(), 0.0))
     usable_ms = _time(lambda: member.find_usable(endpoints, 0.0))
+
+    last = endpoints[-1].name
+    flips: Iterator[EndpointError | EndpointReported] = itertools.cycle(
+        (EndpointError(last), EndpointReported(last, Incarnation("i"), 0.0))
+    )
+
+    def change() -> None:
+        member.handle(next(flips), 0.0)
+
+    usable_changed_ms = _time(lambda: member.find_usable(endpoints, 0.0), change)
     watched = len(member.find_watched(endpoints))
-    return MemberCosts(tick_ms, list_ms, watched_ms, watched, usable_ms, held_bytes)
+    return MemberCosts(
+        tick_ms,
+        list_ms,
+        watched_ms,
+        watched,
+        usable_ms,
+        usable_changed_ms,
+        held_bytes,
+    )
 
 
-def _time(action: Callable[[], object]) -> float:
+def _time(
+    action: Callable[[], object], prepare: Callable[[], object] | None = None
+) -> float:
     spent: list[float] = []
     for _ in range(9):
+        if prepare is not None:
+            prepare()
         began = time.perf_counter()
         action()
         spent.append((time.perf_counter() - began) * 1000)
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
@@ -208,6 +208,11 @@
         ("one tick", "us", lambda nodes: costs[nodes].tick_ms * 1_000),
         ("a VM list", "us", lambda nodes: costs[nodes].vm_list_ms * 1_000),
         ("usable of all replicas", "us", lambda nodes: costs[nodes].usable_ms * 1_000),
+        (
+            "usable after one has changed",
+            "us",
+            lambda nodes: costs[nodes].usable_changed_ms * 1_000,
+        ),
         ("memory", "B", lambda nodes: float(costs[nodes].held_bytes)),
         ("digests sent, quiet", "B/s", lambda nodes: sent[nodes].quiet_bytes_per_s),
         (
--- a/packages/toucanyard/src/toucanyard/endpoint_directory.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_directory.py
@@ -57,7 +57,7 @@
         if kept is not None and is_same and now_ms < kept.until_ms:
             return kept.usable
         usable: Sequence[Endpoint] = self._find_now(endpoints, now_ms)
-        if kept is not None and is_same and list(kept.usable) == usable:
+        if kept is not None and is_same and tuple(kept.usable) == tuple(usable):
             usable = kept.usable
         if len(self._kept) >= _MAX_KEPT:
             self._kept.clear()
@@ -104,9 +104,14 @@
         self, endpoints: Sequence[Endpoint], now_ms: float
     ) -> Sequence[Endpoint]:
         usable = self._membership.find_usable(endpoints, now_ms)
-        willing = [
-            each for each in usable if not self.is_backing_off(each.name, now_ms)
-        ]
+        resting = {
+            name
+            for name, backoff in self._backoffs.items()
+            if now_ms < backoff.until_ms
+        }
+        if not resting:
+            return usable
+        willing = [each for each in usable if each.name not in resting]
         # With none left a request goes out all the same, to find out whether one
         # takes work again.
         return willing or usable
--- a/packages/toucanyard/src/toucanyard/evidence.py
+++ b/packages/toucanyard/src/toucanyard/evidence.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, KeysView
 from typing import Final
 
 import msgspec
 
-from toucanyard.configuration import Endpoint
 from toucanyard.detectors import ErrorRun, SourceCount
 from toucanyard.names import EndpointName, Incarnation, NodeName
 from toucanyard.options import MembershipTimings
@@ -95,22 +94,30 @@
             doubt_ms = max(doubt_ms, self._timings.condemn_window_ms)
         return now_ms - known.error_ms <= doubt_ms
 
+    def find_avoided(
+        self, names: KeysView[EndpointName], now_ms: float
+    ) -> set[EndpointName]:
+        """Return the endpoints that own evidence speaks against."""
+        return {name for name in names & self._erring if self.is_avoided(name, now_ms)}
+
+    def find_accused(self, names: KeysView[EndpointName]) -> set[EndpointName]:
+        """Return the endpoints that anybody suspects."""
+        return names & self._accused
+
     def find_condemned(
-        self, endpoints: Sequence[Endpoint], size: int, now_ms: float
+        self, names: Iterable[EndpointName], size: int, now_ms: float
     ) -> set[EndpointName]:
-        """Return those that others condemn and this node has no answer from.
+        """Return the accused that others condemn and this node has no answer from.
 
         At most a share of `size`: more dead at once is rather a cut between nodes,
         and the work would be heaped on the few that are left.
         """
         accused: list[EndpointName] = []
-        for endpoint in endpoints:
-            if endpoint.name not in self._accused:
-                continue
-            known = self._known[endpoint.name]
+        for name in names:
+            known = self._known[name]
             is_silent = now_ms - known.ok_ms > self._timings.suspect_after_ms
             if is_silent and known.sources.is_condemned(now_ms):
-                accused.append(endpoint.name)
+                accused.append(name)
         limit = max(1, int(self._timings.max_condemned_share * size))
         accused.sort(key=lambda name: (self._known[name].ok_ms, name))
         return set(accused[:limit])
--- a/packages/toucanyard/src/toucanyard/membership.py
+++ b/packages/toucanyard/src/toucanyard/membership.py
@@ -45,6 +45,7 @@
 from toucanyard.news import NewsBoard
 from toucanyard.options import MembershipTimings
 from toucanyard.patches import find_owners
+from toucanyard.usable_endpoints import UsablePool, UsablePools
 from toucanyard.vm_view import Vm, VmView, WatchRing, choose_peers
 
 NEWS_KEPT_MS: Final = 30_000.0
@@ -90,6 +91,7 @@
         self._watched: list[Endpoint] = []
         self._board = NewsBoard(NEWS_KEPT_MS)
         self._evidence = Evidence(node, timings)
+        self._pools = UsablePools()
         self._peers: dict[NodeName, _Peer] = {}
         self._told_leaving_ms: dict[Address, float] = {}
         self._heard_leaving_ms: dict[Address, float] = {}
@@ -123,24 +125,15 @@
 
     def find_usable(
         self, endpoints: Sequence[Endpoint], now_ms: float
-    ) -> list[Endpoint]:
+    ) -> Sequence[Endpoint]:
         """Return the endpoints of one pool or service that may get new work.
 
         If every one that stays looks dead, all of them: a try costs less than a
-        refusal, and this node's own network may be what failed.
+        refusal, and this node's own network may be what failed. The same object comes
+        back while nothing changes; the sequence given must not be changed afterwards.
         """
-        evidence = self._evidence
-        staying = list(endpoints)
-        if self._heard_leaving_ms or self._view.has_leaving():
-            staying = [each for each in staying if not self.is_leaving(each, now_ms)]
-        if not evidence.has_doubts():
-            return staying
-        reachable = [
-            each for each in staying if not evidence.is_avoided(each.name, now_ms)
-        ]
-        condemned = evidence.find_condemned(reachable, len(endpoints), now_ms)
-        usable = [each for each in reachable if each.name not in condemned]
-        return usable or reachable or staying
+        pool = self._pools.get(endpoints)
+        return pool.take_out(self._find_unusable(pool, now_ms))
 
     def find_incarnation(self, endpoint: EndpointName) -> Incarnation | None:
         """Return the incarnation of an endpoint that was learned last."""
@@ -217,6 +210,26 @@
                 return self._tick(now_ms)
         return []
 
+    def _find_unusable(self, pool: UsablePool, now_ms: float) -> set[EndpointName]:
+        evidence = self._evidence
+        size = len(pool.endpoints)
+        leaving = self._find_leaving(pool, now_ms)
+        if not evidence.has_doubts():
+            return leaving
+        unreachable = leaving | evidence.find_avoided(pool.names, now_ms)
+        if len(unreachable) == size:
+            return leaving
+        accused = evidence.find_accused(pool.names) - unreachable
+        unusable = unreachable | evidence.find_condemned(accused, size, now_ms)
+        return unreachable if len(unusable) == size else unusable
+
+    def _find_leaving(self, pool: UsablePool, now_ms: float) -> set[EndpointName]:
+        addresses = self._view.find_leaving(pool.addresses)
+        for address in self._heard_leaving_ms.keys() & pool.addresses:
+            if self.is_address_leaving(address, now_ms):
+                addresses.add(address)
+        return pool.find_at(addresses)
+
     def _read_list(self, event: VmListRead, now_ms: float) -> None:
         self._view.read(event.vms, now_ms)
         names = {vm.name for vm in self._view.find_nodes()} | {str(self.node)}
--- a/packages/toucanyard/src/toucanyard/vm_view.py
+++ b/packages/toucanyard/src/toucanyard/vm_view.py
@@ -8,7 +8,7 @@
 
 import bisect
 import enum
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, KeysView, Sequence
 from typing import Final
 
 import msgspec
@@ -84,9 +84,9 @@
         """Tell whether an endpoint's VM was listed once and no longer is."""
         return address in self._gone
 
-    def has_leaving(self) -> bool:
-        """Tell whether any endpoint's VM leaves or is gone."""
-        return bool(self._gone or self.leaving)
+    def find_leaving(self, addresses: KeysView[Address]) -> set[Address]:
+        """Return those of some addresses whose VM leaves or is gone."""
+        return (addresses & self.leaving) | (addresses & self._gone)
 
     def is_leaving(self, address: Address) -> bool:
         """Tell whether the list calls an endpoint's VM leaving."""
