Run a deployment under many faults at once and judge every promise afterwards

Cause: each scenario makes one fault, the state machines drive the core without sockets, tasks and pools. "Any of these may come at any moment, together or twice" had no run of the whole program behind it. Change: ./dev bench faults draws faults from a seed, lets callers and operators work through them, and checks what they were told against what endpoints counted. Passed over at first and mended in the bench itself: faults of services left switched on after the end, and versions of a restarted node while the log is down, which only dead nodes knew.

--- a/packages/toucanyard-standins/src/toucanyard_standins/bench.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench.py
@@ -16,6 +16,7 @@
     "restart",
     "herd",
     "capacity",
+    "faults",
 )
 USAGE: Final = f"usage: ./dev bench {'|'.join(NAMES)} [...]"
 _EXIT_USAGE: Final = 2
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/campaign_callers.py
@@ -0,0 +1,189 @@
+"""Callers of a campaign: they retry as callers do and note all that they were told."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.names import Address
+from toucanyard_node.http_client import (
+    ConnectionFailedError,
+    Headers,
+    Response,
+    connect,
+)
+from toucanyard_node.locate_answer import LocateAnswer
+from toucanyard_standins.deployment import CALLER_KEY, SERVICE
+from toucanyard_standins.harness import ask
+from toucanyard_standins.load import encode_completion
+from toucanyard_standins.processes import ProcessHandle
+
+HTTP_OK: Final = 200
+_MAX_TRIES: Final = 6
+_DEADLINE_MS: Final = 4_000
+_TIMEOUT_MS: Final = 8_000.0
+_CONNECT_TIMEOUT_MS: Final = 1_000.0
+_MAX_WAIT_S: Final = 2.0
+_PROMPTS: Final = 12
+_TOKENS: Final = (24, 240)
+_ANSWERED: Final = "answered"
+_NOT_RUN: Final = "not_run"
+
+
+class HoldSeen(msgspec.Struct):
+    """What one caller was told about one hold, try by try."""
+
+    key: str
+    is_issued: bool
+    endings: list[str] = []
+    bodies: list[bytes] = []
+    """Of the answers, so that they can be compared."""
+
+
+class StreamSeen(msgspec.Struct):
+    """What one caller saw of one stream."""
+
+    prompt: int
+    tokens: int
+    process_id: int
+    """Of the node that served it."""
+    body: bytes = b""
+    status: int = 0
+    is_cut: bool = False
+    is_over: bool = False
+    """False when the campaign ended before."""
+
+    def is_cut_in_middle(self) -> bool:
+        """Tell whether its connection broke after an answer had begun."""
+        return self.is_cut and self.status == HTTP_OK
+
+
+class _RefusalDetail(msgspec.Struct, frozen=True):
+    ending: str
+    retry_after_ms: int | None = None
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    error: _RefusalDetail
+
+
+class Callers:
+    """Callers that make holds and streams at nodes chosen at random.
+
+    `list_nodes` names the nodes that callers know of, dead ones among them.
+    """
+
+    def __init__(
+        self, list_nodes: Callable[[], Sequence[ProcessHandle]], rng: random.Random
+    ) -> None:
+        self._list_nodes = list_nodes
+        self._rng = rng
+        self.holds: list[HoldSeen] = []
+        self.streams: list[StreamSeen] = []
+
+    async def run_holds(self, pause_s: float) -> None:
+        """Make holds one after the other until cancelled."""
+        while True:
+            await self.hold(self._rng.random() < 0.5)
+            await trio.sleep(self._rng.expovariate(1 / pause_s))
+
+    async def run_streams(self, pause_s: float) -> None:
+        """Make streams one after the other until cancelled."""
+        while True:
+            await self.stream()
+            await trio.sleep(self._rng.expovariate(1 / pause_s))
+
+    async def hold(self, is_issued: bool) -> HoldSeen:
+        """Hold one seat, retrying under the same key until something final is known."""
+        key = f"hold-{self._rng.getrandbits(64):016x}"
+        node = self._choose()
+        if is_issued:
+            prefix = await self._ask_prefix(node)
+            is_issued = prefix != ""
+            key = prefix + key
+        seen = HoldSeen(key, is_issued)
+        self.holds.append(seen)
+        began_s = trio.current_time()
+        for _ in range(_MAX_TRIES):
+            age_ms = int((trio.current_time() - began_s) * 1000)
+            wait_s = await self._try_hold(node, seen, age_ms)
+            if wait_s is None:
+                break
+            await trio.sleep(wait_s)
+            node = self._choose()
+        return seen
+
+    async def _ask_prefix(self, node: ProcessHandle) -> str:
+        try:
+            answer = await ask(node.address, "GET", "/v1/locate?stay=true", CALLER_KEY)
+            located = msgspec.json.decode(answer.body, type=LocateAnswer)
+        except (ConnectionFailedError, msgspec.DecodeError):
+            return ""
+        return "" if located.issued_key is None else located.issued_key.prefix
+
+    async def _try_hold(
+        self, node: ProcessHandle, seen: HoldSeen, age_ms: int
+    ) -> float | None:
+        """Make one try; return how long to wait for the next, None at the end."""
+        headers: Headers = (
+            ("Idempotency-Key", seen.key),
+            ("X-Key-Age-Ms", str(age_ms)),
+            ("X-Deadline-Ms", str(_DEADLINE_MS)),
+        )
+        target = f"/v1/services/{SERVICE}/holds"
+        body = seen.key.encode()
+        try:
+            answer = await ask(
+                node.address, "POST", target, CALLER_KEY, body, headers, _TIMEOUT_MS
+            )
+        except ConnectionFailedError:
+            seen.endings.append("")
+            return self._rng.uniform(0.05, 0.5)
+        return self._note_hold(answer, seen)
+
+    def _note_hold(self, answer: Response, seen: HoldSeen) -> float | None:
+        if answer.status == HTTP_OK:
+            seen.endings.append(_ANSWERED)
+            seen.bodies.append(answer.body)
+            return None if len(seen.bodies) > 1 else 0.0
+        error = msgspec.json.decode(answer.body, type=_Refusal).error
+        seen.endings.append(error.ending)
+        return min((error.retry_after_ms or 0) / 1000, _MAX_WAIT_S)
+
+    async def stream(self) -> StreamSeen:
+        """Read one stream to its end, or to where its connection breaks."""
+        number = self._rng.randrange(_PROMPTS)
+        node = self._choose()
+        tokens = self._rng.choice(_TOKENS)
+        seen = StreamSeen(number, tokens, node.process.pid)
+        self.streams.append(seen)
+        prompt = f"prompt {number} " * 60
+        body = encode_completion(prompt, tokens, is_stream=True)
+        with trio.move_on_after(_TIMEOUT_MS / 1000) as scope:
+            await self._read_stream(node.address, body, seen)
+        seen.is_cut |= scope.cancelled_caught
+        seen.is_over = True
+        return seen
+
+    async def _read_stream(
+        self, address: Address, body: bytes, seen: StreamSeen
+    ) -> None:
+        headers = (("Authorization", f"Bearer {CALLER_KEY}"),)
+        try:
+            connection = await connect(address, _CONNECT_TIMEOUT_MS)
+            try:
+                await connection.send("POST", "/v1/completions", headers, body)
+                seen.status = (await connection.read_head()).status
+                while (part := await connection.read_part()) is not None:
+                    seen.body += part
+            finally:
+                await connection.close()
+        except ConnectionFailedError:
+            seen.is_cut = True
+
+    def _choose(self) -> ProcessHandle:
+        return self._rng.choice(self._list_nodes())
--- a/packages/toucanyard-standins/src/toucanyard_standins/version_watch.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/version_watch.py
@@ -29,11 +29,15 @@
 class VersionWatch:
     """What nodes showed, by name, so that a restarted node counts as the same.
 
+    With `is_by_process` each process counts for itself: while the log is down, a node
+    that starts can't know what only nodes that have died knew.
+
     Invariants: a node's highest version only grows; whatever a node showed below its
     highest is among `regressions`.
     """
 
-    def __init__(self, operator_key: str) -> None:
+    def __init__(self, operator_key: str, is_by_process: bool = False) -> None:
+        self._is_by_process = is_by_process
         self._headers = (("Authorization", f"Bearer {operator_key}"),)
         self._highest: dict[str, int] = {}
         self.regressions: list[Regression] = []
@@ -64,11 +68,14 @@
         connection = await connect(node.addresses["operators"], _TIMEOUT_MS)
         try:
             while connection.is_reusable():
-                await self._read(node.name, connection)
+                await self._read(self._find_label(node), connection)
                 await trio.sleep(_INTERVAL_S)
         finally:
             await connection.close()
 
+    def _find_label(self, node: ProcessHandle) -> str:
+        return f"{node.name}/{node.process.pid}" if self._is_by_process else node.name
+
     async def _read(self, name: str, connection: HttpConnection) -> None:
         with trio.move_on_after(_TIMEOUT_MS / 1000):
             await connection.send("GET", "/status", self._headers)
