Expect at the home what peers of a restarted node have sent there

Cause: in a herd restart each node sees its first request for a new prefix cold everywhere. The home's report shows a queue, which is that very prefix from the other nodes; taken for other work, it moves the request to the next in line, and the prefix is computed twice or more.

For some ten seconds from a node's start, 0.3 of a cold prompt (less one node's part, halved every 4 s) is believed at its homes, where the cache has been in use.

The new test fails without it: the request leaves the home.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/expected_blocks.py
@@ -0,0 +1,61 @@
+"""Expect at a prefix's homes what other nodes have just sent there.
+
+A node that has just started sees a prefix cold everywhere although its peers sent the
+same prefix to its home a moment ago: the first prefill takes over a second, and cache
+events come after it. Sent to the next in line, the prefix would be computed twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.endpoint_views import EndpointView
+from toucanyard.scoring import Considered
+
+START_SHARE: Final = 0.3
+"""Share of a cold prompt that its home is expected to hold when a node starts."""
+HALF_LIFE_MS: Final = 4_000.0
+MIN_SHARE: Final = 0.05
+"""Expected share from which on the node goes by its own views alone."""
+COLD_SHARE: Final = 0.5
+"""Share of a prompt up to which it counts as cold where most of it is warm."""
+MIN_USED_SHARE: Final = 0.6
+"""Share of a cache in use from which the endpoint has been in service for a while."""
+
+
+def compute_expected_share(age_ms: float, node_count: int) -> float:
+    """Return the share of a cold prompt that peers have sent to its home already."""
+    sent_by_others = (node_count - 1) / node_count
+    return float(START_SHARE * sent_by_others * 0.5 ** (age_ms / HALF_LIFE_MS))
+
+
+def expect_at_homes(
+    considered: Sequence[Considered], blocks: int, share: float
+) -> Sequence[Considered]:
+    """Return the same with more blocks believed at the homes of a cold prompt."""
+    if share < MIN_SHARE:
+        return considered
+    known = max(each.believed_blocks for each in considered)
+    if known > COLD_SHARE * blocks:
+        return considered
+    expected = known + share * (blocks - known)
+    return [
+        msgspec.structs.replace(
+            each, believed_blocks=max(each.believed_blocks, expected)
+        )
+        if each.rank == 0 and _has_been_in_service(each.view)
+        else each
+        for each in considered
+    ]
+
+
+def _has_been_in_service(view: EndpointView) -> bool:
+    # When the whole fleet is empty, prefixes have to be spread by load: kept at their
+    # homes, those of a few large customers would fill one cache for long.
+    report = view.load.report
+    if report is None or not report.capacity_blocks:
+        return False
+    return report.used_blocks > MIN_USED_SHARE * report.capacity_blocks
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -17,6 +17,7 @@
 from toucanyard.cache_view import CacheDump, CacheEvents
 from toucanyard.configuration import Endpoint, PlacementPolicy, Pool, Service
 from toucanyard.endpoint_views import EndpointView, EndpointViews
+from toucanyard.expected_blocks import compute_expected_share, expect_at_homes
 from toucanyard.hot_prefixes import HotPrefixes
 from toucanyard.load_view import LoadReport
 from toucanyard.names import EndpointName, Incarnation, RequestId
@@ -64,6 +65,7 @@
     """Views of endpoints and the choice among them; owned by one task."""
 
     __slots__ = (
+        "_began_ms",
         "_limits",
         "_node_count",
         "_prefixes",
@@ -82,6 +84,7 @@
         self._prefixes = HotPrefixes(self._limits.max_prefixes)
         self._views = EndpointViews(self._limits.max_blocks)
         self._node_count = 1
+        self._began_ms: float | None = None
         self._uses = PoolUses()
         self._ring: dict[str, EndpointRing] = {}
         self._ring_of: dict[str, Sequence[Endpoint]] = {}
@@ -115,8 +118,14 @@
             self._consider(name, target, blocks, homes, pool.placement, use)
             for name, blocks in warm.items()
         ]
+        blocks = len(target.chain)
+        share = compute_expected_share(self._compute_age(now_ms), self._node_count)
         scores = compute_scores(
-            considered, len(target.chain), pool.placement, self._limits.prices, now_ms
+            expect_at_homes(considered, blocks, share),
+            blocks,
+            pool.placement,
+            self._limits.prices,
+            now_ms,
         )
         best = scores[0]
         return Placed(
@@ -252,6 +261,11 @@
         """Note that a dump has been asked for, so that it isn't asked again at once."""
         self._view(endpoint).asked_dump_ms = now_ms
 
+    def _compute_age(self, now_ms: float) -> float:
+        if self._began_ms is None:
+            self._began_ms = now_ms
+        return max(now_ms - self._began_ms, 0.0)
+
     def _view(self, name: EndpointName) -> EndpointView:
         return self._views.get(name)
 
--- a/tests/toucanyard/test_placement.py
+++ b/tests/toucanyard/test_placement.py
@@ -247,3 +247,41 @@
     assert placed.width > 1
     assert placed.endpoint != first
     assert placed.scores[0].is_home
+
+
+def find_cold_choice(age_ms: float, used_blocks: int) -> bool:
+    """Return whether a cold prompt goes to its home, which has 1.5 s of work queued."""
+    placement, pool = make_placement(), make_pool(5, PlacementPolicy(recompute_price=8))
+    placement.apply_node_count(8)
+    placement.choose(make_request(0, (1, 2)), pool, pool.endpoints, 0.0)
+    home = make_placement().choose(
+        make_request(1, CHAIN * 3), pool, pool.endpoints, 0.0
+    )
+    assert home is not None
+    for each in pool.endpoints:
+        report = LoadReport(
+            RUN,
+            0,
+            0.0,
+            queued_blocks=200 if each.name == home.endpoint else 0,
+            used_blocks=used_blocks,
+            capacity_blocks=900,
+        )
+        placement.apply_load(each.name, report, age_ms)
+    placed = placement.choose(make_request(1, CHAIN * 3), pool, pool.endpoints, age_ms)
+    assert placed is not None
+    return placed.endpoint == home.endpoint
+
+
+def test_restarted_node_expects_its_peers_requests_at_the_home() -> None:
+    """All nodes restart while the hot prefixes shift; each gets its first request for
+    a new rulebook within a second, and the home's report shows a queue.
+
+    The queue is the rulebook, sent by the peers. Taken for other work, it would move
+    the request to the next in line, and the rulebook would be computed there too. It
+    passes: after some seconds the node has seen for itself. And an empty fleet is
+    filled by load, or large customers with one home would fill one cache.
+    """
+    assert find_cold_choice(age_ms=100.0, used_blocks=800)
+    assert not find_cold_choice(age_ms=40_000.0, used_blocks=800)
+    assert not find_cold_choice(age_ms=100.0, used_blocks=100)
