--- a/packages/toucanyard/src/toucanyard/hot_prefixes.py
+++ b/packages/toucanyard/src/toucanyard/hot_prefixes.py
@@ -9,22 +9,18 @@
 
 import math
 from collections.abc import Sequence
-from heapq import nlargest
 from itertools import islice
 from typing import Final
 
 import msgspec
 
 from toucanyard.prefix import DEPTHS
-from toucanyard.snapshots import PrefixHint
 
 HALF_LIFE_MS: Final = 10_000.0
 COUNT_PER_S: Final = math.log(2) * 1_000 / HALF_LIFE_MS
 """Uses a second that keep a decayed count of 1."""
 RECURRING: Final = 1.2
 """Decayed count from which a prefix is taken to be shared."""
-MAX_SEEDED_COUNT: Final = 1e6
-MAX_SEEDED_WIDTH: Final = 64
 TRIM_PARTS: Final = 16
 """A full table drops this part of its prefixes at once."""
 NARROW_SHARE: Final = 0.7
@@ -96,36 +92,6 @@
             entry.width = needed
         return max(entry.width, min_width)
 
-    def export(self, limit: int, now_ms: float) -> tuple[PrefixHint, ...]:
-        """Return the prefixes that recur most, for a node that starts."""
-        counts = (
-            (_compute_count(entry, now_ms), key, entry.width)
-            for key, entry in self._counts.items()
-        )
-        recurring = (each for each in counts if each[0] >= RECURRING)
-        return tuple(
-            PrefixHint(key, width, count * COUNT_PER_S)
-            for count, key, width in nlargest(limit, recurring)
-        )
-
-    def seed(self, hints: Sequence[PrefixHint], now_ms: float) -> None:
-        """Take over another node's counts and widths where this one has counted less.
-
-        Without them, a node that starts beside others would give a widened prefix one
-        home, and compute shared levels that it has not seen recur somewhere else.
-        """
-        room = self._max_prefixes - len(self._counts)
-        for hint in hints[: max(room, 0)]:
-            count = hint.uses_per_s / COUNT_PER_S
-            entry = self._counts.get(hint.prefix)
-            known = 0.0 if entry is None else _compute_count(entry, now_ms)
-            # A peer's numbers are not trusted further than a count may go: NaN and
-            # infinity fail this comparison, and widths have the bound of any hint.
-            if not known < count <= MAX_SEEDED_COUNT:
-                continue
-            width = min(max(hint.width, 1), MAX_SEEDED_WIDTH)
-            self._counts[hint.prefix] = PrefixCount(count, now_ms, width)
-
     def _note_one(self, key: int, now_ms: float) -> None:
         entry = self._counts.pop(key, None)
         if entry is None:
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -30,7 +30,6 @@
     Score as Score,
     compute_scores,
 )
-from toucanyard.snapshots import PrefixHint
 
 
 class PlacementLimits(msgspec.Struct, frozen=True):
@@ -245,14 +244,6 @@
                 found.append(name)
         return found
 
-    def export_hot(self, limit: int, now_ms: float) -> tuple[PrefixHint, ...]:
-        """Return at most `limit` hot prefixes for the snapshot of a starting node."""
-        return self._prefixes.export(limit, now_ms)
-
-    def seed_hot(self, hints: Sequence[PrefixHint], now_ms: float) -> None:
-        """Take over the hot prefixes of a snapshot where this node knows less."""
-        self._prefixes.seed(hints, now_ms)
-
     def count_blocks(self) -> int:
         """Return how many blocks are known over all endpoints."""
         return self._views.count_blocks()
--- a/tests/toucanyard/test_hot_prefixes.py
+++ b/tests/toucanyard/test_hot_prefixes.py
@@ -9,7 +9,6 @@
 from toucanyard.prefix import sample_chain
 from toucanyard.prefix_homes import find_homes
 from toucanyard.rendezvous import EndpointRing
-from toucanyard.snapshots import PrefixHint
 
 SHARED = tuple(range(24))
 RING = EndpointRing([EndpointName(f"e{number}") for number in range(6)])
@@ -72,46 +71,6 @@
         assert len(deep.names) == 1
 
 
-def test_seeded_node_spreads_as_the_node_that_ran_on() -> None:
-    """A rulebook is hot on every node; one of them restarts and gets a snapshot.
-
-    Without the hints it would send all of its share to the first home alone.
-    """
-    seasoned, restarted, empty = (HotPrefixes(1000) for _ in range(3))
-    for tail in range(100):
-        seasoned.note(sample_chain(make_chain(tail)), float(tail))
-    expected = find_homes(RING, seasoned, sample_chain(make_chain(777)), 0.5, 100.0)
-    restarted.seed(seasoned.export(50, 100.0), 100.0)
-    seeded = find_homes(RING, restarted, sample_chain(make_chain(777)), 0.5, 100.0)
-    unseeded = find_homes(RING, empty, sample_chain(make_chain(777)), 0.5, 100.0)
-    assert len(expected.names) > len(unseeded.names) == 1
-    assert seeded == expected
-
-
-def test_own_count_is_not_lowered_by_a_hint() -> None:
-    prefixes = HotPrefixes(1000)
-    for _ in range(10):
-        prefixes.note((1,), 0.0)
-    prefixes.seed([PrefixHint(1, 5, 0.1)], 0.0)
-    assert prefixes.find_levels((1,), 0.0)[0].per_s > 0.5
-    assert prefixes.adjust_width(1, 0.9, 1) == 1
-
-
-@given(
-    st.lists(
-        st.builds(PrefixHint, st.integers(0, 50), st.integers(), st.floats()),
-        max_size=60,
-    )
-)
-def test_any_hints_leave_usable_counts(hints: list[PrefixHint]) -> None:
-    prefixes = HotPrefixes(32)
-    prefixes.seed(hints, 0.0)
-    assert len(prefixes) <= 32
-    for hint in prefixes.export(32, 0.0):
-        assert 0.0 < hint.uses_per_s < 1e6
-        assert 1 <= hint.width <= 64
-
-
 @given(st.lists(st.integers(0, 500), max_size=300))
 def test_table_keeps_its_bound(keys: list[int]) -> None:
     prefixes = HotPrefixes(32)
