Split versions, missed records and counts from the configuration log

Cause: configuration_log held four jobs in 439 lines: judging records, keeping the latest versions with their patches, keeping patches back behind a gap, and counting what is passed over. A newcomer had to read all to change one.

Behaviour is unchanged. The reference of the state machine reads the versions where they are now; its check is the same.

--- a/packages/toucanyard/src/toucanyard/configuration_log.py
+++ b/packages/toucanyard/src/toucanyard/configuration_log.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Final
 
 import msgspec
@@ -21,13 +20,15 @@
     HistoryEntry,
     PatchRecord,
     Skipped,
-    SkipReason,
     UnknownRecord,
     compute_digest,
     decode_record,
 )
+from toucanyard.configuration_versions import ConfigurationVersions
 from toucanyard.currency import Currency
 from toucanyard.errorcodes import ErrorKind
+from toucanyard.log_counts import LogCounts
+from toucanyard.missed_records import KeptBack, MissedRecords
 from toucanyard.options import ConfigurationTimings
 from toucanyard.patch_results import PatchMemory, PatchResult as PatchResult
 from toucanyard.patches import (
@@ -37,32 +38,9 @@
     check_configuration,
 )
 
-_MAX_VERSIONS: Final = 32
-_MAX_BUFFERED: Final = 1_024
-_MAX_UNKNOWN_KINDS: Final = 16
 _NOTHING: Final = Configuration()
 
 
-class LogCounts(msgspec.Struct):
-    """How many records were passed over, and why."""
-
-    foreign: int = 0
-    malformed: int = 0
-    oversized: int = 0
-    unknown_kinds: int = 0
-    refused_checkpoints: int = 0
-
-    def note(self, reason: SkipReason) -> None:
-        """Count one record that was passed over."""
-        match reason:
-            case SkipReason.FOREIGN:
-                self.foreign += 1
-            case SkipReason.MALFORMED:
-                self.malformed += 1
-            case SkipReason.OVERSIZED:
-                self.oversized += 1
-
-
 class Allowance(msgspec.Struct, frozen=True):
     """What a node may do under the version that it knows.
 
@@ -88,18 +66,18 @@
     def __init__(self, timings: ConfigurationTimings, jitter: float = 0.0) -> None:
         """Start empty; `jitter` in 0..1 spreads checkpoints of nodes over time."""
         self._currency = Currency(timings, jitter)
-        self._versions: dict[int, Configuration] = {0: Configuration()}
-        self._patches: dict[int, PatchRecord] = {}
+        self._versions = ConfigurationVersions()
         self._memory = PatchMemory()
-        self._buffer: deque[tuple[int, float, PatchRecord]] = deque()
-        self._missing_until: int | None = None
-        self._seen_kinds: dict[str, int] = {}
-        self._digest: int | None = None
+        self._missed = MissedRecords()
         self._is_caught_up = False
-        self.configuration = self._versions[0]
         self.next_offset = 0
         self.counts = LogCounts()
 
+    @property
+    def configuration(self) -> Configuration:
+        """Return the configuration that was replayed last."""
+        return self._versions.newest
+
     @property
     def history(self) -> tuple[HistoryEntry, ...]:
         """Return the latest versions with their patches, oldest first."""
@@ -118,23 +96,21 @@
     @property
     def digest(self) -> int:
         """Return the hash of the configuration that was replayed last."""
-        if self._digest is None:
-            self._digest = compute_digest(self.configuration)
-        return self._digest
+        return self._versions.digest
 
     @property
     def is_missing(self) -> bool:
         """Tell whether records were missed that no checkpoint has covered yet."""
-        return self._missing_until is not None
+        return self._missed.is_any()
 
     @property
     def unknown_kinds(self) -> dict[str, int]:
         """Return unknown configuration kinds that were met, with their count."""
-        return dict(self._seen_kinds)
+        return dict(self.counts.by_unknown_kind)
 
     def find_version(self, version: int) -> Configuration | None:
         """Return a version if it is among the latest ones that this node has seen."""
-        return self._versions.get(version)
+        return self._versions.find(version)
 
     def result_of(self, patch_id: str) -> PatchResult | None:
         """Return what became of a patch, if this node knows it."""
@@ -184,7 +160,7 @@
         if oldest <= self.next_offset:
             return
         self.next_offset = oldest
-        self._start_missing(oldest)
+        self._missed.start(oldest)
 
     def needs_older(self) -> bool:
         """Tell whether everything was read from a late start and led to no version."""
@@ -196,8 +172,7 @@
         if not self.needs_older():
             return
         self._is_caught_up = False
-        self._missing_until = None
-        self._buffer.clear()
+        self._missed.end()
         self.next_offset = 0
 
     def note_head(self, log_next: int, asked_ms: float) -> None:
@@ -243,7 +218,7 @@
         record = decode_record(text)
         match record:
             case PatchRecord() if self.is_missing:
-                self._buffer_patch(offset, at_ms, record)
+                self._missed.keep_back(KeptBack(offset, at_ms, record))
                 return None
             case PatchRecord():
                 return self._apply(offset, at_ms, record)
@@ -262,15 +237,14 @@
 
         None when there are none, or some are no longer kept.
         """
-        version = self.configuration.version
-        if self.is_missing or base >= version:
+        if self.is_missing or base >= self.configuration.version:
             return None
-        numbers = range(base + 1, version + 1)
-        if any(number not in self._patches for number in numbers):
+        patches = self._versions.find_patches(base)
+        if patches is None:
             return None
         return ConfigurationDelta(
             base=base,
-            patches=tuple(self._patches[number] for number in numbers),
+            patches=patches,
             history=tuple(each for each in self.history if each.version > base),
             next_offset=self.next_offset,
             digest=self.digest,
@@ -295,9 +269,7 @@
         )
         if not self.adopt(checkpoint):
             return False
-        first = max(delta.base + 1, configuration.version - _MAX_VERSIONS + 1)
-        for number in range(first, configuration.version + 1):
-            self._patches[number] = delta.patches[number - delta.base - 1]
+        self._versions.keep_patches(configuration.version, delta.patches)
         return True
 
     def adopt(self, checkpoint: CheckpointRecord) -> bool:
@@ -314,14 +286,11 @@
     def _adopt(self, checkpoint: CheckpointRecord) -> bool:
         version = checkpoint.configuration.version
         is_new = version > self.configuration.version or self.is_missing
-        self._keep(checkpoint.configuration)
+        self._versions.keep(checkpoint.configuration)
         self._memory.merge(checkpoint.history)
         self.next_offset = max(self.next_offset, checkpoint.next_offset)
-        self._missing_until = None
-        buffered = [each for each in self._buffer if each[0] >= checkpoint.next_offset]
-        self._buffer.clear()
-        for offset, at_ms, record in buffered:
-            self._apply(offset, at_ms, record)
+        for each in self._missed.take_from(checkpoint.next_offset):
+            self._apply(each.offset, each.at_ms, each.record)
         return is_new
 
     def _find_covered(self, text: str) -> PatchResult | None:
@@ -346,33 +315,18 @@
     def _is_usable(self, checkpoint: CheckpointRecord) -> bool:
         if checkpoint.configuration.version < self.configuration.version:
             return False
-        if self._missing_until is None:
+        if not self.is_missing:
             return checkpoint.next_offset > self.next_offset
-        # Every record from the checkpoint's offset on must have been seen, or a patch
-        # between would be lost and this node would number versions differently.
-        return checkpoint.next_offset >= self._missing_until
+        return self._missed.is_covered_by(checkpoint.next_offset)
 
     def _note_unknown(self, offset: int, record: UnknownRecord) -> None:
-        self.counts.unknown_kinds += 1
-        kind = record.kind
-        if kind in self._seen_kinds or len(self._seen_kinds) < _MAX_UNKNOWN_KINDS:
-            self._seen_kinds[kind] = self._seen_kinds.get(kind, 0) + 1
+        self.counts.note_unknown(record.kind)
         # Newer nodes may have made a version out of it. Applying the next patch on
         # the old base here would give two values to one number; the last good version
         # stays until a checkpoint or a peer gives a higher one. A record that names
         # no next version can't have made one, and is only counted.
         if record.version == self.configuration.version + 1:
-            self._start_missing(offset + 1)
-
-    def _start_missing(self, until: int) -> None:
-        self._missing_until = until
-        self._buffer.clear()
-
-    def _buffer_patch(self, offset: int, at_ms: float, record: PatchRecord) -> None:
-        self._buffer.append((offset, at_ms, record))
-        if len(self._buffer) > _MAX_BUFFERED:
-            dropped, _, _ = self._buffer.popleft()
-            self._missing_until = dropped + 1
+            self._missed.start(offset + 1)
 
     def _note_checkpoint(self, checkpoint: CheckpointRecord, now_ms: float) -> None:
         configuration = checkpoint.configuration
@@ -384,7 +338,7 @@
                 return
             if self._is_usable(checkpoint):
                 self._adopt(checkpoint)
-        elif configuration != self._versions.get(configuration.version):
+        elif configuration != self._versions.find(configuration.version):
             # Replay without a gap knows every version: this one was never made.
             self.counts.refused_checkpoints += 1
         elif self.is_current(now_ms):
@@ -417,21 +371,11 @@
             return known
         result, configuration = self._judge(record.to_patch())
         if configuration is not None:
-            self._keep(configuration)
-            self._patches[configuration.version] = record
+            self._versions.keep(configuration)
+            self._versions.keep_patches(configuration.version, (record,))
             entry = HistoryEntry(
                 result.version, record.patch_id, record.author, offset, at_ms
             )
             self._memory.note_version(entry)
         self._memory.settle(result)
         return result
-
-    def _keep(self, configuration: Configuration) -> None:
-        self.configuration = configuration
-        self._digest = None
-        self._versions[configuration.version] = configuration
-        while len(self._versions) > _MAX_VERSIONS:
-            del self._versions[min(self._versions)]
-        oldest = configuration.version - _MAX_VERSIONS
-        for version in [each for each in self._patches if each <= oldest]:
-            del self._patches[version]
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/log_counts.py
@@ -0,0 +1,39 @@
+"""Count the records of the log that were passed over, for operators."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.configuration_records import SkipReason
+
+_MAX_UNKNOWN_KINDS: Final = 16
+
+
+class LogCounts(msgspec.Struct):
+    """How many records were passed over, and why."""
+
+    foreign: int = 0
+    malformed: int = 0
+    oversized: int = 0
+    unknown_kinds: int = 0
+    refused_checkpoints: int = 0
+    by_unknown_kind: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def note(self, reason: SkipReason) -> None:
+        """Count one record that was passed over."""
+        match reason:
+            case SkipReason.FOREIGN:
+                self.foreign += 1
+            case SkipReason.MALFORMED:
+                self.malformed += 1
+            case SkipReason.OVERSIZED:
+                self.oversized += 1
+
+    def note_unknown(self, kind: str) -> None:
+        """Count one record of a configuration kind that newer nodes may understand."""
+        self.unknown_kinds += 1
+        known = self.by_unknown_kind
+        if kind in known or len(known) < _MAX_UNKNOWN_KINDS:
+            known[kind] = known.get(kind, 0) + 1
--- a/tests/toucanyard/test_configuration_log.py
+++ b/tests/toucanyard/test_configuration_log.py
@@ -153,6 +153,28 @@
     assert lost is not None and lost.version == 2 and not lost.is_accepted()
 
 
+def test_delta_taken_with_later_patches_kept_back_is_passed_on_whole() -> None:
+    """Records expire unread, a patch behind them is kept back, and a peer's delta
+    closes the gap. Patches filed under wrong versions would be passed on to the next
+    node, which could not take them and would fall back to whole states."""
+    log, node, peer, late = FakeLog(), start_node(), start_node(), start_node()
+    log.append_patch(build_patch("one", 0))
+    for each in (node, peer, late):
+        log.give(each)
+    log.append_patch(build_patch("two", 1))
+    log.give(peer)
+    log.append_patch(build_patch("three", 2))
+    log.oldest = 2
+    log.give(node)
+    assert node.is_missing
+    delta = peer.build_delta(1)
+    assert delta is not None and node.adopt_delta(delta)
+    assert node.configuration.version == 3
+    passed_on = node.build_delta(1)
+    assert passed_on is not None and late.adopt_delta(passed_on)
+    assert late.configuration == node.configuration
+
+
 def test_node_that_cannot_confirm_reports_it_and_stops_orders() -> None:
     """A node is cut off from log and peers. It can't know of newer versions, so
     within the bound it must stop what one could forbid, and go on serving."""
@@ -280,7 +302,7 @@
         for offset, text in enumerate(self.log.texts[first:], first):
             reference.apply_record(offset, 0.0, text, 0.0)
         self.known = getattr(self, "known", {0: Configuration()})
-        self.known.update(reference._versions)
+        self.known.update(reference._versions._by_number)
 
 
 def test_no_replica_reverts_or_parts_from_the_others() -> None:
