Name the patience with the log for reads too, and say where claims begin

Cause: AppendPatience also times reads now, and the index of claims said that it must be fed from the log's oldest record, which a node no longer does at its start.

Change: names and words only; log_patience, LogPatience. Tests are the same under the new names and pass.

--- a/packages/toucanyard-node/src/toucanyard_node/log_reader.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_reader.py
@@ -9,8 +9,8 @@
 import structlog
 import trio
 
-from toucanyard.append_patience import AppendPatience
 from toucanyard.core_events import LogExpired, LogRead, LogReread, LogStateSeen
+from toucanyard.log_patience import LogPatience
 from toucanyard.log_start import StartSearch
 from toucanyard.names import Address
 from toucanyard_node.log_client import (
@@ -72,7 +72,7 @@
         self._start: int | None = 0 if late_start is None else None
         self._limit = _LIMIT
         self._is_up: bool | None = None
-        self._patience = AppendPatience(_MARGIN_MS)
+        self._patience = LogPatience(_MARGIN_MS)
 
     async def run(self) -> None:
         """Read on until cancelled."""
--- a/packages/toucanyard-node/src/toucanyard_node/log_writer.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_writer.py
@@ -8,8 +8,8 @@
 import trio
 
 from toucanyard.append_batch import AppendBatch, BatchGatherer
-from toucanyard.append_patience import AppendPatience
 from toucanyard.core_events import AppendSettled, AppendToLog
+from toucanyard.log_patience import LogPatience
 from toucanyard.names import Address
 from toucanyard.options import ClaimLimits
 from toucanyard.platform_log import AppendResult
@@ -26,7 +26,7 @@
 ) -> None:
     """Append what comes, at most `max_appends_per_s` times a second."""
     gatherer = BatchGatherer(limits)
-    patience = AppendPatience(float(limits.append_timeout_ms))
+    patience = LogPatience(float(limits.append_timeout_ms))
     while True:
         await _gather(gatherer, outbox)
         batch = gatherer.take(trio.current_time() * 1000)
@@ -62,7 +62,7 @@
     address: Address,
     limits: ClaimLimits,
     batch: AppendBatch,
-    patience: AppendPatience,
+    patience: LogPatience,
 ) -> AppendAnswer:
     """Append one batch, again after a refusal that only the rate caused."""
     answer = await _append_once(address, batch, patience)
@@ -75,7 +75,7 @@
 
 
 async def _append_once(
-    address: Address, batch: AppendBatch, patience: AppendPatience
+    address: Address, batch: AppendBatch, patience: LogPatience
 ) -> AppendAnswer:
     began_s = trio.current_time()
     answer = await append_records(address, batch.texts, patience.timeout_ms)
--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -1,7 +1,8 @@
 """Fold claim records of the log into who owns which caller-chosen key.
 
 The first claim of a key in offset order wins for as long as it is remembered. The
-index must be fed from the oldest record of the log on, without a gap.
+index must be fed without a gap, from the oldest record of the log on or from one that
+is older than claims are remembered (`log_start`).
 """
 
 from __future__ import annotations
--- a/packages/toucanyard/src/toucanyard/append_patience.py
+++ b/packages/toucanyard/src/toucanyard/log_patience.py
@@ -1,7 +1,8 @@
-"""Decide how long to wait for the answer to an append, by how slow the log is.
+"""Decide how long to wait for an answer of the log, by how slow it is.
 
-A log that takes longer than a fixed time to answer would never take a record: its
-service drops an append whose sender has hung up, and every try would end alike.
+A log that takes longer than a fixed time to answer would never take a record, as its
+service drops an append whose sender has hung up, and would never be read: every try
+would end alike.
 """
 
 from __future__ import annotations
@@ -13,8 +14,8 @@
 """How many times the last answer's time the next may take."""
 
 
-class AppendPatience:
-    """The time to wait for the next append.
+class LogPatience:
+    """The time to wait for the next answer.
 
     Invariant: it lies between the one that is set and `_MAX_GROWTH` times that.
     """
@@ -26,11 +27,11 @@
         self.timeout_ms = least_ms
 
     def note_answer(self, took_ms: float) -> None:
-        """Take in that an append was answered after so long."""
+        """Take in that the log answered after so long."""
         self._set(took_ms * _SLACK)
 
     def note_silence(self) -> None:
-        """Take in that an append was not answered in time."""
+        """Take in that the log did not answer in time."""
         self._set(self.timeout_ms * 2)
 
     def _set(self, wanted_ms: float) -> None:
--- a/tests/toucanyard/test_append_patience.py
+++ b/tests/toucanyard/test_log_patience.py
@@ -2,13 +2,13 @@
 
 from hypothesis import given, strategies as st
 
-from toucanyard.append_patience import AppendPatience
+from toucanyard.log_patience import LogPatience
 
 
 def test_slow_log_is_waited_for_and_a_quick_one_no_longer_than_set() -> None:
     # A log that answers after 1.5 s with 1 s set: the first append is lost, the second
     # is answered.
-    patience = AppendPatience(1_000.0)
+    patience = LogPatience(1_000.0)
     patience.note_silence()
     assert patience.timeout_ms == 2_000
     patience.note_answer(1_500.0)
@@ -19,7 +19,7 @@
 
 @given(st.lists(st.none() | st.floats(0, 1e6)))
 def test_wait_stays_within_its_bounds(answers: list[float | None]) -> None:
-    patience = AppendPatience(1_000.0)
+    patience = LogPatience(1_000.0)
     for took_ms in answers:
         if took_ms is None:
             patience.note_silence()
