Ask for blocks only of followed engines, and find live nodes once for each list

Cause: the benches left out what a core does by itself with a view of each replica and all VMs listed. At 320 nodes and 4,400 replicas it asked for 4,400 lists of blocks a second (each a task of its own), went over 4,720 VMs in each tick and for each locate, and chose its peers anew four times a second, a thousand hashes each. Ruled out: a longer time between ticks (deadlines are kept by them). Change: views are looked at for gaps only where the node follows the events; the VM list keeps its live nodes; peers are chosen once for each list. Seen failing: on the code as it was the new test finds all 200 engines asked. Changed test: test_placement names the engine that it asks about. The idle bench now lists the replicas' VMs too.

--- a/packages/toucanyard-node/src/toucanyard_node/locator.py
+++ b/packages/toucanyard-node/src/toucanyard_node/locator.py
@@ -15,7 +15,6 @@
 from toucanyard.names import Address, NodeName
 from toucanyard.node_core import NodeCore
 from toucanyard.options import Options
-from toucanyard.vm_view import Vm, VmState
 from toucanyard_node.drain import DrainState
 from toucanyard_node.locate_answer import IssuedKey, LocateAnswer, NodeAddress
 
@@ -79,10 +78,6 @@
     """Return the nodes that the VM list calls live and no news calls leaving."""
     return [
         NodeAddress(NodeName(vm.name), vm.callers, vm.domain)
-        for vm in membership.vms
-        if _is_live_node(vm) and not membership.is_address_leaving(vm.callers, now_ms)
+        for vm in membership.find_nodes()
+        if vm.callers and not membership.is_address_leaving(vm.callers, now_ms)
     ]
-
-
-def _is_live_node(vm: Vm) -> bool:
-    return vm.state is VmState.LIVE and vm.runs == "node" and vm.callers != ""
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
@@ -162,11 +162,12 @@
 async def measure_idle(nodes: int) -> IdleCost:
     """Return what one node uses without requests, in a fleet that does not answer.
 
-    The other nodes stand in the VM list, so that the node watches its share of the
-    replicas; neither they nor the replicas accept a connection, which is the worst case
+    The other nodes and the replicas stand in the VM list, so that the node watches its
+    share of the replicas; neither they nor the replicas accept a connection, which is the worst case
     for polls and links.
     """
-    records = encode_patches(build_idle_configuration(nodes * REPLICAS // NODES))
+    configuration = build_idle_configuration(nodes * REPLICAS // NODES)
+    records = encode_patches(configuration)
     async with open_harness() as harness:
         await harness.start_platform()
         for record in records:
@@ -175,6 +176,10 @@
             nowhere = Address(f"127.200.{number // 250}.{number % 250}:{_NOWHERE_PORT}")
             peer = Vm(f"node-{number}", "domain-1", VmKind.NODE, peers=nowhere)
             await harness.put_vm(peer)
+        for service in configuration.services:
+            for each in service.endpoints:
+                vm = Vm(each.name, each.domain, VmKind.ENDPOINT, endpoint=each.address)
+                await harness.put_vm(vm)
         node = await harness.start_node("node-0", "domain-1")
         await trio.sleep(_IDLE_SETTLE_S)
         if f"version={len(records)} " not in node.read_log():
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
@@ -44,6 +44,7 @@
     measure_slope,
     time_us,
 )
+from toucanyard_standins.capacity_ticks import iterate_tick_slopes
 
 VMS: Final = 4_720
 BLOCKS_HELD: Final = 400_000
@@ -61,6 +62,7 @@
     """Measure one role after the other."""
     yield from _measure_configuration()
     yield from _measure_membership()
+    yield from iterate_tick_slopes()
     yield from _measure_placement()
     yield from _measure_keys()
     yield from iterate_request_slopes()
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_node.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_node.py
@@ -89,7 +89,7 @@
                 if report.incarnation == engine.incarnation:
                     self.placement.apply_load(engine.name, report, now_ms)
                 self._read_events(engine, now_ms)
-        for name in self.placement.find_doubtful(now_ms):
+        for name in self.placement.find_doubtful(self.run.engines, now_ms):
             if self.run.engines[name].is_up:
                 self.placement.note_dump_asked(name, now_ms)
                 dump = self.run.engines[name].make_dump()
--- a/packages/toucanyard/src/toucanyard/endpoint_views.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_views.py
@@ -74,6 +74,10 @@
             self._views = kept
             self._resize(len(kept))
 
+    def find(self, name: EndpointName) -> EndpointView | None:
+        """Return the view of an endpoint, if there is one."""
+        return self._views.get(name)
+
     def items(self) -> Iterator[tuple[EndpointName, EndpointView]]:
         """Return each endpoint and its view."""
         return iter(self._views.items())
--- a/packages/toucanyard/src/toucanyard/membership.py
+++ b/packages/toucanyard/src/toucanyard/membership.py
@@ -87,6 +87,8 @@
         self._rng = rng
         self._view = VmView()
         self._ring = WatchRing(())
+        self._peers_of: tuple[Vm, ...] = ()
+        self._chosen: list[Vm] = []
         self._watched_of: tuple[Endpoint, ...] = ()
         self._watched: list[Endpoint] = []
         self._board = NewsBoard(NEWS_KEPT_MS)
@@ -148,7 +150,15 @@
     def find_peers(self) -> list[Vm]:
         """Return the nodes that this one should have a link to."""
         nodes = self._view.find_nodes()
-        return choose_peers(self.node, nodes, self._timings.max_peers)
+        # Asked for several times a second; choosing among 320 takes a thousand hashes.
+        if nodes is not self._peers_of:
+            self._peers_of = nodes
+            self._chosen = choose_peers(self.node, nodes, self._timings.max_peers)
+        return list(self._chosen)
+
+    def find_nodes(self) -> tuple[Vm, ...]:
+        """Return the live VMs that run a node, by name; the same object for a list."""
+        return self._view.find_nodes()
 
     def find_linked(self) -> list[NodeName]:
         """Return the peers to which a link stands."""
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -74,6 +74,7 @@
     VmListRead,
 )
 from toucanyard.names import (
+    EndpointName,
     Incarnation,
     NodeId,
     NodeName,
@@ -86,7 +87,7 @@
 from toucanyard.request_flow import FlowAction, RequestFlow
 from toucanyard.snapshot_exchange import SnapshotExchange
 from toucanyard.snapshots import SnapshotBusy, SnapshotPart, SnapshotRequest
-from toucanyard.vm_view import Vm, VmState
+from toucanyard.vm_view import Vm
 
 _DOUBTFUL_INTERVAL_MS: Final = 250.0
 """Time between two looks at every view; a look at each tick of 50 ms cost 2.3% of a
@@ -139,6 +140,8 @@
         self._node_count = 1
         self._duties_offset = 0
         self._next_doubtful_ms = 0.0
+        self._followed_of: tuple[Configuration | None, tuple[Vm, ...]] = (None, ())
+        self._followed: tuple[EndpointName, ...] = ()
         self.log = ConfigurationLog(options.configuration, rng.random())
         self.membership = Membership(options.name, incarnation, options.membership, rng)
         self.spread = ConfigurationSpread(self.log, self.membership)
@@ -190,6 +193,15 @@
         """Return the endpoints whose cache events this node should follow."""
         return self.membership.find_followed(self.list_endpoints())
 
+    def _find_followed_names(self) -> tuple[EndpointName, ...]:
+        """Return whose views have events; worked out anew when what decides changed."""
+        configuration, vms = self.configuration, self.membership.vms
+        is_same = configuration is self._followed_of[0] and vms is self._followed_of[1]
+        if not is_same:
+            self._followed_of = configuration, vms
+            self._followed = tuple(each.name for each in self.find_followed())
+        return self._followed
+
     def handle(self, event: CoreEvent, now_ms: float) -> list[CoreAction]:
         """Take one event in and return what must be done now, in this order."""
         actions = list(self._handle(event, now_ms))
@@ -391,18 +403,16 @@
             yield from self._ask_dumps(now_ms)
 
     def _ask_dumps(self, now_ms: float) -> Iterator[ReadDump]:
-        for endpoint in self.placement.find_doubtful(now_ms):
+        for endpoint in self.placement.find_doubtful(
+            self._find_followed_names(), now_ms
+        ):
             self.placement.note_dump_asked(endpoint, now_ms)
             yield ReadDump(endpoint)
 
     def _tick_duties(self, now_ms: float) -> Iterator[CoreAction]:
         if self._is_draining:
             return
-        nodes = [
-            NodeName(vm.name)
-            for vm in self.membership.vms
-            if vm.runs == "node" and vm.state is VmState.LIVE
-        ]
+        nodes = [NodeName(vm.name) for vm in self.membership.find_nodes()]
         may_order = self.log.compute_allowance(now_ms).may_order
         yield from self.duties.tick(
             self.configuration,
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence, Set
+from collections.abc import Iterable, Sequence, Set
 
 import msgspec
 
@@ -234,10 +234,19 @@
         """Drop all that is known about other endpoints: they have gone."""
         self._views.retain(names)
 
-    def find_doubtful(self, now_ms: float) -> list[EndpointName]:
-        """Return endpoints whose view needs a dump and was not asked for just now."""
+    def find_doubtful(
+        self, followed: Iterable[EndpointName], now_ms: float
+    ) -> list[EndpointName]:
+        """Return which of some endpoints need a dump and weren't asked for just now.
+
+        Only of engines whose events this node follows: the others' views have no gaps,
+        and a large fleet would be asked for thousands of lists a second.
+        """
         found: list[EndpointName] = []
-        for name, view in self._views.items():
+        for name in followed:
+            view = self._views.find(name)
+            if view is None:
+                continue
             view.cache.check_gap(now_ms)
             is_due = now_ms - view.asked_dump_ms >= self._limits.dump_interval_ms
             if view.cache.is_doubtful and is_due:
--- a/packages/toucanyard/src/toucanyard/vm_view.py
+++ b/packages/toucanyard/src/toucanyard/vm_view.py
@@ -48,10 +48,11 @@
     Invariant: `_gone` has only addresses that were once listed.
     """
 
-    __slots__ = ("_gone", "_vms", "leaving", "read_ms")
+    __slots__ = ("_gone", "_nodes", "_vms", "leaving", "read_ms")
 
     def __init__(self) -> None:
         self._vms: tuple[Vm, ...] = ()
+        self._nodes: tuple[Vm, ...] = ()
         self._gone: set[Address] = set()
         self.leaving: frozenset[Address] = frozenset()
         self.read_ms: float | None = None
@@ -92,15 +93,16 @@
         """Tell whether the list calls an endpoint's VM leaving."""
         return address in self.leaving
 
-    def find_nodes(self) -> list[Vm]:
-        """Return the live VMs that run a node, by name."""
-        nodes = [
-            vm for vm in self._vms if vm.runs == "node" and vm.state is VmState.LIVE
-        ]
-        return sorted(nodes, key=lambda vm: vm.name)
+    def find_nodes(self) -> tuple[Vm, ...]:
+        """Return the live VMs that run a node, by name; the same object for a list."""
+        return self._nodes
 
     def _keep(self, vms: Iterable[Vm]) -> None:
         self._vms = tuple(vms)
+        nodes = [
+            vm for vm in self._vms if vm.runs == "node" and vm.state is VmState.LIVE
+        ]
+        self._nodes = tuple(sorted(nodes, key=lambda vm: vm.name))
         self.leaving = frozenset(
             vm.endpoint
             for vm in self._vms
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -222,3 +222,38 @@
     world.now_ms += 50
     world.handle(TickPassed())
     assert ReadDump(endpoint) in world.others
+
+
+def test_blocks_are_asked_for_only_of_engines_that_this_node_follows() -> None:
+    """Hundreds of replicas, each with a view, and a few of them followed by this node.
+
+    Views of the others have no events and so are doubtful for good. Asked for each
+    second, 4,400 lists of blocks would take a core, and most would not be read.
+    """
+    world = CoreWorld()
+    pool = world.core.configuration.pools[0]
+    endpoints = tuple(
+        msgspec.structs.replace(
+            pool.endpoints[0],
+            name=EndpointName(f"x{number}"),
+            address=Address(f"10.1.0.{number}:80"),
+        )
+        for number in range(200)
+    )
+    put = Put(pools=(Pool(pool.name, pool.model, "w1", endpoints),))
+    patch = build_patch("many", 1)
+    apply_patch(world, msgspec.structs.replace(patch, put=put))
+    own = world.core.identity.node
+    names = (own, *(NodeName(f"n{number}") for number in range(9)))
+    world.handle(VmsRead(tuple(Vm(name, DomainName("south")) for name in names)))
+    for endpoint in endpoints:
+        report = LoadReport(Incarnation("i"), 0, 0.0)
+        world.handle(LoadRead(endpoint.name, report, world.now_ms))
+    world.others.clear()
+    world.now_ms += 2_000
+    world.handle(TickPassed())
+    asked = {each.endpoint for each in world.others if isinstance(each, ReadDump)}
+    assert asked == {
+        each.name for each in world.core.find_followed() if each in endpoints
+    }
+    assert 0 < len(asked) < 100
--- a/tests/toucanyard/test_placement.py
+++ b/tests/toucanyard/test_placement.py
@@ -74,7 +74,7 @@
     placed = placement.choose(make_request(1, CHAIN), pool, pool.endpoints, 0.0)
     assert placed is not None
     assert all(score.warm_blocks == 0 for score in placed.scores)
-    assert E0 in placement.find_doubtful(0.0)
+    assert E0 in placement.find_doubtful([E0], 0.0)
 
 
 @given(
