--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_capacity.py
@@ -162,9 +162,9 @@
 async def measure_idle(nodes: int) -> IdleCost:
     """Return what one node uses without requests, in a fleet that does not answer.
 
-    The other nodes and the replicas stand in the VM list, so that the node watches its
-    share of the replicas; neither they nor the replicas accept a connection, which is the worst case
-    for polls and links.
+    All of them stand in the VM list, so that the node watches its share of the
+    replicas; neither the other nodes nor the replicas accept a connection, which is the
+    worst case for polls and links.
     """
     configuration = build_idle_configuration(nodes * REPLICAS // NODES)
     records = encode_patches(configuration)
