Send a peer one copy of a large answer in a while, and none that closes the link

A retry at another node repeats its question each 100 ms and got a copy of the kept answer each time: at 1 MB/s a link has seconds of copies before it, so its digests are late and its peer looks dead. An answer over 4 MB (a service may send 64) closed the link with every copy, until the deadline of the retry. Ruled out: asking less often; it would delay small answers after a lost message. Conclusion: a large answer costs one link a few seconds and no more.

--- a/packages/toucanyard/src/toucanyard/key_book.py
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -34,6 +34,7 @@
     KeyName,
     encode_record,
 )
+from toucanyard.large_answers import is_passable
 from toucanyard.names import (
     CustomerName,
     NodeId,
@@ -257,7 +258,10 @@
         status = ended.status
         if status is KeyStatus.ANSWERED:
             answer = self._kept.find(name)
-            # The request ran, but its answer had to make room for others.
+            if answer is not None and not is_passable(answer):
+                answer = None
+            # The request ran, but its answer is too large for a message, or had to
+            # make room for others.
             status = KeyStatus.UNKNOWN if answer is None else status
         return KeyTold(to.incarnation, name, claim_id, status, ended.digest, answer)
 
--- a/packages/toucanyard/src/toucanyard/key_questions.py
+++ b/packages/toucanyard/src/toucanyard/key_questions.py
@@ -23,6 +23,7 @@
     SealAnswered,
     SealKey,
 )
+from toucanyard.large_answers import LargeAnswers
 from toucanyard.names import (
     NodeId,
 )
@@ -37,11 +38,12 @@
     never will, of one that it sealed as witness, or of one handed over as such.
     """
 
-    __slots__ = ("_book", "_noted", "_witness")
+    __slots__ = ("_book", "_large", "_noted", "_witness")
 
     def __init__(self, book: KeyBook, noted: NotedKeys) -> None:
         self._book = book
         self._noted = noted
+        self._large = LargeAnswers()
         limits = book.limits
         self._witness = WitnessLedgers(2 * limits.window_ms, limits.max_keys)
 
@@ -56,13 +58,14 @@
             case AskKey():
                 yield from self._answer_ask(sender, message, now_ms)
             case AskHanded():
-                yield from self._answer_handed(sender, message)
+                yield from self._answer_handed(sender, message, now_ms)
             case OpenLedger() | NoteKeys() | SealKey():
                 yield from self._witness_for(sender, message, now_ms)
 
     def forget_old(self, now_ms: float) -> None:
         """Forget what was witnessed for keys past the window."""
         self._witness.forget_old(now_ms)
+        self._large.forget_old(now_ms)
 
     def _witness_for(
         self, sender: NodeId, message: OpenLedger | NoteKeys | SealKey, now_ms: float
@@ -95,7 +98,7 @@
     ) -> Iterator[ClaimAction]:
         ended = self._find_status(sender, ask, now_ms)
         told = self._book.compose_told(sender, ask.name, ask.claim_id, ended)
-        yield from self._book.send(sender, told)
+        yield from self._tell(sender, told, now_ms)
 
     def _find_status(self, sender: NodeId, ask: AskKey, now_ms: float) -> EndedKey:
         book = self._book
@@ -119,11 +122,21 @@
             return EndedKey(KeyStatus.UNKNOWN, b"", now_ms)
         return ended
 
-    def _answer_handed(self, sender: NodeId, ask: AskHanded) -> Iterator[ClaimAction]:
+    def _answer_handed(
+        self, sender: NodeId, ask: AskHanded, now_ms: float
+    ) -> Iterator[ClaimAction]:
         name, claim_id, to = ask.name, ask.claim_id, sender.incarnation
         told = KeyTold(to, name, claim_id, KeyStatus.UNKNOWN, b"")
         held = self._book.handed.find(name, claim_id)
         if held is not None:
             status, digest, answer = held.status, held.digest, held.answer
             told = KeyTold(to, name, claim_id, status, digest, answer)
+        yield from self._tell(sender, told, now_ms)
+
+    def _tell(
+        self, sender: NodeId, told: KeyTold, now_ms: float
+    ) -> Iterator[ClaimAction]:
+        if self._large.is_under_way(sender, told.name, told.answer, now_ms):
+            return
+        self._large.note(sender, told.name, told.answer, now_ms)
         yield from self._book.send(sender, told)
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from toucanyard.at_most_once import AtMostOnce
 from toucanyard.claim_events import (
     AllowDispatch,
@@ -39,6 +41,7 @@
     LogRecord,
 )
 from toucanyard.requests import EndingSeen, KeptAnswer
+from toucanyard.wire import MAX_MESSAGE_BYTES, encode_message
 
 ANSWER = KeptAnswer(200, "text/plain", b"seat held")
 
@@ -270,6 +273,35 @@
     assert told.message.status is KeyStatus.UNKNOWN
 
 
+@pytest.mark.parametrize(
+    ("size_bytes", "expected"), [(2_000_000, [1, 0, 1]), (5_000_000, [0, 0, 0])]
+)
+def test_large_answer_is_passed_on_once_in_a_while_or_not_at_all(
+    size_bytes: int, expected: list[int]
+) -> None:
+    """A retry at another node asks every 100 ms for an answer of some megabytes.
+
+    The link between the nodes takes seconds for it. A copy for each question would hold
+    up everything else on that link until it counts as dead, and a message over the
+    link's bound would close it; then the caller is told that the outcome is unknown.
+    """
+    node = make_node()
+    own = find_append(node.handle(arrive("r1"), 0))
+    node.handle(read(0, own.text), 1)
+    answer = KeptAnswer(200, "application/pdf", bytes(size_bytes))
+    node.handle(DispatchEnded(RequestId("r1"), EndingSeen.COMPLETED, answer), 2)
+    ask = AskKey(Incarnation("a1"), KeyName(CustomerName("c"), "k"), own.record_id)
+    sender = NodeId(NodeName("b"), Incarnation("b1"))
+    copies = []
+    for now_ms in (100, 200, 6_000):
+        told = node.handle(PeerMessageArrived(sender, ask), now_ms)
+        messages = [each.message for each in told if isinstance(each, SendToPeer)]
+        answers = [each for each in messages if getattr(each, "answer", None)]
+        copies.append(len(answers))
+        assert all(len(encode_message(each)) < MAX_MESSAGE_BYTES for each in messages)
+    assert copies == expected
+
+
 def test_records_missed_in_a_pause_longer_than_retention_give_claims_up() -> None:
     """A node is suspended, clock and all, until the log has expired records.
 
