Say unknown, not 'not run', of a claim past its window

A node remembers a claim for longer than the window. Meanwhile the key may be used anew at a node that has forgotten it, and run there, in a record not read here yet: a retry here was told key_sealed or key_reused, both 'not run', of what ran. A claimer that slept past the window sealed its own claim and told that for another window, although the key had run under a later claim. Ruled out: forgetting sooner; the longer memory is what keeps the key from running twice. Changed check: the seeded fault of the dead claimer names the line that took its line's place; the fault is the same. Conclusion: beyond its window a claim is only good for finding whom to ask.

--- a/packages/toucanyard/src/toucanyard/at_most_once.py
+++ b/packages/toucanyard/src/toucanyard/at_most_once.py
@@ -213,9 +213,9 @@
             # everywhere, and the key would run again.
             yield refuse(event, ErrorKind.KEY_EXPIRED, book.rng)
         elif ended is not None:
-            yield book.tell_ended(event, ended)
+            yield book.tell_ended(event, ended, now_ms)
         elif entry is not None:
-            yield from self._join(entry, event)
+            yield from self._join(entry, event, now_ms)
         elif self._handover.is_begun():
             yield refuse_unclaimed(event, ErrorKind.DRAINING, book.rng)
         elif issued is None:
@@ -231,10 +231,12 @@
         left_ms = max(event.deadline_ms - now_ms, 0)
         return age_ms + left_ms >= self._book.limits.window_ms
 
-    def _join(self, entry: KeyEntry, event: KeyedArrived) -> Iterator[ClaimAction]:
+    def _join(
+        self, entry: KeyEntry, event: KeyedArrived, now_ms: float
+    ) -> Iterator[ClaimAction]:
         """Let a try wait for the end of a key that is under way here."""
         if entry.phase is Phase.ALLOWED and event.body_digest != entry.digest:
-            yield refuse(event, ErrorKind.KEY_REUSED, self._book.rng)
+            yield self._book.tell_running(event, entry, now_ms)
         else:
             self._book.wait(entry, event)
 
@@ -299,7 +301,7 @@
             case KeysNoted():
                 yield from self._noted.take_noted(sender, message, now_ms)
             case SealAnswered():
-                yield from self._followed.take_seal(sender, message)
+                yield from self._followed.take_seal(sender, message, now_ms)
             case LedgerOpened():
                 self._issuer.take_ledger(sender, message)
             case HandKeys():
@@ -329,7 +331,7 @@
         if is_taken:
             self._book.handed.take(message.keys, now_ms)
             for key in message.keys:
-                yield from self._followed.take_held(key)
+                yield from self._followed.take_held(key, now_ms)
         ack = KeysTaken(sender.incarnation, message.batch, is_taken)
         yield from self._book.send(sender, ack)
 
--- a/packages/toucanyard/src/toucanyard/claims.py
+++ b/packages/toucanyard/src/toucanyard/claims.py
@@ -73,10 +73,12 @@
         "_log_now_ms",
         "_max_keys",
         "_remember_ms",
+        "_window_ms",
         "next_offset",
     )
 
     def __init__(self, window_ms: float, max_keys: int) -> None:
+        self._window_ms = window_ms
         self._remember_ms = window_ms * _REMEMBER_IN_WINDOWS
         self._max_keys = max_keys
         self._claims: dict[KeyName, Claim] = {}
@@ -98,6 +100,18 @@
         claim = self._claims.get(name)
         return claim is not None and claim.claim_id == claim_id and claim.is_sure
 
+    def is_fresh(self, name: KeyName, claim_id: str, now_ms: float) -> bool:
+        """Tell whether no node can have forgotten this claim of a key yet.
+
+        Past the window another node may have claimed and run the key anew, unread here
+        so far; then this claim proves no more that something did not run.
+        """
+        claim = self._claims.get(name)
+        if claim is None or claim.claim_id != claim_id:
+            return False
+        age_ms = max(now_ms - claim.read_ms, self._log_now_ms - claim.at_ms)
+        return age_ms < self._window_ms
+
     def is_complete(self) -> bool:
         """Tell whether every claim of the window has been remembered."""
         return self._hole_at_ms is None
--- a/packages/toucanyard/src/toucanyard/followed_keys.py
+++ b/packages/toucanyard/src/toucanyard/followed_keys.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterator
 
 from toucanyard.claim_events import (
@@ -11,7 +10,7 @@
 )
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.issued_keys import IssuedKey
-from toucanyard.key_answers import refuse, refuse_unclaimed, tell_status
+from toucanyard.key_answers import refuse, refuse_unclaimed
 from toucanyard.key_book import KeyBook
 from toucanyard.key_entries import KeyEntry, Phase
 from toucanyard.key_messages import (
@@ -50,7 +49,7 @@
         book = self._book
         held = book.handed.find(name, "")
         if held is not None:
-            yield _tell_held(event, held, book.rng)
+            yield self._tell_held(event, held, now_ms)
             return
         if book.is_full(event.customer):
             yield refuse_unclaimed(event, ErrorKind.OVERLOADED, book.rng)
@@ -66,12 +65,12 @@
         assert claim is not None
         held = book.handed.find(name, claim.claim_id)
         # Of a claim that may have lost, the body says nothing: another may have run.
-        if claim.is_sure and claim.digest != event.body_digest:
-            yield refuse(event, ErrorKind.KEY_REUSED, book.rng)
-        elif claim.is_abandoned:
-            yield refuse(event, ErrorKind.KEY_SEALED, book.rng)
+        is_reused = claim.is_sure and claim.digest != event.body_digest
+        if is_reused or claim.is_abandoned:
+            status, digest = KeyStatus.NOT_RUN, claim.digest
+            yield book.tell(event, claim.claim_id, status, digest, None, now_ms)
         elif held is not None:
-            yield _tell_held(event, held, book.rng)
+            yield self._tell_held(event, held, now_ms)
         elif claim.claimer == book.identity or self._is_lost(claim.claimer):
             yield refuse(event, ErrorKind.OUTCOME_UNKNOWN, book.rng)
         else:
@@ -86,23 +85,25 @@
         if entry is None or message.claim_id != entry.claim_id:
             return
         if sender != entry.target:
-            yield from self._take_told_by_holder(entry, sender, message)
+            yield from self._take_told_by_holder(entry, sender, message, now_ms)
         elif message.status is KeyStatus.RUNNING:
             entry.is_target_running = True
             entry.heard_ms = now_ms
         else:
-            yield from self._resolve(entry, message)
+            yield from self._resolve(entry, message, now_ms)
 
-    def take_held(self, key: HandedKey) -> Iterator[ClaimAction]:
+    def take_held(self, key: HandedKey, now_ms: float) -> Iterator[ClaimAction]:
         """Tell the tries of a key that has just been handed over to this node."""
         entry = self._find_followed(key.name)
         if entry is None or entry.claim_id != key.claim_id:
             return
         to = self._book.identity.incarnation
         told = KeyTold(to, key.name, key.claim_id, key.status, key.digest, key.answer)
-        yield from self._resolve(entry, told)
+        yield from self._resolve(entry, told, now_ms)
 
-    def take_seal(self, sender: NodeId, message: SealAnswered) -> Iterator[ClaimAction]:
+    def take_seal(
+        self, sender: NodeId, message: SealAnswered, now_ms: float
+    ) -> Iterator[ClaimAction]:
         """Tell the tries of a key that its witness has sealed."""
         entry = self._find_followed(message.name)
         if entry is None or entry.issued is None:
@@ -110,7 +111,7 @@
         if sender != entry.issued.witness:
             return
         if message.status is LedgerStatus.SEALED:
-            yield from self._resolve_as(entry, KeyStatus.NOT_RUN)
+            yield from self._resolve_as(entry, KeyStatus.NOT_RUN, now_ms)
         else:
             entry.is_seal_refused = True
 
@@ -118,21 +119,21 @@
         """Ask again, or give up when nobody is left who could know."""
         claim = self._book.index.find(entry.name)
         if claim is not None and claim.is_abandoned_as(entry.claim_id):
-            yield from self._resolve_as(entry, KeyStatus.NOT_RUN)
+            yield from self._resolve_as(entry, KeyStatus.NOT_RUN, now_ms)
         elif self._is_hopeless(entry):
-            yield from self._resolve_as(entry, KeyStatus.UNKNOWN)
+            yield from self._resolve_as(entry, KeyStatus.UNKNOWN, now_ms)
         elif now_ms - entry.sent_ms >= self._book.limits.resend_ms:
             yield from self._ask(entry, now_ms)
 
     def _take_told_by_holder(
-        self, entry: KeyEntry, sender: NodeId, message: KeyTold
+        self, entry: KeyEntry, sender: NodeId, message: KeyTold, now_ms: float
     ) -> Iterator[ClaimAction]:
         assert entry.target is not None
         if sender not in self._book.stopped.find_holders(entry.target):
             return
         has_answer = message.answer is not None
         if message.status is KeyStatus.NOT_RUN or has_answer:
-            yield from self._resolve(entry, message)
+            yield from self._resolve(entry, message, now_ms)
         else:
             # Another holder may still have what this one had no room for.
             entry.denied.add(sender)
@@ -220,16 +221,22 @@
             return False
         return entry.issued is None or entry.is_seal_refused
 
-    def _resolve_as(self, entry: KeyEntry, status: KeyStatus) -> Iterator[ClaimAction]:
+    def _resolve_as(
+        self, entry: KeyEntry, status: KeyStatus, now_ms: float
+    ) -> Iterator[ClaimAction]:
         to = self._book.identity.incarnation
         told = KeyTold(to, entry.name, entry.claim_id, status, b"")
-        yield from self._resolve(entry, told)
+        yield from self._resolve(entry, told, now_ms)
 
-    def _resolve(self, entry: KeyEntry, told: KeyTold) -> Iterator[ClaimAction]:
+    def _resolve(
+        self, entry: KeyEntry, told: KeyTold, now_ms: float
+    ) -> Iterator[ClaimAction]:
         book = self._book
         book.remove(entry)
         for waiting in entry.waiting.values():
-            yield tell_status(waiting, told.status, told.digest, told.answer, book.rng)
+            yield book.tell(
+                waiting, entry.claim_id, told.status, told.digest, told.answer, now_ms
+            )
         for asker, claim_id in entry.askers.items():
             passed_on = KeyTold(
                 asker.incarnation,
@@ -241,6 +248,9 @@
             )
             yield from book.send(asker, passed_on)
 
-
-def _tell_held(event: KeyedArrived, held: HandedKey, rng: random.Random) -> ClaimAction:
-    return tell_status(event, held.status, held.digest, held.answer, rng)
+    def _tell_held(
+        self, event: KeyedArrived, held: HandedKey, now_ms: float
+    ) -> ClaimAction:
+        return self._book.tell(
+            event, held.claim_id, held.status, held.digest, held.answer, now_ms
+        )
--- a/packages/toucanyard/src/toucanyard/key_book.py
+++ b/packages/toucanyard/src/toucanyard/key_book.py
@@ -110,8 +110,13 @@
         return None if name is None else self._entries.get(name)
 
     def find_ended(self, name: KeyName) -> EndedKey | None:
-        """Return how the key ended here."""
-        return self._ended.get(name)
+        """Return how the key ended here, unless it is in use anew."""
+        ended = self._ended.get(name)
+        if ended is None or not ended.claim_id:
+            return ended
+        claim = self.index.find(name)
+        is_replaced = claim is not None and claim.claim_id != ended.claim_id
+        return None if is_replaced else ended
 
     def is_full(self, customer: CustomerName) -> bool:
         """Tell whether there is no room for another key of a customer."""
@@ -165,8 +170,9 @@
 
     def keep_ended(self, name: KeyName, ended: EndedKey) -> None:
         """Remember how a key ended."""
+        if self._ended.pop(name, None) is None:
+            self._count_by_customer[name.customer] += 1
         self._ended[name] = ended
-        self._count_by_customer[name.customer] += 1
 
     def keep_answer(self, entry: KeyEntry, answer: KeptAnswer) -> None:
         """Keep the whole answer of a key for its other tries."""
@@ -185,7 +191,7 @@
         for other in list(entry.waiting.values()):
             if other.body_digest != entry.digest:
                 self.forget_try(entry, other.request_id)
-                yield refuse(other, ErrorKind.KEY_REUSED, self.rng)
+                yield self.tell_running(other, entry, now_ms)
 
     def seal(self, entry: KeyEntry, now_ms: float) -> Iterator[ClaimAction]:
         """End a key that this node alone might dispatch and never will."""
@@ -240,15 +246,48 @@
         self.keep_ended(entry.name, ended)
         self.remove(entry)
         for waiting in entry.waiting.values():
-            yield self.tell_ended(waiting, ended)
+            yield self.tell_ended(waiting, ended, now_ms)
         for asker, claim_id in entry.askers.items():
             told = self.compose_told(asker, entry.name, claim_id, ended)
             yield from self.send(asker, told)
 
-    def tell_ended(self, event: KeyedArrived, ended: EndedKey) -> ClaimAction:
+    def tell(
+        self,
+        event: KeyedArrived,
+        claim_id: str,
+        status: KeyStatus,
+        digest: bytes,
+        answer: KeptAnswer | None,
+        now_ms: float,
+    ) -> ClaimAction:
+        """Compose what a try is told of a claim, or of an issued key.
+
+        Of a claim past its window nothing is said that speaks for the key: it may be
+        in use anew, and have run under a claim that this node has not read yet.
+        """
+        is_other_body = bool(digest) and digest != event.body_digest
+        is_denial = is_other_body or status is KeyStatus.NOT_RUN
+        name = KeyName(event.customer, event.key)
+        if is_denial and claim_id and not self.index.is_fresh(name, claim_id, now_ms):
+            return refuse(event, ErrorKind.OUTCOME_UNKNOWN, self.rng)
+        return tell_status(event, status, digest, answer, self.rng)
+
+    def tell_ended(
+        self, event: KeyedArrived, ended: EndedKey, now_ms: float
+    ) -> ClaimAction:
         """Compose what a try is told about a key that ended here."""
         answer = self._kept.find(KeyName(event.customer, event.key))
-        return tell_status(event, ended.status, ended.digest, answer, self.rng)
+        return self.tell(
+            event, ended.claim_id, ended.status, ended.digest, answer, now_ms
+        )
+
+    def tell_running(
+        self, event: KeyedArrived, entry: KeyEntry, now_ms: float
+    ) -> ClaimAction:
+        """Compose what a try is told that can't wait for a key under way here."""
+        return self.tell(
+            event, entry.claim_id, KeyStatus.RUNNING, entry.digest, None, now_ms
+        )
 
     def compose_told(
         self, to: NodeId, name: KeyName, claim_id: str, ended: EndedKey
--- a/tests/key_machine.py
+++ b/tests/key_machine.py
@@ -141,6 +141,41 @@
             world.pump(3, EndingSeen.COMPLETED)
             world.advance(50)
 
+    @precondition(lambda self: self.world.keys)
+    @rule(name=NODES, other=NODES, place=PLACES, is_read=st.booleans())
+    def reuse_behind(
+        self, name: NodeName, other: NodeName, place: int, is_read: bool
+    ) -> None:
+        """Use a key anew while a node is paused that claimed it or remembers a claim.
+
+        The paused node wakes and gets the retry, before or after it has read the log.
+        """
+        world = self.world
+        key = world.keys[place % len(world.keys)]
+        behind, first = world.nodes[name], world.nodes[other]
+        if behind is None or first is None or behind is first:
+            return
+        world.send(behind, key, b"one", tells_age=True)
+        world.work(behind)
+        world.land_all()
+        world.read(first)
+        world.work(first)
+        world.advance(70_000)
+        world.read(first)
+        first.inbox.append(Ticked())
+        world.work(first)
+        world.send(first, key, b"two", tells_age=False)
+        for _ in range(2):
+            world.work(first)
+            world.land_all()
+            world.read(first)
+        world.work(first)
+        if is_read:
+            world.read(behind)
+        world.work(behind)
+        world.send(behind, key, b"two", tells_age=False)
+        world.pump(2, EndingSeen.COMPLETED)
+
     @rule(name=NODES, count=st.integers(1, 4))
     def step(self, name: NodeName, count: int) -> None:
         node = self.world.nodes[name]
--- a/tests/key_mutations.py
+++ b/tests/key_mutations.py
@@ -46,6 +46,12 @@
         "if now_ms - read_ms < self._remember_ms:",
         "if now_ms < read_ms:",
     ),
+    Mutation(
+        "a claim past its window proves that nothing ran",
+        "claims",
+        "return age_ms < self._window_ms",
+        "return True",
+    ),
     Mutation(
         "an own claim that was given up counts as won",
         "claimed_keys",
@@ -61,8 +67,8 @@
     Mutation(
         "a dead claimer's key is reported as not run",
         "followed_keys",
-        "elif claim.is_abandoned:",
-        "elif claim.is_abandoned or book.is_replaced(claim.claimer):",
+        "if is_reused or claim.is_abandoned:",
+        "if is_reused or claim.is_abandoned or book.is_replaced(claim.claimer):",
     ),
     Mutation(
         "a key that the witness noted is reported as not run",
--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -107,6 +107,8 @@
         judged = self._find_judged()
         assert len(judged) <= 1, f"{self.text} ran twice: {judged}"
         self._check_reuse()
+        for at_ms, refused, kind in self.refused:
+            self._check_late_refusal(at_ms, refused, kind)
         for at_ms, refused, kind in self.refused:
             for execution in judged:
                 self._check_refusal(at_ms, refused, kind, execution)
@@ -122,6 +124,20 @@
             apart_ms = later_ms - earlier_ms
             assert apart_ms >= WINDOW_MS - 2 * DEADLINE_MS, f"{self.text} ran again"
 
+    def _check_late_refusal(self, at_ms: float, refused: Try, kind: ErrorKind) -> None:
+        """Fail when "not run" was said of a run that began in the window before it.
+
+        The key may be in use anew, and what a node remembers of its first use proves
+        nothing of the second.
+        """
+        if kind in WEAK_KINDS:
+            return
+        for each in self.executions:
+            is_meant = kind is not ErrorKind.KEY_REUSED or each.digest == refused.digest
+            since_ms = at_ms - each.allowed_ms
+            is_recent = 0 <= since_ms < WINDOW_MS - 2 * DEADLINE_MS
+            assert not (is_meant and is_recent), f"{self.text} {kind}, but it ran"
+
     def _find_judged(self) -> list[Execution]:
         if self.is_issued():
             return self.executions
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -25,6 +25,7 @@
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.key_messages import AskKey, KeyStatus, KeyTold, SealKey
 from toucanyard.key_records import (
+    AbandonRecord,
     ClaimRecord,
     KeyName,
     encode_record,
@@ -250,6 +251,41 @@
         assert not isinstance(action, RefuseKeyed) or action.ending is Ending.UNKNOWN
 
 
+def test_claim_past_its_window_proves_no_more_that_nothing_ran() -> None:
+    """A key was abandoned; past its window its caller uses it again at another node.
+
+    That node has forgotten the claim and runs the key. Its caller retries here, where
+    the old claim is remembered and the new one not read yet. "Not run" would be false.
+    """
+    node = make_node()
+    claim = make_claim("x", "k")
+    name = KeyName(CustomerName("c"), "k")
+    node.handle(read(0, claim, encode_record(AbandonRecord("x1-1", name))), 0)
+    for now_ms, kind in (
+        (599_000, ErrorKind.KEY_SEALED),
+        (601_000, ErrorKind.OUTCOME_UNKNOWN),
+    ):
+        [told] = node.handle(retry_at(now_ms), now_ms)
+        assert isinstance(told, RefuseKeyed)
+        assert told.kind is kind
+
+
+def test_claimer_that_slept_past_the_window_asks_who_ran_the_key() -> None:
+    """A claimer is stopped before it reads its claim back, and wakes after the window.
+
+    Another node has forgotten that claim and run the key for a retry. The claimer seals
+    its own claim, which is too late to run. Asked about the key, it must not tell the
+    end of its own claim: it is the other one's that counts.
+    """
+    node = make_node()
+    own = find_append(node.handle(arrive("r1"), 0))
+    node.handle(read_at(0, 0, own.text), 760_000)
+    node.handle(read_at(1, 755_000, make_claim("b", "k")), 760_000)
+    [asked] = node.handle(retry_at(760_000), 760_000)
+    assert isinstance(asked, SendToPeer)
+    assert asked.node == "b"
+
+
 def test_question_about_an_earlier_claim_gets_no_word_of_the_later_one() -> None:
     """A key ran here, and after its window was claimed here again, but not run.
 
