--- a/tests/features/shared_state.feature
+++ b/tests/features/shared_state.feature
@@ -40,3 +40,14 @@
     When an operator submits a patch on version 1 through node 1
     Then the patch is accepted as version 2
     And every node has version 2
+
+  # The same after a quiet time. A read of a quiet log takes its whole wait and the delay
+  # on top. Given up too early each time, the log would count as down for as long as it is
+  # slow, and the operator be told that the node can't tell which version is the newest.
+  Scenario: The log answers slowly and nothing was written for a while
+    Given a deployment with 2 nodes, 1 engines and 1 service
+    And each answer of the log takes 1500 ms
+    When 12 s pass
+    And an operator submits a patch on version 1 through node 1
+    Then the patch is accepted as version 2
+    And every node has version 2
