Split what is known of a request and what a dispatch shows from the request flow

Cause: request_flow held three jobs in 442 lines: the path of a request, the state of each, and what placement, admission, directory and records learn from a dispatch. Which endings prove that nothing ran stood in four places. Change: pending_requests holds the state, dispatch_feedback what is learned; the flow has 369 lines.

--- a/packages/toucanyard-node/src/toucanyard_node/attempts.py
+++ b/packages/toucanyard-node/src/toucanyard_node/attempts.py
@@ -13,6 +13,7 @@
 from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
 from toucanyard.key_answers import compute_unclaimed_ending
 from toucanyard.requests import (
+    PROVED_NOT_RUN,
     Dispatch,
     EndingSeen,
     Outcome,
@@ -161,7 +162,7 @@
 
     def _settle(self, ending: EndingSeen) -> None:
         self._is_in_flight = False
-        if ending not in (EndingSeen.NOT_SENT, EndingSeen.REFUSED):
+        if ending not in PROVED_NOT_RUN:
             self._may_have_run = True
 
     def _check(
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -23,7 +23,13 @@
 from toucanyard.names import EndpointName, Incarnation, RequestId
 from toucanyard.prefix_homes import MAX_POOLS, Homes, PoolUse, PoolUses, find_homes
 from toucanyard.rendezvous import EndpointRing
-from toucanyard.requests import EndingSeen, ModelTarget, Outcome, Request
+from toucanyard.requests import (
+    PROVED_NOT_RUN,
+    EndingSeen,
+    ModelTarget,
+    Outcome,
+    Request,
+)
 from toucanyard.scoring import (
     Considered,
     Prices,
@@ -200,7 +206,7 @@
         if outcome.ending == EndingSeen.COMPLETED and outcome.duration_ms > 0:
             use = self._uses.get(request.target.pool)
             use.note_duration(outcome.duration_ms)
-        if outcome.ending in (EndingSeen.NOT_SENT, EndingSeen.REFUSED):
+        if outcome.ending in PROVED_NOT_RUN:
             # Nothing was computed there: expecting its blocks would draw the prefix.
             view.cache.is_doubtful = True
 
--- a/packages/toucanyard/src/toucanyard/request_flow.py
+++ b/packages/toucanyard/src/toucanyard/request_flow.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Iterator, Sequence
-from typing import Final
 
 import msgspec
 
@@ -22,25 +20,31 @@
     ClaimAction,
     DispatchEnded,
     DispatchStarted,
-    KeyedArrived,
     RefuseKeyed,
     ReplayAnswer,
     SendToPeer,
 )
 from toucanyard.configuration import Configuration
 from toucanyard.core_events import AppendToLog, Reply
+from toucanyard.dispatch_feedback import DispatchFeedback
 from toucanyard.endpoint_choice import Choice, EndpointChoice, Limits
 from toucanyard.endpoint_directory import EndpointDirectory
 from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind
 from toucanyard.key_answers import compute_unclaimed_ending
 from toucanyard.names import EndpointName, RequestId
 from toucanyard.options import StreamLimits
+from toucanyard.pending_requests import (
+    PendingRequest,
+    Phase,
+    build_key_event,
+    find_unknown_kind,
+)
 from toucanyard.placement import Placed, Placement
 from toucanyard.request_records import RequestRecords
 from toucanyard.requests import (
+    PROVED_NOT_RUN,
     Dispatch,
     EndingSeen,
-    ModelTarget,
     Outcome,
     Refuse,
     Repeatability,
@@ -49,35 +53,9 @@
 )
 from toucanyard.silence_bounds import SilenceBounds
 
-_PROVED_NOT_RUN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
-_FAILED: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.FAILED, EndingSeen.LOST})
-
 FlowAction = Reply | AppendToLog | SendToPeer
 
 
-class _Phase(enum.Enum):
-    WAITING = enum.auto()
-    """Queued, or its key is undecided; a Reply is owed."""
-    RUNNING = enum.auto()
-
-
-class _Pending(msgspec.Struct):
-    """A request that is not over."""
-
-    request: Request
-    phase: _Phase = _Phase.WAITING
-    attempt: int = 0
-    priority: int = 0
-    is_key_allowed: bool = False
-    may_have_run: bool = False
-    """Never goes back to false: a later refusal must not say "not run"."""
-    placed: Placed | None = None
-    sent_ms: float = 0.0
-    weights_version: str | None = None
-    """Fixed once an answer has begun: it never goes on under other weights."""
-    tried: tuple[EndpointName, ...] = ()
-
-
 class RequestFlow:
     """All requests of one node that are not over.
 
@@ -100,10 +78,13 @@
         self._directory = directory
         self._silences = SilenceBounds(limits)
         self._max_attempts = max_attempts
-        self._pending: dict[RequestId, _Pending] = {}
+        self._pending: dict[RequestId, PendingRequest] = {}
         self._choice = EndpointChoice(admission, placement, directory)
         self._configuration = Configuration()
         self.records = RequestRecords()
+        self._feedback = DispatchFeedback(
+            admission, placement, directory, self._silences, self.records
+        )
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Decide by this configuration from now on."""
@@ -124,16 +105,16 @@
 
     def arrive(self, request: Request, now_ms: float) -> Iterator[FlowAction]:
         """Take in a new request."""
-        self._pending[request.request_id] = _Pending(request)
+        self._pending[request.request_id] = PendingRequest(request)
         self.records.open(request, now_ms)
-        event = _build_key_event(request)
+        event = build_key_event(request)
         if event is not None and not self._claims.may_dispatch(event):
             yield from self.apply_claims(self._claims.handle(event, now_ms), now_ms)
             return
         self._choice.tell_usable(request, now_ms)
         yield from self._apply_admission(self._admission.offer(request, now_ms), now_ms)
         pending = self._pending.get(request.request_id)
-        if pending is not None and pending.phase is _Phase.WAITING:
+        if pending is not None and pending.phase is Phase.WAITING:
             self.records.note_queued(request.request_id, now_ms)
 
     def leave(self, request_id: RequestId, now_ms: float) -> Iterator[FlowAction]:
@@ -151,7 +132,7 @@
         yield from self._apply_admission(actions_freed, now_ms)
 
     def _take_back(
-        self, pending: _Pending, placed: Placed, now_ms: float
+        self, pending: PendingRequest, placed: Placed, now_ms: float
     ) -> Iterator[FlowAction]:
         """End a dispatch whose order found no one: the caller had just left.
 
@@ -159,8 +140,7 @@
         key would count as running, and its work as load of the endpoint, for good.
         """
         request_id = pending.request.request_id
-        cancelled = Outcome(request_id, placed.endpoint, EndingSeen.CANCELLED)
-        self._placement.note_outcome(pending.request, cancelled, now_ms)
+        self._feedback.note_unsent(pending, placed, now_ms)
         unsent = Outcome(request_id, placed.endpoint, EndingSeen.NOT_SENT)
         yield from self._finish(pending, unsent, now_ms)
 
@@ -169,14 +149,8 @@
     ) -> None:
         """Take in that an answer has begun."""
         pending = self._pending.get(request_id)
-        if pending is None or pending.placed is None:
-            return
-        placed = pending.placed
-        self._placement.note_first_token(request_id, placed.endpoint, after_ms, now_ms)
-        computed_ms = placed.first_token_ms - placed.queue_ms
-        wait_ms = max(after_ms - computed_ms, 0.0)
-        self._admission.note_first_token(request_id, wait_ms, now_ms)
-        pending.weights_version = self._find_sent_weights(pending)
+        if pending is not None and pending.placed is not None:
+            self._feedback.note_first_token(pending, pending.placed, after_ms, now_ms)
 
     def end_dispatch(self, outcome: Outcome, now_ms: float) -> Iterator[FlowAction]:
         """Take in how a dispatch ended and decide what follows."""
@@ -184,7 +158,7 @@
         if pending is None:
             yield Reply(outcome.request_id, None)
             return
-        self._note_outcome(pending, outcome, now_ms)
+        self._feedback.note_outcome(pending, outcome, now_ms)
         if outcome.ending in (EndingSeen.COMPLETED, EndingSeen.CANCELLED):
             yield from self._finish(pending, outcome, now_ms)
             yield Reply(outcome.request_id, None)
@@ -236,7 +210,7 @@
         if pending is None:
             return
         pending.priority = priority
-        event = _build_key_event(request)
+        event = build_key_event(request)
         if event is None or pending.is_key_allowed:
             yield from self._dispatch(pending, now_ms)
             return
@@ -252,7 +226,7 @@
         self.records.note_claimed(request_id, now_ms)
         yield from self._dispatch(pending, now_ms)
 
-    def _dispatch(self, pending: _Pending, now_ms: float) -> Iterator[FlowAction]:
+    def _dispatch(self, pending: PendingRequest, now_ms: float) -> Iterator[FlowAction]:
         """Send a request to the best endpoint, or refuse it without one."""
         request = pending.request
         if request.deadline_ms <= now_ms:
@@ -268,20 +242,16 @@
         yield from self._send(pending, choice, now_ms)
 
     def _send(
-        self, pending: _Pending, choice: Choice, now_ms: float
+        self, pending: PendingRequest, choice: Choice, now_ms: float
     ) -> Iterator[FlowAction]:
         request = pending.request
         placed = choice.placed
         pending.attempt += 1
         pending.placed = placed
         pending.sent_ms = now_ms
-        pending.phase = _Phase.RUNNING
+        pending.phase = Phase.RUNNING
         pool = self._choice.find_pool(request)
-        self._placement.note_dispatch(request, placed, pool, now_ms)
-        work_ms = placed.first_token_ms - placed.queue_ms
-        self._admission.note_dispatch(
-            request.request_id, placed.endpoint, work_ms, now_ms
-        )
+        self._feedback.note_sent(pending, placed, pool, now_ms)
         if request.repeatability is Repeatability.KEYED:
             started = DispatchStarted(request.request_id)
             yield from self.apply_claims(self._claims.handle(started, now_ms), now_ms)
@@ -298,38 +268,12 @@
         )
         yield Reply(request.request_id, dispatch)
 
-    def _find_sent_weights(self, pending: _Pending) -> str | None:
-        if pending.placed is None or not isinstance(
-            pending.request.target, ModelTarget
-        ):
-            return None
-        reported = self._directory.find_weights(pending.placed.endpoint)
-        return reported or pending.request.target.weights_version
-
-    def _note_outcome(self, pending: _Pending, outcome: Outcome, now_ms: float) -> None:
-        request = pending.request
-        if outcome.ending not in _PROVED_NOT_RUN:
-            pending.may_have_run = True
-        if pending.weights_version is not None and outcome.weights_version:
-            pending.weights_version = outcome.weights_version
-        self._placement.note_outcome(request, outcome, now_ms)
-        if outcome.longest_pause_ms > 0:
-            self._silences.note_pause(outcome.endpoint, outcome.longest_pause_ms)
-        if outcome.ending in _PROVED_NOT_RUN:
-            self._directory.note_refusal(outcome.endpoint, now_ms)
-        elif outcome.ending is EndingSeen.COMPLETED:
-            self._directory.note_success(outcome.endpoint)
-        if outcome.ending in _FAILED:
-            self._admission.note_failure(request.request_id, now_ms)
-            self._directory.note_failure(outcome.endpoint, now_ms)
-        self.records.note_ended(request, outcome, pending.sent_ms, now_ms)
-
     def _retry_or_refuse(
-        self, pending: _Pending, outcome: Outcome, now_ms: float
+        self, pending: PendingRequest, outcome: Outcome, now_ms: float
     ) -> Iterator[FlowAction]:
         request = pending.request
         is_safe = (
-            outcome.ending in _PROVED_NOT_RUN
+            outcome.ending in PROVED_NOT_RUN
             or request.repeatability is Repeatability.REPEATABLE
         )
         if not is_safe:
@@ -345,14 +289,16 @@
         text = f"{pending.attempt} tries failed, the last at {outcome.endpoint}"
         yield from self._give_up(pending, ErrorKind.NO_ENDPOINT, text, now_ms, outcome)
 
-    def _may_retry(self, pending: _Pending, outcome: Outcome, now_ms: float) -> bool:
+    def _may_retry(
+        self, pending: PendingRequest, outcome: Outcome, now_ms: float
+    ) -> bool:
         """Tell whether another try is allowed; it may use up a part of the budget.
 
         A try that was turned away cost its endpoint next to nothing, and endpoints
         that turn away are left alone for a while, so such retries can't multiply an
         overload: they need no budget, only an endpoint that is willing.
         """
-        if outcome.ending not in _PROVED_NOT_RUN:
+        if outcome.ending not in PROVED_NOT_RUN:
             return self._admission.may_retry(pending.attempt)
         if pending.attempt >= self._max_attempts:
             return False
@@ -364,7 +310,7 @@
 
     def _give_up(
         self,
-        pending: _Pending,
+        pending: PendingRequest,
         kind: ErrorKind,
         text: str,
         now_ms: float,
@@ -373,7 +319,7 @@
         """Refuse at once a request that holds a slot, a key or both."""
         request = pending.request
         if pending.may_have_run:
-            kind = _find_unknown_kind(request)
+            kind = find_unknown_kind(request)
         ending = ANSWERS[kind].ending or Ending.UNKNOWN
         if outcome is None:
             outcome = Outcome(request.request_id, EndpointName(""), EndingSeen.NOT_SENT)
@@ -400,7 +346,7 @@
         yield from self._finish(pending, None, now_ms)
 
     def _finish(
-        self, pending: _Pending, outcome: Outcome | None, now_ms: float
+        self, pending: PendingRequest, outcome: Outcome | None, now_ms: float
     ) -> Iterator[FlowAction]:
         """Free what a request held: its key, its slot and its place here."""
         request_id = pending.request.request_id
@@ -421,22 +367,3 @@
             return refusal
         ending = compute_unclaimed_ending(request.key_age_ms)
         return msgspec.structs.replace(refusal, ending=ending)
-
-
-def _find_unknown_kind(request: Request) -> ErrorKind:
-    if request.repeatability is Repeatability.REPEATABLE:
-        return ErrorKind.ENDPOINT_LOST
-    return ErrorKind.OUTCOME_UNKNOWN
-
-
-def _build_key_event(request: Request) -> KeyedArrived | None:
-    if request.repeatability is not Repeatability.KEYED:
-        return None
-    return KeyedArrived(
-        request.request_id,
-        request.customer,
-        request.key,
-        request.body_digest,
-        request.deadline_ms,
-        request.key_age_ms,
-    )
--- a/packages/toucanyard/src/toucanyard/requests.py
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Final
 
 import msgspec
 
@@ -139,6 +140,10 @@
     """The caller went away."""
 
 
+PROVED_NOT_RUN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
+"""Endings after which the request surely did not run."""
+
+
 class Outcome(msgspec.Struct, frozen=True):
     """What is known when one dispatch has ended."""
 
