Count a pool once a plan, and test the rate at which loads start

Cause: each replica that could be ordered counted the loading, reachable and warm of its whole pool again; with 8 fresh ones of 880 that was most of a plan. And taking the limit on starts out failed no test.

Change: the counts are worked out once a plan and again after an order; a replica takes itself off them. The limit on starts is looked at first.

Tests: the pool's, unchanged, pass; seen failing on scratch copies: counts kept after an order, a replica counted for itself, and the new one without the limit on starts.

--- a/packages/toucanyard/src/toucanyard/orders.py
+++ b/packages/toucanyard/src/toucanyard/orders.py
@@ -111,6 +111,14 @@
     """When it was first asked after its last answer."""
 
 
+class _Counted(msgspec.Struct, frozen=True):
+    """How many endpoints of a pool may be loading, answer, and are warm as well."""
+
+    loading: int
+    reachable: int
+    warm: int
+
+
 class Need(enum.Enum):
     """Why the state of an endpoint is to be read."""
 
@@ -141,6 +149,8 @@
         self._starts = _STARTS_PER_S
         self._starts_ms = now_ms
         self._unusable: Set[EndpointName] = frozenset()
+        self._counted: _Counted | None = None
+        """Worked out once a plan, and again after an order of it."""
 
     def note_state(
         self, endpoint: EndpointName, state: EndpointState, asked_ms: float
@@ -224,6 +234,7 @@
         for name in set(self._replicas) - kept:
             del self._replicas[name]
         orders: list[SendOrder] = []
+        self._counted = None
         is_fenced = self._is_fenced(pool, now_ms)
         for endpoint in pool.endpoints:
             replica = self._replicas.setdefault(endpoint.name, _Replica())
@@ -233,6 +244,7 @@
             replica.order_id = order.order_id
             replica.ordered_ms = now_ms
             replica.is_load_open = order.kind is OrderKind.LOAD
+            self._counted = None
             orders.append(
                 SendOrder(self.pool, endpoint.name, endpoint.address, order, until_ms)
             )
@@ -293,18 +305,31 @@
         return True
 
     def _may_load(self, pool: Pool, endpoint: Endpoint, now_ms: float) -> bool:
-        others = [each for each in pool.endpoints if each.name != endpoint.name]
-        loading = sum(self._may_be_loading(each.name, now_ms) for each in others)
-        if loading >= MAX_LOADS:
-            return False
-        reachable = [each for each in others if self._is_reachable(each.name, now_ms)]
-        warm = sum(self._is_warm(each.name, now_ms) for each in reachable)
-        if warm < min(len(reachable), max(1, int(_WARM_SHARE * len(reachable)))):
-            return False
         passed_s = (now_ms - self._starts_ms) / 1000
         self._starts = min(_STARTS_PER_S, self._starts + passed_s * _STARTS_PER_S)
         self._starts_ms = now_ms
-        return self._starts >= 1
+        if self._starts < 1:
+            return False
+        if self._counted is None:
+            self._counted = self._count(pool, now_ms)
+        counted = self._counted
+        name = endpoint.name
+        if counted.loading - self._may_be_loading(name, now_ms) >= MAX_LOADS:
+            return False
+        reachable = counted.reachable - self._is_reachable(name, now_ms)
+        warm = counted.warm - self._is_serving(name, now_ms)
+        return warm >= min(reachable, max(1, int(_WARM_SHARE * reachable)))
+
+    def _count(self, pool: Pool, now_ms: float) -> _Counted:
+        names = [each.name for each in pool.endpoints]
+        return _Counted(
+            sum(self._may_be_loading(name, now_ms) for name in names),
+            sum(self._is_reachable(name, now_ms) for name in names),
+            sum(self._is_serving(name, now_ms) for name in names),
+        )
+
+    def _is_serving(self, name: EndpointName, now_ms: float) -> bool:
+        return self._is_reachable(name, now_ms) and self._is_warm(name, now_ms)
 
     def _may_be_loading(self, name: EndpointName, now_ms: float) -> bool:
         replica = self._replicas.get(name)
--- a/tests/toucanyard/test_pool_orders.py
+++ b/tests/toucanyard/test_pool_orders.py
@@ -150,6 +150,23 @@
     assert plan.plan(200.0)[0].endpoint in serving
 
 
+def test_loads_that_end_at_once_do_not_start_more_than_two_in_a_second() -> None:
+    """Small weights load in a moment. Ordered as fast as that, a large pool would ask
+    the weight store for more than it gives, and all loads would wait."""
+    plan = Plan(20)
+    plan.read_all(100.0, 20)
+    first = plan.plan(200.0)
+    assert len(first) == 2
+    for each in first:
+        plan.orders.note_outcome(
+            each.endpoint, each.order.order_id, OrderOutcome.DONE, 250.0
+        )
+    for number in (0, 1):
+        plan.read(number, 300.0, weights_version="w2")
+    assert plan.plan(400.0) == []
+    assert len(plan.plan(800.0)) == 1
+
+
 def test_stale_number_ends_the_duty() -> None:
     plan = Plan(1)
     plan.read_all(100.0, 1)
