Let a stand-in's engine carry an order out though its sender hangs up

The stand-in carried an order out in the task of its HTTP request, which is cancelled when the node that gave the order dies; the engine then counted as loading for good. Real engines go on ("carry them out late"), so the fault was the stand-in's. Ruled out: the duty's holder; it kept to two loads, as it must while it can't know better. Change: orders are carried out by a task of the engine. Known limit, not changed: an engine that really says it is loading for ever holds one of its pool's two places; nothing but its restart or a patch without it ends that.

--- a/packages/toucanyard-standins/src/toucanyard_standins/engine.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine.py
@@ -43,6 +43,22 @@
 
 _MIN_STEP_MS: Final = 0.1
 _STORE_RETRY_MS: Final = 100
+_MAX_ORDERS: Final = 100
+
+
+class _OrderWork:
+    """One accepted order; a crash meanwhile leaves it without effect on what follows.
+
+    Invariant: `done` is set once its effect is in `state`.
+    """
+
+    __slots__ = ("done", "kind", "state", "weights")
+
+    def __init__(self, state: EngineState, kind: OrderKind, weights: Weights) -> None:
+        self.state = state
+        self.kind = kind
+        self.weights = weights
+        self.done = trio.Event()
 
 
 class Engine:
@@ -63,6 +79,7 @@
         self._random = random.Random(options.seed)
         self._lost_event_share = options.lost_event_share
         self._work = trio.Event()
+        self._orders, self._accepted = trio.open_memory_channel[_OrderWork](_MAX_ORDERS)
         self.state = self._build_state()
 
     def _build_state(self) -> EngineState:
@@ -78,6 +95,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._compute)
             nursery.start_soon(self._report_load)
+            async for work in self._accepted:
+                nursery.start_soon(self._carry_out, work)
 
     def start_work(self) -> None:
         """Wake the computation after a request was submitted."""
@@ -170,12 +189,19 @@
         state.fence = max(state.fence, order.fence)
         weights = compute_weights(order, state.weights)
         state.is_loading = True
-        if order.kind is OrderKind.LOAD:
-            await self._load_weights(weights)
-        state.load(weights, self.model_time.now_ms())
-        state.is_loading = False
+        # Carried out by a task of the engine: whoever gave the order may hang up.
+        work = _OrderWork(state, order.kind, weights)
+        self._orders.send_nowait(work)
+        await work.done.wait()
         return None
 
+    async def _carry_out(self, work: _OrderWork) -> None:
+        if work.kind is OrderKind.LOAD:
+            await self._load_weights(work.weights)
+        work.state.load(work.weights, self.model_time.now_ms())
+        work.state.is_loading = False
+        work.done.set()
+
     async def _load_weights(self, weights: Weights) -> None:
         """Wait for leave of the weight store, then for the load."""
         load_ms = self.options.load_weights_ms
--- a/tests/toucanyard_standins/test_engine_face.py
+++ b/tests/toucanyard_standins/test_engine_face.py
@@ -292,3 +292,23 @@
     headers = (("X-Priority", "urgent"),)
     assert (await post(address, PATH, completion("a"), headers)).status == 400
     assert (await post(address, "/control", {"fault": "unknown"})).status == 400
+
+
+async def test_order_is_carried_out_though_its_sender_hangs_up(
+    nursery: trio.Nursery,
+) -> None:
+    # The node that gave the order dies while the engine loads. The load goes on; were
+    # it given up, the engine would count as loading for good and block a roll-out.
+    options = msgspec.structs.replace(FAST, load_weights_ms=1_000.0)
+    address = await start_engine(nursery, options)
+    connection = await connect(address, 5_000)
+    order = {"order_id": "o1", "fence": 5, "kind": "load", "weights_version": "w2"}
+    await connection.send("POST", "/v1/orders", (), msgspec.json.encode(order))
+    with trio.fail_after(10):
+        while not (await read(address, "/v1/state", EngineStateBody)).is_loading:
+            await trio.sleep(0.005)
+        await connection.close()
+        while (await read(address, "/v1/state", EngineStateBody)).is_loading:
+            await trio.sleep(0.005)
+    state = await read(address, "/v1/state", EngineStateBody)
+    assert state.weights_version == "w2"
