--- a/packages/toucanyard-standins/src/toucanyard_standins/campaign_callers.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/campaign_callers.py
@@ -31,7 +31,7 @@
 _PROMPTS: Final = 12
 _TOKENS: Final = (24, 240)
 _ANSWERED: Final = "answered"
-_NOT_RUN: Final = "not_run"
+_OPEN: Final = ""
 
 
 class HoldSeen(msgspec.Struct):
@@ -136,22 +136,23 @@
         )
         target = f"/v1/services/{SERVICE}/holds"
         body = seen.key.encode()
+        # Stays open when the campaign ends meanwhile: this try may yet run the hold.
+        seen.endings.append(_OPEN)
         try:
             answer = await ask(
                 node.address, "POST", target, CALLER_KEY, body, headers, _TIMEOUT_MS
             )
         except ConnectionFailedError:
-            seen.endings.append("")
             return self._rng.uniform(0.05, 0.5)
         return self._note_hold(answer, seen)
 
     def _note_hold(self, answer: Response, seen: HoldSeen) -> float | None:
         if answer.status == HTTP_OK:
-            seen.endings.append(_ANSWERED)
+            seen.endings[-1] = _ANSWERED
             seen.bodies.append(answer.body)
             return None if len(seen.bodies) > 1 else 0.0
         error = msgspec.json.decode(answer.body, type=_Refusal).error
-        seen.endings.append(error.ending)
+        seen.endings[-1] = error.ending
         return min((error.retry_after_ms or 0) / 1000, _MAX_WAIT_S)
 
     async def stream(self) -> StreamSeen:
