Test two resumes at once and pipelined requests

Of two connections that ask for one stream at once, one gets it to the end and the other is cut; requests sent ahead are answered in their order.

--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -307,3 +307,19 @@
         with trio.fail_after(1):
             await cancelled.wait()
         nursery.cancel_scope.cancel()
+
+
+async def test_pipelined_requests_are_answered_in_order() -> None:
+    """A caller sends its next requests before the first has its answer."""
+    async with serve(ServerLimits()) as (_, port):
+        bodies = (b"uno", b"dos", b"tres")
+        heads = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n%s\r\n%s"
+        last = b"Connection: close\r\n"
+        data = b"".join(
+            heads % (len(body), last if body is bodies[-1] else b"", body)
+            for body in bodies
+        )
+        answer = await exchange(port, data)
+        assert answer.count(b"HTTP/1.1 200") == len(bodies)
+        places = [answer.index(b"\r\n\r\n" + body) for body in bodies]
+        assert places == sorted(places)
--- a/tests/toucanyard_node/test_kept_streams.py
+++ b/tests/toucanyard_node/test_kept_streams.py
@@ -229,3 +229,32 @@
         answer = await served.ask("GET", STREAM, after(1))
         assert answer.status == 410
         await old.close()
+
+
+async def test_two_resume_at_once(autojump_clock: MockClock) -> None:
+    """A caller's library asks twice at the same moment for one stream.
+
+    One of the two gets everything to the end, and the other is cut, so that it can't
+    pass for whole; the engine is neither asked again nor cancelled.
+    """
+    engine = ScriptedEngine(TOKENS, Step(gap_s=0.3))
+    bodies: list[bytes] = []
+    cuts: list[ConnectionFailedError] = []
+
+    async with serve_in_memory([engine]) as served:
+
+        async def resume() -> None:
+            try:
+                bodies.append((await served.ask("GET", STREAM, after(0))).body)
+            except ConnectionFailedError as error:
+                cuts.append(error)
+
+        connection = await open_and_read(served, 4)
+        await connection.close()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(resume)
+            nursery.start_soon(resume)
+        assert [read_numbers(body) for body in bodies] == [[1, 2, 3, 4, 5, 6, 7]]
+        assert len(cuts) == 1
+        assert len(engine.requests) == 1
+        assert not engine.cancelled
