Look up the weights of a scored replica the short way

Each of up to 16 replicas had its report read twice for its weights.

The version is now kept where the report comes in, and the usual case takes the request's own chain at once.

--- a/packages/toucanyard/src/toucanyard/endpoint_views.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_views.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from toucanyard.cache_view import CacheView
-from toucanyard.load_view import LoadView
+from toucanyard.load_view import LoadReport, LoadView
 from toucanyard.names import EndpointName
 from toucanyard.requests import ModelTarget
 
@@ -28,6 +28,8 @@
     cache: CacheView
     load: LoadView
     asked_dump_ms: float = float("-inf")
+    weights_version: str = ""
+    """Weights that it last reported; empty while unknown."""
 
     def find_chain(self, target: ModelTarget) -> tuple[int, ...]:
         """Return a request's chain under the weights that the endpoint reports.
@@ -35,12 +37,23 @@
         While new weights are rolled out, replicas run two versions: under the desired
         one alone, all that still run the other would look empty, and be recomputed.
         """
-        return target.find_chain(self.find_weights())
-
-    def find_weights(self) -> str:
-        """Return the weights that the endpoint reports; empty while unknown."""
-        report = self.load.report
-        return "" if report is None else report.weights_version
+        # Asked for each endpoint scored: the usual case goes the short way.
+        if not self.has_other_weights(target):
+            return target.chain
+        return target.find_chain(self.weights_version)
+
+    def has_other_weights(self, target: ModelTarget) -> bool:
+        """Tell whether the endpoint reports other weights than those desired."""
+        weights = self.weights_version
+        return bool(weights) and weights != target.weights_version
+
+    def apply_report(self, report: LoadReport, now_ms: float) -> None:
+        """Take in a load report unless it is of an ended process or late."""
+        if self.cache.note_incarnation(report.incarnation):
+            self.load.apply_report(report, now_ms)
+            newest = self.load.report
+            assert newest is not None
+            self.weights_version = newest.weights_version
 
     def count_warm(self, target: ModelTarget) -> int:
         """Return how many leading blocks the endpoint is believed to hold."""
--- a/packages/toucanyard/src/toucanyard/placement.py
+++ b/packages/toucanyard/src/toucanyard/placement.py
@@ -214,9 +214,7 @@
         self, endpoint: EndpointName, report: LoadReport, now_ms: float
     ) -> None:
         """Take in a load report."""
-        view = self._view(endpoint)
-        if view.cache.note_incarnation(report.incarnation):
-            view.load.apply_report(report, now_ms)
+        self._view(endpoint).apply_report(report, now_ms)
 
     def apply_cache_events(
         self, endpoint: EndpointName, events: CacheEvents, now_ms: float
@@ -334,18 +332,17 @@
             policy.prefill_ms_per_block, slots, use.duration_ms / slots
         )
         trust = self._limits.prices.doubtful_trust
+        chain = view.find_chain(target)
         rank = homes.find_rank(name)
         return Considered(
             name=name,
             view=view,
             warm_blocks=warm_blocks,
-            believed_blocks=view.cache.compute_believed(
-                view.find_chain(target), warm_blocks, trust
-            ),
+            believed_blocks=view.cache.compute_believed(chain, warm_blocks, trust),
             rank=rank,
             reported_ms=reported_ms,
             is_widened_home=rank == 0 and len(homes.names) > 1,
-            has_old_weights=view.find_weights() not in ("", target.weights_version),
+            has_old_weights=view.has_other_weights(target),
         )
 
     def _score_service(self, name: EndpointName, now_ms: float) -> Score:
--- a/packages/toucanyard/src/toucanyard/requests.py
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -53,7 +53,8 @@
 
     def find_chain(self, weights_version: str) -> tuple[int, ...]:
         """Return the chain under an endpoint's weights; empty where unknown."""
-        if self.chains is None or weights_version in ("", self.weights_version):
+        is_desired = not weights_version or weights_version == self.weights_version
+        if is_desired or self.chains is None:
             return self.chain
         return self.chains.find_chain(weights_version)
 
