Ask a slow log not to wait as well

Cause: a version counts as confirmed from the time of asking. A read of a quiet log takes its wait of 1 s and the log's delay, so from 1.5 s an answer on the age grew beyond the bound of 5 s between two answers, and patches were refused as stale now and then.

Change: the wait is shortened by as much as the last answer without records was late.

Test: fails with the whole wait (never asked not to wait).

--- a/packages/toucanyard-node/src/toucanyard_node/log_reader.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_reader.py
@@ -72,6 +72,8 @@
         self._start: int | None = 0 if late_start is None else None
         self._limit = _LIMIT
         self._is_up: bool | None = None
+        self._delay_ms = 0.0
+        """How much later than its wait the last answer without records came."""
         self._patience = LogPatience(_MARGIN_MS)
 
     async def run(self) -> None:
@@ -125,7 +127,9 @@
 
     async def _read(self, start: int) -> None:
         asked_ms = trio.current_time() * 1000
-        wait_ms = self._wait_ms if self._is_up else 0
+        # A version is confirmed from the time of asking on. Where the log is slow, its
+        # wait on top of the delay would make it stale between two answers.
+        wait_ms = max(0, self._wait_ms - int(self._delay_ms)) if self._is_up else 0
         try:
             page = await self._ask(start, self._limit, wait_ms)
         except PageTooLargeError:
@@ -147,6 +151,8 @@
             raise
         took_ms = trio.current_time() * 1000 - began_ms
         patience.note_answer(max(took_ms - wait_ms, 0.0))
+        if not page.records:
+            self._delay_ms = max(took_ms - wait_ms, 0.0)
         return page
 
     def _take(self, start: int, page: LogPage, asked_ms: float) -> None:
--- a/tests/toucanyard_node/test_log_reader.py
+++ b/tests/toucanyard_node/test_log_reader.py
@@ -33,8 +33,10 @@
         self.oldest = oldest
         self.delay_ms = delay_ms
         self.read = 0
+        self.waits_ms: list[int] = []
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
+        self.waits_ms.append(int(request.query["wait_ms"]))
         await trio.sleep(self.delay_ms / 1000)
         start, limit = (int(request.query[name]) for name in ("from", "limit"))
         if start < self.oldest:
@@ -122,3 +124,23 @@
     log = LongLog(oldest=RECORDS - 10, delay_ms=130.0)
     events = await follow(log, LateStart(SPAN_MS, lambda: False), ups=1)
     assert find_reads(events)[-1][1] == RECORDS
+
+
+async def test_slow_log_is_not_asked_to_wait_as_well() -> None:
+    """Each answer comes late. With the wait on top the version would be confirmed less
+    often than it grows stale, and patches be refused now and then. Fast again, the log
+    is asked to wait, or it would be asked all the time."""
+    log = LongLog(oldest=RECORDS - 10, delay_ms=250.0)
+    async with trio.open_nursery() as nursery:
+        listener = await open_listener("127.0.0.1", 0)
+        server = HttpServer(log.handle, ServerLimits())
+        nursery.start_soon(server.serve, listener)
+        address = Address(f"127.0.0.1:{find_port(listener)}")
+        nursery.start_soon(follow_log, address, 200, lambda event: None)
+        with trio.fail_after(20):
+            while 200 not in log.waits_ms or log.waits_ms[-1] != 0:
+                await trio.sleep(0.01)
+            log.delay_ms = 0.0
+            while log.waits_ms[-1] == 0:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
