Let appends know from reads how slow the log is

Cause: with every answer 2 s late the first append after a quiet time was given up after 1 s and after 2 s before its patience was long enough: 5.7 s until the patch was in force. The reader knew the delay all the while.

Ruled out: one patience for both, since fast reads would then shorten the time of appends that alone are slow.

Change: a read without records tells the writer's patience, which it only lengthens.

Tests: appends not told: the slow log's test fails; reads that shorten: the patience's.

--- a/packages/toucanyard-node/src/toucanyard_node/log_reader.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_reader.py
@@ -47,9 +47,15 @@
     wait_ms: int,
     emit: Callable[[LogEvent], None],
     late_start: LateStart | None = None,
+    append_patience: LogPatience | None = None,
 ) -> None:
-    """Read the log until cancelled, from its first record on or from a late start."""
-    await _Reader(address, wait_ms, emit, late_start).run()
+    """Read the log until cancelled, from its first record on or from a late start.
+
+    `append_patience` learns from reads how slow the log is, before an append has to be
+    given up to find out.
+    """
+    reader = _Reader(address, wait_ms, emit, late_start, append_patience)
+    await reader.run()
 
 
 class _Reader:
@@ -64,8 +70,10 @@
         wait_ms: int,
         emit: Callable[[LogEvent], None],
         late_start: LateStart | None,
+        append_patience: LogPatience | None,
     ) -> None:
         self._address = address
+        self._append_patience = append_patience
         self._wait_ms = wait_ms
         self._emit = emit
         self._late_start = late_start
@@ -153,6 +161,8 @@
         patience.note_answer(max(took_ms - wait_ms, 0.0))
         if not page.records:
             self._delay_ms = max(took_ms - wait_ms, 0.0)
+            if self._append_patience is not None:
+                self._append_patience.note_delay(self._delay_ms)
         return page
 
     def _take(self, start: int, page: LogPage, asked_ms: float) -> None:
--- a/packages/toucanyard-node/src/toucanyard_node/log_writer.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_writer.py
@@ -23,10 +23,12 @@
     limits: ClaimLimits,
     outbox: trio.MemoryReceiveChannel[AppendToLog],
     emit: Callable[[AppendSettled], None],
+    patience: LogPatience | None = None,
 ) -> None:
     """Append what comes, at most `max_appends_per_s` times a second."""
     gatherer = BatchGatherer(limits)
-    patience = LogPatience(float(limits.append_timeout_ms))
+    if patience is None:
+        patience = LogPatience(float(limits.append_timeout_ms))
     while True:
         await _gather(gatherer, outbox)
         batch = gatherer.take(trio.current_time() * 1000)
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -16,6 +16,7 @@
 )
 from toucanyard.configuration import Configuration
 from toucanyard.core_events import AppendToLog, DrainBegun, ReadDump, SendMessage
+from toucanyard.log_patience import LogPatience
 from toucanyard.log_start import compute_span_ms
 from toucanyard.names import Address, Incarnation
 from toucanyard.node_core import CoreEvent
@@ -122,6 +123,7 @@
         """Run all tasks until cancelled."""
         options = self._options
         platform = options.platform
+        patience = LogPatience(float(options.claims.append_timeout_ms))
         async with trio.open_nursery() as nursery:
             await nursery.start(self._face.run)
             nursery.start_soon(self._task.run)
@@ -134,9 +136,15 @@
                     compute_span_ms(options.claims, options.configuration),
                     self._core.log.needs_older,
                 ),
+                patience,
             )
             nursery.start_soon(
-                write_log, platform.log, options.claims, self._appends, self._emit_now
+                write_log,
+                platform.log,
+                options.claims,
+                self._appends,
+                self._emit_now,
+                patience,
             )
             nursery.start_soon(
                 poll_vm_list,
--- a/packages/toucanyard/src/toucanyard/log_patience.py
+++ b/packages/toucanyard/src/toucanyard/log_patience.py
@@ -30,6 +30,10 @@
         """Take in that the log answered after so long."""
         self._set(took_ms * _SLACK)
 
+    def note_delay(self, took_ms: float) -> None:
+        """Take in that another question was answered after so long; only lengthens."""
+        self._set(max(self.timeout_ms, took_ms * _SLACK))
+
     def note_silence(self) -> None:
         """Take in that the log did not answer in time."""
         self._set(self.timeout_ms * 2)
--- a/tests/toucanyard/test_log_patience.py
+++ b/tests/toucanyard/test_log_patience.py
@@ -26,3 +26,15 @@
         else:
             patience.note_answer(took_ms)
         assert 1_000 <= patience.timeout_ms <= 8_000
+
+
+def test_reads_of_a_slow_log_lengthen_the_time_for_appends_only() -> None:
+    """Fast reads must not shorten it: a log may be slow for appends alone, and each
+    would be given up after the least time again."""
+    patience = LogPatience(1_000.0)
+    patience.note_delay(2_000.0)
+    assert patience.timeout_ms == 6_000.0
+    patience.note_delay(1.0)
+    assert patience.timeout_ms == 6_000.0
+    patience.note_answer(10.0)
+    assert patience.timeout_ms == 1_000.0
--- a/tests/toucanyard_node/test_log_reader.py
+++ b/tests/toucanyard_node/test_log_reader.py
@@ -9,6 +9,7 @@
 import trio
 
 from toucanyard.core_events import LogExpired, LogRead, LogReread, LogStateSeen
+from toucanyard.log_patience import LogPatience
 from toucanyard.names import Address
 from toucanyard_node import log_reader
 from toucanyard_node.http_exchange import HttpRequest, Responder
@@ -131,15 +132,18 @@
     often than it grows stale, and patches be refused now and then. Fast again, the log
     is asked to wait, or it would be asked all the time."""
     log = LongLog(oldest=RECORDS - 10, delay_ms=250.0)
+    patience = LogPatience(100.0)
     async with trio.open_nursery() as nursery:
         listener = await open_listener("127.0.0.1", 0)
         server = HttpServer(log.handle, ServerLimits())
         nursery.start_soon(server.serve, listener)
         address = Address(f"127.0.0.1:{find_port(listener)}")
-        nursery.start_soon(follow_log, address, 200, lambda event: None)
+        nursery.start_soon(follow_log, address, 200, lambda event: None, None, patience)
         with trio.fail_after(20):
             while 200 not in log.waits_ms or log.waits_ms[-1] != 0:
                 await trio.sleep(0.01)
+            # The first append then isn't given up before the log can answer it.
+            assert patience.timeout_ms >= 250.0
             log.delay_ms = 0.0
             while log.waits_ms[-1] == 0:
                 await trio.sleep(0.01)
