Let the machine reach the seeded fault of the old claim again

Ruled out: more examples; the fault needed a claim that was abandoned and a node asleep, by two rules in the right order. Before: 1 of 25 tests of test_at_most_once_machine.py fails. After: the rule that uses a key anew behind a sleeping node may first let its caller leave; caught after 33 examples, and all 25 tests pass. Conclusion: a fault that needs two rules in order deserves one rule.

--- a/tests/key_machine.py
+++ b/tests/key_machine.py
@@ -142,13 +142,20 @@
             world.advance(50)
 
     @precondition(lambda self: self.world.keys)
-    @rule(name=NODES, other=NODES, place=PLACES, is_read=st.booleans())
+    @rule(
+        name=NODES,
+        other=NODES,
+        place=PLACES,
+        is_left=st.booleans(),
+        is_read=st.booleans(),
+    )
     def reuse_behind(
-        self, name: NodeName, other: NodeName, place: int, is_read: bool
+        self, name: NodeName, other: NodeName, place: int, is_left: bool, is_read: bool
     ) -> None:
         """Use a key anew while a node is paused that claimed it or remembers a claim.
 
-        The paused node wakes and gets the retry, before or after it has read the log.
+        Its first caller may have left, so that the claim was abandoned. The paused node
+        wakes and gets the retry, before or after it has read the log.
         """
         world = self.world
         key = world.keys[place % len(world.keys)]
@@ -157,6 +164,11 @@
             return
         world.send(behind, key, b"one", tells_age=True)
         world.work(behind)
+        if is_left:
+            world.leave(behind, len(behind.waiting) - 1)
+            world.land_all()
+            world.read(behind)
+            world.work(behind)
         world.land_all()
         world.read(first)
         world.work(first)
