Explain requests that a face refused, and say why there is no record

A request for a model without a rule, with a bad body or header or an unknown service was refused with an id, and explain said of that id "no decision record"; so it did of mistyped ids, of old ones and of a restarted node's. locate on the operators' address said "no GET '/v1/locate'". Ruled out: records of requests without a customer's key (a stranger could push the customers' records out). Change: a face tells the core what it refused a customer; such refusals count in stats and metrics as well. explain says whether an id is none, too old, of a node before its restart or of a node that nobody knows; locate says that it takes the address for callers. Before: exit 8 and "no decision record". After: the refusal, its ending and its text, from any node (test with two real nodes). Changed tests: bad requests are now also checked to be told; the fake core takes the note. Conclusion: each refusal that a customer gets can be asked about.

--- a/packages/toucanyard-cli/src/toucanyard_cli/ask_commands.py
+++ b/packages/toucanyard-cli/src/toucanyard_cli/ask_commands.py
@@ -64,10 +64,16 @@
 def locate(nodes: tuple[str, ...], key_file: Path | None, is_json: bool) -> None:
     """Tell which node a caller should use.
 
-    Asks on the address for callers, with a customer's key.
+    Asks on the address for callers, not on the one for operators.
     """
     access = find_access(nodes, key_file)
-    body, reply = query(access, "/v1/locate", LocateAnswer)
+    try:
+        body, reply = query(access, "/v1/locate", LocateAnswer)
+    except CommandError as error:
+        if error.failure.exit_code is not ExitCode.NOT_FOUND:
+            raise
+        text = "not an address for callers: give theirs with --node"
+        raise CommandError(ExitCode.NOT_FOUND, text) from error
     click.echo(body if is_json else render_located(reply))
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/callers_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/callers_face.py
@@ -11,6 +11,7 @@
 import trio
 
 from toucanyard.configuration import Configuration, Customer
+from toucanyard.core_events import RequestTurnedAway
 from toucanyard.errorcodes import ErrorKind, RouterError
 from toucanyard.names import RequestId, ServiceName
 from toucanyard.options import Options
@@ -134,7 +135,7 @@
                 headers,
                 arrived_ms,
             )
-            await self._route(context)
+            await self._serve(context)
         except RouterError as error:
             await self._refuse(error, request, request_id, responder, headers)
         except CallerGoneError:
@@ -144,6 +145,21 @@
             internal = RouterError(ErrorKind.INTERNAL, "internal error")
             await self._refuse(internal, request, request_id, responder, headers)
 
+    async def _serve(self, context: CallerContext) -> None:
+        """Answer a customer; what is refused here can be asked about afterwards."""
+        try:
+            await self._route(context)
+        except RouterError as error:
+            refusal = build_refusal(error, context.request_id)
+            self._core.tell_turned_away(
+                RequestTurnedAway(
+                    context.customer.name,
+                    context.configuration.version,
+                    limit_to_key(refusal, context.http),
+                )
+            )
+            raise
+
     async def _route(self, context: CallerContext) -> None:
         method, path = context.http.method, context.http.path
         if path.startswith(_SERVICES):
--- a/packages/toucanyard-node/src/toucanyard_node/core_messages.py
+++ b/packages/toucanyard-node/src/toucanyard_node/core_messages.py
@@ -12,6 +12,7 @@
 import trio
 
 from toucanyard.configuration import Configuration
+from toucanyard.core_events import RequestTurnedAway
 from toucanyard.names import RequestId
 from toucanyard.requests import Outcome, Request, Verdict
 
@@ -46,7 +47,7 @@
     request_id: RequestId
 
 
-CoreMessage = Decide | FirstToken | Report | Abandon
+CoreMessage = Decide | FirstToken | Report | Abandon | RequestTurnedAway
 
 
 class CoreClient:
@@ -91,6 +92,10 @@
         """Tell the core about a first byte without waiting."""
         self._tell_now(FirstToken(request_id, after_ms))
 
+    def tell_turned_away(self, event: RequestTurnedAway) -> None:
+        """Tell the core that a face refused a request, to be asked about later."""
+        self._tell_now(event)
+
     def tell_cancelled(self, outcome: Outcome) -> None:
         """Tell the core from a cancelled task that a dispatch is over."""
         send, _ = trio.open_memory_channel[Verdict | None](1)
--- a/packages/toucanyard-node/src/toucanyard_node/operators_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operators_face.py
@@ -16,6 +16,7 @@
 from toucanyard.configuration import Configuration
 from toucanyard.core_events import PatchSubmitted
 from toucanyard.errorcodes import ErrorKind, RouterError
+from toucanyard.explanations import MAX_RECORDS
 from toucanyard.names import RequestId
 from toucanyard.options import Options
 from toucanyard.patches import Patch, find_owners
@@ -231,8 +232,8 @@
         self, request: HttpRequest, request_id: RequestId
     ) -> tuple[int, bytes]:
         """Ask the node that the id names; it checks the operator's key itself."""
-        text = f"no decision record of {request_id!r}"
         node_name = request_id.rsplit("-", 2)[0]
+        text = self._describe_missing(request_id)
         nodes = {vm.name: vm.operators for vm in self._core.membership.vms}
         address = nodes.get(node_name)
         # A forwarded question is never forwarded again, or two nodes with different
@@ -252,6 +253,22 @@
             ) from error
         return answer.status, answer.body
 
+    def _describe_missing(self, request_id: RequestId) -> str:
+        """Tell why there is no record, as far as the id shows."""
+        parts = request_id.rsplit("-", 2)
+        if len(parts) != 3 or not parts[2].isdecimal():
+            return f"{request_id!r} is no request id, expected NODE-INCARNATION-NUMBER"
+        node_name, incarnation, _ = parts
+        identity = self._core.identity
+        if node_name == identity.node and incarnation != identity.incarnation:
+            return f"no record of {request_id!r}: {node_name} has restarted since"
+        if node_name == identity.node:
+            return (
+                f"no record of {request_id!r}: no such request, or older than the"
+                f" newest {MAX_RECORDS:,} of {node_name}"
+            )
+        return f"no record of {request_id!r}: no node {node_name!r} is in the VM list"
+
     def _find_version(self, request: HttpRequest, name: str) -> Configuration:
         text = request.query.get(name)
         if text is None:
--- a/packages/toucanyard/src/toucanyard/core_events.py
+++ b/packages/toucanyard/src/toucanyard/core_events.py
@@ -13,6 +13,7 @@
 from toucanyard.load_view import LoadReport
 from toucanyard.names import (
     Address,
+    CustomerName,
     EndpointName,
     NodeId,
     NodeName,
@@ -24,7 +25,7 @@
     AppendResult,
     LogRecord,
 )
-from toucanyard.requests import Outcome, Request, Verdict
+from toucanyard.requests import Outcome, Refuse, Request, Verdict
 from toucanyard.vm_view import Vm
 from toucanyard.wire import PeerMessage
 
@@ -35,6 +36,14 @@
     request: Request
 
 
+class RequestTurnedAway(msgspec.Struct, frozen=True):
+    """A face refused a customer's request before asking about it; no answer."""
+
+    customer: CustomerName
+    configuration_version: int
+    refusal: Refuse
+
+
 class CallerLeft(msgspec.Struct, frozen=True):
     """The caller of a request without a verdict went away; nobody waits any more."""
 
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -51,6 +51,7 @@
     ReadDump,
     Reply,
     RequestArrived,
+    RequestTurnedAway,
     SendMessage,
     StateRead,
     TickPassed,
@@ -95,6 +96,7 @@
 
 CoreEvent = (
     RequestArrived
+    | RequestTurnedAway
     | CallerLeft
     | FirstTokenSeen
     | DispatchOver
@@ -212,7 +214,13 @@
 
     def _handle(self, event: CoreEvent, now_ms: float) -> Iterator[CoreAction]:
         match event:
-            case RequestArrived() | CallerLeft() | FirstTokenSeen() | DispatchOver():
+            case (
+                RequestArrived()
+                | RequestTurnedAway()
+                | CallerLeft()
+                | FirstTokenSeen()
+                | DispatchOver()
+            ):
                 yield from self._handle_request(event, now_ms)
             case (
                 LogRead()
@@ -247,12 +255,18 @@
 
     def _handle_request(
         self,
-        event: RequestArrived | CallerLeft | FirstTokenSeen | DispatchOver,
+        event: RequestArrived
+        | RequestTurnedAway
+        | CallerLeft
+        | FirstTokenSeen
+        | DispatchOver,
         now_ms: float,
     ) -> Iterator[CoreAction]:
         match event:
             case RequestArrived(request=request):
                 yield from _to_core(self.flow.arrive(request, now_ms))
+            case RequestTurnedAway():
+                self.flow.records.note_turned_away(event, now_ms)
             case CallerLeft(request_id=request_id):
                 yield from _to_core(self.flow.leave(request_id, now_ms))
             case FirstTokenSeen():
--- a/packages/toucanyard/src/toucanyard/request_records.py
+++ b/packages/toucanyard/src/toucanyard/request_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from toucanyard.core_events import RequestTurnedAway
 from toucanyard.explanations import (
     Claimed,
     DecisionRecord,
@@ -12,7 +13,7 @@
     Replayed,
     Sent,
 )
-from toucanyard.names import RequestId
+from toucanyard.names import CustomerName, RequestId
 from toucanyard.placement import Placed
 from toucanyard.requests import Outcome, Refuse, Request
 from toucanyard.statistics import StatisticsCollector
@@ -70,8 +71,28 @@
         )
         self.explanations.add_step(request.request_id, ended)
 
+    def note_turned_away(self, event: RequestTurnedAway, now_ms: float) -> None:
+        """Note that a face refused a request, which the core may never have seen."""
+        refusal = event.refusal
+        if self.explanations.find(refusal.request_id) is None:
+            self.explanations.open(
+                DecisionRecord(
+                    refusal.request_id,
+                    event.customer,
+                    event.configuration_version,
+                    now_ms,
+                    (),
+                )
+            )
+        self._add_refusal(refusal, event.customer, now_ms)
+
     def note_refused(self, request: Request, refusal: Refuse, now_ms: float) -> None:
         """Note that a request was refused, and why."""
+        self._add_refusal(refusal, request.customer, now_ms)
+
+    def _add_refusal(
+        self, refusal: Refuse, customer: CustomerName, now_ms: float
+    ) -> None:
         refused = Refused(
             now_ms,
             refusal.kind,
@@ -79,8 +100,8 @@
             refusal.text,
             refusal.retry_after_ms,
         )
-        self.explanations.add_step(request.request_id, refused)
-        self.statistics.record_refusal(request.customer, refusal.kind)
+        self.explanations.add_step(refusal.request_id, refused)
+        self.statistics.record_refusal(customer, refusal.kind)
 
     def note_replayed(self, request_id: RequestId, now_ms: float) -> None:
         """Note that an earlier try's answer was given."""
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -18,6 +18,7 @@
     Rule,
     Service,
 )
+from toucanyard.core_events import RequestTurnedAway
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import (
     Address,
@@ -120,6 +121,7 @@
         self.requests: list[Request] = []
         self.outcomes: list[Outcome] = []
         self.abandoned: list[RequestId] = []
+        self.turned_away: list[RequestTurnedAway] = []
         self.configuration = build_configuration()
         self._attempts: dict[RequestId, int] = {}
         send, self._receive = trio.open_memory_channel[CoreMessage](1_000)
@@ -138,6 +140,8 @@
                     reply.send_nowait(self._follow(outcome))
                 case Abandon(request_id):
                     self.abandoned.append(request_id)
+                case RequestTurnedAway():
+                    self.turned_away.append(message)
 
     def find_endings(self) -> list[EndingSeen]:
         """Return how the dispatches ended."""
--- a/tests/toucanyard/test_explanations.py
+++ b/tests/toucanyard/test_explanations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from toucanyard.core_events import RequestTurnedAway
+from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.explanations import (
     BATCH,
     MAX_OPEN,
@@ -10,10 +12,12 @@
     Ended,
     ExplanationRing,
     Queued,
+    Refused,
     Sent,
 )
 from toucanyard.names import CustomerName, EndpointName, RequestId
-from toucanyard.requests import EndingSeen
+from toucanyard.request_records import RequestRecords
+from toucanyard.requests import EndingSeen, Refuse
 from toucanyard.scoring import Score
 
 ENDPOINT = EndpointName("e")
@@ -66,3 +70,21 @@
     record = ring.find(make_id(3))
     assert record is not None
     assert len(record.steps) == MAX_STEPS
+
+
+def test_request_that_a_face_refused_can_be_asked_about() -> None:
+    """A customer names a model that no rule gives it, and shows us the request's id.
+
+    The core never saw the request, so without a note of the face the answer to "why"
+    would be that there is no such request.
+    """
+    records = RequestRecords()
+    text = "no rule for the model"
+    refusal = Refuse(make_id(1), ErrorKind.NOT_FOUND, Ending.NOT_RUN, text, 0)
+    records.note_turned_away(RequestTurnedAway(CustomerName("c"), 7, refusal), 5.0)
+    record = records.explanations.find(make_id(1))
+    assert record is not None
+    assert record.configuration_version == 7
+    (step,) = record.steps
+    assert step == Refused(5.0, ErrorKind.NOT_FOUND, Ending.NOT_RUN, text, 0)
+    assert records.statistics.list_refusals()[0].error == ErrorKind.NOT_FOUND
--- a/tests/toucanyard_cli/test_commands.py
+++ b/tests/toucanyard_cli/test_commands.py
@@ -164,6 +164,31 @@
     assert run("stats", answer(200, [])).exit_code == 1
 
 
+def test_locate_on_the_operators_address_says_which_one_it_takes(run: Run) -> None:
+    result = run("locate", refusal(404, "not_found"))
+    assert result.exit_code == 8
+    assert "not an address for callers" in result.output
+
+
+def test_rest_of_the_customers_has_a_line_of_its_own(run: Run) -> None:
+    quantiles = {"count": 1, "p50": 1.0, "p95": 1.0, "p99": 1.0, "max": 1.0}
+    rest = {
+        "customer": "",
+        "priority": "chat",
+        **dict.fromkeys(
+            ("first_token_ms", "token_gap_ms", "recomputed_tokens"), quantiles
+        ),
+        "prompt_tokens": 9,
+        "cached_tokens": 3,
+        "hit_rate": 0.3,
+        "answers": 7,
+        "is_rest": True,
+    }
+    result = run("stats", answer(200, {"groups": [rest], "refusals": []}))
+    assert result.exit_code == 0
+    assert "(all others)  chat   7" in result.output
+
+
 @pytest.mark.parametrize("name", main.commands)
 def test_every_command_has_help_and_json(run: Run, name: str) -> None:
     result = run(f"{name} --help")
--- a/tests/toucanyard_cli/test_real_nodes.py
+++ b/tests/toucanyard_cli/test_real_nodes.py
@@ -66,9 +66,13 @@
             await check_questions(ask_node)
         answer = await ask(nodes[0].address, "POST", "/v1/completions", CALLER_KEY)
         request_id = answer.headers["x-request-id"]
+        explained = await run(nodes[1], "explain", request_id)
+        assert explained.returncode == 0
+        assert b"refused: bad_request, not_run" in explained.stdout
         missing = await run(nodes[1], "explain", f"{request_id}0", "--json")
         assert missing.returncode == 8
         assert msgspec.json.decode(missing.stdout)["exit_code"] == 8
+        assert b"older than the newest" in missing.stdout
         assert (await run(nodes[0], "status", key=CALLER_KEY)).returncode == 7
 
         assert (await run(nodes[0], "drain")).returncode == 0
--- a/tests/toucanyard_node/test_callers_face.py
+++ b/tests/toucanyard_node/test_callers_face.py
@@ -99,6 +99,18 @@
         assert (answer.status, error["code"]) == (status, code)
         assert error["not_run"] is True
         assert "retry-after" not in answer.headers
+        (told,) = served.core.turned_away
+        assert told.refusal.request_id == answer.headers["x-request-id"]
+        assert told.refusal.kind == code
+
+
+async def test_stranger_leaves_no_record() -> None:
+    # Anybody can send requests without a key; recorded, they would push the records of
+    # customers out.
+    async with serve_in_memory([]) as served:
+        answer = await served.ask("GET", "/v1/nothing", (), "")
+        assert answer.status == 401
+        assert not served.core.turned_away
 
 
 @pytest.mark.parametrize(
--- a/tests/toucanyard_node/test_operators_face.py
+++ b/tests/toucanyard_node/test_operators_face.py
@@ -103,6 +103,22 @@
     trio.run(ask)
 
 
+async def test_missing_decision_is_told_with_its_reason() -> None:
+    """An operator asks about ids that were mistyped, that name a node before it was
+    restarted, that are too old, and that name a node which nobody knows."""
+    reasons = {
+        "foo": "is no request id",
+        "n1-x6-3": "n1 has restarted since",
+        "n1-x7-3": "older than the newest",
+        "n9-x7-3": "no node 'n9' is in the VM list",
+    }
+    async with serve_operators() as served:
+        for request_id, reason in reasons.items():
+            answer = await served.ask("GET", f"/explain/{request_id}")
+            assert answer.status == 404
+            assert reason in msgspec.json.decode(answer.body)["error"]["message"]
+
+
 VALUES = st.recursive(
     st.none() | st.booleans() | st.text(max_size=3) | st.sampled_from([-1, 0, 10**400]),
     lambda inner: (
