Look for the first endpoints fast for 10 s only

Cause: while nothing is watched a node looked for endpoints each 10 ms for ever. Ruled out: a longer time between the first looks (that is what the fast look is for). Change: a thousand fast looks, then one in 200 ms. Seen failing: without the count the new test finds 1,000 looks in 10 s, of 51 at most.

--- a/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
@@ -45,6 +45,9 @@
 _FIRST_REFRESH_MS: Final = 10
 """Until there is anything to watch: a node that starts places requests without a view
 of any cache, and after a herd restart all nodes heap them on the same few endpoints."""
+_FIRST_REFRESHES: Final = 1_000
+"""Looks at that rate, 10 s in all; a node that waits for its first configuration for
+longer would spend 3.5% of a core on them."""
 _MAX_LOAD_BYTES: Final = 65_536
 _MAX_DUMP_BYTES: Final = 32_000_000
 _DUMP_TIMEOUT_MS: Final = 5_000
@@ -133,11 +136,15 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
+        refreshes_left = _FIRST_REFRESHES
         async with trio.open_nursery() as nursery:
             while True:
                 self._refresh(nursery)
-                wait_ms = _REFRESH_MS if self._scopes else _FIRST_REFRESH_MS
-                await trio.sleep(wait_ms / 1000)
+                is_first = not self._scopes and refreshes_left > 0
+                refreshes_left -= is_first
+                await trio.sleep(
+                    (_FIRST_REFRESH_MS if is_first else _REFRESH_MS) / 1000
+                )
 
     async def read_dump(self, endpoint: EndpointName) -> None:
         """Fetch the list of an engine's blocks and emit it, if it can be had."""
--- a/tests/toucanyard_node/test_endpoint_watch.py
+++ b/tests/toucanyard_node/test_endpoint_watch.py
@@ -273,6 +273,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_node_without_endpoints_looks_for_them_seldom(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # Looked for each 10 ms for ever, endpoints that nobody has configured would take
+    # more of a core than everything else that an idle node does.
+    looks = 0
+
+    def find_nothing() -> tuple[list[Watched], int]:
+        nonlocal looks
+        looks += 1
+        return [], 0
+
+    async def ignore(event: WatchEvent) -> None:
+        del event
+
+    async with trio.open_nursery() as nursery:
+        watch = EndpointWatch(find_nothing, TIMINGS, ignore)
+        nursery.start_soon(watch.run)
+        await trio.sleep(20)
+        before = looks
+        await trio.sleep(10)
+        assert looks - before <= 51
+        nursery.cancel_scope.cancel()
+
+
 async def test_many_replicas_that_fail_share_a_rate_and_few_are_polled_fast(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
