Forget weights and refusals of endpoints that left the configuration

An endpoint that got an old name was taken to run the old one's weights until its first report, so prompts were scored by the wrong chain. Change: the directory drops what it knows of others when placement does. Before: the test of forgotten endpoints, with the weights in it, fails; after: it passes.

--- a/packages/toucanyard/src/toucanyard/endpoint_choice.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_choice.py
@@ -64,7 +64,9 @@
         # late at that one's removal may have made a view again. At the start it is
         # the snapshot that told of endpoints before their configuration.
         before = self._addresses or addresses
-        self._placement.retain_endpoints(addresses.keys() & before.keys())
+        same = addresses.keys() & before.keys()
+        self._placement.retain_endpoints(same)
+        self._directory.retain(same)
         self._addresses = addresses
 
     def find_pool(self, request: Request) -> Pool | None:
--- a/packages/toucanyard/src/toucanyard/endpoint_directory.py
+++ b/packages/toucanyard/src/toucanyard/endpoint_directory.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from typing import Final
 
 import msgspec
@@ -95,6 +95,12 @@
         """Take in the weights version that an endpoint reports."""
         self._weights[endpoint] = version
 
+    def retain(self, names: Set[EndpointName]) -> None:
+        """Drop what is known of other endpoints: a name may be given out again."""
+        for known in (self._weights, self._backoffs):
+            for gone in known.keys() - names:
+                del known[gone]
+
     def note_failure(self, endpoint: EndpointName, now_ms: float) -> None:
         """Take in that a dispatch or a poll of this node failed there."""
         self._expire(now_ms)
--- a/tests/toucanyard/test_node_core.py
+++ b/tests/toucanyard/test_node_core.py
@@ -199,6 +199,9 @@
     gone = engines[0].name
     dump = CacheDump(Incarnation("old"), 1, (1, 2, 3))
     world.handle(CacheDumpRead(gone, dump))
+    old_load = LoadReport(Incarnation("old"), 0, 0.0, weights_version="w0")
+    world.handle(LoadRead(gone, old_load, world.now_ms))
+    assert world.core.directory.find_weights(gone) == "w0"
     world.handle(CacheDumpRead(engines[1].name, CacheDump(Incarnation("b"), 1, (4,))))
     without = Pool(POOL, "m", "w1", engines[1:])
     apply_patch(
@@ -208,6 +211,7 @@
     world.handle(CacheDumpRead(gone, dump))
     apply_patch(world, build_patch("third", 2))
     assert world.core.placement.count_blocks() == 1
+    assert world.core.directory.find_weights(gone) is None
 
 
 def test_dump_of_a_new_process_is_asked_for_at_the_next_tick() -> None:
