Split what orders say from how they are planned

Cause: orders.py had 418 lines: the messages to and from endpoints, which the node's sender and the stand-ins import, and the plan for a pool, which they don't need. Change: order_messages holds the first; orders has 362 lines. Behaviour is unchanged: tests/toucanyard and test_order_sender pass (368), only their imports moved.

--- a/packages/toucanyard-node/src/toucanyard_node/core_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/core_task.py
@@ -31,7 +31,7 @@
 from toucanyard.names import Incarnation, RequestId
 from toucanyard.node_core import CoreAction, CoreEvent, NodeCore
 from toucanyard.options import Options
-from toucanyard.orders import OrderOutcome, ReadState, SendOrder
+from toucanyard.order_messages import OrderOutcome, ReadState, SendOrder
 from toucanyard.requests import Refuse, Verdict
 from toucanyard_node.core_messages import (
     Abandon,
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -21,7 +21,7 @@
 from toucanyard.names import Address, Incarnation
 from toucanyard.node_core import CoreEvent
 from toucanyard.options import Options
-from toucanyard.orders import ReadState, SendOrder
+from toucanyard.order_messages import ReadState, SendOrder
 from toucanyard.vm_view import Vm
 from toucanyard_node.callers_face import CallersFace, find_server_limits
 from toucanyard_node.core_task import CoreOutputs, CoreTask
--- a/packages/toucanyard-node/src/toucanyard_node/order_sender.py
+++ b/packages/toucanyard-node/src/toucanyard_node/order_sender.py
@@ -14,12 +14,7 @@
 import trio
 
 from toucanyard.core_events import OrderEnded, StateRead
-from toucanyard.orders import (
-    EndpointState,
-    OrderOutcome,
-    ReadState,
-    SendOrder,
-)
+from toucanyard.order_messages import EndpointState, OrderOutcome, ReadState, SendOrder
 from toucanyard_node.bounded_fetch import exchange_bounded, fetch_bounded
 from toucanyard_node.http_client import (
     Connect,
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_faults.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_faults.py
@@ -20,7 +20,7 @@
 from toucanyard.configuration import Customer, PlacementPolicy
 from toucanyard.names import CustomerName
 from toucanyard.options import CallerLimits, DrainTimings, Options
-from toucanyard.orders import EndpointState
+from toucanyard.order_messages import EndpointState
 from toucanyard.patches import Put
 from toucanyard_node.http_client import ConnectionFailedError, fetch
 from toucanyard_node.operator_answers import PatchBody, PatchReply
--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
@@ -24,7 +24,8 @@
     NodeName,
 )
 from toucanyard.options import ConfigurationTimings
-from toucanyard.orders import EndpointState, PoolOrders
+from toucanyard.order_messages import EndpointState
+from toucanyard.orders import PoolOrders
 from toucanyard.snapshots import encode_snapshot
 from toucanyard.vm_view import Vm
 from toucanyard_node.endpoint_answers import decode_events
--- a/packages/toucanyard/src/toucanyard/core_events.py
+++ b/packages/toucanyard/src/toucanyard/core_events.py
@@ -19,7 +19,7 @@
     NodeName,
     RequestId,
 )
-from toucanyard.orders import EndpointState, OrderOutcome, SendOrder
+from toucanyard.order_messages import EndpointState, OrderOutcome, SendOrder
 from toucanyard.patches import Patch
 from toucanyard.platform_log import (
     AppendResult,
--- a/packages/toucanyard/src/toucanyard/node_core.py
+++ b/packages/toucanyard/src/toucanyard/node_core.py
@@ -78,7 +78,7 @@
 )
 from toucanyard.options import Options
 from toucanyard.order_duties import OrderDuties
-from toucanyard.orders import ReadState, SendOrder
+from toucanyard.order_messages import ReadState, SendOrder
 from toucanyard.patches import list_endpoints
 from toucanyard.placement import Placement, PlacementLimits
 from toucanyard.request_flow import FlowAction, RequestFlow
--- a/packages/toucanyard/src/toucanyard/order_duties.py
+++ b/packages/toucanyard/src/toucanyard/order_duties.py
@@ -17,14 +17,9 @@
     NodeName,
     PoolName,
 )
+from toucanyard.order_messages import EndpointState, OrderOutcome, ReadState, SendOrder
 from toucanyard.order_reads import StateReads
-from toucanyard.orders import (
-    EndpointState,
-    OrderOutcome,
-    PoolOrders,
-    ReadState,
-    SendOrder,
-)
+from toucanyard.orders import PoolOrders
 
 _READ_MS: Final = 500.0
 """Time between two choices of what to read."""
--- a/packages/toucanyard/src/toucanyard/order_reads.py
+++ b/packages/toucanyard/src/toucanyard/order_reads.py
@@ -12,7 +12,8 @@
 
 from toucanyard.configuration import Endpoint, Pool
 from toucanyard.names import EndpointName
-from toucanyard.orders import Need, PoolOrders, ReadState
+from toucanyard.order_messages import ReadState
+from toucanyard.orders import Need, PoolOrders
 
 _MOST_UNSURE: Final = 32
 """Read together until each state is known and each number raised; a pool of 880 takes
--- a/packages/toucanyard/src/toucanyard/orders.py
+++ b/packages/toucanyard/src/toucanyard/orders.py
@@ -13,8 +13,15 @@
 
 import msgspec
 
-from toucanyard.configuration import Endpoint, Pool, Role
-from toucanyard.names import Address, EndpointName, Incarnation, PoolName
+from toucanyard.configuration import Endpoint, Pool
+from toucanyard.names import EndpointName, PoolName
+from toucanyard.order_messages import (
+    EndpointState,
+    Order,
+    OrderKind,
+    OrderOutcome,
+    SendOrder,
+)
 
 MAX_LOADS: Final = 2
 _WARM_SHARE: Final = 0.6
@@ -33,69 +40,6 @@
 """Loads that one holder starts in a second; the weight store takes few."""
 
 
-class OrderKind(enum.StrEnum):
-    """What an order changes."""
-
-    LOAD = "load"
-    ADAPTER = "adapter"
-    ROLE = "role"
-
-
-class Order(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One order, as an endpoint takes it."""
-
-    order_id: str
-    fence: int
-    kind: OrderKind
-    model: str = ""
-    adapter: str = ""
-    weights_version: str = ""
-    role: str = ""
-    expected_weights_version: str = ""
-
-
-class EndpointState(msgspec.Struct, frozen=True):
-    """What an endpoint says it has loaded."""
-
-    incarnation: Incarnation
-    model: str
-    weights_version: str
-    adapters: tuple[str, ...] = ()
-    role: str = Role.BOTH
-    is_loading: bool = False
-    checks_fence: bool = False
-    fence: int = 0
-
-
-class OrderOutcome(enum.StrEnum):
-    """What became of an order, as its sender saw it."""
-
-    DONE = "done"
-    NOT_SENT = "not_sent"
-    LOST = "lost"
-    """Sent, and no answer came: it may have taken effect, or may yet."""
-    STALE_FENCE = "stale_fence"
-    UNEXPECTED_STATE = "unexpected_state"
-    BUSY = "busy"
-
-
-class SendOrder(msgspec.Struct, frozen=True):
-    """Send an order to an endpoint, unless `until_ms` has passed."""
-
-    pool: PoolName
-    endpoint: EndpointName
-    address: Address
-    order: Order
-    until_ms: float
-
-
-class ReadState(msgspec.Struct, frozen=True):
-    """Ask an endpoint for its state."""
-
-    endpoint: EndpointName
-    address: Address
-
-
 class _Replica(msgspec.Struct):
     """What the holder knows of one endpoint."""
 
--- a/tests/support/operators.py
+++ b/tests/support/operators.py
@@ -18,7 +18,7 @@
     SendMessage,
 )
 from toucanyard.names import Address, Incarnation
-from toucanyard.orders import ReadState, SendOrder
+from toucanyard.order_messages import ReadState, SendOrder
 from toucanyard.platform_log import (
     LogRecord,
 )
--- a/tests/toucanyard/fleet_fakes.py
+++ b/tests/toucanyard/fleet_fakes.py
@@ -48,7 +48,7 @@
 )
 from toucanyard.node_core import CoreAction, CoreEvent, NodeCore
 from toucanyard.options import ListenOptions, Options, PlatformOptions
-from toucanyard.orders import OrderOutcome, ReadState, SendOrder
+from toucanyard.order_messages import OrderOutcome, ReadState, SendOrder
 from toucanyard.patches import Patch, Put
 from toucanyard.platform_log import AppendResult, LogRecord
 from toucanyard.requests import (
--- a/tests/toucanyard/order_fakes.py
+++ b/tests/toucanyard/order_fakes.py
@@ -19,7 +19,7 @@
     PoolName,
 )
 from toucanyard.order_duties import OrderDuties
-from toucanyard.orders import (
+from toucanyard.order_messages import (
     EndpointState,
     Order,
     OrderKind,
--- a/tests/toucanyard/test_order_duties.py
+++ b/tests/toucanyard/test_order_duties.py
@@ -12,7 +12,7 @@
     NodeName,
 )
 from toucanyard.order_duties import OrderDuties
-from toucanyard.orders import EndpointState, ReadState
+from toucanyard.order_messages import EndpointState, ReadState
 
 NODE = NodeId(NodeName("node-1"), Incarnation("a"))
 TICK_MS = 100
--- a/tests/toucanyard/test_orders.py
+++ b/tests/toucanyard/test_orders.py
@@ -3,7 +3,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from toucanyard.orders import EndpointState, Order, OrderKind, OrderOutcome
+from toucanyard.order_messages import EndpointState, Order, OrderKind, OrderOutcome
 
 from .order_fakes import OrderWorld
 
--- a/tests/toucanyard/test_pool_orders.py
+++ b/tests/toucanyard/test_pool_orders.py
@@ -4,14 +4,8 @@
 
 from toucanyard.configuration import Endpoint, Pool
 from toucanyard.names import Address, DomainName, EndpointName, Incarnation, PoolName
-from toucanyard.orders import (
-    EndpointState,
-    Need,
-    OrderKind,
-    OrderOutcome,
-    PoolOrders,
-    SendOrder,
-)
+from toucanyard.order_messages import EndpointState, OrderKind, OrderOutcome, SendOrder
+from toucanyard.orders import Need, PoolOrders
 
 LATER_MS = 60_000.0
 
--- a/tests/toucanyard_node/test_order_sender.py
+++ b/tests/toucanyard_node/test_order_sender.py
@@ -8,7 +8,13 @@
 from support.network import MemoryNetwork
 from toucanyard.core_events import OrderEnded, StateRead
 from toucanyard.names import Address, EndpointName, PoolName
-from toucanyard.orders import Order, OrderKind, OrderOutcome, ReadState, SendOrder
+from toucanyard.order_messages import (
+    Order,
+    OrderKind,
+    OrderOutcome,
+    ReadState,
+    SendOrder,
+)
 from toucanyard_node.http_client import Response
 from toucanyard_node.http_exchange import (
     HttpRequest,
