--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_restart.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_restart.py
@@ -41,14 +41,12 @@
 from toucanyard.patches import Patch, Put
 from toucanyard.snapshots import (
     EndpointHint,
-    PrefixHint,
     Snapshot,
     decode_snapshot,
     encode_snapshot,
 )
 
 _SIZES: Final = ((14, 8), (140, 80), (1_100, 400), (4_400, 1_600))
-_PREFIXES: Final = 4_096
 _POOL_SIZE: Final = 880
 _TIMINGS: Final = ConfigurationTimings()
 
@@ -109,9 +107,7 @@
             )
             for number in range(endpoints)
         ),
-        (),
-        tuple(PrefixHint(2**63 + n, 3, 1.5) for n in range(_PREFIXES)),
-        100,
+        next_offset=100,
     )
 
 
--- a/packages/toucanyard/src/toucanyard/snapshots.py
+++ b/packages/toucanyard/src/toucanyard/snapshots.py
@@ -1,8 +1,8 @@
 """Give a starting node what a running one knows, in parts of bounded size and rate.
 
 A snapshot has the configuration and, beside it, hints that make the first seconds
-better: incarnations, leaving addresses, weights, loads, hot prefixes. A node needs
-only the configuration to serve; everything else is learned again if it is missing.
+better: incarnations, leaving addresses, weights, loads. A node needs only the
+configuration to serve; everything else is learned again if it is missing.
 """
 
 from __future__ import annotations
@@ -21,7 +21,6 @@
 MAX_SNAPSHOT_BYTES: Final = 8_000_000
 PART_BYTES: Final = 65_536
 _MAX_ENDPOINTS: Final = 20_000
-_MAX_PREFIXES: Final = 4_096
 _SERVED_BYTES_PER_S: Final = 1_000_000
 _MAX_SERVED: Final = 2
 _GIVE_UP_MS: Final = 2_000.0
@@ -38,14 +37,6 @@
     age_ms: int
 
 
-class PrefixHint(msgspec.Struct, frozen=True, array_like=True):
-    """A hot prefix and how many replicas it is spread over."""
-
-    prefix: int
-    width: int
-    uses_per_s: float
-
-
 class Snapshot(msgspec.Struct, frozen=True):
     """What one node gives another at its start.
 
@@ -56,7 +47,6 @@
     configuration: CheckpointRecord | None
     endpoints: tuple[EndpointHint, ...] = ()
     leaving: tuple[Address, ...] = ()
-    prefixes: tuple[PrefixHint, ...] = ()
     next_offset: int = 0
 
 
@@ -96,12 +86,11 @@
     bounded = msgspec.structs.replace(
         snapshot,
         endpoints=snapshot.endpoints[:_MAX_ENDPOINTS],
-        prefixes=snapshot.prefixes[:_MAX_PREFIXES],
     )
     data = msgspec.msgpack.encode(bounded)
     if len(data) > MAX_SNAPSHOT_BYTES:
         # The hints are what can be done without.
-        bare = msgspec.structs.replace(bounded, endpoints=(), prefixes=())
+        bare = msgspec.structs.replace(bounded, endpoints=())
         data = msgspec.msgpack.encode(bare)
     return data
 
