Let the decision on keys use the one list of endings that prove nothing ran

Cause: PROVED_NOT_RUN stands beside the endings, and at_most_once kept the same list, only since a seeded fault of the state machine was that line. Behaviour is unchanged: tests/toucanyard passes with all seeded faults caught.

--- a/packages/toucanyard/src/toucanyard/at_most_once.py
+++ b/packages/toucanyard/src/toucanyard/at_most_once.py
@@ -66,9 +66,8 @@
 )
 from toucanyard.noted_keys import NotedKeys
 from toucanyard.options import ClaimLimits
-from toucanyard.requests import EndingSeen
+from toucanyard.requests import PROVED_NOT_RUN, EndingSeen
 
-_NEVER_RAN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})
 _HAS_ANSWER: Final = frozenset({EndingSeen.COMPLETED, EndingSeen.FAILED})
 
 MAX_KEY_CHARS: Final = 255
@@ -253,7 +252,7 @@
         if entry is None or entry.running != event.request_id:
             return
         is_cancelled = event.ending is EndingSeen.CANCELLED
-        if event.ending in _NEVER_RAN or (is_cancelled and not entry.is_started):
+        if event.ending in PROVED_NOT_RUN or (is_cancelled and not entry.is_started):
             yield from book.seal(entry, now_ms)
         elif event.ending in _HAS_ANSWER and event.answer is not None:
             book.keep_answer(entry, event.answer)
--- a/tests/key_mutations.py
+++ b/tests/key_mutations.py
@@ -109,14 +109,14 @@
     Mutation(
         "a lost dispatch is reported as not run",
         "at_most_once",
-        "_NEVER_RAN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.REFUSED})",
-        "_NEVER_RAN: Final = frozenset({EndingSeen.NOT_SENT, EndingSeen.LOST})",
+        "if event.ending in PROVED_NOT_RUN or",
+        "if event.ending in (EndingSeen.NOT_SENT, EndingSeen.LOST) or",
     ),
     Mutation(
         "a dispatch cancelled after its start is reported as not run",
         "at_most_once",
-        "if event.ending in _NEVER_RAN or (is_cancelled and not entry.is_started):",
-        "if event.ending in _NEVER_RAN or is_cancelled:",
+        "if event.ending in PROVED_NOT_RUN or (is_cancelled and not entry.is_started):",
+        "if event.ending in PROVED_NOT_RUN or is_cancelled:",
     ),
     Mutation(
         "the age of a key is not looked at",
