Read the node's time and its status in one place each

Cause: the watch had its own copy of the face's find_now_ms, the fault bench its own reading of a node's status beside the harness's. Steps of decision records repeated an option that they inherit. Change: find_now_ms stands with the node's clock, read_status in the harness.

--- a/packages/toucanyard-node/src/toucanyard_node/boot_clock.py
+++ b/packages/toucanyard-node/src/toucanyard_node/boot_clock.py
@@ -43,3 +43,8 @@
     def deadline_to_sleep_time(self, deadline: float) -> float:
         """Return how long to sleep until a deadline, in seconds."""
         return deadline - self._read_s()
+
+
+def find_now_ms() -> float:
+    """Return the node's time in milliseconds, by the clock that trio runs by."""
+    return trio.current_time() * 1000
--- a/packages/toucanyard-node/src/toucanyard_node/caller_context.py
+++ b/packages/toucanyard-node/src/toucanyard_node/caller_context.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 import msgspec
-import trio
 
 from toucanyard.configuration import Configuration, Customer, PriorityClass
 from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind, RouterError
@@ -176,8 +175,3 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.digest()
-
-
-def find_now_ms() -> float:
-    """Return the node's time."""
-    return trio.current_time() * 1000
--- a/packages/toucanyard-node/src/toucanyard_node/callers_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/callers_face.py
@@ -15,10 +15,10 @@
 from toucanyard.errorcodes import ErrorKind, RouterError
 from toucanyard.names import RequestId, ServiceName
 from toucanyard.options import Options
+from toucanyard_node.boot_clock import find_now_ms
 from toucanyard_node.caller_context import (
     CallerContext,
     build_refusal,
-    find_now_ms,
     limit_to_key,
 )
 from toucanyard_node.connection_pool import ConnectionPool
--- a/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/endpoint_watch.py
@@ -24,6 +24,7 @@
 from toucanyard.event_budget import DumpSizes, EventBudget
 from toucanyard.names import Address, EndpointName
 from toucanyard.options import MembershipTimings
+from toucanyard_node.boot_clock import find_now_ms
 from toucanyard_node.bounded_fetch import exchange_bounded, fetch_bounded
 from toucanyard_node.endpoint_answers import (
     AnswerInvalidError,
@@ -149,7 +150,7 @@
     async def read_dump(self, endpoint: EndpointName) -> None:
         """Fetch the list of an engine's blocks and emit it, if it can be had."""
         address = self._addresses.get(endpoint)
-        left_bytes = self._budget.compute_left_bytes(_find_now_ms())
+        left_bytes = self._budget.compute_left_bytes(find_now_ms())
         if address is None or not self._dump_sizes.is_affordable(endpoint, left_bytes):
             return
         max_bytes = min(int(left_bytes), _MAX_DUMP_BYTES)
@@ -158,12 +159,12 @@
                 address, "/v1/cache/dump", _DUMP_TIMEOUT_MS, max_bytes, self._connect
             )
             size_bytes = compute_answer_bytes(response)
-            self._budget.spend(size_bytes, _find_now_ms())
+            self._budget.spend(size_bytes, find_now_ms())
             self._dump_sizes.note_whole(endpoint, size_bytes)
             dump = decode_dump(response)
         except (ConnectionFailedError, AnswerInvalidError) as error:
             if isinstance(error, BodyTooLargeError):
-                self._budget.spend(max_bytes, _find_now_ms())
+                self._budget.spend(max_bytes, find_now_ms())
                 self._dump_sizes.note_cut(endpoint, max_bytes)
             _LOG.info("dump_unread", endpoint=endpoint, error=str(error)[:200])
             return
@@ -174,7 +175,7 @@
         self._wait_ms = compute_poll_wait_ms(self._timings, len(wanted), count)
         self._is_shared = len(wanted) < count
         rate = find_event_rate(self._timings, len(wanted), count)
-        self._budget.change_rate(rate, _find_now_ms())
+        self._budget.change_rate(rate, find_now_ms())
         for watched in set(self._scopes).difference(wanted):
             self._scopes.pop(watched).cancel()
         self._addresses = {
@@ -209,7 +210,7 @@
         failures = 0
         try:
             while True:
-                asked_ms = trio.current_time() * 1000
+                asked_ms = find_now_ms()
                 wait_ms = self._wait_ms
                 try:
                     report = decode_load(await poller.get(target))
@@ -228,7 +229,7 @@
                     failures = 0
                     self._failing.discard(endpoint.name)
                     await self._emit(LoadRead(endpoint.name, report, asked_ms))
-                spent_ms = trio.current_time() * 1000 - asked_ms
+                spent_ms = find_now_ms() - asked_ms
                 await trio.sleep(max(0.0, wait_ms - spent_ms) / 1000)
         finally:
             self._failing.discard(endpoint.name)
@@ -236,10 +237,6 @@
                 await poller.close()
 
 
-def _find_now_ms() -> float:
-    return trio.current_time() * 1000
-
-
 class _Poller:
     """Get small answers from one address on a connection that is kept."""
 
--- a/packages/toucanyard-node/src/toucanyard_node/event_follower.py
+++ b/packages/toucanyard-node/src/toucanyard_node/event_follower.py
@@ -18,6 +18,7 @@
     MIN_ANSWER_BYTES,
     EventBudget,
 )
+from toucanyard_node.boot_clock import find_now_ms
 from toucanyard_node.bounded_fetch import fetch_bounded
 from toucanyard_node.endpoint_answers import AnswerInvalidError, decode_events
 from toucanyard_node.http_client import (
@@ -102,7 +103,7 @@
 
     async def _wait_for_budget(self) -> None:
         """Wait until something may be taken in; skip ahead if that takes long."""
-        wait_ms = self._budget.compute_wait_ms(trio.current_time() * 1000)
+        wait_ms = self._budget.compute_wait_ms(find_now_ms())
         if wait_ms > MAX_LAG_MS:
             # Engines that are followed in turns, a part of the time each, tell more
             # than all of them a bit at a time: a view with gaps is doubtful for long.
@@ -137,4 +138,4 @@
         return decode_events(response)
 
     def _spend(self, size_bytes: float) -> None:
-        self._budget.spend(size_bytes, trio.current_time() * 1000)
+        self._budget.spend(size_bytes, find_now_ms())
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_faults.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_faults.py
@@ -45,6 +45,7 @@
     ask,
     hash_key,
     open_harness,
+    read_status,
     wait_until_serving,
 )
 from toucanyard_standins.plain_service import ServiceCounters
@@ -69,10 +70,6 @@
 _ENGINE: Final = ("--decode-step-ms", "5", "--decode-ms-per-sequence", "0")
 
 
-class _Status(msgspec.Struct, frozen=True):
-    version: int
-
-
 class _PoolShown(msgspec.Struct, frozen=True):
     weights_version: str
 
@@ -318,10 +315,8 @@
 
 async def find_version(node: ProcessHandle) -> int:
     """Return the version that a node shows, or -1."""
-    address = node.addresses["operators"]
     try:
-        answer = await ask(address, "GET", "/status", OPERATOR_KEY)
-        return msgspec.json.decode(answer.body, type=_Status).version
+        return (await read_status(node, OPERATOR_KEY)).version
     except (ConnectionFailedError, msgspec.DecodeError):
         return -1
 
--- a/packages/toucanyard-standins/src/toucanyard_standins/harness.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/harness.py
@@ -238,9 +238,19 @@
 class NodeStatus(msgspec.Struct, frozen=True):
     """What the harness reads of a node's status."""
 
+    version: int
     endpoints: tuple[SeenEndpoint, ...]
 
 
+async def read_status(node: ProcessHandle, operator_key: str) -> NodeStatus:
+    """Return a node's status.
+
+    Raise ConnectionFailedError, or msgspec.DecodeError when it answers something else.
+    """
+    answer = await ask(node.addresses["operators"], "GET", "/status", operator_key)
+    return msgspec.json.decode(answer.body, type=NodeStatus)
+
+
 async def wait_until_watching(
     node: ProcessHandle, operator_key: str, timeout_s: float = 10.0
 ) -> None:
@@ -248,9 +258,7 @@
     unseen: list[str] = []
     with trio.move_on_after(timeout_s):
         while True:
-            operators = node.addresses["operators"]
-            answer = await ask(operators, "GET", "/status", operator_key)
-            status = msgspec.json.decode(answer.body, type=NodeStatus)
+            status = await read_status(node, operator_key)
             unseen = [each.name for each in status.endpoints if not each.incarnation]
             if not unseen:
                 return
--- a/packages/toucanyard/src/toucanyard/explanations.py
+++ b/packages/toucanyard/src/toucanyard/explanations.py
@@ -32,19 +32,19 @@
     """
 
 
-class Claimed(_Step, frozen=True, gc=False, tag="claimed"):
+class Claimed(_Step, frozen=True, tag="claimed"):
     """The key was won, so this node alone may dispatch."""
 
     at_ms: float
 
 
-class Queued(_Step, frozen=True, gc=False, tag="queued"):
+class Queued(_Step, frozen=True, tag="queued"):
     """The request waits for a slot."""
 
     at_ms: float
 
 
-class Sent(_Step, frozen=True, gc=False, tag="sent"):
+class Sent(_Step, frozen=True, tag="sent"):
     """The request was sent to an endpoint; `scores` starts with the chosen one."""
 
     at_ms: float
@@ -54,7 +54,7 @@
     scores: tuple[Score, ...]
 
 
-class Ended(_Step, frozen=True, gc=False, tag="ended"):
+class Ended(_Step, frozen=True, tag="ended"):
     """One dispatch ended."""
 
     at_ms: float
@@ -65,7 +65,7 @@
     prompt_tokens: int
 
 
-class Refused(_Step, frozen=True, gc=False, tag="refused"):
+class Refused(_Step, frozen=True, tag="refused"):
     """The request was refused."""
 
     at_ms: float
@@ -75,7 +75,7 @@
     retry_after_ms: int
 
 
-class Replayed(_Step, frozen=True, gc=False, tag="replayed"):
+class Replayed(_Step, frozen=True, tag="replayed"):
     """An earlier try's answer was given again."""
 
     at_ms: float
