--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/bounded_output.py
@@ -0,0 +1,83 @@
+"""Write log lines to standard output without ever waiting for whoever reads it.
+
+Lines gather in a bounded buffer that one task writes out. When the reader is slow the
+buffer fills and further lines are dropped and counted; the count is a line of its own,
+so that a gap shows.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import deque
+from typing import Final
+
+import trio
+
+MAX_LINES: Final = 5_000
+"""Lines kept for a slow reader: a few seconds of the busiest node's."""
+FLUSH_S: Final = 0.05
+"""Time between two writes; one write for many lines saves most of their cost."""
+_WRITE_BYTES: Final = 65_536
+
+
+class BoundedOutput:
+    """The lines that wait to be written to one descriptor.
+
+    Invariant: at most MAX_LINES lines wait.
+    """
+
+    __slots__ = ("_descriptor", "_lines", "_rest", "dropped", "written")
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lines: deque[str] = deque()
+        self._rest = b""
+        self.dropped = 0
+        self.written = 0
+
+    def write(self, text: str) -> None:
+        """Take one line, without its end."""
+        if len(self._lines) >= MAX_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(text)
+
+    msg = debug = info = warning = error = critical = exception = write
+
+    async def run(self) -> None:
+        """Write lines out until cancelled."""
+        os.set_blocking(self._descriptor, False)
+        told = 0
+        while True:
+            if self.dropped > told:
+                self._lines.append(f"event=lines_dropped count={self.dropped - told}")
+                told = self.dropped
+            self.flush()
+            await trio.sleep(FLUSH_S)
+
+    def flush(self) -> None:
+        """Write what the reader takes at once."""
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = self._take_lines()
+            try:
+                sent_bytes = os.write(self._descriptor, self._rest[:_WRITE_BYTES])
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; lines are dropped like those of a full buffer.
+                self.dropped += len(self._lines)
+                self._lines.clear()
+                self._rest = b""
+                return
+            self._rest = self._rest[sent_bytes:]
+
+    def _take_lines(self) -> bytes:
+        lines: list[str] = []
+        size = 0
+        while self._lines and size < _WRITE_BYTES:
+            line = self._lines.popleft()
+            size += len(line) + 1
+            lines.append(line)
+        self.written += len(lines)
+        return ("\n".join(lines) + "\n").encode("utf-8", "replace")
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -11,6 +11,7 @@
 import math
 import select
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Final
 
 import h11
@@ -47,6 +48,8 @@
 
     status: int
     headers: dict[str, str]
+    fields: Headers = ()
+    """All headers in their order, with names as they came."""
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -81,6 +84,7 @@
 
     __slots__ = (
         "_connection",
+        "_is_cut",
         "_is_drained",
         "_pending",
         "_stream",
@@ -96,11 +100,12 @@
         self._stream = stream
         self._pending: object = None
         self._is_drained = False
+        self._is_cut = False
         self._connection = h11.Connection(h11.CLIENT)
 
     def is_reusable(self) -> bool:
         """Tell whether another request may be sent."""
-        if self._pending is not None:
+        if self._pending is not None or self._is_cut:
             return False
         states = (self._connection.our_state, self._connection.their_state)
         return states in ((h11.IDLE, h11.IDLE), (h11.DONE, h11.DONE))
@@ -127,19 +132,60 @@
 
         `stall_ms` bounds how long the other side may take none of it.
         """
+        named = (("Host", self.address), ("Content-Length", str(len(body))), *headers)
+        data = self._render(method, target, named, body)
+        sent_bytes = await self._send_first(data)
+        await self._send_rest(data, sent_bytes, stall_ms)
+
+    async def send_and_read_head(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> ResponseHead:
+        """Send a request whose headers are whole and read its answer's head.
+
+        An answer may come before all of a long body is sent, and the other side may
+        then read no more of it: waiting to have sent everything would wait for ever.
+        Such a connection is not used again, as the rest of the body is still due on it.
+        """
+        data = self._render(method, target, headers, body)
+        sent_bytes = await self._send_first(data)
+        if sent_bytes == len(data):
+            return await self.read_head()
+        self._is_cut = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_behind, data, sent_bytes)
+            try:
+                head = await self.read_head()
+            except ConnectionFailedError as error:
+                failure: ConnectionFailedError | None = error
+            else:
+                failure = None
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return head
+
+    async def _send_behind(self, data: bytes, sent_bytes: int) -> None:
+        """Send what is left; a failure shows to whoever reads the answer."""
+        with suppress(ConnectionFailedError):
+            await self._send_rest(data, sent_bytes, math.inf)
+            self._is_cut = False
+
+    def _render(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> bytes:
         connection = self._connection
         if connection.our_state is h11.DONE:
             connection.start_next_cycle()
-        named = (("Host", self.address), ("Content-Length", str(len(body))), *headers)
         encoded = [
-            (name.encode("ascii"), value.encode("latin-1")) for name, value in named
+            (name.encode("ascii"), value.encode("latin-1")) for name, value in headers
         ]
         head = h11.Request(method=method, target=target, headers=encoded)
         data = connection.send(head) or b""
         if body:
             data += connection.send(h11.Data(data=body)) or b""
-        data += connection.send(h11.EndOfMessage()) or b""
-        sent_bytes = await self._send_first(data)
+        return data + (connection.send(h11.EndOfMessage()) or b"")
+
+    async def _send_rest(self, data: bytes, sent_bytes: int, stall_ms: float) -> None:
         for begin in range(sent_bytes, len(data), _PIECE_BYTES):
             piece = memoryview(data)[begin : begin + _PIECE_BYTES]
             await self._send_piece(piece, stall_ms)
@@ -180,7 +226,11 @@
                 name.decode("ascii"): value.decode("latin-1")
                 for name, value in event.headers
             }
-            return ResponseHead(event.status_code, headers)
+            fields = tuple(
+                (name.decode("ascii"), value.decode("latin-1"))
+                for name, value in event.headers.raw_items()
+            )
+            return ResponseHead(event.status_code, headers, fields)
 
     async def read_part(self) -> bytes | None:
         """Read what has come of the body, in one piece; None at its end."""
--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -23,6 +23,8 @@
     body: bytes
     target: str = ""
     """Path and query as they came."""
+    fields: Headers = ()
+    """All headers in their order, with names as they came."""
 
 
 class CallerGoneError(Exception):
@@ -122,4 +124,8 @@
         headers=headers,
         body=body,
         target=head.target.decode("ascii", "replace"),
+        fields=tuple(
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in head.headers.raw_items()
+        ),
     )
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -47,6 +47,8 @@
     idle_timeout_ms: int = 60_000
     write_timeout_ms: int = 30_000
     """How long the other side may take nothing of an answer that waits for it."""
+    is_pipelined: bool = True
+    """Whether a request may come before the answer to the one before it."""
 
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -78,6 +80,10 @@
         self._nursery: trio.Nursery | None = None
         self._listener: trio.SocketListener | None = None
 
+    def apply_limits(self, limits: ServerLimits) -> None:
+        """Serve what arrives from now on within these limits."""
+        self._limits = limits
+
     async def serve(self, listener: trio.SocketListener) -> None:
         """Serve until stopped and the last request has its answer."""
         try:
@@ -151,7 +157,7 @@
             return False
         is_head_only = request.method == "HEAD"
         responder = Responder(connection, stream, is_head_only=is_head_only)
-        if self._is_stopping:
+        if self._is_stopping or self._has_surplus(connection):
             responder.close_after()
         await self._run_handler(request, responder, connection, stream)
         if connection.our_state is not h11.DONE:
@@ -161,6 +167,14 @@
         connection.start_next_cycle()
         return True
 
+    def _has_surplus(self, connection: h11.Connection) -> bool:
+        """Tell whether there is more behind a request than there should be.
+
+        It may be a second request that someone smuggled into the body of the first.
+        Closing after the answer makes sure that it is never read.
+        """
+        return not self._limits.is_pipelined and bool(connection.trailing_data[0])
+
     async def _run_handler(
         self,
         request: HttpRequest,
@@ -236,13 +250,18 @@
         self, connection: h11.Connection, stream: trio.SocketStream
     ) -> HttpRequest | ErrorKind | None:
         head: h11.Request | None = None
+        raw = bytearray(connection.trailing_data[0])
         body = bytearray()
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                await self._fill(connection, stream)
+                data = await self._fill(connection, stream)
+                if head is None:
+                    raw += data
             elif isinstance(event, h11.Request):
                 head = event
+                if has_unclear_end(event, bytes(raw)):
+                    return ErrorKind.BAD_REQUEST
                 if event.method == _TUNNEL:
                     return ErrorKind.METHOD_NOT_ALLOWED
                 # h11 bounds what it has to wait for, not what came in one piece.
@@ -261,11 +280,13 @@
 
     async def _fill(
         self, connection: h11.Connection, stream: trio.SocketStream
-    ) -> None:
+    ) -> bytes:
         if connection.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await stream.send_all(connection.send(go_on) or b"")
-        connection.receive_data(await stream.receive_some(_READ_BYTES))
+        data = bytes(await stream.receive_some(_READ_BYTES))
+        connection.receive_data(data)
+        return data
 
     async def _refuse(
         self, connection: h11.Connection, stream: trio.SocketStream, kind: ErrorKind
@@ -323,6 +344,20 @@
         kept_bytes += len(data)
 
 
+def has_unclear_end(head: h11.Request, raw: bytes) -> bool:
+    """Tell whether another reader could see this request end elsewhere.
+
+    The library takes lines that end in a bare line feed, and a length beside chunks. A
+    reader that doesn't would find a second request inside the body, and run it.
+    """
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names and b"content-length" in names:
+        return True
+    end = raw.find(b"\r\n\r\n")
+    lines = raw[: end + 2]
+    return end < 0 or lines.count(b"\n") != lines.count(b"\r\n")
+
+
 def _compute_head_bytes(head: h11.Request) -> int:
     """Return about how many bytes a request's head had."""
     headers = sum(len(name) + len(value) + 4 for name, value in head.headers)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/link_codec.py
@@ -0,0 +1,49 @@
+"""Say how links between nodes encode what they carry, and what they tell of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Generic, Protocol, TypeVar
+
+from toucanyard.names import NodeId, NodeName
+
+MessageT = TypeVar("MessageT")
+MessageT_co = TypeVar("MessageT_co", covariant=True)
+EventT = TypeVar("EventT")
+
+
+class Addressed(Protocol[MessageT_co]):
+    """A message to one peer."""
+
+    @property
+    def node(self) -> NodeName:
+        """Return the peer's name."""
+        ...
+
+    @property
+    def message(self) -> MessageT_co:
+        """Return what to send."""
+        ...
+
+
+class LinkCodec(Generic[MessageT, EventT]):
+    """The messages of one kind of link, and the events for whoever takes them.
+
+    `decode` raises MessageInvalidError.
+    """
+
+    __slots__ = ("build_linked", "build_read", "decode", "encode", "max_bytes")
+
+    def __init__(
+        self,
+        encode: Callable[[MessageT], bytes],
+        decode: Callable[[bytes], MessageT],
+        build_linked: Callable[[tuple[NodeId, ...]], EventT],
+        build_read: Callable[[NodeId, MessageT], EventT],
+        max_bytes: int,
+    ) -> None:
+        self.encode = encode
+        self.decode = decode
+        self.build_linked = build_linked
+        self.build_read = build_read
+        self.max_bytes = max_bytes
--- a/packages/toucanyard-node/src/toucanyard_node/logs.py
+++ b/packages/toucanyard-node/src/toucanyard_node/logs.py
@@ -1,4 +1,4 @@
-"""Set up logs: one line of key=value pairs for each event, on standard error.
+"""Set up logs: one line of key=value pairs for each event.
 
 Prompts and keys never reach a log call; only names, ids, counts and times do.
 """
@@ -11,10 +11,14 @@
 import structlog
 
 from toucanyard.names import NodeName
+from toucanyard_node.bounded_output import BoundedOutput
 
 
-def configure_logs(node: NodeName, level: str) -> None:
-    """Send every event to standard error as one key=value line."""
+def configure_logs(
+    node: NodeName, level: str, output: BoundedOutput | None = None
+) -> None:
+    """Send every event as one key=value line to an output, or to standard error."""
+    factory = structlog.PrintLoggerFactory(sys.stderr)
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -28,7 +32,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=factory if output is None else lambda *_: output,
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(node=node)
--- a/packages/toucanyard-node/src/toucanyard_node/node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/node.py
@@ -24,6 +24,7 @@
 from toucanyard.order_messages import ReadState, SendOrder
 from toucanyard.vm_view import Vm
 from toucanyard_node.callers_face import CallersFace, find_server_limits
+from toucanyard_node.core_links import CORE_LINKS
 from toucanyard_node.core_task import CoreOutputs, CoreTask
 from toucanyard_node.drain import DrainState, drain, wait_handed_over
 from toucanyard_node.endpoint_watch import EndpointWatch, Watched
@@ -112,6 +113,7 @@
             self._core.membership.find_peers,
             self._emit,
             self._rng,
+            CORE_LINKS,
         )
         self._watched_of: tuple[Configuration | None, tuple[Vm, ...]] = (None, ())
         self._watched: tuple[list[Watched], int] = ([], 0)
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from typing import Final
+from typing import Final, Generic
 
 import msgspec
 import structlog
@@ -19,20 +19,11 @@
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection, serve as serve_websockets
 
-from toucanyard.core_events import LinksChanged, MessageRead, SendMessage
-from toucanyard.names import (
-    NodeId,
-    NodeName,
-)
+from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.options import MembershipTimings
-from toucanyard.vm_view import Vm
-from toucanyard.wire import (
-    MAX_MESSAGE_BYTES,
-    MessageInvalidError,
-    PeerMessage,
-    decode_message,
-    encode_message,
-)
+from toucanyard.vm_view import UNNAMED, Vm
+from toucanyard.wire_errors import MessageInvalidError
+from toucanyard_node.link_codec import Addressed, EventT, LinkCodec, MessageT
 from toucanyard_node.peer_greeting import GreetingError, Side, greet
 from toucanyard_node.rate_limit import RateLimit
 
@@ -49,9 +40,6 @@
 _BYTES_PER_S: Final = 1_000_000
 _SEND_TIMEOUT_S: Final = 5.0
 
-LinkEvent = LinksChanged | MessageRead
-Emit = Callable[[LinkEvent], Awaitable[None]]
-
 
 class LinkCounts(msgspec.Struct):
     """What happened on all links since the start."""
@@ -63,14 +51,14 @@
     malformed: int = 0
 
 
-class _Link(msgspec.Struct, eq=False):
+class _Link(msgspec.Struct, Generic[MessageT], eq=False):
     peer: NodeId
     is_dialed: bool
-    queue: trio.MemorySendChannel[PeerMessage]
+    queue: trio.MemorySendChannel[MessageT]
     scope: trio.CancelScope
 
 
-class PeerLinks:
+class PeerLinks(Generic[MessageT, EventT]):
     """Hold this node's links.
 
     Invariants: one link at most to each node name, and a bounded number in all; every
@@ -83,8 +71,9 @@
         secrets: Sequence[str],
         timings: MembershipTimings,
         find_peers: Callable[[], Sequence[Vm]],
-        emit: Emit,
+        emit: Callable[[EventT], Awaitable[None]],
         rng: random.Random,
+        codec: LinkCodec[MessageT, EventT],
     ) -> None:
         self._identity = identity
         self._secrets = tuple(secrets)
@@ -92,7 +81,10 @@
         self._find_peers = find_peers
         self._emit = emit
         self._rng = rng
-        self._links: dict[NodeName, _Link] = {}
+        self._codec = codec
+        self._links: dict[NodeName, _Link[MessageT]] = {}
+        self._named: dict[Address, NodeName] = {}
+        """Who answered at the addresses of peers without a known name."""
         self._dialing: set[str] = set()
         self._dial_after_s: dict[str, float] = {}
         self._backoff_s: dict[str, float] = {}
@@ -102,7 +94,7 @@
     async def run(
         self,
         listener: trio.SocketListener,
-        outbox: trio.MemoryReceiveChannel[SendMessage],
+        outbox: trio.MemoryReceiveChannel[Addressed[MessageT]],
     ) -> None:
         """Accept, dial and carry messages until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -111,7 +103,7 @@
             async for message in outbox:
                 self._send(message)
 
-    def _send(self, message: SendMessage) -> None:
+    def _send(self, message: Addressed[MessageT]) -> None:
         link = self._links.get(message.node)
         if link is None:
             self.counts.dropped += 1
@@ -127,7 +119,7 @@
             self._accept,
             listeners=[listener],
             compression=None,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=self._codec.max_bytes,
             max_queue=2,
             open_timeout=_GREETING_TIMEOUT_S,
             ping_interval=None,
@@ -155,8 +147,10 @@
             peers = self._find_peers()
             self._forget_dials({vm.name for vm in peers})
             for vm in peers:
+                name = self._named.get(vm.peers, vm.name)
                 is_due = now_s >= self._dial_after_s.get(vm.name, 0.0)
-                is_wanted = vm.name not in self._links and vm.name not in self._dialing
+                is_wanted = name not in self._links and vm.name not in self._dialing
+                is_wanted = is_wanted and name != self._identity.node
                 if vm.peers and is_due and is_wanted:
                     self._dialing.add(vm.name)
                     nursery.start_soon(self._dial, vm)
@@ -192,7 +186,7 @@
             f"ws://{vm.peers}/",
             proxy=None,
             compression=None,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=self._codec.max_bytes,
             max_queue=2,
             open_timeout=_GREETING_TIMEOUT_S,
             ping_interval=None,
@@ -203,7 +197,9 @@
             scope.deadline = float("inf")
             if peer is None:
                 return
-            if peer.node != vm.name:
+            if vm.runs == UNNAMED:
+                self._named[vm.peers] = peer.node
+            elif peer.node != vm.name:
                 # The address was given to another node since the list was made.
                 _LOG.info("unexpected_peer", wanted=vm.name, found=peer.node)
                 return
@@ -231,8 +227,8 @@
     async def _run_link(
         self, socket: Connection, peer: NodeId, *, is_dialed: bool
     ) -> None:
-        queue, messages = trio.open_memory_channel[PeerMessage](_QUEUE)
-        link = _Link(peer, is_dialed, queue, trio.CancelScope())
+        queue, messages = trio.open_memory_channel[MessageT](_QUEUE)
+        link: _Link[MessageT] = _Link(peer, is_dialed, queue, trio.CancelScope())
         if not self._is_preferred(link):
             await socket.aclose(1000)
             return
@@ -255,7 +251,7 @@
                 with trio.CancelScope(shield=True):
                     await self._tell_links()
 
-    def _is_preferred(self, link: _Link) -> bool:
+    def _is_preferred(self, link: _Link[MessageT]) -> bool:
         """Tell whether a new link takes the place of one to the same node.
 
         When two nodes dial each other at once, both keep the link that the lower
@@ -270,7 +266,7 @@
         return link.is_dialed == (self._identity.node < link.peer.node)
 
     async def _read(self, socket: Connection, peer: NodeId) -> None:
-        limit = RateLimit(_MESSAGES_PER_S, _BYTES_PER_S, MAX_MESSAGE_BYTES)
+        limit = RateLimit(_MESSAGES_PER_S, _BYTES_PER_S, self._codec.max_bytes)
         silence_s = _SILENCE_INTERVALS * self._timings.digest_interval_ms / 1000
         while True:
             # Digests come at every interval, so silence means that something between
@@ -284,23 +280,23 @@
             try:
                 if isinstance(data, str):
                     raise MessageInvalidError("found text")
-                message = decode_message(data)
+                message = self._codec.decode(data)
             except MessageInvalidError as error:
                 self.counts.malformed += 1
                 _LOG.warning("message_malformed", peer=peer.node, error=str(error)[:99])
                 return
-            await self._emit(MessageRead(peer, message))
+            await self._emit(self._codec.build_read(peer, message))
             wait_s = limit.spend(len(data), trio.current_time())
             await trio.sleep(wait_s)
 
     async def _write(
         self,
         socket: Connection,
-        messages: trio.MemoryReceiveChannel[PeerMessage],
+        messages: trio.MemoryReceiveChannel[MessageT],
         nursery: trio.Nursery,
     ) -> None:
         async for message in messages:
-            data = encode_message(message)
+            data = self._codec.encode(message)
             with trio.move_on_after(_SEND_TIMEOUT_S) as scope:
                 await socket.send(data)
             if scope.cancelled_caught:
@@ -309,4 +305,4 @@
 
     async def _tell_links(self) -> None:
         peers = tuple(link.peer for link in self._links.values())
-        await self._emit(LinksChanged(peers))
+        await self._emit(self._codec.build_linked(peers))
--- a/packages/toucanyard-node/src/toucanyard_node/refusals.py
+++ b/packages/toucanyard-node/src/toucanyard_node/refusals.py
@@ -36,8 +36,12 @@
     body: bytes
 
 
-def render_refusal(refusal: Refuse) -> RenderedRefusal:
-    """Build status, headers and body of one refusal."""
+def render_refusal(refusal: Refuse, *, is_exact: bool = False) -> RenderedRefusal:
+    """Build status, headers and body of one refusal.
+
+    `is_exact` names the time to come back in fractions of a second, for callers known
+    to read them; the standard has whole seconds.
+    """
     answer = ANSWERS[refusal.kind]
     retry_after_ms = refusal.retry_after_ms if answer.is_retryable else None
     body = RefusalBody(
@@ -58,5 +62,7 @@
         ("X-Should-Retry", should_retry),
     ]
     if retry_after_ms is not None:
-        headers.append(("Retry-After", str(math.ceil(retry_after_ms / 1000))))
+        seconds = retry_after_ms / 1000
+        text = f"{seconds:.3f}" if is_exact else str(math.ceil(seconds))
+        headers.append(("Retry-After", text))
     return RenderedRefusal(answer.status, tuple(headers), msgspec.json.encode(body))
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_face.py
@@ -0,0 +1,155 @@
+"""Serve callers whose calls are relayed: route, key, limits, then the exchange."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from itertools import count
+from typing import Final
+
+import structlog
+import trio
+
+from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind, RouterError
+from toucanyard.names import CustomerName, RequestId
+from toucanyard.relay_requests import RelayRequest
+from toucanyard.requests import Refuse
+from toucanyard.routes import (
+    Route,
+    RoutedCustomer,
+    RouteIndex,
+    choose_service,
+)
+from toucanyard_node.http_exchange import HttpRequest, Responder
+from toucanyard_node.refusals import render_refusal
+from toucanyard_node.relay_exchange import RelayExchange
+from toucanyard_node.relay_ports import CallCodec, CallFacts, CallInvalidError
+from toucanyard_node.relay_task import RelayClient
+
+NO_ROUTES_RETRY_MS: Final = 300
+"""When to come back to a node that has just started; it reads its routes within less."""
+MAX_RANK: Final = 9
+_LOG: Final = structlog.get_logger()
+
+
+class RelayFace:
+    """Serve relayed calls."""
+
+    __slots__ = ("_client", "_codec", "_find_index", "_is_stopping", "_numbers", "_rng")
+
+    def __init__(
+        self,
+        client: RelayClient,
+        codec: CallCodec,
+        find_index: Callable[[], RouteIndex],
+        is_stopping: Callable[[], bool],
+        rng: random.Random,
+    ) -> None:
+        self._client = client
+        self._codec = codec
+        self._find_index = find_index
+        self._is_stopping = is_stopping
+        self._numbers = count(1)
+        self._rng = rng
+
+    async def handle(self, http: HttpRequest, responder: Responder) -> None:
+        """Answer one call."""
+        if self._is_stopping():
+            responder.close_after()
+        arrived_ms = trio.current_time() * 1000
+        try:
+            exchange = self._prepare(http, responder, arrived_ms)
+        except RouterError as error:
+            await self._turn_away(http, responder, error)
+            return
+        await exchange.run()
+
+    def _prepare(
+        self, http: HttpRequest, responder: Responder, arrived_ms: float
+    ) -> RelayExchange:
+        """Return the exchange of a call that may be sent on, or raise RouterError."""
+        index = self._find_index()
+        if not index.table.version:
+            # A refusal for a missing route or key would be final to its caller, and
+            # nothing is known of routes and keys yet.
+            text = "no routes are known yet"
+            raise RouterError(ErrorKind.NO_CONFIGURATION, text, NO_ROUTES_RETRY_MS)
+        path = http.target.partition("?")[0]
+        route = index.find_route(http.headers.get("host", ""), path)
+        if route is None:
+            raise RouterError(ErrorKind.NOT_FOUND, "no route covers this call")
+        try:
+            facts = self._codec.read_call(http)
+        except CallInvalidError as error:
+            raise RouterError(ErrorKind.BAD_REQUEST, str(error)) from error
+        customer = _find_customer(index, route, facts)
+        service = choose_service(route, self._rng)
+        if service is None:
+            raise RouterError(ErrorKind.NO_ENDPOINT, "the route has no service", 500)
+        request = RelayRequest(
+            request_id=RequestId(f"{facts.caller_id}-{next(self._numbers)}"),
+            caller_id=facts.caller_id,
+            customer=CustomerName("") if customer is None else customer.name,
+            is_walled=customer is not None and customer.is_walled,
+            route=route.name,
+            service=service,
+            repeatability=route.repeatability,
+            is_stream=route.is_stream,
+            is_resumable=route.is_resumable,
+            max_attempts=route.max_attempts,
+            rank=_find_rank(route, customer),
+            target_ms=route.target_ms,
+            arrived_ms=arrived_ms,
+            deadline_ms=arrived_ms + _find_time(route, facts),
+            table_version=index.table.version,
+            prompt=facts.prompt,
+        )
+        return RelayExchange(
+            self._client,
+            self._codec,
+            http,
+            responder,
+            request,
+            facts.last_event_id,
+            route.max_gap_ms,
+        )
+
+    async def _turn_away(
+        self, http: HttpRequest, responder: Responder, error: RouterError
+    ) -> None:
+        _LOG.info(
+            "turned_away",
+            kind=error.kind.value,
+            host=http.headers.get("host", "")[:64],
+            path=http.path[:64],
+            version=self._find_index().table.version,
+            reason=error.text,
+        )
+        ending = ANSWERS[error.kind].ending or Ending.NOT_RUN
+        refusal = Refuse(
+            RequestId(""), error.kind, ending, error.text, error.retry_after_ms or 0
+        )
+        rendered = render_refusal(refusal, is_exact=True)
+        await responder.send(rendered.status, rendered.headers, rendered.body)
+
+
+def _find_customer(
+    index: RouteIndex, route: Route, facts: CallFacts
+) -> RoutedCustomer | None:
+    customer = index.find_customer(facts.key) if facts.key else None
+    if customer is None and index.has_customers() and not route.is_public:
+        raise RouterError(ErrorKind.UNAUTHENTICATED, "the key is not known")
+    return customer
+
+
+def _find_rank(route: Route, customer: RoutedCustomer | None) -> int:
+    rank = route.rank
+    if customer is not None and customer.rank is not None:
+        rank = customer.rank
+    return min(max(rank, 0), MAX_RANK)
+
+
+def _find_time(route: Route, facts: CallFacts) -> int:
+    if facts.deadline_ms is None:
+        return route.timeout_ms
+    return min(facts.deadline_ms, route.timeout_ms)
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
@@ -0,0 +1,69 @@
+"""Write the log lines of relayed calls: one for each decision, with its inputs."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import structlog
+import trio
+
+from toucanyard.relay_requests import RelayDispatch, RelayRequest
+from toucanyard.requests import Refuse
+
+_LOG: Final = structlog.get_logger()
+
+
+def log_sent(dispatch: RelayDispatch) -> None:
+    """Say where a call goes and what decided that."""
+    reason = dispatch.reason
+    assert reason is not None
+    _LOG.info(
+        "sent",
+        call=dispatch.request_id,
+        replica=dispatch.replica,
+        attempt=dispatch.attempt,
+        weights=dispatch.weights_version,
+        score_ms=round(reason.total_ms, 1),
+        wait_ms=round(reason.wait_ms, 1),
+        unread=reason.unread_tokens,
+        fetched=reason.fetched_tokens,
+        fetch_from=dispatch.fetch_from,
+        considered=reason.considered,
+        queued_ms=round(reason.queued_ms),
+        view_age_ms=round(reason.view_age_ms),
+    )
+
+
+def log_refused(refusal: Refuse, version: int) -> None:
+    """Say why a call is refused, and when its caller is to come back."""
+    _LOG.info(
+        "refused",
+        call=refusal.request_id,
+        kind=refusal.kind.value,
+        ending=refusal.ending.value,
+        retry_after_ms=refusal.retry_after_ms,
+        reason=refusal.text,
+        version=version,
+    )
+
+
+def log_ended(
+    request: RelayRequest,
+    dispatch: RelayDispatch,
+    ending: str,
+    status: int,
+    text: str = "",
+) -> None:
+    """Say how a dispatch ended."""
+    _LOG.info(
+        "ended",
+        call=request.request_id,
+        replica=dispatch.replica,
+        attempt=dispatch.attempt,
+        ending=ending,
+        status=status,
+        after_ms=round(trio.current_time() * 1000 - request.arrived_ms),
+        reason=text,
+        route=request.route,
+        customer=request.customer,
+    )
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -0,0 +1,209 @@
+"""Assemble a node that relays calls: open its sockets, start its tasks, stop it."""
+
+from __future__ import annotations
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.link_messages import (
+    MAX_MESSAGE_BYTES,
+    decode_link_message,
+    encode_link_message,
+)
+from toucanyard.names import Address
+from toucanyard.options import MembershipTimings
+from toucanyard.relay_core import STATUS_MS, RelayCore
+from toucanyard.relay_events import LinkMessageRead, PeersLinked, RelayEvent, StopBegun
+from toucanyard.relay_events import SendToPeer as SendToPeer
+from toucanyard.roster import MAX_PEERS
+from toucanyard_node.bounded_output import BoundedOutput
+from toucanyard_node.http_client import split_address
+from toucanyard_node.http_exchange import HttpRequest, Responder
+from toucanyard_node.http_server import HttpServer, ServerLimits, open_listener
+from toucanyard_node.link_codec import LinkCodec
+from toucanyard_node.peer_links import PeerLinks
+from toucanyard_node.relay_face import RelayFace
+from toucanyard_node.relay_ports import CallCodec, ReplicaControl, Store
+from toucanyard_node.relay_store import Errands, StoreReader, keep_trying
+from toucanyard_node.relay_task import Errand, RelayTask
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+OUTBOX: Final = 10_000
+RESERVED_DESCRIPTORS: Final = 400
+"""Descriptors kept free of callers' connections, for files, peers and the store."""
+DESCRIPTORS_PER_CALL: Final = 2
+"""One towards the caller, one towards the replica."""
+STOP_MARGIN_MS: Final = 600.0
+"""How long before the process is killed it ends by itself."""
+CLOSE_MARGIN_MS: Final = 300.0
+"""Time beyond what callers keep addresses for until idle connections are closed."""
+LIMITS_S: Final = 0.1
+"""Time between two looks at the limits that operators set for callers."""
+_LOG: Final = structlog.get_logger()
+
+RELAY_LINKS: Final[LinkCodec[object, RelayEvent]] = LinkCodec(
+    encode_link_message,  # type: ignore[arg-type]
+    decode_link_message,
+    PeersLinked,
+    LinkMessageRead,  # type: ignore[arg-type]
+    MAX_MESSAGE_BYTES,
+)
+
+
+class Ports(msgspec.Struct, frozen=True):
+    """What the node is given to speak to the outside."""
+
+    calls: CallCodec
+    store: Store
+    replicas: ReplicaControl
+
+
+class Pages(msgspec.Struct, frozen=True):
+    """Handlers beside the callers' face, each with an address of its own."""
+
+    readiness: Handler
+    locator: Handler
+    metrics: Handler
+
+
+class RelayNode:
+    """All tasks of one node and the channels between them."""
+
+    def __init__(
+        self, core: RelayCore, ports: Ports, output: BoundedOutput, rng: random.Random
+    ) -> None:
+        self._options = core.options
+        self.core = core
+        self._ports = ports
+        self._output = output
+        self._stopping = trio.Event()
+        send, self._messages = trio.open_memory_channel[SendToPeer](OUTBOX)
+        send_errand, self._errands = trio.open_memory_channel[Errand](OUTBOX)
+        self._task = RelayTask(core, send, send_errand)
+        client = self._task.client
+        self._face = RelayFace(
+            client,
+            ports.calls,
+            lambda: core.index,
+            self._stopping.is_set,
+            rng,
+        )
+        self._server = HttpServer(self._face.handle, self._find_limits())
+        self._reader = StoreReader(core, client, ports.store)
+        self._doer = Errands(client, ports.store, ports.replicas)
+        timings = MembershipTimings(
+            max_peers=MAX_PEERS, digest_interval_ms=int(STATUS_MS)
+        )
+        self._links: PeerLinks[object, RelayEvent] = PeerLinks(
+            core.identity,
+            (self._options.peer_secret,),
+            timings,
+            core.roster.find_peers,
+            self._emit,
+            rng,
+            RELAY_LINKS,
+        )
+
+    async def run(self, pages: Pages) -> None:
+        """Run until the planned stop is over."""
+        listen = self._options.listen
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._output.run)
+            nursery.start_soon(self._watch_signals, nursery.cancel_scope)
+            nursery.start_soon(self._task.run)
+            nursery.start_soon(self._reader.run)
+            nursery.start_soon(self._doer.run, self._errands)
+            peers = await _listen(listen.peers)
+            nursery.start_soon(self._links.run, peers, self._messages)
+            nursery.start_soon(self._announce)
+            nursery.start_soon(self._follow_limits)
+            for address, handler in (
+                (listen.readiness, pages.readiness),
+                (listen.locator, pages.locator),
+                (listen.metrics, pages.metrics),
+            ):
+                server = HttpServer(handler, ServerLimits())
+                nursery.start_soon(server.serve, await _listen(address))
+            nursery.start_soon(self._server.serve, await _listen(listen.callers))
+            _LOG.info("started", callers=listen.callers, peers=listen.peers)
+            await self._stop()
+            nursery.cancel_scope.cancel()
+        _LOG.info("stopped")
+        self._output.flush()
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.core.is_ready() and not self._stopping.is_set()
+
+    async def _emit(self, event: RelayEvent) -> None:
+        self._task.client.tell(event)
+
+    def _find_limits(self) -> ServerLimits:
+        bounds = self.core.index.table.bounds
+        descriptors = self._options.max_descriptors - RESERVED_DESCRIPTORS
+        return ServerLimits(
+            max_connections=max(descriptors // DESCRIPTORS_PER_CALL, 1),
+            max_body_bytes=bounds.max_body_bytes,
+            max_header_bytes=bounds.max_header_bytes,
+            header_timeout_ms=bounds.header_timeout_ms,
+            idle_timeout_ms=bounds.idle_timeout_ms,
+            is_pipelined=False,
+        )
+
+    async def _follow_limits(self) -> None:
+        while True:
+            self._server.apply_limits(self._find_limits())
+            await trio.sleep(LIMITS_S)
+
+    async def _announce(self) -> None:
+        """Write where this node can be reached, so that others find it."""
+        record = self.core.own_record
+        await keep_trying(lambda: self._ports.store.append_node(record), "announce")
+
+    async def _watch_signals(self, scope: trio.CancelScope) -> None:
+        """Begin the planned stop on SIGTERM or SIGINT; end on the second one."""
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*wanted) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    _LOG.info("reload_asked", effect="settings are read at the start")
+                elif self._stopping.is_set():
+                    _LOG.warning("stopped_at_once")
+                    scope.cancel()
+                    return
+                else:
+                    self._stopping.set()
+
+    async def _stop(self) -> None:
+        """Wait for a planned stop and carry it out without cutting a call.
+
+        Callers go on to use the addresses that they know for a while, so the node
+        serves until that is over; only then it closes connections that are idle.
+        """
+        await self._stopping.wait()
+        begun_s = trio.current_time()
+        stop = self._options.stop
+        pending = self.core.flow.count_pending()
+        _LOG.info("stop_begun", pending=pending, grace_ms=stop.grace_ms)
+        self._task.client.tell(StopBegun())
+        keep_ms = stop.locate_ttl_ms * stop.keep_factor + CLOSE_MARGIN_MS
+        last_s = begun_s + (stop.grace_ms - STOP_MARGIN_MS) / 1000
+        await trio.sleep(keep_ms / 1000)
+        self._server.stop()
+        with trio.CancelScope(deadline=last_s):
+            await self._server.wait_stopped()
+            _LOG.info("stop_ended", is_clean=True)
+            return
+        left = self.core.flow.count_pending()
+        _LOG.warning("stop_ended", is_clean=False, left=left)
+
+
+async def _listen(address: Address) -> trio.SocketListener:
+    return await open_listener(*split_address(address))
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -0,0 +1,180 @@
+"""Own the core of a relaying node: feed it events in one order, carry out its actions.
+
+Every other task talks to this one through its inbox; replies go back on the channel
+that came with the question. Each decision is one log line.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.names import RequestId
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_events import (
+    AppendTurn,
+    CallArrived,
+    CallerLeft,
+    DispatchEnded,
+    FirstEventSeen,
+    Note,
+    ReadReplicaState,
+    ReadTurns,
+    RelayAction,
+    RelayEvent,
+    SendToPeer,
+    TickPassed,
+    WeightsOrder,
+)
+from toucanyard.relay_flow import RelayReply
+from toucanyard.relay_requests import (
+    RelayDispatch,
+    RelayOutcome,
+    RelayRequest,
+    RelayVerdict,
+)
+from toucanyard.requests import Refuse
+from toucanyard_node.relay_lines import log_refused, log_sent
+
+TICK_S: Final = 0.025
+_LOG: Final = structlog.get_logger()
+
+Reply = trio.MemorySendChannel[RelayVerdict | None]
+Errand = ReadTurns | AppendTurn | ReadReplicaState | WeightsOrder
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """An event that is answered by one verdict."""
+
+    event: CallArrived | DispatchEnded
+    reply: Reply
+
+
+class RelayClient:
+    """Ask the core's task from any other task."""
+
+    __slots__ = ("_inbox",)
+
+    def __init__(self, inbox: trio.MemorySendChannel[Ask | RelayEvent]) -> None:
+        self._inbox = inbox
+
+    async def decide(self, request: RelayRequest) -> RelayVerdict:
+        """Ask what to do with a new call; waits while it is queued."""
+        try:
+            verdict = await self._ask(CallArrived(request))
+        except trio.Cancelled:
+            self.tell(CallerLeft(request.request_id))
+            raise
+        assert verdict is not None
+        return verdict
+
+    async def report(self, outcome: RelayOutcome) -> RelayVerdict | None:
+        """Tell how a dispatch ended; return what to do next, if anything."""
+        try:
+            return await self._ask(DispatchEnded(outcome))
+        except trio.Cancelled:
+            self.tell(CallerLeft(outcome.request_id))
+            raise
+
+    def tell(self, event: RelayEvent) -> None:
+        """Tell the core something without waiting.
+
+        The inbox has no bound, so this never blocks or drops; callers' connections
+        bound it, since each has at most two messages under way.
+        """
+        self._inbox.send_nowait(event)
+
+    def tell_first(self, request_id: RequestId) -> None:
+        """Tell that the first part of an answer came."""
+        self.tell(FirstEventSeen(request_id))
+
+    def tell_ended(self, outcome: RelayOutcome) -> None:
+        """Tell how a dispatch ended that needs no further verdict."""
+        self.tell(DispatchEnded(outcome))
+
+    async def _ask(self, event: CallArrived | DispatchEnded) -> RelayVerdict | None:
+        send, receive = trio.open_memory_channel[RelayVerdict | None](1)
+        self._inbox.send_nowait(Ask(event, send))
+        return await receive.receive()
+
+
+class RelayTask:
+    """The task that owns the core.
+
+    Invariant: at most one reply channel is kept for each call, and it is used once.
+    """
+
+    def __init__(
+        self,
+        core: RelayCore,
+        messages: trio.MemorySendChannel[SendToPeer],
+        errands: trio.MemorySendChannel[Errand],
+    ) -> None:
+        self.core = core
+        self._messages = messages
+        self._errands = errands
+        self._replies: dict[RequestId, Reply] = {}
+        self.inbox, self._receive = trio.open_memory_channel[Ask | RelayEvent](2**31)
+        self.client = RelayClient(self.inbox)
+
+    async def run(self) -> None:
+        """Take messages until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tick)
+            async for message in self._receive:
+                self._take(message, trio.current_time() * 1000)
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            self.inbox.send_nowait(TickPassed())
+
+    def _take(self, message: Ask | RelayEvent, now_ms: float) -> None:
+        event = message
+        if isinstance(message, Ask):
+            event = message.event
+            self._replies[_find_id(message.event)] = message.reply
+        elif isinstance(message, CallerLeft):
+            self._replies.pop(message.request_id, None)
+        assert not isinstance(event, Ask)
+        for action in self.core.handle(event, now_ms):
+            self._carry_out(action)
+
+    def _carry_out(self, action: RelayAction) -> None:
+        match action:
+            case RelayReply(request_id=request_id, verdict=verdict):
+                self._reply(request_id, verdict)
+            case SendToPeer():
+                self._send_or_drop(action)
+            case ReadTurns() | AppendTurn() | ReadReplicaState() | WeightsOrder():
+                self._errands.send_nowait(action)
+            case Note(event=name, fields=fields):
+                _LOG.info(name, **fields)
+
+    def _send_or_drop(self, message: SendToPeer) -> None:
+        try:
+            self._messages.send_nowait(message)
+        except trio.WouldBlock:
+            _LOG.warning("message_dropped", peer=message.node)
+
+    def _reply(self, request_id: RequestId, verdict: RelayVerdict | None) -> None:
+        reply = self._replies.pop(request_id, None)
+        if reply is not None:
+            reply.send_nowait(verdict)
+        match verdict:
+            case RelayDispatch():
+                log_sent(verdict)
+            case Refuse():
+                log_refused(verdict, self.core.index.table.version)
+
+
+def _find_id(event: CallArrived | DispatchEnded) -> RequestId:
+    match event:
+        case CallArrived(request=request):
+            return request.request_id
+        case DispatchEnded(outcome=outcome):
+            return outcome.request_id
+
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/keyed_view.py
@@ -0,0 +1,147 @@
+"""Hold the newest record of each key of one topic of the platform's log.
+
+Records come from the log, from its list of newest records and from other nodes, in any
+order and more than once. Offsets decide which of two is newer, so a stale page or a
+peer that lags never undoes what is known.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final
+
+import msgspec
+
+MAX_TOMBSTONES: Final = 1_000
+"""Removed keys that are remembered, to tell a peer that lags of the removal."""
+
+
+class Topic(enum.StrEnum):
+    """What is kept in the platform's log, by who writes it."""
+
+    OPERATOR = "operator"
+    """Routes and wanted weights."""
+    REPLICAS = "replicas"
+    """What each replica says of itself."""
+    NODES = "nodes"
+    """Where each node can be reached."""
+
+
+class KeyedRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One record; without a value, its key has been removed."""
+
+    key: str
+    offset: int
+    value: bytes | None
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A key whose fact has changed; None after its removal."""
+
+    key: str
+    fact: object | None
+    before: object | None
+
+
+class _Held(msgspec.Struct, frozen=True):
+    record: KeyedRecord
+    fact: object | None
+
+
+Decode = Callable[[Topic, str, bytes], object | None]
+"""Turns a value into a typed fact; None for what can't be read or isn't wanted."""
+
+
+class KeyedView:
+    """The newest fact of each key of one topic.
+
+    Invariants: every record below `end` is in the view, or a newer one of its key;
+    `end` never falls; a key's offset never falls.
+    """
+
+    __slots__ = ("_complete_from", "_decode", "_held", "confirmed_ms", "end", "topic")
+
+    def __init__(self, topic: Topic, decode: Decode) -> None:
+        self.topic = topic
+        self.end = 0
+        self.confirmed_ms = float("-inf")
+        """When the store, asked by any node, last had nothing beyond `end`."""
+        self._decode = decode
+        self._held: dict[str, _Held] = {}
+        self._complete_from = 0
+
+    def list_facts(self) -> list[object]:
+        """Return the facts of all keys."""
+        return [held.fact for held in self._held.values() if held.fact is not None]
+
+    def list_since(self, offset: int) -> tuple[bool, list[KeyedRecord]]:
+        """Return whether the records are all there are, and those from an offset on."""
+        is_whole = offset < self._complete_from
+        records = [
+            held.record
+            for held in self._held.values()
+            if is_whole or held.record.offset >= offset
+        ]
+        if is_whole:
+            records = [each for each in records if each.value is not None]
+        return is_whole, records
+
+    def apply(
+        self, records: Sequence[KeyedRecord], end: int, *, is_whole: bool
+    ) -> list[Change]:
+        """Take in records that reach up to `end`; return what has changed.
+
+        `is_whole` tells that keys without a record have been removed.
+        """
+        changes = [change for each in records if (change := self._apply_one(each))]
+        if is_whole:
+            changes += self._drop_missing({each.key for each in records}, end)
+            self._complete_from = max(self._complete_from, end)
+        self.end = max(self.end, end)
+        self._trim()
+        return changes
+
+    def confirm(self, end: int, confirmed_ms: float) -> None:
+        """Note that the store had nothing beyond `end` at that time."""
+        if end <= self.end:
+            self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+
+    def _apply_one(self, record: KeyedRecord) -> Change | None:
+        held = self._held.get(record.key)
+        if held is not None and held.record.offset >= record.offset:
+            return None
+        before = None if held is None else held.fact
+        fact = None
+        if record.value is not None:
+            fact = self._decode(self.topic, record.key, record.value)
+        # A heartbeat that says nothing new keeps the older record: passed on, each would
+        # cost every link between nodes its bytes.
+        if fact is not None and fact == before:
+            return None
+        self._held[record.key] = _Held(record, fact)
+        return Change(record.key, fact, before) if fact != before else None
+
+    def _drop_missing(self, present: set[str], end: int) -> Iterable[Change]:
+        gone = [
+            key
+            for key, held in self._held.items()
+            if key not in present and held.record.offset < end
+        ]
+        changes = []
+        for key in gone:
+            before = self._held.pop(key).fact
+            if before is not None:
+                changes.append(Change(key, None, before))
+        return changes
+
+    def _trim(self) -> None:
+        dead = [
+            held.record for held in self._held.values() if held.record.value is None
+        ]
+        if len(dead) <= MAX_TOMBSTONES:
+            return
+        dead.sort(key=lambda record: record.offset)
+        for record in dead[: len(dead) // 2]:
+            del self._held[record.key]
+            self._complete_from = max(self._complete_from, record.offset + 1)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -0,0 +1,102 @@
+"""Messages between nodes that relay calls, and their encoding as CBOR.
+
+All of them may be lost or come twice: each says what is, not what changed, and the
+next status shows what is still missing.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import cbor2
+import msgspec
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import EndpointName
+from toucanyard.wire_errors import MessageInvalidError
+
+MAX_MESSAGE_BYTES: Final = 4_000_000
+
+
+class ViewStatus(msgspec.Struct, frozen=True, array_like=True):
+    """How far a node knows one topic."""
+
+    topic: Topic
+    end: int
+    confirmed_age_ms: float
+    """Time since the store confirmed `end`; negative if it never did."""
+
+
+class ReplicaUse(msgspec.Struct, frozen=True, array_like=True):
+    """What one node has under way at one replica."""
+
+    replica: EndpointName
+    running: int
+    tokens: int
+    """Tokens in the replica's memory for them."""
+    unread_tokens: int
+    """Prompt tokens still to be read there."""
+
+
+class ReplicaNews(msgspec.Struct, frozen=True, array_like=True):
+    """What the node that orders weights knows of a replica before the store does."""
+
+    replica: EndpointName
+    loading_left_ms: float
+    """How long it takes no new calls, since it loads weights; 0 if it does."""
+    weights: tuple[tuple[str, int], ...]
+
+
+class ReadPart(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a prompt that a replica has just read, or is about to read."""
+
+    replica: EndpointName
+    scope: str
+    part: str
+    tokens: int
+    ready_in_ms: float
+
+
+class NodeStatus(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """What a node tells its peers of itself, several times a second."""
+
+    is_ready: bool
+    views: tuple[ViewStatus, ...]
+    uses: tuple[ReplicaUse, ...] = ()
+    news: tuple[ReplicaNews, ...] = ()
+    parts: tuple[ReadPart, ...] = ()
+    store_trouble_age_ms: float = -1.0
+    """Time since the store last failed this node; negative if it did not lately."""
+
+
+class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
+    """Records of one topic from `since` up to `end`."""
+
+    topic: Topic
+    since: int
+    end: int
+    is_whole: bool
+    records: tuple[KeyedRecord, ...]
+    confirmed_age_ms: float
+
+
+LinkMessage = NodeStatus | ViewRecords
+
+
+def encode_link_message(message: LinkMessage) -> bytes:
+    """Return the bytes of one message."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def decode_link_message(data: bytes) -> LinkMessage:
+    """Return the message in some bytes, or raise MessageInvalidError."""
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise MessageInvalidError(f"found {len(data)} bytes")
+    try:
+        return msgspec.convert(cbor2.loads(data), LinkMessage, builtin_types=(bytes,))
+    except (
+        cbor2.CBORDecodeError,
+        msgspec.ValidationError,
+        RecursionError,
+    ) as error:
+        raise MessageInvalidError(str(error)) from error
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -0,0 +1,254 @@
+"""Choose the replica of a prompt, and where it gets the parts that it lacks.
+
+Each replica gets a score in milliseconds: the reading queued there, the parts that it
+would have to read, and prices on what costs others: reading a part again that another
+replica is reading, old weights, recent failures. A part that any replica holds is
+fetched from there, which takes a hundredth of the time that reading takes. Hashing
+breaks ties, so that nodes which know nothing of each other still send a cold part to
+one replica.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import Address, EndpointName
+from toucanyard.part_book import Part, PartBook
+from toucanyard.relay_requests import Prompt, RelayRequest
+from toucanyard.rendezvous import compute_seed, compute_weight
+from toucanyard.replica_uses import ReplicaUses
+from toucanyard.replicas import KnownReplica
+from toucanyard.routes import EngineTraits
+from toucanyard.weights_goals import Goal
+
+FULL_SHARE: Final = 0.92
+"""Share of a replica's memory that calls may take together; beyond it the engine drops
+running ones and reads them again."""
+AFFINITY_MS: Final = 40.0
+"""Wait that a cold prompt accepts to be read where hashing sends it."""
+REREAD_MS_PER_TOKEN: Final = 0.1
+"""Price of reading a part that another replica is reading now: about as much of an
+answer's worth is lost by it as by so many milliseconds."""
+FAILURE_MS: Final = 150.0
+"""Price of each recent failure of a replica."""
+OLD_WEIGHTS_MS: Final = 60.0
+"""Price of a replica that still has older weights, which are replaced soon."""
+LATE_WEIGHTS_MS: Final = 1_500.0
+"""The same, once answers on older weights have lost a part of their worth."""
+LATE_AFTER_MS: Final = 1_200.0
+"""Time from naming weights until answers on older ones lose worth, less a margin."""
+RUNNING_MS: Final = 1.0
+"""Price of each call that runs at a replica: it slows the others' tokens."""
+
+
+class PlacedPrompt(msgspec.Struct, frozen=True):
+    """The replica chosen for a prompt, and what decided."""
+
+    replica: KnownReplica
+    weights_version: int
+    scope: str
+    total_ms: float
+    wait_ms: float
+    unread_tokens: int
+    fetched_tokens: int
+    source: Address | None
+    considered: int
+
+
+class _Candidate(msgspec.Struct, frozen=True):
+    known: KnownReplica
+    version: int
+    scope: str
+
+
+def compute_scope(request: RelayRequest, prompt: Prompt, version: int) -> str:
+    """Return under which name a replica keeps the parts of a prompt.
+
+    It names the weights, so nothing that was read under others is ever used, and the
+    customer where it is behind a wall.
+    """
+    wall = request.customer if request.is_walled else ""
+    return f"{prompt.model}/{version}/{wall}"
+
+
+class PartPlacement:
+    """The choice among replicas that run a model."""
+
+    __slots__ = ("_book", "_max_old_ms", "_uses")
+
+    def __init__(self, book: PartBook, uses: ReplicaUses, max_old_ms: float) -> None:
+        self._book = book
+        self._uses = uses
+        self._max_old_ms = max_old_ms
+        """How long after new weights were named older ones may still begin a call."""
+
+    def choose(
+        self,
+        request: RelayRequest,
+        prompt: Prompt,
+        engine: EngineTraits,
+        usable: Sequence[KnownReplica],
+        goal: Goal | None,
+        now_ms: float,
+    ) -> PlacedPrompt | None:
+        """Return the best replica with room, or None if the call has to wait."""
+        candidates = self._find_candidates(request, prompt, usable, goal, now_ms)
+        best: PlacedPrompt | None = None
+        for each in candidates:
+            placed = self._score(each, candidates, prompt, engine, goal, now_ms)
+            if placed is not None and (best is None or placed.total_ms < best.total_ms):
+                best = placed
+        return best
+
+    def _find_candidates(
+        self,
+        request: RelayRequest,
+        prompt: Prompt,
+        usable: Sequence[KnownReplica],
+        goal: Goal | None,
+        now_ms: float,
+    ) -> list[_Candidate]:
+        found = []
+        for known in usable:
+            version = known.weights.get(prompt.model)
+            if version is None or self._is_too_old(version, goal, now_ms):
+                continue
+            scope = compute_scope(request, prompt, version)
+            found.append(_Candidate(known, version, scope))
+        return found
+
+    def _is_too_old(self, version: int, goal: Goal | None, now_ms: float) -> bool:
+        if goal is None or version >= goal.version:
+            return False
+        return now_ms - goal.learned_ms > self._max_old_ms
+
+    def _score(
+        self,
+        candidate: _Candidate,
+        all_candidates: Sequence[_Candidate],
+        prompt: Prompt,
+        engine: EngineTraits,
+        goal: Goal | None,
+        now_ms: float,
+    ) -> PlacedPrompt | None:
+        name = candidate.known.replica.name
+        use = self._uses.compute(name, now_ms)
+        total_tokens = prompt.count_tokens()
+        needed = total_tokens + prompt.max_output_tokens
+        is_full = use.tokens + needed > engine.memory_tokens * FULL_SHARE
+        if use.running and (is_full or use.running >= engine.slots):
+            return None
+        shared = prompt.find_shared()
+        local = self._book.count_leading(name, candidate.scope, shared, float("inf"))
+        source, remote = self._find_source(candidate, all_candidates, shared, now_ms)
+        covered = max(local, remote)
+        fetched = max(remote - local, 0)
+        unread = total_tokens - covered
+        speed = self._uses.tokens_per_ms
+        wait_ms = use.unread_tokens / speed + use.running * RUNNING_MS
+        total_ms = wait_ms + unread / speed
+        total_ms += self._price(candidate, goal, now_ms)
+        total_ms += fetched * engine.bytes_per_token * 8 / (engine.link_mbps * 1_000)
+        missing = _find_missing(shared, covered)
+        if missing is not None:
+            total_ms += self._price_missing(
+                candidate, all_candidates, shared, missing, covered, now_ms
+            )
+        if source is None and missing is not None:
+            source = _guess_source(candidate, all_candidates, missing)
+        return PlacedPrompt(
+            replica=candidate.known,
+            weights_version=candidate.version,
+            scope=candidate.scope,
+            total_ms=total_ms,
+            wait_ms=wait_ms,
+            unread_tokens=unread,
+            fetched_tokens=fetched,
+            source=source,
+            considered=len(all_candidates),
+        )
+
+    def _find_source(
+        self,
+        candidate: _Candidate,
+        all_candidates: Sequence[_Candidate],
+        shared: Sequence[Part],
+        now_ms: float,
+    ) -> tuple[Address | None, int]:
+        """Return who holds most of a prompt's front beside a replica, and how much."""
+        best: tuple[Address | None, int] = (None, 0)
+        name = candidate.known.replica.name
+        local = self._book.count_leading(name, candidate.scope, shared, now_ms)
+        for other in all_candidates:
+            replica = other.known.replica
+            if replica.name == name or other.scope != candidate.scope:
+                continue
+            held = self._book.count_leading(replica.name, other.scope, shared, now_ms)
+            if held > max(best[1], local):
+                best = (replica.address, held)
+        return best
+
+    def _price(self, candidate: _Candidate, goal: Goal | None, now_ms: float) -> float:
+        price_ms = FAILURE_MS * candidate.known.compute_failures(now_ms)
+        if goal is not None and candidate.version < goal.version:
+            is_late = now_ms - goal.learned_ms > LATE_AFTER_MS
+            price_ms += LATE_WEIGHTS_MS if is_late else OLD_WEIGHTS_MS
+        return price_ms
+
+    def _price_missing(
+        self,
+        candidate: _Candidate,
+        all_candidates: Sequence[_Candidate],
+        shared: Sequence[Part],
+        missing: Part,
+        covered: int,
+        now_ms: float,
+    ) -> float:
+        """Return the price of reading the rest of the shared parts at a replica."""
+        price_ms = 0.0
+        if candidate is not _find_home(all_candidates, missing):
+            price_ms += AFFINITY_MS
+        others = [
+            other.known.replica.name
+            for other in all_candidates
+            if other is not candidate and other.scope == candidate.scope
+        ]
+        if self._book.is_being_read(others, candidate.scope, missing, now_ms):
+            rest = sum(part.tokens for part in shared) - covered
+            price_ms += rest * REREAD_MS_PER_TOKEN
+        return price_ms
+
+
+def _find_missing(shared: Sequence[Part], covered: int) -> Part | None:
+    """Return the first shared part that is not among the covered tokens."""
+    tokens = 0
+    for part in shared:
+        tokens += part.tokens
+        if tokens > covered:
+            return part
+    return None
+
+
+def _find_home(candidates: Sequence[_Candidate], part: Part) -> _Candidate:
+    """Return the replica that hashing gives to a part, the same on every node."""
+    key = compute_seed(EndpointName(part.name))
+    return max(
+        candidates,
+        key=lambda each: compute_weight(compute_seed(each.known.replica.name), key),
+    )
+
+
+def _guess_source(
+    candidate: _Candidate, candidates: Sequence[_Candidate], missing: Part
+) -> Address | None:
+    """Return where a part was probably read that nobody is known to hold.
+
+    Other nodes send it where hashing says. A wrong guess costs about a millisecond.
+    """
+    home = _find_home(candidates, missing)
+    if home is candidate or home.scope != candidate.scope:
+        return None
+    return home.known.replica.address
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -0,0 +1,189 @@
+"""Events that the core of a relaying node takes in, and actions that it asks for."""
+
+from __future__ import annotations
+
+import msgspec
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.link_messages import LinkMessage
+from toucanyard.names import Address, EndpointName, NodeId, NodeName, RequestId
+from toucanyard.relay_flow import RelayReply
+from toucanyard.relay_requests import RelayOutcome, RelayRequest
+
+
+class CallArrived(msgspec.Struct, frozen=True):
+    """A call has passed the face's checks; answered by one RelayReply."""
+
+    request: RelayRequest
+
+
+class CallerLeft(msgspec.Struct, frozen=True):
+    """The caller of a call without a verdict went away; nobody waits any more."""
+
+    request_id: RequestId
+
+
+class FirstEventSeen(msgspec.Struct, frozen=True):
+    """The first part of an answer came."""
+
+    request_id: RequestId
+
+
+class DispatchEnded(msgspec.Struct, frozen=True):
+    """A dispatch has ended; answered by one RelayReply."""
+
+    outcome: RelayOutcome
+
+
+class TopicRead(msgspec.Struct, frozen=True):
+    """The store gave records of a topic, up to `end`, when asked at `asked_ms`."""
+
+    topic: Topic
+    records: tuple[KeyedRecord, ...]
+    end: int
+    is_whole: bool
+    asked_ms: float
+
+
+class StoreFailed(msgspec.Struct, frozen=True):
+    """A call to the store failed."""
+
+    purpose: str
+    reason: str
+
+
+class PeersLinked(msgspec.Struct, frozen=True):
+    """All peers to which a link stands now."""
+
+    peers: tuple[NodeId, ...]
+
+
+class LinkMessageRead(msgspec.Struct, frozen=True):
+    """A peer, whose name and incarnation are proved, sent a message."""
+
+    sender: NodeId
+    message: LinkMessage
+
+
+class TurnRead(msgspec.Struct, frozen=True):
+    """The records of the turns to order, up to `end`."""
+
+    records: tuple[tuple[int, bytes], ...]
+    """Offset and value."""
+    end: int
+
+
+class TurnAppended(msgspec.Struct, frozen=True):
+    """How an append to the turns ended; no offset if it did not succeed."""
+
+    offset: int | None
+    sent_ms: float
+    end: int | None = None
+    """Where the topic ended, if the condition failed."""
+
+
+class ReplicaState(msgspec.Struct, frozen=True):
+    """What a replica reports of itself."""
+
+    weights: tuple[tuple[str, int], ...]
+    is_busy: bool
+    """An order is being carried out."""
+    order_count: int
+    running: int
+    waiting: int
+
+
+class ReplicaStateRead(msgspec.Struct, frozen=True):
+    """A replica reported, or did not."""
+
+    replica: EndpointName
+    state: ReplicaState | None
+    asked_ms: float
+
+
+class WeightsOrder(msgspec.Struct, frozen=True):
+    """Order a replica to load weights once its calls have ended."""
+
+    replica: EndpointName
+    address: Address
+    model: str
+    version: int
+    holder: NodeName
+    fence: int
+    expected_order_count: int
+
+
+class OrderAnswered(msgspec.Struct, frozen=True):
+    """How a replica answered an order; no status without an answer."""
+
+    order: WeightsOrder
+    status: int | None
+
+
+class StopBegun(msgspec.Struct, frozen=True):
+    """The planned stop has begun."""
+
+
+class TickPassed(msgspec.Struct, frozen=True):
+    """Time has passed; wanted every 20 ms or so."""
+
+
+class SendToPeer(msgspec.Struct, frozen=True):
+    """Send a message, which may be lost, to a peer."""
+
+    node: NodeName
+    message: LinkMessage
+
+
+class ReadTurns(msgspec.Struct, frozen=True):
+    """Read the turns to order from an offset on."""
+
+    from_offset: int
+
+
+class AppendTurn(msgspec.Struct, frozen=True):
+    """Append to the turns to order if they still end at this offset."""
+
+    value: bytes
+    at: int
+
+
+class ReadReplicaState(msgspec.Struct, frozen=True):
+    """Ask a replica for its state."""
+
+    replica: EndpointName
+    address: Address
+
+
+class Note(msgspec.Struct, frozen=True):
+    """Write a log line about a change of what this node believes."""
+
+    event: str
+    fields: dict[str, object]
+
+
+RelayEvent = (
+    CallArrived
+    | CallerLeft
+    | FirstEventSeen
+    | DispatchEnded
+    | TopicRead
+    | StoreFailed
+    | PeersLinked
+    | LinkMessageRead
+    | TurnRead
+    | TurnAppended
+    | ReplicaStateRead
+    | OrderAnswered
+    | StopBegun
+    | TickPassed
+)
+RelayAction = (
+    RelayReply
+    | SendToPeer
+    | ReadTurns
+    | AppendTurn
+    | ReadReplicaState
+    | WeightsOrder
+    | Note
+)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -0,0 +1,517 @@
+"""Take each relayed call from its arrival to its end: queue, replica, retries.
+
+A call is sent, waits for a replica with room, or is refused before anything was sent,
+so that "not run" is true. What failed is tried elsewhere only where it surely did not
+run or may run twice, within the route's attempts and the budget of all nodes.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.drain_rate import DrainRate
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.link_messages import ReadPart
+from toucanyard.names import EndpointName, RequestId, ServiceName
+from toucanyard.part_book import PartBook
+from toucanyard.part_placement import PartPlacement, PlacedPrompt
+from toucanyard.relay_options import RelayOptions
+from toucanyard.relay_requests import (
+    PlacementReason,
+    RelayDispatch,
+    RelayOutcome,
+    RelayRequest,
+    RelayVerdict,
+)
+from toucanyard.replica_uses import ReplicaUses
+from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
+from toucanyard.retry_budget import SharedRetryBudget
+from toucanyard.routes import EngineTraits, RouteIndex, RouteTable
+from toucanyard.weights_goals import WeightsGoals
+
+MIN_RETRY_AFTER_MS: Final = 100
+MAX_RETRY_AFTER_MS: Final = 2_000
+OVERFILL: Final = 1.5
+"""Calls sent to a plain replica at once, as a share of its slots: the next one is there
+when a slot becomes free, and few wait where no one can order them."""
+CALL_PATIENCE: Final = 3.0
+"""Targets after which a call that may run twice is tried elsewhere."""
+STREAM_PATIENCE: Final = 2.0
+"""Targets after which a stream that may be resumed is begun elsewhere."""
+MIN_PATIENCE_MS: Final = 400.0
+NO_REPLICA_WAIT_MS: Final = 1_500.0
+"""How long a call waits while its service has no usable replica at all: replicas load
+weights for less than that, and a list that lapsed is back."""
+MAX_BLOCKED: Final = 8
+"""Calls of one queue that are looked at once some don't fit; the rest hardly would."""
+
+
+class RelayReply(msgspec.Struct, frozen=True):
+    """Answer the question about a call; None says that it is over."""
+
+    request_id: RequestId
+    verdict: RelayVerdict | None
+
+
+class _Pending(msgspec.Struct):
+    request: RelayRequest
+    sends: int = 0
+    """Sends that may have reached a replica."""
+    dispatches: int = 0
+    tried: tuple[EndpointName, ...] = ()
+    replica: EndpointName | None = None
+    scope: str = ""
+    is_waiting: bool = False
+    queued_ms: float = 0.0
+    may_have_run: bool = False
+    """Never goes back to false: a later refusal must not say "not run"."""
+
+
+class RelayFlow:
+    """All relayed calls of one node that are not over.
+
+    Invariant: each arrival and each ended dispatch gets exactly one reply, unless the
+    caller left before.
+    """
+
+    def __init__(
+        self,
+        options: RelayOptions,
+        directory: ReplicaDirectory,
+        goals: WeightsGoals,
+        rng: random.Random,
+    ) -> None:
+        self._options = options
+        self._rng = rng
+        self._directory = directory
+        self._goals = goals
+        self._index = RouteIndex(RouteTable())
+        self._pending: dict[RequestId, _Pending] = {}
+        self._queues: dict[ServiceName, list[_Pending]] = {}
+        self._drains: dict[ServiceName, DrainRate] = {}
+        self._budgets: dict[ServiceName, SharedRetryBudget] = {}
+        self.node_count = 1
+        self.view_confirmed_ms = float("-inf")
+        self._read_parts: dict[tuple[EndpointName, str, str], tuple[int, float]] = {}
+        self.uses = ReplicaUses()
+        self.book = PartBook()
+        max_old_ms = options.weights.deadline_ms * 0.8
+        self._placement = PartPlacement(self.book, self.uses, max_old_ms)
+
+    def apply_index(self, index: RouteIndex) -> None:
+        """Decide by this table from now on."""
+        self._index = index
+
+    def count_pending(self) -> int:
+        """Return how many calls are not over."""
+        return len(self._pending)
+
+    def count_waiting(self) -> int:
+        """Return how many calls wait for a replica."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def take_read_parts(self, now_ms: float) -> tuple[ReadPart, ...]:
+        """Return what replicas were sent to read since the last time, for peers."""
+        parts = tuple(
+            ReadPart(replica, scope, name, tokens, max(ready_ms - now_ms, 0.0))
+            for (replica, scope, name), (tokens, ready_ms) in self._read_parts.items()
+        )
+        self._read_parts.clear()
+        return parts
+
+    def arrive(self, request: RelayRequest, now_ms: float) -> Iterator[RelayReply]:
+        """Take in a new call."""
+        pending = _Pending(request, queued_ms=now_ms)
+        self._pending[request.request_id] = pending
+        self._find_budget(request.service).note_first_try(now_ms)
+        if request.deadline_ms <= now_ms:
+            yield self._refuse(
+                pending, ErrorKind.OVERLOADED, "the deadline passed", now_ms
+            )
+            return
+        queue = self._queues.setdefault(request.service, [])
+        if not queue:
+            dispatch = self._place(pending, now_ms)
+            if dispatch is not None:
+                yield RelayReply(request.request_id, dispatch)
+                return
+        refusal = self._check_wait(pending, now_ms)
+        if refusal is not None:
+            yield refusal
+            return
+        pending.is_waiting = True
+        queue.append(pending)
+        queue.sort(key=_rank)
+        yield from self._drain(request.service, now_ms)
+
+    def leave(self, request_id: RequestId, now_ms: float) -> Iterator[RelayReply]:
+        """Take in that the caller of a call without a verdict went away."""
+        pending = self._pending.get(request_id)
+        if pending is not None:
+            yield from self._finish(pending, now_ms)
+
+    def note_first(self, request_id: RequestId, now_ms: float) -> Iterator[RelayReply]:
+        """Take in that an answer's first event came: its prompt has been read."""
+        pending = self._pending.get(request_id)
+        if pending is None or pending.replica is None:
+            return
+        self.uses.note_started(pending.replica, request_id, now_ms)
+        self._note_parts(pending, now_ms)
+        yield from self._drain(pending.request.service, now_ms)
+
+    def end_dispatch(
+        self, outcome: RelayOutcome, now_ms: float
+    ) -> Iterator[RelayReply]:
+        """Take in how a dispatch ended and decide what follows."""
+        pending = self._pending.get(outcome.request_id)
+        if pending is None:
+            yield RelayReply(outcome.request_id, None)
+            return
+        self._learn(pending, outcome, now_ms)
+        if outcome.ending in (EndingSeen.COMPLETED, EndingSeen.CANCELLED):
+            yield RelayReply(outcome.request_id, None)
+            yield from self._finish(pending, now_ms)
+            return
+        if not self._may_try_again(pending, outcome, now_ms):
+            yield from self._give_up(pending, outcome, now_ms)
+            return
+        pending.replica = None
+        dispatch = self._place(pending, now_ms)
+        if dispatch is not None:
+            yield RelayReply(outcome.request_id, dispatch)
+            return
+        pending.is_waiting = True
+        pending.queued_ms = now_ms
+        queue = self._queues.setdefault(pending.request.service, [])
+        queue.append(pending)
+        queue.sort(key=_rank)
+
+    def tick(self, now_ms: float) -> Iterator[RelayReply]:
+        """Refuse what can't be sent in time any more and send what fits."""
+        for service, queue in self._queues.items():
+            if not queue:
+                continue
+            for pending in [each for each in queue if self._is_hopeless(each, now_ms)]:
+                queue.remove(pending)
+                pending.is_waiting = False
+                text = "no replica had room in time"
+                yield self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
+            yield from self._drain(service, now_ms)
+
+    def _drain(self, service: ServiceName, now_ms: float) -> Iterator[RelayReply]:
+        queue = self._queues.get(service)
+        if not queue:
+            return
+        blocked = 0
+        for pending in list(queue):
+            dispatch = self._place(pending, now_ms)
+            if dispatch is None:
+                blocked += 1
+                if blocked >= MAX_BLOCKED:
+                    return
+                continue
+            queue.remove(pending)
+            pending.is_waiting = False
+            yield RelayReply(pending.request.request_id, dispatch)
+
+    def _check_wait(self, pending: _Pending, now_ms: float) -> RelayReply | None:
+        """Refuse at once what would not be reached before its deadline."""
+        request = pending.request
+        if not self._directory.find_listed(request.service, now_ms):
+            return self._refuse(pending, ErrorKind.NO_ENDPOINT, "no replica", now_ms)
+        wait_ms = self._compute_wait(pending, now_ms)
+        if wait_ms > request.deadline_ms - now_ms:
+            text = f"the wait would be about {wait_ms:.0f} ms"
+            return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
+        return None
+
+    def _compute_wait(self, pending: _Pending, now_ms: float) -> float:
+        request = pending.request
+        queue = self._queues.get(request.service, [])
+        ahead = sum(_rank(each) <= _rank(pending) for each in queue)
+        return self._find_drain(request.service).compute_wait(ahead, now_ms)
+
+    def _is_hopeless(self, pending: _Pending, now_ms: float) -> bool:
+        """Tell whether a waiting call is better told now than later.
+
+        What is left of its time when it is refused is what its caller can retry in.
+        """
+        request = pending.request
+        if now_ms >= request.deadline_ms - request.target_ms / 4:
+            return True
+        if now_ms - pending.queued_ms < NO_REPLICA_WAIT_MS:
+            return False
+        return not self._directory.find_usable(request.service, now_ms)
+
+    def _place(self, pending: _Pending, now_ms: float) -> RelayDispatch | None:
+        request = pending.request
+        service = self._index.find_service(request.service)
+        usable = self._directory.find_usable(request.service, now_ms)
+        fresh = [each for each in usable if each.replica.name not in pending.tried]
+        # A single replica is tried again rather than nothing.
+        usable = fresh or usable
+        if not usable:
+            return None
+        if request.prompt is not None and service is not None and service.engine:
+            return self._place_prompt(pending, service.engine, usable, now_ms)
+        return self._place_plain(pending, usable, now_ms)
+
+    def _place_prompt(
+        self,
+        pending: _Pending,
+        engine: EngineTraits,
+        usable: list[KnownReplica],
+        now_ms: float,
+    ) -> RelayDispatch | None:
+        request = pending.request
+        prompt = request.prompt
+        assert prompt is not None
+        goal = self._goals.find(prompt.model)
+        placed = self._placement.choose(request, prompt, engine, usable, goal, now_ms)
+        if placed is None:
+            return None
+        replica = placed.replica.replica
+        tokens = prompt.count_tokens() + prompt.max_output_tokens
+        self._begin(pending, replica.name, tokens, placed.unread_tokens, now_ms)
+        pending.scope = placed.scope
+        read_ms = placed.wait_ms + placed.unread_tokens / self.uses.tokens_per_ms
+        self.book.note(
+            replica.name,
+            placed.scope,
+            prompt.parts,
+            now_ms + read_ms,
+            engine.memory_tokens,
+        )
+        for part in prompt.parts:
+            key = (replica.name, placed.scope, part.name)
+            self._read_parts[key] = (part.tokens, now_ms + read_ms)
+        return RelayDispatch(
+            request_id=request.request_id,
+            replica=replica.name,
+            address=replica.address,
+            attempt=pending.dispatches,
+            rank=request.rank,
+            patience_ms=self._compute_patience(pending, now_ms),
+            weights_version=placed.weights_version,
+            cache_scope=placed.scope,
+            fetch_from=placed.source,
+            reason=self._explain_prompt(pending, placed, now_ms),
+        )
+
+    def _place_plain(
+        self, pending: _Pending, usable: list[KnownReplica], now_ms: float
+    ) -> RelayDispatch | None:
+        request = pending.request
+        best: KnownReplica | None = None
+        best_load = float("inf")
+        for known in usable:
+            replica = known.replica
+            slots = max(replica.slots, 1)
+            running = self.uses.compute(replica.name, now_ms).running
+            if running and running >= slots * OVERFILL:
+                continue
+            load = running / slots + known.compute_failures(now_ms)
+            # The nearest of equals spares the way between failure domains.
+            load += 0.0 if replica.domain == self._options.domain else 0.05
+            load += self._rng.random() * 0.02
+            if load < best_load:
+                best, best_load = known, load
+        if best is None:
+            return None
+        replica = best.replica
+        self._begin(pending, replica.name, 0, 0, now_ms)
+        return RelayDispatch(
+            request_id=request.request_id,
+            replica=replica.name,
+            address=replica.address,
+            attempt=pending.dispatches,
+            rank=request.rank,
+            patience_ms=self._compute_patience(pending, now_ms),
+            reason=PlacementReason(
+                total_ms=best_load,
+                wait_ms=0.0,
+                unread_tokens=0,
+                fetched_tokens=0,
+                considered=len(usable),
+                queued_ms=now_ms - pending.request.arrived_ms,
+                view_age_ms=now_ms - self.view_confirmed_ms,
+            ),
+        )
+
+    def _begin(
+        self,
+        pending: _Pending,
+        replica: EndpointName,
+        tokens: int,
+        unread_tokens: int,
+        now_ms: float,
+    ) -> None:
+        request_id = pending.request.request_id
+        pending.replica = replica
+        pending.dispatches += 1
+        pending.sends += 1
+        self.uses.begin(replica, request_id, tokens, unread_tokens, now_ms)
+
+    def _explain_prompt(
+        self, pending: _Pending, placed: PlacedPrompt, now_ms: float
+    ) -> PlacementReason:
+        return PlacementReason(
+            total_ms=placed.total_ms,
+            wait_ms=placed.wait_ms,
+            unread_tokens=placed.unread_tokens,
+            fetched_tokens=placed.fetched_tokens,
+            considered=placed.considered,
+            queued_ms=now_ms - pending.request.arrived_ms,
+            view_age_ms=now_ms - self.view_confirmed_ms,
+        )
+
+    def _compute_patience(self, pending: _Pending, now_ms: float) -> float:
+        """Return how long to wait for an answer before trying elsewhere."""
+        request = pending.request
+        is_last = pending.sends >= request.max_attempts
+        if is_last or request.repeatability is not Repeatability.REPEATABLE:
+            return float("inf")
+        factor = STREAM_PATIENCE if request.is_stream else CALL_PATIENCE
+        return max(request.target_ms * factor, MIN_PATIENCE_MS)
+
+    def _learn(self, pending: _Pending, outcome: RelayOutcome, now_ms: float) -> None:
+        self.uses.end(outcome.replica, outcome.request_id)
+        known = self._directory.find(outcome.replica)
+        prompt = pending.request.prompt
+        if prompt is not None and not outcome.has_begun:
+            self.book.note_unread(outcome.replica, pending.scope, prompt.parts, now_ms)
+        self._note_sends(pending, outcome)
+        if known is None:
+            return
+        if prompt is not None and outcome.weights_version is not None:
+            known.note_weights(prompt.model, outcome.weights_version)
+        match outcome.ending:
+            case EndingSeen.COMPLETED:
+                known.note_success()
+            case EndingSeen.NOT_SENT | EndingSeen.LOST:
+                known.note_failure(now_ms, is_dead=outcome.is_dead)
+            case EndingSeen.FAILED:
+                known.note_failure(now_ms, is_dead=False)
+            case EndingSeen.REFUSED if outcome.is_replaced:
+                self._directory.note_replaced(outcome.replica, now_ms)
+            case EndingSeen.REFUSED if outcome.has_other_weights:
+                self._guess_weights(known, pending)
+            case EndingSeen.REFUSED:
+                known.note_refusal(now_ms)
+
+    def _note_sends(self, pending: _Pending, outcome: RelayOutcome) -> None:
+        if outcome.ending not in PROVED_NOT_RUN:
+            pending.may_have_run = True
+        if outcome.ending is EndingSeen.NOT_SENT:
+            # It reached nobody, so it is none of the attempts that a route allows.
+            pending.sends -= 1
+
+    def _guess_weights(self, known: KnownReplica, pending: _Pending) -> None:
+        """Believe a replica that refused for its weights to have the wanted ones."""
+        prompt = pending.request.prompt
+        goal = None if prompt is None else self._goals.find(prompt.model)
+        if prompt is not None and goal is not None:
+            known.note_weights(prompt.model, goal.version)
+
+    def _may_try_again(
+        self, pending: _Pending, outcome: RelayOutcome, now_ms: float
+    ) -> bool:
+        request = pending.request
+        is_safe = (
+            outcome.ending in PROVED_NOT_RUN
+            or request.repeatability is Repeatability.REPEATABLE
+        )
+        if outcome.has_begun and not request.is_resumable:
+            return False
+        if not is_safe or pending.sends >= request.max_attempts:
+            return False
+        if now_ms >= request.deadline_ms:
+            return False
+        if pending.dispatches > 2 * request.max_attempts + 2:
+            return False
+        pending.tried = (*pending.tried, outcome.replica)
+        if outcome.ending is EndingSeen.NOT_SENT:
+            return True
+        return self._find_budget(request.service).take(self.node_count, now_ms)
+
+    def _give_up(
+        self, pending: _Pending, outcome: RelayOutcome, now_ms: float
+    ) -> Iterator[RelayReply]:
+        request = pending.request
+        text = f"{pending.dispatches} tries failed, the last one: {outcome.text}"
+        if not pending.may_have_run:
+            yield self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
+        elif outcome.ending is EndingSeen.FAILED:
+            # The replica's own answer is passed on; there is nothing to add.
+            yield RelayReply(request.request_id, None)
+        else:
+            refusal = Refuse(
+                request.request_id,
+                ErrorKind.ENDPOINT_LOST
+                if request.repeatability is Repeatability.REPEATABLE
+                else ErrorKind.OUTCOME_UNKNOWN,
+                Ending.UNKNOWN,
+                text,
+                MIN_RETRY_AFTER_MS,
+            )
+            yield RelayReply(request.request_id, refusal)
+        yield from self._finish(pending, now_ms)
+
+    def _refuse(
+        self, pending: _Pending, kind: ErrorKind, text: str, now_ms: float
+    ) -> RelayReply:
+        """Refuse a call that did not run and tell its caller when to come back."""
+        request = pending.request
+        self._pending.pop(request.request_id, None)
+        wait_ms = self._compute_wait(pending, now_ms)
+        wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        # Callers refused in one instant must not come back in one instant.
+        retry_after_ms = int(wait_ms * self._rng.uniform(1.0, 2.0))
+        refusal = Refuse(request.request_id, kind, Ending.NOT_RUN, text, retry_after_ms)
+        return RelayReply(request.request_id, refusal)
+
+    def _finish(self, pending: _Pending, now_ms: float) -> Iterator[RelayReply]:
+        """Free what a call held and send what fits now."""
+        request = pending.request
+        self._pending.pop(request.request_id, None)
+        if pending.is_waiting:
+            self._queues[request.service].remove(pending)
+            pending.is_waiting = False
+        if pending.replica is not None:
+            self.uses.end(pending.replica, request.request_id)
+            self._find_drain(request.service).note(now_ms)
+        yield from self._drain(request.service, now_ms)
+
+    def _note_parts(self, pending: _Pending, now_ms: float) -> None:
+        prompt = pending.request.prompt
+        service = self._index.find_service(pending.request.service)
+        if prompt is None or service is None or service.engine is None:
+            return
+        if pending.replica is not None:
+            memory_tokens = service.engine.memory_tokens
+            self.book.note(
+                pending.replica, pending.scope, prompt.parts, now_ms, memory_tokens
+            )
+
+    def _find_drain(self, service: ServiceName) -> DrainRate:
+        return self._drains.setdefault(service, DrainRate())
+
+    def _find_budget(self, service: ServiceName) -> SharedRetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            retries = self._options.retries
+            budget = SharedRetryBudget(
+                retries.ratio, retries.slack, float(retries.window_ms)
+            )
+            self._budgets[service] = budget
+        return budget
+
+
+def _rank(pending: _Pending) -> tuple[int, float]:
+    request = pending.request
+    return request.rank, request.deadline_ms
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -0,0 +1,207 @@
+"""Know the replicas of each service: which may get work, and with which weights.
+
+The platform's log says which replicas there are. What this node's own calls show goes
+first for a short while: a crashed replica stays listed for seconds, and a store that
+was away drops replicas that are alive.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import Address, DomainName, EndpointName, ServiceName
+
+MIN_REST_MS: Final = 250.0
+"""First pause after a failure; a crashed process refuses connections for longer."""
+MAX_REST_MS: Final = 2_000.0
+"""Longest pause: replicas that come back are wanted within seconds."""
+LAPSE_GRACE_MS: Final = 2_000.0
+"""How long a replica counts that was dropped while the store was away; one that lives
+is listed again within that time."""
+MASS_SHARE: Final = 0.5
+"""Share of a service's replicas that, dropped at once, tells of the store's failure."""
+FORGET_MS: Final = 30_000.0
+"""How long a replica that is gone is remembered."""
+FAILURE_HALF_LIFE_MS: Final = 3_000.0
+"""Time in which a failure loses half of its weight."""
+
+
+class Replica(msgspec.Struct, frozen=True):
+    """One incarnation of one replica, as it registered itself."""
+
+    name: EndpointName
+    service: ServiceName
+    address: Address
+    domain: DomainName
+    slots: int
+    is_draining: bool
+    weights: tuple[tuple[str, int], ...] = ()
+    """Model and weights version, for each model that is loaded."""
+
+
+class KnownReplica:
+    """What this node knows of one replica."""
+
+    __slots__ = (
+        "_failures",
+        "_failures_ms",
+        "_rest_ms",
+        "grace_until_ms",
+        "gone_ms",
+        "is_leaving",
+        "loading_until_ms",
+        "replica",
+        "rest_until_ms",
+        "weights",
+    )
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
+        self.weights = dict(replica.weights)
+        self.is_leaving = replica.is_draining
+        self.gone_ms: float | None = None
+        self.grace_until_ms = float("-inf")
+        self.rest_until_ms = float("-inf")
+        self.loading_until_ms = float("-inf")
+        self._rest_ms = 0.0
+        self._failures = 0.0
+        self._failures_ms = float("-inf")
+
+    def update(self, replica: Replica) -> None:
+        """Take over what the replica says of itself; weights only grow."""
+        self.replica = replica
+        self.gone_ms = None
+        # A replica never takes its leave back: a stale entry must not give it work.
+        self.is_leaving = self.is_leaving or replica.is_draining
+        for model, version in replica.weights:
+            self.note_weights(model, version)
+
+    def note_weights(self, model: str, version: int) -> None:
+        """Note weights that an answer or a report showed."""
+        self.weights[model] = max(version, self.weights.get(model, 0))
+
+    def is_listed(self, now_ms: float) -> bool:
+        """Tell whether it may get work as far as the log says."""
+        if self.is_leaving:
+            return False
+        return self.gone_ms is None or now_ms < self.grace_until_ms
+
+    def is_resting(self, now_ms: float) -> bool:
+        """Tell whether it failed this node a moment ago."""
+        return now_ms < self.rest_until_ms
+
+    def is_loading(self, now_ms: float) -> bool:
+        """Tell whether it takes no new calls, since it loads weights."""
+        return now_ms < self.loading_until_ms
+
+    def note_failure(self, now_ms: float, *, is_dead: bool) -> None:
+        """Take in a failed call; `is_dead` if nothing there answered."""
+        self._failures = self.compute_failures(now_ms) + 1.0
+        self._failures_ms = now_ms
+        if is_dead:
+            self._rest_ms = min(max(2 * self._rest_ms, MIN_REST_MS), MAX_REST_MS)
+            self.rest_until_ms = now_ms + self._rest_ms
+
+    def note_refusal(self, now_ms: float) -> None:
+        """Take in that it turned a call away: it is full, or loads."""
+        self.rest_until_ms = max(self.rest_until_ms, now_ms + MIN_REST_MS / 2)
+
+    def note_success(self) -> None:
+        """Take in an answer."""
+        self._rest_ms = 0.0
+        self.rest_until_ms = float("-inf")
+
+    def compute_failures(self, now_ms: float) -> float:
+        """Return the decayed count of failures."""
+        age_ms = max(now_ms - self._failures_ms, 0.0)
+        return float(self._failures * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS))
+
+
+class ReplicaDirectory:
+    """All replicas of all services, as one node sees them.
+
+    Invariant: `find_usable` never returns a replica that is leaving.
+    """
+
+    __slots__ = ("_by_service", "_known")
+
+    def __init__(self) -> None:
+        self._known: dict[EndpointName, KnownReplica] = {}
+        self._by_service: dict[ServiceName, list[KnownReplica]] = {}
+
+    def find(self, name: EndpointName) -> KnownReplica | None:
+        """Return what is known of a replica."""
+        return self._known.get(name)
+
+    def list_all(self) -> Iterable[KnownReplica]:
+        """Return every replica that is remembered."""
+        return self._known.values()
+
+    def find_listed(self, service: ServiceName, now_ms: float) -> list[KnownReplica]:
+        """Return the replicas of a service that the log allows."""
+        known = self._by_service.get(service, ())
+        return [each for each in known if each.is_listed(now_ms)]
+
+    def find_usable(self, service: ServiceName, now_ms: float) -> list[KnownReplica]:
+        """Return the replicas that may get new calls now.
+
+        Where all have failed this node lately, all of them: its own network may be what
+        failed, and a try costs less than a refusal.
+        """
+        listed = [
+            each
+            for each in self.find_listed(service, now_ms)
+            if not each.is_loading(now_ms)
+        ]
+        awake = [each for each in listed if not each.is_resting(now_ms)]
+        return awake or listed
+
+    def apply(self, replica: Replica) -> None:
+        """Take in what a replica says of itself."""
+        known = self._known.get(replica.name)
+        if known is None:
+            known = self._known[replica.name] = KnownReplica(replica)
+            self._by_service.setdefault(replica.service, []).append(known)
+            return
+        known.update(replica)
+
+    def remove(
+        self, names: Iterable[EndpointName], now_ms: float, *, is_doubtful: bool
+    ) -> None:
+        """Take in that the log lists some replicas no more.
+
+        `is_doubtful` tells that the store was in trouble just now. Then, or if half of a
+        service goes at once, they may be alive, and count for a while.
+        """
+        for service, known in self._by_service.items():
+            gone = [each for each in known if each.replica.name in names]
+            present = [each for each in known if each.gone_ms is None]
+            is_mass = len(gone) > 1 and len(gone) >= MASS_SHARE * len(present)
+            for each in gone:
+                each.gone_ms = now_ms
+                if is_doubtful or is_mass:
+                    each.grace_until_ms = now_ms + LAPSE_GRACE_MS
+            if gone:
+                self._by_service[service] = known
+
+    def note_replaced(self, name: EndpointName, now_ms: float) -> None:
+        """Take in that another replica answers at this one's address."""
+        known = self._known.get(name)
+        if known is not None:
+            known.is_leaving = True
+            known.gone_ms = known.gone_ms or now_ms
+
+    def prune(self, now_ms: float) -> list[EndpointName]:
+        """Forget replicas that went long ago; return their names."""
+        old = [
+            name
+            for name, known in self._known.items()
+            if known.gone_ms is not None and now_ms - known.gone_ms > FORGET_MS
+        ]
+        for name in old:
+            known = self._known.pop(name)
+            self._by_service[known.replica.service].remove(known)
+        return old
--- a/packages/toucanyard/src/toucanyard/retry_budget.py
+++ b/packages/toucanyard/src/toucanyard/retry_budget.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Final
 
 MAX_SAVED: Final = 20.0
 """Retries that a quiet time may save up; a failing endpoint's requests need some."""
+SAFE_SHARE: Final = 0.8
+"""Share of a budget that nodes use together: each counts peers a moment late."""
 
 
 class RetryBudget:
@@ -30,3 +33,39 @@
             return False
         self._balance -= 1.0
         return True
+
+
+class SharedRetryBudget:
+    """A node's part of a budget that all nodes share, over a sliding window.
+
+    Invariant: in any window, this node's retries stay below its share of the slack plus
+    the ratio of its own first tries in that window.
+    """
+
+    __slots__ = ("_first_ms", "_ratio", "_retry_ms", "_slack", "_window_ms")
+
+    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+        self._first_ms: deque[float] = deque()
+        self._retry_ms: deque[float] = deque()
+
+    def note_first_try(self, now_ms: float) -> None:
+        """Count a first try."""
+        self._first_ms.append(now_ms)
+        self._expire(now_ms)
+
+    def take(self, node_count: int, now_ms: float) -> bool:
+        """Spend one retry; return False when this node's part is used up."""
+        self._expire(now_ms)
+        allowed = self._slack / max(node_count, 1) + self._ratio * len(self._first_ms)
+        if len(self._retry_ms) + 1 > SAFE_SHARE * allowed:
+            return False
+        self._retry_ms.append(now_ms)
+        return True
+
+    def _expire(self, now_ms: float) -> None:
+        for times in (self._first_ms, self._retry_ms):
+            while times and times[0] <= now_ms - self._window_ms:
+                times.popleft()
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/store_schedule.py
@@ -0,0 +1,44 @@
+"""Decide when this node reads a topic from the platform's store.
+
+Every call costs all nodes from one rate, so usually one node reads a topic that changes
+all the time and tells the others. Who reads is not agreed on: each node reads once what
+it knows is older than it stands for, and the ranks of live nodes stagger that age. When
+the reader dies or the store refuses it, the next one starts within its own stagger.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+READ_MS: Final = 400.0
+"""Age at which the first node reads a topic that changes all the time."""
+STAND_BACK_MS: Final = 450.0
+"""How much older it gets before the second node reads; a status takes 250 ms."""
+NEXT_MS: Final = 150.0
+"""The same for each further one, up to MAX_RANK."""
+MAX_RANK: Final = 3
+RETRY_MS: Final = 300.0
+"""Least time between two reads of one node."""
+MIN_POLL_MS: Final = 3_000.0
+POLL_MS_PER_NODE: Final = 100.0
+"""Waits of long polls grow with the nodes that make them."""
+MAX_POLL_MS: Final = 20_000.0
+
+
+def compute_wanted_age(rank: int) -> float:
+    """Return the age of a topic at which a node of that rank reads it."""
+    if rank == 0:
+        return READ_MS
+    return READ_MS + STAND_BACK_MS + min(rank - 1, MAX_RANK) * NEXT_MS
+
+
+def is_read_due(rank: int, confirmed_ms: float, asked_ms: float, now_ms: float) -> bool:
+    """Tell whether a node should read a topic that changes all the time now."""
+    if now_ms - asked_ms < RETRY_MS:
+        return False
+    return now_ms - confirmed_ms >= compute_wanted_age(rank)
+
+
+def compute_poll_wait(node_count: int) -> float:
+    """Return how long a read of a topic that seldom changes may wait, in ms."""
+    return min(MIN_POLL_MS + POLL_MS_PER_NODE * node_count, MAX_POLL_MS)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/turns.py
@@ -0,0 +1,170 @@
+"""Take turns at ordering: one node at a time, by conditional appends to the store.
+
+A turn is a lease. The record that begins it goes in only if nothing was appended since
+its author last read, and its offset is the fence on the orders. The holder acts for a
+short time after each of its records; another node waits that time and the least time
+between two holders after the last record it saw, by its own clock. Both are measured
+by clocks that count while a VM is suspended.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import Incarnation, NodeId, NodeName
+from toucanyard.relay_events import (
+    AppendTurn,
+    ReadTurns,
+    TurnAppended,
+    TurnRead,
+)
+
+ACT_MS: Final = 1_000.0
+"""How long a holder may order after it sent its last record."""
+RENEW_MS: Final = 500.0
+"""Time left of a turn at which it is renewed while there is work."""
+MARGIN_MS: Final = 200.0
+"""What clocks may run apart over one turn, with much to spare."""
+RANK_MS: Final = 250.0
+"""How much longer each further candidate waits before it takes a turn."""
+HOLDER_HEAD_START_MS: Final = 700.0
+"""How long others leave new work to the last holder if it is alive."""
+ASK_AGAIN_MS: Final = 1_000.0
+"""After this time a read or an append without an answer is made again."""
+
+
+class TurnRecord(msgspec.Struct, frozen=True):
+    """Who takes or keeps the turn."""
+
+    node: NodeName
+    incarnation: Incarnation
+
+
+class Turn(msgspec.Struct, frozen=True):
+    """A turn that this node holds."""
+
+    fence: int
+    until_ms: float
+
+
+class Turns:
+    """The turn as one node sees it.
+
+    Invariant: at most one node is between its last record and ACT_MS after it, and two
+    holders' times lie `lease_ms` apart.
+    """
+
+    __slots__ = (
+        "_asked_ms",
+        "_end",
+        "_fence",
+        "_holder",
+        "_identity",
+        "_is_asking",
+        "_lease_ms",
+        "_seen_ms",
+        "_until_ms",
+    )
+
+    def __init__(self, identity: NodeId, lease_ms: float) -> None:
+        self._identity = identity
+        self._lease_ms = lease_ms
+        self._end: int | None = None
+        self._holder: TurnRecord | None = None
+        self._seen_ms = float("-inf")
+        self._fence = -1
+        self._until_ms = float("-inf")
+        self._asked_ms = float("-inf")
+        self._is_asking = False
+
+    def find_turn(self, now_ms: float) -> Turn | None:
+        """Return the turn that this node may act on now."""
+        if self._fence < 0 or now_ms >= self._until_ms:
+            return None
+        return Turn(self._fence, self._until_ms)
+
+    def find_holder(self) -> NodeName | None:
+        """Return who took or kept the turn last."""
+        return None if self._holder is None else self._holder.node
+
+    def give_up(self) -> None:
+        """Stop acting at once, since a replica knows a higher fence."""
+        self._until_ms = float("-inf")
+        self._fence = -1
+        self._end = None
+
+    def note_read(self, read: TurnRead, now_ms: float) -> None:
+        """Take in records; those of other nodes end this node's turn."""
+        self._is_asking = False
+        for _, value in read.records:
+            record = _decode(value)
+            if record is None:
+                continue
+            self._holder = record
+            self._seen_ms = now_ms
+            if not self._is_own(record):
+                self._fence = -1
+        self._end = read.end
+
+    def note_appended(self, appended: TurnAppended) -> None:
+        """Take in how an append ended."""
+        self._is_asking = False
+        if appended.offset is None:
+            # It may have gone in, or may yet: only reading tells.
+            self._end = None
+            return
+        if self._fence < 0:
+            self._fence = appended.offset
+        self._end = appended.offset + 1
+        self._holder = TurnRecord(self._identity.node, self._identity.incarnation)
+        self._seen_ms = appended.sent_ms
+        self._until_ms = appended.sent_ms + ACT_MS
+
+    def tick(
+        self, work_since_ms: float, rank: int, is_holder_alive: bool, now_ms: float
+    ) -> AppendTurn | ReadTurns | None:
+        """Return what to ask of the store; called only while there is work.
+
+        `rank` counts the live nodes that go before this one.
+        """
+        if self._is_asking and now_ms - self._asked_ms < ASK_AGAIN_MS:
+            return None
+        if now_ms < self._until_ms - RENEW_MS:
+            return None
+        waited_ms = now_ms - work_since_ms
+        is_last = self._holder is not None and self._is_own(self._holder)
+        if not is_last and waited_ms < rank * RANK_MS:
+            return None
+        if self._end is None:
+            self._ask(now_ms)
+            return ReadTurns(0)
+        if not is_last and not self._may_take(is_holder_alive, waited_ms, now_ms):
+            return None
+        self._ask(now_ms)
+        own = TurnRecord(self._identity.node, self._identity.incarnation)
+        return AppendTurn(msgspec.json.encode(own), self._end)
+
+    def _may_take(self, is_holder_alive: bool, waited_ms: float, now_ms: float) -> bool:
+        if self._holder is None:
+            return True
+        if is_holder_alive and waited_ms < HOLDER_HEAD_START_MS:
+            return False
+        idle_ms = now_ms - self._seen_ms
+        return idle_ms >= ACT_MS + self._lease_ms + MARGIN_MS
+
+    def _ask(self, now_ms: float) -> None:
+        self._is_asking = True
+        self._asked_ms = now_ms
+
+    def _is_own(self, record: TurnRecord) -> bool:
+        own = self._identity
+        return record.node == own.node and record.incarnation == own.incarnation
+
+
+def _decode(value: bytes) -> TurnRecord | None:
+    try:
+        return msgspec.json.decode(value, type=TurnRecord)
+    except msgspec.DecodeError:
+        return None
--- a/packages/toucanyard/src/toucanyard/vm_view.py
+++ b/packages/toucanyard/src/toucanyard/vm_view.py
@@ -20,6 +20,8 @@
 _MAX_GONE: Final = 10_000
 """Days of replaced VMs; configurations still naming the oldest are mended by then."""
 _RING_POINTS: Final = 16
+UNNAMED: Final = "unnamed"
+"""What a VM runs whose name shows only once it is linked to."""
 
 
 class VmState(enum.StrEnum):
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/weights_duty.py
@@ -0,0 +1,172 @@
+"""Join turns and rollouts: what one node does to bring wanted weights about."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import EndpointName, NodeId
+from toucanyard.relay_events import (
+    AppendTurn,
+    OrderAnswered,
+    ReadReplicaState,
+    ReadTurns,
+    ReplicaStateRead,
+    TurnAppended,
+    TurnRead,
+    WeightsOrder,
+)
+from toucanyard.replica_uses import ReplicaUses
+from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.roster import Roster
+from toucanyard.turns import Turns
+from toucanyard.weights_goals import WeightsGoals
+from toucanyard.weights_rollout import WeightsRollout
+
+LAST_READ_MS: Final = 300.0
+"""Time after the work is done at which candidates look who did it, and when."""
+MAX_CANDIDATES: Final = 3
+"""Live nodes that stand by for the turn; the others needn't read who holds it."""
+
+DutyAction = AppendTurn | ReadTurns | ReadReplicaState | WeightsOrder
+
+
+class _Work(msgspec.Struct):
+    since_ms: float | None = None
+    done_ms: float | None = None
+
+
+class WeightsDuty:
+    """Orders for all models, by whichever node has the turn.
+
+    Invariant: orders are planned only while this node holds a turn.
+    """
+
+    __slots__ = (
+        "_directory",
+        "_goals",
+        "_roster",
+        "_rollouts",
+        "_turns",
+        "_uses",
+        "_work",
+        "_identity",
+    )
+
+    def __init__(
+        self,
+        identity: NodeId,
+        lease_ms: float,
+        directory: ReplicaDirectory,
+        goals: WeightsGoals,
+        roster: Roster,
+        uses: ReplicaUses,
+    ) -> None:
+        self._identity = identity
+        self._directory = directory
+        self._goals = goals
+        self._roster = roster
+        self._uses = uses
+        self._turns = Turns(identity, lease_ms)
+        self._rollouts: dict[str, WeightsRollout] = {}
+        self._work = _Work()
+
+    def handle(
+        self,
+        event: TurnRead | TurnAppended | ReplicaStateRead | OrderAnswered,
+        now_ms: float,
+    ) -> None:
+        """Take in what the store or a replica answered."""
+        match event:
+            case TurnRead():
+                self._turns.note_read(event, now_ms)
+            case TurnAppended():
+                self._turns.note_appended(event)
+            case ReplicaStateRead():
+                self._note_state(event)
+            case OrderAnswered():
+                rollout = self._rollouts.get(event.order.model)
+                if rollout is not None and rollout.note_answer(event, now_ms):
+                    self._turns.give_up()
+
+    def list_changing(self) -> list[EndpointName]:
+        """Return the replicas that this node is changing."""
+        return [
+            name
+            for rollout in self._rollouts.values()
+            for name in rollout.list_changing()
+        ]
+
+    def tick(self, now_ms: float) -> list[DutyAction]:
+        """Return what to ask of the store and of replicas now."""
+        behind = self._find_behind(now_ms)
+        if not behind and not self.list_changing():
+            return self._rest(now_ms)
+        if self._work.since_ms is None:
+            self._work = _Work(since_ms=now_ms)
+        actions: list[DutyAction] = []
+        holder = self._turns.find_holder()
+        is_alive = holder in self._roster.find_alive(now_ms)
+        rank = self._roster.find_rank("orders", now_ms)
+        asked = self._turns.tick(self._work.since_ms or now_ms, rank, is_alive, now_ms)
+        if asked is not None:
+            actions.append(asked)
+        turn = self._turns.find_turn(now_ms)
+        if turn is None:
+            for rollout in self._rollouts.values():
+                rollout.stop(self._directory.list_all())
+            return actions
+        for model, replicas in self._find_replicas(now_ms).items():
+            goal = self._goals.find(model)
+            if goal is None:
+                continue
+            rollout = self._rollouts.setdefault(
+                model, WeightsRollout(self._identity.node)
+            )
+            loads = {
+                each.replica.name: self._uses.compute(each.replica.name, now_ms).running
+                for each in replicas
+            }
+            actions += rollout.plan(model, goal.version, replicas, turn, loads, now_ms)
+        return actions
+
+    def _rest(self, now_ms: float) -> list[DutyAction]:
+        """Look once after the work who did it: a turn counts from when it was seen."""
+        work = self._work
+        if work.since_ms is not None:
+            self._work = _Work(done_ms=now_ms)
+            return []
+        is_due = work.done_ms is not None and now_ms - work.done_ms >= LAST_READ_MS
+        if not is_due:
+            return []
+        self._work = _Work()
+        if self._roster.find_rank("orders", now_ms) >= MAX_CANDIDATES:
+            return []
+        return [ReadTurns(0)]
+
+    def _note_state(self, read: ReplicaStateRead) -> None:
+        for rollout in self._rollouts.values():
+            rollout.note_state(read)
+
+    def _find_behind(self, now_ms: float) -> list[KnownReplica]:
+        return [
+            known
+            for model, replicas in self._find_replicas(now_ms).items()
+            for known in replicas
+            if self._is_behind(known, model)
+        ]
+
+    def _is_behind(self, known: KnownReplica, model: str) -> bool:
+        goal = self._goals.find(model)
+        return goal is not None and known.weights.get(model, 0) < goal.version
+
+    def _find_replicas(self, now_ms: float) -> dict[str, list[KnownReplica]]:
+        found: dict[str, list[KnownReplica]] = {}
+        for known in self._directory.list_all():
+            if not known.is_listed(now_ms):
+                continue
+            for model in known.weights:
+                if self._goals.find(model) is not None:
+                    found.setdefault(model, []).append(known)
+        return found
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -0,0 +1,239 @@
+"""Plan the orders that bring replicas to the wanted weights, a few at a time.
+
+Nothing is trusted to have held: each order is conditional on the replica's count of
+orders, so one that arrives late changes nothing, and a report shows what came of it.
+A replica is announced to all nodes as loading a moment before it is ordered, so that
+they send their calls elsewhere instead of having them refused.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import EndpointName, NodeName
+from toucanyard.relay_events import (
+    OrderAnswered,
+    ReadReplicaState,
+    ReplicaStateRead,
+    WeightsOrder,
+)
+from toucanyard.replicas import KnownReplica
+from toucanyard.turns import Turn
+
+MIN_LOADS: Final = 2
+LOADS_SHARE: Final = 0.4
+"""Share of the replicas that load at once; with more, each takes longer."""
+ANNOUNCE_MS: Final = 60.0
+"""Time from the announcement to the order; it takes one way between two nodes."""
+READ_MS: Final = 200.0
+"""Time between two reports of a replica under an order."""
+FRESH_MS: Final = 1_000.0
+"""How old a report may be for an order to be based on it."""
+LOST_MS: Final = 1_200.0
+"""After this time an order whose effect doesn't show is given again."""
+LOADING_MS: Final = 1_500.0
+"""How long an announcement counts unless it is renewed."""
+SILENT_MS: Final = 800.0
+"""After this time without a report a replica is left alone; it is dead or cut off."""
+SKIP_MS: Final = 2_000.0
+"""How long a replica without a report is left alone."""
+MAX_LOADING_MS: Final = 6_000.0
+"""After this time a replica under an order no longer counts as loading."""
+
+_ACCEPTED: Final = 202
+_HOLDS_ALREADY: Final = 200
+_STALE_FENCE: Final = 412
+
+
+class _Change(msgspec.Struct):
+    """One replica that is being brought to a version."""
+
+    version: int
+    announced_ms: float
+    ordered_ms: float | None = None
+    is_accepted: bool = False
+    asked_ms: float = float("-inf")
+    report: ReplicaStateRead | None = None
+
+
+RolloutAction = ReadReplicaState | WeightsOrder
+
+
+class WeightsRollout:
+    """The changes under way; what it knows is this node's alone.
+
+    Invariant: no order without a turn, and none on a report from before the last one.
+    """
+
+    __slots__ = ("_changes", "_node", "_skipped_ms")
+
+    def __init__(self, node: NodeName) -> None:
+        self._node = node
+        self._changes: dict[EndpointName, _Change] = {}
+        self._skipped_ms: dict[EndpointName, float] = {}
+
+    def list_changing(self) -> list[EndpointName]:
+        """Return the replicas that are being changed."""
+        return list(self._changes)
+
+    def note_state(self, read: ReplicaStateRead) -> None:
+        """Take in a report."""
+        change = self._changes.get(read.replica)
+        if change is not None and read.state is not None:
+            change.report = read
+
+    def note_answer(self, answered: OrderAnswered, now_ms: float) -> bool:
+        """Take in an answer to an order; return whether a higher fence is known."""
+        change = self._changes.get(answered.order.replica)
+        if change is not None:
+            change.is_accepted = answered.status in (_ACCEPTED, _HOLDS_ALREADY)
+            if not change.is_accepted and answered.status is not None:
+                # Refused, so a new report is needed and the order may be given again.
+                change.ordered_ms = None
+                change.report = None
+                change.announced_ms = now_ms
+        return answered.status == _STALE_FENCE
+
+    def stop(self, known: Iterable[KnownReplica]) -> None:
+        """Forget what is under way: the turn is over."""
+        for each in known:
+            if each.replica.name in self._changes:
+                each.loading_until_ms = float("-inf")
+        self._changes.clear()
+
+    def plan(
+        self,
+        model: str,
+        version: int,
+        replicas: Sequence[KnownReplica],
+        turn: Turn,
+        load_of: dict[EndpointName, int],
+        now_ms: float,
+    ) -> list[RolloutAction]:
+        """Return what to read and to order now."""
+        self._settle(model, version, replicas, now_ms)
+        self._announce(model, version, replicas, load_of, now_ms)
+        actions: list[RolloutAction] = []
+        by_name = {each.replica.name: each for each in replicas}
+        for name, change in self._changes.items():
+            known = by_name.get(name)
+            if known is None:
+                continue
+            known.loading_until_ms = now_ms + LOADING_MS
+            actions += self._plan_one(model, known, change, turn, now_ms)
+        return actions
+
+    def _settle(
+        self,
+        model: str,
+        version: int,
+        replicas: Sequence[KnownReplica],
+        now_ms: float,
+    ) -> None:
+        """Take out the replicas that are done, gone, or take too long."""
+        by_name = {each.replica.name: each for each in replicas}
+        for name, change in list(self._changes.items()):
+            known = by_name.get(name)
+            if known is None:
+                del self._changes[name]
+                continue
+            state = None if change.report is None else change.report.state
+            if state is not None:
+                for loaded, loaded_version in state.weights:
+                    known.note_weights(loaded, loaded_version)
+            is_busy = state is not None and state.is_busy
+            is_done = known.weights.get(model, 0) >= change.version and not is_busy
+            since_ms = change.ordered_ms or change.announced_ms
+            is_silent = state is None and now_ms - change.announced_ms > SILENT_MS
+            if is_silent:
+                self._skipped_ms[name] = now_ms
+            if is_done or is_silent or now_ms - since_ms > MAX_LOADING_MS:
+                known.loading_until_ms = float("-inf")
+                del self._changes[name]
+            elif change.ordered_ms is None:
+                change.version = max(change.version, version)
+
+    def _announce(
+        self,
+        model: str,
+        version: int,
+        replicas: Sequence[KnownReplica],
+        load_of: dict[EndpointName, int],
+        now_ms: float,
+    ) -> None:
+        behind = [
+            each
+            for each in replicas
+            if each.replica.name not in self._changes
+            and model in each.weights
+            and each.weights[model] < version
+            and now_ms - self._find_skipped(each) > SKIP_MS
+        ]
+        # The idlest first: its calls end soonest.
+        behind.sort(key=lambda each: load_of.get(each.replica.name, 0))
+        room = max(MIN_LOADS, int(LOADS_SHARE * len(replicas))) - len(self._changes)
+        for each in behind[: max(room, 0)]:
+            self._changes[each.replica.name] = _Change(version, now_ms)
+
+    def _find_skipped(self, known: KnownReplica) -> float:
+        return self._skipped_ms.get(known.replica.name, float("-inf"))
+
+    def _plan_one(
+        self,
+        model: str,
+        known: KnownReplica,
+        change: _Change,
+        turn: Turn,
+        now_ms: float,
+    ) -> list[RolloutAction]:
+        replica = known.replica
+        if change.ordered_ms is not None:
+            self._check_lost(change, now_ms)
+        order = self._build_order(model, known, change, turn, now_ms)
+        if order is not None:
+            change.ordered_ms = now_ms
+            change.is_accepted = False
+            return [order]
+        if now_ms - change.asked_ms >= READ_MS:
+            change.asked_ms = now_ms
+            return [ReadReplicaState(replica.name, replica.address)]
+        return []
+
+    def _build_order(
+        self,
+        model: str,
+        known: KnownReplica,
+        change: _Change,
+        turn: Turn,
+        now_ms: float,
+    ) -> WeightsOrder | None:
+        report = change.report
+        if change.ordered_ms is not None or report is None or report.state is None:
+            return None
+        is_fresh = now_ms - report.asked_ms <= FRESH_MS
+        is_announced = now_ms - change.announced_ms >= ANNOUNCE_MS
+        if not is_fresh or not is_announced or report.state.is_busy:
+            return None
+        return WeightsOrder(
+            replica=known.replica.name,
+            address=known.replica.address,
+            model=model,
+            version=change.version,
+            holder=self._node,
+            fence=turn.fence,
+            expected_order_count=report.state.order_count,
+        )
+
+    def _check_lost(self, change: _Change, now_ms: float) -> None:
+        """Let an order be given again that shows no effect."""
+        ordered_ms = change.ordered_ms
+        report = change.report
+        if ordered_ms is None or report is None or report.state is None:
+            return
+        is_newer = report.asked_ms > ordered_ms + LOST_MS
+        if is_newer and not report.state.is_busy:
+            change.ordered_ms = None
+            change.announced_ms = now_ms - ANNOUNCE_MS
--- a/packages/toucanyard/src/toucanyard/wire.py
+++ b/packages/toucanyard/src/toucanyard/wire.py
@@ -31,6 +31,7 @@
     SnapshotPart,
     SnapshotRequest,
 )
+from toucanyard.wire_errors import MessageInvalidError
 
 MAX_MESSAGE_BYTES: Final = 4_000_000
 
@@ -66,10 +67,6 @@
 _Frame = _KeyFrame | _NoteFrame | _DigestFrame | _ConfigurationFrame | _SnapshotFrame
 
 
-class MessageInvalidError(Exception):
-    """A message is not CBOR, not of a known kind, or has a wrong field."""
-
-
 def encode_message(message: PeerMessage) -> bytes:
     """Return the bytes of one message."""
     frame: _Frame
--- a/tests/toucanyard_node/test_peer_links.py
+++ b/tests/toucanyard_node/test_peer_links.py
@@ -21,8 +21,9 @@
 )
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import Vm
+from toucanyard_node.core_links import CORE_LINKS, LinkEvent
 from toucanyard_node.peer_greeting import Hello, Side, compute_mac, greet
-from toucanyard_node.peer_links import LinkEvent, PeerLinks
+from toucanyard_node.peer_links import PeerLinks
 from toucanyard_node.rate_limit import RateLimit
 
 TIMINGS = MembershipTimings(digest_interval_ms=100)
@@ -38,7 +39,13 @@
         self.events: list[LinkEvent] = []
         self.known = known
         self.links = PeerLinks(
-            self.identity, secrets, TIMINGS, self.find, self.note, random.Random(1)
+            self.identity,
+            secrets,
+            TIMINGS,
+            self.find,
+            self.note,
+            random.Random(1),
+            CORE_LINKS,
         )
         self.outbox, self._messages = trio.open_memory_channel[SendMessage](100)
         self.port = 0
