Resume a stream only on the weights that it was begun on

Cause: a stream that was begun on version 2 went on at a replica with version 1, and the caller got a piece that its request does not have. Ruled out: a lost or doubled event (all ids were in order).

--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -66,6 +66,10 @@
     tried: tuple[EndpointName, ...] = ()
     replica: EndpointName | None = None
     scope: str = ""
+    weights_version: int | None = None
+    """Weights of the last dispatch."""
+    has_begun: bool = False
+    """Its answer has begun, and goes on under no other weights."""
     is_waiting: bool = False
     queued_ms: float = 0.0
     may_have_run: bool = False
@@ -185,6 +189,10 @@
         if dispatch is not None:
             yield RelayReply(outcome.request_id, dispatch)
             return
+        if pending.has_begun:
+            # Its caller may resume it elsewhere, which a silent wait would put off.
+            yield from self._give_up(pending, outcome, now_ms)
+            return
         pending.is_waiting = True
         pending.queued_ms = now_ms
         queue = self._queues.setdefault(pending.request.service, [])
@@ -272,9 +280,14 @@
         prompt = request.prompt
         assert prompt is not None
         goal = self._goals.find(prompt.model)
+        if pending.has_begun and pending.weights_version is not None:
+            # What another version goes on with is no part of the same answer.
+            version = pending.weights_version
+            usable = [e for e in usable if e.weights.get(prompt.model) == version]
         placed = self._placement.choose(request, prompt, engine, usable, goal, now_ms)
         if placed is None:
             return None
+        pending.weights_version = placed.weights_version
         replica = placed.replica.replica
         tokens = prompt.count_tokens() + prompt.max_output_tokens
         self._begin(pending, replica.name, tokens, placed.unread_tokens, now_ms)
@@ -426,6 +439,7 @@
             outcome.ending in PROVED_NOT_RUN
             or request.repeatability is Repeatability.REPEATABLE
         )
+        pending.has_begun = pending.has_begun or outcome.has_begun
         if outcome.has_begun and not request.is_resumable:
             return False
         if not is_safe or pending.sends >= request.max_attempts:
