Drop the cut event before a stream goes on elsewhere

Cause: what was held back of the first run's cut event stood before the first event of the second run. Ruled out: other weights (both runs had version 2).

--- a/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
+++ b/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
@@ -35,6 +35,10 @@
             self.last_id = line[len(_ID) :].strip().decode("latin-1")
         return whole
 
+    def drop_rest(self) -> None:
+        """Drop the event that was cut; whoever goes on sends it whole."""
+        self._rest = b""
+
     def has_rest(self) -> bool:
         """Tell whether an event has begun and not ended."""
         return bool(self._rest.strip())
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -170,9 +170,7 @@
             await self._send_rest(data, sent_bytes, math.inf)
             self._is_cut = False
 
-    def _render(
-        self, method: str, target: str, headers: Headers, body: bytes
-    ) -> bytes:
+    def _render(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
         connection = self._connection
         if connection.our_state is h11.DONE:
             connection.start_next_cycle()
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -264,6 +264,7 @@
         head: ResponseHead,
         facts: AnswerFacts,
     ) -> None:
+        self._splitter.drop_rest()
         if not self._responder.is_started and not self._request.is_resumable:
             await self._begin(head)
         while True:
@@ -354,4 +355,3 @@
             self._responder.close_after()
             return
         await self._responder.send(held.status, held.headers, held.body)
-
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -112,9 +112,7 @@
         """Return the newest record of each key; `end` is from before the read."""
         ...
 
-    async def read_since(
-        self, topic: Topic, offset: int, wait_ms: float
-    ) -> TopicPage:
+    async def read_since(self, topic: Topic, offset: int, wait_ms: float) -> TopicPage:
         """Return the records from an offset on, waiting for one if asked to.
 
         Raise RecordsGoneError if some of them are gone.
@@ -125,9 +123,7 @@
         """Write where a node can be reached; return the record's offset."""
         ...
 
-    async def read_turns(
-        self, offset: int
-    ) -> tuple[Sequence[tuple[int, bytes]], int]:
+    async def read_turns(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
         """Return the turns' records from an offset on, and where they end."""
         ...
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -114,9 +114,7 @@
         self._needs_whole.discard(topic)
         # A read that waited is as new as its answer, since nothing came before it.
         seen_ms = trio.current_time() * 1000 if wait_ms and page.records else asked_ms
-        self._client.tell(
-            TopicRead(topic, page.records, page.end, is_whole, seen_ms)
-        )
+        self._client.tell(TopicRead(topic, page.records, page.end, is_whole, seen_ms))
         # The core may not have taken it in when the next read asks where to go on.
         self._next[topic] = max(page.end, self._next[topic])
         return True
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -177,4 +177,3 @@
             return request.request_id
         case DispatchEnded(outcome=outcome):
             return outcome.request_id
-
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -121,9 +121,7 @@
         return found
 
     def _is_too_old(self, version: int, goal: Goal | None, now_ms: float) -> bool:
-        if goal is None or version >= goal.version:
-            return False
-        return now_ms - goal.learned_ms > self._max_old_ms
+        return goal is not None and goal.compute_age(version, now_ms) > self._max_old_ms
 
     def _score(
         self,
@@ -194,7 +192,7 @@
     def _price(self, candidate: _Candidate, goal: Goal | None, now_ms: float) -> float:
         price_ms = FAILURE_MS * candidate.known.compute_failures(now_ms)
         if goal is not None and candidate.version < goal.version:
-            is_late = now_ms - goal.learned_ms > LATE_AFTER_MS
+            is_late = goal.compute_age(candidate.version, now_ms) > LATE_AFTER_MS
             price_ms += LATE_WEIGHTS_MS if is_late else OLD_WEIGHTS_MS
         return price_ms
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -42,7 +42,8 @@
 )
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.relay_options import RelayOptions
-from toucanyard.replicas import KnownReplica, Replica, ReplicaDirectory
+from toucanyard.replicas import Replica, ReplicaDirectory
+from toucanyard.requests import EndingSeen
 from toucanyard.roster import NodeRecord, Roster
 from toucanyard.routes import RouteIndex, RouteTable
 from toucanyard.store_schedule import compute_poll_wait, is_read_due
@@ -148,6 +149,11 @@
                 yield from self.flow.note_first(request_id, now_ms)
             case DispatchEnded(outcome=outcome):
                 yield from self.flow.end_dispatch(outcome, now_ms)
+                if outcome.ending is EndingSeen.REFUSED:
+                    # Each node would else find out by calls of its own, and have some
+                    # of them refused that may be sent only once.
+                    self._changed_ms[outcome.replica] = now_ms
+                    yield from self._send_status(now_ms)
             case TopicRead():
                 yield from self._read_topic(event, now_ms)
             case StoreFailed(purpose=purpose, reason=reason):
@@ -316,12 +322,14 @@
         known = self.directory.find(news.replica)
         if known is None:
             return
-        known.loading_until_ms = (
-            now_ms + news.loading_left_ms if news.loading_left_ms > 0 else float("-inf")
-        )
+        if news.loading_left_ms > 0:
+            # Others may not know yet, so what they don't say doesn't end the pause.
+            until_ms = now_ms + news.loading_left_ms
+            known.loading_until_ms = max(known.loading_until_ms, until_ms)
         for model, version in news.weights:
             if version > known.weights.get(model, 0):
                 known.note_weights(model, version)
+                known.loading_until_ms = float("-inf")
                 self.flow.book.forget(news.replica)
 
     def _apply_parts(self, parts: Iterable[ReadPart], now_ms: float) -> None:
@@ -416,12 +424,8 @@
             ):
                 del self._changed_ms[name]
                 continue
-            yield _build_news(known, is_changing, now_ms)
-
-
-def _build_news(known: KnownReplica, is_changing: bool, now_ms: float) -> ReplicaNews:
-    left_ms = max(known.loading_until_ms - now_ms, 0.0) if is_changing else 0.0
-    return ReplicaNews(known.replica.name, left_ms, tuple(known.weights.items()))
+            left_ms = max(known.loading_until_ms - now_ms, 0.0)
+            yield ReplicaNews(name, left_ms, tuple(known.weights.items()))
 
 
 def _compute_age(confirmed_ms: float, now_ms: float) -> float:
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -16,6 +16,8 @@
 
 MIN_REST_MS: Final = 250.0
 """First pause after a failure; a crashed process refuses connections for longer."""
+REFUSED_MS: Final = 600.0
+"""Pause after a refusal; then one call shows whether it takes calls again."""
 MAX_REST_MS: Final = 2_000.0
 """Longest pause: replicas that come back are wanted within seconds."""
 LAPSE_GRACE_MS: Final = 2_000.0
@@ -106,8 +108,11 @@
             self.rest_until_ms = now_ms + self._rest_ms
 
     def note_refusal(self, now_ms: float) -> None:
-        """Take in that it turned a call away: it is full, or loads."""
-        self.rest_until_ms = max(self.rest_until_ms, now_ms + MIN_REST_MS / 2)
+        """Take in that it turned a call away: it is full, or is to load weights.
+
+        It then turns every call away until its own have ended, for a second or more.
+        """
+        self.loading_until_ms = max(self.loading_until_ms, now_ms + REFUSED_MS)
 
     def note_success(self) -> None:
         """Take in an answer."""
--- a/packages/toucanyard/src/toucanyard/weights_goals.py
+++ b/packages/toucanyard/src/toucanyard/weights_goals.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
 
@@ -12,11 +14,38 @@
     version: int
 
 
-class Goal(msgspec.Struct, frozen=True):
-    """The newest wanted weights of a model, and when this node learned of them."""
+MAX_NAMED: Final = 64
+"""Versions of one model that are remembered; older ones run nowhere any more."""
 
-    version: int
-    learned_ms: float
+
+class Goal:
+    """The wanted versions of one model, each with when this node learned of it.
+
+    Invariant: versions only grow.
+    """
+
+    __slots__ = ("_named", "version")
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._named: list[tuple[int, float]] = []
+
+    def apply(self, version: int, now_ms: float) -> None:
+        """Take in a version that is newer than the last."""
+        self.version = version
+        self._named.append((version, now_ms))
+        del self._named[:-MAX_NAMED]
+
+    def compute_age(self, version: int, now_ms: float) -> float:
+        """Return how long weights have been replaced by newer ones, 0 if they are not.
+
+        It counts from the first newer version: while versions follow each other fast,
+        weights two versions back would else never be too old.
+        """
+        for newer, learned_ms in self._named:
+            if newer > version:
+                return now_ms - learned_ms
+        return 0.0
 
 
 class WeightsGoals:
@@ -29,10 +58,10 @@
 
     def apply(self, wanted: WantedWeights, now_ms: float) -> bool:
         """Take in a wanted version; return whether it is newer than the last."""
-        goal = self._goals.get(wanted.model)
-        if goal is not None and goal.version >= wanted.version:
+        goal = self._goals.setdefault(wanted.model, Goal())
+        if goal.version >= wanted.version:
             return False
-        self._goals[wanted.model] = Goal(wanted.version, now_ms)
+        goal.apply(wanted.version, now_ms)
         return True
 
     def find(self, model: str) -> Goal | None:
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -23,9 +23,11 @@
 from toucanyard.replicas import KnownReplica
 from toucanyard.turns import Turn
 
-MIN_LOADS: Final = 2
-LOADS_SHARE: Final = 0.4
-"""Share of the replicas that load at once; with more, each takes longer."""
+MIN_SERVING: Final = 2
+SERVING_SHARE: Final = 0.34
+"""Share of the replicas that are kept for new calls. The others wait for their calls to
+end, most of the time, and load one after the other: with 2 of 5 replicas changing at
+once, the last one had new weights after 8 s."""
 ANNOUNCE_MS: Final = 60.0
 """Time from the announcement to the order; it takes one way between two nodes."""
 READ_MS: Final = 200.0
@@ -174,7 +176,8 @@
         ]
         # The idlest first: its calls end soonest.
         behind.sort(key=lambda each: load_of.get(each.replica.name, 0))
-        room = max(MIN_LOADS, int(LOADS_SHARE * len(replicas))) - len(self._changes)
+        serving = max(MIN_SERVING, round(SERVING_SHARE * len(replicas)))
+        room = max(len(replicas) - serving, 1) - len(self._changes)
         for each in behind[: max(room, 0)]:
             self._changes[each.replica.name] = _Change(version, now_ms)
 
