Load weights under the calls that are left after 600 ms, two replicas at a time

Cause: waiting for all calls, a load began up to 5 s after its order, and the replica took no new calls meanwhile.

--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -102,7 +102,7 @@
 
 
 class WeightsOrder(msgspec.Struct, frozen=True):
-    """Order a replica to load weights once its calls have ended."""
+    """Order a replica to load weights."""
 
     replica: EndpointName
     address: Address
@@ -111,6 +111,9 @@
     holder: NodeName
     fence: int
     expected_order_count: int
+    is_under_calls: bool = False
+    """Whether to load while calls run; they go on under the new weights. Else the load
+    waits until they have ended, and new calls are turned away meanwhile."""
 
 
 class OrderAnswered(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -23,11 +23,13 @@
 from toucanyard.replicas import KnownReplica
 from toucanyard.turns import Turn
 
-MIN_SERVING: Final = 2
-SERVING_SHARE: Final = 0.34
-"""Share of the replicas that are kept for new calls. The others wait for their calls to
-end, most of the time, and load one after the other: with 2 of 5 replicas changing at
-once, the last one had new weights after 8 s."""
+MIN_CHANGING: Final = 2
+CHANGING_SHARE: Final = 0.4
+"""Share of the replicas that change at once; with more, each load takes longer, and the
+rest can't carry the calls: with all but two of 6 changing, first tokens took 5 s."""
+DRAIN_MS: Final = 600.0
+"""How long a replica's calls may take to end before it loads under those left. Streams
+last up to 5 s; waiting for all of them, the last replica loads after 8 s."""
 ANNOUNCE_MS: Final = 60.0
 """Time from the announcement to the order; it takes one way between two nodes."""
 READ_MS: Final = 200.0
@@ -125,7 +127,8 @@
             if known is None:
                 continue
             known.loading_until_ms = now_ms + LOADING_MS
-            actions += self._plan_one(model, known, change, turn, now_ms)
+            running = load_of.get(name, 0)
+            actions += self._plan_one(model, known, change, turn, running, now_ms)
         return actions
 
     def _settle(
@@ -176,8 +179,8 @@
         ]
         # The idlest first: its calls end soonest.
         behind.sort(key=lambda each: load_of.get(each.replica.name, 0))
-        serving = max(MIN_SERVING, round(SERVING_SHARE * len(replicas)))
-        room = max(len(replicas) - serving, 1) - len(self._changes)
+        room = max(MIN_CHANGING, int(CHANGING_SHARE * len(replicas)))
+        room = min(room, max(len(replicas) - 1, 1)) - len(self._changes)
         for each in behind[: max(room, 0)]:
             self._changes[each.replica.name] = _Change(version, now_ms)
 
@@ -190,12 +193,13 @@
         known: KnownReplica,
         change: _Change,
         turn: Turn,
+        running: int,
         now_ms: float,
     ) -> list[RolloutAction]:
         replica = known.replica
         if change.ordered_ms is not None:
             self._check_lost(change, now_ms)
-        order = self._build_order(model, known, change, turn, now_ms)
+        order = self._build_order(model, known, change, turn, running, now_ms)
         if order is not None:
             change.ordered_ms = now_ms
             change.is_accepted = False
@@ -211,14 +215,18 @@
         known: KnownReplica,
         change: _Change,
         turn: Turn,
+        running: int,
         now_ms: float,
     ) -> WeightsOrder | None:
         report = change.report
         if change.ordered_ms is not None or report is None or report.state is None:
             return None
         is_fresh = now_ms - report.asked_ms <= FRESH_MS
-        is_announced = now_ms - change.announced_ms >= ANNOUNCE_MS
-        if not is_fresh or not is_announced or report.state.is_busy:
+        waited_ms = now_ms - change.announced_ms
+        is_quiet = waited_ms >= ANNOUNCE_MS and not running
+        if not is_fresh or report.state.is_busy:
+            return None
+        if not is_quiet and waited_ms < DRAIN_MS:
             return None
         return WeightsOrder(
             replica=known.replica.name,
@@ -228,6 +236,7 @@
             holder=self._node,
             fence=turn.fence,
             expected_order_count=report.state.order_count,
+            is_under_calls=running > 0,
         )
 
     def _check_lost(self, change: _Change, now_ms: float) -> None:
@@ -239,4 +248,4 @@
         is_newer = report.asked_ms > ordered_ms + LOST_MS
         if is_newer and not report.state.is_busy:
             change.ordered_ms = None
-            change.announced_ms = now_ms - ANNOUNCE_MS
+            change.announced_ms = now_ms - DRAIN_MS
