End a replica's pause with its new weights, and send nothing to dead ones meanwhile

Cause: peers that learned of new weights from the store kept the pause of the load for 1.5 s more; with the others loading, every call went to a replica that had crashed and failed five times in 20 ms.

--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -61,6 +61,8 @@
 """How long weights that a replica has taken are told to peers; by then the store says
 the same."""
 PRUNE_MS: Final = 5_000.0
+MISDIRECTED: Final = 421
+"""Status with which a replica says that it is not the one that was meant."""
 
 
 class RelayCore:
@@ -163,6 +165,8 @@
             case LinkMessageRead(sender=sender, message=message):
                 yield from self._read_message(sender.node, message, now_ms)
             case TurnRead() | TurnAppended() | ReplicaStateRead() | OrderAnswered():
+                if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
+                    self.directory.note_replaced(event.order.replica, now_ms)
                 self.duty.handle(event, now_ms)
                 yield from self._tick_duty(now_ms)
             case StopBegun():
@@ -327,9 +331,7 @@
             until_ms = now_ms + news.loading_left_ms
             known.loading_until_ms = max(known.loading_until_ms, until_ms)
         for model, version in news.weights:
-            if version > known.weights.get(model, 0):
-                known.note_weights(model, version)
-                known.loading_until_ms = float("-inf")
+            if known.note_weights(model, version):
                 self.flow.book.forget(news.replica)
 
     def _apply_parts(self, parts: Iterable[ReadPart], now_ms: float) -> None:
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -402,7 +402,7 @@
         if known is None:
             return
         if prompt is not None and outcome.weights_version is not None:
-            known.note_weights(prompt.model, outcome.weights_version)
+            self._note_weights(known, prompt.model, outcome.weights_version)
         match outcome.ending:
             case EndingSeen.COMPLETED:
                 known.note_success()
@@ -429,7 +429,12 @@
         prompt = pending.request.prompt
         goal = None if prompt is None else self._goals.find(prompt.model)
         if prompt is not None and goal is not None:
-            known.note_weights(prompt.model, goal.version)
+            self._note_weights(known, prompt.model, goal.version)
+
+    def _note_weights(self, known: KnownReplica, model: str, version: int) -> None:
+        if known.note_weights(model, version):
+            # Loading weights drops all that was read under the ones before.
+            self.book.forget(known.replica.name)
 
     def _may_try_again(
         self, pending: _Pending, outcome: RelayOutcome, now_ms: float
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -18,8 +18,8 @@
 """First pause after a failure; a crashed process refuses connections for longer."""
 REFUSED_MS: Final = 600.0
 """Pause after a refusal; then one call shows whether it takes calls again."""
-MAX_REST_MS: Final = 2_000.0
-"""Longest pause: replicas that come back are wanted within seconds."""
+MAX_REST_MS: Final = 1_000.0
+"""Longest pause: replicas that come back are wanted at once."""
 LAPSE_GRACE_MS: Final = 2_000.0
 """How long a replica counts that was dropped while the store was away; one that lives
 is listed again within that time."""
@@ -81,9 +81,16 @@
         for model, version in replica.weights:
             self.note_weights(model, version)
 
-    def note_weights(self, model: str, version: int) -> None:
-        """Note weights that an answer or a report showed."""
-        self.weights[model] = max(version, self.weights.get(model, 0))
+    def note_weights(self, model: str, version: int) -> bool:
+        """Note weights that an answer or a report showed; return whether they rose.
+
+        Then the load is over, whoever said so first.
+        """
+        if version <= self.weights.get(model, 0):
+            return False
+        self.weights[model] = version
+        self.loading_until_ms = float("-inf")
+        return True
 
     def is_listed(self, now_ms: float) -> bool:
         """Tell whether it may get work as far as the log says."""
@@ -153,16 +160,14 @@
     def find_usable(self, service: ServiceName, now_ms: float) -> list[KnownReplica]:
         """Return the replicas that may get new calls now.
 
-        Where all have failed this node lately, all of them: its own network may be what
-        failed, and a try costs less than a refusal.
+        None of those that failed this node a moment ago: while others load weights, a
+        dead one would get every call, and each would fail within milliseconds.
         """
-        listed = [
+        return [
             each
             for each in self.find_listed(service, now_ms)
-            if not each.is_loading(now_ms)
+            if not each.is_loading(now_ms) and not each.is_resting(now_ms)
         ]
-        awake = [each for each in listed if not each.is_resting(now_ms)]
-        return awake or listed
 
     def apply(self, replica: Replica) -> None:
         """Take in what a replica says of itself."""
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -32,7 +32,7 @@
 last up to 5 s; waiting for all of them, the last replica loads after 8 s."""
 ANNOUNCE_MS: Final = 60.0
 """Time from the announcement to the order; it takes one way between two nodes."""
-READ_MS: Final = 200.0
+READ_MS: Final = 120.0
 """Time between two reports of a replica under an order."""
 FRESH_MS: Final = 1_000.0
 """How old a report may be for an order to be based on it."""
