--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,19 +1,18 @@
 #!/bin/sh
-# Install what a node needs on the platform under target/deps, without tests and
-# stand-ins: libraries when what is declared changes, the sources at every build.
+# Put what a node needs on the platform under target/deps, without tests and stand-ins:
+# libraries when their list changes, the sources at every build.
 set -eu
 stamp=target/deps/libraries.sha256
-wanted=$(cat constraints.txt packages/toucanyard/pyproject.toml \
-    packages/toucanyard-node/pyproject.toml platform/pyproject.toml | sha256sum)
+wanted=$(cat constraints.txt deploy/requirements.txt | sha256sum)
 if [ ! -f "$stamp" ] || [ "$(cat "$stamp")" != "$wanted" ]; then
     rm -rf target/deps
     mkdir -p target
-    python3 -m pip install --quiet --no-warn-script-location \
-        --root-user-action=ignore --constraint constraints.txt --target target/deps \
-        ./packages/toucanyard ./packages/toucanyard-node ./platform
+    python3 -m pip install --quiet --root-user-action=ignore --target target/deps \
+        --constraint constraints.txt --requirement deploy/requirements.txt
     printf '%s\n' "$wanted" >"$stamp"
 fi
-rm -rf target/deps/toucanyard target/deps/toucanyard_node target/deps/toucanyard_platform
+rm -rf target/deps/toucanyard target/deps/toucanyard_node \
+    target/deps/toucanyard_platform
 cp -R packages/toucanyard/src/toucanyard packages/toucanyard-node/src/toucanyard_node \
     platform/src/toucanyard_platform target/deps/
 # Nodes can't write beside the sources, so each start would compile them anew.
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -255,20 +255,12 @@
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                data = await self._fill(connection, stream)
-                if head is None:
-                    raw += data
+                raw += await self._fill(connection, stream)
             elif isinstance(event, h11.Request):
                 head = event
-                if has_unclear_end(event, bytes(raw)):
-                    return ErrorKind.BAD_REQUEST
-                if event.method == _TUNNEL:
-                    return ErrorKind.METHOD_NOT_ALLOWED
-                # h11 bounds what it has to wait for, not what came in one piece.
-                if _compute_head_bytes(event) > self._limits.max_header_bytes:
-                    return ErrorKind.BAD_REQUEST
-                if _find_content_length(event) > self._limits.max_body_bytes:
-                    return ErrorKind.BODY_TOO_LARGE
+                fault = self._check_head(event, bytes(raw))
+                if fault is not None:
+                    return fault
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.max_body_bytes:
@@ -278,6 +270,18 @@
             else:
                 return None
 
+    def _check_head(self, head: h11.Request, raw: bytes) -> ErrorKind | None:
+        if has_unclear_end(head, raw):
+            return ErrorKind.BAD_REQUEST
+        if head.method == _TUNNEL:
+            return ErrorKind.METHOD_NOT_ALLOWED
+        # h11 bounds what it has to wait for, not what came in one piece.
+        if _compute_head_bytes(head) > self._limits.max_header_bytes:
+            return ErrorKind.BAD_REQUEST
+        if _find_content_length(head) > self._limits.max_body_bytes:
+            return ErrorKind.BODY_TOO_LARGE
+        return None
+
     async def _fill(
         self, connection: h11.Connection, stream: trio.SocketStream
     ) -> bytes:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -13,7 +13,12 @@
 import trio
 
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
+from toucanyard.relay_requests import (
+    RelayDispatch,
+    RelayOutcome,
+    RelayRequest,
+    RelayVerdict,
+)
 from toucanyard.requests import EndingSeen, Refuse
 from toucanyard_node.event_splitter import EventSplitter
 from toucanyard_node.http_client import (
@@ -103,7 +108,7 @@
             self._give_up()
 
     async def _run(self) -> None:
-        verdict = await self._client.decide(self._request)
+        verdict: RelayVerdict | None = await self._client.decide(self._request)
         while isinstance(verdict, RelayDispatch):
             self._dispatch = verdict
             try:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_face.py
@@ -27,7 +27,7 @@
 from toucanyard_node.relay_task import RelayClient
 
 NO_ROUTES_RETRY_MS: Final = 300
-"""When to come back to a node that has just started; it reads its routes within less."""
+"""When to come back to a node that has just started; it reads its routes by then."""
 MAX_RANK: Final = 9
 _LOG: Final = structlog.get_logger()
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -19,8 +19,13 @@
 from toucanyard.names import Address
 from toucanyard.options import MembershipTimings
 from toucanyard.relay_core import STATUS_MS, RelayCore
-from toucanyard.relay_events import LinkMessageRead, PeersLinked, RelayEvent, StopBegun
-from toucanyard.relay_events import SendToPeer as SendToPeer
+from toucanyard.relay_events import (
+    LinkMessageRead,
+    PeersLinked,
+    RelayEvent,
+    SendToPeer as SendToPeer,
+    StopBegun,
+)
 from toucanyard.roster import MAX_PEERS
 from toucanyard_node.bounded_output import BoundedOutput
 from toucanyard_node.http_client import split_address
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -1,5 +1,6 @@
-"""What a node that relays calls needs from outside: whoever speaks to callers' headers,
-to the platform's store and to replicas implements these.
+"""Name what a node that relays calls needs from outside.
+
+Whoever speaks to callers' headers, the store and replicas implements it.
 
 All names and formats of the outside stay behind them; what passes is typed.
 """
@@ -128,7 +129,7 @@
         ...
 
     async def append_turn(self, value: bytes, at: int) -> int:
-        """Append if the turns end at `at`; return the offset or raise TurnTakenError."""
+        """Append if the turns end there; return the offset or raise TurnTakenError."""
         ...
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -83,7 +83,9 @@
         """Read a topic that changes all the time once what is known is too old."""
         while True:
             now_ms = trio.current_time() * 1000
-            is_new = topic in self._needs_whole and not self._core.views[topic].end
+            is_new = (
+                topic in self._needs_whole and not self._core.exchange.views[topic].end
+            )
             if is_new or self._core.is_read_due(topic, now_ms):
                 self._core.note_read_begun(topic, now_ms)
                 if not await self._read(topic, 0.0):
@@ -92,7 +94,7 @@
 
     async def _read(self, topic: Topic, wait_ms: float) -> bool:
         asked_ms = trio.current_time() * 1000
-        view = self._core.views[topic]
+        view = self._core.exchange.views[topic]
         # What a peer has told makes reading everything needless.
         since = max(view.end, self._next[topic])
         is_whole = topic in self._needs_whole and not since
--- a/packages/toucanyard/src/toucanyard/keyed_view.py
+++ b/packages/toucanyard/src/toucanyard/keyed_view.py
@@ -115,8 +115,8 @@
         fact = None
         if record.value is not None:
             fact = self._decode(self.topic, record.key, record.value)
-        # A heartbeat that says nothing new keeps the older record: passed on, each would
-        # cost every link between nodes its bytes.
+        # A heartbeat that says nothing new keeps the older record: passed on, each
+        # would cost every link between nodes its bytes.
         if fact is not None and fact == before:
             return None
         self._held[record.key] = _Held(record, fact)
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -93,10 +93,13 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise MessageInvalidError(f"found {len(data)} bytes")
     try:
-        return msgspec.convert(cbor2.loads(data), LinkMessage, builtin_types=(bytes,))
+        message: LinkMessage = msgspec.convert(
+            cbor2.loads(data), LinkMessage, builtin_types=(bytes,)
+        )
     except (
         cbor2.CBORDecodeError,
         msgspec.ValidationError,
         RecursionError,
     ) as error:
         raise MessageInvalidError(str(error)) from error
+    return message
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -169,24 +169,25 @@
             if not each.is_loading(now_ms) and not each.is_resting(now_ms)
         ]
 
-    def apply(self, replica: Replica) -> None:
+    def apply(self, replica: Replica) -> KnownReplica:
         """Take in what a replica says of itself."""
         known = self._known.get(replica.name)
         if known is None:
             known = self._known[replica.name] = KnownReplica(replica)
             self._by_service.setdefault(replica.service, []).append(known)
-            return
-        known.update(replica)
+        else:
+            known.update(replica)
+        return known
 
     def remove(
         self, names: Iterable[EndpointName], now_ms: float, *, is_doubtful: bool
     ) -> None:
         """Take in that the log lists some replicas no more.
 
-        `is_doubtful` tells that the store was in trouble just now. Then, or if half of a
-        service goes at once, they may be alive, and count for a while.
+        `is_doubtful` tells that the store was in trouble just now. Then, or if half of
+        a service goes at once, they may be alive, and count for a while.
         """
-        for service, known in self._by_service.items():
+        for known in self._by_service.values():
             gone = [each for each in known if each.replica.name in names]
             present = [each for each in known if each.gone_ms is None]
             is_mass = len(gone) > 1 and len(gone) >= MASS_SHARE * len(present)
@@ -194,8 +195,6 @@
                 each.gone_ms = now_ms
                 if is_doubtful or is_mass:
                     each.grace_until_ms = now_ms + LAPSE_GRACE_MS
-            if gone:
-                self._by_service[service] = known
 
     def note_replaced(self, name: EndpointName, now_ms: float) -> None:
         """Take in that another replica answers at this one's address."""
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -92,6 +92,10 @@
             if now_ms - heard.heard_ms <= STATUS_KEPT_MS
         ]
 
+    def count_known(self) -> int:
+        """Return how many other nodes have said where they can be reached."""
+        return len(self._known)
+
     def count_alive(self, now_ms: float) -> int:
         """Return how many nodes are alive, this one included."""
         return 1 + len(self.find_alive(now_ms))
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -0,0 +1,98 @@
+"""Keep the views of all topics and tell peers what they lack.
+
+Records that one node reads from the store go to its peers at once. What got lost on the
+way shows in the next status, which says how far each node knows each topic.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from typing import Final
+
+from toucanyard.keyed_view import Change, Decode, KeyedRecord, KeyedView, Topic
+from toucanyard.link_messages import ViewRecords, ViewStatus
+from toucanyard.names import NodeName
+from toucanyard.relay_events import SendToPeer
+
+PUSH_AGAIN_MS: Final = 700.0
+"""After this time records are sent again to a peer whose status lacks them."""
+
+
+class ViewExchange:
+    """The views of one node, and what its peers were told of them."""
+
+    __slots__ = ("_pushed", "linked", "views")
+
+    def __init__(self, decode: Decode) -> None:
+        self.views = {topic: KeyedView(topic, decode) for topic in Topic}
+        self.linked: tuple[NodeName, ...] = ()
+        self._pushed: dict[tuple[NodeName, Topic], tuple[int, float]] = {}
+
+    def apply_read(
+        self,
+        topic: Topic,
+        records: Sequence[KeyedRecord],
+        end: int,
+        asked_ms: float,
+        *,
+        is_whole: bool,
+    ) -> list[Change]:
+        """Take in what the store gave when asked at `asked_ms`."""
+        view = self.views[topic]
+        changes = view.apply(records, end, is_whole=is_whole)
+        view.confirm(end, asked_ms)
+        return changes
+
+    def apply_records(self, message: ViewRecords, now_ms: float) -> list[Change]:
+        """Take in what a peer sent; nothing if something before it is missing."""
+        view = self.views[message.topic]
+        if message.since > view.end and not message.is_whole:
+            # This node's next status shows the peer what is missing.
+            return []
+        changes = view.apply(message.records, message.end, is_whole=message.is_whole)
+        if message.confirmed_age_ms >= 0:
+            view.confirm(message.end, now_ms - message.confirmed_age_ms)
+        return changes
+
+    def push(self, topic: Topic, since: int, now_ms: float) -> Iterator[SendToPeer]:
+        """Tell all linked peers of new records."""
+        for name in self.linked:
+            yield self._build(name, topic, since, now_ms)
+
+    def answer_status(
+        self, sender: NodeName, statuses: Sequence[ViewStatus], now_ms: float
+    ) -> Iterator[SendToPeer]:
+        """Take in how far a peer knows each topic, and tell it what it lacks."""
+        for status in statuses:
+            view = self.views[status.topic]
+            if status.confirmed_age_ms >= 0:
+                view.confirm(status.end, now_ms - status.confirmed_age_ms)
+            if status.end < view.end and not self._was_told(sender, view, now_ms):
+                yield self._build(sender, status.topic, status.end, now_ms)
+
+    def list_statuses(self, now_ms: float) -> tuple[ViewStatus, ...]:
+        """Return how far this node knows each topic."""
+        return tuple(
+            ViewStatus(topic, view.end, _compute_age(view, now_ms))
+            for topic, view in self.views.items()
+        )
+
+    def _was_told(self, name: NodeName, view: KeyedView, now_ms: float) -> bool:
+        end, told_ms = self._pushed.get((name, view.topic), (-1, float("-inf")))
+        return end >= view.end and now_ms - told_ms < PUSH_AGAIN_MS
+
+    def _build(
+        self, name: NodeName, topic: Topic, since: int, now_ms: float
+    ) -> SendToPeer:
+        view = self.views[topic]
+        is_whole, records = view.list_since(since)
+        self._pushed[(name, topic)] = (view.end, now_ms)
+        age_ms = _compute_age(view, now_ms)
+        return SendToPeer(
+            name, ViewRecords(topic, since, view.end, is_whole, tuple(records), age_ms)
+        )
+
+
+def _compute_age(view: KeyedView, now_ms: float) -> float:
+    never = view.confirmed_ms == float("-inf")
+    return -1.0 if never else now_ms - view.confirmed_ms
