Follow what replicas and the store of prompts keep, and save to the store

Cause: parts were read again after their only reader had dropped them or had crashed, and a node knew only its own sends and its peers' a quarter of a second late. Replicas and the store tell what they keep; what no replica had is saved to the store.

--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/part_following.py
@@ -0,0 +1,77 @@
+"""Follow what replicas and stores keep of prompts, with one call at a time to each."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import structlog
+import trio
+
+from toucanyard.names import EndpointName
+from toucanyard.part_sources import PartHolder
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_events import HolderLost, PartsChanged
+from toucanyard_node.relay_ports import PartFollower
+from toucanyard_node.relay_task import RelayClient
+
+LOOK_S: Final = 0.5
+"""Time between two looks at whom to follow."""
+WAIT_MS: Final = 1_000.0
+"""How long a call may wait for something to tell."""
+GATHER_S: Final = 0.15
+"""Pause between two calls to one holder: what it tells in that time comes together."""
+RETRY_S: Final = 0.5
+_LOG: Final = structlog.get_logger()
+
+
+class PartFollowing:
+    """The tasks that follow holders. Invariant: at most one for each holder."""
+
+    __slots__ = ("_client", "_core", "_follower", "_scopes")
+
+    def __init__(
+        self, core: RelayCore, client: RelayClient, follower: PartFollower
+    ) -> None:
+        self._core = core
+        self._client = client
+        self._follower = follower
+        self._scopes: dict[EndpointName, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Start and end tasks as holders come and go, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                now_ms = trio.current_time() * 1000
+                wanted = self._core.sources.find_followed(self._core.index, now_ms)
+                self._update(wanted, nursery)
+                await trio.sleep(LOOK_S)
+
+    def _update(self, wanted: list[PartHolder], nursery: trio.Nursery) -> None:
+        names = {holder.name for holder in wanted}
+        for name in set(self._scopes) - names:
+            self._scopes.pop(name).cancel()
+        for holder in wanted:
+            if holder.name not in self._scopes:
+                scope = self._scopes[holder.name] = trio.CancelScope()
+                nursery.start_soon(self._follow, holder, scope)
+
+    async def _follow(self, holder: PartHolder, scope: trio.CancelScope) -> None:
+        since, epoch = 0, -1
+        is_lost = False
+        with scope:
+            while True:
+                page = await self._follower.read_parts(holder.address, since, WAIT_MS)
+                if page is None:
+                    if not is_lost:
+                        _LOG.info("holder_lost", holder=holder.name)
+                    is_lost = True
+                    self._client.tell(HolderLost(holder.name))
+                    await trio.sleep(RETRY_S)
+                    continue
+                if is_lost:
+                    _LOG.info("holder_back", holder=holder.name)
+                is_lost = False
+                is_reset = epoch not in (-1, page.epoch)
+                epoch, since = page.epoch, page.next_number
+                self._client.tell(PartsChanged(holder.name, page.changes, is_reset))
+                await trio.sleep(GATHER_S)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -32,9 +32,15 @@
 from toucanyard_node.http_exchange import HttpRequest, Responder
 from toucanyard_node.http_server import HttpServer, ServerLimits, open_listener
 from toucanyard_node.link_codec import LinkCodec
+from toucanyard_node.part_following import PartFollowing
 from toucanyard_node.peer_links import PeerLinks
 from toucanyard_node.relay_face import RelayFace
-from toucanyard_node.relay_ports import CallCodec, ReplicaControl, Store
+from toucanyard_node.relay_ports import (
+    CallCodec,
+    PartFollower,
+    ReplicaControl,
+    Store,
+)
 from toucanyard_node.relay_store import Errands, StoreReader, keep_trying
 from toucanyard_node.relay_task import Errand, RelayTask
 
@@ -68,6 +74,7 @@
     calls: CallCodec
     store: Store
     replicas: ReplicaControl
+    parts: PartFollower
 
 
 class Pages(msgspec.Struct, frozen=True):
@@ -103,6 +110,7 @@
         self._server = HttpServer(self._face.handle, self._find_limits())
         self._reader = StoreReader(core, client, ports.store)
         self._doer = Errands(client, ports.store, ports.replicas)
+        self._following = PartFollowing(core, client, ports.parts)
         timings = MembershipTimings(
             max_peers=MAX_PEERS, digest_interval_ms=int(STATUS_MS)
         )
@@ -124,6 +132,7 @@
             nursery.start_soon(self._watch_signals, nursery.cancel_scope)
             nursery.start_soon(self._task.run)
             nursery.start_soon(self._reader.run)
+            nursery.start_soon(self._following.run)
             nursery.start_soon(self._doer.run, self._errands)
             peers = await _listen(listen.peers)
             nursery.start_soon(self._links.run, peers, self._messages)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -14,7 +14,7 @@
 
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import Address
-from toucanyard.relay_events import ReplicaState, WeightsOrder
+from toucanyard.relay_events import PartChange, ReplicaState, WeightsOrder
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest, ReportedLoad
 from toucanyard.roster import NodeRecord
 from toucanyard_node.http_client import Headers, ResponseHead
@@ -106,6 +106,27 @@
     end: int
 
 
+class PartPage(msgspec.Struct, frozen=True):
+    """What a holder of parts has told since it was last asked."""
+
+    epoch: int
+    """Changes when the holder starts anew."""
+    next_number: int
+    is_lost: bool
+    """Whether something between is missing."""
+    changes: tuple[PartChange, ...]
+
+
+class PartFollower(Protocol):
+    """Asks holders of parts what they keep."""
+
+    async def read_parts(
+        self, address: Address, since: int, wait_ms: float
+    ) -> PartPage | None:
+        """Return what has changed; None without an answer."""
+        ...
+
+
 class Store(Protocol):
     """The platform's store; every method may raise StoreError."""
 
--- a/packages/toucanyard/src/toucanyard/part_book.py
+++ b/packages/toucanyard/src/toucanyard/part_book.py
@@ -71,9 +71,23 @@
                 shelf.tokens += part.tokens
             else:
                 held.ready_ms = min(held.ready_ms, ready_ms)
+                shelf.tokens += part.tokens - held.tokens
+                held.tokens = part.tokens
             shelf.kept[key] = held
         self._trim(shelf, int(max_tokens * FILL_SHARE))
 
+    def note_stored(
+        self, holder: EndpointName, scope: str, part: str, tokens: int, now_ms: float
+    ) -> None:
+        """Note what a holder says that it keeps of a part, 0 tokens for nothing."""
+        if tokens <= 0:
+            self.note_dropped(holder, scope, part)
+            return
+        shelf = self._shelves.setdefault(holder, _Shelf())
+        held = shelf.kept.pop((scope, part), None)
+        shelf.tokens += tokens - (0 if held is None else held.tokens)
+        shelf.kept[(scope, part)] = _Kept(tokens, now_ms)
+
     def note_dropped(self, replica: EndpointName, scope: str, part: str) -> None:
         """Note that a replica has dropped a part."""
         shelf = self._shelves.get(replica)
@@ -111,7 +125,9 @@
             held = shelf.kept.get((scope, part.name))
             if held is None or held.ready_ms > ready_by_ms:
                 break
-            tokens += part.tokens
+            tokens += min(part.tokens, held.tokens)
+            if held.tokens < part.tokens:
+                break
         return tokens
 
     def is_being_read(
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -17,11 +17,12 @@
 
 from toucanyard.names import Address, EndpointName
 from toucanyard.part_book import Part, PartBook
+from toucanyard.part_sources import name_store
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica
-from toucanyard.routes import EngineTraits
+from toucanyard.routes import EngineTraits, PromptStore
 from toucanyard.weights_goals import Goal
 
 FULL_SHARE: Final = 0.92
@@ -56,6 +57,16 @@
     fetched_tokens: int
     source: Address | None
     considered: int
+    has_missing: bool
+    """Whether the replica is to read parts that others share."""
+
+
+class _Source(msgspec.Struct, frozen=True):
+    """Where parts can be fetched, and how many tokens of a prompt's front."""
+
+    address: Address | None = None
+    tokens: int = 0
+    link_mbps: float = 1.0
 
 
 class _Candidate(msgspec.Struct, frozen=True):
@@ -92,13 +103,14 @@
         engine: EngineTraits,
         usable: Sequence[KnownReplica],
         goal: Goal | None,
+        stores: Sequence[PromptStore],
         now_ms: float,
     ) -> PlacedPrompt | None:
         """Return the best replica with room, or None if the call has to wait."""
         candidates = self._find_candidates(request, prompt, usable, goal, now_ms)
         best: PlacedPrompt | None = None
         for each in candidates:
-            placed = self._score(each, candidates, prompt, engine, goal, now_ms)
+            placed = self._score(each, candidates, prompt, engine, goal, stores, now_ms)
             if placed is not None and (best is None or placed.total_ms < best.total_ms):
                 best = placed
         return best
@@ -130,6 +142,7 @@
         prompt: Prompt,
         engine: EngineTraits,
         goal: Goal | None,
+        stores: Sequence[PromptStore],
         now_ms: float,
     ) -> PlacedPrompt | None:
         name = candidate.known.replica.name
@@ -141,22 +154,25 @@
             return None
         shared = prompt.find_shared()
         local = self._book.count_leading(name, candidate.scope, shared, float("inf"))
-        source, remote = self._find_source(candidate, all_candidates, shared, now_ms)
-        covered = max(local, remote)
-        fetched = max(remote - local, 0)
+        source = self._find_source(
+            candidate, all_candidates, shared, engine, stores, now_ms
+        )
+        covered = max(local, source.tokens)
+        fetched = max(source.tokens - local, 0)
         unread = total_tokens - covered
         speed = self._uses.tokens_per_ms
         wait_ms = use.unread_tokens / speed + use.running * RUNNING_MS
         total_ms = wait_ms + unread / speed
         total_ms += self._price(candidate, goal, now_ms)
-        total_ms += fetched * engine.bytes_per_token * 8 / (engine.link_mbps * 1_000)
+        total_ms += fetched * engine.bytes_per_token * 8 / (source.link_mbps * 1_000)
         missing = _find_missing(shared, covered)
         if missing is not None:
             total_ms += self._price_missing(
                 candidate, all_candidates, shared, missing, covered, now_ms
             )
-        if source is None and missing is not None:
-            source = _guess_source(candidate, all_candidates, missing)
+        address = source.address
+        if address is None and missing is not None:
+            address = _guess_source(candidate, all_candidates, missing)
         return PlacedPrompt(
             replica=candidate.known,
             weights_version=candidate.version,
@@ -165,8 +181,9 @@
             wait_ms=wait_ms,
             unread_tokens=unread,
             fetched_tokens=fetched,
-            source=source,
+            source=address,
             considered=len(all_candidates),
+            has_missing=missing is not None,
         )
 
     def _find_source(
@@ -174,19 +191,26 @@
         candidate: _Candidate,
         all_candidates: Sequence[_Candidate],
         shared: Sequence[Part],
+        engine: EngineTraits,
+        stores: Sequence[PromptStore],
         now_ms: float,
-    ) -> tuple[Address | None, int]:
-        """Return who holds most of a prompt's front beside a replica, and how much."""
-        best: tuple[Address | None, int] = (None, 0)
+    ) -> _Source:
+        """Return who holds most of a prompt's front beside a replica."""
+        scope = candidate.scope
         name = candidate.known.replica.name
-        local = self._book.count_leading(name, candidate.scope, shared, now_ms)
+        best = _Source()
+        least = self._book.count_leading(name, scope, shared, now_ms)
         for other in all_candidates:
             replica = other.known.replica
-            if replica.name == name or other.scope != candidate.scope:
+            if replica.name == name or other.scope != scope:
                 continue
-            held = self._book.count_leading(replica.name, other.scope, shared, now_ms)
-            if held > max(best[1], local):
-                best = (replica.address, held)
+            held = self._book.count_leading(replica.name, scope, shared, now_ms)
+            if held > max(best.tokens, least):
+                best = _Source(replica.address, held, engine.link_mbps)
+        for store in stores:
+            held = self._book.count_leading(name_store(store), scope, shared, now_ms)
+            if held > max(best.tokens, least):
+                best = _Source(store.address, held, store.link_mbps)
         return best
 
     def _price(self, candidate: _Candidate, goal: Goal | None, now_ms: float) -> float:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -12,17 +12,20 @@
 
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
-from toucanyard.link_messages import NodeStatus, ReadPart, ViewRecords
+from toucanyard.link_messages import LinkMessage, NodeStatus, ReadPart, ViewRecords
 from toucanyard.names import Address, EndpointName, NodeId, NodeName
 from toucanyard.part_book import Part
+from toucanyard.part_sources import PartSources
 from toucanyard.relay_events import (
     CallArrived,
     CallerLeft,
     DispatchEnded,
     FirstEventSeen,
+    HolderLost,
     LinkMessageRead,
     Note,
     OrderAnswered,
+    PartsChanged,
     PeersLinked,
     RelayAction,
     RelayEvent,
@@ -88,7 +91,8 @@
             listen.peers,
         )
         self.roster = Roster(self.own_record, options.seeds)
-        self.flow = RelayFlow(options, self.directory, self.goals, rng)
+        self.sources = PartSources(self.directory, self.roster)
+        self.flow = RelayFlow(options, self.directory, self.goals, self.sources, rng)
         self.facts = KnownFacts(self.directory, self.goals, self.roster, self.flow)
         self.bulletin = ReplicaBulletin(self.directory, self.flow.book)
         self.duty = WeightsDuty(
@@ -152,10 +156,10 @@
                 yield Note("store_failed", {"purpose": purpose, "reason": reason})
             case PeersLinked(peers=peers):
                 yield from self._link([peer.node for peer in peers])
-            case LinkMessageRead(sender=sender, message=NodeStatus() as status):
-                yield from self._read_status(sender.node, status, now_ms)
-            case LinkMessageRead(sender=sender, message=ViewRecords() as records):
-                yield from self._read_records(sender.node, records, now_ms)
+            case LinkMessageRead(sender=sender, message=message):
+                yield from self._read_message(sender.node, message, now_ms)
+            case PartsChanged() | HolderLost():
+                self._note_parts(event, now_ms)
             case StopBegun():
                 self.is_stopping = True
                 yield from self._send_status(now_ms)
@@ -201,6 +205,15 @@
         if self.bulletin.note_changing(set(self.duty.list_changing()), now_ms):
             yield from self._send_status(now_ms)
 
+    def _read_message(
+        self, sender: NodeName, message: LinkMessage, now_ms: float
+    ) -> Iterator[RelayAction]:
+        match message:
+            case NodeStatus():
+                yield from self._read_status(sender, message, now_ms)
+            case ViewRecords():
+                yield from self._read_records(sender, message, now_ms)
+
     def _read_topic(self, read: TopicRead, now_ms: float) -> Iterator[RelayAction]:
         before = self.exchange.views[read.topic].end
         changes = self.exchange.apply_read(
@@ -239,6 +252,19 @@
         self._apply_parts(status.parts, now_ms)
         yield from self.exchange.answer_status(sender, status.views, now_ms)
 
+    def _note_parts(self, event: PartsChanged | HolderLost, now_ms: float) -> None:
+        if isinstance(event, HolderLost):
+            self.sources.note_lost(event.holder)
+            return
+        self.sources.note_heard(event.holder, now_ms)
+        book = self.flow.book
+        if event.is_reset:
+            book.forget(event.holder)
+        for change in event.changes:
+            book.note_stored(
+                event.holder, change.scope, change.part, change.tokens, now_ms
+            )
+
     def _apply_parts(self, parts: Iterable[ReadPart], now_ms: float) -> None:
         for each in parts:
             memory_tokens = self._find_memory(each.replica)
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -65,6 +65,28 @@
     message: LinkMessage
 
 
+class PartChange(msgspec.Struct, frozen=True):
+    """What a holder now keeps of a part; 0 tokens if nothing."""
+
+    scope: str
+    part: str
+    tokens: int
+
+
+class PartsChanged(msgspec.Struct, frozen=True):
+    """A replica or a store told what it keeps; `is_reset` if it has started anew."""
+
+    holder: EndpointName
+    changes: tuple[PartChange, ...]
+    is_reset: bool
+
+
+class HolderLost(msgspec.Struct, frozen=True):
+    """A replica or a store no longer tells what it keeps."""
+
+    holder: EndpointName
+
+
 class TurnRead(msgspec.Struct, frozen=True):
     """The records of the turns to order, up to `end`."""
 
@@ -174,6 +196,8 @@
     | StoreFailed
     | PeersLinked
     | LinkMessageRead
+    | PartsChanged
+    | HolderLost
     | TurnRead
     | TurnAppended
     | ReplicaStateRead
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -19,6 +19,7 @@
 from toucanyard.names import EndpointName, RequestId, ServiceName
 from toucanyard.part_book import PartBook
 from toucanyard.part_placement import PartPlacement, PlacedPrompt
+from toucanyard.part_sources import PartSources
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import (
     PlacementReason,
@@ -88,9 +89,11 @@
         options: RelayOptions,
         directory: ReplicaDirectory,
         goals: WeightsGoals,
+        sources: PartSources,
         rng: random.Random,
     ) -> None:
         self._options = options
+        self._sources = sources
         self._rng = rng
         self._directory = directory
         self._goals = goals
@@ -284,7 +287,10 @@
             # What another version goes on with is no part of the same answer.
             version = pending.weights_version
             usable = [e for e in usable if e.weights.get(prompt.model) == version]
-        placed = self._placement.choose(request, prompt, engine, usable, goal, now_ms)
+        stores = self._sources.find_stores(self._index, now_ms)
+        placed = self._placement.choose(
+            request, prompt, engine, usable, goal, stores, now_ms
+        )
         if placed is None:
             return None
         pending.weights_version = placed.weights_version
@@ -313,6 +319,8 @@
             weights_version=placed.weights_version,
             cache_scope=placed.scope,
             fetch_from=placed.source,
+            # What no replica had is kept aside: it outlives the replica that reads it.
+            save_to=stores[0].address if stores and placed.has_missing else None,
             reason=self._explain_prompt(pending, placed, now_ms),
         )
 
--- a/packages/toucanyard/src/toucanyard/routes.py
+++ b/packages/toucanyard/src/toucanyard/routes.py
@@ -69,6 +69,8 @@
     address: Address
     domain: DomainName
     memory_tokens: int
+    link_mbps: float
+    max_followers: int
 
 
 class CallBounds(msgspec.Struct, frozen=True):
