--- /dev/null
+++ b/tests/toucanyard/test_part_placement.py
@@ -0,0 +1,196 @@
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from toucanyard.names import Address, CustomerName, DomainName, EndpointName, RequestId
+from toucanyard.part_book import Part, PartBook
+from toucanyard.part_placement import (
+    FULL_SHARE,
+    LATE_AFTER_MS,
+    PartPlacement,
+    PlacedPrompt,
+    compute_scope,
+)
+from toucanyard.part_sources import name_store
+from toucanyard.replica_uses import ReplicaUses
+from toucanyard.replicas import KnownReplica
+from toucanyard.routes import PromptStore
+from toucanyard.weights_goals import Goal
+
+from .relay_examples import MODEL, TRAITS, build_prompt, build_replica, build_request
+
+MAX_OLD_MS = 6_000.0
+PROMPT = build_prompt(("book", 2_500), ("subject", 3_700), ("own", 2_800))
+STORE = PromptStore(Address("10.2.0.1:1"), DomainName("d2"), 700_000, 100_000.0, 12)
+
+
+class Pool:
+    """Some replicas, what they hold and what they do."""
+
+    def __init__(self, *names: str, version: int = 1) -> None:
+        self.book = PartBook()
+        self.uses = ReplicaUses()
+        self.goal = Goal()
+        self.goal.apply(version, 0.0)
+        self.placement = PartPlacement(self.book, self.uses, MAX_OLD_MS)
+        weights = ((MODEL, version),)
+        self.known = [
+            KnownReplica(build_replica(name, weights=weights)) for name in names
+        ]
+
+    def choose(
+        self,
+        now_ms: float = 1_000.0,
+        stores: Sequence[PromptStore] = (),
+        **changes: object,
+    ) -> PlacedPrompt | None:
+        request = build_request("q", prompt=PROMPT, **changes)
+        return self.placement.choose(
+            request, PROMPT, TRAITS, self.known, self.goal, stores, now_ms
+        )
+
+    def note(self, name: str, parts: Sequence[Part], ready_ms: float = 0.0) -> None:
+        memory = TRAITS.memory_tokens
+        self.book.note(EndpointName(name), f"{MODEL}/1/", parts, ready_ms, memory)
+
+    def load(self, name: str, calls: int, tokens: int, unread: int) -> None:
+        for number in range(calls):
+            request_id = RequestId(f"{name}{number}")
+            self.uses.begin(EndpointName(name), request_id, tokens, unread, 0.0)
+
+
+def find_name(placed: PlacedPrompt | None) -> str:
+    assert placed is not None
+    return placed.replica.replica.name
+
+
+def test_warm_replica_is_chosen() -> None:
+    for warm in "abcd":
+        pool = Pool(*"abcd")
+        pool.note(warm, PROMPT.parts[:2])
+        placed = pool.choose()
+        assert find_name(placed) == warm
+        assert placed is not None
+        assert placed.unread_tokens == 2_800
+
+
+def test_cold_part_has_one_home_on_every_node() -> None:
+    """A burst on one cold part arrives at nodes that know nothing of each other.
+
+    Each would have another replica read it, and the same part be read five times.
+    """
+    homes = {find_name(Pool(*names).choose()) for names in ("abcd", "dcba", "bdac")}
+    assert len(homes) == 1
+
+
+def test_busy_warm_replica_gives_its_parts_to_an_idle_one() -> None:
+    pool = Pool(*"abcd")
+    pool.note("a", PROMPT.parts[:2])
+    pool.load("a", 6, 9_000, 9_000)
+    placed = pool.choose()
+    assert placed is not None
+    assert find_name(placed) != "a"
+    assert placed.source == pool.known[0].replica.address
+    assert placed.fetched_tokens == 6_200
+    assert placed.unread_tokens == 2_800
+
+
+def test_part_that_another_replica_reads_now_is_followed_there() -> None:
+    """The first call for a part has been sent, its reading takes a quarter second.
+
+    A second call at another replica would read the part again, for nothing.
+    """
+    for leader in "abcd":
+        pool = Pool(*"abcd")
+        pool.note(leader, PROMPT.parts[:2], ready_ms=1_250.0)
+        pool.load(leader, 1, 9_000, 9_000)
+        assert find_name(pool.choose()) == leader
+
+
+def test_store_gives_what_no_replica_holds_any_more() -> None:
+    pool = Pool(*"abcd")
+    name = name_store(STORE)
+    pool.book.note(name, f"{MODEL}/1/", PROMPT.parts[:2], 0.0, STORE.memory_tokens)
+    placed = pool.choose(stores=(STORE,))
+    assert placed is not None
+    assert placed.source == STORE.address
+    assert placed.unread_tokens == 2_800
+    assert not placed.has_missing
+    without = pool.choose()
+    assert without is not None
+    assert without.has_missing
+
+
+def test_parts_of_older_weights_are_never_fetched() -> None:
+    """New weights are in place at one replica; the others still have the older ones.
+
+    What was read under those must not go into the memory of the new ones.
+    """
+    pool = Pool(*"ab", version=1)
+    pool.note("a", PROMPT.parts[:2])
+    pool.known[1] = KnownReplica(build_replica("b", weights=((MODEL, 2),)))
+    pool.goal.apply(2, 0.0)
+    pool.load("a", 40, 1_000, 1_000)
+    placed = pool.choose()
+    assert placed is not None
+    assert find_name(placed) == "b"
+    assert placed.weights_version == 2
+    assert placed.source is None
+    assert placed.unread_tokens == PROMPT.count_tokens()
+
+
+def test_walled_customer_has_a_scope_of_its_own() -> None:
+    shared = compute_scope(build_request("q"), PROMPT, 1)
+    walled = compute_scope(build_request("q", is_walled=True), PROMPT, 1)
+    other = compute_scope(
+        build_request("q", is_walled=True, customer=CustomerName("d")), PROMPT, 1
+    )
+    assert len({shared, walled, other}) == 3
+
+
+def test_replica_with_old_weights_is_avoided_and_then_not_used() -> None:
+    pool = Pool(*"ab")
+    pool.known[1] = KnownReplica(build_replica("b", weights=((MODEL, 2),)))
+    pool.goal.apply(2, 0.0)
+    pool.note("a", PROMPT.parts[:2])
+    assert find_name(pool.choose(100.0)) == "a"
+    assert find_name(pool.choose(LATE_AFTER_MS + 1)) == "b"
+    del pool.known[1]
+    assert find_name(pool.choose(MAX_OLD_MS)) == "a"
+    assert pool.choose(MAX_OLD_MS + 1) is None
+
+
+def test_age_of_weights_counts_from_the_first_newer_version() -> None:
+    """Versions follow one another each second, faster than replicas can load them.
+
+    Counted from the newest version, one of long ago would never be too old.
+    """
+    pool = Pool("a")
+    for second in range(1, 9):
+        pool.goal.apply(1 + second, second * 1_000.0)
+    assert pool.choose(1_000 + MAX_OLD_MS) is not None
+    assert pool.choose(1_001 + MAX_OLD_MS) is None
+
+
+def test_full_memory_makes_a_call_wait() -> None:
+    """Calls of all nodes fill a replica's memory.
+
+    One more would have the engine drop a running call and read it again.
+    """
+    pool = Pool("a")
+    pool.load("a", 9, int(TRAITS.memory_tokens * FULL_SHARE / 9), 0)
+    assert pool.choose() is None
+    pool.uses.end(EndpointName("a"), RequestId("a0"))
+    pool.uses.end(EndpointName("a"), RequestId("a1"))
+    assert pool.choose() is not None
+
+
+def test_failing_replica_is_avoided_while_others_are_well() -> None:
+    pool = Pool(*"ab")
+    pool.note("a", PROMPT.parts[:1])
+    pool.note("b", PROMPT.parts[:1])
+    favourite = find_name(pool.choose())
+    known = next(each for each in pool.known if each.replica.name == favourite)
+    for _ in range(3):
+        known.note_failure(1_000.0, is_dead=False)
+    assert find_name(pool.choose()) != favourite
--- /dev/null
+++ b/tests/toucanyard/test_relay_core.py
@@ -0,0 +1,244 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.link_messages import decode_link_message, encode_link_message
+from toucanyard.names import Address, Incarnation, NodeId, NodeName
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_events import (
+    LinkMessageRead,
+    PeersLinked,
+    RelayEvent,
+    SendToPeer,
+    StopBegun,
+    StoreFailed,
+    TickPassed,
+    TopicRead,
+)
+from toucanyard.relay_options import RelayOptions
+from toucanyard.replicas import LAPSE_GRACE_MS
+from toucanyard.roster import STATUS_KEPT_MS, NodeRecord
+from toucanyard.routes import RoutedCustomer
+from toucanyard.store_schedule import READ_MS, compute_wanted_age
+from toucanyard.wire_errors import MessageInvalidError
+
+from .relay_examples import DESK, LISTEN, build_replica, build_table
+
+FACTS: dict[bytes, object] = {}
+
+
+def put(fact: object) -> bytes:
+    value = str(len(FACTS)).encode()
+    FACTS[value] = fact
+    return value
+
+
+def decode(_: Topic, __: str, value: bytes) -> object | None:
+    return FACTS.get(value)
+
+
+class Fleet:
+    """Nodes that exchange messages, with a store that may serve only some of them."""
+
+    def __init__(self, *names: str) -> None:
+        self.cores: dict[NodeName, RelayCore] = {}
+        for number, name in enumerate(names):
+            self.add(NodeName(name), number)
+        self.now_ms = 0.0
+        self.cut: set[str] = set()
+        self.link()
+
+    def add(self, name: NodeName, number: int) -> None:
+        listen = type(LISTEN)(
+            callers=Address(f"10.0.0.{number}:1"),
+            readiness=LISTEN.readiness,
+            locator=LISTEN.locator,
+            peers=Address(f"10.0.0.{number}:4"),
+            metrics=LISTEN.metrics,
+        )
+        options = RelayOptions(name, LISTEN.callers, listen, LISTEN.callers)  # type: ignore[arg-type]
+        identity = NodeId(name, Incarnation("i"))
+        core = RelayCore(options, identity, decode, random.Random(number))
+        self.cores[name] = core
+
+    def link(self) -> None:
+        for name, core in self.cores.items():
+            peers = tuple(
+                other.identity
+                for other in self.cores.values()
+                if other is not core and name not in self.cut
+            )
+            self.handle(name, PeersLinked(peers))
+
+    def handle(self, name: NodeName, event: RelayEvent) -> None:
+        core = self.cores[name]
+        for action in core.handle(event, self.now_ms):
+            if isinstance(action, SendToPeer) and self.cut.isdisjoint(
+                (name, action.node)
+            ):
+                message = decode_link_message(encode_link_message(action.message))
+                self.handle(action.node, LinkMessageRead(core.identity, message))
+
+    def read(
+        self, name: str, topic: Topic, *records: KeyedRecord, is_whole: bool = False
+    ) -> None:
+        end = max((each.offset + 1 for each in records), default=0)
+        event = TopicRead(topic, records, end, is_whole, self.now_ms)
+        self.handle(NodeName(name), event)
+
+    def run(self, for_ms: float) -> None:
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 25.0
+            for name in self.cores:
+                self.handle(name, TickPassed())
+
+    def core(self, name: str) -> RelayCore:
+        return self.cores[NodeName(name)]
+
+
+def test_routes_reach_nodes_that_the_store_refuses() -> None:
+    """The store turns two of three nodes away; meanwhile a key is taken away.
+
+    Only the third node reads the new version. The others must get it from there, or
+    the key opens two doors of three for as long as the store refuses them.
+    """
+    fleet = Fleet("a", "b", "c")
+    fleet.read("a", Topic.OPERATOR, KeyedRecord("config", 0, put(build_table(1))))
+    without = build_table(2, customers=(RoutedCustomer(DESK, ("other",)),))  # type: ignore[arg-type]
+    fleet.read("a", Topic.OPERATOR, KeyedRecord("config", 1, put(without)))
+    for name in "abc":
+        index = fleet.core(name).index
+        assert index.table.version == 2
+        assert index.find_customer("key") is None
+
+
+def test_node_that_was_cut_off_catches_up_by_status() -> None:
+    fleet = Fleet("a", "b")
+    fleet.cut = {"b"}
+    fleet.read("a", Topic.OPERATOR, KeyedRecord("config", 0, put(build_table(5))))
+    fleet.run(1_000.0)
+    assert fleet.core("b").index.table.version == 0
+    fleet.cut = set()
+    fleet.run(1_000.0)
+    assert fleet.core("b").index.table.version == 5
+
+
+def test_version_in_force_is_never_undone() -> None:
+    """A node restarts beside a peer that still has the version before.
+
+    Seen in force once and then taken back, a removed route would serve again.
+    """
+    fleet = Fleet("a")
+    new = KeyedRecord("config", 7, put(build_table(9)))
+    old = KeyedRecord("config", 3, put(build_table(8)))
+    fleet.read("a", Topic.OPERATOR, new)
+    fleet.read("a", Topic.OPERATOR, old, is_whole=True)
+    assert fleet.core("a").index.table.version == 9
+    late = KeyedRecord("config", 8, put(build_table(4)))
+    fleet.read("a", Topic.OPERATOR, late)
+    assert fleet.core("a").index.table.version == 9
+
+
+def test_leaving_replica_is_told_to_all() -> None:
+    fleet = Fleet("a", "b", "c")
+    leaving = build_replica("r", service=DESK, is_draining=True)
+    ready = build_replica("r", service=DESK)
+    fleet.read("a", Topic.REPLICAS, KeyedRecord("r", 0, put(ready)))
+    for name in "abc":
+        assert fleet.core(name).directory.find_usable(DESK, 0.0)
+    fleet.read("b", Topic.REPLICAS, KeyedRecord("r", 1, put(leaving)))
+    for name in "abc":
+        assert not fleet.core(name).directory.find_usable(DESK, 0.0)
+
+
+def test_replicas_that_lapsed_while_the_store_failed_a_peer_count_a_while() -> None:
+    """The store fails one node; its return shows another one that all leases lapsed.
+
+    The second node alone saw no failure: without its peer's word it would refuse all.
+    """
+    fleet = Fleet("a", "b")
+    values = [put(build_replica(name, service=DESK)) for name in "xyz"]
+    records = [KeyedRecord(name, at, values[at]) for at, name in enumerate("xyz")]
+    fleet.read("a", Topic.REPLICAS, *records)
+    fleet.handle(NodeName("a"), StoreFailed("replicas", "silent"))
+    fleet.run(300.0)
+    fleet.read("b", Topic.REPLICAS, KeyedRecord("x", 3, None))
+    now_ms = fleet.now_ms
+    for name in "ab":
+        directory = fleet.core(name).directory
+        assert len(directory.find_usable(DESK, now_ms)) == 3
+        assert len(directory.find_usable(DESK, now_ms + LAPSE_GRACE_MS)) == 2
+
+
+def test_stopping_node_leaves_the_addresses_of_all_at_once() -> None:
+    fleet = Fleet("a", "b", "c")
+    for number, name in enumerate("abc"):
+        record = fleet.core(name).own_record
+        fleet.read("a", Topic.NODES, KeyedRecord(name, number, put(record)))
+    fleet.read("a", Topic.OPERATOR, KeyedRecord("config", 0, put(build_table())))
+    fleet.run(300.0)
+    everyone = {"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"}
+    for name in "abc":
+        assert set(fleet.core(name).find_addresses(fleet.now_ms)) == everyone
+    fleet.handle(NodeName("b"), StopBegun())
+    for name in "abc":
+        found = set(fleet.core(name).find_addresses(fleet.now_ms))
+        assert found == everyone - {"10.0.0.1:1"}
+
+
+def test_silent_node_is_not_named_to_callers() -> None:
+    fleet = Fleet("a", "b")
+    record = fleet.core("b").own_record
+    fleet.read("a", Topic.NODES, KeyedRecord("b", 0, put(record)))
+    fleet.read("a", Topic.OPERATOR, KeyedRecord("config", 0, put(build_table())))
+    fleet.run(300.0)
+    assert len(fleet.core("a").find_addresses(fleet.now_ms)) == 2
+    fleet.cut = {"b"}
+    fleet.run(STATUS_KEPT_MS + 300.0)
+    assert fleet.core("a").find_addresses(fleet.now_ms) == ["10.0.0.0:1"]
+
+
+def test_one_node_reads_and_the_next_takes_over() -> None:
+    """The node that reads the replicas for all is refused by the store.
+
+    Nobody agrees on who reads: the others must see that what they know grows old.
+    """
+    fleet = Fleet("a", "b", "c")
+    fleet.run(300.0)
+    due = [n for n in "abc" if fleet.core(n).is_read_due(Topic.REPLICAS, 0.0)]
+    assert len(due) == 3
+    fleet.read(due[0], Topic.REPLICAS, KeyedRecord("r", 0, put(build_replica("r"))))
+    begun_ms = fleet.now_ms
+    first_ms: dict[str, float] = {}
+    while len(first_ms) < 3 and fleet.now_ms < begun_ms + 5_000:
+        fleet.run(25.0)
+        for name in "abc":
+            core = fleet.core(name)
+            if core.is_read_due(Topic.REPLICAS, fleet.now_ms):
+                first_ms.setdefault(name, fleet.now_ms - begun_ms)
+    ordered = sorted(first_ms.values())
+    assert ordered[0] == pytest.approx(READ_MS, abs=50)
+    assert ordered[1] == pytest.approx(compute_wanted_age(1), abs=300)
+    assert ordered[1] < ordered[2]
+
+
+def test_links_reject_what_is_no_message() -> None:
+    for data in (b"", b"\xff", b"\x80", b"\x82ax"):
+        with pytest.raises(MessageInvalidError):
+            decode_link_message(data)
+
+
+def test_record_of_this_node_is_not_a_peer() -> None:
+    fleet = Fleet("a")
+    own = fleet.core("a").own_record
+    fleet.read("a", Topic.NODES, KeyedRecord("a", 0, put(own)))
+    assert fleet.core("a").roster.find_peers() == []
+    other = NodeRecord(
+        NodeName("b"), Incarnation("i"), own.domain, own.callers, Address("10.0.0.9:4")
+    )
+    fleet.read("a", Topic.NODES, KeyedRecord("b", 1, put(other)))
+    assert [vm.name for vm in fleet.core("a").roster.find_peers()] == ["b"]
--- /dev/null
+++ b/tests/toucanyard/test_relay_flow.py
@@ -0,0 +1,334 @@
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from hypothesis import given, strategies as st
+
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import EndpointName, Incarnation, NodeName, RequestId
+from toucanyard.part_sources import PartSources
+from toucanyard.relay_flow import (
+    NO_REPLICA_WAIT_MS,
+    OVERFILL,
+    RelayFlow,
+    RelayReply,
+)
+from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
+from toucanyard.replicas import ReplicaDirectory
+from toucanyard.requests import EndingSeen, Refuse, Repeatability
+from toucanyard.roster import NodeRecord, Roster
+from toucanyard.routes import RouteIndex
+from toucanyard.weights_goals import WantedWeights, WeightsGoals
+
+from .relay_examples import (
+    DESK,
+    ENGINES,
+    LISTEN,
+    MODEL,
+    OPTIONS,
+    build_prompt,
+    build_replica,
+    build_request,
+    build_table,
+)
+
+SLOTS = 4
+UNPROVED = [EndingSeen.LOST, EndingSeen.FAILED]
+UNRUN = [EndingSeen.NOT_SENT, EndingSeen.REFUSED]
+
+
+class Node:
+    """The flow of one node and the replies that it gave."""
+
+    def __init__(self, desks: str = "xyz", engines: str = "ab") -> None:
+        self.directory = ReplicaDirectory()
+        for name in engines:
+            self.directory.apply(build_replica(name))
+        for name in desks:
+            desk = build_replica(name, service=DESK, slots=SLOTS, weights=())
+            self.directory.apply(desk)
+        self.goals = WeightsGoals()
+        self.goals.apply(WantedWeights(MODEL, 1), 0.0)
+        own = NodeRecord(
+            NodeName("n1"),
+            Incarnation("i"),
+            OPTIONS.domain,
+            LISTEN.callers,
+            LISTEN.peers,
+        )
+        sources = PartSources(self.directory, Roster(own, ()))
+        rng = random.Random(1)
+        self.flow = RelayFlow(OPTIONS, self.directory, self.goals, sources, rng)
+        self.flow.apply_index(RouteIndex(build_table()))
+        self.replies: dict[RequestId, list[object]] = {}
+
+    def take(self, replies: Iterator[RelayReply]) -> None:
+        for reply in replies:
+            self.replies.setdefault(reply.request_id, []).append(reply.verdict)
+
+    def arrive(self, name: str, now_ms: float = 0.0, **changes: object) -> RelayRequest:
+        changes.setdefault("arrived_ms", now_ms)
+        changes.setdefault("deadline_ms", now_ms + 1_000)
+        request = build_request(name, **changes)
+        self.take(self.flow.arrive(request, now_ms))
+        return request
+
+    def end(
+        self, name: str, ending: EndingSeen, now_ms: float = 10.0, **facts: object
+    ) -> None:
+        dispatch = self.find_dispatch(name)
+        outcome = RelayOutcome(
+            RequestId(name),
+            dispatch.replica,
+            ending,
+            **facts,  # type: ignore[arg-type]
+        )
+        self.take(self.flow.end_dispatch(outcome, now_ms))
+
+    def find_last(self, name: str) -> object:
+        return self.replies.get(RequestId(name), ["nothing"])[-1]
+
+    def find_dispatch(self, name: str) -> RelayDispatch:
+        dispatch = self.find_last(name)
+        assert isinstance(dispatch, RelayDispatch)
+        return dispatch
+
+    def find_refusal(self, name: str) -> Refuse:
+        refusal = self.find_last(name)
+        assert isinstance(refusal, Refuse)
+        return refusal
+
+
+@pytest.mark.parametrize("ending", UNPROVED)
+def test_call_that_may_run_once_is_never_sent_again(ending: EndingSeen) -> None:
+    """A replica resets the connection, or fails, after it got a seat hold.
+
+    The hold may have run: sent elsewhere it would run twice, and "not run" would make
+    its caller do the same.
+    """
+    node = Node()
+    node.arrive("q", repeatability=Repeatability.RUN_ONCE, max_attempts=3)
+    node.end("q", ending)
+    last = node.find_last("q")
+    assert not isinstance(last, RelayDispatch)
+    if isinstance(last, Refuse):
+        assert last.ending is Ending.UNKNOWN
+        assert last.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert node.flow.count_pending() == 0
+
+
+@pytest.mark.parametrize("ending", UNRUN)
+def test_call_that_surely_did_not_run_goes_elsewhere(ending: EndingSeen) -> None:
+    node = Node()
+    node.arrive("q", repeatability=Repeatability.RUN_ONCE)
+    first = node.find_dispatch("q").replica
+    node.end("q", ending)
+    assert node.find_dispatch("q").replica != first
+
+
+def test_attempts_bound_the_sends_that_reached_a_replica() -> None:
+    node = Node()
+    node.arrive("q", repeatability=Repeatability.RUN_ONCE, max_attempts=1)
+    node.end("q", EndingSeen.NOT_SENT, is_dead=True)
+    node.end("q", EndingSeen.REFUSED)
+    refusal = node.find_refusal("q")
+    assert refusal.ending is Ending.NOT_RUN
+    assert refusal.retry_after_ms > 0
+
+
+def test_refusal_after_a_try_that_may_have_run_is_no_not_run() -> None:
+    """A receipt is lost at one replica; the next one refuses it without running it.
+
+    Said of the call, "not run" would be false: the first try may have run.
+    """
+    node = Node()
+    node.arrive("q", max_attempts=2)
+    node.end("q", EndingSeen.LOST)
+    node.end("q", EndingSeen.REFUSED)
+    assert node.find_refusal("q").ending is Ending.UNKNOWN
+
+
+def test_replicas_own_failure_is_passed_on_when_nothing_is_left() -> None:
+    node = Node()
+    node.arrive("q", max_attempts=2)
+    node.end("q", EndingSeen.FAILED)
+    node.end("q", EndingSeen.FAILED)
+    assert node.find_last("q") is None
+
+
+def test_retries_of_all_calls_stay_in_the_budget() -> None:
+    """Every replica fails every call.
+
+    Without the budget all nodes together would double the load on what is left.
+    """
+    node = Node()
+    node.flow.node_count = 4
+    retries = 0
+    for number in range(100):
+        name = f"q{number}"
+        node.arrive(name, float(number))
+        node.end(name, EndingSeen.FAILED, float(number))
+        if isinstance(node.find_last(name), RelayDispatch):
+            retries += 1
+            node.end(name, EndingSeen.FAILED, float(number))
+    limits = OPTIONS.retries
+    assert 0 < retries <= limits.slack / 4 + limits.ratio * 100
+
+
+def test_stream_goes_on_only_under_the_weights_it_began_with() -> None:
+    """A replica dies in mid-stream; the only other one has newer weights by now.
+
+    What those go on with is no part of the answer that the caller has begun to read.
+    """
+    stream: dict[str, Any] = {
+        "service": ENGINES,
+        "prompt": build_prompt(),
+        "is_stream": True,
+        "is_resumable": True,
+    }
+    node = Node()
+    node.arrive("q", **stream)
+    first = node.find_dispatch("q").replica
+    other = "b" if first == "a" else "a"
+    node.directory.apply(build_replica(other, weights=((MODEL, 2),)))
+    node.end("q", EndingSeen.LOST, has_begun=True)
+    assert node.find_refusal("q").kind is ErrorKind.ENDPOINT_LOST
+    node = Node()
+    node.arrive("q", **stream)
+    node.end("q", EndingSeen.LOST, has_begun=True)
+    assert node.find_dispatch("q").weights_version == 1
+
+
+def test_stream_that_may_not_be_resumed_ends_with_its_replica() -> None:
+    node = Node()
+    node.arrive(
+        "q",
+        service=ENGINES,
+        prompt=build_prompt(),
+        is_stream=True,
+        repeatability=Repeatability.RUN_ONCE,
+    )
+    node.end("q", EndingSeen.LOST, has_begun=True)
+    assert node.find_refusal("q").ending is Ending.UNKNOWN
+
+
+def test_calls_wait_for_a_slot_most_urgent_first() -> None:
+    node = Node(desks="x")
+    running = int(SLOTS * OVERFILL)
+    for number in range(running):
+        node.arrive(f"r{number}")
+    node.arrive("late", 1.0, rank=2)
+    node.arrive("urgent", 2.0, rank=0)
+    assert node.flow.count_waiting() == 2
+    node.end("r0", EndingSeen.COMPLETED, 20.0)
+    assert node.find_dispatch("urgent").replica == "x"
+    assert node.find_last("late") == "nothing"
+
+
+def test_call_that_would_wait_too_long_is_refused_at_once() -> None:
+    """A burst fills the queue far beyond what ends before the callers' deadlines.
+
+    Held until then, its callers would be told only when nothing is left to retry in.
+    """
+    node = Node(desks="x")
+    for number in range(100):
+        node.arrive(f"q{number}", repeatability=Repeatability.RUN_ONCE)
+    refusals = [
+        each
+        for replies in node.replies.values()
+        for each in replies
+        if isinstance(each, Refuse)
+    ]
+    assert len(refusals) > 50
+    assert {each.ending for each in refusals} == {Ending.NOT_RUN}
+    assert len({each.retry_after_ms for each in refusals}) > 10
+
+
+def test_call_without_any_replica_is_refused_at_once() -> None:
+    node = Node(desks="")
+    node.arrive("q")
+    assert node.find_refusal("q").kind is ErrorKind.NO_ENDPOINT
+
+
+def test_call_waits_a_moment_for_replicas_that_load() -> None:
+    node = Node(desks="x")
+    known = node.directory.find(EndpointName("x"))
+    assert known is not None
+    known.loading_until_ms = 500.0
+    node.arrive("q", deadline_ms=9_000.0)
+    node.take(node.flow.tick(499.0))
+    assert node.find_last("q") == "nothing"
+    node.take(node.flow.tick(500.0))
+    assert node.find_dispatch("q").replica == "x"
+    known.loading_until_ms = 99_000.0
+    node.arrive("p", 600.0, deadline_ms=9_000.0)
+    node.take(node.flow.tick(600.0 + NO_REPLICA_WAIT_MS))
+    assert node.find_refusal("p").ending is Ending.NOT_RUN
+
+
+def test_waiting_call_is_told_while_its_caller_can_still_retry() -> None:
+    node = Node(desks="x")
+    for number in range(int(SLOTS * OVERFILL)):
+        node.arrive(f"r{number}", deadline_ms=9_000.0)
+    node.arrive("q", deadline_ms=400.0)
+    node.take(node.flow.tick(400.0 - 200 / 4))
+    assert node.find_refusal("q").ending is Ending.NOT_RUN
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive", "end", "leave", "tick"]),
+        st.sampled_from(list(EndingSeen)),
+        st.sampled_from(list(Repeatability)[:2]),
+        st.integers(0, 5),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_every_question_gets_one_reply_and_nothing_is_left(
+    steps: list[tuple[str, EndingSeen, Repeatability, int]],
+) -> None:
+    """Calls come, end and are left in any order.
+
+    A reply that is lost holds a place at a replica for good; two of them would answer
+    another call's question.
+    """
+    node = Node(desks="xy")
+    open_calls: list[str] = []
+    asked: dict[str, int] = {}
+    now_ms = 0.0
+    for number, (step, ending, repeatability, pick) in enumerate(steps):
+        now_ms += 7.0
+        name = open_calls[pick % len(open_calls)] if open_calls else ""
+        if step == "arrive":
+            name = f"q{number}"
+            open_calls.append(name)
+            asked[name] = 1
+            node.arrive(name, now_ms, repeatability=repeatability)
+        elif step == "end" and isinstance(node.find_last(name), RelayDispatch):
+            asked[name] += 1
+            node.end(name, ending, now_ms)
+        elif step == "leave" and name:
+            open_calls.remove(name)
+            asked[name] = -1
+            node.take(node.flow.leave(RequestId(name), now_ms))
+        else:
+            node.take(node.flow.tick(now_ms))
+        for each in list(open_calls):
+            last = node.find_last(each)
+            if last != "nothing" and not isinstance(last, RelayDispatch):
+                open_calls.remove(each)
+    node.take(node.flow.tick(now_ms + 5_000))
+    for name, count in asked.items():
+        replies = node.replies.get(RequestId(name), [])
+        assert count < 0 or len(replies) == count
+    running = sum(
+        isinstance(node.find_last(each), RelayDispatch) for each in open_calls
+    )
+    assert node.flow.count_pending() == running
+    assert sum(each.running for each in node.flow.uses.list_own()) == running
--- /dev/null
+++ b/tests/toucanyard/test_replicas.py
@@ -0,0 +1,123 @@
+from __future__ import annotations
+
+from toucanyard.names import EndpointName
+from toucanyard.replicas import (
+    FORGET_MS,
+    LAPSE_GRACE_MS,
+    MAX_REST_MS,
+    MIN_REST_MS,
+    REFUSED_MS,
+    ReplicaDirectory,
+)
+
+from .relay_examples import ENGINES, MODEL, build_replica
+
+
+def build_directory(*names: str) -> ReplicaDirectory:
+    directory = ReplicaDirectory()
+    for name in names:
+        directory.apply(build_replica(name))
+    return directory
+
+
+def list_usable(directory: ReplicaDirectory, now_ms: float) -> list[str]:
+    return [each.replica.name for each in directory.find_usable(ENGINES, now_ms)]
+
+
+def test_leaving_replica_never_comes_back() -> None:
+    """A replica says that it leaves; an older entry of it arrives late from a peer.
+
+    Believed, the entry would give it new calls until the process exits in mid-call.
+    """
+    directory = build_directory("a", "b")
+    directory.apply(build_replica("a", is_draining=True))
+    directory.apply(build_replica("a"))
+    assert list_usable(directory, 0.0) == ["b"]
+
+
+def test_vanished_replica_is_gone_at_once() -> None:
+    directory = build_directory("a", "b", "c")
+    directory.remove([EndpointName("a")], 0.0, is_doubtful=False)
+    assert list_usable(directory, 0.0) == ["b", "c"]
+
+
+def test_entries_that_lapsed_while_the_store_was_away_count_a_while() -> None:
+    """The store is down; leases of replicas that live run out meanwhile.
+
+    On its return the list is empty, and each call would be refused until the replicas
+    have registered again. One that is still missing then is dead.
+    """
+    directory = build_directory("a", "b", "c")
+    directory.remove([EndpointName("a")], 0.0, is_doubtful=True)
+    assert list_usable(directory, LAPSE_GRACE_MS - 1) == ["a", "b", "c"]
+    assert list_usable(directory, LAPSE_GRACE_MS) == ["b", "c"]
+
+
+def test_half_of_a_service_that_goes_at_once_counts_a_while() -> None:
+    directory = build_directory("a", "b", "c")
+    directory.remove([EndpointName("a"), EndpointName("b")], 0.0, is_doubtful=False)
+    assert list_usable(directory, 1.0) == ["a", "b", "c"]
+    directory.apply(build_replica("a"))
+    assert list_usable(directory, LAPSE_GRACE_MS) == ["a", "c"]
+
+
+def test_dead_replica_rests_longer_each_time_and_recovers() -> None:
+    directory = build_directory("a", "b")
+    known = directory.find(EndpointName("a"))
+    assert known is not None
+    known.note_failure(0.0, is_dead=True)
+    assert list_usable(directory, MIN_REST_MS - 1) == ["b"]
+    assert list_usable(directory, MIN_REST_MS) == ["a", "b"]
+    for _ in range(9):
+        known.note_failure(1_000.0, is_dead=True)
+    assert list_usable(directory, 1_000 + MAX_REST_MS - 1) == ["b"]
+    known.note_success()
+    assert list_usable(directory, 1_000.0) == ["a", "b"]
+
+
+def test_no_call_goes_to_a_dead_replica_while_the_others_load() -> None:
+    """One replica has crashed and is still listed; all others load weights.
+
+    Sent to the dead one for want of others, each call fails within milliseconds.
+    """
+    directory = build_directory("a", "b")
+    dead, loading = (directory.find(EndpointName(each)) for each in "ab")
+    assert dead is not None
+    assert loading is not None
+    dead.note_failure(0.0, is_dead=True)
+    loading.note_refusal(0.0)
+    assert list_usable(directory, 1.0) == []
+    assert list_usable(directory, REFUSED_MS) == ["a", "b"]
+
+
+def test_new_weights_end_the_pause_of_their_load() -> None:
+    """A peer announces a load; the store says that it is over before the peer does.
+
+    With the pause kept, the replica idles for a second and the dead ones get its calls.
+    """
+    directory = build_directory("a")
+    known = directory.find(EndpointName("a"))
+    assert known is not None
+    known.loading_until_ms = 5_000.0
+    directory.apply(build_replica("a"))
+    assert list_usable(directory, 0.0) == []
+    directory.apply(build_replica("a", weights=((MODEL, 2),)))
+    assert list_usable(directory, 0.0) == ["a"]
+
+
+def test_weights_never_fall() -> None:
+    directory = build_directory("a")
+    known = directory.find(EndpointName("a"))
+    assert known is not None
+    assert known.note_weights(MODEL, 3)
+    directory.apply(build_replica("a", weights=((MODEL, 2),)))
+    assert known.weights == {MODEL: 3}
+
+
+def test_replaced_and_old_replicas_are_forgotten() -> None:
+    directory = build_directory("a", "b")
+    directory.note_replaced(EndpointName("a"), 10.0)
+    assert list_usable(directory, 10.0) == ["b"]
+    assert directory.prune(10.0 + FORGET_MS) == []
+    assert directory.prune(11.0 + FORGET_MS) == ["a"]
+    assert directory.find(EndpointName("a")) is None
--- /dev/null
+++ b/tests/toucanyard/test_routes.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, strategies as st
+
+from toucanyard.names import CustomerName, ServiceName
+from toucanyard.routes import (
+    RoutedCustomer,
+    RouteIndex,
+    RouteTable,
+    Split,
+    choose_service,
+)
+
+from .relay_examples import build_route, build_table
+
+SEGMENTS = st.lists(st.sampled_from(["a", "b", "c"]), max_size=4)
+
+
+def test_longest_prefix_wins() -> None:
+    routes = tuple(
+        build_route(str(number), prefix)
+        for number, prefix in enumerate(("/", "/a/", "/a/b/"))
+    )
+    index = RouteIndex(build_table(routes=routes))
+    assert index.find_route("h.example", "/a/b/c").name == "2"  # type: ignore[union-attr]
+    assert index.find_route("h.example", "/a/bc").name == "1"  # type: ignore[union-attr]
+    assert index.find_route("h.example", "/ab/").name == "0"  # type: ignore[union-attr]
+
+
+def test_host_decides_without_its_port_and_case() -> None:
+    index = RouteIndex(build_table())
+    assert index.find_route("H.Example:8080", "/a/x") is not None
+    assert index.find_route("other.example", "/a/x") is None
+    assert index.find_route("h.example", "/a") is None
+
+
+@given(st.lists(SEGMENTS, max_size=6), SEGMENTS)
+def test_lookup_agrees_with_going_over_all_routes(
+    prefixes: list[list[str]], path: list[str]
+) -> None:
+    routes = tuple(
+        build_route(str(number), "/" + "".join(f"{each}/" for each in prefix))
+        for number, prefix in enumerate(prefixes)
+    )
+    target = "/" + "/".join(path)
+    covering = [each for each in routes if target.startswith(each.path_prefix)]
+    wanted = max((len(each.path_prefix) for each in covering), default=None)
+    found = RouteIndex(RouteTable(1, routes)).find_route("h.example", target)
+    assert (None if found is None else len(found.path_prefix)) == wanted
+
+
+def test_keys_name_their_customer() -> None:
+    customers = (
+        RoutedCustomer(CustomerName("one"), ("k1", "k2")),
+        RoutedCustomer(CustomerName("two"), ("k3",), is_walled=True),
+    )
+    index = RouteIndex(build_table(customers=customers))
+    assert index.find_customer("k2") is customers[0]
+    assert index.find_customer("k3") is customers[1]
+    assert index.find_customer("") is None
+    assert index.has_customers()
+    assert not RouteIndex(build_table(customers=())).has_customers()
+
+
+def test_split_follows_its_weights() -> None:
+    one, two, none = ServiceName("one"), ServiceName("two"), ServiceName("none")
+    route = build_route(
+        "r", "/", splits=(Split(one, 90), Split(two, 10), Split(none, 0))
+    )
+    rng = random.Random(1)
+    chosen = [choose_service(route, rng) for _ in range(2_000)]
+    assert 1_700 < chosen.count(one) < 1_900
+    assert chosen.count(none) == 0
+    assert choose_service(build_route("r", "/", splits=()), rng) is None
--- /dev/null
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+from toucanyard.names import EndpointName, NodeName
+from toucanyard.relay_events import (
+    OrderAnswered,
+    ReadReplicaState,
+    ReplicaState,
+    ReplicaStateRead,
+    WeightsOrder,
+)
+from toucanyard.replicas import KnownReplica
+from toucanyard.turns import Turn
+from toucanyard.weights_rollout import (
+    ANNOUNCE_MS,
+    DRAIN_MS,
+    LOST_MS,
+    MIN_CHANGING,
+    SILENT_MS,
+    SKIP_MS,
+    WeightsRollout,
+)
+
+from .relay_examples import MODEL, build_replica
+
+TURN = Turn(7, float("inf"))
+STEP_MS = 20.0
+LOAD_MS = 400.0
+
+
+class Fleet:
+    """Replicas that load weights when ordered, and the roll-out that orders them."""
+
+    def __init__(self, *names: str) -> None:
+        self.rollout = WeightsRollout(NodeName("n1"))
+        self.known = [KnownReplica(build_replica(name)) for name in names]
+        self.versions = dict.fromkeys(names, 1)
+        self.counts = dict.fromkeys(names, 0)
+        self.busy_until = dict.fromkeys(names, 0.0)
+        self.loading: dict[str, int] = {}
+        self.running: dict[EndpointName, int] = {}
+        self.dead: set[str] = set()
+        self.mute: set[str] = set()
+        self.orders: list[tuple[float, WeightsOrder]] = []
+        self.now_ms = 0.0
+
+    def run(self, version: int, for_ms: float) -> None:
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            self.now_ms += STEP_MS
+            self.finish()
+            actions = self.rollout.plan(
+                MODEL, version, self.known, TURN, self.running, self.now_ms
+            )
+            for action in actions:
+                match action:
+                    case ReadReplicaState(replica=name):
+                        self.rollout.note_state(self.read(name))
+                    case WeightsOrder():
+                        self.take(action)
+
+    def finish(self) -> None:
+        for name, version in list(self.loading.items()):
+            if self.now_ms >= self.busy_until[name]:
+                self.versions[name] = version
+                del self.loading[name]
+
+    def read(self, name: EndpointName) -> ReplicaStateRead:
+        if name in self.dead:
+            return ReplicaStateRead(name, None, self.now_ms)
+        state = ReplicaState(
+            ((MODEL, self.versions[name]),),
+            name in self.loading,
+            self.counts[name],
+            0,
+            0,
+        )
+        return ReplicaStateRead(name, state, self.now_ms)
+
+    def take(self, order: WeightsOrder) -> None:
+        self.orders.append((self.now_ms, order))
+        name = order.replica
+        status: int | None = 202
+        if name in self.dead or name in self.mute:
+            status = None
+        elif name in self.loading or order.expected_order_count != self.counts[name]:
+            status = 409
+        if name not in self.dead and status != 409:
+            self.counts[name] += 1
+            self.loading[name] = order.version
+            self.busy_until[name] = self.now_ms + LOAD_MS
+        self.rollout.note_answer(OrderAnswered(order, status), self.now_ms)
+
+
+def test_all_replicas_get_the_weights_two_at_a_time() -> None:
+    fleet = Fleet(*"abcde")
+    most = 0
+    for _ in range(200):
+        fleet.run(2, STEP_MS)
+        most = max(most, len(fleet.rollout.list_changing()))
+    assert set(fleet.versions.values()) == {2}
+    assert most == MIN_CHANGING
+    assert len(fleet.orders) == 5
+
+
+def test_replica_is_announced_before_it_is_ordered() -> None:
+    """The order reaches the replica; from then on it turns new calls away.
+
+    Nodes that don't know yet go on sending, and calls that may be sent once fail.
+    """
+    fleet = Fleet(*"abc")
+    fleet.run(2, STEP_MS)
+    announced = [each for each in fleet.known if each.is_loading(fleet.now_ms)]
+    assert len(announced) == MIN_CHANGING
+    assert not fleet.orders
+    fleet.run(2, ANNOUNCE_MS + 2 * STEP_MS)
+    assert len(fleet.orders) == MIN_CHANGING
+
+
+def test_idle_replica_goes_first_and_a_busy_one_gets_time_to_end() -> None:
+    fleet = Fleet(*"abc")
+    fleet.running = {EndpointName("a"): 9, EndpointName("b"): 3}
+    fleet.run(2, 3_000.0)
+    at_ms = {order.replica: at for at, order in fleet.orders}
+    assert at_ms[EndpointName("c")] < at_ms[EndpointName("b")]
+    assert at_ms[EndpointName("b")] >= DRAIN_MS
+    under_calls = {order.replica: order.is_under_calls for _, order in fleet.orders}
+    assert under_calls[EndpointName("b")]
+    assert not under_calls[EndpointName("c")]
+
+
+def test_order_without_an_answer_is_not_doubled() -> None:
+    """A replica takes an order and its answer is lost.
+
+    Given again at once, a second load would follow the first for nothing.
+    """
+    fleet = Fleet("a")
+    fleet.mute = {"a"}
+    fleet.run(2, LOST_MS + 2_000.0)
+    assert fleet.versions == {"a": 2}
+    assert len(fleet.orders) == 1
+
+
+def test_order_that_never_arrived_is_given_again() -> None:
+    fleet = Fleet("a")
+    fleet.run(2, ANNOUNCE_MS + 5 * STEP_MS)
+    assert len(fleet.orders) == 1
+    fleet.loading.clear()
+    fleet.run(2, LOST_MS + 1_000.0)
+    assert fleet.versions == {"a": 2}
+    assert [order.expected_order_count for _, order in fleet.orders] == [0, 1]
+
+
+def test_dead_replica_does_not_hold_up_the_others() -> None:
+    fleet = Fleet(*"abcd")
+    fleet.dead = {"a", "b"}
+    fleet.run(2, SILENT_MS + 1_500.0)
+    assert fleet.versions == {"a": 1, "b": 1, "c": 2, "d": 2}
+    fleet.dead = set()
+    fleet.run(2, SKIP_MS + 1_500.0)
+    assert set(fleet.versions.values()) == {2}
+
+
+def test_newer_weights_skip_those_that_are_not_ordered_yet() -> None:
+    fleet = Fleet(*"abcde")
+    fleet.run(2, ANNOUNCE_MS + 3 * STEP_MS)
+    fleet.run(3, 6_000.0)
+    assert set(fleet.versions.values()) == {3}
+    ordered = [order.version for _, order in fleet.orders]
+    assert ordered.count(2) == MIN_CHANGING
+    assert ordered.count(3) == 5
+
+
+def test_stale_fence_ends_the_turn() -> None:
+    fleet = Fleet("a")
+    fleet.run(2, ANNOUNCE_MS + 3 * STEP_MS)
+    order = fleet.orders[0][1]
+    assert fleet.rollout.note_answer(OrderAnswered(order, 412), fleet.now_ms)
+    fleet.rollout.stop(fleet.known)
+    assert fleet.rollout.list_changing() == []
+    assert not fleet.known[0].is_loading(fleet.now_ms)
--- a/tests/toucanyard/test_wire.py
+++ b/tests/toucanyard/test_wire.py
@@ -56,11 +56,11 @@
 from toucanyard.vm_view import Vm
 from toucanyard.wire import (
     MAX_MESSAGE_BYTES,
-    MessageInvalidError,
     PeerMessage,
     decode_message,
     encode_message,
 )
+from toucanyard.wire_errors import MessageInvalidError
 
 PEER = NodeId(NodeName("node-2"), Incarnation("b"))
 SELF = Incarnation("a")
--- /dev/null
+++ b/tests/toucanyard_node/relay_world.py
@@ -0,0 +1,316 @@
+"""Run the relaying parts of a node against replicas that follow a script."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import trio
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import (
+    Address,
+    CustomerName,
+    DomainName,
+    EndpointName,
+    Incarnation,
+    NodeId,
+    NodeName,
+    ServiceName,
+)
+from toucanyard.part_book import Part
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_events import SendToPeer, TopicRead
+from toucanyard.relay_options import RelayListen, RelayOptions
+from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
+from toucanyard.replicas import Replica
+from toucanyard.requests import Repeatability
+from toucanyard.routes import (
+    CallBounds,
+    EngineTraits,
+    Route,
+    RoutedCustomer,
+    RoutedService,
+    RouteTable,
+    Split,
+)
+from toucanyard_node.http_client import Headers, ResponseHead
+from toucanyard_node.http_exchange import HttpRequest
+from toucanyard_node.http_server import HttpServer, ServerLimits, find_port
+from toucanyard_node.relay_face import RelayFace
+from toucanyard_node.relay_ports import AnswerFacts, CallFacts, CallInvalidError
+from toucanyard_node.relay_task import Errand, RelayTask
+
+Script = Callable[[trio.SocketStream, bytes], Awaitable[None]]
+SERVICE = ServiceName("s")
+LOCAL = Address("127.0.0.1:1")
+SIGNED = b"X-Signed: 1\r\n"
+
+
+class PlainCalls:
+    """Headers of a protocol of the tests' own."""
+
+    def read_call(self, http: HttpRequest) -> CallFacts:
+        headers = http.headers
+        if "x-id" not in headers:
+            raise CallInvalidError("no id")
+        deadline = headers.get("x-deadline")
+        parts = headers.get("x-parts")
+        prompt = None
+        if parts is not None:
+            prompt = Prompt("m", tuple(Part(each, 100) for each in parts.split(",")), 9)
+        return CallFacts(
+            headers["x-id"],
+            headers.get("x-key", ""),
+            None if deadline is None else int(deadline),
+            prompt,
+            headers.get("x-last", ""),
+        )
+
+    def build_headers(
+        self,
+        http: HttpRequest,
+        request: RelayRequest,
+        dispatch: RelayDispatch,
+        left_ms: int,
+        last_event_id: str,
+    ) -> Headers:
+        return (
+            ("Host", http.headers["host"]),
+            ("X-Id", request.caller_id),
+            ("X-Left", str(left_ms)),
+            ("X-Last", last_event_id),
+        )
+
+    def read_answer(self, head: ResponseHead) -> AnswerFacts:
+        headers = head.headers
+        return AnswerFacts(
+            caller_id=headers.get("x-id", ""),
+            is_signed="x-signed" in headers,
+            is_unrun="x-unrun" in headers,
+            incarnation=headers.get("x-replica", ""),
+            weights_version=None,
+            load=None,
+        )
+
+    def filter_answer(self, head: ResponseHead) -> Headers:
+        return tuple(
+            (name, value)
+            for name, value in head.fields
+            if name.lower() not in ("connection", "content-length", "transfer-encoding")
+        )
+
+
+class ScriptedReplica:
+    """Listens on a port of the kernel's and answers each call by the next script."""
+
+    def __init__(self, name: str, *scripts: Script) -> None:
+        self.name = name
+        self.scripts = list(scripts)
+        self.calls: list[bytes] = []
+        self.closed = trio.Event()
+        self.address = LOCAL
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = Address(f"127.0.0.1:{find_port(listeners[0])}")
+        nursery.start_soon(trio.serve_listeners, self.serve, listeners)
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        call = await read_call(stream)
+        if not call:
+            return
+        self.calls.append(call)
+        script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+        try:
+            await script(stream, call)
+        except trio.BrokenResourceError:
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+            self.closed.set()
+
+
+async def read_call(stream: trio.SocketStream) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = await stream.receive_some(65_536)
+        if not more:
+            return b""
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    size = find_header(head, b"content-length")
+    while len(body) < int(size or 0):
+        body += await stream.receive_some(65_536)
+    return head + b"\r\n\r\n" + body
+
+
+def find_header(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n"):
+        found, _, value = line.partition(b":")
+        if found.strip().lower() == name:
+            return value.strip()
+    return b""
+
+
+def answer(
+    status: int = 200, body: bytes = b"whole", extra: bytes = SIGNED, tail: bytes = b""
+) -> Script:
+    """Return a script that answers with a length, and `tail` behind it."""
+
+    async def run(stream: trio.SocketStream, call: bytes) -> None:
+        head = b"HTTP/1.1 %d X\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n" % (
+            status,
+            find_header(call, b"x-id"),
+            len(body),
+            extra,
+        )
+        await stream.send_all(head + body + tail)
+
+    return run
+
+
+def stream_events(
+    *events: bytes, is_whole: bool = True, end: bytes = b"", hold_s: float = 0.0
+) -> Script:
+    """Return a script that streams events in chunks; `end` are bytes of a cut one."""
+
+    async def run(stream: trio.SocketStream, call: bytes) -> None:
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\n"
+            b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            % find_header(call, b"x-id")
+        )
+        for event in (*events, end):
+            if event:
+                await stream.send_all(b"%x\r\n%s\r\n" % (len(event), event))
+        await trio.sleep(hold_s)
+        if is_whole:
+            await stream.send_all(b"0\r\n\r\n")
+
+    return run
+
+
+async def say_nothing(stream: trio.SocketStream, _: bytes) -> None:
+    """Take a call and wait until the other side hangs up."""
+    while await stream.receive_some(1):
+        pass
+
+
+async def hang_up(_: trio.SocketStream, __: bytes) -> None:
+    """Take a call and close without an answer."""
+
+
+def build_event(number: int) -> bytes:
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+class RelayWorld:
+    """One node's face, core and replicas."""
+
+    def __init__(self, replicas: list[ScriptedReplica], **route: object) -> None:
+        self.replicas = replicas
+        fields: dict[str, object] = {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/a/",
+            "splits": (Split(SERVICE, 1.0),),
+            "repeatability": Repeatability.REPEATABLE,
+            "timeout_ms": 2_000,
+            "target_ms": 200,
+            "max_attempts": 2,
+        }
+        self.route = Route(**(fields | route))  # type: ignore[arg-type]
+        listen = RelayListen(LOCAL, LOCAL, LOCAL, LOCAL, LOCAL)
+        options = RelayOptions(NodeName("n"), DomainName("d"), listen, LOCAL)
+        self.facts: dict[bytes, object] = {}
+        identity = NodeId(NodeName("n"), Incarnation("i"))
+        rng = random.Random(1)
+        self.core = RelayCore(options, identity, self.decode, rng)
+        messages, _ = trio.open_memory_channel[SendToPeer](1_000)
+        errands, _ = trio.open_memory_channel[Errand](1_000)
+        self.task = RelayTask(self.core, messages, errands)
+        self.is_stopping = False
+        face = RelayFace(
+            self.task.client,
+            PlainCalls(),
+            lambda: self.core.index,
+            lambda: self.is_stopping,
+            rng,
+        )
+        limits = ServerLimits(is_pipelined=False)
+        self.server = HttpServer(face.handle, limits)
+        self.port = 0
+
+    def decode(self, _: Topic, __: str, value: bytes) -> object | None:
+        return self.facts.get(value)
+
+    def put(self, topic: Topic, key: str, offset: int, fact: object) -> None:
+        value = str(len(self.facts)).encode()
+        self.facts[value] = fact
+        record = KeyedRecord(key, offset, value)
+        read = TopicRead(topic, (record,), offset + 1, False, 0.0)
+        self.task.client.tell(read)
+
+    def tell_routes(self, version: int = 1) -> None:
+        engine = EngineTraits(8, 10_000, 1_000, 1e6, 9)
+        table = RouteTable(
+            version,
+            (self.route,),
+            (RoutedService(SERVICE, 100, engine),),
+            (),
+            (RoutedCustomer(CustomerName("c"), ("key",)),),
+            CallBounds(),
+        )
+        self.put(Topic.OPERATOR, "config", version, table)
+
+    def tell_replicas(self) -> None:
+        for number, each in enumerate(self.replicas):
+            replica = Replica(
+                EndpointName(each.name),
+                SERVICE,
+                each.address,
+                DomainName("d"),
+                8,
+                False,
+                (("m", 1),),
+            )
+            self.put(Topic.REPLICAS, each.name, number, replica)
+
+    async def call(self, text: bytes, for_s: float = 5.0) -> bytes:
+        """Send bytes on a new connection and return all that comes back."""
+        stream = await trio.open_tcp_stream("127.0.0.1", self.port)
+        received = b""
+        with trio.move_on_after(for_s):
+            async with stream:
+                await stream.send_all(text)
+                while more := await stream.receive_some(65_536):
+                    received += more
+        return received
+
+
+def build_call(
+    path: str = "/a/x", *headers: str, body: bytes = b"", is_last: bool = True
+) -> bytes:
+    lines = [f"POST {path} HTTP/1.1", "Host: h", "X-Id: q1", "X-Key: key", *headers]
+    lines.append(f"Content-Length: {len(body)}")
+    if is_last:
+        lines.append("Connection: close")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+@asynccontextmanager
+async def open_world(world: RelayWorld) -> AsyncIterator[RelayWorld]:
+    async with trio.open_nursery() as nursery:
+        for each in world.replicas:
+            await each.start(nursery)
+        nursery.start_soon(world.task.run)
+        world.tell_routes()
+        world.tell_replicas()
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        world.port = find_port(listeners[0])
+        nursery.start_soon(world.server.serve, listeners[0])
+        await trio.testing.wait_all_tasks_blocked()
+        yield world
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -0,0 +1,286 @@
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+
+from toucanyard.requests import Repeatability
+
+from .relay_world import (
+    RelayWorld,
+    Script,
+    ScriptedReplica,
+    answer,
+    build_call,
+    build_event,
+    find_header,
+    hang_up,
+    open_world,
+    say_nothing,
+    stream_events,
+)
+
+ONCE = {"repeatability": Repeatability.RUN_ONCE}
+STREAM = {"is_stream": True, "max_gap_ms": 300, "target_ms": 200}
+RESUMABLE = {**STREAM, "is_resumable": True}
+PARTS = "X-Parts: book,own"
+
+
+def find_status(received: bytes) -> int:
+    return int(received.split(b" ", 2)[1])
+
+
+def find_body(received: bytes) -> bytes:
+    return received.partition(b"\r\n\r\n")[2]
+
+
+def join_chunks(received: bytes) -> tuple[bytes, bool]:
+    """Return the body and whether its end came."""
+    rest, body = find_body(received), b""
+    while b"\r\n" in rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return body, True
+        body += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
+    return body, False
+
+
+async def relay(replicas: list[ScriptedReplica], call: bytes, **route: object) -> bytes:
+    async with open_world(RelayWorld(replicas, **route)) as world:
+        received = await world.call(call)
+        assert world.core.flow.count_pending() == 0
+        return received
+
+
+async def test_answer_and_call_pass_unchanged() -> None:
+    replica = ScriptedReplica("x", answer(200, b"\x00\xffbytes"))
+    call = build_call("/a/x?q=%20&r", body=b"\x01\x02")
+    received = await relay([replica], call)
+    assert find_status(received) == 200
+    assert find_body(received) == b"\x00\xffbytes"
+    assert replica.calls[0].startswith(b"POST /a/x?q=%20&r HTTP/1.1")
+    assert replica.calls[0].endswith(b"\r\n\r\n\x01\x02")
+    assert 0 < int(find_header(replica.calls[0], b"x-left")) <= 2_000
+
+
+async def test_failure_of_a_replica_is_passed_on_when_it_may_run_once() -> None:
+    replicas = [ScriptedReplica(n, answer(500, b"broken")) for n in "xy"]
+    received = await relay(replicas, build_call(), **ONCE)
+    assert find_status(received) == 500
+    assert find_body(received) == b"broken"
+    assert sum(len(each.calls) for each in replicas) == 1
+
+
+@pytest.mark.parametrize("script", [hang_up, answer(200, b"cut", b"X-Cut: 1\r\n")])
+async def test_lost_call_that_may_run_once_is_unknown(script: Script) -> None:
+    """The connection closes, or an answer comes that nobody signed, after a seat hold
+    was sent. The hold may have run: the caller must not be told to hold another seat.
+    """
+    replicas = [ScriptedReplica(n, script) for n in "xy"]
+    received = await relay(replicas, build_call(), **ONCE)
+    assert find_status(received) == 502
+    assert b'"not_run":false' in received
+    assert sum(len(each.calls) for each in replicas) == 1
+
+
+async def test_refusal_by_one_replica_is_served_by_another() -> None:
+    refusing = answer(503, b"", b"X-Unrun: 1\r\n")
+    replicas = [ScriptedReplica("x", refusing), ScriptedReplica("y", answer())]
+    for _ in range(4):
+        received = await relay(replicas, build_call(), **ONCE)
+        assert find_status(received) == 200
+
+
+async def test_refusal_by_all_says_not_run_and_when_to_come_back() -> None:
+    refusing = answer(503, b"", b"X-Unrun: 1\r\n")
+    received = await relay([ScriptedReplica("x", refusing)], build_call(), **ONCE)
+    assert find_status(received) == 503
+    assert b'"not_run":true' in received
+    assert 0 < float(find_header(received, b"retry-after")) < 5
+
+
+async def test_replica_that_listens_no_more_costs_no_attempt() -> None:
+    live = ScriptedReplica("y", answer())
+    dead = ScriptedReplica("x")
+    async with open_world(RelayWorld([live], max_attempts=1, **ONCE)) as world:
+        world.replicas = [live, dead]
+        world.tell_replicas()
+        for _ in range(5):
+            assert find_status(await world.call(build_call())) == 200
+
+
+async def test_answer_of_another_call_never_reaches_the_caller() -> None:
+    """A late answer to an earlier call stands where this call's is expected.
+
+    The caller would get another caller's booking.
+    """
+
+    async def answer_another(stream: trio.SocketStream, _: bytes) -> None:
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signed: 1\r\nContent-Length: 5\r\n"
+            b"\r\nother"
+        )
+
+    replicas = [ScriptedReplica(n, answer_another) for n in "xy"]
+    received = await relay(replicas, build_call())
+    assert find_status(received) == 502
+    assert b"other" not in find_body(received).replace(b"another", b"")
+
+
+async def test_bytes_behind_an_answer_belong_to_no_call() -> None:
+    surplus = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
+    replica = ScriptedReplica("x", answer(tail=surplus))
+    async with open_world(RelayWorld([replica])) as world:
+        for _ in range(3):
+            received = await world.call(build_call())
+            assert find_body(received) == b"whole"
+
+
+async def test_cut_answer_is_tried_again_or_never_looks_whole() -> None:
+    async def cut(stream: trio.SocketStream, call: bytes) -> None:
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Signed: 1\r\n"
+            b"Content-Length: 9\r\n\r\ncut"
+        )
+
+    for _ in range(4):
+        replicas = [ScriptedReplica("x", cut), ScriptedReplica("y", answer())]
+        assert find_status(await relay(replicas, build_call())) == 200
+    received = await relay([ScriptedReplica("x", cut)], build_call(), **ONCE)
+    assert find_status(received) == 502
+
+
+async def test_answer_before_a_long_body_was_read() -> None:
+    """A replica refuses a long call before it has read it, and reads no more of it.
+
+    Sending on before looking for an answer would wait for ever.
+    """
+
+    async def refuse_early(stream: trio.SocketStream, _: bytes) -> None:
+        await stream.send_all(
+            b"HTTP/1.1 503 X\r\nX-Id: q1\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        await trio.sleep(3.0)
+
+    class Reader(ScriptedReplica):
+        async def serve(self, stream: trio.SocketStream) -> None:
+            await stream.receive_some(1_000)
+            await refuse_early(stream, b"")
+
+    call = build_call(body=b"x" * 3_900_000)
+    replica = Reader("x")
+    with trio.fail_after(10):
+        received = await relay([replica], call, **ONCE, timeout_ms=2_000)
+    assert find_status(received) == 503
+
+
+async def test_stream_is_relayed_in_order() -> None:
+    events = [build_event(n) for n in range(1, 6)]
+    replica = ScriptedReplica("x", stream_events(*events))
+    received = await relay([replica], build_call("/a/x", PARTS), **STREAM)
+    assert join_chunks(received) == (b"".join(events), True)
+
+
+async def test_cut_stream_goes_on_elsewhere_without_a_gap() -> None:
+    """A replica dies inside the third event of a stream that may be resumed.
+
+    Half an event before the next replica's would be a piece of neither.
+    """
+    events = [build_event(n) for n in range(1, 6)]
+    first = stream_events(*events[:2], is_whole=False, end=events[2][:9])
+    rest = stream_events(*events[2:])
+
+    async def go_on(stream: trio.SocketStream, call: bytes) -> None:
+        is_first = not find_header(call, b"x-last")
+        await (first if is_first else rest)(stream, call)
+
+    replicas = [ScriptedReplica(n, go_on) for n in "xy"]
+    received = await relay(replicas, build_call("/a/x", PARTS), **RESUMABLE)
+    assert join_chunks(received) == (b"".join(events), True)
+    lasts = [find_header(call, b"x-last") for each in replicas for call in each.calls]
+    assert sorted(lasts) == [b"", b"2"]
+
+
+async def test_silent_stream_goes_on_elsewhere() -> None:
+    events = [build_event(n) for n in range(1, 4)]
+    first = stream_events(*events[:1], is_whole=False, hold_s=9.0)
+    rest = stream_events(*events[1:])
+
+    async def go_on(stream: trio.SocketStream, call: bytes) -> None:
+        await (rest if find_header(call, b"x-last") else first)(stream, call)
+
+    replicas = [ScriptedReplica(n, go_on) for n in "xy"]
+    call = build_call("/a/x", PARTS)
+    received = await relay(replicas, call, **RESUMABLE, timeout_ms=4_000)
+    assert join_chunks(received) == (b"".join(events), True)
+
+
+async def test_cut_stream_that_may_not_be_resumed_looks_cut() -> None:
+    events = [build_event(n) for n in range(1, 3)]
+    replicas = [
+        ScriptedReplica(n, stream_events(*events, is_whole=False)) for n in "xy"
+    ]
+    call = build_call("/a/x", PARTS)
+    received = await relay(replicas, call, **STREAM, **ONCE)
+    assert join_chunks(received) == (b"".join(events), False)
+    assert sum(len(each.calls) for each in replicas) == 1
+
+
+async def test_end_inside_an_event_is_no_end() -> None:
+    script = stream_events(build_event(1), end=b"id: 2\ndata: ha")
+    received = await relay(
+        [ScriptedReplica("x", script)], build_call("/a/x", PARTS), **STREAM, **ONCE
+    )
+    assert join_chunks(received) == (build_event(1), False)
+
+
+async def test_replica_is_told_when_the_caller_hangs_up() -> None:
+    """The caller closes while its call runs. Work for nobody must not go on."""
+    replica = ScriptedReplica("x", say_nothing)
+    async with open_world(RelayWorld([replica])) as world:
+        await world.call(build_call(), for_s=0.1)
+        with trio.fail_after(10):
+            await replica.closed.wait()
+        await trio.testing.wait_all_tasks_blocked()
+        assert world.core.flow.count_pending() == 0
+
+
+async def test_silent_replica_is_left_for_another() -> None:
+    for _ in range(3):
+        replicas = [ScriptedReplica("x", say_nothing), ScriptedReplica("y", answer())]
+        received = await relay(replicas, build_call())
+        assert find_status(received) == 200
+
+
+@pytest.mark.parametrize(
+    ("route", "status"), [({}, 504), (ONCE, 504)], ids=["repeatable", "once"]
+)
+async def test_call_is_answered_at_its_timeout(
+    route: dict[str, object], status: int
+) -> None:
+    replica = ScriptedReplica("x", say_nothing)
+    with trio.fail_after(10):
+        received = await relay([replica], build_call(), **route, timeout_ms=500)
+    assert find_status(received) == status
+    assert b'"not_run":false' in received
+
+
+async def test_callers_deadline_comes_before_the_timeout() -> None:
+    replica = ScriptedReplica("x", say_nothing)
+    with trio.fail_after(10):
+        received = await relay([replica], build_call("/a/x", "X-Deadline: 300"))
+    assert find_status(received) == 504
+
+
+async def test_other_replica_at_the_address_did_not_run_the_call() -> None:
+    """A replica ended and its address was given to another service's.
+
+    The call comes back unrun; the old entry must get no further call.
+    """
+    moved = answer(421, b"", b"X-Replica: other\r\n")
+    replicas = [ScriptedReplica("x", moved), ScriptedReplica("y", answer())]
+    async with open_world(RelayWorld(replicas, **ONCE)) as world:
+        for _ in range(6):
+            assert find_status(await world.call(build_call())) == 200
+        assert len(replicas[0].calls) <= 1
