--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -34,6 +34,7 @@
 )
 from toucanyard_node.refusals import render_refusal
 from toucanyard_node.relay_lines import log_ended
+from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import AnswerFacts, CallCodec
 from toucanyard_node.relay_task import RelayClient
 
@@ -83,6 +84,7 @@
         request: RelayRequest,
         last_event_id: str,
         max_gap_ms: int,
+        metrics: RelayMetrics,
     ) -> None:
         self._client = client
         self._codec = codec
@@ -90,6 +92,7 @@
         self._responder = responder
         self._request = request
         self._max_gap_ms = max_gap_ms
+        self._metrics = metrics
         self._splitter = EventSplitter(last_event_id)
         self._dispatch: RelayDispatch | None = None
         self._is_in_flight = False
@@ -135,7 +138,7 @@
         if dispatch is not None:
             outcome = self._build(dispatch, EndingSeen.CANCELLED, "nobody waits")
             self._client.tell_ended(outcome)
-            log_ended(self._request, dispatch, "given_up", 0)
+            self._note_ended(dispatch, "given_up", 0)
 
     async def _end_late(self) -> None:
         """Answer a call whose time is over; a stream that has begun is cut."""
@@ -283,6 +286,8 @@
                 await self._begin(head)
             if not self._has_first:
                 self._has_first = True
+                after_ms = trio.current_time() * 1000 - self._request.arrived_ms
+                self._metrics.note_first(self._request, after_ms)
                 self._client.tell_first(self._request.request_id)
             await self._responder.write(whole)
         if self._splitter.has_rest():
@@ -324,7 +329,7 @@
         is_dead: bool = False,
     ) -> AnswerLostError:
         outcome = self._build(dispatch, ending, text, facts, is_dead=is_dead)
-        log_ended(self._request, dispatch, ending.value, 0, text)
+        self._note_ended(dispatch, ending.value, 0, text)
         return AnswerLostError(outcome)
 
     def _build(
@@ -353,7 +358,14 @@
         self._dispatch = None
         outcome = self._build(dispatch, EndingSeen.COMPLETED, "", facts)
         self._client.tell_ended(outcome)
-        log_ended(self._request, dispatch, "answered", status)
+        self._note_ended(dispatch, "answered", status)
+
+    def _note_ended(
+        self, dispatch: RelayDispatch, ending: str, status: int, text: str = ""
+    ) -> None:
+        after_ms = trio.current_time() * 1000 - self._request.arrived_ms
+        self._metrics.note_ended(self._request, ending, after_ms)
+        log_ended(self._request, dispatch, ending, status, after_ms, text)
 
     async def _send_whole(self, held: HeldAnswer) -> None:
         if self._responder.is_started:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_face.py
@@ -23,6 +23,7 @@
 from toucanyard_node.http_exchange import HttpRequest, Responder
 from toucanyard_node.refusals import render_refusal
 from toucanyard_node.relay_exchange import RelayExchange
+from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import CallCodec, CallFacts, CallInvalidError
 from toucanyard_node.relay_task import RelayClient
 
@@ -35,7 +36,15 @@
 class RelayFace:
     """Serve relayed calls."""
 
-    __slots__ = ("_client", "_codec", "_find_index", "_is_stopping", "_numbers", "_rng")
+    __slots__ = (
+        "_client",
+        "_codec",
+        "_find_index",
+        "_is_stopping",
+        "_metrics",
+        "_numbers",
+        "_rng",
+    )
 
     def __init__(
         self,
@@ -43,8 +52,10 @@
         codec: CallCodec,
         find_index: Callable[[], RouteIndex],
         is_stopping: Callable[[], bool],
+        metrics: RelayMetrics,
         rng: random.Random,
     ) -> None:
+        self._metrics = metrics
         self._client = client
         self._codec = codec
         self._find_index = find_index
@@ -112,11 +123,13 @@
             request,
             facts.last_event_id,
             route.max_gap_ms,
+            self._metrics,
         )
 
     async def _turn_away(
         self, http: HttpRequest, responder: Responder, error: RouterError
     ) -> None:
+        self._metrics.note_refused(error.kind)
         _LOG.info(
             "turned_away",
             kind=error.kind.value,
--- a/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
@@ -5,7 +5,6 @@
 from typing import Final
 
 import structlog
-import trio
 
 from toucanyard.relay_requests import RelayDispatch, RelayRequest
 from toucanyard.requests import Refuse
@@ -52,6 +51,7 @@
     dispatch: RelayDispatch,
     ending: str,
     status: int,
+    after_ms: float,
     text: str = "",
 ) -> None:
     """Say how a dispatch ended."""
@@ -62,7 +62,7 @@
         attempt=dispatch.attempt,
         ending=ending,
         status=status,
-        after_ms=round(trio.current_time() * 1000 - request.arrived_ms),
+        after_ms=round(after_ms),
         reason=text,
         route=request.route,
         customer=request.customer,
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -0,0 +1,152 @@
+"""Count relayed calls and their latencies, and render all metrics as text.
+
+One line a figure, `name{label="value"} number`, as scrapers read it. Customers and
+classes are bounded: those that come when the table is full share one row.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.keyed_view import Topic
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_requests import RelayRequest
+from toucanyard.requests import Repeatability
+
+MAX_GROUPS: Final = 64
+"""Customers and classes with figures of their own; a histogram takes 10 KB."""
+HIGHEST_MS: Final = 600_000
+DIGITS: Final = 1
+"""Values are told apart by 6% or less."""
+QUANTILES: Final = (50.0, 95.0, 99.0)
+REST: Final = ("", "other")
+
+Group = tuple[str, str]
+"""Customer and class."""
+
+
+def find_class(request: RelayRequest) -> str:
+    """Return the class of a call: what may be done with it."""
+    if request.is_stream:
+        return "resumable_stream" if request.is_resumable else "stream"
+    is_once = request.repeatability is Repeatability.RUN_ONCE
+    return "once" if is_once else "repeatable"
+
+
+class RelayMetrics:
+    """Figures of one node since it started. Invariant: totals only grow."""
+
+    __slots__ = ("_endings", "_first_ms", "_refusals", "_total_ms")
+
+    def __init__(self) -> None:
+        self._endings: Counter[tuple[Group, str]] = Counter()
+        self._refusals: Counter[str] = Counter()
+        self._first_ms: dict[Group, HdrHistogram] = {}
+        self._total_ms: dict[Group, HdrHistogram] = {}
+
+    def note_first(self, request: RelayRequest, after_ms: float) -> None:
+        """Record the time from a call's arrival to the first part of its answer."""
+        _record(self._first_ms, self._find_group(request), after_ms)
+
+    def note_ended(self, request: RelayRequest, ending: str, after_ms: float) -> None:
+        """Record how a dispatch ended, and the time since its call's arrival."""
+        group = self._find_group(request)
+        self._endings[(group, ending)] += 1
+        _record(self._total_ms, group, after_ms)
+
+    def note_refused(self, kind: ErrorKind) -> None:
+        """Count a refusal."""
+        self._refusals[kind.value] += 1
+
+    def render(
+        self,
+        core: RelayCore,
+        store_calls: Counter[str],
+        dropped_lines: int,
+        now_ms: float,
+    ) -> str:
+        """Return all metrics as text."""
+        lines = [*self._render_calls(), *_render_core(core, now_ms)]
+        lines += [
+            _format("store_calls_total", count, purpose=purpose)
+            for purpose, count in sorted(store_calls.items())
+        ]
+        lines.append(_format("log_lines_dropped_total", dropped_lines))
+        return "\n".join(lines) + "\n"
+
+    def _find_group(self, request: RelayRequest) -> Group:
+        group = (str(request.customer), find_class(request))
+        if group in self._total_ms or len(self._total_ms) < MAX_GROUPS:
+            return group
+        return REST
+
+    def _render_calls(self) -> Iterator[str]:
+        for (group, ending), count in sorted(self._endings.items()):
+            yield _format(
+                "dispatches_total",
+                count,
+                customer=group[0],
+                call_class=group[1],
+                ending=ending,
+            )
+        for kind, count in sorted(self._refusals.items()):
+            yield _format("refusals_total", count, kind=kind)
+        yield from _render_histograms("first_part_ms", self._first_ms)
+        yield from _render_histograms("call_ms", self._total_ms)
+
+
+def _render_histograms(
+    name: str, histograms: dict[Group, HdrHistogram]
+) -> Iterator[str]:
+    for (customer, call_class), histogram in sorted(histograms.items()):
+        labels = {"customer": customer, "call_class": call_class}
+        yield _format(f"{name}_count", histogram.get_total_count(), **labels)
+        for percentile in QUANTILES:
+            value = histogram.get_value_at_percentile(percentile)
+            quantile = f"{percentile / 100:g}"
+            yield _format(name, value, **labels, quantile=quantile)
+
+
+def _render_core(core: RelayCore, now_ms: float) -> Iterator[str]:
+    yield _format("routes_version", core.index.table.version)
+    yield _format("calls_pending", core.flow.count_pending())
+    yield _format("calls_waiting", core.flow.count_waiting())
+    yield _format("peers_linked", len(core.exchange.linked))
+    yield _format("nodes_alive", core.roster.count_alive(now_ms))
+    yield _format("is_stopping", int(core.is_stopping))
+    for topic in Topic:
+        view = core.exchange.views[topic]
+        yield _format("view_end", view.end, topic=topic.value)
+        if view.confirmed_ms > float("-inf"):
+            age_ms = round(now_ms - view.confirmed_ms)
+            yield _format("view_age_ms", age_ms, topic=topic.value)
+    for service in core.index.table.services:
+        listed = len(core.directory.find_listed(service.name, now_ms))
+        usable = len(core.directory.find_usable(service.name, now_ms))
+        yield _format("replicas_listed", listed, service=service.name)
+        yield _format("replicas_usable", usable, service=service.name)
+
+
+def _record(
+    histograms: dict[Group, HdrHistogram], group: Group, value_ms: float
+) -> None:
+    histogram = histograms.get(group)
+    if histogram is None:
+        histogram = histograms[group] = HdrHistogram(1, HIGHEST_MS, DIGITS)
+    histogram.record_value(min(max(round(value_ms), 1), HIGHEST_MS))
+
+
+def _format(name: str, value: float, **labels: str) -> str:
+    text = ",".join(f'{key}="{_escape(each)}"' for key, each in labels.items())
+    return (
+        f"toucanyard_{name}{{{text}}} {value}" if text else f"toucanyard_{name} {value}"
+    )
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -35,6 +35,7 @@
 from toucanyard_node.part_following import PartFollowing
 from toucanyard_node.peer_links import PeerLinks
 from toucanyard_node.relay_face import RelayFace
+from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import (
     CallCodec,
     PartFollower,
@@ -98,13 +99,15 @@
         self._stopping = trio.Event()
         send, self._messages = trio.open_memory_channel[SendToPeer](OUTBOX)
         send_errand, self._errands = trio.open_memory_channel[Errand](OUTBOX)
-        self._task = RelayTask(core, send, send_errand)
+        self.metrics = RelayMetrics()
+        self._task = RelayTask(core, send, send_errand, self.metrics)
         client = self._task.client
         self._face = RelayFace(
             client,
             ports.calls,
             lambda: core.index,
             self._stopping.is_set,
+            self.metrics,
             rng,
         )
         self._server = HttpServer(self._face.handle, self._find_limits())
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -38,6 +38,7 @@
 )
 from toucanyard.requests import Refuse
 from toucanyard_node.relay_lines import log_refused, log_sent
+from toucanyard_node.relay_metrics import RelayMetrics
 
 TICK_S: Final = 0.025
 _LOG: Final = structlog.get_logger()
@@ -112,7 +113,9 @@
         core: RelayCore,
         messages: trio.MemorySendChannel[SendToPeer],
         errands: trio.MemorySendChannel[Errand],
+        metrics: RelayMetrics,
     ) -> None:
+        self._metrics = metrics
         self.core = core
         self._messages = messages
         self._errands = errands
@@ -168,6 +171,7 @@
             case RelayDispatch():
                 log_sent(verdict)
             case Refuse():
+                self._metrics.note_refused(verdict.kind)
                 log_refused(verdict, self.core.index.table.version)
 
 
--- a/tests/toucanyard_node/relay_world.py
+++ b/tests/toucanyard_node/relay_world.py
@@ -39,6 +39,7 @@
 from toucanyard_node.http_exchange import HttpRequest
 from toucanyard_node.http_server import HttpServer, ServerLimits, find_port
 from toucanyard_node.relay_face import RelayFace
+from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import AnswerFacts, CallFacts, CallInvalidError
 from toucanyard_node.relay_task import Errand, RelayTask
 
@@ -230,13 +231,15 @@
         self.core = RelayCore(options, identity, self.decode, rng)
         messages, _ = trio.open_memory_channel[SendToPeer](1_000)
         errands, _ = trio.open_memory_channel[Errand](1_000)
-        self.task = RelayTask(self.core, messages, errands)
+        self.metrics = RelayMetrics()
+        self.task = RelayTask(self.core, messages, errands, self.metrics)
         self.is_stopping = False
         face = RelayFace(
             self.task.client,
             PlainCalls(),
             lambda: self.core.index,
             lambda: self.is_stopping,
+            self.metrics,
             rng,
         )
         limits = ServerLimits(is_pipelined=False)
--- /dev/null
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+
+from toucanyard.names import CustomerName, RequestId
+from toucanyard.relay_requests import RelayRequest
+from toucanyard.requests import Repeatability
+from toucanyard_node.relay_metrics import MAX_GROUPS, RelayMetrics
+
+from .relay_world import (
+    SERVICE,
+    RelayWorld,
+    ScriptedReplica,
+    answer,
+    build_call,
+    open_world,
+)
+
+REQUEST = RelayRequest(
+    request_id=RequestId("q-1"),
+    caller_id="q",
+    customer=CustomerName("c"),
+    is_walled=False,
+    route="r",
+    service=SERVICE,
+    repeatability=Repeatability.REPEATABLE,
+    is_stream=False,
+    is_resumable=False,
+    max_attempts=1,
+    rank=0,
+    target_ms=200,
+    arrived_ms=0.0,
+    deadline_ms=1_000.0,
+    table_version=1,
+)
+
+
+async def test_metrics_tell_what_was_served_and_what_is_known() -> None:
+    world = RelayWorld([ScriptedReplica("x", answer())])
+    async with open_world(world):
+        for _ in range(3):
+            await world.call(build_call())
+        await world.call(build_call("/none/"))
+        calls = Counter({"read operator": 2})
+        text = world.metrics.render(world.core, calls, 7, 1_000.0)
+    lines = text.splitlines()
+    labels = 'customer="c",call_class="repeatable"'
+    assert f'toucanyard_dispatches_total{{{labels},ending="answered"}} 3' in lines
+    assert 'toucanyard_refusals_total{kind="not_found"} 1' in lines
+    assert f"toucanyard_call_ms_count{{{labels}}} 3" in lines
+    assert "toucanyard_routes_version 1" in lines
+    assert 'toucanyard_replicas_usable{service="s"} 1' in lines
+    assert 'toucanyard_store_calls_total{purpose="read operator"} 2' in lines
+    assert "toucanyard_log_lines_dropped_total 7" in lines
+
+
+async def test_customers_without_end_share_a_row() -> None:
+    """A caller invents customers, or a fleet has thousands.
+
+    A histogram for each would fill the node's memory.
+    """
+    world = RelayWorld([])
+    metrics = RelayMetrics()
+    for number in range(3 * MAX_GROUPS):
+        request = msgspec.structs.replace(REQUEST, customer=f"c{number}")
+        metrics.note_ended(request, "answered", 5.0)
+    text = metrics.render(world.core, Counter(), 0, 0.0)
+    counts = [line for line in text.splitlines() if "_call_ms_count" in line]
+    assert len(counts) == MAX_GROUPS + 1
+    assert f'call_class="other"}} {2 * MAX_GROUPS}' in text
