--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -132,7 +132,9 @@
 
         `stall_ms` bounds how long the other side may take none of it.
         """
-        named = (("Host", self.address), ("Content-Length", str(len(body))), *headers)
+        named = (("Content-Length", str(len(body))), *headers)
+        if not any(name.lower() == "host" for name, _ in headers):
+            named = (("Host", self.address), *named)
         data = self._render(method, target, named, body)
         sent_bytes = await self._send_first(data)
         await self._send_rest(data, sent_bytes, stall_ms)
