--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -44,6 +44,7 @@
 )
 from toucanyard_node.relay_store import Errands, StoreReader, keep_trying
 from toucanyard_node.relay_task import Errand, RelayTask
+from toucanyard_node.settings_watch import SettingsWatch
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
@@ -94,6 +95,7 @@
     ) -> None:
         self._options = core.options
         self.core = core
+        self.settings_watch: SettingsWatch | None = None
         self._ports = ports
         self._output = output
         self._stopping = trio.Event()
@@ -133,6 +135,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._output.run)
             nursery.start_soon(self._watch_signals, nursery.cancel_scope)
+            if self.settings_watch is not None:
+                nursery.start_soon(self.settings_watch.run)
             nursery.start_soon(self._task.run)
             nursery.start_soon(self._reader.run)
             nursery.start_soon(self._following.run)
@@ -190,7 +194,8 @@
         with trio.open_signal_receiver(*wanted) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    _LOG.info("reload_asked", effect="settings are read at the start")
+                    if self.settings_watch is not None:
+                        self.settings_watch.reload()
                 elif self._stopping.is_set():
                     _LOG.warning("stopped_at_once")
                     scope.cancel()
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/settings_watch.py
@@ -0,0 +1,73 @@
+"""Read the settings anew on a signal, or when their file has changed without one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import msgspec
+import structlog
+import trio
+
+from toucanyard.relay_options import RelayOptions
+
+LOOK_S: Final = 2.0
+"""Time between two looks at the file."""
+_LOG: Final = structlog.get_logger()
+
+
+class SettingsInvalidError(Exception):
+    """The settings can't be read; at a start the process ends with status 2."""
+
+
+class SettingsWatch:
+    """The settings in force, and the file that they come from.
+
+    Invariant: settings that can't be read change nothing.
+    """
+
+    __slots__ = ("_apply", "_file", "_load", "_options", "_seen")
+
+    def __init__(
+        self,
+        file: Path,
+        load: Callable[[Path], RelayOptions],
+        options: RelayOptions,
+        apply: Callable[[RelayOptions], None],
+    ) -> None:
+        self._file = file
+        self._load = load
+        self._options = options
+        self._apply = apply
+        self._seen = self._find_stamp()
+
+    async def run(self) -> None:
+        """Look for changes until cancelled."""
+        while True:
+            await trio.sleep(LOOK_S)
+            if self._find_stamp() != self._seen:
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file and apply what can change while the node runs: the seeds."""
+        self._seen = self._find_stamp()
+        try:
+            options = self._load(self._file)
+        except SettingsInvalidError as error:
+            _LOG.error("reload_failed", reason=str(error))
+            return
+        before = msgspec.structs.asdict(self._options)
+        after = msgspec.structs.asdict(options)
+        changed = sorted(name for name in after if after[name] != before[name])
+        waits = [name for name in changed if name != "seeds"]
+        _LOG.info("reloaded", changed=changed, in_force_at_next_start=waits)
+        self._options = msgspec.structs.replace(self._options, seeds=options.seeds)
+        self._apply(self._options)
+
+    def _find_stamp(self) -> tuple[int, int] | None:
+        try:
+            stat = self._file.stat()
+        except OSError:
+            return None
+        return stat.st_mtime_ns, stat.st_size
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -44,11 +44,16 @@
 
     def __init__(self, own: NodeRecord, seeds: Sequence[Address]) -> None:
         self._own = own
-        self._seeds = tuple(each for each in seeds if each != own.peers)
+        self._seeds: tuple[Address, ...] = ()
+        self.apply_seeds(seeds)
         self._known: dict[NodeName, NodeRecord] = {}
         self._heard: dict[NodeName, _Heard] = {}
         self.is_ready = False
 
+    def apply_seeds(self, seeds: Sequence[Address]) -> None:
+        """Take over which addresses to try while their nodes are not known."""
+        self._seeds = tuple(each for each in seeds if each != self._own.peers)
+
     def apply(self, record: NodeRecord) -> None:
         """Take in where a node can be reached."""
         if record.name != self._own.name:
