--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -45,12 +45,17 @@
         now_ms: float,
         *,
         is_store_doubtful: bool,
+        known_for_ms: float = 0.0,
     ) -> Iterator[Note]:
-        """Apply changes; `is_store_doubtful` tells that the store was away just now."""
+        """Apply changes; `is_store_doubtful` tells that the store was away just now.
+
+        `known_for_ms` is how long wanted weights may have been named before.
+        """
         gone: list[EndpointName] = []
         for change in changes:
             if change.fact is not None:
-                yield from self._apply_fact(change.fact, source, now_ms)
+                since_ms = now_ms - known_for_ms
+                yield from self._apply_fact(change.fact, source, since_ms)
                 continue
             match change.before:
                 case Replica(name=name):
@@ -70,12 +75,12 @@
                 },
             )
 
-    def _apply_fact(self, fact: object, source: str, now_ms: float) -> Iterator[Note]:
+    def _apply_fact(self, fact: object, source: str, since_ms: float) -> Iterator[Note]:
         match fact:
             case RouteTable():
                 yield from self._apply_table(fact, source)
             case WantedWeights(model=model, version=version):
-                if self._goals.apply(fact, now_ms):
+                if self._goals.apply(fact, since_ms):
                     fields = {"model": model, "version": version, "source": source}
                     yield Note("weights_wanted", fields)
             case Replica():
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -57,6 +57,14 @@
     ready_in_ms: float
 
 
+class GoalAge(msgspec.Struct, frozen=True, array_like=True):
+    """How long a node has known that weights are wanted."""
+
+    model: str
+    version: int
+    age_ms: float
+
+
 class NodeStatus(msgspec.Struct, frozen=True, array_like=True, tag="s"):
     """What a node tells its peers of itself, several times a second."""
 
@@ -65,6 +73,7 @@
     uses: tuple[ReplicaUse, ...] = ()
     news: tuple[ReplicaNews, ...] = ()
     parts: tuple[ReadPart, ...] = ()
+    goals: tuple[GoalAge, ...] = ()
     store_trouble_age_ms: float = -1.0
     """Time since the store last failed this node; negative if it did not lately."""
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -12,7 +12,13 @@
 
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
-from toucanyard.link_messages import LinkMessage, NodeStatus, ReadPart, ViewRecords
+from toucanyard.link_messages import (
+    GoalAge,
+    LinkMessage,
+    NodeStatus,
+    ReadPart,
+    ViewRecords,
+)
 from toucanyard.names import Address, EndpointName, NodeId, NodeName
 from toucanyard.part_book import Part
 from toucanyard.part_sources import PartSources
@@ -202,9 +208,7 @@
                 self.flow.book.forget(name)
 
     def _tick_duty(self, now_ms: float) -> Iterator[RelayAction]:
-        if self.is_stopping:
-            return
-        yield from self.duty.tick(now_ms)
+        yield from self.duty.tick(now_ms, is_leaving=self.is_stopping)
         if self.bulletin.note_changing(set(self.duty.list_changing()), now_ms):
             yield from self._send_status(now_ms)
 
@@ -223,8 +227,14 @@
             read.topic, read.records, read.end, read.asked_ms, is_whole=read.is_whole
         )
         is_doubtful = self._is_store_doubtful(now_ms)
+        # What stood in the store before this node looked may have stood there long.
+        known_ms = self.options.weights.deadline_ms / 2 if read.is_whole else 0.0
         yield from self.facts.apply(
-            changes, "store", now_ms, is_store_doubtful=is_doubtful
+            changes,
+            "store",
+            now_ms,
+            is_store_doubtful=is_doubtful,
+            known_for_ms=known_ms,
         )
         if changes or self.exchange.views[read.topic].end > before:
             yield from self.exchange.push(read.topic, before, now_ms)
@@ -248,6 +258,8 @@
         self.roster.note_status(sender, status.is_ready, now_ms)
         self.flow.node_count = self.roster.count_nodes(now_ms)
         self.flow.uses.apply_peer(sender, status.uses, now_ms)
+        for each in status.goals:
+            self.goals.note_age(each.model, each.version, each.age_ms, now_ms)
         if status.store_trouble_age_ms >= 0:
             trouble_ms = now_ms - status.store_trouble_age_ms
             self._trouble_ms = max(self._trouble_ms, trouble_ms)
@@ -310,6 +322,7 @@
             uses=self.flow.uses.list_own(),
             news=tuple(self.bulletin.list_news(now_ms)),
             parts=self.flow.take_read_parts(now_ms),
+            goals=tuple(GoalAge(*each) for each in self.goals.list_recent(now_ms)),
             store_trouble_age_ms=(
                 trouble_age_ms if trouble_age_ms < STORE_TROUBLE_MS else -1.0
             ),
--- a/packages/toucanyard/src/toucanyard/turns.py
+++ b/packages/toucanyard/src/toucanyard/turns.py
@@ -31,6 +31,11 @@
 """How much longer each further candidate waits before it takes a turn."""
 HOLDER_HEAD_START_MS: Final = 700.0
 """How long others leave new work to the last holder if it is alive."""
+FOLLOW_MS: Final = 600.0
+"""Time between two reads of those who stand by for the turn. A record counts from when
+it was seen: one seen late would put off the next holder by as much."""
+MAX_FOLLOWERS: Final = 3
+"""Live nodes that stand by for the turn; the others needn't read who holds it."""
 ASK_AGAIN_MS: Final = 1_000.0
 """After this time a read or an append without an answer is made again."""
 
@@ -64,6 +69,7 @@
         "_identity",
         "_is_asking",
         "_lease_ms",
+        "_seen_end",
         "_seen_ms",
         "_until_ms",
     )
@@ -74,6 +80,7 @@
         self._end: int | None = None
         self._holder: TurnRecord | None = None
         self._seen_ms = float("-inf")
+        self._seen_end = 0
         self._fence = -1
         self._until_ms = float("-inf")
         self._asked_ms = float("-inf")
@@ -98,15 +105,17 @@
     def note_read(self, read: TurnRead, now_ms: float) -> None:
         """Take in records; those of other nodes end this node's turn."""
         self._is_asking = False
-        for _, value in read.records:
+        for offset, value in read.records:
             record = _decode(value)
-            if record is None:
+            # A record that is read again is as old as when it was first seen.
+            if record is None or offset < self._seen_end:
                 continue
             self._holder = record
             self._seen_ms = now_ms
             if not self._is_own(record):
                 self._fence = -1
         self._end = read.end
+        self._seen_end = max(self._seen_end, read.end)
 
     def note_appended(self, appended: TurnAppended) -> None:
         """Take in how an append ended."""
@@ -117,17 +126,24 @@
             return
         if self._fence < 0:
             self._fence = appended.offset
-        self._end = appended.offset + 1
+        self._end = self._seen_end = appended.offset + 1
         self._holder = TurnRecord(self._identity.node, self._identity.incarnation)
         self._seen_ms = appended.sent_ms
         self._until_ms = appended.sent_ms + ACT_MS
 
     def tick(
-        self, work_since_ms: float, rank: int, is_holder_alive: bool, now_ms: float
+        self,
+        work_since_ms: float,
+        rank: int,
+        is_holder_alive: bool,
+        now_ms: float,
+        *,
+        is_leaving: bool = False,
     ) -> AppendTurn | ReadTurns | None:
         """Return what to ask of the store; called only while there is work.
 
-        `rank` counts the live nodes that go before this one.
+        `rank` counts the live nodes that go before this one. A node that is leaving
+        goes on with a turn that it has and takes no other.
         """
         if self._is_asking and now_ms - self._asked_ms < ASK_AGAIN_MS:
             return None
@@ -141,11 +157,20 @@
             self._ask(now_ms)
             return ReadTurns(0)
         if not is_last and not self._may_take(is_holder_alive, waited_ms, now_ms):
+            return self._follow(rank, now_ms)
+        if is_leaving and not is_last:
             return None
         self._ask(now_ms)
         own = TurnRecord(self._identity.node, self._identity.incarnation)
         return AppendTurn(msgspec.json.encode(own), self._end)
 
+    def _follow(self, rank: int, now_ms: float) -> ReadTurns | None:
+        is_due = now_ms - self._asked_ms >= FOLLOW_MS
+        if rank >= MAX_FOLLOWERS or not is_due:
+            return None
+        self._ask(now_ms)
+        return ReadTurns(self._end or 0)
+
     def _may_take(self, is_holder_alive: bool, waited_ms: float, now_ms: float) -> bool:
         if self._holder is None:
             return True
--- a/packages/toucanyard/src/toucanyard/weights_duty.py
+++ b/packages/toucanyard/src/toucanyard/weights_duty.py
@@ -20,14 +20,12 @@
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.roster import Roster
-from toucanyard.turns import Turns
+from toucanyard.turns import MAX_FOLLOWERS, Turns
 from toucanyard.weights_goals import WeightsGoals
 from toucanyard.weights_rollout import WeightsRollout
 
 LAST_READ_MS: Final = 300.0
 """Time after the work is done at which candidates look who did it, and when."""
-MAX_CANDIDATES: Final = 3
-"""Live nodes that stand by for the turn; the others needn't read who holds it."""
 
 DutyAction = AppendTurn | ReadTurns | ReadReplicaState | WeightsOrder
 
@@ -98,8 +96,13 @@
             for name in rollout.list_changing()
         ]
 
-    def tick(self, now_ms: float) -> list[DutyAction]:
-        """Return what to ask of the store and of replicas now."""
+    def tick(self, now_ms: float, *, is_leaving: bool = False) -> list[DutyAction]:
+        """Return what to ask of the store and of replicas now.
+
+        A node that is leaving ends what it has begun: were it to stop at once, the
+        next one would wait out the lease, and a roll of all VMs would stop every
+        holder before the weights are in place.
+        """
         behind = self._find_behind(now_ms)
         if not behind and not self.list_changing():
             return self._rest(now_ms)
@@ -109,7 +112,9 @@
         holder = self._turns.find_holder()
         is_alive = holder in self._roster.find_alive(now_ms)
         rank = self._roster.find_rank("orders", now_ms)
-        asked = self._turns.tick(self._work.since_ms or now_ms, rank, is_alive, now_ms)
+        asked = self._turns.tick(
+            self._work.since_ms or now_ms, rank, is_alive, now_ms, is_leaving=is_leaving
+        )
         if asked is not None:
             actions.append(asked)
         turn = self._turns.find_turn(now_ms)
@@ -141,7 +146,7 @@
         if not is_due:
             return []
         self._work = _Work()
-        if self._roster.find_rank("orders", now_ms) >= MAX_CANDIDATES:
+        if self._roster.find_rank("orders", now_ms) >= MAX_FOLLOWERS:
             return []
         return [ReadTurns(0)]
 
--- a/packages/toucanyard/src/toucanyard/weights_goals.py
+++ b/packages/toucanyard/src/toucanyard/weights_goals.py
@@ -14,6 +14,8 @@
     version: int
 
 
+RECENT_MS: Final = 15_000.0
+"""How long peers are told when weights were named; by then all replicas have them."""
 MAX_NAMED: Final = 64
 """Versions of one model that are remembered; older ones run nowhere any more."""
 
@@ -36,6 +38,17 @@
         self._named.append((version, now_ms))
         del self._named[:-MAX_NAMED]
 
+    def note_age(self, version: int, learned_ms: float) -> None:
+        """Take in that a version has been wanted for longer than this node knew."""
+        self._named = [
+            (each, min(at_ms, learned_ms) if each == version else at_ms)
+            for each, at_ms in self._named
+        ]
+
+    def list_recent(self, since_ms: float) -> list[tuple[int, float]]:
+        """Return the versions that were learned of since a time."""
+        return [each for each in self._named if each[1] >= since_ms]
+
     def compute_age(self, version: int, now_ms: float) -> float:
         """Return how long weights have been replaced by newer ones, 0 if they are not.
 
@@ -68,6 +81,20 @@
         """Return the goal of a model."""
         return self._goals.get(model)
 
+    def note_age(self, model: str, version: int, age_ms: float, now_ms: float) -> None:
+        """Take in for how long a peer has known of a version."""
+        goal = self._goals.get(model)
+        if goal is not None:
+            goal.note_age(version, now_ms - age_ms)
+
+    def list_recent(self, now_ms: float) -> list[tuple[str, int, float]]:
+        """Return model, version and age of what was named lately."""
+        return [
+            (model, version, now_ms - learned_ms)
+            for model, goal in self._goals.items()
+            for version, learned_ms in goal.list_recent(now_ms - RECENT_MS)
+        ]
+
     def list_models(self) -> list[str]:
         """Return the models that have a goal."""
         return list(self._goals)
--- a/tests/toucanyard/test_relay_core.py
+++ b/tests/toucanyard/test_relay_core.py
@@ -23,6 +23,7 @@
 from toucanyard.roster import STATUS_KEPT_MS, NodeRecord
 from toucanyard.routes import RoutedCustomer
 from toucanyard.store_schedule import READ_MS, compute_wanted_age
+from toucanyard.weights_goals import WantedWeights
 from toucanyard.wire_errors import MessageInvalidError
 
 from .relay_examples import DESK, LISTEN, build_replica, build_table
@@ -227,6 +228,34 @@
     assert ordered[1] < ordered[2]
 
 
+def test_restarted_node_learns_for_how_long_weights_are_wanted() -> None:
+    """A node restarts nine seconds after new weights were named.
+
+    Counting from its start, it would begin calls on older weights for seconds more.
+    """
+    fleet = Fleet("a", "b")
+    wanted = KeyedRecord("version/m", 0, put(WantedWeights("m", 2)))
+    fleet.read("a", Topic.OPERATOR, wanted)
+    fleet.run(9_000.0)
+    fleet.add(NodeName("b"), 1)
+    fleet.link()
+    fleet.read("b", Topic.OPERATOR, wanted, is_whole=True)
+    fleet.run(300.0)
+    goal = fleet.core("b").goals.find("m")
+    assert goal is not None
+    assert goal.compute_age(1, fleet.now_ms) >= 9_000.0
+
+
+def test_node_that_starts_alone_takes_wanted_weights_for_old() -> None:
+    fleet = Fleet("a")
+    wanted = KeyedRecord("version/m", 0, put(WantedWeights("m", 2)))
+    fleet.read("a", Topic.OPERATOR, wanted, is_whole=True)
+    goal = fleet.core("a").goals.find("m")
+    assert goal is not None
+    deadline_ms = fleet.core("a").options.weights.deadline_ms
+    assert goal.compute_age(1, 0.0) == deadline_ms / 2
+
+
 def test_links_reject_what_is_no_message() -> None:
     for data in (b"", b"\xff", b"\x80", b"\x82ax"):
         with pytest.raises(MessageInvalidError):
