--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -43,6 +43,10 @@
 """Time from naming weights until answers on older ones lose worth, less a margin."""
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
+PAUSE_SHARE: Final = 0.1
+"""Price, for each stream that runs at a replica, of the time that it pauses while a
+prompt is read there. Without it one replica reads long prompts all the time and its
+streams' events come too late."""
 
 
 class PlacedPrompt(msgspec.Struct, frozen=True):
@@ -201,7 +205,8 @@
         unread = total_tokens - covered
         speed = self._uses.tokens_per_ms
         wait_ms = use.unread_tokens / speed + use.running * RUNNING_MS
-        total_ms = wait_ms + unread / speed
+        read_ms = unread / speed
+        total_ms = wait_ms + read_ms * (1.0 + use.running * PAUSE_SHARE)
         total_ms += self._price(candidate, field.goal, now_ms)
         total_ms += fetched * engine.bytes_per_token * 8 / (source.link_mbps * 1_000)
         missing = _find_missing(field.shared, covered)
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -49,7 +49,7 @@
 from toucanyard.replica_bulletin import ReplicaBulletin
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.requests import EndingSeen
-from toucanyard.roster import MAX_MESH, NodeRecord, Roster
+from toucanyard.roster import NodeRecord, Roster
 from toucanyard.routes import RouteIndex
 from toucanyard.store_schedule import READ_MS, compute_poll_wait, is_read_due
 from toucanyard.view_exchange import ViewExchange
@@ -61,6 +61,9 @@
 STORE_TROUBLE_MS: Final = 2_500.0
 """How long after a failed call the store counts as in trouble: replicas that lapsed
 while it was away are listed again within two seconds of its return."""
+LARGE_TOKENS: Final = 500
+"""Least tokens of a part that peers are told of in a fleet that is not meshed: there
+are thousands of small ones a second, and reading one again costs little."""
 PRUNE_MS: Final = 5_000.0
 MISDIRECTED: Final = 421
 """Status with which a replica says that it is not the one that was meant."""
@@ -137,7 +140,14 @@
             return False
         rank = self.roster.find_rank(topic.value, now_ms)
         asked_ms = self._asked_ms[topic]
-        return is_read_due(topic, rank, view.confirmed_ms, asked_ms, now_ms)
+        return is_read_due(
+            topic,
+            rank,
+            view.confirmed_ms,
+            asked_ms,
+            now_ms,
+            is_meshed=self.roster.is_meshed(),
+        )
 
     def note_read_begun(self, topic: Topic, now_ms: float) -> None:
         """Note that this node asks the store for a topic."""
@@ -248,8 +258,8 @@
         yield from self.facts.apply(
             changes, sender, now_ms, is_store_doubtful=is_doubtful
         )
-        is_meshed = len(self.exchange.linked) >= self.roster.count_known()
-        if changes and not is_meshed:
+        is_newer = self.exchange.views[message.topic].end > before
+        if is_newer and not self.roster.is_meshed():
             yield from self.exchange.push(message.topic, before, now_ms)
 
     def _read_status(
@@ -321,7 +331,9 @@
             views=self.exchange.list_statuses(now_ms),
             uses=self.flow.uses.list_own(),
             news=tuple(self.bulletin.list_news(now_ms)),
-            parts=self.flow.take_read_parts(now_ms),
+            parts=self.flow.take_read_parts(
+                0 if self.roster.is_meshed() else LARGE_TOKENS, now_ms
+            ),
             goals=tuple(GoalAge(*each) for each in self.goals.list_recent(now_ms)),
             store_trouble_age_ms=(
                 trouble_age_ms if trouble_age_ms < STORE_TROUBLE_MS else -1.0
@@ -332,7 +344,7 @@
 
     def _find_interval(self) -> float:
         """Return the time between two statuses: less often to many peers."""
-        return STATUS_MS if len(self.exchange.linked) <= MAX_MESH else 2 * STATUS_MS
+        return STATUS_MS if self.roster.is_meshed() else 2 * STATUS_MS
 
     def _is_store_doubtful(self, now_ms: float) -> bool:
         return now_ms - self._trouble_ms < STORE_TROUBLE_MS
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -122,11 +122,12 @@
         """Return how many calls wait for a replica."""
         return sum(len(queue) for queue in self._queues.values())
 
-    def take_read_parts(self, now_ms: float) -> tuple[ReadPart, ...]:
+    def take_read_parts(self, min_tokens: int, now_ms: float) -> tuple[ReadPart, ...]:
         """Return what replicas were sent to read since the last time, for peers."""
         parts = tuple(
             ReadPart(replica, scope, name, tokens, max(ready_ms - now_ms, 0.0))
             for (replica, scope, name), (tokens, ready_ms) in self._read_parts.items()
+            if tokens >= min_tokens
         )
         self._read_parts.clear()
         return parts
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -117,11 +117,19 @@
         """Return how many nodes are alive, this one included."""
         return 1 + len(self.find_alive(now_ms))
 
+    def is_meshed(self) -> bool:
+        """Tell whether every node has a link to every other one."""
+        return len(self._known) <= MAX_MESH
+
     def find_rank(self, matter: str, now_ms: float) -> int:
         """Return how many live nodes go before this one in a matter.
 
-        Nodes that see the same others agree on the order without asking.
+        Nodes that see the same others agree on the order without asking. In a fleet
+        that is not meshed each hears only of a few, so all that are known count, and
+        who goes first may be dead; those behind must not wait for it for long.
         """
+        if not self.is_meshed():
+            return self.find_fleet_rank(matter)
         own = compute_rank(matter, self._own.name)
         alive = self.find_alive(now_ms)
         return sum(compute_rank(matter, name) > own for name in alive)
--- a/packages/toucanyard/src/toucanyard/store_schedule.py
+++ b/packages/toucanyard/src/toucanyard/store_schedule.py
@@ -22,6 +22,9 @@
 """How much older it gets before the second node reads; a status takes 250 ms."""
 NEXT_MS: Final = 150.0
 """The same for each further one, up to MAX_RANK."""
+FAR_MS: Final = 1_500.0
+"""How much older a topic gets before the second node of a fleet that is not meshed
+reads it: what the first one read takes a few links to all others."""
 MAX_RANK: Final = 3
 RETRY_MS: Final = 300.0
 """Least time between two reads of one node."""
@@ -31,20 +34,28 @@
 MAX_POLL_MS: Final = 20_000.0
 
 
-def compute_wanted_age(topic: Topic, rank: int) -> float:
+def compute_wanted_age(topic: Topic, rank: int, *, is_meshed: bool = True) -> float:
     """Return the age of a topic at which a node of that rank reads it."""
     if rank == 0:
         return READ_MS[topic]
-    return READ_MS[topic] + STAND_BACK_MS + min(rank - 1, MAX_RANK) * NEXT_MS
+    back_ms = STAND_BACK_MS if is_meshed else FAR_MS
+    return READ_MS[topic] + back_ms + min(rank - 1, MAX_RANK) * NEXT_MS
 
 
 def is_read_due(
-    topic: Topic, rank: int, confirmed_ms: float, asked_ms: float, now_ms: float
+    topic: Topic,
+    rank: int,
+    confirmed_ms: float,
+    asked_ms: float,
+    now_ms: float,
+    *,
+    is_meshed: bool = True,
 ) -> bool:
     """Tell whether a node should read a topic now."""
     if now_ms - asked_ms < RETRY_MS:
         return False
-    return now_ms - confirmed_ms >= compute_wanted_age(topic, rank)
+    wanted_ms = compute_wanted_age(topic, rank, is_meshed=is_meshed)
+    return now_ms - confirmed_ms >= wanted_ms
 
 
 def compute_poll_wait(node_count: int) -> float:
