--- a/packages/toucanyard-node/src/toucanyard_node/core_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/core_links.py
@@ -4,13 +4,9 @@
 
 from typing import Final
 
+from toucanyard.cbor_messages import MAX_MESSAGE_BYTES
 from toucanyard.core_events import LinksChanged, MessageRead
-from toucanyard.wire import (
-    MAX_MESSAGE_BYTES,
-    PeerMessage,
-    decode_message,
-    encode_message,
-)
+from toucanyard.wire import PeerMessage, decode_message, encode_message
 from toucanyard_node.link_codec import LinkCodec
 
 LinkEvent = LinksChanged | MessageRead
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -19,10 +19,10 @@
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection, serve as serve_websockets
 
+from toucanyard.cbor_messages import MessageInvalidError
 from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import UNNAMED, Vm
-from toucanyard.wire_errors import MessageInvalidError
 from toucanyard_node.link_codec import Addressed, EventT, LinkCodec, MessageT
 from toucanyard_node.peer_greeting import GreetingError, Side, greet
 from toucanyard_node.rate_limit import RateLimit
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -349,7 +349,6 @@
             is_dead=is_dead,
             has_begun=self._responder.is_started,
             weights_version=None if facts is None else facts.weights_version,
-            load=None if facts is None else facts.load,
         )
 
     def _complete(
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -11,11 +11,8 @@
 import structlog
 import trio
 
-from toucanyard.link_messages import (
-    MAX_MESSAGE_BYTES,
-    decode_link_message,
-    encode_link_message,
-)
+from toucanyard.cbor_messages import MAX_MESSAGE_BYTES
+from toucanyard.link_messages import decode_link_message, encode_link_message
 from toucanyard.names import Address
 from toucanyard.options import MembershipTimings
 from toucanyard.relay_core import STATUS_MS, RelayCore
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -15,7 +15,7 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import Address
 from toucanyard.relay_events import PartChange, ReplicaState, WeightsOrder
-from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest, ReportedLoad
+from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
 from toucanyard.roster import NodeRecord
 from toucanyard_node.http_client import Headers, ResponseHead
 from toucanyard_node.http_exchange import HttpRequest
@@ -44,7 +44,6 @@
     incarnation: str
     """Which replica answered; empty if it doesn't say."""
     weights_version: int | None
-    load: ReportedLoad | None
 
 
 class CallInvalidError(Exception):
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -6,16 +6,12 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 import cbor2
 import msgspec
 
+from toucanyard.cbor_messages import decode_cbor
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import EndpointName
-from toucanyard.wire_errors import MessageInvalidError
-
-MAX_MESSAGE_BYTES: Final = 4_000_000
 
 
 class ViewStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -99,16 +95,5 @@
 
 def decode_link_message(data: bytes) -> LinkMessage:
     """Return the message in some bytes, or raise MessageInvalidError."""
-    if len(data) > MAX_MESSAGE_BYTES:
-        raise MessageInvalidError(f"found {len(data)} bytes")
-    try:
-        message: LinkMessage = msgspec.convert(
-            cbor2.loads(data), LinkMessage, builtin_types=(bytes,)
-        )
-    except (
-        cbor2.CBORDecodeError,
-        msgspec.ValidationError,
-        RecursionError,
-    ) as error:
-        raise MessageInvalidError(str(error)) from error
+    message: LinkMessage = decode_cbor(data, LinkMessage)
     return message
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -18,8 +18,9 @@
 from toucanyard.link_messages import ReadPart
 from toucanyard.names import EndpointName, RequestId, ServiceName
 from toucanyard.part_book import PartBook
-from toucanyard.part_placement import PartPlacement, PlacedPrompt
+from toucanyard.part_placement import PartPlacement
 from toucanyard.part_sources import PartSources
+from toucanyard.plain_placement import PlainPlacement
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import (
     PlacementReason,
@@ -37,9 +38,6 @@
 
 MIN_RETRY_AFTER_MS: Final = 100
 MAX_RETRY_AFTER_MS: Final = 2_000
-OVERFILL: Final = 1.5
-"""Calls sent to a plain replica at once, as a share of its slots: the next one is there
-when a slot becomes free, and few wait where no one can order them."""
 CALL_PATIENCE: Final = 3.0
 """Targets after which a call that may run twice is tried elsewhere."""
 STREAM_PATIENCE: Final = 2.0
@@ -109,6 +107,7 @@
         self.book = PartBook()
         max_old_ms = options.weights.deadline_ms * 0.8
         self._placement = PartPlacement(self.book, self.uses, max_old_ms)
+        self._plain = PlainPlacement(options.domain, self.uses, rng)
 
     def apply_index(self, index: RouteIndex) -> None:
         """Decide by this table from now on."""
@@ -310,59 +309,55 @@
         for part in prompt.parts:
             key = (replica.name, placed.scope, part.name)
             self._read_parts[key] = (part.tokens, now_ms + read_ms)
-        return RelayDispatch(
-            request_id=request.request_id,
-            replica=replica.name,
-            address=replica.address,
-            attempt=pending.dispatches,
-            rank=request.rank,
-            patience_ms=self._compute_patience(pending, now_ms),
+        reason = PlacementReason(
+            total_ms=placed.total_ms,
+            wait_ms=placed.wait_ms,
+            unread_tokens=placed.unread_tokens,
+            fetched_tokens=placed.fetched_tokens,
+            considered=placed.considered,
+            queued_ms=now_ms - request.arrived_ms,
+            view_age_ms=now_ms - self.view_confirmed_ms,
+        )
+        dispatch = self._build_dispatch(pending, placed.replica, reason)
+        return msgspec.structs.replace(
+            dispatch,
             weights_version=placed.weights_version,
             cache_scope=placed.scope,
             fetch_from=placed.source,
             # What no replica had is kept aside: it outlives the replica that reads it.
             save_to=stores[0].address if stores and placed.has_missing else None,
-            reason=self._explain_prompt(pending, placed, now_ms),
         )
 
     def _place_plain(
         self, pending: _Pending, usable: list[KnownReplica], now_ms: float
     ) -> RelayDispatch | None:
-        request = pending.request
-        best: KnownReplica | None = None
-        best_load = float("inf")
-        for known in usable:
-            replica = known.replica
-            slots = max(replica.slots, 1)
-            running = self.uses.compute(replica.name, now_ms).running
-            if running and running >= slots * OVERFILL:
-                continue
-            load = running / slots + known.compute_failures(now_ms)
-            # The nearest of equals spares the way between failure domains.
-            load += 0.0 if replica.domain == self._options.domain else 0.05
-            load += self._rng.random() * 0.02
-            if load < best_load:
-                best, best_load = known, load
-        if best is None:
+        placed = self._plain.choose(usable, now_ms)
+        if placed is None:
             return None
-        replica = best.replica
-        self._begin(pending, replica.name, 0, 0, now_ms)
+        self._begin(pending, placed.replica.replica.name, 0, 0, now_ms)
+        reason = PlacementReason(
+            total_ms=placed.load,
+            wait_ms=0.0,
+            unread_tokens=0,
+            fetched_tokens=0,
+            considered=len(usable),
+            queued_ms=now_ms - pending.request.arrived_ms,
+            view_age_ms=now_ms - self.view_confirmed_ms,
+        )
+        return self._build_dispatch(pending, placed.replica, reason)
+
+    def _build_dispatch(
+        self, pending: _Pending, known: KnownReplica, reason: PlacementReason
+    ) -> RelayDispatch:
+        request, replica = pending.request, known.replica
         return RelayDispatch(
             request_id=request.request_id,
             replica=replica.name,
             address=replica.address,
             attempt=pending.dispatches,
             rank=request.rank,
-            patience_ms=self._compute_patience(pending, now_ms),
-            reason=PlacementReason(
-                total_ms=best_load,
-                wait_ms=0.0,
-                unread_tokens=0,
-                fetched_tokens=0,
-                considered=len(usable),
-                queued_ms=now_ms - pending.request.arrived_ms,
-                view_age_ms=now_ms - self.view_confirmed_ms,
-            ),
+            patience_ms=self._compute_patience(pending),
+            reason=reason,
         )
 
     def _begin(
@@ -379,20 +374,7 @@
         pending.sends += 1
         self.uses.begin(replica, request_id, tokens, unread_tokens, now_ms)
 
-    def _explain_prompt(
-        self, pending: _Pending, placed: PlacedPrompt, now_ms: float
-    ) -> PlacementReason:
-        return PlacementReason(
-            total_ms=placed.total_ms,
-            wait_ms=placed.wait_ms,
-            unread_tokens=placed.unread_tokens,
-            fetched_tokens=placed.fetched_tokens,
-            considered=placed.considered,
-            queued_ms=now_ms - pending.request.arrived_ms,
-            view_age_ms=now_ms - self.view_confirmed_ms,
-        )
-
-    def _compute_patience(self, pending: _Pending, now_ms: float) -> float:
+    def _compute_patience(self, pending: _Pending) -> float:
         """Return how long to wait for an answer before trying elsewhere."""
         request = pending.request
         is_last = pending.sends >= request.max_attempts
--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -63,5 +63,3 @@
     weights: WeightsTimings = WeightsTimings()
     stop: StopTimings = StopTimings()
     max_descriptors: int = 4_000
-    config_apply_ms: int = 2_000
-    """Time in which a new version of the routes has to be in force."""
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -109,12 +109,3 @@
     """Part of the answer has reached the caller."""
     weights_version: int | None = None
     """Weights that the answer names."""
-    load: ReportedLoad | None = None
-
-
-class ReportedLoad(msgspec.Struct, frozen=True):
-    """What a replica's answer says of its load."""
-
-    running: int
-    waiting: int
-    slots: int
--- a/packages/toucanyard/src/toucanyard/replica_uses.py
+++ b/packages/toucanyard/src/toucanyard/replica_uses.py
@@ -108,10 +108,6 @@
             for name, calls in self._own.items()
         )
 
-    def count_own(self, replica: EndpointName) -> int:
-        """Return how many calls of this node are under way at a replica."""
-        return len(self._own.get(replica, ()))
-
     def compute(self, replica: EndpointName, now_ms: float) -> Use:
         """Return what all nodes have under way at a replica."""
         use = Use()
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -100,10 +100,6 @@
             if now_ms - heard.heard_ms <= STATUS_KEPT_MS
         ]
 
-    def count_known(self) -> int:
-        """Return how many other nodes have said where they can be reached."""
-        return len(self._known)
-
     def count_nodes(self, now_ms: float) -> int:
         """Return how many nodes there are, heard from or not, this one included."""
         return max(self.count_alive(now_ms), 1 + len(self._known))
--- a/packages/toucanyard/src/toucanyard/weights_goals.py
+++ b/packages/toucanyard/src/toucanyard/weights_goals.py
@@ -94,7 +94,3 @@
             for model, goal in self._goals.items()
             for version, learned_ms in goal.list_recent(now_ms - RECENT_MS)
         ]
-
-    def list_models(self) -> list[str]:
-        """Return the models that have a goal."""
-        return list(self._goals)
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -58,7 +58,6 @@
     version: int
     announced_ms: float
     ordered_ms: float | None = None
-    is_accepted: bool = False
     asked_ms: float = float("-inf")
     report: ReplicaStateRead | None = None
 
@@ -93,8 +92,8 @@
         """Take in an answer to an order; return whether a higher fence is known."""
         change = self._changes.get(answered.order.replica)
         if change is not None:
-            change.is_accepted = answered.status in (_ACCEPTED, _HOLDS_ALREADY)
-            if not change.is_accepted and answered.status is not None:
+            is_taken = answered.status in (_ACCEPTED, _HOLDS_ALREADY)
+            if not is_taken and answered.status is not None:
                 # Refused, so a new report is needed and the order may be given again.
                 change.ordered_ms = None
                 change.report = None
@@ -202,7 +201,6 @@
         order = self._build_order(model, known, change, turn, running, now_ms)
         if order is not None:
             change.ordered_ms = now_ms
-            change.is_accepted = False
             return [order]
         if now_ms - change.asked_ms >= READ_MS:
             change.asked_ms = now_ms
--- a/packages/toucanyard/src/toucanyard/wire.py
+++ b/packages/toucanyard/src/toucanyard/wire.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 import cbor2
 import msgspec
 
+from toucanyard.cbor_messages import decode_cbor
 from toucanyard.configuration_records import ConfigurationDelta
 from toucanyard.digests import (
     ConfigurationOffer,
@@ -31,10 +30,6 @@
     SnapshotPart,
     SnapshotRequest,
 )
-from toucanyard.wire_errors import MessageInvalidError
-
-MAX_MESSAGE_BYTES: Final = 4_000_000
-
 
 PeerMessage = KeyMessage | DigestMessage | SnapshotMessage
 
@@ -86,16 +81,5 @@
 
 def decode_message(data: bytes) -> PeerMessage:
     """Return the message in some bytes, or raise MessageInvalidError."""
-    if len(data) > MAX_MESSAGE_BYTES:
-        raise MessageInvalidError(f"found {len(data)} bytes")
-    try:
-        frame: _Frame = msgspec.convert(
-            cbor2.loads(data), _Frame, builtin_types=(bytes,)
-        )
-    except (
-        cbor2.CBORDecodeError,
-        msgspec.ValidationError,
-        RecursionError,
-    ) as error:
-        raise MessageInvalidError(str(error)) from error
+    frame: _Frame = decode_cbor(data, _Frame)
     return frame.message
--- a/tests/toucanyard/test_at_most_once.py
+++ b/tests/toucanyard/test_at_most_once.py
@@ -5,6 +5,7 @@
 import pytest
 
 from toucanyard.at_most_once import AtMostOnce
+from toucanyard.cbor_messages import MAX_MESSAGE_BYTES
 from toucanyard.claim_events import (
     AllowDispatch,
     AppendRecord,
@@ -42,7 +43,7 @@
     LogRecord,
 )
 from toucanyard.requests import EndingSeen, KeptAnswer
-from toucanyard.wire import MAX_MESSAGE_BYTES, encode_message
+from toucanyard.wire import encode_message
 
 ANSWER = KeptAnswer(200, "text/plain", b"seat held")
 
--- a/tests/toucanyard/test_relay_core.py
+++ b/tests/toucanyard/test_relay_core.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from toucanyard.cbor_messages import MessageInvalidError
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.link_messages import decode_link_message, encode_link_message
 from toucanyard.names import Address, Incarnation, NodeId, NodeName
@@ -24,7 +25,6 @@
 from toucanyard.routes import RoutedCustomer
 from toucanyard.store_schedule import READ_MS, compute_wanted_age
 from toucanyard.weights_goals import WantedWeights
-from toucanyard.wire_errors import MessageInvalidError
 
 from .relay_examples import DESK, LISTEN, build_replica, build_table
 
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -10,12 +10,8 @@
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, Incarnation, NodeName, RequestId
 from toucanyard.part_sources import PartSources
-from toucanyard.relay_flow import (
-    NO_REPLICA_WAIT_MS,
-    OVERFILL,
-    RelayFlow,
-    RelayReply,
-)
+from toucanyard.plain_placement import OVERFILL
+from toucanyard.relay_flow import NO_REPLICA_WAIT_MS, RelayFlow, RelayReply
 from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.requests import EndingSeen, Refuse, Repeatability
--- a/tests/toucanyard/test_wire.py
+++ b/tests/toucanyard/test_wire.py
@@ -10,6 +10,7 @@
 from hypothesis import example, given, settings, strategies as st
 
 from core_world import CoreWorld, build_patch
+from toucanyard.cbor_messages import MAX_MESSAGE_BYTES, MessageInvalidError
 from toucanyard.configuration import Configuration
 from toucanyard.configuration_records import (
     CheckpointRecord,
@@ -55,12 +56,10 @@
 from toucanyard.snapshots import SnapshotBusy, SnapshotPart, SnapshotRequest
 from toucanyard.vm_view import Vm
 from toucanyard.wire import (
-    MAX_MESSAGE_BYTES,
     PeerMessage,
     decode_message,
     encode_message,
 )
-from toucanyard.wire_errors import MessageInvalidError
 
 PEER = NodeId(NodeName("node-2"), Incarnation("b"))
 SELF = Incarnation("a")
--- a/tests/toucanyard_node/relay_world.py
+++ b/tests/toucanyard_node/relay_world.py
@@ -92,7 +92,6 @@
             is_unrun="x-unrun" in headers,
             incarnation=headers.get("x-replica", ""),
             weights_version=None,
-            load=None,
         )
 
     def filter_answer(self, head: ResponseHead) -> Headers:
