--- a/tests/toucanyard/test_weights_rollout.py
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -111,9 +111,11 @@
     fleet.run(2, STEP_MS)
     announced = [each for each in fleet.known if each.is_loading(fleet.now_ms)]
     assert len(announced) == MIN_CHANGING
+    announced_ms = fleet.now_ms
     assert not fleet.orders
     fleet.run(2, ANNOUNCE_MS + 2 * STEP_MS)
     assert len(fleet.orders) == MIN_CHANGING
+    assert all(at_ms >= announced_ms + ANNOUNCE_MS for at_ms, _ in fleet.orders)
 
 
 def test_idle_replica_goes_first_and_a_busy_one_gets_time_to_end() -> None:
--- /dev/null
+++ b/tests/toucanyard_node/test_part_following.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import trio
+
+from toucanyard.names import Address, EndpointName
+from toucanyard.part_book import Part
+from toucanyard.relay_events import PartChange
+from toucanyard_node.part_following import PartFollowing
+from toucanyard_node.relay_ports import PartPage
+
+from .relay_world import RelayWorld, ScriptedReplica, answer
+
+PART = (Part("p", 100),)
+
+
+class ScriptedHolder:
+    """Tells pages one after the other; None is a call without an answer."""
+
+    def __init__(self, *pages: PartPage | None) -> None:
+        self.pages = list(pages)
+        self.since: list[int] = []
+
+    async def read_parts(
+        self, address: Address, since: int, wait_ms: float
+    ) -> PartPage | None:
+        self.since.append(since)
+        await trio.sleep(0.01)
+        if not self.pages:
+            await trio.sleep(wait_ms / 1000)
+            return PartPage(1, since, False, ())
+        return self.pages.pop(0)
+
+
+def build_page(epoch: int, number: int, tokens: int) -> PartPage:
+    return PartPage(epoch, number, False, (PartChange("s", "p", tokens),))
+
+
+async def follow(holder: ScriptedHolder, for_s: float) -> int:
+    """Return the tokens of the part that the book knows after a time."""
+    world = RelayWorld([ScriptedReplica("x", answer())])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.task.run)
+        world.tell_routes()
+        world.tell_replicas()
+        following = PartFollowing(world.core, world.task.client, holder)
+        nursery.start_soon(following.run)
+        await trio.sleep(for_s)
+        nursery.cancel_scope.cancel()
+    book = world.core.flow.book
+    return book.count_leading(EndpointName("x"), "s", PART, float("inf"))
+
+
+async def test_what_a_holder_tells_is_known(autojump_clock: object) -> None:
+    holder = ScriptedHolder(build_page(1, 5, 100))
+    assert await follow(holder, 3.0) == 100
+    assert holder.since[:2] == [0, 5]
+
+
+async def test_holder_that_lost_its_memory_is_forgotten(
+    autojump_clock: object,
+) -> None:
+    """A store of prompts restarts empty under its old address.
+
+    Believed, its parts would be fetched from where they no longer are.
+    """
+    holder = ScriptedHolder(build_page(1, 5, 100), PartPage(2, 0, False, ()))
+    assert await follow(holder, 3.0) == 0
+
+
+async def test_holder_that_does_not_answer_is_asked_again(
+    autojump_clock: object,
+) -> None:
+    holder = ScriptedHolder(None, None, build_page(1, 5, 60))
+    assert await follow(holder, 5.0) == 60
--- /dev/null
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -0,0 +1,171 @@
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+import trio
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_events import RelayEvent, SendToPeer, StoreFailed
+from toucanyard.relay_options import RelayListen, RelayOptions
+from toucanyard.roster import NodeRecord
+from toucanyard_node.relay_metrics import RelayMetrics
+from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TopicPage
+from toucanyard_node.relay_store import StoreReader, keep_trying
+from toucanyard_node.relay_task import Errand, RelayTask
+
+LOCAL = Address("127.0.0.1:1")
+LISTEN = RelayListen(LOCAL, LOCAL, LOCAL, LOCAL, LOCAL)
+OPTIONS = RelayOptions(NodeName("n"), DomainName("d"), LISTEN, LOCAL)
+
+
+class ScriptedStore:
+    """Topics in memory that can be down, forget, and wait."""
+
+    def __init__(self) -> None:
+        self.records: dict[Topic, list[KeyedRecord]] = {topic: [] for topic in Topic}
+        self.first = dict.fromkeys(Topic, 0)
+        self.is_down = False
+        self.reads: list[tuple[str, Topic, int]] = []
+
+    def append(self, topic: Topic, key: str, value: bytes | None) -> None:
+        offset = self.first[topic] + len(self.records[topic])
+        self.records[topic].append(KeyedRecord(key, offset, value))
+
+    def forget(self, topic: Topic) -> None:
+        self.first[topic] += len(self.records[topic])
+        self.records[topic] = []
+
+    async def read_newest(self, topic: Topic) -> TopicPage:
+        self.reads.append(("newest", topic, 0))
+        await self._wait(0.0)
+        newest = {each.key: each for each in self.records[topic]}
+        kept = tuple(each for each in newest.values() if each.value is not None)
+        return TopicPage(kept, self.first[topic] + len(self.records[topic]))
+
+    async def read_since(self, topic: Topic, offset: int, wait_ms: float) -> TopicPage:
+        self.reads.append(("since", topic, offset))
+        if offset >= self.first[topic] + len(self.records[topic]):
+            await self._wait(wait_ms)
+        else:
+            await self._wait(0.0)
+        if offset < self.first[topic]:
+            raise RecordsGoneError
+        records = tuple(self.records[topic][offset - self.first[topic] :])
+        return TopicPage(records, offset + len(records))
+
+    async def append_node(self, record: NodeRecord) -> int:
+        await self._wait(0.0)
+        return 7
+
+    async def read_turns(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
+        raise StoreError("not used")
+
+    async def append_turn(self, value: bytes, at: int) -> int:
+        raise StoreError("not used")
+
+    async def _wait(self, wait_ms: float) -> None:
+        await trio.sleep(0.004 + wait_ms / 1000)
+        if self.is_down:
+            raise StoreError("status 503", is_refused=True)
+
+
+class World:
+    """A reader, the core that it feeds and the store that it reads."""
+
+    def __init__(self) -> None:
+        identity = NodeId(NodeName("n"), Incarnation("i"))
+        self.core = RelayCore(OPTIONS, identity, decode, random.Random(1))
+        messages, _ = trio.open_memory_channel[SendToPeer](1_000)
+        errands, _ = trio.open_memory_channel[Errand](1_000)
+        self.task = RelayTask(self.core, messages, errands, RelayMetrics())
+        self.store = ScriptedStore()
+        self.reader = StoreReader(self.core, self.task.client, self.store)
+
+    def list_facts(self, topic: Topic) -> list[str]:
+        return sorted(map(str, self.core.exchange.views[topic].list_facts()))
+
+
+def decode(_: Topic, key: str, value: bytes) -> object:
+    return f"{key}={value.decode()}"
+
+
+async def test_records_reach_the_core_and_none_is_passed_over(
+    autojump_clock: object,
+) -> None:
+    world = World()
+    world.store.append(Topic.OPERATOR, "a", b"1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.task.run)
+        nursery.start_soon(world.reader.run)
+        await trio.sleep(1)
+        assert world.list_facts(Topic.OPERATOR) == ["a=1"]
+        for number in range(5):
+            world.store.append(Topic.OPERATOR, f"b{number}", b"2")
+            await trio.sleep(4)
+        assert len(world.list_facts(Topic.OPERATOR)) == 6
+        nursery.cancel_scope.cancel()
+
+
+async def test_forgotten_records_are_read_whole(autojump_clock: object) -> None:
+    """The store forgets its log while the node waits; a key went meanwhile."""
+    world = World()
+    world.store.append(Topic.REPLICAS, "a", b"1")
+    world.store.append(Topic.REPLICAS, "b", b"1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.task.run)
+        nursery.start_soon(world.reader.run)
+        await trio.sleep(1)
+        world.store.append(Topic.REPLICAS, "a", None)
+        world.store.forget(Topic.REPLICAS)
+        world.store.append(Topic.REPLICAS, "b", b"2")
+        await trio.sleep(2)
+        assert world.list_facts(Topic.REPLICAS) == ["b=2"]
+        nursery.cancel_scope.cancel()
+
+
+async def test_store_that_is_down_is_asked_at_a_bounded_rate(
+    autojump_clock: object,
+) -> None:
+    """The store refuses for ten seconds. Every call counts for all nodes' rate."""
+    world = World()
+    world.store.is_down = True
+    failures: list[RelayEvent] = []
+    handle = world.core.handle
+
+    def note(event: RelayEvent, now_ms: float) -> object:
+        if isinstance(event, StoreFailed):
+            failures.append(event)
+        return handle(event, now_ms)
+
+    world.core.handle = note  # type: ignore[method-assign, assignment]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.task.run)
+        nursery.start_soon(world.reader.run)
+        await trio.sleep(10)
+        assert len(world.store.reads) < 100
+        assert len(failures) > 10
+        world.store.is_down = False
+        world.store.append(Topic.OPERATOR, "a", b"1")
+        await trio.sleep(2)
+        assert world.list_facts(Topic.OPERATOR) == ["a=1"]
+        nursery.cancel_scope.cancel()
+
+
+async def test_announcement_is_made_until_it_succeeds(autojump_clock: object) -> None:
+    store = ScriptedStore()
+    store.is_down = True
+    record = NodeRecord(NodeName("n"), Incarnation("i"), DomainName("d"), LOCAL, LOCAL)
+    offsets: list[int] = []
+
+    async def announce() -> None:
+        offsets.append(await keep_trying(lambda: store.append_node(record), "x"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(announce)
+        await trio.sleep(5)
+        assert not offsets
+        store.is_down = False
+    assert offsets == [7]
