--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -9,6 +9,7 @@
 FOLDERS = {
     "core": "toucanyard",
     "node": "toucanyard_node",
+    "platform": "toucanyard_platform",
     "stand-ins": "toucanyard_standins",
 }
 NAMED = re.compile(r"`(\w*)::(\w+)`")
@@ -23,9 +24,9 @@
         for match in NAMED.finditer(line):
             file = match[1] or file
             count += 1
-            folders = [ROOT / "tests" / each for each in FOLDERS.values()]
-            folders.append(ROOT / "platform" / "tests")
-            files = [folder / f"test_{file}.py" for folder in folders]
+            files = [
+                ROOT / "tests" / each / f"test_{file}.py" for each in FOLDERS.values()
+            ]
             texts = [each.read_text() for each in files if each.exists()]
             if not any(f"def test_{match[2]}(" in text for text in texts):
                 missing.append(f"{file}::{match[2]}")
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -281,6 +281,6 @@
     moved = answer(421, b"", b"X-Replica: other\r\n")
     replicas = [ScriptedReplica("x", moved), ScriptedReplica("y", answer())]
     async with open_world(RelayWorld(replicas, **ONCE)) as world:
-        for _ in range(6):
+        for _ in range(20):
             assert find_status(await world.call(build_call())) == 200
-        assert len(replicas[0].calls) <= 1
+        assert len(replicas[0].calls) == 1
--- a/platform/tests/test_boundary.py
+++ b/tests/toucanyard_platform/test_boundary.py
@@ -1,7 +1,8 @@
-"""Keep the platform's names inside `platform/` and `deploy/`."""
+"""Keep the platform's names inside `platform/`, its tests and `deploy/`."""
 
 from __future__ import annotations
 
+import platform
 import re
 import subprocess
 import sys
@@ -52,7 +53,7 @@
         f"{file.relative_to(ROOT)}:{number}: {match[0]}"
         for folder in FOLDERS
         for file in sorted((ROOT / folder).rglob("*.py"))
-        if "build" not in file.parts
+        if not {"build", Path(__file__).parent.name}.intersection(file.parts)
         for number, line in enumerate(file.read_text().lower().splitlines(), 1)
         if (match := pattern.search(line))
     ]
@@ -60,9 +61,14 @@
 
 
 def test_folder_does_not_hide_the_standard_library() -> None:
+    """A library asks `platform` for the system; a folder of that name is in its way.
+
+    It must hold neither in a process started at the root nor in this run of the tests.
+    """
     code = "import platform, sys; sys.exit(not hasattr(platform, 'machine'))"
     done = subprocess.run([sys.executable, "-P", "-c", code], cwd=ROOT, check=False)
     assert done.returncode == 0
+    assert platform.system()
 
 
 def test_libraries_of_the_build_are_pinned() -> None:
--- a/platform/tests/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -8,9 +8,6 @@
 
 import pytest
 import trio
-
-sys.path.insert(0, str(Path(__file__).parent.parent / "standins"))
-
 from fleet import (
     MODEL,
     MODEL_HEADERS,
