Say no 'not run' of a call that was given up in the queue after a try that may have run

Cause: RelayFlow.tick refused every call that waited too long as 'not run'. A call that may be repeated waits again after a lost or failed try, and that try may have run. Ruled out: arrivals and calls that may run once; neither ever waits after such a try. Before: the two new cases of test_relay_flow fail (a refusal with 503). After: _refuse itself looks at what is proved, so every way there is covered; a failed answer of the replica's own is passed on, a lost one ends as 'endpoint lost'. Conclusion: a false 'not run' no longer has a path through the flow.

--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -73,6 +73,8 @@
     queued_ms: float = 0.0
     may_have_run: bool = False
     """Never goes back to false: a later refusal must not say "not run"."""
+    has_failed: bool = False
+    """The last try that may have run ended with an answer that says that it failed."""
 
 
 class RelayFlow:
@@ -141,8 +143,7 @@
                 pending, ErrorKind.OVERLOADED, "the deadline passed", now_ms
             )
             return
-        queue = self._queues.setdefault(request.service, [])
-        if not queue:
+        if not self._queues.get(request.service):
             dispatch = self._place(pending, now_ms)
             if dispatch is not None:
                 yield RelayReply(request.request_id, dispatch)
@@ -151,9 +152,7 @@
         if refusal is not None:
             yield refusal
             return
-        pending.is_waiting = True
-        queue.append(pending)
-        queue.sort(key=_rank)
+        self._enqueue(pending)
         yield from self._drain(request.service, now_ms)
 
     def leave(self, request_id: RequestId, now_ms: float) -> Iterator[RelayReply]:
@@ -196,8 +195,11 @@
             # Its caller may resume it elsewhere, which a silent wait would put off.
             yield from self._give_up(pending, outcome, now_ms)
             return
-        pending.is_waiting = True
         pending.queued_ms = now_ms
+        self._enqueue(pending)
+
+    def _enqueue(self, pending: _Pending) -> None:
+        pending.is_waiting = True
         queue = self._queues.setdefault(pending.request.service, [])
         queue.append(pending)
         queue.sort(key=_rank)
@@ -411,6 +413,7 @@
     def _note_sends(self, pending: _Pending, outcome: RelayOutcome) -> None:
         if outcome.ending not in PROVED_NOT_RUN:
             pending.may_have_run = True
+            pending.has_failed = outcome.ending is EndingSeen.FAILED
         if outcome.ending is EndingSeen.NOT_SENT:
             # It reached nobody, so it is none of the attempts that a route allows.
             pending.sends -= 1
@@ -452,37 +455,35 @@
     def _give_up(
         self, pending: _Pending, outcome: RelayOutcome, now_ms: float
     ) -> Iterator[RelayReply]:
-        request = pending.request
         text = f"{pending.dispatches} tries failed, the last one: {outcome.text}"
-        if not pending.may_have_run:
-            yield self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
-        elif outcome.ending is EndingSeen.FAILED:
-            # The replica's own answer is passed on; there is nothing to add.
-            yield RelayReply(request.request_id, None)
-        else:
-            refusal = Refuse(
-                request.request_id,
-                ErrorKind.ENDPOINT_LOST
-                if request.repeatability is Repeatability.REPEATABLE
-                else ErrorKind.OUTCOME_UNKNOWN,
-                Ending.UNKNOWN,
-                text,
-                MIN_RETRY_AFTER_MS,
-            )
-            yield RelayReply(request.request_id, refusal)
+        yield self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
         yield from self._finish(pending, now_ms)
 
     def _refuse(
         self, pending: _Pending, kind: ErrorKind, text: str, now_ms: float
     ) -> RelayReply:
-        """Refuse a call that did not run and tell its caller when to come back."""
+        """End a call with no more than is proved, and say when to come back.
+
+        The kind says why it is given up now. An earlier try may have run all the same;
+        told "not run", a caller would repeat what was done.
+        """
         request = pending.request
         self._pending.pop(request.request_id, None)
+        if pending.has_failed:
+            # The replica's own answer is passed on; there is nothing to add.
+            return RelayReply(request.request_id, None)
+        ending = Ending.NOT_RUN
+        if pending.may_have_run:
+            ending = Ending.UNKNOWN
+            is_repeatable = request.repeatability is Repeatability.REPEATABLE
+            kind = (
+                ErrorKind.ENDPOINT_LOST if is_repeatable else ErrorKind.OUTCOME_UNKNOWN
+            )
         wait_ms = self._compute_wait(pending, now_ms)
         wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         # Callers refused in one instant must not come back in one instant.
         retry_after_ms = int(wait_ms * self._rng.uniform(1.0, 2.0))
-        refusal = Refuse(request.request_id, kind, Ending.NOT_RUN, text, retry_after_ms)
+        refusal = Refuse(request.request_id, kind, ending, text, retry_after_ms)
         return RelayReply(request.request_id, refusal)
 
     def _finish(self, pending: _Pending, now_ms: float) -> Iterator[RelayReply]:
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -147,6 +147,31 @@
     assert node.find_refusal("q").ending is Ending.UNKNOWN
 
 
+@pytest.mark.parametrize("ending", UNPROVED)
+def test_call_given_up_in_the_queue_after_such_a_try_is_no_not_run(
+    ending: EndingSeen,
+) -> None:
+    """A receipt is lost, or fails, at the only replica, which then loads weights.
+
+    It waits again, and its time ends. The first try may have run, so a refusal that
+    says "not run" would be false; a failure's own answer is passed on instead.
+    """
+    node = Node(desks="x")
+    node.arrive("q", deadline_ms=2_000.0)
+    known = node.directory.find(EndpointName("x"))
+    assert known is not None
+    known.loading_until_ms = 9_000.0
+    node.end("q", ending)
+    assert node.flow.count_waiting() == 1
+    node.take(node.flow.tick(1_990.0))
+    assert node.flow.count_pending() == 0
+    if ending is EndingSeen.FAILED:
+        assert node.find_last("q") is None
+    else:
+        assert node.find_refusal("q").ending is Ending.UNKNOWN
+        assert node.find_refusal("q").kind is ErrorKind.ENDPOINT_LOST
+
+
 def test_replicas_own_failure_is_passed_on_when_nothing_is_left() -> None:
     node = Node()
     node.arrive("q", max_attempts=2)
