--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -15,7 +15,7 @@
 from toucanyard.link_messages import decode_link_message, encode_link_message
 from toucanyard.names import Address
 from toucanyard.options import MembershipTimings
-from toucanyard.relay_core import STATUS_MS, RelayCore
+from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
     LinkMessageRead,
     PeersLinked,
@@ -24,6 +24,7 @@
     StopBegun,
 )
 from toucanyard.roster import MAX_MESH
+from toucanyard.status_exchange import STATUS_MS
 from toucanyard_node.bounded_output import BoundedOutput
 from toucanyard_node.http_client import split_address
 from toucanyard_node.http_exchange import HttpRequest, Responder
@@ -54,6 +55,8 @@
 """How long before the process is killed it ends by itself."""
 CLOSE_MARGIN_MS: Final = 300.0
 """Time beyond what callers keep addresses for until idle connections are closed."""
+FAR_CLOSE_MARGIN_MS: Final = 800.0
+"""The same in a fleet where hubs pass on that this node stops."""
 LIMITS_S: Final = 0.1
 """Time between two looks at the limits that operators set for callers."""
 _LOG: Final = structlog.get_logger()
@@ -120,7 +123,7 @@
             core.identity,
             (self._options.peer_secret,),
             timings,
-            core.roster.find_peers,
+            lambda: core.roster.find_peers(trio.current_time() * 1000),
             self._emit,
             rng,
             RELAY_LINKS,
@@ -212,7 +215,9 @@
         pending = self.core.flow.count_pending()
         _LOG.info("stop_begun", pending=pending, grace_ms=stop.grace_ms)
         self._task.client.tell(StopBegun())
-        keep_ms = stop.locate_ttl_ms * stop.keep_factor + CLOSE_MARGIN_MS
+        is_near = self.core.roster.is_meshed()
+        margin_ms = CLOSE_MARGIN_MS if is_near else FAR_CLOSE_MARGIN_MS
+        keep_ms = stop.locate_ttl_ms * stop.keep_factor + margin_ms
         last_s = begun_s + (stop.grace_ms - STOP_MARGIN_MS) / 1000
         await trio.sleep(keep_ms / 1000)
         self._server.stop()
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -14,9 +14,9 @@
 
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import Address
+from toucanyard.node_records import NodeRecord
 from toucanyard.relay_events import PartChange, ReplicaState, WeightsOrder
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
-from toucanyard.roster import NodeRecord
 from toucanyard_node.http_client import Headers, ResponseHead
 from toucanyard_node.http_exchange import HttpRequest
 
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -9,10 +9,11 @@
 
 from toucanyard.keyed_view import Change
 from toucanyard.names import EndpointName
+from toucanyard.node_records import NodeRecord
 from toucanyard.relay_events import Note
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.replicas import Replica, ReplicaDirectory
-from toucanyard.roster import NodeRecord, Roster
+from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex, RouteTable
 from toucanyard.weights_goals import WantedWeights, WeightsGoals
 
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import enum
+
 import cbor2
 import msgspec
 
 from toucanyard.cbor_messages import decode_cbor
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import EndpointName
+from toucanyard.names import EndpointName, NodeName
 
 
 class ViewStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -61,8 +63,26 @@
     age_ms: float
 
 
+class NodeNews(msgspec.Struct, frozen=True, array_like=True):
+    """A node that is alive, and whether it takes callers."""
+
+    node: NodeName
+    is_ready: bool
+
+
+class Coverage(enum.StrEnum):
+    """Whose calls the uses in a status count."""
+
+    NOBODY = "n"
+    """The status says nothing of uses."""
+    GROUP = "g"
+    """The sender's, and those of the nodes that report to it."""
+    FLEET = "f"
+    """All nodes', the receiver's among them."""
+
+
 class NodeStatus(msgspec.Struct, frozen=True, array_like=True, tag="s"):
-    """What a node tells its peers of itself, several times a second."""
+    """What a node tells its peers, several times a second."""
 
     is_ready: bool
     views: tuple[ViewStatus, ...]
@@ -71,7 +91,12 @@
     parts: tuple[ReadPart, ...] = ()
     goals: tuple[GoalAge, ...] = ()
     store_trouble_age_ms: float = -1.0
-    """Time since the store last failed this node; negative if it did not lately."""
+    """Time since the store last failed a node; negative if it did not lately."""
+    covers: Coverage = Coverage.GROUP
+    nodes: tuple[NodeNews, ...] | None = None
+    """The nodes that are alive among those that it covers; None if it doesn't say."""
+    is_report: bool = False
+    """The receiver is the hub that the sender reports to."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/link_plan.py
@@ -0,0 +1,119 @@
+"""Choose whom a node links to in a fleet that is too large for a mesh.
+
+Each failure domain has a few hubs, and all hubs are linked to each other. Any other
+node is linked to two hubs of its domain: it reports to the first and stands by at the
+second. Nobody agrees on the hubs: every node orders the nodes that it knows in the same
+way and passes over those that it can't reach.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from toucanyard.names import DomainName, NodeName
+from toucanyard.node_records import NodeRecord
+from toucanyard.vm_view import compute_rank
+
+LINKS: Final = 2
+"""Hubs that a node has a link to: the death of one doesn't cut it off."""
+MIN_HUBS: Final = 2
+NODES_PER_HUB: Final = 24
+"""Nodes of a domain for each of its hubs: what a hub tells so many takes a tenth of a
+link of 100 Mbit/s, and at 320 nodes in 5 domains the 15 hubs can still be meshed."""
+GIVE_UP_MS: Final = 1_500.0
+"""Time without a link after which a node counts as out of reach; a dial to one that
+lives takes a few milliseconds, and twice as long as a dial may wait passes first."""
+RETRY_MS: Final = 6_000.0
+"""How long a node that was out of reach is passed over."""
+
+
+class LinkPlan:
+    """The links that one node wants.
+
+    Invariant: `wanted` names known nodes, and never the node itself.
+    """
+
+    __slots__ = ("_given_up_ms", "_own", "_ranks", "_wanted_ms", "hubs", "wanted")
+
+    def __init__(self, own: NodeRecord) -> None:
+        self._own = own
+        self._ranks: dict[tuple[str, NodeName], int] = {}
+        self._wanted_ms: dict[NodeName, float] = {}
+        self._given_up_ms: dict[NodeName, float] = {}
+        self.hubs: frozenset[NodeName] = frozenset()
+        """All hubs of the fleet, as this node sees them."""
+        self.wanted: tuple[NodeName, ...] = ()
+        """The most wanted first."""
+
+    def is_hub(self) -> bool:
+        """Tell whether this node is a hub."""
+        return self._own.name in self.hubs
+
+    def update(
+        self,
+        others: Collection[NodeRecord],
+        linked: Collection[NodeName],
+        now_ms: float,
+    ) -> None:
+        """Decide anew, knowing all other nodes and those that are linked."""
+        self._note_reached(linked, now_ms)
+        domains: dict[DomainName, list[NodeRecord]] = {}
+        for node in (self._own, *others):
+            domains.setdefault(node.domain, []).append(node)
+        hubs = {name: self._find_hubs(nodes) for name, nodes in domains.items()}
+        self.hubs = frozenset(each for names in hubs.values() for each in names)
+        own = self._own.name
+        if self.is_hub():
+            wanted = sorted(self.hubs - {own})
+        else:
+            near = hubs[self._own.domain]
+            wanted = heapq.nsmallest(LINKS, near, lambda hub: self._rank(own, hub))
+            if self._given_up_ms and not set(wanted).intersection(linked):
+                # Most of its domain may be down; a hub of another one will do.
+                far = self.hubs.difference(near)
+                wanted += heapq.nsmallest(LINKS, far, lambda hub: self._rank(own, hub))
+        self.wanted = tuple(wanted)
+        self._forget({node.name for node in others})
+
+    def find_primary(self, linked: Collection[NodeName]) -> NodeName | None:
+        """Return the hub that this node reports to; none if it is a hub itself."""
+        if self.is_hub():
+            return None
+        return next((hub for hub in self.wanted if hub in linked), None)
+
+    def _find_hubs(self, nodes: Collection[NodeRecord]) -> list[NodeName]:
+        count = max(MIN_HUBS, -(-len(nodes) // NODES_PER_HUB))
+        best = heapq.nsmallest(
+            count,
+            (each for each in nodes if each.name not in self._given_up_ms),
+            # What a hub sends grows with its domain; VMs with a faster link go first.
+            key=lambda each: (-each.link_mbps, self._rank(each.domain, each.name)),
+        )
+        return [each.name for each in best]
+
+    def _note_reached(self, linked: Collection[NodeName], now_ms: float) -> None:
+        for name, at_ms in list(self._given_up_ms.items()):
+            if name in linked or now_ms - at_ms > RETRY_MS:
+                del self._given_up_ms[name]
+        missing = [name for name in self.wanted if name not in linked]
+        self._wanted_ms = {name: self._wanted_ms.get(name, now_ms) for name in missing}
+        for name, since_ms in list(self._wanted_ms.items()):
+            if now_ms - since_ms > GIVE_UP_MS:
+                self._given_up_ms[name] = now_ms
+                del self._wanted_ms[name]
+
+    def _rank(self, matter: str, name: NodeName) -> int:
+        key = (matter, name)
+        rank = self._ranks.get(key)
+        if rank is None:
+            rank = self._ranks[key] = compute_rank(matter, name)
+        return rank
+
+    def _forget(self, known: Iterable[NodeName]) -> None:
+        kept = {*known, self._own.name}
+        if len(self._ranks) > 4 * len(kept):
+            self._ranks = {
+                key: rank for key, rank in self._ranks.items() if key[1] in kept
+            }
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/part_reports.py
@@ -0,0 +1,44 @@
+"""Gather which parts replicas were sent to read, to tell other nodes once of each."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from toucanyard.link_messages import ReadPart
+from toucanyard.names import EndpointName
+
+MAX_GATHERED: Final = 400
+"""Parts that are told at once; beyond it those gathered first are left out. At 25 to 60
+bytes each, more would fill the links of a large fleet in a burst."""
+
+
+class PartReports:
+    """Parts that have not been told yet."""
+
+    __slots__ = ("_parts",)
+
+    def __init__(self) -> None:
+        self._parts: dict[tuple[EndpointName, str, str], tuple[int, float]] = {}
+
+    def note(
+        self,
+        replica: EndpointName,
+        scope: str,
+        part: str,
+        tokens: int,
+        ready_ms: float,
+    ) -> None:
+        """Note that a replica holds a part, or will from `ready_ms` on."""
+        self._parts[(replica, scope, part)] = (tokens, ready_ms)
+        if len(self._parts) > MAX_GATHERED:
+            del self._parts[next(iter(self._parts))]
+
+    def take(self, min_tokens: int, now_ms: float) -> tuple[ReadPart, ...]:
+        """Return the parts of some size, and forget all of them."""
+        parts = tuple(
+            ReadPart(replica, scope, part, tokens, max(ready_ms - now_ms, 0.0))
+            for (replica, scope, part), (tokens, ready_ms) in self._parts.items()
+            if tokens >= min_tokens
+        )
+        self._parts.clear()
+        return parts
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -13,13 +13,13 @@
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
 from toucanyard.link_messages import (
-    GoalAge,
     LinkMessage,
     NodeStatus,
     ReadPart,
     ViewRecords,
 )
 from toucanyard.names import Address, EndpointName, NodeId, NodeName
+from toucanyard.node_records import NodeRecord
 from toucanyard.part_book import Part
 from toucanyard.part_sources import PartSources
 from toucanyard.relay_events import (
@@ -36,7 +36,6 @@
     RelayAction,
     RelayEvent,
     ReplicaStateRead,
-    SendToPeer,
     StopBegun,
     StoreFailed,
     TickPassed,
@@ -49,21 +48,17 @@
 from toucanyard.replica_bulletin import ReplicaBulletin
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.requests import EndingSeen
-from toucanyard.roster import NodeRecord, Roster
+from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex
+from toucanyard.status_exchange import StatusExchange
 from toucanyard.store_schedule import READ_MS, compute_poll_wait, is_read_due
 from toucanyard.view_exchange import ViewExchange
 from toucanyard.weights_duty import WeightsDuty
 from toucanyard.weights_goals import WeightsGoals
 
-STATUS_MS: Final = 250.0
-"""Time between two statuses to one peer."""
-STORE_TROUBLE_MS: Final = 2_500.0
-"""How long after a failed call the store counts as in trouble: replicas that lapsed
-while it was away are listed again within two seconds of its return."""
-LARGE_TOKENS: Final = 500
-"""Least tokens of a part that peers are told of in a fleet that is not meshed: there
-are thousands of small ones a second, and reading one again costs little."""
+POLLED_HOLD_MS: Final = 250.0
+"""How long peers in a large fleet are left to read what operators wrote: all of them
+poll for it, and sent by each to each a large configuration fills slow links."""
 PRUNE_MS: Final = 5_000.0
 MISDIRECTED: Final = 421
 """Status with which a replica says that it is not the one that was meant."""
@@ -98,6 +93,7 @@
             options.domain,
             listen.callers,
             listen.peers,
+            options.link_mbps,
         )
         self.roster = Roster(self.own_record, options.seeds)
         self.sources = PartSources(self.directory, self.roster)
@@ -112,12 +108,18 @@
             self.roster,
             self.flow.uses,
         )
+        self.statuses = StatusExchange(
+            self.roster,
+            self.exchange,
+            self.flow.uses,
+            self.flow.reports,
+            self.bulletin,
+            self.goals,
+            options.link_mbps,
+        )
         self.is_stopping = False
         self._asked_ms = dict.fromkeys(Topic, float("-inf"))
-        self._status_ms = float("-inf")
-        self._trouble_ms = float("-inf")
         self._pruned_ms = float("-inf")
-        self._is_status_due = False
 
     @property
     def index(self) -> RouteIndex:
@@ -171,7 +173,7 @@
             case TopicRead():
                 yield from self._read_topic(event, now_ms)
             case StoreFailed(purpose=purpose, reason=reason):
-                self._trouble_ms = now_ms
+                self.statuses.trouble_ms = now_ms
                 yield Note("store_failed", {"purpose": purpose, "reason": reason})
             case PeersLinked(peers=peers):
                 yield from self._link([peer.node for peer in peers])
@@ -181,7 +183,7 @@
                 self._note_parts(event, now_ms)
             case StopBegun():
                 self.is_stopping = True
-                yield from self._send_status(now_ms)
+                yield from self.statuses.send(self.is_ready(), now_ms)
             case TickPassed():
                 yield from self._tick(now_ms)
 
@@ -199,7 +201,7 @@
                     # Each node would else find out by calls of its own, and have some
                     # of them refused that may be sent only once.
                     self.bulletin.note(outcome.replica, now_ms)
-                    yield from self._send_status(now_ms)
+                    yield from self._tell_soon(now_ms)
 
     def _handle_duty(self, event: DutyEvent, now_ms: float) -> Iterator[RelayAction]:
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
@@ -210,8 +212,7 @@
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self.flow.tick(now_ms)
         yield from self._tick_duty(now_ms)
-        if self._is_status_due or now_ms - self._status_ms >= self._find_interval():
-            yield from self._send_status(now_ms)
+        yield from self.statuses.tick(self.is_ready(), now_ms)
         if now_ms - self._pruned_ms >= PRUNE_MS:
             self._pruned_ms = now_ms
             for name in self.directory.prune(now_ms):
@@ -220,7 +221,11 @@
     def _tick_duty(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self.duty.tick(now_ms, is_leaving=self.is_stopping)
         if self.bulletin.note_changing(set(self.duty.list_changing()), now_ms):
-            yield from self._send_status(now_ms)
+            yield from self._tell_soon(now_ms)
+
+    def _tell_soon(self, now_ms: float) -> Iterator[RelayAction]:
+        self.statuses.note_due()
+        yield from self.statuses.tick(self.is_ready(), now_ms)
 
     def _read_message(
         self, sender: NodeName, message: LinkMessage, now_ms: float
@@ -234,9 +239,14 @@
     def _read_topic(self, read: TopicRead, now_ms: float) -> Iterator[RelayAction]:
         before = self.exchange.views[read.topic].end
         changes = self.exchange.apply_read(
-            read.topic, read.records, read.end, read.asked_ms, is_whole=read.is_whole
+            read.topic,
+            read.records,
+            read.end,
+            read.asked_ms,
+            is_whole=read.is_whole,
+            now_ms=now_ms,
         )
-        is_doubtful = self._is_store_doubtful(now_ms)
+        is_doubtful = self.statuses.is_store_doubtful(now_ms)
         # What stood in the store before this node looked may have stood there long.
         known_ms = self.options.weights.deadline_ms / 2 if read.is_whole else 0.0
         yield from self.facts.apply(
@@ -247,35 +257,32 @@
             known_for_ms=known_ms,
         )
         if changes or self.exchange.views[read.topic].end > before:
-            yield from self.exchange.push(read.topic, before, now_ms)
+            targets = self.statuses.find_targets(read.topic)
+            yield from self.exchange.push(targets, read.topic, before, now_ms)
 
     def _read_records(
         self, sender: NodeName, message: ViewRecords, now_ms: float
     ) -> Iterator[RelayAction]:
         before = self.exchange.views[message.topic].end
         changes = self.exchange.apply_records(message, now_ms)
-        is_doubtful = self._is_store_doubtful(now_ms)
+        is_doubtful = self.statuses.is_store_doubtful(now_ms)
         yield from self.facts.apply(
             changes, sender, now_ms, is_store_doubtful=is_doubtful
         )
-        is_newer = self.exchange.views[message.topic].end > before
-        if is_newer and not self.roster.is_meshed():
-            yield from self.exchange.push(message.topic, before, now_ms)
+        if self.exchange.views[message.topic].end > before:
+            targets = self.statuses.find_targets(message.topic, sender)
+            yield from self.exchange.push(targets, message.topic, before, now_ms)
 
     def _read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
-        self.roster.note_status(sender, status.is_ready, now_ms)
+        self.statuses.read(sender, status, now_ms)
         self.flow.node_count = self.roster.count_nodes(now_ms)
-        self.flow.uses.apply_peer(sender, status.uses, now_ms)
-        for each in status.goals:
-            self.goals.note_age(each.model, each.version, each.age_ms, now_ms)
-        if status.store_trouble_age_ms >= 0:
-            trouble_ms = now_ms - status.store_trouble_age_ms
-            self._trouble_ms = max(self._trouble_ms, trouble_ms)
-        self.bulletin.apply(status.news, now_ms)
         self._apply_parts(status.parts, now_ms)
-        yield from self.exchange.answer_status(sender, status.views, now_ms)
+        hold_ms = 0.0 if self.roster.is_meshed() else POLLED_HOLD_MS
+        yield from self.exchange.answer_status(
+            sender, status.views, now_ms, hold_ms=hold_ms
+        )
 
     def _note_parts(self, event: PartsChanged | HolderLost, now_ms: float) -> None:
         if isinstance(event, HolderLost):
@@ -314,37 +321,9 @@
     def _link(self, names: list[NodeName]) -> Iterator[RelayAction]:
         before = set(self.exchange.linked)
         self.exchange.linked = tuple(names)
-        for name in self.roster.retain_linked(names):
-            self.flow.uses.forget_peer(name)
+        self.roster.retain_linked(names)
+        self.statuses.note_links(names)
         for name in before - set(names):
             yield Note("peer_lost", {"peer": name})
         for name in set(names) - before:
             yield Note("peer_linked", {"peer": name})
-        self._is_status_due = True
-
-    def _send_status(self, now_ms: float) -> Iterator[RelayAction]:
-        self._is_status_due = False
-        self._status_ms = now_ms
-        trouble_age_ms = now_ms - self._trouble_ms
-        status = NodeStatus(
-            is_ready=self.is_ready(),
-            views=self.exchange.list_statuses(now_ms),
-            uses=self.flow.uses.list_own(),
-            news=tuple(self.bulletin.list_news(now_ms)),
-            parts=self.flow.take_read_parts(
-                0 if self.roster.is_meshed() else LARGE_TOKENS, now_ms
-            ),
-            goals=tuple(GoalAge(*each) for each in self.goals.list_recent(now_ms)),
-            store_trouble_age_ms=(
-                trouble_age_ms if trouble_age_ms < STORE_TROUBLE_MS else -1.0
-            ),
-        )
-        for name in self.exchange.linked:
-            yield SendToPeer(name, status)
-
-    def _find_interval(self) -> float:
-        """Return the time between two statuses: less often to many peers."""
-        return STATUS_MS if self.roster.is_meshed() else 2 * STATUS_MS
-
-    def _is_store_doubtful(self, now_ms: float) -> bool:
-        return now_ms - self._trouble_ms < STORE_TROUBLE_MS
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -15,10 +15,10 @@
 
 from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.link_messages import ReadPart
 from toucanyard.names import EndpointName, RequestId, ServiceName
 from toucanyard.part_book import PartBook
 from toucanyard.part_placement import PartPlacement
+from toucanyard.part_reports import PartReports
 from toucanyard.part_sources import PartSources
 from toucanyard.plain_placement import PlainPlacement
 from toucanyard.relay_options import RelayOptions
@@ -104,7 +104,7 @@
         self._budgets: dict[ServiceName, SharedRetryBudget] = {}
         self.node_count = 1
         self.view_confirmed_ms = float("-inf")
-        self._read_parts: dict[tuple[EndpointName, str, str], tuple[int, float]] = {}
+        self.reports = PartReports()
         self.uses = ReplicaUses()
         self.book = PartBook()
         max_old_ms = options.weights.deadline_ms * 0.8
@@ -123,16 +123,6 @@
         """Return how many calls wait for a replica."""
         return sum(len(queue) for queue in self._queues.values())
 
-    def take_read_parts(self, min_tokens: int, now_ms: float) -> tuple[ReadPart, ...]:
-        """Return what replicas were sent to read since the last time, for peers."""
-        parts = tuple(
-            ReadPart(replica, scope, name, tokens, max(ready_ms - now_ms, 0.0))
-            for (replica, scope, name), (tokens, ready_ms) in self._read_parts.items()
-            if tokens >= min_tokens
-        )
-        self._read_parts.clear()
-        return parts
-
     def arrive(self, request: RelayRequest, now_ms: float) -> Iterator[RelayReply]:
         """Take in a new call."""
         pending = _Pending(request, queued_ms=now_ms)
@@ -309,8 +299,9 @@
             engine.memory_tokens,
         )
         for part in prompt.parts:
-            key = (replica.name, placed.scope, part.name)
-            self._read_parts[key] = (part.tokens, now_ms + read_ms)
+            self.reports.note(
+                replica.name, placed.scope, part.name, part.tokens, now_ms + read_ms
+            )
         reason = PlacementReason(
             total_ms=placed.total_ms,
             wait_ms=placed.wait_ms,
--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -63,3 +63,5 @@
     weights: WeightsTimings = WeightsTimings()
     stop: StopTimings = StopTimings()
     max_descriptors: int = 4_000
+    link_mbps: float = 1_000.0
+    """What the VM can send; in a large fleet those with the fastest links are hubs."""
--- a/packages/toucanyard/src/toucanyard/replica_bulletin.py
+++ b/packages/toucanyard/src/toucanyard/replica_bulletin.py
@@ -12,12 +12,15 @@
 from toucanyard.link_messages import ReplicaNews
 from toucanyard.names import EndpointName
 from toucanyard.part_book import PartBook
-from toucanyard.replicas import ReplicaDirectory
+from toucanyard.replicas import KnownReplica, ReplicaDirectory
 
 NEWS_KEPT_MS: Final = 5_000.0
 """How long weights that a replica has taken are told to peers; by then the store says
 the same."""
 
+SAME_PAUSE_MS: Final = 300.0
+"""A pause that ends this much later is another one; holders renew theirs for longer."""
+
 
 class ReplicaBulletin:
     """News of replicas, from this node and from its peers."""
@@ -54,16 +57,31 @@
             left_ms = max(known.loading_until_ms - now_ms, 0.0)
             yield ReplicaNews(name, left_ms, tuple(known.weights.items()))
 
-    def apply(self, all_news: Iterable[ReplicaNews], now_ms: float) -> None:
-        """Take in what a peer knows."""
+    def apply(self, all_news: Iterable[ReplicaNews], now_ms: float) -> bool:
+        """Take in what a peer knows; return whether others should be told of it."""
+        is_news = False
         for news in all_news:
             known = self._directory.find(news.replica)
-            if known is None:
-                continue
-            if news.loading_left_ms > 0:
-                # A peer may not know yet, so what it doesn't say doesn't end a pause.
-                until_ms = now_ms + news.loading_left_ms
-                known.loading_until_ms = max(known.loading_until_ms, until_ms)
-            for model, version in news.weights:
-                if known.note_weights(model, version):
-                    self._book.forget(news.replica)
+            if known is not None and self._apply_one(known, news, now_ms):
+                self.note(news.replica, now_ms)
+                is_news = True
+        return is_news
+
+    def _apply_one(self, known: KnownReplica, news: ReplicaNews, now_ms: float) -> bool:
+        is_news = False
+        is_old = any(
+            version < known.weights.get(model, 0) for model, version in news.weights
+        )
+        until_ms = now_ms + news.loading_left_ms
+        # A peer may not know yet, so what it doesn't say doesn't end a pause, and what
+        # it says from before new weights were in place doesn't begin one. Passed on
+        # from node to node a pause must not grow by the time on the way.
+        is_longer = until_ms > known.loading_until_ms + SAME_PAUSE_MS
+        if news.loading_left_ms > 0 and is_longer and not is_old:
+            known.loading_until_ms = until_ms
+            is_news = True
+        for model, version in news.weights:
+            if known.note_weights(model, version):
+                self._book.forget(news.replica)
+                is_news = True
+        return is_news
--- a/packages/toucanyard/src/toucanyard/replica_uses.py
+++ b/packages/toucanyard/src/toucanyard/replica_uses.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 import msgspec
@@ -14,6 +14,9 @@
 from toucanyard.link_messages import ReplicaUse
 from toucanyard.names import EndpointName, NodeName, RequestId
 
+FLEET: Final = NodeName("(fleet)")
+"""Under which the calls of all other nodes are kept that a hub tells of at once."""
+
 PEER_USE_KEPT_MS: Final = 1_500.0
 """After this silence a peer's calls don't count any more; it is cut off or dead."""
 DEFAULT_TOKENS_PER_MS: Final = 30.0
@@ -44,11 +47,23 @@
 class ReplicaUses:
     """Calls under way at every replica; owned by one task."""
 
-    __slots__ = ("_own", "_peers", "tokens_per_ms")
+    __slots__ = (
+        "_merged",
+        "_merged_until_ms",
+        "_own",
+        "_peers",
+        "_told",
+        "tokens_per_ms",
+    )
 
     def __init__(self) -> None:
         self._own: dict[EndpointName, dict[RequestId, OwnCall]] = {}
         self._peers: dict[NodeName, tuple[float, dict[EndpointName, ReplicaUse]]] = {}
+        self._merged: dict[EndpointName, Use] = {}
+        """Sum over all peers that are heard from, valid until `_merged_until_ms`."""
+        self._merged_until_ms = float("-inf")
+        self._told: dict[EndpointName, ReplicaUse] = {}
+        """This node's own calls when it last reported them."""
         self.tokens_per_ms = DEFAULT_TOKENS_PER_MS
 
     def begin(
@@ -91,13 +106,20 @@
     ) -> None:
         """Take in what a peer has under way."""
         self._peers[peer] = (now_ms, {each.replica: each for each in uses})
+        self._merged_until_ms = float("-inf")
+
+    def apply_fleet(self, uses: Iterable[ReplicaUse], now_ms: float) -> None:
+        """Take in what all nodes have under way, as far as it is not this node's."""
+        others = [_subtract(use, self._told.get(use.replica)) for use in uses]
+        self.apply_peer(FLEET, others, now_ms)
 
     def forget_peer(self, peer: NodeName) -> None:
         """Drop what a peer said; it is gone."""
         self._peers.pop(peer, None)
+        self._merged_until_ms = float("-inf")
 
     def list_own(self) -> tuple[ReplicaUse, ...]:
-        """Return this node's calls by replica, to tell peers."""
+        """Return this node's calls by replica."""
         return tuple(
             ReplicaUse(
                 name,
@@ -108,17 +130,81 @@
             for name, calls in self._own.items()
         )
 
+    def report(self) -> tuple[ReplicaUse, ...]:
+        """Return this node's calls, and remember that they were told."""
+        own = self.list_own()
+        self._told = {use.replica: use for use in own}
+        return own
+
+    def sum_group(
+        self,
+        own: Iterable[ReplicaUse],
+        peers: Collection[NodeName],
+        now_ms: float,
+    ) -> tuple[ReplicaUse, ...]:
+        """Return what this node and some of its peers have under way, by replica."""
+        total: dict[EndpointName, Use] = {}
+        for use in own:
+            _add(total, use)
+        for name in peers:
+            heard_ms, uses = self._peers.get(name, (float("-inf"), {}))
+            if now_ms - heard_ms <= PEER_USE_KEPT_MS:
+                for use in uses.values():
+                    _add(total, use)
+        return tuple(
+            ReplicaUse(name, use.running, use.tokens, use.unread_tokens)
+            for name, use in total.items()
+        )
+
+    def list_peers(self) -> Collection[NodeName]:
+        """Return the peers whose calls are known."""
+        return self._peers.keys()
+
     def compute(self, replica: EndpointName, now_ms: float) -> Use:
         """Return what all nodes have under way at a replica."""
-        use = Use()
+        if now_ms > self._merged_until_ms:
+            self._merge(now_ms)
+        peers = self._merged.get(replica)
+        use = Use() if peers is None else msgspec.structs.replace(peers)
         for call in self._own.get(replica, {}).values():
             use.running += 1
             use.tokens += call.tokens
             use.unread_tokens += 0 if call.has_started else call.unread_tokens
+        return use
+
+    def _merge(self, now_ms: float) -> None:
+        """Add up what peers say.
+
+        Asked of 30 peers for each of 70 replicas, one choice would take longer than
+        sending the call.
+        """
+        self._merged = {}
+        self._merged_until_ms = float("inf")
         for heard_ms, uses in self._peers.values():
-            peer = uses.get(replica)
-            if peer is not None and now_ms - heard_ms <= PEER_USE_KEPT_MS:
-                use.running += peer.running
-                use.tokens += peer.tokens
-                use.unread_tokens += peer.unread_tokens
+            until_ms = heard_ms + PEER_USE_KEPT_MS
+            if now_ms > until_ms:
+                continue
+            self._merged_until_ms = min(self._merged_until_ms, until_ms)
+            for use in uses.values():
+                _add(self._merged, use)
+
+
+def _add(total: dict[EndpointName, Use], use: ReplicaUse) -> None:
+    found = total.get(use.replica)
+    if found is None:
+        found = total[use.replica] = Use()
+    found.running += use.running
+    found.tokens += use.tokens
+    found.unread_tokens += use.unread_tokens
+
+
+def _subtract(use: ReplicaUse, own: ReplicaUse | None) -> ReplicaUse:
+    if own is None:
         return use
+    # The total lags, so it may hold less than what was told since.
+    return ReplicaUse(
+        use.replica,
+        max(use.running - own.running, 0),
+        max(use.tokens - own.tokens, 0),
+        max(use.unread_tokens - own.unread_tokens, 0),
+    )
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -11,25 +11,20 @@
 
 import msgspec
 
-from toucanyard.names import Address, DomainName, Incarnation, NodeName
-from toucanyard.vm_view import UNNAMED, Vm, choose_peers, compute_rank
+from toucanyard.link_messages import NodeNews
+from toucanyard.link_plan import LinkPlan
+from toucanyard.names import Address, NodeName
+from toucanyard.node_records import NodeRecord
+from toucanyard.vm_view import UNNAMED, Vm, compute_rank
 
 STATUS_KEPT_MS: Final = 1_500.0
 """After this silence a node is not named to callers; six statuses were missed."""
 MAX_MESH: Final = 16
 """Other nodes up to which every node is linked to every other one."""
-MAX_PEERS: Final = 8
-"""Links of a node in a larger fleet, on average."""
-
-
-class NodeRecord(msgspec.Struct, frozen=True):
-    """Where one incarnation of a node can be reached."""
-
-    name: NodeName
-    incarnation: Incarnation
-    domain: DomainName
-    callers: Address
-    peers: Address
+TOLD_KEPT_MS: Final = 2_500.0
+"""How long what a hub said of nodes counts; it says it at least once a second."""
+MAX_ADDRESSES: Final = 64
+"""Addresses that callers take from one answer."""
 
 
 class _Heard(msgspec.Struct):
@@ -40,7 +35,16 @@
 class Roster:
     """The nodes as one of them sees them. Invariant: it names itself first."""
 
-    __slots__ = ("_heard", "_known", "_own", "_seeds", "is_ready")
+    __slots__ = (
+        "_heard",
+        "_known",
+        "_linked",
+        "_own",
+        "_seeds",
+        "_told",
+        "is_ready",
+        "plan",
+    )
 
     def __init__(self, own: NodeRecord, seeds: Sequence[Address]) -> None:
         self._own = own
@@ -48,6 +52,10 @@
         self.apply_seeds(seeds)
         self._known: dict[NodeName, NodeRecord] = {}
         self._heard: dict[NodeName, _Heard] = {}
+        self._told: dict[NodeName, tuple[float, dict[NodeName, bool]]] = {}
+        """By hub: when it said so, and of which nodes, whether each is ready."""
+        self._linked: frozenset[NodeName] = frozenset()
+        self.plan = LinkPlan(own)
         self.is_ready = False
 
     def apply_seeds(self, seeds: Sequence[Address]) -> None:
@@ -64,41 +72,74 @@
         self._known.pop(name, None)
         self._heard.pop(name, None)
 
-    def note_status(self, name: NodeName, is_ready: bool, now_ms: float) -> None:
-        """Take in that a node is alive."""
+    def note_status(self, name: NodeName, is_ready: bool, now_ms: float) -> bool:
+        """Take in that a node is alive; return whether its readiness has changed."""
+        before = self._heard.get(name)
         self._heard[name] = _Heard(now_ms, is_ready)
+        return before is None or before.is_ready != is_ready
+
+    def note_told(
+        self, hub: NodeName, nodes: Iterable[NodeNews], now_ms: float
+    ) -> bool:
+        """Take in which nodes a hub says are alive; return whether they changed."""
+        before = self._told.get(hub, (0.0, {}))[1]
+        told = {each.node: each.is_ready for each in nodes if self._is_other(each)}
+        self._told[hub] = (now_ms, told)
+        return told != before
 
     def retain_linked(self, names: Iterable[NodeName]) -> list[NodeName]:
         """Drop what was heard from nodes without a link; return their names."""
-        kept = set(names)
-        lost = [name for name in self._heard if name not in kept]
+        self._linked = frozenset(names)
+        lost = [name for name in self._heard if name not in self._linked]
         for name in lost:
             del self._heard[name]
         return lost
 
-    def find_peers(self) -> list[Vm]:
+    def find_peers(self, now_ms: float) -> list[Vm]:
         """Return the nodes that this one should have a link to."""
+        chosen = list(self._known.values())
+        if not self.is_meshed():
+            self.plan.update(chosen, self._linked, now_ms)
+            chosen = [self._known[name] for name in self.plan.wanted]
         vms = [
-            Vm(name=each.name, domain=each.domain, peers=each.peers)
-            for each in self._known.values()
+            Vm(name=each.name, domain=each.domain, peers=each.peers) for each in chosen
         ]
-        most = MAX_MESH if len(vms) <= MAX_MESH else MAX_PEERS
-        chosen = choose_peers(self._own.name, vms, most)
         known = {each.peers for each in self._known.values()}
         strangers = [
             Vm(address, self._own.domain, runs=UNNAMED, peers=address)
             for address in self._seeds
             if address not in known
         ]
-        return chosen + strangers
+        return vms + strangers
+
+    def find_primary(self) -> NodeName | None:
+        """Return the hub that this node reports to, if there is one."""
+        return None if self.is_meshed() else self.plan.find_primary(self._linked)
 
     def find_alive(self, now_ms: float) -> list[NodeName]:
-        """Return the other nodes that were heard from lately."""
-        return [
-            name
-            for name, heard in self._heard.items()
-            if now_ms - heard.heard_ms <= STATUS_KEPT_MS
-        ]
+        """Return the other nodes that were heard from, or of, lately."""
+        return list(self._find_ready(now_ms))
+
+    def list_told(self, hubs: Iterable[NodeName], now_ms: float) -> list[NodeNews]:
+        """Return the nodes that are alive as far as some hubs, and no others, say."""
+        found: dict[NodeName, bool] = {}
+        for hub in hubs:
+            self._add_told(found, hub, now_ms)
+        return [NodeNews(*each) for each in found.items()]
+
+    def list_heard(self, names: Iterable[NodeName], now_ms: float) -> list[NodeNews]:
+        """Return those of some nodes that were heard from lately, and this one."""
+        news = [NodeNews(self._own.name, self.is_ready)]
+        for name in names:
+            heard = self._heard.get(name)
+            if heard is not None and now_ms - heard.heard_ms <= STATUS_KEPT_MS:
+                news.append(NodeNews(name, heard.is_ready))
+        return news
+
+    def list_alive(self, now_ms: float) -> list[NodeNews]:
+        """Return all nodes that are alive, this one first."""
+        own = NodeNews(self._own.name, self.is_ready)
+        return [own, *(NodeNews(*each) for each in self._find_ready(now_ms).items())]
 
     def count_nodes(self, now_ms: float) -> int:
         """Return how many nodes there are, heard from or not, this one included."""
@@ -120,11 +161,11 @@
     def find_rank(self, matter: str, now_ms: float) -> int:
         """Return how many live nodes go before this one in a matter.
 
-        Nodes that see the same others agree on the order without asking. In a fleet
-        that is not meshed each hears only of a few, so all that are known count, and
-        who goes first may be dead; those behind must not wait for it for long.
+        Nodes that see the same others agree on the order without asking. One that
+        reports to a hub and was not told of the others yet counts all that are known;
+        who goes first may be dead, and those behind must not wait for it for long.
         """
-        if not self.is_meshed():
+        if not self.is_meshed() and not self._told:
             return self.find_fleet_rank(matter)
         own = compute_rank(matter, self._own.name)
         alive = self.find_alive(now_ms)
@@ -133,8 +174,37 @@
     def find_addresses(self, now_ms: float) -> list[Address]:
         """Return where callers may connect."""
         addresses = [self._own.callers] if self.is_ready else []
-        for name in self.find_alive(now_ms):
+        ready = [
+            name for name, is_ready in self._find_ready(now_ms).items() if is_ready
+        ]
+        if len(ready) >= MAX_ADDRESSES:
+            # Each node leaves out others, so that all of them get callers.
+            ready.sort(key=lambda name: compute_rank(self._own.name, name))
+        for name in ready[: MAX_ADDRESSES - 1]:
             record = self._known.get(name)
-            if record is not None and self._heard[name].is_ready:
+            if record is not None:
                 addresses.append(record.callers)
         return addresses
+
+    def _find_ready(self, now_ms: float) -> dict[NodeName, bool]:
+        """Return the other nodes that are alive, and whether callers may go there."""
+        found: dict[NodeName, bool] = {}
+        for hub in self._told:
+            self._add_told(found, hub, now_ms)
+        for name, heard in self._heard.items():
+            if now_ms - heard.heard_ms <= STATUS_KEPT_MS:
+                found[name] = heard.is_ready
+        return found
+
+    def _add_told(
+        self, found: dict[NodeName, bool], hub: NodeName, now_ms: float
+    ) -> None:
+        told_ms, nodes = self._told.get(hub, (float("-inf"), {}))
+        if now_ms - told_ms > TOLD_KEPT_MS:
+            return
+        for name, is_ready in nodes.items():
+            # A hub that lags must not send callers to a node that is stopping.
+            found[name] = is_ready and found.get(name, True)
+
+    def _is_other(self, news: NodeNews) -> bool:
+        return news.node != self._own.name
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -0,0 +1,270 @@
+"""Tell peers what this node knows and take in what they know, several times a second.
+
+In a mesh every node tells every other one of its own calls. In a larger fleet a node
+reports to its hub; hubs tell each other of the nodes that report to them, and tell
+those nodes of the whole fleet. So each node knows what all have under way, each call is
+counted once, and a node's messages don't grow with the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.keyed_view import Topic
+from toucanyard.link_messages import (
+    Coverage,
+    GoalAge,
+    NodeStatus,
+    ReadPart,
+    ReplicaUse,
+)
+from toucanyard.names import NodeName
+from toucanyard.part_reports import PartReports
+from toucanyard.relay_events import SendToPeer
+from toucanyard.replica_bulletin import ReplicaBulletin
+from toucanyard.replica_uses import FLEET, ReplicaUses
+from toucanyard.roster import Roster
+from toucanyard.view_exchange import ViewExchange
+from toucanyard.weights_goals import WeightsGoals
+
+STATUS_MS: Final = 250.0
+"""Time between two statuses to one peer."""
+URGENT_MS: Final = 75.0
+"""Least time between two statuses in a fleet that is not meshed: while weights are
+loaded there is news of some replica all the time."""
+STORE_TROUBLE_MS: Final = 2_500.0
+"""How long after a failed call the store counts as in trouble: replicas that lapsed
+while it was away are listed again within two seconds of its return."""
+LARGE_TOKENS: Final = 500
+"""Least tokens of a part that peers are told of in a fleet that is not meshed: there
+are thousands of small ones a second, and reading one again costs little."""
+NODES_MS: Final = 1_000.0
+"""Time between two tellings of the nodes that are alive, if none has changed."""
+LINK_SHARE: Final = 0.15
+"""Share of a hub's link that its statuses may take; calls need the rest."""
+MAX_FULL_MS: Final = 1_000.0
+"""Longest time between two full statuses; uses are kept for half as long again."""
+BYTES_PER_MBPS_MS: Final = 125.0
+USE_BYTES: Final = 22
+PART_BYTES: Final = 45
+"""Size of an entry as it is sent, by the mean of a large fleet."""
+
+
+class StatusExchange:
+    """What one node tells its peers, and what it was told.
+
+    Invariant: a node's calls are reported to one hub at most, so that no sum over
+    nodes counts a call twice but for the moment in which it changes its hub.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        views: ViewExchange,
+        uses: ReplicaUses,
+        reports: PartReports,
+        bulletin: ReplicaBulletin,
+        goals: WeightsGoals,
+        link_mbps: float,
+    ) -> None:
+        self._roster = roster
+        self._views = views
+        self._uses = uses
+        self._reports = reports
+        self._bulletin = bulletin
+        self._goals = goals
+        self._link_mbps = link_mbps
+        self._leaves: set[NodeName] = set()
+        """The nodes that report to this one."""
+        self._far_reports = PartReports()
+        """Parts of which other hubs told, for the nodes that report to this one."""
+        self._full_ms = float("-inf")
+        self._full_bytes = 0
+        self._nodes_ms = float("-inf")
+        self._sent_ms = float("-inf")
+        self._is_due = False
+        self.trouble_ms = float("-inf")
+        """When the store failed a node last, as far as this one was told."""
+
+    def note_due(self) -> None:
+        """Let the next status go out at once."""
+        self._is_due = True
+
+    def note_links(self, names: Collection[NodeName]) -> None:
+        """Take in which peers are linked now."""
+        self._leaves.intersection_update(names)
+        # What a hub told of the fleet counts on while another one takes its place.
+        for name in set(self._uses.list_peers()).difference(names, (FLEET,)):
+            self._uses.forget_peer(name)
+        self._is_due = True
+
+    def is_store_doubtful(self, now_ms: float) -> bool:
+        """Tell whether the store was in trouble a moment ago."""
+        return now_ms - self.trouble_ms < STORE_TROUBLE_MS
+
+    def find_targets(
+        self, topic: Topic, sender: NodeName | None = None
+    ) -> list[NodeName]:
+        """Return the peers that need what came from a sender, or from the store."""
+        linked = self._views.linked
+        if self._roster.is_meshed():
+            return [] if sender is not None else list(linked)
+        if topic is Topic.OPERATOR:
+            # All nodes poll for it; whoever can't shows in its status.
+            return []
+        if sender in self._roster.plan.hubs and self._roster.plan.is_hub():
+            # Hubs are meshed: the sender has told the others.
+            return sorted(self._leaves - {sender})
+        primary = self._roster.find_primary()
+        return [
+            name
+            for name in linked
+            if name != sender
+            and (name in self._leaves or name == primary or self._is_hub_pair(name))
+        ]
+
+    def tick(self, is_ready: bool, now_ms: float) -> Iterator[SendToPeer]:
+        """Send what is due."""
+        age_ms = now_ms - self._sent_ms
+        is_urgent = self._is_due and (self._roster.is_meshed() or age_ms >= URGENT_MS)
+        if is_urgent or age_ms >= STATUS_MS:
+            yield from self.send(is_ready, now_ms)
+
+    def send(self, is_ready: bool, now_ms: float) -> Iterator[SendToPeer]:
+        """Send a status to every peer."""
+        self._is_due = False
+        self._sent_ms = now_ms
+        self._roster.is_ready = is_ready
+        if self._roster.is_meshed():
+            yield from self._send_meshed(now_ms)
+        else:
+            yield from self._send_planned(now_ms)
+
+    def read(self, sender: NodeName, status: NodeStatus, now_ms: float) -> None:
+        """Take in what a peer says of nodes, their calls and the store."""
+        is_news = self._roster.note_status(sender, status.is_ready, now_ms)
+        if status.is_report:
+            self._leaves.add(sender)
+        elif sender in self._leaves:
+            self._leaves.discard(sender)
+            self._uses.forget_peer(sender)
+        if status.nodes is not None:
+            is_news |= self._roster.note_told(sender, status.nodes, now_ms)
+        match status.covers:
+            case Coverage.GROUP:
+                self._uses.apply_peer(sender, status.uses, now_ms)
+            case Coverage.FLEET if sender == self._roster.find_primary():
+                self._uses.apply_fleet(status.uses, now_ms)
+        self._pass_on_parts(sender, status.parts, now_ms)
+        for each in status.goals:
+            self._goals.note_age(each.model, each.version, each.age_ms, now_ms)
+        if status.store_trouble_age_ms >= 0:
+            trouble_ms = now_ms - status.store_trouble_age_ms
+            self.trouble_ms = max(self.trouble_ms, trouble_ms)
+        is_news |= self._bulletin.apply(status.news, now_ms)
+        if is_news and not self._roster.is_meshed():
+            self._nodes_ms = float("-inf")
+            self._is_due = True
+
+    def _pass_on_parts(
+        self, sender: NodeName, parts: Iterable[ReadPart], now_ms: float
+    ) -> None:
+        if not self._leaves:
+            return
+        reports = self._reports if sender in self._leaves else self._far_reports
+        for each in parts:
+            ready_ms = now_ms + each.ready_in_ms
+            reports.note(each.replica, each.scope, each.part, each.tokens, ready_ms)
+
+    def _send_meshed(self, now_ms: float) -> Iterator[SendToPeer]:
+        status = msgspec.structs.replace(
+            self._build_light(now_ms),
+            covers=Coverage.GROUP,
+            uses=self._uses.report(),
+            parts=self._reports.take(0, now_ms),
+        )
+        for name in self._views.linked:
+            yield SendToPeer(name, status)
+
+    def _send_planned(self, now_ms: float) -> Iterator[SendToPeer]:
+        linked = self._views.linked
+        primary = self._roster.find_primary()
+        light = self._build_light(now_ms)
+        group, fleet = light, light
+        if now_ms - self._nodes_ms >= NODES_MS:
+            self._nodes_ms = now_ms
+            nodes = self._roster.list_heard(sorted(self._leaves), now_ms)
+            alive = self._roster.list_alive(now_ms)
+            group = msgspec.structs.replace(light, nodes=tuple(nodes))
+            fleet = msgspec.structs.replace(light, nodes=tuple(alive))
+        if now_ms - self._full_ms >= self._find_full_interval():
+            self._full_ms = now_ms
+            own = self._uses.report()
+            group = self._add_group(group, own, primary, now_ms)
+            fleet = self._add_fleet(fleet, group, own, now_ms)
+        report = msgspec.structs.replace(group, is_report=True)
+        for name in linked:
+            if name == primary:
+                yield SendToPeer(name, report)
+            elif name in self._leaves:
+                yield SendToPeer(name, fleet)
+            else:
+                yield SendToPeer(name, group if self._is_hub_pair(name) else light)
+
+    def _add_group(
+        self,
+        status: NodeStatus,
+        own: tuple[ReplicaUse, ...],
+        primary: NodeName | None,
+        now_ms: float,
+    ) -> NodeStatus:
+        return msgspec.structs.replace(
+            status,
+            covers=Coverage.GROUP,
+            uses=self._uses.sum_group(own, self._leaves - {primary}, now_ms),
+            parts=self._reports.take(LARGE_TOKENS, now_ms),
+        )
+
+    def _add_fleet(
+        self,
+        status: NodeStatus,
+        group: NodeStatus,
+        own: tuple[ReplicaUse, ...],
+        now_ms: float,
+    ) -> NodeStatus:
+        far_parts = self._far_reports.take(LARGE_TOKENS, now_ms)
+        peers = list(self._uses.list_peers())
+        fleet = msgspec.structs.replace(
+            status,
+            covers=Coverage.FLEET,
+            uses=self._uses.sum_group(own, peers, now_ms),
+            parts=group.parts + far_parts,
+        )
+        self._full_bytes = len(fleet.uses) * USE_BYTES + len(fleet.parts) * PART_BYTES
+        return fleet
+
+    def _build_light(self, now_ms: float) -> NodeStatus:
+        trouble_age_ms = now_ms - self.trouble_ms
+        return NodeStatus(
+            is_ready=self._roster.is_ready,
+            views=self._views.list_statuses(now_ms),
+            news=tuple(self._bulletin.list_news(now_ms)),
+            goals=tuple(GoalAge(*each) for each in self._goals.list_recent(now_ms)),
+            store_trouble_age_ms=(
+                trouble_age_ms if trouble_age_ms < STORE_TROUBLE_MS else -1.0
+            ),
+            covers=Coverage.NOBODY,
+        )
+
+    def _is_hub_pair(self, name: NodeName) -> bool:
+        plan = self._roster.plan
+        return plan.is_hub() and name in plan.hubs
+
+    def _find_full_interval(self) -> float:
+        """Return the time between two full statuses, which a hub's link must carry."""
+        bytes_per_ms = self._link_mbps * BYTES_PER_MBPS_MS * LINK_SHARE
+        needed_ms = len(self._leaves) * self._full_bytes / max(bytes_per_ms, 1.0)
+        return min(max(needed_ms, STATUS_MS), MAX_FULL_MS)
--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Final
 
 from toucanyard.keyed_view import Change, Decode, KeyedRecord, KeyedView, Topic
@@ -21,11 +21,13 @@
 class ViewExchange:
     """The views of one node, and what its peers were told of them."""
 
-    __slots__ = ("_pushed", "linked", "views")
+    __slots__ = ("_pushed", "_risen_ms", "linked", "views")
 
     def __init__(self, decode: Decode) -> None:
         self.views = {topic: KeyedView(topic, decode) for topic in Topic}
         self.linked: tuple[NodeName, ...] = ()
+        self._risen_ms = dict.fromkeys(Topic, float("-inf"))
+        """When this node learned of the newest records of each topic."""
         self._pushed: dict[tuple[NodeName, Topic], tuple[int, float]] = {}
 
     def apply_read(
@@ -36,9 +38,12 @@
         asked_ms: float,
         *,
         is_whole: bool,
+        now_ms: float,
     ) -> list[Change]:
         """Take in what the store gave when asked at `asked_ms`."""
         view = self.views[topic]
+        if end > view.end:
+            self._risen_ms[topic] = now_ms
         changes = view.apply(records, end, is_whole=is_whole)
         view.confirm(end, asked_ms)
         return changes
@@ -49,24 +54,39 @@
         if message.since > view.end and not message.is_whole:
             # This node's next status shows the peer what is missing.
             return []
+        if message.end > view.end:
+            self._risen_ms[message.topic] = now_ms
         changes = view.apply(message.records, message.end, is_whole=message.is_whole)
         if message.confirmed_age_ms >= 0:
             view.confirm(message.end, now_ms - message.confirmed_age_ms)
         return changes
 
-    def push(self, topic: Topic, since: int, now_ms: float) -> Iterator[SendToPeer]:
-        """Tell all linked peers of new records."""
-        for name in self.linked:
+    def push(
+        self, names: Iterable[NodeName], topic: Topic, since: int, now_ms: float
+    ) -> Iterator[SendToPeer]:
+        """Tell some peers of new records."""
+        for name in names:
             yield self._build(name, topic, since, now_ms)
 
     def answer_status(
-        self, sender: NodeName, statuses: Sequence[ViewStatus], now_ms: float
+        self,
+        sender: NodeName,
+        statuses: Sequence[ViewStatus],
+        now_ms: float,
+        *,
+        hold_ms: float = 0.0,
     ) -> Iterator[SendToPeer]:
-        """Take in how far a peer knows each topic, and tell it what it lacks."""
+        """Take in how far a peer knows each topic, and tell it what it lacks.
+
+        `hold_ms` is how long a peer is left to read the operators' topic by itself.
+        """
         for status in statuses:
             view = self.views[status.topic]
             if status.confirmed_age_ms >= 0:
                 view.confirm(status.end, now_ms - status.confirmed_age_ms)
+            is_new = now_ms - self._risen_ms[status.topic] < hold_ms
+            if status.topic is Topic.OPERATOR and is_new:
+                continue
             if status.end < view.end and not self._was_told(sender, view, now_ms):
                 yield self._build(sender, status.topic, status.end, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/weights_duty.py
+++ b/packages/toucanyard/src/toucanyard/weights_duty.py
@@ -22,7 +22,11 @@
 from toucanyard.roster import Roster
 from toucanyard.turns import MAX_FOLLOWERS, Turns
 from toucanyard.weights_goals import WeightsGoals
-from toucanyard.weights_rollout import WeightsRollout
+from toucanyard.weights_rollout import (
+    ANNOUNCE_MS,
+    FAR_ANNOUNCE_MS,
+    WeightsRollout,
+)
 
 LAST_READ_MS: Final = 300.0
 """Time after the work is done at which candidates look who did it, and when."""
@@ -133,7 +137,11 @@
                 each.replica.name: self._uses.compute(each.replica.name, now_ms).running
                 for each in replicas
             }
-            actions += rollout.plan(model, goal.version, replicas, turn, loads, now_ms)
+            is_near = self._roster.is_meshed()
+            announce_ms = ANNOUNCE_MS if is_near else FAR_ANNOUNCE_MS
+            actions += rollout.plan(
+                model, goal.version, replicas, turn, loads, now_ms, announce_ms
+            )
         return actions
 
     def _rest(self, now_ms: float) -> list[DutyAction]:
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -32,6 +32,8 @@
 last up to 5 s; waiting for all of them, the last replica loads after 8 s."""
 ANNOUNCE_MS: Final = 60.0
 """Time from the announcement to the order; it takes one way between two nodes."""
+FAR_ANNOUNCE_MS: Final = 250.0
+"""The same where it takes three ways, by two hubs that send each 75 ms at most."""
 READ_MS: Final = 120.0
 """Time between two reports of a replica under an order."""
 FRESH_MS: Final = 1_000.0
@@ -71,10 +73,11 @@
     Invariant: no order without a turn, and none on a report from before the last one.
     """
 
-    __slots__ = ("_changes", "_node", "_skipped_ms")
+    __slots__ = ("_announce_ms", "_changes", "_node", "_skipped_ms")
 
     def __init__(self, node: NodeName) -> None:
         self._node = node
+        self._announce_ms = ANNOUNCE_MS
         self._changes: dict[EndpointName, _Change] = {}
         self._skipped_ms: dict[EndpointName, float] = {}
 
@@ -115,8 +118,10 @@
         turn: Turn,
         load_of: dict[EndpointName, int],
         now_ms: float,
+        announce_ms: float = ANNOUNCE_MS,
     ) -> list[RolloutAction]:
         """Return what to read and to order now."""
+        self._announce_ms = announce_ms
         self._settle(model, version, replicas, now_ms)
         self._announce(model, version, replicas, load_of, now_ms)
         actions: list[RolloutAction] = []
@@ -221,7 +226,7 @@
             return None
         is_fresh = now_ms - report.asked_ms <= FRESH_MS
         waited_ms = now_ms - change.announced_ms
-        is_quiet = waited_ms >= ANNOUNCE_MS and not running
+        is_quiet = waited_ms >= self._announce_ms and not running
         if not is_fresh or report.state.is_busy:
             return None
         if not is_quiet and waited_ms < DRAIN_MS:
--- a/tests/toucanyard/test_relay_core.py
+++ b/tests/toucanyard/test_relay_core.py
@@ -1,104 +1,24 @@
 from __future__ import annotations
 
-import random
-
 import pytest
 
 from toucanyard.cbor_messages import MessageInvalidError
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.link_messages import decode_link_message, encode_link_message
-from toucanyard.names import Address, Incarnation, NodeId, NodeName
-from toucanyard.relay_core import RelayCore
+from toucanyard.link_messages import decode_link_message
+from toucanyard.names import Address, Incarnation, NodeName
+from toucanyard.node_records import NodeRecord
 from toucanyard.relay_events import (
-    LinkMessageRead,
-    PeersLinked,
-    RelayEvent,
-    SendToPeer,
     StopBegun,
     StoreFailed,
-    TickPassed,
-    TopicRead,
 )
-from toucanyard.relay_options import RelayOptions
 from toucanyard.replicas import LAPSE_GRACE_MS
-from toucanyard.roster import STATUS_KEPT_MS, NodeRecord
+from toucanyard.roster import STATUS_KEPT_MS
 from toucanyard.routes import RoutedCustomer
 from toucanyard.store_schedule import READ_MS, compute_wanted_age
 from toucanyard.weights_goals import WantedWeights
 
-from .relay_examples import DESK, LISTEN, build_replica, build_table
-
-FACTS: dict[bytes, object] = {}
-
-
-def put(fact: object) -> bytes:
-    value = str(len(FACTS)).encode()
-    FACTS[value] = fact
-    return value
-
-
-def decode(_: Topic, __: str, value: bytes) -> object | None:
-    return FACTS.get(value)
-
-
-class Fleet:
-    """Nodes that exchange messages, with a store that may serve only some of them."""
-
-    def __init__(self, *names: str) -> None:
-        self.cores: dict[NodeName, RelayCore] = {}
-        for number, name in enumerate(names):
-            self.add(NodeName(name), number)
-        self.now_ms = 0.0
-        self.cut: set[str] = set()
-        self.link()
-
-    def add(self, name: NodeName, number: int) -> None:
-        listen = type(LISTEN)(
-            callers=Address(f"10.0.0.{number}:1"),
-            readiness=LISTEN.readiness,
-            locator=LISTEN.locator,
-            peers=Address(f"10.0.0.{number}:4"),
-            metrics=LISTEN.metrics,
-        )
-        options = RelayOptions(name, LISTEN.callers, listen, LISTEN.callers)  # type: ignore[arg-type]
-        identity = NodeId(name, Incarnation("i"))
-        core = RelayCore(options, identity, decode, random.Random(number))
-        self.cores[name] = core
-
-    def link(self) -> None:
-        for name, core in self.cores.items():
-            peers = tuple(
-                other.identity
-                for other in self.cores.values()
-                if other is not core and name not in self.cut
-            )
-            self.handle(name, PeersLinked(peers))
-
-    def handle(self, name: NodeName, event: RelayEvent) -> None:
-        core = self.cores[name]
-        for action in core.handle(event, self.now_ms):
-            if isinstance(action, SendToPeer) and self.cut.isdisjoint(
-                (name, action.node)
-            ):
-                message = decode_link_message(encode_link_message(action.message))
-                self.handle(action.node, LinkMessageRead(core.identity, message))
-
-    def read(
-        self, name: str, topic: Topic, *records: KeyedRecord, is_whole: bool = False
-    ) -> None:
-        end = max((each.offset + 1 for each in records), default=0)
-        event = TopicRead(topic, records, end, is_whole, self.now_ms)
-        self.handle(NodeName(name), event)
-
-    def run(self, for_ms: float) -> None:
-        end_ms = self.now_ms + for_ms
-        while self.now_ms < end_ms:
-            self.now_ms += 25.0
-            for name in self.cores:
-                self.handle(name, TickPassed())
-
-    def core(self, name: str) -> RelayCore:
-        return self.cores[NodeName(name)]
+from .relay_examples import DESK, build_replica, build_table
+from .relay_fleet import Fleet, put
 
 
 def test_routes_reach_nodes_that_the_store_refuses() -> None:
@@ -266,9 +186,10 @@
     fleet = Fleet("a")
     own = fleet.core("a").own_record
     fleet.read("a", Topic.NODES, KeyedRecord("a", 0, put(own)))
-    assert fleet.core("a").roster.find_peers() == []
+    assert fleet.core("a").roster.find_peers(0.0) == []
     other = NodeRecord(
         NodeName("b"), Incarnation("i"), own.domain, own.callers, Address("10.0.0.9:4")
     )
     fleet.read("a", Topic.NODES, KeyedRecord("b", 1, put(other)))
-    assert [vm.name for vm in fleet.core("a").roster.find_peers()] == ["b"]
+    peers = fleet.core("a").roster.find_peers(0.0)
+    assert [vm.name for vm in peers] == ["b"]
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -9,13 +9,14 @@
 
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, Incarnation, NodeName, RequestId
+from toucanyard.node_records import NodeRecord
 from toucanyard.part_sources import PartSources
 from toucanyard.plain_placement import OVERFILL
 from toucanyard.relay_flow import NO_REPLICA_WAIT_MS, RelayFlow, RelayReply
 from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.requests import EndingSeen, Refuse, Repeatability
-from toucanyard.roster import NodeRecord, Roster
+from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex
 from toucanyard.weights_goals import WantedWeights, WeightsGoals
 
--- /dev/null
+++ b/tests/toucanyard/test_status_exchange.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+import random
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import EndpointName, NodeName, RequestId
+from toucanyard.relay_events import CallArrived, StopBegun
+from toucanyard.roster import MAX_ADDRESSES
+
+from .relay_examples import DESK, ENGINES, build_prompt, build_replica, build_request
+from .relay_fleet import PlannedFleet, put
+
+FAR_MS = 1_200.0
+"""Time in which what one node does is known everywhere: three ways of a status."""
+
+
+def build_fleet(domains: int = 3, nodes_each: int = 12) -> PlannedFleet:
+    fleet = PlannedFleet(domains, nodes_each)
+    replicas = [
+        KeyedRecord(name, at, put(build_replica(name)))
+        for at, name in enumerate("abcd")
+    ]
+    for name in fleet.cores:
+        fleet.read(name, Topic.REPLICAS, *replicas)
+    fleet.run(3_000.0)
+    return fleet
+
+
+def count_running(fleet: PlannedFleet, name: NodeName) -> int:
+    uses = fleet.cores[name].flow.uses
+    return sum(uses.compute(EndpointName(e), fleet.now_ms).running for e in "abcd")
+
+
+def send_calls(fleet: PlannedFleet, names: list[NodeName]) -> None:
+    for name in names:
+        request = build_request(
+            f"call-{name}",
+            service=ENGINES,
+            prompt=build_prompt(("book", 2_500), (f"own-{name}", 600)),
+            arrived_ms=fleet.now_ms,
+            deadline_ms=fleet.now_ms + 60_000.0,
+        )
+        fleet.handle(name, CallArrived(request))
+
+
+def test_every_node_knows_the_calls_of_all_and_counts_each_once() -> None:
+    """Each node of a large fleet sends one call.
+
+    Nodes that saw only a few others would all send the next calls to replicas that are
+    full; calls that are counted twice make free replicas look full.
+    """
+    fleet = build_fleet()
+    names = list(fleet.cores)
+    send_calls(fleet, names)
+    fleet.run(FAR_MS)
+    assert {count_running(fleet, name) for name in names} == {len(names)}
+    for name in names:
+        request_id = RequestId(f"call-{name}")
+        core = fleet.cores[name]
+        list(core.flow.leave(request_id, fleet.now_ms))
+    fleet.run(FAR_MS)
+    assert {count_running(fleet, name) for name in names} == {0}
+
+
+def test_calls_are_known_again_after_all_hubs_died() -> None:
+    """All hubs of a fleet lose power at once while calls run.
+
+    The nodes that are left find others to report to, by themselves.
+    """
+    fleet = build_fleet()
+    fleet.dead = set(fleet.find_hubs())
+    alive = [name for name in fleet.cores if name not in fleet.dead]
+    fleet.run(6_000.0)
+    send_calls(fleet, alive)
+    fleet.run(FAR_MS)
+    assert {count_running(fleet, name) for name in alive} == {len(alive)}
+
+
+def test_part_that_is_read_is_known_to_all() -> None:
+    """A replica was sent to read a part by a node in one domain.
+
+    Whoever does not know of it sends the next call elsewhere, where it is read again.
+    """
+    fleet = build_fleet()
+    sender = list(fleet.cores)[-1]
+    send_calls(fleet, [sender])
+    fleet.run(FAR_MS)
+    dispatched = [
+        name
+        for name in "abcd"
+        if fleet.cores[sender].flow.uses.compute(EndpointName(name), 0.0).running
+    ]
+    for core in fleet.cores.values():
+        held = core.flow.book.count_leading(
+            EndpointName(dispatched[0]), "m/1/", build_prompt().parts[:1], float("inf")
+        )
+        assert held == 2_500
+
+
+def test_callers_are_told_of_all_nodes_but_those_that_stop() -> None:
+    """A node that reports to a hub is stopped.
+
+    Callers keep an address for three seconds, so all must leave it out at once.
+    """
+    fleet = build_fleet()
+    everyone = {core.own_record.callers for core in fleet.cores.values()}
+    for core in fleet.cores.values():
+        assert set(core.find_addresses(fleet.now_ms)) == everyone
+    stopped = next(n for n in fleet.cores if n not in fleet.find_hubs())
+    fleet.handle(stopped, StopBegun())
+    fleet.run(400.0)
+    left = everyone - {fleet.cores[stopped].own_record.callers}
+    for core in fleet.cores.values():
+        assert set(core.find_addresses(fleet.now_ms)) == left
+
+
+def test_dead_nodes_are_named_to_no_caller_after_a_while() -> None:
+    fleet = build_fleet()
+    fleet.dead = set(random.Random(1).sample(list(fleet.cores), 18))
+    fleet.run(5_000.0)
+    left = {
+        core.own_record.callers
+        for name, core in fleet.cores.items()
+        if name not in fleet.dead
+    }
+    for name, core in fleet.cores.items():
+        if name not in fleet.dead:
+            assert set(core.find_addresses(fleet.now_ms)) == left
+
+
+def test_answers_name_no_more_addresses_than_callers_take() -> None:
+    fleet = build_fleet(3, 24)
+    counts = {len(core.find_addresses(fleet.now_ms)) for core in fleet.cores.values()}
+    assert counts == {MAX_ADDRESSES}
+
+
+def test_replica_that_leaves_is_known_to_all_within_the_way_of_a_push() -> None:
+    fleet = build_fleet()
+    reader = list(fleet.cores)[-1]
+    desk = KeyedRecord("x", 10, put(build_replica("x", service=DESK)))
+    leaving = build_replica("x", service=DESK, is_draining=True)
+    fleet.read(reader, Topic.REPLICAS, desk)
+    for core in fleet.cores.values():
+        assert core.directory.find_usable(DESK, fleet.now_ms)
+    fleet.read(reader, Topic.REPLICAS, KeyedRecord("x", 11, put(leaving)))
+    for core in fleet.cores.values():
+        assert not core.directory.find_usable(DESK, fleet.now_ms)
+
+
+def test_bytes_of_a_node_do_not_grow_with_the_fleet() -> None:
+    """Twice the nodes, with nothing under way.
+
+    Where each node told each other one, its bytes would double.
+    """
+    means = []
+    for nodes_each in (10, 20):
+        fleet = build_fleet(3, nodes_each)
+        fleet.sent_bytes.clear()
+        fleet.run(2_000.0)
+        hubs = fleet.find_hubs()
+        leaves = [name for name in fleet.cores if name not in hubs]
+        means.append(sum(fleet.sent_bytes[each] for each in leaves) / len(leaves))
+    assert means[1] < 1.2 * means[0]
+
+
+def test_paused_replica_is_told_to_all_and_ends_once() -> None:
+    """A replica refuses one node's call, since it is to load weights.
+
+    All nodes send elsewhere. What they tell each other must not make the pause longer:
+    it would go round the hubs for good.
+    """
+    fleet = build_fleet()
+    sender = list(fleet.cores)[-1]
+    now_ms = fleet.now_ms
+    known = fleet.cores[sender].directory.find(EndpointName("a"))
+    assert known is not None
+    known.note_refusal(now_ms)
+    fleet.cores[sender].bulletin.note(EndpointName("a"), now_ms)
+    fleet.cores[sender].statuses.note_due()
+    fleet.run(300.0)
+    for core in fleet.cores.values():
+        other = core.directory.find(EndpointName("a"))
+        assert other is not None
+        assert other.is_loading(fleet.now_ms)
+    fleet.run(700.0)
+    for core in fleet.cores.values():
+        other = core.directory.find(EndpointName("a"))
+        assert other is not None
+        assert not other.is_loading(fleet.now_ms)
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -7,10 +7,10 @@
 
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
+from toucanyard.node_records import NodeRecord
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import RelayEvent, SendToPeer, StoreFailed
 from toucanyard.relay_options import RelayListen, RelayOptions
-from toucanyard.roster import NodeRecord
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TopicPage
 from toucanyard_node.relay_store import StoreReader, keep_trying
--- a/tests/toucanyard_platform/test_records.py
+++ b/tests/toucanyard_platform/test_records.py
@@ -10,9 +10,9 @@
     NodeName,
     ServiceName,
 )
+from toucanyard.node_records import NodeRecord
 from toucanyard.replicas import Replica
 from toucanyard.requests import Repeatability
-from toucanyard.roster import NodeRecord
 from toucanyard.routes import RouteTable
 from toucanyard.weights_goals import WantedWeights
 from toucanyard_platform.records import decode_record
--- a/tests/toucanyard_platform/test_store_client.py
+++ b/tests/toucanyard_platform/test_store_client.py
@@ -7,7 +7,7 @@
 
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import Address, DomainName, Incarnation, NodeName
-from toucanyard.roster import NodeRecord
+from toucanyard.node_records import NodeRecord
 from toucanyard_node.http_exchange import HttpRequest
 from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TurnTakenError
 from toucanyard_platform.store_client import StoreClient
