--- a/packages/toucanyard-node/src/toucanyard_node/part_following.py
+++ b/packages/toucanyard-node/src/toucanyard_node/part_following.py
@@ -73,5 +73,7 @@
                 is_lost = False
                 is_reset = epoch not in (-1, page.epoch)
                 epoch, since = page.epoch, page.next_number
-                self._client.tell(PartsChanged(holder.name, page.changes, is_reset))
+                self._client.tell(
+                    PartsChanged(holder.name, page.changes, is_reset, epoch)
+                )
                 await trio.sleep(GATHER_S)
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -70,6 +70,15 @@
     is_ready: bool
 
 
+class StoreNews(msgspec.Struct, frozen=True, array_like=True):
+    """A store of prompts that answered a node lately."""
+
+    store: EndpointName
+    heard_age_ms: float
+    epoch: int
+    """Another one after each restart, with which the store is empty."""
+
+
 class Coverage(enum.StrEnum):
     """Whose calls the uses in a status count."""
 
@@ -92,6 +101,7 @@
     goals: tuple[GoalAge, ...] = ()
     store_trouble_age_ms: float = -1.0
     """Time since the store last failed a node; negative if it did not lately."""
+    stores: tuple[StoreNews, ...] = ()
     covers: Coverage = Coverage.GROUP
     nodes: tuple[NodeNews, ...] | None = None
     """The nodes that are alive among those that it covers; None if it doesn't say."""
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from toucanyard.names import Address, EndpointName
+from toucanyard.names import Address, DomainName, EndpointName
 from toucanyard.part_book import Part, PartBook
-from toucanyard.part_sources import name_store
+from toucanyard.part_sources import choose_store, name_store
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replica_uses import ReplicaUses
@@ -43,6 +43,11 @@
 """Time from naming weights until answers on older ones lose worth, less a margin."""
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
+MANY_REPLICAS: Final = 16
+"""Replicas beyond which load sends many parts elsewhere than hashing does. What nobody
+is known to hold is then fetched from its store on a guess."""
+FAR_FACTOR: Final = 2.0
+"""How much longer a transfer between failure domains takes."""
 PAUSE_SHARE: Final = 0.1
 """Price, for each stream that runs at a replica, of the time that it pauses while a
 prompt is read there. Without it one replica reads long prompts all the time and its
@@ -72,6 +77,7 @@
     address: Address | None = None
     tokens: int = 0
     link_mbps: float = 1.0
+    domain: DomainName = DomainName("")
 
 
 class _Candidate(msgspec.Struct, frozen=True):
@@ -95,6 +101,8 @@
     candidates: list[_Candidate]
     sources: dict[str, list[_Source]]
     """By scope: the two that hold most, best first; one may be the candidate itself."""
+    home_store: PromptStore | None
+    """Where the prompt's shared parts are kept beside the replicas."""
     homes: dict[str, _Candidate] = {}
 
 
@@ -133,7 +141,8 @@
         candidates = self._find_candidates(request, prompt, usable, goal, now_ms)
         shared = prompt.find_shared()
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
-        field = _Field(prompt, shared, engine, goal, candidates, sources)
+        home_store = choose_store(stores, shared[-1].name) if shared else None
+        field = _Field(prompt, shared, engine, goal, candidates, sources, home_store)
         best: PlacedPrompt | None = None
         for each in candidates:
             placed = self._score(each, field, now_ms)
@@ -177,13 +186,17 @@
         for each in candidates:
             replica = each.known.replica
             held = self._book.count_leading(replica.name, each.scope, shared, now_ms)
-            source = _Source(replica.name, replica.address, held, engine.link_mbps)
+            source = _Source(
+                replica.name, replica.address, held, engine.link_mbps, replica.domain
+            )
             found.setdefault(each.scope, []).append(source)
         for scope, sources in found.items():
             for store in stores:
                 name = name_store(store)
                 held = self._book.count_leading(name, scope, shared, now_ms)
-                sources.append(_Source(name, store.address, held, store.link_mbps))
+                sources.append(
+                    _Source(name, store.address, held, store.link_mbps, store.domain)
+                )
             sources.sort(key=lambda source: -source.tokens)
             del sources[2:]
         return found
@@ -208,17 +221,12 @@
         read_ms = unread / speed
         total_ms = wait_ms + read_ms * (1.0 + use.running * PAUSE_SHARE)
         total_ms += self._price(candidate, field.goal, now_ms)
-        total_ms += fetched * engine.bytes_per_token * 8 / (source.link_mbps * 1_000)
+        total_ms += _compute_fetch(fetched, candidate, source, engine)
         missing = _find_missing(field.shared, covered)
         address = source.address
         if missing is not None:
-            home = _find_home(field, missing)
             total_ms += self._price_missing(candidate, field, missing, covered, now_ms)
-            if address is None and home is not candidate:
-                # Other nodes send it where hashing says. A wrong guess costs about a
-                # millisecond.
-                is_same = home.scope == candidate.scope
-                address = home.known.replica.address if is_same else None
+            address = address or _guess_source(candidate, field, missing)
         return PlacedPrompt(
             replica=candidate.known,
             weights_version=candidate.version,
@@ -264,6 +272,32 @@
         return price_ms
 
 
+def _compute_fetch(
+    tokens: int, candidate: _Candidate, source: _Source, engine: EngineTraits
+) -> float:
+    """Return how long parts take from a source to a replica, in ms."""
+    is_near = source.domain == candidate.known.replica.domain
+    factor = 1.0 if is_near else FAR_FACTOR
+    bits = tokens * engine.bytes_per_token * 8
+    return bits * factor / (source.link_mbps * 1_000)
+
+
+def _guess_source(
+    candidate: _Candidate, field: _Field, missing: Part
+) -> Address | None:
+    """Return where a part may be that nobody is known to hold.
+
+    A wrong guess costs about a millisecond.
+    """
+    store = field.home_store
+    if store is not None and len(field.candidates) > MANY_REPLICAS:
+        return store.address
+    # Other nodes send it where hashing says.
+    home = _find_home(field, missing)
+    is_other = home is not candidate and home.scope == candidate.scope
+    return home.known.replica.address if is_other else None
+
+
 def _pick_source(sources: Sequence[_Source], candidate: _Candidate) -> _Source:
     """Return who holds more of a prompt's front than a candidate itself."""
     own = candidate.known.replica.name
--- a/packages/toucanyard/src/toucanyard/part_sources.py
+++ b/packages/toucanyard/src/toucanyard/part_sources.py
@@ -2,23 +2,27 @@
 
 Each of them answers a bounded number of such calls at once, over all nodes. Where there
 are more nodes than that, nobody asks replicas, and stores are asked by those that go
-first in the hash order of the store.
+first in the hash order of the store; they tell the others that a store lives.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Final
 
 import msgspec
 
+from toucanyard.link_messages import StoreNews
 from toucanyard.names import Address, EndpointName
+from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.roster import Roster
 from toucanyard.routes import PromptStore, RouteIndex
 
 SPARE_FOLLOWERS: Final = 2
 """Calls that a holder has free for nodes that restart while their old call lasts."""
+STORE_FOLLOWERS: Final = 2
+"""Nodes of a large fleet that ask a store; the others are told that it lives."""
 HEARD_MS: Final = 2_500.0
 """After this silence a store is not used; fetching from a dead one takes longer than
 reading a part."""
@@ -36,23 +40,53 @@
     return EndpointName(f"store {store.address}")
 
 
+def choose_store(stores: Sequence[PromptStore], part: str) -> PromptStore | None:
+    """Return the store that keeps the prompts that end with a shared part.
+
+    All nodes choose the same one without asking, and several stores together keep what
+    each alone would drop.
+    """
+    key = compute_seed(EndpointName(part))
+    return max(
+        stores,
+        key=lambda each: compute_weight(compute_seed(name_store(each)), key),
+        default=None,
+    )
+
+
+class _Heard(msgspec.Struct):
+    heard_ms: float
+    epoch: int
+
+
 class PartSources:
     """The holders that this node follows, and the stores that it may use."""
 
-    __slots__ = ("_directory", "_heard_ms", "_roster")
+    __slots__ = ("_directory", "_heard", "_roster")
 
     def __init__(self, directory: ReplicaDirectory, roster: Roster) -> None:
         self._directory = directory
         self._roster = roster
-        self._heard_ms: dict[EndpointName, float] = {}
+        self._heard: dict[EndpointName, _Heard] = {}
 
-    def note_heard(self, holder: EndpointName, now_ms: float) -> None:
-        """Take in that a holder answered."""
-        self._heard_ms[holder] = now_ms
+    def note_heard(self, holder: EndpointName, heard_ms: float, epoch: int) -> bool:
+        """Take in that a holder answered; return whether it has started anew."""
+        before = self._heard.get(holder)
+        if before is not None and heard_ms <= before.heard_ms:
+            return False
+        self._heard[holder] = _Heard(heard_ms, epoch)
+        return before is not None and before.epoch != epoch
 
     def note_lost(self, holder: EndpointName) -> None:
         """Take in that a holder did not answer."""
-        self._heard_ms.pop(holder, None)
+        self._heard.pop(holder, None)
+
+    def list_stores(self, index: RouteIndex, now_ms: float) -> Iterable[StoreNews]:
+        """Return what to tell other nodes of the stores that are heard from."""
+        for store in self.find_stores(index, now_ms):
+            name = name_store(store)
+            heard = self._heard[name]
+            yield StoreNews(name, now_ms - heard.heard_ms, heard.epoch)
 
     def find_followed(self, index: RouteIndex, now_ms: float) -> list[PartHolder]:
         """Return the holders that this node should ask."""
@@ -67,9 +101,13 @@
         return [
             store
             for store in index.table.stores
-            if now_ms - self._heard_ms.get(name_store(store), float("-inf")) <= HEARD_MS
+            if self._is_heard(name_store(store), now_ms)
         ]
 
+    def _is_heard(self, name: EndpointName, now_ms: float) -> bool:
+        heard = self._heard.get(name)
+        return heard is not None and now_ms - heard.heard_ms <= HEARD_MS
+
     def _list_holders(
         self, index: RouteIndex, now_ms: float
     ) -> Iterator[tuple[PartHolder, int, bool]]:
@@ -92,4 +130,5 @@
             return True
         # In a large fleet hashing and what peers send must do for replicas: the polls
         # of a tenth of 70 replicas take 5% of a core.
-        return is_store and self._roster.find_fleet_rank(holder.name) < room
+        room = min(room, STORE_FOLLOWERS)
+        return is_store and self._roster.find_rank(holder.name, now_ms) < room
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -21,7 +21,7 @@
 from toucanyard.names import Address, EndpointName, NodeId, NodeName
 from toucanyard.node_records import NodeRecord
 from toucanyard.part_book import Part
-from toucanyard.part_sources import PartSources
+from toucanyard.part_sources import PartSources, name_store
 from toucanyard.relay_events import (
     CallArrived,
     CallerLeft,
@@ -115,6 +115,7 @@
             self.flow.reports,
             self.bulletin,
             self.goals,
+            lambda now_ms: self.sources.list_stores(self.index, now_ms),
             options.link_mbps,
         )
         self.is_stopping = False
@@ -278,6 +279,10 @@
     ) -> Iterator[RelayAction]:
         self.statuses.read(sender, status, now_ms)
         self.flow.node_count = self.roster.count_nodes(now_ms)
+        for store in status.stores:
+            heard_ms = now_ms - store.heard_age_ms
+            if self.sources.note_heard(store.store, heard_ms, store.epoch):
+                self.flow.book.forget(store.store)
         self._apply_parts(status.parts, now_ms)
         hold_ms = 0.0 if self.roster.is_meshed() else POLLED_HOLD_MS
         yield from self.exchange.answer_status(
@@ -288,9 +293,9 @@
         if isinstance(event, HolderLost):
             self.sources.note_lost(event.holder)
             return
-        self.sources.note_heard(event.holder, now_ms)
         book = self.flow.book
-        if event.is_reset:
+        is_new = self.sources.note_heard(event.holder, now_ms, event.epoch)
+        if event.is_reset or is_new:
             book.forget(event.holder)
         for change in event.changes:
             book.note_stored(
@@ -312,7 +317,8 @@
     def _find_memory(self, name: EndpointName) -> int:
         known = self.directory.find(name)
         if known is None:
-            return 0
+            stores = self.index.table.stores
+            return sum(e.memory_tokens for e in stores if name_store(e) == name)
         service = self.index.find_service(known.replica.service)
         if service is None or service.engine is None:
             return 0
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -79,6 +79,8 @@
     holder: EndpointName
     changes: tuple[PartChange, ...]
     is_reset: bool
+    epoch: int = 0
+    """Another one after each of its restarts."""
 
 
 class HolderLost(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 import msgspec
@@ -17,13 +17,14 @@
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, RequestId, ServiceName
 from toucanyard.part_book import PartBook
-from toucanyard.part_placement import PartPlacement
+from toucanyard.part_placement import PartPlacement, PlacedPrompt
 from toucanyard.part_reports import PartReports
-from toucanyard.part_sources import PartSources
+from toucanyard.part_sources import PartSources, choose_store, name_store
 from toucanyard.plain_placement import PlainPlacement
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import (
     PlacementReason,
+    Prompt,
     RelayDispatch,
     RelayOutcome,
     RelayRequest,
@@ -33,7 +34,7 @@
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
 from toucanyard.retry_budget import SharedRetryBudget
-from toucanyard.routes import EngineTraits, RouteIndex, RouteTable
+from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
 from toucanyard.weights_goals import WeightsGoals
 
 MIN_RETRY_AFTER_MS: Final = 100
@@ -46,6 +47,9 @@
 NO_REPLICA_WAIT_MS: Final = 1_500.0
 """How long a call waits while its service has no usable replica at all: replicas load
 weights for less than that, and a list that lapsed is back."""
+MIN_KEPT_TOKENS: Final = 500
+"""Least shared tokens of a prompt that a store keeps: reading fewer takes no longer
+than the transfer."""
 MAX_BLOCKED: Final = 8
 """Calls of one queue that are looked at once some don't fit; the rest hardly would."""
 
@@ -302,6 +306,9 @@
             self.reports.note(
                 replica.name, placed.scope, part.name, part.tokens, now_ms + read_ms
             )
+        keeper = self._find_keeper(prompt, placed, stores)
+        if keeper is not None:
+            self._note_saved(keeper, placed, prompt, now_ms + read_ms)
         reason = PlacementReason(
             total_ms=placed.total_ms,
             wait_ms=placed.wait_ms,
@@ -318,9 +325,29 @@
             cache_scope=placed.scope,
             fetch_from=placed.source,
             # What no replica had is kept aside: it outlives the replica that reads it.
-            save_to=stores[0].address if stores and placed.has_missing else None,
+            save_to=None if keeper is None else keeper.address,
         )
 
+    def _find_keeper(
+        self, prompt: Prompt, placed: PlacedPrompt, stores: Sequence[PromptStore]
+    ) -> PromptStore | None:
+        """Return the store that is to keep what the replica reads, if that is much."""
+        shared = prompt.find_shared()
+        if not placed.has_missing or not shared:
+            return None
+        if sum(part.tokens for part in shared) < MIN_KEPT_TOKENS:
+            return None
+        return choose_store(stores, shared[-1].name)
+
+    def _note_saved(
+        self, keeper: PromptStore, placed: PlacedPrompt, prompt: Prompt, ready_ms: float
+    ) -> None:
+        """Note that a store is to keep the shared parts of a prompt."""
+        name, shared = name_store(keeper), prompt.find_shared()
+        self.book.note(name, placed.scope, shared, ready_ms, keeper.memory_tokens)
+        for part in shared:
+            self.reports.note(name, placed.scope, part.name, part.tokens, ready_ms)
+
     def _place_plain(
         self, pending: _Pending, usable: list[KnownReplica], now_ms: float
     ) -> RelayDispatch | None:
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Final
 
 import msgspec
@@ -20,6 +20,7 @@
     NodeStatus,
     ReadPart,
     ReplicaUse,
+    StoreNews,
 )
 from toucanyard.names import NodeName
 from toucanyard.part_reports import PartReports
@@ -68,6 +69,7 @@
         reports: PartReports,
         bulletin: ReplicaBulletin,
         goals: WeightsGoals,
+        list_stores: Callable[[float], Iterable[StoreNews]],
         link_mbps: float,
     ) -> None:
         self._roster = roster
@@ -76,6 +78,7 @@
         self._reports = reports
         self._bulletin = bulletin
         self._goals = goals
+        self._list_stores = list_stores
         self._link_mbps = link_mbps
         self._leaves: set[NodeName] = set()
         """The nodes that report to this one."""
@@ -256,6 +259,7 @@
             store_trouble_age_ms=(
                 trouble_age_ms if trouble_age_ms < STORE_TROUBLE_MS else -1.0
             ),
+            stores=tuple(self._list_stores(now_ms)),
             covers=Coverage.NOBODY,
         )
 
