--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -33,8 +33,10 @@
 )
 from toucanyard_node.relay_task import Errand, RelayClient
 
-LOOK_S: Final = 0.05
-"""Time between two looks at whether a read is due."""
+LOOK_S: Final = {Topic.REPLICAS: 0.05, Topic.NODES: 0.25}
+"""Time between two looks at whether a read of a topic is due."""
+FAR_LOOK_S: Final = 0.15
+"""The least such time in a fleet that is not meshed, where few of many nodes read."""
 RETRY_S: Final = 0.25
 """Pause after a failed read."""
 MAX_RETRY_S: Final = 1.0
@@ -88,7 +90,8 @@
                 self._core.note_read_begun(topic, now_ms)
                 if not await self._read(topic, 0.0):
                     await trio.sleep(RETRY_S)
-            await trio.sleep(LOOK_S)
+            least_s = 0.0 if self._core.roster.is_meshed() else FAR_LOOK_S
+            await trio.sleep(max(LOOK_S[topic], least_s))
 
     async def _read(self, topic: Topic, wait_ms: float) -> bool:
         asked_ms = trio.current_time() * 1000
--- a/packages/toucanyard/src/toucanyard/part_book.py
+++ b/packages/toucanyard/src/toucanyard/part_book.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -131,19 +131,12 @@
         return tokens
 
     def is_being_read(
-        self,
-        replicas: Iterable[EndpointName],
-        scope: str,
-        part: Part,
-        now_ms: float,
+        self, replica: EndpointName, scope: str, part: Part, now_ms: float
     ) -> bool:
-        """Tell whether one of some replicas is reading a part now."""
-        for replica in replicas:
-            shelf = self._shelves.get(replica)
-            held = None if shelf is None else shelf.kept.get((scope, part.name))
-            if held is not None and held.ready_ms > now_ms:
-                return True
-        return False
+        """Tell whether a replica is reading a part now."""
+        shelf = self._shelves.get(replica)
+        held = None if shelf is None else shelf.kept.get((scope, part.name))
+        return held is not None and held.ready_ms > now_ms
 
     def _trim(self, shelf: _Shelf, max_tokens: int) -> None:
         while shelf.tokens > max_tokens and shelf.kept:
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from toucanyard.names import Address, DomainName, EndpointName
+from toucanyard.names import Address, DomainName, EndpointName, RequestId
 from toucanyard.part_book import Part, PartBook
 from toucanyard.part_sources import choose_store, name_store
 from toucanyard.relay_requests import Prompt, RelayRequest
@@ -71,13 +71,44 @@
 
 
 class _Source(msgspec.Struct, frozen=True):
-    """Where parts can be fetched, and how many tokens of a prompt's front."""
+    """Where the front of a prompt can be fetched."""
+
+    name: EndpointName
+    address: Address
+    link_mbps: float
+    domain: DomainName
+
+
+class _Sources(msgspec.Struct):
+    """Who holds most of a prompt's front."""
 
-    name: EndpointName = EndpointName("")
-    address: Address | None = None
     tokens: int = 0
-    link_mbps: float = 1.0
-    domain: DomainName = DomainName("")
+    """How much of it they hold."""
+    holders: list[_Source] = []
+
+    def note(self, source: _Source, tokens: int) -> None:
+        """Take in what one of them holds."""
+        if tokens > self.tokens:
+            self.tokens = tokens
+            self.holders = []
+        if tokens and tokens == self.tokens:
+            self.holders.append(source)
+
+    def pick(self, candidate: _Candidate, request_id: RequestId) -> _Source | None:
+        """Return the source for one call, a near one if there is any.
+
+        Calls spread over the holders: a holder's transfers run one after another, and
+        with one source for all, those of a hot part waited for up to two seconds.
+        """
+        own = candidate.known.replica
+        others = [each for each in self.holders if each.name != own.name]
+        near = [each for each in others if each.domain == own.domain]
+        key = compute_seed(EndpointName(request_id))
+        return max(
+            near or others,
+            key=lambda each: compute_weight(compute_seed(each.name), key),
+            default=None,
+        )
 
 
 class _Candidate(msgspec.Struct, frozen=True):
@@ -88,6 +119,18 @@
     """Tokens of the prompt's front that it holds or will soon."""
 
 
+class _Scored(msgspec.Struct, frozen=True):
+    """A candidate with its score, the lowest of which wins."""
+
+    candidate: _Candidate
+    total_ms: float
+    wait_ms: float
+    unread_tokens: int
+    fetched_tokens: int
+    missing: Part | None
+    """The first shared part that nobody holds yet."""
+
+
 class _Field(msgspec.Struct):
     """What is looked up once for all candidates of one prompt.
 
@@ -99,11 +142,13 @@
     engine: EngineTraits
     goal: Goal | None
     candidates: list[_Candidate]
-    sources: dict[str, list[_Source]]
-    """By scope: the two that hold most, best first; one may be the candidate itself."""
+    sources: dict[str, _Sources]
+    """By scope."""
     home_store: PromptStore | None
     """Where the prompt's shared parts are kept beside the replicas."""
     homes: dict[str, _Candidate] = {}
+    readers: dict[tuple[str, str], list[EndpointName]] = {}
+    """By scope and part: the replicas that are reading it."""
 
 
 def compute_scope(request: RelayRequest, prompt: Prompt, version: int) -> str:
@@ -143,12 +188,12 @@
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
         home_store = choose_store(stores, shared[-1].name) if shared else None
         field = _Field(prompt, shared, engine, goal, candidates, sources, home_store)
-        best: PlacedPrompt | None = None
+        best: _Scored | None = None
         for each in candidates:
-            placed = self._score(each, field, now_ms)
-            if placed is not None and (best is None or placed.total_ms < best.total_ms):
-                best = placed
-        return best
+            scored = self._score(each, field, now_ms)
+            if scored is not None and (best is None or scored.total_ms < best.total_ms):
+                best = scored
+        return None if best is None else _build_placed(best, field, request.request_id)
 
     def _find_candidates(
         self,
@@ -180,30 +225,27 @@
         engine: EngineTraits,
         stores: Sequence[PromptStore],
         now_ms: float,
-    ) -> dict[str, list[_Source]]:
+    ) -> dict[str, _Sources]:
         """Return, for each scope, who holds most of a prompt's front now."""
-        found: dict[str, list[_Source]] = {}
+        found: dict[str, _Sources] = {}
         for each in candidates:
             replica = each.known.replica
             held = self._book.count_leading(replica.name, each.scope, shared, now_ms)
             source = _Source(
-                replica.name, replica.address, held, engine.link_mbps, replica.domain
+                replica.name, replica.address, engine.link_mbps, replica.domain
             )
-            found.setdefault(each.scope, []).append(source)
-        for scope, sources in found.items():
-            for store in stores:
-                name = name_store(store)
+            found.setdefault(each.scope, _Sources()).note(source, held)
+        for store in stores:
+            name = name_store(store)
+            source = _Source(name, store.address, store.link_mbps, store.domain)
+            for scope, sources in found.items():
                 held = self._book.count_leading(name, scope, shared, now_ms)
-                sources.append(
-                    _Source(name, store.address, held, store.link_mbps, store.domain)
-                )
-            sources.sort(key=lambda source: -source.tokens)
-            del sources[2:]
+                sources.note(source, held)
         return found
 
     def _score(
         self, candidate: _Candidate, field: _Field, now_ms: float
-    ) -> PlacedPrompt | None:
+    ) -> _Scored | None:
         name = candidate.known.replica.name
         engine = field.engine
         use = self._uses.compute(name, now_ms)
@@ -212,33 +254,20 @@
         is_full = use.tokens + needed > engine.memory_tokens * FULL_SHARE
         if use.running and (is_full or use.running >= engine.slots):
             return None
-        source = _pick_source(field.sources[candidate.scope], candidate)
-        covered = max(candidate.held_tokens, source.tokens)
-        fetched = max(source.tokens - candidate.held_tokens, 0)
+        sources = field.sources[candidate.scope]
+        covered = max(candidate.held_tokens, sources.tokens)
+        fetched = max(sources.tokens - candidate.held_tokens, 0)
         unread = total_tokens - covered
         speed = self._uses.tokens_per_ms
         wait_ms = use.unread_tokens / speed + use.running * RUNNING_MS
         read_ms = unread / speed
         total_ms = wait_ms + read_ms * (1.0 + use.running * PAUSE_SHARE)
         total_ms += self._price(candidate, field.goal, now_ms)
-        total_ms += _compute_fetch(fetched, candidate, source, engine)
+        total_ms += _compute_fetch(fetched, candidate, sources, engine)
         missing = _find_missing(field.shared, covered)
-        address = source.address
         if missing is not None:
             total_ms += self._price_missing(candidate, field, missing, covered, now_ms)
-            address = address or _guess_source(candidate, field, missing)
-        return PlacedPrompt(
-            replica=candidate.known,
-            weights_version=candidate.version,
-            scope=candidate.scope,
-            total_ms=total_ms,
-            wait_ms=wait_ms,
-            unread_tokens=unread,
-            fetched_tokens=fetched,
-            source=address,
-            considered=len(field.candidates),
-            has_missing=missing is not None,
-        )
+        return _Scored(candidate, total_ms, wait_ms, unread, fetched, missing)
 
     def _price(self, candidate: _Candidate, goal: Goal | None, now_ms: float) -> float:
         price_ms = FAILURE_MS * candidate.known.compute_failures(now_ms)
@@ -259,27 +288,66 @@
         price_ms = 0.0
         if candidate is not _find_home(field, missing):
             price_ms += AFFINITY_MS
-        others = [
-            other.known.replica.name
-            for other in field.candidates
-            if other.held_tokens > covered
-            and other is not candidate
-            and other.scope == candidate.scope
-        ]
-        if self._book.is_being_read(others, candidate.scope, missing, now_ms):
+        readers = self._find_readers(field, candidate.scope, missing, now_ms)
+        if any(name != candidate.known.replica.name for name in readers):
             rest = sum(part.tokens for part in field.shared) - covered
             price_ms += rest * REREAD_MS_PER_TOKEN
         return price_ms
 
+    def _find_readers(
+        self, field: _Field, scope: str, part: Part, now_ms: float
+    ) -> list[EndpointName]:
+        """Return the replicas that are reading a part now."""
+        key = (scope, part.name)
+        readers = field.readers.get(key)
+        if readers is None:
+            readers = field.readers[key] = [
+                each.known.replica.name
+                for each in field.candidates
+                if each.scope == scope
+                and self._book.is_being_read(
+                    each.known.replica.name, scope, part, now_ms
+                )
+            ]
+        return readers
+
+
+def _build_placed(
+    scored: _Scored, field: _Field, request_id: RequestId
+) -> PlacedPrompt:
+    candidate = scored.candidate
+    source = None
+    if scored.fetched_tokens:
+        source = field.sources[candidate.scope].pick(candidate, request_id)
+    address = None if source is None else source.address
+    if address is None and scored.missing is not None:
+        address = _guess_source(candidate, field, scored.missing)
+    return PlacedPrompt(
+        replica=candidate.known,
+        weights_version=candidate.version,
+        scope=candidate.scope,
+        total_ms=scored.total_ms,
+        wait_ms=scored.wait_ms,
+        unread_tokens=scored.unread_tokens,
+        fetched_tokens=scored.fetched_tokens,
+        source=address,
+        considered=len(field.candidates),
+        has_missing=scored.missing is not None,
+    )
+
 
 def _compute_fetch(
-    tokens: int, candidate: _Candidate, source: _Source, engine: EngineTraits
+    tokens: int, candidate: _Candidate, sources: _Sources, engine: EngineTraits
 ) -> float:
     """Return how long parts take from a source to a replica, in ms."""
-    is_near = source.domain == candidate.known.replica.domain
-    factor = 1.0 if is_near else FAR_FACTOR
+    if not tokens:
+        return 0.0
+    domain = candidate.known.replica.domain
     bits = tokens * engine.bytes_per_token * 8
-    return bits * factor / (source.link_mbps * 1_000)
+    return min(
+        bits * (1.0 if each.domain == domain else FAR_FACTOR) / (each.link_mbps * 1_000)
+        for each in sources.holders
+    )
 
 
 def _guess_source(
@@ -298,15 +366,6 @@
     return home.known.replica.address if is_other else None
 
 
-def _pick_source(sources: Sequence[_Source], candidate: _Candidate) -> _Source:
-    """Return who holds more of a prompt's front than a candidate itself."""
-    own = candidate.known.replica.name
-    for source in sources:
-        if source.name != own:
-            return source if source.tokens > candidate.held_tokens else _Source()
-    return _Source()
-
-
 def _find_missing(shared: Sequence[Part], covered: int) -> Part | None:
     """Return the first shared part that is not among the covered tokens."""
     tokens = 0
--- a/packages/toucanyard/src/toucanyard/weights_duty.py
+++ b/packages/toucanyard/src/toucanyard/weights_duty.py
@@ -31,6 +31,10 @@
 LAST_READ_MS: Final = 300.0
 """Time after the work is done at which candidates look who did it, and when."""
 
+LOOK_MS: Final = 100.0
+"""Time between two looks for replicas that are behind; at each tick, those of 70 took a
+fifth of all that a node decides."""
+
 DutyAction = AppendTurn | ReadTurns | ReadReplicaState | WeightsOrder
 
 
@@ -54,6 +58,7 @@
         "_uses",
         "_work",
         "_identity",
+        "_looked_ms",
     )
 
     def __init__(
@@ -73,6 +78,7 @@
         self._turns = Turns(identity, lease_ms)
         self._rollouts: dict[str, WeightsRollout] = {}
         self._work = _Work()
+        self._looked_ms = float("-inf")
 
     def handle(
         self,
@@ -107,6 +113,10 @@
         next one would wait out the lease, and a roll of all VMs would stop every
         holder before the weights are in place.
         """
+        is_idle = self._work.since_ms is None and not self.list_changing()
+        if is_idle and now_ms - self._looked_ms < LOOK_MS:
+            return []
+        self._looked_ms = now_ms
         behind = self._find_behind(now_ms)
         if not behind and not self.list_changing():
             return self._rest(now_ms)
--- a/tests/toucanyard/relay_examples.py
+++ b/tests/toucanyard/relay_examples.py
@@ -18,6 +18,7 @@
 from toucanyard.requests import Repeatability
 from toucanyard.routes import (
     EngineTraits,
+    PromptStore,
     Route,
     RoutedCustomer,
     RoutedService,
@@ -35,6 +36,7 @@
     link_mbps=1_000_000.0,
     max_followers=12,
 )
+STORE = PromptStore(Address("10.9.0.1:1"), DomainName("d1"), 700_000, 260_000.0, 12)
 LISTEN = RelayListen(
     callers=Address("10.0.0.1:1"),
     readiness=Address("10.0.0.1:2"),
@@ -70,6 +72,7 @@
         "version": version,
         "routes": (build_route("r", "/a/"),),
         "services": (RoutedService(ENGINES, 600, TRAITS), RoutedService(DESK, 100)),
+        "stores": (STORE,),
         "customers": (RoutedCustomer(CustomerName("c"), ("key",)),),
     }
     return RouteTable(**(fields | changes))  # type: ignore[arg-type]
--- a/tests/toucanyard/test_part_book.py
+++ b/tests/toucanyard/test_part_book.py
@@ -34,8 +34,8 @@
     book = PartBook()
     book.note(A, "s", CHAIN, 50.0, 1_000)
     assert book.count_leading(A, "s", CHAIN, 49.0) == 0
-    assert book.is_being_read([A], "s", CHAIN[0], 49.0)
-    assert not book.is_being_read([A], "s", CHAIN[0], 50.0)
+    assert book.is_being_read(A, "s", CHAIN[0], 49.0)
+    assert not book.is_being_read(A, "s", CHAIN[0], 50.0)
     book.note(A, "s", CHAIN, 20.0, 1_000)
     assert book.count_leading(A, "s", CHAIN, 20.0) == 160
 
--- a/tests/toucanyard/test_part_placement.py
+++ b/tests/toucanyard/test_part_placement.py
@@ -2,16 +2,20 @@
 
 from collections.abc import Sequence
 
+import msgspec
+import pytest
+
 from toucanyard.names import Address, CustomerName, DomainName, EndpointName, RequestId
 from toucanyard.part_book import Part, PartBook
 from toucanyard.part_placement import (
     FULL_SHARE,
     LATE_AFTER_MS,
+    MANY_REPLICAS,
     PartPlacement,
     PlacedPrompt,
     compute_scope,
 )
-from toucanyard.part_sources import name_store
+from toucanyard.part_sources import choose_store, name_store
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica
 from toucanyard.routes import PromptStore
@@ -44,6 +48,7 @@
         stores: Sequence[PromptStore] = (),
         **changes: object,
     ) -> PlacedPrompt | None:
+        changes.setdefault("request_id", RequestId("q"))
         request = build_request("q", prompt=PROMPT, **changes)
         return self.placement.choose(
             request, PROMPT, TRAITS, self.known, self.goal, stores, now_ms
@@ -194,3 +199,86 @@
     for _ in range(3):
         known.note_failure(1_000.0, is_dead=False)
     assert find_name(pool.choose()) != favourite
+
+
+STORES = tuple(
+    PromptStore(Address(f"10.2.0.{at}:1"), DomainName("d2"), 700_000, 100_000.0, 12)
+    for at in range(3)
+)
+MANY = [f"r{number}" for number in range(MANY_REPLICAS + 4)]
+
+
+def test_all_nodes_keep_a_prompt_in_the_same_store() -> None:
+    """Three stores; each node saves what its replicas read.
+
+    With the first store alone, two thirds of the memory and of the links are idle.
+    """
+    chosen = [choose_store(STORES, f"part {number}") for number in range(300)]
+    again = [choose_store(STORES[::-1], f"part {number}") for number in range(300)]
+    assert chosen == again
+    for store in STORES:
+        assert chosen.count(store) > 60
+    assert choose_store((), "part") is None
+
+
+def test_part_that_nobody_is_known_to_hold_is_asked_of_its_store() -> None:
+    """Among many replicas load sends a part elsewhere than hashing does.
+
+    Whoever read it saved it to the store that its name gives; a replica guessed by
+    hashing has it seldom.
+    """
+    placed = Pool(*MANY).choose(stores=STORES)
+    store = choose_store(STORES, "subject")
+    assert placed is not None
+    assert store is not None
+    assert placed.source == store.address
+    few = Pool(*"abcd").choose(stores=STORES)
+    assert few is not None
+    assert few.source not in {each.address for each in STORES}
+
+
+def test_fetching_from_another_domain_takes_twice_as_long() -> None:
+    pool = Pool("a")
+    near = PromptStore(Address("10.2.0.1:1"), DomainName("d1"), 700_000, 1_000.0, 12)
+    totals = []
+    for store in (near, msgspec.structs.replace(near, domain=DomainName("d2"))):
+        memory = store.memory_tokens
+        parts = PROMPT.parts[:2]
+        pool.book.note(name_store(store), f"{MODEL}/1/", parts, 0.0, memory)
+        placed = pool.choose(stores=(store,))
+        assert placed is not None
+        totals.append(placed.total_ms)
+    fetch_ms = 6_200 * TRAITS.bytes_per_token * 8 / 1_000 / 1_000
+    assert totals[1] - totals[0] == pytest.approx(fetch_ms)
+
+
+def test_calls_fetch_a_hot_part_from_all_that_hold_it_near_ones_first() -> None:
+    """Six of eight replicas hold a part that every call needs, in two domains.
+
+    A holder's transfers run one after another: fetched by all from the same holder, a
+    hot part waits for seconds behind the others.
+    """
+    pool = Pool()
+    pool.known = [
+        KnownReplica(
+            build_replica(
+                f"r{at}",
+                address=Address(f"10.1.0.{at}:1"),
+                domain=DomainName(f"d{at % 2}"),
+            )
+        )
+        for at in range(8)
+    ]
+    for at in range(6):
+        pool.note(f"r{at}", PROMPT.parts[:1])
+        pool.load(f"r{at}", 3, 1_000, 9_000)
+    sources = set()
+    for number in range(40):
+        placed = pool.choose(request_id=RequestId(f"q{number}"))
+        assert placed is not None
+        assert find_name(placed) in ("r6", "r7")
+        assert placed.source is not None
+        at = int(placed.source.rpartition(".")[2].partition(":")[0])
+        assert at % 2 == int(find_name(placed)[1:]) % 2
+        sources.add(at)
+    assert len(sources) == 3
--- a/tests/toucanyard/test_status_exchange.py
+++ b/tests/toucanyard/test_status_exchange.py
@@ -4,10 +4,18 @@
 
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import EndpointName, NodeName, RequestId
-from toucanyard.relay_events import CallArrived, StopBegun
+from toucanyard.part_sources import HEARD_MS, STORE_FOLLOWERS, name_store
+from toucanyard.relay_events import CallArrived, PartsChanged, StopBegun
 from toucanyard.roster import MAX_ADDRESSES
 
-from .relay_examples import DESK, ENGINES, build_prompt, build_replica, build_request
+from .relay_examples import (
+    DESK,
+    ENGINES,
+    STORE,
+    build_prompt,
+    build_replica,
+    build_request,
+)
 from .relay_fleet import PlannedFleet, put
 
 FAR_MS = 1_200.0
@@ -134,6 +142,52 @@
     assert counts == {MAX_ADDRESSES}
 
 
+def test_store_that_two_nodes_ask_is_known_to_all_and_forgotten_as_it_ends() -> None:
+    """Two nodes of a large fleet ask a store of prompts, which then falls silent.
+
+    Every node may use it while it answers; fetching from a dead store costs each call
+    some hundred ms, so all must stop.
+    """
+    fleet = build_fleet()
+    address = STORE.address
+    for core in fleet.cores.values():
+        assert not core.sources.find_stores(core.index, fleet.now_ms)
+    followers = [
+        name
+        for name, core in fleet.cores.items()
+        if any(
+            each.address == address
+            for each in core.sources.find_followed(core.index, fleet.now_ms)
+        )
+    ]
+    assert len(followers) == STORE_FOLLOWERS
+    for _ in range(8):
+        for name in followers:
+            heard = PartsChanged(name_store(STORE), (), is_reset=False, epoch=1)
+            fleet.handle(name, heard)
+        fleet.run(250.0)
+    for core in fleet.cores.values():
+        assert core.sources.find_stores(core.index, fleet.now_ms)
+    fleet.run(HEARD_MS + 250.0)
+    for core in fleet.cores.values():
+        assert not core.sources.find_stores(core.index, fleet.now_ms)
+
+
+def test_store_that_starts_anew_is_empty_for_all() -> None:
+    fleet = build_fleet()
+    name, follower = name_store(STORE), next(iter(fleet.cores))
+    parts = build_prompt().parts[:1]
+    fleet.handle(follower, PartsChanged(name, (), is_reset=False, epoch=1))
+    fleet.run(FAR_MS)
+    for core in fleet.cores.values():
+        core.flow.book.note(name, "m/1/", parts, 0.0, STORE.memory_tokens)
+    fleet.handle(follower, PartsChanged(name, (), is_reset=False, epoch=2))
+    fleet.run(FAR_MS)
+    for core in fleet.cores.values():
+        book = core.flow.book
+        assert book.count_leading(name, "m/1/", parts, float("inf")) == 0
+
+
 def test_replica_that_leaves_is_known_to_all_within_the_way_of_a_push() -> None:
     fleet = build_fleet()
     reader = list(fleet.cores)[-1]
