--- a/tests/toucanyard/test_part_placement.py
+++ b/tests/toucanyard/test_part_placement.py
@@ -46,10 +46,10 @@
         self,
         now_ms: float = 1_000.0,
         stores: Sequence[PromptStore] = (),
+        request_id: str = "q",
         **changes: object,
     ) -> PlacedPrompt | None:
-        changes.setdefault("request_id", RequestId("q"))
-        request = build_request("q", prompt=PROMPT, **changes)
+        request = build_request(request_id, prompt=PROMPT, **changes)
         return self.placement.choose(
             request, PROMPT, TRAITS, self.known, self.goal, stores, now_ms
         )
@@ -274,7 +274,7 @@
         pool.load(f"r{at}", 3, 1_000, 9_000)
     sources = set()
     for number in range(40):
-        placed = pool.choose(request_id=RequestId(f"q{number}"))
+        placed = pool.choose(request_id=f"q{number}")
         assert placed is not None
         assert find_name(placed) in ("r6", "r7")
         assert placed.source is not None
