Soak nodes on stand-ins of the users' platform under faults drawn from a seed

Cause: faults were tried one at a time on stand-ins of the platform; the campaigns with overlapping faults speak only the product's own protocol.

--- /dev/null
+++ b/tests/toucanyard_platform/test_soak.py
@@ -0,0 +1,134 @@
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import trio
+from faulty_proxy import Fault, FaultyProxy
+from fleet import find_port
+from soak import SoakOptions, run_soak
+from soak_callers import TIME_MS, CallSeen
+from soak_faults import Targets, plan_faults
+from soak_verdict import LATE_S, count_runs, iterate_problems
+
+from toucanyard.names import Address
+
+STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 11))
+TARGETS = Targets(("n1", "n2"), ("e1",), ("e1", "store-of-n1"))
+
+
+def build_call(kind: str = "once", **changes: object) -> CallSeen:
+    fields: dict[str, object] = {
+        "status": 200,
+        "stamp": "d1.c",
+        "body": STREAM if kind == "stream" else b"d1 /desk/c",
+        "is_whole": True,
+        "ended_s": 1.0,
+    }
+    call = CallSeen("c", kind, "n1", "/desk/c", 0.5)
+    for name, value in (fields | changes).items():
+        setattr(call, name, value)
+    return call
+
+
+def find_problems(call: CallSeen, runs: int = 1) -> list[str]:
+    return list(iterate_problems([call], {"c": runs}, [("n1", 10.0, 12.0)]))
+
+
+@pytest.mark.parametrize("kind", ["once", "repeatable", "stream"])
+def test_right_answers_are_no_problem(kind: str) -> None:
+    assert not find_problems(build_call(kind))
+    assert not find_problems(build_call(kind, status=502, is_whole=True), runs=1)
+    assert not find_problems(build_call(kind, status=503, body=b""), runs=0)
+    assert not find_problems(build_call(kind, status=None, is_whole=False, body=b""))
+
+
+@pytest.mark.parametrize(
+    ("call", "runs"),
+    [
+        (build_call(), 2),
+        (build_call("repeatable"), 3),
+        (build_call("stream", status=503, body=b""), 1),
+        (build_call(status=429, body=b""), 1),
+        (build_call(stamp="d1.other"), 1),
+        (build_call(body=b"d2 /desk/c"), 1),
+        (build_call(), 0),
+        (build_call("stream", body=STREAM[:-40]), 1),
+        (build_call("stream", body=STREAM + STREAM[-24:]), 1),
+        (build_call("stream", body=STREAM[21:], is_whole=False), 1),
+        (build_call(ended_s=0.6 + TIME_MS / 1000 + LATE_S), 1),
+    ],
+)
+def test_each_broken_promise_is_found(call: CallSeen, runs: int) -> None:
+    assert find_problems(call, runs)
+
+
+def test_node_that_was_paused_may_answer_late() -> None:
+    late = build_call(sent_s=9.0, ended_s=20.0)
+    assert not find_problems(late)
+    late.node = "n2"
+    assert find_problems(late)
+
+
+def test_runs_are_counted_over_all_replicas() -> None:
+    lines = ["event=ran call=a", "event=listening", "event=ran call=b"]
+    assert count_runs([*lines, "event=ran call=a"]) == {"a": 2, "b": 1}
+
+
+def test_seed_gives_the_same_faults_each_time() -> None:
+    first = plan_faults(7, 30.0, 2.0, TARGETS)
+    assert first == plan_faults(7, 30.0, 2.0, TARGETS)
+    assert first != plan_faults(8, 30.0, 2.0, TARGETS)
+    assert 30 < len(first) < 100
+    assert all(each.at_s < 30.0 for each in first)
+
+
+async def answer_in_capitals(stream: trio.SocketStream) -> None:
+    async for data in stream:
+        await stream.send_all(data.upper())
+
+
+async def test_proxy_passes_on_silences_and_resets(autojump_clock: object) -> None:
+    """One connection passes, goes silent for good and is reset at last.
+
+    A proxy that did less would let a soak pass that has seen no fault.
+    """
+    host = "127.0.0.1"
+    target = Address(f"{host}:{find_port(host)}")
+    proxy = FaultyProxy(Address(f"{host}:{find_port(host)}"), target)
+    async with trio.open_nursery() as nursery:
+        port = int(target.partition(":")[2])
+        serve = trio.serve_tcp
+        await nursery.start(
+            lambda task_status: serve(
+                answer_in_capitals, port, host=host, task_status=task_status
+            )
+        )
+        nursery.start_soon(proxy.run)
+        await trio.testing.wait_all_tasks_blocked()
+        own = int(proxy.address.partition(":")[2])
+        stream = await trio.open_tcp_stream(host, own)
+        await stream.send_all(b"a")
+        assert await stream.receive_some() == b"A"
+        proxy.set_fault(Fault.SILENCE)
+        await stream.send_all(b"b")
+        with trio.move_on_after(5.0) as silence:
+            await stream.receive_some()
+        assert silence.cancelled_caught
+        proxy.set_fault(Fault.NONE)
+        with trio.move_on_after(5.0) as silence:
+            await stream.receive_some()
+        assert silence.cancelled_caught
+        proxy.set_fault(Fault.RESET)
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.receive_some()
+        nursery.cancel_scope.cancel()
+
+
+async def test_short_soak_breaks_no_promise(tmp_path: Path) -> None:
+    """Processes are killed, paused, stopped and cut off while callers go on."""
+    options = SoakOptions(seed=3, length_s=5.0, faults_per_s=1.5, folder=tmp_path)
+    report = await run_soak(options)
+    assert report.problems == []
+    assert report.faults > 0
+    assert report.answered > 0
