Save to a near store, price transfers, and name a source also where a replica should hold the parts (not measured yet)

Transfers moved 3,500 GB in 34 s, about what three stores' links carry when two thirds cross domains: calls waited behind what cold replicas saved. Ruled out: uneven load (calls spread over 69 replicas, 5 running at each), refusals. Change: save to a store of the replica's own domain; a transfer counts four times its own time in a choice; short prompts are not asked of stores; a call names a store also where its replica is believed to hold the parts, which it may have dropped since.

--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -46,6 +46,12 @@
 MANY_REPLICAS: Final = 16
 """Replicas beyond which load sends many parts elsewhere than hashing does. What nobody
 is known to hold is then fetched from its store on a guess."""
+MIN_MOVED_TOKENS: Final = 500
+"""Least shared tokens of a prompt that are worth a guess or a place in a store: reading
+fewer takes no longer than the transfer."""
+MOVE_PRICE: Final = 4.0
+"""Price of a transfer as a multiple of its own time: others wait behind it, which the
+node that chooses doesn't see."""
 FAR_FACTOR: Final = 2.0
 """How much longer a transfer between failure domains takes."""
 PAUSE_SHARE: Final = 0.1
@@ -144,8 +150,7 @@
     candidates: list[_Candidate]
     sources: dict[str, _Sources]
     """By scope."""
-    home_store: PromptStore | None
-    """Where the prompt's shared parts are kept beside the replicas."""
+    stores: Sequence[PromptStore]
     homes: dict[str, _Candidate] = {}
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """By scope and part: the replicas that are reading it."""
@@ -186,8 +191,7 @@
         candidates = self._find_candidates(request, prompt, usable, goal, now_ms)
         shared = prompt.find_shared()
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
-        home_store = choose_store(stores, shared[-1].name) if shared else None
-        field = _Field(prompt, shared, engine, goal, candidates, sources, home_store)
+        field = _Field(prompt, shared, engine, goal, candidates, sources, stores)
         best: _Scored | None = None
         for each in candidates:
             scored = self._score(each, field, now_ms)
@@ -320,7 +324,7 @@
     if scored.fetched_tokens:
         source = field.sources[candidate.scope].pick(candidate, request_id)
     address = None if source is None else source.address
-    if address is None and scored.missing is not None:
+    if address is None:
         address = _guess_source(candidate, field, scored.missing)
     return PlacedPrompt(
         replica=candidate.known,
@@ -339,27 +343,35 @@
 def _compute_fetch(
     tokens: int, candidate: _Candidate, sources: _Sources, engine: EngineTraits
 ) -> float:
-    """Return how long parts take from a source to a replica, in ms."""
+    """Return the price of bringing parts from a source to a replica, in ms."""
     if not tokens:
         return 0.0
     domain = candidate.known.replica.domain
     bits = tokens * engine.bytes_per_token * 8
-    return min(
+    return MOVE_PRICE * min(
         bits * (1.0 if each.domain == domain else FAR_FACTOR) / (each.link_mbps * 1_000)
         for each in sources.holders
     )
 
 
 def _guess_source(
-    candidate: _Candidate, field: _Field, missing: Part
+    candidate: _Candidate, field: _Field, missing: Part | None
 ) -> Address | None:
-    """Return where a part may be that nobody is known to hold.
+    """Return where parts may be that nobody else is known to hold.
 
-    A wrong guess costs about a millisecond.
+    A wrong guess costs about a millisecond. Among many replicas it is made also where
+    the candidate holds everything: it may have dropped parts since, and would read
+    them again.
     """
-    store = field.home_store
-    if store is not None and len(field.candidates) > MANY_REPLICAS:
-        return store.address
+    if len(field.candidates) > MANY_REPLICAS:
+        if sum(part.tokens for part in field.shared) < MIN_MOVED_TOKENS:
+            return None
+        domain = candidate.known.replica.domain
+        store = choose_store(field.stores, field.shared[-1].name, domain)
+        if store is not None:
+            return store.address
+    if missing is None:
+        return None
     # Other nodes send it where hashing says.
     home = _find_home(field, missing)
     is_other = home is not candidate and home.scope == candidate.scope
--- a/packages/toucanyard/src/toucanyard/part_sources.py
+++ b/packages/toucanyard/src/toucanyard/part_sources.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from toucanyard.link_messages import StoreNews
-from toucanyard.names import Address, EndpointName
+from toucanyard.names import Address, DomainName, EndpointName
 from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.roster import Roster
@@ -40,15 +40,20 @@
     return EndpointName(f"store {store.address}")
 
 
-def choose_store(stores: Sequence[PromptStore], part: str) -> PromptStore | None:
-    """Return the store that keeps the prompts that end with a shared part.
+def choose_store(
+    stores: Sequence[PromptStore], part: str, domain: DomainName
+) -> PromptStore | None:
+    """Return the store for what a replica in a domain reads of a prompt.
 
-    All nodes choose the same one without asking, and several stores together keep what
-    each alone would drop.
+    A near one, since transfers between domains take twice as long: with far ones, what
+    70 replicas with cold memory saved filled the stores' links, and calls waited for
+    two seconds behind it. Among several the last shared part decides, so that all nodes
+    choose the same one without asking.
     """
+    near = [each for each in stores if each.domain == domain]
     key = compute_seed(EndpointName(part))
     return max(
-        stores,
+        near or stores,
         key=lambda each: compute_weight(compute_seed(name_store(each)), key),
         default=None,
     )
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -17,7 +17,11 @@
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, RequestId, ServiceName
 from toucanyard.part_book import PartBook
-from toucanyard.part_placement import PartPlacement, PlacedPrompt
+from toucanyard.part_placement import (
+    MIN_MOVED_TOKENS,
+    PartPlacement,
+    PlacedPrompt,
+)
 from toucanyard.part_reports import PartReports
 from toucanyard.part_sources import PartSources, choose_store, name_store
 from toucanyard.plain_placement import PlainPlacement
@@ -47,9 +51,6 @@
 NO_REPLICA_WAIT_MS: Final = 1_500.0
 """How long a call waits while its service has no usable replica at all: replicas load
 weights for less than that, and a list that lapsed is back."""
-MIN_KEPT_TOKENS: Final = 500
-"""Least shared tokens of a prompt that a store keeps: reading fewer takes no longer
-than the transfer."""
 MAX_BLOCKED: Final = 8
 """Calls of one queue that are looked at once some don't fit; the rest hardly would."""
 
@@ -335,9 +336,10 @@
         shared = prompt.find_shared()
         if not placed.has_missing or not shared:
             return None
-        if sum(part.tokens for part in shared) < MIN_KEPT_TOKENS:
+        if sum(part.tokens for part in shared) < MIN_MOVED_TOKENS:
             return None
-        return choose_store(stores, shared[-1].name)
+        domain = placed.replica.replica.domain
+        return choose_store(stores, shared[-1].name, domain)
 
     def _note_saved(
         self, keeper: PromptStore, placed: PlacedPrompt, prompt: Prompt, ready_ms: float
