--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -0,0 +1,34 @@
+"""Know how far one relayed call has come."""
+
+from __future__ import annotations
+
+import msgspec
+
+from toucanyard.names import EndpointName
+from toucanyard.relay_requests import RelayRequest
+
+
+class PendingCall(msgspec.Struct):
+    """One relayed call that is not over."""
+
+    request: RelayRequest
+    sends: int = 0
+    """Sends that may have reached a replica."""
+    dispatches: int = 0
+    tried: tuple[EndpointName, ...] = ()
+    replica: EndpointName | None = None
+    scope: str = ""
+    weights_version: int | None = None
+    """Weights of the last dispatch."""
+    has_begun: bool = False
+    """Its answer has begun, and goes on under no other weights."""
+    is_waiting: bool = False
+    queued_ms: float = 0.0
+    may_have_run: bool = False
+    """Never goes back to false: a later refusal must not say "not run"."""
+    has_failed: bool = False
+    """The last try that may have run ended with an answer that says that it failed."""
+
+    def rank(self) -> tuple[int, float]:
+        """Return its place in a queue: the most urgent first, then by deadline."""
+        return self.request.rank, self.request.deadline_ms
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -162,7 +162,7 @@
 
     def handle(self, event: RelayEvent, now_ms: float) -> list[RelayAction]:
         """Take one event in and return what must be done now, in this order."""
-        self.flow.view_confirmed_ms = self.exchange.views[Topic.REPLICAS].confirmed_ms
+        self.flow.note_view(self.exchange.views[Topic.REPLICAS].confirmed_ms)
         return list(self._handle(event, now_ms))
 
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -8,46 +8,27 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from typing import Final
 
 import msgspec
 
+from toucanyard.call_placement import CallPlacement
 from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.names import EndpointName, RequestId, ServiceName
-from toucanyard.part_book import PartBook
-from toucanyard.part_placement import (
-    MIN_MOVED_TOKENS,
-    PartPlacement,
-    PlacedPrompt,
-)
-from toucanyard.part_reports import PartReports
-from toucanyard.part_sources import PartSources, choose_store, name_store
-from toucanyard.plain_placement import PlainPlacement
+from toucanyard.names import RequestId, ServiceName
+from toucanyard.part_sources import PartSources
+from toucanyard.pending_call import PendingCall
 from toucanyard.relay_options import RelayOptions
-from toucanyard.relay_requests import (
-    PlacementReason,
-    Prompt,
-    RelayDispatch,
-    RelayOutcome,
-    RelayRequest,
-    RelayVerdict,
-)
-from toucanyard.replica_uses import ReplicaUses
+from toucanyard.relay_requests import RelayOutcome, RelayRequest, RelayVerdict
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
 from toucanyard.retry_budget import SharedRetryBudget
-from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
+from toucanyard.routes import RouteIndex
 from toucanyard.weights_goals import WeightsGoals
 
 MIN_RETRY_AFTER_MS: Final = 100
 MAX_RETRY_AFTER_MS: Final = 2_000
-CALL_PATIENCE: Final = 3.0
-"""Targets after which a call that may run twice is tried elsewhere."""
-STREAM_PATIENCE: Final = 2.0
-"""Targets after which a stream that may be resumed is begun elsewhere."""
-MIN_PATIENCE_MS: Final = 400.0
 NO_REPLICA_WAIT_MS: Final = 1_500.0
 """How long a call waits while its service has no usable replica at all: replicas load
 weights for less than that, and a list that lapsed is back."""
@@ -62,26 +43,6 @@
     verdict: RelayVerdict | None
 
 
-class _Pending(msgspec.Struct):
-    request: RelayRequest
-    sends: int = 0
-    """Sends that may have reached a replica."""
-    dispatches: int = 0
-    tried: tuple[EndpointName, ...] = ()
-    replica: EndpointName | None = None
-    scope: str = ""
-    weights_version: int | None = None
-    """Weights of the last dispatch."""
-    has_begun: bool = False
-    """Its answer has begun, and goes on under no other weights."""
-    is_waiting: bool = False
-    queued_ms: float = 0.0
-    may_have_run: bool = False
-    """Never goes back to false: a later refusal must not say "not run"."""
-    has_failed: bool = False
-    """The last try that may have run ended with an answer that says that it failed."""
-
-
 class RelayFlow:
     """All relayed calls of one node that are not over.
 
@@ -98,27 +59,26 @@
         rng: random.Random,
     ) -> None:
         self._options = options
-        self._sources = sources
         self._rng = rng
         self._directory = directory
         self._goals = goals
-        self._index = RouteIndex(RouteTable())
-        self._pending: dict[RequestId, _Pending] = {}
-        self._queues: dict[ServiceName, list[_Pending]] = {}
+        self._pending: dict[RequestId, PendingCall] = {}
+        self._queues: dict[ServiceName, list[PendingCall]] = {}
         self._drains: dict[ServiceName, DrainRate] = {}
         self._budgets: dict[ServiceName, SharedRetryBudget] = {}
         self.node_count = 1
-        self.view_confirmed_ms = float("-inf")
-        self.reports = PartReports()
-        self.uses = ReplicaUses()
-        self.book = PartBook()
-        max_old_ms = options.weights.deadline_ms * 0.8
-        self._placement = PartPlacement(self.book, self.uses, max_old_ms)
-        self._plain = PlainPlacement(options.domain, self.uses, rng)
+        self._calls = CallPlacement(options, directory, goals, sources, rng)
+        self.uses = self._calls.uses
+        self.book = self._calls.book
+        self.reports = self._calls.reports
 
     def apply_index(self, index: RouteIndex) -> None:
         """Decide by this table from now on."""
-        self._index = index
+        self._calls.index = index
+
+    def note_view(self, confirmed_ms: float) -> None:
+        """Take in when the store last confirmed the list of replicas."""
+        self._calls.view_confirmed_ms = confirmed_ms
 
     def count_pending(self) -> int:
         """Return how many calls are not over."""
@@ -130,7 +90,7 @@
 
     def arrive(self, request: RelayRequest, now_ms: float) -> Iterator[RelayReply]:
         """Take in a new call."""
-        pending = _Pending(request, queued_ms=now_ms)
+        pending = PendingCall(request, queued_ms=now_ms)
         self._pending[request.request_id] = pending
         self._find_budget(request.service).note_first_try(now_ms)
         if request.deadline_ms <= now_ms:
@@ -139,7 +99,7 @@
             )
             return
         if not self._queues.get(request.service):
-            dispatch = self._place(pending, now_ms)
+            dispatch = self._calls.place(pending, now_ms)
             if dispatch is not None:
                 yield RelayReply(request.request_id, dispatch)
                 return
@@ -162,7 +122,7 @@
         if pending is None or pending.replica is None:
             return
         self.uses.note_started(pending.replica, request_id, now_ms)
-        self._note_parts(pending, now_ms)
+        self._calls.note_read(pending, now_ms)
         yield from self._drain(pending.request.service, now_ms)
 
     def end_dispatch(
@@ -182,7 +142,7 @@
             yield from self._give_up(pending, outcome, now_ms)
             return
         pending.replica = None
-        dispatch = self._place(pending, now_ms)
+        dispatch = self._calls.place(pending, now_ms)
         if dispatch is not None:
             yield RelayReply(outcome.request_id, dispatch)
             return
@@ -193,11 +153,11 @@
         pending.queued_ms = now_ms
         self._enqueue(pending)
 
-    def _enqueue(self, pending: _Pending) -> None:
+    def _enqueue(self, pending: PendingCall) -> None:
         pending.is_waiting = True
         queue = self._queues.setdefault(pending.request.service, [])
         queue.append(pending)
-        queue.sort(key=_rank)
+        queue.sort(key=PendingCall.rank)
 
     def tick(self, now_ms: float) -> Iterator[RelayReply]:
         """Refuse what can't be sent in time any more and send what fits."""
@@ -217,7 +177,7 @@
             return
         blocked = 0
         for pending in list(queue):
-            dispatch = self._place(pending, now_ms)
+            dispatch = self._calls.place(pending, now_ms)
             if dispatch is None:
                 blocked += 1
                 if blocked >= MAX_BLOCKED:
@@ -227,7 +187,7 @@
             pending.is_waiting = False
             yield RelayReply(pending.request.request_id, dispatch)
 
-    def _check_wait(self, pending: _Pending, now_ms: float) -> RelayReply | None:
+    def _check_wait(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Refuse at once what would not be reached before its deadline."""
         request = pending.request
         if not self._directory.find_listed(request.service, now_ms):
@@ -238,13 +198,13 @@
             return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
         return None
 
-    def _compute_wait(self, pending: _Pending, now_ms: float) -> float:
+    def _compute_wait(self, pending: PendingCall, now_ms: float) -> float:
         request = pending.request
         queue = self._queues.get(request.service, [])
-        ahead = sum(_rank(each) <= _rank(pending) for each in queue)
+        ahead = sum(each.rank() <= pending.rank() for each in queue)
         return self._find_drain(request.service).compute_wait(ahead, now_ms)
 
-    def _is_hopeless(self, pending: _Pending, now_ms: float) -> bool:
+    def _is_hopeless(self, pending: PendingCall, now_ms: float) -> bool:
         """Tell whether a waiting call is better told now than later.
 
         What is left of its time when it is refused is what its caller can retry in.
@@ -256,156 +216,9 @@
             return False
         return not self._directory.find_usable(request.service, now_ms)
 
-    def _place(self, pending: _Pending, now_ms: float) -> RelayDispatch | None:
-        request = pending.request
-        service = self._index.find_service(request.service)
-        usable = self._directory.find_usable(request.service, now_ms)
-        fresh = [each for each in usable if each.replica.name not in pending.tried]
-        # A single replica is tried again rather than nothing.
-        usable = fresh or usable
-        if not usable:
-            return None
-        if request.prompt is not None and service is not None and service.engine:
-            return self._place_prompt(pending, service.engine, usable, now_ms)
-        return self._place_plain(pending, usable, now_ms)
-
-    def _place_prompt(
-        self,
-        pending: _Pending,
-        engine: EngineTraits,
-        usable: list[KnownReplica],
-        now_ms: float,
-    ) -> RelayDispatch | None:
-        request = pending.request
-        prompt = request.prompt
-        assert prompt is not None
-        goal = self._goals.find(prompt.model)
-        if pending.has_begun and pending.weights_version is not None:
-            # What another version goes on with is no part of the same answer.
-            version = pending.weights_version
-            usable = [e for e in usable if e.weights.get(prompt.model) == version]
-        stores = self._sources.find_stores(self._index, now_ms)
-        placed = self._placement.choose(
-            request, prompt, engine, usable, goal, stores, now_ms
-        )
-        if placed is None:
-            return None
-        pending.weights_version = placed.weights_version
-        replica = placed.replica.replica
-        tokens = prompt.count_tokens() + prompt.max_output_tokens
-        self._begin(pending, replica.name, tokens, placed.unread_tokens, now_ms)
-        pending.scope = placed.scope
-        read_ms = placed.wait_ms + placed.unread_tokens / self.uses.tokens_per_ms
-        self.book.note(
-            replica.name,
-            placed.scope,
-            prompt.parts,
-            now_ms + read_ms,
-            engine.memory_tokens,
-        )
-        for part in prompt.parts:
-            self.reports.note(
-                replica.name, placed.scope, part.name, part.tokens, now_ms + read_ms
-            )
-        keeper = self._find_keeper(prompt, placed, stores)
-        if keeper is not None:
-            self._note_saved(keeper, placed, prompt, now_ms + read_ms)
-        reason = PlacementReason(
-            total_ms=placed.total_ms,
-            wait_ms=placed.wait_ms,
-            unread_tokens=placed.unread_tokens,
-            fetched_tokens=placed.fetched_tokens,
-            considered=placed.considered,
-            queued_ms=now_ms - request.arrived_ms,
-            view_age_ms=now_ms - self.view_confirmed_ms,
-        )
-        dispatch = self._build_dispatch(pending, placed.replica, reason)
-        return msgspec.structs.replace(
-            dispatch,
-            weights_version=placed.weights_version,
-            cache_scope=placed.scope,
-            fetch_from=placed.source,
-            # What no replica had is kept aside: it outlives the replica that reads it.
-            save_to=None if keeper is None else keeper.address,
-        )
-
-    def _find_keeper(
-        self, prompt: Prompt, placed: PlacedPrompt, stores: Sequence[PromptStore]
-    ) -> PromptStore | None:
-        """Return the store that is to keep what the replica reads, if that is much."""
-        shared = prompt.find_shared()
-        if not placed.has_missing or not shared:
-            return None
-        if sum(part.tokens for part in shared) < MIN_MOVED_TOKENS:
-            return None
-        domain = placed.replica.replica.domain
-        return choose_store(stores, shared[-1].name, domain)
-
-    def _note_saved(
-        self, keeper: PromptStore, placed: PlacedPrompt, prompt: Prompt, ready_ms: float
-    ) -> None:
-        """Note that a store is to keep the shared parts of a prompt."""
-        name, shared = name_store(keeper), prompt.find_shared()
-        self.book.note(name, placed.scope, shared, ready_ms, keeper.memory_tokens)
-        for part in shared:
-            self.reports.note(name, placed.scope, part.name, part.tokens, ready_ms)
-
-    def _place_plain(
-        self, pending: _Pending, usable: list[KnownReplica], now_ms: float
-    ) -> RelayDispatch | None:
-        placed = self._plain.choose(usable, now_ms)
-        if placed is None:
-            return None
-        self._begin(pending, placed.replica.replica.name, 0, 0, now_ms)
-        reason = PlacementReason(
-            total_ms=placed.load,
-            wait_ms=0.0,
-            unread_tokens=0,
-            fetched_tokens=0,
-            considered=len(usable),
-            queued_ms=now_ms - pending.request.arrived_ms,
-            view_age_ms=now_ms - self.view_confirmed_ms,
-        )
-        return self._build_dispatch(pending, placed.replica, reason)
-
-    def _build_dispatch(
-        self, pending: _Pending, known: KnownReplica, reason: PlacementReason
-    ) -> RelayDispatch:
-        request, replica = pending.request, known.replica
-        return RelayDispatch(
-            request_id=request.request_id,
-            replica=replica.name,
-            address=replica.address,
-            attempt=pending.dispatches,
-            rank=request.rank,
-            patience_ms=self._compute_patience(pending),
-            reason=reason,
-        )
-
-    def _begin(
-        self,
-        pending: _Pending,
-        replica: EndpointName,
-        tokens: int,
-        unread_tokens: int,
-        now_ms: float,
+    def _learn(
+        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
     ) -> None:
-        request_id = pending.request.request_id
-        pending.replica = replica
-        pending.dispatches += 1
-        pending.sends += 1
-        self.uses.begin(replica, request_id, tokens, unread_tokens, now_ms)
-
-    def _compute_patience(self, pending: _Pending) -> float:
-        """Return how long to wait for an answer before trying elsewhere."""
-        request = pending.request
-        is_last = pending.sends >= request.max_attempts
-        if is_last or request.repeatability is not Repeatability.REPEATABLE:
-            return float("inf")
-        factor = STREAM_PATIENCE if request.is_stream else CALL_PATIENCE
-        return max(request.target_ms * factor, MIN_PATIENCE_MS)
-
-    def _learn(self, pending: _Pending, outcome: RelayOutcome, now_ms: float) -> None:
         self.uses.end(outcome.replica, outcome.request_id)
         known = self._directory.find(outcome.replica)
         prompt = pending.request.prompt
@@ -430,7 +243,7 @@
             case EndingSeen.REFUSED:
                 known.note_refusal(now_ms)
 
-    def _note_sends(self, pending: _Pending, outcome: RelayOutcome) -> None:
+    def _note_sends(self, pending: PendingCall, outcome: RelayOutcome) -> None:
         if outcome.ending not in PROVED_NOT_RUN:
             pending.may_have_run = True
             pending.has_failed = outcome.ending is EndingSeen.FAILED
@@ -438,7 +251,7 @@
             # It reached nobody, so it is none of the attempts that a route allows.
             pending.sends -= 1
 
-    def _guess_weights(self, known: KnownReplica, pending: _Pending) -> None:
+    def _guess_weights(self, known: KnownReplica, pending: PendingCall) -> None:
         """Believe a replica that refused for its weights to have the wanted ones."""
         prompt = pending.request.prompt
         goal = None if prompt is None else self._goals.find(prompt.model)
@@ -451,7 +264,7 @@
             self.book.forget(known.replica.name)
 
     def _may_try_again(
-        self, pending: _Pending, outcome: RelayOutcome, now_ms: float
+        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
     ) -> bool:
         request = pending.request
         is_safe = (
@@ -473,14 +286,14 @@
         return self._find_budget(request.service).take(self.node_count, now_ms)
 
     def _give_up(
-        self, pending: _Pending, outcome: RelayOutcome, now_ms: float
+        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
     ) -> Iterator[RelayReply]:
         text = f"{pending.dispatches} tries failed, the last one: {outcome.text}"
         yield self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
         yield from self._finish(pending, now_ms)
 
     def _refuse(
-        self, pending: _Pending, kind: ErrorKind, text: str, now_ms: float
+        self, pending: PendingCall, kind: ErrorKind, text: str, now_ms: float
     ) -> RelayReply:
         """End a call with no more than is proved, and say when to come back.
 
@@ -506,7 +319,7 @@
         refusal = Refuse(request.request_id, kind, ending, text, retry_after_ms)
         return RelayReply(request.request_id, refusal)
 
-    def _finish(self, pending: _Pending, now_ms: float) -> Iterator[RelayReply]:
+    def _finish(self, pending: PendingCall, now_ms: float) -> Iterator[RelayReply]:
         """Free what a call held and send what fits now."""
         request = pending.request
         self._pending.pop(request.request_id, None)
@@ -518,17 +331,6 @@
             self._find_drain(request.service).note(now_ms)
         yield from self._drain(request.service, now_ms)
 
-    def _note_parts(self, pending: _Pending, now_ms: float) -> None:
-        prompt = pending.request.prompt
-        service = self._index.find_service(pending.request.service)
-        if prompt is None or service is None or service.engine is None:
-            return
-        if pending.replica is not None:
-            memory_tokens = service.engine.memory_tokens
-            self.book.note(
-                pending.replica, pending.scope, prompt.parts, now_ms, memory_tokens
-            )
-
     def _find_drain(self, service: ServiceName) -> DrainRate:
         return self._drains.setdefault(service, DrainRate())
 
@@ -541,8 +343,3 @@
             )
             self._budgets[service] = budget
         return budget
-
-
-def _rank(pending: _Pending) -> tuple[int, float]:
-    request = pending.request
-    return request.rank, request.deadline_ms
