--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -29,8 +29,10 @@
 
 CALL_PATIENCE: Final = 3.0
 """Targets after which a call that may run twice is tried elsewhere."""
-STREAM_PATIENCE: Final = 2.0
-"""Targets after which a stream that may be resumed is begun elsewhere."""
+STREAM_PATIENCE: Final = 2.8
+"""Targets after which a stream that may be resumed is begun elsewhere. Callers leave
+after four without an event. At 2.0, a quarter of the long prompts of a fleet under load
+were begun twice, most of them at replicas that were only slow."""
 MIN_PATIENCE_MS: Final = 400.0
 MAX_OLD_SHARE: Final = 0.8
 """Share of the time for new weights in which a call may still begin on older ones."""
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -43,6 +43,8 @@
 """Time from naming weights until answers on older ones lose worth, less a margin."""
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
+MAX_SEEDS: Final = 10_000
+"""Replicas whose points of hashing are kept; more than twice those of a large fleet."""
 MANY_REPLICAS: Final = 16
 """Replicas beyond which load sends many parts elsewhere than hashing does. What nobody
 is known to hold is then fetched from its store on a guess."""
@@ -54,6 +56,17 @@
 node that chooses doesn't see."""
 FAR_FACTOR: Final = 2.0
 """How much longer a transfer between failure domains takes."""
+SHORT_TOKENS: Final = 3_000
+"""Tokens up to which a prompt is short: it is read in one piece between two tokens of
+the streams that run beside it, so they don't pause for long."""
+SHORT_SHARE: Final = 0.35
+"""Share of many replicas that short prompts go to first, the others being left to long
+ones. Sized for streams of short prompts that last seconds and fill most of the slots
+there, while long prompts keep two thirds of the reading."""
+CROSS_MS: Final = 250.0
+"""Price of a replica that is left to the other kind. An event of seven tokens waits for
+a piece of a long prompt before each of them, 0.8 s in all, when two long prompts are
+read in a row. A call that finds its own side full still goes across."""
 PAUSE_SHARE: Final = 0.1
 """Price, for each stream that runs at a replica, of the time that it pauses while a
 prompt is read there. Without it one replica reads long prompts all the time and its
@@ -151,6 +164,9 @@
     sources: dict[str, _Sources]
     """By scope."""
     stores: Sequence[PromptStore]
+    own_side: list[_Candidate]
+    """The candidates that are left to prompts of this one's length."""
+    own_names: frozenset[EndpointName]
     homes: dict[str, _Candidate] = {}
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """By scope and part: the replicas that are reading it."""
@@ -169,11 +185,12 @@
 class PartPlacement:
     """The choice among replicas that run a model."""
 
-    __slots__ = ("_book", "_max_old_ms", "_uses")
+    __slots__ = ("_book", "_max_old_ms", "_seeds", "_uses")
 
     def __init__(self, book: PartBook, uses: ReplicaUses, max_old_ms: float) -> None:
         self._book = book
         self._uses = uses
+        self._seeds: dict[EndpointName, int] = {}
         self._max_old_ms = max_old_ms
         """How long after new weights were named older ones may still begin a call."""
 
@@ -191,7 +208,19 @@
         candidates = self._find_candidates(request, prompt, usable, goal, now_ms)
         shared = prompt.find_shared()
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
-        field = _Field(prompt, shared, engine, goal, candidates, sources, stores)
+        own_side = self._find_side(candidates, prompt)
+        own_names = frozenset(each.known.replica.name for each in own_side)
+        field = _Field(
+            prompt,
+            shared,
+            engine,
+            goal,
+            candidates,
+            sources,
+            stores,
+            own_side,
+            own_names,
+        )
         best: _Scored | None = None
         for each in candidates:
             scored = self._score(each, field, now_ms)
@@ -222,6 +251,29 @@
     def _is_too_old(self, version: int, goal: Goal | None, now_ms: float) -> bool:
         return goal is not None and goal.compute_age(version, now_ms) > self._max_old_ms
 
+    def _find_side(
+        self, candidates: list[_Candidate], prompt: Prompt
+    ) -> list[_Candidate]:
+        """Return the candidates that prompts of this length go to first.
+
+        All where there are few. Otherwise hashing divides them, the same on every node.
+        """
+        if len(candidates) <= MANY_REPLICAS:
+            return candidates
+        ordered = sorted(candidates, key=lambda each: self._find_seed(each))
+        short_count = int(len(ordered) * SHORT_SHARE)
+        is_short = prompt.count_tokens() <= SHORT_TOKENS
+        return ordered[:short_count] if is_short else ordered[short_count:]
+
+    def _find_seed(self, candidate: _Candidate) -> int:
+        name = candidate.known.replica.name
+        seed = self._seeds.get(name)
+        if seed is None:
+            if len(self._seeds) > MAX_SEEDS:
+                self._seeds.clear()
+            seed = self._seeds[name] = compute_seed(name)
+        return seed
+
     def _find_sources(
         self,
         candidates: Sequence[_Candidate],
@@ -267,6 +319,8 @@
         read_ms = unread / speed
         total_ms = wait_ms + read_ms * (1.0 + use.running * PAUSE_SHARE)
         total_ms += self._price(candidate, field.goal, now_ms)
+        if name not in field.own_names:
+            total_ms += CROSS_MS
         total_ms += _compute_fetch(fetched, candidate, sources, engine)
         missing = _find_missing(field.shared, covered)
         if missing is not None:
@@ -394,7 +448,7 @@
     if home is None:
         key = compute_seed(EndpointName(part.name))
         home = max(
-            field.candidates,
+            field.own_side or field.candidates,
             key=lambda each: compute_weight(compute_seed(each.known.replica.name), key),
         )
         field.homes[part.name] = home
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -27,6 +27,10 @@
 CHANGING_SHARE: Final = 0.4
 """Share of the replicas that change at once; with more, each load takes longer, and the
 rest can't carry the calls: with all but two of 6 changing, first tokens took 5 s."""
+MANY_REPLICAS: Final = 16
+MANY_CHANGING_SHARE: Final = 0.25
+"""The same share among more replicas than that. With 0.4 of 70 changing and a quarter
+dead, calls found 9 to 24 replicas, and queues of seconds stood long after the load."""
 DRAIN_MS: Final = 600.0
 """How long a replica's calls may take to end before it loads under those left. Streams
 last up to 5 s; waiting for all of them, the last replica loads after 8 s."""
@@ -183,7 +187,9 @@
         ]
         # The idlest first: its calls end soonest.
         behind.sort(key=lambda each: load_of.get(each.replica.name, 0))
-        room = max(MIN_CHANGING, int(CHANGING_SHARE * len(replicas)))
+        is_many = len(replicas) > MANY_REPLICAS
+        share = MANY_CHANGING_SHARE if is_many else CHANGING_SHARE
+        room = max(MIN_CHANGING, int(share * len(replicas)))
         room = min(room, max(len(replicas) - 1, 1)) - len(self._changes)
         for each in behind[: max(room, 0)]:
             self._changes[each.replica.name] = _Change(version, now_ms)
--- a/tests/toucanyard/test_part_placement.py
+++ b/tests/toucanyard/test_part_placement.py
@@ -12,11 +12,13 @@
     LATE_AFTER_MS,
     MANY_REPLICAS,
     MOVE_PRICE,
+    SHORT_SHARE,
     PartPlacement,
     PlacedPrompt,
     compute_scope,
 )
 from toucanyard.part_sources import choose_store, name_store
+from toucanyard.relay_requests import Prompt
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica
 from toucanyard.routes import PromptStore
@@ -301,3 +303,49 @@
         assert at % 2 == int(find_name(placed)[1:]) % 2
         sources.add(at)
     assert len(sources) == 3
+
+
+LONG = build_prompt(("book", 2_500), ("subject", 3_700), ("own", 2_800))
+SHORT = build_prompt(("greeting", 120), ("own", 700))
+SIDES = [f"r{number}" for number in range(40)]
+
+
+def choose_alone(name: str, prompt: Prompt, pool: Pool) -> str:
+    request = build_request(name, prompt=prompt)
+    placed = pool.placement.choose(
+        request, prompt, TRAITS, pool.known, pool.goal, (), 1_000.0
+    )
+    chosen = find_name(placed)
+    tokens = prompt.count_tokens()
+    pool.uses.begin(EndpointName(chosen), RequestId(name), tokens, tokens, 1_000.0)
+    return chosen
+
+
+def test_long_prompts_leave_some_of_many_replicas_to_streams_of_short_ones() -> None:
+    """Forty replicas run streams of short prompts when long ones arrive.
+
+    A stream event waits for a piece of each long prompt that is read beside it; two in
+    a row make every stream there late.
+    """
+    pool = Pool(*SIDES)
+    short = {choose_alone(f"s{number}", SHORT, pool) for number in range(60)}
+    long = {choose_alone(f"l{number}", LONG, pool) for number in range(20)}
+    assert not short & long
+    assert len(short) == int(len(SIDES) * SHORT_SHARE)
+    assert len(long) == 20
+
+
+def test_call_that_finds_its_own_side_full_goes_across() -> None:
+    pool = Pool(*SIDES)
+    short = {choose_alone(f"s{number}", SHORT, pool) for number in range(60)}
+    for number, name in enumerate(sorted(short)):
+        for call in range(TRAITS.slots):
+            request_id = RequestId(f"full{number}-{call}")
+            pool.uses.begin(EndpointName(name), request_id, 10, 0, 1_000.0)
+    assert choose_alone("late", SHORT, pool) not in short
+
+
+def test_few_replicas_serve_prompts_of_every_length() -> None:
+    """With five replicas and a third of them left to short prompts, long ones wait."""
+    pool = Pool(*"abcde")
+    assert len({choose_alone(f"l{number}", LONG, pool) for number in range(5)}) == 5
