Let calls wait for a hot part that one of many replicas reads, and tell of it at once (not measured yet)

Prices sent calls of a part that is being read to its reader, at up to 630 ms of wait since the whole rest of the chain was priced, and other nodes knew of it only 250 to 750 ms later, when most had been sent elsewhere. Change: among more than 16 replicas a call waits in its node for up to 400 ms; only the part that is being read is priced; beginning and end of reading are told at 75 ms a hop.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -96,7 +96,15 @@
             usable = [e for e in usable if e.weights.get(prompt.model) == version]
         stores = self._sources.find_stores(self.index, now_ms)
         placed = self._placement.choose(
-            request, prompt, engine, usable, goal, stores, now_ms
+            request,
+            prompt,
+            engine,
+            usable,
+            goal,
+            stores,
+            now_ms,
+            # The caller of a stream that was cut should rather learn of it at once.
+            may_follow=not pending.has_begun,
         )
         if placed is None:
             return None
@@ -115,7 +123,12 @@
         )
         for part in prompt.parts:
             self.reports.note(
-                replica.name, placed.scope, part.name, part.tokens, now_ms + read_ms
+                replica.name,
+                placed.scope,
+                part.name,
+                part.tokens,
+                now_ms + read_ms,
+                is_new=part is placed.missing,
             )
         keeper = self._find_keeper(prompt, placed, stores)
         if keeper is not None:
@@ -144,7 +157,7 @@
     ) -> PromptStore | None:
         """Return the store that is to keep what the replica reads, if that is much."""
         shared = prompt.find_shared()
-        if not placed.has_missing or not shared:
+        if placed.missing is None or not shared:
             return None
         if sum(part.tokens for part in shared) < MIN_MOVED_TOKENS:
             return None
@@ -222,6 +235,11 @@
         if prompt is None or service is None or service.engine is None:
             return
         if pending.replica is not None:
+            for part in prompt.find_shared():
+                if part.tokens >= MIN_MOVED_TOKENS:
+                    self.reports.note(
+                        pending.replica, pending.scope, part.name, part.tokens, now_ms
+                    )
             memory_tokens = service.engine.memory_tokens
             self.book.note(
                 pending.replica, pending.scope, prompt.parts, now_ms, memory_tokens
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -43,6 +43,10 @@
 """Time from naming weights until answers on older ones lose worth, less a margin."""
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
+MIN_FOLLOWED_TOKENS: Final = 1_000
+MAX_FOLLOW_MS: Final = 400.0
+"""How long a call waits for a part that another replica reads: a long part takes 70 to
+120 ms, and its first call may itself have waited. Then it is sent all the same."""
 MAX_SEEDS: Final = 10_000
 """Replicas whose points of hashing are kept; more than twice those of a large fleet."""
 MANY_REPLICAS: Final = 16
@@ -85,8 +89,8 @@
     fetched_tokens: int
     source: Address | None
     considered: int
-    has_missing: bool
-    """Whether the replica is to read parts that others share."""
+    missing: Part | None
+    """The first part that others share and that the replica is to read."""
 
 
 class _Source(msgspec.Struct, frozen=True):
@@ -171,6 +175,10 @@
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """By scope and part: the replicas that are reading it."""
 
+    def count_shared(self) -> int:
+        """Return the tokens of all shared parts."""
+        return sum(part.tokens for part in self.shared)
+
 
 def compute_scope(request: RelayRequest, prompt: Prompt, version: int) -> str:
     """Return under which name a replica keeps the parts of a prompt.
@@ -203,8 +211,13 @@
         goal: Goal | None,
         stores: Sequence[PromptStore],
         now_ms: float,
+        *,
+        may_follow: bool = True,
     ) -> PlacedPrompt | None:
-        """Return the best replica with room, or None if the call has to wait."""
+        """Return the best replica with room, or None if the call has to wait.
+
+        `may_follow` tells whether it may wait for what another replica reads.
+        """
         candidates = self._find_candidates(request, prompt, usable, goal, now_ms)
         shared = prompt.find_shared()
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
@@ -226,7 +239,30 @@
             scored = self._score(each, field, now_ms)
             if scored is not None and (best is None or scored.total_ms < best.total_ms):
                 best = scored
-        return None if best is None else _build_placed(best, field, request.request_id)
+        if best is None:
+            return None
+        if may_follow and self._should_follow(best, field, request, now_ms):
+            return None
+        return _build_placed(best, field, request.request_id)
+
+    def _should_follow(
+        self, scored: _Scored, field: _Field, request: RelayRequest, now_ms: float
+    ) -> bool:
+        """Tell whether a call should wait for a part that another replica reads now.
+
+        Sent elsewhere it would read the part again, for more than its lateness costs;
+        sent to the reader, all calls of a hot part would queue at one of many replicas.
+        """
+        part = scored.missing
+        is_many = len(field.candidates) > MANY_REPLICAS
+        if part is None or not is_many or part.tokens < MIN_FOLLOWED_TOKENS:
+            return False
+        if now_ms - request.arrived_ms > MAX_FOLLOW_MS:
+            return False
+        candidate = scored.candidate
+        name = candidate.known.replica.name
+        readers = self._find_readers(field, candidate.scope, part, now_ms)
+        return bool(readers) and name not in readers
 
     def _find_candidates(
         self,
@@ -348,8 +384,10 @@
             price_ms += AFFINITY_MS
         readers = self._find_readers(field, candidate.scope, missing, now_ms)
         if any(name != candidate.known.replica.name for name in readers):
-            rest = sum(part.tokens for part in field.shared) - covered
-            price_ms += rest * REREAD_MS_PER_TOKEN
+            is_many = len(field.candidates) > MANY_REPLICAS
+            # Among many replicas others read the rest of a chain seldom.
+            shared = missing.tokens if is_many else field.count_shared() - covered
+            price_ms += shared * REREAD_MS_PER_TOKEN
         return price_ms
 
     def _find_readers(
@@ -390,7 +428,7 @@
         fetched_tokens=scored.fetched_tokens,
         source=address,
         considered=len(field.candidates),
-        has_missing=scored.missing is not None,
+        missing=scored.missing,
     )
 
 
@@ -418,7 +456,7 @@
     them again.
     """
     if len(field.candidates) > MANY_REPLICAS:
-        if sum(part.tokens for part in field.shared) < MIN_MOVED_TOKENS:
+        if field.count_shared() < MIN_MOVED_TOKENS:
             return None
         domain = candidate.known.replica.domain
         store = choose_store(field.stores, field.shared[-1].name, domain)
--- a/packages/toucanyard/src/toucanyard/part_reports.py
+++ b/packages/toucanyard/src/toucanyard/part_reports.py
@@ -12,12 +12,18 @@
 bytes each, more would fill the links of a large fleet in a burst."""
 
 
+URGENT_TOKENS: Final = 1_000
+"""Least tokens of a part that is worth a status at once when its reading begins: until
+other nodes know, they send the same part to be read elsewhere."""
+
+
 class PartReports:
     """Parts that have not been told yet."""
 
-    __slots__ = ("_parts",)
+    __slots__ = ("_parts", "is_urgent")
 
     def __init__(self) -> None:
+        self.is_urgent = False
         self._parts: dict[tuple[EndpointName, str, str], tuple[int, float]] = {}
 
     def note(
@@ -27,9 +33,15 @@
         part: str,
         tokens: int,
         ready_ms: float,
+        *,
+        is_new: bool = False,
     ) -> None:
-        """Note that a replica holds a part, or will from `ready_ms` on."""
+        """Note that a replica holds a part, or will from `ready_ms` on.
+
+        `is_new` tells that nobody held it before.
+        """
         self._parts[(replica, scope, part)] = (tokens, ready_ms)
+        self.is_urgent = self.is_urgent or (is_new and tokens >= URGENT_TOKENS)
         if len(self._parts) > MAX_GATHERED:
             del self._parts[next(iter(self._parts))]
 
@@ -41,4 +53,5 @@
             if tokens >= min_tokens
         )
         self._parts.clear()
+        self.is_urgent = False
         return parts
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -50,7 +50,6 @@
 """Longest time between two full statuses; uses are kept for half as long again."""
 BYTES_PER_MBPS_MS: Final = 125.0
 USE_BYTES: Final = 22
-PART_BYTES: Final = 45
 """Size of an entry as it is sent, by the mean of a large fleet."""
 
 
@@ -132,10 +131,15 @@
     def tick(self, is_ready: bool, now_ms: float) -> Iterator[SendToPeer]:
         """Send what is due."""
         age_ms = now_ms - self._sent_ms
-        is_urgent = self._is_due and (self._roster.is_meshed() or age_ms >= URGENT_MS)
+        is_meshed = self._roster.is_meshed()
+        is_urgent = self._is_due or (self._has_urgent_parts() and not is_meshed)
+        is_urgent = is_urgent and (is_meshed or age_ms >= URGENT_MS)
         if is_urgent or age_ms >= STATUS_MS:
             yield from self.send(is_ready, now_ms)
 
+    def _has_urgent_parts(self) -> bool:
+        return self._reports.is_urgent or self._far_reports.is_urgent
+
     def send(self, is_ready: bool, now_ms: float) -> Iterator[SendToPeer]:
         """Send a status to every peer."""
         self._is_due = False
@@ -180,7 +184,14 @@
         reports = self._reports if sender in self._leaves else self._far_reports
         for each in parts:
             ready_ms = now_ms + each.ready_in_ms
-            reports.note(each.replica, each.scope, each.part, each.tokens, ready_ms)
+            reports.note(
+                each.replica,
+                each.scope,
+                each.part,
+                each.tokens,
+                ready_ms,
+                is_new=each.ready_in_ms > 0,
+            )
 
     def _send_meshed(self, now_ms: float) -> Iterator[SendToPeer]:
         status = msgspec.structs.replace(
@@ -196,18 +207,21 @@
         linked = self._views.linked
         primary = self._roster.find_primary()
         light = self._build_light(now_ms)
-        group, fleet = light, light
+        parts = self._reports.take(LARGE_TOKENS, now_ms)
+        far_parts = self._far_reports.take(LARGE_TOKENS, now_ms)
+        group = msgspec.structs.replace(light, parts=parts)
+        fleet = msgspec.structs.replace(light, parts=parts + far_parts)
         if now_ms - self._nodes_ms >= NODES_MS:
             self._nodes_ms = now_ms
             nodes = self._roster.list_heard(sorted(self._leaves), now_ms)
             alive = self._roster.list_alive(now_ms)
-            group = msgspec.structs.replace(light, nodes=tuple(nodes))
-            fleet = msgspec.structs.replace(light, nodes=tuple(alive))
+            group = msgspec.structs.replace(group, nodes=tuple(nodes))
+            fleet = msgspec.structs.replace(fleet, nodes=tuple(alive))
         if now_ms - self._full_ms >= self._find_full_interval():
             self._full_ms = now_ms
             own = self._uses.report()
             group = self._add_group(group, own, primary, now_ms)
-            fleet = self._add_fleet(fleet, group, own, now_ms)
+            fleet = self._add_fleet(fleet, own, now_ms)
         report = msgspec.structs.replace(group, is_report=True)
         for name in linked:
             if name == primary:
@@ -228,25 +242,21 @@
             status,
             covers=Coverage.GROUP,
             uses=self._uses.sum_group(own, self._leaves - {primary}, now_ms),
-            parts=self._reports.take(LARGE_TOKENS, now_ms),
         )
 
     def _add_fleet(
         self,
         status: NodeStatus,
-        group: NodeStatus,
         own: tuple[ReplicaUse, ...],
         now_ms: float,
     ) -> NodeStatus:
-        far_parts = self._far_reports.take(LARGE_TOKENS, now_ms)
         peers = list(self._uses.list_peers())
         fleet = msgspec.structs.replace(
             status,
             covers=Coverage.FLEET,
             uses=self._uses.sum_group(own, peers, now_ms),
-            parts=group.parts + far_parts,
         )
-        self._full_bytes = len(fleet.uses) * USE_BYTES + len(fleet.parts) * PART_BYTES
+        self._full_bytes = len(fleet.uses) * USE_BYTES
         return fleet
 
     def _build_light(self, now_ms: float) -> NodeStatus:
--- a/tests/toucanyard/test_part_placement.py
+++ b/tests/toucanyard/test_part_placement.py
@@ -11,6 +11,7 @@
     FULL_SHARE,
     LATE_AFTER_MS,
     MANY_REPLICAS,
+    MAX_FOLLOW_MS,
     MOVE_PRICE,
     SHORT_SHARE,
     PartPlacement,
@@ -123,10 +124,10 @@
     assert placed is not None
     assert placed.source == STORE.address
     assert placed.unread_tokens == 2_800
-    assert not placed.has_missing
+    assert placed.missing is None
     without = pool.choose()
     assert without is not None
-    assert without.has_missing
+    assert without.missing is not None
 
 
 def test_parts_of_older_weights_are_never_fetched() -> None:
@@ -251,7 +252,7 @@
     own.note(find_name(placed), PROMPT.parts[:2])
     held = own.choose(stores=STORES)
     assert held is not None
-    assert not held.has_missing
+    assert held.missing is None
     assert held.source == store.address
     few = Pool(*"abcd").choose(stores=STORES)
     assert few is not None
@@ -349,3 +350,34 @@
     """With five replicas and a third of them left to short prompts, long ones wait."""
     pool = Pool(*"abcde")
     assert len({choose_alone(f"l{number}", LONG, pool) for number in range(5)}) == 5
+
+
+def test_call_waits_for_a_hot_part_that_one_of_many_replicas_reads() -> None:
+    """New weights are in place, all memory is cold, and calls need the same rulebook.
+
+    Sent to the one replica that reads it they would queue there for seconds; sent
+    elsewhere each would read it again. A moment later all can fetch it.
+    """
+    pool = Pool(*SIDES)
+    leader = choose_alone("first", PROMPT, pool)
+    pool.note(leader, PROMPT.parts[:1], ready_ms=1_150.0)
+    pool.load(leader, 20, 1_000, 9_000)
+    for now_ms in (1_010.0, 1_140.0):
+        assert pool.choose(now_ms, arrived_ms=1_010.0) is None
+    assert pool.choose(1_010.0, arrived_ms=1_010.0 - MAX_FOLLOW_MS - 1.0) is not None
+    placed = pool.choose(1_151.0, arrived_ms=1_010.0)
+    assert placed is not None
+    assert placed.fetched_tokens == 2_500
+    assert find_name(placed) != leader
+
+
+def test_stream_that_was_cut_does_not_wait_for_a_part() -> None:
+    pool = Pool(*SIDES)
+    leader = choose_alone("first", PROMPT, pool)
+    pool.note(leader, PROMPT.parts[:1], ready_ms=1_150.0)
+    pool.load(leader, 20, 1_000, 9_000)
+    request = build_request("q", prompt=PROMPT, arrived_ms=1_000.0)
+    placed = pool.placement.choose(
+        request, PROMPT, TRAITS, pool.known, pool.goal, (), 1_010.0, may_follow=False
+    )
+    assert placed is not None
--- a/tests/toucanyard/test_status_exchange.py
+++ b/tests/toucanyard/test_status_exchange.py
@@ -84,6 +84,25 @@
     assert {count_running(fleet, name) for name in alive} == {len(alive)}
 
 
+def test_part_that_is_being_read_is_known_to_all_soon() -> None:
+    """A replica begins to read a long part.
+
+    With the next full status of each hop it would be known after it has been read, and
+    every node would have sent it elsewhere meanwhile.
+    """
+    fleet = build_fleet()
+    sender = list(fleet.cores)[-1]
+    send_calls(fleet, [sender])
+    fleet.run(350.0)
+    for core in fleet.cores.values():
+        assert any(
+            core.flow.book.count_leading(
+                EndpointName(name), "m/1/", build_prompt().parts[:1], float("inf")
+            )
+            for name in "abcd"
+        )
+
+
 def test_part_that_is_read_is_known_to_all() -> None:
     """A replica was sent to read a part by a node in one domain.
 
