Choose among a few of many replicas, since what is known of the others is old (not measured yet)

Figures are 250 to 750 ms old; 84 nodes that choose the best of 52 by them send every call to the ones that look idle. Ruled out: transfers (the same with stores priced and near), uneven hashing. Change: among more than 16 replicas a call chooses among three that hashing gives to it, three that it gives to its subject and three that hold most of it; all only if these are full.

--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -10,7 +10,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import heapq
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import msgspec
@@ -43,6 +44,9 @@
 """Time from naming weights until answers on older ones lose worth, less a margin."""
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
+CHOICES: Final = 3
+"""Replicas that hashing gives to a call, to its subject, and that hold most of it, among
+which it chooses: with two or more, load evens out nearly as well as with all."""
 MIN_FOLLOWED_TOKENS: Final = 1_000
 MAX_FOLLOW_MS: Final = 400.0
 """How long a call waits for a part that another replica reads: a long part takes 70 to
@@ -234,17 +238,60 @@
             own_side,
             own_names,
         )
-        best: _Scored | None = None
-        for each in candidates:
-            scored = self._score(each, field, now_ms)
-            if scored is not None and (best is None or scored.total_ms < best.total_ms):
-                best = scored
+        best = self._find_best(self._narrow(field, request), field, now_ms)
+        if best is None:
+            best = self._find_best(candidates, field, now_ms)
         if best is None:
             return None
         if may_follow and self._should_follow(best, field, request, now_ms):
             return None
         return _build_placed(best, field, request.request_id)
 
+    def _narrow(self, field: _Field, request: RelayRequest) -> Sequence[_Candidate]:
+        """Return the candidates that are looked at first.
+
+        All where there are few. Among many, what each node knows of the others' calls
+        is some hundred ms old: if all chose the best of all, the one that looked idle
+        would get every call until they learned of it, and calls would wait there for
+        seconds beside idle replicas. So each call chooses among a few: those that hold
+        its parts, those that hashing gives to its subject, which then is read once, and
+        some that it gives to the call, where calls of a hot subject find room.
+        """
+        if len(field.candidates) <= MANY_REPLICAS:
+            return field.candidates
+        side = field.own_side
+        is_long = field.prompt.count_tokens() > SHORT_TOKENS and field.shared
+        hashed = self._rank_first(side, request.request_id)
+        if is_long:
+            hashed += self._rank_first(side, field.shared[-1].name)
+        holders = heapq.nlargest(
+            CHOICES,
+            (each for each in side if each.held_tokens >= MIN_MOVED_TOKENS),
+            key=lambda each: each.held_tokens,
+        )
+        return [*hashed, *holders]
+
+    def _rank_first(
+        self, candidates: Iterable[_Candidate], matter: str
+    ) -> list[_Candidate]:
+        """Return the few candidates that hashing gives to a matter."""
+        key = compute_seed(EndpointName(matter))
+        return heapq.nlargest(
+            CHOICES,
+            candidates,
+            key=lambda each: compute_weight(self._find_seed(each), key),
+        )
+
+    def _find_best(
+        self, candidates: Iterable[_Candidate], field: _Field, now_ms: float
+    ) -> _Scored | None:
+        best: _Scored | None = None
+        for each in candidates:
+            scored = self._score(each, field, now_ms)
+            if scored is not None and (best is None or scored.total_ms < best.total_ms):
+                best = scored
+        return best
+
     def _should_follow(
         self, scored: _Scored, field: _Field, request: RelayRequest, now_ms: float
     ) -> bool:
@@ -380,11 +427,11 @@
     ) -> float:
         """Return the price of reading the rest of the shared parts at a replica."""
         price_ms = 0.0
-        if candidate is not _find_home(field, missing):
+        is_many = len(field.candidates) > MANY_REPLICAS
+        if not is_many and candidate is not _find_home(field, missing):
             price_ms += AFFINITY_MS
         readers = self._find_readers(field, candidate.scope, missing, now_ms)
         if any(name != candidate.known.replica.name for name in readers):
-            is_many = len(field.candidates) > MANY_REPLICAS
             # Among many replicas others read the rest of a chain seldom.
             shared = missing.tokens if is_many else field.count_shared() - covered
             price_ms += shared * REREAD_MS_PER_TOKEN
