--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -45,8 +45,8 @@
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
 CHOICES: Final = 3
-"""Replicas that hashing gives to a call, to its subject, and that hold most of it, among
-which it chooses: with two or more, load evens out nearly as well as with all."""
+"""Replicas that hashing gives to a call, to its subject, and that hold most of it. With
+two or more to choose from, load evens out nearly as well as with all."""
 MIN_FOLLOWED_TOKENS: Final = 1_000
 MAX_FOLLOW_MS: Final = 400.0
 """How long a call waits for a part that another replica reads: a long part takes 70 to
