Prefer fresh weights and stores as sources among many replicas; narrow candidates in a module of their own (not measured yet)

On Valdivia 3.9 M tokens of shared parts were still read again: where a replica should hold a part, the store named was the near one, also where only a far one has it, and replicas that had dropped a part were sources of it.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -8,13 +8,10 @@
 
 import msgspec
 
+from toucanyard.candidates import MIN_MOVED_TOKENS
 from toucanyard.names import EndpointName
 from toucanyard.part_book import PartBook
-from toucanyard.part_placement import (
-    MIN_MOVED_TOKENS,
-    PartPlacement,
-    PlacedPrompt,
-)
+from toucanyard.part_placement import PartPlacement, PlacedPrompt
 from toucanyard.part_reports import PartReports
 from toucanyard.part_sources import PartSources, choose_store, name_store
 from toucanyard.pending_call import PendingCall
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/fetch_sources.py
@@ -0,0 +1,83 @@
+"""Know where the front of a prompt can be fetched, and what that costs.
+
+Replicas and stores of prompts send parts to each other over their own links, one
+transfer after another, and a transfer between failure domains takes twice as long.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import Address, DomainName, EndpointName
+from toucanyard.rendezvous import compute_seed, compute_weight
+from toucanyard.replicas import Replica
+from toucanyard.routes import EngineTraits
+
+MOVE_PRICE: Final = 4.0
+"""Price of a transfer as a multiple of its own time: others wait behind it, which the
+node that chooses doesn't see."""
+FAR_FACTOR: Final = 2.0
+"""How much longer a transfer between failure domains takes."""
+LARGE_TOKENS: Final = 3_000
+"""Tokens from which a store goes before replicas as a source: what a replica holds is
+often dropped within seconds, and reading it again costs more than the store's slower
+link. Smaller ones, which all calls need, stay in use and in memory."""
+
+
+class Source(msgspec.Struct, frozen=True):
+    """Where the front of a prompt can be fetched."""
+
+    name: EndpointName
+    address: Address
+    link_mbps: float
+    domain: DomainName
+    is_store: bool = False
+
+
+class Sources(msgspec.Struct):
+    """Who holds most of a prompt's front."""
+
+    tokens: int = 0
+    """How much of it they hold."""
+    holders: list[Source] = []
+
+    def note(self, source: Source, tokens: int) -> None:
+        """Take in what one of them holds."""
+        if tokens > self.tokens:
+            self.tokens = tokens
+            self.holders = []
+        if tokens and tokens == self.tokens:
+            self.holders.append(source)
+
+    def pick(self, receiver: Replica, call: str) -> Source | None:
+        """Return the source for one call, a near one if there is any.
+
+        Calls spread over the holders: a holder's transfers run one after another, and
+        with one source for all, those of a hot part waited for up to two seconds.
+        """
+        others = [each for each in self.holders if each.name != receiver.name]
+        if self.tokens >= LARGE_TOKENS:
+            others = [each for each in others if each.is_store] or others
+        near = [each for each in others if each.domain == receiver.domain]
+        key = compute_seed(EndpointName(call))
+        return max(
+            near or others,
+            key=lambda each: compute_weight(compute_seed(each.name), key),
+            default=None,
+        )
+
+    def compute_price(
+        self, tokens: int, receiver: Replica, engine: EngineTraits
+    ) -> float:
+        """Return the price of bringing tokens to a replica, in ms."""
+        if not tokens:
+            return 0.0
+        bits = tokens * engine.bytes_per_token * 8
+        return MOVE_PRICE * min(
+            bits
+            * (1.0 if each.domain == receiver.domain else FAR_FACTOR)
+            / (each.link_mbps * 1_000)
+            for each in self.holders
+        )
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -10,13 +10,20 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Iterable, Sequence
 from typing import Final
 
 import msgspec
 
-from toucanyard.names import Address, DomainName, EndpointName, RequestId
+from toucanyard.candidates import (
+    LATE_AFTER_MS,
+    MIN_MOVED_TOKENS,
+    Candidate,
+    Narrowing,
+    is_many,
+)
+from toucanyard.fetch_sources import Source, Sources
+from toucanyard.names import Address, EndpointName, RequestId
 from toucanyard.part_book import Part, PartBook
 from toucanyard.part_sources import choose_store, name_store
 from toucanyard.relay_requests import Prompt, RelayRequest
@@ -40,37 +47,12 @@
 """Price of a replica that still has older weights, which are replaced soon."""
 LATE_WEIGHTS_MS: Final = 1_500.0
 """The same, once answers on older weights have lost a part of their worth."""
-LATE_AFTER_MS: Final = 1_200.0
-"""Time from naming weights until answers on older ones lose worth, less a margin."""
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
-CHOICES: Final = 3
-"""Replicas that hashing gives to a call, to its subject, and that hold most of it. With
-two or more to choose from, load evens out nearly as well as with all."""
 MIN_FOLLOWED_TOKENS: Final = 1_000
 MAX_FOLLOW_MS: Final = 400.0
 """How long a call waits for a part that another replica reads: a long part takes 70 to
 120 ms, and its first call may itself have waited. Then it is sent all the same."""
-MAX_SEEDS: Final = 10_000
-"""Replicas whose points of hashing are kept; more than twice those of a large fleet."""
-MANY_REPLICAS: Final = 16
-"""Replicas beyond which load sends many parts elsewhere than hashing does. What nobody
-is known to hold is then fetched from its store on a guess."""
-MIN_MOVED_TOKENS: Final = 500
-"""Least shared tokens of a prompt that are worth a guess or a place in a store: reading
-fewer takes no longer than the transfer."""
-MOVE_PRICE: Final = 4.0
-"""Price of a transfer as a multiple of its own time: others wait behind it, which the
-node that chooses doesn't see."""
-FAR_FACTOR: Final = 2.0
-"""How much longer a transfer between failure domains takes."""
-SHORT_TOKENS: Final = 3_000
-"""Tokens up to which a prompt is short: it is read in one piece between two tokens of
-the streams that run beside it, so they don't pause for long."""
-SHORT_SHARE: Final = 0.35
-"""Share of many replicas that short prompts go to first, the others being left to long
-ones. Sized for streams of short prompts that last seconds and fill most of the slots
-there, while long prompts keep two thirds of the reading."""
 CROSS_MS: Final = 250.0
 """Price of a replica that is left to the other kind. An event of seven tokens waits for
 a piece of a long prompt before each of them, 0.8 s in all, when two long prompts are
@@ -97,59 +79,10 @@
     """The first part that others share and that the replica is to read."""
 
 
-class _Source(msgspec.Struct, frozen=True):
-    """Where the front of a prompt can be fetched."""
-
-    name: EndpointName
-    address: Address
-    link_mbps: float
-    domain: DomainName
-
-
-class _Sources(msgspec.Struct):
-    """Who holds most of a prompt's front."""
-
-    tokens: int = 0
-    """How much of it they hold."""
-    holders: list[_Source] = []
-
-    def note(self, source: _Source, tokens: int) -> None:
-        """Take in what one of them holds."""
-        if tokens > self.tokens:
-            self.tokens = tokens
-            self.holders = []
-        if tokens and tokens == self.tokens:
-            self.holders.append(source)
-
-    def pick(self, candidate: _Candidate, request_id: RequestId) -> _Source | None:
-        """Return the source for one call, a near one if there is any.
-
-        Calls spread over the holders: a holder's transfers run one after another, and
-        with one source for all, those of a hot part waited for up to two seconds.
-        """
-        own = candidate.known.replica
-        others = [each for each in self.holders if each.name != own.name]
-        near = [each for each in others if each.domain == own.domain]
-        key = compute_seed(EndpointName(request_id))
-        return max(
-            near or others,
-            key=lambda each: compute_weight(compute_seed(each.name), key),
-            default=None,
-        )
-
-
-class _Candidate(msgspec.Struct, frozen=True):
-    known: KnownReplica
-    version: int
-    scope: str
-    held_tokens: int
-    """Tokens of the prompt's front that it holds or will soon."""
-
-
 class _Scored(msgspec.Struct, frozen=True):
     """A candidate with its score, the lowest of which wins."""
 
-    candidate: _Candidate
+    candidate: Candidate
     total_ms: float
     wait_ms: float
     unread_tokens: int
@@ -168,14 +101,15 @@
     shared: tuple[Part, ...]
     engine: EngineTraits
     goal: Goal | None
-    candidates: list[_Candidate]
-    sources: dict[str, _Sources]
+    candidates: list[Candidate]
+    sources: dict[str, Sources]
     """By scope."""
     stores: Sequence[PromptStore]
-    own_side: list[_Candidate]
+    own_side: list[Candidate]
     """The candidates that are left to prompts of this one's length."""
     own_names: frozenset[EndpointName]
-    homes: dict[str, _Candidate] = {}
+    is_many: bool
+    homes: dict[str, Candidate] = {}
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """By scope and part: the replicas that are reading it."""
 
@@ -197,12 +131,12 @@
 class PartPlacement:
     """The choice among replicas that run a model."""
 
-    __slots__ = ("_book", "_max_old_ms", "_seeds", "_uses")
+    __slots__ = ("_book", "_max_old_ms", "_narrowing", "_uses")
 
     def __init__(self, book: PartBook, uses: ReplicaUses, max_old_ms: float) -> None:
         self._book = book
         self._uses = uses
-        self._seeds: dict[EndpointName, int] = {}
+        self._narrowing = Narrowing()
         self._max_old_ms = max_old_ms
         """How long after new weights were named older ones may still begin a call."""
 
@@ -225,7 +159,7 @@
         candidates = self._find_candidates(request, prompt, usable, goal, now_ms)
         shared = prompt.find_shared()
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
-        own_side = self._find_side(candidates, prompt)
+        own_side = self._narrowing.find_side(candidates, prompt)
         own_names = frozenset(each.known.replica.name for each in own_side)
         field = _Field(
             prompt,
@@ -237,8 +171,14 @@
             stores,
             own_side,
             own_names,
+            is_many(candidates),
         )
-        best = self._find_best(self._narrow(field, request), field, now_ms)
+        first: Sequence[Candidate] = ()
+        if is_many(candidates):
+            first = self._narrowing.find_first(
+                own_side, prompt, request.request_id, goal, now_ms
+            )
+        best = self._find_best(first, field, now_ms)
         if best is None:
             best = self._find_best(candidates, field, now_ms)
         if best is None:
@@ -247,43 +187,8 @@
             return None
         return _build_placed(best, field, request.request_id)
 
-    def _narrow(self, field: _Field, request: RelayRequest) -> Sequence[_Candidate]:
-        """Return the candidates that are looked at first.
-
-        All where there are few. Among many, what each node knows of the others' calls
-        is some hundred ms old: if all chose the best of all, the one that looked idle
-        would get every call until they learned of it, and calls would wait there for
-        seconds beside idle replicas. So each call chooses among a few: those that hold
-        its parts, those that hashing gives to its subject, which then is read once, and
-        some that it gives to the call, where calls of a hot subject find room.
-        """
-        if len(field.candidates) <= MANY_REPLICAS:
-            return field.candidates
-        side = field.own_side
-        is_long = field.prompt.count_tokens() > SHORT_TOKENS and field.shared
-        hashed = self._rank_first(side, request.request_id)
-        if is_long:
-            hashed += self._rank_first(side, field.shared[-1].name)
-        holders = heapq.nlargest(
-            CHOICES,
-            (each for each in side if each.held_tokens >= MIN_MOVED_TOKENS),
-            key=lambda each: each.held_tokens,
-        )
-        return [*hashed, *holders]
-
-    def _rank_first(
-        self, candidates: Iterable[_Candidate], matter: str
-    ) -> list[_Candidate]:
-        """Return the few candidates that hashing gives to a matter."""
-        key = compute_seed(EndpointName(matter))
-        return heapq.nlargest(
-            CHOICES,
-            candidates,
-            key=lambda each: compute_weight(self._find_seed(each), key),
-        )
-
     def _find_best(
-        self, candidates: Iterable[_Candidate], field: _Field, now_ms: float
+        self, candidates: Iterable[Candidate], field: _Field, now_ms: float
     ) -> _Scored | None:
         best: _Scored | None = None
         for each in candidates:
@@ -301,8 +206,7 @@
         sent to the reader, all calls of a hot part would queue at one of many replicas.
         """
         part = scored.missing
-        is_many = len(field.candidates) > MANY_REPLICAS
-        if part is None or not is_many or part.tokens < MIN_FOLLOWED_TOKENS:
+        if part is None or not field.is_many or part.tokens < MIN_FOLLOWED_TOKENS:
             return False
         if now_ms - request.arrived_ms > MAX_FOLLOW_MS:
             return False
@@ -318,7 +222,7 @@
         usable: Sequence[KnownReplica],
         goal: Goal | None,
         now_ms: float,
-    ) -> list[_Candidate]:
+    ) -> list[Candidate]:
         shared = prompt.find_shared()
         found = []
         for known in usable:
@@ -328,62 +232,41 @@
             scope = compute_scope(request, prompt, version)
             name = known.replica.name
             held = self._book.count_leading(name, scope, shared, float("inf"))
-            found.append(_Candidate(known, version, scope, held))
+            found.append(Candidate(known, version, scope, held))
         return found
 
     def _is_too_old(self, version: int, goal: Goal | None, now_ms: float) -> bool:
         return goal is not None and goal.compute_age(version, now_ms) > self._max_old_ms
 
-    def _find_side(
-        self, candidates: list[_Candidate], prompt: Prompt
-    ) -> list[_Candidate]:
-        """Return the candidates that prompts of this length go to first.
-
-        All where there are few. Otherwise hashing divides them, the same on every node.
-        """
-        if len(candidates) <= MANY_REPLICAS:
-            return candidates
-        ordered = sorted(candidates, key=lambda each: self._find_seed(each))
-        short_count = int(len(ordered) * SHORT_SHARE)
-        is_short = prompt.count_tokens() <= SHORT_TOKENS
-        return ordered[:short_count] if is_short else ordered[short_count:]
-
-    def _find_seed(self, candidate: _Candidate) -> int:
-        name = candidate.known.replica.name
-        seed = self._seeds.get(name)
-        if seed is None:
-            if len(self._seeds) > MAX_SEEDS:
-                self._seeds.clear()
-            seed = self._seeds[name] = compute_seed(name)
-        return seed
-
     def _find_sources(
         self,
-        candidates: Sequence[_Candidate],
+        candidates: Sequence[Candidate],
         shared: Sequence[Part],
         engine: EngineTraits,
         stores: Sequence[PromptStore],
         now_ms: float,
-    ) -> dict[str, _Sources]:
+    ) -> dict[str, Sources]:
         """Return, for each scope, who holds most of a prompt's front now."""
-        found: dict[str, _Sources] = {}
+        found: dict[str, Sources] = {}
         for each in candidates:
             replica = each.known.replica
             held = self._book.count_leading(replica.name, each.scope, shared, now_ms)
-            source = _Source(
+            source = Source(
                 replica.name, replica.address, engine.link_mbps, replica.domain
             )
-            found.setdefault(each.scope, _Sources()).note(source, held)
+            found.setdefault(each.scope, Sources()).note(source, held)
         for store in stores:
             name = name_store(store)
-            source = _Source(name, store.address, store.link_mbps, store.domain)
+            source = Source(
+                name, store.address, store.link_mbps, store.domain, is_store=True
+            )
             for scope, sources in found.items():
                 held = self._book.count_leading(name, scope, shared, now_ms)
                 sources.note(source, held)
         return found
 
     def _score(
-        self, candidate: _Candidate, field: _Field, now_ms: float
+        self, candidate: Candidate, field: _Field, now_ms: float
     ) -> _Scored | None:
         name = candidate.known.replica.name
         engine = field.engine
@@ -404,13 +287,13 @@
         total_ms += self._price(candidate, field.goal, now_ms)
         if name not in field.own_names:
             total_ms += CROSS_MS
-        total_ms += _compute_fetch(fetched, candidate, sources, engine)
+        total_ms += sources.compute_price(fetched, candidate.known.replica, engine)
         missing = _find_missing(field.shared, covered)
         if missing is not None:
             total_ms += self._price_missing(candidate, field, missing, covered, now_ms)
         return _Scored(candidate, total_ms, wait_ms, unread, fetched, missing)
 
-    def _price(self, candidate: _Candidate, goal: Goal | None, now_ms: float) -> float:
+    def _price(self, candidate: Candidate, goal: Goal | None, now_ms: float) -> float:
         price_ms = FAILURE_MS * candidate.known.compute_failures(now_ms)
         if goal is not None and candidate.version < goal.version:
             is_late = goal.compute_age(candidate.version, now_ms) > LATE_AFTER_MS
@@ -419,7 +302,7 @@
 
     def _price_missing(
         self,
-        candidate: _Candidate,
+        candidate: Candidate,
         field: _Field,
         missing: Part,
         covered: int,
@@ -427,13 +310,12 @@
     ) -> float:
         """Return the price of reading the rest of the shared parts at a replica."""
         price_ms = 0.0
-        is_many = len(field.candidates) > MANY_REPLICAS
-        if not is_many and candidate is not _find_home(field, missing):
+        if not field.is_many and candidate is not _find_home(field, missing):
             price_ms += AFFINITY_MS
         readers = self._find_readers(field, candidate.scope, missing, now_ms)
         if any(name != candidate.known.replica.name for name in readers):
             # Among many replicas others read the rest of a chain seldom.
-            shared = missing.tokens if is_many else field.count_shared() - covered
+            shared = missing.tokens if field.is_many else field.count_shared() - covered
             price_ms += shared * REREAD_MS_PER_TOKEN
         return price_ms
 
@@ -459,12 +341,7 @@
     scored: _Scored, field: _Field, request_id: RequestId
 ) -> PlacedPrompt:
     candidate = scored.candidate
-    source = None
-    if scored.fetched_tokens:
-        source = field.sources[candidate.scope].pick(candidate, request_id)
-    address = None if source is None else source.address
-    if address is None:
-        address = _guess_source(candidate, field, scored.missing)
+    address = _find_source(scored, field, request_id)
     return PlacedPrompt(
         replica=candidate.known,
         weights_version=candidate.version,
@@ -479,32 +356,24 @@
     )
 
 
-def _compute_fetch(
-    tokens: int, candidate: _Candidate, sources: _Sources, engine: EngineTraits
-) -> float:
-    """Return the price of bringing parts from a source to a replica, in ms."""
-    if not tokens:
-        return 0.0
-    domain = candidate.known.replica.domain
-    bits = tokens * engine.bytes_per_token * 8
-    return MOVE_PRICE * min(
-        bits * (1.0 if each.domain == domain else FAR_FACTOR) / (each.link_mbps * 1_000)
-        for each in sources.holders
-    )
-
-
-def _guess_source(
-    candidate: _Candidate, field: _Field, missing: Part | None
+def _find_source(
+    scored: _Scored, field: _Field, request_id: RequestId
 ) -> Address | None:
-    """Return where parts may be that nobody else is known to hold.
+    """Return where a replica can get parts that it lacks, known or guessed.
 
-    A wrong guess costs about a millisecond. Among many replicas it is made also where
-    the candidate holds everything: it may have dropped parts since, and would read
-    them again.
+    A wrong guess costs about a millisecond. Among many replicas a source is named also
+    where the candidate should hold everything: it may have dropped parts since, and
+    would read them again.
     """
-    if len(field.candidates) > MANY_REPLICAS:
-        if field.count_shared() < MIN_MOVED_TOKENS:
-            return None
+    candidate, missing = scored.candidate, scored.missing
+    if field.is_many and field.count_shared() < MIN_MOVED_TOKENS:
+        return None
+    if scored.fetched_tokens or field.is_many:
+        sources = field.sources[candidate.scope]
+        source = sources.pick(candidate.known.replica, request_id)
+        if source is not None:
+            return source.address
+    if field.is_many:
         domain = candidate.known.replica.domain
         store = choose_store(field.stores, field.shared[-1].name, domain)
         if store is not None:
@@ -527,13 +396,13 @@
     return None
 
 
-def _find_home(field: _Field, part: Part) -> _Candidate:
+def _find_home(field: _Field, part: Part) -> Candidate:
     """Return the replica that hashing gives to a part, the same on every node."""
     home = field.homes.get(part.name)
     if home is None:
         key = compute_seed(EndpointName(part.name))
         home = max(
-            field.own_side or field.candidates,
+            field.own_side,
             key=lambda each: compute_weight(compute_seed(each.known.replica.name), key),
         )
         field.homes[part.name] = home
