--- a/packages/toucanyard/src/toucanyard/fetch_sources.py
+++ b/packages/toucanyard/src/toucanyard/fetch_sources.py
@@ -51,14 +51,17 @@
         if tokens and tokens == self.tokens:
             self.holders.append(source)
 
-    def pick(self, receiver: Replica, call: str) -> Source | None:
+    def pick(
+        self, receiver: Replica, call: str, *, prefers_stores: bool = False
+    ) -> Source | None:
         """Return the source for one call, a near one if there is any.
 
         Calls spread over the holders: a holder's transfers run one after another, and
         with one source for all, those of a hot part waited for up to two seconds.
+        `prefers_stores` tells that what is known of replicas may be old.
         """
         others = [each for each in self.holders if each.name != receiver.name]
-        if self.tokens >= LARGE_TOKENS:
+        if prefers_stores and self.tokens >= LARGE_TOKENS:
             others = [each for each in others if each.is_store] or others
         near = [each for each in others if each.domain == receiver.domain]
         key = compute_seed(EndpointName(call))
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -370,7 +370,9 @@
         return None
     if scored.fetched_tokens or field.is_many:
         sources = field.sources[candidate.scope]
-        source = sources.pick(candidate.known.replica, request_id)
+        source = sources.pick(
+            candidate.known.replica, request_id, prefers_stores=field.is_many
+        )
         if source is not None:
             return source.address
     if field.is_many:
--- a/tests/toucanyard/test_fetch_sources.py
+++ b/tests/toucanyard/test_fetch_sources.py
@@ -61,7 +61,9 @@
         sources = Sources()
         sources.note(build_source("replica"), tokens)
         sources.note(build_source("store", FAR, is_store=True), tokens)
-        assert pick(sources) == wanted
+        source = sources.pick(RECEIVER, "q", prefers_stores=True)
+        assert source is not None
+        assert source.name == wanted
 
 
 def test_price_is_of_the_nearest_source() -> None:
