--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -121,6 +121,7 @@
         self.is_stopping = False
         self._asked_ms = dict.fromkeys(Topic, float("-inf"))
         self._pruned_ms = float("-inf")
+        self._hub: NodeName | None = None
 
     @property
     def index(self) -> RouteIndex:
@@ -214,11 +215,23 @@
         yield from self.flow.tick(now_ms)
         yield from self._tick_duty(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
+        yield from self._note_hub()
         if now_ms - self._pruned_ms >= PRUNE_MS:
             self._pruned_ms = now_ms
             for name in self.directory.prune(now_ms):
                 self.flow.book.forget(name)
 
+    def _note_hub(self) -> Iterator[RelayAction]:
+        """Say to whom this node reports, each time that this changes."""
+        is_hub = not self.roster.is_meshed() and self.roster.plan.is_hub()
+        hub = self.identity.node if is_hub else self.roster.find_primary()
+        if hub != self._hub:
+            before, self._hub = self._hub, hub
+            yield Note(
+                "hub_changed",
+                {"hub": hub or "", "before": before or "", "is_own": is_hub},
+            )
+
     def _tick_duty(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self.duty.tick(now_ms, is_leaving=self.is_stopping)
         if self.bulletin.note_changing(set(self.duty.list_changing()), now_ms):
--- a/tests/toucanyard/relay_fleet.py
+++ b/tests/toucanyard/relay_fleet.py
@@ -10,6 +10,7 @@
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
     LinkMessageRead,
+    Note,
     PeersLinked,
     RelayEvent,
     SendToPeer,
@@ -109,6 +110,7 @@
             domain = DomainName(f"d{number % domains}")
             self.add(NodeName(f"n{number}"), number, domain)
         self.dead: set[NodeName] = set()
+        self.notes: list[tuple[NodeName, Note]] = []
         self.sent_bytes: dict[NodeName, int] = {}
         self._linked: dict[NodeName, set[NodeName]] = {}
         records = [
@@ -142,6 +144,8 @@
             return
         core = self.cores[name]
         for action in core.handle(event, self.now_ms):
+            if isinstance(action, Note):
+                self.notes.append((name, action))
             if isinstance(action, SendToPeer):
                 data = encode_link_message(action.message)
                 self.sent_bytes[name] = self.sent_bytes.get(name, 0) + len(data)
--- a/tests/toucanyard/test_status_exchange.py
+++ b/tests/toucanyard/test_status_exchange.py
@@ -84,6 +84,23 @@
     assert {count_running(fleet, name) for name in alive} == {len(alive)}
 
 
+def test_log_tells_to_whom_a_node_reports() -> None:
+    """A hub dies; who looks for the cause of odd placement sees it in the lines."""
+    fleet = build_fleet()
+    leaf = next(name for name in fleet.cores if name not in fleet.find_hubs())
+    primary = fleet.cores[leaf].roster.find_primary()
+    assert primary is not None
+    fleet.notes.clear()
+    fleet.dead = {primary}
+    fleet.run(500.0)
+    told = [
+        note.fields
+        for name, note in fleet.notes
+        if name == leaf and note.event == "hub_changed"
+    ]
+    assert [(each["before"], bool(each["hub"])) for each in told] == [(primary, True)]
+
+
 def test_part_that_is_being_read_is_known_to_all_soon() -> None:
     """A replica begins to read a long part.
 
