--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
+from toucanyard.call_placement import CallPlacement
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
 from toucanyard.link_messages import (
@@ -97,7 +98,8 @@
         )
         self.roster = Roster(self.own_record, options.seeds)
         self.sources = PartSources(self.directory, self.roster)
-        self.flow = RelayFlow(options, self.directory, self.goals, self.sources, rng)
+        calls = CallPlacement(options, self.directory, self.goals, self.sources, rng)
+        self.flow = RelayFlow(options.retries, self.directory, self.goals, calls, rng)
         self.facts = KnownFacts(self.directory, self.goals, self.roster, self.flow)
         self.bulletin = ReplicaBulletin(self.directory, self.flow.book)
         self.duty = WeightsDuty(
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -17,9 +17,8 @@
 from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import RequestId, ServiceName
-from toucanyard.part_sources import PartSources
 from toucanyard.pending_call import PendingCall
-from toucanyard.relay_options import RelayOptions
+from toucanyard.relay_options import RetryLimits
 from toucanyard.relay_requests import RelayOutcome, RelayRequest, RelayVerdict
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
@@ -52,13 +51,13 @@
 
     def __init__(
         self,
-        options: RelayOptions,
+        retries: RetryLimits,
         directory: ReplicaDirectory,
         goals: WeightsGoals,
-        sources: PartSources,
+        calls: CallPlacement,
         rng: random.Random,
     ) -> None:
-        self._options = options
+        self._retries = retries
         self._rng = rng
         self._directory = directory
         self._goals = goals
@@ -67,10 +66,10 @@
         self._drains: dict[ServiceName, DrainRate] = {}
         self._budgets: dict[ServiceName, SharedRetryBudget] = {}
         self.node_count = 1
-        self._calls = CallPlacement(options, directory, goals, sources, rng)
-        self.uses = self._calls.uses
-        self.book = self._calls.book
-        self.reports = self._calls.reports
+        self._calls = calls
+        self.uses = calls.uses
+        self.book = calls.book
+        self.reports = calls.reports
 
     def apply_index(self, index: RouteIndex) -> None:
         """Decide by this table from now on."""
@@ -337,7 +336,7 @@
     def _find_budget(self, service: ServiceName) -> SharedRetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            retries = self._options.retries
+            retries = self._retries
             budget = SharedRetryBudget(
                 retries.ratio, retries.slack, float(retries.window_ms)
             )
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from toucanyard.call_placement import CallPlacement
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, Incarnation, NodeName, RequestId
 from toucanyard.node_records import NodeRecord
@@ -58,7 +59,8 @@
         )
         sources = PartSources(self.directory, Roster(own, ()))
         rng = random.Random(1)
-        self.flow = RelayFlow(OPTIONS, self.directory, self.goals, sources, rng)
+        calls = CallPlacement(OPTIONS, self.directory, self.goals, sources, rng)
+        self.flow = RelayFlow(OPTIONS.retries, self.directory, self.goals, calls, rng)
         self.flow.apply_index(RouteIndex(build_table()))
         self.replies: dict[RequestId, list[object]] = {}
 
