--- a/packages/toucanyard/src/toucanyard/candidates.py
+++ b/packages/toucanyard/src/toucanyard/candidates.py
@@ -18,7 +18,6 @@
 from toucanyard.relay_requests import Prompt
 from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replicas import KnownReplica
-from toucanyard.weights_goals import Goal
 
 MANY_REPLICAS: Final = 16
 """Replicas beyond which load sends many parts elsewhere than hashing does. What nobody
@@ -29,10 +28,6 @@
 CHOICES: Final = 3
 """Replicas that hashing gives to a call, to its subject, and that hold most of it. With
 two or more to choose from, load evens out nearly as well as with all."""
-LATE_AFTER_MS: Final = 1_200.0
-"""Time from naming weights until answers on older ones lose worth, less a margin."""
-FRESH_SHARE: Final = 0.3
-"""Share of a side that must have new weights before calls go to these alone."""
 SHORT_TOKENS: Final = 3_000
 """Tokens up to which a prompt is short: it is read in one piece between two tokens of
 the streams that run beside it, so they don't pause for long."""
@@ -89,12 +84,7 @@
         return seed
 
     def find_first(
-        self,
-        side: Sequence[Candidate],
-        prompt: Prompt,
-        call: str,
-        goal: Goal | None,
-        now_ms: float,
+        self, side: Sequence[Candidate], prompt: Prompt, call: str
     ) -> list[Candidate]:
         """Return the candidates of a prompt's side that are looked at first.
 
@@ -102,14 +92,13 @@
         is read once, and some that it gives to the call, where calls of a hot subject
         find room.
         """
-        fresh = _find_fresh(side, goal, now_ms)
         shared = prompt.find_shared()
-        found = self._rank_first(fresh, call)
+        found = self._rank_first(side, call)
         if shared and prompt.count_tokens() > SHORT_TOKENS:
-            found += self._rank_first(fresh, shared[-1].name)
+            found += self._rank_first(side, shared[-1].name)
         found += heapq.nlargest(
             CHOICES,
-            (each for each in fresh if each.held_tokens >= MIN_MOVED_TOKENS),
+            (each for each in side if each.held_tokens >= MIN_MOVED_TOKENS),
             key=lambda each: each.held_tokens,
         )
         return found
@@ -124,19 +113,3 @@
             candidates,
             key=lambda each: compute_weight(self._find_seed(each), key),
         )
-
-
-def _find_fresh(
-    side: Sequence[Candidate], goal: Goal | None, now_ms: float
-) -> Sequence[Candidate]:
-    """Return the candidates of a prompt's side whose weights are not late.
-
-    All of them while these are few: right after new weights the first replicas that
-    have them would get every call.
-    """
-    fresh = [
-        each
-        for each in side
-        if goal is None or goal.compute_age(each.version, now_ms) <= LATE_AFTER_MS
-    ]
-    return fresh if len(fresh) >= FRESH_SHARE * len(side) else side
--- a/packages/toucanyard/src/toucanyard/fetch_sources.py
+++ b/packages/toucanyard/src/toucanyard/fetch_sources.py
@@ -20,10 +20,6 @@
 node that chooses doesn't see."""
 FAR_FACTOR: Final = 2.0
 """How much longer a transfer between failure domains takes."""
-LARGE_TOKENS: Final = 3_000
-"""Tokens from which a store goes before replicas as a source: what a replica holds is
-often dropped within seconds, and reading it again costs more than the store's slower
-link. Smaller ones, which all calls need, stay in use and in memory."""
 
 
 class Source(msgspec.Struct, frozen=True):
@@ -33,7 +29,6 @@
     address: Address
     link_mbps: float
     domain: DomainName
-    is_store: bool = False
 
 
 class Sources(msgspec.Struct):
@@ -51,18 +46,13 @@
         if tokens and tokens == self.tokens:
             self.holders.append(source)
 
-    def pick(
-        self, receiver: Replica, call: str, *, prefers_stores: bool = False
-    ) -> Source | None:
+    def pick(self, receiver: Replica, call: str) -> Source | None:
         """Return the source for one call, a near one if there is any.
 
         Calls spread over the holders: a holder's transfers run one after another, and
         with one source for all, those of a hot part waited for up to two seconds.
-        `prefers_stores` tells that what is known of replicas may be old.
         """
         others = [each for each in self.holders if each.name != receiver.name]
-        if prefers_stores and self.tokens >= LARGE_TOKENS:
-            others = [each for each in others if each.is_store] or others
         near = [each for each in others if each.domain == receiver.domain]
         key = compute_seed(EndpointName(call))
         return max(
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -16,7 +16,6 @@
 import msgspec
 
 from toucanyard.candidates import (
-    LATE_AFTER_MS,
     MIN_MOVED_TOKENS,
     Candidate,
     Narrowing,
@@ -47,6 +46,8 @@
 """Price of a replica that still has older weights, which are replaced soon."""
 LATE_WEIGHTS_MS: Final = 1_500.0
 """The same, once answers on older weights have lost a part of their worth."""
+LATE_AFTER_MS: Final = 1_200.0
+"""Time from naming weights until answers on older ones lose worth, less a margin."""
 RUNNING_MS: Final = 1.0
 """Price of each call that runs at a replica: it slows the others' tokens."""
 MIN_FOLLOWED_TOKENS: Final = 1_000
@@ -175,9 +176,7 @@
         )
         first: Sequence[Candidate] = ()
         if is_many(candidates):
-            first = self._narrowing.find_first(
-                own_side, prompt, request.request_id, goal, now_ms
-            )
+            first = self._narrowing.find_first(own_side, prompt, request.request_id)
         best = self._find_best(first, field, now_ms)
         if best is None:
             best = self._find_best(candidates, field, now_ms)
@@ -257,9 +256,7 @@
             found.setdefault(each.scope, Sources()).note(source, held)
         for store in stores:
             name = name_store(store)
-            source = Source(
-                name, store.address, store.link_mbps, store.domain, is_store=True
-            )
+            source = Source(name, store.address, store.link_mbps, store.domain)
             for scope, sources in found.items():
                 held = self._book.count_leading(name, scope, shared, now_ms)
                 sources.note(source, held)
@@ -366,16 +363,14 @@
     would read them again.
     """
     candidate, missing = scored.candidate, scored.missing
-    if field.is_many and field.count_shared() < MIN_MOVED_TOKENS:
-        return None
-    if scored.fetched_tokens or field.is_many:
+    if scored.fetched_tokens:
         sources = field.sources[candidate.scope]
-        source = sources.pick(
-            candidate.known.replica, request_id, prefers_stores=field.is_many
-        )
+        source = sources.pick(candidate.known.replica, request_id)
         if source is not None:
             return source.address
     if field.is_many:
+        if field.count_shared() < MIN_MOVED_TOKENS:
+            return None
         domain = candidate.known.replica.domain
         store = choose_store(field.stores, field.shared[-1].name, domain)
         if store is not None:
--- a/tests/toucanyard/test_fetch_sources.py
+++ b/tests/toucanyard/test_fetch_sources.py
@@ -4,7 +4,6 @@
 
 from toucanyard.fetch_sources import (
     FAR_FACTOR,
-    LARGE_TOKENS,
     MOVE_PRICE,
     Source,
     Sources,
@@ -17,9 +16,9 @@
 RECEIVER = build_replica("own")
 
 
-def build_source(name: str, domain: DomainName = NEAR, **changes: object) -> Source:
+def build_source(name: str, domain: DomainName = NEAR) -> Source:
     address = Address(f"{name}:1")
-    return Source(EndpointName(name), address, 1_000.0, domain, **changes)  # type: ignore[arg-type]
+    return Source(EndpointName(name), address, 1_000.0, domain)
 
 
 def pick(sources: Sources, call: str = "q") -> str:
@@ -52,20 +51,6 @@
     assert {pick(sources, f"q{number}") for number in range(40)} == set("abc")
 
 
-def test_store_goes_first_for_much_and_replicas_for_little() -> None:
-    """A replica that held a long part has dropped it; the store has it still.
-
-    Fetched in vain from the replica, the part would be read again.
-    """
-    for tokens, wanted in ((LARGE_TOKENS, "store"), (LARGE_TOKENS - 1, "replica")):
-        sources = Sources()
-        sources.note(build_source("replica"), tokens)
-        sources.note(build_source("store", FAR, is_store=True), tokens)
-        source = sources.pick(RECEIVER, "q", prefers_stores=True)
-        assert source is not None
-        assert source.name == wanted
-
-
 def test_price_is_of_the_nearest_source() -> None:
     sources = Sources()
     assert sources.compute_price(0, RECEIVER, TRAITS) == 0.0
--- a/tests/toucanyard/test_part_placement.py
+++ b/tests/toucanyard/test_part_placement.py
@@ -5,17 +5,13 @@
 import msgspec
 import pytest
 
-from toucanyard.candidates import (
-    CHOICES,
-    LATE_AFTER_MS,
-    MANY_REPLICAS,
-    SHORT_SHARE,
-)
+from toucanyard.candidates import CHOICES, MANY_REPLICAS, SHORT_SHARE
 from toucanyard.fetch_sources import MOVE_PRICE
 from toucanyard.names import Address, CustomerName, DomainName, EndpointName, RequestId
 from toucanyard.part_book import Part, PartBook
 from toucanyard.part_placement import (
     FULL_SHARE,
+    LATE_AFTER_MS,
     MAX_FOLLOW_MS,
     PartPlacement,
     PlacedPrompt,
@@ -413,27 +409,3 @@
         pool.note(holder, LONG.parts[:2])
         chosen.add(choose_alone(f"l{node}", LONG, pool))
     assert chosen == {holder}
-
-
-def test_calls_leave_late_weights_once_enough_replicas_have_new_ones() -> None:
-    """New weights were named 1.5 s ago, and a part of many replicas has them.
-
-    Answers on the old ones lose worth by now; but while only one replica in ten is new,
-    it would get every call.
-    """
-    for new_count in (4, 20):
-        pool = Pool(*SIDES)
-        names = sorted(SIDES)[:new_count]
-        for known in pool.known:
-            if known.replica.name in names:
-                known.note_weights(MODEL, 2)
-        pool.goal.apply(2, 0.0)
-        now_ms = LATE_AFTER_MS + 300.0
-        chosen = set()
-        for number in range(12):
-            request = build_request(f"q{number}", prompt=LONG, arrived_ms=now_ms)
-            placed = pool.placement.choose(
-                request, LONG, TRAITS, pool.known, pool.goal, (), now_ms
-            )
-            chosen.add(find_name(placed))
-        assert chosen.issubset(names) == (new_count == 20)
