--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -1,12 +1,13 @@
 from __future__ import annotations
 
+import os
 from pathlib import Path
 
 import pytest
 import trio
 from faulty_proxy import Fault, FaultyProxy
 from fleet import find_port
-from soak import SoakOptions, run_soak
+from soak import SoakFleet, SoakOptions, run_soak
 from soak_callers import TIME_MS, CallSeen
 from soak_faults import Targets, plan_faults
 from soak_verdict import LATE_S, count_runs, iterate_late_ends, iterate_problems
@@ -126,6 +127,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_soaks_of_one_seed_have_addresses_of_their_own(tmp_path: Path) -> None:
+    """Two runs of CI on one machine soak the same seed at the same time.
+
+    Nodes can't choose the port of their metrics, so with the same addresses those of the
+    second run could not start.
+    """
+    bases = set()
+    for process_id in (1_001, 1_002):
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(os, "getpid", lambda number=process_id: number)
+            patch.setattr(SoakFleet, "start_store", stop_here)
+            with pytest.raises(StoppedError) as stopped:
+                await run_soak(SoakOptions(seed=3, folder=tmp_path))
+        bases.add(str(stopped.value))
+    assert len(bases) == 2
+
+
+class StoppedError(Exception):
+    """Tell the addresses of a fleet that was about to start."""
+
+
+def stop_here(fleet: SoakFleet) -> None:
+    raise StoppedError(fleet.base)
+
+
 async def test_short_soak_breaks_no_promise(tmp_path: Path) -> None:
     """Processes are killed, paused, stopped and cut off while callers go on."""
     options = SoakOptions(
