--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -130,7 +130,7 @@
 async def test_soaks_of_one_seed_have_addresses_of_their_own(tmp_path: Path) -> None:
     """Two runs of CI on one machine soak the same seed at the same time.
 
-    Nodes can't choose the port of their metrics, so with the same addresses those of the
+    Nodes can't choose their metrics' port, so with the same addresses those of the
     second run could not start.
     """
     bases = set()
