--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 from faulty_proxy import Fault, FaultyProxy
-from fleet import find_port
+from fleet import find_port, find_ports
 from soak import SoakFleet, SoakOptions, run_soak
 from soak_callers import TIME_MS, CallSeen
 from soak_faults import Targets, plan_faults
@@ -152,6 +152,12 @@
     raise StoppedError(fleet.base)
 
 
+def test_ports_of_a_node_differ() -> None:
+    """The kernel may give a port again once it is released; a node needs four."""
+    ports = find_ports("127.0.0.1", 200)
+    assert len(set(ports)) == 200
+
+
 async def test_short_soak_breaks_no_promise(tmp_path: Path) -> None:
     """Processes are killed, paused, stopped and cut off while callers go on."""
     options = SoakOptions(
