Drop what nothing uses, count shared tokens in one place, add up the fleet for hubs only

Read again as a newcomer: Roster.list_told had no caller and retain_linked's answer no reader; the shared tokens of a prompt were added up in two modules; every node of a large fleet added up all nodes' calls and listed all nodes for a status that only those that report to it get, also where nobody does. What is sent stays the same. Checks: lint, types, and the tests of roster, statuses, links, placement and relaying (not the whole script).

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -156,7 +156,7 @@
         shared = prompt.find_shared()
         if placed.missing is None or not shared:
             return None
-        if sum(part.tokens for part in shared) < MIN_MOVED_TOKENS:
+        if prompt.count_shared() < MIN_MOVED_TOKENS:
             return None
         domain = placed.replica.replica.domain
         return choose_store(stores, shared[-1].name, domain)
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -114,10 +114,6 @@
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """By scope and part: the replicas that are reading it."""
 
-    def count_shared(self) -> int:
-        """Return the tokens of all shared parts."""
-        return sum(part.tokens for part in self.shared)
-
 
 def compute_scope(request: RelayRequest, prompt: Prompt, version: int) -> str:
     """Return under which name a replica keeps the parts of a prompt.
@@ -312,7 +308,11 @@
         readers = self._find_readers(field, candidate.scope, missing, now_ms)
         if any(name != candidate.known.replica.name for name in readers):
             # Among many replicas others read the rest of a chain seldom.
-            shared = missing.tokens if field.is_many else field.count_shared() - covered
+            shared = (
+                missing.tokens
+                if field.is_many
+                else field.prompt.count_shared() - covered
+            )
             price_ms += shared * REREAD_MS_PER_TOKEN
         return price_ms
 
@@ -369,7 +369,7 @@
         if source is not None:
             return source.address
     if field.is_many:
-        if field.count_shared() < MIN_MOVED_TOKENS:
+        if field.prompt.count_shared() < MIN_MOVED_TOKENS:
             return None
         domain = candidate.known.replica.domain
         store = choose_store(field.stores, field.shared[-1].name, domain)
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -26,6 +26,10 @@
         """Return the tokens of the whole prompt."""
         return sum(part.tokens for part in self.parts)
 
+    def count_shared(self) -> int:
+        """Return the tokens of the parts that other prompts may share."""
+        return sum(part.tokens for part in self.find_shared())
+
     def find_shared(self) -> tuple[Part, ...]:
         """Return the parts that other prompts may share."""
         return self.parts[:-1]
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -87,13 +87,12 @@
         self._told[hub] = (now_ms, told)
         return told != before
 
-    def retain_linked(self, names: Iterable[NodeName]) -> list[NodeName]:
-        """Drop what was heard from nodes without a link; return their names."""
+    def retain_linked(self, names: Iterable[NodeName]) -> None:
+        """Drop what was heard from nodes without a link."""
         self._linked = frozenset(names)
         lost = [name for name in self._heard if name not in self._linked]
         for name in lost:
             del self._heard[name]
-        return lost
 
     def find_peers(self, now_ms: float) -> list[Vm]:
         """Return the nodes that this one should have a link to."""
@@ -120,13 +119,6 @@
         """Return the other nodes that were heard from, or of, lately."""
         return list(self._find_ready(now_ms))
 
-    def list_told(self, hubs: Iterable[NodeName], now_ms: float) -> list[NodeNews]:
-        """Return the nodes that are alive as far as some hubs, and no others, say."""
-        found: dict[NodeName, bool] = {}
-        for hub in hubs:
-            self._add_told(found, hub, now_ms)
-        return [NodeNews(*each) for each in found.items()]
-
     def list_heard(self, names: Iterable[NodeName], now_ms: float) -> list[NodeNews]:
         """Return those of some nodes that were heard from lately, and this one."""
         news = [NodeNews(self._own.name, self.is_ready)]
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -214,14 +214,16 @@
         if now_ms - self._nodes_ms >= NODES_MS:
             self._nodes_ms = now_ms
             nodes = self._roster.list_heard(sorted(self._leaves), now_ms)
-            alive = self._roster.list_alive(now_ms)
             group = msgspec.structs.replace(group, nodes=tuple(nodes))
-            fleet = msgspec.structs.replace(fleet, nodes=tuple(alive))
+            if self._leaves:
+                alive = self._roster.list_alive(now_ms)
+                fleet = msgspec.structs.replace(fleet, nodes=tuple(alive))
         if now_ms - self._full_ms >= self._find_full_interval():
             self._full_ms = now_ms
             own = self._uses.report()
             group = self._add_group(group, own, primary, now_ms)
-            fleet = self._add_fleet(fleet, own, now_ms)
+            if self._leaves:
+                fleet = self._add_fleet(fleet, own, now_ms)
         report = msgspec.structs.replace(group, is_report=True)
         for name in linked:
             if name == primary:
