Tell the lives of a replica apart, and use nothing of another writer's entry

Cause: a replica may start again under the id that it had, and the code took the id for the life: a leave never ended, weights only grew, failures, pauses, the count of orders and the book of parts went on. Any state but draining counted as usable, missing slots as one, and a record that could not be read counted as a removal, with two seconds of grace while the store was in trouble. A number beyond a float's range, deep nesting and wrong base64 raised out of decoders.

Ruled out: comparing the start of a life wherever an id is looked up; some place would be left out.

Change: each life has a name of its own (id and start), made in the adapter, so what is believed by name belongs to one life; the directory knows the newest life of each id and peers are told of restarts for 30 s. Entries, reports, removals and peers' words of an older life change nothing. Decoders are strict and return an InvalidRecord; in place of a replica's entry it ends its use at once without grace until it registers again, in place of routes, weights or a node it changes nothing, and a node that holds nothing else asks its peers for what they hold. One log line each, at most 20 in 10 s. Weights are ordered only for services that the configuration names.

Before: of the new tests those of lives, foreign entries and the three bodies fail. After: they pass, with the whole of the core's and the adapter's tests.

Two tests are replaced by stricter ones: the entry in test_records lacked fields that replicas always send, and what can't be read now has to say so instead of being None.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -235,7 +235,7 @@
             raise self._lose(dispatch, EndingSeen.LOST, "the answer is another's")
         if head.status == MISDIRECTED:
             is_replaced = bool(facts.incarnation) and (
-                facts.incarnation != dispatch.replica
+                facts.incarnation != dispatch.listed_as
             )
             raise AnswerLostError(
                 RelayOutcome(
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import Address
+from toucanyard.names import Address, ReplicaId
 from toucanyard.node_records import NodeRecord
 from toucanyard.relay_events import PartChange, ReplicaState, WeightsOrder
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
@@ -156,7 +156,9 @@
 class ReplicaControl(Protocol):
     """Asks replicas for their state and gives them orders."""
 
-    async def read_state(self, address: Address, name: str) -> ReplicaState | None:
+    async def read_state(
+        self, address: Address, listed_as: ReplicaId
+    ) -> ReplicaState | None:
         """Return a replica's state; None if it did not answer or is another one."""
         ...
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -170,9 +170,9 @@
                 return await self._read_turns(offset)
             case AppendTurn():
                 return await self._append_turn(errand)
-            case ReadReplicaState(replica=replica, address=address):
+            case ReadReplicaState(replica=replica, listed_as=listed_as):
                 asked_ms = trio.current_time() * 1000
-                state = await self._control.read_state(address, replica)
+                state = await self._control.read_state(errand.address, listed_as)
                 return ReplicaStateRead(replica, state, asked_ms)
             case WeightsOrder():
                 return await self._send_order(errand)
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -195,6 +195,7 @@
         return RelayDispatch(
             request_id=request.request_id,
             replica=replica.name,
+            listed_as=replica.listed_as,
             address=replica.address,
             attempt=pending.dispatches,
             rank=request.rank,
--- a/packages/toucanyard/src/toucanyard/keyed_view.py
+++ b/packages/toucanyard/src/toucanyard/keyed_view.py
@@ -44,13 +44,21 @@
     before: object | None
 
 
+class InvalidRecord(msgspec.Struct, frozen=True):
+    """A record that can't be read or says what can't be: another writer's."""
+
+    topic: Topic
+    reason: str
+
+
 class _Held(msgspec.Struct, frozen=True):
     record: KeyedRecord
     fact: object | None
 
 
 Decode = Callable[[Topic, str, bytes], object | None]
-"""Turns a value into a typed fact; None for what can't be read or isn't wanted."""
+"""Turns a value into a typed fact; an InvalidRecord for what can't be read, None for
+what isn't wanted."""
 
 
 class KeyedView:
@@ -60,7 +68,15 @@
     `end` never falls; a key's offset never falls.
     """
 
-    __slots__ = ("_complete_from", "_decode", "_held", "confirmed_ms", "end", "topic")
+    __slots__ = (
+        "_complete_from",
+        "_decode",
+        "_held",
+        "_lacking",
+        "confirmed_ms",
+        "end",
+        "topic",
+    )
 
     def __init__(self, topic: Topic, decode: Decode) -> None:
         self.topic = topic
@@ -69,12 +85,21 @@
         """When the store, asked by any node, last had nothing beyond `end`."""
         self._decode = decode
         self._held: dict[str, _Held] = {}
+        self._lacking: set[str] = set()
+        """Keys whose only record that came can't be read."""
         self._complete_from = 0
 
     def list_facts(self) -> list[object]:
         """Return the facts of all keys."""
         return [held.fact for held in self._held.values() if held.fact is not None]
 
+    def find_told_end(self) -> int:
+        """Return up to where peers needn't tell this node anything.
+
+        A record that can't be read may have taken the place of one that peers hold.
+        """
+        return 0 if self._lacking else self.end
+
     def list_since(self, offset: int) -> tuple[bool, list[KeyedRecord]]:
         """Return whether the records are all there are, and those from an offset on."""
         is_whole = offset < self._complete_from
@@ -115,6 +140,13 @@
         fact = None
         if record.value is not None:
             fact = self._decode(self.topic, record.key, record.value)
+        if isinstance(fact, InvalidRecord) and self.topic is not Topic.REPLICAS:
+            # What held before holds on, and is what peers that start are given. Were it
+            # dropped, one bad record would leave every restarted node without routes.
+            if held is None:
+                self._lacking.add(record.key)
+            return Change(record.key, fact, before)
+        self._lacking.discard(record.key)
         # A heartbeat that says nothing new keeps the older record: passed on, each
         # would cost every link between nodes its bytes.
         if fact is not None and fact == before:
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -7,9 +7,10 @@
 
 from collections.abc import Iterator, Sequence
 
-from toucanyard.keyed_view import Change
-from toucanyard.names import EndpointName
+from toucanyard.keyed_view import Change, InvalidRecord, Topic
+from toucanyard.names import EndpointName, ReplicaId
 from toucanyard.node_records import NodeRecord
+from toucanyard.note_limit import NoteLimit
 from toucanyard.relay_events import Note
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.replicas import Replica, ReplicaDirectory
@@ -21,10 +22,11 @@
 class KnownFacts:
     """Routes, wanted weights, replicas and nodes as the records say.
 
-    Invariant: the version of the routes in force never falls.
+    Invariants: the version of the routes in force never falls; no record that can't be
+    read changes anything but the use of the replica in whose place it stands.
     """
 
-    __slots__ = ("_directory", "_flow", "_goals", "_roster", "index")
+    __slots__ = ("_directory", "_flow", "_goals", "_invalid", "_roster", "index")
 
     def __init__(
         self,
@@ -38,6 +40,7 @@
         self._goals = goals
         self._roster = roster
         self._flow = flow
+        self._invalid = NoteLimit("record_invalid")
 
     def apply(
         self,
@@ -54,13 +57,18 @@
         """
         gone: list[EndpointName] = []
         for change in changes:
+            if isinstance(change.fact, InvalidRecord):
+                yield from self._apply_invalid(change.key, change.fact, source, now_ms)
+                continue
             if change.fact is not None:
-                since_ms = now_ms - known_for_ms
-                yield from self._apply_fact(change.fact, source, since_ms)
+                yield from self._apply_fact(change.fact, source, now_ms, known_for_ms)
                 continue
             match change.before:
-                case Replica(name=name):
-                    gone.append(name)
+                case Replica(listed_as=listed_as):
+                    # The entry that went may be an earlier life's that came late.
+                    current = self._directory.find_current(listed_as)
+                    if current is not None:
+                        gone.append(current.replica.name)
                 case NodeRecord(name=node):
                     self._roster.remove(node)
                     yield Note("node_gone", {"node": node, "source": source})
@@ -76,16 +84,33 @@
                 },
             )
 
-    def _apply_fact(self, fact: object, source: str, since_ms: float) -> Iterator[Note]:
+    def _apply_invalid(
+        self, key: str, record: InvalidRecord, source: str, now_ms: float
+    ) -> Iterator[Note]:
+        if record.topic is Topic.REPLICAS:
+            known = self._directory.find_current(ReplicaId(key))
+            if known is not None:
+                self._directory.remove_foreign(known.replica.name, now_ms)
+        fields: dict[str, object] = {
+            "topic": record.topic.value,
+            "key": key,
+            "reason": record.reason,
+            "source": source,
+        }
+        yield from self._invalid.note(fields, now_ms)
+
+    def _apply_fact(
+        self, fact: object, source: str, now_ms: float, known_for_ms: float
+    ) -> Iterator[Note]:
         match fact:
             case RouteTable():
                 yield from self._apply_table(fact, source)
             case WantedWeights(model=model, version=version):
-                if self._goals.apply(fact, since_ms):
+                if self._goals.apply(fact, now_ms - known_for_ms):
                     fields = {"model": model, "version": version, "source": source}
                     yield Note("weights_wanted", fields)
             case Replica():
-                yield from self._apply_replica(fact, source)
+                yield from self._apply_replica(fact, source, now_ms)
             case NodeRecord(name=node):
                 self._roster.apply(fact)
                 yield Note("node_known", {"node": node, "source": source})
@@ -96,28 +121,43 @@
             return
         self.index = RouteIndex(table)
         self._flow.apply_index(self.index)
+        self._directory.apply_services(each.name for each in table.services)
         yield Note(
             "routes_in_force",
             {"version": table.version, "before": before, "source": source},
         )
 
-    def _apply_replica(self, replica: Replica, source: str) -> Iterator[Note]:
-        before = self._directory.find(replica.name)
-        was_leaving = before is not None and before.is_leaving
+    def _apply_replica(
+        self, replica: Replica, source: str, now_ms: float
+    ) -> Iterator[Note]:
+        before = self._directory.find_current(replica.listed_as)
+        was_usable = before is not None and before.is_listed(now_ms)
         had = {} if before is None else dict(before.weights)
-        known = self._directory.apply(replica)
-        if any(version > had.get(model, version) for model, version in replica.weights):
+        known = self._directory.apply(replica, now_ms)
+        if known is None:
+            yield Note("replica_outdated", _describe(replica, source))
+            return
+        if before is not None and before is not known:
+            # It remembers nothing of its life before.
+            self._flow.book.forget(before.replica.name)
+            fields = _describe(replica, source) | {"before": before.replica.name}
+            yield Note("replica_restarted", fields)
+        elif any(
+            version > had.get(model, version) for model, version in replica.weights
+        ):
             # Loading weights drops all that was read under the ones before.
             self._flow.book.forget(replica.name)
-        if before is None or was_leaving != known.is_leaving or had != known.weights:
-            yield Note(
-                "replica_known",
-                {
-                    "replica": replica.name,
-                    "service": replica.service,
-                    "address": replica.address,
-                    "is_leaving": known.is_leaving,
-                    "weights": dict(known.weights),
-                    "source": source,
-                },
-            )
+        is_same = known is before and had == known.weights
+        if not is_same or was_usable != known.is_listed(now_ms):
+            fields = _describe(replica, source)
+            fields |= {"is_leaving": known.is_leaving, "weights": dict(known.weights)}
+            yield Note("replica_known", fields)
+
+
+def _describe(replica: Replica, source: str) -> dict[str, object]:
+    return {
+        "replica": replica.name,
+        "service": replica.service,
+        "address": replica.address,
+        "source": source,
+    }
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -13,7 +13,7 @@
 
 from toucanyard.cbor_messages import decode_cbor
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import EndpointName, NodeName
+from toucanyard.names import EndpointName, NodeName, ReplicaId
 
 
 class ViewStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -45,6 +45,14 @@
     weights: tuple[tuple[str, int], ...]
 
 
+class LifeNews(msgspec.Struct, frozen=True, array_like=True):
+    """A replica that has started again under its name."""
+
+    listed_as: ReplicaId
+    born_ms: int
+    """The start of its newest life, by its own clock."""
+
+
 class ReadPart(msgspec.Struct, frozen=True, array_like=True):
     """A part of a prompt that a replica has just read, or is about to read."""
 
@@ -107,6 +115,8 @@
     """The nodes that are alive among those that it covers; None if it doesn't say."""
     is_report: bool = False
     """The receiver is the hub that the sender reports to."""
+    lives: tuple[LifeNews, ...] = ()
+    """The newest lives of replicas that have started again lately."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
--- a/packages/toucanyard/src/toucanyard/names.py
+++ b/packages/toucanyard/src/toucanyard/names.py
@@ -13,6 +13,8 @@
 PoolName = NewType("PoolName", str)
 ServiceName = NewType("ServiceName", str)
 EndpointName = NewType("EndpointName", str)
+# The name that a replica registers under; it may keep it when it starts again.
+ReplicaId = NewType("ReplicaId", str)
 RequestId = NewType("RequestId", str)
 # An IP number and a port, "127.0.0.1:8080".
 Address = NewType("Address", str)
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -308,6 +308,9 @@
         if isinstance(event, HolderLost):
             self.sources.note_lost(event.holder)
             return
+        if self.directory.is_over(event.holder):
+            # Told by the life before the present one; the replica has lost it all.
+            return
         book = self.flow.book
         is_new = self.sources.note_heard(event.holder, now_ms, event.epoch)
         if event.is_reset or is_new:
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -6,7 +6,14 @@
 
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.link_messages import LinkMessage
-from toucanyard.names import Address, EndpointName, NodeId, NodeName, RequestId
+from toucanyard.names import (
+    Address,
+    EndpointName,
+    NodeId,
+    NodeName,
+    ReplicaId,
+    RequestId,
+)
 from toucanyard.relay_flow import RelayReply
 from toucanyard.relay_requests import RelayOutcome, RelayRequest
 
@@ -115,6 +122,8 @@
     order_count: int
     running: int
     waiting: int
+    born_ms: int | None = None
+    """Start of the life that reports; None if it doesn't say."""
 
 
 class ReplicaStateRead(msgspec.Struct, frozen=True):
@@ -129,6 +138,7 @@
     """Order a replica to load weights."""
 
     replica: EndpointName
+    listed_as: ReplicaId
     address: Address
     model: str
     version: int
@@ -179,6 +189,7 @@
     """Ask a replica for its state."""
 
     replica: EndpointName
+    listed_as: ReplicaId
     address: Address
 
 
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -8,6 +8,7 @@
     Address,
     CustomerName,
     EndpointName,
+    ReplicaId,
     RequestId,
     ServiceName,
 )
@@ -77,6 +78,8 @@
 
     request_id: RequestId
     replica: EndpointName
+    listed_as: ReplicaId
+    """Under which the replica answers; what a call names."""
     address: Address
     attempt: int
     rank: int
--- a/packages/toucanyard/src/toucanyard/replica_bulletin.py
+++ b/packages/toucanyard/src/toucanyard/replica_bulletin.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator, Set
 from typing import Final
 
-from toucanyard.link_messages import ReplicaNews
+from toucanyard.link_messages import LifeNews, ReplicaNews
 from toucanyard.names import EndpointName
 from toucanyard.part_book import PartBook
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
@@ -57,6 +57,15 @@
             left_ms = max(known.loading_until_ms - now_ms, 0.0)
             yield ReplicaNews(name, left_ms, tuple(known.weights.items()))
 
+    def list_lives(self, now_ms: float) -> Iterable[LifeNews]:
+        """Return which replicas have started again lately."""
+        return self._directory.list_restarted(now_ms)
+
+    def apply_lives(self, all_news: Iterable[LifeNews], now_ms: float) -> None:
+        """Take in which replicas have started again, as a peer knows them."""
+        for news in all_news:
+            self._directory.note_life(news.listed_as, news.born_ms, now_ms)
+
     def apply(self, all_news: Iterable[ReplicaNews], now_ms: float) -> bool:
         """Take in what a peer knows; return whether others should be told of it."""
         is_news = False
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -7,12 +7,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 import msgspec
 
-from toucanyard.names import Address, DomainName, EndpointName, ServiceName
+from toucanyard.link_messages import LifeNews
+from toucanyard.names import (
+    Address,
+    DomainName,
+    EndpointName,
+    ReplicaId,
+    ServiceName,
+)
+from toucanyard.replica_lives import ReplicaLives
 
 MIN_REST_MS: Final = 250.0
 """First pause after a failure; a crashed process refuses connections for longer."""
@@ -35,9 +43,12 @@
 
 
 class Replica(msgspec.Struct, frozen=True):
-    """One incarnation of one replica, as it registered itself."""
+    """One life of one replica, as it registered itself."""
 
     name: EndpointName
+    """Of this life; `name_life` makes it."""
+    listed_as: ReplicaId
+    """Under which it registers and answers, also after it has started again."""
     service: ServiceName
     address: Address
     domain: DomainName
@@ -45,6 +56,8 @@
     is_draining: bool
     weights: tuple[tuple[str, int], ...] = ()
     """Model and weights version, for each model that is loaded."""
+    born_ms: int | None = None
+    """Start of this life by the replica's clock; None if it doesn't say."""
 
 
 class KnownReplica:
@@ -138,12 +151,15 @@
 class ReplicaDirectory:
     """All replicas of all services, as one node sees them.
 
-    Invariant: `find_usable` never returns a replica that is leaving.
+    Invariants: `find_usable` never returns a replica that is leaving, nor two lives of
+    one replica.
     """
 
-    __slots__ = ("_by_service", "_known")
+    __slots__ = ("_by_service", "_known", "_lives", "_served")
 
     def __init__(self) -> None:
+        self._lives = ReplicaLives()
+        self._served: frozenset[ServiceName] = frozenset()
         self._known: dict[EndpointName, KnownReplica] = {}
         self._by_service: dict[ServiceName, list[KnownReplica]] = {}
 
@@ -151,10 +167,31 @@
         """Return what is known of a replica."""
         return self._known.get(name)
 
+    def find_current(self, listed_as: ReplicaId) -> KnownReplica | None:
+        """Return the newest life of a replica."""
+        name = self._lives.find_newest(listed_as)
+        return None if name is None else self._known.get(name)
+
+    def apply_services(self, names: Iterable[ServiceName]) -> None:
+        """Take over which services the configuration names."""
+        self._served = frozenset(names)
+
     def list_all(self) -> Iterable[KnownReplica]:
         """Return every replica that is remembered."""
         return self._known.values()
 
+    def list_served(self, now_ms: float) -> list[KnownReplica]:
+        """Return the listed replicas of all services that the configuration names.
+
+        An entry of any other service may be another writer's: weights that were
+        ordered there would be loaded into a process that is none of ours.
+        """
+        return [
+            each
+            for service in self._served
+            for each in self.find_listed(service, now_ms)
+        ]
+
     def find_listed(self, service: ServiceName, now_ms: float) -> list[KnownReplica]:
         """Return the replicas of a service that the log allows."""
         known = self._by_service.get(service, ())
@@ -172,8 +209,10 @@
             if not each.is_loading(now_ms) and not each.is_resting(now_ms)
         ]
 
-    def apply(self, replica: Replica) -> KnownReplica:
-        """Take in what a replica says of itself."""
+    def apply(self, replica: Replica, now_ms: float) -> KnownReplica | None:
+        """Take in what a replica says of itself; None if that life is over."""
+        if not self.note_life(replica.listed_as, replica.born_ms, now_ms):
+            return None
         known = self._known.get(replica.name)
         if known is None:
             known = self._known[replica.name] = KnownReplica(replica)
@@ -182,8 +221,46 @@
             known.update(replica)
         return known
 
+    def note_life(
+        self, listed_as: ReplicaId, born_ms: int | None, now_ms: float
+    ) -> bool:
+        """Take in a life of a replica; return False if it is over.
+
+        The life before ends at once: its memory, weights and calls are gone, and what
+        is sent by what was known of it would be refused or read anew.
+        """
+        if self._lives.is_over(listed_as, born_ms):
+            return False
+        before = self.find_current(listed_as)
+        if self._lives.note(listed_as, born_ms, now_ms) and before is not None:
+            self.note_replaced(before.replica.name, now_ms)
+        return True
+
+    def list_restarted(self, now_ms: float) -> Iterable[LifeNews]:
+        """Return what peers should know of replicas that have started again."""
+        return self._lives.list_restarted(now_ms)
+
+    def is_over(self, name: EndpointName) -> bool:
+        """Tell whether a replica is known whose life was followed by another one."""
+        known = self._known.get(name)
+        if known is None:
+            return False
+        replica = known.replica
+        return self._lives.is_over(replica.listed_as, replica.born_ms)
+
+    def remove_foreign(self, name: EndpointName, now_ms: float) -> None:
+        """Take in that another writer's entry stands in a replica's place.
+
+        It is not used until it has registered again, and has no grace meanwhile: the
+        store was not away, somebody has written there.
+        """
+        known = self._known.get(name)
+        if known is not None:
+            known.gone_ms = now_ms
+            known.grace_until_ms = float("-inf")
+
     def remove(
-        self, names: Iterable[EndpointName], now_ms: float, *, is_doubtful: bool
+        self, names: Collection[EndpointName], now_ms: float, *, is_doubtful: bool
     ) -> None:
         """Take in that the log lists some replicas no more.
 
@@ -208,6 +285,7 @@
         if known is not None:
             known.is_leaving = True
             known.gone_ms = known.gone_ms or now_ms
+            known.grace_until_ms = float("-inf")
 
     def prune(self, now_ms: float) -> list[EndpointName]:
         """Forget replicas that went long ago; return their names."""
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -171,6 +171,7 @@
         if status.store_trouble_age_ms >= 0:
             trouble_ms = now_ms - status.store_trouble_age_ms
             self.trouble_ms = max(self.trouble_ms, trouble_ms)
+        self._bulletin.apply_lives(status.lives, now_ms)
         is_news |= self._bulletin.apply(status.news, now_ms)
         if is_news and not self._roster.is_meshed():
             self._nodes_ms = float("-inf")
@@ -273,6 +274,7 @@
             ),
             stores=tuple(self._list_stores(now_ms)),
             covers=Coverage.NOBODY,
+            lives=tuple(self._bulletin.list_lives(now_ms)),
         )
 
     def _is_hub_pair(self, name: NodeName) -> bool:
--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -93,7 +93,7 @@
     def list_statuses(self, now_ms: float) -> tuple[ViewStatus, ...]:
         """Return how far this node knows each topic."""
         return tuple(
-            ViewStatus(topic, view.end, _compute_age(view, now_ms))
+            ViewStatus(topic, view.find_told_end(), _compute_age(view, now_ms))
             for topic, view in self.views.items()
         )
 
--- a/packages/toucanyard/src/toucanyard/weights_duty.py
+++ b/packages/toucanyard/src/toucanyard/weights_duty.py
@@ -92,7 +92,7 @@
             case TurnAppended():
                 self._turns.note_appended(event)
             case ReplicaStateRead():
-                self._note_state(event)
+                self._note_state(event, now_ms)
             case OrderAnswered():
                 rollout = self._rollouts.get(event.order.model)
                 if rollout is not None and rollout.note_answer(event, now_ms):
@@ -168,10 +168,26 @@
             return []
         return [ReadTurns(0)]
 
-    def _note_state(self, read: ReplicaStateRead) -> None:
+    def _note_state(self, read: ReplicaStateRead, now_ms: float) -> None:
+        if self._is_other_life(read, now_ms):
+            return
         for rollout in self._rollouts.values():
             rollout.note_state(read)
 
+    def _is_other_life(self, read: ReplicaStateRead, now_ms: float) -> bool:
+        """Tell whether a report is not of the life that was asked.
+
+        Its count of orders would allow an order that was meant for the other one.
+        """
+        known = self._directory.find(read.replica)
+        if known is None or read.state is None or read.state.born_ms is None:
+            return False
+        replica, born_ms = known.replica, read.state.born_ms
+        if replica.born_ms is None or replica.born_ms == born_ms:
+            return False
+        self._directory.note_life(replica.listed_as, born_ms, now_ms)
+        return True
+
     def _find_behind(self, now_ms: float) -> list[KnownReplica]:
         return [
             known
@@ -186,9 +202,7 @@
 
     def _find_replicas(self, now_ms: float) -> dict[str, list[KnownReplica]]:
         found: dict[str, list[KnownReplica]] = {}
-        for known in self._directory.list_all():
-            if not known.is_listed(now_ms):
-                continue
+        for known in self._directory.list_served(now_ms):
             for model in known.weights:
                 if self._goals.find(model) is not None:
                     found.setdefault(model, []).append(known)
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -215,7 +215,7 @@
             return [order]
         if now_ms - change.asked_ms >= READ_MS:
             change.asked_ms = now_ms
-            return [ReadReplicaState(replica.name, replica.address)]
+            return [ReadReplicaState(replica.name, replica.listed_as, replica.address)]
         return []
 
     def _build_order(
@@ -239,6 +239,7 @@
             return None
         return WeightsOrder(
             replica=known.replica.name,
+            listed_as=known.replica.listed_as,
             address=known.replica.address,
             model=model,
             version=change.version,
--- a/tests/toucanyard/relay_examples.py
+++ b/tests/toucanyard/relay_examples.py
@@ -8,6 +8,7 @@
     DomainName,
     EndpointName,
     NodeName,
+    ReplicaId,
     RequestId,
     ServiceName,
 )
@@ -78,9 +79,10 @@
     return RouteTable(**(fields | changes))  # type: ignore[arg-type]
 
 
-def build_replica(name: str, **changes: object) -> Replica:
+def build_replica(name: str, /, **changes: object) -> Replica:
     fields: dict[str, object] = {
         "name": EndpointName(name),
+        "listed_as": ReplicaId(name),
         "service": ENGINES,
         "address": Address(f"10.1.0.{len(name)}:{sum(name.encode())}"),
         "domain": DomainName("d1"),
--- a/tests/toucanyard/test_call_placement.py
+++ b/tests/toucanyard/test_call_placement.py
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         directory = ReplicaDirectory()
         for name in "ab":
-            directory.apply(build_replica(name))
+            directory.apply(build_replica(name), 0.0)
         goals = WeightsGoals()
         goals.apply(WantedWeights(MODEL, 1), 0.0)
         own = NodeRecord(
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -44,10 +44,10 @@
     def __init__(self, desks: str = "xyz", engines: str = "ab") -> None:
         self.directory = ReplicaDirectory()
         for name in engines:
-            self.directory.apply(build_replica(name))
+            self.directory.apply(build_replica(name), 0.0)
         for name in desks:
             desk = build_replica(name, service=DESK, slots=SLOTS, weights=())
-            self.directory.apply(desk)
+            self.directory.apply(desk, 0.0)
         self.goals = WeightsGoals()
         self.goals.apply(WantedWeights(MODEL, 1), 0.0)
         own = NodeRecord(
@@ -217,7 +217,7 @@
     node.arrive("q", **stream)
     first = node.find_dispatch("q").replica
     other = "b" if first == "a" else "a"
-    node.directory.apply(build_replica(other, weights=((MODEL, 2),)))
+    node.directory.apply(build_replica(other, weights=((MODEL, 2),)), 0.0)
     node.end("q", EndingSeen.LOST, has_begun=True)
     assert node.find_refusal("q").kind is ErrorKind.ENDPOINT_LOST
     node = Node()
--- a/tests/toucanyard/test_replica_bulletin.py
+++ b/tests/toucanyard/test_replica_bulletin.py
@@ -18,7 +18,9 @@
 
     def __init__(self) -> None:
         directory = ReplicaDirectory()
-        self.known: KnownReplica = directory.apply(build_replica(NAME))
+        known = directory.apply(build_replica(NAME), 0.0)
+        assert known is not None
+        self.known: KnownReplica = known
         self.bulletin = ReplicaBulletin(directory, PartBook())
 
     def tell(self, other: Teller, now_ms: float) -> bool:
--- /dev/null
+++ b/tests/toucanyard/test_replica_lives.py
@@ -0,0 +1,268 @@
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given, strategies as st
+
+from toucanyard.keyed_view import InvalidRecord, KeyedRecord, Topic
+from toucanyard.link_messages import LinkMessage, NodeStatus, ReadPart
+from toucanyard.names import EndpointName, Incarnation, NodeId, NodeName, ReplicaId
+from toucanyard.part_book import Part
+from toucanyard.relay_events import (
+    LinkMessageRead,
+    Note,
+    PartChange,
+    PartsChanged,
+    ReplicaState,
+    ReplicaStateRead,
+)
+from toucanyard.replica_lives import TOLD_MS, ReplicaLives, name_life
+from toucanyard.replicas import Replica, ReplicaDirectory
+
+from .relay_examples import ENGINES, MODEL, build_replica, build_table
+from .relay_fleet import Fleet, put
+
+BEFORE, AFTER = 1_000, 2_000
+"""Starts of two lives of one replica."""
+LISTED = ReplicaId("r")
+
+
+def build_life(born_ms: int | None, **changes: object) -> Replica:
+    name = name_life(LISTED, born_ms)
+    return build_replica("r", name=name, born_ms=born_ms, **changes)
+
+
+def build_fleet(*names: str) -> Fleet:
+    fleet = Fleet(*names)
+    table = KeyedRecord("config", 0, put(build_table()))
+    for name in names:
+        fleet.read(name, Topic.OPERATOR, table)
+    return fleet
+
+
+def record(offset: int, fact: object | None) -> KeyedRecord:
+    return KeyedRecord("r", offset, None if fact is None else put(fact))
+
+
+def list_usable(fleet: Fleet, name: str = "a") -> list[str]:
+    found = fleet.core(name).directory.find_usable(ENGINES, fleet.now_ms)
+    return [each.replica.name for each in found]
+
+
+def test_replica_that_starts_again_is_used_again() -> None:
+    """A replica drains, ends, and starts again under its name.
+
+    Its leave and its failures are of the life before; believed of the new one, it
+    would stand idle for good while callers are refused.
+    """
+    fleet = build_fleet("a")
+    fleet.read("a", Topic.REPLICAS, record(0, build_life(BEFORE, is_draining=True)))
+    known = fleet.core("a").directory.find_current(LISTED)
+    assert known is not None
+    known.note_failure(0.0, is_dead=True)
+    assert list_usable(fleet) == []
+    fleet.read("a", Topic.REPLICAS, record(1, build_life(AFTER)))
+    assert list_usable(fleet) == ["r@2000"]
+    known = fleet.core("a").directory.find_current(LISTED)
+    assert known is not None
+    assert known.compute_failures(0.0) == 0.0
+
+
+def test_new_life_has_the_weights_that_it_says() -> None:
+    """A replica with weights 3 starts again with weights 2, which it had on its disk.
+
+    Taken for one that has weights 3, it would refuse each call that is sent there.
+    """
+    fleet = build_fleet("a")
+    old = build_life(BEFORE, weights=((MODEL, 3),))
+    fleet.read("a", Topic.REPLICAS, record(0, old))
+    new = build_life(AFTER, weights=((MODEL, 2),))
+    fleet.read("a", Topic.REPLICAS, record(1, new))
+    known = fleet.core("a").directory.find_current(LISTED)
+    assert known is not None
+    assert known.weights == {MODEL: 2}
+
+
+def test_entry_of_an_older_life_changes_nothing() -> None:
+    """The entry with which the old life took its leave is written after the new one's.
+
+    Believed, it would take the new life out of use, or bring the old one back.
+    """
+    fleet = build_fleet("a")
+    fleet.read("a", Topic.REPLICAS, record(0, build_life(BEFORE)))
+    fleet.read("a", Topic.REPLICAS, record(1, build_life(AFTER)))
+    late = build_life(BEFORE, is_draining=True)
+    fleet.read("a", Topic.REPLICAS, record(2, late))
+    assert list_usable(fleet) == ["r@2000"]
+    fleet.read("a", Topic.REPLICAS, record(3, build_life(AFTER)))
+    assert list_usable(fleet) == ["r@2000"]
+
+
+def test_removal_after_a_late_entry_ends_the_present_life() -> None:
+    """An old entry is written late, and then the key's lease runs out.
+
+    The view then holds the old life's entry; the removal is of the replica all the
+    same, and one that is not listed must get no calls.
+    """
+    fleet = build_fleet("a")
+    fleet.read("a", Topic.REPLICAS, record(0, build_life(AFTER)))
+    fleet.read("a", Topic.REPLICAS, record(1, build_life(BEFORE)))
+    fleet.read("a", Topic.REPLICAS, record(2, None))
+    assert list_usable(fleet) == []
+
+
+@given(st.permutations(range(4)))
+def test_any_order_of_arrival_ends_with_the_newest_life(order: list[int]) -> None:
+    """Entries of two lives reach a node from the store and from peers, crossed."""
+    directory = ReplicaDirectory()
+    entries = [
+        build_life(BEFORE),
+        build_life(BEFORE, is_draining=True),
+        build_life(AFTER),
+        build_life(AFTER, weights=((MODEL, 2),)),
+    ]
+    for number in order:
+        directory.apply(entries[number], 0.0)
+    usable = directory.find_usable(ENGINES, 0.0)
+    assert [each.replica.name for each in usable] == ["r@2000"]
+    assert usable[0].weights == {MODEL: 2}
+
+
+def test_restarted_node_hears_of_the_newest_life_from_a_peer() -> None:
+    """The store lost its history and holds an old entry; a node starts and reads it.
+
+    It must learn from its peers that this life is over, or it sends calls and orders
+    by what the entry says until the replica's next one.
+    """
+    fleet = build_fleet("a", "b")
+    fleet.cut = {"b"}
+    fleet.read("a", Topic.REPLICAS, record(0, build_life(BEFORE)))
+    fleet.read("a", Topic.REPLICAS, record(1, build_life(AFTER)))
+    fleet.read("b", Topic.REPLICAS, record(2, build_life(BEFORE)), is_whole=True)
+    assert list_usable(fleet, "b") == ["r@1000"]
+    fleet.cut = set()
+    fleet.run(300.0)
+    assert "r@1000" not in list_usable(fleet, "b")
+
+
+def test_peers_words_of_the_old_life_are_not_of_the_new_one() -> None:
+    """A peer that lags tells of parts that the old life held, and of weights.
+
+    Memory ends with a life. A prompt sent there for a part that is gone is read anew.
+    """
+    fleet = build_fleet("a")
+    core = fleet.core("a")
+    fleet.read("a", Topic.REPLICAS, record(0, build_life(BEFORE)))
+    fleet.read("a", Topic.REPLICAS, record(1, build_life(AFTER)))
+    old, new = EndpointName("r@1000"), EndpointName("r@2000")
+    scope = f"{MODEL}/1/"
+    peer = NodeId(NodeName("p"), Incarnation("i"))
+    part = ReadPart(old, scope, "book", 2_000, 0.0)
+    status: LinkMessage = NodeStatus(is_ready=True, views=(), parts=(part,))
+    fleet.handle(NodeName("a"), LinkMessageRead(peer, status))
+    told = PartsChanged(old, (PartChange(scope, "book", 2_000),), is_reset=False)
+    fleet.handle(NodeName("a"), told)
+    parts = (Part("book", 2_000),)
+    assert core.flow.book.count_leading(new, scope, parts, float("inf")) == 0
+
+
+def test_report_of_another_life_is_not_taken() -> None:
+    """An order is being prepared; the replica starts again and reports no orders yet.
+
+    With that count an order meant for the old life would be accepted by the new one.
+    """
+    fleet = build_fleet("a")
+    core = fleet.core("a")
+    fleet.read("a", Topic.REPLICAS, record(0, build_life(BEFORE)))
+    state = ReplicaState(((MODEL, 1),), False, 0, 0, 0, born_ms=AFTER)
+    read = ReplicaStateRead(EndpointName("r@1000"), state, 0.0)
+    fleet.handle(NodeName("a"), read)
+    assert list_usable(fleet) == []
+    assert core.directory.is_over(EndpointName("r@1000"))
+
+
+def test_peers_are_told_of_restarts_for_a_while_only() -> None:
+    lives = ReplicaLives()
+    lives.note(LISTED, BEFORE, 0.0)
+    assert not list(lives.list_restarted(0.0))
+    lives.note(LISTED, AFTER, 10.0)
+    assert [each.born_ms for each in lives.list_restarted(10.0 + TOLD_MS)] == [AFTER]
+    assert not list(lives.list_restarted(10.1 + TOLD_MS))
+
+
+def test_entry_without_a_start_after_one_with_it_is_not_its_own() -> None:
+    directory = ReplicaDirectory()
+    directory.apply(build_life(BEFORE), 0.0)
+    assert directory.apply(build_life(None, is_draining=True), 0.0) is None
+    assert directory.find_usable(ENGINES, 0.0)
+
+
+def test_foreign_entry_names_no_replica_and_others_hold() -> None:
+    """Another writer overwrites the entry of one of two replicas; the store is well.
+
+    What stands there may send calls to a process that is none of ours, so nobody is
+    used by it. The replica's next own entry brings it back, with what it remembers.
+    """
+    fleet = build_fleet("a")
+    other = KeyedRecord("s", 0, put(build_replica("s")))
+    fleet.read("a", Topic.REPLICAS, other, record(1, build_life(BEFORE)))
+    foreign = InvalidRecord(Topic.REPLICAS, "unknown state")
+    fleet.read("a", Topic.REPLICAS, record(2, foreign))
+    assert list_usable(fleet) == ["s"]
+    fleet.read("a", Topic.REPLICAS, record(3, build_life(BEFORE)))
+    assert sorted(list_usable(fleet)) == ["r@1000", "s"]
+
+
+def test_foreign_entry_has_no_grace_while_the_store_is_in_trouble() -> None:
+    fleet = build_fleet("a")
+    fleet.read("a", Topic.REPLICAS, record(0, build_life(BEFORE)))
+    fleet.core("a").statuses.trouble_ms = 0.0
+    foreign = InvalidRecord(Topic.REPLICAS, "not JSON")
+    fleet.read("a", Topic.REPLICAS, record(1, foreign))
+    assert list_usable(fleet) == []
+
+
+def test_replica_of_a_service_without_a_route_gets_no_orders_and_waits() -> None:
+    """An entry names a service that no configuration names; a later one does.
+
+    Until then its process may be anybody's: new weights must not be loaded into it.
+    """
+    fleet = build_fleet("a")
+    stray = build_life(BEFORE, service="new", is_draining=False)
+    fleet.read("a", Topic.REPLICAS, record(0, stray))
+    directory = fleet.core("a").directory
+    assert not directory.list_served(0.0)
+    services = build_table().services
+    named = msgspec.structs.replace(services[0], name="new")
+    table = build_table(2, services=(*services, named))
+    fleet.read("a", Topic.OPERATOR, KeyedRecord("config", 1, put(table)))
+    assert [each.replica.name for each in directory.list_served(0.0)] == ["r@1000"]
+
+
+def test_bad_configuration_leaves_the_one_before_in_force_and_with_peers() -> None:
+    """A configuration that can't be read stands in the store; a node starts.
+
+    It must get the routes in force from its peers rather than serve none.
+    """
+    fleet = build_fleet("a")
+    bad = put(InvalidRecord(Topic.OPERATOR, "not JSON"))
+    fleet.read("a", Topic.OPERATOR, KeyedRecord("config", 1, bad))
+    assert fleet.core("a").index.table.version == 1
+    fleet.add(NodeName("c"), 3)
+    fleet.read("c", Topic.OPERATOR, KeyedRecord("config", 1, bad), is_whole=True)
+    assert fleet.core("c").index.table.version == 0
+    fleet.link()
+    fleet.run(1_000.0)
+    assert fleet.core("c").index.table.version == 1
+
+
+def test_lines_about_bad_records_are_bounded() -> None:
+    fleet = build_fleet("a")
+    core = fleet.core("a")
+    notes = []
+    for offset in range(200):
+        fact = InvalidRecord(Topic.REPLICAS, f"bad {offset}")
+        view = core.exchange.views[Topic.REPLICAS]
+        changes = view.apply([record(offset, fact)], offset + 1, is_whole=False)
+        notes += list(core.facts.apply(changes, "store", 0.0, is_store_doubtful=False))
+    assert 0 < len(notes) <= 20
+    assert all(isinstance(each, Note) for each in notes)
--- a/tests/toucanyard/test_replicas.py
+++ b/tests/toucanyard/test_replicas.py
@@ -18,7 +18,7 @@
 def build_directory(*names: str) -> ReplicaDirectory:
     directory = ReplicaDirectory()
     for name in names:
-        directory.apply(build_replica(name))
+        directory.apply(build_replica(name), 0.0)
     return directory
 
 
@@ -32,8 +32,8 @@
     Believed, the entry would give it new calls until the process exits in mid-call.
     """
     directory = build_directory("a", "b")
-    directory.apply(build_replica("a", is_draining=True))
-    directory.apply(build_replica("a"))
+    directory.apply(build_replica("a", is_draining=True), 0.0)
+    directory.apply(build_replica("a"), 0.0)
     assert list_usable(directory, 0.0) == ["b"]
 
 
@@ -59,7 +59,7 @@
     directory = build_directory("a", "b", "c")
     directory.remove([EndpointName("a"), EndpointName("b")], 0.0, is_doubtful=False)
     assert list_usable(directory, 1.0) == ["a", "b", "c"]
-    directory.apply(build_replica("a"))
+    directory.apply(build_replica("a"), 0.0)
     assert list_usable(directory, LAPSE_GRACE_MS) == ["a", "c"]
 
 
@@ -113,9 +113,9 @@
     known = directory.find(EndpointName("a"))
     assert known is not None
     known.loading_until_ms = 5_000.0
-    directory.apply(build_replica("a"))
+    directory.apply(build_replica("a"), 0.0)
     assert list_usable(directory, 0.0) == []
-    directory.apply(build_replica("a", weights=((MODEL, 2),)))
+    directory.apply(build_replica("a", weights=((MODEL, 2),)), 0.0)
     assert list_usable(directory, 0.0) == ["a"]
 
 
@@ -124,7 +124,7 @@
     known = directory.find(EndpointName("a"))
     assert known is not None
     assert known.note_weights(MODEL, 3)
-    directory.apply(build_replica("a", weights=((MODEL, 2),)))
+    directory.apply(build_replica("a", weights=((MODEL, 2),)), 0.0)
     assert known.weights == {MODEL: 3}
 
 
--- a/tests/toucanyard_node/relay_world.py
+++ b/tests/toucanyard_node/relay_world.py
@@ -17,6 +17,7 @@
     Incarnation,
     NodeId,
     NodeName,
+    ReplicaId,
     ServiceName,
 )
 from toucanyard.part_book import Part
@@ -271,6 +272,7 @@
         for number, each in enumerate(self.replicas):
             replica = Replica(
                 EndpointName(each.name),
+                ReplicaId(each.name),
                 SERVICE,
                 each.address,
                 DomainName("d"),
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -6,6 +6,7 @@
     Address,
     CustomerName,
     EndpointName,
+    ReplicaId,
     RequestId,
     ServiceName,
 )
@@ -60,7 +61,8 @@
 def build_dispatch(version: int | None = 4) -> RelayDispatch:
     return RelayDispatch(
         request_id=RequestId("q1-1"),
-        replica=EndpointName("i-1"),
+        replica=EndpointName("i-1@7"),
+        listed_as=ReplicaId("i-1"),
         address=Address("10.0.0.1:1"),
         attempt=1,
         rank=3,
--- /dev/null
+++ b/tests/toucanyard_platform/test_decoders_fuzz.py
@@ -0,0 +1,112 @@
+"""Whatever bytes come, no decoder raises anything but its own error."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from toucanyard.cbor_messages import MessageInvalidError
+from toucanyard.keyed_view import InvalidRecord, Topic
+from toucanyard.link_messages import decode_link_message
+from toucanyard.node_records import NodeRecord
+from toucanyard.replicas import Replica
+from toucanyard.routes import RouteTable
+from toucanyard.weights_goals import WantedWeights
+from toucanyard_node.relay_ports import StoreError
+from toucanyard_platform.json_answers import AnswerInvalidError
+from toucanyard_platform.part_client import decode_page
+from toucanyard_platform.records import decode_record
+from toucanyard_platform.replica_client import decode_report
+from toucanyard_platform.store_client import split_keyed, split_records
+
+from .test_records import ENTRY
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.sampled_from(("ready", "draining", "10.0.0.1:1", "m", "v1")),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+NAMES = (*ENTRY, "born", "routes", "services", "limits", "tenants", "model", "name")
+KEYS = st.sampled_from(("config", "version/m", "i-1", "", "\u20ac"))
+FACTS = {
+    Topic.OPERATOR: (RouteTable, WantedWeights),
+    Topic.REPLICAS: (Replica,),
+    Topic.NODES: (NodeRecord,),
+}
+
+
+def encode(value: object) -> bytes:
+    return msgspec.json.encode(value)
+
+
+BODIES = st.binary(max_size=200) | st.builds(
+    encode, st.dictionaries(st.sampled_from(NAMES) | st.text(), JSON, max_size=8)
+)
+DEEP = b"[" * 100_000
+HUGE = b'{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","routeKind":'
+HUGE += b'"idempotent","timeoutMs":1e999,"service":"s"}]}'
+
+
+@given(st.sampled_from(Topic), KEYS, BODIES)
+@settings(max_examples=300)
+def test_records(topic: Topic, key: str, body: bytes) -> None:
+    found = decode_record(topic, key, body)
+    assert found is None or isinstance(found, (InvalidRecord, *FACTS[topic]))
+
+
+@given(st.dictionaries(st.sampled_from((*ENTRY, "born")), JSON, min_size=1))
+@settings(max_examples=300)
+def test_no_usable_replica_out_of_a_bad_entry(changes: dict[str, object]) -> None:
+    """Fields of a good entry are replaced by anything.
+
+    Either nothing is wrong with the entry or it names no replica; nothing between.
+    """
+    found = decode_record(Topic.REPLICAS, "i-1", encode(ENTRY | changes))
+    if isinstance(found, InvalidRecord):
+        return
+    assert isinstance(found, Replica)
+    assert isinstance(found.slots, int)
+    assert found.slots > 0
+    assert found.service
+    host, _, port = found.address.rpartition(":")
+    assert host.count(".") == 3
+    assert 0 < int(port) < 2**16
+
+
+@pytest.mark.parametrize("body", [DEEP, HUGE, b"\xff\xfe", b"1e999"], ids=len)
+def test_bodies_that_broke_readers(body: bytes) -> None:
+    """Nested too deeply, infinite once read, not text: each has an error of its own."""
+    for topic in Topic:
+        assert isinstance(decode_record(topic, "config", body), InvalidRecord)
+    for decode in (decode_page, decode_report):
+        with pytest.raises(AnswerInvalidError):
+            decode(body)
+
+
+@pytest.mark.parametrize("decode", [decode_page, decode_report])
+@given(body=BODIES)
+def test_answers(decode: Callable[[bytes], object], body: bytes) -> None:
+    with contextlib.suppress(AnswerInvalidError):
+        decode(body)
+
+
+@given(st.binary(max_size=200))
+def test_messages_of_peers(body: bytes) -> None:
+    with contextlib.suppress(MessageInvalidError):
+        decode_link_message(body)
+
+
+@given(st.binary(max_size=200))
+def test_records_of_the_log(body: bytes) -> None:
+    with contextlib.suppress(StoreError):
+        for content in split_records(body):
+            split_keyed(0, content)
--- a/tests/toucanyard_platform/test_records.py
+++ b/tests/toucanyard_platform/test_records.py
@@ -1,8 +1,9 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
-from toucanyard.keyed_view import Topic
+from toucanyard.keyed_view import InvalidRecord, Topic
 from toucanyard.names import (
     Address,
     DomainName,
@@ -92,18 +93,86 @@
     assert table.bounds.idle_timeout_ms == 3
 
 
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:1",
+    "zone": "z",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "phase": "colocated",
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "sequence": 4,
+}
+"""An entry as replicas write it."""
+
+
+def decode_entry(**changes: object) -> object:
+    return decode_record(Topic.REPLICAS, "i-1", msgspec.json.encode(ENTRY | changes))
+
+
+def test_entry_without_a_start_keeps_its_id_as_its_name() -> None:
+    replica = decode_entry()
+    assert isinstance(replica, Replica)
+    assert (replica.name, replica.listed_as, replica.born_ms) == ("i-1", "i-1", None)
+
+
+@pytest.mark.parametrize(
+    "field", sorted(set(ENTRY) - {"models", "phase"}), ids=lambda field: field
+)
+def test_entry_without_a_field_names_no_replica(field: str) -> None:
+    """Another writer leaves an entry beside the replicas', without all their fields.
+
+    With a default in a field's place it would get calls that nobody answers.
+    """
+    entry = {name: value for name, value in ENTRY.items() if name != field}
+    found = decode_record(Topic.REPLICAS, "i-1", msgspec.json.encode(entry))
+    assert isinstance(found, InvalidRecord)
+    assert field in found.reason
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "paused"},
+        {"state": "READY"},
+        {"state": None},
+        {"slots": 0},
+        {"slots": "6"},
+        {"slots": 6.5},
+        {"slots": True},
+        {"sequence": -1},
+        {"coldLeftMs": "0"},
+        {"address": "10.0.0.1"},
+        {"address": "host:80"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:99999999999999999999"},
+        {"service": ""},
+        {"service": 7},
+        {"models": {"m": 3}},
+        {"models": [{"name": "m"}]},
+        {"models": [{"name": "m", "version": 1.5}]},
+        {"born": "1700000000000"},
+        {"born": 0},
+        {"born": 1.5},
+        {"born": True},
+    ],
+    ids=str,
+)
+def test_entry_with_an_impossible_field_names_no_replica(
+    changes: dict[str, object],
+) -> None:
+    assert isinstance(decode_entry(**changes), InvalidRecord)
+
+
 def test_replicas_weights_and_nodes() -> None:
-    entry = {
-        "service": "s",
-        "address": "10.0.0.1:1",
-        "zone": "z",
-        "slots": 6,
-        "state": "draining",
-        "models": [{"name": "m", "version": 3, "adapters": []}],
-    }
-    replica = decode_record(Topic.REPLICAS, "i-1", msgspec.json.encode(entry))
+    replica = decode_entry(state="draining", born=1_700_000_000_000)
     assert isinstance(replica, Replica)
     assert replica.is_draining
+    assert replica.listed_as == "i-1"
+    assert replica.name == "i-1@1700000000000"
+    assert replica.born_ms == 1_700_000_000_000
     assert replica.service == ServiceName("s")
     assert replica.weights == (("m", 3),)
     weights = b'{"model":"m","version":4}'
@@ -120,8 +189,11 @@
     assert decode_record(Topic.NODES, "n", text) == node
 
 
-def test_what_cannot_be_read_is_passed_over() -> None:
+def test_what_cannot_be_read_says_so() -> None:
     for topic in Topic:
-        for value in (b"", b"{", b"[]", b'{"version":"x"}', b"\xff"):
-            assert decode_record(topic, "config", value) is None
+        for value in (b"", b"{", b"[]", b'{"version":"x"}', b"\xff", b"[" * 5_000):
+            found = decode_record(topic, "config", value)
+            assert isinstance(found, InvalidRecord)
+            assert found.topic is topic
+            assert found.reason
     assert decode_record(Topic.OPERATOR, "unknown", b"{}") is None
--- a/tests/toucanyard_platform/test_replica_client.py
+++ b/tests/toucanyard_platform/test_replica_client.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from toucanyard.names import Address, EndpointName, NodeName
+from toucanyard.names import Address, EndpointName, NodeName, ReplicaId
 from toucanyard.relay_events import PartChange, WeightsOrder
 from toucanyard_platform.part_client import PartClient
 from toucanyard_platform.replica_client import ReplicaClient
@@ -18,13 +18,20 @@
     b'[[119,"+","s1","5c",800,"m"],[120,"-","s1","91",0,"m"]]}'
 )
 ORDER = WeightsOrder(
-    EndpointName("i-1"), Address("10.0.0.1:1"), "m", 2, NodeName("n"), 41, 3
+    EndpointName("i-1@7"),
+    ReplicaId("i-1"),
+    Address("10.0.0.1:1"),
+    "m",
+    2,
+    NodeName("n"),
+    41,
+    3,
 )
 
 
 async def test_report_is_decoded() -> None:
     async with serve(lambda _: (200, (), REPORT)) as (address, seen):
-        state = await ReplicaClient().read_state(address, "i-1")
+        state = await ReplicaClient().read_state(address, ReplicaId("i-1"))
     assert state is not None
     assert state.weights == (("m", 1),)
     assert state.is_busy
@@ -35,8 +42,11 @@
 
 async def test_report_of_another_replica_is_none() -> None:
     async with serve(lambda _: (421, (), b"")) as (address, _):
-        assert await ReplicaClient().read_state(address, "i-1") is None
-    assert await ReplicaClient().read_state(Address("127.0.0.1:1"), "i-1") is None
+        assert await ReplicaClient().read_state(address, ReplicaId("i-1")) is None
+    assert (
+        await ReplicaClient().read_state(Address("127.0.0.1:1"), ReplicaId("i-1"))
+        is None
+    )
 
 
 async def test_order_names_what_it_depends_on() -> None:
