--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/accounting.py
@@ -0,0 +1,169 @@
+"""Add up what callers got: worth by kind and by window, and why the rest was lost."""
+
+from __future__ import annotations
+
+import enum
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Final
+
+import msgspec
+
+from toucanyard_emulator.arrivals import Arrival
+from toucanyard_emulator.scenario import Goal, Prices
+
+WINDOW_MS: Final = 2_000.0
+WORST_WINDOWS: Final = 2
+MIN_WINDOW_SHARE: Final = 0.3
+"""Share of the mean window's worth below which a window is too thin to count."""
+
+
+class Cause(enum.StrEnum):
+    """Why a call earned less than its worth; each lost piece has one cause."""
+
+    REPLICA_LOST = "replica lost"
+    NODE_GONE = "node gone"
+    REFUSED = "refused"
+    WAITED_AT_NODE = "waited at the node"
+    TRIED_ELSEWHERE = "tried elsewhere"
+    CAME_BACK = "came back"
+    WAITED_AT_REPLICA = "waited at the replica"
+    READ_LONG = "prompt read"
+    PAUSED = "stream paused"
+    OLD_WEIGHTS = "old weights"
+    OTHER_WEIGHTS = "weights changed under it"
+    OTHER = "other"
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """How a call ended for its caller."""
+
+    arrival: Arrival
+    is_served: bool
+    is_late: bool
+    cause: Cause | None
+    after_ms: float
+    """Until the first event, or the answer of a plain call."""
+    old_share: float = 0.0
+    """Of its worth that is taken off for older weights."""
+    kept_share: float = 1.0
+    """Of what it made that was made on the weights that it was begun on."""
+
+    def compute_earned(self) -> float:
+        """Return what it earned, before what is taken off for weights."""
+        if not self.is_served:
+            return 0.0
+        kind = self.arrival.kind
+        earned = self.arrival.worth
+        if self.is_late:
+            earned *= kind.late_worth / kind.worth
+        return earned
+
+
+class Counts(msgspec.Struct):
+    """What else is priced."""
+
+    loads: int = 0
+    orders: int = 0
+    connections: int = 0
+    store_calls: int = 0
+    reread_tokens: int = 0
+    moved_bytes: float = 0.0
+
+
+class Result(msgspec.Struct, frozen=True):
+    """One run, added up; all figures are shares of the worth that was owed."""
+
+    worth: float
+    whole: float
+    worst_windows: float
+    worst_kind: float
+    prices: dict[str, float]
+    kinds: dict[str, float]
+    windows: tuple[float, ...]
+    causes: dict[str, float]
+    """Share of the worth lost by each cause; together they are what is lost."""
+    served: int
+    late: int
+    failed: int
+    counts: Counts
+
+
+def add_up(
+    ended: Iterable[Ended], counts: Counts, goal: Goal, prices: Prices
+) -> Result:
+    """Return the result of a run."""
+    owed, earned = 0.0, 0.0
+    by_kind: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+    by_window: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+    causes: dict[str, float] = defaultdict(float)
+    old, mixed = 0.0, 0.0
+    tally = [0, 0, 0]
+    for each in ended:
+        arrival, got = each.arrival, each.compute_earned()
+        owed += arrival.worth
+        earned += got
+        for sums in (
+            by_kind[arrival.kind.name],
+            by_window[int(arrival.at_ms // WINDOW_MS)],
+        ):
+            sums[0] += got
+            sums[1] += arrival.worth
+        if each.cause is not None:
+            causes[each.cause.value] += arrival.worth - got
+        old += got * each.old_share
+        mixed += got * (1.0 - each.kept_share)
+        tally[0] += each.is_served
+        tally[1] += each.is_served and each.is_late
+        tally[2] += not each.is_served
+    taken = _compute_prices(counts, prices, old, mixed, max(owed, 1e-9))
+    kinds = {name: sums[0] / sums[1] for name, sums in sorted(by_kind.items())}
+    windows = _list_windows(by_window)
+    whole = earned / max(owed, 1e-9)
+    worst = sorted(windows)[:WORST_WINDOWS] or [0.0]
+    worst_windows = sum(worst) / len(worst)
+    worst_kind = min(kinds.values(), default=0.0)
+    worth = goal.whole * whole + goal.windows * worst_windows + goal.kinds * worst_kind
+    causes[Cause.OLD_WEIGHTS.value] += old
+    causes[Cause.OTHER_WEIGHTS.value] += mixed
+    return Result(
+        worth=worth - sum(taken.values()),
+        whole=whole,
+        worst_windows=worst_windows,
+        worst_kind=worst_kind,
+        prices=taken,
+        kinds=kinds,
+        windows=tuple(windows),
+        causes={name: lost / max(owed, 1e-9) for name, lost in sorted(causes.items())},
+        served=tally[0],
+        late=tally[1],
+        failed=tally[2],
+        counts=counts,
+    )
+
+
+def _list_windows(by_window: dict[int, list[float]]) -> list[float]:
+    if not by_window:
+        return []
+    mean = sum(sums[1] for sums in by_window.values()) / len(by_window)
+    return [
+        by_window[number][0] / by_window[number][1]
+        for number in sorted(by_window)
+        if by_window[number][1] >= MIN_WINDOW_SHARE * mean
+    ]
+
+
+def _compute_prices(
+    counts: Counts, prices: Prices, old: float, mixed: float, owed: float
+) -> dict[str, float]:
+    taken = {
+        "loads": counts.loads * prices.load,
+        "orders": counts.orders * prices.order,
+        "read again": counts.reread_tokens / 1_000 * prices.reread_per_1k_tokens,
+        "connections": counts.connections * prices.connection,
+        "store calls": counts.store_calls * prices.store_call,
+        "moved": counts.moved_bytes / 1e9 * prices.moved_gb,
+        "old weights": old,
+        "weights changed": mixed,
+    }
+    return {name: price / owed for name, price in taken.items()}
--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/arrivals.py
@@ -0,0 +1,110 @@
+"""Draw the calls of a run before it begins: each variant meets the same ones."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.part_book import Part
+from toucanyard_emulator.scenario import Burst, CallKind, HotSubject, Scenario
+
+MAX_SIZE: Final = 4.0
+"""A prompt of more than so many times the mean counts no more than that."""
+BASE_WORTH: Final = 0.3
+"""Share of a call's worth that doesn't depend on its size."""
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """One call as its caller makes it."""
+
+    number: int
+    at_ms: float
+    kind: CallKind
+    domain: int
+    parts: tuple[Part, ...]
+    output_tokens: int
+    work_ms: float
+    worth: float
+
+
+def draw_arrivals(scenario: Scenario, seed: int) -> list[Arrival]:
+    """Return all calls of a run, in the order of their arrival."""
+    drawn = [
+        arrival
+        for kind in scenario.kinds
+        for arrival in _draw_kind(scenario, kind, random.Random(f"{seed} {kind.name}"))
+    ]
+    drawn.sort(key=lambda arrival: arrival.at_ms)
+    return [
+        msgspec.structs.replace(arrival, number=number)
+        for number, arrival in enumerate(drawn)
+    ]
+
+
+def _draw_kind(
+    scenario: Scenario, kind: CallKind, rng: random.Random
+) -> Iterator[Arrival]:
+    """Thin a Poisson process of the highest rate down to the rate of each moment."""
+    most = 1.0 + scenario.wave_share
+    for fault in scenario.faults:
+        if isinstance(fault, Burst):
+            most *= max(fault.factor, 1.0)
+    at_s = 0.0
+    while True:
+        at_s += rng.expovariate(kind.per_s * most)
+        if at_s >= scenario.length_s:
+            return
+        is_kept = rng.random() * most < _find_rate(scenario, at_s)
+        arrival = _draw_one(scenario, kind, at_s, rng)
+        if is_kept:
+            yield arrival
+
+
+def _find_rate(scenario: Scenario, at_s: float) -> float:
+    """Return the rate of a moment as a multiple of the mean."""
+    turn = 2 * math.pi * at_s / scenario.wave_s
+    rate = 1.0 + scenario.wave_share * math.sin(turn)
+    for fault in scenario.faults:
+        if isinstance(fault, Burst) and 0 <= at_s - fault.at_s < fault.for_s:
+            rate *= fault.factor
+    return rate
+
+
+def _draw_one(
+    scenario: Scenario, kind: CallKind, at_s: float, rng: random.Random
+) -> Arrival:
+    domain = rng.randrange(scenario.domains)
+    size = min(rng.lognormvariate(-0.32, 0.8), MAX_SIZE)
+    shared = _draw_shared(scenario, kind, at_s, rng)
+    own_tokens = max(int(kind.prompt_tokens * size), 1) if kind.prompt_tokens else 0
+    outputs = max(int(kind.output_tokens * rng.uniform(0.4, 1.6)), 1)
+    work_ms = kind.work_ms * rng.uniform(0.5, 1.5)
+    own = f"{kind.name} own {rng.getrandbits(48):x}"
+    parts = (*shared, Part(own, own_tokens)) if own_tokens else ()
+    worth = kind.worth
+    if parts:
+        total = sum(part.tokens for part in parts)
+        mean = kind.prompt_tokens + sum(each.tokens for each in kind.shared)
+        worth *= min(BASE_WORTH + (1.0 - BASE_WORTH) * total / mean, MAX_SIZE)
+    return Arrival(0, at_s * 1000, kind, domain, parts, outputs, work_ms, worth)
+
+
+def _draw_shared(
+    scenario: Scenario, kind: CallKind, at_s: float, rng: random.Random
+) -> tuple[Part, ...]:
+    subject = rng.random()
+    draw = rng.random()
+    for fault in scenario.faults:
+        if not isinstance(fault, HotSubject) or fault.kind != kind.name:
+            continue
+        if 0 <= at_s - fault.at_s < fault.for_s and draw < fault.share:
+            subject = 0.0
+    # A subject of a deep level has one subject of each level above it.
+    return tuple(
+        Part(f"{kind.name} {level} {int(subject * each.subjects)}", each.tokens)
+        for level, each in enumerate(kind.shared)
+    )
--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/experiment.py
@@ -0,0 +1,142 @@
+"""Play variants on the same scenarios and seeds, and compare them in pairs."""
+
+from __future__ import annotations
+
+import math
+import os
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+from toucanyard_emulator.accounting import Result
+from toucanyard_emulator.runner import play
+from toucanyard_emulator.scenario import load_scenario
+from toucanyard_emulator.variants import USUAL, Variant
+
+# Two-sided 95% points of Student's t for 1 to 30 degrees of freedom.
+T_95: Final = (
+    12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14,
+    2.13, 2.12, 2.11, 2.10, 2.09, 2.09, 2.08, 2.07, 2.07, 2.06, 2.06, 2.06, 2.05, 2.05,
+    2.05, 2.04,
+)  # fmt: skip
+
+
+class Task(msgspec.Struct, frozen=True):
+    """One run."""
+
+    file: Path
+    variant: Variant
+    seed: int
+
+
+class Played(msgspec.Struct, frozen=True):
+    """One run and its result."""
+
+    scenario: str
+    variant: str
+    seed: int
+    result: Result
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """How a variant differs from the usual policy on one scenario."""
+
+    scenario: str
+    variant: str
+    seeds: int
+    usual: float
+    worth: float
+    mean: float
+    """Of the differences of worth, seed by seed."""
+    half_width: float
+    """Of the 95% interval around it."""
+
+    def is_shown(self) -> bool:
+        """Tell whether the interval leaves out zero."""
+        return abs(self.mean) > self.half_width
+
+
+def count_workers() -> int:
+    """Return how many runs go on at once: on the processors that are not busy."""
+    cores = os.cpu_count() or 1
+    return max(cores - 1 - count_running(), 2)
+
+
+def count_running() -> int:
+    """Return how many tasks of the machine run now, this one not counted."""
+    try:
+        running = Path("/proc/loadavg").read_text().split()[3].partition("/")[0]
+    except (OSError, IndexError):
+        return 0
+    return max(int(running) - 1, 0)
+
+
+def run_task(task: Task) -> Played:
+    """Play one run; called in a process of its own."""
+    scenario = load_scenario(task.file)
+    result = play(scenario, task.variant.policy, task.seed)
+    return Played(scenario.name, task.variant.name, task.seed, result)
+
+
+def run_all(
+    files: Sequence[Path],
+    variants: Sequence[Variant],
+    seeds: Sequence[int],
+    note_done: Callable[[], None],
+    workers: int | None = None,
+) -> list[Played]:
+    """Play every variant, the usual one first, on every scenario and seed."""
+    tasks = [
+        Task(file, variant, seed)
+        for file in files
+        for variant in (USUAL, *variants)
+        for seed in seeds
+    ]
+    played: list[Played] = []
+    with ProcessPoolExecutor(workers or count_workers()) as pool:
+        for each in pool.map(run_task, tasks):
+            played.append(each)
+            note_done()
+    return played
+
+
+def compare(played: Sequence[Played]) -> list[Difference]:
+    """Return how each variant differs from the usual policy, scenario by scenario."""
+    found: dict[tuple[str, str], dict[int, Result]] = {}
+    for each in played:
+        found.setdefault((each.scenario, each.variant), {})[each.seed] = each.result
+    return [
+        _compare_one(scenario, variant, found[(scenario, USUAL.name)], results)
+        for (scenario, variant), results in found.items()
+        if variant != USUAL.name
+    ]
+
+
+def _compare_one(
+    scenario: str, variant: str, usual: dict[int, Result], other: dict[int, Result]
+) -> Difference:
+    seeds = sorted(set(usual) & set(other))
+    differences = [other[seed].worth - usual[seed].worth for seed in seeds]
+    mean = sum(differences) / len(seeds)
+    return Difference(
+        scenario,
+        variant,
+        len(seeds),
+        sum(usual[seed].worth for seed in seeds) / len(seeds),
+        sum(other[seed].worth for seed in seeds) / len(seeds),
+        mean,
+        compute_half_width(differences),
+    )
+
+
+def compute_half_width(values: Sequence[float]) -> float:
+    """Return half of the 95% interval around a mean; infinite for one value."""
+    count = len(values)
+    if count < 2:
+        return math.inf
+    mean = sum(values) / count
+    variance = sum((value - mean) ** 2 for value in values) / (count - 1)
+    return T_95[min(count - 2, len(T_95) - 1)] * math.sqrt(variance / count)
--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -0,0 +1,269 @@
+"""Drive one real core in virtual time: ticks, messages, the store, orders and calls."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+from toucanyard.keyed_view import Topic
+from toucanyard.names import EndpointName, Incarnation, NodeId, RequestId
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_events import (
+    AppendTurn,
+    LinkMessageRead,
+    Note,
+    OrderAnswered,
+    PartsChanged,
+    PeersLinked,
+    ReadReplicaState,
+    ReadTurns,
+    RelayAction,
+    RelayEvent,
+    ReplicaStateRead,
+    SendToPeer,
+    StoreFailed,
+    TickPassed,
+    TopicRead,
+    TurnAppended,
+    TurnRead,
+    WeightsOrder,
+)
+from toucanyard.relay_flow import RelayReply
+from toucanyard.relay_options import RelayOptions
+from toucanyard.requests import Refuse
+from toucanyard_emulator.engine import Engine, Presence
+from toucanyard_emulator.relayed_call import RelayedCall
+
+if TYPE_CHECKING:
+    from toucanyard_emulator.world import World
+
+TICK_MS: Final = 25.0
+FAR_TICK_MS: Final = 50.0
+LOOK_MS: Final = {Topic.REPLICAS: 50.0, Topic.NODES: 250.0}
+STORE_MS: Final = 5.0
+"""Time of one call to the store, the way included."""
+STORE_TIMEOUT_MS: Final = 1_200.0
+RETRY_MS: Final = 250.0
+REPORT_TIMEOUT_MS: Final = 500.0
+ORDER_TIMEOUT_MS: Final = 1_000.0
+FOLLOW_MS: Final = 200.0
+"""Time between two looks at what a holder tells of its parts."""
+FIND_FOLLOWED_MS: Final = 500.0
+_ACCEPTED: Final = 202
+
+
+class EmulatedNode:
+    """One incarnation of one node. Invariant: nothing happens after `stop`."""
+
+    def __init__(
+        self, world: World, number: int, incarnation: int, options: RelayOptions
+    ) -> None:
+        self.world = world
+        self.number = number
+        self.domain = options.domain
+        self.is_up = True
+        self.identity = NodeId(options.name, Incarnation(f"i{incarnation}"))
+        rng = random.Random(f"{world.seed} node {number} {incarnation}")
+        self.core = RelayCore(options, self.identity, world.store.decode, rng)
+        self.notes: list[tuple[float, Note]] = []
+        self._rng = rng
+        self._calls: dict[RequestId, RelayedCall] = {}
+        self._next = dict.fromkeys(Topic, 0)
+        self._followed: dict[EndpointName, int] = {}
+        """By holder: how many of its changes were told."""
+
+    @property
+    def now_ms(self) -> float:
+        """Return the present time."""
+        return self.world.clock.now_ms
+
+    def start(self) -> None:
+        """Begin all that a node does by itself."""
+        self.after(self._rng.uniform(0.0, TICK_MS), self._tick)
+        self._poll()
+        for topic, look_ms in LOOK_MS.items():
+            self.after(self._rng.uniform(0.0, look_ms), partial(self._watch, topic))
+        self.after(FOLLOW_MS, self._find_followed)
+
+    def stop(self) -> None:
+        """End at once; callers see their connections cut."""
+        self.is_up = False
+        for call in list(self._calls.values()):
+            call.cut()
+        self._calls.clear()
+
+    def after(self, delay_ms: float, act: Callable[[], None]) -> None:
+        """Do something later, if this incarnation still runs then."""
+
+        def run() -> None:
+            if self.is_up:
+                act()
+
+        self.world.clock.call_after(max(delay_ms, 0.0), run)
+
+    def offer(self, call: RelayedCall) -> None:
+        """Take a caller's call."""
+        self._calls[call.request.request_id] = call
+        call.begin()
+
+    def forget(self, call: RelayedCall) -> None:
+        """Drop a call that is over."""
+        self._calls.pop(call.request.request_id, None)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.is_up and self.core.is_ready()
+
+    def handle(self, event: RelayEvent) -> None:
+        """Give the core an event and carry out what it asks for."""
+        if not self.is_up:
+            return
+        for action in self.core.handle(event, self.now_ms):
+            self._carry_out(action)
+
+    def _carry_out(self, action: RelayAction) -> None:
+        match action:
+            case RelayReply(request_id=request_id, verdict=verdict):
+                call = self._calls.get(request_id)
+                if isinstance(verdict, Refuse):
+                    self.world.note_refusal(verdict)
+                if call is not None:
+                    # The task that asked runs a moment later, as it does for real.
+                    self.after(0.0, lambda: call.take(verdict))
+            case SendToPeer(node=name, message=message):
+                self.world.send(self, name, LinkMessageRead(self.identity, message))
+            case ReadTurns(from_offset=offset):
+                self._ask_store(lambda: self._read_turns(offset), "turns")
+            case AppendTurn():
+                self._append_turn(action)
+            case ReadReplicaState():
+                self._read_state(action)
+            case WeightsOrder():
+                self._send_order(action)
+            case Note():
+                self.notes.append((self.now_ms, action))
+
+    def _tick(self) -> None:
+        self.handle(TickPassed())
+        is_near = self.core.roster.is_meshed()
+        self.after(TICK_MS if is_near else FAR_TICK_MS, self._tick)
+
+    def _is_store_away(self) -> bool:
+        return self.number in self.world.store.down_nodes
+
+    def _ask_store(self, act: Callable[[], None], purpose: str) -> None:
+        self.world.store.calls += 1
+        if self._is_store_away():
+            self.after(STORE_TIMEOUT_MS, lambda: self._note_failed(purpose))
+        else:
+            self.after(STORE_MS, act)
+
+    def _note_failed(self, purpose: str) -> None:
+        self.handle(StoreFailed(purpose, "no answer"))
+
+    def _poll(self) -> None:
+        if self._is_store_away():
+            self._note_failed("operator")
+            self.after(RETRY_MS, self._poll)
+            return
+        self._read(Topic.OPERATOR, self.now_ms)
+        self.world.store.wait(lambda: self.after(STORE_MS, self._poll))
+
+    def _watch(self, topic: Topic) -> None:
+        view = self.core.exchange.views[topic]
+        is_new = not view.end and not self._next[topic]
+        if is_new or self.core.is_read_due(topic, self.now_ms):
+            self.core.note_read_begun(topic, self.now_ms)
+            asked_ms = self.now_ms
+            self._ask_store(lambda: self._read(topic, asked_ms), topic.value)
+        self.after(LOOK_MS[topic], lambda: self._watch(topic))
+
+    def _read(self, topic: Topic, asked_ms: float) -> None:
+        since = max(self.core.exchange.views[topic].end, self._next[topic])
+        records, end = self.world.store.read(topic, since)
+        self._next[topic] = end
+        self.handle(TopicRead(topic, records, end, since == 0, asked_ms))
+
+    def _read_turns(self, offset: int) -> None:
+        self.handle(TurnRead(*self.world.store.read_turns(offset)))
+
+    def _append_turn(self, action: AppendTurn) -> None:
+        sent_ms = self.now_ms
+        self.world.store.calls += 1
+        if self._is_store_away():
+            self.after(
+                STORE_TIMEOUT_MS,
+                lambda: self.handle(TurnAppended(None, sent_ms)),
+            )
+            return
+
+        def append() -> None:
+            offset = self.world.store.append_turn(action.value, action.at)
+            self.handle(TurnAppended(offset, sent_ms))
+
+        self.after(STORE_MS, append)
+
+    def _read_state(self, read: ReadReplicaState) -> None:
+        asked_ms = self.now_ms
+        engine = self.world.find_replica(read.replica)
+        if not isinstance(engine, Engine) or engine.presence is not Presence.UP:
+            is_silent = engine is not None and engine.presence is Presence.SILENT
+            delay_ms = REPORT_TIMEOUT_MS if is_silent else 2.0
+            self.after(
+                delay_ms,
+                lambda: self.handle(ReplicaStateRead(read.replica, None, asked_ms)),
+            )
+            return
+        state = engine.read_state()
+        way_ms = self.world.compute_way(self.domain, read.replica)
+        self.after(
+            4 * way_ms + 1.0,
+            lambda: self.handle(ReplicaStateRead(read.replica, state, asked_ms)),
+        )
+
+    def _send_order(self, order: WeightsOrder) -> None:
+        self.world.counts.orders += 1
+        late_ms = self.world.find_order_delay()
+        engine = self.world.find_replica(order.replica)
+        is_there = isinstance(engine, Engine) and engine.presence is Presence.UP
+        if late_ms is not None or not is_there:
+            self.after(
+                ORDER_TIMEOUT_MS, lambda: self.handle(OrderAnswered(order, None))
+            )
+            if late_ms is not None:
+                self.world.take_order_later(order, late_ms)
+            return
+        way_ms = self.world.compute_way(self.domain, order.replica)
+
+        def take() -> None:
+            status = self.world.take_order(order)
+            self.after(way_ms, lambda: self.handle(OrderAnswered(order, status)))
+
+        self.after(3 * way_ms + 1.0, take)
+
+    def _find_followed(self) -> None:
+        core = self.core
+        wanted = {
+            each.name for each in core.sources.find_followed(core.index, self.now_ms)
+        }
+        for name in sorted(wanted - set(self._followed)):
+            self._followed[name] = 0
+            self._follow(name)
+        for name in set(self._followed) - wanted:
+            del self._followed[name]
+        self.after(FIND_FOLLOWED_MS, self._find_followed)
+
+    def _follow(self, name: EndpointName) -> None:
+        if name not in self._followed:
+            return
+        told = self.world.tell_parts(name, self._followed[name])
+        if told is not None:
+            changes, self._followed[name] = told
+            self.handle(PartsChanged(name, changes, is_reset=False, epoch=1))
+        self.after(FOLLOW_MS, lambda: self._follow(name))
+
+    def link(self, peers: tuple[NodeId, ...]) -> None:
+        """Take in to whom there are links."""
+        self.handle(PeersLinked(peers))
--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
@@ -0,0 +1,299 @@
+"""Carry one call through one node: its dispatches, timers and end, as a node does."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from toucanyard.relay_events import (
+    CallArrived,
+    CallerLeft,
+    DispatchEnded,
+    FirstEventSeen,
+)
+from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
+from toucanyard.requests import EndingSeen, Refuse
+from toucanyard_emulator.arrivals import Arrival
+from toucanyard_emulator.engine import Engine, Job, JobEnd, Presence
+
+if TYPE_CHECKING:
+    from toucanyard_emulator.node import EmulatedNode
+
+HANDSHAKE_MS: Final = 1.0
+GAP_PATIENCE: Final = 2.5
+MIN_GAP_MS: Final = 900.0
+LOOK_MS: Final = 250.0
+"""Time between two looks at whether a stream has gone silent."""
+
+
+class CallTrace(msgspec.Struct):
+    """How a call spent its time at a node, for whoever asks why it was late."""
+
+    queued_ms: float = 0.0
+    first_sent_ms: float | None = None
+    last_sent_ms: float = 0.0
+    dispatches: int = 0
+    job: Job | None = None
+    """The last one."""
+
+
+class CallEnd(msgspec.Struct, frozen=True):
+    """What a caller's try came to."""
+
+    is_complete: bool
+    is_not_run: bool = False
+    retry_after_ms: float = 0.0
+    is_node_gone: bool = False
+
+
+class RelayedCall:
+    """One caller's try at one node. Invariant: `on_end` is called once at most."""
+
+    def __init__(
+        self,
+        node: EmulatedNode,
+        arrival: Arrival,
+        request: RelayRequest,
+        on_first: Callable[[], None],
+        on_end: Callable[[CallEnd], None],
+    ) -> None:
+        self.arrival = arrival
+        self.request = request
+        self.trace = CallTrace()
+        self.first_ms: float | None = None
+        self.worst_gap_ms = 0.0
+        self.made = 0
+        self._node = node
+        self._on_first = on_first
+        self._on_end = on_end
+        self._dispatch: RelayDispatch | None = None
+        self._number = 0
+        """Of the last dispatch; what concerns an earlier one is passed over."""
+        self._is_over = False
+
+    def begin(self) -> None:
+        """Ask the node's core what to do with the call."""
+        left_ms = self.request.deadline_ms - self._node.now_ms
+        self._node.after(left_ms, self._end_late)
+        self._node.handle(CallArrived(self.request))
+
+    def take(self, verdict: RelayDispatch | Refuse | None) -> None:
+        """Carry out what the core says."""
+        if self._is_over:
+            return
+        match verdict:
+            case RelayDispatch():
+                self._send(verdict)
+            case Refuse():
+                is_not_run = verdict.ending.value == "not_run"
+                self._end(CallEnd(False, is_not_run, verdict.retry_after_ms or 0.0))
+            case None:
+                pass
+
+    def leave(self) -> None:
+        """Take in that the caller is gone."""
+        if self._is_over:
+            return
+        self._is_over = True
+        self._node.forget(self)
+        self._give_up()
+
+    def cut(self) -> None:
+        """Take in that the node has ended."""
+        if not self._is_over:
+            self._is_over = True
+            self._stop_job()
+            self._on_end(CallEnd(False, is_node_gone=True))
+
+    def _end(self, end: CallEnd) -> None:
+        self._is_over = True
+        self._node.forget(self)
+        self._on_end(end)
+
+    def _end_late(self) -> None:
+        if self._is_over:
+            return
+        was_sent = self._dispatch is not None
+        self._give_up()
+        self._end(CallEnd(False, is_not_run=not was_sent and self._number == 0))
+
+    def _give_up(self) -> None:
+        dispatch, self._dispatch = self._dispatch, None
+        self._stop_job()
+        if dispatch is None:
+            self._node.handle(CallerLeft(self.request.request_id))
+        else:
+            self._report(dispatch, EndingSeen.CANCELLED)
+
+    def _stop_job(self) -> None:
+        job, self._number = self.trace.job, self._number + 1
+        if job is not None and job.holder is not None:
+            job.holder.cancel(job)
+
+    def _send(self, dispatch: RelayDispatch) -> None:
+        now_ms = self._node.now_ms
+        self._dispatch = dispatch
+        self._number += 1
+        number = self._number
+        trace = self.trace
+        trace.dispatches += 1
+        trace.last_sent_ms = now_ms
+        if trace.first_sent_ms is None:
+            trace.first_sent_ms = now_ms
+            reason = dispatch.reason
+            trace.queued_ms = 0.0 if reason is None else reason.queued_ms
+        world = self._node.world
+        replica = world.find_replica(dispatch.replica)
+        if replica is None or replica.presence is Presence.DOWN:
+            self._node.after(2.0, lambda: self._lose(number, EndingSeen.NOT_SENT, True))
+            return
+        if replica.presence is Presence.SILENT:
+            self._node.after(
+                dispatch.connect_ms,
+                lambda: self._lose(number, EndingSeen.NOT_SENT, True),
+            )
+            return
+        world.counts.connections += 1
+        way_ms = world.compute_way(self._node.domain, dispatch.replica)
+        reach_ms = 3 * way_ms + HANDSHAKE_MS
+        self._node.after(reach_ms, lambda: self._submit(number, dispatch, way_ms))
+        if not math.isinf(dispatch.patience_ms):
+            self._node.after(
+                2 * way_ms + HANDSHAKE_MS + dispatch.patience_ms,
+                lambda: self._lose_patience(number),
+            )
+
+    def _submit(self, number: int, dispatch: RelayDispatch, way_ms: float) -> None:
+        if number != self._number:
+            return
+        replica = self._node.world.find_replica(dispatch.replica)
+        if replica is None or replica.presence is Presence.DOWN:
+            self._lose(number, EndingSeen.LOST)
+            return
+        if replica.presence is Presence.SILENT:
+            return
+        if not isinstance(replica, Engine):
+            replica.submit(
+                self.arrival.work_ms,
+                lambda end: self._node.after(
+                    way_ms, lambda: self._end_plain(number, end)
+                ),
+            )
+            return
+        assert self.request.prompt is not None
+        job = Job(
+            rank=dispatch.rank,
+            scope=dispatch.cache_scope,
+            parts=self.request.prompt.parts,
+            output_tokens=max(self.arrival.output_tokens - self.made, 1),
+            weights_version=dispatch.weights_version or 0,
+            fetch_from=dispatch.fetch_from,
+            save_to=dispatch.save_to,
+            on_first=lambda _: self._node.after(way_ms, lambda: self._begin(number)),
+            on_end=lambda job, end: self._node.after(
+                way_ms, lambda: self._end_job(number, job, end)
+            ),
+        )
+        self.trace.job = job
+        replica.submit(job)
+
+    def _begin(self, number: int) -> None:
+        if number != self._number or self._is_over:
+            return
+        self._node.handle(FirstEventSeen(self.request.request_id))
+        if self.first_ms is None:
+            self.first_ms = self._node.now_ms
+            self._on_first()
+        if self._dispatch is not None and not math.isinf(self._dispatch.patience_ms):
+            self._node.after(LOOK_MS, lambda: self._look(number))
+
+    def _look(self, number: int) -> None:
+        """See whether a stream that may be resumed has gone silent."""
+        job = self.trace.job
+        if number != self._number or self._is_over or job is None:
+            return
+        bound_ms = max(self.arrival.kind.max_gap_ms * GAP_PATIENCE, MIN_GAP_MS)
+        if self._node.now_ms - job.event_ms > bound_ms:
+            self._lose(number, EndingSeen.LOST)
+        else:
+            self._node.after(LOOK_MS, lambda: self._look(number))
+
+    def _lose_patience(self, number: int) -> None:
+        job = self.trace.job
+        if number != self._number or self._is_over:
+            return
+        if self._dispatch is None or (job is not None and job.first_ms is not None):
+            return
+        if job is not None and job.holder is not None:
+            job.holder.cancel(job)
+        self._lose(number, EndingSeen.LOST)
+
+    def _end_plain(self, number: int, end: JobEnd) -> None:
+        if number != self._number or self._is_over:
+            return
+        if end is JobEnd.REFUSED:
+            self._lose(number, EndingSeen.REFUSED)
+            return
+        self.first_ms = self._node.now_ms
+        self._complete()
+
+    def _end_job(self, number: int, job: Job, end: JobEnd) -> None:
+        self.worst_gap_ms = max(self.worst_gap_ms, job.worst_gap_ms)
+        if number != self._number or self._is_over:
+            return
+        self.made += job.made
+        match end:
+            case JobEnd.DONE:
+                self._complete()
+            case JobEnd.REFUSED:
+                self._lose(number, EndingSeen.REFUSED)
+            case JobEnd.OTHER_WEIGHTS:
+                self._lose(number, EndingSeen.REFUSED, has_other_weights=True)
+            case JobEnd.LOST:
+                self._lose(number, EndingSeen.LOST)
+
+    def _complete(self) -> None:
+        dispatch, self._dispatch = self._dispatch, None
+        assert dispatch is not None
+        self._report(dispatch, EndingSeen.COMPLETED)
+        self._end(CallEnd(True))
+
+    def _lose(
+        self,
+        number: int,
+        ending: EndingSeen,
+        is_dead: bool = False,
+        *,
+        has_other_weights: bool = False,
+    ) -> None:
+        if number != self._number or self._is_over or self._dispatch is None:
+            return
+        dispatch, self._dispatch = self._dispatch, None
+        self._number += 1
+        self._report(
+            dispatch, ending, is_dead=is_dead, has_other_weights=has_other_weights
+        )
+
+    def _report(
+        self,
+        dispatch: RelayDispatch,
+        ending: EndingSeen,
+        *,
+        is_dead: bool = False,
+        has_other_weights: bool = False,
+    ) -> None:
+        outcome = RelayOutcome(
+            self.request.request_id,
+            dispatch.replica,
+            ending,
+            is_dead=is_dead,
+            has_other_weights=has_other_weights,
+            has_begun=self.first_ms is not None,
+            weights_version=(
+                dispatch.weights_version if ending is EndingSeen.COMPLETED else None
+            ),
+        )
+        self._node.handle(DispatchEnded(outcome))
--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/transfers.py
@@ -0,0 +1,33 @@
+"""Move parts of prompts over links that carry one transfer after the other."""
+
+from __future__ import annotations
+
+FAR_FACTOR = 2.0
+"""How much longer a transfer between failure domains takes."""
+MAX_WAIT_MS = 2_000.0
+"""A transfer that would wait longer is not started."""
+
+
+class Link:
+    """The link of an engine or a store."""
+
+    __slots__ = ("domain", "free_ms", "mbps")
+
+    def __init__(self, mbps: float, domain: str) -> None:
+        self.mbps = mbps
+        self.domain = domain
+        self.free_ms = 0.0
+
+
+def plan_transfer(
+    source: Link, target: Link, size_bytes: float, now_ms: float
+) -> float | None:
+    """Take both links for a transfer and return its end; None if they are too busy."""
+    begin_ms = max(now_ms, source.free_ms, target.free_ms)
+    if begin_ms - now_ms > MAX_WAIT_MS:
+        return None
+    took_ms = size_bytes * 8 / (min(source.mbps, target.mbps) * 1_000)
+    if source.domain != target.domain:
+        took_ms *= FAR_FACTOR
+    source.free_ms = target.free_ms = begin_ms + took_ms
+    return begin_ms + took_ms
--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/variants.py
@@ -0,0 +1,65 @@
+"""Read variants of the policy: a name, and figures that differ from the usual ones."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+
+from toucanyard.relay_policy import RelayPolicy
+
+
+class VariantInvalidError(Exception):
+    """A variant names no figure of the policy, or gives it an impossible value."""
+
+
+class Variant(msgspec.Struct, frozen=True):
+    """A named policy."""
+
+    name: str
+    policy: RelayPolicy
+
+
+USUAL: Final = Variant("usual", RelayPolicy())
+"""The policy as it is."""
+
+
+def parse_variant(text: str) -> Variant:
+    """Return the variant in NAME=GROUP.FIGURE:VALUE[,...]."""
+    name, _, changes = text.partition("=")
+    if not name or not changes:
+        raise VariantInvalidError(f"{text!r}: expected NAME=GROUP.FIGURE:VALUE[,...]")
+    return Variant(name, _apply(text, changes.split(",")))
+
+
+def _apply(text: str, changes: list[str]) -> RelayPolicy:
+    table: dict[str, Any] = msgspec.to_builtins(RelayPolicy())
+    for change in changes:
+        path, _, value = change.partition(":")
+        group, _, figure = path.partition(".")
+        if figure not in table.get(group, {}):
+            raise VariantInvalidError(f"{text!r}: the policy has no figure {path}")
+        table[group][figure] = value
+    try:
+        return msgspec.convert(table, RelayPolicy, strict=False)
+    except msgspec.ValidationError as error:
+        raise VariantInvalidError(f"{text!r}: {error}") from error
+
+
+ABLATIONS: Final = (
+    "affinity=placement.affinity_ms:0",
+    "reread price=placement.reread_ms_per_token:0",
+    "failure price=placement.failure_ms:0",
+    "old-weights price=placement.old_weights_ms:0,placement.late_weights_ms:0",
+    "running price=placement.running_ms:0",
+    "pause share=placement.pause_share:0",
+    "fetch=placement.fetches:false",
+    "save=placement.saves:false",
+    "patience=retries.call_patience:1000,retries.stream_patience:1000",
+    "rest after failure=retries.rests:false",
+    "shared budget=retries.is_bounded:false",
+    "queue order=queue.is_ranked:false",
+    "early refusal=queue.refuses_early:false",
+    "announced loads=rollout.announces:false",
+)
+"""Each mechanism of the relay path off by itself."""
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -38,9 +38,6 @@
 from toucanyard_node.relay_ports import AnswerFacts, CallCodec
 from toucanyard_node.relay_task import RelayClient
 
-CONNECT_TIMEOUT_MS: Final = 400.0
-"""A replica in reach takes a connection within milliseconds; one that is dead or cut
-off takes none, and nothing was sent to it."""
 GAP_PATIENCE: Final = 2.5
 """Longest pauses after which a silent stream that may be resumed is."""
 MIN_GAP_MS: Final = 900.0
@@ -165,7 +162,7 @@
     async def _try(self, dispatch: RelayDispatch) -> None:
         """Make one dispatch and send its answer, or raise AnswerLostError."""
         try:
-            connection = await connect(dispatch.address, CONNECT_TIMEOUT_MS)
+            connection = await connect(dispatch.address, dispatch.connect_ms)
         except ConnectionFailedError as error:
             raise self._lose(
                 dispatch, EndingSeen.NOT_SENT, str(error), is_dead=True
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_engine.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_engine.py
@@ -17,35 +17,13 @@
 from toucanyard.load_view import LoadReport
 from toucanyard.names import EndpointName, Incarnation
 from toucanyard.requests import EndingSeen
+from toucanyard_standins.virtual_clock import VirtualClock
 
 SNAPSHOT_MS: Final = 100.0
 KEPT_SNAPSHOTS: Final = 80
 KEPT_EVENTS: Final = 4_000
 
 
-class VirtualClock:
-    """Calls ordered by virtual time; ties run in the order of scheduling."""
-
-    __slots__ = ("_calls", "_order", "now_ms")
-
-    def __init__(self) -> None:
-        self.now_ms = 0.0
-        self._order = 0
-        self._calls: list[tuple[float, int, Callable[[], None]]] = []
-
-    def call_after(self, delay_ms: float, call: Callable[[], None]) -> None:
-        """Run a call after a delay."""
-        self._order += 1
-        heapq.heappush(self._calls, (self.now_ms + delay_ms, self._order, call))
-
-    def run_until(self, end_ms: float) -> None:
-        """Run all calls up to a point in time."""
-        while self._calls and self._calls[0][0] <= end_ms:
-            self.now_ms, _, call = heapq.heappop(self._calls)
-            call()
-        self.now_ms = end_ms
-
-
 class EngineShape(msgspec.Struct, frozen=True):
     """Sizes and speeds of one engine."""
 
--- a/packages/toucanyard-standins/src/toucanyard_standins/policy_run.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/policy_run.py
@@ -31,7 +31,7 @@
     LeastLoaded,
 )
 from toucanyard_standins.policy_conditions import Condition, Policy, Result
-from toucanyard_standins.policy_engine import FakeEngine, Job, VirtualClock
+from toucanyard_standins.policy_engine import FakeEngine, Job
 from toucanyard_standins.policy_node import Node, Task
 from toucanyard_standins.policy_workload import (
     CUSTOMER_SHARES,
@@ -41,6 +41,7 @@
     Deployment,
     make_arrivals,
 )
+from toucanyard_standins.virtual_clock import VirtualClock
 
 END_MS: Final = 26_000.0
 MIDDLE_MS: Final = 10_000.0
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -24,12 +24,6 @@
 from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
 from toucanyard.weights_goals import WeightsGoals
 
-CALL_PATIENCE: Final = 3.0
-"""Targets after which a call that may run twice is tried elsewhere."""
-STREAM_PATIENCE: Final = 2.8
-"""Targets after which a stream that may be resumed is begun elsewhere. Callers leave
-after four without an event. At 2.0, a quarter of the long prompts of a fleet under load
-were begun twice, most of them at replicas that were only slow."""
 MIN_PATIENCE_MS: Final = 400.0
 MAX_OLD_SHARE: Final = 0.8
 """Share of the time for new weights in which a call may still begin on older ones."""
@@ -49,6 +43,7 @@
         sources: PartSources,
         rng: random.Random,
     ) -> None:
+        self._policy = options.policy
         self._sources = sources
         self._directory = directory
         self._goals = goals
@@ -59,7 +54,9 @@
         self.uses = ReplicaUses()
         self.book = PartBook()
         max_old_ms = options.weights.deadline_ms * MAX_OLD_SHARE
-        self._placement = PartPlacement(self.book, self.uses, max_old_ms)
+        self._placement = PartPlacement(
+            self.book, self.uses, max_old_ms, options.policy.placement
+        )
         self._plain = PlainPlacement(options.domain, self.uses, rng)
 
     def place(self, pending: PendingCall, now_ms: float) -> RelayDispatch | None:
@@ -154,7 +151,7 @@
     ) -> PromptStore | None:
         """Return the store that is to keep what the replica reads, if that is much."""
         shared = prompt.find_shared()
-        if placed.missing is None or not shared:
+        if placed.missing is None or not shared or not self._policy.placement.saves:
             return None
         if prompt.count_shared() < MIN_MOVED_TOKENS:
             return None
@@ -199,6 +196,7 @@
             address=replica.address,
             attempt=pending.dispatches,
             rank=request.rank,
+            connect_ms=self._policy.retries.connect_ms,
             patience_ms=self._compute_patience(pending),
             reason=reason,
         )
@@ -223,7 +221,8 @@
         is_last = pending.sends >= request.max_attempts
         if is_last or request.repeatability is not Repeatability.REPEATABLE:
             return float("inf")
-        factor = STREAM_PATIENCE if request.is_stream else CALL_PATIENCE
+        retries = self._policy.retries
+        factor = retries.stream_patience if request.is_stream else retries.call_patience
         return max(request.target_ms * factor, MIN_PATIENCE_MS)
 
     def note_read(self, pending: PendingCall, now_ms: float) -> None:
--- a/packages/toucanyard/src/toucanyard/part_placement.py
+++ b/packages/toucanyard/src/toucanyard/part_placement.py
@@ -25,6 +25,7 @@
 from toucanyard.names import Address, EndpointName, RequestId
 from toucanyard.part_book import Part, PartBook
 from toucanyard.part_sources import choose_store, name_store
+from toucanyard.relay_policy import PlacementPolicy
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replica_uses import ReplicaUses
@@ -35,21 +36,8 @@
 FULL_SHARE: Final = 0.92
 """Share of a replica's memory that calls may take together; beyond it the engine drops
 running ones and reads them again."""
-AFFINITY_MS: Final = 40.0
-"""Wait that a cold prompt accepts to be read where hashing sends it."""
-REREAD_MS_PER_TOKEN: Final = 0.1
-"""Price of reading a part that another replica is reading now: about as much of an
-answer's worth is lost by it as by so many milliseconds."""
-FAILURE_MS: Final = 150.0
-"""Price of each recent failure of a replica."""
-OLD_WEIGHTS_MS: Final = 60.0
-"""Price of a replica that still has older weights, which are replaced soon."""
-LATE_WEIGHTS_MS: Final = 1_500.0
-"""The same, once answers on older weights have lost a part of their worth."""
 LATE_AFTER_MS: Final = 1_200.0
 """Time from naming weights until answers on older ones lose worth, less a margin."""
-RUNNING_MS: Final = 1.0
-"""Price of each call that runs at a replica: it slows the others' tokens."""
 MIN_FOLLOWED_TOKENS: Final = 1_000
 MAX_FOLLOW_MS: Final = 400.0
 """How long a call waits for a part that another replica reads: a long part takes 70 to
@@ -58,10 +46,6 @@
 """Price of a replica that is left to the other kind. An event of seven tokens waits for
 a piece of a long prompt before each of them, 0.8 s in all, when two long prompts are
 read in a row. A call that finds its own side full still goes across."""
-PAUSE_SHARE: Final = 0.1
-"""Price, for each stream that runs at a replica, of the time that it pauses while a
-prompt is read there. Without it one replica reads long prompts all the time and its
-streams' events come too late."""
 
 
 class PlacedPrompt(msgspec.Struct, frozen=True):
@@ -128,9 +112,16 @@
 class PartPlacement:
     """The choice among replicas that run a model."""
 
-    __slots__ = ("_book", "_max_old_ms", "_narrowing", "_uses")
+    __slots__ = ("_book", "_max_old_ms", "_narrowing", "_policy", "_uses")
 
-    def __init__(self, book: PartBook, uses: ReplicaUses, max_old_ms: float) -> None:
+    def __init__(
+        self,
+        book: PartBook,
+        uses: ReplicaUses,
+        max_old_ms: float,
+        policy: PlacementPolicy = PlacementPolicy(),  # noqa: B008
+    ) -> None:
+        self._policy = policy
         self._book = book
         self._uses = uses
         self._narrowing = Narrowing()
@@ -180,7 +171,10 @@
             return None
         if may_follow and self._should_follow(best, field, request, now_ms):
             return None
-        return _build_placed(best, field, request.request_id)
+        placed = _build_placed(best, field, request.request_id)
+        if not self._policy.fetches:
+            return msgspec.structs.replace(placed, source=None)
+        return placed
 
     def _find_best(
         self, candidates: Iterable[Candidate], field: _Field, now_ms: float
@@ -242,14 +236,16 @@
         now_ms: float,
     ) -> dict[str, Sources]:
         """Return, for each scope, who holds most of a prompt's front now."""
-        found: dict[str, Sources] = {}
+        found: dict[str, Sources] = {each.scope: Sources() for each in candidates}
+        if not self._policy.fetches:
+            return found
         for each in candidates:
             replica = each.known.replica
             held = self._book.count_leading(replica.name, each.scope, shared, now_ms)
             source = Source(
                 replica.name, replica.address, engine.link_mbps, replica.domain
             )
-            found.setdefault(each.scope, Sources()).note(source, held)
+            found[each.scope].note(source, held)
         for store in stores:
             name = name_store(store)
             source = Source(name, store.address, store.link_mbps, store.domain)
@@ -274,9 +270,9 @@
         fetched = max(sources.tokens - candidate.held_tokens, 0)
         unread = total_tokens - covered
         speed = self._uses.tokens_per_ms
-        wait_ms = use.unread_tokens / speed + use.running * RUNNING_MS
+        wait_ms = use.unread_tokens / speed + use.running * self._policy.running_ms
         read_ms = unread / speed
-        total_ms = wait_ms + read_ms * (1.0 + use.running * PAUSE_SHARE)
+        total_ms = wait_ms + read_ms * (1.0 + use.running * self._policy.pause_share)
         total_ms += self._price(candidate, field.goal, now_ms)
         if name not in field.own_names:
             total_ms += CROSS_MS
@@ -287,10 +283,11 @@
         return _Scored(candidate, total_ms, wait_ms, unread, fetched, missing)
 
     def _price(self, candidate: Candidate, goal: Goal | None, now_ms: float) -> float:
-        price_ms = FAILURE_MS * candidate.known.compute_failures(now_ms)
+        price_ms = self._policy.failure_ms * candidate.known.compute_failures(now_ms)
         if goal is not None and candidate.version < goal.version:
             is_late = goal.compute_age(candidate.version, now_ms) > LATE_AFTER_MS
-            price_ms += LATE_WEIGHTS_MS if is_late else OLD_WEIGHTS_MS
+            policy = self._policy
+            price_ms += policy.late_weights_ms if is_late else policy.old_weights_ms
         return price_ms
 
     def _price_missing(
@@ -304,7 +301,7 @@
         """Return the price of reading the rest of the shared parts at a replica."""
         price_ms = 0.0
         if not field.is_many and candidate is not _find_home(field, missing):
-            price_ms += AFFINITY_MS
+            price_ms += self._policy.affinity_ms
         readers = self._find_readers(field, candidate.scope, missing, now_ms)
         if any(name != candidate.known.replica.name for name in readers):
             # Among many replicas others read the rest of a chain seldom.
@@ -313,7 +310,7 @@
                 if field.is_many
                 else field.prompt.count_shared() - covered
             )
-            price_ms += shared * REREAD_MS_PER_TOKEN
+            price_ms += shared * self._policy.reread_ms_per_token
         return price_ms
 
     def _find_readers(
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -34,6 +34,7 @@
     OrderAnswered,
     PartsChanged,
     PeersLinked,
+    ReadReplicaState,
     RelayAction,
     RelayEvent,
     ReplicaStateRead,
@@ -99,16 +100,19 @@
         self.roster = Roster(self.own_record, options.seeds)
         self.sources = PartSources(self.directory, self.roster)
         calls = CallPlacement(options, self.directory, self.goals, self.sources, rng)
-        self.flow = RelayFlow(options.retries, self.directory, self.goals, calls, rng)
+        self.flow = RelayFlow(
+            options.retries, options.policy, self.directory, self.goals, calls, rng
+        )
         self.facts = KnownFacts(self.directory, self.goals, self.roster, self.flow)
         self.bulletin = ReplicaBulletin(self.directory, self.flow.book)
         self.duty = WeightsDuty(
             identity,
-            float(options.weights.lease_ms),
+            options.weights,
             self.directory,
             self.goals,
             self.roster,
             self.flow.uses,
+            options.policy.rollout,
         )
         self.statuses = StatusExchange(
             self.roster,
@@ -210,10 +214,15 @@
     def _handle_duty(self, event: DutyEvent, now_ms: float) -> Iterator[RelayAction]:
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
             self.directory.note_replaced(event.order.replica, now_ms)
+        if isinstance(event, ReplicaStateRead) and event.state is not None:
+            known = self.directory.find(event.replica)
+            if known is not None and known.is_resting(now_ms):
+                known.note_success()
         self.duty.handle(event, now_ms)
         yield from self._tick_duty(now_ms)
 
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
+        yield from self._probe(now_ms)
         yield from self.flow.tick(now_ms)
         yield from self._tick_duty(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
@@ -223,6 +232,16 @@
             for name in self.directory.prune(now_ms):
                 self.flow.book.forget(name)
 
+    def _probe(self, now_ms: float) -> Iterator[RelayAction]:
+        """Ask replicas that could not be reached for a report."""
+        if not self.options.policy.retries.probes:
+            return
+        for known in self.directory.list_served(now_ms):
+            replica = known.replica
+            if replica.weights and known.is_probe_due(now_ms):
+                known.note_probed(now_ms)
+                yield ReadReplicaState(replica.name, replica.listed_as, replica.address)
+
     def _note_hub(self) -> Iterator[RelayAction]:
         """Say to whom this node reports, each time that this changes."""
         is_hub = not self.roster.is_meshed() and self.roster.plan.is_hub()
@@ -236,6 +255,8 @@
 
     def _tick_duty(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self.duty.tick(now_ms, is_leaving=self.is_stopping)
+        if not self.options.policy.rollout.announces:
+            return
         if self.bulletin.note_changing(set(self.duty.list_changing()), now_ms):
             yield from self._tell_soon(now_ms)
 
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -19,6 +19,7 @@
 from toucanyard.names import RequestId, ServiceName
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_options import RetryLimits
+from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import RelayOutcome, RelayRequest, RelayVerdict
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
@@ -52,12 +53,14 @@
     def __init__(
         self,
         retries: RetryLimits,
+        policy: RelayPolicy,
         directory: ReplicaDirectory,
         goals: WeightsGoals,
         calls: CallPlacement,
         rng: random.Random,
     ) -> None:
         self._retries = retries
+        self._policy = policy
         self._rng = rng
         self._directory = directory
         self._goals = goals
@@ -156,7 +159,8 @@
         pending.is_waiting = True
         queue = self._queues.setdefault(pending.request.service, [])
         queue.append(pending)
-        queue.sort(key=PendingCall.rank)
+        if self._policy.queue.is_ranked:
+            queue.sort(key=PendingCall.rank)
 
     def tick(self, now_ms: float) -> Iterator[RelayReply]:
         """Refuse what can't be sent in time any more and send what fits."""
@@ -191,6 +195,8 @@
         request = pending.request
         if not self._directory.find_listed(request.service, now_ms):
             return self._refuse(pending, ErrorKind.NO_ENDPOINT, "no replica", now_ms)
+        if not self._policy.queue.refuses_early:
+            return None
         wait_ms = self._compute_wait(pending, now_ms)
         if wait_ms > request.deadline_ms - now_ms:
             text = f"the wait would be about {wait_ms:.0f} ms"
@@ -232,7 +238,8 @@
             case EndingSeen.COMPLETED:
                 known.note_success()
             case EndingSeen.NOT_SENT | EndingSeen.LOST:
-                known.note_failure(now_ms, is_dead=outcome.is_dead)
+                is_dead = outcome.is_dead and self._policy.retries.rests
+                known.note_failure(now_ms, is_dead=is_dead)
             case EndingSeen.FAILED:
                 known.note_failure(now_ms, is_dead=False)
             case EndingSeen.REFUSED if outcome.is_replaced:
@@ -282,6 +289,8 @@
         pending.tried = (*pending.tried, outcome.replica)
         if outcome.ending is EndingSeen.NOT_SENT:
             return True
+        if not self._policy.retries.is_bounded:
+            return True
         return self._find_budget(request.service).take(self.node_count, now_ms)
 
     def _give_up(
--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from toucanyard.names import Address, DomainName, NodeName
+from toucanyard.relay_policy import RelayPolicy
 
 
 class RelayListen(msgspec.Struct, frozen=True):
@@ -63,5 +64,6 @@
     weights: WeightsTimings = WeightsTimings()
     stop: StopTimings = StopTimings()
     max_descriptors: int = 4_000
+    policy: RelayPolicy = RelayPolicy()
     link_mbps: float = 1_000.0
     """What the VM can send; in a large fleet those with the fastest links are hubs."""
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -83,6 +83,8 @@
     address: Address
     attempt: int
     rank: int
+    connect_ms: float
+    """Wait for the connection after which another replica is tried."""
     patience_ms: float
     """Wait for the answer's head after which another replica is tried."""
     weights_version: int | None = None
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -36,6 +36,11 @@
 taken away: then they run for two seconds, and this node learns up to a second late."""
 MASS_SHARE: Final = 0.5
 """Share of a service's replicas that, dropped at once, tells of the store's failure."""
+PROBE_MS: Final = 500.0
+"""Time between two reports that are asked of a replica that could not be reached."""
+MAX_PROBED_MS: Final = 5_000.0
+"""How long a replica gets no calls because its reports stay out; then one call tries
+whether it serves without them."""
 FORGET_MS: Final = 30_000.0
 """How long a replica that is gone is remembered."""
 FAILURE_HALF_LIFE_MS: Final = 3_000.0
@@ -66,7 +71,9 @@
     __slots__ = (
         "_failures",
         "_failures_ms",
+        "_probed_ms",
         "_rest_ms",
+        "_unreached_ms",
         "grace_until_ms",
         "gone_ms",
         "is_leaving",
@@ -85,6 +92,9 @@
         self.rest_until_ms = float("-inf")
         self.loading_until_ms = float("-inf")
         self._rest_ms = 0.0
+        self._unreached_ms = float("inf")
+        """Since when it can't be reached."""
+        self._probed_ms = float("-inf")
         self._failures = 0.0
         self._failures_ms = float("-inf")
 
@@ -129,6 +139,17 @@
         if is_dead:
             self._rest_ms = min(max(2 * self._rest_ms, MIN_REST_MS), MAX_REST_MS)
             self.rest_until_ms = now_ms + self._rest_ms
+            self._unreached_ms = min(self._unreached_ms, now_ms)
+
+    def is_probe_due(self, now_ms: float) -> bool:
+        """Tell whether to ask it for a report, to see whether it is back."""
+        return self.is_resting(now_ms) and now_ms - self._probed_ms >= PROBE_MS
+
+    def note_probed(self, now_ms: float) -> None:
+        """Note that it is asked for a report; until the next one it rests."""
+        self._probed_ms = now_ms
+        if now_ms - self._unreached_ms < MAX_PROBED_MS:
+            self.rest_until_ms = max(self.rest_until_ms, now_ms + 2 * PROBE_MS)
 
     def note_refusal(self, now_ms: float) -> None:
         """Take in that it turned a call away: it is full, or is to load weights.
@@ -140,6 +161,7 @@
     def note_success(self) -> None:
         """Take in an answer."""
         self._rest_ms = 0.0
+        self._unreached_ms = float("inf")
         self.rest_until_ms = float("-inf")
 
     def compute_failures(self, now_ms: float) -> float:
--- a/packages/toucanyard/src/toucanyard/weights_duty.py
+++ b/packages/toucanyard/src/toucanyard/weights_duty.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -17,20 +18,26 @@
     TurnRead,
     WeightsOrder,
 )
+from toucanyard.relay_options import WeightsTimings
+from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.roster import Roster
 from toucanyard.turns import MAX_FOLLOWERS, Turns
-from toucanyard.weights_goals import WeightsGoals
+from toucanyard.weights_goals import Goal, WeightsGoals
 from toucanyard.weights_rollout import (
     ANNOUNCE_MS,
     FAR_ANNOUNCE_MS,
+    Pressure,
     WeightsRollout,
 )
 
 LAST_READ_MS: Final = 300.0
 """Time after the work is done at which candidates look who did it, and when."""
 
+SAFE_SHARE: Final = 0.75
+"""Share of the time for new weights in which a rollout plans to end."""
+
 LOOK_MS: Final = 100.0
 """Time between two looks for replicas that are behind; at each tick, those of 70 took a
 fifth of all that a node decides."""
@@ -59,23 +66,28 @@
         "_work",
         "_identity",
         "_looked_ms",
+        "_deadline_ms",
+        "_policy",
     )
 
     def __init__(
         self,
         identity: NodeId,
-        lease_ms: float,
+        timings: WeightsTimings,
         directory: ReplicaDirectory,
         goals: WeightsGoals,
         roster: Roster,
         uses: ReplicaUses,
+        policy: RolloutPolicy,
     ) -> None:
+        self._policy = policy
+        self._deadline_ms = float(timings.deadline_ms)
         self._identity = identity
         self._directory = directory
         self._goals = goals
         self._roster = roster
         self._uses = uses
-        self._turns = Turns(identity, lease_ms)
+        self._turns = Turns(identity, float(timings.lease_ms))
         self._rollouts: dict[str, WeightsRollout] = {}
         self._work = _Work()
         self._looked_ms = float("-inf")
@@ -141,7 +153,7 @@
             if goal is None:
                 continue
             rollout = self._rollouts.setdefault(
-                model, WeightsRollout(self._identity.node)
+                model, WeightsRollout(self._identity.node, self._policy)
             )
             loads = {
                 each.replica.name: self._uses.compute(each.replica.name, now_ms).running
@@ -150,10 +162,24 @@
             is_near = self._roster.is_meshed()
             announce_ms = ANNOUNCE_MS if is_near else FAR_ANNOUNCE_MS
             actions += rollout.plan(
-                model, goal.version, replicas, turn, loads, now_ms, announce_ms
+                model,
+                goal.version,
+                replicas,
+                turn,
+                loads,
+                now_ms,
+                announce_ms,
+                pressure=self._find_pressure(model, goal, replicas, now_ms),
             )
         return actions
 
+    def _find_pressure(
+        self, model: str, goal: Goal, replicas: Sequence[KnownReplica], now_ms: float
+    ) -> Pressure:
+        oldest = min(each.weights.get(model, 0) for each in replicas)
+        left_ms = self._deadline_ms * SAFE_SHARE - goal.compute_age(oldest, now_ms)
+        return Pressure(left_ms)
+
     def _rest(self, now_ms: float) -> list[DutyAction]:
         """Look once after the work who did it: a turn counts from when it was seen."""
         work = self._work
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import Final
 
@@ -20,20 +21,14 @@
     ReplicaStateRead,
     WeightsOrder,
 )
+from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replicas import KnownReplica
 from toucanyard.turns import Turn
 
-MIN_CHANGING: Final = 2
-CHANGING_SHARE: Final = 0.4
-"""Share of the replicas that change at once; with more, each load takes longer, and the
-rest can't carry the calls: with all but two of 6 changing, first tokens took 5 s."""
 MANY_REPLICAS: Final = 16
 MANY_CHANGING_SHARE: Final = 0.25
 """The same share among more replicas than that. With 0.4 of 70 changing and a quarter
 dead, calls found 9 to 24 replicas, and queues of seconds stood long after the load."""
-DRAIN_MS: Final = 600.0
-"""How long a replica's calls may take to end before it loads under those left. Streams
-last up to 5 s; waiting for all of them, the last replica loads after 8 s."""
 ANNOUNCE_MS: Final = 60.0
 """Time from the announcement to the order; it takes one way between two nodes."""
 FAR_ANNOUNCE_MS: Final = 250.0
@@ -53,6 +48,11 @@
 MAX_LOADING_MS: Final = 6_000.0
 """After this time a replica under an order no longer counts as loading."""
 
+FIRST_TOOK_MS: Final = 2_000.0
+"""How long a replica is taken to be out of use until loads have shown it."""
+TOOK_STEP: Final = 0.3
+"""Weight of one load in the mean of how long they take."""
+
 _ACCEPTED: Final = 202
 _HOLDS_ALREADY: Final = 200
 _STALE_FENCE: Final = 412
@@ -68,6 +68,16 @@
     report: ReplicaStateRead | None = None
 
 
+class Pressure(msgspec.Struct, frozen=True):
+    """What a rollout has to be paced by."""
+
+    left_ms: float
+    """Time until new weights have to be in place."""
+
+
+CALM: Final = Pressure(float("inf"))
+"""There is all the time."""
+
 RolloutAction = ReadReplicaState | WeightsOrder
 
 
@@ -77,13 +87,23 @@
     Invariant: no order without a turn, and none on a report from before the last one.
     """
 
-    __slots__ = ("_announce_ms", "_changes", "_node", "_skipped_ms")
+    __slots__ = (
+        "_announce_ms",
+        "_changes",
+        "_node",
+        "_policy",
+        "_skipped_ms",
+        "_took_ms",
+    )
 
-    def __init__(self, node: NodeName) -> None:
+    def __init__(self, node: NodeName, policy: RolloutPolicy) -> None:
         self._node = node
+        self._policy = policy
         self._announce_ms = ANNOUNCE_MS
         self._changes: dict[EndpointName, _Change] = {}
         self._skipped_ms: dict[EndpointName, float] = {}
+        self._took_ms = FIRST_TOOK_MS
+        """How long a replica is out of use for new weights, as seen lately."""
 
     def list_changing(self) -> list[EndpointName]:
         """Return the replicas that are being changed."""
@@ -123,11 +143,13 @@
         load_of: dict[EndpointName, int],
         now_ms: float,
         announce_ms: float = ANNOUNCE_MS,
+        *,
+        pressure: Pressure = CALM,
     ) -> list[RolloutAction]:
         """Return what to read and to order now."""
         self._announce_ms = announce_ms
         self._settle(model, version, replicas, now_ms)
-        self._announce(model, version, replicas, load_of, now_ms)
+        self._announce(model, version, replicas, load_of, pressure, now_ms)
         actions: list[RolloutAction] = []
         by_name = {each.replica.name: each for each in replicas}
         for name, change in self._changes.items():
@@ -163,6 +185,9 @@
             is_silent = state is None and now_ms - change.announced_ms > SILENT_MS
             if is_silent:
                 self._skipped_ms[name] = now_ms
+            if is_done and change.ordered_ms is not None:
+                took_ms = now_ms - change.announced_ms
+                self._took_ms += TOOK_STEP * (took_ms - self._took_ms)
             if is_done or is_silent or now_ms - since_ms > MAX_LOADING_MS:
                 known.loading_until_ms = float("-inf")
                 del self._changes[name]
@@ -175,6 +200,7 @@
         version: int,
         replicas: Sequence[KnownReplica],
         load_of: dict[EndpointName, int],
+        pressure: Pressure,
         now_ms: float,
     ) -> None:
         behind = [
@@ -187,13 +213,50 @@
         ]
         # The idlest first: its calls end soonest.
         behind.sort(key=lambda each: load_of.get(each.replica.name, 0))
-        is_many = len(replicas) > MANY_REPLICAS
-        share = MANY_CHANGING_SHARE if is_many else CHANGING_SHARE
-        room = max(MIN_CHANGING, int(share * len(replicas)))
-        room = min(room, max(len(replicas) - 1, 1)) - len(self._changes)
+        if self._policy.is_paced:
+            most = self._find_paced_most(replicas, behind, pressure, now_ms)
+        else:
+            most = self._find_most(len(replicas))
+        room = most - len(self._changes)
         for each in behind[: max(room, 0)]:
             self._changes[each.replica.name] = _Change(version, now_ms)
 
+    def _find_most(self, count: int) -> int:
+        """Return how many of so many replicas may change at once."""
+        share = MANY_CHANGING_SHARE if count > MANY_REPLICAS else self._policy.share
+        most = max(self._policy.min_changing, int(share * count))
+        return min(most, max(count - 1, 1))
+
+    def _find_paced_most(
+        self,
+        replicas: Sequence[KnownReplica],
+        behind: Sequence[KnownReplica],
+        pressure: Pressure,
+        now_ms: float,
+    ) -> int:
+        """Return how many may change at once, by what calls can use and by the time.
+
+        Replicas that are silent or fail carry nothing; a share of all would take half
+        of those that are left.
+        """
+        usable = [
+            each
+            for each in replicas
+            if each.replica.name in self._changes
+            or (not each.is_resting(now_ms) and not each.is_loading(now_ms))
+        ]
+        usable = [
+            each for each in usable if now_ms - self._find_skipped(each) > SKIP_MS
+        ]
+        count = len(usable)
+        usual = self._find_most(len(replicas))
+        paced = min(max(int(self._policy.share * count), 1), usual)
+        left_ms = max(pressure.left_ms, self._took_ms / 2)
+        waiting = [each for each in behind if each in usable]
+        to_load = len(waiting) + len(self._changes)
+        needed = math.ceil(to_load * self._took_ms / left_ms)
+        return min(max(paced, needed), usual, max(count - 1, 1))
+
     def _find_skipped(self, known: KnownReplica) -> float:
         return self._skipped_ms.get(known.replica.name, float("-inf"))
 
@@ -235,7 +298,7 @@
         is_quiet = waited_ms >= self._announce_ms and not running
         if not is_fresh or report.state.is_busy:
             return None
-        if not is_quiet and waited_ms < DRAIN_MS:
+        if not is_quiet and waited_ms < self._policy.drain_ms:
             return None
         return WeightsOrder(
             replica=known.replica.name,
@@ -258,4 +321,4 @@
         is_newer = report.asked_ms > ordered_ms + LOST_MS
         if is_newer and not report.state.is_busy:
             change.ordered_ms = None
-            change.announced_ms = now_ms - DRAIN_MS
+            change.announced_ms = now_ms - self._policy.drain_ms
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -60,7 +60,9 @@
         sources = PartSources(self.directory, Roster(own, ()))
         rng = random.Random(1)
         calls = CallPlacement(OPTIONS, self.directory, self.goals, sources, rng)
-        self.flow = RelayFlow(OPTIONS.retries, self.directory, self.goals, calls, rng)
+        self.flow = RelayFlow(
+            OPTIONS.retries, OPTIONS.policy, self.directory, self.goals, calls, rng
+        )
         self.flow.apply_index(RouteIndex(build_table()))
         self.replies: dict[RequestId, list[object]] = {}
 
--- a/tests/toucanyard/test_weights_rollout.py
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -8,13 +8,12 @@
     ReplicaStateRead,
     WeightsOrder,
 )
+from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replicas import KnownReplica
 from toucanyard.turns import Turn
 from toucanyard.weights_rollout import (
     ANNOUNCE_MS,
-    DRAIN_MS,
     LOST_MS,
-    MIN_CHANGING,
     SILENT_MS,
     SKIP_MS,
     WeightsRollout,
@@ -22,6 +21,7 @@
 
 from .relay_examples import MODEL, build_replica
 
+POLICY = RolloutPolicy()
 TURN = Turn(7, float("inf"))
 STEP_MS = 20.0
 LOAD_MS = 400.0
@@ -31,7 +31,7 @@
     """Replicas that load weights when ordered, and the roll-out that orders them."""
 
     def __init__(self, *names: str) -> None:
-        self.rollout = WeightsRollout(NodeName("n1"))
+        self.rollout = WeightsRollout(NodeName("n1"), POLICY)
         self.known = [KnownReplica(build_replica(name)) for name in names]
         self.versions = dict.fromkeys(names, 1)
         self.counts = dict.fromkeys(names, 0)
@@ -98,7 +98,7 @@
         fleet.run(2, STEP_MS)
         most = max(most, len(fleet.rollout.list_changing()))
     assert set(fleet.versions.values()) == {2}
-    assert most == MIN_CHANGING
+    assert most == POLICY.min_changing
     assert len(fleet.orders) == 5
 
 
@@ -110,11 +110,11 @@
     fleet = Fleet(*"abc")
     fleet.run(2, STEP_MS)
     announced = [each for each in fleet.known if each.is_loading(fleet.now_ms)]
-    assert len(announced) == MIN_CHANGING
+    assert len(announced) == POLICY.min_changing
     announced_ms = fleet.now_ms
     assert not fleet.orders
     fleet.run(2, ANNOUNCE_MS + 2 * STEP_MS)
-    assert len(fleet.orders) == MIN_CHANGING
+    assert len(fleet.orders) == POLICY.min_changing
     assert all(at_ms >= announced_ms + ANNOUNCE_MS for at_ms, _ in fleet.orders)
 
 
@@ -124,7 +124,7 @@
     fleet.run(2, 3_000.0)
     at_ms = {order.replica: at for at, order in fleet.orders}
     assert at_ms[EndpointName("c")] < at_ms[EndpointName("b")]
-    assert at_ms[EndpointName("b")] >= DRAIN_MS
+    assert at_ms[EndpointName("b")] >= POLICY.drain_ms
     under_calls = {order.replica: order.is_under_calls for _, order in fleet.orders}
     assert under_calls[EndpointName("b")]
     assert not under_calls[EndpointName("c")]
@@ -168,7 +168,7 @@
     fleet.run(3, 6_000.0)
     assert set(fleet.versions.values()) == {3}
     ordered = [order.version for _, order in fleet.orders]
-    assert ordered.count(2) == MIN_CHANGING
+    assert ordered.count(2) == POLICY.min_changing
     assert ordered.count(3) == 5
 
 
--- /dev/null
+++ b/tests/toucanyard_emulator/test_engine.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import random
+
+from emulator_examples import ENGINES
+
+from toucanyard.names import Address, EndpointName, NodeName, ReplicaId
+from toucanyard.part_book import Part
+from toucanyard.relay_events import WeightsOrder
+from toucanyard_emulator.engine import Engine, Job, JobEnd, LoadBoard, Presence
+from toucanyard_emulator.prompt_memory import PromptMemory
+from toucanyard_emulator.read_ledger import ReadLedger
+from toucanyard_emulator.transfers import Link
+from toucanyard_standins.virtual_clock import VirtualClock
+
+BOOK, OWN = Part("book", 2_000), Part("own", 1_000)
+
+
+class Bench:
+    """Two engines and what came of the jobs given to them."""
+
+    def __init__(self) -> None:
+        self.clock = VirtualClock()
+        self.ledger = ReadLedger()
+        self.memories: dict[Address, tuple[PromptMemory, Link]] = {}
+        self.loads = LoadBoard()
+        self.engines = [self._build(number) for number in range(2)]
+        self.firsts: list[float] = []
+        self.ends: list[JobEnd] = []
+
+    def _build(self, number: int) -> Engine:
+        address = Address(f"10.0.0.{number}:1")
+        engine = Engine(
+            EndpointName(f"e{number}"),
+            "d",
+            address,
+            ENGINES,
+            self.clock,
+            self.ledger,
+            self.loads,
+            self.memories.get,
+            random.Random(1),
+        )
+        self.memories[address] = (engine.memory, engine.link)
+        return engine
+
+    def submit(
+        self,
+        number: int = 0,
+        *parts: Part,
+        version: int = 1,
+        fetch_from: Address | None = None,
+        rank: int = 1,
+    ) -> Job:
+        job = Job(
+            rank=rank,
+            scope=f"m/{version}/",
+            parts=parts or (BOOK, OWN),
+            output_tokens=9,
+            weights_version=version,
+            fetch_from=fetch_from,
+            save_to=None,
+            on_first=lambda _: self.firsts.append(self.clock.now_ms),
+            on_end=lambda _, end: self.ends.append(end),
+        )
+        self.engines[number].submit(job)
+        return job
+
+    def order(self, version: int, orders: int = 0, *, is_under_calls: bool) -> int:
+        order = WeightsOrder(
+            EndpointName("e0"),
+            ReplicaId("e0"),
+            Address("10.0.0.0:1"),
+            "m",
+            version,
+            NodeName("n"),
+            1,
+            orders,
+            is_under_calls,
+        )
+        return self.engines[0].take_order(order)
+
+    def run(self, for_ms: float = 1_000.0) -> None:
+        self.clock.run_until(self.clock.now_ms + for_ms)
+
+
+def test_kept_part_is_not_read_again() -> None:
+    bench = Bench()
+    first = bench.submit()
+    bench.run()
+    second = bench.submit()
+    bench.run()
+    assert bench.ends == [JobEnd.DONE] * 2
+    assert (first.read_tokens, second.read_tokens) == (3_000, 1_000)
+    assert bench.ledger.reread_tokens == 0
+
+
+def test_part_that_another_engine_keeps_is_fetched_or_counted_as_read_again() -> None:
+    for source, reread in ((Address("10.0.0.0:1"), 0), (None, 2_000)):
+        bench = Bench()
+        bench.submit(0)
+        bench.run()
+        job = bench.submit(1, fetch_from=source)
+        bench.run()
+        assert job.read_tokens == 1_000 + reread
+        assert bench.ledger.reread_tokens == reread
+
+
+def test_long_prompt_slows_the_stream_beside_it() -> None:
+    """A stream makes a token each 3 ms; a prompt of 12,000 tokens is read meanwhile.
+
+    Each token then waits for a piece of it, which takes 50 ms.
+    """
+    bench = Bench()
+    job = bench.submit(0, Part("own", 10))
+    job.output_tokens = 60
+    bench.run(30.0)
+    bench.submit(0, Part("other", 12_000))
+    bench.run()
+    assert job.worst_gap_ms > 100.0
+
+
+def test_urgent_call_is_read_first() -> None:
+    bench = Bench()
+    late = bench.submit(0, Part("a", 8_000), rank=1)
+    soon = bench.submit(0, Part("b", 8_000), rank=0)
+    bench.run()
+    assert soon.first_ms is not None
+    assert late.first_ms is not None
+    assert soon.first_ms < late.first_ms
+
+
+def test_other_weights_are_refused() -> None:
+    bench = Bench()
+    bench.submit(0, version=2)
+    assert bench.ends == [JobEnd.OTHER_WEIGHTS]
+
+
+def test_load_under_calls_lets_them_go_on_and_forgets_what_was_read() -> None:
+    bench = Bench()
+    bench.submit()
+    bench.run()
+    running = bench.submit(0, Part("long", 3_000))
+    running.output_tokens = 300
+    bench.run(50.0)
+    assert bench.order(2, is_under_calls=True) == 202
+    bench.submit()
+    assert bench.ends == [JobEnd.DONE, JobEnd.REFUSED]
+    bench.run(2_000.0)
+    assert bench.ends[-1] is JobEnd.DONE
+    assert 0 < running.made_on_other < running.made
+    assert bench.engines[0].memory.count_leading("m/1/", (BOOK,)) == 0
+
+
+def test_load_after_calls_waits_for_them() -> None:
+    bench = Bench()
+    job = bench.submit(0, Part("long", 3_000))
+    job.output_tokens = 300
+    bench.run(50.0)
+    assert bench.order(2, is_under_calls=False) == 202
+    bench.run(500.0)
+    assert bench.engines[0].version == 1
+    bench.run(3_000.0)
+    assert bench.engines[0].version == 2
+    assert job.made_on_other == 0
+
+
+def test_order_on_an_old_count_is_refused() -> None:
+    bench = Bench()
+    assert bench.order(2, is_under_calls=True) == 202
+    assert bench.order(3, is_under_calls=True) == 409
+    bench.run()
+    assert bench.order(3, orders=0, is_under_calls=True) == 409
+    assert bench.order(3, orders=1, is_under_calls=True) == 202
+
+
+def test_crash_cuts_calls_and_silence_says_nothing() -> None:
+    for presence, ends in ((Presence.DOWN, [JobEnd.LOST]), (Presence.SILENT, [])):
+        bench = Bench()
+        bench.submit()
+        bench.run(5.0)
+        bench.engines[0].stop(presence)
+        bench.run()
+        assert bench.ends == ends
+        assert not bench.firsts
--- /dev/null
+++ b/tests/toucanyard_emulator/test_runner.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import msgspec
+from emulator_examples import build_scenario
+
+from toucanyard.keyed_view import Topic
+from toucanyard.relay_policy import RelayPolicy
+from toucanyard_emulator.arrivals import draw_arrivals
+from toucanyard_emulator.runner import play, run_world
+from toucanyard_emulator.scenario import (
+    Burst,
+    Crash,
+    Grey,
+    HotSubject,
+    LateOrders,
+    NewWeights,
+    NodesKilled,
+    ScaleIn,
+    Slow,
+    StoreDown,
+)
+
+POLICY = RelayPolicy()
+
+
+def test_calm_run_serves_everything() -> None:
+    result = play(build_scenario(), POLICY, 1)
+    assert result.failed == 0
+    assert result.whole > 0.95
+
+
+def test_same_seed_gives_the_same_bytes_and_another_one_others() -> None:
+    scenario = build_scenario(NewWeights(at_s=2.0), Crash(at_s=3.0, for_s=1.0))
+    one, two, three = (
+        msgspec.json.encode(play(scenario, POLICY, seed)) for seed in (1, 1, 2)
+    )
+    assert one == two
+    assert one != three
+
+
+def test_variants_meet_the_same_arrivals() -> None:
+    scenario = build_scenario()
+    assert draw_arrivals(scenario, 5) == draw_arrivals(scenario, 5)
+    assert draw_arrivals(scenario, 5) != draw_arrivals(scenario, 6)
+
+
+def test_burst_and_hot_subject_change_what_comes() -> None:
+    calm = draw_arrivals(build_scenario(), 1)
+    burst = draw_arrivals(build_scenario(Burst(at_s=2.0, for_s=4.0, factor=3.0)), 1)
+    assert len(burst) > 1.5 * len(calm)
+    hot = HotSubject(at_s=0.0, for_s=8.0, kind="long", share=1.0)
+    arrivals = draw_arrivals(build_scenario(hot), 1)
+    subjects = {each.parts[0].name for each in arrivals if each.parts}
+    assert len(subjects) == 1
+
+
+def test_every_call_ends_once_under_every_fault() -> None:
+    """All faults come within a few seconds; whatever happens, each caller gets one end.
+
+    A call that never ends would be missing from the sums, and the run look better.
+    """
+    scenario = build_scenario(
+        NewWeights(at_s=1.0),
+        LateOrders(at_s=0.5, for_s=3.0),
+        Crash(at_s=1.5, for_s=1.0, keeps_id=True),
+        Grey(at_s=2.0, for_s=2.0),
+        Slow(at_s=2.0, for_s=2.0),
+        StoreDown(at_s=2.0, for_s=1.0, nodes=1),
+        NodesKilled(at_s=3.0, for_s=0.3, count=1),
+        Crash(at_s=4.0, for_s=1.0, is_silent=True),
+        NodesKilled(at_s=5.0, for_s=0.3),
+        ScaleIn(at_s=6.0),
+        NewWeights(at_s=6.5),
+    )
+    for seed in (1, 2):
+        world = run_world(scenario, POLICY, seed)
+        numbers = sorted(each.arrival.number for each in world.ended)
+        assert numbers == list(range(len(draw_arrivals(scenario, seed))))
+
+
+def test_new_weights_reach_all_engines() -> None:
+    world = run_world(build_scenario(NewWeights(at_s=2.0)), POLICY, 1)
+    assert {each.version for each in world.list_engines()} == {2}
+
+
+def test_replica_that_starts_again_under_its_id_is_another_life() -> None:
+    fault = Crash(at_s=2.0, for_s=1.0, keeps_id=True)
+    world = run_world(build_scenario(fault), POLICY, 1)
+    records, _ = world.store.read(Topic.REPLICAS, 0)
+    listed = {each.key for each in records}
+    assert len(listed) == 5
+    assert len(world.list_engines()) == 3
+    core = world.nodes[0].core
+    names = {each.name for each in world.list_engines()}
+    usable = core.directory.find_usable(core.index.table.services[0].name, 1e9)
+    assert {each.replica.name for each in usable} == names
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -66,6 +66,7 @@
         address=Address("10.0.0.1:1"),
         attempt=1,
         rank=3,
+        connect_ms=400.0,
         patience_ms=1_000.0,
         weights_version=version,
         cache_scope="m/4/",
