--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -94,7 +94,8 @@
         self._dispatch: RelayDispatch | None = None
         self._is_in_flight = False
         self._may_have_run = False
-        self._has_first = False
+        self._first_ms: float | None = None
+        """From the call's arrival to the first part of its answer."""
         self._held: HeldAnswer | None = None
 
     async def run(self) -> None:
@@ -281,10 +282,9 @@
                 continue
             if not self._responder.is_started:
                 await self._begin(head)
-            if not self._has_first:
-                self._has_first = True
-                after_ms = trio.current_time() * 1000 - self._request.arrived_ms
-                self._metrics.note_first(self._request, after_ms)
+            if self._first_ms is None:
+                self._first_ms = trio.current_time() * 1000 - self._request.arrived_ms
+                self._metrics.note_first(self._request, self._first_ms)
                 self._client.tell_first(self._request.request_id)
             await self._responder.write(whole)
         if self._splitter.has_rest():
@@ -312,7 +312,7 @@
         """Return the silence after which a stream is resumed elsewhere, in ms."""
         if math.isinf(dispatch.patience_ms):
             return math.inf
-        if not self._has_first:
+        if self._first_ms is None:
             return dispatch.patience_ms
         return max(self._max_gap_ms * GAP_PATIENCE, MIN_GAP_MS)
 
@@ -361,7 +361,9 @@
     ) -> None:
         after_ms = trio.current_time() * 1000 - self._request.arrived_ms
         self._metrics.note_ended(self._request, ending, after_ms)
-        log_ended(self._request, dispatch, ending, status, after_ms, text)
+        log_ended(
+            self._request, dispatch, ending, status, after_ms, self._first_ms, text
+        )
 
     async def _send_whole(self, held: HeldAnswer) -> None:
         if self._responder.is_started:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
@@ -52,6 +52,7 @@
     ending: str,
     status: int,
     after_ms: float,
+    first_ms: float | None,
     text: str = "",
 ) -> None:
     """Say how a dispatch ended."""
@@ -63,6 +64,8 @@
         ending=ending,
         status=status,
         after_ms=round(after_ms),
+        first_ms=None if first_ms is None else round(first_ms),
+        target_ms=request.target_ms,
         reason=text,
         route=request.route,
         customer=request.customer,
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -215,9 +215,7 @@
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
             self.directory.note_replaced(event.order.replica, now_ms)
         if isinstance(event, ReplicaStateRead) and event.state is not None:
-            known = self.directory.find(event.replica)
-            if known is not None and known.is_resting(now_ms):
-                known.note_success()
+            yield from self._note_reached(event, now_ms)
         self.duty.handle(event, now_ms)
         yield from self._tick_duty(now_ms)
 
@@ -232,6 +230,16 @@
             for name in self.directory.prune(now_ms):
                 self.flow.book.forget(name)
 
+    def _note_reached(
+        self, read: ReplicaStateRead, now_ms: float
+    ) -> Iterator[RelayAction]:
+        """End the rest of a replica that has reported."""
+        known = self.directory.find(read.replica)
+        if known is not None and known.is_resting(now_ms):
+            known.note_success()
+            fields = {"replica": read.replica, "asked_ms_ago": now_ms - read.asked_ms}
+            yield Note("replica_reached", fields)
+
     def _probe(self, now_ms: float) -> Iterator[RelayAction]:
         """Ask replicas that could not be reached for a report."""
         if not self.options.policy.retries.probes:
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -22,7 +22,7 @@
     """Price of each recent failure of a replica."""
     old_weights_ms: float = 60.0
     """Price of a replica that still has older weights, which are replaced soon."""
-    late_weights_ms: float = 1_500.0
+    late_weights_ms: float = 700.0
     """The same, once answers on older weights have lost a part of their worth."""
     running_ms: float = 1.0
     """Price of each call that runs at a replica: it slows the others' tokens."""
@@ -45,12 +45,12 @@
     """Targets after which a stream that may be resumed is begun elsewhere. Callers
     leave after four without an event. At 2.0, a quarter of the long prompts of a fleet
     under load were begun twice, most of them at replicas that were only slow."""
-    connect_ms: float = 400.0
+    connect_ms: float = 150.0
     """Time that a replica has to take a connection. One in reach takes it within
     milliseconds; nothing was sent to it before, so the call may go elsewhere."""
     rests: bool = True
     """Whether a replica that could not be reached gets no calls for a while."""
-    probes: bool = False
+    probes: bool = True
     """Whether it then gets none until it has answered a report, instead of every node
     finding out by a call each second that it is still away."""
     is_bounded: bool = True
@@ -74,7 +74,7 @@
     the rest can't carry the calls: with all but two of 6 changing, first tokens took
     5 s."""
     min_changing: int = 2
-    is_paced: bool = False
+    is_paced: bool = True
     """Whether the share is of the replicas that calls can use, and more change at once
     only if the time for new weights would else run out."""
     drain_ms: float = 600.0
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -209,7 +209,7 @@
             if each.replica.name not in self._changes
             and model in each.weights
             and each.weights[model] < version
-            and now_ms - self._find_skipped(each) > SKIP_MS
+            and self._is_there(each, now_ms)
         ]
         # The idlest first: its calls end soonest.
         behind.sort(key=lambda each: load_of.get(each.replica.name, 0))
@@ -239,23 +239,21 @@
         Replicas that are silent or fail carry nothing; a share of all would take half
         of those that are left.
         """
-        usable = [
-            each
-            for each in replicas
-            if each.replica.name in self._changes
-            or (not each.is_resting(now_ms) and not each.is_loading(now_ms))
-        ]
-        usable = [
-            each for each in usable if now_ms - self._find_skipped(each) > SKIP_MS
-        ]
-        count = len(usable)
+        usable = sum(self._is_there(each, now_ms) for each in replicas)
         usual = self._find_most(len(replicas))
-        paced = min(max(int(self._policy.share * count), 1), usual)
+        if usable == len(replicas):
+            return usual
+        paced = max(int(self._policy.share * usable), 1)
         left_ms = max(pressure.left_ms, self._took_ms / 2)
-        waiting = [each for each in behind if each in usable]
-        to_load = len(waiting) + len(self._changes)
+        to_load = len(behind) + len(self._changes)
         needed = math.ceil(to_load * self._took_ms / left_ms)
-        return min(max(paced, needed), usual, max(count - 1, 1))
+        return min(max(paced, needed), usual, max(usable - 1, 1))
+
+    def _is_there(self, known: KnownReplica, now_ms: float) -> bool:
+        """Tell whether a replica is neither out of reach nor silent to reports."""
+        if self._policy.is_paced and known.is_resting(now_ms):
+            return False
+        return now_ms - self._find_skipped(known) > SKIP_MS
 
     def _find_skipped(self, known: KnownReplica) -> float:
         return self._skipped_ms.get(known.replica.name, float("-inf"))
--- a/tests/toucanyard/test_weights_rollout.py
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -13,9 +13,11 @@
 from toucanyard.turns import Turn
 from toucanyard.weights_rollout import (
     ANNOUNCE_MS,
+    CALM,
     LOST_MS,
     SILENT_MS,
     SKIP_MS,
+    Pressure,
     WeightsRollout,
 )
 
@@ -42,6 +44,7 @@
         self.mute: set[str] = set()
         self.orders: list[tuple[float, WeightsOrder]] = []
         self.now_ms = 0.0
+        self.pressure = CALM
 
     def run(self, version: int, for_ms: float) -> None:
         end_ms = self.now_ms + for_ms
@@ -49,7 +52,13 @@
             self.now_ms += STEP_MS
             self.finish()
             actions = self.rollout.plan(
-                MODEL, version, self.known, TURN, self.running, self.now_ms
+                MODEL,
+                version,
+                self.known,
+                TURN,
+                self.running,
+                self.now_ms,
+                pressure=self.pressure,
             )
             for action in actions:
                 match action:
@@ -180,3 +189,48 @@
     fleet.rollout.stop(fleet.known)
     assert fleet.rollout.list_changing() == []
     assert not fleet.known[0].is_loading(fleet.now_ms)
+
+
+def count_at_once(fleet: Fleet) -> int:
+    """Return the most replicas that were out of use at one moment."""
+    most = 0
+    for _ in range(200):
+        fleet.run(2, STEP_MS)
+        loading = [each for each in fleet.known if each.is_loading(fleet.now_ms)]
+        most = max(most, len(loading))
+    return most
+
+
+def test_share_is_of_the_replicas_that_calls_can_use() -> None:
+    """Two of six replicas are away when new weights are named.
+
+    Taken two at a time, the other four would leave two for all calls, with cold memory;
+    first events then came after two seconds.
+    """
+    fleet = Fleet(*"abcdef")
+    for known in fleet.known[:2]:
+        known.note_failure(0.0, is_dead=True)
+        known.rest_until_ms = float("inf")
+        fleet.dead.add(known.replica.name)
+    assert count_at_once(fleet) == 1
+    versions = [fleet.versions[name] for name in "cdef"]
+    assert versions == [2] * 4
+
+
+def test_all_healthy_change_two_at_a_time() -> None:
+    fleet = Fleet(*"abcdef")
+    assert count_at_once(fleet) == 2
+    assert set(fleet.versions.values()) == {2}
+
+
+def test_late_rollout_takes_as_many_as_without_pacing() -> None:
+    """Four of six replicas are left, and the time for new weights is nearly over.
+
+    One at a time the last would be late, and calls may not begin on it any more.
+    """
+    fleet = Fleet(*"abcdef")
+    for known in fleet.known[:2]:
+        known.rest_until_ms = float("inf")
+        fleet.dead.add(known.replica.name)
+    fleet.pressure = Pressure(1_000.0)
+    assert count_at_once(fleet) == POLICY.min_changing
