Count and take only replicas that have just reported in paced roll-outs

Cause: a replica that falls silent just before new weights are named is listed for seconds, and the node that orders learns of it only by calls of its own. It was counted among those that carry calls, or taken for a load that never begins, so that two of the three that were left loaded at once.

Change: while weights are behind, the node that orders asks all replicas for a report each 500 ms; only those that answered within 1.2 s count and are taken.

--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Final
 
 import msgspec
@@ -43,6 +43,10 @@
 """How long an announcement counts unless it is renewed."""
 SILENT_MS: Final = 800.0
 """After this time without a report a replica is left alone; it is dead or cut off."""
+SURVEY_MS: Final = 500.0
+"""Time between two looks at which replicas report."""
+HEARD_MS: Final = 1_200.0
+"""How long a report shows that a replica is there: two looks and what reports take."""
 SKIP_MS: Final = 2_000.0
 """How long a replica without a report is left alone."""
 MAX_LOADING_MS: Final = 6_000.0
@@ -90,9 +94,11 @@
     __slots__ = (
         "_announce_ms",
         "_changes",
+        "_heard_ms",
         "_node",
         "_policy",
         "_skipped_ms",
+        "_surveyed_ms",
         "_took_ms",
     )
 
@@ -102,6 +108,9 @@
         self._announce_ms = ANNOUNCE_MS
         self._changes: dict[EndpointName, _Change] = {}
         self._skipped_ms: dict[EndpointName, float] = {}
+        self._heard_ms: dict[EndpointName, float] = {}
+        """When replicas were asked for the reports that came last."""
+        self._surveyed_ms = float("-inf")
         self._took_ms = FIRST_TOOK_MS
         """How long a replica is out of use for new weights, as seen lately."""
 
@@ -111,8 +120,11 @@
 
     def note_state(self, read: ReplicaStateRead) -> None:
         """Take in a report."""
+        if read.state is None:
+            return
+        self._heard_ms[read.replica] = read.asked_ms
         change = self._changes.get(read.replica)
-        if change is not None and read.state is not None:
+        if change is not None:
             change.report = read
 
     def note_answer(self, answered: OrderAnswered, now_ms: float) -> bool:
@@ -150,7 +162,7 @@
         self._announce_ms = announce_ms
         self._settle(model, version, replicas, now_ms)
         self._announce(model, version, replicas, load_of, pressure, now_ms)
-        actions: list[RolloutAction] = []
+        actions: list[RolloutAction] = list(self._survey(replicas, now_ms))
         by_name = {each.replica.name: each for each in replicas}
         for name, change in self._changes.items():
             known = by_name.get(name)
@@ -221,6 +233,23 @@
         for each in behind[: max(room, 0)]:
             self._changes[each.replica.name] = _Change(version, now_ms)
 
+    def _survey(
+        self, replicas: Sequence[KnownReplica], now_ms: float
+    ) -> Iterator[RolloutAction]:
+        """Ask all replicas for a report, to see which of them are there.
+
+        A replica that has just fallen silent is listed for seconds. Counted as one
+        that carries calls, or taken for a load that never begins, it leaves too few.
+        """
+        is_due = now_ms - self._surveyed_ms >= SURVEY_MS
+        if not self._policy.is_paced or not is_due:
+            return
+        self._surveyed_ms = now_ms
+        for known in replicas:
+            replica = known.replica
+            if replica.name not in self._changes:
+                yield ReadReplicaState(replica.name, replica.listed_as, replica.address)
+
     def _find_most(self, count: int) -> int:
         """Return how many of so many replicas may change at once."""
         share = MANY_CHANGING_SHARE if count > MANY_REPLICAS else self._policy.share
@@ -250,8 +279,10 @@
         return min(max(paced, needed), usual, max(usable - 1, 1))
 
     def _is_there(self, known: KnownReplica, now_ms: float) -> bool:
-        """Tell whether a replica is neither out of reach nor silent to reports."""
-        if self._policy.is_paced and known.is_resting(now_ms):
+        """Tell whether a replica has reported lately."""
+        name = known.replica.name
+        heard_ms = self._heard_ms.get(name, float("-inf"))
+        if self._policy.is_paced and now_ms - heard_ms > HEARD_MS:
             return False
         return now_ms - self._find_skipped(known) > SKIP_MS
 
