--- a/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
@@ -5,19 +5,17 @@
 import random
 from typing import TYPE_CHECKING, Final
 
-from toucanyard.names import CustomerName, RequestId, ServiceName
+from toucanyard.names import CustomerName, RequestId
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.requests import Repeatability
 from toucanyard_emulator.accounting import Cause, Ended
 from toucanyard_emulator.arrivals import Arrival
 from toucanyard_emulator.relayed_call import CallEnd, RelayedCall
+from toucanyard_emulator.replica_pool import DESK, ENGINES, MODEL
 
 if TYPE_CHECKING:
     from toucanyard_emulator.world import World
 
-ENGINES: Final = ServiceName("engines")
-DESK: Final = ServiceName("desk")
-MODEL: Final = "m"
 LEAVE_MS: Final = 2_000.0
 LEAVE_TARGETS: Final = 4.0
 LEAVE_GAPS: Final = 8.0
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
@@ -60,10 +60,10 @@
 
 
 def _crash(world: World, fault: Crash, purpose: str) -> None:
-    for number, engine in enumerate(world.draw_engines(fault.count, purpose)):
+    for number, engine in enumerate(world.pool.draw_engines(fault.count, purpose)):
         version = engine.version
-        listed_as = world.find_listed_as(engine) if fault.keeps_id else None
-        world.stop_engine(engine, is_silent=fault.is_silent)
+        listed_as = world.pool.find_listed_as(engine) if fault.keeps_id else None
+        world.pool.stop_engine(engine, is_silent=fault.is_silent)
         back = partial(_start_again, world, number, version, listed_as)
         _later(world, fault.for_s, back)
 
@@ -74,14 +74,14 @@
     """Start a new life; one under its old id keeps its weights."""
     if listed_as is None:
         version = world.find_newest_version()
-    world.add_engine(number, version, listed_as)
+    world.pool.add_engine(number, version, listed_as)
 
 
 def _grey(world: World, fault: Grey, purpose: str) -> None:
     def set_share(engine: Engine, share: float) -> None:
         engine.mute_share = share
 
-    for engine in world.draw_engines(fault.count, purpose):
+    for engine in world.pool.draw_engines(fault.count, purpose):
         set_share(engine, fault.share)
         _later(world, fault.for_s, partial(set_share, engine, 0.0))
 
@@ -90,19 +90,19 @@
     def set_factor(engine: Engine, factor: float) -> None:
         engine.slowness = factor
 
-    for engine in world.draw_engines(fault.count, purpose):
+    for engine in world.pool.draw_engines(fault.count, purpose):
         set_factor(engine, fault.factor)
         _later(world, fault.for_s, partial(set_factor, engine, 1.0))
 
 
 def _scale_in(world: World, count: int, purpose: str) -> None:
-    for engine in world.draw_engines(count, purpose):
-        world.scale_in(engine)
+    for engine in world.pool.draw_engines(count, purpose):
+        world.pool.scale_in(engine)
 
 
 def _delay_orders(world: World, fault: LateOrders) -> None:
     def set_share(share: float) -> None:
-        world.late_order_share = share
+        world.pool.late_order_share = share
 
     set_share(fault.share)
     _later(world, fault.for_s, partial(set_share, 0.0))
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -207,7 +207,7 @@
 
     def _read_state(self, read: ReadReplicaState) -> None:
         asked_ms = self.now_ms
-        engine = self.world.find_replica(read.replica)
+        engine = self.world.pool.find_replica(read.replica)
         if not isinstance(engine, Engine) or engine.presence is not Presence.UP:
             is_silent = engine is not None and engine.presence is Presence.SILENT
             delay_ms = REPORT_TIMEOUT_MS if is_silent else 2.0
@@ -217,7 +217,7 @@
             )
             return
         state = engine.read_state()
-        way_ms = self.world.compute_way(self.domain, read.replica)
+        way_ms = self.world.pool.compute_way(self.domain, read.replica)
         self.after(
             4 * way_ms + 1.0,
             lambda: self.handle(ReplicaStateRead(read.replica, state, asked_ms)),
@@ -225,20 +225,20 @@
 
     def _send_order(self, order: WeightsOrder) -> None:
         self.world.counts.orders += 1
-        late_ms = self.world.find_order_delay()
-        engine = self.world.find_replica(order.replica)
+        late_ms = self.world.pool.find_order_delay()
+        engine = self.world.pool.find_replica(order.replica)
         is_there = isinstance(engine, Engine) and engine.presence is Presence.UP
         if late_ms is not None or not is_there:
             self.after(
                 ORDER_TIMEOUT_MS, lambda: self.handle(OrderAnswered(order, None))
             )
             if late_ms is not None:
-                self.world.take_order_later(order, late_ms)
+                self.world.pool.take_order_later(order, late_ms)
             return
-        way_ms = self.world.compute_way(self.domain, order.replica)
+        way_ms = self.world.pool.compute_way(self.domain, order.replica)
 
         def take() -> None:
-            status = self.world.take_order(order)
+            status = self.world.pool.take_order(order)
             self.after(way_ms, lambda: self.handle(OrderAnswered(order, status)))
 
         self.after(3 * way_ms + 1.0, take)
@@ -258,7 +258,7 @@
     def _follow(self, name: EndpointName) -> None:
         if name not in self._followed:
             return
-        told = self.world.tell_parts(name, self._followed[name])
+        told = self.world.pool.tell_parts(name, self._followed[name])
         if told is not None:
             changes, self._followed[name] = told
             self.handle(PartsChanged(name, changes, is_reset=False, epoch=1))
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
@@ -146,7 +146,7 @@
             reason = dispatch.reason
             trace.queued_ms = 0.0 if reason is None else reason.queued_ms
         world = self._node.world
-        replica = world.find_replica(dispatch.replica)
+        replica = world.pool.find_replica(dispatch.replica)
         if replica is None or replica.presence is Presence.DOWN:
             self._node.after(2.0, lambda: self._lose(number, EndingSeen.NOT_SENT, True))
             return
@@ -157,7 +157,7 @@
             )
             return
         world.counts.connections += 1
-        way_ms = world.compute_way(self._node.domain, dispatch.replica)
+        way_ms = world.pool.compute_way(self._node.domain, dispatch.replica)
         reach_ms = 3 * way_ms + HANDSHAKE_MS
         self._node.after(reach_ms, lambda: self._submit(number, dispatch, way_ms))
         if not math.isinf(dispatch.patience_ms):
@@ -169,7 +169,7 @@
     def _submit(self, number: int, dispatch: RelayDispatch, way_ms: float) -> None:
         if number != self._number:
             return
-        replica = self._node.world.find_replica(dispatch.replica)
+        replica = self._node.world.pool.find_replica(dispatch.replica)
         if replica is None or replica.presence is Presence.DOWN:
             self._lose(number, EndingSeen.LOST)
             return
--- /dev/null
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/replica_pool.py
@@ -0,0 +1,272 @@
+"""Hold the replicas and the store of prompts of one run, and register them."""
+
+from __future__ import annotations
+
+import random
+from typing import Final
+
+from toucanyard.keyed_view import Topic
+from toucanyard.names import (
+    Address,
+    DomainName,
+    EndpointName,
+    ReplicaId,
+    ServiceName,
+)
+from toucanyard.part_sources import name_store
+from toucanyard.relay_events import PartChange, WeightsOrder
+from toucanyard.replica_lives import name_life
+from toucanyard.replicas import Replica
+from toucanyard.routes import PromptStore
+from toucanyard_emulator.engine import Engine, LoadBoard, Presence
+from toucanyard_emulator.plain_replica import PlainReplica
+from toucanyard_emulator.prompt_memory import PromptMemory
+from toucanyard_emulator.read_ledger import ReadLedger
+from toucanyard_emulator.scenario import Scenario
+from toucanyard_emulator.store import EmulatedStore
+from toucanyard_emulator.transfers import Link
+from toucanyard_standins.virtual_clock import VirtualClock
+
+DESK: Final = ServiceName("desk")
+ENGINES: Final = ServiceName("engines")
+MODEL: Final = "m"
+LAG_MS: Final = 800.0
+"""Time until a replica's change is in the store."""
+LEASE_MS: Final = 3_600.0
+"""Time without heartbeats after which a replica's entry goes."""
+LEAVE_MS: Final = 2_000.0
+"""How long a replica that drains serves on."""
+MAX_FOLLOWERS: Final = 12
+
+AnyReplica = Engine | PlainReplica
+
+
+def name_domain(scenario: Scenario, number: int) -> DomainName:
+    """Return the failure domain of the so-and-so-many-th VM of a kind."""
+    return DomainName(f"d{number % scenario.domains}")
+
+
+class ReplicaPool:
+    """All lives of all replicas. Invariant: an engine's entry is of its newest life."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int, clock: VirtualClock, store: EmulatedStore
+    ) -> None:
+        self.ledger = ReadLedger()
+        self.late_order_share = 0.0
+        self.prompt_store = self._build_prompt_store(scenario)
+        self._scenario = scenario
+        self._seed = seed
+        self._clock = clock
+        self._store = store
+        self._loads = LoadBoard()
+        self._replicas: dict[EndpointName, AnyReplica] = {}
+        self._entries: dict[EndpointName, Replica] = {}
+        self._memories: dict[Address, tuple[PromptMemory, Link]] = {}
+        self._births = 0
+        self._rng = random.Random(f"{seed} world")
+        self._order_rng = random.Random(f"{seed} orders")
+        if self.prompt_store is not None:
+            kept = self.prompt_store
+            memory = PromptMemory(kept.memory_tokens)
+            self._memories[kept.address] = (memory, Link(kept.link_mbps, kept.domain))
+
+    def _build_prompt_store(self, scenario: Scenario) -> PromptStore | None:
+        shape = scenario.prompt_store
+        if shape is None:
+            return None
+        return PromptStore(
+            Address("10.9.0.1:1"),
+            name_domain(scenario, 1),
+            shape.memory_tokens,
+            shape.link_mbps,
+            MAX_FOLLOWERS,
+        )
+
+    def start(self) -> None:
+        """Start and register all replicas."""
+        for number in range(self._scenario.engines.replicas):
+            self.add_engine(number, 1, None)
+        for number in range(self._scenario.plain.replicas):
+            self._add_plain(number)
+
+    def count_loads(self) -> int:
+        """Return how often weights were loaded."""
+        return sum(
+            each.loads for each in self._replicas.values() if isinstance(each, Engine)
+        )
+
+    def add_engine(
+        self, number: int, version: int, listed_as: ReplicaId | None
+    ) -> Engine:
+        """Start a life of an engine and register it."""
+        self._births += 1
+        born_ms = int(self._clock.now_ms) + self._births
+        listed = listed_as or ReplicaId(f"e{self._births}")
+        name = name_life(listed, born_ms)
+        address = Address(f"10.1.{number}.{self._births}:1")
+        domain = name_domain(self._scenario, number)
+        rng = random.Random(f"{self._seed} engine {number}")
+        engine = Engine(
+            name,
+            domain,
+            address,
+            self._scenario.engines,
+            self._clock,
+            self.ledger,
+            self._loads,
+            lambda each: self._memories.get(each),
+            rng,
+        )
+        engine.version = version
+        self._replicas[name] = engine
+        self._memories[address] = (engine.memory, engine.link)
+        slots = self._scenario.engines.slots
+        entry = Replica(
+            name, listed, ENGINES, address, domain, slots, False, (), born_ms
+        )
+        self._entries[name] = entry
+        self._register(name)
+        self._renew(name)
+        return engine
+
+    def _add_plain(self, number: int) -> None:
+        listed = ReplicaId(f"p{number}")
+        name = EndpointName(listed)
+        self._replicas[name] = PlainReplica(name, self._scenario.plain, self._clock)
+        entry = Replica(
+            name,
+            listed,
+            DESK,
+            Address(f"10.2.{number}.1:1"),
+            name_domain(self._scenario, number),
+            self._scenario.plain.slots,
+            False,
+        )
+        self._entries[name] = entry
+        self._register(name)
+
+    def _register(self, name: EndpointName, *, is_draining: bool = False) -> None:
+        entry = self._entries[name]
+        replica = self._replicas[name]
+        weights = ((MODEL, replica.version),) if isinstance(replica, Engine) else ()
+        entry = Replica(
+            entry.name,
+            entry.listed_as,
+            entry.service,
+            entry.address,
+            entry.domain,
+            entry.slots,
+            entry.is_draining or is_draining,
+            weights,
+            entry.born_ms,
+        )
+        self._entries[name] = entry
+        self._store.put(Topic.REPLICAS, entry.listed_as, entry)
+
+    def _renew(self, name: EndpointName) -> None:
+        """Register again what has changed, as heartbeats do."""
+        engine = self._replicas[name]
+        assert isinstance(engine, Engine)
+        if engine.presence is not Presence.UP:
+            return
+        if self._entries[name].weights != ((MODEL, engine.version),):
+            self._register(name)
+        self._clock.call_after(LAG_MS, lambda: self._renew(name))
+
+    def list_engines(self) -> list[Engine]:
+        """Return the engines that are there."""
+        return [
+            each
+            for each in self._replicas.values()
+            if isinstance(each, Engine) and each.presence is Presence.UP
+        ]
+
+    def draw_engines(self, count: int, purpose: str) -> list[Engine]:
+        """Return some engines, the same ones in every variant of a run."""
+        engines = self.list_engines()
+        rng = random.Random(f"{self._seed} {purpose}")
+        rng.shuffle(engines)
+        return engines[: min(count, max(len(engines) - 1, 1))]
+
+    def stop_engine(self, engine: Engine, *, is_silent: bool) -> None:
+        """End a life of an engine; its entry goes when its lease runs out."""
+        engine.stop(Presence.SILENT if is_silent else Presence.DOWN)
+        self._memories.pop(engine.address, None)
+        listed_as = self._entries[engine.name].listed_as
+
+        def expire() -> None:
+            current = [
+                each
+                for each in self.list_engines()
+                if self._entries[each.name].listed_as == listed_as
+            ]
+            if not current:
+                self._store.put(Topic.REPLICAS, listed_as, None)
+
+        self._clock.call_after(LEASE_MS, expire)
+
+    def find_listed_as(self, engine: Engine) -> ReplicaId:
+        """Return under which id an engine is registered."""
+        return self._entries[engine.name].listed_as
+
+    def scale_in(self, engine: Engine) -> None:
+        """Let an engine drain and leave."""
+        self._register(engine.name, is_draining=True)
+        self._clock.call_after(
+            2 * LEAVE_MS, lambda: self.stop_engine(engine, is_silent=False)
+        )
+
+    def find_replica(self, name: EndpointName) -> AnyReplica | None:
+        """Return a life of a replica."""
+        return self._replicas.get(name)
+
+    def compute_way(self, domain: str, name: EndpointName) -> float:
+        """Return the time of one way between a node's domain and a replica."""
+        is_near = self._entries[name].domain == domain
+        return self._scenario.near_ms if is_near else self._scenario.far_ms
+
+    def find_order_delay(self) -> float | None:
+        """Return how late the next order is carried out; None if it is answered."""
+        draw, late_ms = self._order_rng.random(), self._order_rng.uniform(2e3, 12e3)
+        return late_ms if draw < self.late_order_share else None
+
+    def take_order(self, order: WeightsOrder) -> int | None:
+        """Carry out an order at its replica."""
+        engine = self._replicas.get(order.replica)
+        if not isinstance(engine, Engine) or engine.presence is not Presence.UP:
+            return None
+        return engine.take_order(order)
+
+    def take_order_later(self, order: WeightsOrder, late_ms: float) -> None:
+        """Carry out an order that got no answer."""
+
+        def take() -> None:
+            self.take_order(order)
+
+        self._clock.call_after(late_ms, take)
+
+    def tell_parts(
+        self, name: EndpointName, told: int
+    ) -> tuple[tuple[PartChange, ...], int] | None:
+        """Return what a holder tells of its parts, late and with losses."""
+        memory = self._find_memory(name)
+        if memory is None:
+            return None
+        known_ms = self._clock.now_ms - self._scenario.engines.events_lag_ms
+        end = told
+        changes = []
+        while end < len(memory.changes) and memory.changes[end][0] <= known_ms:
+            if self._rng.random() >= self._scenario.engines.events_loss:
+                changes.append(memory.changes[end][1])
+            end += 1
+        return tuple(changes), end
+
+    def _find_memory(self, name: EndpointName) -> PromptMemory | None:
+        replica = self._replicas.get(name)
+        if isinstance(replica, Engine):
+            return replica.memory if replica.presence is Presence.UP else None
+        kept = self.prompt_store
+        if kept is not None and name_store(kept) == name:
+            return self._memories[kept.address][0]
+        return None
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/variants.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/variants.py
@@ -61,5 +61,8 @@
     "queue order=queue.is_ranked:false",
     "early refusal=queue.refuses_early:false",
     "announced loads=rollout.announces:false",
+    "paced roll-outs=rollout.is_paced:false",
+    "reports when unreached=retries.probes:false",
+    "short connects=retries.connect_ms:400",
 )
 """Each mechanism of the relay path off by itself."""
--- a/tests/toucanyard_emulator/test_runner.py
+++ b/tests/toucanyard_emulator/test_runner.py
@@ -80,7 +80,7 @@
 
 def test_new_weights_reach_all_engines() -> None:
     world = run_world(build_scenario(NewWeights(at_s=2.0)), POLICY, 1)
-    assert {each.version for each in world.list_engines()} == {2}
+    assert {each.version for each in world.pool.list_engines()} == {2}
 
 
 def test_replica_that_starts_again_under_its_id_is_another_life() -> None:
@@ -89,8 +89,8 @@
     records, _ = world.store.read(Topic.REPLICAS, 0)
     listed = {each.key for each in records}
     assert len(listed) == 5
-    assert len(world.list_engines()) == 3
+    assert len(world.pool.list_engines()) == 3
     core = world.nodes[0].core
-    names = {each.name for each in world.list_engines()}
+    names = {each.name for each in world.pool.list_engines()}
     usable = core.directory.find_usable(core.index.table.services[0].name, 1e9)
     assert {each.replica.name for each in usable} == names
--- a/tests/toucanyard_platform/test_decoders_fuzz.py
+++ b/tests/toucanyard_platform/test_decoders_fuzz.py
@@ -84,7 +84,9 @@
     assert 0 < int(port) < 2**16
 
 
-@pytest.mark.parametrize("body", [DEEP, DEEP_FIELD, HUGE, b"\xff\xfe", b"1e999"], ids=len)
+@pytest.mark.parametrize(
+    "body", [DEEP, DEEP_FIELD, HUGE, b"\xff\xfe", b"1e999"], ids=len
+)
 def test_bodies_that_broke_readers(body: bytes) -> None:
     """Nested too deeply, infinite once read, not text: each has an error of its own."""
     for topic in Topic:
