--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -23,7 +23,12 @@
     old_weights_ms: float = 60.0
     """Price of a replica that still has older weights, which are replaced soon."""
     late_weights_ms: float = 700.0
-    """The same, once answers on older weights have lost a part of their worth."""
+    """The same, once answers on older weights have lost a part of their worth.
+
+    At 1,500 all calls queued at the two of six replicas that had new weights when a
+    roll-out was held up, up to 1.5 s each, and were late; the worth of such a run rose
+    by 0.02 (emulator, 6 seeds).
+    """
     running_ms: float = 1.0
     """Price of each call that runs at a replica: it slows the others' tokens."""
     pause_share: float = 0.1
@@ -47,12 +52,13 @@
     under load were begun twice, most of them at replicas that were only slow."""
     connect_ms: float = 150.0
     """Time that a replica has to take a connection. One in reach takes it within
-    milliseconds; nothing was sent to it before, so the call may go elsewhere."""
+    milliseconds; nothing was sent to it before, so the call may go elsewhere. At 400,
+    calls that met a silent replica missed targets of 400 and 600 ms."""
     rests: bool = True
     """Whether a replica that could not be reached gets no calls for a while."""
     probes: bool = True
     """Whether it then gets none until it has answered a report, instead of every node
-    finding out by a call each second that it is still away."""
+    finding out by a call each second that it is still away; each such call was late."""
     is_bounded: bool = True
     """Whether retries are bounded by the budget of all nodes."""
 
@@ -75,8 +81,9 @@
     5 s."""
     min_changing: int = 2
     is_paced: bool = True
-    """Whether the share is of the replicas that calls can use, and more change at once
-    only if the time for new weights would else run out."""
+    """Whether the share is of the replicas that report, and more change at once only if
+    the time for new weights would else run out. With two of six silent and one leaving,
+    the worth of a run rose by 0.04 (emulator, 7 seeds)."""
     drain_ms: float = 600.0
     """How long a replica's calls may take to end before it loads under those left.
     Streams last up to 5 s; if all of them are waited for, the last replica loads after
