Open the socket for callers before a node can be ready

Cause: the socket for callers was opened last, after the one for readiness and the links to peers. A peer tells a starting node the routes within milliseconds; it was then ready and named to callers, whose connections were refused.

Ruled out: two runs that share an address; they are taken from each run's process.

Change: it is the first socket that a node opens; connections wait in it meanwhile.

Before: the new test fails. After: it passes, with the tests of real processes and of the soak.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -132,6 +132,9 @@
     async def run(self, pages: Pages) -> None:
         """Run until the planned stop is over."""
         listen = self._options.listen
+        # Peers tell a node that starts the routes within milliseconds. Were it ready,
+        # and named to callers, before this socket is open, they would be refused.
+        callers = await _listen(listen.callers)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._output.run)
             nursery.start_soon(self._watch_signals, nursery.cancel_scope)
@@ -152,7 +155,7 @@
             ):
                 server = HttpServer(handler, ServerLimits())
                 nursery.start_soon(server.serve, await _listen(address))
-            nursery.start_soon(self._server.serve, await _listen(listen.callers))
+            nursery.start_soon(self._server.serve, callers)
             _LOG.info("started", callers=listen.callers, peers=listen.peers)
             await self._stop()
             nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/toucanyard_node/test_relay_node.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+
+from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_options import RelayListen, RelayOptions
+from toucanyard_node import relay_node
+from toucanyard_node.bounded_output import BoundedOutput
+from toucanyard_node.http_exchange import HttpRequest, Responder
+from toucanyard_node.relay_node import Pages, Ports, RelayNode
+
+LISTEN = RelayListen(*(Address(f"127.0.0.1:{port}") for port in range(1, 6)))
+
+
+class OpenedError(Exception):
+    """Ends a run at its first listening socket."""
+
+
+async def answer_nothing(_: HttpRequest, __: Responder) -> None:
+    raise AssertionError
+
+
+async def test_callers_socket_is_open_before_the_node_can_be_ready(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node starts, and a peer tells it the routes within milliseconds.
+
+    Its readiness is then asked for and it is named to callers; were its socket for them
+    opened after that, the first of them would be refused.
+    """
+    opened: list[Address] = []
+
+    async def open_first(address: Address) -> trio.SocketListener:
+        opened.append(address)
+        raise OpenedError
+
+    monkeypatch.setattr(relay_node, "_listen", open_first)
+    options = RelayOptions(NodeName("n"), DomainName("d"), LISTEN, LISTEN.callers)
+    identity = NodeId(options.name, Incarnation("i"))
+    rng = random.Random(1)
+    core = RelayCore(options, identity, lambda *_: None, rng)
+    unused = Ports(None, None, None, None)  # type: ignore[arg-type]
+    node = RelayNode(core, unused, BoundedOutput(1), rng)
+    pages = Pages(answer_nothing, answer_nothing, answer_nothing)
+    with pytest.raises(OpenedError):
+        await node.run(pages)
+    assert opened == [LISTEN.callers]
