--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -32,7 +32,6 @@
 )
 from toucanyard.relay_flow import RelayReply
 from toucanyard.relay_options import RelayOptions
-from toucanyard.requests import Refuse
 from toucanyard_emulator.engine import Engine, Presence
 from toucanyard_emulator.relayed_call import RelayedCall
 
@@ -127,8 +126,6 @@
         match action:
             case RelayReply(request_id=request_id, verdict=verdict):
                 call = self._calls.get(request_id)
-                if isinstance(verdict, Refuse):
-                    self.world.note_refusal(verdict)
                 if call is not None:
                     # The task that asked runs a moment later, as it does for real.
                     self.after(0.0, lambda: call.take(verdict))
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/world.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/world.py
@@ -14,7 +14,6 @@
 from toucanyard.relay_events import LinkMessageRead
 from toucanyard.relay_options import RelayListen, RelayOptions, WeightsTimings
 from toucanyard.relay_policy import RelayPolicy
-from toucanyard.requests import Refuse
 from toucanyard.routes import (
     EngineTraits,
     RoutedCustomer,
@@ -56,7 +55,6 @@
         self.pool = ReplicaPool(scenario, seed, self.clock, self.store)
         self.counts = Counts()
         self.ended: list[Ended] = []
-        self.refusals: list[tuple[float, Refuse]] = []
         self.nodes: list[EmulatedNode] = []
         self._policy = policy
         self._named_ms: list[float] = [float("-inf")]
@@ -188,10 +186,6 @@
             return 0.0
         return max(begun_ms - self._named_ms[version], 0.0)
 
-    def note_refusal(self, refusal: Refuse) -> None:
-        """Keep a refusal for whoever asks."""
-        self.refusals.append((self.clock.now_ms, refusal))
-
     def note_ended(self, ended: Ended) -> None:
         """Keep how a call ended."""
         self.ended.append(ended)
