Log how long a removed replica counts and whose word made the store doubted

Cause of the change: the logs could not tell the hypotheses apart. A dispatch did not say whether its replica was still listed, a removal did not say until when the replica counts nor how old the list was, and a belief about the store that came from a peer had no line at all.

Change: gone_ms on each dispatch; counts_ms and list_age_ms on replica_gone; store_doubted when a peer's failure makes this node doubt the store.

Before, after: no decision changes. Tests of the core, the node and the adapter pass.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
@@ -30,6 +30,7 @@
         considered=reason.considered,
         queued_ms=round(reason.queued_ms),
         view_age_ms=round(reason.view_age_ms),
+        gone_ms=None if reason.gone_ms is None else round(reason.gone_ms),
     )
 
 
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -135,6 +135,7 @@
             considered=placed.considered,
             queued_ms=now_ms - request.arrived_ms,
             view_age_ms=now_ms - self.view_confirmed_ms,
+            gone_ms=placed.replica.compute_gone(now_ms),
         )
         dispatch = self._build_dispatch(pending, placed.replica, reason)
         return msgspec.structs.replace(
@@ -182,6 +183,7 @@
             considered=len(usable),
             queued_ms=now_ms - pending.request.arrived_ms,
             view_age_ms=now_ms - self.view_confirmed_ms,
+            gone_ms=placed.replica.compute_gone(now_ms),
         )
         return self._build_dispatch(pending, placed.replica, reason)
 
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from typing import Final
 
 from toucanyard.keyed_view import Change, InvalidRecord, Topic
 from toucanyard.names import EndpointName, ReplicaId
@@ -18,6 +19,9 @@
 from toucanyard.routes import RouteIndex, RouteTable
 from toucanyard.weights_goals import WantedWeights, WeightsGoals
 
+MAX_AGE_MS: Final = 1e6
+"""Age that is logged for a list that the store has never confirmed."""
+
 
 class KnownFacts:
     """Routes, wanted weights, replicas and nodes as the records say.
@@ -49,10 +53,12 @@
         now_ms: float,
         *,
         is_store_doubtful: bool,
+        list_age_ms: float = 0.0,
         known_for_ms: float = 0.0,
     ) -> Iterator[Note]:
         """Apply changes; `is_store_doubtful` tells that the store was away just now.
 
+        `list_age_ms` is how long before the store confirmed what was known until now;
         `known_for_ms` is how long wanted weights may have been named before.
         """
         gone: list[EndpointName] = []
@@ -75,12 +81,16 @@
         if gone:
             self._directory.remove(gone, now_ms, is_doubtful=is_store_doubtful)
         for replica in gone:
+            known = self._directory.find(replica)
+            counts_ms = 0.0 if known is None else known.grace_until_ms - now_ms
             yield Note(
                 "replica_gone",
                 {
                     "replica": replica,
                     "source": source,
                     "is_doubtful": is_store_doubtful,
+                    "counts_ms": round(max(counts_ms, 0.0)),
+                    "list_age_ms": round(min(list_age_ms, MAX_AGE_MS)),
                 },
             )
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -287,6 +287,7 @@
 
     def _read_topic(self, read: TopicRead, now_ms: float) -> Iterator[RelayAction]:
         before = self.exchange.views[read.topic].end
+        list_age_ms = now_ms - self.exchange.views[read.topic].confirmed_ms
         changes = self.exchange.apply_read(
             read.topic,
             read.records,
@@ -303,6 +304,7 @@
             "store",
             now_ms,
             is_store_doubtful=is_doubtful,
+            list_age_ms=list_age_ms,
             known_for_ms=known_ms,
         )
         if changes or self.exchange.views[read.topic].end > before:
@@ -313,10 +315,15 @@
         self, sender: NodeName, message: ViewRecords, now_ms: float
     ) -> Iterator[RelayAction]:
         before = self.exchange.views[message.topic].end
+        list_age_ms = now_ms - self.exchange.views[message.topic].confirmed_ms
         changes = self.exchange.apply_records(message, now_ms)
         is_doubtful = self.statuses.is_store_doubtful(now_ms)
         yield from self.facts.apply(
-            changes, sender, now_ms, is_store_doubtful=is_doubtful
+            changes,
+            sender,
+            now_ms,
+            is_store_doubtful=is_doubtful,
+            list_age_ms=list_age_ms,
         )
         if self.exchange.views[message.topic].end > before:
             targets = self.statuses.find_targets(message.topic, sender)
@@ -325,7 +332,11 @@
     def _read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
+        was_doubtful = self.statuses.is_store_doubtful(now_ms)
         self.statuses.read(sender, status, now_ms)
+        if not was_doubtful and self.statuses.is_store_doubtful(now_ms):
+            age_ms = round(status.store_trouble_age_ms)
+            yield Note("store_doubted", {"source": sender, "age_ms": age_ms})
         self.flow.node_count = self.roster.count_nodes(now_ms)
         for store in status.stores:
             heard_ms = now_ms - store.heard_age_ms
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -71,6 +71,8 @@
     queued_ms: float
     view_age_ms: float
     """Time since the store confirmed the list of replicas."""
+    gone_ms: float | None = None
+    """Time since this node learned that the replica left the list; None if listed."""
 
 
 class RelayDispatch(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -124,6 +124,10 @@
             return False
         return self.gone_ms is None or now_ms < self.grace_until_ms
 
+    def compute_gone(self, now_ms: float) -> float | None:
+        """Return the time since it was dropped from the list; None if it is listed."""
+        return None if self.gone_ms is None else now_ms - self.gone_ms
+
     def is_resting(self, now_ms: float) -> bool:
         """Tell whether it failed this node a moment ago."""
         return now_ms < self.rest_until_ms
