--- /dev/null
+++ b/tests/toucanyard/store_fleet.py
@@ -0,0 +1,167 @@
+"""Run a fleet that reads its list of replicas from a store, as real nodes do.
+
+The store may be away for some nodes or for all of them, and entries lapse meanwhile.
+Messages between nodes take a while; those of a node that is cut off wait until it is
+back, as bytes on a connection do.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import EndpointName, NodeName
+from toucanyard.relay_events import (
+    CallArrived,
+    DispatchEnded,
+    LinkMessageRead,
+    RelayEvent,
+    SendToPeer,
+    StoreFailed,
+    TickPassed,
+    TopicRead,
+)
+from toucanyard.relay_flow import RelayReply
+from toucanyard.relay_requests import RelayDispatch, RelayOutcome
+from toucanyard.requests import EndingSeen
+
+from .relay_examples import DESK, build_replica, build_request
+from .relay_fleet import PlannedFleet, put
+
+STEP_MS = 25.0
+STORE_TIMEOUT_MS = 1_200.0
+CALLS_MS = 100.0
+"""Time between two calls at each node."""
+
+
+class Sent:
+    """A call that a node sent to a replica."""
+
+    def __init__(self, node: NodeName, replica: EndpointName, at_ms: float) -> None:
+        self.node = node
+        self.replica = replica
+        self.at_ms = at_ms
+
+
+class StoreFleet(PlannedFleet):
+    """Nodes, a store that lists replicas, and a steady load of plain calls."""
+
+    def __init__(self, domains: int, nodes_each: int, way_ms: float = 0.0) -> None:
+        self._way_ms = way_ms
+        self._on_the_way: list[tuple[float, NodeName, NodeName, RelayEvent]] = []
+        self._failing: dict[NodeName, float] = {}
+        self._log: list[KeyedRecord] = []
+        self._calls = 0
+        self.store_away: set[NodeName] = set()
+        """Nodes that the store does not answer."""
+        self.cut_off: set[NodeName] = set()
+        """Nodes that reach neither the store nor each other."""
+        self.sent: list[Sent] = []
+        self.unsent: list[tuple[NodeName, float]] = []
+        """Calls for which no replica was found at once."""
+        super().__init__(domains, nodes_each)
+        self._send_calls = False
+
+    def register(self, names: Iterable[str]) -> None:
+        for name in names:
+            self._append(name, put(build_replica(name, service=DESK, weights=())))
+
+    def remove(self, names: Iterable[str]) -> None:
+        for name in names:
+            self._append(name, None)
+
+    def _append(self, name: str, value: bytes | None) -> None:
+        self._log.append(KeyedRecord(name, len(self._log), value))
+
+    def find_reader(self) -> NodeName:
+        """Return the node that reads the list for all others."""
+        ranks = {
+            name: core.roster.find_rank(Topic.REPLICAS.value, self.now_ms)
+            for name, core in self.cores.items()
+        }
+        return min(ranks, key=ranks.__getitem__)
+
+    def handle(self, name: NodeName, event: RelayEvent) -> None:
+        core = self.cores[name]
+        for action in core.handle(event, self.now_ms):
+            match action:
+                case SendToPeer(node=other, message=message):
+                    read = LinkMessageRead(core.identity, message)
+                    due_ms = self.now_ms + self._way_ms
+                    self._on_the_way.append((due_ms, name, other, read))
+                case RelayReply(verdict=verdict):
+                    self._note_verdict(name, verdict)
+
+    def _note_verdict(self, name: NodeName, verdict: object) -> None:
+        if not isinstance(verdict, RelayDispatch):
+            return
+        self.sent.append(Sent(name, verdict.replica, self.now_ms))
+        ended = RelayOutcome(verdict.request_id, verdict.replica, EndingSeen.COMPLETED)
+        self.cores[name].handle(DispatchEnded(ended), self.now_ms)
+
+    def run(self, for_ms: float, *, with_calls: bool = False) -> None:
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            if self.now_ms % self.DIAL_MS == 0:
+                self.link()
+            self.now_ms += STEP_MS
+            self._deliver()
+            for name in self.cores:
+                self.handle(name, TickPassed())
+                self._read_list(name)
+            if with_calls and self.now_ms % CALLS_MS == 0:
+                self._call_all()
+
+    def _deliver(self) -> None:
+        waiting, self._on_the_way = self._on_the_way, []
+        for due_ms, sender, receiver, event in waiting:
+            is_held = not self.cut_off.isdisjoint((sender, receiver))
+            if due_ms > self.now_ms or is_held:
+                self._on_the_way.append((due_ms, sender, receiver, event))
+            else:
+                self.handle(receiver, event)
+
+    def _read_list(self, name: NodeName) -> None:
+        failing_ms = self._failing.get(name)
+        if failing_ms is not None:
+            if self.now_ms >= failing_ms:
+                del self._failing[name]
+                self.handle(name, StoreFailed("replicas", "no answer"))
+            return
+        core = self.cores[name]
+        if not core.is_read_due(Topic.REPLICAS, self.now_ms):
+            return
+        core.note_read_begun(Topic.REPLICAS, self.now_ms)
+        if name in self.store_away or name in self.cut_off:
+            self._failing[name] = self.now_ms + STORE_TIMEOUT_MS
+            return
+        since = core.exchange.views[Topic.REPLICAS].end
+        records = tuple(self._log[since:])
+        read = TopicRead(
+            Topic.REPLICAS, records, len(self._log), since == 0, self.now_ms
+        )
+        self.handle(name, read)
+
+    def _call_all(self) -> None:
+        for name in self.cores:
+            self._calls += 1
+            before = len(self.sent)
+            request = build_request(
+                f"call-{self._calls}",
+                arrived_ms=self.now_ms,
+                deadline_ms=self.now_ms + 50.0,
+            )
+            self.handle(name, CallArrived(request))
+            if len(self.sent) == before:
+                self.unsent.append((name, self.now_ms))
+
+    def list_sent_to(
+        self, replica: str, *, without: Iterable[NodeName] = ()
+    ) -> list[Sent]:
+        """Return the calls that some nodes sent to a replica."""
+        left_out = set(without)
+        return [
+            each
+            for each in self.sent
+            if each.replica == replica and each.node not in left_out
+        ]
