Reckon how long removed replicas count from what all nodes read of the store

Cause: one node's failed call was taken, by all nodes, as a sign that the store had been away. Replicas that were removed then counted for two seconds from when each node heard of it, so calls reached them up to 1.9 s past the two or three seconds for which they run. The class: a private failure that is told as a fact about the world, and a grace that starts when a message is read.

Ruled out: shortening the two seconds. With hubs and a late reader the removal is known 1.9 s late, so no constant both keeps the bound and bridges the time in which replicas register again.

Change: StoreContact knows since when any node has had answers without a break; peers tell that with each list, and merge it. Only if no node had an answer for longer than the last one in order would have taken to ask was the store away. Then what left the list since the last read before counts, from the store's return, for as long as it surely runs (the deployment's figure less the time to send). A node that was alone in hearing nothing learns so from the next status and drops the grace. Half of a service that goes at once counts from when the store listed it last, instead of 0.8 s from hearing of it. An answer carries a number, so that what comes back from peers makes no list younger. The words about a node's trouble with the store are gone.

Tests replaced: a peer's failure alone no longer counts, so its test became two (nobody reads for three seconds; one node fails while another one reads). The tests of both graces give the time of the last listing and are as strict.

--- a/packages/toucanyard/src/toucanyard/keyed_view.py
+++ b/packages/toucanyard/src/toucanyard/keyed_view.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from toucanyard.store_contact import Answered, StoreContact
+
 MAX_TOMBSTONES: Final = 1_000
 """Removed keys that are remembered, to tell a peer that lags of the removal."""
 
@@ -73,7 +75,7 @@
         "_decode",
         "_held",
         "_lacking",
-        "confirmed_ms",
+        "contact",
         "end",
         "topic",
     )
@@ -81,14 +83,19 @@
     def __init__(self, topic: Topic, decode: Decode) -> None:
         self.topic = topic
         self.end = 0
-        self.confirmed_ms = float("-inf")
-        """When the store, asked by any node, last had nothing beyond `end`."""
+        self.contact = StoreContact()
+        """When the store, asked by any node, had nothing beyond `end`."""
         self._decode = decode
         self._held: dict[str, _Held] = {}
         self._lacking: set[str] = set()
         """Keys whose only record that came can't be read."""
         self._complete_from = 0
 
+    @property
+    def confirmed_ms(self) -> float:
+        """Return when the store, asked by any node, last had nothing beyond `end`."""
+        return self.contact.asked_ms
+
     def list_facts(self) -> list[object]:
         """Return the facts of all keys."""
         return [held.fact for held in self._held.values() if held.fact is not None]
@@ -127,10 +134,13 @@
         self._trim()
         return changes
 
-    def confirm(self, end: int, confirmed_ms: float) -> None:
-        """Note that the store had nothing beyond `end` at that time."""
+    def confirm(self, end: int, answered: Answered, away_ms: float) -> None:
+        """Note that the store, when it was asked, had nothing beyond `end`.
+
+        It was away if no answer is known for `away_ms`.
+        """
         if end <= self.end:
-            self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+            self.contact.note(answered, away_ms)
 
     def _apply_one(self, record: KeyedRecord) -> Change | None:
         held = self._held.get(record.key)
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -52,13 +52,11 @@
         source: str,
         now_ms: float,
         *,
-        is_store_doubtful: bool,
-        list_age_ms: float = 0.0,
+        listed_ms: float,
         known_for_ms: float = 0.0,
     ) -> Iterator[Note]:
-        """Apply changes; `is_store_doubtful` tells that the store was away just now.
+        """Apply changes; `listed_ms` is when the store confirmed what was known before.
 
-        `list_age_ms` is how long before the store confirmed what was known until now;
         `known_for_ms` is how long wanted weights may have been named before.
         """
         gone: list[EndpointName] = []
@@ -79,7 +77,7 @@
                     self._roster.remove(node)
                     yield Note("node_gone", {"node": node, "source": source})
         if gone:
-            self._directory.remove(gone, now_ms, is_doubtful=is_store_doubtful)
+            self._directory.remove(gone, now_ms, listed_ms=listed_ms)
         for replica in gone:
             known = self._directory.find(replica)
             counts_ms = 0.0 if known is None else known.grace_until_ms - now_ms
@@ -88,9 +86,8 @@
                 {
                     "replica": replica,
                     "source": source,
-                    "is_doubtful": is_store_doubtful,
                     "counts_ms": round(max(counts_ms, 0.0)),
-                    "list_age_ms": round(min(list_age_ms, MAX_AGE_MS)),
+                    "list_age_ms": round(min(now_ms - listed_ms, MAX_AGE_MS)),
                 },
             )
 
@@ -142,6 +139,7 @@
     ) -> Iterator[Note]:
         before = self._directory.find_current(replica.listed_as)
         was_usable = before is not None and before.is_listed(now_ms)
+        was_gone = before is not None and before.gone_ms is not None
         had = {} if before is None else dict(before.weights)
         known = self._directory.apply(replica, now_ms)
         if known is None:
@@ -158,7 +156,7 @@
             # Loading weights drops all that was read under the ones before.
             self._flow.book.forget(replica.name)
         is_same = known is before and had == known.weights
-        if not is_same or was_usable != known.is_listed(now_ms):
+        if not is_same or was_gone or was_usable != known.is_listed(now_ms):
             fields = _describe(replica, source)
             fields |= {"is_leaving": known.is_leaving, "weights": dict(known.weights)}
             yield Note("replica_known", fields)
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -16,13 +16,23 @@
 from toucanyard.names import EndpointName, NodeName, ReplicaId
 
 
+class ToldAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The newest answer of the store that a node knows of."""
+
+    read_id: int
+    age_ms: float
+    """Time since it was asked for."""
+    steady_ms: float
+    """For how long before that the store is known to have answered without a break."""
+
+
 class ViewStatus(msgspec.Struct, frozen=True, array_like=True):
     """How far a node knows one topic."""
 
     topic: Topic
     end: int
-    confirmed_age_ms: float
-    """Time since the store confirmed `end`; negative if it never did."""
+    answer: ToldAnswer | None = None
+    """The store's newest answer, which held nothing beyond `end`."""
 
 
 class ReplicaUse(msgspec.Struct, frozen=True, array_like=True):
@@ -107,8 +117,6 @@
     news: tuple[ReplicaNews, ...] = ()
     parts: tuple[ReadPart, ...] = ()
     goals: tuple[GoalAge, ...] = ()
-    store_trouble_age_ms: float = -1.0
-    """Time since the store last failed a node; negative if it did not lately."""
     stores: tuple[StoreNews, ...] = ()
     covers: Coverage = Coverage.GROUP
     nodes: tuple[NodeNews, ...] | None = None
@@ -127,7 +135,7 @@
     end: int
     is_whole: bool
     records: tuple[KeyedRecord, ...]
-    confirmed_age_ms: float
+    answer: ToldAnswer | None = None
 
 
 LinkMessage = NodeStatus | ViewRecords
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -53,6 +53,7 @@
 from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex
 from toucanyard.status_exchange import StatusExchange
+from toucanyard.store_contact import Absence
 from toucanyard.store_schedule import READ_MS, compute_poll_wait, is_read_due
 from toucanyard.view_exchange import ViewExchange
 from toucanyard.weights_duty import WeightsDuty
@@ -85,9 +86,8 @@
     ) -> None:
         self.options = options
         self.identity = identity
-        self.exchange = ViewExchange(decode)
         self.goals = WeightsGoals()
-        self.directory = ReplicaDirectory()
+        self.directory = ReplicaDirectory(options.drain_ms)
         listen = options.listen
         self.own_record = NodeRecord(
             identity.node,
@@ -98,6 +98,7 @@
             options.link_mbps,
         )
         self.roster = Roster(self.own_record, options.seeds)
+        self.exchange = ViewExchange(decode, self.roster.is_meshed, rng)
         self.sources = PartSources(self.directory, self.roster)
         calls = CallPlacement(options, self.directory, self.goals, self.sources, rng)
         self.flow = RelayFlow(
@@ -128,6 +129,7 @@
         self._asked_ms = dict.fromkeys(Topic, float("-inf"))
         self._pruned_ms = float("-inf")
         self._hub: NodeName | None = None
+        self._absence: Absence | None = None
 
     @property
     def index(self) -> RouteIndex:
@@ -181,7 +183,6 @@
             case TopicRead():
                 yield from self._read_topic(event, now_ms)
             case StoreFailed(purpose=purpose, reason=reason):
-                self.statuses.trouble_ms = now_ms
                 yield Note("store_failed", {"purpose": purpose, "reason": reason})
             case PeersLinked(peers=peers):
                 yield from self._link([peer.node for peer in peers])
@@ -287,7 +288,7 @@
 
     def _read_topic(self, read: TopicRead, now_ms: float) -> Iterator[RelayAction]:
         before = self.exchange.views[read.topic].end
-        list_age_ms = now_ms - self.exchange.views[read.topic].confirmed_ms
+        listed_ms = self.exchange.views[read.topic].confirmed_ms
         changes = self.exchange.apply_read(
             read.topic,
             read.records,
@@ -296,15 +297,14 @@
             is_whole=read.is_whole,
             now_ms=now_ms,
         )
-        is_doubtful = self.statuses.is_store_doubtful(now_ms)
+        yield from self._note_contact()
         # What stood in the store before this node looked may have stood there long.
         known_ms = self.options.weights.deadline_ms / 2 if read.is_whole else 0.0
         yield from self.facts.apply(
             changes,
             "store",
             now_ms,
-            is_store_doubtful=is_doubtful,
-            list_age_ms=list_age_ms,
+            listed_ms=listed_ms,
             known_for_ms=known_ms,
         )
         if changes or self.exchange.views[read.topic].end > before:
@@ -315,16 +315,10 @@
         self, sender: NodeName, message: ViewRecords, now_ms: float
     ) -> Iterator[RelayAction]:
         before = self.exchange.views[message.topic].end
-        list_age_ms = now_ms - self.exchange.views[message.topic].confirmed_ms
+        listed_ms = self.exchange.views[message.topic].confirmed_ms
         changes = self.exchange.apply_records(message, now_ms)
-        is_doubtful = self.statuses.is_store_doubtful(now_ms)
-        yield from self.facts.apply(
-            changes,
-            sender,
-            now_ms,
-            is_store_doubtful=is_doubtful,
-            list_age_ms=list_age_ms,
-        )
+        yield from self._note_contact()
+        yield from self.facts.apply(changes, sender, now_ms, listed_ms=listed_ms)
         if self.exchange.views[message.topic].end > before:
             targets = self.statuses.find_targets(message.topic, sender)
             yield from self.exchange.push(targets, message.topic, before, now_ms)
@@ -332,11 +326,7 @@
     def _read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
-        was_doubtful = self.statuses.is_store_doubtful(now_ms)
         self.statuses.read(sender, status, now_ms)
-        if not was_doubtful and self.statuses.is_store_doubtful(now_ms):
-            age_ms = round(status.store_trouble_age_ms)
-            yield Note("store_doubted", {"source": sender, "age_ms": age_ms})
         self.flow.node_count = self.roster.count_nodes(now_ms)
         for store in status.stores:
             heard_ms = now_ms - store.heard_age_ms
@@ -347,6 +337,20 @@
         yield from self.exchange.answer_status(
             sender, status.views, now_ms, hold_ms=hold_ms
         )
+        yield from self._note_contact()
+
+    def _note_contact(self) -> Iterator[RelayAction]:
+        """Let replicas that left the list count by what is known of the store now."""
+        absence = self.exchange.views[Topic.REPLICAS].contact.find_absence()
+        if absence == self._absence:
+            return
+        self._absence = absence
+        self.directory.note_absence(absence)
+        if absence is None:
+            yield Note("store_was_there", {})
+        else:
+            away_ms = round(absence.returned_ms - absence.before_ms)
+            yield Note("store_returned", {"away_ms": away_ms})
 
     def _note_parts(self, event: PartsChanged | HolderLost, now_ms: float) -> None:
         if isinstance(event, HolderLost):
--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -10,6 +10,7 @@
 
 from toucanyard.names import Address, DomainName, NodeName
 from toucanyard.relay_policy import RelayPolicy
+from toucanyard.replicas import DRAIN_MS
 
 
 class RelayListen(msgspec.Struct, frozen=True):
@@ -62,6 +63,8 @@
     peer_secret: str = ""
     retries: RetryLimits = RetryLimits()
     weights: WeightsTimings = WeightsTimings()
+    drain_ms: float = DRAIN_MS
+    """How long replicas run after they have left the list."""
     stop: StopTimings = StopTimings()
     max_descriptors: int = 4_000
     policy: RelayPolicy = RelayPolicy()
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -21,6 +21,7 @@
     ServiceName,
 )
 from toucanyard.replica_lives import ReplicaLives
+from toucanyard.store_contact import Absence
 
 MIN_REST_MS: Final = 250.0
 """First pause after a failure; a crashed process refuses connections for longer."""
@@ -28,14 +29,19 @@
 """Pause after a refusal; then one call shows whether it takes calls again."""
 MAX_REST_MS: Final = 1_000.0
 """Longest pause: replicas that come back are wanted at once."""
-LAPSE_GRACE_MS: Final = 2_000.0
-"""How long a replica counts that was dropped while the store was away; one that lives
-is listed again within that time."""
-MASS_GRACE_MS: Final = 800.0
-"""The same for replicas that go together while the store seems well. They may have been
-taken away: then they run for two seconds, and this node learns up to a second late."""
+LAPSE_GRACE_MS: Final = 2_500.0
+"""How long after the store's return a replica counts that left the list: one that lives
+is listed again within two seconds, and known here half a second later."""
 MASS_SHARE: Final = 0.5
-"""Share of a service's replicas that, dropped at once, tells of the store's failure."""
+"""Share of a service's replicas that, dropped at once, may have lapsed unseen."""
+DRAIN_MS: Final = 2_000.0
+"""How long a replica runs after it has left the list, if nothing else is said."""
+SEND_MS: Final = 250.0
+"""How long before that it gets its last call: the wait for a connection, 150, and the
+way there on a busy node."""
+RETURN_SEEN_MS: Final = 200.0
+"""How long after the store's return a node asks it first: reads that got no answer end
+after 1.2 s, and those of eight nodes end at different times."""
 PROBE_MS: Final = 500.0
 """Time between two reports that are asked of a replica that could not be reached."""
 MAX_PROBED_MS: Final = 5_000.0
@@ -65,6 +71,15 @@
     """Start of this life by the replica's clock; None if it doesn't say."""
 
 
+class Removal(msgspec.Struct, frozen=True):
+    """How a replica left the list."""
+
+    listed_ms: float
+    """When the store listed it last; it may have left right after."""
+    is_mass: bool
+    """Half of its service went with it."""
+
+
 class KnownReplica:
     """What this node knows of one replica."""
 
@@ -78,6 +93,7 @@
         "gone_ms",
         "is_leaving",
         "loading_until_ms",
+        "removal",
         "replica",
         "rest_until_ms",
         "weights",
@@ -88,6 +104,8 @@
         self.weights = dict(replica.weights)
         self.is_leaving = replica.is_draining
         self.gone_ms: float | None = None
+        self.removal: Removal | None = None
+        """None while it is listed, and for what surely serves no more."""
         self.grace_until_ms = float("-inf")
         self.rest_until_ms = float("-inf")
         self.loading_until_ms = float("-inf")
@@ -102,6 +120,7 @@
         """Take over what the replica says of itself; weights only grow."""
         self.replica = replica
         self.gone_ms = None
+        self.removal = None
         # A replica never takes its leave back: a stale entry must not give it work.
         self.is_leaving = self.is_leaving or replica.is_draining
         for model, version in replica.weights:
@@ -181,9 +200,20 @@
     one replica.
     """
 
-    __slots__ = ("_by_service", "_known", "_lives", "_served")
+    __slots__ = (
+        "_by_service",
+        "_drain_ms",
+        "_absence",
+        "_known",
+        "_lives",
+        "_served",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, drain_ms: float = DRAIN_MS) -> None:
+        """`drain_ms` is how long replicas run after they have left the list."""
+        self._drain_ms = drain_ms
+        self._absence: Absence | None = None
+        """When the store was last away for all nodes."""
         self._lives = ReplicaLives()
         self._served: frozenset[ServiceName] = frozenset()
         self._known: dict[EndpointName, KnownReplica] = {}
@@ -283,16 +313,16 @@
         known = self._known.get(name)
         if known is not None:
             known.gone_ms = now_ms
+            known.removal = None
             known.grace_until_ms = float("-inf")
 
     def remove(
-        self, names: Collection[EndpointName], now_ms: float, *, is_doubtful: bool
+        self, names: Collection[EndpointName], now_ms: float, *, listed_ms: float
     ) -> None:
         """Take in that the log lists some replicas no more.
 
-        `is_doubtful` tells that the store was in trouble just now. Then they may be
-        alive, and count for a while; for a shorter one if half of a service goes at
-        once and no trouble is known.
+        `listed_ms` is when it listed them last. Those that lapsed since the store was
+        away, or half of a service at once, may live and count for a while.
         """
         for known in self._by_service.values():
             gone = [each for each in known if each.replica.name in names]
@@ -300,10 +330,33 @@
             is_mass = len(gone) > 1 and len(gone) >= MASS_SHARE * len(present)
             for each in gone:
                 each.gone_ms = now_ms
-                if is_doubtful:
-                    each.grace_until_ms = now_ms + LAPSE_GRACE_MS
-                elif is_mass:
-                    each.grace_until_ms = now_ms + MASS_GRACE_MS
+                each.removal = Removal(listed_ms, is_mass)
+                each.grace_until_ms = self._find_grace_end(each.removal)
+
+    def note_absence(self, absence: Absence | None) -> None:
+        """Take in when the store was last away for all nodes."""
+        self._absence = absence
+        for known in self._known.values():
+            if known.removal is not None:
+                known.grace_until_ms = self._find_grace_end(known.removal)
+
+    def _find_grace_end(self, removal: Removal) -> float:
+        """Return until when a replica that left the list may get calls.
+
+        Reckoned from when the store can have dropped it, not from when this node heard
+        of that: a replica that was taken away ends `drain_ms` after the former, and
+        calls reached it up to 1.9 s past that when they counted from the latter.
+        """
+        serves_ms = max(self._drain_ms - SEND_MS, 0.0)
+        end_ms = float("-inf")
+        if removal.is_mass:
+            end_ms = removal.listed_ms + serves_ms
+        absence = self._absence
+        # What had left before the store was away has not lapsed.
+        if absence is not None and removal.listed_ms >= absence.before_ms:
+            grace_ms = min(LAPSE_GRACE_MS, serves_ms - RETURN_SEEN_MS)
+            end_ms = max(end_ms, absence.returned_ms + grace_ms)
+        return end_ms
 
     def note_replaced(self, name: EndpointName, now_ms: float) -> None:
         """Take in that another replica answers at this one's address."""
@@ -311,6 +364,7 @@
         if known is not None:
             known.is_leaving = True
             known.gone_ms = known.gone_ms or now_ms
+            known.removal = None
             known.grace_until_ms = float("-inf")
 
     def prune(self, now_ms: float) -> list[EndpointName]:
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -36,9 +36,6 @@
 URGENT_MS: Final = 75.0
 """Least time between two statuses in a fleet that is not meshed: while weights are
 loaded there is news of some replica all the time."""
-STORE_TROUBLE_MS: Final = 2_500.0
-"""How long after a failed call the store counts as in trouble: replicas that lapsed
-while it was away are listed again within two seconds of its return."""
 LARGE_TOKENS: Final = 500
 """Least tokens of a part that peers are told of in a fleet that is not meshed: there
 are thousands of small ones a second, and reading one again costs little."""
@@ -88,8 +85,6 @@
         self._nodes_ms = float("-inf")
         self._sent_ms = float("-inf")
         self._is_due = False
-        self.trouble_ms = float("-inf")
-        """When the store failed a node last, as far as this one was told."""
 
     def note_due(self) -> None:
         """Let the next status go out at once."""
@@ -103,10 +98,6 @@
             self._uses.forget_peer(name)
         self._is_due = True
 
-    def is_store_doubtful(self, now_ms: float) -> bool:
-        """Tell whether the store was in trouble a moment ago."""
-        return now_ms - self.trouble_ms < STORE_TROUBLE_MS
-
     def find_targets(
         self, topic: Topic, sender: NodeName | None = None
     ) -> list[NodeName]:
@@ -168,9 +159,6 @@
         self._pass_on_parts(sender, status.parts, now_ms)
         for each in status.goals:
             self._goals.note_age(each.model, each.version, each.age_ms, now_ms)
-        if status.store_trouble_age_ms >= 0:
-            trouble_ms = now_ms - status.store_trouble_age_ms
-            self.trouble_ms = max(self.trouble_ms, trouble_ms)
         self._bulletin.apply_lives(status.lives, now_ms)
         is_news |= self._bulletin.apply(status.news, now_ms)
         if is_news and not self._roster.is_meshed():
@@ -263,15 +251,11 @@
         return fleet
 
     def _build_light(self, now_ms: float) -> NodeStatus:
-        trouble_age_ms = now_ms - self.trouble_ms
         return NodeStatus(
             is_ready=self._roster.is_ready,
             views=self._views.list_statuses(now_ms),
             news=tuple(self._bulletin.list_news(now_ms)),
             goals=tuple(GoalAge(*each) for each in self._goals.list_recent(now_ms)),
-            store_trouble_age_ms=(
-                trouble_age_ms if trouble_age_ms < STORE_TROUBLE_MS else -1.0
-            ),
             stores=tuple(self._list_stores(now_ms)),
             covers=Coverage.NOBODY,
             lives=tuple(self._bulletin.list_lives(now_ms)),
--- a/packages/toucanyard/src/toucanyard/store_schedule.py
+++ b/packages/toucanyard/src/toucanyard/store_schedule.py
@@ -28,6 +28,8 @@
 MAX_RANK: Final = 3
 RETRY_MS: Final = 300.0
 """Least time between two reads of one node."""
+LATE_MS: Final = 200.0
+"""By how much a read may come later than it is due on a busy node."""
 MIN_POLL_MS: Final = 3_000.0
 POLL_MS_PER_NODE: Final = 100.0
 """Waits of long polls grow with the nodes that make them."""
@@ -42,6 +44,16 @@
     return READ_MS[topic] + back_ms + min(rank - 1, MAX_RANK) * NEXT_MS
 
 
+def compute_away(topic: Topic, *, is_meshed: bool) -> float:
+    """Return the time without an answer after which the store was away for all nodes.
+
+    By then every live node has tried. Before, it may be that only those that go first
+    were cut off, and entries that vanish meanwhile were taken away.
+    """
+    last_ms = compute_wanted_age(topic, MAX_RANK + 1, is_meshed=is_meshed)
+    return last_ms + RETRY_MS + LATE_MS
+
+
 def is_read_due(
     topic: Topic,
     rank: int,
--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -6,24 +6,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+import random
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Final
 
 from toucanyard.keyed_view import Change, Decode, KeyedRecord, KeyedView, Topic
-from toucanyard.link_messages import ViewRecords, ViewStatus
+from toucanyard.link_messages import ToldAnswer, ViewRecords, ViewStatus
 from toucanyard.names import NodeName
 from toucanyard.relay_events import SendToPeer
+from toucanyard.store_contact import Answered
+from toucanyard.store_schedule import compute_away
 
 PUSH_AGAIN_MS: Final = 700.0
 """After this time records are sent again to a peer whose status lacks them."""
+READ_ID_BITS: Final = 32
 
 
 class ViewExchange:
     """The views of one node, and what its peers were told of them."""
 
-    __slots__ = ("_pushed", "_risen_ms", "linked", "views")
+    __slots__ = ("_is_meshed", "_pushed", "_risen_ms", "_rng", "linked", "views")
 
-    def __init__(self, decode: Decode) -> None:
+    def __init__(
+        self, decode: Decode, is_meshed: Callable[[], bool], rng: random.Random
+    ) -> None:
+        self._is_meshed = is_meshed
+        self._rng = rng
         self.views = {topic: KeyedView(topic, decode) for topic in Topic}
         self.linked: tuple[NodeName, ...] = ()
         self._risen_ms = dict.fromkeys(Topic, float("-inf"))
@@ -45,7 +53,8 @@
         if end > view.end:
             self._risen_ms[topic] = now_ms
         changes = view.apply(records, end, is_whole=is_whole)
-        view.confirm(end, asked_ms)
+        read_id = self._rng.getrandbits(READ_ID_BITS)
+        self._confirm(view, end, Answered(read_id, asked_ms, asked_ms))
         return changes
 
     def apply_records(self, message: ViewRecords, now_ms: float) -> list[Change]:
@@ -57,8 +66,8 @@
         if message.end > view.end:
             self._risen_ms[message.topic] = now_ms
         changes = view.apply(message.records, message.end, is_whole=message.is_whole)
-        if message.confirmed_age_ms >= 0:
-            view.confirm(message.end, now_ms - message.confirmed_age_ms)
+        if message.answer is not None:
+            self._confirm(view, message.end, _date(message.answer, now_ms))
         return changes
 
     def push(
@@ -82,8 +91,8 @@
         """
         for status in statuses:
             view = self.views[status.topic]
-            if status.confirmed_age_ms >= 0:
-                view.confirm(status.end, now_ms - status.confirmed_age_ms)
+            if status.answer is not None:
+                self._confirm(view, status.end, _date(status.answer, now_ms))
             is_new = now_ms - self._risen_ms[status.topic] < hold_ms
             if status.topic is Topic.OPERATOR and is_new:
                 continue
@@ -93,10 +102,14 @@
     def list_statuses(self, now_ms: float) -> tuple[ViewStatus, ...]:
         """Return how far this node knows each topic."""
         return tuple(
-            ViewStatus(topic, view.find_told_end(), _compute_age(view, now_ms))
+            ViewStatus(topic, view.find_told_end(), _tell_answer(view, now_ms))
             for topic, view in self.views.items()
         )
 
+    def _confirm(self, view: KeyedView, end: int, answered: Answered) -> None:
+        away_ms = compute_away(view.topic, is_meshed=self._is_meshed())
+        view.confirm(end, answered, away_ms)
+
     def _was_told(self, name: NodeName, view: KeyedView, now_ms: float) -> bool:
         end, told_ms = self._pushed.get((name, view.topic), (-1, float("-inf")))
         return end >= view.end and now_ms - told_ms < PUSH_AGAIN_MS
@@ -107,12 +120,20 @@
         view = self.views[topic]
         is_whole, records = view.list_since(since)
         self._pushed[(name, topic)] = (view.end, now_ms)
-        age_ms = _compute_age(view, now_ms)
+        answer = _tell_answer(view, now_ms)
         return SendToPeer(
-            name, ViewRecords(topic, since, view.end, is_whole, tuple(records), age_ms)
+            name, ViewRecords(topic, since, view.end, is_whole, tuple(records), answer)
         )
 
 
-def _compute_age(view: KeyedView, now_ms: float) -> float:
-    never = view.confirmed_ms == float("-inf")
-    return -1.0 if never else now_ms - view.confirmed_ms
+def _tell_answer(view: KeyedView, now_ms: float) -> ToldAnswer | None:
+    answered = view.contact.find_answered()
+    if answered is None:
+        return None
+    steady_ms = answered.asked_ms - answered.since_ms
+    return ToldAnswer(answered.read_id, now_ms - answered.asked_ms, steady_ms)
+
+
+def _date(answer: ToldAnswer, now_ms: float) -> Answered:
+    asked_ms = now_ms - answer.age_ms
+    return Answered(answer.read_id, asked_ms, asked_ms - answer.steady_ms)
--- a/tests/toucanyard/relay_fleet.py
+++ b/tests/toucanyard/relay_fleet.py
@@ -58,11 +58,14 @@
             peers=Address(f"10.0.0.{number}:4"),
             metrics=LISTEN.metrics,
         )
-        options = RelayOptions(name, domain, listen, LISTEN.callers)
+        options = self.build_options(RelayOptions(name, domain, listen, LISTEN.callers))
         identity = NodeId(name, Incarnation("i"))
         core = RelayCore(options, identity, decode, random.Random(number))
         self.cores[name] = core
 
+    def build_options(self, options: RelayOptions) -> RelayOptions:
+        return options
+
     def link(self) -> None:
         for name, core in self.cores.items():
             peers = tuple(
@@ -88,6 +91,12 @@
         event = TopicRead(topic, records, end, is_whole, self.now_ms)
         self.handle(NodeName(name), event)
 
+    def confirm(self, name: str, topic: Topic) -> None:
+        """Let the store tell a node that there is nothing new."""
+        end = self.core(name).exchange.views[topic].end
+        event = TopicRead(topic, (), end, False, self.now_ms)
+        self.handle(NodeName(name), event)
+
     def run(self, for_ms: float) -> None:
         end_ms = self.now_ms + for_ms
         while self.now_ms < end_ms:
--- a/tests/toucanyard/store_fleet.py
+++ b/tests/toucanyard/store_fleet.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import EndpointName, NodeName
 from toucanyard.relay_events import (
@@ -22,6 +24,7 @@
     TopicRead,
 )
 from toucanyard.relay_flow import RelayReply
+from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import RelayDispatch, RelayOutcome
 from toucanyard.requests import EndingSeen
 
@@ -46,7 +49,15 @@
 class StoreFleet(PlannedFleet):
     """Nodes, a store that lists replicas, and a steady load of plain calls."""
 
-    def __init__(self, domains: int, nodes_each: int, way_ms: float = 0.0) -> None:
+    def __init__(
+        self,
+        domains: int,
+        nodes_each: int,
+        *,
+        drain_ms: float = 2_000.0,
+        way_ms: float = 0.0,
+    ) -> None:
+        self._drain_ms = drain_ms
         self._way_ms = way_ms
         self._on_the_way: list[tuple[float, NodeName, NodeName, RelayEvent]] = []
         self._failing: dict[NodeName, float] = {}
@@ -62,6 +73,9 @@
         super().__init__(domains, nodes_each)
         self._send_calls = False
 
+    def build_options(self, options: RelayOptions) -> RelayOptions:
+        return msgspec.structs.replace(options, drain_ms=self._drain_ms)
+
     def register(self, names: Iterable[str]) -> None:
         for name in names:
             self._append(name, put(build_replica(name, service=DESK, weights=())))
--- a/tests/toucanyard/test_relay_core.py
+++ b/tests/toucanyard/test_relay_core.py
@@ -11,7 +11,7 @@
     StopBegun,
     StoreFailed,
 )
-from toucanyard.replicas import LAPSE_GRACE_MS
+from toucanyard.replicas import DRAIN_MS, RETURN_SEEN_MS, SEND_MS
 from toucanyard.roster import STATUS_KEPT_MS
 from toucanyard.routes import RoutedCustomer
 from toucanyard.store_schedule import READ_MS, compute_wanted_age
@@ -76,23 +76,48 @@
         assert not fleet.core(name).directory.find_usable(DESK, 0.0)
 
 
-def test_replicas_that_lapsed_while_the_store_failed_a_peer_count_a_while() -> None:
-    """The store fails one node; its return shows another one that all leases lapsed.
-
-    The second node alone saw no failure: without its peer's word it would refuse all.
-    """
-    fleet = Fleet("a", "b")
+def build_listed(*names: str) -> Fleet:
+    """Return nodes that know the replicas x, y and z."""
+    fleet = Fleet(*names)
     values = [put(build_replica(name, service=DESK)) for name in "xyz"]
     records = [KeyedRecord(name, at, values[at]) for at, name in enumerate("xyz")]
     fleet.read("a", Topic.REPLICAS, *records)
+    return fleet
+
+
+def test_replicas_that_lapsed_while_nobody_read_the_store_count_a_while() -> None:
+    """The store answers nobody for three seconds; its return shows that a lease lapsed.
+
+    One node reads that. The other one hears it from there, and knows from the answers
+    that both were told of before that the store was away: it would else refuse calls.
+    """
+    fleet = build_listed("a", "b")
     fleet.handle(NodeName("a"), StoreFailed("replicas", "silent"))
-    fleet.run(300.0)
+    fleet.run(3_000.0)
     fleet.read("b", Topic.REPLICAS, KeyedRecord("x", 3, None))
     now_ms = fleet.now_ms
     for name in "ab":
         directory = fleet.core(name).directory
-        assert len(directory.find_usable(DESK, now_ms)) == 3
-        assert len(directory.find_usable(DESK, now_ms + LAPSE_GRACE_MS)) == 2
+        end_ms = now_ms + DRAIN_MS - SEND_MS - RETURN_SEEN_MS
+        assert len(directory.find_usable(DESK, end_ms - 1)) == 3
+        assert len(directory.find_usable(DESK, end_ms)) == 2
+
+
+def test_replica_that_goes_while_the_store_fails_only_one_node_is_gone() -> None:
+    """The store fails one node for three seconds and answers the other one meanwhile.
+
+    Were the failure of one taken for the store's, a replica that is taken away would
+    get calls from all until it ends.
+    """
+    fleet = build_listed("a", "b")
+    for _ in range(8):
+        fleet.handle(NodeName("a"), StoreFailed("replicas", "silent"))
+        fleet.run(400.0)
+        fleet.confirm("b", Topic.REPLICAS)
+    fleet.read("b", Topic.REPLICAS, KeyedRecord("x", 3, None))
+    for name in "ab":
+        usable = fleet.core(name).directory.find_usable(DESK, fleet.now_ms)
+        assert [each.replica.name for each in usable] == ["y", "z"]
 
 
 def test_stopping_node_leaves_the_addresses_of_all_at_once() -> None:
--- a/tests/toucanyard/test_removed_replicas.py
+++ b/tests/toucanyard/test_removed_replicas.py
@@ -19,8 +19,10 @@
 """What a call that has been placed may need until it is sent."""
 
 
-def build_fleet(nodes_each: int, way_ms: float = 0.0) -> StoreFleet:
-    fleet = StoreFleet(3, nodes_each, way_ms)
+def build_fleet(
+    nodes_each: int, drain_ms: float = SMALL_MS, way_ms: float = 0.0
+) -> StoreFleet:
+    fleet = StoreFleet(3, nodes_each, drain_ms=drain_ms, way_ms=way_ms)
     fleet.register(REPLICAS)
     fleet.run(3_000.0)
     return fleet
@@ -49,7 +51,7 @@
         event=replica_gone is_doubtful=true counts_ms=2000 list_age_ms=442
         event=sent gone_ms=1737   (2,067 ms after the removal)
     """
-    fleet = build_fleet(nodes_each)
+    fleet = build_fleet(nodes_each, bound_ms)
     reader = fleet.find_reader()
     fleet.cut_off = {reader}
     fleet.run(2_000.0, with_calls=True)
@@ -72,7 +74,7 @@
     The first reader is among those. What others read shows that the store is well, so
     a replica that goes meanwhile was taken away.
     """
-    fleet = build_fleet(nodes_each)
+    fleet = build_fleet(nodes_each, bound_ms)
     fleet.store_away = set(list(fleet.cores)[::3]) | {fleet.find_reader()}
     fleet.run(3_000.0, with_calls=True)
     removed_ms = fleet.now_ms
@@ -111,7 +113,7 @@
     One replica has been taken away at that moment and never registers again. It counts
     like the others, since nothing tells it from them, but no longer than it runs.
     """
-    fleet = build_fleet(nodes_each)
+    fleet = build_fleet(nodes_each, bound_ms)
     fleet.store_away = set(fleet.cores)
     fleet.run(5_000.0)
     removed_ms = fleet.now_ms
--- a/tests/toucanyard/test_replicas.py
+++ b/tests/toucanyard/test_replicas.py
@@ -3,20 +3,24 @@
 from toucanyard.keyed_view import Topic
 from toucanyard.names import EndpointName
 from toucanyard.replicas import (
+    DRAIN_MS,
     FORGET_MS,
     LAPSE_GRACE_MS,
     MAX_REST_MS,
     MIN_REST_MS,
     REFUSED_MS,
+    RETURN_SEEN_MS,
+    SEND_MS,
     ReplicaDirectory,
 )
+from toucanyard.store_contact import Absence
 from toucanyard.store_schedule import compute_wanted_age
 
 from .relay_examples import ENGINES, MODEL, build_replica
 
 
-def build_directory(*names: str) -> ReplicaDirectory:
-    directory = ReplicaDirectory()
+def build_directory(*names: str, drain_ms: float = DRAIN_MS) -> ReplicaDirectory:
+    directory = ReplicaDirectory(drain_ms)
     for name in names:
         directory.apply(build_replica(name), 0.0)
     return directory
@@ -39,7 +43,7 @@
 
 def test_vanished_replica_is_gone_at_once() -> None:
     directory = build_directory("a", "b", "c")
-    directory.remove([EndpointName("a")], 0.0, is_doubtful=False)
+    directory.remove([EndpointName("a")], 0.0, listed_ms=-400.0)
     assert list_usable(directory, 0.0) == ["b", "c"]
 
 
@@ -47,17 +51,48 @@
     """The store is down; leases of replicas that live run out meanwhile.
 
     On its return the list is empty, and each call would be refused until the replicas
-    have registered again. One that is still missing then is dead.
+    have registered again. One that is still missing then is dead, and one that was
+    taken away meanwhile ends; both count from the store's return.
+    """
+    for drain_ms in (2_000.0, 4_000.0):
+        directory = build_directory("a", "b", "c", drain_ms=drain_ms)
+        directory.note_absence(Absence(-5_000.0, 0.0))
+        directory.remove([EndpointName("a")], 300.0, listed_ms=-5_000.0)
+        end_ms = min(LAPSE_GRACE_MS, drain_ms - SEND_MS - RETURN_SEEN_MS)
+        assert list_usable(directory, end_ms - 1) == ["a", "b", "c"]
+        assert list_usable(directory, end_ms) == ["b", "c"]
+
+
+def test_removed_replica_counts_no_more_once_the_store_proves_to_have_been_well() -> (
+    None
+):
+    """A node hears nothing for a while, reads a removal, then what its peers have read.
+
+    By itself it takes the store to have been away; what the others say goes first.
+    """
+    directory = build_directory("a", "b", "c")
+    directory.note_absence(Absence(-3_000.0, 0.0))
+    directory.remove([EndpointName("a")], 100.0, listed_ms=-3_000.0)
+    assert list_usable(directory, 200.0) == ["a", "b", "c"]
+    directory.note_absence(None)
+    assert list_usable(directory, 200.0) == ["b", "c"]
+
+
+def test_replica_that_went_before_the_store_was_away_stays_gone() -> None:
+    """A replica is taken away; ten seconds later the store is away for a while.
+
+    Its return must not bring the replica back: calls reached one that had been gone
+    for 19 s.
     """
     directory = build_directory("a", "b", "c")
-    directory.remove([EndpointName("a")], 0.0, is_doubtful=True)
-    assert list_usable(directory, LAPSE_GRACE_MS - 1) == ["a", "b", "c"]
-    assert list_usable(directory, LAPSE_GRACE_MS) == ["b", "c"]
+    directory.remove([EndpointName("a")], 0.0, listed_ms=-400.0)
+    directory.note_absence(Absence(10_000.0, 15_000.0))
+    assert list_usable(directory, 15_100.0) == ["b", "c"]
 
 
 def test_half_of_a_service_that_goes_at_once_counts_a_while() -> None:
     directory = build_directory("a", "b", "c")
-    directory.remove([EndpointName("a"), EndpointName("b")], 0.0, is_doubtful=False)
+    directory.remove([EndpointName("a"), EndpointName("b")], 0.0, listed_ms=-400.0)
     assert list_usable(directory, 1.0) == ["a", "b", "c"]
     directory.apply(build_replica("a"), 0.0)
     assert list_usable(directory, LAPSE_GRACE_MS) == ["a", "c"]
@@ -70,8 +105,9 @@
     learn of it a second late; calls that it sends after that reach a process that ends.
     """
     directory = build_directory("a", "b", "c")
-    directory.remove([EndpointName("a"), EndpointName("b")], 0.0, is_doubtful=False)
     learned_late_ms = compute_wanted_age(Topic.REPLICAS, 2)
+    both = [EndpointName("a"), EndpointName("b")]
+    directory.remove(both, 0.0, listed_ms=-learned_late_ms)
     assert list_usable(directory, 2_000.0 - learned_late_ms) == ["c"]
 
 
