End pauses of replicas that nodes on slow links tell each other for ever

Cause, found by looking for the class of the fault before: a pause is told as the time that is left, without the way that the telling took. What a node hears back of its own pause ends later than it knows. On links that take more than 150 ms the difference looks like a new pause, which is told on, and so on: no node sends the replica calls for as long as links are slow.

Change: each beginning or renewal of a pause has a number; a number that was heard or told before lengthens nothing. RecentIds holds such numbers, for pauses and for the store's answers.

A pause that its holder renews goes on.

--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -53,6 +53,8 @@
     loading_left_ms: float
     """How long it takes no new calls, since it loads weights; 0 if it does."""
     weights: tuple[tuple[str, int], ...]
+    pause_id: int = 0
+    """Of the telling that began the pause or renewed it; 0 without a pause."""
 
 
 class LifeNews(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -105,7 +105,7 @@
             options.retries, options.policy, self.directory, self.goals, calls, rng
         )
         self.facts = KnownFacts(self.directory, self.goals, self.roster, self.flow)
-        self.bulletin = ReplicaBulletin(self.directory, self.flow.book)
+        self.bulletin = ReplicaBulletin(self.directory, self.flow.book, rng)
         self.duty = WeightsDuty(
             identity,
             options.weights,
--- a/packages/toucanyard/src/toucanyard/replica_bulletin.py
+++ b/packages/toucanyard/src/toucanyard/replica_bulletin.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable, Iterator, Set
 from typing import Final
 
+import msgspec
+
 from toucanyard.link_messages import LifeNews, ReplicaNews
 from toucanyard.names import EndpointName
 from toucanyard.part_book import PartBook
+from toucanyard.recent_ids import RecentIds, draw_id
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 
 NEWS_KEPT_MS: Final = 5_000.0
@@ -20,21 +24,42 @@
 
 SAME_PAUSE_MS: Final = 300.0
 """A pause that ends this much later is another one; holders renew theirs for longer."""
+MAX_PAUSES: Final = 1_000
+"""Tellings that are remembered: some seconds of a roll-out among 70 replicas."""
+
+
+class _Pause(msgspec.Struct, frozen=True):
+    pause_id: int
+    until_ms: float
+    """In this node's time, when it was told or heard of."""
 
 
 class ReplicaBulletin:
     """News of replicas, from this node and from its peers."""
 
-    __slots__ = ("_book", "_changed_ms", "_changing", "_directory")
-
-    def __init__(self, directory: ReplicaDirectory, book: PartBook) -> None:
+    __slots__ = (
+        "_book",
+        "_changed_ms",
+        "_changing",
+        "_directory",
+        "_pauses",
+        "_rng",
+        "_seen",
+    )
+
+    def __init__(
+        self, directory: ReplicaDirectory, book: PartBook, rng: random.Random
+    ) -> None:
         self._directory = directory
         self._book = book
+        self._rng = rng
+        self._pauses: dict[EndpointName, _Pause] = {}
+        self._seen = RecentIds(MAX_PAUSES)
         self._changing: set[EndpointName] = set()
         self._changed_ms: dict[EndpointName, float] = {}
 
     def note(self, name: EndpointName, now_ms: float) -> None:
-        """Note that something has changed at a replica that peers should know."""
+        """Note that this node has seen what peers should know of a replica."""
         self._changed_ms[name] = now_ms
 
     def note_changing(self, names: Set[EndpointName], now_ms: float) -> bool:
@@ -53,9 +78,21 @@
             is_old = now_ms - changed_ms > NEWS_KEPT_MS and name not in self._changing
             if known is None or is_old:
                 del self._changed_ms[name]
+                self._pauses.pop(name, None)
                 continue
-            left_ms = max(known.loading_until_ms - now_ms, 0.0)
-            yield ReplicaNews(name, left_ms, tuple(known.weights.items()))
+            yield self._build(known, now_ms)
+
+    def _build(self, known: KnownReplica, now_ms: float) -> ReplicaNews:
+        name, weights = known.replica.name, tuple(known.weights.items())
+        until_ms = known.loading_until_ms
+        if until_ms <= now_ms:
+            return ReplicaNews(name, 0.0, weights)
+        pause = self._pauses.get(name)
+        if pause is None or pause.until_ms != until_ms:
+            # Begun or renewed by this node since it last told or heard of it.
+            pause = self._pauses[name] = _Pause(draw_id(self._rng), until_ms)
+            self._seen.add(pause.pause_id)
+        return ReplicaNews(name, until_ms - now_ms, weights, pause.pause_id)
 
     def list_lives(self, now_ms: float) -> Iterable[LifeNews]:
         """Return which replicas have started again lately."""
@@ -72,7 +109,7 @@
         for news in all_news:
             known = self._directory.find(news.replica)
             if known is not None and self._apply_one(known, news, now_ms):
-                self.note(news.replica, now_ms)
+                self._changed_ms[news.replica] = now_ms
                 is_news = True
         return is_news
 
@@ -86,8 +123,11 @@
         # it says from before new weights were in place doesn't begin one. Passed on
         # from node to node a pause must not grow by the time on the way.
         is_longer = until_ms > known.loading_until_ms + SAME_PAUSE_MS
-        if news.loading_left_ms > 0 and is_longer and not is_old:
+        is_new = news.pause_id not in self._seen
+        if news.loading_left_ms > 0 and is_longer and is_new and not is_old:
             known.loading_until_ms = until_ms
+            self._pauses[news.replica] = _Pause(news.pause_id, until_ms)
+            self._seen.add(news.pause_id)
             is_news = True
         for model, version in news.weights:
             if known.note_weights(model, version):
--- a/packages/toucanyard/src/toucanyard/store_contact.py
+++ b/packages/toucanyard/src/toucanyard/store_contact.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Final
 
 import msgspec
 
+from toucanyard.recent_ids import RecentIds
+
 RECENT_READS: Final = 16
 """Reads that are told apart from newer ones when they are told again; one comes each
 0.4 s, so this spans several times the slowest way through a fleet."""
@@ -57,7 +58,7 @@
         self.asked_ms = NEVER
         """When the newest read that was answered was asked."""
         self._read_id = 0
-        self._recent: deque[int] = deque(maxlen=RECENT_READS)
+        self._recent = RecentIds(RECENT_READS)
         self._since_ms = NEVER
         self._before_ms = NEVER
         """When the last read before the break was asked; NEVER without a break."""
@@ -85,7 +86,7 @@
         # newer one, nodes would keep each other's list young and nobody would read.
         if answered.read_id in self._recent or answered.asked_ms <= self.asked_ms:
             return
-        self._recent.append(answered.read_id)
+        self._recent.add(answered.read_id)
         self._read_id = answered.read_id
         self.asked_ms = answered.asked_ms
 
--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -13,13 +13,13 @@
 from toucanyard.keyed_view import Change, Decode, KeyedRecord, KeyedView, Topic
 from toucanyard.link_messages import ToldAnswer, ViewRecords, ViewStatus
 from toucanyard.names import NodeName
+from toucanyard.recent_ids import draw_id
 from toucanyard.relay_events import SendToPeer
 from toucanyard.store_contact import Answered
 from toucanyard.store_schedule import compute_away
 
 PUSH_AGAIN_MS: Final = 700.0
 """After this time records are sent again to a peer whose status lacks them."""
-READ_ID_BITS: Final = 32
 
 
 class ViewExchange:
@@ -53,8 +53,8 @@
         if end > view.end:
             self._risen_ms[topic] = now_ms
         changes = view.apply(records, end, is_whole=is_whole)
-        read_id = self._rng.getrandbits(READ_ID_BITS)
-        self._confirm(view, end, Answered(read_id, asked_ms, asked_ms))
+        answered = Answered(draw_id(self._rng), asked_ms, asked_ms)
+        self._confirm(view, end, answered)
         return changes
 
     def apply_records(self, message: ViewRecords, now_ms: float) -> list[Change]:
--- a/tests/toucanyard/test_replica_bulletin.py
+++ b/tests/toucanyard/test_replica_bulletin.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import random
+
 from toucanyard.link_messages import ReplicaNews
 from toucanyard.names import EndpointName
 from toucanyard.part_book import PartBook
@@ -11,21 +13,23 @@
 NAME = EndpointName("r")
 WAY_MS = 5.0
 """How long a message takes from one node to the next."""
+SLOW_MS = 200.0
+"""The same on links that are full."""
 
 
 class Teller:
     """What one node knows of one replica, and its bulletin."""
 
-    def __init__(self) -> None:
+    def __init__(self, number: int = 0) -> None:
         directory = ReplicaDirectory()
         known = directory.apply(build_replica(NAME), 0.0)
         assert known is not None
         self.known: KnownReplica = known
-        self.bulletin = ReplicaBulletin(directory, PartBook())
+        self.bulletin = ReplicaBulletin(directory, PartBook(), random.Random(number))
 
-    def tell(self, other: Teller, now_ms: float) -> bool:
+    def tell(self, other: Teller, now_ms: float, way_ms: float = WAY_MS) -> bool:
         news = tuple(self.bulletin.list_news(now_ms))
-        return other.bulletin.apply(news, now_ms + WAY_MS)
+        return other.bulletin.apply(news, now_ms + way_ms)
 
 
 def test_pause_that_goes_round_does_not_grow() -> None:
@@ -48,6 +52,33 @@
         assert not teller.known.is_loading(600.0 + SAME_PAUSE_MS)
 
 
+def test_pause_that_goes_round_on_slow_links_ends() -> None:
+    """A replica refuses one call; two nodes tell each other of it over full links.
+
+    Each hears of its own pause again, 400 ms longer. Taken for a new one, it went on
+    for as long as the links were slow, and the replica got no calls from any node.
+    """
+    one, two = Teller(1), Teller(2)
+    one.known.loading_until_ms = 600.0
+    one.bulletin.note(NAME, 0.0)
+    assert one.tell(two, 0.0, SLOW_MS)
+    for now_ms in (250.0, 500.0, 750.0, 1_000.0, 1_250.0, 1_500.0):
+        two.tell(one, now_ms, SLOW_MS)
+        one.tell(two, now_ms, SLOW_MS)
+    assert not one.known.is_loading(600.0)
+    assert not two.known.is_loading(600.0 + SLOW_MS)
+
+
+def test_pause_that_its_holder_renews_goes_on() -> None:
+    """A node that orders weights renews the pause until the replica has them."""
+    one, two = Teller(1), Teller(2)
+    for now_ms in (0.0, 250.0, 500.0, 750.0, 1_000.0):
+        one.known.loading_until_ms = now_ms + 1_500.0
+        one.bulletin.note_changing({NAME}, now_ms)
+        one.tell(two, now_ms)
+    assert two.known.is_loading(2_200.0)
+
+
 def test_longer_pause_is_news_again() -> None:
     one, two = Teller(), Teller()
     one.known.loading_until_ms = 600.0
