Ask a silent store again before a read is given up, and play mixes of troubles

Cause: what left the list counts from the store's return, which is known by the first read that is answered. Reads without an answer end after 1.2 s, so nine nodes saw a return up to 0.45 s late; a replica that was taken away at that moment got calls up to 1,900 ms after it, of 1,850 that leave time for a connection.

Ruled out: a longer reserve. The way a return is seen had no bound below 1.4 s.

Change: the two nodes that go first ask each 300 ms, answered or not, so the return is seen within 0.4 s whoever else lives; that is the reserve now.

Before, after: a store that is silent for 2 to 5 s, seen back late: red; within 0.4 s, with less than 8 reads a second.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final, TypeVar
 
@@ -51,7 +52,15 @@
     they were read is read whole again.
     """
 
-    __slots__ = ("_client", "_core", "_is_down", "_needs_whole", "_next", "_store")
+    __slots__ = (
+        "_client",
+        "_core",
+        "_is_down",
+        "_needs_whole",
+        "_next",
+        "_reading",
+        "_store",
+    )
 
     def __init__(self, core: RelayCore, client: RelayClient, store: Store) -> None:
         self._core = core
@@ -59,6 +68,8 @@
         self._store = store
         self._needs_whole = set(Topic)
         self._next = dict.fromkeys(Topic, 0)
+        self._reading = Counter[Topic]()
+        """Reads of each topic that are not over."""
         self._is_down = False
 
     async def run(self) -> None:
@@ -81,17 +92,27 @@
 
     async def _watch(self, topic: Topic) -> None:
         """Read a topic that changes all the time once what is known is too old."""
-        while True:
-            now_ms = trio.current_time() * 1000
-            is_new = (
-                topic in self._needs_whole and not self._core.exchange.views[topic].end
-            )
-            if is_new or self._core.is_read_due(topic, now_ms):
-                self._core.note_read_begun(topic, now_ms)
-                if not await self._read(topic, 0.0):
-                    await trio.sleep(RETRY_S)
-            least_s = 0.0 if self._core.roster.is_meshed() else FAR_LOOK_S
-            await trio.sleep(max(LOOK_S[topic], least_s))
+        async with trio.open_nursery() as nursery:
+            while True:
+                now_ms = trio.current_time() * 1000
+                if self._is_due(topic, now_ms):
+                    self._core.note_read_begun(topic, now_ms)
+                    self._reading[topic] += 1
+                    nursery.start_soon(self._read_and_rest, topic)
+                least_s = 0.0 if self._core.roster.is_meshed() else FAR_LOOK_S
+                await trio.sleep(max(LOOK_S[topic], least_s))
+
+    def _is_due(self, topic: Topic, now_ms: float) -> bool:
+        is_due = self._core.is_read_due(topic, now_ms)
+        if self._reading[topic]:
+            return is_due and self._core.may_ask_again(topic, now_ms)
+        is_new = topic in self._needs_whole and not self._core.exchange.views[topic].end
+        return is_new or is_due
+
+    async def _read_and_rest(self, topic: Topic) -> None:
+        if not await self._read(topic, 0.0):
+            await trio.sleep(RETRY_S)
+        self._reading[topic] -= 1
 
     async def _read(self, topic: Topic, wait_ms: float) -> bool:
         asked_ms = trio.current_time() * 1000
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -54,7 +54,12 @@
 from toucanyard.routes import RouteIndex
 from toucanyard.status_exchange import StatusExchange
 from toucanyard.store_contact import Absence
-from toucanyard.store_schedule import READ_MS, compute_poll_wait, is_read_due
+from toucanyard.store_schedule import (
+    MAX_ASKING_RANK,
+    READ_MS,
+    compute_poll_wait,
+    is_read_due,
+)
 from toucanyard.view_exchange import ViewExchange
 from toucanyard.weights_duty import WeightsDuty
 from toucanyard.weights_goals import WeightsGoals
@@ -161,6 +166,10 @@
             is_meshed=self.roster.is_meshed(),
         )
 
+    def may_ask_again(self, topic: Topic, now_ms: float) -> bool:
+        """Tell whether to read a topic though a read of it has no answer yet."""
+        return self.roster.find_rank(topic.value, now_ms) <= MAX_ASKING_RANK
+
     def note_read_begun(self, topic: Topic, now_ms: float) -> None:
         """Note that this node asks the store for a topic."""
         self._asked_ms[topic] = now_ms
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -39,9 +39,9 @@
 SEND_MS: Final = 250.0
 """How long before that it gets its last call: the wait for a connection, 150, and the
 way there on a busy node."""
-RETURN_SEEN_MS: Final = 200.0
-"""How long after the store's return a node asks it first: reads that got no answer end
-after 1.2 s, and those of eight nodes end at different times."""
+RETURN_SEEN_MS: Final = 400.0
+"""How long after the store's return it is asked first: the nodes that go first ask each
+300 ms, answered or not, and look each 50 whether to."""
 PROBE_MS: Final = 500.0
 """Time between two reports that are asked of a replica that could not be reached."""
 MAX_PROBED_MS: Final = 5_000.0
--- a/packages/toucanyard/src/toucanyard/store_schedule.py
+++ b/packages/toucanyard/src/toucanyard/store_schedule.py
@@ -28,6 +28,9 @@
 MAX_RANK: Final = 3
 RETRY_MS: Final = 300.0
 """Least time between two reads of one node."""
+MAX_ASKING_RANK: Final = 1
+"""Highest rank of a node that asks again while a read of its own has no answer. A store
+that returns is then seen RETRY_MS later, and not when a read of 1.2 s is given up."""
 LATE_MS: Final = 200.0
 """By how much a read may come later than it is due on a busy node."""
 MIN_POLL_MS: Final = 3_000.0
--- a/tests/toucanyard/test_removed_replicas.py
+++ b/tests/toucanyard/test_removed_replicas.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from toucanyard.keyed_view import Topic
@@ -141,3 +143,95 @@
     for core in fleet.cores.values():
         view = core.exchange.views[Topic.REPLICAS]
         assert view.confirmed_ms <= away_ms + 400.0
+
+
+class Troubles:
+    """Cuts, refusals, outages and removals that are drawn from a seed."""
+
+    def __init__(self, seed: int, way_ms: float) -> None:
+        self.rng = random.Random(seed)
+        self.fleet = build_fleet(3, way_ms=way_ms)
+        self.names = list(self.fleet.cores)
+        self.listed = list(REPLICAS)
+        self.removed_ms: dict[str, float] = {}
+        self.cut_ms: dict[NodeName, float] = {}
+        """When each node was cut off last."""
+        self.started = 0
+
+    def run(self, for_ms: float) -> None:
+        end_ms = self.fleet.now_ms + for_ms
+        while self.fleet.now_ms < end_ms:
+            self.fleet.run(200.0, with_calls=True)
+            for name in self.fleet.cut_off:
+                self.cut_ms[name] = self.fleet.now_ms
+
+    def play_one(self) -> None:
+        match self.rng.randrange(4):
+            case 0:
+                self.fleet.cut_off = set(self.rng.sample(self.names, 2))
+                self.run(self.rng.uniform(400.0, 3_000.0))
+                self.fleet.cut_off = set()
+            case 1:
+                self.fleet.store_away = set(self.rng.sample(self.names, 4))
+                self.replace()
+                self.run(self.rng.uniform(400.0, 5_000.0))
+                self.fleet.store_away = set()
+            case 2:
+                self.let_lapse()
+        self.run(self.rng.uniform(0.0, 600.0))
+        self.replace()
+        # What goes as the store does is known to nobody before the store is back.
+        self.run(1_600.0)
+
+    def replace(self) -> None:
+        """Take a replica away and start another one."""
+        gone = self.rng.choice(self.listed)
+        self.listed.remove(gone)
+        self.removed_ms[gone] = self.fleet.now_ms
+        self.fleet.remove([gone])
+        self.start()
+
+    def start(self) -> None:
+        self.started += 1
+        self.listed.append(f"new-{self.started}")
+        self.fleet.register(self.listed[-1:])
+
+    def let_lapse(self) -> None:
+        """Let the store be away while all entries lapse; one replica never returns."""
+        self.fleet.store_away = set(self.names)
+        self.run(self.rng.uniform(3_600.0, 6_000.0))
+        self.fleet.remove(self.listed)
+        self.fleet.store_away = set()
+        dead = self.listed.pop()
+        self.removed_ms[dead] = self.fleet.now_ms
+        for name in self.listed:
+            self.run(400.0)
+            self.fleet.register([name])
+        self.start()
+
+    def find_late(self) -> list[tuple[NodeName, str, float]]:
+        """Return the calls that nodes in touch sent past the bound."""
+        late = []
+        for each in self.fleet.sent:
+            age_ms = each.at_ms - self.removed_ms.get(each.replica, each.at_ms)
+            if age_ms > SMALL_MS - SEND_MS and each.node not in self.cut_ms:
+                late.append((each.node, str(each.replica), age_ms))
+        return late
+
+
+@pytest.mark.parametrize("way_ms", [0.0, 50.0])
+@pytest.mark.parametrize("seed", range(6))
+def test_no_mix_of_troubles_uses_a_removed_replica_or_empties_a_service(
+    seed: int, way_ms: float
+) -> None:
+    """Nodes are cut off, the store refuses some or all, entries lapse, replicas change.
+
+    Whatever the order, a node that was never cut off sends no call to a replica past
+    its end, and finds one for each call.
+    """
+    troubles = Troubles(seed, way_ms)
+    for _ in range(6):
+        troubles.play_one()
+    assert troubles.find_late() == []
+    unsent = [each for each in troubles.fleet.unsent if each[0] not in troubles.cut_ms]
+    assert unsent == []
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -11,12 +11,15 @@
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import RelayEvent, SendToPeer, StoreFailed
 from toucanyard.relay_options import RelayListen, RelayOptions
+from toucanyard.replicas import RETURN_SEEN_MS
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TopicPage
 from toucanyard_node.relay_store import StoreReader, keep_trying
 from toucanyard_node.relay_task import Errand, RelayTask
 
 LOCAL = Address("127.0.0.1:1")
+GIVEN_UP_S = 1.2
+"""After this time a read without an answer ends."""
 LISTEN = RelayListen(LOCAL, LOCAL, LOCAL, LOCAL, LOCAL)
 OPTIONS = RelayOptions(NodeName("n"), DomainName("d"), LISTEN, LOCAL)
 
@@ -28,6 +31,7 @@
         self.records: dict[Topic, list[KeyedRecord]] = {topic: [] for topic in Topic}
         self.first = dict.fromkeys(Topic, 0)
         self.is_down = False
+        self.is_silent = False
         self.reads: list[tuple[str, Topic, int]] = []
 
     def append(self, topic: Topic, key: str, value: bytes | None) -> None:
@@ -67,6 +71,9 @@
         raise StoreError("not used")
 
     async def _wait(self, wait_ms: float) -> None:
+        if self.is_silent:
+            await trio.sleep(GIVEN_UP_S)
+            raise StoreError("no answer")
         await trio.sleep(0.004 + wait_ms / 1000)
         if self.is_down:
             raise StoreError("status 503", is_refused=True)
@@ -154,6 +161,35 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_return_of_a_silent_store_is_seen_before_a_read_is_given_up(
+    autojump_clock: object,
+) -> None:
+    """The store falls silent for some seconds and comes back; entries have lapsed.
+
+    They count from when it is seen to be back. Were each read waited for, that would
+    be up to 1.4 s late, and what was taken away would count past its end.
+    """
+    world = World()
+    world.store.append(Topic.REPLICAS, "a", b"1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.task.run)
+        nursery.start_soon(world.reader.run)
+        await trio.sleep(2)
+        for silent_s in (2.1, 3.3, 4.0, 4.7, 5.2):
+            world.store.is_silent = True
+            begun = len(world.store.reads)
+            await trio.sleep(silent_s)
+            assert len(world.store.reads) - begun < 8 * silent_s
+            world.store.is_silent = False
+            returned_ms = trio.current_time() * 1000
+            await trio.sleep(2)
+            absence = world.core.exchange.views[Topic.REPLICAS].contact.find_absence()
+            assert absence is not None
+            seen_late_ms = absence.returned_ms - returned_ms
+            assert 0.0 <= seen_late_ms <= RETURN_SEEN_MS
+        nursery.cancel_scope.cancel()
+
+
 async def test_announcement_is_made_until_it_succeeds(autojump_clock: object) -> None:
     store = ScriptedStore()
     store.is_down = True
