--- a/tests/toucanyard/store_fleet.py
+++ b/tests/toucanyard/store_fleet.py
@@ -68,6 +68,8 @@
         """Nodes that the store does not answer."""
         self.cut_off: set[NodeName] = set()
         """Nodes that reach neither the store nor each other."""
+        self.asked = 0
+        """Reads of the list that were asked of the store, answered or not."""
         self.sent: list[Sent] = []
         self.unsent: list[tuple[NodeName, float]] = []
         """Calls for which no replica was found at once."""
@@ -147,6 +149,7 @@
         if failing and not core.may_ask_again(Topic.REPLICAS, self.now_ms):
             return
         core.note_read_begun(Topic.REPLICAS, self.now_ms)
+        self.asked += 1
         if name in self.store_away or name in self.cut_off:
             failing.append(self.now_ms + STORE_TIMEOUT_MS)
             return
--- a/tests/toucanyard/test_removed_replicas.py
+++ b/tests/toucanyard/test_removed_replicas.py
@@ -10,7 +10,7 @@
 from toucanyard.names import NodeName
 from toucanyard.relay_policy import RetryPolicy
 
-from .store_fleet import StoreFleet
+from .store_fleet import STORE_TIMEOUT_MS, StoreFleet
 
 REPLICAS = ("a", "b", "c", "d")
 SMALL_MS = 2_000.0
@@ -129,6 +129,38 @@
     assert find_longest_use(fleet, removed_ms, NodeName("")) <= bound_ms - SEND_MS
 
 
+def test_node_that_alone_was_cut_off_learns_that_the_store_was_well() -> None:
+    """One node is cut off for four seconds; a replica goes just before it returns.
+
+    By itself the node takes the store to have been away and the replica to have lapsed.
+    Its peers have read all the time, which shows in their next statuses.
+    """
+    fleet = build_fleet(3)
+    reader = fleet.find_reader()
+    alone = next(name for name in fleet.cores if name != reader)
+    fleet.cut_off = {alone}
+    fleet.run(3_700.0)
+    fleet.remove(["a"])
+    fleet.run(300.0)
+    fleet.cut_off = set()
+    fleet.run(300.0)
+    back_ms = fleet.now_ms
+    fleet.run(2_000.0, with_calls=True)
+    assert [each for each in fleet.list_sent_to("a") if each.at_ms > back_ms] == []
+
+
+def test_silent_store_is_asked_at_a_bounded_rate_by_all_nodes() -> None:
+    """Two nodes ask each 300 ms; the others wait until a read is given up."""
+    fleet = build_fleet(3)
+    fleet.store_away = set(fleet.cores)
+    fleet.run(2_000.0)
+    before = fleet.asked
+    fleet.run(6_000.0)
+    others = len(fleet.cores) - 2
+    most_a_second = 2 / 0.3 + others / (STORE_TIMEOUT_MS / 1_000.0)
+    assert fleet.asked - before <= 6 * most_a_second + len(fleet.cores)
+
+
 def test_age_of_the_list_grows_on_slow_links() -> None:
     """The store answers nobody, and messages between nodes take 300 ms.
 
--- a/tests/toucanyard/test_replicas.py
+++ b/tests/toucanyard/test_replicas.py
@@ -90,6 +90,14 @@
     assert list_usable(directory, 15_100.0) == ["b", "c"]
 
 
+def test_replica_whose_entry_another_writer_took_gets_no_grace_of_a_return() -> None:
+    directory = build_directory("a", "b", "c")
+    directory.remove([EndpointName("a")], 0.0, listed_ms=-400.0)
+    directory.remove_foreign(EndpointName("a"), 100.0)
+    directory.note_absence(Absence(-400.0, 5_000.0))
+    assert list_usable(directory, 5_100.0) == ["b", "c"]
+
+
 def test_half_of_a_service_that_goes_at_once_counts_a_while() -> None:
     directory = build_directory("a", "b", "c")
     directory.remove([EndpointName("a"), EndpointName("b")], 0.0, listed_ms=-400.0)
--- a/tests/toucanyard_platform/test_settings.py
+++ b/tests/toucanyard_platform/test_settings.py
@@ -23,6 +23,7 @@
 [limits]
 maxFds = 4100
 [bounds]
+drainMs = 3000
 graceS = 8
 retryBudgetRatio = 0.2
 retryBudgetSlack = 54
@@ -53,6 +54,7 @@
     assert options.listen.metrics.startswith("10.1.0.30:")
     assert options.store == "10.200.1.7:8784"
     assert options.stop.grace_ms == 8_000
+    assert options.drain_ms == 3_000
     assert options.retries.slack == 54
     assert options.weights.lease_ms == 3_000
     assert options.max_descriptors == 4_100
