--- a/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/capacity_roles.py
@@ -32,7 +32,6 @@
 from toucanyard_node.http_client import Response
 from toucanyard_node.vm_list import VmListBody
 from toucanyard_standins import bench_placement_cost as placement_cost, key_slopes
-from toucanyard_standins.bench_detectors import measure_bytes, measure_costs
 from toucanyard_standins.bench_restart import (
     build_configuration,
     build_snapshot,
@@ -46,6 +45,7 @@
     time_us,
 )
 from toucanyard_standins.capacity_ticks import iterate_tick_slopes
+from toucanyard_standins.membership_costs import measure_bytes, measure_costs
 
 VMS: Final = 4_720
 BLOCKS_HELD: Final = 400_000
--- /dev/null
+++ b/packages/toucanyard-standins/src/toucanyard_standins/detector_traces.py
@@ -0,0 +1,220 @@
+"""Judge failure detectors by the same seeded traces.
+
+A trace says how each poll of each watcher ended. Every rule is given the same traces:
+time to notice a death, wrong condemnations on lossy links, by pauses of endpoints and
+by nodes whose own network is bad.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.detectors import Accrual, Detector, ErrorRun, Silence, SourceCount
+from toucanyard.options import MembershipTimings
+
+_TIMINGS: Final = MembershipTimings()
+POLL_MS: Final = 250.0
+TIMEOUT_MS: Final = 500.0
+SPREAD_MS: Final = 150.0
+"""How long a source's report takes to the others."""
+WATCHERS: Final = 9
+ENDPOINTS: Final = 14
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """What goes wrong in one trace."""
+
+    name: str
+    duration_ms: float
+    loss: float = 0.0
+    dead_at_ms: float | None = None
+    is_silent: bool = False
+    gray_nodes: int = 0
+    gray_loss: float = 0.0
+    pause_share: float = 0.0
+    """Share of the time in which an endpoint is paused, for 1.2 s each."""
+
+
+class Rule(msgspec.Struct, frozen=True):
+    """A detector and how many sources must agree."""
+
+    name: str
+    build: Callable[[float], Detector]
+    sources: int
+    doubts_itself: bool = False
+    """Whether a watcher for which most endpoints fail accuses none."""
+
+
+class Poll(msgspec.Struct, frozen=True, order=True):
+    """The end of one poll."""
+
+    at_ms: float
+    watcher: int
+    endpoint: int
+    is_ok: bool
+
+
+class Result(msgspec.Struct):
+    """What one rule made of a scenario's traces."""
+
+    notice_ms: list[float] = msgspec.field(default_factory=list)
+    missed: int = 0
+    wrong: int = 0
+    """Times that a live endpoint came to be condemned."""
+    wrong_ms: float = 0.0
+    hours: float = 0.0
+
+
+SCENARIOS: Final = (
+    Scenario("process dies", 20_000, 0.01, 10_000),
+    Scenario("VM goes silent", 20_000, 0.01, 10_000, is_silent=True),
+    Scenario("dies, 10% loss", 20_000, 0.1, 10_000, is_silent=True),
+    Scenario("5% loss", 300_000, 0.05),
+    Scenario("20% loss", 300_000, 0.2),
+    Scenario("pauses of 1.2 s", 300_000, 0.01, pause_share=0.02),
+    Scenario("one gray node", 300_000, 0.01, gray_nodes=1, gray_loss=0.8),
+    Scenario("one node cut off", 300_000, 0.01, gray_nodes=1, gray_loss=1.0),
+    Scenario("two gray nodes", 300_000, 0.01, gray_nodes=2, gray_loss=0.8),
+)
+
+
+def build_rules() -> tuple[Rule, ...]:
+    """Return the rules to compare."""
+    reports, window_ms = _TIMINGS.condemn_reports, float(_TIMINGS.condemn_window_ms)
+    silence_ms = float(_TIMINGS.suspect_after_ms)
+    sources = _TIMINGS.condemn_sources
+    return (
+        Rule("timeout, 1 source", lambda now_ms: Silence(silence_ms, now_ms), 1),
+        Rule("accrual, 1 source", lambda now_ms: Accrual(8.0, POLL_MS, now_ms), 1),
+        Rule("N errors, 1 source", lambda _: ErrorRun(reports, window_ms), 1),
+        Rule("timeout, S sources", lambda now_ms: Silence(silence_ms, now_ms), sources),
+        Rule(
+            "accrual, S sources",
+            lambda now_ms: Accrual(8.0, POLL_MS, now_ms),
+            sources,
+        ),
+        Rule(
+            "accrual wide, S",
+            lambda now_ms: Accrual(8.0, POLL_MS, now_ms, POLL_MS),
+            sources,
+        ),
+        Rule("N errors, S sources", lambda _: ErrorRun(reports, window_ms), sources),
+        Rule(
+            "same, doubts itself",
+            lambda _: ErrorRun(reports, window_ms),
+            sources,
+            doubts_itself=True,
+        ),
+    )
+
+
+def build_trace(scenario: Scenario, seed: int) -> list[Poll]:
+    """Return the polls of all watchers, by the time of their end."""
+    rng = random.Random(f"{scenario.name} {seed}")
+    pauses = [_build_pauses(scenario, rng) for _ in range(ENDPOINTS)]
+    polls: list[Poll] = []
+    for watcher in range(WATCHERS):
+        loss = scenario.gray_loss if watcher < scenario.gray_nodes else scenario.loss
+        for endpoint in range(ENDPOINTS):
+            at_ms = rng.uniform(0, POLL_MS)
+            while at_ms < scenario.duration_ms:
+                took_ms, is_ok = _poll(scenario, endpoint, at_ms, loss, pauses, rng)
+                polls.append(Poll(at_ms + took_ms, watcher, endpoint, is_ok))
+                at_ms += max(took_ms, POLL_MS * rng.uniform(0.95, 1.05))
+    polls.sort()
+    return polls
+
+
+def _build_pauses(scenario: Scenario, rng: random.Random) -> list[float]:
+    starts: list[float] = []
+    if scenario.pause_share:
+        at_ms = 0.0
+        while at_ms < scenario.duration_ms:
+            at_ms += rng.expovariate(scenario.pause_share / 1_200)
+            starts.append(at_ms)
+    return starts
+
+
+def _poll(
+    scenario: Scenario,
+    endpoint: int,
+    at_ms: float,
+    loss: float,
+    pauses: list[list[float]],
+    rng: random.Random,
+) -> tuple[float, bool]:
+    dead_ms = scenario.dead_at_ms
+    if endpoint == 0 and dead_ms is not None and at_ms >= dead_ms:
+        return (TIMEOUT_MS if scenario.is_silent else 1.0), False
+    if rng.random() < loss:
+        return TIMEOUT_MS, False
+    waits = [start + 1_200 - at_ms for start in pauses[endpoint] if start <= at_ms]
+    wait_ms = max([0.0, *waits])
+    if wait_ms >= TIMEOUT_MS:
+        return TIMEOUT_MS, False
+    return wait_ms + rng.uniform(1.0, 5.0), True
+
+
+def judge(rule: Rule, scenario: Scenario, polls: list[Poll], result: Result) -> None:
+    """Run one rule over one trace and add to its result."""
+    local = {
+        (watcher, endpoint): rule.build(0.0)
+        for watcher in range(WATCHERS)
+        for endpoint in range(ENDPOINTS)
+    }
+    joined = [SourceCount(rule.sources, 1e12) for _ in range(ENDPOINTS)]
+    since: dict[int, float] = {}
+    failing: list[set[int]] = [set() for _ in range(WATCHERS)]
+    noticed = False
+    for now_ms, watcher, endpoint, poll in _iterate(polls, scenario.duration_ms):
+        detector = local[watcher, endpoint]
+        if poll is not None:
+            _note(detector, failing[watcher], poll)
+        is_doubted = rule.doubts_itself and 2 * len(failing[watcher]) > ENDPOINTS
+        if detector.is_suspect(now_ms) and not is_doubted:
+            joined[endpoint].note_report(str(watcher), now_ms)
+        else:
+            joined[endpoint].withdraw(str(watcher))
+        is_condemned = joined[endpoint].is_condemned(now_ms)
+        dead_ms = scenario.dead_at_ms
+        is_dead = endpoint == 0 and dead_ms is not None and now_ms >= dead_ms
+        if is_condemned and endpoint not in since:
+            since[endpoint] = now_ms
+            if not is_dead:
+                result.wrong += 1
+        if not is_condemned and endpoint in since:
+            result.wrong_ms += now_ms - since.pop(endpoint)
+        if is_dead and dead_ms is not None and endpoint in since and not noticed:
+            noticed = True
+            result.notice_ms.append(max(now_ms, dead_ms) - dead_ms + SPREAD_MS)
+    if scenario.dead_at_ms is not None and not noticed:
+        result.missed += 1
+    result.hours += scenario.duration_ms / 3_600_000 * ENDPOINTS
+
+
+def _note(detector: Detector, failing: set[int], poll: Poll) -> None:
+    if poll.is_ok:
+        detector.note_ok(poll.at_ms)
+        failing.discard(poll.endpoint)
+    else:
+        detector.note_error(poll.at_ms)
+        failing.add(poll.endpoint)
+
+
+def _iterate(
+    polls: list[Poll], duration_ms: float
+) -> Iterator[tuple[float, int, int, Poll | None]]:
+    """Give polls, and looks at every 100 ms, since silence has no event."""
+    looks = (
+        (at_ms * 100.0, watcher, endpoint, None)
+        for at_ms in range(int(duration_ms / 100))
+        for watcher in range(WATCHERS)
+        for endpoint in range(ENDPOINTS)
+    )
+    ends = ((poll.at_ms, poll.watcher, poll.endpoint, poll) for poll in polls)
+    return heapq.merge(looks, ends, key=lambda each: each[0])
