Tell news of nodes and replicas only to those who lack it

Cause: a status went to every linked peer at each piece of news, also back to the hub that had told it and to nodes that only stand by. At 195 nodes one refused call made 1,068 statuses in 0.4 s; weights that are loaded over 64 replicas make such news all the time. A hub merged who is alive, over 195 nodes, for each status, and encoded what goes to 46 peers almost anew for each, since three kinds of status alternate.

Who is alive is merged when it may have changed.

--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -23,6 +23,7 @@
 from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import UNNAMED, Vm
+from toucanyard_node.encoded_messages import EncodedMessages
 from toucanyard_node.link_codec import Addressed, EventT, LinkCodec, MessageT
 from toucanyard_node.peer_greeting import GreetingError, Side, greet
 from toucanyard_node.rate_limit import RateLimit
@@ -89,7 +90,7 @@
         self._dial_after_s: dict[str, float] = {}
         self._backoff_s: dict[str, float] = {}
         self._greeting = 0
-        self._encoded: tuple[MessageT, bytes] | None = None
+        self._encoded = EncodedMessages(codec.encode)
         self.counts = LinkCounts()
 
     async def run(
@@ -297,19 +298,13 @@
         nursery: trio.Nursery,
     ) -> None:
         async for message in messages:
-            data = self._encode(message)
+            data = self._encoded.find(message)
             with trio.move_on_after(_SEND_TIMEOUT_S) as scope:
                 await socket.send(data)
             if scope.cancelled_caught:
                 nursery.cancel_scope.cancel()
             self.counts.sent_bytes += len(data)
 
-    def _encode(self, message: MessageT) -> bytes:
-        """Return the bytes of a message; one that goes to all peers is encoded once."""
-        if self._encoded is None or self._encoded[0] is not message:
-            self._encoded = (message, self._codec.encode(message))
-        return self._encoded[1]
-
     async def _tell_links(self) -> None:
         peers = tuple(link.peer for link in self._links.values())
         await self._emit(self._codec.build_linked(peers))
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -24,7 +24,7 @@
     StopBegun,
 )
 from toucanyard.roster import MAX_MESH
-from toucanyard.status_exchange import STATUS_MS
+from toucanyard.status_schedule import STATUS_MS
 from toucanyard_node.bounded_output import BoundedOutput
 from toucanyard_node.http_client import split_address
 from toucanyard_node.http_exchange import HttpRequest, Responder
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -36,10 +36,13 @@
     """The nodes as one of them sees them. Invariant: it names itself first."""
 
     __slots__ = (
+        "_alive",
+        "_alive_until_ms",
         "_heard",
         "_known",
         "_linked",
         "_own",
+        "_ranks",
         "_seeds",
         "_told",
         "is_ready",
@@ -54,6 +57,12 @@
         self._heard: dict[NodeName, _Heard] = {}
         self._told: dict[NodeName, tuple[float, dict[NodeName, bool]]] = {}
         """By hub: when it said so, and of which nodes, whether each is ready."""
+        self._alive: dict[NodeName, bool] = {}
+        """The other live nodes, and whether callers may go there, as merged last."""
+        self._alive_until_ms = float("-inf")
+        """When the first of them has been silent for too long."""
+        self._ranks: dict[str, int] = {}
+        """This node's rank in each matter among `_alive`."""
         self._linked: frozenset[NodeName] = frozenset()
         self.plan = LinkPlan(own)
         self.is_ready = False
@@ -70,21 +79,26 @@
     def remove(self, name: NodeName) -> None:
         """Take in that a node left for good."""
         self._known.pop(name, None)
-        self._heard.pop(name, None)
+        if self._heard.pop(name, None) is not None:
+            self._forget_alive()
 
     def note_status(self, name: NodeName, is_ready: bool, now_ms: float) -> bool:
         """Take in that a node is alive; return whether its readiness has changed."""
         before = self._heard.get(name)
         self._heard[name] = _Heard(now_ms, is_ready)
+        if self._alive.get(name) is not is_ready:
+            self._forget_alive()
         return before is None or before.is_ready != is_ready
 
     def note_told(
         self, hub: NodeName, nodes: Iterable[NodeNews], now_ms: float
     ) -> bool:
         """Take in which nodes a hub says are alive; return whether they changed."""
-        before = self._told.get(hub, (0.0, {}))[1]
+        before_ms, before = self._told.get(hub, (float("-inf"), {}))
         told = {each.node: each.is_ready for each in nodes if self._is_other(each)}
         self._told[hub] = (now_ms, told)
+        if told != before or now_ms - before_ms > TOLD_KEPT_MS:
+            self._forget_alive()
         return told != before
 
     def retain_linked(self, names: Iterable[NodeName]) -> None:
@@ -93,6 +107,8 @@
         lost = [name for name in self._heard if name not in self._linked]
         for name in lost:
             del self._heard[name]
+        if lost:
+            self._forget_alive()
 
     def find_peers(self, now_ms: float) -> list[Vm]:
         """Return the nodes that this one should have a link to."""
@@ -119,6 +135,10 @@
         """Return the other nodes that were heard from, or of, lately."""
         return list(self._find_ready(now_ms))
 
+    def is_alive(self, name: NodeName | None, now_ms: float) -> bool:
+        """Tell whether another node was heard from, or of, lately."""
+        return name in self._find_ready(now_ms)
+
     def list_heard(self, names: Iterable[NodeName], now_ms: float) -> list[NodeNews]:
         """Return those of some nodes that were heard from lately, and this one."""
         news = [NodeNews(self._own.name, self.is_ready)]
@@ -144,7 +164,7 @@
 
     def count_alive(self, now_ms: float) -> int:
         """Return how many nodes are alive, this one included."""
-        return 1 + len(self.find_alive(now_ms))
+        return 1 + len(self._find_ready(now_ms))
 
     def is_meshed(self) -> bool:
         """Tell whether every node has a link to every other one."""
@@ -159,9 +179,13 @@
         """
         if not self.is_meshed() and not self._told:
             return self.find_fleet_rank(matter)
-        own = compute_rank(matter, self._own.name)
-        alive = self.find_alive(now_ms)
-        return sum(compute_rank(matter, name) > own for name in alive)
+        alive = self._find_ready(now_ms)
+        rank = self._ranks.get(matter)
+        if rank is None:
+            own = compute_rank(matter, self._own.name)
+            rank = sum(compute_rank(matter, name) > own for name in alive)
+            self._ranks[matter] = rank
+        return rank
 
     def find_addresses(self, now_ms: float) -> list[Address]:
         """Return where callers may connect."""
@@ -179,24 +203,38 @@
         return addresses
 
     def _find_ready(self, now_ms: float) -> dict[NodeName, bool]:
-        """Return the other nodes that are alive, and whether callers may go there."""
+        """Return the other nodes that are alive, and whether callers may go there.
+
+        Merged only when it may have changed: a hub of 195 nodes asks for it some 200
+        times a second, and merging took most of the time of a status.
+        """
+        if now_ms > self._alive_until_ms:
+            self._ranks.clear()
+            self._alive_until_ms = float("inf")
+            self._alive = self._merge_alive(now_ms)
+        return self._alive
+
+    def _forget_alive(self) -> None:
+        self._alive_until_ms = float("-inf")
+
+    def _merge_alive(self, now_ms: float) -> dict[NodeName, bool]:
         found: dict[NodeName, bool] = {}
-        for hub in self._told:
-            self._add_told(found, hub, now_ms)
+        for told_ms, nodes in self._told.values():
+            if self._is_kept(told_ms + TOLD_KEPT_MS, now_ms):
+                for name, is_ready in nodes.items():
+                    # A hub that lags must not send callers to a node that is stopping.
+                    found[name] = is_ready and found.get(name, True)
         for name, heard in self._heard.items():
-            if now_ms - heard.heard_ms <= STATUS_KEPT_MS:
+            if self._is_kept(heard.heard_ms + STATUS_KEPT_MS, now_ms):
                 found[name] = heard.is_ready
         return found
 
-    def _add_told(
-        self, found: dict[NodeName, bool], hub: NodeName, now_ms: float
-    ) -> None:
-        told_ms, nodes = self._told.get(hub, (float("-inf"), {}))
-        if now_ms - told_ms > TOLD_KEPT_MS:
-            return
-        for name, is_ready in nodes.items():
-            # A hub that lags must not send callers to a node that is stopping.
-            found[name] = is_ready and found.get(name, True)
+    def _is_kept(self, until_ms: float, now_ms: float) -> bool:
+        """Tell whether something still counts, and merge again once it doesn't."""
+        if now_ms > until_ms:
+            return False
+        self._alive_until_ms = min(self._alive_until_ms, until_ms)
+        return True
 
     def _is_other(self, news: NodeNews) -> bool:
         return news.node != self._own.name
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -19,7 +19,6 @@
     GoalAge,
     NodeStatus,
     ReadPart,
-    ReplicaUse,
     StoreNews,
 )
 from toucanyard.names import NodeName
@@ -28,19 +27,15 @@
 from toucanyard.replica_bulletin import ReplicaBulletin
 from toucanyard.replica_uses import FLEET, ReplicaUses
 from toucanyard.roster import Roster
+from toucanyard.status_schedule import STATUS_MS, Audience, StatusSchedule
 from toucanyard.view_exchange import ViewExchange
 from toucanyard.weights_goals import WeightsGoals
 
-STATUS_MS: Final = 250.0
-"""Time between two statuses to one peer."""
-URGENT_MS: Final = 75.0
-"""Least time between two statuses in a fleet that is not meshed: while weights are
-loaded there is news of some replica all the time."""
 LARGE_TOKENS: Final = 500
 """Least tokens of a part that peers are told of in a fleet that is not meshed: there
 are thousands of small ones a second, and reading one again costs little."""
 NODES_MS: Final = 1_000.0
-"""Time between two tellings of the nodes that are alive, if none has changed."""
+"""Time between two lists of the nodes that are alive, if none has changed."""
 LINK_SHARE: Final = 0.15
 """Share of a hub's link that its statuses may take; calls need the rest."""
 MAX_FULL_MS: Final = 1_000.0
@@ -80,15 +75,16 @@
         """The nodes that report to this one."""
         self._far_reports = PartReports()
         """Parts of which other hubs told, for the nodes that report to this one."""
-        self._full_ms = float("-inf")
+        self._schedule = StatusSchedule()
+        self._full_ms = dict.fromkeys(Audience, float("-inf"))
         self._full_bytes = 0
-        self._nodes_ms = float("-inf")
-        self._sent_ms = float("-inf")
-        self._is_due = False
+        self._nodes_ms = dict.fromkeys(Audience, float("-inf"))
+        self._peers: frozenset[NodeName] = frozenset()
+        """The linked peers that are told of this node's group."""
 
     def note_due(self) -> None:
-        """Let the next status go out at once."""
-        self._is_due = True
+        """Let the next status that tells of this node go out at once."""
+        self._schedule.note_due(Audience.PEERS)
 
     def note_links(self, names: Collection[NodeName]) -> None:
         """Take in which peers are linked now."""
@@ -96,7 +92,13 @@
         # What a hub told of the fleet counts on while another one takes its place.
         for name in set(self._uses.list_peers()).difference(names, (FLEET,)):
             self._uses.forget_peer(name)
-        self._is_due = True
+        peers = frozenset(
+            name for name in names if self._find_audience(name) is Audience.PEERS
+        )
+        # Each link that a hub gets while all nodes start is no news to other hubs.
+        if peers != self._peers:
+            self._peers = peers
+            self._schedule.note_due(Audience.PEERS)
 
     def find_targets(
         self, topic: Topic, sender: NodeName | None = None
@@ -121,36 +123,47 @@
 
     def tick(self, is_ready: bool, now_ms: float) -> Iterator[SendToPeer]:
         """Send what is due."""
-        age_ms = now_ms - self._sent_ms
         is_meshed = self._roster.is_meshed()
-        is_urgent = self._is_due or (self._has_urgent_parts() and not is_meshed)
-        is_urgent = is_urgent and (is_meshed or age_ms >= URGENT_MS)
-        if is_urgent or age_ms >= STATUS_MS:
-            yield from self.send(is_ready, now_ms)
-
-    def _has_urgent_parts(self) -> bool:
-        return self._reports.is_urgent or self._far_reports.is_urgent
+        if not is_meshed:
+            self._note_urgent_parts()
+        audiences = self._schedule.find_due(now_ms, is_meshed=is_meshed)
+        if audiences:
+            yield from self._send(audiences, is_ready, now_ms)
 
     def send(self, is_ready: bool, now_ms: float) -> Iterator[SendToPeer]:
         """Send a status to every peer."""
-        self._is_due = False
-        self._sent_ms = now_ms
+        yield from self._send(set(Audience), is_ready, now_ms)
+
+    def _note_urgent_parts(self) -> None:
+        if self._reports.is_urgent:
+            self._schedule.note_due(Audience.PEERS)
+        if self._far_reports.is_urgent:
+            self._schedule.note_due(Audience.GROUP)
+
+    def _send(
+        self, audiences: set[Audience], is_ready: bool, now_ms: float
+    ) -> Iterator[SendToPeer]:
         self._roster.is_ready = is_ready
-        if self._roster.is_meshed():
+        if Audience.PEERS in audiences:
+            # What peers are told of this node's group the group is told with it.
+            audiences.add(Audience.GROUP)
+        for each in audiences:
+            self._schedule.note_sent(each, now_ms)
+        if not self._roster.is_meshed():
+            yield from self._send_planned(audiences, now_ms)
+        elif Audience.PEERS in audiences:
             yield from self._send_meshed(now_ms)
-        else:
-            yield from self._send_planned(now_ms)
 
     def read(self, sender: NodeName, status: NodeStatus, now_ms: float) -> None:
         """Take in what a peer says of nodes, their calls and the store."""
-        is_news = self._roster.note_status(sender, status.is_ready, now_ms)
+        is_node_news = self._roster.note_status(sender, status.is_ready, now_ms)
         if status.is_report:
             self._leaves.add(sender)
         elif sender in self._leaves:
             self._leaves.discard(sender)
             self._uses.forget_peer(sender)
         if status.nodes is not None:
-            is_news |= self._roster.note_told(sender, status.nodes, now_ms)
+            is_node_news |= self._roster.note_told(sender, status.nodes, now_ms)
         match status.covers:
             case Coverage.GROUP:
                 self._uses.apply_peer(sender, status.uses, now_ms)
@@ -160,10 +173,25 @@
         for each in status.goals:
             self._goals.note_age(each.model, each.version, each.age_ms, now_ms)
         self._bulletin.apply_lives(status.lives, now_ms)
-        is_news |= self._bulletin.apply(status.news, now_ms)
-        if is_news and not self._roster.is_meshed():
-            self._nodes_ms = float("-inf")
-            self._is_due = True
+        is_replica_news = self._bulletin.apply(status.news, now_ms)
+        if is_node_news or is_replica_news:
+            self._pass_on_news(sender, is_node_news=is_node_news)
+
+    def _pass_on_news(self, sender: NodeName, *, is_node_news: bool) -> None:
+        """Let those be told at once who didn't hear it from where this node did."""
+        if self._roster.is_meshed():
+            return
+        match self._find_audience(sender):
+            case Audience.PEERS:
+                others = [Audience.GROUP]
+            case Audience.GROUP:
+                others = [Audience.PEERS, Audience.GROUP]
+            case Audience.STANDBY:
+                # The hub that the sender reports to tells all others.
+                return
+        self._schedule.note_due(*others)
+        if is_node_news:
+            self._nodes_ms.update(dict.fromkeys(others, float("-inf")))
 
     def _pass_on_parts(
         self, sender: NodeName, parts: Iterable[ReadPart], now_ms: float
@@ -192,63 +220,72 @@
         for name in self._views.linked:
             yield SendToPeer(name, status)
 
-    def _send_planned(self, now_ms: float) -> Iterator[SendToPeer]:
-        linked = self._views.linked
-        primary = self._roster.find_primary()
+    def _send_planned(
+        self, audiences: set[Audience], now_ms: float
+    ) -> Iterator[SendToPeer]:
         light = self._build_light(now_ms)
-        parts = self._reports.take(LARGE_TOKENS, now_ms)
-        far_parts = self._far_reports.take(LARGE_TOKENS, now_ms)
-        group = msgspec.structs.replace(light, parts=parts)
-        fleet = msgspec.structs.replace(light, parts=parts + far_parts)
-        if now_ms - self._nodes_ms >= NODES_MS:
-            self._nodes_ms = now_ms
+        messages = {Audience.STANDBY: light}
+        parts: tuple[ReadPart, ...] = ()
+        if Audience.PEERS in audiences:
+            parts = self._reports.take(LARGE_TOKENS, now_ms)
+            messages[Audience.PEERS] = self._build_group(light, parts, now_ms)
+        if Audience.GROUP in audiences and self._leaves:
+            parts += self._far_reports.take(LARGE_TOKENS, now_ms)
+            messages[Audience.GROUP] = self._build_fleet(light, parts, now_ms)
+        for name in self._views.linked:
+            audience = self._find_audience(name)
+            if audience in audiences:
+                yield SendToPeer(name, messages[audience])
+
+    def _build_group(
+        self, light: NodeStatus, parts: tuple[ReadPart, ...], now_ms: float
+    ) -> NodeStatus:
+        """Return what peers are told of this node and those that report to it."""
+        primary = self._roster.find_primary()
+        changes: dict[str, object] = {"parts": parts, "is_report": primary is not None}
+        if self._is_nodes_due(Audience.PEERS, now_ms):
             nodes = self._roster.list_heard(sorted(self._leaves), now_ms)
-            group = msgspec.structs.replace(group, nodes=tuple(nodes))
-            if self._leaves:
-                alive = self._roster.list_alive(now_ms)
-                fleet = msgspec.structs.replace(fleet, nodes=tuple(alive))
-        if now_ms - self._full_ms >= self._find_full_interval():
-            self._full_ms = now_ms
+            changes["nodes"] = tuple(nodes)
+        if self._is_full_due(Audience.PEERS, now_ms):
             own = self._uses.report()
-            group = self._add_group(group, own, primary, now_ms)
-            if self._leaves:
-                fleet = self._add_fleet(fleet, own, now_ms)
-        report = msgspec.structs.replace(group, is_report=True)
-        for name in linked:
-            if name == primary:
-                yield SendToPeer(name, report)
-            elif name in self._leaves:
-                yield SendToPeer(name, fleet)
-            else:
-                yield SendToPeer(name, group if self._is_hub_pair(name) else light)
+            group = self._leaves - {primary}
+            changes["covers"] = Coverage.GROUP
+            changes["uses"] = self._uses.sum_group(own, group, now_ms)
+        return msgspec.structs.replace(light, **changes)
 
-    def _add_group(
-        self,
-        status: NodeStatus,
-        own: tuple[ReplicaUse, ...],
-        primary: NodeName | None,
-        now_ms: float,
+    def _build_fleet(
+        self, light: NodeStatus, parts: tuple[ReadPart, ...], now_ms: float
     ) -> NodeStatus:
-        return msgspec.structs.replace(
-            status,
-            covers=Coverage.GROUP,
-            uses=self._uses.sum_group(own, self._leaves - {primary}, now_ms),
-        )
+        """Return what the nodes that report to this one are told of all nodes."""
+        changes: dict[str, object] = {"parts": parts}
+        if self._is_nodes_due(Audience.GROUP, now_ms):
+            changes["nodes"] = tuple(self._roster.list_alive(now_ms))
+        if self._is_full_due(Audience.GROUP, now_ms):
+            peers = list(self._uses.list_peers())
+            uses = self._uses.sum_group(self._uses.list_own(), peers, now_ms)
+            changes["covers"] = Coverage.FLEET
+            changes["uses"] = uses
+            self._full_bytes = len(uses) * USE_BYTES
+        return msgspec.structs.replace(light, **changes)
 
-    def _add_fleet(
-        self,
-        status: NodeStatus,
-        own: tuple[ReplicaUse, ...],
-        now_ms: float,
-    ) -> NodeStatus:
-        peers = list(self._uses.list_peers())
-        fleet = msgspec.structs.replace(
-            status,
-            covers=Coverage.FLEET,
-            uses=self._uses.sum_group(own, peers, now_ms),
-        )
-        self._full_bytes = len(fleet.uses) * USE_BYTES
-        return fleet
+    def _is_nodes_due(self, audience: Audience, now_ms: float) -> bool:
+        is_due = now_ms - self._nodes_ms[audience] >= NODES_MS
+        if is_due:
+            self._nodes_ms[audience] = now_ms
+        return is_due
+
+    def _is_full_due(self, audience: Audience, now_ms: float) -> bool:
+        is_due = now_ms - self._full_ms[audience] >= self._find_full_interval()
+        if is_due:
+            self._full_ms[audience] = now_ms
+        return is_due
+
+    def _find_audience(self, name: NodeName) -> Audience:
+        if self._roster.is_meshed() or name == self._roster.find_primary():
+            return Audience.PEERS
+        if name in self._leaves:
+            return Audience.GROUP
+        return Audience.PEERS if self._is_hub_pair(name) else Audience.STANDBY
 
     def _build_light(self, now_ms: float) -> NodeStatus:
         return NodeStatus(
--- a/packages/toucanyard/src/toucanyard/weights_duty.py
+++ b/packages/toucanyard/src/toucanyard/weights_duty.py
@@ -136,7 +136,7 @@
             self._work = _Work(since_ms=now_ms)
         actions: list[DutyAction] = []
         holder = self._turns.find_holder()
-        is_alive = holder in self._roster.find_alive(now_ms)
+        is_alive = self._roster.is_alive(holder, now_ms)
         rank = self._roster.find_rank("orders", now_ms)
         asked = self._turns.tick(
             self._work.since_ms or now_ms, rank, is_alive, now_ms, is_leaving=is_leaving
--- a/tests/toucanyard/relay_fleet.py
+++ b/tests/toucanyard/relay_fleet.py
@@ -5,7 +5,11 @@
 import random
 
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.link_messages import decode_link_message, encode_link_message
+from toucanyard.link_messages import (
+    NodeStatus,
+    decode_link_message,
+    encode_link_message,
+)
 from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
@@ -121,6 +125,7 @@
         self.dead: set[NodeName] = set()
         self.notes: list[tuple[NodeName, Note]] = []
         self.sent_bytes: dict[NodeName, int] = {}
+        self.sent_statuses = 0
         self._linked: dict[NodeName, set[NodeName]] = {}
         records = [
             KeyedRecord(name, number, put(core.own_record))
@@ -157,6 +162,7 @@
                 self.notes.append((name, action))
             if isinstance(action, SendToPeer):
                 data = encode_link_message(action.message)
+                self.sent_statuses += isinstance(action.message, NodeStatus)
                 self.sent_bytes[name] = self.sent_bytes.get(name, 0) + len(data)
                 message = decode_link_message(data)
                 self.handle(action.node, LinkMessageRead(core.identity, message))
--- a/tests/toucanyard/test_roster.py
+++ b/tests/toucanyard/test_roster.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from hypothesis import given, strategies as st
+
 from toucanyard.link_messages import NodeNews
 from toucanyard.names import Address, DomainName, Incarnation, NodeName
 from toucanyard.node_records import NodeRecord
@@ -62,3 +64,54 @@
     roster = build_roster()
     roster.note_told(ONE, (NodeNews(NodeName("own"), True),), 0.0)
     assert roster.find_alive(1.0) == []
+
+
+NAMES = (ONE, TWO, FAR)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["status", "told", "remove", "links"]),
+        st.sampled_from(NAMES),
+        st.booleans(),
+        st.sampled_from([0.0, 250.0, STATUS_KEPT_MS, TOLD_KEPT_MS + 1.0]),
+    ),
+    max_size=12,
+)
+
+
+def take_step(roster: Roster, step: tuple[str, NodeName, bool], now_ms: float) -> None:
+    kind, name, is_ready = step
+    match kind:
+        case "status":
+            roster.note_status(name, is_ready, now_ms)
+        case "told":
+            told = [NodeNews(name, is_ready)] + [NodeNews(FAR, True)] * is_ready
+            roster.note_told(ONE, told, now_ms)
+        case "remove":
+            roster.remove(name)
+        case "links":
+            roster.retain_linked([name])
+
+
+@given(STEPS)
+def test_asking_often_changes_no_answer(
+    steps: list[tuple[str, NodeName, bool, float]],
+) -> None:
+    """Who is alive is merged only when it may have changed.
+
+    A node whose death or return were missed would be sent callers, or none, for good,
+    and would go first in a matter that nobody then sees to. So a roster that is asked
+    after each step answers like one that is asked once.
+    """
+    asked, unasked = build_roster(), build_roster()
+    now_ms = 0.0
+    for kind, name, is_ready, wait_ms in steps:
+        now_ms += wait_ms
+        for roster in (asked, unasked):
+            take_step(roster, (kind, name, is_ready), now_ms)
+        asked.find_rank("orders", now_ms)
+        asked.find_addresses(now_ms)
+    now_ms += 1.0
+    assert asked.find_alive(now_ms) == unasked.find_alive(now_ms)
+    assert asked.find_addresses(now_ms) == unasked.find_addresses(now_ms)
+    assert asked.find_rank("orders", now_ms) == unasked.find_rank("orders", now_ms)
+    assert asked.count_nodes(now_ms) == unasked.count_nodes(now_ms)
--- a/tests/toucanyard/test_status_exchange.py
+++ b/tests/toucanyard/test_status_exchange.py
@@ -277,3 +277,31 @@
         other = core.directory.find(EndpointName("a"))
         assert other is not None
         assert not other.is_loading(fleet.now_ms)
+
+
+def test_news_goes_to_each_node_once_and_not_back_to_its_teller() -> None:
+    """One of 195 nodes has a call refused by a replica that is to load weights.
+
+    The node tells its hub, which tells its group and the other hubs, which tell theirs.
+    If each node that hears it told its own hubs again, a roll-out of weights over 64
+    replicas would keep every hub busy with statuses, and calls there would wait.
+    """
+    fleet = build_fleet(5, 39)
+    quiet_statuses = count_statuses(fleet, 400.0)
+    sender = next(name for name in fleet.cores if name not in fleet.find_hubs())
+    core = fleet.cores[sender]
+    known = core.directory.find(EndpointName("a"))
+    assert known is not None
+    known.note_refusal(fleet.now_ms)
+    core.bulletin.note(EndpointName("a"), fleet.now_ms)
+    core.statuses.note_due()
+    news_statuses = count_statuses(fleet, 400.0) - quiet_statuses
+    hubs = len(fleet.find_hubs())
+    assert news_statuses <= len(fleet.cores) + hubs * hubs
+
+
+def count_statuses(fleet: PlannedFleet, for_ms: float) -> int:
+    """Return how many statuses all nodes send in some time."""
+    before = fleet.sent_statuses
+    fleet.run(for_ms)
+    return fleet.sent_statuses - before
--- /dev/null
+++ b/tests/toucanyard/test_status_schedule.py
@@ -0,0 +1,44 @@
+from __future__ import annotations
+
+from toucanyard.status_schedule import (
+    STANDBY_MS,
+    STATUS_MS,
+    URGENT_MS,
+    Audience,
+    StatusSchedule,
+)
+
+AUDIENCES = set(Audience)
+
+
+def start_schedule() -> StatusSchedule:
+    schedule = StatusSchedule()
+    assert schedule.find_due(0.0, is_meshed=False) == AUDIENCES
+    for audience in Audience:
+        schedule.note_sent(audience, 0.0)
+    return schedule
+
+
+def test_audiences_are_due_by_themselves_and_who_stands_by_less_often() -> None:
+    schedule = start_schedule()
+    assert schedule.find_due(STATUS_MS - 1.0, is_meshed=False) == set()
+    assert schedule.find_due(STATUS_MS, is_meshed=False) == {
+        Audience.PEERS,
+        Audience.GROUP,
+    }
+    assert schedule.find_due(STANDBY_MS, is_meshed=False) == AUDIENCES
+
+
+def test_news_goes_early_only_to_the_audience_that_lacks_it() -> None:
+    schedule = start_schedule()
+    schedule.note_due(Audience.GROUP)
+    assert schedule.find_due(URGENT_MS - 1.0, is_meshed=False) == set()
+    assert schedule.find_due(URGENT_MS, is_meshed=False) == {Audience.GROUP}
+    schedule.note_sent(Audience.GROUP, URGENT_MS)
+    assert schedule.find_due(2 * URGENT_MS, is_meshed=False) == set()
+
+
+def test_news_goes_at_once_in_a_mesh() -> None:
+    schedule = start_schedule()
+    schedule.note_due(Audience.PEERS)
+    assert schedule.find_due(0.0, is_meshed=True) == {Audience.PEERS}
--- /dev/null
+++ b/tests/toucanyard_node/test_encoded_messages.py
@@ -0,0 +1,34 @@
+from __future__ import annotations
+
+from toucanyard_node.encoded_messages import KEPT, EncodedMessages
+
+
+def test_messages_that_go_to_many_peers_in_turn_are_encoded_once_each() -> None:
+    """A hub sends three kinds of status to 46 peers, in the order of their links.
+
+    Encoded for each peer anew, the hub would be late with what it passes on and calls
+    at it would wait.
+    """
+    encoded: list[str] = []
+
+    def encode(message: str) -> bytes:
+        encoded.append(message)
+        return message.encode()
+
+    messages = EncodedMessages(encode)
+    kinds = ["to its nodes", "to hubs", "standing by"]
+    for peer in range(46):
+        kind = kinds[peer % 3]
+        assert messages.find(kind) == kind.encode()
+    assert encoded == kinds
+
+
+def test_equal_messages_and_old_ones_are_encoded_anew() -> None:
+    messages: EncodedMessages[list[int]] = EncodedMessages(bytes)
+    message = [1, 2]
+    assert messages.find(message) == b"\x01\x02"
+    message.append(3)
+    assert messages.find([1, 2, 3]) == b"\x01\x02\x03"
+    for number in range(KEPT):
+        messages.find([number])
+    assert messages.find(message) == b"\x01\x02\x03"
