Let nodes without calls report less often, and readers at once

Cause: nine tenths of a large fleet's statuses say that a node without calls lives. The word of whoever reads the list of replicas waits up to 250 ms at each hop.

Change: reports of a node without calls come each 375 ms, as those to nodes that stand by; who has read the list tells its hub at once.

Ruled out: 500 ms, which leaves a link 0.75 s of a lost packet's delay before it counts as silent.

--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -309,6 +309,9 @@
     def _read_topic(self, read: TopicRead, now_ms: float) -> Iterator[RelayAction]:
         before = self.exchange.views[read.topic].end
         listed_ms = self.exchange.views[read.topic].confirmed_ms
+        if read.topic is Topic.REPLICAS and not self.roster.is_meshed():
+            # All nodes rely on the reader's word that the list is as it was.
+            self.statuses.note_due()
         changes = self.exchange.apply_read(
             read.topic,
             read.records,
--- a/packages/toucanyard/src/toucanyard/replica_uses.py
+++ b/packages/toucanyard/src/toucanyard/replica_uses.py
@@ -130,6 +130,10 @@
             for name, calls in self._own.items()
         )
 
+    def has_news(self) -> bool:
+        """Tell whether this node has calls under way, or last reported some."""
+        return bool(self._own or self._told)
+
     def report(self) -> tuple[ReplicaUse, ...]:
         """Return this node's calls, and remember that they were told."""
         own = self.list_own()
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -130,7 +130,11 @@
         is_meshed = self._roster.is_meshed()
         if not is_meshed:
             self._note_urgent_parts()
-        audiences = self._schedule.find_due(now_ms, is_meshed=is_meshed)
+        # Hubs report for others, whose calls end and begin all the time.
+        is_quiet = not self._leaves and not self._uses.has_news()
+        audiences = self._schedule.find_due(
+            now_ms, is_meshed=is_meshed, is_quiet=is_quiet
+        )
         if audiences:
             yield from self._send(audiences, is_ready, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/status_schedule.py
+++ b/packages/toucanyard/src/toucanyard/status_schedule.py
@@ -15,9 +15,9 @@
 URGENT_MS: Final = 75.0
 """Least time between two statuses in a fleet that is not meshed: while weights are
 loaded there is news of some replica all the time."""
-STANDBY_MS: Final = 500.0
-"""Time between two statuses where neither end reports to the other. They only show that
-the peer lives; a link counts as dead after two and a half of them."""
+QUIET_MS: Final = 375.0
+"""The same where a status only shows that the node lives: neither end reports to the
+other, or the node has no call to report. A link counts as dead after three of them."""
 
 
 class Audience(enum.Enum):
@@ -50,16 +50,20 @@
         self._sent_ms[audience] = now_ms
         self._due.discard(audience)
 
-    def find_due(self, now_ms: float, *, is_meshed: bool) -> set[Audience]:
-        """Return whom to send a status now."""
-        least_ms = 0.0 if is_meshed else URGENT_MS
-        return {
-            audience
-            for audience, sent_ms in self._sent_ms.items()
-            if now_ms - sent_ms >= self._find_interval(audience, least_ms)
-        }
+    def find_due(
+        self, now_ms: float, *, is_meshed: bool, is_quiet: bool = False
+    ) -> set[Audience]:
+        """Return whom to send a status now.
 
-    def _find_interval(self, audience: Audience, least_ms: float) -> float:
-        if audience in self._due:
-            return least_ms
-        return STANDBY_MS if audience is Audience.STANDBY else STATUS_MS
+        `is_quiet` tells that peers have nothing to learn of this node's calls.
+        """
+        quiet = {Audience.STANDBY} if is_meshed or not is_quiet else set(Audience)
+        least_ms = 0.0 if is_meshed else URGENT_MS
+        due = set()
+        for audience, sent_ms in self._sent_ms.items():
+            interval_ms = QUIET_MS if audience in quiet else STATUS_MS
+            if audience in self._due:
+                interval_ms = least_ms
+            if now_ms - sent_ms >= interval_ms:
+                due.add(audience)
+        return due
--- a/tests/toucanyard/test_status_schedule.py
+++ b/tests/toucanyard/test_status_schedule.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from toucanyard.status_schedule import (
-    STANDBY_MS,
+    QUIET_MS,
     STATUS_MS,
     URGENT_MS,
     Audience,
@@ -26,7 +26,16 @@
         Audience.PEERS,
         Audience.GROUP,
     }
-    assert schedule.find_due(STANDBY_MS, is_meshed=False) == AUDIENCES
+    assert schedule.find_due(QUIET_MS, is_meshed=False) == AUDIENCES
+
+
+def test_node_without_calls_reports_less_often_but_not_in_a_mesh() -> None:
+    schedule = start_schedule()
+    quiet = {"is_quiet": True, "is_meshed": False}
+    assert schedule.find_due(STATUS_MS, **quiet) == set()
+    assert schedule.find_due(QUIET_MS, **quiet) == AUDIENCES
+    meshed = schedule.find_due(STATUS_MS, is_meshed=True, is_quiet=True)
+    assert Audience.PEERS in meshed
 
 
 def test_news_goes_early_only_to_the_audience_that_lacks_it() -> None:
