Part the core of relaying nodes from reading the store's topics

Change: StoreReads (when to read), TopicIntake (what reads and peers say); the directory alone holds the absence and says whether it is new. No behaviour changes; the tests of both are those that stood.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -168,8 +168,8 @@
     def _watch(self, topic: Topic) -> None:
         view = self.core.exchange.views[topic]
         is_new = not view.end and not self._next[topic]
-        if is_new or self.core.is_read_due(topic, self.now_ms):
-            self.core.note_read_begun(topic, self.now_ms)
+        if is_new or self.core.reads.is_due(topic, self.now_ms):
+            self.core.reads.note_begun(topic, self.now_ms)
             asked_ms = self.now_ms
             self._ask_store(lambda: self._read(topic, asked_ms), topic.value)
         self.after(LOOK_MS[topic], lambda: self._watch(topic))
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -85,7 +85,7 @@
         """Read a topic that seldom changes by reads that wait for a record."""
         pause_s = RETRY_S
         while True:
-            wait_ms = self._core.compute_poll_wait(trio.current_time() * 1000)
+            wait_ms = self._core.reads.compute_poll_wait(trio.current_time() * 1000)
             if await self._read(topic, wait_ms):
                 pause_s = RETRY_S
                 continue
@@ -98,7 +98,7 @@
             while True:
                 now_ms = trio.current_time() * 1000
                 if self._is_due(topic, now_ms):
-                    self._core.note_read_begun(topic, now_ms)
+                    self._core.reads.note_begun(topic, now_ms)
                     self._reading[topic] += 1
                     nursery.start_soon(self._read_and_rest, topic)
                 await trio.sleep(self._find_look(topic, now_ms))
@@ -106,13 +106,13 @@
     def _find_look(self, topic: Topic, now_ms: float) -> float:
         if self._core.roster.is_meshed():
             return LOOK_S[topic]
-        due_s = (self._core.find_read_due(topic, now_ms) - now_ms) / 1000
+        due_s = (self._core.reads.find_due(topic, now_ms) - now_ms) / 1000
         return min(max(due_s, FAR_LOOK_S, LOOK_S[topic]), MAX_FAR_LOOK_S)
 
     def _is_due(self, topic: Topic, now_ms: float) -> bool:
-        is_due = self._core.is_read_due(topic, now_ms)
+        is_due = self._core.reads.is_due(topic, now_ms)
         if self._reading[topic]:
-            return is_due and self._core.may_ask_again(topic, now_ms)
+            return is_due and self._core.reads.may_ask_again(topic, now_ms)
         is_new = topic in self._needs_whole and not self._core.exchange.views[topic].end
         return is_new or is_due
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -53,19 +53,12 @@
 from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex
 from toucanyard.status_exchange import StatusExchange
-from toucanyard.store_contact import Absence
-from toucanyard.store_schedule import (
-    MAX_ASKING_RANK,
-    compute_due,
-    compute_poll_wait,
-)
+from toucanyard.store_reads import StoreReads
+from toucanyard.topic_intake import TopicIntake
 from toucanyard.view_exchange import ViewExchange
 from toucanyard.weights_duty import WeightsDuty
 from toucanyard.weights_goals import WeightsGoals
 
-POLLED_HOLD_MS: Final = 250.0
-"""How long peers in a large fleet are left to read what operators wrote: all of them
-poll for it, and sent by each to each a large configuration fills slow links."""
 PRUNE_MS: Final = 5_000.0
 TICK_MS: Final = 25.0
 """Time between two ticks in a mesh."""
@@ -136,11 +129,18 @@
             lambda now_ms: self.sources.list_stores(self.index, now_ms),
             options.link_mbps,
         )
+        self.reads = StoreReads(self.roster, self.exchange)
+        self.topics = TopicIntake(
+            self.exchange,
+            self.facts,
+            self.directory,
+            self.roster,
+            self.statuses,
+            options.weights.deadline_ms,
+        )
         self.is_stopping = False
-        self._asked_ms = dict.fromkeys(Topic, float("-inf"))
         self._pruned_ms = float("-inf")
         self._hub: NodeName | None = None
-        self._absence: Absence | None = None
 
     @property
     def index(self) -> RouteIndex:
@@ -163,32 +163,6 @@
         is_busy = self.flow.count_pending() > 0 or self.duty.is_busy()
         return FAR_TICK_MS if is_busy or self.statuses.has_group() else REST_TICK_MS
 
-    def is_read_due(self, topic: Topic, now_ms: float) -> bool:
-        """Tell whether this node should read a topic that changes all the time."""
-        return now_ms >= self.find_read_due(topic, now_ms)
-
-    def find_read_due(self, topic: Topic, now_ms: float) -> float:
-        """Return when this node should read a topic, as far as it knows now."""
-        return compute_due(
-            topic,
-            self.roster.find_rank(topic.value, now_ms),
-            self.exchange.views[topic].confirmed_ms,
-            self._asked_ms[topic],
-            is_meshed=self.roster.is_meshed(),
-        )
-
-    def may_ask_again(self, topic: Topic, now_ms: float) -> bool:
-        """Tell whether to read a topic though a read of it has no answer yet."""
-        return self.roster.find_rank(topic.value, now_ms) <= MAX_ASKING_RANK
-
-    def note_read_begun(self, topic: Topic, now_ms: float) -> None:
-        """Note that this node asks the store for a topic."""
-        self._asked_ms[topic] = now_ms
-
-    def compute_poll_wait(self, now_ms: float) -> float:
-        """Return how long a read of a topic that seldom changes may wait, in ms."""
-        return compute_poll_wait(self.roster.count_nodes(now_ms))
-
     def handle(self, event: RelayEvent, now_ms: float) -> list[RelayAction]:
         """Take one event in and return what must be done now, in this order."""
         self.flow.note_view(self.exchange.views[Topic.REPLICAS].confirmed_ms)
@@ -201,7 +175,7 @@
             case TurnRead() | TurnAppended() | ReplicaStateRead() | OrderAnswered():
                 yield from self._handle_duty(event, now_ms)
             case TopicRead():
-                yield from self._read_topic(event, now_ms)
+                yield from self.topics.take_read(event, now_ms)
             case StoreFailed(purpose=purpose, reason=reason):
                 yield Note("store_failed", {"purpose": purpose, "reason": reason})
             case PeersLinked(peers=peers):
@@ -304,47 +278,7 @@
             case NodeStatus():
                 yield from self._read_status(sender, message, now_ms)
             case ViewRecords():
-                yield from self._read_records(sender, message, now_ms)
-
-    def _read_topic(self, read: TopicRead, now_ms: float) -> Iterator[RelayAction]:
-        before = self.exchange.views[read.topic].end
-        listed_ms = self.exchange.views[read.topic].confirmed_ms
-        if read.topic is Topic.REPLICAS and not self.roster.is_meshed():
-            # All nodes rely on the reader's word that the list is as it was.
-            self.statuses.note_due()
-        changes = self.exchange.apply_read(
-            read.topic,
-            read.records,
-            read.end,
-            read.asked_ms,
-            is_whole=read.is_whole,
-            now_ms=now_ms,
-        )
-        yield from self._note_contact()
-        # What stood in the store before this node looked may have stood there long.
-        known_ms = self.options.weights.deadline_ms / 2 if read.is_whole else 0.0
-        yield from self.facts.apply(
-            changes,
-            "store",
-            now_ms,
-            listed_ms=listed_ms,
-            known_for_ms=known_ms,
-        )
-        if changes or self.exchange.views[read.topic].end > before:
-            targets = self.statuses.find_targets(read.topic)
-            yield from self.exchange.push(targets, read.topic, before, now_ms)
-
-    def _read_records(
-        self, sender: NodeName, message: ViewRecords, now_ms: float
-    ) -> Iterator[RelayAction]:
-        before = self.exchange.views[message.topic].end
-        listed_ms = self.exchange.views[message.topic].confirmed_ms
-        changes = self.exchange.apply_records(message, now_ms)
-        yield from self._note_contact()
-        yield from self.facts.apply(changes, sender, now_ms, listed_ms=listed_ms)
-        if self.exchange.views[message.topic].end > before:
-            targets = self.statuses.find_targets(message.topic, sender)
-            yield from self.exchange.push(targets, message.topic, before, now_ms)
+                yield from self.topics.take_records(sender, message, now_ms)
 
     def _read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
@@ -356,24 +290,7 @@
             if self.sources.note_heard(store.store, heard_ms, store.epoch):
                 self.flow.book.forget(store.store)
         self._apply_parts(status.parts, now_ms)
-        hold_ms = 0.0 if self.roster.is_meshed() else POLLED_HOLD_MS
-        yield from self.exchange.answer_status(
-            sender, status.views, now_ms, hold_ms=hold_ms
-        )
-        yield from self._note_contact()
-
-    def _note_contact(self) -> Iterator[RelayAction]:
-        """Let replicas that left the list count by what is known of the store now."""
-        absence = self.exchange.views[Topic.REPLICAS].contact.find_absence()
-        if absence == self._absence:
-            return
-        self._absence = absence
-        self.directory.note_absence(absence)
-        if absence is None:
-            yield Note("store_was_there", {})
-        else:
-            away_ms = round(absence.returned_ms - absence.before_ms)
-            yield Note("store_returned", {"away_ms": away_ms})
+        yield from self.topics.answer_status(sender, status.views, now_ms)
 
     def _note_parts(self, event: PartsChanged | HolderLost, now_ms: float) -> None:
         if isinstance(event, HolderLost):
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -333,12 +333,18 @@
                 each.removal = Removal(listed_ms, is_mass)
                 each.grace_until_ms = self._find_grace_end(each.removal)
 
-    def note_absence(self, absence: Absence | None) -> None:
-        """Take in when the store was last away for all nodes."""
+    def note_absence(self, absence: Absence | None) -> bool:
+        """Take in when the store was last away for all nodes; return whether it's new.
+
+        Only then are graces reckoned anew: peers say the same in each status.
+        """
+        if absence == self._absence:
+            return False
         self._absence = absence
         for known in self._known.values():
             if known.removal is not None:
                 known.grace_until_ms = self._find_grace_end(known.removal)
+        return True
 
     def _find_grace_end(self, removal: Removal) -> float:
         """Return until when a replica that left the list may get calls.
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/store_reads.py
@@ -0,0 +1,53 @@
+"""Know when this node should read each topic of the platform's store.
+
+Puts the schedule of reads together with what one node knows: its rank among the live
+nodes, how old each topic is, and when it asked last.
+"""
+
+from __future__ import annotations
+
+from toucanyard.keyed_view import Topic
+from toucanyard.roster import Roster
+from toucanyard.store_schedule import (
+    MAX_ASKING_RANK,
+    compute_due,
+    compute_poll_wait,
+)
+from toucanyard.view_exchange import ViewExchange
+
+
+class StoreReads:
+    """The reads of one node: when the next one is due, and when the last one began."""
+
+    __slots__ = ("_asked_ms", "_exchange", "_roster")
+
+    def __init__(self, roster: Roster, exchange: ViewExchange) -> None:
+        self._roster = roster
+        self._exchange = exchange
+        self._asked_ms = dict.fromkeys(Topic, float("-inf"))
+
+    def is_due(self, topic: Topic, now_ms: float) -> bool:
+        """Tell whether this node should read a topic that changes all the time."""
+        return now_ms >= self.find_due(topic, now_ms)
+
+    def find_due(self, topic: Topic, now_ms: float) -> float:
+        """Return when this node should read a topic, as far as it knows now."""
+        return compute_due(
+            topic,
+            self._roster.find_rank(topic.value, now_ms),
+            self._exchange.views[topic].confirmed_ms,
+            self._asked_ms[topic],
+            is_meshed=self._roster.is_meshed(),
+        )
+
+    def may_ask_again(self, topic: Topic, now_ms: float) -> bool:
+        """Tell whether to read a topic though a read of it has no answer yet."""
+        return self._roster.find_rank(topic.value, now_ms) <= MAX_ASKING_RANK
+
+    def note_begun(self, topic: Topic, now_ms: float) -> None:
+        """Note that this node asks the store for a topic."""
+        self._asked_ms[topic] = now_ms
+
+    def compute_poll_wait(self, now_ms: float) -> float:
+        """Return how long a read of a topic that seldom changes may wait, in ms."""
+        return compute_poll_wait(self._roster.count_nodes(now_ms))
--- a/tests/toucanyard/store_fleet.py
+++ b/tests/toucanyard/store_fleet.py
@@ -144,11 +144,11 @@
         while failing and self.now_ms >= failing[0]:
             del failing[0]
             self.handle(name, StoreFailed("replicas", "no answer"))
-        if not core.is_read_due(Topic.REPLICAS, self.now_ms):
+        if not core.reads.is_due(Topic.REPLICAS, self.now_ms):
             return
-        if failing and not core.may_ask_again(Topic.REPLICAS, self.now_ms):
+        if failing and not core.reads.may_ask_again(Topic.REPLICAS, self.now_ms):
             return
-        core.note_read_begun(Topic.REPLICAS, self.now_ms)
+        core.reads.note_begun(Topic.REPLICAS, self.now_ms)
         self.asked += 1
         if name in self.store_away or name in self.cut_off:
             failing.append(self.now_ms + STORE_TIMEOUT_MS)
--- a/tests/toucanyard/test_relay_core.py
+++ b/tests/toucanyard/test_relay_core.py
@@ -155,7 +155,7 @@
     """
     fleet = Fleet("a", "b", "c")
     fleet.run(300.0)
-    due = [n for n in "abc" if fleet.core(n).is_read_due(Topic.REPLICAS, 0.0)]
+    due = [n for n in "abc" if fleet.core(n).reads.is_due(Topic.REPLICAS, 0.0)]
     assert len(due) == 3
     fleet.read(due[0], Topic.REPLICAS, KeyedRecord("r", 0, put(build_replica("r"))))
     begun_ms = fleet.now_ms
@@ -164,7 +164,7 @@
         fleet.run(25.0)
         for name in "abc":
             core = fleet.core(name)
-            if core.is_read_due(Topic.REPLICAS, fleet.now_ms):
+            if core.reads.is_due(Topic.REPLICAS, fleet.now_ms):
                 first_ms.setdefault(name, fleet.now_ms - begun_ms)
     ordered = sorted(first_ms.values())
     assert ordered[0] == pytest.approx(READ_MS[Topic.REPLICAS], abs=50)
