Name gossip, updates, the rollout's leader and the full mesh as the field does

Cause: bulletin, tellings, duty, ways and meshed are words of our own that a newcomer has to look up; three comments argued by what would be.

Nothing else.

Left: goals and wanted weights (desired versions), part book and sources (prefix-block index), note_ (record, on).

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -211,9 +211,9 @@
             )
             return
         state = engine.read_state()
-        way_ms = self.world.pool.compute_way(self.domain, read.replica)
+        latency_ms = self.world.pool.compute_latency(self.domain, read.replica)
         self.after(
-            4 * way_ms + 1.0,
+            4 * latency_ms + 1.0,
             lambda: self.handle(ReplicaStateRead(read.replica, state, asked_ms)),
         )
 
@@ -229,13 +229,13 @@
             if late_ms is not None:
                 self.world.pool.take_order_later(order, late_ms)
             return
-        way_ms = self.world.pool.compute_way(self.domain, order.replica)
+        latency_ms = self.world.pool.compute_latency(self.domain, order.replica)
 
         def take() -> None:
             status = self.world.pool.take_order(order)
-            self.after(way_ms, lambda: self.handle(OrderAnswered(order, status)))
+            self.after(latency_ms, lambda: self.handle(OrderAnswered(order, status)))
 
-        self.after(3 * way_ms + 1.0, take)
+        self.after(3 * latency_ms + 1.0, take)
 
     def _find_followed(self) -> None:
         core = self.core
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
@@ -157,16 +157,16 @@
             )
             return
         world.counts.connections += 1
-        way_ms = world.pool.compute_way(self._node.domain, dispatch.replica)
-        reach_ms = 3 * way_ms + HANDSHAKE_MS
-        self._node.after(reach_ms, lambda: self._submit(number, dispatch, way_ms))
+        latency_ms = world.pool.compute_latency(self._node.domain, dispatch.replica)
+        reach_ms = 3 * latency_ms + HANDSHAKE_MS
+        self._node.after(reach_ms, lambda: self._submit(number, dispatch, latency_ms))
         if not math.isinf(dispatch.patience_ms):
             self._node.after(
-                2 * way_ms + HANDSHAKE_MS + dispatch.patience_ms,
+                2 * latency_ms + HANDSHAKE_MS + dispatch.patience_ms,
                 lambda: self._lose_patience(number),
             )
 
-    def _submit(self, number: int, dispatch: RelayDispatch, way_ms: float) -> None:
+    def _submit(self, number: int, dispatch: RelayDispatch, latency_ms: float) -> None:
         if number != self._number:
             return
         replica = self._node.world.pool.find_replica(dispatch.replica)
@@ -179,7 +179,7 @@
             replica.submit(
                 self.arrival.work_ms,
                 lambda end: self._node.after(
-                    way_ms, lambda: self._end_plain(number, end)
+                    latency_ms, lambda: self._end_plain(number, end)
                 ),
             )
             return
@@ -192,9 +192,11 @@
             weights_version=dispatch.weights_version or 0,
             fetch_from=dispatch.fetch_from,
             save_to=dispatch.save_to,
-            on_first=lambda _: self._node.after(way_ms, lambda: self._begin(number)),
+            on_first=lambda _: self._node.after(
+                latency_ms, lambda: self._begin(number)
+            ),
             on_end=lambda job, end: self._node.after(
-                way_ms, lambda: self._end_job(number, job, end)
+                latency_ms, lambda: self._end_job(number, job, end)
             ),
         )
         self.trace.job = job
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/replica_pool.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/replica_pool.py
@@ -221,7 +221,7 @@
         """Return a life of a replica."""
         return self._replicas.get(name)
 
-    def compute_way(self, domain: str, name: EndpointName) -> float:
+    def compute_latency(self, domain: str, name: EndpointName) -> float:
         """Return the time of one way between a node's domain and a replica."""
         is_near = self._entries[name].domain == domain
         return self._scenario.near_ms if is_near else self._scenario.far_ms
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/world.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/world.py
@@ -167,8 +167,8 @@
         """Deliver a message to a peer."""
         target = self.nodes[int(name[1:])]
         is_near = target.domain == sender.domain
-        way_ms = self.scenario.near_ms if is_near else self.scenario.far_ms
-        target.after(way_ms, lambda: target.handle(event))
+        latency_ms = self.scenario.near_ms if is_near else self.scenario.far_ms
+        target.after(latency_ms, lambda: target.handle(event))
 
     def name_weights(self) -> None:
         """Let operators name new weights."""
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -132,8 +132,8 @@
     async def run(self, pages: Pages) -> None:
         """Run until the planned stop is over."""
         listen = self._options.listen
-        # Peers tell a node that starts the routes within milliseconds. Were it ready,
-        # and named to callers, before this socket is open, they would be refused.
+        # Peers send a starting node the routes within milliseconds, and callers come
+        # right after. They are refused if this socket is not open by that time.
         callers = await _listen(listen.callers)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._output.run)
@@ -218,7 +218,7 @@
         pending = self.core.flow.count_pending()
         _LOG.info("stop_begun", pending=pending, grace_ms=stop.grace_ms)
         self._task.client.tell(StopBegun())
-        is_near = self.core.roster.is_meshed()
+        is_near = self.core.roster.is_full_mesh()
         margin_ms = CLOSE_MARGIN_MS if is_near else FAR_CLOSE_MARGIN_MS
         keep_ms = stop.locate_ttl_ms * stop.keep_factor + margin_ms
         last_s = begun_s + (stop.grace_ms - STOP_MARGIN_MS) / 1000
--- a/packages/toucanyard/src/toucanyard/keyed_view.py
+++ b/packages/toucanyard/src/toucanyard/keyed_view.py
@@ -151,8 +151,8 @@
         if record.value is not None:
             fact = self._decode(self.topic, record.key, record.value)
         if isinstance(fact, InvalidRecord) and self.topic is not Topic.REPLICAS:
-            # What held before holds on, and is what peers that start are given. Were it
-            # dropped, one bad record would leave every restarted node without routes.
+            # The value before stays in force and is sent to peers that start. One bad
+            # record would otherwise leave every restarted node without routes.
             if held is None:
                 self._lacking.add(record.key)
             return Change(record.key, fact, before)
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -16,7 +16,7 @@
 from toucanyard.names import EndpointName, NodeName, ReplicaId
 
 
-class ToldAnswer(msgspec.Struct, frozen=True, array_like=True):
+class StoreReadUpdate(msgspec.Struct, frozen=True, array_like=True):
     """The newest answer of the store that a node knows of."""
 
     read_id: int
@@ -31,7 +31,7 @@
 
     topic: Topic
     end: int
-    answer: ToldAnswer | None = None
+    answer: StoreReadUpdate | None = None
     """The store's newest answer, which held nothing beyond `end`."""
 
 
@@ -54,7 +54,7 @@
     """How long it takes no new calls, since it loads weights; 0 if it does."""
     weights: tuple[tuple[str, int], ...]
     pause_id: int = 0
-    """Of the telling that began the pause or renewed it; 0 without a pause."""
+    """Of the update that began the pause or renewed it; 0 without a pause."""
 
 
 class LifeNews(msgspec.Struct, frozen=True, array_like=True):
@@ -137,7 +137,7 @@
     end: int
     is_whole: bool
     records: tuple[KeyedRecord, ...]
-    answer: ToldAnswer | None = None
+    answer: StoreReadUpdate | None = None
 
 
 LinkMessage = NodeStatus | ViewRecords
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -47,16 +47,16 @@
 )
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.relay_options import RelayOptions
-from toucanyard.replica_bulletin import ReplicaBulletin
+from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.requests import EndingSeen
+from toucanyard.rollout_leader import RolloutLeader
 from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex
 from toucanyard.status_exchange import StatusExchange
 from toucanyard.store_reads import StoreReads
 from toucanyard.topic_intake import TopicIntake
 from toucanyard.view_exchange import ViewExchange
-from toucanyard.weights_duty import WeightsDuty
 from toucanyard.weights_goals import WeightsGoals
 
 PRUNE_MS: Final = 5_000.0
@@ -71,7 +71,7 @@
 """Status with which a replica says that it is not the one that was meant."""
 
 CallEvent = CallArrived | CallerLeft | FirstEventSeen | DispatchEnded
-DutyEvent = TurnRead | TurnAppended | ReplicaStateRead | OrderAnswered
+RolloutEvent = TurnRead | TurnAppended | ReplicaStateRead | OrderAnswered
 
 
 class RelayCore:
@@ -102,15 +102,15 @@
             options.link_mbps,
         )
         self.roster = Roster(self.own_record, options.seeds)
-        self.exchange = ViewExchange(decode, self.roster.is_meshed, rng)
+        self.exchange = ViewExchange(decode, self.roster.is_full_mesh, rng)
         self.sources = PartSources(self.directory, self.roster)
         calls = CallPlacement(options, self.directory, self.goals, self.sources, rng)
         self.flow = RelayFlow(
             options.retries, options.policy, self.directory, self.goals, calls, rng
         )
         self.facts = KnownFacts(self.directory, self.goals, self.roster, self.flow)
-        self.bulletin = ReplicaBulletin(self.directory, self.flow.book, rng)
-        self.duty = WeightsDuty(
+        self.gossip = ReplicaGossip(self.directory, self.flow.book, rng)
+        self.rollout = RolloutLeader(
             identity,
             options.weights,
             self.directory,
@@ -124,7 +124,7 @@
             self.exchange,
             self.flow.uses,
             self.flow.reports,
-            self.bulletin,
+            self.gossip,
             self.goals,
             lambda now_ms: self.sources.list_stores(self.index, now_ms),
             options.link_mbps,
@@ -158,9 +158,9 @@
 
     def compute_tick(self) -> float:
         """Return the time until this node needs its next tick, in ms."""
-        if self.roster.is_meshed():
+        if self.roster.is_full_mesh():
             return TICK_MS
-        is_busy = self.flow.count_pending() > 0 or self.duty.is_busy()
+        is_busy = self.flow.count_pending() > 0 or self.rollout.is_busy()
         return FAR_TICK_MS if is_busy or self.statuses.has_group() else REST_TICK_MS
 
     def handle(self, event: RelayEvent, now_ms: float) -> list[RelayAction]:
@@ -173,7 +173,7 @@
             case CallArrived() | CallerLeft() | FirstEventSeen() | DispatchEnded():
                 yield from self._handle_call(event, now_ms)
             case TurnRead() | TurnAppended() | ReplicaStateRead() | OrderAnswered():
-                yield from self._handle_duty(event, now_ms)
+                yield from self._handle_rollout(event, now_ms)
             case TopicRead():
                 yield from self.topics.take_read(event, now_ms)
             case StoreFailed(purpose=purpose, reason=reason):
@@ -203,21 +203,23 @@
                 if outcome.ending is EndingSeen.REFUSED:
                     # Each node would else find out by calls of its own, and have some
                     # of them refused that may be sent only once.
-                    self.bulletin.note(outcome.replica, now_ms)
+                    self.gossip.note(outcome.replica, now_ms)
                     yield from self._tell_soon(now_ms)
 
-    def _handle_duty(self, event: DutyEvent, now_ms: float) -> Iterator[RelayAction]:
+    def _handle_rollout(
+        self, event: RolloutEvent, now_ms: float
+    ) -> Iterator[RelayAction]:
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
             self.directory.note_replaced(event.order.replica, now_ms)
         if isinstance(event, ReplicaStateRead) and event.state is not None:
             yield from self._note_reached(event, now_ms)
-        self.duty.handle(event, now_ms)
-        yield from self._tick_duty(now_ms)
+        self.rollout.handle(event, now_ms)
+        yield from self._tick_rollout(now_ms)
 
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self._probe(now_ms)
         yield from self.flow.tick(now_ms)
-        yield from self._tick_duty(now_ms)
+        yield from self._tick_rollout(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
         yield from self._note_hub()
         if now_ms - self._pruned_ms >= PRUNE_MS:
@@ -241,7 +243,7 @@
         Not in a large fleet: the reports of all its nodes would cost the replicas and
         the nodes more than the calls that they spare.
         """
-        if not self.options.policy.retries.probes or not self.roster.is_meshed():
+        if not self.options.policy.retries.probes or not self.roster.is_full_mesh():
             return
         for known in self.directory.list_served(now_ms):
             replica = known.replica
@@ -251,7 +253,7 @@
 
     def _note_hub(self) -> Iterator[RelayAction]:
         """Say to whom this node reports, each time that this changes."""
-        is_hub = not self.roster.is_meshed() and self.roster.plan.is_hub()
+        is_hub = not self.roster.is_full_mesh() and self.roster.plan.is_hub()
         hub = self.identity.node if is_hub else self.roster.find_primary()
         if hub != self._hub:
             before, self._hub = self._hub, hub
@@ -260,11 +262,11 @@
                 {"hub": hub or "", "before": before or "", "is_own": is_hub},
             )
 
-    def _tick_duty(self, now_ms: float) -> Iterator[RelayAction]:
-        yield from self.duty.tick(now_ms, is_leaving=self.is_stopping)
+    def _tick_rollout(self, now_ms: float) -> Iterator[RelayAction]:
+        yield from self.rollout.tick(now_ms, is_leaving=self.is_stopping)
         if not self.options.policy.rollout.announces:
             return
-        if self.bulletin.note_changing(set(self.duty.list_changing()), now_ms):
+        if self.gossip.note_changing(set(self.rollout.list_changing()), now_ms):
             yield from self._tell_soon(now_ms)
 
     def _tell_soon(self, now_ms: float) -> Iterator[RelayAction]:
--- a/packages/toucanyard/src/toucanyard/replica_bulletin.py
+++ b/packages/toucanyard/src/toucanyard/replica_gossip.py
@@ -1,7 +1,7 @@
-"""Tell peers what this node knows of replicas before the store says it.
+"""Exchange what nodes know of replicas before the store says it.
 
 A replica that is to load weights turns calls away, and one that has loaded them is
-wanted at once; the store tells both about half a second late.
+wanted at once; the store shows both about half a second late.
 """
 
 from __future__ import annotations
@@ -15,17 +15,17 @@
 from toucanyard.link_messages import LifeNews, ReplicaNews
 from toucanyard.names import EndpointName
 from toucanyard.part_book import PartBook
-from toucanyard.recent_ids import RecentIds, draw_id
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.seen_updates import SeenUpdates, new_update_id
 
-NEWS_KEPT_MS: Final = 5_000.0
-"""How long weights that a replica has taken are told to peers; by then the store says
+UPDATE_TTL_MS: Final = 5_000.0
+"""How long weights that a replica has taken are sent to peers; by then the store says
 the same."""
 
 SAME_PAUSE_MS: Final = 300.0
 """A pause that ends this much later is another one; holders renew theirs for longer."""
-MAX_PAUSES: Final = 1_000
-"""Tellings that are remembered: some seconds of a roll-out among 70 replicas."""
+MAX_SEEN: Final = 1_000
+"""Updates that are remembered: some seconds of a roll-out among 70 replicas."""
 
 
 class _Pause(msgspec.Struct, frozen=True):
@@ -34,7 +34,7 @@
     """In this node's time, when it was told or heard of."""
 
 
-class ReplicaBulletin:
+class ReplicaGossip:
     """News of replicas, from this node and from its peers."""
 
     __slots__ = (
@@ -54,7 +54,7 @@
         self._book = book
         self._rng = rng
         self._pauses: dict[EndpointName, _Pause] = {}
-        self._seen = RecentIds(MAX_PAUSES)
+        self._seen = SeenUpdates(MAX_SEEN)
         self._changing: set[EndpointName] = set()
         self._changed_ms: dict[EndpointName, float] = {}
 
@@ -75,7 +75,7 @@
         """Return what to tell peers, and forget what is old."""
         for name, changed_ms in list(self._changed_ms.items()):
             known = self._directory.find(name)
-            is_old = now_ms - changed_ms > NEWS_KEPT_MS and name not in self._changing
+            is_old = now_ms - changed_ms > UPDATE_TTL_MS and name not in self._changing
             if known is None or is_old:
                 del self._changed_ms[name]
                 self._pauses.pop(name, None)
@@ -90,7 +90,7 @@
         pause = self._pauses.get(name)
         if pause is None or pause.until_ms != until_ms:
             # Begun or renewed by this node since it last told or heard of it.
-            pause = self._pauses[name] = _Pause(draw_id(self._rng), until_ms)
+            pause = self._pauses[name] = _Pause(new_update_id(self._rng), until_ms)
             self._seen.add(pause.pause_id)
         return ReplicaNews(name, until_ms - now_ms, weights, pause.pause_id)
 
--- a/packages/toucanyard/src/toucanyard/weights_duty.py
+++ b/packages/toucanyard/src/toucanyard/rollout_leader.py
@@ -1,4 +1,4 @@
-"""Join turns and rollouts: what one node does to bring wanted weights about."""
+"""Lead the rollout of new weights while this node holds the turn to order them."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 """Time between two looks for replicas that are behind; at each tick, those of 70 took a
 fifth of all that a node decides."""
 
-DutyAction = AppendTurn | ReadTurns | ReadReplicaState | WeightsOrder
+RolloutAction = AppendTurn | ReadTurns | ReadReplicaState | WeightsOrder
 
 
 class _Work(msgspec.Struct):
@@ -50,7 +50,7 @@
     done_ms: float | None = None
 
 
-class WeightsDuty:
+class RolloutLeader:
     """Orders for all models, by whichever node has the turn.
 
     Invariant: orders are planned only while this node holds a turn.
@@ -122,7 +122,7 @@
         """Tell whether replicas are known to be behind, or being changed."""
         return self._work.since_ms is not None or bool(self.list_changing())
 
-    def tick(self, now_ms: float, *, is_leaving: bool = False) -> list[DutyAction]:
+    def tick(self, now_ms: float, *, is_leaving: bool = False) -> list[RolloutAction]:
         """Return what to ask of the store and of replicas now.
 
         A node that is leaving ends what it has begun: were it to stop at once, the
@@ -137,7 +137,7 @@
             return self._rest(now_ms)
         if self._work.since_ms is None:
             self._work = _Work(since_ms=now_ms)
-        actions: list[DutyAction] = []
+        actions: list[RolloutAction] = []
         holder = self._turns.find_holder()
         is_alive = self._roster.is_alive(holder, now_ms)
         rank = self._roster.find_rank("orders", now_ms)
@@ -162,7 +162,7 @@
                 each.replica.name: self._uses.compute(each.replica.name, now_ms).running
                 for each in replicas
             }
-            is_near = self._roster.is_meshed()
+            is_near = self._roster.is_full_mesh()
             announce_ms = ANNOUNCE_MS if is_near else FAR_ANNOUNCE_MS
             actions += rollout.plan(
                 model,
@@ -183,7 +183,7 @@
         left_ms = self._deadline_ms * SAFE_SHARE - goal.compute_age(oldest, now_ms)
         return Pressure(left_ms)
 
-    def _rest(self, now_ms: float) -> list[DutyAction]:
+    def _rest(self, now_ms: float) -> list[RolloutAction]:
         """Look once after the work who did it: a turn counts from when it was seen."""
         work = self._work
         if work.since_ms is not None:
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -113,7 +113,7 @@
     def find_peers(self, now_ms: float) -> list[Vm]:
         """Return the nodes that this one should have a link to."""
         chosen = list(self._known.values())
-        if not self.is_meshed():
+        if not self.is_full_mesh():
             self.plan.update(chosen, self._linked, now_ms)
             chosen = [self._known[name] for name in self.plan.wanted]
         vms = [
@@ -129,7 +129,7 @@
 
     def find_primary(self) -> NodeName | None:
         """Return the hub that this node reports to, if there is one."""
-        return None if self.is_meshed() else self.plan.find_primary(self._linked)
+        return None if self.is_full_mesh() else self.plan.find_primary(self._linked)
 
     def find_alive(self, now_ms: float) -> list[NodeName]:
         """Return the other nodes that were heard from, or of, lately."""
@@ -166,7 +166,7 @@
         """Return how many nodes are alive, this one included."""
         return 1 + len(self._find_ready(now_ms))
 
-    def is_meshed(self) -> bool:
+    def is_full_mesh(self) -> bool:
         """Tell whether every node has a link to every other one."""
         return len(self._known) <= MAX_MESH
 
@@ -177,7 +177,7 @@
         reports to a hub and was not told of the others yet counts all that are known;
         who goes first may be dead, and those behind must not wait for it for long.
         """
-        if not self.is_meshed() and not self._told:
+        if not self.is_full_mesh() and not self._told:
             return self.find_fleet_rank(matter)
         alive = self._find_ready(now_ms)
         rank = self._ranks.get(matter)
--- a/packages/toucanyard/src/toucanyard/recent_ids.py
+++ b/packages/toucanyard/src/toucanyard/seen_updates.py
@@ -1,8 +1,8 @@
-"""Remember which tellings have been heard, so that none counts twice.
+"""Deduplicate gossip updates that come back over other peers.
 
-What nodes pass on comes back to who told it, and says how old it is without the ways
-that it took. Taken for news it would never grow old: a list would stay young and a
-pause go on for as long as links are slow.
+An update says how old it is without the latency of the links that it took. One that
+comes back to its sender and counts as news never expires: on slow links a list stays
+fresh and a replica's pause goes on for good.
 """
 
 from __future__ import annotations
@@ -13,12 +13,12 @@
 ID_BITS: Final = 32
 
 
-def draw_id(rng: random.Random) -> int:
-    """Return a number that no other telling has."""
+def new_update_id(rng: random.Random) -> int:
+    """Return a number that no other update has."""
     return rng.getrandbits(ID_BITS)
 
 
-class RecentIds:
+class SeenUpdates:
     """The newest ids that were added. Invariant: there are never more than `most`."""
 
     __slots__ = ("_ids", "_most")
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -24,7 +24,7 @@
 from toucanyard.names import NodeName
 from toucanyard.part_reports import PartReports
 from toucanyard.relay_events import SendToPeer
-from toucanyard.replica_bulletin import ReplicaBulletin
+from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_uses import FLEET, ReplicaUses
 from toucanyard.roster import Roster
 from toucanyard.status_schedule import STATUS_MS, Audience, StatusSchedule
@@ -58,7 +58,7 @@
         views: ViewExchange,
         uses: ReplicaUses,
         reports: PartReports,
-        bulletin: ReplicaBulletin,
+        gossip: ReplicaGossip,
         goals: WeightsGoals,
         list_stores: Callable[[float], Iterable[StoreNews]],
         link_mbps: float,
@@ -67,7 +67,7 @@
         self._views = views
         self._uses = uses
         self._reports = reports
-        self._bulletin = bulletin
+        self._gossip = gossip
         self._goals = goals
         self._list_stores = list_stores
         self._link_mbps = link_mbps
@@ -109,7 +109,7 @@
     ) -> list[NodeName]:
         """Return the peers that need what came from a sender, or from the store."""
         linked = self._views.linked
-        if self._roster.is_meshed():
+        if self._roster.is_full_mesh():
             return [] if sender is not None else list(linked)
         if topic is Topic.OPERATOR:
             # All nodes poll for it; whoever can't shows in its status.
@@ -127,13 +127,13 @@
 
     def tick(self, is_ready: bool, now_ms: float) -> Iterator[SendToPeer]:
         """Send what is due."""
-        is_meshed = self._roster.is_meshed()
-        if not is_meshed:
+        is_full_mesh = self._roster.is_full_mesh()
+        if not is_full_mesh:
             self._note_urgent_parts()
         # Hubs report for others, whose calls end and begin all the time.
         is_quiet = not self._leaves and not self._uses.has_news()
         audiences = self._schedule.find_due(
-            now_ms, is_meshed=is_meshed, is_quiet=is_quiet
+            now_ms, is_full_mesh=is_full_mesh, is_quiet=is_quiet
         )
         if audiences:
             yield from self._send(audiences, is_ready, now_ms)
@@ -157,7 +157,7 @@
             audiences.add(Audience.GROUP)
         for each in audiences:
             self._schedule.note_sent(each, now_ms)
-        if not self._roster.is_meshed():
+        if not self._roster.is_full_mesh():
             yield from self._send_planned(audiences, now_ms)
         elif Audience.PEERS in audiences:
             yield from self._send_meshed(now_ms)
@@ -180,14 +180,14 @@
         self._pass_on_parts(sender, status.parts, now_ms)
         for each in status.goals:
             self._goals.note_age(each.model, each.version, each.age_ms, now_ms)
-        self._bulletin.apply_lives(status.lives, now_ms)
-        is_replica_news = self._bulletin.apply(status.news, now_ms)
+        self._gossip.apply_lives(status.lives, now_ms)
+        is_replica_news = self._gossip.apply(status.news, now_ms)
         if is_node_news or is_replica_news:
             self._pass_on_news(sender, is_node_news=is_node_news)
 
     def _pass_on_news(self, sender: NodeName, *, is_node_news: bool) -> None:
         """Let those be told at once who didn't hear it from where this node did."""
-        if self._roster.is_meshed():
+        if self._roster.is_full_mesh():
             return
         match self._find_audience(sender):
             case Audience.PEERS:
@@ -289,7 +289,7 @@
         return is_due
 
     def _find_audience(self, name: NodeName) -> Audience:
-        if self._roster.is_meshed() or name == self._roster.find_primary():
+        if self._roster.is_full_mesh() or name == self._roster.find_primary():
             return Audience.PEERS
         if name in self._leaves:
             return Audience.GROUP
@@ -299,11 +299,11 @@
         return NodeStatus(
             is_ready=self._roster.is_ready,
             views=self._views.list_statuses(now_ms),
-            news=tuple(self._bulletin.list_news(now_ms)),
+            news=tuple(self._gossip.list_news(now_ms)),
             goals=tuple(GoalAge(*each) for each in self._goals.list_recent(now_ms)),
             stores=tuple(self._list_stores(now_ms)),
             covers=Coverage.NOBODY,
-            lives=tuple(self._bulletin.list_lives(now_ms)),
+            lives=tuple(self._gossip.list_lives(now_ms)),
         )
 
     def _is_hub_pair(self, name: NodeName) -> bool:
--- a/packages/toucanyard/src/toucanyard/status_schedule.py
+++ b/packages/toucanyard/src/toucanyard/status_schedule.py
@@ -51,14 +51,14 @@
         self._due.discard(audience)
 
     def find_due(
-        self, now_ms: float, *, is_meshed: bool, is_quiet: bool = False
+        self, now_ms: float, *, is_full_mesh: bool, is_quiet: bool = False
     ) -> set[Audience]:
         """Return whom to send a status now.
 
         `is_quiet` tells that peers have nothing to learn of this node's calls.
         """
-        quiet = {Audience.STANDBY} if is_meshed or not is_quiet else set(Audience)
-        least_ms = 0.0 if is_meshed else URGENT_MS
+        quiet = {Audience.STANDBY} if is_full_mesh or not is_quiet else set(Audience)
+        least_ms = 0.0 if is_full_mesh else URGENT_MS
         due = set()
         for audience, sent_ms in self._sent_ms.items():
             interval_ms = QUIET_MS if audience in quiet else STATUS_MS
--- a/packages/toucanyard/src/toucanyard/store_contact.py
+++ b/packages/toucanyard/src/toucanyard/store_contact.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from toucanyard.recent_ids import RecentIds
+from toucanyard.seen_updates import SeenUpdates
 
 RECENT_READS: Final = 16
 """Reads that are told apart from newer ones when they are told again; one comes each
@@ -58,7 +58,7 @@
         self.asked_ms = NEVER
         """When the newest read that was answered was asked."""
         self._read_id = 0
-        self._recent = RecentIds(RECENT_READS)
+        self._recent = SeenUpdates(RECENT_READS)
         self._since_ms = NEVER
         self._before_ms = NEVER
         """When the last read before the break was asked; NEVER without a break."""
@@ -79,11 +79,12 @@
         """Take in answers; the store was away if none came for `away_ms`."""
         self._note_stretch(answered, away_ms)
         if answered.read_id == self._read_id:
-            # The same read by another way: the shortest one tells best when it was.
+            # The same read over another path: the shortest one tells best when it was.
             self.asked_ms = min(self.asked_ms, answered.asked_ms)
             return
-        # Told from node to node a read looks younger by each way. Were it taken for a
-        # newer one, nodes would keep each other's list young and nobody would read.
+        # Each hop drops its own latency from the reported age, so a relayed read looks
+        # newer than it is. Accepting it would keep the list fresh on every node, and
+        # nobody would poll the store.
         if answered.read_id in self._recent or answered.asked_ms <= self.asked_ms:
             return
         self._recent.add(answered.read_id)
--- a/packages/toucanyard/src/toucanyard/store_reads.py
+++ b/packages/toucanyard/src/toucanyard/store_reads.py
@@ -37,7 +37,7 @@
             self._roster.find_rank(topic.value, now_ms),
             self._exchange.views[topic].confirmed_ms,
             self._asked_ms[topic],
-            is_meshed=self._roster.is_meshed(),
+            is_full_mesh=self._roster.is_full_mesh(),
         )
 
     def may_ask_again(self, topic: Topic, now_ms: float) -> bool:
--- a/packages/toucanyard/src/toucanyard/store_schedule.py
+++ b/packages/toucanyard/src/toucanyard/store_schedule.py
@@ -39,21 +39,21 @@
 MAX_POLL_MS: Final = 20_000.0
 
 
-def compute_wanted_age(topic: Topic, rank: int, *, is_meshed: bool = True) -> float:
+def compute_wanted_age(topic: Topic, rank: int, *, is_full_mesh: bool = True) -> float:
     """Return the age of a topic at which a node of that rank reads it."""
     if rank == 0:
         return READ_MS[topic]
-    back_ms = STAND_BACK_MS if is_meshed else FAR_MS
+    back_ms = STAND_BACK_MS if is_full_mesh else FAR_MS
     return READ_MS[topic] + back_ms + min(rank - 1, MAX_RANK) * NEXT_MS
 
 
-def compute_away(topic: Topic, *, is_meshed: bool) -> float:
+def compute_away(topic: Topic, *, is_full_mesh: bool) -> float:
     """Return the time without an answer after which the store was away for all nodes.
 
     By then every live node has tried. Before, it may be that only those that go first
     were cut off, and entries that vanish meanwhile were taken away.
     """
-    last_ms = compute_wanted_age(topic, MAX_RANK + 1, is_meshed=is_meshed)
+    last_ms = compute_wanted_age(topic, MAX_RANK + 1, is_full_mesh=is_full_mesh)
     return last_ms + RETRY_MS + LATE_MS
 
 
@@ -63,10 +63,10 @@
     confirmed_ms: float,
     asked_ms: float,
     *,
-    is_meshed: bool = True,
+    is_full_mesh: bool = True,
 ) -> float:
     """Return when a node should read a topic."""
-    wanted_ms = compute_wanted_age(topic, rank, is_meshed=is_meshed)
+    wanted_ms = compute_wanted_age(topic, rank, is_full_mesh=is_full_mesh)
     return max(confirmed_ms + wanted_ms, asked_ms + RETRY_MS)
 
 
--- a/packages/toucanyard/src/toucanyard/topic_intake.py
+++ b/packages/toucanyard/src/toucanyard/topic_intake.py
@@ -62,7 +62,7 @@
         """Take in what the store gave."""
         view = self._exchange.views[read.topic]
         before, listed_ms = view.end, view.confirmed_ms
-        if read.topic is Topic.REPLICAS and not self._roster.is_meshed():
+        if read.topic is Topic.REPLICAS and not self._roster.is_full_mesh():
             # All nodes rely on the reader's word that the list is as it was.
             self._statuses.note_due()
         changes = self._exchange.apply_read(
@@ -102,7 +102,7 @@
         self, sender: NodeName, views: Sequence[ViewStatus], now_ms: float
     ) -> Iterator[RelayAction]:
         """Take in how far a peer knows each topic, and send it what it lacks."""
-        hold_ms = 0.0 if self._roster.is_meshed() else POLLED_HOLD_MS
+        hold_ms = 0.0 if self._roster.is_full_mesh() else POLLED_HOLD_MS
         yield from self._exchange.answer_status(sender, views, now_ms, hold_ms=hold_ms)
         yield from self._note_contact()
 
--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -11,10 +11,10 @@
 from typing import Final
 
 from toucanyard.keyed_view import Change, Decode, KeyedRecord, KeyedView, Topic
-from toucanyard.link_messages import ToldAnswer, ViewRecords, ViewStatus
+from toucanyard.link_messages import StoreReadUpdate, ViewRecords, ViewStatus
 from toucanyard.names import NodeName
-from toucanyard.recent_ids import draw_id
 from toucanyard.relay_events import SendToPeer
+from toucanyard.seen_updates import new_update_id
 from toucanyard.store_contact import Answered
 from toucanyard.store_schedule import compute_away
 
@@ -25,12 +25,12 @@
 class ViewExchange:
     """The views of one node, and what its peers were told of them."""
 
-    __slots__ = ("_is_meshed", "_pushed", "_risen_ms", "_rng", "linked", "views")
+    __slots__ = ("_is_full_mesh", "_pushed", "_risen_ms", "_rng", "linked", "views")
 
     def __init__(
-        self, decode: Decode, is_meshed: Callable[[], bool], rng: random.Random
+        self, decode: Decode, is_full_mesh: Callable[[], bool], rng: random.Random
     ) -> None:
-        self._is_meshed = is_meshed
+        self._is_full_mesh = is_full_mesh
         self._rng = rng
         self.views = {topic: KeyedView(topic, decode) for topic in Topic}
         self.linked: tuple[NodeName, ...] = ()
@@ -53,7 +53,7 @@
         if end > view.end:
             self._risen_ms[topic] = now_ms
         changes = view.apply(records, end, is_whole=is_whole)
-        answered = Answered(draw_id(self._rng), asked_ms, asked_ms)
+        answered = Answered(new_update_id(self._rng), asked_ms, asked_ms)
         self._confirm(view, end, answered)
         return changes
 
@@ -107,7 +107,7 @@
         )
 
     def _confirm(self, view: KeyedView, end: int, answered: Answered) -> None:
-        away_ms = compute_away(view.topic, is_meshed=self._is_meshed())
+        away_ms = compute_away(view.topic, is_full_mesh=self._is_full_mesh())
         view.confirm(end, answered, away_ms)
 
     def _was_told(self, name: NodeName, view: KeyedView, now_ms: float) -> bool:
@@ -126,14 +126,14 @@
         )
 
 
-def _tell_answer(view: KeyedView, now_ms: float) -> ToldAnswer | None:
+def _tell_answer(view: KeyedView, now_ms: float) -> StoreReadUpdate | None:
     answered = view.contact.find_answered()
     if answered is None:
         return None
     steady_ms = answered.asked_ms - answered.since_ms
-    return ToldAnswer(answered.read_id, now_ms - answered.asked_ms, steady_ms)
+    return StoreReadUpdate(answered.read_id, now_ms - answered.asked_ms, steady_ms)
 
 
-def _date(answer: ToldAnswer, now_ms: float) -> Answered:
+def _date(answer: StoreReadUpdate, now_ms: float) -> Answered:
     asked_ms = now_ms - answer.age_ms
     return Answered(answer.read_id, asked_ms, asked_ms - answer.steady_ms)
--- a/tests/toucanyard/test_replica_bulletin.py
+++ b/tests/toucanyard/test_replica_gossip.py
@@ -5,7 +5,7 @@
 from toucanyard.link_messages import ReplicaNews
 from toucanyard.names import EndpointName
 from toucanyard.part_book import PartBook
-from toucanyard.replica_bulletin import SAME_PAUSE_MS, ReplicaBulletin
+from toucanyard.replica_gossip import SAME_PAUSE_MS, ReplicaGossip
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 
 from .relay_examples import MODEL, build_replica
@@ -18,18 +18,18 @@
 
 
 class Teller:
-    """What one node knows of one replica, and its bulletin."""
+    """What one node knows of one replica, and its gossip."""
 
     def __init__(self, number: int = 0) -> None:
         directory = ReplicaDirectory()
         known = directory.apply(build_replica(NAME), 0.0)
         assert known is not None
         self.known: KnownReplica = known
-        self.bulletin = ReplicaBulletin(directory, PartBook(), random.Random(number))
+        self.gossip = ReplicaGossip(directory, PartBook(), random.Random(number))
 
     def tell(self, other: Teller, now_ms: float, way_ms: float = WAY_MS) -> bool:
-        news = tuple(self.bulletin.list_news(now_ms))
-        return other.bulletin.apply(news, now_ms + way_ms)
+        news = tuple(self.gossip.list_news(now_ms))
+        return other.gossip.apply(news, now_ms + way_ms)
 
 
 def test_pause_that_goes_round_does_not_grow() -> None:
@@ -40,7 +40,7 @@
     """
     one, two = Teller(), Teller()
     one.known.loading_until_ms = 600.0
-    one.bulletin.note(NAME, 0.0)
+    one.gossip.note(NAME, 0.0)
     assert one.tell(two, 0.0)
     now_ms = 0.0
     while now_ms < 3_000.0:
@@ -60,7 +60,7 @@
     """
     one, two = Teller(1), Teller(2)
     one.known.loading_until_ms = 600.0
-    one.bulletin.note(NAME, 0.0)
+    one.gossip.note(NAME, 0.0)
     assert one.tell(two, 0.0, SLOW_MS)
     for now_ms in (250.0, 500.0, 750.0, 1_000.0, 1_250.0, 1_500.0):
         two.tell(one, now_ms, SLOW_MS)
@@ -74,7 +74,7 @@
     one, two = Teller(1), Teller(2)
     for now_ms in (0.0, 250.0, 500.0, 750.0, 1_000.0):
         one.known.loading_until_ms = now_ms + 1_500.0
-        one.bulletin.note_changing({NAME}, now_ms)
+        one.gossip.note_changing({NAME}, now_ms)
         one.tell(two, now_ms)
     assert two.known.is_loading(2_200.0)
 
@@ -82,7 +82,7 @@
 def test_longer_pause_is_news_again() -> None:
     one, two = Teller(), Teller()
     one.known.loading_until_ms = 600.0
-    one.bulletin.note(NAME, 0.0)
+    one.gossip.note(NAME, 0.0)
     assert one.tell(two, 0.0)
     one.known.loading_until_ms = 2_000.0
     assert one.tell(two, 100.0)
@@ -97,12 +97,12 @@
     teller = Teller()
     teller.known.note_weights(MODEL, 2)
     late = ReplicaNews(NAME, 1_000.0, ((MODEL, 1),))
-    assert not teller.bulletin.apply((late,), 0.0)
+    assert not teller.gossip.apply((late,), 0.0)
     assert not teller.known.is_loading(1.0)
 
 
 def test_new_weights_end_a_pause_and_are_news() -> None:
     teller = Teller()
     teller.known.loading_until_ms = 5_000.0
-    assert teller.bulletin.apply((ReplicaNews(NAME, 0.0, ((MODEL, 2),)),), 100.0)
+    assert teller.gossip.apply((ReplicaNews(NAME, 0.0, ((MODEL, 2),)),), 100.0)
     assert not teller.known.is_loading(100.0)
--- a/tests/toucanyard/test_status_exchange.py
+++ b/tests/toucanyard/test_status_exchange.py
@@ -266,7 +266,7 @@
     known = fleet.cores[sender].directory.find(EndpointName("a"))
     assert known is not None
     known.note_refusal(now_ms)
-    fleet.cores[sender].bulletin.note(EndpointName("a"), now_ms)
+    fleet.cores[sender].gossip.note(EndpointName("a"), now_ms)
     fleet.cores[sender].statuses.note_due()
     fleet.run(300.0)
     for core in fleet.cores.values():
@@ -294,7 +294,7 @@
     known = core.directory.find(EndpointName("a"))
     assert known is not None
     known.note_refusal(fleet.now_ms)
-    core.bulletin.note(EndpointName("a"), fleet.now_ms)
+    core.gossip.note(EndpointName("a"), fleet.now_ms)
     core.statuses.note_due()
     news_statuses = count_statuses(fleet, 400.0) - quiet_statuses
     hubs = len(fleet.find_hubs())
--- a/tests/toucanyard/test_status_schedule.py
+++ b/tests/toucanyard/test_status_schedule.py
@@ -13,7 +13,7 @@
 
 def start_schedule() -> StatusSchedule:
     schedule = StatusSchedule()
-    assert schedule.find_due(0.0, is_meshed=False) == AUDIENCES
+    assert schedule.find_due(0.0, is_full_mesh=False) == AUDIENCES
     for audience in Audience:
         schedule.note_sent(audience, 0.0)
     return schedule
@@ -21,33 +21,33 @@
 
 def test_audiences_are_due_by_themselves_and_who_stands_by_less_often() -> None:
     schedule = start_schedule()
-    assert schedule.find_due(STATUS_MS - 1.0, is_meshed=False) == set()
-    assert schedule.find_due(STATUS_MS, is_meshed=False) == {
+    assert schedule.find_due(STATUS_MS - 1.0, is_full_mesh=False) == set()
+    assert schedule.find_due(STATUS_MS, is_full_mesh=False) == {
         Audience.PEERS,
         Audience.GROUP,
     }
-    assert schedule.find_due(QUIET_MS, is_meshed=False) == AUDIENCES
+    assert schedule.find_due(QUIET_MS, is_full_mesh=False) == AUDIENCES
 
 
 def test_node_without_calls_reports_less_often_but_not_in_a_mesh() -> None:
     schedule = start_schedule()
-    quiet = {"is_quiet": True, "is_meshed": False}
+    quiet = {"is_quiet": True, "is_full_mesh": False}
     assert schedule.find_due(STATUS_MS, **quiet) == set()
     assert schedule.find_due(QUIET_MS, **quiet) == AUDIENCES
-    meshed = schedule.find_due(STATUS_MS, is_meshed=True, is_quiet=True)
+    meshed = schedule.find_due(STATUS_MS, is_full_mesh=True, is_quiet=True)
     assert Audience.PEERS in meshed
 
 
 def test_news_goes_early_only_to_the_audience_that_lacks_it() -> None:
     schedule = start_schedule()
     schedule.note_due(Audience.GROUP)
-    assert schedule.find_due(URGENT_MS - 1.0, is_meshed=False) == set()
-    assert schedule.find_due(URGENT_MS, is_meshed=False) == {Audience.GROUP}
+    assert schedule.find_due(URGENT_MS - 1.0, is_full_mesh=False) == set()
+    assert schedule.find_due(URGENT_MS, is_full_mesh=False) == {Audience.GROUP}
     schedule.note_sent(Audience.GROUP, URGENT_MS)
-    assert schedule.find_due(2 * URGENT_MS, is_meshed=False) == set()
+    assert schedule.find_due(2 * URGENT_MS, is_full_mesh=False) == set()
 
 
 def test_news_goes_at_once_in_a_mesh() -> None:
     schedule = start_schedule()
     schedule.note_due(Audience.PEERS)
-    assert schedule.find_due(0.0, is_meshed=True) == {Audience.PEERS}
+    assert schedule.find_due(0.0, is_full_mesh=True) == {Audience.PEERS}
--- a/tests/toucanyard/test_store_contact.py
+++ b/tests/toucanyard/test_store_contact.py
@@ -77,12 +77,14 @@
     assert contact.asked_ms == 700.0
 
 
-@pytest.mark.parametrize("is_meshed", [True, False])
-def test_store_is_away_only_when_every_node_would_have_read(is_meshed: bool) -> None:
+@pytest.mark.parametrize("is_full_mesh", [True, False])
+def test_store_is_away_only_when_every_node_would_have_read(is_full_mesh: bool) -> None:
     """The nodes that read first are cut off; the last in order reads as late as it may.
 
     What it reads then must not look like the return of a store that nobody reached.
     """
-    last_ms = compute_wanted_age(Topic.REPLICAS, MAX_RANK + 9, is_meshed=is_meshed)
-    away_ms = compute_away(Topic.REPLICAS, is_meshed=is_meshed)
+    last_ms = compute_wanted_age(
+        Topic.REPLICAS, MAX_RANK + 9, is_full_mesh=is_full_mesh
+    )
+    away_ms = compute_away(Topic.REPLICAS, is_full_mesh=is_full_mesh)
     assert away_ms > last_ms + RETRY_MS
