--- a/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
@@ -18,6 +18,7 @@
     NewWeights,
     NodesKilled,
     ScaleIn,
+    ScaleOut,
     Slow,
     StoreDown,
 )
@@ -40,8 +41,8 @@
             return partial(_grey, world, fault, purpose)
         case Slow():
             return partial(_slow, world, fault, purpose)
-        case ScaleIn(count=count):
-            return partial(_scale_in, world, count, purpose)
+        case ScaleIn() | ScaleOut():
+            return partial(_scale, world, fault, purpose)
         case NewWeights():
             return world.name_weights
         case LateOrders():
@@ -95,9 +96,15 @@
         _later(world, fault.for_s, partial(set_factor, engine, 1.0))
 
 
-def _scale_in(world: World, count: int, purpose: str) -> None:
-    for engine in world.pool.draw_engines(count, purpose):
-        world.pool.scale_in(engine)
+def _scale(world: World, fault: ScaleIn | ScaleOut, purpose: str) -> None:
+    match fault:
+        case ScaleIn(count=count):
+            for engine in world.pool.draw_engines(count, purpose):
+                world.pool.scale_in(engine)
+        case ScaleOut(count=count):
+            first = world.scenario.engines.replicas
+            for number in range(first, first + count):
+                world.pool.add_engine(number, world.find_newest_version(), None)
 
 
 def _delay_orders(world: World, fault: LateOrders) -> None:
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
@@ -155,6 +155,13 @@
     count: _Whole = 1
 
 
+class ScaleOut(_Checked, frozen=True, kw_only=True, tag="scale_out"):
+    """Replicas are added that keep nothing of any prompt."""
+
+    at_s: _Figure
+    count: _Whole = 1
+
+
 class NewWeights(_Checked, frozen=True, kw_only=True, tag="new_weights"):
     """Operators name new weights."""
 
@@ -209,6 +216,7 @@
     | Grey
     | Slow
     | ScaleIn
+    | ScaleOut
     | NewWeights
     | LateOrders
     | StoreDown
--- a/tests/toucanyard_emulator/test_runner.py
+++ b/tests/toucanyard_emulator/test_runner.py
@@ -16,6 +16,7 @@
     NewWeights,
     NodesKilled,
     ScaleIn,
+    ScaleOut,
     Slow,
     StoreDown,
 )
@@ -70,6 +71,7 @@
         Crash(at_s=4.0, for_s=1.0, is_silent=True),
         NodesKilled(at_s=5.0, for_s=0.3),
         ScaleIn(at_s=6.0),
+        ScaleOut(at_s=6.2, count=2),
         NewWeights(at_s=6.5),
     )
     for seed in (1, 2):
@@ -83,6 +85,18 @@
     assert {each.version for each in world.pool.list_engines()} == {2}
 
 
+def test_replicas_that_join_are_listed_and_get_calls() -> None:
+    """Two empty engines join three in use; calls that come afterwards go there too.
+
+    They must have the newest weights, or no call would be sent there.
+    """
+    scenario = build_scenario(NewWeights(at_s=1.0), ScaleOut(at_s=3.0, count=2))
+    world = run_world(scenario, POLICY, 1)
+    joined = world.pool.list_engines()[3:]
+    assert [each.version for each in joined] == [2, 2]
+    assert all(each.memory.changes for each in joined)
+
+
 def test_replica_that_starts_again_under_its_id_is_another_life() -> None:
     fault = Crash(at_s=2.0, for_s=1.0, keeps_id=True)
     world = run_world(build_scenario(fault), POLICY, 1)
