Tell all nodes of a large fleet at once of calls that keep a replica busy

What others have under way was told with the next full status of each hop, 250 ms at most three times, and 50 long calls a second go to some 38 replicas.

Ruled out: transfers from stores (the excess is the same where another replica is the source; few cases); a full queue (queued_ms 0 to 1).

Change: a call with 3,000 unread tokens or more makes the next status due, at its node and at each hub on the way; calls under way are in each status to peers and groups, not in each fourth, as long as the hub's link allows. Only in fleets without a full mesh.

The test of 36 nodes failed before.

--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -65,8 +65,8 @@
 FAR_TICK_MS: Final = 50.0
 """The same in a larger fleet, whose nodes are many and small."""
 REST_TICK_MS: Final = 125.0
-"""The same for a node that has no call, no weights to order and no group: half of the
-time between two statuses, the only thing that it does by itself."""
+"""The same for a node that has no call, no weights to order and no group. All that it
+does by itself is a status each third tick, and most nodes of a large fleet rest."""
 MISDIRECTED: Final = 421
 """Status with which a replica says that it is not the one that was meant."""
 
--- a/packages/toucanyard/src/toucanyard/replica_uses.py
+++ b/packages/toucanyard/src/toucanyard/replica_uses.py
@@ -23,6 +23,9 @@
 """Prompt tokens that an engine reads in a millisecond, until its answers tell."""
 SPEED_STEP: Final = 0.1
 """Weight of one answer in the mean of an engine's reading speed."""
+URGENT_TOKENS: Final = 3_000
+"""Unread tokens of a call from which peers are told of it at once: it keeps a replica
+busy for 80 ms or more, and until they know, they take the replica for idle."""
 MIN_TIMED_TOKENS: Final = 1_000
 """Prompts with fewer unread tokens tell nothing of the reading speed."""
 
@@ -53,6 +56,7 @@
         "_own",
         "_peers",
         "_told",
+        "is_urgent",
         "tokens_per_ms",
     )
 
@@ -64,6 +68,8 @@
         self._merged_until_ms = float("-inf")
         self._told: dict[EndpointName, ReplicaUse] = {}
         """This node's own calls when it last reported them."""
+        self.is_urgent = False
+        """A long prompt was sent since this node last reported its calls."""
         self.tokens_per_ms = DEFAULT_TOKENS_PER_MS
 
     def begin(
@@ -77,6 +83,7 @@
         """Count a call that is being sent."""
         calls = self._own.setdefault(replica, {})
         calls[request_id] = OwnCall(now_ms, tokens, unread_tokens)
+        self.is_urgent = self.is_urgent or unread_tokens >= URGENT_TOKENS
 
     def note_started(
         self, replica: EndpointName, request_id: RequestId, now_ms: float
@@ -103,10 +110,16 @@
 
     def apply_peer(
         self, peer: NodeName, uses: Iterable[ReplicaUse], now_ms: float
-    ) -> None:
-        """Take in what a peer has under way."""
-        self._peers[peer] = (now_ms, {each.replica: each for each in uses})
+    ) -> bool:
+        """Take in what a peer has under way; return whether others should know soon."""
+        before = self._peers.get(peer, (now_ms, {}))[1]
+        now = {each.replica: each for each in uses}
+        self._peers[peer] = (now_ms, now)
         self._merged_until_ms = float("-inf")
+        return any(
+            use.unread_tokens - _find_unread(before, name) >= URGENT_TOKENS
+            for name, use in now.items()
+        )
 
     def apply_fleet(self, uses: Iterable[ReplicaUse], now_ms: float) -> None:
         """Take in what all nodes have under way, as far as it is not this node's."""
@@ -138,6 +151,7 @@
         """Return this node's calls, and remember that they were told."""
         own = self.list_own()
         self._told = {use.replica: use for use in own}
+        self.is_urgent = False
         return own
 
     def sum_group(
@@ -193,6 +207,11 @@
                 _add(self._merged, use)
 
 
+def _find_unread(uses: dict[EndpointName, ReplicaUse], name: EndpointName) -> int:
+    use = uses.get(name)
+    return 0 if use is None else use.unread_tokens
+
+
 def _add(total: dict[EndpointName, Use], use: ReplicaUse) -> None:
     found = total.get(use.replica)
     if found is None:
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -27,7 +27,7 @@
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_uses import FLEET, ReplicaUses
 from toucanyard.roster import Roster
-from toucanyard.status_schedule import STATUS_MS, Audience, StatusSchedule
+from toucanyard.status_schedule import URGENT_MS, Audience, StatusSchedule
 from toucanyard.view_exchange import ViewExchange
 from toucanyard.weights_goals import WeightsGoals
 
@@ -129,7 +129,7 @@
         """Send what is due."""
         is_full_mesh = self._roster.is_full_mesh()
         if not is_full_mesh:
-            self._note_urgent_parts()
+            self._note_urgent()
         # Hubs report for others, whose calls end and begin all the time.
         is_quiet = not self._leaves and not self._uses.has_news()
         audiences = self._schedule.find_due(
@@ -142,8 +142,8 @@
         """Send a status to every peer."""
         yield from self._send(set(Audience), is_ready, now_ms)
 
-    def _note_urgent_parts(self) -> None:
-        if self._reports.is_urgent:
+    def _note_urgent(self) -> None:
+        if self._reports.is_urgent or self._uses.is_urgent:
             self._schedule.note_due(Audience.PEERS)
         if self._far_reports.is_urgent:
             self._schedule.note_due(Audience.GROUP)
@@ -172,9 +172,10 @@
             self._uses.forget_peer(sender)
         if status.nodes is not None:
             is_node_news |= self._roster.note_told(sender, status.nodes, now_ms)
+        has_long_call = False
         match status.covers:
             case Coverage.GROUP:
-                self._uses.apply_peer(sender, status.uses, now_ms)
+                has_long_call = self._uses.apply_peer(sender, status.uses, now_ms)
             case Coverage.FLEET if sender == self._roster.find_primary():
                 self._uses.apply_fleet(status.uses, now_ms)
         self._pass_on_parts(sender, status.parts, now_ms)
@@ -182,7 +183,7 @@
             self._goals.note_age(each.model, each.version, each.age_ms, now_ms)
         self._gossip.apply_lives(status.lives, now_ms)
         is_replica_news = self._gossip.apply(status.news, now_ms)
-        if is_node_news or is_replica_news:
+        if is_node_news or is_replica_news or has_long_call:
             self._pass_on_news(sender, is_node_news=is_node_news)
 
     def _pass_on_news(self, sender: NodeName, *, is_node_news: bool) -> None:
@@ -314,4 +315,4 @@
         """Return the time between two full statuses, which a hub's link must carry."""
         bytes_per_ms = self._link_mbps * BYTES_PER_MBPS_MS * LINK_SHARE
         needed_ms = len(self._leaves) * self._full_bytes / max(bytes_per_ms, 1.0)
-        return min(max(needed_ms, STATUS_MS), MAX_FULL_MS)
+        return min(max(needed_ms, URGENT_MS), MAX_FULL_MS)
--- a/tests/toucanyard/test_status_exchange.py
+++ b/tests/toucanyard/test_status_exchange.py
@@ -121,6 +121,19 @@
         )
 
 
+def test_long_call_is_counted_by_all_soon() -> None:
+    """One of 36 nodes sends a long prompt to an idle replica.
+
+    Reading it takes the replica 80 ms or more. Nodes that learned of it with the next
+    status of each hop, half a second later, would take the replica for idle and send
+    their long prompts there as well; the last one would miss its target.
+    """
+    fleet = build_fleet()
+    send_calls(fleet, [list(fleet.cores)[-1]])
+    fleet.run(350.0)
+    assert {count_running(fleet, name) for name in fleet.cores} == {1}
+
+
 def test_part_that_is_read_is_known_to_all() -> None:
     """A replica was sent to read a part by a node in one domain.
 
