--- a/tests/toucanyard/test_status_exchange.py
+++ b/tests/toucanyard/test_status_exchange.py
@@ -8,6 +8,7 @@
 from toucanyard.relay_core import FAR_TICK_MS, REST_TICK_MS
 from toucanyard.relay_events import CallArrived, PartsChanged, StopBegun
 from toucanyard.roster import MAX_ADDRESSES
+from toucanyard.status_schedule import URGENT_MS
 
 from .relay_examples import (
     DESK,
@@ -40,12 +41,18 @@
     return sum(uses.compute(EndpointName(e), fleet.now_ms).running for e in "abcd")
 
 
-def send_calls(fleet: PlannedFleet, names: list[NodeName]) -> None:
+def send_calls(
+    fleet: PlannedFleet,
+    names: list[NodeName],
+    shared_tokens: int = 2_500,
+    own_tokens: int = 600,
+) -> None:
     for name in names:
+        own = f"own-{name}"
         request = build_request(
             f"call-{name}",
             service=ENGINES,
-            prompt=build_prompt(("book", 2_500), (f"own-{name}", 600)),
+            prompt=build_prompt(("book", shared_tokens), (own, own_tokens)),
             arrived_ms=fleet.now_ms,
             deadline_ms=fleet.now_ms + 60_000.0,
         )
@@ -129,8 +136,12 @@
     their long prompts there as well; the last one would miss its target.
     """
     fleet = build_fleet()
-    send_calls(fleet, [list(fleet.cores)[-1]])
-    fleet.run(350.0)
+    for core in fleet.cores.values():
+        # The next regular statuses are 250 ms away.
+        list(core.statuses.send(core.is_ready(), fleet.now_ms))
+    # What others could fetch of it is small, so only its own length makes it news.
+    send_calls(fleet, [list(fleet.cores)[-1]], shared_tokens=600, own_tokens=4_000)
+    fleet.run(3 * URGENT_MS)
     assert {count_running(fleet, name) for name in fleet.cores} == {1}
 
 
