--- a/packages/toucanyard-node/src/toucanyard_node/bounded_output.py
+++ b/packages/toucanyard-node/src/toucanyard_node/bounded_output.py
@@ -55,8 +55,8 @@
         told = 0
         while True:
             if not self._lines and not self._rest:
-                # Most of many nodes rest most of the time, and 20 looks a second took
-                # a quarter of what one does then.
+                # Nodes of a large fleet mostly rest; looking for lines would wake them
+                # more often than anything else.
                 self._waiting = trio.Event()
                 await self._waiting.wait()
             if self.dropped > told:
--- a/packages/toucanyard-node/src/toucanyard_node/encoded_messages.py
+++ b/packages/toucanyard-node/src/toucanyard_node/encoded_messages.py
@@ -1,7 +1,7 @@
 """Encode a message once that goes to many peers.
 
 A hub sends its nodes, the nodes that stand by and other hubs one status each, in the
-order of their links. Encoded for each of 46 peers, that took more time than sending.
+order of their links. Encoding it anew for each of 46 peers would hold up its calls.
 """
 
 from __future__ import annotations
--- a/packages/toucanyard/src/toucanyard/status_schedule.py
+++ b/packages/toucanyard/src/toucanyard/status_schedule.py
@@ -1,8 +1,8 @@
 """Decide when each kind of peer is due a status.
 
 Statuses are most of what a node of a large fleet does. Sent to every peer at each piece
-of news, they came back to those who had told it, and to nodes that only stand by; a hub
-of 195 nodes then handled a thousand a second.
+of news, they would also go back to those who told it, and to nodes that only stand by,
+and keep hubs from their calls.
 """
 
 from __future__ import annotations
