--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -251,11 +251,12 @@
     ) -> NodeStatus:
         """Return what peers are told of this node and those that report to it."""
         primary = self._roster.find_primary()
+        full_ms = self._find_full_interval()
         changes: dict[str, object] = {"parts": parts, "is_report": primary is not None}
-        if self._is_nodes_due(Audience.PEERS, now_ms):
+        if _take_turn(self._nodes_ms, Audience.PEERS, NODES_MS, now_ms):
             nodes = self._roster.list_heard(sorted(self._leaves), now_ms)
             changes["nodes"] = tuple(nodes)
-        if self._is_full_due(Audience.PEERS, now_ms):
+        if _take_turn(self._full_ms, Audience.PEERS, full_ms, now_ms):
             own = self._uses.report()
             group = self._leaves - {primary}
             changes["covers"] = Coverage.GROUP
@@ -266,10 +267,11 @@
         self, light: NodeStatus, parts: tuple[ReadPart, ...], now_ms: float
     ) -> NodeStatus:
         """Return what the nodes that report to this one are told of all nodes."""
+        full_ms = self._find_full_interval()
         changes: dict[str, object] = {"parts": parts}
-        if self._is_nodes_due(Audience.GROUP, now_ms):
+        if _take_turn(self._nodes_ms, Audience.GROUP, NODES_MS, now_ms):
             changes["nodes"] = tuple(self._roster.list_alive(now_ms))
-        if self._is_full_due(Audience.GROUP, now_ms):
+        if _take_turn(self._full_ms, Audience.GROUP, full_ms, now_ms):
             peers = list(self._uses.list_peers())
             uses = self._uses.sum_group(self._uses.list_own(), peers, now_ms)
             changes["covers"] = Coverage.FLEET
@@ -277,18 +279,6 @@
             self._full_bytes = len(uses) * USE_BYTES
         return msgspec.structs.replace(light, **changes)
 
-    def _is_nodes_due(self, audience: Audience, now_ms: float) -> bool:
-        is_due = now_ms - self._nodes_ms[audience] >= NODES_MS
-        if is_due:
-            self._nodes_ms[audience] = now_ms
-        return is_due
-
-    def _is_full_due(self, audience: Audience, now_ms: float) -> bool:
-        is_due = now_ms - self._full_ms[audience] >= self._find_full_interval()
-        if is_due:
-            self._full_ms[audience] = now_ms
-        return is_due
-
     def _find_audience(self, name: NodeName) -> Audience:
         if self._roster.is_full_mesh() or name == self._roster.find_primary():
             return Audience.PEERS
@@ -316,3 +306,16 @@
         bytes_per_ms = self._link_mbps * BYTES_PER_MBPS_MS * LINK_SHARE
         needed_ms = len(self._leaves) * self._full_bytes / max(bytes_per_ms, 1.0)
         return min(max(needed_ms, URGENT_MS), MAX_FULL_MS)
+
+
+def _take_turn(
+    last_ms: dict[Audience, float],
+    audience: Audience,
+    interval_ms: float,
+    now_ms: float,
+) -> bool:
+    """Begin a new interval of an audience if its last one is over; tell whether so."""
+    is_due = now_ms - last_ms[audience] >= interval_ms
+    if is_due:
+        last_ms[audience] = now_ms
+    return is_due
