Log which request a call repeats, and whether its replica closed the connection

Callers see their answers cut each time a replica ends. No log line said which request (path, customer, body) a call was, so repeats of one request could not be told from other calls, nor a closed connection from garbage.

ConnectionFailedError tells a close and an address without a listener from other failures. No decision reads any of it yet.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -32,11 +32,24 @@
 
 
 class ConnectionFailedError(Exception):
-    """The connection could not be made or died; `is_sent` tells if bytes left."""
+    """The connection could not be made or died; `is_sent` tells if bytes left.
 
-    def __init__(self, text: str, is_sent: bool) -> None:
+    `is_closed` tells that the other side closed it before the answer was whole,
+    `has_no_listener` that no process listens at the address.
+    """
+
+    def __init__(
+        self,
+        text: str,
+        is_sent: bool,
+        *,
+        is_closed: bool = False,
+        has_no_listener: bool = False,
+    ) -> None:
         super().__init__(text)
         self.is_sent = is_sent
+        self.is_closed = is_closed
+        self.has_no_listener = has_no_listener
 
 
 class BodyTooLargeError(ConnectionFailedError):
@@ -84,6 +97,7 @@
 
     __slots__ = (
         "_connection",
+        "_is_closed",
         "_is_cut",
         "_is_drained",
         "_pending",
@@ -100,6 +114,7 @@
         self._stream = stream
         self._pending: object = None
         self._is_drained = False
+        self._is_closed = False
         self._is_cut = False
         self._connection = h11.Connection(h11.CLIENT)
 
@@ -195,7 +210,9 @@
             with trio.fail_after(stall_ms / 1000):
                 await self._stream.send_all(piece)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise ConnectionFailedError(str(error), is_sent=True) from error
+            raise ConnectionFailedError(
+                str(error), is_sent=True, is_closed=True
+            ) from error
         except trio.TooSlowError as error:
             text = "the other side takes nothing"
             raise ConnectionFailedError(text, is_sent=True) from error
@@ -221,7 +238,9 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
-                raise ConnectionFailedError("closed before an answer", is_sent=True)
+                raise ConnectionFailedError(
+                    "closed before an answer", is_sent=True, is_closed=True
+                )
             headers = {
                 name.decode("ascii"): value.decode("latin-1")
                 for name, value in event.headers
@@ -239,7 +258,9 @@
         if not isinstance(event, h11.Data):
             if isinstance(event, h11.EndOfMessage):
                 return None
-            raise ConnectionFailedError("closed inside an answer", is_sent=True)
+            raise ConnectionFailedError(
+                "closed inside an answer", is_sent=True, is_closed=True
+            )
         parts = [event.data]
         while not self._is_drained_by(event):
             event = self._parse()
@@ -291,7 +312,10 @@
             try:
                 data = await receive(self._stream)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise ConnectionFailedError(str(error), is_sent=True) from error
+                raise ConnectionFailedError(
+                    str(error), is_sent=True, is_closed=True
+                ) from error
+            self._is_closed = not data
             self._connection.receive_data(data)
             self._is_drained = False
 
@@ -299,7 +323,9 @@
         try:
             return self._connection.next_event()
         except h11.RemoteProtocolError as error:
-            raise ConnectionFailedError(str(error), is_sent=True) from error
+            raise ConnectionFailedError(
+                str(error), is_sent=True, is_closed=self._is_closed
+            ) from error
 
 
 Connect = Callable[[Address, float], Awaitable[HttpConnection]]
@@ -314,7 +340,11 @@
     except (OSError, OverflowError, trio.TooSlowError) as error:
         # A port over 65535, which a configuration may name, overflows: without being
         # caught it would end the task that watches this endpoint, and so the node.
-        raise ConnectionFailedError(f"{address}: {error}", is_sent=False) from error
+        raise ConnectionFailedError(
+            f"{address}: {error}",
+            is_sent=False,
+            has_no_listener=isinstance(error, ConnectionRefusedError),
+        ) from error
     return HttpConnection(address, stream, trio.current_time() * 1000)
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -166,7 +166,7 @@
             connection = await connect(dispatch.address, dispatch.connect_ms)
         except ConnectionFailedError as error:
             raise self._lose(
-                dispatch, EndingSeen.NOT_SENT, str(error), is_dead=True
+                dispatch, EndingSeen.NOT_SENT, str(error), cause=error, is_dead=True
             ) from error
         try:
             await self._exchange(dispatch, connection)
@@ -217,7 +217,7 @@
                 )
         except ConnectionFailedError as error:
             ending = EndingSeen.LOST if error.is_sent else EndingSeen.NOT_SENT
-            raise self._lose(dispatch, ending, str(error)) from error
+            raise self._lose(dispatch, ending, str(error), cause=error) from error
         except trio.TooSlowError as error:
             text = f"no answer within {dispatch.patience_ms:.0f} ms"
             raise self._lose(dispatch, EndingSeen.LOST, text) from error
@@ -261,7 +261,8 @@
         try:
             return await connection.read_body()
         except ConnectionFailedError as error:
-            raise self._lose(dispatch, EndingSeen.LOST, str(error)) from error
+            text = str(error)
+            raise self._lose(dispatch, EndingSeen.LOST, text, cause=error) from error
 
     async def _relay(
         self,
@@ -304,7 +305,9 @@
             with trio.fail_after(self._compute_gap(dispatch) / 1000):
                 return await connection.read_part()
         except ConnectionFailedError as error:
-            raise self._lose(dispatch, EndingSeen.LOST, str(error), facts) from error
+            raise self._lose(
+                dispatch, EndingSeen.LOST, str(error), facts, cause=error
+            ) from error
         except trio.TooSlowError as error:
             raise self._lose(dispatch, EndingSeen.LOST, "silent", facts) from error
 
@@ -323,10 +326,13 @@
         text: str,
         facts: AnswerFacts | None = None,
         *,
+        cause: ConnectionFailedError | None = None,
         is_dead: bool = False,
     ) -> AnswerLostError:
-        outcome = self._build(dispatch, ending, text, facts, is_dead=is_dead)
-        self._note_ended(dispatch, ending.value, 0, text)
+        outcome = self._build(
+            dispatch, ending, text, facts, cause=cause, is_dead=is_dead
+        )
+        self._note_ended(dispatch, ending.value, 0, text, is_closed=outcome.is_closed)
         return AnswerLostError(outcome)
 
     def _build(
@@ -336,6 +342,7 @@
         text: str,
         facts: AnswerFacts | None = None,
         *,
+        cause: ConnectionFailedError | None = None,
         is_dead: bool = False,
     ) -> RelayOutcome:
         return RelayOutcome(
@@ -344,6 +351,8 @@
             ending,
             text=text,
             is_dead=is_dead,
+            has_no_listener=cause is not None and cause.has_no_listener,
+            is_closed=cause is not None and cause.is_closed,
             has_begun=self._responder.is_started,
             weights_version=None if facts is None else facts.weights_version,
         )
@@ -357,12 +366,25 @@
         self._note_ended(dispatch, "answered", status)
 
     def _note_ended(
-        self, dispatch: RelayDispatch, ending: str, status: int, text: str = ""
+        self,
+        dispatch: RelayDispatch,
+        ending: str,
+        status: int,
+        text: str = "",
+        *,
+        is_closed: bool = False,
     ) -> None:
         after_ms = trio.current_time() * 1000 - self._request.arrived_ms
         self._metrics.note_ended(self._request, ending, after_ms)
         log_ended(
-            self._request, dispatch, ending, status, after_ms, self._first_ms, text
+            self._request,
+            dispatch,
+            ending,
+            status,
+            after_ms,
+            self._first_ms,
+            text,
+            is_closed=is_closed,
         )
 
     async def _send_whole(self, held: HeldAnswer) -> None:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_face.py
@@ -13,6 +13,7 @@
 from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind, RouterError
 from toucanyard.names import CustomerName, RequestId
 from toucanyard.relay_requests import RelayRequest
+from toucanyard.request_fingerprint import compute_fingerprint
 from toucanyard.requests import Refuse
 from toucanyard.routes import (
     Route,
@@ -97,10 +98,12 @@
         service = choose_service(route, self._rng)
         if service is None:
             raise RouterError(ErrorKind.NO_ENDPOINT, "the route has no service", 500)
+        name = CustomerName("") if customer is None else customer.name
+        host = http.headers.get("host", "")
         request = RelayRequest(
             request_id=RequestId(f"{facts.caller_id}-{next(self._numbers)}"),
             caller_id=facts.caller_id,
-            customer=CustomerName("") if customer is None else customer.name,
+            customer=name,
             is_walled=customer is not None and customer.is_walled,
             route=route.name,
             service=service,
@@ -114,6 +117,9 @@
             deadline_ms=arrived_ms + _find_time(route, facts),
             table_version=index.table.version,
             prompt=facts.prompt,
+            fingerprint=compute_fingerprint(
+                http.method, host, http.target, name, http.body
+            ),
         )
         return RelayExchange(
             self._client,
--- a/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_lines.py
@@ -55,6 +55,8 @@
     after_ms: float,
     first_ms: float | None,
     text: str = "",
+    *,
+    is_closed: bool = False,
 ) -> None:
     """Say how a dispatch ended."""
     _LOG.info(
@@ -70,4 +72,6 @@
         reason=text,
         route=request.route,
         customer=request.customer,
+        fingerprint=request.fingerprint,
+        is_closed=is_closed,
     )
--- a/packages/toucanyard/src/toucanyard/names.py
+++ b/packages/toucanyard/src/toucanyard/names.py
@@ -16,6 +16,8 @@
 # The name that a replica registers under; it may keep it when it starts again.
 ReplicaId = NewType("ReplicaId", str)
 RequestId = NewType("RequestId", str)
+# Of what a request asks for; the same for each of its repeats.
+Fingerprint = NewType("Fingerprint", str)
 # An IP number and a port, "127.0.0.1:8080".
 Address = NewType("Address", str)
 
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -8,6 +8,7 @@
     Address,
     CustomerName,
     EndpointName,
+    Fingerprint,
     ReplicaId,
     RequestId,
     ServiceName,
@@ -58,6 +59,8 @@
     """The caller's deadline or the route's timeout, whichever comes first."""
     table_version: int
     prompt: Prompt | None = None
+    fingerprint: Fingerprint = Fingerprint("")
+    """The same for each repeat of the request; empty if it is not known."""
 
 
 class PlacementReason(msgspec.Struct, frozen=True):
@@ -112,6 +115,10 @@
     text: str = ""
     is_dead: bool = False
     """Nothing answered at the replica's address."""
+    has_no_listener: bool = False
+    """The replica's VM refused the connection: no process listens at the address."""
+    is_closed: bool = False
+    """The connection was closed before the answer was whole."""
     is_replaced: bool = False
     """Another replica answers at the address."""
     has_other_weights: bool = False
--- a/tests/toucanyard_node/test_http_client.py
+++ b/tests/toucanyard_node/test_http_client.py
@@ -7,7 +7,12 @@
 from hypothesis import example, given, strategies as st
 
 from toucanyard.names import Address
-from toucanyard_node.http_client import ConnectionFailedError, HttpConnection
+from toucanyard_node.http_client import (
+    ConnectionFailedError,
+    HttpConnection,
+    connect,
+)
+from toucanyard_node.http_server import find_port
 
 ADDRESS = Address("127.0.0.1:1")
 BODIES = st.lists(
@@ -82,3 +87,30 @@
     short = data[: max(1, len(data) - missing)]
     with pytest.RaisesGroup(ConnectionFailedError):
         run_answer(cut(short, places), True)
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+
+
+@pytest.mark.parametrize("size", [0, 10, len(WHOLE) - 1])
+def test_connection_that_is_closed_early_is_told_from_one_that_fails(size: int) -> None:
+    with pytest.RaisesGroup(
+        pytest.RaisesExc(ConnectionFailedError, check=lambda error: error.is_closed)
+    ):
+        run_answer([WHOLE[:size]], then_closes=True)
+
+
+def test_answer_that_is_no_http_is_not_taken_for_a_closed_connection() -> None:
+    with pytest.RaisesGroup(
+        pytest.RaisesExc(ConnectionFailedError, check=lambda error: not error.is_closed)
+    ):
+        run_answer([b"\x00\x01\r\n\r\n"], then_closes=False)
+
+
+async def test_address_without_a_listener_is_noticed() -> None:
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = Address(f"127.0.0.1:{find_port(listeners[0])}")
+    await listeners[0].aclose()
+    with pytest.raises(ConnectionFailedError) as refused:
+        await connect(address, 1_000.0)
+    assert refused.value.has_no_listener
