Reproduce that repeats of a request that crashes its replicas never end

Nodes, store and replicas run in process on a clock of the test's own. A replica ends 60 ms after it began the request and is back 2.5 s later under another name; the request comes every 0.3 s to the next node.

Ruled out: retries within one call alone (sends go on where the call may run once and has one attempt), and replicas that end by their load.

--- /dev/null
+++ b/tests/toucanyard/crash_fleet.py
@@ -0,0 +1,337 @@
+"""Run a fleet before replicas that end when they begin to run a certain request.
+
+A replica that ended is back some seconds later, at its address and under another name.
+The store drops the entry of the one before once its heartbeats have been missed.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import (
+    Address,
+    CustomerName,
+    EndpointName,
+    Fingerprint,
+    NodeName,
+    RequestId,
+)
+from toucanyard.relay_events import (
+    CallArrived,
+    DispatchEnded,
+    FirstEventSeen,
+    LinkMessageRead,
+    ReadReplicaState,
+    RelayAction,
+    RelayEvent,
+    ReplicaState,
+    ReplicaStateRead,
+    SendToPeer,
+    TickPassed,
+)
+from toucanyard.relay_flow import RelayReply
+from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
+from toucanyard.requests import EndingSeen, Refuse, Repeatability
+
+from .relay_examples import DESK, build_replica, build_request, build_table
+from .relay_fleet import put
+from .store_fleet import StoreFleet
+
+STEP_MS = 5.0
+TICK_MS = 25.0
+WAY_MS = 2.0
+START_MS = 30.0
+"""From a call's arrival at a replica until it begins to run."""
+CRASH_MS = 60.0
+"""How long the request that crashes a replica runs there."""
+RUN_MS = 600.0
+BACK_MS = 2_500.0
+LAPSE_MS = 3_400.0
+CALL_MS = 5_000.0
+POISON = Fingerprint("poison")
+
+
+class Engine:
+    """What listens at one address."""
+
+    def __init__(self, address: Address, name: str) -> None:
+        self.address = address
+        self.name = EndpointName(name)
+        self.is_up = True
+        self.calls: dict[RequestId, Call] = {}
+
+
+class Call:
+    """One arrival of a request at a node."""
+
+    def __init__(self, node: NodeName, request: RelayRequest) -> None:
+        self.node = node
+        self.request = request
+        self.sends = 0
+        self.has_begun = False
+        self.ending: str | None = None
+        self.refusal: Refuse | None = None
+        self.ended_ms = 0.0
+
+
+class Send:
+    """A call that reached a replica."""
+
+    def __init__(self, call: Call, replica: EndpointName, at_ms: float) -> None:
+        self.call = call
+        self.replica = replica
+        self.at_ms = at_ms
+
+
+class CrashFleet(StoreFleet):
+    """Nodes, a store, replicas, and calls that last a while."""
+
+    def __init__(self, domains: int, nodes_each: int, replicas: int = 6) -> None:
+        self.engines: dict[Address, Engine] = {}
+        self.calls: list[Call] = []
+        self.reached: list[Send] = []
+        self.crashes: list[tuple[float, EndpointName]] = []
+        self.probes = 0
+        self._numbers = count()
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._by_id: dict[RequestId, Call] = {}
+        super().__init__(domains, nodes_each, way_ms=5.0)
+        for number in range(replicas):
+            address = Address(f"10.1.0.{number + 1}:80")
+            self.engines[address] = Engine(address, "")
+            self._start(address)
+        self._node_records = [
+            KeyedRecord(name, number, put(core.own_record))
+            for number, (name, core) in enumerate(self.cores.items())
+        ]
+        self._table = put(build_table())
+        self.run_for(1_500.0)
+
+    # Replicas.
+
+    def _start(self, address: Address) -> None:
+        name = f"r{next(self._numbers)}"
+        self.engines[address] = Engine(address, name)
+        replica = build_replica(name, service=DESK, weights=(), address=address)
+        self._append(name, put(replica))
+
+    def crash(self, address: Address) -> None:
+        """End the replica at an address; its calls lose their connections."""
+        engine = self.engines[address]
+        if not engine.is_up:
+            return
+        engine.is_up = False
+        self.crashes.append((self.now_ms, engine.name))
+        for call in list(engine.calls.values()):
+            self.after(WAY_MS, lambda call=call: self.lose(call, engine.name))  # type: ignore[misc]
+        engine.calls.clear()
+        self.after(BACK_MS, lambda: self._start(address))
+        self.after(LAPSE_MS, lambda: self._append(engine.name, None))
+
+    def lose(
+        self, call: Call, replica: EndpointName, *, is_closed: bool = True
+    ) -> None:
+        """End a call's dispatch without an answer."""
+        outcome = RelayOutcome(
+            call.request.request_id,
+            replica,
+            EndingSeen.LOST,
+            text="closed before an answer" if is_closed else "silent",
+            is_closed=is_closed,
+            has_begun=call.has_begun and not call.request.is_resumable,
+        )
+        self.handle(call.node, DispatchEnded(outcome))
+
+    def _reach(self, call: Call, dispatch: RelayDispatch) -> None:
+        engine = self.engines[dispatch.address]
+        outcome = None
+        request_id = call.request.request_id
+        if not engine.is_up:
+            outcome = RelayOutcome(
+                request_id,
+                dispatch.replica,
+                EndingSeen.NOT_SENT,
+                is_dead=True,
+                has_no_listener=True,
+            )
+        elif engine.name != dispatch.replica:
+            outcome = RelayOutcome(
+                request_id, dispatch.replica, EndingSeen.REFUSED, is_replaced=True
+            )
+        if outcome is not None:
+            self.handle(call.node, DispatchEnded(outcome))
+            return
+        engine.calls[request_id] = call
+        self.reached.append(Send(call, engine.name, self.now_ms))
+        if call.request.fingerprint == POISON:
+            self.after(START_MS + CRASH_MS, lambda: self._crash_by(call, engine))
+        else:
+            self.after(START_MS, lambda: self._begin(call, engine))
+            self.after(START_MS + RUN_MS, lambda: self._complete(call, engine))
+
+    def _crash_by(self, call: Call, engine: Engine) -> None:
+        if call.request.request_id in engine.calls:
+            self.crash(engine.address)
+
+    def _begin(self, call: Call, engine: Engine) -> None:
+        if call.request.request_id in engine.calls:
+            call.has_begun = True
+            self.handle(call.node, FirstEventSeen(call.request.request_id))
+
+    def _complete(self, call: Call, engine: Engine) -> None:
+        request_id = call.request.request_id
+        if engine.calls.pop(request_id, None) is not None:
+            outcome = RelayOutcome(request_id, engine.name, EndingSeen.COMPLETED)
+            self._end(call, "completed")
+            self.handle(call.node, DispatchEnded(outcome))
+
+    # Nodes.
+
+    def handle(self, name: NodeName, event: RelayEvent) -> None:
+        core = self.cores[name]
+        for action in core.handle(event, self.now_ms):
+            if isinstance(action, SendToPeer):
+                read = LinkMessageRead(core.identity, action.message)
+                due_ms = self.now_ms + self._way_ms
+                self._on_the_way.append((due_ms, name, action.node, read))
+            else:
+                self._carry_out(name, action)
+
+    def _carry_out(self, name: NodeName, action: RelayAction) -> None:
+        match action:
+            case RelayReply(request_id=request_id, verdict=verdict):
+                call = self._by_id.get(request_id)
+                if call is not None and call.ending is None:
+                    self._take(call, verdict)
+            case ReadReplicaState():
+                self.probes += 1
+                self.after(WAY_MS, lambda: self._report(name, action, self.now_ms))
+
+    def _report(self, node: NodeName, read: ReadReplicaState, asked_ms: float) -> None:
+        engine = self.engines[read.address]
+        state = None
+        if engine.is_up and str(engine.name) == str(read.listed_as):
+            state = ReplicaState((), False, 0, 0, 0)
+        self.handle(node, ReplicaStateRead(read.replica, state, asked_ms))
+
+    def _take(self, call: Call, verdict: object) -> None:
+        match verdict:
+            case RelayDispatch():
+                call.sends += 1
+                self.after(WAY_MS, lambda: self._reach(call, verdict))
+            case Refuse():
+                call.refusal = verdict
+                self._end(call, "refused")
+            case None:
+                self._end(call, "failed")
+
+    def _end(self, call: Call, ending: str) -> None:
+        call.ending = ending
+        call.ended_ms = self.now_ms
+
+    # Callers.
+
+    def call(
+        self, node: NodeName, fingerprint: str, *, is_resumable: bool = True
+    ) -> Call:
+        """Let a call arrive at a node."""
+        repeatability = (
+            Repeatability.REPEATABLE if is_resumable else Repeatability.RUN_ONCE
+        )
+        request = build_request(
+            f"call-{next(self._numbers)}",
+            customer=CustomerName("c"),
+            fingerprint=Fingerprint(fingerprint),
+            repeatability=repeatability,
+            is_stream=True,
+            is_resumable=is_resumable,
+            arrived_ms=self.now_ms,
+            deadline_ms=self.now_ms + CALL_MS,
+        )
+        call = Call(node, request)
+        self.calls.append(call)
+        self._by_id[request.request_id] = call
+        self.handle(node, CallArrived(request))
+        return call
+
+    def call_in_turn(
+        self,
+        for_ms: float,
+        *,
+        poison_ms: float = 300.0,
+        harmless_ms: float = 85.0,
+        is_resumable: bool = True,
+    ) -> None:
+        """Let poisoned and harmless calls arrive at the nodes in turn for a while."""
+        names = [name for name in self.cores if name not in self.dead]
+        begun_ms, end_ms = self.now_ms, self.now_ms + for_ms
+        poisoned = harmless = 0
+        while self.now_ms < end_ms:
+            if self.now_ms >= begun_ms + poisoned * poison_ms:
+                node = names[poisoned % len(names)]
+                self.call(node, POISON, is_resumable=is_resumable)
+                poisoned += 1
+            if self.now_ms >= begun_ms + harmless * harmless_ms:
+                node = names[harmless % len(names)]
+                body = f"harmless-{next(self._numbers)}"
+                self.call(node, body, is_resumable=is_resumable)
+                harmless += 1
+            self.run_for(STEP_MS)
+
+    # Time.
+
+    def after(self, delay_ms: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (self.now_ms + delay_ms, next(self._numbers), act))
+
+    def run_for(self, for_ms: float) -> None:
+        """Let time pass in small steps."""
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            if self.now_ms % self.DIAL_MS == 0:
+                self.link()
+            self.now_ms += STEP_MS
+            self._deliver()
+            while self._due and self._due[0][0] <= self.now_ms:
+                heapq.heappop(self._due)[2]()
+            if self.now_ms % TICK_MS == 0:
+                for name in self.cores:
+                    self.handle(name, TickPassed())
+                    self._read_list(name)
+
+    def kill_and_restart_all(self) -> None:
+        """End all nodes at once and start new incarnations that know nothing."""
+        for call in self.calls:
+            if call.ending is None:
+                self._end(call, "node killed")
+                for engine in self.engines.values():
+                    engine.calls.pop(call.request.request_id, None)
+        self._on_the_way.clear()
+        self._linked.clear()
+        for number, (name, core) in enumerate(list(self.cores.items())):
+            self.add(name, number, core.options.domain)
+        for name in self.cores:
+            self.read(name, Topic.NODES, *self._node_records)
+            self.read(name, Topic.OPERATOR, KeyedRecord("config", 0, self._table))
+
+    # What was seen.
+
+    def list_poisoned(self) -> list[Send]:
+        """Return the calls by which replicas were sent what crashes them."""
+        return [s for s in self.reached if s.call.request.fingerprint == POISON]
+
+    def list_late(self, bound_ms: float) -> list[Send]:
+        """Return those of them that came too long after the third crash."""
+        if len(self.crashes) < 3:
+            return []
+        third_ms = self.crashes[2][0]
+        return [s for s in self.list_poisoned() if s.at_ms > third_ms + bound_ms]
+
+    def find_served_share(self) -> float:
+        """Return the share of the harmless calls that were answered whole."""
+        harmless = [
+            c for c in self.calls if c.ending and c.request.fingerprint != POISON
+        ]
+        return sum(c.ending == "completed" for c in harmless) / len(harmless)
