--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -7,8 +7,19 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
+from toucanyard.crash_watch import Reach
 from toucanyard.keyed_view import Topic
-from toucanyard.names import EndpointName, Incarnation, NodeId, RequestId
+from toucanyard.names import (
+    EndpointName,
+    Incarnation,
+    NodeId,
+    RequestId,
+)
+from toucanyard.quarantine import (
+    EraseQuarantine,
+    QuarantinedRequest,
+    WriteQuarantine,
+)
 from toucanyard.relay_core import TICK_MS, RelayCore
 from toucanyard.relay_events import (
     AppendTurn,
@@ -17,6 +28,8 @@
     OrderAnswered,
     PartsChanged,
     PeersLinked,
+    QuarantineErased,
+    QuarantineWritten,
     ReadReplicaState,
     ReadTurns,
     RelayAction,
@@ -137,6 +150,8 @@
                 self._read_state(action)
             case WeightsOrder():
                 self._send_order(action)
+            case WriteQuarantine() | EraseQuarantine():
+                self._put_quarantine(action)
             case Note():
                 self.notes.append((self.now_ms, action))
 
@@ -199,16 +214,31 @@
 
         self.after(STORE_MS, append)
 
+    def _put_quarantine(self, action: WriteQuarantine | EraseQuarantine) -> None:
+        request: QuarantinedRequest | None = None
+        done: RelayEvent
+        match action:
+            case WriteQuarantine(request=request):
+                fingerprint = request.fingerprint
+                done = QuarantineWritten(fingerprint)
+            case EraseQuarantine(fingerprint=fingerprint):
+                done = QuarantineErased(fingerprint)
+
+        def put() -> None:
+            self.world.store.put(Topic.NODES, f"quarantine/{fingerprint}", request)
+            self.handle(done)
+
+        self._ask_store(put, "quarantine")
+
     def _read_state(self, read: ReadReplicaState) -> None:
         asked_ms = self.now_ms
         engine = self.world.pool.find_replica(read.replica)
         if not isinstance(engine, Engine) or engine.presence is not Presence.UP:
             is_silent = engine is not None and engine.presence is Presence.SILENT
             delay_ms = REPORT_TIMEOUT_MS if is_silent else 2.0
-            self.after(
-                delay_ms,
-                lambda: self.handle(ReplicaStateRead(read.replica, None, asked_ms)),
-            )
+            reach = Reach.NO_ANSWER if is_silent else Reach.NO_LISTENER
+            failed = ReplicaStateRead(read.replica, None, asked_ms, reach)
+            self.after(delay_ms, lambda: self.handle(failed))
             return
         state = engine.read_state()
         latency_ms = self.world.pool.compute_latency(self.domain, read.replica)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -12,9 +12,11 @@
 
 import msgspec
 
+from toucanyard.crash_watch import Reach
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import Address, ReplicaId
+from toucanyard.names import Address, Fingerprint, ReplicaId
 from toucanyard.node_records import NodeRecord
+from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.relay_events import PartChange, ReplicaState, WeightsOrder
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
 from toucanyard_node.http_client import Headers, ResponseHead
@@ -144,6 +146,14 @@
         """Write where a node can be reached; return the record's offset."""
         ...
 
+    async def write_quarantine(self, request: QuarantinedRequest) -> None:
+        """Write a request under quarantine, in place of an older record of it."""
+        ...
+
+    async def erase_quarantine(self, fingerprint: Fingerprint) -> None:
+        """Remove the record of a request under quarantine."""
+        ...
+
     async def read_turns(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
         """Return the turns' records from an offset on, and where they end."""
         ...
@@ -153,13 +163,18 @@
         ...
 
 
+class StateAnswer(msgspec.Struct, frozen=True):
+    """What came of asking a replica for its state."""
+
+    reach: Reach
+    state: ReplicaState | None = None
+
+
 class ReplicaControl(Protocol):
     """Asks replicas for their state and gives them orders."""
 
-    async def read_state(
-        self, address: Address, listed_as: ReplicaId
-    ) -> ReplicaState | None:
-        """Return a replica's state; None if it did not answer or is another one."""
+    async def read_state(self, address: Address, listed_as: ReplicaId) -> StateAnswer:
+        """Return a replica's state, or what was found instead."""
         ...
 
     async def send_order(self, order: WeightsOrder) -> int | None:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -10,10 +10,18 @@
 import trio
 
 from toucanyard.keyed_view import Topic
+from toucanyard.names import Fingerprint
+from toucanyard.quarantine import (
+    EraseQuarantine,
+    QuarantinedRequest,
+    WriteQuarantine,
+)
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
     AppendTurn,
     OrderAnswered,
+    QuarantineErased,
+    QuarantineWritten,
     ReadReplicaState,
     ReadTurns,
     RelayEvent,
@@ -200,10 +208,14 @@
                 return await self._append_turn(errand)
             case ReadReplicaState(replica=replica, listed_as=listed_as):
                 asked_ms = trio.current_time() * 1000
-                state = await self._control.read_state(errand.address, listed_as)
-                return ReplicaStateRead(replica, state, asked_ms)
+                answer = await self._control.read_state(errand.address, listed_as)
+                return ReplicaStateRead(replica, answer.state, asked_ms, answer.reach)
             case WeightsOrder():
                 return await self._send_order(errand)
+            case WriteQuarantine(request=request):
+                return await self._write_quarantine(request)
+            case EraseQuarantine(fingerprint=fingerprint):
+                return await self._erase_quarantine(fingerprint)
 
     async def _read_turns(self, offset: int) -> RelayEvent | None:
         try:
@@ -224,6 +236,22 @@
         _LOG.info("turn_taken", offset=offset, at=errand.at)
         return TurnAppended(offset, sent_ms)
 
+    async def _write_quarantine(self, request: QuarantinedRequest) -> RelayEvent:
+        try:
+            await self._store.write_quarantine(request)
+        except StoreError as error:
+            return StoreFailed("quarantine", error.reason)
+        _LOG.info("quarantine_written", fingerprint=request.fingerprint)
+        return QuarantineWritten(request.fingerprint)
+
+    async def _erase_quarantine(self, fingerprint: Fingerprint) -> RelayEvent:
+        try:
+            await self._store.erase_quarantine(fingerprint)
+        except StoreError as error:
+            return StoreFailed("quarantine", error.reason)
+        _LOG.info("quarantine_erased", fingerprint=fingerprint)
+        return QuarantineErased(fingerprint)
+
     async def _send_order(self, order: WeightsOrder) -> RelayEvent:
         status = await self._control.send_order(order)
         _LOG.info(
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -13,6 +13,7 @@
 import trio
 
 from toucanyard.names import RequestId
+from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
     AppendTurn,
@@ -43,7 +44,14 @@
 _LOG: Final = structlog.get_logger()
 
 Reply = trio.MemorySendChannel[RelayVerdict | None]
-Errand = ReadTurns | AppendTurn | ReadReplicaState | WeightsOrder
+Errand = (
+    ReadTurns
+    | AppendTurn
+    | ReadReplicaState
+    | WeightsOrder
+    | WriteQuarantine
+    | EraseQuarantine
+)
 
 
 class Ask(msgspec.Struct, frozen=True):
@@ -153,6 +161,8 @@
                 self._send_or_drop(action)
             case ReadTurns() | AppendTurn() | ReadReplicaState() | WeightsOrder():
                 self._errands.send_nowait(action)
+            case WriteQuarantine() | EraseQuarantine():
+                self._errands.send_nowait(action)
             case Note(event=name, fields=fields):
                 _LOG.info(name, **fields)
 
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -7,9 +7,10 @@
 from typing import Final
 
 import msgspec
+import xxhash
 
 from toucanyard.candidates import MIN_MOVED_TOKENS
-from toucanyard.names import EndpointName
+from toucanyard.names import EndpointName, Fingerprint
 from toucanyard.part_book import PartBook
 from toucanyard.part_placement import PartPlacement, PlacedPrompt
 from toucanyard.part_reports import PartReports
@@ -18,6 +19,7 @@
 from toucanyard.plain_placement import PlainPlacement
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import PlacementReason, Prompt, RelayDispatch
+from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import Repeatability
@@ -69,6 +71,8 @@
         usable = fresh or usable
         if not usable:
             return None
+        if pending.is_suspect:
+            usable = [_find_home(request.fingerprint, usable)]
         if request.prompt is not None and service is not None and service.engine:
             return self._place_prompt(pending, service.engine, usable, now_ms)
         return self._place_plain(pending, usable, now_ms)
@@ -213,6 +217,7 @@
     ) -> None:
         request_id = pending.request.request_id
         pending.replica = replica
+        pending.sent_ms = now_ms
         pending.dispatches += 1
         pending.sends += 1
         self.uses.begin(replica, request_id, tokens, unread_tokens, now_ms)
@@ -243,3 +248,16 @@
             self.book.note(
                 pending.replica, pending.scope, prompt.parts, now_ms, memory_tokens
             )
+
+
+def _find_home(
+    fingerprint: Fingerprint, usable: Sequence[KnownReplica]
+) -> KnownReplica:
+    """Return the replica of a suspect, the same on all nodes.
+
+    Runs of one suspect then end one replica, and two suspects seldom share one.
+    """
+    key = xxhash.xxh3_64_intdigest(fingerprint.encode())
+    return max(
+        usable, key=lambda each: compute_weight(compute_seed(each.replica.name), key)
+    )
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/crash_watch.py
@@ -0,0 +1,140 @@
+"""Tell a replica that crashed from one whose connections were lost.
+
+A call whose connection was closed may have met a crash, a reset, a cut link or a
+planned stop. The replica has crashed if it was listed and not leaving, and if nothing
+listens at its address afterwards or another replica answers there.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import EndpointName, Fingerprint
+from toucanyard.relay_requests import RelayOutcome
+from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.requests import EndingSeen
+
+LOSS_TTL_MS: Final = 5_000.0
+"""How long a lost call waits for word of its replica; the store drops a replica that
+crashed within that time."""
+PROBE_MS: Final = 250.0
+"""Time between two probes of a replica that has not answered the last one."""
+MAX_ENDED: Final = 1_000
+"""Lives that ended lately and are remembered."""
+
+
+class Reach(enum.Enum):
+    """What a probe found at a replica's address."""
+
+    ANSWERED = "answered"
+    REPLACED = "replaced"
+    """Another replica answers there."""
+    NO_LISTENER = "no_listener"
+    NO_ANSWER = "no_answer"
+
+
+class Loss(msgspec.Struct, frozen=True):
+    """A call that was lost at a replica."""
+
+    fingerprint: Fingerprint
+    sent_ms: float
+    at_ms: float
+    is_closed: bool
+
+
+class CrashWatch:
+    """Lost calls whose replicas may have crashed.
+
+    Invariant: a loss is charged at most once, and only to the life that it was lost at.
+    """
+
+    __slots__ = ("_directory", "_ended", "_losses", "_probed_ms")
+
+    def __init__(self, directory: ReplicaDirectory) -> None:
+        self._directory = directory
+        self._losses: dict[EndpointName, list[Loss]] = {}
+        self._probed_ms: dict[EndpointName, float] = {}
+        self._ended: dict[EndpointName, None] = {}
+
+    def has_open_loss(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether a run of this request was cut and nobody knows yet by what."""
+        return any(
+            loss.is_closed and loss.fingerprint == fingerprint
+            for losses in self._losses.values()
+            for loss in losses
+        )
+
+    def note_outcome(
+        self,
+        outcome: RelayOutcome,
+        fingerprint: Fingerprint,
+        sent_ms: float,
+        now_ms: float,
+    ) -> bool:
+        """Take in how a dispatch ended; return whether its replica surely ended."""
+        if outcome.has_no_listener or outcome.is_replaced:
+            return True
+        if outcome.ending is not EndingSeen.LOST or not fingerprint:
+            return False
+        known = self._directory.find(outcome.replica)
+        if known is None or not known.is_listed(now_ms):
+            return False
+        loss = Loss(fingerprint, sent_ms, now_ms, outcome.is_closed)
+        self._losses.setdefault(outcome.replica, []).append(loss)
+        return outcome.replica in self._ended
+
+    def note_probed(self, replica: EndpointName, reach: Reach, asked_ms: float) -> bool:
+        """Take in what a probe found; return whether the replica surely ended."""
+        if reach in (Reach.NO_LISTENER, Reach.REPLACED):
+            return True
+        if reach is Reach.ANSWERED and replica in self._losses:
+            # What was lost before a life answered was not lost by its end.
+            losses = self._losses[replica]
+            self._keep(replica, [each for each in losses if each.at_ms > asked_ms])
+        return False
+
+    def note_ended(self, replica: EndpointName) -> None:
+        """Take in that a life of a replica is over."""
+        self._ended[replica] = None
+        if len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+
+    def take_losses(self, replica: EndpointName) -> list[Loss]:
+        """Return the losses at a life that has ended, and drop them."""
+        self._probed_ms.pop(replica, None)
+        return self._losses.pop(replica, [])
+
+    def find_replaced(self, now_ms: float) -> list[EndpointName]:
+        """Return lives with losses that another one has followed at their address."""
+        return [name for name in self._losses if self._is_replaced(name, now_ms)]
+
+    def take_probes(self, now_ms: float) -> Iterator[KnownReplica]:
+        """Return the replicas to probe now, and forget what is too old to matter."""
+        for name, losses in list(self._losses.items()):
+            fresh = [each for each in losses if now_ms - each.at_ms < LOSS_TTL_MS]
+            self._keep(name, fresh)
+            known = self._directory.find(name)
+            if known is None or not any(each.is_closed for each in fresh):
+                continue
+            if now_ms - self._probed_ms.get(name, float("-inf")) >= PROBE_MS:
+                self._probed_ms[name] = now_ms
+                yield known
+
+    def _keep(self, replica: EndpointName, losses: list[Loss]) -> None:
+        if losses:
+            self._losses[replica] = losses
+        else:
+            self.take_losses(replica)
+
+    def _is_replaced(self, name: EndpointName, now_ms: float) -> bool:
+        if self._directory.is_over(name):
+            return True
+        known = self._directory.find(name)
+        if known is None:
+            return False
+        newest = self._directory.find_newest_at(known.replica.address, now_ms)
+        return newest is not None and newest is not known
--- a/packages/toucanyard/src/toucanyard/errorcodes.py
+++ b/packages/toucanyard/src/toucanyard/errorcodes.py
@@ -41,6 +41,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     CALLER_GONE = "caller_gone"
     NO_ENDPOINT = "no_endpoint"
+    REQUEST_QUARANTINED = "request_quarantined"
     NO_CONFIGURATION = "no_configuration"
     STALE_CONFIGURATION = "stale_configuration"
     LOG_UNAVAILABLE = "log_unavailable"
@@ -85,6 +86,7 @@
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, _NOT_RUN, True),
     ErrorKind.CALLER_GONE: Answer(499, _UNKNOWN, False),
     ErrorKind.NO_ENDPOINT: Answer(503, _NOT_RUN, True),
+    ErrorKind.REQUEST_QUARANTINED: Answer(503, _NOT_RUN, True),
     ErrorKind.NO_CONFIGURATION: Answer(503, _NOT_RUN, True),
     ErrorKind.STALE_CONFIGURATION: Answer(503, _NOT_RUN, True),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, _NOT_RUN, True),
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -12,9 +12,11 @@
 from toucanyard.names import EndpointName, ReplicaId
 from toucanyard.node_records import NodeRecord
 from toucanyard.note_limit import NoteLimit
+from toucanyard.quarantine import QuarantinedRequest, Release
 from toucanyard.relay_events import Note
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.replicas import Replica, ReplicaDirectory
+from toucanyard.request_guard import RequestGuard
 from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex, RouteTable
 from toucanyard.weights_goals import WantedWeights, WeightsGoals
@@ -30,7 +32,15 @@
     read changes anything but the use of the replica in whose place it stands.
     """
 
-    __slots__ = ("_directory", "_flow", "_goals", "_invalid", "_roster", "index")
+    __slots__ = (
+        "_directory",
+        "_flow",
+        "_goals",
+        "_guard",
+        "_invalid",
+        "_roster",
+        "index",
+    )
 
     def __init__(
         self,
@@ -38,12 +48,14 @@
         goals: WeightsGoals,
         roster: Roster,
         flow: RelayFlow,
+        guard: RequestGuard,
     ) -> None:
         self.index = RouteIndex(RouteTable())
         self._directory = directory
         self._goals = goals
         self._roster = roster
         self._flow = flow
+        self._guard = guard
         self._invalid = NoteLimit("record_invalid")
 
     def apply(
@@ -76,6 +88,8 @@
                 case NodeRecord(name=node):
                     self._roster.remove(node)
                     yield Note("node_gone", {"node": node, "source": source})
+                case QuarantinedRequest() as quarantined:
+                    self._guard.note_record_removed(quarantined)
         if gone:
             self._directory.remove(gone, now_ms, listed_ms=listed_ms)
         for replica in gone:
@@ -121,6 +135,10 @@
             case NodeRecord(name=node):
                 self._roster.apply(fact)
                 yield Note("node_known", {"node": node, "source": source})
+            case QuarantinedRequest():
+                self._guard.apply_record(fact, source, now_ms)
+            case Release():
+                self._guard.release(fact, now_ms)
 
     def _apply_table(self, table: RouteTable, source: str) -> Iterator[Note]:
         before = self.index.table.version
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -13,7 +13,7 @@
 
 from toucanyard.cbor_messages import decode_cbor
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import EndpointName, NodeName, ReplicaId
+from toucanyard.names import EndpointName, Fingerprint, NodeName, ReplicaId
 
 
 class StoreReadUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -99,6 +99,30 @@
     """Another one after each restart, with which the store is empty."""
 
 
+class LostRun(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was under way at a replica when this ended."""
+
+    fingerprint: Fingerprint
+    ran_ms: float
+    """Time since it was sent there."""
+
+
+class ReplicaCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A replica that ended while it ran requests."""
+
+    replica: EndpointName
+    age_ms: float
+    runs: tuple[LostRun, ...]
+    """Those that were under way there, as far as the sender knows."""
+
+
+class RequestSurvival(msgspec.Struct, frozen=True, array_like=True):
+    """A request that a replica answered, though replicas crashed under it."""
+
+    fingerprint: Fingerprint
+    age_ms: float
+
+
 class Coverage(enum.StrEnum):
     """Whose calls the uses in a status count."""
 
@@ -127,6 +151,8 @@
     """The receiver is the hub that the sender reports to."""
     lives: tuple[LifeNews, ...] = ()
     """The newest lives of replicas that have started again lately."""
+    crashes: tuple[ReplicaCrash, ...] = ()
+    survivals: tuple[RequestSurvival, ...] = ()
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
--- a/packages/toucanyard/src/toucanyard/note_limit.py
+++ b/packages/toucanyard/src/toucanyard/note_limit.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from toucanyard.relay_events import Note
+from toucanyard.relay_notes import Note
 
 MAX_NOTES: Final = 20
 """Lines of one matter within a window; enough to see which keys are concerned."""
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -24,8 +24,12 @@
     """Its answer has begun, and goes on under no other weights."""
     is_waiting: bool = False
     queued_ms: float = 0.0
+    sent_ms: float = 0.0
+    """When the last dispatch was decided."""
     may_have_run: bool = False
     """Never goes back to false: a later refusal must not say "not run"."""
+    is_suspect: bool = False
+    """Several replicas have crashed under its request."""
     has_failed: bool = False
     """The last try that may have run ended with an answer that says that it failed."""
 
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/quarantine.py
@@ -0,0 +1,205 @@
+"""Keep the requests that no replica may run, since they crash replicas.
+
+An entry is stored in the platform's log, so that it outlasts the nodes and reaches
+those that start later. It ends when the request has not come for its lifetime, when an
+operator releases it, or when a replica is found to have survived the request.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.names import CustomerName, EndpointName, Fingerprint
+
+TTL_MS: Final = 3_600_000.0
+"""How long an entry lasts after the request came last, by the record in the log."""
+RENEW_MS: Final = TTL_MS / 4
+"""Age of a record from which a node that gets the request writes it again."""
+MAX_ENTRIES: Final = 1_024
+"""Entries of one node; the one whose request came longest ago goes first."""
+WRITE_MS: Final = 250.0
+"""Time from an entry to its record, in which a survival may still be heard of."""
+RANK_MS: Final = 500.0
+"""How much later each further node writes what the log lacks."""
+MAX_RANK: Final = 4
+RETRY_MS: Final = 2_000.0
+"""Time between two tries to write one record."""
+ID_BITS: Final = 32
+
+
+class QuarantinedRequest(msgspec.Struct, frozen=True):
+    """One entry as it stands in the log."""
+
+    fingerprint: Fingerprint
+    entry_id: str
+    """Another one for each quarantine of the same request."""
+    customer: CustomerName
+    route: str
+    replicas: tuple[EndpointName, ...]
+    """Lives that ended while they ran the request."""
+
+
+class Release(msgspec.Struct, frozen=True):
+    """An operator's word that an entry is to end."""
+
+    fingerprint: Fingerprint
+    entry_id: str
+
+
+class WriteQuarantine(msgspec.Struct, frozen=True):
+    """Write an entry to the log; answered by one QuarantineWritten."""
+
+    request: QuarantinedRequest
+
+
+class EraseQuarantine(msgspec.Struct, frozen=True):
+    """Remove an entry from the log; answered by one QuarantineErased."""
+
+    fingerprint: Fingerprint
+
+
+class Entry(msgspec.Struct):
+    """One entry as a node holds it."""
+
+    request: QuarantinedRequest
+    begun_ms: float
+    asked_ms: float
+    """When the request came last, or when the entry was learned of."""
+    stored_ms: float | None = None
+    """When its record was written or read; None until then."""
+    written_ms: float = float("-inf")
+    """When this node last tried to write it."""
+    refused: int = 0
+
+
+FindRank = Callable[[str, float], int]
+
+
+class Quarantine:
+    """The entries of one node. Invariant: never more than MAX_ENTRIES."""
+
+    __slots__ = ("_entries", "_erasing", "_find_rank", "_released", "_rng")
+
+    def __init__(self, find_rank: FindRank, rng: random.Random) -> None:
+        self._find_rank = find_rank
+        self._rng = rng
+        self._entries: dict[Fingerprint, Entry] = {}
+        self._erasing: dict[Fingerprint, float] = {}
+        """Records to remove, and when this node last tried."""
+        self._released: set[Release] = set()
+
+    def find(self, fingerprint: Fingerprint) -> Entry | None:
+        """Return the entry of a request."""
+        return self._entries.get(fingerprint)
+
+    def list_entries(self) -> Iterable[Entry]:
+        """Return all entries."""
+        return self._entries.values()
+
+    def note_refused(self, entry: Entry, now_ms: float) -> None:
+        """Take in that the request of an entry came again."""
+        entry.asked_ms = now_ms
+        entry.refused += 1
+
+    def begin(
+        self,
+        fingerprint: Fingerprint,
+        customer: CustomerName,
+        route: str,
+        replicas: Iterable[EndpointName],
+        now_ms: float,
+    ) -> Entry:
+        """Put a request under quarantine."""
+        entry_id = f"{self._rng.getrandbits(ID_BITS):08x}"
+        request = QuarantinedRequest(
+            fingerprint, entry_id, customer, route, tuple(replicas)
+        )
+        return self._add(Entry(request, now_ms, now_ms))
+
+    def apply_record(self, request: QuarantinedRequest, now_ms: float) -> bool:
+        """Take over a record of the log; return whether it is news."""
+        if Release(request.fingerprint, request.entry_id) in self._released:
+            self._erasing.setdefault(request.fingerprint, now_ms)
+            return False
+        entry = self._entries.get(request.fingerprint)
+        if entry is None:
+            self._add(Entry(request, now_ms, now_ms, stored_ms=now_ms))
+            return True
+        entry.request = request
+        entry.stored_ms = now_ms
+        return False
+
+    def note_removed(self, fingerprint: Fingerprint) -> bool:
+        """Take in that the log holds no such record; return whether an entry ended."""
+        self._erasing.pop(fingerprint, None)
+        return self._entries.pop(fingerprint, None) is not None
+
+    def note_written(self, fingerprint: Fingerprint, now_ms: float) -> None:
+        """Take in that the log holds a record of this node's."""
+        entry = self._entries.get(fingerprint)
+        if entry is not None:
+            entry.stored_ms = now_ms
+
+    def note_erased(self, fingerprint: Fingerprint) -> None:
+        """Take in that the log holds no record any more, by this node's doing."""
+        self._erasing.pop(fingerprint, None)
+
+    def end(self, fingerprint: Fingerprint, now_ms: float) -> bool:
+        """End an entry and have its record removed; return whether there was one."""
+        entry = self._entries.pop(fingerprint, None)
+        if entry is None:
+            return False
+        if entry.stored_ms is not None or entry.written_ms > float("-inf"):
+            self._erasing[fingerprint] = now_ms
+        return True
+
+    def release(self, release: Release, now_ms: float) -> bool:
+        """End the entry that an operator names; return whether there was one."""
+        self._released.add(release)
+        entry = self._entries.get(release.fingerprint)
+        if entry is None or entry.request.entry_id != release.entry_id:
+            return False
+        return self.end(release.fingerprint, now_ms)
+
+    def tick(self, now_ms: float) -> Iterator[WriteQuarantine | EraseQuarantine]:
+        """Write what the log lacks and remove from it what has ended."""
+        for fingerprint, entry in list(self._entries.items()):
+            if now_ms - _find_last_use(entry) >= TTL_MS:
+                self.end(fingerprint, now_ms)
+            elif self._is_write_due(entry, now_ms):
+                entry.written_ms = now_ms
+                yield WriteQuarantine(entry.request)
+        for fingerprint, due_ms in list(self._erasing.items()):
+            if now_ms >= due_ms + self._compute_delay(fingerprint, now_ms):
+                self._erasing[fingerprint] = now_ms + RETRY_MS
+                yield EraseQuarantine(fingerprint)
+
+    def _add(self, entry: Entry) -> Entry:
+        self._entries[entry.request.fingerprint] = entry
+        self._erasing.pop(entry.request.fingerprint, None)
+        if len(self._entries) > MAX_ENTRIES:
+            oldest = min(self._entries.values(), key=lambda each: each.asked_ms)
+            self.end(oldest.request.fingerprint, entry.begun_ms)
+        return entry
+
+    def _is_write_due(self, entry: Entry, now_ms: float) -> bool:
+        if now_ms - entry.written_ms < RETRY_MS:
+            return False
+        if entry.stored_ms is not None:
+            is_old = now_ms - entry.stored_ms >= RENEW_MS
+            return is_old and entry.asked_ms > entry.stored_ms
+        delay_ms = self._compute_delay(entry.request.fingerprint, now_ms)
+        return now_ms - entry.begun_ms >= delay_ms
+
+    def _compute_delay(self, fingerprint: Fingerprint, now_ms: float) -> float:
+        rank = min(self._find_rank(fingerprint, now_ms), MAX_RANK)
+        return WRITE_MS + rank * RANK_MS
+
+
+def _find_last_use(entry: Entry) -> float:
+    """Return from when an entry's lifetime counts, the same on all nodes."""
+    return entry.begun_ms if entry.stored_ms is None else entry.stored_ms
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from toucanyard.call_placement import CallPlacement
+from toucanyard.crash_watch import Reach
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
 from toucanyard.link_messages import (
@@ -34,6 +35,8 @@
     OrderAnswered,
     PartsChanged,
     PeersLinked,
+    QuarantineErased,
+    QuarantineWritten,
     ReadReplicaState,
     RelayAction,
     RelayEvent,
@@ -49,6 +52,7 @@
 from toucanyard.relay_options import RelayOptions
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replicas import ReplicaDirectory
+from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import EndingSeen
 from toucanyard.rollout_leader import RolloutLeader
 from toucanyard.roster import Roster
@@ -71,6 +75,7 @@
 """Status with which a replica says that it is not the one that was meant."""
 
 CallEvent = CallArrived | CallerLeft | FirstEventSeen | DispatchEnded
+QuietEvent = PartsChanged | HolderLost | QuarantineWritten | QuarantineErased
 RolloutEvent = TurnRead | TurnAppended | ReplicaStateRead | OrderAnswered
 
 
@@ -105,10 +110,19 @@
         self.exchange = ViewExchange(decode, self.roster.is_full_mesh, rng)
         self.sources = PartSources(self.directory, self.roster)
         calls = CallPlacement(options, self.directory, self.goals, self.sources, rng)
+        self.guard = RequestGuard(self.directory, self.roster.find_rank, rng)
         self.flow = RelayFlow(
-            options.retries, options.policy, self.directory, self.goals, calls, rng
+            options.retries,
+            options.policy,
+            self.directory,
+            self.goals,
+            calls,
+            self.guard,
+            rng,
+        )
+        self.facts = KnownFacts(
+            self.directory, self.goals, self.roster, self.flow, self.guard
         )
-        self.facts = KnownFacts(self.directory, self.goals, self.roster, self.flow)
         self.gossip = ReplicaGossip(self.directory, self.flow.book, rng)
         self.rollout = RolloutLeader(
             identity,
@@ -125,6 +139,7 @@
             self.flow.uses,
             self.flow.reports,
             self.gossip,
+            self.guard,
             self.goals,
             lambda now_ms: self.sources.list_stores(self.index, now_ms),
             options.link_mbps,
@@ -166,7 +181,10 @@
     def handle(self, event: RelayEvent, now_ms: float) -> list[RelayAction]:
         """Take one event in and return what must be done now, in this order."""
         self.flow.note_view(self.exchange.views[Topic.REPLICAS].confirmed_ms)
-        return list(self._handle(event, now_ms))
+        actions = list(self._handle(event, now_ms))
+        if self.guard.has_news():
+            actions += self._settle_guard(now_ms)
+        return actions
 
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
         match event:
@@ -179,11 +197,13 @@
             case StoreFailed(purpose=purpose, reason=reason):
                 yield Note("store_failed", {"purpose": purpose, "reason": reason})
             case PeersLinked(peers=peers):
-                yield from self._link([peer.node for peer in peers])
+                yield from self._link([peer.node for peer in peers], now_ms)
             case LinkMessageRead(sender=sender, message=message):
                 yield from self._read_message(sender.node, message, now_ms)
-            case PartsChanged() | HolderLost():
-                self._note_parts(event, now_ms)
+            case (
+                PartsChanged() | HolderLost() | QuarantineWritten() | QuarantineErased()
+            ):
+                self._note(event, now_ms)
             case StopBegun():
                 self.is_stopping = True
                 yield from self.statuses.send(self.is_ready(), now_ms)
@@ -200,6 +220,7 @@
                 yield from self.flow.note_first(request_id, now_ms)
             case DispatchEnded(outcome=outcome):
                 yield from self.flow.end_dispatch(outcome, now_ms)
+                yield from self._probe_lost(now_ms)
                 if outcome.ending is EndingSeen.REFUSED:
                     # Each node would else find out by calls of its own, and have some
                     # of them refused that may be sent only once.
@@ -211,26 +232,68 @@
     ) -> Iterator[RelayAction]:
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
             self.directory.note_replaced(event.order.replica, now_ms)
-        if isinstance(event, ReplicaStateRead) and event.state is not None:
-            yield from self._note_reached(event, now_ms)
+        if isinstance(event, ReplicaStateRead):
+            yield from self._note_probed(event, now_ms)
         self.rollout.handle(event, now_ms)
         yield from self._tick_rollout(now_ms)
 
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self._probe(now_ms)
+        yield from self._tick_guard(now_ms)
         yield from self.flow.tick(now_ms)
         yield from self._tick_rollout(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
         yield from self._note_hub()
         if now_ms - self._pruned_ms >= PRUNE_MS:
             self._pruned_ms = now_ms
+            self.guard.ledger.prune(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.book.forget(name)
 
-    def _note_reached(
+    def _settle_guard(self, now_ms: float) -> Iterator[RelayAction]:
+        """Log what the guard has learned, and let peers know at once."""
+        yield from self.guard.take_notes()
+        if self.guard.take_urgent():
+            yield from self._tell_soon(now_ms)
+
+    def _note(self, event: QuietEvent, now_ms: float) -> None:
+        """Take in an event that asks for nothing to be done now."""
+        match event:
+            case PartsChanged() | HolderLost():
+                self._note_parts(event, now_ms)
+            case QuarantineWritten() | QuarantineErased():
+                self._note_quarantine(event, now_ms)
+
+    def _note_quarantine(
+        self, event: QuarantineWritten | QuarantineErased, now_ms: float
+    ) -> None:
+        match event:
+            case QuarantineWritten(fingerprint=fingerprint):
+                self.guard.quarantine.note_written(fingerprint, now_ms)
+            case QuarantineErased(fingerprint=fingerprint):
+                self.guard.quarantine.note_erased(fingerprint)
+        # Peers get the record from whoever reads it first.
+        self.reads.note_outdated(Topic.NODES)
+
+    def _tick_guard(self, now_ms: float) -> Iterator[RelayAction]:
+        self.guard.tick(now_ms)
+        yield from self._probe_lost(now_ms)
+        yield from self.guard.quarantine.tick(now_ms)
+
+    def _probe_lost(self, now_ms: float) -> Iterator[RelayAction]:
+        """Ask replicas whose calls were cut whether they still run."""
+        for known in self.guard.watch.take_probes(now_ms):
+            replica = known.replica
+            yield ReadReplicaState(replica.name, replica.listed_as, replica.address)
+
+    def _note_probed(
         self, read: ReplicaStateRead, now_ms: float
     ) -> Iterator[RelayAction]:
-        """End the rest of a replica that has reported."""
+        """Take in whether a replica answers; end its rest if it has reported."""
+        reach = read.reach if read.state is None else Reach.ANSWERED
+        self.guard.note_probed(read.replica, reach, read.asked_ms, now_ms)
+        if read.state is None:
+            return
         known = self.directory.find(read.replica)
         if known is not None and known.is_resting(now_ms):
             known.note_success()
@@ -332,7 +395,7 @@
             return 0
         return service.engine.memory_tokens
 
-    def _link(self, names: list[NodeName]) -> Iterator[RelayAction]:
+    def _link(self, names: list[NodeName], now_ms: float) -> Iterator[RelayAction]:
         before = set(self.exchange.linked)
         self.exchange.linked = tuple(names)
         self.roster.retain_linked(names)
@@ -341,3 +404,5 @@
             yield Note("peer_lost", {"peer": name})
         for name in set(names) - before:
             yield Note("peer_linked", {"peer": name})
+        if set(names) - before:
+            self.guard.ledger.share_all(now_ms)
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -4,17 +4,21 @@
 
 import msgspec
 
+from toucanyard.crash_watch import Reach
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.link_messages import LinkMessage
 from toucanyard.names import (
     Address,
     EndpointName,
+    Fingerprint,
     NodeId,
     NodeName,
     ReplicaId,
     RequestId,
 )
+from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
 from toucanyard.relay_flow import RelayReply
+from toucanyard.relay_notes import Note as Note
 from toucanyard.relay_requests import RelayOutcome, RelayRequest
 
 
@@ -132,6 +136,7 @@
     replica: EndpointName
     state: ReplicaState | None
     asked_ms: float
+    reach: Reach = Reach.NO_ANSWER
 
 
 class WeightsOrder(msgspec.Struct, frozen=True):
@@ -157,6 +162,18 @@
     status: int | None
 
 
+class QuarantineWritten(msgspec.Struct, frozen=True):
+    """The log has taken a record of a request under quarantine."""
+
+    fingerprint: Fingerprint
+
+
+class QuarantineErased(msgspec.Struct, frozen=True):
+    """The log has taken the removal of such a record."""
+
+    fingerprint: Fingerprint
+
+
 class StopBegun(msgspec.Struct, frozen=True):
     """The planned stop has begun."""
 
@@ -193,13 +210,6 @@
     address: Address
 
 
-class Note(msgspec.Struct, frozen=True):
-    """Write a log line about a change of what this node believes."""
-
-    event: str
-    fields: dict[str, object]
-
-
 RelayEvent = (
     CallArrived
     | CallerLeft
@@ -215,6 +225,8 @@
     | TurnAppended
     | ReplicaStateRead
     | OrderAnswered
+    | QuarantineWritten
+    | QuarantineErased
     | StopBegun
     | TickPassed
 )
@@ -225,5 +237,7 @@
     | AppendTurn
     | ReadReplicaState
     | WeightsOrder
+    | WriteQuarantine
+    | EraseQuarantine
     | Note
 )
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -22,6 +22,7 @@
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import RelayOutcome, RelayRequest, RelayVerdict
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.request_guard import Rejection, RequestGuard
 from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
 from toucanyard.retry_budget import SharedRetryBudget
 from toucanyard.routes import RouteIndex
@@ -57,8 +58,10 @@
         directory: ReplicaDirectory,
         goals: WeightsGoals,
         calls: CallPlacement,
+        guard: RequestGuard,
         rng: random.Random,
     ) -> None:
+        self._guard = guard
         self._retries = retries
         self._policy = policy
         self._rng = rng
@@ -100,6 +103,10 @@
                 pending, ErrorKind.OVERLOADED, "the deadline passed", now_ms
             )
             return
+        rejection = self._check_guard(pending, now_ms)
+        if rejection is not None:
+            yield self._reject(pending, rejection, now_ms)
+            return
         if not self._queues.get(request.service):
             dispatch = self._calls.place(pending, now_ms)
             if dispatch is not None:
@@ -140,6 +147,11 @@
             yield RelayReply(outcome.request_id, None)
             yield from self._finish(pending, now_ms)
             return
+        rejection = self._check_guard(pending, now_ms)
+        if rejection is not None:
+            yield self._reject(pending, rejection, now_ms)
+            yield from self._finish(pending, now_ms)
+            return
         if not self._may_try_again(pending, outcome, now_ms):
             yield from self._give_up(pending, outcome, now_ms)
             return
@@ -180,6 +192,12 @@
             return
         blocked = 0
         for pending in list(queue):
+            rejection = self._check_guard(pending, now_ms)
+            if rejection is not None:
+                queue.remove(pending)
+                pending.is_waiting = False
+                yield self._reject(pending, rejection, now_ms)
+                continue
             dispatch = self._calls.place(pending, now_ms)
             if dispatch is None:
                 blocked += 1
@@ -190,6 +208,31 @@
             pending.is_waiting = False
             yield RelayReply(pending.request.request_id, dispatch)
 
+    def _check_guard(self, pending: PendingCall, now_ms: float) -> Rejection | None:
+        """Return why a call may not be sent now, and note how to place it if it may."""
+        request = pending.request
+        pending.is_suspect = self._guard.is_suspect(request.fingerprint)
+        return self._guard.check(request, lambda: self._is_running(pending), now_ms)
+
+    def _is_running(self, pending: PendingCall) -> bool:
+        """Tell whether the same request is at a replica for another call."""
+        return any(
+            each.replica is not None and each is not pending
+            for each in self._pending.values()
+            if each.request.fingerprint == pending.request.fingerprint
+        )
+
+    def _reject(
+        self, pending: PendingCall, rejection: Rejection, now_ms: float
+    ) -> RelayReply:
+        return self._refuse(
+            pending,
+            ErrorKind.REQUEST_QUARANTINED,
+            rejection.text,
+            now_ms,
+            wait_ms=rejection.retry_after_ms,
+        )
+
     def _check_wait(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Refuse at once what would not be reached before its deadline."""
         request = pending.request
@@ -230,6 +273,7 @@
         if prompt is not None and not outcome.has_begun:
             self.book.note_unread(outcome.replica, pending.scope, prompt.parts, now_ms)
         self._note_sends(pending, outcome)
+        self._guard.note_outcome(pending.request, outcome, pending.sent_ms, now_ms)
         if known is None:
             return
         if prompt is not None and outcome.weights_version is not None:
@@ -301,7 +345,13 @@
         yield from self._finish(pending, now_ms)
 
     def _refuse(
-        self, pending: PendingCall, kind: ErrorKind, text: str, now_ms: float
+        self,
+        pending: PendingCall,
+        kind: ErrorKind,
+        text: str,
+        now_ms: float,
+        *,
+        wait_ms: float | None = None,
     ) -> RelayReply:
         """End a call with no more than is proved, and say when to come back.
 
@@ -320,8 +370,9 @@
             kind = (
                 ErrorKind.ENDPOINT_LOST if is_repeatable else ErrorKind.OUTCOME_UNKNOWN
             )
-        wait_ms = self._compute_wait(pending, now_ms)
-        wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        if wait_ms is None:
+            wait_ms = self._compute_wait(pending, now_ms)
+            wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
         # Callers refused in one instant must not come back in one instant.
         retry_after_ms = int(wait_ms * self._rng.uniform(1.0, 2.0))
         refusal = Refuse(request.request_id, kind, ending, text, retry_after_ms)
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -228,6 +228,13 @@
         name = self._lives.find_newest(listed_as)
         return None if name is None else self._known.get(name)
 
+    def find_newest_at(self, address: Address, now_ms: float) -> KnownReplica | None:
+        """Return the listed replica that registered at an address last."""
+        for known in reversed(self._known.values()):
+            if known.replica.address == address and known.is_listed(now_ms):
+                return known
+        return None
+
     def apply_services(self, names: Iterable[ServiceName]) -> None:
         """Take over which services the configuration names."""
         self._served = frozenset(names)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -0,0 +1,296 @@
+"""Decide whether a request may be sent to a replica, by the crashes that it met.
+
+A request under which replicas crashed is a suspect: this node runs it once at a time,
+and not while it is unclear what a run of it was cut by. What surely crashes replicas is
+under quarantine and reaches none. All other requests pass.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.crash_ledger import CrashLedger, Suspicion
+from toucanyard.crash_watch import CrashWatch, Reach
+from toucanyard.link_messages import LostRun, ReplicaCrash, RequestSurvival
+from toucanyard.names import EndpointName, Fingerprint
+from toucanyard.quarantine import (
+    Entry,
+    FindRank,
+    Quarantine,
+    QuarantinedRequest,
+    Release,
+)
+from toucanyard.relay_notes import Note
+from toucanyard.relay_requests import RelayOutcome, RelayRequest
+from toucanyard.replicas import ReplicaDirectory
+from toucanyard.requests import EndingSeen
+
+QUARANTINE_RETRY_MS: Final = 60_000
+"""When to ask again for a request under quarantine; by then it may be released."""
+SUSPECT_RETRY_MS: Final = 500
+"""When to ask again for a suspect that is being run; by then more is known of it."""
+MAX_NOTED: Final = 8
+"""Fingerprints in a log line."""
+
+
+class Rejection(msgspec.Struct, frozen=True):
+    """Why a request may not be sent now."""
+
+    text: str
+    retry_after_ms: int
+
+
+class RequestGuard:
+    """What one node believes of requests and crashes.
+
+    Invariant: a request under quarantine passes no check until its entry has ended.
+    """
+
+    __slots__ = (
+        "_find_rank",
+        "_is_urgent",
+        "_notes",
+        "ledger",
+        "quarantine",
+        "watch",
+    )
+
+    def __init__(
+        self, directory: ReplicaDirectory, find_rank: FindRank, rng: random.Random
+    ) -> None:
+        self._find_rank = find_rank
+        self.ledger = CrashLedger()
+        self.watch = CrashWatch(directory)
+        self.quarantine = Quarantine(find_rank, rng)
+        self._notes: list[Note] = []
+        self._is_urgent = False
+
+    def check(
+        self, request: RelayRequest, is_running: Callable[[], bool], now_ms: float
+    ) -> Rejection | None:
+        """Return why a request may not be sent now; None if it may.
+
+        `is_running` tells whether this node runs the same request for another call.
+        """
+        fingerprint = request.fingerprint
+        entry = self.quarantine.find(fingerprint)
+        if entry is None:
+            suspicion = self.ledger.judge(fingerprint, now_ms)
+            if suspicion is Suspicion.NONE:
+                return None
+            if suspicion is not Suspicion.GUILTY:
+                return self._check_suspect(fingerprint, suspicion, is_running, now_ms)
+            entry = self._begin(request, now_ms)
+        self.quarantine.note_refused(entry, now_ms)
+        count = len(entry.request.replicas)
+        text = f"{fingerprint} is under quarantine: {count} replicas crashed under it"
+        return Rejection(text, QUARANTINE_RETRY_MS)
+
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Tell whether more than one replica has crashed under a request."""
+        return len(self.ledger.list_charges(fingerprint)) > 1
+
+    def note_outcome(
+        self,
+        request: RelayRequest,
+        outcome: RelayOutcome,
+        sent_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Take in how a dispatch ended that was sent at `sent_ms`."""
+        if outcome.ending is EndingSeen.COMPLETED:
+            fingerprint = request.fingerprint
+            self._is_urgent |= self._note_survived(
+                fingerprint, now_ms, "own", now_ms, is_shared=True
+            )
+        elif self.watch.note_outcome(outcome, request.fingerprint, sent_ms, now_ms):
+            self._note_ended(outcome.replica, now_ms)
+
+    def note_probed(
+        self, replica: EndpointName, reach: Reach, asked_ms: float, now_ms: float
+    ) -> None:
+        """Take in what a probe of a replica found."""
+        if self.watch.note_probed(replica, reach, asked_ms):
+            self._note_ended(replica, now_ms)
+
+    def apply(
+        self,
+        crashes: Iterable[ReplicaCrash],
+        survivals: Iterable[RequestSurvival],
+        source: str,
+        now_ms: float,
+        *,
+        is_relayed: bool,
+    ) -> bool:
+        """Take in what a peer knows; return whether it was news.
+
+        `is_relayed` tells whether this node is to tell its own peers of it.
+        """
+        is_news = False
+        for crash in crashes:
+            at_ms = now_ms - crash.age_ms
+            is_news |= self._add_crash(
+                crash.replica,
+                at_ms,
+                crash.runs,
+                source,
+                now_ms,
+                is_shared=is_relayed,
+            )
+            self._note_ended(crash.replica, now_ms)
+        for survival in survivals:
+            at_ms = now_ms - survival.age_ms
+            is_news |= self._note_survived(
+                survival.fingerprint, at_ms, source, now_ms, is_shared=is_relayed
+            )
+        return is_news
+
+    def apply_record(
+        self, request: QuarantinedRequest, source: str, now_ms: float
+    ) -> None:
+        """Take over an entry of the log."""
+        if self.quarantine.apply_record(request, now_ms):
+            self._note("request_quarantined", request, source=source)
+
+    def note_record_removed(self, request: QuarantinedRequest) -> None:
+        """Take in that an entry has left the log."""
+        if self.quarantine.note_removed(request.fingerprint):
+            self.ledger.acquit(request.fingerprint)
+            self._note("quarantine_ended", request, reason="removed from the log")
+
+    def release(self, release: Release, now_ms: float) -> None:
+        """Take in that an operator releases a request."""
+        entry = self.quarantine.find(release.fingerprint)
+        if self.quarantine.release(release, now_ms) and entry is not None:
+            self.ledger.acquit(release.fingerprint)
+            self._note("quarantine_ended", entry.request, reason="released")
+
+    def tick(self, now_ms: float) -> None:
+        """Note replicas with lost calls that another life has followed."""
+        for replica in self.watch.find_replaced(now_ms):
+            self._note_ended(replica, now_ms)
+
+    def has_news(self) -> bool:
+        """Tell whether there is something to log or to tell peers."""
+        return self._is_urgent or bool(self._notes)
+
+    def take_urgent(self) -> bool:
+        """Tell whether peers should hear of something now, once."""
+        is_urgent, self._is_urgent = self._is_urgent, False
+        return is_urgent
+
+    def take_notes(self) -> Iterator[Note]:
+        """Return the log lines of what has changed."""
+        notes, self._notes = self._notes, []
+        yield from notes
+
+    def _check_suspect(
+        self,
+        fingerprint: Fingerprint,
+        suspicion: Suspicion,
+        is_running: Callable[[], bool],
+        now_ms: float,
+    ) -> Rejection | None:
+        if suspicion is Suspicion.UNSETTLED:
+            text = f"replicas have just ended under {fingerprint}"
+        elif self.ledger.has_survived(fingerprint):
+            return None
+        elif self.watch.has_open_loss(fingerprint):
+            text = f"a replica may just have ended under {fingerprint}"
+        elif suspicion is Suspicion.PROBATION and self._find_rank(fingerprint, now_ms):
+            text = f"replicas ended under {fingerprint}, which another node runs again"
+        elif is_running():
+            text = f"a replica ended under {fingerprint}, which is being run again"
+        else:
+            return None
+        return Rejection(text, SUSPECT_RETRY_MS)
+
+    def _begin(self, request: RelayRequest, now_ms: float) -> Entry:
+        entry = self.quarantine.begin(
+            request.fingerprint,
+            request.customer,
+            request.route,
+            self.ledger.list_charges(request.fingerprint),
+            now_ms,
+        )
+        self._note("request_quarantined", entry.request, source="own")
+        return entry
+
+    def _note_ended(self, replica: EndpointName, now_ms: float) -> None:
+        """Charge the requests that were lost at a life that is over."""
+        self.watch.note_ended(replica)
+        losses = self.watch.take_losses(replica)
+        if not losses:
+            return
+        known_ms = self.ledger.find_crash_time(replica)
+        at_ms = min(each.at_ms for each in losses) if known_ms is None else known_ms
+        runs = [LostRun(e.fingerprint, at_ms - e.sent_ms) for e in losses]
+        self._is_urgent |= self._add_crash(
+            replica, at_ms, runs, "own", now_ms, is_shared=True
+        )
+
+    def _add_crash(
+        self,
+        replica: EndpointName,
+        at_ms: float,
+        runs: Iterable[LostRun],
+        source: str,
+        now_ms: float,
+        *,
+        is_shared: bool,
+    ) -> bool:
+        added = self.ledger.add_crash(replica, at_ms, runs, now_ms, is_shared=is_shared)
+        if added:
+            fields: dict[str, object] = {
+                "replica": replica,
+                "age_ms": round(now_ms - at_ms),
+                "count": len(added),
+                "requests": ",".join(added[:MAX_NOTED]),
+                "source": source,
+            }
+            self._notes.append(Note("replica_crashed", fields))
+            # Peers may not know that a replica has answered one of them before.
+            self._is_urgent |= any(map(self.ledger.has_survived, added))
+        return bool(added)
+
+    def _note_survived(
+        self,
+        fingerprint: Fingerprint,
+        at_ms: float,
+        source: str,
+        now_ms: float,
+        *,
+        is_shared: bool,
+    ) -> bool:
+        if not fingerprint or not self.ledger.note_survived(
+            fingerprint, at_ms, now_ms, is_shared=is_shared
+        ):
+            return False
+        fields: dict[str, object] = {
+            "fingerprint": fingerprint,
+            "age_ms": round(now_ms - at_ms),
+            "source": source,
+        }
+        self._notes.append(Note("suspect_survived", fields))
+        entry = self.quarantine.find(fingerprint)
+        is_cleared = self.ledger.judge(fingerprint, now_ms) is not Suspicion.GUILTY
+        if entry is not None and is_cleared:
+            self.quarantine.end(fingerprint, now_ms)
+            self._note(
+                "quarantine_ended", entry.request, reason="a replica survived it"
+            )
+        return True
+
+    def _note(self, event: str, request: QuarantinedRequest, **fields: object) -> None:
+        known: dict[str, object] = {
+            "fingerprint": request.fingerprint,
+            "entry": request.entry_id,
+            "customer": request.customer,
+            "route": request.route,
+            "replicas": ",".join(request.replicas[-MAX_NOTED:]),
+        }
+        self._notes.append(Note(event, known | fields))
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -26,6 +26,7 @@
 from toucanyard.relay_events import SendToPeer
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_uses import FLEET, ReplicaUses
+from toucanyard.request_guard import RequestGuard
 from toucanyard.roster import Roster
 from toucanyard.status_schedule import URGENT_MS, Audience, StatusSchedule
 from toucanyard.view_exchange import ViewExchange
@@ -59,6 +60,7 @@
         uses: ReplicaUses,
         reports: PartReports,
         gossip: ReplicaGossip,
+        guard: RequestGuard,
         goals: WeightsGoals,
         list_stores: Callable[[float], Iterable[StoreNews]],
         link_mbps: float,
@@ -68,6 +70,7 @@
         self._uses = uses
         self._reports = reports
         self._gossip = gossip
+        self._guard = guard
         self._goals = goals
         self._list_stores = list_stores
         self._link_mbps = link_mbps
@@ -183,6 +186,13 @@
             self._goals.note_age(each.model, each.version, each.age_ms, now_ms)
         self._gossip.apply_lives(status.lives, now_ms)
         is_replica_news = self._gossip.apply(status.news, now_ms)
+        is_replica_news |= self._guard.apply(
+            status.crashes,
+            status.survivals,
+            sender,
+            now_ms,
+            is_relayed=not self._roster.is_full_mesh(),
+        )
         if is_node_news or is_replica_news or has_long_call:
             self._pass_on_news(sender, is_node_news=is_node_news)
 
@@ -295,6 +305,8 @@
             stores=tuple(self._list_stores(now_ms)),
             covers=Coverage.NOBODY,
             lives=tuple(self._gossip.list_lives(now_ms)),
+            crashes=tuple(self._guard.ledger.list_crashes(now_ms)),
+            survivals=tuple(self._guard.ledger.list_survivals(now_ms)),
         )
 
     def _is_hub_pair(self, name: NodeName) -> bool:
--- a/packages/toucanyard/src/toucanyard/store_reads.py
+++ b/packages/toucanyard/src/toucanyard/store_reads.py
@@ -10,6 +10,7 @@
 from toucanyard.roster import Roster
 from toucanyard.store_schedule import (
     MAX_ASKING_RANK,
+    RETRY_MS,
     compute_due,
     compute_poll_wait,
 )
@@ -19,12 +20,13 @@
 class StoreReads:
     """The reads of one node: when the next one is due, and when the last one began."""
 
-    __slots__ = ("_asked_ms", "_exchange", "_roster")
+    __slots__ = ("_asked_ms", "_exchange", "_outdated", "_roster")
 
     def __init__(self, roster: Roster, exchange: ViewExchange) -> None:
         self._roster = roster
         self._exchange = exchange
         self._asked_ms = dict.fromkeys(Topic, float("-inf"))
+        self._outdated: set[Topic] = set()
 
     def is_due(self, topic: Topic, now_ms: float) -> bool:
         """Tell whether this node should read a topic that changes all the time."""
@@ -32,6 +34,8 @@
 
     def find_due(self, topic: Topic, now_ms: float) -> float:
         """Return when this node should read a topic, as far as it knows now."""
+        if topic in self._outdated:
+            return self._asked_ms[topic] + RETRY_MS
         return compute_due(
             topic,
             self._roster.find_rank(topic.value, now_ms),
@@ -44,9 +48,14 @@
         """Tell whether to read a topic though a read of it has no answer yet."""
         return self._roster.find_rank(topic.value, now_ms) <= MAX_ASKING_RANK
 
+    def note_outdated(self, topic: Topic) -> None:
+        """Note that the store surely holds more of a topic than this node has read."""
+        self._outdated.add(topic)
+
     def note_begun(self, topic: Topic, now_ms: float) -> None:
         """Note that this node asks the store for a topic."""
         self._asked_ms[topic] = now_ms
+        self._outdated.discard(topic)
 
     def compute_poll_wait(self, now_ms: float) -> float:
         """Return how long a read of a topic that seldom changes may wait, in ms."""
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from itertools import count
 
+from toucanyard.crash_watch import Reach
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import (
     Address,
@@ -19,11 +20,19 @@
     NodeName,
     RequestId,
 )
+from toucanyard.quarantine import (
+    EraseQuarantine,
+    QuarantinedRequest,
+    Release,
+    WriteQuarantine,
+)
 from toucanyard.relay_events import (
     CallArrived,
     DispatchEnded,
     FirstEventSeen,
     LinkMessageRead,
+    QuarantineErased,
+    QuarantineWritten,
     ReadReplicaState,
     RelayAction,
     RelayEvent,
@@ -31,6 +40,7 @@
     ReplicaStateRead,
     SendToPeer,
     TickPassed,
+    TopicRead,
 )
 from toucanyard.relay_flow import RelayReply
 from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
@@ -95,6 +105,7 @@
         self.reached: list[Send] = []
         self.crashes: list[tuple[float, EndpointName]] = []
         self.probes = 0
+        self.store_writes = 0
         self._numbers = count()
         self._due: list[tuple[float, int, Callable[[], None]]] = []
         self._by_id: dict[RequestId, Call] = {}
@@ -107,7 +118,7 @@
             KeyedRecord(name, number, put(core.own_record))
             for number, (name, core) in enumerate(self.cores.items())
         ]
-        self._table = put(build_table())
+        self._operator_records = [KeyedRecord("config", 0, put(build_table()))]
         self.run_for(1_500.0)
 
     # Replicas.
@@ -208,14 +219,52 @@
                     self._take(call, verdict)
             case ReadReplicaState():
                 self.probes += 1
-                self.after(WAY_MS, lambda: self._report(name, action, self.now_ms))
+                asked_ms = self.now_ms
+                self.after(WAY_MS, lambda: self._report(name, action, asked_ms))
+            case WriteQuarantine(request=request):
+                self._put(name, request.fingerprint, request)
+            case EraseQuarantine(fingerprint=fingerprint):
+                self._put(name, fingerprint, None)
 
     def _report(self, node: NodeName, read: ReadReplicaState, asked_ms: float) -> None:
         engine = self.engines[read.address]
-        state = None
+        state, reach = None, Reach.NO_LISTENER
+        if engine.is_up:
+            reach = Reach.REPLACED
         if engine.is_up and str(engine.name) == str(read.listed_as):
-            state = ReplicaState((), False, 0, 0, 0)
-        self.handle(node, ReplicaStateRead(read.replica, state, asked_ms))
+            state, reach = ReplicaState((), False, 0, 0, 0), Reach.ANSWERED
+        self.handle(node, ReplicaStateRead(read.replica, state, asked_ms, reach))
+
+    def _put(
+        self,
+        node: NodeName,
+        fingerprint: Fingerprint,
+        request: QuarantinedRequest | None,
+    ) -> None:
+        """Write what a node wants kept, unless the store is away for it."""
+        if node in self.store_away:
+            return
+        self.store_writes += 1
+        value = None if request is None else put(request)
+        offset = len(self._node_records)
+        key = f"quarantine/{fingerprint}"
+        self._node_records.append(KeyedRecord(key, offset, value))
+        written = (
+            QuarantineErased(fingerprint)
+            if request is None
+            else QuarantineWritten(fingerprint)
+        )
+        self.after(WAY_MS, lambda: self.handle(node, written))
+
+    def _read_nodes(self, name: NodeName) -> None:
+        core = self.cores[name]
+        if name in self.store_away or not core.reads.is_due(Topic.NODES, self.now_ms):
+            return
+        core.reads.note_begun(Topic.NODES, self.now_ms)
+        since = core.exchange.views[Topic.NODES].end
+        records = tuple(self._node_records[since:])
+        end = len(self._node_records)
+        self.handle(name, TopicRead(Topic.NODES, records, end, False, self.now_ms))
 
     def _take(self, call: Call, verdict: object) -> None:
         match verdict:
@@ -261,7 +310,7 @@
         self,
         for_ms: float,
         *,
-        poison_ms: float = 300.0,
+        poison_ms: float | None = 300.0,
         harmless_ms: float = 85.0,
         is_resumable: bool = True,
     ) -> None:
@@ -270,7 +319,7 @@
         begun_ms, end_ms = self.now_ms, self.now_ms + for_ms
         poisoned = harmless = 0
         while self.now_ms < end_ms:
-            if self.now_ms >= begun_ms + poisoned * poison_ms:
+            if poison_ms and self.now_ms >= begun_ms + poisoned * poison_ms:
                 node = names[poisoned % len(names)]
                 self.call(node, POISON, is_resumable=is_resumable)
                 poisoned += 1
@@ -300,6 +349,7 @@
                 for name in self.cores:
                     self.handle(name, TickPassed())
                     self._read_list(name)
+                    self._read_nodes(name)
 
     def kill_and_restart_all(self) -> None:
         """End all nodes at once and start new incarnations that know nothing."""
@@ -313,11 +363,56 @@
         for number, (name, core) in enumerate(list(self.cores.items())):
             self.add(name, number, core.options.domain)
         for name in self.cores:
-            self.read(name, Topic.NODES, *self._node_records)
-            self.read(name, Topic.OPERATOR, KeyedRecord("config", 0, self._table))
+            self._read_at_start(name)
+
+    def _read_at_start(self, name: NodeName) -> None:
+        self.read(name, Topic.NODES, *self._node_records)
+        self.read(name, Topic.OPERATOR, *self._operator_records)
+
+    def restart(self, name: NodeName) -> None:
+        """Kill one node and start a new incarnation."""
+        number = list(self.cores).index(name)
+        self.add(name, number, self.cores[name].options.domain)
+        self._linked.pop(name, None)
+        self.link()
+        self._read_at_start(name)
+
+    def skip(self, for_ms: float) -> None:
+        """Let a long time pass in which nothing happens."""
+        self.now_ms += for_ms - for_ms % TICK_MS
+
+    # Operators.
+
+    def release(self, release: Release) -> None:
+        """Let all nodes read an operator's word that a quarantine is to end."""
+        key = f"release/{release.fingerprint}"
+        record = KeyedRecord(key, len(self._operator_records), put(release))
+        self._operator_records.append(record)
+        for name in self.cores:
+            self.read(name, Topic.OPERATOR, record)
+
+    def announce_leave(self, engine: Engine) -> None:
+        """Let a replica say that it drains."""
+        leaving = build_replica(
+            engine.name,
+            service=DESK,
+            weights=(),
+            address=engine.address,
+            is_draining=True,
+        )
+        self._append(engine.name, put(leaving))
 
     # What was seen.
 
+    def list_quarantined(self) -> set[str]:
+        """Return the keys of the requests that the store holds under quarantine."""
+        newest = {each.key: each.value for each in self._node_records}
+        return {
+            key
+            for key, value in newest.items()
+            if key.startswith("quarantine/") and value is not None
+        }
+
     def list_poisoned(self) -> list[Send]:
         """Return the calls by which replicas were sent what crashes them."""
         return [s for s in self.reached if s.call.request.fingerprint == POISON]
--- a/tests/toucanyard/test_crashing_requests.py
+++ b/tests/toucanyard/test_crashing_requests.py
@@ -4,12 +4,55 @@
 
 import pytest
 
-from .crash_fleet import CrashFleet
+from toucanyard.crash_ledger import GUILTY_CRASHES, SETTLE_MS
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import CustomerName, NodeName
+from toucanyard.quarantine import RENEW_MS, TTL_MS, QuarantinedRequest, Release
+from toucanyard.request_guard import QUARANTINE_RETRY_MS
+
+from .crash_fleet import BACK_MS, LAPSE_MS, POISON, RUN_MS, START_MS, Call, CrashFleet
+from .relay_fleet import put
 
 STABLE_MS = 3_000.0
 """Time by which nodes in touch must have learned of the third crash."""
 MAX_RETRIES = 3
 SIZES = pytest.mark.parametrize("nodes_each", [3, 23], ids=["mesh", "hubs"])
+POPULAR = "popular"
+
+
+def crash_until_quarantined(fleet: CrashFleet) -> None:
+    before = len(fleet.crashes)
+    fleet.call_in_turn(2_000.0)
+    assert len(fleet.crashes) - before <= GUILTY_CRASHES
+    # By now a record is written and all nodes have read it.
+    fleet.run_for(4_000.0)
+
+
+def call_everywhere(fleet: CrashFleet, fingerprint: str = POISON) -> list[Call]:
+    """Let a request arrive at each node, and wait until all have ended."""
+    calls = [fleet.call(name, fingerprint) for name in fleet.cores]
+    fleet.run_for(1_000.0)
+    return calls
+
+
+def list_rejected(calls: list[Call]) -> list[str]:
+    """Return why calls were turned away for the crashes of their request."""
+    return [
+        call.refusal.text
+        for call in calls
+        if call.refusal and call.refusal.kind is ErrorKind.REQUEST_QUARANTINED
+    ]
+
+
+def find_entry(fleet: CrashFleet) -> QuarantinedRequest:
+    entries = [
+        entry.request
+        for core in fleet.cores.values()
+        for entry in core.guard.quarantine.list_entries()
+    ]
+    assert entries
+    return entries[0]
 
 
 @SIZES
@@ -21,3 +64,274 @@
     fleet = CrashFleet(3, nodes_each)
     fleet.call_in_turn(10_000.0, is_resumable=is_resumable)
     assert len(fleet.list_late(STABLE_MS)) <= MAX_RETRIES
+
+
+@SIZES
+@pytest.mark.parametrize("is_resumable", [False, True], ids=["once", "resumable"])
+def test_request_costs_no_more_replicas_than_it_takes_to_tell(
+    nodes_each: int, is_resumable: bool
+) -> None:
+    """Guards against waiting for the bound where the cause is clear before."""
+    fleet = CrashFleet(3, nodes_each)
+    fleet.call_in_turn(10_000.0, is_resumable=is_resumable)
+    assert len(fleet.crashes) <= GUILTY_CRASHES
+
+
+def test_harmless_calls_are_served_beside_a_request_that_crashes_replicas() -> None:
+    """Guards against one caller with three requests a second stopping all others."""
+    fleet = CrashFleet(3, 3)
+    fleet.call_in_turn(10_000.0)
+    assert fleet.find_served_share() >= 0.97
+
+
+def test_call_under_quarantine_is_answered_at_once_and_truthfully() -> None:
+    """Guards against callers that wait for, or repeat at once, what can't be served."""
+    fleet = CrashFleet(3, 3)
+    crash_until_quarantined(fleet)
+    for call in call_everywhere(fleet):
+        assert call.refusal is not None
+        assert call.ended_ms == call.request.arrived_ms
+        assert call.refusal.kind is ErrorKind.REQUEST_QUARANTINED
+        assert call.refusal.ending is Ending.NOT_RUN
+        assert call.refusal.retry_after_ms is not None
+        assert call.refusal.retry_after_ms >= QUARANTINE_RETRY_MS
+
+
+@SIZES
+def test_copies_that_arrive_at_once_do_not_crash_replicas_for_ever(
+    nodes_each: int,
+) -> None:
+    """Guards against a burst of copies on all nodes before anybody has learned."""
+    fleet = CrashFleet(3, nodes_each)
+    for _ in range(40):
+        for name in list(fleet.cores)[:9]:
+            fleet.call(name, POISON)
+        fleet.run_for(300.0)
+    assert len(fleet.crashes) >= GUILTY_CRASHES
+    assert len(fleet.list_late(STABLE_MS)) <= MAX_RETRIES
+
+
+@SIZES
+def test_quarantine_outlasts_all_nodes(nodes_each: int) -> None:
+    """Guards against nodes that forget the request when all are killed at once."""
+    fleet = CrashFleet(3, nodes_each)
+    crash_until_quarantined(fleet)
+    before = len(fleet.list_poisoned())
+    fleet.kill_and_restart_all()
+    fleet.run_for(STABLE_MS)
+    fleet.call_in_turn(5_000.0)
+    assert len(fleet.list_poisoned()) == before
+
+
+def test_node_that_starts_later_knows_the_quarantine() -> None:
+    """Guards against a replaced node that begins to send the request again."""
+    fleet = CrashFleet(3, 3)
+    crash_until_quarantined(fleet)
+    name = next(iter(fleet.cores))
+    fleet.restart(name)
+    fleet.run_for(1_000.0)
+    before = len(fleet.list_poisoned())
+    fleet.call(name, POISON)
+    fleet.run_for(1_000.0)
+    assert len(fleet.list_poisoned()) == before
+
+
+@SIZES
+def test_quarantine_begins_and_holds_while_the_store_is_away(nodes_each: int) -> None:
+    """Guards against a quarantine that needs the store to be agreed on."""
+    fleet = CrashFleet(3, nodes_each)
+    fleet.store_away = set(fleet.cores)
+    fleet.call_in_turn(10_000.0)
+    assert len(fleet.list_late(STABLE_MS)) <= MAX_RETRIES
+    assert fleet.store_writes == 0
+    fleet.store_away = set()
+    fleet.run_for(4_000.0)
+    assert fleet.store_writes >= 1
+
+
+def test_nothing_is_written_to_the_store_without_a_quarantine() -> None:
+    """Guards against a price in calm times, and on days when replicas crash alone."""
+    fleet = CrashFleet(3, 3)
+    for address in list(fleet.engines)[:3]:
+        fleet.call_in_turn(2_000.0, poison_ms=None)
+        fleet.crash(address)
+    fleet.run_for(2_000.0)
+    assert fleet.store_writes == 0
+
+
+def test_one_record_is_written_for_a_quarantine() -> None:
+    """Guards against a write by each node that is asked for the request."""
+    fleet = CrashFleet(3, 3)
+    fleet.call_in_turn(10_000.0)
+    assert fleet.store_writes == 1
+
+
+@SIZES
+def test_popular_request_is_served_while_replicas_crash_one_after_another(
+    nodes_each: int,
+) -> None:
+    """Guards against a quarantine of what merely ran on each replica that ended."""
+    fleet = CrashFleet(3, nodes_each)
+    names = list(fleet.cores)
+    calls = []
+    for number in range(240):
+        calls.append(fleet.call(names[number % len(names)], POPULAR))
+        if number % 30 == 29:
+            fleet.crash(list(fleet.engines)[number // 30 % len(fleet.engines)])
+        fleet.run_for(50.0)
+    fleet.run_for(RUN_MS * 2)
+    assert len(fleet.crashes) >= 2 * GUILTY_CRASHES
+    assert list_rejected(calls) == []
+
+
+@SIZES
+def test_popular_request_is_served_after_many_replicas_were_lost_at_once(
+    nodes_each: int,
+) -> None:
+    """Guards against taking a lost rack for crashes by what ran on all its replicas."""
+    fleet = CrashFleet(3, nodes_each)
+    names = list(fleet.cores)
+    for number in range(24):
+        fleet.call(names[number % len(names)], POPULAR)
+        fleet.run_for(50.0)
+    for address in list(fleet.engines)[:4]:
+        fleet.crash(address)
+    fleet.run_for(LAPSE_MS + SETTLE_MS)
+    calls = call_everywhere(fleet, POPULAR)
+    assert {call.ending for call in calls} == {"completed"}
+
+
+def test_first_run_of_many_replicas_is_no_cause_of_their_loss() -> None:
+    """Guards against the same where no run of the request had ended before."""
+    fleet = CrashFleet(3, 3)
+    names = list(fleet.cores)
+    for number in range(18):
+        fleet.call(names[number % len(names)], "new" if number % 2 else f"own-{number}")
+    fleet.run_for(START_MS * 2)
+    for address in fleet.engines:
+        fleet.crash(address)
+    fleet.run_for(LAPSE_MS + SETTLE_MS)
+    first = call_everywhere(fleet, "new")
+    assert "completed" in {call.ending for call in first}
+    second = call_everywhere(fleet, "new")
+    assert {call.ending for call in second} == {"completed"}
+
+
+def test_closed_connection_to_a_living_replica_is_no_crash() -> None:
+    """Guards against convicting a request whose connections were reset."""
+    fleet = CrashFleet(3, 3)
+    name = next(iter(fleet.cores))
+    for _ in range(6):
+        call = fleet.call(name, "reset", is_resumable=False)
+        fleet.run_for(START_MS * 2)
+        for engine in fleet.engines.values():
+            if engine.calls.pop(call.request.request_id, None):
+                fleet.lose(call, engine.name)
+        fleet.run_for(200.0)
+    call = fleet.call(name, "reset")
+    fleet.run_for(2 * RUN_MS)
+    assert call.ending == "completed"
+    assert fleet.core(name).guard.ledger.list_charges(call.request.fingerprint) == []
+
+
+def test_replica_that_was_to_leave_has_not_crashed() -> None:
+    """Guards against charging the calls that a planned stop cuts."""
+    fleet = CrashFleet(3, 3)
+    name = next(iter(fleet.cores))
+    for _ in range(GUILTY_CRASHES):
+        call = fleet.call(name, "cut", is_resumable=False)
+        fleet.run_for(START_MS * 2)
+        engine = next(e for e in fleet.engines.values() if e.calls)
+        fleet.announce_leave(engine)
+        fleet.run_for(500.0)
+        fleet.crash(engine.address)
+        fleet.run_for(SETTLE_MS + 100.0)
+        assert (
+            fleet.core(name).guard.ledger.list_charges(call.request.fingerprint) == []
+        )
+
+
+def test_request_that_waits_is_rejected_once_its_copies_have_crashed_replicas() -> None:
+    """Guards against a check at the arrival only: calls wait and go elsewhere."""
+    fleet = CrashFleet(3, 1, replicas=3)
+    names = list(fleet.cores)
+    fleet.call(names[0], POISON, is_resumable=False)
+    fleet.run_for(400.0)
+    fleet.call(names[1], POISON, is_resumable=False)
+    fleet.run_for(80.0)
+    # The third and last replica ends too, so this one has to wait.
+    fleet.crash(next(a for a, e in fleet.engines.items() if e.is_up))
+    fleet.run_for(20.0)
+    waiting = fleet.call(names[2], POISON, is_resumable=False)
+    fleet.run_for(BACK_MS + 500.0)
+    assert len(fleet.list_poisoned()) == 2
+    assert waiting.refusal is not None
+
+
+def test_request_that_was_beside_the_cause_is_served() -> None:
+    """Guards against convicting the calls that met the same crashes."""
+    fleet = CrashFleet(3, 3)
+    names = list(fleet.cores)
+    beside = [f"beside-{number}" for number in range(12)]
+    for round_number in range(3):
+        for number, body in enumerate(beside):
+            fleet.call(names[number % len(names)], body)
+        fleet.call(names[round_number], POISON)
+        fleet.run_for(RUN_MS + SETTLE_MS + 200.0)
+    for number, body in enumerate(beside):
+        call = fleet.call(names[number % len(names)], body)
+        fleet.run_for(2 * RUN_MS)
+        assert call.ending == "completed"
+
+
+def test_operator_releases_one_quarantine_and_not_a_later_one() -> None:
+    """Guards against a release that stays in force, or comes back with a restart."""
+    fleet = CrashFleet(3, 3)
+    crash_until_quarantined(fleet)
+    entry = find_entry(fleet)
+    fleet.release(Release(entry.fingerprint, entry.entry_id))
+    fleet.run_for(3_500.0)
+    assert not any(
+        list(core.guard.quarantine.list_entries()) for core in fleet.cores.values()
+    )
+    before = len(fleet.list_poisoned())
+    crash_until_quarantined(fleet)
+    assert len(fleet.list_poisoned()) > before
+    fleet.kill_and_restart_all()
+    fleet.run_for(STABLE_MS)
+    assert find_entry(fleet).entry_id != entry.entry_id
+
+
+def test_quarantine_ends_when_the_request_has_stayed_away() -> None:
+    """Guards against records that stay in the store for good."""
+    fleet = CrashFleet(3, 1)
+    crash_until_quarantined(fleet)
+    fleet.skip(TTL_MS)
+    fleet.run_for(4_000.0)
+    assert not any(
+        list(core.guard.quarantine.list_entries()) for core in fleet.cores.values()
+    )
+    assert fleet.list_quarantined() == set()
+
+
+def test_quarantine_goes_on_while_the_request_comes() -> None:
+    """Guards against a trial of the request each time that a lifetime is over."""
+    fleet = CrashFleet(3, 1)
+    crash_until_quarantined(fleet)
+    before = len(fleet.list_poisoned())
+    for _ in range(6):
+        fleet.skip(RENEW_MS)
+        fleet.run_for(4_000.0)
+        call_everywhere(fleet)
+    assert len(fleet.list_poisoned()) == before
+
+
+def test_record_of_an_unknown_request_is_taken_over_and_refused() -> None:
+    """Guards against a node that needs to have seen the crashes itself."""
+    fleet = CrashFleet(3, 1)
+    name = next(iter(fleet.cores))
+    request = QuarantinedRequest(POISON, "1", CustomerName("c"), "r", ())
+    record = KeyedRecord(f"quarantine/{POISON}", 90, put(request))
+    fleet.read(name, Topic.NODES, record)
+    call = fleet.call(NodeName(name), POISON)
+    assert call.refusal is not None
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -16,6 +16,7 @@
 from toucanyard.relay_flow import NO_REPLICA_WAIT_MS, RelayFlow, RelayReply
 from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
 from toucanyard.replicas import ReplicaDirectory
+from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import EndingSeen, Refuse, Repeatability
 from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex
@@ -61,7 +62,13 @@
         rng = random.Random(1)
         calls = CallPlacement(OPTIONS, self.directory, self.goals, sources, rng)
         self.flow = RelayFlow(
-            OPTIONS.retries, OPTIONS.policy, self.directory, self.goals, calls, rng
+            OPTIONS.retries,
+            OPTIONS.policy,
+            self.directory,
+            self.goals,
+            calls,
+            RequestGuard(self.directory, lambda *_: 0, rng),
+            rng,
         )
         self.flow.apply_index(RouteIndex(build_table()))
         self.replies: dict[RequestId, list[object]] = {}
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -3,11 +3,20 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
 import trio
 
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
+from toucanyard.names import (
+    Address,
+    DomainName,
+    Fingerprint,
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 from toucanyard.node_records import NodeRecord
+from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import RelayEvent, SendToPeer, StoreFailed
 from toucanyard.relay_options import RelayListen, RelayOptions
@@ -64,6 +73,15 @@
         await self._wait(0.0)
         return 7
 
+    async def write_quarantine(self, request: QuarantinedRequest) -> None:
+        await self._wait(0.0)
+        key = f"quarantine/{request.fingerprint}"
+        self.append(Topic.NODES, key, msgspec.json.encode(request))
+
+    async def erase_quarantine(self, fingerprint: Fingerprint) -> None:
+        await self._wait(0.0)
+        self.append(Topic.NODES, f"quarantine/{fingerprint}", None)
+
     async def read_turns(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
         raise StoreError("not used")
 
--- a/tests/toucanyard_platform/test_replica_client.py
+++ b/tests/toucanyard_platform/test_replica_client.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
+from toucanyard.crash_watch import Reach
 from toucanyard.names import Address, EndpointName, NodeName, ReplicaId
 from toucanyard.relay_events import PartChange, WeightsOrder
+from toucanyard_node.relay_ports import StateAnswer
 from toucanyard_platform.part_client import PartClient
 from toucanyard_platform.replica_client import ReplicaClient
 
@@ -31,8 +34,10 @@
 
 async def test_report_is_decoded() -> None:
     async with serve(lambda _: (200, (), REPORT)) as (address, seen):
-        state = await ReplicaClient().read_state(address, ReplicaId("i-1"))
+        answer = await ReplicaClient().read_state(address, ReplicaId("i-1"))
+    state = answer.state
     assert state is not None
+    assert answer.reach is Reach.ANSWERED
     assert state.weights == (("m", 1),)
     assert state.is_busy
     assert state.order_count == 2
@@ -40,13 +45,27 @@
     assert seen[0].headers["x-expect-instance"] == "i-1"
 
 
-async def test_report_of_another_replica_is_none() -> None:
-    async with serve(lambda _: (421, (), b"")) as (address, _):
-        assert await ReplicaClient().read_state(address, ReplicaId("i-1")) is None
-    assert (
-        await ReplicaClient().read_state(Address("127.0.0.1:1"), ReplicaId("i-1"))
-        is None
-    )
+@pytest.mark.parametrize(
+    ("status", "body", "reach"),
+    [
+        (421, b"", Reach.REPLACED),
+        (503, b"", Reach.ANSWERED),
+        (200, b"no report", Reach.ANSWERED),
+    ],
+)
+async def test_no_report_tells_whether_the_replica_is_there(
+    status: int, body: bytes, reach: Reach
+) -> None:
+    async with serve(lambda _: (status, (), body)) as (address, _):
+        answer = await ReplicaClient().read_state(address, ReplicaId("i-1"))
+    assert answer == StateAnswer(reach)
+
+
+async def test_replica_that_listens_no_more_is_told_from_a_silent_one() -> None:
+    async with serve(lambda _: (200, (), b"")) as (address, _):
+        pass
+    answer = await ReplicaClient().read_state(address, ReplicaId("i-1"))
+    assert answer == StateAnswer(Reach.NO_LISTENER)
 
 
 async def test_order_names_what_it_depends_on() -> None:
