Take a replica for crashed once probes of it are closed in a row

Behind a proxy that still listens, nothing tells a node that a replica is gone until its next life registers: a soak with such proxies ran a request eleven times, four of them later than 3 s after the third crash (three are allowed). Probes were accepted and closed, which was taken for no answer.

Two probes in a row that are closed without an answer now count as an end; a replica that answers anything later is taken for alive again, so that losses after a reset aren't charged for good. What was sent after a crash met an address without its replica and is not charged.

--- a/packages/toucanyard/src/toucanyard/crash_ledger.py
+++ b/packages/toucanyard/src/toucanyard/crash_ledger.py
@@ -85,6 +85,10 @@
         charged = [name for name in names if self._is_charged(fingerprint, name)]
         return sorted(charged, key=lambda name: self._crashes[name].at_ms)
 
+    def count_runs(self) -> int:
+        """Return how many lost runs are remembered, over all crashes."""
+        return self._request_count
+
     def has_survived(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a replica is known to have answered this request."""
         return fingerprint in self._survived_ms
--- a/packages/toucanyard/src/toucanyard/crash_watch.py
+++ b/packages/toucanyard/src/toucanyard/crash_watch.py
@@ -23,6 +23,8 @@
 crashed within that time."""
 PROBE_MS: Final = 250.0
 """Time between two probes of a replica that has not answered the last one."""
+MAX_CLOSED: Final = 2
+"""Probes in a row that were closed, after which a replica counts as ended."""
 MAX_ENDED: Final = 1_000
 """Lives that ended lately and are remembered."""
 
@@ -34,6 +36,9 @@
     REPLACED = "replaced"
     """Another replica answers there."""
     NO_LISTENER = "no_listener"
+    CLOSED = "closed"
+    """Something takes the connection and closes it without an answer: a proxy, or a
+    process that ends."""
     NO_ANSWER = "no_answer"
 
 
@@ -52,12 +57,14 @@
     Invariant: a loss is charged at most once, and only to the life that it was lost at.
     """
 
-    __slots__ = ("_directory", "_ended", "_losses", "_probed_ms")
+    __slots__ = ("_closed", "_directory", "_ended", "_losses", "_probed_ms")
 
     def __init__(self, directory: ReplicaDirectory) -> None:
         self._directory = directory
         self._losses: dict[EndpointName, list[Loss]] = {}
         self._probed_ms: dict[EndpointName, float] = {}
+        self._closed: dict[EndpointName, int] = {}
+        """Probes in a row that were closed, of lives with losses."""
         self._ended: dict[EndpointName, None] = {}
 
     def has_open_loss(self, fingerprint: Fingerprint) -> bool:
@@ -89,13 +96,24 @@
 
     def note_probed(self, replica: EndpointName, reach: Reach, asked_ms: float) -> bool:
         """Take in what a probe found; return whether the replica surely ended."""
-        if reach in (Reach.NO_LISTENER, Reach.REPLACED):
-            return True
-        if reach is Reach.ANSWERED and replica in self._losses:
+        match reach:
+            case Reach.NO_LISTENER | Reach.REPLACED:
+                return True
+            case Reach.ANSWERED:
+                self.note_alive(replica, asked_ms)
+            case Reach.CLOSED if replica in self._losses:
+                self._closed[replica] = self._closed.get(replica, 0) + 1
+                return self._closed[replica] >= MAX_CLOSED
+        return False
+
+    def note_alive(self, replica: EndpointName, asked_ms: float) -> None:
+        """Take in that a life has answered what it was asked at a time."""
+        self._ended.pop(replica, None)
+        self._closed.pop(replica, None)
+        losses = self._losses.get(replica)
+        if losses:
             # What was lost before a life answered was not lost by its end.
-            losses = self._losses[replica]
             self._keep(replica, [each for each in losses if each.at_ms > asked_ms])
-        return False
 
     def note_ended(self, replica: EndpointName) -> None:
         """Take in that a life of a replica is over."""
@@ -106,6 +124,7 @@
     def take_losses(self, replica: EndpointName) -> list[Loss]:
         """Return the losses at a life that has ended, and drop them."""
         self._probed_ms.pop(replica, None)
+        self._closed.pop(replica, None)
         return self._losses.pop(replica, [])
 
     def find_replaced(self, now_ms: float) -> list[EndpointName]:
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -104,6 +104,7 @@
         """Take in how a dispatch ended that was sent at `sent_ms`."""
         if outcome.ending is EndingSeen.COMPLETED:
             fingerprint = request.fingerprint
+            self.watch.note_alive(outcome.replica, sent_ms)
             self._is_urgent |= self._note_survived(
                 fingerprint, now_ms, "own", now_ms, is_shared=True
             )
@@ -228,7 +229,12 @@
             return
         known_ms = self.ledger.find_crash_time(replica)
         at_ms = min(each.at_ms for each in losses) if known_ms is None else known_ms
-        runs = [LostRun(e.fingerprint, at_ms - e.sent_ms) for e in losses]
+        # What was sent later met no crash, only an address without its replica.
+        runs = [
+            LostRun(each.fingerprint, at_ms - each.sent_ms)
+            for each in losses
+            if each.sent_ms <= at_ms
+        ]
         self._is_urgent |= self._add_crash(
             replica, at_ms, runs, "own", now_ms, is_shared=True
         )
--- /dev/null
+++ b/tests/toucanyard/test_crash_watch.py
@@ -0,0 +1,114 @@
+"""What counts as a crash of a replica, and what does not."""
+
+from __future__ import annotations
+
+import pytest
+
+from toucanyard.crash_watch import LOSS_TTL_MS, MAX_CLOSED, CrashWatch, Reach
+from toucanyard.names import EndpointName, Fingerprint, RequestId
+from toucanyard.relay_requests import RelayOutcome
+from toucanyard.replicas import ReplicaDirectory
+from toucanyard.requests import EndingSeen
+
+from .relay_examples import build_replica
+
+ONE = EndpointName("one")
+BODY = Fingerprint("f")
+
+
+class World:
+    def __init__(self) -> None:
+        self.directory = ReplicaDirectory()
+        self.directory.apply(build_replica(ONE), 0.0)
+        self.watch = CrashWatch(self.directory)
+
+    def lose(self, at_ms: float, **changes: object) -> bool:
+        fields: dict[str, object] = {"is_closed": True}
+        outcome = RelayOutcome(
+            RequestId("q"),
+            ONE,
+            EndingSeen.LOST,
+            **(fields | changes),  # type: ignore[arg-type]
+        )
+        return self.watch.note_outcome(outcome, BODY, at_ms - 10.0, at_ms)
+
+    def count_probes(self, now_ms: float) -> int:
+        return len(list(self.watch.take_probes(now_ms)))
+
+
+def test_closed_connection_is_probed_and_a_silent_one_is_not() -> None:
+    world = World()
+    world.lose(100.0, is_closed=False)
+    assert world.count_probes(100.0) == 0
+    world.lose(110.0)
+    assert world.count_probes(110.0) == 1
+    assert world.count_probes(120.0) == 0
+
+
+@pytest.mark.parametrize("reach", [Reach.NO_LISTENER, Reach.REPLACED])
+def test_replica_that_is_not_there_any_more_has_crashed(reach: Reach) -> None:
+    world = World()
+    world.lose(100.0)
+    assert world.watch.note_probed(ONE, reach, 101.0)
+    assert [each.fingerprint for each in world.watch.take_losses(ONE)] == [BODY]
+
+
+def test_frozen_replica_has_not_crashed() -> None:
+    """Guards against charging calls that were lost while a replica stood still."""
+    world = World()
+    world.lose(100.0)
+    for number in range(10):
+        assert not world.watch.note_probed(ONE, Reach.NO_ANSWER, 101.0 + number)
+
+
+def test_replica_behind_a_proxy_has_crashed_once_probes_are_closed_in_a_row() -> None:
+    """Guards against a listener that outlives its replica and hides each crash."""
+    world = World()
+    world.lose(100.0)
+    found = [world.watch.note_probed(ONE, Reach.CLOSED, 101.0) for _ in range(2)]
+    assert found == [False] * (MAX_CLOSED - 1) + [True]
+
+
+def test_probe_that_is_answered_clears_what_was_lost_before_it() -> None:
+    """Guards against a reset that is charged when the replica ends later."""
+    world = World()
+    world.lose(100.0)
+    world.watch.note_probed(ONE, Reach.CLOSED, 101.0)
+    world.lose(300.0)
+    assert not world.watch.note_probed(ONE, Reach.ANSWERED, 200.0)
+    assert [each.at_ms for each in world.watch.take_losses(ONE)] == [300.0]
+
+
+def test_replica_that_was_taken_for_ended_counts_again_once_it_answers() -> None:
+    """Guards against charging each later loss at a replica that lives."""
+    world = World()
+    world.watch.note_ended(ONE)
+    assert world.lose(100.0)
+    world.watch.take_losses(ONE)
+    world.watch.note_alive(ONE, 150.0)
+    assert not world.lose(200.0)
+
+
+def test_life_that_another_one_follows_at_its_address_has_ended() -> None:
+    """Guards against a crash that no probe sees, since the replica is back at once."""
+    world = World()
+    world.lose(100.0)
+    assert world.watch.find_replaced(100.0) == []
+    address = build_replica(ONE).address
+    world.directory.apply(build_replica("two", address=address), 200.0)
+    assert world.watch.find_replaced(200.0) == [ONE]
+
+
+def test_loss_is_forgotten_when_nothing_is_heard_of_its_replica() -> None:
+    world = World()
+    world.lose(100.0)
+    assert world.watch.has_open_loss(BODY)
+    world.count_probes(100.0 + LOSS_TTL_MS)
+    assert not world.watch.has_open_loss(BODY)
+
+
+def test_call_that_may_not_have_run_is_no_loss() -> None:
+    world = World()
+    outcome = RelayOutcome(RequestId("q"), ONE, EndingSeen.REFUSED)
+    assert not world.watch.note_outcome(outcome, BODY, 0.0, 1.0)
+    assert not world.watch.has_open_loss(BODY)
