Let the nodes of a soak link to each other

A soak's nodes reach the store through proxies with addresses of their own, and the secret of their links was derived from the store's address. Each link was refused (peer_refused, 'a wrong proof'), in every soak so far: what nodes tell each other was never soaked, and no check noticed.

--- a/tests/toucanyard_platform/test_settings.py
+++ b/tests/toucanyard_platform/test_settings.py
@@ -37,10 +37,14 @@
 """
 
 
-def load(tmp_path: Path, text: str) -> object:
+def write(tmp_path: Path, text: str) -> Path:
     file = tmp_path / "boot.toml"
     file.write_text(text)
-    return load_options(file)
+    return file
+
+
+def load(tmp_path: Path, text: str) -> object:
+    return load_options(write(tmp_path, text))
 
 
 def test_settings_become_options(tmp_path: Path) -> None:
@@ -70,6 +74,15 @@
     assert secrets[0] == secrets[1] != secrets[2]
 
 
+def test_secret_that_is_given_goes_before_one_that_is_derived(tmp_path: Path) -> None:
+    """Guards against nodes that reach the store at addresses of their own, unlinked."""
+    secrets = set()
+    for store in ("10.200.1.7:8784", "10.200.1.8:8784"):
+        text = 'peerSecret = "s"' + TEXT.replace("10.200.1.7:8784", store)
+        secrets.add(load_options(write(tmp_path, text)).peer_secret)
+    assert secrets == {"s"}
+
+
 @pytest.mark.parametrize(
     "text",
     [
