Soak nodes beside a request that crashes its replicas

The stand-in replica ends 60 ms after it began a call with a certain body; a soak repeats that call at any node every 0.5 s and counts what nodes in touch send later than 3 s after the third crash.

--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -11,10 +11,15 @@
 from fleet import (
     MODEL,
     MODEL_HEADERS,
+    Fleet,
     NodeProcess,
     open_fleet,
     wait_until,
 )
+from replica import CRASH_BODY
+
+from toucanyard.crash_ledger import GUILTY_CRASHES
+from toucanyard_node.http_client import ConnectionFailedError
 
 HOST = ("Host", "h")
 
@@ -113,6 +118,66 @@
         assert answers == [10] * 8
 
 
+REPEAT_S = 0.3
+DOWN_S = 1.0
+MAX_CRASHES = GUILTY_CRASHES + 3
+"""Three replicas, and three retries until all nodes know."""
+
+
+async def repeat_crashing_call(fleet: Fleet, times: int) -> list[int]:
+    """Send a call that crashes replicas to the nodes in turn; return the statuses."""
+    statuses = []
+    for number in range(times):
+        node = fleet.nodes[number % len(fleet.nodes)]
+        try:
+            answer = await node.call(
+                "/model/x", f"crash-{number}", *MODEL_HEADERS, body=CRASH_BODY
+            )
+            statuses.append(answer.status)
+        except ConnectionFailedError:
+            statuses.append(0)
+        await trio.sleep(REPEAT_S)
+    return statuses
+
+
+async def test_call_that_crashes_its_replicas_is_quarantined_for_good(
+    tmp_path: Path,
+) -> None:
+    """Guards against repeats that crash replicas, also after all nodes were killed."""
+    async with open_fleet(tmp_path, 3) as fleet, trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.keep_replicas, DOWN_S)
+        statuses = await repeat_crashing_call(fleet, 15)
+        assert 0 < fleet.count_crashes() <= MAX_CRASHES
+        assert statuses[-1] == 503
+        before = fleet.count_crashes()
+
+        async def is_stored() -> bool:
+            return "event=quarantine_written" in "".join(
+                node.log.read_text() for node in fleet.nodes
+            )
+
+        await wait_until(is_stored, "the quarantine is stored")
+        for node in fleet.nodes:
+            assert node.process is not None
+            node.process.kill()
+            node.process.wait()
+        for node in fleet.nodes:
+            node.start([str(fleet.nodes[0].address(2))])
+        for node in fleet.nodes:
+            await wait_until(lambda node=node: knows(node), "it knows the quarantine")
+        assert set(await repeat_crashing_call(fleet, 6)) == {503}
+        assert fleet.count_crashes() == before
+        answer = await fleet.nodes[0].call("/model/x", "harmless", *MODEL_HEADERS)
+        assert answer.body.count(b"id: ") == 10
+        nursery.cancel_scope.cancel()
+
+
+async def knows(node: NodeProcess) -> bool:
+    is_ready = await node.is_ready()
+    text = node.log.read_text().rpartition("event=started")[2]
+    return is_ready and "event=request_quarantined" in text
+
+
 async def has_ended(node: NodeProcess) -> bool:
     assert node.process is not None
     return node.process.poll() is not None
--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -8,9 +8,15 @@
 from faulty_proxy import Fault, FaultyProxy
 from fleet import find_port, find_ports
 from soak import SoakFleet, SoakOptions, run_soak
-from soak_callers import TIME_MS, CallSeen
+from soak_callers import CRASH, TIME_MS, CallSeen
 from soak_faults import Targets, plan_faults
-from soak_verdict import LATE_S, count_runs, iterate_late_ends, iterate_problems
+from soak_verdict import (
+    LATE_S,
+    count_runs,
+    iterate_crash_repeats,
+    iterate_late_ends,
+    iterate_problems,
+)
 
 from toucanyard.names import Address
 
@@ -65,6 +71,28 @@
     assert find_problems(call, runs)
 
 
+def build_crashing(count: int, node: str = "n1") -> list[CallSeen]:
+    return [
+        CallSeen(f"x{n}", CRASH, node, "/model/crash", float(n), ended_s=n + 0.1)
+        for n in range(count)
+    ]
+
+
+def test_repeats_of_a_crashing_request_are_counted_after_the_third_crash() -> None:
+    runs = {f"x{number}": 1 for number in range(20)}
+    # Three crashes by 2.1 s, so calls from 6 s on are late.
+    assert not list(iterate_crash_repeats(build_crashing(9), runs, []))
+    assert list(iterate_crash_repeats(build_crashing(10), runs, []))
+    assert not list(iterate_crash_repeats(build_crashing(10), {"x1": 1, "x9": 1}, []))
+
+
+def test_nodes_out_of_touch_may_repeat_a_crashing_request() -> None:
+    runs = {f"x{number}": 1 for number in range(20)}
+    calls = build_crashing(10)
+    assert not list(iterate_crash_repeats(calls, runs, [("n1", 4.0, 7.0)]))
+    assert list(iterate_crash_repeats(calls, runs, [("n2", 4.0, 7.0)]))
+
+
 def test_node_that_was_paused_may_answer_late() -> None:
     late = build_call(sent_s=9.0, ended_s=20.0)
     assert not find_problems(late)
