Show operators which requests are under quarantine, and test the records

Metrics count them and name the first 50 with what an operator needs to release one; records and their removal are tested against the wire, and decoders with arbitrary content.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -21,6 +21,8 @@
 MAX_GROUPS: Final = 64
 """Customers and classes with figures of their own; a histogram takes 10 KB."""
 HIGHEST_MS: Final = 600_000
+MAX_QUARANTINED: Final = 50
+"""Requests under quarantine with a line of their own."""
 DIGITS: Final = 1
 """Values are told apart by 6% or less."""
 QUANTILES: Final = (50.0, 95.0, 99.0)
@@ -130,6 +132,22 @@
         usable = len(core.directory.find_usable(service.name, now_ms))
         yield _format("replicas_listed", listed, service=service.name)
         yield _format("replicas_usable", usable, service=service.name)
+    yield from _render_quarantine(core)
+
+
+def _render_quarantine(core: RelayCore) -> Iterator[str]:
+    entries = list(core.guard.quarantine.list_entries())
+    yield _format("requests_quarantined", len(entries))
+    for entry in entries[:MAX_QUARANTINED]:
+        request = entry.request
+        yield _format(
+            "quarantine_refusals_total",
+            entry.refused,
+            fingerprint=request.fingerprint,
+            entry=request.entry_id,
+            customer=request.customer,
+            route=request.route,
+        )
 
 
 def _record(
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -4,8 +4,11 @@
 
 import msgspec
 
+from toucanyard.keyed_view import Topic
 from toucanyard.names import CustomerName, RequestId
+from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.relay_requests import RelayRequest
+from toucanyard.request_fingerprint import compute_fingerprint
 from toucanyard.requests import Repeatability
 from toucanyard_node.relay_metrics import MAX_GROUPS, RelayMetrics
 
@@ -46,6 +49,7 @@
         calls = Counter({"read operator": 2})
         text = world.metrics.render(world.core, calls, 7, 1_000.0)
     lines = text.splitlines()
+    assert "toucanyard_requests_quarantined 0" in lines
     labels = 'customer="c",call_class="repeatable"'
     assert f'toucanyard_dispatches_total{{{labels},ending="answered"}} 3' in lines
     assert 'toucanyard_refusals_total{kind="not_found"} 1' in lines
@@ -56,6 +60,28 @@
     assert "toucanyard_log_lines_dropped_total 7" in lines
 
 
+async def test_call_under_quarantine_is_refused_and_counted() -> None:
+    """Guards against a quarantine that operators can't see, or callers can't tell."""
+    replica = ScriptedReplica("x", answer())
+    world = RelayWorld([replica])
+    call = build_call(body=b"crash")
+    fingerprint = compute_fingerprint("POST", "h", "/a/x", CustomerName("c"), b"crash")
+    entry = QuarantinedRequest(fingerprint, "7a", CustomerName("c"), "r", ())
+    async with open_world(world):
+        world.put(Topic.NODES, f"quarantine/{fingerprint}", 9, entry)
+        refused = await world.call(call)
+        served = await world.call(build_call(body=b"harmless"))
+        text = world.metrics.render(world.core, Counter(), 0, 1_000.0)
+    assert refused.startswith(b"HTTP/1.1 503 ")
+    assert b"request_quarantined" in refused
+    assert b"retry-after: " in refused.lower()
+    assert served.startswith(b"HTTP/1.1 200 ")
+    assert len(replica.calls) == 1
+    labels = f'fingerprint="{fingerprint}",entry="7a",customer="c",route="r"'
+    assert f"toucanyard_quarantine_refusals_total{{{labels}}} 1" in text
+    assert "toucanyard_requests_quarantined 1" in text
+
+
 async def test_customers_without_end_share_a_row() -> None:
     """A caller invents customers, or a fleet has thousands.
 
--- a/tests/toucanyard_platform/test_decoders_fuzz.py
+++ b/tests/toucanyard_platform/test_decoders_fuzz.py
@@ -13,6 +13,7 @@
 from toucanyard.keyed_view import InvalidRecord, Topic
 from toucanyard.link_messages import decode_link_message
 from toucanyard.node_records import NodeRecord
+from toucanyard.quarantine import QuarantinedRequest, Release
 from toucanyard.replicas import Replica
 from toucanyard.routes import RouteTable
 from toucanyard.weights_goals import WantedWeights
@@ -35,12 +36,24 @@
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner),
     max_leaves=8,
 )
-NAMES = (*ENTRY, "born", "routes", "services", "limits", "tenants", "model", "name")
-KEYS = st.sampled_from(("config", "version/m", "i-1", "", "\u20ac"))
+NAMES = (
+    *ENTRY,
+    "born",
+    "routes",
+    "services",
+    "limits",
+    "tenants",
+    "model",
+    "name",
+    "entry",
+)
+KEYS = st.sampled_from(
+    ("config", "version/m", "i-1", "", "\u20ac", "release/f", "quarantine/f")
+)
 FACTS = {
-    Topic.OPERATOR: (RouteTable, WantedWeights),
+    Topic.OPERATOR: (RouteTable, WantedWeights, Release),
     Topic.REPLICAS: (Replica,),
-    Topic.NODES: (NodeRecord,),
+    Topic.NODES: (NodeRecord, QuarantinedRequest),
 }
 
 
--- a/tests/toucanyard_platform/test_records.py
+++ b/tests/toucanyard_platform/test_records.py
@@ -6,12 +6,16 @@
 from toucanyard.keyed_view import InvalidRecord, Topic
 from toucanyard.names import (
     Address,
+    CustomerName,
     DomainName,
+    EndpointName,
+    Fingerprint,
     Incarnation,
     NodeName,
     ServiceName,
 )
 from toucanyard.node_records import NodeRecord
+from toucanyard.quarantine import QuarantinedRequest, Release
 from toucanyard.replicas import Replica
 from toucanyard.requests import Repeatability
 from toucanyard.routes import RouteTable
@@ -197,3 +201,28 @@
             assert found.topic is topic
             assert found.reason
     assert decode_record(Topic.OPERATOR, "unknown", b"{}") is None
+
+
+QUARANTINED = QuarantinedRequest(
+    Fingerprint("f1"), "7a", CustomerName("c"), "r", (EndpointName("i-1"),)
+)
+
+
+def test_request_under_quarantine_is_read_as_it_was_written() -> None:
+    value = msgspec.json.encode(QUARANTINED)
+    assert decode_record(Topic.NODES, "quarantine/f1", value) == QUARANTINED
+
+
+@pytest.mark.parametrize("key", ["quarantine/", "quarantine/f2"])
+def test_quarantine_of_another_request_is_not_taken_over(key: str) -> None:
+    """Guards against a record that would reject requests it doesn't name."""
+    value = msgspec.json.encode(QUARANTINED)
+    assert isinstance(decode_record(Topic.NODES, key, value), InvalidRecord)
+
+
+def test_release_names_the_quarantine_that_it_ends() -> None:
+    found = decode_record(Topic.OPERATOR, "release/f1", b'{"entry":"7a"}')
+    assert found == Release(Fingerprint("f1"), "7a")
+    for value in (b"{}", b'{"entry":""}', b'{"entry":7}'):
+        found = decode_record(Topic.OPERATOR, "release/f1", value)
+        assert isinstance(found, InvalidRecord)
--- a/tests/toucanyard_platform/test_store_client.py
+++ b/tests/toucanyard_platform/test_store_client.py
@@ -6,11 +6,23 @@
 import pytest
 
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import Address, DomainName, Incarnation, NodeName
+from toucanyard.names import (
+    Address,
+    CustomerName,
+    DomainName,
+    Fingerprint,
+    Incarnation,
+    NodeName,
+)
 from toucanyard.node_records import NodeRecord
+from toucanyard.quarantine import QuarantinedRequest
 from toucanyard_node.http_exchange import HttpRequest
 from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TurnTakenError
-from toucanyard_platform.store_client import StoreClient
+from toucanyard_platform.store_client import (
+    StoreClient,
+    split_keyed,
+    split_records,
+)
 
 from .wire_world import Reply, serve
 
@@ -127,3 +139,16 @@
     with pytest.raises(StoreError) as caught:
         await StoreClient(Address("127.0.0.1:1")).read_turns(0)
     assert caught.value.is_refused
+
+
+async def test_quarantine_is_written_beside_the_nodes_and_erased() -> None:
+    request = QuarantinedRequest(Fingerprint("f1"), "7a", CustomerName("c"), "r", ())
+    reply = b'{"offset":3,"end":4}'
+    async with serve(lambda _: (200, (), reply)) as (address, seen):
+        await StoreClient(address).write_quarantine(request)
+        await StoreClient(address).erase_quarantine(request.fingerprint)
+    written, erased = (split_keyed(0, split_records(each.body)[0]) for each in seen)
+    assert written.key == erased.key == "quarantine/f1"
+    assert written.value == msgspec.json.encode(request)
+    assert erased.value is None
+    assert seen[0].query["topic"] == "keyed.nodes"
