Send no calls to a replica that any node has seen crash

Each node of a fleet of 69 found out by calls of its own that a replica was gone: a call to an address where the next life answers is turned away, and a node of a large fleet has no retry to spare.

Nodes now rest a replica when they learn of its crash, as they learn of the requests that were under way. A probe that it answers ends the rest.

Weighed and left: taking a life for over when another registers at its address, since a node that starts reads both in any order.

--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -29,6 +29,8 @@
 """Pause after a refusal; then one call shows whether it takes calls again."""
 MAX_REST_MS: Final = 1_000.0
 """Longest pause: replicas that come back are wanted at once."""
+CRASH_REST_MS: Final = 5_000.0
+"""How long a replica that crashed may stay listed."""
 LAPSE_GRACE_MS: Final = 2_500.0
 """How long after the store's return a replica counts that left the list: one that lives
 is listed again within two seconds, and known here half a second later."""
@@ -164,6 +166,10 @@
             self.rest_until_ms = now_ms + self._rest_ms
             self._unreached_ms = min(self._unreached_ms, now_ms)
 
+    def note_crash(self, at_ms: float) -> None:
+        """Take in that it has crashed; it gets no calls until it leaves the list."""
+        self.rest_until_ms = max(self.rest_until_ms, at_ms + CRASH_REST_MS)
+
     def is_probe_due(self, now_ms: float) -> bool:
         """Tell whether to ask it for a report, to see whether it is back."""
         return self.is_resting(now_ms) and now_ms - self._probed_ms >= PROBE_MS
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -51,6 +51,7 @@
     """
 
     __slots__ = (
+        "_directory",
         "_find_rank",
         "_is_urgent",
         "_notes",
@@ -62,6 +63,7 @@
     def __init__(
         self, directory: ReplicaDirectory, find_rank: FindRank, rng: random.Random
     ) -> None:
+        self._directory = directory
         self._find_rank = find_rank
         self.ledger = CrashLedger()
         self.watch = CrashWatch(directory)
@@ -259,6 +261,9 @@
                 "source": source,
             }
             self._notes.append(Note("replica_crashed", fields))
+            known = self._directory.find(replica)
+            if known is not None:
+                known.note_crash(at_ms)
             # Peers may not know that a replica has answered one of them before.
             self._is_urgent |= any(map(self.ledger.has_survived, added))
         return bool(added)
--- a/tests/toucanyard/test_crashing_requests.py
+++ b/tests/toucanyard/test_crashing_requests.py
@@ -77,9 +77,12 @@
     assert len(fleet.crashes) <= GUILTY_CRASHES
 
 
-def test_harmless_calls_are_served_beside_a_request_that_crashes_replicas() -> None:
+@SIZES
+def test_harmless_calls_are_served_beside_a_request_that_crashes_replicas(
+    nodes_each: int,
+) -> None:
     """Guards against one caller with three requests a second stopping all others."""
-    fleet = CrashFleet(3, 3)
+    fleet = CrashFleet(3, nodes_each)
     fleet.call_in_turn(10_000.0)
     assert fleet.find_served_share() >= 0.97
 
