Reject messages between nodes whose spans of time are infinite

One status with an infinite age ends the node that reads it, since the log line rounds it: the same class as a request that ends each replica which runs it. Found by looking for that class elsewhere, with arbitrary statuses and records against a core. On the age of a store's answer does it (topic_intake, OverflowError); the new gossip of crashes had it too. Peers are authenticated, so a fault of a node, not of a caller, would send one.

Spans in messages have bounds now and are refused by the decoder, which drops the message and logs it.

--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import cbor2
 import msgspec
@@ -15,14 +16,17 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import EndpointName, Fingerprint, NodeName, ReplicaId
 
+SpanMs = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+"""A span of time, neither infinite nor no number: no reader could reckon with these."""
+
 
 class StoreReadUpdate(msgspec.Struct, frozen=True, array_like=True):
     """The newest answer of the store that a node knows of."""
 
     read_id: int
-    age_ms: float
+    age_ms: SpanMs
     """Time since it was asked for."""
-    steady_ms: float
+    steady_ms: SpanMs
     """For how long before that the store is known to have answered without a break."""
 
 
@@ -50,7 +54,7 @@
     """What the node that orders weights knows of a replica before the store does."""
 
     replica: EndpointName
-    loading_left_ms: float
+    loading_left_ms: SpanMs
     """How long it takes no new calls, since it loads weights; 0 if it does."""
     weights: tuple[tuple[str, int], ...]
     pause_id: int = 0
@@ -72,7 +76,7 @@
     scope: str
     part: str
     tokens: int
-    ready_in_ms: float
+    ready_in_ms: SpanMs
 
 
 class GoalAge(msgspec.Struct, frozen=True, array_like=True):
@@ -80,7 +84,7 @@
 
     model: str
     version: int
-    age_ms: float
+    age_ms: SpanMs
 
 
 class NodeNews(msgspec.Struct, frozen=True, array_like=True):
@@ -94,7 +98,7 @@
     """A store of prompts that answered a node lately."""
 
     store: EndpointName
-    heard_age_ms: float
+    heard_age_ms: SpanMs
     epoch: int
     """Another one after each restart, with which the store is empty."""
 
@@ -103,7 +107,7 @@
     """A request that was under way at a replica when this ended."""
 
     fingerprint: Fingerprint
-    ran_ms: float
+    ran_ms: SpanMs
     """Time since it was sent there."""
 
 
@@ -111,7 +115,7 @@
     """A replica that ended while it ran requests."""
 
     replica: EndpointName
-    age_ms: float
+    age_ms: SpanMs
     runs: tuple[LostRun, ...]
     """Those that were under way there, as far as the sender knows."""
 
@@ -120,7 +124,7 @@
     """A request that a replica answered, though replicas crashed under it."""
 
     fingerprint: Fingerprint
-    age_ms: float
+    age_ms: SpanMs
 
 
 class Coverage(enum.StrEnum):
--- /dev/null
+++ b/tests/toucanyard/test_hostile_messages.py
@@ -0,0 +1,112 @@
+"""No message that a peer can send ends the node that reads it."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+
+import cbor2
+import msgspec
+from hypothesis import given, settings, strategies as st
+
+from toucanyard.cbor_messages import MessageInvalidError
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.link_messages import (
+    GoalAge,
+    LifeNews,
+    LinkMessage,
+    LostRun,
+    NodeNews,
+    NodeStatus,
+    ReadPart,
+    ReplicaCrash,
+    ReplicaNews,
+    ReplicaUse,
+    RequestSurvival,
+    StoreNews,
+    StoreReadUpdate,
+    ViewRecords,
+    ViewStatus,
+    decode_link_message,
+)
+from toucanyard.names import NodeName
+from toucanyard.relay_events import LinkMessageRead, TickPassed
+
+from .relay_examples import DESK, build_replica, build_table
+from .relay_fleet import Fleet, put
+
+NAMES = st.sampled_from(("n1", "n2", "r1", "r2", "m", "f", "quarantine/f", ""))
+SPANS = st.floats() | st.sampled_from((0.0, -1.0, math.inf, -math.inf, math.nan, 1e308))
+COUNTS = st.integers(-2, 2**62)
+
+
+def build(kind: type, **fields: st.SearchStrategy[object]) -> st.SearchStrategy[object]:
+    """Return a strategy for a message whose fields may be anything of their type."""
+    known = {
+        "str": NAMES,
+        "float": SPANS,
+        "Annotated": SPANS,
+        "int": COUNTS,
+        "bool": st.booleans(),
+    }
+    hints = {name: _name(each) for name, each in _iterate_hints(kind)}
+    chosen = {name: fields.get(name, known.get(hint)) for name, hint in hints.items()}
+    return st.builds(
+        kind, **{name: each for name, each in chosen.items() if each is not None}
+    )
+
+
+def _iterate_hints(kind: type) -> list[tuple[str, object]]:
+    return [(each.name, each.type) for each in msgspec.structs.fields(kind)]
+
+
+def _name(hint: object) -> str:
+    hint = getattr(hint, "__origin__", hint)
+    hint = getattr(hint, "__supertype__", hint)
+    return getattr(hint, "__name__", "")
+
+
+def many(each: st.SearchStrategy[object]) -> st.SearchStrategy[tuple[object, ...]]:
+    return st.lists(each, max_size=3).map(tuple)
+
+
+ANSWERS = st.none() | build(StoreReadUpdate)
+VIEWS = build(ViewStatus, topic=st.sampled_from(Topic), answer=ANSWERS)
+STATUSES = build(
+    NodeStatus,
+    views=many(VIEWS),
+    uses=many(build(ReplicaUse)),
+    news=many(build(ReplicaNews, weights=st.just((("m", 3),)))),
+    parts=many(build(ReadPart)),
+    goals=many(build(GoalAge)),
+    stores=many(build(StoreNews)),
+    nodes=st.none() | many(build(NodeNews)),
+    lives=many(build(LifeNews)),
+    crashes=many(build(ReplicaCrash, runs=many(build(LostRun)))),
+    survivals=many(build(RequestSurvival)),
+)
+RECORDS = build(
+    ViewRecords,
+    topic=st.sampled_from(Topic),
+    records=many(build(KeyedRecord, value=st.none() | st.binary(max_size=9))),
+    answer=ANSWERS,
+)
+
+
+@given(st.lists(STATUSES | RECORDS, max_size=4))
+@settings(max_examples=300)
+def test_no_message_of_a_peer_ends_a_node(messages: list[LinkMessage]) -> None:
+    """Guards against one message that ends each node of a fleet that reads it."""
+    fleet = Fleet("n0", "n1")
+    fleet.read("n0", Topic.OPERATOR, KeyedRecord("config", 0, put(build_table())))
+    replica = build_replica("r1", service=DESK, weights=())
+    fleet.read("n0", Topic.REPLICAS, KeyedRecord("r1", 0, put(replica)))
+    sender = fleet.core("n1").identity
+    for message in messages:
+        data = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+        with contextlib.suppress(MessageInvalidError):
+            read = decode_link_message(data)
+            fleet.handle(NodeName("n0"), LinkMessageRead(sender, read))
+    for _ in range(30):
+        fleet.now_ms += 250.0
+        fleet.handle(NodeName("n0"), TickPassed())
