Let a request survive only what its replica outlives, and play crashes in the emulator

An answer now clears a request once its replica has gone on for 500 ms, and one that came less than that before a crash is charged with it. A test of the fleet in process fails before (more than three crashes) and passes after; one of the emulator replays the load.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/accounting.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/accounting.py
@@ -69,6 +69,8 @@
     store_calls: int = 0
     reread_tokens: int = 0
     moved_bytes: float = 0.0
+    crashes: int = 0
+    """Engines that a request has ended."""
 
 
 class Result(msgspec.Struct, frozen=True):
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/arrivals.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/arrivals.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from toucanyard.part_book import Part
-from toucanyard_emulator.scenario import Burst, CallKind, HotSubject, Scenario
+from toucanyard_emulator.scenario import (
+    Burst,
+    CallKind,
+    CrashingRequest,
+    HotSubject,
+    Scenario,
+)
 
 MAX_SIZE: Final = 4.0
 """A prompt of more than so many times the mean counts no more than that."""
@@ -29,6 +35,8 @@
     output_tokens: int
     work_ms: float
     worth: float
+    crash: CrashingRequest | None = None
+    """Set for a request that ends engines; it is not owed an answer."""
 
 
 def draw_arrivals(scenario: Scenario, seed: int) -> list[Arrival]:
@@ -38,6 +46,9 @@
         for kind in scenario.kinds
         for arrival in _draw_kind(scenario, kind, random.Random(f"{seed} {kind.name}"))
     ]
+    for fault in scenario.faults:
+        if isinstance(fault, CrashingRequest):
+            drawn += _draw_crashing(scenario, fault, seed)
     drawn.sort(key=lambda arrival: arrival.at_ms)
     return [
         msgspec.structs.replace(arrival, number=number)
@@ -45,6 +56,24 @@
     ]
 
 
+def _draw_crashing(
+    scenario: Scenario, fault: CrashingRequest, seed: int
+) -> Iterator[Arrival]:
+    """Repeat one request at even intervals."""
+    rng = random.Random(f"{seed} crashing {fault.kind} {fault.at_s}")
+    kind = next(each for each in scenario.kinds if each.name == fault.kind)
+    first = _draw_one(scenario, kind, fault.at_s, rng)
+    for number in range(int(fault.for_s / fault.every_s)):
+        at_ms = (fault.at_s + number * fault.every_s) * 1000
+        yield msgspec.structs.replace(
+            first,
+            at_ms=at_ms,
+            domain=number % scenario.domains,
+            worth=0.0,
+            crash=fault,
+        )
+
+
 def _draw_kind(
     scenario: Scenario, kind: CallKind, rng: random.Random
 ) -> Iterator[Arrival]:
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING, Final
 
-from toucanyard.names import CustomerName, RequestId
+from toucanyard.names import CustomerName, Fingerprint, RequestId
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.requests import Repeatability
 from toucanyard_emulator.accounting import Cause, Ended
@@ -42,6 +42,12 @@
         self._begun_ms = self._world.clock.now_ms
         self._try()
 
+    def _find_fingerprint(self) -> Fingerprint:
+        """Return what all tries of this call share, or all repeats of its request."""
+        crash = self._arrival.crash
+        number = self._arrival.number
+        return Fingerprint(f"call {number}" if crash is None else f"crash {crash.at_s}")
+
     def _find_left(self) -> float:
         deadline_ms = self._begun_ms + self._arrival.kind.deadline_ms
         return deadline_ms - self._world.clock.now_ms
@@ -78,6 +84,7 @@
             arrived_ms=now_ms,
             deadline_ms=now_ms + self._find_left(),
             table_version=1,
+            fingerprint=self._find_fingerprint(),
             prompt=(
                 Prompt(MODEL, self._arrival.parts, self._arrival.output_tokens)
                 if is_prompt
@@ -196,4 +203,5 @@
 
     def _finish(self, ended: Ended) -> None:
         self._is_over = True
-        self._world.note_ended(ended)
+        if self._arrival.crash is None:
+            self._world.note_ended(ended)
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
@@ -11,6 +11,7 @@
 from toucanyard_emulator.scenario import (
     Burst,
     Crash,
+    CrashingRequest,
     Fault,
     Grey,
     HotSubject,
@@ -51,7 +52,7 @@
             return partial(_stop_store, world, fault, purpose)
         case NodesKilled():
             return partial(_kill_nodes, world, fault, purpose)
-        case Burst() | HotSubject():
+        case Burst() | HotSubject() | CrashingRequest():
             # The arrivals were drawn with them.
             return None
 
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
@@ -148,7 +148,7 @@
         world = self._node.world
         replica = world.pool.find_replica(dispatch.replica)
         if replica is None or replica.presence is Presence.DOWN:
-            self._node.after(2.0, lambda: self._lose(number, EndingSeen.NOT_SENT, True))
+            self._node.after(2.0, lambda: self._find_no_listener(number))
             return
         if replica.presence is Presence.SILENT:
             self._node.after(
@@ -171,7 +171,7 @@
             return
         replica = self._node.world.pool.find_replica(dispatch.replica)
         if replica is None or replica.presence is Presence.DOWN:
-            self._lose(number, EndingSeen.LOST)
+            self._lose(number, EndingSeen.LOST, is_closed=True)
             return
         if replica.presence is Presence.SILENT:
             return
@@ -192,9 +192,7 @@
             weights_version=dispatch.weights_version or 0,
             fetch_from=dispatch.fetch_from,
             save_to=dispatch.save_to,
-            on_first=lambda _: self._node.after(
-                latency_ms, lambda: self._begin(number)
-            ),
+            on_first=lambda _: self._note_first_token(number, replica, latency_ms),
             on_end=lambda job, end: self._node.after(
                 latency_ms, lambda: self._end_job(number, job, end)
             ),
@@ -202,6 +200,11 @@
         self.trace.job = job
         replica.submit(job)
 
+    def _note_first_token(self, number: int, engine: Engine, latency_ms: float) -> None:
+        self._node.after(latency_ms, lambda: self._begin(number))
+        if self.arrival.crash is not None:
+            self._node.world.crash_engine(engine, self.arrival.crash)
+
     def _begin(self, number: int) -> None:
         if number != self._number or self._is_over:
             return
@@ -255,7 +258,7 @@
             case JobEnd.OTHER_WEIGHTS:
                 self._lose(number, EndingSeen.REFUSED, has_other_weights=True)
             case JobEnd.LOST:
-                self._lose(number, EndingSeen.LOST)
+                self._lose(number, EndingSeen.LOST, is_closed=True)
 
     def _complete(self) -> None:
         dispatch, self._dispatch = self._dispatch, None
@@ -263,12 +266,17 @@
         self._report(dispatch, EndingSeen.COMPLETED)
         self._end(CallEnd(True))
 
+    def _find_no_listener(self, number: int) -> None:
+        self._lose(number, EndingSeen.NOT_SENT, True, has_no_listener=True)
+
     def _lose(
         self,
         number: int,
         ending: EndingSeen,
         is_dead: bool = False,
         *,
+        has_no_listener: bool = False,
+        is_closed: bool = False,
         has_other_weights: bool = False,
     ) -> None:
         if number != self._number or self._is_over or self._dispatch is None:
@@ -276,7 +284,12 @@
         dispatch, self._dispatch = self._dispatch, None
         self._number += 1
         self._report(
-            dispatch, ending, is_dead=is_dead, has_other_weights=has_other_weights
+            dispatch,
+            ending,
+            is_dead=is_dead,
+            has_no_listener=has_no_listener,
+            is_closed=is_closed,
+            has_other_weights=has_other_weights,
         )
 
     def _report(
@@ -285,6 +298,8 @@
         ending: EndingSeen,
         *,
         is_dead: bool = False,
+        has_no_listener: bool = False,
+        is_closed: bool = False,
         has_other_weights: bool = False,
     ) -> None:
         outcome = RelayOutcome(
@@ -292,6 +307,8 @@
             dispatch.replica,
             ending,
             is_dead=is_dead,
+            has_no_listener=has_no_listener,
+            is_closed=is_closed,
             has_other_weights=has_other_weights,
             has_begun=self.first_ms is not None,
             weights_version=(
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
@@ -211,6 +211,19 @@
     share: _Share = 0.25
 
 
+class CrashingRequest(_Checked, frozen=True, kw_only=True, tag="crashing_request"):
+    """One request comes again and again, and ends each engine that begins to run it."""
+
+    at_s: _Figure
+    for_s: _Figure
+    kind: _Name
+    every_s: _Positive = 0.3
+    after_ms: _Figure = 60.0
+    """From its first token to the end of the engine."""
+    back_s: _Positive = 3.0
+    """From there until the engine is back."""
+
+
 Fault = (
     Crash
     | Grey
@@ -223,6 +236,7 @@
     | NodesKilled
     | Burst
     | HotSubject
+    | CrashingRequest
 )
 
 
@@ -314,6 +328,6 @@
         if fault.at_s > scenario.length_s:
             text = f"faults[{number}].at_s: it comes after the end"
             raise ScenarioInvalidError(f"{file}: {text}")
-        if isinstance(fault, HotSubject) and fault.kind not in names:
+        if isinstance(fault, HotSubject | CrashingRequest) and fault.kind not in names:
             text = f"faults[{number}].kind: no such kind, {fault.kind}"
             raise ScenarioInvalidError(f"{file}: {text}")
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/variants.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/variants.py
@@ -64,5 +64,7 @@
     "paced roll-outs=rollout.is_paced:false",
     "reports when unreached=retries.probes:false",
     "short connects=retries.connect_ms:400",
+    "quarantine=guard.is_enforced:false",
+    "gossip of crashes=guard.shares:false",
 )
 """Each mechanism of the relay path off by itself."""
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/world.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import Final
 
 from toucanyard.keyed_view import Topic
@@ -24,6 +25,7 @@
 from toucanyard_emulator.accounting import Counts, Ended
 from toucanyard_emulator.arrivals import draw_arrivals
 from toucanyard_emulator.caller import Caller
+from toucanyard_emulator.engine import Engine, Presence
 from toucanyard_emulator.node import EmulatedNode
 from toucanyard_emulator.replica_pool import (
     DESK,
@@ -33,7 +35,7 @@
     ReplicaPool,
     name_domain,
 )
-from toucanyard_emulator.scenario import Scenario
+from toucanyard_emulator.scenario import CrashingRequest, Scenario
 from toucanyard_emulator.store import EmulatedStore
 from toucanyard_standins.virtual_clock import VirtualClock
 
@@ -170,6 +172,22 @@
         latency_ms = self.scenario.near_ms if is_near else self.scenario.far_ms
         target.after(latency_ms, lambda: target.handle(event))
 
+    def crash_engine(self, engine: Engine, crash: CrashingRequest) -> None:
+        """End an engine in a moment, since it has begun to run a certain request."""
+
+        def end() -> None:
+            if engine.presence is not Presence.UP:
+                return
+            self.counts.crashes += 1
+            number, version = self.counts.crashes, engine.version
+            self.pool.stop_engine(engine, is_silent=False)
+            self.clock.call_after(crash.back_s * 1000, partial(start, number, version))
+
+        def start(number: int, version: int) -> None:
+            self.pool.add_engine(number, version, None)
+
+        self.clock.call_after(crash.after_ms, end)
+
     def name_weights(self) -> None:
         """Let operators name new weights."""
         self._named_ms.append(self.clock.now_ms)
--- a/packages/toucanyard/src/toucanyard/crash_watch.py
+++ b/packages/toucanyard/src/toucanyard/crash_watch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+from collections import deque
 from collections.abc import Iterator
 from typing import Final
 
@@ -25,6 +26,9 @@
 """Time between two probes of a replica that has not answered the last one."""
 MAX_CLOSED: Final = 2
 """Probes in a row that were closed, after which a replica counts as ended."""
+AFTERMATH_MS: Final = 500.0
+"""How long a replica has to go on after an answer for the request to have survived:
+one that crashes while it cleans up has answered."""
 MAX_ENDED: Final = 1_000
 """Lives that ended lately and are remembered."""
 
@@ -51,17 +55,35 @@
     is_closed: bool
 
 
+class Answered(msgspec.Struct, frozen=True):
+    """A call that a replica answered a moment ago."""
+
+    replica: EndpointName
+    fingerprint: Fingerprint
+    sent_ms: float
+    at_ms: float
+
+
 class CrashWatch:
     """Lost calls whose replicas may have crashed.
 
     Invariant: a loss is charged at most once, and only to the life that it was lost at.
     """
 
-    __slots__ = ("_closed", "_directory", "_ended", "_losses", "_probed_ms")
+    __slots__ = (
+        "_answered",
+        "_closed",
+        "_directory",
+        "_ended",
+        "_losses",
+        "_probed_ms",
+    )
 
     def __init__(self, directory: ReplicaDirectory) -> None:
         self._directory = directory
         self._losses: dict[EndpointName, list[Loss]] = {}
+        self._answered: deque[Answered] = deque()
+        """In the order of their ends."""
         self._probed_ms: dict[EndpointName, float] = {}
         self._closed: dict[EndpointName, int] = {}
         """Probes in a row that were closed, of lives with losses."""
@@ -94,6 +116,32 @@
         self._losses.setdefault(outcome.replica, []).append(loss)
         return outcome.replica in self._ended
 
+    def note_answered(
+        self,
+        replica: EndpointName,
+        fingerprint: Fingerprint,
+        sent_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Take in that a replica has answered a call."""
+        self.note_alive(replica, sent_ms)
+        if fingerprint:
+            answered = Answered(replica, fingerprint, sent_ms, now_ms)
+            self._answered.append(answered)
+
+    def take_survivals(self, now_ms: float) -> Iterator[Answered]:
+        """Return the answers that their replicas have outlived, once."""
+        while self._answered and now_ms - self._answered[0].at_ms >= AFTERMATH_MS:
+            yield self._answered.popleft()
+
+    def take_answered(self, replica: EndpointName) -> list[Answered]:
+        """Return the last answers of a life that has ended, and drop them."""
+        found = [each for each in self._answered if each.replica == replica]
+        if found:
+            rest = (each for each in self._answered if each.replica != replica)
+            self._answered = deque(rest)
+        return found
+
     def note_probed(self, replica: EndpointName, reach: Reach, asked_ms: float) -> bool:
         """Take in what a probe found; return whether the replica surely ended."""
         match reach:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -110,7 +110,9 @@
         self.exchange = ViewExchange(decode, self.roster.is_full_mesh, rng)
         self.sources = PartSources(self.directory, self.roster)
         calls = CallPlacement(options, self.directory, self.goals, self.sources, rng)
-        self.guard = RequestGuard(self.directory, self.roster.find_rank, rng)
+        self.guard = RequestGuard(
+            self.directory, self.roster.find_rank, rng, options.policy.guard
+        )
         self.flow = RelayFlow(
             options.retries,
             options.policy,
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -92,6 +92,15 @@
     """Whether all nodes are told of a load before the replica is ordered."""
 
 
+class GuardPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """How requests are treated under which replicas crashed."""
+
+    is_enforced: bool = True
+    """Whether they are held back or rejected, instead of being watched only."""
+    shares: bool = True
+    """Whether nodes tell each other of crashes and of what was under way there."""
+
+
 class RelayPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """All of them."""
 
@@ -99,3 +108,4 @@
     retries: RetryPolicy = RetryPolicy()
     queue: QueuePolicy = QueuePolicy()
     rollout: RolloutPolicy = RolloutPolicy()
+    guard: GuardPolicy = GuardPolicy()
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -25,6 +25,7 @@
     Release,
 )
 from toucanyard.relay_notes import Note
+from toucanyard.relay_policy import GuardPolicy
 from toucanyard.relay_requests import RelayOutcome, RelayRequest
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.requests import EndingSeen
@@ -33,6 +34,7 @@
 """When to ask again for a request under quarantine; by then it may be released."""
 SUSPECT_RETRY_MS: Final = 500
 """When to ask again for a suspect that is being run; by then more is known of it."""
+WATCHFUL: Final = GuardPolicy()
 MAX_NOTED: Final = 8
 """Fingerprints in a log line."""
 
@@ -55,14 +57,20 @@
         "_find_rank",
         "_is_urgent",
         "_notes",
+        "_policy",
         "ledger",
         "quarantine",
         "watch",
     )
 
     def __init__(
-        self, directory: ReplicaDirectory, find_rank: FindRank, rng: random.Random
+        self,
+        directory: ReplicaDirectory,
+        find_rank: FindRank,
+        rng: random.Random,
+        policy: GuardPolicy = WATCHFUL,
     ) -> None:
+        self._policy = policy
         self._directory = directory
         self._find_rank = find_rank
         self.ledger = CrashLedger()
@@ -78,6 +86,8 @@
 
         `is_running` tells whether this node runs the same request for another call.
         """
+        if not self._policy.is_enforced:
+            return None
         fingerprint = request.fingerprint
         entry = self.quarantine.find(fingerprint)
         if entry is None:
@@ -105,10 +115,8 @@
     ) -> None:
         """Take in how a dispatch ended that was sent at `sent_ms`."""
         if outcome.ending is EndingSeen.COMPLETED:
-            fingerprint = request.fingerprint
-            self.watch.note_alive(outcome.replica, sent_ms)
-            self._is_urgent |= self._note_survived(
-                fingerprint, now_ms, "own", now_ms, is_shared=True
+            self.watch.note_answered(
+                outcome.replica, request.fingerprint, sent_ms, now_ms
             )
         elif self.watch.note_outcome(outcome, request.fingerprint, sent_ms, now_ms):
             self._note_ended(outcome.replica, now_ms)
@@ -134,6 +142,8 @@
         `is_relayed` tells whether this node is to tell its own peers of it.
         """
         is_news = False
+        if not self._policy.shares:
+            return is_news
         for crash in crashes:
             at_ms = now_ms - crash.age_ms
             is_news |= self._add_crash(
@@ -173,9 +183,13 @@
             self._note("quarantine_ended", entry.request, reason="released")
 
     def tick(self, now_ms: float) -> None:
-        """Note replicas with lost calls that another life has followed."""
+        """Take in what time has shown of replicas, and which requests have survived."""
         for replica in self.watch.find_replaced(now_ms):
             self._note_ended(replica, now_ms)
+        for each in self.watch.take_survivals(now_ms):
+            self._is_urgent |= self._note_survived(
+                each.fingerprint, each.at_ms, "own", now_ms, is_shared=True
+            )
 
     def has_news(self) -> bool:
         """Tell whether there is something to log or to tell peers."""
@@ -227,15 +241,18 @@
         """Charge the requests that were lost at a life that is over."""
         self.watch.note_ended(replica)
         losses = self.watch.take_losses(replica)
-        if not losses:
-            return
+        answered = self.watch.take_answered(replica)
         known_ms = self.ledger.find_crash_time(replica)
+        if known_ms is None and not losses:
+            return
         at_ms = min(each.at_ms for each in losses) if known_ms is None else known_ms
+        sent = [(each.fingerprint, each.sent_ms) for each in losses]
+        sent += [(each.fingerprint, each.sent_ms) for each in answered]
         # What was sent later met no crash, only an address without its replica.
         runs = [
-            LostRun(each.fingerprint, at_ms - each.sent_ms)
-            for each in losses
-            if each.sent_ms <= at_ms
+            LostRun(fingerprint, at_ms - sent_ms)
+            for fingerprint, sent_ms in sent
+            if sent_ms <= at_ms
         ]
         self._is_urgent |= self._add_crash(
             replica, at_ms, runs, "own", now_ms, is_shared=True
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -105,6 +105,8 @@
         self.reached: list[Send] = []
         self.crashes: list[tuple[float, EndpointName]] = []
         self.probes = 0
+        self.poison_answers = False
+        """Whether a replica has answered the request just before it crashes."""
         self.store_writes = 0
         self._numbers = count()
         self._due: list[tuple[float, int, Callable[[], None]]] = []
@@ -178,13 +180,17 @@
         engine.calls[request_id] = call
         self.reached.append(Send(call, engine.name, self.now_ms))
         if call.request.fingerprint == POISON:
+            if self.poison_answers:
+                self.after(START_MS, lambda: self._complete(call, engine))
             self.after(START_MS + CRASH_MS, lambda: self._crash_by(call, engine))
         else:
             self.after(START_MS, lambda: self._begin(call, engine))
             self.after(START_MS + RUN_MS, lambda: self._complete(call, engine))
 
     def _crash_by(self, call: Call, engine: Engine) -> None:
-        if call.request.request_id in engine.calls:
+        is_there = call.request.request_id in engine.calls
+        is_current = engine is self.engines[engine.address]
+        if is_current and (is_there or self.poison_answers):
             self.crash(engine.address)
 
     def _begin(self, call: Call, engine: Engine) -> None:
--- a/tests/toucanyard/test_crash_watch.py
+++ b/tests/toucanyard/test_crash_watch.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from toucanyard.crash_watch import LOSS_TTL_MS, MAX_CLOSED, CrashWatch, Reach
+from toucanyard.crash_watch import (
+    AFTERMATH_MS,
+    LOSS_TTL_MS,
+    MAX_CLOSED,
+    CrashWatch,
+    Reach,
+)
 from toucanyard.names import EndpointName, Fingerprint, RequestId
 from toucanyard.relay_requests import RelayOutcome
 from toucanyard.replicas import ReplicaDirectory
@@ -112,3 +118,20 @@
     outcome = RelayOutcome(RequestId("q"), ONE, EndingSeen.REFUSED)
     assert not world.watch.note_outcome(outcome, BODY, 0.0, 1.0)
     assert not world.watch.has_open_loss(BODY)
+
+
+def test_answer_counts_once_its_replica_has_outlived_it() -> None:
+    """Guards against a request that is answered just before its replica crashes."""
+    world = World()
+    world.watch.note_answered(ONE, BODY, 90.0, 100.0)
+    assert list(world.watch.take_survivals(100.0 + AFTERMATH_MS - 1)) == []
+    survived = list(world.watch.take_survivals(100.0 + AFTERMATH_MS))
+    assert [each.fingerprint for each in survived] == [BODY]
+    assert list(world.watch.take_survivals(9_000.0)) == []
+
+
+def test_answer_of_a_life_that_has_ended_is_no_survival() -> None:
+    world = World()
+    world.watch.note_answered(ONE, BODY, 90.0, 100.0)
+    assert [each.fingerprint for each in world.watch.take_answered(ONE)] == [BODY]
+    assert list(world.watch.take_survivals(9_000.0)) == []
--- a/tests/toucanyard/test_crashing_requests.py
+++ b/tests/toucanyard/test_crashing_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from toucanyard.crash_ledger import GUILTY_CRASHES, SETTLE_MS
+from toucanyard.crash_watch import AFTERMATH_MS
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import CustomerName, NodeName
@@ -87,6 +88,14 @@
     assert fleet.find_served_share() >= 0.97
 
 
+def test_request_that_is_answered_before_it_crashes_its_replica_is_known() -> None:
+    """Guards against a crash in what a replica does after its answer."""
+    fleet = CrashFleet(3, 3)
+    fleet.poison_answers = True
+    fleet.call_in_turn(10_000.0)
+    assert len(fleet.crashes) <= GUILTY_CRASHES
+
+
 def test_call_under_quarantine_is_answered_at_once_and_truthfully() -> None:
     """Guards against callers that wait for, or repeat at once, what can't be served."""
     fleet = CrashFleet(3, 3)
@@ -216,6 +225,7 @@
     fleet.run_for(LAPSE_MS + SETTLE_MS)
     first = call_everywhere(fleet, "new")
     assert "completed" in {call.ending for call in first}
+    fleet.run_for(AFTERMATH_MS)
     second = call_everywhere(fleet, "new")
     assert {call.ending for call in second} == {"completed"}
 
--- a/tests/toucanyard_emulator/test_replayed_loads.py
+++ b/tests/toucanyard_emulator/test_replayed_loads.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from toucanyard.crash_ledger import GUILTY_CRASHES
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard_emulator.runner import play
 from toucanyard_emulator.scenario import Fault, Scenario, find_scenario, load_scenario
@@ -64,3 +65,18 @@
     """
     before = "usual=rollout.is_paced:false"
     assert compute_gain("versions-in-series", 14.0, before) > -0.005
+
+
+@pytest.mark.parametrize(
+    "before", ["quarantine=guard.is_enforced:false", "gossip=guard.shares:false"]
+)
+def test_request_that_crashes_engines_costs_few_of_them(before: str) -> None:
+    """Guards against one request whose repeats end engine after engine."""
+    scenario = load_first("crashing-request", 8.0)
+    other = parse_variant(before).policy
+    for seed in SEEDS:
+        now = play(scenario, RelayPolicy(), seed)
+        then = play(scenario, other, seed)
+        assert now.counts.crashes <= GUILTY_CRASHES
+        assert then.counts.crashes > now.counts.crashes
+        assert now.worth > then.worth
