--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 from pathlib import Path
@@ -178,6 +179,21 @@
     return is_ready and "event=request_quarantined" in text
 
 
+async def test_reload_does_not_end_a_node_that_is_starting(tmp_path: Path) -> None:
+    """Guards against a signal between the start of the process and its handler."""
+    file = tmp_path / "boot.toml"
+    os.mkfifo(file)
+    process = await trio.lowlevel.open_process(
+        [sys.executable, "-P", "-m", "toucanyard_platform"],
+        env=dict(os.environ, TOUCANYARD_NODE_FILE=str(file)),
+    )
+    # Opens once the node reads its settings, long before it listens for signals.
+    async with await trio.open_file(file, "w") as settings:
+        process.send_signal(signal.SIGHUP)
+        await settings.write("not toml")
+    assert await process.wait() == 2
+
+
 async def has_ended(node: NodeProcess) -> bool:
     assert node.process is not None
     return node.process.poll() is not None
