Halt the roll-out of weights that end each replica which loads them

The same class as a request that ends each replica which runs it: harm that outlives an order, while orders are counted one by one. A replica that ended while it loaded is back with the weights that it had and is ordered again; of six replicas 48 lives ended in a minute, a third were always away.

Three replicas that were found gone under an order, none having loaded the version, halt it for a minute; then one replica at a time tries it. Newer weights are loaded at once, and a version that any replica has is never halted, so replicas that crash by themselves don't hold up a roll-out. Weighed: a halt until operators act (nobody is awake at night), a count over all nodes (a new holder of the turn pays three replicas; it is rare).

--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from toucanyard.failed_loads import FailedLoads
 from toucanyard.names import EndpointName, NodeName
 from toucanyard.relay_events import (
     OrderAnswered,
@@ -21,6 +22,7 @@
     ReplicaStateRead,
     WeightsOrder,
 )
+from toucanyard.relay_notes import Note
 from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replicas import KnownReplica
 from toucanyard.turns import Turn
@@ -82,7 +84,7 @@
 CALM: Final = Pressure(float("inf"))
 """There is all the time."""
 
-RolloutAction = ReadReplicaState | WeightsOrder
+RolloutAction = ReadReplicaState | WeightsOrder | Note
 
 
 class WeightsRollout:
@@ -94,9 +96,11 @@
     __slots__ = (
         "_announce_ms",
         "_changes",
+        "_failures",
         "_heard_ms",
         "_is_paced",
         "_node",
+        "_notes",
         "_policy",
         "_skipped_ms",
         "_surveyed_ms",
@@ -108,6 +112,8 @@
         self._policy = policy
         self._announce_ms = ANNOUNCE_MS
         self._changes: dict[EndpointName, _Change] = {}
+        self._failures = FailedLoads()
+        self._notes: list[Note] = []
         self._skipped_ms: dict[EndpointName, float] = {}
         self._heard_ms: dict[EndpointName, float] = {}
         """When replicas were asked for the reports that came last."""
@@ -122,13 +128,27 @@
 
     def note_state(self, read: ReplicaStateRead) -> None:
         """Take in a report."""
+        change = self._changes.get(read.replica)
         if read.state is None:
+            if change is not None and change.ordered_ms is not None:
+                self._note_lost(read, change)
             return
         self._heard_ms[read.replica] = read.asked_ms
-        change = self._changes.get(read.replica)
         if change is not None:
             change.report = read
 
+    def is_halted(self, version: int, now_ms: float) -> bool:
+        """Tell whether a version is left alone, since replicas ended under it."""
+        return self._failures.is_halted(version, now_ms)
+
+    def _note_lost(self, read: ReplicaStateRead, change: _Change) -> None:
+        """Take in that a replica under an order did not report."""
+        version = change.version
+        if self._failures.note_read(read.replica, version, read.reach, read.asked_ms):
+            count = self._failures.count(version)
+            fields = {"version": version, "replica": read.replica, "count": count}
+            self._notes.append(Note("rollout_halted", fields))
+
     def note_answer(self, answered: OrderAnswered, now_ms: float) -> bool:
         """Take in an answer to an order; return whether a higher fence is known."""
         change = self._changes.get(answered.order.replica)
@@ -168,7 +188,8 @@
         self._is_paced = self._policy.is_paced and is_small
         self._settle(model, version, replicas, now_ms)
         self._announce(model, version, replicas, load_of, pressure, now_ms)
-        actions: list[RolloutAction] = list(self._survey(replicas, now_ms))
+        actions: list[RolloutAction] = [*self._notes, *self._survey(replicas, now_ms)]
+        self._notes.clear()
         by_name = {each.replica.name: each for each in replicas}
         for name, change in self._changes.items():
             known = by_name.get(name)
@@ -221,6 +242,10 @@
         pressure: Pressure,
         now_ms: float,
     ) -> None:
+        if any(each.weights.get(model, 0) >= version for each in replicas):
+            self._failures.forget(version)
+        elif self.is_halted(version, now_ms):
+            return
         behind = [
             each
             for each in replicas
@@ -235,6 +260,8 @@
             most = self._find_paced_most(replicas, behind, pressure, now_ms)
         else:
             most = self._find_most(len(replicas))
+        if self._failures.is_on_trial(version):
+            most = 1
         room = most - len(self._changes)
         for each in behind[: max(room, 0)]:
             self._changes[each.replica.name] = _Change(version, now_ms)
--- a/tests/toucanyard/test_weights_rollout.py
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from toucanyard.crash_watch import Reach
+from toucanyard.failed_loads import HALT_MS, MAX_FAILED_LOADS
 from toucanyard.names import EndpointName, NodeName
 from toucanyard.relay_events import (
     OrderAnswered,
@@ -28,6 +30,7 @@
 TURN = Turn(7, float("inf"))
 STEP_MS = 20.0
 LOAD_MS = 400.0
+BACK_MS = 2_000.0
 
 
 class Fleet:
@@ -43,6 +46,10 @@
         self.running: dict[EndpointName, int] = {}
         self.dead: set[str] = set()
         self.mute: set[str] = set()
+        self.crashing: set[int] = set()
+        """Versions that end each replica which loads them."""
+        self.crashes: list[tuple[float, str]] = []
+        self.back_ms: dict[str, float] = {}
         self.orders: list[tuple[float, WeightsOrder]] = []
         self.now_ms = 0.0
         self.pressure = CALM
@@ -71,10 +78,32 @@
     def finish(self) -> None:
         for name, version in list(self.loading.items()):
             if self.now_ms >= self.busy_until[name]:
-                self.versions[name] = version
                 del self.loading[name]
+                if version in self.crashing:
+                    self.crash(name)
+                else:
+                    self.versions[name] = version
+        for name, back_ms in list(self.back_ms.items()):
+            if self.now_ms >= back_ms:
+                self.start_again(name)
+
+    def crash(self, name: str) -> None:
+        self.crashes.append((self.now_ms, name))
+        self.dead.add(name)
+        self.back_ms[name] = self.now_ms + BACK_MS
+
+    def start_again(self, name: str) -> None:
+        """Start another life; it has the weights that the one before had."""
+        del self.back_ms[name]
+        life = f"{name.partition('@')[0]}@{round(self.now_ms)}"
+        number = [each.replica.name for each in self.known].index(EndpointName(name))
+        self.known[number] = KnownReplica(build_replica(life))
+        self.versions[life] = self.versions.pop(name)
+        self.counts[life], self.busy_until[life] = 0, 0.0
 
     def read(self, name: EndpointName) -> ReplicaStateRead:
+        if name in self.back_ms:
+            return ReplicaStateRead(name, None, self.now_ms, Reach.NO_LISTENER)
         if name in self.dead:
             return ReplicaStateRead(name, None, self.now_ms)
         state = ReplicaState(
@@ -249,3 +278,48 @@
     changing = fleet.rollout.list_changing()
     assert {each.replica for each in asked} <= set(changing)
     assert len(changing) < MANY_REPLICAS
+
+
+def test_weights_that_crash_replicas_are_not_loaded_into_one_after_another() -> None:
+    """Guards against a roll-out that goes on with what ends each replica it reaches."""
+    fleet = Fleet(*"abcdef")
+    fleet.crashing = {2}
+    fleet.run(2, HALT_MS)
+    most = MAX_FAILED_LOADS + POLICY.min_changing - 1
+    assert MAX_FAILED_LOADS <= len(fleet.crashes) <= most
+    assert fleet.rollout.is_halted(2, fleet.now_ms)
+
+
+def test_halted_weights_are_tried_again_by_one_replica_at_a_time() -> None:
+    """Guards against weights that are left out for good after replicas were mended."""
+    fleet = Fleet(*"abcdef")
+    fleet.crashing = {2}
+    fleet.run(2, HALT_MS)
+    before = len(fleet.crashes)
+    fleet.run(2, HALT_MS)
+    assert len(fleet.crashes) <= before + POLICY.min_changing
+    fleet.crashing = set()
+    fleet.run(2, HALT_MS + 10_000.0)
+    assert set(fleet.versions.values()) == {2}
+
+
+def test_newer_weights_are_loaded_though_older_ones_were_halted() -> None:
+    fleet = Fleet(*"abcdef")
+    fleet.crashing = {2}
+    fleet.run(2, 10_000.0)
+    fleet.run(3, 10_000.0)
+    assert set(fleet.versions.values()) == {3}
+
+
+def test_replicas_that_crash_by_themselves_do_not_halt_a_rollout() -> None:
+    """Guards against a roll-out that stops though the weights have been loaded."""
+    fleet = Fleet(*"abcdef")
+    fleet.run(2, 1_500.0)
+    assert 2 in fleet.versions.values()
+    for _ in range(MAX_FAILED_LOADS):
+        fleet.run(2, 300.0)
+        for name in list(fleet.loading)[:1]:
+            del fleet.loading[name]
+            fleet.crash(name)
+    fleet.run(2, 10_000.0)
+    assert set(fleet.versions.values()) == {2}
