--- a/packages/toucanyard/src/toucanyard/rollout_leader.py
+++ b/packages/toucanyard/src/toucanyard/rollout_leader.py
@@ -19,6 +19,7 @@
     WeightsOrder,
 )
 from toucanyard.relay_options import WeightsTimings
+from toucanyard.relay_notes import Note
 from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
@@ -42,7 +43,7 @@
 """Time between two looks for replicas that are behind; at each tick, those of 70 took a
 fifth of all that a node decides."""
 
-RolloutAction = AppendTurn | ReadTurns | ReadReplicaState | WeightsOrder
+RolloutAction = AppendTurn | ReadTurns | ReadReplicaState | WeightsOrder | Note
 
 
 class _Work(msgspec.Struct):
