--- a/packages/toucanyard/src/toucanyard/rollout_leader.py
+++ b/packages/toucanyard/src/toucanyard/rollout_leader.py
@@ -18,8 +18,8 @@
     TurnRead,
     WeightsOrder,
 )
-from toucanyard.relay_options import WeightsTimings
 from toucanyard.relay_notes import Note
+from toucanyard.relay_options import WeightsTimings
 from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
