Name the new parts as the field does, and take the book of parts out of the relay core

Methods of the new modules say record, mark, on and apply where they said note and 'take in'. RelayReply stands with the other verdicts, which also ends the import of the flow by the events.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -43,8 +43,8 @@
     TurnRead,
     WeightsOrder,
 )
-from toucanyard.relay_flow import RelayReply
 from toucanyard.relay_options import RelayOptions
+from toucanyard.relay_requests import RelayReply
 from toucanyard_emulator.engine import Engine, Presence
 from toucanyard_emulator.relayed_call import RelayedCall
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -30,10 +30,10 @@
     TickPassed,
     WeightsOrder,
 )
-from toucanyard.relay_flow import RelayReply
 from toucanyard.relay_requests import (
     RelayDispatch,
     RelayOutcome,
+    RelayReply,
     RelayRequest,
     RelayVerdict,
 )
--- a/packages/toucanyard/src/toucanyard/crash_ledger.py
+++ b/packages/toucanyard/src/toucanyard/crash_ledger.py
@@ -144,7 +144,7 @@
         self._trim()
         return added
 
-    def note_survived(
+    def record_survival(
         self, fingerprint: Fingerprint, at_ms: float, now_ms: float, *, is_shared: bool
     ) -> bool:
         """Clear a request that a replica answered; return whether that is news.
--- a/packages/toucanyard/src/toucanyard/crash_watch.py
+++ b/packages/toucanyard/src/toucanyard/crash_watch.py
@@ -97,14 +97,14 @@
             for loss in losses
         )
 
-    def note_outcome(
+    def record_outcome(
         self,
         outcome: RelayOutcome,
         fingerprint: Fingerprint,
         sent_ms: float,
         now_ms: float,
     ) -> bool:
-        """Take in how a dispatch ended; return whether its replica surely ended."""
+        """Record how a dispatch ended; return whether its replica surely ended."""
         if outcome.has_no_listener or outcome.is_replaced:
             return True
         if outcome.ending is not EndingSeen.LOST or not fingerprint:
@@ -116,15 +116,15 @@
         self._losses.setdefault(outcome.replica, []).append(loss)
         return outcome.replica in self._ended
 
-    def note_answered(
+    def record_answer(
         self,
         replica: EndpointName,
         fingerprint: Fingerprint,
         sent_ms: float,
         now_ms: float,
     ) -> None:
-        """Take in that a replica has answered a call."""
-        self.note_alive(replica, sent_ms)
+        """Record that a replica has answered a call."""
+        self.mark_alive(replica, sent_ms)
         if fingerprint:
             answered = Answered(replica, fingerprint, sent_ms, now_ms)
             self._answered.append(answered)
@@ -142,20 +142,22 @@
             self._answered = deque(rest)
         return found
 
-    def note_probed(self, replica: EndpointName, reach: Reach, asked_ms: float) -> bool:
-        """Take in what a probe found; return whether the replica surely ended."""
+    def record_probe(
+        self, replica: EndpointName, reach: Reach, asked_ms: float
+    ) -> bool:
+        """Record what a probe found; return whether the replica surely ended."""
         match reach:
             case Reach.NO_LISTENER | Reach.REPLACED:
                 return True
             case Reach.ANSWERED:
-                self.note_alive(replica, asked_ms)
+                self.mark_alive(replica, asked_ms)
             case Reach.CLOSED if replica in self._losses:
                 self._closed[replica] = self._closed.get(replica, 0) + 1
                 return self._closed[replica] >= MAX_CLOSED
         return False
 
-    def note_alive(self, replica: EndpointName, asked_ms: float) -> None:
-        """Take in that a life has answered what it was asked at a time."""
+    def mark_alive(self, replica: EndpointName, asked_ms: float) -> None:
+        """Record that a life has answered what it was asked at a time."""
         self._ended.pop(replica, None)
         self._closed.pop(replica, None)
         losses = self._losses.get(replica)
@@ -163,8 +165,8 @@
             # What was lost before a life answered was not lost by its end.
             self._keep(replica, [each for each in losses if each.at_ms > asked_ms])
 
-    def note_ended(self, replica: EndpointName) -> None:
-        """Take in that a life of a replica is over."""
+    def mark_ended(self, replica: EndpointName) -> None:
+        """Record that a life of a replica is over."""
         self._ended[replica] = None
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
--- a/packages/toucanyard/src/toucanyard/failed_loads.py
+++ b/packages/toucanyard/src/toucanyard/failed_loads.py
@@ -45,10 +45,10 @@
         """Tell whether one replica alone is to load a version."""
         return self.count(version) >= MAX_FAILED_LOADS
 
-    def note_read(
+    def record_read(
         self, replica: EndpointName, version: int, reach: Reach, now_ms: float
     ) -> bool:
-        """Take in what was found at a replica under an order; return whether it halts.
+        """Record what was found at a replica under an order; return whether it halts.
 
         `reach` is what came instead of a report.
         """
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -89,7 +89,7 @@
                     self._roster.remove(node)
                     yield Note("node_gone", {"node": node, "source": source})
                 case QuarantinedRequest() as quarantined:
-                    self._guard.note_record_removed(quarantined)
+                    self._guard.on_record_removed(quarantined)
         if gone:
             self._directory.remove(gone, now_ms, listed_ms=listed_ms)
         for replica in gone:
--- a/packages/toucanyard/src/toucanyard/quarantine.py
+++ b/packages/toucanyard/src/toucanyard/quarantine.py
@@ -110,8 +110,8 @@
         """Return all entries."""
         return self._entries.values()
 
-    def note_refused(self, entry: Entry, now_ms: float) -> None:
-        """Take in that the request of an entry came again."""
+    def record_refusal(self, entry: Entry, now_ms: float) -> None:
+        """Record that the request of an entry came again."""
         entry.asked_ms = now_ms
         entry.refused += 1
 
@@ -143,19 +143,19 @@
         entry.stored_ms = now_ms
         return False
 
-    def note_removed(self, fingerprint: Fingerprint) -> bool:
-        """Take in that the log holds no such record; return whether an entry ended."""
+    def on_record_removed(self, fingerprint: Fingerprint) -> bool:
+        """Drop an entry that has left the log; return whether an entry ended."""
         self._erasing.pop(fingerprint, None)
         return self._entries.pop(fingerprint, None) is not None
 
-    def note_written(self, fingerprint: Fingerprint, now_ms: float) -> None:
-        """Take in that the log holds a record of this node's."""
+    def on_written(self, fingerprint: Fingerprint, now_ms: float) -> None:
+        """Record that the log holds this node's record."""
         entry = self._entries.get(fingerprint)
         if entry is not None:
             entry.stored_ms = now_ms
 
-    def note_erased(self, fingerprint: Fingerprint) -> None:
-        """Take in that the log holds no record any more, by this node's doing."""
+    def on_erased(self, fingerprint: Fingerprint) -> None:
+        """Record that the log has taken the removal of a record."""
         self._erasing.pop(fingerprint, None)
 
     def end(self, fingerprint: Fingerprint, now_ms: float) -> bool:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from typing import Final
 
 from toucanyard.call_placement import CallPlacement
@@ -17,13 +17,12 @@
 from toucanyard.link_messages import (
     LinkMessage,
     NodeStatus,
-    ReadPart,
     ViewRecords,
 )
-from toucanyard.names import Address, EndpointName, NodeId, NodeName
+from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.node_records import NodeRecord
-from toucanyard.part_book import Part
-from toucanyard.part_sources import PartSources, name_store
+from toucanyard.part_intake import PartIntake
+from toucanyard.part_sources import PartSources
 from toucanyard.relay_events import (
     CallArrived,
     CallerLeft,
@@ -125,6 +124,9 @@
         self.facts = KnownFacts(
             self.directory, self.goals, self.roster, self.flow, self.guard
         )
+        self.parts = PartIntake(
+            self.flow.book, self.sources, self.directory, self.facts
+        )
         self.gossip = ReplicaGossip(self.directory, self.flow.book, rng)
         self.rollout = RolloutLeader(
             identity,
@@ -205,7 +207,7 @@
             case (
                 PartsChanged() | HolderLost() | QuarantineWritten() | QuarantineErased()
             ):
-                self._note(event, now_ms)
+                self._handle_quiet(event, now_ms)
             case StopBegun():
                 self.is_stopping = True
                 yield from self.statuses.send(self.is_ready(), now_ms)
@@ -235,7 +237,7 @@
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
             self.directory.note_replaced(event.order.replica, now_ms)
         if isinstance(event, ReplicaStateRead):
-            yield from self._note_probed(event, now_ms)
+            yield from self._on_probe(event, now_ms)
         self.rollout.handle(event, now_ms)
         yield from self._tick_rollout(now_ms)
 
@@ -258,24 +260,24 @@
         if self.guard.take_urgent():
             yield from self._tell_soon(now_ms)
 
-    def _note(self, event: QuietEvent, now_ms: float) -> None:
-        """Take in an event that asks for nothing to be done now."""
+    def _handle_quiet(self, event: QuietEvent, now_ms: float) -> None:
+        """Handle an event that asks for nothing to be done now."""
         match event:
             case PartsChanged() | HolderLost():
-                self._note_parts(event, now_ms)
+                self.parts.on_change(event, now_ms)
             case QuarantineWritten() | QuarantineErased():
-                self._note_quarantine(event, now_ms)
+                self._on_quarantine_stored(event, now_ms)
 
-    def _note_quarantine(
+    def _on_quarantine_stored(
         self, event: QuarantineWritten | QuarantineErased, now_ms: float
     ) -> None:
         match event:
             case QuarantineWritten(fingerprint=fingerprint):
-                self.guard.quarantine.note_written(fingerprint, now_ms)
+                self.guard.quarantine.on_written(fingerprint, now_ms)
             case QuarantineErased(fingerprint=fingerprint):
-                self.guard.quarantine.note_erased(fingerprint)
+                self.guard.quarantine.on_erased(fingerprint)
         # Peers get the record from whoever reads it first.
-        self.reads.note_outdated(Topic.NODES)
+        self.reads.mark_outdated(Topic.NODES)
 
     def _tick_guard(self, now_ms: float) -> Iterator[RelayAction]:
         self.guard.tick(now_ms)
@@ -288,12 +290,10 @@
             replica = known.replica
             yield ReadReplicaState(replica.name, replica.listed_as, replica.address)
 
-    def _note_probed(
-        self, read: ReplicaStateRead, now_ms: float
-    ) -> Iterator[RelayAction]:
-        """Take in whether a replica answers; end its rest if it has reported."""
+    def _on_probe(self, read: ReplicaStateRead, now_ms: float) -> Iterator[RelayAction]:
+        """Learn whether a replica answers; end its rest if it has reported."""
         reach = read.reach if read.state is None else Reach.ANSWERED
-        self.guard.note_probed(read.replica, reach, read.asked_ms, now_ms)
+        self.guard.on_probe(read.replica, reach, read.asked_ms, now_ms)
         if read.state is None:
             return
         known = self.directory.find(read.replica)
@@ -356,47 +356,9 @@
             heard_ms = now_ms - store.heard_age_ms
             if self.sources.note_heard(store.store, heard_ms, store.epoch):
                 self.flow.book.forget(store.store)
-        self._apply_parts(status.parts, now_ms)
+        self.parts.apply_read(status.parts, now_ms)
         yield from self.topics.answer_status(sender, status.views, now_ms)
 
-    def _note_parts(self, event: PartsChanged | HolderLost, now_ms: float) -> None:
-        if isinstance(event, HolderLost):
-            self.sources.note_lost(event.holder)
-            return
-        if self.directory.is_over(event.holder):
-            # Told by the life before the present one; the replica has lost it all.
-            return
-        book = self.flow.book
-        is_new = self.sources.note_heard(event.holder, now_ms, event.epoch)
-        if event.is_reset or is_new:
-            book.forget(event.holder)
-        for change in event.changes:
-            book.note_stored(
-                event.holder, change.scope, change.part, change.tokens, now_ms
-            )
-
-    def _apply_parts(self, parts: Iterable[ReadPart], now_ms: float) -> None:
-        for each in parts:
-            memory_tokens = self._find_memory(each.replica)
-            if memory_tokens:
-                self.flow.book.note(
-                    each.replica,
-                    each.scope,
-                    (Part(each.part, each.tokens),),
-                    now_ms + each.ready_in_ms,
-                    memory_tokens,
-                )
-
-    def _find_memory(self, name: EndpointName) -> int:
-        known = self.directory.find(name)
-        if known is None:
-            stores = self.index.table.stores
-            return sum(e.memory_tokens for e in stores if name_store(e) == name)
-        service = self.index.find_service(known.replica.service)
-        if service is None or service.engine is None:
-            return 0
-        return service.engine.memory_tokens
-
     def _link(self, names: list[NodeName], now_ms: float) -> Iterator[RelayAction]:
         before = set(self.exchange.linked)
         self.exchange.linked = tuple(names)
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -17,9 +17,8 @@
     RequestId,
 )
 from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
-from toucanyard.relay_flow import RelayReply
 from toucanyard.relay_notes import Note as Note
-from toucanyard.relay_requests import RelayOutcome, RelayRequest
+from toucanyard.relay_requests import RelayOutcome, RelayReply, RelayRequest
 
 
 class CallArrived(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -11,8 +11,6 @@
 from collections.abc import Iterator
 from typing import Final
 
-import msgspec
-
 from toucanyard.call_placement import CallPlacement
 from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
@@ -20,7 +18,7 @@
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_options import RetryLimits
 from toucanyard.relay_policy import RelayPolicy
-from toucanyard.relay_requests import RelayOutcome, RelayRequest, RelayVerdict
+from toucanyard.relay_requests import RelayOutcome, RelayReply, RelayRequest
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import Rejection, RequestGuard
 from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
@@ -37,13 +35,6 @@
 """Calls of one queue that are looked at once some don't fit; the rest hardly would."""
 
 
-class RelayReply(msgspec.Struct, frozen=True):
-    """Answer the question about a call; None says that it is over."""
-
-    request_id: RequestId
-    verdict: RelayVerdict | None
-
-
 class RelayFlow:
     """All relayed calls of one node that are not over.
 
@@ -273,7 +264,7 @@
         if prompt is not None and not outcome.has_begun:
             self.book.note_unread(outcome.replica, pending.scope, prompt.parts, now_ms)
         self._note_sends(pending, outcome)
-        self._guard.note_outcome(pending.request, outcome, pending.sent_ms, now_ms)
+        self._guard.on_dispatch_ended(pending.request, outcome, pending.sent_ms, now_ms)
         if known is None:
             return
         if prompt is not None and outcome.weights_version is not None:
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -106,6 +106,13 @@
 RelayVerdict = RelayDispatch | Refuse
 
 
+class RelayReply(msgspec.Struct, frozen=True):
+    """Answer the question about a call; None says that it is over."""
+
+    request_id: RequestId
+    verdict: RelayVerdict | None
+
+
 class RelayOutcome(msgspec.Struct, frozen=True):
     """What is known when one dispatch has ended."""
 
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -166,8 +166,8 @@
             self.rest_until_ms = now_ms + self._rest_ms
             self._unreached_ms = min(self._unreached_ms, now_ms)
 
-    def note_crash(self, at_ms: float) -> None:
-        """Take in that it has crashed; it gets no calls until it leaves the list."""
+    def record_crash(self, at_ms: float) -> None:
+        """Give it no calls until it has left the list, since it has crashed."""
         self.rest_until_ms = max(self.rest_until_ms, at_ms + CRASH_REST_MS)
 
     def is_probe_due(self, now_ms: float) -> bool:
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -97,7 +97,7 @@
             if suspicion is not Suspicion.GUILTY:
                 return self._check_suspect(fingerprint, suspicion, is_running, now_ms)
             entry = self._begin(request, now_ms)
-        self.quarantine.note_refused(entry, now_ms)
+        self.quarantine.record_refusal(entry, now_ms)
         count = len(entry.request.replicas)
         text = f"{fingerprint} is under quarantine: {count} replicas crashed under it"
         return Rejection(text, QUARANTINE_RETRY_MS)
@@ -106,29 +106,29 @@
         """Tell whether more than one replica has crashed under a request."""
         return len(self.ledger.list_charges(fingerprint)) > 1
 
-    def note_outcome(
+    def on_dispatch_ended(
         self,
         request: RelayRequest,
         outcome: RelayOutcome,
         sent_ms: float,
         now_ms: float,
     ) -> None:
-        """Take in how a dispatch ended that was sent at `sent_ms`."""
+        """Learn from the end of a dispatch that was sent at `sent_ms`."""
         if outcome.ending is EndingSeen.COMPLETED:
-            self.watch.note_answered(
+            self.watch.record_answer(
                 outcome.replica, request.fingerprint, sent_ms, now_ms
             )
-        elif self.watch.note_outcome(outcome, request.fingerprint, sent_ms, now_ms):
-            self._note_ended(outcome.replica, now_ms)
+        elif self.watch.record_outcome(outcome, request.fingerprint, sent_ms, now_ms):
+            self._charge_losses(outcome.replica, now_ms)
 
-    def note_probed(
+    def on_probe(
         self, replica: EndpointName, reach: Reach, asked_ms: float, now_ms: float
     ) -> None:
-        """Take in what a probe of a replica found."""
-        if self.watch.note_probed(replica, reach, asked_ms):
-            self._note_ended(replica, now_ms)
+        """Learn from what a probe of a replica found."""
+        if self.watch.record_probe(replica, reach, asked_ms):
+            self._charge_losses(replica, now_ms)
 
-    def apply(
+    def apply_gossip(
         self,
         crashes: Iterable[ReplicaCrash],
         survivals: Iterable[RequestSurvival],
@@ -137,7 +137,7 @@
         *,
         is_relayed: bool,
     ) -> bool:
-        """Take in what a peer knows; return whether it was news.
+        """Merge what a peer knows; return whether it was news.
 
         `is_relayed` tells whether this node is to tell its own peers of it.
         """
@@ -154,10 +154,10 @@
                 now_ms,
                 is_shared=is_relayed,
             )
-            self._note_ended(crash.replica, now_ms)
+            self._charge_losses(crash.replica, now_ms)
         for survival in survivals:
             at_ms = now_ms - survival.age_ms
-            is_news |= self._note_survived(
+            is_news |= self._record_survival(
                 survival.fingerprint, at_ms, source, now_ms, is_shared=is_relayed
             )
         return is_news
@@ -167,27 +167,27 @@
     ) -> None:
         """Take over an entry of the log."""
         if self.quarantine.apply_record(request, now_ms):
-            self._note("request_quarantined", request, source=source)
+            self._log("request_quarantined", request, source=source)
 
-    def note_record_removed(self, request: QuarantinedRequest) -> None:
-        """Take in that an entry has left the log."""
-        if self.quarantine.note_removed(request.fingerprint):
+    def on_record_removed(self, request: QuarantinedRequest) -> None:
+        """End the entry whose record has left the log."""
+        if self.quarantine.on_record_removed(request.fingerprint):
             self.ledger.acquit(request.fingerprint)
-            self._note("quarantine_ended", request, reason="removed from the log")
+            self._log("quarantine_ended", request, reason="removed from the log")
 
     def release(self, release: Release, now_ms: float) -> None:
-        """Take in that an operator releases a request."""
+        """End the entry that an operator releases."""
         entry = self.quarantine.find(release.fingerprint)
         if self.quarantine.release(release, now_ms) and entry is not None:
             self.ledger.acquit(release.fingerprint)
-            self._note("quarantine_ended", entry.request, reason="released")
+            self._log("quarantine_ended", entry.request, reason="released")
 
     def tick(self, now_ms: float) -> None:
-        """Take in what time has shown of replicas, and which requests have survived."""
+        """Find replicas that were replaced, and requests that have survived."""
         for replica in self.watch.find_replaced(now_ms):
-            self._note_ended(replica, now_ms)
+            self._charge_losses(replica, now_ms)
         for each in self.watch.take_survivals(now_ms):
-            self._is_urgent |= self._note_survived(
+            self._is_urgent |= self._record_survival(
                 each.fingerprint, each.at_ms, "own", now_ms, is_shared=True
             )
 
@@ -234,12 +234,12 @@
             self.ledger.list_charges(request.fingerprint),
             now_ms,
         )
-        self._note("request_quarantined", entry.request, source="own")
+        self._log("request_quarantined", entry.request, source="own")
         return entry
 
-    def _note_ended(self, replica: EndpointName, now_ms: float) -> None:
+    def _charge_losses(self, replica: EndpointName, now_ms: float) -> None:
         """Charge the requests that were lost at a life that is over."""
-        self.watch.note_ended(replica)
+        self.watch.mark_ended(replica)
         losses = self.watch.take_losses(replica)
         answered = self.watch.take_answered(replica)
         known_ms = self.ledger.find_crash_time(replica)
@@ -280,12 +280,12 @@
             self._notes.append(Note("replica_crashed", fields))
             known = self._directory.find(replica)
             if known is not None:
-                known.note_crash(at_ms)
+                known.record_crash(at_ms)
             # Peers may not know that a replica has answered one of them before.
             self._is_urgent |= any(map(self.ledger.has_survived, added))
         return bool(added)
 
-    def _note_survived(
+    def _record_survival(
         self,
         fingerprint: Fingerprint,
         at_ms: float,
@@ -294,7 +294,7 @@
         *,
         is_shared: bool,
     ) -> bool:
-        if not fingerprint or not self.ledger.note_survived(
+        if not fingerprint or not self.ledger.record_survival(
             fingerprint, at_ms, now_ms, is_shared=is_shared
         ):
             return False
@@ -308,12 +308,10 @@
         is_cleared = self.ledger.judge(fingerprint, now_ms) is not Suspicion.GUILTY
         if entry is not None and is_cleared:
             self.quarantine.end(fingerprint, now_ms)
-            self._note(
-                "quarantine_ended", entry.request, reason="a replica survived it"
-            )
+            self._log("quarantine_ended", entry.request, reason="a replica survived it")
         return True
 
-    def _note(self, event: str, request: QuarantinedRequest, **fields: object) -> None:
+    def _log(self, event: str, request: QuarantinedRequest, **fields: object) -> None:
         known: dict[str, object] = {
             "fingerprint": request.fingerprint,
             "entry": request.entry_id,
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -186,7 +186,7 @@
             self._goals.note_age(each.model, each.version, each.age_ms, now_ms)
         self._gossip.apply_lives(status.lives, now_ms)
         is_replica_news = self._gossip.apply(status.news, now_ms)
-        is_replica_news |= self._guard.apply(
+        is_replica_news |= self._guard.apply_gossip(
             status.crashes,
             status.survivals,
             sender,
--- a/packages/toucanyard/src/toucanyard/store_reads.py
+++ b/packages/toucanyard/src/toucanyard/store_reads.py
@@ -48,8 +48,8 @@
         """Tell whether to read a topic though a read of it has no answer yet."""
         return self._roster.find_rank(topic.value, now_ms) <= MAX_ASKING_RANK
 
-    def note_outdated(self, topic: Topic) -> None:
-        """Note that the store surely holds more of a topic than this node has read."""
+    def mark_outdated(self, topic: Topic) -> None:
+        """Read a topic soon, of which the store holds more than this node has read."""
         self._outdated.add(topic)
 
     def note_begun(self, topic: Topic, now_ms: float) -> None:
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -131,7 +131,7 @@
         change = self._changes.get(read.replica)
         if read.state is None:
             if change is not None and change.ordered_ms is not None:
-                self._note_lost(read, change)
+                self._record_lost_load(read, change)
             return
         self._heard_ms[read.replica] = read.asked_ms
         if change is not None:
@@ -141,10 +141,10 @@
         """Tell whether a version is left alone, since replicas ended under it."""
         return self._failures.is_halted(version, now_ms)
 
-    def _note_lost(self, read: ReplicaStateRead, change: _Change) -> None:
-        """Take in that a replica under an order did not report."""
+    def _record_lost_load(self, read: ReplicaStateRead, change: _Change) -> None:
+        """Record that a replica under an order did not report."""
         version = change.version
-        if self._failures.note_read(read.replica, version, read.reach, read.asked_ms):
+        if self._failures.record_read(read.replica, version, read.reach, read.asked_ms):
             count = self._failures.count(version)
             fields = {"version": version, "replica": read.replica, "count": count}
             self._notes.append(Note("rollout_halted", fields))
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -42,8 +42,12 @@
     TickPassed,
     TopicRead,
 )
-from toucanyard.relay_flow import RelayReply
-from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
+from toucanyard.relay_requests import (
+    RelayDispatch,
+    RelayOutcome,
+    RelayReply,
+    RelayRequest,
+)
 from toucanyard.requests import EndingSeen, Refuse, Repeatability
 
 from .relay_examples import DESK, build_replica, build_request, build_table
--- a/tests/toucanyard/store_fleet.py
+++ b/tests/toucanyard/store_fleet.py
@@ -23,9 +23,8 @@
     TickPassed,
     TopicRead,
 )
-from toucanyard.relay_flow import RelayReply
 from toucanyard.relay_options import RelayOptions
-from toucanyard.relay_requests import RelayDispatch, RelayOutcome
+from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayReply
 from toucanyard.requests import EndingSeen
 
 from .relay_examples import DESK, build_replica, build_request
--- a/tests/toucanyard/test_crash_ledger.py
+++ b/tests/toucanyard/test_crash_ledger.py
@@ -32,7 +32,7 @@
 
 
 def survive(ledger: CrashLedger, body: str, at_ms: float) -> bool:
-    return ledger.note_survived(Fingerprint(body), at_ms, at_ms, is_shared=True)
+    return ledger.record_survival(Fingerprint(body), at_ms, at_ms, is_shared=True)
 
 
 def test_sole_request_of_two_crashes_is_convicted() -> None:
--- a/tests/toucanyard/test_crash_watch.py
+++ b/tests/toucanyard/test_crash_watch.py
@@ -36,7 +36,7 @@
             EndingSeen.LOST,
             **(fields | changes),  # type: ignore[arg-type]
         )
-        return self.watch.note_outcome(outcome, BODY, at_ms - 10.0, at_ms)
+        return self.watch.record_outcome(outcome, BODY, at_ms - 10.0, at_ms)
 
     def count_probes(self, now_ms: float) -> int:
         return len(list(self.watch.take_probes(now_ms)))
@@ -55,7 +55,7 @@
 def test_replica_that_is_not_there_any_more_has_crashed(reach: Reach) -> None:
     world = World()
     world.lose(100.0)
-    assert world.watch.note_probed(ONE, reach, 101.0)
+    assert world.watch.record_probe(ONE, reach, 101.0)
     assert [each.fingerprint for each in world.watch.take_losses(ONE)] == [BODY]
 
 
@@ -64,14 +64,14 @@
     world = World()
     world.lose(100.0)
     for number in range(10):
-        assert not world.watch.note_probed(ONE, Reach.NO_ANSWER, 101.0 + number)
+        assert not world.watch.record_probe(ONE, Reach.NO_ANSWER, 101.0 + number)
 
 
 def test_replica_behind_a_proxy_has_crashed_once_probes_are_closed_in_a_row() -> None:
     """Guards against a listener that outlives its replica and hides each crash."""
     world = World()
     world.lose(100.0)
-    found = [world.watch.note_probed(ONE, Reach.CLOSED, 101.0) for _ in range(2)]
+    found = [world.watch.record_probe(ONE, Reach.CLOSED, 101.0) for _ in range(2)]
     assert found == [False] * (MAX_CLOSED - 1) + [True]
 
 
@@ -79,19 +79,19 @@
     """Guards against a reset that is charged when the replica ends later."""
     world = World()
     world.lose(100.0)
-    world.watch.note_probed(ONE, Reach.CLOSED, 101.0)
+    world.watch.record_probe(ONE, Reach.CLOSED, 101.0)
     world.lose(300.0)
-    assert not world.watch.note_probed(ONE, Reach.ANSWERED, 200.0)
+    assert not world.watch.record_probe(ONE, Reach.ANSWERED, 200.0)
     assert [each.at_ms for each in world.watch.take_losses(ONE)] == [300.0]
 
 
 def test_replica_that_was_taken_for_ended_counts_again_once_it_answers() -> None:
     """Guards against charging each later loss at a replica that lives."""
     world = World()
-    world.watch.note_ended(ONE)
+    world.watch.mark_ended(ONE)
     assert world.lose(100.0)
     world.watch.take_losses(ONE)
-    world.watch.note_alive(ONE, 150.0)
+    world.watch.mark_alive(ONE, 150.0)
     assert not world.lose(200.0)
 
 
@@ -116,14 +116,14 @@
 def test_call_that_may_not_have_run_is_no_loss() -> None:
     world = World()
     outcome = RelayOutcome(RequestId("q"), ONE, EndingSeen.REFUSED)
-    assert not world.watch.note_outcome(outcome, BODY, 0.0, 1.0)
+    assert not world.watch.record_outcome(outcome, BODY, 0.0, 1.0)
     assert not world.watch.has_open_loss(BODY)
 
 
 def test_answer_counts_once_its_replica_has_outlived_it() -> None:
     """Guards against a request that is answered just before its replica crashes."""
     world = World()
-    world.watch.note_answered(ONE, BODY, 90.0, 100.0)
+    world.watch.record_answer(ONE, BODY, 90.0, 100.0)
     assert list(world.watch.take_survivals(100.0 + AFTERMATH_MS - 1)) == []
     survived = list(world.watch.take_survivals(100.0 + AFTERMATH_MS))
     assert [each.fingerprint for each in survived] == [BODY]
@@ -132,6 +132,6 @@
 
 def test_answer_of_a_life_that_has_ended_is_no_survival() -> None:
     world = World()
-    world.watch.note_answered(ONE, BODY, 90.0, 100.0)
+    world.watch.record_answer(ONE, BODY, 90.0, 100.0)
     assert [each.fingerprint for each in world.watch.take_answered(ONE)] == [BODY]
     assert list(world.watch.take_survivals(9_000.0)) == []
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -13,8 +13,13 @@
 from toucanyard.node_records import NodeRecord
 from toucanyard.part_sources import PartSources
 from toucanyard.plain_placement import OVERFILL
-from toucanyard.relay_flow import NO_REPLICA_WAIT_MS, RelayFlow, RelayReply
-from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
+from toucanyard.relay_flow import NO_REPLICA_WAIT_MS, RelayFlow
+from toucanyard.relay_requests import (
+    RelayDispatch,
+    RelayOutcome,
+    RelayReply,
+    RelayRequest,
+)
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import EndingSeen, Refuse, Repeatability
