Reproduce that a customer passes its limit when all nodes are summed up

Cause: a configuration gives each customer a rate and a burst over all nodes; nothing decoded or counted them, so each node sent on whatever came.

This commit only decodes: limits by customer, in requests or tokens, and the tokens that a call names, which also count where it names no model. Numbers that can't be leave the last good configuration in force, with the field's name in the log.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_face.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_face.py
@@ -117,6 +117,7 @@
             deadline_ms=arrived_ms + _find_time(route, facts),
             table_version=index.table.version,
             prompt=facts.prompt,
+            tokens=facts.tokens,
             fingerprint=compute_fingerprint(
                 http.method, host, http.target, name, http.body
             ),
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -33,6 +33,8 @@
     deadline_ms: int | None
     prompt: Prompt | None
     last_event_id: str
+    tokens: int | None = None
+    """Prompt tokens and the most output tokens; None if the caller doesn't say."""
 
 
 class AnswerFacts(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/customer_limits.py
@@ -0,0 +1,68 @@
+"""Know what a customer may send: its rate over all nodes, and what one request costs.
+
+A limit is a rate and a burst, counted in requests or in tokens. Whoever sets it also
+says by how much the sum over all nodes may pass it within a window; what nodes do that
+can't see each other has to fit in there.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Final
+
+import msgspec
+
+DEBT_SHARE: Final = 1 / 3
+"""Share of a limit's margin that one request may take the customer below zero by. The
+rest is for requests that were granted before a window began, and for a second pool that
+takes over within it."""
+
+
+class LimitUnit(enum.StrEnum):
+    """What a limit counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+    """Prompt tokens and the most output tokens that a request asks for."""
+
+
+class CustomerLimit(msgspec.Struct, frozen=True):
+    """The limit of one customer, in its unit."""
+
+    rate_per_s: float
+    burst: float
+    unit: LimitUnit = LimitUnit.REQUESTS
+    plain_cost: float = 1.0
+    """Cost of a request that says nothing of tokens, where tokens are counted."""
+
+    def compute_cost(self, tokens: int | None) -> float:
+        """Return what a request costs; `tokens` is None if it doesn't say."""
+        match self.unit:
+            case LimitUnit.REQUESTS:
+                return 1.0
+            case LimitUnit.TOKENS:
+                return self.plain_cost if tokens is None else float(tokens)
+
+    def compute_capacity(self) -> float:
+        """Return what may be saved up; one request at least."""
+        return max(self.burst, self.compute_cost(None))
+
+
+class LimitBounds(msgspec.Struct, frozen=True):
+    """By how much the sum over all nodes may pass a limit within a window."""
+
+    window_ms: float = 10_000.0
+    overshoot: float = 0.1
+    """Share of what the limit allows in a window."""
+    slack: float = 0.0
+    """The same as an absolute figure, in the unit of the limit."""
+
+    def compute_bound(self, limit: CustomerLimit) -> float:
+        """Return the most that may run of a customer in one window."""
+        allowed = limit.rate_per_s * self.window_ms / 1_000 + limit.burst
+        return allowed * (1 + self.overshoot) + self.slack
+
+    def compute_max_debt(self, limit: CustomerLimit) -> float:
+        """Return how far below zero one request may take a customer."""
+        allowed = limit.rate_per_s * self.window_ms / 1_000 + limit.burst
+        return (allowed * self.overshoot + self.slack) * DEBT_SHARE
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -59,6 +59,8 @@
     """The caller's deadline or the route's timeout, whichever comes first."""
     table_version: int
     prompt: Prompt | None = None
+    tokens: int | None = None
+    """Prompt tokens and the most output tokens; None if the caller doesn't say."""
     fingerprint: Fingerprint = Fingerprint("")
     """The same for each repeat of the request; empty if it is not known."""
 
--- a/packages/toucanyard/src/toucanyard/routes.py
+++ b/packages/toucanyard/src/toucanyard/routes.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from toucanyard.customer_limits import CustomerLimit
 from toucanyard.names import Address, CustomerName, DomainName, ServiceName
 from toucanyard.requests import Repeatability
 
@@ -91,6 +92,8 @@
     """Goes before the rank of a route."""
     is_walled: bool = False
     """Shares no cached part of a prompt with another customer."""
+    limit: CustomerLimit | None = None
+    """What it may send over all nodes; None if there is no limit."""
 
 
 class RouteTable(msgspec.Struct, frozen=True):
@@ -110,7 +113,7 @@
     Invariant: of the routes that cover a path, the one with the longest prefix wins.
     """
 
-    __slots__ = ("_by_host", "_by_key", "_services", "table")
+    __slots__ = ("_by_host", "_by_key", "_limits", "_services", "table")
 
     def __init__(self, table: RouteTable) -> None:
         self.table = table
@@ -119,6 +122,9 @@
             self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
         self._by_key = {key: each for each in table.customers for key in each.keys}
         self._services = {each.name: each for each in table.services}
+        self._limits = {
+            each.name: each.limit for each in table.customers if each.limit is not None
+        }
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a call; `host` may carry a port."""
@@ -139,6 +145,14 @@
         """Return a service by its name."""
         return self._services.get(name)
 
+    def find_limit(self, name: CustomerName) -> CustomerLimit | None:
+        """Return what a customer may send; None if it has no limit."""
+        return self._limits.get(name)
+
+    def has_limits(self) -> bool:
+        """Tell whether any customer has a limit."""
+        return bool(self._limits)
+
     def has_customers(self) -> bool:
         """Tell whether calls have to bring a key."""
         return bool(self.table.customers)
--- /dev/null
+++ b/tests/toucanyard/limit_fleet.py
@@ -0,0 +1,195 @@
+"""Run a fleet whose customers have limits, with callers that may pass them by far.
+
+Nodes can be cut from each other while callers and replicas reach all of them: messages
+between the sides are lost, and the links end once their silence has been seen.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Collection
+
+from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import CustomerName, Fingerprint, NodeName, RequestId
+from toucanyard.part_book import Part
+from toucanyard.relay_events import CallArrived, PeersLinked
+from toucanyard.relay_requests import Prompt, RelayRequest
+from toucanyard.requests import Repeatability
+from toucanyard.routes import RoutedCustomer
+
+from .crash_fleet import CALL_MS, STEP_MS, Call, CrashFleet, Send
+from .relay_examples import MODEL, build_request, build_table
+from .relay_fleet import put
+
+BOUNDS = LimitBounds(window_ms=8_000.0, overshoot=0.1, slack=72_000.0)
+LIMIT = CustomerLimit(18_000.0, 18_000.0, LimitUnit.TOKENS, 200.0)
+USUAL_TOKENS_PER_S = 10_000.0
+LARGE = CustomerName("large")
+OTHER = CustomerName("other")
+SILENCE_MS = 1_125.0
+"""Time after which a link across a cut counts as dead."""
+SIZES = (9_200, 900, 900, 900, 900, 200)
+"""Tokens of calls, one after the other."""
+MEAN_TOKENS = sum(SIZES) / len(SIZES)
+
+
+class LimitFleet(CrashFleet):
+    """Nodes, replicas and callers of customers that have limits."""
+
+    def __init__(
+        self, domains: int, nodes_each: int, limit: CustomerLimit = LIMIT
+    ) -> None:
+        self._cut_ms: float | None = None
+        self._far_side: frozenset[NodeName] = frozenset()
+        self._version = 1
+        super().__init__(domains, nodes_each, replicas=8)
+        self.rng = random.Random(1)
+        self.set_limit(limit)
+        # Nodes know each other, and what the limit allows has been saved up.
+        self.run_for(3_000.0)
+
+    # Operators.
+
+    def set_limit(
+        self, limit: CustomerLimit | None, nodes: Collection[NodeName] | None = None
+    ) -> None:
+        """Let nodes read a configuration that gives customers this limit."""
+        self._version += 1
+        customers = tuple(
+            RoutedCustomer(name, (f"key-{name}",), limit=limit)
+            for name in (LARGE, OTHER)
+        )
+        table = build_table(self._version, customers=customers)
+        record = KeyedRecord("config", self._version, put(table))
+        self._operator_records = [record]
+        for name in self.cores if nodes is None else nodes:
+            if name not in self.dead:
+                self.read(name, Topic.OPERATOR, record)
+
+    # Faults.
+
+    def cut_apart(self, far_side: Collection[NodeName]) -> None:
+        """Cut some nodes from all others."""
+        self._far_side = frozenset(far_side)
+        self._cut_ms = self.now_ms
+
+    def heal(self) -> None:
+        """End the cut; links come back at the next dial."""
+        self._far_side = frozenset()
+        self._cut_ms = None
+
+    def kill(self, names: Collection[NodeName]) -> None:
+        """End some nodes and their calls; peers see the links close."""
+        for call in self.calls:
+            if call.ending is None and call.node in names:
+                self._end(call, "node killed")
+                for engine in self.engines.values():
+                    engine.calls.pop(call.request.request_id, None)
+        self.dead.update(names)
+        self.link()
+
+    def start_again(self, names: Collection[NodeName]) -> None:
+        """Start new incarnations of nodes that were killed."""
+        self.dead.difference_update(names)
+        for name in names:
+            self.restart(name)
+
+    def link(self) -> None:
+        super().link()
+        if self._cut_ms is None or self.now_ms - self._cut_ms < SILENCE_MS:
+            return
+        for name, others in self._linked.items():
+            side = name in self._far_side
+            near = {each for each in others if (each in self._far_side) is side}
+            if near != others and name not in self.dead:
+                peers = tuple(self.cores[each].identity for each in sorted(near))
+                self.handle(name, PeersLinked(peers))
+
+    def _deliver(self) -> None:
+        if self._far_side:
+            self._on_the_way = [
+                each
+                for each in self._on_the_way
+                if (each[1] in self._far_side) is (each[2] in self._far_side)
+            ]
+        super()._deliver()
+
+    # Callers.
+
+    def ask(self, node: NodeName, customer: CustomerName, tokens: int) -> Call:
+        """Let a call of a customer arrive at a node."""
+        number = next(self._numbers)
+        request = build_request(
+            f"limited-{number}",
+            customer=customer,
+            prompt=Prompt(MODEL, (Part(f"own-{number}", tokens - 20),), 20),
+            tokens=tokens,
+            fingerprint=Fingerprint(f"body-{number}"),
+            repeatability=Repeatability.REPEATABLE,
+            is_stream=True,
+            is_resumable=True,
+            arrived_ms=self.now_ms,
+            deadline_ms=self.now_ms + CALL_MS,
+        )
+        return self._arrive(node, request)
+
+    def _arrive(self, node: NodeName, request: RelayRequest) -> Call:
+        call = Call(node, request)
+        self.calls.append(call)
+        self._by_id[RequestId(request.request_id)] = call
+        self.handle(node, CallArrived(request))
+        return call
+
+    def play(
+        self,
+        for_ms: float,
+        tokens_per_s: float,
+        customer: CustomerName = LARGE,
+        *,
+        other_tokens_per_s: float = 0.0,
+    ) -> list[Call]:
+        """Let calls come to random nodes at a steady rate, and return them."""
+        before = len(self.calls)
+        begun_ms = self.now_ms
+        asked = {customer: 0.0, OTHER: 0.0}
+        rates = {customer: tokens_per_s, OTHER: other_tokens_per_s}
+        while self.now_ms < begun_ms + for_ms:
+            passed_s = (self.now_ms - begun_ms) / 1_000
+            alive = [name for name in self.cores if name not in self.dead]
+            for name, rate in rates.items():
+                while asked[name] < rate * passed_s:
+                    tokens = self.rng.choice(SIZES)
+                    asked[name] += tokens
+                    self.ask(self.rng.choice(alive), name, tokens)
+            self.run_for(STEP_MS)
+        return self.calls[before:]
+
+    # What was seen.
+
+    def list_runs(self, customer: CustomerName = LARGE) -> list[Send]:
+        """Return the sends of a customer that reached a replica."""
+        return [s for s in self.reached if s.call.request.customer == customer]
+
+    def find_worst_use(
+        self, customer: CustomerName = LARGE, since_ms: float = 0.0
+    ) -> float:
+        """Return the most tokens that ran of a customer in any one window."""
+        window: deque[tuple[float, int]] = deque()
+        worst = total = 0
+        for send in self.list_runs(customer):
+            if send.at_ms < since_ms:
+                continue
+            tokens = send.call.request.tokens or 0
+            window.append((send.at_ms, tokens))
+            total += tokens
+            while window[0][0] <= send.at_ms - BOUNDS.window_ms:
+                total -= window.popleft()[1]
+            worst = max(worst, total)
+        return float(worst)
+
+
+def count_refused(calls: Collection[Call]) -> int:
+    """Return how many calls were refused."""
+    return sum(call.ending == "refused" for call in calls)
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -185,3 +185,29 @@
     assert bare.is_unrun
     odd = {"x-weight-versions": "new"}
     assert PlatformCalls().read_answer(ResponseHead(200, odd)).weights_version is None
+
+
+def test_tokens_that_a_limit_counts_are_both_numbers() -> None:
+    """Guards against counting the prompt alone; output is the dearer part."""
+    facts = PlatformCalls().read_call(build_http(*MODEL_CALL))
+    prompt = facts.prompt
+    assert prompt is not None
+    assert facts.tokens is not None
+    assert facts.tokens > prompt.max_output_tokens
+
+
+def test_tokens_count_without_a_model() -> None:
+    """Guards against a call that passes for a plain one by leaving its model out."""
+    http = build_http(*PLAIN_CALL, ("X-Token-Usage", "1460,80"))
+    assert PlatformCalls().read_call(http).tokens == 1_540
+
+
+def test_call_without_tokens_says_nothing_of_them() -> None:
+    assert PlatformCalls().read_call(build_http(*PLAIN_CALL)).tokens is None
+
+
+@pytest.mark.parametrize("text", ["", "1", "1,2,3", "-1,2", "1,x", "1,9999999999"])
+def test_tokens_that_are_not_two_counts_are_refused(text: str) -> None:
+    """Guards against a limit that is passed by a number that can't be read."""
+    with pytest.raises(CallInvalidError):
+        PlatformCalls().read_call(build_http(*PLAIN_CALL, ("X-Token-Usage", text)))
--- a/tests/toucanyard_platform/test_records.py
+++ b/tests/toucanyard_platform/test_records.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from toucanyard.customer_limits import CustomerLimit, LimitUnit
 from toucanyard.keyed_view import InvalidRecord, Topic
 from toucanyard.names import (
     Address,
@@ -226,3 +227,36 @@
     for value in (b"{}", b'{"entry":""}', b'{"entry":7}'):
         found = decode_record(Topic.OPERATOR, "release/f1", value)
         assert isinstance(found, InvalidRecord)
+
+
+def decode_limit(**fields: object) -> CustomerLimit | None:
+    return decode_table(tenants=[{"name": "c"} | fields]).customers[0].limit
+
+
+def test_limit_in_tokens() -> None:
+    limit = decode_limit(ratePerS=18_000, burst=9_000, unit="tokenize", plainTokens=200)
+    assert limit == CustomerLimit(18_000.0, 9_000.0, LimitUnit.TOKENS, 200.0)
+
+
+def test_limit_without_a_unit_counts_requests() -> None:
+    limit = decode_limit(ratePerS=5, burst=10)
+    assert limit is not None
+    assert limit.unit is LimitUnit.REQUESTS
+    assert limit.compute_cost(1_540) == 1.0
+
+
+@pytest.mark.parametrize("fields", [{}, {"ratePerS": 0, "burst": 5}])
+def test_rate_of_zero_sets_no_limit(fields: dict[str, object]) -> None:
+    assert decode_limit(**fields) is None
+
+
+@pytest.mark.parametrize("name", ["ratePerS", "burst", "plainTokens"])
+@pytest.mark.parametrize("value", [-1, 1e300, "5", None])
+def test_limit_that_cannot_be_leaves_the_last_good_table(
+    name: str, value: object
+) -> None:
+    """Guards against a limit that no sum can be compared with."""
+    text = msgspec.json.encode({"version": 7, "tenants": [{"name": "c", name: value}]})
+    found = decode_record(Topic.OPERATOR, "config", text)
+    assert isinstance(found, InvalidRecord)
+    assert name in found.reason
