Keep customers' limits over all nodes by credit from pledged shares

Cause: no decision counted a customer's requests, and none that counts on one node alone could hold: the sum over all nodes is bounded, also of nodes that see nobody.

The change: each node stands for an equal share of each limit. A group (a hub with those that report to it, or one node of a mesh) pledges its shares to one home for each of four slices of the customers, in its statuses; a home's levels rise by what is pledged to it, so the shares of all homes never exceed the limit. Nodes ask for credit as calls need it, use it within 400 ms, and give back what surely did not run. A node that reaches no hub is its own home with its own share after 1.5 s; pledges end after 0.9 s. A request may take a level below zero by a third of the margin, so that long prompts get their turn. A call is decided before it waits for a replica; one just short of its limit waits up to 400 ms, all others get 429 at once, with the time until the home grants again behind what it denied.

--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -0,0 +1,132 @@
+"""Decide whether a call may be sent, by what its customer may send over all nodes.
+
+Asked of a call before it waits for a replica and again before each try: a try that may
+run costs credit, also a second one, and one that surely did not run costs nothing.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.customer_limits import CustomerLimit, LimitBounds
+from toucanyard.limit_credits import CREDIT_TTL_MS, CreditAccounts
+from toucanyard.pending_call import PendingCall
+from toucanyard.relay_policy import LimitPolicy, LimitWay
+from toucanyard.routes import RouteIndex, RouteTable
+
+NEVER_RETRY_MS: Final = 60_000.0
+"""When to come back with a request that the limit never allows; it may be raised."""
+BRIEF_GRACE_MS: Final = 100.0
+"""Time beside the home's estimate that a call waits for its turn."""
+UNKNOWN_RETRY_MS: Final = 250.0
+"""When to come back to a node that got no credit from any home."""
+
+
+class LimitRejection(msgspec.Struct, frozen=True):
+    """Why a call is over its customer's limit, and when it may not be any more."""
+
+    text: str
+    retry_ms: float
+
+
+class CallLimits:
+    """The limits of all customers as the calls of one node meet them."""
+
+    __slots__ = ("_bounds", "_policy", "accounts", "index", "rejected")
+
+    def __init__(self, bounds: LimitBounds, policy: LimitPolicy) -> None:
+        self._bounds = bounds
+        self._policy = policy
+        self.accounts = CreditAccounts()
+        self.index = RouteIndex(RouteTable())
+        self.rejected = 0
+
+    def apply_index(self, index: RouteIndex) -> None:
+        """Decide by this table from now on."""
+        self.index = index
+        limited = {
+            each.name for each in index.table.customers if each.limit is not None
+        }
+        self.accounts.retain(limited)
+
+    def check(self, pending: PendingCall, now_ms: float) -> LimitRejection | None:
+        """Take credit for a call's next try; return why it may not have any.
+
+        A call that has to wait for credit is marked as unpaid.
+        """
+        request = pending.request
+        limit = self.index.find_limit(request.customer)
+        if limit is None or self._policy.way is LimitWay.OFF:
+            pending.is_unpaid = False
+            return None
+        if pending.charge and now_ms < pending.charged_until_ms:
+            return None
+        self.release(pending, now_ms)
+        cost = limit.compute_cost(request.tokens)
+        if cost > limit.compute_capacity() + self._bounds.compute_max_debt(limit):
+            return self._reject(
+                f"it costs {cost:.0f}, more than the limit ever allows at once",
+                NEVER_RETRY_MS,
+            )
+        until_ms = self.accounts.take(
+            request.request_id, request.customer, cost, now_ms
+        )
+        if until_ms is not None:
+            pending.charge = cost
+            pending.charged_until_ms = until_ms
+            pending.is_unpaid = False
+            return None
+        return self._wait(pending, limit, cost, now_ms)
+
+    def on_sent(self, pending: PendingCall) -> None:
+        """Use up the credit of a try that is being sent."""
+        pending.charge = 0.0
+
+    def on_not_run(self, pending: PendingCall, now_ms: float) -> None:
+        """Let the next try have the credit of one that surely did not run."""
+        limit = self.index.find_limit(pending.request.customer)
+        if limit is not None and self._policy.way is not LimitWay.OFF:
+            pending.charge = limit.compute_cost(pending.request.tokens)
+            pending.charged_until_ms = now_ms + CREDIT_TTL_MS
+
+    def release(self, pending: PendingCall, now_ms: float) -> None:
+        """Give back what a call has not used."""
+        customer = pending.request.customer
+        if pending.charge:
+            self.accounts.give_back(customer, pending.charge, now_ms)
+            pending.charge = 0.0
+        if pending.is_unpaid:
+            self.accounts.withdraw(pending.request.request_id, customer)
+            pending.is_unpaid = False
+
+    def _wait(
+        self, pending: PendingCall, limit: CustomerLimit, cost: float, now_ms: float
+    ) -> LimitRejection | None:
+        customer = pending.request.customer
+        if not pending.is_unpaid:
+            pending.is_unpaid = True
+            pending.is_denied = False
+            pending.unpaid_until_ms = now_ms + self._policy.max_wait_ms
+        closed = self.accounts.find_closed(customer, now_ms)
+        if closed is None:
+            if now_ms <= pending.unpaid_until_ms:
+                return None
+            text = "no node answered for the customer's limit"
+            return self._reject(text, UNKNOWN_RETRY_MS)
+        closed_ms, retry_ms = closed
+        if not pending.is_denied and retry_ms <= self._policy.brief_wait_ms:
+            pending.is_denied = True
+            pending.unpaid_until_ms = now_ms + retry_ms + BRIEF_GRACE_MS
+        if pending.is_denied and now_ms <= pending.unpaid_until_ms:
+            return None
+        text = (
+            f"customer {customer} is over its limit of {limit.rate_per_s:.0f} "
+            f"{limit.unit.value} a second for {closed_ms:.0f} ms; it costs {cost:.0f}"
+        )
+        return self._reject(text, retry_ms)
+
+    def _reject(self, text: str, retry_ms: float) -> LimitRejection:
+        self.rejected += 1
+        return LimitRejection(text, retry_ms)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -0,0 +1,187 @@
+"""Hold the credit that one node was granted for its customers' requests.
+
+Credit is asked for when requests need it and used within a moment: what a node holds
+that nobody uses would be missing elsewhere, and could run in a later window than the
+one that it was granted in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.limit_pool import CreditGrant
+from toucanyard.names import CustomerName, RequestId
+
+CREDIT_TTL_MS: Final = 400.0
+"""Time from asking for credit until it may no longer be used."""
+ASK_TIMEOUT_MS: Final = 200.0
+"""Time without an answer after which credit is asked for again."""
+MIN_CLOSED_MS: Final = 25.0
+"""Least time between a denial and the next question, which a flood would else ask for
+each of its requests."""
+
+
+class CreditQuestion(msgspec.Struct, frozen=True):
+    """What a node asks a customer's home for."""
+
+    number: int
+    customer: CustomerName
+    wanted: float
+    least: float
+    """Cost of the first request; less is of no use."""
+    returned: float
+    """Credit of before that was not used."""
+
+
+class _Account:
+    __slots__ = (
+        "asked",
+        "asked_ms",
+        "closed_until_ms",
+        "credit",
+        "retry_at_ms",
+        "returned",
+        "until_ms",
+        "waiting",
+    )
+
+    def __init__(self) -> None:
+        self.credit = 0.0
+        self.until_ms = float("-inf")
+        self.asked_ms = float("-inf")
+        """When the last question was asked."""
+        self.asked: dict[int, float] = {}
+        """Questions without an answer, and when they were asked."""
+        self.waiting: dict[RequestId, float] = {}
+        """Cost of requests that wait for credit, in order of arrival."""
+        self.returned = 0.0
+        self.closed_until_ms = float("-inf")
+        self.retry_at_ms = float("-inf")
+
+
+class CreditAccounts:
+    """Credit by customer. Invariant: what is taken was granted before, and once."""
+
+    __slots__ = ("_accounts", "_next", "_open")
+
+    def __init__(self) -> None:
+        self._accounts: dict[CustomerName, _Account] = {}
+        self._open: dict[CustomerName, None] = {}
+        """Customers with requests that wait for credit."""
+        self._next = 0
+
+    def take(
+        self, request_id: RequestId, customer: CustomerName, cost: float, now_ms: float
+    ) -> float | None:
+        """Use credit for a request; return until when, or let the request wait."""
+        account = self._find(customer, now_ms)
+        if account.credit >= cost:
+            account.credit -= cost
+            account.waiting.pop(request_id, None)
+            return account.until_ms
+        account.waiting[request_id] = cost
+        self._open[customer] = None
+        return None
+
+    def find_closed(
+        self, customer: CustomerName, now_ms: float
+    ) -> tuple[float, float] | None:
+        """Return for how long the customer's home grants nothing, and when to retry.
+
+        None if the home may grant something now.
+        """
+        account = self._accounts.get(customer)
+        if account is None or account.closed_until_ms <= now_ms:
+            return None
+        closed_ms = account.closed_until_ms - now_ms
+        return closed_ms, max(account.retry_at_ms - now_ms, closed_ms)
+
+    def withdraw(self, request_id: RequestId, customer: CustomerName) -> None:
+        """Let a request no longer wait for credit."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            account.waiting.pop(request_id, None)
+
+    def give_back(self, customer: CustomerName, credit: float, now_ms: float) -> None:
+        """Return credit that a request took and did not use."""
+        self._find(customer, now_ms).returned += credit
+
+    def has_questions(self) -> bool:
+        """Tell whether requests may be waiting for credit."""
+        return bool(self._open)
+
+    def retain(self, customers: Collection[CustomerName]) -> None:
+        """Drop what is known of customers that have no limit any more."""
+        for customer in set(self._accounts).difference(customers):
+            del self._accounts[customer]
+            self._open.pop(customer, None)
+
+    def list_questions(self, now_ms: float) -> Iterator[CreditQuestion]:
+        """Return what has to be asked now."""
+        for customer in list(self._open):
+            account = self._find(customer, now_ms)
+            if not account.waiting:
+                del self._open[customer]
+                continue
+            is_asked = account.asked and now_ms - account.asked_ms < ASK_TIMEOUT_MS
+            if is_asked or account.closed_until_ms > now_ms:
+                continue
+            yield self._ask(customer, account, now_ms)
+
+    def apply_grant(
+        self, customer: CustomerName, number: int, grant: CreditGrant, now_ms: float
+    ) -> None:
+        """Take in the answer to a question; one that came too late grants nothing."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return
+        asked_ms = account.asked.pop(number, float("-inf"))
+        self._expire(account, now_ms)
+        until_ms = asked_ms + CREDIT_TTL_MS
+        if grant.granted and until_ms > now_ms:
+            account.until_ms = min(account.until_ms, until_ms)
+            if not account.credit:
+                account.until_ms = until_ms
+            account.credit += grant.granted
+        else:
+            account.returned += grant.granted
+        if not grant.granted:
+            closed_ms = max(grant.closed_ms, MIN_CLOSED_MS)
+            account.closed_until_ms = now_ms + closed_ms
+            account.retry_at_ms = now_ms + max(grant.retry_ms, closed_ms)
+
+    def _ask(
+        self, customer: CustomerName, account: _Account, now_ms: float
+    ) -> CreditQuestion:
+        self._next += 1
+        account.asked = {
+            number: asked_ms
+            for number, asked_ms in account.asked.items()
+            if now_ms - asked_ms < CREDIT_TTL_MS
+        }
+        account.asked[self._next] = account.asked_ms = now_ms
+        returned, account.returned = account.returned, 0.0
+        wanted = sum(account.waiting.values())
+        least = next(iter(account.waiting.values()))
+        return CreditQuestion(
+            self._next,
+            customer,
+            max(wanted - account.credit, 0.0),
+            max(least - account.credit, 0.0),
+            returned,
+        )
+
+    def _find(self, customer: CustomerName, now_ms: float) -> _Account:
+        account = self._accounts.get(customer)
+        if account is None:
+            account = self._accounts[customer] = _Account()
+        self._expire(account, now_ms)
+        return account
+
+    def _expire(self, account: _Account, now_ms: float) -> None:
+        if account.credit and now_ms >= account.until_ms:
+            account.returned += account.credit
+            account.credit = 0.0
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -0,0 +1,214 @@
+"""Keep customers' limits together over all nodes: pledges, questions and answers.
+
+A node asks its hub, which asks the customer's home; in a mesh it asks the home itself.
+One that reaches no hub is its own home after a while, with its own share of the limits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Iterable, Iterator
+from typing import Final
+
+from toucanyard.call_limits import CallLimits
+from toucanyard.customer_limits import LimitBounds
+from toucanyard.limit_pledges import (
+    SLICES,
+    Pledge,
+    PledgeBook,
+    choose_homes,
+    find_slice,
+)
+from toucanyard.limit_pool import CreditGrant, LimitPool, PoolUse
+from toucanyard.link_messages import CreditAnswer, CreditAsk
+from toucanyard.names import CustomerName, NodeName
+from toucanyard.relay_events import SendToPeer
+from toucanyard.relay_policy import LimitWay
+from toucanyard.roster import Roster
+
+ALONE_MS: Final = 1_500.0
+"""Time without a hub after which a node uses its own share. By then its hub has missed
+it and pledges it to nobody."""
+
+
+class LimitExchange:
+    """The part of one node in all customers' limits.
+
+    Invariant: this node's share counts in one group at a time.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        calls: CallLimits,
+        count_group: Callable[[], int],
+        knows_nodes: Callable[[], bool],
+        bounds: LimitBounds,
+        way: LimitWay,
+    ) -> None:
+        self._roster = roster
+        self._own = roster.own_name
+        self._calls = calls
+        self._count_group = count_group
+        self._knows_nodes = knows_nodes
+        self._way = way
+        self._pledges = PledgeBook(self._own)
+        self._pool = LimitPool(bounds, self._pledges)
+        self._linked: frozenset[NodeName] = frozenset()
+        self._candidates: frozenset[NodeName] = frozenset()
+        self._homes: tuple[NodeName, ...] = ()
+        """By slice of the customers; empty while this node pledges to nobody."""
+        self._reached_ms: float | None = None
+        """When this node last had a hub; None before its first tick."""
+        self._total = 1
+        self.pledge: Pledge | None = None
+        """What peers are told of this node's group."""
+
+    def note_links(self, names: Collection[NodeName], now_ms: float) -> None:
+        """Take in which peers are linked now."""
+        self._linked = frozenset(names)
+        self._pledges.retain(names)
+        self._update(now_ms)
+
+    def tick(self, now_ms: float) -> bool:
+        """Bring pledges up to date; return whether peers should hear of it at once."""
+        if not self._calls.index.has_limits():
+            self.pledge = None
+            return False
+        before = self._homes
+        self._update(now_ms)
+        return self._homes != before
+
+    def read_pledge(self, sender: NodeName, pledge: Pledge, now_ms: float) -> None:
+        """Take in to whom a peer's group gives its shares."""
+        self._settle(now_ms)
+        self._pledges.record(sender, pledge, now_ms)
+
+    def ask(self, now_ms: float) -> Iterator[SendToPeer]:
+        """Ask for the credit that calls wait for; this node may be its own home."""
+        for question in self._calls.accounts.list_questions(now_ms):
+            ask = CreditAsk(
+                self._own,
+                question.number,
+                question.customer,
+                question.wanted,
+                question.least,
+                question.returned,
+            )
+            if self._find_home(question.customer) == self._own:
+                answer = self._answer(ask, now_ms)
+                if answer is not None:
+                    self._apply(answer, now_ms)
+                continue
+            target = self._find_next(question.customer)
+            if target is not None:
+                yield SendToPeer(target, ask)
+
+    def read_ask(
+        self, sender: NodeName, ask: CreditAsk, now_ms: float
+    ) -> Iterator[SendToPeer]:
+        """Answer a node's question, or pass it on to the home."""
+        home = self._find_home(ask.customer)
+        if home == self._own:
+            answer = self._answer(ask, now_ms)
+            if answer is not None:
+                yield SendToPeer(sender, answer)
+        elif home in self._linked and ask.origin == sender:
+            # Passed on once only: nodes that differ on the home would pass it for ever.
+            yield SendToPeer(home, ask)
+
+    def read_answer(self, answer: CreditAnswer, now_ms: float) -> Iterator[SendToPeer]:
+        """Take in a home's answer, or pass it on to the node that asked."""
+        if answer.origin == self._own:
+            self._apply(answer, now_ms)
+        elif answer.origin in self._linked:
+            yield SendToPeer(answer.origin, answer)
+
+    def list_uses(self, now_ms: float) -> list[PoolUse]:
+        """Return what this node knows of the customers of which it is the home."""
+        shares = [
+            self._pledges.compute_share(number, self._total, now_ms)
+            for number in range(SLICES)
+        ]
+        return self._pool.list_uses(shares)
+
+    def _answer(self, ask: CreditAsk, now_ms: float) -> CreditAnswer | None:
+        """Return what a question is granted; None if nothing is pledged here."""
+        limit = self._calls.index.find_limit(ask.customer)
+        if limit is None:
+            # The asker has read another version of the configuration.
+            grant = CreditGrant(ask.wanted, 0.0, 0.0)
+        else:
+            self._settle(now_ms)
+            number = find_slice(ask.customer)
+            share = self._pledges.compute_share(number, self._total, now_ms)
+            if not share:
+                return None
+            self._pool.take_back(ask.customer, limit, ask.returned, share)
+            grant = self._pool.grant(ask.customer, limit, ask.wanted, ask.least, share)
+        return CreditAnswer(
+            ask.origin,
+            ask.number,
+            ask.customer,
+            grant.granted,
+            grant.closed_ms,
+            grant.retry_ms,
+        )
+
+    def _apply(self, answer: CreditAnswer, now_ms: float) -> None:
+        grant = CreditGrant(answer.granted, answer.closed_ms, answer.retry_ms)
+        self._calls.accounts.apply_grant(answer.customer, answer.number, grant, now_ms)
+
+    def _settle(self, now_ms: float) -> None:
+        lost = self._pledges.settle(self._total, now_ms)
+        if lost:
+            self._pool.forget_slices(lost)
+
+    def _update(self, now_ms: float) -> None:
+        self._settle(now_ms)
+        self._total = self._roster.count_nodes(now_ms)
+        candidates = self._find_candidates(now_ms)
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._homes = choose_homes(candidates) if candidates else ()
+        self.pledge = None
+        if self._homes:
+            nodes = 1 if self._is_apart() else self._count_group()
+            self.pledge = Pledge(nodes, self._homes)
+            self._pledges.record(self._own, self.pledge, now_ms)
+
+    def _find_candidates(self, now_ms: float) -> frozenset[NodeName]:
+        """Return the nodes that may be a home; none while this node pledges nothing."""
+        if not self._knows_nodes():
+            # It would take itself for the whole fleet.
+            return frozenset()
+        own = frozenset((self._own,))
+        if self._way is LimitWay.EQUAL_SHARES:
+            return own
+        ready = self._roster.list_ready_linked()
+        if self._roster.is_full_mesh():
+            return self._add_own(ready)
+        plan = self._roster.plan
+        if plan.is_hub():
+            return self._add_own(name for name in ready if name in plan.hubs)
+        if self._reached_ms is None or self._roster.find_primary() is not None:
+            self._reached_ms = now_ms
+        return own if now_ms - self._reached_ms > ALONE_MS else frozenset()
+
+    def _add_own(self, names: Iterable[NodeName]) -> frozenset[NodeName]:
+        found = set(names)
+        if self._roster.is_ready or not found:
+            found.add(self._own)
+        return frozenset(found)
+
+    def _is_apart(self) -> bool:
+        """Tell whether this node stands for itself only."""
+        is_equal = self._way is LimitWay.EQUAL_SHARES
+        return is_equal or self._roster.is_full_mesh()
+
+    def _find_home(self, customer: CustomerName) -> NodeName | None:
+        return self._homes[find_slice(customer)] if self._homes else None
+
+    def _find_next(self, customer: CustomerName) -> NodeName | None:
+        """Return whom to ask: the home, or the hub that knows it."""
+        home = self._find_home(customer)
+        return self._roster.find_primary() if home is None else home
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/limit_pledges.py
@@ -0,0 +1,107 @@
+"""Know which share of customers' limits this node may give out.
+
+Each node stands for an equal share of every limit. A group of nodes, those that report
+to one hub or a single node of a mesh, pledges its shares to one home for each slice of
+the customers, and says so in every status. A home gives out what was pledged to it and
+nothing else: as a group names one home at a time, the shares of all homes never exceed
+the limit, whoever is cut from whom.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import msgspec
+import xxhash
+
+from toucanyard.names import CustomerName, NodeName
+from toucanyard.vm_view import compute_rank
+
+SLICES: Final = 4
+"""Slices of the customers with a home each, so that no hub answers for all of them."""
+PLEDGE_TTL_MS: Final = 900.0
+"""Time after which a pledge that was not renewed has ended. Shorter than the silence
+after which its sender takes the link for dead and names another home."""
+
+
+class Pledge(msgspec.Struct, frozen=True, array_like=True):
+    """The homes to which a group gives its shares."""
+
+    nodes: int
+    """Nodes of the group."""
+    homes: tuple[NodeName, ...]
+    """By slice of the customers."""
+
+
+class PledgeBook:
+    """Pledges that this node has heard, its own group's among them.
+
+    Invariant: `accrued_s` grows by no more than the time that passes.
+    """
+
+    __slots__ = ("_accrued_s", "_own", "_pledges", "_settled_ms")
+
+    def __init__(self, own: NodeName) -> None:
+        self._own = own
+        self._pledges: dict[NodeName, tuple[float, Pledge]] = {}
+        self._accrued_s = [0.0] * SLICES
+        self._settled_ms = float("-inf")
+
+    def record(self, group: NodeName, pledge: Pledge, now_ms: float) -> None:
+        """Take in what a group pledges; it counts from now on."""
+        if len(pledge.homes) == SLICES and pledge.nodes > 0:
+            self._pledges[group] = (now_ms, pledge)
+        else:
+            self._pledges.pop(group, None)
+
+    def retain(self, groups: Iterable[NodeName]) -> None:
+        """Drop the pledges of groups without a link."""
+        kept = {*groups, self._own}
+        for group in set(self._pledges) - kept:
+            del self._pledges[group]
+
+    def settle(self, total_nodes: int, now_ms: float) -> list[int]:
+        """Add up the time since the last call; return the slices that were lost.
+
+        After a long pause, as of a VM that was suspended, nothing that was pledged
+        before counts.
+        """
+        passed_ms = now_ms - self._settled_ms
+        self._settled_ms = now_ms
+        lost: list[int] = []
+        for number in range(SLICES):
+            share = self.compute_share(number, total_nodes, now_ms)
+            if not share or passed_ms > PLEDGE_TTL_MS:
+                self._accrued_s[number] = 0.0
+                lost.append(number)
+            else:
+                self._accrued_s[number] += share * passed_ms / 1_000
+        return lost
+
+    def compute_share(self, number: int, total_nodes: int, now_ms: float) -> float:
+        """Return the share of a slice's limits that is pledged to this node."""
+        nodes = sum(
+            pledge.nodes
+            for heard_ms, pledge in self._pledges.values()
+            if now_ms - heard_ms <= PLEDGE_TTL_MS and pledge.homes[number] == self._own
+        )
+        return min(nodes / max(total_nodes, 1), 1.0)
+
+    def find_accrued(self, number: int) -> float:
+        """Return the time, in s, for which a whole limit was pledged to this node."""
+        return self._accrued_s[number]
+
+
+def find_slice(customer: CustomerName) -> int:
+    """Return the slice that a customer belongs to, the same on all nodes."""
+    return xxhash.xxh3_64_intdigest(customer.encode()) % SLICES
+
+
+def choose_homes(candidates: Iterable[NodeName]) -> tuple[NodeName, ...]:
+    """Return the home of each slice among the nodes that may be one."""
+    names = sorted(candidates)
+    return tuple(
+        max(names, key=lambda name: compute_rank(f"limits {number}", name))
+        for number in range(SLICES)
+    )
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/limit_pool.py
@@ -0,0 +1,169 @@
+"""Give out credit for customers' limits: what a home does.
+
+A customer's level rises with its rate as far as its shares are pledged to this home,
+up to its burst. A request is granted while the level is not negative, and may take it
+below zero: long prompts get their turn beside short ones, and what is owed is paid off
+before the next request.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from toucanyard.customer_limits import CustomerLimit, LimitBounds
+from toucanyard.limit_pledges import PledgeBook, find_slice
+from toucanyard.names import CustomerName
+
+MAJORITY: Final = 0.5
+"""Share above which no other home can have as much of the same limit."""
+MAX_BACKLOG_S: Final = 2.0
+"""Longest backlog of denied requests that callers are told to wait for."""
+
+
+class CreditGrant(msgspec.Struct, frozen=True):
+    """What a home answers to a node that asks for credit."""
+
+    granted: float
+    closed_ms: float
+    """Time until the home grants anything again; 0 if it does now."""
+    retry_ms: float
+    """The same behind all requests that were denied lately."""
+
+
+class PoolUse(msgspec.Struct, frozen=True):
+    """What a home knows of one customer, for operators."""
+
+    customer: CustomerName
+    level: float
+    share: float
+    granted_total: float
+    denied_total: float
+
+
+class _Level:
+    """One customer's level. Invariant: it never exceeds what may be saved up."""
+
+    __slots__ = (
+        "backlog",
+        "denied_total",
+        "granted_total",
+        "limit",
+        "settled_s",
+        "value",
+    )
+
+    def __init__(self, limit: CustomerLimit) -> None:
+        self.limit = limit
+        self.value = 0.0
+        self.settled_s = 0.0
+        self.backlog = 0.0
+        """What was denied lately, as far as the rate has not made up for it."""
+        self.granted_total = 0.0
+        self.denied_total = 0.0
+
+    def settle(self, accrued_s: float, share: float) -> None:
+        """Add what has accrued since the last time."""
+        earned = (accrued_s - self.settled_s) * self.limit.rate_per_s
+        self.settled_s = accrued_s
+        self.backlog = max(self.backlog - earned, 0.0)
+        capacity = self.limit.compute_capacity() * share
+        self.value = min(self.value + earned, capacity)
+
+
+class LimitPool:
+    """The levels of all customers of which this node is the home."""
+
+    __slots__ = ("_bounds", "_levels", "_pledges")
+
+    def __init__(self, bounds: LimitBounds, pledges: PledgeBook) -> None:
+        self._bounds = bounds
+        self._pledges = pledges
+        self._levels: dict[CustomerName, _Level] = {}
+
+    def forget_slices(self, numbers: list[int]) -> None:
+        """Drop the levels of slices that are no longer pledged to this node."""
+        if not self._levels:
+            return
+        lost = set(numbers)
+        self._levels = {
+            name: level
+            for name, level in self._levels.items()
+            if find_slice(name) not in lost
+        }
+
+    def apply_limit(
+        self, customer: CustomerName, limit: CustomerLimit | None, share: float
+    ) -> None:
+        """Let a changed limit be in force; what was earned before is kept."""
+        level = self._levels.get(customer)
+        if level is None or level.limit == limit:
+            return
+        if limit is None or limit.unit is not level.limit.unit:
+            del self._levels[customer]
+            return
+        accrued_s = self._pledges.find_accrued(find_slice(customer))
+        level.settle(accrued_s, share)
+        level.limit = limit
+        level.value = min(level.value, limit.compute_capacity() * share)
+
+    def grant(
+        self,
+        customer: CustomerName,
+        limit: CustomerLimit,
+        wanted: float,
+        least: float,
+        share: float,
+    ) -> CreditGrant:
+        """Grant what fits of some requests, at least the first of them or nothing."""
+        level = self._find_level(customer, limit, share)
+        debt = self._bounds.compute_max_debt(limit)
+        if share <= MAJORITY:
+            debt *= share
+        needed = max(least - debt, 0.0)
+        rate_per_s = limit.rate_per_s * share
+        if level.value < needed:
+            closed_ms = (needed - level.value) / rate_per_s * 1_000
+            retry_ms = closed_ms + level.backlog / rate_per_s * 1_000
+            most = limit.rate_per_s * MAX_BACKLOG_S
+            level.backlog = min(level.backlog + wanted, most)
+            level.denied_total += wanted
+            return CreditGrant(0.0, closed_ms, retry_ms)
+        granted = min(wanted, level.value + debt)
+        level.value -= granted
+        level.granted_total += granted
+        closed_ms = max(-level.value, 0.0) / rate_per_s * 1_000
+        return CreditGrant(granted, closed_ms, closed_ms)
+
+    def take_back(
+        self, customer: CustomerName, limit: CustomerLimit, credit: float, share: float
+    ) -> None:
+        """Take back credit that was granted and not used."""
+        level = self._find_level(customer, limit, share)
+        capacity = limit.compute_capacity() * share
+        level.value = min(level.value + credit, max(capacity, level.value))
+        level.granted_total -= credit
+
+    def list_uses(self, shares: list[float]) -> list[PoolUse]:
+        """Return what is known of each customer."""
+        return [
+            PoolUse(
+                name,
+                level.value,
+                shares[find_slice(name)],
+                level.granted_total,
+                level.denied_total,
+            )
+            for name, level in self._levels.items()
+        ]
+
+    def _find_level(
+        self, customer: CustomerName, limit: CustomerLimit, share: float
+    ) -> _Level:
+        self.apply_limit(customer, limit, share)
+        level = self._levels.get(customer)
+        if level is None:
+            level = self._levels[customer] = _Level(limit)
+        level.settle(self._pledges.find_accrued(find_slice(customer)), share)
+        return level
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -14,7 +14,14 @@
 
 from toucanyard.cbor_messages import decode_cbor
 from toucanyard.keyed_view import KeyedRecord, Topic
-from toucanyard.names import EndpointName, Fingerprint, NodeName, ReplicaId
+from toucanyard.limit_pledges import Pledge
+from toucanyard.names import (
+    CustomerName,
+    EndpointName,
+    Fingerprint,
+    NodeName,
+    ReplicaId,
+)
 
 SpanMs = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
 """A span of time, neither infinite nor no number: no reader could reckon with these."""
@@ -157,6 +164,8 @@
     """The newest lives of replicas that have started again lately."""
     crashes: tuple[ReplicaCrash, ...] = ()
     survivals: tuple[RequestSurvival, ...] = ()
+    pledge: Pledge | None = None
+    """To whom the sender's group gives its shares of limits; None if it doesn't say."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
@@ -170,7 +179,36 @@
     answer: StoreReadUpdate | None = None
 
 
-LinkMessage = NodeStatus | ViewRecords
+Credit = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+"""An amount in the unit of a limit, neither infinite nor no number."""
+
+
+class CreditAsk(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """A node needs credit of a customer's home; passed on by one hub at most."""
+
+    origin: NodeName
+    number: int
+    customer: CustomerName
+    wanted: Credit
+    least: Credit
+    """Cost of the first request; less is of no use."""
+    returned: Credit
+    """Credit of before that was not used."""
+
+
+class CreditAnswer(msgspec.Struct, frozen=True, array_like=True, tag="a"):
+    """A home's answer to a node that asked for credit."""
+
+    origin: NodeName
+    number: int
+    customer: CustomerName
+    granted: Credit
+    closed_ms: SpanMs
+    """Time until the home grants anything again; 0 if it does now."""
+    retry_ms: SpanMs
+
+
+LinkMessage = NodeStatus | ViewRecords | CreditAsk | CreditAnswer
 
 
 def encode_link_message(message: LinkMessage) -> bytes:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -10,11 +10,15 @@
 from collections.abc import Iterator
 from typing import Final
 
+from toucanyard.call_limits import CallLimits
 from toucanyard.call_placement import CallPlacement
 from toucanyard.crash_watch import Reach
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
+from toucanyard.limit_exchange import LimitExchange
 from toucanyard.link_messages import (
+    CreditAnswer,
+    CreditAsk,
     LinkMessage,
     NodeStatus,
     ViewRecords,
@@ -112,6 +116,7 @@
         self.guard = RequestGuard(
             self.directory, self.roster.find_rank, rng, options.policy.guard
         )
+        self.limits = CallLimits(options.limits, options.policy.limits)
         self.flow = RelayFlow(
             options.retries,
             options.policy,
@@ -119,6 +124,7 @@
             self.goals,
             calls,
             self.guard,
+            self.limits,
             rng,
         )
         self.facts = KnownFacts(
@@ -147,6 +153,15 @@
             self.goals,
             lambda now_ms: self.sources.list_stores(self.index, now_ms),
             options.link_mbps,
+            lambda: self.shares.pledge,
+        )
+        self.shares = LimitExchange(
+            self.roster,
+            self.limits,
+            self.statuses.count_group,
+            lambda: self.exchange.views[Topic.NODES].end > 0,
+            options.limits,
+            options.policy.limits.way,
         )
         self.reads = StoreReads(self.roster, self.exchange)
         self.topics = TopicIntake(
@@ -188,6 +203,8 @@
         actions = list(self._handle(event, now_ms))
         if self.guard.has_news():
             actions += self._settle_guard(now_ms)
+        if self.limits.accounts.has_questions():
+            actions += self._ask_for_credit(now_ms)
         return actions
 
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
@@ -244,6 +261,8 @@
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self._probe(now_ms)
         yield from self._tick_guard(now_ms)
+        if self.shares.tick(now_ms):
+            self.statuses.note_due()
         yield from self.flow.tick(now_ms)
         yield from self._tick_rollout(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
@@ -260,6 +279,11 @@
         if self.guard.take_urgent():
             yield from self._tell_soon(now_ms)
 
+    def _ask_for_credit(self, now_ms: float) -> Iterator[RelayAction]:
+        """Ask homes for credit; what this node grants itself is used at once."""
+        yield from self.shares.ask(now_ms)
+        yield from self.flow.retry_unpaid(now_ms)
+
     def _handle_quiet(self, event: QuietEvent, now_ms: float) -> None:
         """Handle an event that asks for nothing to be done now."""
         match event:
@@ -346,11 +370,17 @@
                 yield from self._read_status(sender, message, now_ms)
             case ViewRecords():
                 yield from self.topics.take_records(sender, message, now_ms)
+            case CreditAsk():
+                yield from self.shares.read_ask(sender, message, now_ms)
+            case CreditAnswer():
+                yield from self.shares.read_answer(message, now_ms)
 
     def _read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
         self.statuses.read(sender, status, now_ms)
+        if status.pledge is not None:
+            self.shares.read_pledge(sender, status.pledge, now_ms)
         self.flow.node_count = self.roster.count_nodes(now_ms)
         for store in status.stores:
             heard_ms = now_ms - store.heard_age_ms
@@ -364,6 +394,7 @@
         self.exchange.linked = tuple(names)
         self.roster.retain_linked(names)
         self.statuses.note_links(names)
+        self.shares.note_links(names, now_ms)
         for name in before - set(names):
             yield Note("peer_lost", {"peer": name})
         for name in set(names) - before:
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from toucanyard.call_limits import CallLimits, LimitRejection
 from toucanyard.call_placement import CallPlacement
 from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
@@ -18,7 +19,12 @@
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_options import RetryLimits
 from toucanyard.relay_policy import RelayPolicy
-from toucanyard.relay_requests import RelayOutcome, RelayReply, RelayRequest
+from toucanyard.relay_requests import (
+    RelayDispatch,
+    RelayOutcome,
+    RelayReply,
+    RelayRequest,
+)
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import Rejection, RequestGuard
 from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
@@ -50,9 +56,11 @@
         goals: WeightsGoals,
         calls: CallPlacement,
         guard: RequestGuard,
+        limits: CallLimits,
         rng: random.Random,
     ) -> None:
         self._guard = guard
+        self._limits = limits
         self._retries = retries
         self._policy = policy
         self._rng = rng
@@ -71,6 +79,7 @@
     def apply_index(self, index: RouteIndex) -> None:
         """Decide by this table from now on."""
         self._calls.index = index
+        self._limits.apply_index(index)
 
     def note_view(self, confirmed_ms: float) -> None:
         """Take in when the store last confirmed the list of replicas."""
@@ -98,8 +107,12 @@
         if rejection is not None:
             yield self._reject(pending, rejection, now_ms)
             return
-        if not self._queues.get(request.service):
-            dispatch = self._calls.place(pending, now_ms)
+        over = self._limits.check(pending, now_ms)
+        if over is not None:
+            yield self._reject_over(pending, over, now_ms)
+            return
+        if not pending.is_unpaid and not self._queues.get(request.service):
+            dispatch = self._place(pending, now_ms)
             if dispatch is not None:
                 yield RelayReply(request.request_id, dispatch)
                 return
@@ -147,11 +160,16 @@
             yield from self._give_up(pending, outcome, now_ms)
             return
         pending.replica = None
-        dispatch = self._calls.place(pending, now_ms)
+        over = self._limits.check(pending, now_ms)
+        if over is not None:
+            yield self._reject_over(pending, over, now_ms)
+            yield from self._finish(pending, now_ms)
+            return
+        dispatch = None if pending.is_unpaid else self._place(pending, now_ms)
         if dispatch is not None:
             yield RelayReply(outcome.request_id, dispatch)
             return
-        if pending.has_begun:
+        if pending.has_begun and not pending.is_unpaid:
             # Its caller may resume it elsewhere, which a silent wait would put off.
             yield from self._give_up(pending, outcome, now_ms)
             return
@@ -177,27 +195,49 @@
                 yield self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
             yield from self._drain(service, now_ms)
 
+    def retry_unpaid(self, now_ms: float) -> Iterator[RelayReply]:
+        """Send or refuse what waited for credit, now that answers may have come."""
+        for service, queue in self._queues.items():
+            if any(pending.is_unpaid for pending in queue):
+                yield from self._drain(service, now_ms)
+
     def _drain(self, service: ServiceName, now_ms: float) -> Iterator[RelayReply]:
         queue = self._queues.get(service)
         if not queue:
             return
         blocked = 0
         for pending in list(queue):
-            rejection = self._check_guard(pending, now_ms)
-            if rejection is not None:
+            reply = self._try_waiting(pending, now_ms)
+            if reply is not None:
                 queue.remove(pending)
                 pending.is_waiting = False
-                yield self._reject(pending, rejection, now_ms)
-                continue
-            dispatch = self._calls.place(pending, now_ms)
-            if dispatch is None:
+                yield reply
+            elif not pending.is_unpaid:
                 blocked += 1
                 if blocked >= MAX_BLOCKED:
                     return
-                continue
-            queue.remove(pending)
-            pending.is_waiting = False
-            yield RelayReply(pending.request.request_id, dispatch)
+
+    def _try_waiting(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
+        """Return the verdict on a call that waits; None if it has to wait on."""
+        rejection = self._check_guard(pending, now_ms)
+        if rejection is not None:
+            return self._reject(pending, rejection, now_ms)
+        over = self._limits.check(pending, now_ms)
+        if over is not None:
+            return self._reject_over(pending, over, now_ms)
+        dispatch = None if pending.is_unpaid else self._place(pending, now_ms)
+        if dispatch is not None:
+            return RelayReply(pending.request.request_id, dispatch)
+        if pending.has_begun and not pending.is_unpaid:
+            text = "no replica has room for the rest of the answer"
+            return self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
+        return None
+
+    def _place(self, pending: PendingCall, now_ms: float) -> RelayDispatch | None:
+        dispatch = self._calls.place(pending, now_ms)
+        if dispatch is not None:
+            self._limits.on_sent(pending)
+        return dispatch
 
     def _check_guard(self, pending: PendingCall, now_ms: float) -> Rejection | None:
         """Return why a call may not be sent now, and note how to place it if it may."""
@@ -224,6 +264,13 @@
             wait_ms=rejection.retry_after_ms,
         )
 
+    def _reject_over(
+        self, pending: PendingCall, over: LimitRejection, now_ms: float
+    ) -> RelayReply:
+        return self._refuse(
+            pending, ErrorKind.CUSTOMER_LIMIT, over.text, now_ms, wait_ms=over.retry_ms
+        )
+
     def _check_wait(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Refuse at once what would not be reached before its deadline."""
         request = pending.request
@@ -240,7 +287,9 @@
     def _compute_wait(self, pending: PendingCall, now_ms: float) -> float:
         request = pending.request
         queue = self._queues.get(request.service, [])
-        ahead = sum(each.rank() <= pending.rank() for each in queue)
+        ahead = sum(
+            each.rank() <= pending.rank() for each in queue if not each.is_unpaid
+        )
         return self._find_drain(request.service).compute_wait(ahead, now_ms)
 
     def _is_hopeless(self, pending: PendingCall, now_ms: float) -> bool:
@@ -263,7 +312,7 @@
         prompt = pending.request.prompt
         if prompt is not None and not outcome.has_begun:
             self.book.note_unread(outcome.replica, pending.scope, prompt.parts, now_ms)
-        self._note_sends(pending, outcome)
+        self._note_sends(pending, outcome, now_ms)
         self._guard.on_dispatch_ended(pending.request, outcome, pending.sent_ms, now_ms)
         if known is None:
             return
@@ -284,10 +333,14 @@
             case EndingSeen.REFUSED:
                 known.note_refusal(now_ms)
 
-    def _note_sends(self, pending: PendingCall, outcome: RelayOutcome) -> None:
+    def _note_sends(
+        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
+    ) -> None:
         if outcome.ending not in PROVED_NOT_RUN:
             pending.may_have_run = True
             pending.has_failed = outcome.ending is EndingSeen.FAILED
+        else:
+            self._limits.on_not_run(pending, now_ms)
         if outcome.ending is EndingSeen.NOT_SENT:
             # It reached nobody, so it is none of the attempts that a route allows.
             pending.sends -= 1
@@ -351,6 +404,7 @@
         """
         request = pending.request
         self._pending.pop(request.request_id, None)
+        self._limits.release(pending, now_ms)
         if pending.has_failed:
             # The replica's own answer is passed on; there is nothing to add.
             return RelayReply(request.request_id, None)
@@ -373,6 +427,7 @@
         """Free what a call held and send what fits now."""
         request = pending.request
         self._pending.pop(request.request_id, None)
+        self._limits.release(pending, now_ms)
         if pending.is_waiting:
             self._queues[request.service].remove(pending)
             pending.is_waiting = False
--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from toucanyard.customer_limits import LimitBounds
 from toucanyard.names import Address, DomainName, NodeName
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.replicas import DRAIN_MS
@@ -67,6 +68,7 @@
     """How long replicas run after they have left the list."""
     stop: StopTimings = StopTimings()
     max_descriptors: int = 4_000
+    limits: LimitBounds = LimitBounds()
     policy: RelayPolicy = RelayPolicy()
     link_mbps: float = 1_000.0
     """What the VM can send; in a large fleet those with the fastest links are hubs."""
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 
@@ -101,6 +103,28 @@
     """Whether nodes tell each other of crashes and of what was under way there."""
 
 
+class LimitWay(enum.StrEnum):
+    """How nodes keep a customer's limit together."""
+
+    POOLS = "pools"
+    """Homes give out credit from the shares of all nodes that they reach."""
+    EQUAL_SHARES = "equal_shares"
+    """Each node keeps to its own share and asks nobody."""
+    OFF = "off"
+
+
+class LimitPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """How customers' limits are kept."""
+
+    way: LimitWay = LimitWay.POOLS
+    max_wait_ms: float = 1_500.0
+    """How long a call may wait for credit that no home answers for. A link to a home
+    that is cut off is given up after 1.1 s."""
+    brief_wait_ms: float = 400.0
+    """How long a call may wait that is over its customer's limit. Two long prompts that
+    come together exceed a small burst; the rate makes up for it in a moment."""
+
+
 class RelayPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """All of them."""
 
@@ -109,3 +133,4 @@
     queue: QueuePolicy = QueuePolicy()
     rollout: RolloutPolicy = RolloutPolicy()
     guard: GuardPolicy = GuardPolicy()
+    limits: LimitPolicy = LimitPolicy()
--- a/packages/toucanyard/src/toucanyard/roster.py
+++ b/packages/toucanyard/src/toucanyard/roster.py
@@ -67,6 +67,11 @@
         self.plan = LinkPlan(own)
         self.is_ready = False
 
+    @property
+    def own_name(self) -> NodeName:
+        """Return the name of this node."""
+        return self._own.name
+
     def apply_seeds(self, seeds: Sequence[Address]) -> None:
         """Take over which addresses to try while their nodes are not known."""
         self._seeds = tuple(each for each in seeds if each != self._own.peers)
@@ -139,6 +144,10 @@
         """Tell whether another node was heard from, or of, lately."""
         return name in self._find_ready(now_ms)
 
+    def list_ready_linked(self) -> list[NodeName]:
+        """Return the linked nodes that said last that they take callers."""
+        return [name for name, heard in self._heard.items() if heard.is_ready]
+
     def list_heard(self, names: Iterable[NodeName], now_ms: float) -> list[NodeNews]:
         """Return those of some nodes that were heard from lately, and this one."""
         news = [NodeNews(self._own.name, self.is_ready)]
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from toucanyard.keyed_view import Topic
+from toucanyard.limit_pledges import Pledge
 from toucanyard.link_messages import (
     Coverage,
     GoalAge,
@@ -64,7 +65,9 @@
         goals: WeightsGoals,
         list_stores: Callable[[float], Iterable[StoreNews]],
         link_mbps: float,
+        find_pledge: Callable[[], Pledge | None] = lambda: None,
     ) -> None:
+        self._find_pledge = find_pledge
         self._roster = roster
         self._views = views
         self._uses = uses
@@ -93,6 +96,10 @@
         """Tell whether other nodes report to this one."""
         return bool(self._leaves)
 
+    def count_group(self) -> int:
+        """Return how many nodes this one reports for, itself included."""
+        return 1 + len(self._leaves)
+
     def note_links(self, names: Collection[NodeName]) -> None:
         """Take in which peers are linked now."""
         self._leaves.intersection_update(names)
@@ -235,6 +242,7 @@
             covers=Coverage.GROUP,
             uses=self._uses.report(),
             parts=self._reports.take(0, now_ms),
+            pledge=self._find_pledge(),
         )
         for name in self._views.linked:
             yield SendToPeer(name, status)
@@ -263,6 +271,7 @@
         primary = self._roster.find_primary()
         full_ms = self._find_full_interval()
         changes: dict[str, object] = {"parts": parts, "is_report": primary is not None}
+        changes["pledge"] = self._find_pledge()
         if _take_turn(self._nodes_ms, Audience.PEERS, NODES_MS, now_ms):
             nodes = self._roster.list_heard(sorted(self._leaves), now_ms)
             changes["nodes"] = tuple(nodes)
--- a/tests/toucanyard/limit_fleet.py
+++ b/tests/toucanyard/limit_fleet.py
@@ -10,11 +10,14 @@
 from collections import deque
 from collections.abc import Collection
 
+import msgspec
+
 from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import CustomerName, Fingerprint, NodeName, RequestId
 from toucanyard.part_book import Part
 from toucanyard.relay_events import CallArrived, PeersLinked
+from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.requests import Repeatability
 from toucanyard.routes import RoutedCustomer
@@ -50,6 +53,10 @@
         # Nodes know each other, and what the limit allows has been saved up.
         self.run_for(3_000.0)
 
+    def build_options(self, options: RelayOptions) -> RelayOptions:
+        built = super().build_options(options)
+        return msgspec.structs.replace(built, limits=BOUNDS)
+
     # Operators.
 
     def set_limit(
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from toucanyard.call_limits import CallLimits
 from toucanyard.call_placement import CallPlacement
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, Incarnation, NodeName, RequestId
@@ -73,6 +74,7 @@
             self.goals,
             calls,
             RequestGuard(self.directory, lambda *_: 0, rng),
+            CallLimits(OPTIONS.limits, OPTIONS.policy.limits),
             rng,
         )
         self.flow.apply_index(RouteIndex(build_table()))
