Let changed limits be in force at once, and prove limits by units and by any series of faults

Cause: a home settled a customer's level only at the next question, so what passed since a limit was raised was earned at the old rate; a node believed a denial for as long as the old limit said (6.3 s in the test). A call that waited had its timer set anew by each look, so one that no home answered for waited until its deadline.

Found by test_raised_limit_is_used_at_once (a call that one bucket lets in was refused) and test_call_is_told_when_no_home_answers. Ruled out for the first: shares that were missing (the home's share was 1.0, its level 18,000).

The change: levels are settled when a configuration comes, denials are believed for 0.5 s and dropped when a limit changes, waiting is counted from its begin.

--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -45,11 +45,14 @@
 
     def apply_index(self, index: RouteIndex) -> None:
         """Decide by this table from now on."""
-        self.index = index
+        before, self.index = self.index, index
         limited = {
             each.name for each in index.table.customers if each.limit is not None
         }
         self.accounts.retain(limited)
+        for name in limited:
+            if index.find_limit(name) != before.find_limit(name):
+                self.accounts.forget_denials(name)
 
     def check(self, pending: PendingCall, now_ms: float) -> LimitRejection | None:
         """Take credit for a call's next try; return why it may not have any.
@@ -63,7 +66,7 @@
             return None
         if pending.charge and now_ms < pending.charged_until_ms:
             return None
-        self.release(pending, now_ms)
+        self._give_back(pending, now_ms)
         cost = limit.compute_cost(request.tokens)
         if cost > limit.compute_capacity() + self._bounds.compute_max_debt(limit):
             return self._reject(
@@ -93,13 +96,17 @@
 
     def release(self, pending: PendingCall, now_ms: float) -> None:
         """Give back what a call has not used."""
-        customer = pending.request.customer
+        self._give_back(pending, now_ms)
+        if pending.is_unpaid:
+            request = pending.request
+            self.accounts.withdraw(request.request_id, request.customer)
+            pending.is_unpaid = False
+
+    def _give_back(self, pending: PendingCall, now_ms: float) -> None:
         if pending.charge:
+            customer = pending.request.customer
             self.accounts.give_back(customer, pending.charge, now_ms)
             pending.charge = 0.0
-        if pending.is_unpaid:
-            self.accounts.withdraw(pending.request.request_id, customer)
-            pending.is_unpaid = False
 
     def _wait(
         self, pending: PendingCall, limit: CustomerLimit, cost: float, now_ms: float
--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -22,6 +22,8 @@
 MIN_CLOSED_MS: Final = 25.0
 """Least time between a denial and the next question, which a flood would else ask for
 each of its requests."""
+MAX_CLOSED_MS: Final = 500.0
+"""Longest time for which a denial is believed: another node may be the home by then."""
 
 
 class CreditQuestion(msgspec.Struct, frozen=True):
@@ -119,6 +121,12 @@
             del self._accounts[customer]
             self._open.pop(customer, None)
 
+    def forget_denials(self, customer: CustomerName) -> None:
+        """Drop the denials of a customer whose limit has changed."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            account.closed_until_ms = float("-inf")
+
     def list_questions(self, now_ms: float) -> Iterator[CreditQuestion]:
         """Return what has to be asked now."""
         for customer in list(self._open):
@@ -149,7 +157,7 @@
         else:
             account.returned += grant.granted
         if not grant.granted:
-            closed_ms = max(grant.closed_ms, MIN_CLOSED_MS)
+            closed_ms = min(max(grant.closed_ms, MIN_CLOSED_MS), MAX_CLOSED_MS)
             account.closed_until_ms = now_ms + closed_ms
             account.retry_at_ms = now_ms + max(grant.retry_ms, closed_ms)
 
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -60,6 +60,8 @@
         self._reached_ms: float | None = None
         """When this node last had a hub; None before its first tick."""
         self._total = 1
+        self._version = 0
+        """Of the routes whose limits are in force here."""
         self.pledge: Pledge | None = None
         """What peers are told of this node's group."""
 
@@ -71,7 +73,12 @@
 
     def tick(self, now_ms: float) -> bool:
         """Bring pledges up to date; return whether peers should hear of it at once."""
-        if not self._calls.index.has_limits():
+        index = self._calls.index
+        if index.table.version != self._version:
+            self._version = index.table.version
+            self._settle(now_ms)
+            self._pool.apply_limits(index, self._compute_shares(now_ms))
+        if not index.has_limits():
             self.pledge = None
             return False
         before = self._homes
@@ -125,11 +132,7 @@
 
     def list_uses(self, now_ms: float) -> list[PoolUse]:
         """Return what this node knows of the customers of which it is the home."""
-        shares = [
-            self._pledges.compute_share(number, self._total, now_ms)
-            for number in range(SLICES)
-        ]
-        return self._pool.list_uses(shares)
+        return self._pool.list_uses(self._compute_shares(now_ms))
 
     def _answer(self, ask: CreditAsk, now_ms: float) -> CreditAnswer | None:
         """Return what a question is granted; None if nothing is pledged here."""
@@ -158,6 +161,12 @@
         grant = CreditGrant(answer.granted, answer.closed_ms, answer.retry_ms)
         self._calls.accounts.apply_grant(answer.customer, answer.number, grant, now_ms)
 
+    def _compute_shares(self, now_ms: float) -> list[float]:
+        return [
+            self._pledges.compute_share(number, self._total, now_ms)
+            for number in range(SLICES)
+        ]
+
     def _settle(self, now_ms: float) -> None:
         lost = self._pledges.settle(self._total, now_ms)
         if lost:
--- a/packages/toucanyard/src/toucanyard/limit_pool.py
+++ b/packages/toucanyard/src/toucanyard/limit_pool.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -15,6 +16,7 @@
 from toucanyard.customer_limits import CustomerLimit, LimitBounds
 from toucanyard.limit_pledges import PledgeBook, find_slice
 from toucanyard.names import CustomerName
+from toucanyard.routes import RouteIndex
 
 MAJORITY: Final = 0.5
 """Share above which no other home can have as much of the same limit."""
@@ -93,20 +95,20 @@
             if find_slice(name) not in lost
         }
 
-    def apply_limit(
-        self, customer: CustomerName, limit: CustomerLimit | None, share: float
-    ) -> None:
-        """Let a changed limit be in force; what was earned before is kept."""
-        level = self._levels.get(customer)
-        if level is None or level.limit == limit:
-            return
-        if limit is None or limit.unit is not level.limit.unit:
-            del self._levels[customer]
-            return
-        accrued_s = self._pledges.find_accrued(find_slice(customer))
-        level.settle(accrued_s, share)
-        level.limit = limit
-        level.value = min(level.value, limit.compute_capacity() * share)
+    def apply_limits(self, index: RouteIndex, shares: Sequence[float]) -> None:
+        """Let changed limits be in force; what was earned before is kept."""
+        for customer, level in list(self._levels.items()):
+            limit = index.find_limit(customer)
+            if limit == level.limit:
+                continue
+            if limit is None or limit.unit is not level.limit.unit:
+                del self._levels[customer]
+                continue
+            number = find_slice(customer)
+            level.settle(self._pledges.find_accrued(number), shares[number])
+            level.limit = limit
+            capacity = limit.compute_capacity() * shares[number]
+            level.value = min(level.value, capacity)
 
     def grant(
         self,
@@ -145,7 +147,7 @@
         level.value = min(level.value + credit, max(capacity, level.value))
         level.granted_total -= credit
 
-    def list_uses(self, shares: list[float]) -> list[PoolUse]:
+    def list_uses(self, shares: Sequence[float]) -> list[PoolUse]:
         """Return what is known of each customer."""
         return [
             PoolUse(
@@ -161,7 +163,6 @@
     def _find_level(
         self, customer: CustomerName, limit: CustomerLimit, share: float
     ) -> _Level:
-        self.apply_limit(customer, limit, share)
         level = self._levels.get(customer)
         if level is None:
             level = self._levels[customer] = _Level(limit)
--- a/tests/toucanyard/limit_fleet.py
+++ b/tests/toucanyard/limit_fleet.py
@@ -16,7 +16,7 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import CustomerName, Fingerprint, NodeName, RequestId
 from toucanyard.part_book import Part
-from toucanyard.relay_events import CallArrived, PeersLinked
+from toucanyard.relay_events import CallArrived, RelayEvent, TickPassed
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.requests import Repeatability
@@ -46,6 +46,12 @@
     ) -> None:
         self._cut_ms: float | None = None
         self._far_side: frozenset[NodeName] = frozenset()
+        self.frozen: set[NodeName] = set()
+        """Nodes that stand still; what is sent to them waits."""
+        self.muted: set[NodeName] = set()
+        """Nodes from which no message arrives, though they get all."""
+        self._held: list[tuple[NodeName, RelayEvent]] = []
+        self._frozen_ms: dict[NodeName, float] = {}
         self._version = 1
         super().__init__(domains, nodes_each, replicas=8)
         self.rng = random.Random(1)
@@ -87,6 +93,24 @@
         self._far_side = frozenset()
         self._cut_ms = None
 
+    def freeze(self, name: NodeName) -> None:
+        """Let a node stand still, as one whose VM is suspended."""
+        self.frozen.add(name)
+        self._frozen_ms[name] = self.now_ms
+
+    def thaw(self, name: NodeName) -> None:
+        """Let a node go on; what came meanwhile is read now."""
+        self.frozen.discard(name)
+        held, self._held = self._held, []
+        for receiver, event in held:
+            self.handle(receiver, event)
+
+    def handle(self, name: NodeName, event: RelayEvent) -> None:
+        if name not in self.frozen:
+            super().handle(name, event)
+        elif not isinstance(event, TickPassed):
+            self._held.append((name, event))
+
     def kill(self, names: Collection[NodeName]) -> None:
         """End some nodes and their calls; peers see the links close."""
         for call in self.calls:
@@ -103,26 +127,40 @@
         for name in names:
             self.restart(name)
 
-    def link(self) -> None:
-        super().link()
-        if self._cut_ms is None or self.now_ms - self._cut_ms < SILENCE_MS:
-            return
-        for name, others in self._linked.items():
-            side = name in self._far_side
-            near = {each for each in others if (each in self._far_side) is side}
-            if near != others and name not in self.dead:
-                peers = tuple(self.cores[each].identity for each in sorted(near))
-                self.handle(name, PeersLinked(peers))
+    def find_wanted(self) -> dict[NodeName, set[NodeName]]:
+        """Return the links that stand: none over a silence that has been seen."""
+        found = super().find_wanted()
+        is_cut = self._cut_ms is not None and self.now_ms - self._cut_ms >= SILENCE_MS
+        silent = {
+            name
+            for name in self.frozen
+            if self.now_ms - self._frozen_ms[name] >= SILENCE_MS
+        }
+        for name, others in found.items():
+            if is_cut:
+                side = name in self._far_side
+                others &= {o for o in others if (o in self._far_side) is side}
+            others -= silent if name not in silent else set(others)
+        return found
 
     def _deliver(self) -> None:
-        if self._far_side:
-            self._on_the_way = [
-                each
-                for each in self._on_the_way
-                if (each[1] in self._far_side) is (each[2] in self._far_side)
-            ]
+        self._on_the_way = [
+            each
+            for each in self._on_the_way
+            if (each[1] in self._far_side) is (each[2] in self._far_side)
+            and each[1] not in self.muted
+        ]
         super()._deliver()
 
+    def find_homes(self) -> set[NodeName]:
+        """Return the nodes that give out credit of the large customer."""
+        return {
+            name
+            for name, core in self.cores.items()
+            if name not in self.dead
+            and any(use.share for use in core.shares.list_uses(self.now_ms))
+        }
+
     # Callers.
 
     def ask(self, node: NodeName, customer: CustomerName, tokens: int) -> Call:
@@ -200,3 +238,18 @@
 def count_refused(calls: Collection[Call]) -> int:
     """Return how many calls were refused."""
     return sum(call.ending == "refused" for call in calls)
+
+
+def list_owed(calls: Collection[Call], limit: CustomerLimit) -> list[Call]:
+    """Return the calls that one bucket with this rate and burst lets in."""
+    level, before_ms = limit.burst, float("inf")
+    owed = []
+    for call in calls:
+        now_ms = call.request.arrived_ms
+        earned = max(now_ms - before_ms, 0.0) / 1_000 * limit.rate_per_s
+        level, before_ms = min(level + earned, limit.burst), now_ms
+        cost = limit.compute_cost(call.request.tokens)
+        if cost <= level:
+            level -= cost
+            owed.append(call)
+    return owed
--- a/tests/toucanyard/relay_fleet.py
+++ b/tests/toucanyard/relay_fleet.py
@@ -138,6 +138,17 @@
 
     def link(self) -> None:
         """Link each two nodes of which one wants it."""
+        found = self.find_wanted()
+        alive = [each for each in self.cores.items() if each[0] not in self.dead]
+        for name, _ in alive:
+            if found[name] != self._linked.get(name):
+                peers = sorted(found[name])
+                linked = PeersLinked(tuple(self.cores[each].identity for each in peers))
+                self.handle(name, linked)
+        self._linked = found
+
+    def find_wanted(self) -> dict[NodeName, set[NodeName]]:
+        """Return the links that at least one end wants."""
         found: dict[NodeName, set[NodeName]] = {name: set() for name in self.cores}
         alive = [each for each in self.cores.items() if each[0] not in self.dead]
         for name, core in alive:
@@ -146,12 +157,7 @@
                 if other not in self.dead:
                     found[name].add(other)
                     found[other].add(name)
-        for name, _ in alive:
-            if found[name] != self._linked.get(name):
-                peers = sorted(found[name])
-                linked = PeersLinked(tuple(self.cores[each].identity for each in peers))
-                self.handle(name, linked)
-        self._linked = found
+        return found
 
     def handle(self, name: NodeName, event: RelayEvent) -> None:
         if name in self.dead:
--- /dev/null
+++ b/tests/toucanyard/test_call_limits.py
@@ -0,0 +1,149 @@
+from __future__ import annotations
+
+import pytest
+
+from toucanyard.call_limits import CallLimits, LimitRejection
+from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
+from toucanyard.limit_credits import CREDIT_TTL_MS
+from toucanyard.limit_pool import CreditGrant
+from toucanyard.names import CustomerName
+from toucanyard.pending_call import PendingCall
+from toucanyard.relay_policy import LimitPolicy, LimitWay
+from toucanyard.routes import RoutedCustomer, RouteIndex
+
+from .relay_examples import build_request, build_table
+
+CUSTOMER = CustomerName("c")
+LIMIT = CustomerLimit(10_000.0, 10_000.0, LimitUnit.TOKENS, 200.0)
+BOUNDS = LimitBounds(8_000.0, 0.1, 60_000.0)
+POLICY = LimitPolicy()
+
+
+def build_limits(
+    limit: CustomerLimit | None = LIMIT, policy: LimitPolicy = POLICY
+) -> CallLimits:
+    limits = CallLimits(BOUNDS, policy)
+    customers = (RoutedCustomer(CUSTOMER, ("key",), limit=limit),)
+    limits.apply_index(RouteIndex(build_table(customers=customers)))
+    return limits
+
+
+def build_call(tokens: int | None = 900, number: int = 1) -> PendingCall:
+    return PendingCall(build_request(f"r{number}", tokens=tokens))
+
+
+def answer(limits: CallLimits, grant: CreditGrant, now_ms: float) -> float:
+    """Answer the one question that is open, and return what was wanted."""
+    (question,) = limits.accounts.list_questions(now_ms)
+    limits.accounts.apply_grant(CUSTOMER, question.number, grant, now_ms)
+    return question.wanted
+
+
+def pay(limits: CallLimits, call: PendingCall, now_ms: float = 0.0) -> None:
+    assert limits.check(call, now_ms) is None
+    answer(limits, CreditGrant(900.0, 0.0, 0.0), now_ms)
+    assert limits.check(call, now_ms) is None
+    assert not call.is_unpaid
+
+
+def deny(limits: CallLimits, retry_ms: float, now_ms: float = 0.0) -> None:
+    answer(limits, CreditGrant(0.0, retry_ms, retry_ms), now_ms)
+
+
+def test_customer_without_a_limit_asks_nobody() -> None:
+    limits, call = build_limits(None), build_call()
+    assert limits.check(call, 0.0) is None
+    assert not call.is_unpaid
+    assert not limits.accounts.has_questions()
+
+
+def test_call_waits_for_credit_before_it_is_sent() -> None:
+    limits, call = build_limits(), build_call()
+    assert limits.check(call, 0.0) is None
+    assert call.is_unpaid
+    pay(limits, call)
+
+
+def test_call_without_tokens_costs_what_the_limit_says() -> None:
+    limits, call = build_limits(), build_call(None)
+    limits.check(call, 0.0)
+    assert answer(limits, CreditGrant(200.0, 0.0, 0.0), 0.0) == 200.0
+
+
+def test_second_try_that_may_run_costs_again() -> None:
+    """Guards against retries that a limit doesn't see."""
+    limits, call = build_limits(), build_call()
+    pay(limits, call)
+    limits.on_sent(call)
+    assert limits.check(call, 10.0) is None
+    assert call.is_unpaid
+
+
+def test_try_that_did_not_run_costs_nothing() -> None:
+    """Guards against replicas that turn calls away and use up their callers' limits."""
+    limits, call = build_limits(), build_call()
+    pay(limits, call)
+    limits.on_sent(call)
+    limits.on_not_run(call, 10.0)
+    assert limits.check(call, 10.0) is None
+    assert not call.is_unpaid
+
+
+def test_credit_of_a_call_that_ends_unsent_goes_back() -> None:
+    limits, call, next_call = build_limits(), build_call(), build_call(number=2)
+    pay(limits, call)
+    limits.release(call, 10.0)
+    limits.check(next_call, 10.0)
+    (question,) = limits.accounts.list_questions(10.0)
+    assert question.returned == 900.0
+
+
+def test_call_that_waits_long_for_a_replica_pays_anew() -> None:
+    """Guards against a queue whose credit of many windows runs in one."""
+    limits, call = build_limits(), build_call()
+    pay(limits, call)
+    assert limits.check(call, CREDIT_TTL_MS) is None
+    assert call.is_unpaid
+
+
+def test_call_far_over_the_limit_is_rejected_at_once() -> None:
+    limits, call = build_limits(), build_call()
+    limits.check(call, 0.0)
+    deny(limits, 2_000.0)
+    rejection = limits.check(call, 0.0)
+    assert isinstance(rejection, LimitRejection)
+    assert rejection.retry_ms == 2_000.0
+    assert "c is over its limit of 10000 tokens a second" in rejection.text
+
+
+def test_call_just_over_the_limit_waits_for_its_turn() -> None:
+    """Guards against refusing the second of two long prompts that come together."""
+    limits, call = build_limits(), build_call()
+    limits.check(call, 0.0)
+    deny(limits, 100.0)
+    assert limits.check(call, 0.0) is None
+    assert limits.check(call, 199.0) is None
+    deny(limits, 100.0, 199.0)
+    assert limits.check(call, 201.0) is not None
+
+
+def test_call_is_told_when_no_home_answers() -> None:
+    """Guards against calls that wait for a home until their time is over."""
+    limits, call = build_limits(), build_call()
+    limits.check(call, 0.0)
+    assert limits.check(call, POLICY.max_wait_ms) is None
+    assert limits.check(call, POLICY.max_wait_ms + 1.0) is not None
+
+
+def test_limits_that_are_switched_off_stop_nothing() -> None:
+    limits = build_limits(policy=LimitPolicy(way=LimitWay.OFF))
+    call = build_call(1_000_000)
+    assert limits.check(call, 0.0) is None
+    assert not call.is_unpaid
+
+
+@pytest.mark.parametrize("tokens", [50_000, 10**9])
+def test_request_beyond_burst_and_margin_is_never_let_in(tokens: int) -> None:
+    rejection = build_limits().check(build_call(tokens), 0.0)
+    assert rejection is not None
+    assert "more than the limit ever allows" in rejection.text
--- /dev/null
+++ b/tests/toucanyard/test_customer_limits.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import pytest
+
+from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
+
+TOKENS = CustomerLimit(18_000.0, 9_000.0, LimitUnit.TOKENS, 200.0)
+REQUESTS = CustomerLimit(5.0, 0.0)
+BOUNDS = LimitBounds(8_000.0, 0.1, 72_000.0)
+
+
+@pytest.mark.parametrize(
+    ("limit", "tokens", "cost"),
+    [(TOKENS, 1_540, 1_540.0), (TOKENS, None, 200.0), (REQUESTS, 1_540, 1.0)],
+)
+def test_cost_of_a_request(
+    limit: CustomerLimit, tokens: int | None, cost: float
+) -> None:
+    assert limit.compute_cost(tokens) == cost
+
+
+def test_one_request_may_be_saved_up_without_a_burst() -> None:
+    """Guards against a limit whose callers are never served."""
+    assert REQUESTS.compute_capacity() == 1.0
+
+
+def test_debt_is_a_part_of_what_the_bound_leaves() -> None:
+    allowed = 18_000.0 * 8 + 9_000.0
+    assert BOUNDS.compute_bound(TOKENS) == pytest.approx(allowed * 1.1 + 72_000.0)
+    debt = BOUNDS.compute_max_debt(TOKENS)
+    assert 0 < debt * 2 < BOUNDS.compute_bound(TOKENS) - allowed
--- a/tests/toucanyard/test_customer_limits_over_nodes.py
+++ b/tests/toucanyard/test_customer_limits_over_nodes.py
@@ -5,6 +5,9 @@
 import msgspec
 import pytest
 
+from toucanyard.call_limits import NEVER_RETRY_MS
+from toucanyard.errorcodes import Ending, ErrorKind
+
 from .limit_fleet import (
     BOUNDS,
     LIMIT,
@@ -12,6 +15,7 @@
     USUAL_TOKENS_PER_S,
     LimitFleet,
     count_refused,
+    list_owed,
 )
 
 FLOOD_TOKENS_PER_S = 10 * USUAL_TOKENS_PER_S
@@ -96,3 +100,106 @@
     fleet.run_for(2_000.0)
     others = [call for call in calls if call.request.customer == OTHER]
     assert {call.ending for call in others} == {"completed"}
+
+
+@FEW
+def test_flood_runs_within_the_limit_while_homes_die_in_turn(nodes_each: int) -> None:
+    """Guards against homes that each begin with the whole burst saved up."""
+    fleet = LimitFleet(3, nodes_each)
+    fleet.play(2_000.0, FLOOD_TOKENS_PER_S)
+    for _ in range(4):
+        homes = fleet.find_homes()
+        fleet.kill(homes)
+        fleet.play(1_000.0, FLOOD_TOKENS_PER_S)
+        fleet.start_again(homes)
+        fleet.play(1_000.0, FLOOD_TOKENS_PER_S)
+    assert fleet.find_worst_use() <= BOUND
+
+
+@FEW
+def test_home_that_stood_still_gives_out_nothing_of_before(nodes_each: int) -> None:
+    """Guards against a home that wakes up and lends what others have lent since."""
+    fleet = LimitFleet(3, nodes_each)
+    fleet.play(2_000.0, FLOOD_TOKENS_PER_S)
+    (home, *_) = sorted(fleet.find_homes())
+    fleet.freeze(home)
+    fleet.play(4_000.0, FLOOD_TOKENS_PER_S)
+    fleet.thaw(home)
+    fleet.play(4_000.0, FLOOD_TOKENS_PER_S)
+    assert fleet.find_worst_use() <= BOUND
+
+
+@FEW
+def test_home_that_is_heard_by_nobody_adds_nothing(nodes_each: int) -> None:
+    """Guards against counting pledges of groups that have gone on to another home."""
+    fleet = LimitFleet(3, nodes_each)
+    fleet.play(2_000.0, FLOOD_TOKENS_PER_S)
+    fleet.muted.update(fleet.find_homes())
+    fleet.play(6_000.0, FLOOD_TOKENS_PER_S)
+    fleet.muted.clear()
+    fleet.play(4_000.0, FLOOD_TOKENS_PER_S)
+    assert fleet.find_worst_use() <= BOUND
+
+
+@FEW
+def test_callers_of_the_larger_side_of_a_cut_are_served(nodes_each: int) -> None:
+    """Guards against a limit that nobody may use while some nodes are away."""
+    fleet = LimitFleet(3, nodes_each)
+    names = list(fleet.cores)
+    fleet.cut_apart(names[: len(names) // 4])
+    fleet.run_for(3_000.0)
+    begun_ms = fleet.now_ms
+    fleet.play(6_000.0, USUAL_TOKENS_PER_S / 2)
+    fleet.run_for(1_000.0)
+    near = set(names[len(names) // 4 :])
+    calls = [c for c in fleet.calls if c.request.arrived_ms >= begun_ms]
+    served = [c.ending == "completed" for c in calls if c.node in near]
+    assert all(served)
+
+
+@FEW
+def test_raised_limit_is_used_at_once(nodes_each: int) -> None:
+    """Guards against going on with a limit that is no longer in force."""
+    low = msgspec.structs.replace(LIMIT, rate_per_s=1_000.0, burst=1_000.0)
+    fleet = LimitFleet(3, nodes_each, low)
+    fleet.play(2_000.0, USUAL_TOKENS_PER_S)
+    fleet.set_limit(LIMIT)
+    fleet.run_for(1_500.0)
+    calls = fleet.play(2_000.0, USUAL_TOKENS_PER_S)
+    fleet.run_for(1_500.0)
+    assert count_refused(list_owed(calls, LIMIT)) == 0
+
+
+def test_limit_that_is_taken_away_stops_nobody() -> None:
+    """Guards against calls that wait for credit of a limit that is gone."""
+    fleet = LimitFleet(3, 3, msgspec.structs.replace(LIMIT, rate_per_s=1.0, burst=1.0))
+    fleet.play(1_000.0, USUAL_TOKENS_PER_S)
+    fleet.set_limit(None)
+    calls = fleet.play(2_000.0, FLOOD_TOKENS_PER_S)
+    fleet.run_for(1_500.0)
+    assert {call.ending for call in calls} == {"completed"}
+
+
+def test_call_beyond_all_that_a_limit_allows_is_told_so_at_once() -> None:
+    """Guards against a call that waits for credit that never suffices."""
+    fleet = LimitFleet(3, 3)
+    call = fleet.ask(next(iter(fleet.cores)), OTHER, 80_000)
+    assert call.refusal is not None
+    assert call.refusal.kind is ErrorKind.CUSTOMER_LIMIT
+    assert call.refusal.ending is Ending.NOT_RUN
+    assert call.refusal.retry_after_ms >= NEVER_RETRY_MS
+
+
+@FEW
+def test_calls_over_the_limit_are_answered_soon_and_spread(nodes_each: int) -> None:
+    """Guards against a flood that waits in queues, and that comes back as one."""
+    fleet = LimitFleet(3, nodes_each)
+    fleet.play(3_000.0, FLOOD_TOKENS_PER_S)
+    calls = fleet.play(2_000.0, FLOOD_TOKENS_PER_S)
+    fleet.run_for(1_000.0)
+    refused = [call for call in calls if call.refusal is not None]
+    waits_ms = [call.ended_ms - call.request.arrived_ms for call in refused]
+    assert max(waits_ms) <= 600.0
+    retries_ms = {call.refusal.retry_after_ms for call in refused if call.refusal}
+    assert len(retries_ms) > len(refused) / 4
+    assert min(retries_ms) > 0
