Tell operators of limits: changes, homes, use and denials

Log lines limit_changed and limit_homes_changed (bounded), the home's word and its age in the reason of a refusal, metrics of homes for 50 customers, the most denied first. Messages of peers on credit and pledges are fuzzed with all others: no exception was found.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -23,6 +23,8 @@
 HIGHEST_MS: Final = 600_000
 MAX_QUARANTINED: Final = 50
 """Requests under quarantine with a line of their own."""
+MAX_LIMITED: Final = 50
+"""Customers with limits that have lines of their own."""
 DIGITS: Final = 1
 """Values are told apart by 6% or less."""
 QUANTILES: Final = (50.0, 95.0, 99.0)
@@ -133,6 +135,7 @@
         yield _format("replicas_listed", listed, service=service.name)
         yield _format("replicas_usable", usable, service=service.name)
     yield from _render_quarantine(core)
+    yield from _render_limits(core, now_ms)
 
 
 def _render_quarantine(core: RelayCore) -> Iterator[str]:
@@ -150,6 +153,21 @@
         )
 
 
+def _render_limits(core: RelayCore, now_ms: float) -> Iterator[str]:
+    """Render the limits of which this node is the home, the most denied first."""
+    yield _format("limit_rejections_total", core.limits.rejected)
+    yield _format("limit_questions_total", core.limits.accounts.asked)
+    uses = core.shares.list_uses(now_ms)
+    uses.sort(key=lambda each: (-each.denied_total, each.customer))
+    for use in uses[:MAX_LIMITED]:
+        labels = {"customer": str(use.customer)}
+        yield _format("limit_rate_per_s", use.rate_per_s, **labels)
+        yield _format("limit_share", round(use.share, 3), **labels)
+        yield _format("limit_level", round(use.level), **labels)
+        yield _format("limit_granted_total", round(use.granted_total), **labels)
+        yield _format("limit_denied_total", round(use.denied_total), **labels)
+
+
 def _record(
     histograms: dict[Group, HdrHistogram], group: Group, value_ms: float
 ) -> None:
--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -116,13 +116,13 @@
             pending.is_unpaid = True
             pending.is_denied = False
             pending.unpaid_until_ms = now_ms + self._policy.max_wait_ms
-        closed = self.accounts.find_closed(customer, now_ms)
-        if closed is None:
+        denial = self.accounts.find_denial(customer, now_ms)
+        if denial is None:
             if now_ms <= pending.unpaid_until_ms:
                 return None
             text = "no node answered for the customer's limit"
             return self._reject(text, UNKNOWN_RETRY_MS)
-        closed_ms, retry_ms = closed
+        retry_ms = denial.retry_ms
         if not pending.is_denied and retry_ms <= self._policy.brief_wait_ms:
             pending.is_denied = True
             pending.unpaid_until_ms = now_ms + retry_ms + BRIEF_GRACE_MS
@@ -130,7 +130,8 @@
             return None
         text = (
             f"customer {customer} is over its limit of {limit.rate_per_s:.0f} "
-            f"{limit.unit.value} a second for {closed_ms:.0f} ms; it costs {cost:.0f}"
+            f"{limit.unit.value} a second, as its home said {denial.age_ms:.0f} ms "
+            f"ago; the request costs {cost:.0f}"
         )
         return self._reject(text, retry_ms)
 
--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -38,12 +38,23 @@
     """Credit of before that was not used."""
 
 
+class Denial(msgspec.Struct, frozen=True):
+    """What a customer's home said when it granted nothing."""
+
+    closed_ms: float
+    """Time until it is asked again."""
+    retry_ms: float
+    """Time until it may grant something, behind all that it denied before."""
+    age_ms: float
+
+
 class _Account:
     __slots__ = (
         "asked",
         "asked_ms",
         "closed_until_ms",
         "credit",
+        "denied_ms",
         "retry_at_ms",
         "returned",
         "until_ms",
@@ -61,19 +72,21 @@
         """Cost of requests that wait for credit, in order of arrival."""
         self.returned = 0.0
         self.closed_until_ms = float("-inf")
+        self.denied_ms = float("-inf")
         self.retry_at_ms = float("-inf")
 
 
 class CreditAccounts:
     """Credit by customer. Invariant: what is taken was granted before, and once."""
 
-    __slots__ = ("_accounts", "_next", "_open")
+    __slots__ = ("_accounts", "_open", "asked")
 
     def __init__(self) -> None:
         self._accounts: dict[CustomerName, _Account] = {}
         self._open: dict[CustomerName, None] = {}
         """Customers with requests that wait for credit."""
-        self._next = 0
+        self.asked = 0
+        """Questions so far; the number of the last one."""
 
     def take(
         self, request_id: RequestId, customer: CustomerName, cost: float, now_ms: float
@@ -88,18 +101,14 @@
         self._open[customer] = None
         return None
 
-    def find_closed(
-        self, customer: CustomerName, now_ms: float
-    ) -> tuple[float, float] | None:
-        """Return for how long the customer's home grants nothing, and when to retry.
-
-        None if the home may grant something now.
-        """
+    def find_denial(self, customer: CustomerName, now_ms: float) -> Denial | None:
+        """Return the denial that still holds; None if the home may grant now."""
         account = self._accounts.get(customer)
         if account is None or account.closed_until_ms <= now_ms:
             return None
         closed_ms = account.closed_until_ms - now_ms
-        return closed_ms, max(account.retry_at_ms - now_ms, closed_ms)
+        retry_ms = max(account.retry_at_ms - now_ms, closed_ms)
+        return Denial(closed_ms, retry_ms, now_ms - account.denied_ms)
 
     def withdraw(self, request_id: RequestId, customer: CustomerName) -> None:
         """Let a request no longer wait for credit."""
@@ -158,24 +167,25 @@
             account.returned += grant.granted
         if not grant.granted:
             closed_ms = min(max(grant.closed_ms, MIN_CLOSED_MS), MAX_CLOSED_MS)
+            account.denied_ms = now_ms
             account.closed_until_ms = now_ms + closed_ms
             account.retry_at_ms = now_ms + max(grant.retry_ms, closed_ms)
 
     def _ask(
         self, customer: CustomerName, account: _Account, now_ms: float
     ) -> CreditQuestion:
-        self._next += 1
+        self.asked += 1
         account.asked = {
             number: asked_ms
             for number, asked_ms in account.asked.items()
             if now_ms - asked_ms < CREDIT_TTL_MS
         }
-        account.asked[self._next] = account.asked_ms = now_ms
+        account.asked[self.asked] = account.asked_ms = now_ms
         returned, account.returned = account.returned, 0.0
         wanted = sum(account.waiting.values())
         least = next(iter(account.waiting.values()))
         return CreditQuestion(
-            self._next,
+            self.asked,
             customer,
             max(wanted - account.credit, 0.0),
             max(least - account.credit, 0.0),
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from toucanyard.call_limits import CallLimits
-from toucanyard.customer_limits import LimitBounds
+from toucanyard.customer_limits import CustomerLimit, LimitBounds
 from toucanyard.limit_pledges import (
     SLICES,
     Pledge,
@@ -21,7 +21,8 @@
 from toucanyard.limit_pool import CreditGrant, LimitPool, PoolUse
 from toucanyard.link_messages import CreditAnswer, CreditAsk
 from toucanyard.names import CustomerName, NodeName
-from toucanyard.relay_events import SendToPeer
+from toucanyard.note_limit import NoteLimit
+from toucanyard.relay_events import Note, SendToPeer
 from toucanyard.relay_policy import LimitWay
 from toucanyard.roster import Roster
 
@@ -64,6 +65,8 @@
         """Of the routes whose limits are in force here."""
         self.pledge: Pledge | None = None
         """What peers are told of this node's group."""
+        self._changes = NoteLimit("limit_changed")
+        self._limits: dict[CustomerName, CustomerLimit] = {}
 
     def note_links(self, names: Collection[NodeName], now_ms: float) -> None:
         """Take in which peers are linked now."""
@@ -71,19 +74,20 @@
         self._pledges.retain(names)
         self._update(now_ms)
 
-    def tick(self, now_ms: float) -> bool:
-        """Bring pledges up to date; return whether peers should hear of it at once."""
+    def tick(self, now_ms: float) -> Iterator[Note]:
+        """Bring limits and pledges up to date; return what has changed."""
         index = self._calls.index
         if index.table.version != self._version:
             self._version = index.table.version
-            self._settle(now_ms)
-            self._pool.apply_limits(index, self._compute_shares(now_ms))
-        if not index.has_limits():
+            yield from self._apply_limits(now_ms)
+        if not self._limits:
             self.pledge = None
-            return False
+            return
         before = self._homes
         self._update(now_ms)
-        return self._homes != before
+        if self._homes != before:
+            fields = {"homes": ",".join(self._homes), "nodes": self._total}
+            yield Note("limit_homes_changed", fields)
 
     def read_pledge(self, sender: NodeName, pledge: Pledge, now_ms: float) -> None:
         """Take in to whom a peer's group gives its shares."""
@@ -130,6 +134,10 @@
         elif answer.origin in self._linked:
             yield SendToPeer(answer.origin, answer)
 
+    def list_homes(self) -> tuple[NodeName, ...]:
+        """Return the home of each slice, as this node pledges its group's shares."""
+        return self._homes
+
     def list_uses(self, now_ms: float) -> list[PoolUse]:
         """Return what this node knows of the customers of which it is the home."""
         return self._pool.list_uses(self._compute_shares(now_ms))
@@ -161,6 +169,25 @@
         grant = CreditGrant(answer.granted, answer.closed_ms, answer.retry_ms)
         self._calls.accounts.apply_grant(answer.customer, answer.number, grant, now_ms)
 
+    def _apply_limits(self, now_ms: float) -> Iterator[Note]:
+        self._settle(now_ms)
+        index = self._calls.index
+        self._pool.apply_limits(index, self._compute_shares(now_ms))
+        before, self._limits = self._limits, index.list_limits()
+        for customer in sorted(before.keys() | self._limits.keys()):
+            old, new = before.get(customer), self._limits.get(customer)
+            if old == new:
+                continue
+            fields: dict[str, object] = {
+                "customer": customer,
+                "rate_per_s": 0.0 if new is None else new.rate_per_s,
+                "burst": 0.0 if new is None else new.burst,
+                "unit": "" if new is None else new.unit.value,
+                "before_per_s": 0.0 if old is None else old.rate_per_s,
+                "version": self._version,
+            }
+            yield from self._changes.note(fields, now_ms)
+
     def _compute_shares(self, now_ms: float) -> list[float]:
         return [
             self._pledges.compute_share(number, self._total, now_ms)
--- a/packages/toucanyard/src/toucanyard/limit_pool.py
+++ b/packages/toucanyard/src/toucanyard/limit_pool.py
@@ -38,7 +38,9 @@
     """What a home knows of one customer, for operators."""
 
     customer: CustomerName
+    rate_per_s: float
     level: float
+    """What may run now; negative while something is owed."""
     share: float
     granted_total: float
     denied_total: float
@@ -152,6 +154,7 @@
         return [
             PoolUse(
                 name,
+                level.limit.rate_per_s,
                 level.value,
                 shares[find_slice(name)],
                 level.granted_total,
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -261,8 +261,7 @@
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self._probe(now_ms)
         yield from self._tick_guard(now_ms)
-        if self.shares.tick(now_ms):
-            self.statuses.note_due()
+        yield from self._tick_limits(now_ms)
         yield from self.flow.tick(now_ms)
         yield from self._tick_rollout(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
@@ -279,6 +278,13 @@
         if self.guard.take_urgent():
             yield from self._tell_soon(now_ms)
 
+    def _tick_limits(self, now_ms: float) -> Iterator[RelayAction]:
+        homes = self.shares.list_homes()
+        yield from self.shares.tick(now_ms)
+        if self.shares.list_homes() != homes:
+            # A home gives out nothing before it is told what is pledged to it.
+            self.statuses.note_due()
+
     def _ask_for_credit(self, now_ms: float) -> Iterator[RelayAction]:
         """Ask homes for credit; what this node grants itself is used at once."""
         yield from self.shares.ask(now_ms)
--- a/packages/toucanyard/src/toucanyard/routes.py
+++ b/packages/toucanyard/src/toucanyard/routes.py
@@ -149,9 +149,9 @@
         """Return what a customer may send; None if it has no limit."""
         return self._limits.get(name)
 
-    def has_limits(self) -> bool:
-        """Tell whether any customer has a limit."""
-        return bool(self._limits)
+    def list_limits(self) -> dict[CustomerName, CustomerLimit]:
+        """Return the limits of all customers that have one."""
+        return dict(self._limits)
 
     def has_customers(self) -> bool:
         """Tell whether calls have to bring a key."""
--- a/tests/toucanyard/limit_fleet.py
+++ b/tests/toucanyard/limit_fleet.py
@@ -16,7 +16,13 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import CustomerName, Fingerprint, NodeName, RequestId
 from toucanyard.part_book import Part
-from toucanyard.relay_events import CallArrived, RelayEvent, TickPassed
+from toucanyard.relay_events import (
+    CallArrived,
+    Note,
+    RelayAction,
+    RelayEvent,
+    TickPassed,
+)
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.requests import Repeatability
@@ -105,6 +111,12 @@
         for receiver, event in held:
             self.handle(receiver, event)
 
+    def _carry_out(self, name: NodeName, action: RelayAction) -> None:
+        if isinstance(action, Note):
+            self.notes.append((name, action))
+        else:
+            super()._carry_out(name, action)
+
     def handle(self, name: NodeName, event: RelayEvent) -> None:
         if name not in self.frozen:
             super().handle(name, event)
--- a/tests/toucanyard/test_customer_limits_over_nodes.py
+++ b/tests/toucanyard/test_customer_limits_over_nodes.py
@@ -10,6 +10,7 @@
 
 from .limit_fleet import (
     BOUNDS,
+    LARGE,
     LIMIT,
     OTHER,
     USUAL_TOKENS_PER_S,
@@ -203,3 +204,30 @@
     retries_ms = {call.refusal.retry_after_ms for call in refused if call.refusal}
     assert len(retries_ms) > len(refused) / 4
     assert min(retries_ms) > 0
+
+
+def test_log_tells_of_changed_limits_and_homes() -> None:
+    """Guards against limits that nobody can tell to be in force."""
+    fleet = LimitFleet(3, 3)
+    fleet.set_limit(msgspec.structs.replace(LIMIT, rate_per_s=5_000.0))
+    fleet.notes.clear()
+    fleet.run_for(500.0)
+    changed = [n for _, n in fleet.notes if n.event == "limit_changed"]
+    assert {note.fields["before_per_s"] for note in changed} == {18_000.0}
+    assert {note.fields["rate_per_s"] for note in changed} == {5_000.0}
+    assert len(changed) == 2 * len(fleet.cores)
+
+
+def test_home_tells_operators_of_use_and_denials() -> None:
+    fleet = LimitFleet(3, 3)
+    fleet.play(3_000.0, FLOOD_TOKENS_PER_S)
+    uses = [
+        use
+        for core in fleet.cores.values()
+        for use in core.shares.list_uses(fleet.now_ms)
+        if use.customer == LARGE
+    ]
+    assert len(uses) == 1
+    assert uses[0].share == 1.0
+    assert uses[0].rate_per_s == LIMIT.rate_per_s
+    assert 0 < uses[0].granted_total < uses[0].denied_total
--- a/tests/toucanyard/test_hostile_messages.py
+++ b/tests/toucanyard/test_hostile_messages.py
@@ -10,8 +10,12 @@
 from hypothesis import given, settings, strategies as st
 
 from toucanyard.cbor_messages import MessageInvalidError
+from toucanyard.customer_limits import CustomerLimit
 from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.limit_pledges import Pledge
 from toucanyard.link_messages import (
+    CreditAnswer,
+    CreditAsk,
     GoalAge,
     LifeNews,
     LinkMessage,
@@ -29,10 +33,11 @@
     ViewStatus,
     decode_link_message,
 )
-from toucanyard.names import NodeName
-from toucanyard.relay_events import LinkMessageRead, TickPassed
+from toucanyard.names import CustomerName, NodeName
+from toucanyard.relay_events import CallArrived, LinkMessageRead, TickPassed
+from toucanyard.routes import RoutedCustomer
 
-from .relay_examples import DESK, build_replica, build_table
+from .relay_examples import DESK, build_replica, build_request, build_table
 from .relay_fleet import Fleet, put
 
 NAMES = st.sampled_from(("n1", "n2", "r1", "r2", "m", "f", "quarantine/f", ""))
@@ -84,6 +89,13 @@
     lives=many(build(LifeNews)),
     crashes=many(build(ReplicaCrash, runs=many(build(LostRun)))),
     survivals=many(build(RequestSurvival)),
+    pledge=st.none() | build(Pledge, homes=st.lists(NAMES, max_size=5).map(tuple)),
+)
+CREDITS = build(CreditAsk, customer=st.just("c")) | build(
+    CreditAnswer, customer=st.just("c")
+)
+LIMITED = RoutedCustomer(
+    CustomerName("c"), ("key",), limit=CustomerLimit(1_000.0, 1_000.0)
 )
 RECORDS = build(
     ViewRecords,
@@ -93,12 +105,16 @@
 )
 
 
-@given(st.lists(STATUSES | RECORDS, max_size=4))
+@given(st.lists(STATUSES | RECORDS | CREDITS, max_size=4))
 @settings(max_examples=300)
 def test_no_message_of_a_peer_ends_a_node(messages: list[LinkMessage]) -> None:
     """Guards against one message that ends each node of a fleet that reads it."""
     fleet = Fleet("n0", "n1")
-    fleet.read("n0", Topic.OPERATOR, KeyedRecord("config", 0, put(build_table())))
+    table = build_table(customers=(LIMITED,))
+    fleet.read("n0", Topic.OPERATOR, KeyedRecord("config", 0, put(table)))
+    record = fleet.core("n1").own_record
+    fleet.read("n0", Topic.NODES, KeyedRecord("n1", 0, put(record)))
+    fleet.run(50.0)
     replica = build_replica("r1", service=DESK, weights=())
     fleet.read("n0", Topic.REPLICAS, KeyedRecord("r1", 0, put(replica)))
     sender = fleet.core("n1").identity
@@ -107,6 +123,8 @@
         with contextlib.suppress(MessageInvalidError):
             read = decode_link_message(data)
             fleet.handle(NodeName("n0"), LinkMessageRead(sender, read))
+        arrival = build_request(f"call-{len(data)}", deadline_ms=9_000.0)
+        fleet.handle(NodeName("n0"), CallArrived(arrival))
     for _ in range(30):
         fleet.now_ms += 250.0
         fleet.handle(NodeName("n0"), TickPassed())
--- a/tests/toucanyard/test_limit_credits.py
+++ b/tests/toucanyard/test_limit_credits.py
@@ -7,6 +7,7 @@
     MIN_CLOSED_MS,
     CreditAccounts,
     CreditQuestion,
+    Denial,
 )
 from toucanyard.limit_pool import CreditGrant
 from toucanyard.names import CustomerName, RequestId
@@ -80,7 +81,7 @@
     accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
     denial = CreditGrant(0.0, 1.0, 3_000.0)
     accounts.apply_grant(CUSTOMER, ask(accounts, 0.0).number, denial, 5.0)
-    assert accounts.find_closed(CUSTOMER, 5.0) == (MIN_CLOSED_MS, 3_000.0)
+    assert accounts.find_denial(CUSTOMER, 5.0) == Denial(MIN_CLOSED_MS, 3_000.0, 0.0)
     assert not list(accounts.list_questions(5.0 + MIN_CLOSED_MS - 1.0))
     assert list(accounts.list_questions(5.0 + MIN_CLOSED_MS))
 
@@ -91,7 +92,7 @@
     accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
     denial = CreditGrant(0.0, 60_000.0, 60_000.0)
     accounts.apply_grant(CUSTOMER, ask(accounts, 0.0).number, denial, 5.0)
-    assert accounts.find_closed(CUSTOMER, 5.0 + MAX_CLOSED_MS) is None
+    assert accounts.find_denial(CUSTOMER, 5.0 + MAX_CLOSED_MS) is None
 
 
 def test_nothing_is_kept_of_a_customer_without_a_limit() -> None:
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -96,3 +96,12 @@
     counts = [line for line in text.splitlines() if "_call_ms_count" in line]
     assert len(counts) == MAX_GROUPS + 1
     assert f'call_class="other"}} {2 * MAX_GROUPS}' in text
+
+
+async def test_metrics_tell_of_limits_and_their_use() -> None:
+    world = RelayWorld([ScriptedReplica("x", answer())])
+    async with open_world(world):
+        await world.call(build_call())
+        text = world.metrics.render(world.core, Counter(), 0, 1_000.0)
+    assert "toucanyard_limit_rejections_total 0" in text
+    assert "toucanyard_limit_questions_total 0" in text
