--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -135,7 +135,7 @@
         yield _format("replicas_listed", listed, service=service.name)
         yield _format("replicas_usable", usable, service=service.name)
     yield from _render_quarantine(core)
-    yield from _render_limits(core, now_ms)
+    yield from _render_limits(core)
 
 
 def _render_quarantine(core: RelayCore) -> Iterator[str]:
@@ -153,11 +153,11 @@
         )
 
 
-def _render_limits(core: RelayCore, now_ms: float) -> Iterator[str]:
+def _render_limits(core: RelayCore) -> Iterator[str]:
     """Render the limits of which this node is the home, the most denied first."""
     yield _format("limit_rejections_total", core.limits.rejected)
     yield _format("limit_questions_total", core.limits.accounts.asked)
-    uses = core.shares.list_uses(now_ms)
+    uses = core.shares.list_uses()
     uses.sort(key=lambda each: (-each.denied_total, each.customer))
     for use in uses[:MAX_LIMITED]:
         labels = {"customer": str(use.customer)}
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -26,6 +26,8 @@
 from toucanyard.relay_policy import LimitWay
 from toucanyard.roster import Roster
 
+UPDATE_MS: Final = 100.0
+"""Time between two looks at who may be a home."""
 ALONE_MS: Final = 1_500.0
 """Time without a hub after which a node uses its own share. By then its hub has missed
 it and pledges it to nobody."""
@@ -60,6 +62,7 @@
         """By slice of the customers; empty while this node pledges to nobody."""
         self._reached_ms: float | None = None
         """When this node last had a hub; None before its first tick."""
+        self._updated_ms = float("-inf")
         self._total = 1
         self._version = 0
         """Of the routes whose limits are in force here."""
@@ -83,6 +86,8 @@
         if not self._limits:
             self.pledge = None
             return
+        if now_ms - self._updated_ms < UPDATE_MS:
+            return
         before = self._homes
         self._update(now_ms)
         if self._homes != before:
@@ -91,7 +96,8 @@
 
     def read_pledge(self, sender: NodeName, pledge: Pledge, now_ms: float) -> None:
         """Take in to whom a peer's group gives its shares."""
-        self._settle(now_ms)
+        if not self._pledges.is_known(sender, pledge):
+            self._settle(now_ms)
         self._pledges.record(sender, pledge, now_ms)
 
     def ask(self, now_ms: float) -> Iterator[SendToPeer]:
@@ -138,9 +144,9 @@
         """Return the home of each slice, as this node pledges its group's shares."""
         return self._homes
 
-    def list_uses(self, now_ms: float) -> list[PoolUse]:
+    def list_uses(self) -> list[PoolUse]:
         """Return what this node knows of the customers of which it is the home."""
-        return self._pool.list_uses(self._compute_shares(now_ms))
+        return self._pool.list_uses(self._compute_shares())
 
     def _answer(self, ask: CreditAsk, now_ms: float) -> CreditAnswer | None:
         """Return what a question is granted; None if nothing is pledged here."""
@@ -151,7 +157,7 @@
         else:
             self._settle(now_ms)
             number = find_slice(ask.customer)
-            share = self._pledges.compute_share(number, self._total, now_ms)
+            share = self._pledges.compute_share(number, self._total)
             if not share:
                 return None
             self._pool.take_back(ask.customer, limit, ask.returned, share)
@@ -172,7 +178,7 @@
     def _apply_limits(self, now_ms: float) -> Iterator[Note]:
         self._settle(now_ms)
         index = self._calls.index
-        self._pool.apply_limits(index, self._compute_shares(now_ms))
+        self._pool.apply_limits(index, self._compute_shares())
         before, self._limits = self._limits, index.list_limits()
         for customer in sorted(before.keys() | self._limits.keys()):
             old, new = before.get(customer), self._limits.get(customer)
@@ -188,10 +194,9 @@
             }
             yield from self._changes.note(fields, now_ms)
 
-    def _compute_shares(self, now_ms: float) -> list[float]:
+    def _compute_shares(self) -> list[float]:
         return [
-            self._pledges.compute_share(number, self._total, now_ms)
-            for number in range(SLICES)
+            self._pledges.compute_share(number, self._total) for number in range(SLICES)
         ]
 
     def _settle(self, now_ms: float) -> None:
@@ -200,6 +205,7 @@
             self._pool.forget_slices(lost)
 
     def _update(self, now_ms: float) -> None:
+        self._updated_ms = now_ms
         self._settle(now_ms)
         self._total = self._roster.count_nodes(now_ms)
         candidates = self._find_candidates(now_ms)
--- a/packages/toucanyard/src/toucanyard/limit_pledges.py
+++ b/packages/toucanyard/src/toucanyard/limit_pledges.py
@@ -37,29 +37,37 @@
 class PledgeBook:
     """Pledges that this node has heard, its own group's among them.
 
-    Invariant: `accrued_s` grows by no more than the time that passes.
+    Invariant: what has accrued grows by no more than the time that passes.
     """
 
-    __slots__ = ("_accrued_s", "_own", "_pledges", "_settled_ms")
+    __slots__ = ("_accrued_s", "_nodes", "_own", "_pledges", "_settled_ms")
 
     def __init__(self, own: NodeName) -> None:
         self._own = own
         self._pledges: dict[NodeName, tuple[float, Pledge]] = {}
+        self._nodes = [0] * SLICES
+        """Nodes whose shares are pledged to this one, by slice."""
         self._accrued_s = [0.0] * SLICES
         self._settled_ms = float("-inf")
 
+    def is_known(self, group: NodeName, pledge: Pledge) -> bool:
+        """Tell whether a group has pledged the same before."""
+        known = self._pledges.get(group)
+        return known is not None and known[1] == pledge
+
     def record(self, group: NodeName, pledge: Pledge, now_ms: float) -> None:
         """Take in what a group pledges; it counts from now on."""
-        if len(pledge.homes) == SLICES and pledge.nodes > 0:
-            self._pledges[group] = (now_ms, pledge)
-        else:
-            self._pledges.pop(group, None)
+        if not self.is_known(group, pledge):
+            self._drop(group)
+            if len(pledge.homes) != SLICES or pledge.nodes <= 0:
+                return
+            self._count(pledge, pledge.nodes)
+        self._pledges[group] = (now_ms, pledge)
 
     def retain(self, groups: Iterable[NodeName]) -> None:
         """Drop the pledges of groups without a link."""
-        kept = {*groups, self._own}
-        for group in set(self._pledges) - kept:
-            del self._pledges[group]
+        for group in self._pledges.keys() - {*groups, self._own}:
+            self._drop(group)
 
     def settle(self, total_nodes: int, now_ms: float) -> list[int]:
         """Add up the time since the last call; return the slices that were lost.
@@ -69,9 +77,10 @@
         """
         passed_ms = now_ms - self._settled_ms
         self._settled_ms = now_ms
+        self._expire(now_ms)
         lost: list[int] = []
         for number in range(SLICES):
-            share = self.compute_share(number, total_nodes, now_ms)
+            share = self.compute_share(number, total_nodes)
             if not share or passed_ms > PLEDGE_TTL_MS:
                 self._accrued_s[number] = 0.0
                 lost.append(number)
@@ -79,19 +88,33 @@
                 self._accrued_s[number] += share * passed_ms / 1_000
         return lost
 
-    def compute_share(self, number: int, total_nodes: int, now_ms: float) -> float:
-        """Return the share of a slice's limits that is pledged to this node."""
-        nodes = sum(
-            pledge.nodes
-            for heard_ms, pledge in self._pledges.values()
-            if now_ms - heard_ms <= PLEDGE_TTL_MS and pledge.homes[number] == self._own
-        )
-        return min(nodes / max(total_nodes, 1), 1.0)
+    def compute_share(self, number: int, total_nodes: int) -> float:
+        """Return the share of a slice's limits that was pledged here when settled."""
+        return min(self._nodes[number] / max(total_nodes, 1), 1.0)
 
     def find_accrued(self, number: int) -> float:
         """Return the time, in s, for which a whole limit was pledged to this node."""
         return self._accrued_s[number]
 
+    def _expire(self, now_ms: float) -> None:
+        ended = [
+            group
+            for group, (heard_ms, _) in self._pledges.items()
+            if now_ms - heard_ms > PLEDGE_TTL_MS
+        ]
+        for group in ended:
+            self._drop(group)
+
+    def _drop(self, group: NodeName) -> None:
+        known = self._pledges.pop(group, None)
+        if known is not None:
+            self._count(known[1], -known[1].nodes)
+
+    def _count(self, pledge: Pledge, nodes: int) -> None:
+        for number, home in enumerate(pledge.homes):
+            if home == self._own:
+                self._nodes[number] += nodes
+
 
 def find_slice(customer: CustomerName) -> int:
     """Return the slice that a customer belongs to, the same on all nodes."""
--- a/tests/toucanyard/limit_fleet.py
+++ b/tests/toucanyard/limit_fleet.py
@@ -170,7 +170,7 @@
             name
             for name, core in self.cores.items()
             if name not in self.dead
-            and any(use.share for use in core.shares.list_uses(self.now_ms))
+            and any(use.share for use in core.shares.list_uses())
         }
 
     # Callers.
--- a/tests/toucanyard/test_customer_limits_over_nodes.py
+++ b/tests/toucanyard/test_customer_limits_over_nodes.py
@@ -224,7 +224,7 @@
     uses = [
         use
         for core in fleet.cores.values()
-        for use in core.shares.list_uses(fleet.now_ms)
+        for use in core.shares.list_uses()
         if use.customer == LARGE
     ]
     assert len(uses) == 1
--- a/tests/toucanyard/test_limit_pledges.py
+++ b/tests/toucanyard/test_limit_pledges.py
@@ -21,6 +21,11 @@
     return Pledge(nodes, (home,) * SLICES)
 
 
+def find_share(book: PledgeBook, now_ms: float) -> float:
+    book.settle(TOTAL, now_ms)
+    return book.compute_share(0, TOTAL)
+
+
 def test_what_is_pledged_accrues_while_it_is_renewed() -> None:
     book = PledgeBook(HOME)
     book.settle(TOTAL, 0.0)
@@ -36,14 +41,14 @@
     book = PledgeBook(HOME)
     book.record(GROUP, pledge_to(HOME), 0.0)
     book.record(GROUP, pledge_to(OTHER), 10.0)
-    assert book.compute_share(0, TOTAL, 10.0) == 0.0
+    assert find_share(book, 10.0) == 0.0
 
 
 def test_pledge_that_is_not_renewed_ends() -> None:
     book = PledgeBook(HOME)
     book.record(GROUP, pledge_to(HOME), 0.0)
-    assert book.compute_share(0, TOTAL, PLEDGE_TTL_MS) == 0.5
-    assert book.compute_share(0, TOTAL, PLEDGE_TTL_MS + 1) == 0.0
+    assert find_share(book, PLEDGE_TTL_MS) == 0.5
+    assert find_share(book, PLEDGE_TTL_MS + 1) == 0.0
 
 
 def test_pledge_ends_with_its_link() -> None:
@@ -51,7 +56,7 @@
     book.record(HOME, pledge_to(HOME, 1), 0.0)
     book.record(GROUP, pledge_to(HOME), 0.0)
     book.retain(())
-    assert book.compute_share(0, TOTAL, 0.0) == 0.1
+    assert find_share(book, 0.0) == 0.1
 
 
 def test_node_that_stood_still_has_nothing_left() -> None:
@@ -70,7 +75,7 @@
     """Guards against a node that doesn't know of all others yet."""
     book = PledgeBook(HOME)
     book.record(GROUP, pledge_to(HOME, 50), 0.0)
-    assert book.compute_share(0, 1, 0.0) == 1.0
+    assert book.compute_share(0, 1) == 1.0
 
 
 @pytest.mark.parametrize("pledge", [Pledge(5, ()), pledge_to(HOME, 0)])
@@ -78,7 +83,7 @@
     """Guards against a peer's message that ends each node that reads it."""
     book = PledgeBook(HOME)
     book.record(GROUP, pledge, 0.0)
-    assert book.compute_share(0, TOTAL, 0.0) == 0.0
+    assert find_share(book, 0.0) == 0.0
 
 
 @given(st.sets(st.sampled_from("abcdefgh"), min_size=1), st.sampled_from("abcdefgh"))
