--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from toucanyard.customer_limits import CustomerLimit, LimitBounds
-from toucanyard.limit_credits import CREDIT_TTL_MS, CreditAccounts
+from toucanyard.limit_credits import CreditAccounts
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_policy import LimitPolicy, LimitWay
 from toucanyard.routes import RouteIndex, RouteTable
@@ -73,8 +73,9 @@
                 f"it costs {cost:.0f}, more than the limit ever allows at once",
                 NEVER_RETRY_MS,
             )
+        ttl_ms = self._bounds.compute_credit_ms(limit)
         until_ms = self.accounts.take(
-            request.request_id, request.customer, cost, now_ms
+            request.request_id, request.customer, cost, ttl_ms, now_ms
         )
         if until_ms is not None:
             pending.charge = cost
@@ -92,7 +93,7 @@
         limit = self.index.find_limit(pending.request.customer)
         if limit is not None and self._policy.way is not LimitWay.OFF:
             pending.charge = limit.compute_cost(pending.request.tokens)
-            pending.charged_until_ms = now_ms + CREDIT_TTL_MS
+            pending.charged_until_ms = now_ms + self._bounds.compute_credit_ms(limit)
 
     def release(self, pending: PendingCall, now_ms: float) -> None:
         """Give back what a call has not used."""
--- a/packages/toucanyard/src/toucanyard/customer_limits.py
+++ b/packages/toucanyard/src/toucanyard/customer_limits.py
@@ -12,10 +12,12 @@
 
 import msgspec
 
-DEBT_SHARE: Final = 1 / 3
-"""Share of a limit's margin that one request may take the customer below zero by. The
-rest is for requests that were granted before a window began, and for a second pool that
-takes over within it."""
+MARGIN_PART: Final = 1 / 3
+"""Part of a limit's margin that each of these may take: a request that goes below zero,
+credit that was granted before a window began, a second home that takes over in it."""
+MIN_CREDIT_MS: Final = 300.0
+MAX_CREDIT_MS: Final = 1_500.0
+"""Least and longest life of credit."""
 
 
 class LimitUnit(enum.StrEnum):
@@ -59,10 +61,19 @@
 
     def compute_bound(self, limit: CustomerLimit) -> float:
         """Return the most that may run of a customer in one window."""
-        allowed = limit.rate_per_s * self.window_ms / 1_000 + limit.burst
-        return allowed * (1 + self.overshoot) + self.slack
+        return self._compute_allowed(limit) + self._compute_margin(limit)
 
     def compute_max_debt(self, limit: CustomerLimit) -> float:
         """Return how far below zero one request may take a customer."""
-        allowed = limit.rate_per_s * self.window_ms / 1_000 + limit.burst
-        return (allowed * self.overshoot + self.slack) * DEBT_SHARE
+        return self._compute_margin(limit) * MARGIN_PART
+
+    def compute_credit_ms(self, limit: CustomerLimit) -> float:
+        """Return for how long credit may be used once it was asked for, in ms."""
+        life_s = self._compute_margin(limit) * MARGIN_PART / limit.rate_per_s
+        return min(max(life_s * 1_000, MIN_CREDIT_MS), MAX_CREDIT_MS)
+
+    def _compute_allowed(self, limit: CustomerLimit) -> float:
+        return limit.rate_per_s * self.window_ms / 1_000 + limit.burst
+
+    def _compute_margin(self, limit: CustomerLimit) -> float:
+        return self._compute_allowed(limit) * self.overshoot + self.slack
--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -12,11 +12,10 @@
 
 import msgspec
 
+from toucanyard.customer_limits import MIN_CREDIT_MS
 from toucanyard.limit_pool import CreditGrant
 from toucanyard.names import CustomerName, RequestId
 
-CREDIT_TTL_MS: Final = 400.0
-"""Time from asking for credit until it may no longer be used."""
 ASK_TIMEOUT_MS: Final = 200.0
 """Time without an answer after which credit is asked for again."""
 MIN_CLOSED_MS: Final = 25.0
@@ -57,12 +56,15 @@
         "denied_ms",
         "retry_at_ms",
         "returned",
+        "ttl_ms",
         "until_ms",
         "waiting",
     )
 
     def __init__(self) -> None:
         self.credit = 0.0
+        self.ttl_ms = MIN_CREDIT_MS
+        """Time from asking for credit until it may no longer be used."""
         self.until_ms = float("-inf")
         self.asked_ms = float("-inf")
         """When the last question was asked."""
@@ -89,10 +91,16 @@
         """Questions so far; the number of the last one."""
 
     def take(
-        self, request_id: RequestId, customer: CustomerName, cost: float, now_ms: float
+        self,
+        request_id: RequestId,
+        customer: CustomerName,
+        cost: float,
+        ttl_ms: float,
+        now_ms: float,
     ) -> float | None:
         """Use credit for a request; return until when, or let the request wait."""
         account = self._find(customer, now_ms)
+        account.ttl_ms = ttl_ms
         if account.credit >= cost:
             account.credit -= cost
             account.waiting.pop(request_id, None)
@@ -157,7 +165,7 @@
             return
         asked_ms = account.asked.pop(number, float("-inf"))
         self._expire(account, now_ms)
-        until_ms = asked_ms + CREDIT_TTL_MS
+        until_ms = asked_ms + account.ttl_ms
         if grant.granted and until_ms > now_ms:
             account.until_ms = min(account.until_ms, until_ms)
             if not account.credit:
@@ -178,7 +186,7 @@
         account.asked = {
             number: asked_ms
             for number, asked_ms in account.asked.items()
-            if now_ms - asked_ms < CREDIT_TTL_MS
+            if now_ms - asked_ms < account.ttl_ms
         }
         account.asked[self.asked] = account.asked_ms = now_ms
         returned, account.returned = account.returned, 0.0
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -63,6 +63,7 @@
         self._reached_ms: float | None = None
         """When this node last had a hub; None before its first tick."""
         self._updated_ms = float("-inf")
+        self._is_answered = False
         self._total = 1
         self._version = 0
         """Of the routes whose limits are in force here."""
@@ -171,7 +172,13 @@
             grant.retry_ms,
         )
 
+    def take_answered(self) -> bool:
+        """Tell whether an answer has come since this was asked last."""
+        is_answered, self._is_answered = self._is_answered, False
+        return is_answered
+
     def _apply(self, answer: CreditAnswer, now_ms: float) -> None:
+        self._is_answered = True
         grant = CreditGrant(answer.granted, answer.closed_ms, answer.retry_ms)
         self._calls.accounts.apply_grant(answer.customer, answer.number, grant, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -288,7 +288,8 @@
     def _ask_for_credit(self, now_ms: float) -> Iterator[RelayAction]:
         """Ask homes for credit; what this node grants itself is used at once."""
         yield from self.shares.ask(now_ms)
-        yield from self.flow.retry_unpaid(now_ms)
+        if self.shares.take_answered():
+            yield from self.flow.retry_unpaid(now_ms)
 
     def _handle_quiet(self, event: QuietEvent, now_ms: float) -> None:
         """Handle an event that asks for nothing to be done now."""
--- a/tests/toucanyard/test_call_limits.py
+++ b/tests/toucanyard/test_call_limits.py
@@ -4,7 +4,6 @@
 
 from toucanyard.call_limits import CallLimits, LimitRejection
 from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
-from toucanyard.limit_credits import CREDIT_TTL_MS
 from toucanyard.limit_pool import CreditGrant
 from toucanyard.names import CustomerName
 from toucanyard.pending_call import PendingCall
@@ -102,7 +101,7 @@
     """Guards against a queue whose credit of many windows runs in one."""
     limits, call = build_limits(), build_call()
     pay(limits, call)
-    assert limits.check(call, CREDIT_TTL_MS) is None
+    assert limits.check(call, BOUNDS.compute_credit_ms(LIMIT)) is None
     assert call.is_unpaid
 
 
--- a/tests/toucanyard/test_limit_credits.py
+++ b/tests/toucanyard/test_limit_credits.py
@@ -2,7 +2,6 @@
 
 from toucanyard.limit_credits import (
     ASK_TIMEOUT_MS,
-    CREDIT_TTL_MS,
     MAX_CLOSED_MS,
     MIN_CLOSED_MS,
     CreditAccounts,
@@ -13,6 +12,7 @@
 from toucanyard.names import CustomerName, RequestId
 
 CUSTOMER = CustomerName("c")
+TTL_MS = 400.0
 FIRST, SECOND = RequestId("r1"), RequestId("r2")
 
 
@@ -30,8 +30,8 @@
 
 def test_one_question_asks_for_all_that_wait() -> None:
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
-    accounts.take(SECOND, CUSTOMER, 200.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
+    accounts.take(SECOND, CUSTOMER, 200.0, TTL_MS, 0.0)
     question = ask(accounts, 0.0)
     assert (question.wanted, question.least) == (1_100.0, 900.0)
     assert not list(accounts.list_questions(1.0))
@@ -39,46 +39,46 @@
 
 def test_granted_credit_is_used_once() -> None:
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     grant(accounts, ask(accounts, 0.0), 900.0, 5.0)
-    assert accounts.take(FIRST, CUSTOMER, 900.0, 5.0) == CREDIT_TTL_MS
-    assert accounts.take(SECOND, CUSTOMER, 900.0, 5.0) is None
+    assert accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 5.0) == TTL_MS
+    assert accounts.take(SECOND, CUSTOMER, 900.0, TTL_MS, 5.0) is None
 
 
 def test_credit_lapses_and_goes_back() -> None:
     """Guards against credit of one window that runs in a later one."""
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     grant(accounts, ask(accounts, 0.0), 900.0, 5.0)
     accounts.withdraw(FIRST, CUSTOMER)
-    assert accounts.take(SECOND, CUSTOMER, 900.0, CREDIT_TTL_MS) is None
-    assert ask(accounts, CREDIT_TTL_MS).returned == 900.0
+    assert accounts.take(SECOND, CUSTOMER, 900.0, TTL_MS, TTL_MS) is None
+    assert ask(accounts, TTL_MS).returned == 900.0
 
 
 def test_answer_of_a_slow_home_counts_for_as_long_as_its_question() -> None:
     """Guards against never being served by a home that answers after the timeout."""
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     question = ask(accounts, 0.0)
     assert ask(accounts, ASK_TIMEOUT_MS).number != question.number
-    grant(accounts, question, 900.0, CREDIT_TTL_MS - 1.0)
-    assert accounts.take(FIRST, CUSTOMER, 900.0, CREDIT_TTL_MS - 1.0) is not None
+    grant(accounts, question, 900.0, TTL_MS - 1.0)
+    assert accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, TTL_MS - 1.0) is not None
 
 
 def test_answer_that_comes_twice_grants_once() -> None:
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     question = ask(accounts, 0.0)
     grant(accounts, question, 900.0, 5.0)
     grant(accounts, question, 900.0, 6.0)
-    accounts.take(FIRST, CUSTOMER, 900.0, 6.0)
-    assert accounts.take(SECOND, CUSTOMER, 900.0, 6.0) is None
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 6.0)
+    assert accounts.take(SECOND, CUSTOMER, 900.0, TTL_MS, 6.0) is None
 
 
 def test_denial_stops_questions_for_a_while() -> None:
     """Guards against a flood that asks the home for each of its requests."""
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     denial = CreditGrant(0.0, 1.0, 3_000.0)
     accounts.apply_grant(CUSTOMER, ask(accounts, 0.0).number, denial, 5.0)
     assert accounts.find_denial(CUSTOMER, 5.0) == Denial(MIN_CLOSED_MS, 3_000.0, 0.0)
@@ -89,7 +89,7 @@
 def test_denial_is_not_believed_for_long() -> None:
     """Guards against a home that is gone, whose word outlives it."""
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     denial = CreditGrant(0.0, 60_000.0, 60_000.0)
     accounts.apply_grant(CUSTOMER, ask(accounts, 0.0).number, denial, 5.0)
     assert accounts.find_denial(CUSTOMER, 5.0 + MAX_CLOSED_MS) is None
@@ -97,6 +97,6 @@
 
 def test_nothing_is_kept_of_a_customer_without_a_limit() -> None:
     accounts = CreditAccounts()
-    accounts.take(FIRST, CUSTOMER, 900.0, 0.0)
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     accounts.retain(())
     assert not accounts.has_questions()
