Repeat a question for credit instead of asking anew, and use credit before asking for more

Cause: two faults of the same exchange. A question without an answer after 200 ms was asked anew and granted again, so that slow answers used up a customer's level without a request (small twin, three customers of four were told that they are over their limits). And each granted answer was followed by a question before the waiting calls had used the credit: every second message between nodes was of no use.

The change: a question is sent again as it was, and its home gives the answer that it gave; credit is used first, and what is left goes back with the next question. The reason of a refusal names the customer, the cost and for how long no credit came.

Test: answers that take 300 ms refuse nothing that one bucket lets in (24 refused with the second fault; all over-limit tests with nodes other than the home failed with it).

--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -11,14 +11,14 @@
 import msgspec
 
 from toucanyard.customer_limits import CustomerLimit, LimitBounds
-from toucanyard.limit_credits import CreditAccounts
+from toucanyard.limit_credits import CreditAccounts, Denial
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_policy import LimitPolicy, LimitWay
 from toucanyard.routes import RouteIndex, RouteTable
 
 NEVER_RETRY_MS: Final = 60_000.0
 """When to come back with a request that the limit never allows; it may be raised."""
-BRIEF_GRACE_MS: Final = 100.0
+BRIEF_GRACE_MS: Final = 300.0
 """Time beside the home's estimate that a call waits for its turn."""
 UNKNOWN_RETRY_MS: Final = 250.0
 """When to come back to a node that got no credit from any home."""
@@ -116,25 +116,33 @@
         if not pending.is_unpaid:
             pending.is_unpaid = True
             pending.is_denied = False
+            pending.unpaid_since_ms = now_ms
             pending.unpaid_until_ms = now_ms + self._policy.max_wait_ms
         denial = self.accounts.find_denial(customer, now_ms)
-        if denial is None:
-            if now_ms <= pending.unpaid_until_ms:
-                return None
-            text = "no node answered for the customer's limit"
-            return self._reject(text, UNKNOWN_RETRY_MS)
-        retry_ms = denial.retry_ms
-        if not pending.is_denied and retry_ms <= self._policy.brief_wait_ms:
+        if denial is not None and not pending.is_denied:
+            if denial.retry_ms > self._policy.brief_wait_ms:
+                return self._reject_denied(limit, cost, customer, denial)
             pending.is_denied = True
-            pending.unpaid_until_ms = now_ms + retry_ms + BRIEF_GRACE_MS
-        if pending.is_denied and now_ms <= pending.unpaid_until_ms:
+            pending.unpaid_until_ms = now_ms + denial.retry_ms + BRIEF_GRACE_MS
+        if now_ms <= pending.unpaid_until_ms:
             return None
+        if denial is not None:
+            return self._reject_denied(limit, cost, customer, denial)
+        text = (
+            f"no credit came for {cost:.0f} {limit.unit.value} of customer {customer} "
+            f"since {now_ms - pending.unpaid_since_ms:.0f} ms"
+        )
+        return self._reject(text, UNKNOWN_RETRY_MS)
+
+    def _reject_denied(
+        self, limit: CustomerLimit, cost: float, customer: str, denial: Denial
+    ) -> LimitRejection:
         text = (
             f"customer {customer} is over its limit of {limit.rate_per_s:.0f} "
             f"{limit.unit.value} a second, as its home said {denial.age_ms:.0f} ms "
             f"ago; the request costs {cost:.0f}"
         )
-        return self._reject(text, retry_ms)
+        return self._reject(text, denial.retry_ms)
 
     def _reject(self, text: str, retry_ms: float) -> LimitRejection:
         self.rejected += 1
--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -17,7 +17,7 @@
 from toucanyard.names import CustomerName, RequestId
 
 ASK_TIMEOUT_MS: Final = 200.0
-"""Time without an answer after which credit is asked for again."""
+"""Time without an answer after which a question is sent again."""
 MIN_CLOSED_MS: Final = 25.0
 """Least time between a denial and the next question, which a flood would else ask for
 each of its requests."""
@@ -49,13 +49,14 @@
 
 class _Account:
     __slots__ = (
-        "asked",
         "asked_ms",
         "closed_until_ms",
         "credit",
         "denied_ms",
+        "question",
         "retry_at_ms",
         "returned",
+        "sent_ms",
         "ttl_ms",
         "until_ms",
         "waiting",
@@ -66,10 +67,11 @@
         self.ttl_ms = MIN_CREDIT_MS
         """Time from asking for credit until it may no longer be used."""
         self.until_ms = float("-inf")
+        self.question: CreditQuestion | None = None
+        """The question that has no answer yet."""
         self.asked_ms = float("-inf")
-        """When the last question was asked."""
-        self.asked: dict[int, float] = {}
-        """Questions without an answer, and when they were asked."""
+        self.sent_ms = float("-inf")
+        """When the question was sent last."""
         self.waiting: dict[RequestId, float] = {}
         """Cost of requests that wait for credit, in order of arrival."""
         self.returned = 0.0
@@ -151,10 +153,15 @@
             if not account.waiting:
                 del self._open[customer]
                 continue
-            is_asked = account.asked and now_ms - account.asked_ms < ASK_TIMEOUT_MS
-            if is_asked or account.closed_until_ms > now_ms:
+            is_covered = account.credit >= sum(account.waiting.values())
+            if is_covered or account.closed_until_ms > now_ms:
                 continue
-            yield self._ask(customer, account, now_ms)
+            question = account.question
+            if question is None or now_ms - account.asked_ms >= account.ttl_ms:
+                yield self._ask(customer, account, now_ms)
+            elif now_ms - account.sent_ms >= ASK_TIMEOUT_MS:
+                account.sent_ms = now_ms
+                yield question
 
     def apply_grant(
         self, customer: CustomerName, number: int, grant: CreditGrant, now_ms: float
@@ -163,14 +170,16 @@
         account = self._accounts.get(customer)
         if account is None:
             return
-        asked_ms = account.asked.pop(number, float("-inf"))
+        question = account.question
+        if question is None or question.number != number:
+            account.returned += grant.granted
+            return
+        account.question = None
         self._expire(account, now_ms)
-        until_ms = asked_ms + account.ttl_ms
-        if grant.granted and until_ms > now_ms:
-            account.until_ms = min(account.until_ms, until_ms)
-            if not account.credit:
-                account.until_ms = until_ms
+        until_ms = account.asked_ms + account.ttl_ms
+        if until_ms > now_ms:
             account.credit += grant.granted
+            account.until_ms = until_ms
         else:
             account.returned += grant.granted
         if not grant.granted:
@@ -183,22 +192,18 @@
         self, customer: CustomerName, account: _Account, now_ms: float
     ) -> CreditQuestion:
         self.asked += 1
-        account.asked = {
-            number: asked_ms
-            for number, asked_ms in account.asked.items()
-            if now_ms - asked_ms < account.ttl_ms
-        }
-        account.asked[self.asked] = account.asked_ms = now_ms
-        returned, account.returned = account.returned, 0.0
-        wanted = sum(account.waiting.values())
-        least = next(iter(account.waiting.values()))
-        return CreditQuestion(
+        account.asked_ms = account.sent_ms = now_ms
+        # What is left would lapse before the answer does.
+        returned, account.returned = account.returned + account.credit, 0.0
+        account.credit = 0.0
+        account.question = CreditQuestion(
             self.asked,
             customer,
-            max(wanted - account.credit, 0.0),
-            max(least - account.credit, 0.0),
+            sum(account.waiting.values()),
+            next(iter(account.waiting.values())),
             returned,
         )
+        return account.question
 
     def _find(self, customer: CustomerName, now_ms: float) -> _Account:
         account = self._accounts.get(customer)
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from toucanyard.call_limits import CallLimits
-from toucanyard.customer_limits import CustomerLimit, LimitBounds
+from toucanyard.customer_limits import MAX_CREDIT_MS, CustomerLimit, LimitBounds
 from toucanyard.limit_pledges import (
     SLICES,
     Pledge,
@@ -64,6 +64,10 @@
         """When this node last had a hub; None before its first tick."""
         self._updated_ms = float("-inf")
         self._is_answered = False
+        self._given: dict[
+            tuple[NodeName, CustomerName], tuple[float, CreditAnswer]
+        ] = {}
+        """The last answer to each node about each customer, and when it was given."""
         self._total = 1
         self._version = 0
         """Of the routes whose limits are in force here."""
@@ -150,27 +154,34 @@
         return self._pool.list_uses(self._compute_shares())
 
     def _answer(self, ask: CreditAsk, now_ms: float) -> CreditAnswer | None:
-        """Return what a question is granted; None if nothing is pledged here."""
+        """Return what a question is granted; None if nothing is pledged here.
+
+        A question that comes again gets its answer again: granted anew each time that
+        an answer is slow, a customer would use up its limit without sending anything.
+        """
+        given = self._given.get((ask.origin, ask.customer))
+        if given is not None and given[1].number == ask.number:
+            return given[1]
         limit = self._calls.index.find_limit(ask.customer)
         if limit is None:
             # The asker has read another version of the configuration.
-            grant = CreditGrant(ask.wanted, 0.0, 0.0)
-        else:
-            self._settle(now_ms)
-            number = find_slice(ask.customer)
-            share = self._pledges.compute_share(number, self._total)
-            if not share:
-                return None
-            self._pool.take_back(ask.customer, limit, ask.returned, share)
-            grant = self._pool.grant(ask.customer, limit, ask.wanted, ask.least, share)
-        return CreditAnswer(
-            ask.origin,
-            ask.number,
-            ask.customer,
-            grant.granted,
-            grant.closed_ms,
-            grant.retry_ms,
-        )
+            return _build_answer(ask, CreditGrant(ask.wanted, 0.0, 0.0))
+        self._settle(now_ms)
+        share = self._pledges.compute_share(find_slice(ask.customer), self._total)
+        if not share:
+            return None
+        self._pool.take_back(ask.customer, limit, ask.returned, share)
+        grant = self._pool.grant(ask.customer, limit, ask.wanted, ask.least, share)
+        answer = _build_answer(ask, grant)
+        self._given[ask.origin, ask.customer] = (now_ms, answer)
+        return answer
+
+    def _forget_given(self, now_ms: float) -> None:
+        self._given = {
+            key: given
+            for key, given in self._given.items()
+            if now_ms - given[0] <= MAX_CREDIT_MS
+        }
 
     def take_answered(self) -> bool:
         """Tell whether an answer has come since this was asked last."""
@@ -214,6 +225,7 @@
     def _update(self, now_ms: float) -> None:
         self._updated_ms = now_ms
         self._settle(now_ms)
+        self._forget_given(now_ms)
         self._total = self._roster.count_nodes(now_ms)
         candidates = self._find_candidates(now_ms)
         if candidates != self._candidates:
@@ -261,3 +273,14 @@
         """Return whom to ask: the home, or the hub that knows it."""
         home = self._find_home(customer)
         return self._roster.find_primary() if home is None else home
+
+
+def _build_answer(ask: CreditAsk, grant: CreditGrant) -> CreditAnswer:
+    return CreditAnswer(
+        ask.origin,
+        ask.number,
+        ask.customer,
+        grant.granted,
+        grant.closed_ms,
+        grant.retry_ms,
+    )
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -38,6 +38,7 @@
     """It waits for credit of its customer, not for a replica."""
     is_denied: bool = False
     """Its customer is over its limit, but not for long."""
+    unpaid_since_ms: float = 0.0
     unpaid_until_ms: float = 0.0
     """When it no longer waits for credit."""
     has_failed: bool = False
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -286,8 +286,13 @@
             self.statuses.note_due()
 
     def _ask_for_credit(self, now_ms: float) -> Iterator[RelayAction]:
-        """Ask homes for credit; what this node grants itself is used at once."""
+        """Use the credit that has come, and ask homes for what is missing."""
+        yield from self._use_credit(now_ms)
         yield from self.shares.ask(now_ms)
+        # This node may have answered itself.
+        yield from self._use_credit(now_ms)
+
+    def _use_credit(self, now_ms: float) -> Iterator[RelayAction]:
         if self.shares.take_answered():
             yield from self.flow.retry_unpaid(now_ms)
 
