List customers' limits from nodes' metrics, and compare pools with equal shares in a test

toucanyard limits IP:PORT... shows rate, home, share, level, granted and denied of each customer, the most denied first; nodes that don't answer are named on standard error.

--- /dev/null
+++ b/packages/toucanyard-cli/src/toucanyard_cli/limits_command.py
@@ -0,0 +1,116 @@
+"""Show customers' limits, their use and who was denied, from nodes' metrics."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+import click
+import msgspec
+import trio
+
+from toucanyard.names import Address
+from toucanyard_cli.access import json_option
+from toucanyard_cli.exit_codes import ExitCode
+from toucanyard_cli.failures import CommandError
+from toucanyard_cli.tables import Cell, render_table
+from toucanyard_node.http_client import ConnectionFailedError, fetch
+
+METRICS_PATH: Final = "/metrics"
+TIMEOUT_MS: Final = 3_000
+_OK: Final = 200
+_LINE: Final = re.compile(
+    r'toucanyard_limit_(\w+)\{customer="((?:[^"\\]|\\.)*)"\} (-?[0-9.e+]+)'
+)
+_ESCAPED: Final = re.compile(r"\\(.)")
+
+
+class LimitUse(msgspec.Struct):
+    """What one home tells of one customer, in the unit of its limit."""
+
+    customer: str
+    home: Address
+    rate_per_s: float = 0.0
+    share: float = 0.0
+    """Share of the limit that is pledged to this home."""
+    level: float = 0.0
+    """What may run now; negative while something is owed."""
+    granted_total: float = 0.0
+    denied_total: float = 0.0
+
+
+@click.command()
+@click.argument("nodes", nargs=-1, required=True)
+@json_option
+def limits(nodes: tuple[str, ...], is_json: bool) -> None:
+    """List customers' limits and their use, as the nodes at these addresses tell.
+
+    NODES are addresses of metrics, IP:PORT. Only a customer's home knows its use; give
+    the addresses of all nodes.
+    """
+    uses: list[LimitUse] = []
+    silent: list[str] = []
+    for node in nodes:
+        text = trio.run(_read, Address(node))
+        if text is None:
+            silent.append(node)
+        else:
+            uses += parse_uses(text, Address(node))
+    if len(silent) == len(nodes):
+        raise CommandError(ExitCode.NOT_REACHABLE, "no node answered")
+    uses.sort(key=lambda use: (-use.denied_total, use.customer, use.home))
+    if is_json:
+        click.echo(msgspec.json.encode(uses))
+        return
+    click.echo(render_uses(uses))
+    for node in silent:
+        click.echo(f"no answer from {node}", err=True)
+
+
+def parse_uses(text: str, home: Address) -> list[LimitUse]:
+    """Return what the metrics of one node tell of limits."""
+    found: dict[str, LimitUse] = {}
+    for name, escaped, value in _find_lines(text.splitlines()):
+        customer = _ESCAPED.sub(_unescape, escaped)
+        use = found.setdefault(customer, LimitUse(customer, home))
+        if name in LimitUse.__struct_fields__:
+            setattr(use, name, float(value))
+    return list(found.values())
+
+
+def render_uses(uses: Iterable[LimitUse]) -> str:
+    """Return a table of limits."""
+    rows: list[tuple[Cell, ...]] = [
+        (
+            use.customer,
+            use.home,
+            use.rate_per_s,
+            use.share,
+            use.level,
+            use.granted_total,
+            use.denied_total,
+        )
+        for use in uses
+    ]
+    head = ("customer", "home", "rate/s", "share", "level", "granted", "denied")
+    return render_table(head, rows)
+
+
+def _find_lines(lines: Iterable[str]) -> Iterator[tuple[str, str, str]]:
+    for line in lines:
+        match = _LINE.fullmatch(line)
+        if match is not None:
+            yield match[1], match[2], match[3]
+
+
+def _unescape(match: re.Match[str]) -> str:
+    return "\n" if match[1] == "n" else match[1]
+
+
+async def _read(node: Address) -> str | None:
+    try:
+        response = await fetch(node, "GET", METRICS_PATH, timeout_ms=TIMEOUT_MS)
+    except ConnectionFailedError:
+        return None
+    return response.body.decode() if response.status == _OK else None
--- a/tests/toucanyard/limit_fleet.py
+++ b/tests/toucanyard/limit_fleet.py
@@ -24,6 +24,7 @@
     TickPassed,
 )
 from toucanyard.relay_options import RelayOptions
+from toucanyard.relay_policy import LimitPolicy, LimitWay, RelayPolicy
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.requests import Repeatability
 from toucanyard.routes import RoutedCustomer
@@ -48,8 +49,13 @@
     """Nodes, replicas and callers of customers that have limits."""
 
     def __init__(
-        self, domains: int, nodes_each: int, limit: CustomerLimit = LIMIT
+        self,
+        domains: int,
+        nodes_each: int,
+        limit: CustomerLimit = LIMIT,
+        way: LimitWay = LimitWay.POOLS,
     ) -> None:
+        self._policy = RelayPolicy(limits=LimitPolicy(way=way))
         self._cut_ms: float | None = None
         self._far_side: frozenset[NodeName] = frozenset()
         self.frozen: set[NodeName] = set()
@@ -67,7 +73,7 @@
 
     def build_options(self, options: RelayOptions) -> RelayOptions:
         built = super().build_options(options)
-        return msgspec.structs.replace(built, limits=BOUNDS)
+        return msgspec.structs.replace(built, limits=BOUNDS, policy=self._policy)
 
     # Operators.
 
--- a/tests/toucanyard/test_customer_limits_over_nodes.py
+++ b/tests/toucanyard/test_customer_limits_over_nodes.py
@@ -7,6 +7,7 @@
 
 from toucanyard.call_limits import NEVER_RETRY_MS
 from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.relay_policy import LimitWay
 
 from .limit_fleet import (
     BOUNDS,
@@ -240,3 +241,17 @@
     calls = fleet.play(6_000.0, USUAL_TOKENS_PER_S)
     fleet.run_for(2_000.0)
     assert count_refused(list_owed(calls, LIMIT)) == 0
+
+
+@FEW
+def test_pools_refuse_less_of_what_is_owed_than_equal_shares(nodes_each: int) -> None:
+    """Guards the gain of pools: prompts are larger than a share of one node."""
+    refused = {}
+    for way in (LimitWay.POOLS, LimitWay.EQUAL_SHARES):
+        fleet = LimitFleet(3, nodes_each, way=way)
+        calls = fleet.play(6_000.0, USUAL_TOKENS_PER_S)
+        fleet.run_for(2_000.0)
+        assert fleet.find_worst_use() <= BOUND
+        refused[way] = count_refused(list_owed(calls, LIMIT))
+    assert refused[LimitWay.POOLS] == 0
+    assert refused[LimitWay.EQUAL_SHARES] > 0
