--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/call_retries.py
@@ -0,0 +1,62 @@
+"""Decide whether a call that failed is tried again, within what all nodes may retry."""
+
+from __future__ import annotations
+
+from toucanyard.names import ServiceName
+from toucanyard.pending_call import PendingCall
+from toucanyard.relay_options import RetryLimits
+from toucanyard.relay_policy import RetryPolicy
+from toucanyard.relay_requests import RelayOutcome
+from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Repeatability
+from toucanyard.retry_budget import SharedRetryBudget
+
+
+class CallRetries:
+    """The budgets for retries of one node, by service."""
+
+    __slots__ = ("_budgets", "_limits", "_policy", "node_count")
+
+    def __init__(self, limits: RetryLimits, policy: RetryPolicy) -> None:
+        self._limits = limits
+        self._policy = policy
+        self._budgets: dict[ServiceName, SharedRetryBudget] = {}
+        self.node_count = 1
+
+    def note_first_try(self, service: ServiceName, now_ms: float) -> None:
+        """Count a call that has arrived; it earns a share of a retry."""
+        self._find_budget(service).note_first_try(now_ms)
+
+    def may_try_again(
+        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
+    ) -> bool:
+        """Return whether a call is tried elsewhere, and spend a retry if so."""
+        request = pending.request
+        is_safe = (
+            outcome.ending in PROVED_NOT_RUN
+            or request.repeatability is Repeatability.REPEATABLE
+        )
+        pending.has_begun = pending.has_begun or outcome.has_begun
+        if outcome.has_begun and not request.is_resumable:
+            return False
+        if not is_safe or pending.sends >= request.max_attempts:
+            return False
+        if now_ms >= request.deadline_ms:
+            return False
+        if pending.dispatches > 2 * request.max_attempts + 2:
+            return False
+        pending.tried = (*pending.tried, outcome.replica)
+        if outcome.ending is EndingSeen.NOT_SENT:
+            return True
+        if not self._policy.is_bounded:
+            return True
+        return self._find_budget(request.service).take(self.node_count, now_ms)
+
+    def _find_budget(self, service: ServiceName) -> SharedRetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            limits = self._limits
+            budget = SharedRetryBudget(
+                limits.ratio, limits.slack, float(limits.window_ms)
+            )
+            self._budgets[service] = budget
+        return budget
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -12,7 +12,6 @@
 
 from toucanyard.call_limits import CallLimits
 from toucanyard.call_placement import CallPlacement
-from toucanyard.crash_watch import Reach
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
 from toucanyard.limit_exchange import LimitExchange
@@ -40,7 +39,6 @@
     PeersLinked,
     QuarantineErased,
     QuarantineWritten,
-    ReadReplicaState,
     RelayAction,
     RelayEvent,
     ReplicaStateRead,
@@ -54,6 +52,7 @@
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.relay_options import RelayOptions
 from toucanyard.replica_gossip import ReplicaGossip
+from toucanyard.replica_probes import ReplicaProbes
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import EndingSeen
@@ -116,6 +115,11 @@
         self.guard = RequestGuard(
             self.directory, self.roster.find_rank, rng, options.policy.guard
         )
+        self.probes = ReplicaProbes(
+            self.directory,
+            self.guard,
+            lambda: options.policy.retries.probes and self.roster.is_full_mesh(),
+        )
         self.limits = CallLimits(options.limits, options.policy.limits)
         self.flow = RelayFlow(
             options.retries,
@@ -241,7 +245,7 @@
                 yield from self.flow.note_first(request_id, now_ms)
             case DispatchEnded(outcome=outcome):
                 yield from self.flow.end_dispatch(outcome, now_ms)
-                yield from self._probe_lost(now_ms)
+                yield from self.probes.ask_lost(now_ms)
                 if outcome.ending is EndingSeen.REFUSED:
                     # Each node would else find out by calls of its own, and have some
                     # of them refused that may be sent only once.
@@ -254,12 +258,12 @@
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED:
             self.directory.note_replaced(event.order.replica, now_ms)
         if isinstance(event, ReplicaStateRead):
-            yield from self._on_probe(event, now_ms)
+            yield from self.probes.on_read(event, now_ms)
         self.rollout.handle(event, now_ms)
         yield from self._tick_rollout(now_ms)
 
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
-        yield from self._probe(now_ms)
+        yield from self.probes.ask_resting(now_ms)
         yield from self._tick_guard(now_ms)
         yield from self._tick_limits(now_ms)
         yield from self.flow.tick(now_ms)
@@ -317,41 +321,9 @@
 
     def _tick_guard(self, now_ms: float) -> Iterator[RelayAction]:
         self.guard.tick(now_ms)
-        yield from self._probe_lost(now_ms)
+        yield from self.probes.ask_lost(now_ms)
         yield from self.guard.quarantine.tick(now_ms)
 
-    def _probe_lost(self, now_ms: float) -> Iterator[RelayAction]:
-        """Ask replicas whose calls were cut whether they still run."""
-        for known in self.guard.watch.take_probes(now_ms):
-            replica = known.replica
-            yield ReadReplicaState(replica.name, replica.listed_as, replica.address)
-
-    def _on_probe(self, read: ReplicaStateRead, now_ms: float) -> Iterator[RelayAction]:
-        """Learn whether a replica answers; end its rest if it has reported."""
-        reach = read.reach if read.state is None else Reach.ANSWERED
-        self.guard.on_probe(read.replica, reach, read.asked_ms, now_ms)
-        if read.state is None:
-            return
-        known = self.directory.find(read.replica)
-        if known is not None and known.is_resting(now_ms):
-            known.note_success()
-            fields = {"replica": read.replica, "asked_ms_ago": now_ms - read.asked_ms}
-            yield Note("replica_reached", fields)
-
-    def _probe(self, now_ms: float) -> Iterator[RelayAction]:
-        """Ask replicas that could not be reached for a report.
-
-        Not in a large fleet: the reports of all its nodes would cost the replicas and
-        the nodes more than the calls that they spare.
-        """
-        if not self.options.policy.retries.probes or not self.roster.is_full_mesh():
-            return
-        for known in self.directory.list_served(now_ms):
-            replica = known.replica
-            if replica.weights and known.is_probe_due(now_ms):
-                known.note_probed(now_ms)
-                yield ReadReplicaState(replica.name, replica.listed_as, replica.address)
-
     def _note_hub(self) -> Iterator[RelayAction]:
         """Say to whom this node reports, each time that this changes."""
         is_hub = not self.roster.is_full_mesh() and self.roster.plan.is_hub()
@@ -393,7 +365,7 @@
         self.statuses.read(sender, status, now_ms)
         if status.pledge is not None:
             self.shares.read_pledge(sender, status.pledge, now_ms)
-        self.flow.node_count = self.roster.count_nodes(now_ms)
+        self.flow.apply_node_count(self.roster.count_nodes(now_ms))
         for store in status.stores:
             heard_ms = now_ms - store.heard_age_ms
             if self.sources.note_heard(store.store, heard_ms, store.epoch):
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -13,8 +13,9 @@
 
 from toucanyard.call_limits import CallLimits, LimitRejection
 from toucanyard.call_placement import CallPlacement
-from toucanyard.drain_rate import DrainRate
-from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.call_refusals import CallRefusals
+from toucanyard.call_retries import CallRetries
+from toucanyard.errorcodes import ErrorKind
 from toucanyard.names import RequestId, ServiceName
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_options import RetryLimits
@@ -27,8 +28,7 @@
 )
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import Rejection, RequestGuard
-from toucanyard.requests import PROVED_NOT_RUN, EndingSeen, Refuse, Repeatability
-from toucanyard.retry_budget import SharedRetryBudget
+from toucanyard.requests import PROVED_NOT_RUN, EndingSeen
 from toucanyard.routes import RouteIndex
 from toucanyard.weights_goals import WeightsGoals
 
@@ -61,16 +61,13 @@
     ) -> None:
         self._guard = guard
         self._limits = limits
-        self._retries = retries
+        self._retries = CallRetries(retries, policy.retries)
         self._policy = policy
-        self._rng = rng
+        self._refusals = CallRefusals(rng)
         self._directory = directory
         self._goals = goals
         self._pending: dict[RequestId, PendingCall] = {}
         self._queues: dict[ServiceName, list[PendingCall]] = {}
-        self._drains: dict[ServiceName, DrainRate] = {}
-        self._budgets: dict[ServiceName, SharedRetryBudget] = {}
-        self.node_count = 1
         self._calls = calls
         self.uses = calls.uses
         self.book = calls.book
@@ -85,6 +82,10 @@
         """Take in when the store last confirmed the list of replicas."""
         self._calls.view_confirmed_ms = confirmed_ms
 
+    def apply_node_count(self, count: int) -> None:
+        """Take over how many nodes share the budget for retries."""
+        self._retries.node_count = count
+
     def count_pending(self) -> int:
         """Return how many calls are not over."""
         return len(self._pending)
@@ -97,7 +98,7 @@
         """Take in a new call."""
         pending = PendingCall(request, queued_ms=now_ms)
         self._pending[request.request_id] = pending
-        self._find_budget(request.service).note_first_try(now_ms)
+        self._retries.note_first_try(request.service, now_ms)
         if request.deadline_ms <= now_ms:
             yield self._refuse(
                 pending, ErrorKind.OVERLOADED, "the deadline passed", now_ms
@@ -156,7 +157,7 @@
             yield self._reject(pending, rejection, now_ms)
             yield from self._finish(pending, now_ms)
             return
-        if not self._may_try_again(pending, outcome, now_ms):
+        if not self._retries.may_try_again(pending, outcome, now_ms):
             yield from self._give_up(pending, outcome, now_ms)
             return
         pending.replica = None
@@ -285,12 +286,8 @@
         return None
 
     def _compute_wait(self, pending: PendingCall, now_ms: float) -> float:
-        request = pending.request
-        queue = self._queues.get(request.service, [])
-        ahead = sum(
-            each.rank() <= pending.rank() for each in queue if not each.is_unpaid
-        )
-        return self._find_drain(request.service).compute_wait(ahead, now_ms)
+        queue = self._queues.get(pending.request.service, [])
+        return self._refusals.compute_wait(pending, queue, now_ms)
 
     def _is_hopeless(self, pending: PendingCall, now_ms: float) -> bool:
         """Tell whether a waiting call is better told now than later.
@@ -357,30 +354,6 @@
             # Loading weights drops all that was read under the ones before.
             self.book.forget(known.replica.name)
 
-    def _may_try_again(
-        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
-    ) -> bool:
-        request = pending.request
-        is_safe = (
-            outcome.ending in PROVED_NOT_RUN
-            or request.repeatability is Repeatability.REPEATABLE
-        )
-        pending.has_begun = pending.has_begun or outcome.has_begun
-        if outcome.has_begun and not request.is_resumable:
-            return False
-        if not is_safe or pending.sends >= request.max_attempts:
-            return False
-        if now_ms >= request.deadline_ms:
-            return False
-        if pending.dispatches > 2 * request.max_attempts + 2:
-            return False
-        pending.tried = (*pending.tried, outcome.replica)
-        if outcome.ending is EndingSeen.NOT_SENT:
-            return True
-        if not self._policy.retries.is_bounded:
-            return True
-        return self._find_budget(request.service).take(self.node_count, now_ms)
-
     def _give_up(
         self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
     ) -> Iterator[RelayReply]:
@@ -397,31 +370,13 @@
         *,
         wait_ms: float | None = None,
     ) -> RelayReply:
-        """End a call with no more than is proved, and say when to come back.
-
-        The kind says why it is given up now. An earlier try may have run all the same;
-        told "not run", a caller would repeat what was done.
-        """
-        request = pending.request
-        self._pending.pop(request.request_id, None)
+        """End a call that is given up."""
+        self._pending.pop(pending.request.request_id, None)
         self._limits.release(pending, now_ms)
-        if pending.has_failed:
-            # The replica's own answer is passed on; there is nothing to add.
-            return RelayReply(request.request_id, None)
-        ending = Ending.NOT_RUN
-        if pending.may_have_run:
-            ending = Ending.UNKNOWN
-            is_repeatable = request.repeatability is Repeatability.REPEATABLE
-            kind = (
-                ErrorKind.ENDPOINT_LOST if is_repeatable else ErrorKind.OUTCOME_UNKNOWN
-            )
         if wait_ms is None:
             wait_ms = self._compute_wait(pending, now_ms)
             wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-        # Callers refused in one instant must not come back in one instant.
-        retry_after_ms = int(wait_ms * self._rng.uniform(1.0, 2.0))
-        refusal = Refuse(request.request_id, kind, ending, text, retry_after_ms)
-        return RelayReply(request.request_id, refusal)
+        return self._refusals.build(pending, kind, text, wait_ms)
 
     def _finish(self, pending: PendingCall, now_ms: float) -> Iterator[RelayReply]:
         """Free what a call held and send what fits now."""
@@ -433,18 +388,5 @@
             pending.is_waiting = False
         if pending.replica is not None:
             self.uses.end(pending.replica, request.request_id)
-            self._find_drain(request.service).note(now_ms)
+            self._refusals.note_ended(request.service, now_ms)
         yield from self._drain(request.service, now_ms)
-
-    def _find_drain(self, service: ServiceName) -> DrainRate:
-        return self._drains.setdefault(service, DrainRate())
-
-    def _find_budget(self, service: ServiceName) -> SharedRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            retries = self._retries
-            budget = SharedRetryBudget(
-                retries.ratio, retries.slack, float(retries.window_ms)
-            )
-            self._budgets[service] = budget
-        return budget
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -205,7 +205,7 @@
     Without the budget all nodes together would double the load on what is left.
     """
     node = Node()
-    node.flow.node_count = 4
+    node.flow.apply_node_count(4)
     retries = 0
     for number in range(100):
         name = f"q{number}"
