Count what is asked again once, and give each incarnation numbers of its own

And a node that starts again within 1.5 s numbered its questions as before, so its home repeated an answer whose credit the incarnation before had used.

The change: a home counts as denied only what it did not deny the same node before; calls wait for 1 s at most instead of 0.4 s; questions are numbered from a random figure. Tests: test_restarted_node_is_not_given_the_answers_of_before fails without the last.

--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Final
 
 import msgspec
@@ -16,6 +17,7 @@
 from toucanyard.relay_policy import LimitPolicy, LimitWay
 from toucanyard.routes import RouteIndex, RouteTable
 
+NUMBER_BITS: Final = 48
 NEVER_RETRY_MS: Final = 60_000.0
 """When to come back with a request that the limit never allows; it may be raised."""
 BRIEF_GRACE_MS: Final = 300.0
@@ -36,10 +38,12 @@
 
     __slots__ = ("_bounds", "_policy", "accounts", "index", "rejected")
 
-    def __init__(self, bounds: LimitBounds, policy: LimitPolicy) -> None:
+    def __init__(
+        self, bounds: LimitBounds, policy: LimitPolicy, rng: random.Random
+    ) -> None:
         self._bounds = bounds
         self._policy = policy
-        self.accounts = CreditAccounts()
+        self.accounts = CreditAccounts(rng.getrandbits(NUMBER_BITS))
         self.index = RouteIndex(RouteTable())
         self.rejected = 0
 
--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -83,14 +83,16 @@
 class CreditAccounts:
     """Credit by customer. Invariant: what is taken was granted before, and once."""
 
-    __slots__ = ("_accounts", "_open", "asked")
+    __slots__ = ("_accounts", "_first", "_open", "asked")
 
-    def __init__(self) -> None:
+    def __init__(self, first_number: int = 0) -> None:
+        self._first = first_number
+        """Other than that of the incarnation before, whose answers homes still know."""
         self._accounts: dict[CustomerName, _Account] = {}
         self._open: dict[CustomerName, None] = {}
         """Customers with requests that wait for credit."""
         self.asked = 0
-        """Questions so far; the number of the last one."""
+        """Questions so far."""
 
     def take(
         self,
@@ -197,7 +199,7 @@
         returned, account.returned = account.returned + account.credit, 0.0
         account.credit = 0.0
         account.question = CreditQuestion(
-            self.asked,
+            self._first + self.asked,
             customer,
             sum(account.waiting.values()),
             next(iter(account.waiting.values())),
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Final
 
+import msgspec
+
 from toucanyard.call_limits import CallLimits
 from toucanyard.customer_limits import MAX_CREDIT_MS, CustomerLimit, LimitBounds
 from toucanyard.limit_pledges import (
@@ -33,6 +35,15 @@
 it and pledges it to nobody."""
 
 
+class _Given(msgspec.Struct, frozen=True):
+    """What a home answered to one node about one customer."""
+
+    at_ms: float
+    answer: CreditAnswer
+    denied: float
+    """What was asked for, if nothing was granted."""
+
+
 class LimitExchange:
     """The part of one node in all customers' limits.
 
@@ -64,10 +75,8 @@
         """When this node last had a hub; None before its first tick."""
         self._updated_ms = float("-inf")
         self._is_answered = False
-        self._given: dict[
-            tuple[NodeName, CustomerName], tuple[float, CreditAnswer]
-        ] = {}
-        """The last answer to each node about each customer, and when it was given."""
+        self._given: dict[tuple[NodeName, CustomerName], _Given] = {}
+        """The last answer to each node about each customer."""
         self._total = 1
         self._version = 0
         """Of the routes whose limits are in force here."""
@@ -156,6 +165,11 @@
         """Return what this node knows of the customers of which it is the home."""
         return self._pool.list_uses(self._compute_shares())
 
+    def take_answered(self) -> bool:
+        """Tell whether an answer has come since this was asked last."""
+        is_answered, self._is_answered = self._is_answered, False
+        return is_answered
+
     def _answer(self, ask: CreditAsk, now_ms: float) -> CreditAnswer | None:
         """Return what a question is granted; None if nothing is pledged here.
 
@@ -163,8 +177,8 @@
         an answer is slow, a customer would use up its limit without sending anything.
         """
         given = self._given.get((ask.origin, ask.customer))
-        if given is not None and given[1].number == ask.number:
-            return given[1]
+        if given is not None and given.answer.number == ask.number:
+            return given.answer
         limit = self._calls.index.find_limit(ask.customer)
         if limit is None:
             # The asker has read another version of the configuration.
@@ -174,28 +188,27 @@
         if not share:
             return None
         self._pool.take_back(ask.customer, limit, ask.returned, share)
-        grant = self._pool.grant(ask.customer, limit, ask.wanted, ask.least, share)
+        denied = 0.0 if given is None else given.denied
+        grant = self._pool.grant(
+            ask.customer, limit, ask.wanted, ask.least, share, denied
+        )
         answer = _build_answer(ask, grant)
-        self._given[ask.origin, ask.customer] = (now_ms, answer)
+        denied = 0.0 if grant.granted else ask.wanted
+        self._given[ask.origin, ask.customer] = _Given(now_ms, answer, denied)
         return answer
 
+    def _apply(self, answer: CreditAnswer, now_ms: float) -> None:
+        self._is_answered = True
+        grant = CreditGrant(answer.granted, answer.closed_ms, answer.retry_ms)
+        self._calls.accounts.apply_grant(answer.customer, answer.number, grant, now_ms)
+
     def _forget_given(self, now_ms: float) -> None:
         self._given = {
             key: given
             for key, given in self._given.items()
-            if now_ms - given[0] <= MAX_CREDIT_MS
+            if now_ms - given.at_ms <= MAX_CREDIT_MS
         }
 
-    def take_answered(self) -> bool:
-        """Tell whether an answer has come since this was asked last."""
-        is_answered, self._is_answered = self._is_answered, False
-        return is_answered
-
-    def _apply(self, answer: CreditAnswer, now_ms: float) -> None:
-        self._is_answered = True
-        grant = CreditGrant(answer.granted, answer.closed_ms, answer.retry_ms)
-        self._calls.accounts.apply_grant(answer.customer, answer.number, grant, now_ms)
-
     def _apply_limits(self, now_ms: float) -> Iterator[Note]:
         self._settle(now_ms)
         index = self._calls.index
--- a/packages/toucanyard/src/toucanyard/limit_pool.py
+++ b/packages/toucanyard/src/toucanyard/limit_pool.py
@@ -122,8 +122,12 @@
         wanted: float,
         least: float,
         share: float,
+        denied: float = 0.0,
     ) -> CreditGrant:
-        """Grant what fits of some requests, at least the first of them or nothing."""
+        """Grant what fits of some requests, at least the first of them or nothing.
+
+        `denied` is what the same node was denied last, which it asks for again.
+        """
         level = self._find_level(customer, limit, share)
         debt = self._bounds.compute_max_debt(limit)
         if share <= MAJORITY:
@@ -134,8 +138,9 @@
             closed_ms = (needed - level.value) / rate_per_s * 1_000
             retry_ms = closed_ms + level.backlog / rate_per_s * 1_000
             most = level.rate_per_s * MAX_BACKLOG_S
-            level.backlog = min(level.backlog + wanted, most)
-            level.denied_total += wanted
+            added = max(wanted - denied, 0.0)
+            level.backlog = min(level.backlog + added, most)
+            level.denied_total += added
             return CreditGrant(0.0, closed_ms, retry_ms)
         granted = min(wanted, level.value + debt)
         level.value -= granted
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -120,7 +120,7 @@
             self.guard,
             lambda: options.policy.retries.probes and self.roster.is_full_mesh(),
         )
-        self.limits = CallLimits(options.limits, options.policy.limits)
+        self.limits = CallLimits(options.limits, options.policy.limits, rng)
         self.flow = RelayFlow(
             options.retries,
             options.policy,
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -120,7 +120,7 @@
     max_wait_ms: float = 1_500.0
     """How long a call may wait for credit that no home answers for. A link to a home
     that is cut off is given up after 1.1 s."""
-    brief_wait_ms: float = 400.0
+    brief_wait_ms: float = 1_000.0
     """How long a call may wait that is over its customer's limit. Two long prompts that
     come together exceed a small burst; the rate makes up for it in a moment."""
 
--- a/tests/toucanyard/relay_fleet.py
+++ b/tests/toucanyard/relay_fleet.py
@@ -64,7 +64,9 @@
         )
         options = self.build_options(RelayOptions(name, domain, listen, LISTEN.callers))
         identity = NodeId(name, Incarnation("i"))
-        core = RelayCore(options, identity, decode, random.Random(number))
+        # A new incarnation draws other numbers than the one before.
+        seed = f"{number} again {self.now_ms}" if name in self.cores else number
+        core = RelayCore(options, identity, decode, random.Random(seed))
         self.cores[name] = core
 
     def build_options(self, options: RelayOptions) -> RelayOptions:
--- a/tests/toucanyard/test_call_limits.py
+++ b/tests/toucanyard/test_call_limits.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from toucanyard.call_limits import BRIEF_GRACE_MS, CallLimits, LimitRejection
@@ -21,7 +23,7 @@
 def build_limits(
     limit: CustomerLimit | None = LIMIT, policy: LimitPolicy = POLICY
 ) -> CallLimits:
-    limits = CallLimits(BOUNDS, policy)
+    limits = CallLimits(BOUNDS, policy, random.Random(1))
     customers = (RoutedCustomer(CUSTOMER, ("key",), limit=limit),)
     limits.apply_index(RouteIndex(build_table(customers=customers)))
     return limits
--- a/tests/toucanyard/test_limit_exchange.py
+++ b/tests/toucanyard/test_limit_exchange.py
@@ -31,6 +31,11 @@
     return level
 
 
+def find_granted(home: RelayCore) -> float:
+    uses = home.shares.list_uses()
+    return sum(each.granted_total for each in uses if each.customer == LARGE)
+
+
 def ask(home: RelayCore, fleet: LimitFleet, number: int) -> CreditAnswer:
     """Let another node ask a home, and return the answer."""
     sender = next(c.identity for c in fleet.cores.values() if c is not home)
@@ -135,3 +140,19 @@
     fleet.ask(home.identity.node, LARGE, 200)
     fleet.run_for(200.0)
     assert find_level(home) > before - 9_200.0
+
+
+def test_restarted_node_is_not_given_the_answers_of_before() -> None:
+    """Guards against credit that one incarnation used and the next gets again."""
+    fleet = LimitFleet(3, 3)
+    home = find_home(fleet)
+    node = next(n for n in fleet.cores if n != home.identity.node)
+    fleet.ask(node, LARGE, 200)
+    fleet.run_for(50.0)
+    fleet.kill([node])
+    fleet.start_again([node])
+    fleet.run_for(500.0)
+    before = find_granted(home)
+    fleet.ask(node, LARGE, 200)
+    fleet.run_for(50.0)
+    assert find_granted(home) == before + 200
