--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -18,6 +18,7 @@
 from toucanyard.routes import RouteIndex, RouteTable
 
 NUMBER_BITS: Final = 48
+"""Size of the random figure that an incarnation numbers its questions from."""
 NEVER_RETRY_MS: Final = 60_000.0
 """When to come back with a request that the limit never allows; it may be raised."""
 BRIEF_GRACE_MS: Final = 300.0
@@ -142,7 +143,7 @@
         self, limit: CustomerLimit, cost: float, customer: str, denial: Denial
     ) -> LimitRejection:
         text = (
-            f"customer {customer} is over its limit of {limit.rate_per_s:.0f} "
+            f"customer {customer} is over its limit of {limit.rate_per_s:g} "
             f"{limit.unit.value} a second, as its home said {denial.age_ms:.0f} ms "
             f"ago; the request costs {cost:.0f}"
         )
