Number questions from the incarnation, not from the node's random numbers

Since each core drew one random number more at its start, which shifted all its later draws: the loads were played with other luck. Ruled out: load (no clock but the emulator's is in these tests) and limits (none is set there).

--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -6,19 +6,20 @@
 
 from __future__ import annotations
 
-import random
 from typing import Final
 
 import msgspec
+import xxhash
 
 from toucanyard.customer_limits import CustomerLimit, LimitBounds
 from toucanyard.limit_credits import CreditAccounts, Denial
+from toucanyard.names import Incarnation
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_policy import LimitPolicy, LimitWay
 from toucanyard.routes import RouteIndex, RouteTable
 
-NUMBER_BITS: Final = 48
-"""Size of the random figure that an incarnation numbers its questions from."""
+MAX_FIRST_NUMBER: Final = 2**48
+"""Bound of the figure that an incarnation numbers its questions from."""
 NEVER_RETRY_MS: Final = 60_000.0
 """When to come back with a request that the limit never allows; it may be raised."""
 BRIEF_GRACE_MS: Final = 300.0
@@ -40,11 +41,12 @@
     __slots__ = ("_bounds", "_policy", "accounts", "index", "rejected")
 
     def __init__(
-        self, bounds: LimitBounds, policy: LimitPolicy, rng: random.Random
+        self, bounds: LimitBounds, policy: LimitPolicy, incarnation: Incarnation
     ) -> None:
         self._bounds = bounds
         self._policy = policy
-        self.accounts = CreditAccounts(rng.getrandbits(NUMBER_BITS))
+        first = xxhash.xxh3_64_intdigest(incarnation.encode()) % MAX_FIRST_NUMBER
+        self.accounts = CreditAccounts(first)
         self.index = RouteIndex(RouteTable())
         self.rejected = 0
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -120,7 +120,9 @@
             self.guard,
             lambda: options.policy.retries.probes and self.roster.is_full_mesh(),
         )
-        self.limits = CallLimits(options.limits, options.policy.limits, rng)
+        self.limits = CallLimits(
+            options.limits, options.policy.limits, identity.incarnation
+        )
         self.flow = RelayFlow(
             options.retries,
             options.policy,
