Ask the route index for limits instead of gathering them again

CallLimits went over all customers of a table to find those with a limit; RouteIndex holds them already. No behaviour changes: linter, types of the core and the tests of call limits, credits and exchange pass; the whole script was not run again.

--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -53,12 +53,10 @@
     def apply_index(self, index: RouteIndex) -> None:
         """Decide by this table from now on."""
         before, self.index = self.index, index
-        limited = {
-            each.name for each in index.table.customers if each.limit is not None
-        }
-        self.accounts.retain(limited)
-        for name in limited:
-            if index.find_limit(name) != before.find_limit(name):
+        limits = index.list_limits()
+        self.accounts.retain(limits)
+        for name, limit in limits.items():
+            if limit != before.find_limit(name):
                 self.accounts.forget_denials(name)
 
     def check(self, pending: PendingCall, now_ms: float) -> LimitRejection | None:
