Log when failed reads of the store were asked, and each read of operators' records

The logs of the late configuration (docs/incidents/configuration-in-force-late.md) can't tell its hypotheses apart: a failure does not say when its read was asked, and an answered read of operators' records that brings no routes has no line.

store_failed now has after_ms; operators_records_read has a line for each answered poll and each message of a peer, with offsets before and after. A poll waits for seconds, so that is one line each few seconds and node.

No decision is changed. Types, linter and the tests of store reads, core and emulator pass.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -164,17 +164,18 @@
 
     def _ask_store(self, act: Callable[[], None], purpose: str) -> None:
         self.world.store.calls += 1
+        asked_ms = self.now_ms
         if self._is_store_away():
-            self.after(STORE_TIMEOUT_MS, lambda: self._note_failed(purpose))
+            self.after(STORE_TIMEOUT_MS, lambda: self._note_failed(purpose, asked_ms))
         else:
             self.after(STORE_MS, act)
 
-    def _note_failed(self, purpose: str) -> None:
-        self.handle(StoreFailed(purpose, "no answer"))
+    def _note_failed(self, purpose: str, asked_ms: float) -> None:
+        self.handle(StoreFailed(purpose, "no answer", asked_ms))
 
     def _poll(self) -> None:
         if self._is_store_away():
-            self._note_failed("operator")
+            self._note_failed("operator", self.now_ms)
             self.after(RETRY_MS, self._poll)
             return
         self._read(Topic.OPERATOR, self.now_ms)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -147,7 +147,7 @@
                 return False
             page, is_whole = page_or_none, True
         except StoreError as error:
-            self._note_failure(topic.value, error)
+            self._note_failure(topic.value, error, asked_ms)
             return False
         self._note_success()
         self._needs_whole.discard(topic)
@@ -159,17 +159,18 @@
         return True
 
     async def _read_again(self, topic: Topic) -> TopicPage | None:
+        asked_ms = trio.current_time() * 1000
         try:
             return await self._store.read_newest(topic)
         except StoreError as error:
-            self._note_failure(topic.value, error)
+            self._note_failure(topic.value, error, asked_ms)
             return None
 
-    def _note_failure(self, purpose: str, error: StoreError) -> None:
+    def _note_failure(self, purpose: str, error: StoreError, asked_ms: float) -> None:
         if not self._is_down:
             _LOG.warning("store_lost", purpose=purpose, reason=error.reason)
         self._is_down = True
-        self._client.tell(StoreFailed(purpose, error.reason))
+        self._client.tell(StoreFailed(purpose, error.reason, asked_ms))
 
     def _note_success(self) -> None:
         if self._is_down:
@@ -218,10 +219,11 @@
                 return await self._erase_quarantine(fingerprint)
 
     async def _read_turns(self, offset: int) -> RelayEvent | None:
+        asked_ms = trio.current_time() * 1000
         try:
             records, end = await self._store.read_turns(offset)
         except StoreError as error:
-            return StoreFailed("turns", error.reason)
+            return StoreFailed("turns", error.reason, asked_ms)
         return TurnRead(tuple(records), end)
 
     async def _append_turn(self, errand: AppendTurn) -> RelayEvent:
@@ -231,24 +233,26 @@
         except TurnTakenError as error:
             return TurnAppended(None, sent_ms, error.end)
         except StoreError as error:
-            self._client.tell(StoreFailed("turn", error.reason))
+            self._client.tell(StoreFailed("turn", error.reason, sent_ms))
             return TurnAppended(None, sent_ms)
         _LOG.info("turn_taken", offset=offset, at=errand.at)
         return TurnAppended(offset, sent_ms)
 
     async def _write_quarantine(self, request: QuarantinedRequest) -> RelayEvent:
+        asked_ms = trio.current_time() * 1000
         try:
             await self._store.write_quarantine(request)
         except StoreError as error:
-            return StoreFailed("quarantine", error.reason)
+            return StoreFailed("quarantine", error.reason, asked_ms)
         _LOG.info("quarantine_written", fingerprint=request.fingerprint)
         return QuarantineWritten(request.fingerprint)
 
     async def _erase_quarantine(self, fingerprint: Fingerprint) -> RelayEvent:
+        asked_ms = trio.current_time() * 1000
         try:
             await self._store.erase_quarantine(fingerprint)
         except StoreError as error:
-            return StoreFailed("quarantine", error.reason)
+            return StoreFailed("quarantine", error.reason, asked_ms)
         _LOG.info("quarantine_erased", fingerprint=fingerprint)
         return QuarantineErased(fingerprint)
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -221,8 +221,8 @@
                 yield from self._handle_rollout(event, now_ms)
             case TopicRead():
                 yield from self.topics.take_read(event, now_ms)
-            case StoreFailed(purpose=purpose, reason=reason):
-                yield Note("store_failed", {"purpose": purpose, "reason": reason})
+            case StoreFailed():
+                yield _note_failed(event, now_ms)
             case PeersLinked(peers=peers):
                 yield from self._link([peer.node for peer in peers], now_ms)
             case LinkMessageRead(sender=sender, message=message):
@@ -387,3 +387,12 @@
             yield Note("peer_linked", {"peer": name})
         if set(names) - before:
             self.guard.ledger.share_all(now_ms)
+
+
+def _note_failed(failed: StoreFailed, now_ms: float) -> Note:
+    fields = {
+        "purpose": failed.purpose,
+        "reason": failed.reason,
+        "after_ms": round(now_ms - failed.asked_ms),
+    }
+    return Note("store_failed", fields)
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -56,10 +56,11 @@
 
 
 class StoreFailed(msgspec.Struct, frozen=True):
-    """A call to the store failed."""
+    """A call to the store that began at `asked_ms` failed."""
 
     purpose: str
     reason: str
+    asked_ms: float
 
 
 class PeersLinked(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/topic_intake.py
+++ b/packages/toucanyard/src/toucanyard/topic_intake.py
@@ -74,6 +74,8 @@
             now_ms=now_ms,
         )
         yield from self._note_contact()
+        if read.topic is Topic.OPERATOR:
+            yield _note_read(read, before, now_ms)
         yield from self._facts.apply(
             changes,
             "store",
@@ -93,6 +95,8 @@
         before, listed_ms = view.end, view.confirmed_ms
         changes = self._exchange.apply_records(message, now_ms)
         yield from self._note_contact()
+        if message.topic is Topic.OPERATOR:
+            yield _note_records(sender, message, before)
         yield from self._facts.apply(changes, sender, now_ms, listed_ms=listed_ms)
         if view.end > before:
             targets = self._statuses.find_targets(message.topic, sender)
@@ -116,3 +120,26 @@
         else:
             away_ms = round(absence.returned_ms - absence.before_ms)
             yield Note("store_returned", {"away_ms": away_ms})
+
+
+def _note_read(read: TopicRead, before: int, now_ms: float) -> Note:
+    fields = {
+        "source": "store",
+        "records": len(read.records),
+        "end": read.end,
+        "end_before": before,
+        "after_ms": round(now_ms - read.asked_ms),
+    }
+    return Note("operators_records_read", fields)
+
+
+def _note_records(sender: NodeName, message: ViewRecords, before: int) -> Note:
+    fields = {
+        "source": sender,
+        "records": len(message.records),
+        "since": message.since,
+        "end": message.end,
+        "end_before": before,
+        "age_ms": None if message.answer is None else round(message.answer.age_ms),
+    }
+    return Note("operators_records_read", fields)
--- a/tests/toucanyard/store_fleet.py
+++ b/tests/toucanyard/store_fleet.py
@@ -141,8 +141,8 @@
         core = self.cores[name]
         failing = self._failing.setdefault(name, [])
         while failing and self.now_ms >= failing[0]:
-            del failing[0]
-            self.handle(name, StoreFailed("replicas", "no answer"))
+            asked_ms = failing.pop(0) - STORE_TIMEOUT_MS
+            self.handle(name, StoreFailed("replicas", "no answer", asked_ms))
         if not core.reads.is_due(Topic.REPLICAS, self.now_ms):
             return
         if failing and not core.reads.may_ask_again(Topic.REPLICAS, self.now_ms):
--- a/tests/toucanyard/test_relay_core.py
+++ b/tests/toucanyard/test_relay_core.py
@@ -92,7 +92,7 @@
     that both were told of before that the store was away: it would else refuse calls.
     """
     fleet = build_listed("a", "b")
-    fleet.handle(NodeName("a"), StoreFailed("replicas", "silent"))
+    fleet.handle(NodeName("a"), StoreFailed("replicas", "silent", fleet.now_ms))
     fleet.run(3_000.0)
     fleet.read("b", Topic.REPLICAS, KeyedRecord("x", 3, None))
     now_ms = fleet.now_ms
@@ -111,7 +111,7 @@
     """
     fleet = build_listed("a", "b")
     for _ in range(8):
-        fleet.handle(NodeName("a"), StoreFailed("replicas", "silent"))
+        fleet.handle(NodeName("a"), StoreFailed("replicas", "silent", fleet.now_ms))
         fleet.run(400.0)
         fleet.confirm("b", Topic.REPLICAS)
     fleet.read("b", Topic.REPLICAS, KeyedRecord("x", 3, None))
