Reproduce that configuration is in force late after the store was silent

What callers saw: 404 for a route that had been confirmed more than two seconds before (CONFIG).

Ruled out: a topic that was served later than the others (no read was asked), dropped records (none came), a pause that had grown (0.25 s).

A peer's records now have a log line only if they are new to the node: the others were 72 lines a change at nine nodes.

--- a/packages/toucanyard/src/toucanyard/topic_intake.py
+++ b/packages/toucanyard/src/toucanyard/topic_intake.py
@@ -95,8 +95,8 @@
         before, listed_ms = view.end, view.confirmed_ms
         changes = self._exchange.apply_records(message, now_ms)
         yield from self._note_contact()
-        if message.topic is Topic.OPERATOR:
-            yield _note_records(sender, message, before)
+        if message.topic is Topic.OPERATOR and message.end > before:
+            yield _note_records(sender, message, before, view.end)
         yield from self._facts.apply(changes, sender, now_ms, listed_ms=listed_ms)
         if view.end > before:
             targets = self._statuses.find_targets(message.topic, sender)
@@ -133,12 +133,14 @@
     return Note("operators_records_read", fields)
 
 
-def _note_records(sender: NodeName, message: ViewRecords, before: int) -> Note:
+def _note_records(
+    sender: NodeName, message: ViewRecords, before: int, end: int
+) -> Note:
     fields = {
         "source": sender,
         "records": len(message.records),
         "since": message.since,
-        "end": message.end,
+        "end": end,
         "end_before": before,
         "age_ms": None if message.answer is None else round(message.answer.age_ms),
     }
--- /dev/null
+++ b/tests/toucanyard_node/polling_fleet.py
@@ -0,0 +1,234 @@
+"""Run the store readers and cores of many nodes against one store in memory.
+
+A silent store answers nothing, and what was asked of it before is never answered, as on
+connections whose other end is gone. Such a read ends by its timeout alone.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import msgspec
+import trio
+
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
+from toucanyard.node_records import NodeRecord
+from toucanyard.quarantine import QuarantinedRequest
+from toucanyard.relay_core import RelayCore
+from toucanyard.relay_events import LinkMessageRead, PeersLinked, SendToPeer
+from toucanyard.relay_options import RelayListen, RelayOptions
+from toucanyard.routes import RouteTable
+from toucanyard_node.relay_metrics import RelayMetrics
+from toucanyard_node.relay_ports import StoreError, TopicPage
+from toucanyard_node.relay_store import StoreReader
+from toucanyard_node.relay_task import Errand, RelayTask
+
+TIMEOUT_S: Final = 1.2
+ANSWER_S: Final = 0.004
+LINK_S: Final = 0.001
+DIAL_S: Final = 0.25
+SAMPLE_S: Final = 0.01
+CONFIG: Final = "config"
+
+
+class SharedStore:
+    """Topics in memory that answer some nodes, all, or none."""
+
+    def __init__(self) -> None:
+        self.records: dict[Topic, list[KeyedRecord]] = {topic: [] for topic in Topic}
+        self.silent_for: set[NodeName] = set()
+        self.silent_topics: set[Topic] = set()
+        self.reads: list[tuple[float, NodeName, Topic]] = []
+        self._grown = {topic: trio.Event() for topic in Topic}
+        self._lost: dict[NodeName, int] = {}
+        """How often a node has lost all that it had asked."""
+
+    def append(self, topic: Topic, key: str, value: bytes) -> None:
+        records = self.records[topic]
+        records.append(KeyedRecord(key, len(records), value))
+        self._grown[topic].set()
+        self._grown[topic] = trio.Event()
+
+    def silence(self, names: Iterable[NodeName]) -> None:
+        """Answer some nodes no more, neither old reads nor new ones."""
+        wanted = set(names)
+        self.silent_for |= wanted
+        self.lose_reads(wanted)
+
+    def lose_reads(self, names: Iterable[NodeName]) -> None:
+        """Never answer what some nodes have asked until now."""
+        for name in names:
+            self._lost[name] = self._lost.get(name, 0) + 1
+
+    def restore(self) -> None:
+        """Answer all nodes again."""
+        self.silent_for.clear()
+        self.silent_topics.clear()
+
+    def count_reads(self, since_s: float, until_s: float) -> int:
+        return sum(since_s <= at_s < until_s for at_s, _, _ in self.reads)
+
+    async def read(
+        self, name: NodeName, topic: Topic, offset: int, wait_ms: float
+    ) -> TopicPage:
+        begun_s = trio.current_time()
+        self.reads.append((begun_s, name, topic))
+        lost = self._lost.get(name, 0)
+        if not self._is_silent(name, topic):
+            if offset >= len(self.records[topic]):
+                with trio.move_on_after(wait_ms / 1000):
+                    await self._grown[topic].wait()
+            await trio.sleep(ANSWER_S)
+        if self._is_silent(name, topic) or lost != self._lost.get(name, 0):
+            await trio.sleep_until(begun_s + TIMEOUT_S + wait_ms / 1000)
+            raise StoreError("no answer")
+        records = tuple(self.records[topic][offset:])
+        return TopicPage(records, offset + len(records))
+
+    def _is_silent(self, name: NodeName, topic: Topic) -> bool:
+        return name in self.silent_for or topic in self.silent_topics
+
+
+class NodeStore:
+    """What one node sees of the store."""
+
+    def __init__(self, name: NodeName, shared: SharedStore) -> None:
+        self._name = name
+        self._shared = shared
+
+    async def read_newest(self, topic: Topic) -> TopicPage:
+        return await self._shared.read(self._name, topic, 0, 0.0)
+
+    async def read_since(self, topic: Topic, offset: int, wait_ms: float) -> TopicPage:
+        return await self._shared.read(self._name, topic, offset, wait_ms)
+
+    async def append_node(self, record: NodeRecord) -> int:
+        raise StoreError("not used")
+
+    async def write_quarantine(self, request: QuarantinedRequest) -> None:
+        raise StoreError("not used")
+
+    async def erase_quarantine(self, fingerprint: str) -> None:
+        raise StoreError("not used")
+
+    async def read_turns(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
+        raise StoreError("not used")
+
+    async def append_turn(self, value: bytes, at: int) -> int:
+        raise StoreError("not used")
+
+
+class PollingNode:
+    """A core, its task and its reader of the store."""
+
+    def __init__(self, number: int, store: SharedStore) -> None:
+        self.name = NodeName(f"n{number}")
+        listen = RelayListen(
+            Address(f"10.0.0.{number}:1"),
+            Address(f"10.0.0.{number}:2"),
+            Address(f"10.0.0.{number}:3"),
+            Address(f"10.0.0.{number}:4"),
+            Address(f"10.0.0.{number}:5"),
+        )
+        domain = DomainName(f"d{number % 3}")
+        options = RelayOptions(self.name, domain, listen, Address("10.9.0.1:1"))
+        identity = NodeId(self.name, Incarnation("i"))
+        self.core = RelayCore(options, identity, decode, random.Random(number))
+        send, self.messages = trio.open_memory_channel[SendToPeer](100_000)
+        errands, self._errands = trio.open_memory_channel[Errand](100_000)
+        self.task = RelayTask(self.core, send, errands, RelayMetrics())
+        self.reader = StoreReader(
+            self.core, self.task.client, NodeStore(self.name, store)
+        )
+
+    @property
+    def version(self) -> int:
+        return self.core.index.table.version
+
+
+class PollingFleet:
+    """Nodes with links between them, a store, and when versions came into force."""
+
+    def __init__(self, count: int) -> None:
+        self.store = SharedStore()
+        self.nodes = [PollingNode(number, self.store) for number in range(count)]
+        self.unlinked: set[NodeName] = set()
+        """Nodes that reach no other node."""
+        self.in_force_s: dict[tuple[NodeName, int], float] = {}
+        self.published_s: dict[int, float] = {}
+        self._by_name = {node.name: node for node in self.nodes}
+        self._linked: dict[NodeName, set[NodeName]] = {}
+        for node in self.nodes:
+            record = msgspec.json.encode(node.core.own_record)
+            self.store.append(Topic.NODES, node.name, record)
+        self.publish(1, 0.0)
+
+    def publish(self, version: int, now_s: float) -> None:
+        self.published_s[version] = now_s
+        self.store.append(Topic.OPERATOR, CONFIG, str(version).encode())
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._link)
+            nursery.start_soon(self._sample)
+            for node in self.nodes:
+                nursery.start_soon(node.task.run)
+                nursery.start_soon(node.reader.run)
+                nursery.start_soon(self._carry, node)
+
+    def find_latest(self, version: int) -> float:
+        """Return how long after its publication all nodes had a version, in s."""
+        return max(
+            self.in_force_s.get((node.name, version), float("inf"))
+            - self.published_s[version]
+            for node in self.nodes
+        )
+
+    async def _carry(self, node: PollingNode) -> None:
+        async for message in node.messages:
+            await trio.sleep(LINK_S)
+            if self.unlinked.isdisjoint((node.name, message.node)):
+                read = LinkMessageRead(node.core.identity, message.message)
+                self._by_name[message.node].task.client.tell(read)
+
+    async def _link(self) -> None:
+        while True:
+            self._link_once(trio.current_time() * 1000)
+            await trio.sleep(DIAL_S)
+
+    def _link_once(self, now_ms: float) -> None:
+        found: dict[NodeName, set[NodeName]] = {node.name: set() for node in self.nodes}
+        for node in self.nodes:
+            for vm in node.core.roster.find_peers(now_ms):
+                other = NodeName(vm.name)
+                if self.unlinked.isdisjoint((node.name, other)):
+                    found[node.name].add(other)
+                    found[other].add(node.name)
+        for node in self.nodes:
+            if found[node.name] != self._linked.get(node.name):
+                peers = sorted(found[node.name])
+                identities = tuple(self._by_name[each].core.identity for each in peers)
+                node.task.client.tell(PeersLinked(identities))
+        self._linked = found
+
+    async def _sample(self) -> None:
+        while True:
+            now_s = trio.current_time()
+            for node in self.nodes:
+                for version in self.published_s:
+                    if version <= node.version:
+                        self.in_force_s.setdefault((node.name, version), now_s)
+            await trio.sleep(SAMPLE_S)
+
+
+def decode(topic: Topic, _: str, value: bytes) -> object:
+    match topic:
+        case Topic.OPERATOR:
+            return RouteTable(version=int(value))
+        case Topic.NODES:
+            return msgspec.json.decode(value, type=NodeRecord)
+        case Topic.REPLICAS:
+            return value.decode()
--- /dev/null
+++ b/tests/toucanyard_node/test_configuration_after_outages.py
@@ -0,0 +1,115 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+
+from toucanyard.keyed_view import Topic
+
+from .polling_fleet import PollingFleet
+
+LATEST_S = 1.0
+"""How long after a confirmation by a store that answers all nodes must have it."""
+SILENT_S = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 3.5, 4.0, 4.5, 5.0, 5.5, 5.8, 6.5, 8.0, 12.0)
+
+
+async def start(fleet: PollingFleet, nursery: trio.Nursery) -> None:
+    nursery.start_soon(fleet.run)
+    await trio.sleep(4)
+
+
+@pytest.mark.parametrize("count", [9, 69])
+async def test_configuration_is_in_force_in_time_after_the_store_was_silent(
+    autojump_clock: object, count: int
+) -> None:
+    """A long poll that began while the store was silent hides all later versions."""
+    rng = random.Random(count)
+    fleet = PollingFleet(count)
+    version = 1
+    late: dict[tuple[float, int], float] = {}
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        for silent_s in SILENT_S if count == 9 else SILENT_S[1::3]:
+            await trio.sleep(rng.uniform(0.0, 4.0))
+            fleet.store.silence(node.name for node in fleet.nodes)
+            await trio.sleep(silent_s)
+            fleet.store.restore()
+            for after_s in (0.02, 0.8):
+                await trio.sleep(after_s)
+                version += 1
+                fleet.publish(version, trio.current_time())
+            await trio.sleep(3)
+            late |= {
+                (silent_s, each): fleet.find_latest(each)
+                for each in (version - 1, version)
+            }
+        nursery.cancel_scope.cancel()
+    assert {case: each for case, each in late.items() if each > LATEST_S} == {}
+
+
+async def test_configuration_is_in_force_in_time_after_open_connections_fell_silent(
+    autojump_clock: object,
+) -> None:
+    """Polls under way are never answered, while each new connection is."""
+    rng = random.Random(3)
+    fleet = PollingFleet(9)
+    late = {}
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        for version in range(2, 10):
+            await trio.sleep(rng.uniform(0.0, 4.0))
+            fleet.store.lose_reads(node.name for node in fleet.nodes)
+            await trio.sleep(rng.uniform(0.0, 1.0))
+            fleet.publish(version, trio.current_time())
+            await trio.sleep(3)
+            late[version] = fleet.find_latest(version)
+        nursery.cancel_scope.cancel()
+    assert {each: s for each, s in late.items() if s > 2 * LATEST_S} == {}
+
+
+async def test_configuration_is_in_force_in_time_at_a_node_that_only_reaches_the_store(
+    autojump_clock: object,
+) -> None:
+    """The store was silent for one node, which no other node can tell of changes."""
+    rng = random.Random(4)
+    fleet = PollingFleet(9)
+    alone = fleet.nodes[4]
+    late = {}
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        fleet.unlinked = {alone.name}
+        for version, silent_s in enumerate((1.0, 2.0, 3.0, 4.5, 5.8, 7.0), start=2):
+            await trio.sleep(rng.uniform(0.0, 4.0))
+            fleet.store.silence([alone.name])
+            await trio.sleep(silent_s)
+            fleet.store.restore()
+            await trio.sleep(0.02)
+            fleet.publish(version, trio.current_time())
+            await trio.sleep(3)
+            late[silent_s] = fleet.find_latest(version)
+        nursery.cancel_scope.cancel()
+    assert {each: s for each, s in late.items() if s > LATEST_S} == {}
+
+
+async def test_configuration_is_in_force_in_time_after_its_topic_alone_was_silent(
+    autojump_clock: object,
+) -> None:
+    """Reads of other topics were answered all the while."""
+    rng = random.Random(5)
+    fleet = PollingFleet(9)
+    late = {}
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        for version, silent_s in enumerate((1.0, 2.5, 4.0, 5.8, 9.0), start=2):
+            await trio.sleep(rng.uniform(0.0, 4.0))
+            fleet.store.silent_topics = {Topic.OPERATOR}
+            fleet.store.lose_reads(node.name for node in fleet.nodes)
+            await trio.sleep(silent_s)
+            fleet.store.restore()
+            await trio.sleep(0.02)
+            fleet.publish(version, trio.current_time())
+            await trio.sleep(3)
+            late[silent_s] = fleet.find_latest(version)
+        nursery.cancel_scope.cancel()
+    assert {each: s for each, s in late.items() if s > LATEST_S} == {}
