Decode and log the limits that replicas in need name

The logs of exceeded replica limits (docs/incidents/replica-limit-exceeded.md) show neither that an answer names a limit nor what a node believes of it. The adapter now decodes the header into a typed field, what can't be read apart; nodes tell each other, the newest answer decides, and replica_limit_changed says replica, rate, the rate before and who saw it. Values that can't be read have one bounded line and change nothing.

No decision on a call is changed. Tests of the decoder and of what nodes tell.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -13,6 +13,7 @@
 import trio
 
 from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.relay_events import ReplicaLimitSeen
 from toucanyard.relay_requests import (
     RelayDispatch,
     RelayOutcome,
@@ -180,6 +181,7 @@
     ) -> None:
         head = await self._read_head(dispatch, connection)
         facts = self._codec.read_answer(head)
+        self._note_limit(dispatch, facts)
         self._check(dispatch, head, facts)
         is_stream = head.headers.get("content-type", "").startswith(EVENT_STREAM)
         if is_stream and head.status < SERVER_ERROR:
@@ -222,6 +224,18 @@
             text = f"no answer within {dispatch.patience_ms:.0f} ms"
             raise self._lose(dispatch, EndingSeen.LOST, text) from error
 
+    def _note_limit(self, dispatch: RelayDispatch, facts: AnswerFacts) -> None:
+        """Tell the core of a limit that a replica names, or has ceased to name."""
+        if facts.incarnation and facts.incarnation != dispatch.listed_as:
+            return
+        has_named = facts.limit_per_s is not None or facts.invalid_limit
+        if has_named or dispatch.is_limited:
+            self._client.tell(
+                ReplicaLimitSeen(
+                    dispatch.replica, facts.limit_per_s, facts.invalid_limit
+                )
+            )
+
     def _check(
         self, dispatch: RelayDispatch, head: ResponseHead, facts: AnswerFacts
     ) -> None:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -48,6 +48,10 @@
     incarnation: str
     """Which replica answered; empty if it doesn't say."""
     weights_version: int | None
+    limit_per_s: float | None = None
+    """Requests a second that the replica takes from all nodes; None without a limit."""
+    invalid_limit: str = ""
+    """What stands in the limit's place and can't be read."""
 
 
 class CallInvalidError(Exception):
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -20,6 +20,7 @@
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import PlacementReason, Prompt, RelayDispatch
 from toucanyard.rendezvous import compute_seed, compute_weight
+from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import Repeatability
@@ -43,10 +44,12 @@
         directory: ReplicaDirectory,
         goals: WeightsGoals,
         sources: PartSources,
+        limits: ReplicaLimits,
         rng: random.Random,
     ) -> None:
         self._policy = options.policy
         self._sources = sources
+        self._limits = limits
         self._directory = directory
         self._goals = goals
         self.index = RouteIndex(RouteTable())
@@ -205,6 +208,7 @@
             connect_ms=self._policy.retries.connect_ms,
             patience_ms=self._compute_patience(pending),
             reason=reason,
+            is_limited=self._limits.find_rate(replica.name) is not None,
         )
 
     def _begin(
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -68,6 +68,16 @@
     """Of the update that began the pause or renewed it; 0 without a pause."""
 
 
+class ReplicaLimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """The limit that a replica named in an answer, or that it names none any more."""
+
+    replica: EndpointName
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=1e9)] | None
+    age_ms: SpanMs
+    """Time since the answer was seen."""
+    update_id: int
+
+
 class LifeNews(msgspec.Struct, frozen=True, array_like=True):
     """A replica that has started again under its name."""
 
@@ -166,6 +176,8 @@
     survivals: tuple[RequestSurvival, ...] = ()
     pledge: Pledge | None = None
     """To whom the sender's group gives its shares of limits; None if it doesn't say."""
+    replica_limits: tuple[ReplicaLimitNews, ...] = ()
+    """Limits of replicas that have changed lately."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -41,6 +41,7 @@
     QuarantineWritten,
     RelayAction,
     RelayEvent,
+    ReplicaLimitSeen,
     ReplicaStateRead,
     StopBegun,
     StoreFailed,
@@ -52,6 +53,7 @@
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.relay_options import RelayOptions
 from toucanyard.replica_gossip import ReplicaGossip
+from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_probes import ReplicaProbes
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
@@ -111,7 +113,15 @@
         self.roster = Roster(self.own_record, options.seeds)
         self.exchange = ViewExchange(decode, self.roster.is_full_mesh, rng)
         self.sources = PartSources(self.directory, self.roster)
-        calls = CallPlacement(options, self.directory, self.goals, self.sources, rng)
+        self.replica_limits = ReplicaLimits(rng)
+        calls = CallPlacement(
+            options,
+            self.directory,
+            self.goals,
+            self.sources,
+            self.replica_limits,
+            rng,
+        )
         self.guard = RequestGuard(
             self.directory, self.roster.find_rank, rng, options.policy.guard
         )
@@ -155,6 +165,7 @@
             self.flow.uses,
             self.flow.reports,
             self.gossip,
+            self.replica_limits,
             self.guard,
             self.goals,
             lambda now_ms: self.sources.list_stores(self.index, now_ms),
@@ -221,8 +232,8 @@
                 yield from self._handle_rollout(event, now_ms)
             case TopicRead():
                 yield from self.topics.take_read(event, now_ms)
-            case StoreFailed():
-                yield _note_failed(event, now_ms)
+            case ReplicaLimitSeen() | StoreFailed():
+                yield from self._handle_seen(event, now_ms)
             case PeersLinked(peers=peers):
                 yield from self._link([peer.node for peer in peers], now_ms)
             case LinkMessageRead(sender=sender, message=message):
@@ -277,6 +288,8 @@
             self.guard.ledger.prune(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.book.forget(name)
+            known = (each.replica.name for each in self.directory.list_all())
+            self.replica_limits.retain(known)
 
     def _settle_guard(self, now_ms: float) -> Iterator[RelayAction]:
         """Log what the guard has learned, and let peers know at once."""
@@ -321,6 +334,21 @@
         # Peers get the record from whoever reads it first.
         self.reads.mark_outdated(Topic.NODES)
 
+    def _handle_seen(
+        self, seen: ReplicaLimitSeen | StoreFailed, now_ms: float
+    ) -> Iterator[RelayAction]:
+        if isinstance(seen, StoreFailed):
+            yield _note_failed(seen, now_ms)
+            return
+        limits = self.replica_limits
+        if seen.invalid_text:
+            yield from limits.on_invalid(seen.replica, seen.invalid_text, now_ms)
+            return
+        before = limits.find_rate(seen.replica)
+        yield from limits.on_answer(seen.replica, seen.limit_per_s, now_ms)
+        if seen.limit_per_s != before:
+            yield from self._tell_soon(now_ms)
+
     def _tick_guard(self, now_ms: float) -> Iterator[RelayAction]:
         self.guard.tick(now_ms)
         yield from self.probes.ask_lost(now_ms)
@@ -368,6 +396,10 @@
         if status.pledge is not None:
             self.shares.read_pledge(sender, status.pledge, now_ms)
         self.flow.apply_node_count(self.roster.count_nodes(now_ms))
+        notes = list(self.replica_limits.apply(status.replica_limits, sender, now_ms))
+        if notes:
+            yield from notes
+            yield from self._tell_soon(now_ms)
         for store in status.stores:
             heard_ms = now_ms - store.heard_age_ms
             if self.sources.note_heard(store.store, heard_ms, store.epoch):
@@ -387,6 +419,7 @@
             yield Note("peer_linked", {"peer": name})
         if set(names) - before:
             self.guard.ledger.share_all(now_ms)
+            self.replica_limits.share_all(now_ms)
 
 
 def _note_failed(failed: StoreFailed, now_ms: float) -> Note:
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -45,6 +45,15 @@
     outcome: RelayOutcome
 
 
+class ReplicaLimitSeen(msgspec.Struct, frozen=True):
+    """An answer has begun that names a limit of its replica, or names none any more."""
+
+    replica: EndpointName
+    limit_per_s: float | None
+    invalid_text: str = ""
+    """What stands in its place and can't be read."""
+
+
 class TopicRead(msgspec.Struct, frozen=True):
     """The store gave records of a topic, up to `end`, when asked at `asked_ms`."""
 
@@ -219,6 +228,7 @@
     | DispatchEnded
     | TopicRead
     | StoreFailed
+    | ReplicaLimitSeen
     | PeersLinked
     | LinkMessageRead
     | PartsChanged
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -103,6 +103,8 @@
     save_to: Address | None = None
     """The store that is to keep the parts that are read."""
     reason: PlacementReason | None = None
+    is_limited: bool = False
+    """The replica has named a limit; the answer shows whether it still does."""
 
 
 RelayVerdict = RelayDispatch | Refuse
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -26,6 +26,7 @@
 from toucanyard.part_reports import PartReports
 from toucanyard.relay_events import SendToPeer
 from toucanyard.replica_gossip import ReplicaGossip
+from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_uses import FLEET, ReplicaUses
 from toucanyard.request_guard import RequestGuard
 from toucanyard.roster import Roster
@@ -61,6 +62,7 @@
         uses: ReplicaUses,
         reports: PartReports,
         gossip: ReplicaGossip,
+        replica_limits: ReplicaLimits,
         guard: RequestGuard,
         goals: WeightsGoals,
         list_stores: Callable[[float], Iterable[StoreNews]],
@@ -73,6 +75,7 @@
         self._uses = uses
         self._reports = reports
         self._gossip = gossip
+        self._replica_limits = replica_limits
         self._guard = guard
         self._goals = goals
         self._list_stores = list_stores
@@ -325,6 +328,7 @@
             lives=tuple(self._gossip.list_lives(now_ms)),
             crashes=tuple(self._guard.ledger.list_crashes(now_ms)),
             survivals=tuple(self._guard.ledger.list_survivals(now_ms)),
+            replica_limits=tuple(self._replica_limits.list_news(now_ms)),
         )
 
     def _is_hub_pair(self, name: NodeName) -> bool:
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -21,6 +21,7 @@
     RelayReply,
     RelayRequest,
 )
+from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import EndingSeen, Refuse, Repeatability
@@ -66,7 +67,9 @@
         )
         sources = PartSources(self.directory, Roster(own, ()))
         rng = random.Random(1)
-        calls = CallPlacement(OPTIONS, self.directory, self.goals, sources, rng)
+        calls = CallPlacement(
+            OPTIONS, self.directory, self.goals, sources, ReplicaLimits(rng), rng
+        )
         self.flow = RelayFlow(
             OPTIONS.retries,
             OPTIONS.policy,
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -187,6 +187,43 @@
     assert PlatformCalls().read_answer(ResponseHead(200, odd)).weights_version is None
 
 
+@pytest.mark.parametrize(
+    ("values", "limit_per_s"),
+    [
+        ((), None),
+        (("0.6",), 0.6),
+        (("0",), 0.0),
+        ((" 12 ",), 12.0),
+        (("3", "1.5"), 1.5),
+        (("9" * 308,), 1e6),
+        (("1" + "0" * 399,), 1e6),
+    ],
+)
+def test_limits_that_replicas_name_are_decoded(
+    values: tuple[str, ...], limit_per_s: float | None
+) -> None:
+    facts = PlatformCalls().read_answer(build_limited(*values))
+    assert facts.limit_per_s == limit_per_s
+    assert not facts.invalid_limit
+
+
+@pytest.mark.parametrize(
+    "value", ["", "-1", "nan", "inf", "1e308", "many", "1,5", "٣", ".", "1" * 500]
+)
+def test_limits_that_are_no_decimal_numbers_are_told_apart(value: str) -> None:
+    """Guards against taking what can't be read for a limit or for its end."""
+    for values in ((value,), ("2", value)):
+        facts = PlatformCalls().read_answer(build_limited(*values))
+        assert facts.limit_per_s is None
+        assert 0 < len(facts.invalid_limit) <= 40
+
+
+def build_limited(*values: str) -> ResponseHead:
+    fields = tuple(("Server-Limit", value) for value in values)
+    headers = {name.lower(): value for name, value in fields}
+    return ResponseHead(200, headers, fields)
+
+
 def test_tokens_that_a_limit_counts_are_both_numbers() -> None:
     """Guards against counting the prompt alone; output is the dearer part."""
     facts = PlatformCalls().read_call(build_http(*MODEL_CALL))
