Reproduce that replicas get more requests than the limits that they name

What was seen: a replica that had named 1.2 requests a second got 14 in four seconds from nodes that had passed this on (LIMIT).

--- /dev/null
+++ b/tests/toucanyard/replica_limit_fleet.py
@@ -0,0 +1,119 @@
+"""Run a fleet before replicas that name limits in their answers."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+
+from toucanyard.names import Address, EndpointName, Fingerprint, NodeName, RequestId
+from toucanyard.relay_events import ReplicaLimitSeen
+from toucanyard.relay_requests import RelayDispatch, RelayRequest
+from toucanyard.requests import Repeatability
+
+from .crash_fleet import CALL_MS, STEP_MS, Call, Engine
+from .limit_fleet import LimitFleet
+from .relay_examples import build_request
+
+WINDOW_MS = 4_000.0
+OVERSHOOT = 1.5
+SLACK = 5
+
+
+def find_allowed(rate_per_s: float) -> float:
+    """Return how many requests a limited replica may get in one window."""
+    return OVERSHOOT * rate_per_s * WINDOW_MS / 1_000 + SLACK
+
+
+class ReplicaLimitFleet(LimitFleet):
+    """Nodes and replicas, some of which take only so many requests a second."""
+
+    def __init__(self, domains: int, nodes_each: int) -> None:
+        self.named: dict[Address, float] = {}
+        """Requests a second that replicas name now."""
+        self.first_told_ms: dict[EndpointName, float] = {}
+        """When a node first passed on an answer that names a replica's limit."""
+        self._limited_calls: set[RequestId] = set()
+        super().__init__(domains, nodes_each)
+        self.set_limit(None)
+        self.run_for(100.0)
+
+    def name_limits(self, rate_per_s: float, count: int) -> list[Engine]:
+        """Let some replicas name a limit from now on, and return them."""
+        engines = list(self.engines.values())[:count]
+        self.named |= {each.address: rate_per_s for each in engines}
+        return engines
+
+    def _reach(self, call: Call, dispatch: RelayDispatch) -> None:
+        if dispatch.is_limited:
+            self._limited_calls.add(call.request.request_id)
+        super()._reach(call, dispatch)
+
+    def _begin(self, call: Call, engine: Engine) -> None:
+        rate_per_s = self.named.get(engine.address)
+        is_asked = call.request.request_id in self._limited_calls
+        if rate_per_s is not None:
+            self.first_told_ms.setdefault(engine.name, self.now_ms)
+        if rate_per_s is not None or is_asked:
+            self.handle(call.node, ReplicaLimitSeen(engine.name, rate_per_s))
+        super()._begin(call, engine)
+
+    def play_calls(
+        self,
+        for_ms: float,
+        per_s: float,
+        nodes: Iterable[NodeName] | None = None,
+        *,
+        call_ms: float = CALL_MS,
+    ) -> list[Call]:
+        """Let calls come to nodes drawn at random at a steady rate; return them."""
+        before = len(self.calls)
+        begun_ms = self.now_ms
+        asked = 0
+        while self.now_ms < begun_ms + for_ms:
+            names = list(self.cores) if nodes is None else list(nodes)
+            alive = [name for name in names if name not in self.dead]
+            while asked < per_s * (self.now_ms - begun_ms) / 1_000:
+                asked += 1
+                self._arrive(self.rng.choice(alive), self._build(asked, call_ms))
+            self.run_for(STEP_MS)
+        return self.calls[before:]
+
+    def _build(self, number: int, call_ms: float) -> RelayRequest:
+        name = f"call-{next(self._numbers)}"
+        return build_request(
+            name,
+            fingerprint=Fingerprint(name),
+            repeatability=Repeatability.REPEATABLE,
+            is_stream=True,
+            is_resumable=True,
+            rank=number % 2,
+            arrived_ms=self.now_ms,
+            deadline_ms=self.now_ms + call_ms,
+        )
+
+    # What was seen.
+
+    def list_arrivals(self, engine: Engine, since_ms: float = 0.0) -> list[float]:
+        """Return when requests reached a replica."""
+        return [
+            send.at_ms
+            for send in self.reached
+            if send.replica == engine.name and send.at_ms >= since_ms
+        ]
+
+    def find_worst_window(self, engine: Engine, since_ms: float | None = None) -> int:
+        """Return the most requests that a replica got in one window.
+
+        Counted from when a node first passed on its limit, if nothing else is said.
+        """
+        told_ms = self.first_told_ms.get(engine.name, float("inf"))
+        window: deque[float] = deque()
+        worst = 0
+        for at_ms in self.list_arrivals(
+            engine, told_ms if since_ms is None else since_ms
+        ):
+            window.append(at_ms)
+            while window[0] <= at_ms - WINDOW_MS:
+                window.popleft()
+            worst = max(worst, len(window))
+        return worst
