--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -158,9 +158,9 @@
     yield _format("limit_rejections_total", core.limits.rejected)
     yield _format("limit_questions_total", core.limits.accounts.asked)
     uses = core.shares.list_uses()
-    uses.sort(key=lambda each: (-each.denied_total, each.customer))
+    uses.sort(key=lambda each: (-each.denied_total, each.subject))
     for use in uses[:MAX_LIMITED]:
-        labels = {"customer": str(use.customer)}
+        labels = {"customer": use.subject}
         yield _format("limit_rate_per_s", use.rate_per_s, **labels)
         yield _format("limit_share", round(use.share, 3), **labels)
         yield _format("limit_level", round(use.level), **labels)
--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -6,15 +6,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
 import xxhash
 
-from toucanyard.customer_limits import CustomerLimit, LimitBounds
 from toucanyard.limit_credits import CreditAccounts, Denial
-from toucanyard.names import Incarnation
+from toucanyard.names import CustomerName, Incarnation
 from toucanyard.pending_call import PendingCall
+from toucanyard.rate_limits import LimitBounds, RateLimit
 from toucanyard.relay_policy import LimitPolicy, LimitWay
 from toucanyard.routes import RouteIndex, RouteTable
 
@@ -28,6 +29,11 @@
 """When to come back to a node that got no credit from any home."""
 
 
+def compute_first_number(incarnation: Incarnation) -> int:
+    """Return the figure that an incarnation numbers its questions from."""
+    return xxhash.xxh3_64_intdigest(incarnation.encode()) % MAX_FIRST_NUMBER
+
+
 class LimitRejection(msgspec.Struct, frozen=True):
     """Why a call is over its customer's limit, and when it may not be any more."""
 
@@ -45,8 +51,7 @@
     ) -> None:
         self._bounds = bounds
         self._policy = policy
-        first = xxhash.xxh3_64_intdigest(incarnation.encode()) % MAX_FIRST_NUMBER
-        self.accounts = CreditAccounts(first)
+        self.accounts = CreditAccounts(compute_first_number(incarnation))
         self.index = RouteIndex(RouteTable())
         self.rejected = 0
 
@@ -59,6 +64,14 @@
             if limit != before.find_limit(name):
                 self.accounts.forget_denials(name)
 
+    def find_limit(self, subject: str) -> RateLimit | None:
+        """Return the limit of a customer; None if it has none."""
+        return self.index.find_limit(CustomerName(subject))
+
+    def list_limits(self) -> Mapping[str, RateLimit]:
+        """Return the limits of all customers that have one."""
+        return {str(name): each for name, each in self.index.list_limits().items()}
+
     def check(self, pending: PendingCall, now_ms: float) -> LimitRejection | None:
         """Take credit for a call's next try; return why it may not have any.
 
@@ -115,7 +128,7 @@
             pending.charge = 0.0
 
     def _wait(
-        self, pending: PendingCall, limit: CustomerLimit, cost: float, now_ms: float
+        self, pending: PendingCall, limit: RateLimit, cost: float, now_ms: float
     ) -> LimitRejection | None:
         customer = pending.request.customer
         if not pending.is_unpaid:
@@ -140,7 +153,7 @@
         return self._reject(text, UNKNOWN_RETRY_MS)
 
     def _reject_denied(
-        self, limit: CustomerLimit, cost: float, customer: str, denial: Denial
+        self, limit: RateLimit, cost: float, customer: str, denial: Denial
     ) -> LimitRejection:
         text = (
             f"customer {customer} is over its limit of {limit.rate_per_s:g} "
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -10,7 +10,7 @@
 import xxhash
 
 from toucanyard.candidates import MIN_MOVED_TOKENS
-from toucanyard.names import EndpointName, Fingerprint
+from toucanyard.names import EndpointName, Fingerprint, ServiceName
 from toucanyard.part_book import PartBook
 from toucanyard.part_placement import PartPlacement, PlacedPrompt
 from toucanyard.part_reports import PartReports
@@ -20,7 +20,7 @@
 from toucanyard.relay_options import RelayOptions
 from toucanyard.relay_requests import PlacementReason, Prompt, RelayDispatch
 from toucanyard.rendezvous import compute_seed, compute_weight
-from toucanyard.replica_limits import ReplicaLimits
+from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_uses import ReplicaUses
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import Repeatability
@@ -44,12 +44,12 @@
         directory: ReplicaDirectory,
         goals: WeightsGoals,
         sources: PartSources,
-        limits: ReplicaLimits,
+        credits: ReplicaCredits,
         rng: random.Random,
     ) -> None:
         self._policy = options.policy
         self._sources = sources
-        self._limits = limits
+        self._credits = credits
         self._directory = directory
         self._goals = goals
         self.index = RouteIndex(RouteTable())
@@ -66,8 +66,11 @@
 
     def place(self, pending: PendingCall, now_ms: float) -> RelayDispatch | None:
         """Choose a replica and count the call there; None if it has to wait."""
+        if self._credits.is_asking(pending, now_ms):
+            return None
         request = pending.request
         service = self.index.find_service(request.service)
+        usable: Sequence[KnownReplica]
         usable = self._directory.find_usable(request.service, now_ms)
         fresh = [each for each in usable if each.replica.name not in pending.tried]
         # A single replica is tried again rather than nothing.
@@ -76,6 +79,9 @@
             return None
         if pending.is_suspect:
             usable = [_find_home(request.fingerprint, usable)]
+        usable = self._credits.select(pending, usable, now_ms)
+        if not usable:
+            return None
         if request.prompt is not None and service is not None and service.engine:
             return self._place_prompt(pending, service.engine, usable, now_ms)
         return self._place_plain(pending, usable, now_ms)
@@ -84,7 +90,7 @@
         self,
         pending: PendingCall,
         engine: EngineTraits,
-        usable: list[KnownReplica],
+        usable: Sequence[KnownReplica],
         now_ms: float,
     ) -> RelayDispatch | None:
         request = pending.request
@@ -109,8 +115,10 @@
         )
         if placed is None:
             return None
-        pending.weights_version = placed.weights_version
         replica = placed.replica.replica
+        if not self._credits.claim(pending, replica.name, now_ms):
+            return None
+        pending.weights_version = placed.weights_version
         tokens = prompt.count_tokens() + prompt.max_output_tokens
         self._begin(pending, replica.name, tokens, placed.unread_tokens, now_ms)
         pending.scope = placed.scope
@@ -176,11 +184,13 @@
             self.reports.note(name, placed.scope, part.name, part.tokens, ready_ms)
 
     def _place_plain(
-        self, pending: PendingCall, usable: list[KnownReplica], now_ms: float
+        self, pending: PendingCall, usable: Sequence[KnownReplica], now_ms: float
     ) -> RelayDispatch | None:
         placed = self._plain.choose(usable, now_ms)
         if placed is None:
             return None
+        if not self._credits.claim(pending, placed.replica.replica.name, now_ms):
+            return None
         self._begin(pending, placed.replica.replica.name, 0, 0, now_ms)
         reason = PlacementReason(
             total_ms=placed.load,
@@ -208,7 +218,7 @@
             connect_ms=self._policy.retries.connect_ms,
             patience_ms=self._compute_patience(pending),
             reason=reason,
-            is_limited=self._limits.find_rate(replica.name) is not None,
+            is_limited=self._credits.find_limit(replica.name) is not None,
         )
 
     def _begin(
@@ -236,6 +246,17 @@
         factor = retries.stream_patience if request.is_stream else retries.call_patience
         return max(request.target_ms * factor, MIN_PATIENCE_MS)
 
+    def release(self, pending: PendingCall) -> None:
+        """Let a call that is over no longer ask for a replica."""
+        self._credits.release(pending)
+
+    def is_limited(self, service: ServiceName, now_ms: float) -> bool:
+        """Tell whether all replicas that may get a service's calls name limits."""
+        if not self._credits.has_limits():
+            return False
+        usable = self._directory.find_usable(service, now_ms)
+        return all(self._credits.find_limit(each.replica.name) for each in usable)
+
     def note_read(self, pending: PendingCall, now_ms: float) -> None:
         """Note that a call's prompt has been read where it was sent."""
         prompt = pending.request.prompt
--- a/packages/toucanyard/src/toucanyard/drain_rate.py
+++ b/packages/toucanyard/src/toucanyard/drain_rate.py
@@ -37,6 +37,14 @@
         per_ms = count * math.log(2) / (HALF_LIFE_MS * covered)
         return float(ahead / per_ms)
 
+    def compute_rate(self, now_ms: float) -> float:
+        """Return how many requests end in a second."""
+        if self._since_ms is None:
+            return 0.0
+        covered = 1.0 - 0.5 ** (max(now_ms - self._since_ms, 100.0) / HALF_LIFE_MS)
+        per_ms = self._compute_count(now_ms) * math.log(2) / (HALF_LIFE_MS * covered)
+        return float(per_ms * 1_000)
+
     def _compute_count(self, now_ms: float) -> float:
         age_ms = max(now_ms - self._counted_ms, 0.0)
         return float(self._count * 0.5 ** (age_ms / HALF_LIFE_MS))
--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -1,4 +1,6 @@
-"""Hold the credit that one node was granted for its customers' requests.
+"""Hold the credit that one node was granted for what limits count.
+
+What a limit is of, a customer or a replica, is its subject here.
 
 Credit is asked for when requests need it and used within a moment: what a node holds
 that nobody uses would be missing elsewhere, and could run in a later window than the
@@ -12,9 +14,9 @@
 
 import msgspec
 
-from toucanyard.customer_limits import MIN_CREDIT_MS
 from toucanyard.limit_pool import CreditGrant
-from toucanyard.names import CustomerName, RequestId
+from toucanyard.names import RequestId
+from toucanyard.rate_limits import MIN_CREDIT_MS
 
 ASK_TIMEOUT_MS: Final = 200.0
 """Time without an answer after which a question is sent again."""
@@ -26,10 +28,10 @@
 
 
 class CreditQuestion(msgspec.Struct, frozen=True):
-    """What a node asks a customer's home for."""
+    """What a node asks the home of a limit for."""
 
     number: int
-    customer: CustomerName
+    subject: str
     wanted: float
     least: float
     """Cost of the first request; less is of no use."""
@@ -38,7 +40,7 @@
 
 
 class Denial(msgspec.Struct, frozen=True):
-    """What a customer's home said when it granted nothing."""
+    """What the home of a limit said when it granted nothing."""
 
     closed_ms: float
     """Time until it is asked again."""
@@ -81,15 +83,15 @@
 
 
 class CreditAccounts:
-    """Credit by customer. Invariant: what is taken was granted before, and once."""
+    """Credit by subject. Invariant: what is taken was granted before, and once."""
 
     __slots__ = ("_accounts", "_first", "_open", "asked")
 
     def __init__(self, first_number: int = 0) -> None:
         self._first = first_number
         """Other than that of the incarnation before, whose answers homes still know."""
-        self._accounts: dict[CustomerName, _Account] = {}
-        self._open: dict[CustomerName, None] = {}
+        self._accounts: dict[str, _Account] = {}
+        self._open: dict[str, None] = {}
         """Customers with requests that wait for credit."""
         self.asked = 0
         """Questions so far."""
@@ -97,79 +99,86 @@
     def take(
         self,
         request_id: RequestId,
-        customer: CustomerName,
+        subject: str,
         cost: float,
         ttl_ms: float,
         now_ms: float,
     ) -> float | None:
         """Use credit for a request; return until when, or let the request wait."""
-        account = self._find(customer, now_ms)
+        account = self._find(subject, now_ms)
         account.ttl_ms = ttl_ms
         if account.credit >= cost:
             account.credit -= cost
             account.waiting.pop(request_id, None)
             return account.until_ms
         account.waiting[request_id] = cost
-        self._open[customer] = None
+        self._open[subject] = None
         return None
 
-    def find_denial(self, customer: CustomerName, now_ms: float) -> Denial | None:
+    def find_credit(self, subject: str, now_ms: float) -> float:
+        """Return the credit that may be used now."""
+        account = self._accounts.get(subject)
+        if account is None or now_ms >= account.until_ms:
+            return 0.0
+        return account.credit
+
+    def find_denial(self, subject: str, now_ms: float) -> Denial | None:
         """Return the denial that still holds; None if the home may grant now."""
-        account = self._accounts.get(customer)
+        account = self._accounts.get(subject)
         if account is None or account.closed_until_ms <= now_ms:
             return None
         closed_ms = account.closed_until_ms - now_ms
         retry_ms = max(account.retry_at_ms - now_ms, closed_ms)
         return Denial(closed_ms, retry_ms, now_ms - account.denied_ms)
 
-    def withdraw(self, request_id: RequestId, customer: CustomerName) -> None:
+    def withdraw(self, request_id: RequestId, subject: str) -> None:
         """Let a request no longer wait for credit."""
-        account = self._accounts.get(customer)
+        account = self._accounts.get(subject)
         if account is not None:
             account.waiting.pop(request_id, None)
 
-    def give_back(self, customer: CustomerName, credit: float, now_ms: float) -> None:
+    def give_back(self, subject: str, credit: float, now_ms: float) -> None:
         """Return credit that a request took and did not use."""
-        self._find(customer, now_ms).returned += credit
+        self._find(subject, now_ms).returned += credit
 
     def has_questions(self) -> bool:
         """Tell whether requests may be waiting for credit."""
         return bool(self._open)
 
-    def retain(self, customers: Collection[CustomerName]) -> None:
-        """Drop what is known of customers that have no limit any more."""
-        for customer in set(self._accounts).difference(customers):
-            del self._accounts[customer]
-            self._open.pop(customer, None)
+    def retain(self, subjects: Collection[str]) -> None:
+        """Drop what is known of those that have no limit any more."""
+        for subject in set(self._accounts).difference(subjects):
+            del self._accounts[subject]
+            self._open.pop(subject, None)
 
-    def forget_denials(self, customer: CustomerName) -> None:
-        """Drop the denials of a customer whose limit has changed."""
-        account = self._accounts.get(customer)
+    def forget_denials(self, subject: str) -> None:
+        """Drop the denials of a limit that has changed."""
+        account = self._accounts.get(subject)
         if account is not None:
             account.closed_until_ms = float("-inf")
 
     def list_questions(self, now_ms: float) -> Iterator[CreditQuestion]:
         """Return what has to be asked now."""
-        for customer in list(self._open):
-            account = self._find(customer, now_ms)
+        for subject in list(self._open):
+            account = self._find(subject, now_ms)
             if not account.waiting:
-                del self._open[customer]
+                del self._open[subject]
                 continue
             is_covered = account.credit >= sum(account.waiting.values())
             if is_covered or account.closed_until_ms > now_ms:
                 continue
             question = account.question
             if question is None or now_ms - account.asked_ms >= account.ttl_ms:
-                yield self._ask(customer, account, now_ms)
+                yield self._ask(subject, account, now_ms)
             elif now_ms - account.sent_ms >= ASK_TIMEOUT_MS:
                 account.sent_ms = now_ms
                 yield question
 
     def apply_grant(
-        self, customer: CustomerName, number: int, grant: CreditGrant, now_ms: float
+        self, subject: str, number: int, grant: CreditGrant, now_ms: float
     ) -> None:
         """Take in the answer to a question; one that came too late grants nothing."""
-        account = self._accounts.get(customer)
+        account = self._accounts.get(subject)
         if account is None:
             return
         question = account.question
@@ -190,9 +199,7 @@
             account.closed_until_ms = now_ms + closed_ms
             account.retry_at_ms = now_ms + max(grant.retry_ms, closed_ms)
 
-    def _ask(
-        self, customer: CustomerName, account: _Account, now_ms: float
-    ) -> CreditQuestion:
+    def _ask(self, subject: str, account: _Account, now_ms: float) -> CreditQuestion:
         self.asked += 1
         account.asked_ms = account.sent_ms = now_ms
         # What is left would lapse before the answer does.
@@ -200,17 +207,17 @@
         account.credit = 0.0
         account.question = CreditQuestion(
             self._first + self.asked,
-            customer,
+            subject,
             sum(account.waiting.values()),
             next(iter(account.waiting.values())),
             returned,
         )
         return account.question
 
-    def _find(self, customer: CustomerName, now_ms: float) -> _Account:
-        account = self._accounts.get(customer)
+    def _find(self, subject: str, now_ms: float) -> _Account:
+        account = self._accounts.get(subject)
         if account is None:
-            account = self._accounts[customer] = _Account()
+            account = self._accounts[subject] = _Account()
         self._expire(account, now_ms)
         return account
 
--- a/packages/toucanyard/src/toucanyard/limit_pledges.py
+++ b/packages/toucanyard/src/toucanyard/limit_pledges.py
@@ -1,10 +1,10 @@
-"""Know which share of customers' limits this node may give out.
+"""Know which share of limits this node may give out.
 
 Each node stands for an equal share of every limit. A group of nodes, those that report
 to one hub or a single node of a mesh, pledges its shares to one home for each slice of
-the customers, and says so in every status. A home gives out what was pledged to it and
-nothing else: as a group names one home at a time, the shares of all homes never exceed
-the limit, whoever is cut from whom.
+what is limited, and says so in every status. A home gives out what was pledged to it
+and nothing else: as a group names one home at a time, the shares of all homes never
+exceed the limit, whoever is cut from whom.
 """
 
 from __future__ import annotations
@@ -15,11 +15,11 @@
 import msgspec
 import xxhash
 
-from toucanyard.names import CustomerName, NodeName
+from toucanyard.names import NodeName
 from toucanyard.vm_view import compute_rank
 
 SLICES: Final = 4
-"""Slices of the customers with a home each, so that no hub answers for all of them."""
+"""Slices of what is limited, with a home each, so that no hub answers for all."""
 PLEDGE_TTL_MS: Final = 900.0
 """Time after which a pledge that was not renewed has ended. Shorter than the silence
 after which its sender takes the link for dead and names another home."""
@@ -116,9 +116,9 @@
                 self._nodes[number] += nodes
 
 
-def find_slice(customer: CustomerName) -> int:
-    """Return the slice that a customer belongs to, the same on all nodes."""
-    return xxhash.xxh3_64_intdigest(customer.encode()) % SLICES
+def find_slice(subject: str) -> int:
+    """Return the slice that a limit belongs to, the same on all nodes."""
+    return xxhash.xxh3_64_intdigest(subject.encode()) % SLICES
 
 
 def choose_homes(candidates: Iterable[NodeName]) -> tuple[NodeName, ...]:
--- a/packages/toucanyard/src/toucanyard/limit_pool.py
+++ b/packages/toucanyard/src/toucanyard/limit_pool.py
@@ -1,22 +1,20 @@
-"""Give out credit for customers' limits: what a home does.
+"""Give out credit for limits: what a home does.
 
-A customer's level rises with its rate as far as its shares are pledged to this home,
-up to its burst. A request is granted while the level is not negative, and may take it
-below zero: long prompts get their turn beside short ones, and what is owed is paid off
-before the next request.
+The level of a limit's subject, a customer or a replica, rises with its rate as far as
+its shares are pledged to this home, up to its burst. A request is granted while the
+level is not negative, and may take it below zero: long prompts get their turn beside
+short ones, and what is owed is paid off before the next request.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
 
-from toucanyard.customer_limits import CustomerLimit, LimitBounds
 from toucanyard.limit_pledges import PledgeBook, find_slice
-from toucanyard.names import CustomerName
-from toucanyard.routes import RouteIndex
+from toucanyard.rate_limits import LimitBounds, RateLimit
 
 MAJORITY: Final = 0.5
 """Share above which no other home can have as much of the same limit."""
@@ -35,9 +33,9 @@
 
 
 class PoolUse(msgspec.Struct, frozen=True):
-    """What a home knows of one customer, for operators."""
+    """What a home knows of one subject, for operators."""
 
-    customer: CustomerName
+    subject: str
     rate_per_s: float
     level: float
     """What may run now; negative while something is owed."""
@@ -47,7 +45,7 @@
 
 
 class _Level:
-    """One customer's level. Invariant: it never exceeds what may be saved up."""
+    """One subject's level. Invariant: it never exceeds what may be saved up."""
 
     __slots__ = (
         "backlog",
@@ -59,7 +57,7 @@
         "value",
     )
 
-    def __init__(self, limit: CustomerLimit, rate_per_s: float) -> None:
+    def __init__(self, limit: RateLimit, rate_per_s: float) -> None:
         self.limit = limit
         self.rate_per_s = rate_per_s
         self.value = 0.0
@@ -79,14 +77,14 @@
 
 
 class LimitPool:
-    """The levels of all customers of which this node is the home."""
+    """The levels of all subjects of which this node is the home."""
 
     __slots__ = ("_bounds", "_levels", "_pledges")
 
     def __init__(self, bounds: LimitBounds, pledges: PledgeBook) -> None:
         self._bounds = bounds
         self._pledges = pledges
-        self._levels: dict[CustomerName, _Level] = {}
+        self._levels: dict[str, _Level] = {}
 
     def forget_slices(self, numbers: list[int]) -> None:
         """Drop the levels of slices that are no longer pledged to this node."""
@@ -99,16 +97,18 @@
             if find_slice(name) not in lost
         }
 
-    def apply_limits(self, index: RouteIndex, shares: Sequence[float]) -> None:
+    def apply_limits(
+        self, find_limit: Callable[[str], RateLimit | None], shares: Sequence[float]
+    ) -> None:
         """Let changed limits be in force; what was earned before is kept."""
-        for customer, level in list(self._levels.items()):
-            limit = index.find_limit(customer)
+        for subject, level in list(self._levels.items()):
+            limit = find_limit(subject)
             if limit == level.limit:
                 continue
             if limit is None or limit.unit is not level.limit.unit:
-                del self._levels[customer]
+                del self._levels[subject]
                 continue
-            number = find_slice(customer)
+            number = find_slice(subject)
             level.settle(self._pledges.find_accrued(number), shares[number])
             level.limit = limit
             level.rate_per_s = self._bounds.compute_rate(limit)
@@ -117,8 +117,8 @@
 
     def grant(
         self,
-        customer: CustomerName,
-        limit: CustomerLimit,
+        subject: str,
+        limit: RateLimit,
         wanted: float,
         least: float,
         share: float,
@@ -128,7 +128,7 @@
 
         `denied` is what the same node was denied last, which it asks for again.
         """
-        level = self._find_level(customer, limit, share)
+        level = self._find_level(subject, limit, share)
         debt = self._bounds.compute_max_debt(limit)
         if share <= MAJORITY:
             debt *= share
@@ -149,16 +149,16 @@
         return CreditGrant(granted, closed_ms, closed_ms)
 
     def take_back(
-        self, customer: CustomerName, limit: CustomerLimit, credit: float, share: float
+        self, subject: str, limit: RateLimit, credit: float, share: float
     ) -> None:
         """Take back credit that was granted and not used."""
-        level = self._find_level(customer, limit, share)
+        level = self._find_level(subject, limit, share)
         capacity = limit.compute_capacity() * share
         level.value = min(level.value + credit, max(capacity, level.value))
         level.granted_total -= credit
 
     def list_uses(self, shares: Sequence[float]) -> list[PoolUse]:
-        """Return what is known of each customer."""
+        """Return what is known of each subject."""
         return [
             PoolUse(
                 name,
@@ -171,13 +171,11 @@
             for name, level in self._levels.items()
         ]
 
-    def _find_level(
-        self, customer: CustomerName, limit: CustomerLimit, share: float
-    ) -> _Level:
-        level = self._levels.get(customer)
+    def _find_level(self, subject: str, limit: RateLimit, share: float) -> _Level:
+        level = self._levels.get(subject)
         if level is None:
-            level = self._levels[customer] = _Level(
+            level = self._levels[subject] = _Level(
                 limit, self._bounds.compute_rate(limit)
             )
-        level.settle(self._pledges.find_accrued(find_slice(customer)), share)
+        level.settle(self._pledges.find_accrued(find_slice(subject)), share)
         return level
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -16,7 +16,6 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.limit_pledges import Pledge
 from toucanyard.names import (
-    CustomerName,
     EndpointName,
     Fingerprint,
     NodeName,
@@ -191,21 +190,29 @@
     answer: StoreReadUpdate | None = None
 
 
+class LimitKind(enum.StrEnum):
+    """What a limit is of."""
+
+    CUSTOMER = "c"
+    REPLICA = "r"
+
+
 Credit = Annotated[float, msgspec.Meta(ge=0, le=1e15)]
 """An amount in the unit of a limit, neither infinite nor no number."""
 
 
 class CreditAsk(msgspec.Struct, frozen=True, array_like=True, tag="q"):
-    """A node needs credit of a customer's home; passed on by one hub at most."""
+    """A node needs credit of a limit's home; passed on by one hub at most."""
 
     origin: NodeName
     number: int
-    customer: CustomerName
+    subject: str
     wanted: Credit
     least: Credit
     """Cost of the first request; less is of no use."""
     returned: Credit
     """Credit of before that was not used."""
+    kind: LimitKind = LimitKind.CUSTOMER
 
 
 class CreditAnswer(msgspec.Struct, frozen=True, array_like=True, tag="a"):
@@ -213,11 +220,12 @@
 
     origin: NodeName
     number: int
-    customer: CustomerName
+    subject: str
     granted: Credit
     closed_ms: SpanMs
     """Time until the home grants anything again; 0 if it does now."""
     retry_ms: SpanMs
+    kind: LimitKind = LimitKind.CUSTOMER
 
 
 LinkMessage = NodeStatus | ViewRecords | CreditAsk | CreditAnswer
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -41,6 +41,10 @@
     unpaid_since_ms: float = 0.0
     unpaid_until_ms: float = 0.0
     """When it no longer waits for credit."""
+    asked_replica: EndpointName | None = None
+    """The limited replica whose home was asked whether it may be sent there."""
+    ask_until_ms: float = 0.0
+    """When it no longer waits for the answer."""
     has_failed: bool = False
     """The last try that may have run ended with an answer that says that it failed."""
 
--- a/packages/toucanyard/src/toucanyard/customer_limits.py
+++ b/packages/toucanyard/src/toucanyard/rate_limits.py
@@ -1,8 +1,9 @@
-"""Know what a customer may send: its rate over all nodes, and what one request costs.
+"""Know what a limit over all nodes allows, and what one request costs.
 
-A limit is a rate and a burst, counted in requests or in tokens. Whoever sets it also
-says by how much the sum over all nodes may pass it within a window; what nodes do that
-can't see each other has to fit in there.
+A limit is a rate and a burst, counted in requests or in tokens: of what a customer may
+send, or of what a replica takes. Whoever sets it also says by how much the sum over all
+nodes may pass it within a window; what nodes do that can't see each other has to fit in
+there.
 """
 
 from __future__ import annotations
@@ -28,8 +29,8 @@
     """Prompt tokens and the most output tokens that a request asks for."""
 
 
-class CustomerLimit(msgspec.Struct, frozen=True):
-    """The limit of one customer, in its unit."""
+class RateLimit(msgspec.Struct, frozen=True):
+    """The limit of one customer or replica, in its unit."""
 
     rate_per_s: float
     burst: float
@@ -58,33 +59,38 @@
     """Share of what the limit allows in a window."""
     slack: float = 0.0
     """The same as an absolute figure, in the unit of the limit."""
+    max_credit_ms: float = MAX_CREDIT_MS
+    spends_margin: bool = True
+    """Whether what is left of the margin is granted on top of the rate."""
 
-    def compute_bound(self, limit: CustomerLimit) -> float:
+    def compute_bound(self, limit: RateLimit) -> float:
         """Return the most that may run of a customer in one window."""
         return self._compute_allowed(limit) + self._compute_margin(limit)
 
-    def compute_rate(self, limit: CustomerLimit) -> float:
+    def compute_rate(self, limit: RateLimit) -> float:
         """Return what a home grants each second, over time.
 
-        It is the rate and what is left of the margin: a customer at its limit would
+        It may be the rate and what is left of the margin: a customer at its limit would
         else be refused what the bound allows.
         """
+        if not self.spends_margin:
+            return limit.rate_per_s
         window_s = self.window_ms / 1_000
         spare = self._compute_margin(limit) * (1 - 2 * MARGIN_PART)
         late_s = self.compute_credit_ms(limit) / 1_000
         return (limit.rate_per_s * window_s + spare) / (window_s + late_s)
 
-    def compute_max_debt(self, limit: CustomerLimit) -> float:
+    def compute_max_debt(self, limit: RateLimit) -> float:
         """Return how far below zero one request may take a customer."""
         return self._compute_margin(limit) * MARGIN_PART
 
-    def compute_credit_ms(self, limit: CustomerLimit) -> float:
+    def compute_credit_ms(self, limit: RateLimit) -> float:
         """Return for how long credit may be used once it was asked for, in ms."""
         life_s = self._compute_margin(limit) * MARGIN_PART / limit.rate_per_s
-        return min(max(life_s * 1_000, MIN_CREDIT_MS), MAX_CREDIT_MS)
+        return min(max(life_s * 1_000, MIN_CREDIT_MS), self.max_credit_ms)
 
-    def _compute_allowed(self, limit: CustomerLimit) -> float:
+    def _compute_allowed(self, limit: RateLimit) -> float:
         return limit.rate_per_s * self.window_ms / 1_000 + limit.burst
 
-    def _compute_margin(self, limit: CustomerLimit) -> float:
+    def _compute_margin(self, limit: RateLimit) -> float:
         return self._compute_allowed(limit) * self.overshoot + self.slack
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -10,14 +10,15 @@
 from collections.abc import Iterator
 from typing import Final
 
-from toucanyard.call_limits import CallLimits
+from toucanyard.call_limits import CallLimits, compute_first_number
 from toucanyard.call_placement import CallPlacement
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
-from toucanyard.limit_exchange import LimitExchange
+from toucanyard.limit_homes import LimitHomes
 from toucanyard.link_messages import (
     CreditAnswer,
     CreditAsk,
+    LimitKind,
     LinkMessage,
     NodeStatus,
     ViewRecords,
@@ -52,6 +53,7 @@
 )
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.relay_options import RelayOptions
+from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_probes import ReplicaProbes
@@ -61,6 +63,7 @@
 from toucanyard.rollout_leader import RolloutLeader
 from toucanyard.roster import Roster
 from toucanyard.routes import RouteIndex
+from toucanyard.shared_limits import SharedLimits
 from toucanyard.status_exchange import StatusExchange
 from toucanyard.store_reads import StoreReads
 from toucanyard.topic_intake import TopicIntake
@@ -114,12 +117,15 @@
         self.exchange = ViewExchange(decode, self.roster.is_full_mesh, rng)
         self.sources = PartSources(self.directory, self.roster)
         self.replica_limits = ReplicaLimits(rng)
+        self.credits = ReplicaCredits(
+            self.replica_limits, compute_first_number(identity.incarnation)
+        )
         calls = CallPlacement(
             options,
             self.directory,
             self.goals,
             self.sources,
-            self.replica_limits,
+            self.credits,
             rng,
         )
         self.guard = RequestGuard(
@@ -172,14 +178,13 @@
             options.link_mbps,
             lambda: self.shares.pledge,
         )
-        self.shares = LimitExchange(
+        homes = LimitHomes(
             self.roster,
-            self.limits,
             self.statuses.count_group,
             lambda: self.exchange.views[Topic.NODES].end > 0,
-            options.limits,
             options.policy.limits.way,
         )
+        self.shares = SharedLimits(homes, self.limits, self.credits, options.limits)
         self.reads = StoreReads(self.roster, self.exchange)
         self.topics = TopicIntake(
             self.exchange,
@@ -220,7 +225,7 @@
         actions = list(self._handle(event, now_ms))
         if self.guard.has_news():
             actions += self._settle_guard(now_ms)
-        if self.limits.accounts.has_questions():
+        if self.shares.has_questions():
             actions += self._ask_for_credit(now_ms)
         return actions
 
@@ -312,8 +317,10 @@
         yield from self._use_credit(now_ms)
 
     def _use_credit(self, now_ms: float) -> Iterator[RelayAction]:
-        if self.shares.take_answered():
+        if self.shares.take_answered(LimitKind.CUSTOMER):
             yield from self.flow.retry_unpaid(now_ms)
+        if self.shares.take_answered(LimitKind.REPLICA):
+            yield from self.flow.retry_waiting(now_ms)
 
     def _handle_quiet(self, event: QuietEvent, now_ms: float) -> None:
         """Handle an event that asks for nothing to be done now."""
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -179,6 +179,7 @@
 
     def _enqueue(self, pending: PendingCall) -> None:
         pending.is_waiting = True
+        self._refusals.note_queued(pending.request, pending.queued_ms)
         queue = self._queues.setdefault(pending.request.service, [])
         queue.append(pending)
         if self._policy.queue.is_ranked:
@@ -202,6 +203,11 @@
             if any(pending.is_unpaid for pending in queue):
                 yield from self._drain(service, now_ms)
 
+    def retry_waiting(self, now_ms: float) -> Iterator[RelayReply]:
+        """Send what waited for a replica, now that one may have room."""
+        for service in list(self._queues):
+            yield from self._drain(service, now_ms)
+
     def _drain(self, service: ServiceName, now_ms: float) -> Iterator[RelayReply]:
         queue = self._queues.get(service)
         if not queue:
@@ -286,7 +292,10 @@
         return None
 
     def _compute_wait(self, pending: PendingCall, now_ms: float) -> float:
-        queue = self._queues.get(pending.request.service, [])
+        service = pending.request.service
+        queue = self._queues.get(service, [])
+        if self._calls.is_limited(service, now_ms):
+            return self._refusals.compute_limited_wait(pending, queue, now_ms)
         return self._refusals.compute_wait(pending, queue, now_ms)
 
     def _is_hopeless(self, pending: PendingCall, now_ms: float) -> bool:
@@ -373,6 +382,7 @@
         """End a call that is given up."""
         self._pending.pop(pending.request.request_id, None)
         self._limits.release(pending, now_ms)
+        self._calls.release(pending)
         if wait_ms is None:
             wait_ms = self._compute_wait(pending, now_ms)
             wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
@@ -383,6 +393,7 @@
         request = pending.request
         self._pending.pop(request.request_id, None)
         self._limits.release(pending, now_ms)
+        self._calls.release(pending)
         if pending.is_waiting:
             self._queues[request.service].remove(pending)
             pending.is_waiting = False
--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from toucanyard.customer_limits import LimitBounds
 from toucanyard.names import Address, DomainName, NodeName
+from toucanyard.rate_limits import LimitBounds
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.replicas import DRAIN_MS
 
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/replica_credits.py
@@ -0,0 +1,136 @@
+"""Hold what this node may send to replicas that name limits.
+
+A replica in need is no place for a call until its home has granted one: what all nodes
+send together then stays within the limit, and goes to the nodes that have calls.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Final
+
+from toucanyard.limit_credits import CreditAccounts
+from toucanyard.names import EndpointName
+from toucanyard.pending_call import PendingCall
+from toucanyard.rate_limits import LimitBounds, RateLimit
+from toucanyard.replica_limits import ReplicaLimits
+from toucanyard.replicas import KnownReplica
+
+MIN_RATE_PER_S: Final = 0.5
+"""What is sent to a replica that takes nothing: only an answer shows that it does."""
+CREDIT_MS: Final = 300.0
+"""How long a request may be sent once it was asked for."""
+REPLICA_BOUNDS: Final = LimitBounds(
+    window_ms=4_000.0,
+    overshoot=0.5,
+    slack=5.0,
+    max_credit_ms=CREDIT_MS,
+    spends_margin=False,
+)
+"""The margin is for homes that change and requests on the way: a replica in need gets
+no more than it says, over time."""
+ASK_WAIT_MS: Final = 80.0
+"""How long a call waits for a home's answer before it goes elsewhere."""
+
+
+class ReplicaCredits:
+    """The requests that this node may send to limited replicas.
+
+    Invariants: each request was granted before it is sent, and once; a call asks for
+    one replica at a time.
+    """
+
+    __slots__ = ("_changed", "_limits", "accounts")
+
+    def __init__(self, limits: ReplicaLimits, first_number: int = 0) -> None:
+        self._limits = limits
+        self._changed = 0
+        self.accounts = CreditAccounts(first_number)
+
+    def has_limits(self) -> bool:
+        """Tell whether any replica names a limit."""
+        return self._limits.has_limits()
+
+    def find_limit(self, subject: str) -> RateLimit | None:
+        """Return the limit of a replica; None if it names none."""
+        rate_per_s = self._limits.find_rate(EndpointName(subject))
+        if rate_per_s is None:
+            return None
+        return RateLimit(max(rate_per_s, MIN_RATE_PER_S), 1.0)
+
+    def list_limits(self) -> dict[str, RateLimit]:
+        """Return the limits of all replicas that name one."""
+        return {
+            name: RateLimit(max(rate_per_s, MIN_RATE_PER_S), 1.0)
+            for name, rate_per_s in self._limits.list_limited()
+        }
+
+    def take_changed(self) -> bool:
+        """Tell whether limits have changed since this was asked last."""
+        if self._changed == self._limits.change_count:
+            return False
+        self._changed = self._limits.change_count
+        limits = self.list_limits()
+        self.accounts.retain(limits)
+        for name in limits:
+            self.accounts.forget_denials(name)
+        return True
+
+    def is_asking(self, pending: PendingCall, now_ms: float) -> bool:
+        """Tell whether a call waits for the answer of a replica's home."""
+        replica = pending.asked_replica
+        if replica is None or now_ms > pending.ask_until_ms:
+            return False
+        if self._limits.find_rate(replica) is None or self._has_credit(replica, now_ms):
+            return False
+        return self.accounts.find_denial(replica, now_ms) is None
+
+    def select(
+        self, pending: PendingCall, usable: Sequence[KnownReplica], now_ms: float
+    ) -> Sequence[KnownReplica]:
+        """Return the replicas among which a call may be placed."""
+        if not self._limits.has_limits():
+            return usable
+        asked = pending.asked_replica
+        if asked is not None and self._has_credit(asked, now_ms):
+            granted = [each for each in usable if each.replica.name == asked]
+            if granted:
+                # It was granted for this call, and lapses unless it is used.
+                return granted
+        return [e for e in usable if self._may_choose(pending, e.replica.name, now_ms)]
+
+    def claim(self, pending: PendingCall, replica: EndpointName, now_ms: float) -> bool:
+        """Tell whether a call may be sent to a replica now; ask its home if not."""
+        if self._limits.find_rate(replica) is None:
+            self.release(pending)
+            return True
+        if pending.asked_replica != replica:
+            self.release(pending)
+            pending.asked_replica = replica
+            pending.ask_until_ms = now_ms + ASK_WAIT_MS
+        request_id = pending.request.request_id
+        if self.accounts.take(request_id, replica, 1.0, CREDIT_MS, now_ms) is None:
+            return False
+        pending.asked_replica = None
+        return True
+
+    def release(self, pending: PendingCall) -> None:
+        """Let a call no longer ask for a replica."""
+        if pending.asked_replica is not None:
+            request_id = pending.request.request_id
+            self.accounts.withdraw(request_id, pending.asked_replica)
+            pending.asked_replica = None
+
+    def _may_choose(
+        self, pending: PendingCall, replica: EndpointName, now_ms: float
+    ) -> bool:
+        if self._limits.find_rate(replica) is None or self._has_credit(replica, now_ms):
+            return True
+        is_unanswered = pending.asked_replica == replica
+        # What has begun goes on at once or not at all.
+        if pending.has_begun or is_unanswered:
+            return False
+        return self.accounts.find_denial(replica, now_ms) is None
+
+    def _has_credit(self, replica: EndpointName, now_ms: float) -> bool:
+        return self.accounts.find_credit(replica, now_ms) >= 1.0
--- a/packages/toucanyard/src/toucanyard/replica_limits.py
+++ b/packages/toucanyard/src/toucanyard/replica_limits.py
@@ -43,10 +43,12 @@
     Invariant: an answer never changes what a later answer of the same replica said.
     """
 
-    __slots__ = ("_beliefs", "_changes", "_invalid", "_rng", "_seen")
+    __slots__ = ("_beliefs", "_changes", "_invalid", "_rng", "_seen", "change_count")
 
     def __init__(self, rng: random.Random) -> None:
         self._beliefs: dict[EndpointName, _Belief] = {}
+        self.change_count = 0
+        """Changes of limits so far."""
         self._rng = rng
         self._seen = SeenUpdates(MAX_SEEN)
         self._changes = NoteLimit("replica_limit_changed")
@@ -57,6 +59,10 @@
         belief = self._beliefs.get(replica)
         return None if belief is None else belief.rate_per_s
 
+    def has_limits(self) -> bool:
+        """Tell whether any replica may have named a limit."""
+        return bool(self._beliefs)
+
     def list_limited(self) -> list[tuple[EndpointName, float]]:
         """Return the replicas that name a limit, with their rates."""
         return [
@@ -128,6 +134,7 @@
         """Forget the limits of replicas that are gone."""
         for name in self._beliefs.keys() - set(replicas):
             del self._beliefs[name]
+            self.change_count += 1
 
     def _note_change(
         self,
@@ -137,6 +144,7 @@
         source: str,
         now_ms: float,
     ) -> Iterator[Note]:
+        self.change_count += 1
         fields: dict[str, object] = {
             "replica": replica,
             "limit_per_s": rate_per_s,
--- a/packages/toucanyard/src/toucanyard/routes.py
+++ b/packages/toucanyard/src/toucanyard/routes.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from toucanyard.customer_limits import CustomerLimit
 from toucanyard.names import Address, CustomerName, DomainName, ServiceName
+from toucanyard.rate_limits import RateLimit
 from toucanyard.requests import Repeatability
 
 
@@ -92,7 +92,7 @@
     """Goes before the rank of a route."""
     is_walled: bool = False
     """Shares no cached part of a prompt with another customer."""
-    limit: CustomerLimit | None = None
+    limit: RateLimit | None = None
     """What it may send over all nodes; None if there is no limit."""
 
 
@@ -145,11 +145,11 @@
         """Return a service by its name."""
         return self._services.get(name)
 
-    def find_limit(self, name: CustomerName) -> CustomerLimit | None:
+    def find_limit(self, name: CustomerName) -> RateLimit | None:
         """Return what a customer may send; None if it has no limit."""
         return self._limits.get(name)
 
-    def list_limits(self) -> dict[CustomerName, CustomerLimit]:
+    def list_limits(self) -> dict[CustomerName, RateLimit]:
         """Return the limits of all customers that have one."""
         return dict(self._limits)
 
--- a/tests/toucanyard/limit_fleet.py
+++ b/tests/toucanyard/limit_fleet.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import CustomerName, Fingerprint, NodeName, RequestId
 from toucanyard.part_book import Part
+from toucanyard.rate_limits import LimitBounds, LimitUnit, RateLimit
 from toucanyard.relay_events import (
     CallArrived,
     Note,
@@ -34,7 +34,7 @@
 from .relay_fleet import put
 
 BOUNDS = LimitBounds(window_ms=8_000.0, overshoot=0.1, slack=72_000.0)
-LIMIT = CustomerLimit(18_000.0, 18_000.0, LimitUnit.TOKENS, 200.0)
+LIMIT = RateLimit(18_000.0, 18_000.0, LimitUnit.TOKENS, 200.0)
 USUAL_TOKENS_PER_S = 10_000.0
 LARGE = CustomerName("large")
 OTHER = CustomerName("other")
@@ -52,7 +52,7 @@
         self,
         domains: int,
         nodes_each: int,
-        limit: CustomerLimit = LIMIT,
+        limit: RateLimit = LIMIT,
         way: LimitWay = LimitWay.POOLS,
         bounds: LimitBounds = BOUNDS,
     ) -> None:
@@ -80,7 +80,7 @@
     # Operators.
 
     def set_limit(
-        self, limit: CustomerLimit | None, nodes: Collection[NodeName] | None = None
+        self, limit: RateLimit | None, nodes: Collection[NodeName] | None = None
     ) -> None:
         """Let nodes read a configuration that gives customers this limit."""
         self._version += 1
@@ -264,7 +264,7 @@
     return sum(call.ending == "refused" for call in calls)
 
 
-def list_owed(calls: Collection[Call], limit: CustomerLimit) -> list[Call]:
+def list_owed(calls: Collection[Call], limit: RateLimit) -> list[Call]:
     """Return the calls that one bucket with this rate and burst lets in."""
     level, before_ms = limit.burst, float("inf")
     owed = []
--- a/tests/toucanyard/test_call_limits.py
+++ b/tests/toucanyard/test_call_limits.py
@@ -3,23 +3,23 @@
 import pytest
 
 from toucanyard.call_limits import BRIEF_GRACE_MS, CallLimits, LimitRejection
-from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
 from toucanyard.limit_pool import CreditGrant
 from toucanyard.names import CustomerName, Incarnation
 from toucanyard.pending_call import PendingCall
+from toucanyard.rate_limits import LimitBounds, LimitUnit, RateLimit
 from toucanyard.relay_policy import LimitPolicy, LimitWay
 from toucanyard.routes import RoutedCustomer, RouteIndex
 
 from .relay_examples import build_request, build_table
 
 CUSTOMER = CustomerName("c")
-LIMIT = CustomerLimit(10_000.0, 10_000.0, LimitUnit.TOKENS, 200.0)
+LIMIT = RateLimit(10_000.0, 10_000.0, LimitUnit.TOKENS, 200.0)
 BOUNDS = LimitBounds(8_000.0, 0.1, 60_000.0)
 POLICY = LimitPolicy()
 
 
 def build_limits(
-    limit: CustomerLimit | None = LIMIT, policy: LimitPolicy = POLICY
+    limit: RateLimit | None = LIMIT, policy: LimitPolicy = POLICY
 ) -> CallLimits:
     limits = CallLimits(BOUNDS, policy, Incarnation("i"))
     customers = (RoutedCustomer(CUSTOMER, ("key",), limit=limit),)
@@ -152,7 +152,7 @@
     limits, call = build_limits(), build_call()
     limits.check(call, 0.0)
     deny(limits, 2_000.0)
-    raised = CustomerLimit(20_000.0, 20_000.0, LimitUnit.TOKENS, 200.0)
+    raised = RateLimit(20_000.0, 20_000.0, LimitUnit.TOKENS, 200.0)
     customers = (RoutedCustomer(CUSTOMER, ("key",), limit=raised),)
     limits.apply_index(RouteIndex(build_table(2, customers=customers)))
     assert limits.check(call, 1.0) is None
--- a/tests/toucanyard/test_call_placement.py
+++ b/tests/toucanyard/test_call_placement.py
@@ -8,6 +8,7 @@
 from toucanyard.part_sources import PartSources, name_store
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_requests import Prompt, RelayDispatch
+from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.roster import Roster
@@ -48,9 +49,8 @@
         sources = PartSources(directory, Roster(own, ()))
         sources.note_heard(STORE_NAME, 0.0, 1)
         rng = random.Random(1)
-        self.placement = CallPlacement(
-            OPTIONS, directory, goals, sources, ReplicaLimits(rng), rng
-        )
+        credits = ReplicaCredits(ReplicaLimits(rng))
+        self.placement = CallPlacement(OPTIONS, directory, goals, sources, credits, rng)
         self.placement.index = RouteIndex(build_table())
 
     def place(self, name: str, prompt: Prompt, now_ms: float = 10.0) -> RelayDispatch:
--- a/tests/toucanyard/test_customer_limits_over_nodes.py
+++ b/tests/toucanyard/test_customer_limits_over_nodes.py
@@ -226,7 +226,7 @@
         use
         for core in fleet.cores.values()
         for use in core.shares.list_uses()
-        if use.customer == LARGE
+        if use.subject == LARGE
     ]
     assert len(uses) == 1
     assert uses[0].share == 1.0
--- a/tests/toucanyard/test_hostile_messages.py
+++ b/tests/toucanyard/test_hostile_messages.py
@@ -10,7 +10,6 @@
 from hypothesis import given, settings, strategies as st
 
 from toucanyard.cbor_messages import MessageInvalidError
-from toucanyard.customer_limits import CustomerLimit
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.limit_pledges import Pledge
 from toucanyard.link_messages import (
@@ -34,6 +33,7 @@
     decode_link_message,
 )
 from toucanyard.names import CustomerName, NodeName
+from toucanyard.rate_limits import RateLimit
 from toucanyard.relay_events import CallArrived, LinkMessageRead, TickPassed
 from toucanyard.routes import RoutedCustomer
 
@@ -94,9 +94,7 @@
 CREDITS = build(CreditAsk, customer=st.just("c")) | build(
     CreditAnswer, customer=st.just("c")
 )
-LIMITED = RoutedCustomer(
-    CustomerName("c"), ("key",), limit=CustomerLimit(1_000.0, 1_000.0)
-)
+LIMITED = RoutedCustomer(CustomerName("c"), ("key",), limit=RateLimit(1_000.0, 1_000.0))
 RECORDS = build(
     ViewRecords,
     topic=st.sampled_from(Topic),
--- a/tests/toucanyard/test_limit_exchange.py
+++ b/tests/toucanyard/test_limit_exchange.py
@@ -21,19 +21,19 @@
     (home,) = [
         core
         for core in fleet.cores.values()
-        if any(use.customer == LARGE for use in core.shares.list_uses())
+        if any(use.subject == LARGE for use in core.shares.list_uses())
     ]
     return home
 
 
 def find_level(home: RelayCore) -> float:
-    (level,) = [u.level for u in home.shares.list_uses() if u.customer == LARGE]
+    (level,) = [u.level for u in home.shares.list_uses() if u.subject == LARGE]
     return level
 
 
 def find_granted(home: RelayCore) -> float:
     uses = home.shares.list_uses()
-    return sum(each.granted_total for each in uses if each.customer == LARGE)
+    return sum(each.granted_total for each in uses if each.subject == LARGE)
 
 
 def ask(home: RelayCore, fleet: LimitFleet, number: int) -> CreditAnswer:
@@ -64,7 +64,7 @@
     home = find_home(fleet)
     fleet.kill([name for name in fleet.cores if name != home.identity.node][:3])
     fleet.run_for(300.0)
-    (share,) = [u.share for u in home.shares.list_uses() if u.customer == LARGE]
+    (share,) = [u.share for u in home.shares.list_uses() if u.subject == LARGE]
     assert round(share, 3) == round(6 / 9, 3)
 
 
--- a/tests/toucanyard/test_limit_pool.py
+++ b/tests/toucanyard/test_limit_pool.py
@@ -3,14 +3,14 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
 from toucanyard.limit_pledges import SLICES, Pledge, PledgeBook
 from toucanyard.limit_pool import LimitPool
 from toucanyard.names import CustomerName, NodeName
+from toucanyard.rate_limits import LimitBounds, LimitUnit, RateLimit
 
 HOME = NodeName("home")
 CUSTOMER = CustomerName("c")
-LIMIT = CustomerLimit(10_000.0, 10_000.0, LimitUnit.TOKENS, 200.0)
+LIMIT = RateLimit(10_000.0, 10_000.0, LimitUnit.TOKENS, 200.0)
 BOUNDS = LimitBounds(8_000.0, 0.1, 60_000.0)
 DEBT = BOUNDS.compute_max_debt(LIMIT)
 RATE = BOUNDS.compute_rate(LIMIT)
--- a/tests/toucanyard/test_customer_limits.py
+++ b/tests/toucanyard/test_rate_limits.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from toucanyard.customer_limits import CustomerLimit, LimitBounds, LimitUnit
+from toucanyard.rate_limits import LimitBounds, LimitUnit, RateLimit
 
-TOKENS = CustomerLimit(18_000.0, 9_000.0, LimitUnit.TOKENS, 200.0)
-REQUESTS = CustomerLimit(5.0, 0.0)
+TOKENS = RateLimit(18_000.0, 9_000.0, LimitUnit.TOKENS, 200.0)
+REQUESTS = RateLimit(5.0, 0.0)
 BOUNDS = LimitBounds(8_000.0, 0.1, 72_000.0)
 
 
@@ -13,9 +13,7 @@
     ("limit", "tokens", "cost"),
     [(TOKENS, 1_540, 1_540.0), (TOKENS, None, 200.0), (REQUESTS, 1_540, 1.0)],
 )
-def test_cost_of_a_request(
-    limit: CustomerLimit, tokens: int | None, cost: float
-) -> None:
+def test_cost_of_a_request(limit: RateLimit, tokens: int | None, cost: float) -> None:
     assert limit.compute_cost(tokens) == cost
 
 
@@ -34,7 +32,7 @@
 @pytest.mark.parametrize("rate", [18_000.0, 261_368.0])
 def test_debt_late_credit_and_a_second_home_fit_in_the_margin(rate: float) -> None:
     """Guards against parts that each keep to the bound and exceed it together."""
-    limit = CustomerLimit(rate, rate, LimitUnit.TOKENS, 200.0)
+    limit = RateLimit(rate, rate, LimitUnit.TOKENS, 200.0)
     granted = BOUNDS.compute_rate(limit)
     late = granted * BOUNDS.compute_credit_ms(limit) / 1_000
     used = granted * 8 + limit.burst + 2 * BOUNDS.compute_max_debt(limit) + late
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -21,6 +21,7 @@
     RelayReply,
     RelayRequest,
 )
+from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
@@ -67,8 +68,9 @@
         )
         sources = PartSources(self.directory, Roster(own, ()))
         rng = random.Random(1)
+        credits = ReplicaCredits(ReplicaLimits(rng))
         calls = CallPlacement(
-            OPTIONS, self.directory, self.goals, sources, ReplicaLimits(rng), rng
+            OPTIONS, self.directory, self.goals, sources, credits, rng
         )
         self.flow = RelayFlow(
             OPTIONS.retries,
--- a/tests/toucanyard_platform/test_records.py
+++ b/tests/toucanyard_platform/test_records.py
@@ -3,7 +3,6 @@
 import msgspec
 import pytest
 
-from toucanyard.customer_limits import CustomerLimit, LimitUnit
 from toucanyard.keyed_view import InvalidRecord, Topic
 from toucanyard.names import (
     Address,
@@ -17,6 +16,7 @@
 )
 from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import QuarantinedRequest, Release
+from toucanyard.rate_limits import LimitUnit, RateLimit
 from toucanyard.replicas import Replica
 from toucanyard.requests import Repeatability
 from toucanyard.routes import RouteTable
@@ -229,13 +229,13 @@
         assert isinstance(found, InvalidRecord)
 
 
-def decode_limit(**fields: object) -> CustomerLimit | None:
+def decode_limit(**fields: object) -> RateLimit | None:
     return decode_table(tenants=[{"name": "c"} | fields]).customers[0].limit
 
 
 def test_limit_in_tokens() -> None:
     limit = decode_limit(ratePerS=18_000, burst=9_000, unit="tokenize", plainTokens=200)
-    assert limit == CustomerLimit(18_000.0, 9_000.0, LimitUnit.TOKENS, 200.0)
+    assert limit == RateLimit(18_000.0, 9_000.0, LimitUnit.TOKENS, 200.0)
 
 
 def test_limit_without_a_unit_counts_requests() -> None:
