Bound denied questions, let small shares save up a request, and show replicas' limits

Found while two ways were compared: with shares of less than half a home could never save up a whole request, so a node alone sent nothing to a limited replica and could not see its limit end; a home may save up one request now. Metrics show the limits, shares, grants and denials. A service without a usable replica no longer counts as limited.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -14,6 +14,7 @@
 
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.keyed_view import Topic
+from toucanyard.link_messages import LimitKind
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_requests import RelayRequest
 from toucanyard.requests import Repeatability
@@ -136,6 +137,7 @@
         yield _format("replicas_usable", usable, service=service.name)
     yield from _render_quarantine(core)
     yield from _render_limits(core)
+    yield from _render_replica_limits(core)
 
 
 def _render_quarantine(core: RelayCore) -> Iterator[str]:
@@ -168,6 +170,18 @@
         yield _format("limit_denied_total", round(use.denied_total), **labels)
 
 
+def _render_replica_limits(core: RelayCore) -> Iterator[str]:
+    """Render the limits that replicas name, and what this node gives out of them."""
+    for name, rate_per_s in core.replica_limits.list_limited()[:MAX_LIMITED]:
+        yield _format("replica_limit_per_s", rate_per_s, replica=name)
+    yield _format("replica_limit_questions_total", core.credits.accounts.asked)
+    for use in core.shares.list_uses(LimitKind.REPLICA)[:MAX_LIMITED]:
+        labels = {"replica": use.subject}
+        yield _format("replica_limit_share", round(use.share, 3), **labels)
+        yield _format("replica_limit_granted_total", use.granted_total, **labels)
+        yield _format("replica_limit_denied_total", use.denied_total, **labels)
+
+
 def _record(
     histograms: dict[Group, HdrHistogram], group: Group, value_ms: float
 ) -> None:
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -255,7 +255,9 @@
         if not self._credits.has_limits():
             return False
         usable = self._directory.find_usable(service, now_ms)
-        return all(self._credits.find_limit(each.replica.name) for each in usable)
+        return bool(usable) and all(
+            self._credits.find_limit(each.replica.name) for each in usable
+        )
 
     def note_read(self, pending: PendingCall, now_ms: float) -> None:
         """Note that a call's prompt has been read where it was sent."""
--- a/packages/toucanyard/src/toucanyard/limit_pool.py
+++ b/packages/toucanyard/src/toucanyard/limit_pool.py
@@ -67,12 +67,11 @@
         self.granted_total = 0.0
         self.denied_total = 0.0
 
-    def settle(self, accrued_s: float, share: float) -> None:
-        """Add what has accrued since the last time."""
+    def settle(self, accrued_s: float, capacity: float) -> None:
+        """Add what has accrued since the last time, up to what may be saved up."""
         earned = (accrued_s - self.settled_s) * self.rate_per_s
         self.settled_s = accrued_s
         self.backlog = max(self.backlog - earned, 0.0)
-        capacity = self.limit.compute_capacity() * share
         self.value = min(self.value + earned, capacity)
 
 
@@ -109,10 +108,12 @@
                 del self._levels[subject]
                 continue
             number = find_slice(subject)
-            level.settle(self._pledges.find_accrued(number), shares[number])
+            accrued_s = self._pledges.find_accrued(number)
+            saved = self._bounds.compute_capacity(level.limit, shares[number])
+            level.settle(accrued_s, saved)
             level.limit = limit
             level.rate_per_s = self._bounds.compute_rate(limit)
-            capacity = limit.compute_capacity() * shares[number]
+            capacity = self._bounds.compute_capacity(limit, shares[number])
             level.value = min(level.value, capacity)
 
     def grant(
@@ -153,7 +154,7 @@
     ) -> None:
         """Take back credit that was granted and not used."""
         level = self._find_level(subject, limit, share)
-        capacity = limit.compute_capacity() * share
+        capacity = self._bounds.compute_capacity(limit, share)
         level.value = min(level.value + credit, max(capacity, level.value))
         level.granted_total -= credit
 
@@ -177,5 +178,6 @@
             level = self._levels[subject] = _Level(
                 limit, self._bounds.compute_rate(limit)
             )
-        level.settle(self._pledges.find_accrued(find_slice(subject)), share)
+        accrued_s = self._pledges.find_accrued(find_slice(subject))
+        level.settle(accrued_s, self._bounds.compute_capacity(level.limit, share))
         return level
--- a/packages/toucanyard/src/toucanyard/rate_limits.py
+++ b/packages/toucanyard/src/toucanyard/rate_limits.py
@@ -63,6 +63,14 @@
     spends_margin: bool = True
     """Whether what is left of the margin is granted on top of the rate."""
 
+    least_saved: float = 0.0
+    """What a home may save up however small its share is. Where single requests are
+    granted, less than one would never do."""
+
+    def compute_capacity(self, limit: RateLimit, share: float) -> float:
+        """Return what a home with a share of a limit may save up."""
+        return max(limit.compute_capacity() * share, self.least_saved)
+
     def compute_bound(self, limit: RateLimit) -> float:
         """Return the most that may run of a customer in one window."""
         return self._compute_allowed(limit) + self._compute_margin(limit)
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 from typing import Final
@@ -288,6 +289,8 @@
         wait_ms = self._compute_wait(pending, now_ms)
         if wait_ms > request.deadline_ms - now_ms:
             text = f"the wait would be about {wait_ms:.0f} ms"
+            if math.isinf(wait_ms):
+                text = "limits of all replicas leave room for more urgent calls only"
             return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
         return None
 
--- a/packages/toucanyard/src/toucanyard/replica_credits.py
+++ b/packages/toucanyard/src/toucanyard/replica_credits.py
@@ -26,11 +26,15 @@
     slack=5.0,
     max_credit_ms=CREDIT_MS,
     spends_margin=False,
+    least_saved=1.0,
 )
 """The margin is for homes that change and requests on the way: a replica in need gets
 no more than it says, over time."""
 ASK_WAIT_MS: Final = 80.0
 """How long a call waits for a home's answer before it goes elsewhere."""
+MAX_DENIED: Final = 12.0
+"""Questions that may be denied in a second; calls go or wait elsewhere meanwhile. Each
+costs links between nodes some 200 bytes."""
 
 
 class ReplicaCredits:
@@ -40,11 +44,14 @@
     one replica at a time.
     """
 
-    __slots__ = ("_changed", "_limits", "accounts")
+    __slots__ = ("_asks_left", "_changed", "_limits", "_settled_ms", "accounts")
 
     def __init__(self, limits: ReplicaLimits, first_number: int = 0) -> None:
         self._limits = limits
         self._changed = 0
+        self._asks_left = MAX_DENIED
+        """Questions that may be asked now, as far as they are denied."""
+        self._settled_ms = 0.0
         self.accounts = CreditAccounts(first_number)
 
     def has_limits(self) -> bool:
@@ -97,6 +104,7 @@
             if granted:
                 # It was granted for this call, and lapses unless it is used.
                 return granted
+        self._settle(now_ms)
         return [e for e in usable if self._may_choose(pending, e.replica.name, now_ms)]
 
     def claim(self, pending: PendingCall, replica: EndpointName, now_ms: float) -> bool:
@@ -106,11 +114,13 @@
             return True
         if pending.asked_replica != replica:
             self.release(pending)
+            self._asks_left -= 1.0
             pending.asked_replica = replica
             pending.ask_until_ms = now_ms + ASK_WAIT_MS
         request_id = pending.request.request_id
         if self.accounts.take(request_id, replica, 1.0, CREDIT_MS, now_ms) is None:
             return False
+        self._asks_left = min(self._asks_left + 1.0, MAX_DENIED)
         pending.asked_replica = None
         return True
 
@@ -128,9 +138,14 @@
             return True
         is_unanswered = pending.asked_replica == replica
         # What has begun goes on at once or not at all.
-        if pending.has_begun or is_unanswered:
+        if pending.has_begun or is_unanswered or self._asks_left < 1.0:
             return False
         return self.accounts.find_denial(replica, now_ms) is None
 
+    def _settle(self, now_ms: float) -> None:
+        passed_s = max(now_ms - self._settled_ms, 0.0) / 1_000
+        self._settled_ms = now_ms
+        self._asks_left = min(self._asks_left + passed_s * MAX_DENIED, MAX_DENIED)
+
     def _has_credit(self, replica: EndpointName, now_ms: float) -> bool:
         return self.accounts.find_credit(replica, now_ms) >= 1.0
--- a/tests/toucanyard/replica_limit_fleet.py
+++ b/tests/toucanyard/replica_limit_fleet.py
@@ -7,6 +7,7 @@
 
 from toucanyard.names import Address, EndpointName, Fingerprint, NodeName, RequestId
 from toucanyard.relay_events import ReplicaLimitSeen
+from toucanyard.relay_policy import LimitWay
 from toucanyard.relay_requests import RelayDispatch, RelayRequest
 from toucanyard.requests import Repeatability
 
@@ -27,13 +28,15 @@
 class ReplicaLimitFleet(LimitFleet):
     """Nodes and replicas, some of which take only so many requests a second."""
 
-    def __init__(self, domains: int, nodes_each: int) -> None:
+    def __init__(
+        self, domains: int, nodes_each: int, way: LimitWay = LimitWay.POOLS
+    ) -> None:
         self.named: dict[Address, float] = {}
         """Requests a second that replicas name now."""
         self.first_told_ms: dict[EndpointName, float] = {}
         """When a node first passed on an answer that names a replica's limit."""
         self._limited_calls: set[RequestId] = set()
-        super().__init__(domains, nodes_each)
+        super().__init__(domains, nodes_each, way=way)
         self.set_limit(None)
         self.run_for(100.0)
 
