Let stand-ins of replicas name limits, and keep to them with real processes

A test with real nodes, a store and replicas: one of two plain replicas names 1.5 requests a second while 33 calls a second come.

--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -23,6 +23,8 @@
 from toucanyard_node.http_client import ConnectionFailedError
 
 HOST = ("Host", "h")
+LIMIT_KNOWN_S = 0.5
+"""Time after which all nodes know a limit that a replica has named."""
 
 
 async def test_fleet_serves_and_follows_its_operator(tmp_path: Path) -> None:
@@ -75,6 +77,30 @@
         store.send_signal(signal.SIGUSR1)
 
 
+async def test_replica_that_names_a_limit_gets_no_more(tmp_path: Path) -> None:
+    """Guards against nodes that pass a limit on to callers and don't keep to it."""
+    async with open_fleet(tmp_path) as fleet:
+        name = next(each for each in fleet.replicas if each.startswith("d"))
+
+        async def call(number: int) -> None:
+            node = fleet.nodes[number % len(fleet.nodes)]
+            await node.call(f"/desk/{number}", f"q{number}", HOST)
+
+        await fleet.name_limit(name, "1.5")
+        for number in range(20):
+            await call(number)
+        await trio.sleep(LIMIT_KNOWN_S)
+        before = len(await fleet.find_arrivals(name))
+        async with trio.open_nursery() as nursery:
+            for number in range(20, 320):
+                nursery.start_soon(call, number)
+                await trio.sleep(0.03)
+        arrivals_s = (await fleet.find_arrivals(name))[before:]
+        for begun_s in arrivals_s:
+            window = [at for at in arrivals_s if begun_s <= at < begun_s + 4.0]
+            assert len(window) <= 1.5 * 1.5 * 4.0 + 5.0
+
+
 async def test_planned_stop_cuts_no_call(tmp_path: Path) -> None:
     """SIGTERM comes while calls arrive one after the other on new connections.
 
