--- /dev/null
+++ b/tests/toucanyard_node/test_configuration_campaign.py
@@ -0,0 +1,104 @@
+"""Draw outages of the store and cuts between nodes, and publish all the while."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+
+from toucanyard.keyed_view import Topic
+from toucanyard.names import NodeName
+
+from .polling_fleet import PollingFleet
+
+LATEST_S = 1.0
+PUBLISH_S = 0.4
+SETTLE_S = 2.0
+
+
+class Campaign:
+    """Faults drawn from a seed, and since when each node could know the newest."""
+
+    def __init__(self, seed: int, count: int) -> None:
+        self.rng = random.Random(seed)
+        self.fleet = PollingFleet(count)
+        self.names = [node.name for node in self.fleet.nodes]
+        self.disturbed_until_s = dict.fromkeys(self.names, 0.0)
+        self.late: list[tuple[NodeName, int, float]] = []
+
+    async def run(self, faults: int) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.fleet.run)
+            await trio.sleep(4)
+            nursery.start_soon(self._publish)
+            for _ in range(faults):
+                await self._disturb()
+                await trio.sleep(self.rng.uniform(0.3, 4.0))
+            await trio.sleep(SETTLE_S)
+            nursery.cancel_scope.cancel()
+
+    async def _disturb(self) -> None:
+        store = self.fleet.store
+        rng = self.rng
+        some = set(rng.sample(self.names, rng.randint(1, len(self.names) - 1)))
+        for_s = rng.uniform(0.2, 7.0)
+        match rng.randrange(6):
+            case 0:
+                store.silence(self.names)
+            case 1:
+                store.silence(some)
+            case 2:
+                store.silent_topics = {rng.choice(list(Topic))}
+                store.lose_reads(self.names)
+            case 3:
+                store.lose_reads(self.names)
+                for_s = 0.0
+            case 4:
+                self.fleet.unlinked = some
+            case 5:
+                self.fleet.unlinked = some
+                store.silence(some)
+        await trio.sleep(for_s)
+        store.restore()
+        self.fleet.unlinked = set()
+        now_s = trio.current_time()
+        self.disturbed_until_s = dict.fromkeys(self.names, now_s)
+
+    async def _publish(self) -> None:
+        version = 1
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.rng.uniform(0.05, 2 * PUBLISH_S))
+                version += 1
+                self.fleet.publish(version, trio.current_time())
+                nursery.start_soon(self._check, version)
+
+    async def _check(self, version: int) -> None:
+        """Note who has not got a version in time after the last fault ended."""
+        store = self.fleet.store
+        for node in self.fleet.nodes:
+            while True:
+                is_calm = not (
+                    store.silent_for or store.silent_topics or self.fleet.unlinked
+                )
+                due_s = LATEST_S + max(
+                    self.fleet.published_s[version], self.disturbed_until_s[node.name]
+                )
+                now_s = trio.current_time()
+                if node.version >= version:
+                    break
+                if is_calm and now_s > due_s:
+                    self.late.append((node.name, version, now_s - due_s))
+                    return
+                await trio.sleep(0.05)
+
+
+@pytest.mark.parametrize(("seed", "count"), [(1, 9), (2, 9), (3, 21)])
+async def test_configuration_is_in_force_in_time_after_drawn_faults(
+    autojump_clock: object, seed: int, count: int
+) -> None:
+    """Guards against a series of faults that leaves a node with what it knew."""
+    campaign = Campaign(seed, count)
+    await campaign.run(faults=12)
+    assert campaign.late == []
