Move the events of limits out of the relay's core, and held answers out of the exchange

What waits is tried again by one function, whichever kind of credit has come; changed limits of replicas go out with the next status that is due, within a tick, and not in one of their own.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -22,6 +22,7 @@
 )
 from toucanyard.requests import EndingSeen, Refuse
 from toucanyard_node.event_splitter import EventSplitter
+from toucanyard_node.held_answer import AnswerLostError, HeldAnswer
 from toucanyard_node.http_client import (
     ConnectionFailedError,
     HttpConnection,
@@ -29,7 +30,6 @@
     connect,
 )
 from toucanyard_node.http_exchange import (
-    Headers,
     HttpRequest,
     Responder,
 )
@@ -47,25 +47,6 @@
 EVENT_STREAM: Final = "text/event-stream"
 
 
-class AnswerLostError(Exception):
-    """One dispatch ended without an answer that can be passed on."""
-
-    def __init__(self, outcome: RelayOutcome) -> None:
-        super().__init__(outcome.text)
-        self.outcome = outcome
-
-
-class HeldAnswer:
-    """A whole answer of a replica."""
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 class RelayExchange:
     """One call from its arrival to its answer.
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -14,11 +14,11 @@
 from toucanyard.call_placement import CallPlacement
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
+from toucanyard.limit_events import LimitEvents
 from toucanyard.limit_homes import LimitHomes
 from toucanyard.link_messages import (
     CreditAnswer,
     CreditAsk,
-    LimitKind,
     LinkMessage,
     NodeStatus,
     ViewRecords,
@@ -81,7 +81,7 @@
 MISDIRECTED: Final = 421
 """Status with which a replica says that it is not the one that was meant."""
 
-CallEvent = CallArrived | CallerLeft | FirstEventSeen | DispatchEnded
+CallEvent = CallArrived | CallerLeft | FirstEventSeen | DispatchEnded | ReplicaLimitSeen
 QuietEvent = PartsChanged | HolderLost | QuarantineWritten | QuarantineErased
 RolloutEvent = TurnRead | TurnAppended | ReplicaStateRead | OrderAnswered
 
@@ -185,6 +185,9 @@
             options.policy.limits.way,
         )
         self.shares = SharedLimits(homes, self.limits, self.credits, options.limits)
+        self._limit_events = LimitEvents(
+            self.shares, self.replica_limits, self.flow, self.statuses
+        )
         self.reads = StoreReads(self.roster, self.exchange)
         self.topics = TopicIntake(
             self.exchange,
@@ -225,20 +228,25 @@
         actions = list(self._handle(event, now_ms))
         if self.guard.has_news():
             actions += self._settle_guard(now_ms)
-        if self.shares.has_questions():
-            actions += self._ask_for_credit(now_ms)
+        actions += self._limit_events.settle(now_ms)
         return actions
 
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
         match event:
-            case CallArrived() | CallerLeft() | FirstEventSeen() | DispatchEnded():
+            case (
+                CallArrived()
+                | CallerLeft()
+                | FirstEventSeen()
+                | DispatchEnded()
+                | ReplicaLimitSeen()
+            ):
                 yield from self._handle_call(event, now_ms)
             case TurnRead() | TurnAppended() | ReplicaStateRead() | OrderAnswered():
                 yield from self._handle_rollout(event, now_ms)
             case TopicRead():
                 yield from self.topics.take_read(event, now_ms)
-            case ReplicaLimitSeen() | StoreFailed():
-                yield from self._handle_seen(event, now_ms)
+            case StoreFailed():
+                yield _note_failed(event, now_ms)
             case PeersLinked(peers=peers):
                 yield from self._link([peer.node for peer in peers], now_ms)
             case LinkMessageRead(sender=sender, message=message):
@@ -261,6 +269,8 @@
                 yield from self.flow.leave(request_id, now_ms)
             case FirstEventSeen(request_id=request_id):
                 yield from self.flow.note_first(request_id, now_ms)
+            case ReplicaLimitSeen():
+                yield from self._limit_events.on_seen(event, now_ms)
             case DispatchEnded(outcome=outcome):
                 yield from self.flow.end_dispatch(outcome, now_ms)
                 yield from self.probes.ask_lost(now_ms)
@@ -283,7 +293,7 @@
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self.probes.ask_resting(now_ms)
         yield from self._tick_guard(now_ms)
-        yield from self._tick_limits(now_ms)
+        yield from self._limit_events.tick(now_ms)
         yield from self.flow.tick(now_ms)
         yield from self._tick_rollout(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
@@ -302,26 +312,6 @@
         if self.guard.take_urgent():
             yield from self._tell_soon(now_ms)
 
-    def _tick_limits(self, now_ms: float) -> Iterator[RelayAction]:
-        homes = self.shares.list_homes()
-        yield from self.shares.tick(now_ms)
-        if self.shares.list_homes() != homes:
-            # A home gives out nothing before it is told what is pledged to it.
-            self.statuses.note_due()
-
-    def _ask_for_credit(self, now_ms: float) -> Iterator[RelayAction]:
-        """Use the credit that has come, and ask homes for what is missing."""
-        yield from self._use_credit(now_ms)
-        yield from self.shares.ask(now_ms)
-        # This node may have answered itself.
-        yield from self._use_credit(now_ms)
-
-    def _use_credit(self, now_ms: float) -> Iterator[RelayAction]:
-        if self.shares.take_answered(LimitKind.CUSTOMER):
-            yield from self.flow.retry_unpaid(now_ms)
-        if self.shares.take_answered(LimitKind.REPLICA):
-            yield from self.flow.retry_waiting(now_ms)
-
     def _handle_quiet(self, event: QuietEvent, now_ms: float) -> None:
         """Handle an event that asks for nothing to be done now."""
         match event:
@@ -341,21 +331,6 @@
         # Peers get the record from whoever reads it first.
         self.reads.mark_outdated(Topic.NODES)
 
-    def _handle_seen(
-        self, seen: ReplicaLimitSeen | StoreFailed, now_ms: float
-    ) -> Iterator[RelayAction]:
-        if isinstance(seen, StoreFailed):
-            yield _note_failed(seen, now_ms)
-            return
-        limits = self.replica_limits
-        if seen.invalid_text:
-            yield from limits.on_invalid(seen.replica, seen.invalid_text, now_ms)
-            return
-        before = limits.find_rate(seen.replica)
-        yield from limits.on_answer(seen.replica, seen.limit_per_s, now_ms)
-        if seen.limit_per_s != before:
-            yield from self._tell_soon(now_ms)
-
     def _tick_guard(self, now_ms: float) -> Iterator[RelayAction]:
         self.guard.tick(now_ms)
         yield from self.probes.ask_lost(now_ms)
@@ -391,22 +366,15 @@
                 yield from self._read_status(sender, message, now_ms)
             case ViewRecords():
                 yield from self.topics.take_records(sender, message, now_ms)
-            case CreditAsk():
-                yield from self.shares.read_ask(sender, message, now_ms)
-            case CreditAnswer():
-                yield from self.shares.read_answer(message, now_ms)
+            case CreditAsk() | CreditAnswer():
+                yield from self._limit_events.read_message(sender, message, now_ms)
 
     def _read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
         self.statuses.read(sender, status, now_ms)
-        if status.pledge is not None:
-            self.shares.read_pledge(sender, status.pledge, now_ms)
+        yield from self._limit_events.read_status(sender, status, now_ms)
         self.flow.apply_node_count(self.roster.count_nodes(now_ms))
-        notes = list(self.replica_limits.apply(status.replica_limits, sender, now_ms))
-        if notes:
-            yield from notes
-            yield from self._tell_soon(now_ms)
         for store in status.stores:
             heard_ms = now_ms - store.heard_age_ms
             if self.sources.note_heard(store.store, heard_ms, store.epoch):
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -198,14 +198,8 @@
                 yield self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
             yield from self._drain(service, now_ms)
 
-    def retry_unpaid(self, now_ms: float) -> Iterator[RelayReply]:
-        """Send or refuse what waited for credit, now that answers may have come."""
-        for service, queue in self._queues.items():
-            if any(pending.is_unpaid for pending in queue):
-                yield from self._drain(service, now_ms)
-
     def retry_waiting(self, now_ms: float) -> Iterator[RelayReply]:
-        """Send what waited for a replica, now that one may have room."""
+        """Send or refuse what waits, now that credit may have come."""
         for service in list(self._queues):
             yield from self._drain(service, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/shared_limits.py
+++ b/packages/toucanyard/src/toucanyard/shared_limits.py
@@ -107,9 +107,10 @@
         """Take in a home's answer, or pass it on to the node that asked."""
         yield from self._exchanges[answer.kind].read_answer(answer, now_ms)
 
-    def take_answered(self, kind: LimitKind) -> bool:
+    def take_answered(self) -> bool:
         """Tell whether an answer has come since this was asked last."""
-        return self._exchanges[kind].take_answered()
+        taken = [each.take_answered() for each in self._exchanges.values()]
+        return any(taken)
 
     def _apply_customers(self, now_ms: float) -> Iterator[Note]:
         index = self._customers.index
