--- a/packages/toucanyard/src/toucanyard/store_reads.py
+++ b/packages/toucanyard/src/toucanyard/store_reads.py
@@ -59,7 +59,7 @@
         return self._roster.find_rank(topic.value, now_ms) <= MAX_ASKING_RANK
 
     def _is_store_silent(self, now_ms: float) -> bool:
-        """Tell whether no node had an answer about replicas when this one asked."""
+        """Tell whether no node has had an answer about replicas for too long."""
         topic = Topic.REPLICAS
         wanted_ms = compute_wanted_age(
             topic,
