List a campaign in a fleet with hubs that misses the aim by milliseconds

Tried and taken back: one rank of nodes for operators' records and replicas (0.90 s instead of 0.93 at 69 nodes, the campaign 50 ms late all the same).

--- a/tests/toucanyard_node/test_configuration_campaign.py
+++ b/tests/toucanyard_node/test_configuration_campaign.py
@@ -97,11 +97,13 @@
                 await trio.sleep(0.05)
 
 
-@pytest.mark.parametrize(("seed", "count"), [(1, 9), (2, 9), (3, 21)])
+@pytest.mark.parametrize(
+    ("seed", "count", "faults"), [(1, 9, 12), (2, 9, 12), (3, 21, 12), (101, 45, 15)]
+)
 async def test_configuration_is_in_force_in_time_after_drawn_faults(
-    autojump_clock: object, seed: int, count: int
+    autojump_clock: object, seed: int, count: int, faults: int
 ) -> None:
     """Guards against a series of faults that leaves a node with what it knew."""
     campaign = Campaign(seed, count)
-    await campaign.run(faults=12)
+    await campaign.run(faults)
     assert campaign.late == []
