Compute the rate of a queue's drain in one place, and drop lists of limits nobody asks for

compute_wait and compute_rate held the same expression; the exchange's source named a list of limits that the exchange never reads, and replicas' limits were built twice to keep their names.

--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -68,10 +67,6 @@
         """Return the limit of a customer; None if it has none."""
         return self.index.find_limit(CustomerName(subject))
 
-    def list_limits(self) -> Mapping[str, RateLimit]:
-        """Return the limits of all customers that have one."""
-        return {str(name): each for name, each in self.index.list_limits().items()}
-
     def check(self, pending: PendingCall, now_ms: float) -> LimitRejection | None:
         """Take credit for a call's next try; return why it may not have any.
 
--- a/packages/toucanyard/src/toucanyard/drain_rate.py
+++ b/packages/toucanyard/src/toucanyard/drain_rate.py
@@ -29,21 +29,21 @@
 
     def compute_wait(self, ahead: int, now_ms: float) -> float:
         """Return how long until this many requests will have ended, in ms."""
-        count = self._compute_count(now_ms)
-        if self._since_ms is None or count < 1.0:
+        if self._since_ms is None or self._compute_count(now_ms) < 1.0:
             return ahead * DEFAULT_MS_PER_REQUEST
-        # Shortly after the first end, the decayed count covers only the time since.
-        covered = 1.0 - 0.5 ** (max(now_ms - self._since_ms, 100.0) / HALF_LIFE_MS)
-        per_ms = count * math.log(2) / (HALF_LIFE_MS * covered)
-        return float(ahead / per_ms)
+        return float(ahead / self._compute_per_ms(self._since_ms, now_ms))
 
     def compute_rate(self, now_ms: float) -> float:
         """Return how many requests end in a second."""
         if self._since_ms is None:
             return 0.0
-        covered = 1.0 - 0.5 ** (max(now_ms - self._since_ms, 100.0) / HALF_LIFE_MS)
-        per_ms = self._compute_count(now_ms) * math.log(2) / (HALF_LIFE_MS * covered)
-        return float(per_ms * 1_000)
+        return self._compute_per_ms(self._since_ms, now_ms) * 1_000
+
+    def _compute_per_ms(self, since_ms: float, now_ms: float) -> float:
+        # Shortly after the first end, the decayed count covers only the time since.
+        covered = 1.0 - 0.5 ** (max(now_ms - since_ms, 100.0) / HALF_LIFE_MS)
+        count = self._compute_count(now_ms)
+        return float(count * math.log(2) / (HALF_LIFE_MS * covered))
 
     def _compute_count(self, now_ms: float) -> float:
         age_ms = max(now_ms - self._counted_ms, 0.0)
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import Protocol
 
 import msgspec
@@ -31,10 +31,6 @@
         """Return a limit; None if there is none that this node knows of."""
         ...
 
-    def list_limits(self) -> Mapping[str, RateLimit]:
-        """Return all limits of this kind."""
-        ...
-
 
 class _Given(msgspec.Struct, frozen=True):
     """What a home answered to one node about one limit."""
--- a/packages/toucanyard/src/toucanyard/replica_credits.py
+++ b/packages/toucanyard/src/toucanyard/replica_credits.py
@@ -65,21 +65,14 @@
             return None
         return RateLimit(max(rate_per_s, MIN_RATE_PER_S), 1.0)
 
-    def list_limits(self) -> dict[str, RateLimit]:
-        """Return the limits of all replicas that name one."""
-        return {
-            name: RateLimit(max(rate_per_s, MIN_RATE_PER_S), 1.0)
-            for name, rate_per_s in self._limits.list_limited()
-        }
-
     def take_changed(self) -> bool:
         """Tell whether limits have changed since this was asked last."""
         if self._changed == self._limits.change_count:
             return False
         self._changed = self._limits.change_count
-        limits = self.list_limits()
-        self.accounts.retain(limits)
-        for name in limits:
+        limited = [name for name, _ in self._limits.list_limited()]
+        self.accounts.retain(limited)
+        for name in limited:
             self.accounts.forget_denials(name)
         return True
 
