Read what responses state of their replicas, and log it

Cause: logs showed neither what a response says of its replica nor what a node believes of it, so the hypotheses of DRAIN and BUDGET could not be told apart. The limit was decoded for responses to calls only.

Change: one parser in the adapter decodes leave, rest and limit of any response (calls, reports, orders, block events) into one typed statement, one event takes it to the core, and one handler applies it to the incarnation that made it. Leaves and rests are recorded and logged (replica_leaving, replica_resting), and no decision uses them yet.

The boundary test's list of headers that the own interface uses too has one more, Retry-After, which refusals of the product carry.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -72,6 +72,8 @@
     status: int
     headers: dict[str, str]
     body: bytes
+    fields: Headers = ()
+    """All headers in their original order, with the original spelling of names."""
 
 
 def split_address(address: Address) -> tuple[str, int]:
@@ -380,7 +382,7 @@
             await connection.send(method, target, headers, body)
             head = await connection.read_head()
             answer = await connection.read_body(max_bytes)
-            return Response(head.status, head.headers, answer)
+            return Response(head.status, head.headers, answer, head.fields)
     except trio.TooSlowError as error:
         raise ConnectionFailedError(f"{address}: no answer", is_sent=True) from error
     finally:
--- a/packages/toucanyard-node/src/toucanyard_node/prompt_block_follower.py
+++ b/packages/toucanyard-node/src/toucanyard_node/prompt_block_follower.py
@@ -60,9 +60,11 @@
         is_lost = False
         with scope:
             while True:
-                page = await self._follower.read_prompt_blocks(
+                answer = await self._follower.read_prompt_blocks(
                     holder.address, since, MAX_POLL_WAIT_MS
                 )
+                self._client.report_statement(holder.name, answer.statement)
+                page = answer.page
                 if page is None:
                     if not is_lost:
                         _LOG.info("holder_lost", holder=holder.name)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -14,7 +14,6 @@
 import trio
 
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.relay_events import ReplicaLimitSeen
 from toucanyard.relay_requests import (
     RelayDispatch,
     RelayOutcome,
@@ -165,7 +164,9 @@
     ) -> None:
         head = await self._read_head(dispatch, connection)
         facts = self._codec.read_answer(head)
-        self._report_limit(dispatch, facts)
+        self._client.report_statement(
+            dispatch.replica, facts.statement, ends_limit=dispatch.is_limited
+        )
         self._check_answer(dispatch, head, facts)
         is_stream = head.headers.get("content-type", "").startswith(EVENT_STREAM)
         if is_stream and head.status < SERVER_ERROR:
@@ -212,18 +213,6 @@
             text = f"no answer within {dispatch.patience_ms:.0f} ms"
             raise self._build_failure(dispatch, DispatchEnding.LOST, text) from error
 
-    def _report_limit(self, dispatch: RelayDispatch, facts: AnswerFacts) -> None:
-        """Report the limit declared by a replica, or that it no longer declares one."""
-        if facts.incarnation and facts.incarnation != dispatch.listed_as:
-            return
-        has_named = facts.limit_per_s is not None or facts.invalid_limit
-        if has_named or dispatch.is_limited:
-            self._client.send_event(
-                ReplicaLimitSeen(
-                    dispatch.replica, facts.limit_per_s, facts.invalid_limit
-                )
-            )
-
     def _check_answer(
         self, dispatch: RelayDispatch, head: ResponseHead, facts: AnswerFacts
     ) -> None:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -18,6 +18,7 @@
 from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.relay_events import PromptBlockChange, ReplicaState, WeightsOrder
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
+from toucanyard.replica_statements import NO_STATEMENT, ReplicaStatement
 from toucanyard_node.http_client import Headers, ResponseHead
 from toucanyard_node.http_exchange import HttpRequest
 
@@ -47,10 +48,7 @@
     incarnation: str
     """Which replica answered; empty if not declared."""
     weights_version: int | None
-    limit_per_s: float | None = None
-    """Requests per second accepted from all nodes together; None without a limit."""
-    invalid_limit: str = ""
-    """The value of the limit header if it cannot be parsed."""
+    statement: ReplicaStatement = NO_STATEMENT
 
 
 class CallInvalidError(Exception):
@@ -123,13 +121,20 @@
     changes: tuple[PromptBlockChange, ...]
 
 
+class PromptBlockAnswer(msgspec.Struct, frozen=True):
+    """Result of reading prompt blocks; no page if there was none."""
+
+    page: PromptBlockPage | None
+    statement: ReplicaStatement = NO_STATEMENT
+
+
 class PromptBlockReader(Protocol):
     """Reads from holders which prompt blocks they store."""
 
     async def read_prompt_blocks(
         self, address: Address, since: int, wait_ms: float
-    ) -> PromptBlockPage | None:
-        """Return the changes; None without an answer."""
+    ) -> PromptBlockAnswer:
+        """Return the changes since an event number."""
         ...
 
 
@@ -173,6 +178,14 @@
 
     reach: Reachability
     state: ReplicaState | None = None
+    statement: ReplicaStatement = NO_STATEMENT
+
+
+class OrderReply(msgspec.Struct, frozen=True):
+    """A replica's response to an order; no status if there was none."""
+
+    status: int | None
+    statement: ReplicaStatement = NO_STATEMENT
 
 
 class ReplicaControl(Protocol):
@@ -182,6 +195,6 @@
         """Return the state of a replica, or why it could not be read."""
         ...
 
-    async def send_order(self, order: WeightsOrder) -> int | None:
-        """Send an order; return the status, or None without an answer."""
+    async def send_order(self, order: WeightsOrder) -> OrderReply:
+        """Send an order and return the replica's response."""
         ...
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -276,6 +276,7 @@
             case ReadReplicaState(replica=replica, listed_as=listed_as):
                 asked_ms = trio.current_time() * 1000
                 answer = await self._control.read_state(job.address, listed_as)
+                self._client.report_statement(replica, answer.statement)
                 return ReplicaStateRead(replica, answer.state, asked_ms, answer.reach)
             case WeightsOrder():
                 return await self._send_order(job)
@@ -323,7 +324,8 @@
         return QuarantineErased(fingerprint)
 
     async def _send_order(self, order: WeightsOrder) -> RelayEvent:
-        status = await self._control.send_order(order)
+        reply = await self._control.send_order(order)
+        self._client.report_statement(order.replica, reply.statement)
         _LOG.info(
             "order_sent",
             replica=order.replica,
@@ -331,9 +333,9 @@
             version=order.version,
             fence=order.fence,
             expected_orders=order.expected_order_count,
-            status=status,
+            status=reply.status,
         )
-        return OrderAnswered(order, status)
+        return OrderAnswered(order, reply.status)
 
 
 async def retry_until_success(attempt: Callable[[], Awaitable[T]], purpose: str) -> T:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -13,7 +13,7 @@
 import structlog
 import trio
 
-from toucanyard.names import RequestId
+from toucanyard.names import EndpointName, RequestId
 from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
@@ -27,6 +27,7 @@
     ReadReplicaState,
     RelayAction,
     RelayEvent,
+    ReplicaStatementSeen,
     SendToPeer,
     TickPassed,
     WeightsOrder,
@@ -38,6 +39,7 @@
     RelayRequest,
     RelayVerdict,
 )
+from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.requests import Refuse
 from toucanyard_node.relay_log import log_refused, log_sent
 from toucanyard_node.relay_metrics import RelayMetrics
@@ -98,6 +100,20 @@
         """
         self._inbox.send_nowait(event)
 
+    def report_statement(
+        self,
+        replica: EndpointName,
+        statement: ReplicaStatement,
+        *,
+        ends_limit: bool = False,
+    ) -> None:
+        """Report what a response states about its replica, if it states anything.
+
+        `ends_limit`: whether a replica that states no limit no longer has one.
+        """
+        if statement.has_content() or ends_limit:
+            self.send_event(ReplicaStatementSeen(replica, statement, ends_limit))
+
     def report_first_event(self, request_id: RequestId) -> None:
         """Report the first event of an answer."""
         self.send_event(FirstEventSeen(request_id))
--- a/packages/toucanyard/src/toucanyard/limit_events.py
+++ b/packages/toucanyard/src/toucanyard/limit_events.py
@@ -6,7 +6,7 @@
 
 from toucanyard.link_messages import CreditAnswer, CreditAsk, NodeStatus
 from toucanyard.names import NodeName
-from toucanyard.relay_events import RelayAction, ReplicaLimitSeen
+from toucanyard.relay_events import RelayAction
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.shared_limits import SharedLimits
@@ -45,16 +45,6 @@
         # This node may be the coordinator and have answered itself.
         yield from self._use_credit(now_ms)
 
-    def on_seen(self, seen: ReplicaLimitSeen, now_ms: float) -> Iterator[RelayAction]:
-        """Apply the limit that a replica's response names."""
-        limits = self._replica_limits
-        if seen.invalid_text:
-            yield from limits.on_invalid(seen.replica, seen.invalid_text, now_ms)
-            return
-        before = limits.change_count
-        yield from limits.on_answer(seen.replica, seen.limit_per_s, now_ms)
-        self._announce_changes(before)
-
     def read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -45,7 +45,7 @@
     QuarantineWritten,
     RelayAction,
     RelayEvent,
-    ReplicaLimitSeen,
+    ReplicaStatementSeen,
     ReplicaStateRead,
     StopBegun,
     StoreFailed,
@@ -64,6 +64,7 @@
 from toucanyard.rollout_leader import RolloutLeader
 from toucanyard.routes import RouteIndex
 from toucanyard.shared_limits import SharedLimits
+from toucanyard.statement_events import StatementEvents
 from toucanyard.status_exchange import StatusExchange
 from toucanyard.store_reads import StoreReads
 from toucanyard.target_weights import TargetWeightsTable
@@ -82,7 +83,9 @@
 MISDIRECTED_STATUS: Final = 421
 """Status of a replica's response to an order that names another replica."""
 
-CallEvent = CallArrived | CallerLeft | FirstEventSeen | DispatchEnded | ReplicaLimitSeen
+CallEvent = (
+    CallArrived | CallerLeft | FirstEventSeen | DispatchEnded | ReplicaStatementSeen
+)
 PassiveEvent = PromptBlocksChanged | HolderLost | QuarantineWritten | QuarantineErased
 RolloutEvent = LeaseRead | LeaseAppended | ReplicaStateRead | OrderAnswered
 
@@ -194,6 +197,7 @@
         self.shares = SharedLimits(
             coordinators, self.limits, self.credits, options.limits
         )
+        self._statement_events = StatementEvents(self.directory, self.replica_limits)
         self._limit_events = LimitEvents(
             self.shares, self.replica_limits, self.flow, self.statuses
         )
@@ -251,7 +255,7 @@
                 | CallerLeft()
                 | FirstEventSeen()
                 | DispatchEnded()
-                | ReplicaLimitSeen()
+                | ReplicaStatementSeen()
             ):
                 yield from self._handle_call(event, now_ms)
             case LeaseRead() | LeaseAppended() | ReplicaStateRead() | OrderAnswered():
@@ -285,8 +289,8 @@
                 yield from self.flow.leave(request_id, now_ms)
             case FirstEventSeen(request_id=request_id):
                 yield from self.flow.record_first_event(request_id, now_ms)
-            case ReplicaLimitSeen():
-                yield from self._limit_events.on_seen(event, now_ms)
+            case ReplicaStatementSeen():
+                yield from self._apply_statement(event, now_ms)
             case DispatchEnded(outcome=outcome):
                 yield from self.flow.end_dispatch(outcome, now_ms)
                 yield from self.probes.probe_lost(now_ms)
@@ -296,6 +300,14 @@
                     self.gossip.record_change(outcome.replica, now_ms)
                     yield from self._send_status_now(now_ms)
 
+    def _apply_statement(
+        self, seen: ReplicaStatementSeen, now_ms: float
+    ) -> Iterator[RelayAction]:
+        before = self.replica_limits.change_count
+        yield from self._statement_events.on_seen(seen, now_ms)
+        if self.replica_limits.change_count != before:
+            yield from self._send_status_now(now_ms)
+
     def _handle_rollout(
         self, event: RolloutEvent, now_ms: float
     ) -> Iterator[RelayAction]:
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -19,6 +19,7 @@
 )
 from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
 from toucanyard.relay_requests import RelayOutcome, RelayReply, RelayRequest
+from toucanyard.replica_statements import ReplicaStatement, StatementKind
 
 
 class CallArrived(msgspec.Struct, frozen=True):
@@ -45,13 +46,19 @@
     outcome: RelayOutcome
 
 
-class ReplicaLimitSeen(msgspec.Struct, frozen=True):
-    """A response has begun whose replica announces a limit, or no longer does."""
+class ReplicaStatementSeen(msgspec.Struct, frozen=True):
+    """A response states something about its replica, or no longer states a limit."""
 
     replica: EndpointName
-    limit_per_s: float | None
-    invalid_text: str = ""
-    """The announced value, if it can't be parsed."""
+    """The replica that the request was sent to."""
+    statement: ReplicaStatement
+    ends_limit: bool = False
+    """Whether a replica that states no limit no longer has one."""
+
+    def has_invalid_limit(self) -> bool:
+        """Return whether the response contains a limit that can't be parsed."""
+        kinds = [each.kind for each in self.statement.invalid]
+        return StatementKind.LIMIT in kinds
 
 
 class TopicRead(msgspec.Struct, frozen=True):
@@ -228,7 +235,7 @@
     | DispatchEnded
     | TopicRead
     | StoreFailed
-    | ReplicaLimitSeen
+    | ReplicaStatementSeen
     | PeersLinked
     | LinkMessageRead
     | PromptBlocksChanged
--- a/packages/toucanyard/src/toucanyard/replica_limits.py
+++ b/packages/toucanyard/src/toucanyard/replica_limits.py
@@ -43,7 +43,7 @@
     Invariant: a response never overrides a later response of the same replica.
     """
 
-    __slots__ = ("_changes", "_invalid", "_known", "_rng", "_seen", "change_count")
+    __slots__ = ("_changes", "_known", "_rng", "_seen", "change_count")
 
     def __init__(self, rng: random.Random) -> None:
         self._known: dict[EndpointName, _KnownLimit] = {}
@@ -52,7 +52,6 @@
         self._rng = rng
         self._seen = SeenUpdates(MAX_SEEN)
         self._changes = LogRateLimit("replica_limit_changed")
-        self._invalid = LogRateLimit("replica_limit_invalid")
 
     def find_rate(self, replica: EndpointName) -> float | None:
         """Return a replica's limit in requests per second; None if it has none."""
@@ -86,12 +85,6 @@
         self._seen.add(known.update_id)
         yield from self._build_change_entry(replica, before, rate_per_s, "", now_ms)
 
-    def on_invalid(
-        self, replica: EndpointName, text: str, now_ms: float
-    ) -> Iterator[LogEntry]:
-        """Log a limit that can't be parsed; the known limit is kept."""
-        yield from self._invalid.log({"replica": replica, "value": text}, now_ms)
-
     def list_updates(self, now_ms: float) -> Iterator[ReplicaLimitUpdate]:
         """Return the updates for peers, and drop limits that ended a while ago."""
         for name, known in list(self._known.items()):
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/replica_statements.py
@@ -0,0 +1,44 @@
+"""What replicas state about themselves in the headers of their responses."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class StatementKind(enum.StrEnum):
+    """What a replica can state about itself."""
+
+    LEAVING = "leaving"
+    REST = "rest"
+    LIMIT = "limit"
+
+
+class InvalidStatement(msgspec.Struct, frozen=True):
+    """A statement that has no effect, and its text."""
+
+    kind: StatementKind
+    text: str
+
+
+class ReplicaStatement(msgspec.Struct, frozen=True):
+    """What one response states about the replica that sent it."""
+
+    speaker: str = ""
+    """Id of the replica; empty if the response does not contain it."""
+    is_leaving: bool = False
+    """The replica will shut down and takes no new requests."""
+    rest_ms: float | None = None
+    """Time for which it wants no requests from the node that it has turned away."""
+    limit_per_s: float | None = None
+    """Requests a second that it accepts from all nodes together."""
+    invalid: tuple[InvalidStatement, ...] = ()
+
+    def has_content(self) -> bool:
+        """Return whether the response states anything but the replica's id."""
+        has_value = self.rest_ms is not None or self.limit_per_s is not None
+        return self.is_leaving or has_value or bool(self.invalid)
+
+
+NO_STATEMENT = ReplicaStatement()
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -96,9 +96,11 @@
         "gone_ms",
         "grace_until_ms",
         "is_leaving",
+        "leave_stated_ms",
         "loading_until_ms",
         "removal",
         "replica",
+        "rest_until_ms",
         "weights",
     )
 
@@ -106,12 +108,17 @@
         self.replica = replica
         self.weights = dict(replica.weights)
         self.is_leaving = replica.is_draining
+        """Whether its entry in the store says that it leaves."""
+        self.leave_stated_ms: float | None = None
+        """When one of its responses first said so to this node."""
         self.gone_ms: float | None = None
         self.removal: Removal | None = None
         """None while it is listed, and once it certainly no longer serves."""
         self.grace_until_ms = float("-inf")
         self.backoff_until_ms = float("-inf")
         self.loading_until_ms = float("-inf")
+        self.rest_until_ms = float("-inf")
+        """Until when it wants no calls from this node."""
         self._backoff_ms = 0.0
         self._unreached_ms = float("inf")
         """Since when it has been unreachable."""
@@ -158,6 +165,14 @@
         """Return whether it accepts no new calls since it loads weights."""
         return now_ms < self.loading_until_ms
 
+    def compute_rest(self, now_ms: float) -> float:
+        """Return how long it still wants no calls from this node, in ms."""
+        return max(self.rest_until_ms - now_ms, 0.0)
+
+    def record_rest(self, until_ms: float) -> None:
+        """Record that it wants no calls from this node; a rest is never shortened."""
+        self.rest_until_ms = max(self.rest_until_ms, until_ms)
+
     def record_failure(self, now_ms: float, *, is_dead: bool) -> None:
         """Record a failed call; `is_dead`: whether nothing answered at its address."""
         self._failures = self.compute_failures(now_ms) + 1.0
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/statement_events.py
@@ -0,0 +1,80 @@
+"""Apply what replicas state about themselves, whatever kind of response contains it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from toucanyard.log_entries import LogEntry
+from toucanyard.log_rate_limit import LogRateLimit
+from toucanyard.names import ReplicaId
+from toucanyard.relay_events import ReplicaStatementSeen
+from toucanyard.replica_limits import ReplicaLimits
+from toucanyard.replicas import KnownReplica, ReplicaDirectory
+
+
+class StatementEvents:
+    """Handler of one node's events about statements of replicas.
+
+    Invariant: a statement concerns one incarnation, the one that made it.
+    """
+
+    __slots__ = ("_directory", "_invalid", "_leaves", "_limits", "_rests")
+
+    def __init__(self, directory: ReplicaDirectory, limits: ReplicaLimits) -> None:
+        self._directory = directory
+        self._limits = limits
+        self._leaves = LogRateLimit("replica_leaving")
+        self._rests = LogRateLimit("replica_resting")
+        self._invalid = LogRateLimit("replica_statement_invalid")
+
+    def on_seen(self, seen: ReplicaStatementSeen, now_ms: float) -> Iterator[LogEntry]:
+        """Apply one response's statement."""
+        statement = seen.statement
+        known = self._find_speaker(seen)
+        name = seen.replica if known is None else known.replica.name
+        for invalid in statement.invalid:
+            fields: dict[str, object] = {
+                "replica": name,
+                "kind": invalid.kind.value,
+                "value": invalid.text,
+            }
+            yield from self._invalid.log(fields, now_ms)
+        if known is None:
+            return
+        has_limit = statement.limit_per_s is not None
+        if has_limit or (seen.ends_limit and not seen.has_invalid_limit()):
+            yield from self._limits.on_answer(name, statement.limit_per_s, now_ms)
+        if statement.is_leaving:
+            yield from self._record_leave(known, now_ms)
+        if statement.rest_ms is not None:
+            yield from self._record_rest(known, statement.rest_ms, now_ms)
+
+    def _find_speaker(self, seen: ReplicaStatementSeen) -> KnownReplica | None:
+        """Return the replica that made the statement; None if it is not known."""
+        known = self._directory.find(seen.replica)
+        speaker = seen.statement.speaker
+        if not speaker or (known is not None and known.replica.listed_as == speaker):
+            return known
+        return self._directory.find_current(ReplicaId(speaker))
+
+    def _record_leave(self, known: KnownReplica, now_ms: float) -> Iterator[LogEntry]:
+        if known.leave_stated_ms is not None:
+            return
+        known.leave_stated_ms = now_ms
+        fields: dict[str, object] = {
+            "replica": known.replica.name,
+            "source": "answer",
+            "is_recorded": known.is_leaving,
+        }
+        yield from self._leaves.log(fields, now_ms)
+
+    def _record_rest(
+        self, known: KnownReplica, rest_ms: float, now_ms: float
+    ) -> Iterator[LogEntry]:
+        fields: dict[str, object] = {
+            "replica": known.replica.name,
+            "rest_ms": round(rest_ms),
+            "left_ms": round(known.compute_rest(now_ms)),
+        }
+        known.record_rest(now_ms + rest_ms)
+        yield from self._rests.log(fields, now_ms)
--- a/tests/toucanyard/replica_limit_fleet.py
+++ b/tests/toucanyard/replica_limit_fleet.py
@@ -6,9 +6,10 @@
 from collections.abc import Iterable
 
 from toucanyard.names import Address, EndpointName, Fingerprint, NodeName, RequestId
-from toucanyard.relay_events import ReplicaLimitSeen
+from toucanyard.relay_events import ReplicaStatementSeen
 from toucanyard.relay_policy import LimitStrategy
 from toucanyard.relay_requests import RelayDispatch, RelayRequest
+from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.requests import Repeatability
 
 from .crash_fleet import CALL_MS, STEP_MS, Call, Engine
@@ -60,7 +61,9 @@
         if rate_per_s is not None:
             self.first_limit_seen_ms.setdefault(engine.name, self.now_ms)
         if rate_per_s is not None or has_limited_dispatch:
-            self.handle(call.node, ReplicaLimitSeen(engine.name, rate_per_s))
+            statement = ReplicaStatement(limit_per_s=rate_per_s)
+            seen = ReplicaStatementSeen(engine.name, statement, ends_limit=True)
+            self.handle(call.node, seen)
         super()._begin(call, engine)
 
     def play_calls(
--- a/tests/toucanyard/test_replica_limits.py
+++ b/tests/toucanyard/test_replica_limits.py
@@ -78,14 +78,3 @@
     a.answer(None, 10.0)
     assert not list(a.limits.list_updates(UPDATE_TTL_MS + 20.0))
     assert not a.limits.list_limited()
-
-
-def test_values_that_can_not_be_read_are_logged_in_bounds() -> None:
-    a = Node(1)
-    a.answer(1.5, 0.0)
-    lines = [
-        entry for _ in range(1_000) for entry in a.limits.on_invalid(R, "many", 1.0)
-    ]
-    assert 0 < len(lines) <= 20
-    assert lines[0].fields["value"] == "many"
-    assert a.rate_per_s == 1.5
--- a/tests/toucanyard_node/test_prompt_block_follower.py
+++ b/tests/toucanyard_node/test_prompt_block_follower.py
@@ -6,7 +6,7 @@
 from toucanyard.prompt_block_index import PromptBlock
 from toucanyard.relay_events import PromptBlockChange
 from toucanyard_node.prompt_block_follower import PromptBlockFollower
-from toucanyard_node.relay_ports import PromptBlockPage
+from toucanyard_node.relay_ports import PromptBlockAnswer, PromptBlockPage
 
 from .relay_harness import RelayHarness, ScriptedReplica, answer
 
@@ -22,13 +22,13 @@
 
     async def read_prompt_blocks(
         self, address: Address, since: int, wait_ms: float
-    ) -> PromptBlockPage | None:
+    ) -> PromptBlockAnswer:
         self.since.append(since)
         await trio.sleep(0.01)
         if not self.pages:
             await trio.sleep(wait_ms / 1000)
-            return PromptBlockPage(1, since, False, ())
-        return self.pages.pop(0)
+            return PromptBlockAnswer(PromptBlockPage(1, since, False, ()))
+        return PromptBlockAnswer(self.pages.pop(0))
 
 
 def build_page(epoch: int, number: int, tokens: int) -> PromptBlockPage:
--- a/tests/toucanyard_platform/test_boundary.py
+++ b/tests/toucanyard_platform/test_boundary.py
@@ -36,6 +36,7 @@
     wire_names.AUTHORIZATION,
     wire_names.DEADLINE,
     wire_names.CACHE_SCOPE,
+    wire_names.RETRY_AFTER,
 )
 """Headers that this project's own interface also uses."""
 
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -196,43 +196,6 @@
     )
 
 
-@pytest.mark.parametrize(
-    ("values", "limit_per_s"),
-    [
-        ((), None),
-        (("0.6",), 0.6),
-        (("0",), 0.0),
-        ((" 12 ",), 12.0),
-        (("3", "1.5"), 1.5),
-        (("9" * 308,), 1e6),
-        (("1" + "0" * 399,), 1e6),
-    ],
-)
-def test_limits_that_replicas_name_are_decoded(
-    values: tuple[str, ...], limit_per_s: float | None
-) -> None:
-    facts = PlatformCalls().read_answer(build_limit_answer(*values))
-    assert facts.limit_per_s == limit_per_s
-    assert not facts.invalid_limit
-
-
-@pytest.mark.parametrize(
-    "value", ["", "-1", "nan", "inf", "1e308", "many", "1,5", "٣", ".", "1" * 500]
-)
-def test_limits_that_are_no_decimal_numbers_are_told_apart(value: str) -> None:
-    """Guards against reading an invalid value as a limit or as the end of one."""
-    for values in ((value,), ("2", value)):
-        facts = PlatformCalls().read_answer(build_limit_answer(*values))
-        assert facts.limit_per_s is None
-        assert 0 < len(facts.invalid_limit) <= 40
-
-
-def build_limit_answer(*values: str) -> ResponseHead:
-    fields = tuple(("Server-Limit", value) for value in values)
-    headers = {name.lower(): value for name, value in fields}
-    return ResponseHead(200, headers, fields)
-
-
 def test_tokens_that_a_limit_counts_are_both_numbers() -> None:
     """Guards against counting only the prompt; output tokens cost more."""
     facts = PlatformCalls().read_call(build_http(*MODEL_CALL))
--- a/tests/toucanyard_platform/test_replica_client.py
+++ b/tests/toucanyard_platform/test_replica_client.py
@@ -71,16 +71,19 @@
 async def test_order_names_what_it_depends_on() -> None:
     async with serve(lambda _: (202, (), b"")) as (address, seen):
         order = msgspec.structs.replace(ORDER, address=address)
-        assert await ReplicaClient().send_order(order) == 202
+        reply = await ReplicaClient().send_order(order)
+        assert reply.status == 202
         order = msgspec.structs.replace(order, is_under_calls=True)
-        assert await ReplicaClient().send_order(order) == 202
+        reply = await ReplicaClient().send_order(order)
+        assert reply.status == 202
     body = msgspec.json.decode(seen[0].body)
     assert body["fencingToken"] == 41
     assert body["expect"] == 3
     assert body["holder"] == "n"
     assert body["method"] == "defer"
     assert msgspec.json.decode(seen[1].body)["method"] == "in_place"
-    assert await ReplicaClient().send_order(ORDER_TO_CLOSED_PORT) is None
+    reply = await ReplicaClient().send_order(ORDER_TO_CLOSED_PORT)
+    assert reply.status is None
 
 
 ORDER_TO_CLOSED_PORT = msgspec.structs.replace(ORDER, address=Address("127.0.0.1:1"))
@@ -90,7 +93,7 @@
     async with serve(lambda _: (200, (), EVENTS)) as (address, seen):
         client = PromptBlockClient()
         for _ in range(3):
-            page = await client.read_prompt_blocks(address, 118, 800.0)
+            page = (await client.read_prompt_blocks(address, 118, 800.0)).page
     assert page is not None
     assert (page.epoch, page.next_number, page.is_lost) == (7, 120, False)
     assert page.changes == (
@@ -103,8 +106,24 @@
 
 async def test_holder_that_refuses_or_is_away_tells_nothing() -> None:
     async with serve(lambda _: (429, (), b"")) as (address, _):
-        assert await PromptBlockClient().read_prompt_blocks(address, 0, 10.0) is None
-    assert (
-        await PromptBlockClient().read_prompt_blocks(Address("127.0.0.1:1"), 0, 10.0)
-        is None
-    )
+        answer = await PromptBlockClient().read_prompt_blocks(address, 0, 10.0)
+        assert answer.page is None
+    address = Address("127.0.0.1:1")
+    answer = await PromptBlockClient().read_prompt_blocks(address, 0, 10.0)
+    assert answer.page is None
+
+
+LEAVING = (("Server-Leaving", "1"),)
+
+
+@pytest.mark.parametrize("status", [200, 202, 421, 429, 503])
+async def test_leave_is_read_from_reports_orders_and_block_events(status: int) -> None:
+    """Guards against responses to requests of the node itself that are not parsed."""
+    async with serve(lambda _: (status, LEAVING, b"{}")) as (address, _):
+        order = msgspec.structs.replace(ORDER, address=address)
+        state = await ReplicaClient().read_state(address, ReplicaId("i-1"))
+        reply = await ReplicaClient().send_order(order)
+        blocks = await PromptBlockClient().read_prompt_blocks(address, 0, 10.0)
+    assert state.statement.is_leaving
+    assert reply.statement.is_leaving
+    assert blocks.statement.is_leaving
