Send nothing to a replica whose responses state that it leaves

Cause: no decision read what a response says of its replica. The store's record was the only source of a leave, and while the store was silent for 13 s nobody heard of it. Class: what a dependency says of itself in an answer and nobody reads.

Change: a leave has two sources, the store's record and any response; either one is enough and neither is taken back, as the other may be late. It belongs to one incarnation. A replica that has left is not listed, so no new call, retry, queued call, resumed stream, fetch or call bound to it goes there, and a dispatch is withdrawn if its replica stated a leave while the connection was being opened (not sent, and no failure of the replica). Peers are told in the next status, which is due at once. Their word is heeded for 20 s, and for half of a service at most, so a wrong one empties no pool.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -11,6 +11,7 @@
 import math
 from typing import Final
 
+import msgspec
 import trio
 
 from toucanyard.errorcodes import Ending, ErrorKind
@@ -153,12 +154,21 @@
                 dispatch, DispatchEnding.NOT_SENT, str(error), cause=error, is_dead=True
             ) from error
         try:
+            self._check_withdrawn(dispatch)
             await self._exchange(dispatch, connection)
         finally:
             # Closing lets the replica stop work whose result is no longer needed.
             with trio.CancelScope(shield=True):
                 await connection.close()
 
+    def _check_withdrawn(self, dispatch: RelayDispatch) -> None:
+        """Raise AnswerLostError if the replica wants no calls since the decision."""
+        if self._client.is_withdrawn(dispatch):
+            text = "withdrawn: the replica wants no calls"
+            raise self._build_failure(
+                dispatch, DispatchEnding.NOT_SENT, text, is_withdrawn=True
+            )
+
     async def _exchange(
         self, dispatch: RelayDispatch, connection: HttpConnection
     ) -> None:
@@ -331,10 +341,12 @@
         *,
         cause: ConnectionFailedError | None = None,
         is_dead: bool = False,
+        is_withdrawn: bool = False,
     ) -> AnswerLostError:
         outcome = self._build_outcome(
             dispatch, ending, text, facts, cause=cause, is_dead=is_dead
         )
+        outcome = msgspec.structs.replace(outcome, is_withdrawn=is_withdrawn)
         self._record_ended(dispatch, ending.value, 0, text, is_closed=outcome.is_closed)
         return AnswerLostError(outcome)
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -67,12 +68,22 @@
 class RelayClient:
     """Interface to the core's task for all other tasks."""
 
-    __slots__ = ("_inbox",)
+    __slots__ = ("_inbox", "_may_get_calls")
 
     def __init__(
-        self, inbox: trio.MemorySendChannel[VerdictRequest | RelayEvent]
+        self,
+        inbox: trio.MemorySendChannel[VerdictRequest | RelayEvent],
+        may_get_calls: Callable[[EndpointName], bool],
     ) -> None:
         self._inbox = inbox
+        self._may_get_calls = may_get_calls
+
+    def is_withdrawn(self, dispatch: RelayDispatch) -> bool:
+        """Return whether a dispatch must not be sent any more.
+
+        Reads the core's state between two events.
+        """
+        return not self._may_get_calls(dispatch.replica)
 
     async def decide(self, request: RelayRequest) -> RelayVerdict:
         """Return the verdict on a new call; waits while it is queued."""
@@ -151,7 +162,7 @@
         self.inbox, self._receive = trio.open_memory_channel[
             VerdictRequest | RelayEvent
         ](2**31)
-        self.client = RelayClient(self.inbox)
+        self.client = RelayClient(self.inbox, core.directory.may_get_calls)
 
     async def run(self) -> None:
         """Process messages until cancelled."""
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -65,6 +65,8 @@
     weights: tuple[tuple[str, int], ...]
     pause_id: int = 0
     """Id of the update that began or renewed the pause; 0 without a pause."""
+    is_leaving: bool = False
+    """Whether its responses say that it leaves."""
 
 
 class ReplicaLimitUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -197,7 +197,9 @@
         self.shares = SharedLimits(
             coordinators, self.limits, self.credits, options.limits
         )
-        self._statement_events = StatementEvents(self.directory, self.replica_limits)
+        self._statement_events = StatementEvents(
+            self.directory, self.replica_limits, self.gossip
+        )
         self._limit_events = LimitEvents(
             self.shares, self.replica_limits, self.flow, self.statuses
         )
@@ -303,9 +305,8 @@
     def _apply_statement(
         self, seen: ReplicaStatementSeen, now_ms: float
     ) -> Iterator[RelayAction]:
-        before = self.replica_limits.change_count
         yield from self._statement_events.on_seen(seen, now_ms)
-        if self.replica_limits.change_count != before:
+        if self._statement_events.consume_urgent_flag():
             yield from self._send_status_now(now_ms)
 
     def _handle_rollout(
@@ -403,6 +404,7 @@
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
         self.statuses.read(sender, status, now_ms)
+        yield from self.gossip.take_log_entries()
         yield from self._limit_events.read_status(sender, status, now_ms)
         self.flow.apply_node_count(self.node_directory.count_nodes(now_ms))
         for store in status.stores:
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -329,9 +329,21 @@
             return
         if prompt is not None and outcome.weights_version is not None:
             self._record_weights(known, prompt.model, outcome.weights_version)
+        self._apply_ending(known, pending, outcome, now_ms)
+
+    def _apply_ending(
+        self,
+        known: KnownReplica,
+        pending: PendingCall,
+        outcome: RelayOutcome,
+        now_ms: float,
+    ) -> None:
+        """Record what the end of a dispatch shows about its replica."""
         match outcome.ending:
             case DispatchEnding.COMPLETED:
                 known.record_success()
+            case DispatchEnding.NOT_SENT if outcome.is_withdrawn:
+                pass
             case DispatchEnding.NOT_SENT | DispatchEnding.LOST:
                 is_dead = outcome.is_dead and self._policy.retries.rests
                 known.record_failure(now_ms, is_dead=is_dead)
--- a/packages/toucanyard/src/toucanyard/replica_gossip.py
+++ b/packages/toucanyard/src/toucanyard/replica_gossip.py
@@ -13,9 +13,11 @@
 import msgspec
 
 from toucanyard.link_messages import ReplicaRestart, ReplicaUpdate
-from toucanyard.names import EndpointName
+from toucanyard.log_entries import LogEntry
+from toucanyard.log_rate_limit import LogRateLimit
+from toucanyard.names import EndpointName, NodeName
 from toucanyard.prompt_block_index import PromptBlockIndex
-from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.replicas import LEAVE_HEARD_MS, KnownReplica, ReplicaDirectory
 from toucanyard.seen_updates import SeenUpdates, new_update_id
 
 UPDATE_TTL_MS: Final = 5_000.0
@@ -41,6 +43,8 @@
         "_changed_ms",
         "_changing",
         "_directory",
+        "_leaves",
+        "_log_entries",
         "_pauses",
         "_rng",
         "_seen",
@@ -55,6 +59,8 @@
         self._directory = directory
         self._block_index = block_index
         self._rng = rng
+        self._leaves = LogRateLimit("replica_leaving")
+        self._log_entries: list[LogEntry] = []
         self._pauses: dict[EndpointName, _Pause] = {}
         self._seen = SeenUpdates(MAX_SEEN_UPDATES)
         self._changing: set[EndpointName] = set()
@@ -86,15 +92,19 @@
 
     def _build(self, known: KnownReplica, now_ms: float) -> ReplicaUpdate:
         name, weights = known.replica.name, tuple(known.weights.items())
+        is_stated = known.leave_stated_ms is not None
+        is_leaving = is_stated or known.is_heard_leaving(now_ms)
         until_ms = known.loading_until_ms
         if until_ms <= now_ms:
-            return ReplicaUpdate(name, 0.0, weights)
+            return ReplicaUpdate(name, 0.0, weights, is_leaving=is_leaving)
         pause = self._pauses.get(name)
         if pause is None or pause.until_ms != until_ms:
             # Begun or renewed by this node since it last sent or received an update.
             pause = self._pauses[name] = _Pause(new_update_id(self._rng), until_ms)
             self._seen.add(pause.pause_id)
-        return ReplicaUpdate(name, until_ms - now_ms, weights, pause.pause_id)
+        return ReplicaUpdate(
+            name, until_ms - now_ms, weights, pause.pause_id, is_leaving
+        )
 
     def list_restarts(self, now_ms: float) -> Iterable[ReplicaRestart]:
         """Return the replicas that have recently restarted."""
@@ -107,16 +117,39 @@
                 restart.listed_as, restart.born_ms, now_ms
             )
 
-    def apply(self, received: Iterable[ReplicaUpdate], now_ms: float) -> bool:
+    def take_log_entries(self) -> list[LogEntry]:
+        """Return and clear the log entries about peers' updates."""
+        entries, self._log_entries = self._log_entries, []
+        return entries
+
+    def apply(
+        self, received: Iterable[ReplicaUpdate], sender: NodeName, now_ms: float
+    ) -> bool:
         """Apply a peer's updates; return whether they should be forwarded."""
         has_changed = False
         for update in received:
             known = self._directory.find(update.replica)
-            if known is not None and self._apply_one(known, update, now_ms):
+            if known is None:
+                continue
+            is_new_leave = update.is_leaving and self._hear_leave(known, sender, now_ms)
+            if self._apply_one(known, update, now_ms) or is_new_leave:
                 self._changed_ms[update.replica] = now_ms
                 has_changed = True
         return has_changed
 
+    def _hear_leave(self, known: KnownReplica, sender: NodeName, now_ms: float) -> bool:
+        """Record a peer's word that a replica leaves; return whether it is new."""
+        if known.has_left() or known.is_heard_leaving(now_ms):
+            return False
+        known.leave_heard_until_ms = now_ms + LEAVE_HEARD_MS
+        fields: dict[str, object] = {
+            "replica": known.replica.name,
+            "source": sender,
+            "is_recorded": False,
+        }
+        self._log_entries += self._leaves.log(fields, now_ms)
+        return True
+
     def _apply_one(
         self, known: KnownReplica, update: ReplicaUpdate, now_ms: float
     ) -> bool:
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -52,6 +52,11 @@
 tests whether it serves calls all the same."""
 FORGET_MS: Final = 30_000.0
 """How long a removed replica is kept."""
+LEAVE_HEARD_MS: Final = 20_000.0
+"""How long a peer's word that a replica leaves is heeded; longer than peers repeat it,
+so that it ends unless this node sees the replica state it."""
+MAX_HEARD_SHARE: Final = 0.5
+"""Share of a service's usable replicas that peers' words may take out of use."""
 FAILURE_HALF_LIFE_MS: Final = 3_000.0
 """Half-life of the weight of a failure."""
 
@@ -96,6 +101,7 @@
         "gone_ms",
         "grace_until_ms",
         "is_leaving",
+        "leave_heard_until_ms",
         "leave_stated_ms",
         "loading_until_ms",
         "removal",
@@ -111,6 +117,8 @@
         """Whether its entry in the store says that it leaves."""
         self.leave_stated_ms: float | None = None
         """When one of its responses first said so to this node."""
+        self.leave_heard_until_ms = float("-inf")
+        """Until when a peer's word that it leaves is heeded."""
         self.gone_ms: float | None = None
         self.removal: Removal | None = None
         """None while it is listed, and once it certainly no longer serves."""
@@ -148,11 +156,22 @@
         return True
 
     def is_listed(self, now_ms: float) -> bool:
-        """Return whether it may get work according to the log."""
-        if self.is_leaving:
+        """Return whether it may get work according to the log and its responses."""
+        if self.has_left():
             return False
         return self.gone_ms is None or now_ms < self.grace_until_ms
 
+    def has_left(self) -> bool:
+        """Return whether its entry or one of its responses says that it leaves.
+
+        Either is enough, and neither is ever taken back: the other may be late.
+        """
+        return self.is_leaving or self.leave_stated_ms is not None
+
+    def is_heard_leaving(self, now_ms: float) -> bool:
+        """Return whether only peers say that it leaves."""
+        return now_ms < self.leave_heard_until_ms and not self.has_left()
+
     def compute_gone(self, now_ms: float) -> float | None:
         """Return the time since it was removed from the list; None if it is listed."""
         return None if self.gone_ms is None else now_ms - self.gone_ms
@@ -291,11 +310,20 @@
         Excludes those that recently failed a call: while the others load weights, a
         dead one would get every call, and each would fail within milliseconds.
         """
-        return [
+        usable = [
             each
             for each in self.find_listed(service, now_ms)
             if not each.is_loading(now_ms) and not each.is_backing_off(now_ms)
         ]
+        kept = [each for each in usable if not each.is_heard_leaving(now_ms)]
+        # A wrong word of a peer must not leave a service without replicas.
+        is_believed = len(kept) >= (1.0 - MAX_HEARD_SHARE) * len(usable)
+        return kept if is_believed else usable
+
+    def may_get_calls(self, name: EndpointName) -> bool:
+        """Return whether a call that was placed on a replica may still be sent."""
+        known = self._known.get(name)
+        return known is None or not known.has_left()
 
     def apply(self, replica: Replica, now_ms: float) -> KnownReplica | None:
         """Apply a replica's entry; return None if that incarnation is superseded."""
--- a/packages/toucanyard/src/toucanyard/statement_events.py
+++ b/packages/toucanyard/src/toucanyard/statement_events.py
@@ -8,6 +8,7 @@
 from toucanyard.log_rate_limit import LogRateLimit
 from toucanyard.names import ReplicaId
 from toucanyard.relay_events import ReplicaStatementSeen
+from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 
@@ -18,11 +19,23 @@
     Invariant: a statement concerns one incarnation, the one that made it.
     """
 
-    __slots__ = ("_directory", "_invalid", "_leaves", "_limits", "_rests")
+    __slots__ = (
+        "_directory",
+        "_gossip",
+        "_invalid",
+        "_is_urgent",
+        "_leaves",
+        "_limits",
+        "_rests",
+    )
 
-    def __init__(self, directory: ReplicaDirectory, limits: ReplicaLimits) -> None:
+    def __init__(
+        self, directory: ReplicaDirectory, limits: ReplicaLimits, gossip: ReplicaGossip
+    ) -> None:
         self._directory = directory
+        self._gossip = gossip
         self._limits = limits
+        self._is_urgent = False
         self._leaves = LogRateLimit("replica_leaving")
         self._rests = LogRateLimit("replica_resting")
         self._invalid = LogRateLimit("replica_statement_invalid")
@@ -43,12 +56,19 @@
             return
         has_limit = statement.limit_per_s is not None
         if has_limit or (seen.ends_limit and not seen.has_invalid_limit()):
+            before = self._limits.change_count
             yield from self._limits.on_answer(name, statement.limit_per_s, now_ms)
+            self._is_urgent |= self._limits.change_count != before
         if statement.is_leaving:
             yield from self._record_leave(known, now_ms)
         if statement.rest_ms is not None:
             yield from self._record_rest(known, statement.rest_ms, now_ms)
 
+    def consume_urgent_flag(self) -> bool:
+        """Return whether peers should learn of a change at once; clear the flag."""
+        is_urgent, self._is_urgent = self._is_urgent, False
+        return is_urgent
+
     def _find_speaker(self, seen: ReplicaStatementSeen) -> KnownReplica | None:
         """Return the replica that made the statement; None if it is not known."""
         known = self._directory.find(seen.replica)
@@ -61,6 +81,8 @@
         if known.leave_stated_ms is not None:
             return
         known.leave_stated_ms = now_ms
+        self._is_urgent = True
+        self._gossip.record_change(known.replica.name, now_ms)
         fields: dict[str, object] = {
             "replica": known.replica.name,
             "source": "answer",
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -214,7 +214,7 @@
                 each.model, each.version, each.age_ms, now_ms
             )
         self._gossip.apply_restarts(status.restarts, now_ms)
-        has_replica_updates = self._gossip.apply(status.replica_updates, now_ms)
+        has_replica_updates = self._gossip.apply(status.replica_updates, sender, now_ms)
         has_replica_updates |= self._guard.apply_gossip(
             status.crashes,
             status.survivals,
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -1,127 +1,32 @@
 from __future__ import annotations
 
-import random
-from collections.abc import Iterator
 from typing import Any
 
 import pytest
 from hypothesis import given, strategies as st
 
-from toucanyard.call_limits import CallLimits
-from toucanyard.call_placement import CallPlacement
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.names import EndpointName, Incarnation, NodeName, RequestId
-from toucanyard.node_directory import NodeDirectory
-from toucanyard.node_records import NodeRecord
+from toucanyard.names import EndpointName, RequestId
 from toucanyard.plain_placement import MAX_OVERCOMMIT
-from toucanyard.prompt_block_sources import PromptBlockSources
-from toucanyard.relay_flow import NO_REPLICA_WAIT_MS, RelayFlow
+from toucanyard.relay_flow import NO_REPLICA_WAIT_MS
 from toucanyard.relay_requests import (
     RelayDispatch,
-    RelayOutcome,
-    RelayReply,
-    RelayRequest,
 )
-from toucanyard.replica_credits import ReplicaCredits
-from toucanyard.replica_limits import ReplicaLimits
-from toucanyard.replicas import ReplicaDirectory
-from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import DispatchEnding, Refuse, Repeatability
-from toucanyard.routes import RouteIndex
-from toucanyard.target_weights import TargetWeightsTable, WantedWeights
 
+from .flow_node import SLOTS, Node
 from .relay_examples import (
-    DESK,
     ENGINES,
-    LISTEN,
     MODEL,
     OPTIONS,
     build_prompt,
     build_replica,
-    build_request,
-    build_table,
 )
 
-SLOTS = 4
 UNPROVED = [DispatchEnding.LOST, DispatchEnding.FAILED]
 UNRUN = [DispatchEnding.NOT_SENT, DispatchEnding.REFUSED]
 
 
-class Node:
-    """The call flow of one node and the replies that it returned."""
-
-    def __init__(self, desks: str = "xyz", engines: str = "ab") -> None:
-        self.directory = ReplicaDirectory()
-        for name in engines:
-            self.directory.apply(build_replica(name), 0.0)
-        for name in desks:
-            desk = build_replica(name, service=DESK, slots=SLOTS, weights=())
-            self.directory.apply(desk, 0.0)
-        self.weight_targets = TargetWeightsTable()
-        self.weight_targets.apply(WantedWeights(MODEL, 1), 0.0)
-        own = NodeRecord(
-            NodeName("n1"),
-            Incarnation("i"),
-            OPTIONS.domain,
-            LISTEN.callers,
-            LISTEN.peers,
-        )
-        sources = PromptBlockSources(self.directory, NodeDirectory(own, ()))
-        rng = random.Random(1)
-        credits = ReplicaCredits(ReplicaLimits(rng))
-        calls = CallPlacement(
-            OPTIONS, self.directory, self.weight_targets, sources, credits, rng
-        )
-        self.flow = RelayFlow(
-            OPTIONS.retries,
-            OPTIONS.policy,
-            self.directory,
-            self.weight_targets,
-            calls,
-            RequestGuard(self.directory, lambda *_: 0, rng),
-            CallLimits(OPTIONS.limits, OPTIONS.policy.limits, Incarnation("i")),
-            rng,
-        )
-        self.flow.apply_index(RouteIndex(build_table()))
-        self.replies: dict[RequestId, list[object]] = {}
-
-    def take(self, replies: Iterator[RelayReply]) -> None:
-        for reply in replies:
-            self.replies.setdefault(reply.request_id, []).append(reply.verdict)
-
-    def arrive(self, name: str, now_ms: float = 0.0, **changes: object) -> RelayRequest:
-        changes.setdefault("arrived_ms", now_ms)
-        changes.setdefault("deadline_ms", now_ms + 1_000)
-        request = build_request(name, **changes)
-        self.take(self.flow.arrive(request, now_ms))
-        return request
-
-    def end(
-        self, name: str, ending: DispatchEnding, now_ms: float = 10.0, **facts: object
-    ) -> None:
-        dispatch = self.find_dispatch(name)
-        outcome = RelayOutcome(
-            RequestId(name),
-            dispatch.replica,
-            ending,
-            **facts,  # type: ignore[arg-type]
-        )
-        self.take(self.flow.end_dispatch(outcome, now_ms))
-
-    def find_last(self, name: str) -> object:
-        return self.replies.get(RequestId(name), ["nothing"])[-1]
-
-    def find_dispatch(self, name: str) -> RelayDispatch:
-        dispatch = self.find_last(name)
-        assert isinstance(dispatch, RelayDispatch)
-        return dispatch
-
-    def find_refusal(self, name: str) -> Refuse:
-        refusal = self.find_last(name)
-        assert isinstance(refusal, Refuse)
-        return refusal
-
-
 @pytest.mark.parametrize("ending", UNPROVED)
 def test_call_that_may_run_once_is_never_sent_again(ending: DispatchEnding) -> None:
     """Guards against running a call twice that may run only once.
--- a/tests/toucanyard/test_replica_gossip.py
+++ b/tests/toucanyard/test_replica_gossip.py
@@ -2,15 +2,22 @@
 
 import random
 
+import pytest
+
 from toucanyard.link_messages import ReplicaUpdate
-from toucanyard.names import EndpointName
+from toucanyard.names import EndpointName, NodeName
 from toucanyard.prompt_block_index import PromptBlockIndex
-from toucanyard.replica_gossip import PAUSE_TOLERANCE_MS, ReplicaGossip
-from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.replica_gossip import (
+    PAUSE_TOLERANCE_MS,
+    UPDATE_TTL_MS,
+    ReplicaGossip,
+)
+from toucanyard.replicas import LEAVE_HEARD_MS, KnownReplica, ReplicaDirectory
 
-from .relay_examples import MODEL, build_replica
+from .relay_examples import ENGINES, MODEL, build_replica
 
 NAME = EndpointName("r")
+PEER = NodeName("peer")
 LATENCY_MS = 5.0
 """Latency of a message between two nodes."""
 SLOW_LATENCY_MS = 200.0
@@ -33,7 +40,7 @@
         self, other: GossipNode, now_ms: float, delay_ms: float = LATENCY_MS
     ) -> bool:
         updates = tuple(self.gossip.list_updates(now_ms))
-        return other.gossip.apply(updates, now_ms + delay_ms)
+        return other.gossip.apply(updates, PEER, now_ms + delay_ms)
 
 
 def test_pause_that_goes_round_does_not_grow() -> None:
@@ -101,12 +108,48 @@
     node = GossipNode()
     node.known.record_weights(MODEL, 2)
     late = ReplicaUpdate(NAME, 1_000.0, ((MODEL, 1),))
-    assert not node.gossip.apply((late,), 0.0)
+    assert not node.gossip.apply((late,), PEER, 0.0)
     assert not node.known.is_loading(1.0)
 
 
 def test_new_weights_end_a_pause_and_are_news() -> None:
     node = GossipNode()
     node.known.loading_until_ms = 5_000.0
-    assert node.gossip.apply((ReplicaUpdate(NAME, 0.0, ((MODEL, 2),)),), 100.0)
+    assert node.gossip.apply((ReplicaUpdate(NAME, 0.0, ((MODEL, 2),)),), PEER, 100.0)
     assert not node.known.is_loading(100.0)
+
+
+def test_leave_is_forwarded_to_peers_and_ends_unless_it_is_stated() -> None:
+    """Guards against a wrong word of a peer that bars a replica for good."""
+    first, second, third = (GossipNode(number) for number in range(3))
+    first.known.leave_stated_ms = 0.0
+    first.gossip.record_change(NAME, 0.0)
+    assert first.send_to(second, 0.0)
+    assert second.send_to(third, 10.0)
+    assert not third.send_to(second, 20.0)
+    assert second.known.is_heard_leaving(UPDATE_TTL_MS)
+    assert [each.fields["source"] for each in third.gossip.take_log_entries()] == [PEER]
+    now_ms = 0.0
+    while now_ms < 4 * LEAVE_HEARD_MS:
+        now_ms += 1_000.0
+        second.send_to(third, now_ms)
+        third.send_to(second, now_ms)
+    assert not second.known.is_heard_leaving(now_ms)
+    assert not third.known.is_heard_leaving(now_ms)
+    assert not second.known.has_left()
+
+
+@pytest.mark.parametrize(("heard", "usable"), [(1, 5), (3, 3), (4, 6), (6, 6)])
+def test_peers_words_do_not_take_a_service_out_of_use(heard: int, usable: int) -> None:
+    """Guards against a faulty peer that reports that all replicas leave."""
+    directory = ReplicaDirectory()
+    names = "abcdef"
+    for name in names:
+        directory.apply(build_replica(name), 0.0)
+    gossip = ReplicaGossip(directory, PromptBlockIndex(), random.Random(1))
+    updates = [
+        ReplicaUpdate(EndpointName(name), 0.0, (), is_leaving=True)
+        for name in names[:heard]
+    ]
+    gossip.apply(updates, PEER, 0.0)
+    assert len(directory.find_usable(ENGINES, 1.0)) == usable
--- a/tests/toucanyard/test_statement_events.py
+++ b/tests/toucanyard/test_statement_events.py
@@ -8,7 +8,9 @@
 
 from toucanyard.log_entries import LogEntry
 from toucanyard.names import Address, EndpointName, ReplicaId
+from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.relay_events import ReplicaStatementSeen
+from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_incarnations import name_incarnation
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_statements import (
@@ -31,7 +33,8 @@
     def __init__(self, *names: str) -> None:
         self.directory = ReplicaDirectory()
         self.limits = ReplicaLimits(random.Random(1))
-        self.events = StatementEvents(self.directory, self.limits)
+        gossip = ReplicaGossip(self.directory, PromptBlockIndex(), random.Random(1))
+        self.events = StatementEvents(self.directory, self.limits, gossip)
         for name in names:
             self.directory.apply(build_replica(name, address=ADDRESS), 0.0)
 
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -25,6 +25,7 @@
 from toucanyard.relay_events import SendToPeer, TopicRead
 from toucanyard.relay_options import RelayListen, RelayOptions
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
+from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.replicas import Replica
 from toucanyard.requests import Repeatability
 from toucanyard.routes import (
@@ -95,6 +96,11 @@
             is_not_run="x-unrun" in headers,
             incarnation=headers.get("x-replica", ""),
             weights_version=None,
+            statement=ReplicaStatement(
+                speaker=headers.get("x-replica", ""),
+                is_leaving="x-leaving" in headers,
+                rest_ms=float(headers["x-rest"]) if "x-rest" in headers else None,
+            ),
         )
 
     def filter_answer(self, head: ResponseHead) -> Headers:
@@ -112,6 +118,7 @@
         self.name = name
         self.scripts = list(scripts)
         self.calls: list[bytes] = []
+        self.called = trio.Event()
         self.closed = trio.Event()
         self.address = LOCAL
 
@@ -125,6 +132,7 @@
         if not call:
             return
         self.calls.append(call)
+        self.called.set()
         script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
         try:
             await script(stream, call)
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -4,9 +4,13 @@
 import trio
 import trio.testing
 
+from toucanyard.names import Address, EndpointName
 from toucanyard.requests import Repeatability
+from toucanyard_node import relay_exchange
+from toucanyard_node.http_client import HttpConnection, connect
 
 from .relay_harness import (
+    SIGNED,
     RelayHarness,
     Script,
     ScriptedReplica,
@@ -294,3 +298,75 @@
         for _ in range(20):
             assert find_status(await harness.call(build_call())) == 200
         assert len(replicas[0].calls) == 1
+
+
+LEAVING = SIGNED + b"X-Leaving: 1\r\n"
+NOT_RUN = b"X-Unrun: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        answer(200, b"whole", LEAVING),
+        answer(500, b"broken", LEAVING),
+        answer(421, b"", LEAVING),
+        answer(503, b"", LEAVING + NOT_RUN),
+        answer(200, b"unsigned", b"X-Leaving: 1\r\n"),
+    ],
+)
+async def test_leave_in_a_response_of_any_kind_is_heeded(script: Script) -> None:
+    """Guards against responses that are given up before they are read for it."""
+    replica = ScriptedReplica("x", script)
+    async with start_harness(RelayHarness([replica])) as harness:
+        await harness.call(build_call())
+        known = harness.core.directory.find(EndpointName("x"))
+        assert known is not None
+        assert known.leave_stated_ms is not None
+        await harness.call(build_call())
+    assert len(replica.calls) == 1
+
+
+async def test_leave_is_known_from_the_head_of_a_stream() -> None:
+    """Guards against a leave that is known only once a long stream has ended."""
+
+    async def run(stream: trio.SocketStream, call: bytes) -> None:
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nX-Id: q1\r\nTransfer-Encoding: chunked\r\n"
+            b"Content-Type: text/event-stream\r\n" + LEAVING + b"\r\n"
+        )
+        await trio.sleep_forever()
+
+    replica = ScriptedReplica("x", run)
+    harness = RelayHarness([replica], **STREAM)
+    async with start_harness(harness), trio.open_nursery() as nursery:
+        nursery.start_soon(harness.call, build_call())
+        await replica.called.wait()
+        await trio.sleep(0.05)
+        known = harness.core.directory.find(EndpointName("x"))
+        assert known is not None
+        assert known.leave_stated_ms is not None
+        nursery.cancel_scope.cancel()
+
+
+async def test_call_placed_before_a_leave_was_stated_is_not_sent_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a dispatch that was decided on before and is sent after it."""
+    replicas = [ScriptedReplica(name, answer()) for name in "xy"]
+    async with start_harness(RelayHarness(replicas)) as harness:
+        seen: list[EndpointName] = []
+
+        async def connect_late(address: Address, timeout_ms: float) -> HttpConnection:
+            connection = await connect(address, timeout_ms)
+            name = next(each.name for each in replicas if each.address == address)
+            if not seen:
+                seen.append(EndpointName(name))
+                known = harness.core.directory.find(seen[0])
+                assert known is not None
+                known.leave_stated_ms = 0.0
+            return connection
+
+        monkeypatch.setattr(relay_exchange, "connect", connect_late)
+        received = await harness.call(build_call())
+    assert find_status(received) == 200
+    assert {each.name: len(each.calls) for each in replicas}[seen[0]] == 0
