Leave a replica alone for the rest that it asks for

Callers saw: calls turned away, and replicas in need that got three to six calls of one node within the 3 s for which they had asked for none (BUDGET; two are allowed from half a second after the refusal on).

Cause: of a refusal only its status was read. What followed was the node's own guess of 0.6 s, after which the replica was in the choice again. Class: what a dependency says of itself in an answer and nobody reads.

A resting replica is not usable, so no path leads there, and a dispatch that was decided on before is withdrawn. Returns are spread over a fifth of the rest. Where all replicas rest, the time until the first can be used is known: a call whose deadline is earlier is refused at once with that time, one that can wait waits.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -73,7 +73,7 @@
     def __init__(
         self,
         inbox: trio.MemorySendChannel[VerdictRequest | RelayEvent],
-        may_get_calls: Callable[[EndpointName], bool],
+        may_get_calls: Callable[[EndpointName, float], bool],
     ) -> None:
         self._inbox = inbox
         self._may_get_calls = may_get_calls
@@ -83,7 +83,7 @@
 
         Reads the core's state between two events.
         """
-        return not self._may_get_calls(dispatch.replica)
+        return not self._may_get_calls(dispatch.replica, trio.current_time() * 1000)
 
     async def decide(self, request: RelayRequest) -> RelayVerdict:
         """Return the verdict on a new call; waits while it is queued."""
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -198,7 +198,7 @@
             coordinators, self.limits, self.credits, options.limits
         )
         self._statement_events = StatementEvents(
-            self.directory, self.replica_limits, self.gossip
+            self.directory, self.replica_limits, self.gossip, rng
         )
         self._limit_events = LimitEvents(
             self.shares, self.replica_limits, self.flow, self.statuses
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -195,12 +195,17 @@
         for service, queue in self._queues.items():
             if not queue:
                 continue
+            return_ms = self._directory.find_return_delay(service, now_ms)
             for pending in [
-                each for each in queue if self._should_refuse_early(each, now_ms)
+                each
+                for each in queue
+                if self._should_refuse_early(each, return_ms, now_ms)
             ]:
                 queue.remove(pending)
                 pending.is_waiting = False
                 text = "no replica had room in time"
+                if return_ms is not None:
+                    text = _describe_rest(return_ms)
                 yield self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
             yield from self._drain(service, now_ms)
 
@@ -291,6 +296,9 @@
             text = f"the wait would be about {wait_ms:.0f} ms"
             if math.isinf(wait_ms):
                 text = "limits of all replicas leave room for more urgent calls only"
+            return_ms = self._directory.find_return_delay(request.service, now_ms)
+            if return_ms is not None:
+                text = _describe_rest(return_ms)
             return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
         return None
 
@@ -299,16 +307,23 @@
         queue = self._queues.get(service, [])
         if self._calls.is_limited(service, now_ms):
             return self._refusals.compute_limited_wait(pending, queue, now_ms)
-        return self._refusals.compute_wait(pending, queue, now_ms)
+        wait_ms = self._refusals.compute_wait(pending, queue, now_ms)
+        return_ms = self._directory.find_return_delay(service, now_ms)
+        return wait_ms if return_ms is None else max(wait_ms, return_ms)
 
-    def _should_refuse_early(self, pending: PendingCall, now_ms: float) -> bool:
+    def _should_refuse_early(
+        self, pending: PendingCall, return_ms: float | None, now_ms: float
+    ) -> bool:
         """Return whether a queued call should be refused now.
 
         The time left until its deadline is the time in which its caller can retry.
+        `return_ms` is the time until the replicas' rests end, if that is known.
         """
         request = pending.request
-        if now_ms >= request.deadline_ms - request.target_ms / 4:
+        if now_ms + (return_ms or 0.0) >= request.deadline_ms - request.target_ms / 4:
             return True
+        if return_ms is not None:
+            return False
         if now_ms - pending.queued_ms < NO_REPLICA_WAIT_MS:
             return False
         return not self._directory.find_usable(request.service, now_ms)
@@ -403,6 +418,9 @@
         if wait_ms is None:
             wait_ms = self._compute_wait(pending, now_ms)
             wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+            service = pending.request.service
+            return_ms = self._directory.find_return_delay(service, now_ms)
+            wait_ms = max(wait_ms, return_ms or 0.0)
         return self._refusals.build(pending, kind, text, wait_ms)
 
     def _finish(self, pending: PendingCall, now_ms: float) -> Iterator[RelayReply]:
@@ -418,3 +436,7 @@
             self.usage.end(pending.replica, request.request_id)
             self._refusals.record_freed_slot(request.service, now_ms)
         yield from self._drain(request.service, now_ms)
+
+
+def _describe_rest(return_ms: float) -> str:
+    return f"all replicas want rest or are out of use for {return_ms:.0f} ms"
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -184,6 +184,10 @@
         """Return whether it accepts no new calls since it loads weights."""
         return now_ms < self.loading_until_ms
 
+    def is_resting(self, now_ms: float) -> bool:
+        """Return whether it has asked this node for no calls until later."""
+        return now_ms < self.rest_until_ms
+
     def compute_rest(self, now_ms: float) -> float:
         """Return how long it still wants no calls from this node, in ms."""
         return max(self.rest_until_ms - now_ms, 0.0)
@@ -192,6 +196,10 @@
         """Record that it wants no calls from this node; a rest is never shortened."""
         self.rest_until_ms = max(self.rest_until_ms, until_ms)
 
+    def find_usable_time(self) -> float:
+        """Return when its rest, load and backoff will all have ended."""
+        return max(self.rest_until_ms, self.loading_until_ms, self.backoff_until_ms)
+
     def record_failure(self, now_ms: float, *, is_dead: bool) -> None:
         """Record a failed call; `is_dead`: whether nothing answered at its address."""
         self._failures = self.compute_failures(now_ms) + 1.0
@@ -313,17 +321,31 @@
         usable = [
             each
             for each in self.find_listed(service, now_ms)
-            if not each.is_loading(now_ms) and not each.is_backing_off(now_ms)
+            if not each.is_loading(now_ms)
+            and not each.is_backing_off(now_ms)
+            and not each.is_resting(now_ms)
         ]
         kept = [each for each in usable if not each.is_heard_leaving(now_ms)]
         # A wrong word of a peer must not leave a service without replicas.
         is_believed = len(kept) >= (1.0 - MAX_HEARD_SHARE) * len(usable)
         return kept if is_believed else usable
 
-    def may_get_calls(self, name: EndpointName) -> bool:
+    def may_get_calls(self, name: EndpointName, now_ms: float) -> bool:
         """Return whether a call that was placed on a replica may still be sent."""
         known = self._known.get(name)
-        return known is None or not known.has_left()
+        return known is None or not (known.has_left() or known.is_resting(now_ms))
+
+    def find_return_delay(self, service: ServiceName, now_ms: float) -> float | None:
+        """Return the time until rests leave a service a usable replica, in ms.
+
+        None if a replica is usable, or if none rests: then the time is not known.
+        """
+        listed = self.find_listed(service, now_ms)
+        if not any(each.is_resting(now_ms) for each in listed):
+            return None
+        if self.find_usable(service, now_ms):
+            return None
+        return min(each.find_usable_time() for each in listed) - now_ms
 
     def apply(self, replica: Replica, now_ms: float) -> KnownReplica | None:
         """Apply a replica's entry; return None if that incarnation is superseded."""
--- a/packages/toucanyard/src/toucanyard/statement_events.py
+++ b/packages/toucanyard/src/toucanyard/statement_events.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterator
+from typing import Final
 
 from toucanyard.log_entries import LogEntry
 from toucanyard.log_rate_limit import LogRateLimit
@@ -12,6 +14,9 @@
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 
+RETURN_SPREAD: Final = 0.2
+"""Share of a rest over which nodes that were turned away together return."""
+
 
 class StatementEvents:
     """Handler of one node's events about statements of replicas.
@@ -27,11 +32,17 @@
         "_leaves",
         "_limits",
         "_rests",
+        "_rng",
     )
 
     def __init__(
-        self, directory: ReplicaDirectory, limits: ReplicaLimits, gossip: ReplicaGossip
+        self,
+        directory: ReplicaDirectory,
+        limits: ReplicaLimits,
+        gossip: ReplicaGossip,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._directory = directory
         self._gossip = gossip
         self._limits = limits
@@ -98,5 +109,6 @@
             "rest_ms": round(rest_ms),
             "left_ms": round(known.compute_rest(now_ms)),
         }
-        known.record_rest(now_ms + rest_ms)
+        spread = self._rng.uniform(1.0, 1.0 + RETURN_SPREAD)
+        known.record_rest(now_ms + rest_ms * spread)
         yield from self._rests.log(fields, now_ms)
