--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -17,6 +17,12 @@
     iterate_problems,
 )
 from soak_faults import FaultTargets, plan_faults
+from soak_statements import (
+    Arrival,
+    iterate_calls_after_leave,
+    iterate_calls_in_rest,
+    parse_arrivals,
+)
 
 from toucanyard.names import Address
 
@@ -102,6 +108,55 @@
     assert find_problems(late)
 
 
+def build_arrival(number: int, at_s: float, **changes: object) -> Arrival:
+    fields: dict[str, object] = {"is_leaving": False, "rest_s": 0.0}
+    return Arrival(f"c{number}", "d1", at_s, **(fields | changes))  # type: ignore[arg-type]
+
+
+def build_calls(*sent_s: float) -> dict[str, ObservedCall]:
+    calls = {}
+    for number, each in enumerate(sent_s):
+        call = build_call(stamp=f"d1.c{number}", sent_s=each, ended_s=each + 0.1)
+        call.call_id = f"c{number}"
+        calls[call.call_id] = call
+    return calls
+
+
+def test_call_after_a_leave_is_found_at_the_node_that_passed_it_on() -> None:
+    arrivals = [build_arrival(0, 1.0, is_leaving=True), build_arrival(1, 4.0)]
+    calls = build_calls(1.0, 4.0)
+    assert list(iterate_calls_after_leave(calls, arrivals, []))
+    assert not list(iterate_calls_after_leave(calls, arrivals, [("n1", 2.0, 3.0)]))
+    assert list(iterate_calls_after_leave(calls, arrivals, [("n2", 2.0, 3.0)]))
+    calls["c1"].sent_s = 3.0
+    assert not list(iterate_calls_after_leave(calls, arrivals, []))
+    calls = build_calls(1.0, 4.0)
+    calls["c1"].node = "n2"
+    assert not list(iterate_calls_after_leave(calls, arrivals, []))
+
+
+def test_calls_within_a_rest_are_counted_for_each_node() -> None:
+    times_s = (1.0, 1.4, 2.0, 3.0, 3.9)
+    arrivals = [
+        build_arrival(number, at_s, rest_s=0.0 if number else 3.0)
+        for number, at_s in enumerate(times_s)
+    ]
+    calls = build_calls(*times_s)
+    assert list(iterate_calls_in_rest(calls, arrivals, []))
+    for name in ("n1", "d1"):
+        disturbances = [(name, 1.0, 1.2)]
+        assert not list(iterate_calls_in_rest(calls, arrivals, disturbances))
+    calls["c2"].node = "n2"
+    assert not list(iterate_calls_in_rest(calls, arrivals, []))
+
+
+def test_arrivals_are_read_from_the_log_of_the_replicas() -> None:
+    line = "event=arrived call=c1 replica=d1-2 at_s=7.500 is_leaving=1 rest_s=3.0"
+    assert parse_arrivals(["event=listening", line], 2.5) == [
+        Arrival("c1", "d1-2", 5.0, True, 3.0)
+    ]
+
+
 def test_runs_are_counted_over_all_replicas() -> None:
     lines = ["event=ran call=a", "event=listening", "event=ran call=b"]
     assert count_runs([*lines, "event=ran call=a"]) == {"a": 2, "b": 1}
