--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -141,6 +141,7 @@
     yield from _render_quarantine(core)
     yield from _render_limits(core)
     yield from _render_replica_limits(core)
+    yield from _render_statements(core, now_ms)
 
 
 def _render_quarantine(core: RelayCore) -> Iterator[str]:
@@ -185,6 +186,22 @@
         yield _format("replica_limit_denied_total", usage.denied_total, **labels)
 
 
+def _render_statements(core: RelayCore, now_ms: float) -> Iterator[str]:
+    """Render which replicas leave, by whose word, and which want rest."""
+    yield _format("replica_leaves_total", core.statements.leave_count)
+    yield _format("replica_rests_total", core.statements.rest_count)
+    known = [each for each in core.directory.list_all() if each.gone_ms is None]
+    leaving = [(each, each.list_leave_sources(now_ms)) for each in known]
+    for each, sources in [pair for pair in leaving if pair[1]][:MAX_LIMITED]:
+        for source in sources:
+            labels = {"replica": each.replica.name, "source": source.value}
+            yield _format("replica_leaving", 1, **labels)
+    resting = [each for each in known if each.is_resting(now_ms)]
+    for each in resting[:MAX_LIMITED]:
+        rest_ms = round(each.compute_rest(now_ms))
+        yield _format("replica_rest_ms", rest_ms, replica=each.replica.name)
+
+
 def _record(
     histograms: dict[Group, HdrHistogram], group: Group, value_ms: float
 ) -> None:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -197,7 +197,7 @@
         self.shares = SharedLimits(
             coordinators, self.limits, self.credits, options.limits
         )
-        self._statement_events = StatementEvents(
+        self.statements = StatementEvents(
             self.directory, self.replica_limits, self.gossip, rng
         )
         self._limit_events = LimitEvents(
@@ -305,8 +305,8 @@
     def _apply_statement(
         self, seen: ReplicaStatementSeen, now_ms: float
     ) -> Iterator[RelayAction]:
-        yield from self._statement_events.on_seen(seen, now_ms)
-        if self._statement_events.consume_urgent_flag():
+        yield from self.statements.on_seen(seen, now_ms)
+        if self.statements.consume_urgent_flag():
             yield from self._send_status_now(now_ms)
 
     def _handle_rollout(
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Collection, Iterable
 from typing import Final
 
@@ -61,6 +62,15 @@
 """Half-life of the weight of a failure."""
 
 
+class LeaveSource(enum.StrEnum):
+    """By whose word a replica leaves."""
+
+    STORE = "store"
+    ANSWER = "answer"
+    """One of its own responses to this node."""
+    PEER = "peer"
+
+
 class Replica(msgspec.Struct, frozen=True):
     """One incarnation of a replica, as it registered itself."""
 
@@ -168,6 +178,17 @@
         """
         return self.is_leaving or self.leave_stated_ms is not None
 
+    def list_leave_sources(self, now_ms: float) -> list[LeaveSource]:
+        """Return by whose word it leaves; empty if it does not."""
+        sources = []
+        if self.is_leaving:
+            sources.append(LeaveSource.STORE)
+        if self.leave_stated_ms is not None:
+            sources.append(LeaveSource.ANSWER)
+        if self.is_heard_leaving(now_ms):
+            sources.append(LeaveSource.PEER)
+        return sources
+
     def is_heard_leaving(self, now_ms: float) -> bool:
         """Return whether only peers say that it leaves."""
         return now_ms < self.leave_heard_until_ms and not self.has_left()
--- a/packages/toucanyard/src/toucanyard/statement_events.py
+++ b/packages/toucanyard/src/toucanyard/statement_events.py
@@ -33,6 +33,8 @@
         "_limits",
         "_rests",
         "_rng",
+        "leave_count",
+        "rest_count",
     )
 
     def __init__(
@@ -43,6 +45,10 @@
         rng: random.Random,
     ) -> None:
         self._rng = rng
+        self.leave_count = 0
+        """Number of replicas of which a response stated a leave."""
+        self.rest_count = 0
+        """Number of responses that stated a rest."""
         self._directory = directory
         self._gossip = gossip
         self._limits = limits
@@ -92,6 +98,7 @@
         if known.leave_stated_ms is not None:
             return
         known.leave_stated_ms = now_ms
+        self.leave_count += 1
         self._is_urgent = True
         self._gossip.record_change(known.replica.name, now_ms)
         fields: dict[str, object] = {
@@ -109,6 +116,7 @@
             "rest_ms": round(rest_ms),
             "left_ms": round(known.compute_rest(now_ms)),
         }
+        self.rest_count += 1
         spread = self._rng.uniform(1.0, 1.0 + RETURN_SPREAD)
         known.record_rest(now_ms + rest_ms * spread)
         yield from self._rests.log(fields, now_ms)
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -3,11 +3,14 @@
 from collections import Counter
 
 import msgspec
+import trio
+import trio.testing
 
 from toucanyard.keyed_view import Topic
-from toucanyard.names import CustomerName, RequestId
+from toucanyard.names import CustomerName, EndpointName, RequestId
 from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.relay_requests import RelayRequest
+from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.request_fingerprint import compute_fingerprint
 from toucanyard.requests import Repeatability
 from toucanyard_node.relay_metrics import MAX_GROUPS, RelayMetrics
@@ -105,3 +108,28 @@
         text = harness.metrics.render(harness.core, Counter(), 0, 1_000.0)
     assert "toucanyard_limit_rejections_total 0" in text
     assert "toucanyard_limit_questions_total 0" in text
+
+
+async def test_metrics_tell_which_replicas_leave_or_rest_by_whose_word() -> None:
+    names = ("a", "b", "c", "d")
+    harness = RelayHarness([ScriptedReplica(name, answer()) for name in names])
+    async with start_harness(harness):
+        stated = {
+            "a": ReplicaStatement(is_leaving=True),
+            "b": ReplicaStatement(rest_ms=3_000.0),
+        }
+        for name, statement in stated.items():
+            harness.task.client.report_statement(EndpointName(name), statement)
+        await trio.testing.wait_all_tasks_blocked()
+        heard = harness.core.directory.find(EndpointName("c"))
+        assert heard is not None
+        now_ms = trio.current_time() * 1000
+        heard.leave_heard_until_ms = now_ms + 1_000.0
+        text = harness.metrics.render(harness.core, Counter(), 0, now_ms)
+    lines = text.splitlines()
+    assert "toucanyard_replica_leaves_total 1" in lines
+    assert "toucanyard_replica_rests_total 1" in lines
+    assert 'toucanyard_replica_leaving{replica="a",source="answer"} 1' in lines
+    assert 'toucanyard_replica_leaving{replica="c",source="peer"} 1' in lines
+    assert 'toucanyard_replica_rest_ms{replica="b"}' in text
+    assert 'replica="d"' not in text
--- a/tests/toucanyard_platform/test_replica_client.py
+++ b/tests/toucanyard_platform/test_replica_client.py
@@ -113,6 +113,16 @@
     assert answer.page is None
 
 
+async def test_leave_in_the_body_of_a_report_is_read() -> None:
+    """Guards against a leave that only the state in a report shows."""
+    draining = REPORT.replace(b'"phase"', b'"state":"draining","phase"')
+    for body, is_leaving in ((REPORT, False), (draining, True)):
+        async with serve(lambda _, body=body: (200, (), body)) as (address, _):  # type: ignore[misc]
+            answer = await ReplicaClient().read_state(address, ReplicaId("i-1"))
+        assert answer.state is not None
+        assert answer.statement.is_leaving == is_leaving
+
+
 LEAVING = (("Server-Leaving", "1"),)
 
 
