Hold operators' records back from when a peer could first have read them

Cause: peers of a large fleet are given 250 ms to read a new record themselves before their hub sends it. The time was counted from the newest record, so versions that follow one another within it kept a node that could not read the store waiting for as long as they came (its hub had nine versions that it lacked, for 2.1 s).

Change: the time is counted from the arrival of the first record that the peer lacks.

--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Final
 
@@ -18,6 +19,8 @@
 from toucanyard.store_availability import AnsweredRead
 from toucanyard.store_schedule import compute_outage_threshold
 
+MAX_ARRIVALS: Final = 64
+"""Arrivals kept for each topic: all within the time for which records are held back."""
 RESEND_MS: Final = 700.0
 """Time after which records are sent again to a peer whose status lacks them."""
 
@@ -28,7 +31,7 @@
     __slots__ = (
         "_is_full_mesh",
         "_sent_ends",
-        "_updated_ms",
+        "_arrivals",
         "_rng",
         "linked",
         "views",
@@ -41,8 +44,10 @@
         self._rng = rng
         self.views = {topic: KeyedView(topic, decode) for topic in Topic}
         self.linked: tuple[NodeName, ...] = ()
-        self._updated_ms = dict.fromkeys(Topic, float("-inf"))
-        """When this node received the newest records of each topic."""
+        self._arrivals = {
+            topic: deque[tuple[int, float]](maxlen=MAX_ARRIVALS) for topic in Topic
+        }
+        """End before, and time, of the last arrivals of records of each topic."""
         self._sent_ends: dict[tuple[NodeName, Topic], tuple[int, float]] = {}
 
     def apply_read(
@@ -58,7 +63,7 @@
         """Apply the answer of the store to a read sent at `asked_ms`."""
         view = self.views[topic]
         if end > view.end:
-            self._updated_ms[topic] = now_ms
+            self._arrivals[topic].append((view.end, now_ms))
         changes = view.apply(records, end, is_whole=is_whole)
         answered = AnsweredRead(new_update_id(self._rng), asked_ms, asked_ms)
         self._confirm(view, end, answered)
@@ -71,7 +76,7 @@
             # This node's next status shows the peer what is missing.
             return []
         if message.end > view.end:
-            self._updated_ms[message.topic] = now_ms
+            self._arrivals[message.topic].append((view.end, now_ms))
         changes = view.apply(message.records, message.end, is_whole=message.is_whole)
         if message.answer is not None:
             self._confirm(view, message.end, _to_answered_read(message.answer, now_ms))
@@ -102,8 +107,8 @@
                 self._confirm(
                     view, status.end, _to_answered_read(status.answer, now_ms)
                 )
-            is_new = now_ms - self._updated_ms[status.topic] < hold_ms
-            if status.topic is Topic.OPERATOR and is_new:
+            arrived_ms = self._find_arrival(status.topic, status.end)
+            if status.topic is Topic.OPERATOR and now_ms - arrived_ms < hold_ms:
                 continue
             if status.end < view.end and not self._was_sent(sender, view, now_ms):
                 yield self._build(sender, status.topic, status.end, now_ms)
@@ -123,6 +128,15 @@
         )
         view.confirm(end, answered, away_ms)
 
+    def _find_arrival(self, topic: Topic, offset: int) -> float:
+        """Return when this node received the first record from an offset on."""
+        arrived_ms = float("-inf")
+        for end_before, at_ms in self._arrivals[topic]:
+            if end_before > offset:
+                break
+            arrived_ms = at_ms
+        return arrived_ms
+
     def _was_sent(self, name: NodeName, view: KeyedView, now_ms: float) -> bool:
         end, sent_ms = self._sent_ends.get((name, view.topic), (-1, float("-inf")))
         return end >= view.end and now_ms - sent_ms < RESEND_MS
