Poll again at once when the store answers after it was away

Cause: after failures a node pauses up to a second before its next long poll, and a poll that was begun while the store was silent hangs for its whole timeout. Reads by age bring the first version; those that follow closely wait.

Change: a read that is answered after others have failed ends the pause, and makes a poll anew that was begun before the last failure.

The test keeps seven of the outages.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -60,11 +60,12 @@
 class _Poll:
     """A long poll in progress."""
 
-    __slots__ = ("missed_ms", "scope", "since", "topic")
+    __slots__ = ("begun_ms", "missed_ms", "scope", "since", "topic")
 
-    def __init__(self, topic: Topic, since: int) -> None:
+    def __init__(self, topic: Topic, since: int, begun_ms: float) -> None:
         self.topic = topic
         self.since = since
+        self.begun_ms = begun_ms
         self.scope = trio.CancelScope()
         self.missed_ms: float | None = None
         """When a record after `since` was first known without the poll returning it."""
@@ -80,10 +81,12 @@
     __slots__ = (
         "_client",
         "_core",
+        "_failed_ms",
         "_is_down",
         "_needs_full_read",
         "_next_offsets",
         "_poll",
+        "_returned",
         "_running_reads",
         "_rng",
         "_store",
@@ -101,6 +104,10 @@
         self._running_reads = Counter[Topic]()
         """Number of running reads per topic."""
         self._is_down = False
+        self._failed_ms = float("-inf")
+        """When the last failed read ended."""
+        self._returned = trio.Event()
+        """Set when the store answers a read after others have failed."""
         self._poll: _Poll | None = None
 
     async def run(self) -> None:
@@ -117,14 +124,15 @@
             if await self._poll_once(topic):
                 pause_s = RETRY_DELAY_S
                 continue
-            await trio.sleep(pause_s)
+            with trio.move_on_after(pause_s):
+                await self._returned.wait()
             pause_s = min(2 * pause_s, MAX_RETRY_DELAY_S)
 
     async def _poll_once(self, topic: Topic) -> bool:
         """Return whether the poll was answered, or is lost and must be repeated."""
         now_ms = trio.current_time() * 1000
         self._core.reads.record_read_started(topic, now_ms)
-        self._poll = poll = _Poll(topic, self._find_next_offset(topic))
+        self._poll = poll = _Poll(topic, self._find_next_offset(topic), now_ms)
         is_read = False
         with poll.scope:
             wait_ms = self._core.reads.compute_poll_wait(self._rng.random(), now_ms)
@@ -236,12 +244,19 @@
         if not self._is_down:
             _LOG.warning("store_lost", purpose=purpose, reason=error.reason)
         self._is_down = True
+        self._failed_ms = trio.current_time() * 1000
         self._client.send_event(StoreFailed(purpose, error.reason, asked_ms))
 
     def _record_success(self) -> None:
-        if self._is_down:
-            _LOG.info("store_back")
+        if not self._is_down:
+            return
+        _LOG.info("store_back")
         self._is_down = False
+        self._returned.set()
+        self._returned = trio.Event()
+        if self._poll is not None and self._poll.begun_ms <= self._failed_ms:
+            # The store may have gone silent on its connection.
+            self._poll.scope.cancel()
 
 
 class BackgroundJobRunner:
--- a/tests/toucanyard_node/polling_fleet.py
+++ b/tests/toucanyard_node/polling_fleet.py
@@ -41,6 +41,8 @@
         self.records: dict[Topic, list[KeyedRecord]] = {topic: [] for topic in Topic}
         self.silent_for: set[NodeName] = set()
         self.silent_topics: set[Topic] = set()
+        self.is_refusing = False
+        """Whether all reads, also pending ones, are refused at once."""
         self.reads: list[tuple[float, NodeName, Topic]] = []
         self._grown = {topic: trio.Event() for topic in Topic}
         self._lost: dict[NodeName, int] = {}
@@ -63,8 +65,16 @@
         for name in names:
             self._lost[name] = self._lost.get(name, 0) + 1
 
+    def refuse(self) -> None:
+        """Refuse all reads from now on, and end those that are pending."""
+        self.is_refusing = True
+        for topic, event in list(self._grown.items()):
+            event.set()
+            self._grown[topic] = trio.Event()
+
     def restore(self) -> None:
         """Answer all nodes again."""
+        self.is_refusing = False
         self.silent_for.clear()
         self.silent_topics.clear()
 
@@ -77,11 +87,16 @@
         begun_s = trio.current_time()
         self.reads.append((begun_s, name, topic))
         lost = self._lost.get(name, 0)
+        if self.is_refusing:
+            await trio.sleep(ANSWER_DELAY_S)
+            raise StoreError("refused", is_refused=True)
         if not self._is_silent(name, topic):
             if offset >= len(self.records[topic]):
                 with trio.move_on_after(wait_ms / 1000):
                     await self._grown[topic].wait()
             await trio.sleep(ANSWER_DELAY_S)
+        if self.is_refusing:
+            raise StoreError("refused", is_refused=True)
         if self._is_silent(name, topic) or lost != self._lost.get(name, 0):
             await trio.sleep_until(begun_s + READ_TIMEOUT_S + wait_ms / 1000)
             raise StoreError("no answer")
--- a/tests/toucanyard_node/test_configuration_after_outages.py
+++ b/tests/toucanyard_node/test_configuration_after_outages.py
@@ -13,6 +13,9 @@
 """Time after confirmation by an answering store until all nodes have a version."""
 TARGET_PROPAGATION_S = 0.5
 """The same while long polls are working."""
+CLOSE_VERSIONS_S = 0.04
+"""Time between versions that an operator sends one after another."""
+CLOSE_OUTAGES_S = (0.5, 2.0, 3.5, 6.5, 9.0, 12.0, 16.0)
 OUTAGE_DURATIONS_S = (
     0.5,
     1.0,
@@ -66,6 +69,42 @@
     assert {case: each for case, each in late.items() if each > MAX_PROPAGATION_S} == {}
 
 
+@pytest.mark.parametrize("is_silent", [True, False], ids=["silent", "refusing"])
+async def test_versions_that_follow_closely_after_an_outage_are_all_in_force(
+    autojump_clock: object, is_silent: bool
+) -> None:
+    """Guards against reading the first of several versions and pausing before more.
+
+    Outages end at a phase of the nodes' reads that is drawn for each.
+    """
+    rng = random.Random(18)
+    fleet = PollingFleet(9)
+    version = 1
+    late: dict[tuple[float, int], float] = {}
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        for outage_s in CLOSE_OUTAGES_S:
+            await trio.sleep(rng.uniform(0.0, 2.0))
+            if is_silent:
+                fleet.store.stop_answering(node.name for node in fleet.nodes)
+            else:
+                fleet.store.refuse()
+            await trio.sleep(outage_s)
+            fleet.store.restore()
+            await trio.sleep(rng.uniform(0.0, 1.2))
+            for _ in range(3):
+                await trio.sleep(CLOSE_VERSIONS_S)
+                version += 1
+                fleet.publish(version, trio.current_time())
+            await trio.sleep(2)
+            late |= {
+                (outage_s, each): fleet.compute_propagation_s(each)
+                for each in (version - 2, version - 1, version)
+            }
+        nursery.cancel_scope.cancel()
+    assert {c: each for c, each in late.items() if each > TARGET_PROPAGATION_S} == {}
+
+
 async def test_configuration_is_in_force_in_time_after_open_connections_fell_silent(
     autojump_clock: object,
 ) -> None:
