--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -29,10 +29,10 @@
     """The views of one node, and how much of them was sent to its peers."""
 
     __slots__ = (
-        "_is_full_mesh",
-        "_sent_ends",
         "_arrivals",
+        "_is_full_mesh",
         "_rng",
+        "_sent_ends",
         "linked",
         "views",
     )
