--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -162,9 +162,9 @@
                 await connection.close()
 
     def _check_withdrawn(self, dispatch: RelayDispatch) -> None:
-        """Raise AnswerLostError if the replica wants no calls since the decision."""
+        """Raise AnswerLostError if the replica accepts no calls since the decision."""
         if self._client.is_withdrawn(dispatch):
-            text = "withdrawn: the replica wants no calls"
+            text = "withdrawn: the replica accepts no calls"
             raise self._build_failure(
                 dispatch, DispatchEnding.NOT_SENT, text, is_withdrawn=True
             )
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -187,19 +187,19 @@
 
 
 def _render_statements(core: RelayCore, now_ms: float) -> Iterator[str]:
-    """Render which replicas leave, by whose word, and which want rest."""
+    """Render which replicas leave, by which source, and which have deferred calls."""
     yield _format("replica_leaves_total", core.statements.leave_count)
-    yield _format("replica_rests_total", core.statements.rest_count)
+    yield _format("replica_deferrals_total", core.statements.deferral_count)
     known = [each for each in core.directory.list_all() if each.gone_ms is None]
     leaving = [(each, each.list_leave_sources(now_ms)) for each in known]
     for each, sources in [pair for pair in leaving if pair[1]][:MAX_LIMITED]:
         for source in sources:
             labels = {"replica": each.replica.name, "source": source.value}
             yield _format("replica_leaving", 1, **labels)
-    resting = [each for each in known if each.is_resting(now_ms)]
+    resting = [each for each in known if each.is_deferred(now_ms)]
     for each in resting[:MAX_LIMITED]:
-        rest_ms = round(each.compute_rest(now_ms))
-        yield _format("replica_rest_ms", rest_ms, replica=each.replica.name)
+        retry_after_ms = round(each.compute_deferral(now_ms))
+        yield _format("replica_deferred_ms", retry_after_ms, replica=each.replica.name)
 
 
 def _record(
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -205,7 +205,7 @@
                 pending.is_waiting = False
                 text = "no replica had room in time"
                 if return_ms is not None:
-                    text = _describe_rest(return_ms)
+                    text = _describe_deferral(return_ms)
                 yield self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
             yield from self._drain(service, now_ms)
 
@@ -298,7 +298,7 @@
                 text = "limits of all replicas leave room for more urgent calls only"
             return_ms = self._directory.find_return_delay(request.service, now_ms)
             if return_ms is not None:
-                text = _describe_rest(return_ms)
+                text = _describe_deferral(return_ms)
             return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
         return None
 
@@ -317,7 +317,7 @@
         """Return whether a queued call should be refused now.
 
         The time left until its deadline is the time in which its caller can retry.
-        `return_ms` is the time until the replicas' rests end, if that is known.
+        `return_ms` is the time until a replica is usable again, if that is known.
         """
         request = pending.request
         if now_ms + (return_ms or 0.0) >= request.deadline_ms - request.target_ms / 4:
@@ -438,5 +438,5 @@
         yield from self._drain(request.service, now_ms)
 
 
-def _describe_rest(return_ms: float) -> str:
-    return f"all replicas want rest or are out of use for {return_ms:.0f} ms"
+def _describe_deferral(return_ms: float) -> str:
+    return f"all replicas have deferred calls or are out of use for {return_ms:.0f} ms"
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -127,7 +127,7 @@
     is_dead: bool = False
     """There was no response at the replica's address."""
     is_withdrawn: bool = False
-    """Nothing was sent, since the replica wanted no calls by then."""
+    """Nothing was sent, since the replica accepted no calls by then."""
     has_no_listener: bool = False
     """The replica's VM refused the connection: no process listens on the address."""
     is_closed: bool = False
--- a/packages/toucanyard/src/toucanyard/replica_gossip.py
+++ b/packages/toucanyard/src/toucanyard/replica_gossip.py
@@ -17,7 +17,7 @@
 from toucanyard.log_rate_limit import LogRateLimit
 from toucanyard.names import EndpointName, NodeName
 from toucanyard.prompt_block_index import PromptBlockIndex
-from toucanyard.replicas import LEAVE_HEARD_MS, KnownReplica, ReplicaDirectory
+from toucanyard.replicas import LEAVE_REPORT_MS, KnownReplica, ReplicaDirectory
 from toucanyard.seen_updates import SeenUpdates, new_update_id
 
 UPDATE_TTL_MS: Final = 5_000.0
@@ -93,7 +93,7 @@
     def _build(self, known: KnownReplica, now_ms: float) -> ReplicaUpdate:
         name, weights = known.replica.name, tuple(known.weights.items())
         is_stated = known.leave_stated_ms is not None
-        is_leaving = is_stated or known.is_heard_leaving(now_ms)
+        is_leaving = is_stated or known.is_reported_leaving(now_ms)
         until_ms = known.loading_until_ms
         if until_ms <= now_ms:
             return ReplicaUpdate(name, 0.0, weights, is_leaving=is_leaving)
@@ -131,17 +131,21 @@
             known = self._directory.find(update.replica)
             if known is None:
                 continue
-            is_new_leave = update.is_leaving and self._hear_leave(known, sender, now_ms)
+            is_new_leave = update.is_leaving and self._apply_leave_report(
+                known, sender, now_ms
+            )
             if self._apply_one(known, update, now_ms) or is_new_leave:
                 self._changed_ms[update.replica] = now_ms
                 has_changed = True
         return has_changed
 
-    def _hear_leave(self, known: KnownReplica, sender: NodeName, now_ms: float) -> bool:
-        """Record a peer's word that a replica leaves; return whether it is new."""
-        if known.has_left() or known.is_heard_leaving(now_ms):
+    def _apply_leave_report(
+        self, known: KnownReplica, sender: NodeName, now_ms: float
+    ) -> bool:
+        """Record a peer's report that a replica leaves; return whether it is new."""
+        if known.has_left() or known.is_reported_leaving(now_ms):
             return False
-        known.leave_heard_until_ms = now_ms + LEAVE_HEARD_MS
+        known.leave_reported_until_ms = now_ms + LEAVE_REPORT_MS
         fields: dict[str, object] = {
             "replica": known.replica.name,
             "source": sender,
--- a/packages/toucanyard/src/toucanyard/replica_statements.py
+++ b/packages/toucanyard/src/toucanyard/replica_statements.py
@@ -11,7 +11,7 @@
     """What a replica can state about itself."""
 
     LEAVING = "leaving"
-    REST = "rest"
+    RETRY_AFTER = "retry_after"
     LIMIT = "limit"
 
 
@@ -25,19 +25,19 @@
 class ReplicaStatement(msgspec.Struct, frozen=True):
     """What one response states about the replica that sent it."""
 
-    speaker: str = ""
+    replica_id: str = ""
     """Id of the replica; empty if the response does not contain it."""
     is_leaving: bool = False
     """The replica will shut down and takes no new requests."""
-    rest_ms: float | None = None
-    """Time for which it wants no requests from the node that it has turned away."""
+    retry_after_ms: float | None = None
+    """Time for which the node whose call it rejected should send it no others."""
     limit_per_s: float | None = None
     """Requests a second that it accepts from all nodes together."""
     invalid: tuple[InvalidStatement, ...] = ()
 
     def has_content(self) -> bool:
         """Return whether the response states anything but the replica's id."""
-        has_value = self.rest_ms is not None or self.limit_per_s is not None
+        has_value = self.retry_after_ms is not None or self.limit_per_s is not None
         return self.is_leaving or has_value or bool(self.invalid)
 
 
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -53,17 +53,17 @@
 tests whether it serves calls all the same."""
 FORGET_MS: Final = 30_000.0
 """How long a removed replica is kept."""
-LEAVE_HEARD_MS: Final = 20_000.0
-"""How long a peer's word that a replica leaves is heeded; longer than peers repeat it,
-so that it ends unless this node sees the replica state it."""
-MAX_HEARD_SHARE: Final = 0.5
-"""Share of a service's usable replicas that peers' words may take out of use."""
+LEAVE_REPORT_MS: Final = 20_000.0
+"""Validity of a peer's report that a replica leaves: longer than peers repeat it, so
+that it expires unless this node receives such a response itself."""
+MAX_REPORTED_SHARE: Final = 0.5
+"""Maximum share of a service's usable replicas that peers' reports may exclude."""
 FAILURE_HALF_LIFE_MS: Final = 3_000.0
 """Half-life of the weight of a failure."""
 
 
 class LeaveSource(enum.StrEnum):
-    """By whose word a replica leaves."""
+    """Where the information that a replica leaves comes from."""
 
     STORE = "store"
     ANSWER = "answer"
@@ -111,12 +111,12 @@
         "gone_ms",
         "grace_until_ms",
         "is_leaving",
-        "leave_heard_until_ms",
+        "leave_reported_until_ms",
         "leave_stated_ms",
         "loading_until_ms",
         "removal",
         "replica",
-        "rest_until_ms",
+        "deferred_until_ms",
         "weights",
     )
 
@@ -127,16 +127,16 @@
         """Whether its entry in the store says that it leaves."""
         self.leave_stated_ms: float | None = None
         """When one of its responses first said so to this node."""
-        self.leave_heard_until_ms = float("-inf")
-        """Until when a peer's word that it leaves is heeded."""
+        self.leave_reported_until_ms = float("-inf")
+        """When a peer's report that it leaves expires."""
         self.gone_ms: float | None = None
         self.removal: Removal | None = None
         """None while it is listed, and once it certainly no longer serves."""
         self.grace_until_ms = float("-inf")
         self.backoff_until_ms = float("-inf")
         self.loading_until_ms = float("-inf")
-        self.rest_until_ms = float("-inf")
-        """Until when it wants no calls from this node."""
+        self.deferred_until_ms = float("-inf")
+        """When the time that it asked this node to wait for ends."""
         self._backoff_ms = 0.0
         self._unreached_ms = float("inf")
         """Since when it has been unreachable."""
@@ -174,24 +174,24 @@
     def has_left(self) -> bool:
         """Return whether its entry or one of its responses says that it leaves.
 
-        Either is enough, and neither is ever taken back: the other may be late.
+        Either source is enough, as the other may lag, and neither is ever revoked.
         """
         return self.is_leaving or self.leave_stated_ms is not None
 
     def list_leave_sources(self, now_ms: float) -> list[LeaveSource]:
-        """Return by whose word it leaves; empty if it does not."""
+        """Return the sources that say that it leaves."""
         sources = []
         if self.is_leaving:
             sources.append(LeaveSource.STORE)
         if self.leave_stated_ms is not None:
             sources.append(LeaveSource.ANSWER)
-        if self.is_heard_leaving(now_ms):
+        if self.is_reported_leaving(now_ms):
             sources.append(LeaveSource.PEER)
         return sources
 
-    def is_heard_leaving(self, now_ms: float) -> bool:
-        """Return whether only peers say that it leaves."""
-        return now_ms < self.leave_heard_until_ms and not self.has_left()
+    def is_reported_leaving(self, now_ms: float) -> bool:
+        """Return whether only a peer has reported that it leaves."""
+        return now_ms < self.leave_reported_until_ms and not self.has_left()
 
     def compute_gone(self, now_ms: float) -> float | None:
         """Return the time since it was removed from the list; None if it is listed."""
@@ -205,21 +205,21 @@
         """Return whether it accepts no new calls since it loads weights."""
         return now_ms < self.loading_until_ms
 
-    def is_resting(self, now_ms: float) -> bool:
-        """Return whether it has asked this node for no calls until later."""
-        return now_ms < self.rest_until_ms
+    def is_deferred(self, now_ms: float) -> bool:
+        """Return whether it has asked this node to send no calls yet."""
+        return now_ms < self.deferred_until_ms
 
-    def compute_rest(self, now_ms: float) -> float:
-        """Return how long it still wants no calls from this node, in ms."""
-        return max(self.rest_until_ms - now_ms, 0.0)
+    def compute_deferral(self, now_ms: float) -> float:
+        """Return the remaining time for which it accepts no calls, in ms."""
+        return max(self.deferred_until_ms - now_ms, 0.0)
 
-    def record_rest(self, until_ms: float) -> None:
-        """Record that it wants no calls from this node; a rest is never shortened."""
-        self.rest_until_ms = max(self.rest_until_ms, until_ms)
+    def record_deferral(self, until_ms: float) -> None:
+        """Record until when it asked for no calls; an earlier time has no effect."""
+        self.deferred_until_ms = max(self.deferred_until_ms, until_ms)
 
     def find_usable_time(self) -> float:
-        """Return when its rest, load and backoff will all have ended."""
-        return max(self.rest_until_ms, self.loading_until_ms, self.backoff_until_ms)
+        """Return when its deferral, load and backoff will all have ended."""
+        return max(self.deferred_until_ms, self.loading_until_ms, self.backoff_until_ms)
 
     def record_failure(self, now_ms: float, *, is_dead: bool) -> None:
         """Record a failed call; `is_dead`: whether nothing answered at its address."""
@@ -344,25 +344,25 @@
             for each in self.find_listed(service, now_ms)
             if not each.is_loading(now_ms)
             and not each.is_backing_off(now_ms)
-            and not each.is_resting(now_ms)
+            and not each.is_deferred(now_ms)
         ]
-        kept = [each for each in usable if not each.is_heard_leaving(now_ms)]
-        # A wrong word of a peer must not leave a service without replicas.
-        is_believed = len(kept) >= (1.0 - MAX_HEARD_SHARE) * len(usable)
+        kept = [each for each in usable if not each.is_reported_leaving(now_ms)]
+        # A wrong report must not leave a service without replicas.
+        is_believed = len(kept) >= (1.0 - MAX_REPORTED_SHARE) * len(usable)
         return kept if is_believed else usable
 
     def may_get_calls(self, name: EndpointName, now_ms: float) -> bool:
         """Return whether a call that was placed on a replica may still be sent."""
         known = self._known.get(name)
-        return known is None or not (known.has_left() or known.is_resting(now_ms))
+        return known is None or not (known.has_left() or known.is_deferred(now_ms))
 
     def find_return_delay(self, service: ServiceName, now_ms: float) -> float | None:
-        """Return the time until rests leave a service a usable replica, in ms.
+        """Return the time until a service has a usable replica again, in ms.
 
-        None if a replica is usable, or if none rests: then the time is not known.
+        None if one is usable, or if none has deferred calls: then it is not known.
         """
         listed = self.find_listed(service, now_ms)
-        if not any(each.is_resting(now_ms) for each in listed):
+        if not any(each.is_deferred(now_ms) for each in listed):
             return None
         if self.find_usable(service, now_ms):
             return None
--- a/packages/toucanyard/src/toucanyard/statement_events.py
+++ b/packages/toucanyard/src/toucanyard/statement_events.py
@@ -15,7 +15,8 @@
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 
 RETURN_SPREAD: Final = 0.2
-"""Share of a rest over which nodes that were turned away together return."""
+"""Share of a requested delay by which it is extended at random, so that nodes whose
+calls were rejected together do not return together."""
 
 
 class StatementEvents:
@@ -31,10 +32,10 @@
         "_is_urgent",
         "_leaves",
         "_limits",
-        "_rests",
+        "_deferrals",
         "_rng",
         "leave_count",
-        "rest_count",
+        "deferral_count",
     )
 
     def __init__(
@@ -47,20 +48,20 @@
         self._rng = rng
         self.leave_count = 0
         """Number of replicas of which a response stated a leave."""
-        self.rest_count = 0
-        """Number of responses that stated a rest."""
+        self.deferral_count = 0
+        """Number of responses that asked for a delay."""
         self._directory = directory
         self._gossip = gossip
         self._limits = limits
         self._is_urgent = False
         self._leaves = LogRateLimit("replica_leaving")
-        self._rests = LogRateLimit("replica_resting")
+        self._deferrals = LogRateLimit("replica_deferred")
         self._invalid = LogRateLimit("replica_statement_invalid")
 
     def on_seen(self, seen: ReplicaStatementSeen, now_ms: float) -> Iterator[LogEntry]:
         """Apply one response's statement."""
         statement = seen.statement
-        known = self._find_speaker(seen)
+        known = self._find_sender(seen)
         name = seen.replica if known is None else known.replica.name
         for invalid in statement.invalid:
             fields: dict[str, object] = {
@@ -78,21 +79,23 @@
             self._is_urgent |= self._limits.change_count != before
         if statement.is_leaving:
             yield from self._record_leave(known, now_ms)
-        if statement.rest_ms is not None:
-            yield from self._record_rest(known, statement.rest_ms, now_ms)
+        if statement.retry_after_ms is not None:
+            yield from self._record_deferral(known, statement.retry_after_ms, now_ms)
 
     def consume_urgent_flag(self) -> bool:
         """Return whether peers should learn of a change at once; clear the flag."""
         is_urgent, self._is_urgent = self._is_urgent, False
         return is_urgent
 
-    def _find_speaker(self, seen: ReplicaStatementSeen) -> KnownReplica | None:
+    def _find_sender(self, seen: ReplicaStatementSeen) -> KnownReplica | None:
         """Return the replica that made the statement; None if it is not known."""
         known = self._directory.find(seen.replica)
-        speaker = seen.statement.speaker
-        if not speaker or (known is not None and known.replica.listed_as == speaker):
+        replica_id = seen.statement.replica_id
+        if not replica_id or (
+            known is not None and known.replica.listed_as == replica_id
+        ):
             return known
-        return self._directory.find_current(ReplicaId(speaker))
+        return self._directory.find_current(ReplicaId(replica_id))
 
     def _record_leave(self, known: KnownReplica, now_ms: float) -> Iterator[LogEntry]:
         if known.leave_stated_ms is not None:
@@ -108,15 +111,15 @@
         }
         yield from self._leaves.log(fields, now_ms)
 
-    def _record_rest(
-        self, known: KnownReplica, rest_ms: float, now_ms: float
+    def _record_deferral(
+        self, known: KnownReplica, retry_after_ms: float, now_ms: float
     ) -> Iterator[LogEntry]:
         fields: dict[str, object] = {
             "replica": known.replica.name,
-            "rest_ms": round(rest_ms),
-            "left_ms": round(known.compute_rest(now_ms)),
+            "retry_after_ms": round(retry_after_ms),
+            "left_ms": round(known.compute_deferral(now_ms)),
         }
-        self.rest_count += 1
+        self.deferral_count += 1
         spread = self._rng.uniform(1.0, 1.0 + RETURN_SPREAD)
-        known.record_rest(now_ms + rest_ms * spread)
-        yield from self._rests.log(fields, now_ms)
+        known.record_deferral(now_ms + retry_after_ms * spread)
+        yield from self._deferrals.log(fields, now_ms)
--- a/tests/toucanyard/statement_fleet.py
+++ b/tests/toucanyard/statement_fleet.py
@@ -43,16 +43,16 @@
 
     def _deliver_call(self, call: Call, dispatch: RelayDispatch) -> None:
         engine = self.engines[dispatch.address]
-        rest_ms = self.rests.get(engine.address)
+        retry_after_ms = self.rests.get(engine.address)
         super()._deliver_call(call, dispatch)
-        if rest_ms is None or call.request.request_id not in engine.calls:
+        if retry_after_ms is None or call.request.request_id not in engine.calls:
             return
         engine.calls.pop(call.request.request_id)
         self.refused_ms[call.node, engine.name].append(self.now_ms)
-        self.after(LATENCY_MS, lambda: self._refuse(call, engine.name, rest_ms))
+        self.after(LATENCY_MS, lambda: self._refuse(call, engine.name, retry_after_ms))
 
-    def _refuse(self, call: Call, replica: EndpointName, rest_ms: float) -> None:
-        statement = ReplicaStatement(rest_ms=rest_ms)
+    def _refuse(self, call: Call, replica: EndpointName, retry_after_ms: float) -> None:
+        statement = ReplicaStatement(retry_after_ms=retry_after_ms)
         self.handle(call.node, ReplicaStatementSeen(replica, statement))
         outcome = RelayOutcome(
             call.request.request_id, replica, DispatchEnding.REFUSED, text="turned away"
@@ -106,7 +106,7 @@
                 late[f"{send.replica} from {send.call.node}"] = send.at_ms - seen_ms
         return late
 
-    def find_during_rest(self, rest_ms: float) -> dict[str, int]:
+    def find_during_rest(self, retry_after_ms: float) -> dict[str, int]:
         """Return the rests in which a replica got too many calls of one node."""
         reached = defaultdict(list)
         for send in self.reached:
@@ -114,7 +114,7 @@
         found = {}
         for key, refusals in self.refused_ms.items():
             for refused_ms in refusals:
-                begin_ms, end_ms = refused_ms + REACTION_MS, refused_ms + rest_ms
+                begin_ms, end_ms = refused_ms + REACTION_MS, refused_ms + retry_after_ms
                 count = sum(begin_ms <= at_ms < end_ms for at_ms in reached[key])
                 if count > MAX_DURING_REST:
                     found[f"{key} at {refused_ms}"] = count
--- a/tests/toucanyard/test_replica_gossip.py
+++ b/tests/toucanyard/test_replica_gossip.py
@@ -12,7 +12,7 @@
     UPDATE_TTL_MS,
     ReplicaGossip,
 )
-from toucanyard.replicas import LEAVE_HEARD_MS, KnownReplica, ReplicaDirectory
+from toucanyard.replicas import LEAVE_REPORT_MS, KnownReplica, ReplicaDirectory
 
 from .relay_examples import ENGINES, MODEL, build_replica
 
@@ -127,15 +127,15 @@
     assert first.send_to(second, 0.0)
     assert second.send_to(third, 10.0)
     assert not third.send_to(second, 20.0)
-    assert second.known.is_heard_leaving(UPDATE_TTL_MS)
+    assert second.known.is_reported_leaving(UPDATE_TTL_MS)
     assert [each.fields["source"] for each in third.gossip.take_log_entries()] == [PEER]
     now_ms = 0.0
-    while now_ms < 4 * LEAVE_HEARD_MS:
+    while now_ms < 4 * LEAVE_REPORT_MS:
         now_ms += 1_000.0
         second.send_to(third, now_ms)
         third.send_to(second, now_ms)
-    assert not second.known.is_heard_leaving(now_ms)
-    assert not third.known.is_heard_leaving(now_ms)
+    assert not second.known.is_reported_leaving(now_ms)
+    assert not third.known.is_reported_leaving(now_ms)
     assert not second.known.has_left()
 
 
--- a/tests/toucanyard/test_statement_events.py
+++ b/tests/toucanyard/test_statement_events.py
@@ -67,8 +67,8 @@
 def test_statement_concerns_the_replica_that_made_it() -> None:
     """Guards against barring a replica for what another one at its address states."""
     node = Node("a", "b")
-    node.see("a", msgspec.structs.replace(LEAVING, speaker="b"))
-    node.see("a", msgspec.structs.replace(LEAVING, speaker="unknown"))
+    node.see("a", msgspec.structs.replace(LEAVING, replica_id="b"))
+    node.see("a", msgspec.structs.replace(LEAVING, replica_id="unknown"))
     assert node.find("a").leave_stated_ms is None
     assert node.find("b").leave_stated_ms == 0.0
 
@@ -81,18 +81,18 @@
         name = name_incarnation(listed_as, born_ms)
         replica = build_replica(name, listed_as=listed_as, born_ms=born_ms)
         node.directory.apply(replica, 0.0)
-    node.see("a@1", msgspec.structs.replace(LEAVING, speaker="a"))
+    node.see("a@1", msgspec.structs.replace(LEAVING, replica_id="a"))
     assert node.find("a@2").leave_stated_ms is None
 
 
 def test_rest_is_kept_until_the_latest_time() -> None:
     """Guards against a shorter rest of another response ending a longer one."""
     node = Node("a")
-    node.see("a", ReplicaStatement(rest_ms=3_000.0), 1_000.0)
-    until_ms = node.find("a").rest_until_ms
+    node.see("a", ReplicaStatement(retry_after_ms=3_000.0), 1_000.0)
+    until_ms = node.find("a").deferred_until_ms
     assert until_ms >= 4_000.0
-    entries = node.see("a", ReplicaStatement(rest_ms=500.0), 1_100.0)
-    assert node.find("a").rest_until_ms == until_ms
+    entries = node.see("a", ReplicaStatement(retry_after_ms=500.0), 1_100.0)
+    assert node.find("a").deferred_until_ms == until_ms
     assert entries[0].fields["left_ms"] == round(until_ms - 1_100.0)
 
 
@@ -125,8 +125,8 @@
     ends = []
     for seed in range(320):
         node = Node("a", seed=seed)
-        node.see("a", ReplicaStatement(rest_ms=3_000.0), 1_000.0)
-        ends.append(node.find("a").rest_until_ms)
+        node.see("a", ReplicaStatement(retry_after_ms=3_000.0), 1_000.0)
+        ends.append(node.find("a").deferred_until_ms)
     assert min(ends) >= 4_000.0
     assert max(ends) <= 4_600.0
     most = max(sum(begin <= each < begin + 50.0 for each in ends) for begin in ends)
--- a/tests/toucanyard/test_unwilling_replicas.py
+++ b/tests/toucanyard/test_unwilling_replicas.py
@@ -29,7 +29,7 @@
     for name in names:
         known = node.directory.find(EndpointName(name))
         assert known is not None
-        known.record_rest(STATED_MS + 100_000.0)
+        known.record_deferral(STATED_MS + 100_000.0)
 
 
 STATEMENTS = pytest.mark.parametrize("state", [state_leave, state_rest])
@@ -141,7 +141,7 @@
 def rest(node: Node, name: str, until_ms: float) -> None:
     known = node.directory.find(EndpointName(name))
     assert known is not None
-    known.record_rest(until_ms)
+    known.record_deferral(until_ms)
 
 
 def test_call_that_rests_would_delay_past_its_deadline_is_refused_at_once() -> None:
@@ -186,7 +186,7 @@
     node.end("p", DispatchEnding.COMPLETED, 400.0)
     known = node.directory.find(EndpointName("x"))
     assert known is not None
-    assert known.is_resting(2_999.0)
+    assert known.is_deferred(2_999.0)
     assert known.compute_failures(400.0) == 0.0
 
 
@@ -195,8 +195,8 @@
     node = Node(desks="x")
     known = node.directory.find(EndpointName("x"))
     assert known is not None
-    for stated_ms, rest_ms in rests:
-        known.record_rest(stated_ms + rest_ms)
-    for stated_ms, rest_ms in rests:
-        assert not known.is_resting(max(s + r for s, r in rests))
-        assert known.rest_until_ms >= stated_ms + rest_ms
+    for stated_ms, retry_after_ms in rests:
+        known.record_deferral(stated_ms + retry_after_ms)
+    for stated_ms, retry_after_ms in rests:
+        assert not known.is_deferred(max(s + r for s, r in rests))
+        assert known.deferred_until_ms >= stated_ms + retry_after_ms
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -97,9 +97,11 @@
             incarnation=headers.get("x-replica", ""),
             weights_version=None,
             statement=ReplicaStatement(
-                speaker=headers.get("x-replica", ""),
+                replica_id=headers.get("x-replica", ""),
                 is_leaving="x-leaving" in headers,
-                rest_ms=float(headers["x-rest"]) if "x-rest" in headers else None,
+                retry_after_ms=float(headers["x-rest"])
+                if "x-rest" in headers
+                else None,
             ),
         )
 
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -367,7 +367,7 @@
                 if statement == "leave":
                     known.leave_stated_ms = 0.0
                 else:
-                    known.record_rest(trio.current_time() * 1000 + 5_000.0)
+                    known.record_deferral(trio.current_time() * 1000 + 5_000.0)
             return connection
 
         monkeypatch.setattr(relay_exchange, "connect", connect_late)
@@ -384,7 +384,7 @@
         await harness.call(build_call())
         known = harness.core.directory.find(EndpointName("x"))
         assert known is not None
-        assert known.is_resting(trio.current_time() * 1000 + 4_000.0)
+        assert known.is_deferred(trio.current_time() * 1000 + 4_000.0)
         received = await harness.call(build_call())
     assert find_status(received) == 503
     assert len(replica.calls) == 1
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -116,7 +116,7 @@
     async with start_harness(harness):
         stated = {
             "a": ReplicaStatement(is_leaving=True),
-            "b": ReplicaStatement(rest_ms=3_000.0),
+            "b": ReplicaStatement(retry_after_ms=3_000.0),
         }
         for name, statement in stated.items():
             harness.task.client.report_statement(EndpointName(name), statement)
@@ -124,12 +124,12 @@
         heard = harness.core.directory.find(EndpointName("c"))
         assert heard is not None
         now_ms = trio.current_time() * 1000
-        heard.leave_heard_until_ms = now_ms + 1_000.0
+        heard.leave_reported_until_ms = now_ms + 1_000.0
         text = harness.metrics.render(harness.core, Counter(), 0, now_ms)
     lines = text.splitlines()
     assert "toucanyard_replica_leaves_total 1" in lines
-    assert "toucanyard_replica_rests_total 1" in lines
+    assert "toucanyard_replica_deferrals_total 1" in lines
     assert 'toucanyard_replica_leaving{replica="a",source="answer"} 1' in lines
     assert 'toucanyard_replica_leaving{replica="c",source="peer"} 1' in lines
-    assert 'toucanyard_replica_rest_ms{replica="b"}' in text
+    assert 'toucanyard_replica_deferred_ms{replica="b"}' in text
     assert 'replica="d"' not in text
--- a/tests/toucanyard_platform/test_answer_statements.py
+++ b/tests/toucanyard_platform/test_answer_statements.py
@@ -68,7 +68,7 @@
 
 
 @pytest.mark.parametrize(
-    ("values", "rest_ms"),
+    ("values", "retry_after_ms"),
     [
         ((), None),
         (("3",), 3_000.0),
@@ -80,11 +80,11 @@
     ],
 )
 def test_rest_is_decoded_and_bounded(
-    values: tuple[str, ...], rest_ms: float | None
+    values: tuple[str, ...], retry_after_ms: float | None
 ) -> None:
     """Guards against a replica that takes itself out of use for a day."""
     statement = read_statement(build_answer("Retry-After", *values, status=503))
-    assert statement.rest_ms == rest_ms
+    assert statement.retry_after_ms == retry_after_ms
     assert not statement.invalid
 
 
@@ -96,13 +96,13 @@
     """Guards against reading an invalid time as a rest."""
     for values in ((value,), ("2", value)):
         statement = read_statement(build_answer("Retry-After", *values, status=503))
-        assert statement.rest_ms is None
-        assert [each.kind for each in statement.invalid] == [StatementKind.REST]
+        assert statement.retry_after_ms is None
+        assert [each.kind for each in statement.invalid] == [StatementKind.RETRY_AFTER]
 
 
 @pytest.mark.parametrize("status", [200, 421, 429, 500])
 def test_rest_beside_another_status_has_no_effect(status: int) -> None:
     """Guards against pausing a replica that has not turned a call away."""
     statement = read_statement(build_answer("Retry-After", "3", status=status))
-    assert statement.rest_ms is None
+    assert statement.retry_after_ms is None
     assert statement.invalid[0].text == f"3 with status {status}"
