--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -196,10 +196,10 @@
         for source in sources:
             labels = {"replica": each.replica.name, "source": source.value}
             yield _format("replica_leaving", 1, **labels)
-    resting = [each for each in known if each.is_deferred(now_ms)]
-    for each in resting[:MAX_LIMITED]:
-        retry_after_ms = round(each.compute_deferral(now_ms))
-        yield _format("replica_deferred_ms", retry_after_ms, replica=each.replica.name)
+    deferred = [each for each in known if each.is_deferred(now_ms)]
+    for each in deferred[:MAX_LIMITED]:
+        left_ms = round(each.compute_deferral(now_ms))
+        yield _format("replica_deferred_ms", left_ms, replica=each.replica.name)
 
 
 def _record(
--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -212,6 +212,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_connection_may_be_reset_twice(autojump_clock: object) -> None:
+    """Guards against a soak that ends by itself when two resets overlap."""
+    host = "127.0.0.1"
+    target = Address(f"{host}:{find_port(host)}")
+    proxy = FaultyProxy(Address(f"{host}:{find_port(host)}"), target)
+    async with trio.open_nursery() as nursery:
+        port = int(target.partition(":")[2])
+        serve = trio.serve_tcp
+        await nursery.start(
+            lambda task_status: serve(
+                echo_in_upper_case, port, host=host, task_status=task_status
+            )
+        )
+        nursery.start_soon(proxy.run)
+        await trio.testing.wait_all_tasks_blocked()
+        stream = await trio.open_tcp_stream(host, int(proxy.address.split(":")[1]))
+        await stream.send_all(b"a")
+        assert await stream.receive_some() == b"A"
+        for _ in range(2):
+            proxy.set_fault(Fault.RESET)
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.receive_some()
+        nursery.cancel_scope.cancel()
+
+
 async def test_soaks_of_one_seed_have_addresses_of_their_own(tmp_path: Path) -> None:
     """Guards against address conflicts of two CI runs that soak the same seed.
 
