Log when a node reaches no replica of a service, and why connects fail

The reason of a connect that timed out was empty, and no line said when a node last connected to any replica. Change: the reason names the timeout; connects of calls are counted by service, and a line says when none has succeeded (replicas failed, listed, ages) and when one does again. No decision uses it yet.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -346,8 +346,10 @@
     except (OSError, OverflowError, trio.TooSlowError) as error:
         # A configuration may contain a port over 65535, which raises OverflowError.
         # Uncaught, it would end the task that watches this endpoint, and so the node.
+        is_late = isinstance(error, trio.TooSlowError)
+        reason = f"no connection within {timeout_ms:.0f} ms" if is_late else error
         raise ConnectionFailedError(
-            f"{address}: {error}",
+            f"{address}: {reason}",
             is_sent=False,
             has_no_listener=isinstance(error, ConnectionRefusedError),
         ) from error
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -58,6 +58,7 @@
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_probes import ReplicaProbes
+from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import DispatchEnding
@@ -145,6 +146,7 @@
         self.limits = CallLimits(
             options.limits, options.policy.limits, identity.incarnation
         )
+        self.reach = ReplicaReach(self.directory)
         self.flow = RelayFlow(
             options.retries,
             options.policy,
@@ -153,6 +155,7 @@
             calls,
             self.guard,
             self.limits,
+            self.reach,
             rng,
         )
         self.facts = KnownFacts(
@@ -247,6 +250,7 @@
         actions = list(self._handle(event, now_ms))
         if self.guard.has_updates():
             actions += self._settle_guard(now_ms)
+        actions += self.reach.take_log_entries()
         actions += self._limit_events.settle(now_ms)
         return actions
 
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -28,6 +28,7 @@
     RelayReply,
     RelayRequest,
 )
+from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import Rejection, RequestGuard
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
@@ -60,9 +61,11 @@
         calls: CallPlacement,
         guard: RequestGuard,
         limits: CallLimits,
+        reach: ReplicaReach,
         rng: random.Random,
     ) -> None:
         self._guard = guard
+        self._reach = reach
         self._limits = limits
         self._retries = CallRetries(retries, policy.retries)
         self._policy = policy
@@ -141,6 +144,9 @@
         if pending is None or pending.replica is None:
             return
         self.usage.record_started(pending.replica, request_id, now_ms)
+        known = self._directory.find(pending.replica)
+        if known is not None:
+            self._reach.record_connected(known.replica, pending.sent_ms, now_ms)
         self._calls.record_read(pending, now_ms)
         yield from self._drain(pending.request.service, now_ms)
 
@@ -342,6 +348,7 @@
         self._guard.on_dispatch_ended(pending.request, outcome, pending.sent_ms, now_ms)
         if known is None:
             return
+        self._reach.record_outcome(known.replica, outcome, pending.sent_ms, now_ms)
         if prompt is not None and outcome.weights_version is not None:
             self._record_weights(known, prompt.model, outcome.weights_version)
         self._apply_ending(known, pending, outcome, now_ms)
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -20,6 +20,7 @@
 )
 from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_limits import ReplicaLimits
+from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import DispatchEnding, Refuse
@@ -72,6 +73,7 @@
             calls,
             RequestGuard(self.directory, lambda *_: 0, rng),
             CallLimits(OPTIONS.limits, OPTIONS.policy.limits, Incarnation("i")),
+            ReplicaReach(self.directory),
             rng,
         )
         self.flow.apply_index(RouteIndex(build_table()))
