--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -23,12 +23,14 @@
 from toucanyard.relay_core import TICK_MS, RelayCore
 from toucanyard.relay_events import (
     AppendLease,
+    ConnectionProbed,
     LeaseAppended,
     LeaseRead,
     LinkMessageRead,
     LogEntry,
     OrderAnswered,
     PeersLinked,
+    ProbeConnection,
     PromptBlocksChanged,
     QuarantineErased,
     QuarantineWritten,
@@ -52,6 +54,7 @@
     from toucanyard_emulator.simulation import Simulation
 
 WATCH_INTERVAL_MS: Final = {Topic.REPLICAS: 50.0, Topic.NODES: 250.0}
+PROBE_TIMEOUT_MS: Final = 150.0
 STORE_LATENCY_MS: Final = 5.0
 """Duration of a call to the store, including network latency."""
 STORE_TIMEOUT_MS: Final = 1_200.0
@@ -155,10 +158,8 @@
                 self._call_store(lambda: self._read_leases(offset), "turns")
             case AppendLease():
                 self._append_lease(action)
-            case ReadReplicaState():
-                self._read_state(action)
-            case WeightsOrder():
-                self._send_order(action)
+            case ReadReplicaState() | ProbeConnection() | WeightsOrder():
+                self._call_replica(action)
             case WriteQuarantine() | EraseQuarantine():
                 self._put_quarantine(action)
             case LogEntry():
@@ -242,6 +243,25 @@
 
         self._call_store(put, "quarantine")
 
+    def _call_replica(
+        self, action: ReadReplicaState | ProbeConnection | WeightsOrder
+    ) -> None:
+        match action:
+            case ReadReplicaState():
+                self._read_state(action)
+            case ProbeConnection():
+                self._probe_connection(action)
+            case WeightsOrder():
+                self._send_order(action)
+
+    def _probe_connection(self, probe: ProbeConnection) -> None:
+        engine = self.simulation.pool.find_replica(probe.replica)
+        is_up = engine is not None and engine.availability is Availability.UP
+        is_silent = engine is not None and engine.availability is Availability.SILENT
+        probed = ConnectionProbed(probe.replica, is_up, self.now_ms)
+        delay_ms = PROBE_TIMEOUT_MS if is_silent else 2.0
+        self.schedule(delay_ms, lambda: self.handle(probed))
+
     def _read_state(self, read: ReadReplicaState) -> None:
         asked_ms = self.now_ms
         engine = self.simulation.pool.find_replica(read.replica)
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
@@ -13,8 +13,16 @@
     CallerLeft,
     DispatchEnded,
     FirstEventSeen,
+    ForwardEnded,
+)
+from toucanyard.relay_requests import (
+    ForwardOutcome,
+    RelayDispatch,
+    RelayForward,
+    RelayOutcome,
+    RelayRequest,
+    RelayVerdict,
 )
-from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayRequest
 from toucanyard.requests import DispatchEnding, Refuse
 from toucanyard_emulator.arrivals import Arrival
 from toucanyard_emulator.engine import Availability, Engine, Job, JobOutcome
@@ -80,13 +88,19 @@
         self._node.schedule(left_ms, self._handle_deadline)
         self._node.handle(CallArrived(self.request))
 
-    def apply_verdict(self, verdict: RelayDispatch | Refuse | None) -> None:
+    def apply_verdict(self, verdict: RelayVerdict | None) -> None:
         """Execute the verdict of the core."""
         if self._is_over:
             return
         match verdict:
             case RelayDispatch():
                 self._send(verdict)
+            case RelayForward():
+                # The emulator's nodes have no connections to forward calls on.
+                outcome = ForwardOutcome(
+                    self.request.request_id, verdict.peer, DispatchEnding.NOT_SENT
+                )
+                self._node.handle(ForwardEnded(outcome))
             case Refuse():
                 is_not_run = verdict.ending.value == "not_run"
                 self._end(CallResult(False, is_not_run, verdict.retry_after_ms or 0.0))
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -0,0 +1,192 @@
+"""Serve calls that other nodes forward because they reach no replica themselves."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import structlog
+import trio
+
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.forwarded_calls import (
+    AnswerEnd,
+    AnswerHead,
+    BodyPart,
+    CallAccepted,
+    CallRefused,
+    ForwardedCall,
+    split_body,
+)
+from toucanyard.names import NodeId, RequestId
+from toucanyard.requests import Refuse
+from toucanyard_node.forward_channel import ForwardChannel, ForwardClosedError
+from toucanyard_node.http_exchange import (
+    CallerGoneError,
+    Headers,
+    HttpRequest,
+    TargetInvalidError,
+    build_request,
+)
+
+READ_TIMEOUT_S: Final = 2.0
+"""Time for a call and its body to arrive."""
+BUSY_RETRY_MS: Final = 200
+"""Retry delay of a call that is refused for lack of capacity."""
+_LOG: Final = structlog.get_logger()
+
+
+class ForwardResponder:
+    """Sends the response of one forwarded call to the node that forwarded it."""
+
+    __slots__ = ("_channel", "is_closing", "is_started")
+
+    def __init__(self, channel: ForwardChannel) -> None:
+        self._channel = channel
+        self.is_started = False
+        self.is_closing = False
+
+    async def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response."""
+        self.is_started = True
+        await self._send(AnswerHead(status, headers, is_stream=False))
+        for part in split_body(body):
+            await self._send(part)
+        await self._send(AnswerEnd())
+
+    async def refuse(self, refusal: Refuse, *, is_exact: bool) -> None:
+        """Send the reason for which there is no response."""
+        self.is_started = True
+        kind, ending, text = refusal.kind, refusal.ending, refusal.text
+        await self._send(CallRefused(kind, ending, text, refusal.retry_after_ms))
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body follows in parts."""
+        self.is_started = True
+        await self._send(AnswerHead(status, headers, is_stream=True))
+
+    async def write(self, data: bytes) -> None:
+        """Send one part of the body."""
+        await self._send(BodyPart(data))
+
+    async def finish(self) -> None:
+        """Send the end of the body."""
+        await self._send(AnswerEnd())
+
+    def close_after(self) -> None:
+        """Do nothing: the connection is closed after each response."""
+        self.is_closing = True
+
+    async def _send(
+        self, message: AnswerHead | BodyPart | AnswerEnd | CallRefused
+    ) -> None:
+        try:
+            await self._channel.send(message)
+        except ForwardClosedError as error:
+            raise CallerGoneError from error
+
+
+Handler = Callable[
+    [HttpRequest, ForwardResponder, ForwardedCall, NodeId], Awaitable[None]
+]
+
+
+class ForwardServer:
+    """Runs the calls that other nodes forward, a bounded number at a time."""
+
+    def __init__(self, handler: Handler, find_max_calls: Callable[[], int]) -> None:
+        self._handler = handler
+        self._find_max_calls = find_max_calls
+        self._idle = trio.Event()
+        self._idle.set()
+        self._is_stopping = False
+        self.running = 0
+        self.received = 0
+        self.refused = 0
+
+    def stop(self) -> None:
+        """Refuse further calls; running ones continue."""
+        self._is_stopping = True
+
+    async def wait_idle(self) -> None:
+        """Wait until no forwarded call runs."""
+        await self._idle.wait()
+
+    async def serve(self, channel: ForwardChannel, peer: NodeId) -> None:
+        """Serve the call on one connection."""
+        try:
+            with trio.fail_after(READ_TIMEOUT_S):
+                call, body = await _read_call(channel)
+            http = build_request(call.method, call.target, call.fields, body)
+        except (ForwardClosedError, trio.TooSlowError, TargetInvalidError) as error:
+            _LOG.warning("forward_unread", peer=peer.node, reason=str(error)[:100])
+            return
+        responder = ForwardResponder(channel)
+        refusal = self._check_capacity()
+        if refusal is not None:
+            self.refused += 1
+            _LOG.info("forward_refused", peer=peer.node, origin=call.origin)
+            await responder.refuse(refusal, is_exact=True)
+            return
+        self.received += 1
+        self.running += 1
+        self._idle = self._idle if self.running > 1 else trio.Event()
+        try:
+            await channel.send(CallAccepted())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_close, channel, nursery.cancel_scope)
+                await self._run_guarded(http, responder, call, peer)
+                nursery.cancel_scope.cancel()
+        except ForwardClosedError as error:
+            _LOG.info("forward_abandoned", peer=peer.node, reason=str(error)[:100])
+        finally:
+            self.running -= 1
+            if not self.running:
+                self._idle.set()
+
+    async def _run_guarded(
+        self,
+        http: HttpRequest,
+        responder: ForwardResponder,
+        call: ForwardedCall,
+        peer: NodeId,
+    ) -> None:
+        """Run the handler so that its failure ends only this call."""
+        try:
+            await self._handler(http, responder, call, peer)
+        except CallerGoneError:
+            _LOG.info("forward_abandoned", peer=peer.node, origin=call.origin)
+        except Exception:
+            _LOG.exception("handler_failed", path=http.path)
+
+    def _check_capacity(self) -> Refuse | None:
+        if self._is_stopping:
+            return _build_refusal(ErrorKind.DRAINING, "this node is stopping")
+        if self.running >= self._find_max_calls():
+            text = f"{self.running} forwarded calls are running"
+            return _build_refusal(ErrorKind.TOO_MANY_CALLS, text)
+        return None
+
+
+async def _read_call(channel: ForwardChannel) -> tuple[ForwardedCall, bytes]:
+    call = await channel.receive()
+    if not isinstance(call, ForwardedCall):
+        raise ForwardClosedError(f"found {type(call).__name__}, expected a call")
+    body = bytearray()
+    while len(body) < call.body_bytes:
+        part = await channel.receive()
+        if not isinstance(part, BodyPart):
+            raise ForwardClosedError(f"found {type(part).__name__}, expected a body")
+        body += part.data
+    if len(body) != call.body_bytes:
+        raise ForwardClosedError("the body is longer than announced")
+    return call, bytes(body)
+
+
+async def _cancel_on_close(channel: ForwardChannel, scope: trio.CancelScope) -> None:
+    await channel.wait_closed()
+    scope.cancel()
+
+
+def _build_refusal(kind: ErrorKind, text: str) -> Refuse:
+    return Refuse(RequestId(""), kind, Ending.NOT_RUN, text, BUSY_RETRY_MS)
--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from typing import Protocol
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
 import msgspec
 import trio
 
+from toucanyard.requests import Refuse
+from toucanyard_node.refusals import render_refusal
 from toucanyard_node.socket_io import send
 
 Headers = tuple[tuple[str, str], ...]
@@ -35,6 +38,36 @@
     """The target of a request is neither a path nor a URL."""
 
 
+class CallResponder(Protocol):
+    """Where the handler of a call sends its response."""
+
+    is_started: bool
+
+    async def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete response."""
+        ...
+
+    async def refuse(self, refusal: Refuse, *, is_exact: bool) -> None:
+        """Send a refusal."""
+        ...
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body follows in parts."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Send one part of the body."""
+        ...
+
+    async def finish(self) -> None:
+        """Send the end of the body."""
+        ...
+
+    def close_after(self) -> None:
+        """Close the connection after this response."""
+        ...
+
+
 class Responder:
     """Send one response: `send` for a complete body, or `start`, `write`, `finish`.
 
@@ -66,6 +99,11 @@
         tail = self._connection.send(h11.EndOfMessage()) or b""
         await self._send_data(head + data + tail)
 
+    async def refuse(self, refusal: Refuse, *, is_exact: bool) -> None:
+        """Send a refusal; `is_exact`: see `render_refusal`."""
+        rendered = render_refusal(refusal, is_exact=is_exact)
+        await self.send(rendered.status, rendered.headers, rendered.body)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body follows in chunks."""
         head = self._render_head(status, (*headers, ("Transfer-Encoding", "chunked")))
@@ -110,22 +148,28 @@
 
 def parse_request(head: h11.Request, body: bytes) -> HttpRequest:
     """Build a request from its head and body, or raise TargetInvalidError."""
+    fields = tuple(
+        (name.decode("ascii"), value.decode("latin-1"))
+        for name, value in head.headers.raw_items()
+    )
+    target = head.target.decode("ascii", "replace")
+    return build_request(head.method.decode("ascii"), target, fields, body)
+
+
+def build_request(
+    method: str, target: str, fields: Headers, body: bytes
+) -> HttpRequest:
+    """Build a request from its parts, or raise TargetInvalidError."""
     try:
-        url = urlsplit(head.target.decode("ascii", "replace"))
+        url = urlsplit(target)
     except ValueError as error:
         raise TargetInvalidError(str(error)) from error
-    headers = {
-        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
-    }
     return HttpRequest(
-        method=head.method.decode("ascii"),
+        method=method,
         path=unquote(url.path),
         query=dict(parse_qsl(url.query)),
-        headers=headers,
+        headers={name.lower(): value for name, value in fields},
         body=body,
-        target=head.target.decode("ascii", "replace"),
-        fields=tuple(
-            (name.decode("ascii"), value.decode("latin-1"))
-            for name, value in head.headers.raw_items()
-        ),
+        target=target,
+        fields=fields,
     )
--- a/packages/toucanyard-node/src/toucanyard_node/peer_handshake.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_handshake.py
@@ -59,14 +59,18 @@
 
 
 async def authenticate_peer(
-    socket: Connection, side: Side, identity: NodeId, secrets: Sequence[str]
+    socket: Connection,
+    side: Side,
+    identity: NodeId,
+    secrets: Sequence[str],
+    version: int = PROTOCOL_VERSION,
 ) -> NodeId:
     """Return the identity of the peer, or raise HandshakeError."""
     nonce = os.urandom(_NONCE_BYTES)
-    own = Hello(PROTOCOL_VERSION, identity.node, identity.incarnation, nonce)
+    own = Hello(version, identity.node, identity.incarnation, nonce)
     await _send(socket, own)
     other = await _receive(socket, Hello)
-    if other.version != PROTOCOL_VERSION:
+    if other.version != version:
         raise HandshakeError(f"unsupported protocol version {other.version}")
     if len(other.nonce) != _NONCE_BYTES or not other.node or not other.incarnation:
         raise HandshakeError("incomplete hello message")
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -20,12 +20,19 @@
 from websockets.trio.server import ServerConnection, serve as serve_websockets
 
 from toucanyard.cbor_messages import MessageInvalidError
+from toucanyard.forwarded_calls import FORWARD_PATH
 from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import UNNAMED, Vm
 from toucanyard_node.encoded_messages import EncodedMessageCache
+from toucanyard_node.forward_channel import FORWARD_VERSION, ForwardChannel
 from toucanyard_node.link_codec import Addressed, EventT, LinkCodec, MessageT
-from toucanyard_node.peer_handshake import HandshakeError, Side, authenticate_peer
+from toucanyard_node.peer_handshake import (
+    PROTOCOL_VERSION,
+    HandshakeError,
+    Side,
+    authenticate_peer,
+)
 from toucanyard_node.rate_limit import RateLimit
 
 _LOG: Final = structlog.get_logger()
@@ -39,12 +46,17 @@
 _IDLE_TIMEOUT_DIGESTS: Final = 5
 _QUEUE_SIZE: Final = 256
 _MAX_HANDSHAKES: Final = 16
+_MAX_FORWARD_HANDSHAKES: Final = 64
 _LINKS_PER_PEER: Final = 4
 _MESSAGES_PER_S: Final = 500
 _BYTES_PER_S: Final = 1_000_000
 _SEND_TIMEOUT_S: Final = 5.0
 
 
+ServeForward = Callable[[ForwardChannel, NodeId], Awaitable[None]]
+"""Serves the call on a connection that another node opened to forward it."""
+
+
 class LinkCounts(msgspec.Struct):
     """Counters over all links since the process started."""
 
@@ -78,7 +90,9 @@
         emit: Callable[[EventT], Awaitable[None]],
         rng: random.Random,
         codec: LinkCodec[MessageT, EventT],
+        serve_forward: ServeForward | None = None,
     ) -> None:
+        self._serve_forward = serve_forward
         self._identity = identity
         self._secrets = tuple(secrets)
         self._timings = timings
@@ -93,6 +107,8 @@
         self._dial_after_s: dict[str, float] = {}
         self._backoff_s: dict[str, float] = {}
         self._handshakes = 0
+        self._forwards = 0
+        """Handshakes of connections that forward a call."""
         self._links_changed = trio.Event()
         self._encoded = EncodedMessageCache(codec.encode)
         self.counts = LinkCounts()
@@ -134,6 +150,26 @@
         )
 
     async def _accept(self, socket: ServerConnection) -> None:
+        request = socket.request
+        if request is not None and request.path == FORWARD_PATH:
+            await self._accept_forward(socket)
+        else:
+            await self._accept_link(socket)
+
+    async def _accept_forward(self, socket: ServerConnection) -> None:
+        if self._serve_forward is None or self._forwards >= _MAX_FORWARD_HANDSHAKES:
+            self.counts.refused += 1
+            await socket.aclose(1013)
+            return
+        self._forwards += 1
+        try:
+            peer = await self._authenticate(socket, Side.SERVER, FORWARD_VERSION)
+        finally:
+            self._forwards -= 1
+        if peer is not None:
+            await self._serve_forward(ForwardChannel(socket), peer)
+
+    async def _accept_link(self, socket: ServerConnection) -> None:
         limit = self._timings.max_peers * _LINKS_PER_PEER
         if self._handshakes >= _MAX_HANDSHAKES or len(self._links) >= limit:
             self.counts.refused += 1
@@ -220,11 +256,13 @@
             self._backoff_s.pop(vm.name, None)
             await self._run_link(socket, peer, is_dialed=True)
 
-    async def _authenticate(self, socket: Connection, side: Side) -> NodeId | None:
+    async def _authenticate(
+        self, socket: Connection, side: Side, version: int = PROTOCOL_VERSION
+    ) -> NodeId | None:
         try:
             with trio.fail_after(_HANDSHAKE_TIMEOUT_S):
                 peer = await authenticate_peer(
-                    socket, side, self._identity, self._secrets
+                    socket, side, self._identity, self._secrets, version
                 )
         except (
             HandshakeError,
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -15,8 +15,11 @@
 import trio
 
 from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import RequestId
 from toucanyard.relay_requests import (
+    ForwardOutcome,
     RelayDispatch,
+    RelayForward,
     RelayOutcome,
     RelayRequest,
     RelayVerdict,
@@ -24,18 +27,21 @@
 from toucanyard.requests import DispatchEnding, Refuse
 from toucanyard_node.buffered_answer import AnswerLostError, BufferedAnswer
 from toucanyard_node.event_splitter import EventSplitter
+from toucanyard_node.forward_channel import ForwardClosedError
+from toucanyard_node.forward_exchange import (
+    ForwardedAnswer,
+    Forwarder,
+    ForwardFailedError,
+)
 from toucanyard_node.http_client import (
+    MAX_BODY_BYTES,
     ConnectionFailedError,
     HttpConnection,
     ResponseHead,
     connect,
 )
-from toucanyard_node.http_exchange import (
-    HttpRequest,
-    Responder,
-)
-from toucanyard_node.refusals import render_refusal
-from toucanyard_node.relay_log import log_ended
+from toucanyard_node.http_exchange import CallResponder, HttpRequest
+from toucanyard_node.relay_log import log_ended, log_forward_ended
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import AnswerFacts, CallCodec
 from toucanyard_node.relay_task import RelayClient
@@ -59,8 +65,9 @@
         self,
         client: RelayClient,
         codec: CallCodec,
+        forwarder: Forwarder,
         http: HttpRequest,
-        responder: Responder,
+        responder: CallResponder,
         request: RelayRequest,
         last_event_id: str,
         max_gap_ms: int,
@@ -68,19 +75,25 @@
     ) -> None:
         self._client = client
         self._codec = codec
+        self._forwarder = forwarder
         self._http = http
         self._responder = responder
         self._request = request
         self._max_gap_ms = max_gap_ms
         self._metrics = metrics
         self._splitter = EventSplitter(last_event_id)
-        self._dispatch: RelayDispatch | None = None
+        self._dispatch: RelayDispatch | RelayForward | None = None
         self._is_in_flight = False
         self._may_have_run = False
         self._first_ms: float | None = None
         """Time from the arrival of the call to the first event of its answer."""
         self._buffered_answer: BufferedAnswer | None = None
 
+    @property
+    def request_id(self) -> RequestId:
+        """Return the id of the call at this node."""
+        return self._request.request_id
+
     async def run(self) -> None:
         """Dispatch until there is an answer or a final refusal, and send that."""
         try:
@@ -93,14 +106,17 @@
 
     async def _run(self) -> None:
         verdict: RelayVerdict | None = await self._client.decide(self._request)
-        while isinstance(verdict, RelayDispatch):
+        while isinstance(verdict, RelayDispatch | RelayForward):
             self._dispatch = verdict
             try:
-                await self._send_dispatch(verdict)
-            except AnswerLostError as error:
+                if isinstance(verdict, RelayDispatch):
+                    await self._send_dispatch(verdict)
+                else:
+                    await self._send_forward(verdict)
+            except (AnswerLostError, ForwardFailedError) as error:
                 self._record_outcome(error.outcome)
+                self._dispatch = None
                 verdict = await self._client.report(error.outcome)
-                self._dispatch = verdict if isinstance(verdict, RelayDispatch) else None
                 continue
             return
         if isinstance(verdict, Refuse):
@@ -108,7 +124,7 @@
         elif self._buffered_answer is not None:
             await self._send_whole(self._buffered_answer)
 
-    def _record_outcome(self, outcome: RelayOutcome) -> None:
+    def _record_outcome(self, outcome: RelayOutcome | ForwardOutcome) -> None:
         self._is_in_flight = False
         if outcome.ending not in (DispatchEnding.NOT_SENT, DispatchEnding.REFUSED):
             self._may_have_run = True
@@ -116,12 +132,15 @@
     def _report_cancelled(self) -> None:
         """Report a dispatch that has not ended as cancelled."""
         dispatch, self._dispatch = self._dispatch, None
-        if dispatch is not None:
-            outcome = self._build_outcome(
-                dispatch, DispatchEnding.CANCELLED, "nobody waits"
-            )
-            self._client.report_dispatch_ended(outcome)
-            self._record_ended(dispatch, "given_up", 0)
+        match dispatch:
+            case RelayDispatch():
+                outcome = self._build_outcome(
+                    dispatch, DispatchEnding.CANCELLED, "nobody waits"
+                )
+                self._client.report_dispatch_ended(outcome)
+                self._record_ended(dispatch, "given_up", 0)
+            case RelayForward():
+                self._end_forward(dispatch, DispatchEnding.CANCELLED, 0)
 
     async def _handle_deadline(self) -> None:
         """Refuse a call whose deadline passed; a started stream is cut off."""
@@ -142,8 +161,72 @@
             # Closing lets the caller see that the stream is truncated.
             self._responder.close_after()
             return
-        rendered = render_refusal(refusal, is_exact=True)
-        await self._responder.send(rendered.status, rendered.headers, rendered.body)
+        await self._responder.refuse(refusal, is_exact=True)
+
+    async def _send_forward(self, forward: RelayForward) -> None:
+        """Let a peer place the call and pass on its answer, or raise.
+
+        Raises ForwardFailedError.
+        """
+        try:
+            async with self._forwarder.open(
+                forward, self._request, self._http, self._splitter.last_id
+            ) as answer:
+                self._is_in_flight = True
+                await self._pass_on(forward, answer)
+        except ForwardFailedError as error:
+            outcome = msgspec.structs.replace(
+                error.outcome, has_begun=self._responder.is_started
+            )
+            self._log_forward(forward, outcome.ending.value, 0, outcome.text)
+            raise ForwardFailedError(outcome) from error
+
+    async def _pass_on(self, forward: RelayForward, answer: ForwardedAnswer) -> None:
+        head = await answer.read_head()
+        if not head.is_stream:
+            body = await answer.read_body(MAX_BODY_BYTES)
+            if self._responder.is_started:
+                # A stream cannot be resumed with an answer that is not a stream.
+                raise ForwardClosedError("no stream")
+            self._end_forward(forward, DispatchEnding.COMPLETED, head.status)
+            await self._responder.send(head.status, head.fields, body)
+            return
+        self._splitter.discard_partial_event()
+        if not self._responder.is_started and not self._request.is_resumable:
+            await self._responder.start(head.status, head.fields)
+        while (part := await answer.read_part()) is not None:
+            events = self._splitter.push(part)
+            if events:
+                if not self._responder.is_started:
+                    await self._responder.start(head.status, head.fields)
+                self._record_first_event()
+                await self._responder.write(events)
+        if not self._responder.is_started:
+            await self._responder.start(head.status, head.fields)
+        self._end_forward(forward, DispatchEnding.COMPLETED, head.status)
+        await self._responder.finish()
+
+    def _end_forward(
+        self, forward: RelayForward, ending: DispatchEnding, status: int
+    ) -> None:
+        self._dispatch = None
+        outcome = ForwardOutcome(self._request.request_id, forward.peer, ending)
+        self._client.report_forward_ended(outcome)
+        self._log_forward(forward, ending.value, status)
+
+    def _log_forward(
+        self, forward: RelayForward, ending: str, status: int, text: str = ""
+    ) -> None:
+        after_ms = trio.current_time() * 1000 - self._request.arrived_ms
+        self._metrics.record_forward_ended(ending)
+        log_forward_ended(self._request, forward, ending, status, after_ms, text)
+
+    def _record_first_event(self) -> None:
+        if self._first_ms is not None:
+            return
+        self._first_ms = trio.current_time() * 1000 - self._request.arrived_ms
+        self._metrics.record_first_part(self._request, self._first_ms)
+        self._client.report_first_event(self._request.request_id)
 
     async def _send_dispatch(self, dispatch: RelayDispatch) -> None:
         """Perform one dispatch and send its answer, or raise AnswerLostError."""
@@ -292,10 +375,7 @@
                 continue
             if not self._responder.is_started:
                 await self._start_answer(head)
-            if self._first_ms is None:
-                self._first_ms = trio.current_time() * 1000 - self._request.arrived_ms
-                self._metrics.record_first_part(self._request, self._first_ms)
-                self._client.report_first_event(self._request.request_id)
+            self._record_first_event()
             await self._responder.write(events)
         if self._splitter.has_partial_event():
             raise self._build_failure(
--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from toucanyard.relay_requests import RelayDispatch, RelayRequest
+from toucanyard.relay_requests import RelayDispatch, RelayForward, RelayRequest
 from toucanyard.requests import Refuse
 
 _LOG: Final = structlog.get_logger()
@@ -34,6 +34,42 @@
     )
 
 
+def log_forwarded(forward: RelayForward) -> None:
+    """Log the peer that a call is forwarded to and the inputs of that decision."""
+    _LOG.info(
+        "forwarded",
+        call=forward.request_id,
+        peer=forward.peer,
+        attempt=forward.attempt,
+        unreached_ms=round(forward.unreached_ms),
+        considered=forward.candidates,
+        max_attempts=forward.max_attempts,
+    )
+
+
+def log_forward_ended(
+    request: RelayRequest,
+    forward: RelayForward,
+    ending: str,
+    status: int,
+    after_ms: float,
+    text: str,
+) -> None:
+    """Log how the forward of a call ended."""
+    _LOG.info(
+        "forward_ended",
+        call=request.request_id,
+        peer=forward.peer,
+        attempt=forward.attempt,
+        ending=ending,
+        status=status,
+        after_ms=round(after_ms),
+        target_ms=request.target_ms,
+        reason=text,
+        route=request.route,
+    )
+
+
 def log_refused(refusal: Refuse, version: int) -> None:
     """Log why a call is refused and when its caller may retry."""
     _LOG.info(
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -47,11 +47,12 @@
 class RelayMetrics:
     """Metrics of one node since it started. Invariant: totals only increase."""
 
-    __slots__ = ("_endings", "_first_ms", "_refusals", "_total_ms")
+    __slots__ = ("_endings", "_first_ms", "_forwards", "_refusals", "_total_ms")
 
     def __init__(self) -> None:
         self._endings: Counter[tuple[Group, str]] = Counter()
         self._refusals: Counter[str] = Counter()
+        self._forwards: Counter[str] = Counter()
         self._first_ms: dict[Group, HdrHistogram] = {}
         self._total_ms: dict[Group, HdrHistogram] = {}
 
@@ -67,6 +68,10 @@
         self._endings[(group, ending)] += 1
         _record(self._total_ms, group, after_ms)
 
+    def record_forward_ended(self, ending: str) -> None:
+        """Count a call that was forwarded to a peer, by how that ended."""
+        self._forwards[ending] += 1
+
     def record_refusal(self, kind: ErrorKind) -> None:
         """Count a refusal."""
         self._refusals[kind.value] += 1
@@ -77,9 +82,11 @@
         store_calls: Counter[str],
         dropped_lines: int,
         now_ms: float,
+        received_forwards: int = 0,
     ) -> str:
         """Return all metrics as text."""
         lines = [*self._render_calls(), *_render_core(core, now_ms)]
+        lines.append(_format("forwards_received_total", received_forwards))
         lines += [
             _format("store_calls_total", count, purpose=purpose)
             for purpose, count in sorted(store_calls.items())
@@ -104,6 +111,8 @@
             )
         for kind, count in sorted(self._refusals.items()):
             yield _format("refusals_total", count, kind=kind)
+        for ending, count in sorted(self._forwards.items()):
+            yield _format("forwards_total", count, ending=ending)
         yield from _render_histograms("first_part_ms", self._first_ms)
         yield from _render_histograms("call_ms", self._total_ms)
 
@@ -138,6 +147,9 @@
         usable = len(core.directory.find_usable(service.name, now_ms))
         yield _format("replicas_listed", listed, service=service.name)
         yield _format("replicas_usable", usable, service=service.name)
+        unreached_ms = core.reach.compute_unreached_time(service.name, now_ms)
+        yield _format("unreached_ms", round(unreached_ms), service=service.name)
+    yield _format("is_cut_off", int(core.reach.is_cut_off(now_ms)))
     yield from _render_quarantine(core)
     yield from _render_limits(core)
     yield from _render_replica_limits(core)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -26,6 +26,8 @@
 )
 from toucanyard.status_schedule import STATUS_MS
 from toucanyard_node.bounded_output import BoundedOutput
+from toucanyard_node.forward_exchange import Forwarder
+from toucanyard_node.forward_server import ForwardServer
 from toucanyard_node.http_client import split_address
 from toucanyard_node.http_exchange import HttpRequest, Responder
 from toucanyard_node.http_server import HttpServer, ServerLimits, open_listener
@@ -108,14 +110,19 @@
         self.metrics = RelayMetrics()
         self._task = RelayTask(core, send, send_job, self.metrics)
         client = self._task.client
+        secrets = (self._options.peer_secret,)
         self._relay_server = RelayServer(
             client,
             ports.calls,
+            Forwarder(core.identity, secrets),
             lambda: core.index,
             self._stopping.is_set,
             self.metrics,
             rng,
         )
+        self.forward_server = ForwardServer(
+            self._relay_server.handle_forwarded, self._find_max_forwarded
+        )
         self._http_server = HttpServer(self._relay_server.handle, self._find_limits())
         self._reader = StoreReader(core, client, ports.store, rng)
         self._job_runner = BackgroundJobRunner(client, ports.store, ports.replicas)
@@ -125,12 +132,13 @@
         )
         self._links: PeerLinks[object, RelayEvent] = PeerLinks(
             core.identity,
-            (self._options.peer_secret,),
+            secrets,
             timings,
             lambda: core.node_directory.find_peers(trio.current_time() * 1000),
             self._emit,
             rng,
             RELAY_LINKS,
+            self.forward_server.serve,
         )
 
     async def run(self, handlers: AuxiliaryHandlers) -> None:
@@ -185,6 +193,10 @@
             is_pipelined=False,
         )
 
+    def _find_max_forwarded(self) -> int:
+        """Return how many forwarded calls may run; callers of this node go first."""
+        return max(self._find_limits().max_connections // 2, 1)
+
     async def _refresh_limits(self) -> None:
         while True:
             self._http_server.apply_limits(self._find_limits())
@@ -230,8 +242,10 @@
         deadline_s = begun_s + (stop.grace_ms - STOP_MARGIN_MS) / 1000
         await trio.sleep(keep_ms / 1000)
         self._http_server.stop()
+        self.forward_server.stop()
         with trio.CancelScope(deadline=deadline_s):
             await self._http_server.wait_stopped()
+            await self.forward_server.wait_idle()
             _LOG.info("stop_ended", is_clean=True)
             return
         left = self.core.flow.count_pending()
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -7,11 +7,13 @@
 from itertools import count
 from typing import Final
 
+import msgspec
 import structlog
 import trio
 
 from toucanyard.errorcodes import ANSWERS, Ending, ErrorKind, RouterError
-from toucanyard.names import CustomerName, RequestId
+from toucanyard.forwarded_calls import ForwardedCall
+from toucanyard.names import CustomerName, NodeId, RequestId
 from toucanyard.relay_requests import RelayRequest
 from toucanyard.request_fingerprint import compute_fingerprint
 from toucanyard.requests import Refuse
@@ -21,8 +23,8 @@
     RouteIndex,
     choose_service,
 )
-from toucanyard_node.http_exchange import HttpRequest, Responder
-from toucanyard_node.refusals import render_refusal
+from toucanyard_node.forward_exchange import Forwarder
+from toucanyard_node.http_exchange import CallResponder, HttpRequest, Responder
 from toucanyard_node.relay_exchange import RelayExchange
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import CallCodec, CallFacts, CallInvalidError
@@ -41,6 +43,7 @@
         "_client",
         "_codec",
         "_find_index",
+        "_forwarder",
         "_is_stopping",
         "_metrics",
         "_numbers",
@@ -51,6 +54,7 @@
         self,
         client: RelayClient,
         codec: CallCodec,
+        forwarder: Forwarder,
         find_index: Callable[[], RouteIndex],
         is_stopping: Callable[[], bool],
         metrics: RelayMetrics,
@@ -59,6 +63,7 @@
         self._metrics = metrics
         self._client = client
         self._codec = codec
+        self._forwarder = forwarder
         self._find_index = find_index
         self._is_stopping = is_stopping
         self._numbers = count(1)
@@ -76,8 +81,36 @@
             return
         await exchange.run()
 
+    async def handle_forwarded(
+        self,
+        http: HttpRequest,
+        responder: CallResponder,
+        forwarded: ForwardedCall,
+        peer: NodeId,
+    ) -> None:
+        """Handle a call that another node has forwarded."""
+        arrived_ms = trio.current_time() * 1000
+        try:
+            exchange = self._prepare(http, responder, arrived_ms, forwarded)
+        except RouterError as error:
+            await self._reject(http, responder, error)
+            return
+        _LOG.info(
+            "forward_received",
+            call=exchange.request_id,
+            origin=forwarded.origin,
+            peer=peer.node,
+            remaining_ms=forwarded.remaining_ms,
+            max_attempts=forwarded.max_attempts,
+        )
+        await exchange.run()
+
     def _prepare(
-        self, http: HttpRequest, responder: Responder, arrived_ms: float
+        self,
+        http: HttpRequest,
+        responder: CallResponder,
+        arrived_ms: float,
+        forwarded: ForwardedCall | None = None,
     ) -> RelayExchange:
         """Return the exchange for a call to be relayed, or raise RouterError."""
         index = self._find_index()
@@ -122,19 +155,24 @@
                 http.method, host, http.target, name, http.body
             ),
         )
+        last_event_id = facts.last_event_id
+        if forwarded is not None:
+            request = _apply_forward(request, forwarded)
+            last_event_id = forwarded.last_event_id
         return RelayExchange(
             self._client,
             self._codec,
+            self._forwarder,
             http,
             responder,
             request,
-            facts.last_event_id,
+            last_event_id,
             route.max_gap_ms,
             self._metrics,
         )
 
     async def _reject(
-        self, http: HttpRequest, responder: Responder, error: RouterError
+        self, http: HttpRequest, responder: CallResponder, error: RouterError
     ) -> None:
         self._metrics.record_refusal(error.kind)
         _LOG.info(
@@ -149,8 +187,22 @@
         refusal = Refuse(
             RequestId(""), error.kind, ending, error.text, error.retry_after_ms or 0
         )
-        rendered = render_refusal(refusal, is_exact=True)
-        await responder.send(rendered.status, rendered.headers, rendered.body)
+        await responder.refuse(refusal, is_exact=True)
+
+
+def _apply_forward(request: RelayRequest, forwarded: ForwardedCall) -> RelayRequest:
+    """Return a request with what is left of the caller's time and attempts."""
+    return msgspec.structs.replace(
+        request,
+        deadline_ms=min(
+            request.deadline_ms, request.arrived_ms + forwarded.remaining_ms
+        ),
+        max_attempts=min(request.max_attempts, forwarded.max_attempts),
+        is_forwarded=True,
+        is_counted=forwarded.is_counted,
+        has_begun=forwarded.has_begun,
+        begun_weights_version=forwarded.weights_version,
+    )
 
 
 def _find_customer(
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -20,9 +20,11 @@
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
     AppendLease,
+    ConnectionProbed,
     LeaseAppended,
     LeaseRead,
     OrderAnswered,
+    ProbeConnection,
     QuarantineErased,
     QuarantineWritten,
     ReadLeases,
@@ -34,6 +36,7 @@
     WeightsOrder,
 )
 from toucanyard.store_schedule import POLL_LAG_MS
+from toucanyard_node.http_client import ConnectionFailedError, connect
 from toucanyard_node.relay_ports import (
     LeaseConflictError,
     RecordsGoneError,
@@ -50,6 +53,8 @@
 """Minimum interval in a fleet without a full mesh, where few nodes read."""
 MAX_SPARSE_CHECK_INTERVAL_S: Final = 0.3
 """Maximum interval there, since a reading node may have died meanwhile."""
+PROBE_CONNECT_MS: Final = 150.0
+"""Timeout of a probe's connect; a replica that can be reached accepts sooner."""
 RETRY_DELAY_S: Final = 0.25
 """Pause after a failed read."""
 MAX_RETRY_DELAY_S: Final = 1.0
@@ -293,6 +298,8 @@
                 answer = await self._control.read_state(job.address, listed_as)
                 self._client.report_statement(replica, answer.statement)
                 return ReplicaStateRead(replica, answer.state, asked_ms, answer.reach)
+            case ProbeConnection():
+                return await _probe_connection(job)
             case WeightsOrder():
                 return await self._send_order(job)
             case WriteQuarantine(request=request):
@@ -353,6 +360,17 @@
         return OrderAnswered(order, reply.status)
 
 
+async def _probe_connection(probe: ProbeConnection) -> ConnectionProbed:
+    begun_ms = trio.current_time() * 1000
+    try:
+        connection = await connect(probe.address, PROBE_CONNECT_MS)
+    except ConnectionFailedError as error:
+        _LOG.info("probe_failed", replica=probe.replica, reason=str(error)[:100])
+        return ConnectionProbed(probe.replica, False, begun_ms)
+    await connection.close()
+    return ConnectionProbed(probe.replica, True, begun_ms)
+
+
 async def retry_until_success(attempt: Callable[[], Awaitable[T]], purpose: str) -> T:
     """Return the result of a store call, retrying until it succeeds."""
     pause_s = RETRY_DELAY_S
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -23,7 +23,9 @@
     CallerLeft,
     DispatchEnded,
     FirstEventSeen,
+    ForwardEnded,
     LogEntry,
+    ProbeConnection,
     ReadLeases,
     ReadReplicaState,
     RelayAction,
@@ -34,7 +36,9 @@
     WeightsOrder,
 )
 from toucanyard.relay_requests import (
+    ForwardOutcome,
     RelayDispatch,
+    RelayForward,
     RelayOutcome,
     RelayReply,
     RelayRequest,
@@ -42,7 +46,7 @@
 )
 from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.requests import Refuse
-from toucanyard_node.relay_log import log_refused, log_sent
+from toucanyard_node.relay_log import log_forwarded, log_refused, log_sent
 from toucanyard_node.relay_metrics import RelayMetrics
 
 _LOG: Final = structlog.get_logger()
@@ -52,16 +56,20 @@
     ReadLeases
     | AppendLease
     | ReadReplicaState
+    | ProbeConnection
     | WeightsOrder
     | WriteQuarantine
     | EraseQuarantine
 )
 
 
+VerdictEvent = CallArrived | DispatchEnded | ForwardEnded
+
+
 class VerdictRequest(msgspec.Struct, frozen=True):
     """An event that the core answers with one verdict."""
 
-    event: CallArrived | DispatchEnded
+    event: VerdictEvent
     reply: Reply
 
 
@@ -95,9 +103,13 @@
         assert verdict is not None
         return verdict
 
-    async def report(self, outcome: RelayOutcome) -> RelayVerdict | None:
-        """Report how a dispatch ended; return the next verdict, if any."""
+    async def report(
+        self, outcome: RelayOutcome | ForwardOutcome
+    ) -> RelayVerdict | None:
+        """Report how a dispatch or forward ended; return the next verdict, if any."""
         try:
+            if isinstance(outcome, ForwardOutcome):
+                return await self._request_verdict(ForwardEnded(outcome))
             return await self._request_verdict(DispatchEnded(outcome))
         except trio.Cancelled:
             self.send_event(CallerLeft(outcome.request_id))
@@ -133,9 +145,11 @@
         """Report how a dispatch ended that needs no further verdict."""
         self.send_event(DispatchEnded(outcome))
 
-    async def _request_verdict(
-        self, event: CallArrived | DispatchEnded
-    ) -> RelayVerdict | None:
+    def report_forward_ended(self, outcome: ForwardOutcome) -> None:
+        """Report how a forward ended that needs no further verdict."""
+        self.send_event(ForwardEnded(outcome))
+
+    async def _request_verdict(self, event: VerdictEvent) -> RelayVerdict | None:
         send, receive = trio.open_memory_channel[RelayVerdict | None](1)
         self._inbox.send_nowait(VerdictRequest(event, send))
         return await receive.receive()
@@ -195,7 +209,7 @@
                 self._send_or_drop(action)
             case ReadLeases() | AppendLease() | ReadReplicaState() | WeightsOrder():
                 self._jobs.send_nowait(action)
-            case WriteQuarantine() | EraseQuarantine():
+            case ProbeConnection() | WriteQuarantine() | EraseQuarantine():
                 self._jobs.send_nowait(action)
             case LogEntry(event=name, fields=fields):
                 _LOG.info(name, **fields)
@@ -213,14 +227,18 @@
         match verdict:
             case RelayDispatch():
                 log_sent(verdict)
+            case RelayForward():
+                log_forwarded(verdict)
             case Refuse():
                 self._metrics.record_refusal(verdict.kind)
                 log_refused(verdict, self.core.index.table.version)
 
 
-def _find_id(event: CallArrived | DispatchEnded) -> RequestId:
+def _find_id(event: VerdictEvent) -> RequestId:
     match event:
         case CallArrived(request=request):
             return request.request_id
         case DispatchEnded(outcome=outcome):
             return outcome.request_id
+        case ForwardEnded(outcome=forwarded):
+            return forwarded.request_id
--- a/packages/toucanyard/src/toucanyard/call_retries.py
+++ b/packages/toucanyard/src/toucanyard/call_retries.py
@@ -6,7 +6,7 @@
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_options import RetryLimits
 from toucanyard.relay_policy import RetryPolicy
-from toucanyard.relay_requests import RelayOutcome
+from toucanyard.relay_requests import ForwardOutcome, RelayOutcome
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding, Repeatability
 from toucanyard.retry_budget import SharedRetryBudget
 
@@ -30,26 +30,31 @@
         self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
     ) -> bool:
         """Return whether to retry a call elsewhere, consuming a retry if so."""
-        request = pending.request
-        is_safe = (
-            outcome.ending in PROVEN_NOT_RUN
-            or request.repeatability is Repeatability.REPEATABLE
-        )
-        pending.has_begun = pending.has_begun or outcome.has_begun
-        if outcome.has_begun and not request.is_resumable:
-            return False
-        if not is_safe or pending.sends >= request.max_attempts:
-            return False
-        if now_ms >= request.deadline_ms:
-            return False
-        if pending.dispatches > 2 * request.max_attempts + 2:
+        if not _is_retryable(pending, outcome, now_ms):
             return False
         pending.tried = (*pending.tried, outcome.replica)
         if outcome.ending is DispatchEnding.NOT_SENT:
             return True
+        return self._take(pending, now_ms)
+
+    def may_forward_again(
+        self, pending: PendingCall, outcome: ForwardOutcome, now_ms: float
+    ) -> bool:
+        """Return whether to retry a call that a peer did not answer.
+
+        A call that the peer refused reached no replica through this node.
+        """
+        if not _is_retryable(pending, outcome, now_ms):
+            return False
+        if outcome.ending in PROVEN_NOT_RUN:
+            return True
+        return self._take(pending, now_ms)
+
+    def _take(self, pending: PendingCall, now_ms: float) -> bool:
         if not self._policy.is_bounded:
             return True
-        return self._find_budget(request.service).take(self.node_count, now_ms)
+        budget = self._find_budget(pending.request.service)
+        return budget.take(self.node_count, now_ms)
 
     def _find_budget(self, service: ServiceName) -> SharedRetryBudget:
         budget = self._budgets.get(service)
@@ -60,3 +65,22 @@
             )
             self._budgets[service] = budget
         return budget
+
+
+def _is_retryable(
+    pending: PendingCall, outcome: RelayOutcome | ForwardOutcome, now_ms: float
+) -> bool:
+    """Return whether another attempt is safe, allowed by the route and in time."""
+    request = pending.request
+    is_safe = (
+        outcome.ending in PROVEN_NOT_RUN
+        or request.repeatability is Repeatability.REPEATABLE
+    )
+    pending.has_begun = pending.has_begun or outcome.has_begun
+    if outcome.has_begun and not request.is_resumable:
+        return False
+    if not is_safe or pending.sends >= request.max_attempts:
+        return False
+    if now_ms >= request.deadline_ms:
+        return False
+    return pending.dispatches <= 2 * request.max_attempts + 2
--- a/packages/toucanyard/src/toucanyard/errorcodes.py
+++ b/packages/toucanyard/src/toucanyard/errorcodes.py
@@ -28,6 +28,7 @@
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_SLOW = "headers_too_slow"
     TOO_MANY_CONNECTIONS = "too_many_connections"
+    TOO_MANY_CALLS = "too_many_calls"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
@@ -73,6 +74,7 @@
     ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN, False),
     ErrorKind.HEADERS_TOO_SLOW: Answer(408, _NOT_RUN, True),
     ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, _NOT_RUN, True),
+    ErrorKind.TOO_MANY_CALLS: Answer(503, _NOT_RUN, True),
     ErrorKind.UNAUTHENTICATED: Answer(401, _NOT_RUN, False),
     ErrorKind.FORBIDDEN: Answer(403, _NOT_RUN, False),
     ErrorKind.NOT_FOUND: Answer(404, _NOT_RUN, False),
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/fault_location.py
@@ -0,0 +1,83 @@
+"""Decide whether a service that this node can't reach is down, or this node is cut off.
+
+Peers that reach the service show that this node is cut off. Right after the loss they
+may not have noticed theirs yet, so the decision waits for a moment.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from typing import Final
+
+from toucanyard.log_entries import LogEntry
+from toucanyard.names import EndpointName, ServiceName
+from toucanyard.node_directory import NodeDirectory
+from toucanyard.replica_reach import ReplicaReach
+
+SETTLING_MS: Final = 300.0
+"""Time in which peers with calls notice that they reach no replica, and say so."""
+
+
+class FaultLocation(enum.StrEnum):
+    """Why connects to the replicas of a service fail."""
+
+    NONE = "none"
+    """A replica can be reached."""
+    UNDECIDED = "undecided"
+    NODE = "node"
+    """Peers reach the service: this node is cut off from it."""
+    SERVICE = "service"
+    """Nobody reaches it."""
+
+
+class FaultLocator:
+    """Locations of the faults of all services, as last logged."""
+
+    __slots__ = ("_logged", "_nodes", "_reach")
+
+    def __init__(self, reach: ReplicaReach, nodes: NodeDirectory) -> None:
+        self._reach = reach
+        self._nodes = nodes
+        self._logged: dict[ServiceName, FaultLocation] = {}
+
+    def locate(self, service: ServiceName, now_ms: float) -> FaultLocation:
+        """Return why connects to a service fail, if they do."""
+        if not self._reach.is_unreached(service):
+            return FaultLocation.NONE
+        if not self._nodes.find_reaching(service, now_ms):
+            return FaultLocation.SERVICE
+        if self._reach.compute_unreached_time(service, now_ms) < SETTLING_MS:
+            return FaultLocation.UNDECIDED
+        return FaultLocation.NODE
+
+    def is_blind(self, replica: EndpointName, now_ms: float) -> bool:
+        """Return whether this node's failed connects say nothing about a replica."""
+        service = self._reach.find_service(replica)
+        if service is None:
+            return False
+        location = self.locate(service, now_ms)
+        return location in (FaultLocation.UNDECIDED, FaultLocation.NODE)
+
+    def update(self, now_ms: float) -> Iterator[tuple[ServiceName, FaultLocation]]:
+        """Return the services whose location has changed since the last call."""
+        for service in {*self._reach.list_unreached(), *self._logged}:
+            location = self.locate(service, now_ms)
+            if location is self._logged.get(service, FaultLocation.NONE):
+                continue
+            self._logged[service] = location
+            if location is FaultLocation.NONE:
+                del self._logged[service]
+            yield service, location
+
+    def build_entry(
+        self, service: ServiceName, location: FaultLocation, now_ms: float
+    ) -> LogEntry:
+        """Return the log entry for a change."""
+        fields: dict[str, object] = {
+            "service": service,
+            "location": location.value,
+            "unreached_ms": round(self._reach.compute_unreached_time(service, now_ms)),
+            "peers_reaching": len(self._nodes.find_reaching(service, now_ms)),
+        }
+        return LogEntry("fault_located", fields)
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -20,6 +20,7 @@
     Fingerprint,
     NodeName,
     ReplicaId,
+    ServiceName,
 )
 
 DurationMs = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
@@ -110,6 +111,8 @@
 
     node: NodeName
     is_ready: bool
+    is_cut_off: bool = False
+    """Whether it can reach no replica."""
 
 
 class PromptStoreUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -179,6 +182,10 @@
     """To whom the sender's group delegates its shares of limits; None if unstated."""
     replica_limits: tuple[ReplicaLimitUpdate, ...] = ()
     """Limits of replicas that have recently changed."""
+    unreached: tuple[ServiceName, ...] = ()
+    """Services of which the sender can reach no replica."""
+    is_cut_off: bool = False
+    """Whether the sender can reach no replica of any service."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
--- a/packages/toucanyard/src/toucanyard/node_directory.py
+++ b/packages/toucanyard/src/toucanyard/node_directory.py
@@ -13,7 +13,7 @@
 
 from toucanyard.link_messages import NodeUpdate
 from toucanyard.link_plan import LinkPlan
-from toucanyard.names import Address, NodeName
+from toucanyard.names import Address, NodeName, ServiceName
 from toucanyard.node_records import NodeRecord
 from toucanyard.vm_view import UNNAMED, Vm, compute_rank
 
@@ -29,7 +29,15 @@
 
 class _LastStatus(msgspec.Struct):
     received_ms: float
-    is_ready: bool
+    update: NodeUpdate
+    unreached: tuple[ServiceName, ...]
+
+
+class PeerAddress(msgspec.Struct, frozen=True):
+    """A node and its address for other nodes."""
+
+    node: NodeName
+    address: Address
 
 
 class NodeDirectory:
@@ -45,6 +53,7 @@
         "_own",
         "_ranks",
         "_seeds",
+        "is_cut_off",
         "is_ready",
         "plan",
     )
@@ -55,10 +64,10 @@
         self.apply_seeds(seeds)
         self._known: dict[NodeName, NodeRecord] = {}
         self._last_statuses: dict[NodeName, _LastStatus] = {}
-        self._hub_reports: dict[NodeName, tuple[float, dict[NodeName, bool]]] = {}
-        """By hub: when it reported, and which nodes are alive and whether ready."""
-        self._alive: dict[NodeName, bool] = {}
-        """The other live nodes and whether they accept callers, as merged last."""
+        self._hub_reports: dict[NodeName, tuple[float, dict[NodeName, NodeUpdate]]] = {}
+        """By hub: when it reported, and which nodes are alive."""
+        self._alive: dict[NodeName, NodeUpdate] = {}
+        """The other live nodes, as merged last."""
         self._alive_until_ms = float("-inf")
         """When the first of the merged reports expires."""
         self._ranks: dict[str, int] = {}
@@ -66,6 +75,8 @@
         self._linked: frozenset[NodeName] = frozenset()
         self.plan = LinkPlan(own)
         self.is_ready = False
+        self.is_cut_off = False
+        """Whether this node can reach no replica."""
 
     @property
     def own_name(self) -> NodeName:
@@ -87,20 +98,29 @@
         if self._last_statuses.pop(name, None) is not None:
             self._invalidate_alive()
 
-    def record_status(self, name: NodeName, is_ready: bool, now_ms: float) -> bool:
-        """Record a node's status; return whether its readiness has changed."""
+    def record_status(
+        self,
+        name: NodeName,
+        is_ready: bool,
+        now_ms: float,
+        *,
+        is_cut_off: bool = False,
+        unreached: tuple[ServiceName, ...] = (),
+    ) -> bool:
+        """Record a node's status; return whether others should learn of a change."""
         before = self._last_statuses.get(name)
-        self._last_statuses[name] = _LastStatus(now_ms, is_ready)
-        if self._alive.get(name) is not is_ready:
+        update = NodeUpdate(name, is_ready, is_cut_off)
+        self._last_statuses[name] = _LastStatus(now_ms, update, unreached)
+        if self._alive.get(name) != update:
             self._invalidate_alive()
-        return before is None or before.is_ready != is_ready
+        return before is None or before.update != update
 
     def record_hub_report(
         self, hub: NodeName, nodes: Iterable[NodeUpdate], now_ms: float
     ) -> bool:
         """Record which nodes a hub reports as alive; return whether they changed."""
         before_ms, before = self._hub_reports.get(hub, (float("-inf"), {}))
-        reported = {each.node: each.is_ready for each in nodes if self._is_other(each)}
+        reported = {each.node: each for each in nodes if self._is_other(each)}
         self._hub_reports[hub] = (now_ms, reported)
         if reported != before or now_ms - before_ms > HUB_REPORT_TTL_MS:
             self._invalidate_alive()
@@ -149,27 +169,26 @@
         return [
             name
             for name, last_status in self._last_statuses.items()
-            if last_status.is_ready
+            if last_status.update.is_ready
         ]
 
     def list_responsive(
         self, names: Iterable[NodeName], now_ms: float
     ) -> list[NodeUpdate]:
         """Return this node and those of `names` with a recent status."""
-        updates = [NodeUpdate(self._own.name, self.is_ready)]
+        updates = [self._build_own_update()]
         for name in names:
             last_status = self._last_statuses.get(name)
             if (
                 last_status is not None
                 and now_ms - last_status.received_ms <= STATUS_TTL_MS
             ):
-                updates.append(NodeUpdate(name, last_status.is_ready))
+                updates.append(last_status.update)
         return updates
 
     def list_alive(self, now_ms: float) -> list[NodeUpdate]:
         """Return all nodes that are alive, this one first."""
-        own = NodeUpdate(self._own.name, self.is_ready)
-        return [own, *(NodeUpdate(*each) for each in self._get_alive(now_ms).items())]
+        return [self._build_own_update(), *self._get_alive(now_ms).values()]
 
     def count_nodes(self, now_ms: float) -> int:
         """Return the number of nodes, alive or not, including this one."""
@@ -206,9 +225,14 @@
         return rank
 
     def find_addresses(self, now_ms: float) -> list[Address]:
-        """Return the addresses to which callers may connect."""
-        addresses = [self._own.callers] if self.is_ready else []
-        ready = [name for name, is_ready in self._get_alive(now_ms).items() if is_ready]
+        """Return the addresses to which callers may connect.
+
+        Nodes that reach no replica are left out unless all are such nodes.
+        """
+        nodes = [each for each in self.list_alive(now_ms) if each.is_ready]
+        nodes = [each for each in nodes if not each.is_cut_off] or nodes
+        ready = [each.node for each in nodes if each.node != self._own.name]
+        addresses = [self._own.callers] if len(ready) < len(nodes) else []
         if len(ready) >= MAX_ADDRESSES:
             # Each node omits different ones, so that all of them get callers.
             ready.sort(key=lambda name: compute_rank(self._own.name, name))
@@ -218,8 +242,24 @@
                 addresses.append(record.callers)
         return addresses
 
-    def _get_alive(self, now_ms: float) -> dict[NodeName, bool]:
-        """Return the other live nodes and whether each accepts callers.
+    def find_reaching(self, service: ServiceName, now_ms: float) -> list[PeerAddress]:
+        """Return the live nodes that do not say that they can't reach a service."""
+        found = []
+        for name, update in self._get_alive(now_ms).items():
+            record = self._known.get(name)
+            last_status = self._last_statuses.get(name)
+            unreached = () if last_status is None else last_status.unreached
+            if record is None or not update.is_ready or update.is_cut_off:
+                continue
+            if service not in unreached:
+                found.append(PeerAddress(name, record.peers))
+        return found
+
+    def _build_own_update(self) -> NodeUpdate:
+        return NodeUpdate(self._own.name, self.is_ready, self.is_cut_off)
+
+    def _get_alive(self, now_ms: float) -> dict[NodeName, NodeUpdate]:
+        """Return the other live nodes.
 
         Merged only when it may have changed: a hub of 195 nodes needs it some 200 times
         a second, and merging took most of the time of a status.
@@ -233,16 +273,16 @@
     def _invalidate_alive(self) -> None:
         self._alive_until_ms = float("-inf")
 
-    def _merge_alive(self, now_ms: float) -> dict[NodeName, bool]:
-        found: dict[NodeName, bool] = {}
+    def _merge_alive(self, now_ms: float) -> dict[NodeName, NodeUpdate]:
+        found: dict[NodeName, NodeUpdate] = {}
         for reported_ms, nodes in self._hub_reports.values():
             if self._is_fresh(reported_ms + HUB_REPORT_TTL_MS, now_ms):
-                for name, is_ready in nodes.items():
+                for name, update in nodes.items():
                     # A lagging hub must not direct callers to a node that is stopping.
-                    found[name] = is_ready and found.get(name, True)
+                    found[name] = _merge(update, found.get(name, update))
         for name, last_status in self._last_statuses.items():
             if self._is_fresh(last_status.received_ms + STATUS_TTL_MS, now_ms):
-                found[name] = last_status.is_ready
+                found[name] = last_status.update
         return found
 
     def _is_fresh(self, until_ms: float, now_ms: float) -> bool:
@@ -254,3 +294,11 @@
 
     def _is_other(self, update: NodeUpdate) -> bool:
         return update.node != self._own.name
+
+
+def _merge(update: NodeUpdate, other: NodeUpdate) -> NodeUpdate:
+    return NodeUpdate(
+        update.node,
+        update.is_ready and other.is_ready,
+        update.is_cut_off or other.is_cut_off,
+    )
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from toucanyard.names import EndpointName
+from toucanyard.names import EndpointName, NodeName
 from toucanyard.relay_requests import RelayRequest
 
 
@@ -45,6 +45,13 @@
     """The limited replica for which credit was requested."""
     replica_credit_wait_until_ms: float = 0.0
     """When the call stops waiting for that credit."""
+    is_counted: bool = False
+    """The call is counted as a first try in the retry budget."""
+    peer: NodeName | None = None
+    """The peer that places the call now."""
+    forwards: int = 0
+    granted_attempts: int = 0
+    """Replicas on which that peer may run the call."""
     has_failed: bool = False
     """The last try that may have run ended with an error response."""
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -10,8 +10,10 @@
 from collections.abc import Iterator
 from typing import Final
 
+from toucanyard.call_forwards import CallForwards
 from toucanyard.call_limits import CallLimits, compute_first_request_number
 from toucanyard.call_placement import CallPlacement
+from toucanyard.fault_location import FaultLocator
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
 from toucanyard.limit_coordinators import LimitCoordinators
@@ -31,8 +33,10 @@
 from toucanyard.relay_events import (
     CallArrived,
     CallerLeft,
+    ConnectionProbed,
     DispatchEnded,
     FirstEventSeen,
+    ForwardEnded,
     HolderLost,
     LeaseAppended,
     LeaseRead,
@@ -85,7 +89,12 @@
 """Status of a replica's response to an order that names another replica."""
 
 CallEvent = (
-    CallArrived | CallerLeft | FirstEventSeen | DispatchEnded | ReplicaStatementSeen
+    CallArrived
+    | CallerLeft
+    | FirstEventSeen
+    | DispatchEnded
+    | ForwardEnded
+    | ReplicaStatementSeen
 )
 PassiveEvent = PromptBlocksChanged | HolderLost | QuarantineWritten | QuarantineErased
 RolloutEvent = LeaseRead | LeaseAppended | ReplicaStateRead | OrderAnswered
@@ -133,12 +142,19 @@
             self.credits,
             rng,
         )
+        self.reach = ReplicaReach(self.directory)
+        self.faults = FaultLocator(self.reach, self.node_directory)
         self.guard = RequestGuard(
-            self.directory, self.node_directory.find_rank, rng, options.policy.guard
+            self.directory,
+            self.node_directory.find_rank,
+            rng,
+            options.policy.guard,
+            self.faults.is_blind,
         )
         self.probes = ReplicaProbes(
             self.directory,
             self.guard,
+            self.reach.is_unreached,
             lambda: (
                 options.policy.retries.probes and self.node_directory.is_full_mesh()
             ),
@@ -146,7 +162,7 @@
         self.limits = CallLimits(
             options.limits, options.policy.limits, identity.incarnation
         )
-        self.reach = ReplicaReach(self.directory)
+        self.forwards = CallForwards(self.node_directory, self.reach, rng)
         self.flow = RelayFlow(
             options.retries,
             options.policy,
@@ -156,6 +172,7 @@
             self.guard,
             self.limits,
             self.reach,
+            self.forwards,
             rng,
         )
         self.facts = KnownFacts(
@@ -177,6 +194,7 @@
             self.node_directory,
             self.flow.usage,
             options.policy.rollout,
+            self.reach.is_unreached,
         )
         self.statuses = StatusExchange(
             self.node_directory,
@@ -189,6 +207,8 @@
             self.weight_targets,
             lambda now_ms: self.sources.list_stores(self.index, now_ms),
             options.link_mbps,
+            self.reach,
+            self.faults,
             lambda: self.shares.delegation,
         )
         coordinators = LimitCoordinators(
@@ -217,6 +237,8 @@
         )
         self.is_stopping = False
         self._pruned_ms = float("-inf")
+        self._reach_changes = 0
+        """Changes of reachability that peers know of."""
         self._hub: NodeName | None = None
 
     @property
@@ -231,6 +253,7 @@
     def find_addresses(self, now_ms: float) -> list[Address]:
         """Return the addresses that callers may connect to."""
         self.node_directory.is_ready = self.is_ready()
+        self.node_directory.is_cut_off = self.reach.is_cut_off(now_ms)
         return self.node_directory.find_addresses(now_ms)
 
     def compute_tick(self) -> float:
@@ -250,10 +273,23 @@
         actions = list(self._handle(event, now_ms))
         if self.guard.has_updates():
             actions += self._settle_guard(now_ms)
-        actions += self.reach.take_log_entries()
+        actions += self._settle_reach(now_ms)
         actions += self._limit_events.settle(now_ms)
         return actions
 
+    def _settle_reach(self, now_ms: float) -> Iterator[RelayAction]:
+        """Emit the probes that are due, and inform peers of what is not reached."""
+        yield from self.reach.probe(now_ms)
+        yield from self.reach.take_log_entries()
+        for service, location in self.faults.update(now_ms):
+            yield self.faults.build_entry(service, location, now_ms)
+            listed = self.directory.find_listed(service, now_ms)
+            names = [each.replica.name for each in listed]
+            self.guard.on_fault_located(names, location, now_ms)
+        if self._reach_changes != self.reach.change_count:
+            self._reach_changes = self.reach.change_count
+            yield from self._send_status_now(now_ms)
+
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
         match event:
             case (
@@ -261,19 +297,20 @@
                 | CallerLeft()
                 | FirstEventSeen()
                 | DispatchEnded()
+                | ForwardEnded()
                 | ReplicaStatementSeen()
             ):
                 yield from self._handle_call(event, now_ms)
             case LeaseRead() | LeaseAppended() | ReplicaStateRead() | OrderAnswered():
                 yield from self._handle_rollout(event, now_ms)
+            case ConnectionProbed():
+                self.reach.record_probe(event, now_ms)
             case TopicRead():
                 yield from self.topics.handle_read(event, now_ms)
             case StoreFailed():
                 yield _build_failure_entry(event, now_ms)
-            case PeersLinked(peers=peers):
-                yield from self._link([peer.node for peer in peers], now_ms)
-            case LinkMessageRead(sender=sender, message=message):
-                yield from self._read_message(sender.node, message, now_ms)
+            case PeersLinked() | LinkMessageRead():
+                yield from self._handle_link(event, now_ms)
             case (
                 PromptBlocksChanged()
                 | HolderLost()
@@ -287,6 +324,15 @@
             case TickPassed():
                 yield from self._tick(now_ms)
 
+    def _handle_link(
+        self, event: PeersLinked | LinkMessageRead, now_ms: float
+    ) -> Iterator[RelayAction]:
+        match event:
+            case PeersLinked(peers=peers):
+                yield from self._link([peer.node for peer in peers], now_ms)
+            case LinkMessageRead(sender=sender, message=message):
+                yield from self._read_message(sender.node, message, now_ms)
+
     def _handle_call(self, event: CallEvent, now_ms: float) -> Iterator[RelayAction]:
         match event:
             case CallArrived(request=request):
@@ -295,6 +341,8 @@
                 yield from self.flow.leave(request_id, now_ms)
             case FirstEventSeen(request_id=request_id):
                 yield from self.flow.record_first_event(request_id, now_ms)
+            case ForwardEnded(outcome=outcome):
+                yield from self.flow.end_forward(outcome, now_ms)
             case ReplicaStatementSeen():
                 yield from self._apply_statement(event, now_ms)
             case DispatchEnded(outcome=outcome):
@@ -319,6 +367,7 @@
         if isinstance(event, OrderAnswered) and event.status == MISDIRECTED_STATUS:
             self.directory.record_replaced(event.order.replica, now_ms)
         if isinstance(event, ReplicaStateRead):
+            self.reach.record_state_read(event, now_ms)
             yield from self.probes.on_read(event, now_ms)
         self.rollout.handle(event, now_ms)
         yield from self._tick_rollout(now_ms)
@@ -334,6 +383,7 @@
         if now_ms - self._pruned_ms >= PRUNE_MS:
             self._pruned_ms = now_ms
             self.guard.ledger.prune(now_ms)
+            self.forwards.prune(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.block_index.forget(name)
             known = (each.replica.name for each in self.directory.list_all())
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -18,7 +18,12 @@
     RequestId,
 )
 from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
-from toucanyard.relay_requests import RelayOutcome, RelayReply, RelayRequest
+from toucanyard.relay_requests import (
+    ForwardOutcome,
+    RelayOutcome,
+    RelayReply,
+    RelayRequest,
+)
 from toucanyard.replica_statements import ReplicaStatement, StatementKind
 
 
@@ -46,6 +51,12 @@
     outcome: RelayOutcome
 
 
+class ForwardEnded(msgspec.Struct, frozen=True):
+    """A call's forward to a peer has ended; answered by one RelayReply."""
+
+    outcome: ForwardOutcome
+
+
 class ReplicaStatementSeen(msgspec.Struct, frozen=True):
     """A response states something about its replica, or no longer states a limit."""
 
@@ -157,6 +168,21 @@
     reach: Reachability = Reachability.NO_ANSWER
 
 
+class ProbeConnection(msgspec.Struct, frozen=True):
+    """Open a connection to a replica and close it."""
+
+    replica: EndpointName
+    address: Address
+
+
+class ConnectionProbed(msgspec.Struct, frozen=True):
+    """Result of a probe of the connection to a replica."""
+
+    replica: EndpointName
+    is_connected: bool
+    begun_ms: float
+
+
 class WeightsOrder(msgspec.Struct, frozen=True):
     """Send a replica the order to load weights."""
 
@@ -233,6 +259,8 @@
     | CallerLeft
     | FirstEventSeen
     | DispatchEnded
+    | ForwardEnded
+    | ConnectionProbed
     | TopicRead
     | StoreFailed
     | ReplicaStatementSeen
@@ -255,6 +283,7 @@
     | ReadLeases
     | AppendLease
     | ReadReplicaState
+    | ProbeConnection
     | WeightsOrder
     | WriteQuarantine
     | EraseQuarantine
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from toucanyard.call_forwards import CallForwards, PeersBusy
 from toucanyard.call_limits import CallLimits, LimitRejection
 from toucanyard.call_placement import CallPlacement
 from toucanyard.call_refusals import CallRefusals
@@ -23,7 +24,8 @@
 from toucanyard.relay_options import RetryLimits
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import (
-    RelayDispatch,
+    ForwardOutcome,
+    RelayForward,
     RelayOutcome,
     RelayReply,
     RelayRequest,
@@ -45,6 +47,15 @@
 would hardly fit either."""
 
 
+PEER_KINDS: Final = (
+    ErrorKind.NO_ENDPOINT,
+    ErrorKind.TOO_MANY_CALLS,
+    ErrorKind.DRAINING,
+    ErrorKind.NO_CONFIGURATION,
+)
+"""Refusals that concern the peer that refused a forwarded call, not the call."""
+
+
 class RelayFlow:
     """All relayed calls of one node that have not ended.
 
@@ -62,10 +73,12 @@
         guard: RequestGuard,
         limits: CallLimits,
         reach: ReplicaReach,
+        forwards: CallForwards,
         rng: random.Random,
     ) -> None:
         self._guard = guard
         self._reach = reach
+        self._forwards = forwards
         self._limits = limits
         self._retries = CallRetries(retries, policy.retries)
         self._policy = policy
@@ -102,26 +115,33 @@
 
     def arrive(self, request: RelayRequest, now_ms: float) -> Iterator[RelayReply]:
         """Handle a new call."""
-        pending = PendingCall(request, queued_ms=now_ms)
+        pending = PendingCall(
+            request,
+            queued_ms=now_ms,
+            is_counted=request.is_counted,
+            has_begun=request.has_begun,
+            weights_version=request.begun_weights_version,
+        )
         self._pending[request.request_id] = pending
-        self._retries.record_first_try(request.service, now_ms)
         if request.deadline_ms <= now_ms:
             yield self._refuse(
                 pending, ErrorKind.OVERLOADED, "the deadline passed", now_ms
             )
             return
+        if not self._reach.is_unreached(request.service):
+            self._count(pending, now_ms)
         rejection = self._check_guard(pending, now_ms)
         if rejection is not None:
             yield self._reject(pending, rejection, now_ms)
             return
-        over = self._limits.check(pending, now_ms)
+        over = self._check_limits(pending, now_ms)
         if over is not None:
             yield self._reject_over(pending, over, now_ms)
             return
         if not pending.is_awaiting_credit and not self._queues.get(request.service):
-            dispatch = self._place(pending, now_ms)
-            if dispatch is not None:
-                yield RelayReply(request.request_id, dispatch)
+            reply = self._send(pending, now_ms)
+            if reply is not None:
+                yield reply
                 return
         refusal = self._check_wait(pending, now_ms)
         if refusal is not None:
@@ -169,25 +189,90 @@
             yield from self._finish(pending, now_ms)
             return
         if not self._retries.may_try_again(pending, outcome, now_ms):
-            yield from self._give_up(pending, outcome, now_ms)
+            yield from self._give_up(pending, outcome.text, now_ms)
             return
         pending.replica = None
-        over = self._limits.check(pending, now_ms)
+        yield from self._try_again(pending, outcome.text, now_ms)
+
+    def end_forward(
+        self, outcome: ForwardOutcome, now_ms: float
+    ) -> Iterator[RelayReply]:
+        """Handle the end of a forward and decide whether to retry."""
+        pending = self._pending.get(outcome.request_id)
+        if pending is None:
+            yield RelayReply(outcome.request_id, None)
+            return
+        self._forwards.record_outcome(pending, outcome, now_ms)
+        self._forwards.end(pending)
+        if outcome.ending in (DispatchEnding.COMPLETED, DispatchEnding.CANCELLED):
+            yield RelayReply(outcome.request_id, None)
+            yield from self._finish(pending, now_ms)
+            return
+        if outcome.ending in PROVEN_NOT_RUN:
+            self._limits.on_not_run(pending, now_ms)
+        else:
+            pending.may_have_run = True
+            pending.sends += pending.granted_attempts
+        may_retry = self._retries.may_forward_again(pending, outcome, now_ms)
+        if outcome.kind in (None, *PEER_KINDS) and may_retry:
+            yield from self._try_again(pending, outcome.text, now_ms)
+            return
+        yield self._refuse_forwarded(pending, outcome, now_ms)
+        yield from self._finish(pending, now_ms)
+
+    def _try_again(
+        self, pending: PendingCall, reason: str, now_ms: float
+    ) -> Iterator[RelayReply]:
+        """Forward, place or queue a call that has failed and may be retried."""
+        over = self._check_limits(pending, now_ms)
         if over is not None:
             yield self._reject_over(pending, over, now_ms)
             yield from self._finish(pending, now_ms)
             return
-        dispatch = None if pending.is_awaiting_credit else self._place(pending, now_ms)
-        if dispatch is not None:
-            yield RelayReply(outcome.request_id, dispatch)
+        reply = None if pending.is_awaiting_credit else self._send(pending, now_ms)
+        if reply is not None:
+            yield reply
             return
         if pending.has_begun and not pending.is_awaiting_credit:
             # The caller may resume the stream elsewhere; waiting here would delay it.
-            yield from self._give_up(pending, outcome, now_ms)
+            yield from self._give_up(pending, reason, now_ms)
             return
         pending.queued_ms = now_ms
         self._enqueue(pending)
 
+    def _forward(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
+        """Return the forward of a call to a peer, or its refusal.
+
+        None if the call is to be placed here: a replica can be reached, or nobody knows
+        a node that reaches one.
+        """
+        request = pending.request
+        if not self._reach.is_unreached(request.service):
+            return None
+        if request.is_forwarded:
+            text = "this node reaches no replica either"
+            return self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
+        match self._forwards.choose(pending, now_ms):
+            case RelayForward() as forward:
+                self._limits.on_sent(pending)
+                self._calls.release(pending)
+                return RelayReply(request.request_id, forward)
+            case PeersBusy(retry_ms=retry_ms):
+                text = "this node reaches no replica, and its peers lack capacity"
+                return self._refuse(
+                    pending, ErrorKind.OVERLOADED, text, now_ms, wait_ms=retry_ms
+                )
+            case None:
+                return None
+
+    def _refuse_forwarded(
+        self, pending: PendingCall, outcome: ForwardOutcome, now_ms: float
+    ) -> RelayReply:
+        kind = outcome.kind or ErrorKind.NO_ENDPOINT
+        text = f"{outcome.peer}: {outcome.text}"
+        wait_ms = outcome.retry_after_ms
+        return self._refuse(pending, kind, text, now_ms, wait_ms=wait_ms)
+
     def _enqueue(self, pending: PendingCall) -> None:
         pending.is_waiting = True
         self._refusals.record_queued(pending.request, pending.queued_ms)
@@ -241,22 +326,45 @@
         rejection = self._check_guard(pending, now_ms)
         if rejection is not None:
             return self._reject(pending, rejection, now_ms)
-        over = self._limits.check(pending, now_ms)
+        over = self._check_limits(pending, now_ms)
         if over is not None:
             return self._reject_over(pending, over, now_ms)
-        dispatch = None if pending.is_awaiting_credit else self._place(pending, now_ms)
-        if dispatch is not None:
-            return RelayReply(pending.request.request_id, dispatch)
+        reply = None if pending.is_awaiting_credit else self._send(pending, now_ms)
+        if reply is not None:
+            return reply
         if pending.has_begun and not pending.is_awaiting_credit:
             text = "no replica has room for the rest of the answer"
             return self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
         return None
 
-    def _place(self, pending: PendingCall, now_ms: float) -> RelayDispatch | None:
+    def _send(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
+        """Return the forward, dispatch or refusal of a call; None if it has to wait."""
+        forward = self._forward(pending, now_ms)
+        if forward is not None:
+            return forward
+        self._count(pending, now_ms)
         dispatch = self._calls.place(pending, now_ms)
-        if dispatch is not None:
-            self._limits.on_sent(pending)
-        return dispatch
+        if dispatch is None:
+            return None
+        self._limits.on_sent(pending)
+        return RelayReply(pending.request.request_id, dispatch)
+
+    def _count(self, pending: PendingCall, now_ms: float) -> None:
+        """Count a call as a first try at the node that places it and retries it."""
+        if not pending.is_counted:
+            pending.is_counted = True
+            self._retries.record_first_try(pending.request.service, now_ms)
+
+    def _check_limits(
+        self, pending: PendingCall, now_ms: float
+    ) -> LimitRejection | None:
+        """Return why a call exceeds its customer's limit, if it does.
+
+        The node that forwards a call has taken the credit for it.
+        """
+        if pending.request.is_forwarded:
+            return None
+        return self._limits.check(pending, now_ms)
 
     def _check_guard(self, pending: PendingCall, now_ms: float) -> Rejection | None:
         """Return why a call may not be sent now; update whether it is suspect."""
@@ -384,7 +492,7 @@
         if outcome.ending not in PROVEN_NOT_RUN:
             pending.may_have_run = True
             pending.has_failed = outcome.ending is DispatchEnding.FAILED
-        else:
+        elif not pending.request.is_forwarded:
             self._limits.on_not_run(pending, now_ms)
         if outcome.ending is DispatchEnding.NOT_SENT:
             # It reached no replica, so it doesn't count as one of the route's attempts.
@@ -403,9 +511,9 @@
             self.block_index.forget(known.replica.name)
 
     def _give_up(
-        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
+        self, pending: PendingCall, reason: str, now_ms: float
     ) -> Iterator[RelayReply]:
-        text = f"{pending.dispatches} tries failed, the last one: {outcome.text}"
+        text = f"{pending.dispatches} tries failed, the last one: {reason}"
         yield self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
         yield from self._finish(pending, now_ms)
 
@@ -436,6 +544,7 @@
         self._pending.pop(request.request_id, None)
         self._limits.release(pending, now_ms)
         self._calls.release(pending)
+        self._forwards.end(pending)
         if pending.is_waiting:
             self._queues[request.service].remove(pending)
             pending.is_waiting = False
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -4,11 +4,13 @@
 
 import msgspec
 
+from toucanyard.errorcodes import ErrorKind
 from toucanyard.names import (
     Address,
     CustomerName,
     EndpointName,
     Fingerprint,
+    NodeName,
     ReplicaId,
     RequestId,
     ServiceName,
@@ -63,6 +65,14 @@
     """Prompt tokens plus maximum output tokens; None if the caller gives no count."""
     fingerprint: Fingerprint = Fingerprint("")
     """The same for each repetition of the request; empty if unknown."""
+    is_forwarded: bool = False
+    """A peer has forwarded it. It is never forwarded again."""
+    is_counted: bool = False
+    """The peer has counted it as a first try."""
+    has_begun: bool = False
+    """Its response has begun at the peer and may only be resumed."""
+    begun_weights_version: int | None = None
+    """Weights version of that response."""
 
 
 class PlacementReason(msgspec.Struct, frozen=True):
@@ -107,7 +117,29 @@
     """The replica has announced a limit; its response shows whether it still does."""
 
 
-RelayVerdict = RelayDispatch | Refuse
+class RelayForward(msgspec.Struct, frozen=True):
+    """Decision to let a peer place the call, since this node reaches no replica."""
+
+    request_id: RequestId
+    peer: NodeName
+    address: Address
+    attempt: int
+    connect_ms: float
+    """Timeout of the connection to the peer, after which another one is tried."""
+    max_attempts: int
+    """Replicas on which the peer may run the call."""
+    patience_ms: float
+    """Timeout of the head of the peer's answer, after which the call is retried."""
+    unreached_ms: float
+    """For how long this node has reached no replica of the service."""
+    candidates: int
+    is_counted: bool = False
+    has_begun: bool = False
+    weights_version: int | None = None
+    """Weights version of a response that has begun."""
+
+
+RelayVerdict = RelayDispatch | RelayForward | Refuse
 
 
 class RelayReply(msgspec.Struct, frozen=True):
@@ -117,6 +149,21 @@
     verdict: RelayVerdict | None
 
 
+class ForwardOutcome(msgspec.Struct, frozen=True):
+    """The outcome of forwarding a call to a peer."""
+
+    request_id: RequestId
+    peer: NodeName
+    ending: DispatchEnding
+    """REFUSED only if the peer has stated that the call did not run."""
+    text: str = ""
+    kind: ErrorKind | None = None
+    """Reason of the peer's refusal."""
+    retry_after_ms: float | None = None
+    has_begun: bool = False
+    """Part of the response has reached the caller."""
+
+
 class RelayOutcome(msgspec.Struct, frozen=True):
     """The outcome of one dispatch."""
 
--- a/packages/toucanyard/src/toucanyard/replica_probes.py
+++ b/packages/toucanyard/src/toucanyard/replica_probes.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from toucanyard.crash_detector import Reachability
+from toucanyard.names import ServiceName
 from toucanyard.relay_events import LogEntry, ReadReplicaState, ReplicaStateRead
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
@@ -13,16 +14,18 @@
 class ReplicaProbes:
     """The probes of one node."""
 
-    __slots__ = ("_directory", "_guard", "_is_probing_unreachable")
+    __slots__ = ("_directory", "_guard", "_is_probing_unreachable", "_is_unreached")
 
     def __init__(
         self,
         directory: ReplicaDirectory,
         guard: RequestGuard,
+        is_unreached: Callable[[ServiceName], bool],
         is_probing_unreachable: Callable[[], bool],
     ) -> None:
         self._directory = directory
         self._guard = guard
+        self._is_unreached = is_unreached
         self._is_probing_unreachable = is_probing_unreachable
 
     def probe_lost(self, now_ms: float) -> Iterator[ReadReplicaState]:
@@ -39,6 +42,9 @@
         if not self._is_probing_unreachable():
             return
         for known in self._directory.list_served(now_ms):
+            if self._is_unreached(known.replica.service):
+                # One connect at a time shows when replicas can be reached again.
+                continue
             if known.replica.weights and known.is_probe_due(now_ms):
                 known.record_probe(now_ms)
                 yield _build_probe(known)
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -260,6 +260,11 @@
         self._unreached_ms = float("inf")
         self.backoff_until_ms = float("-inf")
 
+    def forget_failures(self) -> None:
+        """Discard failures that were due to this node's own connections."""
+        self.record_success()
+        self._failures = 0.0
+
     def compute_failures(self, now_ms: float) -> float:
         """Return the exponentially decayed number of failures."""
         age_ms = max(now_ms - self._failures_ms, 0.0)
@@ -312,6 +317,10 @@
         """Set the services that the configuration names."""
         self._served = frozenset(names)
 
+    def list_services(self) -> Iterable[ServiceName]:
+        """Return the services that the configuration names."""
+        return self._served
+
     def list_all(self) -> Iterable[KnownReplica]:
         """Return all replicas that are kept, listed or not."""
         return self._known.values()
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -15,6 +15,7 @@
 
 from toucanyard.crash_detector import CrashDetector, Reachability
 from toucanyard.crash_ledger import CrashLedger, Suspicion
+from toucanyard.fault_location import FaultLocation
 from toucanyard.link_messages import LostRun, ReplicaCrash, RequestSurvival
 from toucanyard.log_entries import LogEntry
 from toucanyard.names import EndpointName, Fingerprint
@@ -35,6 +36,8 @@
 SUSPECT_RETRY_MS: Final = 500
 """Retry-After for a suspect that is being run; by then its run may have ended."""
 DEFAULT_POLICY: Final = GuardPolicy()
+RETRACTION_MS: Final = 1_500.0
+"""Time within which this node finds that it is cut off."""
 MAX_LOGGED: Final = 8
 """Maximum number of fingerprints in a log line."""
 
@@ -55,9 +58,11 @@
     __slots__ = (
         "_directory",
         "_find_rank",
+        "_is_blind",
         "_is_urgent",
         "_log_entries",
         "_policy",
+        "_undecided",
         "detector",
         "ledger",
         "quarantine",
@@ -69,7 +74,12 @@
         find_rank: FindRank,
         rng: random.Random,
         policy: GuardPolicy = DEFAULT_POLICY,
+        is_blind: Callable[[EndpointName, float], bool] = lambda *_: False,
     ) -> None:
+        self._is_blind = is_blind
+        """Whether this node's failed connects say nothing about a replica."""
+        self._undecided: set[EndpointName] = set()
+        """Replicas that may have ended, or that this node is cut off from."""
         self._policy = policy
         self._directory = directory
         self._find_rank = find_rank
@@ -207,6 +217,28 @@
         entries, self._log_entries = self._log_entries, []
         yield from entries
 
+    def on_fault_located(
+        self, replicas: Iterable[EndpointName], location: FaultLocation, now_ms: float
+    ) -> None:
+        """Decide about the replicas of a service that this node could not reach."""
+        for replica in replicas:
+            match location:
+                case FaultLocation.NODE:
+                    # Until several connects had failed, each looked like a crash.
+                    at_ms = self.ledger.find_crash_time(replica)
+                    if at_ms is not None and now_ms - at_ms < RETRACTION_MS:
+                        self.ledger.retract(replica)
+                    self._undecided.discard(replica)
+                case FaultLocation.SERVICE if replica in self._undecided:
+                    self._undecided.discard(replica)
+                    self._attribute_losses(replica, now_ms)
+                case FaultLocation.NONE:
+                    # Probes show whether it has ended.
+                    self._undecided.discard(replica)
+        if location is FaultLocation.SERVICE:
+            # Some may have been held back while the location was not known.
+            self.ledger.share_all(now_ms)
+
     def _check_suspect(
         self,
         fingerprint: Fingerprint,
@@ -241,6 +273,9 @@
 
     def _attribute_losses(self, replica: EndpointName, now_ms: float) -> None:
         """Attribute the end of an incarnation to the requests that were lost there."""
+        if self._is_blind(replica, now_ms):
+            self._undecided.add(replica)
+            return
         self.detector.mark_ended(replica)
         losses = self.detector.take_losses(replica)
         answered = self.detector.take_answered(replica)
--- a/packages/toucanyard/src/toucanyard/rollout_leader.py
+++ b/packages/toucanyard/src/toucanyard/rollout_leader.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
 
 from toucanyard.leases import MAX_FOLLOWERS, Leases
 from toucanyard.log_entries import LogEntry
-from toucanyard.names import EndpointName, NodeId
+from toucanyard.names import EndpointName, NodeId, ServiceName
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.relay_events import (
     AppendLease,
@@ -68,6 +68,7 @@
         "_identity",
         "_scanned_ms",
         "_deadline_ms",
+        "_is_unreached",
         "_policy",
     )
 
@@ -80,7 +81,9 @@
         node_directory: NodeDirectory,
         usage: ReplicaUsage,
         policy: RolloutPolicy,
+        is_unreached: Callable[[ServiceName], bool] = lambda _: False,
     ) -> None:
+        self._is_unreached = is_unreached
         self._policy = policy
         self._deadline_ms = float(timings.deadline_ms)
         self._identity = identity
@@ -136,6 +139,11 @@
         behind = self._find_behind(now_ms)
         if not behind and not self.list_changing():
             return self._read_after_work(now_ms)
+        if any(self._is_unreached(each.replica.service) for each in behind):
+            # Another node takes the lease once it expires.
+            self._work = _Work()
+            self._stop_rollouts()
+            return []
         if self._work.since_ms is None:
             self._work = _Work(since_ms=now_ms)
         actions: list[RolloutAction] = []
@@ -149,8 +157,7 @@
             actions.append(request)
         lease = self._leases.find_lease(now_ms)
         if lease is None:
-            for rollout in self._rollouts.values():
-                rollout.stop(self._directory.list_all())
+            self._stop_rollouts()
             return actions
         for model, replicas in self._find_replicas(now_ms).items():
             target = self._weight_targets.find(model)
@@ -179,6 +186,10 @@
             )
         return actions
 
+    def _stop_rollouts(self) -> None:
+        for rollout in self._rollouts.values():
+            rollout.stop(self._directory.list_all())
+
     def _compute_budget(
         self,
         model: str,
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from toucanyard.fault_location import FaultLocator
 from toucanyard.keyed_view import Topic
 from toucanyard.limit_delegations import ShareDelegation
 from toucanyard.link_messages import (
@@ -28,6 +29,7 @@
 from toucanyard.relay_events import SendToPeer
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_limits import ReplicaLimits
+from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replica_usage import FLEET, ReplicaUsage
 from toucanyard.request_guard import RequestGuard
 from toucanyard.status_schedule import URGENT_MS, Audience, StatusSchedule
@@ -67,8 +69,12 @@
         weight_targets: TargetWeightsTable,
         list_stores: Callable[[float], Iterable[PromptStoreUpdate]],
         link_mbps: float,
+        reach: ReplicaReach,
+        faults: FaultLocator,
         find_delegation: Callable[[], ShareDelegation | None] = lambda: None,
     ) -> None:
+        self._reach = reach
+        self._faults = faults
         self._find_delegation = find_delegation
         self._node_directory = node_directory
         self._views = views
@@ -178,6 +184,7 @@
         self, audiences: set[Audience], is_ready: bool, now_ms: float
     ) -> Iterator[SendToPeer]:
         self._node_directory.is_ready = is_ready
+        self._node_directory.is_cut_off = self._reach.is_cut_off(now_ms)
         if Audience.PEERS in audiences:
             # A report to peers on this node's group is also sent to the group.
             audiences.add(Audience.GROUP)
@@ -190,8 +197,13 @@
 
     def read(self, sender: NodeName, status: NodeStatus, now_ms: float) -> None:
         """Apply a peer's status: nodes, their calls, replicas and the store."""
+        self._reach.record_peer_loss(status.unreached, now_ms)
         has_node_updates = self._node_directory.record_status(
-            sender, status.is_ready, now_ms
+            sender,
+            status.is_ready,
+            now_ms,
+            is_cut_off=status.is_cut_off,
+            unreached=status.unreached,
         )
         if status.is_report:
             self._members.add(sender)
@@ -342,9 +354,15 @@
             stores=tuple(self._list_stores(now_ms)),
             covers=Coverage.NOBODY,
             restarts=tuple(self._gossip.list_restarts(now_ms)),
-            crashes=tuple(self._guard.ledger.list_crashes(now_ms)),
+            crashes=tuple(
+                each
+                for each in self._guard.ledger.list_crashes(now_ms)
+                if not self._faults.is_blind(each.replica, now_ms)
+            ),
             survivals=tuple(self._guard.ledger.list_survivals(now_ms)),
             replica_limits=tuple(self._replica_limits.list_updates(now_ms)),
+            unreached=self._reach.list_unreached(),
+            is_cut_off=self._node_directory.is_cut_off,
         )
 
     def _is_hub_pair(self, name: NodeName) -> bool:
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -7,10 +7,14 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
 from collections.abc import Callable
 from itertools import count
 
+import msgspec
+
 from toucanyard.crash_detector import Reachability
+from toucanyard.errorcodes import Ending
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import (
     Address,
@@ -28,9 +32,12 @@
 )
 from toucanyard.relay_events import (
     CallArrived,
+    ConnectionProbed,
     DispatchEnded,
     FirstEventSeen,
+    ForwardEnded,
     LinkMessageRead,
+    ProbeConnection,
     QuarantineErased,
     QuarantineWritten,
     ReadReplicaState,
@@ -43,7 +50,9 @@
     TopicRead,
 )
 from toucanyard.relay_requests import (
+    ForwardOutcome,
     RelayDispatch,
+    RelayForward,
     RelayOutcome,
     RelayReply,
     RelayRequest,
@@ -91,6 +100,32 @@
         self.ended_ms = 0.0
 
 
+class ForwardedCall(Call):
+    """A call as placed by the peer that it was forwarded to."""
+
+    def __init__(
+        self,
+        fleet: CrashFleet,
+        forward: RelayForward,
+        request: RelayRequest,
+        origin: Call,
+    ) -> None:
+        super().__init__(forward.peer, request)
+        self._fleet = fleet
+        self._forward = forward
+        self._origin = origin
+
+    def report(self) -> None:
+        """Tell the node that forwarded the call how it ended."""
+        ending = DispatchEnding.COMPLETED
+        if self.ending == "refused" and self.refusal is not None:
+            is_not_run = self.refusal.ending is Ending.NOT_RUN
+            ending = DispatchEnding.REFUSED if is_not_run else DispatchEnding.LOST
+        elif self.ending != "completed":
+            ending = DispatchEnding.LOST
+        self._fleet.end_forward(self._origin, self._forward, ending, self.refusal)
+
+
 class SentCall:
     """A call that was sent to and reached a replica."""
 
@@ -109,6 +144,9 @@
         self.reached: list[SentCall] = []
         self.crashes: list[tuple[float, EndpointName]] = []
         self.probes = 0
+        self.connection_probes: Counter[NodeName] = Counter()
+        self.forwards: list[tuple[float, NodeName, NodeName]] = []
+        """When a node forwarded a call to which other one."""
         self.is_answered_before_crash = False
         """Whether a replica answers the request just before it crashes."""
         self.store_writes = 0
@@ -231,11 +269,54 @@
                 self.probes += 1
                 asked_ms = self.now_ms
                 self.after(LATENCY_MS, lambda: self._report(name, action, asked_ms))
+            case ProbeConnection():
+                self.connection_probes[name] += 1
+                self._probe(name, action)
             case WriteQuarantine(request=request):
                 self._put(name, request.fingerprint, request)
             case EraseQuarantine(fingerprint=fingerprint):
                 self._put(name, fingerprint, None)
 
+    def _probe(self, node: NodeName, probe: ProbeConnection) -> None:
+        is_up = self.engines[probe.address].is_up
+        probed = ConnectionProbed(probe.replica, is_up, self.now_ms)
+        self.after(LATENCY_MS, lambda: self.handle(node, probed))
+
+    def _arrive_forwarded(self, call: Call, forward: RelayForward) -> None:
+        if forward.peer in self.dead:
+            self.end_forward(call, forward, DispatchEnding.NOT_SENT)
+            return
+        request = msgspec.structs.replace(
+            call.request,
+            request_id=RequestId(f"{call.request.request_id}@{forward.peer}"),
+            is_forwarded=True,
+            is_counted=forward.is_counted,
+            max_attempts=forward.max_attempts,
+        )
+        placed = ForwardedCall(self, forward, request, call)
+        self._by_id[request.request_id] = placed
+        self.handle(forward.peer, CallArrived(request))
+
+    def end_forward(
+        self,
+        call: Call,
+        forward: RelayForward,
+        ending: DispatchEnding,
+        refusal: Refuse | None = None,
+    ) -> None:
+        """Deliver the end of a forward to the node that forwarded the call."""
+        outcome = ForwardOutcome(
+            call.request.request_id,
+            forward.peer,
+            ending,
+            text="" if refusal is None else refusal.text,
+            kind=None if refusal is None else refusal.kind,
+            retry_after_ms=None if refusal is None else refusal.retry_after_ms,
+        )
+        if ending is DispatchEnding.COMPLETED:
+            self._end(call, "completed")
+        self.handle(call.node, ForwardEnded(outcome))
+
     def _report(self, node: NodeName, read: ReadReplicaState, asked_ms: float) -> None:
         engine = self.engines[read.address]
         state, reach = None, Reachability.NO_LISTENER
@@ -281,6 +362,9 @@
             case RelayDispatch():
                 call.sends += 1
                 self.after(LATENCY_MS, lambda: self._deliver_call(call, verdict))
+            case RelayForward():
+                self.forwards.append((self.now_ms, call.node, verdict.peer))
+                self.after(LATENCY_MS, lambda: self._arrive_forwarded(call, verdict))
             case Refuse():
                 call.refusal = verdict
                 self._end(call, "refused")
@@ -290,6 +374,8 @@
     def _end(self, call: Call, ending: str) -> None:
         call.ending = ending
         call.ended_ms = self.now_ms
+        if isinstance(call, ForwardedCall):
+            self.after(LATENCY_MS, call.report)
 
     # Callers.
 
--- a/tests/toucanyard/cut_fleet.py
+++ b/tests/toucanyard/cut_fleet.py
@@ -7,14 +7,24 @@
 
 from toucanyard.crash_detector import Reachability
 from toucanyard.names import NodeName
-from toucanyard.relay_events import DispatchEnded, ReadReplicaState, ReplicaStateRead
-from toucanyard.relay_requests import RelayDispatch, RelayOutcome
+from toucanyard.relay_events import (
+    ConnectionProbed,
+    DispatchEnded,
+    ProbeConnection,
+    ReadReplicaState,
+    ReplicaStateRead,
+)
+from toucanyard.relay_requests import (
+    RelayDispatch,
+    RelayOutcome,
+)
 from toucanyard.requests import DispatchEnding
 
 from .crash_fleet import LATENCY_MS, Call
 from .statement_fleet import StatementFleet
 
 REPORT_TIMEOUT_MS = 500.0
+PROBE_TIMEOUT_MS = 150.0
 
 
 class Cut(enum.StrEnum):
@@ -67,6 +77,15 @@
         delay_ms = 0.0 if is_refused else dispatch.connect_ms
         self.after(delay_ms, lambda: self.handle(call.node, DispatchEnded(outcome)))
 
+    def _probe(self, node: NodeName, probe: ProbeConnection) -> None:
+        how = self.cuts.get(node)
+        if how is None:
+            super()._probe(node, probe)
+            return
+        probed = ConnectionProbed(probe.replica, False, self.now_ms)
+        delay_ms = PROBE_TIMEOUT_MS if how is Cut.HANG else LATENCY_MS
+        self.after(delay_ms, lambda: self.handle(node, probed))
+
     def _report(self, node: NodeName, read: ReadReplicaState, asked_ms: float) -> None:
         how = self.cuts.get(node)
         if how is None:
--- a/tests/toucanyard/test_nodes_cut_off_from_replicas.py
+++ b/tests/toucanyard/test_nodes_cut_off_from_replicas.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 
-from toucanyard.names import NodeName
+from toucanyard.names import NodeName, RequestId
 
+from .crash_fleet import BACK_MS
 from .cut_fleet import Cut, CutFleet, compute_served_share
 
 LOAD_PER_S = 40.0
@@ -84,3 +87,110 @@
         found = core.find_addresses(fleet.now_ms)
         assert found
         assert own.isdisjoint(found)
+
+
+@MODES
+def test_calls_are_placed_here_again_soon_after_the_cut(how: Cut) -> None:
+    """Guards against a node that stays out of use once it reaches replicas again."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    names = list(fleet.cores)[:4]
+    fleet.cut(names, how)
+    fleet.play_calls(3_000.0, LOAD_PER_S)
+    fleet.reconnect()
+    fleet.play_calls(DETECTION_MS, LOAD_PER_S)
+    before = len(fleet.forwards)
+    calls = fleet.play_calls(2_000.0, LOAD_PER_S)
+    fleet.run_for(2_000.0)
+    assert len(fleet.forwards) == before
+    assert compute_served_share(calls, names, 0.0) == 1.0
+    for core in fleet.cores.values():
+        assert len(core.find_addresses(fleet.now_ms)) == len(fleet.cores)
+
+
+def test_cut_that_comes_and_goes_does_not_make_a_node_flap() -> None:
+    """Guards against moving calls and callers to and fro with each short cut."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    name = next(iter(fleet.cores))
+    calls = []
+    for _ in range(8):
+        fleet.cut([name], Cut.HANG)
+        calls += fleet.play_calls(1_000.0, LOAD_PER_S, nodes=[name])
+        fleet.reconnect()
+        calls += fleet.play_calls(1_000.0, LOAD_PER_S, nodes=[name])
+    fleet.run_for(2_000.0)
+    assert compute_served_share(calls, [name], 0.0) >= MIN_SERVED
+    assert fleet.cores[name].reach.change_count <= 8
+
+
+def test_locator_answers_when_all_nodes_are_cut_off() -> None:
+    """Guards against telling callers that there is no node at all."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    fleet.cut(list(fleet.cores), Cut.HANG)
+    calls = fleet.play_calls(3_000.0, LOAD_PER_S)
+    for core in fleet.cores.values():
+        assert len(core.find_addresses(fleet.now_ms)) == len(fleet.cores)
+    fleet.run_for(6_000.0)
+    assert {call.ending for call in calls} <= {"completed", "refused"}
+    fleet.reconnect()
+    fleet.play_calls(2_000.0, LOAD_PER_S)
+    calls = fleet.play_calls(2_000.0, LOAD_PER_S)
+    fleet.run_for(2_000.0)
+    assert compute_served_share(calls, list(fleet.cores), 0.0) == 1.0
+
+
+def test_calls_of_a_service_that_is_down_do_not_go_round_among_nodes() -> None:
+    """Guards against forwarding calls to nodes that reach no replica either."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    for engine in fleet.list_engines():
+        fleet.crash(engine.address)
+    calls = fleet.play_calls(DETECTION_MS, LOAD_PER_S)
+    before = len(fleet.forwards)
+    calls += fleet.play_calls(BACK_MS - 2 * DETECTION_MS, LOAD_PER_S)
+    assert len(fleet.forwards) == before
+    fleet.run_for(6_000.0)
+    assert all(call.ending is not None for call in calls)
+
+
+def test_calm_fleet_makes_no_probes() -> None:
+    """Guards against probes that cost replicas connections while nothing fails."""
+    fleet = CutFleet(3, 3)
+    fleet.connection_probes.clear()
+    fleet.play_calls(3_000.0, LOAD_PER_S)
+    assert not fleet.connection_probes
+
+
+def test_cut_off_node_probes_sparingly() -> None:
+    """Guards against probing all replicas over and over during a long cut."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    name = next(iter(fleet.cores))
+    fleet.cut([name], Cut.HANG)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    fleet.connection_probes.clear()
+    fleet.play_calls(4_000.0, LOAD_PER_S)
+    assert 0 < fleet.connection_probes.pop(name) <= 4 * 5
+    assert max(fleet.connection_probes.values(), default=0) <= 4 * 2
+
+
+def test_replicas_run_a_forwarded_call_on_no_more_than_the_attempts_allowed() -> None:
+    """Guards against attempts that are granted again at each node."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    names = list(fleet.cores)
+    fleet.cut(names[:4], Cut.RESET)
+    for _ in range(12):
+        fleet.play_calls(300.0, LOAD_PER_S, nodes=names[:4])
+        engine = fleet.rng.choice(fleet.list_engines())
+        for request_id, call in list(engine.calls.items()):
+            del engine.calls[request_id]
+            fleet.lose(call, engine.name)
+    fleet.run_for(3_000.0)
+    runs: Counter[str] = Counter()
+    for send in fleet.reached:
+        runs[send.call.request.request_id.partition("@")[0]] += 1
+    allowed = {c.request.request_id: c.request.max_attempts for c in fleet.calls}
+    assert all(count <= allowed[RequestId(name)] for name, count in runs.items())
