Read, log and pass on that replicas are brittle

Cause: replicas state in all responses how many rejections a second they bear, and nothing read the header. Change: decoded in the adapter like the other statements (lowest of several, bounded, invalid values logged and without effect), kept by incarnation until a response no longer states it, passed on to peers at once like limits, one line for a change, a row in the table. Before, after: unread; no decision uses it yet.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -258,7 +258,10 @@
         head = await self._read_head(dispatch, connection)
         facts = self._codec.read_answer(head)
         self._client.report_statement(
-            dispatch.replica, facts.statement, ends_limit=dispatch.is_limited
+            dispatch.replica,
+            facts.statement,
+            ends_limit=dispatch.is_limited,
+            ends_brittle=dispatch.is_brittle,
         )
         self._check_answer(dispatch, head, facts)
         is_stream = head.headers.get("content-type", "").startswith(EVENT_STREAM)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -129,13 +129,17 @@
         statement: ReplicaStatement,
         *,
         ends_limit: bool = False,
+        ends_brittle: bool = False,
     ) -> None:
         """Report what a response states about its replica, if it states anything.
 
-        `ends_limit`: whether a replica that states no limit no longer has one.
+        `ends_limit`: whether a replica that states no limit no longer has one;
+        `ends_brittle`: whether one that does not state that it is brittle is sound.
         """
-        if statement.has_content() or ends_limit:
-            self.send_event(ReplicaStatementSeen(replica, statement, ends_limit))
+        if statement.has_content() or ends_limit or ends_brittle:
+            self.send_event(
+                ReplicaStatementSeen(replica, statement, ends_limit, ends_brittle)
+            )
 
     def report_first_event(self, request_id: RequestId) -> None:
         """Report the first event of an answer."""
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -186,6 +186,9 @@
     """Services of which the sender can reach no replica."""
     is_cut_off: bool = False
     """Whether the sender can reach no replica of any service."""
+    brittleness: tuple[ReplicaLimitUpdate, ...] = ()
+    """Replicas that have recently become brittle or sound; the rate is the number of
+    rejections above which they end."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -131,6 +131,7 @@
         self.exchange = ViewExchange(decode, self.node_directory.is_full_mesh, rng)
         self.sources = PromptBlockSources(self.directory, self.node_directory)
         self.replica_limits = ReplicaLimits(rng)
+        self.brittleness = ReplicaLimits(rng, "replica_brittleness_changed")
         self.credits = ReplicaCredits(
             self.replica_limits, compute_first_request_number(identity.incarnation)
         )
@@ -207,6 +208,7 @@
             self.weight_targets,
             lambda now_ms: self.sources.list_stores(self.index, now_ms),
             options.link_mbps,
+            self.brittleness,
             self.reach,
             self.faults,
             lambda: self.shares.delegation,
@@ -221,7 +223,7 @@
             coordinators, self.limits, self.credits, options.limits
         )
         self.statements = StatementEvents(
-            self.directory, self.replica_limits, self.gossip, rng
+            self.directory, self.replica_limits, self.gossip, self.brittleness, rng
         )
         self._limit_events = LimitEvents(
             self.shares, self.replica_limits, self.flow, self.statuses
@@ -386,8 +388,9 @@
             self.forwards.prune(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.block_index.forget(name)
-            known = (each.replica.name for each in self.directory.list_all())
+            known = [each.replica.name for each in self.directory.list_all()]
             self.replica_limits.retain(known)
+            self.brittleness.retain(known)
 
     def _settle_guard(self, now_ms: float) -> Iterator[RelayAction]:
         """Emit the guard's log entries, and inform peers at once if it is urgent."""
@@ -460,6 +463,7 @@
         self.statuses.read(sender, status, now_ms)
         yield from self.gossip.take_log_entries()
         yield from self._limit_events.read_status(sender, status, now_ms)
+        yield from self.brittleness.apply(status.brittleness, sender, now_ms)
         self.flow.apply_node_count(self.node_directory.count_nodes(now_ms))
         for store in status.stores:
             heard_ms = now_ms - store.heard_age_ms
@@ -481,6 +485,7 @@
         if set(names) - before:
             self.guard.ledger.share_all(now_ms)
             self.replica_limits.share_all(now_ms)
+            self.brittleness.share_all(now_ms)
 
 
 def _build_failure_entry(failed: StoreFailed, now_ms: float) -> LogEntry:
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -66,10 +66,12 @@
     ends_limit: bool = False
     """Whether a replica that states no limit no longer has one."""
 
-    def has_invalid_limit(self) -> bool:
-        """Return whether the response contains a limit that can't be parsed."""
-        kinds = [each.kind for each in self.statement.invalid]
-        return StatementKind.LIMIT in kinds
+    ends_brittle: bool = False
+    """Whether a replica that does not state that it is brittle no longer is."""
+
+    def has_invalid(self, kind: StatementKind) -> bool:
+        """Return whether the response contains a statement that can't be parsed."""
+        return any(each.kind is kind for each in self.statement.invalid)
 
 
 class TopicRead(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -113,6 +113,9 @@
     save_to: Address | None = None
     """The prompt store to which the blocks that are read are saved."""
     reason: PlacementReason | None = None
+    is_brittle: bool = False
+    """The replica has stated that it is brittle; its response shows whether it still
+    is."""
     is_limited: bool = False
     """The replica has announced a limit; its response shows whether it still does."""
 
--- a/packages/toucanyard/src/toucanyard/replica_limits.py
+++ b/packages/toucanyard/src/toucanyard/replica_limits.py
@@ -45,13 +45,16 @@
 
     __slots__ = ("_changes", "_known", "_rng", "_seen", "change_count")
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, event: str = "replica_limit_changed"
+    ) -> None:
+        """`event` names the log line about a change."""
         self._known: dict[EndpointName, _KnownLimit] = {}
         self.change_count = 0
         """Number of changes of limits so far."""
         self._rng = rng
         self._seen = SeenUpdates(MAX_SEEN)
-        self._changes = LogRateLimit("replica_limit_changed")
+        self._changes = LogRateLimit(event)
 
     def find_rate(self, replica: EndpointName) -> float | None:
         """Return a replica's limit in requests per second; None if it has none."""
--- a/packages/toucanyard/src/toucanyard/replica_statements.py
+++ b/packages/toucanyard/src/toucanyard/replica_statements.py
@@ -13,6 +13,7 @@
     LEAVING = "leaving"
     RETRY_AFTER = "retry_after"
     LIMIT = "limit"
+    BRITTLE = "brittle"
 
 
 class InvalidStatement(msgspec.Struct, frozen=True):
@@ -33,11 +34,15 @@
     """Time for which the node whose call it rejected should send it no others."""
     limit_per_s: float | None = None
     """Requests a second that it accepts from all nodes together."""
+    brittle_per_s: float | None = None
+    """Rejections a second, for lack of room, above which it ends; None if it is not
+    brittle."""
     invalid: tuple[InvalidStatement, ...] = ()
 
     def has_content(self) -> bool:
         """Return whether the response states anything but the replica's id."""
-        has_value = self.retry_after_ms is not None or self.limit_per_s is not None
+        values = (self.retry_after_ms, self.limit_per_s, self.brittle_per_s)
+        has_value = any(each is not None for each in values)
         return self.is_leaving or has_value or bool(self.invalid)
 
 
--- a/packages/toucanyard/src/toucanyard/statement_events.py
+++ b/packages/toucanyard/src/toucanyard/statement_events.py
@@ -8,10 +8,11 @@
 
 from toucanyard.log_entries import LogEntry
 from toucanyard.log_rate_limit import LogRateLimit
-from toucanyard.names import ReplicaId
+from toucanyard.names import EndpointName, ReplicaId
 from toucanyard.relay_events import ReplicaStatementSeen
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_limits import ReplicaLimits
+from toucanyard.replica_statements import StatementKind
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 
 RETURN_SPREAD: Final = 0.2
@@ -26,6 +27,7 @@
     """
 
     __slots__ = (
+        "_brittleness",
         "_directory",
         "_gossip",
         "_invalid",
@@ -43,8 +45,10 @@
         directory: ReplicaDirectory,
         limits: ReplicaLimits,
         gossip: ReplicaGossip,
+        brittleness: ReplicaLimits,
         rng: random.Random,
     ) -> None:
+        self._brittleness = brittleness
         self._rng = rng
         self.leave_count = 0
         """Number of replicas of which a response stated a leave."""
@@ -73,15 +77,28 @@
         if known is None:
             return
         has_limit = statement.limit_per_s is not None
-        if has_limit or (seen.ends_limit and not seen.has_invalid_limit()):
+        is_ended = seen.ends_limit and not seen.has_invalid(StatementKind.LIMIT)
+        if has_limit or is_ended:
             before = self._limits.change_count
             yield from self._limits.on_answer(name, statement.limit_per_s, now_ms)
             self._is_urgent |= self._limits.change_count != before
+        yield from self._apply_brittleness(seen, name, now_ms)
         if statement.is_leaving:
             yield from self._record_leave(known, now_ms)
         if statement.retry_after_ms is not None:
             yield from self._record_deferral(known, statement.retry_after_ms, now_ms)
 
+    def _apply_brittleness(
+        self, seen: ReplicaStatementSeen, name: EndpointName, now_ms: float
+    ) -> Iterator[LogEntry]:
+        brittle_per_s = seen.statement.brittle_per_s
+        is_ended = seen.ends_brittle and not seen.has_invalid(StatementKind.BRITTLE)
+        if brittle_per_s is None and not is_ended:
+            return
+        before = self._brittleness.change_count
+        yield from self._brittleness.on_answer(name, brittle_per_s, now_ms)
+        self._is_urgent |= self._brittleness.change_count != before
+
     def consume_urgent_flag(self) -> bool:
         """Return whether peers should learn of a change at once; clear the flag."""
         is_urgent, self._is_urgent = self._is_urgent, False
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -69,12 +69,14 @@
         weight_targets: TargetWeightsTable,
         list_stores: Callable[[float], Iterable[PromptStoreUpdate]],
         link_mbps: float,
+        brittleness: ReplicaLimits,
         reach: ReplicaReach,
         faults: FaultLocator,
         find_delegation: Callable[[], ShareDelegation | None] = lambda: None,
     ) -> None:
         self._reach = reach
         self._faults = faults
+        self._brittleness = brittleness
         self._find_delegation = find_delegation
         self._node_directory = node_directory
         self._views = views
@@ -363,6 +365,7 @@
             replica_limits=tuple(self._replica_limits.list_updates(now_ms)),
             unreached=self._reach.list_unreached(),
             is_cut_off=self._node_directory.is_cut_off,
+            brittleness=tuple(self._brittleness.list_updates(now_ms)),
         )
 
     def _is_hub_pair(self, name: NodeName) -> bool:
--- a/tests/toucanyard/test_statement_events.py
+++ b/tests/toucanyard/test_statement_events.py
@@ -35,7 +35,10 @@
         self.directory = ReplicaDirectory()
         self.limits = ReplicaLimits(rng)
         gossip = ReplicaGossip(self.directory, PromptBlockIndex(), rng)
-        self.events = StatementEvents(self.directory, self.limits, gossip, rng)
+        self.brittleness = ReplicaLimits(rng)
+        self.events = StatementEvents(
+            self.directory, self.limits, gossip, self.brittleness, rng
+        )
         for name in names:
             self.directory.apply(build_replica(name, address=ADDRESS), 0.0)
 
@@ -131,3 +134,31 @@
     assert max(ends) <= 4_600.0
     most = max(sum(begin <= each < begin + 50.0 for each in ends) for begin in ends)
     assert most <= 320 / 4
+
+
+def test_brittleness_lasts_until_a_response_no_longer_states_it() -> None:
+    node = Node("a")
+    name = EndpointName("a")
+    brittle = ReplicaStatement(brittle_per_s=3.0)
+    assert [entry.event for entry in node.see("a", brittle)] == [
+        "replica_limit_changed"
+    ]
+    assert node.brittleness.find_rate(name) == 3.0
+    assert node.events.consume_urgent_flag()
+    node.see("a", ReplicaStatement())
+    assert node.brittleness.find_rate(name) == 3.0
+    sound = ReplicaStatementSeen(name, ReplicaStatement(), ends_brittle=True)
+    list(node.events.on_seen(sound, 10.0))
+    assert node.brittleness.find_rate(name) is None
+
+
+def test_invalid_statement_does_not_end_brittleness() -> None:
+    """Guards against taking a value that can't be parsed for a sound replica."""
+    node = Node("a")
+    node.see("a", ReplicaStatement(brittle_per_s=3.0))
+    invalid = (InvalidStatement(StatementKind.BRITTLE, "nan"),)
+    seen = ReplicaStatementSeen(
+        EndpointName("a"), ReplicaStatement(invalid=invalid), ends_brittle=True
+    )
+    list(node.events.on_seen(seen, 10.0))
+    assert node.brittleness.find_rate(EndpointName("a")) == 3.0
--- a/tests/toucanyard_platform/test_answer_statements.py
+++ b/tests/toucanyard_platform/test_answer_statements.py
@@ -106,3 +106,32 @@
     statement = read_statement(build_answer("Retry-After", "3", status=status))
     assert statement.retry_after_ms is None
     assert statement.invalid[0].text == f"3 with status {status}"
+
+
+@pytest.mark.parametrize(
+    ("values", "brittle_per_s"),
+    [
+        ((), None),
+        (("3",), 3.0),
+        (("0",), 0.0),
+        (("5", " 2 "), 2.0),
+        (("1" + "0" * 399,), 1e6),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 421, 503])
+def test_brittleness_is_read_from_responses_of_any_status(
+    values: tuple[str, ...], brittle_per_s: float | None, status: int
+) -> None:
+    """Guards against rejections that a brittle replica has said it does not bear."""
+    statement = read_statement(build_answer("Server-Brittle", *values, status=status))
+    assert statement.brittle_per_s == brittle_per_s
+    assert statement.has_content() == bool(values)
+
+
+@pytest.mark.parametrize("value", ["", "-1", "nan", "inf", "1e3", "yes", "٣"])
+def test_brittleness_that_is_no_decimal_number_is_invalid(value: str) -> None:
+    """Guards against reading an invalid value as the end of a brittle time."""
+    for values in ((value,), ("2", value)):
+        statement = read_statement(build_answer("Server-Brittle", *values))
+        assert statement.brittle_per_s is None
+        assert [each.kind for each in statement.invalid] == [StatementKind.BRITTLE]
--- a/tests/toucanyard_platform/test_statement_table.py
+++ b/tests/toucanyard_platform/test_statement_table.py
@@ -28,6 +28,7 @@
     wire_names.WEIGHTS,
     wire_names.LIMIT,
     wire_names.LEAVING,
+    wire_names.BRITTLE,
     wire_names.RETRY_AFTER,
 )
 DECODED: dict[str, type[msgspec.Struct]] = {
