Let one node place all calls on a brittle replica, within what it bears

Cause: nothing acted on the statement before the rejections came, and each node learnt of the lack of room from rejections of its own: with nine nodes one each is more than three. Change: a brittle replica has one sender, the node that rendezvous hashing ranks first among those alive that reach the service; other nodes forward calls for it there. A refusal behind a hop says how many replicas got the call, so attempts and the retry budget count them. Why it works: rejections of one replica are known at one place at once, so their number is bounded without a message; a call that waits is ordered where its room becomes free.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
@@ -145,4 +145,5 @@
             refused.text,
             refused.kind,
             refused.retry_after_ms,
+            refused.attempts,
         )
--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -57,8 +57,15 @@
     async def refuse(self, refusal: Refuse, *, is_exact: bool) -> None:
         """Send the reason for which there is no response."""
         self.is_started = True
-        kind, ending, text = refusal.kind, refusal.ending, refusal.text
-        await self._send(CallRefused(kind, ending, text, refusal.retry_after_ms))
+        await self._send(
+            CallRefused(
+                refusal.kind,
+                refusal.ending,
+                refusal.text,
+                refusal.retry_after_ms,
+                refusal.attempts,
+            )
+        )
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response whose body follows in parts."""
--- a/packages/toucanyard/src/toucanyard/call_forwards.py
+++ b/packages/toucanyard/src/toucanyard/call_forwards.py
@@ -94,6 +94,21 @@
             return PeersBusy(min(self._busy[each.node] for each in reaching) - now_ms)
         return None
 
+    def is_available(self, peer: NodeName, service: ServiceName, now_ms: float) -> bool:
+        """Return whether a peer may get calls of a service now."""
+        is_paused = now_ms < self._paused.get((peer, service), now_ms)
+        return not is_paused and now_ms >= self._busy.get(peer, now_ms)
+
+    def build_to_sender(
+        self, pending: PendingCall, peer: PeerAddress, now_ms: float
+    ) -> RelayForward:
+        """Return the forward of a call to the sender of its replica.
+
+        The call may wait there, so that its answer has no timeout of its own.
+        """
+        forward = self._build(pending, peer, 1, now_ms)
+        return msgspec.structs.replace(forward, patience_ms=float("inf"))
+
     def end(self, pending: PendingCall) -> None:
         """Stop counting a call at its peer."""
         if pending.peer is not None:
@@ -105,6 +120,9 @@
     ) -> None:
         """Record what the end of a forward shows about the peer."""
         key = (outcome.peer, pending.request.service)
+        if outcome.attempts:
+            # It was refused by replicas, not by the peer.
+            return
         match outcome.ending:
             case DispatchEnding.NOT_SENT | DispatchEnding.LOST:
                 self._paused[key] = now_ms + LOST_PAUSE_MS
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
 import xxhash
 
+from toucanyard.brittle_replicas import BrittleReplicas
+from toucanyard.call_forwards import MAX_FORWARDS, CallForwards
 from toucanyard.candidates import MIN_TRANSFER_TOKENS
 from toucanyard.names import EndpointName, Fingerprint, ServiceName
 from toucanyard.pending_call import PendingCall
@@ -22,7 +24,12 @@
     compute_store_name,
 )
 from toucanyard.relay_options import RelayOptions
-from toucanyard.relay_requests import PlacementReason, Prompt, RelayDispatch
+from toucanyard.relay_requests import (
+    PlacementReason,
+    Prompt,
+    RelayDispatch,
+    RelayForward,
+)
 from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_usage import ReplicaUsage
@@ -51,8 +58,11 @@
         weight_targets: TargetWeightsTable,
         sources: PromptBlockSources,
         credits: ReplicaCredits,
+        forwards: CallForwards,
+        build_brittle: Callable[[ReplicaUsage], BrittleReplicas],
         rng: random.Random,
     ) -> None:
+        self._forwards = forwards
         self._policy = options.policy
         self._sources = sources
         self._credits = credits
@@ -63,6 +73,7 @@
         """Time at which the store last confirmed the list of replicas."""
         self.reports = PromptBlockReports()
         self.usage = ReplicaUsage()
+        self.brittle = build_brittle(self.usage)
         self.block_index = PromptBlockIndex()
         max_old_ms = options.weights.deadline_ms * MAX_OLD_SHARE
         self._placement = PromptBlockPlacement(
@@ -70,8 +81,13 @@
         )
         self._plain = PlainPlacement(options.domain, self.usage, rng)
 
-    def place(self, pending: PendingCall, now_ms: float) -> RelayDispatch | None:
-        """Choose a replica and count the call there; None if the call has to wait."""
+    def place(
+        self, pending: PendingCall, now_ms: float
+    ) -> RelayDispatch | RelayForward | None:
+        """Choose a replica and count the call there; None if the call has to wait.
+
+        A call whose replica has another node as its sender is forwarded to that node.
+        """
         if self._credits.is_awaiting_replica_credit(pending, now_ms):
             return None
         request = pending.request
@@ -85,20 +101,60 @@
             return None
         if pending.is_suspect:
             usable = [_find_preferred_replica(request.fingerprint, usable)]
-        usable = self._credits.select(pending, usable, now_ms)
+        local = self.brittle.select_local(usable, now_ms)
+        local = self._credits.select(pending, local, now_ms)
+        usable = [*local, *self._list_remote(pending, usable, now_ms)]
         if not usable:
             return None
         if request.prompt is not None and service is not None and service.engine:
             return self._place_prompt(pending, service.engine, usable, now_ms)
         return self._place_plain(pending, usable, now_ms)
 
+    def may_place(self, service: ServiceName, now_ms: float) -> bool:
+        """Return whether this node places calls on any replica of a service."""
+        listed = self._directory.find_listed(service, now_ms)
+        return not listed or self.brittle.is_sender_of_any(listed, now_ms)
+
+    def _list_remote(
+        self, pending: PendingCall, usable: Sequence[KnownReplica], now_ms: float
+    ) -> list[KnownReplica]:
+        """Return the replicas on which a peer may place a call for this node."""
+        request = pending.request
+        if request.is_forwarded or pending.forwards >= MAX_FORWARDS:
+            return []
+        return [
+            each
+            for each in self.brittle.select_remote(usable, now_ms)
+            if self._is_sender_available(each, request.service, now_ms)
+        ]
+
+    def _is_sender_available(
+        self, known: KnownReplica, service: ServiceName, now_ms: float
+    ) -> bool:
+        sender = self.brittle.find_sender(known, now_ms)
+        return sender is not None and self._forwards.is_available(
+            sender.node, service, now_ms
+        )
+
+    def _forward_to_sender(
+        self, pending: PendingCall, known: KnownReplica, now_ms: float
+    ) -> RelayForward | None:
+        """Return the forward of a call to its replica's sender, if that is a peer."""
+        if self.brittle.find_rate(known) is None:
+            return None
+        sender = self.brittle.find_sender(known, now_ms)
+        if sender is None:
+            return None
+        self.release(pending)
+        return self._forwards.build_to_sender(pending, sender, now_ms)
+
     def _place_prompt(
         self,
         pending: PendingCall,
         engine: EngineTraits,
         usable: Sequence[KnownReplica],
         now_ms: float,
-    ) -> RelayDispatch | None:
+    ) -> RelayDispatch | RelayForward | None:
         request = pending.request
         prompt = request.prompt
         assert prompt is not None
@@ -121,6 +177,9 @@
         )
         if placed is None:
             return None
+        forward = self._forward_to_sender(pending, placed.replica, now_ms)
+        if forward is not None:
+            return forward
         replica = placed.replica.replica
         if not self._credits.claim(pending, replica.name, now_ms):
             return None
@@ -200,10 +259,13 @@
 
     def _place_plain(
         self, pending: PendingCall, usable: Sequence[KnownReplica], now_ms: float
-    ) -> RelayDispatch | None:
+    ) -> RelayDispatch | RelayForward | None:
         placed = self._plain.choose(usable, now_ms)
         if placed is None:
             return None
+        forward = self._forward_to_sender(pending, placed.replica, now_ms)
+        if forward is not None:
+            return forward
         if not self._credits.claim(pending, placed.replica.replica.name, now_ms):
             return None
         self._begin(pending, placed.replica.replica.name, 0, 0, now_ms)
@@ -234,6 +296,7 @@
             patience_ms=self._compute_patience(pending),
             reason=reason,
             is_limited=self._credits.find_limit(replica.name) is not None,
+            is_brittle=self.brittle.is_brittle(known),
         )
 
     def _begin(
@@ -250,6 +313,9 @@
         pending.dispatches += 1
         pending.sends += 1
         self.usage.begin(replica, request_id, tokens, unread_tokens, now_ms)
+        known = self._directory.find(replica)
+        if known is not None:
+            self.brittle.record_sent(known, now_ms)
 
     def _compute_patience(self, pending: PendingCall) -> float:
         """Return how long to wait for an answer before trying another replica."""
--- a/packages/toucanyard/src/toucanyard/call_refusals.py
+++ b/packages/toucanyard/src/toucanyard/call_refusals.py
@@ -88,7 +88,9 @@
             )
         # Jitter keeps callers that were refused together from retrying together.
         retry_after_ms = int(wait_ms * self._rng.uniform(1.0, 2.0))
-        refusal = Refuse(request.request_id, kind, ending, text, retry_after_ms)
+        refusal = Refuse(
+            request.request_id, kind, ending, text, retry_after_ms, pending.sends
+        )
         return RelayReply(request.request_id, refusal)
 
     def _find_drain(self, service: ServiceName) -> DrainRate:
--- a/packages/toucanyard/src/toucanyard/call_retries.py
+++ b/packages/toucanyard/src/toucanyard/call_retries.py
@@ -40,13 +40,11 @@
     def may_forward_again(
         self, pending: PendingCall, outcome: ForwardOutcome, now_ms: float
     ) -> bool:
-        """Return whether to retry a call that a peer did not answer.
-
-        A call that the peer refused reached no replica through this node.
-        """
+        """Return whether to retry a call that a peer did not answer."""
         if not _is_retryable(pending, outcome, now_ms):
             return False
-        if outcome.ending in PROVEN_NOT_RUN:
+        if outcome.ending in PROVEN_NOT_RUN and not outcome.attempts:
+            # It has reached no replica.
             return True
         return self._take(pending, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/forwarded_calls.py
+++ b/packages/toucanyard/src/toucanyard/forwarded_calls.py
@@ -71,6 +71,8 @@
     ending: Ending
     text: str
     retry_after_ms: PositiveMs | None
+    attempts: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Replicas that may have got the call."""
 
 
 ForwardMessage = (
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_forwards import CallForwards
 from toucanyard.call_limits import CallLimits, compute_first_request_number
 from toucanyard.call_placement import CallPlacement
@@ -130,21 +131,30 @@
         self.node_directory = NodeDirectory(self.own_record, options.seeds)
         self.exchange = ViewExchange(decode, self.node_directory.is_full_mesh, rng)
         self.sources = PromptBlockSources(self.directory, self.node_directory)
+        self.reach = ReplicaReach(self.directory)
+        self.faults = FaultLocator(self.reach, self.node_directory)
+        self.forwards = CallForwards(self.node_directory, self.reach, rng)
         self.replica_limits = ReplicaLimits(rng)
         self.brittleness = ReplicaLimits(rng, "replica_brittleness_changed")
         self.credits = ReplicaCredits(
             self.replica_limits, compute_first_request_number(identity.incarnation)
         )
-        calls = CallPlacement(
+        calls = self.calls = CallPlacement(
             options,
             self.directory,
             self.weight_targets,
             self.sources,
             self.credits,
+            self.forwards,
+            lambda usage: BrittleReplicas(
+                self.brittleness,
+                self.directory,
+                self.node_directory,
+                self.reach,
+                usage,
+            ),
             rng,
         )
-        self.reach = ReplicaReach(self.directory)
-        self.faults = FaultLocator(self.reach, self.node_directory)
         self.guard = RequestGuard(
             self.directory,
             self.node_directory.find_rank,
@@ -163,7 +173,6 @@
         self.limits = CallLimits(
             options.limits, options.policy.limits, identity.incarnation
         )
-        self.forwards = CallForwards(self.node_directory, self.reach, rng)
         self.flow = RelayFlow(
             options.retries,
             options.policy,
@@ -283,6 +292,7 @@
         """Emit the probes that are due, and inform peers of what is not reached."""
         yield from self.reach.probe(now_ms)
         yield from self.reach.take_log_entries()
+        yield from self.calls.brittle.take_log_entries()
         for service, location in self.faults.update(now_ms):
             yield self.faults.build_entry(service, location, now_ms)
             listed = self.directory.find_listed(service, now_ms)
@@ -391,6 +401,7 @@
             known = [each.replica.name for each in self.directory.list_all()]
             self.replica_limits.retain(known)
             self.brittleness.retain(known)
+            self.calls.brittle.retain(known)
 
     def _settle_guard(self, now_ms: float) -> Iterator[RelayAction]:
         """Emit the guard's log entries, and inform peers at once if it is urgent."""
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -25,6 +25,7 @@
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import (
     ForwardOutcome,
+    RelayDispatch,
     RelayForward,
     RelayOutcome,
     RelayReply,
@@ -79,6 +80,7 @@
         self._guard = guard
         self._reach = reach
         self._forwards = forwards
+        self._brittle = calls.brittle
         self._limits = limits
         self._retries = CallRetries(retries, policy.retries)
         self._policy = policy
@@ -128,7 +130,8 @@
                 pending, ErrorKind.OVERLOADED, "the deadline passed", now_ms
             )
             return
-        if not self._reach.is_unreached(request.service):
+        is_brittle = self._brittle.is_service_brittle(request.service)
+        if not is_brittle and not self._reach.is_unreached(request.service):
             self._count(pending, now_ms)
         rejection = self._check_guard(pending, now_ms)
         if rejection is not None:
@@ -210,9 +213,10 @@
             return
         if outcome.ending in PROVEN_NOT_RUN:
             self._limits.on_not_run(pending, now_ms)
+            pending.sends += outcome.attempts or 0
         else:
             pending.may_have_run = True
-            pending.sends += pending.granted_attempts
+            pending.sends += outcome.attempts or pending.granted_attempts
         may_retry = self._retries.may_forward_again(pending, outcome, now_ms)
         if outcome.kind in (None, *PEER_KINDS) and may_retry:
             yield from self._try_again(pending, outcome.text, now_ms)
@@ -247,11 +251,10 @@
         a node that reaches one.
         """
         request = pending.request
+        if request.is_forwarded:
+            return self._refuse_unplaceable(pending, now_ms)
         if not self._reach.is_unreached(request.service):
             return None
-        if request.is_forwarded:
-            text = "this node reaches no replica either"
-            return self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
         match self._forwards.choose(pending, now_ms):
             case RelayForward() as forward:
                 self._limits.on_sent(pending)
@@ -265,6 +268,19 @@
             case None:
                 return None
 
+    def _refuse_unplaceable(
+        self, pending: PendingCall, now_ms: float
+    ) -> RelayReply | None:
+        """Refuse a forwarded call that this node can't place, now or later."""
+        service = pending.request.service
+        if self._reach.is_unreached(service):
+            text = "this node reaches no replica either"
+        elif not self._calls.may_place(service, now_ms):
+            text = "this node places calls on no replica of the service"
+        else:
+            return None
+        return self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
+
     def _refuse_forwarded(
         self, pending: PendingCall, outcome: ForwardOutcome, now_ms: float
     ) -> RelayReply:
@@ -342,12 +358,13 @@
         forward = self._forward(pending, now_ms)
         if forward is not None:
             return forward
-        self._count(pending, now_ms)
-        dispatch = self._calls.place(pending, now_ms)
-        if dispatch is None:
+        placed = self._calls.place(pending, now_ms)
+        if placed is None:
             return None
+        if isinstance(placed, RelayDispatch):
+            self._count(pending, now_ms)
         self._limits.on_sent(pending)
-        return RelayReply(pending.request.request_id, dispatch)
+        return RelayReply(pending.request.request_id, placed)
 
     def _count(self, pending: PendingCall, now_ms: float) -> None:
         """Count a call as a first try at the node that places it and retries it."""
@@ -483,6 +500,8 @@
                 self._directory.record_replaced(outcome.replica, now_ms)
             case DispatchEnding.REFUSED if outcome.has_other_weights:
                 self._assume_target_weights(known, pending)
+            case DispatchEnding.REFUSED if self._brittle.is_brittle(known):
+                self._brittle.record_rejected(known, now_ms)
             case DispatchEnding.REFUSED:
                 known.record_refused_call(now_ms)
 
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -163,6 +163,8 @@
     kind: ErrorKind | None = None
     """Reason of the peer's refusal."""
     retry_after_ms: float | None = None
+    attempts: int | None = None
+    """Replicas that may have got the call; None if the peer has not said."""
     has_begun: bool = False
     """Part of the response has reached the caller."""
 
--- a/packages/toucanyard/src/toucanyard/requests.py
+++ b/packages/toucanyard/src/toucanyard/requests.py
@@ -108,6 +108,8 @@
     ending: Ending
     text: str
     retry_after_ms: int
+    attempts: int = 0
+    """Endpoints that may have got the request."""
 
 
 class CachedAnswer(msgspec.Struct, frozen=True):
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -312,6 +312,7 @@
             text="" if refusal is None else refusal.text,
             kind=None if refusal is None else refusal.kind,
             retry_after_ms=None if refusal is None else refusal.retry_after_ms,
+            attempts=None if refusal is None else refusal.attempts,
         )
         if ending is DispatchEnding.COMPLETED:
             self._end(call, "completed")
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Iterator
 
+from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_forwards import CallForwards
 from toucanyard.call_limits import CallLimits
 from toucanyard.call_placement import CallPlacement
@@ -63,10 +64,21 @@
         sources = PromptBlockSources(self.directory, NodeDirectory(own, ()))
         rng = random.Random(1)
         credits = ReplicaCredits(ReplicaLimits(rng))
+        nodes = NodeDirectory(own, ())
+        reach = ReplicaReach(self.directory)
+        forwards = CallForwards(nodes, reach, rng)
         calls = self.calls = CallPlacement(
-            OPTIONS, self.directory, self.weight_targets, sources, credits, rng
+            OPTIONS,
+            self.directory,
+            self.weight_targets,
+            sources,
+            credits,
+            forwards,
+            lambda usage: BrittleReplicas(
+                ReplicaLimits(rng), self.directory, nodes, reach, usage
+            ),
+            rng,
         )
-        reach = ReplicaReach(self.directory)
         self.flow = RelayFlow(
             OPTIONS.retries,
             OPTIONS.policy,
@@ -76,7 +88,7 @@
             RequestGuard(self.directory, lambda *_: 0, rng),
             CallLimits(OPTIONS.limits, OPTIONS.policy.limits, Incarnation("i")),
             reach,
-            CallForwards(NodeDirectory(own, ()), reach, rng),
+            forwards,
             rng,
         )
         self.flow.apply_index(RouteIndex(build_table()))
--- a/tests/toucanyard/test_call_placement.py
+++ b/tests/toucanyard/test_call_placement.py
@@ -2,6 +2,8 @@
 
 import random
 
+from toucanyard.brittle_replicas import BrittleReplicas
+from toucanyard.call_forwards import CallForwards
 from toucanyard.call_placement import CallPlacement
 from toucanyard.names import EndpointName, Incarnation, NodeName
 from toucanyard.node_directory import NodeDirectory
@@ -11,6 +13,7 @@
 from toucanyard.relay_requests import Prompt, RelayDispatch
 from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_limits import ReplicaLimits
+from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.routes import RouteIndex
 from toucanyard.target_weights import TargetWeightsTable, WantedWeights
@@ -46,19 +49,29 @@
             LISTEN.callers,
             LISTEN.peers,
         )
-        sources = PromptBlockSources(directory, NodeDirectory(own, ()))
+        nodes, reach = NodeDirectory(own, ()), ReplicaReach(directory)
+        sources = PromptBlockSources(directory, nodes)
         sources.record_answer(STORE_NAME, 0.0, 1)
         rng = random.Random(1)
         credits = ReplicaCredits(ReplicaLimits(rng))
         self.placement = CallPlacement(
-            OPTIONS, directory, weight_targets, sources, credits, rng
+            OPTIONS,
+            directory,
+            weight_targets,
+            sources,
+            credits,
+            CallForwards(nodes, reach, rng),
+            lambda usage: BrittleReplicas(
+                ReplicaLimits(rng), directory, nodes, reach, usage
+            ),
+            rng,
         )
         self.placement.index = RouteIndex(build_table())
 
     def place(self, name: str, prompt: Prompt, now_ms: float = 10.0) -> RelayDispatch:
         request = build_request(name, service=ENGINES, prompt=prompt)
         dispatch = self.placement.place(PendingCall(request), now_ms)
-        assert dispatch is not None
+        assert isinstance(dispatch, RelayDispatch)
         return dispatch
 
 
--- a/tests/toucanyard/test_unwilling_replicas.py
+++ b/tests/toucanyard/test_unwilling_replicas.py
@@ -10,6 +10,7 @@
 from toucanyard.errorcodes import Ending
 from toucanyard.names import EndpointName, Fingerprint
 from toucanyard.pending_call import PendingCall
+from toucanyard.relay_requests import RelayDispatch
 from toucanyard.requests import DispatchEnding
 
 from .flow_node import SLOTS, Node
@@ -129,7 +130,7 @@
     def place(now_ms: float) -> EndpointName | None:
         pending = PendingCall(request, is_suspect=True)
         dispatch = node.calls.place(pending, now_ms)
-        return None if dispatch is None else dispatch.replica
+        return dispatch.replica if isinstance(dispatch, RelayDispatch) else None
 
     preferred = place(0.0)
     assert preferred == place(1.0)
