--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -9,6 +9,7 @@
 
 import pytest
 import trio
+from cuttable_node import CutMode
 from fleet import (
     MODEL,
     MODEL_HEADERS,
@@ -250,3 +251,45 @@
     assert done.returncode == 2
     assert done.stderr.count(b"\n") == 1
     assert b"boot.toml" in done.stderr
+
+
+@pytest.mark.parametrize("mode", list(CutMode))
+async def test_node_that_reaches_no_replica_serves_through_a_peer(
+    tmp_path: Path, mode: CutMode
+) -> None:
+    """Guards against a node that refuses what its peers could serve."""
+    async with open_fleet(tmp_path, nodes=3) as fleet:
+        cut, *others = fleet.nodes
+
+        async def has_statement() -> bool:
+            await cut.call("/desk/x", "probe", HOST)
+            await cut.call("/model/x", "probe", *MODEL_HEADERS)
+            addresses = await others[0].locate()
+            return cut.address(0) not in addresses
+
+        fleet.cut_off(cut, mode)
+        await wait_until(has_statement, "callers are directed to other nodes")
+        for number in range(10):
+            plain = await cut.call("/desk/x", f"p{number}", HOST)
+            stream = await cut.call("/model/x", f"m{number}", *MODEL_HEADERS)
+            assert plain.status == stream.status == 200
+            assert stream.body.count(b"id: ") == 10
+        ran = [
+            call_id
+            for name in ("d1", "d2", "e1", "e2")
+            for call_id in await fleet.fetch_executed_calls(name)
+        ]
+        assert sorted(each for each in ran if each[1:].isdigit()) == sorted(
+            f"{kind}{number}" for kind in "pm" for number in range(10)
+        )
+        log = cut.log.read_text()
+        assert "event=forwarded " in log
+        assert "event=forward_received" in "".join(
+            each.log.read_text() for each in others
+        )
+        fleet.cut_off(cut, None)
+
+        async def is_named() -> bool:
+            return cut.address(0) in await others[0].locate()
+
+        await wait_until(is_named, "callers are directed to the node again")
