Wait for other connects before a replica counts as crashed or failed

A node that reached a service again forgot the failures of its replicas also where these had really crashed; and a refused connect counted as a crash before connects to other replicas had shown whether the node itself was cut off. Change: failures are forgotten only after a cut in which the service was never down for all; an end of a replica is undecided until a connect elsewhere succeeds or the fault is located.

--- a/packages/toucanyard/src/toucanyard/crash_ledger.py
+++ b/packages/toucanyard/src/toucanyard/crash_ledger.py
@@ -174,11 +174,6 @@
             del self._crashes[replica].sent_ms[fingerprint]
             self._request_count -= 1
 
-    def retract(self, replica: EndpointName) -> None:
-        """Drop the crash of a replica that has not crashed."""
-        if replica in self._crashes:
-            self._forget(replica)
-
     def share_all(self, now_ms: float) -> None:
         """Send all crashes and survivals again, for a peer that has none of them."""
         for crash in self._crashes.values():
--- a/packages/toucanyard/src/toucanyard/fault_location.py
+++ b/packages/toucanyard/src/toucanyard/fault_location.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from typing import Final
 
+import msgspec
+
 from toucanyard.log_entries import LogEntry
 from toucanyard.names import EndpointName, ServiceName
 from toucanyard.node_directory import NodeDirectory
@@ -31,15 +33,26 @@
     """Nobody reaches it."""
 
 
+class LocationChange(msgspec.Struct, frozen=True):
+    """A change of where the fault of a service lies."""
+
+    service: ServiceName
+    location: FaultLocation
+    is_end_of_cut: bool
+    """Whether this node reaches the service again, which was never down for all."""
+
+
 class FaultLocator:
     """Locations of the faults of all services, as last logged."""
 
-    __slots__ = ("_logged", "_nodes", "_reach")
+    __slots__ = ("_down", "_logged", "_nodes", "_reach")
 
     def __init__(self, reach: ReplicaReach, nodes: NodeDirectory) -> None:
         self._reach = reach
         self._nodes = nodes
         self._logged: dict[ServiceName, FaultLocation] = {}
+        self._down: set[ServiceName] = set()
+        """Services that nobody reached at some time since this node lost them."""
 
     def locate(self, service: ServiceName, now_ms: float) -> FaultLocation:
         """Return why connects to a service fail, if they do."""
@@ -53,31 +66,42 @@
 
     def is_blind(self, replica: EndpointName, now_ms: float) -> bool:
         """Return whether this node's failed connects say nothing about a replica."""
+        location = self.locate_replica(replica, now_ms)
+        return location in (FaultLocation.UNDECIDED, FaultLocation.NODE)
+
+    def locate_replica(self, replica: EndpointName, now_ms: float) -> FaultLocation:
+        """Return why connects to a replica fail, if that is not its own fault."""
         service = self._reach.find_service(replica)
         if service is None:
-            return False
-        location = self.locate(service, now_ms)
-        return location in (FaultLocation.UNDECIDED, FaultLocation.NODE)
+            return FaultLocation.NONE
+        if self._reach.is_in_doubt(service, now_ms):
+            return FaultLocation.UNDECIDED
+        return self.locate(service, now_ms)
 
-    def update(self, now_ms: float) -> Iterator[tuple[ServiceName, FaultLocation]]:
-        """Return the services whose location has changed since the last call."""
+    def update(self, now_ms: float) -> Iterator[LocationChange]:
+        """Return the changes of locations since the last call."""
         for service in {*self._reach.list_unreached(), *self._logged}:
             location = self.locate(service, now_ms)
-            if location is self._logged.get(service, FaultLocation.NONE):
+            before = self._logged.get(service, FaultLocation.NONE)
+            if location is before:
                 continue
             self._logged[service] = location
-            if location is FaultLocation.NONE:
+            is_end_of_cut = False
+            if location is FaultLocation.SERVICE:
+                self._down.add(service)
+            elif location is FaultLocation.NONE:
+                is_end_of_cut = service not in self._down
+                self._down.discard(service)
                 del self._logged[service]
-            yield service, location
+            yield LocationChange(service, location, is_end_of_cut)
 
-    def build_entry(
-        self, service: ServiceName, location: FaultLocation, now_ms: float
-    ) -> LogEntry:
+    def build_entry(self, change: LocationChange, now_ms: float) -> LogEntry:
         """Return the log entry for a change."""
+        unreached_ms = self._reach.compute_unreached_time(change.service, now_ms)
         fields: dict[str, object] = {
-            "service": service,
-            "location": location.value,
-            "unreached_ms": round(self._reach.compute_unreached_time(service, now_ms)),
-            "peers_reaching": len(self._nodes.find_reaching(service, now_ms)),
+            "service": change.service,
+            "location": change.location.value,
+            "unreached_ms": round(unreached_ms),
+            "peers_reaching": len(self._nodes.find_reaching(change.service, now_ms)),
         }
         return LogEntry("fault_located", fields)
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -14,7 +14,7 @@
 from toucanyard.call_forwards import CallForwards
 from toucanyard.call_limits import CallLimits, compute_first_request_number
 from toucanyard.call_placement import CallPlacement
-from toucanyard.fault_location import FaultLocator
+from toucanyard.fault_location import FaultLocator, LocationChange
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
 from toucanyard.limit_coordinators import LimitCoordinators
@@ -293,15 +293,24 @@
         yield from self.reach.probe(now_ms)
         yield from self.reach.take_log_entries()
         yield from self.calls.brittle.take_log_entries()
-        for service, location in self.faults.update(now_ms):
-            yield self.faults.build_entry(service, location, now_ms)
-            listed = self.directory.find_listed(service, now_ms)
-            names = [each.replica.name for each in listed]
-            self.guard.on_fault_located(names, location, now_ms)
+        for change in self.faults.update(now_ms):
+            yield self.faults.build_entry(change, now_ms)
+            self._apply_location(change, now_ms)
+        if self.guard.has_undecided():
+            self.guard.settle_undecided(
+                lambda replica: self.faults.locate_replica(replica, now_ms), now_ms
+            )
         if self._reach_changes != self.reach.change_count:
             self._reach_changes = self.reach.change_count
             yield from self._send_status_now(now_ms)
 
+    def _apply_location(self, change: LocationChange, now_ms: float) -> None:
+        listed = self.directory.find_listed(change.service, now_ms)
+        if change.is_end_of_cut:
+            for known in listed:
+                # Its failures were those of this node's connections.
+                known.forget_failures()
+
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
         match event:
             case (
--- a/packages/toucanyard/src/toucanyard/replica_reach.py
+++ b/packages/toucanyard/src/toucanyard/replica_reach.py
@@ -23,6 +23,8 @@
 all of them if it has fewer."""
 DOUBT_PROBES: Final = 5
 """Connects to other replicas that are tried at once after one has failed."""
+MAX_DOUBT_MS: Final = 600.0
+"""How long conclusions wait for connects to other replicas."""
 DOUBT_PROBE_MS: Final = 200.0
 """Interval between these; longer than the timeout of a connect."""
 PEER_LOSS_MS: Final = 1_000.0
@@ -97,6 +99,13 @@
         known = self._directory.find(name)
         return None if known is None else known.replica.service
 
+    def is_in_doubt(self, service: ServiceName, now_ms: float) -> bool:
+        """Return whether connects have just failed and none has succeeded since."""
+        found = self._services.get(service)
+        if found is None or not found.failed_ms or found.unreached_ms is not None:
+            return False
+        return now_ms - min(found.failed_ms.values()) < MAX_DOUBT_MS
+
     def compute_unreached_time(self, service: ServiceName, now_ms: float) -> float:
         """Return for how long no replica of a service could be reached, in ms."""
         found = self._services.get(service)
@@ -273,9 +282,6 @@
         service.unreached_ms = service.returning_ms = None
         service.returned_ms = now_ms
         self.change_count += 1
-        for known in self._directory.find_listed(replica.service, now_ms):
-            # They were not the replicas' own failures.
-            known.forget_failures()
         fields: dict[str, object] = {
             "service": replica.service,
             "replica": replica.name,
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -36,8 +36,6 @@
 SUSPECT_RETRY_MS: Final = 500
 """Retry-After for a suspect that is being run; by then its run may have ended."""
 DEFAULT_POLICY: Final = GuardPolicy()
-RETRACTION_MS: Final = 1_500.0
-"""Time within which this node finds that it is cut off."""
 MAX_LOGGED: Final = 8
 """Maximum number of fingerprints in a log line."""
 
@@ -217,27 +215,23 @@
         entries, self._log_entries = self._log_entries, []
         yield from entries
 
-    def on_fault_located(
-        self, replicas: Iterable[EndpointName], location: FaultLocation, now_ms: float
+    def settle_undecided(
+        self, locate: Callable[[EndpointName], FaultLocation], now_ms: float
     ) -> None:
-        """Decide about the replicas of a service that this node could not reach."""
-        for replica in replicas:
-            match location:
+        """Decide about replicas that seemed to end while none could be reached."""
+        for replica in list(self._undecided):
+            match locate(replica):
+                case FaultLocation.UNDECIDED:
+                    continue
                 case FaultLocation.NODE:
-                    # Until several connects had failed, each looked like a crash.
-                    at_ms = self.ledger.find_crash_time(replica)
-                    if at_ms is not None and now_ms - at_ms < RETRACTION_MS:
-                        self.ledger.retract(replica)
                     self._undecided.discard(replica)
-                case FaultLocation.SERVICE if replica in self._undecided:
+                case FaultLocation.NONE | FaultLocation.SERVICE:
                     self._undecided.discard(replica)
                     self._attribute_losses(replica, now_ms)
-                case FaultLocation.NONE:
-                    # Probes show whether it has ended.
-                    self._undecided.discard(replica)
-        if location is FaultLocation.SERVICE:
-            # Some may have been held back while the location was not known.
-            self.ledger.share_all(now_ms)
+
+    def has_undecided(self) -> bool:
+        """Return whether it is open if some replicas have ended."""
+        return bool(self._undecided)
 
     def _check_suspect(
         self,
