Compute senders again only when the reaching nodes change, and end after three forwards

Cause: ranking 320 nodes for each of thousands of brittle replicas four times a second would take most of a core (computed, not measured); and a call that three peers had refused waited in the queue until its deadline, though nothing could place it. Change: senders are kept until the set of nodes that reach the service changes; the third refusal is passed on to the caller at once, with its Retry-After.

--- a/packages/toucanyard/src/toucanyard/brittle_replicas.py
+++ b/packages/toucanyard/src/toucanyard/brittle_replicas.py
@@ -20,7 +20,7 @@
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replica_usage import ReplicaUsage
-from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.replicas import KnownReplica, Replica, ReplicaDirectory
 
 WINDOW_MS: Final = 1_100.0
 """The second in which rejections count, and the delay until one is known."""
@@ -37,8 +37,9 @@
 """Interval between two increases by one call."""
 RETURN_ROOM: Final = 2
 """Calls at once at a replica that has just returned to a brittle service."""
-SENDER_TTL_MS: Final = 250.0
-"""How long the sender of a replica is kept before it is computed again."""
+NODES_TTL_MS: Final = 250.0
+"""Interval between checks which nodes reach a service. Senders are computed again
+only if these have changed: in a large fleet, ranking all nodes takes long."""
 
 
 class _Room:
@@ -53,13 +54,16 @@
         self.rejected_ms: deque[float] = deque()
 
 
-class _Sender:
-    __slots__ = ("peer", "until_ms")
+class _Senders:
+    """The senders of one service's replicas among the nodes that reach it."""
 
-    def __init__(self, peer: PeerAddress | None, until_ms: float) -> None:
-        self.peer = peer
-        """None if it is this node."""
-        self.until_ms = until_ms
+    __slots__ = ("by_replica", "nodes", "until_ms")
+
+    def __init__(self) -> None:
+        self.nodes: list[PeerAddress] = []
+        self.by_replica: dict[EndpointName, PeerAddress | None] = {}
+        """None if the sender is this node."""
+        self.until_ms = float("-inf")
 
 
 class BrittleReplicas:
@@ -97,7 +101,7 @@
         self._reach = reach
         self._usage = usage
         self._rooms: dict[EndpointName, _Room] = {}
-        self._senders: dict[EndpointName, _Sender] = {}
+        self._senders: dict[ServiceName, _Senders] = {}
         self._by_service: dict[ServiceName, float] = {}
         """Lowest stated number of the brittle replicas of each service."""
         self._change_count = 0
@@ -126,12 +130,12 @@
 
         None if it is this node.
         """
-        name = known.replica.name
-        sender = self._senders.get(name)
-        if sender is None or now_ms >= sender.until_ms:
-            peer = self._choose_sender(known, now_ms)
-            sender = self._senders[name] = _Sender(peer, now_ms + SENDER_TTL_MS)
-        return sender.peer
+        replica = known.replica
+        senders = self._find_senders(replica.service, now_ms)
+        if replica.name not in senders.by_replica:
+            peer = self._choose_sender(replica, senders.nodes)
+            senders.by_replica[replica.name] = peer
+        return senders.by_replica[replica.name]
 
     def select_local(
         self, usable: Sequence[KnownReplica], now_ms: float
@@ -204,7 +208,9 @@
         """Drop what is known of replicas that have been removed."""
         kept = set(names)
         self._rooms = {k: v for k, v in self._rooms.items() if k in kept}
-        self._senders = {k: v for k, v in self._senders.items() if k in kept}
+        for senders in self._senders.values():
+            held = senders.by_replica.items()
+            senders.by_replica = {k: v for k, v in held if k in kept}
 
     def take_log_entries(self) -> Iterator[LogEntry]:
         """Return and clear the log entries."""
@@ -235,17 +241,26 @@
         )
         return int(not is_rejecting and now_ms - room.grown_ms >= GROW_MS)
 
-    def _choose_sender(self, known: KnownReplica, now_ms: float) -> PeerAddress | None:
-        service = known.replica.service
-        key = compute_seed(known.replica.name)
-        peers = self._nodes.find_reaching(service, now_ms)
-        best = max(peers, key=lambda each: _rank(each.node, key), default=None)
-        is_reached = not self._reach.is_unreached(service)
+    def _find_senders(self, service: ServiceName, now_ms: float) -> _Senders:
+        senders = self._senders.setdefault(service, _Senders())
+        if now_ms >= senders.until_ms:
+            senders.until_ms = now_ms + NODES_TTL_MS
+            nodes = self._nodes.find_reaching(service, now_ms)
+            if nodes != senders.nodes:
+                senders.nodes = nodes
+                senders.by_replica = {}
+        return senders
+
+    def _choose_sender(
+        self, replica: Replica, nodes: Sequence[PeerAddress]
+    ) -> PeerAddress | None:
+        key = compute_seed(replica.name)
+        best = max(nodes, key=lambda each: _rank(each.node, key), default=None)
         if best is None:
             return None
-        if is_reached and _rank(self._nodes.own_name, key) > _rank(best.node, key):
-            return None
-        return best
+        is_reached = not self._reach.is_unreached(replica.service)
+        is_first = _rank(self._nodes.own_name, key) > _rank(best.node, key)
+        return None if is_reached and is_first else best
 
     def _update_services(self) -> None:
         """Find the brittle services again after a statement has changed."""
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from toucanyard.call_forwards import CallForwards, PeersBusy
+from toucanyard.call_forwards import MAX_FORWARDS, CallForwards, PeersBusy
 from toucanyard.call_limits import CallLimits, LimitRejection
 from toucanyard.call_placement import CallPlacement
 from toucanyard.call_refusals import CallRefusals
@@ -218,6 +218,7 @@
             pending.may_have_run = True
             pending.sends += outcome.attempts or pending.granted_attempts
         may_retry = self._retries.may_forward_again(pending, outcome, now_ms)
+        may_retry = may_retry and pending.forwards < MAX_FORWARDS
         if outcome.kind in (None, *PEER_KINDS) and may_retry:
             yield from self._try_again(pending, outcome.text, now_ms)
             return
