Count calls at a brittle replica as at risk until they have a response

Cause: a call counted as at risk for 60 ms; on a busy node a rejection was handled 48 ms after it had arrived, and a fourth call was sent meanwhile (three rejections are borne). Evidence: the node's log: sent at .285, .307, .328, .355, rejections read at .322, .338, .347, handled from .370 on. Change: a call is at risk until its response has begun, 200 ms at most.

--- a/packages/toucanyard/src/toucanyard/brittle_replicas.py
+++ b/packages/toucanyard/src/toucanyard/brittle_replicas.py
@@ -24,8 +24,9 @@
 
 WINDOW_MS: Final = 1_100.0
 """The second in which rejections count, and the delay until one is known."""
-CONFIRM_MS: Final = 60.0
-"""Time in which a rejection of a call arrives."""
+CONFIRM_MS: Final = 200.0
+"""Time in which a rejection arrives and is handled, also on a busy node. A call whose
+response has begun is no longer at risk."""
 MIN_REJECTIONS: Final = 1.0
 """Rejections a second that are risked at least: only they show how much a replica
 accepts."""
@@ -227,7 +228,7 @@
         room = self._rooms.setdefault(name, _Room(None))
         while room.rejected_ms and now_ms - room.rejected_ms[0] >= WINDOW_MS:
             room.rejected_ms.popleft()
-        risked = self._usage.count_own_since(name, now_ms - CONFIRM_MS) + 1
+        risked = self._usage.count_unanswered(name, now_ms - CONFIRM_MS) + 1
         if len(room.rejected_ms) + risked > max(rate, MIN_REJECTIONS):
             return False
         if room.calls is None:
--- a/packages/toucanyard/src/toucanyard/replica_usage.py
+++ b/packages/toucanyard/src/toucanyard/replica_usage.py
@@ -182,10 +182,12 @@
             for name, usage in total.items()
         )
 
-    def count_own_since(self, replica: EndpointName, since_ms: float) -> int:
-        """Return how many of this node's calls at a replica were sent since a time."""
+    def count_unanswered(self, replica: EndpointName, since_ms: float) -> int:
+        """Return how many own calls, sent since a time, have no response yet."""
         calls = self._own.get(replica, {})
-        return sum(call.sent_ms > since_ms for call in calls.values())
+        return sum(
+            call.sent_ms > since_ms and not call.has_started for call in calls.values()
+        )
 
     def list_peers(self) -> Collection[NodeName]:
         """Return the peers whose calls are known."""
--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -293,3 +293,35 @@
             return cut.address(0) in await others[0].locate()
 
         await wait_until(is_named, "callers are directed to the node again")
+
+
+async def test_brittle_replicas_are_not_made_to_exit(tmp_path: Path) -> None:
+    """Guards against nodes that each learn of a lack of room from rejections."""
+    async with open_fleet(tmp_path, nodes=3) as fleet:
+        statuses: list[int] = []
+        is_over = trio.Event()
+
+        async def send_calls(node: NodeProcess, kind: str) -> None:
+            number = 0
+            while not is_over.is_set():
+                number += 1
+                call_id = f"{kind}-{node.name}-{number}"
+                try:
+                    answer = await node.call("/model/x", call_id, *MODEL_HEADERS)
+                except ConnectionFailedError:
+                    # Its replica has exited.
+                    statuses.append(0)
+                else:
+                    statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for node in fleet.nodes:
+                for number in range(8):
+                    nursery.start_soon(send_calls, node, f"k{number}")
+            for name in ("e1", "e2"):
+                await fleet.make_brittle(name, count=3, room=3, for_s=8.0)
+            await trio.sleep(8.0)
+            is_over.set()
+        assert fleet.count_falls() <= 2
+        assert statuses.count(200) >= statuses.count(0)
+        assert 200 in statuses[-len(statuses) // 4 :]
