--- a/tests/toucanyard/test_nodes_cut_off_from_replicas.py
+++ b/tests/toucanyard/test_nodes_cut_off_from_replicas.py
@@ -7,15 +7,19 @@
 import pytest
 
 from toucanyard.names import NodeName, RequestId
+from toucanyard.target_weights import WantedWeights
 
 from .crash_fleet import BACK_MS
 from .cut_fleet import Cut, CutFleet, compute_served_share
+from .limit_fleet import BOUNDS, LIMIT
+from .relay_examples import DESK
 
 LOAD_PER_S = 40.0
 DETECTION_MS = 1_000.0
 """Time after the begin of a cut from which callers must not notice it."""
 MIN_SERVED = 0.95
 CUT_MS = 6_000.0
+FLOOD_TOKENS_PER_S = 60_000.0
 MAX_NODES_WITH_CALLS = 8
 """So few nodes that each gets enough calls in a large fleet."""
 MODES = pytest.mark.parametrize("how", list(Cut))
@@ -194,3 +198,37 @@
         runs[send.call.request.request_id.partition("@")[0]] += 1
     allowed = {c.request.request_id: c.request.max_attempts for c in fleet.calls}
     assert all(count <= allowed[RequestId(name)] for name, count in runs.items())
+
+
+def test_customer_stays_within_its_limit_while_calls_are_forwarded() -> None:
+    """Guards against a limit that is taken at neither or at both nodes."""
+    fleet = CutFleet(3, 3)
+    fleet.set_limit(LIMIT)
+    fleet.play(2_000.0, FLOOD_TOKENS_PER_S)
+    fleet.cut(list(fleet.cores)[:5], Cut.HANG)
+    before = len(fleet.reached)
+    fleet.play(10_000.0, FLOOD_TOKENS_PER_S)
+    used = sum(send.call.request.tokens or 0 for send in fleet.reached[before:])
+    assert fleet.find_max_usage() <= BOUNDS.compute_bound(LIMIT)
+    assert used >= 0.8 * 10.0 * LIMIT.rate_per_s
+
+
+def test_peers_of_a_cut_off_node_take_over_the_orders_of_weights() -> None:
+    """Guards against a holder of the lease that reaches no replica and keeps it."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    name = next(iter(fleet.cores))
+    fleet.cut([name], Cut.HANG)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    core = fleet.cores[name]
+    assert core.reach.is_unreached(DESK)
+    for known in core.directory.find_listed(DESK, fleet.now_ms):
+        known.weights["m"] = 1
+    core.weight_targets.apply(WantedWeights("m", 2), fleet.now_ms)
+    assert core.rollout.tick(fleet.now_ms + 1_000.0) == []
+    other = fleet.cores[list(fleet.cores)[1]]
+    for known in other.directory.find_listed(DESK, fleet.now_ms):
+        known.weights["m"] = 1
+    other.weight_targets.apply(WantedWeights("m", 2), fleet.now_ms)
+    actions = [other.rollout.tick(fleet.now_ms + 1_000.0 * n) for n in range(1, 9)]
+    assert any(actions)
