Forward calls of a brittle service only to nodes that place them

What callers saw in process: at cut-off nodes of 69 calls were refused while replicas were brittle, as three random peers were asked that place calls on none of them (8 senders of 65 nodes). Cause: the choice of a peer did not know that only senders place calls of a brittle service. Change: a node that reaches no replica asks the senders of the listed ones. Before, after: test_cut_off_nodes_forward_calls_to_senders_of_brittle_replicas[nodes-69] failed on the code before (it passed for nine nodes), passes now.

--- a/packages/toucanyard/src/toucanyard/call_forwards.py
+++ b/packages/toucanyard/src/toucanyard/call_forwards.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import Counter
+from collections.abc import Collection
 from typing import Final
 
 import msgspec
@@ -76,9 +77,15 @@
         """Calls forwarded so far."""
 
     def choose(
-        self, pending: PendingCall, now_ms: float
+        self,
+        pending: PendingCall,
+        now_ms: float,
+        among: Collection[NodeName] | None = None,
     ) -> RelayForward | PeersBusy | None:
-        """Return how to forward a call; None if no peer can serve it either."""
+        """Return how to forward a call; None if no peer can serve it either.
+
+        `among`: the only nodes that place calls of the service, if not all do.
+        """
         service = pending.request.service
         if pending.forwards >= MAX_FORWARDS:
             return None
@@ -86,6 +93,7 @@
             each
             for each in self._nodes.find_reaching(service, now_ms)
             if now_ms >= self._paused.get((each.node, service), now_ms)
+            and (among is None or each.node in among)
         ]
         peers = [e for e in reaching if now_ms >= self._busy.get(e.node, now_ms)]
         if peers:
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -12,7 +12,7 @@
 from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_forwards import MAX_FORWARDS, CallForwards
 from toucanyard.candidates import MIN_TRANSFER_TOKENS
-from toucanyard.names import EndpointName, Fingerprint, ServiceName
+from toucanyard.names import EndpointName, Fingerprint, NodeName, ServiceName
 from toucanyard.pending_call import PendingCall
 from toucanyard.plain_placement import PlainPlacement
 from toucanyard.prompt_block_index import PromptBlockIndex
@@ -115,6 +115,14 @@
         listed = self._directory.find_listed(service, now_ms)
         return not listed or self.brittle.is_sender_of_any(listed, now_ms)
 
+    def list_senders(self, service: ServiceName, now_ms: float) -> set[NodeName] | None:
+        """Return the peers that place calls on a service; None if all nodes do."""
+        listed = self._directory.find_listed(service, now_ms)
+        if any(self.brittle.find_rate(each) is None for each in listed):
+            return None
+        senders = (self.brittle.find_sender(each, now_ms) for each in listed)
+        return {each.node for each in senders if each is not None} or None
+
     def _list_remote(
         self, pending: PendingCall, usable: Sequence[KnownReplica], now_ms: float
     ) -> list[KnownReplica]:
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -256,7 +256,8 @@
             return self._refuse_unplaceable(pending, now_ms)
         if not self._reach.is_unreached(request.service):
             return None
-        match self._forwards.choose(pending, now_ms):
+        senders = self._calls.list_senders(request.service, now_ms)
+        match self._forwards.choose(pending, now_ms, senders):
             case RelayForward() as forward:
                 self._limits.on_sent(pending)
                 self._calls.release(pending)
--- a/tests/toucanyard/test_brittle_replicas.py
+++ b/tests/toucanyard/test_brittle_replicas.py
@@ -5,6 +5,7 @@
 import pytest
 
 from .brittle_fleet import USUAL_ROOM, BrittleFleet
+from .cut_fleet import Cut
 
 BRITTLE_PER_S = 3.0
 STATED_MS = 3_000.0
@@ -79,3 +80,18 @@
     calls = fleet.play_calls(3_000.0, FULL_LOAD_PER_S)
     fleet.run_for(2_000.0)
     assert fleet.count_served(calls) >= 0.99
+
+
+@SIZES
+def test_cut_off_nodes_forward_calls_to_senders_of_brittle_replicas(
+    nodes_each: int,
+) -> None:
+    """Guards against asking peers that place calls on none of the replicas."""
+    fleet = open_brittle_fleet(nodes_each, LOW_LOAD_PER_S)
+    names = list(fleet.cores)[:4]
+    fleet.cut(names, Cut.HANG)
+    fleet.play_calls(1_000.0, LOW_LOAD_PER_S, nodes=names)
+    calls = fleet.play_calls(4_000.0, LOW_LOAD_PER_S, nodes=names)
+    fleet.run_for(2_000.0)
+    assert fleet.falls == []
+    assert fleet.count_served(calls) >= 0.95
