Bound the body of a forwarded call, and say what two constants are for

Cause: read as a newcomer: a peer could announce a body of any size, and two groups of constants had no reason beside them. Change: the bound of response bodies holds for forwarded calls; the callers' own bound applied at the first node already. No other logic.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -21,6 +21,7 @@
 from toucanyard.names import NodeId, RequestId
 from toucanyard.requests import Refuse
 from toucanyard_node.forward_channel import ForwardChannel, ForwardClosedError
+from toucanyard_node.http_client import MAX_BODY_BYTES
 from toucanyard_node.http_exchange import (
     CallerGoneError,
     Headers,
@@ -179,6 +180,8 @@
     call = await channel.receive()
     if not isinstance(call, ForwardedCall):
         raise ForwardClosedError(f"found {type(call).__name__}, expected a call")
+    if call.body_bytes > MAX_BODY_BYTES:
+        raise ForwardClosedError(f"announced a body of {call.body_bytes} bytes")
     body = bytearray()
     while len(body) < call.body_bytes:
         part = await channel.receive()
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -47,6 +47,7 @@
 _QUEUE_SIZE: Final = 256
 _MAX_HANDSHAKES: Final = 16
 _MAX_FORWARD_HANDSHAKES: Final = 64
+"""Counted by themselves, so that forwarded calls keep no node from linking."""
 _LINKS_PER_PEER: Final = 4
 _MESSAGES_PER_S: Final = 500
 _BYTES_PER_S: Final = 1_000_000
--- a/packages/toucanyard/src/toucanyard/call_forwards.py
+++ b/packages/toucanyard/src/toucanyard/call_forwards.py
@@ -33,19 +33,16 @@
 """How long a peer that did not answer is not asked again; its link closes by then."""
 MAX_BUSY_PAUSE_MS: Final = 500.0
 """How long at most a peer without capacity is not asked again."""
-
-
 PATIENCE_FACTOR: Final = 4.0
 """Multiple of the target time after which a repeatable call is forwarded again; longer
 than the peer waits for its replica."""
 MIN_PATIENCE_MS: Final = 600.0
-
-
 UNABLE_KINDS: Final = (
     ErrorKind.NO_ENDPOINT,
     ErrorKind.DRAINING,
     ErrorKind.NO_CONFIGURATION,
 )
+"""Refusals of a peer that can place no calls of a service for a while."""
 
 
 class PeersBusy(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -46,8 +46,6 @@
 MAX_BLOCKED: Final = 8
 """Calls of one queue that may fail to be placed before the rest is skipped, as those
 would hardly fit either."""
-
-
 PEER_KINDS: Final = (
     ErrorKind.NO_ENDPOINT,
     ErrorKind.TOO_MANY_CALLS,
