Let the stand-in store tell the end of its refusals from their begin

Cause: one signal began and ended the refusals; while the process got no time two arrived as one, and the store refused for ever. Evidence: the store answered 503 nine minutes after the last fault, which had ended. Change: a signal of its own for each; a test that failed before. No code of a node is touched.

--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -75,7 +75,7 @@
             return answer.status == 200
 
         await wait_until(serves, "the node serves without the store")
-        store.send_signal(signal.SIGUSR1)
+        store.send_signal(signal.SIGUSR2)
 
 
 async def test_replica_that_names_a_limit_gets_no_more(tmp_path: Path) -> None:
--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -1,12 +1,13 @@
 from __future__ import annotations
 
 import os
+import signal
 from pathlib import Path
 
 import pytest
 import trio
 from faulty_proxy import Fault, FaultyProxy
-from fleet import find_port, find_ports
+from fleet import Fleet, find_port, find_ports, wait_until
 from soak import SoakFleet, SoakOptions, run_soak
 from soak_callers import CALL_DEADLINE_MS, CRASH_KIND, ObservedCall
 from soak_checks import (
@@ -281,3 +282,20 @@
     assert report.problems == []
     assert report.faults > 0
     assert report.answered > 0
+
+
+async def test_store_serves_again_if_two_signals_arrive_as_one(tmp_path: Path) -> None:
+    """Guards against a soak that never ends since its store refuses for ever."""
+    fleet = Fleet(tmp_path, os.getpid())
+    store = fleet.start_store()
+
+    async def is_accepting() -> bool:
+        return await fleet.try_publish("config", {})
+
+    try:
+        await wait_until(is_accepting, "the store serves")
+        for number in (signal.SIGUSR1, signal.SIGUSR1, signal.SIGUSR2):
+            store.send_signal(number)
+        await wait_until(is_accepting, "the store serves again")
+    finally:
+        fleet.stop()
