Conclude a crash as soon as one connect elsewhere has succeeded

The service stayed in doubt while new connects failed, and connects were tried each 200 ms only, so the conclusion came too late for the next run of the request. Change: the end of a replica is decided by the first connect that succeeds after it, whatever has failed since, and connects are tried again at once when the last ones have ended. Cut-off nodes still report no crashes.

--- a/packages/toucanyard/src/toucanyard/fault_location.py
+++ b/packages/toucanyard/src/toucanyard/fault_location.py
@@ -66,15 +66,20 @@
 
     def is_blind(self, replica: EndpointName, now_ms: float) -> bool:
         """Return whether this node's failed connects say nothing about a replica."""
-        location = self.locate_replica(replica, now_ms)
+        location = self.locate_replica(replica, now_ms, now_ms)
         return location in (FaultLocation.UNDECIDED, FaultLocation.NODE)
 
-    def locate_replica(self, replica: EndpointName, now_ms: float) -> FaultLocation:
-        """Return why connects to a replica fail, if that is not its own fault."""
+    def locate_replica(
+        self, replica: EndpointName, since_ms: float, now_ms: float
+    ) -> FaultLocation:
+        """Return why a connect to a replica failed, if not by its own fault.
+
+        `since_ms` is when it failed.
+        """
         service = self._reach.find_service(replica)
         if service is None:
             return FaultLocation.NONE
-        if self._reach.is_in_doubt(service, now_ms):
+        if self._reach.is_in_doubt(service, since_ms, now_ms):
             return FaultLocation.UNDECIDED
         return self.locate(service, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -298,7 +298,10 @@
             self._apply_location(change, now_ms)
         if self.guard.has_undecided():
             self.guard.settle_undecided(
-                lambda replica: self.faults.locate_replica(replica, now_ms), now_ms
+                lambda replica, since_ms: self.faults.locate_replica(
+                    replica, since_ms, now_ms
+                ),
+                now_ms,
             )
         if self._reach_changes != self.reach.change_count:
             self._reach_changes = self.reach.change_count
--- a/packages/toucanyard/src/toucanyard/replica_reach.py
+++ b/packages/toucanyard/src/toucanyard/replica_reach.py
@@ -26,7 +26,9 @@
 MAX_DOUBT_MS: Final = 600.0
 """How long conclusions wait for connects to other replicas."""
 DOUBT_PROBE_MS: Final = 200.0
-"""Interval between these; longer than the timeout of a connect."""
+"""Interval between these while some are open; longer than the timeout of a connect."""
+MIN_PROBE_MS: Final = 20.0
+"""The same once all have ended: a crash is concluded only after one has succeeded."""
 PEER_LOSS_MS: Final = 1_000.0
 """How long a peer's statement that it reaches no replica is kept; it is repeated."""
 EVIDENCE_MS: Final = 500.0
@@ -48,6 +50,7 @@
         "connected_ms",
         "failed_ms",
         "hold_ms",
+        "open_probes",
         "peer_lost_ms",
         "probe_count",
         "probed_ms",
@@ -71,6 +74,7 @@
         """When a peer last stated that it reaches no replica."""
         self.probed_ms = float("-inf")
         self.probe_count = 0
+        self.open_probes = 0
 
 
 class ReplicaReach:
@@ -99,12 +103,13 @@
         known = self._directory.find(name)
         return None if known is None else known.replica.service
 
-    def is_in_doubt(self, service: ServiceName, now_ms: float) -> bool:
-        """Return whether connects have just failed and none has succeeded since."""
+    def is_in_doubt(self, service: ServiceName, since_ms: float, now_ms: float) -> bool:
+        """Return whether no connect has succeeded since one failed at `since_ms`."""
         found = self._services.get(service)
         if found is None or not found.failed_ms or found.unreached_ms is not None:
             return False
-        return now_ms - min(found.failed_ms.values()) < MAX_DOUBT_MS
+        is_confirmed = found.connected_ms >= since_ms
+        return not is_confirmed and now_ms - since_ms < MAX_DOUBT_MS
 
     def compute_unreached_time(self, service: ServiceName, now_ms: float) -> float:
         """Return for how long no replica of a service could be reached, in ms."""
@@ -148,6 +153,8 @@
         known = self._directory.find(probed.replica)
         if known is None:
             return
+        service = self._find(known.replica.service)
+        service.open_probes = max(service.open_probes - 1, 0)
         if probed.is_connected:
             self.record_connected(known.replica, probed.begun_ms, now_ms)
         else:
@@ -241,13 +248,15 @@
     def _probe_doubt(
         self, name: ServiceName, service: ServiceReach, count: int, now_ms: float
     ) -> Iterator[ProbeConnection]:
-        if now_ms - service.probed_ms < DOUBT_PROBE_MS:
+        interval_ms = DOUBT_PROBE_MS if service.open_probes else MIN_PROBE_MS
+        if now_ms - service.probed_ms < interval_ms:
             return
         listed = self._directory.find_listed(name, now_ms)
         others: Sequence[KnownReplica] = [
             each for each in listed if each.replica.name not in service.failed_ms
         ]
         service.probed_ms = now_ms
+        service.open_probes = len(others[:count])
         for each in others[:count]:
             yield _build_probe(each)
 
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -76,8 +76,8 @@
     ) -> None:
         self._is_blind = is_blind
         """Whether this node's failed connects say nothing about a replica."""
-        self._undecided: set[EndpointName] = set()
-        """Replicas that may have ended, or that this node is cut off from."""
+        self._undecided: dict[EndpointName, float] = {}
+        """Since when replicas may have ended, or this node may be cut off from them."""
         self._policy = policy
         self._directory = directory
         self._find_rank = find_rank
@@ -216,18 +216,18 @@
         yield from entries
 
     def settle_undecided(
-        self, locate: Callable[[EndpointName], FaultLocation], now_ms: float
+        self, locate: Callable[[EndpointName, float], FaultLocation], now_ms: float
     ) -> None:
         """Decide about replicas that seemed to end while none could be reached."""
-        for replica in list(self._undecided):
-            match locate(replica):
+        for replica, since_ms in list(self._undecided.items()):
+            match locate(replica, since_ms):
                 case FaultLocation.UNDECIDED:
                     continue
                 case FaultLocation.NODE:
-                    self._undecided.discard(replica)
+                    del self._undecided[replica]
                 case FaultLocation.NONE | FaultLocation.SERVICE:
-                    self._undecided.discard(replica)
-                    self._attribute_losses(replica, now_ms)
+                    del self._undecided[replica]
+                    self._attribute_end(replica, now_ms)
 
     def has_undecided(self) -> bool:
         """Return whether it is open if some replicas have ended."""
@@ -268,8 +268,11 @@
     def _attribute_losses(self, replica: EndpointName, now_ms: float) -> None:
         """Attribute the end of an incarnation to the requests that were lost there."""
         if self._is_blind(replica, now_ms):
-            self._undecided.add(replica)
+            self._undecided.setdefault(replica, now_ms)
             return
+        self._attribute_end(replica, now_ms)
+
+    def _attribute_end(self, replica: EndpointName, now_ms: float) -> None:
         self.detector.mark_ended(replica)
         losses = self.detector.take_losses(replica)
         answered = self.detector.take_answered(replica)
