Charge calls in a replica's rest to the node that sent them

Cause: the check took the node of the caller for the one that sent the call. The rule is about the machine that was turned away. A test shows that both a breach by the sender and one without lines are still found. No code of a node is touched.

--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -23,6 +23,7 @@
     iterate_calls_after_leave,
     iterate_calls_in_rest,
     parse_arrivals,
+    parse_senders,
 )
 
 from toucanyard.names import Address
@@ -299,3 +300,17 @@
         await wait_until(is_accepting, "the store serves again")
     finally:
         fleet.stop()
+
+
+def test_rest_concerns_the_node_that_sent_the_call() -> None:
+    """Guards against blaming the node of a caller for what a peer sent."""
+    arrivals = [Arrival("c1", "d1", 0.0, False, 3.0)]
+    arrivals += [Arrival(f"c{n}", "d1", 1.0 + n / 10, False, 0.0) for n in range(2, 6)]
+    calls = {f"c{n}": build_call() for n in range(1, 6)}
+    line = "level=info event=sent call=c1-7 replica=d1@17 attempt=1"
+    senders = parse_senders("n2", [line])
+    assert list(iterate_calls_in_rest(calls, arrivals, []))
+    assert not list(iterate_calls_in_rest(calls, arrivals, [], senders))
+    lines = [line.replace("c1-", f"c{n}-") for n in range(1, 6)]
+    senders = parse_senders("n2", lines)
+    assert list(iterate_calls_in_rest(calls, arrivals, [], senders))
