Do not let one dead replica or a dropped service keep a node from returning

Cause: read once more. Any failed connect ended a return, so a service of three replicas stayed unreached while one that had ended was still listed, and its calls went through peers; and a service that the configuration dropped while it was unreached was stated to peers for ever. Change: two failed connects in a row, to different replicas, end a return; only services that the configuration names are stated. Before, after: two tests failed; they pass. Run on this code: tests of reach, fault location, forwards, brittle replicas, cut-off nodes and those they touch; not the whole script.

--- a/packages/toucanyard/src/toucanyard/replica_reach.py
+++ b/packages/toucanyard/src/toucanyard/replica_reach.py
@@ -33,6 +33,9 @@
 """How long a peer's statement that it reaches no replica is kept; it is repeated."""
 EVIDENCE_MS: Final = 500.0
 """Age of the last connect up to which it shows what that peer needs to know."""
+MIN_LOST_AGAIN: Final = 2
+"""Replicas to which connects must fail in a row to end a return: one of them may have
+ended and still be listed."""
 RETURN_PROBE_MS: Final = 250.0
 """Interval between connects while no replica can be reached, each to another one."""
 MIN_HOLD_MS: Final = 300.0
@@ -124,6 +127,7 @@
             name
             for name, service in self._services.items()
             if service.unreached_ms is not None
+            and name in self._directory.list_services()
         )
 
     def is_cut_off(self, now_ms: float) -> bool:
@@ -196,11 +200,12 @@
         if begun_ms <= service.connected_ms:
             return
         service.failed_ms[replica.name] = begun_ms
-        service.returning_ms = None
-        if service.unreached_ms is not None:
-            return
         names = self._list_names(replica.service, now_ms)
         failed = [name for name in names if name in service.failed_ms]
+        if service.unreached_ms is not None:
+            if len(failed) >= min(len(names), MIN_LOST_AGAIN):
+                service.returning_ms = None
+            return
         if failed and len(failed) >= min(len(names), MIN_FAILED_REPLICAS):
             self._begin(replica.service, service, failed, len(names), now_ms)
 
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -317,7 +317,7 @@
         """Set the services that the configuration names."""
         self._served = frozenset(names)
 
-    def list_services(self) -> Iterable[ServiceName]:
+    def list_services(self) -> Collection[ServiceName]:
         """Return the services that the configuration names."""
         return self._served
 
--- a/tests/toucanyard/test_replica_reach.py
+++ b/tests/toucanyard/test_replica_reach.py
@@ -140,3 +140,26 @@
         now_ms += 50.0
         reach.record_connected(replicas["a"], now_ms, now_ms)
     assert now_ms - begun_ms == away_ms[0]
+
+
+def test_one_dead_replica_does_not_keep_a_service_unreached() -> None:
+    """Guards against probes of a replica that has ended and is still listed."""
+    reach, replicas = build_reach("abc")
+    fail_all(reach, replicas, 100.0)
+    now_ms = 1_000.0
+    while reach.is_unreached(DESK) and now_ms < 5_000.0:
+        for probe in list(reach.probe(now_ms)):
+            is_connected = probe.replica != replicas["a"].name
+            probed = ConnectionProbed(probe.replica, is_connected, now_ms)
+            reach.record_probe(probed, now_ms + 2.0)
+        now_ms += 25.0
+    assert not reach.is_unreached(DESK)
+
+
+def test_service_that_the_configuration_dropped_is_not_stated_as_unreached() -> None:
+    """Guards against statements to peers about a service that no longer exists."""
+    reach, replicas = build_reach("abc")
+    fail_all(reach, replicas, 100.0)
+    reach._directory.apply_services([ENGINES])
+    assert reach.list_unreached() == ()
+    assert not reach.is_cut_off(300.0)
