Log the software version of replicas and dispatches, and what callers resume

The version of an entry was decoded and dropped, and the try that a caller names in Resumes was read nowhere. Change: both are typed fields now. replica_known and sent say the version (software=); a caller that takes a stream up leaves a line resume_received with the try that it names, bounded. No decision reads them yet.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -94,6 +94,11 @@
         """Return the id of the call at this node."""
         return self._request.request_id
 
+    @property
+    def request(self) -> RelayRequest:
+        """Return the call."""
+        return self._request
+
     async def run(self) -> None:
         """Dispatch until there is an answer or a final refusal, and send that."""
         try:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -10,6 +10,8 @@
 from toucanyard.requests import Refuse
 
 _LOG: Final = structlog.get_logger()
+_MAX_ID: Final = 40
+"""Maximum number of characters of an id that a caller chose."""
 
 
 def log_sent(dispatch: RelayDispatch) -> None:
@@ -22,6 +24,7 @@
         replica=dispatch.replica,
         attempt=dispatch.attempt,
         weights=dispatch.weights_version,
+        software=dispatch.software_version,
         score_ms=round(reason.total_ms, 1),
         wait_ms=round(reason.wait_ms, 1),
         unread=reason.unread_tokens,
@@ -34,6 +37,19 @@
     )
 
 
+def log_resumed(request: RelayRequest) -> None:
+    """Log that a caller takes up a stream, and by which try it says it began."""
+    if not request.last_event_id and not request.resumed_id:
+        return
+    _LOG.info(
+        "resume_received",
+        call=request.request_id,
+        route=request.route,
+        resumes=request.resumed_id[:_MAX_ID],
+        last_event=request.last_event_id[:_MAX_ID],
+    )
+
+
 def log_forwarded(forward: RelayForward) -> None:
     """Log the peer that a call is forwarded to and the inputs of that decision."""
     _LOG.info(
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -33,6 +33,8 @@
     deadline_ms: int | None
     prompt: Prompt | None
     last_event_id: str
+    resumed_id: str = ""
+    """The caller's id of the attempt that began the stream to be resumed."""
     tokens: int | None = None
     """Sum of prompt tokens and maximum output tokens; None if not declared."""
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -26,6 +26,7 @@
 from toucanyard_node.forward_exchange import Forwarder
 from toucanyard_node.http_exchange import CallResponder, HttpRequest, Responder
 from toucanyard_node.relay_exchange import RelayExchange
+from toucanyard_node.relay_log import log_resumed
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import CallCodec, CallFacts, CallInvalidError
 from toucanyard_node.relay_task import RelayClient
@@ -79,6 +80,7 @@
         except RouterError as error:
             await self._reject(http, responder, error)
             return
+        log_resumed(exchange.request)
         await exchange.run()
 
     async def handle_forwarded(
@@ -151,6 +153,8 @@
             table_version=index.table.version,
             prompt=facts.prompt,
             tokens=facts.tokens,
+            last_event_id=facts.last_event_id,
+            resumed_id=facts.resumed_id,
             fingerprint=compute_fingerprint(
                 http.method, host, http.target, name, http.body
             ),
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -305,6 +305,7 @@
             reason=reason,
             is_limited=self._credits.find_limit(replica.name) is not None,
             is_brittle=self.brittle.is_brittle(known),
+            software_version=replica.software_version,
         )
 
     def _begin(
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -160,6 +160,7 @@
         was_usable = before is not None and before.is_listed(now_ms)
         was_removed = before is not None and before.gone_ms is not None
         weights_before = {} if before is None else dict(before.weights)
+        software_before = None if before is None else before.replica.software_version
         known = self._directory.apply(replica, now_ms)
         if known is None:
             yield LogEntry("replica_outdated", _describe(replica, source))
@@ -176,6 +177,7 @@
             # Loading weights clears what the replica cached under the previous ones.
             self._flow.block_index.forget(replica.name)
         is_same = known is before and weights_before == known.weights
+        is_same = is_same and software_before == replica.software_version
         if not is_same or was_removed or was_usable != known.is_listed(now_ms):
             fields = _describe(replica, source)
             fields |= {"is_leaving": known.is_leaving, "weights": dict(known.weights)}
@@ -187,5 +189,6 @@
         "replica": replica.name,
         "service": replica.service,
         "address": replica.address,
+        "software": replica.software_version,
         "source": source,
     }
--- a/packages/toucanyard/src/toucanyard/names.py
+++ b/packages/toucanyard/src/toucanyard/names.py
@@ -15,6 +15,8 @@
 EndpointName = NewType("EndpointName", str)
 # The name that a replica registers under; it may be unchanged after a restart.
 ReplicaId = NewType("ReplicaId", str)
+# An opaque word: two versions of a replica's program are equal or not, without order.
+SoftwareVersion = NewType("SoftwareVersion", str)
 RequestId = NewType("RequestId", str)
 # Hash of a request's content; the same for each of its repeats.
 Fingerprint = NewType("Fingerprint", str)
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -14,6 +14,7 @@
     ReplicaId,
     RequestId,
     ServiceName,
+    SoftwareVersion,
 )
 from toucanyard.prompt_block_index import PromptBlock
 from toucanyard.requests import DispatchEnding, Refuse, Repeatability
@@ -73,6 +74,11 @@
     """Its response has begun at the peer and may only be resumed."""
     begun_weights_version: int | None = None
     """Weights version of that response."""
+    last_event_id: str = ""
+    """Last event that the caller has of the stream; empty for a new stream."""
+    resumed_id: str = ""
+    """The caller's id of the try that brought the first event of that stream; empty
+    if the caller does not name it."""
 
 
 class PlacementReason(msgspec.Struct, frozen=True):
@@ -118,6 +124,8 @@
     is."""
     is_limited: bool = False
     """The replica has announced a limit; its response shows whether it still does."""
+    software_version: SoftwareVersion = SoftwareVersion("")
+    """Version of the replica's program when it was chosen."""
 
 
 class RelayForward(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -20,6 +20,7 @@
     EndpointName,
     ReplicaId,
     ServiceName,
+    SoftwareVersion,
 )
 from toucanyard.replica_incarnations import ReplicaIncarnations
 from toucanyard.store_availability import StoreOutage
@@ -87,6 +88,8 @@
     """Model and weights version of each loaded model."""
     born_ms: int | None = None
     """Start of this incarnation by the replica's clock; None if not reported."""
+    software_version: SoftwareVersion = SoftwareVersion("")
+    """Version of its program. Events of two versions do not form one stream."""
 
 
 class Removal(msgspec.Struct, frozen=True):
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -113,7 +113,7 @@
         super().__init__(forward.peer, request)
         self._fleet = fleet
         self._forward = forward
-        self._origin = origin
+        self.origin = origin
 
     def report(self) -> None:
         """Tell the node that forwarded the call how it ended."""
@@ -123,7 +123,7 @@
             ending = DispatchEnding.REFUSED if is_not_run else DispatchEnding.LOST
         elif self.ending != "completed":
             ending = DispatchEnding.LOST
-        self._fleet.end_forward(self._origin, self._forward, ending, self.refusal)
+        self._fleet.end_forward(self.origin, self._forward, ending, self.refusal)
 
 
 class SentCall:
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -72,6 +72,7 @@
             None if deadline is None else int(deadline),
             prompt,
             headers.get("x-last", ""),
+            headers.get("x-resumes", ""),
         )
 
     def build_headers(
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -86,12 +86,14 @@
 
 
 def test_headers_of_a_model_call_are_decoded() -> None:
-    facts = PlatformCalls().read_call(build_http(*MODEL_CALL, ("Last-Event-Id", "7")))
+    resumed = (("Last-Event-Id", "7"), ("Resumes", "q0"))
+    facts = PlatformCalls().read_call(build_http(*MODEL_CALL, *resumed))
     assert facts.caller_id == "q1"
     assert facts.key == "key1"
     assert facts.deadline_ms == 6_000
     assert facts.prompt == PROMPT
     assert facts.last_event_id == "7"
+    assert facts.resumed_id == "q0"
 
 
 def test_plain_call_needs_only_its_id() -> None:
--- a/tests/toucanyard_platform/test_records.py
+++ b/tests/toucanyard_platform/test_records.py
@@ -179,6 +179,7 @@
     assert replica.listed_as == "i-1"
     assert replica.name == "i-1@1700000000000"
     assert replica.born_ms == 1_700_000_000_000
+    assert replica.software_version == "v1"
     assert replica.service == ServiceName("s")
     assert replica.weights == (("m", 3),)
     weights = b'{"model":"m","version":4}'
