--- a/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
@@ -21,9 +21,10 @@
 from toucanyard.names import Address, NodeId, NodeName
 from toucanyard_node.peer_handshake import HandshakeError, Side, authenticate_peer
 
-FORWARD_VERSION: Final = 1_001
+FORWARD_VERSION: Final = 1_002
 """Version in the handshake. It differs from that of links between nodes, so that a node
-without this protocol refuses the connection instead of taking it for a link."""
+without this protocol refuses the connection instead of taking it for a link. Nodes of
+1001 ignore where a stream began, so they get no calls."""
 _CLOSE_TIMEOUT_S: Final = 0.2
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
@@ -78,6 +78,7 @@
                     last_event_id=last_event_id,
                     has_begun=forward.has_begun,
                     weights_version=forward.weights_version,
+                    stream_origin=forward.origin,
                 )
                 await channel.send(call)
                 for part in split_body(http.body):
--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -20,6 +20,7 @@
 )
 from toucanyard.names import NodeId, RequestId
 from toucanyard.requests import Refuse
+from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.forward_channel import ForwardChannel, ForwardClosedError
 from toucanyard_node.http_client import MAX_BODY_BYTES
 from toucanyard_node.http_exchange import (
@@ -68,10 +69,12 @@
             )
         )
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(
+        self, status: int, headers: Headers, origin: StreamOrigin | None = None
+    ) -> None:
         """Send the head of a response whose body follows in parts."""
         self.is_started = True
-        await self._send(AnswerHead(status, headers, is_stream=True))
+        await self._send(AnswerHead(status, headers, is_stream=True, origin=origin))
 
     async def write(self, data: bytes) -> None:
         """Send one part of the body."""
--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -10,6 +10,7 @@
 import trio
 
 from toucanyard.requests import Refuse
+from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.refusals import render_refusal
 from toucanyard_node.socket_io import send
 
@@ -51,8 +52,13 @@
         """Send a refusal."""
         ...
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a response whose body follows in parts."""
+    async def start(
+        self, status: int, headers: Headers, origin: StreamOrigin | None = None
+    ) -> None:
+        """Send the head of a response whose body follows in parts.
+
+        `origin` is where a stream begins, which only peers are told.
+        """
         ...
 
     async def write(self, data: bytes) -> None:
@@ -104,7 +110,9 @@
         rendered = render_refusal(refusal, is_exact=is_exact)
         await self.send(rendered.status, rendered.headers, rendered.body)
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(
+        self, status: int, headers: Headers, _: StreamOrigin | None = None
+    ) -> None:
         """Send the head of a response whose body follows in chunks."""
         head = self._render_head(status, (*headers, ("Transfer-Encoding", "chunked")))
         await self._send_data(head)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -25,6 +25,7 @@
     RelayVerdict,
 )
 from toucanyard.requests import DispatchEnding, Refuse
+from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.buffered_answer import AnswerLostError, BufferedAnswer
 from toucanyard_node.event_splitter import EventSplitter
 from toucanyard_node.forward_channel import ForwardClosedError
@@ -69,7 +70,6 @@
         http: HttpRequest,
         responder: CallResponder,
         request: RelayRequest,
-        last_event_id: str,
         max_gap_ms: int,
         metrics: RelayMetrics,
     ) -> None:
@@ -81,13 +81,15 @@
         self._request = request
         self._max_gap_ms = max_gap_ms
         self._metrics = metrics
-        self._splitter = EventSplitter(last_event_id)
+        self._splitter = EventSplitter(request.last_event_id)
         self._dispatch: RelayDispatch | RelayForward | None = None
         self._is_in_flight = False
         self._may_have_run = False
         self._first_ms: float | None = None
         """Time from the arrival of the call to the first event of its answer."""
         self._buffered_answer: BufferedAnswer | None = None
+        self._origin: StreamOrigin | None = None
+        """Where a stream began that a peer has passed on."""
 
     @property
     def request_id(self) -> RequestId:
@@ -181,7 +183,9 @@
                 await self._pass_on(forward, answer)
         except ForwardFailedError as error:
             outcome = msgspec.structs.replace(
-                error.outcome, has_begun=self._responder.is_started
+                error.outcome,
+                has_begun=self._responder.is_started,
+                origin=self._origin,
             )
             self._log_forward(forward, outcome.ending.value, 0, outcome.text)
             raise ForwardFailedError(outcome) from error
@@ -198,16 +202,17 @@
             return
         self._splitter.discard_partial_event()
         if not self._responder.is_started and not self._request.is_resumable:
-            await self._responder.start(head.status, head.fields)
+            await self._responder.start(head.status, head.fields, head.origin)
         while (part := await answer.read_part()) is not None:
             events = self._splitter.push(part)
             if events:
                 if not self._responder.is_started:
-                    await self._responder.start(head.status, head.fields)
-                self._record_first_event()
+                    self._origin = head.origin
+                    await self._responder.start(head.status, head.fields, head.origin)
+                self._record_first_event(head.origin)
                 await self._responder.write(events)
         if not self._responder.is_started:
-            await self._responder.start(head.status, head.fields)
+            await self._responder.start(head.status, head.fields, head.origin)
         self._end_forward(forward, DispatchEnding.COMPLETED, head.status)
         await self._responder.finish()
 
@@ -226,12 +231,12 @@
         self._metrics.record_forward_ended(ending)
         log_forward_ended(self._request, forward, ending, status, after_ms, text)
 
-    def _record_first_event(self) -> None:
+    def _record_first_event(self, forwarded_origin: StreamOrigin | None = None) -> None:
         if self._first_ms is not None:
             return
         self._first_ms = trio.current_time() * 1000 - self._request.arrived_ms
         self._metrics.record_first_part(self._request, self._first_ms)
-        self._client.report_first_event(self._request.request_id)
+        self._client.report_first_event(self._request.request_id, forwarded_origin)
 
     async def _send_dispatch(self, dispatch: RelayDispatch) -> None:
         """Perform one dispatch and send its answer, or raise AnswerLostError."""
@@ -373,7 +378,7 @@
     ) -> None:
         self._splitter.discard_partial_event()
         if not self._responder.is_started and not self._request.is_resumable:
-            await self._start_answer(head)
+            await self._start_answer(head, dispatch)
         while True:
             chunk = await self._read_stream_chunk(dispatch, connection, facts)
             if chunk is None:
@@ -382,7 +387,7 @@
             if not events:
                 continue
             if not self._responder.is_started:
-                await self._start_answer(head)
+                await self._start_answer(head, dispatch)
             self._record_first_event()
             await self._responder.write(events)
         if self._splitter.has_partial_event():
@@ -390,12 +395,14 @@
                 dispatch, DispatchEnding.LOST, "cut inside an event", facts
             )
         if not self._responder.is_started:
-            await self._start_answer(head)
+            await self._start_answer(head, dispatch)
         self._complete(dispatch, facts, head.status)
         await self._responder.finish()
 
-    async def _start_answer(self, head: ResponseHead) -> None:
-        await self._responder.start(head.status, self._codec.filter_answer(head))
+    async def _start_answer(self, head: ResponseHead, dispatch: RelayDispatch) -> None:
+        headers = self._codec.filter_answer(head)
+        origin = StreamOrigin(dispatch.service, dispatch.software_version)
+        await self._responder.start(head.status, headers, origin)
 
     async def _read_stream_chunk(
         self, dispatch: RelayDispatch, connection: HttpConnection, facts: AnswerFacts
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -153,16 +153,15 @@
             table_version=index.table.version,
             prompt=facts.prompt,
             tokens=facts.tokens,
+            services=route.list_services(),
             last_event_id=facts.last_event_id,
             resumed_id=facts.resumed_id,
             fingerprint=compute_fingerprint(
                 http.method, host, http.target, name, http.body
             ),
         )
-        last_event_id = facts.last_event_id
         if forwarded is not None:
             request = _apply_forward(request, forwarded)
-            last_event_id = forwarded.last_event_id
         return RelayExchange(
             self._client,
             self._codec,
@@ -170,7 +169,6 @@
             http,
             responder,
             request,
-            last_event_id,
             route.max_gap_ms,
             self._metrics,
         )
@@ -206,6 +204,8 @@
         is_counted=forwarded.is_counted,
         has_begun=forwarded.has_begun,
         begun_weights_version=forwarded.weights_version,
+        last_event_id=forwarded.last_event_id,
+        origin=forwarded.stream_origin,
     )
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -46,6 +46,7 @@
 )
 from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.requests import Refuse
+from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.relay_log import log_forwarded, log_refused, log_sent
 from toucanyard_node.relay_metrics import RelayMetrics
 
@@ -141,9 +142,11 @@
                 ReplicaStatementSeen(replica, statement, ends_limit, ends_brittle)
             )
 
-    def report_first_event(self, request_id: RequestId) -> None:
-        """Report the first event of an answer."""
-        self.send_event(FirstEventSeen(request_id))
+    def report_first_event(
+        self, request_id: RequestId, forwarded_origin: StreamOrigin | None = None
+    ) -> None:
+        """Report the first event of an answer, and where a peer says that it began."""
+        self.send_event(FirstEventSeen(request_id, forwarded_origin))
 
     def report_dispatch_ended(self, outcome: RelayOutcome) -> None:
         """Report how a dispatch ended that needs no further verdict."""
--- a/packages/toucanyard/src/toucanyard/call_forwards.py
+++ b/packages/toucanyard/src/toucanyard/call_forwards.py
@@ -181,4 +181,5 @@
             is_counted=pending.is_counted,
             has_begun=pending.has_begun,
             weights_version=pending.weights_version if pending.has_begun else None,
+            origin=pending.origin,
         )
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -12,7 +12,7 @@
 from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_forwards import MAX_FORWARDS, CallForwards
 from toucanyard.candidates import MIN_TRANSFER_TOKENS
-from toucanyard.names import EndpointName, Fingerprint, NodeName, ServiceName
+from toucanyard.names import Fingerprint, NodeName, ServiceName
 from toucanyard.pending_call import PendingCall
 from toucanyard.plain_placement import PlainPlacement
 from toucanyard.prompt_block_index import PromptBlockIndex
@@ -36,6 +36,8 @@
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import Repeatability
 from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
+from toucanyard.software_versions import SoftwareVersions, VersionRoom
+from toucanyard.stream_origins import StreamOrigin
 from toucanyard.target_weights import TargetWeightsTable
 
 MIN_PATIENCE_MS: Final = 400.0
@@ -60,8 +62,10 @@
         credits: ReplicaCredits,
         forwards: CallForwards,
         build_brittle: Callable[[ReplicaUsage], BrittleReplicas],
+        versions: SoftwareVersions,
         rng: random.Random,
     ) -> None:
+        self._versions = versions
         self._forwards = forwards
         self._policy = options.policy
         self._sources = sources
@@ -77,7 +81,7 @@
         self.block_index = PromptBlockIndex()
         max_old_ms = options.weights.deadline_ms * MAX_OLD_SHARE
         self._placement = PromptBlockPlacement(
-            self.block_index, self.usage, max_old_ms, options.policy.placement
+            self.block_index, self.usage, max_old_ms, options.policy
         )
         self._plain = PlainPlacement(options.domain, self.usage, rng)
 
@@ -93,7 +97,7 @@
         request = pending.request
         service = self.index.find_service(request.service)
         usable: Sequence[KnownReplica]
-        usable = self._directory.find_usable(request.service, now_ms)
+        usable = self.find_usable(pending, now_ms)
         untried = [each for each in usable if each.replica.name not in pending.tried]
         # If every usable replica has been tried, try them again.
         usable = untried or usable
@@ -110,6 +114,37 @@
             return self._place_prompt(pending, service.engine, usable, now_ms)
         return self._place_plain(pending, usable, now_ms)
 
+    def find_listed(self, pending: PendingCall, now_ms: float) -> list[KnownReplica]:
+        """Return the listed replicas at which a call may run."""
+        listed = self._directory.find_listed(pending.request.service, now_ms)
+        return [each for each in listed if _fits_origin(pending, each)]
+
+    def may_go_on(self, pending: PendingCall, now_ms: float) -> bool:
+        """Return whether a replica that has not failed it may take a begun stream."""
+        return any(
+            each.replica.name not in pending.tried and _fits_weights(pending, each)
+            for each in self.find_listed(pending, now_ms)
+        )
+
+    def find_usable(self, pending: PendingCall, now_ms: float) -> list[KnownReplica]:
+        """Return the replicas that may get a call now."""
+        usable = self._directory.find_usable(pending.request.service, now_ms)
+        if pending.origin is None:
+            return usable
+        return [
+            each
+            for each in usable
+            if _fits_origin(pending, each) and not each.may_have_restarted(now_ms)
+        ]
+
+    def _find_room(
+        self, pending: PendingCall, usable: Sequence[KnownReplica]
+    ) -> VersionRoom | None:
+        """Return which software versions a new stream should avoid, if any."""
+        if pending.origin is not None or not pending.request.is_resumable:
+            return None
+        return self._versions.find_room(usable)
+
     def may_place(self, service: ServiceName, now_ms: float) -> bool:
         """Return whether this node places calls on any replica of a service."""
         listed = self._directory.find_listed(service, now_ms)
@@ -167,10 +202,7 @@
         prompt = request.prompt
         assert prompt is not None
         target = self._weight_targets.find(prompt.model)
-        if pending.has_begun and pending.weights_version is not None:
-            # Output of another weights version can't continue the same answer.
-            version = pending.weights_version
-            usable = [e for e in usable if e.weights.get(prompt.model) == version]
+        usable = [each for each in usable if _fits_weights(pending, each)]
         stores = self._sources.find_stores(self.index, now_ms)
         placed = self._placement.choose(
             request,
@@ -182,6 +214,7 @@
             now_ms,
             # The caller of an interrupted stream should learn of a failure at once.
             may_wait_for_reader=not pending.has_begun,
+            room=self._find_room(pending, usable),
         )
         if placed is None:
             return None
@@ -193,7 +226,7 @@
             return None
         pending.weights_version = placed.weights_version
         tokens = prompt.count_tokens() + prompt.max_output_tokens
-        self._begin(pending, replica.name, tokens, placed.unread_tokens, now_ms)
+        self._begin(pending, placed.replica, tokens, placed.unread_tokens, now_ms)
         pending.scope = placed.scope
         read_ms = placed.wait_ms + placed.unread_tokens / self.usage.tokens_per_ms
         self.block_index.record(
@@ -276,7 +309,7 @@
             return forward
         if not self._credits.claim(pending, placed.replica.replica.name, now_ms):
             return None
-        self._begin(pending, placed.replica.replica.name, 0, 0, now_ms)
+        self._begin(pending, placed.replica, 0, 0, now_ms)
         reason = PlacementReason(
             total_ms=placed.load,
             wait_ms=0.0,
@@ -305,26 +338,29 @@
             reason=reason,
             is_limited=self._credits.find_limit(replica.name) is not None,
             is_brittle=self.brittle.is_brittle(known),
+            service=replica.service,
             software_version=replica.software_version,
         )
 
     def _begin(
         self,
         pending: PendingCall,
-        replica: EndpointName,
+        known: KnownReplica,
         tokens: int,
         unread_tokens: int,
         now_ms: float,
     ) -> None:
         request_id = pending.request.request_id
+        replica = known.replica.name
         pending.replica = replica
         pending.sent_ms = now_ms
+        pending.sent_origin = StreamOrigin(
+            known.replica.service, known.replica.software_version
+        )
         pending.dispatches += 1
         pending.sends += 1
         self.usage.begin(replica, request_id, tokens, unread_tokens, now_ms)
-        known = self._directory.find(replica)
-        if known is not None:
-            self.brittle.record_sent(known, now_ms)
+        self.brittle.record_sent(known, now_ms)
 
     def _compute_patience(self, pending: PendingCall) -> float:
         """Return how long to wait for an answer before trying another replica."""
@@ -367,6 +403,23 @@
             )
 
 
+def _fits_origin(pending: PendingCall, known: KnownReplica) -> bool:
+    """Return whether a call's stream may go on at a replica; true for a new one."""
+    version = known.replica.software_version
+    return pending.origin is None or pending.origin.software_version == version
+
+
+def _fits_weights(pending: PendingCall, known: KnownReplica) -> bool:
+    """Return whether a replica has the weights of an answer that has begun.
+
+    Output of another weights version can't continue the same answer.
+    """
+    prompt, version = pending.request.prompt, pending.weights_version
+    if not pending.has_begun or prompt is None or version is None:
+        return True
+    return known.weights.get(prompt.model) == version
+
+
 def _find_preferred_replica(
     fingerprint: Fingerprint, usable: Sequence[KnownReplica]
 ) -> KnownReplica:
--- a/packages/toucanyard/src/toucanyard/call_retries.py
+++ b/packages/toucanyard/src/toucanyard/call_retries.py
@@ -77,6 +77,9 @@
     pending.has_begun = pending.has_begun or outcome.has_begun
     if outcome.has_begun and not request.is_resumable:
         return False
+    if pending.has_begun and pending.origin is None:
+        # Where it may go on is not known.
+        return False
     if not is_safe or pending.sends >= request.max_attempts:
         return False
     if now_ms >= request.deadline_ms:
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -0,0 +1,120 @@
+"""Record what the end of a dispatch shows about its call and its replica."""
+
+from __future__ import annotations
+
+from toucanyard.brittle_replicas import BrittleReplicas
+from toucanyard.call_limits import CallLimits
+from toucanyard.call_placement import CallPlacement
+from toucanyard.pending_call import PendingCall
+from toucanyard.relay_policy import RelayPolicy
+from toucanyard.relay_requests import RelayOutcome
+from toucanyard.replica_reach import ReplicaReach
+from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.request_guard import RequestGuard
+from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
+from toucanyard.target_weights import TargetWeightsTable
+
+
+class DispatchOutcomes:
+    """Updates of one node's state by ended dispatches."""
+
+    __slots__ = (
+        "_brittle",
+        "_calls",
+        "_directory",
+        "_guard",
+        "_limits",
+        "_policy",
+        "_reach",
+        "_weight_targets",
+    )
+
+    def __init__(
+        self,
+        policy: RelayPolicy,
+        directory: ReplicaDirectory,
+        weight_targets: TargetWeightsTable,
+        calls: CallPlacement,
+        guard: RequestGuard,
+        limits: CallLimits,
+        reach: ReplicaReach,
+    ) -> None:
+        self._policy = policy
+        self._directory = directory
+        self._weight_targets = weight_targets
+        self._calls = calls
+        self._brittle: BrittleReplicas = calls.brittle
+        self._guard = guard
+        self._limits = limits
+        self._reach = reach
+
+    def apply(self, pending: PendingCall, outcome: RelayOutcome, now_ms: float) -> None:
+        """Apply the end of a call's dispatch."""
+        self._calls.usage.end(outcome.replica, outcome.request_id)
+        known = self._directory.find(outcome.replica)
+        prompt = pending.request.prompt
+        if prompt is not None and not outcome.has_begun:
+            self._calls.block_index.record_unread(
+                outcome.replica, pending.scope, prompt.parts, now_ms
+            )
+        self._record_sends(pending, outcome, now_ms)
+        self._guard.on_dispatch_ended(pending.request, outcome, pending.sent_ms, now_ms)
+        if known is None:
+            return
+        self._reach.record_outcome(known.replica, outcome, pending.sent_ms, now_ms)
+        if prompt is not None and outcome.weights_version is not None:
+            self._record_weights(known, prompt.model, outcome.weights_version)
+        self._apply_ending(known, pending, outcome, now_ms)
+
+    def _apply_ending(
+        self,
+        known: KnownReplica,
+        pending: PendingCall,
+        outcome: RelayOutcome,
+        now_ms: float,
+    ) -> None:
+        """Record what the end of a dispatch shows about its replica."""
+        if outcome.is_closed or outcome.has_no_listener:
+            known.record_possible_restart(now_ms)
+        match outcome.ending:
+            case DispatchEnding.COMPLETED:
+                known.record_success()
+            case DispatchEnding.NOT_SENT if outcome.is_withdrawn:
+                pass
+            case DispatchEnding.NOT_SENT | DispatchEnding.LOST:
+                is_dead = outcome.is_dead and self._policy.retries.rests
+                known.record_failure(now_ms, is_dead=is_dead)
+            case DispatchEnding.FAILED:
+                known.record_failure(now_ms, is_dead=False)
+            case DispatchEnding.REFUSED if outcome.is_replaced:
+                self._directory.record_replaced(outcome.replica, now_ms)
+            case DispatchEnding.REFUSED if outcome.has_other_weights:
+                self._assume_target_weights(known, pending)
+            case DispatchEnding.REFUSED if self._brittle.is_brittle(known):
+                self._brittle.record_rejected(known, now_ms)
+            case DispatchEnding.REFUSED:
+                known.record_refused_call(now_ms)
+
+    def _record_sends(
+        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
+    ) -> None:
+        if outcome.ending not in PROVEN_NOT_RUN:
+            pending.may_have_run = True
+            pending.has_failed = outcome.ending is DispatchEnding.FAILED
+        elif not pending.request.is_forwarded:
+            self._limits.on_not_run(pending, now_ms)
+        if outcome.ending is DispatchEnding.NOT_SENT:
+            # It reached no replica, so it doesn't count as one of the route's attempts.
+            pending.sends -= 1
+
+    def _assume_target_weights(self, known: KnownReplica, pending: PendingCall) -> None:
+        """Assume that a replica that refused for its weights has the target ones."""
+        prompt = pending.request.prompt
+        target = None if prompt is None else self._weight_targets.find(prompt.model)
+        if prompt is not None and target is not None:
+            self._record_weights(known, prompt.model, target.version)
+
+    def _record_weights(self, known: KnownReplica, model: str, version: int) -> None:
+        if known.record_weights(model, version):
+            # Loading weights discards everything cached under the previous ones.
+            self._calls.block_index.forget(known.replica.name)
--- a/packages/toucanyard/src/toucanyard/errorcodes.py
+++ b/packages/toucanyard/src/toucanyard/errorcodes.py
@@ -52,6 +52,7 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     STREAM_INCOMPLETE = "stream_incomplete"
     STREAM_GONE = "stream_gone"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     PATCH_CONFLICT = "patch_conflict"
     PATCH_INVALID = "patch_invalid"
     VERSION_MISMATCH = "version_mismatch"
@@ -98,6 +99,7 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, _UNKNOWN, False),
     ErrorKind.STREAM_INCOMPLETE: Answer(502, _UNKNOWN, False),
     ErrorKind.STREAM_GONE: Answer(410, _UNKNOWN, False),
+    ErrorKind.STREAM_NOT_RESUMABLE: Answer(503, _NOT_RUN, True),
     ErrorKind.PATCH_CONFLICT: Answer(409, _NOT_RUN, False),
     ErrorKind.PATCH_INVALID: Answer(422, _NOT_RUN, False),
     ErrorKind.VERSION_MISMATCH: Answer(400, _NOT_RUN, False),
--- a/packages/toucanyard/src/toucanyard/forwarded_calls.py
+++ b/packages/toucanyard/src/toucanyard/forwarded_calls.py
@@ -14,6 +14,7 @@
 
 from toucanyard.cbor_messages import decode_cbor
 from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.stream_origins import StreamOrigin
 
 FORWARD_PATH: Final = "/forward"
 CHUNK_BYTES: Final = 262_144
@@ -39,6 +40,8 @@
     last_event_id: str
     has_begun: bool
     weights_version: int | None
+    stream_origin: StreamOrigin | None = None
+    """Where the stream began and has to go on."""
 
 
 class BodyPart(msgspec.Struct, frozen=True, array_like=True, tag="b"):
@@ -58,6 +61,8 @@
     fields: Headers
     is_stream: bool
     """Whether parts are to be passed on as they arrive."""
+    origin: StreamOrigin | None = None
+    """Where a stream begins."""
 
 
 class AnswerEnd(msgspec.Struct, frozen=True, array_like=True, tag="e"):
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -19,6 +19,7 @@
 from toucanyard.replicas import Replica, ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.routes import RouteIndex, RouteTable
+from toucanyard.software_versions import SoftwareVersions
 from toucanyard.target_weights import TargetWeightsTable, WantedWeights
 
 MAX_AGE_MS: Final = 1e6
@@ -40,6 +41,7 @@
         "_guard",
         "_invalid",
         "_node_directory",
+        "_versions",
         "index",
     )
 
@@ -50,7 +52,9 @@
         node_directory: NodeDirectory,
         flow: RelayFlow,
         guard: RequestGuard,
+        versions: SoftwareVersions,
     ) -> None:
+        self._versions = versions
         self.index = RouteIndex(RouteTable())
         self._directory = directory
         self._weight_targets = weight_targets
@@ -126,7 +130,7 @@
     ) -> Iterator[LogEntry]:
         match fact:
             case RouteTable():
-                yield from self._apply_table(fact, source)
+                yield from self._apply_table(fact, source, now_ms)
             case WantedWeights(model=model, version=version):
                 if self._weight_targets.apply(fact, now_ms - known_for_ms):
                     fields = {"model": model, "version": version, "source": source}
@@ -141,10 +145,13 @@
             case Release():
                 self._guard.release(fact, now_ms)
 
-    def _apply_table(self, table: RouteTable, source: str) -> Iterator[LogEntry]:
+    def _apply_table(
+        self, table: RouteTable, source: str, now_ms: float
+    ) -> Iterator[LogEntry]:
         before = self.index.table.version
         if table.version <= before:
             return
+        self._versions.apply_routes(table, self.index.table, now_ms)
         self.index = RouteIndex(table)
         self._flow.apply_index(self.index)
         self._directory.apply_services(each.name for each in table.services)
@@ -165,6 +172,7 @@
         if known is None:
             yield LogEntry("replica_outdated", _describe(replica, source))
             return
+        self._versions.record_listed(replica.service, replica.software_version, now_ms)
         if before is not None and before is not known:
             # The new incarnation starts with an empty cache.
             self._flow.block_index.forget(before.replica.name)
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -21,6 +21,7 @@
     NodeName,
     ReplicaId,
     ServiceName,
+    SoftwareVersion,
 )
 
 DurationMs = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
@@ -189,6 +190,8 @@
     brittleness: tuple[ReplicaLimitUpdate, ...] = ()
     """Replicas that have recently become brittle or sound; the rate is the number of
     rejections above which they end."""
+    exchanges_origins: bool = False
+    """Whether the sender understands messages about the origins of streams."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
@@ -240,7 +243,53 @@
     kind: LimitKind = LimitKind.CUSTOMER
 
 
-LinkMessage = NodeStatus | ViewRecords | CreditAsk | CreditAnswer
+class SoftwareVersionAge(msgspec.Struct, frozen=True, array_like=True):
+    """A software version of a service, and when a replica of it was listed last."""
+
+    service: ServiceName
+    software_version: SoftwareVersion
+    age_ms: DurationMs
+
+
+class PlacedStreams(msgspec.Struct, frozen=True, array_like=True):
+    """Streams that the sender has placed at one service and software version."""
+
+    service: ServiceName
+    software_version: SoftwareVersion
+    keys: bytes
+    """Keys of their tries, 8 bytes each."""
+
+
+class OriginReport(msgspec.Struct, frozen=True, array_like=True, tag="o"):
+    """Where the sender has placed streams."""
+
+    placed: tuple[PlacedStreams, ...]
+    versions: tuple[SoftwareVersionAge, ...] = ()
+    """Versions of services that lately had several."""
+
+
+StreamKeyBytes = Annotated[bytes, msgspec.Meta(min_length=8, max_length=8)]
+
+
+class OriginAsk(msgspec.Struct, frozen=True, array_like=True, tag="w"):
+    """A question for the origin of a stream; relayed by one hub at most."""
+
+    asker: NodeName
+    key: StreamKeyBytes
+
+
+class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag="z"):
+    """The answer to a question for an origin; no service if it is not known."""
+
+    asker: NodeName
+    key: StreamKeyBytes
+    service: ServiceName | None = None
+    software_version: SoftwareVersion = SoftwareVersion("")
+    is_ambiguous: bool = False
+
+
+OriginMessage = OriginReport | OriginAsk | OriginAnswer
+LinkMessage = NodeStatus | ViewRecords | CreditAsk | CreditAnswer | OriginMessage
 
 
 def encode_link_message(message: LinkMessage) -> bytes:
--- a/packages/toucanyard/src/toucanyard/node_directory.py
+++ b/packages/toucanyard/src/toucanyard/node_directory.py
@@ -194,6 +194,10 @@
         """Return the number of nodes, alive or not, including this one."""
         return max(self.count_alive(now_ms), 1 + len(self._known))
 
+    def has_others(self) -> bool:
+        """Return whether any other node is known, alive or not."""
+        return bool(self._known)
+
     def find_fleet_rank(self, subject: str) -> int:
         """Return how many of all known nodes rank before this one for a subject."""
         own = compute_rank(subject, self._own.name)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/origin_exchange.py
@@ -0,0 +1,371 @@
+"""Exchange with peers where streams began.
+
+A node reports each try that it places to a few peers, before the try brings its first
+event, and asks peers for a try that it does not know. Nothing is reported while the
+streams of a route can have begun at one origin only. In a fleet with hubs, a node
+reports to its hubs, and hubs ask each other.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Iterator
+from typing import Final
+
+import msgspec
+
+from toucanyard.link_messages import (
+    OriginAnswer,
+    OriginAsk,
+    OriginMessage,
+    OriginReport,
+    PlacedStreams,
+)
+from toucanyard.names import NodeName, ServiceName
+from toucanyard.node_directory import NodeDirectory
+from toucanyard.relay_events import SendToPeer
+from toucanyard.relay_policy import OriginPolicy, OriginStrategy
+from toucanyard.software_versions import SoftwareVersions
+from toucanyard.stream_origins import (
+    KEY_BYTES,
+    OriginSource,
+    StreamKey,
+    StreamOrigin,
+    StreamOrigins,
+)
+from toucanyard.vm_view import compute_rank
+
+ASK_MS: Final = 200.0
+"""Time to wait for answers; a peer that has not answered by then is lost or frozen."""
+MAX_ASKED: Final = 1_000
+"""Questions that may be open at once."""
+MAX_UNREPORTED: Final = 20_000
+"""Placed tries kept for the time when a second origin appears."""
+REPORT_KEYS: Final = 8_000
+"""Maximum number of keys in one message."""
+HUB_REPORT_MS: Final = 100.0
+"""Time between two reports to hubs, which get one from each node of their group."""
+HUBS_TOLD: Final = 2
+"""Hubs to which a hub reports its own tries."""
+
+
+class _Question(msgspec.Struct):
+    until_ms: float
+    waiting: set[NodeName]
+    """Peers that have not answered."""
+    is_own: bool
+    """Whether a call of this node waits for the answer."""
+    askers: set[NodeName]
+    """Nodes for which this hub asks other hubs."""
+
+
+class _Placed(msgspec.Struct, frozen=True):
+    origin: StreamOrigin
+    placed_ms: float
+
+
+class OriginExchange:
+    """What one node reports, asks and answers about the origins of streams.
+
+    Invariants: questions are open for ASK_MS at most; the number of tries kept for
+    peers is bounded.
+    """
+
+    __slots__ = (
+        "_able",
+        "_linked",
+        "_nodes",
+        "_outbox",
+        "_placed",
+        "_policy",
+        "_questions",
+        "_reported_ms",
+        "_unreported",
+        "asked_count",
+        "origins",
+        "reported_count",
+        "versions",
+    )
+
+    def __init__(
+        self,
+        nodes: NodeDirectory,
+        versions: SoftwareVersions,
+        policy: OriginPolicy,
+    ) -> None:
+        self._nodes = nodes
+        self._policy = policy
+        self.versions = versions
+        self.origins = StreamOrigins()
+        self._linked: frozenset[NodeName] = frozenset()
+        self._able: set[NodeName] = set()
+        """Linked peers that understand messages about origins."""
+        self._placed: dict[StreamKey, _Placed] = {}
+        """Tries placed by this node, for peers that link to it later."""
+        self._unreported: dict[StreamKey, tuple[str, tuple[ServiceName, ...]]] = {}
+        """Tries that were not reported yet, with their route and its services."""
+        self._questions: dict[StreamKey, _Question] = {}
+        self._outbox: list[SendToPeer] = []
+        self._reported_ms = float("-inf")
+        self.asked_count = 0
+        """Questions of this node's own calls."""
+        self.reported_count = 0
+        """Tries reported to peers."""
+
+    def take_messages(self) -> list[SendToPeer]:
+        """Return and clear the messages to be sent."""
+        messages, self._outbox = self._outbox, []
+        return messages
+
+    # Tries placed by this node.
+
+    def record_placed(
+        self,
+        key: StreamKey,
+        origin: StreamOrigin,
+        route: str,
+        services: tuple[ServiceName, ...],
+        placed_by: str,
+        now_ms: float,
+    ) -> None:
+        """Record a try that this node has just placed."""
+        self.origins.record(key, origin, placed_by, OriginSource.OWN, now_ms)
+        self._placed.pop(key, None)
+        self._placed[key] = _Placed(origin, now_ms)
+        self._unreported[key] = (route, services)
+        for tries in (self._placed, self._unreported):
+            if len(tries) > MAX_UNREPORTED:
+                del tries[next(iter(tries))]
+
+    def report(self, now_ms: float) -> None:
+        """Report new tries of routes whose streams may have several origins."""
+        if not self._unreported or now_ms - self._reported_ms < self._find_interval():
+            return
+        self._reported_ms = now_ms
+        is_several = {
+            route: len(self.versions.find_origins(*route, now_ms)) > 1
+            for route in set(self._unreported.values())
+        }
+        if not any(is_several.values()):
+            return
+        keys = [key for key, route in self._unreported.items() if is_several[route]]
+        for key in keys:
+            del self._unreported[key]
+        if self._policy.strategy is OriginStrategy.ASKED:
+            return
+        self.reported_count += len(keys)
+        for message in self._build_reports(keys, with_versions=False, now_ms=now_ms):
+            for name in self._find_told(message):
+                self._send(name, message)
+
+    def _find_interval(self) -> float:
+        return 0.0 if self._nodes.is_full_mesh() else HUB_REPORT_MS
+
+    def _find_told(self, message: OriginReport) -> list[NodeName]:
+        """Return the peers to which this node reports."""
+        if self._nodes.is_full_mesh():
+            if self._policy.strategy is OriginStrategy.FEW:
+                own = self._nodes.own_name
+                ranked = sorted(self._able, key=lambda each: compute_rank(own, each))
+                return ranked[-self._policy.told_peers :]
+            return sorted(self._able)
+        if not self._nodes.plan.is_hub():
+            return sorted(self._able & self._nodes.plan.hubs)
+        own = self._nodes.own_name
+        hubs = sorted(
+            self._able & self._nodes.plan.hubs,
+            key=lambda each: compute_rank(own, each),
+        )
+        return hubs[-HUBS_TOLD:]
+
+    def _build_reports(
+        self, keys: Collection[StreamKey], *, with_versions: bool, now_ms: float
+    ) -> Iterator[OriginReport]:
+        by_origin: dict[StreamOrigin, list[StreamKey]] = {}
+        for key in keys:
+            placed = self._placed.get(key)
+            if placed is not None:
+                by_origin.setdefault(placed.origin, []).append(key)
+        versions = tuple(self.versions.list_several(now_ms)) if with_versions else ()
+        if versions:
+            yield OriginReport((), versions)
+        for origin, found in by_origin.items():
+            for begin in range(0, len(found), REPORT_KEYS):
+                part = b"".join(found[begin : begin + REPORT_KEYS])
+                streams = PlacedStreams(origin.service, origin.software_version, part)
+                yield OriginReport((streams,))
+
+    # Links.
+
+    def _send(self, name: NodeName, message: OriginMessage) -> None:
+        self._outbox.append(SendToPeer(name, message))
+
+    def update_links(self, names: Collection[NodeName]) -> None:
+        """Record the currently linked peers."""
+        self._linked = frozenset(names)
+        self._able &= self._linked
+        for question in self._questions.values():
+            question.waiting &= self._linked
+
+    def record_able(self, peer: NodeName, now_ms: float) -> None:
+        """Send a newly linked peer that understands them what it may lack."""
+        if peer in self._able or peer not in self._linked:
+            return
+        self._able.add(peer)
+        reported = [key for key in self._placed if key not in self._unreported]
+        if not self._nodes.is_full_mesh() and not self._is_hub(peer):
+            reported = []
+        for message in self._build_reports(reported, with_versions=True, now_ms=now_ms):
+            self._send(peer, message)
+
+    def is_linked(self) -> bool:
+        """Return whether peers would have reported streams at another origin."""
+        return bool(self._able) or not self._nodes.has_others()
+
+    # Messages.
+
+    def read(self, sender: NodeName, message: OriginMessage, now_ms: float) -> None:
+        """Handle a peer's message."""
+        match message:
+            case OriginReport(placed=placed, versions=versions):
+                self.versions.apply_reported(versions, now_ms)
+                self._apply_placed(sender, placed, now_ms)
+            case OriginAsk():
+                self._answer(sender, message, now_ms)
+            case OriginAnswer():
+                self._apply_answer(sender, message, now_ms)
+
+    def _apply_placed(
+        self, sender: NodeName, placed: Iterable[PlacedStreams], now_ms: float
+    ) -> None:
+        for streams in placed:
+            origin = StreamOrigin(streams.service, streams.software_version)
+            self.versions.record_listed(origin.service, origin.software_version, now_ms)
+            whole = len(streams.keys) - len(streams.keys) % KEY_BYTES
+            for begin in range(0, whole, KEY_BYTES):
+                key = streams.keys[begin : begin + KEY_BYTES]
+                self.origins.record(key, origin, sender, OriginSource.TOLD, now_ms)
+
+    # Questions.
+
+    def ask(self, key: StreamKey, now_ms: float) -> None:
+        """Ask peers for the origin of a try; nothing is sent if nobody can be asked."""
+        question = self._questions.get(key)
+        if question is not None:
+            question.is_own = True
+            return
+        self._open(key, self._nodes.own_name, self._find_asked(), now_ms)
+
+    def is_asking(self, key: StreamKey, now_ms: float) -> bool:
+        """Return whether an answer about a try may still arrive."""
+        question = self._questions.get(key)
+        if question is None or not question.waiting:
+            return False
+        return now_ms < question.until_ms
+
+    def prune(self, now_ms: float) -> None:
+        """Drop what is older than any stream."""
+        oldest_ms = now_ms - self.versions.memory_ms
+        self.origins.prune(oldest_ms)
+        for key, placed in list(self._placed.items()):
+            if placed.placed_ms >= oldest_ms:
+                break
+            del self._placed[key]
+            self._unreported.pop(key, None)
+
+    def expire(self, now_ms: float) -> None:
+        """Close the questions that have been open for too long."""
+        for key, question in list(self._questions.items()):
+            if now_ms >= question.until_ms:
+                self._close(key, question)
+
+    def _open(
+        self,
+        key: StreamKey,
+        asker: NodeName,
+        asked: Collection[NodeName],
+        now_ms: float,
+    ) -> None:
+        if not asked or len(self._questions) >= MAX_ASKED:
+            return
+        is_own = asker == self._nodes.own_name
+        askers = set() if is_own else {asker}
+        question = _Question(now_ms + ASK_MS, set(asked), is_own, askers)
+        self._questions[key] = question
+        self.asked_count += is_own
+        for name in sorted(asked):
+            self._send(name, OriginAsk(self._nodes.own_name, key))
+
+    def _find_asked(self) -> set[NodeName]:
+        if self._nodes.is_full_mesh():
+            return set(self._able)
+        return self._able & self._nodes.plan.hubs
+
+    def _answer(self, sender: NodeName, ask: OriginAsk, now_ms: float) -> None:
+        known = self.origins.find(ask.key)
+        if known is not None:
+            self._send(
+                sender,
+                OriginAnswer(
+                    ask.asker,
+                    ask.key,
+                    known.origin.service,
+                    known.origin.software_version,
+                    known.is_ambiguous,
+                ),
+            )
+            return
+        if not self._is_relaying(sender):
+            self._send(sender, OriginAnswer(ask.asker, ask.key))
+            return
+        question = self._questions.get(ask.key)
+        if question is not None:
+            question.askers.add(sender)
+            return
+        asked = self._find_asked() - {sender}
+        if not asked:
+            self._send(sender, OriginAnswer(ask.asker, ask.key))
+            return
+        self._open(ask.key, sender, asked, now_ms)
+
+    def _is_relaying(self, sender: NodeName) -> bool:
+        """Return whether this hub asks other hubs for a node that is none."""
+        plan = self._nodes.plan
+        if self._nodes.is_full_mesh() or not plan.is_hub():
+            return False
+        return sender not in plan.hubs
+
+    def _is_hub(self, peer: NodeName) -> bool:
+        return peer in self._nodes.plan.hubs
+
+    def _apply_answer(
+        self, sender: NodeName, answer: OriginAnswer, now_ms: float
+    ) -> None:
+        question = self._questions.get(answer.key)
+        if question is None:
+            return
+        question.waiting.discard(sender)
+        if answer.service is not None:
+            origin = StreamOrigin(answer.service, answer.software_version)
+            source = OriginSource.ASKED
+            self.origins.record(answer.key, origin, sender, source, now_ms)
+            known = self.origins.find(answer.key)
+            if known is not None and answer.is_ambiguous:
+                known.is_ambiguous = True
+        if answer.service is not None or not question.waiting:
+            self._close(answer.key, question)
+
+    def _close(self, key: StreamKey, question: _Question) -> None:
+        """Close a question and answer the nodes for which it was asked."""
+        del self._questions[key]
+        known = self.origins.find(key)
+        for asker in sorted(question.askers & self._linked):
+            answer = OriginAnswer(asker, key)
+            if known is not None:
+                answer = OriginAnswer(
+                    asker,
+                    key,
+                    known.origin.service,
+                    known.origin.software_version,
+                    known.is_ambiguous,
+                )
+            self._send(asker, answer)
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -6,6 +6,7 @@
 
 from toucanyard.names import EndpointName, NodeName
 from toucanyard.relay_requests import RelayRequest
+from toucanyard.stream_origins import StreamOrigin
 
 
 class PendingCall(msgspec.Struct):
@@ -54,7 +55,18 @@
     """Replicas on which that peer may run the call."""
     has_failed: bool = False
     """The last try that may have run ended with an error response."""
+    origin: StreamOrigin | None = None
+    """Where its stream began; it goes on nowhere else."""
+    sent_origin: StreamOrigin | None = None
+    """Service and software version of the last dispatch."""
+    is_awaiting_origin: bool = False
+    """Peers have been asked where its stream began."""
 
-    def rank(self) -> tuple[int, float]:
-        """Return the queue's sort key: most urgent first, then earliest deadline."""
-        return self.request.rank, self.request.deadline_ms
+    def rank(self) -> tuple[int, bool, float]:
+        """Return the queue's sort key: most urgent first, then earliest deadline.
+
+        Among equally urgent ones, streams that can go on at one software version only
+        come before new ones, which any version can begin.
+        """
+        request = self.request
+        return request.rank, self.origin is None, request.deadline_ms
--- a/packages/toucanyard/src/toucanyard/prompt_block_placement.py
+++ b/packages/toucanyard/src/toucanyard/prompt_block_placement.py
@@ -25,12 +25,13 @@
 from toucanyard.names import Address, EndpointName, RequestId
 from toucanyard.prompt_block_index import PromptBlock, PromptBlockIndex
 from toucanyard.prompt_block_sources import choose_store, compute_store_name
-from toucanyard.relay_policy import PlacementPolicy
+from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import Prompt, RelayRequest
 from toucanyard.rendezvous import compute_seed, compute_weight
 from toucanyard.replica_usage import ReplicaUsage
 from toucanyard.replicas import KnownReplica
 from toucanyard.routes import EngineTraits, PromptStore
+from toucanyard.software_versions import VersionRoom
 from toucanyard.target_weights import TargetWeights
 
 FULL_SHARE: Final = 0.92
@@ -96,6 +97,8 @@
     """The candidates preferred by prompts of this length."""
     length_group_names: frozenset[EndpointName]
     has_many_candidates: bool
+    room: VersionRoom | None = None
+    """The software versions that a new stream should avoid."""
     preferred_replicas: dict[str, Candidate] = {}
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """Replicas that are reading a block, by scope and block name."""
@@ -114,16 +117,24 @@
 class PromptBlockPlacement:
     """Chooses among the replicas that run a model."""
 
-    __slots__ = ("_block_index", "_max_old_ms", "_filter", "_policy", "_usage")
+    __slots__ = (
+        "_block_index",
+        "_filter",
+        "_max_old_ms",
+        "_origins",
+        "_policy",
+        "_usage",
+    )
 
     def __init__(
         self,
         block_index: PromptBlockIndex,
         usage: ReplicaUsage,
         max_old_ms: float,
-        policy: PlacementPolicy = PlacementPolicy(),  # noqa: B008
+        policy: RelayPolicy = RelayPolicy(),  # noqa: B008
     ) -> None:
-        self._policy = policy
+        self._policy = policy.placement
+        self._origins = policy.origins
         self._block_index = block_index
         self._usage = usage
         self._filter = CandidateFilter()
@@ -142,11 +153,12 @@
         now_ms: float,
         *,
         may_wait_for_reader: bool = True,
+        room: VersionRoom | None = None,
     ) -> PlacedPrompt | None:
         """Return the best replica with capacity, or None if the call has to wait.
 
         `may_wait_for_reader` allows it to wait for a block that another replica is
-        reading.
+        reading. `room` names the software versions that a new stream should avoid.
         """
         candidates = self._find_candidates(request, prompt, usable, target, now_ms)
         shared = prompt.find_shared()
@@ -164,6 +176,7 @@
             length_group,
             length_group_names,
             has_many_candidates(candidates),
+            room,
         )
         first: Sequence[Candidate] = ()
         if has_many_candidates(candidates):
@@ -173,6 +186,10 @@
         best = self._find_best(first, context, now_ms)
         if best is None:
             best = self._find_best(candidates, context, now_ms)
+        if best is None and room is not None and room.few:
+            # No other version has room.
+            context.room = msgspec.structs.replace(room, few=frozenset())
+            best = self._find_best(candidates, context, now_ms)
         if best is None:
             return None
         if may_wait_for_reader and self._should_wait_for_reader(
@@ -288,8 +305,11 @@
         total_usage = self._usage.compute(name, now_ms)
         total_tokens = context.prompt.count_tokens()
         needed = total_tokens + context.prompt.max_output_tokens
-        is_full = total_usage.tokens + needed > engine.memory_tokens * FULL_SHARE
-        if total_usage.running and (is_full or total_usage.running >= engine.slots):
+        share = self._find_room_share(candidate, context)
+        max_tokens = engine.memory_tokens * FULL_SHARE * share
+        is_full = total_usage.tokens + needed > max_tokens
+        is_full |= total_usage.running >= engine.slots * share
+        if total_usage.running and is_full:
             return None
         sources = context.sources[candidate.scope]
         covered = max(candidate.held_tokens, sources.tokens)
@@ -305,6 +325,9 @@
             1.0 + total_usage.running * self._policy.pause_share
         )
         total_ms += self._price(candidate, context.target, now_ms)
+        if context.room is not None:
+            version = candidate.known.replica.software_version
+            total_ms += self._origins.fewer_ms * (version in context.room.fewer)
         if name not in context.length_group_names:
             total_ms += OTHER_GROUP_PRICE_MS
         total_ms += sources.compute_price(fetched, candidate.known.replica, engine)
@@ -315,6 +338,15 @@
             )
         return _Scored(candidate, total_ms, wait_ms, unread, fetched, missing)
 
+    def _find_room_share(
+        self, candidate: Candidate, context: _PlacementContext
+    ) -> float:
+        """Return the share of a replica's room that the call may use."""
+        version = candidate.known.replica.software_version
+        if context.room is None or version not in context.room.few:
+            return 1.0
+        return 1.0 - self._origins.kept_share
+
     def _price(
         self, candidate: Candidate, target: TargetWeights | None, now_ms: float
     ) -> float:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -24,11 +24,16 @@
     CreditAsk,
     LinkMessage,
     NodeStatus,
+    OriginAnswer,
+    OriginAsk,
+    OriginReport,
     ViewRecords,
 )
 from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.node_records import NodeRecord
+from toucanyard.origin_events import OriginEvents
+from toucanyard.origin_exchange import OriginExchange
 from toucanyard.prompt_block_sources import PromptBlockSources
 from toucanyard.prompt_block_updates import PromptBlockUpdates
 from toucanyard.relay_events import (
@@ -67,9 +72,11 @@
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import DispatchEnding
+from toucanyard.resumed_streams import ResumedStreams
 from toucanyard.rollout_leader import RolloutLeader
 from toucanyard.routes import RouteIndex
 from toucanyard.shared_limits import SharedLimits
+from toucanyard.software_versions import SoftwareVersions
 from toucanyard.statement_events import StatementEvents
 from toucanyard.status_exchange import StatusExchange
 from toucanyard.store_reads import StoreReads
@@ -139,6 +146,14 @@
         self.credits = ReplicaCredits(
             self.replica_limits, compute_first_request_number(identity.incarnation)
         )
+        self.versions = SoftwareVersions(self.directory)
+        self.origins = OriginExchange(
+            self.node_directory, self.versions, options.policy.origins
+        )
+        self.resumed = ResumedStreams(
+            self.origins,
+            lambda now_ms: now_ms - self.exchange.views[Topic.REPLICAS].confirmed_ms,
+        )
         calls = self.calls = CallPlacement(
             options,
             self.directory,
@@ -153,6 +168,7 @@
                 self.reach,
                 usage,
             ),
+            self.versions,
             rng,
         )
         self.guard = RequestGuard(
@@ -183,14 +199,17 @@
             self.limits,
             self.reach,
             self.forwards,
+            self.resumed,
             rng,
         )
+        self._origin_events = OriginEvents(self.origins, self.resumed, self.flow)
         self.facts = KnownFacts(
             self.directory,
             self.weight_targets,
             self.node_directory,
             self.flow,
             self.guard,
+            self.versions,
         )
         self.parts = PromptBlockUpdates(
             self.flow.block_index, self.sources, self.directory, self.facts
@@ -286,6 +305,7 @@
             actions += self._settle_guard(now_ms)
         actions += self._settle_reach(now_ms)
         actions += self._limit_events.settle(now_ms)
+        actions += self._origin_events.settle()
         return actions
 
     def _settle_reach(self, now_ms: float) -> Iterator[RelayAction]:
@@ -363,8 +383,8 @@
                 yield from self.flow.arrive(request, now_ms)
             case CallerLeft(request_id=request_id):
                 yield from self.flow.leave(request_id, now_ms)
-            case FirstEventSeen(request_id=request_id):
-                yield from self.flow.record_first_event(request_id, now_ms)
+            case FirstEventSeen(request_id=request_id, forwarded_origin=origin):
+                yield from self.flow.record_first_event(request_id, now_ms, origin)
             case ForwardEnded(outcome=outcome):
                 yield from self.flow.end_forward(outcome, now_ms)
             case ReplicaStatementSeen():
@@ -400,6 +420,7 @@
         yield from self.probes.probe_unreachable(now_ms)
         yield from self._tick_guard(now_ms)
         yield from self._limit_events.tick(now_ms)
+        yield from self._origin_events.tick(now_ms)
         yield from self.flow.tick(now_ms)
         yield from self._tick_rollout(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
@@ -408,6 +429,8 @@
             self._pruned_ms = now_ms
             self.guard.ledger.prune(now_ms)
             self.forwards.prune(now_ms)
+            self.versions.refresh(now_ms)
+            self.origins.prune(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.block_index.forget(name)
             known = [each.replica.name for each in self.directory.list_all()]
@@ -479,11 +502,15 @@
                 yield from self.topics.handle_records(sender, message, now_ms)
             case CreditAsk() | CreditAnswer():
                 yield from self._limit_events.read_message(sender, message, now_ms)
+            case OriginReport() | OriginAsk() | OriginAnswer():
+                yield from self._origin_events.read_message(sender, message, now_ms)
 
     def _read_status(
         self, sender: NodeName, status: NodeStatus, now_ms: float
     ) -> Iterator[RelayAction]:
         self.statuses.read(sender, status, now_ms)
+        if status.exchanges_origins:
+            self.origins.record_able(sender, now_ms)
         yield from self.gossip.take_log_entries()
         yield from self._limit_events.read_status(sender, status, now_ms)
         yield from self.brittleness.apply(status.brittleness, sender, now_ms)
@@ -501,6 +528,7 @@
         self.node_directory.retain_linked(names)
         self.statuses.record_links(names)
         self.shares.update_links(names, now_ms)
+        self.origins.update_links(names)
         for name in before - set(names):
             yield LogEntry("peer_lost", {"peer": name})
         for name in set(names) - before:
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -25,6 +25,7 @@
     RelayRequest,
 )
 from toucanyard.replica_statements import ReplicaStatement, StatementKind
+from toucanyard.stream_origins import StreamOrigin
 
 
 class CallArrived(msgspec.Struct, frozen=True):
@@ -43,6 +44,8 @@
     """The first part of a response has arrived."""
 
     request_id: RequestId
+    forwarded_origin: StreamOrigin | None = None
+    """Where the response began, if a peer has placed the call."""
 
 
 class DispatchEnded(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -10,14 +10,18 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
+import msgspec
+
 from toucanyard.call_forwards import MAX_FORWARDS, CallForwards, PeersBusy
 from toucanyard.call_limits import CallLimits, LimitRejection
 from toucanyard.call_placement import CallPlacement
 from toucanyard.call_refusals import CallRefusals
 from toucanyard.call_retries import CallRetries
+from toucanyard.dispatch_outcomes import DispatchOutcomes
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.names import RequestId, ServiceName
 from toucanyard.pending_call import PendingCall
@@ -32,10 +36,18 @@
     RelayRequest,
 )
 from toucanyard.replica_reach import ReplicaReach
-from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import Rejection, RequestGuard
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
+from toucanyard.resumed_streams import (
+    LOST_RETRY_MS,
+    AwaitedOrigin,
+    FoundOrigin,
+    ResumedStreams,
+    UnknownOrigin,
+)
 from toucanyard.routes import RouteIndex
+from toucanyard.stream_origins import StreamOrigin
 from toucanyard.target_weights import TargetWeightsTable
 
 MIN_RETRY_AFTER_MS: Final = 100
@@ -43,9 +55,12 @@
 NO_REPLICA_WAIT_MS: Final = 1_500.0
 """Time that a call waits while its service has no usable replica at all. Loading
 weights, or restoring a list of replicas that expired, takes less."""
+MAX_BEGUN_WAIT_MS: Final = 1_000.0
+"""Time that a stream whose answer has begun waits for a replica; after a longer gap its
+caller gives up."""
 MAX_BLOCKED: Final = 8
-"""Calls of one queue that may fail to be placed before the rest is skipped, as those
-would hardly fit either."""
+"""Calls of one queue and origin that may fail to be placed before the rest is skipped,
+as those would hardly fit either."""
 PEER_KINDS: Final = (
     ErrorKind.NO_ENDPOINT,
     ErrorKind.TOO_MANY_CALLS,
@@ -73,8 +88,14 @@
         limits: CallLimits,
         reach: ReplicaReach,
         forwards: CallForwards,
+        resumed: ResumedStreams,
         rng: random.Random,
     ) -> None:
+        self._resumed = resumed
+        self._awaiting_origin: list[PendingCall] = []
+        self._outcomes = DispatchOutcomes(
+            policy, directory, weight_targets, calls, guard, limits, reach
+        )
         self._guard = guard
         self._reach = reach
         self._forwards = forwards
@@ -84,7 +105,6 @@
         self._policy = policy
         self._refusals = CallRefusals(rng)
         self._directory = directory
-        self._weight_targets = weight_targets
         self._pending: dict[RequestId, PendingCall] = {}
         self._queues: dict[ServiceName, list[PendingCall]] = {}
         self._calls = calls
@@ -121,6 +141,7 @@
             is_counted=request.is_counted,
             has_begun=request.has_begun,
             weights_version=request.begun_weights_version,
+            origin=request.origin,
         )
         self._pending[request.request_id] = pending
         if request.deadline_ms <= now_ms:
@@ -128,6 +149,43 @@
                 pending, ErrorKind.OVERLOADED, "the deadline passed", now_ms
             )
             return
+        yield from self._resume(pending, now_ms, may_ask=True)
+
+    def _resume(
+        self, pending: PendingCall, now_ms: float, *, may_ask: bool
+    ) -> Iterator[RelayReply]:
+        """Find where a call's stream goes on, and admit, keep or refuse the call."""
+        request = pending.request
+        resolution = self._resumed.resolve(request, now_ms, may_ask=may_ask)
+        match resolution:
+            case AwaitedOrigin():
+                if not pending.is_awaiting_origin:
+                    pending.is_awaiting_origin = True
+                    self._awaiting_origin.append(pending)
+                return
+            case UnknownOrigin(text=text, retry_ms=retry_ms):
+                self._resumed.record_lost(request, text)
+                kind = ErrorKind.STREAM_NOT_RESUMABLE
+                yield self._refuse(pending, kind, text, now_ms, wait_ms=retry_ms)
+                return
+            case FoundOrigin(origin=origin):
+                self._resumed.record_found(request, resolution)
+                pending.origin = origin
+                pending.request = msgspec.structs.replace(
+                    request, service=origin.service
+                )
+        yield from self._admit(pending, now_ms)
+
+    def retry_resumed(self, now_ms: float) -> Iterator[RelayReply]:
+        """Admit or refuse the calls about whose streams peers have answered."""
+        awaiting, self._awaiting_origin = self._awaiting_origin, []
+        for pending in awaiting:
+            pending.is_awaiting_origin = False
+            yield from self._resume(pending, now_ms, may_ask=False)
+
+    def _admit(self, pending: PendingCall, now_ms: float) -> Iterator[RelayReply]:
+        """Send, queue or refuse a new call."""
+        request = pending.request
         is_brittle = self._brittle.is_service_brittle(request.service)
         if not is_brittle and not self._reach.is_unreached(request.service):
             self._count(pending, now_ms)
@@ -158,12 +216,22 @@
             yield from self._finish(pending, now_ms)
 
     def record_first_event(
-        self, request_id: RequestId, now_ms: float
+        self,
+        request_id: RequestId,
+        now_ms: float,
+        forwarded_origin: StreamOrigin | None = None,
     ) -> Iterator[RelayReply]:
-        """Handle the first event of a response: its prompt has been read."""
+        """Handle the first event of a response: its prompt has been read.
+
+        `forwarded_origin` is where a peer that placed the call says that it began.
+        """
         pending = self._pending.get(request_id)
-        if pending is None or pending.replica is None:
+        if pending is None:
             return
+        if pending.replica is None:
+            pending.origin = pending.origin or forwarded_origin
+            return
+        pending.origin = pending.origin or pending.sent_origin
         self.usage.record_started(pending.replica, request_id, now_ms)
         known = self._directory.find(pending.replica)
         if known is not None:
@@ -179,7 +247,9 @@
         if pending is None:
             yield RelayReply(outcome.request_id, None)
             return
-        self._apply_outcome(pending, outcome, now_ms)
+        if outcome.has_begun:
+            pending.origin = pending.origin or pending.sent_origin
+        self._outcomes.apply(pending, outcome, now_ms)
         if outcome.ending in (DispatchEnding.COMPLETED, DispatchEnding.CANCELLED):
             yield RelayReply(outcome.request_id, None)
             yield from self._finish(pending, now_ms)
@@ -203,6 +273,8 @@
         if pending is None:
             yield RelayReply(outcome.request_id, None)
             return
+        if outcome.has_begun:
+            pending.origin = pending.origin or outcome.origin
         self._forwards.record_outcome(pending, outcome, now_ms)
         self._forwards.end(pending)
         if outcome.ending in (DispatchEnding.COMPLETED, DispatchEnding.CANCELLED):
@@ -236,7 +308,7 @@
         if reply is not None:
             yield reply
             return
-        if pending.has_begun and not pending.is_awaiting_credit:
+        if pending.has_begun and not self._calls.may_go_on(pending, now_ms):
             # The caller may resume the stream elsewhere; waiting here would delay it.
             yield from self._give_up(pending, reason, now_ms)
             return
@@ -310,12 +382,20 @@
             ]:
                 queue.remove(pending)
                 pending.is_waiting = False
-                text = "no replica had room in time"
-                if return_ms is not None:
-                    text = _describe_deferral(return_ms)
-                yield self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
+                yield self._refuse_late(pending, return_ms, now_ms)
             yield from self._drain(service, now_ms)
 
+    def _refuse_late(
+        self, pending: PendingCall, return_ms: float | None, now_ms: float
+    ) -> RelayReply:
+        """Refuse a call that has waited in vain."""
+        if pending.origin is not None and not self._calls.find_listed(pending, now_ms):
+            return self._refuse_unlisted(pending, now_ms)
+        text = "no replica had room in time"
+        if return_ms is not None:
+            text = _describe_deferral(return_ms)
+        return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
+
     def retry_waiting(self, now_ms: float) -> Iterator[RelayReply]:
         """Send or refuse queued calls after credit may have been granted."""
         for service in list(self._queues):
@@ -325,17 +405,17 @@
         queue = self._queues.get(service)
         if not queue:
             return
-        blocked = 0
+        blocked: Counter[StreamOrigin | None] = Counter()
         for pending in list(queue):
+            if blocked[pending.origin] >= MAX_BLOCKED:
+                continue
             reply = self._try_waiting(pending, now_ms)
             if reply is not None:
                 queue.remove(pending)
                 pending.is_waiting = False
                 yield reply
             elif not pending.is_awaiting_credit:
-                blocked += 1
-                if blocked >= MAX_BLOCKED:
-                    return
+                blocked[pending.origin] += 1
 
     def _try_waiting(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Return the reply to a queued call; None if it has to keep waiting."""
@@ -345,13 +425,7 @@
         over = self._check_limits(pending, now_ms)
         if over is not None:
             return self._reject_over(pending, over, now_ms)
-        reply = None if pending.is_awaiting_credit else self._send(pending, now_ms)
-        if reply is not None:
-            return reply
-        if pending.has_begun and not pending.is_awaiting_credit:
-            text = "no replica has room for the rest of the answer"
-            return self._refuse(pending, ErrorKind.NO_ENDPOINT, text, now_ms)
-        return None
+        return None if pending.is_awaiting_credit else self._send(pending, now_ms)
 
     def _send(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Return the forward, dispatch or refusal of a call; None if it has to wait."""
@@ -363,6 +437,7 @@
             return None
         if isinstance(placed, RelayDispatch):
             self._count(pending, now_ms)
+            self._resumed.record_placed(pending, now_ms)
         self._limits.on_sent(pending)
         return RelayReply(pending.request.request_id, placed)
 
@@ -418,8 +493,8 @@
     def _check_wait(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Refuse a call at once if it would not be sent before its deadline."""
         request = pending.request
-        if not self._directory.find_listed(request.service, now_ms):
-            return self._refuse(pending, ErrorKind.NO_ENDPOINT, "no replica", now_ms)
+        if not self._calls.find_listed(pending, now_ms):
+            return self._refuse_unlisted(pending, now_ms)
         if not self._policy.queue.refuses_early:
             return None
         wait_ms = self._compute_wait(pending, now_ms)
@@ -433,6 +508,15 @@
             return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
         return None
 
+    def _refuse_unlisted(self, pending: PendingCall, now_ms: float) -> RelayReply:
+        """Refuse a call for which no replica is listed."""
+        if pending.origin is None:
+            return self._refuse(pending, ErrorKind.NO_ENDPOINT, "no replica", now_ms)
+        text = f"no replica of software version {pending.origin.software_version}"
+        self._resumed.record_lost(pending.request, text)
+        kind, wait_ms = ErrorKind.STREAM_NOT_RESUMABLE, LOST_RETRY_MS
+        return self._refuse(pending, kind, text, now_ms, wait_ms=wait_ms)
+
     def _compute_wait(self, pending: PendingCall, now_ms: float) -> float:
         service = pending.request.service
         queue = self._queues.get(service, [])
@@ -451,83 +535,19 @@
         `return_ms` is the time until a replica is usable again, if that is known.
         """
         request = pending.request
+        if pending.origin is not None and not self._calls.find_listed(pending, now_ms):
+            return True
         if now_ms + (return_ms or 0.0) >= request.deadline_ms - request.target_ms / 4:
             return True
         if return_ms is not None:
             return False
-        if now_ms - pending.queued_ms < NO_REPLICA_WAIT_MS:
+        waited_ms = now_ms - pending.queued_ms
+        if pending.has_begun:
+            is_late = waited_ms >= MAX_BEGUN_WAIT_MS
+            return is_late or not self._calls.may_go_on(pending, now_ms)
+        if waited_ms < NO_REPLICA_WAIT_MS:
             return False
-        return not self._directory.find_usable(request.service, now_ms)
-
-    def _apply_outcome(
-        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
-    ) -> None:
-        self.usage.end(outcome.replica, outcome.request_id)
-        known = self._directory.find(outcome.replica)
-        prompt = pending.request.prompt
-        if prompt is not None and not outcome.has_begun:
-            self.block_index.record_unread(
-                outcome.replica, pending.scope, prompt.parts, now_ms
-            )
-        self._record_sends(pending, outcome, now_ms)
-        self._guard.on_dispatch_ended(pending.request, outcome, pending.sent_ms, now_ms)
-        if known is None:
-            return
-        self._reach.record_outcome(known.replica, outcome, pending.sent_ms, now_ms)
-        if prompt is not None and outcome.weights_version is not None:
-            self._record_weights(known, prompt.model, outcome.weights_version)
-        self._apply_ending(known, pending, outcome, now_ms)
-
-    def _apply_ending(
-        self,
-        known: KnownReplica,
-        pending: PendingCall,
-        outcome: RelayOutcome,
-        now_ms: float,
-    ) -> None:
-        """Record what the end of a dispatch shows about its replica."""
-        match outcome.ending:
-            case DispatchEnding.COMPLETED:
-                known.record_success()
-            case DispatchEnding.NOT_SENT if outcome.is_withdrawn:
-                pass
-            case DispatchEnding.NOT_SENT | DispatchEnding.LOST:
-                is_dead = outcome.is_dead and self._policy.retries.rests
-                known.record_failure(now_ms, is_dead=is_dead)
-            case DispatchEnding.FAILED:
-                known.record_failure(now_ms, is_dead=False)
-            case DispatchEnding.REFUSED if outcome.is_replaced:
-                self._directory.record_replaced(outcome.replica, now_ms)
-            case DispatchEnding.REFUSED if outcome.has_other_weights:
-                self._assume_target_weights(known, pending)
-            case DispatchEnding.REFUSED if self._brittle.is_brittle(known):
-                self._brittle.record_rejected(known, now_ms)
-            case DispatchEnding.REFUSED:
-                known.record_refused_call(now_ms)
-
-    def _record_sends(
-        self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
-    ) -> None:
-        if outcome.ending not in PROVEN_NOT_RUN:
-            pending.may_have_run = True
-            pending.has_failed = outcome.ending is DispatchEnding.FAILED
-        elif not pending.request.is_forwarded:
-            self._limits.on_not_run(pending, now_ms)
-        if outcome.ending is DispatchEnding.NOT_SENT:
-            # It reached no replica, so it doesn't count as one of the route's attempts.
-            pending.sends -= 1
-
-    def _assume_target_weights(self, known: KnownReplica, pending: PendingCall) -> None:
-        """Assume that a replica that refused for its weights has the target ones."""
-        prompt = pending.request.prompt
-        target = None if prompt is None else self._weight_targets.find(prompt.model)
-        if prompt is not None and target is not None:
-            self._record_weights(known, prompt.model, target.version)
-
-    def _record_weights(self, known: KnownReplica, model: str, version: int) -> None:
-        if known.record_weights(model, version):
-            # Loading weights discards everything cached under the previous ones.
-            self.block_index.forget(known.replica.name)
+        return not self._calls.find_usable(pending, now_ms)
 
     def _give_up(
         self, pending: PendingCall, reason: str, now_ms: float
@@ -567,6 +587,9 @@
         if pending.is_waiting:
             self._queues[request.service].remove(pending)
             pending.is_waiting = False
+        if pending.is_awaiting_origin:
+            self._awaiting_origin.remove(pending)
+            pending.is_awaiting_origin = False
         if pending.replica is not None:
             self.usage.end(pending.replica, request.request_id)
             self._refusals.record_freed_slot(request.service, now_ms)
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -129,6 +129,30 @@
     together exceed a small burst, which the rate soon makes up for."""
 
 
+class OriginStrategy(enum.StrEnum):
+    """How nodes learn at which software version a stream of a peer began."""
+
+    TOLD = "told"
+    """Each node reports the tries that it places to all linked peers."""
+    FEW = "few"
+    """Each node reports them to a few peers, and others ask."""
+    ASKED = "asked"
+    """Nothing is reported; others ask."""
+
+
+class OriginPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """How streams go on at the software version that began them."""
+
+    strategy: OriginStrategy = OriginStrategy.TOLD
+    told_peers: int = 3
+    """Peers that a node reports to, if only to a few."""
+    fewer_ms: float = 100.0
+    """Cost of a replica whose software version loses replicas."""
+    kept_share: float = 0.2
+    """Share of a replica's room that is kept for streams that can go on only at its
+    software version, where that has few replicas."""
+
+
 class RelayPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """All parameters of the relay path."""
 
@@ -138,3 +162,4 @@
     rollout: RolloutPolicy = RolloutPolicy()
     guard: GuardPolicy = GuardPolicy()
     limits: LimitPolicy = LimitPolicy()
+    origins: OriginPolicy = OriginPolicy()
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -18,6 +18,7 @@
 )
 from toucanyard.prompt_block_index import PromptBlock
 from toucanyard.requests import DispatchEnding, Refuse, Repeatability
+from toucanyard.stream_origins import StreamOrigin
 
 
 class Prompt(msgspec.Struct, frozen=True):
@@ -79,6 +80,10 @@
     resumed_id: str = ""
     """The caller's id of the try that brought the first event of that stream; empty
     if the caller does not name it."""
+    services: tuple[ServiceName, ...] = ()
+    """All services that the route sends calls to."""
+    origin: StreamOrigin | None = None
+    """Where the stream began, if the peer that has forwarded the call knows it."""
 
 
 class PlacementReason(msgspec.Struct, frozen=True):
@@ -124,6 +129,7 @@
     is."""
     is_limited: bool = False
     """The replica has announced a limit; its response shows whether it still does."""
+    service: ServiceName = ServiceName("")
     software_version: SoftwareVersion = SoftwareVersion("")
     """Version of the replica's program when it was chosen."""
 
@@ -148,6 +154,8 @@
     has_begun: bool = False
     weights_version: int | None = None
     """Weights version of a response that has begun."""
+    origin: StreamOrigin | None = None
+    """Where the stream began and has to go on."""
 
 
 RelayVerdict = RelayDispatch | RelayForward | Refuse
@@ -175,6 +183,8 @@
     """Replicas that may have got the call; None if the peer has not said."""
     has_begun: bool = False
     """Part of the response has reached the caller."""
+    origin: StreamOrigin | None = None
+    """Where that response began."""
 
 
 class RelayOutcome(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/replica_probes.py
+++ b/packages/toucanyard/src/toucanyard/replica_probes.py
@@ -56,6 +56,8 @@
         if read.state is None:
             return
         known = self._directory.find(read.replica)
+        if known is not None and read.state.born_ms == known.replica.born_ms:
+            known.record_still_running(read.asked_ms)
         if known is not None and known.is_backing_off(now_ms):
             known.record_success()
             fields = {"replica": read.replica, "asked_ms_ago": now_ms - read.asked_ms}
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -59,6 +59,9 @@
 that it expires unless this node receives such a response itself."""
 MAX_REPORTED_SHARE: Final = 0.5
 """Maximum share of a service's usable replicas that peers' reports may exclude."""
+RESTART_DOUBT_MS: Final = 3_000.0
+"""How long a replica that closed a connection may have restarted without this node's
+knowledge; its entry is read by then."""
 FAILURE_HALF_LIFE_MS: Final = 3_000.0
 """Half-life of the weight of a failure."""
 
@@ -108,6 +111,7 @@
         "_backoff_ms",
         "_failures",
         "_failures_ms",
+        "_doubted_until_ms",
         "_probed_ms",
         "_unreached_ms",
         "backoff_until_ms",
@@ -146,6 +150,8 @@
         self._probed_ms = float("-inf")
         self._failures = 0.0
         self._failures_ms = float("-inf")
+        self._doubted_until_ms = float("-inf")
+        """Until when it may have restarted with another software version."""
 
     def update(self, replica: Replica) -> None:
         """Apply what the replica reports of itself; weights versions only grow."""
@@ -235,6 +241,20 @@
             self.backoff_until_ms = now_ms + self._backoff_ms
             self._unreached_ms = min(self._unreached_ms, now_ms)
 
+    def record_possible_restart(self, now_ms: float) -> None:
+        """Record that its process may have ended and started again under its id."""
+        if self.replica.born_ms is not None:
+            self._doubted_until_ms = now_ms + RESTART_DOUBT_MS
+
+    def record_still_running(self, asked_ms: float) -> None:
+        """Record that the same incarnation answered a request sent at a time."""
+        if asked_ms >= self._doubted_until_ms - RESTART_DOUBT_MS:
+            self._doubted_until_ms = float("-inf")
+
+    def may_have_restarted(self, now_ms: float) -> bool:
+        """Return whether another incarnation may run under its id by now."""
+        return now_ms < self._doubted_until_ms
+
     def record_crash(self, at_ms: float) -> None:
         """Back off until the crashed replica has left the list."""
         self.backoff_until_ms = max(self.backoff_until_ms, at_ms + CRASH_BACKOFF_MS)
--- a/packages/toucanyard/src/toucanyard/routes.py
+++ b/packages/toucanyard/src/toucanyard/routes.py
@@ -44,6 +44,10 @@
     max_gap_ms: int = 0
     """Maximum time between two events of a stream that is on time; 0: unlimited."""
 
+    def list_services(self) -> tuple[ServiceName, ...]:
+        """Return the services that get its calls."""
+        return tuple(each.service for each in self.splits if each.weight > 0)
+
 
 class EngineTraits(msgspec.Struct, frozen=True):
     """Capacity of each replica of a model's service."""
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/software_versions.py
@@ -0,0 +1,156 @@
+"""Track at which services and software versions the streams of a route may have begun.
+
+While this is a single one, it is the origin of every stream of the route, and nodes
+exchange nothing. Versions are opaque words.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Iterator
+from typing import Final, TypeVar
+
+import msgspec
+
+from toucanyard.link_messages import SoftwareVersionAge
+from toucanyard.names import ServiceName, SoftwareVersion
+from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.routes import RouteTable
+from toucanyard.stream_origins import StreamOrigin
+
+T = TypeVar("T")
+
+MIN_MEMORY_MS: Final = 60_000.0
+"""Shortest time for which origins count; a stream ends or is given up by then."""
+TIMEOUT_FACTOR: Final = 2.0
+"""Multiple of the longest timeout of a route: a stream may be taken up once after it
+has used its time."""
+MAX_REPORTED: Final = 64
+"""Maximum number of versions reported to a peer."""
+FEW_REPLICAS: Final = 2
+"""Number of replicas of a version up to which its room is kept for its own streams."""
+
+
+class VersionRoom(msgspec.Struct, frozen=True):
+    """Which software versions of a service are the worse beginning of a stream."""
+
+    few: frozenset[SoftwareVersion] = frozenset()
+    """Versions with few replicas, beside others with more."""
+    fewer: frozenset[SoftwareVersion] = frozenset()
+    """Versions that have lost replicas lately, beside others that have not."""
+
+
+class SoftwareVersions:
+    """The software versions of all services, now and lately, as one node sees them."""
+
+    __slots__ = ("_counts", "_directory", "_former", "_seen", "memory_ms")
+
+    def __init__(self, directory: ReplicaDirectory) -> None:
+        self._directory = directory
+        self._seen: dict[ServiceName, dict[SoftwareVersion, float]] = {}
+        """When a replica of each version was listed last."""
+        self._counts: dict[StreamOrigin, list[int]] = {}
+        """How many replicas were listed at the last two refreshes."""
+        self._former: dict[str, dict[ServiceName, float]] = {}
+        """By route: when it led last to a service to which it no longer leads."""
+        self.memory_ms = MIN_MEMORY_MS
+
+    def apply_routes(
+        self, table: RouteTable, before: RouteTable, now_ms: float
+    ) -> None:
+        """Apply a configuration, remembering where its routes led before."""
+        timeouts_ms = [each.timeout_ms for each in table.routes]
+        longest_ms = TIMEOUT_FACTOR * max(timeouts_ms, default=0)
+        self.memory_ms = max(MIN_MEMORY_MS, longest_ms)
+        for route in before.routes:
+            former = self._former.setdefault(route.name, {})
+            former.update(dict.fromkeys(route.list_services(), now_ms))
+
+    def record_listed(
+        self, service: ServiceName, version: SoftwareVersion, seen_ms: float
+    ) -> None:
+        """Record that a replica of a version was listed at a time."""
+        seen = self._seen.setdefault(service, {})
+        seen[version] = max(seen.get(version, float("-inf")), seen_ms)
+
+    def refresh(self, now_ms: float) -> None:
+        """Record all listed replicas, and drop what is older than any stream."""
+        counts: dict[StreamOrigin, int] = {}
+        for known in self._directory.list_all():
+            if known.gone_ms is None:
+                replica = known.replica
+                self.record_listed(replica.service, replica.software_version, now_ms)
+                origin = StreamOrigin(replica.service, replica.software_version)
+                is_leaving = known.has_left()
+                counts[origin] = counts.get(origin, 0) + (not is_leaving)
+        self._counts = {
+            origin: [*self._counts.get(origin, [])[-1:], count]
+            for origin, count in counts.items()
+        }
+        oldest_ms = now_ms - self.memory_ms
+        self._seen = {s: _keep_since(v, oldest_ms) for s, v in self._seen.items()}
+        self._former = {r: _keep_since(v, oldest_ms) for r, v in self._former.items()}
+
+    def find_origins(
+        self, route: str, services: Collection[ServiceName], now_ms: float
+    ) -> set[StreamOrigin]:
+        """Return all origins that a recent stream of a route may have."""
+        oldest_ms = now_ms - self.memory_ms
+        former = self._former.get(route, {})
+        all_services = {
+            *services,
+            *(each for each, at_ms in former.items() if at_ms >= oldest_ms),
+        }
+        return {
+            StreamOrigin(service, version)
+            for service in all_services
+            for version, seen_ms in self._seen.get(service, {}).items()
+            if seen_ms >= oldest_ms
+        }
+
+    def list_several(self, now_ms: float) -> Iterator[SoftwareVersionAge]:
+        """Return the versions of services that lately had several, for peers."""
+        oldest_ms = now_ms - self.memory_ms
+        reported = 0
+        for service, versions in self._seen.items():
+            recent = _keep_since(versions, oldest_ms)
+            if len(recent) < 2:
+                continue
+            for version, seen_ms in recent.items():
+                reported += 1
+                if reported <= MAX_REPORTED:
+                    yield SoftwareVersionAge(service, version, now_ms - seen_ms)
+
+    def apply_reported(
+        self, received: Iterable[SoftwareVersionAge], now_ms: float
+    ) -> None:
+        """Apply the versions that a peer has seen."""
+        for each in received:
+            self.record_listed(
+                each.service, each.software_version, now_ms - max(each.age_ms, 0.0)
+            )
+
+    def find_room(self, usable: Iterable[KnownReplica]) -> VersionRoom | None:
+        """Return which versions new streams should avoid; None if there is one."""
+        counts: dict[StreamOrigin, int] = {}
+        for known in usable:
+            replica = known.replica
+            origin = StreamOrigin(replica.service, replica.software_version)
+            counts[origin] = counts.get(origin, 0) + 1
+        if len(counts) < 2:
+            return None
+        few = {o for o, n in counts.items() if n <= FEW_REPLICAS}
+        fewer = {
+            o for o, n in counts.items() if n < max(self._counts.get(o, ()), default=0)
+        }
+        return VersionRoom(
+            _name_versions(few if len(few) < len(counts) else ()),
+            _name_versions(fewer if len(fewer) < len(counts) else ()),
+        )
+
+
+def _keep_since(seen: dict[T, float], oldest_ms: float) -> dict[T, float]:
+    return {key: at_ms for key, at_ms in seen.items() if at_ms >= oldest_ms}
+
+
+def _name_versions(origins: Collection[StreamOrigin]) -> frozenset[SoftwareVersion]:
+    return frozenset(each.software_version for each in origins)
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -366,6 +366,7 @@
             unreached=self._reach.list_unreached(),
             is_cut_off=self._node_directory.is_cut_off,
             brittleness=tuple(self._brittleness.list_updates(now_ms)),
+            exchanges_origins=True,
         )
 
     def _is_hub_pair(self, name: NodeName) -> bool:
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -58,6 +58,7 @@
     RelayRequest,
 )
 from toucanyard.requests import DispatchEnding, Refuse, Repeatability
+from toucanyard.stream_origins import StreamOrigin
 
 from .relay_examples import DESK, build_replica, build_request, build_table
 from .relay_fleet import put
@@ -95,6 +96,8 @@
         self.request = request
         self.sends = 0
         self.has_begun = False
+        self.begun_origin: StreamOrigin | None = None
+        """Where the answer began that a peer has passed on."""
         self.ending: str | None = None
         self.refusal: Refuse | None = None
         self.ended_ms = 0.0
@@ -292,6 +295,9 @@
             is_forwarded=True,
             is_counted=forward.is_counted,
             max_attempts=forward.max_attempts,
+            has_begun=forward.has_begun,
+            begun_weights_version=forward.weights_version,
+            origin=forward.origin,
         )
         placed = ForwardedCall(self, forward, request, call)
         self._by_id[request.request_id] = placed
@@ -313,6 +319,8 @@
             kind=None if refusal is None else refusal.kind,
             retry_after_ms=None if refusal is None else refusal.retry_after_ms,
             attempts=None if refusal is None else refusal.attempts,
+            has_begun=call.has_begun,
+            origin=call.begun_origin,
         )
         if ending is DispatchEnding.COMPLETED:
             self._end(call, "completed")
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -12,6 +12,7 @@
 from toucanyard.names import Incarnation, NodeName, RequestId
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.node_records import NodeRecord
+from toucanyard.origin_exchange import OriginExchange
 from toucanyard.prompt_block_sources import PromptBlockSources
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.relay_requests import (
@@ -26,7 +27,9 @@
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import DispatchEnding, Refuse
+from toucanyard.resumed_streams import ResumedStreams
 from toucanyard.routes import RouteIndex
+from toucanyard.software_versions import SoftwareVersions
 from toucanyard.target_weights import TargetWeightsTable, WantedWeights
 
 from .relay_examples import (
@@ -67,6 +70,10 @@
         nodes = NodeDirectory(own, ())
         reach = ReplicaReach(self.directory)
         forwards = CallForwards(nodes, reach, rng)
+        self.versions = SoftwareVersions(self.directory)
+        self.versions.refresh(0.0)
+        self.origins = OriginExchange(nodes, self.versions, OPTIONS.policy.origins)
+        self.resumed = ResumedStreams(self.origins, lambda _: 0.0)
         calls = self.calls = CallPlacement(
             OPTIONS,
             self.directory,
@@ -77,6 +84,7 @@
             lambda usage: BrittleReplicas(
                 ReplicaLimits(rng), self.directory, nodes, reach, usage
             ),
+            self.versions,
             rng,
         )
         self.flow = RelayFlow(
@@ -89,6 +97,7 @@
             CallLimits(OPTIONS.limits, OPTIONS.policy.limits, Incarnation("i")),
             reach,
             forwards,
+            self.resumed,
             rng,
         )
         self.flow.apply_index(RouteIndex(build_table()))
--- a/tests/toucanyard/test_call_placement.py
+++ b/tests/toucanyard/test_call_placement.py
@@ -16,6 +16,7 @@
 from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.routes import RouteIndex
+from toucanyard.software_versions import SoftwareVersions
 from toucanyard.target_weights import TargetWeightsTable, WantedWeights
 
 from .relay_examples import (
@@ -64,6 +65,7 @@
             lambda usage: BrittleReplicas(
                 ReplicaLimits(rng), directory, nodes, reach, usage
             ),
+            SoftwareVersions(directory),
             rng,
         )
         self.placement.index = RouteIndex(build_table())
--- a/tests/toucanyard/version_fleet.py
+++ b/tests/toucanyard/version_fleet.py
@@ -10,6 +10,8 @@
 from collections.abc import Collection, Sequence
 from itertools import count
 
+import msgspec
+
 from toucanyard.names import (
     Address,
     Fingerprint,
@@ -22,8 +24,11 @@
     DispatchEnded,
     FirstEventSeen,
 )
+from toucanyard.relay_options import RelayOptions
+from toucanyard.relay_policy import OriginPolicy
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayOutcome, RelayRequest
 from toucanyard.requests import DispatchEnding, Repeatability
+from toucanyard.stream_origins import StreamOrigin
 
 from .crash_fleet import LATENCY_MS, STEP_MS, Call, Engine, ForwardedCall
 from .cut_fleet import CutFleet
@@ -94,7 +99,9 @@
         versions: Sequence[str] = ("v1",) * 4 + ("v1.2",) * 4,
         *,
         is_prompt: bool = False,
+        origins: OriginPolicy | None = None,
     ) -> None:
+        self._origins = origins or OriginPolicy()
         self._next_versions = list(versions)
         self.versions: dict[str, str] = {}
         """Software version of each replica, by its name."""
@@ -107,6 +114,11 @@
         self.stream_rng = random.Random(7)
         super().__init__(domains, nodes_each)
 
+    def build_options(self, options: RelayOptions) -> RelayOptions:
+        built = super().build_options(options)
+        policy = msgspec.structs.replace(built.policy, origins=self._origins)
+        return msgspec.structs.replace(built, policy=policy)
+
     # Replicas.
 
     def _start(self, address: Address) -> None:
@@ -187,7 +199,7 @@
         origin = _find_origin(call)
         assert isinstance(origin, StreamCall)
         if origin is not call:
-            self._pass_on_first_event(origin, call)
+            self._pass_on_first_event(origin, self.versions[engine.name])
         self._receive_event(origin, self.versions[engine.name])
         stream = origin.stream
         if stream.last_event >= EVENTS:
@@ -198,10 +210,12 @@
         elif origin.ending is None:
             self.after(EVENT_MS, lambda: self._write_event(call, engine))
 
-    def _pass_on_first_event(self, origin: StreamCall, placed: Call) -> None:
-        if not origin.has_begun:
-            origin.has_begun = True
-            self.handle(origin.node, FirstEventSeen(origin.request.request_id))
+    def _pass_on_first_event(self, call: StreamCall, version: str) -> None:
+        if not call.has_begun:
+            call.has_begun = True
+            call.begun_origin = StreamOrigin(self.service, SoftwareVersion(version))
+            seen = FirstEventSeen(call.request.request_id, call.begun_origin)
+            self.handle(call.node, seen)
 
     def _receive_event(self, call: StreamCall, version: str) -> None:
         stream = call.stream
@@ -231,6 +245,7 @@
         name = f"try-{stream.number}-{len(stream.tries)}"
         fields: dict[str, object] = {
             "service": self.service,
+            "services": (self.service,),
             "fingerprint": Fingerprint(f"stream-{stream.number}"),
             "repeatability": Repeatability.REPEATABLE,
             "is_stream": True,
