Test streams of several versions by what their calls say, over connections and hops

Each test is of a way by which a second replica, node or peer could take up a stream: callers' headers that are missing, huge, unknown, another customer's or used twice; routes that are split or moved; peers of an older build, that answer late or not at all; a node that is isolated; tries from before a second version appeared; a replica that may have restarted; forwards whose replica or peer is lost. A version that has left counts until its replica was removed, not until the last refresh (a test failed before). Objects kept by the ten thousand are not tracked by the collector.

--- a/packages/toucanyard/src/toucanyard/origin_exchange.py
+++ b/packages/toucanyard/src/toucanyard/origin_exchange.py
@@ -58,7 +58,7 @@
     """Nodes for which this hub asks other hubs."""
 
 
-class _Placed(msgspec.Struct, frozen=True):
+class _Placed(msgspec.Struct, frozen=True, gc=False):
     origin: StreamOrigin
     placed_ms: float
 
--- a/packages/toucanyard/src/toucanyard/software_versions.py
+++ b/packages/toucanyard/src/toucanyard/software_versions.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Final, TypeVar
 
 import msgspec
@@ -25,7 +25,7 @@
 """Multiple of the longest timeout of a route: a stream may be taken up once after it
 has used its time."""
 MAX_REPORTED: Final = 64
-"""Maximum number of versions reported to a peer."""
+"""Maximum number of versions reported to a peer, or taken from one report."""
 FEW_REPLICAS: Final = 2
 """Number of replicas of a version up to which its room is kept for its own streams."""
 
@@ -76,9 +76,10 @@
         """Record all listed replicas, and drop what is older than any stream."""
         counts: dict[StreamOrigin, int] = {}
         for known in self._directory.list_all():
-            if known.gone_ms is None:
-                replica = known.replica
-                self.record_listed(replica.service, replica.software_version, now_ms)
+            replica, gone_ms = known.replica, known.gone_ms
+            seen_ms = now_ms if gone_ms is None else gone_ms
+            self.record_listed(replica.service, replica.software_version, seen_ms)
+            if gone_ms is None:
                 origin = StreamOrigin(replica.service, replica.software_version)
                 is_leaving = known.has_left()
                 counts[origin] = counts.get(origin, 0) + (not is_leaving)
@@ -121,10 +122,10 @@
                     yield SoftwareVersionAge(service, version, now_ms - seen_ms)
 
     def apply_reported(
-        self, received: Iterable[SoftwareVersionAge], now_ms: float
+        self, received: Sequence[SoftwareVersionAge], now_ms: float
     ) -> None:
         """Apply the versions that a peer has seen."""
-        for each in received:
+        for each in received[:MAX_REPORTED]:
             self.record_listed(
                 each.service, each.software_version, now_ms - max(each.age_ms, 0.0)
             )
--- a/packages/toucanyard/src/toucanyard/stream_origins.py
+++ b/packages/toucanyard/src/toucanyard/stream_origins.py
@@ -26,7 +26,7 @@
 """Hash of a customer and the id of one of its tries."""
 
 
-class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
+class StreamOrigin(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Where a stream began, and the only place where it may go on."""
 
     service: ServiceName
@@ -48,7 +48,7 @@
     """The route has led to a single service and software version."""
 
 
-class KnownOrigin(msgspec.Struct):
+class KnownOrigin(msgspec.Struct, gc=False):
     """What a node remembers of one try."""
 
     origin: StreamOrigin
--- /dev/null
+++ b/tests/toucanyard/test_resumed_streams.py
@@ -0,0 +1,370 @@
+"""Test where streams that callers take up go on, by what their calls say."""
+
+from __future__ import annotations
+
+import pytest
+
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.link_messages import (
+    NodeStatus,
+    OriginAnswer,
+    OriginAsk,
+    OriginReport,
+    PlacedStreams,
+)
+from toucanyard.names import (
+    CustomerName,
+    EndpointName,
+    NodeName,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+)
+from toucanyard.relay_events import (
+    CallArrived,
+    DispatchEnded,
+    FirstEventSeen,
+    LinkMessageRead,
+    LogEntry,
+    PeersLinked,
+    RelayAction,
+    RelayEvent,
+    SendToPeer,
+    TickPassed,
+)
+from toucanyard.relay_requests import RelayDispatch, RelayOutcome, RelayReply
+from toucanyard.requests import DispatchEnding, Refuse, Repeatability
+from toucanyard.stream_origins import compute_stream_key
+
+from .relay_examples import (
+    DESK,
+    ENGINES,
+    build_prompt,
+    build_replica,
+    build_request,
+    build_table,
+)
+from .relay_fleet import Fleet, put
+
+N0, N1 = NodeName("n0"), NodeName("n1")
+CUSTOMER = CustomerName("c")
+KNOWN_KEY = compute_stream_key(CUSTOMER, "known")
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+
+
+class ResumingNode(Fleet):
+    """A node with one peer that is simulated, and replicas of two versions."""
+
+    def __init__(self, *versions: str, is_able: bool = True) -> None:
+        self.actions: list[RelayAction] = []
+        super().__init__("n0", "n1")
+        self.peer = self.core("n1").identity
+        for topic, key, fact in (
+            (Topic.OPERATOR, "config", build_table()),
+            (Topic.NODES, "n1", self.core("n1").own_record),
+        ):
+            self.read("n0", topic, KeyedRecord(key, 0, put(fact)))
+        self.offset = 0
+        for number, version in enumerate(versions or (V1, V2)):
+            self.list(f"r{number}", version)
+        self.handle(N0, PeersLinked((self.peer,)))
+        status = NodeStatus(True, (), exchanges_origins=is_able)
+        self.handle(N0, LinkMessageRead(self.peer, status))
+        self.actions.clear()
+
+    def list(self, name: str, version: str, **changes: object) -> None:
+        replica = build_replica(
+            name, software_version=SoftwareVersion(version), **changes
+        )
+        record = KeyedRecord(name, self.offset, put(replica))
+        self.offset += 1
+        self.read("n0", Topic.REPLICAS, record)
+
+    def handle(self, name: NodeName, event: RelayEvent) -> None:
+        if name == N0:
+            self.actions += self.core("n0").handle(event, self.now_ms)
+
+    def resume(self, call: str = "q", **changes: object) -> None:
+        """Let a call arrive that takes a stream up."""
+        fields: dict[str, object] = {
+            "service": ENGINES,
+            "services": (ENGINES,),
+            "prompt": build_prompt(),
+            "repeatability": Repeatability.REPEATABLE,
+            "is_stream": True,
+            "is_resumable": True,
+            "last_event_id": "3",
+            "resumed_id": "known",
+            "arrived_ms": self.now_ms,
+            "deadline_ms": self.now_ms + 5_000.0,
+        }
+        self.handle(N0, CallArrived(build_request(call, **(fields | changes))))
+
+    def report(self, version: str, service: ServiceName = ENGINES) -> None:
+        """Let the peer report the stream's origin."""
+        placed = PlacedStreams(service, SoftwareVersion(version), KNOWN_KEY)
+        self.handle(N0, LinkMessageRead(self.peer, OriginReport((placed,))))
+
+    def find_verdict(self, call: str = "q") -> object:
+        verdicts = [
+            each.verdict
+            for each in self.actions
+            if isinstance(each, RelayReply) and each.request_id == call
+        ]
+        return verdicts[-1] if verdicts else None
+
+    def find_version(self, call: str = "q") -> str:
+        verdict = self.find_verdict(call)
+        assert isinstance(verdict, RelayDispatch)
+        return verdict.software_version
+
+    def find_refusal(self, call: str = "q") -> Refuse:
+        verdict = self.find_verdict(call)
+        assert isinstance(verdict, Refuse)
+        return verdict
+
+    def list_sent(self) -> list[object]:
+        return [each.message for each in self.actions if isinstance(each, SendToPeer)]
+
+    def list_logged(self, event: str) -> list[LogEntry]:
+        return [
+            each
+            for each in self.actions
+            if isinstance(each, LogEntry) and each.event == event
+        ]
+
+    def wait(self, for_ms: float) -> None:
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            self.now_ms += 25.0
+            self.handle(N0, TickPassed())
+
+
+@pytest.mark.parametrize("version", [V1, V2])
+def test_reported_stream_goes_on_at_its_version(version: str) -> None:
+    node = ResumingNode()
+    node.report(version)
+    node.resume()
+    assert node.find_version() == version
+    (line,) = node.list_logged("stream_resumed")
+    assert (line.fields["source"], line.fields["software"]) == ("told", version)
+
+
+@pytest.mark.parametrize("version", [V1, V2])
+def test_unknown_stream_waits_for_the_answer_of_a_peer(version: str) -> None:
+    node = ResumingNode()
+    node.resume()
+    assert node.find_verdict() is None
+    assert node.list_sent() == [OriginAsk(N0, KNOWN_KEY)]
+    node.handle(
+        N0,
+        LinkMessageRead(node.peer, OriginAnswer(N0, KNOWN_KEY, ENGINES, version)),
+    )
+    assert node.find_version() == version
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_stream_that_nobody_knows_is_refused_as_not_run(answers: bool) -> None:
+    """Guards against guessing a version, and against waiting for the deadline."""
+    node = ResumingNode()
+    node.resume()
+    if answers:
+        answer = OriginAnswer(N0, KNOWN_KEY)
+        node.handle(N0, LinkMessageRead(node.peer, answer))
+    else:
+        node.wait(225.0)
+    refusal = node.find_refusal()
+    assert refusal.kind is ErrorKind.STREAM_NOT_RESUMABLE
+    assert refusal.ending is Ending.NOT_RUN
+    assert refusal.retry_after_ms >= 2_000
+    assert len(node.list_logged("stream_not_resumed")) == 1
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"resumed_id": ""},
+        {"resumed_id": "x" * 5_000},
+        {"resumed_id": "unknown"},
+        {"customer": CustomerName("other")},
+    ],
+    ids=["missing", "huge", "unknown", "another customer's"],
+)
+def test_call_that_names_no_known_try_is_refused(changes: dict[str, object]) -> None:
+    """Guards against guessing, and against steering by another customer's stream."""
+    node = ResumingNode()
+    node.report(V2)
+    node.resume(**changes)
+    node.wait(225.0)
+    assert node.find_refusal().kind is ErrorKind.STREAM_NOT_RESUMABLE
+
+
+@pytest.mark.parametrize("resumed_id", ["", "unknown"])
+def test_one_version_needs_no_knowledge(resumed_id: str) -> None:
+    """Guards against refusing or delaying streams of a service with one version."""
+    node = ResumingNode(V1, V1)
+    node.resume(resumed_id=resumed_id)
+    assert node.find_version() == V1
+    assert not node.list_sent()
+
+
+def test_isolated_node_does_not_rely_on_an_old_list() -> None:
+    """Guards against a node that is out of touch and takes its list for complete."""
+    node = ResumingNode(V1, V1)
+    node.handle(N0, PeersLinked(()))
+    node.wait(4_000.0)
+    node.resume()
+    refusal = node.find_refusal()
+    assert refusal.kind is ErrorKind.STREAM_NOT_RESUMABLE
+    assert refusal.retry_after_ms < 2_000
+
+
+def test_new_stream_is_not_bound_by_the_try_that_it_names() -> None:
+    node = ResumingNode()
+    node.report(V1)
+    node.resume(last_event_id="", resumed_id="known")
+    assert node.find_version() in (V1, V2)
+    assert not node.list_logged("stream_resumed")
+
+
+def test_id_that_was_used_twice_is_refused() -> None:
+    node = ResumingNode()
+    node.report(V1)
+    node.resume("known", caller_id="known", last_event_id="", resumed_id="")
+    if node.find_version("known") == V1:
+        # The same origin twice is no contradiction.
+        node.handle(N0, DispatchEnded(build_loss(node, "known")))
+        assert node.find_version("known") == V2
+    node.resume()
+    assert node.find_refusal().kind is ErrorKind.STREAM_NOT_RESUMABLE
+
+
+def build_loss(node: ResumingNode, call: str, **facts: object) -> RelayOutcome:
+    dispatch = node.find_verdict(call)
+    assert isinstance(dispatch, RelayDispatch)
+    return RelayOutcome(
+        RequestId(call),
+        dispatch.replica,
+        DispatchEnding.LOST,
+        **facts,  # type: ignore[arg-type]
+    )
+
+
+def test_try_that_itself_took_the_stream_up_may_be_named() -> None:
+    node = ResumingNode()
+    node.report(V2)
+    node.resume("second", caller_id="second")
+    node.resume("third", caller_id="third", resumed_id="second")
+    assert node.find_version("third") == V2
+
+
+def test_stream_without_a_replica_of_its_version_is_refused_at_once() -> None:
+    """Guards against waiting for a version that no replica runs."""
+    node = ResumingNode()
+    node.report("v0")
+    node.resume()
+    refusal = node.find_refusal()
+    assert refusal.kind is ErrorKind.STREAM_NOT_RESUMABLE
+    assert refusal.ending is Ending.NOT_RUN
+
+
+def test_stream_goes_on_at_the_service_that_began_it() -> None:
+    """Guards against a split route that draws the service anew."""
+    node = ResumingNode(V1)
+    node.list("d", V1, service=DESK, weights=())
+    node.report(V1, DESK)
+    for number in range(8):
+        name = f"q{number}"
+        node.resume(name, services=(ENGINES, DESK), prompt=None)
+        verdict = node.find_verdict(name)
+        assert isinstance(verdict, RelayDispatch)
+        assert verdict.replica == "d"
+
+
+def test_stream_of_a_service_that_its_route_has_left_is_refused() -> None:
+    node = ResumingNode(V1)
+    node.report(V1, DESK)
+    node.resume()
+    assert "no longer leads" in node.find_refusal().text
+
+
+def test_unknown_stream_of_a_split_route_is_refused() -> None:
+    node = ResumingNode(V1)
+    node.list("d", V1, service=DESK, weights=())
+    node.resume(services=(ENGINES, DESK))
+    node.wait(225.0)
+    assert node.find_refusal().kind is ErrorKind.STREAM_NOT_RESUMABLE
+
+
+def test_peer_of_an_older_build_gets_no_messages_that_it_does_not_know() -> None:
+    """Guards against a message that makes an older peer close its link."""
+    node = ResumingNode(is_able=False)
+    node.resume("first", last_event_id="", resumed_id="")
+    node.resume()
+    node.wait(300.0)
+    assert not any(
+        isinstance(each, OriginReport | OriginAsk | OriginAnswer)
+        for each in node.list_sent()
+    )
+    assert node.find_refusal().kind is ErrorKind.STREAM_NOT_RESUMABLE
+
+
+def test_placed_tries_are_reported_before_the_first_event() -> None:
+    node = ResumingNode()
+    node.resume("first", caller_id="first", last_event_id="", resumed_id="")
+    node.wait(25.0)
+    reports = [each for each in node.list_sent() if isinstance(each, OriginReport)]
+    (placed,) = reports[0].placed
+    assert placed.keys == compute_stream_key(CUSTOMER, "first")
+    assert placed.software_version == node.find_version("first")
+
+
+def test_tries_from_before_a_second_version_are_reported_once_it_appears() -> None:
+    """Guards against streams that began while one version served alone."""
+    node = ResumingNode(V1)
+    node.resume("first", caller_id="first", last_event_id="", resumed_id="")
+    node.wait(50.0)
+    assert not any(isinstance(each, OriginReport) for each in node.list_sent())
+    node.list("late", V2)
+    node.wait(25.0)
+    reports = [each for each in node.list_sent() if isinstance(each, OriginReport)]
+    assert reports[0].placed[0].keys == compute_stream_key(CUSTOMER, "first")
+
+
+def test_begun_answer_goes_on_at_its_version_only() -> None:
+    """Guards against every way in which one answer gets a second replica."""
+    node = ResumingNode(V1, V2, V2)
+    node.report(V1)
+    node.resume()
+    first = node.find_verdict()
+    assert isinstance(first, RelayDispatch)
+    node.handle(N0, FirstEventSeen(RequestId("q")))
+    node.handle(N0, DispatchEnded(build_loss(node, "q", has_begun=True)))
+    second = node.find_verdict()
+    assert isinstance(second, RelayDispatch)
+    assert second.software_version == V1
+
+
+def test_attempt_without_an_event_binds_nothing() -> None:
+    node = ResumingNode(V1, V2)
+    node.resume(last_event_id="", resumed_id="")
+    before = node.find_version()
+    node.handle(N0, DispatchEnded(build_loss(node, "q")))
+    assert node.find_version() != before
+
+
+def test_replica_that_may_have_restarted_gets_no_rest_of_a_stream() -> None:
+    """Guards against a replica that returns under its id at another version."""
+    node = ResumingNode(V2)
+    node.list("x", V1, born_ms=1)
+    node.report(V1)
+    node.resume()
+    node.handle(N0, DispatchEnded(build_loss(node, "q", is_closed=True)))
+    node.resume("again")
+    assert node.find_verdict("again") is None
+    node.list("x@2", V1, born_ms=2)
+    node.wait(25.0)
+    verdict = node.find_verdict("again")
+    assert isinstance(verdict, RelayDispatch)
+    assert verdict.replica == EndpointName("x@2")
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -19,6 +19,7 @@
     NodeName,
     ReplicaId,
     ServiceName,
+    SoftwareVersion,
 )
 from toucanyard.prompt_block_index import PromptBlock
 from toucanyard.relay_core import RelayCore
@@ -125,6 +126,7 @@
         self.called = trio.Event()
         self.closed = trio.Event()
         self.address = LOCAL
+        self.software_version = ""
 
     async def start(self, nursery: trio.Nursery) -> None:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -294,6 +296,7 @@
                 8,
                 False,
                 (("m", 1),),
+                software_version=SoftwareVersion(each.software_version),
             )
             self.put(Topic.REPLICAS, each.name, number, replica)
 
