--- a/packages/toucanyard/src/toucanyard/call_refusals.py
+++ b/packages/toucanyard/src/toucanyard/call_refusals.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from toucanyard.drain_rate import DrainRate
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import ServiceName
@@ -14,6 +16,14 @@
 from toucanyard.requests import Refuse, Repeatability
 
 
+class RefusalReason(msgspec.Struct, frozen=True):
+    """Why a call is refused; `retry_ms` is None if its queue decides that."""
+
+    kind: ErrorKind
+    text: str
+    retry_ms: float | None = None
+
+
 class CallRefusals:
     """Builds the refusals of one node and tracks how fast its queues drain."""
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -14,7 +14,8 @@
 from toucanyard.call_forwards import CallForwards
 from toucanyard.call_limits import CallLimits, compute_first_request_number
 from toucanyard.call_placement import CallPlacement
-from toucanyard.fault_location import FaultLocator, LocationChange
+from toucanyard.fault_location import FaultLocator
+from toucanyard.guard_events import GuardEvents
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
 from toucanyard.limit_coordinators import LimitCoordinators
@@ -36,6 +37,7 @@
 from toucanyard.origin_exchange import OriginExchange
 from toucanyard.prompt_block_sources import PromptBlockSources
 from toucanyard.prompt_block_updates import PromptBlockUpdates
+from toucanyard.reach_events import ReachEvents
 from toucanyard.relay_events import (
     CallArrived,
     CallerLeft,
@@ -267,8 +269,10 @@
         )
         self.is_stopping = False
         self._pruned_ms = float("-inf")
-        self._reach_changes = 0
-        """Changes of reachability that peers know of."""
+        self._guard_events = GuardEvents(self.guard, self.probes)
+        self._reach_events = ReachEvents(
+            self.reach, self.faults, self.guard, self.directory, self.calls.brittle
+        )
         self._hub: NodeName | None = None
 
     @property
@@ -301,39 +305,14 @@
         """Handle one event and return the actions to carry out now, in order."""
         self.flow.set_view_confirmed(self.exchange.views[Topic.REPLICAS].confirmed_ms)
         actions = list(self._handle(event, now_ms))
-        if self.guard.has_updates():
-            actions += self._settle_guard(now_ms)
-        actions += self._settle_reach(now_ms)
+        actions += self._guard_events.settle()
+        actions += self._reach_events.settle(now_ms)
+        if self._guard_events.consume_urgent_flag() | self._reach_events.has_changed():
+            actions += self._send_status_now(now_ms)
         actions += self._limit_events.settle(now_ms)
         actions += self._origin_events.settle()
         return actions
 
-    def _settle_reach(self, now_ms: float) -> Iterator[RelayAction]:
-        """Emit the probes that are due, and inform peers of what is not reached."""
-        yield from self.reach.probe(now_ms)
-        yield from self.reach.take_log_entries()
-        yield from self.calls.brittle.take_log_entries()
-        for change in self.faults.update(now_ms):
-            yield self.faults.build_entry(change, now_ms)
-            self._apply_location(change, now_ms)
-        if self.guard.has_undecided():
-            self.guard.settle_undecided(
-                lambda replica, since_ms: self.faults.locate_replica(
-                    replica, since_ms, now_ms
-                ),
-                now_ms,
-            )
-        if self._reach_changes != self.reach.change_count:
-            self._reach_changes = self.reach.change_count
-            yield from self._send_status_now(now_ms)
-
-    def _apply_location(self, change: LocationChange, now_ms: float) -> None:
-        listed = self.directory.find_listed(change.service, now_ms)
-        if change.is_end_of_cut:
-            for known in listed:
-                # Its failures were those of this node's connections.
-                known.forget_failures()
-
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
         match event:
             case (
@@ -418,7 +397,7 @@
 
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self.probes.probe_unreachable(now_ms)
-        yield from self._tick_guard(now_ms)
+        yield from self._guard_events.tick(now_ms)
         yield from self._limit_events.tick(now_ms)
         yield from self._origin_events.tick(now_ms)
         yield from self.flow.tick(now_ms)
@@ -438,35 +417,15 @@
             self.brittleness.retain(known)
             self.calls.brittle.retain(known)
 
-    def _settle_guard(self, now_ms: float) -> Iterator[RelayAction]:
-        """Emit the guard's log entries, and inform peers at once if it is urgent."""
-        yield from self.guard.take_log_entries()
-        if self.guard.take_urgent():
-            yield from self._send_status_now(now_ms)
-
     def _handle_passive(self, event: PassiveEvent, now_ms: float) -> None:
         """Handle an event that needs no action now."""
         match event:
             case PromptBlocksChanged() | HolderLost():
                 self.parts.on_change(event, now_ms)
             case QuarantineWritten() | QuarantineErased():
-                self._on_quarantine_stored(event, now_ms)
-
-    def _on_quarantine_stored(
-        self, event: QuarantineWritten | QuarantineErased, now_ms: float
-    ) -> None:
-        match event:
-            case QuarantineWritten(fingerprint=fingerprint):
-                self.guard.quarantine.on_written(fingerprint, now_ms)
-            case QuarantineErased(fingerprint=fingerprint):
-                self.guard.quarantine.on_erased(fingerprint)
-        # Peers receive the record from the node that reads it first.
-        self.reads.mark_outdated(Topic.NODES)
-
-    def _tick_guard(self, now_ms: float) -> Iterator[RelayAction]:
-        self.guard.tick(now_ms)
-        yield from self.probes.probe_lost(now_ms)
-        yield from self.guard.quarantine.tick(now_ms)
+                self._guard_events.on_stored(event, now_ms)
+                # Peers receive the record from the node that reads it first.
+                self.reads.mark_outdated(Topic.NODES)
 
     def _log_hub_change(self) -> Iterator[RelayAction]:
         """Log the hub that this node reports to whenever it changes."""
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections import Counter
 from collections.abc import Iterator
@@ -16,11 +15,13 @@
 
 import msgspec
 
+from toucanyard.call_checks import CallChecks
 from toucanyard.call_forwards import MAX_FORWARDS, CallForwards, PeersBusy
-from toucanyard.call_limits import CallLimits, LimitRejection
+from toucanyard.call_limits import CallLimits
 from toucanyard.call_placement import CallPlacement
-from toucanyard.call_refusals import CallRefusals
+from toucanyard.call_refusals import CallRefusals, RefusalReason
 from toucanyard.call_retries import CallRetries
+from toucanyard.call_waits import CallWaits
 from toucanyard.dispatch_outcomes import DispatchOutcomes
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.names import RequestId, ServiceName
@@ -37,10 +38,9 @@
 )
 from toucanyard.replica_reach import ReplicaReach
 from toucanyard.replicas import ReplicaDirectory
-from toucanyard.request_guard import Rejection, RequestGuard
+from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
 from toucanyard.resumed_streams import (
-    LOST_RETRY_MS,
     AwaitedOrigin,
     FoundOrigin,
     ResumedStreams,
@@ -50,14 +50,6 @@
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard.target_weights import TargetWeightsTable
 
-MIN_RETRY_AFTER_MS: Final = 100
-MAX_RETRY_AFTER_MS: Final = 2_000
-NO_REPLICA_WAIT_MS: Final = 1_500.0
-"""Time that a call waits while its service has no usable replica at all. Loading
-weights, or restoring a list of replicas that expired, takes less."""
-MAX_BEGUN_WAIT_MS: Final = 1_000.0
-"""Time that a stream whose answer has begun waits for a replica; after a longer gap its
-caller gives up."""
 MAX_BLOCKED: Final = 8
 """Calls of one queue and origin that may fail to be placed before the rest is skipped,
 as those would hardly fit either."""
@@ -96,7 +88,6 @@
         self._outcomes = DispatchOutcomes(
             policy, directory, weight_targets, calls, guard, limits, reach
         )
-        self._guard = guard
         self._reach = reach
         self._forwards = forwards
         self._brittle = calls.brittle
@@ -104,6 +95,8 @@
         self._retries = CallRetries(retries, policy.retries)
         self._policy = policy
         self._refusals = CallRefusals(rng)
+        self._checks = CallChecks(guard, limits)
+        self._waits = CallWaits(policy.queue, directory, calls, self._refusals)
         self._directory = directory
         self._pending: dict[RequestId, PendingCall] = {}
         self._queues: dict[ServiceName, list[PendingCall]] = {}
@@ -189,22 +182,19 @@
         is_brittle = self._brittle.is_service_brittle(request.service)
         if not is_brittle and not self._reach.is_unreached(request.service):
             self._count(pending, now_ms)
-        rejection = self._check_guard(pending, now_ms)
-        if rejection is not None:
-            yield self._reject(pending, rejection, now_ms)
-            return
-        over = self._check_limits(pending, now_ms)
-        if over is not None:
-            yield self._reject_over(pending, over, now_ms)
+        refused = self._checks.check(pending, self._pending.values(), now_ms)
+        if refused is not None:
+            yield self._refuse_for(pending, refused, now_ms)
             return
         if not pending.is_awaiting_credit and not self._queues.get(request.service):
             reply = self._send(pending, now_ms)
             if reply is not None:
                 yield reply
                 return
-        refusal = self._check_wait(pending, now_ms)
-        if refusal is not None:
-            yield refusal
+        queue = self._queues.get(request.service, ())
+        refused = self._waits.check_new(pending, queue, now_ms)
+        if refused is not None:
+            yield self._refuse_for(pending, refused, now_ms)
             return
         self._enqueue(pending)
         yield from self._drain(request.service, now_ms)
@@ -254,9 +244,9 @@
             yield RelayReply(outcome.request_id, None)
             yield from self._finish(pending, now_ms)
             return
-        rejection = self._check_guard(pending, now_ms)
-        if rejection is not None:
-            yield self._reject(pending, rejection, now_ms)
+        refused = self._checks.check_guard(pending, self._pending.values(), now_ms)
+        if refused is not None:
+            yield self._refuse_for(pending, refused, now_ms)
             yield from self._finish(pending, now_ms)
             return
         if not self._retries.may_try_again(pending, outcome, now_ms):
@@ -299,9 +289,9 @@
         self, pending: PendingCall, reason: str, now_ms: float
     ) -> Iterator[RelayReply]:
         """Forward, place or queue a call that has failed and may be retried."""
-        over = self._check_limits(pending, now_ms)
-        if over is not None:
-            yield self._reject_over(pending, over, now_ms)
+        refused = self._checks.check_limits(pending, now_ms)
+        if refused is not None:
+            yield self._refuse_for(pending, refused, now_ms)
             yield from self._finish(pending, now_ms)
             return
         reply = None if pending.is_awaiting_credit else self._send(pending, now_ms)
@@ -375,27 +365,14 @@
             if not queue:
                 continue
             return_ms = self._directory.find_return_delay(service, now_ms)
-            for pending in [
-                each
-                for each in queue
-                if self._should_refuse_early(each, return_ms, now_ms)
-            ]:
-                queue.remove(pending)
-                pending.is_waiting = False
-                yield self._refuse_late(pending, return_ms, now_ms)
+            for pending in list(queue):
+                refused = self._waits.check_late(pending, return_ms, now_ms)
+                if refused is not None:
+                    queue.remove(pending)
+                    pending.is_waiting = False
+                    yield self._refuse_for(pending, refused, now_ms)
             yield from self._drain(service, now_ms)
 
-    def _refuse_late(
-        self, pending: PendingCall, return_ms: float | None, now_ms: float
-    ) -> RelayReply:
-        """Refuse a call that has waited in vain."""
-        if pending.origin is not None and not self._calls.find_listed(pending, now_ms):
-            return self._refuse_unlisted(pending, now_ms)
-        text = "no replica had room in time"
-        if return_ms is not None:
-            text = _describe_deferral(return_ms)
-        return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
-
     def retry_waiting(self, now_ms: float) -> Iterator[RelayReply]:
         """Send or refuse queued calls after credit may have been granted."""
         for service in list(self._queues):
@@ -419,12 +396,9 @@
 
     def _try_waiting(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Return the reply to a queued call; None if it has to keep waiting."""
-        rejection = self._check_guard(pending, now_ms)
-        if rejection is not None:
-            return self._reject(pending, rejection, now_ms)
-        over = self._check_limits(pending, now_ms)
-        if over is not None:
-            return self._reject_over(pending, over, now_ms)
+        refused = self._checks.check(pending, self._pending.values(), now_ms)
+        if refused is not None:
+            return self._refuse_for(pending, refused, now_ms)
         return None if pending.is_awaiting_credit else self._send(pending, now_ms)
 
     def _send(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
@@ -447,108 +421,15 @@
             pending.is_counted = True
             self._retries.record_first_try(pending.request.service, now_ms)
 
-    def _check_limits(
-        self, pending: PendingCall, now_ms: float
-    ) -> LimitRejection | None:
-        """Return why a call exceeds its customer's limit, if it does.
-
-        The node that forwards a call has taken the credit for it.
-        """
-        if pending.request.is_forwarded:
-            return None
-        return self._limits.check(pending, now_ms)
-
-    def _check_guard(self, pending: PendingCall, now_ms: float) -> Rejection | None:
-        """Return why a call may not be sent now; update whether it is suspect."""
-        request = pending.request
-        pending.is_suspect = self._guard.is_suspect(request.fingerprint)
-        return self._guard.check(request, lambda: self._is_running(pending), now_ms)
-
-    def _is_running(self, pending: PendingCall) -> bool:
-        """Return whether another call with the same request runs at a replica."""
-        return any(
-            each.replica is not None and each is not pending
-            for each in self._pending.values()
-            if each.request.fingerprint == pending.request.fingerprint
-        )
-
-    def _reject(
-        self, pending: PendingCall, rejection: Rejection, now_ms: float
-    ) -> RelayReply:
-        return self._refuse(
-            pending,
-            ErrorKind.REQUEST_QUARANTINED,
-            rejection.text,
-            now_ms,
-            wait_ms=rejection.retry_after_ms,
-        )
-
-    def _reject_over(
-        self, pending: PendingCall, over: LimitRejection, now_ms: float
+    def _refuse_for(
+        self, pending: PendingCall, reason: RefusalReason, now_ms: float
     ) -> RelayReply:
+        if reason.kind is ErrorKind.STREAM_NOT_RESUMABLE:
+            self._resumed.record_lost(pending.request, reason.text)
         return self._refuse(
-            pending, ErrorKind.CUSTOMER_LIMIT, over.text, now_ms, wait_ms=over.retry_ms
+            pending, reason.kind, reason.text, now_ms, wait_ms=reason.retry_ms
         )
 
-    def _check_wait(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
-        """Refuse a call at once if it would not be sent before its deadline."""
-        request = pending.request
-        if not self._calls.find_listed(pending, now_ms):
-            return self._refuse_unlisted(pending, now_ms)
-        if not self._policy.queue.refuses_early:
-            return None
-        wait_ms = self._compute_wait(pending, now_ms)
-        if wait_ms > request.deadline_ms - now_ms:
-            text = f"the wait would be about {wait_ms:.0f} ms"
-            if math.isinf(wait_ms):
-                text = "limits of all replicas leave room for more urgent calls only"
-            return_ms = self._directory.find_return_delay(request.service, now_ms)
-            if return_ms is not None:
-                text = _describe_deferral(return_ms)
-            return self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
-        return None
-
-    def _refuse_unlisted(self, pending: PendingCall, now_ms: float) -> RelayReply:
-        """Refuse a call for which no replica is listed."""
-        if pending.origin is None:
-            return self._refuse(pending, ErrorKind.NO_ENDPOINT, "no replica", now_ms)
-        text = f"no replica of software version {pending.origin.software_version}"
-        self._resumed.record_lost(pending.request, text)
-        kind, wait_ms = ErrorKind.STREAM_NOT_RESUMABLE, LOST_RETRY_MS
-        return self._refuse(pending, kind, text, now_ms, wait_ms=wait_ms)
-
-    def _compute_wait(self, pending: PendingCall, now_ms: float) -> float:
-        service = pending.request.service
-        queue = self._queues.get(service, [])
-        if self._calls.is_limited(service, now_ms):
-            return self._refusals.compute_limited_wait(pending, queue, now_ms)
-        wait_ms = self._refusals.compute_wait(pending, queue, now_ms)
-        return_ms = self._directory.find_return_delay(service, now_ms)
-        return wait_ms if return_ms is None else max(wait_ms, return_ms)
-
-    def _should_refuse_early(
-        self, pending: PendingCall, return_ms: float | None, now_ms: float
-    ) -> bool:
-        """Return whether a queued call should be refused now.
-
-        The time left until its deadline is the time in which its caller can retry.
-        `return_ms` is the time until a replica is usable again, if that is known.
-        """
-        request = pending.request
-        if pending.origin is not None and not self._calls.find_listed(pending, now_ms):
-            return True
-        if now_ms + (return_ms or 0.0) >= request.deadline_ms - request.target_ms / 4:
-            return True
-        if return_ms is not None:
-            return False
-        waited_ms = now_ms - pending.queued_ms
-        if pending.has_begun:
-            is_late = waited_ms >= MAX_BEGUN_WAIT_MS
-            return is_late or not self._calls.may_go_on(pending, now_ms)
-        if waited_ms < NO_REPLICA_WAIT_MS:
-            return False
-        return not self._calls.find_usable(pending, now_ms)
-
     def _give_up(
         self, pending: PendingCall, reason: str, now_ms: float
     ) -> Iterator[RelayReply]:
@@ -570,11 +451,8 @@
         self._limits.release(pending, now_ms)
         self._calls.release(pending)
         if wait_ms is None:
-            wait_ms = self._compute_wait(pending, now_ms)
-            wait_ms = min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-            service = pending.request.service
-            return_ms = self._directory.find_return_delay(service, now_ms)
-            wait_ms = max(wait_ms, return_ms or 0.0)
+            queue = self._queues.get(pending.request.service, ())
+            wait_ms = self._waits.compute_retry_delay(pending, queue, now_ms)
         return self._refusals.build(pending, kind, text, wait_ms)
 
     def _finish(self, pending: PendingCall, now_ms: float) -> Iterator[RelayReply]:
@@ -594,7 +472,3 @@
             self.usage.end(pending.replica, request.request_id)
             self._refusals.record_freed_slot(request.service, now_ms)
         yield from self._drain(request.service, now_ms)
-
-
-def _describe_deferral(return_ms: float) -> str:
-    return f"all replicas have deferred calls or are out of use for {return_ms:.0f} ms"
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -8,7 +8,7 @@
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, RequestId
 from toucanyard.plain_placement import MAX_OVERCOMMIT
-from toucanyard.relay_flow import NO_REPLICA_WAIT_MS
+from toucanyard.call_waits import NO_REPLICA_WAIT_MS
 from toucanyard.relay_requests import (
     RelayDispatch,
 )
