Bind a stream by a corrected entry, and show versions and taken up streams in the metrics

A replica that corrects its version between dispatch and first event binds the stream by the corrected word; a test. Metrics: replicas by version, streams taken up by source of the knowledge, those that can't go on, origins known, reported and asked for.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -154,6 +154,7 @@
     yield from _render_limits(core)
     yield from _render_replica_limits(core)
     yield from _render_statements(core, now_ms)
+    yield from _render_streams(core, now_ms)
 
 
 def _render_quarantine(core: RelayCore) -> Iterator[str]:
@@ -214,6 +215,28 @@
         yield _format("replica_deferred_ms", left_ms, replica=each.replica.name)
 
 
+def _render_streams(core: RelayCore, now_ms: float) -> Iterator[str]:
+    """Render the software versions that serve, and how taken up streams fared."""
+    listed = (
+        each.software_origin
+        for service in core.index.table.services
+        for each in core.directory.find_listed(service.name, now_ms)
+    )
+    versions = sorted(Counter(listed).items(), key=lambda each: -each[1])
+    for origin, count in versions[:MAX_LIMITED]:
+        labels = {
+            "service": origin.service,
+            "software": origin.software_version,
+        }
+        yield _format("replicas_of_version", count, **labels)
+    for source, count in core.resumed.found_counts.items():
+        yield _format("streams_resumed_total", count, source=source.value)
+    yield _format("streams_not_resumable_total", core.resumed.lost_count)
+    yield _format("stream_origins_known", len(core.origins.origins))
+    yield _format("stream_origins_reported_total", core.origins.reported_count)
+    yield _format("stream_origins_asked_total", core.origins.asked_count)
+
+
 def _record(
     histograms: dict[Group, HdrHistogram], group: Group, value_ms: float
 ) -> None:
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -37,7 +37,6 @@
 from toucanyard.requests import Repeatability
 from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
 from toucanyard.software_versions import SoftwareVersions, VersionRoom
-from toucanyard.stream_origins import StreamOrigin
 from toucanyard.target_weights import TargetWeightsTable
 
 MIN_PATIENCE_MS: Final = 400.0
@@ -354,9 +353,7 @@
         replica = known.replica.name
         pending.replica = replica
         pending.sent_ms = now_ms
-        pending.sent_origin = StreamOrigin(
-            known.replica.service, known.replica.software_version
-        )
+        pending.sent_origin = known.software_origin
         pending.dispatches += 1
         pending.sends += 1
         self.usage.begin(replica, request_id, tokens, unread_tokens, now_ms)
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -331,7 +331,7 @@
             case TopicRead():
                 yield from self.topics.handle_read(event, now_ms)
             case StoreFailed():
-                yield _build_failure_entry(event, now_ms)
+                yield self.topics.describe_failure(event, now_ms)
             case PeersLinked() | LinkMessageRead():
                 yield from self._handle_link(event, now_ms)
             case (
@@ -496,12 +496,3 @@
             self.guard.ledger.share_all(now_ms)
             self.replica_limits.share_all(now_ms)
             self.brittleness.share_all(now_ms)
-
-
-def _build_failure_entry(failed: StoreFailed, now_ms: float) -> LogEntry:
-    fields = {
-        "purpose": failed.purpose,
-        "reason": failed.reason,
-        "after_ms": round(now_ms - failed.asked_ms),
-    }
-    return LogEntry("store_failed", fields)
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -221,9 +221,13 @@
         if pending.replica is None:
             pending.origin = pending.origin or forwarded_origin
             return
-        pending.origin = pending.origin or pending.sent_origin
         self.usage.record_started(pending.replica, request_id, now_ms)
         known = self._directory.find(pending.replica)
+        if known is not None and known.software_origin != pending.sent_origin:
+            # The replica has corrected its entry since the call was sent.
+            pending.sent_origin = known.software_origin
+            self._resumed.record_placed(pending, now_ms)
+        pending.origin = pending.origin or pending.sent_origin
         if known is not None:
             self._reach.record_connected(known.replica, pending.sent_ms, now_ms)
         self._calls.record_read(pending, now_ms)
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -24,6 +24,7 @@
 )
 from toucanyard.replica_incarnations import ReplicaIncarnations
 from toucanyard.store_availability import StoreOutage
+from toucanyard.stream_origins import StreamOrigin
 
 MIN_BACKOFF_MS: Final = 250.0
 """First backoff after a failure; a crashed process refuses connections for longer."""
@@ -174,6 +175,11 @@
         self.loading_until_ms = float("-inf")
         return True
 
+    @property
+    def software_origin(self) -> StreamOrigin:
+        """Return where streams begin that it runs."""
+        return StreamOrigin(self.replica.service, self.replica.software_version)
+
     def is_listed(self, now_ms: float) -> bool:
         """Return whether it may get work according to the log and its responses."""
         if self.has_left():
--- a/packages/toucanyard/src/toucanyard/software_versions.py
+++ b/packages/toucanyard/src/toucanyard/software_versions.py
@@ -80,9 +80,8 @@
             seen_ms = now_ms if gone_ms is None else gone_ms
             self.record_listed(replica.service, replica.software_version, seen_ms)
             if gone_ms is None:
-                origin = StreamOrigin(replica.service, replica.software_version)
-                is_leaving = known.has_left()
-                counts[origin] = counts.get(origin, 0) + (not is_leaving)
+                origin, is_staying = known.software_origin, not known.has_left()
+                counts[origin] = counts.get(origin, 0) + is_staying
         self._counts = {
             origin: [*self._counts.get(origin, [])[-1:], count]
             for origin, count in counts.items()
@@ -134,8 +133,7 @@
         """Return which versions new streams should avoid; None if there is one."""
         counts: dict[StreamOrigin, int] = {}
         for known in usable:
-            replica = known.replica
-            origin = StreamOrigin(replica.service, replica.software_version)
+            origin = known.software_origin
             counts[origin] = counts.get(origin, 0) + 1
         if len(counts) < 2:
             return None
--- a/packages/toucanyard/src/toucanyard/topic_updates.py
+++ b/packages/toucanyard/src/toucanyard/topic_updates.py
@@ -14,7 +14,7 @@
 from toucanyard.link_messages import ViewRecords, ViewStatus
 from toucanyard.names import NodeName
 from toucanyard.node_directory import NodeDirectory
-from toucanyard.relay_events import LogEntry, RelayAction, TopicRead
+from toucanyard.relay_events import LogEntry, RelayAction, StoreFailed, TopicRead
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.status_exchange import StatusExchange
 from toucanyard.view_exchange import ViewExchange
@@ -87,6 +87,15 @@
             targets = self._statuses.find_targets(read.topic, is_polled=read.is_polled)
             yield from self._exchange.push(targets, read.topic, before, now_ms)
 
+    def describe_failure(self, failed: StoreFailed, now_ms: float) -> LogEntry:
+        """Return the log entry of a call to the store that failed."""
+        fields = {
+            "purpose": failed.purpose,
+            "reason": failed.reason,
+            "after_ms": round(now_ms - failed.asked_ms),
+        }
+        return LogEntry("store_failed", fields)
+
     def handle_records(
         self, sender: NodeName, message: ViewRecords, now_ms: float
     ) -> Iterator[RelayAction]:
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -5,10 +5,10 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from toucanyard.call_waits import NO_REPLICA_WAIT_MS
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import EndpointName, RequestId
 from toucanyard.plain_placement import MAX_OVERCOMMIT
-from toucanyard.call_waits import NO_REPLICA_WAIT_MS
 from toucanyard.relay_requests import (
     RelayDispatch,
 )
--- a/tests/toucanyard/test_resumed_streams.py
+++ b/tests/toucanyard/test_resumed_streams.py
@@ -370,3 +370,16 @@
     verdict = node.find_verdict("again")
     assert isinstance(verdict, RelayDispatch)
     assert verdict.replica == EndpointName("x@2")
+
+
+def test_corrected_entry_binds_a_stream_that_has_not_begun() -> None:
+    """Guards against a version that was corrected between dispatch and first event."""
+    node = ResumingNode(V1, V2)
+    node.resume("first", caller_id="first", last_event_id="", resumed_id="")
+    first = node.find_verdict("first")
+    assert isinstance(first, RelayDispatch)
+    node.list_replica(first.replica, "v3")
+    node.handle(N0, FirstEventSeen(RequestId("first")))
+    node.list_replica("late", "v3")
+    node.resume(resumed_id="first")
+    assert node.find_version() == "v3"
