Judge a forwarded call after a leave also by the node that sent it

Change: the check leaves a call out if the node that sent it was disturbed since the leave, as it does for the node of the caller. A test shows that such a call is still found if neither was.

--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -133,6 +133,10 @@
     assert list(iterate_calls_after_leave(calls, arrivals, []))
     assert not list(iterate_calls_after_leave(calls, arrivals, [("n1", 2.0, 3.0)]))
     assert list(iterate_calls_after_leave(calls, arrivals, [("n2", 2.0, 3.0)]))
+    senders = {("c1", "d1"): "n2"}
+    assert list(iterate_calls_after_leave(calls, arrivals, [], senders))
+    disturbances = [("n2", 2.0, 3.0)]
+    assert not list(iterate_calls_after_leave(calls, arrivals, disturbances, senders))
     calls["c1"].sent_s = 3.0
     assert not list(iterate_calls_after_leave(calls, arrivals, []))
     calls = build_calls(1.0, 4.0)
