--- a/packages/toucanyard-standins/src/toucanyard_standins/bench.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench.py
@@ -17,6 +17,7 @@
     "herd",
     "capacity",
     "faults",
+    "origins",
 )
 USAGE: Final = f"usage: ./dev bench {'|'.join(NAMES)} [...]"
 _EXIT_USAGE: Final = 2
