Keep room for streams of a version with few replicas, at no price for one version

find_room looked at every replica for each new stream, also with one version; it now returns at once there, and counts by the word alone. Tests of the room: new streams leave the last fifth of such a version's room unless no other has any, a stream that can go on nowhere else uses it, and a version that loses replicas is the worse beginning.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -142,7 +142,7 @@
         """Return which software versions a new stream should avoid, if any."""
         if pending.origin is not None or not pending.request.is_resumable:
             return None
-        return self._versions.find_room(usable)
+        return self._versions.find_room(pending.request.service, usable)
 
     def may_place(self, service: ServiceName, now_ms: float) -> bool:
         """Return whether this node places calls on any replica of a service."""
--- a/packages/toucanyard/src/toucanyard/software_versions.py
+++ b/packages/toucanyard/src/toucanyard/software_versions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Final, TypeVar
 
@@ -129,27 +130,26 @@
                 each.service, each.software_version, now_ms - max(each.age_ms, 0.0)
             )
 
-    def find_room(self, usable: Iterable[KnownReplica]) -> VersionRoom | None:
+    def find_room(
+        self, service: ServiceName, usable: Iterable[KnownReplica]
+    ) -> VersionRoom | None:
         """Return which versions new streams should avoid; None if there is one."""
-        counts: dict[StreamOrigin, int] = {}
-        for known in usable:
-            origin = known.software_origin
-            counts[origin] = counts.get(origin, 0) + 1
+        if len(self._seen.get(service, ())) < 2:
+            return None
+        counts = Counter(each.replica.software_version for each in usable)
         if len(counts) < 2:
             return None
-        few = {o for o, n in counts.items() if n <= FEW_REPLICAS}
+        few = {version for version, n in counts.items() if n <= FEW_REPLICAS}
         fewer = {
-            o for o, n in counts.items() if n < max(self._counts.get(o, ()), default=0)
+            version
+            for version, n in counts.items()
+            if n < max(self._counts.get(StreamOrigin(service, version), ()), default=0)
         }
         return VersionRoom(
-            _name_versions(few if len(few) < len(counts) else ()),
-            _name_versions(fewer if len(fewer) < len(counts) else ()),
+            frozenset(few if len(few) < len(counts) else ()),
+            frozenset(fewer if len(fewer) < len(counts) else ()),
         )
 
 
 def _keep_since(seen: dict[T, float], oldest_ms: float) -> dict[T, float]:
     return {key: at_ms for key, at_ms in seen.items() if at_ms >= oldest_ms}
-
-
-def _name_versions(origins: Collection[StreamOrigin]) -> frozenset[SoftwareVersion]:
-    return frozenset(each.software_version for each in origins)
--- a/tests/toucanyard/test_prompt_block_placement.py
+++ b/tests/toucanyard/test_prompt_block_placement.py
@@ -7,7 +7,14 @@
 
 from toucanyard.candidates import CHOICES, MANY_REPLICAS, SHORT_SHARE
 from toucanyard.fetch_sources import TRANSFER_PRICE
-from toucanyard.names import Address, CustomerName, DomainName, EndpointName, RequestId
+from toucanyard.names import (
+    Address,
+    CustomerName,
+    DomainName,
+    EndpointName,
+    RequestId,
+    SoftwareVersion,
+)
 from toucanyard.prompt_block_index import PromptBlock, PromptBlockIndex
 from toucanyard.prompt_block_placement import (
     FULL_SHARE,
@@ -22,6 +29,7 @@
 from toucanyard.replica_usage import ReplicaUsage
 from toucanyard.replicas import KnownReplica
 from toucanyard.routes import PromptStore
+from toucanyard.software_versions import VersionRoom
 from toucanyard.target_weights import TargetWeights
 
 from .relay_examples import MODEL, TRAITS, build_prompt, build_replica, build_request
@@ -50,11 +58,12 @@
         now_ms: float = 1_000.0,
         stores: Sequence[PromptStore] = (),
         request_id: str = "q",
+        room: VersionRoom | None = None,
         **changes: object,
     ) -> PlacedPrompt | None:
         request = build_request(request_id, prompt=PROMPT, **changes)
         return self.placement.choose(
-            request, PROMPT, TRAITS, self.known, self.target, stores, now_ms
+            request, PROMPT, TRAITS, self.known, self.target, stores, now_ms, room=room
         )
 
     def record(
@@ -427,3 +436,43 @@
         pool.record(holder, LONG.parts[:2])
         chosen.add(choose_alone(f"l{node}", LONG, pool))
     assert chosen == {holder}
+
+
+FEW_VERSION = SoftwareVersion("few")
+
+
+def build_two_versions(busy_calls: int) -> Pool:
+    """Return a replica of a version with few, without much room, and a loaded one."""
+    pool = Pool("a", "b")
+    few = build_replica("a", weights=((MODEL, 1),), software_version=FEW_VERSION)
+    pool.known[0] = KnownReplica(few)
+    pool.record("a", PROMPT.parts[:2])
+    pool.load("a", 110, 100, 0)
+    pool.load("b", busy_calls, 100, 0)
+    return pool
+
+
+@pytest.mark.parametrize(("busy_calls", "chosen"), [(100, "b"), (128, "a")])
+def test_last_room_of_a_version_goes_to_new_streams_only_if_no_other_has_any(
+    busy_calls: int, chosen: str
+) -> None:
+    """Guards against filling the last replicas of a version with new streams."""
+    pool = build_two_versions(busy_calls)
+    room = VersionRoom(few=frozenset((FEW_VERSION,)))
+    assert find_name(pool.choose(room=room)) == chosen
+
+
+def test_stream_that_can_go_on_nowhere_else_uses_that_room() -> None:
+    pool = build_two_versions(100)
+    del pool.known[1]
+    assert find_name(pool.choose()) == "a"
+
+
+def test_version_that_loses_replicas_is_the_worse_beginning() -> None:
+    """Guards against beginning streams at a version that is about to leave."""
+    pool = build_two_versions(110)
+    room = VersionRoom(fewer=frozenset((FEW_VERSION,)))
+    pool.block_index.forget(EndpointName("a"))
+    for warm in "ab":
+        pool.record(warm, PROMPT.parts)
+    assert find_name(pool.choose(room=room)) == "b"
--- a/tests/toucanyard/test_software_versions.py
+++ b/tests/toucanyard/test_software_versions.py
@@ -87,18 +87,21 @@
     """Guards against filling the last replicas of a version with new streams."""
     seen = Versions(**dict.fromkeys("abcd", "v1"), e="v2")
     listed = seen.directory.find_listed(ENGINES, 0.0)
-    room = seen.versions.find_room(listed)
+    room = seen.versions.find_room(ENGINES, listed)
     assert room is not None
     assert (set(room.few), set(room.fewer)) == ({"v2"}, set())
     seen.remove("a", now_ms=10.0)
-    room = seen.versions.find_room(seen.directory.find_listed(ENGINES, 10.0))
+    room = seen.versions.find_room(ENGINES, seen.directory.find_listed(ENGINES, 10.0))
     assert room is not None
     assert set(room.fewer) == {"v1"}
 
 
 def test_one_version_has_no_worse_beginning() -> None:
     seen = Versions(a="v1", b="v1")
-    assert seen.versions.find_room(seen.directory.find_listed(ENGINES, 0.0)) is None
+    assert (
+        seen.versions.find_room(ENGINES, seen.directory.find_listed(ENGINES, 0.0))
+        is None
+    )
 
 
 def test_versions_are_opaque() -> None:
