Report tries to all linked peers only, and ask without naming who asks

Three ways to know an origin stood beside each other for the comparison, two of them worth nothing now; a question and its answer named the asker, which nobody read; nothing tried hostile messages about origins. Run: tests of resumed streams, hostile messages, stream versions in process and over connections.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
@@ -23,8 +23,8 @@
 
 FORWARD_VERSION: Final = 1_002
 """Version in the handshake. It differs from that of links between nodes, so that a node
-without this protocol refuses the connection instead of taking it for a link. Nodes of
-1001 ignore where a stream began, so they get no calls."""
+without this protocol refuses the connection instead of taking it for a link. It grows
+with each field that a node must not ignore."""
 _CLOSE_TIMEOUT_S: Final = 0.2
 
 
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_origins.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_origins.py
@@ -25,7 +25,6 @@
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.node_records import NodeRecord
 from toucanyard.origin_exchange import HUB_REPORT_MS, OriginExchange
-from toucanyard.relay_policy import OriginPolicy
 from toucanyard.replicas import Replica, ReplicaDirectory
 from toucanyard.software_versions import MIN_MEMORY_MS, SoftwareVersions
 from toucanyard.stream_origins import StreamOrigin, compute_stream_key
@@ -69,7 +68,7 @@
     own = NodeRecord(NodeName("n"), Incarnation("i"), DomainName("d"), address, address)
     versions = SoftwareVersions(directory)
     versions.refresh(0.0)
-    return OriginExchange(NodeDirectory(own, ()), versions, OriginPolicy())
+    return OriginExchange(NodeDirectory(own, ()), versions)
 
 
 def build_keys(number: int) -> list[bytes]:
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -274,14 +274,12 @@
 class OriginAsk(msgspec.Struct, frozen=True, array_like=True, tag="w"):
     """A question for the origin of a stream; relayed by one hub at most."""
 
-    asker: NodeName
     key: StreamKeyBytes
 
 
 class OriginAnswer(msgspec.Struct, frozen=True, array_like=True, tag="z"):
     """The answer to a question for an origin; no service if it is not known."""
 
-    asker: NodeName
     key: StreamKeyBytes
     service: ServiceName | None = None
     software_version: SoftwareVersion = SoftwareVersion("")
--- a/packages/toucanyard/src/toucanyard/origin_exchange.py
+++ b/packages/toucanyard/src/toucanyard/origin_exchange.py
@@ -23,7 +23,6 @@
 from toucanyard.names import NodeName, ServiceName
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.relay_events import SendToPeer
-from toucanyard.relay_policy import OriginPolicy, OriginStrategy
 from toucanyard.software_versions import SoftwareVersions
 from toucanyard.stream_origins import (
     KEY_BYTES,
@@ -52,8 +51,6 @@
     until_ms: float
     waiting: set[NodeName]
     """Peers that have not answered."""
-    is_own: bool
-    """Whether a call of this node waits for the answer."""
     askers: set[NodeName]
     """Nodes for which this hub asks other hubs."""
 
@@ -76,7 +73,6 @@
         "_nodes",
         "_outbox",
         "_placed",
-        "_policy",
         "_questions",
         "_reported_ms",
         "_unreported",
@@ -86,14 +82,8 @@
         "versions",
     )
 
-    def __init__(
-        self,
-        nodes: NodeDirectory,
-        versions: SoftwareVersions,
-        policy: OriginPolicy,
-    ) -> None:
+    def __init__(self, nodes: NodeDirectory, versions: SoftwareVersions) -> None:
         self._nodes = nodes
-        self._policy = policy
         self.versions = versions
         self.origins = StreamOrigins()
         self._linked: frozenset[NodeName] = frozenset()
@@ -150,32 +140,21 @@
         keys = [key for key, route in self._unreported.items() if is_several[route]]
         for key in keys:
             del self._unreported[key]
-        if self._policy.strategy is OriginStrategy.ASKED:
-            return
         self.reported_count += len(keys)
         for message in self._build_reports(keys, with_versions=False, now_ms=now_ms):
-            for name in self._find_told(message):
+            for name in self._find_told():
                 self._send(name, message)
 
     def _find_interval(self) -> float:
         return 0.0 if self._nodes.is_full_mesh() else HUB_REPORT_MS
 
-    def _find_told(self, message: OriginReport) -> list[NodeName]:
+    def _find_told(self) -> list[NodeName]:
         """Return the peers to which this node reports."""
         if self._nodes.is_full_mesh():
-            if self._policy.strategy is OriginStrategy.FEW:
-                own = self._nodes.own_name
-                ranked = sorted(self._able, key=lambda each: compute_rank(own, each))
-                return ranked[-self._policy.told_peers :]
             return sorted(self._able)
-        if not self._nodes.plan.is_hub():
-            return sorted(self._able & self._nodes.plan.hubs)
-        own = self._nodes.own_name
-        hubs = sorted(
-            self._able & self._nodes.plan.hubs,
-            key=lambda each: compute_rank(own, each),
-        )
-        return hubs[-HUBS_TOLD:]
+        plan, own = self._nodes.plan, self._nodes.own_name
+        hubs = sorted(self._able & plan.hubs, key=lambda hub: compute_rank(own, hub))
+        return hubs[-HUBS_TOLD:] if plan.is_hub() else hubs
 
     def _build_reports(
         self, keys: Collection[StreamKey], *, with_versions: bool, now_ms: float
@@ -194,11 +173,11 @@
                 streams = PlacedStreams(origin.service, origin.software_version, part)
                 yield OriginReport((streams,))
 
-    # Links.
-
     def _send(self, name: NodeName, message: OriginMessage) -> None:
         self._outbox.append(SendToPeer(name, message))
 
+    # Links.
+
     def update_links(self, names: Collection[NodeName]) -> None:
         """Record the currently linked peers."""
         self._linked = frozenset(names)
@@ -211,9 +190,9 @@
         if peer in self._able or peer not in self._linked:
             return
         self._able.add(peer)
-        reported = [key for key in self._placed if key not in self._unreported]
-        if not self._nodes.is_full_mesh() and not self._is_hub(peer):
-            reported = []
+        reported = []
+        if self._nodes.is_full_mesh() or peer in self._nodes.plan.hubs:
+            reported = [key for key in self._placed if key not in self._unreported]
         for message in self._build_reports(reported, with_versions=True, now_ms=now_ms):
             self._send(peer, message)
 
@@ -249,11 +228,9 @@
 
     def ask(self, key: StreamKey, now_ms: float) -> None:
         """Ask peers for the origin of a try; nothing is sent if nobody can be asked."""
-        question = self._questions.get(key)
-        if question is not None:
-            question.is_own = True
-            return
-        self._open(key, self._nodes.own_name, self._find_asked(), now_ms)
+        if key not in self._questions:
+            self.asked_count += 1
+            self._open(key, set(), self._find_asked(), now_ms)
 
     def is_asking(self, key: StreamKey, now_ms: float) -> bool:
         """Return whether an answer about a try may still arrive."""
@@ -281,19 +258,15 @@
     def _open(
         self,
         key: StreamKey,
-        asker: NodeName,
-        asked: Collection[NodeName],
+        askers: set[NodeName],
+        asked: set[NodeName],
         now_ms: float,
     ) -> None:
         if not asked or len(self._questions) >= MAX_ASKED:
             return
-        is_own = asker == self._nodes.own_name
-        askers = set() if is_own else {asker}
-        question = _Question(now_ms + ASK_MS, set(asked), is_own, askers)
-        self._questions[key] = question
-        self.asked_count += is_own
+        self._questions[key] = _Question(now_ms + ASK_MS, asked, askers)
         for name in sorted(asked):
-            self._send(name, OriginAsk(self._nodes.own_name, key))
+            self._send(name, OriginAsk(key))
 
     def _find_asked(self) -> set[NodeName]:
         if self._nodes.is_full_mesh():
@@ -301,31 +274,26 @@
         return self._able & self._nodes.plan.hubs
 
     def _answer(self, sender: NodeName, ask: OriginAsk, now_ms: float) -> None:
-        known = self.origins.find(ask.key)
-        if known is not None:
-            self._send(
-                sender,
-                OriginAnswer(
-                    ask.asker,
-                    ask.key,
-                    known.origin.service,
-                    known.origin.software_version,
-                    known.is_ambiguous,
-                ),
-            )
-            return
-        if not self._is_relaying(sender):
-            self._send(sender, OriginAnswer(ask.asker, ask.key))
-            return
-        question = self._questions.get(ask.key)
-        if question is not None:
-            question.askers.add(sender)
-            return
-        asked = self._find_asked() - {sender}
-        if not asked:
-            self._send(sender, OriginAnswer(ask.asker, ask.key))
-            return
-        self._open(ask.key, sender, asked, now_ms)
+        key = ask.key
+        if self.origins.find(key) is None and self._is_relaying(sender):
+            question = self._questions.get(key)
+            if question is not None:
+                question.askers.add(sender)
+                return
+            asked = self._find_asked() - {sender}
+            if asked:
+                self._open(key, {sender}, asked, now_ms)
+                return
+        self._send(sender, self._build_answer(key))
+
+    def _build_answer(self, key: StreamKey) -> OriginAnswer:
+        known = self.origins.find(key)
+        if known is None:
+            return OriginAnswer(key)
+        origin = known.origin
+        return OriginAnswer(
+            key, origin.service, origin.software_version, known.is_ambiguous
+        )
 
     def _is_relaying(self, sender: NodeName) -> bool:
         """Return whether this hub asks other hubs for a node that is none."""
@@ -334,9 +302,6 @@
             return False
         return sender not in plan.hubs
 
-    def _is_hub(self, peer: NodeName) -> bool:
-        return peer in self._nodes.plan.hubs
-
     def _apply_answer(
         self, sender: NodeName, answer: OriginAnswer, now_ms: float
     ) -> None:
@@ -357,15 +322,5 @@
     def _close(self, key: StreamKey, question: _Question) -> None:
         """Close a question and answer the nodes for which it was asked."""
         del self._questions[key]
-        known = self.origins.find(key)
         for asker in sorted(question.askers & self._linked):
-            answer = OriginAnswer(asker, key)
-            if known is not None:
-                answer = OriginAnswer(
-                    asker,
-                    key,
-                    known.origin.service,
-                    known.origin.software_version,
-                    known.is_ambiguous,
-                )
-            self._send(asker, answer)
+            self._send(asker, self._build_answer(key))
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -149,9 +149,7 @@
             self.replica_limits, compute_first_request_number(identity.incarnation)
         )
         self.versions = SoftwareVersions(self.directory)
-        self.origins = OriginExchange(
-            self.node_directory, self.versions, options.policy.origins
-        )
+        self.origins = OriginExchange(self.node_directory, self.versions)
         self.resumed = ResumedStreams(
             self.origins,
             lambda now_ms: now_ms - self.exchange.views[Topic.REPLICAS].confirmed_ms,
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -129,23 +129,9 @@
     together exceed a small burst, which the rate soon makes up for."""
 
 
-class OriginStrategy(enum.StrEnum):
-    """How nodes learn at which software version a stream of a peer began."""
-
-    TOLD = "told"
-    """Each node reports the tries that it places to all linked peers."""
-    FEW = "few"
-    """Each node reports them to a few peers, and others ask."""
-    ASKED = "asked"
-    """Nothing is reported; others ask."""
-
-
 class OriginPolicy(msgspec.Struct, frozen=True, kw_only=True):
-    """How streams go on at the software version that began them."""
+    """Which software versions new streams avoid."""
 
-    strategy: OriginStrategy = OriginStrategy.TOLD
-    told_peers: int = 3
-    """Peers that a node reports to, if only to a few."""
     fewer_ms: float = 100.0
     """Cost of a replica whose software version loses replicas."""
     kept_share: float = 0.2
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -72,7 +72,7 @@
         forwards = CallForwards(nodes, reach, rng)
         self.versions = SoftwareVersions(self.directory)
         self.versions.refresh(0.0)
-        self.origins = OriginExchange(nodes, self.versions, OPTIONS.policy.origins)
+        self.origins = OriginExchange(nodes, self.versions)
         self.resumed = ResumedStreams(self.origins, lambda _: 0.0)
         calls = self.calls = CallPlacement(
             OPTIONS,
--- a/tests/toucanyard/test_hostile_messages.py
+++ b/tests/toucanyard/test_hostile_messages.py
@@ -19,6 +19,10 @@
     LostRun,
     NodeStatus,
     NodeUpdate,
+    OriginAnswer,
+    OriginAsk,
+    OriginReport,
+    PlacedStreams,
     PromptBlockRead,
     PromptStoreUpdate,
     ReplicaCrash,
@@ -26,6 +30,7 @@
     ReplicaUpdate,
     ReplicaUsageReport,
     RequestSurvival,
+    SoftwareVersionAge,
     StoreReadUpdate,
     TargetWeightsAge,
     ViewRecords,
@@ -95,6 +100,16 @@
 CREDITS = build(CreditAsk, customer=st.just("c")) | build(
     CreditAnswer, customer=st.just("c")
 )
+KEYS = st.binary(max_size=20)
+ORIGINS = (
+    build(
+        OriginReport,
+        placed=many(build(PlacedStreams, keys=KEYS)),
+        versions=many(build(SoftwareVersionAge)),
+    )
+    | build(OriginAsk, key=KEYS)
+    | build(OriginAnswer, key=KEYS, service=st.none() | NAMES)
+)
 LIMITED = RoutedCustomer(CustomerName("c"), ("key",), limit=RateLimit(1_000.0, 1_000.0))
 RECORDS = build(
     ViewRecords,
@@ -104,7 +119,7 @@
 )
 
 
-@given(st.lists(STATUSES | RECORDS | CREDITS, max_size=4))
+@given(st.lists(STATUSES | RECORDS | CREDITS | ORIGINS, max_size=4))
 @settings(max_examples=300)
 def test_no_message_of_a_peer_ends_a_node(messages: list[LinkMessage]) -> None:
     """Guards against a message that stops every node of a fleet that reads it."""
--- a/tests/toucanyard/test_resumed_streams.py
+++ b/tests/toucanyard/test_resumed_streams.py
@@ -158,10 +158,10 @@
     node = ResumingNode()
     node.resume()
     assert node.find_verdict() is None
-    assert node.list_sent() == [OriginAsk(N0, KNOWN_KEY)]
+    assert node.list_sent() == [OriginAsk(KNOWN_KEY)]
     node.handle(
         N0,
-        LinkMessageRead(node.peer, OriginAnswer(N0, KNOWN_KEY, ENGINES, version)),
+        LinkMessageRead(node.peer, OriginAnswer(KNOWN_KEY, ENGINES, version)),
     )
     assert node.find_version() == version
 
@@ -172,7 +172,7 @@
     node = ResumingNode()
     node.resume()
     if answers:
-        answer = OriginAnswer(N0, KNOWN_KEY)
+        answer = OriginAnswer(KNOWN_KEY)
         node.handle(N0, LinkMessageRead(node.peer, answer))
     else:
         node.wait(225.0)
--- a/tests/toucanyard/version_fleet.py
+++ b/tests/toucanyard/version_fleet.py
@@ -10,8 +10,6 @@
 from collections.abc import Collection, Sequence
 from itertools import count
 
-import msgspec
-
 from toucanyard.names import (
     Address,
     Fingerprint,
@@ -24,8 +22,6 @@
     DispatchEnded,
     FirstEventSeen,
 )
-from toucanyard.relay_options import RelayOptions
-from toucanyard.relay_policy import OriginPolicy
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayOutcome, RelayRequest
 from toucanyard.requests import DispatchEnding, Repeatability
 from toucanyard.stream_origins import StreamOrigin
@@ -99,9 +95,7 @@
         versions: Sequence[str] = ("v1",) * 4 + ("v1.2",) * 4,
         *,
         is_prompt: bool = False,
-        origins: OriginPolicy | None = None,
     ) -> None:
-        self._origins = origins or OriginPolicy()
         self._next_versions = list(versions)
         self.versions: dict[str, str] = {}
         """Software version of each replica, by its name."""
@@ -114,11 +108,6 @@
         self.stream_rng = random.Random(7)
         super().__init__(domains, nodes_each)
 
-    def build_options(self, options: RelayOptions) -> RelayOptions:
-        built = super().build_options(options)
-        policy = msgspec.structs.replace(built.policy, origins=self._origins)
-        return msgspec.structs.replace(built, policy=policy)
-
     # Replicas.
 
     def _start(self, address: Address) -> None:
