Name no attempt where a caller names two, and drop old streams without copying all

A call with two different Resumes went on by the last of them; now by none, so that it goes on only where a single origin is possible. Run: a test that failed before; tests of calls, origins, resumed streams, versions.

--- a/packages/toucanyard/src/toucanyard/origin_exchange.py
+++ b/packages/toucanyard/src/toucanyard/origin_exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Iterator
+from itertools import takewhile
 from typing import Final
 
 import msgspec
@@ -37,8 +38,8 @@
 """Time to wait for answers; a peer that has not answered by then is lost or frozen."""
 MAX_ASKED: Final = 1_000
 """Questions that may be open at once."""
-MAX_UNREPORTED: Final = 20_000
-"""Placed tries kept for the time when a second origin appears."""
+MAX_PLACED: Final = 20_000
+"""Placed tries kept for peers that link later, and for when a second origin appears."""
 REPORT_KEYS: Final = 8_000
 """Maximum number of keys in one message."""
 HUB_REPORT_MS: Final = 100.0
@@ -123,7 +124,7 @@
         self._placed[key] = _Placed(origin, now_ms)
         self._unreported[key] = (route, services)
         for tries in (self._placed, self._unreported):
-            if len(tries) > MAX_UNREPORTED:
+            if len(tries) > MAX_PLACED:
                 del tries[next(iter(tries))]
 
     def report(self, now_ms: float) -> None:
@@ -243,9 +244,10 @@
         """Drop what is older than any stream."""
         oldest_ms = now_ms - self.versions.memory_ms
         self.origins.prune(oldest_ms)
-        for key, placed in list(self._placed.items()):
-            if placed.placed_ms >= oldest_ms:
-                break
+        old = takewhile(
+            lambda each: each[1].placed_ms < oldest_ms, self._placed.items()
+        )
+        for key in [key for key, _ in old]:
             del self._placed[key]
             self._unreported.pop(key, None)
 
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -157,12 +157,12 @@
                     self._awaiting_origin.append(pending)
                 return
             case UnknownOrigin(text=text, retry_ms=retry_ms):
-                self._resumed.record_lost(request, text)
+                self._resumed.record_lost(request, text, now_ms)
                 kind = ErrorKind.STREAM_NOT_RESUMABLE
                 yield self._refuse(pending, kind, text, now_ms, wait_ms=retry_ms)
                 return
             case FoundOrigin(origin=origin):
-                self._resumed.record_found(request, resolution)
+                self._resumed.record_found(request, resolution, now_ms)
                 pending.origin = origin
                 pending.request = msgspec.structs.replace(
                     request, service=origin.service
@@ -429,7 +429,7 @@
         self, pending: PendingCall, reason: RefusalReason, now_ms: float
     ) -> RelayReply:
         if reason.kind is ErrorKind.STREAM_NOT_RESUMABLE:
-            self._resumed.record_lost(pending.request, reason.text)
+            self._resumed.record_lost(pending.request, reason.text, now_ms)
         return self._refuse(
             pending, reason.kind, reason.text, now_ms, wait_ms=reason.retry_ms
         )
--- a/packages/toucanyard/src/toucanyard/resumed_streams.py
+++ b/packages/toucanyard/src/toucanyard/resumed_streams.py
@@ -152,7 +152,9 @@
             key, origin, request.route, request.services, request.request_id, now_ms
         )
 
-    def record_found(self, request: RelayRequest, found: FoundOrigin) -> None:
+    def record_found(
+        self, request: RelayRequest, found: FoundOrigin, now_ms: float
+    ) -> None:
         """Count and log a stream that may go on."""
         self.found_counts[found.source] += 1
         self._log_entries += self._found.log(
@@ -165,10 +167,10 @@
                 "source": found.source.value,
                 "age_ms": round(min(found.age_ms, 1e9)),
             },
-            request.arrived_ms,
+            now_ms,
         )
 
-    def record_lost(self, request: RelayRequest, text: str) -> None:
+    def record_lost(self, request: RelayRequest, text: str, now_ms: float) -> None:
         """Count and log a stream that can't go on."""
         self.lost_count += 1
         self._log_entries += self._lost.log(
@@ -178,7 +180,7 @@
                 "last_event": request.last_event_id[:MAX_LOGGED_ID],
                 "reason": text,
             },
-            request.arrived_ms,
+            now_ms,
         )
 
     def take_log_entries(self) -> list[LogEntry]:
--- a/packages/toucanyard/src/toucanyard/stream_origins.py
+++ b/packages/toucanyard/src/toucanyard/stream_origins.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+from itertools import takewhile
 from typing import Final
 
 import msgspec
@@ -110,7 +111,6 @@
 
     def prune(self, before_ms: float) -> None:
         """Drop streams that were seen last before a time."""
-        for key, known in list(self._known.items()):
-            if known.seen_ms >= before_ms:
-                return
+        old = takewhile(lambda each: each[1].seen_ms < before_ms, self._known.items())
+        for key in [key for key, _ in old]:
             del self._known[key]
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -96,6 +96,14 @@
     assert facts.resumed_id == "q0"
 
 
+def test_call_that_resumes_two_attempts_names_none() -> None:
+    """Guards against going on by one of two attempts that a caller names."""
+    twice = (("Resumes", "a"), ("resumes", "b"))
+    assert PlatformCalls().read_call(build_http(*MODEL_CALL, *twice)).resumed_id == ""
+    same = (("Resumes", "a"), ("Resumes", "a"))
+    assert PlatformCalls().read_call(build_http(*MODEL_CALL, *same)).resumed_id == "a"
+
+
 def test_plain_call_needs_only_its_id() -> None:
     facts = PlatformCalls().read_call(build_http(*PLAIN_CALL))
     assert (facts.key, facts.deadline_ms, facts.prompt) == ("", None, None)
