Answer a call whose connection to a peer was ready just too late

Cause: when the time for the connection to a peer had ended, but its handshake returned before the task was cancelled, the channel was handed out in a cancelled scope. The first send was cancelled, the scope took that for its own end, and the caller of the channel got "generator didn't yield". Change: a channel whose scope is cancelled is not handed out; it counts as no connection, so the call goes elsewhere or is refused.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
@@ -100,8 +100,10 @@
                 if found.node != peer:
                     raise ForwardClosedError(f"found {found.node} instead of {peer}")
                 scope.deadline = float("inf")
-                is_open = True
-                yield ForwardChannel(socket)
+                # The time may have ended while this task waited for its turn.
+                is_open = not scope.cancel_called
+                if is_open:
+                    yield ForwardChannel(socket)
     except (
         OSError,
         TimeoutError,
@@ -110,5 +112,5 @@
         websockets.exceptions.WebSocketException,
     ) as error:
         raise ForwardClosedError(str(error)[:200]) from error
-    if scope.cancelled_caught and not is_open:
+    if not is_open:
         raise ForwardClosedError(f"{address}: no connection within {timeout_ms:.0f} ms")
--- a/tests/toucanyard_node/test_call_forwarding.py
+++ b/tests/toucanyard_node/test_call_forwarding.py
@@ -5,19 +5,23 @@
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 import trio
 import trio.testing
 
+from toucanyard.call_forwards import CONNECT_MS
 from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
 from toucanyard.node_records import NodeRecord
 from toucanyard.options import MembershipTimings
 from toucanyard.relay_events import SendToPeer
 from toucanyard.requests import Repeatability
+from toucanyard_node import forward_channel
 from toucanyard_node.forward_channel import ForwardChannel
 from toucanyard_node.forward_server import ForwardServer
 from toucanyard_node.http_server import find_port
+from toucanyard_node.peer_handshake import authenticate_peer
 from toucanyard_node.peer_links import PeerLinks
 from toucanyard_node.relay_node import RELAY_LINKS
 
@@ -237,6 +241,27 @@
         assert reaching.replicas[0].calls == []
 
 
+async def test_handshake_that_ends_too_late_is_no_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a call whose connection is closed without an answer.
+
+    The time for the connection to a peer ends just as its handshake does.
+    """
+
+    async def authenticate_late(*arguments: Any) -> NodeId:
+        peer = await authenticate_peer(*arguments)
+        with trio.CancelScope(shield=True):
+            await trio.sleep(2 * CONNECT_MS / 1000)
+        return peer
+
+    monkeypatch.setattr(forward_channel, "authenticate_peer", authenticate_late)
+    async with open_pair(answer(), **ONCE) as (harness, _, replica):
+        received = await harness.call(build_call())
+    assert find_status(received) == 503
+    assert not replica.calls
+
+
 async def test_call_is_forwarded_once_only() -> None:
     """Guards against calls that go round among nodes that reach no replica."""
     async with open_cut_off_node([], **ONCE) as other:
