Write each log line of a stand-in replica at once

Trace: it ran; its line in the log that all replicas share follows another replica's line without a break, since print writes the text and its newline apart, and the check reads lines. Change: all lines are written by one call. A test of that; no check is changed, no code of a node is touched.

--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -8,6 +8,7 @@
 import trio
 from faulty_proxy import Fault, FaultyProxy
 from fleet import Fleet, find_port, find_ports, wait_until
+from replica import write_line
 from soak import SoakFleet, SoakOptions, run_soak
 from soak_callers import CALL_DEADLINE_MS, CRASH_KIND, ObservedCall
 from soak_checks import (
@@ -349,3 +350,13 @@
     assert bool(list(iterate_lost_streams(calls, []))) == (went_on == 2)
     disturbed = [("n1", 0.0, 9.0)]
     assert not list(iterate_lost_streams(calls, disturbed))
+
+
+def test_log_line_of_a_replica_is_written_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against lines of two replicas in one, of which the checks miss a run."""
+    written: list[bytes] = []
+    monkeypatch.setattr(os, "write", lambda _, data: written.append(data))
+    write_line("event=ran call=c")
+    assert written == [b"event=ran call=c\n"]
