Forget routes and services of the past, and count replicas that load as present

Change: empty entries are dropped; which versions have few or fewer replicas is counted from the listed ones. With one version nothing changes. Run: two tests of it; tests of versions, resumed streams, placement, flow, core, streams in process.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -136,13 +136,11 @@
             if _fits_origin(pending, each) and not each.may_have_restarted(now_ms)
         ]
 
-    def _find_room(
-        self, pending: PendingCall, usable: Sequence[KnownReplica]
-    ) -> VersionRoom | None:
+    def _find_room(self, pending: PendingCall, now_ms: float) -> VersionRoom | None:
         """Return which software versions a new stream should avoid, if any."""
         if pending.origin is not None or not pending.request.is_resumable:
             return None
-        return self._versions.find_room(pending.request.service, usable)
+        return self._versions.find_room(pending.request.service, now_ms)
 
     def may_place(self, service: ServiceName, now_ms: float) -> bool:
         """Return whether this node places calls on any replica of a service."""
@@ -213,7 +211,7 @@
             now_ms,
             # The caller of an interrupted stream should learn of a failure at once.
             may_wait_for_reader=not pending.has_begun,
-            room=self._find_room(pending, usable),
+            room=self._find_room(pending, now_ms),
         )
         if placed is None:
             return None
--- a/packages/toucanyard/src/toucanyard/origin_exchange.py
+++ b/packages/toucanyard/src/toucanyard/origin_exchange.py
@@ -1,6 +1,6 @@
 """Exchange with peers where streams began.
 
-A node reports each try that it places to a few peers, before the try brings its first
+A node reports each try that it places to its peers, before the try brings its first
 event, and asks peers for a try that it does not know. Nothing is reported while the
 streams of a route can have begun at one origin only. In a fleet with hubs, a node
 reports to its hubs, and hubs ask each other.
--- a/packages/toucanyard/src/toucanyard/resumed_streams.py
+++ b/packages/toucanyard/src/toucanyard/resumed_streams.py
@@ -84,7 +84,7 @@
         self.found_counts = dict.fromkeys(OriginSource, 0)
         """Streams that may go on, by where their origin was known from."""
         self.lost_count = 0
-        """Streams that were refused because their origin is not known."""
+        """Streams that were refused: their origin is not known or has no replica."""
 
     def resolve(
         self, request: RelayRequest, now_ms: float, *, may_ask: bool
@@ -135,13 +135,6 @@
         )
         return origins.pop() if len(origins) == 1 else None
 
-    def is_several(self, request: RelayRequest, now_ms: float) -> bool:
-        """Return whether streams of a call's route may have several origins."""
-        origins = self._exchange.versions.find_origins(
-            request.route, request.services, now_ms
-        )
-        return len(origins) > 1
-
     def record_placed(self, pending: PendingCall, now_ms: float) -> None:
         """Record where a call was placed whose stream may be taken up later."""
         request, origin = pending.request, pending.sent_origin
--- a/packages/toucanyard/src/toucanyard/software_versions.py
+++ b/packages/toucanyard/src/toucanyard/software_versions.py
@@ -7,17 +7,18 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from typing import Final, TypeVar
 
 import msgspec
 
 from toucanyard.link_messages import SoftwareVersionAge
 from toucanyard.names import ServiceName, SoftwareVersion
-from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.replicas import ReplicaDirectory
 from toucanyard.routes import RouteTable
 from toucanyard.stream_origins import StreamOrigin
 
+K = TypeVar("K")
 T = TypeVar("T")
 
 MIN_MEMORY_MS: Final = 60_000.0
@@ -88,8 +89,12 @@
             for origin, count in counts.items()
         }
         oldest_ms = now_ms - self.memory_ms
-        self._seen = {s: _keep_since(v, oldest_ms) for s, v in self._seen.items()}
-        self._former = {r: _keep_since(v, oldest_ms) for r, v in self._former.items()}
+        self._seen = _drop_older(self._seen, oldest_ms)
+        self._former = _drop_older(self._former, oldest_ms)
+
+    def count_remembered(self) -> int:
+        """Return how many services and routes are remembered."""
+        return len(self._seen) + len(self._former)
 
     def find_origins(
         self, route: str, services: Collection[ServiceName], now_ms: float
@@ -130,13 +135,15 @@
                 each.service, each.software_version, now_ms - max(each.age_ms, 0.0)
             )
 
-    def find_room(
-        self, service: ServiceName, usable: Iterable[KnownReplica]
-    ) -> VersionRoom | None:
-        """Return which versions new streams should avoid; None if there is one."""
+    def find_room(self, service: ServiceName, now_ms: float) -> VersionRoom | None:
+        """Return which versions new streams should avoid; None if there is one.
+
+        Replicas that load weights or back off for a while count: they stay.
+        """
         if len(self._seen.get(service, ())) < 2:
             return None
-        counts = Counter(each.replica.software_version for each in usable)
+        listed = self._directory.find_listed(service, now_ms)
+        counts = Counter(each.replica.software_version for each in listed)
         if len(counts) < 2:
             return None
         few = {version for version, n in counts.items() if n <= FEW_REPLICAS}
@@ -151,5 +158,12 @@
         )
 
 
+def _drop_older(
+    seen: dict[K, dict[T, float]], oldest_ms: float
+) -> dict[K, dict[T, float]]:
+    kept = {key: _keep_since(each, oldest_ms) for key, each in seen.items()}
+    return {key: each for key, each in kept.items() if each}
+
+
 def _keep_since(seen: dict[T, float], oldest_ms: float) -> dict[T, float]:
     return {key: at_ms for key, at_ms in seen.items() if at_ms >= oldest_ms}
--- a/tests/toucanyard/test_software_versions.py
+++ b/tests/toucanyard/test_software_versions.py
@@ -86,22 +86,18 @@
 def test_version_with_few_or_fewer_replicas_is_the_worse_beginning() -> None:
     """Guards against filling the last replicas of a version with new streams."""
     seen = Versions(**dict.fromkeys("abcd", "v1"), e="v2")
-    listed = seen.directory.find_listed(ENGINES, 0.0)
-    room = seen.versions.find_room(ENGINES, listed)
+    room = seen.versions.find_room(ENGINES, 0.0)
     assert room is not None
     assert (set(room.few), set(room.fewer)) == ({"v2"}, set())
     seen.remove("a", now_ms=10.0)
-    room = seen.versions.find_room(ENGINES, seen.directory.find_listed(ENGINES, 10.0))
+    room = seen.versions.find_room(ENGINES, 10.0)
     assert room is not None
     assert set(room.fewer) == {"v1"}
 
 
 def test_one_version_has_no_worse_beginning() -> None:
     seen = Versions(a="v1", b="v1")
-    assert (
-        seen.versions.find_room(ENGINES, seen.directory.find_listed(ENGINES, 0.0))
-        is None
-    )
+    assert seen.versions.find_room(ENGINES, 0.0) is None
 
 
 def test_versions_are_opaque() -> None:
@@ -112,3 +108,24 @@
     assert StreamOrigin(ENGINES, SoftwareVersion("v1")) != StreamOrigin(
         ENGINES, SoftwareVersion("v1.0")
     )
+
+
+def test_replicas_that_load_weights_stay_with_their_version() -> None:
+    """Guards against avoiding a version while its replicas load weights."""
+    seen = Versions(**dict.fromkeys("abcd", "v1"), **dict.fromkeys("efgh", "v2"))
+    for known in seen.directory.find_listed(ENGINES, 0.0)[:3]:
+        known.loading_until_ms = 1_000.0
+    room = seen.versions.find_room(ENGINES, 10.0)
+    assert room is not None
+    assert not room.few | room.fewer
+
+
+def test_routes_and_services_of_the_past_are_forgotten() -> None:
+    """Guards against memory that grows with each route that ever was."""
+    seen = Versions()
+    for number in range(50):
+        table = build_table(routes=(build_route(f"r{number}", "/a/"),))
+        seen.versions.apply_routes(build_table(), table, 0.0)
+        seen.versions.record_listed(ServiceName(f"s{number}"), SoftwareVersion(""), 0.0)
+    seen.versions.refresh(MIN_MEMORY_MS + 1.0)
+    assert not seen.versions.count_remembered()
