--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -12,6 +12,9 @@
 _LOG: Final = structlog.get_logger()
 _MAX_ID: Final = 40
 """Maximum number of characters of an id that a caller chose."""
+_MAX_BLOCKS: Final = 16
+"""Maximum number of prompt blocks in a log line."""
+_ANSWERED: Final = "answered"
 
 
 def log_sent(dispatch: RelayDispatch) -> None:
@@ -110,7 +113,8 @@
     *,
     is_closed: bool = False,
 ) -> None:
-    """Log how a dispatch ended."""
+    """Log how a dispatch ended; a failed one with the blocks of its prompt."""
+    blocks = None if ending == _ANSWERED else _format_blocks(request)
     _LOG.info(
         "ended",
         call=request.request_id,
@@ -126,4 +130,13 @@
         customer=request.customer,
         fingerprint=request.fingerprint,
         is_closed=is_closed,
+        blocks=blocks,
     )
+
+
+def _format_blocks(request: RelayRequest) -> str | None:
+    """Return the names of the prompt blocks that other calls may share."""
+    if request.prompt is None:
+        return None
+    names = [block.name[:_MAX_ID] for block in request.prompt.find_shared()]
+    return ",".join(names[:_MAX_BLOCKS])
--- a/tests/toucanyard_node/test_relay_log.py
+++ b/tests/toucanyard_node/test_relay_log.py
@@ -1,7 +1,8 @@
-"""Test that the log says by which software version and try a stream is written."""
+"""Test what the log says of dispatches, resumed streams and lost calls."""
 
 from __future__ import annotations
 
+import msgspec
 from structlog.testing import capture_logs
 
 from toucanyard.names import (
@@ -13,9 +14,15 @@
     ServiceName,
     SoftwareVersion,
 )
-from toucanyard.relay_requests import PlacementReason, RelayDispatch, RelayRequest
+from toucanyard.prompt_block_index import PromptBlock
+from toucanyard.relay_requests import (
+    PlacementReason,
+    Prompt,
+    RelayDispatch,
+    RelayRequest,
+)
 from toucanyard.requests import Repeatability
-from toucanyard_node.relay_log import log_resumed, log_sent
+from toucanyard_node.relay_log import log_ended, log_resumed, log_sent
 
 
 def build_request(last_event_id: str = "", resumed_id: str = "") -> RelayRequest:
@@ -40,9 +47,9 @@
     )
 
 
-def test_dispatch_is_logged_with_the_software_version() -> None:
+def build_dispatch() -> RelayDispatch:
     reason = PlacementReason(0.0, 0.0, 0, 0, 1, 0.0, 0.0)
-    dispatch = RelayDispatch(
+    return RelayDispatch(
         RequestId("q"),
         EndpointName("r"),
         ReplicaId("r"),
@@ -54,8 +61,11 @@
         reason=reason,
         software_version=SoftwareVersion("v1.2"),
     )
+
+
+def test_dispatch_is_logged_with_the_software_version() -> None:
     with capture_logs() as lines:
-        log_sent(dispatch)
+        log_sent(build_dispatch())
     assert lines[0]["software"] == "v1.2"
 
 
@@ -66,3 +76,15 @@
         log_resumed(build_request())
     assert [line["event"] for line in lines] == ["resume_received"]
     assert len(lines[0]["resumes"]) == len(lines[0]["last_event"]) == 40
+
+
+def test_lost_call_is_logged_with_the_shared_blocks_of_its_prompt() -> None:
+    """Guards against crashes whose common prompt block no log line shows."""
+    blocks = tuple(PromptBlock(f"{number:x}" * 100, 10) for number in range(1, 30))
+    request = msgspec.structs.replace(build_request(), prompt=Prompt("m", blocks, 9))
+    with capture_logs() as lines:
+        for ending in ("lost", "answered"):
+            log_ended(request, build_dispatch(), ending, 0, 9.0, None)
+    names = lines[0]["blocks"].split(",")
+    assert names == [block.name[:40] for block in blocks[:16]]
+    assert lines[1]["blocks"] is None
