Reproduce crashes under one prompt block in process

Requests whose prompts share one block crash each replica that begins to answer them; ids, bodies, first and last blocks differ, and harmless calls share customer, route and all other blocks. No quarantine is ever begun.

--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -152,6 +152,11 @@
         """When a node forwarded a call to which other one."""
         self.is_answered_before_crash = False
         """Whether a replica answers the request just before it crashes."""
+        self.is_begun_before_crash = False
+        """Whether a replica sends the first event just before it crashes."""
+        self.start_ms = START_MS
+        self.run_ms = RUN_MS
+        self.weights: tuple[tuple[str, int], ...] = ()
         self.store_writes = 0
         self._numbers = count()
         self._due: list[tuple[float, int, Callable[[], None]]] = []
@@ -224,13 +229,20 @@
             return
         engine.calls[request_id] = call
         self.reached.append(SentCall(call, engine.name, self.now_ms))
-        if call.request.fingerprint == CRASHING_REQUEST:
+        start_ms, run_ms = self.start_ms, self.run_ms
+        if self.is_crashing(call.request):
             if self.is_answered_before_crash:
-                self.after(START_MS, lambda: self._complete(call, engine))
-            self.after(START_MS + CRASH_MS, lambda: self._crash_by(call, engine))
+                self.after(start_ms, lambda: self._complete(call, engine))
+            if self.is_begun_before_crash:
+                self.after(start_ms, lambda: self._begin(call, engine))
+            self.after(start_ms + CRASH_MS, lambda: self._crash_by(call, engine))
         else:
-            self.after(START_MS, lambda: self._begin(call, engine))
-            self.after(START_MS + RUN_MS, lambda: self._complete(call, engine))
+            self.after(start_ms, lambda: self._begin(call, engine))
+            self.after(start_ms + run_ms, lambda: self._complete(call, engine))
+
+    def is_crashing(self, request: RelayRequest) -> bool:
+        """Return whether a replica that runs this request crashes."""
+        return request.fingerprint == CRASHING_REQUEST
 
     def _crash_by(self, call: Call, engine: Engine) -> None:
         is_there = call.request.request_id in engine.calls
@@ -332,7 +344,8 @@
         if engine.is_up:
             reach = Reachability.REPLACED
         if engine.is_up and str(engine.name) == str(read.listed_as):
-            state, reach = ReplicaState((), False, 0, 0, 0), Reachability.ANSWERED
+            state = ReplicaState(self.weights, False, 0, 0, 0)
+            reach = Reachability.ANSWERED
         self.handle(node, ReplicaStateRead(read.replica, state, asked_ms, reach))
 
     def _put(
@@ -406,9 +419,13 @@
             deadline_ms=self.now_ms + CALL_MS,
         )
         call = Call(node, request)
+        return self.deliver(call)
+
+    def deliver(self, call: Call) -> Call:
+        """Deliver a call to its node."""
         self.calls.append(call)
-        self._by_id[request.request_id] = call
-        self.handle(node, CallArrived(request))
+        self._by_id[call.request.request_id] = call
+        self.handle(call.node, CallArrived(call.request))
         return call
 
     def call_round_robin(
@@ -523,9 +540,7 @@
 
     def list_crashing_calls(self) -> list[SentCall]:
         """Return the calls that sent replicas the request that crashes them."""
-        return [
-            s for s in self.reached if s.call.request.fingerprint == CRASHING_REQUEST
-        ]
+        return [s for s in self.reached if self.is_crashing(s.call.request)]
 
     def list_late(self, bound_ms: float) -> list[SentCall]:
         """Return the crashing calls sent more than `bound_ms` after the third crash."""
