Tell peers of a crash even where no call was lost

Callers lost replica after replica to a request that is answered just before its replica ends, if nothing else was running there.

Cause: a node that finds nothing listening at a replica recorded a crash only if it had lost a call there itself. The node that had received the answer was told nothing, and counted the answer as survived after 500 ms. Change: the crash of a listed replica is recorded and sent to peers without runs too; each adds what it had answered there. An answer only counts once its replica has outlived it, and now the node that has it learns of the end.

--- a/packages/toucanyard/src/toucanyard/crash_ledger.py
+++ b/packages/toucanyard/src/toucanyard/crash_ledger.py
@@ -127,6 +127,7 @@
         `is_shared`: whether additions are sent to peers.
         """
         crash = self._crashes.get(replica)
+        is_new = crash is None
         if crash is None:
             crash = self._crashes[replica] = _Crash(at_ms, {}, float("-inf"))
         added: list[Fingerprint] = []
@@ -142,7 +143,7 @@
                 self._share_survival(fingerprint, now_ms)
                 added.append(fingerprint)
         self._request_count += len(added)
-        if added and is_shared:
+        if (added or is_new) and is_shared:
             crash.shared_until_ms = now_ms + GOSSIP_MS
         self._trim()
         return added
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -277,9 +277,13 @@
         losses = self.detector.take_losses(replica)
         answered = self.detector.take_answered(replica)
         known_ms = self.ledger.find_crash_time(replica)
-        if known_ms is None and not losses:
+        if known_ms is None and not losses and not self._is_listed(replica, now_ms):
             return
-        at_ms = min(each.at_ms for each in losses) if known_ms is None else known_ms
+        at_ms = known_ms
+        if at_ms is None:
+            # Without lost calls peers are told too: one of them may have had an answer
+            # from the replica just before it ended.
+            at_ms = min((each.at_ms for each in losses), default=now_ms)
         sent = [(each.fingerprint, each.sent_ms) for each in losses]
         sent += [(each.fingerprint, each.sent_ms) for each in answered]
         # Calls sent after the crash only found the replica's address unused.
@@ -292,6 +296,10 @@
             replica, at_ms, runs, "own", now_ms, is_shared=True
         )
 
+    def _is_listed(self, replica: EndpointName, now_ms: float) -> bool:
+        known = self._directory.find(replica)
+        return known is not None and known.is_listed(now_ms)
+
     def _add_crash(
         self,
         replica: EndpointName,
--- a/tests/toucanyard/test_crashing_requests.py
+++ b/tests/toucanyard/test_crashing_requests.py
@@ -106,6 +106,21 @@
     assert len(fleet.crashes) <= CONFIRMED_CRASHES
 
 
+def test_crash_after_an_answer_is_known_though_no_other_call_was_lost() -> None:
+    """Guards against an answer that clears its request, as no node saw a loss."""
+    fleet = CrashFleet(3, 3)
+    fleet.is_answered_before_crash = True
+    names = list(fleet.cores)
+    for number in range(12):
+        fleet.call(names[number % len(names)], CRASHING_REQUEST)
+        fleet.run_for(200.0)
+        # Another node finds out that nothing listens there any more.
+        for other in names * 4:
+            fleet.call(other, f"harmless-{number}-{other}")
+        fleet.run_for(1_300.0)
+    assert len(fleet.crashes) <= CONFIRMED_CRASHES
+
+
 def test_call_under_quarantine_is_answered_at_once_and_truthfully() -> None:
     """Guards against callers that wait for, or retry at once, what cannot be served."""
     fleet = CrashFleet(3, 3)
