Quarantine prompt blocks that crash replicas, not only whole requests

Cause: crashes were attributed to whole requests only (method, host, path, customer, body). Requests with the block differ in all of that, so no request was ever at two crashes. The class: harm is attributed to an identity that is narrower than its cause. Change: a request has traits: its fingerprint and its shared prompt blocks. The ledger, gossip and quarantine hold traits. An answer that began before the first crash clears none. A held block is tested once by one call, so a wrong verdict ends at the price of one replica. Why it works: what is sound is answered again and again, by some replica, after each crash; what crashes replicas never is, and is at all crashes.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -351,6 +351,7 @@
         replica = known.replica.name
         pending.replica = replica
         pending.sent_ms = now_ms
+        pending.begun_ms = None
         pending.sent_origin = known.software_origin
         pending.dispatches += 1
         pending.sends += 1
--- a/packages/toucanyard/src/toucanyard/crash_detector.py
+++ b/packages/toucanyard/src/toucanyard/crash_detector.py
@@ -49,19 +49,22 @@
 class LostCall(msgspec.Struct, frozen=True):
     """A call that was lost at a replica."""
 
-    fingerprint: Fingerprint
+    traits: tuple[Fingerprint, ...]
     sent_ms: float
     at_ms: float
     is_closed: bool
+    begun_ms: float | None = None
+    """When the first event of its answer arrived; None if none did."""
 
 
 class AnsweredCall(msgspec.Struct, frozen=True):
     """A call that a replica has just answered."""
 
     replica: EndpointName
-    fingerprint: Fingerprint
+    traits: tuple[Fingerprint, ...]
     sent_ms: float
     at_ms: float
+    begun_ms: float | None = None
 
 
 class CrashDetector:
@@ -93,7 +96,7 @@
     def has_unresolved_loss(self, fingerprint: Fingerprint) -> bool:
         """Return whether a run of this request was cut off for a cause yet unknown."""
         return any(
-            loss.is_closed and loss.fingerprint == fingerprint
+            loss.is_closed and fingerprint in loss.traits
             for losses in self._losses.values()
             for loss in losses
         )
@@ -101,33 +104,35 @@
     def record_outcome(
         self,
         outcome: RelayOutcome,
-        fingerprint: Fingerprint,
+        traits: tuple[Fingerprint, ...],
         sent_ms: float,
         now_ms: float,
+        begun_ms: float | None = None,
     ) -> bool:
         """Record how a dispatch ended; return whether its replica certainly ended."""
         if outcome.has_no_listener or outcome.is_replaced:
             return True
-        if outcome.ending is not DispatchEnding.LOST or not fingerprint:
+        if outcome.ending is not DispatchEnding.LOST or not traits:
             return False
         known = self._directory.find(outcome.replica)
         if known is None or not known.is_listed(now_ms):
             return False
-        loss = LostCall(fingerprint, sent_ms, now_ms, outcome.is_closed)
+        loss = LostCall(traits, sent_ms, now_ms, outcome.is_closed, begun_ms)
         self._losses.setdefault(outcome.replica, []).append(loss)
         return outcome.replica in self._ended
 
     def record_answer(
         self,
         replica: EndpointName,
-        fingerprint: Fingerprint,
+        traits: tuple[Fingerprint, ...],
         sent_ms: float,
         now_ms: float,
+        begun_ms: float | None = None,
     ) -> None:
         """Record that a replica has answered a call."""
         self.mark_alive(replica, sent_ms)
-        if fingerprint:
-            answered = AnsweredCall(replica, fingerprint, sent_ms, now_ms)
+        if traits:
+            answered = AnsweredCall(replica, traits, sent_ms, now_ms, begun_ms)
             self._answered.append(answered)
 
     def take_survivals(self, now_ms: float) -> Iterator[AnsweredCall]:
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -58,7 +58,7 @@
                 outcome.replica, pending.scope, prompt.parts, now_ms
             )
         self._record_sends(pending, outcome, now_ms)
-        self._guard.on_dispatch_ended(pending.request, outcome, pending.sent_ms, now_ms)
+        self._guard.on_dispatch_ended(pending, outcome, now_ms)
         if known is None:
             return
         self._reach.record_outcome(known.replica, outcome, pending.sent_ms, now_ms)
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -126,11 +126,13 @@
 
 
 class LostRun(msgspec.Struct, frozen=True, array_like=True):
-    """A request that was running at a replica when the replica ended."""
+    """A trait of requests that were running at a replica when the replica ended."""
 
     fingerprint: Fingerprint
     ran_ms: DurationMs
-    """Time between its dispatch to the replica and the crash."""
+    """Time between the last dispatch of such a request and the crash."""
+    has_progressed: bool = False
+    """Whether the replica had been writing an answer to such a request for a while."""
 
 
 class ReplicaCrash(msgspec.Struct, frozen=True, array_like=True):
@@ -143,10 +145,12 @@
 
 
 class RequestSurvival(msgspec.Struct, frozen=True, array_like=True):
-    """A request that a replica survived, though other replicas crashed running it."""
+    """A trait of a request that a replica survived, though other replicas crashed."""
 
     fingerprint: Fingerprint
     age_ms: DurationMs
+    wrote_ms: DurationMs = 0.0
+    """Time between the first event of the answer and its end."""
 
 
 class Coverage(enum.StrEnum):
--- a/packages/toucanyard/src/toucanyard/quarantine.py
+++ b/packages/toucanyard/src/toucanyard/quarantine.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from toucanyard.names import CustomerName, EndpointName, Fingerprint
+from toucanyard.names import CustomerName, EndpointName, Fingerprint, RequestId
 
 TTL_MS: Final = 3_600_000.0
 """Lifetime of an entry after the request last arrived, by the record in the log."""
@@ -76,6 +76,9 @@
     written_ms: float = float("-inf")
     """When this node last tried to write it."""
     refused: int = 0
+    trial_id: RequestId | None = None
+    """The call that is let through, to find out whether the verdict was wrong."""
+    is_tried: bool = False
 
 
 FindRank = Callable[[str, float], int]
@@ -106,6 +109,18 @@
         """Return the entry of a request."""
         return self._entries.get(fingerprint)
 
+    def is_held(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request or block is under quarantine."""
+        return fingerprint in self._entries
+
+    def is_empty(self) -> bool:
+        """Return whether nothing is under quarantine."""
+        return not self._entries
+
+    def list_held(self) -> Iterable[Fingerprint]:
+        """Return the requests and blocks under quarantine."""
+        return self._entries
+
     def list_entries(self) -> Iterable[Entry]:
         """Return all entries."""
         return self._entries.values()
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -222,6 +222,7 @@
             pending.origin = pending.origin or forwarded_origin
             return
         self.usage.record_started(pending.replica, request_id, now_ms)
+        pending.begun_ms = now_ms
         known = self._directory.find(pending.replica)
         if known is not None and known.software_origin != pending.sent_origin:
             # The replica has corrected its entry since the call was sent.
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -1,8 +1,9 @@
 """Decide whether a request may be sent to a replica, given the crashes during its runs.
 
 A request that was running when replicas crashed is a suspect: this node runs one copy
-at a time, and none while the cause that cut off a run is unknown. A request confirmed
-to crash replicas is quarantined and reaches none. All other requests pass.
+at a time, and none while the cause that cut off a run is unknown. A request, or a
+shared prompt block, that is confirmed to crash replicas is quarantined; what has it
+reaches none. All other requests pass.
 """
 
 from __future__ import annotations
@@ -13,12 +14,19 @@
 
 import msgspec
 
-from toucanyard.crash_detector import CrashDetector, Reachability
+from toucanyard.crash_causes import CrashCauses
+from toucanyard.crash_detector import (
+    AnsweredCall,
+    CrashDetector,
+    LostCall,
+    Reachability,
+)
 from toucanyard.crash_ledger import CrashLedger, Suspicion
 from toucanyard.fault_location import FaultLocation
 from toucanyard.link_messages import LostRun, ReplicaCrash, RequestSurvival
 from toucanyard.log_entries import LogEntry
 from toucanyard.names import EndpointName, Fingerprint
+from toucanyard.pending_call import PendingCall
 from toucanyard.quarantine import (
     Entry,
     FindRank,
@@ -29,6 +37,7 @@
 from toucanyard.relay_policy import GuardPolicy
 from toucanyard.relay_requests import RelayOutcome, RelayRequest
 from toucanyard.replicas import ReplicaDirectory
+from toucanyard.request_traits import is_block, list_block_traits, list_traits
 from toucanyard.requests import DispatchEnding
 
 QUARANTINE_RETRY_MS: Final = 60_000
@@ -36,6 +45,15 @@
 SUSPECT_RETRY_MS: Final = 500
 """Retry-After for a suspect that is being run; by then its run may have ended."""
 DEFAULT_POLICY: Final = GuardPolicy()
+PROGRESS_MS: Final = 500.0
+"""Time after the first event of an answer from which a crash of the replica is less
+likely to be due to its request."""
+TRIAL_MS: Final = 10_000.0
+"""Time after which one call tests whether the verdict on a block was wrong."""
+MIN_TRIAL_RETRY_MS: Final = 2_000
+"""Shortest Retry-After for a block whose verdict is tested next."""
+REVIEW_MS: Final = 1_000.0
+"""Time between two reviews of the blocks under quarantine."""
 MAX_LOGGED: Final = 8
 """Maximum number of fingerprints in a log line."""
 
@@ -60,7 +78,9 @@
         "_is_urgent",
         "_log_entries",
         "_policy",
+        "_reviewed_ms",
         "_undecided",
+        "causes",
         "detector",
         "ledger",
         "quarantine",
@@ -81,11 +101,13 @@
         self._policy = policy
         self._directory = directory
         self._find_rank = find_rank
-        self.ledger = CrashLedger()
-        self.detector = CrashDetector(directory)
         self.quarantine = Quarantine(find_rank, rng)
+        self.ledger = CrashLedger(self.quarantine.is_held)
+        self.causes = CrashCauses(self.ledger, self.quarantine.list_held)
+        self.detector = CrashDetector(directory)
         self._log_entries: list[LogEntry] = []
         self._is_urgent = False
+        self._reviewed_ms = float("-inf")
 
     def check(
         self, request: RelayRequest, is_running: Callable[[], bool], now_ms: float
@@ -96,19 +118,12 @@
         """
         if not self._policy.is_enforced:
             return None
-        fingerprint = request.fingerprint
-        entry = self.quarantine.find(fingerprint)
-        if entry is None:
-            suspicion = self.ledger.assess(fingerprint, now_ms)
-            if suspicion is Suspicion.NONE:
-                return None
-            if suspicion is not Suspicion.CONFIRMED:
-                return self._check_suspect(fingerprint, suspicion, is_running, now_ms)
-            entry = self._begin_quarantine(request, now_ms)
-        self.quarantine.record_refusal(entry, now_ms)
-        count = len(entry.request.replicas)
-        text = f"{fingerprint} is under quarantine: {count} replicas crashed under it"
-        return Rejection(text, QUARANTINE_RETRY_MS)
+        if self.ledger.is_empty() and self.quarantine.is_empty():
+            return None
+        blocks = list_block_traits(request)
+        return self._check_body(
+            request, blocks, is_running, now_ms
+        ) or self._check_blocks(request, blocks, now_ms)
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether more than one crash is attributed to a request."""
@@ -116,19 +131,20 @@
 
     def on_dispatch_ended(
         self,
-        request: RelayRequest,
+        pending: PendingCall,
         outcome: RelayOutcome,
-        sent_ms: float,
         now_ms: float,
     ) -> None:
-        """Record the outcome of a dispatch that was sent at `sent_ms`."""
+        """Record the outcome of the last dispatch of a call."""
+        if not self.quarantine.is_empty():
+            self._end_trials(pending.request)
+        traits = list_traits(pending.request)
+        sent_ms, begun_ms = pending.sent_ms, pending.begun_ms
         if outcome.ending is DispatchEnding.COMPLETED:
             self.detector.record_answer(
-                outcome.replica, request.fingerprint, sent_ms, now_ms
+                outcome.replica, traits, sent_ms, now_ms, begun_ms
             )
-        elif self.detector.record_outcome(
-            outcome, request.fingerprint, sent_ms, now_ms
-        ):
+        elif self.detector.record_outcome(outcome, traits, sent_ms, now_ms, begun_ms):
             self._attribute_losses(outcome.replica, now_ms)
 
     def on_probe(
@@ -166,9 +182,8 @@
             )
             self._attribute_losses(crash.replica, now_ms)
         for survival in survivals:
-            at_ms = now_ms - survival.age_ms
             has_changed |= self._record_survival(
-                survival.fingerprint, at_ms, source, now_ms, is_shared=is_relayed
+                survival, source, now_ms, is_shared=is_relayed
             )
         return has_changed
 
@@ -197,9 +212,16 @@
         for replica in self.detector.find_replaced(now_ms):
             self._attribute_losses(replica, now_ms)
         for each in self.detector.take_survivals(now_ms):
-            self._is_urgent |= self._record_survival(
-                each.fingerprint, each.at_ms, "own", now_ms, is_shared=True
-            )
+            begun_ms = each.sent_ms if each.begun_ms is None else each.begun_ms
+            wrote_ms = each.at_ms - begun_ms
+            for trait in each.traits:
+                survival = RequestSurvival(trait, now_ms - each.at_ms, wrote_ms)
+                self._is_urgent |= self._record_survival(
+                    survival, "own", now_ms, is_shared=True
+                )
+        if now_ms - self._reviewed_ms >= REVIEW_MS:
+            self._reviewed_ms = now_ms
+            self._end_refuted(now_ms)
 
     def has_updates(self) -> bool:
         """Return whether there is anything to log or to send to peers."""
@@ -233,6 +255,90 @@
         """Return whether it is open if some replicas have ended."""
         return bool(self._undecided)
 
+    def _check_body(
+        self,
+        request: RelayRequest,
+        blocks: tuple[Fingerprint, ...],
+        is_running: Callable[[], bool],
+        now_ms: float,
+    ) -> Rejection | None:
+        fingerprint = request.fingerprint
+        entry = self.quarantine.find(fingerprint)
+        if entry is None:
+            suspicion = self.ledger.assess(fingerprint, now_ms, blocks)
+            if suspicion is Suspicion.NONE:
+                return None
+            if suspicion is not Suspicion.CONFIRMED:
+                return self._check_suspect(fingerprint, suspicion, is_running, now_ms)
+            entry = self._begin_quarantine(fingerprint, request, now_ms)
+        return self._reject(entry, now_ms)
+
+    def _check_blocks(
+        self, request: RelayRequest, blocks: tuple[Fingerprint, ...], now_ms: float
+    ) -> Rejection | None:
+        rejection = None
+        for depth, block in enumerate(blocks):
+            entry = self.quarantine.find(block)
+            if entry is not None:
+                if self._is_trial(entry, request, now_ms):
+                    continue
+                return self._reject(entry, now_ms)
+            match self.causes.assess(block, blocks[:depth], now_ms):
+                case Suspicion.CONFIRMED:
+                    entry = self._begin_quarantine(block, request, now_ms)
+                    return self._reject(entry, now_ms)
+                case Suspicion.UNSETTLED:
+                    text = f"replicas have just ended under {block}"
+                    rejection = Rejection(text, SUSPECT_RETRY_MS)
+        return rejection
+
+    def _is_trial(self, entry: Entry, request: RelayRequest, now_ms: float) -> bool:
+        """Return whether a call is the one that tests the verdict on a block.
+
+        One node, which knows the crashes, lets one call through once.
+        """
+        if entry.trial_id is not None or entry.is_tried:
+            return entry.trial_id == request.request_id
+        trait = entry.request.fingerprint
+        is_due = now_ms - entry.begun_ms >= TRIAL_MS
+        if not is_due or self._find_rank(trait, now_ms) > 0:
+            return False
+        if not self.ledger.list_attributed_crashes(trait):
+            return False
+        entry.trial_id, entry.is_tried = request.request_id, True
+        self._log("quarantine_tested", entry.request, call=request.request_id)
+        return True
+
+    def _end_trials(self, request: RelayRequest) -> None:
+        """Record that the call of a trial has been sent, and may not be sent again."""
+        for trait in list_block_traits(request):
+            entry = self.quarantine.find(trait)
+            if entry is not None and entry.trial_id == request.request_id:
+                entry.trial_id = None
+
+    def _reject(self, entry: Entry, now_ms: float) -> Rejection:
+        self.quarantine.record_refusal(entry, now_ms)
+        known = entry.request
+        count = len(known.replicas)
+        text = f"{known.fingerprint} is under quarantine: {count} replicas crashed"
+        retry_ms = QUARANTINE_RETRY_MS
+        if is_block(known.fingerprint) and not entry.is_tried:
+            trial_ms = round(entry.begun_ms + TRIAL_MS - now_ms)
+            retry_ms = max(trial_ms, MIN_TRIAL_RETRY_MS)
+        return Rejection(f"{text} under it", retry_ms)
+
+    def _end_refuted(self, now_ms: float) -> None:
+        """End the quarantine of blocks whose crashes other ones explain."""
+        for entry in list(self.quarantine.list_entries()):
+            trait = entry.request.fingerprint
+            if is_block(trait) and self.causes.is_refuted(trait, now_ms):
+                self.quarantine.end(trait, now_ms)
+                self._log(
+                    "quarantine_ended",
+                    entry.request,
+                    reason="other causes explain its crashes",
+                )
+
     def _check_suspect(
         self,
         fingerprint: Fingerprint,
@@ -254,12 +360,14 @@
             return None
         return Rejection(text, SUSPECT_RETRY_MS)
 
-    def _begin_quarantine(self, request: RelayRequest, now_ms: float) -> Entry:
+    def _begin_quarantine(
+        self, trait: Fingerprint, request: RelayRequest, now_ms: float
+    ) -> Entry:
         entry = self.quarantine.begin(
-            request.fingerprint,
+            trait,
             request.customer,
             request.route,
-            self.ledger.list_attributed_crashes(request.fingerprint),
+            self.ledger.list_attributed_crashes(trait),
             now_ms,
         )
         self._log("request_quarantined", entry.request, source="own")
@@ -284,14 +392,7 @@
             # Without lost calls peers are told too: one of them may have had an answer
             # from the replica just before it ended.
             at_ms = min((each.at_ms for each in losses), default=now_ms)
-        sent = [(each.fingerprint, each.sent_ms) for each in losses]
-        sent += [(each.fingerprint, each.sent_ms) for each in answered]
-        # Calls sent after the crash only found the replica's address unused.
-        runs = [
-            LostRun(fingerprint, at_ms - sent_ms)
-            for fingerprint, sent_ms in sent
-            if sent_ms <= at_ms
-        ]
+        runs = _list_runs((*losses, *answered), at_ms)
         self._is_urgent |= self._add_crash(
             replica, at_ms, runs, "own", now_ms, is_shared=True
         )
@@ -329,15 +430,20 @@
 
     def _record_survival(
         self,
-        fingerprint: Fingerprint,
-        at_ms: float,
+        survival: RequestSurvival,
         source: str,
         now_ms: float,
         *,
         is_shared: bool,
     ) -> bool:
+        fingerprint = survival.fingerprint
+        at_ms = now_ms - survival.age_ms
         if not fingerprint or not self.ledger.record_survival(
-            fingerprint, at_ms, now_ms, is_shared=is_shared
+            fingerprint,
+            at_ms,
+            now_ms,
+            is_shared=is_shared,
+            begun_ms=at_ms - survival.wrote_ms,
         ):
             return False
         fields: dict[str, object] = {
@@ -347,12 +453,16 @@
         }
         self._log_entries.append(LogEntry("suspect_survived", fields))
         entry = self.quarantine.find(fingerprint)
-        is_cleared = self.ledger.assess(fingerprint, now_ms) is not Suspicion.CONFIRMED
-        if entry is not None and is_cleared:
+        if entry is not None and not self._is_confirmed(fingerprint, now_ms):
             self.quarantine.end(fingerprint, now_ms)
             self._log("quarantine_ended", entry.request, reason="a replica survived it")
         return True
 
+    def _is_confirmed(self, trait: Fingerprint, now_ms: float) -> bool:
+        if is_block(trait):
+            return self.causes.is_confirmed(trait)
+        return self.ledger.assess(trait, now_ms) is Suspicion.CONFIRMED
+
     def _log(self, event: str, request: QuarantinedRequest, **fields: object) -> None:
         known: dict[str, object] = {
             "fingerprint": request.fingerprint,
@@ -362,3 +472,17 @@
             "replicas": ",".join(request.replicas[-MAX_LOGGED:]),
         }
         self._log_entries.append(LogEntry(event, known | fields))
+
+
+def _list_runs(
+    calls: Iterable[LostCall | AnsweredCall], at_ms: float
+) -> Iterator[LostRun]:
+    """Return the traits of calls that were running at a crash."""
+    for call in calls:
+        if call.sent_ms > at_ms:
+            # It only found the replica's address unused.
+            continue
+        begun_ms = at_ms if call.begun_ms is None else call.begun_ms
+        has_progressed = at_ms - begun_ms >= PROGRESS_MS
+        for trait in call.traits:
+            yield LostRun(trait, at_ms - call.sent_ms, has_progressed)
--- a/tests/toucanyard/test_crash_detector.py
+++ b/tests/toucanyard/test_crash_detector.py
@@ -36,7 +36,7 @@
             DispatchEnding.LOST,
             **(fields | changes),  # type: ignore[arg-type]
         )
-        return self.detector.record_outcome(outcome, BODY, at_ms - 10.0, at_ms)
+        return self.detector.record_outcome(outcome, (BODY,), at_ms - 10.0, at_ms)
 
     def count_probes(self, now_ms: float) -> int:
         return len(list(self.detector.take_probes(now_ms)))
@@ -56,7 +56,7 @@
     world = World()
     world.lose(100.0)
     assert world.detector.record_probe(ONE, reach, 101.0)
-    assert [each.fingerprint for each in world.detector.take_losses(ONE)] == [BODY]
+    assert [each.traits for each in world.detector.take_losses(ONE)] == [(BODY,)]
 
 
 def test_frozen_replica_has_not_crashed() -> None:
@@ -120,22 +120,22 @@
 def test_call_that_may_not_have_run_is_no_loss() -> None:
     world = World()
     outcome = RelayOutcome(RequestId("q"), ONE, DispatchEnding.REFUSED)
-    assert not world.detector.record_outcome(outcome, BODY, 0.0, 1.0)
+    assert not world.detector.record_outcome(outcome, (BODY,), 0.0, 1.0)
     assert not world.detector.has_unresolved_loss(BODY)
 
 
 def test_answer_counts_once_its_replica_has_outlived_it() -> None:
     """Guards against clearing a request answered just before its replica crashes."""
     world = World()
-    world.detector.record_answer(ONE, BODY, 90.0, 100.0)
+    world.detector.record_answer(ONE, (BODY,), 90.0, 100.0)
     assert list(world.detector.take_survivals(100.0 + SURVIVAL_DELAY_MS - 1)) == []
     survived = list(world.detector.take_survivals(100.0 + SURVIVAL_DELAY_MS))
-    assert [each.fingerprint for each in survived] == [BODY]
+    assert [each.traits for each in survived] == [(BODY,)]
     assert list(world.detector.take_survivals(9_000.0)) == []
 
 
 def test_answer_of_a_life_that_has_ended_is_no_survival() -> None:
     world = World()
-    world.detector.record_answer(ONE, BODY, 90.0, 100.0)
-    assert [each.fingerprint for each in world.detector.take_answered(ONE)] == [BODY]
+    world.detector.record_answer(ONE, (BODY,), 90.0, 100.0)
+    assert [each.traits for each in world.detector.take_answered(ONE)] == [(BODY,)]
     assert list(world.detector.take_survivals(9_000.0)) == []
--- a/tests/toucanyard/test_crashing_prompt_blocks.py
+++ b/tests/toucanyard/test_crashing_prompt_blocks.py
@@ -91,7 +91,7 @@
     fleet = BlockFleet(3, nodes_each)
     fleet.play(CALM_MS, crashing_ms=NEVER_MS, harmless=harmless)
     calm_end_ms = fleet.now_ms
-    fleet.play(STORM_MS + 2 * STABLE_MS, crashing=crashing, harmless=harmless)
+    fleet.play(3 * STORM_MS, crashing=crashing, harmless=harmless)
     times = fleet.list_crash_times()
     from_ms = times[min(4, len(times) - 1)] + 2 * STABLE_MS
     assert from_ms < fleet.now_ms - 4_000.0
@@ -167,19 +167,51 @@
 
 @SIZES
 @pytest.mark.parametrize("harmless", [share_first, share_only_first])
+@pytest.mark.parametrize(
+    ("replicas", "interval_ms"), [(6, 1_500.0), (12, 700.0)], ids=["few", "often"]
+)
 def test_no_block_is_held_while_replicas_crash_one_after_another(
-    nodes_each: int, harmless: Callable[[int], Blocks]
+    nodes_each: int,
+    harmless: Callable[[int], Blocks],
+    replicas: int,
+    interval_ms: float,
 ) -> None:
     """Guards against blaming a block that merely ran on each replica that was lost."""
-    fleet = BlockFleet(3, nodes_each)
+    fleet = BlockFleet(3, nodes_each, replicas)
     for number in range(12):
-        fleet.play(700.0, crashing_ms=NEVER_MS, harmless=harmless)
+        fleet.play(interval_ms, crashing_ms=NEVER_MS, harmless=harmless)
         fleet.crash(list(fleet.engines)[number % len(fleet.engines)])
     fleet.play(4_000.0, crashing_ms=NEVER_MS, harmless=harmless)
     assert find_refused(fleet) == []
     assert fleet.list_held_blocks() == set()
 
 
+@pytest.mark.parametrize("harmless", [share_first, share_only_first])
+def test_block_that_was_held_without_cause_is_served_again(
+    harmless: Callable[[int], Blocks],
+) -> None:
+    """Guards against wrong verdicts that last, after all runs of a block were lost."""
+    fleet = BlockFleet(3, 3)
+    for number in range(12):
+        fleet.play(700.0, crashing_ms=NEVER_MS, harmless=harmless)
+        fleet.crash(list(fleet.engines)[number % len(fleet.engines)])
+    fleet.play(30_000.0, crashing_ms=NEVER_MS, harmless=harmless)
+    assert fleet.list_held_blocks() == set()
+    assert fleet.list_quarantined() == set()
+
+
+def test_verdict_is_tested_at_the_price_of_one_replica() -> None:
+    """Guards against tests of a correct verdict that crash replica after replica."""
+    fleet = BlockFleet(3, 3)
+    fleet.play(STORM_MS)
+    before = len(fleet.list_crash_times())
+    fleet.play(4 * STORM_MS)
+    assert len(fleet.list_crash_times()) <= before + 1
+    fleet.kill_and_restart_all()
+    fleet.play(2 * STORM_MS)
+    assert len(fleet.list_crash_times()) <= before + 1
+
+
 @SIZES
 def test_no_block_is_held_after_many_replicas_were_lost_at_once(
     nodes_each: int,
