Break off streams without length or chunks that end before an event

Callers got 200 and no event, and were told that this was the whole answer, when a replica ended under a stream that has neither a length nor chunks.

Cause: without framing the end of a connection is the end of the answer, and a replica that ends closes its connections. An end inside an event was broken off, but not recorded as closed by the replica, so no probe followed; an end before any event was passed on as whole; an end between events counted as a survival of the request after 500 ms. Change: an unframed stream that ends without an event or inside one is lost and its replica probed. One that ends between events is passed on as whole, since nothing tells it from a whole one, but counts as a survival only once its replica has answered something that was asked later; if the replica turns out to have ended, it counts as running at the crash. Replicas are probed for that only if crashes are attributed to a trait of the call.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -65,6 +65,10 @@
     fields: Headers = ()
     """All headers in their original order, with the original spelling of names."""
 
+    def is_framed(self) -> bool:
+        """Return whether a length or chunks show where the body ends."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
 
 class Response(msgspec.Struct, frozen=True):
     """One complete response."""
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -51,6 +51,7 @@
 """Multiple of the route's longest gap after which a silent stream is resumed."""
 MIN_STREAM_IDLE_MS: Final = 900.0
 MISDIRECTED: Final = 421
+FIRST_ERROR: Final = 400
 SERVER_ERROR: Final = 500
 EVENT_STREAM: Final = "text/event-stream"
 
@@ -287,7 +288,8 @@
         if self._responder.is_started:
             # A stream cannot be resumed with an answer that is not a stream.
             raise self._build_failure(dispatch, DispatchEnding.LOST, "no stream", facts)
-        self._complete(dispatch, facts, head.status)
+        is_error = head.status >= FIRST_ERROR
+        self._complete(dispatch, facts, head, is_inconclusive=is_error)
         await self._send_whole(answer)
 
     async def _read_head(
@@ -379,6 +381,7 @@
         self._splitter.discard_partial_event()
         if not self._responder.is_started and not self._request.is_resumable:
             await self._start_answer(head, dispatch)
+        has_events = False
         while True:
             chunk = await self._read_stream_chunk(dispatch, connection, facts)
             if chunk is None:
@@ -386,19 +389,39 @@
             events = self._splitter.push(chunk)
             if not events:
                 continue
+            has_events = True
             if not self._responder.is_started:
                 await self._start_answer(head, dispatch)
             self._record_first_event()
             await self._responder.write(events)
-        if self._splitter.has_partial_event():
-            raise self._build_failure(
-                dispatch, DispatchEnding.LOST, "cut inside an event", facts
-            )
+        self._check_stream_end(dispatch, head, facts, has_events=has_events)
         if not self._responder.is_started:
             await self._start_answer(head, dispatch)
-        self._complete(dispatch, facts, head.status)
+        self._complete(dispatch, facts, head, is_inconclusive=not has_events)
         await self._responder.finish()
 
+    def _check_stream_end(
+        self,
+        dispatch: RelayDispatch,
+        head: ResponseHead,
+        facts: AnswerFacts,
+        *,
+        has_events: bool,
+    ) -> None:
+        """Raise AnswerLostError if the end of a stream is not the end of its answer.
+
+        Without length or chunks, a replica that ends closes the stream as well.
+        """
+        if self._splitter.has_partial_event():
+            text = "cut inside an event"
+        elif not has_events and not head.is_framed():
+            text = "closed before an event"
+        else:
+            return
+        raise self._build_failure(
+            dispatch, DispatchEnding.LOST, text, facts, is_closed=not head.is_framed()
+        )
+
     async def _start_answer(self, head: ResponseHead, dispatch: RelayDispatch) -> None:
         headers = self._codec.filter_answer(head)
         origin = StreamOrigin(dispatch.service, dispatch.software_version)
@@ -437,11 +460,16 @@
         cause: ConnectionFailedError | None = None,
         is_dead: bool = False,
         is_withdrawn: bool = False,
+        is_closed: bool = False,
     ) -> AnswerLostError:
         outcome = self._build_outcome(
             dispatch, ending, text, facts, cause=cause, is_dead=is_dead
         )
-        outcome = msgspec.structs.replace(outcome, is_withdrawn=is_withdrawn)
+        outcome = msgspec.structs.replace(
+            outcome,
+            is_withdrawn=is_withdrawn,
+            is_closed=outcome.is_closed or is_closed,
+        )
         self._record_ended(dispatch, ending.value, 0, text, is_closed=outcome.is_closed)
         return AnswerLostError(outcome)
 
@@ -468,12 +496,21 @@
         )
 
     def _complete(
-        self, dispatch: RelayDispatch, facts: AnswerFacts, status: int
+        self,
+        dispatch: RelayDispatch,
+        facts: AnswerFacts,
+        head: ResponseHead,
+        *,
+        is_inconclusive: bool,
     ) -> None:
         self._dispatch = None
         outcome = self._build_outcome(dispatch, DispatchEnding.COMPLETED, "", facts)
+        outcome = msgspec.structs.replace(
+            outcome, is_unframed=not head.is_framed(), is_inconclusive=is_inconclusive
+        )
         self._client.report_dispatch_ended(outcome)
-        self._record_ended(dispatch, "answered", status)
+        text = "" if head.is_framed() else "ended with its connection"
+        self._record_ended(dispatch, "answered", head.status, text)
 
     def _record_ended(
         self,
--- a/packages/toucanyard/src/toucanyard/crash_detector.py
+++ b/packages/toucanyard/src/toucanyard/crash_detector.py
@@ -58,13 +58,16 @@
 
 
 class AnsweredCall(msgspec.Struct, frozen=True):
-    """A call that a replica has just answered."""
+    """A call that a replica has answered, or that ended as if it had."""
 
     replica: EndpointName
     traits: tuple[Fingerprint, ...]
     sent_ms: float
     at_ms: float
     begun_ms: float | None = None
+    is_probed: bool = False
+    """Whether its replica is probed: an answer that ends with its connection looks
+    the same if the replica has ended."""
 
 
 class CrashDetector:
@@ -81,6 +84,7 @@
         "_ended",
         "_losses",
         "_probed_ms",
+        "_unframed",
     )
 
     def __init__(self, directory: ReplicaDirectory) -> None:
@@ -88,6 +92,8 @@
         self._losses: dict[EndpointName, list[LostCall]] = {}
         self._answered: deque[AnsweredCall] = deque()
         """Ordered by the time of the answer."""
+        self._unframed: dict[EndpointName, list[AnsweredCall]] = {}
+        """Unframed answers of replicas that have not answered anything since."""
         self._probed_ms: dict[EndpointName, float] = {}
         self._closed: dict[EndpointName, int] = {}
         """Consecutive closed probes of incarnations that have lost calls."""
@@ -135,10 +141,19 @@
             answered = AnsweredCall(replica, traits, sent_ms, now_ms, begun_ms)
             self._answered.append(answered)
 
+    def record_unframed_answer(self, answered: AnsweredCall) -> None:
+        """Record an answer that ended with its connection."""
+        self.mark_alive(answered.replica, answered.sent_ms)
+        if answered.traits:
+            self._unframed.setdefault(answered.replica, []).append(answered)
+
     def take_survivals(self, now_ms: float) -> Iterator[AnsweredCall]:
         """Return and remove the answers that their replicas have survived."""
         while self._answered and now_ms - self._answered[0].at_ms >= SURVIVAL_DELAY_MS:
             yield self._answered.popleft()
+        for replica, answered in list(self._unframed.items()):
+            fresh = [each for each in answered if now_ms - each.at_ms < LOSS_TTL_MS]
+            self._replace_unframed(replica, fresh)
 
     def take_answered(self, replica: EndpointName) -> list[AnsweredCall]:
         """Return and remove the last answers of an incarnation that has ended."""
@@ -146,7 +161,12 @@
         if found:
             rest = (each for each in self._answered if each.replica != replica)
             self._answered = deque(rest)
-        return found
+        unframed = self._unframed.pop(replica, [])
+        last_ms = max((each.at_ms for each in unframed), default=0.0)
+        # Earlier ones ended by themselves.
+        return found + [
+            each for each in unframed if last_ms - each.at_ms < SURVIVAL_DELAY_MS
+        ]
 
     def record_probe(
         self, replica: EndpointName, reach: Reachability, asked_ms: float
@@ -166,6 +186,7 @@
         """Record that an incarnation has answered a request sent at `asked_ms`."""
         self._ended.pop(replica, None)
         self._closed.pop(replica, None)
+        self._confirm_unframed(replica, asked_ms)
         losses = self._losses.get(replica)
         if losses:
             # Calls lost before the incarnation answered were not lost by its end.
@@ -173,6 +194,26 @@
                 replica, [each for each in losses if each.at_ms > asked_ms]
             )
 
+    def _confirm_unframed(self, replica: EndpointName, asked_ms: float) -> None:
+        """Count unframed answers from before a sign of life like framed ones."""
+        unframed = self._unframed.get(replica)
+        if not unframed:
+            return
+        confirmed = [each for each in unframed if each.at_ms <= asked_ms]
+        unconfirmed = [each for each in unframed if each.at_ms > asked_ms]
+        self._replace_unframed(replica, unconfirmed)
+        if confirmed:
+            merged = sorted((*self._answered, *confirmed), key=lambda each: each.at_ms)
+            self._answered = deque(merged)
+
+    def _replace_unframed(
+        self, replica: EndpointName, answered: list[AnsweredCall]
+    ) -> None:
+        if answered:
+            self._unframed[replica] = answered
+        else:
+            self._unframed.pop(replica, None)
+
     def mark_ended(self, replica: EndpointName) -> None:
         """Record that an incarnation of a replica has ended."""
         self._ended[replica] = None
@@ -197,9 +238,20 @@
             known = self._directory.find(name)
             if known is None or not any(each.is_closed for each in fresh):
                 continue
-            if now_ms - self._probed_ms.get(name, float("-inf")) >= PROBE_MS:
-                self._probed_ms[name] = now_ms
+            if self._take_probe(name, now_ms):
                 yield known
+        for name, answered in self._unframed.items():
+            known = self._directory.find(name)
+            if known is None or not any(each.is_probed for each in answered):
+                continue
+            if self._take_probe(name, now_ms):
+                yield known
+
+    def _take_probe(self, replica: EndpointName, now_ms: float) -> bool:
+        if now_ms - self._probed_ms.get(replica, float("-inf")) < PROBE_MS:
+            return False
+        self._probed_ms[replica] = now_ms
+        return True
 
     def _replace_losses(self, replica: EndpointName, losses: list[LostCall]) -> None:
         if losses:
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -202,6 +202,11 @@
     """The replica's VM refused the connection: no process listens on the address."""
     is_closed: bool = False
     """The connection was closed before the response was complete."""
+    is_unframed: bool = False
+    """The response had neither a length nor chunks, so its end proves nothing."""
+    is_inconclusive: bool = False
+    """The response is an error or has no event, so the replica may not have run the
+    request."""
     is_replaced: bool = False
     """Another replica responds at the address."""
     has_other_weights: bool = False
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -140,7 +140,19 @@
             self._end_trials(pending.request)
         traits = list_traits(pending.request)
         sent_ms, begun_ms = pending.sent_ms, pending.begun_ms
-        if outcome.ending is DispatchEnding.COMPLETED:
+        if outcome.ending is DispatchEnding.COMPLETED and outcome.is_inconclusive:
+            self.detector.mark_alive(outcome.replica, sent_ms)
+        elif outcome.ending is DispatchEnding.COMPLETED and outcome.is_unframed:
+            answered = AnsweredCall(
+                outcome.replica,
+                traits,
+                sent_ms,
+                now_ms,
+                begun_ms,
+                is_probed=any(map(self.ledger.list_attributed_crashes, traits)),
+            )
+            self.detector.record_unframed_answer(answered)
+        elif outcome.ending is DispatchEnding.COMPLETED:
             self.detector.record_answer(
                 outcome.replica, traits, sent_ms, now_ms, begun_ms
             )
@@ -391,7 +403,8 @@
         if at_ms is None:
             # Without lost calls peers are told too: one of them may have had an answer
             # from the replica just before it ended.
-            at_ms = min((each.at_ms for each in losses), default=now_ms)
+            answered_ms = max((each.at_ms for each in answered), default=now_ms)
+            at_ms = min((each.at_ms for each in losses), default=answered_ms)
         runs = _list_runs((*losses, *answered), at_ms)
         self._is_urgent |= self._add_crash(
             replica, at_ms, runs, "own", now_ms, is_shared=True
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -154,6 +154,8 @@
         """Whether a replica answers the request just before it crashes."""
         self.is_begun_before_crash = False
         """Whether a replica sends the first event just before it crashes."""
+        self.is_unframed = False
+        """Whether answers end with their connection, so a crash ends them as well."""
         self.start_ms = START_MS
         self.run_ms = RUN_MS
         self.weights: tuple[tuple[str, int], ...] = ()
@@ -198,6 +200,16 @@
         self, call: Call, replica: EndpointName, *, is_closed: bool = True
     ) -> None:
         """End a call's dispatch without an answer."""
+        if self.is_unframed and is_closed and call.has_begun:
+            outcome = RelayOutcome(
+                call.request.request_id,
+                replica,
+                DispatchEnding.COMPLETED,
+                is_unframed=True,
+            )
+            self._end(call, "cut unnoticed")
+            self.handle(call.node, DispatchEnded(outcome))
+            return
         outcome = RelayOutcome(
             call.request.request_id,
             replica,
@@ -258,7 +270,12 @@
     def _complete(self, call: Call, engine: Engine) -> None:
         request_id = call.request.request_id
         if engine.calls.pop(request_id, None) is not None:
-            outcome = RelayOutcome(request_id, engine.name, DispatchEnding.COMPLETED)
+            outcome = RelayOutcome(
+                request_id,
+                engine.name,
+                DispatchEnding.COMPLETED,
+                is_unframed=self.is_unframed,
+            )
             self._end(call, "completed")
             self.handle(call.node, DispatchEnded(outcome))
 
--- a/tests/toucanyard/test_crashing_prompt_blocks.py
+++ b/tests/toucanyard/test_crashing_prompt_blocks.py
@@ -236,6 +236,28 @@
     assert find_refused(fleet) == []
 
 
+@SIZES
+@pytest.mark.parametrize("crashing_ms", [300.0, 1_500.0], ids=["often", "rare"])
+def test_crashes_that_look_like_whole_answers_are_known(
+    nodes_each: int, crashing_ms: float
+) -> None:
+    """Guards against streams without length or chunks that clear what crashed them."""
+    fleet = BlockFleet(3, nodes_each)
+    fleet.is_unframed = True
+    fleet.play(CALM_MS, crashing_ms=NEVER_MS)
+    fleet.play(2 * STORM_MS, crashing_ms=crashing_ms)
+    assert fleet.count_late(STABLE_MS) <= MAX_LATE
+    assert len(fleet.crashes) <= MAX_CRASHES + 1
+
+
+def test_answers_without_length_or_chunks_cost_no_probe_in_calm() -> None:
+    """Guards against a probe for each answer whose end proves nothing."""
+    fleet = BlockFleet(3, 3)
+    fleet.is_unframed = True
+    fleet.play(CALM_MS, crashing_ms=NEVER_MS)
+    assert fleet.probes == 0
+
+
 def test_call_with_a_held_block_is_answered_at_once_and_truthfully() -> None:
     """Guards against callers that wait for, or retry at once, what cannot be served."""
     fleet = BlockFleet(3, 3)
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -209,6 +209,21 @@
     return run
 
 
+def stream_until_closed(*parts: bytes) -> Script:
+    """Return a script that streams without length or chunks, and ends by closing."""
+
+    async def run(stream: trio.SocketStream, call: bytes) -> None:
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\n"
+            b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+            % find_header(call, b"x-id")
+        )
+        for part in parts:
+            await stream.send_all(part)
+
+    return run
+
+
 async def never_answer(stream: trio.SocketStream, _: bytes) -> None:
     """Accept a call and wait until the other side disconnects."""
     while await stream.receive_some(1):
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+import math
+
 import pytest
 import trio
 import trio.testing
 
 from toucanyard.names import Address, EndpointName
+from toucanyard.request_traits import build_block_trait
 from toucanyard.requests import Repeatability
 from toucanyard_node import relay_exchange
 from toucanyard_node.http_client import HttpConnection, connect
@@ -22,6 +25,7 @@
     never_answer,
     start_harness,
     stream_events,
+    stream_until_closed,
 )
 
 ONCE = {"repeatability": Repeatability.RUN_ONCE}
@@ -249,6 +253,56 @@
     assert join_chunks(received) == (build_event(1), False)
 
 
+async def test_stream_without_length_or_chunks_is_whole_at_its_close() -> None:
+    events = [build_event(n) for n in range(1, 4)]
+    replica = ScriptedReplica("x", stream_until_closed(*events))
+    call = build_call("/a/x", PROMPT_BLOCKS_HEADER)
+    received = await relay([replica], call, **STREAM, **ONCE)
+    assert join_chunks(received) == (b"".join(events), True)
+
+
+@pytest.mark.parametrize("parts", [(), (b"id: 1\nda",), (build_event(1), b"id: 2\nda")])
+async def test_close_before_an_event_is_complete_is_no_end(
+    parts: tuple[bytes, ...],
+) -> None:
+    """Guards against crashes that look like whole answers without length or chunks."""
+    replica = ScriptedReplica("x", stream_until_closed(*parts))
+    call = build_call("/a/x", PROMPT_BLOCKS_HEADER)
+    async with start_harness(RelayHarness([replica], **STREAM, **ONCE)) as harness:
+        received = await harness.call(call)
+        detector = harness.core.guard.detector
+        is_probed = detector.has_unresolved_loss(build_block_trait("book"))
+    whole = b"".join(each for each in parts if each.endswith(b"\n\n"))
+    assert join_chunks(received) == (whole, False)
+    assert is_probed
+
+
+@pytest.mark.parametrize("script", [stream_events(), answer(404)])
+async def test_answer_without_content_is_no_evidence_for_its_request(
+    script: Script,
+) -> None:
+    """Guards against a head or an error that clears what crashes replicas."""
+    replica = ScriptedReplica("x", script)
+    call = build_call("/a/x", PROMPT_BLOCKS_HEADER)
+    async with start_harness(RelayHarness([replica], **STREAM, **ONCE)) as harness:
+        await harness.call(call)
+        detector = harness.core.guard.detector
+        assert list(detector.take_survivals(math.inf)) == []
+
+
+async def test_close_before_the_first_event_is_tried_elsewhere() -> None:
+    """Guards against an empty answer where another replica could have written one."""
+    events = [build_event(n) for n in range(1, 4)]
+    for _ in range(4):
+        replicas = [
+            ScriptedReplica("x", stream_until_closed()),
+            ScriptedReplica("y", stream_until_closed(*events)),
+        ]
+        call = build_call("/a/x", PROMPT_BLOCKS_HEADER)
+        received = await relay(replicas, call, **RESUMABLE)
+        assert join_chunks(received) == (b"".join(events), True)
+
+
 async def test_replica_is_told_when_the_caller_hangs_up() -> None:
     """The caller disconnects while its call runs. The replica must stop working."""
     replica = ScriptedReplica("x", never_answer)
