Crash stand-in replicas by a prompt block, in processes and in the soak

Calls that share only one block of their prompts end each stand-in replica that begins to answer them, after the head.

--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -18,7 +18,7 @@
     open_fleet,
     wait_until,
 )
-from replica import CRASH_BODY
+from replica import CRASH_BLOCK, CRASH_BODY
 
 from toucanyard.crash_ledger import CONFIRMED_CRASHES
 from toucanyard_node.http_client import ConnectionFailedError
@@ -205,6 +205,63 @@
         nursery.cancel_scope.cancel()
 
 
+BLOCK_HEADERS = (
+    *MODEL_HEADERS[:-1],
+    ("X-Prompt-Prefix", f"aa:800,{CRASH_BLOCK}:100,bb:100"),
+)
+
+
+async def test_block_that_crashes_replicas_is_quarantined_for_good(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests that share only a prompt block with each other."""
+    async with open_fleet(tmp_path, 3) as fleet, trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.restart_exited_replicas, RESTART_DELAY_S)
+
+        async def send_calls(start: int, times: int) -> list[int]:
+            statuses = []
+            for number in range(start, start + times):
+                node = fleet.nodes[number % len(fleet.nodes)]
+                call_id = f"block-{number}"
+                try:
+                    answer = await node.call(
+                        f"/model/{call_id}",
+                        call_id,
+                        *BLOCK_HEADERS,
+                        body=call_id.encode(),
+                    )
+                    statuses.append(answer.status)
+                except ConnectionFailedError:
+                    statuses.append(0)
+                await trio.sleep(REPEAT_INTERVAL_S)
+            return statuses
+
+        statuses = await send_calls(0, 18)
+        assert 0 < fleet.count_crashes() <= MAX_CRASHES
+        assert statuses[-1] == 503
+        before = fleet.count_crashes()
+
+        async def is_stored() -> bool:
+            return "event=quarantine_written" in "".join(
+                node.log.read_text() for node in fleet.nodes
+            )
+
+        await wait_until(is_stored, "the quarantine is stored")
+        for node in fleet.nodes:
+            assert node.process is not None
+            node.process.kill()
+            node.process.wait()
+        for node in fleet.nodes:
+            node.start([str(fleet.nodes[0].address(2))])
+        for node in fleet.nodes:
+            await wait_until(
+                lambda node=node: has_quarantine(node), "the node has the quarantine"
+            )
+        assert set(await send_calls(100, 6)) == {503}
+        assert fleet.count_crashes() == before
+        nursery.cancel_scope.cancel()
+
+
 async def can_stream(node: NodeProcess) -> bool:
     answer = await node.call("/model/x", "harmless", *MODEL_HEADERS)
     return answer.body.count(b"id: ") == 10
--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -4,13 +4,19 @@
 import signal
 from pathlib import Path
 
+import msgspec
 import pytest
 import trio
 from faulty_proxy import Fault, FaultyProxy
 from fleet import Fleet, find_port, find_ports, wait_until
 from replica import write_line
 from soak import SoakFleet, SoakOptions, run_soak
-from soak_callers import CALL_DEADLINE_MS, CRASH_KIND, ObservedCall
+from soak_callers import (
+    CALL_DEADLINE_MS,
+    CRASH_BLOCK_KIND,
+    CRASH_KIND,
+    ObservedCall,
+)
 from soak_checks import (
     LATE_TOLERANCE_S,
     count_runs,
@@ -100,6 +106,20 @@
     assert not list(iterate_crash_repeats(build_crashing(10), {"x1": 1, "x9": 1}, []))
 
 
+def test_calls_with_a_crashing_block_are_counted_after_the_fifth_crash() -> None:
+    runs = {f"x{number}": 1 for number in range(20)}
+
+    def build(count: int) -> list[ObservedCall]:
+        return [
+            msgspec.structs.replace(call, kind=CRASH_BLOCK_KIND)
+            for call in build_crashing(count)
+        ]
+
+    # The fifth crash is at 4.1 s, so calls from 8 s on count as late.
+    assert not list(iterate_crash_repeats(build(11), runs, []))
+    assert list(iterate_crash_repeats(build(12), runs, []))
+
+
 def test_nodes_out_of_touch_may_repeat_a_crashing_request() -> None:
     runs = {f"x{number}": 1 for number in range(20)}
     calls = build_crashing(10)
