Let an answer under suspicion count only after a later sign of life

A held block was released by the call that tested its verdict, and crashed nine to fourteen engines in the emulator instead of six.

Cause: that call was answered just before its replica ended; no other call ran there, so within 500 ms no node knew of the end, and the answer counted as a survival. Change: answers to a block under which replicas crashed and that none has survived, or that is held, count only if their replica answers something that was asked 500 ms later, as unframed answers do; it is probed for that. answered_calls holds all such answers, split from crash_detector.

The new test in process loses one replica to the test call, as it may.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/arrivals.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/arrivals.py
@@ -61,14 +61,18 @@
 def _generate_crashing_requests(
     scenario: Scenario, fault: CrashingRequest, seed: int
 ) -> Iterator[Arrival]:
-    """Yield repetitions of one request at regular intervals."""
+    """Yield repetitions of one request, or requests with one block, at intervals."""
     rng = random.Random(f"{seed} crashing {fault.kind} {fault.at_s}")
     kind = next(each for each in scenario.kinds if each.name == fault.kind)
     first = _generate_arrival(scenario, kind, fault.at_s, rng)
     for number in range(int(fault.for_s / fault.every_s)):
         at_ms = (fault.at_s + number * fault.every_s) * 1000
+        request = first
+        if fault.has_block:
+            request = _generate_arrival(scenario, kind, at_ms / 1000, rng)
+            request = _add_block(request, PromptBlock(f"harmful {fault.at_s}", 100))
         yield msgspec.structs.replace(
-            first,
+            request,
             at_ms=at_ms,
             domain=number % scenario.domains,
             worth=0.0,
@@ -76,6 +80,12 @@
         )
 
 
+def _add_block(request: Arrival, block: PromptBlock) -> Arrival:
+    """Return a request with a shared block before the last one."""
+    blocks = (*request.blocks[:-1], block, *request.blocks[-1:])
+    return msgspec.structs.replace(request, blocks=blocks)
+
+
 def _generate_kind(
     scenario: Scenario, kind: CallKind, rng: random.Random
 ) -> Iterator[Arrival]:
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
@@ -48,7 +48,9 @@
         """Return the fingerprint shared by all attempts or repetitions of a request."""
         crash = self._arrival.crash
         number = self._arrival.number
-        return Fingerprint(f"call {number}" if crash is None else f"crash {crash.at_s}")
+        if crash is None or crash.has_block:
+            return Fingerprint(f"call {number}")
+        return Fingerprint(f"crash {crash.at_s}")
 
     def _compute_remaining_ms(self) -> float:
         deadline_ms = self._started_ms + self._arrival.kind.deadline_ms
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
@@ -212,7 +212,10 @@
 
 
 class CrashingRequest(_StrictTable, frozen=True, kw_only=True, tag="crashing_request"):
-    """A request is repeated and crashes each engine that starts to run it."""
+    """A request is repeated and crashes each engine that starts to run it.
+
+    `has_block`: instead, requests of which no two are alike share one prompt block.
+    """
 
     at_s: _NonNegative
     for_s: _NonNegative
@@ -222,6 +225,7 @@
     """Time from its first token to the crash of the engine."""
     back_s: _Positive = 3.0
     """Time from the crash to the restart of the engine."""
+    has_block: bool = False
 
 
 Fault = (
--- a/packages/toucanyard/src/toucanyard/crash_causes.py
+++ b/packages/toucanyard/src/toucanyard/crash_causes.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from toucanyard.crash_detector import SURVIVAL_DELAY_MS
+from toucanyard.answered_calls import SURVIVAL_DELAY_MS
 from toucanyard.crash_ledger import CONFIRMED_CRASHES, CrashLedger, Suspicion
 from toucanyard.names import EndpointName, Fingerprint
 from toucanyard.request_traits import is_block
--- a/packages/toucanyard/src/toucanyard/crash_detector.py
+++ b/packages/toucanyard/src/toucanyard/crash_detector.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import enum
-from collections import deque
 from collections.abc import Iterator
 from typing import Final
 
 import msgspec
 
+from toucanyard.answered_calls import AnsweredCall, AnsweredCalls
 from toucanyard.names import EndpointName, Fingerprint
 from toucanyard.relay_requests import RelayOutcome
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
@@ -26,9 +26,6 @@
 """Interval between probes of a replica that has not answered the last one."""
 MAX_CLOSED_PROBES: Final = 2
 """Consecutive probes closed without an answer after which a replica counts as ended."""
-SURVIVAL_DELAY_MS: Final = 500.0
-"""How long a replica must stay up after its answer for the request to count as
-survived: a replica may answer and then crash during cleanup."""
 MAX_ENDED: Final = 1_000
 """Recently ended incarnations that are kept."""
 
@@ -57,19 +54,6 @@
     """When the first event of its answer arrived; None if none did."""
 
 
-class AnsweredCall(msgspec.Struct, frozen=True):
-    """A call that a replica has answered, or that ended as if it had."""
-
-    replica: EndpointName
-    traits: tuple[Fingerprint, ...]
-    sent_ms: float
-    at_ms: float
-    begun_ms: float | None = None
-    is_probed: bool = False
-    """Whether its replica is probed: an answer that ends with its connection looks
-    the same if the replica has ended."""
-
-
 class CrashDetector:
     """Lost calls whose replicas may have crashed.
 
@@ -78,22 +62,18 @@
     """
 
     __slots__ = (
-        "_answered",
         "_closed",
         "_directory",
         "_ended",
         "_losses",
         "_probed_ms",
-        "_unframed",
+        "answered",
     )
 
     def __init__(self, directory: ReplicaDirectory) -> None:
         self._directory = directory
         self._losses: dict[EndpointName, list[LostCall]] = {}
-        self._answered: deque[AnsweredCall] = deque()
-        """Ordered by the time of the answer."""
-        self._unframed: dict[EndpointName, list[AnsweredCall]] = {}
-        """Unframed answers of replicas that have not answered anything since."""
+        self.answered = AnsweredCalls()
         self._probed_ms: dict[EndpointName, float] = {}
         self._closed: dict[EndpointName, int] = {}
         """Consecutive closed probes of incarnations that have lost calls."""
@@ -127,46 +107,16 @@
         self._losses.setdefault(outcome.replica, []).append(loss)
         return outcome.replica in self._ended
 
-    def record_answer(
-        self,
-        replica: EndpointName,
-        traits: tuple[Fingerprint, ...],
-        sent_ms: float,
-        now_ms: float,
-        begun_ms: float | None = None,
-    ) -> None:
-        """Record that a replica has answered a call."""
-        self.mark_alive(replica, sent_ms)
-        if traits:
-            answered = AnsweredCall(replica, traits, sent_ms, now_ms, begun_ms)
-            self._answered.append(answered)
-
-    def record_unframed_answer(self, answered: AnsweredCall) -> None:
-        """Record an answer that ended with its connection."""
-        self.mark_alive(answered.replica, answered.sent_ms)
-        if answered.traits:
-            self._unframed.setdefault(answered.replica, []).append(answered)
+    def record_answer(self, call: AnsweredCall, *, is_confirmed: bool) -> None:
+        """Record that a replica has answered a call.
 
-    def take_survivals(self, now_ms: float) -> Iterator[AnsweredCall]:
-        """Return and remove the answers that their replicas have survived."""
-        while self._answered and now_ms - self._answered[0].at_ms >= SURVIVAL_DELAY_MS:
-            yield self._answered.popleft()
-        for replica, answered in list(self._unframed.items()):
-            fresh = [each for each in answered if now_ms - each.at_ms < LOSS_TTL_MS]
-            self._replace_unframed(replica, fresh)
-
-    def take_answered(self, replica: EndpointName) -> list[AnsweredCall]:
-        """Return and remove the last answers of an incarnation that has ended."""
-        found = [each for each in self._answered if each.replica == replica]
-        if found:
-            rest = (each for each in self._answered if each.replica != replica)
-            self._answered = deque(rest)
-        unframed = self._unframed.pop(replica, [])
-        last_ms = max((each.at_ms for each in unframed), default=0.0)
-        # Earlier ones ended by themselves.
-        return found + [
-            each for each in unframed if last_ms - each.at_ms < SURVIVAL_DELAY_MS
-        ]
+        `is_confirmed`: whether the answer counts without a later sign of life.
+        """
+        self.mark_alive(call.replica, call.sent_ms)
+        if call.traits and is_confirmed:
+            self.answered.add(call)
+        elif call.traits:
+            self.answered.add_unconfirmed(call)
 
     def record_probe(
         self, replica: EndpointName, reach: Reachability, asked_ms: float
@@ -186,7 +136,7 @@
         """Record that an incarnation has answered a request sent at `asked_ms`."""
         self._ended.pop(replica, None)
         self._closed.pop(replica, None)
-        self._confirm_unframed(replica, asked_ms)
+        self.answered.confirm(replica, asked_ms)
         losses = self._losses.get(replica)
         if losses:
             # Calls lost before the incarnation answered were not lost by its end.
@@ -194,26 +144,6 @@
                 replica, [each for each in losses if each.at_ms > asked_ms]
             )
 
-    def _confirm_unframed(self, replica: EndpointName, asked_ms: float) -> None:
-        """Count unframed answers from before a sign of life like framed ones."""
-        unframed = self._unframed.get(replica)
-        if not unframed:
-            return
-        confirmed = [each for each in unframed if each.at_ms <= asked_ms]
-        unconfirmed = [each for each in unframed if each.at_ms > asked_ms]
-        self._replace_unframed(replica, unconfirmed)
-        if confirmed:
-            merged = sorted((*self._answered, *confirmed), key=lambda each: each.at_ms)
-            self._answered = deque(merged)
-
-    def _replace_unframed(
-        self, replica: EndpointName, answered: list[AnsweredCall]
-    ) -> None:
-        if answered:
-            self._unframed[replica] = answered
-        else:
-            self._unframed.pop(replica, None)
-
     def mark_ended(self, replica: EndpointName) -> None:
         """Record that an incarnation of a replica has ended."""
         self._ended[replica] = None
@@ -240,11 +170,9 @@
                 continue
             if self._take_probe(name, now_ms):
                 yield known
-        for name, answered in self._unframed.items():
+        for name in self.answered.list_probed():
             known = self._directory.find(name)
-            if known is None or not any(each.is_probed for each in answered):
-                continue
-            if self._take_probe(name, now_ms):
+            if known is not None and self._take_probe(name, now_ms):
                 yield known
 
     def _take_probe(self, replica: EndpointName, now_ms: float) -> bool:
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -105,6 +105,8 @@
     """Whether they are held back or rejected, rather than only monitored."""
     shares: bool = True
     """Whether nodes inform each other of crashes and the requests running there."""
+    blocks: bool = True
+    """Whether crashes are attributed to shared prompt blocks too."""
 
 
 class LimitStrategy(enum.StrEnum):
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -14,13 +14,9 @@
 
 import msgspec
 
+from toucanyard.answered_calls import AnsweredCall
 from toucanyard.crash_causes import CrashCauses
-from toucanyard.crash_detector import (
-    AnsweredCall,
-    CrashDetector,
-    LostCall,
-    Reachability,
-)
+from toucanyard.crash_detector import CrashDetector, LostCall, Reachability
 from toucanyard.crash_ledger import CrashLedger, Suspicion
 from toucanyard.fault_location import FaultLocation
 from toucanyard.link_messages import LostRun, ReplicaCrash, RequestSurvival
@@ -142,20 +138,9 @@
         sent_ms, begun_ms = pending.sent_ms, pending.begun_ms
         if outcome.ending is DispatchEnding.COMPLETED and outcome.is_inconclusive:
             self.detector.mark_alive(outcome.replica, sent_ms)
-        elif outcome.ending is DispatchEnding.COMPLETED and outcome.is_unframed:
-            answered = AnsweredCall(
-                outcome.replica,
-                traits,
-                sent_ms,
-                now_ms,
-                begun_ms,
-                is_probed=any(map(self.ledger.list_attributed_crashes, traits)),
-            )
-            self.detector.record_unframed_answer(answered)
         elif outcome.ending is DispatchEnding.COMPLETED:
-            self.detector.record_answer(
-                outcome.replica, traits, sent_ms, now_ms, begun_ms
-            )
+            call = AnsweredCall(outcome.replica, traits, sent_ms, now_ms, begun_ms)
+            self._record_answer(call, is_framed=not outcome.is_unframed)
         elif self.detector.record_outcome(outcome, traits, sent_ms, now_ms, begun_ms):
             self._attribute_losses(outcome.replica, now_ms)
 
@@ -223,7 +208,7 @@
         """Find replicas that were replaced and requests that replicas survived."""
         for replica in self.detector.find_replaced(now_ms):
             self._attribute_losses(replica, now_ms)
-        for each in self.detector.take_survivals(now_ms):
+        for each in self.detector.answered.take_survived(now_ms):
             begun_ms = each.sent_ms if each.begun_ms is None else each.begun_ms
             wrote_ms = each.at_ms - begun_ms
             for trait in each.traits:
@@ -289,6 +274,8 @@
         self, request: RelayRequest, blocks: tuple[Fingerprint, ...], now_ms: float
     ) -> Rejection | None:
         rejection = None
+        if not self._policy.blocks:
+            return rejection
         for depth, block in enumerate(blocks):
             entry = self.quarantine.find(block)
             if entry is not None:
@@ -395,7 +382,7 @@
     def _attribute_end(self, replica: EndpointName, now_ms: float) -> None:
         self.detector.mark_ended(replica)
         losses = self.detector.take_losses(replica)
-        answered = self.detector.take_answered(replica)
+        answered = self.detector.answered.take_last(replica)
         known_ms = self.ledger.find_crash_time(replica)
         if known_ms is None and not losses and not self._is_listed(replica, now_ms):
             return
@@ -410,6 +397,31 @@
             replica, at_ms, runs, "own", now_ms, is_shared=True
         )
 
+    def _record_answer(self, call: AnsweredCall, *, is_framed: bool) -> None:
+        """Record an answer; an answer to what may crash replicas needs more proof."""
+        doubtful = tuple(
+            trait for trait in call.traits if not is_framed or self._is_doubtful(trait)
+        )
+        if doubtful:
+            is_probed = any(map(self.ledger.list_attributed_crashes, doubtful))
+            self.detector.record_answer(
+                msgspec.structs.replace(call, traits=doubtful, is_probed=is_probed),
+                is_confirmed=False,
+            )
+        others = tuple(trait for trait in call.traits if trait not in doubtful)
+        self.detector.record_answer(
+            msgspec.structs.replace(call, traits=others), is_confirmed=True
+        )
+
+    def _is_doubtful(self, trait: Fingerprint) -> bool:
+        """Return whether replicas have crashed under a block that none survived."""
+        if not is_block(trait):
+            return False
+        if self.quarantine.is_held(trait):
+            return True
+        has_crashes = bool(self.ledger.list_attributed_crashes(trait))
+        return has_crashes and not self.ledger.has_survived(trait)
+
     def _is_listed(self, replica: EndpointName, now_ms: float) -> bool:
         known = self._directory.find(replica)
         return known is not None and known.is_listed(now_ms)
--- a/tests/toucanyard/test_crash_detector.py
+++ b/tests/toucanyard/test_crash_detector.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from toucanyard.answered_calls import SURVIVAL_DELAY_MS, AnsweredCall
 from toucanyard.crash_detector import (
     LOSS_TTL_MS,
     MAX_CLOSED_PROBES,
-    SURVIVAL_DELAY_MS,
     CrashDetector,
     Reachability,
 )
@@ -38,6 +38,10 @@
         )
         return self.detector.record_outcome(outcome, (BODY,), at_ms - 10.0, at_ms)
 
+    def answer(self, at_ms: float, *, is_confirmed: bool = True) -> None:
+        call = AnsweredCall(ONE, (BODY,), at_ms - 10.0, at_ms, is_probed=True)
+        self.detector.record_answer(call, is_confirmed=is_confirmed)
+
     def count_probes(self, now_ms: float) -> int:
         return len(list(self.detector.take_probes(now_ms)))
 
@@ -127,15 +131,45 @@
 def test_answer_counts_once_its_replica_has_outlived_it() -> None:
     """Guards against clearing a request answered just before its replica crashes."""
     world = World()
-    world.detector.record_answer(ONE, (BODY,), 90.0, 100.0)
-    assert list(world.detector.take_survivals(100.0 + SURVIVAL_DELAY_MS - 1)) == []
-    survived = list(world.detector.take_survivals(100.0 + SURVIVAL_DELAY_MS))
+    world.answer(100.0)
+    assert (
+        list(world.detector.answered.take_survived(100.0 + SURVIVAL_DELAY_MS - 1)) == []
+    )
+    survived = list(world.detector.answered.take_survived(100.0 + SURVIVAL_DELAY_MS))
     assert [each.traits for each in survived] == [(BODY,)]
-    assert list(world.detector.take_survivals(9_000.0)) == []
+    assert list(world.detector.answered.take_survived(9_000.0)) == []
 
 
 def test_answer_of_a_life_that_has_ended_is_no_survival() -> None:
     world = World()
-    world.detector.record_answer(ONE, (BODY,), 90.0, 100.0)
-    assert [each.traits for each in world.detector.take_answered(ONE)] == [(BODY,)]
-    assert list(world.detector.take_survivals(9_000.0)) == []
+    world.answer(100.0)
+    assert [each.traits for each in world.detector.answered.take_last(ONE)] == [(BODY,)]
+    assert list(world.detector.answered.take_survived(9_000.0)) == []
+
+
+def test_unconfirmed_answer_counts_after_a_later_sign_of_life() -> None:
+    """Guards against answers that end with their connection, as at a crash."""
+    world = World()
+    world.answer(100.0, is_confirmed=False)
+    assert world.count_probes(100.0) == 1
+    world.detector.mark_alive(ONE, 100.0 + SURVIVAL_DELAY_MS - 1)
+    assert list(world.detector.answered.take_survived(2_000.0)) == []
+    world.detector.mark_alive(ONE, 100.0 + SURVIVAL_DELAY_MS)
+    survived = list(world.detector.answered.take_survived(2_000.0))
+    assert [each.traits for each in survived] == [(BODY,)]
+    assert world.count_probes(2_000.0) == 0
+
+
+def test_unconfirmed_answers_just_before_an_end_were_running_there() -> None:
+    world = World()
+    for at_ms in (100.0, 3_000.0, 3_010.0):
+        world.answer(at_ms, is_confirmed=False)
+    last = world.detector.answered.take_last(ONE)
+    assert [each.at_ms for each in last] == [3_000.0, 3_010.0]
+
+
+def test_unconfirmed_answer_expires_without_a_sign_of_life() -> None:
+    world = World()
+    world.answer(100.0, is_confirmed=False)
+    assert list(world.detector.answered.take_survived(9_000.0)) == []
+    assert world.detector.answered.take_last(ONE) == []
--- a/tests/toucanyard/test_crashing_prompt_blocks.py
+++ b/tests/toucanyard/test_crashing_prompt_blocks.py
@@ -236,6 +236,19 @@
     assert find_refused(fleet) == []
 
 
+def test_test_of_a_verdict_that_is_answered_before_the_crash_fails() -> None:
+    """Guards against an answer just before a crash that ends a correct verdict."""
+    fleet = BlockFleet(3, 3)
+    fleet.play(CALM_MS, crashing_ms=NEVER_MS)
+    fleet.play(STORM_MS / 2)
+    before = len(fleet.list_crash_times())
+    fleet.is_answered_before_crash = True
+    # Without other calls no node loses any when the replica ends.
+    fleet.play(4 * STORM_MS, harmless_ms=1e9)
+    assert len(fleet.list_crash_times()) == before + 1
+    assert fleet.list_held_blocks() == {f"block:{HARMFUL}"}
+
+
 @SIZES
 @pytest.mark.parametrize("crashing_ms", [300.0, 1_500.0], ids=["often", "rare"])
 def test_crashes_that_look_like_whole_answers_are_known(
--- a/tests/toucanyard/test_crashing_requests.py
+++ b/tests/toucanyard/test_crashing_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from toucanyard.crash_detector import SURVIVAL_DELAY_MS
+from toucanyard.answered_calls import SURVIVAL_DELAY_MS
 from toucanyard.crash_ledger import CONFIRMED_CRASHES, SETTLING_MS
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.keyed_view import KeyedRecord, Topic
--- a/tests/toucanyard_emulator/test_replayed_loads.py
+++ b/tests/toucanyard_emulator/test_replayed_loads.py
@@ -16,6 +16,8 @@
 from toucanyard_emulator.variants import parse_variant
 
 SEEDS = (1, 2, 3)
+MAX_BLOCK_CRASHES = 6
+"""Five crashes by which the block must be known, and one that tests the verdict."""
 
 
 def load_first(name: str, length_s: float) -> Scenario:
@@ -68,6 +70,21 @@
     assert compute_gain("versions-in-series", 14.0, before) > -0.005
 
 
+@pytest.mark.parametrize(
+    "before", ["whole requests=guard.blocks:false", "gossip=guard.shares:false"]
+)
+def test_block_that_crashes_engines_costs_few_of_them(before: str) -> None:
+    """Guards against requests that crash engines and share one prompt block only."""
+    scenario = load_first("crashing-block", 16.0)
+    other = parse_variant(before).policy
+    for seed in SEEDS:
+        now = run_scenario(scenario, RelayPolicy(), seed)
+        then = run_scenario(scenario, other, seed)
+        assert now.counts.crashes <= MAX_BLOCK_CRASHES
+        assert then.counts.crashes > now.counts.crashes
+        assert now.worth > then.worth
+
+
 @pytest.mark.parametrize(
     "before", ["quarantine=guard.is_enforced:false", "gossip=guard.shares:false"]
 )
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -287,7 +287,7 @@
     async with start_harness(RelayHarness([replica], **STREAM, **ONCE)) as harness:
         await harness.call(call)
         detector = harness.core.guard.detector
-        assert list(detector.take_survivals(math.inf)) == []
+        assert list(detector.answered.take_survived(math.inf)) == []
 
 
 async def test_close_before_the_first_event_is_tried_elsewhere() -> None:
