--- a/packages/toucanyard/src/toucanyard/crash_causes.py
+++ b/packages/toucanyard/src/toucanyard/crash_causes.py
@@ -40,10 +40,11 @@
     """Attributed crashes that no cause explains yet, in order of time."""
     bonus: float
 
-    def rank(self) -> tuple[bool, float, bool, Fingerprint]:
+    def rank(self) -> tuple[bool, float, float, bool, Fingerprint]:
         """Return the sort key: the most likely cause first, narrower ones before."""
         count = len(self.crashed) + self.bonus
-        return self.has_survived, -count, is_block(self.trait), self.trait
+        is_wide = is_block(self.trait)
+        return self.has_survived, -count, -self.bonus, is_wide, self.trait
 
 
 class CrashCauses:
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from toucanyard.answered_calls import AnsweredCall
-from toucanyard.crash_causes import CrashCauses
 from toucanyard.crash_detector import CrashDetector, LostCall, Reachability
 from toucanyard.crash_ledger import CrashLedger, Suspicion
 from toucanyard.fault_location import FaultLocation
@@ -24,41 +23,29 @@
 from toucanyard.names import EndpointName, Fingerprint
 from toucanyard.pending_call import PendingCall
 from toucanyard.quarantine import (
-    Entry,
     FindRank,
     Quarantine,
     QuarantinedRequest,
     Release,
 )
+from toucanyard.quarantine_verdicts import (
+    MAX_LOGGED,
+    SUSPECT_RETRY_MS,
+    QuarantineVerdicts,
+    Rejection,
+)
 from toucanyard.relay_policy import GuardPolicy
 from toucanyard.relay_requests import RelayOutcome, RelayRequest
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_traits import is_block, list_block_traits, list_traits
 from toucanyard.requests import DispatchEnding
 
-QUARANTINE_RETRY_MS: Final = 60_000
-"""Retry-After for a request under quarantine; by then it may be released."""
-SUSPECT_RETRY_MS: Final = 500
-"""Retry-After for a suspect that is being run; by then its run may have ended."""
 DEFAULT_POLICY: Final = GuardPolicy()
 PROGRESS_MS: Final = 500.0
 """Time after the first event of an answer from which a crash of the replica is less
 likely to be due to its request."""
-TRIAL_MS: Final = 10_000.0
-"""Time after which one call tests whether the verdict on a block was wrong."""
-MIN_TRIAL_RETRY_MS: Final = 2_000
-"""Shortest Retry-After for a block whose verdict is tested next."""
 REVIEW_MS: Final = 1_000.0
 """Time between two reviews of the blocks under quarantine."""
-MAX_LOGGED: Final = 8
-"""Maximum number of fingerprints in a log line."""
-
-
-class Rejection(msgspec.Struct, frozen=True):
-    """Why a request may not be sent now."""
-
-    text: str
-    retry_after_ms: int
 
 
 class RequestGuard:
@@ -76,10 +63,10 @@
         "_policy",
         "_reviewed_ms",
         "_undecided",
-        "causes",
         "detector",
         "ledger",
         "quarantine",
+        "verdicts",
     )
 
     def __init__(
@@ -99,7 +86,7 @@
         self._find_rank = find_rank
         self.quarantine = Quarantine(find_rank, rng)
         self.ledger = CrashLedger(self.quarantine.is_held)
-        self.causes = CrashCauses(self.ledger, self.quarantine.list_held)
+        self.verdicts = QuarantineVerdicts(self.ledger, self.quarantine, find_rank)
         self.detector = CrashDetector(directory)
         self._log_entries: list[LogEntry] = []
         self._is_urgent = False
@@ -117,9 +104,10 @@
         if self.ledger.is_empty() and self.quarantine.is_empty():
             return None
         blocks = list_block_traits(request)
-        return self._check_body(
-            request, blocks, is_running, now_ms
-        ) or self._check_blocks(request, blocks, now_ms)
+        rejection = self._check_body(request, blocks, is_running, now_ms)
+        if rejection is None and self._policy.blocks:
+            rejection = self.verdicts.check_blocks(request, blocks, now_ms)
+        return rejection
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether more than one crash is attributed to a request."""
@@ -133,7 +121,7 @@
     ) -> None:
         """Record the outcome of the last dispatch of a call."""
         if not self.quarantine.is_empty():
-            self._end_trials(pending.request)
+            self.verdicts.end_trials(pending.request)
         traits = list_traits(pending.request)
         sent_ms, begun_ms = pending.sent_ms, pending.begun_ms
         if outcome.ending is DispatchEnding.COMPLETED and outcome.is_inconclusive:
@@ -189,20 +177,22 @@
     ) -> None:
         """Apply an entry from the log."""
         if self.quarantine.apply_record(request, now_ms):
-            self._log("request_quarantined", request, source=source)
+            self.verdicts.log("request_quarantined", request, source=source)
 
     def on_record_removed(self, request: QuarantinedRequest) -> None:
         """End the entry whose record was removed from the log."""
         if self.quarantine.on_record_removed(request.fingerprint):
             self.ledger.clear(request.fingerprint)
-            self._log("quarantine_ended", request, reason="removed from the log")
+            self.verdicts.log(
+                "quarantine_ended", request, reason="removed from the log"
+            )
 
     def release(self, release: Release, now_ms: float) -> None:
         """End the entry that an operator released."""
         entry = self.quarantine.find(release.fingerprint)
         if self.quarantine.release(release, now_ms) and entry is not None:
             self.ledger.clear(release.fingerprint)
-            self._log("quarantine_ended", entry.request, reason="released")
+            self.verdicts.log("quarantine_ended", entry.request, reason="released")
 
     def tick(self, now_ms: float) -> None:
         """Find replicas that were replaced and requests that replicas survived."""
@@ -218,11 +208,12 @@
                 )
         if now_ms - self._reviewed_ms >= REVIEW_MS:
             self._reviewed_ms = now_ms
-            self._end_refuted(now_ms)
+            self.verdicts.end_refuted(now_ms)
 
     def has_updates(self) -> bool:
         """Return whether there is anything to log or to send to peers."""
-        return self._is_urgent or bool(self._log_entries)
+        has_logs = bool(self._log_entries) or self.verdicts.has_log_entries()
+        return self._is_urgent or has_logs
 
     def take_urgent(self) -> bool:
         """Return whether a status should be sent at once, and reset that."""
@@ -233,6 +224,7 @@
         """Return and remove the pending log entries."""
         entries, self._log_entries = self._log_entries, []
         yield from entries
+        yield from self.verdicts.take_log_entries()
 
     def settle_undecided(
         self, locate: Callable[[EndpointName, float], FaultLocation], now_ms: float
@@ -267,76 +259,8 @@
                 return None
             if suspicion is not Suspicion.CONFIRMED:
                 return self._check_suspect(fingerprint, suspicion, is_running, now_ms)
-            entry = self._begin_quarantine(fingerprint, request, now_ms)
-        return self._reject(entry, now_ms)
-
-    def _check_blocks(
-        self, request: RelayRequest, blocks: tuple[Fingerprint, ...], now_ms: float
-    ) -> Rejection | None:
-        rejection = None
-        if not self._policy.blocks:
-            return rejection
-        for depth, block in enumerate(blocks):
-            entry = self.quarantine.find(block)
-            if entry is not None:
-                if self._is_trial(entry, request, now_ms):
-                    continue
-                return self._reject(entry, now_ms)
-            match self.causes.assess(block, blocks[:depth], now_ms):
-                case Suspicion.CONFIRMED:
-                    entry = self._begin_quarantine(block, request, now_ms)
-                    return self._reject(entry, now_ms)
-                case Suspicion.UNSETTLED:
-                    text = f"replicas have just ended under {block}"
-                    rejection = Rejection(text, SUSPECT_RETRY_MS)
-        return rejection
-
-    def _is_trial(self, entry: Entry, request: RelayRequest, now_ms: float) -> bool:
-        """Return whether a call is the one that tests the verdict on a block.
-
-        One node, which knows the crashes, lets one call through once.
-        """
-        if entry.trial_id is not None or entry.is_tried:
-            return entry.trial_id == request.request_id
-        trait = entry.request.fingerprint
-        is_due = now_ms - entry.begun_ms >= TRIAL_MS
-        if not is_due or self._find_rank(trait, now_ms) > 0:
-            return False
-        if not self.ledger.list_attributed_crashes(trait):
-            return False
-        entry.trial_id, entry.is_tried = request.request_id, True
-        self._log("quarantine_tested", entry.request, call=request.request_id)
-        return True
-
-    def _end_trials(self, request: RelayRequest) -> None:
-        """Record that the call of a trial has been sent, and may not be sent again."""
-        for trait in list_block_traits(request):
-            entry = self.quarantine.find(trait)
-            if entry is not None and entry.trial_id == request.request_id:
-                entry.trial_id = None
-
-    def _reject(self, entry: Entry, now_ms: float) -> Rejection:
-        self.quarantine.record_refusal(entry, now_ms)
-        known = entry.request
-        count = len(known.replicas)
-        text = f"{known.fingerprint} is under quarantine: {count} replicas crashed"
-        retry_ms = QUARANTINE_RETRY_MS
-        if is_block(known.fingerprint) and not entry.is_tried:
-            trial_ms = round(entry.begun_ms + TRIAL_MS - now_ms)
-            retry_ms = max(trial_ms, MIN_TRIAL_RETRY_MS)
-        return Rejection(f"{text} under it", retry_ms)
-
-    def _end_refuted(self, now_ms: float) -> None:
-        """End the quarantine of blocks whose crashes other ones explain."""
-        for entry in list(self.quarantine.list_entries()):
-            trait = entry.request.fingerprint
-            if is_block(trait) and self.causes.is_refuted(trait, now_ms):
-                self.quarantine.end(trait, now_ms)
-                self._log(
-                    "quarantine_ended",
-                    entry.request,
-                    reason="other causes explain its crashes",
-                )
+            entry = self.verdicts.begin(fingerprint, request, now_ms)
+        return self.verdicts.reject(entry, now_ms)
 
     def _check_suspect(
         self,
@@ -359,19 +283,6 @@
             return None
         return Rejection(text, SUSPECT_RETRY_MS)
 
-    def _begin_quarantine(
-        self, trait: Fingerprint, request: RelayRequest, now_ms: float
-    ) -> Entry:
-        entry = self.quarantine.begin(
-            trait,
-            request.customer,
-            request.route,
-            self.ledger.list_attributed_crashes(trait),
-            now_ms,
-        )
-        self._log("request_quarantined", entry.request, source="own")
-        return entry
-
     def _attribute_losses(self, replica: EndpointName, now_ms: float) -> None:
         """Attribute the end of an incarnation to the requests that were lost there."""
         if self._is_blind(replica, now_ms):
@@ -480,24 +391,16 @@
         entry = self.quarantine.find(fingerprint)
         if entry is not None and not self._is_confirmed(fingerprint, now_ms):
             self.quarantine.end(fingerprint, now_ms)
-            self._log("quarantine_ended", entry.request, reason="a replica survived it")
+            self.verdicts.log(
+                "quarantine_ended", entry.request, reason="a replica survived it"
+            )
         return True
 
     def _is_confirmed(self, trait: Fingerprint, now_ms: float) -> bool:
         if is_block(trait):
-            return self.causes.is_confirmed(trait)
+            return self.verdicts.causes.is_confirmed(trait)
         return self.ledger.assess(trait, now_ms) is Suspicion.CONFIRMED
 
-    def _log(self, event: str, request: QuarantinedRequest, **fields: object) -> None:
-        known: dict[str, object] = {
-            "fingerprint": request.fingerprint,
-            "entry": request.entry_id,
-            "customer": request.customer,
-            "route": request.route,
-            "replicas": ",".join(request.replicas[-MAX_LOGGED:]),
-        }
-        self._log_entries.append(LogEntry(event, known | fields))
-
 
 def _list_runs(
     calls: Iterable[LostCall | AnsweredCall], at_ms: float
--- a/tests/toucanyard/test_crashing_requests.py
+++ b/tests/toucanyard/test_crashing_requests.py
@@ -10,7 +10,7 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.names import CustomerName, NodeName
 from toucanyard.quarantine import RENEW_MS, TTL_MS, QuarantinedRequest, Release
-from toucanyard.request_guard import QUARANTINE_RETRY_MS
+from toucanyard.quarantine_verdicts import QUARANTINE_RETRY_MS
 
 from .crash_fleet import (
     BACK_MS,
