--- a/packages/toucanyard-standins/src/toucanyard_standins/bench.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench.py
@@ -18,6 +18,7 @@
     "capacity",
     "faults",
     "origins",
+    "crash_causes",
 )
 USAGE: Final = f"usage: ./dev bench {'|'.join(NAMES)} [...]"
 _EXIT_USAGE: Final = 2
--- a/packages/toucanyard/src/toucanyard/crash_ledger.py
+++ b/packages/toucanyard/src/toucanyard/crash_ledger.py
@@ -35,11 +35,11 @@
 """Maximum error of times reported by peers, whose ages omit the latency of links."""
 CRASH_TTL_MS: Final = 600_000.0
 """How long a crash is attributed to the requests that were running."""
-MAX_REQUESTS: Final = 32_768
+MAX_REQUESTS: Final = 16_384
 """Traits of all crashes together; the oldest crashes are dropped first."""
 MAX_SURVIVORS: Final = 8_192
 """Recently answered requests, and recently answered blocks, that are kept."""
-MAX_CRASH_REQUESTS: Final = 2_048
+MAX_CRASH_REQUESTS: Final = 1_024
 """Traits per crash."""
 
 
