Find causes again when a verdict arrives from the store

A block that ran beside another one stayed confirmed after the record of the other arrived, until the next crash.

Cause: causes were kept until the ledger changed, though they depend on what is under quarantine too. The new test fails on the code before. The operator's release of a block has a test as well.

--- a/packages/toucanyard/src/toucanyard/crash_causes.py
+++ b/packages/toucanyard/src/toucanyard/crash_causes.py
@@ -48,9 +48,9 @@
 
 
 class CrashCauses:
-    """The causes of the crashes in one ledger, found again when it has changed."""
+    """The causes of the crashes in one ledger, found again after each change."""
 
-    __slots__ = ("_causes", "_ledger", "_list_held", "_version")
+    __slots__ = ("_causes", "_held", "_ledger", "_list_held", "_version")
 
     def __init__(
         self,
@@ -61,6 +61,8 @@
         self._list_held = list_held
         """Returns the traits under quarantine."""
         self._version = -1
+        self._held: frozenset[Fingerprint] = frozenset()
+        """Traits under quarantine when the causes were found."""
         self._causes: dict[Fingerprint, frozenset[Fingerprint]] = {}
         """Causes, and the blocks that were running at exactly the same crashes."""
 
@@ -100,20 +102,21 @@
         return SURVIVOR_CRASHES if has_survived else CONFIRMED_CRASHES
 
     def _find(self) -> dict[Fingerprint, frozenset[Fingerprint]]:
-        if self._version != self._ledger.version:
+        held = frozenset(self._list_held())
+        if self._version != self._ledger.version or self._held != held:
             self._version = self._ledger.version
+            self._held = held
             self._causes = self._compute()
         return self._causes
 
     def _compute(self) -> dict[Fingerprint, frozenset[Fingerprint]]:
-        held = set(self._list_held())
         candidates = [
             _Candidate(
                 trait,
                 self._ledger.has_survived(trait),
                 self._count_needed(trait),
                 self._ledger.list_attributed_crashes(trait),
-                HELD_BONUS if trait in held else 0.0,
+                HELD_BONUS if trait in self._held else 0.0,
             )
             for trait in self._ledger.list_frequent(CONFIRMED_CRASHES)
         ]
@@ -137,7 +140,7 @@
     def _list_known_crashes(self) -> set[EndpointName]:
         """Return the crashes of traits whose quarantine rests on a stored record."""
         known: set[EndpointName] = set()
-        for trait in self._list_held():
+        for trait in self._held:
             crashed = self._ledger.list_attributed_crashes(trait)
             if len(crashed) < self._count_needed(trait):
                 known.update(crashed)
--- a/tests/toucanyard/test_crash_causes.py
+++ b/tests/toucanyard/test_crash_causes.py
@@ -24,7 +24,8 @@
 class World:
     def __init__(self, *held: str) -> None:
         self.ledger = CrashLedger()
-        self.causes = CrashCauses(self.ledger, lambda: map(Fingerprint, held))
+        self.held = [Fingerprint(each) for each in held]
+        self.causes = CrashCauses(self.ledger, lambda: self.held)
         self.count = 0
 
     def crash(self, *traits: str, at_ms: float | None = None, **run: object) -> None:
@@ -154,6 +155,17 @@
     assert world.assess("block:beside") is Suspicion.POSSIBLE
 
 
+def test_verdict_that_arrives_after_the_crashes_explains_them_too() -> None:
+    """Guards against causes that are found once and kept when a record arrives."""
+    world = World()
+    for number in range(CONFIRMED_CRASHES):
+        traits = ("block:beside", BAD) if number else ("block:beside",)
+        world.crash(*traits)
+    assert world.assess("block:beside") is Suspicion.CONFIRMED
+    world.held.append(Fingerprint(BAD))
+    assert world.assess("block:beside") is Suspicion.POSSIBLE
+
+
 def test_many_blocks_do_not_fill_the_ledger() -> None:
     """Guards against prompts with many new blocks that crash replica after replica."""
     world = World()
--- a/tests/toucanyard/test_crashing_prompt_blocks.py
+++ b/tests/toucanyard/test_crashing_prompt_blocks.py
@@ -7,6 +7,7 @@
 import pytest
 
 from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.quarantine import Release
 
 from .block_fleet import (
     FIRST_BLOCKS,
@@ -271,6 +272,25 @@
     assert fleet.probes == 0
 
 
+def test_operator_releases_a_held_block() -> None:
+    """Guards against a block that stays held after replicas were mended."""
+    fleet = BlockFleet(3, 3)
+    fleet.play(STORM_MS)
+    fleet.run_for(4_000.0)
+    entries = [
+        entry.request
+        for core in fleet.cores.values()
+        for entry in core.guard.quarantine.list_entries()
+    ]
+    fleet.harmful = set()
+    fleet.release(Release(entries[0].fingerprint, entries[0].entry_id))
+    fleet.run_for(3_500.0)
+    assert fleet.list_held_blocks() == set()
+    calls = [fleet.call_blocks(name, ("f0", HARMFUL)) for name in fleet.cores]
+    fleet.run_for(2_000.0)
+    assert {call.ending for call in calls} == {"completed"}
+
+
 def test_call_with_a_held_block_is_answered_at_once_and_truthfully() -> None:
     """Guards against callers that wait for, or retry at once, what cannot be served."""
     fleet = BlockFleet(3, 3)
