Test a verdict on a block once, whichever nodes start later

A node that starts after the test of a verdict tests it again, if it ranks first by then: one more replica is lost, with all the calls that run there.

Cause: only the node itself remembers that it has let the call through. Peers send a node that starts all crashes, so it knows enough to test. Two tests with processes share their restart.

--- a/packages/toucanyard/src/toucanyard/quarantine_verdicts.py
+++ b/packages/toucanyard/src/toucanyard/quarantine_verdicts.py
@@ -128,14 +128,24 @@
             return entry.trial_id == request.request_id
         trait = entry.request.fingerprint
         is_due = now_ms - entry.begun_ms >= TRIAL_MS
-        if not is_due or self._find_rank(trait, now_ms) > 0:
-            return False
-        if not self._ledger.list_attributed_crashes(trait):
+        if not is_due or self._find_rank(trait, now_ms) > 0 or self._was_tried(entry):
             return False
         entry.trial_id, entry.is_tried = request.request_id, True
         self.log("quarantine_tested", entry.request, call=request.request_id)
         return True
 
+    def _was_tried(self, entry: Entry) -> bool:
+        """Return whether another node has tested a verdict, or that is unknown.
+
+        The crash of such a test comes long after those that the record names.
+        """
+        crashed = self._ledger.list_attributed_crashes(entry.request.fingerprint)
+        named = [name for name in crashed if name in entry.request.replicas]
+        if not named:
+            return True
+        last_ms = self._ledger.find_last_time(crashed)
+        return last_ms - self._ledger.find_last_time(named) >= TRIAL_MS / 2
+
     def log(self, event: str, request: QuarantinedRequest, **fields: object) -> None:
         """Add a log entry about a quarantine."""
         known: dict[str, object] = {
--- a/tests/toucanyard/test_crashing_prompt_blocks.py
+++ b/tests/toucanyard/test_crashing_prompt_blocks.py
@@ -237,6 +237,21 @@
     assert find_refused(fleet) == []
 
 
+def test_verdict_is_not_tested_again_by_nodes_that_start_later() -> None:
+    """Guards against a test by each node that takes over from one that has tested."""
+    fleet = BlockFleet(3, 3)
+    fleet.play(2 * STORM_MS)
+    before = len(fleet.list_crash_times())
+    for name in list(fleet.cores):
+        # Peers send all that they know on a link that is new.
+        fleet.dead.add(name)
+        fleet.link()
+        fleet.dead.discard(name)
+        fleet.restart(name)
+        fleet.play(STORM_MS)
+    assert len(fleet.list_crash_times()) == before
+
+
 def test_test_of_a_verdict_that_is_answered_before_the_crash_fails() -> None:
     """Guards against an answer just before a crash that ends a correct verdict."""
     fleet = BlockFleet(3, 3)
--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -169,6 +169,27 @@
     return statuses
 
 
+async def restart_all_after_quarantine(fleet: Fleet) -> None:
+    """Kill all nodes once the quarantine is stored, and start them again."""
+
+    async def is_stored() -> bool:
+        return "event=quarantine_written" in "".join(
+            node.log.read_text() for node in fleet.nodes
+        )
+
+    await wait_until(is_stored, "the quarantine is stored")
+    for node in fleet.nodes:
+        assert node.process is not None
+        node.process.kill()
+        node.process.wait()
+    for node in fleet.nodes:
+        node.start([str(fleet.nodes[0].address(2))])
+    for node in fleet.nodes:
+        await wait_until(
+            lambda node=node: has_quarantine(node), "the node has the quarantine"
+        )
+
+
 async def test_call_that_crashes_its_replicas_is_quarantined_for_good(
     tmp_path: Path,
 ) -> None:
@@ -180,22 +201,7 @@
         assert statuses[-1] == 503
         before = fleet.count_crashes()
 
-        async def is_stored() -> bool:
-            return "event=quarantine_written" in "".join(
-                node.log.read_text() for node in fleet.nodes
-            )
-
-        await wait_until(is_stored, "the quarantine is stored")
-        for node in fleet.nodes:
-            assert node.process is not None
-            node.process.kill()
-            node.process.wait()
-        for node in fleet.nodes:
-            node.start([str(fleet.nodes[0].address(2))])
-        for node in fleet.nodes:
-            await wait_until(
-                lambda node=node: has_quarantine(node), "the node has the quarantine"
-            )
+        await restart_all_after_quarantine(fleet)
         assert set(await repeat_crashing_call(fleet, 6)) == {503}
         assert fleet.count_crashes() == before
         for node in fleet.nodes:
@@ -241,22 +247,7 @@
         assert statuses[-1] == 503
         before = fleet.count_crashes()
 
-        async def is_stored() -> bool:
-            return "event=quarantine_written" in "".join(
-                node.log.read_text() for node in fleet.nodes
-            )
-
-        await wait_until(is_stored, "the quarantine is stored")
-        for node in fleet.nodes:
-            assert node.process is not None
-            node.process.kill()
-            node.process.wait()
-        for node in fleet.nodes:
-            node.start([str(fleet.nodes[0].address(2))])
-        for node in fleet.nodes:
-            await wait_until(
-                lambda node=node: has_quarantine(node), "the node has the quarantine"
-            )
+        await restart_all_after_quarantine(fleet)
         assert set(await send_calls(100, 6)) == {503}
         assert fleet.count_crashes() == before
         nursery.cancel_scope.cancel()
