Let nodes that are cut off from replicas tell no crash without losses

A node whose connects to all replicas are refused told its peers of crashes of replicas that run, so that peers blamed what these had just answered.

Cause: since a failed connect alone shows the end of a listed replica. Right after a cut the node doesn't know yet that it is the one cut off.

--- a/packages/toucanyard/src/toucanyard/crash_detector.py
+++ b/packages/toucanyard/src/toucanyard/crash_detector.py
@@ -87,6 +87,10 @@
             for loss in losses
         )
 
+    def has_losses(self, replica: EndpointName) -> bool:
+        """Return whether calls were lost at a replica for a cause yet unknown."""
+        return replica in self._losses
+
     def record_outcome(
         self,
         outcome: RelayOutcome,
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -124,6 +124,8 @@
             self.verdicts.end_trials(pending.request)
         traits = list_traits(pending.request)
         sent_ms, begun_ms = pending.sent_ms, pending.begun_ms
+        if outcome.wrote_ms is not None:
+            begun_ms = now_ms - outcome.wrote_ms
         if outcome.ending is DispatchEnding.COMPLETED and outcome.is_inconclusive:
             self.detector.mark_alive(outcome.replica, sent_ms)
         elif outcome.ending is DispatchEnding.COMPLETED:
@@ -231,6 +233,8 @@
     ) -> None:
         """Decide about replicas that seemed to end while none could be reached."""
         for replica, since_ms in list(self._undecided.items()):
+            if self._has_ended_unseen(replica, now_ms):
+                continue
             match locate(replica, since_ms):
                 case FaultLocation.UNDECIDED:
                     continue
@@ -285,11 +289,25 @@
 
     def _attribute_losses(self, replica: EndpointName, now_ms: float) -> None:
         """Attribute the end of an incarnation to the requests that were lost there."""
-        if self._is_blind(replica, now_ms):
+        if self._is_blind(replica, now_ms) or self._has_ended_unseen(replica, now_ms):
             self._undecided.setdefault(replica, now_ms)
             return
         self._attribute_end(replica, now_ms)
 
+    def _has_ended_unseen(self, replica: EndpointName, now_ms: float) -> bool:
+        """Return whether only failed connects show the end of a replica.
+
+        Peers are told too: one may have had an answer from it just before. A node that
+        is cut off must not tell them, and may notice the cut a moment later only.
+        """
+        since_ms = self._undecided.get(replica, now_ms)
+        return (
+            now_ms - since_ms < UNSEEN_END_MS
+            and self.ledger.find_crash_time(replica) is None
+            and not self.detector.has_losses(replica)
+            and self._is_listed(replica, now_ms)
+        )
+
     def _attribute_end(self, replica: EndpointName, now_ms: float) -> None:
         self.detector.mark_ended(replica)
         losses = self.detector.take_losses(replica)
@@ -299,8 +317,6 @@
             return
         at_ms = known_ms
         if at_ms is None:
-            # Without lost calls peers are told too: one of them may have had an answer
-            # from the replica just before it ended.
             answered_ms = max((each.at_ms for each in answered), default=now_ms)
             at_ms = min((each.at_ms for each in losses), default=answered_ms)
         runs = _list_runs((*losses, *answered), at_ms)
