Tell for each dispatch of a stream since when its replica was writing

Cause: the first event was reported once a call. A resumed stream seemed not to have begun at its replica, so each of its crashes counted in full though the replica had been writing for over a second. Change: the outcome of a dispatch says for how long its replica had been writing. The new test of the exchange failed before.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -88,6 +88,8 @@
         self._may_have_run = False
         self._first_ms: float | None = None
         """Time from the arrival of the call to the first event of its answer."""
+        self._writing_since_ms: float | None = None
+        """When the first event of the current dispatch arrived."""
         self._buffered_answer: BufferedAnswer | None = None
         self._origin: StreamOrigin | None = None
         """Where a stream began that a peer has passed on."""
@@ -241,6 +243,7 @@
 
     async def _send_dispatch(self, dispatch: RelayDispatch) -> None:
         """Perform one dispatch and send its answer, or raise AnswerLostError."""
+        self._writing_since_ms = None
         try:
             connection = await connect(dispatch.address, dispatch.connect_ms)
         except ConnectionFailedError as error:
@@ -381,7 +384,6 @@
         self._splitter.discard_partial_event()
         if not self._responder.is_started and not self._request.is_resumable:
             await self._start_answer(head, dispatch)
-        has_events = False
         while True:
             chunk = await self._read_stream_chunk(dispatch, connection, facts)
             if chunk is None:
@@ -389,11 +391,13 @@
             events = self._splitter.push(chunk)
             if not events:
                 continue
-            has_events = True
+            if self._writing_since_ms is None:
+                self._writing_since_ms = trio.current_time() * 1000
             if not self._responder.is_started:
                 await self._start_answer(head, dispatch)
             self._record_first_event()
             await self._responder.write(events)
+        has_events = self._writing_since_ms is not None
         self._check_stream_end(dispatch, head, facts, has_events=has_events)
         if not self._responder.is_started:
             await self._start_answer(head, dispatch)
@@ -483,6 +487,9 @@
         cause: ConnectionFailedError | None = None,
         is_dead: bool = False,
     ) -> RelayOutcome:
+        wrote_ms = None
+        if self._writing_since_ms is not None:
+            wrote_ms = trio.current_time() * 1000 - self._writing_since_ms
         return RelayOutcome(
             self._request.request_id,
             dispatch.replica,
@@ -493,6 +500,7 @@
             is_closed=cause is not None and cause.is_closed,
             has_begun=self._responder.is_started,
             weights_version=None if facts is None else facts.weights_version,
+            wrote_ms=wrote_ms,
         )
 
     def _complete(
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -204,6 +204,8 @@
     """The connection was closed before the response was complete."""
     is_unframed: bool = False
     """The response had neither a length nor chunks, so its end proves nothing."""
+    wrote_ms: float | None = None
+    """Time since the first event of this dispatch; None if there was none."""
     is_inconclusive: bool = False
     """The response is an error or has no event, so the replica may not have run the
     request."""
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -44,6 +44,9 @@
 PROGRESS_MS: Final = 500.0
 """Time after the first event of an answer from which a crash of the replica is less
 likely to be due to its request."""
+UNSEEN_END_MS: Final = 300.0
+"""Time after which a replica that refuses connects has ended, if no call was lost
+there: longer than it takes to notice that this node is cut off."""
 REVIEW_MS: Final = 1_000.0
 """Time between two reviews of the blocks under quarantine."""
 
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -290,6 +290,25 @@
         assert list(detector.answered.take_survived(math.inf)) == []
 
 
+async def test_each_dispatch_of_a_stream_tells_since_when_it_was_written() -> None:
+    """Guards against resumed streams that look as if their replica had just begun."""
+    first = stream_events(build_event(1), is_whole=False)
+    rest = stream_events(build_event(2), is_whole=False)
+
+    async def resume(stream: trio.SocketStream, call: bytes) -> None:
+        await (rest if find_header(call, b"x-last") else first)(stream, call)
+
+    replicas = [ScriptedReplica(n, resume) for n in "xy"]
+    call = build_call("/a/x", PROMPT_BLOCKS_HEADER)
+    async with start_harness(RelayHarness(replicas, **RESUMABLE)) as harness:
+        await harness.call(call)
+        detector = harness.core.guard.detector
+        losses = [*detector.take_losses(EndpointName("x"))]
+        losses += detector.take_losses(EndpointName("y"))
+    assert len(losses) == 2
+    assert all(loss.begun_ms is not None for loss in losses)
+
+
 async def test_close_before_the_first_event_is_tried_elsewhere() -> None:
     """Guards against an empty answer where another replica could have written one."""
     events = [build_event(n) for n in range(1, 4)]
