Weigh crashes of long streams less for whole requests too

Change: as for blocks, a crash counts half if the replica had been writing an answer for 500 ms; two or three crashes of full weight confirm a request. The new test of the ledger failed before.

--- a/packages/toucanyard/src/toucanyard/crash_causes.py
+++ b/packages/toucanyard/src/toucanyard/crash_causes.py
@@ -19,9 +19,6 @@
 
 SURVIVOR_CRASHES: Final = 4
 """Crashes that confirm a block that replicas have survived before."""
-PROGRESSED_WEIGHT: Final = 0.5
-"""Weight of a crash whose replica had been writing an answer on the block for a
-while: a block that crashes replicas does so when they begin."""
 HELD_BONUS: Final = 1.0
 """Crashes by which another trait must exceed one under quarantine to replace it."""
 SURVIVAL_GOSSIP_MS: Final = 300.0
@@ -153,13 +150,6 @@
         selected = []
         for each in candidates:
             each.crashed = [name for name in each.crashed if name not in explained]
-            if self._weigh(each) >= each.needed:
+            if self._ledger.weigh(each.trait, each.crashed) >= each.needed:
                 selected.append(each)
         return selected
-
-    def _weigh(self, candidate: _Candidate) -> float:
-        trait = candidate.trait
-        return sum(
-            PROGRESSED_WEIGHT if self._ledger.has_progressed(trait, name) else 1.0
-            for name in self._ledger.list_serial(trait, candidate.crashed)
-        )
--- a/packages/toucanyard/src/toucanyard/crash_ledger.py
+++ b/packages/toucanyard/src/toucanyard/crash_ledger.py
@@ -26,6 +26,9 @@
 PROBATION_REPLICAS: Final = 3
 """Replicas lost while running copies of a request, after which one node alone runs
 it."""
+PROGRESSED_WEIGHT: Final = 0.5
+"""Weight of a crash whose replica had been writing an answer for a while: what crashes
+replicas does so when they begin."""
 SETTLING_MS: Final = 500.0
 """Time after a crash in which other nodes may still report what they had running."""
 GOSSIP_MS: Final = 400.0
@@ -199,9 +202,12 @@
             return self._assess_copies(fingerprint, len(crashed))
         if now_ms - self.find_last_time(crashed) < SETTLING_MS:
             return Suspicion.UNSETTLED
-        if self._is_sole_cause(fingerprint, crashed, own_blocks):
+        weight = self.weigh(fingerprint, crashed)
+        is_sole_cause = self._is_sole_cause(fingerprint, crashed, own_blocks)
+        if weight >= SOLE_CAUSE_CRASHES and is_sole_cause:
             return Suspicion.CONFIRMED
-        if count >= CONFIRMED_CRASHES and not self.has_stronger(fingerprint, crashed):
+        has_stronger = self.has_stronger(fingerprint, crashed)
+        if weight >= CONFIRMED_CRASHES and not has_stronger:
             return Suspicion.CONFIRMED
         return self._assess_copies(fingerprint, len(crashed))
 
@@ -225,9 +231,12 @@
                 last_ms = crash.at_ms
         return serial
 
-    def has_progressed(self, trait: Fingerprint, replica: EndpointName) -> bool:
-        """Return whether a replica wrote an answer for a while before it crashed."""
-        return trait in self._crashes[replica].progressed
+    def weigh(self, trait: Fingerprint, crashed: Sequence[EndpointName]) -> float:
+        """Return the weight of the crashes that each ended a later run."""
+        return sum(
+            PROGRESSED_WEIGHT if trait in self._crashes[name].progressed else 1.0
+            for name in self.list_serial(trait, crashed)
+        )
 
     def has_stronger(
         self, fingerprint: Fingerprint, crashed: Sequence[EndpointName]
--- a/tests/toucanyard/test_crash_ledger.py
+++ b/tests/toucanyard/test_crash_ledger.py
@@ -145,3 +145,15 @@
         add(ledger, replica, 100.0 * number, each)
     survive(ledger, body, 5_000.0)
     assert assess(ledger, body) is Suspicion.NONE
+
+
+def test_request_whose_replicas_had_been_writing_needs_twice_the_crashes() -> None:
+    """Guards against blaming a long stream that is resumed and cut off again."""
+    ledger = CrashLedger()
+    for number in range(4):
+        assert assess(ledger, BAD) is not Suspicion.CONFIRMED
+        at_ms = 1_000.0 * (number + 1)
+        run = LostRun(BAD, 900.0, has_progressed=True)
+        name = EndpointName(f"r{number}")
+        ledger.add_crash(name, at_ms, [run], at_ms, is_shared=True)
+    assert assess(ledger, BAD) is Suspicion.CONFIRMED
