Check a forwarded call again before it is placed or forwarded on

A request that was put under quarantine while a peer had it was sent on: placed here if a replica could be reached again, else forwarded to three peers, each of which refuses it.

Cause: after the end of a forward only the customer's limit was checked, after the end of a dispatch the request too. Found by reading the change. The new test failed before (no_endpoint after the last forward instead of request_quarantined at once).

--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -294,7 +294,7 @@
         self, pending: PendingCall, reason: str, now_ms: float
     ) -> Iterator[RelayReply]:
         """Forward, place or queue a call that has failed and may be retried."""
-        refused = self._checks.check_limits(pending, now_ms)
+        refused = self._checks.check(pending, self._pending.values(), now_ms)
         if refused is not None:
             yield self._refuse_for(pending, refused, now_ms)
             yield from self._finish(pending, now_ms)
--- a/tests/toucanyard/test_nodes_cut_off_from_replicas.py
+++ b/tests/toucanyard/test_nodes_cut_off_from_replicas.py
@@ -6,10 +6,12 @@
 
 import pytest
 
-from toucanyard.names import NodeName, RequestId
+from toucanyard.errorcodes import ErrorKind
+from toucanyard.names import CustomerName, NodeName, RequestId
+from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.target_weights import WantedWeights
 
-from .crash_fleet import BACK_MS
+from .crash_fleet import BACK_MS, CRASHING_REQUEST
 from .cut_fleet import Cut, CutFleet, compute_served_share
 from .limit_fleet import BOUNDS, LIMIT
 from .relay_examples import DESK
@@ -232,3 +234,23 @@
     other.weight_targets.apply(WantedWeights("m", 2), fleet.now_ms)
     actions = [other.rollout.tick(fleet.now_ms + 1_000.0 * n) for n in range(1, 9)]
     assert any(actions)
+
+
+def test_forwarded_call_that_comes_back_is_checked_again() -> None:
+    """Guards against placing a request that was quarantined while a peer had it."""
+    fleet = CutFleet(3, 3)
+    fleet.play_calls(1_000.0, LOAD_PER_S)
+    name = next(iter(fleet.cores))
+    fleet.cut([name], Cut.REFUSE)
+    fleet.play_calls(2_000.0, LOAD_PER_S)
+    before = len(fleet.forwards)
+    call = fleet.call(name, CRASHING_REQUEST)
+    assert len(fleet.forwards) == before + 1
+    fleet.dead = {other for other in fleet.cores if other != name}
+    fleet.reconnect()
+    request = QuarantinedRequest(CRASHING_REQUEST, "1", CustomerName("c"), "r", ())
+    fleet.cores[name].guard.apply_record(request, "store", fleet.now_ms)
+    fleet.run_for(1_000.0)
+    assert call.sends == 0
+    assert call.refusal is not None
+    assert call.refusal.kind is ErrorKind.REQUEST_QUARANTINED
