Tell callers to stay away once any node has tested a verdict on a block

Callers of a held block were told to come back after two seconds for good.

Cause: only the node that tested the verdict knew of the test; all others went on naming the shortest time to it. Now they infer it from the crash of the test, as they do before a test of their own. Found by reading the change; the new test failed before (3.7 s instead of 60 s or more).

--- a/packages/toucanyard/src/toucanyard/quarantine_verdicts.py
+++ b/packages/toucanyard/src/toucanyard/quarantine_verdicts.py
@@ -102,7 +102,8 @@
         count = len(known.replicas)
         text = f"{known.fingerprint} is under quarantine: {count} replicas crashed"
         retry_ms = QUARANTINE_RETRY_MS
-        if is_block(known.fingerprint) and not entry.is_tried:
+        is_tried = entry.is_tried or self._was_tried(entry)
+        if is_block(known.fingerprint) and not is_tried:
             trial_ms = round(entry.begun_ms + TRIAL_MS - now_ms)
             retry_ms = max(trial_ms, MIN_TRIAL_RETRY_MS)
         return Rejection(f"{text} under it", retry_ms)
--- a/tests/toucanyard/test_crashing_prompt_blocks.py
+++ b/tests/toucanyard/test_crashing_prompt_blocks.py
@@ -8,6 +8,7 @@
 
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.quarantine import Release
+from toucanyard.quarantine_verdicts import QUARANTINE_RETRY_MS
 
 from .block_fleet import (
     FIRST_BLOCKS,
@@ -319,6 +320,17 @@
         assert call.sends == 0
 
 
+def test_callers_are_told_to_stay_away_once_a_verdict_was_tested() -> None:
+    """Guards against callers that come back every two seconds for good."""
+    fleet = BlockFleet(3, 3)
+    fleet.play(3 * STORM_MS)
+    for name in fleet.cores:
+        call = fleet.call_blocks(name, ("f0", HARMFUL))
+        assert call.refusal is not None
+        assert call.refusal.retry_after_ms is not None
+        assert call.refusal.retry_after_ms >= QUARANTINE_RETRY_MS
+
+
 @pytest.mark.parametrize(
     "shared", [(), ("f0",) * 40, tuple(f"n{n}" for n in range(255)), ("",)]
 )
