Show the era of the store in logs and metrics

Cause: the store states in each answer how often a copy has replaced it (Store-Era), and nothing decoded it, so logs could not tell from which copy an answer came. New: store_era_changed, era= in operators_records_read and records_gone, toucanyard_store_era. No decision depends on it yet. Before: end=22 end_before=26 alone; after: with the era of the answer.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -136,6 +136,7 @@
     yield _format("peers_linked", len(core.exchange.linked))
     yield _format("nodes_alive", core.node_directory.count_alive(now_ms))
     yield _format("is_stopping", int(core.is_stopping))
+    yield _format("store_era", core.era.era)
     for topic in Topic:
         view = core.exchange.views[topic]
         yield _format("view_end", view.end, topic=topic.value)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -110,6 +110,8 @@
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: int = 0
+    """Era of the store that returned them."""
 
 
 class PromptBlockPage(msgspec.Struct, frozen=True):
@@ -143,6 +145,11 @@
 class Store(Protocol):
     """The platform's store; every method may raise StoreError."""
 
+    @property
+    def era(self) -> int:
+        """Return the highest era that any answer has stated; 0 if none has."""
+        ...
+
     async def read_newest(self, topic: Topic) -> TopicPage:
         """Return the newest record of each key; `end` was determined before."""
         ...
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -31,6 +31,7 @@
     ReadReplicaState,
     RelayEvent,
     ReplicaStateRead,
+    StoreEraSeen,
     StoreFailed,
     TopicRead,
     WeightsOrder,
@@ -86,6 +87,7 @@
     __slots__ = (
         "_client",
         "_core",
+        "_era",
         "_failed_ms",
         "_is_down",
         "_needs_full_read",
@@ -109,6 +111,8 @@
         self._running_reads = Counter[Topic]()
         """Number of running reads per topic."""
         self._is_down = False
+        self._era = 0
+        """The last era that the core was told."""
         self._failed_ms = float("-inf")
         """When the last failed read ended."""
         self._returned = trio.Event()
@@ -168,6 +172,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 now_ms = trio.current_time() * 1000
+                self._report_era()
                 if topic is Topic.OPERATOR:
                     self._check_poll(now_ms)
                 if self._is_due(topic, now_ms):
@@ -176,6 +181,12 @@
                     nursery.start_soon(self._read_then_pause, topic)
                 await trio.sleep(self._compute_check_interval(topic, now_ms))
 
+    def _report_era(self) -> None:
+        """Tell the core the store's era once any answer has stated a higher one."""
+        if self._store.era > self._era:
+            self._era = self._store.era
+            self._client.send_event(StoreEraSeen(self._era))
+
     def _compute_check_interval(self, topic: Topic, now_ms: float) -> float:
         if self._core.node_directory.is_full_mesh():
             return CHECK_INTERVAL_S[topic]
@@ -211,7 +222,9 @@
             else:
                 page = await self._store.read_since(topic, since, wait_ms)
         except RecordsGoneError:
-            _LOG.info("records_gone", topic=topic.value, since=since)
+            _LOG.info(
+                "records_gone", topic=topic.value, since=since, era=self._store.era
+            )
             page_or_none = await self._read_again(topic)
             if page_or_none is None:
                 return False
@@ -230,7 +243,13 @@
             seen_ms = min(seen_ms, now_ms)
         self._client.send_event(
             TopicRead(
-                topic, page.records, page.end, is_full_read, seen_ms, wait_ms > 0.0
+                topic,
+                page.records,
+                page.end,
+                is_full_read,
+                seen_ms,
+                wait_ms > 0.0,
+                page.era,
             )
         )
         # The core may not have applied the page when the next read looks up its offset.
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -60,6 +60,7 @@
     ReplicaStatementSeen,
     ReplicaStateRead,
     StopBegun,
+    StoreEraSeen,
     StoreFailed,
     TickPassed,
     TopicRead,
@@ -81,6 +82,7 @@
 from toucanyard.software_versions import SoftwareVersions
 from toucanyard.statement_events import StatementEvents
 from toucanyard.status_exchange import StatusExchange
+from toucanyard.store_era import StoreEra
 from toucanyard.store_reads import StoreReads
 from toucanyard.target_weights import TargetWeightsTable
 from toucanyard.topic_updates import TopicUpdates
@@ -265,6 +267,7 @@
             self.statuses,
             options.weights.deadline_ms,
         )
+        self.era = StoreEra()
         self.is_stopping = False
         self._pruned_ms = float("-inf")
         self._guard_events = GuardEvents(self.guard, self.probes)
@@ -326,10 +329,8 @@
                 yield from self._handle_rollout(event, now_ms)
             case ConnectionProbed():
                 self.reach.record_probe(event, now_ms)
-            case TopicRead():
-                yield from self.topics.handle_read(event, now_ms)
-            case StoreFailed():
-                yield self.topics.describe_failure(event, now_ms)
+            case TopicRead() | StoreEraSeen() | StoreFailed():
+                yield from self._handle_store(event, now_ms)
             case PeersLinked() | LinkMessageRead():
                 yield from self._handle_link(event, now_ms)
             case (
@@ -345,6 +346,17 @@
             case TickPassed():
                 yield from self._tick(now_ms)
 
+    def _handle_store(
+        self, event: TopicRead | StoreEraSeen | StoreFailed, now_ms: float
+    ) -> Iterator[RelayAction]:
+        match event:
+            case TopicRead():
+                yield from self.topics.handle_read(event, now_ms)
+            case StoreEraSeen(era=era):
+                yield from self.era.record(era, "store", now_ms)
+            case StoreFailed():
+                yield self.topics.describe_failure(event, now_ms)
+
     def _handle_link(
         self, event: PeersLinked | LinkMessageRead, now_ms: float
     ) -> Iterator[RelayAction]:
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -87,6 +87,14 @@
     asked_ms: float
     is_polled: bool = False
     """Whether the read waited for a change, as other nodes' reads do too."""
+    era: int = 0
+    """Era of the store that returned them."""
+
+
+class StoreEraSeen(msgspec.Struct, frozen=True):
+    """An answer of the store stated a higher era than any before."""
+
+    era: int
 
 
 class StoreFailed(msgspec.Struct, frozen=True):
@@ -267,6 +275,7 @@
     | ForwardEnded
     | ConnectionProbed
     | TopicRead
+    | StoreEraSeen
     | StoreFailed
     | ReplicaStatementSeen
     | PeersLinked
--- a/packages/toucanyard/src/toucanyard/topic_updates.py
+++ b/packages/toucanyard/src/toucanyard/topic_updates.py
@@ -137,6 +137,7 @@
         "records": len(read.records),
         "end": read.end,
         "end_before": before,
+        "era": read.era,
         "after_ms": round(now_ms - read.asked_ms),
     }
     return LogEntry("operators_records_read", fields)
--- a/tests/toucanyard_node/polling_fleet.py
+++ b/tests/toucanyard_node/polling_fleet.py
@@ -114,6 +114,10 @@
         self._name = name
         self._shared = shared
 
+    @property
+    def era(self) -> int:
+        return 0
+
     async def read_newest(self, topic: Topic) -> TopicPage:
         return await self._shared.read(self._name, topic, 0, 0.0)
 
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -51,6 +51,10 @@
         self.first[topic] += len(self.records[topic])
         self.records[topic] = []
 
+    @property
+    def era(self) -> int:
+        return 0
+
     async def read_newest(self, topic: Topic) -> TopicPage:
         self.reads.append(("newest", topic, 0))
         await self._wait(0.0)
--- a/tests/toucanyard_platform/test_store_client.py
+++ b/tests/toucanyard_platform/test_store_client.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 
 import msgspec
 import pytest
@@ -154,3 +155,33 @@
     assert written.value == msgspec.json.encode(request)
     assert erased.value is None
     assert seen[0].query["topic"] == "keyed.nodes"
+
+
+@pytest.mark.parametrize("status", [200, 410, 412, 429, 503])
+async def test_every_answer_states_the_era(status: int) -> None:
+    """Guards against learning of a restored store only once a read succeeds."""
+    headers = (("Store-Era", "3"),)
+    async with serve(lambda _: (status, headers, build_page(0))) as (address, _):
+        client = StoreClient(address)
+        assert client.era == 0
+        with contextlib.suppress(StoreError, RecordsGoneError, LeaseConflictError):
+            await client.read_since(Topic.OPERATOR, 0, 0.0)
+    assert client.era == 3
+
+
+@pytest.mark.parametrize("stated", ["", "x", "-1", "1.5", "9" * 40, "\u0663"])
+async def test_invalid_or_absent_era_changes_nothing(stated: str) -> None:
+    """Guards against taking a store that states no era for one that was restored."""
+    eras = ["2", stated, None]
+
+    def answer(_: HttpRequest) -> Reply:
+        era = eras.pop(0)
+        headers = () if era is None else (("Store-Era", era),)
+        return 200, headers, build_page(0)
+
+    async with serve(answer) as (address, _):
+        client = StoreClient(address)
+        for _ in range(2):
+            page = await client.read_since(Topic.OPERATOR, 0, 0.0)
+            assert page.era == client.era == 2
+        assert (await client.read_since(Topic.OPERATOR, 0, 0.0)).era == 2
