Reproduce a store that comes back from an older copy (failing)

What callers saw: a revoked key was let through more than 2 s after the store had confirmed its revocation.

--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -148,6 +148,8 @@
     records: tuple[tuple[int, bytes], ...]
     """Offset and value."""
     end: int
+    era: int = 0
+    """Era of the store that returned them."""
 
 
 class LeaseAppended(msgspec.Struct, frozen=True):
@@ -157,6 +159,8 @@
     sent_ms: float
     end: int | None = None
     """End of the topic, if the append's condition failed."""
+    era: int = 0
+    """Era of the store that answered."""
 
 
 class ReplicaState(msgspec.Struct, frozen=True):
@@ -257,6 +261,8 @@
 
     value: bytes
     at: int
+    era: int = 0
+    """Era of the store in which the topic ended at this offset."""
 
 
 class ReadReplicaState(msgspec.Struct, frozen=True):
--- a/tests/toucanyard_node/polling_fleet.py
+++ b/tests/toucanyard_node/polling_fleet.py
@@ -21,8 +21,9 @@
 from toucanyard.relay_events import LinkMessageRead, PeersLinked, SendToPeer
 from toucanyard.relay_options import RelayListen, RelayOptions
 from toucanyard.routes import RouteTable
+from toucanyard.target_weights import WantedWeights
 from toucanyard_node.relay_metrics import RelayMetrics
-from toucanyard_node.relay_ports import StoreError, TopicPage
+from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TopicPage
 from toucanyard_node.relay_store import StoreReader
 from toucanyard_node.relay_task import BackgroundJob, RelayTask
 
@@ -44,11 +45,15 @@
         self.is_refusing = False
         """Whether all reads, also pending ones, are refused at once."""
         self.reads: list[tuple[float, NodeName, Topic]] = []
+        self.gone_reads: list[tuple[float, NodeName, Topic]] = []
+        """Reads from past the end of a topic."""
+        self.era = 0
+        self._copy: dict[Topic, list[KeyedRecord]] = {}
         self._grown = {topic: trio.Event() for topic in Topic}
         self._lost: dict[NodeName, int] = {}
         """How often all pending reads of a node were lost."""
 
-    def append(self, topic: Topic, key: str, value: bytes) -> None:
+    def append(self, topic: Topic, key: str, value: bytes | None) -> None:
         records = self.records[topic]
         records.append(KeyedRecord(key, len(records), value))
         self._grown[topic].set()
@@ -65,6 +70,20 @@
         for name in names:
             self._lost[name] = self._lost.get(name, 0) + 1
 
+    def take_copy(self) -> None:
+        """Take the copy from which the store can be restored."""
+        self._copy = {topic: list(records) for topic, records in self.records.items()}
+
+    def restore_copy(self) -> dict[Topic, list[KeyedRecord]]:
+        """Replace all records by the copy's; return the records that are lost."""
+        lost = {
+            topic: records[len(self._copy[topic]) :]
+            for topic, records in self.records.items()
+        }
+        self.records = {topic: list(records) for topic, records in self._copy.items()}
+        self.era += 1
+        return lost
+
     def refuse(self) -> None:
         """Refuse all reads from now on, and end those that are pending."""
         self.is_refusing = True
@@ -91,7 +110,7 @@
             await trio.sleep(ANSWER_DELAY_S)
             raise StoreError("refused", is_refused=True)
         if not self._is_silent(name, topic):
-            if offset >= len(self.records[topic]):
+            if offset == len(self.records[topic]):
                 with trio.move_on_after(wait_ms / 1000):
                     await self._grown[topic].wait()
             await trio.sleep(ANSWER_DELAY_S)
@@ -100,8 +119,20 @@
         if self._is_silent(name, topic) or lost != self._lost.get(name, 0):
             await trio.sleep_until(begun_s + READ_TIMEOUT_S + wait_ms / 1000)
             raise StoreError("no answer")
+        self._check_offset(name, topic, offset)
         records = tuple(self.records[topic][offset:])
-        return TopicPage(records, offset + len(records))
+        return TopicPage(records, offset + len(records), self.era)
+
+    def find_newest(self, topic: Topic) -> tuple[KeyedRecord, ...]:
+        """Return the newest record of each key that is not removed."""
+        newest = {each.key: each for each in self.records[topic]}
+        return tuple(each for each in newest.values() if each.value is not None)
+
+    def _check_offset(self, name: NodeName, topic: Topic, offset: int) -> None:
+        """Raise RecordsGoneError if a read is from past the end."""
+        if offset > len(self.records[topic]):
+            self.gone_reads.append((trio.current_time(), name, topic))
+            raise RecordsGoneError
 
     def _is_silent(self, name: NodeName, topic: Topic) -> bool:
         return name in self.silent_for or topic in self.silent_topics
@@ -116,10 +147,12 @@
 
     @property
     def era(self) -> int:
-        return 0
+        return self._shared.era
 
     async def read_newest(self, topic: Topic) -> TopicPage:
-        return await self._shared.read(self._name, topic, 0, 0.0)
+        page = await self._shared.read(self._name, topic, 0, 0.0)
+        records = self._shared.find_newest(topic)
+        return TopicPage(records, page.end, page.era)
 
     async def read_since(self, topic: Topic, offset: int, wait_ms: float) -> TopicPage:
         return await self._shared.read(self._name, topic, offset, wait_ms)
@@ -183,6 +216,7 @@
         self.published_s: dict[int, float] = {}
         self._by_name = {node.name: node for node in self.nodes}
         self._linked: dict[NodeName, set[NodeName]] = {}
+        self._nursery: trio.Nursery | None = None
         for node in self.nodes:
             record = msgspec.json.encode(node.core.own_record)
             self.store.append(Topic.NODES, node.name, record)
@@ -194,12 +228,37 @@
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._link)
             nursery.start_soon(self._sample)
             for node in self.nodes:
-                nursery.start_soon(node.task.run)
-                nursery.start_soon(node.reader.run)
-                nursery.start_soon(self._deliver, node)
+                self._start(node, nursery)
+
+    def add_node(self) -> PollingNode:
+        """Start one more node, which writes its record as nodes do."""
+        node = PollingNode(len(self.nodes), self.store)
+        self.nodes.append(node)
+        self._by_name[node.name] = node
+        record = msgspec.json.encode(node.core.own_record)
+        self.store.append(Topic.NODES, node.name, record)
+        assert self._nursery is not None
+        self._start(node, self._nursery)
+        return node
+
+    def _start(self, node: PollingNode, nursery: trio.Nursery) -> None:
+        nursery.start_soon(node.task.run)
+        nursery.start_soon(node.reader.run)
+        nursery.start_soon(self._deliver, node)
+
+    async def restore_store(
+        self, away_s: float = 1.0
+    ) -> dict[Topic, list[KeyedRecord]]:
+        """Let the store be away and return from its copy; return what is lost."""
+        self.store.refuse()
+        await trio.sleep(away_s)
+        lost = self.store.restore_copy()
+        self.store.restore()
+        return lost
 
     def compute_propagation_s(self, version: int) -> float:
         """Return the time from publication until all nodes had a version, in s."""
@@ -246,10 +305,12 @@
             await trio.sleep(SAMPLE_INTERVAL_S)
 
 
-def decode(topic: Topic, _: str, value: bytes) -> object:
+def decode(topic: Topic, key: str, value: bytes) -> object:
     match topic:
-        case Topic.OPERATOR:
+        case Topic.OPERATOR if key == CONFIG:
             return RouteTable(version=int(value))
+        case Topic.OPERATOR:
+            return WantedWeights(key, int(value))
         case Topic.NODES:
             return msgspec.json.decode(value, type=NodeRecord)
         case Topic.REPLICAS:
--- /dev/null
+++ b/tests/toucanyard_node/test_restored_store.py
@@ -0,0 +1,147 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+import trio
+
+from toucanyard.keyed_view import Topic
+
+from .polling_fleet import PollingFleet
+
+BOUND_S = 2.0
+"""Time from the store's confirmation until a version is in force on all nodes."""
+AWAY_S = 1.0
+"""How long the store is away before it returns from its copy."""
+MODEL = "model"
+MAX_GONE_READS = 4
+"""Reads from past the end that one node may send after one restore: one for each topic
+and one for a poll that was pending."""
+
+
+async def start(fleet: PollingFleet, nursery: trio.Nursery) -> None:
+    nursery.start_soon(fleet.run)
+    await trio.sleep(4)
+
+
+async def publish(fleet: PollingFleet, *versions: int, pause_s: float = 0.2) -> None:
+    for version in versions:
+        fleet.publish(version, trio.current_time())
+        await trio.sleep(pause_s)
+
+
+def find_wanted(fleet: PollingFleet) -> set[int]:
+    """Return the versions of the weights that the nodes want."""
+    targets = [node.core.weight_targets.find(MODEL) for node in fleet.nodes]
+    return {0 if target is None else target.version for target in targets}
+
+
+@pytest.mark.parametrize("count", [5, 69])
+@pytest.mark.parametrize("lost", [1, 4])
+async def test_version_confirmed_after_a_restore_is_in_force_in_time(
+    autojump_clock: object, count: int, lost: int
+) -> None:
+    """Guards against taking records of a restored store for older than known ones."""
+    rng = random.Random(count)
+    fleet = PollingFleet(count)
+    late: dict[int, float] = {}
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        version = 1
+        for _ in range(3):
+            await trio.sleep(rng.uniform(0.0, 4.0))
+            fleet.store.take_copy()
+            before = version
+            version += lost
+            await publish(fleet, *range(before + 1, version + 1))
+            await fleet.restore_store(AWAY_S)
+            await trio.sleep(rng.uniform(0.0, 3.0))
+            version += 1
+            fleet.publish(version, trio.current_time())
+            await trio.sleep(BOUND_S + 1.0)
+            late[version] = fleet.compute_propagation_s(version)
+        nursery.cancel_scope.cancel()
+    assert {each: s for each, s in late.items() if s > BOUND_S} == {}
+
+
+async def test_versions_that_pass_the_old_end_at_once_are_all_read(
+    autojump_clock: object,
+) -> None:
+    """Guards against reading on from an offset that now belongs to other records."""
+    fleet = PollingFleet(5)
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        fleet.store.take_copy()
+        await publish(fleet, *range(2, 6))
+        await fleet.restore_store(AWAY_S)
+        fleet.store.append(Topic.OPERATOR, MODEL, b"2")
+        for version in range(6, 18):
+            fleet.publish(version, trio.current_time())
+        await trio.sleep(BOUND_S)
+        propagation_s = fleet.compute_propagation_s(17)
+        wanted = find_wanted(fleet)
+        nursery.cancel_scope.cancel()
+    assert propagation_s <= BOUND_S
+    assert wanted == {2}
+
+
+async def test_weights_named_after_a_restore_are_wanted_in_time(
+    autojump_clock: object,
+) -> None:
+    """Guards against skipping weights whose offset is below the old end."""
+    fleet = PollingFleet(5)
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        fleet.store.append(Topic.OPERATOR, MODEL, b"2")
+        await trio.sleep(1.0)
+        fleet.store.take_copy()
+        await publish(fleet, *range(2, 6))
+        await fleet.restore_store(AWAY_S)
+        await trio.sleep(0.5)
+        fleet.store.append(Topic.OPERATOR, MODEL, b"3")
+        await trio.sleep(BOUND_S)
+        wanted = find_wanted(fleet)
+        nursery.cancel_scope.cancel()
+    assert wanted == {3}
+
+
+@pytest.mark.parametrize("count", [5, 69])
+async def test_reads_past_the_end_are_not_repeated(
+    autojump_clock: object, count: int
+) -> None:
+    """Guards against a read that fails at once and is sent again without a pause."""
+    fleet = PollingFleet(count)
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        fleet.store.take_copy()
+        await publish(fleet, *range(2, 6))
+        await fleet.restore_store(AWAY_S)
+        await trio.sleep(10.0)
+        nursery.cancel_scope.cancel()
+    assert len(fleet.store.gone_reads) <= MAX_GONE_READS * count
+
+
+@pytest.mark.parametrize("count", [5, 69])
+async def test_lost_version_is_kept_and_told_to_a_node_that_starts(
+    autojump_clock: object, count: int
+) -> None:
+    """Guards against an older configuration of the copy, also on a new node."""
+    fleet = PollingFleet(count)
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        fleet.store.append(Topic.OPERATOR, MODEL, b"2")
+        await trio.sleep(1.0)
+        fleet.store.take_copy()
+        await publish(fleet, *range(2, 6))
+        fleet.store.append(Topic.OPERATOR, MODEL, b"3")
+        await trio.sleep(1.0)
+        await fleet.restore_store(AWAY_S)
+        await trio.sleep(1.0)
+        added = fleet.add_node()
+        await trio.sleep(BOUND_S)
+        in_force = {node.version for node in fleet.nodes}
+        wanted = find_wanted(fleet)
+        nursery.cancel_scope.cancel()
+    assert added.version == 5
+    assert in_force == {5}
+    assert wanted == {3}
