--- a/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/faults.py
@@ -22,6 +22,7 @@
     ScaleOut,
     Slowdown,
     StoreDown,
+    StoreRestored,
 )
 from toucanyard_emulator.simulation import WARM_UP_MS, Simulation
 
@@ -50,8 +51,8 @@
             return simulation.set_target_weights
         case LateOrders():
             return partial(_delay_orders, simulation, fault)
-        case StoreDown():
-            return partial(_stop_store, simulation, fault, purpose)
+        case StoreDown() | StoreRestored():
+            return partial(_disturb_store, simulation, fault, purpose)
         case NodesKilled():
             return partial(_kill_nodes, simulation, fault, purpose)
         case Burst() | HotSubject() | CrashingRequest():
@@ -132,6 +133,16 @@
     return numbers[:count] if count else numbers
 
 
+def _disturb_store(
+    simulation: Simulation, fault: StoreDown | StoreRestored, purpose: str
+) -> None:
+    match fault:
+        case StoreDown():
+            _stop_store(simulation, fault, purpose)
+        case StoreRestored():
+            _begin_restore(simulation, fault)
+
+
 def _stop_store(simulation: Simulation, fault: StoreDown, purpose: str) -> None:
     numbers = set(_choose_nodes(simulation, fault.nodes, purpose))
     simulation.store.down_nodes |= numbers
@@ -142,6 +153,23 @@
     )
 
 
+def _begin_restore(simulation: Simulation, fault: StoreRestored) -> None:
+    store = simulation.store
+    numbers = {node.number for node in simulation.nodes}
+
+    def leave() -> None:
+        store.down_nodes |= numbers
+        _schedule(simulation, fault.for_s, come_back)
+
+    def come_back() -> None:
+        lost = store.restore()
+        store.down_nodes -= numbers
+        _schedule(simulation, fault.again_s, lambda: store.write_again(lost))
+
+    store.take_copy()
+    _schedule(simulation, fault.lost_s, leave)
+
+
 def _kill_nodes(simulation: Simulation, fault: NodesKilled, purpose: str) -> None:
     for number in _choose_nodes(simulation, fault.count, purpose):
         simulation.stop_node(number)
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -7,14 +7,18 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from toucanyard.crash_detector import Reachability
 from toucanyard.keyed_view import Topic
+from toucanyard.log_position import START
 from toucanyard.names import (
     EndpointName,
     Incarnation,
     NodeId,
     RequestId,
 )
+from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import (
     EraseQuarantine,
     QuarantinedRequest,
@@ -22,12 +26,13 @@
 )
 from toucanyard.relay_core import TICK_MS, RelayCore
 from toucanyard.relay_events import (
+    AnnounceNode,
     AppendLease,
     ConnectionProbed,
     LeaseAppended,
-    LeaseRead,
     LinkMessageRead,
     LogEntry,
+    NodeAnnounced,
     OrderAnswered,
     PeersLinked,
     ProbeConnection,
@@ -42,7 +47,6 @@
     SendToPeer,
     StoreFailed,
     TickPassed,
-    TopicRead,
     WeightsOrder,
 )
 from toucanyard.relay_options import RelayOptions
@@ -87,7 +91,7 @@
         self.log_entries: list[tuple[float, LogEntry]] = []
         self._rng = rng
         self._calls: dict[RequestId, RelayedCall] = {}
-        self._next_offsets = dict.fromkeys(Topic, 0)
+        self._next_positions = dict.fromkeys(Topic, START)
         self._followed: dict[EndpointName, int] = {}
         """Number of changes received so far, by holder."""
 
@@ -162,6 +166,8 @@
                 self._call_replica(action)
             case WriteQuarantine() | EraseQuarantine():
                 self._put_quarantine(action)
+            case AnnounceNode(record=record):
+                self._call_store(lambda: self._announce(record), "announce")
             case LogEntry():
                 self.log_entries.append((self.now_ms, action))
 
@@ -195,7 +201,7 @@
 
     def _watch(self, topic: Topic) -> None:
         view = self.core.exchange.views[topic]
-        is_new = not view.end and not self._next_offsets[topic]
+        is_new = view.end == self._next_positions[topic] == START
         if is_new or self.core.reads.is_due(topic, self.now_ms):
             self.core.reads.record_read_started(topic, self.now_ms)
             asked_ms = self.now_ms
@@ -203,13 +209,13 @@
         self.schedule(WATCH_INTERVAL_MS[topic], lambda: self._watch(topic))
 
     def _read(self, topic: Topic, asked_ms: float) -> None:
-        since = max(self.core.exchange.views[topic].end, self._next_offsets[topic])
-        records, end = self.simulation.store.read(topic, since)
-        self._next_offsets[topic] = end
-        self.handle(TopicRead(topic, records, end, since == 0, asked_ms))
+        since = max(self.core.exchange.views[topic].end, self._next_positions[topic])
+        read = self.simulation.store.read(topic, since)
+        self._next_positions[topic] = read.position
+        self.handle(msgspec.structs.replace(read, asked_ms=asked_ms))
 
     def _read_leases(self, offset: int) -> None:
-        self.handle(LeaseRead(*self.simulation.store.read_leases(offset)))
+        self.handle(self.simulation.store.read_leases(offset))
 
     def _append_lease(self, action: AppendLease) -> None:
         sent_ms = self.now_ms
@@ -217,16 +223,26 @@
         if self._is_store_down():
             self.schedule(
                 STORE_TIMEOUT_MS,
-                lambda: self.handle(LeaseAppended(None, sent_ms)),
+                lambda: self._report_append(None, sent_ms, action),
             )
             return
 
         def append() -> None:
             offset = self.simulation.store.append_lease(action.value, action.at)
-            self.handle(LeaseAppended(offset, sent_ms))
+            self._report_append(offset, sent_ms, action)
 
         self.schedule(STORE_LATENCY_MS, append)
 
+    def _report_append(
+        self, offset: int | None, sent_ms: float, action: AppendLease
+    ) -> None:
+        era = self.simulation.store.era
+        self.handle(LeaseAppended(offset, sent_ms, None, era, action.era))
+
+    def _announce(self, record: NodeRecord) -> None:
+        self.simulation.store.put(Topic.NODES, record.name, record)
+        self.handle(NodeAnnounced(self.simulation.store.era))
+
     def _put_quarantine(self, action: WriteQuarantine | EraseQuarantine) -> None:
         request: QuarantinedRequest | None = None
         done: RelayEvent
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
@@ -185,6 +185,17 @@
     """Number of affected nodes; 0 for all."""
 
 
+class StoreRestored(_StrictTable, frozen=True, kw_only=True, tag="store_restored"):
+    """The platform's store is away and comes back from a copy taken at `at_s`."""
+
+    at_s: _NonNegative
+    lost_s: _NonNegative
+    """Time from the copy until the store is away; what is written then is lost."""
+    for_s: _NonNegative = 1.0
+    again_s: _NonNegative = 1.0
+    """Time from its return until operators and replicas have written again."""
+
+
 class NodesKilled(_StrictTable, frozen=True, kw_only=True, tag="nodes_killed"):
     """Nodes are killed and restart without state."""
 
@@ -237,6 +248,7 @@
     | NewWeights
     | LateOrders
     | StoreDown
+    | StoreRestored
     | NodesKilled
     | Burst
     | HotSubject
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/simulation.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/simulation.py
@@ -12,7 +12,7 @@
     CustomerName,
     NodeName,
 )
-from toucanyard.relay_events import LinkMessageRead
+from toucanyard.relay_events import LinkMessageRead, NodeAnnounced
 from toucanyard.relay_options import RelayListen, RelayOptions, WeightsTimings
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.routes import (
@@ -117,6 +117,7 @@
         else:
             self.nodes[number] = node
         self.store.put(Topic.NODES, node.identity.node, node.core.own_record)
+        node.handle(NodeAnnounced(self.store.era))
         node.start()
 
     def stop_node(self, number: int) -> None:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -139,7 +139,10 @@
     yield _format("store_era", core.era.era)
     for topic in Topic:
         view = core.exchange.views[topic]
-        yield _format("view_end", view.end, topic=topic.value)
+        yield _format("view_end", view.end.offset, topic=topic.value)
+        yield _format("view_era", view.end.era, topic=topic.value)
+        unconfirmed = view.count_unconfirmed()
+        yield _format("view_unconfirmed", unconfirmed, topic=topic.value)
         if view.confirmed_ms > float("-inf"):
             age_ms = round(now_ms - view.confirmed_ms)
             yield _format("view_age_ms", age_ms, topic=topic.value)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -19,6 +19,7 @@
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
     LinkMessageRead,
+    NodeAnnounced,
     PeersLinked,
     RelayEvent,
     SendToPeer as SendToPeer,
@@ -205,9 +206,10 @@
     async def _announce(self) -> None:
         """Write the addresses of this node to the store, so that peers find it."""
         record = self.core.own_record
-        await retry_until_success(
+        position = await retry_until_success(
             lambda: self._ports.store.append_node(record), "announce"
         )
+        self._task.client.send_event(NodeAnnounced(position.era))
 
     async def _watch_signals(self, scope: trio.CancelScope) -> None:
         """Start the shutdown on SIGTERM or SIGINT; end at once on the second one."""
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
 
 from toucanyard.crash_detector import Reachability
 from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.log_position import LogPosition
 from toucanyard.names import Address, Fingerprint, ReplicaId
 from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import QuarantinedRequest
@@ -94,14 +94,17 @@
 
 
 class RecordsGoneError(Exception):
-    """The store has deleted some of the requested records."""
+    """The store has none of the requested records.
+
+    It has deleted them, or they are those of a copy that has been replaced.
+    """
 
 
 class LeaseConflictError(Exception):
     """The condition of an append to the lease topic failed."""
 
-    def __init__(self, end: int) -> None:
-        super().__init__(f"the topic ends at {end}")
+    def __init__(self, end: LogPosition) -> None:
+        super().__init__(f"the topic ends at {end.offset} in era {end.era}")
         self.end = end
 
 
@@ -113,6 +116,18 @@
     era: int = 0
     """Era of the store that returned them."""
 
+    @property
+    def position(self) -> LogPosition:
+        """Return up to where the records cover the topic."""
+        return LogPosition(self.era, self.end)
+
+
+class LeasePage(msgspec.Struct, frozen=True):
+    """Records of the lease topic, each with its offset, and the topic's end."""
+
+    records: tuple[tuple[int, bytes], ...]
+    end: LogPosition
+
 
 class PromptBlockPage(msgspec.Struct, frozen=True):
     """Changes reported by a holder of prompt blocks since the last call."""
@@ -161,8 +176,8 @@
         """
         ...
 
-    async def append_node(self, record: NodeRecord) -> int:
-        """Write the addresses of a node; return the offset of the record."""
+    async def append_node(self, record: NodeRecord) -> LogPosition:
+        """Write the addresses of a node; return the position of the record."""
         ...
 
     async def write_quarantine(self, request: QuarantinedRequest) -> None:
@@ -173,12 +188,12 @@
         """Remove the record of a request under quarantine."""
         ...
 
-    async def read_leases(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
-        """Return the lease records from an offset on, and their end offset."""
+    async def read_leases(self, offset: int) -> LeasePage:
+        """Return the lease records from an offset on, or from the first one left."""
         ...
 
-    async def append_lease(self, value: bytes, at: int) -> int:
-        """Append at offset `at` and return it, or raise LeaseConflictError."""
+    async def append_lease(self, value: bytes, at: int) -> LogPosition:
+        """Append at offset `at`, or raise LeaseConflictError; return the position."""
         ...
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -11,7 +11,9 @@
 import trio
 
 from toucanyard.keyed_view import Topic
+from toucanyard.log_position import START, LogPosition
 from toucanyard.names import Fingerprint
+from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import (
     EraseQuarantine,
     QuarantinedRequest,
@@ -19,10 +21,12 @@
 )
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
+    AnnounceNode,
     AppendLease,
     ConnectionProbed,
     LeaseAppended,
     LeaseRead,
+    NodeAnnounced,
     OrderAnswered,
     ProbeConnection,
     QuarantineErased,
@@ -68,7 +72,7 @@
 
     __slots__ = ("begun_ms", "missed_ms", "scope", "since", "topic")
 
-    def __init__(self, topic: Topic, since: int, begun_ms: float) -> None:
+    def __init__(self, topic: Topic, since: LogPosition, begun_ms: float) -> None:
         self.topic = topic
         self.since = since
         self.begun_ms = begun_ms
@@ -91,7 +95,7 @@
         "_failed_ms",
         "_is_down",
         "_needs_full_read",
-        "_next_offsets",
+        "_next_positions",
         "_poll",
         "_returned",
         "_running_reads",
@@ -107,7 +111,7 @@
         self._store = store
         self._rng = rng
         self._needs_full_read = set(Topic)
-        self._next_offsets = dict.fromkeys(Topic, 0)
+        self._next_positions = dict.fromkeys(Topic, START)
         self._running_reads = Counter[Topic]()
         """Number of running reads per topic."""
         self._is_down = False
@@ -141,7 +145,7 @@
         """Return whether the poll was answered, or is lost and must be repeated."""
         now_ms = trio.current_time() * 1000
         self._core.reads.record_read_started(topic, now_ms)
-        self._poll = poll = _Poll(topic, self._find_next_offset(topic), now_ms)
+        self._poll = poll = _Poll(topic, self._find_next_position(topic), now_ms)
         is_read = False
         with poll.scope:
             wait_ms = self._core.reads.compute_poll_wait(self._rng.random(), now_ms)
@@ -163,9 +167,9 @@
         elif now_ms - poll.missed_ms >= POLL_LAG_MS:
             poll.scope.cancel()
 
-    def _find_next_offset(self, topic: Topic) -> int:
+    def _find_next_position(self, topic: Topic) -> LogPosition:
         # Records received from a peer need not be read again.
-        return max(self._core.exchange.views[topic].end, self._next_offsets[topic])
+        return max(self._core.exchange.views[topic].end, self._next_positions[topic])
 
     async def _read_when_due(self, topic: Topic) -> None:
         """Read a topic whenever its view becomes too old."""
@@ -203,7 +207,8 @@
         if topic is Topic.OPERATOR:
             return is_due
         is_new = (
-            topic in self._needs_full_read and not self._core.exchange.views[topic].end
+            topic in self._needs_full_read
+            and self._core.exchange.views[topic].end == START
         )
         return is_new or is_due
 
@@ -214,16 +219,24 @@
 
     async def _read(self, topic: Topic, wait_ms: float) -> bool:
         asked_ms = trio.current_time() * 1000
-        since = self._find_next_offset(topic)
-        is_full_read = topic in self._needs_full_read and not since
+        since = self._find_next_position(topic)
+        is_first_read = topic in self._needs_full_read and since == START
+        is_full_read = is_first_read or since.era < self._store.era
         try:
             if is_full_read:
                 page = await self._store.read_newest(topic)
             else:
-                page = await self._store.read_since(topic, since, wait_ms)
+                page = await self._store.read_since(topic, since.offset, wait_ms)
+            if not is_full_read and page.era != since.era:
+                # The offset belongs to other records in a restored store.
+                is_full_read = True
+                page = await self._store.read_newest(topic)
         except RecordsGoneError:
             _LOG.info(
-                "records_gone", topic=topic.value, since=since, era=self._store.era
+                "records_gone",
+                topic=topic.value,
+                since=since.offset,
+                era=self._store.era,
             )
             page_or_none = await self._read_again(topic)
             if page_or_none is None:
@@ -253,8 +266,11 @@
             )
         )
         # The core may not have applied the page when the next read looks up its offset.
-        self._next_offsets[topic] = max(page.end, self._next_offsets[topic])
-        return True
+        before = self._next_positions[topic]
+        self._next_positions[topic] = max(page.position, before)
+        # A whole read that does not pass the position before would be sent again at
+        # once, since the next read from there fails too.
+        return not is_full_read or is_first_read or page.position > since
 
     async def _read_again(self, topic: Topic) -> TopicPage | None:
         asked_ms = trio.current_time() * 1000
@@ -325,26 +341,35 @@
                 return await self._write_quarantine(request)
             case EraseQuarantine(fingerprint=fingerprint):
                 return await self._erase_quarantine(fingerprint)
+            case AnnounceNode(record=record):
+                return await self._announce_node(record)
 
     async def _read_leases(self, offset: int) -> RelayEvent | None:
         asked_ms = trio.current_time() * 1000
         try:
-            records, end = await self._store.read_leases(offset)
+            page = await self._store.read_leases(offset)
         except StoreError as error:
             return StoreFailed("turns", error.reason, asked_ms)
-        return LeaseRead(tuple(records), end)
+        return LeaseRead(page.records, page.end.offset, page.end.era)
 
     async def _append_lease(self, job: AppendLease) -> RelayEvent:
         sent_ms = trio.current_time() * 1000
         try:
-            offset = await self._store.append_lease(job.value, job.at)
+            position = await self._store.append_lease(job.value, job.at)
         except LeaseConflictError as error:
-            return LeaseAppended(None, sent_ms, error.end)
+            end = error.end
+            return LeaseAppended(None, sent_ms, end.offset, end.era, job.era)
         except StoreError as error:
             self._client.send_event(StoreFailed("turn", error.reason, sent_ms))
-            return LeaseAppended(None, sent_ms)
-        _LOG.info("turn_taken", offset=offset, at=job.at)
-        return LeaseAppended(offset, sent_ms)
+            return LeaseAppended(None, sent_ms, None, self._store.era, job.era)
+        _LOG.info(
+            "turn_taken",
+            offset=position.offset,
+            era=position.era,
+            at=job.at,
+            at_era=job.era,
+        )
+        return LeaseAppended(position.offset, sent_ms, None, position.era, job.era)
 
     async def _write_quarantine(self, request: QuarantinedRequest) -> RelayEvent:
         asked_ms = trio.current_time() * 1000
@@ -364,6 +389,14 @@
         _LOG.info("quarantine_erased", fingerprint=fingerprint)
         return QuarantineErased(fingerprint)
 
+    async def _announce_node(self, record: NodeRecord) -> RelayEvent:
+        asked_ms = trio.current_time() * 1000
+        try:
+            position = await self._store.append_node(record)
+        except StoreError as error:
+            return StoreFailed("announce", error.reason, asked_ms)
+        return NodeAnnounced(position.era)
+
     async def _send_order(self, order: WeightsOrder) -> RelayEvent:
         reply = await self._control.send_order(order)
         self._client.report_statement(order.replica, reply.statement)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -18,6 +18,7 @@
 from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import (
+    AnnounceNode,
     AppendLease,
     CallArrived,
     CallerLeft,
@@ -54,7 +55,8 @@
 
 Reply = trio.MemorySendChannel[RelayVerdict | None]
 BackgroundJob = (
-    ReadLeases
+    AnnounceNode
+    | ReadLeases
     | AppendLease
     | ReadReplicaState
     | ProbeConnection
@@ -218,6 +220,8 @@
                 self._jobs.send_nowait(action)
             case ProbeConnection() | WriteQuarantine() | EraseQuarantine():
                 self._jobs.send_nowait(action)
+            case AnnounceNode():
+                self._jobs.send_nowait(action)
             case LogEntry(event=name, fields=fields):
                 _LOG.info(name, **fields)
 
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -82,7 +82,7 @@
                 yield from self._apply_invalid(change.key, change.fact, source, now_ms)
                 continue
             if change.fact is not None:
-                yield from self._apply_fact(change.fact, source, now_ms, known_for_ms)
+                yield from self._apply_present(change, source, now_ms, known_for_ms)
                 continue
             match change.before:
                 case Replica(listed_as=listed_as):
@@ -110,6 +110,17 @@
                 },
             )
 
+    def _apply_present(
+        self, change: Change, source: str, now_ms: float, known_for_ms: float
+    ) -> Iterator[LogEntry]:
+        match change.fact:
+            case QuarantinedRequest() as quarantined if change.is_lost:
+                self._guard.apply_lost(quarantined, source, now_ms)
+            case QuarantinedRequest() as quarantined:
+                self._guard.apply_record(quarantined, source, now_ms)
+            case fact if fact != change.before:
+                yield from self._apply_fact(fact, source, now_ms, known_for_ms)
+
     def _apply_invalid(
         self, key: str, record: InvalidRecord, source: str, now_ms: float
     ) -> Iterator[LogEntry]:
@@ -126,7 +137,7 @@
         yield from self._invalid.log(fields, now_ms)
 
     def _apply_fact(
-        self, fact: object, source: str, now_ms: float, known_for_ms: float
+        self, fact: object | None, source: str, now_ms: float, known_for_ms: float
     ) -> Iterator[LogEntry]:
         match fact:
             case RouteTable():
@@ -140,8 +151,6 @@
             case NodeRecord(name=node):
                 self._node_directory.apply(fact)
                 yield LogEntry("node_known", {"node": node, "source": source})
-            case QuarantinedRequest():
-                self._guard.apply_record(fact, source, now_ms)
             case Release():
                 self._guard.release(fact, now_ms)
 
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -15,6 +15,7 @@
 from toucanyard.cbor_messages import decode_cbor
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.limit_delegations import ShareDelegation
+from toucanyard.log_position import Era, LogPosition
 from toucanyard.names import (
     EndpointName,
     Fingerprint,
@@ -45,6 +46,15 @@
     end: int
     answer: StoreReadUpdate | None = None
     """The store's newest answer, which contained nothing beyond `end`."""
+    era: Era = 0
+    """Era of the store in which the topic ended there."""
+    unconfirmed: int = 0
+    """Digest of what the node knows beyond the records of a restored store."""
+
+    @property
+    def position(self) -> LogPosition:
+        """Return up to where the node has read the topic."""
+        return LogPosition(self.era, self.end)
 
 
 class ReplicaUsageReport(msgspec.Struct, frozen=True, array_like=True):
@@ -206,7 +216,15 @@
     end: int
     is_whole: bool
     records: tuple[KeyedRecord, ...]
+    """Those of an earlier era than the message are no longer in the store."""
     answer: StoreReadUpdate | None = None
+    era: Era = 0
+    """Era of the store in which `since` and `end` are offsets."""
+
+    @property
+    def position(self) -> LogPosition:
+        """Return up to where the records cover the topic."""
+        return LogPosition(self.era, self.end)
 
 
 class LimitKind(enum.StrEnum):
--- a/packages/toucanyard/src/toucanyard/quarantine.py
+++ b/packages/toucanyard/src/toucanyard/quarantine.py
@@ -75,6 +75,8 @@
     """When its record was written or read; None before that."""
     written_ms: float = float("-inf")
     """When this node last tried to write it."""
+    lost_ms: float | None = None
+    """When the record was found to be lost by the store, unless written again."""
     refused: int = 0
     trial_id: RequestId | None = None
     """The call that is let through, to find out whether the verdict was wrong."""
@@ -88,6 +90,7 @@
     """The entries of one node. Invariant: never more than MAX_ENTRIES."""
 
     __slots__ = (
+        "_ended",
         "_entries",
         "_erasing",
         "_find_rank",
@@ -103,6 +106,8 @@
         self._erasing: dict[Fingerprint, float] = {}
         """Records to remove, and when this node last tried."""
         self._released: set[Release] = set()
+        self._ended: dict[Release, None] = {}
+        """The last entries that have ended; a restored store may list them again."""
         self._ticked_ms = float("-inf")
 
     def find(self, fingerprint: Fingerprint) -> Entry | None:
@@ -147,7 +152,7 @@
 
     def apply_record(self, request: QuarantinedRequest, now_ms: float) -> bool:
         """Apply a record from the log; return whether the entry is new."""
-        if Release(request.fingerprint, request.entry_id) in self._released:
+        if self._has_ended(request):
             self._erasing.setdefault(request.fingerprint, now_ms)
             return False
         entry = self._entries.get(request.fingerprint)
@@ -156,18 +161,44 @@
             return True
         entry.request = request
         entry.stored_ms = now_ms
+        entry.lost_ms = None
         return False
 
+    def apply_lost(self, request: QuarantinedRequest, now_ms: float) -> bool:
+        """Apply a record that the store has lost; return whether the entry is new."""
+        if self._has_ended(request):
+            return False
+        entry = self._entries.get(request.fingerprint)
+        is_new = entry is None
+        if entry is None:
+            entry = self._add(Entry(request, now_ms, now_ms))
+        entry.stored_ms = None
+        entry.lost_ms = now_ms
+        return is_new
+
+    def _has_ended(self, request: QuarantinedRequest) -> bool:
+        ended = Release(request.fingerprint, request.entry_id)
+        return ended in self._released or ended in self._ended
+
+    def _record_ended(self, request: QuarantinedRequest) -> None:
+        self._ended[Release(request.fingerprint, request.entry_id)] = None
+        if len(self._ended) > MAX_ENTRIES:
+            del self._ended[next(iter(self._ended))]
+
     def on_record_removed(self, fingerprint: Fingerprint) -> bool:
         """Drop an entry whose record was removed; return whether there was one."""
         self._erasing.pop(fingerprint, None)
-        return self._entries.pop(fingerprint, None) is not None
+        entry = self._entries.pop(fingerprint, None)
+        if entry is not None:
+            self._record_ended(entry.request)
+        return entry is not None
 
     def on_written(self, fingerprint: Fingerprint, now_ms: float) -> None:
         """Record that the log has stored this node's record."""
         entry = self._entries.get(fingerprint)
         if entry is not None:
             entry.stored_ms = now_ms
+            entry.lost_ms = None
 
     def on_erased(self, fingerprint: Fingerprint) -> None:
         """Record that the log has accepted the removal of a record."""
@@ -178,7 +209,9 @@
         entry = self._entries.pop(fingerprint, None)
         if entry is None:
             return False
-        if entry.stored_ms is not None or entry.written_ms > float("-inf"):
+        self._record_ended(entry.request)
+        is_written = entry.written_ms > float("-inf") or entry.lost_ms is not None
+        if entry.stored_ms is not None or is_written:
             self._erasing[fingerprint] = now_ms
         return True
 
@@ -221,7 +254,8 @@
             is_old = now_ms - entry.stored_ms >= RENEW_MS
             return is_old and entry.asked_ms > entry.stored_ms
         delay_ms = self._compute_delay(entry.request.fingerprint, now_ms)
-        return now_ms - entry.begun_ms >= delay_ms
+        begun_ms = entry.begun_ms if entry.lost_ms is None else entry.lost_ms
+        return now_ms - begun_ms >= delay_ms
 
     def _compute_delay(self, fingerprint: Fingerprint, now_ms: float) -> float:
         rank = min(self._find_rank(fingerprint, now_ms), MAX_RANK)
--- /dev/null
+++ b/packages/toucanyard/src/toucanyard/record_revisions.py
@@ -0,0 +1,18 @@
+"""Find the revision of facts that operators number themselves.
+
+Their numbers outlive a restore of the store, after which an older record comes back.
+"""
+
+from __future__ import annotations
+
+from toucanyard.routes import RouteTable
+from toucanyard.target_weights import WantedWeights
+
+
+def find_revision(fact: object) -> int | None:
+    """Return the number by which a fact supersedes others of its key, if it has one."""
+    match fact:
+        case RouteTable(version=version) | WantedWeights(version=version):
+            return version
+        case _:
+            return None
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -30,11 +30,13 @@
     OriginReport,
     ViewRecords,
 )
+from toucanyard.log_position import START
 from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.node_records import NodeRecord
 from toucanyard.origin_events import OriginEvents
 from toucanyard.origin_exchange import OriginExchange
+from toucanyard.own_announcement import OwnAnnouncement
 from toucanyard.prompt_block_sources import PromptBlockSources
 from toucanyard.prompt_block_updates import PromptBlockUpdates
 from toucanyard.reach_events import ReachEvents
@@ -50,6 +52,7 @@
     LeaseRead,
     LinkMessageRead,
     LogEntry,
+    NodeAnnounced,
     OrderAnswered,
     PeersLinked,
     PromptBlocksChanged,
@@ -108,7 +111,13 @@
     | ForwardEnded
     | ReplicaStatementSeen
 )
-PassiveEvent = PromptBlocksChanged | HolderLost | QuarantineWritten | QuarantineErased
+PassiveEvent = (
+    PromptBlocksChanged
+    | HolderLost
+    | QuarantineWritten
+    | QuarantineErased
+    | NodeAnnounced
+)
 RolloutEvent = LeaseRead | LeaseAppended | ReplicaStateRead | OrderAnswered
 
 
@@ -139,6 +148,7 @@
             listen.peers,
             options.link_mbps,
         )
+        self.era = StoreEra()
         self.node_directory = NodeDirectory(self.own_record, options.seeds)
         self.exchange = ViewExchange(decode, self.node_directory.is_full_mesh, rng)
         self.sources = PromptBlockSources(self.directory, self.node_directory)
@@ -246,7 +256,7 @@
         coordinators = LimitCoordinators(
             self.node_directory,
             self.statuses.count_group,
-            lambda: self.exchange.views[Topic.NODES].end > 0,
+            lambda: self.exchange.views[Topic.NODES].end > START,
             options.policy.limits.strategy,
         )
         self.shares = SharedLimits(
@@ -258,7 +268,10 @@
         self._limit_events = LimitEvents(
             self.shares, self.replica_limits, self.flow, self.statuses
         )
-        self.reads = StoreReads(self.node_directory, self.exchange)
+        self.reads = StoreReads(self.node_directory, self.exchange, self.era)
+        self._announcement = OwnAnnouncement(
+            self.own_record, self.exchange.views[Topic.NODES], rng
+        )
         self.topics = TopicUpdates(
             self.exchange,
             self.facts,
@@ -266,8 +279,8 @@
             self.node_directory,
             self.statuses,
             options.weights.deadline_ms,
+            self.era,
         )
-        self.era = StoreEra()
         self.is_stopping = False
         self._pruned_ms = float("-inf")
         self._guard_events = GuardEvents(self.guard, self.probes)
@@ -338,6 +351,7 @@
                 | HolderLost()
                 | QuarantineWritten()
                 | QuarantineErased()
+                | NodeAnnounced()
             ):
                 self._handle_passive(event, now_ms)
             case StopBegun():
@@ -408,6 +422,8 @@
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
         yield from self.probes.probe_unreachable(now_ms)
         yield from self._guard_events.tick(now_ms)
+        yield from self._announcement.tick(now_ms)
+        yield from self.topics.tick(now_ms)
         yield from self._limit_events.tick(now_ms)
         yield from self._origin_events.tick(now_ms)
         yield from self.flow.tick(now_ms)
@@ -436,6 +452,8 @@
                 self._guard_events.on_stored(event, now_ms)
                 # Peers receive the record from the node that reads it first.
                 self.reads.mark_outdated(Topic.NODES)
+            case NodeAnnounced(era=era):
+                self._announcement.record_written(era)
 
     def _log_hub_change(self) -> Iterator[RelayAction]:
         """Log the hub that this node reports to whenever it changes."""
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -8,6 +8,7 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.link_messages import LinkMessage
 from toucanyard.log_entries import LogEntry as LogEntry
+from toucanyard.log_position import LogPosition
 from toucanyard.names import (
     Address,
     EndpointName,
@@ -17,6 +18,7 @@
     ReplicaId,
     RequestId,
 )
+from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import EraseQuarantine, WriteQuarantine
 from toucanyard.relay_requests import (
     ForwardOutcome,
@@ -90,6 +92,11 @@
     era: int = 0
     """Era of the store that returned them."""
 
+    @property
+    def position(self) -> LogPosition:
+        """Return up to where the records cover the topic."""
+        return LogPosition(self.era, self.end)
+
 
 class StoreEraSeen(msgspec.Struct, frozen=True):
     """An answer of the store stated a higher era than any before."""
@@ -161,6 +168,8 @@
     """End of the topic, if the append's condition failed."""
     era: int = 0
     """Era of the store that answered."""
+    condition_era: int = 0
+    """Era in which the append's condition was read."""
 
 
 class ReplicaState(msgspec.Struct, frozen=True):
@@ -235,6 +244,13 @@
     fingerprint: Fingerprint
 
 
+class NodeAnnounced(msgspec.Struct, frozen=True):
+    """The record of this node was written to the log."""
+
+    era: int
+    """Era of the store that accepted it."""
+
+
 class StopBegun(msgspec.Struct, frozen=True):
     """The planned stop has begun."""
 
@@ -250,6 +266,12 @@
     message: LinkMessage
 
 
+class AnnounceNode(msgspec.Struct, frozen=True):
+    """Write the record of this node again; answered by one NodeAnnounced."""
+
+    record: NodeRecord
+
+
 class ReadLeases(msgspec.Struct, frozen=True):
     """Read the lease records from an offset on."""
 
@@ -294,6 +316,7 @@
     | OrderAnswered
     | QuarantineWritten
     | QuarantineErased
+    | NodeAnnounced
     | StopBegun
     | TickPassed
 )
@@ -307,5 +330,6 @@
     | WeightsOrder
     | WriteQuarantine
     | EraseQuarantine
+    | AnnounceNode
     | LogEntry
 )
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -184,6 +184,13 @@
         if self.quarantine.apply_record(request, now_ms):
             self.verdicts.log("request_quarantined", request, source=source)
 
+    def apply_lost(
+        self, request: QuarantinedRequest, source: str, now_ms: float
+    ) -> None:
+        """Apply a record that the restored store has lost."""
+        if self.quarantine.apply_lost(request, now_ms):
+            self.verdicts.log("request_quarantined", request, source=source)
+
     def on_record_removed(self, request: QuarantinedRequest) -> None:
         """End the entry whose record was removed from the log."""
         if self.quarantine.on_record_removed(request.fingerprint):
--- a/packages/toucanyard/src/toucanyard/store_availability.py
+++ b/packages/toucanyard/src/toucanyard/store_availability.py
@@ -53,7 +53,14 @@
     reads is not an outage.
     """
 
-    __slots__ = ("_before_ms", "_read_id", "_recent", "_since_ms", "asked_ms")
+    __slots__ = (
+        "_before_ms",
+        "_read_id",
+        "_recent",
+        "_restored",
+        "_since_ms",
+        "asked_ms",
+    )
 
     def __init__(self) -> None:
         self.asked_ms = NEVER
@@ -63,6 +70,8 @@
         self._since_ms = NEVER
         self._before_ms = NEVER
         """When the last read before the outage was sent; NEVER without an outage."""
+        self._restored: StoreOutage | None = None
+        """The outage in which the store was restored from a copy."""
 
     def find_last_read(self) -> AnsweredRead | None:
         """Return the newest answered read, to report to peers, if there is any."""
@@ -72,10 +81,21 @@
 
     def find_outage(self) -> StoreOutage | None:
         """Return the last outage of the store for all nodes, if there was one."""
+        restored = self._restored
         if self._before_ms == NEVER:
-            return None
+            return restored
+        if restored is not None and restored.returned_ms > self._since_ms:
+            return restored
         return StoreOutage(self._before_ms, self._since_ms)
 
+    def record_restore(self, returned_ms: float) -> None:
+        """Record that the store was restored from a copy, known since `returned_ms`.
+
+        However short the outage was, entries of that time are missing in the copy.
+        """
+        before_ms = min(self.asked_ms, returned_ms - SAME_MS)
+        self._restored = StoreOutage(before_ms, returned_ms)
+
     def record_read(self, read: AnsweredRead, away_ms: float) -> None:
         """Record a read; a gap longer than `away_ms` before it was an outage."""
         self._extend_period(read, away_ms)
--- a/packages/toucanyard/src/toucanyard/store_era.py
+++ b/packages/toucanyard/src/toucanyard/store_era.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 from toucanyard.log_entries import LogEntry
 
 
@@ -17,11 +15,11 @@
         self.since_ms = float("-inf")
         """When this node learned of the era."""
 
-    def record(self, era: int, source: str, now_ms: float) -> Iterator[LogEntry]:
-        """Record an era that the store or a peer has stated."""
+    def record(self, era: int, source: str, now_ms: float) -> list[LogEntry]:
+        """Record an era that the store or a peer has stated; return what to log."""
         if era <= self.era:
-            return
+            return []
         before, self.era = self.era, era
         self.since_ms = now_ms
-        fields = {"era": era, "before": before, "source": source}
-        yield LogEntry("store_era_changed", fields)
+        fields: dict[str, object] = {"era": era, "before": before, "source": source}
+        return [LogEntry("store_era_changed", fields)]
--- a/packages/toucanyard/src/toucanyard/store_reads.py
+++ b/packages/toucanyard/src/toucanyard/store_reads.py
@@ -8,6 +8,7 @@
 
 from toucanyard.keyed_view import Topic
 from toucanyard.node_directory import NodeDirectory
+from toucanyard.store_era import StoreEra
 from toucanyard.store_schedule import (
     MAX_READ_LATENESS_MS,
     MAX_RETRY_RANK,
@@ -16,6 +17,7 @@
     compute_due,
     compute_poll_wait,
     compute_read_age,
+    compute_restore_delay,
 )
 from toucanyard.view_exchange import ViewExchange
 
@@ -23,9 +25,12 @@
 class StoreReads:
     """When the next read of each topic is due on one node, and when the last began."""
 
-    __slots__ = ("_requested_ms", "_exchange", "_outdated", "_node_directory")
+    __slots__ = ("_era", "_exchange", "_node_directory", "_outdated", "_requested_ms")
 
-    def __init__(self, node_directory: NodeDirectory, exchange: ViewExchange) -> None:
+    def __init__(
+        self, node_directory: NodeDirectory, exchange: ViewExchange, era: StoreEra
+    ) -> None:
+        self._era = era
         self._node_directory = node_directory
         self._exchange = exchange
         self._requested_ms = dict.fromkeys(Topic, float("-inf"))
@@ -39,6 +44,8 @@
         """Return when this node should read a topic, by its current state."""
         if topic in self._outdated:
             return self._requested_ms[topic] + RETRY_MS
+        if self._exchange.views[topic].end.era < self._era.era:
+            return self._find_restore_due(topic, now_ms)
         due_ms = compute_due(
             topic,
             self._node_directory.find_rank(topic.value, now_ms),
@@ -55,6 +62,14 @@
             return max(due_ms, self._requested_ms[topic] + SILENT_RETRY_MS)
         return float("inf")
 
+    def _find_restore_due(self, topic: Topic, now_ms: float) -> float:
+        """Return when this node should read a topic of a restored store."""
+        delay_ms = compute_restore_delay(
+            self._node_directory.find_rank(topic.value, now_ms),
+            is_full_mesh=self._node_directory.is_full_mesh(),
+        )
+        return max(self._era.since_ms + delay_ms, self._requested_ms[topic] + RETRY_MS)
+
     def may_retry_read(self, topic: Topic, now_ms: float) -> bool:
         """Return whether to read a topic while an earlier read of it is pending."""
         return self._node_directory.find_rank(topic.value, now_ms) <= MAX_RETRY_RANK
--- a/packages/toucanyard/src/toucanyard/store_schedule.py
+++ b/packages/toucanyard/src/toucanyard/store_schedule.py
@@ -65,6 +65,16 @@
     )
 
 
+def compute_restore_delay(rank: int, *, is_full_mesh: bool = True) -> float:
+    """Return how long after a restore of the store a node reads a topic again.
+
+    The node of rank 0 reads it at once and sends it to the others.
+    """
+    topic = Topic.REPLICAS
+    read_ms = compute_read_age(topic, rank, is_full_mesh=is_full_mesh)
+    return read_ms - MAX_TOPIC_AGE_MS[topic]
+
+
 def compute_outage_threshold(topic: Topic, *, is_full_mesh: bool) -> float:
     """Return the time without an answered read that counts as an outage for all nodes.
 
--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -13,7 +13,9 @@
 
 from toucanyard.keyed_view import Change, Decode, KeyedRecord, KeyedView, Topic
 from toucanyard.link_messages import StoreReadUpdate, ViewRecords, ViewStatus
+from toucanyard.log_position import START, LogPosition
 from toucanyard.names import NodeName
+from toucanyard.record_revisions import find_revision
 from toucanyard.relay_events import SendToPeer
 from toucanyard.seen_updates import new_update_id
 from toucanyard.store_availability import AnsweredRead
@@ -23,6 +25,9 @@
 """Arrivals kept for each topic: all within the time for which records are held back."""
 RESEND_MS: Final = 700.0
 """Time after which records are sent again to a peer whose status lacks them."""
+RESTORE_HOLD_MS: Final = 300.0
+"""Time in which the node that read a restored topic sends it to all others; without
+it, every node would send every other one the whole topic."""
 
 
 class ViewExchange:
@@ -32,7 +37,9 @@
         "_arrivals",
         "_is_full_mesh",
         "_rng",
+        "_restored_ms",
         "_sent_ends",
+        "_sent_unconfirmed",
         "linked",
         "views",
     )
@@ -42,19 +49,24 @@
     ) -> None:
         self._is_full_mesh = is_full_mesh
         self._rng = rng
-        self.views = {topic: KeyedView(topic, decode) for topic in Topic}
+        self.views = {topic: KeyedView(topic, decode, find_revision) for topic in Topic}
         self.linked: tuple[NodeName, ...] = ()
         self._arrivals = {
-            topic: deque[tuple[int, float]](maxlen=MAX_ARRIVALS) for topic in Topic
+            topic: deque[tuple[LogPosition, float]](maxlen=MAX_ARRIVALS)
+            for topic in Topic
         }
         """End before, and time, of the last arrivals of records of each topic."""
-        self._sent_ends: dict[tuple[NodeName, Topic], tuple[int, float]] = {}
+        self._restored_ms = dict.fromkeys(Topic, float("-inf"))
+        """When the first records of the current era arrived."""
+        self._sent_ends: dict[tuple[NodeName, Topic], tuple[LogPosition, float]] = {}
+        self._sent_unconfirmed: dict[tuple[NodeName, Topic], tuple[int, float]] = {}
+        """Digest of the unconfirmed records that were sent last, and when."""
 
     def apply_read(
         self,
         topic: Topic,
         records: Sequence[KeyedRecord],
-        end: int,
+        end: LogPosition,
         asked_ms: float,
         *,
         is_whole: bool,
@@ -62,8 +74,7 @@
     ) -> list[Change]:
         """Apply the answer of the store to a read sent at `asked_ms`."""
         view = self.views[topic]
-        if end > view.end:
-            self._arrivals[topic].append((view.end, now_ms))
+        self._record_arrival(view, end, now_ms)
         changes = view.apply(records, end, is_whole=is_whole)
         answered = AnsweredRead(new_update_id(self._rng), asked_ms, asked_ms)
         self._confirm(view, end, answered)
@@ -71,19 +82,19 @@
 
     def apply_records(self, message: ViewRecords, now_ms: float) -> list[Change]:
         """Apply records that a peer sent, unless earlier records are missing."""
-        view = self.views[message.topic]
-        if message.since > view.end and not message.is_whole:
+        view, end = self.views[message.topic], message.position
+        since = LogPosition(message.era, message.since)
+        if since > view.end and not message.is_whole:
             # This node's next status shows the peer what is missing.
             return []
-        if message.end > view.end:
-            self._arrivals[message.topic].append((view.end, now_ms))
-        changes = view.apply(message.records, message.end, is_whole=message.is_whole)
+        self._record_arrival(view, end, now_ms)
+        changes = view.apply(message.records, end, is_whole=message.is_whole)
         if message.answer is not None:
-            self._confirm(view, message.end, _to_answered_read(message.answer, now_ms))
+            self._confirm(view, end, _to_answered_read(message.answer, now_ms))
         return changes
 
     def push(
-        self, names: Iterable[NodeName], topic: Topic, since: int, now_ms: float
+        self, names: Iterable[NodeName], topic: Topic, since: LogPosition, now_ms: float
     ) -> Iterator[SendToPeer]:
         """Send new records to the given peers."""
         for name in names:
@@ -102,57 +113,112 @@
         `hold_ms` is the time in which a peer can read the operators' topic itself.
         """
         for status in statuses:
-            view = self.views[status.topic]
+            view, end = self.views[status.topic], status.position
             if status.answer is not None:
-                self._confirm(
-                    view, status.end, _to_answered_read(status.answer, now_ms)
+                self._confirm(view, end, _to_answered_read(status.answer, now_ms))
+            if end.era == view.end.era:
+                yield from self._send_unconfirmed(
+                    sender, view, status.unconfirmed, now_ms
                 )
-            arrived_ms = self._find_arrival(status.topic, status.end)
+            arrived_ms = self._find_arrival(status.topic, end)
             if status.topic is Topic.OPERATOR and now_ms - arrived_ms < hold_ms:
                 continue
-            if status.end < view.end and not self._was_sent(sender, view, now_ms):
-                yield self._build(sender, status.topic, status.end, now_ms)
+            if end >= view.end or self._was_sent(sender, view, now_ms):
+                continue
+            restored_ms = self._restored_ms[status.topic]
+            if end.era < view.end.era and now_ms - restored_ms < RESTORE_HOLD_MS:
+                continue
+            yield self._build(sender, status.topic, end, now_ms)
 
     def list_statuses(self, now_ms: float) -> tuple[ViewStatus, ...]:
         """Return how far this node has read each topic."""
         return tuple(
-            ViewStatus(
-                topic, view.find_reported_end(), _build_read_update(view, now_ms)
-            )
-            for topic, view in self.views.items()
+            _build_status(topic, view, now_ms) for topic, view in self.views.items()
         )
 
-    def _confirm(self, view: KeyedView, end: int, answered: AnsweredRead) -> None:
+    def _record_arrival(self, view: KeyedView, end: LogPosition, now_ms: float) -> None:
+        if end > view.end:
+            self._arrivals[view.topic].append((view.end, now_ms))
+        if end.era > view.end.era:
+            self._restored_ms[view.topic] = now_ms
+
+    def _send_unconfirmed(
+        self, name: NodeName, view: KeyedView, digest: int, now_ms: float
+    ) -> Iterator[SendToPeer]:
+        """Send a peer what this node knows beyond a restored store, if it differs."""
+        own = view.compute_unconfirmed_digest()
+        if own in (0, digest):
+            return
+        sent, sent_ms = self._sent_unconfirmed.get(
+            (name, view.topic), (0, float("-inf"))
+        )
+        if sent == own and now_ms - sent_ms < RESEND_MS:
+            return
+        self._sent_unconfirmed[(name, view.topic)] = (own, now_ms)
+        end = view.end
+        records = tuple(view.list_unconfirmed())
+        yield SendToPeer(
+            name,
+            ViewRecords(
+                view.topic, end.offset, end.offset, False, records, era=end.era
+            ),
+        )
+
+    def _confirm(
+        self, view: KeyedView, end: LogPosition, answered: AnsweredRead
+    ) -> None:
         away_ms = compute_outage_threshold(
             view.topic, is_full_mesh=self._is_full_mesh()
         )
         view.confirm(end, answered, away_ms)
 
-    def _find_arrival(self, topic: Topic, offset: int) -> float:
-        """Return when this node received the first record from an offset on."""
+    def _find_arrival(self, topic: Topic, since: LogPosition) -> float:
+        """Return when this node received the first record from a position on."""
         arrived_ms = float("-inf")
         for end_before, at_ms in self._arrivals[topic]:
-            if end_before > offset:
+            if end_before > since:
                 break
             arrived_ms = at_ms
         return arrived_ms
 
     def _was_sent(self, name: NodeName, view: KeyedView, now_ms: float) -> bool:
-        end, sent_ms = self._sent_ends.get((name, view.topic), (-1, float("-inf")))
+        end, sent_ms = self._sent_ends.get((name, view.topic), (START, float("-inf")))
         return end >= view.end and now_ms - sent_ms < RESEND_MS
 
     def _build(
-        self, name: NodeName, topic: Topic, since: int, now_ms: float
+        self, name: NodeName, topic: Topic, since: LogPosition, now_ms: float
     ) -> SendToPeer:
         view = self.views[topic]
         is_whole, records = view.list_since(since)
-        self._sent_ends[(name, topic)] = (view.end, now_ms)
+        end = view.end
+        self._sent_ends[(name, topic)] = (end, now_ms)
         answer = _build_read_update(view, now_ms)
+        since_offset = since.offset if since.era == end.era else 0
         return SendToPeer(
-            name, ViewRecords(topic, since, view.end, is_whole, tuple(records), answer)
+            name,
+            ViewRecords(
+                topic,
+                since_offset,
+                end.offset,
+                is_whole,
+                tuple(records),
+                answer,
+                end.era,
+            ),
         )
 
 
+def _build_status(topic: Topic, view: KeyedView, now_ms: float) -> ViewStatus:
+    end = view.find_reported_end()
+    return ViewStatus(
+        topic,
+        end.offset,
+        _build_read_update(view, now_ms),
+        end.era,
+        view.compute_unconfirmed_digest(),
+    )
+
+
 def _build_read_update(view: KeyedView, now_ms: float) -> StoreReadUpdate | None:
     answered = view.availability.find_last_read()
     if answered is None:
--- a/tests/toucanyard/crash_fleet.py
+++ b/tests/toucanyard/crash_fleet.py
@@ -391,7 +391,7 @@
         if name in self.store_away or not core.reads.is_due(Topic.NODES, self.now_ms):
             return
         core.reads.record_read_started(Topic.NODES, self.now_ms)
-        since = core.exchange.views[Topic.NODES].end
+        since = core.exchange.views[Topic.NODES].end.offset
         records = tuple(self._node_records[since:])
         end = len(self._node_records)
         self.handle(name, TopicRead(Topic.NODES, records, end, False, self.now_ms))
--- a/tests/toucanyard/relay_fleet.py
+++ b/tests/toucanyard/relay_fleet.py
@@ -99,7 +99,7 @@
     def confirm(self, name: str, topic: Topic) -> None:
         """Deliver a store read without new records to a node."""
         end = self.core(name).exchange.views[topic].end
-        event = TopicRead(topic, (), end, False, self.now_ms)
+        event = TopicRead(topic, (), end.offset, False, self.now_ms, era=end.era)
         self.handle(NodeName(name), event)
 
     def run(self, for_ms: float) -> None:
--- a/tests/toucanyard/store_fleet.py
+++ b/tests/toucanyard/store_fleet.py
@@ -154,7 +154,7 @@
         if name in self.store_away or name in self.cut_off:
             failing.append(self.now_ms + STORE_TIMEOUT_MS)
             return
-        since = core.exchange.views[Topic.REPLICAS].end
+        since = core.exchange.views[Topic.REPLICAS].end.offset
         records = tuple(self._log[since:])
         read = TopicRead(
             Topic.REPLICAS, records, len(self._log), since == 0, self.now_ms
--- a/tests/toucanyard/test_replica_incarnations.py
+++ b/tests/toucanyard/test_replica_incarnations.py
@@ -5,6 +5,7 @@
 
 from toucanyard.keyed_view import InvalidRecord, KeyedRecord, Topic
 from toucanyard.link_messages import LinkMessage, NodeStatus, PromptBlockRead
+from toucanyard.log_position import LogPosition
 from toucanyard.names import EndpointName, Incarnation, NodeId, NodeName, ReplicaId
 from toucanyard.prompt_block_index import PromptBlock
 from toucanyard.relay_events import (
@@ -274,7 +275,8 @@
     for offset in range(200):
         fact = InvalidRecord(Topic.REPLICAS, f"bad {offset}")
         view = core.exchange.views[Topic.REPLICAS]
-        changes = view.apply([record(offset, fact)], offset + 1, is_whole=False)
+        end = LogPosition(0, offset + 1)
+        changes = view.apply([record(offset, fact)], end, is_whole=False)
         found_entries += list(core.facts.apply(changes, "store", 0.0, listed_ms=0.0))
     assert 0 < len(found_entries) <= 20
     assert all(isinstance(each, LogEntry) for each in found_entries)
--- a/tests/toucanyard/test_view_exchange.py
+++ b/tests/toucanyard/test_view_exchange.py
@@ -6,6 +6,7 @@
 
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.link_messages import ViewRecords, ViewStatus
+from toucanyard.log_position import LogPosition
 from toucanyard.names import NodeName
 from toucanyard.relay_events import SendToPeer
 from toucanyard.view_exchange import ViewExchange
@@ -27,7 +28,7 @@
         self.exchange.apply_read(
             Topic.OPERATOR,
             (record,),
-            self.end + 1,
+            LogPosition(0, self.end + 1),
             now_ms,
             is_whole=False,
             now_ms=now_ms,
--- a/tests/toucanyard_emulator/test_runner.py
+++ b/tests/toucanyard_emulator/test_runner.py
@@ -4,6 +4,7 @@
 from emulator_examples import build_scenario
 
 from toucanyard.keyed_view import Topic
+from toucanyard.log_position import START
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard_emulator.arrivals import generate_arrivals
 from toucanyard_emulator.runner import run_scenario, run_simulation
@@ -19,6 +20,7 @@
     ScaleOut,
     Slowdown,
     StoreDown,
+    StoreRestored,
 )
 
 POLICY = RelayPolicy()
@@ -55,6 +57,21 @@
     assert len(subjects) == 1
 
 
+def test_weights_named_before_a_restore_reach_all_engines() -> None:
+    """Guards against nodes that drop what is written to a restored store."""
+    restored = StoreRestored(at_s=1.0, lost_s=1.0, for_s=0.5, again_s=0.5)
+    faults = (restored, NewWeights(at_s=1.5), NewWeights(at_s=4.0))
+    simulation = run_simulation(build_scenario(*faults), POLICY, 1)
+    assert simulation.store.era == 1
+    assert {each.version for each in simulation.pool.list_engines()} == {3}
+    assert {node.core.era.era for node in simulation.nodes} == {1}
+    for node in simulation.nodes:
+        assert all(view.end.era == 1 for view in node.core.exchange.views.values())
+        assert not any(
+            view.count_unconfirmed() for view in node.core.exchange.views.values()
+        )
+
+
 def test_every_call_ends_once_under_every_fault() -> None:
     """All faults occur within a few seconds, and every call still ends exactly once.
 
@@ -67,6 +84,7 @@
         GrayFailure(at_s=2.0, for_s=2.0),
         Slowdown(at_s=2.0, for_s=2.0),
         StoreDown(at_s=2.0, for_s=1.0, nodes=1),
+        StoreRestored(at_s=1.0, lost_s=1.5, for_s=0.5),
         NodesKilled(at_s=3.0, for_s=0.3, count=1),
         Crash(at_s=4.0, for_s=1.0, is_silent=True),
         NodesKilled(at_s=5.0, for_s=0.3),
@@ -100,8 +118,8 @@
 def test_replica_that_starts_again_under_its_id_is_another_life() -> None:
     fault = Crash(at_s=2.0, for_s=1.0, keeps_id=True)
     simulation = run_simulation(build_scenario(fault), POLICY, 1)
-    records, _ = simulation.store.read(Topic.REPLICAS, 0)
-    listed = {each.key for each in records}
+    read = simulation.store.read(Topic.REPLICAS, START)
+    listed = {each.key for each in read.records}
     assert len(listed) == 5
     assert len(simulation.pool.list_engines()) == 3
     core = simulation.nodes[0].core
--- a/tests/toucanyard_node/polling_fleet.py
+++ b/tests/toucanyard_node/polling_fleet.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import Final
 
 import msgspec
 import trio
 
 from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.log_position import LogPosition
 from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
 from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import QuarantinedRequest
@@ -23,7 +24,12 @@
 from toucanyard.routes import RouteTable
 from toucanyard.target_weights import WantedWeights
 from toucanyard_node.relay_metrics import RelayMetrics
-from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TopicPage
+from toucanyard_node.relay_ports import (
+    LeasePage,
+    RecordsGoneError,
+    StoreError,
+    TopicPage,
+)
 from toucanyard_node.relay_store import StoreReader
 from toucanyard_node.relay_task import BackgroundJob, RelayTask
 
@@ -120,13 +126,17 @@
             await trio.sleep_until(begun_s + READ_TIMEOUT_S + wait_ms / 1000)
             raise StoreError("no answer")
         self._check_offset(name, topic, offset)
-        records = tuple(self.records[topic][offset:])
+        records = tuple(map(self._state_era, self.records[topic][offset:]))
         return TopicPage(records, offset + len(records), self.era)
 
     def find_newest(self, topic: Topic) -> tuple[KeyedRecord, ...]:
         """Return the newest record of each key that is not removed."""
         newest = {each.key: each for each in self.records[topic]}
-        return tuple(each for each in newest.values() if each.value is not None)
+        kept = [each for each in newest.values() if each.value is not None]
+        return tuple(map(self._state_era, kept))
+
+    def _state_era(self, record: KeyedRecord) -> KeyedRecord:
+        return msgspec.structs.replace(record, era=self.era)
 
     def _check_offset(self, name: NodeName, topic: Topic, offset: int) -> None:
         """Raise RecordsGoneError if a read is from past the end."""
@@ -157,7 +167,7 @@
     async def read_since(self, topic: Topic, offset: int, wait_ms: float) -> TopicPage:
         return await self._shared.read(self._name, topic, offset, wait_ms)
 
-    async def append_node(self, record: NodeRecord) -> int:
+    async def append_node(self, record: NodeRecord) -> LogPosition:
         raise StoreError("not used")
 
     async def write_quarantine(self, request: QuarantinedRequest) -> None:
@@ -166,10 +176,10 @@
     async def erase_quarantine(self, fingerprint: str) -> None:
         raise StoreError("not used")
 
-    async def read_leases(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
+    async def read_leases(self, offset: int) -> LeasePage:
         raise StoreError("not used")
 
-    async def append_lease(self, value: bytes, at: int) -> int:
+    async def append_lease(self, value: bytes, at: int) -> LogPosition:
         raise StoreError("not used")
 
 
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -1,12 +1,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
 
 import msgspec
 import trio
 
 from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.log_position import LogPosition
 from toucanyard.names import (
     Address,
     DomainName,
@@ -22,7 +22,12 @@
 from toucanyard.relay_options import RelayListen, RelayOptions
 from toucanyard.replicas import RETURN_DETECTION_MS
 from toucanyard_node.relay_metrics import RelayMetrics
-from toucanyard_node.relay_ports import RecordsGoneError, StoreError, TopicPage
+from toucanyard_node.relay_ports import (
+    LeasePage,
+    RecordsGoneError,
+    StoreError,
+    TopicPage,
+)
 from toucanyard_node.relay_store import StoreReader, retry_until_success
 from toucanyard_node.relay_task import BackgroundJob, RelayTask
 
@@ -73,9 +78,9 @@
         records = tuple(self.records[topic][offset - self.first[topic] :])
         return TopicPage(records, offset + len(records))
 
-    async def append_node(self, record: NodeRecord) -> int:
+    async def append_node(self, record: NodeRecord) -> LogPosition:
         await self._wait(0.0)
-        return 7
+        return LogPosition(0, 7)
 
     async def write_quarantine(self, request: QuarantinedRequest) -> None:
         await self._wait(0.0)
@@ -86,10 +91,10 @@
         await self._wait(0.0)
         self.append(Topic.NODES, f"quarantine/{fingerprint}", None)
 
-    async def read_leases(self, offset: int) -> tuple[Sequence[tuple[int, bytes]], int]:
+    async def read_leases(self, offset: int) -> LeasePage:
         raise StoreError("not used")
 
-    async def append_lease(self, value: bytes, at: int) -> int:
+    async def append_lease(self, value: bytes, at: int) -> LogPosition:
         raise StoreError("not used")
 
     async def _wait(self, wait_ms: float) -> None:
@@ -221,16 +226,16 @@
     store = ScriptedStore()
     store.is_down = True
     record = NodeRecord(NodeName("n"), Incarnation("i"), DomainName("d"), LOCAL, LOCAL)
-    offsets: list[int] = []
+    positions: list[LogPosition] = []
 
     async def announce() -> None:
-        offsets.append(
+        positions.append(
             await retry_until_success(lambda: store.append_node(record), "x")
         )
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(announce)
         await trio.sleep(5)
-        assert not offsets
+        assert not positions
         store.is_down = False
-    assert offsets == [7]
+    assert positions == [LogPosition(0, 7)]
--- a/tests/toucanyard_platform/test_store_client.py
+++ b/tests/toucanyard_platform/test_store_client.py
@@ -7,6 +7,7 @@
 import pytest
 
 from toucanyard.keyed_view import KeyedRecord, Topic
+from toucanyard.log_position import LogPosition
 from toucanyard.names import (
     Address,
     CustomerName,
@@ -112,7 +113,7 @@
     async with serve(lambda _: (412, (), b'{"end":9}')) as (address, seen):
         with pytest.raises(LeaseConflictError) as caught:
             await StoreClient(address).append_lease(b"x", 4)
-    assert caught.value.end == 9
+    assert caught.value.end == LogPosition(0, 9)
     assert seen[0].query["at"] == "4"
     assert seen[0].body == frame(b"x")
 
@@ -120,7 +121,7 @@
 async def test_node_writes_where_it_is() -> None:
     reply = b'{"offset":3,"end":4}'
     async with serve(lambda _: (200, (), reply)) as (address, seen):
-        assert await StoreClient(address).append_node(NODE) == 3
+        assert await StoreClient(address).append_node(NODE) == LogPosition(0, 3)
     content = seen[0].body[4:]
     assert content[: 1 + len("n")] == b"\x01n"
     assert msgspec.json.decode(content[2:], type=NodeRecord) == NODE
