--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -25,6 +25,7 @@
     iterate_lost_streams,
     iterate_mixed_streams,
     iterate_problems,
+    iterate_shared_fences,
 )
 from soak_faults import FaultTargets, plan_faults
 from soak_statements import (
@@ -192,6 +193,14 @@
     assert count_runs([*lines, "event=ran call=a"]) == {"a": 2, "b": 1}
 
 
+def test_fence_of_two_holders_is_found() -> None:
+    line = "event=order_sent replica=e1@1 model=m version=2 fence=%d status=202"
+    logs = {"n1": [line % 7, line % 7, "event=started"], "n2": [line % 8]}
+    assert list(iterate_shared_fences(logs)) == []
+    logs["n2"].append(line % 7)
+    assert list(iterate_shared_fences(logs)) == ["fence 7 was used by n1, n2"]
+
+
 def test_seed_gives_the_same_faults_each_time() -> None:
     first = plan_faults(7, 30.0, 2.0, TARGETS)
     assert first == plan_faults(7, 30.0, 2.0, TARGETS)
