Let nodes of large fleets read a restored store themselves

Cause: after a restore one node read the replicas and nodes and sent them whole over its links. At 320 nodes and 400 replicas that is 45 MB over all links and 4.6 MB from one node; with 4,400 replicas eleven times as much, over links of 20 Mbps. Change: in a fleet that is not a full mesh all nodes read them, spread over 1 s by rank; hubs send them only to nodes that still lack them 1.5 s later. A full mesh goes on as before.

--- a/packages/toucanyard/src/toucanyard/store_reads.py
+++ b/packages/toucanyard/src/toucanyard/store_reads.py
@@ -66,6 +66,7 @@
         """Return when this node should read a topic of a restored store."""
         delay_ms = compute_restore_delay(
             self._node_directory.find_rank(topic.value, now_ms),
+            self._node_directory.count_nodes(now_ms),
             is_full_mesh=self._node_directory.is_full_mesh(),
         )
         return max(self._era.since_ms + delay_ms, self._requested_ms[topic] + RETRY_MS)
--- a/packages/toucanyard/src/toucanyard/store_schedule.py
+++ b/packages/toucanyard/src/toucanyard/store_schedule.py
@@ -31,6 +31,8 @@
 """Additional age for rank 1 in a fleet that is not a full mesh, where the records that
 the first node read pass several links until they reach all others."""
 MAX_RANK: Final = 3
+RESTORE_SPREAD_MS: Final = 1_000.0
+"""Time over which the nodes of a large fleet read a restored topic."""
 RETRY_MS: Final = 300.0
 """Minimum time between two reads of one node."""
 SILENT_RETRY_MS: Final = 800.0
@@ -65,14 +67,19 @@
     )
 
 
-def compute_restore_delay(rank: int, *, is_full_mesh: bool = True) -> float:
+def compute_restore_delay(
+    rank: int, node_count: int, *, is_full_mesh: bool = True
+) -> float:
     """Return how long after a restore of the store a node reads a topic again.
 
-    The node of rank 0 reads it at once and sends it to the others.
+    In a full mesh the node of rank 0 reads it at once and sends it to the others. In a
+    larger fleet all nodes read it, spread over time: whole topics from a hub to all
+    nodes of its group would fill its link for seconds.
     """
+    if not is_full_mesh:
+        return RESTORE_SPREAD_MS * rank / max(node_count, 1)
     topic = Topic.REPLICAS
-    read_ms = compute_read_age(topic, rank, is_full_mesh=is_full_mesh)
-    return read_ms - MAX_TOPIC_AGE_MS[topic]
+    return compute_read_age(topic, rank) - MAX_TOPIC_AGE_MS[topic]
 
 
 def compute_outage_threshold(topic: Topic, *, is_full_mesh: bool) -> float:
--- a/packages/toucanyard/src/toucanyard/topic_updates.py
+++ b/packages/toucanyard/src/toucanyard/topic_updates.py
@@ -106,6 +106,10 @@
                 listed_ms=listed_ms,
                 known_for_ms=known_for_ms,
             )
+        is_restored = view.end.era > before.era
+        if is_restored and not self._node_directory.is_full_mesh():
+            # All nodes read it themselves; the hub sends it to those that cannot.
+            return
         if changes or view.end > before:
             targets = self._statuses.find_targets(read.topic, is_polled=read.is_polled)
             yield from self._exchange.push(targets, read.topic, before, now_ms)
--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -19,7 +19,7 @@
 from toucanyard.relay_events import SendToPeer
 from toucanyard.seen_updates import new_update_id
 from toucanyard.store_availability import AnsweredRead
-from toucanyard.store_schedule import compute_outage_threshold
+from toucanyard.store_schedule import RESTORE_SPREAD_MS, compute_outage_threshold
 
 MAX_ARRIVALS: Final = 64
 """Arrivals kept for each topic: all within the time for which records are held back."""
@@ -28,6 +28,9 @@
 RESTORE_HOLD_MS: Final = 300.0
 """Time in which the node that read a restored topic sends it to all others; without
 it, every node would send every other one the whole topic."""
+HUB_RESTORE_HOLD_MS: Final = RESTORE_SPREAD_MS + 500.0
+"""The same in a fleet that is not a full mesh, where all nodes read it themselves.
+Operators' records are due sooner and polled by all nodes, so they don't wait for it."""
 
 
 class ViewExchange:
@@ -125,8 +128,7 @@
                 continue
             if end >= view.end or self._was_sent(sender, view, now_ms):
                 continue
-            restored_ms = self._restored_ms[status.topic]
-            if end.era < view.end.era and now_ms - restored_ms < RESTORE_HOLD_MS:
+            if end.era < view.end.era and self._is_restore_held(status.topic, now_ms):
                 continue
             yield self._build(sender, status.topic, end, now_ms)
 
@@ -142,6 +144,12 @@
         if end.era > view.end.era:
             self._restored_ms[view.topic] = now_ms
 
+    def _is_restore_held(self, topic: Topic, now_ms: float) -> bool:
+        """Return whether peers still get a restored topic without this node."""
+        is_near = self._is_full_mesh() or topic is Topic.OPERATOR
+        hold_ms = RESTORE_HOLD_MS if is_near else HUB_RESTORE_HOLD_MS
+        return now_ms - self._restored_ms[topic] < hold_ms
+
     def _send_unconfirmed(
         self, name: NodeName, view: KeyedView, digest: int, now_ms: float
     ) -> Iterator[SendToPeer]:
--- a/tests/toucanyard_node/polling_fleet.py
+++ b/tests/toucanyard_node/polling_fleet.py
@@ -53,6 +53,8 @@
         self.reads: list[tuple[float, NodeName, Topic]] = []
         self.gone_reads: list[tuple[float, NodeName, Topic]] = []
         """Reads from past the end of a topic."""
+        self.whole_reads: list[tuple[float, NodeName, Topic]] = []
+        """Answered reads of all newest records."""
         self.era = 0
         self._copy: dict[Topic, list[KeyedRecord]] = {}
         self._grown = {topic: trio.Event() for topic in Topic}
@@ -161,6 +163,7 @@
 
     async def read_newest(self, topic: Topic) -> TopicPage:
         page = await self._shared.read(self._name, topic, 0, 0.0)
+        self._shared.whole_reads.append((trio.current_time(), self._name, topic))
         records = self._shared.find_newest(topic)
         return TopicPage(records, page.end, page.era)
 
--- a/tests/toucanyard_node/test_restored_store.py
+++ b/tests/toucanyard_node/test_restored_store.py
@@ -145,3 +145,39 @@
     assert added.version == 5
     assert in_force == {5}
     assert wanted == {3}
+
+
+@pytest.mark.parametrize(("count", "readers"), [(5, 1), (69, 69)], ids=["mesh", "hubs"])
+async def test_topics_of_a_restored_store_are_read_by_few_or_spread(
+    autojump_clock: object, count: int, readers: int
+) -> None:
+    """Guards against reads of all nodes at once, and against links full of copies."""
+    fleet = PollingFleet(count)
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        for number in range(20):
+            fleet.store.append(Topic.REPLICAS, f"r{number}", b"x")
+        await trio.sleep(1.0)
+        fleet.store.take_copy()
+        await publish(fleet, 2, 3)
+        await fleet.restore_store(AWAY_S)
+        returned_s = trio.current_time()
+        await trio.sleep(BOUND_S)
+        eras = {
+            (topic, node.core.exchange.views[topic].end.era)
+            for node in fleet.nodes
+            for topic in Topic
+        }
+        nursery.cancel_scope.cancel()
+    assert eras == {(topic, 1) for topic in Topic}
+    whole = [each for each in fleet.store.whole_reads if each[0] >= returned_s]
+    for topic in (Topic.REPLICAS, Topic.NODES):
+        names = [name for _, name, read in whole if read is topic]
+        assert 1 <= len(set(names)) <= readers
+        assert len(names) == len(set(names))
+    most = max(
+        sum(at_s <= other_s < at_s + 0.1 for other_s, _, read in whole if read is topic)
+        for topic in (Topic.REPLICAS, Topic.NODES)
+        for at_s, _, _ in whole
+    )
+    assert most <= max(readers // 2, 1)
