--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -417,6 +417,8 @@
         if isinstance(event, ReplicaStateRead):
             self.reach.record_state_read(event, now_ms)
             yield from self.probes.on_read(event, now_ms)
+        if isinstance(event, LeaseRead | LeaseAppended):
+            yield from self.era.record(event.era, "store", now_ms)
         self.rollout.handle(event, now_ms)
         yield from self._tick_rollout(now_ms)
 
--- a/tests/toucanyard/test_restored_core.py
+++ b/tests/toucanyard/test_restored_core.py
@@ -176,6 +176,14 @@
         assert core.guard.quarantine.is_held(REQUEST.fingerprint)
 
 
+def test_era_that_the_leases_show_first_is_logged() -> None:
+    """Guards against a restore without a line in the log."""
+    core = build_fleet("a").core("a")
+    entries = core.handle(LeaseRead((), 0, 4), 0.0)
+    names = [each.event for each in entries if isinstance(each, LogEntry)]
+    assert "store_era_changed" in names
+
+
 def test_lease_waits_after_a_restore_that_any_answer_has_stated() -> None:
     """Guards against a lease that is taken while the lost holder still uses it."""
     fleet = build_fleet("a")
