Draw troubles around restores of the store in a test

Silence of some or all nodes, of a topic, lost polls and cut nodes right after the return, one restore after another, at 5 and 69 nodes; a node that misses two restores.

--- a/tests/toucanyard_node/test_restored_store.py
+++ b/tests/toucanyard_node/test_restored_store.py
@@ -181,3 +181,79 @@
         for at_s, _, _ in whole
     )
     assert most <= max(readers // 2, 1)
+
+
+async def disturb(fleet: PollingFleet, rng: random.Random) -> None:
+    """Disturb some nodes for a while, right after the store's return."""
+    names = [node.name for node in fleet.nodes]
+    some = rng.sample(names, rng.randint(1, max(len(names) // 2, 1)))
+    match rng.randrange(5):
+        case 0:
+            fleet.store.stop_answering(some)
+        case 1:
+            fleet.store.stop_answering(names)
+        case 2:
+            fleet.store.silent_topics.add(rng.choice(list(Topic)))
+        case 3:
+            fleet.unlinked.update(some[:1])
+        case _:
+            fleet.store.lose_reads(names)
+    await trio.sleep(rng.uniform(0.1, 3.0))
+    fleet.store.restore()
+    fleet.unlinked.clear()
+
+
+@pytest.mark.parametrize(("count", "seeds"), [(5, 12), (69, 2)], ids=["mesh", "hubs"])
+async def test_drawn_troubles_around_restores_delay_no_version(
+    autojump_clock: object, count: int, seeds: int
+) -> None:
+    """Guards against a restore that meets silence, cuts or another restore."""
+    late: dict[tuple[int, int], float] = {}
+    for seed in range(seeds):
+        rng = random.Random(f"{seed} {count}")
+        fleet = PollingFleet(count)
+        version = 1
+        async with trio.open_nursery() as nursery:
+            await start(fleet, nursery)
+            fleet.store.take_copy()
+            for _ in range(5):
+                if rng.random() < 0.8:
+                    fleet.store.take_copy()
+                for _ in range(rng.randint(0, 4)):
+                    version += 1
+                    await publish(fleet, version, pause_s=rng.uniform(0.0, 0.6))
+                await fleet.restore_store(rng.uniform(0.0, 2.5))
+                await disturb(fleet, rng)
+                ended_s = trio.current_time()
+                version += 1
+                fleet.publish(version, ended_s)
+                await trio.sleep(BOUND_S + rng.uniform(0.0, 1.0))
+                late[(seed, version)] = fleet.compute_propagation_s(version)
+            nursery.cancel_scope.cancel()
+    assert {each: s for each, s in late.items() if s > BOUND_S} == {}
+
+
+async def test_node_that_was_silent_over_two_restores_follows_again(
+    autojump_clock: object,
+) -> None:
+    """Guards against a node that slept through one era and wakes in the next."""
+    fleet = PollingFleet(5)
+    asleep = fleet.nodes[2]
+    async with trio.open_nursery() as nursery:
+        await start(fleet, nursery)
+        fleet.store.take_copy()
+        await publish(fleet, 2, 3)
+        fleet.unlinked.add(asleep.name)
+        for versions in ((4, 5), (6, 7)):
+            await fleet.restore_store(AWAY_S)
+            fleet.store.stop_answering([asleep.name])
+            await publish(fleet, *versions)
+            await trio.sleep(1.0)
+        before = asleep.version
+        fleet.unlinked.clear()
+        fleet.store.restore()
+        await trio.sleep(BOUND_S)
+        after = {node.version for node in fleet.nodes}
+        nursery.cancel_scope.cancel()
+    assert before < 7
+    assert after == {7}
