Write quarantines again that a restore lost before they were read

What could be seen: a request that crashes replicas is held by no record of the store after a restore, so that nodes which start later let it through. Cause: a record that was written in the store's last moment was never in the node's view, so nothing noticed its loss; and the record of an ended entry that came back with the copy made nodes erase that of a new entry of the same request. Change: once a node has the nodes' topic of a restored store, it compares all its entries with it.

--- a/packages/toucanyard/src/toucanyard/keyed_view.py
+++ b/packages/toucanyard/src/toucanyard/keyed_view.py
@@ -132,6 +132,14 @@
             entry.fact for entry in self._entries.values() if entry.fact is not None
         ]
 
+    def list_stored(self) -> list[object]:
+        """Return the facts of all keys whose records the store has."""
+        return [
+            entry.fact
+            for entry in self._entries.values()
+            if entry.fact is not None and entry.record.era == self.end.era
+        ]
+
     def find_stored(self, key: str) -> object | None:
         """Return the fact of a key, unless the store has lost its record."""
         entry = self._entries.get(key)
--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final
 
-from toucanyard.keyed_view import Change, InvalidRecord, Topic
+from toucanyard.keyed_view import Change, InvalidRecord, KeyedView, Topic
 from toucanyard.log_rate_limit import LogRateLimit
 from toucanyard.names import EndpointName, ReplicaId
 from toucanyard.node_directory import NodeDirectory
@@ -110,6 +110,16 @@
                 },
             )
 
+    def apply_restored_nodes(self, view: KeyedView, now_ms: float) -> None:
+        """Let nodes write quarantines again that a restored store does not have.
+
+        One that was written shortly before may never have been in the view.
+        """
+        stored = [
+            each for each in view.list_stored() if isinstance(each, QuarantinedRequest)
+        ]
+        self._guard.quarantine.retain_stored(stored, now_ms)
+
     def _apply_present(
         self, change: Change, source: str, now_ms: float, known_for_ms: float
     ) -> Iterator[LogEntry]:
--- a/packages/toucanyard/src/toucanyard/quarantine.py
+++ b/packages/toucanyard/src/toucanyard/quarantine.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Final
 
 import msgspec
@@ -31,6 +31,7 @@
 RETRY_MS: Final = 2_000.0
 """Time between two attempts to write one record."""
 ID_BITS: Final = 32
+NEVER: Final = float("-inf")
 
 
 class QuarantinedRequest(msgspec.Struct, frozen=True):
@@ -73,7 +74,7 @@
     """When the request last arrived, or when the entry was received."""
     stored_ms: float | None = None
     """When its record was written or read; None before that."""
-    written_ms: float = float("-inf")
+    written_ms: float = NEVER
     """When this node last tried to write it."""
     lost_ms: float | None = None
     """When the record was found to be lost by the store, unless written again."""
@@ -152,10 +153,14 @@
 
     def apply_record(self, request: QuarantinedRequest, now_ms: float) -> bool:
         """Apply a record from the log; return whether the entry is new."""
+        entry = self._entries.get(request.fingerprint)
         if self._has_ended(request):
-            self._erasing.setdefault(request.fingerprint, now_ms)
+            if entry is None:
+                self._erasing.setdefault(request.fingerprint, now_ms)
+            else:
+                # The record of an earlier entry has replaced that of the current one.
+                self._mark_lost(entry, now_ms)
             return False
-        entry = self._entries.get(request.fingerprint)
         if entry is None:
             self._add(Entry(request, now_ms, now_ms, stored_ms=now_ms))
             return True
@@ -172,9 +177,21 @@
         is_new = entry is None
         if entry is None:
             entry = self._add(Entry(request, now_ms, now_ms))
+        self._mark_lost(entry, now_ms)
+        return is_new
+
+    def retain_stored(
+        self, stored: Collection[QuarantinedRequest], now_ms: float
+    ) -> None:
+        """Write all entries again that a restored store does not have."""
+        for entry in self._entries.values():
+            if entry.stored_ms is not None and entry.request not in stored:
+                self._mark_lost(entry, now_ms)
+
+    def _mark_lost(self, entry: Entry, now_ms: float) -> None:
         entry.stored_ms = None
         entry.lost_ms = now_ms
-        return is_new
+        entry.written_ms = NEVER
 
     def _has_ended(self, request: QuarantinedRequest) -> bool:
         ended = Release(request.fingerprint, request.entry_id)
@@ -210,7 +227,7 @@
         if entry is None:
             return False
         self._record_ended(entry.request)
-        is_written = entry.written_ms > float("-inf") or entry.lost_ms is not None
+        is_written = entry.written_ms > NEVER or entry.lost_ms is not None
         if entry.stored_ms is not None or is_written:
             self._erasing[fingerprint] = now_ms
         return True
--- a/packages/toucanyard/src/toucanyard/topic_updates.py
+++ b/packages/toucanyard/src/toucanyard/topic_updates.py
@@ -91,7 +91,7 @@
             is_whole=read.is_whole,
             now_ms=now_ms,
         )
-        yield from self._log_restore(view, before, "store", now_ms)
+        yield from self._finish_restore(view, before, "store", now_ms)
         yield from self._update_availability()
         if read.topic is Topic.OPERATOR:
             yield _build_read_entry(read, before, now_ms)
@@ -150,7 +150,7 @@
         before, listed_ms = view.end, view.confirmed_ms
         self._record_restore(view, message.position, is_whole=message.is_whole)
         changes = self._exchange.apply_records(message, now_ms)
-        yield from self._log_restore(view, before, sender, now_ms)
+        yield from self._finish_restore(view, before, sender, now_ms)
         yield from self._update_availability()
         if message.topic is Topic.OPERATOR and message.position > before:
             yield _build_records_entry(sender, message, before, view.end)
@@ -191,10 +191,10 @@
         if is_whole and end.era > view.end.era and view.end != START:
             view.availability.record_restore(self._era.since_ms)
 
-    def _log_restore(
+    def _finish_restore(
         self, view: KeyedView, before: LogPosition, source: str, now_ms: float
     ) -> Iterator[RelayAction]:
-        """Log that a view now shows a restored store, and what the store has lost."""
+        """Log that a view now shows a restored store, and find what the store lost."""
         if view.end.era == before.era or before == START:
             return
         fields: dict[str, object] = {
@@ -208,6 +208,8 @@
             "after_ms": round(now_ms - self._era.since_ms),
         }
         yield LogEntry("view_restored", fields)
+        if view.topic is Topic.NODES:
+            self._facts.apply_restored_nodes(view, now_ms)
 
     def _update_availability(self) -> Iterator[RelayAction]:
         """Pass the store's availability to the directory, for replicas off the list."""
--- a/tests/toucanyard/test_quarantine.py
+++ b/tests/toucanyard/test_quarantine.py
@@ -79,6 +79,37 @@
     assert list_due(quarantine, due_ms) == [EraseQuarantine(REQUEST.fingerprint)]
 
 
+def test_record_that_was_written_but_never_read_is_written_again() -> None:
+    """Guards against an entry that was stored just before the store was lost."""
+    quarantine = build_quarantine()
+    quarantine.begin(REQUEST.fingerprint, REQUEST.customer, "r", (), 0.0)
+    (written,) = list_due(quarantine, WRITE_DELAY_MS)
+    quarantine.on_written(REQUEST.fingerprint, WRITE_DELAY_MS)
+    quarantine.retain_stored([], 1_000.0)
+    due_ms = 1_000.0 + WRITE_DELAY_MS
+    assert list_due(quarantine, due_ms) == [written]
+
+
+def test_stored_records_are_not_written_again_after_a_restore() -> None:
+    """Guards against a write for each entry after each restore."""
+    quarantine = build_quarantine()
+    quarantine.apply_record(REQUEST, 0.0)
+    quarantine.retain_stored([REQUEST], STORED_MS)
+    assert list_due(quarantine, STORED_MS + 10 * RANK_DELAY_MS) == []
+
+
+def test_record_of_an_ended_entry_does_not_end_the_next_one() -> None:
+    """Guards against erasing the record of a request that is held anew."""
+    quarantine = build_quarantine()
+    quarantine.apply_record(REQUEST, 0.0)
+    quarantine.end(REQUEST.fingerprint, 10.0)
+    entry = quarantine.begin(REQUEST.fingerprint, REQUEST.customer, "r", (), 20.0)
+    quarantine.apply_record(entry.request, 20.0)
+    quarantine.apply_record(REQUEST, STORED_MS)
+    due = list_due(quarantine, STORED_MS + WRITE_DELAY_MS)
+    assert due == [WriteQuarantine(entry.request)]
+
+
 def test_new_quarantine_of_the_same_request_holds() -> None:
     """Guards against taking a new entry for the one that has ended."""
     quarantine = build_quarantine()
--- a/tests/toucanyard/test_restored_core.py
+++ b/tests/toucanyard/test_restored_core.py
@@ -6,12 +6,14 @@
 from toucanyard.keyed_view import KeyedRecord, Topic
 from toucanyard.leases import ACTIVE_MS, MARGIN_MS
 from toucanyard.names import CustomerName, Fingerprint, NodeName
-from toucanyard.quarantine import QuarantinedRequest
+from toucanyard.quarantine import QuarantinedRequest, WriteQuarantine
 from toucanyard.relay_events import (
     AppendLease,
     LeaseRead,
     LogEntry,
+    QuarantineWritten,
     StoreEraSeen,
+    TickPassed,
     TopicRead,
 )
 from toucanyard.target_weights import WantedWeights
@@ -176,6 +178,23 @@
         assert core.guard.quarantine.is_held(REQUEST.fingerprint)
 
 
+def test_quarantine_that_was_written_but_never_read_is_written_again() -> None:
+    """Guards against a verdict that is lost with the store's last moment."""
+    fleet = build_fleet("a")
+    core = fleet.core("a")
+    fleet.read_all(Topic.NODES, 0, ("a", core.own_record))
+    core.guard.quarantine.begin(REQUEST.fingerprint, REQUEST.customer, "r", (), 0.0)
+    core.handle(QuarantineWritten(REQUEST.fingerprint), 0.0)
+    fleet.read_all(Topic.NODES, 1, ("a", core.own_record))
+    actions = [
+        action
+        for step in range(40)
+        for action in core.handle(TickPassed(), 25.0 * step)
+    ]
+    written = [each for each in actions if isinstance(each, WriteQuarantine)]
+    assert [each.request.fingerprint for each in written] == [REQUEST.fingerprint]
+
+
 def test_era_that_the_leases_show_first_is_logged() -> None:
     """Guards against a restore without a line in the log."""
     core = build_fleet("a").core("a")
