--- a/tests/toucanyard_platform/test_store_client.py
+++ b/tests/toucanyard_platform/test_store_client.py
@@ -186,3 +186,15 @@
             page = await client.read_since(Topic.OPERATOR, 0, 0.0)
             assert page.era == client.era == 2
         assert (await client.read_since(Topic.OPERATOR, 0, 0.0)).era == 2
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"gone", b'{"first":null}'])
+async def test_gone_records_are_told_apart_without_the_first_one(body: bytes) -> None:
+    """Guards against retrying a read from past the end as if the store had failed."""
+    async with serve(lambda _: (410, (), body)) as (address, seen):
+        client = StoreClient(address)
+        with pytest.raises(RecordsGoneError):
+            await client.read_since(Topic.OPERATOR, 9, 0.0)
+        with pytest.raises(StoreError):
+            await client.read_leases(9)
+    assert [each.query["from"] for each in seen] == ["9", "9", "0"]
