Record no outage for a restore before any answered read

A view with records and without an answered read would have had an outage of infinite length, whose log line fails in the core's task. Not seen in any run; found by reading the change. The test failed before.

--- a/packages/toucanyard/src/toucanyard/store_availability.py
+++ b/packages/toucanyard/src/toucanyard/store_availability.py
@@ -93,6 +93,8 @@
 
         However short the outage was, entries of that time are missing in the copy.
         """
+        if self.asked_ms == NEVER:
+            return
         before_ms = min(self.asked_ms, returned_ms - SAME_MS)
         self._restored = StoreOutage(before_ms, returned_ms)
 
--- a/tests/toucanyard/test_store_availability.py
+++ b/tests/toucanyard/test_store_availability.py
@@ -86,3 +86,21 @@
     last_ms = compute_read_age(Topic.REPLICAS, MAX_RANK + 9, is_full_mesh=is_full_mesh)
     away_ms = compute_outage_threshold(Topic.REPLICAS, is_full_mesh=is_full_mesh)
     assert away_ms > last_ms + RETRY_MS
+
+
+def test_restore_before_any_answered_read_is_no_outage() -> None:
+    """Guards against an outage of infinite length, which can't be logged."""
+    availability = StoreAvailability()
+    availability.record_restore(100.0)
+    assert availability.find_outage() is None
+
+
+def test_restore_is_an_outage_however_short_it_was() -> None:
+    """Guards against taking replicas that the copy lacks for removed ones."""
+    availability = StoreAvailability()
+    availability.record_read(AnsweredRead(1, 900.0, 0.0), 1_800.0)
+    availability.record_restore(1_000.0)
+    outage = availability.find_outage()
+    assert outage is not None
+    assert outage.before_ms == 900.0
+    assert outage.returned_ms == 1_000.0
