Count acknowledgements of quarantine records only in the store's era

What could be seen: after a restore a harmful request is held by no record of the store, or an ended one holds again on other nodes. Cause: an acknowledgement of the copy before may arrive after the node follows the restored store, and told nothing of its era; a removal that was lost before it was read left no trace in the view. Change: both acknowledgements carry the era and count only if the node follows no later one; with the nodes' topic of a restored store, ended entries that it still lists are erased again. Found by reading the change; the tests failed before.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/node.py
@@ -249,9 +249,9 @@
         match action:
             case WriteQuarantine(request=request):
                 fingerprint = request.fingerprint
-                done = QuarantineWritten(fingerprint)
+                done = QuarantineWritten(fingerprint, self.simulation.store.era)
             case EraseQuarantine(fingerprint=fingerprint):
-                done = QuarantineErased(fingerprint)
+                done = QuarantineErased(fingerprint, self.simulation.store.era)
 
         def put() -> None:
             self.simulation.store.put(Topic.NODES, f"quarantine/{fingerprint}", request)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -180,12 +180,12 @@
         """Write the addresses of a node; return the position of the record."""
         ...
 
-    async def write_quarantine(self, request: QuarantinedRequest) -> None:
-        """Write a request under quarantine, replacing any older record of it."""
+    async def write_quarantine(self, request: QuarantinedRequest) -> LogPosition:
+        """Write a request under quarantine; return the position of the record."""
         ...
 
-    async def erase_quarantine(self, fingerprint: Fingerprint) -> None:
-        """Remove the record of a request under quarantine."""
+    async def erase_quarantine(self, fingerprint: Fingerprint) -> LogPosition:
+        """Remove the record of a request; return the position of the removal."""
         ...
 
     async def read_leases(self, offset: int) -> LeasePage:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -374,20 +374,20 @@
     async def _write_quarantine(self, request: QuarantinedRequest) -> RelayEvent:
         asked_ms = trio.current_time() * 1000
         try:
-            await self._store.write_quarantine(request)
+            position = await self._store.write_quarantine(request)
         except StoreError as error:
             return StoreFailed("quarantine", error.reason, asked_ms)
         _LOG.info("quarantine_written", fingerprint=request.fingerprint)
-        return QuarantineWritten(request.fingerprint)
+        return QuarantineWritten(request.fingerprint, position.era)
 
     async def _erase_quarantine(self, fingerprint: Fingerprint) -> RelayEvent:
         asked_ms = trio.current_time() * 1000
         try:
-            await self._store.erase_quarantine(fingerprint)
+            position = await self._store.erase_quarantine(fingerprint)
         except StoreError as error:
             return StoreFailed("quarantine", error.reason, asked_ms)
         _LOG.info("quarantine_erased", fingerprint=fingerprint)
-        return QuarantineErased(fingerprint)
+        return QuarantineErased(fingerprint, position.era)
 
     async def _announce_node(self, record: NodeRecord) -> RelayEvent:
         asked_ms = trio.current_time() * 1000
--- a/packages/toucanyard/src/toucanyard/quarantine.py
+++ b/packages/toucanyard/src/toucanyard/quarantine.py
@@ -183,10 +183,13 @@
     def retain_stored(
         self, stored: Collection[QuarantinedRequest], now_ms: float
     ) -> None:
-        """Write all entries again that a restored store does not have."""
+        """Write and erase again what a restored store has lost."""
         for entry in self._entries.values():
             if entry.stored_ms is not None and entry.request not in stored:
                 self._mark_lost(entry, now_ms)
+        for request in stored:
+            if self._has_ended(request) and request.fingerprint not in self._entries:
+                self._erasing.setdefault(request.fingerprint, now_ms)
 
     def _mark_lost(self, entry: Entry, now_ms: float) -> None:
         entry.stored_ms = None
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -451,8 +451,10 @@
         match event:
             case PromptBlocksChanged() | HolderLost():
                 self.parts.on_change(event, now_ms)
-            case QuarantineWritten() | QuarantineErased():
-                self._guard_events.on_stored(event, now_ms)
+            case QuarantineWritten(era=era) | QuarantineErased(era=era):
+                # What an earlier copy has accepted may be lost.
+                if era >= self.exchange.views[Topic.NODES].end.era:
+                    self._guard_events.on_stored(event, now_ms)
                 # Peers receive the record from the node that reads it first.
                 self.reads.mark_outdated(Topic.NODES)
             case NodeAnnounced(era=era):
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -236,12 +236,16 @@
     """The record of a quarantined request was written to the log."""
 
     fingerprint: Fingerprint
+    era: int = 0
+    """Era of the store that accepted it."""
 
 
 class QuarantineErased(msgspec.Struct, frozen=True):
     """The removal of a quarantine record was written to the log."""
 
     fingerprint: Fingerprint
+    era: int = 0
+    """Era of the store that accepted it."""
 
 
 class NodeAnnounced(msgspec.Struct, frozen=True):
--- a/tests/toucanyard/test_quarantine.py
+++ b/tests/toucanyard/test_quarantine.py
@@ -98,6 +98,17 @@
     assert list_due(quarantine, STORED_MS + 10 * RANK_DELAY_MS) == []
 
 
+def test_removal_that_was_written_but_never_read_is_written_again() -> None:
+    """Guards against an ended entry that holds again on all other nodes."""
+    quarantine = build_quarantine()
+    quarantine.apply_record(REQUEST, 0.0)
+    quarantine.end(REQUEST.fingerprint, 10.0)
+    quarantine.on_erased(REQUEST.fingerprint)
+    quarantine.retain_stored([REQUEST], STORED_MS)
+    due = list_due(quarantine, STORED_MS + WRITE_DELAY_MS)
+    assert due == [EraseQuarantine(REQUEST.fingerprint)]
+
+
 def test_record_of_an_ended_entry_does_not_end_the_next_one() -> None:
     """Guards against erasing the record of a request that is held anew."""
     quarantine = build_quarantine()
--- a/tests/toucanyard/test_restored_core.py
+++ b/tests/toucanyard/test_restored_core.py
@@ -195,6 +195,31 @@
     assert [each.request.fingerprint for each in written] == [REQUEST.fingerprint]
 
 
+def test_late_acknowledgement_of_the_copy_before_does_not_count() -> None:
+    """Guards against a record whose loss is known before its acknowledgement."""
+    fleet = build_fleet("a")
+    core = fleet.core("a")
+    own = ("a", core.own_record)
+    fleet.read_all(Topic.NODES, 0, own)
+    core.guard.quarantine.begin(REQUEST.fingerprint, REQUEST.customer, "r", (), 0.0)
+    writes = []
+    for step in range(200):
+        now_ms = 25.0 * step
+        if step == 20:
+            fleet.read_all(Topic.NODES, 1, own)
+            core.handle(QuarantineWritten(REQUEST.fingerprint, 0), now_ms)
+        actions = core.handle(TickPassed(), now_ms)
+        writes += [now_ms for each in actions if isinstance(each, WriteQuarantine)]
+    assert len(writes) >= 2
+    core.handle(QuarantineWritten(REQUEST.fingerprint, 1), 5_000.0)
+    actions = [
+        action
+        for step in range(200)
+        for action in core.handle(TickPassed(), 5_000.0 + 25.0 * step)
+    ]
+    assert not any(isinstance(each, WriteQuarantine) for each in actions)
+
+
 def test_era_that_the_leases_show_first_is_logged() -> None:
     """Guards against a restore without a line in the log."""
     core = build_fleet("a").core("a")
--- a/tests/toucanyard_node/polling_fleet.py
+++ b/tests/toucanyard_node/polling_fleet.py
@@ -173,10 +173,10 @@
     async def append_node(self, record: NodeRecord) -> LogPosition:
         raise StoreError("not used")
 
-    async def write_quarantine(self, request: QuarantinedRequest) -> None:
+    async def write_quarantine(self, request: QuarantinedRequest) -> LogPosition:
         raise StoreError("not used")
 
-    async def erase_quarantine(self, fingerprint: str) -> None:
+    async def erase_quarantine(self, fingerprint: str) -> LogPosition:
         raise StoreError("not used")
 
     async def read_leases(self, offset: int) -> LeasePage:
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -82,14 +82,16 @@
         await self._wait(0.0)
         return LogPosition(0, 7)
 
-    async def write_quarantine(self, request: QuarantinedRequest) -> None:
+    async def write_quarantine(self, request: QuarantinedRequest) -> LogPosition:
         await self._wait(0.0)
         key = f"quarantine/{request.fingerprint}"
         self.append(Topic.NODES, key, msgspec.json.encode(request))
+        return LogPosition(0, len(self.records[Topic.NODES]) - 1)
 
-    async def erase_quarantine(self, fingerprint: Fingerprint) -> None:
+    async def erase_quarantine(self, fingerprint: Fingerprint) -> LogPosition:
         await self._wait(0.0)
         self.append(Topic.NODES, f"quarantine/{fingerprint}", None)
+        return LogPosition(0, len(self.records[Topic.NODES]) - 1)
 
     async def read_leases(self, offset: int) -> LeasePage:
         raise StoreError("not used")
