Send unconfirmed records to a peer at a limited rate

What could be seen: after a restore that lost the records of many nodes, each record that is written again changes the digest, and each status of a peer was answered with all that is left: 99 messages for 100 records in the test, two after. Change: one message in RESEND_MS for each peer and topic, whatever the digest. Found by reading the change; the test failed before.

--- a/packages/toucanyard/src/toucanyard/view_exchange.py
+++ b/packages/toucanyard/src/toucanyard/view_exchange.py
@@ -42,7 +42,7 @@
         "_rng",
         "_restored_ms",
         "_sent_ends",
-        "_sent_unconfirmed",
+        "_unconfirmed_sent_ms",
         "linked",
         "views",
     )
@@ -62,8 +62,8 @@
         self._restored_ms = dict.fromkeys(Topic, float("-inf"))
         """When the first records of the current era arrived."""
         self._sent_ends: dict[tuple[NodeName, Topic], tuple[LogPosition, float]] = {}
-        self._sent_unconfirmed: dict[tuple[NodeName, Topic], tuple[int, float]] = {}
-        """Digest of the unconfirmed records that were sent last, and when."""
+        self._unconfirmed_sent_ms: dict[tuple[NodeName, Topic], float] = {}
+        """When unconfirmed records were last sent to a peer."""
 
     def apply_read(
         self,
@@ -153,16 +153,16 @@
     def _send_unconfirmed(
         self, name: NodeName, view: KeyedView, digest: int, now_ms: float
     ) -> Iterator[SendToPeer]:
-        """Send a peer what this node knows beyond a restored store, if it differs."""
-        own = view.compute_unconfirmed_digest()
-        if own in (0, digest):
+        """Send a peer what this node knows beyond a restored store, if it differs.
+
+        At a limited rate, as the digest changes with each record that is written again.
+        """
+        if view.compute_unconfirmed_digest() in (0, digest):
             return
-        sent, sent_ms = self._sent_unconfirmed.get(
-            (name, view.topic), (0, float("-inf"))
-        )
-        if sent == own and now_ms - sent_ms < RESEND_MS:
+        key = (name, view.topic)
+        if now_ms - self._unconfirmed_sent_ms.get(key, float("-inf")) < RESEND_MS:
             return
-        self._sent_unconfirmed[(name, view.topic)] = (own, now_ms)
+        self._unconfirmed_sent_ms[key] = now_ms
         end = view.end
         records = tuple(view.list_unconfirmed())
         yield SendToPeer(
--- a/tests/toucanyard/test_view_exchange.py
+++ b/tests/toucanyard/test_view_exchange.py
@@ -67,3 +67,29 @@
     message = sent[0].message
     assert isinstance(message, ViewRecords)
     assert (message.since, message.end) == (1, 2)
+
+
+def test_unconfirmed_records_that_keep_changing_are_sent_at_a_limited_rate() -> None:
+    """Guards against all lost records of a large fleet in answer to each status."""
+    exchange = ViewExchange(
+        lambda _, key, value: (key, value), lambda: True, random.Random(1)
+    )
+    count = 100
+    records = [KeyedRecord(f"n{number}", number, b"1") for number in range(count)]
+    exchange.apply_read(
+        Topic.NODES, records, LogPosition(0, count), 0.0, is_whole=True, now_ms=0.0
+    )
+    exchange.apply_read(
+        Topic.NODES, (), LogPosition(1, 0), 0.0, is_whole=True, now_ms=0.0
+    )
+    sent = 0
+    for number in range(count):
+        now_ms = 10.0 * number
+        again = KeyedRecord(f"n{number}", number, b"1", 1)
+        end = LogPosition(1, number + 1)
+        exchange.apply_read(
+            Topic.NODES, (again,), end, now_ms, is_whole=False, now_ms=now_ms
+        )
+        status = ViewStatus(Topic.NODES, number + 1, None, 1, 0)
+        sent += len(list(exchange.handle_status(PEER, (status,), now_ms)))
+    assert 1 <= sent <= 2
