Choose senders of brittle replicas again once a service is reached

Cause: the senders that a node has chosen were kept while the peers that reach the service stayed the same, but they also depend on whether the node itself reaches it; so it went on taking a peer for the sender, and its peers took it. Change: they are chosen again when that changes.

--- a/packages/toucanyard/src/toucanyard/brittle_replicas.py
+++ b/packages/toucanyard/src/toucanyard/brittle_replicas.py
@@ -58,9 +58,11 @@
 class _Senders:
     """The senders of one service's replicas among the nodes that reach it."""
 
-    __slots__ = ("by_replica", "nodes", "until_ms")
+    __slots__ = ("by_replica", "is_reached", "nodes", "until_ms")
 
     def __init__(self) -> None:
+        self.is_reached = True
+        """Whether this node reaches the service."""
         self.nodes: list[PeerAddress] = []
         self.by_replica: dict[EndpointName, PeerAddress | None] = {}
         """None if the sender is this node."""
@@ -134,7 +136,7 @@
         replica = known.replica
         senders = self._find_senders(replica.service, now_ms)
         if replica.name not in senders.by_replica:
-            peer = self._choose_sender(replica, senders.nodes)
+            peer = self._choose_sender(replica, senders)
             senders.by_replica[replica.name] = peer
         return senders.by_replica[replica.name]
 
@@ -250,18 +252,19 @@
             if nodes != senders.nodes:
                 senders.nodes = nodes
                 senders.by_replica = {}
+        is_reached = not self._reach.is_unreached(service)
+        if is_reached != senders.is_reached:
+            senders.is_reached = is_reached
+            senders.by_replica = {}
         return senders
 
-    def _choose_sender(
-        self, replica: Replica, nodes: Sequence[PeerAddress]
-    ) -> PeerAddress | None:
+    def _choose_sender(self, replica: Replica, senders: _Senders) -> PeerAddress | None:
         key = compute_seed(replica.name)
-        best = max(nodes, key=lambda each: _rank(each.node, key), default=None)
+        best = max(senders.nodes, key=lambda each: _rank(each.node, key), default=None)
         if best is None:
             return None
-        is_reached = not self._reach.is_unreached(replica.service)
         is_first = _rank(self._nodes.own_name, key) > _rank(best.node, key)
-        return None if is_reached and is_first else best
+        return None if senders.is_reached and is_first else best
 
     def _update_services(self) -> None:
         """Find the brittle services again after a statement has changed."""
