Place prompts by the speed of replicas and share replicas by work

Change: the sub-package uneven_load. Replicas that state their contention activate it for their service; speeds and work are told in statuses, once a second, bounded.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/engine.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/engine.py
@@ -101,12 +101,16 @@
         loads: LoadCounter,
         find_cache: Callable[[Address], tuple[PromptCache, Link] | None],
         rng: random.Random,
+        number: int = 0,
+        seed: int = 0,
     ) -> None:
         self.name = name
         self.address = address
         self.settings = settings
         self.availability = Availability.UP
         self.slowdown = 1.0
+        self.speed = settings.speeds[number % len(settings.speeds)]
+        self._contention_name = f"{seed} contention {number}"
         self.unanswered_share = 0.0
         self.version = 1
         self.orders = 0
@@ -173,6 +177,15 @@
             waiting=len(self._waiting),
         )
 
+    def compute_contention(self) -> float:
+        """Return how much longer work takes now because of others on its machine."""
+        contention = self.settings.contention
+        if contention is None:
+            return 1.0
+        interval = int(self._clock.now_ms // contention.interval_ms)
+        draw = random.Random(f"{self._contention_name} {interval}").random()
+        return contention.factor if draw < contention.share else 1.0
+
     def apply_order(self, order: WeightsOrder) -> int:
         """Start to load weights, or reject the order; return the HTTP status."""
         if self.is_loading or self._pending_version is not None:
@@ -235,7 +248,7 @@
             duration_ms += tokens / settings.tokens_per_ms
             duration_ms += token_pairs * settings.pairs_ms_per_m / 1e6
         decoding = list(self._running)
-        duration_ms *= self.slowdown
+        duration_ms *= self.slowdown * self.compute_contention() / self.speed
         self._clock.call_after(duration_ms, lambda: self._end_step(prefills, decoding))
 
     def _admit(self) -> None:
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
@@ -14,6 +14,7 @@
     DispatchEnded,
     FirstEventSeen,
     ForwardEnded,
+    ReplicaStatementSeen,
 )
 from toucanyard.relay_requests import (
     ForwardOutcome,
@@ -23,6 +24,7 @@
     RelayRequest,
     RelayVerdict,
 )
+from toucanyard.replica_statements import ReplicaStatement, StatedLoad
 from toucanyard.requests import DispatchEnding, Refuse
 from toucanyard_emulator.arrivals import Arrival
 from toucanyard_emulator.engine import Availability, Engine, Job, JobOutcome
@@ -230,6 +232,7 @@
     def _handle_first_event(self, number: int) -> None:
         if number != self._dispatch_number or self._is_over:
             return
+        self._report_contention()
         self._node.handle(FirstEventSeen(self.request.request_id))
         if self.first_ms is None:
             self.first_ms = self._node.now_ms
@@ -237,6 +240,17 @@
         if self._dispatch is not None and not math.isinf(self._dispatch.patience_ms):
             self._node.schedule(GAP_CHECK_INTERVAL_MS, lambda: self._check_gap(number))
 
+    def _report_contention(self) -> None:
+        """Report the load that the head of an answer states."""
+        job, dispatch = self.trace.job, self._dispatch
+        engine = None if job is None else job.engine
+        if engine is None or dispatch is None or engine.settings.contention is None:
+            return
+        contention = engine.compute_contention() / engine.speed
+        load = StatedLoad(engine.count_calls(), 0, engine.settings.slots, contention)
+        statement = ReplicaStatement(load=load)
+        self._node.handle(ReplicaStatementSeen(dispatch.replica, statement))
+
     def _check_gap(self, number: int) -> None:
         """Fail the dispatch of a resumable stream that has stalled."""
         job = self.trace.job
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/replica_pool.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/replica_pool.py
@@ -123,6 +123,8 @@
             self._load_counter,
             lambda each: self._caches.get(each),
             rng,
+            number,
+            self._seed,
         )
         engine.version = version
         self._replicas[name] = engine
--- a/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/scenario.py
@@ -24,6 +24,17 @@
     """A table of a scenario file; unknown fields are rejected."""
 
 
+class Contention(_StrictTable, frozen=True, kw_only=True):
+    """Engines share their machines with other work, which slows them down at times."""
+
+    share: _Share
+    """Share of the time in which an engine is slowed down."""
+    factor: _Positive
+    """How much longer its work takes then."""
+    interval_ms: _Positive
+    """Time after which it is drawn again whether an engine is slowed down."""
+
+
 class EngineSettings(_StrictTable, frozen=True, kw_only=True):
     """The capacity and speed of each engine of the pool."""
 
@@ -50,6 +61,9 @@
     """Concurrent loads above this number slow each other down."""
     events_lag_ms: _NonNegative = 80.0
     events_loss: _Share = 0.01
+    speeds: tuple[_Positive, ...] = (1.0,)
+    """Speeds of the engines, assigned in turn."""
+    contention: Contention | None = None
 
 
 class PlainReplicaSettings(_StrictTable, frozen=True, kw_only=True):
--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -6,7 +6,12 @@
 
 import structlog
 
-from toucanyard.relay_requests import RelayDispatch, RelayForward, RelayRequest
+from toucanyard.relay_requests import (
+    PlacementReason,
+    RelayDispatch,
+    RelayForward,
+    RelayRequest,
+)
 from toucanyard.requests import Refuse
 
 _LOG: Final = structlog.get_logger()
@@ -37,9 +42,20 @@
         queued_ms=round(reason.queued_ms),
         view_age_ms=round(reason.view_age_ms),
         gone_ms=None if reason.gone_ms is None else round(reason.gone_ms),
+        **_describe_uneven(reason),
     )
 
 
+def _describe_uneven(reason: PlacementReason) -> dict[str, float]:
+    """Return the inputs that count only where replicas state their contention."""
+    if reason.short_share is None:
+        return {}
+    return {
+        "speed": round(reason.speed_factor, 2),
+        "short_share": round(reason.short_share, 2),
+    }
+
+
 def log_resumed(request: RelayRequest) -> None:
     """Log that a caller takes up a stream, and by which try it says it began."""
     if not request.last_event_id and not request.resumed_id:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -159,6 +159,7 @@
     yield from _render_replica_limits(core)
     yield from _render_statements(core, now_ms)
     yield from _render_streams(core, now_ms)
+    yield from _render_uneven_load(core, now_ms)
 
 
 def _render_quarantine(core: RelayCore) -> Iterator[str]:
@@ -219,6 +220,24 @@
         yield _format("replica_deferred_ms", left_ms, replica=each.replica.name)
 
 
+def _render_uneven_load(core: RelayCore, now_ms: float) -> Iterator[str]:
+    """Render speeds of replicas and shares of short prompts, the slowest first."""
+    for service in sorted(core.uneven.list_active()):
+        inputs = core.uneven.find_inputs(service, now_ms)
+        share = round(inputs.short_share, 2)
+        yield _format("short_prompt_share", share, service=service)
+        ordered = sorted(inputs.factors.items(), key=lambda each: each[1])
+        for name, factor in ordered[:MAX_LIMITED]:
+            labels = {"service": service, "replica": name}
+            yield _format("replica_speed", round(factor, 2), **labels)
+            stated = core.uneven.find_stated(name)
+            if stated is not None:
+                age_ms = round(now_ms - stated.seen_ms)
+                contention = round(stated.contention, 2)
+                yield _format("replica_contention", contention, **labels)
+                yield _format("replica_contention_age_ms", age_ms, **labels)
+
+
 def _render_streams(core: RelayCore, now_ms: float) -> Iterator[str]:
     """Render the software versions that serve, and how taken up streams fared."""
     listed = (
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -38,6 +38,7 @@
 from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
 from toucanyard.software_versions import SoftwareVersions, VersionRoom
 from toucanyard.target_weights import TargetWeightsTable
+from toucanyard.uneven_load.placement_inputs import UnevenLoad
 
 MIN_PATIENCE_MS: Final = 400.0
 MAX_OLD_SHARE: Final = 0.8
@@ -62,8 +63,10 @@
         forwards: CallForwards,
         build_brittle: Callable[[ReplicaUsage], BrittleReplicas],
         versions: SoftwareVersions,
+        uneven: UnevenLoad,
         rng: random.Random,
     ) -> None:
+        self._uneven = uneven
         self._versions = versions
         self._forwards = forwards
         self._policy = options.policy
@@ -201,6 +204,7 @@
         target = self._weight_targets.find(prompt.model)
         usable = [each for each in usable if _fits_weights(pending, each)]
         stores = self._sources.find_stores(self.index, now_ms)
+        inputs = self._uneven.find_inputs(request.service, now_ms)
         placed = self._placement.choose(
             request,
             prompt,
@@ -212,6 +216,7 @@
             # The caller of an interrupted stream should learn of a failure at once.
             may_wait_for_reader=not pending.has_begun,
             room=self._find_room(pending, now_ms),
+            inputs=inputs,
         )
         if placed is None:
             return None
@@ -225,7 +230,9 @@
         tokens = prompt.count_tokens() + prompt.max_output_tokens
         self._begin(pending, placed.replica, tokens, placed.unread_tokens, now_ms)
         pending.scope = placed.scope
-        read_ms = placed.wait_ms + placed.unread_tokens / self.usage.tokens_per_ms
+        pending.unread_tokens = placed.unread_tokens
+        speed = self.usage.tokens_per_ms * placed.speed_factor
+        read_ms = placed.wait_ms + placed.unread_tokens / speed
         self.block_index.record(
             replica.name,
             placed.scope,
@@ -254,7 +261,10 @@
             queued_ms=now_ms - request.arrived_ms,
             view_age_ms=now_ms - self.view_confirmed_ms,
             gone_ms=placed.replica.compute_gone(now_ms),
+            speed_factor=placed.speed_factor,
         )
+        if self._uneven.is_active(request.service):
+            reason = msgspec.structs.replace(reason, short_share=inputs.short_share)
         dispatch = self._build_dispatch(pending, placed.replica, reason)
         return msgspec.structs.replace(
             dispatch,
@@ -398,6 +408,20 @@
                 pending.replica, pending.scope, prompt.parts, now_ms, memory_tokens
             )
 
+    def record_ended(self, pending: PendingCall, now_ms: float) -> None:
+        """Count the work of a call that has ended at its replica."""
+        prompt = pending.request.prompt
+        service = self.index.find_service(pending.request.service)
+        if prompt is None or service is None or service.engine is None:
+            return
+        self._uneven.record_ended(
+            pending.request.service,
+            prompt,
+            pending.unread_tokens / self.usage.tokens_per_ms,
+            now_ms - pending.sent_ms,
+            now_ms,
+        )
+
 
 def _fits_origin(pending: PendingCall, known: KnownReplica) -> bool:
     """Return whether a call's stream may go on at a replica; true for a new one."""
--- a/packages/toucanyard/src/toucanyard/candidates.py
+++ b/packages/toucanyard/src/toucanyard/candidates.py
@@ -65,7 +65,10 @@
         self._seeds: dict[EndpointName, int] = {}
 
     def find_length_group(
-        self, candidates: list[Candidate], prompt: Prompt
+        self,
+        candidates: list[Candidate],
+        prompt: Prompt,
+        short_share: float = SHORT_SHARE,
     ) -> list[Candidate]:
         """Return the candidates that prompts of this length prefer.
 
@@ -75,7 +78,7 @@
         if not has_many_candidates(candidates):
             return candidates
         ordered = sorted(candidates, key=lambda each: self._find_seed(each))
-        short_count = int(len(ordered) * SHORT_SHARE)
+        short_count = int(len(ordered) * short_share)
         is_short = prompt.count_tokens() <= SHORT_TOKENS
         return ordered[:short_count] if is_short else ordered[short_count:]
 
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -99,6 +99,37 @@
     """Start of its newest incarnation, by its own clock."""
 
 
+WorkMs = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
+
+class SpeedReport(msgspec.Struct, frozen=True, array_like=True):
+    """Samples of a replica's speed."""
+
+    replica: EndpointName
+    log_sum: Annotated[float, msgspec.Meta(ge=-1e6, le=1e6)]
+    """Sum of the logarithms of the stated speeds."""
+    samples: Annotated[int, msgspec.Meta(ge=1, le=1_000)]
+
+
+class WorkReport(msgspec.Struct, frozen=True, array_like=True):
+    """The work of prompts of one length group that have ended."""
+
+    service: ServiceName
+    is_short: bool
+    calls: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+    read_ms: WorkMs
+    """Time that replicas take to read them."""
+    slot_ms: WorkMs
+    """Time for which they occupied a slot."""
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """Samples that the receiver has not been sent before."""
+
+    speeds: tuple[SpeedReport, ...] = ()
+    work: tuple[WorkReport, ...] = ()
+
+
 class PromptBlockRead(msgspec.Struct, frozen=True, array_like=True):
     """A prompt block that a replica has just read, or is about to read."""
 
@@ -206,6 +237,8 @@
     rejections above which they end."""
     exchanges_origins: bool = False
     """Whether the sender understands messages about the origins of streams."""
+    load: LoadReport | None = None
+    """Speeds and work where replicas state their contention."""
 
 
 class ViewRecords(msgspec.Struct, frozen=True, array_like=True, tag="v"):
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -27,6 +27,8 @@
     queued_ms: float = 0.0
     sent_ms: float = 0.0
     """When the last dispatch was decided on."""
+    unread_tokens: int = 0
+    """Prompt tokens that the replica of the last dispatch had to read for it."""
     begun_ms: float | None = None
     """When the first event of the last dispatch arrived; None if none did."""
     may_have_run: bool = False
--- a/packages/toucanyard/src/toucanyard/prompt_block_placement.py
+++ b/packages/toucanyard/src/toucanyard/prompt_block_placement.py
@@ -33,6 +33,7 @@
 from toucanyard.routes import EngineTraits, PromptStore
 from toucanyard.software_versions import VersionRoom
 from toucanyard.target_weights import TargetWeights
+from toucanyard.uneven_load.placement_inputs import EVEN, PlacementInputs
 
 FULL_SHARE: Final = 0.92
 """Share of a replica's memory that calls may use together; beyond it the engine
@@ -65,6 +66,8 @@
     considered: int
     missing: PromptBlock | None
     """The first shared block that the replica has to read."""
+    speed_factor: float = 1.0
+    """Speed of the replica relative to the mean."""
 
 
 class _Scored(msgspec.Struct, frozen=True):
@@ -77,6 +80,7 @@
     fetched_tokens: int
     missing: PromptBlock | None
     """The first shared block without a holder."""
+    speed_factor: float
 
 
 class _PlacementContext(msgspec.Struct):
@@ -99,6 +103,7 @@
     has_many_candidates: bool
     room: VersionRoom | None = None
     """The software versions that a new stream should avoid."""
+    inputs: PlacementInputs = EVEN
     preferred_replicas: dict[str, Candidate] = {}
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """Replicas that are reading a block, by scope and block name."""
@@ -154,16 +159,20 @@
         *,
         may_wait_for_reader: bool = True,
         room: VersionRoom | None = None,
+        inputs: PlacementInputs = EVEN,
     ) -> PlacedPrompt | None:
         """Return the best replica with capacity, or None if the call has to wait.
 
         `may_wait_for_reader` allows it to wait for a block that another replica is
         reading. `room` names the software versions that a new stream should avoid.
+        `inputs` tells how replicas and demand differ.
         """
         candidates = self._find_candidates(request, prompt, usable, target, now_ms)
         shared = prompt.find_shared()
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
-        length_group = self._filter.find_length_group(candidates, prompt)
+        length_group = self._filter.find_length_group(
+            candidates, prompt, inputs.short_share
+        )
         length_group_names = frozenset(each.known.replica.name for each in length_group)
         context = _PlacementContext(
             prompt,
@@ -177,6 +186,7 @@
             length_group_names,
             has_many_candidates(candidates),
             room,
+            inputs,
         )
         first: Sequence[Candidate] = ()
         if has_many_candidates(candidates):
@@ -315,7 +325,8 @@
         covered = max(candidate.held_tokens, sources.tokens)
         fetched = max(sources.tokens - candidate.held_tokens, 0)
         unread = total_tokens - covered
-        speed = self._usage.tokens_per_ms
+        factor = context.inputs.find_factor(name)
+        speed = self._usage.tokens_per_ms * factor
         wait_ms = (
             total_usage.unread_tokens / speed
             + total_usage.running * self._policy.running_ms
@@ -336,7 +347,15 @@
             total_ms += self._price_missing(
                 candidate, context, missing, covered, now_ms
             )
-        return _Scored(candidate, total_ms, wait_ms, unread, fetched, missing)
+        return _Scored(
+            candidate,
+            total_ms,
+            wait_ms,
+            unread,
+            fetched,
+            missing,
+            factor,
+        )
 
     def _find_room_share(
         self, candidate: Candidate, context: _PlacementContext
@@ -417,6 +436,7 @@
         source=address,
         considered=len(context.candidates),
         missing=scored.missing,
+        speed_factor=scored.speed_factor,
     )
 
 
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -89,6 +89,7 @@
 from toucanyard.store_reads import StoreReads
 from toucanyard.target_weights import TargetWeightsTable
 from toucanyard.topic_updates import TopicUpdates
+from toucanyard.uneven_load.placement_inputs import UnevenLoad
 from toucanyard.view_exchange import ViewExchange
 
 PRUNE_MS: Final = 5_000.0
@@ -166,6 +167,7 @@
             self.origins,
             lambda now_ms: now_ms - self.exchange.views[Topic.REPLICAS].confirmed_ms,
         )
+        self.uneven = UnevenLoad(self.directory, options.policy.uneven)
         calls = self.calls = CallPlacement(
             options,
             self.directory,
@@ -181,6 +183,7 @@
                 usage,
             ),
             self.versions,
+            self.uneven,
             rng,
         )
         self.guard = RequestGuard(
@@ -252,6 +255,7 @@
             self.brittleness,
             self.reach,
             self.faults,
+            self.uneven,
             lambda: self.shares.delegation,
         )
         coordinators = LimitCoordinators(
@@ -264,7 +268,12 @@
             coordinators, self.limits, self.credits, options.limits
         )
         self.statements = StatementEvents(
-            self.directory, self.replica_limits, self.gossip, self.brittleness, rng
+            self.directory,
+            self.replica_limits,
+            self.gossip,
+            self.brittleness,
+            self.uneven,
+            rng,
         )
         self._limit_events = LimitEvents(
             self.shares, self.replica_limits, self.flow, self.statuses
@@ -445,6 +454,7 @@
             self.replica_limits.retain(known)
             self.brittleness.retain(known)
             self.calls.brittle.retain(known)
+            self.uneven.retain(known)
 
     def _handle_passive(self, event: PassiveEvent, now_ms: float) -> None:
         """Handle an event that needs no action now."""
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -475,5 +475,6 @@
             pending.is_awaiting_origin = False
         if pending.replica is not None:
             self.usage.end(pending.replica, request.request_id)
+            self._calls.record_ended(pending, now_ms)
             self._refusals.record_freed_slot(request.service, now_ms)
         yield from self._drain(request.service, now_ms)
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -141,6 +141,15 @@
     software version, where that has few replicas."""
 
 
+class UnevenLoadPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """What placement takes into account where replicas state their contention."""
+
+    speeds: bool = True
+    """Whether the learned speed of each replica counts."""
+    shares: bool = True
+    """Whether the share of replicas for short prompts follows the work."""
+
+
 class RelayPolicy(msgspec.Struct, frozen=True, kw_only=True):
     """All parameters of the relay path."""
 
@@ -151,3 +160,4 @@
     guard: GuardPolicy = GuardPolicy()
     limits: LimitPolicy = LimitPolicy()
     origins: OriginPolicy = OriginPolicy()
+    uneven: UnevenLoadPolicy = UnevenLoadPolicy()
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -99,6 +99,10 @@
     """Time since the store last confirmed the list of replicas."""
     gone_ms: float | None = None
     """Time since this node learned that the replica was removed; None if listed."""
+    speed_factor: float = 1.0
+    """Speed of the replica relative to the mean."""
+    short_share: float | None = None
+    """Share of the replicas that short prompts prefer; None if it is fixed."""
 
 
 class RelayDispatch(msgspec.Struct, frozen=True):
--- a/packages/toucanyard/src/toucanyard/replica_statements.py
+++ b/packages/toucanyard/src/toucanyard/replica_statements.py
@@ -14,6 +14,7 @@
     RETRY_AFTER = "retry_after"
     LIMIT = "limit"
     BRITTLE = "brittle"
+    LOAD = "load"
 
 
 class InvalidStatement(msgspec.Struct, frozen=True):
@@ -23,6 +24,17 @@
     text: str
 
 
+class StatedLoad(msgspec.Struct, frozen=True):
+    """The load that a replica states in a response."""
+
+    running: int
+    waiting: int
+    slots: int
+    contention: float | None = None
+    """How much longer work takes on its machine now than usual, as others use it too;
+    None if it does not say."""
+
+
 class ReplicaStatement(msgspec.Struct, frozen=True):
     """What one response states about the replica that sent it."""
 
@@ -37,12 +49,14 @@
     brittle_per_s: float | None = None
     """Rejections a second, for lack of room, above which it ends; None if it is not
     brittle."""
+    load: StatedLoad | None = None
     invalid: tuple[InvalidStatement, ...] = ()
 
     def has_content(self) -> bool:
         """Return whether the response states anything but the replica's id."""
         values = (self.retry_after_ms, self.limit_per_s, self.brittle_per_s)
         has_value = any(each is not None for each in values)
+        has_value |= self.load is not None and self.load.contention is not None
         return self.is_leaving or has_value or bool(self.invalid)
 
 
--- a/packages/toucanyard/src/toucanyard/statement_events.py
+++ b/packages/toucanyard/src/toucanyard/statement_events.py
@@ -14,6 +14,7 @@
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_statements import StatementKind
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.uneven_load.placement_inputs import UnevenLoad
 
 RETURN_SPREAD: Final = 0.2
 """Share of a requested delay by which it is extended at random, so that nodes whose
@@ -36,6 +37,7 @@
         "_limits",
         "_deferrals",
         "_rng",
+        "_uneven",
         "leave_count",
         "deferral_count",
     )
@@ -46,8 +48,10 @@
         limits: ReplicaLimits,
         gossip: ReplicaGossip,
         brittleness: ReplicaLimits,
+        uneven: UnevenLoad,
         rng: random.Random,
     ) -> None:
+        self._uneven = uneven
         self._brittleness = brittleness
         self._rng = rng
         self.leave_count = 0
@@ -83,6 +87,7 @@
             yield from self._limits.on_answer(name, statement.limit_per_s, now_ms)
             self._is_urgent |= self._limits.change_count != before
         yield from self._apply_brittleness(seen, name, now_ms)
+        yield from self._apply_load(seen, known, now_ms)
         if statement.is_leaving:
             yield from self._record_leave(known, now_ms)
         if statement.retry_after_ms is not None:
@@ -99,6 +104,20 @@
         yield from self._brittleness.on_answer(name, brittle_per_s, now_ms)
         self._is_urgent |= self._brittleness.change_count != before
 
+    def _apply_load(
+        self, seen: ReplicaStatementSeen, known: KnownReplica, now_ms: float
+    ) -> Iterator[LogEntry]:
+        load, service = seen.statement.load, known.replica.service
+        if load is None:
+            return
+        if self._uneven.record_stated(service, known.replica.name, load, now_ms):
+            fields: dict[str, object] = {
+                "service": service,
+                "replica": known.replica.name,
+                "contention": load.contention,
+            }
+            yield LogEntry("uneven_load_active", fields)
+
     def consume_urgent_flag(self) -> bool:
         """Return whether peers should learn of a change at once; clear the flag."""
         is_urgent, self._is_urgent = self._is_urgent, False
--- a/packages/toucanyard/src/toucanyard/status_exchange.py
+++ b/packages/toucanyard/src/toucanyard/status_exchange.py
@@ -34,6 +34,7 @@
 from toucanyard.request_guard import RequestGuard
 from toucanyard.status_schedule import URGENT_MS, Audience, StatusSchedule
 from toucanyard.target_weights import TargetWeightsTable
+from toucanyard.uneven_load.placement_inputs import UnevenLoad
 from toucanyard.view_exchange import ViewExchange
 
 MIN_SHARED_TOKENS: Final = 500
@@ -72,8 +73,10 @@
         brittleness: ReplicaLimits,
         reach: ReplicaReach,
         faults: FaultLocator,
+        uneven: UnevenLoad,
         find_delegation: Callable[[], ShareDelegation | None] = lambda: None,
     ) -> None:
+        self._uneven = uneven
         self._reach = reach
         self._faults = faults
         self._brittleness = brittleness
@@ -164,6 +167,8 @@
         is_full_mesh = self._node_directory.is_full_mesh()
         if not is_full_mesh:
             self._mark_urgent()
+        if not self._members:
+            self._uneven.drop_group_report()
         # Hubs report for others, whose calls begin and end all the time.
         is_quiet = not self._members and not self._usage.has_updates()
         audiences = self._schedule.find_due(
@@ -227,6 +232,9 @@
             self._weight_targets.record_age(
                 each.model, each.version, each.age_ms, now_ms
             )
+        if status.load is not None:
+            is_from_group = sender in self._members
+            self._uneven.apply_report(status.load, now_ms, is_from_group=is_from_group)
         self._gossip.apply_restarts(status.restarts, now_ms)
         has_replica_updates = self._gossip.apply(status.replica_updates, sender, now_ms)
         has_replica_updates |= self._guard.apply_gossip(
@@ -278,6 +286,7 @@
             covers=Coverage.GROUP,
             usage=self._usage.report(),
             parts=self._reports.take(0, now_ms),
+            load=self._uneven.take_peer_report(now_ms),
             delegation=self._find_delegation(),
         )
         for name in self._views.linked:
@@ -308,6 +317,7 @@
         full_ms = self._find_full_interval()
         changes: dict[str, object] = {"parts": parts, "is_report": primary is not None}
         changes["delegation"] = self._find_delegation()
+        changes["load"] = self._uneven.take_peer_report(now_ms)
         if _start_interval(self._node_list_ms, Audience.PEERS, NODE_LIST_MS, now_ms):
             nodes = self._node_directory.list_responsive(sorted(self._members), now_ms)
             changes["nodes"] = tuple(nodes)
@@ -324,6 +334,7 @@
         """Build the status on the whole fleet for the nodes that report to this one."""
         full_ms = self._find_full_interval()
         changes: dict[str, object] = {"parts": parts}
+        changes["load"] = self._uneven.take_group_report(now_ms)
         if _start_interval(self._node_list_ms, Audience.GROUP, NODE_LIST_MS, now_ms):
             changes["nodes"] = tuple(self._node_directory.list_alive(now_ms))
         if _start_interval(self._full_ms, Audience.GROUP, full_ms, now_ms):
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -31,6 +31,7 @@
 from toucanyard.routes import RouteIndex
 from toucanyard.software_versions import SoftwareVersions
 from toucanyard.target_weights import TargetWeightsTable, WantedWeights
+from toucanyard.uneven_load.placement_inputs import UnevenLoad
 
 from .relay_examples import (
     DESK,
@@ -85,6 +86,7 @@
                 ReplicaLimits(rng), self.directory, nodes, reach, usage
             ),
             self.versions,
+            UnevenLoad(self.directory, OPTIONS.policy.uneven),
             rng,
         )
         self.flow = RelayFlow(
--- a/tests/toucanyard/test_call_placement.py
+++ b/tests/toucanyard/test_call_placement.py
@@ -18,6 +18,7 @@
 from toucanyard.routes import RouteIndex
 from toucanyard.software_versions import SoftwareVersions
 from toucanyard.target_weights import TargetWeightsTable, WantedWeights
+from toucanyard.uneven_load.placement_inputs import UnevenLoad
 
 from .relay_examples import (
     ENGINES,
@@ -66,6 +67,7 @@
                 ReplicaLimits(rng), directory, nodes, reach, usage
             ),
             SoftwareVersions(directory),
+            UnevenLoad(directory, OPTIONS.policy.uneven),
             rng,
         )
         self.placement.index = RouteIndex(build_table())
--- a/tests/toucanyard/test_statement_events.py
+++ b/tests/toucanyard/test_statement_events.py
@@ -10,6 +10,7 @@
 from toucanyard.names import Address, EndpointName, ReplicaId
 from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.relay_events import ReplicaStatementSeen
+from toucanyard.relay_policy import UnevenLoadPolicy
 from toucanyard.replica_gossip import ReplicaGossip
 from toucanyard.replica_incarnations import name_incarnation
 from toucanyard.replica_limits import ReplicaLimits
@@ -20,6 +21,7 @@
 )
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.statement_events import StatementEvents
+from toucanyard.uneven_load.placement_inputs import UnevenLoad
 
 from .relay_examples import build_replica
 
@@ -37,7 +39,12 @@
         gossip = ReplicaGossip(self.directory, PromptBlockIndex(), rng)
         self.brittleness = ReplicaLimits(rng)
         self.events = StatementEvents(
-            self.directory, self.limits, gossip, self.brittleness, rng
+            self.directory,
+            self.limits,
+            gossip,
+            self.brittleness,
+            UnevenLoad(self.directory, UnevenLoadPolicy()),
+            rng,
         )
         for name in names:
             self.directory.apply(build_replica(name, address=ADDRESS), 0.0)
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -10,7 +10,7 @@
 from toucanyard.names import CustomerName, EndpointName, RequestId
 from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.relay_requests import RelayRequest
-from toucanyard.replica_statements import ReplicaStatement
+from toucanyard.replica_statements import ReplicaStatement, StatedLoad
 from toucanyard.request_fingerprint import compute_fingerprint
 from toucanyard.requests import Repeatability
 from toucanyard_node.relay_metrics import MAX_GROUPS, RelayMetrics
@@ -133,3 +133,21 @@
     assert 'toucanyard_replica_leaving{replica="c",source="peer"} 1' in lines
     assert 'toucanyard_replica_deferred_ms{replica="b"}' in text
     assert 'replica="d"' not in text
+
+
+async def test_speeds_that_replicas_state_are_shown() -> None:
+    """Guards against an operator who can't see why a replica gets less work."""
+    harness = RelayHarness([ScriptedReplica("x", answer())])
+    async with start_harness(harness):
+        before = harness.metrics.render(harness.core, Counter(), 0, 1_000.0)
+        for known in harness.core.directory.list_all():
+            name, load = known.replica.name, StatedLoad(1, 0, 8, 1.25)
+            harness.core.uneven.record_stated(SERVICE, name, load, 900.0)
+        text = harness.metrics.render(harness.core, Counter(), 0, 1_000.0)
+    assert "replica_speed" not in before
+    lines = text.splitlines()
+    labels = f'service="{SERVICE}",replica="{name}"'
+    assert f"toucanyard_replica_speed{{{labels}}} 1.0" in lines
+    assert f"toucanyard_replica_contention{{{labels}}} 1.25" in lines
+    assert f"toucanyard_replica_contention_age_ms{{{labels}}} 100" in lines
+    assert f'toucanyard_short_prompt_share{{service="{SERVICE}"}} 0.35' in lines
--- a/tests/toucanyard_platform/test_answer_statements.py
+++ b/tests/toucanyard_platform/test_answer_statements.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from toucanyard.replica_statements import StatementKind
+from toucanyard.replica_statements import StatedLoad, StatementKind
 from toucanyard_node.http_client import ResponseHead
 from toucanyard_platform.answer_statements import read_statement
 
@@ -135,3 +135,31 @@
         statement = read_statement(build_answer("Server-Brittle", *values))
         assert statement.brittle_per_s is None
         assert [each.kind for each in statement.invalid] == [StatementKind.BRITTLE]
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        ("3,0,8", StatedLoad(3, 0, 8)),
+        ("3,1,8,100", StatedLoad(3, 1, 8, 1.0)),
+        ("0,0,12,55", StatedLoad(0, 0, 12, 0.55)),
+        ("12,40,12,300", StatedLoad(12, 40, 12, 3.0)),
+        ("0,0,12,0", StatedLoad(0, 0, 12, 0.1)),
+        ("0,0,12,999999999", StatedLoad(0, 0, 12, 10.0)),
+    ],
+)
+def test_load_that_replicas_state_is_decoded(value: str, load: StatedLoad) -> None:
+    statement = read_statement(build_answer("X-Instance-Load", value))
+    assert statement.load == load
+    assert statement.has_content() == (load.contention is not None)
+    assert not statement.invalid
+
+
+@pytest.mark.parametrize(
+    "value", ["", "3", "3,0", "3,0,8,", "-3,0,8,100", "3,0,8,1e3", "a,b,c", "9" * 500]
+)
+def test_load_that_is_no_list_of_counts_has_no_effect(value: str) -> None:
+    """Guards against placing calls by figures that a replica garbled."""
+    statement = read_statement(build_answer("X-Instance-Load", value))
+    assert statement.load is None
+    assert [each.kind for each in statement.invalid] == [StatementKind.LOAD]
