Keep connections to replicas for repeatable calls where settings ask

Cause: each call opened a connection.

Change: the core says which dispatches may use a kept connection and which connections are kept; the node holds them, closes them before the replica does, and opens a new one if a kept one is closed. Short prompts and plain calls prefer replicas to which there is a connection. On only where the settings' contracts contain pressure. Figures in the metrics.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -1,9 +1,9 @@
 """Dispatch one relayed call to replicas and forward the answer unchanged.
 
-Each dispatch opens a new connection: an idle one may have been lost unnoticed, and a
-request written to it may or may not run. The core decides which replica gets a call and
-whether it is retried on another. This module reports the outcomes to the core and
-follows its verdicts.
+A dispatch opens a new connection unless the core allows a kept one: an idle connection
+may have been lost unnoticed, and a request written to it may or may not run. The core
+decides which replica gets a call and whether it is retried on another. This module
+reports the outcomes to the core and follows its verdicts.
 """
 
 from __future__ import annotations
@@ -42,10 +42,15 @@
     connect,
 )
 from toucanyard_node.http_exchange import CallResponder, HttpRequest
-from toucanyard_node.relay_log import log_ended, log_forward_ended
+from toucanyard_node.relay_log import (
+    log_ended,
+    log_forward_ended,
+    log_kept_closed,
+)
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import AnswerFacts, CallCodec
 from toucanyard_node.relay_task import RelayClient
+from toucanyard_node.replica_connections import ReplicaConnections
 
 STREAM_IDLE_FACTOR: Final = 2.5
 """Multiple of the route's longest gap after which a silent stream is resumed."""
@@ -56,6 +61,10 @@
 EVENT_STREAM: Final = "text/event-stream"
 
 
+class KeptConnectionClosedError(Exception):
+    """A kept connection was closed before any byte of a call was sent on it."""
+
+
 class RelayExchange:
     """Processing of one call from its arrival to its answer.
 
@@ -73,7 +82,11 @@
         request: RelayRequest,
         max_gap_ms: int,
         metrics: RelayMetrics,
+        connections: ReplicaConnections,
     ) -> None:
+        self._connections = connections
+        self._kept_head: ResponseHead | None = None
+        """Head of the answer after which the connection is kept."""
         self._client = client
         self._codec = codec
         self._forwarder = forwarder
@@ -244,19 +257,46 @@
     async def _send_dispatch(self, dispatch: RelayDispatch) -> None:
         """Perform one dispatch and send its answer, or raise AnswerLostError."""
         self._writing_since_ms = None
+        kept = None
+        if dispatch.may_reuse:
+            kept = await self._connections.take(dispatch.replica)
+        if kept is not None:
+            try:
+                await self._use(dispatch, kept, is_kept=True)
+                return
+            except KeptConnectionClosedError as error:
+                self._connections.stale_count += 1
+                log_kept_closed(dispatch, str(error))
+        await self._use(dispatch, await self._connect(dispatch))
+
+    async def _connect(self, dispatch: RelayDispatch) -> HttpConnection:
+        self._connections.opened_count += 1
         try:
-            connection = await connect(dispatch.address, dispatch.connect_ms)
+            return await connect(dispatch.address, dispatch.connect_ms)
         except ConnectionFailedError as error:
             raise self._build_failure(
                 dispatch, DispatchEnding.NOT_SENT, str(error), cause=error, is_dead=True
             ) from error
+
+    async def _use(
+        self,
+        dispatch: RelayDispatch,
+        connection: HttpConnection,
+        *,
+        is_kept: bool = False,
+    ) -> None:
+        """Perform a dispatch on a connection, then keep or close that."""
+        self._kept_head = None
         try:
             self._check_withdrawn(dispatch)
-            await self._exchange(dispatch, connection)
+            await self._exchange(dispatch, connection, is_kept=is_kept)
         finally:
-            # Closing lets the replica stop work whose result is no longer needed.
-            with trio.CancelScope(shield=True):
-                await connection.close()
+            if self._kept_head is not None:
+                self._connections.put(dispatch.replica, connection, self._kept_head)
+            else:
+                # Closing lets the replica stop work whose result is no longer needed.
+                with trio.CancelScope(shield=True):
+                    await connection.close()
 
     def _check_withdrawn(self, dispatch: RelayDispatch) -> None:
         """Raise AnswerLostError if the replica accepts no calls since the decision."""
@@ -267,9 +307,9 @@
             )
 
     async def _exchange(
-        self, dispatch: RelayDispatch, connection: HttpConnection
+        self, dispatch: RelayDispatch, connection: HttpConnection, *, is_kept: bool
     ) -> None:
-        head = await self._read_head(dispatch, connection)
+        head = await self._read_head(dispatch, connection, is_kept=is_kept)
         facts = self._codec.read_answer(head)
         self._client.report_statement(
             dispatch.replica,
@@ -292,11 +332,11 @@
             # A stream cannot be resumed with an answer that is not a stream.
             raise self._build_failure(dispatch, DispatchEnding.LOST, "no stream", facts)
         is_error = head.status >= FIRST_ERROR
-        self._complete(dispatch, facts, head, is_inconclusive=is_error)
+        self._complete(dispatch, facts, head, connection, is_inconclusive=is_error)
         await self._send_whole(answer)
 
     async def _read_head(
-        self, dispatch: RelayDispatch, connection: HttpConnection
+        self, dispatch: RelayDispatch, connection: HttpConnection, *, is_kept: bool
     ) -> ResponseHead:
         remaining_ms = int(self._request.deadline_ms - trio.current_time() * 1000)
         if remaining_ms <= 0:
@@ -316,6 +356,8 @@
                     self._http.method, self._http.target, headers, body
                 )
         except ConnectionFailedError as error:
+            if is_kept and not error.is_sent:
+                raise KeptConnectionClosedError(str(error)) from error
             ending = DispatchEnding.LOST if error.is_sent else DispatchEnding.NOT_SENT
             raise self._build_failure(
                 dispatch, ending, str(error), cause=error
@@ -401,7 +443,9 @@
         self._check_stream_end(dispatch, head, facts, has_events=has_events)
         if not self._responder.is_started:
             await self._start_answer(head, dispatch)
-        self._complete(dispatch, facts, head, is_inconclusive=not has_events)
+        self._complete(
+            dispatch, facts, head, connection, is_inconclusive=not has_events
+        )
         await self._responder.finish()
 
     def _check_stream_end(
@@ -508,13 +552,19 @@
         dispatch: RelayDispatch,
         facts: AnswerFacts,
         head: ResponseHead,
+        connection: HttpConnection,
         *,
         is_inconclusive: bool,
     ) -> None:
         self._dispatch = None
+        if dispatch.may_keep and self._connections.may_keep(connection, head):
+            self._kept_head = head
         outcome = self._build_outcome(dispatch, DispatchEnding.COMPLETED, "", facts)
         outcome = msgspec.structs.replace(
-            outcome, is_unframed=not head.is_framed(), is_inconclusive=is_inconclusive
+            outcome,
+            is_unframed=not head.is_framed(),
+            is_inconclusive=is_inconclusive,
+            is_kept=self._kept_head is not None,
         )
         self._client.report_dispatch_ended(outcome)
         text = "" if head.is_framed() else "ended with its connection"
--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -56,6 +56,17 @@
     }
 
 
+def log_kept_closed(dispatch: RelayDispatch, reason: str) -> None:
+    """Log that a call found its kept connection closed and uses a new one."""
+    _LOG.info(
+        "kept_connection_closed",
+        call=dispatch.request_id,
+        replica=dispatch.replica,
+        attempt=dispatch.attempt,
+        reason=reason,
+    )
+
+
 def log_resumed(request: RelayRequest) -> None:
     """Log that a caller takes up a stream, and by which try it says it began."""
     if not request.last_event_id and not request.resumed_id:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -19,6 +19,7 @@
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_requests import RelayRequest
 from toucanyard.requests import Repeatability
+from toucanyard_node.replica_connections import ReplicaConnections
 
 MAX_GROUPS: Final = 64
 """Maximum number of groups with separate values; a histogram takes 10 KB."""
@@ -83,6 +84,7 @@
         dropped_lines: int,
         now_ms: float,
         received_forwards: int = 0,
+        connections: ReplicaConnections | None = None,
     ) -> str:
         """Return all metrics as text."""
         lines = [*self._render_calls(), *_render_core(core, now_ms)]
@@ -91,6 +93,8 @@
             _format("store_calls_total", count, purpose=purpose)
             for purpose, count in sorted(store_calls.items())
         ]
+        if connections is not None:
+            lines += _render_connections(connections)
         lines.append(_format("log_lines_dropped_total", dropped_lines))
         return "\n".join(lines) + "\n"
 
@@ -117,6 +121,13 @@
         yield from _render_histograms("call_ms", self._total_ms)
 
 
+def _render_connections(connections: ReplicaConnections) -> Iterator[str]:
+    yield _format("replica_connections_opened_total", connections.opened_count)
+    yield _format("replica_connections_reused_total", connections.reused_count)
+    yield _format("replica_connections_stale_total", connections.stale_count)
+    yield _format("replica_connections_idle", connections.count_idle())
+
+
 def _render_histograms(
     name: str, histograms: dict[Group, HdrHistogram]
 ) -> Iterator[str]:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -49,6 +49,7 @@
     retry_until_success,
 )
 from toucanyard_node.relay_task import BackgroundJob, RelayTask
+from toucanyard_node.replica_connections import ReplicaConnections
 from toucanyard_node.settings_watch import SettingsWatch
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -58,6 +59,8 @@
 """File descriptors reserved for files, peers and the store."""
 DESCRIPTORS_PER_CALL: Final = 2
 """One for the caller and one for the replica."""
+DESCRIPTORS_PER_KEPT: Final = 16
+"""Descriptors of the process for each kept connection to a replica; calls need most."""
 STOP_MARGIN_MS: Final = 600.0
 """How long before the process would be killed it ends by itself."""
 CLOSE_MARGIN_MS: Final = 300.0
@@ -112,6 +115,10 @@
         self._task = RelayTask(core, send, send_job, self.metrics)
         client = self._task.client
         secrets = (self._options.peer_secret,)
+        self.connections = ReplicaConnections(
+            self._options.connections.max_idle_ms,
+            self._options.max_descriptors // DESCRIPTORS_PER_KEPT,
+        )
         self._relay_server = RelayServer(
             client,
             ports.calls,
@@ -120,6 +127,7 @@
             self._stopping.is_set,
             self.metrics,
             rng,
+            self.connections,
         )
         self.forward_server = ForwardServer(
             self._relay_server.handle_forwarded, self._find_max_forwarded
@@ -161,6 +169,7 @@
             nursery.start_soon(self._links.run, peers, self._messages)
             nursery.start_soon(self._announce)
             nursery.start_soon(self._refresh_limits)
+            nursery.start_soon(self.connections.run)
             for address, handler in (
                 (listen.readiness, handlers.readiness),
                 (listen.locator, handlers.locator),
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -30,6 +30,7 @@
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import CallCodec, CallFacts, CallInvalidError
 from toucanyard_node.relay_task import RelayClient
+from toucanyard_node.replica_connections import ReplicaConnections
 
 NO_ROUTES_RETRY_MS: Final = 300
 """Retry delay while a node starts; it has read its routes by then."""
@@ -43,6 +44,7 @@
     __slots__ = (
         "_client",
         "_codec",
+        "_connections",
         "_find_index",
         "_forwarder",
         "_is_stopping",
@@ -60,7 +62,9 @@
         is_stopping: Callable[[], bool],
         metrics: RelayMetrics,
         rng: random.Random,
+        connections: ReplicaConnections,
     ) -> None:
+        self._connections = connections
         self._metrics = metrics
         self._client = client
         self._codec = codec
@@ -171,6 +175,7 @@
             request,
             route.max_gap_ms,
             self._metrics,
+            self._connections,
         )
 
     async def _reject(
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -31,6 +31,7 @@
     RelayForward,
 )
 from toucanyard.rendezvous import compute_seed, compute_weight
+from toucanyard.replica_connections.kept_connections import KeptConnections
 from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_usage import ReplicaUsage
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
@@ -67,6 +68,8 @@
         rng: random.Random,
     ) -> None:
         self._uneven = uneven
+        self.connections = KeptConnections(options.connections)
+        self.node_count = 1
         self._versions = versions
         self._forwards = forwards
         self._policy = options.policy
@@ -217,6 +220,7 @@
             may_wait_for_reader=not pending.has_begun,
             room=self._find_room(pending, now_ms),
             inputs=inputs,
+            connected=self.connections.find_replicas(request, now_ms),
         )
         if placed is None:
             return None
@@ -265,7 +269,7 @@
         )
         if self._uneven.is_active(request.service):
             reason = msgspec.structs.replace(reason, short_share=inputs.short_share)
-        dispatch = self._build_dispatch(pending, placed.replica, reason)
+        dispatch = self._build_dispatch(pending, placed.replica, reason, now_ms)
         return msgspec.structs.replace(
             dispatch,
             weights_version=placed.weights_version,
@@ -308,7 +312,8 @@
     def _place_plain(
         self, pending: PendingCall, usable: Sequence[KnownReplica], now_ms: float
     ) -> RelayDispatch | RelayForward | None:
-        placed = self._plain.choose(usable, now_ms)
+        connected = self.connections.find_replicas(pending.request, now_ms)
+        placed = self._plain.choose(usable, now_ms, connected)
         if placed is None:
             return None
         forward = self._forward_to_sender(pending, placed.replica, now_ms)
@@ -327,12 +332,21 @@
             view_age_ms=now_ms - self.view_confirmed_ms,
             gone_ms=placed.replica.compute_gone(now_ms),
         )
-        return self._build_dispatch(pending, placed.replica, reason)
+        return self._build_dispatch(pending, placed.replica, reason, now_ms)
 
     def _build_dispatch(
-        self, pending: PendingCall, known: KnownReplica, reason: PlacementReason
+        self,
+        pending: PendingCall,
+        known: KnownReplica,
+        reason: PlacementReason,
+        now_ms: float,
     ) -> RelayDispatch:
         request, replica = pending.request, known.replica
+        connections = self.connections
+        may_reuse = connections.may_use(request)
+        may_reuse = may_reuse and connections.take(replica.name, now_ms)
+        service = self.index.find_service(request.service)
+        most = 0 if service is None else service.max_connections
         return RelayDispatch(
             request_id=request.request_id,
             replica=replica.name,
@@ -347,6 +361,8 @@
             is_brittle=self.brittle.is_brittle(known),
             service=replica.service,
             software_version=replica.software_version,
+            may_reuse=may_reuse,
+            may_keep=connections.may_keep(replica.name, most, self.node_count, now_ms),
         )
 
     def _begin(
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -57,6 +57,7 @@
             self._calls.block_index.record_unread(
                 outcome.replica, pending.scope, prompt.parts, now_ms
             )
+        self._record_connection(outcome, now_ms)
         self._record_sends(pending, outcome, now_ms)
         self._guard.on_dispatch_ended(pending, outcome, now_ms)
         if known is None:
@@ -95,6 +96,14 @@
             case DispatchEnding.REFUSED:
                 known.record_refused_call(now_ms)
 
+    def _record_connection(self, outcome: RelayOutcome, now_ms: float) -> None:
+        connections = self._calls.connections
+        match outcome.ending:
+            case DispatchEnding.NOT_SENT | DispatchEnding.LOST:
+                connections.forget(outcome.replica)
+            case _ if outcome.is_kept:
+                connections.record_kept(outcome.replica, now_ms)
+
     def _record_sends(
         self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
     ) -> None:
--- a/packages/toucanyard/src/toucanyard/plain_placement.py
+++ b/packages/toucanyard/src/toucanyard/plain_placement.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Final
 
 import msgspec
 
-from toucanyard.names import DomainName
+from toucanyard.names import DomainName, EndpointName
 from toucanyard.replica_usage import ReplicaUsage
 from toucanyard.replicas import KnownReplica
 
@@ -23,6 +23,11 @@
 the same one."""
 
 
+CONNECT_SHARE: Final = 0.05
+"""Price of opening a connection, as a share of a full replica: about as long as a
+call to another failure domain takes longer."""
+
+
 class PlacedPlain(msgspec.Struct, frozen=True):
     """The replica chosen for a plain call, and its load relative to its slots."""
 
@@ -43,9 +48,15 @@
         self._rng = rng
 
     def choose(
-        self, usable: Sequence[KnownReplica], now_ms: float
+        self,
+        usable: Sequence[KnownReplica],
+        now_ms: float,
+        connected: Collection[EndpointName] = (),
     ) -> PlacedPlain | None:
-        """Return the best replica with capacity, or None if the call has to wait."""
+        """Return the best replica with capacity, or None if the call has to wait.
+
+        `connected` are the replicas to which there are kept connections.
+        """
         best: PlacedPlain | None = None
         for known in usable:
             replica = known.replica
@@ -55,6 +66,8 @@
                 continue
             load = running / slots + known.compute_failures(now_ms)
             load += 0.0 if replica.domain == self._domain else FAR_SHARE
+            if connected and replica.name not in connected:
+                load += CONNECT_SHARE
             load += self._rng.random() * JITTER_SHARE
             if best is None or load < best.load:
                 best = PlacedPlain(known, load)
--- a/packages/toucanyard/src/toucanyard/prompt_block_placement.py
+++ b/packages/toucanyard/src/toucanyard/prompt_block_placement.py
@@ -10,13 +10,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 import msgspec
 
 from toucanyard.candidates import (
     MIN_TRANSFER_TOKENS,
+    SHORT_TOKENS,
     Candidate,
     CandidateFilter,
     has_many_candidates,
@@ -52,6 +53,10 @@
 read in a row. A call whose own group is full still uses the other one."""
 
 
+CONNECT_MS: Final = 5.0
+"""Time to open a connection to a replica in another failure domain."""
+
+
 class PlacedPrompt(msgspec.Struct, frozen=True):
     """The replica chosen for a prompt, and the reasons."""
 
@@ -104,6 +109,8 @@
     room: VersionRoom | None = None
     """The software versions that a new stream should avoid."""
     inputs: PlacementInputs = EVEN
+    connected: Collection[EndpointName] = ()
+    """Replicas to which the call may be sent on a kept connection."""
     preferred_replicas: dict[str, Candidate] = {}
     readers: dict[tuple[str, str], list[EndpointName]] = {}
     """Replicas that are reading a block, by scope and block name."""
@@ -160,12 +167,14 @@
         may_wait_for_reader: bool = True,
         room: VersionRoom | None = None,
         inputs: PlacementInputs = EVEN,
+        connected: Collection[EndpointName] = (),
     ) -> PlacedPrompt | None:
         """Return the best replica with capacity, or None if the call has to wait.
 
         `may_wait_for_reader` allows it to wait for a block that another replica is
         reading. `room` names the software versions that a new stream should avoid.
-        `inputs` tells how replicas and demand differ.
+        `inputs` tells how replicas and demand differ, `connected` to which replicas
+        there are kept connections.
         """
         candidates = self._find_candidates(request, prompt, usable, target, now_ms)
         shared = prompt.find_shared()
@@ -187,12 +196,14 @@
             has_many_candidates(candidates),
             room,
             inputs,
+            connected,
         )
-        first: Sequence[Candidate] = ()
+        first: list[Candidate] = []
         if has_many_candidates(candidates):
             first = self._filter.find_preselected(
                 length_group, prompt, request.request_id
             )
+            first += _find_connected(context)
         best = self._find_best(first, context, now_ms)
         if best is None:
             best = self._find_best(candidates, context, now_ms)
@@ -341,6 +352,8 @@
             total_ms += self._origins.fewer_ms * (version in context.room.fewer)
         if name not in context.length_group_names:
             total_ms += OTHER_GROUP_PRICE_MS
+        if context.connected and name not in context.connected:
+            total_ms += CONNECT_MS
         total_ms += sources.compute_price(fetched, candidate.known.replica, engine)
         missing = _find_missing(context.shared, covered)
         if missing is not None:
@@ -420,6 +433,20 @@
         return readers
 
 
+def _find_connected(context: _PlacementContext) -> list[Candidate]:
+    """Return the candidates for a short prompt to which there is a connection.
+
+    Long prompts are read where their blocks are.
+    """
+    if not context.connected or context.prompt.count_tokens() > SHORT_TOKENS:
+        return []
+    return [
+        each
+        for each in context.length_group
+        if each.known.replica.name in context.connected
+    ]
+
+
 def _build_placed(
     scored: _Scored, context: _PlacementContext, request_id: RequestId
 ) -> PlacedPrompt:
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -455,6 +455,7 @@
             self.brittleness.retain(known)
             self.calls.brittle.retain(known)
             self.uneven.retain(known)
+            self.calls.connections.retain(known)
 
     def _handle_passive(self, event: PassiveEvent, now_ms: float) -> None:
         """Handle an event that needs no action now."""
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -117,6 +117,7 @@
     def apply_node_count(self, count: int) -> None:
         """Set how many nodes share the retry budget."""
         self._retries.node_count = count
+        self._calls.node_count = count
 
     def count_pending(self) -> int:
         """Return how many calls have not ended."""
--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -53,6 +53,15 @@
     """Factor by which some callers exceed that time."""
 
 
+class ConnectionOptions(msgspec.Struct, frozen=True):
+    """Whether connections to replicas are kept for further calls."""
+
+    is_kept: bool = False
+    max_idle_ms: float = 5_000.0
+    """Time for which a connection is kept without a call. A link that is lost
+    meanwhile is only noticed by the next call."""
+
+
 class RelayOptions(msgspec.Struct, frozen=True):
     """All settings of one node that relays calls."""
 
@@ -70,6 +79,7 @@
     stop: StopTimings = StopTimings()
     max_descriptors: int = 4_000
     limits: LimitBounds = LimitBounds()
+    connections: ConnectionOptions = ConnectionOptions()
     policy: RelayPolicy = RelayPolicy()
     link_mbps: float = 1_000.0
     """Bandwidth of the VM; in a large fleet, nodes with the fastest links are hubs."""
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -136,6 +136,10 @@
     service: ServiceName = ServiceName("")
     software_version: SoftwareVersion = SoftwareVersion("")
     """Version of the replica's program when it was chosen."""
+    may_reuse: bool = False
+    """The call may be sent on a kept connection."""
+    may_keep: bool = False
+    """Its connection may be kept afterwards."""
 
 
 class RelayForward(msgspec.Struct, frozen=True):
@@ -210,6 +214,8 @@
     """The response had neither a length nor chunks, so its end proves nothing."""
     wrote_ms: float | None = None
     """Time since the first event of this dispatch; None if there was none."""
+    is_kept: bool = False
+    """Its connection is kept for another call."""
     is_inconclusive: bool = False
     """The response is an error or has no event, so the replica may not have run the
     request."""
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -24,7 +24,7 @@
 from toucanyard.prompt_block_index import PromptBlock
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_events import SendToPeer, TopicRead
-from toucanyard.relay_options import RelayListen, RelayOptions
+from toucanyard.relay_options import ConnectionOptions, RelayListen, RelayOptions
 from toucanyard.relay_requests import Prompt, RelayDispatch, RelayRequest
 from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.replicas import Replica
@@ -46,6 +46,7 @@
 from toucanyard_node.relay_ports import AnswerFacts, CallFacts, CallInvalidError
 from toucanyard_node.relay_server import RelayServer
 from toucanyard_node.relay_task import BackgroundJob, RelayTask
+from toucanyard_node.replica_connections import ReplicaConnections
 
 Script = Callable[[trio.SocketStream, bytes], Awaitable[None]]
 SERVICE = ServiceName("s")
@@ -149,6 +150,28 @@
             self.closed.set()
 
 
+class KeepingReplica(ScriptedReplica):
+    """Answers calls on its connections until the other side closes them."""
+
+    def __init__(self, name: str, *scripts: Script) -> None:
+        super().__init__(name, *scripts)
+        self.streams: list[trio.SocketStream] = []
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        self.streams.append(stream)
+        try:
+            while call := await read_call(stream):
+                self.calls.append(call)
+                script = self.scripts[0]
+                if len(self.scripts) > 1:
+                    self.scripts.pop(0)
+                await script(stream, call)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+
 async def read_call(stream: trio.SocketStream) -> bytes:
     data = b""
     while b"\r\n\r\n" not in data:
@@ -241,7 +264,13 @@
 class RelayHarness:
     """The relay server and the core of one node, and its replicas."""
 
-    def __init__(self, replicas: list[ScriptedReplica], **route: object) -> None:
+    def __init__(
+        self,
+        replicas: list[ScriptedReplica],
+        keeps_connections: bool = False,
+        /,
+        **route: object,
+    ) -> None:
         self.replicas = replicas
         fields: dict[str, object] = {
             "name": "r",
@@ -255,7 +284,14 @@
         }
         self.route = Route(**(fields | route))  # type: ignore[arg-type]
         listen = RelayListen(LOCAL, LOCAL, LOCAL, LOCAL, LOCAL)
-        options = RelayOptions(NodeName("n"), DomainName("d"), listen, LOCAL)
+        options = RelayOptions(
+            NodeName("n"),
+            DomainName("d"),
+            listen,
+            LOCAL,
+            connections=ConnectionOptions(is_kept=keeps_connections),
+        )
+        self.connections = ReplicaConnections(options.connections.max_idle_ms, 100)
         self.facts: dict[bytes, object] = {}
         identity = NodeId(NodeName("n"), Incarnation("i"))
         rng = random.Random(1)
@@ -273,6 +309,7 @@
             lambda: self.is_stopping,
             self.metrics,
             rng,
+            self.connections,
         )
         limits = ServerLimits(is_pipelined=False)
         self.server = HttpServer(self.relay_server.handle, limits)
