Spend a customer's scarce credit on its urgent calls first

Change: the sub-package scarce_credit. Requests for credit have a rank; the coordinator keeps what more urgent ones lately asked for, bounded by half of the burst, with a minimum share for the others.

The first form let lower ranks make debts and exceeded a bound of the buckets; an existing test found it.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -201,6 +201,7 @@
         yield _format("limit_level", round(usage.level), **labels)
         yield _format("limit_granted_total", round(usage.granted_total), **labels)
         yield _format("limit_denied_total", round(usage.denied_total), **labels)
+        yield _format("limit_reserved", round(usage.reserved), **labels)
 
 
 def _render_replica_limits(core: RelayCore) -> Iterator[str]:
--- a/packages/toucanyard/src/toucanyard/call_limits.py
+++ b/packages/toucanyard/src/toucanyard/call_limits.py
@@ -16,7 +16,9 @@
 from toucanyard.pending_call import PendingCall
 from toucanyard.rate_limits import LimitBounds, RateLimit
 from toucanyard.relay_policy import LimitPolicy, LimitStrategy
+from toucanyard.relay_requests import RelayRequest
 from toucanyard.routes import RouteIndex, RouteTable
+from toucanyard.scarce_credit.account_keys import build_account_key
 
 MAX_FIRST_REQUEST_NUMBER: Final = 2**48
 """Upper bound of an incarnation's first credit request number."""
@@ -88,7 +90,7 @@
             )
         ttl_ms = self._bounds.compute_credit_ms(limit)
         until_ms = self.accounts.take(
-            request.request_id, request.customer, cost, ttl_ms, now_ms
+            request.request_id, self._find_account(request), cost, ttl_ms, now_ms
         )
         if until_ms is not None:
             pending.held_credit = cost
@@ -115,13 +117,18 @@
         self._return_unused(pending, now_ms)
         if pending.is_awaiting_credit:
             request = pending.request
-            self.accounts.withdraw(request.request_id, request.customer)
+            self.accounts.withdraw(request.request_id, self._find_account(request))
             pending.is_awaiting_credit = False
 
+    def _find_account(self, request: RelayRequest) -> str:
+        """Return the key of the credit account that a call uses."""
+        rank = request.rank if self._policy.by_urgency else 0
+        return build_account_key(request.customer, rank)
+
     def _return_unused(self, pending: PendingCall, now_ms: float) -> None:
         if pending.held_credit:
-            customer = pending.request.customer
-            self.accounts.return_unused(customer, pending.held_credit, now_ms)
+            key = self._find_account(pending.request)
+            self.accounts.return_unused(key, pending.held_credit, now_ms)
             pending.held_credit = 0.0
 
     def _wait(
@@ -133,16 +140,17 @@
             pending.is_briefly_denied = False
             pending.credit_wait_since_ms = now_ms
             pending.credit_wait_until_ms = now_ms + self._policy.max_wait_ms
-        denial = self.accounts.find_denial(customer, now_ms)
+        key = self._find_account(pending.request)
+        denial = self.accounts.find_denial(key, now_ms)
         if denial is not None and not pending.is_briefly_denied:
             if denial.retry_ms > self._policy.brief_wait_ms:
-                return self._reject_denied(limit, cost, customer, denial)
+                return self._reject_denied(limit, cost, pending.request, denial)
             pending.is_briefly_denied = True
             pending.credit_wait_until_ms = now_ms + denial.retry_ms + BRIEF_GRACE_MS
         if now_ms <= pending.credit_wait_until_ms:
             return None
         if denial is not None:
-            return self._reject_denied(limit, cost, customer, denial)
+            return self._reject_denied(limit, cost, pending.request, denial)
         text = (
             f"no credit came for {cost:.0f} {limit.unit.value} of customer {customer} "
             f"since {now_ms - pending.credit_wait_since_ms:.0f} ms"
@@ -150,10 +158,12 @@
         return self._reject(text, NO_ANSWER_RETRY_MS)
 
     def _reject_denied(
-        self, limit: RateLimit, cost: float, customer: str, denial: Denial
+        self, limit: RateLimit, cost: float, request: RelayRequest, denial: Denial
     ) -> LimitRejection:
+        ranked = f" for rank {request.rank}" if self._policy.by_urgency else ""
         text = (
-            f"customer {customer} is over its limit of {limit.rate_per_s:g} "
+            f"customer {request.customer} is over its limit{ranked} of "
+            f"{limit.rate_per_s:g} "
             f"{limit.unit.value} a second, as its home said {denial.age_ms:.0f} ms "
             f"ago; the request costs {cost:.0f}"
         )
--- a/packages/toucanyard/src/toucanyard/limit_buckets.py
+++ b/packages/toucanyard/src/toucanyard/limit_buckets.py
@@ -15,6 +15,8 @@
 
 from toucanyard.limit_delegations import DelegationTable, find_partition
 from toucanyard.rate_limits import LimitBounds, RateLimit
+from toucanyard.scarce_credit.account_keys import MAX_RANK
+from toucanyard.scarce_credit.urgent_demand import UrgentDemand
 
 MAJORITY: Final = 0.5
 """Share above which no other coordinator can have as much of the same limit."""
@@ -42,6 +44,8 @@
     share: float
     granted_total: float
     denied_total: float
+    reserved: float
+    """Credit that the least urgent requests leave to others."""
 
 
 class _Bucket:
@@ -49,6 +53,7 @@
 
     __slots__ = (
         "backlog",
+        "demand",
         "denied_total",
         "granted_total",
         "level",
@@ -66,6 +71,7 @@
         """Recently denied credit that the rate has not yet made up for."""
         self.granted_total = 0.0
         self.denied_total = 0.0
+        self.demand = UrgentDemand()
 
     def settle(self, accrued_s: float, capacity: float) -> None:
         """Refill by what has accrued since the last call, up to the capacity."""
@@ -124,16 +130,26 @@
         least: float,
         share: float,
         denied: float = 0.0,
+        rank: int = 0,
     ) -> CreditGrant:
         """Grant as much as fits of `wanted`, either at least `least` or nothing.
 
-        `denied` is what the same node was last denied and now requests again.
+        `denied` is what the same node was last denied and now requests again at this
+        rank. What more urgent requests are expected to need is left to them.
         """
         bucket = self._find_bucket(subject, limit, share)
         debt = self._bounds.compute_max_debt(limit)
         if share <= MAJORITY:
             debt *= share
+        now_s = bucket.settled_s
+        capacity = self._bounds.compute_capacity(limit, share)
+        reserve = bucket.demand.compute_reserve(rank, capacity, now_s)
         needed = max(least - debt, 0.0)
+        spendable = bucket.level + debt
+        if reserve:
+            # A debt would make the more urgent requests wait.
+            needed = max(needed, min(least + reserve, capacity))
+            spendable = max(bucket.level - reserve, least)
         rate_per_s = bucket.rate_per_s * share
         if bucket.level < needed:
             denial_ms = (needed - bucket.level) / rate_per_s * 1_000
@@ -142,8 +158,10 @@
             added = max(wanted - denied, 0.0)
             bucket.backlog = min(bucket.backlog + added, most)
             bucket.denied_total += added
+            bucket.demand.record(rank, added, 0.0, now_s)
             return CreditGrant(0.0, denial_ms, retry_ms)
-        granted = min(wanted, bucket.level + debt)
+        granted = min(wanted, spendable)
+        bucket.demand.record(rank, max(wanted - denied, 0.0), granted, now_s)
         bucket.level -= granted
         bucket.granted_total += granted
         denial_ms = max(-bucket.level, 0.0) / rate_per_s * 1_000
@@ -168,6 +186,13 @@
                 shares[find_partition(name)],
                 bucket.granted_total,
                 bucket.denied_total,
+                bucket.demand.compute_reserve(
+                    MAX_RANK,
+                    self._bounds.compute_capacity(
+                        bucket.limit, shares[find_partition(name)]
+                    ),
+                    bucket.settled_s,
+                ),
             )
             for name, bucket in self._buckets.items()
         ]
--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -17,6 +17,7 @@
 from toucanyard.limit_buckets import CreditGrant
 from toucanyard.names import RequestId
 from toucanyard.rate_limits import MIN_CREDIT_MS
+from toucanyard.scarce_credit.account_keys import split_account_key
 
 REQUEST_TIMEOUT_MS: Final = 200.0
 """Time without an answer after which a credit request is sent again."""
@@ -149,15 +150,16 @@
 
     def retain(self, subjects: Collection[str]) -> None:
         """Drop the accounts of subjects that no longer have a limit."""
-        for subject in set(self._accounts).difference(subjects):
-            del self._accounts[subject]
-            self._waiting_subjects.pop(subject, None)
+        for key in list(self._accounts):
+            if split_account_key(key)[0] not in subjects:
+                del self._accounts[key]
+                self._waiting_subjects.pop(key, None)
 
     def forget_denials(self, subject: str) -> None:
-        """Drop the denial in force for a limit that has changed."""
-        account = self._accounts.get(subject)
-        if account is not None:
-            account.denied_until_ms = float("-inf")
+        """Drop the denials in force for a limit that has changed."""
+        for key, account in self._accounts.items():
+            if split_account_key(key)[0] == subject:
+                account.denied_until_ms = float("-inf")
 
     def list_requests(self, now_ms: float) -> Iterator[CreditRequest]:
         """Return the credit requests that have to be sent now."""
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -18,6 +18,7 @@
 from toucanyard.names import NodeName
 from toucanyard.rate_limits import MAX_CREDIT_MS, LimitBounds, RateLimit
 from toucanyard.relay_events import SendToPeer
+from toucanyard.scarce_credit.account_keys import build_account_key, split_account_key
 
 
 class LimitSource(Protocol):
@@ -58,8 +59,8 @@
         self._buckets = LimitBuckets(bounds, coordinators.delegations)
         coordinators.add_buckets(self._buckets)
         self._is_answered = False
-        self._sent_answers: dict[tuple[NodeName, str], _SentAnswer] = {}
-        """The last answer to each node, by limit."""
+        self._sent_answers: dict[tuple[NodeName, str, int], _SentAnswer] = {}
+        """The last answer to each node, by limit and rank."""
 
     def apply_limits(self, now_ms: float) -> None:
         """Apply changed limits."""
@@ -71,24 +72,23 @@
     def request_credit(self, now_ms: float) -> Iterator[SendToPeer]:
         """Request the credit that calls wait for; this node may be the coordinator."""
         for credit_request in self._source.accounts.list_requests(now_ms):
+            subject, rank = split_account_key(credit_request.subject)
             request = CreditAsk(
                 self._coordinators.own,
                 credit_request.number,
-                credit_request.subject,
+                subject,
                 credit_request.wanted,
                 credit_request.least,
                 credit_request.returned,
                 self._kind,
+                rank,
             )
-            if (
-                self._coordinators.find_coordinator(credit_request.subject)
-                == self._coordinators.own
-            ):
+            if self._coordinators.find_coordinator(subject) == self._coordinators.own:
                 answer = self._answer(request, now_ms)
                 if answer is not None:
                     self._apply(answer, now_ms)
                 continue
-            target = self._coordinators.find_next_hop(credit_request.subject)
+            target = self._coordinators.find_next_hop(subject)
             if target is not None:
                 yield SendToPeer(target, request)
 
@@ -138,7 +138,8 @@
         A repeated request gets the stored answer. If it were granted again whenever an
         answer is slow, a limit would be exhausted without anything being sent.
         """
-        sent = self._sent_answers.get((request.origin, request.subject))
+        key = (request.origin, request.subject, request.rank)
+        sent = self._sent_answers.get(key)
         if sent is not None and sent.answer.number == request.number:
             return sent.answer
         limit = self._source.find_limit(request.subject)
@@ -151,13 +152,17 @@
         self._buckets.return_credit(request.subject, limit, request.returned, share)
         denied = 0.0 if sent is None else sent.denied
         grant = self._buckets.grant(
-            request.subject, limit, request.wanted, request.least, share, denied
+            request.subject,
+            limit,
+            request.wanted,
+            request.least,
+            share,
+            denied,
+            request.rank,
         )
         answer = _build_answer(request, grant)
         denied = 0.0 if grant.granted else request.wanted
-        self._sent_answers[request.origin, request.subject] = _SentAnswer(
-            now_ms, answer, denied
-        )
+        self._sent_answers[key] = _SentAnswer(now_ms, answer, denied)
         return answer
 
     def _answer_unlimited(self, request: CreditAsk) -> CreditAnswer | None:
@@ -172,7 +177,8 @@
     def _apply(self, answer: CreditAnswer, now_ms: float) -> None:
         self._is_answered = True
         grant = CreditGrant(answer.granted, answer.denial_ms, answer.retry_ms)
-        self._source.accounts.apply_grant(answer.subject, answer.number, grant, now_ms)
+        key = build_account_key(answer.subject, answer.rank)
+        self._source.accounts.apply_grant(key, answer.number, grant, now_ms)
 
 
 def _build_answer(request: CreditAsk, grant: CreditGrant) -> CreditAnswer:
@@ -184,4 +190,5 @@
         grant.denial_ms,
         grant.retry_ms,
         request.kind,
+        request.rank,
     )
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -271,6 +271,10 @@
 """An amount in the unit of a limit, neither infinite nor NaN."""
 
 
+Rank = Annotated[int, msgspec.Meta(ge=0, le=9)]
+"""Priority of requests; 0 is the highest."""
+
+
 class CreditAsk(msgspec.Struct, frozen=True, array_like=True, tag="q"):
     """A request to a limit's coordinator for credit; relayed by one hub at most."""
 
@@ -283,6 +287,8 @@
     returned: Credit
     """Unused credit of earlier grants."""
     kind: LimitKind = LimitKind.CUSTOMER
+    rank: Rank = 0
+    """Rank of the requests that the credit is for."""
 
 
 class CreditAnswer(msgspec.Struct, frozen=True, array_like=True, tag="a"):
@@ -296,6 +302,7 @@
     """Time until the coordinator grants credit again; 0 if it does now."""
     retry_ms: DurationMs
     kind: LimitKind = LimitKind.CUSTOMER
+    rank: Rank = 0
 
 
 class SoftwareVersionAge(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -126,6 +126,8 @@
     max_wait_ms: float = 1_500.0
     """Time that a call may wait for credit when no coordinator answers. A link to a
     coordinator that was cut off is closed after 1.1 s."""
+    by_urgency: bool = False
+    """Whether a customer's more urgent calls get its credit first."""
     brief_wait_ms: float = 1_000.0
     """Time that a call over its customer's limit may wait. Two long prompts that arrive
     together exceed a small burst, which the rate soon makes up for."""
--- a/tests/toucanyard/test_limit_buckets.py
+++ b/tests/toucanyard/test_limit_buckets.py
@@ -42,12 +42,18 @@
             self.now_ms = min(self.now_ms + 100.0, end_ms)
             self.delegations.settle(10, self.now_ms)
 
-    def request_credit(self, wanted: float, least: float | None = None) -> float:
-        return self.find(wanted, least)[0]
-
-    def find(self, wanted: float, least: float | None = None) -> tuple[float, float]:
+    def request_credit(
+        self, wanted: float, least: float | None = None, rank: int = 0
+    ) -> float:
+        return self.find(wanted, least, rank)[0]
+
+    def find(
+        self, wanted: float, least: float | None = None, rank: int = 0
+    ) -> tuple[float, float]:
         first = wanted if least is None else least
-        grant = self.buckets.grant(CUSTOMER, LIMIT, wanted, first, self.share)
+        grant = self.buckets.grant(
+            CUSTOMER, LIMIT, wanted, first, self.share, rank=rank
+        )
         return grant.granted, grant.denial_ms
 
 
@@ -138,3 +144,28 @@
         coordinator.delegations.settle(10, coordinator.now_ms)
     )
     assert coordinator.request_credit(100_000.0, 200.0) == pytest.approx(DEBT)
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 900), st.floats(0, 40_000), st.integers(0, 3)),
+        max_size=40,
+    )
+)
+def test_grants_to_several_ranks_stay_within_the_same_bound(
+    steps: list[tuple[float, float, int]],
+) -> None:
+    """Guards against a reserve that lets less urgent requests exceed the limit."""
+    coordinator = Coordinator()
+    grants: list[tuple[float, float]] = []
+    for wait_ms, wanted, rank in steps:
+        coordinator.wait(wait_ms)
+        granted = coordinator.request_credit(wanted, rank=rank)
+        grants.append((coordinator.now_ms, granted))
+    for begun_ms, _ in grants:
+        within = [
+            each for each in grants if begun_ms <= each[0] < begun_ms + BOUNDS.window_ms
+        ]
+        total = sum(granted for _, granted in within)
+        span_s = (within[-1][0] - begun_ms) / 1_000
+        assert total <= LIMIT.burst + RATE * span_s + DEBT + 1.0
