Price transfers by the slower link, tell speeds at once after a start

Cause: a store with a link of 1,500 Gbit/s before replicas with 280 made fetches look five times cheaper than they are; and with 24 replicas a report speeds of 70 replicas took three seconds to be told.

Reports have a budget of 24 replicas a second, up to 64 at once.

--- a/packages/toucanyard/src/toucanyard/fetch_sources.py
+++ b/packages/toucanyard/src/toucanyard/fetch_sources.py
@@ -72,6 +72,7 @@
         return TRANSFER_PRICE * min(
             bits
             * (1.0 if each.domain == receiver.domain else FAR_FACTOR)
-            / (each.link_mbps * 1_000)
+            # A transfer occupies both links for as long as the slower one takes.
+            / (min(each.link_mbps, engine.link_mbps) * 1_000)
             for each in self.holders
         )
--- a/packages/toucanyard/src/toucanyard/uneven_load/load_reports.py
+++ b/packages/toucanyard/src/toucanyard/uneven_load/load_reports.py
@@ -13,9 +13,11 @@
 
 REPORT_MS: Final = 1_000.0
 """Time between two reports to the same peers."""
-MAX_REPORTED: Final = 24
-"""Replicas in one report, of about 40 bytes each: a third of what a node may send for
-control. The rest follows with the next."""
+REPORTED_PER_S: Final = 24.0
+"""Replicas reported a second, of about 40 bytes each: a third of what a node may send
+for control. The rest follows with the next report."""
+MAX_REPORTED: Final = 64
+"""Replicas in one report after a while without any, as after a start."""
 MAX_PENDING: Final = 5_000
 """Replicas with samples to be reported; beyond it the oldest are dropped."""
 MAX_SERVICES: Final = 16
@@ -27,12 +29,14 @@
 class LoadReports:
     """What one kind of peers has not been sent yet."""
 
-    __slots__ = ("_reported_ms", "_speeds", "_work")
+    __slots__ = ("_reported_ms", "_room", "_speeds", "_work")
 
     def __init__(self) -> None:
         self._speeds: dict[EndpointName, SpeedReport] = {}
         self._work: dict[tuple[ServiceName, bool], WorkReport] = {}
         self._reported_ms = float("-inf")
+        self._room = float(MAX_REPORTED)
+        """Replicas that may be reported now."""
 
     def add_speed(self, report: SpeedReport) -> None:
         """Add samples of a replica's speed."""
@@ -76,10 +80,13 @@
     def take(self, now_ms: float) -> LoadReport | None:
         """Return and remove what the next report contains, if one is due."""
         has_content = self._speeds or self._work
-        if not has_content or now_ms - self._reported_ms < REPORT_MS:
+        passed_ms = now_ms - self._reported_ms
+        if not has_content or passed_ms < REPORT_MS:
             return None
         self._reported_ms = now_ms
-        names = list(self._speeds)[:MAX_REPORTED]
+        room = self._room + passed_ms / 1_000 * REPORTED_PER_S
+        names = list(self._speeds)[: int(min(room, MAX_REPORTED))]
+        self._room = min(room, MAX_REPORTED) - len(names)
         speeds = tuple(self._speeds.pop(name) for name in names)
         work = tuple(self._work.values())
         self._work.clear()
--- a/tests/toucanyard/test_fetch_sources.py
+++ b/tests/toucanyard/test_fetch_sources.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from toucanyard.fetch_sources import (
@@ -61,3 +62,14 @@
     bits = 50 * TRAITS.bytes_per_token * 8
     assert near_ms == pytest.approx(TRANSFER_PRICE * bits / 1_000 / 1_000)
     assert far_ms == pytest.approx(FAR_FACTOR * near_ms)
+
+
+def test_slower_link_decides_the_price() -> None:
+    """A store with a fast link feeds replicas with slow ones; transfers queue there."""
+    sources = FetchSources()
+    sources.add(build_source("store"), 100)
+    slow = msgspec.structs.replace(TRAITS, link_mbps=100.0)
+    price_ms = sources.compute_price(50, RECEIVER, TRAITS)
+    assert sources.compute_price(50, RECEIVER, slow) == pytest.approx(10 * price_ms)
+    fast = msgspec.structs.replace(TRAITS, link_mbps=1e9)
+    assert sources.compute_price(50, RECEIVER, fast) == pytest.approx(price_ms)
--- a/tests/toucanyard/uneven_load/test_load_reports.py
+++ b/tests/toucanyard/uneven_load/test_load_reports.py
@@ -8,6 +8,7 @@
     MAX_SAMPLES,
     MAX_SERVICES,
     REPORT_MS,
+    REPORTED_PER_S,
     LoadReports,
 )
 
@@ -50,6 +51,7 @@
         told.update(each.replica for each in report.speeds)
         at_ms += REPORT_MS
     assert len(told) == 4_400
+    assert len(told) <= MAX_REPORTED + REPORTED_PER_S * at_ms / 1_000
 
 
 def test_what_waits_is_bounded() -> None:
