Refuse queued calls once their answers would be cut by the deadline

Cause: a queued call began until a quarter of its target time was left. With answers that take longer, a full queue sent only calls that were cut, and hardly any was answered.

Change: the sub-package answer_times, a mean time by route; a queued call is refused, not run, once its answer needs more than what is left.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from toucanyard.answer_times.answer_times import AnswerTimes
 from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_forwards import MAX_FORWARDS, CallForwards
 from toucanyard.candidates import MIN_TRANSFER_TOKENS
@@ -69,6 +70,7 @@
     ) -> None:
         self._uneven = uneven
         self.connections = KeptConnections(options.connections)
+        self.answer_times = AnswerTimes()
         self.node_count = 1
         self._versions = versions
         self._forwards = forwards
--- a/packages/toucanyard/src/toucanyard/call_waits.py
+++ b/packages/toucanyard/src/toucanyard/call_waits.py
@@ -51,9 +51,12 @@
         if not self._policy.refuses_early:
             return None
         wait_ms = self._compute_wait(pending, queue, now_ms)
-        if wait_ms <= request.deadline_ms - now_ms:
+        answer_ms = self._estimate_answer(pending)
+        if wait_ms + answer_ms <= request.deadline_ms - now_ms:
             return None
         text = f"the wait would be about {wait_ms:.0f} ms"
+        if answer_ms:
+            text += f", the answer take {answer_ms:.0f} ms"
         if math.isinf(wait_ms):
             text = "limits of all replicas leave room for more urgent calls only"
         return_ms = self._directory.find_return_delay(request.service, now_ms)
@@ -73,6 +76,9 @@
         if not self._is_late(pending, return_ms, now_ms):
             return None
         text = "no replica had room in time"
+        answer_ms = self._estimate_answer(pending)
+        if answer_ms:
+            text += f" for an answer of about {answer_ms:.0f} ms"
         if return_ms is not None:
             text = _describe_deferral(return_ms)
         return RefusalReason(ErrorKind.OVERLOADED, text)
@@ -105,7 +111,8 @@
         The time left until its deadline is the time in which its caller can retry.
         """
         request = pending.request
-        if now_ms + (return_ms or 0.0) >= request.deadline_ms - request.target_ms / 4:
+        kept_ms = max(request.target_ms / 4, self._estimate_answer(pending))
+        if now_ms + (return_ms or 0.0) >= request.deadline_ms - kept_ms:
             return True
         if return_ms is not None:
             return False
@@ -117,6 +124,12 @@
             return False
         return not self._calls.find_usable(pending, now_ms)
 
+    def _estimate_answer(self, pending: PendingCall) -> float:
+        """Return the time to keep for a new call's answer, in ms."""
+        if not self._policy.keeps_answer_time or pending.has_begun:
+            return 0.0
+        return self._calls.answer_times.estimate(pending.request)
+
 
 def _build_unlisted(pending: PendingCall) -> RefusalReason:
     if pending.origin is None:
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -76,6 +76,9 @@
     deadline."""
     refuses_early: bool = True
     """Whether a call that would wait past its deadline is rejected at once."""
+    keeps_answer_time: bool = False
+    """Whether a queued call is rejected once its answer would take longer than the
+    time that it has left."""
 
 
 class RolloutPolicy(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -15,6 +15,7 @@
 from toucanyard.origin_exchange import OriginExchange
 from toucanyard.prompt_block_sources import PromptBlockSources
 from toucanyard.relay_flow import RelayFlow
+from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import (
     RelayDispatch,
     RelayOutcome,
@@ -49,7 +50,12 @@
 class Node:
     """The call flow of one node and the replies that it returned."""
 
-    def __init__(self, desks: str = "xyz", engines: str = "ab") -> None:
+    def __init__(
+        self,
+        desks: str = "xyz",
+        engines: str = "ab",
+        policy: RelayPolicy = OPTIONS.policy,
+    ) -> None:
         self.directory = ReplicaDirectory()
         for name in engines:
             self.directory.apply(build_replica(name), 0.0)
@@ -91,7 +97,7 @@
         )
         self.flow = RelayFlow(
             OPTIONS.retries,
-            OPTIONS.policy,
+            policy,
             self.directory,
             self.weight_targets,
             calls,
