Take a replica's slots from its entry, log the first statement heard

Cause: found by reading. A node that had heard no statement itself counted one slot for each replica and so gave short prompts a larger share than its peers; and it never logged that speeds count.

Change: slots come from the entry of a replica that a report names; the log line follows the first statement that the node itself hears. Tests of the settings that switch the parts on.

--- a/packages/toucanyard/src/toucanyard/uneven_load/placement_inputs.py
+++ b/packages/toucanyard/src/toucanyard/uneven_load/placement_inputs.py
@@ -53,12 +53,14 @@
 class _ServiceLoad:
     """What is known of one service."""
 
-    __slots__ = ("shares", "slots")
+    __slots__ = ("is_heard", "shares", "slots")
 
     def __init__(self) -> None:
+        self.is_heard = False
+        """Whether a replica has stated its contention to this node itself."""
         self.shares = LengthShares()
         self.slots = 1
-        """Slots of a replica, as last stated."""
+        """Slots of a replica, as last listed or stated."""
 
 
 class UnevenLoad:
@@ -116,11 +118,12 @@
         load: StatedLoad,
         now_ms: float,
     ) -> bool:
-        """Record a replica's statement; return whether it activates its service."""
+        """Record a replica's statement; return whether it is the first of a service."""
         if load.contention is None:
             return False
-        is_first = not self.is_active(service)
-        self._find_or_add(service).slots = load.slots
+        known = self._find_or_add(service)
+        is_first, known.is_heard = not known.is_heard, True
+        known.slots = load.slots
         self._stated[replica] = StatedContention(load.contention, now_ms)
         sample = compute_sample(load.contention)
         self.speeds.record(service, replica, sample, 1.0, now_ms)
@@ -163,7 +166,7 @@
                 continue
             log_sum = clip_sample(speed.log_sum / speed.samples) * speed.samples
             service = known.replica.service
-            self._find_or_add(service)
+            self._find_or_add(service).slots = known.replica.slots
             self.speeds.record(service, speed.replica, log_sum, speed.samples, now_ms)
             passed = SpeedReport(speed.replica, log_sum, speed.samples)
             self._report_speed(passed, is_for_peers=is_from_group)
--- a/tests/toucanyard/uneven_load/test_placement_inputs.py
+++ b/tests/toucanyard/uneven_load/test_placement_inputs.py
@@ -23,7 +23,7 @@
 def build(policy: UnevenLoadPolicy | None = None) -> UnevenLoad:
     directory = ReplicaDirectory()
     for name in (A, B):
-        directory.apply(build_replica(name), 0.0)
+        directory.apply(build_replica(name, slots=SLOTS), 0.0)
     return UnevenLoad(directory, policy or UnevenLoadPolicy())
 
 
@@ -81,6 +81,31 @@
     assert inputs.short_share < SHORT_SHARE
 
 
+def test_a_node_that_only_hears_peers_agrees_on_the_share() -> None:
+    """Streams of short prompts fill slots; a wrong number of slots changes shares."""
+    sender, receiver = build(), build()
+    state(sender, A, 1.0)
+    for _ in range(100):
+        sender.record_ended(ENGINES, build_prompt(900), 17.0, 400.0, 0.0)
+    end_long_prompts(sender, 100, 0.0)
+    report = sender.take_peer_report(0.0)
+    assert report is not None
+    receiver.apply_report(report, 0.0, is_from_group=False)
+    shares = [each.find_inputs(ENGINES, 0.0).short_share for each in (sender, receiver)]
+    assert shares[0] == shares[1]
+
+
+def test_first_statement_is_noted_though_a_peer_was_first() -> None:
+    """Guards against a node whose log never says that speeds count."""
+    load = build()
+    load.apply_report(
+        LoadReport((SpeedReport(A, 0.5, 1),), ()), 0.0, is_from_group=False
+    )
+    assert load.is_active(ENGINES)
+    assert state(load, A, 1.0)
+    assert not state(load, A, 1.0)
+
+
 def test_reports_are_passed_on_once_in_each_direction() -> None:
     """A sample that goes round between hubs would count again each time."""
     report = LoadReport((SpeedReport(A, 0.5, 1),), ())
--- a/tests/toucanyard_platform/test_settings.py
+++ b/tests/toucanyard_platform/test_settings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from toucanyard.relay_policy import RelayPolicy
 from toucanyard_node.settings_watch import SettingsInvalidError
 from toucanyard_platform.settings import load_options
 
@@ -100,3 +101,21 @@
 def test_missing_file_is_refused(tmp_path: Path) -> None:
     with pytest.raises(SettingsInvalidError):
         load_options(tmp_path / "none.toml")
+
+
+def test_parts_for_scarce_room_are_off_without_the_contract(tmp_path: Path) -> None:
+    """Deployments that did not ask for these parts are served as before."""
+    for contracts in ("", 'contracts = ["base", "quota"]\n'):
+        options = load_options(write(tmp_path, contracts + TEXT))
+        assert options.policy == RelayPolicy()
+        assert not options.connections.is_kept
+
+
+def test_contract_of_pressure_switches_the_parts_for_scarce_room_on(
+    tmp_path: Path,
+) -> None:
+    text = 'contracts = ["base", "pressure"]\n' + TEXT
+    options = load_options(write(tmp_path, text))
+    assert options.connections.is_kept
+    assert options.policy.limits.by_urgency
+    assert options.policy.queue.keeps_answer_time
