Count no dispatch for a node that sent nothing of it, in the soak

Trace: node-3 was cut off, its dispatches to d2 ended not_sent; it forwarded the calls to node-2, which sent them, got the rest and heeded it. The check took the last line 'sent' of a call and replica for the sender.

--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -353,6 +353,16 @@
     assert list(iterate_calls_in_rest(calls, arrivals, [], senders))
 
 
+def test_dispatch_of_which_nothing_was_sent_has_no_sender() -> None:
+    """Guards against blaming a node that was cut off for what a peer sent for it."""
+    sent = "level=info event=sent call=c1-7 replica=d1@17 attempt={}"
+    ended = "event=ended call=c1-7 replica=d1@17 attempt={} ending={} status=0"
+    cut_off = [sent.format(1), ended.format(1, "not_sent")]
+    assert parse_senders("n2", cut_off) == {}
+    again = [*cut_off, sent.format(2), ended.format(2, "refused")]
+    assert parse_senders("n2", again) == {("c1", "d1"): "n2"}
+
+
 def build_try(number: int, version: str, **changes: object) -> ObservedCall:
     body = b"".join(EVENTS[:4]).replace(b"v1", version.encode())
     call = build_call("stream", body=body, is_whole=False, **changes)
