Give each fleet of processes addresses that no running one uses

Trace: that script had process id 20477 and the soak one with the same rest by 200; both used 127.87, and the nodes' port for metrics is fixed (the soak's logs name 127.87.2.1).

Change: a prefix whose port for metrics is free. Test: a taken one is passed over.

--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -2,13 +2,14 @@
 
 import os
 import signal
+import socket
 from pathlib import Path
 
 import msgspec
 import pytest
 import trio
 from faulty_proxy import Fault, FaultyProxy
-from fleet import Fleet, find_port, find_ports, wait_until
+from fleet import Fleet, find_address_prefix, find_port, find_ports, wait_until
 from replica import write_line
 from soak import SoakFleet, SoakOptions, run_soak
 from soak_callers import (
@@ -37,6 +38,7 @@
 )
 
 from toucanyard.names import Address
+from toucanyard_platform.settings import METRICS_PORT
 
 EVENTS = [b"id: %d\ndata: piece %d by v1\n\n" % (n, n) for n in range(1, 11)]
 STREAM = b"".join(EVENTS)
@@ -276,6 +278,17 @@
         nursery.cancel_scope.cancel()
 
 
+def test_fleet_uses_no_addresses_of_a_running_one() -> None:
+    """Guards against two runs whose process ids differ by the number of prefixes.
+
+    The nodes of the second could not listen for their metrics and never started.
+    """
+    first = find_address_prefix(5)
+    with socket.socket() as metrics:
+        metrics.bind((f"{first}.2.1", METRICS_PORT))
+        assert find_address_prefix(5) != first
+
+
 async def test_soaks_of_one_seed_have_addresses_of_their_own(tmp_path: Path) -> None:
     """Guards against address conflicts of two CI runs that soak the same seed.
 
