--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -46,6 +46,7 @@
     log_ended,
     log_forward_ended,
     log_kept_closed,
+    log_silent,
 )
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import AnswerFacts, CallCodec
@@ -363,6 +364,7 @@
                 dispatch, ending, str(error), cause=error
             ) from error
         except trio.TooSlowError as error:
+            self._log_silent(dispatch, dispatch.patience_ms)
             text = f"no answer within {dispatch.patience_ms:.0f} ms"
             raise self._build_failure(dispatch, DispatchEnding.LOST, text) from error
 
@@ -478,18 +480,30 @@
     async def _read_stream_chunk(
         self, dispatch: RelayDispatch, connection: HttpConnection, facts: AnswerFacts
     ) -> bytes | None:
+        timeout_ms = self._compute_idle_timeout(dispatch)
         try:
-            with trio.fail_after(self._compute_idle_timeout(dispatch) / 1000):
+            with trio.fail_after(timeout_ms / 1000):
                 return await connection.read_body_chunk()
         except ConnectionFailedError as error:
             raise self._build_failure(
                 dispatch, DispatchEnding.LOST, str(error), facts, cause=error
             ) from error
         except trio.TooSlowError as error:
+            self._log_silent(dispatch, timeout_ms)
             raise self._build_failure(
                 dispatch, DispatchEnding.LOST, "silent", facts
             ) from error
 
+    def _log_silent(self, dispatch: RelayDispatch, silent_ms: float) -> None:
+        log_silent(
+            self._request,
+            dispatch,
+            silent_ms,
+            trio.current_time() * 1000 - self._request.arrived_ms,
+            has_begun=self._responder.is_started,
+            version=self._request.table_version,
+        )
+
     def _compute_idle_timeout(self, dispatch: RelayDispatch) -> float:
         """Return the idle time after which a stream is resumed elsewhere, in ms."""
         if math.isinf(dispatch.patience_ms):
--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -129,6 +129,30 @@
     )
 
 
+def log_silent(
+    request: RelayRequest,
+    dispatch: RelayDispatch,
+    silent_ms: float,
+    after_ms: float,
+    *,
+    has_begun: bool,
+    version: int,
+) -> None:
+    """Log that a replica has sent nothing of an answer for some time."""
+    _LOG.info(
+        "replica_silent",
+        call=request.request_id,
+        replica=dispatch.replica,
+        attempt=dispatch.attempt,
+        silent_ms=round(silent_ms),
+        after_ms=round(after_ms),
+        has_begun=has_begun,
+        remaining_ms=round(request.deadline_ms - request.arrived_ms - after_ms),
+        max_attempts=request.max_attempts,
+        version=version,
+    )
+
+
 def log_ended(
     request: RelayRequest,
     dispatch: RelayDispatch,
