Hedge attempts that fall silent instead of ending them

Cause: a timer that saw nothing for 900 ms (2.8 or 3 target times before the first part) closed the connection, and only then the core looked for another replica. Without room, attempts, budget or a version to go on with, the answer ended. A suspicion was acted on as a fact and could not be taken back. Class: a timeout that ends what may still be answered, before another is known to take it over.

Change: a silence is reported to the core and ends nothing. The silent attempt keeps its connection and slot; the core queues or sends another one beside it (a hedge), under the same rules as a retry: attempts, budget, limits, origin, weights, never what may run once, never at the same replica. Whichever has the next part of the answer claims it and the others are cancelled at once; parts of two are never mixed. What refuses a hedge only withholds it; the attempt asks again while it stays silent. A hedge that is not sent returns its retry. The replica is avoided for new calls as before, and returns with the first part that arrives. The same holds for calls that a peer places.

The exchange is split for it: one attempt at a replica, one through a peer, what they share, and the loop that follows the core's verdicts.

Sight: `attempt_silent`, `hedge_withheld` (why), `attempt_continued` (which one, after which silence, how many cancelled), `ended ending=superseded`; counters of silences, of those that ended by themselves and of withheld hedges, and a histogram of silences that ended by themselves.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
@@ -102,15 +102,16 @@
         self._forward = forward
 
     async def read_head(self) -> AnswerHead:
-        """Return the head, or raise ForwardFailedError or ForwardClosedError."""
-        with trio.move_on_after(self._forward.patience_ms / 1000):
+        """Return the head, or raise ForwardFailedError or ForwardClosedError.
+
+        Loses nothing if it is cancelled and called again.
+        """
+        message = await self._receive()
+        while isinstance(message, CallAccepted):
             message = await self._receive()
-            while isinstance(message, CallAccepted):
-                message = await self._receive()
-            if not isinstance(message, AnswerHead):
-                raise ForwardClosedError(f"found {type(message).__name__}")
-            return message
-        raise ForwardClosedError(f"no answer within {self._forward.patience_ms:.0f} ms")
+        if not isinstance(message, AnswerHead):
+            raise ForwardClosedError(f"found {type(message).__name__}")
+        return message
 
     async def read_part(self) -> bytes | None:
         """Return a part of the body, None at its end, or raise ForwardClosedError."""
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -162,10 +162,16 @@
         await self._send_remaining(data, sent_bytes, stall_ms)
 
     async def send_and_read_head(
-        self, method: str, target: str, headers: Headers, body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        read_head: Callable[[], Awaitable[ResponseHead]],
     ) -> ResponseHead:
         """Send a request with complete headers and read the head of its response.
 
+        `read_head` calls the method of that name until it has returned.
         A response may arrive before a long body has been sent completely, and the other
         side may then stop reading, so waiting for the send to finish could block
         forever. Such a connection is not reused, because the rest of the body was not
@@ -174,12 +180,12 @@
         data = self._render(method, target, headers, body)
         sent_bytes = await self._send_once(data)
         if sent_bytes == len(data):
-            return await self.read_head()
+            return await read_head()
         self._has_unsent_body = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_remaining_in_background, data, sent_bytes)
             try:
-                head = await self.read_head()
+                head = await read_head()
             except ConnectionFailedError as error:
                 failure: ConnectionFailedError | None = error
             else:
--- /dev/null
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
@@ -0,0 +1,283 @@
+"""The attempts of one relayed call and the answer that they share.
+
+A silent attempt stays open beside its hedge. Whichever has the next part of the answer
+continues, and the others are cancelled: a caller never gets parts of two at a time.
+"""
+
+from __future__ import annotations
+
+import abc
+import math
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+
+from toucanyard.relay_events import AttemptContinued, AttemptSilent
+from toucanyard.relay_requests import (
+    ForwardOutcome,
+    RelayDispatch,
+    RelayForward,
+    RelayOutcome,
+    RelayRequest,
+)
+from toucanyard.requests import PROVEN_NOT_RUN
+from toucanyard.stream_origins import StreamOrigin
+from toucanyard_node.buffered_answer import BufferedAnswer
+from toucanyard_node.http_client import Headers
+from toucanyard_node.http_exchange import CallResponder, HttpRequest
+from toucanyard_node.relay_log import log_continued, log_silent
+from toucanyard_node.relay_metrics import RelayMetrics
+from toucanyard_node.relay_task import RelayClient
+
+T = TypeVar("T")
+
+
+async def wait_patiently(
+    read: Callable[[], Awaitable[T]], timeout_ms: float, on_silent: Callable[[], None]
+) -> T:
+    """Await `read`, calling `on_silent` each time that a timeout passes.
+
+    `read` must lose nothing if it is cancelled and called again.
+    """
+    if math.isinf(timeout_ms):
+        return await read()
+    while True:
+        with trio.move_on_after(timeout_ms / 1000):
+            return await read()
+        on_silent()
+
+
+class RelayAttempt(abc.ABC):
+    """One attempt of a call, at a replica or through a peer."""
+
+    __slots__ = ("_call", "is_in_flight", "number", "scope", "silent_since_ms")
+
+    def __init__(self, call: RelayedCall, number: int) -> None:
+        self._call = call
+        self.number = number
+        self.scope = trio.CancelScope()
+        self.is_in_flight = False
+        """Whether the call has been sent and the attempt has not ended."""
+        self.silent_since_ms: float | None = None
+
+    @property
+    @abc.abstractmethod
+    def target(self) -> str:
+        """Return the name of the replica or peer."""
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Send the call and its answer; raise what ended the attempt before."""
+
+    async def _wait(self, read: Callable[[], Awaitable[T]], timeout_ms: float) -> T:
+        """Await `read`; report the attempt as silent after each timeout."""
+        return await wait_patiently(
+            read, timeout_ms, lambda: self._call.report_silent(self, timeout_ms)
+        )
+
+    @abc.abstractmethod
+    def build_cancelled(self) -> RelayOutcome | ForwardOutcome:
+        """Return the outcome of an attempt that is cancelled."""
+
+    @abc.abstractmethod
+    def log_ended(self, ending: str) -> None:
+        """Log and count an attempt that is cancelled."""
+
+
+class RelayedCall:
+    """One call, what its caller has of the answer, and its open attempts.
+
+    Invariant: what is sent to the caller comes from an attempt that has claimed the
+    answer, and all other attempts were cancelled then.
+    """
+
+    __slots__ = (
+        "_client",
+        "_continued_silence",
+        "_first_ms",
+        "_metrics",
+        "_responder",
+        "_silence",
+        "attempts",
+        "buffered_answer",
+        "http",
+        "is_over",
+        "last_event_id",
+        "may_have_run",
+        "origin",
+        "request",
+    )
+
+    def __init__(
+        self,
+        client: RelayClient,
+        http: HttpRequest,
+        responder: CallResponder,
+        request: RelayRequest,
+        metrics: RelayMetrics,
+    ) -> None:
+        self._client = client
+        self._metrics = metrics
+        self._responder = responder
+        self._silence = 0
+        """Number of the latest silence that was reported."""
+        self._continued_silence = 0
+        """Number of the latest silence after which an attempt has continued."""
+        self._first_ms: float | None = None
+        self.http = http
+        self.request = request
+        self.attempts: list[RelayAttempt] = []
+        self.buffered_answer: BufferedAnswer | None = None
+        """The last error response of a replica."""
+        self.last_event_id = request.last_event_id
+        """Last event that the caller has."""
+        self.origin: StreamOrigin | None = None
+        """Where a stream began that a peer has passed on."""
+        self.may_have_run = False
+        """Whether an attempt that has ended may have run the call."""
+        self.is_over = False
+        """Whether an attempt has completed or the core has ended the call."""
+
+    @property
+    def client(self) -> RelayClient:
+        """Return the interface to the core."""
+        return self._client
+
+    @property
+    def metrics(self) -> RelayMetrics:
+        """Return the metrics of this node."""
+        return self._metrics
+
+    @property
+    def first_ms(self) -> float | None:
+        """Return the time from the call's arrival to the first event of its answer."""
+        return self._first_ms
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether part of the answer was sent to the caller."""
+        return self._responder.is_started
+
+    def compute_elapsed(self) -> float:
+        """Return the time since the call arrived, in ms."""
+        return trio.current_time() * 1000 - self.request.arrived_ms
+
+    def claim(self, attempt: RelayAttempt) -> None:
+        """Let an attempt continue the answer; cancel all others."""
+        if attempt.silent_since_ms is None and len(self.attempts) == 1:
+            return
+        losers = [each for each in self.attempts if each is not attempt]
+        self.attempts = [attempt]
+        self._continued_silence = self._silence
+        self._client.send_event(
+            AttemptContinued(self.request.request_id, attempt.number)
+        )
+        silent_ms = None
+        if attempt.silent_since_ms is not None:
+            silent_ms = trio.current_time() * 1000 - attempt.silent_since_ms
+            attempt.silent_since_ms = None
+            self._metrics.record_silence_ended(self.request, silent_ms)
+        log_continued(
+            self.request, attempt.number, attempt.target, silent_ms, len(losers)
+        )
+        for loser in losers:
+            loser.log_ended("superseded")
+            loser.scope.cancel()
+
+    def report_silent(self, attempt: RelayAttempt, silent_ms: float) -> None:
+        """Report that nothing has come of an attempt for some time."""
+        if attempt.silent_since_ms is None:
+            attempt.silent_since_ms = trio.current_time() * 1000 - silent_ms
+        if not self.attempts or self.attempts[-1] is not attempt:
+            # It has a hedge already.
+            return
+        self._silence += 1
+        log_silent(
+            self.request,
+            attempt.number,
+            attempt.target,
+            trio.current_time() * 1000 - attempt.silent_since_ms,
+            self.compute_elapsed(),
+            has_begun=self.has_begun,
+        )
+        self._client.send_event(
+            AttemptSilent(
+                self.request.request_id,
+                attempt.number,
+                self._silence,
+                self.has_begun,
+                self.origin,
+            )
+        )
+
+    def is_stale(self, verdict: RelayDispatch | RelayForward) -> bool:
+        """Return whether a hedge comes after the silent attempt has continued."""
+        return verdict.hedged > 0 and verdict.silence <= self._continued_silence
+
+    def record_failed(
+        self, attempt: RelayAttempt, outcome: RelayOutcome | ForwardOutcome
+    ) -> None:
+        """Report the end of an attempt to the core, unless another one continues."""
+        if attempt not in self.attempts:
+            return
+        self.attempts.remove(attempt)
+        if outcome.ending not in PROVEN_NOT_RUN:
+            self.may_have_run = True
+        self._client.report(outcome)
+
+    def complete(self, outcome: RelayOutcome | ForwardOutcome) -> None:
+        """Report that an attempt, which has claimed the answer, is complete."""
+        self.is_over = True
+        self._client.report(outcome)
+
+    def cancel(self) -> None:
+        """Report that nobody waits for the answer any more."""
+        if self.is_over:
+            return
+        self.is_over = True
+        for attempt in self.attempts:
+            attempt.log_ended("given_up")
+        if self.attempts:
+            # The core releases the other attempts with it.
+            self._client.report(self.attempts[-1].build_cancelled())
+        else:
+            self._client.report_left(self.request.request_id)
+
+    async def start(
+        self,
+        attempt: RelayAttempt,
+        status: int,
+        headers: Headers,
+        origin: StreamOrigin | None,
+    ) -> None:
+        """Start a streamed answer."""
+        self.claim(attempt)
+        await self._responder.start(status, headers, origin)
+
+    async def write(
+        self,
+        attempt: RelayAttempt,
+        events: bytes,
+        last_event_id: str,
+        origin: StreamOrigin | None = None,
+    ) -> None:
+        """Send complete events; `origin` is where a peer says that they come from."""
+        self.claim(attempt)
+        self.last_event_id = last_event_id
+        if self._first_ms is None:
+            self._first_ms = self.compute_elapsed()
+            self._metrics.record_first_part(self.request, self._first_ms)
+            self._client.report_first_event(self.request.request_id, origin)
+        await self._responder.write(events)
+
+    async def finish(self) -> None:
+        """End a streamed answer."""
+        await self._responder.finish()
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an answer that is not a stream."""
+        if self.has_begun:
+            self._responder.close_after()
+            return
+        await self._responder.send(status, headers, body)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -7,6 +7,7 @@
 import structlog
 
 from toucanyard.relay_requests import (
+    HedgeWithheld,
     PlacementReason,
     RelayDispatch,
     RelayForward,
@@ -31,6 +32,7 @@
         call=dispatch.request_id,
         replica=dispatch.replica,
         attempt=dispatch.attempt,
+        hedged=dispatch.hedged,
         weights=dispatch.weights_version,
         software=dispatch.software_version,
         score_ms=round(reason.total_ms, 1),
@@ -87,6 +89,7 @@
         call=forward.request_id,
         peer=forward.peer,
         attempt=forward.attempt,
+        hedged=forward.hedged,
         unreached_ms=round(forward.unreached_ms),
         considered=forward.candidates,
         max_attempts=forward.max_attempts,
@@ -131,25 +134,54 @@
 
 def log_silent(
     request: RelayRequest,
-    dispatch: RelayDispatch,
+    attempt: int,
+    target: str,
     silent_ms: float,
     after_ms: float,
     *,
     has_begun: bool,
-    version: int,
 ) -> None:
-    """Log that a replica has sent nothing of an answer for some time."""
+    """Log that a replica or peer has sent nothing of an answer for some time."""
     _LOG.info(
-        "replica_silent",
+        "attempt_silent",
         call=request.request_id,
-        replica=dispatch.replica,
-        attempt=dispatch.attempt,
+        attempt=attempt,
+        target=target,
         silent_ms=round(silent_ms),
         after_ms=round(after_ms),
         has_begun=has_begun,
         remaining_ms=round(request.deadline_ms - request.arrived_ms - after_ms),
         max_attempts=request.max_attempts,
-        version=version,
+        version=request.table_version,
+    )
+
+
+def log_hedge_withheld(withheld: HedgeWithheld) -> None:
+    """Log why a call waits for a silent attempt without another one."""
+    _LOG.info(
+        "hedge_withheld",
+        call=withheld.request_id,
+        attempt=withheld.attempt,
+        kind=withheld.kind.value,
+        reason=withheld.text,
+    )
+
+
+def log_continued(
+    request: RelayRequest,
+    attempt: int,
+    target: str,
+    silent_ms: float | None,
+    cancelled: int,
+) -> None:
+    """Log which attempt of a hedged call continues its answer."""
+    _LOG.info(
+        "attempt_continued",
+        call=request.request_id,
+        attempt=attempt,
+        target=target,
+        silent_ms=None if silent_ms is None else round(silent_ms),
+        cancelled=cancelled,
     )
 
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -48,7 +48,14 @@
 class RelayMetrics:
     """Metrics of one node since it started. Invariant: totals only increase."""
 
-    __slots__ = ("_endings", "_first_ms", "_forwards", "_refusals", "_total_ms")
+    __slots__ = (
+        "_endings",
+        "_first_ms",
+        "_forwards",
+        "_refusals",
+        "_silence_ms",
+        "_total_ms",
+    )
 
     def __init__(self) -> None:
         self._endings: Counter[tuple[Group, str]] = Counter()
@@ -56,6 +63,7 @@
         self._forwards: Counter[str] = Counter()
         self._first_ms: dict[Group, HdrHistogram] = {}
         self._total_ms: dict[Group, HdrHistogram] = {}
+        self._silence_ms: dict[Group, HdrHistogram] = {}
 
     def record_first_part(self, request: RelayRequest, after_ms: float) -> None:
         """Record the time from a call's arrival to the first event of its answer."""
@@ -69,6 +77,10 @@
         self._endings[(group, ending)] += 1
         _record(self._total_ms, group, after_ms)
 
+    def record_silence_ended(self, request: RelayRequest, silent_ms: float) -> None:
+        """Record how long an attempt was silent that then continued by itself."""
+        _record(self._silence_ms, self._find_group(request), silent_ms)
+
     def record_forward_ended(self, ending: str) -> None:
         """Count a call that was forwarded to a peer, by how that ended."""
         self._forwards[ending] += 1
@@ -119,6 +131,7 @@
             yield _format("forwards_total", count, ending=ending)
         yield from _render_histograms("first_part_ms", self._first_ms)
         yield from _render_histograms("call_ms", self._total_ms)
+        yield from _render_histograms("silence_ended_ms", self._silence_ms)
 
 
 def _render_connections(connections: ReplicaConnections) -> Iterator[str]:
@@ -144,6 +157,11 @@
     yield _format("routes_version", core.index.table.version)
     yield _format("calls_pending", core.flow.count_pending())
     yield _format("calls_waiting", core.flow.count_waiting())
+    hedged = core.flow.hedged
+    yield _format("attempts_silent", hedged.count_silent())
+    yield _format("silences_total", hedged.silence_count)
+    yield _format("silences_continued_total", hedged.continued_count)
+    yield _format("hedges_withheld_total", hedged.withheld_count)
     yield _format("peers_linked", len(core.exchange.linked))
     yield _format("nodes_alive", core.node_directory.count_alive(now_ms))
     yield _format("is_stopping", int(core.is_stopping))
--- a/packages/toucanyard-node/src/toucanyard_node/relay_task.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_task.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -38,6 +39,7 @@
 )
 from toucanyard.relay_requests import (
     ForwardOutcome,
+    HedgeWithheld,
     RelayDispatch,
     RelayForward,
     RelayOutcome,
@@ -48,7 +50,12 @@
 from toucanyard.replica_statements import ReplicaStatement
 from toucanyard.requests import Refuse
 from toucanyard.stream_origins import StreamOrigin
-from toucanyard_node.relay_log import log_forwarded, log_refused, log_sent
+from toucanyard_node.relay_log import (
+    log_forwarded,
+    log_hedge_withheld,
+    log_refused,
+    log_sent,
+)
 from toucanyard_node.relay_metrics import RelayMetrics
 
 _LOG: Final = structlog.get_logger()
@@ -66,13 +73,10 @@
 )
 
 
-VerdictEvent = CallArrived | DispatchEnded | ForwardEnded
-
-
-class VerdictRequest(msgspec.Struct, frozen=True):
-    """An event that the core answers with one verdict."""
+class CallOpened(msgspec.Struct, frozen=True):
+    """A new call; all verdicts on it are sent on one channel."""
 
-    event: VerdictEvent
+    event: CallArrived
     reply: Reply
 
 
@@ -83,7 +87,7 @@
 
     def __init__(
         self,
-        inbox: trio.MemorySendChannel[VerdictRequest | RelayEvent],
+        inbox: trio.MemorySendChannel[CallOpened | RelayEvent],
         may_get_calls: Callable[[EndpointName, float], bool],
     ) -> None:
         self._inbox = inbox
@@ -96,27 +100,29 @@
         """
         return not self._may_get_calls(dispatch.replica, trio.current_time() * 1000)
 
-    async def decide(self, request: RelayRequest) -> RelayVerdict:
-        """Return the verdict on a new call; waits while it is queued."""
-        try:
-            verdict = await self._request_verdict(CallArrived(request))
-        except trio.Cancelled:
-            self.send_event(CallerLeft(request.request_id))
-            raise
-        assert verdict is not None
-        return verdict
-
-    async def report(
-        self, outcome: RelayOutcome | ForwardOutcome
-    ) -> RelayVerdict | None:
-        """Report how a dispatch or forward ended; return the next verdict, if any."""
-        try:
-            if isinstance(outcome, ForwardOutcome):
-                return await self._request_verdict(ForwardEnded(outcome))
-            return await self._request_verdict(DispatchEnded(outcome))
-        except trio.Cancelled:
-            self.send_event(CallerLeft(outcome.request_id))
-            raise
+    def begin(
+        self, request: RelayRequest
+    ) -> trio.MemoryReceiveChannel[RelayVerdict | None]:
+        """Report a new call; return the channel of its verdicts.
+
+        The last verdict is a refusal, or None if the call has ended otherwise.
+        """
+        # The core bounds the number of attempts of a call, and so its verdicts.
+        send, receive = trio.open_memory_channel[RelayVerdict | None](math.inf)
+        self._inbox.send_nowait(CallOpened(CallArrived(request), send))
+        return receive
+
+    def report(self, outcome: RelayOutcome | ForwardOutcome) -> None:
+        """Report how an attempt ended; a verdict follows unless another one is open."""
+        match outcome:
+            case RelayOutcome():
+                self.send_event(DispatchEnded(outcome))
+            case ForwardOutcome():
+                self.send_event(ForwardEnded(outcome))
+
+    def report_left(self, request_id: RequestId) -> None:
+        """Report that the caller of a call without an attempt has disconnected."""
+        self.send_event(CallerLeft(request_id))
 
     def send_event(self, event: RelayEvent) -> None:
         """Send an event to the core without waiting.
@@ -150,24 +156,11 @@
         """Report the first event of an answer, and where a peer says that it began."""
         self.send_event(FirstEventSeen(request_id, forwarded_origin))
 
-    def report_dispatch_ended(self, outcome: RelayOutcome) -> None:
-        """Report how a dispatch ended that needs no further verdict."""
-        self.send_event(DispatchEnded(outcome))
-
-    def report_forward_ended(self, outcome: ForwardOutcome) -> None:
-        """Report how a forward ended that needs no further verdict."""
-        self.send_event(ForwardEnded(outcome))
-
-    async def _request_verdict(self, event: VerdictEvent) -> RelayVerdict | None:
-        send, receive = trio.open_memory_channel[RelayVerdict | None](1)
-        self._inbox.send_nowait(VerdictRequest(event, send))
-        return await receive.receive()
-
 
 class RelayTask:
     """The task that owns the core.
 
-    Invariant: there is at most one reply channel per call, and it is used once.
+    Invariant: there is one reply channel per call until its last verdict.
     """
 
     def __init__(
@@ -182,9 +175,9 @@
         self._messages = messages
         self._jobs = jobs
         self._replies: dict[RequestId, Reply] = {}
-        self.inbox, self._receive = trio.open_memory_channel[
-            VerdictRequest | RelayEvent
-        ](2**31)
+        self.inbox, self._receive = trio.open_memory_channel[CallOpened | RelayEvent](
+            2**31
+        )
         self.client = RelayClient(self.inbox, core.directory.may_get_calls)
 
     async def run(self) -> None:
@@ -199,14 +192,14 @@
             await trio.sleep(self.core.compute_tick() / 1000)
             self.inbox.send_nowait(TickPassed())
 
-    def _process(self, message: VerdictRequest | RelayEvent, now_ms: float) -> None:
+    def _process(self, message: CallOpened | RelayEvent, now_ms: float) -> None:
         event = message
-        if isinstance(message, VerdictRequest):
+        if isinstance(message, CallOpened):
             event = message.event
-            self._replies[_find_id(message.event)] = message.reply
+            self._replies[message.event.request.request_id] = message.reply
         elif isinstance(message, CallerLeft):
             self._replies.pop(message.request_id, None)
-        assert not isinstance(event, VerdictRequest)
+        assert not isinstance(event, CallOpened)
         for action in self.core.handle(event, now_ms):
             self._execute(action)
 
@@ -232,7 +225,7 @@
             _LOG.warning("message_dropped", peer=message.node)
 
     def _reply(self, request_id: RequestId, verdict: RelayVerdict | None) -> None:
-        reply = self._replies.pop(request_id, None)
+        reply = self._replies.get(request_id)
         if reply is not None:
             reply.send_nowait(verdict)
         match verdict:
@@ -240,16 +233,11 @@
                 log_sent(verdict)
             case RelayForward():
                 log_forwarded(verdict)
+            case HedgeWithheld():
+                log_hedge_withheld(verdict)
             case Refuse():
+                self._replies.pop(request_id, None)
                 self._metrics.record_refusal(verdict.kind)
                 log_refused(verdict, self.core.index.table.version)
-
-
-def _find_id(event: VerdictEvent) -> RequestId:
-    match event:
-        case CallArrived(request=request):
-            return request.request_id
-        case DispatchEnded(outcome=outcome):
-            return outcome.request_id
-        case ForwardEnded(outcome=forwarded):
-            return forwarded.request_id
+            case None:
+                self._replies.pop(request_id, None)
--- a/packages/toucanyard/src/toucanyard/call_forwards.py
+++ b/packages/toucanyard/src/toucanyard/call_forwards.py
@@ -137,6 +137,17 @@
                 pause_ms = min(outcome.retry_after_ms or 0.0, MAX_BUSY_PAUSE_MS)
                 self._busy[outcome.peer] = now_ms + pause_ms
 
+    def record_silent(self, pending: PendingCall, now_ms: float) -> None:
+        """Record that the peer of a call has sent nothing for some time."""
+        if pending.peer is not None:
+            key = (pending.peer, pending.request.service)
+            self._paused[key] = now_ms + LOST_PAUSE_MS
+
+    def record_continued(self, pending: PendingCall) -> None:
+        """Record that the peer of a call sends again."""
+        if pending.peer is not None:
+            self._paused.pop((pending.peer, pending.request.service), None)
+
     def prune(self, now_ms: float) -> None:
         """Drop pauses that have ended."""
         self._paused = {k: until for k, until in self._paused.items() if until > now_ms}
@@ -165,6 +176,7 @@
         pending.peer = peer.node
         pending.forwards += 1
         pending.dispatches += 1
+        pending.attempt = pending.dispatches
         pending.granted_attempts = granted
         self._in_flight[peer.node] += 1
         self.count += 1
@@ -172,7 +184,7 @@
             request_id=request.request_id,
             peer=peer.node,
             address=peer.address,
-            attempt=pending.dispatches,
+            attempt=pending.attempt,
             connect_ms=CONNECT_MS,
             max_attempts=granted,
             patience_ms=self._compute_patience(pending, left - granted),
@@ -182,4 +194,6 @@
             has_begun=pending.has_begun,
             weights_version=pending.weights_version if pending.has_begun else None,
             origin=pending.origin,
+            hedged=pending.hedged,
+            silence=pending.silence,
         )
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -105,6 +105,8 @@
         service = self.index.find_service(request.service)
         usable: Sequence[KnownReplica]
         usable = self.find_usable(pending, now_ms)
+        if pending.silent_at:
+            usable = [e for e in usable if e.replica.name not in pending.silent_at]
         untried = [each for each in usable if each.replica.name not in pending.tried]
         # If every usable replica has been tried, try them again.
         usable = untried or usable
@@ -354,7 +356,9 @@
             replica=replica.name,
             listed_as=replica.listed_as,
             address=replica.address,
-            attempt=pending.dispatches,
+            attempt=pending.attempt,
+            hedged=pending.hedged,
+            silence=pending.silence,
             rank=request.rank,
             connect_ms=self._policy.retries.connect_ms,
             patience_ms=self._compute_patience(pending),
@@ -382,6 +386,7 @@
         pending.begun_ms = None
         pending.sent_origin = known.software_origin
         pending.dispatches += 1
+        pending.attempt = pending.dispatches
         pending.sends += 1
         self.usage.begin(replica, request_id, tokens, unread_tokens, now_ms)
         self.brittle.record_sent(known, now_ms)
--- a/packages/toucanyard/src/toucanyard/call_retries.py
+++ b/packages/toucanyard/src/toucanyard/call_retries.py
@@ -26,33 +26,44 @@
         """Count a new call; it adds a fraction of a retry to the budget."""
         self._find_budget(service).record_first_try(now_ms)
 
-    def may_try_again(
+    def check_try_again(
         self, pending: PendingCall, outcome: RelayOutcome, now_ms: float
-    ) -> bool:
-        """Return whether to retry a call elsewhere, consuming a retry if so."""
-        if not _is_retryable(pending, outcome, now_ms):
-            return False
+    ) -> str | None:
+        """Return why not to retry a call elsewhere; if None, a retry is consumed."""
+        obstacle = _find_obstacle(pending, outcome, now_ms)
+        if obstacle is not None:
+            return obstacle
         pending.tried = (*pending.tried, outcome.replica)
         if outcome.ending is DispatchEnding.NOT_SENT:
-            return True
+            return None
         return self._take(pending, now_ms)
 
-    def may_forward_again(
+    def check_forward_again(
         self, pending: PendingCall, outcome: ForwardOutcome, now_ms: float
-    ) -> bool:
-        """Return whether to retry a call that a peer did not answer."""
-        if not _is_retryable(pending, outcome, now_ms):
-            return False
+    ) -> str | None:
+        """Return why not to retry a call that a peer did not answer."""
+        obstacle = _find_obstacle(pending, outcome, now_ms)
+        if obstacle is not None:
+            return obstacle
         if outcome.ending in PROVEN_NOT_RUN and not outcome.attempts:
             # It has reached no replica.
-            return True
+            return None
         return self._take(pending, now_ms)
 
-    def _take(self, pending: PendingCall, now_ms: float) -> bool:
+    def give_back(self, pending: PendingCall) -> None:
+        """Return the retry that was taken for a call and not sent, if any."""
+        if pending.holds_retry:
+            pending.holds_retry = False
+            self._find_budget(pending.request.service).give_back()
+
+    def _take(self, pending: PendingCall, now_ms: float) -> str | None:
         if not self._policy.is_bounded:
-            return True
+            return None
         budget = self._find_budget(pending.request.service)
-        return budget.take(self.node_count, now_ms)
+        if not budget.take(self.node_count, now_ms):
+            return "the retry budget is used up"
+        pending.holds_retry = True
+        return None
 
     def _find_budget(self, service: ServiceName) -> SharedRetryBudget:
         budget = self._budgets.get(service)
@@ -65,10 +76,10 @@
         return budget
 
 
-def _is_retryable(
+def _find_obstacle(
     pending: PendingCall, outcome: RelayOutcome | ForwardOutcome, now_ms: float
-) -> bool:
-    """Return whether another attempt is safe, allowed by the route and in time."""
+) -> str | None:
+    """Return why another attempt is unsafe, not allowed by the route or too late."""
     request = pending.request
     is_safe = (
         outcome.ending in PROVEN_NOT_RUN
@@ -76,12 +87,14 @@
     )
     pending.has_begun = pending.has_begun or outcome.has_begun
     if outcome.has_begun and not request.is_resumable:
-        return False
+        return "its answer has begun and can't be resumed"
     if pending.has_begun and pending.origin is None:
-        # Where it may go on is not known.
-        return False
-    if not is_safe or pending.sends >= request.max_attempts:
-        return False
+        return "where its answer began is unknown"
+    if not is_safe:
+        return "it may run once only"
+    is_exhausted = pending.dispatches > 2 * request.max_attempts + 2
+    if is_exhausted or pending.sends >= request.max_attempts:
+        return "its attempts are used up"
     if now_ms >= request.deadline_ms:
-        return False
-    return pending.dispatches <= 2 * request.max_attempts + 2
+        return "its deadline passed"
+    return None
--- a/packages/toucanyard/src/toucanyard/crash_detector.py
+++ b/packages/toucanyard/src/toucanyard/crash_detector.py
@@ -111,6 +111,15 @@
         self._losses.setdefault(outcome.replica, []).append(loss)
         return outcome.replica in self._ended
 
+    def record_continued(self, replica: EndpointName, sent_ms: float) -> None:
+        """Record that a call taken for lost, sent at `sent_ms`, is still running."""
+        losses = self._losses.get(replica)
+        if losses:
+            self._replace_losses(
+                replica,
+                [each for each in losses if each.is_closed or each.sent_ms != sent_ms],
+            )
+
     def record_answer(self, call: AnsweredCall, *, is_confirmed: bool) -> None:
         """Record that a replica has answered a call.
 
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -57,6 +57,8 @@
             self._calls.block_index.record_unread(
                 outcome.replica, pending.scope, prompt.parts, now_ms
             )
+        if pending.silent_since_ms is not None:
+            self._guard.on_silence_ended(pending)
         self._record_connection(outcome, now_ms)
         self._record_sends(pending, outcome, now_ms)
         self._guard.on_dispatch_ended(pending, outcome, now_ms)
@@ -67,6 +69,40 @@
             self._record_weights(known, prompt.model, outcome.weights_version)
         self._apply_ending(known, pending, outcome, now_ms)
 
+    def apply_silent(self, pending: PendingCall, now_ms: float) -> None:
+        """Apply that the replica of a call has sent nothing for some time.
+
+        New calls avoid it; nothing is concluded about the call itself.
+        """
+        known = None
+        if pending.replica is not None:
+            known = self._directory.find(pending.replica)
+            self._calls.connections.forget(pending.replica)
+        if known is not None:
+            known.record_failure(now_ms, is_dead=False)
+        if pending.silent_since_ms is None:
+            self._guard.on_silent(pending, now_ms)
+
+    def apply_continued(self, pending: PendingCall) -> None:
+        """Apply that a silent attempt has continued."""
+        self._guard.on_silence_ended(pending)
+        known = None
+        if pending.replica is not None:
+            known = self._directory.find(pending.replica)
+        if known is not None:
+            known.forget_failures()
+
+    def apply_cancelled(self, pending: PendingCall, now_ms: float) -> None:
+        """Apply that an attempt was cancelled, as another one continues its call."""
+        if pending.replica is None:
+            return
+        request = pending.request
+        self._calls.usage.end(pending.replica, request.request_id)
+        if request.prompt is not None and pending.begun_ms is None:
+            self._calls.block_index.record_unread(
+                pending.replica, pending.scope, request.prompt.parts, now_ms
+            )
+
     def _apply_ending(
         self,
         known: KnownReplica,
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -16,6 +16,19 @@
     sends: int = 0
     """Dispatches that may have reached a replica."""
     dispatches: int = 0
+    attempt: int = 0
+    """Number of this attempt, which its dispatch or forward names; 0 before it is
+    sent."""
+    silent_since_ms: float | None = None
+    """When this attempt was found silent; None if it is not."""
+    silence: int = 0
+    """Number of the silence after which this hedge was begun; 0 for no hedge."""
+    hedged: int = 0
+    """Silent attempts of the call that are open beside this one."""
+    silent_at: tuple[EndpointName, ...] = ()
+    """Replicas of these attempts."""
+    holds_retry: bool = False
+    """A retry was taken from the budget and has not been sent."""
     tried: tuple[EndpointName, ...] = ()
     replica: EndpointName | None = None
     scope: str = ""
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -41,6 +41,8 @@
 from toucanyard.prompt_block_updates import PromptBlockUpdates
 from toucanyard.reach_events import ReachEvents
 from toucanyard.relay_events import (
+    AttemptContinued,
+    AttemptSilent,
     CallArrived,
     CallerLeft,
     ConnectionProbed,
@@ -108,6 +110,8 @@
     CallArrived
     | CallerLeft
     | FirstEventSeen
+    | AttemptSilent
+    | AttemptContinued
     | DispatchEnded
     | ForwardEnded
     | ReplicaStatementSeen
@@ -343,6 +347,8 @@
                 CallArrived()
                 | CallerLeft()
                 | FirstEventSeen()
+                | AttemptSilent()
+                | AttemptContinued()
                 | DispatchEnded()
                 | ForwardEnded()
                 | ReplicaStatementSeen()
@@ -398,6 +404,10 @@
                 yield from self.flow.leave(request_id, now_ms)
             case FirstEventSeen(request_id=request_id, forwarded_origin=origin):
                 yield from self.flow.record_first_event(request_id, now_ms, origin)
+            case AttemptSilent():
+                yield from self.flow.handle_silent(event, now_ms)
+            case AttemptContinued():
+                yield from self.flow.handle_continued(event, now_ms)
             case ForwardEnded(outcome=outcome):
                 yield from self.flow.end_forward(outcome, now_ms)
             case ReplicaStatementSeen():
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -50,6 +50,30 @@
     """Where the response began, if a peer has placed the call."""
 
 
+class AttemptSilent(msgspec.Struct, frozen=True):
+    """An attempt has sent nothing for some time; answered by one RelayReply.
+
+    It stays open. The reply is a hedge or why there is none, unless the attempt ends
+    or continues before.
+    """
+
+    request_id: RequestId
+    attempt: int
+    silence: int
+    """Number of the call's silences so far, which the hedge names."""
+    has_begun: bool
+    """Part of the response has reached the caller."""
+    origin: StreamOrigin | None = None
+    """Where that response began, if a peer has placed the call."""
+
+
+class AttemptContinued(msgspec.Struct, frozen=True):
+    """One of several attempts continues the response; the others were cancelled."""
+
+    request_id: RequestId
+    attempt: int
+
+
 class DispatchEnded(msgspec.Struct, frozen=True):
     """A dispatch has ended; answered by one RelayReply."""
 
@@ -303,6 +327,8 @@
     CallArrived
     | CallerLeft
     | FirstEventSeen
+    | AttemptSilent
+    | AttemptContinued
     | DispatchEnded
     | ForwardEnded
     | ConnectionProbed
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -24,12 +24,15 @@
 from toucanyard.call_waits import CallWaits
 from toucanyard.dispatch_outcomes import DispatchOutcomes
 from toucanyard.errorcodes import ErrorKind
+from toucanyard.hedged_calls import HedgedCalls
 from toucanyard.names import RequestId, ServiceName
 from toucanyard.pending_call import PendingCall
+from toucanyard.relay_events import AttemptContinued, AttemptSilent
 from toucanyard.relay_options import RetryLimits
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import (
     ForwardOutcome,
+    HedgeWithheld,
     RelayDispatch,
     RelayForward,
     RelayOutcome,
@@ -66,7 +69,7 @@
     """All relayed calls of one node that have not ended.
 
     Invariant: each arrival and each ended dispatch gets exactly one reply, unless the
-    caller disconnected before.
+    caller disconnected before or a silent attempt ended beside its hedge.
     """
 
     def __init__(
@@ -99,6 +102,8 @@
         self._waits = CallWaits(policy.queue, directory, calls, self._refusals)
         self._directory = directory
         self._pending: dict[RequestId, PendingCall] = {}
+        """The current attempt of each call."""
+        self.hedged = HedgedCalls()
         self._queues: dict[ServiceName, list[PendingCall]] = {}
         self._calls = calls
         self.usage = calls.usage
@@ -183,7 +188,7 @@
         is_brittle = self._brittle.is_service_brittle(request.service)
         if not is_brittle and not self._reach.is_unreached(request.service):
             self._count(pending, now_ms)
-        refused = self._checks.check(pending, self._pending.values(), now_ms)
+        refused = self._checks.check(pending, self._list_attempts(), now_ms)
         if refused is not None:
             yield self._refuse_for(pending, refused, now_ms)
             return
@@ -204,7 +209,7 @@
         """Handle that the caller of an undecided call has disconnected."""
         pending = self._pending.get(request_id)
         if pending is not None:
-            yield from self._finish(pending, now_ms)
+            yield from self._finish_call(pending, now_ms)
 
     def record_first_event(
         self,
@@ -243,19 +248,22 @@
         if pending is None:
             yield RelayReply(outcome.request_id, None)
             return
+        if outcome.attempt not in (0, pending.attempt):
+            yield from self._end_silent(pending, outcome, now_ms)
+            return
         if outcome.has_begun:
             pending.origin = pending.origin or pending.sent_origin
         self._outcomes.apply(pending, outcome, now_ms)
         if outcome.ending in (DispatchEnding.COMPLETED, DispatchEnding.CANCELLED):
             yield RelayReply(outcome.request_id, None)
-            yield from self._finish(pending, now_ms)
+            yield from self._finish_call(pending, now_ms)
             return
-        refused = self._checks.check_guard(pending, self._pending.values(), now_ms)
+        refused = self._checks.check_guard(pending, self._list_attempts(), now_ms)
         if refused is not None:
             yield self._refuse_for(pending, refused, now_ms)
             yield from self._finish(pending, now_ms)
             return
-        if not self._retries.may_try_again(pending, outcome, now_ms):
+        if self._retries.check_try_again(pending, outcome, now_ms) is not None:
             yield from self._give_up(pending, outcome.text, now_ms)
             return
         pending.replica = None
@@ -269,13 +277,16 @@
         if pending is None:
             yield RelayReply(outcome.request_id, None)
             return
+        if outcome.attempt not in (0, pending.attempt):
+            yield from self._end_silent(pending, outcome, now_ms)
+            return
         if outcome.has_begun:
             pending.origin = pending.origin or outcome.origin
         self._forwards.record_outcome(pending, outcome, now_ms)
         self._forwards.end(pending)
         if outcome.ending in (DispatchEnding.COMPLETED, DispatchEnding.CANCELLED):
             yield RelayReply(outcome.request_id, None)
-            yield from self._finish(pending, now_ms)
+            yield from self._finish_call(pending, now_ms)
             return
         if outcome.ending in PROVEN_NOT_RUN:
             self._limits.on_not_run(pending, now_ms)
@@ -283,19 +294,103 @@
         else:
             pending.may_have_run = True
             pending.sends += outcome.attempts or pending.granted_attempts
-        may_retry = self._retries.may_forward_again(pending, outcome, now_ms)
-        may_retry = may_retry and pending.forwards < MAX_FORWARDS
+        obstacle = self._retries.check_forward_again(pending, outcome, now_ms)
+        may_retry = obstacle is None and pending.forwards < MAX_FORWARDS
         if outcome.kind in (None, *PEER_KINDS) and may_retry:
             yield from self._try_again(pending, outcome.text, now_ms)
             return
         yield self._refuse_forwarded(pending, outcome, now_ms)
         yield from self._finish(pending, now_ms)
 
+    def handle_silent(
+        self, event: AttemptSilent, now_ms: float
+    ) -> Iterator[RelayReply]:
+        """Handle that the current attempt of a call is silent: try to hedge it."""
+        silent = self._pending.get(event.request_id)
+        if silent is None or silent.attempt != event.attempt:
+            return
+        if event.has_begun:
+            silent.has_begun = True
+            silent.origin = silent.origin or silent.sent_origin or event.origin
+        self._outcomes.apply_silent(silent, now_ms)
+        self._forwards.record_silent(silent, now_ms)
+        hedge = self.hedged.begin(silent, event.silence, now_ms)
+        self._pending[event.request_id] = hedge
+        obstacle = self._check_hedge(silent, hedge, event.has_begun, now_ms)
+        if obstacle is not None:
+            yield self._refuse(hedge, ErrorKind.NO_ENDPOINT, obstacle, now_ms)
+            return
+        yield from self._try_again(hedge, "no replica may go on with it", now_ms)
+
+    def _check_hedge(
+        self, silent: PendingCall, hedge: PendingCall, has_begun: bool, now_ms: float
+    ) -> str | None:
+        """Return why a silent attempt is not hedged; if None, a retry is consumed."""
+        lost = DispatchEnding.LOST
+        request_id = silent.request.request_id
+        if silent.peer is not None:
+            forward = ForwardOutcome(request_id, silent.peer, lost, has_begun=has_begun)
+            hedge.sends += silent.granted_attempts
+            if hedge.forwards >= MAX_FORWARDS:
+                return "its forwards are used up"
+            return self._retries.check_forward_again(hedge, forward, now_ms)
+        assert silent.replica is not None
+        outcome = RelayOutcome(request_id, silent.replica, lost, has_begun=has_begun)
+        return self._retries.check_try_again(hedge, outcome, now_ms)
+
+    def handle_continued(
+        self, event: AttemptContinued, now_ms: float
+    ) -> Iterator[RelayReply]:
+        """Handle which attempt of a hedged call continues, and release the others."""
+        current = self._pending.get(event.request_id)
+        if current is None:
+            return
+        winner = self.hedged.take(event.request_id, event.attempt)
+        losers = self.hedged.take_all(event.request_id)
+        if winner is None:
+            winner = current
+        else:
+            losers.append(current)
+        self._pending[event.request_id] = winner
+        is_silent = winner.silent_since_ms is not None
+        self.hedged.record_continued(winner, losers)
+        if is_silent:
+            self._outcomes.apply_continued(winner)
+            self._forwards.record_continued(winner)
+        for loser in losers:
+            self._outcomes.apply_cancelled(loser, now_ms)
+            yield from self._finish(loser, now_ms)
+
+    def _end_silent(
+        self,
+        pending: PendingCall,
+        outcome: RelayOutcome | ForwardOutcome,
+        now_ms: float,
+    ) -> Iterator[RelayReply]:
+        """Handle the end of a silent attempt whose hedge is queued or runs."""
+        silent = self.hedged.take(outcome.request_id, outcome.attempt)
+        if silent is None:
+            # Another attempt has continued in the meantime.
+            return
+        match outcome:
+            case RelayOutcome():
+                self._outcomes.apply(silent, outcome, now_ms)
+            case ForwardOutcome():
+                self._forwards.record_outcome(silent, outcome, now_ms)
+        self.hedged.record_ended(pending, silent)
+        yield from self._finish(silent, now_ms)
+        if outcome.ending is DispatchEnding.CANCELLED:
+            yield from self._finish_call(pending, now_ms)
+
+    def _list_attempts(self) -> Iterator[PendingCall]:
+        yield from self._pending.values()
+        yield from self.hedged.list_all()
+
     def _try_again(
         self, pending: PendingCall, reason: str, now_ms: float
     ) -> Iterator[RelayReply]:
         """Forward, place or queue a call that has failed and may be retried."""
-        refused = self._checks.check(pending, self._pending.values(), now_ms)
+        refused = self._checks.check(pending, self._list_attempts(), now_ms)
         if refused is not None:
             yield self._refuse_for(pending, refused, now_ms)
             yield from self._finish(pending, now_ms)
@@ -325,6 +420,7 @@
         senders = self._calls.list_senders(request.service, now_ms)
         match self._forwards.choose(pending, now_ms, senders):
             case RelayForward() as forward:
+                pending.holds_retry = False
                 self._limits.on_sent(pending)
                 self._calls.release(pending)
                 return RelayReply(request.request_id, forward)
@@ -402,7 +498,7 @@
 
     def _try_waiting(self, pending: PendingCall, now_ms: float) -> RelayReply | None:
         """Return the reply to a queued call; None if it has to keep waiting."""
-        refused = self._checks.check(pending, self._pending.values(), now_ms)
+        refused = self._checks.check(pending, self._list_attempts(), now_ms)
         if refused is not None:
             return self._refuse_for(pending, refused, now_ms)
         return None if pending.is_awaiting_credit else self._send(pending, now_ms)
@@ -415,6 +511,7 @@
         placed = self._calls.place(pending, now_ms)
         if placed is None:
             return None
+        pending.holds_retry = False
         if isinstance(placed, RelayDispatch):
             self._count(pending, now_ms)
             self._resumed.record_placed(pending, now_ms)
@@ -430,7 +527,8 @@
     def _refuse_for(
         self, pending: PendingCall, reason: RefusalReason, now_ms: float
     ) -> RelayReply:
-        if reason.kind is ErrorKind.STREAM_NOT_RESUMABLE:
+        is_hedge = self.hedged.has_silent(pending.request.request_id)
+        if reason.kind is ErrorKind.STREAM_NOT_RESUMABLE and not is_hedge:
             self._resumed.record_lost(pending.request, reason.text, now_ms)
         return self._refuse(
             pending, reason.kind, reason.text, now_ms, wait_ms=reason.retry_ms
@@ -452,21 +550,45 @@
         *,
         wait_ms: float | None = None,
     ) -> RelayReply:
-        """End a call that is given up, returning its refusal."""
-        self._pending.pop(pending.request.request_id, None)
+        """End a call that is given up, returning its refusal.
+
+        A call with a silent attempt waits for that one instead.
+        """
         self._limits.release(pending, now_ms)
         self._calls.release(pending)
+        self._retries.give_back(pending)
+        if self.hedged.has_silent(pending.request.request_id):
+            return self._withhold(pending, kind, text)
+        self._pending.pop(pending.request.request_id, None)
         if wait_ms is None:
             queue = self._queues.get(pending.request.service, ())
             wait_ms = self._waits.compute_retry_delay(pending, queue, now_ms)
         return self._refusals.build(pending, kind, text, wait_ms)
 
+    def _withhold(self, hedge: PendingCall, kind: ErrorKind, text: str) -> RelayReply:
+        """Drop a hedge and return why its call waits for the silent attempt."""
+        silent = self.hedged.withhold(hedge)
+        request_id = hedge.request.request_id
+        self._pending[request_id] = silent
+        return RelayReply(
+            request_id, HedgeWithheld(request_id, silent.attempt, kind, text)
+        )
+
+    def _finish_call(self, pending: PendingCall, now_ms: float) -> Iterator[RelayReply]:
+        """Release the resources of all attempts of a call."""
+        for silent in self.hedged.take_all(pending.request.request_id):
+            self._outcomes.apply_cancelled(silent, now_ms)
+            yield from self._finish(silent, now_ms)
+        yield from self._finish(pending, now_ms)
+
     def _finish(self, pending: PendingCall, now_ms: float) -> Iterator[RelayReply]:
-        """Release a call's resources and send queued calls that fit now."""
+        """Release an attempt's resources and send queued calls that fit now."""
         request = pending.request
-        self._pending.pop(request.request_id, None)
+        if self._pending.get(request.request_id) is pending:
+            del self._pending[request.request_id]
         self._limits.release(pending, now_ms)
         self._calls.release(pending)
+        self._retries.give_back(pending)
         self._forwards.end(pending)
         if pending.is_waiting:
             self._queues[request.service].remove(pending)
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -131,6 +131,10 @@
     is_brittle: bool = False
     """The replica has stated that it is brittle; its response shows whether it still
     is."""
+    hedged: int = 0
+    """Silent attempts of the call that are open beside this one."""
+    silence: int = 0
+    """Number of the silence that this attempt hedges."""
     is_limited: bool = False
     """The replica has announced a limit; its response shows whether it still does."""
     service: ServiceName = ServiceName("")
@@ -164,9 +168,24 @@
     """Weights version of a response that has begun."""
     origin: StreamOrigin | None = None
     """Where the stream began and has to go on."""
+    hedged: int = 0
+    """Silent attempts of the call that are open beside this one."""
+    silence: int = 0
+    """Number of the silence that this attempt hedges."""
 
 
-RelayVerdict = RelayDispatch | RelayForward | Refuse
+class HedgeWithheld(msgspec.Struct, frozen=True):
+    """Decision to wait for a silent attempt, as no other one can be sent now."""
+
+    request_id: RequestId
+    attempt: int
+    """The attempt that the call waits for."""
+    kind: ErrorKind
+    """Why the call would have been refused without that attempt."""
+    text: str
+
+
+RelayVerdict = RelayDispatch | RelayForward | HedgeWithheld | Refuse
 
 
 class RelayReply(msgspec.Struct, frozen=True):
@@ -193,6 +212,8 @@
     """Part of the response has reached the caller."""
     origin: StreamOrigin | None = None
     """Where that response began."""
+    attempt: int = 0
+    """Number of the attempt; 0 for the current one."""
 
 
 class RelayOutcome(msgspec.Struct, frozen=True):
@@ -227,3 +248,5 @@
     """Part of the response has reached the caller."""
     weights_version: int | None = None
     """Weights version that the response names."""
+    attempt: int = 0
+    """Number of the attempt; 0 for the current one."""
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -137,6 +137,24 @@
         elif self.detector.record_outcome(outcome, traits, sent_ms, now_ms, begun_ms):
             self._attribute_losses(outcome.replica, now_ms)
 
+    def on_silent(self, pending: PendingCall, now_ms: float) -> None:
+        """Record that an attempt is silent: its replica may have ended."""
+        if pending.replica is None:
+            return
+        outcome = RelayOutcome(
+            pending.request.request_id, pending.replica, DispatchEnding.LOST
+        )
+        traits = list_traits(pending.request)
+        if self.detector.record_outcome(
+            outcome, traits, pending.sent_ms, now_ms, pending.begun_ms
+        ):
+            self._attribute_losses(outcome.replica, now_ms)
+
+    def on_silence_ended(self, pending: PendingCall) -> None:
+        """Record that a silent attempt has continued or ended."""
+        if pending.replica is not None:
+            self.detector.record_continued(pending.replica, pending.sent_ms)
+
     def on_probe(
         self, replica: EndpointName, reach: Reachability, asked_ms: float, now_ms: float
     ) -> None:
--- a/packages/toucanyard/src/toucanyard/retry_budget.py
+++ b/packages/toucanyard/src/toucanyard/retry_budget.py
@@ -66,6 +66,11 @@
         self._retry_ms.append(now_ms)
         return True
 
+    def give_back(self) -> None:
+        """Return a retry that was taken but not sent."""
+        if self._retry_ms:
+            self._retry_ms.pop()
+
     def _expire(self, now_ms: float) -> None:
         for times in (self._first_ms, self._retry_ms):
             while times and times[0] <= now_ms - self._window_ms:
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -9,7 +9,7 @@
 from toucanyard.names import Address, EndpointName
 from toucanyard.request_traits import build_block_trait
 from toucanyard.requests import Repeatability
-from toucanyard_node import relay_exchange
+from toucanyard_node import replica_attempt
 from toucanyard_node.http_client import HttpConnection, connect
 
 from .relay_harness import (
@@ -443,7 +443,7 @@
                     known.record_deferral(trio.current_time() * 1000 + 5_000.0)
             return connection
 
-        monkeypatch.setattr(relay_exchange, "connect", connect_late)
+        monkeypatch.setattr(replica_attempt, "connect", connect_late)
         received = await harness.call(build_call())
     assert find_status(received) == 200
     assert {each.name: len(each.calls) for each in replicas}[seen[0]] == 0
--- a/tests/toucanyard_node/test_silent_replicas.py
+++ b/tests/toucanyard_node/test_silent_replicas.py
@@ -5,7 +5,7 @@
 import trio
 
 from toucanyard.names import EndpointName
-from toucanyard_node.relay_exchange import STREAM_IDLE_FACTOR
+from toucanyard_node.replica_attempt import STREAM_IDLE_FACTOR
 
 from .relay_harness import (
     SERVICE,
