--- a/tests/toucanyard_node/test_call_forwarding.py
+++ b/tests/toucanyard_node/test_call_forwarding.py
@@ -44,6 +44,8 @@
 ONCE = {"repeatability": Repeatability.RUN_ONCE}
 STREAM = {"is_stream": True, "max_gap_ms": 300, "is_resumable": True}
 STATUS_S = 0.4
+PAUSE_S = 1.3
+"""Longer than a node waits for a peer whose calls have a target of 150 ms."""
 HANG_S = 20.0
 """Time after which a test that waits counts as stuck."""
 LONG = {"timeout_ms": 60_000}
@@ -355,3 +357,44 @@
         async with open_cut_off_node([peer], **ONCE) as harness:
             received = await harness.call(build_call())
     assert find_status(received) == (503 if is_stopping else 200)
+
+
+async def answer_after_a_pause(stream: trio.SocketStream, call: bytes) -> None:
+    """Answer later than a node waits before it asks another peer."""
+    await trio.sleep(PAUSE_S)
+    await answer()(stream, call)
+
+
+async def test_late_answer_through_the_only_peer_arrives() -> None:
+    """Guards against giving up a peer that is silent though no other takes the call."""
+    route: dict[str, Any] = {"target_ms": 150, "timeout_ms": 9_000}
+    async with open_pair(answer_after_a_pause, **route) as (harness, peer, replica):
+        received = await harness.call(build_call())
+        assert find_status(received) == 200
+        assert harness.core.flow.count_pending() == 0
+        assert harness.core.flow.hedged.count_silent() == 0
+        assert len(replica.calls) == 1
+        with trio.fail_after(HANG_S):
+            await peer.server.wait_idle()
+
+
+async def test_forward_is_hedged_by_another_peer_and_the_silent_one_is_told() -> None:
+    """Guards against a second peer that is asked only after the first was given up."""
+    scripts: list[Script] = [never_answer]
+
+    async def run_next(stream: trio.SocketStream, call: bytes) -> None:
+        script = scripts.pop() if scripts else answer()
+        await script(stream, call)
+
+    nodes = [build_node([run_next], target_ms=150) for _ in "bc"]
+    async with start_harness(nodes[0]), start_harness(nodes[1]):
+        peers = [
+            ForwardPeer(name, node) for name, node in zip("bc", nodes, strict=True)
+        ]
+        async with open_cut_off_node(peers, target_ms=150, **LONG) as harness:
+            with trio.fail_after(HANG_S):
+                received = await harness.call(build_call())
+                assert find_status(received) == 200
+                for peer in peers:
+                    await peer.server.wait_idle()
+        assert [peer.server.received for peer in peers] == [1, 1]
