Log the end of dispatches that another replica answers

Cause: that answer left the exchange by a path of its own. Change: it is logged and counted like every other ending.

--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -211,12 +211,14 @@
         is_replaced = bool(facts.incarnation) and (
             facts.incarnation != self._dispatch.listed_as
         )
+        text = "another replica" if is_replaced else "other weights"
+        self._record_ended(DispatchEnding.REFUSED.value, 0, text)
         return AnswerLostError(
             RelayOutcome(
                 self._call.request.request_id,
                 self._dispatch.replica,
                 DispatchEnding.REFUSED,
-                text="another replica" if is_replaced else "other weights",
+                text=text,
                 is_replaced=is_replaced,
                 has_other_weights=not is_replaced,
                 weights_version=facts.weights_version,
