--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -26,6 +26,7 @@
     iterate_lost_streams,
     iterate_mixed_streams,
     iterate_problems,
+    iterate_refused_while_open,
     iterate_shared_fences,
 )
 from soak_faults import FaultTargets, plan_faults
@@ -203,6 +204,19 @@
     assert list(iterate_shared_fences(logs)) == ["fence 7 was used by n1, n2"]
 
 
+def test_refusal_of_a_call_with_an_open_attempt_is_found() -> None:
+    """Guards against a check of cut answers that finds none."""
+    sent = "event=sent call=c-1 replica=e1 attempt=1 hedged=0"
+    hedge = "event=sent call=c-1 replica=e2 attempt=2 hedged=1"
+    failed = "event=ended call=c-1 replica=e2 attempt=2 ending=refused"
+    lost = "event=ended call=c-1 replica=e1 attempt=1 ending=lost"
+    refused = "event=refused call=c-1 kind=endpoint_lost"
+    cut = {"n1": [sent, hedge, failed, refused]}
+    ended = {"n1": [sent, hedge, failed, lost, refused]}
+    assert list(iterate_refused_while_open(cut))
+    assert not list(iterate_refused_while_open(ended))
+
+
 def test_seed_gives_the_same_faults_each_time() -> None:
     first = plan_faults(7, 30.0, 2.0, TARGETS)
     assert first == plan_faults(7, 30.0, 2.0, TARGETS)
