Show in a test that the own protocol gives up a silent engine

What callers can see: a stream of the product's own protocol ends with an error event, though its engine is only paused and nobody else takes it over. Shorter silences are resumed as ever. The users' platform does not use that path.

--- a/tests/toucanyard_node/test_stream_relay.py
+++ b/tests/toucanyard_node/test_stream_relay.py
@@ -298,3 +298,15 @@
         await served.complete()
         (request,) = engine.find_requests("POST")
         assert request.headers["x-priority"] == "3"
+
+
+async def test_engine_silent_for_longer_than_all_resumes_is_waited_for(
+    autojump_clock: MockClock,
+) -> None:
+    """Guards against ending a stream at a silence that no other engine takes over."""
+    silent = Step(head_delay_s=9_999.0)
+    steps = (Step(stop_before=2, then=StepEnd.SILENCE), *[silent] * 6, Step())
+    engine = ScriptedEngine(TOKENS, *steps)
+    async with run_client_server_in_memory([engine]) as served:
+        answer = await served.complete()
+        check_whole(answer.body)
