Stop an attempt that wakes up in the moment in which another one claims

What callers could see: events of two attempts in one stream. Cause: an attempt whose input has arrived in the same moment as another one's runs on after its cancellation until its next checkpoint, and would have claimed the answer back. Found by reading the change. Change: claiming is a checkpoint for an attempt that is no longer among the open ones, where its cancellation is raised.

Also: the failure of a silent replica counts once a silence, not once a timeout.

--- a/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
@@ -62,7 +62,7 @@
         """Return the outcome of a forward that is cancelled."""
         return self._build_outcome(DispatchEnding.CANCELLED)
 
-    def log_ended(self, ending: str) -> None:
+    def record_cancelled(self, ending: str) -> None:
         """Log and count a forward that is cancelled."""
         if ending == "given_up":
             ending = DispatchEnding.CANCELLED.value
@@ -76,7 +76,7 @@
             if call.has_begun:
                 # A stream cannot be resumed with an answer that is not a stream.
                 raise ForwardClosedError("no stream")
-            call.claim(self)
+            await call.claim(self)
             self._complete(head.status)
             await call.send_whole(head.status, head.fields, body)
             return
@@ -91,7 +91,7 @@
                 await call.write(self, events, self._splitter.last_id, head.origin)
         if not call.has_begun:
             await call.start(self, head.status, head.fields, head.origin)
-        call.claim(self)
+        await call.claim(self)
         self._complete(head.status)
         await call.finish()
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
@@ -81,7 +81,7 @@
         """Return the outcome of an attempt that is cancelled."""
 
     @abc.abstractmethod
-    def log_ended(self, ending: str) -> None:
+    def record_cancelled(self, ending: str) -> None:
         """Log and count an attempt that is cancelled."""
 
 
@@ -163,8 +163,12 @@
         """Return the time since the call arrived, in ms."""
         return trio.current_time() * 1000 - self.request.arrived_ms
 
-    def claim(self, attempt: RelayAttempt) -> None:
+    async def claim(self, attempt: RelayAttempt) -> None:
         """Let an attempt continue the answer; cancel all others."""
+        if attempt not in self.attempts:
+            # Another one has claimed it while this one was about to run: its scope
+            # is cancelled, and raises that here.
+            await trio.lowlevel.checkpoint()
         if attempt.silent_since_ms is None and len(self.attempts) == 1:
             return
         losers = [each for each in self.attempts if each is not attempt]
@@ -182,7 +186,7 @@
             self.request, attempt.number, attempt.target, silent_ms, len(losers)
         )
         for loser in losers:
-            loser.log_ended("superseded")
+            loser.record_cancelled("superseded")
             loser.scope.cancel()
 
     def report_silent(self, attempt: RelayAttempt, silent_ms: float) -> None:
@@ -237,7 +241,7 @@
             return
         self.is_over = True
         for attempt in self.attempts:
-            attempt.log_ended("given_up")
+            attempt.record_cancelled("given_up")
         if self.attempts:
             # The core releases the other attempts with it.
             self._client.report(self.attempts[-1].build_cancelled())
@@ -252,7 +256,7 @@
         origin: StreamOrigin | None,
     ) -> None:
         """Start a streamed answer."""
-        self.claim(attempt)
+        await self.claim(attempt)
         await self._responder.start(status, headers, origin)
 
     async def write(
@@ -263,7 +267,7 @@
         origin: StreamOrigin | None = None,
     ) -> None:
         """Send complete events; `origin` is where a peer says that they come from."""
-        self.claim(attempt)
+        await self.claim(attempt)
         self.last_event_id = last_event_id
         if self._first_ms is None:
             self._first_ms = self.compute_elapsed()
--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -97,7 +97,7 @@
         """Return the outcome of a dispatch that is cancelled."""
         return self._build_outcome(DispatchEnding.CANCELLED, "nobody waits")
 
-    def log_ended(self, ending: str) -> None:
+    def record_cancelled(self, ending: str) -> None:
         """Log and count a dispatch that is cancelled."""
         self._record_ended(ending, 0)
 
@@ -157,7 +157,7 @@
         if self._call.has_begun:
             # A stream cannot be resumed with an answer that is not a stream.
             raise self._build_failure(DispatchEnding.LOST, "no stream", facts)
-        self._call.claim(self)
+        await self._call.claim(self)
         is_error = head.status >= FIRST_ERROR
         self._complete(facts, head, connection, is_inconclusive=is_error)
         await self._call.send_whole(answer.status, answer.headers, answer.body)
@@ -256,7 +256,7 @@
         self._check_stream_end(head, facts, has_events=has_events)
         if not call.has_begun:
             await self._start_answer(head)
-        call.claim(self)
+        await call.claim(self)
         self._complete(facts, head, connection, is_inconclusive=not has_events)
         await call.finish()
 
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -74,21 +74,20 @@
 
         New calls avoid it; nothing is concluded about the call itself.
         """
-        known = None
-        if pending.replica is not None:
-            known = self._directory.find(pending.replica)
-            self._calls.connections.forget(pending.replica)
+        if pending.replica is None or pending.silent_since_ms is not None:
+            return
+        self._calls.connections.forget(pending.replica)
+        known = self._directory.find(pending.replica)
         if known is not None:
             known.record_failure(now_ms, is_dead=False)
-        if pending.silent_since_ms is None:
-            self._guard.on_silent(pending, now_ms)
+        self._guard.on_silent(pending, now_ms)
 
     def apply_continued(self, pending: PendingCall) -> None:
         """Apply that a silent attempt has continued."""
+        if pending.replica is None:
+            return
         self._guard.on_silence_ended(pending)
-        known = None
-        if pending.replica is not None:
-            known = self._directory.find(pending.replica)
+        known = self._directory.find(pending.replica)
         if known is not None:
             known.forget_failures()
 
