Count what a silent forward may have used once, not at each hedge

What callers could see: a call forwarded to a peer that is silent for long ran out of attempts, as each hedge that was withheld left the peer's attempts counted. Found by reading. The test fails without the change (sends 11 instead of 1). What decides on a hedge moves to where retries are decided, and the choice of the attempt that continues to hedged_calls.

--- a/packages/toucanyard/src/toucanyard/call_retries.py
+++ b/packages/toucanyard/src/toucanyard/call_retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from toucanyard.call_forwards import MAX_FORWARDS
 from toucanyard.names import ServiceName
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_options import RetryLimits
@@ -50,6 +51,29 @@
             return None
         return self._take(pending, now_ms)
 
+    def check_hedge(
+        self,
+        silent: PendingCall,
+        hedge: PendingCall,
+        now_ms: float,
+        *,
+        has_begun: bool,
+    ) -> str | None:
+        """Return why not to hedge a silent attempt; if None, a retry is consumed.
+
+        A hedge is allowed wherever a retry would be if the attempt were lost.
+        """
+        request_id, lost = silent.request.request_id, DispatchEnding.LOST
+        if silent.peer is not None:
+            hedge.sends += silent.granted_attempts
+            if hedge.forwards >= MAX_FORWARDS:
+                return "its forwards are used up"
+            forward = ForwardOutcome(request_id, silent.peer, lost, has_begun=has_begun)
+            return self.check_forward_again(hedge, forward, now_ms)
+        assert silent.replica is not None
+        outcome = RelayOutcome(request_id, silent.replica, lost, has_begun=has_begun)
+        return self.check_try_again(hedge, outcome, now_ms)
+
     def give_back(self, pending: PendingCall) -> None:
         """Return the retry that was taken for a call and not sent, if any."""
         if pending.holds_retry:
--- a/packages/toucanyard/src/toucanyard/hedged_calls.py
+++ b/packages/toucanyard/src/toucanyard/hedged_calls.py
@@ -99,6 +99,17 @@
         attempts = self._silent.get(current.request.request_id, [])
         self._exclude_silent(current, attempts)
 
+    def split(
+        self, current: PendingCall, attempt: int
+    ) -> tuple[PendingCall, list[PendingCall]]:
+        """Return the attempt of a call that continues, and the others."""
+        request_id = current.request.request_id
+        winner = self.take(request_id, attempt)
+        losers = self.take_all(request_id)
+        if winner is None:
+            return current, losers
+        return winner, [*losers, current]
+
     def record_continued(self, winner: PendingCall, losers: list[PendingCall]) -> None:
         """Record which attempt continues."""
         for each in losers:
@@ -120,7 +131,9 @@
 
 def _copy_counts(source: PendingCall, target: PendingCall) -> None:
     """Copy what later attempts of a call have used up."""
-    target.sends = max(source.sends, target.sends)
+    # What a forward may have used is counted at its end.
+    granted = 0 if target.peer is None else target.granted_attempts
+    target.sends = max(source.sends - granted, target.sends)
     target.dispatches = max(source.dispatches, target.dispatches)
     target.forwards = max(source.forwards, target.forwards)
     target.tried = tuple(dict.fromkeys((*target.tried, *source.tried)))
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -316,28 +316,14 @@
         self._forwards.record_silent(silent, now_ms)
         hedge = self.hedged.begin(silent, event.silence, now_ms)
         self._pending[event.request_id] = hedge
-        obstacle = self._check_hedge(silent, hedge, event.has_begun, now_ms)
+        obstacle = self._retries.check_hedge(
+            silent, hedge, now_ms, has_begun=event.has_begun
+        )
         if obstacle is not None:
             yield self._refuse(hedge, ErrorKind.NO_ENDPOINT, obstacle, now_ms)
             return
         yield from self._try_again(hedge, "no replica may go on with it", now_ms)
 
-    def _check_hedge(
-        self, silent: PendingCall, hedge: PendingCall, has_begun: bool, now_ms: float
-    ) -> str | None:
-        """Return why a silent attempt is not hedged; if None, a retry is consumed."""
-        lost = DispatchEnding.LOST
-        request_id = silent.request.request_id
-        if silent.peer is not None:
-            forward = ForwardOutcome(request_id, silent.peer, lost, has_begun=has_begun)
-            hedge.sends += silent.granted_attempts
-            if hedge.forwards >= MAX_FORWARDS:
-                return "its forwards are used up"
-            return self._retries.check_forward_again(hedge, forward, now_ms)
-        assert silent.replica is not None
-        outcome = RelayOutcome(request_id, silent.replica, lost, has_begun=has_begun)
-        return self._retries.check_try_again(hedge, outcome, now_ms)
-
     def handle_continued(
         self, event: AttemptContinued, now_ms: float
     ) -> Iterator[RelayReply]:
@@ -345,18 +331,12 @@
         current = self._pending.get(event.request_id)
         if current is None:
             return
-        winner = self.hedged.take(event.request_id, event.attempt)
-        losers = self.hedged.take_all(event.request_id)
-        if winner is None:
-            winner = current
-        else:
-            losers.append(current)
+        winner, losers = self.hedged.split(current, event.attempt)
         self._pending[event.request_id] = winner
-        is_silent = winner.silent_since_ms is not None
-        self.hedged.record_continued(winner, losers)
-        if is_silent:
+        if winner.silent_since_ms is not None:
             self._outcomes.apply_continued(winner)
             self._forwards.record_continued(winner)
+        self.hedged.record_continued(winner, losers)
         for loser in losers:
             self._outcomes.apply_cancelled(loser, now_ms)
             yield from self._finish(loser, now_ms)
--- a/tests/toucanyard/test_hedged_calls.py
+++ b/tests/toucanyard/test_hedged_calls.py
@@ -6,13 +6,15 @@
 from hypothesis import given, strategies as st
 
 from toucanyard.errorcodes import Ending
-from toucanyard.names import RequestId
+from toucanyard.hedged_calls import HedgedCalls
+from toucanyard.names import NodeName, RequestId
+from toucanyard.pending_call import PendingCall
 from toucanyard.relay_events import AttemptContinued, AttemptSilent
 from toucanyard.relay_requests import HedgeWithheld, RelayDispatch, RelayOutcome
 from toucanyard.requests import DispatchEnding, Refuse, Repeatability
 
 from .flow_node import SLOTS, Node
-from .relay_examples import OPTIONS
+from .relay_examples import OPTIONS, build_request
 
 Q = RequestId("q")
 
@@ -199,6 +201,18 @@
         node.replies[Q].append(node.list_dispatches()[0])
 
 
+def test_forward_that_asks_again_for_a_hedge_uses_up_no_attempts() -> None:
+    """Guards against a call out of attempts since its peer was silent for long."""
+    hedged = HedgedCalls()
+    silent = PendingCall(build_request("q"), sends=1)
+    silent.peer, silent.granted_attempts = NodeName("n2"), 2
+    for _ in range(5):
+        hedge = hedged.begin(silent, 1, 0.0)
+        hedge.sends += silent.granted_attempts
+        assert hedged.withhold(hedge) is silent
+    assert silent.sends == 1
+
+
 ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(
