Record a stream's origin anew when a silent attempt goes on before its hedge

What callers could see: a caller that takes a stream up by the id of its try was sent to the software version of the hedge, though the stream began at the other one (streams of two versions, ORDER). Cause: the latest placement is recorded as the place where the stream begins; a silent attempt that goes on was placed before. Found by reading; the test failed before (v1 instead of v2).

--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -337,6 +337,9 @@
             self._outcomes.apply_continued(winner)
             self._forwards.record_continued(winner)
         self.hedged.record_continued(winner, losers)
+        if losers:
+            # The latest attempt was recorded as the place where the stream begins.
+            self._resumed.record_placed(winner, now_ms)
         for loser in losers:
             self._outcomes.apply_cancelled(loser, now_ms)
             yield from self._finish(loser, now_ms)
--- a/tests/toucanyard/test_resumed_streams.py
+++ b/tests/toucanyard/test_resumed_streams.py
@@ -22,6 +22,8 @@
     SoftwareVersion,
 )
 from toucanyard.relay_events import (
+    AttemptContinued,
+    AttemptSilent,
     CallArrived,
     DispatchEnded,
     FirstEventSeen,
@@ -242,6 +244,22 @@
     assert node.find_refusal().kind is ErrorKind.STREAM_NOT_RESUMABLE
 
 
+def test_stream_that_continues_after_its_hedge_was_sent_began_where_it_runs() -> None:
+    """Guards against resuming a stream at the software version of its hedge."""
+    node = ResumingNode()
+    node.resume("known", caller_id="known", last_event_id="", resumed_id="")
+    first = node.find_verdict("known")
+    assert isinstance(first, RelayDispatch)
+    silent = AttemptSilent(RequestId("known"), first.attempt, 1, False)
+    node.handle(N0, silent)
+    hedge = node.find_verdict("known")
+    assert isinstance(hedge, RelayDispatch)
+    assert hedge.software_version != first.software_version
+    node.handle(N0, AttemptContinued(RequestId("known"), first.attempt))
+    node.resume()
+    assert node.find_version() == first.software_version
+
+
 def build_loss(node: ResumingNode, call: str, **facts: object) -> RelayOutcome:
     dispatch = node.find_verdict(call)
     assert isinstance(dispatch, RelayDispatch)
