--- a/tests/toucanyard_node/test_call_forwarding.py
+++ b/tests/toucanyard_node/test_call_forwarding.py
@@ -12,7 +12,14 @@
 import trio.testing
 
 from toucanyard.call_forwards import CONNECT_MS
-from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
+from toucanyard.names import (
+    Address,
+    DomainName,
+    EndpointName,
+    Incarnation,
+    NodeId,
+    NodeName,
+)
 from toucanyard.node_records import NodeRecord
 from toucanyard.options import MembershipTimings
 from toucanyard.relay_events import SendToPeer
@@ -27,6 +34,7 @@
 
 from .relay_harness import (
     SERVICE,
+    SIGNED,
     RelayHarness,
     Script,
     ScriptedReplica,
@@ -398,3 +406,17 @@
                 for peer in peers:
                     await peer.server.wait_idle()
         assert [peer.server.received for peer in peers] == [1, 1]
+
+
+async def test_leave_stated_in_a_forwarded_answer_is_heeded_by_the_first_node() -> None:
+    """Guards against calls to a leaving replica by a node that is no more cut off."""
+    leaving = answer(200, b"whole", SIGNED + b"X-Leaving: 1\r\n")
+    reaching = RelayHarness([ScriptedReplica("x", leaving)])
+    async with start_harness(reaching):
+        peer = ForwardPeer("b", reaching)
+        async with open_cut_off_node([peer]) as harness:
+            received = await harness.call(build_call())
+            assert find_status(received) == 200
+            known = harness.core.directory.find(EndpointName("x"))
+            assert known is not None
+            assert known.leave_stated_ms is not None
