End the replies of a call that is cancelled while its hedge is queued

What could be seen: a reply channel was kept for good for each call whose caller left, or whose deadline passed, while its hedge waited for a replica. Cause: the exchange reports the end of the silent attempt, which is not the current one then, and that path gave no last reply. Change: a cancellation ends the call and its replies whichever attempt names it.

--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -352,17 +352,17 @@
     ) -> Iterator[RelayReply]:
         """Handle the end of a silent attempt whose hedge is queued or runs."""
         silent = self.hedged.take(outcome.request_id, outcome.attempt)
-        if silent is None:
-            # Another attempt has continued in the meantime.
-            return
-        match outcome:
-            case RelayOutcome():
-                self._outcomes.apply(silent, outcome, now_ms)
-            case ForwardOutcome():
-                self._forwards.record_outcome(silent, outcome, now_ms)
-        self.hedged.record_ended(pending, silent)
-        yield from self._finish(silent, now_ms)
+        # There is none if another attempt has continued in the meantime.
+        if silent is not None:
+            match outcome:
+                case RelayOutcome():
+                    self._outcomes.apply(silent, outcome, now_ms)
+                case ForwardOutcome():
+                    self._forwards.record_outcome(silent, outcome, now_ms)
+            self.hedged.record_ended(pending, silent)
+            yield from self._finish(silent, now_ms)
         if outcome.ending is DispatchEnding.CANCELLED:
+            yield RelayReply(outcome.request_id, None)
             yield from self._finish_call(pending, now_ms)
 
     def _list_attempts(self) -> Iterator[PendingCall]:
--- a/tests/toucanyard/test_hedged_calls.py
+++ b/tests/toucanyard/test_hedged_calls.py
@@ -161,6 +161,18 @@
     assert node.find_dispatch("q").replica != first.replica
 
 
+def test_call_whose_hedge_is_queued_gets_a_last_reply_when_it_is_cancelled() -> None:
+    """Guards against reply channels that are kept after their caller has left."""
+    node = Node(desks="x")
+    node.arrive("q", max_attempts=2, deadline_ms=9_000.0)
+    first = node.find_dispatch("q")
+    fall_silent(node)
+    assert node.flow.count_waiting() == 1
+    end(node, first, DispatchEnding.CANCELLED)
+    assert node.find_last("q") is None
+    check_released(node)
+
+
 def test_hedge_never_goes_to_a_replica_with_an_open_attempt() -> None:
     """Guards against sending a call twice to the replica that is silent."""
     node = Node(desks="x")
