Add settings and a count of the bytes held of each kind of sender

Change: ByteLimits (settings with units) and HeldBytes: a bound of one message, of all, of one sender's share, and a part of the sum that only small messages may use. No reader uses them yet, so nothing behaves differently. Ways weighed: one sum for all senders (one replica or a few endless answers use it up); ending the largest message when the sum is full (its owner must be woken up and told); a share a sender and a reserve for small messages (taken).

--- a/packages/toucanyard/src/toucanyard/relay_options.py
+++ b/packages/toucanyard/src/toucanyard/relay_options.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from toucanyard.byte_limits import ByteLimits
 from toucanyard.names import Address, DomainName, NodeName
 from toucanyard.rate_limits import LimitBounds
 from toucanyard.relay_policy import RelayPolicy
@@ -80,6 +81,7 @@
     max_descriptors: int = 4_000
     limits: LimitBounds = LimitBounds()
     connections: ConnectionOptions = ConnectionOptions()
+    bytes_received: ByteLimits = ByteLimits()
     policy: RelayPolicy = RelayPolicy()
     link_mbps: float = 1_000.0
     """Bandwidth of the VM; in a large fleet, nodes with the fastest links are hubs."""
