Create the count of received bytes with each node

Cause: the adapters and the node's readers are to share one count. Nothing counts there yet. Evidence: ./dev check, test_relay_node.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -29,6 +29,7 @@
 from toucanyard_node.bounded_output import BoundedOutput
 from toucanyard_node.forward_exchange import Forwarder
 from toucanyard_node.forward_server import ForwardServer
+from toucanyard_node.held_bytes import ReceivedBytes
 from toucanyard_node.http_client import split_address
 from toucanyard_node.http_exchange import HttpRequest, Responder
 from toucanyard_node.http_server import HttpServer, ServerLimits, open_listener
@@ -101,10 +102,16 @@
     """The tasks of one node and the channels between them."""
 
     def __init__(
-        self, core: RelayCore, ports: Ports, output: BoundedOutput, rng: random.Random
+        self,
+        core: RelayCore,
+        ports: Ports,
+        output: BoundedOutput,
+        rng: random.Random,
+        received: ReceivedBytes,
     ) -> None:
         self._options = core.options
         self.core = core
+        self.received = received
         self.settings_watch: SettingsWatch | None = None
         self._ports = ports
         self._output = output
--- a/tests/toucanyard_node/test_relay_node.py
+++ b/tests/toucanyard_node/test_relay_node.py
@@ -10,6 +10,7 @@
 from toucanyard.relay_options import RelayListen, RelayOptions
 from toucanyard_node import relay_node
 from toucanyard_node.bounded_output import BoundedOutput
+from toucanyard_node.held_bytes import ReceivedBytes
 from toucanyard_node.http_exchange import HttpRequest, Responder
 from toucanyard_node.relay_node import AuxiliaryHandlers, Ports, RelayNode
 
@@ -44,7 +45,9 @@
     rng = random.Random(1)
     core = RelayCore(options, identity, lambda *_: None, rng)
     unused = Ports(None, None, None, None)  # type: ignore[arg-type]
-    node = RelayNode(core, unused, BoundedOutput(1), rng)
+    node = RelayNode(
+        core, unused, BoundedOutput(1), rng, ReceivedBytes(core.options.bytes_received)
+    )
     pages = AuxiliaryHandlers(answer_nothing, answer_nothing, answer_nothing)
     with pytest.raises(OpenedError):
         await node.run(pages)
