--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -29,7 +29,7 @@
     iterate_refused_while_open,
     iterate_shared_fences,
 )
-from soak_faults import FaultTargets, plan_faults
+from soak_plan import FaultTargets, plan_faults
 from soak_statements import (
     Arrival,
     iterate_calls_after_leave,
