--- a/tests/toucanyard_platform/test_endless_answers.py
+++ b/tests/toucanyard_platform/test_endless_standins.py
@@ -5,6 +5,7 @@
 import trio
 from endless_answers import (
     FAST_BYTES,
+    NO_FAULT,
     EndlessKind,
     EndlessScope,
     build_endless,
@@ -74,7 +75,7 @@
         address = listener.socket.getsockname()[:2]
         server = HttpServer(replica.handle, ServerLimits())
         nursery.start_soon(server.serve, listener)
-        await exchange(address, switch(f"{kind},calls"), 10_000)
+        await exchange(address, switch(f"{kind},60,calls"), 10_000)
         assert len(await exchange(address, CALL, max_bytes)) >= max_bytes
         # Other requests and, once the fault has ended, calls are answered as usual.
         assert b'"busy":false' in await exchange(address, REPORT, 100)
@@ -97,7 +98,7 @@
         address = listener.socket.getsockname()[:2]
         server = HttpServer(store.handle, ServerLimits())
         nursery.start_soon(server.serve, listener)
-        await exchange(address, switch(f"body-fast,{scope}"), 10_000)
+        await exchange(address, switch(f"body-fast,60,{scope}"), 10_000)
         page = await exchange(address, PAGE, 10 * FAST_BYTES if scope == "pages" else 9)
         assert (b'"items":[]' in page) == (scope is not EndlessScope.PAGES)
         nursery.cancel_scope.cancel()
@@ -121,13 +122,14 @@
 
 
 def test_fault_names_what_it_covers() -> None:
-    fault = parse_endless("event-slow,calls,reports")
-    assert fault is not None
+    fault = parse_endless("event-slow,2.5,calls,reports", 10.0)
     assert fault.kind is EndlessKind.EVENT_SLOW
+    assert fault.until_s == 12.5
     assert fault.scopes == {EndlessScope.CALLS, EndlessScope.REPORTS}
-    assert parse_endless("") is None
+    assert parse_endless("", 10.0) == NO_FAULT
+    assert not NO_FAULT.covers(EndlessScope.CALLS)
     with pytest.raises(ValueError, match="no-such-kind"):
-        parse_endless("no-such-kind,calls")
+        parse_endless("no-such-kind,1,calls", 10.0)
 
 
 def build_result(*calls: PlayedCall, peak_mb: float = 40.0) -> PlayResult:
