Bound the bodies of forwarded calls, one and all together

Seen: a peer that announces a body of 64 MB has it read into memory whole, as many at a time as half of the connections; nothing bounds the sum (memoryMb is 128). Messages on such a connection could have 4 MB, though none that a node sends is larger than an event.

Fix: a body has at most the operators' max_body_bytes, and its announced size is counted in ReceivedBytes.peers for its sender until the call ends. What doesn't fit is read off without being kept (the other node reads the answer only after it has sent all) and refused as not run, so that the call goes to another peer; more than 2 s or too many small parts end the connection. A message of a forwarded call has at most 2 MB, and a part of the body at least 4 KB in the mean.

max_held_peer_bytes grows to 9 MB: one sender may use half of it, and the largest body that operators allow by default has 4,194,304.

Ways weighed: closing the connection at once leaves the call's outcome unknown to the node that forwards; a smaller share for a single peer would refuse the largest bodies.

Before, the new tests on the former forward_server: a call whose body does not fit got 200 (test_forwarded_body_beyond_the_memory_for_them_is_refused), and the body of 64 MB was received whole and run (test_forwarded_body_without_end_is_given_up[-100000]). After: both pass, and the body of empty parts ends by their number.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_channel.py
@@ -11,9 +11,10 @@
 from websockets.trio.client import connect as connect_websocket
 from websockets.trio.connection import Connection
 
-from toucanyard.cbor_messages import MAX_MESSAGE_BYTES, MessageInvalidError
+from toucanyard.cbor_messages import MessageInvalidError
 from toucanyard.forwarded_calls import (
     FORWARD_PATH,
+    MAX_FORWARD_BYTES,
     ForwardMessage,
     decode_forward_message,
     encode_forward_message,
@@ -87,7 +88,7 @@
                 f"ws://{address}{FORWARD_PATH}",
                 proxy=None,
                 compression=None,
-                max_size=MAX_MESSAGE_BYTES,
+                max_size=MAX_FORWARD_BYTES,
                 max_queue=4,
                 open_timeout=timeout_ms / 1000,
                 ping_interval=None,
--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Final
 
 import structlog
@@ -22,7 +22,7 @@
 from toucanyard.requests import Refuse
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.forward_channel import ForwardChannel, ForwardClosedError
-from toucanyard_node.http_client import MAX_BODY_BYTES
+from toucanyard_node.held_bytes import ByteBoundError, HeldBytes, HeldMessage
 from toucanyard_node.http_exchange import (
     CallerGoneError,
     Headers,
@@ -33,6 +33,9 @@
 
 READ_TIMEOUT_S: Final = 2.0
 """Time for a call and its body to arrive."""
+MIN_PART_BYTES: Final = 4_096
+MAX_SMALL_PARTS: Final = 16
+"""Parts of a body that may be smaller; peers send no small part but the last one."""
 BUSY_RETRY_MS: Final = 200
 """Retry delay of a call that is refused for lack of capacity."""
 _LOG: Final = structlog.get_logger()
@@ -105,9 +108,18 @@
 class ForwardServer:
     """Runs the calls that other nodes forward, a bounded number at a time."""
 
-    def __init__(self, handler: Handler, find_max_calls: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        find_max_calls: Callable[[], int],
+        find_max_body: Callable[[], int],
+        held: HeldBytes,
+    ) -> None:
+        """`held` counts the bodies of calls until they end, by the node they are from."""
         self._handler = handler
         self._find_max_calls = find_max_calls
+        self._find_max_body = find_max_body
+        self._held = held
         self._idle = trio.Event()
         self._idle.set()
         self._is_stopping = False
@@ -125,14 +137,23 @@
 
     async def serve(self, channel: ForwardChannel, peer: NodeId) -> None:
         """Serve the call on one connection."""
+        with self._held.open(peer.node, self._find_max_body()) as message:
+            await self._serve(channel, peer, message)
+
+    async def _serve(
+        self, channel: ForwardChannel, peer: NodeId, message: HeldMessage
+    ) -> None:
+        responder = ForwardResponder(channel)
         try:
             with trio.fail_after(READ_TIMEOUT_S):
-                call, body = await _read_call(channel)
+                call, body = await _read_call(channel, message)
             http = build_request(call.method, call.target, call.fields, body)
+        except ByteBoundError as error:
+            await self._refuse_oversized(responder, peer, error)
+            return
         except (ForwardClosedError, trio.TooSlowError, TargetInvalidError) as error:
             _LOG.warning("forward_unread", peer=peer.node, reason=str(error)[:100])
             return
-        responder = ForwardResponder(channel)
         refusal = self._check_capacity()
         if refusal is not None:
             self.refused += 1
@@ -155,6 +176,25 @@
             if not self.running:
                 self._idle.set()
 
+    async def _refuse_oversized(
+        self, responder: ForwardResponder, peer: NodeId, error: ByteBoundError
+    ) -> None:
+        """Refuse a call whose body does not fit, which was therefore not run."""
+        self.refused += 1
+        _LOG.warning(
+            "forward_over_bound",
+            peer=peer.node,
+            bound=error.bound.value,
+            received_bytes=error.received_bytes,
+        )
+        text = "the body of the call does not fit the memory for forwarded calls"
+        refusal = _build_refusal(ErrorKind.TOO_MANY_CALLS, text)
+        try:
+            with trio.fail_after(READ_TIMEOUT_S):
+                await responder.refuse(refusal, is_exact=True)
+        except (CallerGoneError, trio.TooSlowError):
+            _LOG.info("forward_abandoned", peer=peer.node)
+
     async def _run_guarded(
         self,
         http: HttpRequest,
@@ -179,21 +219,43 @@
         return None
 
 
-async def _read_call(channel: ForwardChannel) -> tuple[ForwardedCall, bytes]:
+async def _read_call(
+    channel: ForwardChannel, message: HeldMessage
+) -> tuple[ForwardedCall, bytes]:
+    """Return a call and its body, whose announced size is counted before it is read."""
     call = await channel.receive()
     if not isinstance(call, ForwardedCall):
         raise ForwardClosedError(f"found {type(call).__name__}, expected a call")
-    if call.body_bytes > MAX_BODY_BYTES:
-        raise ForwardClosedError(f"announced a body of {call.body_bytes} bytes")
+    try:
+        message.add(call.body_bytes)
+    except ByteBoundError:
+        # The other node reads the refusal only after it has sent the whole body.
+        async for _ in _receive_parts(channel, call.body_bytes):
+            pass
+        raise
     body = bytearray()
-    while len(body) < call.body_bytes:
+    async for data in _receive_parts(channel, call.body_bytes):
+        body += data
+    return call, bytes(body)
+
+
+async def _receive_parts(
+    channel: ForwardChannel, size_bytes: int
+) -> AsyncIterator[bytes]:
+    """Yield the parts of a body of an announced size."""
+    left_bytes = size_bytes
+    parts_left = MAX_SMALL_PARTS + size_bytes // MIN_PART_BYTES
+    while left_bytes > 0:
         part = await channel.receive()
         if not isinstance(part, BodyPart):
             raise ForwardClosedError(f"found {type(part).__name__}, expected a body")
-        body += part.data
-    if len(body) != call.body_bytes:
-        raise ForwardClosedError("the body is longer than announced")
-    return call, bytes(body)
+        left_bytes -= len(part.data)
+        parts_left -= 1
+        if left_bytes < 0:
+            raise ForwardClosedError("the body is longer than announced")
+        if parts_left < 0:
+            raise ForwardClosedError("the body has too many parts")
+        yield part.data
 
 
 async def _cancel_on_close(channel: ForwardChannel, scope: trio.CancelScope) -> None:
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -20,7 +20,7 @@
 from websockets.trio.server import ServerConnection, serve as serve_websockets
 
 from toucanyard.cbor_messages import MessageInvalidError
-from toucanyard.forwarded_calls import FORWARD_PATH
+from toucanyard.forwarded_calls import FORWARD_PATH, MAX_FORWARD_BYTES
 from toucanyard.names import Address, NodeId, NodeName
 from toucanyard.options import MembershipTimings
 from toucanyard.vm_view import UNNAMED, Vm
@@ -163,6 +163,7 @@
             await socket.aclose(1013)
             return
         self._forwards += 1
+        socket.protocol.max_message_size = MAX_FORWARD_BYTES
         try:
             peer = await self._authenticate(socket, Side.SERVER, FORWARD_VERSION)
         finally:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -137,7 +137,10 @@
             self.connections,
         )
         self.forward_server = ForwardServer(
-            self._relay_server.handle_forwarded, self._find_max_forwarded
+            self._relay_server.handle_forwarded,
+            self._find_max_forwarded,
+            lambda: self._find_limits().max_body_bytes,
+            received.peers,
         )
         self._http_server = HttpServer(self._relay_server.handle, self._find_limits())
         self._reader = StoreReader(core, client, ports.store, rng)
--- a/packages/toucanyard/src/toucanyard/byte_limits.py
+++ b/packages/toucanyard/src/toucanyard/byte_limits.py
@@ -28,6 +28,8 @@
     max_held_report_bytes: SizeBytes = 6_000_000
     max_store_page_bytes: SizeBytes = 8_000_000
     max_held_store_bytes: SizeBytes = 12_000_000
-    max_held_peer_bytes: SizeBytes = 8_000_000
+    max_held_peer_bytes: SizeBytes = 9_000_000
+    """Messages of peers and bodies of forwarded calls. One peer may use half of it, which
+    has room for the largest body that operators allow by default."""
     max_held_request_bytes: SizeBytes = 12_000_000
     """Bodies of the calls that a node is reading or serving."""
--- a/packages/toucanyard/src/toucanyard/forwarded_calls.py
+++ b/packages/toucanyard/src/toucanyard/forwarded_calls.py
@@ -19,6 +19,8 @@
 FORWARD_PATH: Final = "/forward"
 CHUNK_BYTES: Final = 262_144
 """Size of one message with a part of a body."""
+MAX_FORWARD_BYTES: Final = 2_000_000
+"""Size of any message: at most one event of a stream, or the part of a body."""
 
 Headers = tuple[tuple[str, str], ...]
 PositiveMs = Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
--- a/tests/toucanyard_node/test_call_forwarding.py
+++ b/tests/toucanyard_node/test_call_forwarding.py
@@ -11,7 +11,9 @@
 import trio
 import trio.testing
 
+from toucanyard.byte_limits import ByteLimits
 from toucanyard.call_forwards import CONNECT_MS
+from toucanyard.forwarded_calls import BodyPart, ForwardedCall
 from toucanyard.names import (
     Address,
     DomainName,
@@ -24,9 +26,15 @@
 from toucanyard.options import MembershipTimings
 from toucanyard.relay_events import SendToPeer
 from toucanyard.requests import Repeatability
+from toucanyard.routes import CallBounds
 from toucanyard_node import forward_channel
-from toucanyard_node.forward_channel import ForwardChannel
+from toucanyard_node.forward_channel import (
+    ForwardChannel,
+    ForwardClosedError,
+    open_forward_channel,
+)
 from toucanyard_node.forward_server import ForwardServer
+from toucanyard_node.held_bytes import HeldBytes
 from toucanyard_node.http_server import find_port
 from toucanyard_node.peer_handshake import authenticate_peer
 from toucanyard_node.peer_links import PeerLinks
@@ -77,7 +85,11 @@
         self.name = NodeName(name)
         self.harness = harness
         handler = harness.relay_server.handle_forwarded
-        self.server = ForwardServer(handler, lambda: limit)
+        self.held = HeldBytes(ByteLimits().max_held_peer_bytes)
+        self.max_body_bytes = CallBounds().max_body_bytes
+        self.server = ForwardServer(
+            handler, lambda: limit, lambda: self.max_body_bytes, self.held
+        )
         identity = NodeId(self.name, Incarnation("i"))
         self.links: PeerLinks[object, object] = PeerLinks(
             identity,
@@ -296,6 +308,59 @@
     assert float(find_header(received, b"retry-after")) > 0
 
 
+async def test_forwarded_body_beyond_the_memory_for_them_is_refused() -> None:
+    """Guards against bodies of forwarded calls that exceed a node's memory together."""
+    reaching = build_node([answer()], **ONCE)
+    async with start_harness(reaching):
+        peer = ForwardPeer("b", reaching)
+        peer.held.open("others", len(LARGE_BODY)).add(len(LARGE_BODY))
+        peer.held.max_bytes = 2 * len(LARGE_BODY)
+        async with open_cut_off_node([peer], **ONCE) as harness:
+            assert find_status(await harness.call(build_call())) == 200
+            received = await harness.call(build_call(body=LARGE_BODY))
+    assert find_status(received) == 503
+    assert b'"not_run":true' in received
+    assert peer.held.total_bytes == len(LARGE_BODY)
+
+
+@pytest.mark.parametrize(
+    ("announced_bytes", "part_bytes"), [(64_000_000, 100_000), (4_000_000, 0)]
+)
+async def test_forwarded_body_without_end_is_given_up(
+    announced_bytes: int, part_bytes: int
+) -> None:
+    """Guards against a peer that announces more than any caller may send."""
+    reaching = build_node([answer()])
+    peer = ForwardPeer("b", reaching)
+    call = ForwardedCall(
+        "o",
+        "POST",
+        "/",
+        (("Host", "h"),),
+        announced_bytes,
+        900,
+        1,
+        True,
+        "",
+        False,
+        None,
+    )
+    identity = NodeId(NodeName("a"), Incarnation("i"))
+    async with start_harness(reaching), trio.open_nursery() as nursery:
+        await peer.start(nursery)
+        async with open_forward_channel(
+            peer.address, peer.name, identity, ("secret",), CONNECT_MS
+        ) as channel:
+            await channel.send(call)
+            with pytest.raises(ForwardClosedError), trio.fail_after(HANG_S):
+                while True:
+                    await channel.send(BodyPart(bytes(part_bytes)))
+        assert peer.held.peak_bytes <= CallBounds().max_body_bytes
+        assert peer.held.total_bytes == 0
+        assert not peer.server.received
+        nursery.cancel_scope.cancel()
+
+
 async def test_caller_that_leaves_ends_the_run_behind_the_hop() -> None:
     """Guards against replicas that work on for a caller that has left."""
     async with open_pair(never_answer, **LONG) as (harness, _, replica):
