Log and count connections closed after a whole request without a status

A connection that the server closed after it had read a whole request left no line unless an exception did it, so three causes of a lost call looked alike: a handler that ends without a response, a verdict that never comes, a server that cancels what it has read.

`closed_without_status` has the call, the path, the state, the reason and the age; `closed_without_status_total` counts by reason. A caller that left first (its end of the connection was closed) is `caller_left`, also for a peer that closes a forward. `is_started` of a response now says that bytes were handed to the socket, not that a head was rendered: a response that can't be rendered has no status either.

No behaviour towards callers changes.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -21,6 +21,7 @@
 from toucanyard.names import NodeId, RequestId
 from toucanyard.requests import Refuse
 from toucanyard.stream_origins import StreamOrigin
+from toucanyard_node.closings import CloseReason, Closings, OpenRequest
 from toucanyard_node.forward_channel import ForwardChannel, ForwardClosedError
 from toucanyard_node.http_client import MAX_BODY_BYTES
 from toucanyard_node.http_exchange import (
@@ -41,10 +42,11 @@
 class ForwardResponder:
     """Sends the response of one forwarded call to the node that forwarded it."""
 
-    __slots__ = ("_channel", "is_closing", "is_started")
+    __slots__ = ("_channel", "call", "is_closing", "is_started")
 
     def __init__(self, channel: ForwardChannel) -> None:
         self._channel = channel
+        self.call = ""
         self.is_started = False
         self.is_closing = False
 
@@ -105,8 +107,14 @@
 class ForwardServer:
     """Runs the calls that other nodes forward, a bounded number at a time."""
 
-    def __init__(self, handler: Handler, find_max_calls: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        find_max_calls: Callable[[], int],
+        closings: Closings | None = None,
+    ) -> None:
         self._handler = handler
+        self.closings = closings or Closings()
         self._find_max_calls = find_max_calls
         self._idle = trio.Event()
         self._idle.set()
@@ -142,18 +150,38 @@
         self.received += 1
         self.running += 1
         self._idle = self._idle if self.running > 1 else trio.Event()
+        try:
+            await self._run(channel, http, call, peer)
+        finally:
+            self.running -= 1
+            if not self.running:
+                self._idle.set()
+
+    async def _run(
+        self,
+        channel: ForwardChannel,
+        http: HttpRequest,
+        call: ForwardedCall,
+        peer: NodeId,
+    ) -> None:
+        responder = ForwardResponder(channel)
+        open_request = OpenRequest(http.path, call.origin)
+        reason: CloseReason = CloseReason.CANCELLED
+        watch = _PeerWatch(channel)
         try:
             await channel.send(CallAccepted())
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_cancel_on_close, channel, nursery.cancel_scope)
-                await self._run_guarded(http, responder, call, peer)
+                nursery.start_soon(watch.run, nursery.cancel_scope)
+                reason = await self._run_guarded(http, responder, call, peer)
                 nursery.cancel_scope.cancel()
         except ForwardClosedError as error:
+            watch.has_left = True
             _LOG.info("forward_abandoned", peer=peer.node, reason=str(error)[:100])
         finally:
-            self.running -= 1
-            if not self.running:
-                self._idle.set()
+            if not responder.is_started:
+                if watch.has_left:
+                    reason = CloseReason.CALLER_LEFT
+                self.closings.record(open_request, reason, "forwarded")
 
     async def _run_guarded(
         self,
@@ -161,14 +189,20 @@
         responder: ForwardResponder,
         call: ForwardedCall,
         peer: NodeId,
-    ) -> None:
-        """Run the handler so that its failure ends only this call."""
+    ) -> CloseReason:
+        """Run the handler so that its failure ends only this call.
+
+        Return why there is no response, if there is none.
+        """
         try:
             await self._handler(http, responder, call, peer)
         except CallerGoneError:
             _LOG.info("forward_abandoned", peer=peer.node, origin=call.origin)
+            return CloseReason.HANDLER_FAILED
         except Exception:
             _LOG.exception("handler_failed", path=http.path)
+            return CloseReason.HANDLER_FAILED
+        return CloseReason.NO_RESPONSE
 
     def _check_capacity(self) -> Refuse | None:
         if self._is_stopping:
@@ -196,9 +230,20 @@
     return call, bytes(body)
 
 
-async def _cancel_on_close(channel: ForwardChannel, scope: trio.CancelScope) -> None:
-    await channel.wait_closed()
-    scope.cancel()
+class _PeerWatch:
+    """Cancels a scope when the other node closes its connection."""
+
+    __slots__ = ("_channel", "has_left")
+
+    def __init__(self, channel: ForwardChannel) -> None:
+        self._channel = channel
+        self.has_left = False
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Wait until the other node disconnects."""
+        await self._channel.wait_closed()
+        self.has_left = True
+        scope.cancel()
 
 
 def _build_refusal(kind: ErrorKind, text: str) -> Refuse:
--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -43,6 +43,9 @@
     """Where the handler of a call sends its response."""
 
     is_started: bool
+    """Whether part of the response was sent."""
+    call: str
+    """Id of the call, once it has one."""
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
@@ -82,7 +85,14 @@
     that the client can recognize a truncated response.
     """
 
-    __slots__ = ("_connection", "_is_head_only", "_stream", "is_closing", "is_started")
+    __slots__ = (
+        "_connection",
+        "_is_head_only",
+        "_stream",
+        "call",
+        "is_closing",
+        "is_started",
+    )
 
     def __init__(
         self,
@@ -95,6 +105,7 @@
         self._connection = connection
         self._stream = stream
         self._is_head_only = is_head_only
+        self.call = ""
         self.is_started = False
         self.is_closing = False
 
@@ -139,7 +150,6 @@
             for name, value in headers
         ]
         response = h11.Response(status_code=status, headers=encoded)
-        self.is_started = True
         return self._connection.send(response) or b""
 
     def _render_chunk(self, data: bytes) -> bytes:
@@ -148,6 +158,7 @@
         return self._connection.send(h11.Data(data=data)) or b""
 
     async def _send_data(self, data: bytes) -> None:
+        self.is_started = True
         try:
             await send(self._stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -18,6 +18,7 @@
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.names import RequestId
 from toucanyard.requests import Refuse
+from toucanyard_node.closings import CloseReason, Closings, OpenRequest
 from toucanyard_node.http_exchange import (
     CallerGoneError,
     HttpRequest,
@@ -67,10 +68,17 @@
         "_nursery",
         "_open_connections",
         "_stopped",
+        "closings",
     )
 
-    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        closings: Closings | None = None,
+    ) -> None:
         self._handler = handler
+        self.closings = closings or Closings()
         self._limits = limits
         self._open_connections = 0
         self._accept_scope = trio.CancelScope()
@@ -183,27 +191,40 @@
         stream: trio.SocketStream,
     ) -> None:
         """Run the handler and cancel it as soon as the client disconnects."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_on_disconnect, connection, stream, nursery.cancel_scope
-            )
-            await self._run_guarded(request, responder)
-            nursery.cancel_scope.cancel()
-
-    async def _run_guarded(self, request: HttpRequest, responder: Responder) -> None:
+        open_request = OpenRequest(request.path)
+        reason: CloseReason = CloseReason.CANCELLED
+        watch = _CallerWatch(connection, stream)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch.run, nursery.cancel_scope)
+                reason = await self._run_guarded(request, responder)
+                nursery.cancel_scope.cancel()
+        finally:
+            if not responder.is_started:
+                open_request.call = responder.call
+                if watch.has_left:
+                    reason = CloseReason.CALLER_LEFT
+                self.closings.record(open_request, reason, "handled")
+
+    async def _run_guarded(
+        self, request: HttpRequest, responder: Responder
+    ) -> CloseReason:
         """Run the handler so that its failure ends only this connection.
 
-        An error that leaves the nursery is wrapped in an exception group, which the
-        `except` clauses for single errors do not match. It would end the server and
-        all its connections.
+        Return why there is no response, if there is none. An error that leaves the
+        nursery is wrapped in an exception group, which the `except` clauses for single
+        errors do not match. It would end the server and all its connections.
         """
         try:
             await self._handler(request, responder)
         except (CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
             responder.close_after()
+            return CloseReason.HANDLER_FAILED
         except Exception:
             _LOG.exception("handler_failed", path=request.path)
             responder.close_after()
+            return CloseReason.HANDLER_FAILED
+        return CloseReason.NO_RESPONSE
 
     async def _read_request(
         self, connection: h11.Connection, stream: trio.SocketStream, is_first: bool
@@ -333,22 +354,34 @@
             pass
 
 
-async def _cancel_on_disconnect(
-    connection: h11.Connection, stream: trio.SocketStream, scope: trio.CancelScope
-) -> None:
-    """Cancel the scope when the client disconnects; buffer pipelined input."""
-    kept_bytes = 0
-    while kept_bytes < _READ_BYTES:
+class _CallerWatch:
+    """Cancels a scope when the client disconnects; buffers pipelined input."""
+
+    __slots__ = ("_connection", "_stream", "has_left")
+
+    def __init__(self, connection: h11.Connection, stream: trio.SocketStream) -> None:
+        self._connection = connection
+        self._stream = stream
+        self.has_left = False
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Read until the client disconnects."""
+        kept_bytes = 0
+        while kept_bytes < _READ_BYTES:
+            data = await self._receive()
+            if not data:
+                self.has_left = True
+                scope.cancel()
+                return
+            kept_bytes += len(data)
+
+    async def _receive(self) -> bytes:
         try:
-            data = await stream.receive_some(_READ_BYTES)
+            data = bytes(await self._stream.receive_some(_READ_BYTES))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            scope.cancel()
-            return
-        connection.receive_data(data)
-        if not data:
-            scope.cancel()
-            return
-        kept_bytes += len(data)
+            return b""
+        self._connection.receive_data(data)
+        return data
 
 
 def has_ambiguous_framing(head: h11.Request, raw: bytes) -> bool:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -19,6 +19,7 @@
 from toucanyard.relay_core import RelayCore
 from toucanyard.relay_requests import RelayRequest
 from toucanyard.requests import Repeatability
+from toucanyard_node.closings import Closings
 from toucanyard_node.replica_connections import ReplicaConnections
 
 MAX_GROUPS: Final = 64
@@ -55,12 +56,15 @@
         "_refusals",
         "_silence_ms",
         "_total_ms",
+        "closings",
     )
 
     def __init__(self) -> None:
         self._endings: Counter[tuple[Group, str]] = Counter()
         self._refusals: Counter[str] = Counter()
         self._forwards: Counter[str] = Counter()
+        self.closings = Closings()
+        """Whole requests whose connections ended without a status."""
         self._first_ms: dict[Group, HdrHistogram] = {}
         self._total_ms: dict[Group, HdrHistogram] = {}
         self._silence_ms: dict[Group, HdrHistogram] = {}
@@ -129,6 +133,8 @@
             yield _format("refusals_total", count, kind=kind)
         for ending, count in sorted(self._forwards.items()):
             yield _format("forwards_total", count, ending=ending)
+        for reason, count in sorted(self.closings.counts.items()):
+            yield _format("closed_without_status_total", count, reason=reason)
         yield from _render_histograms("first_part_ms", self._first_ms)
         yield from _render_histograms("call_ms", self._total_ms)
         yield from _render_histograms("silence_ended_ms", self._silence_ms)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -137,9 +137,13 @@
             self.connections,
         )
         self.forward_server = ForwardServer(
-            self._relay_server.handle_forwarded, self._find_max_forwarded
+            self._relay_server.handle_forwarded,
+            self._find_max_forwarded,
+            self.metrics.closings,
+        )
+        self._http_server = HttpServer(
+            self._relay_server.handle, self._find_limits(), self.metrics.closings
         )
-        self._http_server = HttpServer(self._relay_server.handle, self._find_limits())
         self._reader = StoreReader(core, client, ports.store, rng)
         self._job_runner = BackgroundJobRunner(client, ports.store, ports.replicas)
         self._block_follower = PromptBlockFollower(core, client, ports.prompt_blocks)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -84,6 +84,7 @@
         except RouterError as error:
             await self._reject(http, responder, error)
             return
+        responder.call = exchange.request_id
         log_resumed(exchange.request)
         await exchange.run()
 
