--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -141,8 +141,11 @@
             self._find_max_forwarded,
             lambda: self._find_limits().max_body_bytes,
             received.peers,
+            self.metrics.closings,
+        )
+        self._http_server = HttpServer(
+            self._relay_server.handle, self._find_limits(), self.metrics.closings
         )
-        self._http_server = HttpServer(self._relay_server.handle, self._find_limits())
         self._reader = StoreReader(core, client, ports.store, rng)
         self._job_runner = BackgroundJobRunner(client, ports.store, ports.replicas)
         self._block_follower = PromptBlockFollower(core, client, ports.prompt_blocks)
--- a/packages/toucanyard/src/toucanyard/byte_limits.py
+++ b/packages/toucanyard/src/toucanyard/byte_limits.py
@@ -29,7 +29,7 @@
     max_store_page_bytes: SizeBytes = 8_000_000
     max_held_store_bytes: SizeBytes = 12_000_000
     max_held_peer_bytes: SizeBytes = 9_000_000
-    """Messages of peers and bodies of forwarded calls. One peer may use half of it, which
-    has room for the largest body that operators allow by default."""
+    """Messages of peers and bodies of forwarded calls. One peer may use half of it, so
+    the largest body that operators allow by default has room."""
     max_held_request_bytes: SizeBytes = 12_000_000
     """Bodies of the calls that a node is reading or serving."""
