--- a/packages/toucanyard-node/src/toucanyard_node/log_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/log_client.py
@@ -29,6 +29,7 @@
 _RATE_LIMITED_STATUS: Final = 429
 READ_MARGIN_MS: Final = 1_000.0
 MAX_PAGE_BYTES: Final = 16_000_000
+_MAX_REPLY_BYTES: Final = 65_536
 _MAX_OFFSET: Final = 2**53
 
 
@@ -89,7 +90,9 @@
     """Append records in one request and return the result."""
     body = msgspec.json.encode(_AppendBody(tuple(texts)))
     try:
-        answer = await fetch(address, "POST", "/log/append", (), body, timeout_ms)
+        answer = await fetch(
+            address, "POST", "/log/append", (), body, timeout_ms, _MAX_REPLY_BYTES
+        )
     except ConnectionFailedError as error:
         is_sent = error.is_sent
         return AppendAnswer(AppendResult.UNKNOWN if is_sent else AppendResult.REFUSED)
