--- a/tests/toucanyard_platform/test_settings.py
+++ b/tests/toucanyard_platform/test_settings.py
@@ -6,7 +6,7 @@
 
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard_node.settings_watch import SettingsInvalidError
-from toucanyard_platform.settings import load_options
+from toucanyard_platform.settings import MAX_FILE_BYTES, load_options
 
 TEXT = """
 nodeName = "edge-1"
@@ -119,3 +119,21 @@
     assert options.connections.is_kept
     assert options.policy.limits.by_urgency
     assert options.policy.queue.keeps_answer_time
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        TEXT.replace("[1, 2]", "[" * 100_000),
+        TEXT.replace("graceS = 8", "graceS = inf"),
+        TEXT.replace("budgetWindowS = 10", "budgetWindowS = nan"),
+        TEXT + "# " + "x" * MAX_FILE_BYTES,
+    ],
+    ids=["nested", "infinite", "no number", "large"],
+)
+def test_settings_that_no_node_can_use_are_invalid(tmp_path: Path, text: str) -> None:
+    """Guards against a reload that ends the node instead of changing nothing."""
+    file = tmp_path / "node.toml"
+    file.write_text(text)
+    with pytest.raises(SettingsInvalidError):
+        load_options(file)
