Bound what commands and operators' questions read of a node

Seen: a command, and a node that asks another one for an explanation, read up to 64 MB of an answer without end; metrics that are no UTF-8 ended `toucanyard limits` with a traceback.

Fix: an answer to a command has at most 32 MB (the largest is a configuration of 4 MB), metrics 4 MB, an explanation 1 MB; metrics are decoded with replacement.

--- a/packages/toucanyard-cli/src/toucanyard_cli/access.py
+++ b/packages/toucanyard-cli/src/toucanyard_cli/access.py
@@ -28,6 +28,8 @@
 T = TypeVar("T")
 
 _TIMEOUT_MS: Final = 15_000
+MAX_ANSWER_BYTES: Final = 32_000_000
+"""Size of one answer; the largest one, a configuration, has 4 MB before encoding."""
 """Longer than the time for which a node waits for the log to decide a patch."""
 _ADDRESS: Final = re.compile(r"(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}")
 _KEY: Final = re.compile(r"[!-~]+")
@@ -142,7 +144,9 @@
     is_sent = False
     for node in access.nodes:
         try:
-            response = await fetch(node, method, target, headers, body, _TIMEOUT_MS)
+            response = await fetch(
+                node, method, target, headers, body, _TIMEOUT_MS, MAX_ANSWER_BYTES
+            )
         except (ConnectionFailedError, h11.ProtocolError) as error:
             is_sent = is_sent or getattr(error, "is_sent", True)
             failures.append(f"{node}: {str(error).removeprefix(f'{node}: ')}")
--- a/packages/toucanyard-cli/src/toucanyard_cli/limits_command.py
+++ b/packages/toucanyard-cli/src/toucanyard_cli/limits_command.py
@@ -19,6 +19,7 @@
 
 METRICS_PATH: Final = "/metrics"
 TIMEOUT_MS: Final = 3_000
+MAX_METRICS_BYTES: Final = 4_000_000
 _OK: Final = 200
 _METRIC_LINE: Final = re.compile(
     r'toucanyard_limit_(\w+)\{customer="((?:[^"\\]|\\.)*)"\} (-?[0-9.e+]+)'
@@ -110,7 +111,15 @@
 
 async def _fetch_metrics(node: Address) -> str | None:
     try:
-        response = await fetch(node, "GET", METRICS_PATH, timeout_ms=TIMEOUT_MS)
+        response = await fetch(
+            node,
+            "GET",
+            METRICS_PATH,
+            timeout_ms=TIMEOUT_MS,
+            max_bytes=MAX_METRICS_BYTES,
+        )
     except ConnectionFailedError:
         return None
-    return response.body.decode() if response.status == _OK else None
+    if response.status != _OK:
+        return None
+    return response.body.decode("utf-8", "replace")
--- a/packages/toucanyard-node/src/toucanyard_node/operator_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/operator_server.py
@@ -58,6 +58,7 @@
 }
 _UNAVAILABLE: Final = 503
 _MAX_DIGITS: Final = 18
+_MAX_EXPLANATION_BYTES: Final = 1_000_000
 _LOG: Final = structlog.get_logger()
 
 
@@ -248,7 +249,13 @@
             ("X-Forwarded-By", self._options.name),
         )
         try:
-            answer = await fetch(address, "GET", request.target, headers)
+            answer = await fetch(
+                address,
+                "GET",
+                request.target,
+                headers,
+                max_bytes=_MAX_EXPLANATION_BYTES,
+            )
         except ConnectionFailedError as error:
             raise RouterError(
                 ErrorKind.ENDPOINT_FAILED, f"node {node_name} can't be asked: {error}"
--- a/tests/toucanyard_node/test_operator_server.py
+++ b/tests/toucanyard_node/test_operator_server.py
@@ -10,13 +10,17 @@
 from hypothesis import example, given, settings, strategies as st
 
 from support.callers import KEY
+from support.endless import MAX_SOCKET_BYTES, serve_endlessly
 from support.operators import (
     BOOTSTRAP_KEY,
     OPERATOR_KEY,
     OperatorServerHarness,
     run_operator_server,
 )
+from toucanyard.core_events import VmsRead
 from toucanyard.errorcodes import ErrorKind
+from toucanyard.names import DomainName
+from toucanyard.vm_view import Vm
 from toucanyard_node.credentials import compute_key_hash
 from toucanyard_node.http_client import Response
 
@@ -154,3 +158,13 @@
             await check_answer(served, answer)
 
     trio.run(ask)
+
+
+async def test_explanation_of_another_node_without_end_is_given_up() -> None:
+    """Guards against an operator's question that makes a node read up to 64 MB."""
+    async with serve_endlessly() as (address, server), run_operator_server() as served:
+        vm = Vm("n9", DomainName("d"), operators=address)
+        served.task.inbox.send_nowait(VmsRead((vm,)))
+        answer = await served.ask("GET", "/explain/n9-x7-3")
+    assert answer.status == 502
+    assert server.sent_bytes <= 1_000_000 + MAX_SOCKET_BYTES
