--- a/packages/toucanyard-node/src/toucanyard_node/held_bytes.py
+++ b/packages/toucanyard-node/src/toucanyard_node/held_bytes.py
@@ -117,6 +117,10 @@
         self._held.add(self._sender, size_bytes)
         self.size_bytes = wanted_bytes
 
+    def record_exceeded(self, bound: ByteBound) -> None:
+        """Count a bound that the reader of this message has found to be exceeded."""
+        self._held.exceeded[bound] += 1
+
     def release(self) -> None:
         """Count all bytes of this message as no longer held; idempotent."""
         if self.size_bytes:
--- a/packages/toucanyard-node/src/toucanyard_node/prompt_block_follower.py
+++ b/packages/toucanyard-node/src/toucanyard_node/prompt_block_follower.py
@@ -70,7 +70,7 @@
                         _LOG.info("holder_lost", holder=holder.name)
                     is_lost = True
                     self._client.send_event(HolderLost(holder.name))
-                    await trio.sleep(RETRY_DELAY_S)
+                    await trio.sleep(max(RETRY_DELAY_S, answer.retry_ms / 1000))
                     continue
                 if is_lost:
                     _LOG.info("holder_back", holder=holder.name)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -145,6 +145,8 @@
 
     page: PromptBlockPage | None
     statement: ReplicaStatement = NO_STATEMENT
+    retry_ms: float = 0.0
+    """Minimum time before the next call to this holder."""
 
 
 class PromptBlockReader(Protocol):
