Bound what the store may send in one page, in all pages and for all reads

Cause: the bound of one answer was the only one.

Ways weighed: one share for the whole store lets one endless topic use up the room of the leases; returning part of a log as if it were all would make a node confirm a state that it has not read.

--- a/packages/toucanyard/src/toucanyard/byte_limits.py
+++ b/packages/toucanyard/src/toucanyard/byte_limits.py
@@ -26,7 +26,10 @@
     """One report of a replica or response to an order."""
     max_cache_page_bytes: SizeBytes = 2_000_000
     max_held_report_bytes: SizeBytes = 6_000_000
-    max_store_page_bytes: SizeBytes = 8_000_000
+    max_store_page_bytes: SizeBytes = 4_000_000
+    """One answer of the store, which sends about 1.4 MB at most, plus one record."""
+    max_store_topic_bytes: SizeBytes = 6_000_000
+    """All pages of one read of a topic together; 4,400 replicas take 3 MB."""
     max_held_store_bytes: SizeBytes = 12_000_000
     max_held_peer_bytes: SizeBytes = 9_000_000
     """Messages of peers and bodies of forwarded calls. One peer may use half of it, so
