--- a/packages/toucanyard-standins/src/toucanyard_standins/engine_completions.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_completions.py
@@ -13,6 +13,7 @@
     HttpRequest,
     Responder,
 )
+from toucanyard_standins.endless_answers import send_endless
 from toucanyard_standins.engine import Engine
 from toucanyard_standins.engine_streams import TOKEN_BYTES, AnswerStream
 from toucanyard_standins.json_responses import JSON_TYPE, send_error
@@ -52,6 +53,10 @@
             return
         stream = self._submit(request, body)
         await self._delay_answer()
+        if self._engine.faults.endless_count > 0:
+            self._engine.faults.endless_count -= 1
+            kind = self._engine.faults.endless_kind
+            await send_endless(responder, kind, identity, f"call={stream.request_id}")
         if self._engine.faults.cross_count > 0:
             self._engine.faults.cross_count -= 1
             self._engine.counters.crossed += 1
--- a/packages/toucanyard-standins/src/toucanyard_standins/engine_faults.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/engine_faults.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from toucanyard_standins.endless_answers import EndlessKind
 from toucanyard_standins.network_faults import NetworkFault
 
 
@@ -53,6 +54,13 @@
     count: int = 1
 
 
+class AnswerWithoutEnd(msgspec.Struct, frozen=True, tag_field="fault", tag="endless"):
+    """Send bytes that are no answer for the next requests, which run, until closed."""
+
+    kind: EndlessKind
+    count: int = 1
+
+
 class SlowDown(msgspec.Struct, frozen=True, tag_field="fault", tag="slow"):
     """Multiply the duration of each step; a factor of 1 ends the fault."""
 
@@ -85,6 +93,7 @@
     | SilenceAfterEvents
     | CrossAnswers
     | DelayAnswers
+    | AnswerWithoutEnd
     | SlowDown
     | RefuseRequests
     | StopHeartbeats
@@ -124,6 +133,8 @@
     cross_count: int = 0
     delay_ms: int = 0
     delay_count: int = 0
+    endless_kind: EndlessKind = EndlessKind.BODY_FAST
+    endless_count: int = 0
     slow_factor: float = 1.0
     is_refusing: bool = False
     are_heartbeats_stopped: bool = False
@@ -142,6 +153,8 @@
                 self.cross_count = count
             case DelayAnswers(delay_ms, count):
                 self.delay_ms, self.delay_count = delay_ms, count
+            case AnswerWithoutEnd(kind, count):
+                self.endless_kind, self.endless_count = kind, count
             case SlowDown(factor):
                 self.slow_factor = factor
             case RefuseRequests(is_on):
--- a/tests/toucanyard_platform/test_soak_endless.py
+++ b/tests/toucanyard_platform/test_soak_endless.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import pytest
-from endless_answers import EndlessKind, EndlessScope
+from endless_faults import EndlessScope
 from soak_callers import ObservedCall
 from soak_endless import (
     TROUBLE_MARGIN_S,
@@ -19,6 +19,8 @@
 )
 from soak_statements import Arrival
 
+from toucanyard_standins.endless_answers import EndlessKind
+
 SOFTWARE = {"e1": "v1", "e2": "v1", "e3": "v2", "d1": "", "d2": ""}
 SENT_S = 10.0
 ENDED_S = 12.0
--- a/tests/toucanyard_standins/test_deployment.py
+++ b/tests/toucanyard_standins/test_deployment.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 
 import msgspec
+import pytest
 import trio
 
 from toucanyard.names import Address
@@ -21,7 +22,9 @@
     DeploymentSizes,
     start_deployment,
 )
+from toucanyard_standins.endless_answers import EndlessKind
 from toucanyard_standins.engine_faults import (
+    AnswerWithoutEnd,
     CrossAnswers,
     CutAfterEvents,
     DieAfterEvents,
@@ -172,6 +175,27 @@
                     return
 
 
+@pytest.mark.parametrize("kind", [EndlessKind.EVENT_FAST, EndlessKind.BODY_FAST])
+async def test_endless_answer_never_reaches_the_caller(kind: EndlessKind) -> None:
+    # An engine sends bytes that are no answer until its connection is closed. The node
+    # gives that answer up and takes the stream up there or at the other engine.
+    async with run_deployment() as (harness, deployment):
+        node, engines = deployment.nodes[0], deployment.engines
+        await wait_until_endpoints_reported(node, OPERATOR_KEY)
+        whole = join_text(await stream(node.address))
+        with trio.fail_after(30):
+            for calls, engine in enumerate(itertools.cycle(engines), 2):
+                await control_engines(harness, engines, AnswerWithoutEnd(kind, 0))
+                await harness.control(engine, AnswerWithoutEnd(kind))
+                answer = await stream(node.address)
+                assert join_text(answer) == whole
+                assert b"xxxx" not in answer.body
+                counts = await count_engines(harness, engines)
+                executions = sum(sum(each.executions.values()) for each in counts)
+                if executions + sum(each.resumed for each in counts) > calls:
+                    return
+
+
 async def test_run_once_stream_ends_marked_when_its_engine_dies() -> None:
     # A run-once request can't be continued at another engine: the caller gets the
     # events so far and an error event instead of the end. It is not executed again.
--- a/tests/toucanyard_standins/test_engine_server.py
+++ b/tests/toucanyard_standins/test_engine_server.py
@@ -18,8 +18,10 @@
 )
 from toucanyard.prefix import BLOCK_BYTES, CacheIdentity, compute_chain
 from toucanyard_node.http_client import ConnectionFailedError, connect, fetch
+from toucanyard_standins.endless_answers import FAST_BYTES, EndlessKind
 from toucanyard_standins.engine_batch import CostModel
 from toucanyard_standins.engine_faults import (
+    AnswerWithoutEnd,
     Crash,
     CrossAnswers,
     CutAfterEvents,
@@ -225,6 +227,25 @@
     assert read_text(crossed)[:12] != read_text(right)
 
 
+@pytest.mark.parametrize("kind", [EndlessKind.BODY_FAST, EndlessKind.EVENT_FAST])
+async def test_endless_answer_flows_until_the_other_side_closes(
+    nursery: trio.Nursery, kind: EndlessKind
+) -> None:
+    address = await start_engine(nursery)
+    await control(address, AnswerWithoutEnd(kind))
+    connection = await connect(address, 1_000.0)
+    body = msgspec.json.encode(completion("a"))
+    await connection.send("POST", PATH, (), body)
+    assert (await connection.read_head()).status == 200
+    received_bytes = 0
+    while received_bytes < 20 * FAST_BYTES:
+        received_bytes += len(await connection.read_body_chunk() or b"")
+    await connection.close()
+    assert (await post(address, PATH, completion("a"))).status == 200
+    counters = await read(address, "/control", EngineCounters)
+    assert sum(counters.executions.values()) == 2
+
+
 async def test_refused_requests_are_not_executed(nursery: trio.Nursery) -> None:
     address = await start_engine(nursery)
     await control(address, RefuseRequests(True))
