Split streams into events in linear work, and bound what has no event

What callers saw: calls to sound replicas took over a second beside an event that never ended; a node grew with it, and with comment lines.

Cause: EventSplitter copied and searched the whole incomplete event for each part, and kept it without a bound; EventParser did the same up to its bound, which comments between events did not count for.

Now both share BlockBuffer, which searches new bytes with an overlap of three and copies each byte once. What lies between two events is bounded by max_event_bytes, comments and blank lines among it, small parts by the work that they take. Blocks end at the first mark, so a run of line breaks is cut the same way however it arrives. An id that no header can carry is not taken for the last one: sending it raised out of the parser at the resume.

Ways weighed: a bound alone keeps the square of it (1 MB in parts of 200 bytes); decoding events line by line costs each token event more.

--- a/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
+++ b/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
@@ -2,10 +2,48 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
-_EVENT_ENDS: Final = (b"\n\n", b"\r\n\r\n")
+from toucanyard.byte_limits import ByteLimits
+from toucanyard_node.held_bytes import ByteBound, ByteBoundError
+
+_EVENT_END: Final = re.compile(rb"\n\n|\r\n\r\n")
+_OVERLAP_BYTES: Final = 3
+"""Bytes of an end that may have come before the rest of it."""
 _ID_FIELD: Final = b"id:"
+_FIELD: Final = re.compile(rb"(?:\A|\n)[^:\r\n]")
+"""Begin of a line that is neither blank nor a comment."""
+_UNSENDABLE: Final = re.compile(r"[\x00-\x1f\x7f]")
+"""Characters that no header can carry."""
+MAX_EVENT_BYTES: Final = ByteLimits().max_event_bytes
+
+
+class BlockBuffer:
+    """Buffer the block of lines that is still incomplete.
+
+    Each byte is copied and searched a bounded number of times, however it arrives.
+    """
+
+    __slots__ = ("_end", "partial", "searched_bytes")
+
+    def __init__(self, end: re.Pattern[bytes] = _EVENT_END) -> None:
+        self._end = end
+        self.partial = bytearray()
+        self.searched_bytes = 0
+        """Bytes searched so far for the end of a block."""
+
+    def push(self, data: bytes) -> bytes:
+        """Append bytes and return the blocks that they complete."""
+        begin = max(len(self.partial) - _OVERLAP_BYTES, 0)
+        self.partial += data
+        self.searched_bytes += len(self.partial) - begin
+        end = 0
+        for found in self._end.finditer(self.partial, begin):
+            end = found.end()
+        complete = bytes(self.partial[:end])
+        del self.partial[:end]
+        return complete
 
 
 class EventSplitter:
@@ -13,33 +51,62 @@
 
     A stream that breaks inside an event can then continue on another connection without
     the caller receiving a partial event. Invariant: returned data ends with a complete
-    event.
+    event or comment.
     """
 
-    __slots__ = ("_partial_event", "last_id")
+    __slots__ = (
+        "_buffer",
+        "_max_event_bytes",
+        "_unfinished_bytes",
+        "has_event",
+        "last_id",
+    )
 
-    def __init__(self, last_id: str) -> None:
-        self._partial_event = b""
+    def __init__(self, last_id: str, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._buffer = BlockBuffer()
+        self._max_event_bytes = max_event_bytes
+        self._unfinished_bytes = 0
+        """Bytes since the last event, comments among them."""
         self.last_id = last_id
         """Id of the last complete event."""
+        self.has_event = False
+        """Whether the last data that was returned has an event, not only comments."""
 
-    def push(self, data: bytes) -> bytes:
-        """Append bytes and return the events that they complete."""
-        data = self._partial_event + data
-        ends = [data.rfind(mark) + len(mark) for mark in _EVENT_ENDS if mark in data]
-        end = max(ends, default=0)
-        self._partial_event = data[end:]
-        complete = data[:end]
-        start = max(complete.rfind(b"\n" + _ID_FIELD) + 1, 0)
-        if complete.startswith(_ID_FIELD, start):
-            line = complete[start:].split(b"\n", 1)[0]
-            self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
+    @property
+    def searched_bytes(self) -> int:
+        """Return how many bytes were searched so far for the end of an event."""
+        return self._buffer.searched_bytes
+
+    def push(self, data: bytes, work_bytes: int = 0) -> bytes:
+        """Append bytes and return the events and comments that they complete.
+
+        `work_bytes` is what the bytes count as if it is more than their number. Raise
+        ByteBoundError if no event is complete within the bound.
+        """
+        complete = self._buffer.push(data)
+        self.has_event = _FIELD.search(complete) is not None
+        if self.has_event:
+            self._unfinished_bytes = len(self._buffer.partial)
+            self._record_id(complete)
+        else:
+            self._unfinished_bytes += max(len(data), work_bytes)
+        if self._unfinished_bytes > self._max_event_bytes:
+            raise ByteBoundError(ByteBound.EVENT, self._unfinished_bytes)
         return complete
 
+    def _record_id(self, complete: bytes) -> None:
+        start = max(complete.rfind(b"\n" + _ID_FIELD) + 1, 0)
+        if not complete.startswith(_ID_FIELD, start):
+            return
+        line = complete[start + len(_ID_FIELD) : complete.index(b"\n", start)]
+        last_id = line.strip().decode("latin-1")
+        if not _UNSENDABLE.search(last_id):
+            self.last_id = last_id
+
     def discard_partial_event(self) -> None:
         """Discard a truncated event; the resumed stream sends it again."""
-        self._partial_event = b""
+        self._buffer.partial.clear()
 
     def has_partial_event(self) -> bool:
         """Return whether an incomplete event is buffered."""
-        return bool(self._partial_event.strip())
+        return bool(self._buffer.partial.strip())
--- a/packages/toucanyard-node/src/toucanyard_node/sse.py
+++ b/packages/toucanyard-node/src/toucanyard_node/sse.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated, Final
 
 import msgspec
 
+from toucanyard.byte_limits import ByteLimits
+from toucanyard_node.event_splitter import BlockBuffer
+
 _BOUNDARY: Final = b"\n\n"
 _ID: Final = b"id: "
 _DATA: Final = b"data: "
 _DONE: Final = b"data: [DONE]"
-MAX_EVENT_BYTES: Final = 1_000_000
+MAX_EVENT_BYTES: Final = ByteLimits().max_event_bytes
 _MAX_DIGITS: Final = 15
 _MAX_COUNT: Final = 10**9
 _NO_ERROR: Final = msgspec.Raw(b"null")
@@ -110,21 +114,24 @@
 class EventParser:
     """Splits received bytes into events and buffers an incomplete event."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_unfinished_bytes")
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = BlockBuffer(re.compile(_BOUNDARY))
+        self._unfinished_bytes = 0
+        """Bytes since the last event, comments among them."""
 
     def feed(self, part: bytes) -> list[Event]:
         """Add received bytes and return the events that they complete."""
-        if self._buffer:
-            part = self._buffer + part
-        texts = part.split(_BOUNDARY)
-        self._buffer = texts.pop()
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        complete = self._buffer.push(part)
+        parsed = [_parse_event(text) for text in complete.split(_BOUNDARY)[:-1]]
+        events = [event for event in parsed if event is not None]
+        self._unfinished_bytes += len(part)
+        if events:
+            self._unfinished_bytes = len(self._buffer.partial)
+        if self._unfinished_bytes > MAX_EVENT_BYTES:
             raise EventError("an event is too large")
-        events = [_parse_event(text) for text in texts]
-        return [event for event in events if event is not None]
+        return events
 
 
 def _parse_event(text: bytes) -> Event | None:
