Refuse a request whose handler ends without a response

Callers saw a closed connection after a whole request: neither an answer nor a refusal.

Cause: a handler that raises, returns without a response, or ends as if its caller had left while it has not (an error of another socket) only had its connection closed; so did a response that h11 refuses to render, such as a body with status 204, two lengths, a bad header or an informational status. Class: an error path that ends a connection without looking whether its caller has been told anything.

The server now refuses such a request with `internal`, outcome unknown, if no byte of a response was sent and the caller has not left, and closes the connection. h11 is in an error state after a failed rendering, hence a new connection object for the refusal. Weighed: guards in each handler (each new handler would need its own), and the server, the one place that every request passes. A response that has begun is cut as before.

Changed tests: test_failing_handler_ends_its_connection_only wanted the closed connection; it wants the refusal and then the closed connection. Two stand-ins lost their answers by returning without a response; they say so by `drop` now.

--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Final, Protocol
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
 import msgspec
 import trio
 
+from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import RequestId
 from toucanyard.requests import Refuse
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.refusals import render_refusal
 from toucanyard_node.socket_io import send
 
 Headers = tuple[tuple[str, str], ...]
+_GET: Final = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+_HEAD: Final = b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
 class HttpRequest(msgspec.Struct, frozen=True):
@@ -80,9 +84,9 @@
 class Responder:
     """Send one response: `send` for a complete body, or `start`, `write`, `finish`.
 
-    Invariant: at most one response is started. If a handler returns without having
-    sent a response, or before it is complete, the server closes the connection, so
-    that the client can recognize a truncated response.
+    Invariant: at most one response is started. If a handler returns before its response
+    is complete, the server closes the connection, so that the client can recognize a
+    truncated response; if it has sent nothing, the server refuses the request.
     """
 
     __slots__ = (
@@ -91,6 +95,7 @@
         "_stream",
         "call",
         "is_closing",
+        "is_dropped",
         "is_started",
     )
 
@@ -106,6 +111,7 @@
         self._stream = stream
         self._is_head_only = is_head_only
         self.call = ""
+        self.is_dropped = False
         self.is_started = False
         self.is_closing = False
 
@@ -121,6 +127,21 @@
         rendered = render_refusal(refusal, is_exact=is_exact)
         await self.send(rendered.status, rendered.headers, rendered.body)
 
+    async def refuse_failed(self, text: str) -> None:
+        """Refuse a request whose handler has sent nothing.
+
+        It may have run, so the outcome is unknown. A response that could not be
+        rendered leaves h11 in an error state, hence the new connection object.
+        """
+        self._connection = h11.Connection(h11.SERVER)
+        self._connection.receive_data(_HEAD if self._is_head_only else _GET)
+        self._connection.next_event()
+        self.close_after()
+        refusal = Refuse(
+            RequestId(self.call), ErrorKind.INTERNAL, Ending.UNKNOWN, text, 0
+        )
+        await self.refuse(refusal, is_exact=False)
+
     async def start(
         self, status: int, headers: Headers, _: StreamOrigin | None = None
     ) -> None:
@@ -140,6 +161,10 @@
         """Close the connection after this response and announce it to the client."""
         self.is_closing = True
 
+    def drop(self) -> None:
+        """End the connection without a response, in place of a failed server."""
+        self.is_dropped = True
+
     def _render_head(self, status: int, headers: Headers) -> bytes:
         if self.is_closing:
             headers = (*headers, ("Connection", "close"))
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -199,6 +199,8 @@
                 nursery.start_soon(watch.run, nursery.cancel_scope)
                 reason = await self._run_guarded(request, responder)
                 nursery.cancel_scope.cancel()
+            if not (responder.is_started or responder.is_dropped or watch.has_left):
+                await responder.refuse_failed(reason.value)
         finally:
             if not responder.is_started:
                 open_request.call = responder.call
--- a/packages/toucanyard-standins/src/toucanyard_standins/platform.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/platform.py
@@ -172,6 +172,7 @@
             # then the sender has lost the response; a record that was read at once
             # would make up for it.
             await self._drop_answer()
+            responder.drop()
             return
         done, self._appended = self._appended, trio.Event()
         done.set()
--- a/tests/support/engines.py
+++ b/tests/support/engines.py
@@ -79,6 +79,7 @@
             ("X-Weights-Version", step.weights),
         )
         if step.status == 0:
+            responder.drop()
             return
         if step.status != 200:
             await responder.send(step.status, headers, b'{"error": "scripted"}')
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -136,10 +136,11 @@
 
 @pytest.mark.parametrize("error", [CallerGoneError(), ValueError("a fault")])
 async def test_failing_handler_ends_its_connection_only(error: Exception) -> None:
-    """A caller disconnects during its response, or a handler raises an error.
+    """A handler raises an error, or ends as if its caller had disconnected.
 
-    The nursery wraps the error in an exception group. A server that catches only single
-    errors would end, and with it the connections of all other callers.
+    The request is refused and its connection closed. The nursery wraps the error in an
+    exception group. A server that catches only single errors would end, and with it the
+    connections of all other callers.
     """
 
     async def fail(request: HttpRequest, responder: Responder) -> None:
@@ -153,8 +154,13 @@
         network.serve(address, fail)
         failing = await network.connect(address, 1_000)
         await failing.send("GET", "/fail", ())
-        with pytest.raises(ConnectionFailedError):
-            await failing.read_head()
+        assert (await failing.read_head()).status == 500
+        assert read_code(b"HTTP/1.1 500\r\n\r\n" + await failing.read_body()) == (
+            500,
+            "internal",
+        )
+        with trio.fail_after(1):
+            assert await failing.wait_for_close()
         other = await network.connect(address, 1_000)
         await other.send("GET", "/", ())
         await other.read_head()
