Do not hedge calls at replicas that are silent together

Cause: a silence at one replica was hedged at another one that was just as silent, and a call that waited in the queue of a busy replica was hedged into the queue of another. Both took slots from which nobody gained, within the whole retry budget.

Fix: the core keeps which replicas are silent and which were heard lately. A call without an answer at a replica that answers others is hedged only into a free slot that nobody waits for. Begun streams and calls at replicas that nobody hears are hedged as before.

The test's node passes its policy on to placement now, as it claimed to.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -38,6 +38,7 @@
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import Repeatability
 from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
+from toucanyard.silent_replicas import MAX_COMMON_MS, SilentReplicas
 from toucanyard.software_versions import SoftwareVersions, VersionRoom
 from toucanyard.target_weights import TargetWeightsTable
 from toucanyard.uneven_load.placement_inputs import UnevenLoad
@@ -71,6 +72,7 @@
         self._uneven = uneven
         self.connections = KeptConnections(options.connections)
         self.answer_times = AnswerTimes()
+        self.silences = SilentReplicas()
         self.node_count = 1
         self._versions = versions
         self._forwards = forwards
@@ -105,8 +107,10 @@
         service = self.index.find_service(request.service)
         usable: Sequence[KnownReplica]
         usable = self.find_usable(pending, now_ms)
-        if pending.silent_at:
-            usable = [e for e in usable if e.replica.name not in pending.silent_at]
+        if pending.hedged_since_ms is not None:
+            usable = self._select_heard(pending, usable, now_ms)
+        if pending.needs_free_slot:
+            usable = [each for each in usable if self._has_free_slot(each, now_ms)]
         untried = [each for each in usable if each.replica.name not in pending.tried]
         # If every usable replica has been tried, try them again.
         usable = untried or usable
@@ -146,6 +150,45 @@
             if _fits_origin(pending, each) and not each.may_have_restarted(now_ms)
         ]
 
+    def is_silence_common(self, hedge: PendingCall, now_ms: float) -> bool:
+        """Return whether all replicas that may get a hedge may be pausing as well."""
+        usable = self.find_usable(hedge, now_ms)
+        others = [e for e in usable if e.replica.name not in hedge.silent_at]
+        return bool(others) and not self._select_heard(hedge, others, now_ms)
+
+    def _select_heard(
+        self, hedge: PendingCall, usable: Sequence[KnownReplica], now_ms: float
+    ) -> list[KnownReplica]:
+        """Return the replicas at which a hedge may gain something."""
+        others = [e for e in usable if e.replica.name not in hedge.silent_at]
+        if self._is_long_silent(hedge, now_ms):
+            return others
+        return [
+            each
+            for each in others
+            if not self.silences.may_pause(each.replica.name, now_ms)
+        ]
+
+    def _is_long_silent(self, hedge: PendingCall, now_ms: float) -> bool:
+        """Return whether a call is hedged even if all replicas may be pausing."""
+        since_ms = hedge.hedged_since_ms
+        is_over = since_ms is None or now_ms - since_ms >= MAX_COMMON_MS
+        return is_over or not self._policy.retries.avoids_silent
+
+    def needs_free_slot(self, silent: PendingCall, now_ms: float) -> bool:
+        """Return whether a silent call most likely waits for a slot at its replica.
+
+        A hedge that has to wait elsewhere as well gains nothing then.
+        """
+        if silent.replica is None or silent.has_begun:
+            return False
+        is_answering = self.silences.is_answering(silent.replica, now_ms)
+        return is_answering and self._policy.retries.spares_slots
+
+    def _has_free_slot(self, known: KnownReplica, now_ms: float) -> bool:
+        running = self.usage.compute(known.replica.name, now_ms).running
+        return running < max(known.replica.slots, 1)
+
     def _find_room(self, pending: PendingCall, now_ms: float) -> VersionRoom | None:
         """Return which software versions a new stream should avoid, if any."""
         if pending.origin is not None or not pending.request.is_resumable:
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_limits import CallLimits
 from toucanyard.call_placement import CallPlacement
@@ -14,6 +16,13 @@
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
 from toucanyard.target_weights import TargetWeightsTable
 
+ANSWERED: Final = (
+    DispatchEnding.COMPLETED,
+    DispatchEnding.FAILED,
+    DispatchEnding.REFUSED,
+)
+"""Endings that show that the replica has answered."""
+
 
 class DispatchOutcomes:
     """Updates of one node's state by ended dispatches."""
@@ -51,6 +60,8 @@
     def apply(self, pending: PendingCall, outcome: RelayOutcome, now_ms: float) -> None:
         """Apply the end of a call's dispatch."""
         self._calls.usage.end(outcome.replica, outcome.request_id)
+        if outcome.ending in ANSWERED:
+            self._calls.silences.record_heard(outcome.replica, now_ms)
         known = self._directory.find(outcome.replica)
         prompt = pending.request.prompt
         if prompt is not None and not outcome.has_begun:
@@ -74,7 +85,10 @@
 
         New calls avoid it; nothing is concluded about the call itself.
         """
-        if pending.replica is None or pending.silent_since_ms is not None:
+        if pending.replica is None:
+            return
+        self._calls.silences.record_silent(pending.replica, now_ms)
+        if pending.silent_since_ms is not None:
             return
         self._calls.connections.forget(pending.replica)
         known = self._directory.find(pending.replica)
@@ -82,11 +96,12 @@
             known.record_failure(now_ms, is_dead=False)
         self._guard.on_silent(pending, now_ms)
 
-    def apply_continued(self, pending: PendingCall) -> None:
+    def apply_continued(self, pending: PendingCall, now_ms: float) -> None:
         """Apply that a silent attempt has continued."""
         if pending.replica is None:
             return
         self._guard.on_silence_ended(pending)
+        self._calls.silences.record_heard(pending.replica, now_ms)
         known = self._directory.find(pending.replica)
         if known is not None:
             known.forget_failures()
--- a/packages/toucanyard/src/toucanyard/hedged_calls.py
+++ b/packages/toucanyard/src/toucanyard/hedged_calls.py
@@ -65,6 +65,7 @@
             forwards=silent.forwards,
             origin=silent.origin,
             silence=silence,
+            hedged_since_ms=silent.hedged_since_ms or silent.silent_since_ms,
         )
         self._exclude_silent(hedge, attempts)
         return hedge
--- a/packages/toucanyard/src/toucanyard/pending_call.py
+++ b/packages/toucanyard/src/toucanyard/pending_call.py
@@ -27,6 +27,10 @@
     """Silent attempts of the call that are open beside this one."""
     silent_at: tuple[EndpointName, ...] = ()
     """Replicas of these attempts."""
+    hedged_since_ms: float | None = None
+    """When the first of these attempts was found silent; None for no hedge."""
+    needs_free_slot: bool = False
+    """It is sent only where a slot is free that no other call waits for."""
     holds_retry: bool = False
     """A retry was taken from the budget and has not been sent."""
     tried: tuple[EndpointName, ...] = ()
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -456,6 +456,7 @@
             self._pruned_ms = now_ms
             self.guard.ledger.prune(now_ms)
             self.forwards.prune(now_ms)
+            self.calls.silences.prune(now_ms)
             self.versions.refresh(now_ms)
             self.origins.prune(now_ms)
             for name in self.directory.prune(now_ms):
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -228,6 +228,7 @@
             pending.origin = pending.origin or forwarded_origin
             return
         self.usage.record_started(pending.replica, request_id, now_ms)
+        self._calls.silences.record_heard(pending.replica, now_ms)
         pending.begun_ms = now_ms
         known = self._directory.find(pending.replica)
         if known is not None and known.software_origin != pending.sent_origin:
@@ -316,6 +317,15 @@
         self._forwards.record_silent(silent, now_ms)
         hedge = self.hedged.begin(silent, event.silence, now_ms)
         self._pending[event.request_id] = hedge
+        if silent.replica and self._calls.is_silence_common(hedge, now_ms):
+            text = "all other replicas are silent as well"
+            yield self._refuse(hedge, ErrorKind.NO_ENDPOINT, text, now_ms)
+            return
+        hedge.needs_free_slot = self._calls.needs_free_slot(silent, now_ms)
+        if hedge.needs_free_slot and self._queues.get(hedge.request.service):
+            text = "other calls wait for a replica"
+            yield self._refuse(hedge, ErrorKind.OVERLOADED, text, now_ms)
+            return
         obstacle = self._retries.check_hedge(
             silent, hedge, now_ms, has_begun=event.has_begun
         )
@@ -334,7 +344,7 @@
         winner, losers = self.hedged.split(current, event.attempt)
         self._pending[event.request_id] = winner
         if winner.silent_since_ms is not None:
-            self._outcomes.apply_continued(winner)
+            self._outcomes.apply_continued(winner, now_ms)
             self._forwards.record_continued(winner)
         self.hedged.record_continued(winner, losers)
         if losers:
@@ -382,6 +392,10 @@
         if reply is not None:
             yield reply
             return
+        if pending.needs_free_slot:
+            text = "no slot is free"
+            yield self._refuse(pending, ErrorKind.OVERLOADED, text, now_ms)
+            return
         if pending.has_begun and not self._calls.may_go_on(pending, now_ms):
             # The caller may resume the stream elsewhere; waiting here would delay it.
             yield from self._give_up(pending, reason, now_ms)
--- a/packages/toucanyard/src/toucanyard/relay_policy.py
+++ b/packages/toucanyard/src/toucanyard/relay_policy.py
@@ -66,6 +66,12 @@
     call was late."""
     is_bounded: bool = True
     """Whether retries are bounded by the joint budget of all nodes."""
+    spares_slots: bool = True
+    """Whether a call without an answer at a replica that answers others is hedged only
+    where a slot is free that no other call waits for."""
+    avoids_silent: bool = True
+    """Whether a silent attempt is hedged at no replica that is silent as well, for as
+    long as sound replicas may pause."""
 
 
 class QueuePolicy(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Iterator
 
+import msgspec
+
 from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_forwards import CallForwards
 from toucanyard.call_limits import CallLimits
@@ -82,7 +84,7 @@
         self.origins = OriginExchange(nodes, self.versions)
         self.resumed = ResumedStreams(self.origins, lambda _: 0.0)
         calls = self.calls = CallPlacement(
-            OPTIONS,
+            msgspec.structs.replace(OPTIONS, policy=policy),
             self.directory,
             self.weight_targets,
             sources,
@@ -92,7 +94,7 @@
                 ReplicaLimits(rng), self.directory, nodes, reach, usage
             ),
             self.versions,
-            UnevenLoad(self.directory, OPTIONS.policy.uneven),
+            UnevenLoad(self.directory, policy.uneven),
             rng,
         )
         self.flow = RelayFlow(
