Refuse a forwarded call whose handler ends without an answer

The node that had forwarded a call saw its connection closed after the call was accepted, and learned neither kind nor reason.

ForwardServer now sends CallRefused with `internal`, outcome unknown, which the other node treats as lost, as it did the closed connection; its log and the caller get the reason.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -174,7 +174,9 @@
                 nursery.start_soon(watch.run, nursery.cancel_scope)
                 reason = await self._run_guarded(http, responder, call, peer)
                 nursery.cancel_scope.cancel()
-        except ForwardClosedError as error:
+            if not (responder.is_started or watch.has_left):
+                await responder.refuse(_build_failure(reason), is_exact=True)
+        except (ForwardClosedError, CallerGoneError) as error:
             watch.has_left = True
             _LOG.info("forward_abandoned", peer=peer.node, reason=str(error)[:100])
         finally:
@@ -246,5 +248,12 @@
         scope.cancel()
 
 
+def _build_failure(reason: CloseReason) -> Refuse:
+    """Return the refusal of a call that may have run."""
+    return Refuse(
+        RequestId(""), ErrorKind.INTERNAL, Ending.UNKNOWN, reason.value, BUSY_RETRY_MS
+    )
+
+
 def _build_refusal(kind: ErrorKind, text: str) -> Refuse:
     return Refuse(RequestId(""), kind, Ending.NOT_RUN, text, BUSY_RETRY_MS)
