Refuse the calls that still run when a stop has used up its time

A call that was still running at the end of the grace of a planned stop, or at a second signal, had its connection closed with the process: no status, no refusal. A call that still waited for a replica could have been sent elsewhere at once.

Cause: the end of the stop cancelled the node's nursery, and with it the handlers. Class: a cancellation by the node itself that is taken for a caller's leaving.

At that time each call ends as at its deadline: unknown outcome (504) if it was sent, `draining`, not run (503), if it was not; a stream that has begun is cut. Forwarded calls run through the same server and are refused to their nodes. 200 ms of the 600 ms before the platform's SIGKILL are for this. Weighed: a refusal by the HTTP server (knows nothing of what was sent, so all would be unknown), and this.

Before: no `end_calls`; the connection ends with `closed_without_status reason=cancelled` (test_request_that_the_node_ends_has_a_line shows the line for other handlers).

--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -62,6 +62,8 @@
         self._max_gap_ms = max_gap_ms
         self._call = RelayedCall(client, http, responder, request, metrics)
         self._error: Exception | None = None
+        self._scope = trio.CancelScope(deadline=request.deadline_ms / 1000)
+        self._is_ended = False
 
     @property
     def request_id(self) -> RequestId:
@@ -76,13 +78,18 @@
     async def run(self) -> None:
         """Run attempts until there is an answer or a final refusal, and send that."""
         try:
-            with trio.CancelScope(deadline=self._request.deadline_ms / 1000):
+            with self._scope:
                 await self._run()
                 return
             await self._handle_deadline()
         finally:
             self._call.cancel()
 
+    def end(self) -> None:
+        """End the call as its deadline does, because the node ends."""
+        self._is_ended = True
+        self._scope.cancel()
+
     async def _run(self) -> None:
         verdicts = self._client.begin(self._request)
         async with trio.open_nursery() as nursery:
@@ -147,9 +154,11 @@
             kind = ErrorKind.DEADLINE_EXCEEDED
             ending = Ending.UNKNOWN
         else:
-            kind = ErrorKind.OVERLOADED
+            kind = ErrorKind.DRAINING if self._is_ended else ErrorKind.OVERLOADED
             ending = Ending.NOT_RUN
         text = "the time of the call is over"
+        if self._is_ended:
+            text = "this node has stopped"
         await self._refuse(
             Refuse(self.request_id, kind, ending, text, DEADLINE_RETRY_MS)
         )
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -64,6 +64,8 @@
 """Descriptors of the process for each kept connection to a replica; calls need most."""
 STOP_MARGIN_MS: Final = 600.0
 """How long before the process would be killed it ends by itself."""
+REFUSAL_TIME_MS: Final = 200.0
+"""Time to send the refusals of calls that a stop ends; part of `STOP_MARGIN_MS`."""
 CLOSE_MARGIN_MS: Final = 300.0
 """Time after the end of callers' address caching until idle connections close."""
 HUB_CLOSE_MARGIN_MS: Final = 800.0
@@ -241,6 +243,7 @@
                         self.settings_watch.reload()
                 elif self._stopping.is_set():
                     _LOG.warning("stopped_at_once")
+                    await self._end_calls()
                     scope.cancel()
                     return
                 else:
@@ -272,6 +275,16 @@
             return
         left = self.core.flow.count_pending()
         _LOG.warning("stop_ended", is_clean=False, left=left)
+        await self._end_calls()
+
+    async def _end_calls(self) -> None:
+        """Refuse what still runs; closed connections would tell callers nothing."""
+        self._http_server.stop()
+        self.forward_server.stop()
+        self._relay_server.end_calls()
+        with trio.move_on_after(REFUSAL_TIME_MS / 1000):
+            await self._http_server.wait_stopped()
+            await self.forward_server.wait_idle()
 
 
 async def _listen(address: Address) -> trio.SocketListener:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -51,6 +51,7 @@
         "_metrics",
         "_numbers",
         "_rng",
+        "_running",
     )
 
     def __init__(
@@ -73,6 +74,16 @@
         self._is_stopping = is_stopping
         self._numbers = count(1)
         self._rng = rng
+        self._running: set[RelayExchange] = set()
+
+    def end_calls(self) -> None:
+        """End all calls; each without an answer so far is refused."""
+        for exchange in tuple(self._running):
+            exchange.end()
+
+    def count_running(self) -> int:
+        """Return the number of calls that have not ended."""
+        return len(self._running)
 
     async def handle(self, http: HttpRequest, responder: Responder) -> None:
         """Handle one call."""
@@ -86,7 +97,7 @@
             return
         responder.call = exchange.request_id
         log_resumed(exchange.request)
-        await exchange.run()
+        await self._run(exchange)
 
     async def handle_forwarded(
         self,
@@ -110,7 +121,14 @@
             remaining_ms=forwarded.remaining_ms,
             max_attempts=forwarded.max_attempts,
         )
-        await exchange.run()
+        await self._run(exchange)
+
+    async def _run(self, exchange: RelayExchange) -> None:
+        self._running.add(exchange)
+        try:
+            await exchange.run()
+        finally:
+            self._running.discard(exchange)
 
     def _prepare(
         self,
