Show what is held of each kind of sender, and count messages of links

Which bound gives messages up, of whom, and how much a node holds could not be seen from outside. Metrics held_bytes, held_bytes_peak, held_bytes_max and messages_over_bound_total by kind of sender and bound. Messages of links count in ReceivedBytes.peers while they are decoded; one that does not fit is dropped, which the next status makes up for, instead of ending the link.

test_metrics_tell_what_is_held_of_each_kind_of_sender: render had no such argument before.

--- a/packages/toucanyard-node/src/toucanyard_node/held_bytes.py
+++ b/packages/toucanyard-node/src/toucanyard_node/held_bytes.py
@@ -151,3 +151,13 @@
         self.reports = HeldBytes(limits.max_held_report_bytes)
         self.store = HeldBytes(limits.max_held_store_bytes)
         self.peers = HeldBytes(limits.max_held_peer_bytes)
+
+    def list_sums(self) -> tuple[tuple[str, HeldBytes], ...]:
+        """Return the name and the sum of each kind of sender."""
+        return (
+            ("answers", self.answers),
+            ("requests", self.requests),
+            ("reports", self.reports),
+            ("store", self.store),
+            ("peers", self.peers),
+        )
--- a/packages/toucanyard-node/src/toucanyard_node/peer_links.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_links.py
@@ -26,6 +26,7 @@
 from toucanyard.vm_view import UNNAMED, Vm
 from toucanyard_node.encoded_messages import EncodedMessageCache
 from toucanyard_node.forward_channel import FORWARD_VERSION, ForwardChannel
+from toucanyard_node.held_bytes import ByteBoundError, HeldBytes
 from toucanyard_node.link_codec import Addressed, EventT, LinkCodec, MessageT
 from toucanyard_node.peer_handshake import (
     PROTOCOL_VERSION,
@@ -52,6 +53,7 @@
 _MESSAGES_PER_S: Final = 500
 _BYTES_PER_S: Final = 1_000_000
 _SEND_TIMEOUT_S: Final = 5.0
+DEFAULT_MAX_HELD_BYTES: Final = 9_000_000
 
 
 ServeForward = Callable[[ForwardChannel, NodeId], Awaitable[None]]
@@ -92,7 +94,9 @@
         rng: random.Random,
         codec: LinkCodec[MessageT, EventT],
         serve_forward: ServeForward | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
+        self._held = held or HeldBytes(DEFAULT_MAX_HELD_BYTES)
         self._serve_forward = serve_forward
         self._identity = identity
         self._secrets = tuple(secrets)
@@ -336,12 +340,19 @@
             try:
                 if isinstance(data, str):
                     raise MessageInvalidError("received a text frame")
-                message = self._codec.decode(data)
+                with self._held.open(peer.node, self._codec.max_bytes) as held:
+                    held.add(len(data))
+                    message = self._codec.decode(data)
             except MessageInvalidError as error:
                 self.counts.malformed += 1
                 _LOG.warning("message_malformed", peer=peer.node, error=str(error)[:99])
                 return
-            await self._emit(self._codec.build_read(peer, message))
+            except ByteBoundError as error:
+                # The next status of the peer shows what this node then lacks.
+                self.counts.dropped += 1
+                _LOG.warning("message_over_bound", peer=peer.node, error=str(error))
+            else:
+                await self._emit(self._codec.build_read(peer, message))
             wait_s = limit.spend(len(data), trio.current_time())
             if wait_s > 0:
                 await trio.sleep(wait_s)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -20,6 +20,7 @@
 from toucanyard.relay_requests import RelayRequest
 from toucanyard.requests import Repeatability
 from toucanyard_node.closings import Closings
+from toucanyard_node.held_bytes import ByteBound, ReceivedBytes
 from toucanyard_node.replica_connections import ReplicaConnections
 
 MAX_GROUPS: Final = 64
@@ -101,6 +102,7 @@
         now_ms: float,
         received_forwards: int = 0,
         connections: ReplicaConnections | None = None,
+        received: ReceivedBytes | None = None,
     ) -> str:
         """Return all metrics as text."""
         lines = [*self._render_calls(), *_render_core(core, now_ms)]
@@ -111,6 +113,8 @@
         ]
         if connections is not None:
             lines += _render_connections(connections)
+        if received is not None:
+            lines += _render_received(received)
         lines.append(_format("log_lines_dropped_total", dropped_lines))
         return "\n".join(lines) + "\n"
 
@@ -147,6 +151,18 @@
     yield _format("replica_connections_idle", connections.count_idle())
 
 
+def _render_received(received: ReceivedBytes) -> Iterator[str]:
+    """Render what is held of each kind of sender, and which bounds were exceeded."""
+    for sender, held in received.list_sums():
+        yield _format("held_bytes", held.total_bytes, sender=sender)
+        yield _format("held_bytes_peak", held.peak_bytes, sender=sender)
+        yield _format("held_bytes_max", held.max_bytes, sender=sender)
+        for bound in ByteBound:
+            count = held.exceeded[bound]
+            labels = {"sender": sender, "bound": bound.value}
+            yield _format("messages_over_bound_total", count, **labels)
+
+
 def _render_histograms(
     name: str, histograms: dict[Group, HdrHistogram]
 ) -> Iterator[str]:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -161,6 +161,7 @@
             rng,
             RELAY_LINKS,
             self.forward_server.serve,
+            received.peers,
         )
 
     async def run(self, handlers: AuxiliaryHandlers) -> None:
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -3,9 +3,11 @@
 from collections import Counter
 
 import msgspec
+import pytest
 import trio
 import trio.testing
 
+from toucanyard.byte_limits import ByteLimits
 from toucanyard.keyed_view import Topic
 from toucanyard.names import CustomerName, EndpointName, RequestId
 from toucanyard.quarantine import QuarantinedRequest
@@ -13,6 +15,7 @@
 from toucanyard.replica_statements import ReplicaStatement, StatedLoad
 from toucanyard.request_fingerprint import compute_fingerprint
 from toucanyard.requests import Repeatability
+from toucanyard_node.held_bytes import ByteBoundError, ReceivedBytes
 from toucanyard_node.relay_metrics import MAX_GROUPS, RelayMetrics
 
 from .relay_harness import (
@@ -43,6 +46,27 @@
 )
 
 
+async def test_metrics_tell_what_is_held_of_each_kind_of_sender() -> None:
+    received = ReceivedBytes(ByteLimits())
+    with received.reports.open("r", 1_000) as message:
+        message.add(900)
+    with pytest.raises(ByteBoundError), received.reports.open("r", 100) as message:
+        message.add(101)
+    harness = RelayHarness([ScriptedReplica("x", answer())])
+    async with start_harness(harness):
+        text = harness.metrics.render(
+            harness.core, Counter(), 0, 1_000.0, received=received
+        )
+    lines = text.splitlines()
+    assert 'toucanyard_held_bytes{sender="reports"} 0' in lines
+    assert 'toucanyard_held_bytes_peak{sender="reports"} 900' in lines
+    max_bytes = ByteLimits().max_held_report_bytes
+    assert f'toucanyard_held_bytes_max{{sender="reports"}} {max_bytes}' in lines
+    name = "toucanyard_messages_over_bound_total"
+    assert f'{name}{{sender="reports",bound="message"}} 1' in lines
+    assert f'{name}{{sender="peers",bound="sum"}} 0' in lines
+
+
 async def test_metrics_tell_what_was_served_and_what_is_known() -> None:
     harness = RelayHarness([ScriptedReplica("x", answer())])
     async with start_harness(harness):
