Read what replicas state in answers that a peer passes on

It knew of the leave by its peer's word only, which lasts 20 s and counts for at most half of a service.

Cause: the node that forwards a call did not read the headers of the answer.

Fix: the head of a forwarded answer names the replica that sent it, in an optional field, and the first node reads the statements from the headers, which peers pass on unchanged. A node of an older version ignores the field; its own answers have none, and then a statement counts if the headers name the replica. FORWARD_VERSION stays, as ignoring the field is the old behaviour.

Ways weighed: a message of its own for each statement, also of calls that were turned away (nodes of an older version would close the connection); the decoded statement in the head (a second encoding of what the headers say); the headers (taken).

--- a/packages/toucanyard-node/src/toucanyard_node/buffered_answer.py
+++ b/packages/toucanyard-node/src/toucanyard_node/buffered_answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from toucanyard.names import EndpointName
 from toucanyard.relay_requests import RelayOutcome
 from toucanyard_node.http_client import Headers
 
@@ -17,9 +18,12 @@
 class BufferedAnswer:
     """A complete response of a replica."""
 
-    __slots__ = ("body", "headers", "status")
+    __slots__ = ("body", "headers", "replica", "status")
 
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
+    def __init__(
+        self, status: int, headers: Headers, body: bytes, replica: EndpointName
+    ) -> None:
+        self.replica = replica
         self.status = status
         self.headers = headers
         self.body = body
--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -18,7 +18,7 @@
     ForwardedCall,
     split_body,
 )
-from toucanyard.names import NodeId, RequestId
+from toucanyard.names import EndpointName, NodeId, RequestId
 from toucanyard.requests import Refuse
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.closings import CloseReason, Closings, OpenRequest
@@ -45,18 +45,21 @@
 class ForwardResponder:
     """Sends the response of one forwarded call to the node that forwarded it."""
 
-    __slots__ = ("_channel", "call", "is_closing", "is_started")
+    __slots__ = ("_channel", "call", "is_closing", "is_started", "replica")
 
     def __init__(self, channel: ForwardChannel) -> None:
         self._channel = channel
         self.call = ""
+        self.replica = EndpointName("")
         self.is_started = False
         self.is_closing = False
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
         self.is_started = True
-        await self._send(AnswerHead(status, headers, is_stream=False))
+        await self._send(
+            AnswerHead(status, headers, is_stream=False, replica=self.replica)
+        )
         for part in split_body(body):
             await self._send(part)
         await self._send(AnswerEnd())
@@ -79,7 +82,7 @@
     ) -> None:
         """Send the head of a response whose body follows in parts."""
         self.is_started = True
-        await self._send(AnswerHead(status, headers, is_stream=True, origin=origin))
+        await self._send(AnswerHead(status, headers, True, origin, self.replica))
 
     async def write(self, data: bytes) -> None:
         """Send one part of the body."""
--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -10,7 +10,7 @@
 import trio
 
 from toucanyard.errorcodes import Ending, ErrorKind
-from toucanyard.names import RequestId
+from toucanyard.names import EndpointName, RequestId
 from toucanyard.requests import Refuse
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.refusals import render_refusal
@@ -50,6 +50,8 @@
     """Whether part of the response was sent."""
     call: str
     """Id of the call, once it has one."""
+    replica: EndpointName
+    """The replica whose response is sent, which only peers are told."""
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
@@ -97,6 +99,7 @@
         "is_closing",
         "is_dropped",
         "is_started",
+        "replica",
     )
 
     def __init__(
@@ -111,6 +114,7 @@
         self._stream = stream
         self._is_head_only = is_head_only
         self.call = ""
+        self.replica = EndpointName("")
         self.is_dropped = False
         self.is_started = False
         self.is_closing = False
--- a/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from toucanyard.forwarded_calls import AnswerHead
 from toucanyard.relay_requests import ForwardOutcome, RelayForward
 from toucanyard.requests import DispatchEnding
 from toucanyard_node.event_splitter import EventSplitter
@@ -13,20 +14,26 @@
     Forwarder,
     ForwardFailedError,
 )
-from toucanyard_node.http_client import MAX_BODY_BYTES
+from toucanyard_node.http_client import MAX_BODY_BYTES, ResponseHead
 from toucanyard_node.relay_attempt import RelayAttempt, RelayedCall
 from toucanyard_node.relay_log import log_forward_ended
+from toucanyard_node.relay_ports import CallCodec
 
 
 class PeerAttempt(RelayAttempt):
     """One forward of a call."""
 
-    __slots__ = ("_forward", "_forwarder", "_splitter")
+    __slots__ = ("_codec", "_forward", "_forwarder", "_splitter")
 
     def __init__(
-        self, call: RelayedCall, forward: RelayForward, forwarder: Forwarder
+        self,
+        call: RelayedCall,
+        forward: RelayForward,
+        codec: CallCodec,
+        forwarder: Forwarder,
     ) -> None:
         super().__init__(call, forward.attempt)
+        self._codec = codec
         self._forward = forward
         self._forwarder = forwarder
         self._splitter = EventSplitter(call.last_event_id)
@@ -71,6 +78,7 @@
     async def _pass_on(self, answer: ForwardedAnswer) -> None:
         call = self._call
         head = await self._wait(answer.read_head, self._forward.patience_ms)
+        self._report_statement(head)
         if not head.is_stream:
             body = await answer.read_body(MAX_BODY_BYTES)
             if call.has_begun:
@@ -95,6 +103,16 @@
         self._complete(head.status)
         await call.finish()
 
+    def _report_statement(self, head: AnswerHead) -> None:
+        """Report what the answer states about the replica that the peer has called.
+
+        Only the peer knows whether the call was sent there under a limit, so that an
+        answer without one does not end it here.
+        """
+        headers = {name.lower(): value for name, value in head.fields}
+        facts = self._codec.read_answer(ResponseHead(head.status, headers, head.fields))
+        self._call.client.report_statement(head.replica, facts.statement)
+
     def _complete(self, status: int) -> None:
         self._call.complete(self._build_outcome(DispatchEnding.COMPLETED))
         self._record_ended(DispatchEnding.COMPLETED.value, status)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from toucanyard.names import EndpointName
 from toucanyard.relay_events import AttemptContinued, AttemptSilent
 from toucanyard.relay_requests import (
     ForwardOutcome,
@@ -279,6 +280,15 @@
         """End a streamed answer."""
         await self._responder.finish()
 
+    def set_source(self, replica: EndpointName) -> None:
+        """Set the replica whose answer is sent, which only peers are told."""
+        self._responder.replica = replica
+
+    async def send_buffered(self, answer: BufferedAnswer) -> None:
+        """Send a complete answer of a replica."""
+        self.set_source(answer.replica)
+        await self.send_whole(answer.status, answer.headers, answer.body)
+
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send an answer that is not a stream."""
         if self.has_begun:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -113,7 +113,7 @@
                     self._max_gap_ms,
                 )
             case RelayForward():
-                return PeerAttempt(self._call, verdict, self._forwarder)
+                return PeerAttempt(self._call, verdict, self._codec, self._forwarder)
 
     async def _perform(self, attempt: RelayAttempt, nursery: trio.Nursery) -> None:
         try:
@@ -134,7 +134,7 @@
         if verdict is not None:
             await self._refuse(verdict)
         elif answer is not None and not has_answer:
-            await self._call.send_whole(answer.status, answer.headers, answer.body)
+            await self._call.send_buffered(answer)
 
     async def _handle_deadline(self) -> None:
         """Refuse a call whose deadline passed; a started stream is cut off."""
--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -149,7 +149,8 @@
             await self._relay_stream(connection, head, facts)
             return
         body = await self._read_whole(connection)
-        answer = BufferedAnswer(head.status, self._codec.filter_answer(head), body)
+        headers = self._codec.filter_answer(head)
+        answer = BufferedAnswer(head.status, headers, body, dispatch.replica)
         if head.status >= SERVER_ERROR:
             self._call.buffered_answer = answer
             text = f"status {head.status}"
@@ -160,7 +161,7 @@
         await self._call.claim(self)
         is_error = head.status >= FIRST_ERROR
         self._complete(facts, head, connection, is_inconclusive=is_error)
-        await self._call.send_whole(answer.status, answer.headers, answer.body)
+        await self._call.send_buffered(answer)
 
     async def _read_head(
         self, connection: HttpConnection, *, is_kept: bool
@@ -281,6 +282,7 @@
         dispatch = self._dispatch
         headers = self._codec.filter_answer(head)
         origin = StreamOrigin(dispatch.service, dispatch.software_version)
+        self._call.set_source(dispatch.replica)
         await self._call.start(self, head.status, headers, origin)
 
     async def _read_stream_chunk(
--- a/packages/toucanyard/src/toucanyard/forwarded_calls.py
+++ b/packages/toucanyard/src/toucanyard/forwarded_calls.py
@@ -14,6 +14,7 @@
 
 from toucanyard.cbor_messages import decode_cbor
 from toucanyard.errorcodes import Ending, ErrorKind
+from toucanyard.names import EndpointName
 from toucanyard.stream_origins import StreamOrigin
 
 FORWARD_PATH: Final = "/forward"
@@ -65,6 +66,9 @@
     """Whether parts are to be passed on as they arrive."""
     origin: StreamOrigin | None = None
     """Where a stream begins."""
+    replica: EndpointName = EndpointName("")
+    """The replica that has answered, whose headers state something about it; empty if
+    the peer does not say."""
 
 
 class AnswerEnd(msgspec.Struct, frozen=True, array_like=True, tag="e"):
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -212,15 +212,19 @@
 
 
 def stream_events(
-    *events: bytes, is_whole: bool = True, end: bytes = b"", hold_s: float = 0.0
+    *events: bytes,
+    is_whole: bool = True,
+    end: bytes = b"",
+    hold_s: float = 0.0,
+    headers: bytes = b"",
 ) -> Script:
     """Return a script that streams events in chunks; `end` is an incomplete event."""
 
     async def run(stream: trio.SocketStream, call: bytes) -> None:
         await stream.send_all(
             b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signed: 1\r\n"
-            b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            % find_header(call, b"x-id")
+            b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s\r\n"
+            % (find_header(call, b"x-id"), headers)
         )
         for event in (*events, end):
             if event:
--- a/tests/toucanyard_node/test_call_forwarding.py
+++ b/tests/toucanyard_node/test_call_forwarding.py
@@ -7,13 +7,19 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import cbor2
 import pytest
 import trio
 import trio.testing
 
 from toucanyard.byte_limits import ByteLimits
 from toucanyard.call_forwards import CONNECT_MS, UNREACHED_PAUSE_MS
-from toucanyard.forwarded_calls import BodyPart, ForwardedCall
+from toucanyard.forwarded_calls import (
+    AnswerHead,
+    BodyPart,
+    ForwardedCall,
+    decode_forward_message,
+)
 from toucanyard.names import (
     Address,
     DomainName,
@@ -491,3 +497,30 @@
             known = harness.core.directory.find(EndpointName("x"))
             assert known is not None
             assert known.leave_stated_ms is not None
+
+
+@pytest.mark.parametrize(
+    ("script", "route"),
+    [
+        (answer(500, b"fails", SIGNED + b"X-Leaving: 1\r\n"), {"max_attempts": 1}),
+        (stream_events(build_event(1), headers=b"X-Leaving: 1\r\n"), STREAM),
+    ],
+)
+async def test_leave_stated_in_any_forwarded_answer_is_heeded(
+    script: Script, route: dict[str, Any]
+) -> None:
+    """Guards against statements that are read from plain answers only."""
+    reaching = RelayHarness([ScriptedReplica("x", script)], **route)
+    async with start_harness(reaching):
+        peer = ForwardPeer("b", reaching)
+        async with open_cut_off_node([peer], **route) as harness:
+            await harness.call(build_call())
+            known = harness.core.directory.find(EndpointName("x"))
+            assert known is not None
+            assert known.leave_stated_ms is not None
+
+
+def test_answer_of_a_node_that_names_no_replica_is_read() -> None:
+    """Guards against answers that nodes of an older version can no longer pass on."""
+    data = cbor2.dumps(["h", 200, [], False])
+    assert decode_forward_message(data) == AnswerHead(200, (), is_stream=False)
--- a/tests/toucanyard_platform/test_statement_table.py
+++ b/tests/toucanyard_platform/test_statement_table.py
@@ -31,6 +31,15 @@
     wire_names.BRITTLE,
     wire_names.RETRY_AFTER,
 )
+STATEMENT_HEADERS = (
+    wire_names.REPLICA,
+    wire_names.LIMIT,
+    wire_names.LEAVING,
+    wire_names.BRITTLE,
+    wire_names.RETRY_AFTER,
+    wire_names.LOAD,
+    wire_names.WEIGHTS,
+)
 DECODED: dict[str, type[msgspec.Struct]] = {
     "report": replica_client._Report,
     "block events": prompt_block_client._Page,
@@ -99,3 +108,9 @@
 def test_header_that_the_store_client_reads_is_listed() -> None:
     names = {name.lower() for name in find_names("store header")}
     assert names == {wire_names.STORE_ERA}
+
+
+def test_each_statement_is_listed_for_answers_that_a_peer_passes_on() -> None:
+    """Guards against a statement that only the node of the connection reads."""
+    listed = {name.lower() for name in find_names("forwarded answer")}
+    assert listed == {name.lower() for name in STATEMENT_HEADERS}
