--- a/tests/toucanyard_node/test_unanswered_forwards.py
+++ b/tests/toucanyard_node/test_unanswered_forwards.py
@@ -9,6 +9,7 @@
 from structlog.testing import capture_logs
 from trio.testing import MockClock
 
+from toucanyard.byte_limits import ByteLimits
 from toucanyard.errorcodes import Ending, ErrorKind
 from toucanyard.forwarded_calls import (
     CallAccepted,
@@ -18,7 +19,8 @@
 )
 from toucanyard.names import Incarnation, NodeId, NodeName, RequestId
 from toucanyard_node.forward_channel import ForwardChannel, ForwardClosedError
-from toucanyard_node.forward_server import ForwardResponder, ForwardServer
+from toucanyard_node.forward_server import ForwardResponder, ForwardServer, Handler
+from toucanyard_node.held_bytes import HeldBytes
 from toucanyard_node.http_exchange import CallerGoneError, HttpRequest
 
 PEER = NodeId(NodeName("p"), Incarnation("i"))
@@ -37,6 +39,11 @@
 )
 
 
+def build_server(handler: Handler) -> ForwardServer:
+    held = HeldBytes(ByteLimits().max_held_peer_bytes)
+    return ForwardServer(handler, lambda: 9, lambda: 1_000, held)
+
+
 class ScriptedChannel:
     """A channel that brings one call and records what is sent on it."""
 
@@ -65,7 +72,7 @@
         if error is not None:
             raise error
 
-    server = ForwardServer(handle, lambda: 9)
+    server = build_server(handle)
     await server.serve(cast(ForwardChannel, channel), PEER)
     return server
 
@@ -93,7 +100,7 @@
     async def wait(*_: object) -> None:
         await trio.sleep_forever()
 
-    server = ForwardServer(wait, lambda: 9)
+    server = build_server(wait)
     with capture_logs() as lines:
         await server.serve(cast(ForwardChannel, ScriptedChannel(open_s=1.0)), PEER)
     found = [line for line in lines if line["event"] == "closed_without_status"]
