Lose no request to a reload, a closing listener or a refused HEAD

Three ways in which callers saw a closed connection after a whole request: - A configuration with a longer idle timeout did not apply to connections that were idle already: they closed at the old one, and callers, who reuse them for most of the new one, lost the request that crossed the close. Idle connections now follow a longer timeout; a shorter one applies from their next wait, as callers may not know it yet. - A stop emptied the kernel's accept queue and closed the listener a moment later, when its task ran; what arrived between was reset. The queue is now emptied in the step that closes the listener. - A refused HEAD request (too large, ambiguous framing, invalid target) got no status, as h11 sends no body after HEAD and the refusal had one.

Before: test_idle_connection_follows_a_longer_timeout, test_connection_that_arrives_as_the_listener_closes and three cases of test_refused_head_request_gets_its_status fail. After: test_http_server passes. The tests of a shorter timeout and of a request at the timeout passed before as well.

--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -52,6 +52,14 @@
     """Whether a client may send a request before the previous response."""
 
 
+class Rejection(msgspec.Struct, frozen=True):
+    """Why a request does not reach the handler."""
+
+    kind: ErrorKind
+    is_head_only: bool = False
+    """A response must not have a body."""
+
+
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -64,8 +72,6 @@
         "_idle_scopes",
         "_is_stopping",
         "_limits",
-        "_listener",
-        "_nursery",
         "_open_connections",
         "_stopped",
         "closings",
@@ -85,36 +91,44 @@
         self._idle_scopes: set[trio.CancelScope] = set()
         self._is_stopping = False
         self._stopped = trio.Event()
-        self._nursery: trio.Nursery | None = None
-        self._listener: trio.SocketListener | None = None
 
     def apply_limits(self, limits: ServerLimits) -> None:
-        """Apply new limits to subsequent connections and requests."""
+        """Apply new limits to subsequent connections and requests.
+
+        A longer idle timeout applies to connections that are idle now, as their callers
+        go by it; a shorter one does not, as they may not know it yet.
+        """
+        added_s = (limits.idle_timeout_ms - self._limits.idle_timeout_ms) / 1000
         self._limits = limits
+        if added_s > 0:
+            for scope in self._idle_scopes:
+                scope.deadline += added_s
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Serve until stopped and all requests have been answered."""
         try:
             async with trio.open_nursery() as nursery:
-                self._nursery, self._listener = nursery, listener
                 with self._accept_scope:
                     await trio.serve_listeners(
-                        self._serve_stream, [listener], handler_nursery=nursery
+                        self._serve_stream,
+                        [_OpenListener(listener)],
+                        handler_nursery=nursery,
                     )
+                # Closing the listener resets the connections in the kernel's accept
+                # queue, with any requests on them. Their callers could not know whether
+                # those ran.
+                for stream in accept_pending(listener):
+                    nursery.start_soon(self._serve_stream, stream)
                 await trio.aclose_forcefully(listener)
         finally:
-            self._nursery, self._listener = None, None
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(listener)
             self._stopped.set()
 
     def stop(self) -> None:
         """Stop accepting and close idle connections; running requests finish."""
         self._is_stopping = True
         self._accept_scope.cancel()
-        # Closing the listener resets the connections in the kernel's accept queue, with
-        # any requests on them. Their callers could not know whether those ran.
-        if self._nursery is not None and self._listener is not None:
-            for stream in accept_pending(self._listener):
-                self._nursery.start_soon(self._serve_stream, stream)
         for scope in self._idle_scopes:
             scope.cancel()
 
@@ -143,7 +157,8 @@
             h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
         )
         if self._open_connections > self._limits.max_connections:
-            await self._reject(connection, stream, ErrorKind.TOO_MANY_CONNECTIONS)
+            rejection = Rejection(ErrorKind.TOO_MANY_CONNECTIONS)
+            await self._reject(connection, stream, rejection)
             return
         is_first = True
         while await self._serve_one(connection, stream, is_first):
@@ -155,12 +170,11 @@
         """Serve one request; return whether another may follow."""
         try:
             request = await self._read_request(connection, stream, is_first)
-        except (h11.RemoteProtocolError, TargetInvalidError):
-            await self._reject(connection, stream, ErrorKind.BAD_REQUEST)
-            return False
+        except h11.RemoteProtocolError:
+            request = Rejection(ErrorKind.BAD_REQUEST)
         if request is None:
             return False
-        if isinstance(request, ErrorKind):
+        if isinstance(request, Rejection):
             await self._reject(connection, stream, request)
             return False
         is_head_only = request.method == "HEAD"
@@ -230,7 +244,7 @@
 
     async def _read_request(
         self, connection: h11.Connection, stream: trio.SocketStream, is_first: bool
-    ) -> HttpRequest | ErrorKind | None:
+    ) -> HttpRequest | Rejection | None:
         limits = self._limits
         idle_ms = limits.header_timeout_ms if is_first else limits.idle_timeout_ms
         if not await self._receive_first_bytes(connection, stream, idle_ms):
@@ -240,7 +254,7 @@
         with trio.move_on_after(limits.header_timeout_ms / 1000) as scope:
             return await self._read_message(connection, stream)
         assert scope.cancelled_caught
-        return ErrorKind.HEADERS_TOO_SLOW
+        return Rejection(ErrorKind.HEADERS_TOO_SLOW)
 
     async def _receive_first_bytes(
         self, connection: h11.Connection, stream: trio.SocketStream, idle_ms: int
@@ -274,27 +288,30 @@
 
     async def _read_message(
         self, connection: h11.Connection, stream: trio.SocketStream
-    ) -> HttpRequest | ErrorKind | None:
+    ) -> HttpRequest | Rejection | None:
         head: h11.Request | None = None
         raw = bytearray(connection.trailing_data[0])
         body = bytearray()
-        while True:
+        fault: ErrorKind | None = None
+        while fault is None:
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 raw += await self._receive(connection, stream)
             elif isinstance(event, h11.Request):
                 head = event
                 fault = self._check_head(event, bytes(raw))
-                if fault is not None:
-                    return fault
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self._limits.max_body_bytes:
-                    return ErrorKind.BODY_TOO_LARGE
+                    fault = ErrorKind.BODY_TOO_LARGE
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return parse_request(head, bytes(body))
+                try:
+                    return parse_request(head, bytes(body))
+                except TargetInvalidError:
+                    fault = ErrorKind.BAD_REQUEST
             else:
                 return None
+        return Rejection(fault, head is not None and head.method == b"HEAD")
 
     def _check_head(self, head: h11.Request, raw: bytes) -> ErrorKind | None:
         if has_ambiguous_framing(head, raw):
@@ -319,20 +336,39 @@
         return data
 
     async def _reject(
-        self, connection: h11.Connection, stream: trio.SocketStream, kind: ErrorKind
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        rejection: Rejection,
     ) -> None:
         # The request was not read, so it may have a key whose earlier attempt ran.
+        kind = rejection.kind
         refusal = render_refusal(
             Refuse(RequestId(""), kind, Ending.UNKNOWN, kind.value, _RETRY_AFTER_MS)
         )
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        responder = Responder(connection, stream)
+        responder = Responder(connection, stream, is_head_only=rejection.is_head_only)
         responder.close_after()
         await responder.send(refusal.status, refusal.headers, refusal.body)
         await _discard_input(stream)
 
 
+class _OpenListener(trio.abc.Listener[trio.SocketStream]):
+    """Listener that stays open when `serve_listeners` closes it."""
+
+    def __init__(self, listener: trio.SocketListener) -> None:
+        self._listener = listener
+
+    async def accept(self) -> trio.SocketStream:
+        """Return the next connection."""
+        return await self._listener.accept()
+
+    async def aclose(self) -> None:
+        """Do nothing."""
+        await trio.lowlevel.checkpoint()
+
+
 def _set_user_timeout(stream: trio.SocketStream, timeout_ms: int) -> None:
     """Let the kernel end the connection if sent data stays unacknowledged.
 
--- a/tests/toucanyard_node/test_http_server.py
+++ b/tests/toucanyard_node/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -329,3 +330,91 @@
         assert answer.count(b"HTTP/1.1 200") == len(bodies)
         places = [answer.index(b"\r\n\r\n" + body) for body in bodies]
         assert places == sorted(places)
+
+
+async def test_idle_connection_follows_a_longer_timeout(
+    autojump_clock: MockClock,
+) -> None:
+    """A connection is idle while the limits change to a longer idle timeout.
+
+    Callers that know the new timeout reuse it after the old one; their request would
+    cross its end.
+    """
+    address = Address("10.0.0.1:80")
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        server = network.serve(address, echo, ServerLimits(idle_timeout_ms=1_000))
+        connection = await network.connect(address, 1_000)
+        for pause_s in (2.5, 0.0):
+            await connection.send("POST", "/", (), b"x")
+            assert (await connection.read_head()).status == 200
+            assert await connection.read_body() == b"x"
+            await trio.sleep(0.5)
+            server.apply_limits(ServerLimits(idle_timeout_ms=4_000))
+            await trio.sleep(pause_s)
+        with trio.fail_after(4.1):
+            assert await connection.wait_for_close()
+        nursery.cancel_scope.cancel()
+
+
+async def test_idle_connection_keeps_its_timeout_if_a_shorter_one_comes(
+    autojump_clock: MockClock,
+) -> None:
+    address = Address("10.0.0.1:80")
+    async with trio.open_nursery() as nursery:
+        network = MemoryNetwork(nursery)
+        server = network.serve(address, echo, ServerLimits(idle_timeout_ms=4_000))
+        connection = await network.connect(address, 1_000)
+        await connection.send("POST", "/", (), b"x")
+        await connection.read_head()
+        await connection.read_body()
+        await trio.sleep(0.5)
+        server.apply_limits(ServerLimits(idle_timeout_ms=1_000))
+        await trio.sleep(2.0)
+        await connection.send("POST", "/", (), b"x")
+        assert (await connection.read_head()).status == 200
+        nursery.cancel_scope.cancel()
+
+
+async def test_request_that_arrives_as_its_connection_times_out() -> None:
+    """A request is in the kernel's buffer when the idle timeout strikes."""
+    limits = ServerLimits(idle_timeout_ms=50)
+    async with serve(limits) as (_, port):
+        end = open_blocking(port)
+        end.sendall(REQUEST)
+        await trio.sleep(0.01)
+        assert end.recv(65_536).startswith(b"HTTP/1.1 200")
+        time.sleep(0.1)
+        # The timeout has passed, but the server's task has not run since.
+        end.sendall(REQUEST)
+        end.setblocking(False)
+        assert (await read_whole(end)).startswith(b"HTTP/1.1 200")
+
+
+async def test_connection_that_arrives_as_the_listener_closes() -> None:
+    """A connection is queued after the server has stopped and before it closes its
+    listener, which would reset it and the request on it."""
+    async with serve(ServerLimits()) as (server, port):
+        await trio.testing.wait_all_tasks_blocked()
+        server.stop()
+        late = open_blocking(port)
+        late.sendall(REQUEST)
+        late.setblocking(False)
+        assert (await read_whole(late)).startswith(b"HTTP/1.1 200")
+        await server.wait_stopped()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n",
+        b"HEAD / HTTP/1.1\r\nHost: a\nX: y\r\n\r\n",
+        b"HEAD http://[x]/ HTTP/1.1\r\nHost: a\r\n\r\n",
+    ],
+)
+async def test_refused_head_request_gets_its_status(head: bytes) -> None:
+    """h11 sends no body after HEAD. A refusal with one would close the connection."""
+    async with serve(ServerLimits()) as (_, port):
+        answer = await exchange(port, head)
+        assert answer.startswith((b"HTTP/1.1 400", b"HTTP/1.1 413"))
+        assert answer.endswith(b"\r\n\r\n")
