Tell a topic of the store that is over a bound from a store that is away

Seen in a test: while one topic's answers exceed their bound and all others are sound, each success beside it counted as the store's return: store_lost and poll_lost 21 times each in 20 s, the operators' long poll ended each time, and their topic was read 37 times instead of 22 (reads of the store are counted over all nodes).

Cause: a failed read counts as a sign that the store is silent, and its next answer as its return, upon which a poll that began before is taken for lost. A topic over a bound fails at once while the store answers.

Fix: such a failure is marked (StoreError.is_oversized) and tells the core of the failed read only. Ways weighed: waiting in the client until the topic may be read again would let the reads that are sent beside a pending one pile up.

test_topic_over_a_bound_is_no_outage_of_the_store failed before (37 reads of at most 30).

--- a/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_ports.py
@@ -85,12 +85,18 @@
 
 
 class StoreError(Exception):
-    """A store call failed; `is_refused` if it certainly had no effect."""
+    """A store call failed; `is_refused` if it certainly had no effect.
 
-    def __init__(self, reason: str, *, is_refused: bool = False) -> None:
+    `is_oversized`: the store answers, but with more than a bound allows.
+    """
+
+    def __init__(
+        self, reason: str, *, is_refused: bool = False, is_oversized: bool = False
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.is_refused = is_refused
+        self.is_oversized = is_oversized
 
 
 class RecordsGoneError(Exception):
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -281,10 +281,11 @@
             return None
 
     def _record_failure(self, purpose: str, error: StoreError, asked_ms: float) -> None:
-        if not self._is_down:
-            _LOG.warning("store_lost", purpose=purpose, reason=error.reason)
-        self._is_down = True
-        self._failed_ms = trio.current_time() * 1000
+        if not error.is_oversized:
+            if not self._is_down:
+                _LOG.warning("store_lost", purpose=purpose, reason=error.reason)
+            self._is_down = True
+            self._failed_ms = trio.current_time() * 1000
         self._client.send_event(StoreFailed(purpose, error.reason, asked_ms))
 
     def _record_success(self) -> None:
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -46,6 +46,8 @@
         self.first = dict.fromkeys(Topic, 0)
         self.is_down = False
         self.is_silent = False
+        self.oversized: set[Topic] = set()
+        """Topics whose answers exceed a bound."""
         self.reads: list[tuple[str, Topic, int]] = []
 
     def append(self, topic: Topic, key: str, value: bytes | None) -> None:
@@ -62,6 +64,7 @@
 
     async def read_newest(self, topic: Topic) -> TopicPage:
         self.reads.append(("newest", topic, 0))
+        self._check_size(topic)
         await self._wait(0.0)
         newest = {each.key: each for each in self.records[topic]}
         kept = tuple(each for each in newest.values() if each.value is not None)
@@ -69,6 +72,7 @@
 
     async def read_since(self, topic: Topic, offset: int, wait_ms: float) -> TopicPage:
         self.reads.append(("since", topic, offset))
+        self._check_size(topic)
         if offset >= self.first[topic] + len(self.records[topic]):
             await self._wait(wait_ms)
         else:
@@ -99,6 +103,10 @@
     async def append_lease(self, value: bytes, at: int) -> LogPosition:
         raise StoreError("not used")
 
+    def _check_size(self, topic: Topic) -> None:
+        if topic in self.oversized:
+            raise StoreError("over a bound", is_refused=True, is_oversized=True)
+
     async def _wait(self, wait_ms: float) -> None:
         if self.is_silent:
             await trio.sleep(READ_TIMEOUT_S)
@@ -224,6 +232,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_topic_over_a_bound_is_no_outage_of_the_store(
+    autojump_clock: object,
+) -> None:
+    """Guards against long polls that end whenever an endless topic is tried again.
+
+    The store answers all other topics; each failure beside them looked like its return,
+    upon which a poll is taken for lost.
+    """
+    harness = StoreReaderHarness()
+    harness.store.append(Topic.OPERATOR, "a", b"1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(harness.task.run)
+        nursery.start_soon(harness.reader.run)
+        await trio.sleep(2)
+        harness.store.oversized.add(Topic.REPLICAS)
+        begun = len(harness.store.reads)
+        await trio.sleep(20)
+        topics = [topic for _, topic, _ in harness.store.reads[begun:]]
+        due_reads, polls, spare = 20, 6, 4
+        assert topics.count(Topic.OPERATOR) <= due_reads + polls + spare
+        assert topics.count(Topic.REPLICAS) < 100
+        harness.store.append(Topic.OPERATOR, "b", b"2")
+        await trio.sleep(5)
+        assert len(harness.list_facts(Topic.OPERATOR)) == 2
+        nursery.cancel_scope.cancel()
+
+
 async def test_announcement_is_made_until_it_succeeds(autojump_clock: object) -> None:
     store = ScriptedStore()
     store.is_down = True
