Fuzz the work and memory of decoders: parser, events, reports, pages, records

The bytes in the parser's buffer are counted at each of its steps, and the bytes that the splitter searches: both grow with what arrives, not with its square, for every kind of endless answer.

--- a/tests/toucanyard_node/test_http_client_fuzz.py
+++ b/tests/toucanyard_node/test_http_client_fuzz.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
+from collections import Counter
+
 import h11
 import pytest
 import trio
@@ -9,6 +12,7 @@
 
 from toucanyard.names import Address
 from toucanyard_node.event_splitter import EventSplitter
+from toucanyard_node.held_bytes import ByteBoundError
 from toucanyard_node.http_client import ConnectionFailedError, HttpConnection
 from toucanyard_standins.endless_answers import EndlessKind, build_endless
 
@@ -157,3 +161,54 @@
     assert all(not part or part.endswith((b"\n\n", b"\r\n\r\n")) for part in pushed)
     assert splitter.last_id == whole.last_id
     assert splitter.has_partial_event() == whole.has_partial_event()
+
+
+@given(data=EVENTS, cuts=CUTS)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_each_byte_of_a_stream_is_searched_a_bounded_number_of_times(
+    data: bytes, cuts: list[int]
+) -> None:
+    """Guards against work that grows with what has arrived of an event."""
+    packets = cut(100 * data, cuts)
+    splitter = EventSplitter("")
+    for packet in packets:
+        splitter.push(packet)
+    assert splitter.searched_bytes <= 100 * len(data) + 3 * len(packets)
+
+
+@given(sizes=st.lists(st.integers(1, 9_000), min_size=1, max_size=20))
+@example(sizes=[1])
+@settings(max_examples=20, deadline=None, derandomize=True)
+def test_event_without_end_is_given_up_within_its_bound(sizes: list[int]) -> None:
+    """Guards against an event that is held for as long as it grows."""
+    splitter = EventSplitter("", max_event_bytes=20_000)
+    pushed_bytes = 0
+    with pytest.raises(ByteBoundError):
+        for size in itertools.cycle(sizes):
+            pushed_bytes += size
+            splitter.push(b"x" * size)
+    assert 20_000 < pushed_bytes <= 20_000 + max(sizes)
+
+
+@pytest.mark.parametrize("kind", EndlessKind)
+def test_work_of_the_parser_grows_with_the_bytes_only(
+    kind: EndlessKind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against input that the parser copies again for each of its parts.
+
+    Counts the bytes in the buffer of the parser at each of its steps.
+    """
+    work = Counter[str]()
+    next_event = h11.Connection.next_event
+
+    def count_work(connection: h11.Connection) -> object:
+        work["bytes"] += len(connection.trailing_data[0])
+        return next_event(connection)
+
+    monkeypatch.setattr(h11.Connection, "next_event", count_work)
+    answer = build_endless(kind, ())
+    few = [answer.begin + 2 * answer.part, *20 * [2 * answer.part]]
+    run_read(few)
+    few_work = work.pop("bytes")
+    run_read([*few, *60 * [2 * answer.part]])
+    assert work["bytes"] <= 4 * few_work + 100_000
--- a/tests/toucanyard_platform/test_decoders_fuzz.py
+++ b/tests/toucanyard_platform/test_decoders_fuzz.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import tracemalloc
 from collections.abc import Callable
 
 import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from toucanyard.byte_limits import ByteLimits
 from toucanyard.cbor_messages import MessageInvalidError
-from toucanyard.keyed_view import InvalidRecord, Topic
+from toucanyard.keyed_view import InvalidRecord, KeyedRecord, Topic
 from toucanyard.link_messages import decode_link_message
 from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import QuarantinedRequest, Release
@@ -131,3 +133,56 @@
     with contextlib.suppress(StoreError):
         for content in split_records(body):
             parse_keyed_record(0, content)
+
+
+def fill(begin: bytes, item: bytes, end: bytes, size_bytes: int) -> bytes:
+    """Return a body of a size that repeats one small item."""
+    count = (size_bytes - len(begin) - len(end)) // (len(item) + 1)
+    return begin + b",".join([item] * count) + end
+
+
+def decode_records(body: bytes) -> list[KeyedRecord]:
+    return [parse_keyed_record(0, content) for content in split_records(body)]
+
+
+LIMITS = ByteLimits()
+LARGEST_BODIES: dict[str, tuple[Callable[[bytes], object], bytes]] = {
+    "report": (
+        decode_report,
+        fill(
+            b'{"busy":false,"sequence":1,"queued":0,"active":0,"models":[',
+            b'{"name":"","version":0}',
+            b"]}",
+            LIMITS.max_report_bytes,
+        ),
+    ),
+    "prompt blocks": (
+        decode_page,
+        fill(
+            b'{"bootEpoch":1,"nextToken":1,"events":[',
+            b'[1,"","","",0,""]',
+            b"]}",
+            LIMITS.max_cache_page_bytes,
+        ),
+    ),
+    "records": (
+        decode_records,
+        b"\0\0\0\1\0" * (LIMITS.max_store_page_bytes // 5),
+    ),
+}
+MEMORY_BYTES = 40_000_000
+"""What a node of 100 MB has left beside itself and its other messages."""
+
+
+@pytest.mark.parametrize("name", LARGEST_BODIES)
+def test_largest_body_of_small_items_fits_the_memory_of_a_node(name: str) -> None:
+    """Guards against a body within its bound that takes many times its size."""
+    decode, body = LARGEST_BODIES[name]
+    tracemalloc.start()
+    try:
+        with contextlib.suppress(AnswerInvalidError):
+            decode(body)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < MEMORY_BYTES
