Let a call go on that found another replica at an address

Cause: a 421 from the replica that took the address over counted as one of the route's attempts, although the call never reached the replica that it was sent to.

Fix: like a connection that was refused, such a 421 uses up no attempt. It draws on the retry budget as before, and the replica gets no more calls until it is listed anew. The bound on all dispatches of a call (two for each attempt and three) holds, so that replicas that always answer 421 cannot make a call go on for ever; a test plays 16.

Ways weighed: one more attempt for routes with a single one (a second 421 after the same restore still refuses the call); no attempt used (taken).

--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -164,8 +164,9 @@
             pending.has_failed = outcome.ending is DispatchEnding.FAILED
         elif not pending.request.is_forwarded:
             self._limits.on_not_run(pending, now_ms)
-        if outcome.ending is DispatchEnding.NOT_SENT:
-            # It reached no replica, so it doesn't count as one of the route's attempts.
+        if outcome.ending is DispatchEnding.NOT_SENT or outcome.is_replaced:
+            # It did not reach its replica, so it doesn't count as one of the route's
+            # attempts.
             pending.sends -= 1
 
     def _assume_target_weights(self, known: KnownReplica, pending: PendingCall) -> None:
--- a/tests/toucanyard/test_relay_flow.py
+++ b/tests/toucanyard/test_relay_flow.py
@@ -64,6 +64,34 @@
     assert refusal.retry_after_ms > 0
 
 
+def test_call_that_found_another_replica_at_an_address_is_served_all_the_same() -> None:
+    """Guards against refusing the first call after a restore of the store.
+
+    The restored list names an earlier incarnation, whose address another one answers.
+    """
+    node = Node()
+    node.arrive("q", repeatability=Repeatability.RUN_ONCE, max_attempts=1)
+    first = node.find_dispatch("q")
+    node.end("q", DispatchEnding.REFUSED, is_replaced=True)
+    second = node.find_dispatch("q")
+    assert second.replica != first.replica
+    node.end("q", DispatchEnding.COMPLETED)
+    assert node.flow.count_pending() == 0
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+def test_call_does_not_go_round_addresses_that_others_answer(max_attempts: int) -> None:
+    """Guards against a call without end where every replica says it is another one."""
+    node = Node(desks="klmnopqrstuvwxyz")
+    node.arrive("q", max_attempts=max_attempts)
+    for _ in range(20):
+        if not isinstance(node.find_last("q"), RelayDispatch):
+            break
+        node.end("q", DispatchEnding.REFUSED, is_replaced=True)
+    assert node.find_refusal("q").ending is Ending.NOT_RUN
+    assert len(node.list_dispatches()) <= 2 * max_attempts + 3
+
+
 def test_refusal_after_a_try_that_may_have_run_is_no_not_run() -> None:
     """Guards against a false "not run" after an earlier try that may have run.
 
