Count silence until a part of the answer comes, and bound what answers hold

What callers saw: a replica that sent bytes without end was waited for until the deadline, 504 though another replica was free; it kept its rank, and its node grew up to 64 MB for each such answer.

Cause: progress was counted in bytes, so that each chunk started the timer of a stream anew and a plain body had none after its head; comments claimed the answer from a hedge; nothing bounded the sum of open answers.

Now the timer of an attempt goes on over any number of reads until a complete event that is not only comments has come; a plain body has the patience of its head. The first attempt goes on beside its hedge unless it breaks a bound: of one answer, of one event, of what precedes a head, of one replica, of the sum. Beyond the sum a call is refused, not run, before it is sent. The same holds for answers through a peer, which had no timer after the head at all.

A broken bound is a failure of the replica, each further one before a sound answer weighs twice as much; none of the call: neither the crash detector nor the quarantine hear of it. If only the sum is full, the replica is not blamed. answer_over_bound in the log and answers_over_bound_total say which bound.

Ways weighed: a limit of the time for whole bodies (cuts a slow but sound large answer); closing at the silence (the class of answers cut at a silence); a rest for the replica as for a dead one (its reports are sound, and a probe would end the rest at once).

A large body is sent in three writes, as the joined copy stayed beside the body while its caller read it.

--- a/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
+++ b/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
@@ -77,6 +77,11 @@
         """Return how many bytes were searched so far for the end of an event."""
         return self._buffer.searched_bytes
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event that is buffered."""
+        return len(self._buffer.partial)
+
     def push(self, data: bytes, work_bytes: int = 0) -> bytes:
         """Append bytes and return the events and comments that they complete.
 
--- a/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_exchange.py
@@ -114,7 +114,10 @@
         return message
 
     async def read_part(self) -> bytes | None:
-        """Return a part of the body, None at its end, or raise ForwardClosedError."""
+        """Return a part of the body, None at its end, or raise ForwardClosedError.
+
+        Loses nothing if it is cancelled and called again.
+        """
         message = await self._receive()
         match message:
             case BodyPart(data=data):
@@ -123,15 +126,6 @@
                 return None
         raise ForwardClosedError(f"found {type(message).__name__}")
 
-    async def read_body(self, max_bytes: int) -> bytes:
-        """Return the whole body, or raise as `read_part` does."""
-        body = bytearray()
-        while (part := await self.read_part()) is not None:
-            body += part
-            if len(body) > max_bytes:
-                raise ForwardClosedError(f"found over {max_bytes} bytes")
-        return bytes(body)
-
     async def _receive(self) -> ForwardMessage:
         message = await self._channel.receive()
         if isinstance(message, CallRefused):
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -129,6 +129,7 @@
 
     __slots__ = (
         "_announced_bytes",
+        "_body",
         "_connection",
         "_has_unsent_body",
         "_informational_bytes",
@@ -166,6 +167,8 @@
         self._informational_count = 0
         self._announced_bytes = 0
         """Length of the body as its head states it."""
+        self._body = bytearray()
+        """What `read_body` has read of the current body."""
         self.body_bytes = 0
         """Size of the current body as far as it was read."""
         self.body_work_bytes = 0
@@ -254,6 +257,7 @@
         self._method = method
         self._informational_bytes = 0
         self._informational_count = 0
+        self._body = bytearray()
         self.body_bytes = 0
         self.body_work_bytes = 0
         encoded = [
@@ -382,11 +386,10 @@
 
         BodyTooLargeError is raised before a larger body is read further, and if the
         body does not fit the sum that `message` counts for. What was read stays
-        counted there.
+        counted there. Loses nothing if it is cancelled and called again.
         """
         if self._announced_bytes > max_bytes:
             raise BodyTooLargeError(ByteBound.MESSAGE, self.body_bytes)
-        body = bytearray()
         while (data := await self.read_body_chunk()) is not None:
             is_over = self.body_bytes > max_bytes
             if is_over or self.body_work_bytes > max(max_bytes, _FREE_BYTES):
@@ -396,8 +399,9 @@
                     message.add(len(data))
                 except ByteBoundError as error:
                     raise BodyTooLargeError(error.bound, self.body_bytes) from error
-            body += data
-        return bytes(body)
+            self._body += data
+        body, self._body = bytes(self._body), bytearray()
+        return body
 
     async def wait_for_close(self) -> bool:
         """Wait for input outside a request; return whether it was a close."""
--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -20,6 +20,9 @@
 _GET: Final = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 _HEAD: Final = b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n"
 
+JOINED_BYTES: Final = 65_536
+"""Maximum size of a body that is sent in one write with its head."""
+
 
 class HttpRequest(msgspec.Struct, frozen=True):
     """A complete request; header names are lower case."""
@@ -124,7 +127,12 @@
         head = self._render_head(status, (*headers, ("Content-Length", str(len(body)))))
         data = self._render_chunk(body)
         tail = self._connection.send(h11.EndOfMessage()) or b""
-        await self._send_data(head + data + tail)
+        if len(data) <= JOINED_BYTES:
+            await self._send_data(head + data + tail)
+            return
+        # A joined copy of a large body would stay while the client reads it.
+        for part in (head, data, tail):
+            await self._send_data(part)
 
     async def refuse(self, refusal: Refuse, *, is_exact: bool) -> None:
         """Send a refusal; `is_exact`: see `render_refusal`."""
--- a/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import math
+from typing import Final
+
 import msgspec
+import trio
 
 from toucanyard.forwarded_calls import AnswerHead
 from toucanyard.relay_requests import ForwardOutcome, RelayForward
@@ -14,16 +18,30 @@
     Forwarder,
     ForwardFailedError,
 )
-from toucanyard_node.http_client import MAX_BODY_BYTES, ResponseHead
+from toucanyard_node.held_bytes import ByteBoundError, ReceivedBytes
+from toucanyard_node.http_client import ResponseHead
 from toucanyard_node.relay_attempt import RelayAttempt, RelayedCall
 from toucanyard_node.relay_log import log_forward_ended
 from toucanyard_node.relay_ports import CallCodec
 
+STREAM_IDLE_FACTOR: Final = 3.5
+"""Multiple of the route's longest gap after which a silent forward is hedged."""
+MIN_STREAM_IDLE_MS: Final = 1_300.0
+
 
 class PeerAttempt(RelayAttempt):
     """One forward of a call."""
 
-    __slots__ = ("_codec", "_forward", "_forwarder", "_splitter")
+    __slots__ = (
+        "_codec",
+        "_forward",
+        "_forwarder",
+        "_max_gap_ms",
+        "_message",
+        "_received",
+        "_sent_ms",
+        "_splitter",
+    )
 
     def __init__(
         self,
@@ -31,12 +49,20 @@
         forward: RelayForward,
         codec: CallCodec,
         forwarder: Forwarder,
+        max_gap_ms: int,
+        received: ReceivedBytes,
     ) -> None:
         super().__init__(call, forward.attempt)
         self._codec = codec
         self._forward = forward
         self._forwarder = forwarder
-        self._splitter = EventSplitter(call.last_event_id)
+        limits = received.limits
+        self._received = received
+        self._max_gap_ms = max_gap_ms
+        self._sent_ms = trio.current_time() * 1000
+        self._message = received.answers.open(forward.peer, limits.max_answer_bytes)
+        """What this attempt holds of its answer."""
+        self._splitter = EventSplitter(call.last_event_id, limits.max_event_bytes)
 
     @property
     def target(self) -> str:
@@ -54,7 +80,7 @@
                 self._forward, call.request, call.http, call.last_event_id
             ) as answer:
                 self.is_in_flight = True
-                await self._pass_on(answer)
+                await self._pass_on_bounded(answer)
         except ForwardFailedError as error:
             outcome = msgspec.structs.replace(
                 error.outcome,
@@ -64,6 +90,8 @@
             )
             self._record_ended(outcome.ending.value, 0, outcome.text)
             raise ForwardFailedError(outcome) from error
+        finally:
+            self._message.release()
 
     def build_cancelled(self) -> ForwardOutcome:
         """Return the outcome of a forward that is cancelled."""
@@ -75,12 +103,21 @@
             ending = DispatchEnding.CANCELLED.value
         self._record_ended(ending, 0)
 
+    async def _pass_on_bounded(self, answer: ForwardedAnswer) -> None:
+        try:
+            await self._pass_on(answer)
+        except ByteBoundError as error:
+            self._record_over_bound(error.bound, error.received_bytes, self._sent_ms)
+            raise ForwardClosedError(str(error)) from error
+
     async def _pass_on(self, answer: ForwardedAnswer) -> None:
         call = self._call
-        head = await self._wait(answer.read_head, self._forward.patience_ms)
+        self._patience.restart(self._forward.patience_ms)
+        head = await self._patience.wait(answer.read_head)
+        self._patience.restart(self._forward.patience_ms)
         self._report_statement(head)
         if not head.is_stream:
-            body = await answer.read_body(MAX_BODY_BYTES)
+            body = await self._read_whole(answer)
             if call.has_begun:
                 # A stream cannot be resumed with an answer that is not a stream.
                 raise ForwardClosedError("no stream")
@@ -90,16 +127,23 @@
             return
         if not call.has_begun and not call.request.is_resumable:
             await call.start(self, head.status, head.fields, head.origin)
-        while (part := await answer.read_part()) is not None:
-            events = self._splitter.push(part)
-            if events:
-                if not call.has_begun:
-                    call.origin = head.origin
-                    await call.start(self, head.status, head.fields, head.origin)
-                await call.write(self, events, self._splitter.last_id, head.origin)
+        while (part := await self._patience.wait(answer.read_part)) is not None:
+            events = self._split(part)
+            if not events:
+                continue
+            if not self._splitter.has_event:
+                await self._pass_on_comments(events)
+                continue
+            if not call.has_begun:
+                call.origin = head.origin
+                await call.start(self, head.status, head.fields, head.origin)
+            events = self._take_comments() + events
+            await call.write(self, events, self._splitter.last_id, head.origin)
+            self._patience.restart(self._compute_idle_timeout())
         if not call.has_begun:
             await call.start(self, head.status, head.fields, head.origin)
         await call.claim(self)
+        await call.write_comments(self, self._take_comments())
         self._complete(head.status)
         await call.finish()
 
@@ -113,6 +157,34 @@
         facts = self._codec.read_answer(ResponseHead(head.status, headers, head.fields))
         self._call.client.report_statement(head.replica, facts.statement)
 
+    async def _read_whole(self, answer: ForwardedAnswer) -> bytes:
+        body = bytearray()
+        while (part := await self._patience.wait(answer.read_part)) is not None:
+            self._message.add(len(part))
+            body += part
+        return bytes(body)
+
+    def _split(self, part: bytes) -> bytes:
+        """Return the events and comments that a part of a stream completes."""
+        events = self._splitter.push(part)
+        held_bytes = self._splitter.partial_bytes
+        if not self._splitter.has_event:
+            held_bytes += len(self._comments) + len(events)
+        if held_bytes != self._message.size_bytes:
+            self._message.release()
+            self._message.add(held_bytes)
+        return events
+
+    def _compute_idle_timeout(self) -> float:
+        """Return the idle time after which a stream is hedged, in ms.
+
+        The peer hedges it earlier, at another replica.
+        """
+        patience_ms = self._forward.patience_ms
+        if math.isinf(patience_ms):
+            return patience_ms
+        return max(self._max_gap_ms * STREAM_IDLE_FACTOR, MIN_STREAM_IDLE_MS)
+
     def _complete(self, status: int) -> None:
         self._call.complete(self._build_outcome(DispatchEnding.COMPLETED))
         self._record_ended(DispatchEnding.COMPLETED.value, status)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
@@ -25,37 +25,72 @@
 from toucanyard.requests import PROVEN_NOT_RUN
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.buffered_answer import BufferedAnswer
+from toucanyard_node.held_bytes import ByteBound, ByteBoundError, HeldMessage
 from toucanyard_node.http_client import Headers
 from toucanyard_node.http_exchange import CallResponder, HttpRequest
-from toucanyard_node.relay_log import log_continued, log_silent
+from toucanyard_node.relay_log import (
+    log_answer_over_bound,
+    log_continued,
+    log_silent,
+)
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_task import RelayClient
 
 T = TypeVar("T")
 
 
-async def wait_patiently(
-    read: Callable[[], Awaitable[T]], timeout_ms: float, on_silent: Callable[[], None]
-) -> T:
-    """Await `read`, calling `on_silent` each time that a timeout passes.
+class Patience:
+    """Reports a silence each time that a timeout passes without progress.
 
-    `read` must lose nothing if it is cancelled and called again.
+    The time goes on over any number of reads until `restart` is called, so that bytes
+    alone are no progress.
     """
-    if math.isinf(timeout_ms):
-        return await read()
-    while True:
-        with trio.move_on_after(timeout_ms / 1000):
-            return await read()
-        on_silent()
+
+    __slots__ = ("_due_ms", "_on_silent", "_timeout_ms")
+
+    def __init__(self, on_silent: Callable[[float], None]) -> None:
+        self._on_silent = on_silent
+        self._timeout_ms = math.inf
+        self._due_ms = math.inf
+
+    def restart(self, timeout_ms: float) -> None:
+        """Start anew, as part of the answer has come or is asked for now."""
+        self._timeout_ms = timeout_ms
+        self._due_ms = trio.current_time() * 1000 + timeout_ms
+
+    async def wait(self, read: Callable[[], Awaitable[T]]) -> T:
+        """Await `read`, which must lose nothing if it is cancelled and called again."""
+        # Where input is always ready no deadline cancels a read.
+        is_due = trio.current_time() * 1000 >= self._due_ms
+        while True:
+            if is_due:
+                self.restart(self._timeout_ms)
+                self._on_silent(self._timeout_ms)
+            with trio.CancelScope(deadline=self._due_ms / 1000):
+                return await read()
+            is_due = True
 
 
 class RelayAttempt(abc.ABC):
     """One attempt of a call, at a replica or through a peer."""
 
-    __slots__ = ("_call", "is_in_flight", "number", "scope", "silent_since_ms")
+    __slots__ = (
+        "_call",
+        "_comments",
+        "_patience",
+        "is_in_flight",
+        "number",
+        "scope",
+        "silent_since_ms",
+    )
 
     def __init__(self, call: RelayedCall, number: int) -> None:
         self._call = call
+        self._comments = b""
+        """Comments of a stream that are sent with its next event."""
+        self._patience = Patience(
+            lambda timeout_ms: call.report_silent(self, timeout_ms)
+        )
         self.number = number
         self.scope = trio.CancelScope()
         self.is_in_flight = False
@@ -71,10 +106,28 @@
     async def run(self) -> None:
         """Send the call and its answer; raise what ended the attempt before."""
 
-    async def _wait(self, read: Callable[[], Awaitable[T]], timeout_ms: float) -> T:
-        """Await `read`; report the attempt as silent after each timeout."""
-        return await wait_patiently(
-            read, timeout_ms, lambda: self._call.report_silent(self, timeout_ms)
+    async def _pass_on_comments(self, comments: bytes) -> None:
+        """Send comments on now, or keep them if this attempt may not continue alone."""
+        if not await self._call.write_comments(self, comments):
+            self._comments += comments
+
+    def _take_comments(self) -> bytes:
+        """Return and clear the comments that were kept."""
+        comments, self._comments = self._comments, b""
+        return comments
+
+    def _record_over_bound(
+        self, bound: ByteBound, received_bytes: int, begun_ms: float
+    ) -> None:
+        """Log and count that the answer exceeds a bound."""
+        self._call.metrics.record_over_bound(bound.value)
+        log_answer_over_bound(
+            self._call.request,
+            self.number,
+            self.target,
+            bound.value,
+            received_bytes,
+            trio.current_time() * 1000 - begun_ms,
         )
 
     @abc.abstractmethod
@@ -96,6 +149,7 @@
     __slots__ = (
         "_client",
         "_continued_silence",
+        "_error_message",
         "_first_ms",
         "_metrics",
         "_responder",
@@ -126,6 +180,7 @@
         self._continued_silence = 0
         """Number of the latest silence after which an attempt has continued."""
         self._first_ms: float | None = None
+        self._error_message: HeldMessage | None = None
         self.http = http
         self.request = request
         self.attempts: list[RelayAttempt] = []
@@ -231,6 +286,24 @@
             self.may_have_run = True
         self._client.report(outcome)
 
+    def keep_error(self, answer: BufferedAnswer, message: HeldMessage) -> None:
+        """Keep an error response for the case that there is no answer.
+
+        Its body is dropped if it does not fit what the node may hold.
+        """
+        self.release_error()
+        self._error_message = message
+        try:
+            message.add(len(answer.body))
+        except ByteBoundError:
+            answer = BufferedAnswer(answer.status, answer.headers, b"", answer.replica)
+        self.buffered_answer = answer
+
+    def release_error(self) -> None:
+        """Count an error response that was kept as no longer held."""
+        if self._error_message is not None:
+            self._error_message.release()
+
     def complete(self, outcome: RelayOutcome | ForwardOutcome) -> None:
         """Report that an attempt, which has claimed the answer, is complete."""
         self.is_over = True
@@ -276,6 +349,17 @@
             self._client.report_first_event(self.request.request_id, origin)
         await self._responder.write(events)
 
+    async def write_comments(self, attempt: RelayAttempt, comments: bytes) -> bool:
+        """Send comments of a stream unless another attempt may continue it.
+
+        Comments are no part of the answer: they claim nothing.
+        """
+        is_alone = self.attempts == [attempt] and attempt.silent_since_ms is None
+        if not (self.has_begun and is_alone):
+            return False
+        await self._responder.write(comments)
+        return True
+
     async def finish(self) -> None:
         """End a streamed answer."""
         await self._responder.finish()
--- a/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_exchange.py
@@ -22,6 +22,7 @@
 from toucanyard.requests import Refuse
 from toucanyard_node.buffered_answer import AnswerLostError
 from toucanyard_node.forward_exchange import Forwarder, ForwardFailedError
+from toucanyard_node.held_bytes import ReceivedBytes
 from toucanyard_node.http_exchange import CallResponder, HttpRequest
 from toucanyard_node.peer_attempt import PeerAttempt
 from toucanyard_node.relay_attempt import RelayAttempt, RelayedCall
@@ -52,7 +53,9 @@
         max_gap_ms: int,
         metrics: RelayMetrics,
         connections: ReplicaConnections,
+        received: ReceivedBytes,
     ) -> None:
+        self._received = received
         self._client = client
         self._codec = codec
         self._connections = connections
@@ -84,6 +87,7 @@
             await self._handle_deadline()
         finally:
             self._call.cancel()
+            self._call.release_error()
 
     def end(self) -> None:
         """End the call as its deadline does, because the node ends."""
@@ -118,9 +122,17 @@
                     self._codec,
                     self._connections,
                     self._max_gap_ms,
+                    self._received,
                 )
             case RelayForward():
-                return PeerAttempt(self._call, verdict, self._codec, self._forwarder)
+                return PeerAttempt(
+                    self._call,
+                    verdict,
+                    self._codec,
+                    self._forwarder,
+                    self._max_gap_ms,
+                    self._received,
+                )
 
     async def _perform(self, attempt: RelayAttempt, nursery: trio.Nursery) -> None:
         try:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_log.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_log.py
@@ -217,6 +217,27 @@
     )
 
 
+def log_answer_over_bound(
+    request: RelayRequest,
+    attempt: int,
+    target: str,
+    bound: str,
+    received_bytes: int,
+    after_ms: float,
+) -> None:
+    """Log that an answer exceeds a bound on received bytes and is given up."""
+    _LOG.warning(
+        "answer_over_bound",
+        call=request.request_id,
+        attempt=attempt,
+        target=target,
+        bound=bound,
+        received_bytes=received_bytes,
+        after_ms=round(after_ms),
+        route=request.route,
+    )
+
+
 def _format_blocks(request: RelayRequest) -> str | None:
     """Return the names of the prompt blocks that other calls may share."""
     if request.prompt is None:
--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -51,6 +51,7 @@
     """Metrics of one node since it started. Invariant: totals only increase."""
 
     __slots__ = (
+        "_broken_bounds",
         "_endings",
         "_first_ms",
         "_forwards",
@@ -64,6 +65,7 @@
         self._endings: Counter[tuple[Group, str]] = Counter()
         self._refusals: Counter[str] = Counter()
         self._forwards: Counter[str] = Counter()
+        self._broken_bounds: Counter[str] = Counter()
         self.closings = Closings()
         """Whole requests whose connections ended without a status."""
         self._first_ms: dict[Group, HdrHistogram] = {}
@@ -90,6 +92,10 @@
         """Count a call that was forwarded to a peer, by how that ended."""
         self._forwards[ending] += 1
 
+    def record_over_bound(self, bound: str) -> None:
+        """Count an answer that was given up since it exceeds a bound."""
+        self._broken_bounds[bound] += 1
+
     def record_refusal(self, kind: ErrorKind) -> None:
         """Count a refusal."""
         self._refusals[kind.value] += 1
@@ -137,6 +143,8 @@
             yield _format("refusals_total", count, kind=kind)
         for ending, count in sorted(self._forwards.items()):
             yield _format("forwards_total", count, ending=ending)
+        for bound, count in sorted(self._broken_bounds.items()):
+            yield _format("answers_over_bound_total", count, bound=bound)
         for reason, count in sorted(self.closings.counts.items()):
             yield _format("closed_without_status_total", count, reason=reason)
         yield from _render_histograms("first_part_ms", self._first_ms)
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -137,6 +137,7 @@
             self.metrics,
             rng,
             self.connections,
+            received,
         )
         self.forward_server = ForwardServer(
             self._relay_server.handle_forwarded,
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -24,6 +24,7 @@
     choose_service,
 )
 from toucanyard_node.forward_exchange import Forwarder
+from toucanyard_node.held_bytes import ReceivedBytes
 from toucanyard_node.http_exchange import CallResponder, HttpRequest, Responder
 from toucanyard_node.relay_exchange import RelayExchange
 from toucanyard_node.relay_log import log_resumed
@@ -34,6 +35,8 @@
 
 NO_ROUTES_RETRY_MS: Final = 300
 """Retry delay while a node starts; it has read its routes by then."""
+NO_MEMORY_RETRY_MS: Final = 300
+"""Retry delay while the answers of other calls take up the memory for them."""
 MAX_RANK: Final = 9
 _LOG: Final = structlog.get_logger()
 
@@ -50,6 +53,7 @@
         "_is_stopping",
         "_metrics",
         "_numbers",
+        "_received",
         "_rng",
         "_running",
     )
@@ -64,7 +68,9 @@
         metrics: RelayMetrics,
         rng: random.Random,
         connections: ReplicaConnections,
+        received: ReceivedBytes,
     ) -> None:
+        self._received = received
         self._connections = connections
         self._metrics = metrics
         self._client = client
@@ -144,6 +150,9 @@
             # node has not read any routes and keys yet.
             text = "no routes are known yet"
             raise RouterError(ErrorKind.NO_CONFIGURATION, text, NO_ROUTES_RETRY_MS)
+        if not self._received.answers.has_room():
+            text = "there is no memory for another answer"
+            raise RouterError(ErrorKind.TOO_MANY_CALLS, text, NO_MEMORY_RETRY_MS)
         path = http.target.partition("?")[0]
         route = index.find_route(http.headers.get("host", ""), path)
         if route is None:
@@ -195,6 +204,7 @@
             route.max_gap_ms,
             self._metrics,
             self._connections,
+            self._received,
         )
 
     async def _reject(
--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -17,10 +17,13 @@
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.buffered_answer import AnswerLostError, BufferedAnswer
 from toucanyard_node.event_splitter import EventSplitter
+from toucanyard_node.held_bytes import ByteBound, ByteBoundError, ReceivedBytes
 from toucanyard_node.http_client import (
+    BodyTooLargeError,
     ConnectionFailedError,
     HttpConnection,
     ResponseHead,
+    ResponseTooLargeError,
     connect,
 )
 from toucanyard_node.relay_attempt import RelayAttempt, RelayedCall
@@ -31,6 +34,8 @@
 STREAM_IDLE_FACTOR: Final = 2.5
 """Multiple of the route's longest gap after which a silent stream is hedged."""
 MIN_STREAM_IDLE_MS: Final = 900.0
+ERROR_BODY_MS: Final = 300.0
+"""How long the body of an error response may delay the retry of its call."""
 MISDIRECTED: Final = 421
 FIRST_ERROR: Final = 400
 SERVER_ERROR: Final = 500
@@ -50,7 +55,11 @@
         "_dispatch",
         "_kept_head",
         "_max_gap_ms",
+        "_message",
+        "_received",
+        "_sent_ms",
         "_splitter",
+        "_work_bytes",
         "_writing_since_ms",
     )
 
@@ -61,15 +70,22 @@
         codec: CallCodec,
         connections: ReplicaConnections,
         max_gap_ms: int,
+        received: ReceivedBytes,
     ) -> None:
         super().__init__(call, dispatch.attempt)
+        self._received = received
+        limits = received.limits
+        self._message = received.answers.open(dispatch.replica, limits.max_answer_bytes)
+        """What this attempt holds of its answer."""
+        self._sent_ms = trio.current_time() * 1000
         self._codec = codec
         self._connections = connections
         self._dispatch = dispatch
         self._max_gap_ms = max_gap_ms
-        self._splitter = EventSplitter(call.last_event_id)
+        self._splitter = EventSplitter(call.last_event_id, limits.max_event_bytes)
         self._kept_head: ResponseHead | None = None
         """Head of the answer after which the connection is kept."""
+        self._work_bytes = 0
         self._writing_since_ms: float | None = None
         """When the first event of this dispatch arrived."""
 
@@ -114,10 +130,12 @@
     async def _use(self, connection: HttpConnection, *, is_kept: bool = False) -> None:
         """Perform the dispatch on a connection, then keep or close that."""
         self._kept_head = None
+        self._sent_ms = trio.current_time() * 1000
         try:
             self._check_withdrawn()
             await self._exchange(connection, is_kept=is_kept)
         finally:
+            self._message.release()
             if self._kept_head is not None:
                 self._connections.put(
                     self._dispatch.replica, connection, self._kept_head
@@ -148,13 +166,11 @@
         if is_stream and head.status < SERVER_ERROR:
             await self._relay_stream(connection, head, facts)
             return
+        if head.status >= SERVER_ERROR:
+            raise await self._read_error(connection, head, facts)
         body = await self._read_whole(connection)
         headers = self._codec.filter_answer(head)
         answer = BufferedAnswer(head.status, headers, body, dispatch.replica)
-        if head.status >= SERVER_ERROR:
-            self._call.buffered_answer = answer
-            text = f"status {head.status}"
-            raise self._build_failure(DispatchEnding.FAILED, text, facts)
         if self._call.has_begun:
             # A stream cannot be resumed with an answer that is not a stream.
             raise self._build_failure(DispatchEnding.LOST, "no stream", facts)
@@ -176,19 +192,22 @@
         if http.body or http.method not in ("GET", "HEAD", "DELETE"):
             headers = (*headers, ("Content-Length", str(len(http.body))))
         self.is_in_flight = True
+        self._patience.restart(self._dispatch.patience_ms)
         try:
-            return await connection.send_and_read_head(
+            head = await connection.send_and_read_head(
                 http.method,
                 http.target,
                 headers,
                 http.body,
-                lambda: self._wait(connection.read_head, self._dispatch.patience_ms),
+                lambda: self._patience.wait(connection.read_head),
             )
         except ConnectionFailedError as error:
             if is_kept and not error.is_sent:
                 raise KeptConnectionClosedError(str(error)) from error
             ending = DispatchEnding.LOST if error.is_sent else DispatchEnding.NOT_SENT
             raise self._build_failure(ending, str(error), cause=error) from error
+        self._patience.restart(self._dispatch.patience_ms)
+        return head
 
     def _check_answer(self, head: ResponseHead, facts: AnswerFacts) -> None:
         """Raise AnswerLostError for an answer that must not be forwarded."""
@@ -227,9 +246,40 @@
             )
         )
 
+    async def _read_error(
+        self, connection: HttpConnection, head: ResponseHead, facts: AnswerFacts
+    ) -> AnswerLostError:
+        """Keep an error response, whose status says enough; return the failure."""
+        body = b""
+        text = f"status {head.status}"
+        cause: ConnectionFailedError | None = None
+        limits = self._received.limits
+        with trio.move_on_after(ERROR_BODY_MS / 1000) as scope:
+            try:
+                body = await connection.read_body(limits.max_error_bytes, self._message)
+            except ResponseTooLargeError as error:
+                cause = error
+                text += f", {error}"
+            except ConnectionFailedError as error:
+                return self._build_failure(
+                    DispatchEnding.LOST, str(error), facts, cause=error
+                )
+        if scope.cancelled_caught:
+            text += ", no end of its body in time"
+        headers = self._codec.filter_answer(head)
+        self._message.release()
+        self._call.keep_error(
+            BufferedAnswer(head.status, headers, body, self._dispatch.replica),
+            self._received.answers.open(self.target, limits.max_error_bytes),
+        )
+        return self._build_failure(DispatchEnding.FAILED, text, facts, cause=cause)
+
     async def _read_whole(self, connection: HttpConnection) -> bytes:
+        max_bytes = self._received.limits.max_answer_bytes
         try:
-            return await connection.read_body()
+            return await self._patience.wait(
+                lambda: connection.read_body(max_bytes, self._message)
+            )
         except ConnectionFailedError as error:
             raise self._build_failure(
                 DispatchEnding.LOST, str(error), cause=error
@@ -245,19 +295,25 @@
             chunk = await self._read_stream_chunk(connection, facts)
             if chunk is None:
                 break
-            events = self._splitter.push(chunk)
+            events = self._split(connection, chunk, facts)
             if not events:
                 continue
+            if not self._splitter.has_event:
+                await self._pass_on_comments(events)
+                continue
             if self._writing_since_ms is None:
                 self._writing_since_ms = trio.current_time() * 1000
             if not call.has_begun:
                 await self._start_answer(head)
+            events = self._take_comments() + events
             await call.write(self, events, self._splitter.last_id)
+            self._patience.restart(self._compute_idle_timeout())
         has_events = self._writing_since_ms is not None
         self._check_stream_end(head, facts, has_events=has_events)
         if not call.has_begun:
             await self._start_answer(head)
         await call.claim(self)
+        await call.write_comments(self, self._take_comments())
         self._complete(facts, head, connection, is_inconclusive=not has_events)
         await call.finish()
 
@@ -289,14 +345,37 @@
         self, connection: HttpConnection, facts: AnswerFacts
     ) -> bytes | None:
         try:
-            return await self._wait(
-                connection.read_body_chunk, self._compute_idle_timeout()
-            )
+            return await self._patience.wait(connection.read_body_chunk)
         except ConnectionFailedError as error:
             raise self._build_failure(
                 DispatchEnding.LOST, str(error), facts, cause=error
             ) from error
 
+    def _split(
+        self, connection: HttpConnection, chunk: bytes, facts: AnswerFacts
+    ) -> bytes:
+        """Return the events and comments that a part of a stream completes."""
+        work_bytes = connection.body_work_bytes - self._work_bytes
+        self._work_bytes = connection.body_work_bytes
+        try:
+            events = self._splitter.push(chunk, work_bytes)
+            comment_bytes = 0
+            if not self._splitter.has_event:
+                comment_bytes = len(self._comments) + len(events)
+            self._hold(self._splitter.partial_bytes + comment_bytes)
+        except ByteBoundError as error:
+            cause = BodyTooLargeError(error.bound, error.received_bytes)
+            raise self._build_failure(
+                DispatchEnding.LOST, str(cause), facts, cause=cause
+            ) from error
+        return events
+
+    def _hold(self, size_bytes: int) -> None:
+        """Count what is held of a stream, or raise ByteBoundError."""
+        if size_bytes != self._message.size_bytes:
+            self._message.release()
+            self._message.add(size_bytes)
+
     def _compute_idle_timeout(self) -> float:
         """Return the idle time after which a stream is hedged elsewhere, in ms."""
         patience_ms = self._dispatch.patience_ms
@@ -322,6 +401,8 @@
             is_closed=outcome.is_closed or is_closed,
         )
         self._record_ended(ending.value, 0, text, is_closed=outcome.is_closed)
+        if isinstance(cause, ResponseTooLargeError):
+            self._record_over_bound(cause.bound, cause.received_bytes, self._sent_ms)
         return AnswerLostError(outcome)
 
     def _build_outcome(
@@ -333,6 +414,7 @@
         cause: ConnectionFailedError | None = None,
         is_dead: bool = False,
     ) -> RelayOutcome:
+        bound = cause.bound if isinstance(cause, ResponseTooLargeError) else None
         wrote_ms = None
         if self._writing_since_ms is not None:
             wrote_ms = trio.current_time() * 1000 - self._writing_since_ms
@@ -346,6 +428,8 @@
             is_closed=cause is not None and cause.is_closed,
             has_begun=self._call.has_begun,
             weights_version=None if facts is None else facts.weights_version,
+            broken_bound="" if bound is None else bound.value,
+            is_shared_bound=bound is ByteBound.SUM,
             wrote_ms=wrote_ms,
             attempt=self.number,
         )
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -78,7 +78,10 @@
         self._reach.record_outcome(known.replica, outcome, pending.sent_ms, now_ms)
         if prompt is not None and outcome.weights_version is not None:
             self._record_weights(known, prompt.model, outcome.weights_version)
-        self._apply_ending(known, pending, outcome, now_ms)
+        if not outcome.broken_bound:
+            self._apply_ending(known, pending, outcome, now_ms)
+        elif not outcome.is_shared_bound:
+            known.record_broken_bound(now_ms)
 
     def apply_silent(self, pending: PendingCall, now_ms: float) -> None:
         """Apply that the replica of a call has sent nothing for some time.
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -248,5 +248,9 @@
     """Part of the response has reached the caller."""
     weights_version: int | None = None
     """Weights version that the response names."""
+    broken_bound: str = ""
+    """The bound on received bytes that the response exceeded."""
+    is_shared_bound: bool = False
+    """That bound counts the responses of other replicas as well."""
     attempt: int = 0
     """Number of the attempt; 0 for the current one."""
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -64,6 +64,8 @@
 """How long a replica that closed a connection may have restarted without this node's
 knowledge; its entry is read by then."""
 FAILURE_HALF_LIFE_MS: Final = 3_000.0
+MAX_BOUND_WEIGHT: Final = 8
+"""Maximum number of failures that one answer without end counts as."""
 """Half-life of the weight of a failure."""
 
 
@@ -110,6 +112,7 @@
 
     __slots__ = (
         "_backoff_ms",
+        "_broken_bounds",
         "_failures",
         "_failures_ms",
         "_doubted_until_ms",
@@ -151,6 +154,8 @@
         self._probed_ms = float("-inf")
         self._failures = 0.0
         self._failures_ms = float("-inf")
+        self._broken_bounds = 0
+        """Answers that exceeded a bound since the last sound one."""
         self._doubted_until_ms = float("-inf")
         """Until when it may have restarted with another software version."""
 
@@ -247,6 +252,13 @@
             self.backoff_until_ms = now_ms + self._backoff_ms
             self._unreached_ms = min(self._unreached_ms, now_ms)
 
+    def record_broken_bound(self, now_ms: float) -> None:
+        """Record an answer without end; each further one counts twice as much."""
+        weight = min(2**self._broken_bounds, MAX_BOUND_WEIGHT)
+        self._broken_bounds += 1
+        self._failures = self.compute_failures(now_ms) + weight
+        self._failures_ms = now_ms
+
     def record_possible_restart(self, now_ms: float) -> None:
         """Record that its process may have ended and started again under its id."""
         if self.replica.born_ms is not None:
@@ -285,6 +297,7 @@
 
     def record_success(self) -> None:
         """Record an answer."""
+        self._broken_bounds = 0
         self._backoff_ms = 0.0
         self._unreached_ms = float("inf")
         self.backoff_until_ms = float("-inf")
--- a/packages/toucanyard/src/toucanyard/request_guard.py
+++ b/packages/toucanyard/src/toucanyard/request_guard.py
@@ -129,7 +129,10 @@
         sent_ms, begun_ms = pending.sent_ms, pending.begun_ms
         if outcome.wrote_ms is not None:
             begun_ms = now_ms - outcome.wrote_ms
-        if outcome.ending is DispatchEnding.COMPLETED and outcome.is_inconclusive:
+        if outcome.broken_bound:
+            # What a replica sends without end shows that it runs, whatever its call.
+            self.detector.mark_alive(outcome.replica, sent_ms)
+        elif outcome.ending is DispatchEnding.COMPLETED and outcome.is_inconclusive:
             self.detector.mark_alive(outcome.replica, sent_ms)
         elif outcome.ending is DispatchEnding.COMPLETED:
             call = AnsweredCall(outcome.replica, traits, sent_ms, now_ms, begun_ms)
--- a/tests/toucanyard_node/relay_harness.py
+++ b/tests/toucanyard_node/relay_harness.py
@@ -39,6 +39,7 @@
     Split,
 )
 from toucanyard_node.forward_exchange import Forwarder
+from toucanyard_node.held_bytes import ReceivedBytes
 from toucanyard_node.http_client import Headers, ResponseHead
 from toucanyard_node.http_exchange import HttpRequest
 from toucanyard_node.http_server import HttpServer, ServerLimits, find_port
@@ -305,6 +306,7 @@
         self.metrics = RelayMetrics()
         self.task = RelayTask(self.core, messages, jobs, self.metrics)
         self.is_stopping = False
+        self.received = ReceivedBytes(options.bytes_received)
         self.relay_server = RelayServer(
             self.task.client,
             PlainCallCodec(),
@@ -314,6 +316,7 @@
             self.metrics,
             rng,
             self.connections,
+            self.received,
         )
         limits = ServerLimits(is_pipelined=False)
         self.server = HttpServer(self.relay_server.handle, limits)
--- a/tests/toucanyard_node/test_call_forwarding.py
+++ b/tests/toucanyard_node/test_call_forwarding.py
@@ -485,6 +485,31 @@
         assert [peer.server.received for peer in peers] == [1, 1]
 
 
+async def test_peer_that_is_silent_after_the_head_is_hedged_by_another() -> None:
+    """Guards against a begun stream that waits for its deadline at a silent peer."""
+    events = [build_event(number) for number in range(1, 5)]
+    scripts = [
+        stream_events(*events[:2], hold_s=HANG_S),
+        stream_events(*events[2:]),
+    ]
+
+    async def run_next(stream: trio.SocketStream, call: bytes) -> None:
+        await scripts.pop(0)(stream, call)
+
+    route: dict[str, Any] = {**STREAM, **LONG, "target_ms": 150}
+    nodes = [build_node([run_next], **route) for _ in "bc"]
+    async with start_harness(nodes[0]), start_harness(nodes[1]):
+        peers = [
+            ForwardPeer(name, node) for name, node in zip("bc", nodes, strict=True)
+        ]
+        async with open_cut_off_node(peers, **route) as harness:
+            with trio.fail_after(HANG_S / 2):
+                received = await harness.call(build_call())
+        assert join_chunks(received) == (b"".join(events), True)
+        calls = [call for node in nodes for call in node.replicas[0].calls]
+    assert sorted(find_header(call, b"x-last") for call in calls) == [b"", b"2"]
+
+
 async def test_leave_stated_in_a_forwarded_answer_is_heeded_by_the_first_node() -> None:
     """Guards against calls to a leaving replica by a node that is no more cut off."""
     leaving = answer(200, b"whole", SIGNED + b"X-Leaving: 1\r\n")
--- a/tests/toucanyard_node/test_relay_attempt.py
+++ b/tests/toucanyard_node/test_relay_attempt.py
@@ -10,7 +10,7 @@
 from toucanyard.names import CustomerName, RequestId
 from toucanyard.relay_requests import RelayOutcome, RelayRequest
 from toucanyard.requests import Repeatability
-from toucanyard_node.relay_attempt import RelayAttempt, RelayedCall, wait_patiently
+from toucanyard_node.relay_attempt import Patience, RelayAttempt, RelayedCall
 
 from .relay_harness import SERVICE, RelayHarness, ScriptedReplica, answer
 
@@ -106,10 +106,8 @@
     begun_s = trio.current_time()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(send_late)
-        found = await wait_patiently(
-            receive.receive,
-            1_000.0,
-            lambda: silences.append(trio.current_time() - begun_s),
-        )
+        patience = Patience(lambda _: silences.append(trio.current_time() - begun_s))
+        patience.restart(1_000.0)
+        found = await patience.wait(receive.receive)
     assert found == 7
     assert silences == pytest.approx([1.0, 2.0])
