--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -17,6 +17,7 @@
 from toucanyard_node.socket_io import send
 
 Headers = tuple[tuple[str, str], ...]
+_MAX_COPIED_BYTES: Final = 65_536
 _GET: Final = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 _HEAD: Final = b"HEAD / HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -116,11 +117,16 @@
         self.is_closing = False
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response in one write."""
+        """Send a complete response; a small one in one write, a large one uncopied."""
         head = self._render_head(status, (*headers, ("Content-Length", str(len(body)))))
         data = self._render_chunk(body)
         tail = self._connection.send(h11.EndOfMessage()) or b""
-        await self._send_data(head + data + tail)
+        if len(data) <= _MAX_COPIED_BYTES:
+            await self._send_data(head + data + tail)
+            return
+        for part in (head, data, tail):
+            if part:
+                await self._send_data(part)
 
     async def refuse(self, refusal: Refuse, *, is_exact: bool) -> None:
         """Send a refusal; `is_exact`: see `render_refusal`."""
