Check in the soak that no whole request ends without a status

The soak did not tell a request that nobody answered from one that was cut: both had no status. A call that was sent whole and whose connection ended without a head is a problem now, unless its node was killed in that time; a planned stop is no excuse.

Also bounds the bodies of callers' requests in sum (`max_held_request_bytes`, from reading until the end of the call), in parts (1,000 and one for each 256 bytes of the largest body, with a turn for other tasks after each 64), and keeps no second copy of a body with its head or of a large response. The readiness, locator and metrics servers take bodies of 16 KB.

Before: no check and no bound.

--- a/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_exchange.py
@@ -123,7 +123,7 @@
         self.is_closing = False
 
     async def send(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response in one write."""
+        """Send a complete response; a small one in one write, a large one uncopied."""
         head = self._render_head(status, (*headers, ("Content-Length", str(len(body)))))
         data = self._render_chunk(body)
         tail = self._connection.send(h11.EndOfMessage()) or b""
@@ -132,7 +132,8 @@
             return
         # A joined copy of a large body would stay while the client reads it.
         for part in (head, data, tail):
-            await self._send_data(part)
+            if part:
+                await self._send_data(part)
 
     async def refuse(self, refusal: Refuse, *, is_exact: bool) -> None:
         """Send a refusal; `is_exact`: see `render_refusal`."""
--- a/packages/toucanyard-node/src/toucanyard_node/http_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_server.py
@@ -8,6 +8,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from itertools import count
 from typing import Final
 
 import h11
@@ -19,6 +20,12 @@
 from toucanyard.names import RequestId
 from toucanyard.requests import Refuse
 from toucanyard_node.closings import CloseReason, Closings, OpenRequest
+from toucanyard_node.held_bytes import (
+    ByteBound,
+    ByteBoundError,
+    HeldBytes,
+    HeldMessage,
+)
 from toucanyard_node.http_exchange import (
     CallerGoneError,
     HttpRequest,
@@ -32,7 +39,12 @@
 _LOG: Final = structlog.get_logger()
 _READ_BYTES: Final = 65_536
 _USER_TIMEOUT: Final[int | None] = getattr(socket, "TCP_USER_TIMEOUT", None)
-_RETRY_AFTER_MS: Final = 1_000
+_UNBOUNDED: Final = 2**62
+_MIN_PARTS: Final = 1_000
+"""Parts that a body of any size may come in."""
+_MIN_MEAN_PART_BYTES: Final = 256
+"""Mean size of further parts; each costs a parser call, however small it is."""
+_PARTS_PER_TURN: Final = 64
 _STOPPING_IDLE_TIMEOUT_MS: Final = 20
 """How long a stopping server still waits for a request on an open connection."""
 _CONNECT_METHOD: Final = b"CONNECT"
@@ -50,6 +62,10 @@
     """How long the client may accept no data of a pending response."""
     is_pipelined: bool = True
     """Whether a client may send a request before the previous response."""
+    busy_retry_ms: int = 1_000
+    """When a client that is refused for lack of room should return."""
+    has_exact_retry: bool = False
+    """Whether clients parse fractions of a second in Retry-After."""
 
 
 class Rejection(msgspec.Struct, frozen=True):
@@ -69,9 +85,11 @@
     __slots__ = (
         "_accept_scope",
         "_handler",
+        "_held",
         "_idle_scopes",
         "_is_stopping",
         "_limits",
+        "_numbers",
         "_open_connections",
         "_stopped",
         "closings",
@@ -82,8 +100,12 @@
         handler: Handler,
         limits: ServerLimits,
         closings: Closings | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
+        """`held` counts the bodies that are being read or served."""
         self._handler = handler
+        self._held = held or HeldBytes(_UNBOUNDED)
+        self._numbers = count(1)
         self.closings = closings or Closings()
         self._limits = limits
         self._open_connections = 0
@@ -161,15 +183,25 @@
             await self._reject(connection, stream, rejection)
             return
         is_first = True
-        while await self._serve_one(connection, stream, is_first):
+        sender = str(next(self._numbers))
+        may_continue = True
+        while may_continue:
+            with self._held.open(sender, _UNBOUNDED) as message:
+                may_continue = await self._serve_one(
+                    connection, stream, is_first, message
+                )
             is_first = False
 
     async def _serve_one(
-        self, connection: h11.Connection, stream: trio.SocketStream, is_first: bool
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        is_first: bool,
+        message: HeldMessage,
     ) -> bool:
         """Serve one request; return whether another may follow."""
         try:
-            request = await self._read_request(connection, stream, is_first)
+            request = await self._read_request(connection, stream, is_first, message)
         except h11.RemoteProtocolError:
             request = Rejection(ErrorKind.BAD_REQUEST)
         if request is None:
@@ -243,7 +275,11 @@
         return CloseReason.NO_RESPONSE
 
     async def _read_request(
-        self, connection: h11.Connection, stream: trio.SocketStream, is_first: bool
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        is_first: bool,
+        message: HeldMessage,
     ) -> HttpRequest | Rejection | None:
         limits = self._limits
         idle_ms = limits.header_timeout_ms if is_first else limits.idle_timeout_ms
@@ -252,7 +288,7 @@
         # Without this limit, a client that sends one byte a second would occupy its
         # connection forever. It applies from the first byte to the end of the body.
         with trio.move_on_after(limits.header_timeout_ms / 1000) as scope:
-            return await self._read_message(connection, stream)
+            return await self._read_message(connection, stream, message)
         assert scope.cancelled_caught
         return Rejection(ErrorKind.HEADERS_TOO_SLOW)
 
@@ -287,26 +323,32 @@
         return None
 
     async def _read_message(
-        self, connection: h11.Connection, stream: trio.SocketStream
+        self,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        message: HeldMessage,
     ) -> HttpRequest | Rejection | None:
         head: h11.Request | None = None
-        raw = bytearray(connection.trailing_data[0])
-        body = bytearray()
+        raw_head = bytearray(connection.trailing_data[0])
+        body = _Body(message, self._limits.max_body_bytes)
         fault: ErrorKind | None = None
         while fault is None:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                raw += await self._receive(connection, stream)
+                data = await self._receive(connection, stream)
+                if head is None:
+                    raw_head += data
             elif isinstance(event, h11.Request):
                 head = event
-                fault = self._check_head(event, bytes(raw))
+                fault = self._check_head(event, bytes(raw_head))
+                raw_head.clear()
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits.max_body_bytes:
-                    fault = ErrorKind.BODY_TOO_LARGE
+                fault = body.add(event.data)
+                if body.is_turn_over():
+                    await trio.lowlevel.checkpoint()
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 try:
-                    return parse_request(head, bytes(body))
+                    return parse_request(head, bytes(body.data))
                 except TargetInvalidError:
                     fault = ErrorKind.BAD_REQUEST
             else:
@@ -344,7 +386,14 @@
         # The request was not read, so it may have a key whose earlier attempt ran.
         kind = rejection.kind
         refusal = render_refusal(
-            Refuse(RequestId(""), kind, Ending.UNKNOWN, kind.value, _RETRY_AFTER_MS)
+            Refuse(
+                RequestId(""),
+                kind,
+                Ending.UNKNOWN,
+                kind.value,
+                self._limits.busy_retry_ms,
+            ),
+            is_exact=self._limits.has_exact_retry,
         )
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
@@ -354,6 +403,38 @@
         await _discard_input(stream)
 
 
+class _Body:
+    """The body of a request while it is read; bounds its size and its parts."""
+
+    __slots__ = ("_max_bytes", "_message", "_parts", "data")
+
+    def __init__(self, message: HeldMessage, max_bytes: int) -> None:
+        self._message = message
+        self._max_bytes = max_bytes
+        self._parts = 0
+        self.data = bytearray()
+
+    def add(self, data: bytes) -> ErrorKind | None:
+        """Keep one part, or return the kind of the refusal."""
+        self._parts += 1
+        max_parts = _MIN_PARTS + self._max_bytes // _MIN_MEAN_PART_BYTES
+        is_too_large = len(self.data) + len(data) > self._max_bytes
+        if is_too_large or self._parts > max_parts:
+            return ErrorKind.BODY_TOO_LARGE
+        try:
+            self._message.add(len(data))
+        except ByteBoundError as error:
+            if error.bound is ByteBound.SUM:
+                return ErrorKind.OVERLOADED
+            return ErrorKind.BODY_TOO_LARGE
+        self.data += data
+        return None
+
+    def is_turn_over(self) -> bool:
+        """Return whether other tasks should run before the next part is parsed."""
+        return self._parts % _PARTS_PER_TURN == 0
+
+
 class _OpenListener(trio.abc.Listener[trio.SocketStream]):
     """Listener that stays open when `serve_listeners` closes it."""
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -28,7 +28,7 @@
 from toucanyard.status_schedule import STATUS_MS
 from toucanyard_node.bounded_output import BoundedOutput
 from toucanyard_node.forward_exchange import Forwarder
-from toucanyard_node.forward_server import ForwardServer
+from toucanyard_node.forward_server import BUSY_RETRY_MS, ForwardServer
 from toucanyard_node.held_bytes import ReceivedBytes
 from toucanyard_node.http_client import split_address
 from toucanyard_node.http_exchange import HttpRequest, Responder
@@ -70,6 +70,8 @@
 """Time after the end of callers' address caching until idle connections close."""
 HUB_CLOSE_MARGIN_MS: Final = 800.0
 """The same in a fleet where hubs forward that this node stops."""
+AUXILIARY_LIMITS: Final = ServerLimits(max_body_bytes=16_384)
+"""Limits of the servers whose requests have no bodies."""
 LIMITS_INTERVAL_S: Final = 1.0
 """Interval between updates of the server limits from the configuration."""
 _LOG: Final = structlog.get_logger()
@@ -147,7 +149,10 @@
             self.metrics.closings,
         )
         self._http_server = HttpServer(
-            self._relay_server.handle, self._find_limits(), self.metrics.closings
+            self._relay_server.handle,
+            self._find_limits(),
+            self.metrics.closings,
+            received.requests,
         )
         self._reader = StoreReader(core, client, ports.store, rng)
         self._job_runner = BackgroundJobRunner(client, ports.store, ports.replicas)
@@ -192,7 +197,7 @@
                 (listen.locator, handlers.locator),
                 (listen.metrics, handlers.metrics),
             ):
-                server = HttpServer(handler, ServerLimits())
+                server = HttpServer(handler, AUXILIARY_LIMITS)
                 nursery.start_soon(server.serve, await _listen(address))
             nursery.start_soon(self._http_server.serve, callers)
             _LOG.info("started", callers=listen.callers, peers=listen.peers)
@@ -218,6 +223,8 @@
             header_timeout_ms=bounds.header_timeout_ms,
             idle_timeout_ms=bounds.idle_timeout_ms,
             is_pipelined=False,
+            busy_retry_ms=BUSY_RETRY_MS,
+            has_exact_retry=True,
         )
 
     def _find_max_forwarded(self) -> int:
--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -28,6 +28,7 @@
     iterate_problems,
     iterate_refused_while_open,
     iterate_shared_fences,
+    iterate_untold_calls,
 )
 from soak_plan import FaultTargets, plan_faults
 from soak_statements import (
@@ -138,6 +139,28 @@
     assert find_problems(late)
 
 
+@pytest.mark.parametrize(
+    ("changes", "is_found"),
+    [
+        ({}, True),
+        ({"has_head": True}, False),
+        ({"is_sent": False}, False),
+        ({"is_closed": False}, False),
+    ],
+)
+def test_request_without_answer_or_refusal_is_found(
+    changes: dict[str, object], is_found: bool
+) -> None:
+    """Guards against a check of lost requests that finds none."""
+    fields: dict[str, object] = {"status": None, "is_whole": False}
+    fields |= {"is_sent": True, "is_closed": True}
+    call = build_call(**(fields | changes))  # type: ignore[arg-type]
+    assert bool(list(iterate_untold_calls([call], []))) is is_found
+    assert not list(iterate_untold_calls([call], [("n1", 0.6, 0.7)]))
+    for other in (("n2", 0.6, 0.7), ("n1", 1.1, 2.0), ("n1", 0.0, 0.4)):
+        assert bool(list(iterate_untold_calls([call], [other]))) is is_found
+
+
 def build_arrival(number: int, at_s: float, **changes: object) -> Arrival:
     fields: dict[str, object] = {"is_leaving": False, "rest_s": 0.0}
     return Arrival(f"c{number}", "d1", at_s, **(fields | changes))  # type: ignore[arg-type]
