--- a/tests/toucanyard_node/test_unanswered_requests.py
+++ b/tests/toucanyard_node/test_unanswered_requests.py
@@ -25,7 +25,9 @@
 )
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
-REQUEST = b"%s /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nhola"
+REQUEST = (
+    b"%s /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nhola"
+)
 LINE = "closed_without_status"
 
 
