--- a/tests/test_readers_table.py
+++ b/tests/test_readers_table.py
@@ -45,6 +45,10 @@
 
 
 def is_read(call: ast.Call) -> bool:
+    for each in call.args:
+        if isinstance(each, ast.Attribute) and each.attr in READS:
+            # Passed to another function that calls it.
+            return True
     match call.func:
         case ast.Name(id="receive" | "open"):
             return True
