--- a/tests/toucanyard_cli/test_commands.py
+++ b/tests/toucanyard_cli/test_commands.py
@@ -52,7 +52,9 @@
             headers: Headers,
             body: bytes,
             timeout_ms: float,
+            max_bytes: int,
         ) -> Response:
+            assert max_bytes == access.MAX_ANSWER_BYTES
             sent_requests.append((address, f"{method} {target}", body))
             found = remaining.pop(0)
             if isinstance(found, ConnectionFailedError):
