Search for the end of an event by a literal

Seen: processor time of five nodes 1.6 times the usual while eight engines send an event without end. Cause, in part: the pattern of an event's end is an alternative without a common literal, so that each byte is tried by the matcher. Change: both ends begin with a line feed in the pattern; what it finds is the same (any bytes, any cuts, against the simple reference).

--- a/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
+++ b/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
@@ -8,7 +8,9 @@
 from toucanyard.byte_limits import ByteLimits
 from toucanyard_node.held_bytes import ByteBound, ByteBoundError
 
-_EVENT_END: Final = re.compile(rb"\n\n|\r\n\r\n")
+_EVENT_END: Final = re.compile(rb"\n(?:\n|(?<=\r\n)\r\n)")
+"""Two line ends of one kind. It begins with a literal, which is found much faster than
+an alternative."""
 _OVERLAP_BYTES: Final = 3
 """Bytes of an end that may have come before the rest of it."""
 _ID_FIELD: Final = b"id:"
