Refuse calls that are read after a stop has ended all calls

Callers whose request became whole in the last 200 ms of a stop got a closed connection without a status: end_calls() ended only the calls that ran then, a later one was still dispatched and then cut with the process (closed_without_status reason=cancelled), so it may have run.

The relay server now remembers that it has ended its calls and refuses later ones, callers' and forwarded ones, with 'draining' (503, not run) before any dispatch.

Weighed: closing the sockets of requests that are still read; their callers would not know whether these ran. Refusing in HttpServer for each server; that is the place for handlers which run, but this refusal says 'not run', which only the relay server knows.

Before: test_call_that_is_read_after_the_end_of_all_calls_is_not_run failed, the call was dispatched to the replica (attempt_silent target=x) and the caller left after 5 s without an answer. After: it passes.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -50,6 +50,7 @@
         "_connections",
         "_find_index",
         "_forwarder",
+        "_has_ended",
         "_is_stopping",
         "_metrics",
         "_numbers",
@@ -81,9 +82,11 @@
         self._numbers = count(1)
         self._rng = rng
         self._running: set[RelayExchange] = set()
+        self._has_ended = False
 
     def end_calls(self) -> None:
-        """End all calls; each without an answer so far is refused."""
+        """End all calls; those without an answer and later ones are refused."""
+        self._has_ended = True
         for exchange in tuple(self._running):
             exchange.end()
 
@@ -144,6 +147,9 @@
         forwarded: ForwardedCall | None = None,
     ) -> RelayExchange:
         """Return the exchange for a call to be relayed, or raise RouterError."""
+        if self._has_ended:
+            # The process ends too soon for an answer.
+            raise RouterError(ErrorKind.DRAINING, "this node is stopping", 0)
         index = self._find_index()
         if not index.table.version:
             # Callers treat a refusal for an unknown route or key as final, but this
--- a/tests/toucanyard_node/test_calls_at_the_end_of_a_stop.py
+++ b/tests/toucanyard_node/test_calls_at_the_end_of_a_stop.py
@@ -77,6 +77,21 @@
     assert not received.endswith(b"0\r\n\r\n")
 
 
+async def test_call_that_is_read_after_the_end_of_all_calls_is_not_run() -> None:
+    """Guards against a call that is dispatched only to be cut with its process."""
+    replica = ScriptedReplica("x", never_answer)
+    harness = RelayHarness([replica], **LONG)
+    async with start_harness(harness):
+        harness.relay_server.end_calls()
+        with trio.fail_after(5):
+            received = await harness.call(build_call())
+    assert find_status(received) == 503
+    error = msgspec.json.decode(find_body(received))["error"]
+    assert (error["code"], error["not_run"]) == ("draining", True)
+    assert not replica.called.is_set()
+    assert not harness.metrics.closings.counts
+
+
 @pytest.mark.parametrize("count", [0, 2])
 async def test_calls_that_have_ended_are_forgotten(count: int) -> None:
     replica = ScriptedReplica("x", never_answer)
