Refuse a forwarded call that was not read whole as not run

A node that did not read a forwarded call within its time closed the connection without a word (forward_unread). The first node counts a loss then, so its caller was told that the call may have run, although it certainly did not.

Such a call is now refused as one over the memory bound is: TOO_MANY_CALLS, not run, within the same bounded time for the write.

Weighed: letting the first node conclude from a missing CallAccepted that nothing ran; it cannot tell an unread call from an accepted one whose CallAccepted was lost. Not covered: a first node that is still sending the body when the connection closes fails in its send and counts a loss as before.

Before: test_call_that_is_not_read_in_time_is_told_that_it_did_not_run failed, nothing was sent on the channel after forward_unread. After: it passes.

--- a/packages/toucanyard-node/src/toucanyard_node/forward_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/forward_server.py
@@ -156,10 +156,18 @@
                 call, body = await _read_call(channel, message)
             http = build_request(call.method, call.target, call.fields, body)
         except ByteBoundError as error:
-            await self._refuse_oversized(responder, peer, error)
+            _LOG.warning(
+                "forward_over_bound",
+                peer=peer.node,
+                bound=error.bound.value,
+                received_bytes=error.received_bytes,
+            )
+            text = "the body of the call does not fit the memory for forwarded calls"
+            await self._refuse_unread(responder, peer, text)
             return
         except (ForwardClosedError, trio.TooSlowError, TargetInvalidError) as error:
             _LOG.warning("forward_unread", peer=peer.node, reason=str(error)[:100])
+            await self._refuse_unread(responder, peer, "the call was not read whole")
             return
         refusal = self._check_capacity()
         if refusal is not None:
@@ -177,18 +185,11 @@
             if not self.running:
                 self._idle.set()
 
-    async def _refuse_oversized(
-        self, responder: ForwardResponder, peer: NodeId, error: ByteBoundError
+    async def _refuse_unread(
+        self, responder: ForwardResponder, peer: NodeId, text: str
     ) -> None:
-        """Refuse a call whose body does not fit, which was therefore not run."""
+        """Refuse a call that was not read whole and therefore not run."""
         self.refused += 1
-        _LOG.warning(
-            "forward_over_bound",
-            peer=peer.node,
-            bound=error.bound.value,
-            received_bytes=error.received_bytes,
-        )
-        text = "the body of the call does not fit the memory for forwarded calls"
         refusal = _build_refusal(ErrorKind.TOO_MANY_CALLS, text)
         try:
             with trio.fail_after(READ_TIMEOUT_S):
--- a/tests/toucanyard_node/test_unanswered_forwards.py
+++ b/tests/toucanyard_node/test_unanswered_forwards.py
@@ -108,3 +108,21 @@
         ("q-1", "caller_left")
     ]
     assert server.closings.counts == {"caller_left": 1}
+
+
+async def test_call_that_is_not_read_in_time_is_told_that_it_did_not_run(
+    autojump_clock: MockClock,
+) -> None:
+    """Guards against an unread call that its first node counts as lost."""
+
+    class SilentChannel(ScriptedChannel):
+        async def receive(self) -> ForwardMessage:
+            await trio.sleep_forever()
+            raise AssertionError
+
+    channel = SilentChannel()
+    server = await serve(None, channel)
+    (refused,) = channel.sent
+    assert isinstance(refused, CallRefused)
+    assert refused.ending is Ending.NOT_RUN
+    assert (server.received, server.refused) == (0, 1)
