Try a hedge again that a common silence kept back

Callers of a call with a long patience waited until the deadline: where the only other replica had been silent for 10 ms at the call's first timeout, the hedge was withheld, and the attempt asked again only after another whole patience, past the deadline.

The core keeps such a hedge and tries it on its ticks after 1.5 s, the longest pause of a sound replica; it drops it when the attempt goes on or ends. A new question replaces it, so shorter patiences are as before.

Before: never sent again (test failed without the mend); after: sent within 1.55 s.

--- a/packages/toucanyard/src/toucanyard/hedged_calls.py
+++ b/packages/toucanyard/src/toucanyard/hedged_calls.py
@@ -8,9 +8,26 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Final
+
+import msgspec
 
 from toucanyard.names import RequestId
 from toucanyard.pending_call import PendingCall
+from toucanyard.relay_events import AttemptSilent
+from toucanyard.silent_replicas import MAX_PAUSE_MS
+
+CHECK_MS: Final = MAX_PAUSE_MS
+"""Least time between two checks of whether a withheld hedge may be sent."""
+MAX_CHECKS: Final = 64
+"""Withheld hedges that are checked in one tick."""
+
+
+class WithheldHedge(msgspec.Struct, frozen=True):
+    """A hedge that is tried again, as what kept it back passes."""
+
+    event: AttemptSilent
+    due_ms: float
 
 
 class HedgedCalls:
@@ -20,10 +37,18 @@
     of them than its route allows.
     """
 
-    __slots__ = ("_silent", "continued_count", "silence_count", "withheld_count")
+    __slots__ = (
+        "_silent",
+        "_withheld",
+        "continued_count",
+        "silence_count",
+        "withheld_count",
+    )
 
     def __init__(self) -> None:
         self._silent: dict[RequestId, list[PendingCall]] = {}
+        self._withheld: dict[RequestId, WithheldHedge] = {}
+        """Hedges to try again, in the order in which they are checked."""
         self.silence_count = 0
         """Silences of attempts so far."""
         self.continued_count = 0
@@ -50,8 +75,16 @@
         if silent.silent_since_ms is None:
             silent.silent_since_ms = now_ms
             self.silence_count += 1
-        attempts = self._silent.setdefault(request_id, [])
-        attempts.append(silent)
+        self._silent.setdefault(request_id, []).append(silent)
+        hedge = self.build(silent, now_ms)
+        hedge.silence = silence
+        return hedge
+
+    def build(self, silent: PendingCall, now_ms: float) -> PendingCall:
+        """Return what the hedge of an attempt would be."""
+        attempts = list(self._silent.get(silent.request.request_id, ()))
+        if all(each is not silent for each in attempts):
+            attempts.append(silent)
         hedge = PendingCall(
             silent.request,
             sends=silent.sends,
@@ -64,8 +97,7 @@
             is_counted=silent.is_counted,
             forwards=silent.forwards,
             origin=silent.origin,
-            silence=silence,
-            hedged_since_ms=silent.hedged_since_ms or silent.silent_since_ms,
+            hedged_since_ms=silent.hedged_since_ms or silent.silent_since_ms or now_ms,
         )
         self._exclude_silent(hedge, attempts)
         return hedge
@@ -79,6 +111,26 @@
         _copy_counts(hedge, restored)
         return restored
 
+    def keep_withheld(self, event: AttemptSilent, now_ms: float) -> None:
+        """Keep a withheld hedge to try it again."""
+        self._withheld.pop(event.request_id, None)
+        self._withheld[event.request_id] = WithheldHedge(event, now_ms + CHECK_MS)
+
+    def drop_withheld(self, request_id: RequestId) -> None:
+        """Forget the withheld hedge of a call, if there is one."""
+        self._withheld.pop(request_id, None)
+
+    def take_due(self, now_ms: float) -> list[AttemptSilent]:
+        """Return and remove the withheld hedges to check now, within a bound."""
+        due: list[AttemptSilent] = []
+        for each in self._withheld.values():
+            if each.due_ms > now_ms or len(due) >= MAX_CHECKS:
+                break
+            due.append(each.event)
+        for event in due:
+            del self._withheld[event.request_id]
+        return due
+
     def take(self, request_id: RequestId, attempt: int) -> PendingCall | None:
         """Return and remove a silent attempt; None if there is no such one."""
         attempts = self._silent.get(request_id, [])
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -252,6 +252,7 @@
         if outcome.attempt not in (0, pending.attempt):
             yield from self._end_silent(pending, outcome, now_ms)
             return
+        self.hedged.drop_withheld(outcome.request_id)
         if outcome.has_begun:
             pending.origin = pending.origin or pending.sent_origin
         self._outcomes.apply(pending, outcome, now_ms)
@@ -281,6 +282,7 @@
         if outcome.attempt not in (0, pending.attempt):
             yield from self._end_silent(pending, outcome, now_ms)
             return
+        self.hedged.drop_withheld(outcome.request_id)
         if outcome.has_begun:
             pending.origin = pending.origin or outcome.origin
         self._forwards.record_outcome(pending, outcome, now_ms)
@@ -315,9 +317,17 @@
             silent.origin = silent.origin or silent.sent_origin or event.origin
         self._outcomes.apply_silent(silent, now_ms)
         self._forwards.record_silent(silent, now_ms)
+        yield from self._hedge(silent, event, now_ms)
+
+    def _hedge(
+        self, silent: PendingCall, event: AttemptSilent, now_ms: float
+    ) -> Iterator[RelayReply]:
+        """Send or queue the hedge of a silent attempt, or withhold it."""
+        self.hedged.drop_withheld(event.request_id)
         hedge = self.hedged.begin(silent, event.silence, now_ms)
         self._pending[event.request_id] = hedge
         if silent.replica and self._calls.is_silence_common(hedge, now_ms):
+            self.hedged.keep_withheld(event, now_ms)
             text = "all other replicas are silent as well"
             yield self._refuse(hedge, ErrorKind.NO_ENDPOINT, text, now_ms)
             return
@@ -334,6 +344,22 @@
             return
         yield from self._try_again(hedge, "no replica may go on with it", now_ms)
 
+    def _retry_withheld(self, now_ms: float) -> Iterator[RelayReply]:
+        """Try withheld hedges again where what kept them back has passed."""
+        for event in self.hedged.take_due(now_ms):
+            silent = self._pending.get(event.request_id)
+            if silent is None or silent.attempt != event.attempt:
+                continue
+            if self._may_hedge(silent, now_ms):
+                yield from self._hedge(silent, event, now_ms)
+            else:
+                self.hedged.keep_withheld(event, now_ms)
+
+    def _may_hedge(self, silent: PendingCall, now_ms: float) -> bool:
+        """Return whether nothing that passes keeps back the hedge of an attempt."""
+        hedge = self.hedged.build(silent, now_ms)
+        return not self._calls.is_silence_common(hedge, now_ms)
+
     def handle_continued(
         self, event: AttemptContinued, now_ms: float
     ) -> Iterator[RelayReply]:
@@ -341,6 +367,7 @@
         current = self._pending.get(event.request_id)
         if current is None:
             return
+        self.hedged.drop_withheld(event.request_id)
         winner, losers = self.hedged.split(current, event.attempt)
         self._pending[event.request_id] = winner
         if winner.silent_since_ms is not None:
@@ -460,6 +487,7 @@
 
     def tick(self, now_ms: float) -> Iterator[RelayReply]:
         """Refuse queued calls that can't be sent in time and send those that fit."""
+        yield from self._retry_withheld(now_ms)
         for service, queue in self._queues.items():
             if not queue:
                 continue
@@ -583,6 +611,7 @@
         request = pending.request
         if self._pending.get(request.request_id) is pending:
             del self._pending[request.request_id]
+            self.hedged.drop_withheld(request.request_id)
         self._limits.release(pending, now_ms)
         self._calls.release(pending)
         self._retries.give_back(pending)
--- a/tests/toucanyard/test_hedged_calls.py
+++ b/tests/toucanyard/test_hedged_calls.py
@@ -6,8 +6,8 @@
 from hypothesis import given, strategies as st
 
 from toucanyard.errorcodes import Ending
-from toucanyard.hedged_calls import HedgedCalls
-from toucanyard.names import NodeName, RequestId
+from toucanyard.hedged_calls import CHECK_MS, HedgedCalls
+from toucanyard.names import EndpointName, NodeName, RequestId
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_events import AttemptContinued, AttemptSilent
 from toucanyard.relay_requests import HedgeWithheld, RelayDispatch, RelayOutcome
@@ -305,3 +305,54 @@
         event = AttemptContinued(Q, dispatch.attempt)
         self.live = [dispatch]
         self.node.take(self.node.flow.handle_continued(event, now_ms))
+
+
+def tick_until(node: Node, first_ms: float, last_ms: float) -> float:
+    """Tick until the call "q" is sent again; return when that was."""
+    now_ms = first_ms
+    while now_ms < last_ms:
+        node.take(node.flow.tick(now_ms))
+        if not isinstance(node.find_last("q"), HedgeWithheld):
+            return now_ms
+        now_ms += 50.0
+    return now_ms
+
+
+def withhold_for_silence(deadline_ms: float) -> tuple[Node, RelayDispatch]:
+    """Return a node at which a call is silent 10 ms after the only other replica."""
+    node = Node(desks="xy")
+    node.arrive("q", max_attempts=3, target_ms=2_000.0, deadline_ms=deadline_ms)
+    first = node.find_dispatch("q")
+    other = EndpointName("y" if first.replica == "x" else "x")
+    node.calls.silences.record_silent(other, 5_990.0)
+    fall_silent(node, now_ms=6_000.0)
+    withheld = node.find_last("q")
+    assert isinstance(withheld, HedgeWithheld)
+    assert "silent" in withheld.text
+    return node, first
+
+
+def test_hedge_withheld_for_a_common_silence_is_sent_when_that_is_over() -> None:
+    """Guards against a call that waits for a dead replica until its deadline."""
+    node, first = withhold_for_silence(10_000.0)
+    sent_ms = tick_until(node, 6_050.0, 12_000.0)
+    assert sent_ms <= 6_000.0 + CHECK_MS + 50.0
+    hedge = node.find_dispatch("q")
+    assert hedge.replica != first.replica
+    assert (hedge.hedged, hedge.silence) == (1, 1)
+    assert node.flow.hedged.silence_count == 1
+
+
+def test_hedge_withheld_is_dropped_when_its_attempt_continues_or_ends() -> None:
+    """Guards against hedges of calls whose answer goes on."""
+    node, first = withhold_for_silence(10_000.0)
+    event = AttemptContinued(Q, first.attempt)
+    node.take(node.flow.handle_continued(event, 6_100.0))
+    assert tick_until(node, 6_150.0, 9_000.0) >= 9_000.0
+    end(node, first, DispatchEnding.COMPLETED, 9_000.0)
+    check_released(node)
+    node, first = withhold_for_silence(10_000.0)
+    end(node, first, DispatchEnding.COMPLETED, 6_100.0)
+    node.take(node.flow.tick(9_000.0))
+    assert node.find_last("q") is None
+    check_released(node)
