Queue the hedge of a call that was lost where others are answered

Callers of a call that one replica had lost (a connection without a reset) got 504 under lasting load: as the replica answered others, the hedge was sent only into a free slot, and this had no bound in time.

After 3 s of silence it is queued as a retry, as after a common silence; until then it is kept and tried again as that one is. A bound as a share of the time to the deadline was weighed for both, and not taken: it answered fewer calls in common_silences when it was tried for the common silence.

Before: withheld at each of its questions (the test failed without the mend); after: queued at the first one after 3 s.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -175,13 +175,19 @@
         is_over = since_ms is None or now_ms - since_ms >= MAX_COMMON_MS
         return is_over or not self._policy.retries.avoids_silent
 
-    def needs_free_slot(self, silent: PendingCall, now_ms: float) -> bool:
+    def needs_free_slot(
+        self, silent: PendingCall, hedge: PendingCall, now_ms: float
+    ) -> bool:
         """Return whether a silent call most likely waits for a slot at its replica.
 
-        A hedge that has to wait elsewhere as well gains nothing then.
+        A hedge that has to wait elsewhere as well gains nothing then. A call that is
+        silent for long may be lost where others are answered.
         """
         if silent.replica is None or silent.has_begun:
             return False
+        since_ms = hedge.hedged_since_ms
+        if since_ms is not None and now_ms - since_ms >= MAX_COMMON_MS:
+            return False
         is_answering = self.silences.is_answering(silent.replica, now_ms)
         return is_answering and self._policy.retries.spares_slots
 
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -331,8 +331,9 @@
             text = "all other replicas are silent as well"
             yield self._refuse(hedge, ErrorKind.NO_ENDPOINT, text, now_ms)
             return
-        hedge.needs_free_slot = self._calls.needs_free_slot(silent, now_ms)
+        hedge.needs_free_slot = self._calls.needs_free_slot(silent, hedge, now_ms)
         if hedge.needs_free_slot and self._queues.get(hedge.request.service):
+            self.hedged.keep_withheld(event, now_ms)
             text = "other calls wait for a replica"
             yield self._refuse(hedge, ErrorKind.OVERLOADED, text, now_ms)
             return
--- a/tests/toucanyard/test_hedged_calls.py
+++ b/tests/toucanyard/test_hedged_calls.py
@@ -12,6 +12,7 @@
 from toucanyard.relay_events import AttemptContinued, AttemptSilent
 from toucanyard.relay_requests import HedgeWithheld, RelayDispatch, RelayOutcome
 from toucanyard.requests import DispatchEnding, Refuse, Repeatability
+from toucanyard.silent_replicas import MAX_COMMON_MS
 
 from .flow_node import SLOTS, Node
 from .relay_examples import OPTIONS, build_request
@@ -356,3 +357,19 @@
     node.take(node.flow.tick(9_000.0))
     assert node.find_last("q") is None
     check_released(node)
+
+
+def test_call_lost_where_others_are_answered_is_queued_in_the_end() -> None:
+    """Guards against a lost call that is never retried while other calls wait."""
+    node = Node(desks="xy")
+    node.arrive("q", max_attempts=3, deadline_ms=10_000.0)
+    first = node.find_dispatch("q")
+    for number in range(3 * SLOTS):
+        node.arrive(f"other{number}", deadline_ms=30_000.0)
+    assert node.flow.count_waiting() > 0
+    waiting = node.flow.count_waiting()
+    for now_ms in range(600, 600 + int(MAX_COMMON_MS) + 600, 600):
+        node.calls.silences.record_heard(first.replica, now_ms - 10.0)
+        event = AttemptSilent(Q, first.attempt, now_ms // 600, has_begun=False)
+        node.take(node.flow.handle_silent(event, float(now_ms)))
+    assert node.flow.count_waiting() == waiting + 1
