--- a/tests/toucanyard/test_hedged_calls.py
+++ b/tests/toucanyard/test_hedged_calls.py
@@ -6,12 +6,13 @@
 from hypothesis import given, strategies as st
 
 from toucanyard.errorcodes import Ending
-from toucanyard.hedged_calls import HedgedCalls
-from toucanyard.names import NodeName, RequestId
+from toucanyard.hedged_calls import CHECK_MS, HedgedCalls
+from toucanyard.names import EndpointName, NodeName, RequestId
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_events import AttemptContinued, AttemptSilent
 from toucanyard.relay_requests import HedgeWithheld, RelayDispatch, RelayOutcome
 from toucanyard.requests import DispatchEnding, Refuse, Repeatability
+from toucanyard.silent_replicas import MAX_COMMON_MS
 
 from .flow_node import SLOTS, Node
 from .relay_examples import OPTIONS, build_request
@@ -305,3 +306,70 @@
         event = AttemptContinued(Q, dispatch.attempt)
         self.live = [dispatch]
         self.node.take(self.node.flow.handle_continued(event, now_ms))
+
+
+def tick_until(node: Node, first_ms: float, last_ms: float) -> float:
+    """Tick until the call "q" is sent again; return when that was."""
+    now_ms = first_ms
+    while now_ms < last_ms:
+        node.take(node.flow.tick(now_ms))
+        if not isinstance(node.find_last("q"), HedgeWithheld):
+            return now_ms
+        now_ms += 50.0
+    return now_ms
+
+
+def withhold_for_silence(deadline_ms: float) -> tuple[Node, RelayDispatch]:
+    """Return a node at which a call is silent 10 ms after the only other replica."""
+    node = Node(desks="xy")
+    node.arrive("q", max_attempts=3, target_ms=2_000.0, deadline_ms=deadline_ms)
+    first = node.find_dispatch("q")
+    other = EndpointName("y" if first.replica == "x" else "x")
+    node.calls.silences.record_silent(other, 5_990.0)
+    fall_silent(node, now_ms=6_000.0)
+    withheld = node.find_last("q")
+    assert isinstance(withheld, HedgeWithheld)
+    assert "silent" in withheld.text
+    return node, first
+
+
+def test_hedge_withheld_for_a_common_silence_is_sent_when_that_is_over() -> None:
+    """Guards against a call that waits for a dead replica until its deadline."""
+    node, first = withhold_for_silence(10_000.0)
+    sent_ms = tick_until(node, 6_050.0, 12_000.0)
+    assert sent_ms <= 6_000.0 + CHECK_MS + 50.0
+    hedge = node.find_dispatch("q")
+    assert hedge.replica != first.replica
+    assert (hedge.hedged, hedge.silence) == (1, 1)
+    assert node.flow.hedged.silence_count == 1
+
+
+def test_hedge_withheld_is_dropped_when_its_attempt_continues_or_ends() -> None:
+    """Guards against hedges of calls whose answer goes on."""
+    node, first = withhold_for_silence(10_000.0)
+    event = AttemptContinued(Q, first.attempt)
+    node.take(node.flow.handle_continued(event, 6_100.0))
+    assert tick_until(node, 6_150.0, 9_000.0) >= 9_000.0
+    end(node, first, DispatchEnding.COMPLETED, 9_000.0)
+    check_released(node)
+    node, first = withhold_for_silence(10_000.0)
+    end(node, first, DispatchEnding.COMPLETED, 6_100.0)
+    node.take(node.flow.tick(9_000.0))
+    assert node.find_last("q") is None
+    check_released(node)
+
+
+def test_call_lost_where_others_are_answered_is_queued_in_the_end() -> None:
+    """Guards against a lost call that is never retried while other calls wait."""
+    node = Node(desks="xy")
+    node.arrive("q", max_attempts=3, deadline_ms=10_000.0)
+    first = node.find_dispatch("q")
+    for number in range(3 * SLOTS):
+        node.arrive(f"other{number}", deadline_ms=30_000.0)
+    assert node.flow.count_waiting() > 0
+    waiting = node.flow.count_waiting()
+    for now_ms in range(600, 600 + int(MAX_COMMON_MS) + 600, 600):
+        node.calls.silences.record_heard(first.replica, now_ms - 10.0)
+        event = AttemptSilent(Q, first.attempt, now_ms // 600, has_begun=False)
+        node.take(node.flow.handle_silent(event, float(now_ms)))
+    assert node.flow.count_waiting() == waiting + 1
