Don't blame a replica whose answers fill its part of the sum

A replica that had a large answer open and sent a second one exceeded the part of the sum that one sender may use. It counted as a replica whose answer has no end and was avoided, though each answer was within its own bound.

The bounds of a sender and of the sum both count several messages, so neither says that one answer is too large. An answer alone that is too large exceeds the bound of a message first. Of two answers without end one still reaches that bound and is counted.

Weighed: blame only with few open answers (arbitrary), a larger part for one sender (moves the limit only).

Test: test_answers_of_one_replica_that_do_not_fit_together_are_no_fault; before, the replica had 3.0 failures instead of 0.

--- a/packages/toucanyard-node/src/toucanyard_node/held_bytes.py
+++ b/packages/toucanyard-node/src/toucanyard_node/held_bytes.py
@@ -31,6 +31,10 @@
     SENDER = "sender"
     SUM = "sum"
 
+    def is_shared(self) -> bool:
+        """Return whether the bound counts more than the message that exceeds it."""
+        return self in (ByteBound.SENDER, ByteBound.SUM)
+
 
 class ByteBoundError(Exception):
     """A message does not fit a bound; `received_bytes` were counted until then."""
--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -17,7 +17,7 @@
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.buffered_answer import AnswerLostError, BufferedAnswer
 from toucanyard_node.event_splitter import EventSplitter
-from toucanyard_node.held_bytes import ByteBound, ByteBoundError, ReceivedBytes
+from toucanyard_node.held_bytes import ByteBoundError, ReceivedBytes
 from toucanyard_node.http_client import (
     BodyTooLargeError,
     ConnectionFailedError,
@@ -429,7 +429,7 @@
             has_begun=self._call.has_begun,
             weights_version=None if facts is None else facts.weights_version,
             broken_bound="" if bound is None else bound.value,
-            is_shared_bound=bound is ByteBound.SUM,
+            is_shared_bound=bound is not None and bound.is_shared(),
             wrote_ms=wrote_ms,
             attempt=self.number,
         )
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -251,6 +251,6 @@
     broken_bound: str = ""
     """The bound on received bytes that the response exceeded."""
     is_shared_bound: bool = False
-    """That bound counts the responses of other replicas as well."""
+    """That bound counts other responses as well."""
     attempt: int = 0
     """Number of the attempt; 0 for the current one."""
--- a/tests/toucanyard_node/test_endless_answers.py
+++ b/tests/toucanyard_node/test_endless_answers.py
@@ -255,3 +255,18 @@
         assert known.compute_failures(trio.current_time() * 1000) == 0
     assert find_status(received) == 502
     assert is_over_bound(harness, "sum")
+
+
+async def test_answers_of_one_replica_that_do_not_fit_together_are_no_fault() -> None:
+    """Guards against a replica that is avoided for two large but sound answers."""
+    replica = ScriptedReplica("x", answer(body=b"x" * 600_000))
+    harness = RelayHarness([replica], **PLAIN)
+    async with start_harness(harness):
+        held = harness.received.answers
+        held.add("x", int(held.max_bytes * 0.48))
+        received = await harness.call(CALL)
+        known = harness.core.directory.find(EndpointName("x"))
+        assert known is not None
+        assert known.compute_failures(trio.current_time() * 1000) == 0
+    assert find_status(received) == 502
+    assert is_over_bound(harness, "sender")
