Take only blocks with data for events of a stream

A replica or peer that sent `id: 1`, `retry:` or unknown fields, each followed by a blank line, without end kept its caller waiting: each block restarted the patience and the count of bytes between events, so neither a hedge nor a bound ended it.

Each line that was no comment counted as an event. Readers of server-sent events dispatch a block only if it has a `data` field. Other blocks are now passed on as comments are: no progress, counted, claiming nothing. An id in one still is the last id once the block is passed on, for it sets that of the caller too.

Weighed: a bound on the number of such blocks (a second rule beside that for comments), dropping them (changes sound streams that set `retry` or an id).

Tests: the reference in test_any_bytes_are_split_as_by_a_simple_reference finds data instead of any field, over more line ends and fields; the tests of bytes without an event, of claims and of order take such blocks too.

--- a/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
+++ b/packages/toucanyard-node/src/toucanyard_node/event_splitter.py
@@ -14,8 +14,8 @@
 _OVERLAP_BYTES: Final = 3
 """Bytes of an end that may have come before the rest of it."""
 _ID_FIELD: Final = b"id:"
-_FIELD: Final = re.compile(rb"(?:\A|\n)[^:\r\n]")
-"""Begin of a line that is neither blank nor a comment."""
+_DATA_FIELD: Final = re.compile(rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])data(?=[:\r\n])")
+"""Field of an event; readers dispatch no block without one."""
 _UNSENDABLE: Final = re.compile(r"[\x00-\x1f\x7f]")
 """Characters that no header can carry."""
 MAX_EVENT_BYTES: Final = ByteLimits().max_event_bytes
@@ -53,7 +53,7 @@
 
     A stream that breaks inside an event can then continue on another connection without
     the caller receiving a partial event. Invariant: returned data ends with a complete
-    event or comment.
+    event, or a block of lines without data such as a comment.
     """
 
     __slots__ = (
@@ -68,11 +68,11 @@
         self._buffer = BlockBuffer()
         self._max_event_bytes = max_event_bytes
         self._unfinished_bytes = 0
-        """Bytes since the last event, comments among them."""
+        """Bytes since the last event, blocks without data among them."""
         self.last_id = last_id
-        """Id of the last complete event."""
+        """Id of the last complete block that has one."""
         self.has_event = False
-        """Whether the last data that was returned has an event, not only comments."""
+        """Whether the last data that was returned has a block with data."""
 
     @property
     def searched_bytes(self) -> int:
@@ -91,10 +91,10 @@
         ByteBoundError if no event is complete within the bound.
         """
         complete = self._buffer.push(data)
-        self.has_event = _FIELD.search(complete) is not None
+        self.has_event = _DATA_FIELD.search(complete) is not None
+        self._record_id(complete)
         if self.has_event:
             self._unfinished_bytes = len(self._buffer.partial)
-            self._record_id(complete)
         else:
             self._unfinished_bytes += max(len(data), work_bytes)
         if self._unfinished_bytes > self._max_event_bytes:
--- a/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/peer_attempt.py
@@ -132,7 +132,7 @@
             if not events:
                 continue
             if not self._splitter.has_event:
-                await self._pass_on_comments(events)
+                await self._pass_on_comments(events, self._splitter.last_id)
                 continue
             if not call.has_begun:
                 call.origin = head.origin
@@ -143,7 +143,8 @@
         if not call.has_begun:
             await call.start(self, head.status, head.fields, head.origin)
         await call.claim(self)
-        await call.write_comments(self, self._take_comments())
+        last_id = self._splitter.last_id
+        await call.write_comments(self, self._take_comments(), last_id)
         self._complete(head.status)
         await call.finish()
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_attempt.py
@@ -87,7 +87,7 @@
     def __init__(self, call: RelayedCall, number: int) -> None:
         self._call = call
         self._comments = b""
-        """Comments of a stream that are sent with its next event."""
+        """Blocks without data that are sent with the next event."""
         self._patience = Patience(
             lambda timeout_ms: call.report_silent(self, timeout_ms)
         )
@@ -106,9 +106,9 @@
     async def run(self) -> None:
         """Send the call and its answer; raise what ended the attempt before."""
 
-    async def _pass_on_comments(self, comments: bytes) -> None:
-        """Send comments on now, or keep them if this attempt may not continue alone."""
-        if not await self._call.write_comments(self, comments):
+    async def _pass_on_comments(self, comments: bytes, last_event_id: str) -> None:
+        """Send blocks without data, or keep them if others may continue the answer."""
+        if not await self._call.write_comments(self, comments, last_event_id):
             self._comments += comments
 
     def _take_comments(self) -> bytes:
@@ -349,14 +349,17 @@
             self._client.report_first_event(self.request.request_id, origin)
         await self._responder.write(events)
 
-    async def write_comments(self, attempt: RelayAttempt, comments: bytes) -> bool:
-        """Send comments of a stream unless another attempt may continue it.
+    async def write_comments(
+        self, attempt: RelayAttempt, comments: bytes, last_event_id: str
+    ) -> bool:
+        """Send blocks without data unless another attempt may continue the stream.
 
-        Comments are no part of the answer: they claim nothing.
+        They are no part of the answer and claim nothing, but one may set the last id.
         """
         is_alone = self.attempts == [attempt] and attempt.silent_since_ms is None
         if not (self.has_begun and is_alone):
             return False
+        self.last_event_id = last_event_id
         await self._responder.write(comments)
         return True
 
--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -299,7 +299,7 @@
             if not events:
                 continue
             if not self._splitter.has_event:
-                await self._pass_on_comments(events)
+                await self._pass_on_comments(events, self._splitter.last_id)
                 continue
             if self._writing_since_ms is None:
                 self._writing_since_ms = trio.current_time() * 1000
@@ -313,7 +313,8 @@
         if not call.has_begun:
             await self._start_answer(head)
         await call.claim(self)
-        await call.write_comments(self, self._take_comments())
+        last_id = self._splitter.last_id
+        await call.write_comments(self, self._take_comments(), last_id)
         self._complete(facts, head, connection, is_inconclusive=not has_events)
         await call.finish()
 
--- a/tests/toucanyard_node/test_endless_answers.py
+++ b/tests/toucanyard_node/test_endless_answers.py
@@ -201,9 +201,10 @@
     assert harness.core.flow.hedged.silence_count == 1
 
 
-async def test_comments_claim_no_stream_from_its_hedge() -> None:
-    """Guards against keep-alive comments that count as parts of an answer."""
-    comments = [b": keep-alive\n\n"] * 100
+@pytest.mark.parametrize("block", [b": keep-alive\n\n", b"id: 1\n\n", b"retry:\n\n"])
+async def test_blocks_without_data_claim_no_stream_from_its_hedge(block: bytes) -> None:
+    """Guards against keep-alive blocks that count as parts of an answer."""
+    comments = [block] * 100
     replicas = build_pair(
         stream_parts(EVENTS[0], *comments, interval_s=0.05),
         stream_parts(*EVENTS[1:]),
@@ -215,9 +216,9 @@
     assert [len(each.calls) for each in replicas] == [1, 1]
 
 
-async def test_comments_of_a_stream_pass_on_unchanged() -> None:
+@pytest.mark.parametrize("comment", [b": keep-alive\n\n", b"id: 9\n\n"])
+async def test_comments_of_a_stream_pass_on_unchanged(comment: bytes) -> None:
     """Guards against comments that are lost or moved behind an event."""
-    comment = b": keep-alive\n\n"
     parts = [comment, EVENTS[0], comment, *EVENTS[1:], comment]
     received, _ = await relay([ScriptedReplica("x", stream_parts(*parts))], **STREAM)
     assert join_chunks(received) == (b"".join(parts), True)
--- a/tests/toucanyard_node/test_event_splitter.py
+++ b/tests/toucanyard_node/test_event_splitter.py
@@ -11,7 +11,10 @@
 
 STREAMS = st.lists(
     st.sampled_from(
-        (b"\n", b"\r\n", b"\n\n", b"\r\n\r\n", b"id: 7\n", b"data: x", b": c\n\n", b":")
+        (
+            *(b"\n", b"\r", b"\r\n", b"\n\n", b"\r\n\r\n", b"id: 7\n", b"data: x"),
+            *(b"data", b": c\n\n", b":", b"retry:1", b"\xef\xbb\xbf"),
+        )
     )
     | st.binary(max_size=4),
     max_size=24,
@@ -34,9 +37,9 @@
     return data[:end], data[end:]
 
 
-def has_field(complete: bytes) -> bool:
-    lines = complete.replace(b"\r\n", b"\n").split(b"\n")
-    return any(line and line[:1] not in (b":", b"\r") for line in lines)
+def has_data(complete: bytes) -> bool:
+    lines = complete.replace(b"\r", b"\n").removeprefix(b"\xef\xbb\xbf").split(b"\n")
+    return any(line.partition(b":")[0] == b"data" for line in lines)
 
 
 @given(STREAMS, CUTS)
@@ -47,7 +50,7 @@
     received = b""
     for part in cut(data, cuts):
         complete = splitter.push(part)
-        assert splitter.has_event == has_field(complete)
+        assert splitter.has_event == has_data(complete)
         received += complete
     complete, rest = split_simply(data)
     assert received == complete
@@ -78,9 +81,15 @@
     assert b"".join(splitter.push(part) for part in parts) == data
 
 
-@pytest.mark.parametrize("part", [b"data: x", b": keep-alive\n\n", b"\n\n"])
+@pytest.mark.parametrize(
+    "part",
+    [
+        *(b"data: x", b": keep-alive\n\n", b"\n\n", b"id: 1\n\n"),
+        *(b"retry: 9\n\n", b"event: x\r\n\r\n", b"database: x\n\n"),
+    ],
+)
 def test_bytes_without_an_event_are_bounded(part: bytes) -> None:
-    """Guards against an event, comments or blank lines without end."""
+    """Guards against an event, or blocks of lines that are none, without end."""
     splitter = EventSplitter("", 1_000)
     with pytest.raises(ByteBoundError) as raised:
         for _ in range(1_000):
@@ -108,6 +117,14 @@
             splitter.push(b"x", 128)
 
 
+def test_id_of_a_block_without_data_is_kept() -> None:
+    """Guards against a resume from before a block that the caller has."""
+    splitter = EventSplitter("")
+    assert splitter.push(b"id: 4\n\n") == b"id: 4\n\n"
+    assert not splitter.has_event
+    assert splitter.last_id == "4"
+
+
 @pytest.mark.parametrize("last_id", [b"1\x002", b"1\r2", b"\x7f"])
 def test_id_that_no_header_can_carry_is_ignored(last_id: bytes) -> None:
     """Guards against a resume that ends the call since its id can't be sent."""
