--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -17,7 +17,7 @@
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard_node.buffered_answer import AnswerLostError, BufferedAnswer
 from toucanyard_node.event_splitter import EventSplitter
-from toucanyard_node.held_bytes import ByteBound, ByteBoundError, ReceivedBytes
+from toucanyard_node.held_bytes import ByteBoundError, ReceivedBytes
 from toucanyard_node.http_client import (
     BodyTooLargeError,
     ConnectionFailedError,
@@ -299,7 +299,7 @@
             if not events:
                 continue
             if not self._splitter.has_event:
-                await self._pass_on_comments(events)
+                await self._pass_on_comments(events, self._splitter.last_id)
                 continue
             if self._writing_since_ms is None:
                 self._writing_since_ms = trio.current_time() * 1000
@@ -313,7 +313,8 @@
         if not call.has_begun:
             await self._start_answer(head)
         await call.claim(self)
-        await call.write_comments(self, self._take_comments())
+        last_id = self._splitter.last_id
+        await call.write_comments(self, self._take_comments(), last_id)
         self._complete(facts, head, connection, is_inconclusive=not has_events)
         await call.finish()
 
@@ -429,7 +430,7 @@
             has_begun=self._call.has_begun,
             weights_version=None if facts is None else facts.weights_version,
             broken_bound="" if bound is None else bound.value,
-            is_shared_bound=bound is ByteBound.SUM,
+            is_shared_bound=bound is not None and bound.is_shared(),
             wrote_ms=wrote_ms,
             attempt=self.number,
         )
