Bound a whole answer by the size that a request may have

It is a setting. Ways weighed: smaller bounds for a replica that broke one lately (a sound large answer of a replica that has recovered is then cut again and again).

--- a/packages/toucanyard/src/toucanyard/byte_limits.py
+++ b/packages/toucanyard/src/toucanyard/byte_limits.py
@@ -15,8 +15,8 @@
 class ByteLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Bounds on the bytes received from replicas, the store, peers and callers."""
 
-    max_answer_bytes: SizeBytes = 8_000_000
-    """One answer that is sent to its caller as a whole."""
+    max_answer_bytes: SizeBytes = 4_194_304
+    """One answer that is sent as a whole; it may be as large as a request."""
     max_event_bytes: SizeBytes = 1_000_000
     """What a stream may contain between two of its events."""
     max_error_bytes: SizeBytes = 256_000
