--- a/tests/toucanyard_platform/test_processes.py
+++ b/tests/toucanyard_platform/test_processes.py
@@ -133,18 +133,19 @@
 ) -> None:
     async with open_fleet(tmp_path) as fleet:
         node = fleet.nodes[0]
-        answers: list[int] = []
+        answers: list[tuple[int, int, str]] = []
 
         async def stream(number: int) -> None:
             answer = await node.call("/model/x", f"s{number}", *MODEL_HEADERS)
-            answers.append(answer.body.count(b"id: "))
+            reason = "" if answer.status == 200 else answer.body[:300].decode()
+            answers.append((answer.status, answer.body.count(b"id: "), reason))
 
         async with trio.open_nursery() as nursery:
             for number in range(8):
                 nursery.start_soon(stream, number)
             await trio.sleep(0.1)
             fleet.replicas["e1"][1].kill()
-        assert answers == [10] * 8
+        assert answers == [(200, 10, "")] * 8
 
 
 REPEAT_INTERVAL_S = 0.3
