--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 import sys
@@ -12,7 +13,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common"))
+sys.path.insert(0, str(HERE))
 
 from replica import Replica
 from standins import (
@@ -24,13 +25,14 @@
     exit_with,
     find_port,
     find_prefix,
-    has_trouble,
     is_ready,
     request_once,
     serve,
     wait_until,
 )
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the case is run with its disruption."""
 REPLICAS = 6
 LOAD_S = 0.55
 FREEZE_S = 3.5
@@ -236,7 +238,7 @@
     holders = {each.holder for each in replicas}
     frozen = next(node for node in nodes if node.name not in holders)
     begun = time.monotonic()
-    if has_trouble():
+    if HAS_TROUBLE:
         frozen.send_signal(signal.SIGSTOP)
         record.write("frozen", node=frozen.name)
     await asyncio.sleep(begun + FIRST_NAMED_S - time.monotonic())
@@ -246,7 +248,7 @@
     record.write("versions_before_second", versions=versions)
     confirmed = name_version(store, first + 1, record)
     await asyncio.sleep(begun + FREEZE_S - time.monotonic())
-    if has_trouble():
+    if HAS_TROUBLE:
         frozen.send_signal(signal.SIGCONT)
         record.write("thawed", node=frozen.name)
     until = confirmed + 1.5 * VERSION_S + 3.0
--- a/review/common/standins.py
+++ b/review/1/standins.py
@@ -456,11 +456,6 @@
         return int(probe.getsockname()[1])
 
 
-def has_trouble() -> bool:
-    """Return whether the case is to be run with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def exit_with(main: Callable[[], Awaitable[int]]) -> None:
     """Run a case; exit with its result, or with 2 if it could not run."""
     try:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 import tempfile
@@ -10,7 +11,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common"))
+sys.path.insert(0, str(HERE))
 
 from replica import Replica
 from standins import (
@@ -23,13 +24,14 @@
     exit_with,
     find_port,
     find_prefix,
-    has_trouble,
     is_ready,
     request_once,
     serve,
     wait_until,
 )
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+"""Whether the case is run with its disruption."""
 EVENTS = 14
 EVENT_S = 0.45
 """Pause between two events, below the route's gapTargetMs of 500."""
@@ -212,7 +214,7 @@
         record.write("resolve", node=nodes[0].name, got=await resolve(nodes[0]))
         begun = time.monotonic()
         background = [asyncio.create_task(watch_resolve(nodes, begun, record))]
-        if has_trouble():
+        if HAS_TROUBLE:
             for node in nodes:
                 node.send_signal(signal.SIGTERM)
                 record.write("sigterm", node=node.name)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # are; this only checks that each of them compiles.
 set -eu
 cd "$(dirname "$0")"
-python3 - common/*.py [0-9]/*.py <<'EOF'
+python3 - [0-9]/*.py <<'EOF'
 import sys
 from pathlib import Path
 
