Log what shows a replica's weights; hypotheses on replicas left on old weights

An entry's change of weights is logged, those by answers, reports and peers' updates are not.

Change: one place records weights that the store does not show yet, and logs version before and after, the source and the peer (replica_weights, limited to 20 lines in 10 s). No decision changes.

Before: no line between the last order and the calls with the wrong version.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -35,6 +35,7 @@
 from toucanyard.replica_connections.kept_connections import KeptConnections
 from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_usage import ReplicaUsage
+from toucanyard.replica_weights import ReplicaWeights
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.requests import Repeatability
 from toucanyard.routes import EngineTraits, PromptStore, RouteIndex, RouteTable
@@ -88,6 +89,7 @@
         self.usage = ReplicaUsage()
         self.brittle = build_brittle(self.usage)
         self.block_index = PromptBlockIndex()
+        self.weights = ReplicaWeights(self.block_index)
         max_old_ms = options.weights.deadline_ms * MAX_OLD_SHARE
         self._placement = PromptBlockPlacement(
             self.block_index, self.usage, max_old_ms, options.policy
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -11,6 +11,7 @@
 from toucanyard.relay_policy import RelayPolicy
 from toucanyard.relay_requests import RelayOutcome
 from toucanyard.replica_reach import ReplicaReach
+from toucanyard.replica_weights import WeightsSource
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
@@ -77,7 +78,13 @@
             return
         self._reach.record_outcome(known.replica, outcome, pending.sent_ms, now_ms)
         if prompt is not None and outcome.weights_version is not None:
-            self._record_weights(known, prompt.model, outcome.weights_version)
+            self._calls.weights.record(
+                known,
+                prompt.model,
+                outcome.weights_version,
+                WeightsSource.ANSWER,
+                now_ms,
+            )
         if not outcome.broken_bound:
             self._apply_ending(known, pending, outcome, now_ms)
         elif not outcome.is_shared_bound:
@@ -145,7 +152,7 @@
             case DispatchEnding.REFUSED if outcome.is_replaced:
                 self._directory.record_replaced(outcome.replica, now_ms)
             case DispatchEnding.REFUSED if outcome.has_other_weights:
-                self._assume_target_weights(known, pending)
+                self._assume_target_weights(known, pending, now_ms)
             case DispatchEnding.REFUSED if self._brittle.is_brittle(known):
                 self._brittle.record_rejected(known, now_ms)
             case DispatchEnding.REFUSED:
@@ -172,14 +179,13 @@
             # attempts.
             pending.sends -= 1
 
-    def _assume_target_weights(self, known: KnownReplica, pending: PendingCall) -> None:
+    def _assume_target_weights(
+        self, known: KnownReplica, pending: PendingCall, now_ms: float
+    ) -> None:
         """Assume that a replica that refused for its weights has the target ones."""
         prompt = pending.request.prompt
         target = None if prompt is None else self._weight_targets.find(prompt.model)
         if prompt is not None and target is not None:
-            self._record_weights(known, prompt.model, target.version)
-
-    def _record_weights(self, known: KnownReplica, model: str, version: int) -> None:
-        if known.record_weights(model, version):
-            # Loading weights discards everything cached under the previous ones.
-            self._calls.block_index.forget(known.replica.name)
+            self._calls.weights.record(
+                known, prompt.model, target.version, WeightsSource.ASSUMED, now_ms
+            )
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -233,7 +233,7 @@
         self.parts = PromptBlockUpdates(
             self.flow.block_index, self.sources, self.directory, self.facts
         )
-        self.gossip = ReplicaGossip(self.directory, self.flow.block_index, rng)
+        self.gossip = ReplicaGossip(self.directory, calls.weights, rng)
         self.rollout = RolloutLeader(
             identity,
             options.weights,
@@ -333,6 +333,7 @@
         """Handle one event and return the actions to carry out now, in order."""
         self.flow.set_view_confirmed(self.exchange.views[Topic.REPLICAS].confirmed_ms)
         actions = list(self._handle(event, now_ms))
+        actions += self.calls.weights.take_log_entries()
         actions += self._guard_events.settle()
         actions += self._reach_events.settle(now_ms)
         if self._guard_events.consume_urgent_flag() | self._reach_events.has_changed():
--- a/packages/toucanyard/src/toucanyard/replica_gossip.py
+++ b/packages/toucanyard/src/toucanyard/replica_gossip.py
@@ -16,7 +16,7 @@
 from toucanyard.log_entries import LogEntry
 from toucanyard.log_rate_limit import LogRateLimit
 from toucanyard.names import EndpointName, NodeName
-from toucanyard.prompt_block_index import PromptBlockIndex
+from toucanyard.replica_weights import ReplicaWeights, WeightsSource
 from toucanyard.replicas import LEAVE_REPORT_MS, KnownReplica, ReplicaDirectory
 from toucanyard.seen_updates import SeenUpdates, new_update_id
 
@@ -39,7 +39,6 @@
     """Updates on replicas, from this node and from its peers."""
 
     __slots__ = (
-        "_block_index",
         "_changed_ms",
         "_changing",
         "_directory",
@@ -48,16 +47,17 @@
         "_pauses",
         "_rng",
         "_seen",
+        "_weights",
     )
 
     def __init__(
         self,
         directory: ReplicaDirectory,
-        block_index: PromptBlockIndex,
+        weights: ReplicaWeights,
         rng: random.Random,
     ) -> None:
         self._directory = directory
-        self._block_index = block_index
+        self._weights = weights
         self._rng = rng
         self._leaves = LogRateLimit("replica_leaving")
         self._log_entries: list[LogEntry] = []
@@ -134,7 +134,7 @@
             is_new_leave = update.is_leaving and self._apply_leave_report(
                 known, sender, now_ms
             )
-            if self._apply_one(known, update, now_ms) or is_new_leave:
+            if self._apply_one(known, update, sender, now_ms) or is_new_leave:
                 self._changed_ms[update.replica] = now_ms
                 has_changed = True
         return has_changed
@@ -155,7 +155,11 @@
         return True
 
     def _apply_one(
-        self, known: KnownReplica, update: ReplicaUpdate, now_ms: float
+        self,
+        known: KnownReplica,
+        update: ReplicaUpdate,
+        sender: NodeName,
+        now_ms: float,
     ) -> bool:
         has_changed = False
         is_old = any(
@@ -173,7 +177,7 @@
             self._seen.add(update.pause_id)
             has_changed = True
         for model, version in update.weights:
-            if known.record_weights(model, version):
-                self._block_index.forget(update.replica)
-                has_changed = True
+            has_changed |= self._weights.record(
+                known, model, version, WeightsSource.PEER, now_ms, sender
+            )
         return has_changed
--- a/tests/toucanyard/test_replica_gossip.py
+++ b/tests/toucanyard/test_replica_gossip.py
@@ -12,6 +12,7 @@
     UPDATE_TTL_MS,
     ReplicaGossip,
 )
+from toucanyard.replica_weights import ReplicaWeights
 from toucanyard.replicas import LEAVE_REPORT_MS, KnownReplica, ReplicaDirectory
 
 from .relay_examples import ENGINES, MODEL, build_replica
@@ -33,7 +34,7 @@
         assert known is not None
         self.known: KnownReplica = known
         self.gossip = ReplicaGossip(
-            directory, PromptBlockIndex(), random.Random(number)
+            directory, ReplicaWeights(PromptBlockIndex()), random.Random(number)
         )
 
     def send_to(
@@ -146,7 +147,9 @@
     names = "abcdef"
     for name in names:
         directory.apply(build_replica(name), 0.0)
-    gossip = ReplicaGossip(directory, PromptBlockIndex(), random.Random(1))
+    gossip = ReplicaGossip(
+        directory, ReplicaWeights(PromptBlockIndex()), random.Random(1)
+    )
     updates = [
         ReplicaUpdate(EndpointName(name), 0.0, (), is_leaving=True)
         for name in names[:heard]
--- a/tests/toucanyard/test_statement_events.py
+++ b/tests/toucanyard/test_statement_events.py
@@ -19,6 +19,7 @@
     ReplicaStatement,
     StatementKind,
 )
+from toucanyard.replica_weights import ReplicaWeights
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.statement_events import StatementEvents
 from toucanyard.uneven_load.placement_inputs import UnevenLoad
@@ -36,7 +37,7 @@
         rng = random.Random(seed)
         self.directory = ReplicaDirectory()
         self.limits = ReplicaLimits(rng)
-        gossip = ReplicaGossip(self.directory, PromptBlockIndex(), rng)
+        gossip = ReplicaGossip(self.directory, ReplicaWeights(PromptBlockIndex()), rng)
         self.brittleness = ReplicaLimits(rng)
         self.events = StatementEvents(
             self.directory,
