Take no weights of a replica for granted that it has not stated

Cause: a 421 for other weights was taken to mean that the replica has the target version, though it may have any, and though it states which. The node that woke up sent calls with version n to replicas that had n+1, took them to have n+2, and told all peers. From then on nobody found them outdated, so nobody ordered them to load n+2.

Change: a refusal records only the version that it states. Reports of all replicas are read for weights, not only of those under change. Peers are told of what was stated.

Why this works: nothing but a statement of the replica, or a peer's word of one, raises its version, so no node can take it for newer than it is.

--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -89,7 +89,7 @@
         self.usage = ReplicaUsage()
         self.brittle = build_brittle(self.usage)
         self.block_index = PromptBlockIndex()
-        self.weights = ReplicaWeights(self.block_index)
+        self.weights = ReplicaWeights(directory, self.block_index)
         max_old_ms = options.weights.deadline_ms * MAX_OLD_SHARE
         self._placement = PromptBlockPlacement(
             self.block_index, self.usage, max_old_ms, options.policy
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -15,7 +15,6 @@
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
-from toucanyard.target_weights import TargetWeightsTable
 
 ANSWERED: Final = (
     DispatchEnding.COMPLETED,
@@ -36,14 +35,12 @@
         "_limits",
         "_policy",
         "_reach",
-        "_weight_targets",
     )
 
     def __init__(
         self,
         policy: RelayPolicy,
         directory: ReplicaDirectory,
-        weight_targets: TargetWeightsTable,
         calls: CallPlacement,
         guard: RequestGuard,
         limits: CallLimits,
@@ -51,7 +48,6 @@
     ) -> None:
         self._policy = policy
         self._directory = directory
-        self._weight_targets = weight_targets
         self._calls = calls
         self._brittle: BrittleReplicas = calls.brittle
         self._guard = guard
@@ -152,7 +148,7 @@
             case DispatchEnding.REFUSED if outcome.is_replaced:
                 self._directory.record_replaced(outcome.replica, now_ms)
             case DispatchEnding.REFUSED if outcome.has_other_weights:
-                self._assume_target_weights(known, pending, now_ms)
+                self._record_other_weights(known, pending, now_ms)
             case DispatchEnding.REFUSED if self._brittle.is_brittle(known):
                 self._brittle.record_rejected(known, now_ms)
             case DispatchEnding.REFUSED:
@@ -179,13 +175,11 @@
             # attempts.
             pending.sends -= 1
 
-    def _assume_target_weights(
+    def _record_other_weights(
         self, known: KnownReplica, pending: PendingCall, now_ms: float
     ) -> None:
-        """Assume that a replica that refused for its weights has the target ones."""
         prompt = pending.request.prompt
-        target = None if prompt is None else self._weight_targets.find(prompt.model)
-        if prompt is not None and target is not None:
-            self._calls.weights.record(
-                known, prompt.model, target.version, WeightsSource.ASSUMED, now_ms
+        if prompt is not None:
+            self._calls.weights.record_refused(
+                known, prompt.model, pending.weights_version, now_ms
             )
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -241,6 +241,7 @@
             self.weight_targets,
             self.node_directory,
             self.flow.usage,
+            calls.weights,
             options.policy.rollout,
             self.reach.is_unreached,
             self.era,
@@ -334,6 +335,7 @@
         self.flow.set_view_confirmed(self.exchange.views[Topic.REPLICAS].confirmed_ms)
         actions = list(self._handle(event, now_ms))
         actions += self.calls.weights.take_log_entries()
+        actions += self.calls.weights.list_checks(now_ms)
         actions += self._guard_events.settle()
         actions += self._reach_events.settle(now_ms)
         if self._guard_events.consume_urgent_flag() | self._reach_events.has_changed():
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -89,7 +89,7 @@
         self._resumed = resumed
         self._awaiting_origin: list[PendingCall] = []
         self._outcomes = DispatchOutcomes(
-            policy, directory, weight_targets, calls, guard, limits, reach
+            policy, directory, calls, guard, limits, reach
         )
         self._reach = reach
         self._forwards = forwards
--- a/packages/toucanyard/src/toucanyard/rollout_leader.py
+++ b/packages/toucanyard/src/toucanyard/rollout_leader.py
@@ -24,6 +24,7 @@
 from toucanyard.relay_options import WeightsTimings
 from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replica_usage import ReplicaUsage
+from toucanyard.replica_weights import ReplicaWeights
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.store_era import StoreEra
 from toucanyard.target_weights import TargetWeights, TargetWeightsTable
@@ -65,6 +66,7 @@
         "_rollouts",
         "_leases",
         "_usage",
+        "_weights",
         "_work",
         "_identity",
         "_scanned_ms",
@@ -81,6 +83,7 @@
         weight_targets: TargetWeightsTable,
         node_directory: NodeDirectory,
         usage: ReplicaUsage,
+        weights: ReplicaWeights,
         policy: RolloutPolicy,
         is_unreached: Callable[[ServiceName], bool] = lambda _: False,
         era: StoreEra | None = None,
@@ -93,6 +96,7 @@
         self._weight_targets = weight_targets
         self._node_directory = node_directory
         self._usage = usage
+        self._weights = weights
         self._leases = Leases(identity, float(timings.lease_ms), era)
         self._rollouts: dict[str, WeightsRollout] = {}
         self._work = _Work()
@@ -222,6 +226,7 @@
     def _record_state(self, read: ReplicaStateRead, now_ms: float) -> None:
         if self._is_other_incarnation(read, now_ms):
             return
+        self._weights.record_report(read, now_ms)
         for rollout in self._rollouts.values():
             rollout.record_state(read)
 
--- a/tests/toucanyard/test_replica_gossip.py
+++ b/tests/toucanyard/test_replica_gossip.py
@@ -34,7 +34,9 @@
         assert known is not None
         self.known: KnownReplica = known
         self.gossip = ReplicaGossip(
-            directory, ReplicaWeights(PromptBlockIndex()), random.Random(number)
+            directory,
+            ReplicaWeights(directory, PromptBlockIndex()),
+            random.Random(number),
         )
 
     def send_to(
@@ -148,7 +150,7 @@
     for name in names:
         directory.apply(build_replica(name), 0.0)
     gossip = ReplicaGossip(
-        directory, ReplicaWeights(PromptBlockIndex()), random.Random(1)
+        directory, ReplicaWeights(directory, PromptBlockIndex()), random.Random(1)
     )
     updates = [
         ReplicaUpdate(EndpointName(name), 0.0, (), is_leaving=True)
--- a/tests/toucanyard/test_statement_events.py
+++ b/tests/toucanyard/test_statement_events.py
@@ -37,7 +37,9 @@
         rng = random.Random(seed)
         self.directory = ReplicaDirectory()
         self.limits = ReplicaLimits(rng)
-        gossip = ReplicaGossip(self.directory, ReplicaWeights(PromptBlockIndex()), rng)
+        gossip = ReplicaGossip(
+            self.directory, ReplicaWeights(self.directory, PromptBlockIndex()), rng
+        )
         self.brittleness = ReplicaLimits(rng)
         self.events = StatementEvents(
             self.directory,
