Let later statements correct a replica's weights, and order peers' words

Cause: weights versions only grew. Answers and reports that stated an older version were dropped as late, so that a wrong one could not be told from a late one, and a peer's update was as good as a statement of the replica.

Change: each version is kept with the time within which it was stated: from its request to its arrival. An older version is believed only if its statement was requested after the known one had arrived; a newer one is dropped only if it arrived before the known one was requested. Reports count as a second older than they are, since their figures lag. Updates to peers tell the age of the statement. A peer's update raises a version unless it is older than this node's correction; it never lowers one, as it may have been delayed: the replica is asked instead. So is a replica whose entry does not show, after 3 s, what only a peer has told. In large fleets only the candidates for the lease ask. Counters: doubts and corrections.

tests/test_weights_rollout: its fleet hands reports to the replica's state before the rollout, as the node does; the rollout no longer does so itself.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_metrics.py
@@ -268,6 +268,9 @@
     """Render which replicas leave, by which source, and which have deferred calls."""
     yield _format("replica_leaves_total", core.statements.leave_count)
     yield _format("replica_deferrals_total", core.statements.deferral_count)
+    weights = core.calls.weights
+    yield _format("replica_weights_doubts_total", weights.doubt_count)
+    yield _format("replica_weights_corrections_total", weights.correction_count)
     known = [each for each in core.directory.list_all() if each.gone_ms is None]
     leaving = [(each, each.list_leave_sources(now_ms)) for each in known]
     for each, sources in [pair for pair in leaving if pair[1]][:MAX_LIMITED]:
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -16,7 +16,6 @@
 from toucanyard.names import Fingerprint, NodeName, ServiceName
 from toucanyard.pending_call import PendingCall
 from toucanyard.plain_placement import PlainPlacement
-from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.prompt_block_placement import PlacedPrompt, PromptBlockPlacement
 from toucanyard.prompt_block_reports import PromptBlockReports
 from toucanyard.prompt_block_sources import (
@@ -68,6 +67,7 @@
         build_brittle: Callable[[ReplicaUsage], BrittleReplicas],
         versions: SoftwareVersions,
         uneven: UnevenLoad,
+        weights: ReplicaWeights,
         rng: random.Random,
     ) -> None:
         self._uneven = uneven
@@ -88,8 +88,8 @@
         self.reports = PromptBlockReports()
         self.usage = ReplicaUsage()
         self.brittle = build_brittle(self.usage)
-        self.block_index = PromptBlockIndex()
-        self.weights = ReplicaWeights(directory, self.block_index)
+        self.weights = weights
+        self.block_index = weights.block_index
         max_old_ms = options.weights.deadline_ms * MAX_OLD_SHARE
         self._placement = PromptBlockPlacement(
             self.block_index, self.usage, max_old_ms, options.policy
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -15,6 +15,7 @@
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import PROVEN_NOT_RUN, DispatchEnding
+from toucanyard.stated_weights import StatedSpan
 
 ANSWERED: Final = (
     DispatchEnding.COMPLETED,
@@ -79,6 +80,7 @@
                 prompt.model,
                 outcome.weights_version,
                 WeightsSource.ANSWER,
+                StatedSpan(pending.sent_ms, now_ms),
                 now_ms,
             )
         if not outcome.broken_bound:
--- a/packages/toucanyard/src/toucanyard/link_messages.py
+++ b/packages/toucanyard/src/toucanyard/link_messages.py
@@ -79,6 +79,9 @@
     """Id of the update that began or renewed the pause; 0 without a pause."""
     is_leaving: bool = False
     """Whether its responses say that it leaves."""
+    weights_age_ms: DurationMs | None = None
+    """Time since the replica's last statement about weights was received; None if the
+    sender does not tell."""
 
 
 class ReplicaLimitUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -18,6 +18,7 @@
 from toucanyard.guard_events import GuardEvents
 from toucanyard.keyed_view import Decode, Topic
 from toucanyard.known_facts import KnownFacts
+from toucanyard.leases import MAX_FOLLOWERS
 from toucanyard.limit_coordinators import LimitCoordinators
 from toucanyard.limit_events import LimitEvents
 from toucanyard.link_messages import (
@@ -37,6 +38,7 @@
 from toucanyard.origin_events import OriginEvents
 from toucanyard.origin_exchange import OriginExchange
 from toucanyard.own_announcement import OwnAnnouncement
+from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.prompt_block_sources import PromptBlockSources
 from toucanyard.prompt_block_updates import PromptBlockUpdates
 from toucanyard.reach_events import ReachEvents
@@ -77,11 +79,12 @@
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_probes import ReplicaProbes
 from toucanyard.replica_reach import ReplicaReach
+from toucanyard.replica_weights import ReplicaWeights
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import DispatchEnding
 from toucanyard.resumed_streams import ResumedStreams
-from toucanyard.rollout_leader import RolloutLeader
+from toucanyard.rollout_leader import ORDERS_SUBJECT, RolloutLeader
 from toucanyard.routes import RouteIndex
 from toucanyard.shared_limits import SharedLimits
 from toucanyard.software_versions import SoftwareVersions
@@ -172,6 +175,9 @@
             lambda now_ms: now_ms - self.exchange.views[Topic.REPLICAS].confirmed_ms,
         )
         self.uneven = UnevenLoad(self.directory, options.policy.uneven)
+        weights = ReplicaWeights(
+            self.directory, PromptBlockIndex(), self._may_check_weights
+        )
         calls = self.calls = CallPlacement(
             options,
             self.directory,
@@ -188,6 +194,7 @@
             ),
             self.versions,
             self.uneven,
+            weights,
             rng,
         )
         self.guard = RequestGuard(
@@ -334,8 +341,7 @@
         """Handle one event and return the actions to carry out now, in order."""
         self.flow.set_view_confirmed(self.exchange.views[Topic.REPLICAS].confirmed_ms)
         actions = list(self._handle(event, now_ms))
-        actions += self.calls.weights.take_log_entries()
-        actions += self.calls.weights.list_checks(now_ms)
+        actions += self._settle_weights(now_ms)
         actions += self._guard_events.settle()
         actions += self._reach_events.settle(now_ms)
         if self._guard_events.consume_urgent_flag() | self._reach_events.has_changed():
@@ -344,6 +350,25 @@
         actions += self._origin_events.settle()
         return actions
 
+    def _settle_weights(self, now_ms: float) -> Iterator[RelayAction]:
+        """Ask replicas whose weights are in doubt, and tell peers of corrections."""
+        weights = self.calls.weights
+        yield from weights.take_log_entries()
+        yield from weights.list_checks(now_ms)
+        corrected = weights.take_corrected()
+        for name in corrected:
+            self.gossip.record_change(name, now_ms)
+        if corrected:
+            yield from self._send_status_now(now_ms)
+
+    def _may_check_weights(self, now_ms: float) -> bool:
+        """Return whether this node asks replicas whose weights others contradict."""
+        directory = self.node_directory
+        return (
+            directory.is_full_mesh()
+            or directory.find_rank(ORDERS_SUBJECT, now_ms) < MAX_FOLLOWERS
+        )
+
     def _handle(self, event: RelayEvent, now_ms: float) -> Iterator[RelayAction]:
         match event:
             case (
@@ -461,6 +486,8 @@
             self.forwards.prune(now_ms)
             self.calls.silences.prune(now_ms)
             self.versions.refresh(now_ms)
+            for each in self.directory.list_served(now_ms):
+                self.calls.weights.check_entry(each, now_ms)
             self.origins.prune(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.block_index.forget(name)
--- a/packages/toucanyard/src/toucanyard/replica_gossip.py
+++ b/packages/toucanyard/src/toucanyard/replica_gossip.py
@@ -16,13 +16,11 @@
 from toucanyard.log_entries import LogEntry
 from toucanyard.log_rate_limit import LogRateLimit
 from toucanyard.names import EndpointName, NodeName
-from toucanyard.replica_weights import ReplicaWeights, WeightsSource
+from toucanyard.replica_weights import UPDATE_TTL_MS, ReplicaWeights
 from toucanyard.replicas import LEAVE_REPORT_MS, KnownReplica, ReplicaDirectory
 from toucanyard.seen_updates import SeenUpdates, new_update_id
+from toucanyard.stated_weights import UNKNOWN_MS
 
-UPDATE_TTL_MS: Final = 5_000.0
-"""How long a replica's new weights are sent to peers; after that the store shows
-them."""
 PAUSE_TOLERANCE_MS: Final = 300.0
 """A pause that ends this much later is a new one; holders renew theirs for longer."""
 MAX_SEEN_UPDATES: Final = 1_000
@@ -95,15 +93,19 @@
         is_stated = known.leave_stated_ms is not None
         is_leaving = is_stated or known.is_reported_leaving(now_ms)
         until_ms = known.loading_until_ms
+        stated_ms = known.stated_weights.find_end()
+        age_ms = None if stated_ms == UNKNOWN_MS else now_ms - stated_ms
         if until_ms <= now_ms:
-            return ReplicaUpdate(name, 0.0, weights, is_leaving=is_leaving)
+            return ReplicaUpdate(
+                name, 0.0, weights, is_leaving=is_leaving, weights_age_ms=age_ms
+            )
         pause = self._pauses.get(name)
         if pause is None or pause.until_ms != until_ms:
             # Begun or renewed by this node since it last sent or received an update.
             pause = self._pauses[name] = _Pause(new_update_id(self._rng), until_ms)
             self._seen.add(pause.pause_id)
         return ReplicaUpdate(
-            name, until_ms - now_ms, weights, pause.pause_id, is_leaving
+            name, until_ms - now_ms, weights, pause.pause_id, is_leaving, age_ms
         )
 
     def list_restarts(self, now_ms: float) -> Iterable[ReplicaRestart]:
@@ -176,8 +178,4 @@
             self._pauses[update.replica] = _Pause(update.pause_id, until_ms)
             self._seen.add(update.pause_id)
             has_changed = True
-        for model, version in update.weights:
-            has_changed |= self._weights.record(
-                known, model, version, WeightsSource.PEER, now_ms, sender
-            )
-        return has_changed
+        return self._weights.record_update(known, update, sender, now_ms) or has_changed
--- a/packages/toucanyard/src/toucanyard/replica_weights.py
+++ b/packages/toucanyard/src/toucanyard/replica_weights.py
@@ -7,24 +7,33 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import msgspec
 
+from toucanyard.link_messages import ReplicaUpdate
 from toucanyard.log_entries import LogEntry
 from toucanyard.log_rate_limit import LogRateLimit
 from toucanyard.names import EndpointName, NodeName
 from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.relay_events import ReadReplicaState, ReplicaStateRead
 from toucanyard.replicas import KnownReplica, ReplicaDirectory
+from toucanyard.stated_weights import UNKNOWN_MS, StatedSpan, WeightsChange
 
+UPDATE_TTL_MS: Final = 5_000.0
+"""How long a replica's new weights are sent to peers; after that the store shows
+them."""
 CHECK_INTERVAL_MS: Final = 500.0
 """Time between two requests for the report of a replica in doubt."""
 MAX_CHECK_MS: Final = 3_000.0
 """Time after which a replica that has not reported is no longer asked."""
 REPORT_LAG_MS: Final = 1_000.0
 """Maximum age of the figures in a report when it is sent."""
+PEER_DELAY_MS: Final = 500.0
+"""Time in which a peer learns of new weights that this node knows."""
+ENTRY_DELAY_MS: Final = 3_000.0
+"""Time in which the store shows new weights that a peer knows."""
 
 
 class WeightsSource(enum.StrEnum):
@@ -47,24 +56,35 @@
     """Weights of replicas that the store does not show yet, and checks of them."""
 
     __slots__ = (
-        "_block_index",
         "_changes",
         "_checks",
+        "_corrected",
         "_directory",
         "_doubts",
         "_log_entries",
+        "_may_check",
+        "block_index",
+        "correction_count",
         "doubt_count",
     )
 
     def __init__(
-        self, directory: ReplicaDirectory, block_index: PromptBlockIndex
+        self,
+        directory: ReplicaDirectory,
+        block_index: PromptBlockIndex,
+        may_check: Callable[[float], bool] = lambda _: True,
     ) -> None:
+        """`may_check`: whether this node checks what peers and entries show."""
         self._directory = directory
-        self._block_index = block_index
+        self._may_check = may_check
+        self.block_index = block_index
         self._changes = LogRateLimit("replica_weights")
         self._doubts = LogRateLimit("replica_weights_doubted")
         self._log_entries: list[LogEntry] = []
         self._checks: dict[EndpointName, _Check] = {}
+        self._corrected: list[EndpointName] = []
+        self.correction_count = 0
+        """Number of times that a replica had older weights than this node knew."""
         self.doubt_count = 0
         """Number of times that a replica contradicted what this node knew of it."""
 
@@ -74,16 +94,21 @@
         model: str,
         version: int,
         source: WeightsSource,
+        span: StatedSpan,
         now_ms: float,
         peer: NodeName = NO_PEER,
     ) -> bool:
-        """Record a replica's weights version; return whether it is newer."""
+        """Record a statement about a replica's weights; return whether they change."""
         before = known.weights.get(model, 0)
-        if not known.record_weights(model, version):
+        change = known.record_weights(model, version, span)
+        if change is WeightsChange.NONE:
             return False
         self._checks.pop(known.replica.name, None)
+        if change is WeightsChange.OLDER:
+            self.correction_count += 1
+            self._corrected.append(known.replica.name)
         # Loading weights discards everything cached under the previous ones.
-        self._block_index.forget(known.replica.name)
+        self.block_index.forget(known.replica.name)
         fields: dict[str, object] = {
             "replica": known.replica.name,
             "model": model,
@@ -91,6 +116,7 @@
             "version": version,
             "source": source.value,
             "peer": peer,
+            "age_ms": round(now_ms - span.end_ms),
         }
         self._log_entries += self._changes.log(fields, now_ms)
         return True
@@ -100,12 +126,55 @@
         known = self._directory.find(read.replica)
         if known is None or read.state is None:
             return
+        span = StatedSpan(read.asked_ms - REPORT_LAG_MS, now_ms)
         for model, version in read.state.weights:
-            self.record(known, model, version, WeightsSource.REPORT, now_ms)
+            self.record(known, model, version, WeightsSource.REPORT, span, now_ms)
         check = self._checks.get(read.replica)
-        if check is not None and read.asked_ms - REPORT_LAG_MS >= check.since_ms:
+        if check is not None and span.begin_ms >= check.since_ms:
             del self._checks[read.replica]
 
+    def record_update(
+        self,
+        known: KnownReplica,
+        update: ReplicaUpdate,
+        peer: NodeName,
+        now_ms: float,
+    ) -> bool:
+        """Record the weights in a peer's update; return whether they change.
+
+        An update never lowers a version, since it may have been delayed. If its
+        statement is the newer one, the replica is asked.
+        """
+        has_age = update.weights_age_ms is not None
+        age_ms = (
+            UPDATE_TTL_MS if update.weights_age_ms is None else update.weights_age_ms
+        )
+        span = StatedSpan(UNKNOWN_MS, now_ms - max(age_ms, 0.0))
+        has_changed = False
+        for model, version in update.weights:
+            known_ms = known.stated_weights.find_span(model).end_ms
+            is_lower = version < known.weights.get(model, 0)
+            if has_age and is_lower and span.end_ms > known_ms + PEER_DELAY_MS:
+                self._doubt_word(known, model, "peer", now_ms)
+            has_changed |= self.record(
+                known, model, version, WeightsSource.PEER, span, now_ms, peer
+            )
+        return has_changed
+
+    def check_entry(self, known: KnownReplica, now_ms: float) -> None:
+        """Ask a replica whose entry does not show what only a peer has told."""
+        for model, version in known.replica.weights:
+            span = known.stated_weights.find_span(model)
+            is_stated = span.begin_ms != UNKNOWN_MS
+            is_lower = version < known.weights.get(model, 0)
+            if is_lower and not is_stated and now_ms - span.end_ms > ENTRY_DELAY_MS:
+                self._doubt_word(known, model, "entry", now_ms)
+
+    def take_corrected(self) -> list[EndpointName]:
+        """Return and clear the replicas found to have older weights than known."""
+        corrected, self._corrected = self._corrected, []
+        return corrected
+
     def record_refused(
         self, known: KnownReplica, model: str, expected: int | None, now_ms: float
     ) -> None:
@@ -136,6 +205,13 @@
         entries, self._log_entries = self._log_entries, []
         return entries
 
+    def _doubt_word(
+        self, known: KnownReplica, model: str, reason: str, now_ms: float
+    ) -> None:
+        """Check a version, unless another node does in a large fleet."""
+        if known.replica.name not in self._checks and self._may_check(now_ms):
+            self._add_doubt(known, model, reason, now_ms)
+
     def _add_doubt(
         self, known: KnownReplica, model: str, reason: str, now_ms: float
     ) -> None:
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -23,6 +23,12 @@
     SoftwareVersion,
 )
 from toucanyard.replica_incarnations import ReplicaIncarnations
+from toucanyard.stated_weights import (
+    UNKNOWN_MS,
+    StatedSpan,
+    StatedWeights,
+    WeightsChange,
+)
 from toucanyard.store_availability import StoreOutage
 from toucanyard.stream_origins import StreamOrigin
 
@@ -128,12 +134,12 @@
         "removal",
         "replica",
         "deferred_until_ms",
-        "weights",
+        "stated_weights",
     )
 
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
-        self.weights = dict(replica.weights)
+        self.stated_weights = StatedWeights(dict(replica.weights))
         self.is_leaving = replica.is_draining
         """Whether its entry in the store says that it leaves."""
         self.leave_stated_ms: float | None = None
@@ -159,26 +165,32 @@
         self._doubted_until_ms = float("-inf")
         """Until when it may have restarted with another software version."""
 
-    def update(self, replica: Replica) -> None:
-        """Apply what the replica reports of itself; weights versions only grow."""
+    def update(self, replica: Replica, now_ms: float) -> None:
+        """Apply the replica's entry, which may be older than its other statements."""
         self.replica = replica
         self.gone_ms = None
         self.removal = None
         # A replica never revokes its leave: a stale entry must not give it work.
         self.is_leaving = self.is_leaving or replica.is_draining
         for model, version in replica.weights:
-            self.record_weights(model, version)
+            self.record_weights(model, version, StatedSpan(UNKNOWN_MS, now_ms))
+
+    @property
+    def weights(self) -> dict[str, int]:
+        """Return the version of each loaded model."""
+        return self.stated_weights.versions
 
-    def record_weights(self, model: str, version: int) -> bool:
-        """Record weights seen in an answer or a report; return whether they are newer.
+    def record_weights(
+        self, model: str, version: int, span: StatedSpan
+    ) -> WeightsChange:
+        """Record a statement about weights; return what it changes.
 
-        If so, the load is complete, whichever source showed it first.
+        If they are newer, the load is complete, whichever source showed it first.
         """
-        if version <= self.weights.get(model, 0):
-            return False
-        self.weights[model] = version
-        self.loading_until_ms = float("-inf")
-        return True
+        change = self.stated_weights.record(model, version, span)
+        if change is WeightsChange.NEWER:
+            self.loading_until_ms = float("-inf")
+        return change
 
     @property
     def software_origin(self) -> StreamOrigin:
@@ -428,7 +440,7 @@
             known = self._known[replica.name] = KnownReplica(replica)
             self._by_service.setdefault(replica.service, []).append(known)
         else:
-            known.update(replica)
+            known.update(replica, now_ms)
         return known
 
     def record_incarnation(
--- a/packages/toucanyard/src/toucanyard/rollout_leader.py
+++ b/packages/toucanyard/src/toucanyard/rollout_leader.py
@@ -45,6 +45,9 @@
 """Time between two scans for outdated replicas. With 70 replicas and a scan at each
 tick, scans took a fifth of a node's time for decisions."""
 
+ORDERS_SUBJECT: Final = "orders"
+"""Subject by which nodes rank as candidates for the lease."""
+
 RolloutAction = AppendLease | ReadLeases | ReadReplicaState | WeightsOrder | LogEntry
 
 
@@ -155,7 +158,7 @@
         actions: list[RolloutAction] = []
         holder = self._leases.find_holder()
         is_alive = self._node_directory.is_alive(holder, now_ms)
-        rank = self._node_directory.find_rank("orders", now_ms)
+        rank = self._node_directory.find_rank(ORDERS_SUBJECT, now_ms)
         request = self._leases.tick(
             self._work.since_ms or now_ms, rank, is_alive, now_ms, is_leaving=is_leaving
         )
@@ -219,7 +222,7 @@
         if not is_due:
             return []
         self._work = _Work()
-        if self._node_directory.find_rank("orders", now_ms) >= MAX_FOLLOWERS:
+        if self._node_directory.find_rank(ORDERS_SUBJECT, now_ms) >= MAX_FOLLOWERS:
             return []
         return [ReadLeases(0)]
 
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -221,9 +221,6 @@
                 del self._changes[name]
                 continue
             state = None if change.report is None else change.report.state
-            if state is not None:
-                for loaded, loaded_version in state.weights:
-                    known.record_weights(loaded, loaded_version)
             is_busy = state is not None and state.is_busy
             is_done = known.weights.get(model, 0) >= change.version and not is_busy
             since_ms = change.ordered_ms or change.announced_ms
--- a/tests/toucanyard/flow_node.py
+++ b/tests/toucanyard/flow_node.py
@@ -15,6 +15,7 @@
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.node_records import NodeRecord
 from toucanyard.origin_exchange import OriginExchange
+from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.prompt_block_sources import PromptBlockSources
 from toucanyard.relay_flow import RelayFlow
 from toucanyard.relay_policy import RelayPolicy
@@ -27,6 +28,7 @@
 from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_reach import ReplicaReach
+from toucanyard.replica_weights import ReplicaWeights
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.request_guard import RequestGuard
 from toucanyard.requests import DispatchEnding, Refuse
@@ -95,6 +97,7 @@
             ),
             self.versions,
             UnevenLoad(self.directory, policy.uneven),
+            ReplicaWeights(self.directory, PromptBlockIndex()),
             rng,
         )
         self.flow = RelayFlow(
--- a/tests/toucanyard/test_call_placement.py
+++ b/tests/toucanyard/test_call_placement.py
@@ -9,11 +9,13 @@
 from toucanyard.node_directory import NodeDirectory
 from toucanyard.node_records import NodeRecord
 from toucanyard.pending_call import PendingCall
+from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.prompt_block_sources import PromptBlockSources, compute_store_name
 from toucanyard.relay_requests import Prompt, RelayDispatch
 from toucanyard.replica_credits import ReplicaCredits
 from toucanyard.replica_limits import ReplicaLimits
 from toucanyard.replica_reach import ReplicaReach
+from toucanyard.replica_weights import ReplicaWeights
 from toucanyard.replicas import ReplicaDirectory
 from toucanyard.routes import RouteIndex
 from toucanyard.software_versions import SoftwareVersions
@@ -68,6 +70,7 @@
             ),
             SoftwareVersions(directory),
             UnevenLoad(directory, OPTIONS.policy.uneven),
+            ReplicaWeights(directory, PromptBlockIndex()),
             rng,
         )
         self.placement.index = RouteIndex(build_table())
--- a/tests/toucanyard/test_replica_gossip.py
+++ b/tests/toucanyard/test_replica_gossip.py
@@ -9,11 +9,11 @@
 from toucanyard.prompt_block_index import PromptBlockIndex
 from toucanyard.replica_gossip import (
     PAUSE_TOLERANCE_MS,
-    UPDATE_TTL_MS,
     ReplicaGossip,
 )
-from toucanyard.replica_weights import ReplicaWeights
+from toucanyard.replica_weights import UPDATE_TTL_MS, ReplicaWeights
 from toucanyard.replicas import LEAVE_REPORT_MS, KnownReplica, ReplicaDirectory
+from toucanyard.stated_weights import StatedSpan
 
 from .relay_examples import ENGINES, MODEL, build_replica
 
@@ -109,7 +109,7 @@
     If it were applied, the first replica with new weights would stay idle.
     """
     node = GossipNode()
-    node.known.record_weights(MODEL, 2)
+    node.known.record_weights(MODEL, 2, StatedSpan(0.0, 0.0))
     late = ReplicaUpdate(NAME, 1_000.0, ((MODEL, 1),))
     assert not node.gossip.apply((late,), PEER, 0.0)
     assert not node.known.is_loading(1.0)
--- a/tests/toucanyard/test_replicas.py
+++ b/tests/toucanyard/test_replicas.py
@@ -13,6 +13,7 @@
     SEND_MARGIN_MS,
     ReplicaDirectory,
 )
+from toucanyard.stated_weights import StatedSpan
 from toucanyard.store_availability import StoreOutage
 from toucanyard.store_schedule import compute_read_age
 
@@ -168,7 +169,7 @@
     directory = build_directory("a")
     known = directory.find(EndpointName("a"))
     assert known is not None
-    assert known.record_weights(MODEL, 3)
+    known.record_weights(MODEL, 3, StatedSpan(0.0, 0.0))
     directory.apply(build_replica("a", weights=((MODEL, 2),)), 0.0)
     assert known.weights == {MODEL: 3}
 
--- a/tests/toucanyard/test_weights_rollout.py
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -13,6 +13,7 @@
 )
 from toucanyard.relay_policy import RolloutPolicy
 from toucanyard.replicas import KnownReplica
+from toucanyard.stated_weights import StatedSpan
 from toucanyard.weights_rollout import (
     ANNOUNCE_MS,
     LOST_MS,
@@ -71,10 +72,19 @@
             for action in actions:
                 match action:
                     case ReadReplicaState(replica=name):
-                        self.rollout.record_state(self.read(name))
+                        self.record(self.read(name))
                     case WeightsOrder():
                         self.take(action)
 
+    def record(self, read: ReplicaStateRead) -> None:
+        if read.state is not None:
+            known = next(e for e in self.known if e.replica.name == read.replica)
+            for model, version in read.state.weights:
+                known.record_weights(
+                    model, version, StatedSpan(read.asked_ms, self.now_ms)
+                )
+        self.rollout.record_state(read)
+
     def finish(self) -> None:
         for name, version in list(self.loading.items()):
             if self.now_ms >= self.busy_until[name]:
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -153,6 +153,8 @@
     lines = text.splitlines()
     assert "toucanyard_replica_leaves_total 1" in lines
     assert "toucanyard_replica_deferrals_total 1" in lines
+    assert "toucanyard_replica_weights_doubts_total 0" in lines
+    assert "toucanyard_replica_weights_corrections_total 0" in lines
     assert 'toucanyard_replica_leaving{replica="a",source="answer"} 1' in lines
     assert 'toucanyard_replica_leaving{replica="c",source="peer"} 1' in lines
     assert 'toucanyard_replica_deferred_ms{replica="b"}' in text
