Refuse calls that a stopping node could not answer before it ends

Change: CallChecks asks StopAdmission before a call is sent, sent again, hedged or taken from the queue. It compares what is left of the stop with the last answers to calls of the same route and size. What can't end in time is refused as not run, with a time to come back: at once if another node is ready. The stop itself never outlasts its grace period.

Why this works: no call begins late of which the node does not know that it ends in time, and a refusal before anything was sent is true.

--- a/packages/toucanyard/src/toucanyard/call_checks.py
+++ b/packages/toucanyard/src/toucanyard/call_checks.py
@@ -1,4 +1,4 @@
-"""Check whether a call may be sent at all: its request and its customer's limit."""
+"""Check whether a call may be sent at all: its request, its node, its limit."""
 
 from __future__ import annotations
 
@@ -9,23 +9,30 @@
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.pending_call import PendingCall
 from toucanyard.request_guard import RequestGuard
+from toucanyard.stop_admission import StopAdmission
 
 
 class CallChecks:
     """The checks of one node; each returns why a call is refused, if it is."""
 
-    __slots__ = ("_guard", "_limits")
+    __slots__ = ("_guard", "_limits", "_stop")
 
-    def __init__(self, guard: RequestGuard, limits: CallLimits) -> None:
+    def __init__(
+        self, guard: RequestGuard, limits: CallLimits, stop: StopAdmission
+    ) -> None:
         self._guard = guard
+        self._stop = stop
         self._limits = limits
 
     def check(
         self, pending: PendingCall, others: Iterable[PendingCall], now_ms: float
     ) -> RefusalReason | None:
-        """Check a call by its request, then by its customer's limit."""
-        refused = self.check_guard(pending, others, now_ms)
-        return refused or self.check_limits(pending, now_ms)
+        """Check a call by its request, the node's stop and its customer's limit."""
+        return (
+            self.check_guard(pending, others, now_ms)
+            or self._stop.check(pending, now_ms)
+            or self.check_limits(pending, now_ms)
+        )
 
     def check_guard(
         self, pending: PendingCall, others: Iterable[PendingCall], now_ms: float
--- a/packages/toucanyard/src/toucanyard/call_forwards.py
+++ b/packages/toucanyard/src/toucanyard/call_forwards.py
@@ -99,6 +99,10 @@
             return PeersBusy(min(self._busy[each.node] for each in reaching) - now_ms)
         return None
 
+    def has_ready_peer(self, now_ms: float) -> bool:
+        """Return whether callers may go to another node."""
+        return self._nodes.has_ready_peer(now_ms)
+
     def is_available(self, peer: NodeName, service: ServiceName, now_ms: float) -> bool:
         """Return whether a peer may get calls of a service now."""
         is_paused = now_ms < self._paused.get((peer, service), now_ms)
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from toucanyard.answer_times.answer_times import AnswerTimes
+from toucanyard.answer_times.recent_answers import RecentAnswers
 from toucanyard.brittle_replicas import BrittleReplicas
 from toucanyard.call_forwards import MAX_FORWARDS, CallForwards
 from toucanyard.candidates import MIN_TRANSFER_TOKENS
@@ -73,6 +74,7 @@
         self._uneven = uneven
         self.connections = KeptConnections(options.connections)
         self.answer_times = AnswerTimes()
+        self.recent_answers = RecentAnswers()
         self.silences = SilentReplicas()
         self.node_count = 1
         self._versions = versions
--- a/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
+++ b/packages/toucanyard/src/toucanyard/dispatch_outcomes.py
@@ -140,6 +140,7 @@
                 known.record_success()
                 took_ms = now_ms - pending.sent_ms
                 self._calls.answer_times.record(pending.request, took_ms)
+                self._calls.recent_answers.record(pending.request, took_ms)
             case DispatchEnding.NOT_SENT if outcome.is_withdrawn:
                 pass
             case DispatchEnding.NOT_SENT | DispatchEnding.LOST:
--- a/packages/toucanyard/src/toucanyard/node_directory.py
+++ b/packages/toucanyard/src/toucanyard/node_directory.py
@@ -228,6 +228,11 @@
             self._ranks[subject] = rank
         return rank
 
+    def has_ready_peer(self, now_ms: float) -> bool:
+        """Return whether another live node takes calls."""
+        alive = self.list_alive(now_ms)
+        return any(each.is_ready and each.node != self._own.name for each in alive)
+
     def find_addresses(self, now_ms: float) -> list[Address]:
         """Return the addresses to which callers may connect.
 
--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -50,6 +50,7 @@
     UnknownOrigin,
 )
 from toucanyard.routes import RouteIndex
+from toucanyard.stop_admission import StopAdmission
 from toucanyard.stream_origins import StreamOrigin
 from toucanyard.target_weights import TargetWeightsTable
 
@@ -98,7 +99,8 @@
         self._retries = CallRetries(retries, policy.retries)
         self._policy = policy
         self._refusals = CallRefusals(rng)
-        self._checks = CallChecks(guard, limits)
+        self.stop = StopAdmission(calls.recent_answers, forwards.has_ready_peer)
+        self._checks = CallChecks(guard, limits, self.stop)
         self._waits = CallWaits(policy.queue, directory, calls, self._refusals)
         self._directory = directory
         self._pending: dict[RequestId, PendingCall] = {}
--- a/tests/toucanyard_node/test_relay_node.py
+++ b/tests/toucanyard_node/test_relay_node.py
@@ -7,12 +7,15 @@
 
 from toucanyard.names import Address, DomainName, Incarnation, NodeId, NodeName
 from toucanyard.relay_core import RelayCore
-from toucanyard.relay_options import RelayListen, RelayOptions
+from toucanyard.relay_events import StopBegun
+from toucanyard.relay_options import RelayListen, RelayOptions, StopTimings
 from toucanyard_node import relay_node
 from toucanyard_node.bounded_output import BoundedOutput
 from toucanyard_node.held_bytes import ReceivedBytes
 from toucanyard_node.http_exchange import HttpRequest, Responder
+from toucanyard_node.http_server import HttpServer
 from toucanyard_node.relay_node import AuxiliaryHandlers, Ports, RelayNode
+from toucanyard_node.relay_task import RelayClient
 
 LISTEN = RelayListen(*(Address(f"127.0.0.1:{port}") for port in range(1, 6)))
 
@@ -25,6 +28,23 @@
     raise AssertionError
 
 
+def build_node(stop: StopTimings | None = None) -> RelayNode:
+    options = RelayOptions(
+        NodeName("n"),
+        DomainName("d"),
+        LISTEN,
+        LISTEN.callers,
+        stop=stop or StopTimings(),
+    )
+    identity = NodeId(options.name, Incarnation("i"))
+    rng = random.Random(1)
+    core = RelayCore(options, identity, lambda *_: None, rng)
+    unused = Ports(None, None, None, None)  # type: ignore[arg-type]
+    return RelayNode(
+        core, unused, BoundedOutput(1), rng, ReceivedBytes(core.options.bytes_received)
+    )
+
+
 async def test_callers_socket_is_open_before_the_node_can_be_ready(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -40,15 +60,38 @@
         raise OpenedError
 
     monkeypatch.setattr(relay_node, "_listen", open_first)
-    options = RelayOptions(NodeName("n"), DomainName("d"), LISTEN, LISTEN.callers)
-    identity = NodeId(options.name, Incarnation("i"))
-    rng = random.Random(1)
-    core = RelayCore(options, identity, lambda *_: None, rng)
-    unused = Ports(None, None, None, None)  # type: ignore[arg-type]
-    node = RelayNode(
-        core, unused, BoundedOutput(1), rng, ReceivedBytes(core.options.bytes_received)
-    )
+    node = build_node()
     pages = AuxiliaryHandlers(answer_nothing, answer_nothing, answer_nothing)
     with pytest.raises(OpenedError):
         await node.run(pages)
     assert opened == [LISTEN.callers]
+
+
+@pytest.mark.parametrize(
+    ("grace_ms", "closed_s", "left_ms"),
+    [(8_000, 3.3, 7_400.0), (20_000, 3.3, 19_400.0), (2_500, 1.9, 1_900.0)],
+)
+async def test_stop_takes_no_more_calls_than_its_grace_period_allows(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: object,
+    grace_ms: int,
+    closed_s: float,
+    left_ms: float,
+) -> None:
+    """Guards against a stop that is killed before it has ended its calls."""
+    node = build_node(StopTimings(grace_ms=grace_ms))
+    stopped_s: list[float] = []
+    events: list[object] = []
+    monkeypatch.setattr(RelayClient, "send_event", lambda _, sent: events.append(sent))
+    monkeypatch.setattr(
+        HttpServer, "stop", lambda _: stopped_s.append(trio.current_time())
+    )
+    begun_s = trio.current_time()
+    node._stopping.set()
+    await node._stop()
+    (begun,) = events
+    assert isinstance(begun, StopBegun)
+    assert begun.left_ms == left_ms
+    assert begun.accept_ms < 3_000.0
+    assert stopped_s[0] - begun_s == pytest.approx(closed_s)
+    assert trio.current_time() - begun_s < grace_ms / 1000
