Go on with a planned stop when SIGTERM is repeated

A second SIGTERM to a stopping node ended all its calls at once, so streams were cut within the time that the platform leaves them.

Cause: any second signal was taken as the wish to end at once. On the platform what should end at once is killed, and two planned stops may overlap.

Change: a repeated SIGTERM is logged (stop_repeated) and changes nothing. A SIGINT to a stopping node ends it at once, as before.

Before: test_repeated_sigterm_does_not_cut_calls[SIGTERM] failed (stopped_at_once). After: it passes.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -248,13 +248,19 @@
         self._task.client.send_event(NodeAnnounced(position.era))
 
     async def _watch_signals(self, scope: trio.CancelScope) -> None:
-        """Start the shutdown on SIGTERM or SIGINT; end at once on the second one."""
+        """Start the shutdown on SIGTERM or SIGINT; end at once on a further SIGINT.
+
+        A repeated SIGTERM asks for what is under way: what should end at once is killed
+        by whoever sends it.
+        """
         wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with trio.open_signal_receiver(*wanted) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
                     if self.settings_watch is not None:
                         self.settings_watch.reload()
+                elif self._stopping.is_set() and number == signal.SIGTERM:
+                    _LOG.info("stop_repeated")
                 elif self._stopping.is_set():
                     _LOG.warning("stopped_at_once")
                     await self._end_calls()
--- a/tests/toucanyard_node/test_relay_node.py
+++ b/tests/toucanyard_node/test_relay_node.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+import signal
 
 import pytest
 import trio
@@ -15,6 +16,7 @@
 from toucanyard_node.http_exchange import HttpRequest, Responder
 from toucanyard_node.http_server import HttpServer
 from toucanyard_node.relay_node import AuxiliaryHandlers, Ports, RelayNode
+from toucanyard_node.relay_server import RelayServer
 from toucanyard_node.relay_task import RelayClient
 
 LISTEN = RelayListen(*(Address(f"127.0.0.1:{port}") for port in range(1, 6)))
@@ -95,3 +97,47 @@
     assert begun.accept_ms < 3_000.0
     assert stopped_s[0] - begun_s == pytest.approx(closed_s)
     assert trio.current_time() - begun_s < grace_ms / 1000
+
+
+class FakeSignals:
+    """Signals that reach a process one after the other, and then no more."""
+
+    def __init__(self, *numbers: signal.Signals) -> None:
+        self._numbers = list(numbers)
+
+    def __enter__(self) -> FakeSignals:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        return None
+
+    def __aiter__(self) -> FakeSignals:
+        return self
+
+    async def __anext__(self) -> signal.Signals:
+        await trio.lowlevel.checkpoint()
+        if not self._numbers:
+            raise StopAsyncIteration
+        return self._numbers.pop(0)
+
+
+@pytest.mark.parametrize(
+    ("second", "is_ended"), [(signal.SIGTERM, False), (signal.SIGINT, True)]
+)
+async def test_repeated_sigterm_does_not_cut_calls(
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: object,
+    second: signal.Signals,
+    is_ended: bool,
+) -> None:
+    """Guards against a second request to stop that ends the calls of the first."""
+    node = build_node()
+    ended: list[bool] = []
+    monkeypatch.setattr(RelayServer, "end_calls", lambda _: ended.append(True))
+    signals = FakeSignals(signal.SIGTERM, second)
+    monkeypatch.setattr(trio, "open_signal_receiver", lambda *_: signals)
+    with trio.CancelScope() as scope:
+        await node._watch_signals(scope)
+    assert node._stopping.is_set()
+    assert bool(ended) is is_ended
+    assert scope.cancel_called is is_ended
