Give customers that share a new cache scope when one becomes isolated

Cause: the scope of all customers that are not isolated had one name for ever.

A property over sequences of configurations and calls fails on the old rule with two steps: nobody isolated, one calls; one isolated, two calls.

Change: the scope that is shared is named by the set of isolated customers. The call carries its cache group, found from the table by which its key was judged.

Why this works: what is in a shared scope was read by customers outside of the set that names it, so while the set is in force no isolated customer has made it. The name needs no state, so nodes that join later agree. Without isolated customers the scope is unchanged; a change of the set costs the others what they had cached.

tests: walled_customer_has_a_scope_of_its_own builds its groups from a table, since a request no longer says whether its customer is isolated; it still asks for three different scopes.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -177,7 +177,7 @@
             request_id=RequestId(f"{facts.caller_id}-{next(self._numbers)}"),
             caller_id=facts.caller_id,
             customer=name,
-            is_isolated=customer is not None and customer.is_isolated,
+            cache_group=index.find_cache_group(customer),
             route=route.name,
             service=service,
             repeatability=route.repeatability,
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_crash_causes.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_crash_causes.py
@@ -42,7 +42,7 @@
         request_id=RequestId(f"q{number}"),
         caller_id=f"q{number}",
         customer=CustomerName("c"),
-        is_isolated=False,
+        cache_group="",
         route="r",
         service=ServiceName("s"),
         repeatability=Repeatability.REPEATABLE,
--- a/packages/toucanyard/src/toucanyard/prompt_block_placement.py
+++ b/packages/toucanyard/src/toucanyard/prompt_block_placement.py
@@ -119,11 +119,10 @@
 def compute_scope(request: RelayRequest, prompt: Prompt, version: int) -> str:
     """Return the scope in which a replica keeps the blocks of a prompt.
 
-    It contains the weights version, so that nothing read under other weights is ever
-    used, and the customer if it is isolated.
+    It contains the weights version and the call's cache group, so that nothing is used
+    that was read under other weights or across an isolated customer.
     """
-    isolated_customer = request.customer if request.is_isolated else ""
-    return f"{prompt.model}/{version}/{isolated_customer}"
+    return f"{prompt.model}/{version}/{request.cache_group}"
 
 
 class PromptBlockPlacement:
--- a/packages/toucanyard/src/toucanyard/routes.py
+++ b/packages/toucanyard/src/toucanyard/routes.py
@@ -7,14 +7,21 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from typing import Final
 
 import msgspec
+import xxhash
 
 from toucanyard.names import Address, CustomerName, DomainName, ServiceName
 from toucanyard.rate_limits import RateLimit
 from toucanyard.requests import Repeatability
 
+ISOLATED_PREFIX: Final = "="
+"""Begins the cache group of an isolated customer."""
+SHARED_PREFIX: Final = "!"
+"""Begins the cache group of all others, if any customer is isolated."""
+
 
 class Split(msgspec.Struct, frozen=True):
     """The share of a route's calls that goes to one service."""
@@ -117,7 +124,14 @@
     Invariant: if several routes match a path, the one with the longest prefix wins.
     """
 
-    __slots__ = ("_by_host", "_by_key", "_limits", "_services", "table")
+    __slots__ = (
+        "_by_host",
+        "_by_key",
+        "_limits",
+        "_services",
+        "_shared_cache_group",
+        "table",
+    )
 
     def __init__(self, table: RouteTable) -> None:
         self.table = table
@@ -126,6 +140,7 @@
             self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
         self._by_key = {key: each for each in table.customers for key in each.keys}
         self._services = {each.name: each for each in table.services}
+        self._shared_cache_group = _name_shared_group(table.customers)
         self._limits = {
             each.name: each.limit for each in table.customers if each.limit is not None
         }
@@ -145,6 +160,12 @@
         """Return the customer that holds a key."""
         return self._by_key.get(key)
 
+    def find_cache_group(self, customer: RoutedCustomer | None) -> str:
+        """Return the group of calls that may share cached prompt blocks."""
+        if customer is not None and customer.is_isolated:
+            return f"{ISOLATED_PREFIX}{customer.name}"
+        return self._shared_cache_group
+
     def find_service(self, name: ServiceName) -> RoutedService | None:
         """Return a service by its name."""
         return self._services.get(name)
@@ -162,6 +183,19 @@
         return bool(self.table.customers)
 
 
+def _name_shared_group(customers: Iterable[RoutedCustomer]) -> str:
+    """Return the cache group of all customers that are not isolated.
+
+    It depends on which ones are: blocks that a customer shared before it was isolated
+    are in a group that is no longer used. Every node finds the same name from the
+    table alone, also one that has started since.
+    """
+    isolated = sorted(each.name for each in customers if each.is_isolated)
+    if not isolated:
+        return ""
+    return SHARED_PREFIX + xxhash.xxh3_128_hexdigest("\n".join(isolated).encode())
+
+
 def choose_service(route: Route, rng: random.Random) -> ServiceName | None:
     """Return the service of one call, drawn by the weights of its route's split."""
     weights = [max(split.weight, 0.0) for split in route.splits]
--- a/tests/toucanyard/relay_examples.py
+++ b/tests/toucanyard/relay_examples.py
@@ -103,7 +103,7 @@
         "request_id": RequestId(request_id),
         "caller_id": request_id,
         "customer": CustomerName("c"),
-        "is_isolated": False,
+        "cache_group": "",
         "route": "r",
         "service": DESK,
         "repeatability": Repeatability.REPEATABLE,
--- a/tests/toucanyard/test_prompt_block_placement.py
+++ b/tests/toucanyard/test_prompt_block_placement.py
@@ -28,7 +28,7 @@
 from toucanyard.relay_requests import Prompt
 from toucanyard.replica_usage import ReplicaUsage
 from toucanyard.replicas import KnownReplica
-from toucanyard.routes import PromptStore
+from toucanyard.routes import PromptStore, RoutedCustomer, RouteIndex, RouteTable
 from toucanyard.software_versions import VersionRoom
 from toucanyard.target_weights import TargetWeights
 
@@ -163,12 +163,18 @@
 
 
 def test_walled_customer_has_a_scope_of_its_own() -> None:
-    shared = compute_scope(build_request("q"), PROMPT, 1)
-    walled = compute_scope(build_request("q", is_isolated=True), PROMPT, 1)
-    other = compute_scope(
-        build_request("q", is_isolated=True, customer=CustomerName("d")), PROMPT, 1
+    customers = tuple(
+        RoutedCustomer(CustomerName(name), (name,), is_isolated=is_isolated)
+        for name, is_isolated in (("c", False), ("d", True), ("e", True))
     )
-    assert len({shared, walled, other}) == 3
+    index = RouteIndex(RouteTable(1, customers=customers))
+    scopes = {
+        compute_scope(
+            build_request("q", cache_group=index.find_cache_group(customer)), PROMPT, 1
+        )
+        for customer in customers
+    }
+    assert len(scopes) == 3
 
 
 def test_replica_with_old_weights_is_avoided_and_then_not_used() -> None:
--- a/tests/toucanyard/test_routes.py
+++ b/tests/toucanyard/test_routes.py
@@ -74,3 +74,54 @@
     assert 1_700 < chosen.count(one) < 1_900
     assert chosen.count(none) == 0
     assert choose_service(build_route("r", "/", splits=()), rng) is None
+
+
+NAMES = ("one", "two", "three")
+STEPS = st.lists(
+    st.tuples(st.sets(st.sampled_from(NAMES)), st.sampled_from(NAMES)), max_size=30
+)
+"""Which customers a configuration isolates, and who calls under it."""
+
+
+def build_isolating(isolated: set[str]) -> RouteIndex:
+    customers = tuple(
+        RoutedCustomer(CustomerName(name), (name,), is_isolated=name in isolated)
+        for name in NAMES
+    )
+    return RouteIndex(RouteTable(1, customers=customers))
+
+
+@given(STEPS)
+def test_isolated_customer_shares_no_cached_block_whatever_was_shared_before(
+    steps: list[tuple[set[str], str]],
+) -> None:
+    """Guards against blocks of a customer that were cached before it was isolated.
+
+    Replicas and stores keep what each group has read through all configurations.
+    """
+    made: dict[str, set[str]] = {}
+    for isolated, caller in steps:
+        index = build_isolating(isolated)
+        group = index.find_cache_group(index.find_customer(caller))
+        makers = made.setdefault(group, set())
+        others = makers - {caller}
+        assert not others or isolated.isdisjoint(others | {caller})
+        makers.add(caller)
+
+
+def test_cache_group_is_kept_while_the_same_customers_are_isolated() -> None:
+    """Guards against losing all cached blocks to configurations that change others."""
+    before = build_isolating({"one", "two"})
+    after = RouteIndex(
+        build_table(
+            version=9,
+            customers=(
+                RoutedCustomer(CustomerName("two"), ("new",), is_isolated=True),
+                RoutedCustomer(CustomerName("four"), ("k",)),
+                RoutedCustomer(CustomerName("one"), ("one",), is_isolated=True),
+            ),
+        )
+    )
+    assert before.find_cache_group(None) == after.find_cache_group(None)
+    assert build_isolating(set()).find_cache_group(None) == ""
+    assert RouteIndex(build_table()).find_cache_group(None) == ""
--- a/tests/toucanyard_node/test_relay_attempt.py
+++ b/tests/toucanyard_node/test_relay_attempt.py
@@ -20,7 +20,7 @@
         request_id=RequestId("q-1"),
         caller_id="q",
         customer=CustomerName("c"),
-        is_isolated=False,
+        cache_group="",
         route="r",
         service=SERVICE,
         repeatability=Repeatability.REPEATABLE,
