Begin no call on a stopping node once its callers should be gone

Cause: a late call began if the last answers to such calls were short. They bound nothing: one answer in a hundred takes much longer.

Change: from 50 ms before callers should be gone no call begins that the end could cut, whatever is known. In the 0.2 s before that, a call begins if all such answers took less than two thirds of what is left, since the signal may have been handled late.

Why this works: what is sent later than callers keep addresses is refused before anything is sent.

--- a/packages/toucanyard-node/src/toucanyard_node/relay_node.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_node.py
@@ -68,9 +68,6 @@
 """Time to send the refusals of calls that a stop ends; part of `STOP_MARGIN_MS`."""
 CLOSE_MARGIN_MS: Final = 300.0
 """Time after the end of callers' address caching until idle connections close."""
-SIGNAL_DELAY_MS: Final = 250.0
-"""How late a busy node may handle the signal; calls that arrive up to so much earlier
-than its own count may come from callers that should be gone."""
 HUB_CLOSE_MARGIN_MS: Final = 800.0
 """The same in a fleet where hubs forward that this node stops."""
 AUXILIARY_LIMITS: Final = ServerLimits(max_body_bytes=16_384)
@@ -282,8 +279,7 @@
         _LOG.info("stop_begun", pending=pending, grace_ms=stop.grace_ms)
         keep_ms = stop.locate_ttl_ms * stop.keep_factor
         left_ms = max(stop.grace_ms - STOP_MARGIN_MS, 0.0)
-        accept_ms = max(keep_ms - SIGNAL_DELAY_MS, 0.0)
-        self._task.client.send_event(StopBegun(accept_ms, left_ms))
+        self._task.client.send_event(StopBegun(keep_ms, left_ms))
         is_full_mesh = self.core.node_directory.is_full_mesh()
         margin_ms = CLOSE_MARGIN_MS if is_full_mesh else HUB_CLOSE_MARGIN_MS
         deadline_s = begun_s + left_ms / 1000
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -398,9 +398,9 @@
                 | NodeAnnounced()
             ):
                 self._handle_passive(event, now_ms)
-            case StopBegun(accept_ms=accept_ms, left_ms=left_ms):
+            case StopBegun(keep_ms=keep_ms, left_ms=left_ms):
                 self.is_stopping = True
-                self.flow.stop.begin(now_ms + accept_ms, now_ms + left_ms)
+                self.flow.stop.begin(now_ms + keep_ms, now_ms + left_ms)
                 yield from self.statuses.send(self.is_ready(), now_ms)
             case TickPassed():
                 yield from self._tick(now_ms)
--- a/packages/toucanyard/src/toucanyard/relay_events.py
+++ b/packages/toucanyard/src/toucanyard/relay_events.py
@@ -282,7 +282,7 @@
 class StopBegun(msgspec.Struct, frozen=True):
     """The planned stop has begun."""
 
-    accept_ms: float = 0.0
+    keep_ms: float = 0.0
     """How long callers may still go by an address that they have kept."""
     left_ms: float = 0.0
     """Time until all calls end."""
--- a/packages/toucanyard/src/toucanyard/stop_admission.py
+++ b/packages/toucanyard/src/toucanyard/stop_admission.py
@@ -13,13 +13,20 @@
 from toucanyard.call_refusals import RefusalReason
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.pending_call import PendingCall
+from toucanyard.relay_requests import RelayRequest
 
 MAX_SHARE_CUT: Final = 0.5
 """Share of recent answers to such calls that may have taken longer than is left."""
+SIGNAL_DELAY_MS: Final = 250.0
+"""How late a busy node may handle the signal. Calls that arrive up to so much before
+its own count says that callers are gone may come from callers that should be."""
+CLOSE_MS: Final = 50.0
+"""How long before callers are gone no more calls begin that the end could cut."""
 LATE_MARGIN: Final = 1.5
-"""How much longer than any recent answer the time left must be for a late call."""
+"""How much longer than any recent answer the time left must be for a call that may be
+too late."""
 UNKNOWN_SHARE: Final = 0.5
-"""Share of the time from the last arrivals to the end in which a call may begin of
+"""Share of the time from the last such arrivals to the end in which a call may begin of
 which it is not known how long it takes."""
 RESTART_MS: Final = 1_000.0
 """Time from the end of a process until it takes calls again."""
@@ -28,7 +35,7 @@
 class StopAdmission:
     """Which calls a node may still begin; all of them until it stops."""
 
-    __slots__ = ("_accept_until_ms", "_answers", "_ends_ms", "_has_ready_peer")
+    __slots__ = ("_answers", "_ends_ms", "_gone_ms", "_has_ready_peer")
 
     def __init__(
         self, answers: RecentAnswers, has_ready_peer: Callable[[float], bool]
@@ -36,12 +43,13 @@
         """`has_ready_peer`: whether callers may be sent to another node."""
         self._answers = answers
         self._has_ready_peer = has_ready_peer
-        self._accept_until_ms = float("inf")
+        self._gone_ms = float("inf")
+        """When callers have been told of other nodes for long enough."""
         self._ends_ms = float("inf")
 
-    def begin(self, accept_until_ms: float, ends_ms: float) -> None:
+    def begin(self, gone_ms: float, ends_ms: float) -> None:
         """Record that the node stops: when callers should be gone and when it ends."""
-        self._accept_until_ms = accept_until_ms
+        self._gone_ms = gone_ms
         self._ends_ms = ends_ms
 
     def check(self, pending: PendingCall, now_ms: float) -> RefusalReason | None:
@@ -54,24 +62,31 @@
         if request.deadline_ms <= self._ends_ms or pending.has_begun:
             return None
         left_ms = self._ends_ms - now_ms
-        if request.arrived_ms >= self._accept_until_ms:
-            longer = self._answers.find_share_longer(request, left_ms / LATE_MARGIN)
-            is_refused = longer is None or longer > 0.0
-        else:
-            longer = self._answers.find_share_longer(request, left_ms)
-            is_refused = longer is not None and longer > MAX_SHARE_CUT
-            if longer is None:
-                most_ms = self._ends_ms - self._accept_until_ms
-                is_refused = left_ms < most_ms * (1.0 - UNKNOWN_SHARE)
-        if not is_refused:
+        text = self._find_obstacle(request, left_ms)
+        if text is None:
             return None
-        text = f"this node ends in {left_ms:.0f} ms"
-        if longer is not None:
-            text += f", {longer:.0%} of such answers took too long"
         return RefusalReason(
-            ErrorKind.DRAINING, text, self._find_retry(left_ms, now_ms)
+            ErrorKind.DRAINING,
+            f"this node ends in {left_ms:.0f} ms, {text}",
+            self._find_retry(left_ms, now_ms),
         )
 
+    def _find_obstacle(self, request: RelayRequest, left_ms: float) -> str | None:
+        """Return why a call may not end in time, if so."""
+        late_ms = request.arrived_ms - self._gone_ms
+        if late_ms >= -CLOSE_MS:
+            return "its callers should be gone"
+        may_be_late = late_ms >= -SIGNAL_DELAY_MS
+        time_ms = left_ms / LATE_MARGIN if may_be_late else left_ms
+        longer = self._answers.find_share_longer(request, time_ms)
+        if longer is None:
+            most_ms = self._ends_ms - self._gone_ms
+            is_short = may_be_late or left_ms < most_ms * (1.0 - UNKNOWN_SHARE)
+            return "how long such answers take is not known" if is_short else None
+        if longer > (0.0 if may_be_late else MAX_SHARE_CUT):
+            return f"{longer:.0%} of such answers took longer than {time_ms:.0f} ms"
+        return None
+
     def _find_retry(self, left_ms: float, now_ms: float) -> float:
         """Return when the caller should come back: at once if another node is ready."""
         if self._has_ready_peer(now_ms):
