Play fleets under drawn disturbances until beliefs about weights converge

Cause: the tests of replica_weights disturb a fleet in one way at a time.

The emulator's refusals for other weights state the version, as replicas do.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/relayed_call.py
@@ -294,8 +294,9 @@
             case JobOutcome.REFUSED:
                 self._fail_dispatch(number, DispatchEnding.REFUSED)
             case JobOutcome.OTHER_WEIGHTS:
+                other_version = None if job.engine is None else job.engine.version
                 self._fail_dispatch(
-                    number, DispatchEnding.REFUSED, has_other_weights=True
+                    number, DispatchEnding.REFUSED, other_version=other_version
                 )
             case JobOutcome.LOST:
                 self._fail_dispatch(number, DispatchEnding.LOST, is_closed=True)
@@ -317,7 +318,7 @@
         *,
         has_no_listener: bool = False,
         is_closed: bool = False,
-        has_other_weights: bool = False,
+        other_version: int | None = None,
     ) -> None:
         if number != self._dispatch_number or self._is_over or self._dispatch is None:
             return
@@ -329,7 +330,7 @@
             is_dead=is_dead,
             has_no_listener=has_no_listener,
             is_closed=is_closed,
-            has_other_weights=has_other_weights,
+            other_version=other_version,
         )
 
     def _report(
@@ -340,7 +341,7 @@
         is_dead: bool = False,
         has_no_listener: bool = False,
         is_closed: bool = False,
-        has_other_weights: bool = False,
+        other_version: int | None = None,
     ) -> None:
         outcome = RelayOutcome(
             self.request.request_id,
@@ -349,10 +350,12 @@
             is_dead=is_dead,
             has_no_listener=has_no_listener,
             is_closed=is_closed,
-            has_other_weights=has_other_weights,
+            has_other_weights=other_version is not None,
             has_begun=self.first_ms is not None,
             weights_version=(
-                dispatch.weights_version if ending is DispatchEnding.COMPLETED else None
+                dispatch.weights_version
+                if ending is DispatchEnding.COMPLETED
+                else other_version
             ),
         )
         self._node.handle(DispatchEnded(outcome))
--- a/tests/toucanyard/weights_fleet.py
+++ b/tests/toucanyard/weights_fleet.py
@@ -75,6 +75,8 @@
 
     def __init__(self, domains: int, nodes_each: int, replicas: int = 6) -> None:
         self.frozen: set[NodeName] = set()
+        self.unreported: set[NodeName] = set()
+        """Nodes that get no reports and no answers to orders."""
         self._held: list[tuple[NodeName, RelayEvent]] = []
         self._leases: list[bytes] = []
         self.holder = NodeName("")
@@ -152,6 +154,9 @@
     def _report(self, node: NodeName, read: ReadReplicaState, asked_ms: float) -> None:
         engine = self.engines[read.address]
         assert isinstance(engine, WeightsEngine)
+        if node in self.unreported:
+            self.handle(node, ReplicaStateRead(read.replica, None, asked_ms))
+            return
         if not engine.is_up or engine.name != read.replica:
             super()._report(node, read, asked_ms)
             return
@@ -179,6 +184,8 @@
             self.after(LOAD_MS, lambda: self._finish_load(engine, order.version))
         if status is not None:
             self.orders.append((self.now_ms, order, status))
+        if node in self.unreported:
+            status = None
         self.after(LATENCY_MS, lambda: self.handle(node, OrderAnswered(order, status)))
 
     def _finish_load(self, engine: WeightsEngine, version: int) -> None:
@@ -206,6 +213,19 @@
         for event in held:
             self.handle(name, event)
 
+    def restart(self, name: NodeName) -> None:
+        """Kill one node and start a new incarnation; its calls are lost."""
+        self.frozen.discard(name)
+        self._held = [each for each in self._held if each[0] != name]
+        for call in self.calls:
+            if call.node == name and call.ending is None:
+                self._end(call, "node killed")
+        super().restart(name)
+
+    def set_latency(self, latency_ms: float) -> None:
+        """Set the latency of messages between nodes that are sent from now on."""
+        self._latency_ms = latency_ms
+
     def _carry_out(self, name: NodeName, action: RelayAction) -> None:
         match action:
             case WeightsOrder():
