Ask a replica whose entry keeps showing older weights than are known

Cause: its entry was compared only where a version was known by a peer's word alone.

Before: the new tests of an idle replica and of a stated version fail. The campaign's fleet registers a replica again after a wrong statement, as replicas do with each heartbeat.

--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -488,7 +488,9 @@
             self.calls.silences.prune(now_ms)
             self.versions.refresh(now_ms)
             for each in self.directory.list_served(now_ms):
-                self.calls.weights.check_entry(each, now_ms)
+                self.calls.weights.check_entry(
+                    each, self.calls.view_confirmed_ms, now_ms
+                )
             self.origins.prune(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.block_index.forget(name)
@@ -498,6 +500,7 @@
             self.calls.brittle.retain(known)
             self.uneven.retain(known)
             self.calls.connections.retain(known)
+            self.calls.weights.retain(known)
 
     def _handle_passive(self, event: PassiveEvent, now_ms: float) -> None:
         """Handle an event that needs no action now."""
--- a/packages/toucanyard/src/toucanyard/replica_weights.py
+++ b/packages/toucanyard/src/toucanyard/replica_weights.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from typing import Final
 
 import msgspec
@@ -33,7 +33,7 @@
 PEER_DELAY_MS: Final = 500.0
 """Time in which a peer learns of new weights that this node knows."""
 ENTRY_DELAY_MS: Final = 3_000.0
-"""Time in which the store shows new weights that a peer knows."""
+"""Time in which the store shows new weights."""
 
 
 class WeightsSource(enum.StrEnum):
@@ -56,6 +56,7 @@
     """Weights of replicas that the store does not show yet, and checks of them."""
 
     __slots__ = (
+        "_asked_for_entry",
         "_changes",
         "_checks",
         "_corrected",
@@ -82,6 +83,8 @@
         self._doubts = LogRateLimit("replica_weights_doubted")
         self._log_entries: list[LogEntry] = []
         self._checks: dict[EndpointName, _Check] = {}
+        self._asked_for_entry: dict[EndpointName, tuple[str, int]] = {}
+        """Replicas asked since their entries lag, with the model and version known."""
         self._corrected: list[EndpointName] = []
         self.correction_count = 0
         """Number of times that a replica had older weights than this node knew."""
@@ -161,15 +164,29 @@
             )
         return has_changed
 
-    def check_entry(self, known: KnownReplica, now_ms: float) -> None:
-        """Ask a replica whose entry does not show what only a peer has told."""
+    def check_entry(
+        self, known: KnownReplica, confirmed_ms: float, now_ms: float
+    ) -> None:
+        """Ask a replica whose entry still shows older weights than this node knows.
+
+        Without calls, no answer would correct a wrong version, and a replica that is
+        taken for newer than all others may get none. It is asked once for each version.
+        """
+        name = known.replica.name
         for model, version in known.replica.weights:
-            span = known.stated_weights.find_span(model)
-            is_stated = span.begin_ms != UNKNOWN_MS
-            is_lower = version < known.weights.get(model, 0)
-            if is_lower and not is_stated and now_ms - span.end_ms > ENTRY_DELAY_MS:
+            believed = known.weights.get(model, 0)
+            stated_ms = known.stated_weights.find_span(model).end_ms
+            is_overdue = confirmed_ms - stated_ms > ENTRY_DELAY_MS
+            is_asked = self._asked_for_entry.get(name) == (model, believed)
+            if version < believed and is_overdue and not is_asked:
+                self._asked_for_entry[name] = model, believed
                 self._doubt_word(known, model, "entry", now_ms)
 
+    def retain(self, names: Collection[EndpointName]) -> None:
+        """Forget all other replicas."""
+        for name in self._asked_for_entry.keys() - set(names):
+            del self._asked_for_entry[name]
+
     def take_corrected(self) -> list[EndpointName]:
         """Return and clear the replicas found to have older weights than known."""
         corrected, self._corrected = self._corrected, []
@@ -195,6 +212,7 @@
             is_over = now_ms - check.since_ms > MAX_CHECK_MS
             if known is None or known.gone_ms is not None or is_over:
                 del self._checks[name]
+                self._asked_for_entry.pop(name, None)
             elif now_ms - check.asked_ms >= CHECK_INTERVAL_MS:
                 check.asked_ms = now_ms
                 replica = known.replica
--- a/tests/toucanyard/test_weights_convergence.py
+++ b/tests/toucanyard/test_weights_convergence.py
@@ -69,6 +69,7 @@
 
         def end() -> None:
             engine.stated = None
+            self.fleet.register_weights(engine)
 
         self.fleet.after(self.rng.uniform(20.0, MAX_WRONG_MS), end)
 
