Read a weights version within bounds, and log one that is none

What callers saw: nothing yet; found by reading the change once more. A sound answer whose X-Weight-Versions has over 4,300 digits ended in ValueError in the handler, so that its caller lost it; a shorter absurd number was believed and told to all peers, and a report's version had no bound, though an entry's has one.

Cause: the header was converted whatever its length, and what is no version was dropped without a line.

Change: up to 16 digits are a version, in headers and reports alike. Anything else leaves the belief as it was and is logged as replica_statement_invalid kind=weights.

--- a/packages/toucanyard/src/toucanyard/replica_statements.py
+++ b/packages/toucanyard/src/toucanyard/replica_statements.py
@@ -15,6 +15,7 @@
     LIMIT = "limit"
     BRITTLE = "brittle"
     LOAD = "load"
+    WEIGHTS = "weights"
 
 
 class InvalidStatement(msgspec.Struct, frozen=True):
--- a/tests/toucanyard_platform/test_answer_statements.py
+++ b/tests/toucanyard_platform/test_answer_statements.py
@@ -6,7 +6,10 @@
 
 from toucanyard.replica_statements import StatedLoad, StatementKind
 from toucanyard_node.http_client import ResponseHead
-from toucanyard_platform.answer_statements import read_statement
+from toucanyard_platform.answer_statements import (
+    read_statement,
+    read_weights_version,
+)
 
 
 def build_answer(name: str, *values: str, status: int = 200) -> ResponseHead:
@@ -163,3 +166,21 @@
     statement = read_statement(build_answer("X-Instance-Load", value))
     assert statement.load is None
     assert [each.kind for each in statement.invalid] == [StatementKind.LOAD]
+
+
+@pytest.mark.parametrize(
+    "value", ["", "new", "-1", "1.5", "1,2", "٣", "9" * 17, "9" * 5_000]
+)
+def test_weights_version_that_is_none_costs_no_answer(value: str) -> None:
+    """Guards against a sound answer lost to a version that can't be converted."""
+    answer = build_answer("X-Weight-Versions", value)
+    assert read_weights_version(answer) is None
+    (invalid,) = read_statement(answer).invalid
+    assert invalid.kind is StatementKind.WEIGHTS
+    assert len(invalid.text) <= 40
+
+
+def test_weights_version_is_decoded() -> None:
+    assert read_weights_version(build_answer("X-Weight-Versions", "12")) == 12
+    assert read_weights_version(ResponseHead(200, {})) is None
+    assert not read_statement(ResponseHead(200, {})).invalid
--- a/tests/toucanyard_platform/test_replica_client.py
+++ b/tests/toucanyard_platform/test_replica_client.py
@@ -7,8 +7,9 @@
 from toucanyard.names import Address, EndpointName, NodeName, ReplicaId
 from toucanyard.relay_events import PromptBlockChange, WeightsOrder
 from toucanyard_node.relay_ports import StateAnswer
+from toucanyard_platform.json_answers import AnswerInvalidError
 from toucanyard_platform.prompt_block_client import PromptBlockClient
-from toucanyard_platform.replica_client import ReplicaClient
+from toucanyard_platform.replica_client import ReplicaClient, decode_report
 
 from .stub_server import serve
 
@@ -137,3 +138,11 @@
     assert state.statement.is_leaving
     assert reply.statement.is_leaving
     assert blocks.statement.is_leaving
+
+
+def test_report_of_a_version_out_of_range_is_no_report() -> None:
+    """Guards against a version that no entry in the store could state."""
+    model = {"name": "m", "version": 10**16}
+    report = {"models": [model], "busy": False, "sequence": 1, "queued": 0, "active": 0}
+    with pytest.raises(AnswerInvalidError):
+        decode_report(msgspec.json.encode(report))
