Count a lagging entry as checked only where its replica was asked

What callers saw: nothing; found by reading. In a large fleet only candidates for the lease ask a replica whose entry lags. A node that was none noted the check as done, so that it never asked once it became a candidate, and the wrong version of an idle replica stayed.

Change: the check is noted where it begins; also not while another check of the replica runs.

Before: test_an_entry_is_checked_once_its_node_becomes_a_candidate failed. After: it passes.

--- a/packages/toucanyard/src/toucanyard/replica_weights.py
+++ b/packages/toucanyard/src/toucanyard/replica_weights.py
@@ -178,9 +178,10 @@
             stated_ms = known.stated_weights.find_span(model).end_ms
             is_overdue = confirmed_ms - stated_ms > ENTRY_DELAY_MS
             is_asked = self._asked_for_entry.get(name) == (model, believed)
-            if version < believed and is_overdue and not is_asked:
+            if version >= believed or not is_overdue or is_asked:
+                continue
+            if self._doubt_word(known, model, "entry", now_ms):
                 self._asked_for_entry[name] = model, believed
-                self._doubt_word(known, model, "entry", now_ms)
 
     def retain(self, names: Collection[EndpointName]) -> None:
         """Forget all other replicas."""
@@ -225,10 +226,15 @@
 
     def _doubt_word(
         self, known: KnownReplica, model: str, reason: str, now_ms: float
-    ) -> None:
-        """Check a version, unless another node does in a large fleet."""
-        if known.replica.name not in self._checks and self._may_check(now_ms):
-            self._add_doubt(known, model, reason, now_ms)
+    ) -> bool:
+        """Begin to check a version; return whether this node does.
+
+        In a large fleet others do it.
+        """
+        if known.replica.name in self._checks or not self._may_check(now_ms):
+            return False
+        self._add_doubt(known, model, reason, now_ms)
+        return True
 
     def _add_doubt(
         self, known: KnownReplica, model: str, reason: str, now_ms: float
--- a/tests/toucanyard/test_replica_weights.py
+++ b/tests/toucanyard/test_replica_weights.py
@@ -129,6 +129,7 @@
         known = directory.apply(build_replica("r"), 0.0)
         assert known is not None
         self.known = known
+        self.directory = directory
         self.weights = ReplicaWeights(directory, PromptBlockIndex())
 
     def hear(self, version: int, begin_ms: float, end_ms: float) -> bool:
@@ -206,6 +207,20 @@
     assert node.list_checks(later_ms) == []
 
 
+def test_an_entry_is_checked_once_its_node_becomes_a_candidate() -> None:
+    """Guards against a check that a node skipped and then counts as done."""
+    node, may_check = Node(), False
+    node.weights = ReplicaWeights(
+        node.directory, PromptBlockIndex(), lambda _: may_check
+    )
+    node.hear(5, 50.0, 100.0)
+    node.weights.check_entry(node.known, 9_000.0, 9_000.0)
+    assert node.list_checks(9_000.0) == []
+    may_check = True
+    node.weights.check_entry(node.known, 9_000.0, 9_000.0)
+    assert len(node.list_checks(9_000.0)) == 1
+
+
 def test_an_idle_replica_that_is_taken_for_newer_is_corrected() -> None:
     """Guards against a wrong version that no call ever contradicts."""
     fleet = build_loaded()
