Take a reset that a sender meets first for no end of an answer

Callers with a long body got a 200 with an empty or short body, framed as whole, or a stream that ended as complete, where the replica had reset its connection inside an answer without a length.

An answer without a length ends with its connection and counts unless that is reset. While a long body is being sent, a sender runs beside the reader of the head. The kernel reports a reset once: if the sender met it, its failure was dropped, and the next read found no bytes, as after an orderly close. A process that ends with unread input resets its connections, so a replica that crashes after an early head does it.

The connection now keeps the failure of that sender, and an end of input after it is a failure. EPIPE is none: there the other side has closed in order, and its data is read up to that end.

--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -11,7 +11,6 @@
 import math
 import select
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from typing import Final
 
 import h11
@@ -138,6 +137,7 @@
         "_method",
         "_parser_needs_data",
         "_pending_event",
+        "_send_failure",
         "_stream",
         "_turn_events",
         "_unparsed",
@@ -157,6 +157,8 @@
         self._parser_needs_data = False
         self._is_closed = False
         self._has_unsent_body = False
+        self._send_failure: ConnectionFailedError | None = None
+        """Failure of the connection that a send beside the reader has met."""
         self._connection = h11.Connection(h11.CLIENT)
         self._unparsed = memoryview(b"")
         """Received bytes that the parser has not got."""
@@ -246,9 +248,12 @@
 
     async def _send_remaining_in_background(self, data: bytes, sent_bytes: int) -> None:
         """Send the remaining bytes; the reader of the response sees any failure."""
-        with suppress(ConnectionFailedError):
+        try:
             await self._send_remaining(data, sent_bytes, math.inf)
             self._has_unsent_body = False
+        except ConnectionFailedError as error:
+            if _is_broken(error):
+                self._send_failure = error
 
     def _render(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
         connection = self._connection
@@ -435,6 +440,13 @@
                 str(error), is_sent=True, is_closed=True
             ) from error
         self._is_closed = not data
+        if not data and self._send_failure is not None:
+            # The kernel reports a reset once. After a send that has met it, reads find
+            # no bytes, as they do after an orderly close.
+            text = str(self._send_failure)
+            raise ConnectionFailedError(
+                text, is_sent=True, is_closed=True
+            ) from self._send_failure
         self._unparsed = memoryview(data)
         self._turn_events = 0
 
@@ -459,6 +471,16 @@
             raise ConnectionFailedError(str(error), is_sent=True) from error
 
 
+def _is_broken(error: ConnectionFailedError) -> bool:
+    """Return whether a send failed other than by a close of the other side.
+
+    Such a close, whose data is read up to its end, makes sends fail with EPIPE.
+    """
+    broken = error.__cause__
+    cause = None if broken is None else broken.__cause__
+    return isinstance(cause, OSError) and not isinstance(cause, BrokenPipeError)
+
+
 def _find_body_length(method: str, head: ResponseHead) -> int:
     """Return the length of a body as its head states it; 0 without a length."""
     has_body = method != "HEAD" and head.status not in (204, 304)
