--- a/tests/toucanyard_node/test_http_client.py
+++ b/tests/toucanyard_node/test_http_client.py
@@ -107,6 +107,30 @@
         run_response([b"\x00\x01\r\n\r\n"], then_closes=False)
 
 
+CUT_EVERYWHERE = (
+    WHOLE,
+    b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + WHOLE,
+    b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE,
+    b"HTTP/1.1 200\r\ncontent-LENGTH:  12\r\nX-A:b\r\n\r\n" + 12 * b"x",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"4;e=f\r\n\r\n\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
+    b"3\r\nabc\r\n0;x\r\nX-T: t\r\nX-U: u\r\n\r\n",
+    b"HTTP/1.0 200 OK\r\nX-A: b\r\n\r\n",
+    b"HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n",
+    b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n",
+)
+
+
+@pytest.mark.parametrize("whole", CUT_EVERYWHERE)
+def test_answer_that_breaks_off_anywhere_is_never_whole(whole: bytes) -> None:
+    """Guards against the end of a connection that ends a head, chunk or trailer."""
+    for size in range(len(whole)):
+        with pytest.RaisesGroup(ConnectionFailedError):
+            run_response([whole[:size]], then_closes=True)
+    run_response([whole], then_closes=True)
+
+
 async def test_address_without_a_listener_is_noticed() -> None:
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     address = Address(f"127.0.0.1:{find_port(listeners[0])}")
