Check heads that break off, directly and behind a forward

Each third position of a head and its end, by close and by reset, for a call that may run once: 502 and "not_run":false from the node that was called and through a peer.

--- a/tests/toucanyard_node/test_reset_answers.py
+++ b/tests/toucanyard_node/test_reset_answers.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import struct
+from contextlib import AsyncExitStack
 
 import pytest
 import trio
@@ -20,8 +21,10 @@
     ScriptedReplica,
     build_call,
     build_event,
+    read_call,
     start_harness,
 )
+from .test_call_forwarding import ForwardPeer, open_cut_off_node
 from .test_relay_exchange import find_body, find_status, join_chunks
 
 LONG_BODY = b"x" * 3_900_000
@@ -121,3 +124,46 @@
         received = await harness.call(build_call(body=LONG_BODY))
         assert harness.core.flow.count_pending() == 0
     assert join_chunks(received) == (build_event(1), False)
+
+
+class CuttingReplica(ScriptedReplica):
+    """Closes or resets its connection after another part of a head for each call."""
+
+    def __init__(self, name: str, *, is_reset: bool) -> None:
+        super().__init__(name)
+        self._is_reset = is_reset
+        self.size = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        if not await read_call(stream):
+            return
+        head = HEAD + b"Content-Length: 5\r\n\r\n"
+        os.write(stream.socket.fileno(), head[: self.size])
+        if self._is_reset:
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        stream.socket.close()
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("is_forwarded", [False, True])
+async def test_cut_head_is_passed_on_by_no_node_as_a_success(
+    is_forwarded: bool, is_reset: bool
+) -> None:
+    """Guards against an answer that is made of a head without its end."""
+    head_bytes = len(HEAD + b"Content-Length: 5\r\n\r\n")
+    for size in range(0, head_bytes + 1, 3):
+        replica = CuttingReplica("x", is_reset=is_reset)
+        replica.size = size
+        async with AsyncExitStack() as stack:
+            harness = await stack.enter_async_context(
+                start_harness(RelayHarness([replica], **ONCE))
+            )
+            if is_forwarded:
+                peer = ForwardPeer("b", harness)
+                harness = await stack.enter_async_context(
+                    open_cut_off_node([peer], **ONCE)
+                )
+            received = await harness.call(build_call())
+            assert harness.core.flow.count_pending() == 0
+        assert find_status(received) == 502
+        assert b'"not_run":false' in received
