Refuse each queued call that can't end before its node stops

Callers saw a call wait at a stopping node until the node ended, although another node could have taken it: it had not run, and the node knew that it could not end in time.

Cause: the stop was only checked where a queue is drained, and draining gives up after MAX_BLOCKED (8) blocked calls. Calls that stand behind these were never asked. Class: a check that depends on the place in a queue.

Change: each tick asks it of each queued call, beside the check whether the call can still be answered in its own time.

Evidence: test_queued_call_that_cannot_end_is_refused_wherever_it_stands failed before with 8 and 24 calls ahead (ending '' instead of 'refused'), passed with 1 and 7; passes now.

This is not shown to be the cause of the reported streams.

--- a/packages/toucanyard/src/toucanyard/relay_flow.py
+++ b/packages/toucanyard/src/toucanyard/relay_flow.py
@@ -489,14 +489,16 @@
             queue.sort(key=PendingCall.rank)
 
     def tick(self, now_ms: float) -> Iterator[RelayReply]:
-        """Refuse queued calls that can't be sent in time and send those that fit."""
+        """Refuse queued calls that can't be sent or end in time, and send others."""
         yield from self._retry_withheld(now_ms)
         for service, queue in self._queues.items():
             if not queue:
                 continue
             return_ms = self._directory.find_return_delay(service, now_ms)
             for pending in list(queue):
-                refused = self._waits.check_late(pending, return_ms, now_ms)
+                refused = self._waits.check_late(
+                    pending, return_ms, now_ms
+                ) or self.stop.check(pending, now_ms)
                 if refused is not None:
                     queue.remove(pending)
                     pending.is_waiting = False
