Pass on no unframed answer without events as a whole stream

Cause: a success that is no event stream was read to the end of its connection and passed on. Without events, a length or chunks, a replica that closes after its head looks like one whose answer is whole. Event streams without an event were refused already. Class: the end of the input taken for the end of the message.

Change: such an answer to a call for a stream counts as lost, as soon as its head is read; the call is repeated where it may be, else its outcome is unknown. Calls of other routes are unchanged: there, an answer without a length is whole when its connection ends in order.

The new test expects 502 and 'not run: false'.

--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -226,6 +226,10 @@
             raise self._build_failure(DispatchEnding.LOST, "unsigned answer", facts)
         if "content-encoding" in head.headers:
             raise self._build_failure(DispatchEnding.LOST, "encoded answer", facts)
+        if is_success and self._call.request.is_stream and not _shows_end(head):
+            raise self._build_failure(
+                DispatchEnding.LOST, "no stream, no length", facts
+            )
 
     def _build_misdirected(self, facts: AnswerFacts) -> AnswerLostError:
         is_replaced = bool(facts.incarnation) and (
@@ -476,3 +480,12 @@
             text,
             is_closed=is_closed,
         )
+
+
+def _shows_end(head: ResponseHead) -> bool:
+    """Return whether the end of a stream's answer can be told from a failure.
+
+    Without events, a length or chunks, the end of the connection is all there is.
+    """
+    is_stream = head.headers.get("content-type", "").startswith(EVENT_STREAM)
+    return is_stream or head.is_framed()
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -461,3 +461,20 @@
         received = await harness.call(build_call())
     assert find_status(received) == 503
     assert len(replica.calls) == 1
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b"filler" * 1_000])
+async def test_unframed_answer_without_events_is_not_passed_on_as_a_stream(
+    body: bytes,
+) -> None:
+    """Guards against a whole 200 for a stream whose replica closed after its head."""
+
+    async def close_after_body(stream: trio.SocketStream, _call: bytes) -> None:
+        head = b"HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Type: application/json\r\n"
+        await stream.send_all(head + SIGNED + b"\r\n" + body)
+        await stream.send_eof()
+
+    replicas = [ScriptedReplica("a", close_after_body)]
+    received = await relay(replicas, build_call(), **STREAM, **ONCE)
+    assert find_status(received) == 502
+    assert b'"not_run":false' in received
