Show streams joined from two versions after all nodes were killed

Cause: ResumedStreams concludes that a route has led to a single version from what its process has seen since its own start. Replicas that left before, or whose entries have expired for a moment, are not seen. Class: absence of knowledge taken for knowledge of absence.

The simulated store gave a starting node the whole log, with replicas that had been removed.

--- a/tests/toucanyard/store_fleet.py
+++ b/tests/toucanyard/store_fleet.py
@@ -155,12 +155,19 @@
             failing.append(self.now_ms + STORE_TIMEOUT_MS)
             return
         since = core.exchange.views[Topic.REPLICAS].end.offset
-        records = tuple(self._log[since:])
+        records = self._list_records(since)
         read = TopicRead(
             Topic.REPLICAS, records, len(self._log), since == 0, self.now_ms
         )
         self.handle(name, read)
 
+    def _list_records(self, since: int) -> tuple[KeyedRecord, ...]:
+        """Return the records from an offset on; a whole read has no removed keys."""
+        if since:
+            return tuple(self._log[since:])
+        newest = {each.key: each for each in self._log}
+        return tuple(each for each in newest.values() if each.value is not None)
+
     def _call_all(self) -> None:
         for name in self.cores:
             self._calls += 1
--- a/tests/toucanyard/version_fleet.py
+++ b/tests/toucanyard/version_fleet.py
@@ -143,6 +143,20 @@
         engine.calls.clear()
         self.after(3_400.0, lambda: self._append(engine.name, None))
 
+    def drop_version(self, version: str) -> None:
+        """End all replicas of a version for good, and remove them from the list."""
+        for address in self.list_addresses(version):
+            self.end_for_good(address)
+            self._append(self.engines[address].name, None)
+
+    def hide_version(self, version: str, for_ms: float) -> None:
+        """Remove the entries of a version's running replicas for a time."""
+        for address in self.list_addresses(version):
+            name = self.engines[address].name
+            entry = put(self._build_entry(name, address, version))
+            self._append(name, None)
+            self.after(for_ms, lambda name=name, entry=entry: self._append(name, entry))  # type: ignore[misc]
+
     def list_addresses(self, version: str) -> list[Address]:
         """Return the addresses of the running replicas of a version."""
         return [
@@ -362,6 +376,11 @@
     return sum(len(stream.find_versions()) > 1 for stream in streams)
 
 
+def count_resumed(streams: Sequence[Stream]) -> int:
+    """Return how many streams their callers have taken up again."""
+    return sum(each.is_resumed() for each in streams)
+
+
 def compute_begun_share(streams: Sequence[Stream]) -> float:
     """Return the share of new streams that began."""
     return sum(bool(each.first_id) for each in streams) / len(streams)
