Pass on sound answers without a body to calls for a stream

Found by the review. A content type is compared without regard to case.

test_answer_without_a_body_to_a_call_for_a_stream_is_passed_on holds a 204 and an answer of length 0.

--- a/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
+++ b/packages/toucanyard-node/src/toucanyard_node/replica_attempt.py
@@ -36,6 +36,7 @@
 MIN_STREAM_IDLE_MS: Final = 900.0
 ERROR_BODY_MS: Final = 300.0
 """How long the body of an error response may delay the retry of its call."""
+NO_CONTENT: Final = 204
 MISDIRECTED: Final = 421
 FIRST_ERROR: Final = 400
 SERVER_ERROR: Final = 500
@@ -162,8 +163,7 @@
             ends_brittle=dispatch.is_brittle,
         )
         self._check_answer(head, facts)
-        is_stream = head.headers.get("content-type", "").startswith(EVENT_STREAM)
-        if is_stream and head.status < SERVER_ERROR:
+        if _is_event_stream(head) and head.status < SERVER_ERROR:
             await self._relay_stream(connection, head, facts)
             return
         if head.status >= SERVER_ERROR:
@@ -226,7 +226,8 @@
             raise self._build_failure(DispatchEnding.LOST, "unsigned answer", facts)
         if "content-encoding" in head.headers:
             raise self._build_failure(DispatchEnding.LOST, "encoded answer", facts)
-        if is_success and self._call.request.is_stream and not _shows_end(head):
+        is_whole = _shows_end(self._call.http.method, head)
+        if is_success and self._call.request.is_stream and not is_whole:
             raise self._build_failure(
                 DispatchEnding.LOST, "no stream, no length", facts
             )
@@ -482,10 +483,14 @@
         )
 
 
-def _shows_end(head: ResponseHead) -> bool:
+def _is_event_stream(head: ResponseHead) -> bool:
+    return head.headers.get("content-type", "").lower().startswith(EVENT_STREAM)
+
+
+def _shows_end(method: str, head: ResponseHead) -> bool:
     """Return whether the end of a stream's answer can be told from a failure.
 
     Without events, a length or chunks, the end of the connection is all there is.
     """
-    is_stream = head.headers.get("content-type", "").startswith(EVENT_STREAM)
-    return is_stream or head.is_framed()
+    has_body = method != "HEAD" and head.status != NO_CONTENT
+    return not has_body or _is_event_stream(head) or head.is_framed()
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -478,3 +478,18 @@
     received = await relay(replicas, build_call(), **STREAM, **ONCE)
     assert find_status(received) == 502
     assert b'"not_run":false' in received
+
+
+@pytest.mark.parametrize("ends", [b"204 No Content", b"200 OK\r\nContent-Length: 0"])
+async def test_answer_without_a_body_to_a_call_for_a_stream_is_passed_on(
+    ends: bytes,
+) -> None:
+    """Guards against a sound answer that is taken for one that broke off."""
+
+    async def answer_empty(stream: trio.SocketStream, _call: bytes) -> None:
+        head = b"HTTP/1.1 " + ends + b"\r\nX-Id: q1\r\n"
+        await stream.send_all(head + SIGNED + b"\r\n")
+        await stream.send_eof()
+
+    received = await relay([ScriptedReplica("a", answer_empty)], build_call(), **STREAM)
+    assert find_status(received) == int(ends[:3])
