--- a/tests/toucanyard_platform/test_cut_answers.py
+++ b/tests/toucanyard_platform/test_cut_answers.py
@@ -103,6 +103,19 @@
     assert (page.end, page.records) == (2, RECORDS)
 
 
+async def test_lease_read_without_a_length_ends_at_its_last_whole_record() -> None:
+    """Guards against a lease taken from a holder whose record was cut off."""
+    whole = build_without_length(build_page(2, b"1", b"22"))
+    head_bytes = len(build_without_length(build_page(2)))
+    async with start_server() as server:
+        store = StoreClient(server.address)
+        for size in range(head_bytes, len(whole) + 1):
+            server.data = whole[:size]
+            page = await store.read_leases(0)
+            assert page.end.offset == len(page.records)
+    assert [content for _, content in page.records] == [b"1", b"22"]
+
+
 async def test_cut_read_without_a_length_covers_only_its_whole_records() -> None:
     """Guards against an end of the log that is believed without its records.
 
