--- a/tests/toucanyard_platform/test_cut_answers.py
+++ b/tests/toucanyard_platform/test_cut_answers.py
@@ -63,9 +63,9 @@
 
 
 @asynccontextmanager
-async def start_server() -> AsyncIterator[CutServer]:
+async def start_server(server: CutServer | None = None) -> AsyncIterator[CutServer]:
     async with trio.open_nursery() as nursery:
-        server = CutServer()
+        server = server or CutServer()
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         server.address = Address(f"127.0.0.1:{find_port(listeners[0])}")
         nursery.start_soon(trio.serve_listeners, server.serve, listeners)
@@ -103,17 +103,43 @@
     assert (page.end, page.records) == (2, RECORDS)
 
 
-async def test_lease_read_without_a_length_ends_at_its_last_whole_record() -> None:
+class LeaseServer(CutServer):
+    """Serves records from the requested offset on, as many bytes a read as set."""
+
+    def __init__(self, contents: list[bytes], page_bytes: int) -> None:
+        super().__init__()
+        self._contents = contents
+        self._page_bytes = page_bytes
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        async with stream:
+            request = await stream.receive_some(65_536)
+            begin = int(request.partition(b"&from=")[2].split()[0])
+            page = build_page(len(self._contents), *self._contents[begin:])
+            head_bytes = len(build_page(0))
+            await stream.send_all(
+                build_without_length(page[: head_bytes + self._page_bytes])
+            )
+
+
+@pytest.mark.parametrize("page_bytes", range(20))
+async def test_lease_read_without_a_length_ends_at_its_last_whole_record(
+    page_bytes: int,
+) -> None:
     """Guards against a lease taken from a holder whose record was cut off."""
-    whole = build_without_length(build_page(2, b"1", b"22"))
-    head_bytes = len(build_without_length(build_page(2)))
-    async with start_server() as server:
-        store = StoreClient(server.address)
-        for size in range(head_bytes, len(whole) + 1):
-            server.data = whole[:size]
-            page = await store.read_leases(0)
-            assert page.end.offset == len(page.records)
-    assert [content for _, content in page.records] == [b"1", b"22"]
+    contents = [b"1", b"22", b"333"]
+    async with start_server(LeaseServer(contents, page_bytes)) as server:
+        page = await StoreClient(server.address).read_leases(0)
+    assert page.end.offset == len(page.records)
+    assert page.records == tuple(enumerate(contents))[: len(page.records)]
+
+
+async def test_leases_are_read_to_their_end_over_several_pages() -> None:
+    """Guards against a node that never gets to the end of a long lease topic."""
+    contents = [b"record"] * 5
+    async with start_server(LeaseServer(contents, 12)) as server:
+        page = await StoreClient(server.address).read_leases(0)
+    assert (page.end.offset, len(page.records)) == (5, 5)
 
 
 async def test_cut_read_without_a_length_covers_only_its_whole_records() -> None:
