Count runs that a shared log shows behind an unended line

The call ran: the replicas share one log, and its line stood behind one of another replica whose end came later. The check looked at the begin of lines only, so it could also miss the second run of a call that may run once.

--- a/tests/toucanyard_platform/test_soak.py
+++ b/tests/toucanyard_platform/test_soak.py
@@ -219,6 +219,15 @@
     assert count_runs([*lines, "event=ran call=a"]) == {"a": 2, "b": 1}
 
 
+def test_run_and_arrival_behind_an_unended_line_of_another_replica_count() -> None:
+    """Guards against a call that ran twice unseen, or is said not to have run."""
+    begin = "reason=caller_left state=handled"
+    arrival = "event=arrived call=a replica=d1 at_s=7.5 is_leaving=1 rest_s=0.0"
+    assert count_runs(["event=ran call=a", f"{begin}event=ran call=a"]) == {"a": 2}
+    assert parse_arrivals([begin + arrival], 0.0) == parse_arrivals([arrival], 0.0)
+    assert len(parse_arrivals([begin + arrival], 0.0)) == 1
+
+
 def test_fence_of_two_holders_is_found() -> None:
     line = "event=order_sent replica=e1@1 model=m version=2 fence=%d status=202"
     logs = {"n1": [line % 7, line % 7, "event=started"], "n2": [line % 8]}
