--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,30 +1,25 @@
-"""The replicas of one zone crash while they load new weights."""
+"""The holder of the right to order new weights misses another holder's time."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 import os
+import signal
 import sys
 import tempfile
 import time
 from pathlib import Path
 
 import standins
-from standins import HOST, KEY, MODEL, NODE_PORTS, Node, Replica, Store, fetch, wait_for
+from standins import HOST, KEY, MODEL, NODE_PORTS, Node, Replica, Store, wait_for
 
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-VERSION_MS, VERSION_ALL_MS = 12_000, 17_000
-DOWN_S = 3.0
-LOAD_S = 1.3
-ASKED_PER_S = 5.0
-AFTER_S = 45.0
-"""Traffic after the new weights were named."""
+KEEP_S = 20.0
+TURNED_AWAY_S = 9.0
 BOUNDS = {"stableWindowMs": 3000, "drainMs": 2000, "graceS": 8, "configApplyMs": 2000,
           "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retryBudgetSlack": 56, "fencingEnforced": False,
-          "leaseMs": 3000, "thawMs": 300, "versionMs": VERSION_MS, "versionAllMs": VERSION_ALL_MS,
-          "ttl_max_s": 5}
+          "leaseMs": 3000, "thawMs": 300, "versionMs": 12000, "versionAllMs": 17000, "ttl_max_s": 5}
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine",
              "tenants", "platform"]
 CONFIGURATION = {
@@ -47,101 +42,104 @@
         self.folder = folder
         self.begun = time.monotonic()
         self.lines = []
-        self.answers = []
-        self.ordered = asyncio.Event()
-        self.numbers = itertools.count(1)
+        self.orders = []
 
     def record(self, text):
         self.lines.append(f"{time.monotonic() - self.begun:8.3f} {text}")
 
     def on_order(self, replica, order, status):
-        self.ordered.set()
-
-    async def call(self, node):
-        caller = f"q{next(self.numbers):06d}"
-        headers = [("X-Attempt-Id", caller), ("Authorization", f"Token {KEY}"), ("X-Deadline-Ms", "4000"),
-                   ("X-Model", MODEL), ("X-Token-Usage", "826,49"), ("X-Prompt-Prefix", f"aa11:198,{caller[1:]}:628")]
-        sent = time.monotonic()
-        try:
-            status, _, _ = await fetch(f"{node.host}:{NODE_PORTS['frontend']}", "POST", f"/chat/{caller}",
-                                       headers, b"x", 6.0)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
-            status = type(error).__name__
-        self.answers.append((sent, status))
-        self.record(f"request {caller} to {node.name}, answer {status}")
-
-    async def send(self, nodes, until):
-        tasks = set()
-        for number in itertools.count():
-            if time.monotonic() > until:
-                break
-            task = asyncio.create_task(self.call(nodes[number % len(nodes)]))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-            await asyncio.sleep(1 / ASKED_PER_S)
-        await asyncio.gather(*tasks)
-
-    async def crash_zone(self, replicas, zone):
-        await self.ordered.wait()
-        await asyncio.sleep(0.5 * LOAD_S)
-        hit = [r for r in replicas if r.zone == zone]
-        self.record(f"zone {zone}: {len(hit)} replicas crash, {sum(r.busy for r in hit)} of them load weights")
-        for replica in hit:
-            replica.crash()
-        await asyncio.sleep(DOWN_S)
-        for replica in hit:
-            await replica.start()
-            replica.restarted = time.monotonic()
-        self.record(f"zone {zone}: the replicas are back, with weights {sorted(r.version for r in hit)}")
+        self.orders.append((time.monotonic(), replica.id, order["holder"], order["fencingToken"], status))
+
+    async def name_weights(self, version, replicas):
+        """Name new weights and wait until all replicas have them; return who ordered."""
+        begun = len(self.orders)
+        self.record(f"the operator names weights {version}")
+        self.store.put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": version})
+
+        async def have():
+            return all(r.version >= version and not r.busy for r in replicas)
+
+        await wait_for(have, 25, f"weights {version} in place")
+        return {holder for _, _, holder, _, _ in self.orders[begun:]}
+
+    def judge(self):
+        """Return the orders that break rule ONE, as text."""
+        highest, found = {}, []
+        for at, replica, holder, fence, _ in self.orders:
+            before = highest.get(replica)
+            if before is not None and fence < before[0]:
+                found.append(f"ONE: at {replica} an order of {holder} with fence {fence}, "
+                             f"after one of {before[1]} with fence {before[0]}")
+            if before is not None and fence == before[0] and holder != before[1]:
+                found.append(f"ONE: two holders with fence {fence} at {replica}")
+            if before is None or fence > before[0]:
+                highest[replica] = (fence, holder)
+        return found
 
     async def run(self):
         prefix = standins.find_prefix()
-        store = Store()
+        self.store = store = Store(KEEP_S)
         await store.start(prefix)
         store.put("keyed.op", "config", CONFIGURATION)
         store.put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": 1})
-        replicas = []
-        for n in range(1, 13):
-            zone = ("zg-a", "zg-b", "ka-c")[(n - 1) // 4]
-            replica = Replica(n, prefix, store, "savjetnik", self.record, MODEL, load_s=LOAD_S, zone=zone)
+        replicas = [Replica(n, prefix, store, "savjetnik", self.record, MODEL, load_s=1.0) for n in range(1, 7)]
+        for replica in replicas:
             replica.on_order = self.on_order
-            replica.restarted = time.monotonic()
-            replicas.append(replica)
             await replica.start()
         seeds = [f"{prefix}.2.{n}:{NODE_PORTS['controlPlane']}" for n in (1, 2, 3)]
-        nodes = [Node(n, prefix, store, self.folder, BOUNDS, CONTRACTS, seeds) for n in (1, 2, 3)]
+        nodes = {}
+        for n in (1, 2, 3):
+            node = Node(n, prefix, store, self.folder, BOUNDS, CONTRACTS, seeds)
+            nodes[node.name] = node
         try:
-            for node in nodes:
+            for node in nodes.values():
                 node.start()
-            for node in nodes:
+            for node in nodes.values():
                 await wait_for(node.is_ready, 20, f"{node.name} ready")
             await asyncio.sleep(4)
-            named = time.monotonic()
-            self.record("the operator names weights 2")
-            store.put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": 2})
-            jobs = [self.send(nodes, named + AFTER_S)]
+            (first,) = await self.name_weights(2, replicas)
+            self.record(f"{first} has ordered weights 2")
+            await asyncio.sleep(6)
             if TROUBLE:
-                jobs.append(self.crash_zone(replicas, "zg-a"))
-            await asyncio.gather(*jobs)
-            ended = time.monotonic()
-            old = [r for r in replicas if r.version < 2 and ended - max(named, r.restarted) > 1.5 * VERSION_MS / 1000]
+                store.turned_away.add(nodes[first].process.pid)
+                self.record(f"the store turns {first} away")
+                asyncio.get_running_loop().call_later(TURNED_AWAY_S, self.serve_again, nodes[first])
+                await asyncio.sleep(0.3)
+            (second,) = await self.name_weights(3, replicas)
+            done = time.monotonic()
+            self.record(f"{second} has ordered weights 3")
+            await asyncio.sleep(6)
+            self.record(f"{second} gets SIGTERM")
+            nodes[second].signal(signal.SIGTERM)
+
+            async def has_ended():
+                return nodes[second].process.poll() is not None
+
+            await wait_for(has_ended, 9, f"{second} has ended")
+            nodes[second].start()
+            self.record(f"{second} is started again")
+            await asyncio.sleep(max(done + KEEP_S + 6 - time.monotonic(), 0))
+            third = await self.name_weights(4, replicas)
+            self.record(f"{', '.join(sorted(third))} has ordered weights 4")
         finally:
-            for node in nodes:
+            for node in nodes.values():
                 node.end()
-        late = [status for sent, status in self.answers if sent > named + VERSION_MS / 1000]
-        self.record(f"requests later than versionMs after the naming: {len(late)}, answered 200: {late.count(200)}")
-        self.record(f"at the end of the traffic, {ended - named:.1f} s after the naming, {len(old)} of "
-                    f"{len(replicas)} replicas have the older weights")
-        return not (len(old) > 1 and len(old) > len(replicas) / 10)
+        return self.judge()
+
+    def serve_again(self, node):
+        self.store.turned_away.discard(node.process.pid)
+        self.record(f"the store serves {node.name} again")
 
 
 async def main():
     with tempfile.TemporaryDirectory() as folder:
         case = Case(Path(folder))
         try:
-            is_kept = await asyncio.wait_for(case.run(), 112)
-            case.record("the rule held" if is_kept else "VERSION: the rule was broken")
-            status = 0 if is_kept else 1
+            found = await asyncio.wait_for(case.run(), 112)
+            for text in found:
+                case.record(text)
+            case.record("ONE: the rule was broken" if found else "the rule held")
+            status = 1 if found else 0
         except Exception as error:  # the case could not run
             case.record(f"the case could not run: {error!r}")
             status = 2
