--- a/review/4/standins.py
+++ b/review/4/standins.py
@@ -29,14 +29,15 @@
 
 
 def find_prefix() -> str:
-    """Return "127.N" such that no process listens on the ports of a first node there."""
+    """Return "127.N" such that no process listens on the ports of three nodes there."""
     start = random.randrange(20, 220)
     for offset in range(200):
         prefix = f"127.{20 + (start + offset) % 200}"
         try:
-            for port in (METRICS_PORT, *NODE_PORTS.values()):
-                with socket.socket() as probe:
-                    probe.bind((f"{prefix}.2.1", port))
+            for number in (1, 2, 3):
+                for port in (METRICS_PORT, *NODE_PORTS.values()):
+                    with socket.socket() as probe:
+                        probe.bind((f"{prefix}.2.{number}", port))
         except OSError:
             continue
         return prefix
