Hold entries that name another service than the one before

With a later start in that entry the replica got no calls any more.

Cause: the directory kept the replica under the service of its first entry, took over the service of the second, and looked it up by that when it dropped it. The start in the other writer's entry counted as a restart of the replica.

Change: an entry with another service is held and says nothing of its replica, which gets no calls until its own entry is back. The directory files each replica under the service of the entry that it applies.

Why it works: nothing is looked up by a field that has not been filed, also under random entries, and a held entry reaches no record of starts.

--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final
 
+from toucanyard.held_entries import HeldEntries
 from toucanyard.keyed_view import Change, InvalidRecord, KeyedView, Topic
 from toucanyard.log_rate_limit import LogRateLimit
 from toucanyard.names import EndpointName, ReplicaId
@@ -24,14 +25,16 @@
 
 MAX_AGE_MS: Final = 1e6
 """Maximum age in the log, also used for a list that the store has never confirmed."""
+HELD_SOURCE: Final = "held"
+"""Source of an entry that is applied later than it was read."""
 
 
 class KnownFacts:
     """Routes, wanted weights, replicas and nodes according to the records.
 
     Invariants: the version of the routes in force never decreases; a record that can't
-    be decoded has no effect except that the replica whose record it replaced gets no
-    more calls.
+    be decoded, or that names a service which is not configured, has no effect except
+    that the replica whose record it replaced gets no more calls.
     """
 
     __slots__ = (
@@ -39,6 +42,7 @@
         "_flow",
         "_weight_targets",
         "_guard",
+        "_held",
         "_invalid",
         "_node_directory",
         "_versions",
@@ -62,6 +66,7 @@
         self._flow = flow
         self._guard = guard
         self._invalid = LogRateLimit("record_invalid")
+        self._held = HeldEntries(directory)
 
     def apply(
         self,
@@ -86,10 +91,7 @@
                 continue
             match change.before:
                 case Replica(listed_as=listed_as):
-                    # The removed entry may be a late one of an earlier incarnation.
-                    current = self._directory.find_current(listed_as)
-                    if current is not None:
-                        removed.append(current.replica.name)
+                    removed += self._find_removed(listed_as)
                 case NodeRecord(name=node):
                     self._node_directory.remove(node)
                     yield LogEntry("node_gone", {"node": node, "source": source})
@@ -110,6 +112,14 @@
                 },
             )
 
+    def _find_removed(self, listed_as: ReplicaId) -> list[EndpointName]:
+        """Return the incarnation that the removal of an entry concerns, if any."""
+        if self._held.drop(listed_as):
+            return []
+        # The removed entry may be a late one of an earlier incarnation.
+        current = self._directory.find_current(listed_as)
+        return [] if current is None else [current.replica.name]
+
     def apply_restored_nodes(self, view: KeyedView, now_ms: float) -> None:
         """Let nodes write quarantines again that a restored store does not have.
 
@@ -135,9 +145,8 @@
         self, key: str, record: InvalidRecord, source: str, now_ms: float
     ) -> Iterator[LogEntry]:
         if record.topic is Topic.REPLICAS:
-            known = self._directory.find_current(ReplicaId(key))
-            if known is not None:
-                self._directory.remove_foreign(known.replica.name, now_ms)
+            self._held.drop(ReplicaId(key))
+            self._withdraw(ReplicaId(key), now_ms)
         fields: dict[str, object] = {
             "topic": record.topic.value,
             "key": key,
@@ -146,6 +155,17 @@
         }
         yield from self._invalid.log(fields, now_ms)
 
+    def _withdraw(self, listed_as: ReplicaId, now_ms: float) -> None:
+        """Use a replica no more until its entry is its own again."""
+        known = self._directory.find_current(listed_as)
+        if known is not None:
+            self._directory.remove_foreign(known.replica.name, now_ms)
+
+    def apply_held(self, now_ms: float) -> Iterator[LogEntry]:
+        """Apply the entries whose reason to be held has ended."""
+        for replica in self._held.take_due(now_ms):
+            yield from self._apply_replica(replica, HELD_SOURCE, now_ms)
+
     def _apply_fact(
         self, fact: object | None, source: str, now_ms: float, known_for_ms: float
     ) -> Iterator[LogEntry]:
@@ -157,7 +177,7 @@
                     fields = {"model": model, "version": version, "source": source}
                     yield LogEntry("weights_wanted", fields)
             case Replica():
-                yield from self._apply_replica(fact, source, now_ms)
+                yield from self._apply_entry(fact, source, now_ms)
             case NodeRecord(name=node):
                 self._node_directory.apply(fact)
                 yield LogEntry("node_known", {"node": node, "source": source})
@@ -178,6 +198,19 @@
             "routes_in_force",
             {"version": table.version, "before": before, "source": source},
         )
+        yield from self.apply_held(now_ms)
+
+    def _apply_entry(
+        self, replica: Replica, source: str, now_ms: float
+    ) -> Iterator[LogEntry]:
+        """Apply a replica's entry, or hold it if it may be of another writer."""
+        reason = self._held.check(replica, now_ms)
+        if reason is None:
+            yield from self._apply_replica(replica, source, now_ms)
+            return
+        self._withdraw(replica.listed_as, now_ms)
+        fields = _describe(replica, source) | {"reason": reason.value}
+        yield from self._held.log_entry(fields, now_ms)
 
     def _apply_replica(
         self, replica: Replica, source: str, now_ms: float
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -524,6 +524,7 @@
                     each, self.calls.view_confirmed_ms, now_ms
                 )
             self.origins.prune(now_ms)
+            yield from self.facts.apply_held(now_ms)
             for name in self.directory.prune(now_ms):
                 self.flow.block_index.forget(name)
             known = [each.replica.name for each in self.directory.list_all()]
--- a/packages/toucanyard/src/toucanyard/replica_incarnations.py
+++ b/packages/toucanyard/src/toucanyard/replica_incarnations.py
@@ -71,6 +71,10 @@
             del self._newest[next(iter(self._newest))]
         return is_restart
 
+    def forget(self, listed_as: ReplicaId) -> None:
+        """Discard the newest incarnation, since its entry was not the replica's own."""
+        self._newest.pop(listed_as, None)
+
     def list_restarted(self, now_ms: float) -> Iterator[ReplicaRestart]:
         """Return the recent restarts of replicas, to be sent to peers."""
         for listed_as, newest in self._newest.items():
--- a/packages/toucanyard/src/toucanyard/replicas.py
+++ b/packages/toucanyard/src/toucanyard/replicas.py
@@ -329,7 +329,7 @@
     """All replicas of all services, as one node sees them.
 
     Invariants: `find_usable` never returns a replica that is leaving, nor two
-    incarnations of one replica.
+    incarnations of one replica; each replica is filed under the service of its entry.
     """
 
     __slots__ = (
@@ -432,15 +432,23 @@
         return min(each.find_usable_time() for each in listed) - now_ms
 
     def apply(self, replica: Replica, now_ms: float) -> KnownReplica | None:
-        """Apply a replica's entry; return None if that incarnation is superseded."""
+        """Apply a replica's entry; return None if that incarnation is superseded.
+
+        An entry with another service replaces all that was known under its id.
+        """
+        current = self.find_current(replica.listed_as)
+        if current is not None and current.replica.service != replica.service:
+            self._forget(current)
         if not self.record_incarnation(replica.listed_as, replica.born_ms, now_ms):
             return None
         known = self._known.get(replica.name)
-        if known is None:
-            known = self._known[replica.name] = KnownReplica(replica)
-            self._by_service.setdefault(replica.service, []).append(known)
-        else:
+        if known is not None and known.replica.service == replica.service:
             known.update(replica, now_ms)
+            return known
+        if known is not None:
+            self._drop(known)
+        known = self._known[replica.name] = KnownReplica(replica)
+        self._by_service.setdefault(replica.service, []).append(known)
         return known
 
     def record_incarnation(
@@ -548,6 +556,14 @@
             if known.gone_ms is not None and now_ms - known.gone_ms > FORGET_MS
         ]
         for name in old:
-            known = self._known.pop(name)
-            self._by_service[known.replica.service].remove(known)
+            self._drop(self._known[name])
         return old
+
+    def _forget(self, known: KnownReplica) -> None:
+        """Drop a replica and the knowledge of when it started."""
+        self._incarnations.forget(known.replica.listed_as)
+        self._drop(known)
+
+    def _drop(self, known: KnownReplica) -> None:
+        del self._known[known.replica.name]
+        self._by_service[known.replica.service].remove(known)
