Forget a past lease holder when records were deleted unread

Cause: a node that the store had turned away found the lease topic empty and its end moved. It took that for a record of somebody only for the time to wait, and still counted as the last holder, who neither waits nor takes a new fence.

Change: such a node forgets holder and fence unless its own reservation still runs, and logs lease_records_missed with what it believed. The random test of three nodes lets records expire.

Why it works: without a holder of its own the wait applies, and the fence comes from the offset of its next record, above all deleted ones.

Before: test_past_holder_does_not_order_with_its_fence_after_unread_records and test_two_holders_never_act_within_the_lease (with expiry) failed. After: both pass.

--- a/packages/toucanyard/src/toucanyard/leases.py
+++ b/packages/toucanyard/src/toucanyard/leases.py
@@ -6,6 +6,10 @@
 minimum time between two holders, counted on its own clock from when it read the last
 record. Both use clocks that advance while a VM is suspended.
 
+Records expire. A node that finds that records have been deleted before it read them
+doesn't know who wrote them, so it counts as a new candidate, as after a record of
+another node: it waits, and takes a fence of its own.
+
 A store that is restored from a copy may have lost the holder's records, and the
 condition of a delayed append may hold once more. So a record counts only in the era in
 which its author read the topic, and after a restore all nodes but the last holder wait
@@ -18,6 +22,7 @@
 
 import msgspec
 
+from toucanyard.log_entries import LogEntry
 from toucanyard.log_position import START, LogPosition
 from toucanyard.names import Incarnation, NodeId, NodeName
 from toucanyard.relay_events import (
@@ -130,17 +135,14 @@
         self._fence = -1
         self._end = None
 
-    def apply_read(self, read: LeaseRead, now_ms: float) -> None:
+    def apply_read(self, read: LeaseRead, now_ms: float) -> list[LogEntry]:
         """Apply records that were read; those of other nodes end this node's lease."""
         self._is_awaiting = False
         self._era.record(read.era, "leases", now_ms)
         self._update_era(now_ms)
         if read.era < self._known_era:
-            return
-        begin = read.records[0][0] if read.records else read.end
-        if LogPosition(read.era, begin) > self._seen_end:
-            # Records before this one have been deleted, perhaps those of a holder.
-            self._seen_ms = now_ms
+            return []
+        entries = self._apply_deleted(read, now_ms)
         for offset, value in read.records:
             record = _decode(value)
             # A record that is read again still dates from when it was first read.
@@ -154,6 +156,23 @@
                 self._reserved_until_ms = float("-inf")
         self._end = LogPosition(read.era, read.end)
         self._seen_end = max(self._seen_end, self._end)
+        return entries
+
+    def _apply_deleted(self, read: LeaseRead, now_ms: float) -> list[LogEntry]:
+        """Account for records that were deleted unread, perhaps those of a holder."""
+        begin = read.records[0][0] if read.records else read.end
+        if LogPosition(read.era, begin) <= self._seen_end:
+            return []
+        self._seen_ms = now_ms
+        fields: dict[str, object] = {
+            "seen_end": self._seen_end.offset,
+            "begin": begin,
+            "holder": self.find_holder() or "",
+            "fence": self._fence,
+            "is_reserved": now_ms < self._reserved_until_ms,
+        }
+        self._forget_past_holder(now_ms)
+        return [LogEntry("lease_records_missed", fields)]
 
     def apply_append(self, appended: LeaseAppended, now_ms: float) -> None:
         """Apply the result of an append."""
@@ -216,11 +235,15 @@
         self._end = None
         self._seen_end = LogPosition(self._known_era, 0)
         self._is_awaiting = False
+        self._forget_past_holder(now_ms)
+        # Whoever held the lease wrote its last record before the restore.
+        self._seen_ms = max(self._seen_ms, self._era.since_ms)
+
+    def _forget_past_holder(self, now_ms: float) -> None:
+        """Forget who held the lease, unless no other node can have acquired it."""
         if now_ms >= self._reserved_until_ms:
             self._holder = None
             self._fence = -1
-        # Whoever held the lease wrote its last record before the restore.
-        self._seen_ms = max(self._seen_ms, self._era.since_ms)
 
     def _is_last_holder(self, now_ms: float) -> bool:
         """Return whether no other node has acquired the lease since this one had it."""
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -497,7 +497,7 @@
             yield from self.probes.on_read(event, now_ms)
         if isinstance(event, LeaseRead | LeaseAppended):
             yield from self.era.record(event.era, "store", now_ms)
-        self.rollout.handle(event, now_ms)
+        yield from self.rollout.handle(event, now_ms)
         yield from self._tick_rollout(now_ms)
 
     def _tick(self, now_ms: float) -> Iterator[RelayAction]:
--- a/packages/toucanyard/src/toucanyard/rollout_leader.py
+++ b/packages/toucanyard/src/toucanyard/rollout_leader.py
@@ -109,11 +109,11 @@
         self,
         event: LeaseRead | LeaseAppended | ReplicaStateRead | OrderAnswered,
         now_ms: float,
-    ) -> None:
+    ) -> list[LogEntry]:
         """Handle an answer of the store or of a replica."""
         match event:
             case LeaseRead():
-                self._leases.apply_read(event, now_ms)
+                return self._leases.apply_read(event, now_ms)
             case LeaseAppended():
                 self._leases.apply_append(event, now_ms)
             case ReplicaStateRead():
@@ -122,6 +122,7 @@
                 rollout = self._rollouts.get(event.order.model)
                 if rollout is not None and rollout.record_answer(event, now_ms):
                     self._leases.give_up()
+        return []
 
     def list_changing(self) -> list[EndpointName]:
         """Return the replicas that this node is changing."""
--- a/tests/toucanyard/test_leases.py
+++ b/tests/toucanyard/test_leases.py
@@ -17,10 +17,14 @@
 
 
 class Log:
-    """The store's topic, with conditional appends."""
+    """The store's topic, with conditional appends; its oldest records may expire."""
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
+        self.first = 0
+
+    def expire(self) -> None:
+        self.first = len(self.records)
 
     def append(self, request: AppendLease) -> int | None:
         if request.at != len(self.records):
@@ -34,7 +38,7 @@
 ) -> None:
     match request:
         case ReadLeases(from_offset=begin):
-            numbered = tuple(enumerate(log.records))[begin:]
+            numbered = tuple(enumerate(log.records))[max(begin, log.first) :]
             leases.apply_read(LeaseRead(numbered, len(log.records)), now_ms)
         case AppendLease():
             offset = log.append(request)
@@ -185,6 +189,42 @@
     assert request.at == 1
 
 
+def test_past_holder_does_not_order_with_its_fence_after_unread_records() -> None:
+    """Guards against a lower fence after a higher one, once records have expired."""
+    log = Log()
+    past, other = build_leases("a"), build_leases("b")
+    acquire(past, log, 0.0)
+    acquire(other, log, 0.0)
+    acquire(other, log, 10_000.0)
+    held = other.find_lease(10_000.0)
+    assert held is not None
+    log.expire()
+    now_ms = 40_000.0
+    for _ in range(4):
+        serve(past, log, past.tick(now_ms, 0, True, now_ms), now_ms)
+    assert past.find_lease(now_ms) is None
+    later_ms = now_ms + ACTIVE_MS + LEASE_MS + REQUEST_TIMEOUT_MS
+    acquire(past, log, later_ms, now_ms)
+    lease = past.find_lease(later_ms)
+    assert lease is not None
+    assert lease.fence > held.fence
+
+
+def test_holder_keeps_its_lease_if_only_its_own_records_can_have_expired() -> None:
+    """Guards against a rollout that waits although no other node can hold the lease."""
+    leases, log = build_leases("a"), Log()
+    acquire(leases, log, 0.0)
+    request = leases.tick(0.0, 0, False, 600.0)
+    assert isinstance(request, AppendLease)
+    log.append(request)
+    leases.apply_append(LeaseAppended(None, 600.0), 600.0)
+    log.expire()
+    acquire(leases, log, 700.0)
+    lease = leases.find_lease(700.0)
+    assert lease is not None
+    assert lease.fence == 0
+
+
 class Fleet:
     """Three nodes with work to do, with random pauses and lost answers."""
 
@@ -234,18 +274,27 @@
     st.floats(0.0, 0.4),
     st.floats(0.0, 0.4),
     st.floats(0.0, 0.3),
+    st.floats(0.0, 0.05),
 )
 def test_two_holders_never_act_within_the_lease(
-    seed: int, lost_share: float, pause_share: float, late_share: float
+    seed: int,
+    lost_share: float,
+    pause_share: float,
+    late_share: float,
+    expiry_share: float,
 ) -> None:
     """Three nodes have work for a minute, with pauses, lost answers and late appends.
 
+    All records that the store has expire at random times.
+
     If two nodes sent orders within the lease, one would revert the other's work.
     """
     fleet = Fleet(random.Random(seed))
     for step in range(2_400):
         now_ms = step * 25.0
         fleet.append_late(now_ms)
+        if fleet.rng.random() < expiry_share:
+            fleet.log.expire()
         for rank, name in enumerate(fleet.nodes):
             if not fleet.is_paused(name, pause_share, now_ms):
                 fleet.step(name, rank, lost_share, late_share, now_ms)
