Tell a crash of a failure domain from weights that crash replicas

Cause: three replicas that crashed under orders of a version counted as three proofs against the weights, though they had one cause outside. They were in one domain as loads went through the list in its order.

Change: loads are spread over the failure domains. Crashes in one domain at one moment, or beside a replica of it that did not load, lead to a trial on one replica at once; a version is halted if replicas of several domains crashed or one that was ordered after others had. load_failed names the domain.

Why it works: the loss of a domain is one event by these measures, and loads elsewhere show that the weights are sound; weights that end each replica show in several domains or in the trial.

--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -9,15 +9,17 @@
 from __future__ import annotations
 
 import math
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Final
 
 import msgspec
 
-from toucanyard.failed_loads import FailedLoads
+from toucanyard.crash_detector import Reachability
+from toucanyard.failed_loads import FailedLoad, FailedLoads
 from toucanyard.leases import Lease
 from toucanyard.log_entries import LogEntry
-from toucanyard.names import EndpointName, NodeName
+from toucanyard.names import DomainName, EndpointName, NodeName
 from toucanyard.relay_events import (
     OrderAnswered,
     ReadReplicaState,
@@ -64,6 +66,8 @@
 _ACCEPTED: Final = 202
 _ALREADY_LOADED: Final = 200
 _STALE_FENCE: Final = 412
+_ENDED: Final = (Reachability.NO_LISTENER, Reachability.REPLACED)
+"""Results of a request for a report that show that the replica has ended."""
 
 
 class _Change(msgspec.Struct):
@@ -108,6 +112,7 @@
         "_skipped_ms",
         "_polled_ms",
         "_mean_load_ms",
+        "_replicas",
     )
 
     def __init__(self, node: NodeName, policy: RolloutPolicy) -> None:
@@ -120,6 +125,8 @@
         self._skipped_ms: dict[EndpointName, float] = {}
         self._reported_ms: dict[EndpointName, float] = {}
         """When the last report received from each replica was requested."""
+        self._replicas: dict[EndpointName, KnownReplica] = {}
+        """All replicas at the last plan."""
         self._polled_ms = float("-inf")
         self._is_paced = False
         self._mean_load_ms = INITIAL_LOAD_MS
@@ -133,8 +140,8 @@
         """Record a replica's report, or its absence."""
         change = self._changes.get(read.replica)
         if read.state is None:
-            if change is not None and change.ordered_ms is not None:
-                self._record_lost_load(read, change)
+            if read.reach in _ENDED:
+                self._record_ended(read, change)
             return
         self._reported_ms[read.replica] = read.asked_ms
         if change is not None:
@@ -144,13 +151,29 @@
         """Return whether a version is halted, since replicas crashed loading it."""
         return self._failures.is_halted(version, now_ms)
 
-    def _record_lost_load(self, read: ReplicaStateRead, change: _Change) -> None:
-        """Record that a replica that was ordered to load did not report."""
-        version = change.version
-        if self._failures.record_read(read.replica, version, read.reach, read.asked_ms):
-            count = self._failures.count(version)
-            fields = {"version": version, "replica": read.replica, "count": count}
-            self._log_entries.append(LogEntry("rollout_halted", fields))
+    def _record_ended(self, read: ReplicaStateRead, change: _Change | None) -> None:
+        """Record a replica that has ended, while it loaded or did not."""
+        known = self._replicas.get(read.replica)
+        if known is None or known.has_left():
+            return
+        domain = known.replica.domain
+        if change is None or change.ordered_ms is None:
+            self._failures.record_ended(read.replica, domain, read.asked_ms)
+            return
+        failure = FailedLoad(read.replica, domain, change.ordered_ms, read.asked_ms)
+        if self._failures.record_failed(change.version, failure):
+            self._log_failed(change.version, failure)
+
+    def _log_failed(self, version: int, failure: FailedLoad) -> None:
+        is_halted = self.is_halted(version, failure.seen_ms)
+        fields: dict[str, object] = {
+            "version": version,
+            "replica": failure.replica,
+            "domain": failure.domain,
+            "count": self._failures.count(version),
+        }
+        name = "rollout_halted" if is_halted else "load_failed"
+        self._log_entries.append(LogEntry(name, fields))
 
     def record_answer(self, answered: OrderAnswered, now_ms: float) -> bool:
         """Record the answer to an order; return whether there is a higher fence."""
@@ -189,6 +212,7 @@
         # many replicas leaves enough of them, even if some are unavailable.
         is_small = len(replicas) <= MANY_REPLICAS
         self._is_paced = self._policy.is_paced and is_small
+        by_name = self._replicas = {each.replica.name: each for each in replicas}
         self._remove_finished(model, version, replicas, now_ms)
         self._announce(model, version, replicas, load_of, budget, now_ms)
         actions: list[RolloutAction] = [
@@ -196,7 +220,6 @@
             *self._poll_replicas(replicas, now_ms),
         ]
         self._log_entries.clear()
-        by_name = {each.replica.name: each for each in replicas}
         for name, change in self._changes.items():
             known = by_name.get(name)
             if known is None:
@@ -257,18 +280,55 @@
             and each.weights[model] < version
             and self._is_responding(each, now_ms)
         ]
-        # The replica with the fewest calls first, since its calls end soonest.
-        behind.sort(key=lambda each: load_of.get(each.replica.name, 0))
         if self._is_paced:
             most = self._compute_paced_limit(replicas, behind, budget, now_ms)
         else:
             most = self._compute_limit(len(replicas))
-        if self._failures.is_on_trial(version):
-            most = 1
         room = most - len(self._changes)
-        for each in behind[: max(room, 0)]:
+        if self._failures.is_on_trial(version):
+            room = 1 - self._count_unfailed()
+        for each in self._choose(version, behind, load_of, room):
             self._changes[each.replica.name] = _Change(version, now_ms)
 
+    def _count_unfailed(self) -> int:
+        """Return how many replicas are being changed and are not known to have ended.
+
+        One that crashed during its load keeps its place until it leaves the list.
+        """
+        return sum(
+            not self._failures.has_failed(change.version, name)
+            for name, change in self._changes.items()
+        )
+
+    def _choose(
+        self,
+        version: int,
+        behind: Sequence[KnownReplica],
+        load_of: dict[EndpointName, int],
+        count: int,
+    ) -> Iterator[KnownReplica]:
+        """Choose the replicas to change next, spread over the failure domains.
+
+        The loss of a domain then ends few of those that load, and crashes that are due
+        to the weights show in several domains. Within a domain the replica with the
+        fewest calls goes first, since its calls end soonest.
+        """
+        changing = Counter(
+            self._replicas[name].replica.domain
+            for name in self._changes
+            if name in self._replicas
+        )
+        left: dict[DomainName, deque[KnownReplica]] = defaultdict(deque)
+        for each in sorted(behind, key=lambda each: load_of.get(each.replica.name, 0)):
+            left[each.replica.domain].append(each)
+        failed = {each: self._failures.count_in(version, each) for each in left}
+        for _ in range(min(count, len(behind))):
+            domain = min(left, key=lambda each: (changing[each], failed[each]))
+            yield left[domain].popleft()
+            changing[domain] += 1
+            if not left[domain]:
+                del left[domain]
+
     def _poll_replicas(
         self, replicas: Sequence[KnownReplica], now_ms: float
     ) -> Iterator[RolloutAction]:
--- a/tests/toucanyard/test_weights_rollout.py
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+import pytest
+
 from toucanyard.crash_detector import Reachability
 from toucanyard.failed_loads import HALT_MS, MAX_FAILED_LOADS
 from toucanyard.leases import Lease
-from toucanyard.names import EndpointName, NodeName
+from toucanyard.names import DomainName, EndpointName, NodeName
 from toucanyard.relay_events import (
     OrderAnswered,
     ReadReplicaState,
@@ -12,7 +14,7 @@
     WeightsOrder,
 )
 from toucanyard.relay_policy import RolloutPolicy
-from toucanyard.replicas import KnownReplica
+from toucanyard.replicas import KnownReplica, Replica
 from toucanyard.stated_weights import StatedSpan
 from toucanyard.weights_rollout import (
     ANNOUNCE_MS,
@@ -32,14 +34,20 @@
 STEP_MS = 20.0
 LOAD_MS = 400.0
 BACK_MS = 2_000.0
+DEADLINE_MS = 12_000.0
+"""Time in which new weights have to be in place."""
 
 
 class Fleet:
     """Replicas that load weights when ordered, and the rollout that orders them."""
 
-    def __init__(self, *names: str) -> None:
+    def __init__(self, *names: str, domains: int = 1) -> None:
         self.rollout = WeightsRollout(NodeName("n1"), POLICY)
-        self.known = [KnownReplica(build_replica(name)) for name in names]
+        self.domains = {
+            name: DomainName(f"d{number * domains // len(names)}")
+            for number, name in enumerate(names)
+        }
+        self.known = [KnownReplica(self.build(name)) for name in names]
         self.versions = dict.fromkeys(names, 1)
         self.counts = dict.fromkeys(names, 0)
         self.busy_until = dict.fromkeys(names, 0.0)
@@ -55,6 +63,18 @@
         self.now_ms = 0.0
         self.budget = UNLIMITED
 
+    def build(self, name: str) -> Replica:
+        domain = self.domains[name.partition("@")[0]]
+        return build_replica(name, domain=domain)
+
+    def crash_domain(self, domain: str) -> None:
+        """Let all replicas of a domain crash at once, by a cause outside."""
+        for each in self.known:
+            name = each.replica.name
+            if each.replica.domain == domain and name not in self.dead:
+                self.loading.pop(name, None)
+                self.crash(name)
+
     def run(self, version: int, for_ms: float) -> None:
         end_ms = self.now_ms + for_ms
         while self.now_ms < end_ms:
@@ -107,7 +127,7 @@
         del self.back_ms[name]
         incarnation = f"{name.partition('@')[0]}@{round(self.now_ms)}"
         number = [each.replica.name for each in self.known].index(EndpointName(name))
-        self.known[number] = KnownReplica(build_replica(incarnation))
+        self.known[number] = KnownReplica(self.build(incarnation))
         self.versions[incarnation] = self.versions.pop(name)
         self.counts[incarnation], self.busy_until[incarnation] = 0, 0.0
 
@@ -335,3 +355,43 @@
             fleet.crash(name)
     fleet.run(2, 10_000.0)
     assert set(fleet.versions.values()) == {2}
+
+
+def list_old(fleet: Fleet) -> list[str]:
+    return [name for name, version in fleet.versions.items() if version < 2]
+
+
+@pytest.mark.parametrize("domains", [1, 3])
+@pytest.mark.parametrize("after_ms", [100.0, 300.0, 400.0])
+def test_crash_of_a_domain_does_not_halt_new_weights(
+    domains: int, after_ms: float
+) -> None:
+    """Guards against a crash of a domain that is taken for a fault of the weights."""
+    fleet = Fleet(*"abcdefghijkl", domains=domains)
+    fleet.run(2, after_ms)
+    fleet.crash_domain("d0")
+    fleet.run(2, DEADLINE_MS)
+    assert not list_old(fleet)
+
+
+def test_crash_of_a_second_domain_does_not_halt_new_weights() -> None:
+    """Guards against crashes of two domains in turn that count as two failed tries."""
+    fleet = Fleet(*"abcdefghijkl", domains=3)
+    fleet.run(2, 300.0)
+    fleet.crash_domain("d0")
+    fleet.run(2, 300.0)
+    fleet.crash_domain("d1")
+    fleet.run(2, DEADLINE_MS)
+    assert not list_old(fleet)
+
+
+@pytest.mark.parametrize("domains", [1, 2, 3, 12])
+def test_weights_that_crash_replicas_end_few_of_them(domains: int) -> None:
+    """Guards against a rollout that tells crashes of a domain from bad weights late."""
+    fleet = Fleet(*"abcdefghijkl", domains=domains)
+    fleet.crashing = {2}
+    fleet.run(2, HALT_MS - 10_000.0)
+    assert len(fleet.crashes) <= 5
+    assert fleet.rollout.is_halted(2, fleet.now_ms)
+    fleet.run(3, DEADLINE_MS)
+    assert set(fleet.versions.values()) == {3}
