Isolate each customer while the configuration is not confirmed

Cause: the cache group was chosen as a call arrived, by the table that the node had, however old, and kept while the call waited.

Change: the group is chosen as a call is placed. The change is logged.

Why it works: what an unconfirmed node may have missed no longer decides who shares; a customer that is isolated by now has a group of its own in any case.

--- a/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
+++ b/packages/toucanyard-emulator/src/toucanyard_emulator/caller.py
@@ -78,7 +78,6 @@
             request_id=RequestId(f"{self._arrival.number}-{self._attempt_count}"),
             caller_id=f"{self._arrival.number}-{self._attempt_count}",
             customer=CustomerName("c"),
-            cache_group="",
             route=kind.name,
             service=ENGINE_SERVICE if is_prompt else PLAIN_SERVICE,
             repeatability=repeatability,
--- a/packages/toucanyard-node/src/toucanyard_node/relay_server.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_server.py
@@ -177,7 +177,6 @@
             request_id=RequestId(f"{facts.caller_id}-{next(self._numbers)}"),
             caller_id=facts.caller_id,
             customer=name,
-            cache_group=index.find_cache_group(customer),
             route=route.name,
             service=service,
             repeatability=route.repeatability,
--- a/packages/toucanyard-standins/src/toucanyard_standins/bench_crash_causes.py
+++ b/packages/toucanyard-standins/src/toucanyard_standins/bench_crash_causes.py
@@ -42,7 +42,6 @@
         request_id=RequestId(f"q{number}"),
         caller_id=f"q{number}",
         customer=CustomerName("c"),
-        cache_group="",
         route="r",
         service=ServiceName("s"),
         repeatability=Repeatability.REPEATABLE,
--- a/packages/toucanyard/src/toucanyard/call_placement.py
+++ b/packages/toucanyard/src/toucanyard/call_placement.py
@@ -70,7 +70,10 @@
         uneven: UnevenLoad,
         weights: ReplicaWeights,
         rng: random.Random,
+        is_confirmed: Callable[[float], bool] = lambda _: True,
     ) -> None:
+        """`is_confirmed` tells whether the routes in force are the newest ones."""
+        self._is_confirmed = is_confirmed
         self._uneven = uneven
         self.connections = KeptConnections(options.connections)
         self.answer_times = AnswerTimes()
@@ -265,6 +268,10 @@
         usable = [each for each in usable if _fits_weights(pending, each)]
         stores = self._sources.find_stores(self.index, now_ms)
         inputs = self._uneven.find_inputs(request.service, now_ms)
+        # By the routes in force now, as the customer may be isolated since it arrived.
+        cache_group = self.index.find_cache_group(
+            request.customer, is_confirmed=self._is_confirmed(now_ms)
+        )
         placed = self._placement.choose(
             request,
             prompt,
@@ -273,6 +280,7 @@
             target,
             stores,
             now_ms,
+            cache_group=cache_group,
             # The caller of an interrupted stream should learn of a failure at once.
             may_wait_for_reader=not pending.has_begun,
             room=self._find_room(pending, now_ms),
--- a/packages/toucanyard/src/toucanyard/prompt_block_placement.py
+++ b/packages/toucanyard/src/toucanyard/prompt_block_placement.py
@@ -116,13 +116,13 @@
     """Replicas that are reading a block, by scope and block name."""
 
 
-def compute_scope(request: RelayRequest, prompt: Prompt, version: int) -> str:
+def compute_scope(prompt: Prompt, version: int, cache_group: str) -> str:
     """Return the scope in which a replica keeps the blocks of a prompt.
 
     It contains the weights version and the call's cache group, so that nothing is used
     that was read under other weights or across an isolated customer.
     """
-    return f"{prompt.model}/{version}/{request.cache_group}"
+    return f"{prompt.model}/{version}/{cache_group}"
 
 
 class PromptBlockPlacement:
@@ -163,6 +163,7 @@
         stores: Sequence[PromptStore],
         now_ms: float,
         *,
+        cache_group: str = "",
         may_wait_for_reader: bool = True,
         room: VersionRoom | None = None,
         inputs: PlacementInputs = EVEN,
@@ -170,12 +171,13 @@
     ) -> PlacedPrompt | None:
         """Return the best replica with capacity, or None if the call has to wait.
 
+        Calls of other cache groups share no cached prompt block with this one.
         `may_wait_for_reader` allows it to wait for a block that another replica is
         reading. `room` names the software versions that a new stream should avoid.
         `inputs` tells how replicas and demand differ, `connected` to which replicas
         there are kept connections.
         """
-        candidates = self._find_candidates(request, prompt, usable, target, now_ms)
+        candidates = self._find_candidates(prompt, cache_group, usable, target, now_ms)
         shared = prompt.find_shared()
         sources = self._find_sources(candidates, shared, engine, stores, now_ms)
         length_group = self._filter.find_length_group(
@@ -260,8 +262,8 @@
 
     def _find_candidates(
         self,
-        request: RelayRequest,
         prompt: Prompt,
+        cache_group: str,
         usable: Sequence[KnownReplica],
         target: TargetWeights | None,
         now_ms: float,
@@ -272,7 +274,7 @@
             version = known.weights.get(prompt.model)
             if version is None or self._is_too_old(version, target, now_ms):
                 continue
-            scope = compute_scope(request, prompt, version)
+            scope = compute_scope(prompt, version, cache_group)
             name = known.replica.name
             held = self._block_index.count_leading(name, scope, shared, float("inf"))
             found.append(Candidate(known, version, scope, held))
--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -14,6 +14,7 @@
 from toucanyard.call_forwards import CallForwards
 from toucanyard.call_limits import CallLimits, compute_first_request_number
 from toucanyard.call_placement import CallPlacement
+from toucanyard.confirmed_configuration import ConfirmedConfiguration
 from toucanyard.fault_location import FaultLocator
 from toucanyard.guard_events import GuardEvents
 from toucanyard.keyed_view import Decode, Topic
@@ -167,6 +168,7 @@
         self.era = StoreEra()
         self.node_directory = NodeDirectory(self.own_record, options.seeds)
         self.exchange = ViewExchange(decode, self.node_directory.is_full_mesh, rng)
+        self.confirmed = ConfirmedConfiguration(self.node_directory)
         self.sources = PromptBlockSources(self.directory, self.node_directory)
         self.reach = ReplicaReach(self.directory)
         self.faults = FaultLocator(self.reach, self.node_directory)
@@ -203,6 +205,7 @@
             self.uneven,
             weights,
             rng,
+            self.confirmed.is_confirmed,
         )
         self.guard = RequestGuard(
             self.directory,
@@ -347,6 +350,7 @@
     def handle(self, event: RelayEvent, now_ms: float) -> list[RelayAction]:
         """Handle one event and return the actions to carry out now, in order."""
         self.flow.set_view_confirmed(self.exchange.views[Topic.REPLICAS].confirmed_ms)
+        self.confirmed.record_event(now_ms)
         actions = list(self._handle(event, now_ms))
         actions += self._settle_weights(now_ms)
         actions += self._guard_events.settle()
@@ -355,6 +359,8 @@
             actions += self._send_status_now(now_ms)
         actions += self._limit_events.settle(now_ms)
         actions += self._origin_events.settle(now_ms)
+        configuration = self.exchange.views[Topic.OPERATOR]
+        self.confirmed.record_confirmed(configuration.confirmed_ms, now_ms)
         return actions
 
     def _is_store_overdue(self, now_ms: float) -> bool:
@@ -433,6 +439,8 @@
         match event:
             case TopicRead():
                 yield from self.topics.handle_read(event, now_ms)
+                if event.topic is Topic.OPERATOR and self._is_covered(event):
+                    self.confirmed.record_own_read(event.asked_ms)
                 if self._is_covered(event):
                     yield from self._origin_events.record_topic_read(event, now_ms)
             case StoreEraSeen(era=era):
@@ -511,6 +519,7 @@
         yield from self._tick_rollout(now_ms)
         yield from self.statuses.tick(self.is_ready(), now_ms)
         yield from self._log_hub_change()
+        yield from self.confirmed.log_change(now_ms)
         if now_ms - self._pruned_ms >= PRUNE_MS:
             self._pruned_ms = now_ms
             self.guard.ledger.prune(now_ms)
--- a/packages/toucanyard/src/toucanyard/relay_requests.py
+++ b/packages/toucanyard/src/toucanyard/relay_requests.py
@@ -49,8 +49,6 @@
     caller_id: str
     """The caller's id of this try, which responses echo."""
     customer: CustomerName
-    cache_group: str
-    """Calls of other groups share no cached prompt block with this one."""
     route: str
     service: ServiceName
     repeatability: Repeatability
--- a/packages/toucanyard/src/toucanyard/routes.py
+++ b/packages/toucanyard/src/toucanyard/routes.py
@@ -127,6 +127,7 @@
     __slots__ = (
         "_by_host",
         "_by_key",
+        "_by_name",
         "_limits",
         "_services",
         "_shared_cache_group",
@@ -139,6 +140,7 @@
         for route in table.routes:
             self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
         self._by_key = {key: each for each in table.customers for key in each.keys}
+        self._by_name = {each.name: each for each in table.customers}
         self._services = {each.name: each for each in table.services}
         self._shared_cache_group = _name_shared_group(table.customers)
         self._limits = {
@@ -160,10 +162,17 @@
         """Return the customer that holds a key."""
         return self._by_key.get(key)
 
-    def find_cache_group(self, customer: RoutedCustomer | None) -> str:
-        """Return the group of calls that may share cached prompt blocks."""
-        if customer is not None and customer.is_isolated:
-            return f"{ISOLATED_PREFIX}{customer.name}"
+    def find_cache_group(self, name: CustomerName, *, is_confirmed: bool = True) -> str:
+        """Return the group of calls that may share cached prompt blocks with a call.
+
+        `name` is empty for a call without a customer. Unless the table is confirmed to
+        be the newest, each customer may be isolated by now, as is one that it lacks.
+        """
+        if not name:
+            return self._shared_cache_group
+        customer = self._by_name.get(name)
+        if customer is None or customer.is_isolated or not is_confirmed:
+            return f"{ISOLATED_PREFIX}{name}"
         return self._shared_cache_group
 
     def find_service(self, name: ServiceName) -> RoutedService | None:
--- a/tests/toucanyard/relay_examples.py
+++ b/tests/toucanyard/relay_examples.py
@@ -103,7 +103,6 @@
         "request_id": RequestId(request_id),
         "caller_id": request_id,
         "customer": CustomerName("c"),
-        "cache_group": "",
         "route": "r",
         "service": DESK,
         "repeatability": Repeatability.REPEATABLE,
--- a/tests/toucanyard/test_prompt_block_placement.py
+++ b/tests/toucanyard/test_prompt_block_placement.py
@@ -169,9 +169,7 @@
     )
     index = RouteIndex(RouteTable(1, customers=customers))
     scopes = {
-        compute_scope(
-            build_request("q", cache_group=index.find_cache_group(customer)), PROMPT, 1
-        )
+        compute_scope(PROMPT, 1, index.find_cache_group(customer.name))
         for customer in customers
     }
     assert len(scopes) == 3
--- a/tests/toucanyard/test_routes.py
+++ b/tests/toucanyard/test_routes.py
@@ -76,6 +76,8 @@
     assert choose_service(build_route("r", "/", splits=()), rng) is None
 
 
+NOBODY = CustomerName("")
+"""Of a call without a customer."""
 NAMES = ("one", "two", "three")
 STEPS = st.lists(
     st.tuples(st.sets(st.sampled_from(NAMES)), st.sampled_from(NAMES)), max_size=30
@@ -102,7 +104,7 @@
     made: dict[str, set[str]] = {}
     for isolated, caller in steps:
         index = build_isolating(isolated)
-        group = index.find_cache_group(index.find_customer(caller))
+        group = index.find_cache_group(CustomerName(caller))
         makers = made.setdefault(group, set())
         others = makers - {caller}
         assert not others or isolated.isdisjoint(others | {caller})
@@ -122,6 +124,20 @@
             ),
         )
     )
-    assert before.find_cache_group(None) == after.find_cache_group(None)
-    assert build_isolating(set()).find_cache_group(None) == ""
-    assert RouteIndex(build_table()).find_cache_group(None) == ""
+    assert before.find_cache_group(NOBODY) == after.find_cache_group(NOBODY)
+    assert build_isolating(set()).find_cache_group(NOBODY) == ""
+    assert RouteIndex(build_table()).find_cache_group(NOBODY) == ""
+
+
+def test_each_customer_may_be_isolated_by_a_newer_configuration() -> None:
+    """Guards against a table that is used for sharing though it may be outdated."""
+    index = build_isolating({"one"})
+    groups = {
+        index.find_cache_group(CustomerName(name), is_confirmed=False)
+        for name in (*NAMES, "removed")
+    }
+    assert len(groups) == 4
+    assert index.find_cache_group(CustomerName("two")) not in groups
+    isolated = CustomerName("one")
+    assert index.find_cache_group(isolated) in groups
+    assert index.find_cache_group(CustomerName("removed")) in groups
--- a/tests/toucanyard_node/test_relay_attempt.py
+++ b/tests/toucanyard_node/test_relay_attempt.py
@@ -20,7 +20,6 @@
         request_id=RequestId("q-1"),
         caller_id="q",
         customer=CustomerName("c"),
-        cache_group="",
         route="r",
         service=SERVICE,
         repeatability=Repeatability.REPEATABLE,
--- a/tests/toucanyard_node/test_relay_log.py
+++ b/tests/toucanyard_node/test_relay_log.py
@@ -30,7 +30,6 @@
         request_id=RequestId("q-1"),
         caller_id="q",
         customer=CustomerName("c"),
-        cache_group="",
         route="r",
         service=ServiceName("s"),
         repeatability=Repeatability.REPEATABLE,
--- a/tests/toucanyard_node/test_relay_metrics.py
+++ b/tests/toucanyard_node/test_relay_metrics.py
@@ -31,7 +31,6 @@
     request_id=RequestId("q-1"),
     caller_id="q",
     customer=CustomerName("c"),
-    cache_group="",
     route="r",
     service=SERVICE,
     repeatability=Repeatability.REPEATABLE,
--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -42,7 +42,6 @@
         request_id=RequestId("q1-1"),
         caller_id="q1",
         customer=CustomerName("c"),
-        cache_group="",
         route="r",
         service=ServiceName("s"),
         repeatability=Repeatability.REPEATABLE,
