--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from toucanyard.names import (
@@ -229,3 +230,15 @@
     """Guards against a call that escapes a limit by an invalid token count."""
     with pytest.raises(CallInvalidError):
         PlatformCalls().read_call(build_http(*PLAIN_CALL, ("X-Token-Usage", text)))
+
+
+@pytest.mark.parametrize("name", ["c", "knji\u017eara", "\u5fc3", "caf\u00e9"])
+def test_customer_with_letters_of_any_alphabet_reaches_the_replica(name: str) -> None:
+    """Guards against a name that no header can carry and fails each of its calls."""
+    request = msgspec.structs.replace(build_request(), customer=CustomerName(name))
+    dispatch = msgspec.structs.replace(build_dispatch(), cache_scope=f"m/4/={name}")
+    http = build_http(*MODEL_CALL)
+    headers = PlatformCalls().build_headers(http, request, dispatch, 5_900, "")
+    sent = {key: value.encode("latin-1") for key, value in headers}
+    assert sent["X-Tenant"].decode() == name
+    assert sent["X-Cache-Salt"].decode() == f"m/4/={name}"
