Count no poll as a confirmation after a pause

A poll that the store answered while its node stood still is read as if the answer had just been sent, so it could confirm a configuration that had changed since.

--- a/packages/toucanyard/src/toucanyard/relay_core.py
+++ b/packages/toucanyard/src/toucanyard/relay_core.py
@@ -439,7 +439,9 @@
         match event:
             case TopicRead():
                 yield from self.topics.handle_read(event, now_ms)
-                if event.topic is Topic.OPERATOR and self._is_covered(event):
+                # A poll may have been answered long before its answer was read.
+                is_own = event.topic is Topic.OPERATOR and not event.is_polled
+                if is_own and self._is_covered(event):
                     self.confirmed.record_own_read(event.asked_ms)
                 if self._is_covered(event):
                     yield from self._origin_events.record_topic_read(event, now_ms)
