--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -265,10 +265,7 @@
         self._body = bytearray()
         self.body_bytes = 0
         self.body_work_bytes = 0
-        encoded = [
-            (name.encode("ascii"), value.encode("latin-1")) for name, value in headers
-        ]
-        head = h11.Request(method=method, target=target, headers=encoded)
+        head = _build_request(method, target, headers)
         data = connection.send(head) or b""
         if body:
             data += connection.send(h11.Data(data=body)) or b""
@@ -471,6 +468,18 @@
             raise ConnectionFailedError(str(error), is_sent=True) from error
 
 
+def _build_request(method: str, target: str, headers: Headers) -> h11.Request:
+    """Return a request's head, or raise ConnectionFailedError if none can carry it."""
+    try:
+        encoded = [
+            (name.encode("ascii"), value.encode("latin-1")) for name, value in headers
+        ]
+        return h11.Request(method=method, target=target, headers=encoded)
+    except (UnicodeEncodeError, h11.LocalProtocolError) as error:
+        text = f"no valid request: {error}"
+        raise ConnectionFailedError(text, is_sent=False) from error
+
+
 def _is_broken(error: ConnectionFailedError) -> bool:
     """Return whether a send failed other than by a close of the other side.
 
--- a/packages/toucanyard-node/src/toucanyard_node/relay_store.py
+++ b/packages/toucanyard-node/src/toucanyard_node/relay_store.py
@@ -334,7 +334,15 @@
                 nursery.start_soon(self._run_job, job)
 
     async def _run_job(self, job: BackgroundJob) -> None:
-        event = await self._execute(job)
+        asked_ms = trio.current_time() * 1000
+        try:
+            event = await self._execute(job)
+        except Exception as error:
+            event = _build_failed(job, asked_ms)
+            if event is None:
+                raise
+            # An error in a request to one replica must not end the calls at all others.
+            _LOG.exception("replica_job_failed", job=job, error=repr(error)[:200])
         if event is not None:
             self._client.send_event(event)
 
@@ -431,6 +439,22 @@
         return OrderAnswered(order, reply.status)
 
 
+def _build_failed(job: BackgroundJob, asked_ms: float) -> RelayEvent | None:
+    """Return the event of a request to a replica that got no answer.
+
+    None for a job that isn't such a request.
+    """
+    match job:
+        case ReadReplicaState(replica=replica):
+            return ReplicaStateRead(replica, None, asked_ms)
+        case ProbeConnection(replica=replica):
+            return ConnectionProbed(replica, False, asked_ms)
+        case WeightsOrder():
+            return OrderAnswered(job, None)
+        case _:
+            return None
+
+
 async def _probe_connection(probe: ProbeConnection) -> ConnectionProbed:
     begun_ms = trio.current_time() * 1000
     try:
--- a/tests/toucanyard_node/test_http_client.py
+++ b/tests/toucanyard_node/test_http_client.py
@@ -138,3 +138,13 @@
     with pytest.raises(ConnectionFailedError) as refused:
         await connect(address, 1_000.0)
     assert refused.value.has_no_listener
+
+
+@pytest.mark.parametrize("value", ["\ufffd", "a\nb", "\x00", " a"])
+async def test_header_that_cannot_be_sent_fails_the_request_only(value: str) -> None:
+    """Guards against an error of another type, which ends the task of its sender."""
+    near, _ = trio.testing.memory_stream_pair()
+    connection = HttpConnection(ADDRESS, near, 0.0)
+    with pytest.raises(ConnectionFailedError) as raised:
+        await connection.send("GET", "/", (("X-Expect", value),))
+    assert not raised.value.is_sent
--- a/tests/toucanyard_node/test_relay_store.py
+++ b/tests/toucanyard_node/test_relay_store.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import msgspec
+import pytest
 import trio
 
 from toucanyard.keyed_view import KeyedRecord, Topic
@@ -10,26 +12,43 @@
 from toucanyard.names import (
     Address,
     DomainName,
+    EndpointName,
     Fingerprint,
     Incarnation,
     NodeId,
     NodeName,
+    ReplicaId,
 )
 from toucanyard.node_records import NodeRecord
 from toucanyard.quarantine import QuarantinedRequest
 from toucanyard.relay_core import RelayCore
-from toucanyard.relay_events import RelayEvent, SendToPeer, StoreFailed
+from toucanyard.relay_events import (
+    OrderAnswered,
+    ReadLeases,
+    ReadReplicaState,
+    RelayEvent,
+    ReplicaStateRead,
+    SendToPeer,
+    StoreFailed,
+    WeightsOrder,
+)
 from toucanyard.relay_options import RelayListen, RelayOptions
 from toucanyard.replicas import RETURN_DETECTION_MS
 from toucanyard_node.relay_metrics import RelayMetrics
 from toucanyard_node.relay_ports import (
     LeasePage,
+    OrderReply,
     RecordsGoneError,
+    StateAnswer,
     StoreError,
     TopicPage,
 )
-from toucanyard_node.relay_store import StoreReader, retry_until_success
-from toucanyard_node.relay_task import BackgroundJob, RelayTask
+from toucanyard_node.relay_store import (
+    BackgroundJobRunner,
+    StoreReader,
+    retry_until_success,
+)
+from toucanyard_node.relay_task import BackgroundJob, RelayClient, RelayTask
 
 LOCAL = Address("127.0.0.1:1")
 READ_TIMEOUT_S = 1.2
@@ -276,3 +295,50 @@
         assert not positions
         store.is_down = False
     assert positions == [LogPosition(0, 7)]
+
+
+class BrokenControl:
+    """Raises an error of an unexpected type at each request to a replica."""
+
+    async def read_state(self, address: Address, listed_as: ReplicaId) -> StateAnswer:
+        raise UnicodeError("unexpected")
+
+    async def send_order(self, order: WeightsOrder) -> OrderReply:
+        raise UnicodeError("unexpected")
+
+
+async def test_unexpected_error_in_a_request_to_a_replica_ends_no_node() -> None:
+    """Guards against a job for one replica that ends the calls at all others."""
+    events, answers = trio.open_memory_channel[Any](10)
+    client = RelayClient(events, lambda *_: True)
+    records: Any = None
+    runner = BackgroundJobRunner(client, ScriptedStore(), BrokenControl(), records)
+    send, jobs = trio.open_memory_channel[BackgroundJob](10)
+    replica, listed_as = EndpointName("r"), ReplicaId("r")
+    order = WeightsOrder(replica, listed_as, LOCAL, "m", 2, NodeName("n"), 7, 0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(runner.run, jobs)
+        send.send_nowait(ReadReplicaState(replica, listed_as, LOCAL))
+        send.send_nowait(order)
+        with trio.fail_after(1):
+            found = [await answers.receive(), await answers.receive()]
+        nursery.cancel_scope.cancel()
+    assert OrderAnswered(order, None) in found
+    reads = [each for each in found if isinstance(each, ReplicaStateRead)]
+    assert [each.state for each in reads] == [None]
+
+
+async def test_unexpected_error_at_the_store_is_not_hidden() -> None:
+    class BrokenStore(ScriptedStore):
+        async def read_leases(self, offset: int) -> LeasePage:
+            raise UnicodeError("unexpected")
+
+    events, _ = trio.open_memory_channel[Any](10)
+    client = RelayClient(events, lambda *_: True)
+    records: Any = None
+    runner = BackgroundJobRunner(client, BrokenStore(), BrokenControl(), records)
+    send, jobs = trio.open_memory_channel[BackgroundJob](10)
+    send.send_nowait(ReadLeases(0))
+    send.close()
+    with pytest.RaisesGroup(UnicodeError):
+        await runner.run(jobs)
