Apply each answer to a credit request once

Cause: a request without an answer in 200 ms is sent again, each copy is answered, and the credit of further answers was returned as unused although it was spent. Likewise an earlier request that arrived after the next one was granted and counted again.

Change: accounts keep the numbers of answered requests and ignore further answers; coordinators ignore numbers that they have answered before the last one.

Before: three new tests failed. After: they pass, with the tests of limits over several nodes.

--- a/packages/toucanyard/src/toucanyard/limit_credits.py
+++ b/packages/toucanyard/src/toucanyard/limit_credits.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Collection, Iterator
 from typing import Final
 
@@ -24,6 +25,10 @@
 MIN_DENIAL_MS: Final = 25.0
 """Minimum time between a denial and the next credit request; otherwise a flood would
 send one for each of its requests."""
+MAX_ANSWERED: Final = 32
+"""Numbers of answered credit requests that are kept for each subject. A request is sent
+every REQUEST_TIMEOUT_MS until it is answered, so that copies of its answer may follow
+for as long as the coordinator was late."""
 MAX_DENIAL_MS: Final = 500.0
 """Maximum time for which a denial is valid: by then another node may be the limit's
 coordinator."""
@@ -53,6 +58,7 @@
 
 class _Account:
     __slots__ = (
+        "answered",
         "credit",
         "credit_request",
         "denied_ms",
@@ -67,6 +73,8 @@
     )
 
     def __init__(self) -> None:
+        self.answered: deque[int] = deque(maxlen=MAX_ANSWERED)
+        """Numbers of the credit requests whose answers were applied last."""
         self.credit = 0.0
         self.ttl_ms = MIN_CREDIT_MS
         """Time from the credit request until the credit expires."""
@@ -184,10 +192,16 @@
     def apply_grant(
         self, subject: str, number: int, grant: CreditGrant, now_ms: float
     ) -> None:
-        """Apply the answer to a credit request; a late answer grants nothing."""
+        """Apply the answer to a credit request; a late answer grants nothing.
+
+        A further answer is a copy, whose credit has been spent or returned already. It
+        is ignored also if another coordinator granted it: credit that is lost expires,
+        while credit that is returned twice exceeds the limit.
+        """
         account = self._accounts.get(subject)
-        if account is None:
+        if account is None or number in account.answered:
             return
+        account.answered.append(number)
         credit_request = account.credit_request
         if credit_request is None or credit_request.number != number:
             account.returned += grant.granted
--- a/packages/toucanyard/src/toucanyard/limit_exchange.py
+++ b/packages/toucanyard/src/toucanyard/limit_exchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import Protocol
+from typing import Final, Protocol
 
 import msgspec
 
@@ -20,6 +20,9 @@
 from toucanyard.relay_events import SendToPeer
 from toucanyard.scarce_credit.account_keys import build_account_key, split_account_key
 
+MAX_EARLIER: Final = 8
+"""Numbers of earlier requests that are kept for each node and limit."""
+
 
 class LimitSource(Protocol):
     """Provides the limits of one kind and this node's credit accounts for them."""
@@ -41,6 +44,8 @@
     answer: CreditAnswer
     denied: float
     """The amount requested, if nothing was granted."""
+    earlier: tuple[int, ...] = ()
+    """Numbers of the requests that were answered before, the newest first."""
 
 
 class LimitExchange:
@@ -142,6 +147,10 @@
         sent = self._sent_answers.get(key)
         if sent is not None and sent.answer.number == request.number:
             return sent.answer
+        if sent is not None and request.number in sent.earlier:
+            # It took another path than the request after it. The credit that it
+            # returns has been added already.
+            return None
         limit = self._source.find_limit(request.subject)
         if limit is None:
             return self._answer_unlimited(request)
@@ -162,7 +171,10 @@
         )
         answer = _build_answer(request, grant)
         denied = 0.0 if grant.granted else request.wanted
-        self._sent_answers[key] = _SentAnswer(now_ms, answer, denied)
+        earlier: tuple[int, ...] = ()
+        if sent is not None:
+            earlier = (sent.answer.number, *sent.earlier)[:MAX_EARLIER]
+        self._sent_answers[key] = _SentAnswer(now_ms, answer, denied, earlier)
         return answer
 
     def _answer_unlimited(self, request: CreditAsk) -> CreditAnswer | None:
--- a/tests/toucanyard/test_limit_credits.py
+++ b/tests/toucanyard/test_limit_credits.py
@@ -113,3 +113,30 @@
     accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
     accounts.retain(())
     assert not accounts.has_requests()
+
+
+def test_credit_of_an_answer_that_comes_again_is_not_returned() -> None:
+    """Guards against credit that is spent and returned, and so granted twice."""
+    accounts = CreditAccounts()
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
+    first = request_credit(accounts, 0.0)
+    grant(accounts, first, 900.0, 5.0)
+    assert accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 5.0) is not None
+    for at_ms in (6.0, 7.0, 8.0):
+        grant(accounts, first, 900.0, at_ms)
+    accounts.take(SECOND, CUSTOMER, 200.0, TTL_MS, 9.0)
+    assert request_credit(accounts, 9.0).returned == 0.0
+
+
+def test_credit_of_a_superseded_request_is_returned_once() -> None:
+    """Guards against a late answer whose copies are returned as well."""
+    accounts = CreditAccounts()
+    accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, 0.0)
+    first = request_credit(accounts, 0.0)
+    second = request_credit(accounts, TTL_MS)
+    for at_ms in (TTL_MS + 1.0, TTL_MS + 2.0):
+        grant(accounts, first, 900.0, at_ms)
+    grant(accounts, second, 900.0, TTL_MS + 3.0)
+    assert accounts.take(FIRST, CUSTOMER, 900.0, TTL_MS, TTL_MS + 3.0) is not None
+    accounts.take(SECOND, CUSTOMER, 200.0, TTL_MS, TTL_MS + 4.0)
+    assert request_credit(accounts, TTL_MS + 4.0).returned == 900.0
--- a/tests/toucanyard/test_limit_exchange.py
+++ b/tests/toucanyard/test_limit_exchange.py
@@ -160,3 +160,20 @@
     fleet.send_call(node, LARGE, 200)
     fleet.run_for(50.0)
     assert find_granted(coordinator) == before + 200
+
+
+def test_earlier_request_that_arrives_again_returns_nothing() -> None:
+    """Guards against returned credit that counts twice if requests overtake others."""
+    fleet = LimitFleet(3, 3)
+    coordinator = find_coordinator(fleet)
+    sender = next(c.identity for c in fleet.cores.values() if c is not coordinator)
+    requests = [
+        CreditAsk(sender.node, number, LARGE, 5_000.0, 5_000.0, returned)
+        for number, returned in ((69, 0.0), (70, 4_000.0), (71, 0.0))
+    ]
+    for each in requests:
+        coordinator.handle(LinkMessageRead(sender, each), fleet.now_ms)
+    before = find_level(coordinator)
+    for each in requests[:2]:
+        assert not coordinator.handle(LinkMessageRead(sender, each), fleet.now_ms)
+    assert find_level(coordinator) == before
