Send calls that may run once away from a stopping node that may cut them

Callers saw (a report of other operators; here in process): in a planned stop of one node, calls that may run only once were taken and cut at its end though another node took calls, with their outcome unknown.

Cause: the share of answers that may take longer than the time left was 0.5 for all calls, and calls of unknown length began in the first half of the stop.

Change: while another node takes calls, a call that may run once begins only if nine in ten of such answers took no longer than is left, and not if that is unknown. It is refused as not run, to be sent again at once.

--- a/packages/toucanyard/src/toucanyard/stop_admission.py
+++ b/packages/toucanyard/src/toucanyard/stop_admission.py
@@ -14,9 +14,13 @@
 from toucanyard.errorcodes import ErrorKind
 from toucanyard.pending_call import PendingCall
 from toucanyard.relay_requests import RelayRequest
+from toucanyard.requests import Repeatability
 
 MAX_SHARE_CUT: Final = 0.5
 """Share of recent answers to such calls that may have taken longer than is left."""
+MAX_SHARE_LOST: Final = 0.1
+"""The same for a call that may run only once, while another node takes calls: its
+caller loses more by a cut than by going there."""
 SIGNAL_DELAY_MS: Final = 250.0
 """How late a busy node may handle the signal. Calls that arrive up to so much before
 its own count says that callers are gone may come from callers that should be."""
@@ -62,17 +66,22 @@
         if request.deadline_ms <= self._ends_ms or pending.has_begun:
             return None
         left_ms = self._ends_ms - now_ms
-        text = self._find_obstacle(request, left_ms)
+        has_ready_peer = self._has_ready_peer(now_ms)
+        text = self._find_obstacle(request, left_ms, has_ready_peer=has_ready_peer)
         if text is None:
             return None
         return RefusalReason(
             ErrorKind.DRAINING,
             f"this node ends in {left_ms:.0f} ms, {text}",
-            self._find_retry(left_ms, now_ms),
+            0.0 if has_ready_peer else max(left_ms, 0.0) + RESTART_MS,
         )
 
-    def _find_obstacle(self, request: RelayRequest, left_ms: float) -> str | None:
+    def _find_obstacle(
+        self, request: RelayRequest, left_ms: float, *, has_ready_peer: bool
+    ) -> str | None:
         """Return why a call may not end in time, if so."""
+        is_once = request.repeatability is Repeatability.RUN_ONCE
+        goes_elsewhere = is_once and has_ready_peer
         late_ms = request.arrived_ms - self._gone_ms
         if late_ms >= -CLOSE_MS:
             return "its callers should be gone"
@@ -82,13 +91,9 @@
         if longer is None:
             most_ms = self._ends_ms - self._gone_ms
             is_short = may_be_late or left_ms < most_ms * (1.0 - UNKNOWN_SHARE)
+            is_short |= goes_elsewhere
             return "how long such answers take is not known" if is_short else None
-        if longer > (0.0 if may_be_late else MAX_SHARE_CUT):
+        most = MAX_SHARE_LOST if goes_elsewhere else MAX_SHARE_CUT
+        if longer > (0.0 if may_be_late else most):
             return f"{longer:.0%} of such answers took longer than {time_ms:.0f} ms"
         return None
-
-    def _find_retry(self, left_ms: float, now_ms: float) -> float:
-        """Return when the caller should come back: at once if another node is ready."""
-        if self._has_ready_peer(now_ms):
-            return 0.0
-        return max(left_ms, 0.0) + RESTART_MS
