--- a/tests/toucanyard_node/test_reset_answers.py
+++ b/tests/toucanyard_node/test_reset_answers.py
@@ -167,3 +167,35 @@
             assert harness.core.flow.count_pending() == 0
         assert find_status(received) == 502
         assert b'"not_run":false' in received
+
+
+@pytest.mark.parametrize("is_forwarded", [False, True])
+@pytest.mark.parametrize("status", ["000", "099", "20", "2000"])
+async def test_answer_without_a_possible_status_is_not_passed_on(
+    status: str, is_forwarded: bool
+) -> None:
+    """Guards against bytes of a replica in trouble that a caller gets as an answer."""
+    head = HEAD.replace(b"200", status.encode()) + b"Content-Length: 4\r\n\r\n"
+    received = await call_once(head + b"part", is_forwarded, is_reset=False)
+    assert find_status(received) == 502
+    assert find_body(received) != b"part"
+
+
+async def test_forwarded_long_call_gets_no_success_of_a_reset_answer() -> None:
+    """Guards against a part of an answer that a peer frames as whole."""
+    received = await call_once(HEAD + b"\r\npart", True, is_reset=True)
+    assert find_status(received) == 502
+    assert find_body(received) != b"part"
+
+
+async def call_once(data: bytes, is_forwarded: bool, *, is_reset: bool) -> bytes:
+    """Send a long call to a lone replica, perhaps over a peer; return the answer."""
+    replica = EarlyReplica("x", data, is_reset=is_reset)
+    async with AsyncExitStack() as stack:
+        harness = await stack.enter_async_context(
+            start_harness(RelayHarness([replica], **ONCE))
+        )
+        if is_forwarded:
+            peer = ForwardPeer("b", harness)
+            harness = await stack.enter_async_context(open_cut_off_node([peer], **ONCE))
+        return await harness.call(build_call(body=LONG_BODY))
