Count a replica that fails while others answer as ended, not as a cut

Cause: six failed connects in a row count as a cut of this node; polls of these entries failed each time before others had answered.

Change: a replica that can't be reached within 0.1 s of a connect to another one that succeeded counts as ended until it is reached; a cut is concluded from the others.

--- a/packages/toucanyard/src/toucanyard/replica_reach.py
+++ b/packages/toucanyard/src/toucanyard/replica_reach.py
@@ -3,6 +3,10 @@
 One failed connect may be due to its replica. If connects to several replicas fail and
 none succeeds, this node may be the one that is cut off: its peers show which. Responses
 on open connections prove nothing, since new ones may fail while these live on.
+
+A replica that can't be reached at a moment at which another one can has ended, or its
+entry is wrong. Its further failures are no evidence, or entries that nobody removes
+would cut this node off again and again.
 """
 
 from __future__ import annotations
@@ -21,6 +25,9 @@
 MIN_FAILED_REPLICAS: Final = 6
 """Replicas of a service to which connects must have failed since one last succeeded;
 all of them if it has fewer."""
+SAME_MOMENT_MS: Final = 100.0
+"""Longest time between a failed connect and one to another replica that succeeded, for
+the first to be due to its replica: a link that returns is down for longer."""
 DOUBT_PROBES: Final = 5
 """Connects to other replicas that are tried at once after one has failed."""
 MAX_DOUBT_MS: Final = 600.0
@@ -51,6 +58,7 @@
 
     __slots__ = (
         "connected_ms",
+        "ended",
         "failed_ms",
         "hold_ms",
         "open_probes",
@@ -67,6 +75,9 @@
         """Begin of the latest connect that succeeded."""
         self.failed_ms: dict[EndpointName, float] = {}
         """Begin of the latest failed connect to each replica since then."""
+        self.ended: set[EndpointName] = set()
+        """Replicas that could not be reached while others could, since their last
+        connect."""
         self.unreached_ms: float | None = None
         """Since when no replica could be reached; None if one can."""
         self.returning_ms: float | None = None
@@ -179,9 +190,15 @@
     ) -> None:
         """Record a connect that succeeded."""
         service = self._find(replica.service)
+        service.ended.discard(replica.name)
         if begun_ms <= service.connected_ms:
             return
         service.connected_ms = begun_ms
+        service.ended |= {
+            name
+            for name, failed_ms in service.failed_ms.items()
+            if name != replica.name and abs(begun_ms - failed_ms) <= SAME_MOMENT_MS
+        }
         service.failed_ms = {
             name: failed_ms
             for name, failed_ms in service.failed_ms.items()
@@ -198,15 +215,19 @@
         """Record a connect that failed or timed out."""
         service = self._find(replica.service)
         if begun_ms <= service.connected_ms:
+            if service.connected_ms - begun_ms <= SAME_MOMENT_MS:
+                service.ended.add(replica.name)
             return
         service.failed_ms[replica.name] = begun_ms
         names = self._list_names(replica.service, now_ms)
-        failed = [name for name in names if name in service.failed_ms]
+        service.ended.intersection_update(names)
+        live = [name for name in names if name not in service.ended] or names
+        failed = [name for name in live if name in service.failed_ms]
         if service.unreached_ms is not None:
-            if len(failed) >= min(len(names), MIN_LOST_AGAIN):
+            if len(failed) >= min(len(live), MIN_LOST_AGAIN):
                 service.returning_ms = None
             return
-        if failed and len(failed) >= min(len(names), MIN_FAILED_REPLICAS):
+        if failed and len(failed) >= min(len(live), MIN_FAILED_REPLICAS):
             self._begin(replica.service, service, failed, len(names), now_ms)
 
     def record_peer_loss(self, services: Iterable[ServiceName], now_ms: float) -> None:
--- a/tests/toucanyard/test_replica_reach.py
+++ b/tests/toucanyard/test_replica_reach.py
@@ -163,3 +163,48 @@
     reach._directory.apply_services([ENGINES])
     assert reach.list_unreached() == ()
     assert not reach.is_cut_off(300.0)
+
+
+def poll(
+    reach: ReplicaReach, replicas: dict[str, Replica], ended: str, now_ms: float
+) -> list[str]:
+    """Poll all replicas at once, of which some have ended; return the log entries."""
+    for name in ended:
+        reach.record_failed(replicas[name], now_ms, now_ms + 1.0)
+    for name, replica in replicas.items():
+        if name not in ended:
+            reach.record_connected(replica, now_ms, now_ms + 2.0)
+    return [each.event for each in reach.take_log_entries()]
+
+
+def test_entries_at_which_nobody_listens_do_not_cut_a_node_off_again_and_again() -> (
+    None
+):
+    """Guards against weights that nobody orders as entries of others stay listed."""
+    reach, replicas = build_reach("abcdefghijklmn")
+    ended = "abcdefgh"
+    lost = 0
+    for step in range(40):
+        lost += poll(reach, replicas, ended, step * 500.0).count("service_unreached")
+    assert lost <= 1
+    assert not reach.is_unreached(DESK)
+
+
+def test_node_beside_ended_replicas_still_finds_that_it_is_cut_off() -> None:
+    reach, replicas = build_reach("abcdefghijklmn")
+    for step in range(4):
+        poll(reach, replicas, "abcdefgh", step * 500.0)
+    assert not reach.is_unreached(DESK)
+    fail_all(reach, replicas, 3_000.0)
+    assert reach.is_unreached(DESK)
+
+
+def test_ended_replica_that_is_reached_again_counts_as_evidence() -> None:
+    reach, replicas = build_reach("abcd")
+    poll(reach, replicas, "ab", 0.0)
+    poll(reach, replicas, "", 500.0)
+    for name in "cd":
+        reach.record_failed(replicas[name], 1_000.0, 1_150.0)
+    assert not reach.is_unreached(DESK)
+    fail_all(reach, replicas, 1_000.0)
+    assert reach.is_unreached(DESK)
