Keep with each failed load whether another replica crashed beside it

The names of such replicas were kept in a set beside the failures, which did not drop those of failures that were no longer stored.

--- a/packages/toucanyard/src/toucanyard/failed_loads.py
+++ b/packages/toucanyard/src/toucanyard/failed_loads.py
@@ -36,13 +36,15 @@
 """Maximum number of failures that are stored for a version; the newest are kept."""
 
 
-class FailedLoad(msgspec.Struct, frozen=True):
+class FailedLoad(msgspec.Struct):
     """A replica that crashed during a load."""
 
     replica: EndpointName
     domain: DomainName
     ordered_ms: float
     seen_ms: float
+    has_witness: bool = False
+    """Whether a replica of its domain that did not load crashed at the same time."""
 
 
 class _End(msgspec.Struct):
@@ -60,12 +62,10 @@
     Invariant: a version that a replica has loaded is not halted.
     """
 
-    __slots__ = ("_ends", "_failed", "_witnessed")
+    __slots__ = ("_ends", "_failed")
 
     def __init__(self) -> None:
         self._failed: dict[int, list[FailedLoad]] = {}
-        self._witnessed: set[EndpointName] = set()
-        """Failed replicas beside which one crashed that did not load."""
         self._ends: dict[EndpointName, _End] = {}
 
     def count(self, version: int) -> int:
@@ -82,11 +82,7 @@
 
     def is_halted(self, version: int, now_ms: float) -> bool:
         """Return whether no replica may load a version now."""
-        failed = [
-            each
-            for each in self._failed.get(version, ())
-            if each.replica not in self._witnessed
-        ]
+        failed = [e for e in self._failed.get(version, ()) if not e.has_witness]
         if len(failed) < MAX_FAILED_LOADS or not _is_due_to_weights(failed):
             return False
         return now_ms - failed[-1].seen_ms < HALT_MS
@@ -102,8 +98,9 @@
         failed = self._failed.setdefault(version, [])
         failed.append(failure)
         del failed[:-MAX_FAILURES]
-        if any(_is_beside(failure, end) for end in self._ends.values()):
-            self._witnessed.add(failure.replica)
+        failure.has_witness = any(
+            _is_beside(failure, end) for end in self._ends.values()
+        )
         if len(self._failed) > MAX_VERSIONS:
             self.forget(min(self._failed))
         return True
@@ -120,14 +117,12 @@
         end = self._ends.setdefault(replica, _End(domain, seen_ms, seen_ms))
         end.last_ms = seen_ms
         for failed in self._failed.values():
-            self._witnessed |= {
-                each.replica for each in failed if _is_beside(each, end)
-            }
+            for each in failed:
+                each.has_witness = each.has_witness or _is_beside(each, end)
 
     def forget(self, version: int) -> None:
         """Clear the failures of a version, since a replica has loaded it."""
-        for each in self._failed.pop(version, ()):
-            self._witnessed.discard(each.replica)
+        self._failed.pop(version, None)
 
 
 def _is_beside(failure: FailedLoad, end: _End) -> bool:
