Conclude a cut only if as many connects failed as before

Change: the failures of all replicas have to reach the count as well.

After: the test passes, with those of reach and of nodes that are cut off.

--- a/packages/toucanyard/src/toucanyard/replica_reach.py
+++ b/packages/toucanyard/src/toucanyard/replica_reach.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Final
 
 from toucanyard.crash_detector import Reachability
@@ -221,13 +221,12 @@
         service.failed_ms[replica.name] = begun_ms
         names = self._list_names(replica.service, now_ms)
         service.ended.intersection_update(names)
-        live = [name for name in names if name not in service.ended] or names
-        failed = [name for name in live if name in service.failed_ms]
+        failed = [name for name in names if name in service.failed_ms]
         if service.unreached_ms is not None:
-            if len(failed) >= min(len(live), MIN_LOST_AGAIN):
+            if _are_most(failed, names, service.ended, MIN_LOST_AGAIN):
                 service.returning_ms = None
             return
-        if failed and len(failed) >= min(len(live), MIN_FAILED_REPLICAS):
+        if _are_most(failed, names, service.ended, MIN_FAILED_REPLICAS):
             self._begin(replica.service, service, failed, len(names), now_ms)
 
     def record_peer_loss(self, services: Iterable[ServiceName], now_ms: float) -> None:
@@ -325,6 +324,19 @@
         self._log_entries.append(LogEntry("service_reached", fields))
 
 
+def _are_most(
+    failed: Sequence[EndpointName],
+    names: Sequence[EndpointName],
+    ended: Collection[EndpointName],
+    count: int,
+) -> bool:
+    """Return whether so many have failed, or all, also of those that have not ended."""
+    live = [name for name in names if name not in ended] or names
+    failed_live = [name for name in failed if name in live]
+    is_any = bool(failed_live) and len(failed_live) >= min(len(live), count)
+    return is_any and len(failed) >= min(len(names), count)
+
+
 def _has_trace(service: ServiceReach, now_ms: float) -> bool:
     """Return whether a connect has failed lately, here or at a peer."""
     is_lost_here = service.unreached_ms is not None or bool(service.failed_ms)
