--- a/tests/toucanyard_platform/test_calls.py
+++ b/tests/toucanyard_platform/test_calls.py
@@ -242,3 +242,14 @@
     sent = {key: value.encode("latin-1") for key, value in headers}
     assert sent["X-Tenant"].decode() == name
     assert sent["X-Cache-Salt"].decode() == f"m/4/={name}"
+
+
+def test_id_with_letters_of_any_alphabet_reaches_the_replica() -> None:
+    """Guards against an id that no header can carry and fails each call there."""
+    dispatch = msgspec.structs.replace(
+        build_dispatch(), listed_as=ReplicaId("i-\u5fc3")
+    )
+    http = build_http(*MODEL_CALL)
+    headers = PlatformCalls().build_headers(http, build_request(), dispatch, 5_900, "")
+    sent = {key: value.encode("latin-1") for key, value in headers}
+    assert sent["X-Expect-Instance"].decode() == "i-\u5fc3"
