Count failed connects without searching lists

A failed connect compared each failed replica with the list of all others, which grows with the square of the replicas of a service. No change of behaviour.

--- a/packages/toucanyard/src/toucanyard/replica_reach.py
+++ b/packages/toucanyard/src/toucanyard/replica_reach.py
@@ -331,9 +331,11 @@
     count: int,
 ) -> bool:
     """Return whether so many have failed, or all, also of those that have not ended."""
-    live = [name for name in names if name not in ended] or names
-    failed_live = [name for name in failed if name in live]
-    is_any = bool(failed_live) and len(failed_live) >= min(len(live), count)
+    live = sum(name not in ended for name in names)
+    failed_live = sum(name not in ended for name in failed)
+    if not live:
+        live, failed_live = len(names), len(failed)
+    is_any = failed_live > 0 and failed_live >= min(live, count)
     return is_any and len(failed) >= min(len(names), count)
 
 
