Leave only entries that were never reached out of the evidence for a cut

Change: a replica that this node has reached before counts as evidence as it did; entries of other writers, at which nobody listens, have never been reached.

--- a/packages/toucanyard/src/toucanyard/replica_reach.py
+++ b/packages/toucanyard/src/toucanyard/replica_reach.py
@@ -4,9 +4,9 @@
 none succeeds, this node may be the one that is cut off: its peers show which. Responses
 on open connections prove nothing, since new ones may fail while these live on.
 
-A replica that can't be reached at a moment at which another one can has ended, or its
-entry is wrong. Its further failures are no evidence, or entries that nobody removes
-would cut this node off again and again.
+An entry whose replica has never been reached, though another one could be at the same
+moment, is most likely wrong. Its failures are no evidence, or entries of other writers,
+which nobody removes, would cut this node off again and again.
 """
 
 from __future__ import annotations
@@ -58,16 +58,17 @@
 
     __slots__ = (
         "connected_ms",
-        "ended",
         "failed_ms",
         "hold_ms",
         "open_probes",
         "peer_lost_ms",
         "probe_count",
         "probed_ms",
+        "reached",
         "returned_ms",
         "returning_ms",
         "unreached_ms",
+        "wrong",
     )
 
     def __init__(self) -> None:
@@ -75,9 +76,10 @@
         """Begin of the latest connect that succeeded."""
         self.failed_ms: dict[EndpointName, float] = {}
         """Begin of the latest failed connect to each replica since then."""
-        self.ended: set[EndpointName] = set()
-        """Replicas that could not be reached while others could, since their last
-        connect."""
+        self.reached: set[EndpointName] = set()
+        """Listed replicas to which a connect has succeeded."""
+        self.wrong: set[EndpointName] = set()
+        """Entries that were never reached, though others were at the same moment."""
         self.unreached_ms: float | None = None
         """Since when no replica could be reached; None if one can."""
         self.returning_ms: float | None = None
@@ -190,14 +192,16 @@
     ) -> None:
         """Record a connect that succeeded."""
         service = self._find(replica.service)
-        service.ended.discard(replica.name)
+        service.reached.add(replica.name)
+        service.wrong.discard(replica.name)
         if begun_ms <= service.connected_ms:
             return
         service.connected_ms = begun_ms
-        service.ended |= {
+        service.wrong |= {
             name
             for name, failed_ms in service.failed_ms.items()
-            if name != replica.name and abs(begun_ms - failed_ms) <= SAME_MOMENT_MS
+            if name not in service.reached
+            and abs(begun_ms - failed_ms) <= SAME_MOMENT_MS
         }
         service.failed_ms = {
             name: failed_ms
@@ -215,18 +219,20 @@
         """Record a connect that failed or timed out."""
         service = self._find(replica.service)
         if begun_ms <= service.connected_ms:
-            if service.connected_ms - begun_ms <= SAME_MOMENT_MS:
-                service.ended.add(replica.name)
+            is_same = service.connected_ms - begun_ms <= SAME_MOMENT_MS
+            if is_same and replica.name not in service.reached:
+                service.wrong.add(replica.name)
             return
         service.failed_ms[replica.name] = begun_ms
         names = self._list_names(replica.service, now_ms)
-        service.ended.intersection_update(names)
+        service.wrong.intersection_update(names)
+        service.reached.intersection_update(names)
         failed = [name for name in names if name in service.failed_ms]
         if service.unreached_ms is not None:
-            if _are_most(failed, names, service.ended, MIN_LOST_AGAIN):
+            if _are_most(failed, names, service.wrong, MIN_LOST_AGAIN):
                 service.returning_ms = None
             return
-        if _are_most(failed, names, service.ended, MIN_FAILED_REPLICAS):
+        if _are_most(failed, names, service.wrong, MIN_FAILED_REPLICAS):
             self._begin(replica.service, service, failed, len(names), now_ms)
 
     def record_peer_loss(self, services: Iterable[ServiceName], now_ms: float) -> None:
@@ -327,15 +333,15 @@
 def _are_most(
     failed: Sequence[EndpointName],
     names: Sequence[EndpointName],
-    ended: Collection[EndpointName],
+    wrong: Collection[EndpointName],
     count: int,
 ) -> bool:
-    """Return whether so many have failed, or all, also of those that have not ended."""
-    live = sum(name not in ended for name in names)
-    failed_live = sum(name not in ended for name in failed)
-    if not live:
-        live, failed_live = len(names), len(failed)
-    is_any = failed_live > 0 and failed_live >= min(live, count)
+    """Return whether so many have failed, or all, also without the wrong entries."""
+    sound = sum(name not in wrong for name in names)
+    failed_sound = sum(name not in wrong for name in failed)
+    if not sound:
+        sound, failed_sound = len(names), len(failed)
+    is_any = failed_sound > 0 and failed_sound >= min(sound, count)
     return is_any and len(failed) >= min(len(names), count)
 
 
--- a/tests/toucanyard/test_replica_reach.py
+++ b/tests/toucanyard/test_replica_reach.py
@@ -190,7 +190,7 @@
     assert not reach.is_unreached(DESK)
 
 
-def test_node_beside_ended_replicas_still_finds_that_it_is_cut_off() -> None:
+def test_node_beside_such_entries_still_finds_that_it_is_cut_off() -> None:
     reach, replicas = build_reach("abcdefghijklmn")
     for step in range(4):
         poll(reach, replicas, "abcdefgh", step * 500.0)
@@ -199,10 +199,11 @@
     assert reach.is_unreached(DESK)
 
 
-def test_ended_replica_that_is_reached_again_counts_as_evidence() -> None:
+def test_crashed_replicas_count_as_evidence_as_before() -> None:
+    """Guards against crashes that conclude a cut sooner, or later, than they did."""
     reach, replicas = build_reach("abcd")
-    poll(reach, replicas, "ab", 0.0)
-    poll(reach, replicas, "", 500.0)
+    poll(reach, replicas, "", 0.0)
+    poll(reach, replicas, "ab", 500.0)
     for name in "cd":
         reach.record_failed(replicas[name], 1_000.0, 1_150.0)
     assert not reach.is_unreached(DESK)
