Blame no replica for a call that no header can carry

Change: the error is a type of its own. Requests to replicas and the store turn it into a failure as not sent; on the path of calls it is answered with 500 as before.

Before: the new test failed (seven tries). After: it passes.

--- a/packages/toucanyard-node/src/toucanyard_node/bounded_fetch.py
+++ b/packages/toucanyard-node/src/toucanyard_node/bounded_fetch.py
@@ -16,6 +16,7 @@
     ConnectionFailedError,
     Headers,
     HttpConnection,
+    RequestInvalidError,
     Response,
     ResponseHead,
     connect,
@@ -43,7 +44,10 @@
 
     OversizedBodyError is raised for a body over a bound.
     """
-    await connection.send(method, target, headers, body)
+    try:
+        await connection.send(method, target, headers, body)
+    except RequestInvalidError as error:
+        raise ConnectionFailedError(str(error), is_sent=False) from error
     head = await connection.read_head()
     try:
         received = await connection.read_body(max_bytes, message)
--- a/packages/toucanyard-node/src/toucanyard_node/http_client.py
+++ b/packages/toucanyard-node/src/toucanyard_node/http_client.py
@@ -81,6 +81,10 @@
     """The body of a response exceeds a bound of this node."""
 
 
+class RequestInvalidError(ValueError):
+    """A request has a header or target that can't be sent, wherever it goes."""
+
+
 class ResponseHead(msgspec.Struct, frozen=True):
     """Status and headers of a response; header names are lower case."""
 
@@ -201,7 +205,7 @@
         body: bytes = b"",
         stall_ms: float = math.inf,
     ) -> None:
-        """Send one request, or raise ConnectionFailedError.
+        """Send one request, or raise ConnectionFailedError or RequestInvalidError.
 
         `stall_ms` bounds how long the other side may accept no data.
         """
@@ -222,6 +226,7 @@
     ) -> ResponseHead:
         """Send a request with complete headers and read the head of its response.
 
+        Raises ConnectionFailedError or RequestInvalidError.
         `read_head` calls the method of that name until it has returned.
         A response may arrive before a long body has been sent completely, and the other
         side may then stop reading, so waiting for the send to finish could block
@@ -469,15 +474,14 @@
 
 
 def _build_request(method: str, target: str, headers: Headers) -> h11.Request:
-    """Return a request's head, or raise ConnectionFailedError if none can carry it."""
+    """Return a request's head, or raise RequestInvalidError."""
     try:
         encoded = [
             (name.encode("ascii"), value.encode("latin-1")) for name, value in headers
         ]
         return h11.Request(method=method, target=target, headers=encoded)
     except (UnicodeEncodeError, h11.LocalProtocolError) as error:
-        text = f"no valid request: {error}"
-        raise ConnectionFailedError(text, is_sent=False) from error
+        raise RequestInvalidError(str(error)) from error
 
 
 def _is_broken(error: ConnectionFailedError) -> bool:
@@ -549,6 +553,8 @@
             head = await connection.read_head()
             answer = await connection.read_body(max_bytes)
             return Response(head.status, head.headers, answer, head.fields)
+    except RequestInvalidError as error:
+        raise ConnectionFailedError(f"{address}: {error}", is_sent=False) from error
     except trio.TooSlowError as error:
         raise ConnectionFailedError(f"{address}: no answer", is_sent=True) from error
     finally:
--- a/tests/toucanyard_node/test_http_client.py
+++ b/tests/toucanyard_node/test_http_client.py
@@ -7,9 +7,11 @@
 from hypothesis import example, given, strategies as st
 
 from toucanyard.names import Address
+from toucanyard_node.bounded_fetch import exchange_bounded
 from toucanyard_node.http_client import (
     ConnectionFailedError,
     HttpConnection,
+    RequestInvalidError,
     connect,
 )
 from toucanyard_node.http_server import find_port
@@ -145,6 +147,9 @@
     """Guards against an error of another type, which ends the task of its sender."""
     near, _ = trio.testing.memory_stream_pair()
     connection = HttpConnection(ADDRESS, near, 0.0)
+    headers = (("X-Expect", value),)
+    with pytest.raises(RequestInvalidError):
+        await connection.send("GET", "/", headers)
     with pytest.raises(ConnectionFailedError) as raised:
-        await connection.send("GET", "/", (("X-Expect", value),))
+        await exchange_bounded(connection, "GET", "/", 9, headers)
     assert not raised.value.is_sent
--- a/tests/toucanyard_node/test_relay_exchange.py
+++ b/tests/toucanyard_node/test_relay_exchange.py
@@ -509,3 +509,24 @@
     with capture_logs() as logs:
         await relay([ScriptedReplica("x", answer(503, b"", NOT_RUN))], build_call())
     assert not [each for each in logs if each["event"] == "handler_failed"]
+
+
+async def test_call_that_no_header_can_carry_is_no_fault_of_a_replica(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against tries at one sound replica after the other that can't be sent."""
+    async with start_harness(RelayHarness([ScriptedReplica("x")], **ONCE)) as harness:
+        codec = harness.relay_server._codec
+        rendered = []
+
+        def build_headers(*_: object) -> tuple[tuple[str, str], ...]:
+            rendered.append(1)
+            return (("Host", "a"), ("X-Customer", "a\nb"))
+
+        monkeypatch.setattr(codec, "build_headers", build_headers)
+        received = await harness.call(build_call())
+        (known,) = harness.core.directory.list_all()
+        assert known.compute_failures(trio.current_time() * 1000) == 0.0
+        assert harness.core.flow.count_pending() == 0
+    assert find_status(received) == 500
+    assert len(rendered) == 1
