--- a/packages/toucanyard/src/toucanyard/failed_loads.py
+++ b/packages/toucanyard/src/toucanyard/failed_loads.py
@@ -108,7 +108,12 @@
     def record_ended(
         self, replica: EndpointName, domain: DomainName, seen_ms: float
     ) -> None:
-        """Record a replica that crashed while it did not load."""
+        """Record a replica that crashed while it did not load.
+
+        One that crashed during a load may be seen again after its change has ended.
+        """
+        if any(self.has_failed(version, replica) for version in self._failed):
+            return
         self._ends = {
             name: end
             for name, end in self._ends.items()
--- a/packages/toucanyard/src/toucanyard/weights_rollout.py
+++ b/packages/toucanyard/src/toucanyard/weights_rollout.py
@@ -158,7 +158,9 @@
             return
         domain = known.replica.domain
         if change is None or change.ordered_ms is None:
-            self._failures.record_ended(read.replica, domain, read.asked_ms)
+            # One that never reported may be an entry of another writer.
+            if read.replica in self._reported_ms:
+                self._failures.record_ended(read.replica, domain, read.asked_ms)
             return
         failure = FailedLoad(read.replica, domain, change.ordered_ms, read.asked_ms)
         if self._failures.record_failed(change.version, failure):
--- a/tests/toucanyard/test_failed_loads.py
+++ b/tests/toucanyard/test_failed_loads.py
@@ -63,3 +63,11 @@
         name = EndpointName(f"r{number}")
         failures.record_failed(2, FailedLoad(name, D0, at_ms - 100.0, at_ms))
     assert failures.is_halted(2, 7_000.0)
+
+
+def test_replica_that_failed_to_load_is_no_witness_of_its_own_crash() -> None:
+    """Guards against bad weights that are excused by the replicas which they ended."""
+    failures = build_failures(D0, D0, D1)
+    for number in range(MAX_FAILED_LOADS):
+        failures.record_ended(EndpointName(f"r{number}"), D0, 600.0)
+    assert failures.is_halted(2, 700.0)
--- a/tests/toucanyard/test_weights_rollout.py
+++ b/tests/toucanyard/test_weights_rollout.py
@@ -395,3 +395,17 @@
     assert fleet.rollout.is_halted(2, fleet.now_ms)
     fleet.run(3, DEADLINE_MS)
     assert set(fleet.versions.values()) == {3}
+
+
+@pytest.mark.parametrize("domains", [1, 3])
+def test_entries_at_which_nobody_listens_excuse_no_bad_weights(domains: int) -> None:
+    """Guards against entries of another writer that count as crashes beside a load."""
+    names = "abcdefghijkl"
+    fleet = Fleet(*names, domains=domains)
+    for name in names[::4]:
+        fleet.dead.add(name)
+        fleet.back_ms[name] = float("inf")
+    fleet.crashing = {2}
+    fleet.run(2, HALT_MS - 10_000.0)
+    assert len(fleet.crashes) <= 5
+    assert fleet.rollout.is_halted(2, fleet.now_ms)
