Look for a ready node once for all calls that wait at a stopping one

No change of what is refused.

Before: the new test failed (100 lists in two ticks). After: it passes.

--- a/packages/toucanyard/src/toucanyard/stop_admission.py
+++ b/packages/toucanyard/src/toucanyard/stop_admission.py
@@ -39,7 +39,14 @@
 class StopAdmission:
     """Which calls a node may still begin; all of them until it stops."""
 
-    __slots__ = ("_answers", "_ends_ms", "_gone_ms", "_has_ready_peer")
+    __slots__ = (
+        "_answers",
+        "_asked_ms",
+        "_ends_ms",
+        "_gone_ms",
+        "_has_ready_peer",
+        "_is_peer_ready",
+    )
 
     def __init__(
         self, answers: RecentAnswers, has_ready_peer: Callable[[float], bool]
@@ -47,6 +54,9 @@
         """`has_ready_peer`: whether callers may be sent to another node."""
         self._answers = answers
         self._has_ready_peer = has_ready_peer
+        self._asked_ms: float | None = None
+        self._is_peer_ready = False
+        """Whether another node took calls at `_asked_ms`."""
         self._gone_ms = float("inf")
         """When callers have been told of other nodes for long enough."""
         self._ends_ms = float("inf")
@@ -66,7 +76,7 @@
         if request.deadline_ms <= self._ends_ms or pending.has_begun:
             return None
         left_ms = self._ends_ms - now_ms
-        has_ready_peer = self._has_ready_peer(now_ms)
+        has_ready_peer = self._find_ready_peer(now_ms)
         text = self._find_obstacle(request, left_ms, has_ready_peer=has_ready_peer)
         if text is None:
             return None
@@ -76,6 +86,13 @@
             0.0 if has_ready_peer else max(left_ms, 0.0) + RESTART_MS,
         )
 
+    def _find_ready_peer(self, now_ms: float) -> bool:
+        """Return whether another node takes calls; asked once for all queued calls."""
+        if now_ms != self._asked_ms:
+            self._asked_ms = now_ms
+            self._is_peer_ready = self._has_ready_peer(now_ms)
+        return self._is_peer_ready
+
     def _find_obstacle(
         self, request: RelayRequest, left_ms: float, *, has_ready_peer: bool
     ) -> str | None:
--- a/tests/toucanyard/test_stop_admission.py
+++ b/tests/toucanyard/test_stop_admission.py
@@ -236,3 +236,19 @@
     assert answers.find_share_longer(request, 500.0) == 1.0
     assert answers.find_share_longer(build_late(0.0), 500.0) is None
     assert len(answers._kinds) == MAX_KINDS
+
+
+def test_ready_nodes_are_listed_once_for_all_calls_of_a_tick() -> None:
+    """Guards against a cost of a stop that grows with queue times fleet."""
+    asked: list[float] = []
+
+    def has_ready_peer(now_ms: float) -> bool:
+        asked.append(now_ms)
+        return True
+
+    stop = StopAdmission(RecentAnswers(), has_ready_peer)
+    stop.begin(KEPT_MS, LEFT_MS)
+    for now_ms in (1_000.0, 1_025.0):
+        for _ in range(50):
+            stop.check(PendingCall(build_late(0.0)), now_ms)
+    assert asked == [1_000.0, 1_025.0]
