--- a/packages/toucanyard/src/toucanyard/known_facts.py
+++ b/packages/toucanyard/src/toucanyard/known_facts.py
@@ -33,8 +33,8 @@
     """Routes, wanted weights, replicas and nodes according to the records.
 
     Invariants: the version of the routes in force never decreases; a record that can't
-    be decoded, or that names a service which is not configured, has no effect except
-    that the replica whose record it replaced gets no more calls.
+    be decoded, or is held, has no effect except that the replica whose record it
+    replaced gets no more calls.
     """
 
     __slots__ = (
